--- /dev/null
+++ b/crates/acceptance/src/lib.rs
@@ -0,0 +1,65 @@
+//! What the tests of real processes share: a small configuration and a fleet that has it in force.
+
+use anyhow::Result;
+use curlewcleat_core::hash_token;
+use curlewcleat_standins::fleet::Fleet;
+
+/// Token of the account `drivers`.
+pub const DRIVERS: &str = "drivers-token";
+/// Token of the account `depots`.
+pub const DEPOTS: &str = "depots-token";
+
+/// A configuration for a fleet's targets: `sessions` for services, `assistant` for engines. Extra
+/// lines go into the pool sections.
+pub fn configuration(fleet: &Fleet, service_lines: &str, engine_lines: &str) -> String {
+    let hex = |token: &str| {
+        hash_token(token).bytes().iter().map(|byte| format!("{byte:02x}")).collect::<String>()
+    };
+    let mut text = format!(
+        "[tier start-stop]\nrank = 0\ndeadline = 5s\n\n[tier roadside]\nrank = 1\ndeadline = 20s\n\n\
+         [tier review]\nrank = 2\ndeadline = 60s\n\n\
+         [account drivers]\ntoken_sha256 = {}\nweight = 2\n\n[account depots]\ntoken_sha256 = {}\n\n\
+         [pool sessions]\nkind = service\nnot_started_status = 503\nfirst_byte_limit = 2s\n{service_lines}\n\n\
+         [pool assistant]\nkind = engine\nprompt_token_us = 20\noutput_token_us = 2000\n\
+         not_started_status = 503\nend_event = [DONE]\nresumable = yes\nbetween_bytes_limit = 2s\n{engine_lines}\n\n\
+         [rule unlock]\norder = 10\npath = /v1/sessions/*\ntier = start-stop\npool = sessions\n\n\
+         [rule stop-review]\norder = 15\npath = /v1/records/*\ntier = review\npool = sessions\nrepeatable = yes\n\n\
+         [rule disputes]\norder = 20\npath = /v1/assistant/disputes\ntier = review\npool = assistant\n\
+         repeatable = yes\nbody_limit = 4194304\n\n\
+         [rule assistant]\norder = 30\npath = /v1/assistant/*\ntier = roadside\npool = assistant\n\
+         repeatable = yes\nbody_limit = 4194304\n\n",
+        hex(DRIVERS),
+        hex(DEPOTS)
+    );
+    for (index, target) in fleet.targets.iter().enumerate() {
+        let pool = if target.name.starts_with("engine") { "assistant" } else { "sessions" };
+        let slots = if pool == "assistant" { 4 } else { 8 };
+        text.push_str(&format!(
+            "[target t{index}]\npool = {pool}\naddress = {}\nvm = target-{index}\nslots = {slots}\n\n",
+            target.address
+        ));
+    }
+    text
+}
+
+/// A fleet with engines, services and daemons that has the small configuration in force.
+pub async fn ready_fleet(
+    name: &str,
+    engines: usize,
+    services: usize,
+    daemons: usize,
+) -> Result<Fleet> {
+    let mut fleet = Fleet::start(name).await?;
+    for _ in 0..engines {
+        fleet.target("engine", &["--slots", "4"]).await?;
+    }
+    for _ in 0..services {
+        fleet.target("service", &["--slots", "8"]).await?;
+    }
+    fleet.daemons(daemons).await?;
+    let text = configuration(&fleet, "", "");
+    fleet.apply("all.ini", &text)?;
+    fleet.peers_ready(daemons - 1).await?;
+    fleet.key_table_ready().await?;
+    Ok(fleet)
+}
--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,263 @@
+//! Builds a whole configuration out of the operators' files, or says all that is wrong.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use curlewcleat_core::{
+    ActiveConfig, AdmissionRule, ClientAccount, Generation, PoolKind, TargetEntry, TargetLimits,
+    TargetPool, TierRule, TokenHash,
+};
+
+use crate::problem::CheckReport;
+use crate::reader::{IniFile, IniSection};
+use crate::FileTexts;
+
+/// Names and places of what the files refer to, for the check of references at the end.
+#[derive(Default)]
+struct ConfigBuilder {
+    config: ActiveConfig,
+    places: BTreeMap<(String, String), (String, String)>,
+    targets: Vec<(TargetEntry, String, (String, String))>,
+    rule_places: Vec<(String, String)>,
+}
+
+/// Checks all files together, references between files too.
+///
+/// # Errors
+/// Every fault found, at once.
+pub fn check_files(generation: Generation, files: &FileTexts) -> Result<ActiveConfig, CheckReport> {
+    let mut report = CheckReport::default();
+    let mut builder = ConfigBuilder::default();
+    builder.config.generation = generation;
+    for (name, text) in files {
+        let file = IniFile::parse(name, text, &mut report);
+        for section in file.sections() {
+            builder.section(section, &mut report);
+        }
+    }
+    let config = builder.finish(&mut report);
+    report.into_result(config)
+}
+
+impl ConfigBuilder {
+    fn section(&mut self, section: IniSection<'_>, report: &mut CheckReport) {
+        match section.kind() {
+            "tier" => self.tier(section, report),
+            "account" => self.account(section, report),
+            "pool" => self.pool(section, report),
+            "target" => self.target(section, report),
+            "rule" => self.rule(section, report),
+            kind => {
+                let message = format!(
+                    "'{kind}' is no kind of section; known are tier, account, pool, target, rule"
+                );
+                section.fault("", message, report);
+            }
+        }
+    }
+
+    /// Takes the name of a section and reports an earlier section with the same kind and name.
+    fn claim(&mut self, section: &IniSection<'_>, report: &mut CheckReport) -> String {
+        let name = section.name(report);
+        let place = (section.file().to_string(), section.title().to_string());
+        let id = (section.kind().to_string(), name.clone());
+        if let Some((file, _)) = self.places.insert(id, place) {
+            section.fault("", format!("stands already in {file}; each id may stand once"), report);
+        }
+        name
+    }
+
+    fn tier(&mut self, mut section: IniSection<'_>, report: &mut CheckReport) {
+        let id = self.claim(&section, report);
+        let rank = section.number("rank", 0, 0..=15, report) as u8;
+        if section.text("rank").is_none() {
+            section.fault("rank", "is missing; 0 is the highest tier", report);
+        }
+        if let Some(other) =
+            self.config.tiers.values().find(|tier| tier.rank == rank && tier.id != id)
+        {
+            section.fault(
+                "rank",
+                format!("{rank} is the rank of tier {} too; ranks must differ", other.id),
+                report,
+            );
+        }
+        let deadline = section.duration("deadline", Duration::from_secs(30), report);
+        section.finish(report);
+        self.config.tiers.insert(id.clone(), TierRule { id, rank, deadline });
+    }
+
+    fn account(&mut self, mut section: IniSection<'_>, report: &mut CheckReport) {
+        let id = self.claim(&section, report);
+        let text = section.required("token_sha256", report);
+        let token = TokenHash::from_hex(&text);
+        if token.is_none() && !text.is_empty() {
+            section.fault(
+                "token_sha256",
+                "should be the 64 hexadecimal digits of the token's SHA-256",
+                report,
+            );
+        }
+        let weight = section.number("weight", 1, 1..=1_000, report) as u32;
+        let rate = section.number("rate_per_s", 0, 0..=1_000_000, report) as u32;
+        let queue_limit = section.number("queue_limit", 10_000, 1..=1_000_000, report) as u32;
+        if let Some(token) = token {
+            if let Some(other) = self.config.tokens.insert(token.clone(), id.clone()) {
+                section.fault(
+                    "token_sha256",
+                    format!("is the token of account {other} too"),
+                    report,
+                );
+            }
+            let rate_per_s = (rate > 0).then_some(rate);
+            let account = ClientAccount { id: id.clone(), token, weight, rate_per_s, queue_limit };
+            self.config.accounts.insert(id, account);
+        }
+        section.finish(report);
+    }
+
+    fn pool(&mut self, mut section: IniSection<'_>, report: &mut CheckReport) {
+        let id = self.claim(&section, report);
+        let kind = match section.required("kind", report).as_str() {
+            "engine" => PoolKind::Engine,
+            "service" | "" => PoolKind::Service,
+            other => {
+                section.fault("kind", format!("'{other}' should be engine or service"), report);
+                PoolKind::Service
+            }
+        };
+        let defaults = default_limits(kind);
+        let status = section.number("not_started_status", 0, 0..=599, report) as u16;
+        if status != 0 && status < 400 {
+            section.fault(
+                "not_started_status",
+                format!("{status} should be a status from 400 to 599"),
+                report,
+            );
+        }
+        let engine = kind == PoolKind::Engine;
+        let pool = TargetPool {
+            id: id.clone(),
+            kind,
+            queue_limit: section.number("queue_limit", 1_000, 1..=1_000_000, report) as u32,
+            reserve_percent: section.number("reserve_percent", 0, 0..=90, report) as u32,
+            prompt_token_us: section.number(
+                "prompt_token_us",
+                if engine { 100 } else { 0 },
+                0..=1_000_000,
+                report,
+            ),
+            output_token_us: section.number(
+                "output_token_us",
+                if engine { 10_000 } else { 0 },
+                0..=1_000_000,
+                report,
+            ),
+            base_us: section.number("base_us", 5_000, 1..=600_000_000, report),
+            limits: TargetLimits {
+                connect: section.duration("connect_limit", defaults.connect, report),
+                first_byte: section.duration("first_byte_limit", defaults.first_byte, report),
+                between_bytes: section.duration(
+                    "between_bytes_limit",
+                    defaults.between_bytes,
+                    report,
+                ),
+            },
+            not_started_status: (status > 0).then_some(status),
+            end_event: section.text("end_event").filter(|text| !text.is_empty()),
+            resumable: section.flag("resumable", false, report),
+            targets: BTreeMap::new(),
+        };
+        section.finish(report);
+        self.config.pools.insert(id, pool);
+    }
+
+    fn target(&mut self, mut section: IniSection<'_>, report: &mut CheckReport) {
+        let id = self.claim(&section, report);
+        let pool = section.required("pool", report);
+        let target = TargetEntry {
+            id,
+            address: section.address("address", report),
+            vm: section.required("vm", report),
+            slots: section.number("slots", 8, 1..=4_096, report) as u32,
+        };
+        let place = (section.file().to_string(), section.title().to_string());
+        section.finish(report);
+        self.targets.push((target, pool, place));
+    }
+
+    fn rule(&mut self, mut section: IniSection<'_>, report: &mut CheckReport) {
+        let id = self.claim(&section, report);
+        let path = section.required("path", report);
+        if !path.is_empty() && !path.starts_with('/') {
+            section.fault("path", format!("'{path}' should begin with /"), report);
+        }
+        let header = section.text("header").and_then(|text| match text.split_once('=') {
+            Some((name, value)) => {
+                Some((name.trim().to_ascii_lowercase(), value.trim().to_string()))
+            }
+            None => {
+                section.fault("header", format!("'{text}' should be name=value"), report);
+                None
+            }
+        });
+        let rule = AdmissionRule {
+            id,
+            order: section.number("order", 100, 0..=100_000, report) as u32,
+            method: section.text("method"),
+            path,
+            account: section.text("account").filter(|text| text != "*"),
+            header,
+            tier: section.required("tier", report),
+            pool: section.required("pool", report),
+            repeatable: section.flag("repeatable", false, report),
+            body_limit: section.number("body_limit", 1 << 20, 1..=1 << 30, report) as usize,
+        };
+        self.rule_places.push((section.file().to_string(), section.title().to_string()));
+        section.finish(report);
+        self.config.rules.push(rule);
+    }
+
+    /// Checks the references and sorts the rules.
+    fn finish(mut self, report: &mut CheckReport) -> ActiveConfig {
+        for (target, pool, (file, title)) in std::mem::take(&mut self.targets) {
+            match self.config.pools.get_mut(&pool) {
+                Some(entry) => {
+                    entry.targets.insert(target.id.clone(), target);
+                }
+                None if pool.is_empty() => {}
+                None => report.add(&file, &title, "pool", format!("there is no [pool {pool}]")),
+            }
+        }
+        for (rule, (file, title)) in self.config.rules.iter().zip(&self.rule_places) {
+            if !rule.tier.is_empty() && !self.config.tiers.contains_key(&rule.tier) {
+                report.add(file, title, "tier", format!("there is no [tier {}]", rule.tier));
+            }
+            if !rule.pool.is_empty() && !self.config.pools.contains_key(&rule.pool) {
+                report.add(file, title, "pool", format!("there is no [pool {}]", rule.pool));
+            }
+            if let Some(account) =
+                rule.account.as_ref().filter(|id| !self.config.accounts.contains_key(*id))
+            {
+                report.add(file, title, "account", format!("there is no [account {account}]"));
+            }
+        }
+        self.config.rules.sort_by(|a, b| (a.order, &a.id).cmp(&(b.order, &b.id)));
+        self.config
+    }
+}
+
+fn default_limits(kind: PoolKind) -> TargetLimits {
+    match kind {
+        PoolKind::Engine => TargetLimits {
+            connect: Duration::from_secs(1),
+            first_byte: Duration::from_secs(60),
+            between_bytes: Duration::from_secs(20),
+        },
+        PoolKind::Service => TargetLimits {
+            connect: Duration::from_millis(500),
+            first_byte: Duration::from_secs(5),
+            between_bytes: Duration::from_secs(2),
+        },
+    }
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,24 @@
+//! The operators' files and the daemon's settings: reading, checking, manifest and apply.
+//!
+//! All files are INI. Every fault of every file is reported at once, with file, section, key and
+//! what would be right. Nothing in this crate performs input or output.
+
+mod apply;
+mod check;
+mod manifest;
+mod problem;
+mod reader;
+mod settings;
+mod store;
+
+pub use apply::{ApplyAction, ApplyEvent, ApplyOptions, ApplyResult, ConfigApply};
+pub use check::check_files;
+pub use manifest::{content_hash, ApplyRecord, ConfigManifest, HISTORY_LENGTH};
+pub use manifest::{content_key, manifest_bytes, parse_manifest, MANIFEST_KEY};
+pub use problem::{CheckReport, ConfigProblem};
+pub use reader::{IniFile, IniSection};
+pub use settings::{check_settings, DaemonSettings};
+pub use store::{ConfigStore, StoreChange};
+
+/// Texts of the files of a configuration by file name.
+pub type FileTexts = std::collections::BTreeMap<String, String>;
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,183 @@
+//! Settings of the daemon, read from one INI file at its start.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::problem::CheckReport;
+use crate::reader::{IniFile, IniSection};
+
+/// What a daemon learns from its settings file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct DaemonSettings {
+    /// Name of this VM, as the platform lists it.
+    pub vm: String,
+    /// Data centre of this VM.
+    pub data_centre: String,
+    /// `ip:port` for callers.
+    pub caller_address: String,
+    /// `ip:port` for operators: health, status and metrics.
+    pub operator_address: String,
+    /// Threads that serve callers.
+    pub workers: usize,
+    /// Requests held at the same time.
+    pub request_limit: usize,
+    /// Connections from callers held at the same time, per thread.
+    pub connection_limit: usize,
+    /// Time in which a caller has to send the head of a request.
+    pub head_limit: Duration,
+    /// Time from the failing health check to the refusal of new requests.
+    pub drain_grace: Duration,
+    /// `ip:port` at which peers reach this daemon.
+    pub peer_address: String,
+    /// `ip:port` of peers to begin with.
+    pub seeds: Vec<String>,
+    /// Time between heartbeats.
+    pub beat: Duration,
+    /// Silence after which a peer counts as unreachable.
+    pub suspect_after: Duration,
+    /// `ip:port` of the platform's object API.
+    pub platform_address: String,
+    /// Time after which a call of the object API is given up.
+    pub platform_limit: Duration,
+    /// Slots of the key table, used when this daemon creates it.
+    pub key_slots: u16,
+    /// Time for which keys are kept; callers must not retry for longer than half of it.
+    pub key_retention: Duration,
+    /// Keys held at most.
+    pub key_limit: usize,
+    /// Least level of log lines: debug, info, warn or error.
+    pub log_level: String,
+}
+
+/// Checks a settings file.
+///
+/// # Errors
+/// Every fault found, at once.
+pub fn check_settings(name: &str, text: &str) -> Result<DaemonSettings, CheckReport> {
+    let mut report = CheckReport::default();
+    let file = IniFile::parse(name, text, &mut report);
+    let mut settings = defaults();
+    let mut seen = Vec::new();
+    for section in file.sections() {
+        if seen.contains(&section.title()) {
+            section.fault("", "stands twice; keep one", &mut report);
+        }
+        seen.push(section.title());
+        read_section(section, &mut settings, &mut report);
+    }
+    for title in ["vm", "callers", "operators", "peers", "platform"] {
+        if !seen.contains(&title) {
+            report.add(name, title, "", "the section is missing");
+        }
+    }
+    if settings.suspect_after < settings.beat * 3 {
+        report.add(name, "peers", "suspect_after", "should be at least three beats");
+    }
+    report.into_result(settings)
+}
+
+fn defaults() -> DaemonSettings {
+    DaemonSettings {
+        vm: String::new(),
+        data_centre: String::new(),
+        caller_address: String::new(),
+        operator_address: String::new(),
+        workers: 2,
+        request_limit: 20_000,
+        connection_limit: 10_000,
+        head_limit: Duration::from_secs(5),
+        drain_grace: Duration::from_secs(2),
+        peer_address: String::new(),
+        seeds: Vec::new(),
+        beat: Duration::from_millis(500),
+        suspect_after: Duration::from_secs(2),
+        platform_address: String::new(),
+        platform_limit: Duration::from_secs(3),
+        key_slots: 64,
+        key_retention: Duration::from_secs(3_600),
+        key_limit: 1_000_000,
+        log_level: "info".to_string(),
+    }
+}
+
+fn read_section(
+    mut section: IniSection<'_>,
+    settings: &mut DaemonSettings,
+    report: &mut CheckReport,
+) {
+    match section.title() {
+        "vm" => {
+            settings.vm = section.required("name", report);
+            settings.data_centre = section.required("data_centre", report);
+        }
+        "callers" => {
+            settings.caller_address = section.address("address", report);
+            settings.workers = section.number("workers", 2, 1..=64, report) as usize;
+            settings.request_limit =
+                section.number("request_limit", 20_000, 1..=1_000_000, report) as usize;
+            settings.connection_limit =
+                section.number("connection_limit", 10_000, 1..=1_000_000, report) as usize;
+            settings.head_limit = section.duration("head_limit", settings.head_limit, report);
+            settings.drain_grace = section.duration("drain_grace", settings.drain_grace, report);
+        }
+        "operators" => {
+            settings.operator_address = section.address("address", report);
+            read_log_level(&mut section, settings, report);
+        }
+        "peers" => {
+            settings.peer_address = section.address("address", report);
+            settings.seeds = read_seeds(&mut section, report);
+            settings.beat = section.duration("beat", settings.beat, report);
+            settings.suspect_after =
+                section.duration("suspect_after", settings.suspect_after, report);
+        }
+        "platform" => {
+            settings.platform_address = section.address("address", report);
+            settings.platform_limit =
+                section.duration("call_limit", settings.platform_limit, report);
+        }
+        "keys" => {
+            settings.key_slots = section.number("slots", 64, 1..=4_096, report) as u16;
+            settings.key_retention = section.duration("retention", settings.key_retention, report);
+            settings.key_limit =
+                section.number("limit", 1_000_000, 1..=100_000_000, report) as usize;
+        }
+        title => {
+            let message = format!(
+                "'{title}' is not known; known are vm, callers, operators, peers, platform, keys"
+            );
+            section.fault("", message, report);
+            return;
+        }
+    }
+    section.finish(report);
+}
+
+fn read_log_level(
+    section: &mut IniSection<'_>,
+    settings: &mut DaemonSettings,
+    report: &mut CheckReport,
+) {
+    let Some(level) = section.text("log_level") else { return };
+    if !["debug", "info", "warn", "error"].contains(&level.as_str()) {
+        section.fault(
+            "log_level",
+            format!("'{level}' should be debug, info, warn or error"),
+            report,
+        );
+    }
+    settings.log_level = level;
+}
+
+fn read_seeds(section: &mut IniSection<'_>, report: &mut CheckReport) -> Vec<String> {
+    let text = section.text("seeds").unwrap_or_default();
+    let seeds: Vec<String> =
+        text.split(',').map(|seed| seed.trim().to_string()).filter(|s| !s.is_empty()).collect();
+    for seed in &seeds {
+        if seed.parse::<std::net::SocketAddr>().is_err() {
+            section.fault("seeds", format!("'{seed}' should be an IP number and port"), report);
+        }
+    }
+    seeds
+}
--- /dev/null
+++ b/crates/config/src/store.rs
@@ -0,0 +1,59 @@
+//! The configuration a daemon has in force; it only ever moves forward.
+
+use std::sync::Arc;
+
+use curlewcleat_core::{ActiveConfig, ConfigBundle, Generation};
+
+use crate::check::check_files;
+use crate::problem::CheckReport;
+
+/// What an offered configuration led to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreChange {
+    /// It is in force now.
+    Accepted,
+    /// It is not newer than what is in force.
+    Stale,
+    /// It does not pass the checks of this daemon; the earlier one stays in force.
+    Invalid(CheckReport),
+}
+
+/// Holds the configuration in force with its texts, so that peers can have them.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigStore {
+    active: Arc<ActiveConfig>,
+    bundle: Option<ConfigBundle>,
+}
+
+impl ConfigStore {
+    /// Generation in force, 0 for none.
+    pub fn generation(&self) -> Generation {
+        self.active.generation
+    }
+
+    /// The configuration in force; empty at generation 0.
+    pub fn active(&self) -> Arc<ActiveConfig> {
+        Arc::clone(&self.active)
+    }
+
+    /// The texts in force.
+    pub fn bundle(&self) -> Option<&ConfigBundle> {
+        self.bundle.as_ref()
+    }
+
+    /// Takes an offer from the platform or a peer. Only a higher generation is accepted, so a
+    /// store or peer that shows an old version moves nobody back.
+    pub fn offer(&mut self, bundle: ConfigBundle) -> StoreChange {
+        if bundle.generation <= self.generation() {
+            return StoreChange::Stale;
+        }
+        match check_files(bundle.generation, &bundle.files) {
+            Ok(active) => {
+                self.active = Arc::new(active);
+                self.bundle = Some(bundle);
+                StoreChange::Accepted
+            }
+            Err(report) => StoreChange::Invalid(report),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/account.rs
@@ -0,0 +1,39 @@
+//! Bearer tokens of client accounts; only their SHA-256 is ever stored.
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// SHA-256 of a bearer token. Comparison takes the same time wherever the hashes differ.
+#[derive(Clone, Debug, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+pub struct TokenHash([u8; 32]);
+
+impl PartialEq for TokenHash {
+    fn eq(&self, other: &TokenHash) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl TokenHash {
+    /// Reads a hash from 64 hexadecimal digits; returns `None` for anything else.
+    pub fn from_hex(text: &str) -> Option<TokenHash> {
+        let text = text.trim();
+        if text.len() != 64 || !text.is_ascii() {
+            return None;
+        }
+        let mut bytes = [0u8; 32];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(text.get(index * 2..index * 2 + 2)?, 16).ok()?;
+        }
+        Some(TokenHash(bytes))
+    }
+
+    /// The bytes of the hash.
+    pub fn bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+/// Hashes a bearer token as the configuration stores it.
+pub fn hash_token(token: &str) -> TokenHash {
+    TokenHash(Sha256::digest(token.as_bytes()).into())
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Shared types of curlewcleat: ids, the configuration model, verdicts, peer messages and the
+//! rules for admission. Nothing in this crate performs input or output.
+
+mod account;
+mod ids;
+mod message;
+mod model;
+mod verdict;
+
+pub use account::{hash_token, TokenHash};
+pub use ids::*;
+pub use message::*;
+pub use model::*;
+pub use verdict::{Refusal, RefusalReason, RetryReason, Verdict};
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,273 @@
+//! Messages between daemons. They are one-way; each is safe to lose, repeat or delay.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    AccountId, Generation, IdempotencyKey, Incarnation, KeySlot, ObjectVersion, PermitId, PoolId,
+    Refusal, RequestId, TargetId, TierRank, Verdict, VmId, WallTime, WorkMicros,
+};
+
+/// One start of a daemon on a VM.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct DaemonId {
+    /// VM that the daemon runs on.
+    pub vm: VmId,
+    /// Start of the process.
+    pub incarnation: Incarnation,
+}
+
+/// What travels in one peer frame.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerFrame {
+    /// Sender.
+    pub from: DaemonId,
+    /// Messages in the order in which the sender made them.
+    pub messages: Vec<PeerMessage>,
+}
+
+/// A message from one daemon to another.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Liveness and what the sender knows.
+    Heartbeat(Heartbeat),
+    /// Asks for what the receiver has newer.
+    StatePull(StatePull),
+    /// The whole configuration.
+    ConfigPush(ConfigBundle),
+    /// The key table.
+    TablePush(TablePush),
+    /// Asks the scheduler of a pool for a permit.
+    PermitAsk(PermitAsk),
+    /// The scheduler's answer.
+    PermitAnswer(PermitAnswer),
+    /// The entry no longer wants the permit, or is done with it.
+    PermitReturn(PermitReturn),
+    /// The entry tells a new scheduler what it has in flight.
+    PermitHeld(PermitHeld),
+    /// Asks the holder of a key whether a request may run.
+    KeyClaim(KeyClaim),
+    /// The holder's answer.
+    KeyAnswer(KeyAnswer),
+    /// The entry tells the holder how the claimed request ended.
+    KeyOutcome(KeyOutcome),
+    /// A holder passes a slot with its keys to the next holder.
+    KeyHandOver(KeyHandOver),
+    /// The next holder has taken the keys in.
+    KeyHandOverAck(KeySlot),
+}
+
+/// Sent to peers every beat.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// `ip:port` at which the sender receives peer frames.
+    pub address: String,
+    /// Data centre of the sender.
+    pub data_centre: String,
+    /// Configuration in force at the sender, 0 for none.
+    pub generation: Generation,
+    /// Version of the key table that the sender knows.
+    pub table: ObjectVersion,
+    /// Whether the sender is draining and takes no role.
+    pub draining: bool,
+    /// Peer addresses that the sender knows, so that a newborn learns the rest.
+    pub known: Vec<String>,
+}
+
+/// What the sender has; the receiver sends what it has newer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StatePull {
+    /// Configuration in force at the sender, 0 for none.
+    pub generation: Generation,
+    /// Version of the key table known to the sender, 0 for none.
+    pub table: ObjectVersion,
+}
+
+/// The key table as read from the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct TablePush {
+    /// Its version at the platform.
+    pub version: ObjectVersion,
+    /// For each slot its holder and since when its history is complete.
+    pub slots: Vec<SlotHolder>,
+}
+
+/// Holder of one slot of the key table.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct SlotHolder {
+    /// The daemon.
+    pub holder: DaemonId,
+    /// Since when the holder's history is complete, in milliseconds since the Unix epoch; 0 where
+    /// it has been complete since the table was made.
+    pub complete_since_ms: u64,
+}
+
+/// A configuration with the texts of its files.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ConfigBundle {
+    /// Its place in the order.
+    pub generation: Generation,
+    /// Texts by file name.
+    pub files: BTreeMap<String, String>,
+}
+
+/// What a scheduler has to know of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PermitAsk {
+    /// The attempt that wants the permit.
+    pub permit: PermitId,
+    /// Pool asked for.
+    pub pool: PoolId,
+    /// Rank of the tier.
+    pub tier: TierRank,
+    /// Account that pays.
+    pub account: AccountId,
+    /// Time left until the deadline.
+    pub time_left: Duration,
+    /// Prompt work in microseconds of a slot.
+    pub prompt_work: WorkMicros,
+    /// The rest of the work in microseconds of a slot.
+    pub output_work: WorkMicros,
+    /// Hash of the prompt's beginning, `None` for services.
+    pub prefix: Option<u64>,
+    /// Targets that already failed this request.
+    pub avoid: Vec<TargetId>,
+}
+
+/// The answer to an ask.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PermitAnswer {
+    /// The attempt that is answered.
+    pub permit: PermitId,
+    /// Pool of the permit.
+    pub pool: PoolId,
+    /// The decision.
+    pub decision: PermitDecision,
+}
+
+/// Decision of a scheduler.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum PermitDecision {
+    /// The ask is in the queue; says that the scheduler lives.
+    Queued,
+    /// Go to the target.
+    Granted(TargetId),
+    /// Not served.
+    Refused(Refusal),
+}
+
+/// How an attempt ended, for the scheduler's view of the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum AttemptEnd {
+    /// The permit was not used.
+    Unused,
+    /// A whole answer arrived after this time.
+    Whole(Duration),
+    /// The target failed or was too slow.
+    Failed,
+}
+
+/// Gives a permit back or cancels an ask.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PermitReturn {
+    /// The attempt.
+    pub permit: PermitId,
+    /// Pool of the permit.
+    pub pool: PoolId,
+    /// How it ended.
+    pub end: AttemptEnd,
+}
+
+/// A permit in use, told to a new scheduler.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PermitHeld {
+    /// The ask that led to the permit.
+    pub ask: PermitAsk,
+    /// The target in use.
+    pub target: TargetId,
+}
+
+/// Asks whether a keyed request may run.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeyClaim {
+    /// The request that wants to run.
+    pub request: RequestId,
+    /// Account of the caller; keys of different accounts are unrelated.
+    pub account: AccountId,
+    /// The caller's key.
+    pub key: IdempotencyKey,
+    /// Count of the caller's attempts from 1, where the caller tells it.
+    pub attempt: Option<u32>,
+}
+
+/// Answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeyAnswer {
+    /// The request that asked.
+    pub request: RequestId,
+    /// The decision.
+    pub decision: KeyDecision,
+}
+
+/// Decision of the holder of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum KeyDecision {
+    /// The request may run; nothing else with this key will.
+    First,
+    /// The request may not run; here is what is known of the earlier attempt.
+    Known(Refusal),
+    /// An earlier attempt ran and its answer is still there.
+    Answer(KeptAnswer),
+    /// The asked daemon does not hold the key; it knows this version of the table.
+    NotHolder(ObjectVersion),
+}
+
+/// A small whole answer that is kept with its key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type.
+    pub content_type: String,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// How a claimed request ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeyOutcome {
+    /// The claim that it belongs to.
+    pub claim: KeyClaim,
+    /// The verdict.
+    pub verdict: Verdict,
+    /// The answer, where it is small and whole.
+    pub answer: Option<KeptAnswer>,
+}
+
+/// A slot with all that is known of its keys.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeyHandOver {
+    /// The slot.
+    pub slot: KeySlot,
+    /// Since when the history is complete.
+    pub complete_since: WallTime,
+    /// Records of the slot.
+    pub records: Vec<KeyRecord>,
+}
+
+/// What is known of one key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeyRecord {
+    /// Account and key.
+    pub key: (AccountId, IdempotencyKey),
+    /// The last request that was let run, or reported.
+    pub request: RequestId,
+    /// How it ended, `None` while it is in progress.
+    pub verdict: Option<Verdict>,
+    /// The answer, where it is kept.
+    pub answer: Option<KeptAnswer>,
+    /// When the key was last used.
+    pub touched: WallTime,
+}
--- /dev/null
+++ b/crates/core/src/model.rs
@@ -0,0 +1,182 @@
+//! The checked configuration as the daemon uses it: tiers, accounts, pools, targets and rules.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::{AccountId, Generation, PoolId, TargetId, TierId, TierRank, TokenHash, VmId};
+
+/// A tier of requests. Lower ranks are served first and shed last.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TierRule {
+    /// Name of the tier.
+    pub id: TierId,
+    /// Rank, 0 is the highest.
+    pub rank: TierRank,
+    /// Deadline of a request that names none.
+    pub deadline: Duration,
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClientAccount {
+    /// Name of the account.
+    pub id: AccountId,
+    /// SHA-256 of the account's bearer token.
+    pub token: TokenHash,
+    /// Share of a tier relative to the other accounts.
+    pub weight: u32,
+    /// Requests a second in one pool; `None` is unlimited.
+    pub rate_per_s: Option<u32>,
+    /// Requests that may wait in one pool at the same time.
+    pub queue_limit: u32,
+}
+
+/// Kind of the targets of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoolKind {
+    /// Model engines that stream long answers.
+    Engine,
+    /// Plain services that return records.
+    Service,
+}
+
+/// Limits on one exchange with a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetLimits {
+    /// Time to connect.
+    pub connect: Duration,
+    /// Time from the request to the first byte of the answer.
+    pub first_byte: Duration,
+    /// Time between two parts of the answer.
+    pub between_bytes: Duration,
+}
+
+/// A pool of targets that serve the same requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetPool {
+    /// Name of the pool.
+    pub id: PoolId,
+    /// Kind of its targets.
+    pub kind: PoolKind,
+    /// Requests that may wait at the same time.
+    pub queue_limit: u32,
+    /// Slots per target, in percent, that only the highest tier may use.
+    pub reserve_percent: u32,
+    /// Work of one prompt token in microseconds of a slot.
+    pub prompt_token_us: u64,
+    /// Work of one generated token in microseconds of a slot.
+    pub output_token_us: u64,
+    /// Work of a request apart from its tokens in microseconds of a slot.
+    pub base_us: u64,
+    /// Limits on one exchange.
+    pub limits: TargetLimits,
+    /// Status with which a target says that it did not start a request.
+    pub not_started_status: Option<u16>,
+    /// Data of the last event of a whole event stream.
+    pub end_event: Option<String>,
+    /// Whether targets resume a cut stream at an offset.
+    pub resumable: bool,
+    /// Targets of the pool.
+    pub targets: BTreeMap<TargetId, TargetEntry>,
+}
+
+/// One target as it is configured.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetEntry {
+    /// Name of the target.
+    pub id: TargetId,
+    /// `ip:port` of its HTTP interface.
+    pub address: String,
+    /// VM that it runs on, as the platform lists it.
+    pub vm: VmId,
+    /// Requests that it serves at the same time.
+    pub slots: u32,
+}
+
+/// Gives requests their tier and pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmissionRule {
+    /// Name of the rule.
+    pub id: String,
+    /// Rules are tried in ascending order.
+    pub order: u32,
+    /// Method, `None` for any.
+    pub method: Option<String>,
+    /// Path; a trailing `*` matches any rest.
+    pub path: String,
+    /// Account, `None` for any.
+    pub account: Option<AccountId>,
+    /// Header name in lower case and its value, `None` for any.
+    pub header: Option<(String, String)>,
+    /// Tier given.
+    pub tier: TierId,
+    /// Pool given.
+    pub pool: PoolId,
+    /// Whether a request may run more than once. A request that may not takes an idempotency key.
+    pub repeatable: bool,
+    /// Longest body in bytes.
+    pub body_limit: usize,
+}
+
+impl AdmissionRule {
+    /// Whether the rule matches a request. `header` looks a header up by its lower-case name.
+    pub fn matches<'a>(
+        &self,
+        method: &str,
+        path: &str,
+        account: &str,
+        header: impl Fn(&str) -> Option<&'a str>,
+    ) -> bool {
+        let method_fits = self.method.as_deref().is_none_or(|wanted| wanted == method);
+        let path_fits = match self.path.strip_suffix('*') {
+            Some(prefix) => path.starts_with(prefix),
+            None => path == self.path,
+        };
+        let account_fits = self.account.as_deref().is_none_or(|wanted| wanted == account);
+        let header_fits = match &self.header {
+            Some((name, value)) => header(name) == Some(value.as_str()),
+            None => true,
+        };
+        method_fits && path_fits && account_fits && header_fits
+    }
+}
+
+/// A whole configuration that passed every check.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ActiveConfig {
+    /// Its place in the order of configurations.
+    pub generation: Generation,
+    /// Tiers by name.
+    pub tiers: BTreeMap<TierId, TierRule>,
+    /// Accounts by name.
+    pub accounts: BTreeMap<AccountId, ClientAccount>,
+    /// Accounts by the hash of their token.
+    pub tokens: BTreeMap<TokenHash, AccountId>,
+    /// Pools by name.
+    pub pools: BTreeMap<PoolId, TargetPool>,
+    /// Rules in the order in which they are tried.
+    pub rules: Vec<AdmissionRule>,
+}
+
+impl ActiveConfig {
+    /// Finds the account of a bearer token by its hash.
+    pub fn account_of(&self, token: &TokenHash) -> Option<&ClientAccount> {
+        self.tokens.get(token).and_then(|id| self.accounts.get(id))
+    }
+
+    /// Finds the first rule that matches a request.
+    pub fn rule_for<'a>(
+        &self,
+        method: &str,
+        path: &str,
+        account: &str,
+        header: impl Fn(&str) -> Option<&'a str>,
+    ) -> Option<&AdmissionRule> {
+        self.rules.iter().find(|rule| rule.matches(method, path, account, &header))
+    }
+
+    /// Rank of the highest tier.
+    pub fn top_rank(&self) -> TierRank {
+        self.tiers.values().map(|tier| tier.rank).min().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,148 @@
+//! What the threads of the daemon share, and the way to the node.
+
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, Instant};
+
+use curlewcleat_config::DaemonSettings;
+use curlewcleat_core::{ActiveConfig, RequestId, WallTime};
+use curlewcleat_node::{CallerDecision, NodeEvent, NodeStatus};
+use curlewcleat_sched::RequestSpec;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::metrics::DaemonMetrics;
+
+/// What reaches the thread of the node.
+pub enum BrainMessage {
+    /// An event for the node.
+    Event(NodeEvent),
+    /// A caller's request; its decisions go into the sender.
+    Admit(Box<RequestSpec>, mpsc::UnboundedSender<CallerDecision>),
+    /// A request for the node's status.
+    Status(oneshot::Sender<NodeStatus>),
+    /// A request for the texts of the configuration in force.
+    Config(oneshot::Sender<Option<curlewcleat_core::ConfigBundle>>),
+}
+
+/// Shared by all threads.
+#[derive(Clone)]
+pub struct DaemonContext {
+    /// Settings.
+    pub settings: Arc<DaemonSettings>,
+    /// Metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// Configuration in force.
+    config: Arc<RwLock<Arc<ActiveConfig>>>,
+    brain: mpsc::UnboundedSender<BrainMessage>,
+    born: Instant,
+}
+
+impl DaemonContext {
+    /// A context whose messages go into `brain`.
+    pub fn new(
+        settings: DaemonSettings,
+        metrics: Arc<DaemonMetrics>,
+        brain: mpsc::UnboundedSender<BrainMessage>,
+    ) -> DaemonContext {
+        DaemonContext {
+            settings: Arc::new(settings),
+            metrics,
+            config: Arc::default(),
+            brain,
+            born: Instant::now(),
+        }
+    }
+
+    /// Time since the process started.
+    pub fn uptime(&self) -> Duration {
+        self.born.elapsed()
+    }
+
+    /// Wall-clock time.
+    pub fn wall(&self) -> WallTime {
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default()
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Arc<ActiveConfig> {
+        match self.config.read() {
+            Ok(config) => Arc::clone(&config),
+            Err(poisoned) => Arc::clone(&poisoned.into_inner()),
+        }
+    }
+
+    /// Puts a configuration in force for new requests.
+    pub fn set_config(&self, config: Arc<ActiveConfig>) {
+        match self.config.write() {
+            Ok(mut current) => *current = config,
+            Err(poisoned) => *poisoned.into_inner() = config,
+        }
+    }
+
+    /// Tells the node something.
+    pub fn tell(&self, event: NodeEvent) {
+        // The node's thread ends last, so a closed channel means that the process is ending.
+        let _ = self.brain.send(BrainMessage::Event(event));
+    }
+
+    /// Hands a request to the node.
+    pub fn admit(&self, spec: RequestSpec) -> PendingRequest {
+        let (sender, decisions) = mpsc::unbounded_channel();
+        let request = spec.request;
+        let _ = self.brain.send(BrainMessage::Admit(Box::new(spec), sender));
+        PendingRequest { request, decisions, context: self.clone(), open: true }
+    }
+
+    /// The node's status, `None` while the process ends.
+    pub async fn status(&self) -> Option<NodeStatus> {
+        let (sender, receiver) = oneshot::channel();
+        self.brain.send(BrainMessage::Status(sender)).ok()?;
+        receiver.await.ok()
+    }
+
+    /// Texts of the configuration in force.
+    pub async fn config_bundle(&self) -> Option<curlewcleat_core::ConfigBundle> {
+        let (sender, receiver) = oneshot::channel();
+        self.brain.send(BrainMessage::Config(sender)).ok()?;
+        receiver.await.ok()?
+    }
+}
+
+/// A request in the hands of the node. Dropped while open, it tells the node that the caller left.
+pub struct PendingRequest {
+    request: RequestId,
+    decisions: mpsc::UnboundedReceiver<CallerDecision>,
+    context: DaemonContext,
+    open: bool,
+}
+
+impl PendingRequest {
+    /// The next decision, `None` while the process ends.
+    pub async fn decision(&mut self) -> Option<CallerDecision> {
+        self.decisions.recv().await
+    }
+
+    /// The node knows that the request has ended, or somebody else tells it.
+    pub fn close(mut self) {
+        self.open = false;
+    }
+
+    /// Tells the node how the request ended.
+    pub fn finish(self, event: NodeEvent) {
+        self.context.tell(event);
+        self.close();
+    }
+
+    /// Tells the node that an attempt did not run; a further decision follows.
+    pub fn not_run(&self, end: curlewcleat_core::AttemptEnd, retry: curlewcleat_core::RetryReason) {
+        self.context.tell(NodeEvent::NotRun(self.request, end, retry));
+    }
+}
+
+impl Drop for PendingRequest {
+    fn drop(&mut self) {
+        if self.open {
+            self.context.metrics.caller_gone();
+            self.context.tell(NodeEvent::Cancelled(self.request));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,19 @@
+//! The daemon of curlewcleat. Its decisions are made by `curlewcleat-node`; this crate gives them
+//! HTTP, peers, the platform, clocks, logs and metrics.
+
+mod answer;
+mod brain;
+mod callers;
+mod context;
+mod exchange;
+mod headers;
+mod logging;
+mod metrics;
+mod operators;
+mod platform;
+mod prompt;
+mod run;
+mod upload;
+
+pub use logging::start_logging;
+pub use run::run_daemon;
--- /dev/null
+++ b/crates/daemon/src/operators.rs
@@ -0,0 +1,92 @@
+//! The operators' interface: health, status, metrics, drain.
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response, StatusCode};
+use curlewcleat_node::{NodeEvent, NodeStatus};
+use serde_json::{json, Value};
+
+use crate::context::DaemonContext;
+
+/// Serves one request of an operator, balancer or scraper.
+pub async fn serve_operator(context: DaemonContext, request: Request) -> Response<BoxBody> {
+    match (request.method(), request.path()) {
+        (&Method::GET, "/healthz") => plain(StatusCode::OK, "ok"),
+        (&Method::GET, "/readyz") => readiness(&context).await,
+        (&Method::GET, "/status") => match context.status().await {
+            Some(status) => json_response(&status_json(&context, &status)),
+            None => plain(StatusCode::SERVICE_UNAVAILABLE, "ending"),
+        },
+        (&Method::GET, "/config") => match context.config_bundle().await {
+            Some(bundle) => {
+                json_response(&json!({ "generation": bundle.generation, "files": bundle.files }))
+            }
+            None => plain(StatusCode::NOT_FOUND, "no configuration"),
+        },
+        (&Method::GET, "/metrics") => match context.status().await {
+            Some(status) => plain(StatusCode::OK, &context.metrics.render(&status)),
+            None => plain(StatusCode::SERVICE_UNAVAILABLE, "ending"),
+        },
+        (&Method::POST, "/drain") => {
+            context.tell(NodeEvent::Drain);
+            plain(StatusCode::ACCEPTED, "draining")
+        }
+        _ => plain(StatusCode::NOT_FOUND, "unknown path"),
+    }
+}
+
+async fn readiness(context: &DaemonContext) -> Response<BoxBody> {
+    match context.status().await {
+        Some(status)
+            if status.generation > 0 && status.drain == curlewcleat_sched::DrainPhase::Serving =>
+        {
+            plain(StatusCode::OK, "ready")
+        }
+        Some(status) if status.generation == 0 => {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "no configuration")
+        }
+        _ => plain(StatusCode::SERVICE_UNAVAILABLE, "draining"),
+    }
+}
+
+fn status_json(context: &DaemonContext, status: &NodeStatus) -> Value {
+    let pools: Vec<Value> = status.pools.iter().map(pool_json).collect();
+    let peers: Vec<Value> = status.peers.iter().map(|(vm, peer)| {
+        json!({
+            "vm": vm, "live": peer.live, "address": peer.address, "data_centre": peer.data_centre,
+            "generation": peer.generation, "draining": peer.draining,
+        })
+    }).collect();
+    json!({
+        "vm": status.me.vm, "incarnation": status.me.incarnation.to_string(),
+        "data_centre": context.settings.data_centre,
+        "generation": status.generation, "key_table": status.table, "key_slots": status.key_slots,
+        "keys": status.keys, "requests": status.requests,
+        "drain": format!("{:?}", status.drain).to_lowercase(),
+        "pools": pools, "peers": peers,
+    })
+}
+
+fn pool_json(pool: &curlewcleat_node::PoolStatus) -> Value {
+    let targets: Vec<Value> = pool.targets.iter().map(|target| {
+        json!({
+            "id": target.id, "in_flight": target.in_flight, "slots": target.slots,
+            "slowness_permille": target.slowness, "leaving": target.leaving, "ejected": target.ejected,
+        })
+    }).collect();
+    json!({
+        "id": pool.id, "scheduler": pool.scheduler, "waiting": pool.waiting, "in_flight": pool.in_flight,
+        "lowest_open_rank": pool.lowest_open, "targets": targets,
+    })
+}
+
+fn json_response(value: &Value) -> Response<BoxBody> {
+    let mut response = Response::build(StatusCode::OK);
+    response.insert_header(("Content-Type", "application/json"));
+    response.body(value.to_string()).map_into_boxed_body()
+}
+
+fn plain(status: StatusCode, text: &str) -> Response<BoxBody> {
+    let mut response = Response::build(status);
+    response.insert_header(("Content-Type", "text/plain; charset=utf-8"));
+    response.body(text.to_string()).map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,179 @@
+//! Follows the platform: configuration, key table, VM list. Outages only delay these.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use curlewcleat_config::{content_key, parse_manifest, ConfigManifest, MANIFEST_KEY};
+use curlewcleat_core::ConfigBundle;
+use curlewcleat_keys::{KeyTable, TABLE_KEY};
+use curlewcleat_node::{ListedVm, NodeEvent};
+use curlewcleat_platform::{ObjectStore, Result, StoredObject, VmState};
+use spdlog::prelude::*;
+
+use crate::context::DaemonContext;
+
+/// Longest wait of a watch.
+const WATCH_LIMIT: Duration = Duration::from_secs(30);
+/// First pause after a failed call; doubles up to the limit.
+const PAUSE_FIRST: Duration = Duration::from_millis(200);
+const PAUSE_LIMIT: Duration = Duration::from_secs(5);
+/// Time between reads of the VM list.
+const VM_LIST_EVERY: Duration = Duration::from_secs(1);
+
+/// Starts the tasks that follow the platform on this arbiter.
+pub fn follow_platform(store: Rc<dyn ObjectStore>, context: DaemonContext) {
+    actix_rt::spawn(follow_config(Rc::clone(&store), context.clone()));
+    actix_rt::spawn(follow_table(Rc::clone(&store), context.clone()));
+    actix_rt::spawn(follow_vms(store, context));
+}
+
+/// Reads the key table once and tells the node, again and again until an answer comes.
+pub async fn read_table(store: &dyn ObjectStore, context: &DaemonContext) {
+    let mut pause = FailurePause::default();
+    loop {
+        match store.get(TABLE_KEY).await {
+            Ok(read) => {
+                tell_table(read, context);
+                return;
+            }
+            Err(error) => pause.failed("get_table", &error, context).await,
+        }
+    }
+}
+
+async fn follow_config(store: Rc<dyn ObjectStore>, context: DaemonContext) {
+    let mut known = 0;
+    let mut contents = BTreeMap::new();
+    let mut pause = FailurePause::default();
+    loop {
+        match next_config(store.as_ref(), known, &mut contents).await {
+            Ok(Some((version, bundle))) => {
+                known = version;
+                context.tell(NodeEvent::ConfigRead(bundle));
+                pause = FailurePause::default();
+            }
+            Ok(None) => pause = FailurePause::default(),
+            Err(error) => pause.failed("watch_config", &error, &context).await,
+        }
+    }
+}
+
+/// Waits for a manifest above a version and reads the contents that are not known yet.
+async fn next_config(
+    store: &dyn ObjectStore,
+    known: u64,
+    contents: &mut BTreeMap<String, String>,
+) -> Result<Option<(u64, ConfigBundle)>> {
+    let Some(object) = store.watch(MANIFEST_KEY, known, WATCH_LIMIT).await? else {
+        return Ok(None);
+    };
+    let Ok(manifest) = parse_manifest(&object.bytes) else {
+        error!("manifest_unreadable", kv: { version = object.version });
+        return Ok(Some((object.version, ConfigBundle { generation: 0, files: BTreeMap::new() })));
+    };
+    read_contents(store, &manifest, contents).await?;
+    contents.retain(|hash, _| manifest.files.values().any(|wanted| wanted == hash));
+    let files = manifest
+        .files
+        .iter()
+        .filter_map(|(name, hash)| Some((name.clone(), contents.get(hash)?.clone())));
+    let bundle = ConfigBundle { generation: manifest.generation, files: files.collect() };
+    Ok(Some((object.version, bundle)))
+}
+
+async fn read_contents(
+    store: &dyn ObjectStore,
+    manifest: &ConfigManifest,
+    contents: &mut BTreeMap<String, String>,
+) -> Result<()> {
+    for hash in manifest.files.values() {
+        if contents.contains_key(hash) {
+            continue;
+        }
+        let object = store.get(&content_key(hash)).await?;
+        let object = object.ok_or(curlewcleat_platform::Error::Unclear(format!(
+            "content {hash} is not there yet"
+        )))?;
+        let text = String::from_utf8(object.bytes);
+        let text =
+            text.map_err(|error| curlewcleat_platform::Error::Protocol(error.to_string()))?;
+        contents.insert(hash.clone(), text);
+    }
+    Ok(())
+}
+
+async fn follow_table(store: Rc<dyn ObjectStore>, context: DaemonContext) {
+    read_table(store.as_ref(), &context).await;
+    let mut known = 0;
+    let mut pause = FailurePause::default();
+    loop {
+        match store.watch(TABLE_KEY, known, WATCH_LIMIT).await {
+            Ok(Some(object)) => {
+                known = object.version;
+                tell_table(Some(object), &context);
+                pause = FailurePause::default();
+            }
+            Ok(None) => pause = FailurePause::default(),
+            Err(error) => pause.failed("watch_table", &error, &context).await,
+        }
+    }
+}
+
+fn tell_table(read: Option<StoredObject>, context: &DaemonContext) {
+    let table = match read {
+        None => None,
+        Some(object) => match serde_json::from_slice::<KeyTable>(&object.bytes) {
+            Ok(table) => Some((object.version, table)),
+            Err(error) => {
+                error!("key_table_unreadable", kv: { error = error.to_string() });
+                return;
+            }
+        },
+    };
+    context.tell(NodeEvent::TableRead(table));
+}
+
+async fn follow_vms(store: Rc<dyn ObjectStore>, context: DaemonContext) {
+    let mut pause = FailurePause::default();
+    loop {
+        match store.vms().await {
+            Ok(records) => {
+                let lines = records.into_iter();
+                let list = lines
+                    .map(|line| ListedVm { vm: line.vm, leaving: line.state == VmState::Leaving });
+                context.tell(NodeEvent::VmsRead(list.collect()));
+                pause = FailurePause::default();
+                tokio::time::sleep(VM_LIST_EVERY).await;
+            }
+            Err(error) => pause.failed("vms", &error, &context).await,
+        }
+    }
+}
+
+/// Pauses after failed calls, longer each time.
+struct FailurePause {
+    next: Duration,
+}
+
+impl Default for FailurePause {
+    fn default() -> FailurePause {
+        FailurePause { next: PAUSE_FIRST }
+    }
+}
+
+impl FailurePause {
+    async fn failed(
+        &mut self,
+        call: &str,
+        error: &curlewcleat_platform::Error,
+        context: &DaemonContext,
+    ) {
+        context.metrics.platform_error(call);
+        if self.next == PAUSE_FIRST {
+            warn!("platform_call_failed", kv: { call, error = error.to_string() });
+        }
+        tokio::time::sleep(self.next).await;
+        self.next = (self.next * 2).min(PAUSE_LIMIT);
+    }
+}
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,105 @@
+//! What a node is told and what it wants done.
+
+use curlewcleat_config::CheckReport;
+use curlewcleat_core::{
+    AttemptEnd, ConfigBundle, DaemonId, Generation, KeptAnswer, ObjectVersion, PeerFrame, PermitId,
+    Refusal, RequestId, RetryReason, TargetEntry, Verdict, VmId,
+};
+use curlewcleat_keys::KeyTable;
+use curlewcleat_sched::RequestSpec;
+
+/// A line of the platform's VM list.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ListedVm {
+    /// Name.
+    pub vm: VmId,
+    /// Whether it is about to be taken away.
+    pub leaving: bool,
+}
+
+/// How a proposed key table fared.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TableWrite {
+    /// Stored under this version.
+    Stored(ObjectVersion, KeyTable),
+    /// Another table was stored before, or the answer was lost: read it again.
+    ReadAgain,
+}
+
+/// What a node is told.
+#[derive(Clone, Debug)]
+pub enum NodeEvent {
+    /// Time has passed.
+    Tick,
+    /// A frame of a peer.
+    Peer(PeerFrame),
+    /// A caller's request.
+    Admit(Box<RequestSpec>),
+    /// A dispatched request ended for good.
+    Finished(RequestId, Verdict, AttemptEnd, Option<KeptAnswer>),
+    /// An attempt provably did not run.
+    NotRun(RequestId, AttemptEnd, RetryReason),
+    /// The caller has gone while its request waited.
+    Cancelled(RequestId),
+    /// A configuration as the platform shows it.
+    ConfigRead(ConfigBundle),
+    /// The key table as the platform shows it; `None` where there is none.
+    TableRead(Option<(ObjectVersion, KeyTable)>),
+    /// A proposal's fate.
+    TableWritten(TableWrite),
+    /// The platform's VM list.
+    VmsRead(Vec<ListedVm>),
+    /// Begin a planned stop.
+    Drain,
+}
+
+/// The answer to a caller's request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallerDecision {
+    /// Send it to this target, once.
+    Dispatch(PermitId, TargetEntry),
+    /// Refuse it.
+    Refuse(Refusal),
+    /// Answer with what an earlier attempt got.
+    Replay(KeptAnswer),
+}
+
+/// What a node wants done.
+#[derive(Clone, Debug)]
+pub enum NodeAction {
+    /// Send a frame to an `ip:port`.
+    Send(String, PeerFrame),
+    /// Answer a caller.
+    Decide(RequestId, CallerDecision),
+    /// Store a key table if the version is still this one.
+    ProposeTable(ObjectVersion, KeyTable),
+    /// Read the key table.
+    ReadTable,
+    /// A new configuration is in force.
+    ConfigChanged,
+    /// Count a retry.
+    Count(RetryReason),
+    /// Tell the operators.
+    Note(NodeNote),
+    /// The planned stop is complete.
+    End,
+}
+
+/// Something an operator may want to know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NodeNote {
+    /// A configuration is in force.
+    ConfigAccepted(Generation),
+    /// A configuration does not pass the checks here.
+    ConfigInvalid(Generation, CheckReport),
+    /// A peer became unreachable.
+    PeerLost(DaemonId),
+    /// A peer's VM has started a new daemon.
+    PeerReplaced(DaemonId),
+    /// A key table is known; this daemon holds so many slots.
+    TableKnown(ObjectVersion, usize),
+    /// The planned stop has begun.
+    DrainBegun,
+    /// New requests are refused from now on.
+    DrainClosing,
+}
--- /dev/null
+++ b/crates/node/src/status.rs
@@ -0,0 +1,61 @@
+//! A view of a node for operators and metrics.
+
+use curlewcleat_core::{DaemonId, Generation, ObjectVersion, PoolId, TargetId, TierRank};
+use curlewcleat_sched::{DrainPhase, PeerState};
+
+/// One target as the scheduler of its pool sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetStatus {
+    /// Name.
+    pub id: TargetId,
+    /// Permits in use.
+    pub in_flight: u32,
+    /// Slots.
+    pub slots: u32,
+    /// Learned slowness in thousandths.
+    pub slowness: u64,
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// Whether it is ejected for failures.
+    pub ejected: bool,
+}
+
+/// One pool as this daemon sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolStatus {
+    /// Name.
+    pub id: PoolId,
+    /// VM that schedules it.
+    pub scheduler: String,
+    /// Asks that wait here.
+    pub waiting: usize,
+    /// Permits given here and in use.
+    pub in_flight: usize,
+    /// Lowest tier taken in here, `None` for all.
+    pub lowest_open: Option<TierRank>,
+    /// Targets.
+    pub targets: Vec<TargetStatus>,
+}
+
+/// A daemon as it sees itself and its peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeStatus {
+    /// This daemon.
+    pub me: DaemonId,
+    /// Configuration in force.
+    pub generation: Generation,
+    /// Known key table.
+    pub table: ObjectVersion,
+    /// Key slots held.
+    pub key_slots: usize,
+    /// Keys held.
+    pub keys: usize,
+    /// Requests in progress.
+    pub requests: usize,
+    /// Planned stop.
+    pub drain: DrainPhase,
+    /// Pools.
+    pub pools: Vec<PoolStatus>,
+    /// Peers by VM.
+    pub peers: Vec<(String, PeerState)>,
+}
--- /dev/null
+++ b/crates/node/src/wiring.rs
@@ -0,0 +1,23 @@
+//! Turns the configuration into what the schedulers need.
+
+use curlewcleat_core::{ActiveConfig, TargetPool};
+use curlewcleat_sched::{AccountLimit, PoolOptions};
+
+/// Options of a pool's scheduler.
+pub(crate) fn pool_options(config: &ActiveConfig, pool: &TargetPool) -> PoolOptions {
+    let accounts = config.accounts.values().map(|account| {
+        let limit = AccountLimit {
+            weight: account.weight,
+            rate_per_s: account.rate_per_s,
+            queue_limit: account.queue_limit,
+        };
+        (account.id.clone(), limit)
+    });
+    PoolOptions {
+        queue_limit: pool.queue_limit as usize,
+        reserve_percent: pool.reserve_percent,
+        top: config.top_rank(),
+        lowest: config.tiers.values().map(|tier| tier.rank).max().unwrap_or(0),
+        accounts: accounts.collect(),
+    }
+}
--- /dev/null
+++ b/crates/peers/src/codec.rs
@@ -0,0 +1,44 @@
+//! Bytes of a peer frame.
+
+use curlewcleat_core::PeerFrame;
+
+/// Version of the frame format; the first byte of each frame.
+const FORMAT: u8 = 1;
+/// Longest frame in bytes.
+pub const FRAME_LIMIT: usize = 16 << 20;
+
+/// Why bytes are not a frame.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The frame is empty or of another format.
+    #[error("peers: unknown frame format")]
+    Format,
+    /// The frame is too long.
+    #[error("peers: frame of {0} bytes is too long")]
+    TooLong(usize),
+    /// The frame does not decode.
+    #[error("peers: frame does not decode: {0}")]
+    Decode(postcard::Error),
+}
+
+/// Result of decoding.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Encodes a frame.
+pub fn encode_frame(frame: &PeerFrame) -> Vec<u8> {
+    postcard::to_extend(frame, vec![FORMAT]).unwrap_or_default()
+}
+
+/// Decodes a frame.
+///
+/// # Errors
+/// Whatever keeps the bytes from being a frame.
+pub fn decode_frame(bytes: &[u8]) -> Result<PeerFrame> {
+    if bytes.len() > FRAME_LIMIT {
+        return Err(Error::TooLong(bytes.len()));
+    }
+    match bytes.split_first() {
+        Some((&FORMAT, rest)) => postcard::from_bytes(rest).map_err(Error::Decode),
+        _ => Err(Error::Format),
+    }
+}
--- /dev/null
+++ b/crates/sched/src/members.rs
@@ -0,0 +1,188 @@
+//! Which daemons are reachable, and which of them schedules a pool.
+//!
+//! Liveness decides only where to ask first; no promise depends on it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher;
+use std::time::Duration;
+
+use curlewcleat_core::{DaemonId, Generation, Heartbeat, Incarnation, ObjectVersion, Uptime, VmId};
+use siphasher::sip::SipHasher13;
+
+/// Silence after which a peer is forgotten altogether.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// Times and addresses of a member view.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct MemberOptions {
+    /// Own peer address.
+    pub address: String,
+    /// Own data centre.
+    pub data_centre: String,
+    /// Addresses to begin with.
+    pub seeds: Vec<String>,
+    /// Silence after which a peer counts as unreachable.
+    pub suspect_after: Duration,
+}
+
+/// What is known of a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PeerState {
+    /// Start of its process.
+    pub incarnation: Incarnation,
+    /// Where it receives frames.
+    pub address: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Configuration in force there.
+    pub generation: Generation,
+    /// Key table known there.
+    pub table: ObjectVersion,
+    /// Whether it takes no role.
+    pub draining: bool,
+    /// Whether it is reachable.
+    pub live: bool,
+    last_heard: Uptime,
+}
+
+/// A daemon's view of its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct MemberView {
+    me: DaemonId,
+    options: MemberOptions,
+    draining: bool,
+    peers: BTreeMap<VmId, PeerState>,
+    hinted: BTreeSet<String>,
+}
+
+impl MemberView {
+    /// A view without peers.
+    pub fn new(me: DaemonId, options: MemberOptions) -> MemberView {
+        MemberView { me, options, draining: false, peers: BTreeMap::new(), hinted: BTreeSet::new() }
+    }
+
+    /// This daemon.
+    pub fn me(&self) -> &DaemonId {
+        &self.me
+    }
+
+    /// This daemon takes no role from now on.
+    pub fn set_draining(&mut self) {
+        self.draining = true;
+    }
+
+    /// Takes a heartbeat. Returns the daemon that ended, where the VM has started a new one.
+    pub fn heard(&mut self, now: Uptime, from: &DaemonId, beat: &Heartbeat) -> Option<DaemonId> {
+        if from.vm == self.me.vm {
+            return None;
+        }
+        let known = beat.known.iter().filter(|address| **address != self.options.address);
+        self.hinted.extend(known.cloned());
+        let ended = match self.peers.get(&from.vm) {
+            Some(peer) if peer.incarnation != from.incarnation => {
+                Some(DaemonId { vm: from.vm.clone(), incarnation: peer.incarnation })
+            }
+            _ => None,
+        };
+        let state = PeerState {
+            incarnation: from.incarnation,
+            address: beat.address.clone(),
+            data_centre: beat.data_centre.clone(),
+            generation: beat.generation,
+            table: beat.table,
+            draining: beat.draining,
+            live: true,
+            last_heard: now,
+        };
+        self.peers.insert(from.vm.clone(), state);
+        ended
+    }
+
+    /// Lets time pass. Returns the daemons that became unreachable.
+    pub fn tick(&mut self, now: Uptime) -> Vec<DaemonId> {
+        let mut lost = Vec::new();
+        for (vm, peer) in &mut self.peers {
+            if peer.live && now.saturating_sub(peer.last_heard) >= self.options.suspect_after {
+                peer.live = false;
+                lost.push(DaemonId { vm: vm.clone(), incarnation: peer.incarnation });
+            }
+        }
+        let forgotten = |peer: &PeerState| now.saturating_sub(peer.last_heard) >= FORGET_AFTER;
+        let addresses: Vec<String> = self
+            .peers
+            .values()
+            .filter(|peer| forgotten(peer))
+            .map(|peer| peer.address.clone())
+            .collect();
+        for address in addresses {
+            self.hinted.remove(&address);
+        }
+        self.peers.retain(|_, peer| !forgotten(peer));
+        lost
+    }
+
+    /// The heartbeat to send.
+    pub fn heartbeat(&self, generation: Generation, table: ObjectVersion) -> Heartbeat {
+        let live = self.peers.values().filter(|peer| peer.live).map(|peer| peer.address.clone());
+        Heartbeat {
+            address: self.options.address.clone(),
+            data_centre: self.options.data_centre.clone(),
+            generation,
+            table,
+            draining: self.draining,
+            known: live.collect(),
+        }
+    }
+
+    /// Addresses that heartbeats go to.
+    pub fn addresses(&self) -> BTreeSet<String> {
+        let peers = self.peers.values().map(|peer| peer.address.clone());
+        let mut addresses: BTreeSet<String> =
+            peers.chain(self.options.seeds.iter().cloned()).collect();
+        addresses.extend(self.hinted.iter().cloned());
+        addresses.remove(&self.options.address);
+        addresses
+    }
+
+    /// Known peers.
+    pub fn peers(&self) -> &BTreeMap<VmId, PeerState> {
+        &self.peers
+    }
+
+    /// Address of a peer.
+    pub fn address_of(&self, vm: &VmId) -> Option<&str> {
+        self.peers.get(vm).map(|peer| peer.address.as_str())
+    }
+
+    /// Reachable daemons that take roles, this one among them.
+    pub fn role_takers(&self) -> Vec<DaemonId> {
+        let peers = self.peers.iter().filter(|(_, peer)| peer.live && !peer.draining);
+        let mut takers: Vec<DaemonId> = peers
+            .map(|(vm, peer)| DaemonId { vm: vm.clone(), incarnation: peer.incarnation })
+            .collect();
+        if !self.draining {
+            takers.push(self.me.clone());
+        }
+        takers.sort();
+        takers
+    }
+
+    /// Daemons to ask for permits of a pool, best first; this one is last if nobody takes roles.
+    pub fn scheduler_order(&self, pool: &str) -> Vec<DaemonId> {
+        let mut takers = self.role_takers();
+        takers.sort_by_key(|taker| std::cmp::Reverse(rendezvous_weight(pool, &taker.vm)));
+        if takers.is_empty() {
+            takers.push(self.me.clone());
+        }
+        takers
+    }
+}
+
+/// Weight of a VM for a subject in highest-random-weight hashing; the same on every daemon.
+fn rendezvous_weight(subject: &str, vm: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(subject.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(vm.as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/sched/src/pool.rs
@@ -0,0 +1,473 @@
+//! The scheduler of one pool: holds the queue, knows what is in flight, and binds late.
+//!
+//! An ask waits until a target has room, and only then is the target chosen. The role is soft: if
+//! two daemons act as scheduler for a moment, targets may get more than their slots, and no promise
+//! depends on it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use curlewcleat_core::{
+    AccountId, AttemptEnd, DaemonId, PermitAnswer, PermitAsk, PermitDecision, PermitHeld, PermitId,
+    PermitReturn, PoolId, Refusal, RefusalReason, TargetId, TargetPool, TierRank, Uptime, VmId,
+    WorkMicros,
+};
+
+use crate::account::{AccountLimit, RateBucket};
+use crate::queue::{TierQueues, WaitingAsk};
+use crate::shed::OverloadLevel;
+use crate::target::TargetState;
+
+/// Accounts whose first ask is tried when the best one finds no target.
+const HEADS_TRIED: usize = 8;
+/// Permits older than this are confirmed with their entry.
+const CONFIRM_AFTER: Duration = Duration::from_secs(5);
+/// Bounds of the advice when to come back.
+const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
+
+/// What a scheduler is told of its pool.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PoolOptions {
+    /// Asks that may wait.
+    pub queue_limit: usize,
+    /// Slots in percent that only the top tier may use.
+    pub reserve_percent: u32,
+    /// Rank of the top tier.
+    pub top: TierRank,
+    /// Rank of the lowest tier.
+    pub lowest: TierRank,
+    /// Limits of the accounts.
+    pub accounts: BTreeMap<AccountId, AccountLimit>,
+}
+
+impl Default for PoolOptions {
+    fn default() -> PoolOptions {
+        PoolOptions {
+            queue_limit: 1_000,
+            reserve_percent: 0,
+            top: 0,
+            lowest: 3,
+            accounts: BTreeMap::new(),
+        }
+    }
+}
+
+/// A permit in use.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PermitRecord {
+    /// Daemon that uses it.
+    pub entry: DaemonId,
+    /// Target that it is for.
+    pub target: TargetId,
+    /// Work as estimated at normal speed, without the prompt where its prefix was cached.
+    pub expected: WorkMicros,
+    /// When it was given, or last confirmed.
+    pub confirmed: Uptime,
+}
+
+/// What a scheduler wants sent.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct SchedulerAction {
+    /// The daemon to send to.
+    pub entry: DaemonId,
+    /// The answer.
+    pub answer: PermitAnswer,
+}
+
+/// The scheduler of one pool.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PoolScheduler {
+    pool: PoolId,
+    options: PoolOptions,
+    targets: BTreeMap<TargetId, TargetState>,
+    queues: TierQueues,
+    permits: BTreeMap<PermitId, PermitRecord>,
+    buckets: BTreeMap<AccountId, RateBucket>,
+    level: OverloadLevel,
+    away: BTreeSet<VmId>,
+}
+
+impl PoolScheduler {
+    /// A scheduler without targets.
+    pub fn new(pool: PoolId, options: PoolOptions) -> PoolScheduler {
+        PoolScheduler {
+            pool,
+            options,
+            targets: BTreeMap::new(),
+            queues: TierQueues::default(),
+            permits: BTreeMap::new(),
+            buckets: BTreeMap::new(),
+            level: OverloadLevel::default(),
+            away: BTreeSet::new(),
+        }
+    }
+
+    /// Takes a new configuration over. What is learned of targets that stay is kept.
+    pub fn configure(&mut self, options: PoolOptions, pool: &TargetPool) {
+        self.options = options;
+        self.targets.retain(|id, _| pool.targets.contains_key(id));
+        for (id, entry) in &pool.targets {
+            let away = self.away.contains(&entry.vm);
+            let state = self
+                .targets
+                .entry(id.clone())
+                .or_insert_with(|| TargetState::new(entry.vm.clone(), entry.slots));
+            state.slots = entry.slots;
+            state.vm.clone_from(&entry.vm);
+            state.leaving = away;
+        }
+        for (id, state) in &mut self.targets {
+            state.in_flight =
+                self.permits.values().filter(|permit| permit.target == *id).count() as u32;
+        }
+    }
+
+    /// Names the VMs that leave or are gone; their targets get no new permits.
+    pub fn set_away(&mut self, away: BTreeSet<VmId>) {
+        for state in self.targets.values_mut() {
+            state.leaving = away.contains(&state.vm);
+        }
+        self.away = away;
+    }
+
+    /// Known targets.
+    pub fn targets(&self) -> &BTreeMap<TargetId, TargetState> {
+        &self.targets
+    }
+
+    /// Number of waiting asks.
+    pub fn waiting(&self) -> usize {
+        self.queues.len()
+    }
+
+    /// Number of permits in use.
+    pub fn in_flight(&self) -> usize {
+        self.permits.len()
+    }
+
+    /// The overload level.
+    pub fn level(&self) -> &OverloadLevel {
+        &self.level
+    }
+
+    /// Permits in use.
+    pub fn permits(&self) -> &BTreeMap<PermitId, PermitRecord> {
+        &self.permits
+    }
+
+    /// Takes an ask. A repeated ask gets the answer that it had.
+    pub fn ask(&mut self, now: Uptime, entry: DaemonId, ask: PermitAsk) -> Vec<SchedulerAction> {
+        if let Some(record) = self.permits.get(&ask.permit) {
+            let decision = PermitDecision::Granted(record.target.clone());
+            return vec![self.answer(entry, ask.permit, decision)];
+        }
+        if self.queues.contains(&ask.permit) {
+            return vec![self.answer(entry, ask.permit, PermitDecision::Queued)];
+        }
+        let mut actions = Vec::new();
+        if let Err(refusal) = self.admit(now, &ask, &mut actions) {
+            actions.push(self.answer(entry, ask.permit, PermitDecision::Refused(refusal)));
+            return actions;
+        }
+        let permit = ask.permit;
+        let weight = self.limit_of(&ask.account).weight;
+        let waiting = self.waiting_ask(now, entry.clone(), ask);
+        self.queues.push(waiting, weight);
+        self.grant(now, &mut actions);
+        if self.queues.contains(&permit) {
+            actions.push(self.answer(entry, permit, PermitDecision::Queued));
+        }
+        actions
+    }
+
+    /// Takes a permit or an ask back.
+    pub fn give_back(&mut self, now: Uptime, back: &PermitReturn) -> Vec<SchedulerAction> {
+        self.queues.remove(&back.permit);
+        if let Some(record) = self.permits.remove(&back.permit) {
+            self.settle(now, &record, back.end);
+        }
+        let mut actions = Vec::new();
+        self.grant(now, &mut actions);
+        actions
+    }
+
+    /// Learns of a permit in use that another scheduler gave.
+    pub fn hold(&mut self, now: Uptime, entry: DaemonId, held: PermitHeld) {
+        self.queues.remove(&held.ask.permit);
+        if let Some(earlier) = self.permits.remove(&held.ask.permit) {
+            self.settle(now, &earlier, AttemptEnd::Unused);
+        }
+        let expected = held.ask.prompt_work + held.ask.output_work;
+        if let Some(state) = self.targets.get_mut(&held.target) {
+            state.in_flight += 1;
+        }
+        let record = PermitRecord { entry, target: held.target, expected, confirmed: now };
+        self.permits.insert(held.ask.permit, record);
+    }
+
+    /// An entry is gone: its asks and permits go with it.
+    pub fn entry_gone(&mut self, now: Uptime, entry: &DaemonId) -> Vec<SchedulerAction> {
+        for permit in self.queues.of_entry(entry) {
+            self.queues.remove(&permit);
+        }
+        let held: Vec<PermitId> = self
+            .permits
+            .iter()
+            .filter(|(_, record)| record.entry == *entry)
+            .map(|(id, _)| *id)
+            .collect();
+        for permit in held {
+            if let Some(record) = self.permits.remove(&permit) {
+                self.settle(now, &record, AttemptEnd::Unused);
+            }
+        }
+        let mut actions = Vec::new();
+        self.grant(now, &mut actions);
+        actions
+    }
+
+    /// Lets time pass: refuses what can no longer finish, confirms old permits, grants.
+    pub fn tick(&mut self, now: Uptime) -> Vec<SchedulerAction> {
+        let mut actions = Vec::new();
+        self.level.tick(self.options.lowest, now);
+        for permit in self.queues.overdue(now) {
+            if let Some(waiting) = self.queues.remove(&permit) {
+                let refusal = self.capacity_refusal(
+                    now,
+                    waiting.ask.tier,
+                    RefusalReason::DeadlineUnreachable,
+                );
+                actions.push(self.answer(waiting.entry, permit, PermitDecision::Refused(refusal)));
+                self.shed_below(now, waiting.ask.tier, &mut actions);
+            }
+        }
+        self.confirm(now, &mut actions);
+        self.grant(now, &mut actions);
+        actions
+    }
+
+    /// Decides whether an ask may wait; makes room for it if that takes nothing from a higher tier.
+    fn admit(
+        &mut self,
+        now: Uptime,
+        ask: &PermitAsk,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> Result<(), Refusal> {
+        if self.level.sheds(ask.tier) {
+            let wait = Some(self.level.remaining(now).max(RETRY_AFTER_RANGE.0));
+            return Err(Refusal::not_run(RefusalReason::TierShed, wait));
+        }
+        let limit = self.limit_of(&ask.account);
+        self.check_account(now, ask, &limit)?;
+        if !self.targets.values().any(|target| target.usable(now)) {
+            return Err(Refusal::not_run(RefusalReason::NoTarget, Some(RETRY_AFTER_RANGE.0)));
+        }
+        if self.fastest_estimate(ask) > ask.time_left.as_micros() as u64 {
+            return Err(Refusal::not_run(RefusalReason::DeadlineUnreachable, None));
+        }
+        if self.wait_estimate(ask, &limit) + self.fastest_estimate(ask)
+            > ask.time_left.as_micros() as u64
+        {
+            let refusal = self.capacity_refusal(now, ask.tier, RefusalReason::DeadlineUnreachable);
+            self.shed_below(now, ask.tier, actions);
+            return Err(refusal);
+        }
+        if self.queues.len() >= self.options.queue_limit {
+            self.make_room(now, ask, actions)?;
+        }
+        Ok(())
+    }
+
+    fn check_account(
+        &mut self,
+        now: Uptime,
+        ask: &PermitAsk,
+        limit: &AccountLimit,
+    ) -> Result<(), Refusal> {
+        if self.queues.account_len(&ask.account) >= limit.queue_limit as usize {
+            return Err(Refusal::not_run(RefusalReason::AccountQueue, Some(self.drain_time())));
+        }
+        let Some(rate) = limit.rate_per_s else { return Ok(()) };
+        // A retry inside the system is the same request and is not charged again.
+        if ask.permit.attempt > 0 {
+            return Ok(());
+        }
+        let bucket =
+            self.buckets.entry(ask.account.clone()).or_insert_with(|| RateBucket::new(rate, now));
+        bucket
+            .take(rate, now)
+            .map_err(|wait| Refusal::not_run(RefusalReason::AccountRate, Some(wait)))
+    }
+
+    /// Evicts from a lower tier, or from the account of the same tier that takes the most room.
+    fn make_room(
+        &mut self,
+        now: Uptime,
+        ask: &PermitAsk,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> Result<(), Refusal> {
+        if let Some(victim) = self.queues.victim_below(ask.tier) {
+            self.evict(now, victim, RefusalReason::ShedForHigherTier, actions);
+            return Ok(());
+        }
+        if let Some(victim) = self.queues.victim_within(ask.tier, &ask.account) {
+            self.evict(now, victim, RefusalReason::AccountQueue, actions);
+            return Ok(());
+        }
+        let refusal = self.capacity_refusal(now, ask.tier, RefusalReason::QueueFull);
+        self.shed_below(now, ask.tier, actions);
+        Err(refusal)
+    }
+
+    fn evict(
+        &mut self,
+        now: Uptime,
+        victim: PermitId,
+        reason: RefusalReason,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(waiting) = self.queues.remove(&victim) else { return };
+        let tier = waiting.ask.tier;
+        let refusal = self.capacity_refusal(now, tier, reason);
+        actions.push(self.answer(waiting.entry, victim, PermitDecision::Refused(refusal)));
+        self.shed_below(now, tier, actions);
+    }
+
+    /// Refuses what waits in the tiers below one that was refused for want of capacity.
+    fn shed_below(&mut self, now: Uptime, tier: TierRank, actions: &mut Vec<SchedulerAction>) {
+        self.level.raise(tier, now);
+        for permit in self.queues.below(tier) {
+            if let Some(waiting) = self.queues.remove(&permit) {
+                let refusal =
+                    Refusal::not_run(RefusalReason::ShedForHigherTier, Some(self.drain_time()));
+                actions.push(self.answer(waiting.entry, permit, PermitDecision::Refused(refusal)));
+            }
+        }
+    }
+
+    fn capacity_refusal(&mut self, now: Uptime, tier: TierRank, reason: RefusalReason) -> Refusal {
+        self.level.raise(tier, now);
+        Refusal::not_run(reason, Some(self.drain_time()))
+    }
+
+    /// Gives permits as long as the best waiting asks find targets with room.
+    fn grant(&mut self, now: Uptime, actions: &mut Vec<SchedulerAction>) {
+        while let Some((permit, target)) = self.next_grant(now) {
+            let Some(waiting) = self.queues.take(&permit) else { return };
+            let Some(state) = self.targets.get_mut(&target) else { return };
+            let estimate = state.estimate(&waiting.ask);
+            let expected = estimate * 1_000 / state.slowness().max(1);
+            state.in_flight += 1;
+            if let Some(prefix) = waiting.ask.prefix {
+                state.prefixes.touch(prefix);
+            }
+            let record = PermitRecord {
+                entry: waiting.entry.clone(),
+                target: target.clone(),
+                expected,
+                confirmed: now,
+            };
+            self.permits.insert(permit, record);
+            actions.push(self.answer(waiting.entry, permit, PermitDecision::Granted(target)));
+        }
+    }
+
+    fn next_grant(&self, now: Uptime) -> Option<(PermitId, TargetId)> {
+        if self.queues.is_empty() {
+            return None;
+        }
+        let heads = self.queues.heads().take(HEADS_TRIED);
+        heads.filter_map(|waiting| Some((waiting.ask.permit, self.place(now, waiting)?))).next()
+    }
+
+    /// The target with room on which the ask is estimated to finish first.
+    fn place(&self, now: Uptime, waiting: &WaitingAsk) -> Option<TargetId> {
+        let top = waiting.ask.tier == self.options.top;
+        let reserve = self.options.reserve_percent;
+        let open = self.targets.iter().filter(|(id, state)| {
+            state.has_room(top, reserve, now) && !waiting.ask.avoid.contains(id)
+        });
+        let scored =
+            open.map(|(id, state)| (state.estimate(&waiting.ask), load_permille(state), id));
+        let (estimate, _, target) = scored.min()?;
+        // A target that is too slow for the deadline is worth waiting past while a faster one is busy.
+        let time_left = waiting.deadline.saturating_sub(now).as_micros() as u64;
+        if estimate > time_left && self.fastest_estimate(&waiting.ask) < estimate {
+            return None;
+        }
+        Some(target.clone())
+    }
+
+    fn settle(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
+        let Some(state) = self.targets.get_mut(&record.target) else { return };
+        state.in_flight = state.in_flight.saturating_sub(1);
+        match end {
+            AttemptEnd::Unused => {}
+            AttemptEnd::Whole(took) => state.succeeded(record.expected, took),
+            AttemptEnd::Failed => state.failed(now),
+        }
+    }
+
+    /// Sends old permits again; an entry that does not know one any more gives it back.
+    fn confirm(&mut self, now: Uptime, actions: &mut Vec<SchedulerAction>) {
+        for (permit, record) in &mut self.permits {
+            if now.saturating_sub(record.confirmed) < CONFIRM_AFTER {
+                continue;
+            }
+            record.confirmed = now;
+            let decision = PermitDecision::Granted(record.target.clone());
+            let answer = PermitAnswer { permit: *permit, pool: self.pool.clone(), decision };
+            actions.push(SchedulerAction { entry: record.entry.clone(), answer });
+        }
+    }
+
+    fn waiting_ask(&self, now: Uptime, entry: DaemonId, ask: PermitAsk) -> WaitingAsk {
+        let work = ask.prompt_work + ask.output_work;
+        let deadline = now + ask.time_left;
+        let latest_start =
+            deadline.saturating_sub(Duration::from_micros(self.fastest_estimate(&ask)));
+        WaitingAsk { entry, ask, arrived: now, deadline, latest_start, work }
+    }
+
+    fn fastest_estimate(&self, ask: &PermitAsk) -> WorkMicros {
+        let usable = self.targets.values().filter(|state| !state.leaving && !state.ejected());
+        usable.map(|state| state.estimate(ask)).min().unwrap_or(ask.prompt_work + ask.output_work)
+    }
+
+    /// Estimated time until a new ask would be granted.
+    fn wait_estimate(&self, ask: &PermitAsk, limit: &AccountLimit) -> WorkMicros {
+        let ahead = self.queues.work_ahead(ask.tier, &ask.account, limit.weight);
+        ahead / self.speed_slots().max(1)
+    }
+
+    /// Slots of the usable targets, each weighed by its speed.
+    fn speed_slots(&self) -> u64 {
+        let usable = self.targets.values().filter(|state| !state.leaving && !state.ejected());
+        usable.map(|state| u64::from(state.slots) * 1_000 / state.slowness().max(1)).sum()
+    }
+
+    fn drain_time(&self) -> Duration {
+        let time = Duration::from_micros(self.queues.total_work() / self.speed_slots().max(1));
+        time.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
+    }
+
+    fn limit_of(&self, account: &AccountId) -> AccountLimit {
+        self.options.accounts.get(account).cloned().unwrap_or_default()
+    }
+
+    fn answer(
+        &self,
+        entry: DaemonId,
+        permit: PermitId,
+        decision: PermitDecision,
+    ) -> SchedulerAction {
+        SchedulerAction {
+            entry,
+            answer: PermitAnswer { permit, pool: self.pool.clone(), decision },
+        }
+    }
+}
+
+fn load_permille(state: &TargetState) -> u32 {
+    state.in_flight * 1_000 / state.slots.max(1)
+}
--- /dev/null
+++ b/crates/sched/src/queue.rs
@@ -0,0 +1,236 @@
+//! Waiting asks of a pool: tiers strictly by rank, fair shares between accounts inside a tier,
+//! and inside an account the one first whose latest start comes first.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use curlewcleat_core::{AccountId, DaemonId, PermitAsk, PermitId, TierRank, Uptime, WorkMicros};
+
+/// Scale of virtual time, so that division by weights keeps precision.
+const SHARE_SCALE: u64 = 1_000;
+
+/// An ask in the queue.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct WaitingAsk {
+    /// The daemon that asked.
+    pub entry: DaemonId,
+    /// The ask.
+    pub ask: PermitAsk,
+    /// When it arrived.
+    pub arrived: Uptime,
+    /// When its caller's time ends.
+    pub deadline: Uptime,
+    /// When it has to start at the latest.
+    pub latest_start: Uptime,
+    /// Estimated work.
+    pub work: WorkMicros,
+}
+
+/// Order inside an account's line.
+type LineKey = (Uptime, PermitId);
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct AccountLine {
+    /// Work served so far divided by the weight.
+    served: u64,
+    weight: u64,
+    waiting: BTreeMap<LineKey, WaitingAsk>,
+    work: WorkMicros,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct TierQueue {
+    lines: BTreeMap<AccountId, AccountLine>,
+    /// Accounts with waiting asks by their served work.
+    order: BTreeSet<(u64, AccountId)>,
+    /// Served work of the account chosen last; newcomers begin here.
+    clock: u64,
+    work: WorkMicros,
+    length: usize,
+}
+
+/// The queues of a pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct TierQueues {
+    tiers: BTreeMap<TierRank, TierQueue>,
+    places: BTreeMap<PermitId, (TierRank, AccountId, LineKey)>,
+}
+
+impl TierQueues {
+    /// Number of waiting asks.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Whether an ask waits.
+    pub fn contains(&self, permit: &PermitId) -> bool {
+        self.places.contains_key(permit)
+    }
+
+    /// Number of waiting asks of a tier.
+    pub fn tier_len(&self, tier: TierRank) -> usize {
+        self.tiers.get(&tier).map_or(0, |queue| queue.length)
+    }
+
+    /// Number of waiting asks of an account in all tiers.
+    pub fn account_len(&self, account: &AccountId) -> usize {
+        self.tiers
+            .values()
+            .filter_map(|queue| queue.lines.get(account))
+            .map(|line| line.waiting.len())
+            .sum()
+    }
+
+    /// Adds an ask; `weight` is its account's share.
+    pub fn push(&mut self, waiting: WaitingAsk, weight: u32) {
+        let tier = waiting.ask.tier;
+        let account = waiting.ask.account.clone();
+        let key = (waiting.latest_start, waiting.ask.permit);
+        let queue = self.tiers.entry(tier).or_default();
+        let clock = queue.clock;
+        let line = queue.lines.entry(account.clone()).or_default();
+        line.weight = u64::from(weight.max(1));
+        if line.waiting.is_empty() {
+            // An account that was idle gets no credit for the time in which it asked for nothing.
+            line.served = line.served.max(clock);
+            queue.order.insert((line.served, account.clone()));
+        }
+        line.work += waiting.work;
+        queue.work += waiting.work;
+        queue.length += 1;
+        self.places.insert(waiting.ask.permit, (tier, account, key));
+        line.waiting.insert(key, waiting);
+    }
+
+    /// Takes an ask out.
+    pub fn remove(&mut self, permit: &PermitId) -> Option<WaitingAsk> {
+        let (tier, account, key) = self.places.remove(permit)?;
+        let queue = self.tiers.get_mut(&tier)?;
+        let line = queue.lines.get_mut(&account)?;
+        let waiting = line.waiting.remove(&key)?;
+        line.work -= waiting.work;
+        queue.work -= waiting.work;
+        queue.length -= 1;
+        if line.waiting.is_empty() {
+            queue.order.remove(&(line.served, account.clone()));
+            if line.served <= queue.clock {
+                queue.lines.remove(&account);
+            }
+        }
+        Some(waiting)
+    }
+
+    /// Takes an ask out that is going to run, and charges its account.
+    pub fn take(&mut self, permit: &PermitId) -> Option<WaitingAsk> {
+        let (tier, account, _) = self.places.get(permit)?.clone();
+        let queue = self.tiers.get_mut(&tier)?;
+        let line = queue.lines.get_mut(&account)?;
+        queue.order.remove(&(line.served, account.clone()));
+        queue.clock = queue.clock.max(line.served);
+        let work = line
+            .waiting
+            .iter()
+            .find(|(key, _)| key.1 == *permit)
+            .map_or(0, |(_, waiting)| waiting.work);
+        line.served += work * SHARE_SCALE / line.weight;
+        queue.order.insert((line.served, account));
+        self.remove(permit)
+    }
+
+    /// The asks that may go next, best first: of each tier by rank the first of each account.
+    pub fn heads(&self) -> impl Iterator<Item = &WaitingAsk> {
+        self.tiers.values().flat_map(|queue| {
+            queue
+                .order
+                .iter()
+                .filter_map(|(_, account)| queue.lines.get(account)?.waiting.values().next())
+        })
+    }
+
+    /// Asks whose latest start has passed.
+    pub fn overdue(&self, now: Uptime) -> Vec<PermitId> {
+        let lines = self.tiers.values().flat_map(|queue| queue.lines.values());
+        let overdue = lines.flat_map(|line| {
+            line.waiting.range(..(now, PermitId { request: uuid_max(), attempt: 0 }))
+        });
+        overdue.map(|(key, _)| key.1).collect()
+    }
+
+    /// All asks of tiers below a rank.
+    pub fn below(&self, tier: TierRank) -> Vec<PermitId> {
+        let queues = self.tiers.range(tier + 1..).map(|(_, queue)| queue);
+        queues
+            .flat_map(|queue| queue.lines.values())
+            .flat_map(|line| line.waiting.keys())
+            .map(|key| key.1)
+            .collect()
+    }
+
+    /// All asks of one entry.
+    pub fn of_entry(&self, entry: &DaemonId) -> Vec<PermitId> {
+        let lines = self.tiers.values().flat_map(|queue| queue.lines.values());
+        lines
+            .flat_map(|line| line.waiting.values())
+            .filter(|w| w.entry == *entry)
+            .map(|w| w.ask.permit)
+            .collect()
+    }
+
+    /// The ask to evict for one of `tier`: the last of the lowest tier below it.
+    pub fn victim_below(&self, tier: TierRank) -> Option<PermitId> {
+        let (_, queue) = self.tiers.range(tier + 1..).rev().find(|(_, queue)| queue.length > 0)?;
+        queue
+            .lines
+            .values()
+            .filter_map(|line| line.waiting.keys().next_back())
+            .max()
+            .map(|key| key.1)
+    }
+
+    /// The ask to evict in favour of `account` inside its own tier: the last one of the account
+    /// that waits with the most work for its weight, if that is more than this account has.
+    pub fn victim_within(&self, tier: TierRank, account: &AccountId) -> Option<PermitId> {
+        let queue = self.tiers.get(&tier)?;
+        let own = queue
+            .lines
+            .get(account)
+            .map_or(0, |line| line.waiting.len() as u64 / line.weight.max(1));
+        let longest = queue
+            .lines
+            .values()
+            .max_by_key(|line| line.waiting.len() as u64 / line.weight.max(1))?;
+        if longest.waiting.len() as u64 / longest.weight.max(1) <= own + 1 {
+            return None;
+        }
+        longest.waiting.keys().next_back().map(|key| key.1)
+    }
+
+    /// Work that goes before a new ask of the account: higher tiers, and of its own tier what the
+    /// fair shares let go first.
+    pub fn work_ahead(&self, tier: TierRank, account: &AccountId, weight: u32) -> WorkMicros {
+        let higher: WorkMicros = self.tiers.range(..tier).map(|(_, queue)| queue.work).sum();
+        let Some(queue) = self.tiers.get(&tier) else { return higher };
+        let own = queue.lines.get(account).map_or(0, |line| line.work);
+        let weights: u64 = queue
+            .lines
+            .values()
+            .filter(|line| !line.waiting.is_empty())
+            .map(|line| line.weight)
+            .sum();
+        let share = own * weights.max(1) / u64::from(weight.max(1));
+        higher + share.min(queue.work)
+    }
+
+    /// Work of all waiting asks.
+    pub fn total_work(&self) -> WorkMicros {
+        self.tiers.values().map(|queue| queue.work).sum()
+    }
+}
+
+fn uuid_max() -> curlewcleat_core::RequestId {
+    curlewcleat_core::RequestId::max()
+}
--- /dev/null
+++ b/crates/sched/src/target.rs
@@ -0,0 +1,113 @@
+//! What a scheduler knows of one target.
+
+use std::time::Duration;
+
+use curlewcleat_core::{PermitAsk, Uptime, VmId, WorkMicros};
+
+use crate::prefix::PrefixCache;
+
+/// Slowness of a target that takes exactly the estimated time, in thousandths.
+const NORMAL: u64 = 1_000;
+/// Failures in a row after which a target is ejected.
+const EJECT_AFTER: u32 = 3;
+/// First time of ejection; doubles up to the limit while the target keeps failing.
+const EJECT_FIRST: Duration = Duration::from_secs(2);
+const EJECT_LIMIT: Duration = Duration::from_secs(60);
+/// Share of the prompt work that is left when the prefix is cached, in percent.
+const CACHED_PROMPT_PERCENT: u64 = 10;
+/// A report weighs one in this many in the learned slowness.
+const SLOWNESS_WEIGHT: u64 = 8;
+
+/// Slots, load, speed and health of one target.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct TargetState {
+    /// VM of the target.
+    pub vm: VmId,
+    /// Requests that it serves at the same time.
+    pub slots: u32,
+    /// Permits in use.
+    pub in_flight: u32,
+    /// Whether its VM leaves or is gone.
+    pub leaving: bool,
+    /// Prefixes that it is believed to hold.
+    pub prefixes: PrefixCache,
+    slowness: u64,
+    failures: u32,
+    ejected_until: Option<Uptime>,
+    eject_for: Duration,
+}
+
+impl TargetState {
+    /// A target about which nothing is known yet.
+    pub fn new(vm: VmId, slots: u32) -> TargetState {
+        TargetState {
+            vm,
+            slots,
+            in_flight: 0,
+            leaving: false,
+            prefixes: PrefixCache::default(),
+            slowness: NORMAL,
+            failures: 0,
+            ejected_until: None,
+            eject_for: EJECT_FIRST,
+        }
+    }
+
+    /// Whether one more request may go there; the reserve is kept free unless `top`.
+    pub fn has_room(&self, top: bool, reserve_percent: u32, now: Uptime) -> bool {
+        if self.leaving {
+            return false;
+        }
+        if let Some(until) = self.ejected_until {
+            // After the ejection one request at a time tries the target out.
+            return now >= until && self.in_flight == 0;
+        }
+        let reserve =
+            if top { 0 } else { (self.slots * reserve_percent).div_ceil(100).min(self.slots - 1) };
+        self.in_flight < self.slots - reserve
+    }
+
+    /// Whether the target takes new work at all.
+    pub fn usable(&self, now: Uptime) -> bool {
+        !self.leaving && self.ejected_until.is_none_or(|until| now >= until)
+    }
+
+    /// Whether the target is ejected for failures.
+    pub fn ejected(&self) -> bool {
+        self.ejected_until.is_some()
+    }
+
+    /// Estimated time of the request on this target, with its speed and prompt cache.
+    pub fn estimate(&self, ask: &PermitAsk) -> WorkMicros {
+        let cached = ask.prefix.is_some_and(|prefix| self.prefixes.holds(prefix));
+        let prompt =
+            if cached { ask.prompt_work * CACHED_PROMPT_PERCENT / 100 } else { ask.prompt_work };
+        (prompt + ask.output_work) * self.slowness / NORMAL
+    }
+
+    /// Slowness in thousandths of the estimate.
+    pub fn slowness(&self) -> u64 {
+        self.slowness
+    }
+
+    /// A whole answer took this long for work that was estimated at normal speed.
+    pub fn succeeded(&mut self, expected: WorkMicros, took: Duration) {
+        self.failures = 0;
+        self.ejected_until = None;
+        self.eject_for = EJECT_FIRST;
+        let ratio = took.as_micros() as u64 * NORMAL / expected.max(1);
+        let ratio = ratio.clamp(NORMAL / 10, NORMAL * 20);
+        self.slowness = (self.slowness * (SLOWNESS_WEIGHT - 1) + ratio) / SLOWNESS_WEIGHT;
+    }
+
+    /// The target failed a request.
+    pub fn failed(&mut self, now: Uptime) {
+        self.failures += 1;
+        if self.ejected_until.is_some() {
+            self.eject_for = (self.eject_for * 2).min(EJECT_LIMIT);
+            self.ejected_until = Some(now + self.eject_for);
+        } else if self.failures >= EJECT_AFTER {
+            self.ejected_until = Some(now + self.eject_for);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bin/standin.rs
@@ -0,0 +1,34 @@
+//! Runs one stand-in: `standin platform|engine|service`.
+
+use anyhow::Result;
+use clap::Parser;
+use curlewcleat_standins::engine::{EngineOptions, EngineStandIn};
+use curlewcleat_standins::http::serve;
+use curlewcleat_standins::platform::{PlatformOptions, PlatformStandIn};
+use curlewcleat_standins::service::{ServiceOptions, ServiceStandIn};
+
+/// Small stand-ins for the outside of curlewcleat.
+#[derive(Parser)]
+enum StandIn {
+    /// Objects with versions and a list of VMs.
+    Platform(PlatformOptions),
+    /// A streaming model engine.
+    Engine(EngineOptions),
+    /// A plain service.
+    Service(ServiceOptions),
+}
+
+#[actix_rt::main]
+async fn main() -> Result<()> {
+    match StandIn::parse() {
+        StandIn::Platform(options) => {
+            serve(&options.address.clone(), PlatformStandIn::new(options)).await
+        }
+        StandIn::Engine(options) => {
+            serve(&options.address.clone(), EngineStandIn::new(options)).await
+        }
+        StandIn::Service(options) => {
+            serve(&options.address.clone(), ServiceStandIn::new(options)).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,399 @@
+//! Processes of a test or of the demo: stand-ins and daemons on loopback, ended when dropped.
+
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use anyhow::{anyhow, bail, Context, Result};
+use awc::Client;
+use serde_json::Value;
+
+/// First port; below the range from which the system takes ports of outgoing connections.
+const FIRST_PORT: u16 = 10_000;
+/// Ports of one test process.
+const PORTS_EACH: u16 = 200;
+/// Time for which a state is waited for.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+/// Time between looks.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// A process, killed when dropped.
+pub struct FleetProcess {
+    /// Name for messages.
+    pub name: String,
+    /// Where it serves its main purpose.
+    pub address: String,
+    child: Child,
+}
+
+impl FleetProcess {
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by name, such as `TERM` or `STOP`.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let status =
+            Command::new("kill").args([format!("-{name}"), self.id().to_string()]).status()?;
+        if !status.success() {
+            bail!("fleet: kill -{name} {} failed", self.name);
+        }
+        Ok(())
+    }
+
+    /// Ends the process at once and waits for its end.
+    pub fn kill(&mut self) {
+        // A process that has ended already is what is wanted.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Whether the process has ended; its exit code if so.
+    pub fn ended(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for FleetProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A daemon with its addresses.
+pub struct FleetDaemon {
+    /// Its process.
+    pub process: FleetProcess,
+    /// VM name.
+    pub vm: String,
+    /// For callers.
+    pub callers: String,
+    /// For operators.
+    pub operators: String,
+    /// For peers.
+    pub peers: String,
+    settings: PathBuf,
+}
+
+/// All processes of one test.
+pub struct Fleet {
+    /// Folder of the built programs.
+    programs: PathBuf,
+    /// Folder for settings and logs.
+    folder: PathBuf,
+    /// The platform.
+    pub platform: FleetProcess,
+    /// Engines and services.
+    pub targets: Vec<FleetProcess>,
+    /// Daemons.
+    pub daemons: Vec<FleetDaemon>,
+    /// Lines added to each daemon's settings.
+    pub extra_settings: String,
+}
+
+impl Fleet {
+    /// Starts a platform.
+    pub async fn start(name: &str) -> Result<Fleet> {
+        let programs = program_folder()?;
+        let folder =
+            std::env::temp_dir().join(format!("curlewcleat-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let address = free_address()?;
+        let options = ["--address", &address, "--list-lag-ms", "300"];
+        let platform =
+            spawn(&programs.join("standin"), "platform", &address, &folder, "platform", &options)?;
+        let fleet = Fleet {
+            programs,
+            folder,
+            platform,
+            targets: Vec::new(),
+            daemons: Vec::new(),
+            extra_settings: String::new(),
+        };
+        wait_listening(&address).await?;
+        Ok(fleet)
+    }
+
+    /// Starts an engine or service with further options; gives its index.
+    pub async fn target(&mut self, kind: &str, options: &[&str]) -> Result<usize> {
+        let address = free_address()?;
+        let name = format!("{kind}-{}", self.targets.len());
+        let mut all = vec!["--address", address.as_str()];
+        all.extend(options);
+        let target =
+            spawn(&self.programs.join("standin"), kind, &address, &self.folder, &name, &all)?;
+        wait_listening(&address).await?;
+        self.targets.push(target);
+        Ok(self.targets.len() - 1)
+    }
+
+    /// Starts daemons that know each other as seeds.
+    pub async fn daemons(&mut self, count: usize) -> Result<()> {
+        let mut addresses = Vec::new();
+        for _ in 0..count {
+            addresses.push((free_address()?, free_address()?, free_address()?));
+        }
+        let seeds: Vec<String> = self.daemons.iter().map(|daemon| daemon.peers.clone()).collect();
+        let seeds: Vec<String> =
+            seeds.into_iter().chain(addresses.iter().map(|all| all.2.clone())).collect();
+        for (callers, operators, peers) in addresses {
+            let vm = format!("entry-{}", self.daemons.len());
+            let settings = self.write_settings(&vm, &callers, &operators, &peers, &seeds)?;
+            let process = self.spawn_daemon(&vm, &callers, &settings)?;
+            self.daemons.push(FleetDaemon { process, vm, callers, operators, peers, settings });
+        }
+        for daemon in &self.daemons {
+            wait_listening(&daemon.operators).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts a daemon again on the same VM and addresses after its end.
+    pub async fn restart(&mut self, index: usize) -> Result<()> {
+        self.daemons[index].process.kill();
+        let daemon = &self.daemons[index];
+        let process = self.spawn_daemon(&daemon.vm, &daemon.callers, &daemon.settings)?;
+        self.daemons[index].process = process;
+        wait_listening(&self.daemons[index].operators).await
+    }
+
+    /// Runs the operators' tool; gives its exit code and what it printed.
+    pub fn tool(&self, arguments: &[&str]) -> Result<(i32, String)> {
+        let daemons: Vec<&str> =
+            self.daemons.iter().map(|daemon| daemon.operators.as_str()).collect();
+        let mut command = Command::new(self.programs.join("curlewcleat"));
+        command.args(["--platform", &self.platform.address]);
+        if !daemons.is_empty() {
+            command.args(["--daemons", &daemons.join(",")]);
+        }
+        let output = command.args(arguments).output().context("fleet: run the tool")?;
+        let mut text = String::from_utf8_lossy(&output.stdout).to_string();
+        text.push_str(&String::from_utf8_lossy(&output.stderr));
+        Ok((output.status.code().unwrap_or(-1), text))
+    }
+
+    /// Writes a file into the fleet's folder.
+    pub fn write_file(&self, name: &str, text: &str) -> Result<String> {
+        let path = self.folder.join(name);
+        std::fs::write(&path, text)?;
+        Ok(path.display().to_string())
+    }
+
+    /// Applies a configuration text and waits until all daemons have it in force.
+    pub fn apply(&self, name: &str, text: &str) -> Result<()> {
+        let path = self.write_file(name, text)?;
+        let (code, output) = self.tool(&["apply", &path, "--wait", "--wait-seconds", "20"])?;
+        if code != 0 {
+            bail!("fleet: apply ended with {code}: {output}");
+        }
+        Ok(())
+    }
+
+    /// Sets the fault switches of a stand-in.
+    pub async fn fault(&self, address: &str, faults: Value) -> Result<()> {
+        post(address, "/_fault", &faults).await
+    }
+
+    /// Sets the platform's list of VMs.
+    pub async fn list_vms(&self, live: &[&str], leaving: &[&str]) -> Result<()> {
+        let line = |vm: &&str, state: &str| serde_json::json!({"vm": vm, "data_centre": "dc", "state": state});
+        let lines: Vec<Value> = live
+            .iter()
+            .map(|vm| line(vm, "live"))
+            .chain(leaving.iter().map(|vm| line(vm, "leaving")))
+            .collect();
+        let url = format!("http://{}/_vms", self.platform.address);
+        let call = Client::default().put(url).send_json(&lines).await;
+        call.map_err(|error| anyhow!("fleet: list of VMs: {error}"))?;
+        Ok(())
+    }
+
+    /// Waits until the key table is known to all daemons.
+    pub async fn key_table_ready(&self) -> Result<()> {
+        for daemon in &self.daemons {
+            wait_status(&daemon.operators, "the key table", |status| {
+                status["key_table"].as_u64() > Some(0)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until each daemon sees so many live peers.
+    pub async fn peers_ready(&self, peers: usize) -> Result<()> {
+        for daemon in &self.daemons {
+            wait_status(&daemon.operators, "its peers", |status| live_peers(status) >= peers)
+                .await?;
+        }
+        Ok(())
+    }
+
+    fn spawn_daemon(&self, vm: &str, callers: &str, settings: &Path) -> Result<FleetProcess> {
+        let settings = settings.display().to_string();
+        let options = ["--settings", settings.as_str()];
+        spawn(&self.programs.join("curlewcleatd"), "", callers, &self.folder, vm, &options)
+    }
+
+    fn write_settings(
+        &self,
+        vm: &str,
+        callers: &str,
+        operators: &str,
+        peers: &str,
+        seeds: &[String],
+    ) -> Result<PathBuf> {
+        let text = format!(
+            "[vm]\nname = {vm}\ndata_centre = dc\n\n[callers]\naddress = {callers}\ndrain_grace = 300ms\n\n\
+             [operators]\naddress = {operators}\n\n[peers]\naddress = {peers}\nseeds = {}\nbeat = 100ms\n\
+             suspect_after = 1s\n\n[platform]\naddress = {}\ncall_limit = 2s\n\n{}",
+            seeds.join(", "),
+            self.platform.address,
+            self.extra_settings
+        );
+        let path = self.folder.join(format!("{vm}.ini"));
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::env::var_os("CURLEWCLEAT_KEEP_LOGS").is_none() {
+            // A folder that stays behind in the temporary files does no harm.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Live peers in a status.
+pub fn live_peers(status: &Value) -> usize {
+    status["peers"]
+        .as_array()
+        .map_or(0, |peers| peers.iter().filter(|peer| peer["live"] == true).count())
+}
+
+/// The status of a daemon.
+pub async fn status(operators: &str) -> Result<Value> {
+    get_json(operators, "/status").await
+}
+
+/// Waits until a daemon's status fits.
+pub async fn wait_status(
+    operators: &str,
+    what: &str,
+    fits: impl Fn(&Value) -> bool,
+) -> Result<Value> {
+    let begun = Instant::now();
+    loop {
+        if let Ok(status) = status(operators).await {
+            if fits(&status) {
+                return Ok(status);
+            }
+        }
+        if begun.elapsed() > WAIT_LIMIT {
+            bail!("fleet: daemon at {operators} did not reach {what} within {WAIT_LIMIT:?}");
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn wait_until<F>(what: &str, mut holds: impl FnMut() -> F) -> Result<()>
+where
+    F: std::future::Future<Output = bool>,
+{
+    let begun = Instant::now();
+    while !holds().await {
+        if begun.elapsed() > WAIT_LIMIT {
+            bail!("fleet: not within {WAIT_LIMIT:?}: {what}");
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    Ok(())
+}
+
+/// Reads JSON from a stand-in or daemon.
+pub async fn get_json(address: &str, path: &str) -> Result<Value> {
+    let call = Client::default().get(format!("http://{address}{path}")).send().await;
+    let mut response = call.map_err(|error| anyhow!("fleet: {address}{path}: {error}"))?;
+    let body = response
+        .body()
+        .limit(64 << 20)
+        .await
+        .map_err(|error| anyhow!("fleet: {address}{path}: {error}"))?;
+    serde_json::from_slice(&body).with_context(|| format!("fleet: {address}{path}"))
+}
+
+/// Reads a text from a daemon.
+pub async fn get_text(address: &str, path: &str) -> Result<String> {
+    let call = Client::default().get(format!("http://{address}{path}")).send().await;
+    let mut response = call.map_err(|error| anyhow!("fleet: {address}{path}: {error}"))?;
+    let body = response
+        .body()
+        .limit(64 << 20)
+        .await
+        .map_err(|error| anyhow!("fleet: {address}{path}: {error}"))?;
+    Ok(String::from_utf8_lossy(&body).to_string())
+}
+
+async fn post(address: &str, path: &str, value: &Value) -> Result<()> {
+    let call = Client::default().post(format!("http://{address}{path}")).send_json(value).await;
+    call.map_err(|error| anyhow!("fleet: {address}{path}: {error}"))?;
+    Ok(())
+}
+
+/// Folder in which the programs were built, beside the running one.
+fn program_folder() -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folders = own.ancestors().skip(1);
+    let found = folders.map(Path::to_path_buf).find(|folder| folder.join("curlewcleatd").is_file());
+    found.ok_or_else(|| {
+        anyhow!("fleet: curlewcleatd is not built; run `cargo build --workspace` first")
+    })
+}
+
+/// A free address on loopback.
+pub fn free_address() -> Result<String> {
+    let base = FIRST_PORT + (std::process::id() % 100) as u16 * PORTS_EACH;
+    for _ in 0..PORTS_EACH {
+        let port = base + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS_EACH;
+        let address = format!("127.0.0.1:{port}");
+        if TcpListener::bind(&address).is_ok() {
+            return Ok(address);
+        }
+    }
+    bail!("fleet: no free port from {base} on")
+}
+
+fn spawn(
+    program: &Path,
+    kind: &str,
+    address: &str,
+    folder: &Path,
+    name: &str,
+    options: &[&str],
+) -> Result<FleetProcess> {
+    let log = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(folder.join(format!("{name}.log")))?;
+    let mut command = Command::new(program);
+    if !kind.is_empty() {
+        command.arg(kind);
+    }
+    let command = command.args(options).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+    let child = command.spawn().with_context(|| format!("fleet: start {}", program.display()))?;
+    Ok(FleetProcess { name: name.to_string(), address: address.to_string(), child })
+}
+
+async fn wait_listening(address: &str) -> Result<()> {
+    wait_until(&format!("{address} listens"), || async move {
+        tokio::net::TcpStream::connect(address).await.is_ok()
+    })
+    .await
+}
--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,241 @@
+//! A bare HTTP/1.1 server whose handlers hold the connection itself, so that faults such as a cut
+//! answer or two answers to one request can be played.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use anyhow::{bail, Context, Result};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const HEAD_LIMIT: usize = 64 << 10;
+const BODY_LIMIT: usize = 64 << 20;
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub struct PlainRequest {
+    /// Method.
+    pub method: String,
+    /// Path without query.
+    pub path: String,
+    /// Query parameters.
+    pub query: BTreeMap<String, String>,
+    /// Headers by lower-case name.
+    pub headers: BTreeMap<String, String>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl PlainRequest {
+    /// A header, empty where it is missing.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+/// The connection on which an answer is written.
+pub struct PlainConnection {
+    stream: TcpStream,
+}
+
+impl PlainConnection {
+    /// Writes bytes as they are.
+    pub async fn write_raw(&mut self, bytes: &[u8]) -> Result<()> {
+        self.stream.write_all(bytes).await?;
+        Ok(())
+    }
+
+    /// Writes a whole answer.
+    pub async fn answer(
+        &mut self,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> Result<()> {
+        let mut head = format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status));
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(body);
+        self.write_raw(&bytes).await
+    }
+
+    /// Writes a JSON answer.
+    pub async fn answer_json(&mut self, status: u16, value: &impl serde::Serialize) -> Result<()> {
+        let body = serde_json::to_vec(value)?;
+        self.answer(status, &[("Content-Type", "application/json")], &body).await
+    }
+
+    /// Begins a chunked answer.
+    pub async fn begin_chunked(&mut self, headers: &[(&str, &str)]) -> Result<()> {
+        let mut head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n".to_string();
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        self.write_raw(head.as_bytes()).await
+    }
+
+    /// Writes one chunk; an empty one ends the answer.
+    pub async fn chunk(&mut self, bytes: &[u8]) -> Result<()> {
+        let mut framed = format!("{:x}\r\n", bytes.len()).into_bytes();
+        framed.extend_from_slice(bytes);
+        framed.extend_from_slice(b"\r\n");
+        self.write_raw(&framed).await
+    }
+
+    /// Waits until the caller closes the connection.
+    pub async fn closed(&mut self) {
+        let mut byte = [0u8; 1];
+        while matches!(self.stream.read(&mut byte).await, Ok(length) if length > 0) {}
+    }
+}
+
+/// What becomes of the connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterAnswer {
+    /// Further requests may follow.
+    KeepOpen,
+    /// It is closed.
+    Close,
+}
+
+/// A handler under way.
+pub type HandlerFuture<'a> = Pin<Box<dyn Future<Output = Result<AfterAnswer>> + 'a>>;
+
+/// Answers requests.
+pub trait PlainHandler {
+    /// Answers one request on its connection.
+    fn handle<'a>(
+        &'a self,
+        request: PlainRequest,
+        connection: &'a mut PlainConnection,
+    ) -> HandlerFuture<'a>;
+}
+
+/// Serves until the process ends.
+///
+/// # Errors
+/// Where the address cannot be bound.
+pub async fn serve(address: &str, handler: Rc<dyn PlainHandler>) -> Result<()> {
+    let listener =
+        TcpListener::bind(address).await.with_context(|| format!("stand-in: bind {address}"))?;
+    loop {
+        let (stream, _) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let handler = Rc::clone(&handler);
+        actix_rt::spawn(async move {
+            // A connection that breaks is part of the play and ends only itself.
+            let _ = serve_connection(stream, handler).await;
+        });
+    }
+}
+
+async fn serve_connection(stream: TcpStream, handler: Rc<dyn PlainHandler>) -> Result<()> {
+    let mut connection = PlainConnection { stream };
+    let mut buffer = Vec::new();
+    while let Some(request) = read_request(&mut connection.stream, &mut buffer).await? {
+        if handler.handle(request, &mut connection).await? == AfterAnswer::Close {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> Result<Option<PlainRequest>> {
+    let head_end = loop {
+        if let Some(position) = find(buffer, b"\r\n\r\n") {
+            break position;
+        }
+        if buffer.len() > HEAD_LIMIT {
+            bail!("stand-in: head too long");
+        }
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8(buffer[..head_end].to_vec())?;
+    buffer.drain(..head_end + 4);
+    let mut lines = head.split("\r\n");
+    let mut words = lines.next().unwrap_or("").split(' ');
+    let method = words.next().unwrap_or("").to_string();
+    let target = words.next().unwrap_or("/").to_string();
+    let headers: BTreeMap<String, String> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.trim().to_ascii_lowercase(), value.trim().to_string()))
+        .collect();
+    let body = read_body(stream, buffer, &headers).await?;
+    let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+    let query = query.split('&').filter_map(|pair| pair.split_once('='));
+    let query = query.map(|(name, value)| (name.to_string(), value.to_string())).collect();
+    Ok(Some(PlainRequest { method, path: path.to_string(), query, headers, body }))
+}
+
+async fn read_body(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    headers: &BTreeMap<String, String>,
+) -> Result<Vec<u8>> {
+    if headers.get("transfer-encoding").is_some_and(|coding| coding.contains("chunked")) {
+        return read_chunked(stream, buffer).await;
+    }
+    let length: usize = headers.get("content-length").map_or(Ok(0), |text| text.parse())?;
+    fill(stream, buffer, length).await?;
+    Ok(buffer.drain(..length).collect())
+}
+
+async fn read_chunked(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Result<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let line_end = loop {
+            if let Some(position) = find(buffer, b"\r\n") {
+                break position;
+            }
+            fill(stream, buffer, buffer.len() + 1).await?;
+        };
+        let line = String::from_utf8(buffer.drain(..line_end + 2).collect())?;
+        let length = usize::from_str_radix(line.trim(), 16)?;
+        fill(stream, buffer, length + 2).await?;
+        body.extend(buffer.drain(..length));
+        buffer.drain(..2);
+        if length == 0 {
+            return Ok(body);
+        }
+    }
+}
+
+async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>, length: usize) -> Result<()> {
+    if length > BODY_LIMIT {
+        bail!("stand-in: body too long");
+    }
+    while buffer.len() < length {
+        if stream.read_buf(buffer).await? == 0 {
+            bail!("stand-in: body cut");
+        }
+    }
+    Ok(())
+}
+
+fn find(buffer: &[u8], mark: &[u8]) -> Option<usize> {
+    buffer.windows(mark.len()).position(|window| window == mark)
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        304 => "Not Modified",
+        404 => "Not Found",
+        412 => "Precondition Failed",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/standins/src/verdicts.rs
@@ -0,0 +1,48 @@
+//! The judgement of every failure test: the targets' ledgers against the callers' verdicts.
+
+use std::collections::BTreeMap;
+
+use anyhow::Result;
+
+use crate::callers::{CallerEnd, CallerRecord};
+use crate::fleet::{get_json, Fleet};
+use crate::ledger::LedgerEntry;
+
+/// Reads the ledgers of all targets that still answer.
+pub async fn ledgers(fleet: &Fleet) -> Result<Vec<LedgerEntry>> {
+    let mut entries = Vec::new();
+    for target in &fleet.targets {
+        if let Ok(value) = get_json(&target.address, "/_ledger").await {
+            entries.extend(serde_json::from_value::<Vec<LedgerEntry>>(value)?);
+        }
+    }
+    Ok(entries)
+}
+
+/// Every way in which ledgers and callers disagree; empty when all is well.
+pub fn disagreements(entries: &[LedgerEntry], records: &[CallerRecord]) -> Vec<String> {
+    let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+    for entry in entries {
+        *runs.entry(entry.nonce.as_str()).or_default() += 1;
+    }
+    let mut found = Vec::new();
+    for (nonce, count) in runs.iter().filter(|(_, count)| **count > 1) {
+        found.push(format!("{nonce} ran {count} times"));
+    }
+    for record in records {
+        let ran = runs.contains_key(record.nonce.as_str());
+        match &record.end {
+            CallerEnd::Whole if !ran => {
+                found.push(format!("{} has an answer and ran nowhere", record.nonce))
+            }
+            CallerEnd::Wrong(text) => {
+                found.push(format!("{} got a wrong answer: {text}", record.nonce))
+            }
+            CallerEnd::Refused { may_have_run: false, reason, .. } if ran => {
+                found.push(format!("{} was told \"not run\" ({reason}) and ran", record.nonce));
+            }
+            _ => {}
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/tool/src/apply.rs
@@ -0,0 +1,143 @@
+//! `apply` and `diff`.
+
+use std::time::Duration;
+
+use anyhow::{anyhow, Result};
+use curlewcleat_config::{
+    check_files, content_hash, content_key, parse_manifest, ApplyOptions, ApplyResult,
+    ConfigManifest, FileTexts, MANIFEST_KEY,
+};
+use curlewcleat_platform::{run_apply, HttpStore, ObjectStore};
+
+use crate::arguments::{ApplyArguments, Arguments, FileArguments};
+use crate::{daemons, files, ToolExit};
+
+/// Time after which a call of the platform is given up.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// The platform as the arguments name it.
+pub fn store(arguments: &Arguments) -> HttpStore {
+    HttpStore::new(&arguments.platform, CALL_LIMIT)
+}
+
+/// The manifest in force, `None` before the first apply.
+pub async fn manifest(store: &dyn ObjectStore) -> Result<Option<ConfigManifest>> {
+    match store.get(MANIFEST_KEY).await? {
+        Some(object) => Ok(Some(parse_manifest(&object.bytes)?)),
+        None => Ok(None),
+    }
+}
+
+/// Texts of the files in force.
+pub async fn texts(store: &dyn ObjectStore, manifest: &ConfigManifest) -> Result<FileTexts> {
+    let mut texts = FileTexts::new();
+    for (name, hash) in &manifest.files {
+        let object = store.get(&content_key(hash)).await?;
+        let object = object.ok_or_else(|| anyhow!("platform: the content of {name} is missing"))?;
+        texts.insert(name.clone(), String::from_utf8(object.bytes)?);
+    }
+    Ok(texts)
+}
+
+/// `apply`: puts files in force and waits for the daemons if asked to.
+pub async fn apply(arguments: &Arguments, options: &ApplyArguments) -> Result<ToolExit> {
+    let texts = files::read(&options.files)?;
+    let store = store(arguments);
+    let applied_at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH)?.as_secs();
+    let apply = ApplyOptions {
+        apply: uuid::Uuid::new_v4(),
+        operator: options.operator.clone(),
+        applied_at,
+        expected: options.expect_generation,
+    };
+    let generation = match run_apply(&store, apply, texts).await {
+        ApplyResult::Applied(generation) => {
+            println!("applied as generation {generation}");
+            generation
+        }
+        ApplyResult::Unchanged(generation) => {
+            println!("unchanged, in force since generation {generation} or before");
+            generation
+        }
+        ApplyResult::Conflict { file, by } => {
+            let by = by.map(|by| {
+                format!(
+                    " by {} at {} (generation {})",
+                    by.operator,
+                    daemons::utc(by.applied_at),
+                    by.generation
+                )
+            });
+            eprintln!(
+                "conflict: {file} was changed{}; nothing was applied",
+                by.unwrap_or_default()
+            );
+            return Ok(ToolExit::Conflict);
+        }
+        ApplyResult::Invalid(report) => {
+            eprintln!("{report}");
+            return Ok(ToolExit::Invalid);
+        }
+        ApplyResult::Unclear => {
+            eprintln!("the platform does not answer; it is not clear whether the apply took effect: see history");
+            return Ok(ToolExit::Unreachable);
+        }
+    };
+    if !options.wait {
+        return Ok(ToolExit::Done);
+    }
+    daemons::wait_for(arguments, generation, Duration::from_secs(options.wait_seconds)).await
+}
+
+/// `diff`: compares files with what is in force.
+pub async fn diff(arguments: &Arguments, options: &FileArguments) -> Result<ToolExit> {
+    let ours = files::read(&options.files)?;
+    let store = store(arguments);
+    let manifest = manifest(&store).await?.unwrap_or_default();
+    let theirs = texts(&store, &manifest).await?;
+    let mut same = true;
+    for (name, text) in &ours {
+        if manifest.files.get(name) == Some(&content_hash(text)) {
+            continue;
+        }
+        same = false;
+        match theirs.get(name) {
+            None => println!("{name}: not in force yet"),
+            Some(theirs) => print_difference(name, theirs, text),
+        }
+    }
+    let mut merged = theirs;
+    merged.extend(ours);
+    if let Err(report) = check_files(0, &merged) {
+        eprintln!("{report}");
+        return Ok(ToolExit::Invalid);
+    }
+    Ok(if same { ToolExit::Done } else { ToolExit::Invalid })
+}
+
+/// Prints the lines that stand in only one of two texts, section by section.
+fn print_difference(name: &str, theirs: &str, ours: &str) {
+    println!("{name}: in force (-) and given (+)");
+    let theirs = titled_lines(theirs);
+    let ours = titled_lines(ours);
+    for line in theirs.iter().filter(|line| !ours.contains(line)) {
+        println!("- [{}] {}", line.0, line.1);
+    }
+    for line in ours.iter().filter(|line| !theirs.contains(line)) {
+        println!("+ [{}] {}", line.0, line.1);
+    }
+}
+
+fn titled_lines(text: &str) -> Vec<(String, String)> {
+    let mut title = String::new();
+    let mut lines = Vec::new();
+    for line in
+        text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with([';', '#']))
+    {
+        match line.strip_prefix('[').and_then(|line| line.strip_suffix(']')) {
+            Some(name) => title = name.to_string(),
+            None => lines.push((title.clone(), line.to_string())),
+        }
+    }
+    lines
+}
--- /dev/null
+++ b/crates/tool/src/arguments.rs
@@ -0,0 +1,110 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+
+/// Checks, applies and shows the configuration of curlewcleat, and drains daemons.
+///
+/// Exit codes: 0 done; 1 the files do not pass the checks, or differ; 2 wrong usage; 3 somebody
+/// else changed the same file; 4 the platform or a daemon cannot be reached, or it is not clear
+/// whether an apply took effect; 5 not in force everywhere within the time to wait.
+#[derive(Parser)]
+#[command(version)]
+pub struct Arguments {
+    /// Platform's object API as ip:port.
+    #[arg(long, global = true, env = "CURLEWCLEAT_PLATFORM", default_value = "127.0.0.1:7000")]
+    pub platform: String,
+    /// Operators' addresses of daemons as ip:port, separated by commas.
+    #[arg(long, global = true, env = "CURLEWCLEAT_DAEMONS", value_delimiter = ',')]
+    pub daemons: Vec<String>,
+    /// Print JSON.
+    #[arg(long, global = true)]
+    pub json: bool,
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Subcommand)]
+pub enum Command {
+    /// Check files together, without the platform.
+    Check(FileArguments),
+    /// Put files in force, each as a whole.
+    Apply(ApplyArguments),
+    /// Compare files with what is in force; exits with 1 if they differ.
+    Diff(FileArguments),
+    /// Show what is in force and what the daemons say.
+    Show(ShowArguments),
+    /// Show who applied what and when.
+    History,
+    /// Begin the planned stop of a daemon.
+    Drain(DrainArguments),
+    /// Print a completion script for a shell.
+    Completions(CompletionArguments),
+}
+
+/// Files to read.
+#[derive(Args)]
+pub struct FileArguments {
+    /// INI files, or folders with them.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+}
+
+/// What to apply and how.
+#[derive(Args)]
+pub struct ApplyArguments {
+    /// INI files, or folders with them.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+    /// Wait until each daemon has it in force.
+    #[arg(long)]
+    pub wait: bool,
+    /// Seconds to wait.
+    #[arg(long, default_value_t = 8)]
+    pub wait_seconds: u64,
+    /// Generation that was read before; a later change to the same files is a conflict.
+    #[arg(long)]
+    pub expect_generation: Option<u64>,
+    /// Name for the history.
+    #[arg(long, env = "USER", default_value = "operator")]
+    pub operator: String,
+}
+
+/// What to show.
+#[derive(Args)]
+pub struct ShowArguments {
+    /// What to show.
+    pub what: ShowSubject,
+}
+
+/// What can be shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum ShowSubject {
+    /// Files in force at the platform.
+    Config,
+    /// Daemons: generation, requests, drain, roles.
+    Status,
+    /// VMs as the platform lists them.
+    Vms,
+    /// Targets as their schedulers see them.
+    Targets,
+    /// Client accounts in force.
+    Accounts,
+}
+
+/// Which daemon to drain.
+#[derive(Args)]
+pub struct DrainArguments {
+    /// Operators' address of the daemon as ip:port.
+    pub daemon: String,
+}
+
+/// Which shell.
+#[derive(Args)]
+pub struct CompletionArguments {
+    /// Shell.
+    pub shell: clap_complete::Shell,
+}
--- /dev/null
+++ b/crates/tool/src/daemons.rs
@@ -0,0 +1,91 @@
+//! Calls of the daemons' operator interface.
+
+use std::time::{Duration, Instant};
+
+use anyhow::{anyhow, bail, Result};
+use awc::Client;
+use serde_json::Value;
+
+use crate::arguments::{Arguments, DrainArguments};
+use crate::ToolExit;
+
+/// Time after which a daemon counts as unreachable.
+const CALL_LIMIT: Duration = Duration::from_secs(3);
+/// Time between looks at a daemon.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// The status of a daemon.
+pub async fn status(address: &str) -> Result<Value> {
+    let client = Client::builder().timeout(CALL_LIMIT).disable_redirects().finish();
+    let call = client.get(format!("http://{address}/status")).send().await;
+    let mut response = call.map_err(|error| anyhow!("daemon {address}: {error}"))?;
+    let body = response
+        .body()
+        .limit(8 << 20)
+        .await
+        .map_err(|error| anyhow!("daemon {address}: {error}"))?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+/// Waits until each daemon has a generation in force, and names those that have not.
+pub async fn wait_for(arguments: &Arguments, generation: u64, limit: Duration) -> Result<ToolExit> {
+    if arguments.daemons.is_empty() {
+        bail!("--wait needs --daemons, the operators' addresses to ask");
+    }
+    let begun = Instant::now();
+    let mut behind = arguments.daemons.clone();
+    while begun.elapsed() < limit {
+        let mut still = Vec::new();
+        for daemon in behind {
+            let reached =
+                status(&daemon).await.ok().and_then(|status| status["generation"].as_u64());
+            if reached.is_none_or(|reached| reached < generation) {
+                still.push(daemon);
+            }
+        }
+        if still.is_empty() {
+            let daemons = arguments.daemons.len();
+            println!("in force on {daemons} daemon(s) after {} ms", begun.elapsed().as_millis());
+            return Ok(ToolExit::Done);
+        }
+        behind = still;
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    eprintln!("not in force within {} s on: {}", limit.as_secs(), behind.join(", "));
+    Ok(ToolExit::NotEverywhere)
+}
+
+/// `drain`: begins the planned stop of a daemon.
+pub async fn drain(options: &DrainArguments) -> Result<ToolExit> {
+    let client = Client::builder().timeout(CALL_LIMIT).disable_redirects().finish();
+    let call = client.post(format!("http://{}/drain", options.daemon)).send().await;
+    let response = call.map_err(|error| anyhow!("daemon {}: {error}", options.daemon))?;
+    if !response.status().is_success() {
+        bail!("daemon {}: answered {}", options.daemon, response.status());
+    }
+    println!("{} drains; it ends when its requests are done", options.daemon);
+    Ok(ToolExit::Done)
+}
+
+/// Seconds since the Unix epoch as a date and time in UTC.
+pub fn utc(seconds: u64) -> String {
+    let days = (seconds / 86_400) as i64;
+    // Days to a civil date, by the usual reckoning in eras of 400 years from 1 March 0000.
+    let shifted = days + 719_468;
+    let era = shifted.div_euclid(146_097);
+    let day_of_era = shifted.rem_euclid(146_097);
+    let year_of_era =
+        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let month = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * month + 2) / 5 + 1;
+    let month = if month < 10 { month + 3 } else { month - 9 };
+    let year = year_of_era + era * 400 + i64::from(month <= 2);
+    let second = seconds % 86_400;
+    format!(
+        "{year:04}-{month:02}-{day:02}T{:02}:{:02}:{:02}Z",
+        second / 3_600,
+        second / 60 % 60,
+        second % 60
+    )
+}
--- /dev/null
+++ b/crates/tool/src/main.rs
@@ -0,0 +1,58 @@
+//! `curlewcleat`: the operators' tool.
+
+mod apply;
+mod arguments;
+mod daemons;
+mod files;
+mod show;
+mod table;
+
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser};
+
+use crate::arguments::{Arguments, Command};
+
+/// What a command leads to; the exit code of the tool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ToolExit {
+    /// Done.
+    Done = 0,
+    /// The files do not pass the checks, or differ.
+    Invalid = 1,
+    /// Somebody else changed the same file.
+    Conflict = 3,
+    /// The platform or a daemon cannot be reached.
+    Unreachable = 4,
+    /// Not in force everywhere within the time to wait.
+    NotEverywhere = 5,
+}
+
+#[actix_rt::main]
+async fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let result = match &arguments.command {
+        Command::Check(options) => files::check(&arguments, options),
+        Command::Apply(options) => apply::apply(&arguments, options).await,
+        Command::Diff(options) => apply::diff(&arguments, options).await,
+        Command::Show(options) => show::show(&arguments, options).await,
+        Command::History => show::history(&arguments).await,
+        Command::Drain(options) => daemons::drain(options).await,
+        Command::Completions(options) => {
+            clap_complete::generate(
+                options.shell,
+                &mut Arguments::command(),
+                "curlewcleat",
+                &mut std::io::stdout(),
+            );
+            Ok(ToolExit::Done)
+        }
+    };
+    match result {
+        Ok(exit) => ExitCode::from(exit as u8),
+        Err(error) => {
+            eprintln!("curlewcleat: {error:#}");
+            ExitCode::from(ToolExit::Unreachable as u8)
+        }
+    }
+}
