--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod http;
 pub mod ledger;
+pub mod load;
 pub mod platform;
 pub mod service;
 pub mod verdicts;
