--- /dev/null
+++ b/crates/acceptance/tests/callers.rs
@@ -0,0 +1,188 @@
+//! What callers may send, and what they are told: limits, bad input, departures, slow readers.
+
+use anyhow::Result;
+use curlewcleat_acceptance::{ready_fleet, DEPOTS, DRIVERS};
+use curlewcleat_standins::callers::{caller_client, CallerCall, CallerEnd};
+use curlewcleat_standins::fleet::{get_text, wait_status, wait_until, Fleet};
+use curlewcleat_standins::verdicts::ledgers;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Writes bytes to an entry and reads until it closes or 300 bytes have come.
+async fn raw(entry: &str, bytes: &[u8]) -> Result<String> {
+    let mut stream = TcpStream::connect(entry).await?;
+    stream.write_all(bytes).await?;
+    let mut answer = vec![0u8; 300];
+    let mut length = 0;
+    while length < answer.len() {
+        // A reset after an answer is as good as a close.
+        match stream.read(&mut answer[length..]).await {
+            Ok(0) | Err(_) => break,
+            Ok(read) => length += read,
+        }
+    }
+    Ok(String::from_utf8_lossy(&answer[..length]).to_string())
+}
+
+async fn still_serves(fleet: &Fleet) -> Result<()> {
+    let call = CallerCall::service("/v1/sessions/unlock", DRIVERS, "still");
+    assert_eq!(call.send(&caller_client(), &fleet.daemons[0].callers).await.end, CallerEnd::Whole);
+    Ok(())
+}
+
+fn reason(end: &CallerEnd) -> (u16, String, bool) {
+    match end {
+        CallerEnd::Refused { status, reason, may_have_run, .. } => {
+            (*status, reason.clone(), *may_have_run)
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[rstest]
+#[case::time("Curlewcleat-Timeout-Ms", "soon")]
+#[case::no_time("Curlewcleat-Timeout-Ms", "0")]
+#[case::preference("Prefer", "wait=never")]
+#[case::empty_key("Idempotency-Key", "\"\"")]
+#[case::attempt("Idempotency-Attempt", "0")]
+#[actix_rt::test]
+async fn bad_header_is_refused(#[case] name: &str, #[case] value: &str) -> Result<()> {
+    let fleet = ready_fleet("bad-header", 0, 1, 1).await?;
+    let call =
+        CallerCall::service("/v1/sessions/unlock", DRIVERS, "n").header("Idempotency-Key", "k");
+    let record = call.header(name, value).send(&caller_client(), &fleet.daemons[0].callers).await;
+    assert_eq!(reason(&record.end), (400, "bad_header".to_string(), false));
+    still_serves(&fleet).await
+}
+
+#[actix_rt::test]
+async fn preference_sets_the_deadline() -> Result<()> {
+    let fleet = ready_fleet("preference", 1, 0, 1).await?;
+    // 2,000 tokens at 2 ms cannot be done within a second.
+    let call =
+        CallerCall::engine("/v1/assistant/ask", DEPOTS, "n", "x", 2_000).header("Prefer", "wait=1");
+    let record = call.send(&caller_client(), &fleet.daemons[0].callers).await;
+    assert_eq!(reason(&record.end), (503, "deadline_unreachable".to_string(), false));
+    assert!(ledgers(&fleet).await?.is_empty(), "no prefill is spent on it");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn too_large_bodies_are_refused() -> Result<()> {
+    let fleet = ready_fleet("too-large", 0, 1, 1).await?;
+    let entry = &fleet.daemons[0].callers;
+    let head = format!(
+        "POST /v1/sessions/unlock HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {DRIVERS}\r\n"
+    );
+    let announced = raw(entry, format!("{head}Content-Length: 2000000\r\n\r\n").as_bytes()).await?;
+    assert!(announced.starts_with("HTTP/1.1 413"), "{announced}");
+    assert!(announced.contains("body_too_large"), "{announced}");
+    let mut chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
+    for _ in 0..40 {
+        chunked.extend_from_slice(b"8000\r\n");
+        chunked.extend(std::iter::repeat_n(b'x', 0x8000));
+        chunked.extend_from_slice(b"\r\n");
+    }
+    let mut stream = TcpStream::connect(entry).await?;
+    // The entry may close before it has read everything.
+    let _ = stream.write_all(&chunked).await;
+    wait_until("the refusal is counted", || async {
+        let metrics = get_text(&fleet.daemons[0].operators, "/metrics").await.unwrap_or_default();
+        metrics.contains(
+            "refusals_total{pool=\"sessions\",reason=\"body_too_large\",tier=\"start-stop\"} 2",
+        )
+    })
+    .await?;
+    still_serves(&fleet).await
+}
+
+#[rstest]
+#[case::nonsense(b"\x00\x01\x02 nonsense\r\n\r\n".to_vec())]
+#[case::no_version(b"GET /\r\n\r\n".to_vec())]
+#[case::two_lengths(b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab".to_vec())]
+#[case::length_and_chunks(
+    b"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: gzip, chunked, x\r\n\r\nabc".to_vec()
+)]
+#[case::long_headers([b"GET / HTTP/1.1\r\nX: ".to_vec(), vec![b'a'; 300_000], b"\r\n\r\n".to_vec()].concat())]
+#[actix_rt::test]
+async fn malformed_requests_end_only_their_connection(#[case] bytes: Vec<u8>) -> Result<()> {
+    let fleet = ready_fleet("malformed", 0, 1, 1).await?;
+    let answer = raw(&fleet.daemons[0].callers, &bytes).await?;
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 4"), "{answer}");
+    still_serves(&fleet).await
+}
+
+#[actix_rt::test]
+async fn slow_heads_are_cut_off() -> Result<()> {
+    let fleet = ready_fleet("slow-head", 0, 1, 1).await?;
+    let answer =
+        raw(&fleet.daemons[0].callers, b"POST /v1/sessions/unlock HTTP/1.1\r\nHost:").await?;
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 408"), "{answer}");
+    still_serves(&fleet).await
+}
+
+#[actix_rt::test]
+async fn caller_that_leaves_frees_its_place() -> Result<()> {
+    let fleet = ready_fleet("leaves", 1, 1, 2).await?;
+    let entry = fleet.daemons[0].callers.clone();
+    let mut tasks = Vec::new();
+    // Four stream, four wait.
+    for index in 0..8 {
+        let entry = entry.clone();
+        let call =
+            CallerCall::engine("/v1/assistant/ask", DEPOTS, &format!("n{index}"), "x", 3_000);
+        tasks.push(actix_rt::spawn(async move { call.send(&caller_client(), &entry).await }));
+    }
+    wait_until("four run", || async {
+        ledgers(&fleet).await.is_ok_and(|entries| entries.len() == 4)
+    })
+    .await?;
+    wait_status(&fleet.daemons[0].operators, "eight requests", |status| status["requests"] == 8)
+        .await?;
+    tasks.iter().for_each(|task| task.abort());
+    wait_status(&fleet.daemons[0].operators, "no requests", |status| status["requests"] == 0)
+        .await?;
+    for daemon in &fleet.daemons {
+        wait_status(&daemon.operators, "no permits", |status| {
+            let pools = status["pools"].as_array().cloned().unwrap_or_default();
+            pools.iter().all(|pool| pool["in_flight"] == 0 && pool["waiting"] == 0)
+        })
+        .await?;
+    }
+    let call = CallerCall::engine("/v1/assistant/ask", DEPOTS, "next", "x", 5);
+    assert_eq!(call.send(&caller_client(), &entry).await.end, CallerEnd::Whole);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn large_uploads_stream_through_whole() -> Result<()> {
+    let fleet = ready_fleet("upload", 1, 0, 1).await?;
+    let prompt = "contract ".repeat(200_000);
+    let call = CallerCall::engine("/v1/assistant/ask", DEPOTS, "n", &prompt, 5)
+        .header("Curlewcleat-Timeout-Ms", "60000");
+    let record = call.send(&caller_client(), &fleet.daemons[0].callers).await;
+    assert_eq!(record.end, CallerEnd::Whole);
+    let prefill: u64 = ledgers(&fleet).await?.iter().map(|entry| entry.prefill).sum();
+    assert_eq!(prefill, 9 * 200_000 / 4);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn nonsense_peer_frames_are_counted_and_ignored() -> Result<()> {
+    let fleet = ready_fleet("frames", 0, 1, 1).await?;
+    let peers = &fleet.daemons[0].peers;
+    let mut stream = TcpStream::connect(peers).await?;
+    stream.write_all(&[0xff; 4096]).await?;
+    let socket = nng::Socket::new(nng::Protocol::Push0)?;
+    socket.dial(&format!("tcp://{peers}"))?;
+    for bytes in [&b""[..], b"\x01", b"\x02nonsense", &[0x01; 300], &[0xff; 70_000]] {
+        socket.send(bytes).map_err(|(_, error)| error)?;
+    }
+    wait_until("five unreadable frames", || async {
+        let metrics = get_text(&fleet.daemons[0].operators, "/metrics").await.unwrap_or_default();
+        metrics.contains("curlewcleat_peer_frames{kind=\"unreadable\"} 5")
+    })
+    .await?;
+    still_serves(&fleet).await
+}
--- a/crates/acceptance/tests/platform.rs
+++ b/crates/acceptance/tests/platform.rs
@@ -111,16 +111,10 @@
     for index in 0..6 {
         let name = format!("account{}", "x".repeat(index));
         let path = fleet.write_file(&format!("own-{index}.ini"), &extra_account(&name))?;
-        let platform = fleet.platform.address.clone();
-        let tool = fleet.tool_command();
-        children.push(std::thread::spawn(move || {
-            std::process::Command::new(tool)
-                .args(["--platform", &platform, "apply", &path])
-                .output()
-        }));
+        children.push(fleet.start_tool(&["apply", &path])?);
     }
     for child in children {
-        let output = child.join().map_err(|_| anyhow::anyhow!("thread"))??;
+        let output = child.wait_with_output()?;
         assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     }
     wait_status(&fleet.daemons[0].operators, "all applies", |status| status["generation"] == 8)
--- a/crates/peers/src/codec.rs
+++ b/crates/peers/src/codec.rs
@@ -16,6 +16,9 @@
     /// The frame is too long.
     #[error("peers: frame of {0} bytes is too long")]
     TooLong(usize),
+    /// Bytes follow the frame.
+    #[error("peers: {0} bytes follow the frame")]
+    Surplus(usize),
     /// The frame does not decode.
     #[error("peers: frame does not decode: {0}")]
     Decode(postcard::Error),
@@ -38,7 +41,11 @@
         return Err(Error::TooLong(bytes.len()));
     }
     match bytes.split_first() {
-        Some((&FORMAT, rest)) => postcard::from_bytes(rest).map_err(Error::Decode),
+        Some((&FORMAT, rest)) => match postcard::take_from_bytes(rest) {
+            Ok((frame, [])) => Ok(frame),
+            Ok((_, surplus)) => Err(Error::Surplus(surplus.len())),
+            Err(error) => Err(Error::Decode(error)),
+        },
         _ => Err(Error::Format),
     }
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -190,6 +190,14 @@
 
     /// Runs the operators' tool; gives its exit code and what it printed.
     pub fn tool(&self, arguments: &[&str]) -> Result<(i32, String)> {
+        let output = self.start_tool(arguments)?.wait_with_output()?;
+        let mut text = String::from_utf8_lossy(&output.stdout).to_string();
+        text.push_str(&String::from_utf8_lossy(&output.stderr));
+        Ok((output.status.code().unwrap_or(-1), text))
+    }
+
+    /// Starts the operators' tool without waiting for its end.
+    pub fn start_tool(&self, arguments: &[&str]) -> Result<Child> {
         let daemons: Vec<&str> =
             self.daemons.iter().map(|daemon| daemon.operators.as_str()).collect();
         let mut command = Command::new(self.programs.join("curlewcleat"));
@@ -198,9 +206,17 @@
             command.args(["--daemons", &daemons.join(",")]);
         }
         command.args(arguments).stdout(Stdio::piped()).stderr(Stdio::piped());
+        let _alone = alone();
+        command.spawn().context("fleet: run the tool")
+    }
+
+    /// Runs the daemon's program to its end; gives its exit code and what it printed.
+    pub fn daemon_program(&self, arguments: &[&str]) -> Result<(i32, String)> {
+        let mut command = Command::new(self.programs.join("curlewcleatd"));
+        command.args(arguments).stdout(Stdio::piped()).stderr(Stdio::piped());
         let child = {
             let _alone = alone();
-            command.spawn().context("fleet: run the tool")?
+            command.spawn().context("fleet: run the daemon")?
         };
         let output = child.wait_with_output()?;
         let mut text = String::from_utf8_lossy(&output.stdout).to_string();
@@ -208,11 +224,6 @@
         Ok((output.status.code().unwrap_or(-1), text))
     }
 
-    /// The operators' tool.
-    pub fn tool_command(&self) -> PathBuf {
-        self.programs.join("curlewcleat")
-    }
-
     /// Writes a file into the fleet's folder.
     pub fn write_file(&self, name: &str, text: &str) -> Result<String> {
         let path = self.folder.join(name);
--- a/crates/tool/src/daemons.rs
+++ b/crates/tool/src/daemons.rs
@@ -10,7 +10,7 @@
 use crate::ToolExit;
 
 /// Time after which a daemon counts as unreachable.
-const CALL_LIMIT: Duration = Duration::from_secs(3);
+const CALL_LIMIT: Duration = Duration::from_secs(2);
 /// Time between looks at a daemon.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
@@ -33,28 +33,32 @@
         bail!("--wait needs --daemons, the operators' addresses to ask");
     }
     let begun = Instant::now();
-    let mut behind = arguments.daemons.clone();
-    while begun.elapsed() < limit {
-        let mut still = Vec::new();
-        for daemon in behind {
-            let reached =
-                status(&daemon).await.ok().and_then(|status| status["generation"].as_u64());
-            if reached.is_none_or(|reached| reached < generation) {
-                still.push(daemon);
-            }
-        }
-        if still.is_empty() {
-            let daemons = arguments.daemons.len();
-            println!("in force on {daemons} daemon(s) after {} ms", begun.elapsed().as_millis());
-            return Ok(ToolExit::Done);
-        }
-        behind = still;
-        tokio::time::sleep(LOOK_EVERY).await;
+    // Each is followed on its own, so that one that hangs does not hide the others.
+    let follow = |daemon: &String| tokio::time::timeout(limit, reach(daemon.clone(), generation));
+    let reached = futures_util::future::join_all(arguments.daemons.iter().map(follow)).await;
+    let looked = arguments.daemons.iter().zip(reached);
+    let behind: Vec<&str> =
+        looked.filter(|(_, reached)| reached.is_err()).map(|(daemon, _)| daemon.as_str()).collect();
+    if behind.is_empty() {
+        let daemons = arguments.daemons.len();
+        println!("in force on {daemons} daemon(s) after {} ms", begun.elapsed().as_millis());
+        return Ok(ToolExit::Done);
     }
     eprintln!("not in force within {} s on: {}", limit.as_secs(), behind.join(", "));
     Ok(ToolExit::NotEverywhere)
 }
 
+/// Looks at a daemon until it has a generation in force.
+async fn reach(daemon: String, generation: u64) {
+    loop {
+        let status = status(&daemon).await.unwrap_or_default();
+        if status["generation"].as_u64().is_some_and(|reached| reached >= generation) {
+            return;
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
 /// `drain`: begins the planned stop of a daemon.
 pub async fn drain(options: &DrainArguments) -> Result<ToolExit> {
     let client = Client::builder().timeout(CALL_LIMIT).disable_redirects().finish();
