--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -141,6 +141,7 @@
             kind,
             queue_limit: section.number("queue_limit", 1_000, 1..=1_000_000, report) as u32,
             reserve_percent: section.number("reserve_percent", 0, 0..=90, report) as u32,
+            cached_prefixes: section.number("cached_prefixes", 16, 0..=100_000, report) as u32,
             prompt_token_us: section.number(
                 "prompt_token_us",
                 if engine { 100 } else { 0 },
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -62,6 +62,8 @@
     pub queue_limit: u32,
     /// Slots per target, in percent, that only the highest tier may use.
     pub reserve_percent: u32,
+    /// Prompt prefixes that a target is believed to cache.
+    pub cached_prefixes: u32,
     /// Work of one prompt token in microseconds of a slot.
     pub prompt_token_us: u64,
     /// Work of one generated token in microseconds of a slot.
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -331,6 +331,7 @@
         kind: PoolKind::Service,
         queue_limit: 100,
         reserve_percent: 0,
+        cached_prefixes: 16,
         prompt_token_us: 0,
         output_token_us: 0,
         base_us: 1_000,
--- a/crates/node/src/wiring.rs
+++ b/crates/node/src/wiring.rs
@@ -16,6 +16,7 @@
     PoolOptions {
         queue_limit: pool.queue_limit as usize,
         reserve_percent: pool.reserve_percent,
+        cached_prefixes: pool.cached_prefixes as usize,
         top: config.top_rank(),
         lowest: config.tiers.values().map(|tier| tier.rank).max().unwrap_or(0),
         accounts: accounts.collect(),
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -22,6 +22,11 @@
 const HEADS_TRIED: usize = 8;
 /// Permits older than this are confirmed with their entry.
 const CONFIRM_AFTER: Duration = Duration::from_secs(5);
+/// Age that makes up for a unit of work in the order of an account's line. At 0 the oldest goes
+/// first, at infinity the shortest; docs/MEASUREMENTS.md gives the figures for the values tried.
+const AGE_PER_WORK: u64 = 32;
+/// Estimates are taken this much longer, in percent, where a deadline depends on them.
+const MARGIN_PERCENT: u64 = 125;
 /// Bounds of the advice when to come back.
 const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
 
@@ -32,6 +37,8 @@
     pub queue_limit: usize,
     /// Slots in percent that only the top tier may use.
     pub reserve_percent: u32,
+    /// Prompt prefixes that a target is believed to cache.
+    pub cached_prefixes: usize,
     /// Rank of the top tier.
     pub top: TierRank,
     /// Rank of the lowest tier.
@@ -45,6 +52,7 @@
         PoolOptions {
             queue_limit: 1_000,
             reserve_percent: 0,
+            cached_prefixes: 16,
             top: 0,
             lowest: 3,
             accounts: BTreeMap::new(),
@@ -296,12 +304,12 @@
         if !self.reachable(now, ask) {
             return Err(self.no_target(now));
         }
-        if self.fastest_estimate(ask) > ask.time_left.as_micros() as u64 {
+        let estimate = with_margin(self.fastest_estimate(ask));
+        let time_left = ask.time_left.as_micros() as u64;
+        if estimate > time_left {
             return Err(Refusal::not_run(RefusalReason::DeadlineUnreachable, None));
         }
-        if self.wait_estimate(ask, &limit) + self.fastest_estimate(ask)
-            > ask.time_left.as_micros() as u64
-        {
+        if self.wait_estimate(ask, &limit) + estimate > time_left {
             let refusal = self.capacity_refusal(now, ask.tier, RefusalReason::DeadlineUnreachable);
             self.shed_below(now, ask.tier, actions);
             return Err(refusal);
@@ -422,7 +430,7 @@
             let expected = estimate * 1_000 / state.slowness().max(1);
             state.in_flight += 1;
             if let Some(prefix) = waiting.ask.prefix {
-                state.prefixes.touch(prefix);
+                state.prefixes.touch(prefix, self.options.cached_prefixes);
             }
             let record = PermitRecord {
                 entry: waiting.entry.clone(),
@@ -455,7 +463,7 @@
         let (estimate, _, target) = scored.min()?;
         // A target that is too slow for the deadline is worth waiting past while a faster one is busy.
         let time_left = waiting.deadline.saturating_sub(now).as_micros() as u64;
-        if estimate > time_left && self.fastest_estimate(&waiting.ask) < estimate {
+        if with_margin(estimate) > time_left {
             return None;
         }
         Some(target.clone())
@@ -487,9 +495,10 @@
     fn waiting_ask(&self, now: Uptime, entry: DaemonId, ask: PermitAsk) -> WaitingAsk {
         let work = ask.prompt_work + ask.output_work;
         let deadline = now + ask.time_left;
-        let latest_start =
-            deadline.saturating_sub(Duration::from_micros(self.fastest_estimate(&ask)));
-        WaitingAsk { entry, ask, arrived: now, deadline, latest_start, work }
+        let estimate = with_margin(self.fastest_estimate(&ask));
+        let latest_start = deadline.saturating_sub(Duration::from_micros(estimate));
+        let order = now + Duration::from_micros(work * AGE_PER_WORK);
+        WaitingAsk { entry, ask, arrived: now, deadline, latest_start, order, work }
     }
 
     fn fastest_estimate(&self, ask: &PermitAsk) -> WorkMicros {
@@ -499,7 +508,7 @@
 
     /// Estimated time until a new ask would be granted.
     fn wait_estimate(&self, ask: &PermitAsk, limit: &AccountLimit) -> WorkMicros {
-        let ahead = self.queues.work_ahead(ask.tier, &ask.account, limit.weight);
+        let ahead = self.queues.work_ahead(ask, limit.weight);
         ahead / self.speed_slots().max(1)
     }
 
@@ -544,3 +553,8 @@
         _ => false,
     }
 }
+
+/// An estimate with room for its error.
+fn with_margin(estimate: WorkMicros) -> WorkMicros {
+    estimate * MARGIN_PERCENT / 100
+}
--- a/crates/sched/src/prefix.rs
+++ b/crates/sched/src/prefix.rs
@@ -2,9 +2,6 @@
 
 use std::collections::BTreeMap;
 
-/// Prefixes remembered per target.
-const PREFIX_LIMIT: usize = 256;
-
 /// A bounded set of prefix hashes that forgets the least recently used.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct PrefixCache {
@@ -19,16 +16,16 @@
         self.by_hash.contains_key(&prefix)
     }
 
-    /// Notes that the target has just computed or used the prefix.
-    pub fn touch(&mut self, prefix: u64) {
+    /// Notes that the target has just computed or used the prefix; it is believed to hold `limit` of
+    /// them. A belief that is too large costs more than none: see docs/MEASUREMENTS.md.
+    pub fn touch(&mut self, prefix: u64, limit: usize) {
         self.forget(prefix);
         self.clock += 1;
         self.by_hash.insert(prefix, self.clock);
         self.by_use.insert(self.clock, prefix);
-        if self.by_hash.len() > PREFIX_LIMIT {
-            if let Some((_, oldest)) = self.by_use.pop_first() {
-                self.by_hash.remove(&oldest);
-            }
+        while self.by_hash.len() > limit {
+            let Some((_, oldest)) = self.by_use.pop_first() else { return };
+            self.by_hash.remove(&oldest);
         }
     }
 
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -1,5 +1,5 @@
 //! Waiting asks of a pool: tiers strictly by rank, fair shares between accounts inside a tier,
-//! and inside an account the one first whose latest start comes first.
+//! and inside an account the short ones first, with age making up for length.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,10 +21,15 @@
     pub deadline: Uptime,
     /// When it has to start at the latest.
     pub latest_start: Uptime,
+    /// Place in its account's line: the lowest goes first.
+    pub order: Uptime,
     /// Estimated work.
     pub work: WorkMicros,
 }
 
+/// Size classes of work in a line, one for each power of two of microseconds.
+const CLASSES: usize = 40;
+
 /// Order inside an account's line.
 type LineKey = (Uptime, PermitId);
 
@@ -34,7 +39,8 @@
     served: u64,
     weight: u64,
     waiting: BTreeMap<LineKey, WaitingAsk>,
-    work: WorkMicros,
+    /// Waiting work by size class; shorter classes go before longer ones.
+    by_class: BTreeMap<usize, WorkMicros>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -53,6 +59,8 @@
 pub struct TierQueues {
     tiers: BTreeMap<TierRank, TierQueue>,
     places: BTreeMap<PermitId, (TierRank, AccountId, LineKey)>,
+    /// All asks by their latest start.
+    starts: BTreeSet<(Uptime, PermitId)>,
 }
 
 impl TierQueues {
@@ -89,7 +97,8 @@
     pub fn push(&mut self, waiting: WaitingAsk, weight: u32) {
         let tier = waiting.ask.tier;
         let account = waiting.ask.account.clone();
-        let key = (waiting.latest_start, waiting.ask.permit);
+        let key = (waiting.order, waiting.ask.permit);
+        self.starts.insert((waiting.latest_start, waiting.ask.permit));
         let queue = self.tiers.entry(tier).or_default();
         let clock = queue.clock;
         let line = queue.lines.entry(account.clone()).or_default();
@@ -99,7 +108,7 @@
             line.served = line.served.max(clock);
             queue.order.insert((line.served, account.clone()));
         }
-        line.work += waiting.work;
+        *line.by_class.entry(class_of(waiting.work)).or_default() += waiting.work;
         queue.work += waiting.work;
         queue.length += 1;
         self.places.insert(waiting.ask.permit, (tier, account, key));
@@ -112,7 +121,10 @@
         let queue = self.tiers.get_mut(&tier)?;
         let line = queue.lines.get_mut(&account)?;
         let waiting = line.waiting.remove(&key)?;
-        line.work -= waiting.work;
+        self.starts.remove(&(waiting.latest_start, *permit));
+        if let Some(work) = line.by_class.get_mut(&class_of(waiting.work)) {
+            *work -= waiting.work;
+        }
         queue.work -= waiting.work;
         queue.length -= 1;
         if line.waiting.is_empty() {
@@ -126,16 +138,12 @@
 
     /// Takes an ask out that is going to run, and charges its account.
     pub fn take(&mut self, permit: &PermitId) -> Option<WaitingAsk> {
-        let (tier, account, _) = self.places.get(permit)?.clone();
+        let (tier, account, key) = self.places.get(permit)?.clone();
         let queue = self.tiers.get_mut(&tier)?;
         let line = queue.lines.get_mut(&account)?;
         queue.order.remove(&(line.served, account.clone()));
         queue.clock = queue.clock.max(line.served);
-        let work = line
-            .waiting
-            .iter()
-            .find(|(key, _)| key.1 == *permit)
-            .map_or(0, |(_, waiting)| waiting.work);
+        let work = line.waiting.get(&key).map_or(0, |waiting| waiting.work);
         line.served += work * SHARE_SCALE / line.weight;
         queue.order.insert((line.served, account));
         self.remove(permit)
@@ -153,11 +161,11 @@
 
     /// Asks whose latest start has passed.
     pub fn overdue(&self, now: Uptime) -> Vec<PermitId> {
-        let lines = self.tiers.values().flat_map(|queue| queue.lines.values());
-        let overdue = lines.flat_map(|line| {
-            line.waiting.range(..(now, PermitId { request: uuid_max(), attempt: 0 }))
-        });
-        overdue.map(|(key, _)| key.1).collect()
+        self.starts
+            .iter()
+            .take_while(|(start, _)| *start < now)
+            .map(|(_, permit)| *permit)
+            .collect()
     }
 
     /// All asks of tiers below a rank.
@@ -209,18 +217,17 @@
         longest.waiting.keys().next_back().map(|key| key.1)
     }
 
-    /// Work that goes before a new ask of the account: higher tiers, and of its own tier what the
-    /// fair shares let go first.
-    pub fn work_ahead(&self, tier: TierRank, account: &AccountId, weight: u32) -> WorkMicros {
-        let higher: WorkMicros = self.tiers.range(..tier).map(|(_, queue)| queue.work).sum();
-        let Some(queue) = self.tiers.get(&tier) else { return higher };
-        let own = queue.lines.get(account).map_or(0, |line| line.work);
-        let weights: u64 = queue
-            .lines
-            .values()
-            .filter(|line| !line.waiting.is_empty())
-            .map(|line| line.weight)
-            .sum();
+    /// Work that goes before a new ask: higher tiers, and of its own tier what fair shares and its
+    /// account's line let go first.
+    pub fn work_ahead(&self, ask: &PermitAsk, weight: u32) -> WorkMicros {
+        let higher: WorkMicros = self.tiers.range(..ask.tier).map(|(_, queue)| queue.work).sum();
+        let Some(queue) = self.tiers.get(&ask.tier) else { return higher };
+        let class = class_of(ask.prompt_work + ask.output_work);
+        let line = queue.lines.get(&ask.account);
+        let own: WorkMicros =
+            line.map_or(0, |line| line.by_class.range(..=class).map(|(_, work)| *work).sum());
+        let waits = |line: &&AccountLine| !line.waiting.is_empty();
+        let weights: u64 = queue.lines.values().filter(waits).map(|line| line.weight).sum();
         let share = own * weights.max(1) / u64::from(weight.max(1));
         higher + share.min(queue.work)
     }
@@ -231,6 +238,6 @@
     }
 }
 
-fn uuid_max() -> curlewcleat_core::RequestId {
-    curlewcleat_core::RequestId::max()
+fn class_of(work: WorkMicros) -> usize {
+    (work.checked_ilog2().unwrap_or(0) as usize).min(CLASSES - 1)
 }
