--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -157,6 +157,11 @@
         self.members.addresses()
     }
 
+    /// A copy of the scheduler of a pool, where this daemon has one; for measurements.
+    pub fn scheduler(&self, pool: &str) -> Option<PoolScheduler> {
+        self.pools.get(pool).cloned()
+    }
+
     /// A view for operators.
     pub fn status(&self) -> NodeStatus {
         NodeStatus {
@@ -249,7 +254,7 @@
         }
     }
 
-    fn heartbeat(&self) -> Heartbeat {
+    fn heartbeat(&mut self) -> Heartbeat {
         self.members.heartbeat(self.store.generation(), self.home.version())
     }
 
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -12,6 +12,9 @@
 /// Silence after which a peer is forgotten altogether.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
+/// Known addresses that one heartbeat names.
+const KNOWN_EACH: usize = 4;
+
 /// Times and addresses of a member view.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct MemberOptions {
@@ -53,12 +56,21 @@
     draining: bool,
     peers: BTreeMap<VmId, PeerState>,
     hinted: BTreeSet<String>,
+    /// Place in the peers from which the next heartbeat names addresses.
+    named: usize,
 }
 
 impl MemberView {
     /// A view without peers.
     pub fn new(me: DaemonId, options: MemberOptions) -> MemberView {
-        MemberView { me, options, draining: false, peers: BTreeMap::new(), hinted: BTreeSet::new() }
+        MemberView {
+            me,
+            options,
+            draining: false,
+            peers: BTreeMap::new(),
+            hinted: BTreeSet::new(),
+            named: 0,
+        }
     }
 
     /// This daemon.
@@ -121,17 +133,23 @@
         lost
     }
 
-    /// The heartbeat to send.
-    pub fn heartbeat(&self, generation: Generation, table: ObjectVersion) -> Heartbeat {
-        let live = self.peers.values().filter(|peer| peer.live).map(|peer| peer.address.clone());
-        Heartbeat {
+    /// The heartbeat to send. It names a few known addresses, others each time, so that its length
+    /// does not grow with the fleet.
+    pub fn heartbeat(&mut self, generation: Generation, table: ObjectVersion) -> Heartbeat {
+        let live: Vec<&String> =
+            self.peers.values().filter(|peer| peer.live).map(|peer| &peer.address).collect();
+        let begin = if live.is_empty() { 0 } else { self.named % live.len() };
+        let known = live.iter().cycle().skip(begin).take(live.len().min(KNOWN_EACH));
+        let beat = Heartbeat {
             address: self.options.address.clone(),
             data_centre: self.options.data_centre.clone(),
             generation,
             table,
             draining: self.draining,
-            known: live.collect(),
-        }
+            known: known.map(|address| address.to_string()).collect(),
+        };
+        self.named = begin + KNOWN_EACH;
+        beat
     }
 
     /// Addresses that heartbeats go to.
