Messages of one batch to one peer share a frame

Cause: a permit of a scheduler on another daemon cost two frames of one message each, and nng's threads most of their processor time. Frames are now gathered over a batch of events.

--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -27,10 +27,16 @@
     /// Also start real daemons and measure them.
     #[arg(long)]
     processes: bool,
+    /// Only requests through real daemons.
+    #[arg(long)]
+    load: bool,
 }
 
 fn main() -> Result<()> {
     let arguments = Arguments::parse();
+    if arguments.load {
+        return actix_rt::System::new().block_on(load());
+    }
     targets();
     waiting();
     peers();
--- a/crates/daemon/src/brain.rs
+++ b/crates/daemon/src/brain.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use curlewcleat_core::RequestId;
+use curlewcleat_core::{PeerFrame, RequestId};
 use curlewcleat_keys::{KeyTable, TABLE_KEY};
 use curlewcleat_node::{CallerDecision, Node, NodeAction, NodeEvent, NodeNote, TableWrite};
 use curlewcleat_peers::PeerTransport;
@@ -27,6 +27,8 @@
     transport: Box<dyn PeerTransport>,
     store: Rc<dyn ObjectStore>,
     callers: BTreeMap<RequestId, mpsc::UnboundedSender<CallerDecision>>,
+    /// Frames by address; those of one batch go out as one.
+    outgoing: BTreeMap<String, PeerFrame>,
     ended: bool,
 }
 
@@ -38,7 +40,15 @@
         transport: Box<dyn PeerTransport>,
         store: Rc<dyn ObjectStore>,
     ) -> BrainLoop {
-        BrainLoop { node, context, transport, store, callers: BTreeMap::new(), ended: false }
+        BrainLoop {
+            node,
+            context,
+            transport,
+            store,
+            callers: BTreeMap::new(),
+            outgoing: BTreeMap::new(),
+            ended: false,
+        }
     }
 
     /// Runs until the planned stop is complete.
@@ -48,11 +58,15 @@
         while !self.ended {
             tokio::select! {
                 biased;
-                _ = clock.tick() => self.event(NodeEvent::Tick),
+                _ = clock.tick() => {
+                    self.event(NodeEvent::Tick);
+                    self.send_frames();
+                }
                 message = messages.recv() => {
                     let Some(message) = message else { break };
                     self.message(message);
                     self.drain_batch(&mut messages);
+                    self.send_frames();
                 }
             }
         }
@@ -95,7 +109,7 @@
 
     fn perform(&mut self, action: NodeAction) {
         match action {
-            NodeAction::Send(address, frame) => self.transport.send(&address, &frame),
+            NodeAction::Send(address, frame) => self.queue_frame(address, frame),
             NodeAction::Decide(id, decision) => self.decide(id, decision),
             NodeAction::ProposeTable(expected, table) => self.propose_table(expected, table),
             NodeAction::ReadTable => self.read_table(),
@@ -109,6 +123,22 @@
         }
     }
 
+    /// Messages to one peer within a batch share a frame.
+    fn queue_frame(&mut self, address: String, frame: PeerFrame) {
+        match self.outgoing.get_mut(&address) {
+            Some(queued) => queued.messages.extend(frame.messages),
+            None => {
+                self.outgoing.insert(address, frame);
+            }
+        }
+    }
+
+    fn send_frames(&mut self) {
+        for (address, frame) in std::mem::take(&mut self.outgoing) {
+            self.transport.send(&address, &frame);
+        }
+    }
+
     fn decide(&mut self, id: RequestId, decision: CallerDecision) {
         let last = !matches!(decision, CallerDecision::Dispatch(..));
         let delivered = self.callers.get(&id).is_some_and(|sender| sender.send(decision).is_ok());
