Faults in pairs under load; property tests; at most half of a pool's targets ejected

Found by the pair test (scheduler frozen while targets cut and refuse): with every target failing a few times, all were ejected and the pool refused everything for seconds. At most half are ejected now. The burst at three times capacity sheds only the lowest tier (0 refusals in the two above); with an entry killed in a platform outage the living entries serve every engine request.

--- /dev/null
+++ b/crates/acceptance/tests/pairs.rs
@@ -0,0 +1,126 @@
+//! Overload and faults that come together, on real processes under an open-loop load.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use curlewcleat_acceptance::{ready_fleet, DEPOTS, DRIVERS};
+use curlewcleat_standins::callers::{CallerEnd, CallerRecord};
+use curlewcleat_standins::fleet::{wait_until, Fleet};
+use curlewcleat_standins::load::{report, LoadPlan, LoadReport, LoadStream};
+use curlewcleat_standins::verdicts::{disagreements, ledgers};
+use serde_json::json;
+
+/// Seed of the loads; printed with each failure.
+const SEED: u64 = 7;
+
+/// Unlocks, roadside and review requests; `rate` scales the two that share the engines. Eight slots
+/// at 2 ms a token, 3.2 ms with the timer's grain, do about 48 requests of 52 tokens a second.
+fn plan(rate: f64) -> LoadPlan {
+    let stream =
+        |tier: &str, path: &str, token: &str, rate_per_s: f64, timeout_s: u64| LoadStream {
+            tier: tier.to_string(),
+            path: path.to_string(),
+            token: token.to_string(),
+            rate_per_s,
+            prompt_tokens: Some((20, 400)),
+            output_tokens: (10, 150),
+            prefixes: 0,
+            keyed: false,
+            timeout: Duration::from_secs(timeout_s),
+        };
+    let unlock = stream("start-stop", "/v1/sessions/unlock", DRIVERS, 40.0, 5);
+    LoadPlan {
+        seed: SEED,
+        duration: Duration::from_secs(4),
+        burst: 1.0,
+        streams: vec![
+            LoadStream { prompt_tokens: None, keyed: true, ..unlock },
+            stream("roadside", "/v1/assistant/ask", DRIVERS, 0.2 * rate, 5),
+            stream("review", "/v1/assistant/disputes", DEPOTS, 0.8 * rate, 5),
+        ],
+    }
+}
+
+async fn judged(fleet: &Fleet, plan: &LoadPlan, records: &[CallerRecord]) -> Result<LoadReport> {
+    let runs = ledgers(fleet).await?;
+    assert_eq!(disagreements(&runs, records), Vec::<String>::new(), "seed {SEED}");
+    let report = report(plan, records, &runs);
+    report.print();
+    Ok(report)
+}
+
+fn entries(fleet: &Fleet) -> Vec<String> {
+    fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect()
+}
+
+#[actix_rt::test]
+async fn burst_at_three_times_capacity_sheds_only_the_lowest_tier() -> Result<()> {
+    let fleet = ready_fleet("burst", 2, 1, 3).await?;
+    let plan = plan(145.0);
+    let records = plan.run(&entries(&fleet)).await;
+    let report = judged(&fleet, &plan, &records).await?;
+    for tier in ["start-stop", "roadside"] {
+        assert_eq!(
+            report.tiers[tier].refusals.len(),
+            0,
+            "{tier}, seed {SEED}: {:?}",
+            report.tiers[tier].refusals
+        );
+    }
+    let review: u64 = report.tiers["review"].refusals.values().sum();
+    assert!(review > 0, "an overload sheds the lowest tier");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn entry_dies_in_a_platform_outage_under_load() -> Result<()> {
+    let mut fleet = ready_fleet("outage-and-death", 2, 1, 3).await?;
+    fleet.fault(&fleet.platform.address, json!({"down": true})).await?;
+    let plan = plan(45.0);
+    let load = {
+        let (plan, entries) = (plan.clone(), entries(&fleet));
+        actix_rt::spawn(async move { plan.run(&entries).await })
+    };
+    wait_until("the load runs", || async {
+        ledgers(&fleet).await.is_ok_and(|runs| runs.len() > 40)
+    })
+    .await?;
+    fleet.daemons[0].process.kill();
+    let records = load.await?;
+    judged(&fleet, &plan, &records).await?;
+    // Calls go to the entries in turn. Whatever needed no key of the dead daemon was served by the
+    // living ones, although the platform was down all the time.
+    for (index, record) in records.iter().enumerate().filter(|(index, _)| index % 3 != 0) {
+        let served = record.end == CallerEnd::Whole;
+        assert!(served || record.tier == "start-stop", "{index} {record:?}, seed {SEED}");
+    }
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn scheduler_freezes_while_targets_cut_and_refuse() -> Result<()> {
+    let fleet = ready_fleet("freeze-and-cut", 2, 2, 3).await?;
+    let plan = plan(45.0);
+    let load = {
+        let (plan, entries) = (plan.clone(), entries(&fleet));
+        actix_rt::spawn(async move { plan.run(&entries).await })
+    };
+    wait_until("the load runs", || async {
+        ledgers(&fleet).await.is_ok_and(|runs| runs.len() > 40)
+    })
+    .await?;
+    fleet.daemons[1].process.signal("STOP")?;
+    for target in &fleet.targets {
+        let faults = json!({"cuts": 3, "cut_bytes": 20, "close_after_read": 3, "close_pooled": 3, "not_started": 3});
+        fleet.fault(&target.address, faults).await?;
+    }
+    let runs = ledgers(&fleet).await?.len();
+    wait_until("the load goes on", || async {
+        ledgers(&fleet).await.is_ok_and(|now| now.len() > runs + 60)
+    })
+    .await?;
+    fleet.daemons[1].process.signal("CONT")?;
+    let records = load.await?;
+    judged(&fleet, &plan, &records).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/config/tests/files.rs
@@ -0,0 +1,69 @@
+//! Whatever the files hold, reading them ends in a configuration or in named faults.
+
+use std::collections::BTreeMap;
+
+use curlewcleat_config::{check_files, check_settings, parse_manifest, ConfigStore, StoreChange};
+use curlewcleat_core::ConfigBundle;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn bundle(generation: u64, text: &str) -> ConfigBundle {
+    ConfigBundle { generation, files: BTreeMap::from([("a.ini".to_string(), text.to_string())]) }
+}
+
+fn line() -> impl Strategy<Value = String> {
+    prop_oneof![
+        "\\[(tier|account|pool|target|rule|x) [a-z]{0,3}\\]",
+        "(rank|kind|path|pool|tier|token_sha256|slots|deadline|weight) ?= ?[a-z0-9/*=;\"]{0,8}",
+        ".{0,12}",
+    ]
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_checked_without_a_crash(lines in prop::collection::vec(line(), 0..20)) {
+        let files = BTreeMap::from([("a.ini".to_string(), lines.join("\n"))]);
+        if let Err(report) = check_files(1, &files) {
+            prop_assert!(!report.problems.is_empty());
+        }
+        prop_assert!(check_settings("a.ini", &lines.join("\n")).is_err());
+    }
+
+    #[test]
+    fn any_bytes_are_a_manifest_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert!(parse_manifest(&bytes).is_err());
+    }
+
+    #[test]
+    fn configuration_only_moves_forward(generations in prop::collection::vec(1u64..20, 1..30)) {
+        let mut store = ConfigStore::default();
+        let mut highest = 0;
+        for generation in generations {
+            let change = store.offer(bundle(generation, "[tier t]\nrank = 0\n"));
+            prop_assert_eq!(change == StoreChange::Accepted, generation > highest);
+            highest = highest.max(generation);
+            prop_assert_eq!(store.generation(), highest);
+        }
+    }
+}
+
+#[test]
+fn invalid_configuration_leaves_the_earlier_one_in_force() {
+    let mut store = ConfigStore::default();
+    store.offer(bundle(1, "[tier t]\nrank = 0\n"));
+    assert!(matches!(store.offer(bundle(2, "[tier t]\nrank = x\n")), StoreChange::Invalid(_)));
+    assert_eq!(store.generation(), 1);
+}
+
+#[rstest]
+#[case::no_unit("5")]
+#[case::unknown_unit("5d")]
+#[case::zero("0s")]
+#[case::negative("-5s")]
+#[case::too_large("99999999999999999999h")]
+#[case::overflow("18446744073709551615h")]
+fn wrong_times_are_named(#[case] time: &str) {
+    let text = format!("[tier t]\nrank = 0\ndeadline = {time}\n");
+    let report = check_files(1, &BTreeMap::from([("a.ini".to_string(), text)])).expect_err("wrong");
+    assert_eq!(report.problems[0].key, "deadline");
+}
--- /dev/null
+++ b/crates/peers/tests/frames.rs
@@ -0,0 +1,47 @@
+//! Frames survive their way, and nothing else is taken for one.
+
+use curlewcleat_core::{
+    DaemonId, PeerFrame, PeerMessage, PermitAsk, PermitId, RequestId, StatePull,
+};
+use curlewcleat_peers::{decode_frame, encode_frame, Error};
+use proptest::prelude::*;
+
+fn frame(vm: String, incarnation: u64, tier: u8, work: u64) -> PeerFrame {
+    let ask = PermitAsk {
+        permit: PermitId { request: RequestId::from_u128(u128::from(work)), attempt: 1 },
+        pool: "pool".to_string(),
+        tier,
+        account: vm.clone(),
+        time_left: std::time::Duration::from_millis(work % 1_000_000),
+        prompt_work: work,
+        output_work: work / 2,
+        prefix: Some(work),
+        avoid: vec![vm.clone()],
+    };
+    let pull = StatePull { generation: work, table: incarnation };
+    let messages = vec![PeerMessage::PermitAsk(ask), PeerMessage::StatePull(pull)];
+    PeerFrame { from: DaemonId { vm, incarnation }, messages }
+}
+
+proptest! {
+    #[test]
+    fn frames_come_back_as_they_went(vm in ".{0,20}", incarnation: u64, tier: u8, work: u64) {
+        let frame = frame(vm, incarnation, tier, work);
+        prop_assert_eq!(decode_frame(&encode_frame(&frame)), Ok(frame));
+    }
+
+    #[test]
+    fn any_bytes_end_in_a_frame_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(frame) = decode_frame(&bytes) {
+            prop_assert_eq!(decode_frame(&encode_frame(&frame)), Ok(frame));
+        }
+    }
+
+    #[test]
+    fn cut_and_lengthened_frames_are_refused(work: u64, cut in 1usize..40) {
+        let bytes = encode_frame(&frame("vm".to_string(), 1, 0, work));
+        prop_assert!(decode_frame(&bytes[..bytes.len().saturating_sub(cut)]).is_err());
+        let longer = [bytes, vec![0; cut]].concat();
+        prop_assert_eq!(decode_frame(&longer), Err(Error::Surplus(cut)));
+    }
+}
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -25,6 +25,9 @@
 /// Age that makes up for a unit of work in the order of an account's line. At 0 the oldest goes
 /// first, at infinity the shortest; docs/MEASUREMENTS.md gives the figures for the values tried.
 const AGE_PER_WORK: u64 = 32;
+/// Share of the targets that may be ejected at the same time, in percent. Where all fail, the fault is
+/// hardly theirs, and refusing everything would help nobody.
+const EJECT_PERCENT: usize = 50;
 /// Estimates are taken this much longer, in percent, where a deadline depends on them.
 const MARGIN_PERCENT: u64 = 125;
 /// Bounds of the advice when to come back.
@@ -470,12 +473,14 @@
     }
 
     fn settle(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
+        let ejected = self.targets.values().filter(|target| target.ejected()).count();
+        let may_eject = (ejected + 1) * 100 <= self.targets.len() * EJECT_PERCENT;
         let Some(state) = self.targets.get_mut(&record.target) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         match end {
             AttemptEnd::Unused => {}
             AttemptEnd::Whole(took) => state.succeeded(record.expected, took),
-            AttemptEnd::Failed => state.failed(now),
+            AttemptEnd::Failed => state.failed(now, may_eject),
         }
     }
 
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -105,13 +105,13 @@
         self.slowness = (self.slowness * (SLOWNESS_WEIGHT - 1) + ratio) / SLOWNESS_WEIGHT;
     }
 
-    /// The target failed a request.
-    pub fn failed(&mut self, now: Uptime) {
+    /// The target failed a request; `may_eject` says whether it may be ejected for that.
+    pub fn failed(&mut self, now: Uptime, may_eject: bool) {
         self.failures += 1;
         if self.ejected_until.is_some() {
             self.eject_for = (self.eject_for * 2).min(EJECT_LIMIT);
             self.ejected_until = Some(now + self.eject_for);
-        } else if self.failures >= EJECT_AFTER {
+        } else if self.failures >= EJECT_AFTER && may_eject {
             self.ejected_until = Some(now + self.eject_for);
         }
     }
--- /dev/null
+++ b/crates/sched/tests/pools.rs
@@ -0,0 +1,285 @@
+//! The scheduler of a pool under any order of events: what holds always, and what tiers, accounts
+//! and failing targets get.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use curlewcleat_core::{
+    AttemptEnd, DaemonId, PermitAsk, PermitDecision, PermitId, PermitReturn, PoolKind,
+    RefusalReason, RequestId, TargetEntry, TargetLimits, TargetPool,
+};
+use curlewcleat_sched::{AccountLimit, PoolOptions, PoolScheduler, SchedulerAction};
+use proptest::prelude::*;
+
+const POOL: &str = "pool";
+
+fn entry() -> DaemonId {
+    DaemonId { vm: "e".to_string(), incarnation: 1 }
+}
+
+fn pool(targets: usize, slots: u32) -> TargetPool {
+    let second = Duration::from_secs(1);
+    let entries = (0..targets).map(|index| {
+        let id = format!("t{index}");
+        let entry =
+            TargetEntry { id: id.clone(), address: String::new(), vm: format!("vm{index}"), slots };
+        (id, entry)
+    });
+    TargetPool {
+        id: POOL.to_string(),
+        kind: PoolKind::Engine,
+        queue_limit: 0,
+        reserve_percent: 0,
+        cached_prefixes: 4,
+        prompt_token_us: 0,
+        output_token_us: 0,
+        base_us: 0,
+        limits: TargetLimits { connect: second, first_byte: second, between_bytes: second },
+        not_started_status: None,
+        end_event: None,
+        resumable: false,
+        targets: entries.collect(),
+    }
+}
+
+fn scheduler(options: PoolOptions, targets: usize, slots: u32) -> PoolScheduler {
+    let mut scheduler = PoolScheduler::new(POOL.to_string(), options.clone());
+    scheduler.configure(options, &pool(targets, slots));
+    scheduler
+}
+
+fn ask(number: u128, tier: u8, account: &str, left: Duration) -> PermitAsk {
+    PermitAsk {
+        permit: PermitId { request: RequestId::from_u128(number), attempt: 0 },
+        pool: POOL.to_string(),
+        tier,
+        account: account.to_string(),
+        time_left: left,
+        prompt_work: 0,
+        output_work: 100_000,
+        prefix: None,
+        avoid: Vec::new(),
+    }
+}
+
+fn back(number: u128, end: AttemptEnd) -> PermitReturn {
+    let permit = PermitId { request: RequestId::from_u128(number), attempt: 0 };
+    PermitReturn { permit, pool: POOL.to_string(), end }
+}
+
+fn granted(actions: &[SchedulerAction]) -> Vec<u128> {
+    let grants = actions
+        .iter()
+        .filter(|action| matches!(action.answer.decision, PermitDecision::Granted(_)));
+    grants.map(|action| action.answer.permit.request.as_u128()).collect()
+}
+
+fn refused(actions: &[SchedulerAction]) -> BTreeMap<u128, RefusalReason> {
+    let refusals = actions.iter().filter_map(|action| match &action.answer.decision {
+        PermitDecision::Refused(refusal) => {
+            Some((action.answer.permit.request.as_u128(), refusal.reason))
+        }
+        _ => None,
+    });
+    refusals.collect()
+}
+
+const LONG: Duration = Duration::from_secs(60);
+
+#[test]
+fn higher_tier_goes_first_and_lower_ones_are_evicted_for_it() {
+    let mut scheduler = scheduler(PoolOptions { queue_limit: 2, ..PoolOptions::default() }, 1, 1);
+    let now = Duration::ZERO;
+    assert_eq!(granted(&scheduler.ask(now, entry(), ask(1, 3, "a", LONG))), [1]);
+    scheduler.ask(now, entry(), ask(2, 3, "a", LONG));
+    scheduler.ask(now, entry(), ask(3, 2, "a", LONG));
+    let actions = scheduler.ask(now, entry(), ask(4, 0, "a", LONG));
+    assert_eq!(refused(&actions), BTreeMap::from([(2, RefusalReason::ShedForHigherTier)]));
+    let whole = AttemptEnd::Whole(Duration::from_millis(100));
+    assert_eq!(granted(&scheduler.give_back(now, &back(1, whole))), [4]);
+}
+
+#[test]
+fn shed_tier_stays_shut_for_the_hold_and_opens_again() {
+    let mut scheduler =
+        scheduler(PoolOptions { queue_limit: 1, lowest: 1, ..PoolOptions::default() }, 1, 1);
+    for number in 1..=3 {
+        scheduler.ask(Duration::ZERO, entry(), ask(number, 0, "a", LONG));
+    }
+    let shed = scheduler.ask(Duration::ZERO, entry(), ask(9, 1, "a", LONG));
+    assert_eq!(refused(&shed), BTreeMap::from([(9, RefusalReason::TierShed)]));
+    let later = Duration::from_secs(2);
+    scheduler.give_back(later, &back(1, AttemptEnd::Unused));
+    scheduler.give_back(later, &back(2, AttemptEnd::Unused));
+    scheduler.tick(later);
+    assert_eq!(granted(&scheduler.ask(later, entry(), ask(10, 1, "a", LONG))), [10]);
+}
+
+#[test]
+fn flooding_account_does_not_keep_another_waiting() {
+    let mut scheduler = scheduler(PoolOptions::default(), 1, 1);
+    let now = Duration::ZERO;
+    for number in 1..=50 {
+        scheduler.ask(now, entry(), ask(number, 1, "flood", LONG));
+    }
+    scheduler.ask(now, entry(), ask(100, 1, "quiet", LONG));
+    let whole = AttemptEnd::Whole(Duration::from_millis(100));
+    let first = granted(&scheduler.give_back(now, &back(1, whole)));
+    let second = granted(&scheduler.give_back(now, &back(first[0], whole)));
+    assert!(first.contains(&100) || second.contains(&100), "{first:?} {second:?}");
+}
+
+#[test]
+fn account_rate_is_held_and_says_when_to_come_back() {
+    let limit = AccountLimit { rate_per_s: Some(2), ..AccountLimit::default() };
+    let accounts = BTreeMap::from([("a".to_string(), limit)]);
+    let mut scheduler = scheduler(PoolOptions { accounts, ..PoolOptions::default() }, 4, 8);
+    let now = Duration::ZERO;
+    assert_eq!(granted(&scheduler.ask(now, entry(), ask(1, 0, "a", LONG))), [1]);
+    assert_eq!(granted(&scheduler.ask(now, entry(), ask(2, 0, "a", LONG))), [2]);
+    let third = scheduler.ask(now, entry(), ask(3, 0, "a", LONG));
+    assert_eq!(refused(&third), BTreeMap::from([(3, RefusalReason::AccountRate)]));
+    let PermitDecision::Refused(refusal) = &third[0].answer.decision else { panic!() };
+    let wait = refusal.retry_after.expect("says when");
+    assert_eq!(granted(&scheduler.ask(now + wait, entry(), ask(4, 0, "a", LONG))), [4]);
+}
+
+/// Asks until a target fails so often that it is ejected; gives the number of the next ask.
+fn fail_target(scheduler: &mut PoolScheduler, target: &str) -> u128 {
+    for number in 1..200 {
+        let actions = scheduler.ask(Duration::ZERO, entry(), ask(number, 0, "a", LONG));
+        let failed =
+            matches!(&actions[0].answer.decision, PermitDecision::Granted(to) if to == target);
+        let end =
+            if failed { AttemptEnd::Failed } else { AttemptEnd::Whole(Duration::from_secs(1)) };
+        scheduler.give_back(Duration::ZERO, &back(number, end));
+        if scheduler.targets()[target].ejected() {
+            return number + 1;
+        }
+    }
+    panic!("{target} was never ejected")
+}
+
+#[test]
+fn failing_target_is_ejected_and_comes_back_one_request_at_a_time() {
+    let mut scheduler = scheduler(PoolOptions::default(), 2, 2);
+    let next = fail_target(&mut scheduler, "t0");
+    for number in next..next + 2 {
+        let actions = scheduler.ask(Duration::ZERO, entry(), ask(number, 0, "a", LONG));
+        assert_eq!(actions[0].answer.decision, PermitDecision::Granted("t1".to_string()));
+    }
+    assert!(granted(&scheduler.ask(Duration::ZERO, entry(), ask(900, 0, "a", LONG))).is_empty());
+    let later = Duration::from_secs(3);
+    assert_eq!(granted(&scheduler.tick(later)), [900], "tried out after its time");
+    assert!(
+        granted(&scheduler.ask(later, entry(), ask(901, 0, "a", LONG))).is_empty(),
+        "one at a time"
+    );
+    let whole = AttemptEnd::Whole(Duration::from_millis(100));
+    assert_eq!(granted(&scheduler.give_back(later, &back(900, whole))), [901]);
+}
+
+#[test]
+fn never_more_than_half_of_the_targets_are_ejected() {
+    let mut scheduler = scheduler(PoolOptions::default(), 2, 8);
+    for number in 1..=20 {
+        scheduler.ask(Duration::ZERO, entry(), ask(number, 0, "a", LONG));
+        scheduler.give_back(Duration::ZERO, &back(number, AttemptEnd::Failed));
+    }
+    assert_eq!(scheduler.targets().values().filter(|target| target.ejected()).count(), 1);
+    assert_eq!(granted(&scheduler.ask(Duration::ZERO, entry(), ask(100, 0, "a", LONG))), [100]);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask(u8, u8, u16),
+    Back(u8, bool),
+    Again(u8),
+    Pass(u16),
+    Gone,
+    Away(bool),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0u8..4, 0u8..3, 50u16..5_000).prop_map(|(tier, account, left)| Step::Ask(tier, account, left)),
+        3 => (any::<u8>(), any::<bool>()).prop_map(|(which, whole)| Step::Back(which, whole)),
+        1 => any::<u8>().prop_map(Step::Again),
+        1 => (1u16..2_000).prop_map(Step::Pass),
+        1 => Just(Step::Gone),
+        1 => any::<bool>().prop_map(Step::Away),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+    #[test]
+    fn slots_are_held_and_each_ask_is_answered_once(steps in prop::collection::vec(step(), 1..120)) {
+        let options = PoolOptions { queue_limit: 6, ..PoolOptions::default() };
+        let mut scheduler = scheduler(options, 2, 2);
+        let mut now = Duration::ZERO;
+        let mut number = 0u128;
+        let mut tiers = BTreeMap::new();
+        let mut open = BTreeSet::new();
+        let mut held = BTreeSet::new();
+        let mut away = false;
+        for step in steps {
+            let actions = match step {
+                Step::Ask(tier, account, left) => {
+                    number += 1;
+                    tiers.insert(number, tier);
+                    open.insert(number);
+                    let left = Duration::from_millis(u64::from(left));
+                    scheduler.ask(now, entry(), ask(number, tier, &account.to_string(), left))
+                }
+                Step::Back(which, whole) => {
+                    let Some(id) = held.iter().nth(usize::from(which) % held.len().max(1)).copied() else { continue };
+                    held.remove(&id);
+                    let took = Duration::from_millis(100);
+                    let end = if whole { AttemptEnd::Whole(took) } else { AttemptEnd::Unused };
+                    scheduler.give_back(now, &back(id, end))
+                }
+                Step::Again(which) => {
+                    let Some(id) = held.iter().nth(usize::from(which) % held.len().max(1)).copied() else { continue };
+                    let again = scheduler.ask(now, entry(), ask(id, tiers[&id], "0", LONG));
+                    prop_assert_eq!(granted(&again), vec![id], "a repeated ask gets its grant again");
+                    continue;
+                }
+                Step::Pass(millis) => {
+                    now += Duration::from_millis(u64::from(millis));
+                    scheduler.tick(now)
+                }
+                Step::Gone => {
+                    open.clear();
+                    held.clear();
+                    scheduler.entry_gone(now, &entry())
+                }
+                Step::Away(leaves) => {
+                    away = leaves;
+                    let vms = if leaves { BTreeSet::from(["vm0".to_string()]) } else { BTreeSet::new() };
+                    scheduler.set_away(vms);
+                    continue;
+                }
+            };
+            for id in refused(&actions).keys() {
+                prop_assert!(open.remove(id), "{} was refused and not open", id);
+            }
+            for action in &actions {
+                let id = action.answer.permit.request.as_u128();
+                if let PermitDecision::Granted(target) = &action.answer.decision {
+                    // An old permit is confirmed by granting it again.
+                    let new = open.remove(&id);
+                    prop_assert!(new || held.contains(&id));
+                    prop_assert!(!(new && away && target == "t0"), "a leaving target got new work");
+                    held.insert(id);
+                }
+                if let Some(tier) = action.shed {
+                    prop_assert!(!scheduler.holds_below(tier), "a lower tier waits while {} is shed", tier);
+                }
+            }
+            prop_assert!(scheduler.targets().values().all(|target| target.in_flight <= target.slots));
+            prop_assert_eq!(scheduler.in_flight(), held.len());
+            prop_assert_eq!(scheduler.waiting(), open.len());
+        }
+    }
+}
