--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -35,7 +35,10 @@
 fn main() -> Result<()> {
     let arguments = Arguments::parse();
     if arguments.load {
-        return actix_rt::System::new().block_on(load());
+        return actix_rt::System::new().block_on(async {
+            load().await?;
+            streams().await
+        });
     }
     targets();
     waiting();
@@ -329,7 +332,8 @@
             sent / 4
         );
     }
-    load().await
+    load().await?;
+    streams().await
 }
 
 async fn sent_bytes(fleet: &Fleet) -> Result<u64> {
@@ -374,6 +378,77 @@
     Ok(())
 }
 
+/// What a streamed token, an open stream and a waiting request cost a daemon.
+async fn streams() -> Result<()> {
+    let mut fleet = Fleet::start("slopes-streams").await?;
+    fleet
+        .target(
+            "engine",
+            &["--slots", "4000", "--output-token-us", "20000", "--prompt-token-us", "0"],
+        )
+        .await?;
+    fleet
+        .target(
+            "engine",
+            &["--slots", "1", "--output-token-us", "60000000", "--prompt-token-us", "0"],
+        )
+        .await?;
+    fleet.daemons(1).await?;
+    let hash: String = hash_token("t").bytes().iter().map(|byte| format!("{byte:02x}")).collect();
+    let mut text =
+        format!("[tier t]\nrank = 0\ndeadline = 10m\n[account a]\ntoken_sha256 = {hash}\n");
+    for (index, (pool, slots)) in [("open", 4000), ("wait", 1)].into_iter().enumerate() {
+        text.push_str(&format!(
+            "[pool {pool}]\nkind = engine\nqueue_limit = 100000\noutput_token_us = 1\n[target {pool}]\npool = {pool}\n\
+             address = {}\nvm = v\nslots = {slots}\n[rule {pool}]\npath = /{pool}\ntier = t\npool = {pool}\n",
+            fleet.targets[index].address
+        ));
+    }
+    fleet.apply("all.ini", &text)?;
+    println!("held | of a kind | resident bytes of the daemon each | CPU us per token | CPU % of a core while held");
+    for (kind, count, tokens) in [
+        ("open", 250usize, 200u64),
+        ("open", 500, 200),
+        ("open", 1_000, 200),
+        ("wait", 1_000, 1),
+        ("wait", 2_000, 1),
+    ] {
+        let id = fleet.daemons[0].process.id();
+        let (cpu, memory, _) = process_cost(id)?;
+        let address = fleet.daemons[0].callers.clone();
+        let tasks: Vec<_> = (0..count)
+            .map(|number| {
+                let address = address.clone();
+                actix_rt::spawn(async move {
+                    let nonce = format!("{kind}-{number}");
+                    let call =
+                        CallerCall::engine(&format!("/{kind}"), "t", &nonce, "prompt", tokens);
+                    call.send(&caller_client(), &address).await
+                })
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let (held_cpu, held, _) = process_cost(id)?;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let busy = (process_cost(id)?.0 - held_cpu) as f64 / 10.0;
+        let mut per_token = 0.0;
+        if kind == "open" {
+            for task in tasks {
+                anyhow::ensure!(
+                    task.await?.end == CallerEnd::Whole,
+                    "slopes: a stream is not whole"
+                );
+            }
+            per_token = (process_cost(id)?.0 - cpu) as f64 * 1e3 / (count as u64 * tokens) as f64;
+        } else {
+            tasks.iter().for_each(|task| task.abort());
+        }
+        let bytes = held.saturating_sub(memory) / count as u64;
+        println!("{count:>5} | {kind} | {bytes:>7} | {per_token:>5.1} | {busy:>5.1}");
+    }
+    Ok(())
+}
+
 async fn one_path(
     fleet: &Fleet,
     name: &str,
