Reports of targets: load that others put on them, and cache events, late and with gaps

Foreign load takes slots for 5 s; it counts only beyond the permits of this report and the one before, so that a late report does not count what has ended. Evictions are numbered; a gap forgets the whole belief. Tests: two of the scheduler, two with a real engine, one of them 60 s late.

--- a/crates/acceptance/tests/targets.rs
+++ b/crates/acceptance/tests/targets.rs
@@ -4,7 +4,7 @@
 use anyhow::Result;
 use curlewcleat_acceptance::{configuration, ready_fleet, DEPOTS, DRIVERS};
 use curlewcleat_standins::callers::{caller_client, CallerCall, CallerEnd, CallerRecord};
-use curlewcleat_standins::fleet::{get_text, Fleet};
+use curlewcleat_standins::fleet::{get_text, wait_until, Fleet};
 use curlewcleat_standins::verdicts::{disagreements, ledgers};
 use rstest::rstest;
 use serde_json::{json, Value};
@@ -188,3 +188,24 @@
     }
     agree(&fleet, &records).await
 }
+
+#[rstest]
+#[case::in_time(json!({}), "taken")]
+#[case::too_late(json!({"report_lag_ms": 60_000}), "failed")]
+#[actix_rt::test]
+async fn reports_are_read_and_missing_ones_hold_nothing_up(
+    #[case] faults: Value,
+    #[case] result: &str,
+) -> Result<()> {
+    let fleet = ready_fleet("reports", 1, 0, 1).await?;
+    fleet.fault(&fleet.targets[0].address, faults).await?;
+    fleet.apply("all.ini", &configuration(&fleet, "", "report_path = /load"))?;
+    wait_until("a report", || async {
+        let metrics = get_text(&fleet.daemons[0].operators, "/metrics").await.unwrap_or_default();
+        metrics.contains(&format!("curlewcleat_target_reports_total{{result=\"{result}\"}}"))
+    })
+    .await?;
+    let record = ask("n").send(&caller_client(), &fleet.daemons[0].callers).await;
+    assert_eq!(record.end, CallerEnd::Whole);
+    Ok(())
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -167,8 +167,12 @@
             not_started_status: (status > 0).then_some(status),
             end_event: section.text("end_event").filter(|text| !text.is_empty()),
             resumable: section.flag("resumable", false, report),
+            report_path: section.text("report_path").filter(|text| !text.is_empty()),
             targets: BTreeMap::new(),
         };
+        if pool.report_path.as_ref().is_some_and(|path| !path.starts_with('/')) {
+            section.fault("report_path", "should begin with /", report);
+        }
         section.finish(report);
         self.config.pools.insert(id, pool);
     }
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -78,6 +78,8 @@
     pub end_event: Option<String>,
     /// Whether targets resume a cut stream at an offset.
     pub resumable: bool,
+    /// Path at which targets report their load and cache events, `None` where they do not.
+    pub report_path: Option<String>,
     /// Targets of the pool.
     pub targets: BTreeMap<TargetId, TargetEntry>,
 }
@@ -182,3 +184,22 @@
         self.tiers.values().map(|tier| tier.rank).min().unwrap_or(0)
     }
 }
+
+/// What a target says of itself, late and with gaps.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct TargetReport {
+    /// Requests that run there, whoever sent them.
+    pub running: u32,
+    /// Latest prompt beginnings that left its cache, oldest first, numbered without gaps from 1.
+    #[serde(default)]
+    pub evictions: Vec<CacheEviction>,
+}
+
+/// A prompt beginning that left a target's cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct CacheEviction {
+    /// Number of the event.
+    pub number: u64,
+    /// Hash of the beginning; see docs/OPERATIONS.md.
+    pub prefix: u64,
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod operators;
 mod platform;
 mod prompt;
+mod reports;
 mod run;
 mod upload;
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -26,6 +26,7 @@
     first_byte: HistogramVec,
     callers_gone: IntCounter,
     platform_errors: IntCounterVec,
+    reports: IntCounterVec,
     generation: IntGauge,
     table: IntGauge,
     key_slots: IntGauge,
@@ -87,6 +88,7 @@
                 "Failed platform calls",
                 &["call"],
             )?,
+            reports: counter(&registry, "target_reports_total", "Reports of targets", &["result"])?,
             generation: gauge(&registry, "config_generation", "Configuration in force")?,
             table: gauge(&registry, "key_table_version", "Known key table")?,
             key_slots: gauge(&registry, "key_slots", "Key slots held")?,
@@ -163,6 +165,12 @@
         self.callers_gone.inc();
     }
 
+    /// A target's report was read, or could not be.
+    pub fn report(&self, taken: bool) {
+        let result = if taken { "taken" } else { "failed" };
+        self.reports.with_label_values(&[result]).inc();
+    }
+
     /// A call of the platform failed.
     pub fn platform_error(&self, call: &str) {
         self.platform_errors.with_label_values(&[call]).inc();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -26,6 +26,7 @@
 use crate::metrics::DaemonMetrics;
 use crate::operators::serve_operator;
 use crate::platform::follow_platform;
+use crate::reports::follow_targets;
 
 /// Time for which an unreachable platform may delay a planned stop.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(30);
@@ -56,6 +57,7 @@
     let handle = server.handle();
     let serving = actix_rt::spawn(server);
     follow_platform(Rc::clone(&store), context.clone());
+    follow_targets(context.clone());
     watch_signals(context.clone())?;
     info!("started", kv: { vm = settings.vm.as_str(), incarnation });
 
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -339,6 +339,7 @@
         not_started_status: None,
         end_event: None,
         resumable: false,
+        report_path: None,
         targets: targets.iter().map(entry).collect(),
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -3,7 +3,7 @@
 use curlewcleat_config::CheckReport;
 use curlewcleat_core::{
     AttemptEnd, ConfigBundle, DaemonId, Generation, KeptAnswer, ObjectVersion, PeerFrame, PermitId,
-    Refusal, RequestId, RetryReason, TargetEntry, Verdict, VmId,
+    PoolId, Refusal, RequestId, RetryReason, TargetEntry, TargetId, TargetReport, Verdict, VmId,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::RequestSpec;
@@ -47,6 +47,8 @@
     TableRead(Option<(ObjectVersion, KeyTable)>),
     /// A proposal's fate.
     TableWritten(TableWrite),
+    /// A target's report, for the scheduler of its pool.
+    TargetReported(PoolId, TargetId, TargetReport),
     /// The platform's VM list.
     VmsRead(Vec<ListedVm>),
     /// Begin a planned stop.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -129,6 +129,10 @@
             NodeEvent::ConfigRead(bundle) => self.config_offered(bundle),
             NodeEvent::TableRead(read) => self.table_read(read),
             NodeEvent::TableWritten(write) => self.table_written(write),
+            NodeEvent::TargetReported(pool, target, report) => {
+                let actions = self.pool(&pool).reported(now, &target, &report);
+                self.send_answers(actions);
+            }
             NodeEvent::VmsRead(list) => self.vms_read(&list),
             NodeEvent::Drain => self.begin_drain(),
         }
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -9,8 +9,8 @@
 
 use curlewcleat_core::{
     AccountId, AttemptEnd, DaemonId, PermitAnswer, PermitAsk, PermitDecision, PermitHeld, PermitId,
-    PermitReturn, PoolId, Refusal, RefusalReason, TargetId, TargetPool, TierRank, Uptime, VmId,
-    WorkMicros,
+    PermitReturn, PoolId, Refusal, RefusalReason, TargetId, TargetPool, TargetReport, TierRank,
+    Uptime, VmId, WorkMicros,
 };
 
 use crate::account::{AccountLimit, RateBucket};
@@ -143,6 +143,21 @@
         self.away = away;
     }
 
+    /// Takes a target's report in.
+    pub fn reported(
+        &mut self,
+        now: Uptime,
+        target: &TargetId,
+        report: &TargetReport,
+    ) -> Vec<SchedulerAction> {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.reported(now, report);
+        }
+        let mut actions = Vec::new();
+        self.grant(now, &mut actions);
+        actions
+    }
+
     /// Known targets.
     pub fn targets(&self) -> &BTreeMap<TargetId, TargetState> {
         &self.targets
--- a/crates/sched/src/prefix.rs
+++ b/crates/sched/src/prefix.rs
@@ -29,6 +29,12 @@
         }
     }
 
+    /// Forgets everything, as when events about the cache were lost.
+    pub fn clear(&mut self) {
+        self.by_hash.clear();
+        self.by_use.clear();
+    }
+
     /// Notes that the target has evicted the prefix.
     pub fn forget(&mut self, prefix: u64) {
         if let Some(used) = self.by_hash.remove(&prefix) {
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use curlewcleat_core::{PermitAsk, Uptime, VmId, WorkMicros};
+use curlewcleat_core::{PermitAsk, TargetReport, Uptime, VmId, WorkMicros};
 
 use crate::prefix::PrefixCache;
 
@@ -13,6 +13,8 @@
 /// First time of ejection; doubles up to the limit while the target keeps failing.
 const EJECT_FIRST: Duration = Duration::from_secs(2);
 const EJECT_LIMIT: Duration = Duration::from_secs(60);
+/// Time for which a report counts.
+const REPORT_LIFE: Duration = Duration::from_secs(5);
 /// Share of the prompt work that is left when the prefix is cached, in percent.
 const CACHED_PROMPT_PERCENT: u64 = 10;
 /// A report weighs one in this many in the learned slowness.
@@ -35,6 +37,12 @@
     failures: u32,
     ejected_until: Option<Uptime>,
     eject_for: Duration,
+    /// Requests there that others sent, by its latest report, and until when that counts.
+    foreign: (u32, Uptime),
+    /// Permits in use when the report before came.
+    in_flight_before: u32,
+    /// Number of the latest cache event taken in.
+    last_eviction: Option<u64>,
 }
 
 impl TargetState {
@@ -50,6 +58,35 @@
             failures: 0,
             ejected_until: None,
             eject_for: EJECT_FIRST,
+            foreign: (0, Duration::ZERO),
+            in_flight_before: 0,
+            last_eviction: None,
+        }
+    }
+
+    /// Takes a report of the target in. It is late: what ended since may still be counted in it, so
+    /// only what exceeds the permits of both this report and the one before counts as foreign.
+    pub fn reported(&mut self, now: Uptime, report: &TargetReport) {
+        let own = self.in_flight.max(self.in_flight_before);
+        self.in_flight_before = self.in_flight;
+        self.foreign = (report.running.saturating_sub(own), now + REPORT_LIFE);
+        for eviction in &report.evictions {
+            match self.last_eviction {
+                Some(last) if eviction.number <= last => continue,
+                Some(last) if eviction.number == last + 1 => self.prefixes.forget(eviction.prefix),
+                // Events were lost, or this is the first report: nothing is known of the cache.
+                _ => self.prefixes.clear(),
+            }
+            self.last_eviction = Some(eviction.number);
+        }
+    }
+
+    /// Requests there that others sent.
+    pub fn foreign(&self, now: Uptime) -> u32 {
+        if now < self.foreign.1 {
+            self.foreign.0
+        } else {
+            0
         }
     }
 
@@ -64,7 +101,7 @@
         }
         let reserve =
             if top { 0 } else { (self.slots * reserve_percent).div_ceil(100).min(self.slots - 1) };
-        self.in_flight < self.slots - reserve
+        self.in_flight + self.foreign(now) < self.slots - reserve
     }
 
     /// Whether the target takes new work at all.
--- a/crates/sched/tests/pools.rs
+++ b/crates/sched/tests/pools.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AttemptEnd, DaemonId, PermitAsk, PermitDecision, PermitId, PermitReturn, PoolKind,
-    RefusalReason, RequestId, TargetEntry, TargetLimits, TargetPool,
+    AttemptEnd, CacheEviction, DaemonId, PermitAsk, PermitDecision, PermitId, PermitReturn,
+    PoolKind, RefusalReason, RequestId, TargetEntry, TargetLimits, TargetPool, TargetReport,
 };
 use curlewcleat_sched::{AccountLimit, PoolOptions, PoolScheduler, SchedulerAction};
 use proptest::prelude::*;
@@ -38,6 +38,7 @@
         not_started_status: None,
         end_event: None,
         resumable: false,
+        report_path: None,
         targets: entries.collect(),
     }
 }
@@ -190,6 +191,50 @@
     assert_eq!(granted(&scheduler.ask(Duration::ZERO, entry(), ask(100, 0, "a", LONG))), [100]);
 }
 
+fn report(running: u32, evictions: &[(u64, u64)]) -> TargetReport {
+    let evictions =
+        evictions.iter().map(|(number, prefix)| CacheEviction { number: *number, prefix: *prefix });
+    TargetReport { running, evictions: evictions.collect() }
+}
+
+#[test]
+fn load_that_others_put_on_a_target_counts_until_its_report_is_old() {
+    let mut scheduler = scheduler(PoolOptions::default(), 1, 2);
+    let target = "t0".to_string();
+    scheduler.reported(Duration::ZERO, &target, &report(2, &[]));
+    assert!(granted(&scheduler.ask(Duration::ZERO, entry(), ask(1, 0, "a", LONG))).is_empty());
+    let later = Duration::from_secs(5);
+    assert_eq!(granted(&scheduler.tick(later)), [1]);
+    // Its own permit and one that has just ended are not taken for others' load.
+    scheduler.reported(later, &target, &report(1, &[]));
+    scheduler.give_back(later, &back(1, AttemptEnd::Unused));
+    scheduler.reported(later, &target, &report(1, &[]));
+    assert_eq!(granted(&scheduler.ask(later, entry(), ask(2, 0, "a", LONG))), [2]);
+    assert_eq!(granted(&scheduler.ask(later, entry(), ask(3, 0, "a", LONG))), [3]);
+}
+
+#[test]
+fn cache_events_are_taken_once_and_a_gap_forgets_everything() {
+    let mut scheduler = scheduler(PoolOptions::default(), 1, 8);
+    let target = "t0".to_string();
+    scheduler.reported(Duration::ZERO, &target, &report(0, &[(1, 99)]));
+    for prefix in 1..=3u64 {
+        let ask = PermitAsk { prefix: Some(prefix), ..ask(u128::from(prefix), 0, "a", LONG) };
+        scheduler.ask(Duration::ZERO, entry(), ask);
+    }
+    let holds = |scheduler: &PoolScheduler| {
+        (1..=3u64)
+            .filter(|prefix| scheduler.targets()["t0"].prefixes.holds(*prefix))
+            .collect::<Vec<_>>()
+    };
+    scheduler.reported(Duration::ZERO, &target, &report(0, &[(1, 99), (2, 1)]));
+    assert_eq!(holds(&scheduler), [2, 3]);
+    scheduler.reported(Duration::ZERO, &target, &report(0, &[(1, 2), (2, 3)]));
+    assert_eq!(holds(&scheduler), [2, 3], "events that were seen already");
+    scheduler.reported(Duration::ZERO, &target, &report(0, &[(5, 98)]));
+    assert!(holds(&scheduler).is_empty(), "events 3 and 4 were lost");
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Ask(u8, u8, u16),
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
+use curlewcleat_core::{CacheEviction, TargetReport};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
 
@@ -18,6 +19,9 @@
 /// Characters of a prompt that make its prefix.
 pub const PREFIX_CHARS: usize = 1_024;
 
+/// Cache events that a report carries; older ones are lost.
+const EVICTIONS_KEPT: usize = 8;
+
 /// Speed and size of an engine.
 #[derive(Clone, Debug, clap::Args)]
 pub struct EngineOptions {
@@ -60,6 +64,8 @@
     pub doubles: u64,
     /// Answers this many requests with a redirect to the same path.
     pub redirects: u64,
+    /// Reports of load come this many milliseconds late.
+    pub report_lag_ms: u64,
     /// Delays each answer by this many milliseconds.
     pub delay_ms: u64,
 }
@@ -95,6 +101,8 @@
     prefixes: RefCell<VecDeque<String>>,
     streams: RefCell<BTreeMap<String, KeptStream>>,
     running: Cell<usize>,
+    evictions: RefCell<VecDeque<CacheEviction>>,
+    evicted: Cell<u64>,
     born: Instant,
 }
 
@@ -109,6 +117,8 @@
             prefixes: RefCell::default(),
             streams: RefCell::default(),
             running: Cell::new(0),
+            evictions: RefCell::default(),
+            evicted: Cell::new(0),
             born: Instant::now(),
         })
     }
@@ -125,9 +135,13 @@
                 connection.answer(200, &[], b"").await?;
             }
             ("GET", "/load") => {
-                let load =
-                    serde_json::json!({"running": self.running.get(), "slots": self.options.slots});
-                connection.answer_json(200, &load).await?;
+                let lag = Duration::from_millis(self.faults.borrow().report_lag_ms);
+                let report = TargetReport {
+                    running: self.running.get() as u32,
+                    evictions: self.evictions.borrow().iter().copied().collect(),
+                };
+                tokio::time::sleep(lag).await;
+                connection.answer_json(200, &report).await?;
             }
             ("GET", path) if path.starts_with("/v1/streams/") => {
                 return self.resume(&request, connection).await;
@@ -255,7 +269,8 @@
         }
         prefixes.push_back(prefix);
         if prefixes.len() > self.options.prefixes {
-            prefixes.pop_front();
+            let evicted = prefixes.pop_front().unwrap_or_default();
+            self.note_eviction(&evicted);
         }
         // The whole prompt of a known prefix counts as cached but for a tenth.
         if hit.is_some() {
@@ -265,6 +280,22 @@
         }
     }
 
+    /// Publishes an eviction under the hash that schedulers use; only the latest ones are kept.
+    fn note_eviction(&self, prefix: &str) {
+        let mut hasher = siphasher::sip::SipHasher13::new();
+        std::hash::Hasher::write(&mut hasher, prefix.as_bytes());
+        self.evicted.set(self.evicted.get() + 1);
+        let eviction = CacheEviction {
+            number: self.evicted.get(),
+            prefix: std::hash::Hasher::finish(&hasher),
+        };
+        let mut evictions = self.evictions.borrow_mut();
+        evictions.push_back(eviction);
+        if evictions.len() > EVICTIONS_KEPT {
+            evictions.pop_front();
+        }
+    }
+
     async fn pause(&self, micros: u64) {
         let factor = self.faults.borrow().slow_factor.max(1);
         tokio::time::sleep(Duration::from_micros(micros * factor)).await;
