A caller that stops reading keeps no slot

Cause: an answer is read from the target only as fast as the caller takes it, so a caller that does not read held its target's slot and its place in the entry for ever. A part that is left unread for stall_limit (60 s by default) now ends the request; time spent waiting for the target does not count. The test fails with the limit at an hour (the slot is never given back) and passes at a second; a slow reader still gets its whole answer.

--- a/crates/acceptance/tests/callers.rs
+++ b/crates/acceptance/tests/callers.rs
@@ -1,7 +1,7 @@
 //! What callers may send, and what they are told: limits, bad input, departures, slow readers.
 
 use anyhow::Result;
-use curlewcleat_acceptance::{ready_fleet, DEPOTS, DRIVERS};
+use curlewcleat_acceptance::{configuration, ready_fleet, DEPOTS, DRIVERS};
 use curlewcleat_standins::callers::{caller_client, CallerCall, CallerEnd};
 use curlewcleat_standins::fleet::{get_text, wait_status, wait_until, Fleet};
 use curlewcleat_standins::verdicts::ledgers;
@@ -186,3 +186,68 @@
     .await?;
     still_serves(&fleet).await
 }
+
+#[actix_rt::test]
+async fn caller_that_stops_reading_keeps_no_slot() -> Result<()> {
+    let mut fleet = Fleet::start("stalled").await?;
+    fleet.caller_settings = "stall_limit = 1s\n".to_string();
+    fleet.target("engine", &["--slots", "4", "--output-token-us", "0"]).await?;
+    fleet.daemons(1).await?;
+    fleet.apply(
+        "all.ini",
+        &configuration(&fleet, "", "prompt_token_us = 1\n").replace("prompt_token_us = 20\n", ""),
+    )?;
+    let entry = &fleet.daemons[0].callers;
+    // Some ten megabytes, far more than the buffers on the way hold.
+    let body = "{\"prompt\":\"x\",\"max_tokens\":400000,\"nonce\":\"stalled\"}";
+    let head = format!(
+        "POST /v1/assistant/ask HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {DEPOTS}\r\n\
+         Curlewcleat-Timeout-Ms: 80000000\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(entry).await?;
+    stream.write_all(head.as_bytes()).await?;
+    wait_until("it runs", || async {
+        ledgers(&fleet).await.is_ok_and(|entries| entries.len() == 1)
+    })
+    .await?;
+    wait_until("the caller is given up", || async {
+        let metrics = get_text(&fleet.daemons[0].operators, "/metrics").await.unwrap_or_default();
+        metrics.contains("curlewcleat_callers_stalled_total 1")
+    })
+    .await?;
+    wait_status(&fleet.daemons[0].operators, "no requests", |status| status["requests"] == 0)
+        .await?;
+    // What was sent ends without the last chunk, so the caller cannot take it for whole.
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest).await;
+    assert!(!rest.ends_with(b"0\r\n\r\n"));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn slow_reader_gets_its_whole_answer() -> Result<()> {
+    let fleet = ready_fleet("slow-reader", 1, 0, 1).await?;
+    let call = CallerCall::engine("/v1/assistant/ask", DEPOTS, "slow", "x", 300);
+    let mut stream = TcpStream::connect(&fleet.daemons[0].callers).await?;
+    let body = "{\"prompt\":\"x\",\"max_tokens\":300,\"nonce\":\"slow\"}";
+    let head = format!(
+        "POST {} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer {DEPOTS}\r\nContent-Length: {}\r\n\r\n{body}",
+        call.path,
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let mut answer = Vec::new();
+    let mut part = [0u8; 64];
+    // Small reads; the engine is far ahead of them.
+    while let Ok(length) = stream.read(&mut part).await {
+        if length == 0 {
+            break;
+        }
+        answer.extend_from_slice(&part[..length]);
+    }
+    assert!(answer.ends_with(b"0\r\n\r\n"));
+    let text = String::from_utf8_lossy(&answer).to_string();
+    assert_eq!(text.matches("data: {").count(), 300);
+    Ok(())
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -26,6 +26,8 @@
     pub connection_limit: usize,
     /// Time in which a caller has to send the head of a request.
     pub head_limit: Duration,
+    /// Time for which a caller may leave a part of its answer unread.
+    pub stall_limit: Duration,
     /// Time from the failing health check to the refusal of new requests.
     pub drain_grace: Duration,
     /// `ip:port` at which peers reach this daemon.
@@ -89,6 +91,7 @@
         request_limit: 20_000,
         connection_limit: 10_000,
         head_limit: Duration::from_secs(5),
+        stall_limit: Duration::from_secs(60),
         drain_grace: Duration::from_secs(2),
         peer_address: String::new(),
         advertised_address: String::new(),
@@ -122,6 +125,7 @@
             settings.connection_limit =
                 section.number("connection_limit", 10_000, 1..=1_000_000, report) as usize;
             settings.head_limit = section.duration("head_limit", settings.head_limit, report);
+            settings.stall_limit = section.duration("stall_limit", settings.stall_limit, report);
             settings.drain_grace = section.duration("drain_grace", settings.drain_grace, report);
         }
         "operators" => {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -14,10 +14,9 @@
 use spdlog::prelude::*;
 
 use crate::answer::{kept_response, refusal_response, REQUEST_ID};
+use crate::answer_stream::{AnswerContext, AnswerStream, WatchedAnswer};
 use crate::context::{DaemonContext, PendingRequest};
-use crate::exchange::{
-    send, AnswerContext, AnswerStream, DispatchTicket, ExchangeStart, TargetClients, TargetRequest,
-};
+use crate::exchange::{send, DispatchTicket, ExchangeStart, TargetClients, TargetRequest};
 use crate::headers;
 use crate::prompt;
 use crate::upload::{CallerUpload, UploadFault};
@@ -248,7 +247,8 @@
         builder.append_header((name.clone(), value.clone()));
     }
     builder.insert_header((REQUEST_ID, answer.request.to_string()));
-    let stream = AnswerStream::new(response, answer);
+    let limit = answer.context.settings.stall_limit;
+    let stream = WatchedAnswer::new(AnswerStream::new(response, answer), limit);
     match length {
         Some(length) => {
             let body = SizedStream::new(length, stream);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! HTTP, peers, the platform, clocks, logs and metrics.
 
 mod answer;
+mod answer_stream;
 mod brain;
 mod callers;
 mod context;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -25,6 +25,7 @@
     wait: HistogramVec,
     first_byte: HistogramVec,
     callers_gone: IntCounter,
+    callers_stalled: IntCounter,
     platform_errors: IntCounterVec,
     reports: IntCounterVec,
     generation: IntGauge,
@@ -82,6 +83,11 @@
                 "callers_gone_total",
                 "Callers that left before their answer was whole",
             )?,
+            callers_stalled: single(
+                &registry,
+                "callers_stalled_total",
+                "Callers given up because they did not read",
+            )?,
             platform_errors: counter(
                 &registry,
                 "platform_errors_total",
@@ -171,6 +177,11 @@
         self.reports.with_label_values(&[result]).inc();
     }
 
+    /// A caller left parts of its answer unread for too long.
+    pub fn caller_stalled(&self) {
+        self.callers_stalled.inc();
+    }
+
     /// A call of the platform failed.
     pub fn platform_error(&self, call: &str) {
         self.platform_errors.with_label_values(&[call]).inc();
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -297,6 +297,10 @@
     }
 
     async fn pause(&self, micros: u64) {
+        // Even an empty sleep takes a turn of the timer.
+        if micros == 0 {
+            return;
+        }
         let factor = self.faults.borrow().slow_factor.max(1);
         tokio::time::sleep(Duration::from_micros(micros * factor)).await;
     }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -101,6 +101,8 @@
     pub daemons: Vec<FleetDaemon>,
     /// Lines added to each daemon's settings.
     pub extra_settings: String,
+    /// Lines added to the callers' section of each daemon's settings.
+    pub caller_settings: String,
     /// Relays before the peer addresses of the daemons, where [`Fleet::relayed`] asked for them.
     pub relays: Vec<PeerRelay>,
     relayed: bool,
@@ -125,6 +127,7 @@
             targets: Vec::new(),
             daemons: Vec::new(),
             extra_settings: String::new(),
+            caller_settings: String::new(),
             relays: Vec::new(),
             relayed: false,
         };
@@ -298,9 +301,10 @@
         let advertised = relay
             .map_or(String::new(), |relay| format!("advertised_address = {}\n", relay.address));
         let text = format!(
-            "[vm]\nname = {vm}\ndata_centre = dc\n\n[callers]\naddress = {callers}\ndrain_grace = 300ms\n\n\
+            "[vm]\nname = {vm}\ndata_centre = dc\n\n[callers]\naddress = {callers}\ndrain_grace = 300ms\n{}\n\
              [operators]\naddress = {operators}\n\n[peers]\naddress = {peers}\nseeds = {}\nbeat = 100ms\n\
              suspect_after = 1s\n{advertised}\n[platform]\naddress = {}\ncall_limit = 2s\n\n{}",
+            self.caller_settings,
             seeds.join(", "),
             self.platform.address,
             self.extra_settings
