--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -470,7 +470,9 @@
     }
 
     fn next_grant(&self, now: Uptime) -> Option<(PermitId, TargetId)> {
-        if self.queues.is_empty() {
+        // Where everything is busy, and at an overload it is, no ask needs to be looked at.
+        let room = |state: &TargetState| state.has_room(true, 0, now);
+        if self.queues.is_empty() || !self.targets.values().any(room) {
             return None;
         }
         let heads = self.queues.heads(HEADS_TRIED);
