--- a/crates/acceptance/tests/pairs.rs
+++ b/crates/acceptance/tests/pairs.rs
@@ -53,6 +53,12 @@
     fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect()
 }
 
+/// Starts a load without waiting for it.
+fn begin(plan: &LoadPlan, fleet: &Fleet) -> actix_rt::task::JoinHandle<Vec<CallerRecord>> {
+    let (plan, entries) = (plan.clone(), entries(fleet));
+    actix_rt::spawn(async move { plan.run(&entries).await })
+}
+
 #[actix_rt::test]
 async fn burst_at_three_times_capacity_sheds_only_the_lowest_tier() -> Result<()> {
     let fleet = ready_fleet("burst", 2, 1, 3).await?;
@@ -77,10 +83,7 @@
     let mut fleet = ready_fleet("outage-and-death", 2, 1, 3).await?;
     fleet.fault(&fleet.platform.address, json!({"down": true})).await?;
     let plan = plan(45.0);
-    let load = {
-        let (plan, entries) = (plan.clone(), entries(&fleet));
-        actix_rt::spawn(async move { plan.run(&entries).await })
-    };
+    let load = begin(&plan, &fleet);
     wait_until("the load runs", || async {
         ledgers(&fleet).await.is_ok_and(|runs| runs.len() > 40)
     })
@@ -101,10 +104,7 @@
 async fn scheduler_freezes_while_targets_cut_and_refuse() -> Result<()> {
     let fleet = ready_fleet("freeze-and-cut", 2, 2, 3).await?;
     let plan = plan(45.0);
-    let load = {
-        let (plan, entries) = (plan.clone(), entries(&fleet));
-        actix_rt::spawn(async move { plan.run(&entries).await })
-    };
+    let load = begin(&plan, &fleet);
     wait_until("the load runs", || async {
         ledgers(&fleet).await.is_ok_and(|runs| runs.len() > 40)
     })
--- a/crates/bench/src/baselines.rs
+++ b/crates/bench/src/baselines.rs
@@ -34,14 +34,6 @@
     fn ended(&mut self, _: Duration, _: &Job, _: usize, _: Option<Duration>) -> Vec<Placement> {
         Vec::new()
     }
-
-    fn left(&mut self, _: Duration, _: &Job) -> Vec<Placement> {
-        Vec::new()
-    }
-
-    fn tick(&mut self, _: Duration) -> Vec<Placement> {
-        Vec::new()
-    }
 }
 
 /// The target with the fewest requests of the entry itself.
@@ -85,14 +77,6 @@
         *own = own.saturating_sub(1);
         Vec::new()
     }
-
-    fn left(&mut self, _: Duration, _: &Job) -> Vec<Placement> {
-        Vec::new()
-    }
-
-    fn tick(&mut self, _: Duration) -> Vec<Placement> {
-        Vec::new()
-    }
 }
 
 /// The less loaded of two targets by late reports.
@@ -124,14 +108,6 @@
         Vec::new()
     }
 
-    fn left(&mut self, _: Duration, _: &Job) -> Vec<Placement> {
-        Vec::new()
-    }
-
-    fn tick(&mut self, _: Duration) -> Vec<Placement> {
-        Vec::new()
-    }
-
     fn report(&mut self, loads: &[usize]) {
         self.loads = loads.to_vec();
     }
@@ -189,8 +165,4 @@
         self.queue.retain(|waiting| *waiting != job.id);
         Vec::new()
     }
-
-    fn tick(&mut self, _: Duration) -> Vec<Placement> {
-        Vec::new()
-    }
 }
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -44,10 +44,14 @@
     ) -> Vec<Placement>;
 
     /// A caller left before its request was sent.
-    fn left(&mut self, now: Duration, job: &Job) -> Vec<Placement>;
+    fn left(&mut self, _now: Duration, _job: &Job) -> Vec<Placement> {
+        Vec::new()
+    }
 
     /// Time passes.
-    fn tick(&mut self, now: Duration) -> Vec<Placement>;
+    fn tick(&mut self, _now: Duration) -> Vec<Placement> {
+        Vec::new()
+    }
 
     /// Requests that run or wait at each target, as reported late.
     fn report(&mut self, _loads: &[usize]) {}
--- /dev/null
+++ b/crates/node/src/node/keys.rs
@@ -0,0 +1,86 @@
+//! The key table: what is known of it, and when to propose another.
+
+use std::time::Duration;
+
+use curlewcleat_core::ObjectVersion;
+use curlewcleat_keys::KeyTable;
+use curlewcleat_sched::DrainPhase;
+
+use super::Node;
+use crate::event::{NodeAction, NodeNote, TableWrite};
+
+/// Subject by which the daemon is chosen that proposes key tables.
+const TABLE_SUBJECT: &str = "key table";
+/// Time after birth before a first key table is proposed, so that the peers are known.
+const SETTLE: Duration = Duration::from_secs(2);
+
+impl Node {
+    pub(super) fn table_read(&mut self, read: Option<(ObjectVersion, KeyTable)>) {
+        self.proposing = false;
+        match read {
+            Some((version, table)) => self.table_known(version, table),
+            None => self.table_absent = true,
+        }
+    }
+
+    pub(super) fn table_known(&mut self, version: ObjectVersion, table: KeyTable) {
+        if version <= self.home.version() {
+            return;
+        }
+        self.table_absent = false;
+        self.home.table_read(version, table);
+        self.actions.push(NodeAction::Note(NodeNote::TableKnown(version, self.home.slots_held())));
+    }
+
+    pub(super) fn table_written(&mut self, write: TableWrite) {
+        match write {
+            TableWrite::Stored(version, table) => {
+                self.proposing = false;
+                self.table_known(version, table);
+            }
+            TableWrite::ReadAgain => self.actions.push(NodeAction::ReadTable),
+        }
+    }
+
+    /// Proposes a key table where one is wanted.
+    pub(super) fn review_table(&mut self) {
+        if self.proposing {
+            return;
+        }
+        let proposal = if self.drain.phase() >= DrainPhase::Closing {
+            self.home.handed_over()
+        } else if self.home.version() == 0 {
+            self.first_table()
+        } else {
+            self.changed_table()
+        };
+        if let Some(table) = proposal {
+            self.proposing = true;
+            self.actions.push(NodeAction::ProposeTable(self.home.version(), table));
+        }
+    }
+
+    pub(super) fn first_table(&self) -> Option<KeyTable> {
+        let due = self.table_absent && self.now >= SETTLE && self.proposes_tables();
+        due.then(|| KeyTable::deal(self.options.key_slots, &self.takers))
+            .filter(|table| !table.slots.is_empty())
+    }
+
+    pub(super) fn changed_table(&self) -> Option<KeyTable> {
+        let mut gone = self.vms.gone(self.now, &self.options.me.vm);
+        // A VM that still talks is not gone, whatever a list says.
+        gone.retain(|vm| !self.members.peers().get(vm).is_some_and(|peer| peer.live));
+        let own_earlier = self.home.table().slots.iter().any(|slot| {
+            slot.holder.vm == self.options.me.vm
+                && slot.holder.incarnation != self.options.me.incarnation
+        });
+        if !own_earlier && !self.proposes_tables() {
+            return None;
+        }
+        self.home.reassign(&gone, &self.takers, self.wall)
+    }
+
+    pub(super) fn proposes_tables(&self) -> bool {
+        self.members.scheduler_order(TABLE_SUBJECT).first() == Some(&self.options.me)
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/members.rs
@@ -0,0 +1,51 @@
+//! Role takers, ended peers, and the VM list.
+
+use curlewcleat_core::DaemonId;
+
+use super::{order_of, Node};
+use crate::event::ListedVm;
+
+impl Node {
+    pub(super) fn entry_ended(&mut self, daemon: &DaemonId) {
+        for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
+            let now = self.now;
+            let actions = self.pool(&pool).entry_gone(now, daemon);
+            self.send_answers(actions);
+        }
+    }
+
+    /// Moves asks to the right schedulers when the set of role takers has changed.
+    pub(super) fn review_takers(&mut self) {
+        if !self.members.take_changed() {
+            return;
+        }
+        let takers = self.members.role_takers();
+        if takers == self.takers {
+            return;
+        }
+        self.takers = takers;
+        self.renew_orders();
+        let orders = &self.orders;
+        let members = &self.members;
+        let actions =
+            self.entry.schedulers_changed(self.now, &|pool| order_of(orders, members, pool));
+        self.perform(actions);
+    }
+
+    pub(super) fn renew_orders(&mut self) {
+        let config = self.store.active();
+        self.orders = config
+            .pools
+            .keys()
+            .map(|pool| (pool.clone(), self.members.scheduler_order(pool)))
+            .collect();
+    }
+
+    pub(super) fn vms_read(&mut self, list: &[ListedVm]) {
+        self.vms.read(self.now, list);
+        let away = self.vms.away();
+        for scheduler in self.pools.values_mut() {
+            scheduler.set_away(away.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/messages.rs
@@ -0,0 +1,187 @@
+//! Messages between daemons, in and out.
+
+use curlewcleat_core::{
+    DaemonId, Heartbeat, KeyAnswer, KeyDecision, LevelRaise, PeerFrame, PeerMessage, PermitAnswer,
+    PoolId, StatePull, TablePush, VmId,
+};
+use curlewcleat_keys::KeyTable;
+use curlewcleat_sched::{GuardStep, PoolScheduler, SchedulerAction};
+
+use super::{order_of, Node};
+use crate::event::{NodeAction, NodeNote};
+
+impl Node {
+    /// Puts a message on its way; to this daemon itself without a frame.
+    pub(super) fn post(&mut self, vm: &VmId, message: PeerMessage) {
+        if *vm == self.options.me.vm {
+            self.inbox.push_back(message);
+        } else {
+            self.outbox.entry(vm.clone()).or_default().push(message);
+        }
+    }
+
+    pub(super) fn run_inbox(&mut self) {
+        let me = self.options.me.clone();
+        while let Some(message) = self.inbox.pop_front() {
+            self.message(&me, message);
+        }
+    }
+
+    /// Turns the outbox into one frame for each peer.
+    pub(super) fn flush(&mut self) {
+        for (vm, messages) in std::mem::take(&mut self.outbox) {
+            if let Some(address) = self.members.address_of(&vm) {
+                let frame = PeerFrame { from: self.options.me.clone(), messages };
+                self.actions.push(NodeAction::Send(address.to_string(), frame));
+            }
+        }
+    }
+
+    pub(super) fn peer_frame(&mut self, frame: PeerFrame) {
+        if frame.from.vm == self.options.me.vm {
+            return;
+        }
+        for message in frame.messages {
+            self.message(&frame.from, message);
+            self.run_inbox();
+        }
+    }
+
+    pub(super) fn message(&mut self, from: &DaemonId, message: PeerMessage) {
+        match message {
+            PeerMessage::Heartbeat(beat) => self.heard(from, &beat),
+            PeerMessage::StatePull(pull) => self.state_pulled(&from.vm, pull),
+            PeerMessage::ConfigPush(bundle) => self.config_offered(bundle),
+            PeerMessage::TablePush(push) => {
+                self.table_known(push.version, KeyTable { slots: push.slots })
+            }
+            PeerMessage::PermitAsk(ask) => {
+                let now = self.now;
+                let scheduler = self.pool(&ask.pool.clone());
+                let actions = scheduler.ask(now, from.clone(), ask);
+                self.send_answers(actions);
+            }
+            PeerMessage::PermitAnswer(answer) => self.permit_answered(&from.vm, answer),
+            PeerMessage::PermitReturn(back) => {
+                let now = self.now;
+                let actions = self.pool(&back.pool.clone()).give_back(now, &back);
+                self.send_answers(actions);
+            }
+            PeerMessage::PermitHeld(held) => {
+                let now = self.now;
+                self.pool(&held.ask.pool.clone()).hold(now, from.clone(), held);
+            }
+            PeerMessage::LevelRaise(raise) => {
+                let now = self.now;
+                let actions = self.pool(&raise.pool).shed_for_peer(now, raise.tier);
+                // What is shed here is shed on behalf of a round that has begun already.
+                self.post_answers(actions);
+                self.post(&from.vm, PeerMessage::LevelConfirm(raise.pool, raise.round));
+            }
+            PeerMessage::LevelConfirm(pool, round) => {
+                let actions = self.guards.entry(pool).or_default().confirmed(from, round);
+                self.post_answers(actions);
+            }
+            PeerMessage::KeyClaim(claim) => {
+                let decision = self.home.claim(self.wall, &claim);
+                self.post(
+                    &from.vm,
+                    PeerMessage::KeyAnswer(KeyAnswer { request: claim.request, decision }),
+                );
+            }
+            PeerMessage::KeyAnswer(answer) => self.key_answered(answer),
+            PeerMessage::KeyOutcome(outcome) => self.home.outcome(self.wall, outcome),
+            PeerMessage::KeyHandOver(hand_over) => {
+                let slot = hand_over.slot;
+                if self.home.hand_over_received(hand_over) {
+                    self.post(&from.vm, PeerMessage::KeyHandOverAck(slot));
+                }
+            }
+            PeerMessage::KeyHandOverAck(slot) => self.home.hand_over_acked(from, slot),
+        }
+    }
+
+    pub(super) fn heard(&mut self, from: &DaemonId, beat: &Heartbeat) {
+        if let Some(ended) = self.members.heard(self.now, from, beat) {
+            self.actions.push(NodeAction::Note(NodeNote::PeerReplaced(ended.clone())));
+            self.entry_ended(&ended);
+        }
+        self.review_takers();
+        if beat.generation > self.store.generation() || beat.table > self.home.version() {
+            let pull =
+                StatePull { generation: self.store.generation(), table: self.home.version() };
+            self.post(&from.vm, PeerMessage::StatePull(pull));
+        }
+    }
+
+    pub(super) fn state_pulled(&mut self, from: &VmId, pull: StatePull) {
+        if pull.generation < self.store.generation() {
+            if let Some(bundle) = self.store.bundle().cloned() {
+                self.post(from, PeerMessage::ConfigPush(bundle));
+            }
+        }
+        if pull.table < self.home.version() {
+            let slots = self.home.table().slots.clone();
+            self.post(
+                from,
+                PeerMessage::TablePush(TablePush { version: self.home.version(), slots }),
+            );
+        }
+    }
+
+    pub(super) fn permit_answered(&mut self, from: &VmId, answer: PermitAnswer) {
+        let actions = self.entry.permit_answered(self.now, from, answer);
+        self.perform(actions);
+    }
+
+    pub(super) fn key_answered(&mut self, answer: KeyAnswer) {
+        if matches!(answer.decision, KeyDecision::NotHolder(version) if version > self.home.version())
+        {
+            self.actions.push(NodeAction::ReadTable);
+        }
+        let orders = &self.orders;
+        let members = &self.members;
+        let actions =
+            self.entry.key_answered(self.now, answer, &|pool| order_of(orders, members, pool));
+        self.perform(actions);
+    }
+
+    /// Sends a scheduler's answers; refusals for want of capacity pass the guard of their pool.
+    pub(super) fn send_answers(&mut self, actions: Vec<SchedulerAction>) {
+        for action in actions {
+            let pool = action.answer.pool.clone();
+            let lowest = self.pools.get(&pool).map_or(0, PoolScheduler::lowest);
+            let peers = self.other_takers();
+            let step =
+                self.guards.entry(pool.clone()).or_default().pass(self.now, action, lowest, &peers);
+            self.take_guard_step(&pool, step);
+        }
+    }
+
+    pub(super) fn take_guard_step(&mut self, pool: &PoolId, step: GuardStep) {
+        self.post_answers(step.answers);
+        let Some((tier, round, peers)) = step.raise else { return };
+        for peer in peers {
+            let raise = LevelRaise { pool: pool.clone(), tier, round };
+            self.post(&peer.vm, PeerMessage::LevelRaise(raise));
+        }
+    }
+
+    /// Reachable daemons other than this one that take roles.
+    pub(super) fn other_takers(&self) -> Vec<DaemonId> {
+        self.takers.iter().filter(|taker| **taker != self.options.me).cloned().collect()
+    }
+
+    pub(super) fn post_answers(&mut self, actions: Vec<SchedulerAction>) {
+        for action in actions {
+            self.post(&action.entry.vm, PeerMessage::PermitAnswer(action.answer));
+        }
+    }
+
+    /// The scheduler of a pool; a pool that this daemon does not know yet has no targets.
+    pub(super) fn pool(&mut self, pool: &PoolId) -> &mut PoolScheduler {
+        self.pools
+            .entry(pool.clone())
+            .or_insert_with(|| PoolScheduler::new(pool.clone(), Default::default()))
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/requests.rs
@@ -0,0 +1,101 @@
+//! Callers' requests: admission, and the actions of the entry.
+
+use std::time::Duration;
+
+use curlewcleat_core::{
+    AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitId, Refusal, RefusalReason, RequestId,
+    RetryReason,
+};
+use curlewcleat_sched::{EntryAction, RequestSpec};
+
+use super::{order_of, Node};
+use crate::event::{CallerDecision, NodeAction};
+
+/// Share of the request limit that tiers below the top may use, in percent.
+const LOWER_TIERS_PERCENT: usize = 90;
+
+impl Node {
+    pub(super) fn admit(&mut self, spec: RequestSpec) {
+        let id = spec.request;
+        let top = spec.tier == self.store.active().top_rank();
+        let limit = self.options.request_limit;
+        let limit = if top { limit } else { limit * LOWER_TIERS_PERCENT / 100 };
+        let reason = if !self.drain.admits() {
+            Some(RefusalReason::Draining)
+        } else if self.store.generation() == 0 {
+            Some(RefusalReason::NoConfiguration)
+        } else if self.entry.len() >= limit {
+            Some(RefusalReason::EntryFull)
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            let refusal = Refusal::not_run(reason, Some(Duration::from_secs(1)));
+            self.actions.push(NodeAction::Decide(id, CallerDecision::Refuse(refusal)));
+            return;
+        }
+        let orders = &self.orders;
+        let members = &self.members;
+        let actions = self.entry.admit(self.now, spec, &|pool| order_of(orders, members, pool));
+        self.perform(actions);
+    }
+
+    pub(super) fn attempt_not_run(&mut self, id: RequestId, end: AttemptEnd, retry: RetryReason) {
+        let orders = &self.orders;
+        let members = &self.members;
+        let actions =
+            self.entry.not_run(self.now, id, end, retry, &|pool| order_of(orders, members, pool));
+        self.perform(actions);
+    }
+
+    pub(super) fn perform(&mut self, actions: Vec<EntryAction>) {
+        for action in actions {
+            match action {
+                EntryAction::ClaimKey(claim) => self.send_claim(claim),
+                EntryAction::ReportKey(outcome) => self.send_outcome(outcome),
+                EntryAction::AskPermit(vm, ask) => self.post(&vm, PeerMessage::PermitAsk(ask)),
+                EntryAction::ReturnPermit(vm, back) => {
+                    self.post(&vm, PeerMessage::PermitReturn(back))
+                }
+                EntryAction::HoldPermit(vm, held) => self.post(&vm, PeerMessage::PermitHeld(held)),
+                EntryAction::Dispatch { permit, target } => self.dispatch(permit, &target),
+                EntryAction::Refuse(id, refusal) => {
+                    self.actions.push(NodeAction::Decide(id, CallerDecision::Refuse(refusal)));
+                }
+                EntryAction::Replay(id, answer) => {
+                    self.actions.push(NodeAction::Decide(id, CallerDecision::Replay(answer)));
+                }
+                EntryAction::Count(reason) => self.actions.push(NodeAction::Count(reason)),
+            }
+        }
+    }
+
+    pub(super) fn dispatch(&mut self, permit: PermitId, target: &str) {
+        let config = self.store.active();
+        let entry = config.pools.values().find_map(|pool| pool.targets.get(target)).cloned();
+        match entry {
+            Some(entry) => {
+                self.actions.push(NodeAction::Decide(
+                    permit.request,
+                    CallerDecision::Dispatch(permit, entry),
+                ));
+            }
+            // The scheduler has another generation than this daemon; nothing was sent anywhere.
+            None => {
+                self.attempt_not_run(permit.request, AttemptEnd::Unused, RetryReason::TargetUnknown)
+            }
+        }
+    }
+
+    pub(super) fn send_claim(&mut self, claim: KeyClaim) {
+        if let Some(holder) = self.home.holder_of(&claim).cloned() {
+            self.post(&holder.vm, PeerMessage::KeyClaim(claim));
+        }
+    }
+
+    pub(super) fn send_outcome(&mut self, outcome: KeyOutcome) {
+        if let Some(holder) = self.home.holder_of(&outcome.claim).cloned() {
+            self.post(&holder.vm, PeerMessage::KeyOutcome(outcome));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/stop.rs
@@ -0,0 +1,39 @@
+//! The planned stop.
+
+use curlewcleat_core::{DaemonId, PeerMessage};
+use curlewcleat_sched::{DrainInput, DrainPhase};
+
+use super::Node;
+use crate::event::{NodeAction, NodeNote};
+
+impl Node {
+    pub(super) fn begin_drain(&mut self) {
+        if self.drain.phase() == DrainPhase::Serving {
+            self.drain.begin(self.now);
+            self.members.set_draining();
+            self.actions.push(NodeAction::Note(NodeNote::DrainBegun));
+            self.last_beat = None;
+            self.review_takers();
+        }
+    }
+
+    pub(super) fn step_drain(&mut self) {
+        let before = self.drain.phase();
+        let input = DrainInput { requests: self.entry.len(), slots_held: self.home.slots_held() };
+        self.drain.tick(self.now, input);
+        let phase = self.drain.phase();
+        if phase == DrainPhase::Closing {
+            let takers: Vec<DaemonId> = self.takers.clone();
+            for (taker, hand_over) in self.home.hand_over(&takers) {
+                self.post(&taker.vm, PeerMessage::KeyHandOver(hand_over));
+            }
+        }
+        if before != phase {
+            match phase {
+                DrainPhase::Closing => self.actions.push(NodeAction::Note(NodeNote::DrainClosing)),
+                DrainPhase::Ended => self.actions.push(NodeAction::End),
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/time.rs
@@ -0,0 +1,65 @@
+//! What the node does as time passes.
+
+use std::time::Duration;
+
+use curlewcleat_core::{Heartbeat, PeerFrame, PeerMessage};
+
+use super::{order_of, Node};
+use crate::event::{NodeAction, NodeNote};
+
+/// Time between looks whether the key table has to change, and between pulls.
+const REVIEW: Duration = Duration::from_millis(500);
+/// Time between clean-ups of old keys.
+const EXPIRE: Duration = Duration::from_secs(10);
+
+impl Node {
+    pub(super) fn tick(&mut self) {
+        for lost in self.members.tick(self.now) {
+            self.actions.push(NodeAction::Note(NodeNote::PeerLost(lost.clone())));
+            self.entry_ended(&lost);
+        }
+        self.review_takers();
+        let orders = &self.orders;
+        let members = &self.members;
+        let actions = self.entry.tick(self.now, &|pool| order_of(orders, members, pool));
+        self.perform(actions);
+        for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
+            let actions = self
+                .pools
+                .get_mut(&pool)
+                .map(|scheduler| scheduler.tick(self.now))
+                .unwrap_or_default();
+            self.send_answers(actions);
+            let peers = self.other_takers();
+            let step = self.guards.entry(pool.clone()).or_default().tick(self.now, &peers);
+            self.take_guard_step(&pool, step);
+        }
+        self.beat();
+        if self.now >= self.last_review + REVIEW {
+            self.last_review = self.now;
+            self.review_table();
+        }
+        if self.now >= self.last_expire + EXPIRE {
+            self.last_expire = self.now;
+            self.home.expire(self.wall);
+        }
+        self.step_drain();
+    }
+
+    pub(super) fn beat(&mut self) {
+        if self.last_beat.is_some_and(|last| self.now < last + self.options.beat) {
+            return;
+        }
+        self.last_beat = Some(self.now);
+        let beat = self.heartbeat();
+        for address in self.members.addresses() {
+            let messages = vec![PeerMessage::Heartbeat(beat.clone())];
+            let frame = PeerFrame { from: self.options.me.clone(), messages };
+            self.actions.push(NodeAction::Send(address, frame));
+        }
+    }
+
+    pub(super) fn heartbeat(&mut self) -> Heartbeat {
+        self.members.heartbeat(self.store.generation(), self.home.version())
+    }
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -373,26 +373,21 @@
 
 /// Reads JSON from a stand-in or daemon.
 pub async fn get_json(address: &str, path: &str) -> Result<Value> {
-    let call = Client::default().get(format!("http://{address}{path}")).send().await;
-    let mut response = call.map_err(|error| anyhow!("fleet: {address}{path}: {error}"))?;
-    let body = response
-        .body()
-        .limit(64 << 20)
-        .await
-        .map_err(|error| anyhow!("fleet: {address}{path}: {error}"))?;
+    let body = get(address, path).await?;
     serde_json::from_slice(&body).with_context(|| format!("fleet: {address}{path}"))
 }
 
 /// Reads a text from a daemon.
 pub async fn get_text(address: &str, path: &str) -> Result<String> {
+    Ok(String::from_utf8_lossy(&get(address, path).await?).to_string())
+}
+
+async fn get(address: &str, path: &str) -> Result<Vec<u8>> {
+    let failed = |error: &dyn std::fmt::Display| anyhow!("fleet: {address}{path}: {error}");
     let call = Client::default().get(format!("http://{address}{path}")).send().await;
-    let mut response = call.map_err(|error| anyhow!("fleet: {address}{path}: {error}"))?;
-    let body = response
-        .body()
-        .limit(64 << 20)
-        .await
-        .map_err(|error| anyhow!("fleet: {address}{path}: {error}"))?;
-    Ok(String::from_utf8_lossy(&body).to_string())
+    let mut response = call.map_err(|error| failed(&error))?;
+    let body = response.body().limit(64 << 20).await.map_err(|error| failed(&error))?;
+    Ok(body.to_vec())
 }
 
 async fn post(address: &str, path: &str, value: &Value) -> Result<()> {
