Cut reads of the platform are read again

Cause: awc ends a cut body as if it were whole. A daemon that read half a manifest or key table noted its version as known and never read it again; half a content that is right by itself would have come into force. Lengths are compared with the announced one, contents with their hash, and what cannot be read is an error and is read again, by daemon and tool.

--- a/crates/acceptance/tests/platform.rs
+++ b/crates/acceptance/tests/platform.rs
@@ -5,6 +5,7 @@
 use curlewcleat_standins::callers::{caller_client, CallerCall, CallerEnd};
 use curlewcleat_standins::fleet::{get_json, status, wait_status, wait_until, Fleet};
 use curlewcleat_standins::verdicts::ledgers;
+use rstest::rstest;
 use serde_json::json;
 
 fn ask(nonce: &str) -> CallerCall {
@@ -163,3 +164,25 @@
     assert_eq!(long.await?.end, CallerEnd::Whole, "the stream in progress finishes");
     Ok(())
 }
+
+#[rstest]
+#[case::one(1)]
+#[case::two(2)]
+#[case::three(3)]
+#[case::several(8)]
+#[actix_rt::test]
+async fn cut_reads_of_the_platform_are_read_again(#[case] cuts: u64) -> Result<()> {
+    let mut fleet = ready_fleet("cut-reads", 1, 1, 1).await?;
+    // A file that is right in each of its halves, so that only its length or hash tells of a cut.
+    let text: String = (3..13).map(|rank| format!("[tier x{rank}]\nrank = {rank}\n\n")).collect();
+    fleet.apply("more.ini", &text)?;
+    fleet.fault(&fleet.platform.address, json!({"cut_reads": cuts})).await?;
+    fleet.restart(0).await?;
+    let operators = fleet.daemons[0].operators.clone();
+    wait_status(&operators, "generation 2", |status| status["generation"] == 2).await?;
+    wait_status(&operators, "the key table", |status| status["key_table"].as_u64() > Some(0))
+        .await?;
+    let config = get_json(&operators, "/config").await?;
+    assert_eq!(config["files"]["more.ini"], text);
+    Ok(())
+}
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use curlewcleat_config::{content_key, parse_manifest, ConfigManifest, MANIFEST_KEY};
+use curlewcleat_config::{content_hash, content_key, parse_manifest, ConfigManifest, MANIFEST_KEY};
 use curlewcleat_core::ConfigBundle;
 use curlewcleat_keys::{KeyTable, TABLE_KEY};
 use curlewcleat_node::{ListedVm, NodeEvent};
@@ -32,11 +32,8 @@
 pub async fn read_table(store: &dyn ObjectStore, context: &DaemonContext) {
     let mut pause = FailurePause::default();
     loop {
-        match store.get(TABLE_KEY).await {
-            Ok(read) => {
-                tell_table(read, context);
-                return;
-            }
+        match store.get(TABLE_KEY).await.and_then(|read| tell_table(read, context)) {
+            Ok(()) => return,
             Err(error) => pause.failed("get_table", &error, context).await,
         }
     }
@@ -68,10 +65,7 @@
     let Some(object) = store.watch(MANIFEST_KEY, known, WATCH_LIMIT).await? else {
         return Ok(None);
     };
-    let Ok(manifest) = parse_manifest(&object.bytes) else {
-        error!("manifest_unreadable", kv: { version = object.version });
-        return Ok(Some((object.version, ConfigBundle { generation: 0, files: BTreeMap::new() })));
-    };
+    let manifest = parse_manifest(&object.bytes).map_err(unreadable)?;
     read_contents(store, &manifest, contents).await?;
     contents.retain(|hash, _| manifest.files.values().any(|wanted| wanted == hash));
     let files = manifest
@@ -95,9 +89,8 @@
         let object = object.ok_or(curlewcleat_platform::Error::Unclear(format!(
             "content {hash} is not there yet"
         )))?;
-        let text = String::from_utf8(object.bytes);
-        let text =
-            text.map_err(|error| curlewcleat_platform::Error::Protocol(error.to_string()))?;
+        let text = String::from_utf8(object.bytes).ok().filter(|text| content_hash(text) == *hash);
+        let text = text.ok_or_else(|| unreadable(format!("content {hash} has another hash")))?;
         contents.insert(hash.clone(), text);
     }
     Ok(())
@@ -110,9 +103,14 @@
     loop {
         match store.watch(TABLE_KEY, known, WATCH_LIMIT).await {
             Ok(Some(object)) => {
-                known = object.version;
-                tell_table(Some(object), &context);
-                pause = FailurePause::default();
+                let version = object.version;
+                match tell_table(Some(object), &context) {
+                    Ok(()) => {
+                        known = version;
+                        pause = FailurePause::default();
+                    }
+                    Err(error) => pause.failed("watch_table", &error, &context).await,
+                }
             }
             Ok(None) => pause = FailurePause::default(),
             Err(error) => pause.failed("watch_table", &error, &context).await,
@@ -120,18 +118,21 @@
     }
 }
 
-fn tell_table(read: Option<StoredObject>, context: &DaemonContext) {
+/// Tells the node of a table; one that cannot be read is an error and is read again.
+fn tell_table(read: Option<StoredObject>, context: &DaemonContext) -> Result<()> {
     let table = match read {
         None => None,
-        Some(object) => match serde_json::from_slice::<KeyTable>(&object.bytes) {
-            Ok(table) => Some((object.version, table)),
-            Err(error) => {
-                error!("key_table_unreadable", kv: { error = error.to_string() });
-                return;
-            }
-        },
+        Some(object) => {
+            let table = serde_json::from_slice::<KeyTable>(&object.bytes).map_err(unreadable)?;
+            Some((object.version, table))
+        }
     };
     context.tell(NodeEvent::TableRead(table));
+    Ok(())
+}
+
+fn unreadable(error: impl std::fmt::Display) -> curlewcleat_platform::Error {
+    curlewcleat_platform::Error::Protocol(error.to_string())
 }
 
 async fn follow_vms(store: Rc<dyn ObjectStore>, context: DaemonContext) {
--- a/crates/platform/src/applying.rs
+++ b/crates/platform/src/applying.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use curlewcleat_config::{
-    content_key, manifest_bytes, parse_manifest, ApplyAction, ApplyEvent, ApplyOptions,
-    ApplyResult, ConfigApply, FileTexts, MANIFEST_KEY,
+    content_hash, content_key, manifest_bytes, parse_manifest, ApplyAction, ApplyEvent,
+    ApplyOptions, ApplyResult, ConfigApply, FileTexts, MANIFEST_KEY,
 };
 
 use crate::store::{ObjectStore, PutOutcome};
@@ -43,8 +43,8 @@
         },
         ApplyAction::ReadContent(hash) => match store.get(&content_key(&hash)).await {
             Ok(Some(object)) => match String::from_utf8(object.bytes) {
-                Ok(text) => ApplyEvent::Content(hash, text),
-                Err(_) => ApplyEvent::Unclear,
+                Ok(text) if content_hash(&text) == hash => ApplyEvent::Content(hash, text),
+                _ => ApplyEvent::Unclear,
             },
             _ => ApplyEvent::Unclear,
         },
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use awc::http::{header, StatusCode};
-use awc::{Client, ClientRequest};
+use awc::{Client, ClientRequest, ClientResponse};
 use curlewcleat_core::ObjectVersion;
 
 use crate::store::{Error, ObjectStore, PutOutcome, Result, StoreFuture, StoredObject, VmRecord};
@@ -33,6 +33,7 @@
                 request.send_body(body).await.map_err(|error| Error::Unclear(error.to_string()))?;
             let bytes = response.body().limit(OBJECT_LIMIT).await;
             let bytes = bytes.map_err(|error| Error::Unclear(error.to_string()))?;
+            check_length(&response, bytes.len())?;
             let version =
                 response.headers().get(header::ETAG).and_then(|value| value.to_str().ok());
             let version = version.and_then(|text| text.trim_matches('"').parse().ok());
@@ -120,6 +121,18 @@
     }
 }
 
+/// awc ends a cut body as if it were whole, so its length is compared with the announced one.
+fn check_length<S>(response: &ClientResponse<S>, received: usize) -> Result<()> {
+    let announced =
+        response.headers().get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    match announced.and_then(|text| text.parse::<usize>().ok()) {
+        Some(announced) if announced != received => {
+            Err(Error::Unclear(format!("answer cut after {received} of {announced} bytes")))
+        }
+        _ => Ok(()),
+    }
+}
+
 struct Reply {
     status: StatusCode,
     version: Option<ObjectVersion>,
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -41,6 +41,8 @@
     pub slow_ms: u64,
     /// So many writes take effect and lose their answer.
     pub lose_answers: u64,
+    /// So many answers to reads of objects are cut in the middle of their value.
+    pub cut_reads: u64,
     /// Reads show the version before the latest one.
     pub old_versions: bool,
 }
@@ -202,10 +204,26 @@
         versions.current.clone()
     }
 
+    fn takes_cut(&self) -> bool {
+        let mut faults = self.faults.borrow_mut();
+        let cut = faults.cut_reads > 0;
+        faults.cut_reads = faults.cut_reads.saturating_sub(1);
+        cut
+    }
+
     async fn answer_object(&self, key: &str, connection: &mut PlainConnection) -> Result<()> {
         match self.visible(key) {
             Some((version, bytes)) => {
                 let tag = format!("\"{version}\"");
+                if self.takes_cut() {
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\nETag: {tag}\r\nContent-Length: {}\r\n\r\n",
+                        bytes.len()
+                    );
+                    connection.write_raw(head.as_bytes()).await?;
+                    connection.write_raw(&bytes[..bytes.len() / 2]).await?;
+                    anyhow::bail!("stand-in: answer cut");
+                }
                 connection.answer(200, &[("ETag", &tag)], &bytes).await
             }
             None => connection.answer(404, &[], b"").await,
--- a/crates/tool/src/apply.rs
+++ b/crates/tool/src/apply.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anyhow::{anyhow, Result};
+use anyhow::{anyhow, ensure, Result};
 use curlewcleat_config::{
     check_files, content_hash, content_key, parse_manifest, ApplyOptions, ApplyResult,
     ConfigManifest, FileTexts, MANIFEST_KEY,
@@ -34,7 +34,9 @@
     for (name, hash) in &manifest.files {
         let object = store.get(&content_key(hash)).await?;
         let object = object.ok_or_else(|| anyhow!("platform: the content of {name} is missing"))?;
-        texts.insert(name.clone(), String::from_utf8(object.bytes)?);
+        let text = String::from_utf8(object.bytes)?;
+        ensure!(content_hash(&text) == *hash, "platform: the content of {name} has another hash");
+        texts.insert(name.clone(), text);
     }
     Ok(texts)
 }
