An entry that fills up refuses the lowest tier first

Cause: all tiers below the top shared one limit, so a full entry refused the second tier while the lowest was taken in again as soon as a place came free. Each tier may use 10% less than the one above. The test failed before (both lower tiers refused at the same filling) and passes now.

--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -11,15 +11,18 @@
 use super::{order_of, Node};
 use crate::event::{CallerDecision, NodeAction};
 
-/// Share of the request limit that tiers below the top may use, in percent.
-const LOWER_TIERS_PERCENT: usize = 90;
+/// Share of the request limit, in percent, that each tier may use less than the one above it, so that
+/// an entry that fills up refuses the lowest tier first.
+const PERCENT_PER_TIER: usize = 10;
+/// Share of the request limit that every tier may use, in percent.
+const PERCENT_FOR_ALL: usize = 50;
 
 impl Node {
     pub(super) fn admit(&mut self, spec: RequestSpec) {
         let id = spec.request;
-        let top = spec.tier == self.store.active().top_rank();
-        let limit = self.options.request_limit;
-        let limit = if top { limit } else { limit * LOWER_TIERS_PERCENT / 100 };
+        let below_top = usize::from(spec.tier.saturating_sub(self.store.active().top_rank()));
+        let percent = 100usize.saturating_sub(below_top * PERCENT_PER_TIER).max(PERCENT_FOR_ALL);
+        let limit = self.options.request_limit * percent / 100;
         let reason = if !self.drain.admits() {
             Some(RefusalReason::Draining)
         } else if self.store.generation() == 0 {
--- /dev/null
+++ b/crates/node/tests/nodes.rs
@@ -0,0 +1,80 @@
+//! A node at its limits.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use curlewcleat_core::{ConfigBundle, DaemonId, RefusalReason, RequestId};
+use curlewcleat_keys::KeyHomeOptions;
+use curlewcleat_node::{CallerDecision, Node, NodeAction, NodeEvent, NodeOptions};
+use curlewcleat_sched::{EntryOptions, MemberOptions, RequestSpec};
+
+const CONFIG: &str =
+    "[tier t0]\nrank = 0\n[tier t1]\nrank = 1\n[tier t2]\nrank = 2\n[pool p]\nkind = service\n\
+                      [target x]\npool = p\nvm = v\naddress = 127.0.0.1:1\nslots = 4000\n";
+
+fn node(request_limit: usize) -> Node {
+    let mut node = Node::new(NodeOptions {
+        me: DaemonId { vm: "a".to_string(), incarnation: 1 },
+        members: MemberOptions {
+            address: "127.0.0.1:2".to_string(),
+            data_centre: "d".to_string(),
+            seeds: Vec::new(),
+            suspect_after: Duration::from_secs(2),
+        },
+        keys: KeyHomeOptions::default(),
+        key_slots: 4,
+        entry: EntryOptions::default(),
+        request_limit,
+        beat: Duration::from_millis(500),
+        drain_grace: Duration::from_secs(1),
+        hand_over_limit: Duration::from_secs(1),
+    });
+    let files = BTreeMap::from([("a.ini".to_string(), CONFIG.to_string())]);
+    let bundle = ConfigBundle { generation: 1, files };
+    node.handle(Duration::ZERO, Duration::from_secs(1), NodeEvent::ConfigRead(bundle));
+    node
+}
+
+/// Whether a request of a tier is taken in; the reason if not.
+fn admit(node: &mut Node, number: u128, tier: u8) -> Option<RefusalReason> {
+    let spec = RequestSpec {
+        request: RequestId::from_u128(number),
+        pool: "p".to_string(),
+        tier,
+        account: "a".to_string(),
+        time_left: Duration::from_secs(60),
+        prompt_work: 0,
+        output_work: 1_000,
+        prefix: None,
+        key: None,
+    };
+    let actions =
+        node.handle(Duration::ZERO, Duration::from_secs(1), NodeEvent::Admit(Box::new(spec)));
+    actions.into_iter().find_map(|action| match action {
+        NodeAction::Decide(_, CallerDecision::Refuse(refusal)) => Some(refusal.reason),
+        _ => None,
+    })
+}
+
+#[test]
+fn full_entry_refuses_the_lowest_tier_first() {
+    let mut node = node(100);
+    let mut refused_at = [None; 3];
+    for number in 0..120 {
+        // The lowest tier asks first at each level of filling, then the next, then the top one, which
+        // is the only one that fills the entry further where it can.
+        for tier in [2u8, 1, 0] {
+            let reason = admit(&mut node, number * 10 + u128::from(tier), tier);
+            let place = &mut refused_at[usize::from(tier)];
+            if reason.is_some() && place.is_none() {
+                assert_eq!(reason, Some(RefusalReason::EntryFull));
+                *place = Some(number);
+            }
+            let lower_open = refused_at[usize::from(tier) + 1..].iter().any(Option::is_none);
+            assert!(reason.is_none() || !lower_open, "tier {tier} was refused before a lower one");
+        }
+    }
+    assert!(refused_at.iter().all(Option::is_some));
+    // From its first refusal on no lower tier is taken in while a higher one is refused.
+    assert!(refused_at[2] < refused_at[1] && refused_at[1] < refused_at[0], "{refused_at:?}");
+}
