--- a/crates/acceptance/tests/targets.rs
+++ b/crates/acceptance/tests/targets.rs
@@ -44,6 +44,7 @@
     #[case] expected_runs: usize,
 ) -> Result<()> {
     let fleet = ready_fleet(reason, 0, 2, 1).await?;
+    fleet.apply("all.ini", &configuration(&fleet, "reuse_connections = yes", ""))?;
     let client = caller_client();
     let entry = &fleet.daemons[0].callers;
     // Connections to both targets are pooled before the fault.
--- a/crates/bench/src/ours.rs
+++ b/crates/bench/src/ours.rs
@@ -170,6 +170,7 @@
         not_started_status: None,
         end_event: None,
         resumable: false,
+        reuse_connections: false,
         report_path: None,
         targets: entries.collect(),
     }
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -167,6 +167,7 @@
             not_started_status: (status > 0).then_some(status),
             end_event: section.text("end_event").filter(|text| !text.is_empty()),
             resumable: section.flag("resumable", false, report),
+            reuse_connections: section.flag("reuse_connections", false, report),
             report_path: section.text("report_path").filter(|text| !text.is_empty()),
             targets: BTreeMap::new(),
         };
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -67,3 +67,15 @@
     let report = check_files(1, &BTreeMap::from([("a.ini".to_string(), text)])).expect_err("wrong");
     assert_eq!(report.problems[0].key, "deadline");
 }
+
+#[test]
+fn oversized_file_is_named_and_not_read() {
+    let text = format!("[tier t]\nrank = 0\n; {}\n", "x".repeat(1_000_000));
+    let report =
+        check_files(1, &BTreeMap::from([("big.ini".to_string(), text)])).expect_err("too large");
+    assert_eq!(report.problems.len(), 1);
+    assert!(
+        report.problems[0].to_string().contains("bytes; at most 1000000 are allowed"),
+        "{report}"
+    );
+}
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -78,6 +78,9 @@
     pub end_event: Option<String>,
     /// Whether targets resume a cut stream at an offset.
     pub resumable: bool,
+    /// Whether a connection may serve further requests. A target that answers one request twice could
+    /// then give the second answer to another caller.
+    pub reuse_connections: bool,
     /// Path at which targets report their load and cache events, `None` where they do not.
     pub report_path: Option<String>,
     /// Targets of the pool.
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -7,9 +7,9 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, Uri};
 use curlewcleat_core::{
-    AttemptEnd, PermitId, PoolId, RefusalReason, RetryReason, TargetEntry, TargetPool,
+    AttemptEnd, PermitId, PoolId, RefusalReason, RequestId, RetryReason, TargetEntry, TargetPool,
 };
-use curlewcleat_targets::{ConnectionPool, TargetAnswer};
+use curlewcleat_targets::{ConnectionOptions, ConnectionPool, TargetAnswer};
 
 use crate::answer::REQUEST_ID;
 use crate::headers;
@@ -54,13 +54,17 @@
 /// Connections of this thread to the targets of each pool.
 #[derive(Clone, Default)]
 pub struct TargetClients {
-    pools: Rc<RefCell<BTreeMap<PoolId, ConnectionPool>>>,
+    pools: Rc<RefCell<BTreeMap<(PoolId, bool), ConnectionPool>>>,
 }
 
 impl TargetClients {
     /// The connections of a pool. Pools share none, so none waits behind another's.
     pub fn of(&self, pool: &TargetPool) -> ConnectionPool {
-        self.pools.borrow_mut().entry(pool.id.clone()).or_default().clone()
+        let idle_count =
+            if pool.reuse_connections { ConnectionOptions::default().idle_count } else { 0 };
+        let options = ConnectionOptions { idle_count, ..ConnectionOptions::default() };
+        let key = (pool.id.clone(), pool.reuse_connections);
+        self.pools.borrow_mut().entry(key).or_insert_with(|| ConnectionPool::new(options)).clone()
     }
 }
 
@@ -77,8 +81,13 @@
             // Nothing is written before the connection stands.
             Err(_) => return ExchangeStart::NotRun(AttemptEnd::Failed, RetryReason::ConnectFailed),
         };
+    let id = ticket.permit.request;
     let exchange = connection.exchange(request_head(&ticket, request), request.upload.body());
     match tokio::time::timeout(pool.limits.first_byte, exchange).await {
+        // An answer that names another request is not ours, whatever it says.
+        Ok(Ok(answer)) if names_another(&answer, id) => {
+            ExchangeStart::Failed(RefusalReason::TargetProtocol)
+        }
         Ok(Ok(answer)) if Some(answer.head.status.as_u16()) == pool.not_started_status => {
             ExchangeStart::NotRun(AttemptEnd::Failed, RetryReason::TargetNotStarted)
         }
@@ -109,3 +118,9 @@
         head.headers.insert(name, value);
     }
 }
+
+/// Whether an answer carries the id of another request.
+fn names_another(answer: &TargetAnswer, id: RequestId) -> bool {
+    let named = headers::text(&answer.head.headers, REQUEST_ID.as_str());
+    named.is_some_and(|named| named != id.to_string())
+}
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -337,6 +337,7 @@
         not_started_status: None,
         end_event: None,
         resumable: false,
+        reuse_connections: false,
         report_path: None,
         targets: targets.iter().map(entry).collect(),
     }
--- a/crates/sched/tests/pools.rs
+++ b/crates/sched/tests/pools.rs
@@ -38,6 +38,7 @@
         not_started_status: None,
         end_event: None,
         resumable: false,
+        reuse_connections: false,
         report_path: None,
         targets: entries.collect(),
     }
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -14,13 +14,20 @@
 pub struct ConnectionOptions {
     /// Time after which an idle connection is closed.
     pub idle_limit: Duration,
-    /// Idle connections kept for each target.
+    /// Idle connections kept for each target; 0 never uses one twice.
     pub idle_count: usize,
+    /// Time for which a connection rests before it is used again, so that bytes that nobody asked for
+    /// have arrived and are noticed.
+    pub rest: Duration,
 }
 
 impl Default for ConnectionOptions {
     fn default() -> ConnectionOptions {
-        ConnectionOptions { idle_limit: Duration::from_secs(15), idle_count: 64 }
+        ConnectionOptions {
+            idle_limit: Duration::from_secs(15),
+            idle_count: 64,
+            rest: Duration::from_millis(20),
+        }
     }
 }
 
@@ -67,17 +74,19 @@
     fn take_idle(&self, address: &str) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
-        while let Some(connection) = connections.pop() {
-            if connection.since.elapsed() < self.options.idle_limit && is_sound(&connection.stream)
-            {
-                return Some(connection.stream);
-            }
-        }
-        idle.remove(address);
-        None
+        connections.retain(|connection| {
+            connection.since.elapsed() < self.options.idle_limit && is_sound(&connection.stream)
+        });
+        // The newest that has rested is the least likely to be closed by its target meanwhile.
+        let rested = |connection: &IdleConnection| connection.since.elapsed() >= self.options.rest;
+        let place = connections.iter().rposition(rested)?;
+        Some(connections.remove(place).stream)
     }
 
     pub(crate) fn put_idle(&self, address: &str, stream: TcpStream) {
+        if self.options.idle_count == 0 {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address.to_string()).or_default();
         // The oldest connections are the least likely to be sound.
