--- a/crates/acceptance/tests/operators.rs
+++ b/crates/acceptance/tests/operators.rs
@@ -172,3 +172,15 @@
     assert_eq!(get_text(&fleet.daemons[0].operators, "/readyz").await?, "ready");
     Ok(())
 }
+
+#[actix_rt::test]
+async fn nothing_is_applied_that_cannot_be_waited_for() -> Result<()> {
+    let fleet = Fleet::start("no-daemons").await?;
+    let path = fleet.write_file("a.ini", "[tier a]\nrank = 0\n")?;
+    let (code, output) = fleet.tool(&["apply", &path, "--wait"])?;
+    assert_eq!(code, 4, "{output}");
+    assert!(output.contains("--wait needs --daemons"), "{output}");
+    let (_, history) = fleet.tool(&["history", "--json"])?;
+    assert_eq!(history.trim(), "[]");
+    Ok(())
+}
--- a/crates/tool/src/apply.rs
+++ b/crates/tool/src/apply.rs
@@ -44,6 +44,9 @@
 /// `apply`: puts files in force and waits for the daemons if asked to.
 pub async fn apply(arguments: &Arguments, options: &ApplyArguments) -> Result<ToolExit> {
     let texts = files::read(&options.files)?;
+    // What cannot be waited for is said before anything is applied.
+    let can_wait = !options.wait || !arguments.daemons.is_empty();
+    ensure!(can_wait, "--wait needs --daemons, the operators' addresses to ask");
     let store = store(arguments);
     let applied_at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH)?.as_secs();
     let apply = ApplyOptions {
--- a/crates/tool/src/daemons.rs
+++ b/crates/tool/src/daemons.rs
@@ -29,9 +29,6 @@
 
 /// Waits until each daemon has a generation in force, and names those that have not.
 pub async fn wait_for(arguments: &Arguments, generation: u64, limit: Duration) -> Result<ToolExit> {
-    if arguments.daemons.is_empty() {
-        bail!("--wait needs --daemons, the operators' addresses to ask");
-    }
     let begun = Instant::now();
     // Each is followed on its own, so that one that hangs does not hide the others.
     let follow = |daemon: &String| tokio::time::timeout(limit, reach(daemon.clone(), generation));
