One mapping from a last retry to its refusal; two fields that nobody read

The reason told when the last attempt did not run was worked out by the same match in the entry and in the daemon; it is RetryReason::final_refusal now. WaitingAsk::arrived and the levels model's waiting sets were written and never read.

--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -127,6 +127,16 @@
     }
 }
 
+impl RetryReason {
+    /// The reason told to the caller when the attempt that failed so was the last.
+    pub fn final_refusal(self) -> RefusalReason {
+        match self {
+            RetryReason::TargetNotStarted => RefusalReason::TargetNotStarted,
+            _ => RefusalReason::ConnectFailed,
+        }
+    }
+}
+
 /// A final answer to a request that is not served.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Refusal {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -6,7 +6,7 @@
 use actix_http::{HttpMessage, Request, Response};
 use curlewcleat_core::{
     hash_token, AdmissionRule, AttemptEnd, ClientAccount, Refusal, RefusalReason, RequestId,
-    RetryReason, TargetPool, TierRule, Verdict,
+    TargetPool, TierRule, Verdict,
 };
 use curlewcleat_node::{CallerDecision, NodeEvent};
 use curlewcleat_sched::RequestSpec;
@@ -197,7 +197,7 @@
                     &admitted,
                     Verdict::NotRun,
                     end,
-                    not_run_reason(retry),
+                    retry.final_refusal(),
                 );
             }
             ExchangeStart::Failed(reason) => {
@@ -286,10 +286,3 @@
         UploadFault::Incomplete => RefusalReason::BodyIncomplete,
     }
 }
-
-fn not_run_reason(retry: RetryReason) -> RefusalReason {
-    match retry {
-        RetryReason::TargetNotStarted => RefusalReason::TargetNotStarted,
-        _ => RefusalReason::ConnectFailed,
-    }
-}
--- a/crates/model/src/levels.rs
+++ b/crates/model/src/levels.rs
@@ -57,8 +57,6 @@
     guards: [LevelGuard; 2],
     network: BTreeSet<Message>,
     arrived: usize,
-    /// Tiers by ask that wait, have a permit, or were refused, as their entries see it.
-    waiting: [BTreeSet<PermitId>; 2],
     broken: Option<TierRank>,
 }
 
@@ -154,7 +152,6 @@
             guards: Default::default(),
             network: BTreeSet::new(),
             arrived: 0,
-            waiting: Default::default(),
             broken: None,
         }
     }
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -266,7 +266,7 @@
             actions.extend(self.ask(now, id, order));
             return actions;
         }
-        let refusal = Refusal::not_run(final_reason(retry), Some(Duration::from_secs(1)));
+        let refusal = Refusal::not_run(retry.final_refusal(), Some(Duration::from_secs(1)));
         // The permit is back already, so only the key is left to report.
         if let Some(request) = self.requests.remove(&id) {
             actions.extend(request.report(Verdict::NotRun, None));
@@ -483,7 +483,7 @@
         // Where every target has failed the request, the latest failure says more than their absence.
         let refusal = match (refusal.reason, request.failed) {
             (RefusalReason::NoTarget, Some(retry)) => {
-                Refusal { reason: final_reason(retry), ..refusal }
+                Refusal { reason: retry.final_refusal(), ..refusal }
             }
             _ => refusal,
         };
@@ -584,11 +584,3 @@
         vec![EntryAction::ReturnPermit(scheduler.clone(), back)]
     }
 }
-
-/// The reason told to the caller when the latest attempt was the last.
-fn final_reason(retry: RetryReason) -> RefusalReason {
-    match retry {
-        RetryReason::TargetNotStarted => RefusalReason::TargetNotStarted,
-        _ => RefusalReason::ConnectFailed,
-    }
-}
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -528,7 +528,7 @@
         let estimate = with_margin(self.fastest_estimate(&ask));
         let latest_start = deadline.saturating_sub(Duration::from_micros(estimate));
         let order = now + Duration::from_micros(work * AGE_PER_WORK);
-        WaitingAsk { entry, ask, arrived: now, deadline, latest_start, order, work }
+        WaitingAsk { entry, ask, deadline, latest_start, order, work }
     }
 
     fn fastest_estimate(&self, ask: &PermitAsk) -> WorkMicros {
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -15,8 +15,6 @@
     pub entry: DaemonId,
     /// The ask.
     pub ask: PermitAsk,
-    /// When it arrived.
-    pub arrived: Uptime,
     /// When its caller's time ends.
     pub deadline: Uptime,
     /// When it has to start at the latest.
