--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -75,6 +75,7 @@
         pool: POOL.to_string(),
         tier: (number % 4) as u8,
         account: format!("account-{account:04}"),
+        wait_limit: std::time::Duration::from_secs(86_400),
         time_left: Duration::from_secs(600),
         prompt_work: 10_000,
         output_work: 500_000,
@@ -184,6 +185,7 @@
 fn beat_of(index: usize, known: usize) -> PeerFrame {
     let address = |index: usize| format!("10.1.{}.{}:7100", index / 250, index % 250 + 1);
     let beat = Heartbeat {
+        demands: Vec::new(),
         address: address(index),
         data_centre: "dc".to_string(),
         generation: 0,
--- a/crates/bench/src/ours.rs
+++ b/crates/bench/src/ours.rs
@@ -92,6 +92,7 @@
             tier: job.tier,
             account: job.account.to_string(),
             time_left: (job.at + job.deadline).saturating_sub(now),
+            wait_limit: std::time::Duration::from_secs(86_400),
             prompt_work: job.prompt,
             output_work: job.asked,
             prefix: job.prefix.filter(|_| self.affinity),
@@ -153,6 +154,7 @@
             id: id.clone(),
             address: String::new(),
             vm: id.clone(),
+            data_centre: String::new(),
             slots: target.slots,
         };
         (id, entry)
@@ -172,6 +174,7 @@
         resumable: false,
         reuse_connections: false,
         report_path: None,
+        connection_limit: None,
         targets: entries.collect(),
     }
 }
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    ActiveConfig, AdmissionRule, ClientAccount, Generation, PoolKind, TargetEntry, TargetLimits,
-    TargetPool, TierRule, TokenHash,
+    ActiveConfig, AdmissionRule, ClientAccount, Generation, PoolKind, PoolShare, RateUnit,
+    ServiceTerms, SharedRate, TargetEntry, TargetLimits, TargetPool, TierRule, TokenHash,
 };
 
 use crate::problem::CheckReport;
@@ -47,9 +47,11 @@
             "pool" => self.pool(section, report),
             "target" => self.target(section, report),
             "rule" => self.rule(section, report),
+            "callers" => self.callers(section, report),
             kind => {
                 let message = format!(
-                    "'{kind}' is no kind of section; known are tier, account, pool, target, rule"
+                    "'{kind}' is no kind of section; known are tier, account, pool, target, rule, \
+                     callers"
                 );
                 section.fault("", message, report);
             }
@@ -90,18 +92,20 @@
     fn account(&mut self, mut section: IniSection<'_>, report: &mut CheckReport) {
         let id = self.claim(&section, report);
         let text = section.required("token_sha256", report);
-        let token = TokenHash::from_hex(&text);
-        if token.is_none() && !text.is_empty() {
+        let tokens: Vec<TokenHash> = text.split(',').filter_map(TokenHash::from_hex).collect();
+        if tokens.len() != text.split(',').count() && !text.is_empty() {
             section.fault(
                 "token_sha256",
-                "should be the 64 hexadecimal digits of the token's SHA-256",
+                "should be the 64 hexadecimal digits of the token's SHA-256, or several by commas",
                 report,
             );
         }
+        let rank = section.text("rank").map(|_| section.number("rank", 0, 0..=15, report) as u8);
+        let shared_rate = shared_rate(&mut section, report);
         let weight = section.number("weight", 1, 1..=1_000, report) as u32;
         let rate = section.number("rate_per_s", 0, 0..=1_000_000, report) as u32;
         let queue_limit = section.number("queue_limit", 10_000, 1..=1_000_000, report) as u32;
-        if let Some(token) = token {
+        for token in &tokens {
             if let Some(other) = self.config.tokens.insert(token.clone(), id.clone()) {
                 section.fault(
                     "token_sha256",
@@ -109,10 +113,25 @@
                     report,
                 );
             }
-            let rate_per_s = (rate > 0).then_some(rate);
-            let account = ClientAccount { id: id.clone(), token, weight, rate_per_s, queue_limit };
-            self.config.accounts.insert(id, account);
         }
+        let rate_per_s = (rate > 0).then_some(rate);
+        let account = ClientAccount {
+            id: id.clone(),
+            tokens,
+            rank,
+            shared_rate,
+            weight,
+            rate_per_s,
+            queue_limit,
+        };
+        self.config.accounts.insert(id, account);
+        section.finish(report);
+    }
+
+    fn callers(&mut self, mut section: IniSection<'_>, report: &mut CheckReport) {
+        let _ = self.claim(&section, report);
+        let idle = section.duration("idle_limit", Duration::from_secs(15), report);
+        self.config.idle_limit = Some(idle);
         section.finish(report);
     }
 
@@ -168,6 +187,10 @@
             end_event: section.text("end_event").filter(|text| !text.is_empty()),
             resumable: section.flag("resumable", false, report),
             reuse_connections: section.flag("reuse_connections", false, report),
+            connection_limit: match section.number("connection_limit", 0, 0..=1 << 20, report) {
+                0 => None,
+                limit => Some(limit as u32),
+            },
             report_path: section.text("report_path").filter(|text| !text.is_empty()),
             targets: BTreeMap::new(),
         };
@@ -185,6 +208,7 @@
             id,
             address: section.address("address", report),
             vm: section.required("vm", report),
+            data_centre: section.text("data_centre").unwrap_or_default(),
             slots: section.number("slots", 8, 1..=4_096, report) as u32,
         };
         let place = (section.file().to_string(), section.title().to_string());
@@ -207,8 +231,13 @@
                 None
             }
         });
+        let service = service_terms(&mut section, report);
         let rule = AdmissionRule {
             id,
+            host: section.text("host").filter(|text| !text.is_empty()),
+            split: pool_shares(&mut section, report),
+            public: section.flag("public", false, report),
+            service,
             order: section.number("order", 100, 0..=100_000, report) as u32,
             method: section.text("method"),
             path,
@@ -239,8 +268,10 @@
             if !rule.tier.is_empty() && !self.config.tiers.contains_key(&rule.tier) {
                 report.add(file, title, "tier", format!("there is no [tier {}]", rule.tier));
             }
-            if !rule.pool.is_empty() && !self.config.pools.contains_key(&rule.pool) {
-                report.add(file, title, "pool", format!("there is no [pool {}]", rule.pool));
+            for pool in rule.pools().filter(|pool| !pool.is_empty()) {
+                if !self.config.pools.contains_key(pool) {
+                    report.add(file, title, "pool", format!("there is no [pool {pool}]"));
+                }
             }
             if let Some(account) =
                 rule.account.as_ref().filter(|id| !self.config.accounts.contains_key(*id))
@@ -253,6 +284,56 @@
     }
 }
 
+/// The rate of an account that holds over all daemons together.
+fn shared_rate(section: &mut IniSection<'_>, report: &mut CheckReport) -> Option<SharedRate> {
+    let per_s = section.number("shared_rate_per_s", 0, 0..=u64::MAX >> 20, report);
+    let burst = section.number("shared_burst", per_s, 0..=u64::MAX >> 20, report);
+    let plain = section.number("plain_request_tokens", 0, 0..=u64::MAX >> 20, report);
+    let unit = match section.text("shared_rate_unit").as_deref() {
+        None | Some("requests") => RateUnit::Request,
+        Some("tokens") => RateUnit::Tokens(plain),
+        Some(other) => {
+            let message = format!("'{other}' should be requests or tokens");
+            section.fault("shared_rate_unit", message, report);
+            RateUnit::Request
+        }
+    };
+    (per_s > 0).then_some(SharedRate { per_s, burst, unit })
+}
+
+/// Pools and weights, written as `name:weight` by commas.
+fn pool_shares(section: &mut IniSection<'_>, report: &mut CheckReport) -> Vec<PoolShare> {
+    let Some(text) = section.text("split") else { return Vec::new() };
+    let mut shares = Vec::new();
+    for part in text.split(',') {
+        let share = part.trim().rsplit_once(':').and_then(|(pool, weight)| {
+            Some(PoolShare { pool: pool.to_string(), weight: weight.parse().ok()? })
+        });
+        match share {
+            Some(share) => shares.push(share),
+            None => section.fault("split", format!("'{part}' should be pool:weight"), report),
+        }
+    }
+    shares
+}
+
+fn service_terms(section: &mut IniSection<'_>, report: &mut CheckReport) -> ServiceTerms {
+    let defaults = ServiceTerms::default();
+    let mut time = |key: &'static str| {
+        section.text(key).map(|_| section.duration(key, Duration::from_secs(30), report))
+    };
+    let timeout = time("timeout");
+    let objective = time("objective");
+    let attempts = section.number("attempt_limit", defaults.attempt_limit.into(), 1..=100, report);
+    ServiceTerms {
+        timeout,
+        objective,
+        attempt_limit: attempts as u32,
+        streams: section.flag("streams", false, report),
+        resumable: section.flag("resumable", false, report),
+    }
+}
+
 fn default_limits(kind: PoolKind) -> TargetLimits {
     match kind {
         PoolKind::Engine => TargetLimits {
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -168,6 +168,18 @@
         }
     }
 
+    /// A ratio such as `0.2`, in whole percent.
+    pub fn percent(&mut self, key: &'static str, default: u64, report: &mut CheckReport) -> u64 {
+        let Some(text) = self.text(key) else { return default };
+        match text.parse::<f64>() {
+            Ok(ratio) if (0.0..=10.0).contains(&ratio) => (ratio * 100.0).round() as u64,
+            _ => {
+                self.fault(key, format!("'{text}' should be a ratio such as 0.2"), report);
+                default
+            }
+        }
+    }
+
     /// `yes` or `no`.
     pub fn flag(&mut self, key: &'static str, default: bool, report: &mut CheckReport) -> bool {
         match self.text(key).as_deref() {
@@ -215,15 +227,15 @@
 }
 
 fn parse_duration(text: &str) -> Option<Duration> {
-    let split = text.find(|c: char| !c.is_ascii_digit())?;
+    let split = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
     let (digits, unit) = text.split_at(split);
-    let number: u64 = digits.parse().ok()?;
-    let millis_per_unit = match unit.trim() {
-        "ms" => 1,
-        "s" => 1_000,
-        "m" => 60_000,
-        "h" => 3_600_000,
+    let number: f64 = digits.parse().ok()?;
+    let seconds_per_unit = match unit.trim() {
+        "ms" => 0.001,
+        "s" => 1.0,
+        "m" => 60.0,
+        "h" => 3_600.0,
         _ => return None,
     };
-    Some(Duration::from_millis(number.checked_mul(millis_per_unit)?))
+    Duration::try_from_secs_f64(number * seconds_per_unit).ok()
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -52,6 +52,51 @@
     pub key_limit: usize,
     /// Least level of log lines: debug, info, warn or error.
     pub log_level: String,
+    /// Which platform the daemon runs on.
+    pub platform_kind: PlatformKind,
+    /// Time for the first sign of a scheduler before it is asked again.
+    pub ask_limit: Duration,
+    /// Asks sent to a silent scheduler before another one is asked.
+    pub ask_tries: u32,
+    /// What the platform promises its users, for the daemons there.
+    pub bounds: FleetBounds,
+}
+
+/// Which platform a daemon runs on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum PlatformKind {
+    /// The product's own object API, with files that `curlewcleat apply` stores.
+    Files,
+    /// A platform that keeps the configuration itself and on which targets announce themselves.
+    Fleet,
+}
+
+/// Bounds within which the daemons of a fleet keep their promises.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct FleetBounds {
+    /// Age of the proof that the configuration is the newest above which requests with a key are
+    /// refused; `None` where they never are for that.
+    pub config_age_limit: Option<Duration>,
+    /// Time in which a stored configuration is in force.
+    pub config_apply_limit: Duration,
+    /// Time from the signal to stop to the end of the process by force.
+    pub stop_limit: Duration,
+    /// Retries for each hundred requests of a pool, over all daemons.
+    pub retry_percent: u64,
+    /// Retries of a pool above that share, over all daemons.
+    pub retry_saved: u64,
+}
+
+impl Default for FleetBounds {
+    fn default() -> FleetBounds {
+        FleetBounds {
+            config_age_limit: None,
+            config_apply_limit: Duration::from_secs(2),
+            stop_limit: Duration::from_secs(8),
+            retry_percent: 10,
+            retry_saved: 20,
+        }
+    }
 }
 
 /// Checks a settings file.
@@ -104,6 +149,10 @@
         key_retention: Duration::from_secs(3_600),
         key_limit: 1_000_000,
         log_level: "info".to_string(),
+        platform_kind: PlatformKind::Files,
+        ask_limit: Duration::from_millis(250),
+        ask_tries: 2,
+        bounds: FleetBounds::default(),
     }
 }
 
@@ -142,21 +191,33 @@
             settings.beat = section.duration("beat", settings.beat, report);
             settings.suspect_after =
                 section.duration("suspect_after", settings.suspect_after, report);
+            settings.ask_limit = section.duration("ask_limit", settings.ask_limit, report);
+            settings.ask_tries = section.number("ask_tries", 2, 1..=10, report) as u32;
         }
+        "bounds" => read_bounds(&mut section, &mut settings.bounds, report),
         "platform" => {
             settings.platform_address = section.address("address", report);
             settings.platform_limit =
                 section.duration("call_limit", settings.platform_limit, report);
+            settings.platform_kind = match section.text("kind").as_deref() {
+                None | Some("files") => PlatformKind::Files,
+                Some("fleet") => PlatformKind::Fleet,
+                Some(other) => {
+                    section.fault("kind", format!("'{other}' should be files or fleet"), report);
+                    PlatformKind::Files
+                }
+            };
         }
         "keys" => {
-            settings.key_slots = section.number("slots", 64, 1..=4_096, report) as u16;
+            settings.key_slots = section.number("slots", 64, 0..=4_096, report) as u16;
             settings.key_retention = section.duration("retention", settings.key_retention, report);
             settings.key_limit =
                 section.number("limit", 1_000_000, 1..=100_000_000, report) as usize;
         }
         title => {
             let message = format!(
-                "'{title}' is not known; known are vm, callers, operators, peers, platform, keys"
+                "'{title}' is not known; known are vm, callers, operators, peers, platform, keys, \
+                 bounds"
             );
             section.fault("", message, report);
             return;
@@ -181,6 +242,18 @@
     settings.log_level = level;
 }
 
+fn read_bounds(section: &mut IniSection<'_>, bounds: &mut FleetBounds, report: &mut CheckReport) {
+    if section.text("config_age_limit").is_some() {
+        let limit = section.duration("config_age_limit", Duration::from_secs(5), report);
+        bounds.config_age_limit = Some(limit);
+    }
+    bounds.config_apply_limit =
+        section.duration("config_apply_limit", bounds.config_apply_limit, report);
+    bounds.stop_limit = section.duration("stop_limit", bounds.stop_limit, report);
+    bounds.retry_percent = section.percent("retry_ratio", bounds.retry_percent, report);
+    bounds.retry_saved = section.number("retry_saved", bounds.retry_saved, 0..=1_000_000, report);
+}
+
 fn read_seeds(section: &mut IniSection<'_>, report: &mut CheckReport) -> Vec<String> {
     let text = section.text("seeds").unwrap_or_default();
     let seeds: Vec<String> =
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -78,6 +78,8 @@
     pub draining: bool,
     /// Peer addresses that the sender knows, so that a newborn learns the rest.
     pub known: Vec<String>,
+    /// Units a second that the accounts ask for at the sender, for the shares of their rates.
+    pub demands: Vec<(AccountId, u64)>,
 }
 
 /// What the sender has; the receiver sends what it has newer.
@@ -130,6 +132,8 @@
     pub account: AccountId,
     /// Time left until the deadline.
     pub time_left: Duration,
+    /// Time for which the ask may wait; it is refused at once where it is expected to wait longer.
+    pub wait_limit: Duration,
     /// Prompt work in microseconds of a slot.
     pub prompt_work: WorkMicros,
     /// The rest of the work in microseconds of a slot.
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -21,8 +21,12 @@
 pub struct ClientAccount {
     /// Name of the account.
     pub id: AccountId,
-    /// SHA-256 of the account's bearer token.
-    pub token: TokenHash,
+    /// SHA-256 of the account's bearer tokens; any of them will do.
+    pub tokens: Vec<TokenHash>,
+    /// Rank of its requests, `None` for the rank of the rule's tier.
+    pub rank: Option<TierRank>,
+    /// Rate over all daemons together, `None` where it is unlimited.
+    pub shared_rate: Option<SharedRate>,
     /// Share of a tier relative to the other accounts.
     pub weight: u32,
     /// Requests a second in one pool; `None` is unlimited.
@@ -31,6 +35,26 @@
     pub queue_limit: u32,
 }
 
+/// Rate of a client account that holds over all daemons together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct SharedRate {
+    /// Units a second.
+    pub per_s: u64,
+    /// Units allowed at once above the rate.
+    pub burst: u64,
+    /// What a request counts.
+    pub unit: RateUnit,
+}
+
+/// What a request counts against a shared rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RateUnit {
+    /// One.
+    Request,
+    /// Its tokens, or this many where it does not tell them.
+    Tokens(u64),
+}
+
 /// Kind of the targets of a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum PoolKind {
@@ -81,6 +105,8 @@
     /// Whether a connection may serve further requests. A target that answers one request twice could
     /// then give the second answer to another caller.
     pub reuse_connections: bool,
+    /// Connections that a target takes from all daemons together, `None` where it does not say.
+    pub connection_limit: Option<u32>,
     /// Path at which targets report their load and cache events, `None` where they do not.
     pub report_path: Option<String>,
     /// Targets of the pool.
@@ -96,10 +122,23 @@
     pub address: String,
     /// VM that it runs on, as the platform lists it.
     pub vm: VmId,
+    /// Data centre, empty where it is not known.
+    pub data_centre: String,
     /// Requests that it serves at the same time.
     pub slots: u32,
 }
 
+/// A target that announced itself at the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DiscoveredTarget {
+    /// Pool that it serves.
+    pub pool: PoolId,
+    /// The target; its id names one start of its process.
+    pub entry: TargetEntry,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
 /// Gives requests their tier and pool.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct AdmissionRule {
@@ -123,9 +162,81 @@
     pub repeatable: bool,
     /// Longest body in bytes.
     pub body_limit: usize,
+    /// Host that the request names, `None` for any.
+    pub host: Option<String>,
+    /// Pools that share the requests, with their weights; empty where `pool` gets all.
+    pub split: Vec<PoolShare>,
+    /// Whether requests need no account.
+    pub public: bool,
+    /// How requests are served.
+    pub service: ServiceTerms,
+}
+
+/// A pool's share of a rule's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PoolShare {
+    /// The pool.
+    pub pool: PoolId,
+    /// Its weight among the shares.
+    pub weight: u32,
+}
+
+/// Times and attempts that a rule grants its requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ServiceTerms {
+    /// Longest time from the request to the end of its answer, `None` for the deadline alone.
+    pub timeout: Option<Duration>,
+    /// Time to the first part of the answer that counts as in time.
+    pub objective: Option<Duration>,
+    /// Targets that one request may be sent to.
+    pub attempt_limit: u32,
+    /// Whether the answer is a series of events.
+    pub streams: bool,
+    /// Whether a broken stream may be taken up at another target.
+    pub resumable: bool,
+}
+
+impl Default for ServiceTerms {
+    fn default() -> ServiceTerms {
+        ServiceTerms {
+            timeout: None,
+            objective: None,
+            attempt_limit: 3,
+            streams: false,
+            resumable: false,
+        }
+    }
 }
 
 impl AdmissionRule {
+    /// Pools that the rule may send to.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolId> {
+        let alone = self.split.is_empty().then_some(&self.pool);
+        alone.into_iter().chain(self.split.iter().map(|share| &share.pool))
+    }
+
+    /// The pool for a request, by a number that is drawn evenly from all.
+    pub fn pool_for(&self, drawn: u64) -> &PoolId {
+        let total: u64 = self.split.iter().map(|share| u64::from(share.weight)).sum();
+        if total == 0 {
+            return &self.pool;
+        }
+        let mut rest = drawn % total;
+        for share in &self.split {
+            match rest.checked_sub(u64::from(share.weight)) {
+                Some(left) => rest = left,
+                None => return &share.pool,
+            }
+        }
+        &self.pool
+    }
+
+    /// Whether the rule matches host, method and path of a request.
+    pub fn takes(&self, host: &str, method: &str, path: &str) -> bool {
+        let host_fits = self.host.as_deref().is_none_or(|wanted| wanted.eq_ignore_ascii_case(host));
+        host_fits && self.account.is_none() && self.matches(method, path, "", |_| None)
+    }
+
     /// Whether the rule matches a request. `header` looks a header up by its lower-case name.
     pub fn matches<'a>(
         &self,
@@ -163,6 +274,8 @@
     pub pools: BTreeMap<PoolId, TargetPool>,
     /// Rules in the order in which they are tried.
     pub rules: Vec<AdmissionRule>,
+    /// Time for which a caller's connection may rest, `None` where the daemon's settings say.
+    pub idle_limit: Option<Duration>,
 }
 
 impl ActiveConfig {
@@ -182,6 +295,11 @@
         self.rules.iter().find(|rule| rule.matches(method, path, account, &header))
     }
 
+    /// Finds the first rule for host, method and path, whatever the account.
+    pub fn route(&self, host: &str, method: &str, path: &str) -> Option<&AdmissionRule> {
+        self.rules.iter().find(|rule| rule.takes(host, method, path))
+    }
+
     /// Rank of the highest tier.
     pub fn top_rank(&self) -> TierRank {
         self.tiers.values().map(|tier| tier.rank).min().unwrap_or(0)
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -60,6 +60,8 @@
         BodyIncomplete => "body_incomplete",
         /// The daemon has no configuration yet.
         NoConfiguration => "no_configuration",
+        /// The daemon cannot prove that its configuration is the newest.
+        ConfigurationStale => "configuration_stale",
         /// The daemon is stopping and takes no new requests.
         Draining => "draining",
         /// The daemon holds as many requests as its settings allow.
@@ -122,8 +124,10 @@
         KeyHomeSilent => "key_home_silent",
         /// The permit names a target that this daemon's configuration does not have.
         TargetUnknown => "target_unknown",
-        /// A cut stream was resumed at its offset on the same target.
+        /// A cut stream was resumed, or a request without an answer repeated where its rule allows it.
         StreamResumed => "stream_resumed",
+        /// The target answered that it failed, and the rule lets the request run again.
+        TargetFailed => "target_failed",
     }
 }
 
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -23,9 +23,8 @@
     retry_after_ms: Option<u64>,
 }
 
-/// The answer for a refusal.
-pub fn refusal_response(request: RequestId, refusal: &Refusal) -> Response<BoxBody> {
-    let status = status_of(refusal.reason);
+/// The problem document of a refusal.
+pub fn problem_body(request: RequestId, status: StatusCode, refusal: &Refusal) -> Vec<u8> {
     let document = ProblemDocument {
         r#type: "about:blank",
         title: status.canonical_reason().unwrap_or("refused"),
@@ -35,6 +34,12 @@
         request_id: request.to_string(),
         retry_after_ms: refusal.retry_after.map(|wait| wait.as_millis() as u64),
     };
+    serde_json::to_vec(&document).unwrap_or_default()
+}
+
+/// The answer for a refusal.
+pub fn refusal_response(request: RequestId, refusal: &Refusal) -> Response<BoxBody> {
+    let status = status_of(refusal.reason);
     let mut response = Response::build(status);
     response.insert_header((header::CONTENT_TYPE, "application/problem+json"));
     response.insert_header((REQUEST_ID, request.to_string()));
@@ -49,7 +54,7 @@
     ) {
         response.force_close();
     }
-    response.body(serde_json::to_vec(&document).unwrap_or_default()).map_into_boxed_body()
+    response.body(problem_body(request, status, refusal)).map_into_boxed_body()
 }
 
 /// The answer that an earlier attempt of the same key got.
@@ -83,6 +88,7 @@
             StatusCode::GATEWAY_TIMEOUT
         }
         RefusalReason::NoConfiguration
+        | RefusalReason::ConfigurationStale
         | RefusalReason::Draining
         | RefusalReason::EntryFull
         | RefusalReason::QueueFull
--- a/crates/daemon/src/brain.rs
+++ b/crates/daemon/src/brain.rs
@@ -25,7 +25,8 @@
     node: Node,
     context: DaemonContext,
     transport: Box<dyn PeerTransport>,
-    store: Rc<dyn ObjectStore>,
+    /// Where the key table is, if there is one.
+    store: Option<Rc<dyn ObjectStore>>,
     callers: BTreeMap<RequestId, mpsc::UnboundedSender<CallerDecision>>,
     /// Frames by address; those of one batch go out as one.
     outgoing: BTreeMap<String, PeerFrame>,
@@ -38,7 +39,7 @@
         node: Node,
         context: DaemonContext,
         transport: Box<dyn PeerTransport>,
-        store: Rc<dyn ObjectStore>,
+        store: Option<Rc<dyn ObjectStore>>,
     ) -> BrainLoop {
         BrainLoop {
             node,
@@ -94,6 +95,10 @@
                 self.callers.insert(spec.request, sender);
                 self.event(NodeEvent::Admit(spec));
             }
+            BrainMessage::Apply(bundle, sender) => {
+                self.event(NodeEvent::ConfigRead(bundle));
+                let _ = sender.send(());
+            }
             // An asker that has gone is no fault.
             BrainMessage::Status(sender) => drop(sender.send(self.node.status())),
             BrainMessage::Config(sender) => drop(sender.send(self.node.config_bundle().cloned())),
@@ -118,7 +123,12 @@
                 self.transport.keep_only(&self.node.peer_addresses());
             }
             NodeAction::Count(reason) => self.context.metrics.retry(reason),
-            NodeAction::Note(note) => log_note(&note),
+            NodeAction::Note(note) => {
+                if note == NodeNote::DrainBegun {
+                    self.context.set_draining();
+                }
+                log_note(&note);
+            }
             NodeAction::End => self.ended = true,
         }
     }
@@ -150,7 +160,7 @@
     }
 
     fn propose_table(&self, expected: u64, table: KeyTable) {
-        let store = Rc::clone(&self.store);
+        let Some(store) = self.store.clone() else { return };
         let context = self.context.clone();
         actix_rt::spawn(async move {
             let bytes = serde_json::to_vec(&table).unwrap_or_default();
@@ -168,7 +178,7 @@
     }
 
     fn read_table(&self) {
-        let store = Rc::clone(&self.store);
+        let Some(store) = self.store.clone() else { return };
         let context = self.context.clone();
         actix_rt::spawn(async move { read_table(store.as_ref(), &context).await });
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,5 +1,6 @@
 //! What the threads of the daemon share, and the way to the node.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,8 @@
     Event(NodeEvent),
     /// A caller's request; its decisions go into the sender.
     Admit(Box<RequestSpec>, mpsc::UnboundedSender<CallerDecision>),
+    /// A configuration as the platform shows it; told when it is in force.
+    Apply(curlewcleat_core::ConfigBundle, oneshot::Sender<()>),
     /// A request for the node's status.
     Status(oneshot::Sender<NodeStatus>),
     /// A request for the texts of the configuration in force.
@@ -33,6 +36,7 @@
     /// Configuration in force.
     config: Arc<RwLock<Arc<ActiveConfig>>>,
     brain: mpsc::UnboundedSender<BrainMessage>,
+    draining: Arc<AtomicBool>,
     born: Instant,
 }
 
@@ -48,6 +52,7 @@
             metrics,
             config: Arc::default(),
             brain,
+            draining: Arc::default(),
             born: Instant::now(),
         }
     }
@@ -78,6 +83,24 @@
         }
     }
 
+    /// The planned stop has begun.
+    pub fn set_draining(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the planned stop has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Offers a configuration to the node and waits until it is in force, or a newer one.
+    pub async fn apply(&self, bundle: curlewcleat_core::ConfigBundle) {
+        let (sender, receiver) = oneshot::channel();
+        if self.brain.send(BrainMessage::Apply(bundle, sender)).is_ok() {
+            let _ = receiver.await;
+        }
+    }
+
     /// Tells the node something.
     pub fn tell(&self, event: NodeEvent) {
         // The node's thread ends last, so a closed channel means that the process is ending.
--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,120 @@
+//! The daemon on a platform that keeps the configuration itself and on which targets announce
+//! themselves.
+
+mod follow;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response, StatusCode};
+use anyhow::{Context, Result};
+use curlewcleat_config::DaemonSettings;
+use curlewcleat_core::{DaemonId, Incarnation};
+use curlewcleat_node::{Node, NodeOptions};
+use curlewcleat_peers::TransportCounts;
+use curlewcleat_platform::{DaemonRecord, FleetPlatform};
+use curlewcleat_sched::{EntryOptions, RetryLimits};
+use spdlog::prelude::*;
+use tokio::sync::mpsc;
+
+use crate::brain::BrainLoop;
+use crate::context::DaemonContext;
+use crate::gateway::{ConfigProof, Gateway};
+use crate::listen::{listen, ListenOptions};
+use crate::metrics::DaemonMetrics;
+use crate::operators::serve_operator;
+use crate::run::{listen_for_peers, node_options, watch_signals};
+
+/// Time for the last bytes of answers to leave after the node has ended.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+/// Time for which connections of operators may rest.
+const OPERATOR_IDLE: Duration = Duration::from_secs(15);
+/// Time for which connections of callers may rest. Configurations bound what callers rely on.
+const CALLER_IDLE: Duration = Duration::from_secs(60);
+
+/// Runs a daemon of a fleet.
+///
+/// # Errors
+/// Where an address cannot be bound.
+pub fn run_fleet_daemon(settings: DaemonSettings, platform: Box<dyn FleetPlatform>) -> Result<()> {
+    actix_rt::System::new().block_on(run(settings, Rc::from(platform)))
+}
+
+async fn run(settings: DaemonSettings, platform: Rc<dyn FleetPlatform>) -> Result<()> {
+    let incarnation: Incarnation = rand::random();
+    let counts = Arc::new(TransportCounts::default());
+    let metrics = Arc::new(DaemonMetrics::new(Arc::clone(&counts)).context("metrics")?);
+    let (brain, messages) = mpsc::unbounded_channel();
+    let context = DaemonContext::new(settings.clone(), metrics, brain.clone());
+    let proof = Rc::new(ConfigProof::default());
+    let transport = listen_for_peers(&settings, counts, brain)?;
+    let node = Node::new(fleet_options(&settings, incarnation));
+    serve(&settings, &context, &platform, &proof).await?;
+    let me = DaemonId { vm: settings.vm.clone(), incarnation };
+    let record = DaemonRecord { daemon: me, address: settings.advertised_address.clone() };
+    follow::follow_fleet(platform, context.clone(), proof, record);
+    watch_signals(context.clone())?;
+    info!("started", kv: { vm = settings.vm.as_str(), incarnation });
+
+    BrainLoop::new(node, context, transport, None).run(messages).await;
+    tokio::time::sleep(FLUSH_TIME).await;
+    info!("ended", kv: { vm = settings.vm.as_str() });
+    Ok(())
+}
+
+fn fleet_options(settings: &DaemonSettings, incarnation: Incarnation) -> NodeOptions {
+    let retries = RetryLimits {
+        percent: settings.bounds.retry_percent,
+        saved: settings.bounds.retry_saved,
+        shared: true,
+    };
+    let options = node_options(settings, incarnation);
+    let entry = EntryOptions { retries, ..options.entry };
+    // Requests carry their own ids and each meets one daemon, so there are no keys to keep.
+    NodeOptions { entry, key_slots: 0, ..options }
+}
+
+/// Binds the callers' and the operators' addresses.
+async fn serve(
+    settings: &DaemonSettings,
+    context: &DaemonContext,
+    platform: &Rc<dyn FleetPlatform>,
+    proof: &Rc<ConfigProof>,
+) -> Result<()> {
+    let callers = ListenOptions {
+        head_limit: settings.head_limit,
+        idle_limit: CALLER_IDLE,
+        connection_limit: settings.connection_limit,
+    };
+    let operators = ListenOptions { idle_limit: OPERATOR_IDLE, ..callers };
+    let gateway = Gateway::new(context.clone(), platform.profile().clone(), Rc::clone(proof));
+    let serve_caller = move |request: Request| Rc::clone(&gateway).serve(request);
+    listen("callers", &settings.caller_address, callers, serve_caller).await?;
+    let context = context.clone();
+    let proof = Rc::clone(proof);
+    let serve_operator = move |request: Request| {
+        let context = context.clone();
+        let proof = Rc::clone(&proof);
+        async move { operator_answer(context, proof, request).await }
+    };
+    listen("operators", &settings.operator_address, operators, serve_operator).await
+}
+
+/// The health check fails where requests with a key would be refused for want of proof.
+async fn operator_answer(
+    context: DaemonContext,
+    proof: Rc<ConfigProof>,
+    request: Request,
+) -> Response<BoxBody> {
+    let limit = context.settings.bounds.config_age_limit;
+    let stale = limit.is_some_and(|limit| !proof.is_within(limit));
+    if stale && request.path() == "/readyz" {
+        return Response::with_body(
+            StatusCode::SERVICE_UNAVAILABLE,
+            BoxBody::new("configuration stale"),
+        );
+    }
+    serve_operator(context, request).await
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/proof.rs
@@ -0,0 +1,40 @@
+//! How old the proof is that the configuration in force is the newest.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+/// Age of the configuration, counted from the sending of the read that proved it.
+#[derive(Debug, Default)]
+pub struct ConfigProof {
+    proved: Cell<Option<Instant>>,
+    /// Whether the latest call of the platform failed.
+    failing: Cell<bool>,
+}
+
+impl ConfigProof {
+    /// A read that was sent then has shown the configuration in force to be the newest.
+    pub fn prove(&self, sent: Instant) {
+        self.proved.set(self.proved.get().max(Some(sent)));
+        self.failing.set(false);
+    }
+
+    /// A read has failed.
+    pub fn fail(&self) {
+        self.failing.set(true);
+    }
+
+    /// Whether the latest read failed.
+    pub fn is_failing(&self) -> bool {
+        self.failing.get()
+    }
+
+    /// Age of the proof, `None` where there never was one.
+    pub fn age(&self) -> Option<Duration> {
+        self.proved.get().map(|proved| proved.elapsed())
+    }
+
+    /// Whether the proof is younger than a limit.
+    pub fn is_within(&self, limit: Duration) -> bool {
+        self.age().is_some_and(|age| age < limit)
+    }
+}
--- a/crates/daemon/src/headers.rs
+++ b/crates/daemon/src/headers.rs
@@ -100,6 +100,22 @@
     !hop_by_hop(name) && *name != header::CONTENT_LENGTH && name.as_str() != "x-request-id"
 }
 
+/// Whether a header passes on, in either direction.
+pub fn passes_on(name: &HeaderName) -> bool {
+    !hop_by_hop(name)
+}
+
+/// Whether a caller's header ends at the daemon.
+pub fn ends_here(name: &HeaderName) -> bool {
+    [header::AUTHORIZATION, header::CONTENT_LENGTH, header::EXPECT].contains(name)
+}
+
+/// Headers that the sender names as belonging to this connection only.
+pub fn connection_options(headers: &HeaderMap) -> Vec<HeaderName> {
+    let named = headers.get_all(header::CONNECTION).filter_map(|value| value.to_str().ok());
+    named.flat_map(|text| text.split(',')).filter_map(|name| name.trim().parse().ok()).collect()
+}
+
 fn hop_by_hop(name: &HeaderName) -> bool {
     HOP_BY_HOP.contains(&name.as_str())
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,7 +7,10 @@
 mod callers;
 mod context;
 mod exchange;
+mod fleet;
+mod gateway;
 mod headers;
+mod listen;
 mod logging;
 mod metrics;
 mod operators;
@@ -17,5 +20,6 @@
 mod run;
 mod upload;
 
+pub use fleet::run_fleet_daemon;
 pub use logging::start_logging;
 pub use run::run_daemon;
--- /dev/null
+++ b/crates/daemon/src/listen.rs
@@ -0,0 +1,94 @@
+//! Accepts connections on the daemon's own arbiter, without threads of a server.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, KeepAlive, Request, Response};
+use actix_service::{Service, ServiceFactory};
+use anyhow::{Context, Result};
+use spdlog::prelude::*;
+use tokio::net::{TcpListener, TcpSocket};
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Pause after a connection could not be accepted, as where descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How connections are served.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenOptions {
+    /// Time for the head of a request.
+    pub head_limit: Duration,
+    /// Time for which a connection may rest.
+    pub idle_limit: Duration,
+    /// Connections held at the same time.
+    pub connection_limit: usize,
+}
+
+/// Binds an address and serves its connections until the process ends.
+///
+/// # Errors
+/// Where the address cannot be bound.
+pub async fn listen<F, A>(
+    name: &'static str,
+    address: &str,
+    options: ListenOptions,
+    serve: F,
+) -> Result<()>
+where
+    F: Fn(Request) -> A + Clone + 'static,
+    A: Future<Output = Response<BoxBody>> + 'static,
+{
+    let listener = bind(address).with_context(|| format!("{name}: bind {address}"))?;
+    let factory = HttpService::build()
+        .client_request_timeout(options.head_limit)
+        .keep_alive(KeepAlive::Timeout(options.idle_limit))
+        .h1_allow_half_closed(false)
+        .h1(move |request| {
+            let answer = serve(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+    let service = factory.new_service(()).await.map_err(|_| anyhow::anyhow!("{name}: service"))?;
+    let service = Rc::new(service);
+    let open = Rc::new(Cell::new(0usize));
+    actix_rt::spawn(async move {
+        loop {
+            if open.get() >= options.connection_limit {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+            let (stream, peer) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    warn!("accept_failed", kv: { listener = name, error = error.to_string() });
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            // A connection that does not take the option is served all the same.
+            let _ = stream.set_nodelay(true);
+            let connection = service.call((stream, Some(peer)));
+            let open = Rc::clone(&open);
+            open.set(open.get() + 1);
+            actix_rt::spawn(async move {
+                // How a caller's connection ends is known to its requests.
+                let _ = connection.await;
+                open.set(open.get() - 1);
+            });
+        }
+    });
+    Ok(())
+}
+
+fn bind(address: &str) -> std::io::Result<TcpListener> {
+    let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,8 @@
 
 use anyhow::{Context, Result};
 use clap::Parser;
-use curlewcleat_config::check_settings;
+use curlewcleat_adapter::NativePlatform;
+use curlewcleat_config::{check_settings, PlatformKind};
 
 /// Request scheduler for unlike engines.
 #[derive(Parser)]
@@ -46,6 +47,12 @@
         return Ok(ExitCode::SUCCESS);
     }
     curlewcleatd::start_logging(&settings.log_level)?;
-    curlewcleatd::run_daemon(settings)?;
+    match settings.platform_kind {
+        PlatformKind::Files => curlewcleatd::run_daemon(settings)?,
+        PlatformKind::Fleet => {
+            let platform = NativePlatform::new(&settings.platform_address, settings.platform_limit);
+            curlewcleatd::run_fleet_daemon(settings, Box::new(platform))?;
+        }
+    }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -61,13 +61,13 @@
     watch_signals(context.clone())?;
     info!("started", kv: { vm = settings.vm.as_str(), incarnation });
 
-    BrainLoop::new(node, context, transport, store).run(messages).await;
+    BrainLoop::new(node, context, transport, Some(store)).run(messages).await;
     stop_serving(handle, serving).await;
     info!("ended", kv: { vm = settings.vm.as_str() });
     Ok(())
 }
 
-fn listen_for_peers(
+pub(crate) fn listen_for_peers(
     settings: &DaemonSettings,
     counts: Arc<TransportCounts>,
     brain: mpsc::UnboundedSender<BrainMessage>,
@@ -85,7 +85,7 @@
     Ok(Box::new(transport))
 }
 
-fn node_options(settings: &DaemonSettings, incarnation: Incarnation) -> NodeOptions {
+pub(crate) fn node_options(settings: &DaemonSettings, incarnation: Incarnation) -> NodeOptions {
     NodeOptions {
         me: DaemonId { vm: settings.vm.clone(), incarnation },
         members: MemberOptions {
@@ -100,7 +100,11 @@
             ..KeyHomeOptions::default()
         },
         key_slots: settings.key_slots,
-        entry: EntryOptions::default(),
+        entry: EntryOptions {
+            ask_limit: settings.ask_limit,
+            ask_tries: settings.ask_tries,
+            ..EntryOptions::default()
+        },
         request_limit: settings.request_limit,
         beat: settings.beat,
         drain_grace: settings.drain_grace,
@@ -147,7 +151,7 @@
 }
 
 /// A termination signal begins the planned stop.
-fn watch_signals(context: DaemonContext) -> Result<()> {
+pub(crate) fn watch_signals(context: DaemonContext) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("signals")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("signals")?;
     actix_rt::spawn(async move {
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -229,6 +229,9 @@
             tier: 0,
             account: "a".to_string(),
             time_left: STEP * u32::from(self.steps.max(2) - 1),
+            wait_limit: std::time::Duration::from_secs(86_400),
+            attempt_limit: None,
+            cost: 1,
             prompt_work: 0,
             output_work: 1_000,
             prefix: None,
@@ -320,6 +323,7 @@
             id: id.to_string(),
             address: String::new(),
             vm: format!("vm-{id}"),
+            data_centre: String::new(),
             slots,
         };
         (id.to_string(), entry)
@@ -339,6 +343,7 @@
         resumable: false,
         reuse_connections: false,
         report_path: None,
+        connection_limit: None,
         targets: targets.iter().map(entry).collect(),
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -2,8 +2,9 @@
 
 use curlewcleat_config::CheckReport;
 use curlewcleat_core::{
-    AttemptEnd, ConfigBundle, DaemonId, Generation, KeptAnswer, ObjectVersion, PeerFrame, PermitId,
-    PoolId, Refusal, RequestId, RetryReason, TargetEntry, TargetId, TargetReport, Verdict, VmId,
+    AttemptEnd, ConfigBundle, DaemonId, DiscoveredTarget, Generation, KeptAnswer, ObjectVersion,
+    PeerFrame, PermitId, PoolId, Refusal, RequestId, RetryReason, TargetEntry, TargetId,
+    TargetReport, Verdict, VmId,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::RequestSpec;
@@ -49,6 +50,10 @@
     TableWritten(TableWrite),
     /// A target's report, for the scheduler of its pool.
     TargetReported(PoolId, TargetId, TargetReport),
+    /// Targets that announced themselves at the platform, all of them.
+    TargetsRead(Vec<DiscoveredTarget>),
+    /// Addresses of daemons that are recorded at the platform.
+    PeersRecorded(Vec<String>),
     /// The platform's VM list.
     VmsRead(Vec<ListedVm>),
     /// Begin a planned stop.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,11 +14,13 @@
 
 use curlewcleat_config::ConfigStore;
 use curlewcleat_core::{
-    ActiveConfig, ConfigBundle, DaemonId, PeerMessage, PoolId, Uptime, VmId, WallTime,
+    ActiveConfig, ConfigBundle, DaemonId, DiscoveredTarget, PeerMessage, PoolId, Uptime, VmId,
+    WallTime,
 };
 use curlewcleat_keys::{KeyHome, KeyHomeOptions};
 use curlewcleat_sched::{
-    DrainState, EntryOptions, EntryRequests, LevelGuard, MemberOptions, MemberView, PoolScheduler,
+    AccountShares, DrainState, EntryOptions, EntryRequests, LevelGuard, MemberOptions, MemberView,
+    PoolScheduler,
 };
 
 use crate::event::{NodeAction, NodeEvent};
@@ -34,7 +36,7 @@
     pub members: MemberOptions,
     /// Keys.
     pub keys: KeyHomeOptions,
-    /// Slots of a key table that this node creates.
+    /// Slots of a key table that this node creates; 0 where keys are not kept.
     pub key_slots: u16,
     /// Requests.
     pub entry: EntryOptions,
@@ -53,7 +55,11 @@
     options: NodeOptions,
     members: MemberView,
     store: ConfigStore,
+    /// The configuration in force with the targets that announced themselves.
+    active: Arc<ActiveConfig>,
+    discovered: Vec<DiscoveredTarget>,
     home: KeyHome,
+    shares: AccountShares,
     pools: BTreeMap<PoolId, PoolScheduler>,
     guards: BTreeMap<PoolId, LevelGuard>,
     entry: EntryRequests,
@@ -80,7 +86,10 @@
         Node {
             members: MemberView::new(me.clone(), options.members.clone()),
             store: ConfigStore::default(),
+            active: Arc::default(),
+            discovered: Vec::new(),
             home: KeyHome::new(me.clone(), options.keys.clone()),
+            shares: AccountShares::default(),
             pools: BTreeMap::new(),
             guards: BTreeMap::new(),
             entry: EntryRequests::new(options.entry.clone()),
@@ -126,6 +135,8 @@
                 let actions = self.pool(&pool).reported(now, &target, &report);
                 self.send_answers(actions);
             }
+            NodeEvent::TargetsRead(targets) => self.targets_read(targets),
+            NodeEvent::PeersRecorded(addresses) => self.members.hint(addresses),
             NodeEvent::VmsRead(list) => self.vms_read(&list),
             NodeEvent::Drain => self.begin_drain(),
         }
@@ -136,7 +147,7 @@
 
     /// The configuration in force.
     pub fn config(&self) -> Arc<ActiveConfig> {
-        self.store.active()
+        Arc::clone(&self.active)
     }
 
     /// Texts of the configuration in force.
--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -1,7 +1,10 @@
-//! Configurations that are offered.
+//! Configurations that are offered, and the targets that announce themselves.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use curlewcleat_config::StoreChange;
-use curlewcleat_core::ConfigBundle;
+use curlewcleat_core::{ConfigBundle, DiscoveredTarget, VmId};
 
 use super::Node;
 use crate::event::{NodeAction, NodeNote};
@@ -16,17 +19,41 @@
                 self.actions.push(NodeAction::Note(NodeNote::ConfigInvalid(generation, report)));
             }
             StoreChange::Accepted => {
-                self.configure_pools();
+                self.renew_active();
                 self.renew_orders();
                 self.actions.push(NodeAction::Note(NodeNote::ConfigAccepted(generation)));
-                self.actions.push(NodeAction::ConfigChanged);
             }
         }
     }
 
+    /// Takes the whole list of targets that announced themselves.
+    pub(super) fn targets_read(&mut self, targets: Vec<DiscoveredTarget>) {
+        if targets == self.discovered {
+            return;
+        }
+        self.discovered = targets;
+        self.renew_active();
+    }
+
+    /// Joins the configuration in force with the discovered targets, and tells the schedulers.
+    fn renew_active(&mut self) {
+        let mut active = self.store.active();
+        if !self.discovered.is_empty() {
+            let config = Arc::make_mut(&mut active);
+            for target in &self.discovered {
+                if let Some(pool) = config.pools.get_mut(&target.pool) {
+                    pool.targets.insert(target.entry.id.clone(), target.entry.clone());
+                }
+            }
+        }
+        self.active = active;
+        self.configure_pools();
+        self.actions.push(NodeAction::ConfigChanged);
+    }
+
     pub(super) fn configure_pools(&mut self) {
-        let config = self.store.active();
-        let away = self.vms.away();
+        let config = Arc::clone(&self.active);
+        let away = self.away();
         for (id, pool) in &config.pools {
             let scheduler = self.pool(id);
             scheduler.configure(pool_options(&config, pool), pool);
@@ -35,4 +62,12 @@
         self.pools
             .retain(|id, scheduler| config.pools.contains_key(id) || scheduler.in_flight() > 0);
     }
+
+    /// VMs whose targets get no new work, by the VM list and by the targets' own word.
+    pub(super) fn away(&self) -> BTreeSet<VmId> {
+        let leaving = self.discovered.iter().filter(|target| target.leaving);
+        let mut away = self.vms.away();
+        away.extend(leaving.map(|target| target.entry.vm.clone()));
+        away
+    }
 }
--- a/crates/node/src/node/keys.rs
+++ b/crates/node/src/node/keys.rs
@@ -44,7 +44,7 @@
 
     /// Proposes a key table where one is wanted.
     pub(super) fn review_table(&mut self) {
-        if self.proposing {
+        if self.proposing || self.options.key_slots == 0 {
             return;
         }
         let proposal = if self.drain.phase() >= DrainPhase::Closing {
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -1,5 +1,7 @@
 //! Role takers, ended peers, and the VM list.
 
+use std::sync::Arc;
+
 use curlewcleat_core::DaemonId;
 
 use super::{order_of, Node};
@@ -33,7 +35,7 @@
     }
 
     pub(super) fn renew_orders(&mut self) {
-        let config = self.store.active();
+        let config = Arc::clone(&self.active);
         self.orders = config
             .pools
             .keys()
@@ -43,7 +45,7 @@
 
     pub(super) fn vms_read(&mut self, list: &[ListedVm]) {
         self.vms.read(self.now, list);
-        let away = self.vms.away();
+        let away = self.away();
         for scheduler in self.pools.values_mut() {
             scheduler.set_away(away.clone());
         }
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -1,5 +1,6 @@
 //! Callers' requests: admission, and the actions of the entry.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use curlewcleat_core::{
@@ -20,7 +21,7 @@
 impl Node {
     pub(super) fn admit(&mut self, spec: RequestSpec) {
         let id = spec.request;
-        let below_top = usize::from(spec.tier.saturating_sub(self.store.active().top_rank()));
+        let below_top = usize::from(spec.tier.saturating_sub(self.active.top_rank()));
         let percent = 100usize.saturating_sub(below_top * PERCENT_PER_TIER).max(PERCENT_FOR_ALL);
         let limit = self.options.request_limit * percent / 100;
         let reason = if !self.drain.admits() {
@@ -37,12 +38,25 @@
             self.actions.push(NodeAction::Decide(id, CallerDecision::Refuse(refusal)));
             return;
         }
+        if let Err(wait) = self.take_share(&spec) {
+            let refusal = Refusal::not_run(RefusalReason::AccountRate, Some(wait));
+            self.actions.push(NodeAction::Decide(id, CallerDecision::Refuse(refusal)));
+            return;
+        }
         let orders = &self.orders;
         let members = &self.members;
         let actions = self.entry.admit(self.now, spec, &|pool| order_of(orders, members, pool));
         self.perform(actions);
     }
 
+    /// Charges a request to this daemon's share of its account's rate.
+    fn take_share(&mut self, spec: &RequestSpec) -> Result<(), Duration> {
+        let account = self.active.accounts.get(&spec.account);
+        let Some(rate) = account.and_then(|account| account.shared_rate) else { return Ok(()) };
+        let fleet = self.members.fleet_demand(&spec.account);
+        self.shares.take(self.now, &spec.account, &rate, spec.cost, &fleet)
+    }
+
     pub(super) fn attempt_not_run(&mut self, id: RequestId, end: AttemptEnd, retry: RetryReason) {
         let orders = &self.orders;
         let members = &self.members;
@@ -74,7 +88,7 @@
     }
 
     pub(super) fn dispatch(&mut self, permit: PermitId, target: &str) {
-        let config = self.store.active();
+        let config = Arc::clone(&self.active);
         let entry = config.pools.values().find_map(|pool| pool.targets.get(target)).cloned();
         match entry {
             Some(entry) => {
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -19,6 +19,7 @@
             self.entry_ended(&lost);
         }
         self.review_takers();
+        self.entry.set_daemons(self.members.peers().len() as u64 + 1);
         let orders = &self.orders;
         let members = &self.members;
         let actions = self.entry.tick(self.now, &|pool| order_of(orders, members, pool));
@@ -60,6 +61,8 @@
     }
 
     pub(super) fn heartbeat(&mut self) -> Heartbeat {
-        self.members.heartbeat(self.store.generation(), self.home.version())
+        let demands = self.shares.demands(self.now);
+        let beat = self.members.heartbeat(self.store.generation(), self.home.version());
+        Heartbeat { demands, ..beat }
     }
 }
--- /dev/null
+++ b/crates/platform/src/fleet.rs
@@ -0,0 +1,103 @@
+//! The border towards a platform that keeps the configuration itself and on which targets announce
+//! themselves.
+
+use std::time::Duration;
+
+use curlewcleat_core::{ConfigBundle, DaemonId, DiscoveredTarget, ObjectVersion, TargetId};
+
+use crate::store::StoreFuture;
+
+/// What a read of the configuration gave.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConfigRead {
+    /// There is none.
+    Absent,
+    /// It still has the version that the reader knows.
+    Unchanged,
+    /// It is new to the reader.
+    Changed(ObjectVersion, ConfigBundle),
+}
+
+/// All targets at one revision of the platform.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TargetList {
+    /// The targets.
+    pub targets: Vec<DiscoveredTarget>,
+    /// The revision, from which a watch goes on.
+    pub revision: ObjectVersion,
+}
+
+/// A change among the targets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TargetChange {
+    /// A target is new, or has another state.
+    Present(DiscoveredTarget),
+    /// A target is no longer listed.
+    Gone(TargetId),
+}
+
+/// What a watch of the targets gave.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TargetWatch {
+    /// Changes in order, and the revision after them.
+    Changes(Vec<TargetChange>, ObjectVersion),
+    /// The platform has forgotten what came after the revision; the list has to be read again.
+    HistoryGone,
+}
+
+/// A daemon as it is recorded at the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonRecord {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// `ip:port` at which it takes peer frames.
+    pub address: String,
+}
+
+/// The calls that the daemons of a fleet make. A call that got no answer may have taken effect.
+pub trait FleetPlatform {
+    /// Names of headers on the wire.
+    fn profile(&self) -> &WireProfile;
+
+    /// Reads the newest configuration; never an old one.
+    fn read_config(&self, known: ObjectVersion) -> StoreFuture<'_, ConfigRead>;
+
+    /// Reads all targets.
+    fn list_targets(&self) -> StoreFuture<'_, TargetList>;
+
+    /// Waits for a change among the targets after a revision, for `limit` at most.
+    fn watch_targets(&self, after: ObjectVersion, limit: Duration) -> StoreFuture<'_, TargetWatch>;
+
+    /// Records this daemon in place of any earlier one of its VM.
+    fn record_daemon<'a>(&'a self, record: &'a DaemonRecord) -> StoreFuture<'a, ()>;
+
+    /// Reads the recorded daemons; they may have ended.
+    fn list_daemons(&self) -> StoreFuture<'_, Vec<DaemonRecord>>;
+}
+
+/// Names of headers with which callers, daemons and targets of a fleet talk. All are in lower case.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WireProfile {
+    /// Names one try of a caller; a target echoes it.
+    pub attempt_id: &'static str,
+    /// Milliseconds for which the sender waits.
+    pub time_left: &'static str,
+    /// The account that a target is told.
+    pub account: &'static str,
+    /// The start of a process that a request is meant for.
+    pub instance: &'static str,
+    /// On an answer: the request did not run.
+    pub not_run: &'static str,
+    /// Status of a target that is not the one meant.
+    pub misdirected_status: u16,
+    /// Tokens in and at most out, by a comma.
+    pub tokens: &'static str,
+    /// Tokens that the caller expects out.
+    pub length_hint: &'static str,
+    /// Shared parts of a prompt in order, as `ID:TOKENS` by commas.
+    pub prompt_parts: &'static str,
+    /// Last event that the reader of a stream has.
+    pub last_event: &'static str,
+    /// Load of a target: running, waiting and slots by commas.
+    pub load: &'static str,
+}
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -13,7 +13,7 @@
     RefusalReason, RequestId, RetryReason, TargetId, TierRank, Uptime, Verdict, VmId, WorkMicros,
 };
 
-use crate::budget::RetryBudget;
+use crate::budget::{RetryBudget, RetryLimits};
 
 /// Times and bounds of an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -30,6 +30,10 @@
     pub attempt_limit: u32,
     /// Time for which a silent scheduler is passed over.
     pub avoid_for: Duration,
+    /// Asks sent to a silent scheduler before it is passed over.
+    pub ask_tries: u32,
+    /// Retries in each pool.
+    pub retries: RetryLimits,
 }
 
 impl Default for EntryOptions {
@@ -41,6 +45,8 @@
             key_tries: 3,
             attempt_limit: 3,
             avoid_for: Duration::from_secs(3),
+            ask_tries: 2,
+            retries: RetryLimits::default(),
         }
     }
 }
@@ -58,12 +64,18 @@
     pub account: AccountId,
     /// Time until its deadline.
     pub time_left: Duration,
+    /// Time for which it may wait for a target.
+    pub wait_limit: Duration,
+    /// Targets that it may be sent to, `None` for the entry's own limit.
+    pub attempt_limit: Option<u32>,
     /// Prompt work.
     pub prompt_work: WorkMicros,
     /// Other work.
     pub output_work: WorkMicros,
     /// Hash of the prompt's beginning.
     pub prefix: Option<u64>,
+    /// What it counts against its account's shared rate.
+    pub cost: u64,
     /// The key of a request that may not be repeated, with the caller's attempt number.
     pub key: Option<(String, Option<u32>)>,
 }
@@ -110,6 +122,7 @@
 struct EntryRequest {
     spec: RequestSpec,
     deadline: Uptime,
+    wait_until: Uptime,
     attempt: u32,
     avoid: Vec<TargetId>,
     /// Why the latest attempt did not run.
@@ -121,7 +134,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct EntryRequests {
     options: EntryOptions,
-    budget: RetryBudget,
+    budgets: BTreeMap<PoolId, RetryBudget>,
+    /// Daemons that share the budgets.
+    daemons: u64,
     requests: BTreeMap<RequestId, EntryRequest>,
     /// Schedulers that were silent, and until when they are passed over.
     silent: BTreeMap<VmId, Uptime>,
@@ -135,7 +150,8 @@
     pub fn new(options: EntryOptions) -> EntryRequests {
         EntryRequests {
             options,
-            budget: RetryBudget::default(),
+            budgets: BTreeMap::new(),
+            daemons: 1,
             requests: BTreeMap::new(),
             silent: BTreeMap::new(),
         }
@@ -165,12 +181,20 @@
         spec: RequestSpec,
         order: SchedulerOrder<'_>,
     ) -> Vec<EntryAction> {
-        self.budget.earn();
+        self.budget_of(&spec.pool).earn();
         let deadline = now + spec.time_left;
         let id = spec.request;
+        let wait_until = now + spec.wait_limit;
         let phase = RequestPhase::Claiming { tries: 1, sent: now };
-        let request =
-            EntryRequest { spec, deadline, attempt: 0, avoid: Vec::new(), failed: None, phase };
+        let request = EntryRequest {
+            spec,
+            deadline,
+            wait_until,
+            attempt: 0,
+            avoid: Vec::new(),
+            failed: None,
+            phase,
+        };
         let claim = request.claim();
         self.requests.insert(id, request);
         match claim {
@@ -260,8 +284,12 @@
         }
         request.attempt += 1;
         request.failed = Some(retry);
+        // It was offered in time; from here on only its deadline counts.
+        request.wait_until = request.deadline;
         let in_time = now < request.deadline;
-        if in_time && request.attempt < self.options.attempt_limit && self.budget.spend() {
+        let attempt_limit = request.spec.attempt_limit.unwrap_or(self.options.attempt_limit);
+        let pool = request.spec.pool.clone();
+        if in_time && request.attempt < attempt_limit && self.budget_of(&pool).spend() {
             actions.push(EntryAction::Count(retry));
             actions.extend(self.ask(now, id, order));
             return actions;
@@ -404,9 +432,10 @@
             return vec![EntryAction::AskPermit(scheduler, request.permit_ask(now))];
         }
         let mut actions = vec![EntryAction::Count(RetryReason::SchedulerSilent)];
-        if silent == 0 {
+        if silent + 1 < self.options.ask_tries {
+            let silent = silent + 1;
             request.phase =
-                RequestPhase::Waiting { scheduler: scheduler.clone(), sent: now, heard, silent: 1 };
+                RequestPhase::Waiting { scheduler: scheduler.clone(), sent: now, heard, silent };
             actions.push(EntryAction::AskPermit(scheduler, request.permit_ask(now)));
             return actions;
         }
@@ -521,6 +550,20 @@
         best.map(|daemon| daemon.vm.clone()).unwrap_or_default()
     }
 
+    /// So many daemons share the retry budgets.
+    pub fn set_daemons(&mut self, daemons: u64) {
+        self.daemons = daemons;
+        self.budgets.values_mut().for_each(|budget| budget.set_daemons(daemons));
+    }
+
+    fn budget_of(&mut self, pool: &PoolId) -> &mut RetryBudget {
+        if !self.budgets.contains_key(pool) {
+            let budget = RetryBudget::new(self.options.retries, self.daemons);
+            self.budgets.insert(pool.clone(), budget);
+        }
+        self.budgets.entry(pool.clone()).or_default()
+    }
+
     fn set_phase(&mut self, id: RequestId, phase: RequestPhase) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.phase = phase;
@@ -567,6 +610,7 @@
             tier: self.spec.tier,
             account: self.spec.account.clone(),
             time_left: self.deadline.saturating_sub(now),
+            wait_limit: self.wait_until.saturating_sub(now),
             prompt_work: self.spec.prompt_work,
             output_work: self.spec.output_work,
             prefix: self.spec.prefix,
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -6,9 +6,13 @@
 use std::hash::Hasher;
 use std::time::Duration;
 
-use curlewcleat_core::{DaemonId, Generation, Heartbeat, Incarnation, ObjectVersion, Uptime, VmId};
+use curlewcleat_core::{
+    AccountId, DaemonId, Generation, Heartbeat, Incarnation, ObjectVersion, Uptime, VmId,
+};
 use siphasher::sip::SipHasher13;
 
+use crate::share::FleetDemand;
+
 /// Silence after which a peer is forgotten altogether.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
@@ -43,6 +47,8 @@
     pub table: ObjectVersion,
     /// Whether it takes no role.
     pub draining: bool,
+    /// Units a second that the accounts ask for there.
+    pub demands: BTreeMap<AccountId, u64>,
     /// Whether it is reachable.
     pub live: bool,
     last_heard: Uptime,
@@ -107,6 +113,7 @@
             generation: beat.generation,
             table: beat.table,
             draining: beat.draining,
+            demands: beat.demands.iter().cloned().collect(),
             live: true,
             last_heard: now,
         };
@@ -116,6 +123,12 @@
         ended
     }
 
+    /// Addresses at which daemons may live.
+    pub fn hint(&mut self, addresses: Vec<String>) {
+        let others = addresses.into_iter().filter(|address| *address != self.options.address);
+        self.hinted.extend(others);
+    }
+
     /// Lets time pass. Returns the daemons that became unreachable.
     pub fn tick(&mut self, now: Uptime) -> Vec<DaemonId> {
         let mut lost = Vec::new();
@@ -153,6 +166,7 @@
             generation,
             table,
             draining: self.draining,
+            demands: Vec::new(),
             known: known.map(|address| address.to_string()).collect(),
         };
         self.named = begin + KNOWN_EACH;
@@ -169,6 +183,14 @@
         addresses
     }
 
+    /// What the other daemons' word says for the share of an account's rate.
+    pub fn fleet_demand(&self, account: &AccountId) -> FleetDemand {
+        let live = self.peers.values().filter(|peer| peer.live);
+        let demands = live.map(|peer| peer.demands.get(account).copied().unwrap_or(0));
+        let silent = self.peers.values().filter(|peer| !peer.live).count();
+        FleetDemand { live: demands.collect(), silent }
+    }
+
     /// Known peers.
     pub fn peers(&self) -> &BTreeMap<VmId, PeerState> {
         &self.peers
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -335,7 +335,8 @@
         if estimate > time_left {
             return Err(Refusal::not_run(RefusalReason::DeadlineUnreachable, None));
         }
-        if self.wait_estimate(ask, &limit) + estimate > time_left {
+        let wait = self.wait_estimate(ask, &limit);
+        if wait + estimate > time_left || wait > ask.wait_limit.as_micros() as u64 {
             let refusal = self.capacity_refusal(now, ask.tier, RefusalReason::DeadlineUnreachable);
             self.shed_below(now, ask.tier, actions);
             return Err(refusal);
@@ -526,7 +527,9 @@
         let work = ask.prompt_work + ask.output_work;
         let deadline = now + ask.time_left;
         let estimate = with_margin(self.fastest_estimate(&ask));
-        let latest_start = deadline.saturating_sub(Duration::from_micros(estimate));
+        let latest_start = deadline
+            .saturating_sub(Duration::from_micros(estimate))
+            .min(now.saturating_add(ask.wait_limit));
         let order = now + Duration::from_micros(work * AGE_PER_WORK);
         WaitingAsk { entry, ask, deadline, latest_start, order, work }
     }
--- a/crates/sched/tests/pools.rs
+++ b/crates/sched/tests/pools.rs
@@ -21,8 +21,13 @@
     let second = Duration::from_secs(1);
     let entries = (0..targets).map(|index| {
         let id = format!("t{index}");
-        let entry =
-            TargetEntry { id: id.clone(), address: String::new(), vm: format!("vm{index}"), slots };
+        let entry = TargetEntry {
+            id: id.clone(),
+            address: String::new(),
+            vm: format!("vm{index}"),
+            data_centre: String::new(),
+            slots,
+        };
         (id, entry)
     });
     TargetPool {
@@ -40,6 +45,7 @@
         resumable: false,
         reuse_connections: false,
         report_path: None,
+        connection_limit: None,
         targets: entries.collect(),
     }
 }
@@ -56,6 +62,7 @@
         pool: POOL.to_string(),
         tier,
         account: account.to_string(),
+        wait_limit: std::time::Duration::from_secs(86_400),
         time_left: left,
         prompt_work: 0,
         output_work: 100_000,
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -2,16 +2,20 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
-use actix_codec::Framed;
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
+use actix_codec::{AsyncRead, Framed, ReadBuf};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec};
 use actix_http::ResponseHead;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use tokio::net::TcpStream;
 
 use crate::pool::ConnectionPool;
 
+/// Bytes read at once from an answer that ends with its connection.
+const READ_SIZE: usize = 16 << 10;
+
 /// The body ended before its own end mark.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("targets: the answer was cut: {0}")]
@@ -25,11 +29,26 @@
     pub body: AnswerBody,
 }
 
+/// Where a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyFrame {
+    /// There is none.
+    Empty,
+    /// After its length, or its last chunk.
+    Framed,
+    /// With its connection.
+    UntilClose,
+}
+
 enum BodyState {
     /// No body.
     Empty(Framed<TcpStream, ClientCodec>),
     /// Parts are awaited.
     Open(Framed<TcpStream, ClientPayloadCodec>),
+    /// Parts are awaited until the connection ends; the bytes came with the head.
+    UntilClose(TcpStream, BytesMut),
+    /// Whole; the connection may be used again.
+    Whole(Framed<TcpStream, ClientCodec>),
     /// Ended, whole or cut.
     Ended,
 }
@@ -38,6 +57,8 @@
 /// last chunk; then the connection goes back to its pool.
 pub struct AnswerBody {
     state: BodyState,
+    reusable: bool,
+    idle_limit: Option<Duration>,
     address: String,
     pool: ConnectionPool,
 }
@@ -45,31 +66,84 @@
 impl AnswerBody {
     pub(crate) fn new(
         framed: Framed<TcpStream, ClientCodec>,
+        frame: BodyFrame,
+        reusable: bool,
         address: String,
         pool: ConnectionPool,
     ) -> AnswerBody {
-        let state = match framed.codec_ref().message_type() {
-            MessageType::None => BodyState::Empty(framed),
-            _ => BodyState::Open(framed.into_map_codec(ClientCodec::into_payload_codec)),
+        let state = match frame {
+            BodyFrame::Empty => BodyState::Empty(framed),
+            BodyFrame::Framed => {
+                BodyState::Open(framed.into_map_codec(ClientCodec::into_payload_codec))
+            }
+            BodyFrame::UntilClose => {
+                let parts = framed.into_parts();
+                BodyState::UntilClose(parts.io, parts.read_buf)
+            }
         };
-        AnswerBody { state, address, pool }
+        AnswerBody { state, reusable, idle_limit: None, address, pool }
+    }
+
+    /// The target closes the connection after it has rested for so long.
+    pub fn set_idle_limit(&mut self, limit: Duration) {
+        self.idle_limit = Some(limit);
+    }
+
+    /// The connection is not used again after this answer.
+    pub fn set_last(&mut self) {
+        self.reusable = false;
+    }
+
+    /// The connection after a whole body that is not given back to the pool.
+    pub(crate) fn into_connection(self) -> Option<Framed<TcpStream, ClientCodec>> {
+        match self.state {
+            BodyState::Whole(framed) => Some(framed),
+            _ => None,
+        }
     }
 
     /// Gives the connection back if it may be used again and nothing was left to read on it.
     fn release(&mut self) {
-        let (stream, reusable) = match std::mem::replace(&mut self.state, BodyState::Ended) {
-            BodyState::Empty(framed) => {
-                let reusable = framed.codec_ref().keep_alive() && framed.is_read_buf_empty();
-                (framed.into_parts().io, reusable)
-            }
+        let framed = match std::mem::replace(&mut self.state, BodyState::Ended) {
+            BodyState::Empty(framed) => framed,
             BodyState::Open(framed) => {
-                let reusable = framed.codec_ref().keep_alive() && framed.is_read_buf_empty();
-                (framed.into_parts().io, reusable)
+                framed.into_map_codec(ClientPayloadCodec::into_message_codec)
             }
-            BodyState::Ended => return,
+            _ => return,
+        };
+        if !framed.codec_ref().keep_alive() {
+            return;
+        }
+        if self.reusable && framed.is_read_buf_empty() {
+            self.pool.put_idle(&self.address, framed.into_parts().io, self.idle_limit);
+        } else {
+            self.state = BodyState::Whole(framed);
+        }
+    }
+
+    fn poll_until_close(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, BodyCut>>> {
+        let BodyState::UntilClose(stream, early) = &mut self.state else {
+            return Poll::Ready(None);
         };
-        if reusable {
-            self.pool.put_idle(&self.address, stream);
+        if !early.is_empty() {
+            return Poll::Ready(Some(Ok(early.split().freeze())));
+        }
+        let mut space = [0u8; READ_SIZE];
+        let mut buffer = ReadBuf::new(&mut space);
+        match Pin::new(stream).poll_read(context, &mut buffer) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Ok(())) if buffer.filled().is_empty() => {
+                self.state = BodyState::Ended;
+                Poll::Ready(None)
+            }
+            Poll::Ready(Ok(())) => Poll::Ready(Some(Ok(Bytes::copy_from_slice(buffer.filled())))),
+            Poll::Ready(Err(error)) => {
+                self.state = BodyState::Ended;
+                Poll::Ready(Some(Err(BodyCut(error.to_string()))))
+            }
         }
     }
 }
@@ -79,11 +153,12 @@
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let polled = match &mut self.state {
-            BodyState::Ended => return Poll::Ready(None),
+            BodyState::Ended | BodyState::Whole(_) => return Poll::Ready(None),
             BodyState::Empty(_) => {
                 self.release();
                 return Poll::Ready(None);
             }
+            BodyState::UntilClose(..) => return self.poll_until_close(context),
             BodyState::Open(framed) => Pin::new(framed).next_item(context),
         };
         let cut = match polled {
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -2,16 +2,21 @@
 
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::task::{Context, Poll};
 
 use actix_codec::Framed;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::h1::{ClientCodec, Message, MessageType};
-use actix_http::header::{self, HeaderValue};
+use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
+use futures_util::StreamExt;
 use tokio::net::TcpStream;
 
-use crate::answer::{AnswerBody, TargetAnswer};
-use crate::pool::PooledConnection;
+use crate::answer::{AnswerBody, BodyFrame, TargetAnswer};
+use crate::pool::{ConnectionPool, PooledConnection};
+
+/// Answers to earlier requests that one exchange passes over.
+const STALE_LIMIT: usize = 4;
 
 /// How an exchange fails before its answer begins.
 #[derive(Debug, thiserror::Error)]
@@ -33,6 +38,16 @@
 /// Result of an exchange.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// How the answers of a target are told apart and where they may end.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ExchangeOptions {
+    /// Header and value that the answer has to repeat. Answers that repeat another value belong to
+    /// earlier requests on this connection and are passed over.
+    pub echo: Option<(HeaderName, String)>,
+    /// Whether an answer may end with its connection.
+    pub unframed: bool,
+}
+
 type Connection = Framed<TcpStream, ClientCodec>;
 
 impl PooledConnection {
@@ -41,78 +56,186 @@
     ///
     /// # Errors
     /// Any but [`Error::Connect`]: from here on bytes may have been written.
-    pub async fn exchange<B>(self, mut head: RequestHead, body: B) -> Result<TargetAnswer>
+    pub async fn exchange<B>(self, head: RequestHead, body: B) -> Result<TargetAnswer>
+    where
+        B: MessageBody,
+        B::Error: std::fmt::Display,
+    {
+        self.exchange_with(head, body, &ExchangeOptions::default()).await
+    }
+
+    /// As [`exchange`](PooledConnection::exchange), for targets that need options.
+    ///
+    /// # Errors
+    /// Any but [`Error::Connect`]: from here on bytes may have been written.
+    pub async fn exchange_with<B>(
+        self,
+        mut head: RequestHead,
+        body: B,
+        options: &ExchangeOptions,
+    ) -> Result<TargetAnswer>
     where
         B: MessageBody,
         B::Error: std::fmt::Display,
     {
-        let host = HeaderValue::from_str(&self.address)
-            .map_err(|error| Error::Protocol(error.to_string()))?;
-        head.headers.insert(header::HOST, host);
+        if !head.headers.contains_key(header::HOST) {
+            let host = HeaderValue::from_str(&self.address)
+                .map_err(|error| Error::Protocol(error.to_string()))?;
+            head.headers.insert(header::HOST, host);
+        }
         let method = head.method.clone();
         let mut framed = Framed::new(self.stream, ClientCodec::default());
-        send(&mut framed, head, body).await?;
-        let answer_head = loop {
-            let answer_head = receive_head(&mut framed).await?;
-            if !answer_head.status.is_informational() {
-                break answer_head;
+        let mut upload = Upload::begin(&mut framed, head, body)?;
+        for _ in 0..STALE_LIMIT {
+            let answer_head = upload.answer_head(&mut framed).await?;
+            if answer_head.status.is_informational() {
+                continue;
+            }
+            let frame = body_frame(&method, &answer_head, &framed, options.unframed)?;
+            if !belongs(&answer_head.headers, options)? {
+                framed = skip_body(framed, frame, &self.address, &self.pool).await?;
+                continue;
             }
-        };
-        check_length(&method, &answer_head, framed.codec_ref().message_type())?;
-        let body = AnswerBody::new(framed, self.address, self.pool);
-        Ok(TargetAnswer { head: answer_head, body })
+            let reusable = upload.is_done();
+            let body = AnswerBody::new(framed, frame, reusable, self.address, self.pool);
+            return Ok(TargetAnswer { head: answer_head, body });
+        }
+        Err(Error::Protocol("too many answers to earlier requests".to_string()))
     }
 }
 
-async fn send<B>(framed: &mut Connection, head: RequestHead, body: B) -> Result<()>
+/// The sending of a request while its answer may already come.
+struct Upload<B> {
+    body: Pin<Box<B>>,
+    /// Whether all of the body is in the write buffer.
+    written: bool,
+    /// Whether all of it has left.
+    flushed: bool,
+    failed: Option<Error>,
+}
+
+impl<B> Upload<B>
 where
     B: MessageBody,
     B::Error: std::fmt::Display,
 {
-    let size = body.size();
-    let closed = |error: std::io::Error| Error::Closed(error.to_string());
-    let message = Message::Item((RequestHeadType::Owned(head), size));
-    Pin::new(&mut *framed).write(message).map_err(closed)?;
-    if !matches!(size, BodySize::None | BodySize::Sized(0)) {
-        let mut body = std::pin::pin!(body);
-        while let Some(part) = poll_fn(|context| body.as_mut().poll_next(context)).await {
-            let part = part.map_err(|error| Error::Upload(error.to_string()))?;
-            Pin::new(&mut *framed).write(Message::Chunk(Some(part))).map_err(closed)?;
-            flush(framed).await?;
+    fn begin(framed: &mut Connection, head: RequestHead, body: B) -> Result<Upload<B>> {
+        let size = body.size();
+        let message = Message::Item((RequestHeadType::Owned(head), size));
+        Pin::new(framed).write(message).map_err(closed)?;
+        let written = matches!(size, BodySize::None | BodySize::Sized(0));
+        Ok(Upload { body: Box::pin(body), written, flushed: false, failed: None })
+    }
+
+    fn is_done(&self) -> bool {
+        self.flushed
+    }
+
+    /// Sends on and reads, whichever can go on, until the head of an answer is there.
+    async fn answer_head(&mut self, framed: &mut Connection) -> Result<ResponseHead> {
+        poll_fn(|context| {
+            if !self.flushed && self.failed.is_none() {
+                if let Poll::Ready(Err(error)) = self.poll_send(framed, context) {
+                    if matches!(error, Error::Upload(_)) {
+                        return Poll::Ready(Err(error));
+                    }
+                    // The target may have answered before it closed.
+                    self.failed = Some(error);
+                }
+            }
+            match Pin::new(&mut *framed).next_item(context) {
+                Poll::Pending => match self.failed.take() {
+                    Some(error) => Poll::Ready(Err(error)),
+                    None => Poll::Pending,
+                },
+                Poll::Ready(Some(Ok(head))) => Poll::Ready(Ok(head)),
+                Poll::Ready(Some(Err(actix_http::error::ParseError::Io(error)))) => {
+                    Poll::Ready(Err(closed(error)))
+                }
+                Poll::Ready(Some(Err(error))) => {
+                    Poll::Ready(Err(Error::Protocol(error.to_string())))
+                }
+                Poll::Ready(None) => {
+                    Poll::Ready(Err(Error::Closed("before the answer".to_string())))
+                }
+            }
+        })
+        .await
+    }
+
+    fn poll_send(
+        &mut self,
+        framed: &mut Connection,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<()>> {
+        type Sent = Message<(RequestHeadType, BodySize)>;
+        loop {
+            std::task::ready!(Pin::new(&mut *framed).flush::<Sent>(context)).map_err(closed)?;
+            if self.written {
+                self.flushed = true;
+                return Poll::Ready(Ok(()));
+            }
+            match std::task::ready!(self.body.as_mut().poll_next(context)) {
+                Some(Ok(part)) => {
+                    Pin::new(&mut *framed).write(Message::Chunk(Some(part))).map_err(closed)?;
+                }
+                Some(Err(error)) => return Poll::Ready(Err(Error::Upload(error.to_string()))),
+                None => {
+                    Pin::new(&mut *framed).write(Message::Chunk(None)).map_err(closed)?;
+                    self.written = true;
+                }
+            }
         }
-        Pin::new(&mut *framed).write(Message::Chunk(None)).map_err(closed)?;
     }
-    flush(framed).await
 }
 
-async fn flush(framed: &mut Connection) -> Result<()> {
-    let flushed = poll_fn(|context| {
-        Pin::new(&mut *framed).flush::<Message<(RequestHeadType, BodySize)>>(context)
-    });
-    flushed.await.map_err(|error| Error::Closed(error.to_string()))
+fn closed(error: std::io::Error) -> Error {
+    Error::Closed(error.to_string())
 }
 
-async fn receive_head(framed: &mut Connection) -> Result<ResponseHead> {
-    match poll_fn(|context| Pin::new(&mut *framed).next_item(context)).await {
-        Some(Ok(head)) => Ok(head),
-        Some(Err(actix_http::error::ParseError::Io(error))) => {
-            Err(Error::Closed(error.to_string()))
-        }
-        Some(Err(error)) => Err(Error::Protocol(error.to_string())),
-        None => Err(Error::Closed("before the answer".to_string())),
+/// Whether an answer belongs to the request that waits for one.
+fn belongs(headers: &HeaderMap, options: &ExchangeOptions) -> Result<bool> {
+    let Some((name, wanted)) = &options.echo else { return Ok(true) };
+    match headers.get(name) {
+        Some(value) => Ok(value.as_bytes() == wanted.as_bytes()),
+        None => Err(Error::Protocol("an answer that names no request".to_string())),
+    }
+}
+
+/// Reads the rest of an answer to an earlier request and gives the connection back.
+async fn skip_body(
+    framed: Connection,
+    frame: BodyFrame,
+    address: &str,
+    pool: &ConnectionPool,
+) -> Result<Connection> {
+    let mut body = AnswerBody::new(framed, frame, false, address.to_string(), pool.clone());
+    while let Some(part) = body.next().await {
+        part.map_err(|cut| Error::Closed(cut.to_string()))?;
     }
+    body.into_connection()
+        .ok_or_else(|| Error::Closed("after an answer to an earlier request".to_string()))
 }
 
-/// An answer that ends with its connection cannot be told from a cut one, so it is not taken.
-fn check_length(method: &Method, head: &ResponseHead, kind: MessageType) -> Result<()> {
+/// How the body of an answer is framed. One that ends with its connection cannot be told from one
+/// whose target ended in between, so it is taken only where that is allowed.
+fn body_frame(
+    method: &Method,
+    head: &ResponseHead,
+    framed: &Connection,
+    unframed: bool,
+) -> Result<BodyFrame> {
     let bodiless = *method == Method::HEAD
         || head.status == StatusCode::NO_CONTENT
         || head.status == StatusCode::NOT_MODIFIED;
-    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
+    let has_length = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
-    match kind {
+    match framed.codec_ref().message_type() {
+        _ if bodiless => Ok(BodyFrame::Empty),
+        MessageType::None if has_length => Ok(BodyFrame::Empty),
+        MessageType::Payload if has_length => Ok(BodyFrame::Framed),
+        _ if unframed => Ok(BodyFrame::UntilClose),
         MessageType::Stream => Err(Error::Protocol("an answer without its own end".to_string())),
-        _ if bodiless || framed => Ok(()),
         _ => Err(Error::Protocol("an answer without its length".to_string())),
     }
 }
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -10,5 +10,5 @@
 mod pool;
 
 pub use answer::{AnswerBody, BodyCut, TargetAnswer};
-pub use connection::{Error, Result};
+pub use connection::{Error, ExchangeOptions, Result};
 pub use pool::{ConnectionOptions, ConnectionPool, PooledConnection};
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -35,6 +35,13 @@
 struct IdleConnection {
     stream: TcpStream,
     since: Instant,
+    limit: Duration,
+}
+
+impl IdleConnection {
+    fn is_fresh(&self) -> bool {
+        self.since.elapsed() < self.limit
+    }
 }
 
 /// Connections of one thread to the targets of one pool.
@@ -71,29 +78,42 @@
         Ok(PooledConnection { stream, address: address.to_string(), pool: self.clone() })
     }
 
+    /// A new connection, whatever rests.
+    ///
+    /// # Errors
+    /// [`Error::Connect`] where the target does not take the connection within `limit`.
+    pub async fn connect_new(&self, address: &str, limit: Duration) -> Result<PooledConnection> {
+        let stream = connect(address, limit).await?;
+        Ok(PooledConnection { stream, address: address.to_string(), pool: self.clone() })
+    }
+
     fn take_idle(&self, address: &str) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
-        connections.retain(|connection| {
-            connection.since.elapsed() < self.options.idle_limit && is_sound(&connection.stream)
-        });
+        connections.retain(|connection| connection.is_fresh() && is_sound(&connection.stream));
         // The newest that has rested is the least likely to be closed by its target meanwhile.
         let rested = |connection: &IdleConnection| connection.since.elapsed() >= self.options.rest;
         let place = connections.iter().rposition(rested)?;
         Some(connections.remove(place).stream)
     }
 
-    pub(crate) fn put_idle(&self, address: &str, stream: TcpStream) {
+    /// Keeps a connection for a further request; `limit` is the time for which its target does.
+    pub(crate) fn put_idle(&self, address: &str, stream: TcpStream, limit: Option<Duration>) {
         if self.options.idle_count == 0 {
             return;
         }
         let mut idle = self.idle.borrow_mut();
+        idle.retain(|_, connections| {
+            connections.retain(IdleConnection::is_fresh);
+            !connections.is_empty()
+        });
         let connections = idle.entry(address.to_string()).or_default();
         // The oldest connections are the least likely to be sound.
         if connections.len() >= self.options.idle_count {
             connections.remove(0);
         }
-        connections.push(IdleConnection { stream, since: Instant::now() });
+        let limit = limit.unwrap_or(self.options.idle_limit).min(self.options.idle_limit);
+        connections.push(IdleConnection { stream, since: Instant::now(), limit });
     }
 }
 
