--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
 
-use curlewcleat_config::DaemonSettings;
+use curlewcleat_config::{DaemonSettings, FleetBounds};
 use curlewcleat_core::{ActiveConfig, RequestId, WallTime};
 use curlewcleat_node::{CallerDecision, NodeEvent, NodeStatus};
 use curlewcleat_sched::RequestSpec;
@@ -37,6 +37,7 @@
     config: Arc<RwLock<Arc<ActiveConfig>>>,
     brain: mpsc::UnboundedSender<BrainMessage>,
     draining: Arc<AtomicBool>,
+    bounds: Arc<RwLock<FleetBounds>>,
     born: Instant,
 }
 
@@ -48,6 +49,7 @@
         brain: mpsc::UnboundedSender<BrainMessage>,
     ) -> DaemonContext {
         DaemonContext {
+            bounds: Arc::new(RwLock::new(settings.bounds.clone())),
             settings: Arc::new(settings),
             metrics,
             config: Arc::default(),
@@ -83,6 +85,22 @@
         }
     }
 
+    /// The bounds in force.
+    pub fn bounds(&self) -> FleetBounds {
+        match self.bounds.read() {
+            Ok(bounds) => bounds.clone(),
+            Err(poisoned) => poisoned.into_inner().clone(),
+        }
+    }
+
+    /// Puts bounds in force.
+    pub fn set_bounds(&self, bounds: FleetBounds) {
+        match self.bounds.write() {
+            Ok(mut current) => *current = bounds,
+            Err(poisoned) => *poisoned.into_inner() = bounds,
+        }
+    }
+
     /// The planned stop has begun.
     pub fn set_draining(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -2,7 +2,9 @@
 //! themselves.
 
 mod follow;
+mod reload;
 
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +21,7 @@
 use spdlog::prelude::*;
 use tokio::sync::mpsc;
 
+use self::reload::SettingsReloader;
 use crate::brain::BrainLoop;
 use crate::context::DaemonContext;
 use crate::gateway::{ConfigProof, Gateway};
@@ -38,11 +41,20 @@
 ///
 /// # Errors
 /// Where an address cannot be bound.
-pub fn run_fleet_daemon(settings: DaemonSettings, platform: Box<dyn FleetPlatform>) -> Result<()> {
-    actix_rt::System::new().block_on(run(settings, Rc::from(platform)))
+pub fn run_fleet_daemon(
+    settings: DaemonSettings,
+    settings_path: &Path,
+    platform: Box<dyn FleetPlatform>,
+) -> Result<()> {
+    let reloader = SettingsReloader::new(settings.clone(), settings_path);
+    actix_rt::System::new().block_on(run(settings, reloader, Rc::from(platform)))
 }
 
-async fn run(settings: DaemonSettings, platform: Rc<dyn FleetPlatform>) -> Result<()> {
+async fn run(
+    settings: DaemonSettings,
+    reloader: SettingsReloader,
+    platform: Rc<dyn FleetPlatform>,
+) -> Result<()> {
     let incarnation: Incarnation = rand::random();
     let counts = Arc::new(TransportCounts::default());
     let metrics = Arc::new(DaemonMetrics::new(Arc::clone(&counts)).context("metrics")?);
@@ -56,6 +68,7 @@
     let record = DaemonRecord { daemon: me, address: settings.advertised_address.clone() };
     follow::follow_fleet(platform, context.clone(), proof, record);
     watch_signals(context.clone())?;
+    reloader.follow(context.clone())?;
     info!("started", kv: { vm = settings.vm.as_str(), incarnation });
 
     BrainLoop::new(node, context, transport, None).run(messages).await;
@@ -108,7 +121,7 @@
     proof: Rc<ConfigProof>,
     request: Request,
 ) -> Response<BoxBody> {
-    let limit = context.settings.bounds.config_age_limit;
+    let limit = context.bounds().config_age_limit;
     let stale = limit.is_some_and(|limit| !proof.is_within(limit));
     if stale && request.path() == "/readyz" {
         return Response::with_body(
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -56,8 +56,8 @@
     async fn follow_config(self: Rc<Self>) {
         let mut known: ObjectVersion = 0;
         let mut pause = CallPause::default();
-        let every = self.context.settings.bounds.config_apply_limit / READS_PER_APPLY;
         loop {
+            let every = self.context.bounds().config_apply_limit / READS_PER_APPLY;
             let sent = Instant::now();
             match self.platform.read_config(known).await {
                 Ok(ConfigRead::Absent) => pause.wait().await,
@@ -148,7 +148,9 @@
             match self.platform.list_daemons().await {
                 Ok(records) => {
                     let addresses = records.into_iter().map(|record| record.address).collect();
-                    return self.context.tell(NodeEvent::PeersRecorded(addresses));
+                    return self
+                        .context
+                        .tell(NodeEvent::PeersRecorded { addresses, complete: true });
                 }
                 Err(error) => pause.failed("list_daemons", &error, &self.context).await,
             }
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -148,13 +148,13 @@
 
     /// Whether the configuration is proved young enough for requests with a key.
     pub(super) fn is_proved(&self) -> bool {
-        let limit = self.context.settings.bounds.config_age_limit;
+        let limit = self.context.bounds().config_age_limit;
         limit.is_none_or(|limit| self.proof.is_within(limit))
     }
 
     /// What is unknown here is refused for good only where the configuration is surely the newest.
     fn denied(&self, reason: RefusalReason) -> Refusal {
-        if self.proof.is_within(self.context.settings.bounds.config_apply_limit) {
+        if self.proof.is_within(self.context.bounds().config_apply_limit) {
             return Refusal::not_run(reason, None);
         }
         unserved(RefusalReason::ConfigurationStale)
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -51,7 +51,7 @@
         PlatformKind::Files => curlewcleatd::run_daemon(settings)?,
         PlatformKind::Fleet => {
             let platform = NativePlatform::new(&settings.platform_address, settings.platform_limit);
-            curlewcleatd::run_fleet_daemon(settings, Box::new(platform))?;
+            curlewcleatd::run_fleet_daemon(settings, &arguments.settings, Box::new(platform))?;
         }
     }
     Ok(ExitCode::SUCCESS)
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -53,7 +53,12 @@
     /// Targets that announced themselves at the platform, all of them.
     TargetsRead(Vec<DiscoveredTarget>),
     /// Addresses of daemons that are recorded at the platform.
-    PeersRecorded(Vec<String>),
+    PeersRecorded {
+        /// The addresses.
+        addresses: Vec<String>,
+        /// Whether these are all that are recorded.
+        complete: bool,
+    },
     /// The platform's VM list.
     VmsRead(Vec<ListedVm>),
     /// Begin a planned stop.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -136,7 +136,9 @@
                 self.send_answers(actions);
             }
             NodeEvent::TargetsRead(targets) => self.targets_read(targets),
-            NodeEvent::PeersRecorded(addresses) => self.members.hint(addresses),
+            NodeEvent::PeersRecorded { addresses, complete } => {
+                self.members.hint(addresses, complete)
+            }
             NodeEvent::VmsRead(list) => self.vms_read(&list),
             NodeEvent::Drain => self.begin_drain(),
         }
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -19,7 +19,7 @@
             self.entry_ended(&lost);
         }
         self.review_takers();
-        self.entry.set_daemons(self.members.peers().len() as u64 + 1);
+        self.entry.set_daemons(self.members.fleet_size() as u64);
         let orders = &self.orders;
         let members = &self.members;
         let actions = self.entry.tick(self.now, &|pool| order_of(orders, members, pool));
@@ -61,7 +61,7 @@
     }
 
     pub(super) fn heartbeat(&mut self) -> Heartbeat {
-        let demands = self.shares.demands(self.now);
+        let demands = self.shares.tell(self.now);
         let beat = self.members.heartbeat(self.store.generation(), self.home.version());
         Heartbeat { demands, ..beat }
     }
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -16,6 +16,9 @@
 /// Silence after which a peer is forgotten altogether.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
+/// Daemons that there may be where nobody has named them yet.
+const UNKNOWN_FLEET: usize = 16;
+
 /// Known addresses that one heartbeat names.
 const KNOWN_EACH: usize = 4;
 
@@ -66,6 +69,8 @@
     named: usize,
     /// Whether the set of role takers may have changed since it was last asked for.
     changed: bool,
+    /// Whether the platform has named the daemons that it knows.
+    records_known: bool,
 }
 
 impl MemberView {
@@ -79,6 +84,7 @@
             hinted: BTreeSet::new(),
             named: 0,
             changed: true,
+            records_known: false,
         }
     }
 
@@ -123,10 +129,11 @@
         ended
     }
 
-    /// Addresses at which daemons may live.
-    pub fn hint(&mut self, addresses: Vec<String>) {
+    /// Addresses at which daemons may live; `complete` where they are all that the platform has.
+    pub fn hint(&mut self, addresses: Vec<String>, complete: bool) {
         let others = addresses.into_iter().filter(|address| *address != self.options.address);
         self.hinted.extend(others);
+        self.records_known |= complete;
     }
 
     /// Lets time pass. Returns the daemons that became unreachable.
@@ -187,8 +194,19 @@
     pub fn fleet_demand(&self, account: &AccountId) -> FleetDemand {
         let live = self.peers.values().filter(|peer| peer.live);
         let demands = live.map(|peer| peer.demands.get(account).copied().unwrap_or(0));
-        let silent = self.peers.values().filter(|peer| !peer.live).count();
-        FleetDemand { live: demands.collect(), silent }
+        let live: Vec<u64> = demands.collect();
+        let silent = self.fleet_size().saturating_sub(live.len() + 1);
+        FleetDemand { live, silent }
+    }
+
+    /// Daemons that there may be, this one among them. Until the recorded ones are known there may be
+    /// more than have been heard of.
+    pub fn fleet_size(&self) -> usize {
+        let known = self.addresses().len() + 1;
+        match self.records_known {
+            true => known,
+            false => known.max(UNKNOWN_FLEET),
+        }
     }
 
     /// Known peers.
--- a/crates/sched/src/share.rs
+++ b/crates/sched/src/share.rs
@@ -36,15 +36,23 @@
     asked: u64,
     asked_before: u64,
     interval: Uptime,
+    /// The demand that the others were told last; they count on it, so this daemon does too.
+    told: u64,
 }
 
 /// Shares of all accounts.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct AccountShares {
     uses: BTreeMap<AccountId, AccountUse>,
+    born: Uptime,
 }
 
 impl AccountShares {
+    /// Shares of a daemon that begins then.
+    pub fn born(now: Uptime) -> AccountShares {
+        AccountShares { uses: BTreeMap::new(), born: now }
+    }
+
     /// Takes `cost` units out of this daemon's share, or says how long to wait. A daemon begins with
     /// nothing saved, so that restarts multiply no burst.
     ///
@@ -58,9 +66,10 @@
         cost: u64,
         fleet: &FleetDemand,
     ) -> Result<(), Duration> {
-        let used = self.uses.entry(account.clone()).or_insert_with(AccountUse::new);
+        let born = self.born;
+        let used = self.uses.entry(account.clone()).or_insert_with(|| AccountUse::new(born));
         used.count(now, cost);
-        let share = share_permille(used.demand(now), fleet);
+        let share = share_permille(used.told, fleet);
         let per_s = i128::from(rate.per_s) * i128::from(share) / 1_000;
         let limit = i128::from(rate.burst) * i128::from(share) / 1_000 * SCALE;
         let elapsed = now.saturating_sub(used.filled).as_micros() as i128;
@@ -71,26 +80,23 @@
             return Ok(());
         }
         let missing = (1 - used.level) / SCALE + 1;
-        let millis = missing * 1_000 / per_s.max(1);
+        let millis = missing * 1_000 / per_s.max(1) + 1;
         Err(Duration::from_millis(millis.min(60_000) as u64).max(SHORTEST_WAIT))
     }
 
-    /// Units a second asked here, by account, to be told to the others.
-    pub fn demands(&self, now: Uptime) -> Vec<(AccountId, u64)> {
-        let told = |(account, used): (&AccountId, &AccountUse)| (account.clone(), used.demand(now));
-        self.uses.iter().map(told).filter(|(_, demand)| *demand > 0).collect()
+    /// Units a second asked here, by account, to be told to the others now.
+    pub fn tell(&mut self, now: Uptime) -> Vec<(AccountId, u64)> {
+        for used in self.uses.values_mut() {
+            used.told = used.demand(now);
+        }
+        let told = self.uses.iter().map(|(account, used)| (account.clone(), used.told));
+        told.filter(|(_, demand)| *demand > 0).collect()
     }
 }
 
 impl AccountUse {
-    fn new() -> AccountUse {
-        AccountUse {
-            level: 0,
-            filled: Duration::ZERO,
-            asked: 0,
-            asked_before: 0,
-            interval: Duration::ZERO,
-        }
+    fn new(born: Uptime) -> AccountUse {
+        AccountUse { level: 0, filled: born, asked: 0, asked_before: 0, interval: born, told: 0 }
     }
 
     fn count(&mut self, now: Uptime, cost: u64) {
