Entries send nothing to a target that they know to leave; an old view schedules last

Ruled out: a deaf watch at the entry (its list was new). An entry now vetoes such a permit without counting an attempt, and a daemon whose reads of the platform fail says so in its heartbeat and schedules only where all do.

--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -186,6 +186,7 @@
     let address = |index: usize| format!("10.1.{}.{}:7100", index / 250, index % 250 + 1);
     let beat = Heartbeat {
         demands: Vec::new(),
+        stale: false,
         address: address(index),
         data_centre: "dc".to_string(),
         generation: 0,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -76,6 +76,8 @@
     pub table: ObjectVersion,
     /// Whether the sender is draining and takes no role.
     pub draining: bool,
+    /// Whether the sender's view of the platform is old; it takes roles only after all others.
+    pub stale: bool,
     /// Peer addresses that the sender knows, so that a newborn learns the rest.
     pub known: Vec<String>,
     /// Units a second that the accounts ask for at the sender, for the shares of their rates.
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -21,6 +21,8 @@
 
 /// Time between reads of the configuration, in parts of the time in which it has to be in force.
 const READS_PER_APPLY: u32 = 2;
+/// Reads that fail in a row before this daemon's view of the platform counts as old.
+const STALE_READS: u32 = 2;
 /// First pause after a failed call; doubles up to the limit.
 const PAUSE_FIRST: Duration = Duration::from_millis(50);
 const PAUSE_LIMIT: Duration = Duration::from_millis(800);
@@ -69,6 +71,9 @@
                 }
                 Err(error) => {
                     self.proof.fail();
+                    if !self.proof.is_within(every * STALE_READS) {
+                        self.context.tell(NodeEvent::PlatformStale(true));
+                    }
                     pause.failed("read_config", &error, &self.context).await;
                     continue;
                 }
@@ -81,6 +86,7 @@
     fn proved(&self, sent: Instant) {
         if self.proof.is_failing() {
             info!("platform_regained", kv: { call = "read_config" });
+            self.context.tell(NodeEvent::PlatformStale(false));
             self.regained.notify_waiters();
         }
         self.proof.prove(sent);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -52,6 +52,8 @@
     TargetReported(PoolId, TargetId, TargetReport),
     /// Targets that announced themselves at the platform, all of them.
     TargetsRead(Vec<DiscoveredTarget>),
+    /// Whether the view of the platform is too old to give orders by.
+    PlatformStale(bool),
     /// Addresses of daemons that are recorded at the platform.
     PeersRecorded {
         /// The addresses.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -136,6 +136,7 @@
                 self.send_answers(actions);
             }
             NodeEvent::TargetsRead(targets) => self.targets_read(targets),
+            NodeEvent::PlatformStale(stale) => self.platform_stale(stale),
             NodeEvent::PeersRecorded { addresses, complete } => {
                 self.members.hint(addresses, complete)
             }
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -21,12 +21,12 @@
         if !self.members.take_changed() {
             return;
         }
-        let takers = self.members.role_takers();
-        if takers == self.takers {
+        self.takers = self.members.role_takers();
+        let before = std::mem::take(&mut self.orders);
+        self.renew_orders();
+        if before == self.orders {
             return;
         }
-        self.takers = takers;
-        self.renew_orders();
         let orders = &self.orders;
         let members = &self.members;
         let actions =
@@ -34,6 +34,14 @@
         self.perform(actions);
     }
 
+    /// The view of the platform is old, or is not any more; the peers are told at once.
+    pub(super) fn platform_stale(&mut self, stale: bool) {
+        if self.members.set_stale(stale) {
+            self.last_beat = None;
+            self.review_takers();
+        }
+    }
+
     pub(super) fn renew_orders(&mut self) {
         let config = Arc::clone(&self.active);
         self.orders = config
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -89,7 +89,9 @@
 
     pub(super) fn dispatch(&mut self, permit: PermitId, target: &str) {
         let config = Arc::clone(&self.active);
-        let entry = config.pools.values().find_map(|pool| pool.targets.get(target)).cloned();
+        let leaving = self.discovered.iter().any(|known| known.leaving && known.entry.id == target);
+        let entry = config.pools.values().find_map(|pool| pool.targets.get(target));
+        let entry = entry.filter(|_| !leaving).cloned();
         match entry {
             Some(entry) => {
                 self.actions.push(NodeAction::Decide(
@@ -97,7 +99,7 @@
                     CallerDecision::Dispatch(permit, entry),
                 ));
             }
-            // The scheduler has another generation than this daemon; nothing was sent anywhere.
+            // The scheduler's view is older, or newer, than this daemon's; nothing was sent anywhere.
             None => {
                 self.attempt_not_run(permit.request, AttemptEnd::Unused, RetryReason::TargetUnknown)
             }
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -124,6 +124,8 @@
     deadline: Uptime,
     wait_until: Uptime,
     attempt: u32,
+    /// Permits that were not used, since this daemon knows better than to use their targets.
+    unsent: u32,
     avoid: Vec<TargetId>,
     /// Why the latest attempt did not run.
     failed: Option<RetryReason>,
@@ -191,6 +193,7 @@
             deadline,
             wait_until,
             attempt: 0,
+            unsent: 0,
             avoid: Vec::new(),
             failed: None,
             phase,
@@ -283,13 +286,21 @@
             request.avoid.push(target.clone());
         }
         request.attempt += 1;
+        if retry == RetryReason::TargetUnknown {
+            // Nothing was sent, so it counts as no attempt.
+            request.unsent += 1;
+            actions.push(EntryAction::Count(retry));
+            actions.extend(self.ask(now, id, order));
+            return actions;
+        }
         request.failed = Some(retry);
         // It was offered in time; from here on only its deadline counts.
         request.wait_until = request.deadline;
         let in_time = now < request.deadline;
         let attempt_limit = request.spec.attempt_limit.unwrap_or(self.options.attempt_limit);
+        let attempts = request.attempt - request.unsent;
         let pool = request.spec.pool.clone();
-        if in_time && request.attempt < attempt_limit && self.budget_of(&pool).spend() {
+        if in_time && attempts < attempt_limit && self.budget_of(&pool).spend() {
             actions.push(EntryAction::Count(retry));
             actions.extend(self.ask(now, id, order));
             return actions;
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -50,6 +50,8 @@
     pub table: ObjectVersion,
     /// Whether it takes no role.
     pub draining: bool,
+    /// Whether its view of the platform is old.
+    pub stale: bool,
     /// Units a second that the accounts ask for there.
     pub demands: BTreeMap<AccountId, u64>,
     /// Whether it is reachable.
@@ -63,6 +65,8 @@
     me: DaemonId,
     options: MemberOptions,
     draining: bool,
+    /// Whether this daemon's view of the platform is old.
+    stale: bool,
     peers: BTreeMap<VmId, PeerState>,
     hinted: BTreeSet<String>,
     /// Place in the peers from which the next heartbeat names addresses.
@@ -80,6 +84,7 @@
             me,
             options,
             draining: false,
+            stale: false,
             peers: BTreeMap::new(),
             hinted: BTreeSet::new(),
             named: 0,
@@ -99,6 +104,14 @@
         self.changed = true;
     }
 
+    /// This daemon's view of the platform is old, or is not any more. Returns whether that is news.
+    pub fn set_stale(&mut self, stale: bool) -> bool {
+        let news = stale != self.stale;
+        self.stale = stale;
+        self.changed |= news;
+        news
+    }
+
     /// Takes a heartbeat. Returns the daemon that ended, where the VM has started a new one.
     pub fn heard(&mut self, now: Uptime, from: &DaemonId, beat: &Heartbeat) -> Option<DaemonId> {
         if from.vm == self.me.vm {
@@ -119,13 +132,15 @@
             generation: beat.generation,
             table: beat.table,
             draining: beat.draining,
+            stale: beat.stale,
             demands: beat.demands.iter().cloned().collect(),
             live: true,
             last_heard: now,
         };
         let earlier = self.peers.insert(from.vm.clone(), state);
-        let role = |peer: &PeerState| (peer.incarnation, peer.live, peer.draining);
-        self.changed |= earlier.as_ref().map(role) != Some((from.incarnation, true, beat.draining));
+        let role = |peer: &PeerState| (peer.incarnation, peer.live, peer.draining, peer.stale);
+        let present = (from.incarnation, true, beat.draining, beat.stale);
+        self.changed |= earlier.as_ref().map(role) != Some(present);
         ended
     }
 
@@ -173,6 +188,7 @@
             generation,
             table,
             draining: self.draining,
+            stale: self.stale,
             demands: Vec::new(),
             known: known.map(|address| address.to_string()).collect(),
         };
@@ -237,10 +253,19 @@
         takers
     }
 
+    fn is_stale(&self, taker: &DaemonId) -> bool {
+        match self.peers.get(&taker.vm) {
+            Some(peer) => peer.stale,
+            None => self.stale,
+        }
+    }
+
     /// Daemons to ask for permits of a pool, best first; this one is last if nobody takes roles.
     pub fn scheduler_order(&self, pool: &str) -> Vec<DaemonId> {
         let mut takers = self.role_takers();
-        takers.sort_by_key(|taker| std::cmp::Reverse(rendezvous_weight(pool, &taker.vm)));
+        takers.sort_by_key(|taker| {
+            (self.is_stale(taker), std::cmp::Reverse(rendezvous_weight(pool, &taker.vm)))
+        });
         if takers.is_empty() {
             takers.push(self.me.clone());
         }
