--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -75,6 +75,7 @@
         pool: POOL.to_string(),
         tier: (number % 4) as u8,
         account: format!("account-{account:04}"),
+        cost: 1,
         wait_limit: std::time::Duration::from_secs(86_400),
         time_left: Duration::from_secs(600),
         prompt_work: 10_000,
@@ -120,6 +121,8 @@
         keys: KeyHomeOptions::default(),
         key_slots: 64,
         entry: EntryOptions::default(),
+        rate_margin: curlewcleat_sched::RateMargin::default(),
+        one_scheduler: false,
         request_limit: 1_000_000,
         beat: Duration::from_millis(500),
         drain_grace: Duration::from_secs(2),
@@ -185,7 +188,6 @@
 fn beat_of(index: usize, known: usize) -> PeerFrame {
     let address = |index: usize| format!("10.1.{}.{}:7100", index / 250, index % 250 + 1);
     let beat = Heartbeat {
-        demands: Vec::new(),
         stale: false,
         address: address(index),
         data_centre: "dc".to_string(),
--- a/crates/bench/src/ours.rs
+++ b/crates/bench/src/ours.rs
@@ -92,6 +92,7 @@
             tier: job.tier,
             account: job.account.to_string(),
             time_left: (job.at + job.deadline).saturating_sub(now),
+            cost: 1,
             wait_limit: std::time::Duration::from_secs(86_400),
             prompt_work: job.prompt,
             output_work: job.asked,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -80,8 +80,6 @@
     pub stale: bool,
     /// Peer addresses that the sender knows, so that a newborn learns the rest.
     pub known: Vec<String>,
-    /// Units a second that the accounts ask for at the sender, for the shares of their rates.
-    pub demands: Vec<(AccountId, u64)>,
 }
 
 /// What the sender has; the receiver sends what it has newer.
@@ -142,6 +140,8 @@
     pub output_work: WorkMicros,
     /// Hash of the prompt's beginning, `None` for services.
     pub prefix: Option<u64>,
+    /// What it counts against its account's shared rate.
+    pub cost: u64,
     /// Targets that already failed this request.
     pub avoid: Vec<TargetId>,
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -17,7 +17,7 @@
 use curlewcleat_node::{Node, NodeOptions};
 use curlewcleat_peers::TransportCounts;
 use curlewcleat_platform::{DaemonRecord, FleetPlatform};
-use curlewcleat_sched::{EntryOptions, RetryLimits};
+use curlewcleat_sched::{EntryOptions, RateMargin, RetryLimits};
 use spdlog::prelude::*;
 use tokio::sync::mpsc;
 
@@ -86,7 +86,12 @@
     let options = node_options(settings, incarnation);
     let entry = EntryOptions { retries, ..options.entry };
     // Requests carry their own ids and each meets one daemon, so there are no keys to keep.
-    NodeOptions { entry, key_slots: 0, ..options }
+    // Half of what may be exceeded is kept for the moments in which two daemons schedule.
+    let rate_margin = RateMargin {
+        percent: settings.bounds.rate_percent / 2,
+        units: settings.bounds.rate_slack / 2,
+    };
+    NodeOptions { entry, rate_margin, one_scheduler: true, key_slots: 0, ..options }
 }
 
 /// Binds the callers' and the operators' addresses.
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -210,9 +210,11 @@
         let tier = call.map_or("", |call| call.tier.as_str());
         let pool = call.map_or("", |call| call.pool.as_str());
         let attempt = call.map_or("", |call| call.attempt_id.as_str());
+        let account = call.and_then(|call| call.account.as_deref()).unwrap_or_default();
+        let cost = call.map_or(0, |call| call.cost);
         self.context.metrics.refusal(refusal.reason, tier, pool);
         info!("request_refused", kv: {
-            request = id.to_string(), attempt, reason = refusal.reason.code(), tier, pool,
+            request = id.to_string(), attempt, account, cost, reason = refusal.reason.code(), tier, pool,
             may_have_run = refusal.verdict.may_have_run(),
             config_age_ms = self.proof.age().map_or(-1, |age| age.as_millis() as i64)
         });
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -52,6 +52,36 @@
     verdict: Verdict,
     /// A target's answer that the caller gets if no later attempt has a better one.
     fallback: Option<CallerAnswer>,
+    progress: CallProgress,
+}
+
+/// What was seen of a request, for its line in the log.
+#[derive(Default)]
+struct CallProgress {
+    attempts: u32,
+    /// When the latest attempt was sent, its first part came, and its latest part.
+    sent: Option<Instant>,
+    first: Option<Instant>,
+    latest: Option<Instant>,
+    longest_pause: Duration,
+    parts: u64,
+}
+
+impl CallProgress {
+    fn note_sent(&mut self) {
+        self.attempts += 1;
+        self.sent = Some(Instant::now());
+    }
+
+    fn note_part(&mut self) {
+        let now = Instant::now();
+        if let Some(latest) = self.latest {
+            self.longest_pause = self.longest_pause.max(now - latest);
+        }
+        self.first.get_or_insert(now);
+        self.latest = Some(now);
+        self.parts += 1;
+    }
 }
 
 impl CallRelay {
@@ -74,6 +104,7 @@
             events: EventSplitter::default(),
             verdict: Verdict::NotRun,
             fallback: None,
+            progress: CallProgress::default(),
         }
     }
 
@@ -102,6 +133,7 @@
             };
             match self.attempt(&target).await {
                 AttemptVerdict::Served(took) => {
+                    self.log_served(&target);
                     return self.end(AttemptEnd::Whole(took));
                 }
                 AttemptVerdict::Again(end, reason) => self.again(&target, end, reason),
@@ -132,6 +164,7 @@
         let waited = self.call.arrived.elapsed().as_secs_f64();
         metrics.waited(waited, &self.call.tier, &self.call.pool);
         let sent = Instant::now();
+        self.progress.note_sent();
         let limit = self.silence_limit();
         let last = self.events.last();
         // Whatever ends the wait from here on, the request may have run until its target says otherwise.
@@ -222,6 +255,7 @@
     }
 
     async fn pass(&mut self, part: Bytes) {
+        self.progress.note_part();
         if let Some(parts) = &self.parts {
             parts.send(part).await;
         }
@@ -279,6 +313,24 @@
         self.begin(answer);
     }
 
+    fn log_served(&self, target: &TargetEntry) {
+        let progress = &self.progress;
+        let since = |then: Option<Instant>| {
+            then.map_or(-1, |then| then.duration_since(self.call.arrived).as_millis() as i64)
+        };
+        info!("request_served", kv: {
+            request = self.call.id.to_string(), attempt = self.call.attempt_id.as_str(),
+            account = self.call.account.as_deref().unwrap_or_default(),
+            cost = self.call.spec().cost, rule = self.call.rule.id.as_str(),
+            pool = self.call.pool.as_str(),
+            target = target.id.as_str(), attempts = progress.attempts,
+            prompt_work = self.call.spec().prompt_work, output_work = self.call.spec().output_work,
+            sent_ms = since(progress.sent), first_ms = since(progress.first),
+            end_ms = self.call.arrived.elapsed().as_millis() as i64, parts = progress.parts,
+            longest_pause_ms = progress.longest_pause.as_millis() as i64
+        });
+    }
+
     fn log_attempt(&self, target: &TargetEntry, reason: &str) {
         info!("attempt_failed", kv: {
             request = self.call.id.to_string(), attempt = self.call.attempt_id.as_str(),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -105,6 +105,8 @@
             ask_tries: settings.ask_tries,
             ..EntryOptions::default()
         },
+        rate_margin: curlewcleat_sched::RateMargin::default(),
+        one_scheduler: false,
         request_limit: settings.request_limit,
         beat: settings.beat,
         drain_grace: settings.drain_grace,
--- a/crates/model/src/levels.rs
+++ b/crates/model/src/levels.rs
@@ -207,6 +207,7 @@
         pool: POOL.to_string(),
         tier,
         account: "a".to_string(),
+        cost: 1,
         wait_limit: std::time::Duration::from_secs(86_400),
         time_left: Duration::from_secs(60),
         prompt_work: 0,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,14 +19,17 @@
 };
 use curlewcleat_keys::{KeyHome, KeyHomeOptions};
 use curlewcleat_sched::{
-    AccountShares, DrainState, EntryOptions, EntryRequests, LevelGuard, MemberOptions, MemberView,
-    PoolScheduler,
+    AccountRates, DrainState, EntryOptions, EntryRequests, LevelGuard, MemberOptions, MemberView,
+    PoolScheduler, RateMargin,
 };
 
 use crate::event::{NodeAction, NodeEvent};
 use crate::status::{NodeStatus, PoolStatus, TargetStatus};
 use crate::vms::VmView;
 
+/// Subject by which the one scheduler of all pools is drawn.
+const ALL_POOLS: &str = "all pools";
+
 /// What a node is made with.
 #[derive(Clone, Debug)]
 pub struct NodeOptions {
@@ -40,6 +43,10 @@
     pub key_slots: u16,
     /// Requests.
     pub entry: EntryOptions,
+    /// How far the rates that all daemons share may be exceeded.
+    pub rate_margin: RateMargin,
+    /// Whether one daemon schedules all pools, so that it can keep the rates that daemons share.
+    pub one_scheduler: bool,
     /// Requests in progress at most.
     pub request_limit: usize,
     /// Time between heartbeats.
@@ -59,7 +66,7 @@
     active: Arc<ActiveConfig>,
     discovered: Vec<DiscoveredTarget>,
     home: KeyHome,
-    shares: AccountShares,
+    rates: AccountRates,
     pools: BTreeMap<PoolId, PoolScheduler>,
     guards: BTreeMap<PoolId, LevelGuard>,
     entry: EntryRequests,
@@ -89,7 +96,7 @@
             active: Arc::default(),
             discovered: Vec::new(),
             home: KeyHome::new(me.clone(), options.keys.clone()),
-            shares: AccountShares::default(),
+            rates: AccountRates::new(options.rate_margin),
             pools: BTreeMap::new(),
             guards: BTreeMap::new(),
             entry: EntryRequests::new(options.entry.clone()),
@@ -193,6 +200,14 @@
         }
     }
 
+    /// What the order of schedulers of a pool is drawn by.
+    fn subject_of<'a>(&self, pool: &'a str) -> &'a str {
+        if self.options.one_scheduler {
+            return ALL_POOLS;
+        }
+        pool
+    }
+
     fn pool_status(&self, id: &PoolId, pool: &PoolScheduler) -> PoolStatus {
         let targets = pool.targets().iter().map(|(id, state)| TargetStatus {
             id: id.clone(),
@@ -206,7 +221,7 @@
             id: id.clone(),
             scheduler: self
                 .members
-                .scheduler_order(id)
+                .scheduler_order(self.subject_of(id))
                 .first()
                 .map(|daemon| daemon.vm.clone())
                 .unwrap_or_default(),
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -1,8 +1,9 @@
 //! Role takers, ended peers, and the VM list.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use curlewcleat_core::DaemonId;
+use curlewcleat_core::{DaemonId, PoolId};
 
 use super::{order_of, Node};
 use crate::event::ListedVm;
@@ -27,6 +28,7 @@
         if before == self.orders {
             return;
         }
+        self.review_rates(&before);
         let orders = &self.orders;
         let members = &self.members;
         let actions =
@@ -34,6 +36,17 @@
         self.perform(actions);
     }
 
+    /// A daemon that begins to schedule knows nothing of what others gave out of the rates.
+    fn review_rates(&mut self, before: &BTreeMap<PoolId, Vec<DaemonId>>) {
+        let me = &self.options.me;
+        let leads = |orders: &BTreeMap<PoolId, Vec<DaemonId>>| {
+            orders.values().any(|order| order.first() == Some(me))
+        };
+        if leads(&self.orders) && !leads(before) {
+            self.rates.restart(self.now);
+        }
+    }
+
     /// The view of the platform is old, or is not any more; the peers are told at once.
     pub(super) fn platform_stale(&mut self, stale: bool) {
         if self.members.set_stale(stale) {
@@ -47,7 +60,7 @@
         self.orders = config
             .pools
             .keys()
-            .map(|pool| (pool.clone(), self.members.scheduler_order(pool)))
+            .map(|pool| (pool.clone(), self.members.scheduler_order(self.subject_of(pool))))
             .collect();
     }
 
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -2,7 +2,7 @@
 
 use curlewcleat_core::{
     DaemonId, Heartbeat, KeyAnswer, KeyDecision, LevelRaise, PeerFrame, PeerMessage, PermitAnswer,
-    PoolId, StatePull, TablePush, VmId,
+    PermitAsk, PermitDecision, PoolId, Refusal, RefusalReason, StatePull, TablePush, VmId,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{GuardStep, PoolScheduler, SchedulerAction};
@@ -56,10 +56,7 @@
                 self.table_known(push.version, KeyTable { slots: push.slots })
             }
             PeerMessage::PermitAsk(ask) => {
-                let now = self.now;
-                let scheduler = self.pool(&ask.pool.clone());
-                let actions = scheduler.ask(now, from.clone(), ask);
-                self.send_answers(actions);
+                self.permit_asked(from, ask);
             }
             PeerMessage::PermitAnswer(answer) => self.permit_answered(&from.vm, answer),
             PeerMessage::PermitReturn(back) => {
@@ -101,6 +98,27 @@
         }
     }
 
+    fn permit_asked(&mut self, from: &DaemonId, ask: PermitAsk) {
+        if let Err(wait) = self.charge(&ask) {
+            let refusal = Refusal::not_run(RefusalReason::AccountRate, Some(wait));
+            let decision = PermitDecision::Refused(refusal);
+            let answer = PermitAnswer { permit: ask.permit, pool: ask.pool, decision };
+            self.post(&from.vm, PeerMessage::PermitAnswer(answer));
+            return;
+        }
+        let now = self.now;
+        let (permit, account, cost) = (ask.permit, ask.account.clone(), ask.cost);
+        let actions = self.pool(&ask.pool.clone()).ask(now, from.clone(), ask);
+        let refused = actions.iter().any(|action| {
+            let refuses = matches!(action.answer.decision, PermitDecision::Refused(_));
+            refuses && action.answer.permit == permit
+        });
+        if refused && permit.attempt == 0 {
+            self.rates.give_back(&account, cost);
+        }
+        self.send_answers(actions);
+    }
+
     pub(super) fn heard(&mut self, from: &DaemonId, beat: &Heartbeat) {
         if let Some(ended) = self.members.heard(self.now, from, beat) {
             self.actions.push(NodeAction::Note(NodeNote::PeerReplaced(ended.clone())));
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitId, Refusal, RefusalReason, RequestId,
-    RetryReason,
+    AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitAsk, PermitId, Refusal, RefusalReason,
+    RequestId, RetryReason,
 };
 use curlewcleat_sched::{EntryAction, RequestSpec};
 
@@ -38,23 +38,27 @@
             self.actions.push(NodeAction::Decide(id, CallerDecision::Refuse(refusal)));
             return;
         }
-        if let Err(wait) = self.take_share(&spec) {
-            let refusal = Refusal::not_run(RefusalReason::AccountRate, Some(wait));
-            self.actions.push(NodeAction::Decide(id, CallerDecision::Refuse(refusal)));
-            return;
-        }
         let orders = &self.orders;
         let members = &self.members;
         let actions = self.entry.admit(self.now, spec, &|pool| order_of(orders, members, pool));
         self.perform(actions);
     }
 
-    /// Charges a request to this daemon's share of its account's rate.
-    fn take_share(&mut self, spec: &RequestSpec) -> Result<(), Duration> {
-        let account = self.active.accounts.get(&spec.account);
+    /// Charges an ask to its account's rate, where it asks here for the first time.
+    pub(super) fn charge(&mut self, ask: &PermitAsk) -> Result<(), Duration> {
+        let known = self.pools.get(&ask.pool).is_some_and(|pool| pool.knows(&ask.permit));
+        if known || ask.permit.attempt > 0 {
+            return Ok(());
+        }
+        let account = self.active.accounts.get(&ask.account);
         let Some(rate) = account.and_then(|account| account.shared_rate) else { return Ok(()) };
-        let fleet = self.members.fleet_demand(&spec.account);
-        self.shares.take(self.now, &spec.account, &rate, spec.cost, &fleet)
+        let leads = self.orders.get(&ask.pool).and_then(|order| order.first());
+        let mut part = self.members.reached_part();
+        if leads != Some(&self.options.me) {
+            // Another daemon gives out the rate; this one was asked since it seems to be silent.
+            part.reached = 1;
+        }
+        self.rates.take(self.now, &ask.account, &rate, ask.cost, part)
     }
 
     pub(super) fn attempt_not_run(&mut self, id: RequestId, end: AttemptEnd, retry: RetryReason) {
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -61,8 +61,6 @@
     }
 
     pub(super) fn heartbeat(&mut self) -> Heartbeat {
-        let demands = self.shares.tell(self.now);
-        let beat = self.members.heartbeat(self.store.generation(), self.home.version());
-        Heartbeat { demands, ..beat }
+        self.members.heartbeat(self.store.generation(), self.home.version())
     }
 }
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -101,6 +101,8 @@
         keys: KeyHomeOptions::default(),
         key_slots: 0,
         entry: EntryOptions::default(),
+        rate_margin: curlewcleat_sched::RateMargin::default(),
+        one_scheduler: false,
         request_limit: 10_000,
         beat: Duration::from_millis(500),
         drain_grace: Duration::from_secs(1),
--- a/crates/node/tests/nodes.rs
+++ b/crates/node/tests/nodes.rs
@@ -24,6 +24,8 @@
         keys: KeyHomeOptions::default(),
         key_slots: 4,
         entry: EntryOptions::default(),
+        rate_margin: curlewcleat_sched::RateMargin::default(),
+        one_scheduler: false,
         request_limit,
         beat: Duration::from_millis(500),
         drain_grace: Duration::from_secs(1),
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -625,6 +625,7 @@
             prompt_work: self.spec.prompt_work,
             output_work: self.spec.output_work,
             prefix: self.spec.prefix,
+            cost: self.spec.cost,
             avoid: self.avoid.clone(),
         }
     }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -12,7 +12,7 @@
 mod pool;
 mod prefix;
 mod queue;
-mod share;
+mod rate;
 mod shed;
 mod target;
 
@@ -25,6 +25,6 @@
 pub use pool::{PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
 pub use prefix::PrefixCache;
 pub use queue::{TierQueues, WaitingAsk};
-pub use share::{AccountShares, FleetDemand};
+pub use rate::{AccountRates, RateMargin, RatePart};
 pub use shed::OverloadLevel;
 pub use target::TargetState;
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -6,12 +6,10 @@
 use std::hash::Hasher;
 use std::time::Duration;
 
-use curlewcleat_core::{
-    AccountId, DaemonId, Generation, Heartbeat, Incarnation, ObjectVersion, Uptime, VmId,
-};
+use curlewcleat_core::{DaemonId, Generation, Heartbeat, Incarnation, ObjectVersion, Uptime, VmId};
 use siphasher::sip::SipHasher13;
 
-use crate::share::FleetDemand;
+use crate::rate::RatePart;
 
 /// Silence after which a peer is forgotten altogether.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
@@ -52,8 +50,6 @@
     pub draining: bool,
     /// Whether its view of the platform is old.
     pub stale: bool,
-    /// Units a second that the accounts ask for there.
-    pub demands: BTreeMap<AccountId, u64>,
     /// Whether it is reachable.
     pub live: bool,
     last_heard: Uptime,
@@ -133,7 +129,6 @@
             table: beat.table,
             draining: beat.draining,
             stale: beat.stale,
-            demands: beat.demands.iter().cloned().collect(),
             live: true,
             last_heard: now,
         };
@@ -189,7 +184,6 @@
             table,
             draining: self.draining,
             stale: self.stale,
-            demands: Vec::new(),
             known: known.map(|address| address.to_string()).collect(),
         };
         self.named = begin + KNOWN_EACH;
@@ -206,13 +200,10 @@
         addresses
     }
 
-    /// What the other daemons' word says for the share of an account's rate.
-    pub fn fleet_demand(&self, account: &AccountId) -> FleetDemand {
-        let live = self.peers.values().filter(|peer| peer.live);
-        let demands = live.map(|peer| peer.demands.get(account).copied().unwrap_or(0));
-        let live: Vec<u64> = demands.collect();
-        let silent = self.fleet_size().saturating_sub(live.len() + 1);
-        FleetDemand { live, silent }
+    /// The part of what all daemons share that falls to those that this one reaches.
+    pub fn reached_part(&self) -> RatePart {
+        let reached = self.peers.values().filter(|peer| peer.live).count() + 1;
+        RatePart { reached, all: self.fleet_size() }
     }
 
     /// Daemons that there may be, this one among them. Until the recorded ones are known there may be
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -186,6 +186,11 @@
         &self.permits
     }
 
+    /// Whether an ask waits here or has its permit.
+    pub fn knows(&self, permit: &PermitId) -> bool {
+        self.permits.contains_key(permit) || self.queues.contains(permit)
+    }
+
     /// Takes an ask. A repeated ask gets the answer that it had.
     pub fn ask(&mut self, now: Uptime, entry: DaemonId, ask: PermitAsk) -> Vec<SchedulerAction> {
         if let Some(record) = self.permits.get(&ask.permit) {
--- /dev/null
+++ b/crates/sched/tests/rates.rs
@@ -0,0 +1,84 @@
+//! Rates of accounts: the daemons together never give out more than the rate.
+
+use std::time::Duration;
+
+use curlewcleat_core::{RateUnit, SharedRate};
+use curlewcleat_sched::{AccountRates, RateMargin, RatePart};
+
+const RATE: SharedRate = SharedRate { per_s: 100_000, burst: 100_000, unit: RateUnit::Tokens(200) };
+const COST: u64 = 1_000;
+const WHOLE: RatePart = RatePart { reached: 6, all: 6 };
+
+/// Units given out for one request of `COST` every millisecond from `begin` on.
+fn drain(rates: &mut AccountRates, begin: Duration, time: Duration, part: RatePart) -> u64 {
+    let account = "a".to_string();
+    let mut given = 0;
+    for milli in 0..time.as_millis() as u64 {
+        let now = begin + Duration::from_millis(milli);
+        if rates.take(now, &account, &RATE, COST, part).is_ok() {
+            given += COST;
+        }
+    }
+    given
+}
+
+#[test]
+fn rate_and_burst_are_given_out_and_no_more() {
+    let mut rates = AccountRates::default();
+    let begin = Duration::from_secs(10);
+    let given = drain(&mut rates, begin, Duration::from_secs(8), WHOLE);
+    assert!(given <= RATE.per_s * 8 + RATE.burst + COST, "{given}");
+    assert!(given >= RATE.per_s * 8 + RATE.burst - COST, "{given}");
+}
+
+#[test]
+fn margin_goes_beyond_both() {
+    let mut rates = AccountRates::new(RateMargin { percent: 5, units: 70_000 });
+    let given = drain(&mut rates, Duration::from_secs(10), Duration::from_secs(8), WHOLE);
+    let allowed = RATE.per_s * 8 * 105 / 100 + RATE.burst + 70_000;
+    assert!(given <= allowed + COST && given >= allowed - COST, "{given}");
+}
+
+#[test]
+fn daemons_that_do_not_reach_each_other_give_out_parts() {
+    let begin = Duration::from_secs(10);
+    let time = Duration::from_secs(8);
+    let mut given = 0;
+    for reached in [4, 1, 1] {
+        let mut rates = AccountRates::default();
+        given += drain(&mut rates, begin, time, RatePart { reached, all: 6 });
+    }
+    assert!(given <= RATE.per_s * 8 + RATE.burst + 3 * COST, "{given}");
+}
+
+#[test]
+fn daemon_that_takes_over_has_nothing_saved() {
+    let mut given = 0;
+    for takeover in 0..4u64 {
+        let begin = Duration::from_secs(10 + takeover * 2);
+        let mut rates = AccountRates::default();
+        rates.restart(begin);
+        given += drain(&mut rates, begin, Duration::from_secs(2), WHOLE);
+    }
+    assert!(given <= RATE.per_s * 8 + 4 * COST, "{given}");
+}
+
+#[test]
+fn advice_when_to_come_back_is_the_time_until_there_is_room() {
+    let mut rates = AccountRates::default();
+    let account = "a".to_string();
+    let now = Duration::from_secs(1);
+    assert!(rates.take(now, &account, &RATE, 300_000, WHOLE).is_ok());
+    let wait = rates.take(now, &account, &RATE, COST, WHOLE).expect_err("the rate is used up");
+    assert!(rates.take(now + wait, &account, &RATE, COST, WHOLE).is_ok());
+}
+
+#[test]
+fn refused_request_is_not_charged() {
+    let mut rates = AccountRates::default();
+    let account = "a".to_string();
+    let now = Duration::from_secs(1);
+    assert!(rates.take(now, &account, &RATE, 300_000, WHOLE).is_ok());
+    rates.give_back(&account, 300_000);
+    assert!(rates.take(now, &account, &RATE, COST, WHOLE).is_ok());
+}
