--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -77,6 +77,7 @@
         account: format!("account-{account:04}"),
         cost: 1,
         wait_limit: std::time::Duration::from_secs(86_400),
+        forecast_limit: std::time::Duration::from_secs(86_400),
         time_left: Duration::from_secs(600),
         prompt_work: 10_000,
         output_work: 500_000,
--- a/crates/bench/src/ours.rs
+++ b/crates/bench/src/ours.rs
@@ -94,6 +94,7 @@
             time_left: (job.at + job.deadline).saturating_sub(now),
             cost: 1,
             wait_limit: std::time::Duration::from_secs(86_400),
+            forecast_limit: std::time::Duration::from_secs(86_400),
             prompt_work: job.prompt,
             output_work: job.asked,
             prefix: job.prefix.filter(|_| self.affinity),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -85,6 +85,8 @@
     pub retry_percent: u64,
     /// Retries of a pool above that share, over all daemons.
     pub retry_saved: u64,
+    /// Time over which retries and requests are counted.
+    pub retry_window: Duration,
     /// How far an account's shared rate may be exceeded, in percent.
     pub rate_percent: u64,
     /// Units by which it may be exceeded besides.
@@ -99,6 +101,7 @@
             stop_limit: Duration::from_secs(8),
             retry_percent: 10,
             retry_saved: 20,
+            retry_window: Duration::from_secs(10),
             rate_percent: 0,
             rate_slack: 0,
         }
@@ -257,6 +260,7 @@
         section.duration("config_apply_limit", bounds.config_apply_limit, report);
     bounds.stop_limit = section.duration("stop_limit", bounds.stop_limit, report);
     bounds.retry_percent = section.percent("retry_ratio", bounds.retry_percent, report);
+    bounds.retry_window = section.duration("retry_window", bounds.retry_window, report);
     bounds.rate_percent = section.percent("rate_overshoot", bounds.rate_percent, report);
     bounds.rate_slack = section.number("rate_slack", bounds.rate_slack, 0..=1 << 40, report);
     bounds.retry_saved = section.number("retry_saved", bounds.retry_saved, 0..=1_000_000, report);
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -132,8 +132,10 @@
     pub account: AccountId,
     /// Time left until the deadline.
     pub time_left: Duration,
-    /// Time for which the ask may wait; it is refused at once where it is expected to wait longer.
+    /// Time for which the ask may wait.
     pub wait_limit: Duration,
+    /// It is refused at once where it is expected to wait longer than this.
+    pub forecast_limit: Duration,
     /// Prompt work in microseconds of a slot.
     pub prompt_work: WorkMicros,
     /// The rest of the work in microseconds of a slot.
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -119,6 +119,7 @@
         account: admitted.account.id.clone(),
         time_left: admitted.time_left.saturating_sub(admitted.arrived.elapsed()),
         wait_limit: std::time::Duration::from_secs(86_400),
+        forecast_limit: std::time::Duration::from_secs(86_400),
         attempt_limit: None,
         cost: 1,
         prompt_work: work.prompt,
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -80,8 +80,9 @@
 fn fleet_options(settings: &DaemonSettings, incarnation: Incarnation) -> NodeOptions {
     let retries = RetryLimits {
         percent: settings.bounds.retry_percent,
-        saved: settings.bounds.retry_saved,
+        extra: settings.bounds.retry_saved,
         shared: true,
+        window: settings.bounds.retry_window,
     };
     let options = node_options(settings, incarnation);
     let entry = EntryOptions { retries, ..options.entry };
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -18,8 +18,10 @@
 
 /// Advice when to come back where the daemon itself cannot serve.
 const UNSERVED_WAIT: Duration = Duration::from_millis(300);
-/// Part of the objective, one in so many, for which a new request may wait for a target.
-const WAIT_PART: u32 = 4;
+/// Objectives for which a request may wait for a target. Callers of streams soon give up after that.
+const WAIT_OBJECTIVES: u32 = 2;
+/// Forecast wait above which a new request is refused at once, in percent of its objective.
+const FORECAST_PERCENT: u32 = 60;
 /// A caller that gives less than this part of the longest time, in percent, has tried before.
 const RETRY_TIME_PERCENT: u32 = 95;
 /// Deadline of a request that names none and whose rule names none.
@@ -41,6 +43,7 @@
     pub rank: TierRank,
     pub pool: PoolId,
     wait_limit: Duration,
+    forecast_limit: Duration,
     cost: u64,
     work: WorkHint,
 }
@@ -63,6 +66,7 @@
             account: self.account.clone().unwrap_or_default(),
             time_left: self.time_left(),
             wait_limit: self.wait_limit.saturating_sub(self.arrived.elapsed()),
+            forecast_limit: self.forecast_limit,
             attempt_limit: Some(self.rule.service.attempt_limit),
             cost: self.cost,
             prompt_work: self.work.prompt,
@@ -111,6 +115,7 @@
             .or(tier.map(|tier| tier.rank))
             .unwrap_or_default();
         let tokens = tokens(head, self.profile.tokens);
+        let (wait_limit, forecast_limit) = self.wait_limits(rule, asked, time);
         Ok(AdmittedCall {
             id,
             attempt_id: attempt_id.to_string(),
@@ -120,7 +125,8 @@
             tier: rule.tier.clone(),
             rank,
             pool: pool_id.clone(),
-            wait_limit: self.wait_limit(rule, asked, time),
+            wait_limit,
+            forecast_limit,
             cost: account.map_or(0, |account| cost(account, tokens)),
             work: self.work(pool, head, tokens),
             rule: rule.clone(),
@@ -166,22 +172,26 @@
         Ok(Some(Duration::try_from_secs_f64(millis / 1_000.0).unwrap_or_default()))
     }
 
-    /// Time for which a request may wait for a target. A new one is refused early, so that its caller
-    /// can come back in time; one that came back is kept as long as it has time.
-    fn wait_limit(
+    /// Time for which a request may wait for a target, and the forecast above which it is refused at
+    /// once. A new request is refused early, so that its caller can come back in time; one that came
+    /// back is kept longer. None is held to its end.
+    fn wait_limits(
         &self,
         rule: &AdmissionRule,
         asked: Option<Duration>,
         time: Duration,
-    ) -> Duration {
-        let (Some(objective), Some(asked)) = (rule.service.objective, asked) else { return time };
+    ) -> (Duration, Duration) {
+        let (Some(objective), Some(asked)) = (rule.service.objective, asked) else {
+            return (time, time);
+        };
+        let most = (objective * WAIT_OBJECTIVES).min(time / 2);
         let mut longest = self.longest.borrow_mut();
         let longest = longest.entry(rule.id.clone()).or_default();
         *longest = (*longest).max(asked);
         if asked * 100 < *longest * RETRY_TIME_PERCENT {
-            return time;
+            return (most, most);
         }
-        (objective / WAIT_PART).min(time)
+        (most, (objective * FORECAST_PERCENT / 100).min(most))
     }
 
     fn work(&self, pool: &TargetPool, head: &HeaderMap, tokens: Option<(u64, u64)>) -> WorkHint {
--- a/crates/model/src/drain.rs
+++ b/crates/model/src/drain.rs
@@ -200,6 +200,7 @@
         account: "a".to_string(),
         time_left: Duration::from_secs(60),
         wait_limit: std::time::Duration::from_secs(86_400),
+        forecast_limit: std::time::Duration::from_secs(86_400),
         attempt_limit: None,
         cost: 1,
         prompt_work: 0,
--- a/crates/model/src/levels.rs
+++ b/crates/model/src/levels.rs
@@ -209,6 +209,7 @@
         account: "a".to_string(),
         cost: 1,
         wait_limit: std::time::Duration::from_secs(86_400),
+        forecast_limit: std::time::Duration::from_secs(86_400),
         time_left: Duration::from_secs(60),
         prompt_work: 0,
         output_work: 1_000,
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -230,6 +230,7 @@
             account: "a".to_string(),
             time_left: STEP * u32::from(self.steps.max(2) - 1),
             wait_limit: std::time::Duration::from_secs(86_400),
+            forecast_limit: std::time::Duration::from_secs(86_400),
             attempt_limit: None,
             cost: 1,
             prompt_work: 0,
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -129,6 +129,7 @@
         account: "a".to_string(),
         time_left: Duration::from_secs(5),
         wait_limit: Duration::from_secs(5),
+        forecast_limit: Duration::from_secs(5),
         attempt_limit: Some(1),
         cost: 1,
         prompt_work: 0,
--- a/crates/node/tests/nodes.rs
+++ b/crates/node/tests/nodes.rs
@@ -46,6 +46,7 @@
         account: "a".to_string(),
         time_left: Duration::from_secs(60),
         wait_limit: std::time::Duration::from_secs(86_400),
+        forecast_limit: std::time::Duration::from_secs(86_400),
         attempt_limit: None,
         cost: 1,
         prompt_work: 0,
--- a/crates/peers/tests/frames.rs
+++ b/crates/peers/tests/frames.rs
@@ -14,6 +14,7 @@
         account: vm.clone(),
         cost: 1,
         wait_limit: std::time::Duration::from_secs(86_400),
+        forecast_limit: std::time::Duration::from_secs(86_400),
         time_left: std::time::Duration::from_millis(work % 1_000_000),
         prompt_work: work,
         output_work: work / 2,
--- a/crates/sched/src/budget.rs
+++ b/crates/sched/src/budget.rs
@@ -1,43 +1,50 @@
 //! Bounds retries to a share of the requests, so that retries cannot multiply an overload.
 
-/// How many retries a daemon may make.
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use curlewcleat_core::Uptime;
+
+/// How many retries the daemons may make in a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RetryLimits {
-    /// Retries allowed for each hundred requests.
+    /// Retries allowed for each hundred requests of the window.
     pub percent: u64,
-    /// Retries that all daemons together may save up.
-    pub saved: u64,
-    /// Whether `saved` is divided among the daemons.
+    /// Retries allowed in a window besides, over all daemons where `shared` is set.
+    pub extra: u64,
+    /// Whether `extra` is divided among the daemons.
     pub shared: bool,
+    /// Time over which requests and retries are counted.
+    pub window: Duration,
 }
 
 impl Default for RetryLimits {
     fn default() -> RetryLimits {
-        RetryLimits { percent: 10, saved: 20, shared: false }
+        RetryLimits { percent: 10, extra: 20, shared: false, window: Duration::from_secs(10) }
     }
 }
 
 /// Daemons that share a budget where fewer are known, since others may not be known yet.
 const LEAST_DAEMONS: u64 = 4;
-/// A daemon that restarts has a full budget again; each has only this part of its share.
+/// A daemon that restarts forgets its retries; each has only this part of its share.
 const RESTART_PARTS: u64 = 2;
+/// Parts in which a window is counted.
+const WINDOW_PARTS: u32 = 20;
 
-impl RetryLimits {
-    /// What one of so many daemons may save up, in hundredths of a retry.
-    fn saved_hundredths(&self, daemons: u64) -> u64 {
-        match self.shared {
-            true => self.saved * 100 / (daemons.max(LEAST_DAEMONS) * RESTART_PARTS),
-            false => self.saved * 100,
-        }
-    }
+/// Requests and retries of a part of the window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct WindowPart {
+    begin: Uptime,
+    requests: u64,
+    retries: u64,
 }
 
-/// Grows with each request and shrinks with each retry.
+/// Counts requests and retries over a window that slides.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RetryBudget {
     limits: RetryLimits,
-    limit: u64,
-    hundredths: u64,
+    daemons: u64,
+    parts: VecDeque<WindowPart>,
 }
 
 impl Default for RetryBudget {
@@ -47,31 +54,55 @@
 }
 
 impl RetryBudget {
-    /// A full budget of one of so many daemons.
+    /// The budget of one of so many daemons.
     pub fn new(limits: RetryLimits, daemons: u64) -> RetryBudget {
-        let limit = limits.saved_hundredths(daemons);
-        RetryBudget { limits, limit, hundredths: limit }
+        RetryBudget { limits, daemons, parts: VecDeque::new() }
     }
 
     /// The number of daemons has changed.
     pub fn set_daemons(&mut self, daemons: u64) {
-        self.limit = self.limits.saved_hundredths(daemons);
-        self.hundredths = self.hundredths.min(self.limit);
+        self.daemons = daemons;
     }
 
     /// Counts a new request.
-    pub fn earn(&mut self) {
-        self.hundredths = (self.hundredths + self.limits.percent).min(self.limit);
+    pub fn earn(&mut self, now: Uptime) {
+        self.part(now).requests += 1;
+    }
+
+    /// Counts a retry if there is room for one.
+    pub fn spend(&mut self, now: Uptime) -> bool {
+        self.part(now);
+        // The oldest part reaches beyond the window: its retries still count, its requests do not.
+        let requests: u64 = self.parts.iter().skip(1).map(|part| part.requests).sum();
+        let retries: u64 = self.parts.iter().map(|part| part.retries).sum();
+        let newest = self.parts.back().filter(|_| self.parts.len() == 1);
+        let requests = requests + newest.map_or(0, |part| part.requests);
+        if (retries + 1) * 100 > requests * self.limits.percent + self.extra_hundredths() {
+            return false;
+        }
+        self.part(now).retries += 1;
+        true
+    }
+
+    fn extra_hundredths(&self) -> u64 {
+        match self.limits.shared {
+            true => self.limits.extra * 100 / (self.daemons.max(LEAST_DAEMONS) * RESTART_PARTS),
+            false => self.limits.extra * 100,
+        }
     }
 
-    /// Takes one retry out if there is one.
-    pub fn spend(&mut self) -> bool {
-        match self.hundredths.checked_sub(100) {
-            Some(rest) => {
-                self.hundredths = rest;
-                true
-            }
-            None => false,
+    /// The part of the window that is counted now; parts that have left the window are dropped.
+    fn part(&mut self, now: Uptime) -> &mut WindowPart {
+        let length = self.limits.window / WINDOW_PARTS;
+        let oldest = now.saturating_sub(self.limits.window + length);
+        while self.parts.front().is_some_and(|part| part.begin < oldest) {
+            self.parts.pop_front();
+        }
+        let current = self.parts.back().is_some_and(|part| now < part.begin + length);
+        if !current {
+            self.parts.push_back(WindowPart { begin: now, requests: 0, retries: 0 });
         }
+        let last = self.parts.len() - 1;
+        &mut self.parts[last]
     }
 }
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -66,6 +66,8 @@
     pub time_left: Duration,
     /// Time for which it may wait for a target.
     pub wait_limit: Duration,
+    /// It is refused at once where it is expected to wait longer than this.
+    pub forecast_limit: Duration,
     /// Targets that it may be sent to, `None` for the entry's own limit.
     pub attempt_limit: Option<u32>,
     /// Prompt work.
@@ -183,7 +185,7 @@
         spec: RequestSpec,
         order: SchedulerOrder<'_>,
     ) -> Vec<EntryAction> {
-        self.budget_of(&spec.pool).earn();
+        self.budget_of(&spec.pool).earn(now);
         let deadline = now + spec.time_left;
         let id = spec.request;
         let wait_until = now + spec.wait_limit;
@@ -300,7 +302,7 @@
         let attempt_limit = request.spec.attempt_limit.unwrap_or(self.options.attempt_limit);
         let attempts = request.attempt - request.unsent;
         let pool = request.spec.pool.clone();
-        if in_time && attempts < attempt_limit && self.budget_of(&pool).spend() {
+        if in_time && attempts < attempt_limit && self.budget_of(&pool).spend(now) {
             actions.push(EntryAction::Count(retry));
             actions.extend(self.ask(now, id, order));
             return actions;
@@ -621,6 +623,7 @@
             tier: self.spec.tier,
             account: self.spec.account.clone(),
             time_left: self.deadline.saturating_sub(now),
+            forecast_limit: self.forecast_limit(now),
             wait_limit: self.wait_until.saturating_sub(now),
             prompt_work: self.spec.prompt_work,
             output_work: self.spec.output_work,
@@ -630,6 +633,15 @@
         }
     }
 
+    /// A request that was offered once is kept as long as it may wait.
+    fn forecast_limit(&self, now: Uptime) -> Duration {
+        let wait_limit = self.wait_until.saturating_sub(now);
+        match self.failed {
+            Some(_) => wait_limit,
+            None => self.spec.forecast_limit.min(wait_limit),
+        }
+    }
+
     fn return_permit(&self, end: AttemptEnd) -> Vec<EntryAction> {
         let scheduler = match &self.phase {
             RequestPhase::Claiming { .. } => return Vec::new(),
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -341,7 +341,7 @@
             return Err(Refusal::not_run(RefusalReason::DeadlineUnreachable, None));
         }
         let wait = self.wait_estimate(ask, &limit);
-        if wait + estimate > time_left || wait > ask.wait_limit.as_micros() as u64 {
+        if wait + estimate > time_left || wait > ask.forecast_limit.as_micros() as u64 {
             let refusal = self.capacity_refusal(now, ask.tier, RefusalReason::DeadlineUnreachable);
             self.shed_below(now, ask.tier, actions);
             return Err(refusal);
--- a/crates/sched/tests/pools.rs
+++ b/crates/sched/tests/pools.rs
@@ -64,6 +64,7 @@
         account: account.to_string(),
         cost: 1,
         wait_limit: std::time::Duration::from_secs(86_400),
+        forecast_limit: std::time::Duration::from_secs(86_400),
         time_left: left,
         prompt_work: 0,
         output_work: 100_000,
