--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -226,6 +226,7 @@
         info!("request_refused", kv: {
             request = id.to_string(), attempt, account, cost, reason = refusal.reason.code(), tier, pool,
             may_have_run = refusal.verdict.may_have_run(),
+            held_ms = call.map_or(0, |call| call.arrived.elapsed().as_millis() as i64),
             config_age_ms = self.proof.age().map_or(-1, |age| age.as_millis() as i64)
         });
     }
