Placement by learned pace: time to read prompts, time of a part, stalls, failures

Now the scheduler learns of each target the time to the first part by prompt, the time of a part, and the longest pause, keeps prompts off targets whose streams would stall, and passes over targets whose requests fail.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -324,10 +324,12 @@
     };
     let timeout = time("timeout");
     let objective = time("objective");
+    let pause_limit = time("pause_limit");
     let attempts = section.number("attempt_limit", defaults.attempt_limit.into(), 1..=100, report);
     ServiceTerms {
         timeout,
         objective,
+        pause_limit,
         attempt_limit: attempts as u32,
         streams: section.flag("streams", false, report),
         resumable: section.flag("resumable", false, report),
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -132,10 +132,8 @@
     pub account: AccountId,
     /// Time left until the deadline.
     pub time_left: Duration,
-    /// Time for which the ask may wait.
-    pub wait_limit: Duration,
-    /// It is refused at once where it is expected to wait longer than this.
-    pub forecast_limit: Duration,
+    /// What its caller hopes for.
+    pub aims: ServiceAims,
     /// Prompt work in microseconds of a slot.
     pub prompt_work: WorkMicros,
     /// The rest of the work in microseconds of a slot.
@@ -148,6 +146,26 @@
     pub avoid: Vec<TargetId>,
 }
 
+/// What the caller of a request hopes for; nothing is promised about it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ServiceAims {
+    /// Time for which the request may wait for a target.
+    pub wait_limit: Duration,
+    /// It is refused at once where it is expected to wait longer than this.
+    pub forecast_limit: Duration,
+    /// Time until the first part of its answer is late.
+    pub first_by: Duration,
+    /// Pause between two parts of the answer above which it is late.
+    pub pause_limit: Duration,
+}
+
+impl Default for ServiceAims {
+    fn default() -> ServiceAims {
+        let ever = Duration::MAX;
+        ServiceAims { wait_limit: ever, forecast_limit: ever, first_by: ever, pause_limit: ever }
+    }
+}
+
 /// The answer to an ask.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PermitAnswer {
@@ -170,6 +188,19 @@
     Refused(Refusal),
 }
 
+/// What was seen of a whole stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StreamTiming {
+    /// Time from the sending of the request to the first part.
+    pub first: Duration,
+    /// Time from the first part to the end.
+    pub rest: Duration,
+    /// Parts.
+    pub parts: u32,
+    /// Longest time between two parts.
+    pub pause: Duration,
+}
+
 /// How an attempt ended, for the scheduler's view of the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum AttemptEnd {
@@ -177,6 +208,8 @@
     Unused,
     /// A whole answer arrived after this time.
     Whole(Duration),
+    /// A whole stream arrived.
+    Streamed(StreamTiming),
     /// The target failed or was too slow.
     Failed,
 }
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -188,6 +188,8 @@
     pub timeout: Option<Duration>,
     /// Time to the first part of the answer that counts as in time.
     pub objective: Option<Duration>,
+    /// Pause between two parts of the answer that still counts as in time.
+    pub pause_limit: Option<Duration>,
     /// Targets that one request may be sent to.
     pub attempt_limit: u32,
     /// Whether the answer is a series of events.
@@ -201,6 +203,7 @@
         ServiceTerms {
             timeout: None,
             objective: None,
+            pause_limit: None,
             attempt_limit: 3,
             streams: false,
             resumable: false,
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -7,7 +7,7 @@
 use actix_http::{HttpMessage, Request};
 use curlewcleat_core::{
     hash_token, AccountId, ActiveConfig, AdmissionRule, ClientAccount, PoolId, PoolKind, RateUnit,
-    Refusal, RefusalReason, RequestId, TargetPool, TierRank,
+    Refusal, RefusalReason, RequestId, ServiceAims, TargetPool, TierRank,
 };
 use curlewcleat_sched::RequestSpec;
 use siphasher::sip::SipHasher13;
@@ -42,8 +42,7 @@
     pub tier: String,
     pub rank: TierRank,
     pub pool: PoolId,
-    wait_limit: Duration,
-    forecast_limit: Duration,
+    aims: ServiceAims,
     cost: u64,
     work: WorkHint,
 }
@@ -65,8 +64,7 @@
             tier: self.rank,
             account: self.account.clone().unwrap_or_default(),
             time_left: self.time_left(),
-            wait_limit: self.wait_limit.saturating_sub(self.arrived.elapsed()),
-            forecast_limit: self.forecast_limit,
+            aims: self.aims,
             attempt_limit: Some(self.rule.service.attempt_limit),
             cost: self.cost,
             prompt_work: self.work.prompt,
@@ -115,7 +113,7 @@
             .or(tier.map(|tier| tier.rank))
             .unwrap_or_default();
         let tokens = tokens(head, self.profile.tokens);
-        let (wait_limit, forecast_limit) = self.wait_limits(rule, asked, time);
+        let aims = self.aims(rule, asked, time);
         Ok(AdmittedCall {
             id,
             attempt_id: attempt_id.to_string(),
@@ -125,8 +123,7 @@
             tier: rule.tier.clone(),
             rank,
             pool: pool_id.clone(),
-            wait_limit,
-            forecast_limit,
+            aims,
             cost: account.map_or(0, |account| cost(account, tokens)),
             work: self.work(pool, head, tokens),
             rule: rule.clone(),
@@ -172,26 +169,24 @@
         Ok(Some(Duration::try_from_secs_f64(millis / 1_000.0).unwrap_or_default()))
     }
 
-    /// Time for which a request may wait for a target, and the forecast above which it is refused at
-    /// once. A new request is refused early, so that its caller can come back in time; one that came
-    /// back is kept longer. None is held to its end.
-    fn wait_limits(
-        &self,
-        rule: &AdmissionRule,
-        asked: Option<Duration>,
-        time: Duration,
-    ) -> (Duration, Duration) {
+    /// What a caller hopes for. A new request is refused at once where it is expected to wait long, so
+    /// that its caller can come back in time; one that came back is kept longer. None is held to its
+    /// end.
+    fn aims(&self, rule: &AdmissionRule, asked: Option<Duration>, time: Duration) -> ServiceAims {
+        let pause_limit = rule.service.pause_limit.unwrap_or(Duration::MAX);
         let (Some(objective), Some(asked)) = (rule.service.objective, asked) else {
-            return (time, time);
+            return ServiceAims { wait_limit: time, pause_limit, ..ServiceAims::default() };
         };
-        let most = (objective * WAIT_OBJECTIVES).min(time / 2);
+        let wait_limit = (objective * WAIT_OBJECTIVES).min(time / 2);
         let mut longest = self.longest.borrow_mut();
         let longest = longest.entry(rule.id.clone()).or_default();
         *longest = (*longest).max(asked);
-        if asked * 100 < *longest * RETRY_TIME_PERCENT {
-            return (most, most);
-        }
-        (most, (objective * FORECAST_PERCENT / 100).min(most))
+        let came_back = asked * 100 < *longest * RETRY_TIME_PERCENT;
+        let forecast_limit = match came_back {
+            true => wait_limit,
+            false => (objective * FORECAST_PERCENT / 100).min(wait_limit),
+        };
+        ServiceAims { wait_limit, forecast_limit, first_by: objective, pause_limit }
     }
 
     fn work(&self, pool: &TargetPool, head: &HeaderMap, tokens: Option<(u64, u64)>) -> WorkHint {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use curlewcleat_core::{AttemptEnd, Refusal, RefusalReason, RetryReason, TargetEntry, Verdict};
+use curlewcleat_core::{
+    AttemptEnd, Refusal, RefusalReason, RetryReason, StreamTiming, TargetEntry, Verdict,
+};
 use curlewcleat_node::{CallerDecision, NodeEvent};
 use curlewcleat_targets::{AnswerBody, TargetAnswer};
 use futures_util::StreamExt;
@@ -33,7 +35,7 @@
 /// How an attempt ended for its request.
 enum AttemptVerdict {
     /// The request has its answer.
-    Served(Duration),
+    Served(AttemptEnd),
     /// It may be tried again.
     Again(AttemptEnd, RetryReason),
     /// It has failed for good.
@@ -65,19 +67,50 @@
     latest: Option<Instant>,
     longest_pause: Duration,
     parts: u64,
+    attempt: AttemptProgress,
+}
+
+/// What was seen of the latest attempt.
+#[derive(Default)]
+struct AttemptProgress {
+    first: Option<Instant>,
+    parts: u32,
+    pause: Duration,
 }
 
 impl CallProgress {
     fn note_sent(&mut self) {
         self.attempts += 1;
         self.sent = Some(Instant::now());
+        self.attempt = AttemptProgress::default();
+    }
+
+    /// What the target's scheduler learns of the latest attempt. One that took a stream up says
+    /// nothing of prompts.
+    fn attempt_end(&self, sent: Instant) -> AttemptEnd {
+        let attempt = &self.attempt;
+        let (Some(first), Some(latest)) = (attempt.first, self.latest) else {
+            return AttemptEnd::Whole(sent.elapsed());
+        };
+        AttemptEnd::Streamed(StreamTiming {
+            first: first.duration_since(sent),
+            rest: latest.duration_since(first),
+            parts: attempt.parts,
+            pause: attempt.pause,
+        })
     }
 
     fn note_part(&mut self) {
         let now = Instant::now();
         if let Some(latest) = self.latest {
-            self.longest_pause = self.longest_pause.max(now - latest);
+            let pause = now - latest;
+            self.longest_pause = self.longest_pause.max(pause);
+            if self.attempt.parts > 0 {
+                self.attempt.pause = self.attempt.pause.max(pause);
+            }
         }
+        self.attempt.first.get_or_insert(now);
+        self.attempt.parts += 1;
         self.first.get_or_insert(now);
         self.latest = Some(now);
         self.parts += 1;
@@ -132,9 +165,9 @@
                 }
             };
             match self.attempt(&target).await {
-                AttemptVerdict::Served(took) => {
+                AttemptVerdict::Served(end) => {
                     self.log_served(&target);
-                    return self.end(AttemptEnd::Whole(took));
+                    return self.end(end);
                 }
                 AttemptVerdict::Again(end, reason) => self.again(&target, end, reason),
                 AttemptVerdict::Failed(reason) => {
@@ -219,7 +252,7 @@
         self.note_began();
         self.begin(whole);
         self.verdict = Verdict::Ran;
-        AttemptVerdict::Served(sent.elapsed())
+        AttemptVerdict::Served(AttemptEnd::Whole(sent.elapsed()))
     }
 
     /// Passes whole events on as they come.
@@ -251,7 +284,7 @@
         }
         self.parts = None;
         self.verdict = Verdict::Ran;
-        AttemptVerdict::Served(sent.elapsed())
+        AttemptVerdict::Served(self.progress.attempt_end(sent))
     }
 
     async fn pass(&mut self, part: Bytes) {
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -10,7 +10,8 @@
 use curlewcleat_core::{
     AccountId, AttemptEnd, DaemonId, KeptAnswer, KeyAnswer, KeyClaim, KeyDecision, KeyOutcome,
     PermitAnswer, PermitAsk, PermitDecision, PermitHeld, PermitId, PermitReturn, PoolId, Refusal,
-    RefusalReason, RequestId, RetryReason, TargetId, TierRank, Uptime, Verdict, VmId, WorkMicros,
+    RefusalReason, RequestId, RetryReason, ServiceAims, TargetId, TierRank, Uptime, Verdict, VmId,
+    WorkMicros,
 };
 
 use crate::budget::{RetryBudget, RetryLimits};
@@ -64,10 +65,8 @@
     pub account: AccountId,
     /// Time until its deadline.
     pub time_left: Duration,
-    /// Time for which it may wait for a target.
-    pub wait_limit: Duration,
-    /// It is refused at once where it is expected to wait longer than this.
-    pub forecast_limit: Duration,
+    /// What its caller hopes for.
+    pub aims: ServiceAims,
     /// Targets that it may be sent to, `None` for the entry's own limit.
     pub attempt_limit: Option<u32>,
     /// Prompt work.
@@ -125,6 +124,7 @@
     spec: RequestSpec,
     deadline: Uptime,
     wait_until: Uptime,
+    first_by: Uptime,
     attempt: u32,
     /// Permits that were not used, since this daemon knows better than to use their targets.
     unsent: u32,
@@ -188,12 +188,14 @@
         self.budget_of(&spec.pool).earn(now);
         let deadline = now + spec.time_left;
         let id = spec.request;
-        let wait_until = now + spec.wait_limit;
+        let wait_until = now.saturating_add(spec.aims.wait_limit);
+        let first_by = now.saturating_add(spec.aims.first_by);
         let phase = RequestPhase::Claiming { tries: 1, sent: now };
         let request = EntryRequest {
             spec,
             deadline,
             wait_until,
+            first_by,
             attempt: 0,
             unsent: 0,
             avoid: Vec::new(),
@@ -623,8 +625,7 @@
             tier: self.spec.tier,
             account: self.spec.account.clone(),
             time_left: self.deadline.saturating_sub(now),
-            forecast_limit: self.forecast_limit(now),
-            wait_limit: self.wait_until.saturating_sub(now),
+            aims: self.aims(now),
             prompt_work: self.spec.prompt_work,
             output_work: self.spec.output_work,
             prefix: self.spec.prefix,
@@ -633,13 +634,17 @@
         }
     }
 
-    /// A request that was offered once is kept as long as it may wait.
-    fn forecast_limit(&self, now: Uptime) -> Duration {
+    /// What is left of the caller's aims. A request that was offered once is kept as long as it may
+    /// wait.
+    fn aims(&self, now: Uptime) -> ServiceAims {
+        let aims = &self.spec.aims;
         let wait_limit = self.wait_until.saturating_sub(now);
-        match self.failed {
+        let forecast_limit = match self.failed {
             Some(_) => wait_limit,
-            None => self.spec.forecast_limit.min(wait_limit),
-        }
+            None => aims.forecast_limit.min(wait_limit),
+        };
+        let first_by = self.first_by.saturating_sub(now);
+        ServiceAims { wait_limit, forecast_limit, first_by, ..*aims }
     }
 
     fn return_permit(&self, end: AttemptEnd) -> Vec<EntryAction> {
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::account::{AccountLimit, RateBucket};
+use crate::pace::StreamPace;
 use crate::queue::{TierQueues, WaitingAsk};
 use crate::shed::OverloadLevel;
 use crate::target::TargetState;
@@ -30,6 +31,10 @@
 const EJECT_PERCENT: usize = 50;
 /// Estimates are taken this much longer, in percent, where a deadline depends on them.
 const MARGIN_PERCENT: u64 = 125;
+/// Reading prompts for this part of the longest allowed pause, in percent, stalls no stream.
+const STALL_PERCENT: u32 = 70;
+/// Times that a target's time counts more where all its requests failed lately.
+const FAILING_PENALTY: u64 = 8;
 /// Bounds of the advice when to come back.
 const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
 
@@ -63,6 +68,17 @@
     }
 }
 
+/// How well a target suits an ask; the least is the best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TargetFit {
+    /// Streams there would pause for too long.
+    stalls: bool,
+    /// The answer would begin too late.
+    late: bool,
+    /// Time until its end.
+    time: WorkMicros,
+}
+
 /// A permit in use.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PermitRecord {
@@ -72,6 +88,10 @@
     pub target: TargetId,
     /// Work as estimated at normal speed, without the prompt where its prefix was cached.
     pub expected: WorkMicros,
+    /// Prompt work as estimated by the entry.
+    pub prompt_work: WorkMicros,
+    /// Other work as estimated by the entry.
+    pub output_work: WorkMicros,
     /// When it was given, or last confirmed.
     pub confirmed: Uptime,
 }
@@ -98,6 +118,8 @@
     buckets: BTreeMap<AccountId, RateBucket>,
     level: OverloadLevel,
     away: BTreeSet<VmId>,
+    /// How fast its targets stream on the whole.
+    pace: StreamPace,
     /// When the targets' beliefs last faded.
     faded: Uptime,
 }
@@ -114,6 +136,7 @@
             buckets: BTreeMap::new(),
             level: OverloadLevel::default(),
             away: BTreeSet::new(),
+            pace: StreamPace::of_pool(),
             faded: Duration::ZERO,
         }
     }
@@ -124,10 +147,9 @@
         self.targets.retain(|id, _| pool.targets.contains_key(id));
         for (id, entry) in &pool.targets {
             let away = self.away.contains(&entry.vm);
-            let state = self
-                .targets
-                .entry(id.clone())
-                .or_insert_with(|| TargetState::new(entry.vm.clone(), entry.slots));
+            let state = self.targets.entry(id.clone()).or_insert_with(|| {
+                TargetState::new(entry.vm.clone(), entry.slots).with_pace(self.pace.of_new_target())
+            });
             state.slots = entry.slots;
             state.vm.clone_from(&entry.vm);
             state.leaving = away;
@@ -238,11 +260,19 @@
         if let Some(earlier) = self.permits.remove(&held.ask.permit) {
             self.settle(now, &earlier, AttemptEnd::Unused);
         }
-        let expected = held.ask.prompt_work + held.ask.output_work;
+        let (prompt_work, output_work) = (held.ask.prompt_work, held.ask.output_work);
+        let expected = prompt_work + output_work;
         if let Some(state) = self.targets.get_mut(&held.target) {
             state.in_flight += 1;
         }
-        let record = PermitRecord { entry, target: held.target, expected, confirmed: now };
+        let record = PermitRecord {
+            entry,
+            target: held.target,
+            expected,
+            prompt_work,
+            output_work,
+            confirmed: now,
+        };
         self.permits.insert(held.ask.permit, record);
     }
 
@@ -341,7 +371,7 @@
             return Err(Refusal::not_run(RefusalReason::DeadlineUnreachable, None));
         }
         let wait = self.wait_estimate(ask, &limit);
-        if wait + estimate > time_left || wait > ask.forecast_limit.as_micros() as u64 {
+        if wait + estimate > time_left || wait > micros(ask.aims.forecast_limit) {
             let refusal = self.capacity_refusal(now, ask.tier, RefusalReason::DeadlineUnreachable);
             self.shed_below(now, ask.tier, actions);
             return Err(refusal);
@@ -461,6 +491,9 @@
             let estimate = state.estimate(&waiting.ask);
             let expected = estimate * 1_000 / state.slowness().max(1);
             state.in_flight += 1;
+            if let Some(time) = state.pace.prompt_time(waiting.ask.prompt_work) {
+                state.prompt_sent(now, time);
+            }
             if let Some(prefix) = waiting.ask.prefix {
                 state.prefixes.touch(prefix, self.options.cached_prefixes);
             }
@@ -468,6 +501,8 @@
                 entry: waiting.entry.clone(),
                 target: target.clone(),
                 expected,
+                prompt_work: waiting.ask.prompt_work,
+                output_work: waiting.ask.output_work,
                 confirmed: now,
             };
             self.permits.insert(permit, record);
@@ -485,24 +520,70 @@
         heads.filter_map(|waiting| Some((waiting.ask.permit, self.place(now, waiting)?))).next()
     }
 
-    /// The target with room on which the ask is estimated to finish first.
+    /// The target with room that suits the ask best, `None` where waiting for another one is better.
     fn place(&self, now: Uptime, waiting: &WaitingAsk) -> Option<TargetId> {
         let top = waiting.ask.tier == self.options.top;
         let reserve = self.options.reserve_percent;
         let open = self.targets.iter().filter(|(id, state)| {
             state.has_room(top, reserve, now) && !waiting.ask.avoid.contains(id)
         });
-        let scored =
-            open.map(|(id, state)| (state.estimate(&waiting.ask), load_permille(state), id));
-        let (estimate, _, target) = scored.min()?;
+        let scored = open.map(|(id, state)| {
+            let fit = self.fit(now, waiting, state);
+            (fit, load_permille(state), id)
+        });
+        let (fit, _, target) = scored.min()?;
         // A target that is too slow for the deadline is worth waiting past while a faster one is busy.
-        let time_left = waiting.deadline.saturating_sub(now).as_micros() as u64;
-        if with_margin(estimate) > time_left {
+        let time_left = micros(waiting.deadline.saturating_sub(now));
+        if with_margin(fit.time) > time_left {
+            return None;
+        }
+        // So is one whose other streams would stall, as long as the answer need not begin yet.
+        if fit.stalls && now < waiting.first_by && self.has_steady_target(now, waiting) {
             return None;
         }
         Some(target.clone())
     }
 
+    /// How well a target suits an ask.
+    fn fit(&self, now: Uptime, waiting: &WaitingAsk, state: &TargetState) -> TargetFit {
+        let ask = &waiting.ask;
+        let prompt = state.pace.prompt_time(ask.prompt_work);
+        let output = state.pace.output_time(ask.output_work, &self.pace);
+        let (Some(prompt), Some(output)) = (prompt, output) else {
+            let time = state.estimate(ask);
+            return TargetFit { stalls: false, late: false, time: penalized(time, state) };
+        };
+        let backlog = state.prompt_backlog(now);
+        let reading = backlog + Duration::from_micros(prompt);
+        let stalls = state.in_flight > 0 && self.would_stall(now, state, reading, ask);
+        let late = now + reading > waiting.first_by;
+        let time = penalized(micros(reading) + output, state);
+        TargetFit { stalls, late, time }
+    }
+
+    /// Whether reading prompts for so long makes the streams of a target pause for too long. A target
+    /// that was seen to pause so long does so again, unless it has little to read.
+    fn would_stall(
+        &self,
+        now: Uptime,
+        state: &TargetState,
+        reading: Duration,
+        ask: &PermitAsk,
+    ) -> bool {
+        let limit = ask.aims.pause_limit;
+        let pauses = state.pace.longest_pause(now) > limit;
+        pauses && reading > limit / 100 * STALL_PERCENT
+    }
+
+    /// Whether some target that takes new work, busy or not, has not been seen to stall.
+    fn has_steady_target(&self, now: Uptime, waiting: &WaitingAsk) -> bool {
+        let limit = waiting.ask.aims.pause_limit;
+        self.targets.iter().any(|(id, state)| {
+            let usable = state.usable(now) && !waiting.ask.avoid.contains(id);
+            usable && state.pace.longest_pause(now) <= limit
+        })
+    }
+
     fn settle(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
         let ejected = self.targets.values().filter(|target| target.ejected()).count();
         let may_eject = (ejected + 1) * 100 <= self.targets.len() * EJECT_PERCENT;
@@ -511,6 +592,11 @@
         match end {
             AttemptEnd::Unused => {}
             AttemptEnd::Whole(took) => state.succeeded(record.expected, took),
+            AttemptEnd::Streamed(seen) => {
+                state.succeeded(record.expected, seen.first + seen.rest);
+                state.pace.learn(now, record.prompt_work, record.output_work, &seen);
+                self.pace.learn(now, record.prompt_work, record.output_work, &seen);
+            }
             AttemptEnd::Failed => state.failed(now, may_eject),
         }
     }
@@ -534,9 +620,10 @@
         let estimate = with_margin(self.fastest_estimate(&ask));
         let latest_start = deadline
             .saturating_sub(Duration::from_micros(estimate))
-            .min(now.saturating_add(ask.wait_limit));
+            .min(now.saturating_add(ask.aims.wait_limit));
         let order = now + Duration::from_micros(work * AGE_PER_WORK);
-        WaitingAsk { entry, ask, deadline, latest_start, order, work }
+        let first_by = now.saturating_add(ask.aims.first_by);
+        WaitingAsk { entry, ask, deadline, first_by, latest_start, order, work }
     }
 
     fn fastest_estimate(&self, ask: &PermitAsk) -> WorkMicros {
@@ -579,6 +666,16 @@
     }
 }
 
+/// Microseconds of a time, at most what fits.
+fn micros(time: Duration) -> WorkMicros {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// The time on a target, longer where its requests failed lately.
+fn penalized(time: WorkMicros, state: &TargetState) -> WorkMicros {
+    time + time / 1_000 * state.failing() * FAILING_PENALTY
+}
+
 fn load_permille(state: &TargetState) -> u32 {
     state.in_flight * 1_000 / state.slots.max(1)
 }
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -17,6 +17,8 @@
     pub ask: PermitAsk,
     /// When its caller's time ends.
     pub deadline: Uptime,
+    /// When its answer has to begin to be in time.
+    pub first_by: Uptime,
     /// When it has to start at the latest.
     pub latest_start: Uptime,
     /// Place in its account's line: the lowest goes first.
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -4,6 +4,7 @@
 
 use curlewcleat_core::{PermitAsk, TargetReport, Uptime, VmId, WorkMicros};
 
+use crate::pace::StreamPace;
 use crate::prefix::PrefixCache;
 
 /// Slowness of a target that takes exactly the estimated time, in thousandths.
@@ -17,6 +18,10 @@
 const REPORT_LIFE: Duration = Duration::from_secs(5);
 /// Share of the prompt work that is left when the prefix is cached, in percent.
 const CACHED_PROMPT_PERCENT: u64 = 10;
+/// A request weighs one in this many in the share that failed.
+const FAILING_WEIGHT: u64 = 8;
+/// The share where every request fails, in thousandths.
+const ALL_FAILING: u64 = 1_000;
 /// A report weighs one in this many in the learned slowness.
 const SLOWNESS_WEIGHT: u64 = 8;
 
@@ -43,6 +48,12 @@
     in_flight_before: u32,
     /// Number of the latest cache event taken in.
     last_eviction: Option<u64>,
+    /// How fast it streams.
+    pub pace: StreamPace,
+    /// When it has read the prompts that were sent there, as far as can be told.
+    prompts_until: Uptime,
+    /// Share of its requests that failed lately, in thousandths.
+    failing: u64,
 }
 
 impl TargetState {
@@ -61,12 +72,21 @@
             foreign: (0, Duration::ZERO),
             in_flight_before: 0,
             last_eviction: None,
+            pace: StreamPace::of_pool().of_new_target(),
+            prompts_until: Duration::ZERO,
+            failing: 0,
         }
     }
 
+    /// The same target, of which this pace is assumed.
+    pub fn with_pace(self, pace: StreamPace) -> TargetState {
+        TargetState { pace, ..self }
+    }
+
     /// Lets a second pass. What is believed of an idle target's slowness fades, so that a belief that
     /// keeps requests away cannot keep itself alive.
     pub fn second_passed(&mut self) {
+        self.failing -= self.failing / FAILING_WEIGHT;
         if self.in_flight == 0 && self.slowness > NORMAL {
             let excess = self.slowness - NORMAL;
             self.slowness -= excess.div_ceil(SLOWNESS_WEIGHT);
@@ -136,6 +156,21 @@
         (prompt + ask.output_work) * self.slowness / NORMAL
     }
 
+    /// Time until the prompts that were sent there are read.
+    pub fn prompt_backlog(&self, now: Uptime) -> Duration {
+        self.prompts_until.saturating_sub(now)
+    }
+
+    /// A prompt that takes so long to read goes there.
+    pub fn prompt_sent(&mut self, now: Uptime, time: WorkMicros) {
+        self.prompts_until = self.prompts_until.max(now) + Duration::from_micros(time);
+    }
+
+    /// Share of its requests that failed lately, in thousandths.
+    pub fn failing(&self) -> u64 {
+        self.failing
+    }
+
     /// Slowness in thousandths of the estimate.
     pub fn slowness(&self) -> u64 {
         self.slowness
@@ -143,6 +178,7 @@
 
     /// A whole answer took this long for work that was estimated at normal speed.
     pub fn succeeded(&mut self, expected: WorkMicros, took: Duration) {
+        self.failing -= self.failing / FAILING_WEIGHT;
         self.failures = 0;
         self.ejected_until = None;
         self.eject_for = EJECT_FIRST;
@@ -154,6 +190,7 @@
     /// The target failed a request; `may_eject` says whether it may be ejected for that.
     pub fn failed(&mut self, now: Uptime, may_eject: bool) {
         self.failures += 1;
+        self.failing += (ALL_FAILING - self.failing) / FAILING_WEIGHT;
         if self.ejected_until.is_some() {
             self.eject_for = (self.eject_for * 2).min(EJECT_LIMIT);
             self.ejected_until = Some(now + self.eject_for);
