Long waits are refused for the ask's own sake; placement waits only where that helps

A forecast that is too long now sheds no tier (what goes after it waits longer still); waiting for a better target ends when the answer has to begin; four asks of a line are tried; what is believed of idle targets fades.

--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -78,6 +78,8 @@
         TierShed => "tier_shed",
         /// The request cannot finish before its deadline.
         DeadlineUnreachable => "deadline_unreachable",
+        /// The request would wait, or has waited, longer than its caller finds worth while.
+        WaitTooLong => "wait_too_long",
         /// The deadline passed while the request waited.
         DeadlinePassed => "deadline_passed",
         /// The pool has no target that takes new work.
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -95,6 +95,7 @@
         | RefusalReason::ShedForHigherTier
         | RefusalReason::TierShed
         | RefusalReason::DeadlineUnreachable
+        | RefusalReason::WaitTooLong
         | RefusalReason::NoTarget
         | RefusalReason::KeyHomeUnreachable
         | RefusalReason::KeyStoreFull
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -5,7 +5,7 @@
     PermitAsk, PermitDecision, PoolId, Refusal, RefusalReason, StatePull, TablePush, VmId,
 };
 use curlewcleat_keys::KeyTable;
-use curlewcleat_sched::{GuardStep, PoolScheduler, SchedulerAction};
+use curlewcleat_sched::{spread_advice, GuardStep, PoolScheduler, SchedulerAction};
 
 use super::{order_of, Node};
 use crate::event::{NodeAction, NodeNote};
@@ -100,7 +100,8 @@
 
     fn permit_asked(&mut self, from: &DaemonId, ask: PermitAsk) {
         if let Err(wait) = self.charge(&ask) {
-            let refusal = Refusal::not_run(RefusalReason::AccountRate, Some(wait));
+            let advice = spread_advice(ask.permit, wait, ask.time_left);
+            let refusal = Refusal::not_run(RefusalReason::AccountRate, Some(advice));
             let decision = PermitDecision::Refused(refusal);
             let answer = PermitAnswer { permit: ask.permit, pool: ask.pool, decision };
             self.post(&from.vm, PeerMessage::PermitAnswer(answer));
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -24,7 +24,7 @@
 pub use level::{GuardStep, LevelGuard};
 pub use members::{MemberOptions, MemberView, PeerState};
 pub use pace::StreamPace;
-pub use pool::{PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
+pub use pool::{spread_advice, PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
 pub use prefix::PrefixCache;
 pub use queue::{TierQueues, WaitingAsk};
 pub use rate::{AccountRates, RateMargin, RatePart};
--- a/crates/sched/src/pace.rs
+++ b/crates/sched/src/pace.rs
@@ -26,6 +26,11 @@
         self.below = self.below - self.below / weight + below;
     }
 
+    fn fade_towards(&mut self, other: FadingRatio) {
+        self.above = self.above - self.above / TARGET_WEIGHT + other.above / TARGET_WEIGHT;
+        self.below = self.below - self.below / TARGET_WEIGHT + other.below / TARGET_WEIGHT;
+    }
+
     /// `amount` times the ratio, `None` where nothing was fed.
     fn of(&self, amount: u64) -> Option<u64> {
         let scaled = u128::from(amount) * u128::from(self.above);
@@ -94,6 +99,13 @@
         }
     }
 
+    /// What is believed of an idle target fades towards what holds for its pool.
+    pub fn fade_towards(&mut self, pool: &StreamPace) {
+        let usual = pool.of_new_target();
+        self.first.fade_towards(usual.first);
+        self.part.fade_towards(usual.part);
+    }
+
     /// Time that the prompt takes, `None` while nothing is known.
     pub fn prompt_time(&self, prompt: WorkMicros) -> Option<WorkMicros> {
         self.first.of(prompt + PROMPT_BASE)
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -35,6 +35,14 @@
 const STALL_PERCENT: u32 = 70;
 /// Times that a target's time counts more where all its requests failed lately.
 const FAILING_PENALTY: u64 = 8;
+/// Part of the time left over which returns are spread, in percent.
+const SPREAD_PERCENT: u32 = 25;
+/// Part of the time left after which there is no use in coming back, in percent.
+const ADVICE_PERCENT: u32 = 30;
+/// Steps in which returns are spread.
+const SPREAD_STEPS: u32 = 1_024;
+/// Shortest advice when to come back.
+const LEAST_ADVICE: Duration = Duration::from_millis(100);
 /// Bounds of the advice when to come back.
 const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
 
@@ -75,6 +83,8 @@
     stalls: bool,
     /// The answer would begin too late.
     late: bool,
+    /// Time until its end, longer where requests failed there lately.
+    penalized: WorkMicros,
     /// Time until its end.
     time: WorkMicros,
 }
@@ -303,10 +313,17 @@
         self.level.tick(self.options.lowest, now);
         if now >= self.faded + Duration::from_secs(1) {
             self.faded = now;
-            self.targets.values_mut().for_each(TargetState::second_passed);
+            let pace = self.pace;
+            self.targets.values_mut().for_each(|target| target.second_passed(&pace));
         }
         for permit in self.queues.overdue(now) {
             if let Some(waiting) = self.queues.remove(&permit) {
+                if now > waiting.wait_until {
+                    let refusal = wait_too_long(&waiting.ask, self.drain_time());
+                    let decision = PermitDecision::Refused(refusal);
+                    actions.push(self.answer(waiting.entry, permit, decision));
+                    continue;
+                }
                 let refusal = self.capacity_refusal(
                     now,
                     waiting.ask.tier,
@@ -371,7 +388,10 @@
             return Err(Refusal::not_run(RefusalReason::DeadlineUnreachable, None));
         }
         let wait = self.wait_estimate(ask, &limit);
-        if wait + estimate > time_left || wait > micros(ask.aims.forecast_limit) {
+        if wait > micros(ask.aims.forecast_limit) {
+            return Err(wait_too_long(ask, Duration::from_micros(wait)));
+        }
+        if wait + estimate > time_left {
             let refusal = self.capacity_refusal(now, ask.tier, RefusalReason::DeadlineUnreachable);
             self.shed_below(now, ask.tier, actions);
             return Err(refusal);
@@ -532,13 +552,15 @@
             (fit, load_permille(state), id)
         });
         let (fit, _, target) = scored.min()?;
-        // A target that is too slow for the deadline is worth waiting past while a faster one is busy.
+        // Waiting for a better target is worth while only as long as the answer need not begin yet, and
+        // where there is a better one that is busy.
+        let may_wait = now < waiting.first_by;
         let time_left = micros(waiting.deadline.saturating_sub(now));
-        if with_margin(fit.time) > time_left {
+        let too_slow = with_margin(fit.time) > time_left;
+        if too_slow && may_wait && self.has_fast_target(now, waiting, time_left) {
             return None;
         }
-        // So is one whose other streams would stall, as long as the answer need not begin yet.
-        if fit.stalls && now < waiting.first_by && self.has_steady_target(now, waiting) {
+        if fit.stalls && may_wait && self.has_steady_target(now, waiting) {
             return None;
         }
         Some(target.clone())
@@ -551,14 +573,15 @@
         let output = state.pace.output_time(ask.output_work, &self.pace);
         let (Some(prompt), Some(output)) = (prompt, output) else {
             let time = state.estimate(ask);
-            return TargetFit { stalls: false, late: false, time: penalized(time, state) };
+            let penalty = penalty(time, state);
+            return TargetFit { stalls: false, late: false, penalized: time + penalty, time };
         };
         let backlog = state.prompt_backlog(now);
         let reading = backlog + Duration::from_micros(prompt);
         let stalls = state.in_flight > 0 && self.would_stall(now, state, reading, ask);
         let late = now + reading > waiting.first_by;
-        let time = penalized(micros(reading) + output, state);
-        TargetFit { stalls, late, time }
+        let time = micros(reading) + output;
+        TargetFit { stalls, late, penalized: time + penalty(time, state), time }
     }
 
     /// Whether reading prompts for so long makes the streams of a target pause for too long. A target
@@ -575,6 +598,14 @@
         pauses && reading > limit / 100 * STALL_PERCENT
     }
 
+    /// Whether some target that takes new work, busy or not, would end the answer in time.
+    fn has_fast_target(&self, now: Uptime, waiting: &WaitingAsk, time_left: WorkMicros) -> bool {
+        self.targets.iter().any(|(id, state)| {
+            let usable = state.usable(now) && !waiting.ask.avoid.contains(id);
+            usable && with_margin(self.fit(now, waiting, state).time) <= time_left
+        })
+    }
+
     /// Whether some target that takes new work, busy or not, has not been seen to stall.
     fn has_steady_target(&self, now: Uptime, waiting: &WaitingAsk) -> bool {
         let limit = waiting.ask.aims.pause_limit;
@@ -618,12 +649,11 @@
         let work = ask.prompt_work + ask.output_work;
         let deadline = now + ask.time_left;
         let estimate = with_margin(self.fastest_estimate(&ask));
-        let latest_start = deadline
-            .saturating_sub(Duration::from_micros(estimate))
-            .min(now.saturating_add(ask.aims.wait_limit));
+        let wait_until = now.saturating_add(ask.aims.wait_limit);
+        let latest_start = deadline.saturating_sub(Duration::from_micros(estimate)).min(wait_until);
         let order = now + Duration::from_micros(work * AGE_PER_WORK);
         let first_by = now.saturating_add(ask.aims.first_by);
-        WaitingAsk { entry, ask, deadline, first_by, latest_start, order, work }
+        WaitingAsk { entry, ask, deadline, first_by, wait_until, latest_start, order, work }
     }
 
     fn fastest_estimate(&self, ask: &PermitAsk) -> WorkMicros {
@@ -666,14 +696,30 @@
     }
 }
 
+/// The refusal of an ask that would wait too long. It is for the ask's own sake: whatever goes after
+/// it waits longer still, so no tier is shed for it.
+fn wait_too_long(ask: &PermitAsk, wait: Duration) -> Refusal {
+    let advice = spread_advice(ask.permit, wait, ask.time_left);
+    Refusal::not_run(RefusalReason::WaitTooLong, Some(advice))
+}
+
+/// Advice when to come back: not before `wait`, and spread over a part of the time that is left, so that
+/// those who are refused together do not come back together.
+pub fn spread_advice(permit: PermitId, wait: Duration, time_left: Duration) -> Duration {
+    let drawn = (permit.request.as_u128() % u128::from(SPREAD_STEPS)) as u32;
+    let spread = time_left / 100 * SPREAD_PERCENT / SPREAD_STEPS * drawn;
+    let most = (time_left / 100 * ADVICE_PERCENT).max(LEAST_ADVICE);
+    (wait + spread).clamp(LEAST_ADVICE, most)
+}
+
 /// Microseconds of a time, at most what fits.
 fn micros(time: Duration) -> WorkMicros {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
-/// The time on a target, longer where its requests failed lately.
-fn penalized(time: WorkMicros, state: &TargetState) -> WorkMicros {
-    time + time / 1_000 * state.failing() * FAILING_PENALTY
+/// What the time on a target counts more where its requests failed lately.
+fn penalty(time: WorkMicros, state: &TargetState) -> WorkMicros {
+    time / 1_000 * state.failing() * FAILING_PENALTY
 }
 
 fn load_permille(state: &TargetState) -> u32 {
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -19,6 +19,8 @@
     pub deadline: Uptime,
     /// When its answer has to begin to be in time.
     pub first_by: Uptime,
+    /// Until when it may wait.
+    pub wait_until: Uptime,
     /// When it has to start at the latest.
     pub latest_start: Uptime,
     /// Place in its account's line: the lowest goes first.
@@ -27,6 +29,8 @@
     pub work: WorkMicros,
 }
 
+/// Asks of a line that are tried, so that one that no target suits does not hold up the others.
+const FIRST_OF_LINE: usize = 4;
 /// Size classes of work in a line, one for each power of two of microseconds.
 const CLASSES: usize = 40;
 
@@ -149,7 +153,7 @@
         self.remove(permit)
     }
 
-    /// The asks that may go next, best first: of each tier by rank the first ask of each of its first
+    /// The asks that may go next, best first: of each tier by rank the first asks of each of its first
     /// `accounts` accounts.
     pub fn heads(&self, accounts: usize) -> impl Iterator<Item = &WaitingAsk> {
         self.tiers.values().flat_map(move |queue| {
@@ -157,7 +161,8 @@
                 .order
                 .iter()
                 .take(accounts)
-                .filter_map(|(_, account)| queue.lines.get(account)?.waiting.values().next())
+                .filter_map(|(_, account)| queue.lines.get(account))
+                .flat_map(|line| line.waiting.values().take(FIRST_OF_LINE))
         })
     }
 
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -85,7 +85,10 @@
 
     /// Lets a second pass. What is believed of an idle target's slowness fades, so that a belief that
     /// keeps requests away cannot keep itself alive.
-    pub fn second_passed(&mut self) {
+    pub fn second_passed(&mut self, pool: &StreamPace) {
+        if self.in_flight == 0 {
+            self.pace.fade_towards(pool);
+        }
         self.failing -= self.failing / FAILING_WEIGHT;
         if self.in_flight == 0 && self.slowness > NORMAL {
             let excess = self.slowness - NORMAL;
