What a prompt waited for earlier ones is not learned as its own time

The time to the first part contains the wait for earlier prompts; learned as the prompt's own time it made the predicted backlog longer, which made the next lesson longer.

--- a/crates/daemon/src/brain.rs
+++ b/crates/daemon/src/brain.rs
@@ -197,6 +197,21 @@
         NodeNote::TableKnown(version, slots) => {
             info!("key_table_known", kv: { version = *version, slots_held = *slots })
         }
+        NodeNote::PoolWaits(pool) => {
+            let ejected = pool.targets.iter().filter(|target| target.ejected).count();
+            let leaving = pool.targets.iter().filter(|target| target.leaving).count();
+            let slots: u32 = pool.targets.iter().map(|target| target.slots).sum();
+            let detail: Vec<String> = pool
+                .targets
+                .iter()
+                .map(|t| format!("{}:{}/{} s{}", t.id, t.in_flight, t.slots, t.slowness))
+                .collect();
+            info!("pool_waits", kv: {
+                pool = pool.id.as_str(), waiting = pool.waiting, in_flight = pool.in_flight, slots,
+                targets = pool.targets.len(), ejected, leaving, detail = detail.join(" "),
+                lowest_open = pool.lowest_open.map_or(-1, i64::from)
+            });
+        }
         NodeNote::DrainBegun => info!("drain_begun"),
         NodeNote::DrainClosing => info!("drain_closing"),
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -9,6 +9,8 @@
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::RequestSpec;
 
+use crate::status::PoolStatus;
+
 /// A line of the platform's VM list.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ListedVm {
@@ -112,6 +114,8 @@
     PeerReplaced(DaemonId),
     /// A key table is known; this daemon holds so many slots.
     TableKnown(ObjectVersion, usize),
+    /// What the scheduler of a pool sees while asks wait there.
+    PoolWaits(PoolStatus),
     /// The planned stop has begun.
     DrainBegun,
     /// New requests are refused from now on.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -208,7 +208,7 @@
         pool
     }
 
-    fn pool_status(&self, id: &PoolId, pool: &PoolScheduler) -> PoolStatus {
+    pub(crate) fn pool_status(&self, id: &PoolId, pool: &PoolScheduler) -> PoolStatus {
         let targets = pool.targets().iter().map(|(id, state)| TargetStatus {
             id: id.clone(),
             in_flight: state.in_flight,
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -38,6 +38,7 @@
         self.beat();
         if self.now >= self.last_review + REVIEW {
             self.last_review = self.now;
+            self.note_waiting();
             self.review_table();
         }
         if self.now >= self.last_expire + EXPIRE {
@@ -47,6 +48,14 @@
         self.step_drain();
     }
 
+    fn note_waiting(&mut self) {
+        let waiting = self.pools.iter().filter(|(_, pool)| pool.waiting() > 0);
+        let notes: Vec<NodeAction> = waiting
+            .map(|(id, pool)| NodeAction::Note(NodeNote::PoolWaits(self.pool_status(id, pool))))
+            .collect();
+        self.actions.extend(notes);
+    }
+
     pub(super) fn beat(&mut self) {
         if self.last_beat.is_some_and(|last| self.now < last + self.options.beat) {
             return;
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -9,8 +9,8 @@
 
 use curlewcleat_core::{
     AccountId, AttemptEnd, DaemonId, PermitAnswer, PermitAsk, PermitDecision, PermitHeld, PermitId,
-    PermitReturn, PoolId, Refusal, RefusalReason, TargetId, TargetPool, TargetReport, TierRank,
-    Uptime, VmId, WorkMicros,
+    PermitReturn, PoolId, Refusal, RefusalReason, StreamTiming, TargetId, TargetPool, TargetReport,
+    TierRank, Uptime, VmId, WorkMicros,
 };
 
 use crate::account::{AccountLimit, RateBucket};
@@ -33,6 +33,8 @@
 const MARGIN_PERCENT: u64 = 125;
 /// Reading prompts for this part of the longest allowed pause, in percent, stalls no stream.
 const STALL_PERCENT: u32 = 70;
+/// At least this part of the time to the first part, one in so many, is for the own prompt.
+const OWN_PART: u32 = 4;
 /// Times that a target's time counts more where all its requests failed lately.
 const FAILING_PENALTY: u64 = 8;
 /// Part of the time left over which returns are spread, in percent.
@@ -102,6 +104,8 @@
     pub prompt_work: WorkMicros,
     /// Other work as estimated by the entry.
     pub output_work: WorkMicros,
+    /// Time that the target needed for earlier prompts when the permit was given.
+    pub backlog: Duration,
     /// When it was given, or last confirmed.
     pub confirmed: Uptime,
 }
@@ -281,6 +285,7 @@
             expected,
             prompt_work,
             output_work,
+            backlog: Duration::ZERO,
             confirmed: now,
         };
         self.permits.insert(held.ask.permit, record);
@@ -511,6 +516,7 @@
             let estimate = state.estimate(&waiting.ask);
             let expected = estimate * 1_000 / state.slowness().max(1);
             state.in_flight += 1;
+            let backlog = state.prompt_backlog(now);
             if let Some(time) = state.pace.prompt_time(waiting.ask.prompt_work) {
                 state.prompt_sent(now, time);
             }
@@ -523,6 +529,7 @@
                 expected,
                 prompt_work: waiting.ask.prompt_work,
                 output_work: waiting.ask.output_work,
+                backlog,
                 confirmed: now,
             };
             self.permits.insert(permit, record);
@@ -625,6 +632,9 @@
             AttemptEnd::Whole(took) => state.succeeded(record.expected, took),
             AttemptEnd::Streamed(seen) => {
                 state.succeeded(record.expected, seen.first + seen.rest);
+                // What it waited for earlier prompts says nothing of its own.
+                let own = seen.first.saturating_sub(record.backlog).max(seen.first / OWN_PART);
+                let seen = StreamTiming { first: own, ..seen };
                 state.pace.learn(now, record.prompt_work, record.output_work, &seen);
                 self.pace.learn(now, record.prompt_work, record.output_work, &seen);
             }
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -20,6 +20,8 @@
 const CACHED_PROMPT_PERCENT: u64 = 10;
 /// A request weighs one in this many in the share that failed.
 const FAILING_WEIGHT: u64 = 8;
+/// Longest time that prompts are believed to keep a target.
+const BACKLOG_LIMIT: Duration = Duration::from_secs(5);
 /// The share where every request fails, in thousandths.
 const ALL_FAILING: u64 = 1_000;
 /// A report weighs one in this many in the learned slowness.
@@ -166,7 +168,8 @@
 
     /// A prompt that takes so long to read goes there.
     pub fn prompt_sent(&mut self, now: Uptime, time: WorkMicros) {
-        self.prompts_until = self.prompts_until.max(now) + Duration::from_micros(time);
+        let until = self.prompts_until.max(now) + Duration::from_micros(time);
+        self.prompts_until = until.min(now + BACKLOG_LIMIT);
     }
 
     /// Share of its requests that failed lately, in thousandths.
