--- /dev/null
+++ b/crates/acceptance/tests/native.rs
@@ -0,0 +1,495 @@
+//! Daemons on a platform that keeps the configuration: routes, answers, failures of engines and of the
+//! store, and the planned stop. The verdict always compares what engines ran with what callers got.
+
+use std::time::{Duration, Instant};
+
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead};
+use anyhow::Result;
+use bytes::Bytes;
+use curlewcleat_adapter::example::{DEPOTS_KEY, DRIVERS_KEY, DRIVERS_SECOND_KEY, HOST};
+use curlewcleat_adapter::names::{SEAL, SERVERS, WIRE_PROFILE};
+use curlewcleat_standins::fleet::{get_text, wait_until};
+use curlewcleat_standins::native::{EngineStep, NativeEngine, NativeFleet, StoreOutage};
+use curlewcleat_targets::{AnswerBody, ConnectionPool};
+use futures_util::StreamExt;
+use rstest::rstest;
+
+const PACE: Duration = Duration::from_millis(10);
+const EVENTS: u64 = 8;
+/// Bounds of a daemon that has to prove its configuration.
+const PROVED: &str = "config_age_limit = 1500ms\nretry_saved = 100\nretry_ratio = 0.5";
+
+/// What a caller sends.
+struct Call<'a> {
+    method: Method,
+    path: &'a str,
+    attempt: &'a str,
+    key: Option<&'a str>,
+    headers: Vec<(&'static str, &'a str)>,
+    body: Option<&'a str>,
+}
+
+impl<'a> Call<'a> {
+    fn new(path: &'a str, attempt: &'a str) -> Call<'a> {
+        let headers = vec![(WIRE_PROFILE.time_left, "4000")];
+        Call {
+            method: Method::POST,
+            path,
+            attempt,
+            key: Some(DRIVERS_KEY),
+            headers,
+            body: Some("b"),
+        }
+    }
+
+    fn key(self, key: Option<&'a str>) -> Call<'a> {
+        Call { key, ..self }
+    }
+
+    fn header(mut self, name: &'static str, value: &'a str) -> Call<'a> {
+        self.headers.retain(|(known, _)| *known != name);
+        self.headers.push((name, value));
+        self
+    }
+
+    fn head(&self) -> RequestHead {
+        let mut head = RequestHead::default();
+        head.method = self.method.clone();
+        head.uri = self.path.parse().expect("a path");
+        let mut set = |name: &'static str, value: &str| {
+            let value = HeaderValue::from_str(value).expect("a header");
+            head.headers.insert(HeaderName::from_static(name), value);
+        };
+        set("host", HOST);
+        set(WIRE_PROFILE.attempt_id, self.attempt);
+        if let Some(key) = self.key {
+            set("authorization", &format!("Bearer {key}"));
+        }
+        for (name, value) in &self.headers {
+            set(name, value);
+        }
+        head
+    }
+
+    async fn begin(&self, daemon: &str) -> Result<(actix_http::ResponseHead, AnswerBody)> {
+        let client = ConnectionPool::default();
+        let connection = client.connect(daemon, Duration::from_secs(2)).await?;
+        let body = self.body.map(|body| Bytes::from(body.to_string())).unwrap_or_default();
+        let answer = connection.exchange(self.head(), body).await?;
+        Ok((answer.head, answer.body))
+    }
+
+    async fn send(&self, daemon: &str) -> Result<Answer> {
+        let (head, mut body) = self.begin(daemon).await?;
+        let mut bytes = Vec::new();
+        let mut whole = true;
+        while let Some(part) = body.next().await {
+            match part {
+                Ok(part) => bytes.extend_from_slice(&part),
+                Err(_) => whole = false,
+            }
+        }
+        let header = |name: &str| {
+            head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_string)
+        };
+        Ok(Answer {
+            status: head.status.as_u16(),
+            text: String::from_utf8_lossy(&bytes).to_string(),
+            whole,
+            seal: header(SEAL),
+            echo: header(WIRE_PROFILE.attempt_id),
+            retry_after: header("retry-after").and_then(|text| text.parse().ok()),
+        })
+    }
+}
+
+/// What a caller got.
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    text: String,
+    whole: bool,
+    seal: Option<String>,
+    echo: Option<String>,
+    retry_after: Option<f64>,
+}
+
+/// A fleet of daemons that are ready, with engines for records and for streams.
+async fn ready(name: &str, daemons: usize, records: usize, engines: usize) -> Result<NativeFleet> {
+    let mut fleet = NativeFleet::start(name).await?;
+    fleet.store_config()?;
+    for _ in 0..records {
+        fleet.engine("records", 0, PACE).await?;
+    }
+    for _ in 0..engines {
+        fleet.engine("engines", EVENTS, PACE).await?;
+    }
+    fleet.daemons(daemons, PROVED).await?;
+    for daemon in &fleet.daemons {
+        let operators = daemon.operators.clone();
+        wait_ready(&operators, true).await?;
+    }
+    // The list of targets is read beside the configuration.
+    let entry = fleet.daemons[0].callers.clone();
+    wait_until("records are served", || {
+        let entry = entry.clone();
+        async move {
+            let call = Call::new("/again/x", "warm").send(&entry).await;
+            records == 0 || call.is_ok_and(|answer| answer.status == 200)
+        }
+    })
+    .await?;
+    Ok(fleet)
+}
+
+async fn wait_ready(operators: &str, wanted: bool) -> Result<()> {
+    wait_until("readiness", || async move {
+        let text = get_text(operators, "/readyz").await.unwrap_or_default();
+        (text == "ready") == wanted
+    })
+    .await
+}
+
+/// Runs of a try over all engines.
+fn runs(fleet: &NativeFleet, attempt: &str) -> usize {
+    let engines = fleet.engines.iter();
+    engines.flat_map(|engine| engine.runs()).filter(|run| run.attempt == attempt && run.ran).count()
+}
+
+#[actix_rt::test]
+async fn route_account_and_headers_are_those_of_the_configuration() -> Result<()> {
+    let fleet = ready("routes", 1, 1, 0).await?;
+    let entry = &fleet.daemons[0].callers;
+    let served = Call::new("/once/a?x=1", "t1").header("x-color", "blue").send(entry).await?;
+    assert_eq!((served.status, served.text.as_str()), (200, "record of t1"));
+    assert_eq!(served.seal.as_deref(), Some("i-0"));
+    assert_eq!(served.echo.as_deref(), Some("t1"));
+    let second = Call::new("/once/a", "t2").key(Some(DRIVERS_SECOND_KEY)).send(entry).await?;
+    assert_eq!(second.status, 200);
+    let forged = Call::new("/once/a", "t3").key(Some(DEPOTS_KEY)).header(WIRE_PROFILE.account, "x");
+    assert_eq!(forged.send(entry).await?.status, 200);
+    let open = Call::new("/once/open/a", "t4").key(None).send(entry).await?;
+    assert_eq!(open.status, 200);
+    assert_eq!(Call::new("/once/a", "t5").key(None).send(entry).await?.status, 401);
+    assert_eq!(Call::new("/once/a", "t6").key(Some("nobody")).send(entry).await?.status, 401);
+    assert_eq!(Call::new("/nowhere/a", "t7").send(entry).await?.status, 404);
+    let all = fleet.engines[0].runs();
+    let run = |attempt: &str| all.iter().find(|run| run.attempt == attempt).cloned();
+    let first = run("t1").expect("t1 ran");
+    assert_eq!((first.request.as_str(), first.body.as_slice()), ("POST /once/a", b"b".as_slice()));
+    assert_eq!((first.account.as_str(), first.key.as_str()), ("drivers", ""));
+    assert!(first.time_left > 2_000 && first.time_left <= 4_000, "{}", first.time_left);
+    assert_eq!(run("t2").map(|run| run.account).as_deref(), Some("drivers"));
+    assert_eq!(run("t3").map(|run| run.account).as_deref(), Some("depots"));
+    assert_eq!(run("t4").map(|run| run.account).as_deref(), Some(""));
+    assert!(run("t5").is_none() && run("t6").is_none() && run("t7").is_none());
+    Ok(())
+}
+
+#[rstest]
+#[case::broken_within_an_event("broken", EngineStep::Break(3))]
+#[case::broken_at_its_begin("begin", EngineStep::Break(0))]
+#[case::closed_without_an_answer("closed", EngineStep::Close)]
+#[case::silent("silent", EngineStep::Silent)]
+#[case::failed("failed", EngineStep::Fail(500))]
+#[case::declined("declined", EngineStep::Decline)]
+#[actix_rt::test]
+async fn stream_is_taken_up_at_another_engine_in_one_answer(
+    #[case] name: &str,
+    #[case] step: EngineStep,
+) -> Result<()> {
+    let fleet = ready(&format!("resumed-{name}"), 1, 0, 2).await?;
+    let entry = fleet.daemons[0].callers.clone();
+    wait_until("streams are served", || async {
+        let call = Call::new("/resumed/stream/a", "warm").send(&entry).await;
+        call.is_ok_and(|answer| answer.status == 200)
+    })
+    .await?;
+    fleet.engines.iter().for_each(|engine| engine.next(step));
+    // Both fail once; the try that is watched meets one failure at least and may need the other.
+    let _ = Call::new("/resumed/stream/a", "first").send(&entry).await?;
+    fleet.engines.iter().for_each(|engine| engine.always(EngineStep::Serve));
+    fleet.engines[0].next(step);
+    let answer = Call::new("/resumed/stream/a", "t").send(&entry).await?;
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(answer.text, NativeEngine::expected_stream("t", EVENTS));
+    Ok(())
+}
+
+#[rstest]
+#[case::broken("broken", EngineStep::Break(3))]
+#[case::closed("closed", EngineStep::Close)]
+#[actix_rt::test]
+async fn stream_that_may_not_be_taken_up_runs_once_and_looks_broken(
+    #[case] name: &str,
+    #[case] step: EngineStep,
+) -> Result<()> {
+    let fleet = ready(&format!("plain-{name}"), 1, 1, 2).await?;
+    let entry = &fleet.daemons[0].callers;
+    fleet.engines.iter().for_each(|engine| engine.always(step));
+    let answer = Call::new("/plain/stream/a", "t").send(entry).await?;
+    assert!(!answer.whole || answer.status == 502, "{answer:?}");
+    assert_eq!(runs(&fleet, "t"), 1);
+    Ok(())
+}
+
+#[rstest]
+#[case::closed("closed", EngineStep::Close, 502)]
+#[case::failed("failed", EngineStep::Fail(500), 500)]
+#[case::silent("silent", EngineStep::Silent, 504)]
+#[actix_rt::test]
+async fn record_that_may_not_be_repeated_runs_once(
+    #[case] name: &str,
+    #[case] step: EngineStep,
+    #[case] status: u16,
+) -> Result<()> {
+    let fleet = ready(&format!("once-{name}"), 1, 2, 0).await?;
+    let entry = &fleet.daemons[0].callers;
+    fleet.engines.iter().for_each(|engine| engine.always(step));
+    let call = Call::new("/once/a", "t").header(WIRE_PROFILE.time_left, "700");
+    let begun = Instant::now();
+    let answer = call.send(entry).await?;
+    assert_eq!(answer.status, status);
+    assert_eq!(answer.retry_after, None, "a promise that nothing ran");
+    assert!(begun.elapsed() < Duration::from_millis(1_500));
+    assert_eq!(runs(&fleet, "t"), 1);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn declined_record_runs_at_another_engine_and_says_so_if_none_takes_it() -> Result<()> {
+    let fleet = ready("declined", 1, 2, 0).await?;
+    let entry = &fleet.daemons[0].callers;
+    fleet.engines.iter().for_each(|engine| engine.next(EngineStep::Decline));
+    let refused = Call::new("/once/a", "t1").send(entry).await?;
+    assert_eq!(refused.status, 503);
+    assert!(refused.retry_after.is_some_and(|wait| wait > 0.0));
+    assert_eq!(runs(&fleet, "t1"), 0);
+    let served = Call::new("/once/a", "t2").send(entry).await?;
+    assert_eq!((served.status, runs(&fleet, "t2")), (200, 1));
+    Ok(())
+}
+
+#[rstest]
+#[case::twice("twice", EngineStep::Twice)]
+#[case::unframed("unframed", EngineStep::Unframed)]
+#[actix_rt::test]
+async fn answers_reach_their_own_callers(
+    #[case] name: &str,
+    #[case] step: EngineStep,
+) -> Result<()> {
+    let fleet = ready(&format!("own-{name}"), 1, 1, 0).await?;
+    let entry = &fleet.daemons[0].callers;
+    fleet.engines[0].always(step);
+    for number in 0..40 {
+        let attempt = format!("t{number}");
+        let answer = Call::new("/again/a", &attempt).send(entry).await?;
+        assert_eq!(answer.text, format!("record of {attempt}"), "{answer:?}");
+        if number % 3 == 0 {
+            tokio::time::sleep(PACE).await;
+        }
+    }
+    Ok(())
+}
+
+#[rstest]
+#[case::busy("busy", StoreOutage::Status(503))]
+#[case::limited("limited", StoreOutage::Status(429))]
+#[case::silent("silent", StoreOutage::Silent)]
+#[case::closed("closed", StoreOutage::Closed)]
+#[actix_rt::test]
+async fn requests_with_a_key_are_refused_where_the_configuration_cannot_be_proved(
+    #[case] name: &str,
+    #[case] outage: StoreOutage,
+) -> Result<()> {
+    let fleet = ready(&format!("outage-{name}"), 1, 1, 0).await?;
+    let daemon = &fleet.daemons[0];
+    fleet.store.set_outage(Some(outage));
+    wait_ready(&daemon.operators, false).await?;
+    let stale = Call::new("/once/a", "t1").send(&daemon.callers).await?;
+    assert_eq!(stale.status, 503, "{stale:?}");
+    assert!(stale.retry_after.is_some());
+    // What is unknown here may have been added since.
+    assert_eq!(Call::new("/nowhere/a", "t2").send(&daemon.callers).await?.status, 503);
+    let open = Call::new("/once/open/a", "t3").key(None).send(&daemon.callers).await?;
+    assert_eq!(open.status, 200);
+    fleet.store.set_outage(None);
+    wait_ready(&daemon.operators, true).await?;
+    assert_eq!(Call::new("/once/a", "t4").send(&daemon.callers).await?.status, 200);
+    assert_eq!(runs(&fleet, "t1"), 0);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn configuration_is_in_force_within_its_bound_and_a_lost_key_is_refused() -> Result<()> {
+    let mut fleet = ready("config", 2, 1, 0).await?;
+    fleet.config.tenants.retain(|tenant| tenant.name != "depots");
+    fleet.config.routes.retain(|route| route.name != "open");
+    fleet.store_config()?;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    for daemon in &fleet.daemons {
+        let lost = Call::new("/once/a", "t1").key(Some(DEPOTS_KEY)).send(&daemon.callers).await?;
+        assert_eq!(lost.status, 401);
+        // The shorter path takes what the longer one had, and asks for a key.
+        let closed = Call::new("/once/open/a", "t2").key(None).send(&daemon.callers).await?;
+        assert_eq!(closed.status, 401);
+    }
+    assert_eq!(runs(&fleet, "t1") + runs(&fleet, "t2"), 0);
+    Ok(())
+}
+
+#[rstest]
+#[case::watched("watched", false)]
+#[case::history_gone("gone", true)]
+#[actix_rt::test]
+async fn leaving_and_vanished_engines_get_nothing(
+    #[case] name: &str,
+    #[case] forgets: bool,
+) -> Result<()> {
+    let fleet = ready(&format!("leaving-{name}"), 1, 3, 0).await?;
+    let entry = &fleet.daemons[0].callers;
+    fleet.announce("i-0", "records", "127.0.0.1:1", "draining")?;
+    fleet.store.remove(SERVERS, "i-1");
+    if forgets {
+        fleet.store.forget_history();
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for number in 0..20 {
+        let attempt = format!("t{number}");
+        assert_eq!(Call::new("/once/a", &attempt).send(entry).await?.status, 200);
+    }
+    let late = |index: usize| {
+        fleet.engines[index].runs().iter().filter(|run| run.attempt.starts_with('t')).count()
+    };
+    assert_eq!((late(0), late(1), late(2)), (0, 0, 20));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn address_that_is_used_again_runs_nothing_that_is_meant_for_another() -> Result<()> {
+    let fleet = ready("reused", 1, 2, 0).await?;
+    let entry = &fleet.daemons[0].callers;
+    // The entry names an engine that is no longer the one at its address.
+    let address = fleet.engine_addresses[1].clone();
+    fleet.store.remove(SERVERS, "i-1");
+    fleet.announce("i-9", "records", &address, "ready")?;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for number in 0..10 {
+        let attempt = format!("t{number}");
+        assert_eq!(Call::new("/once/a", &attempt).send(entry).await?.status, 200);
+    }
+    let at_reused = fleet.engines[1].runs();
+    assert!(at_reused.iter().all(|run| !(run.attempt.starts_with('t') && run.ran)));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn work_ends_when_its_caller_leaves() -> Result<()> {
+    let mut fleet = ready("left", 1, 1, 0).await?;
+    fleet.engine("engines", 1_000, PACE).await?;
+    let entry = fleet.daemons[0].callers.clone();
+    wait_until("streams begin", || async {
+        let call = Call::new("/plain/stream/a", "t1").begin(&entry).await;
+        call.is_ok_and(|(head, _)| head.status == 200)
+    })
+    .await?;
+    let engine = fleet.engines[1].clone();
+    wait_until("the engine notices", || async { engine.runs().iter().all(|run| run.left) }).await?;
+    engine.next(EngineStep::Silent);
+    let waiting = Call::new("/plain/stream/a", "t2");
+    assert!(tokio::time::timeout(PACE * 20, waiting.begin(&entry)).await.is_err());
+    let begun = Instant::now();
+    wait_until("the engine notices", || async { engine.runs().iter().all(|run| run.left) }).await?;
+    assert!(begun.elapsed() < Duration::from_millis(500));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn rate_of_an_account_holds_over_all_daemons() -> Result<()> {
+    let fleet = ready("rate", 3, 1, 0).await?;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let mut admitted = 0;
+    let mut refused = 0;
+    for number in 0..60 {
+        let attempt = format!("t{number}");
+        let entry = &fleet.daemons[number % 3].callers;
+        let call = Call::new("/again/a", &attempt).header(WIRE_PROFILE.tokens, "900,100");
+        match call.send(entry).await? {
+            answer if answer.status == 200 => admitted += 1,
+            answer => {
+                assert_eq!(answer.status, 429);
+                assert!(answer.retry_after.is_some());
+                refused += 1;
+            }
+        }
+    }
+    // Ten requests are the burst, and ten a second the rate.
+    assert!((10..=40).contains(&admitted) && refused > 0, "{admitted} admitted");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn planned_stop_finishes_streams_and_settings_are_reloaded() -> Result<()> {
+    let mut fleet = ready("stop", 1, 1, 0).await?;
+    fleet.engine("engines", 60, PACE).await?;
+    let entry = fleet.daemons[0].callers.clone();
+    fleet.daemons[0].process.signal("HUP")?;
+    wait_until("streams begin", || async {
+        let call = Call::new("/plain/stream/a", "warm").begin(&entry).await;
+        call.is_ok_and(|(head, _)| head.status == 200)
+    })
+    .await?;
+    assert_eq!(fleet.daemons[0].process.ended(), None);
+    let call = Call::new("/plain/stream/a", "t");
+    let stream = call.send(&entry);
+    let stop = async {
+        tokio::time::sleep(PACE * 10).await;
+        fleet.daemons[0].process.signal("TERM")
+    };
+    let (answer, stopped) = tokio::join!(stream, stop);
+    stopped?;
+    let answer = answer?;
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(answer.text, NativeEngine::expected_stream("t", 60));
+    let process = &mut fleet.daemons[0].process;
+    let end = Instant::now() + Duration::from_secs(5);
+    while process.ended().is_none() && Instant::now() < end {
+        tokio::time::sleep(PACE).await;
+    }
+    assert_eq!(process.ended(), Some(0));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn daemon_without_a_configuration_refuses_with_503_and_calls_seldom() -> Result<()> {
+    let mut fleet = NativeFleet::start("absent").await?;
+    fleet.daemons(1, PROVED).await?;
+    let entry = &fleet.daemons[0].callers;
+    assert_eq!(Call::new("/once/a", "t").send(entry).await?.status, 503);
+    fleet.store.set_hasty_watches(true);
+    let before = fleet.store.calls();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let calls = fleet.store.calls() - before;
+    assert!(calls <= 40, "{calls} calls in a second");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn daemons_find_each_other_and_lost_answers_do_no_harm() -> Result<()> {
+    let mut fleet = NativeFleet::start("peers").await?;
+    fleet.store.lose_writes(2);
+    fleet.store_config()?;
+    fleet.engine("records", 0, PACE).await?;
+    fleet.daemons(3, PROVED).await?;
+    for daemon in &fleet.daemons {
+        let operators = daemon.operators.as_str();
+        wait_until("two live peers", || async move {
+            let text = get_text(operators, "/metrics").await.unwrap_or_default();
+            text.lines().any(|line| line == "curlewcleat_peers_live 2")
+        })
+        .await?;
+    }
+    assert_eq!(fleet.store.names("curlewcleat-daemons").len(), 3);
+    Ok(())
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -397,7 +397,7 @@
 }
 
 /// Folder in which the programs were built, beside the running one.
-fn program_folder() -> Result<PathBuf> {
+pub(crate) fn program_folder() -> Result<PathBuf> {
     let own = std::env::current_exe()?;
     let folders = own.ancestors().skip(1);
     let found = folders.map(Path::to_path_buf).find(|folder| folder.join("curlewcleatd").is_file());
@@ -424,7 +424,7 @@
     PROBE_OR_SPAWN.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn spawn(
+pub(crate) fn spawn(
     program: &Path,
     kind: &str,
     address: &str,
@@ -446,7 +446,7 @@
     Ok(FleetProcess { name: name.to_string(), address: address.to_string(), child })
 }
 
-async fn wait_listening(address: &str) -> Result<()> {
+pub(crate) async fn wait_listening(address: &str) -> Result<()> {
     wait_until(&format!("{address} listens"), || async move {
         tokio::net::TcpStream::connect(address).await.is_ok()
     })
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod ledger;
 pub mod load;
+pub mod native;
 pub mod platform;
 pub mod relay;
 pub mod service;
--- /dev/null
+++ b/crates/standins/src/native/engine.rs
@@ -0,0 +1,231 @@
+//! An engine: answers records and event streams, says who it is, keeps a ledger, and fails on command.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use curlewcleat_adapter::names::{SEAL, WIRE_PROFILE};
+
+use crate::http::{AfterAnswer, HandlerFuture, PlainConnection, PlainHandler, PlainRequest};
+
+/// What an engine does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineStep {
+    /// Answers whole.
+    Serve,
+    /// Says that it did not run the request.
+    Decline,
+    /// Runs it and answers with this status.
+    Fail(u16),
+    /// Runs it and closes the connection without an answer.
+    Close,
+    /// Runs it, sends so many events and a part of the next, and closes the connection.
+    Break(u64),
+    /// Runs it and says nothing until the other side closes.
+    Silent,
+    /// Answers whole, and once more a moment later.
+    Twice,
+    /// Answers whole without a length, and closes the connection.
+    Unframed,
+}
+
+/// One request that reached an engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineRun {
+    /// The caller's name of the try.
+    pub attempt: String,
+    /// Method and path.
+    pub request: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Account that it names.
+    pub account: String,
+    /// Key that it carries.
+    pub key: String,
+    /// Milliseconds that are left.
+    pub time_left: u64,
+    /// Event after which the stream goes on, 0 for its beginning.
+    pub after: u64,
+    /// Whether it began to run.
+    pub ran: bool,
+    /// Whether the other side closed before the end.
+    pub left: bool,
+}
+
+/// An engine in this process.
+pub struct NativeEngine {
+    /// Name of this start of the engine.
+    pub id: String,
+    /// Events of a stream.
+    pub events: u64,
+    /// Time between two events.
+    pub pace: Duration,
+    steps: RefCell<VecDeque<EngineStep>>,
+    otherwise: Cell<EngineStep>,
+    runs: RefCell<Vec<EngineRun>>,
+}
+
+impl NativeEngine {
+    /// An engine that serves.
+    pub fn new(id: &str, events: u64, pace: Duration) -> Rc<NativeEngine> {
+        Rc::new(NativeEngine {
+            id: id.to_string(),
+            events,
+            pace,
+            steps: RefCell::default(),
+            otherwise: Cell::new(EngineStep::Serve),
+            runs: RefCell::default(),
+        })
+    }
+
+    /// What it does with the next request; later ones queue behind.
+    pub fn next(&self, step: EngineStep) {
+        self.steps.borrow_mut().push_back(step);
+    }
+
+    /// What it does with requests for which nothing else is set.
+    pub fn always(&self, step: EngineStep) {
+        self.otherwise.set(step);
+    }
+
+    /// What has reached it.
+    pub fn runs(&self) -> Vec<EngineRun> {
+        self.runs.borrow().clone()
+    }
+
+    /// The whole stream of a try.
+    pub fn expected_stream(attempt: &str, events: u64) -> String {
+        (1..=events).map(|number| event(attempt, number)).collect()
+    }
+
+    async fn answer(
+        &self,
+        request: PlainRequest,
+        connection: &mut PlainConnection,
+    ) -> anyhow::Result<AfterAnswer> {
+        let attempt = request.header(WIRE_PROFILE.attempt_id).to_string();
+        let place = self.note(&request, &attempt);
+        let echo = (WIRE_PROFILE.attempt_id, attempt.as_str());
+        let instance = request.header(WIRE_PROFILE.instance);
+        if !instance.is_empty() && instance != self.id {
+            connection.answer(WIRE_PROFILE.misdirected_status, &[echo], b"").await?;
+            return Ok(AfterAnswer::KeepOpen);
+        }
+        let step = self.steps.borrow_mut().pop_front().unwrap_or(self.otherwise.get());
+        let sealed = [echo, (SEAL, self.id.as_str()), ("keep-alive", "timeout=10")];
+        if step == EngineStep::Decline {
+            let headers = [echo, (WIRE_PROFILE.not_run, "1")];
+            connection.answer(503, &headers, b"").await?;
+            return Ok(AfterAnswer::KeepOpen);
+        }
+        self.runs.borrow_mut()[place].ran = true;
+        let streams = request.path.contains("/stream/");
+        match step {
+            EngineStep::Fail(status) => connection.answer(status, &sealed, b"failed").await?,
+            EngineStep::Close => return Ok(AfterAnswer::Close),
+            EngineStep::Silent => {
+                connection.closed().await;
+                self.runs.borrow_mut()[place].left = true;
+                return Ok(AfterAnswer::Close);
+            }
+            EngineStep::Unframed => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{}: {attempt}\r\n{SEAL}: {}\r\nConnection: close\r\n\r\n",
+                    WIRE_PROFILE.attempt_id, self.id
+                );
+                let body = match streams {
+                    true => NativeEngine::expected_stream(&attempt, self.events),
+                    false => record(&attempt),
+                };
+                connection.write_raw(format!("{head}{body}").as_bytes()).await?;
+                return Ok(AfterAnswer::Close);
+            }
+            EngineStep::Break(events) if streams => {
+                self.stream(connection, &sealed, &attempt, place, events).await?;
+                let next = event(&attempt, events + self.after(place) + 1);
+                connection.chunk(&next.as_bytes()[..next.len() / 2]).await?;
+                return Ok(AfterAnswer::Close);
+            }
+            _ if streams => {
+                let left = self.events - self.after(place);
+                if !self.stream(connection, &sealed, &attempt, place, left).await? {
+                    return Ok(AfterAnswer::Close);
+                }
+                connection.chunk(b"").await?;
+            }
+            _ => {
+                tokio::time::sleep(self.pace).await;
+                connection.answer(200, &sealed, record(&attempt).as_bytes()).await?;
+            }
+        }
+        if step == EngineStep::Twice {
+            tokio::time::sleep(self.pace).await;
+            connection.answer(200, &sealed, b"nobody asked").await?;
+        }
+        Ok(AfterAnswer::KeepOpen)
+    }
+
+    fn after(&self, place: usize) -> u64 {
+        self.runs.borrow()[place].after
+    }
+
+    /// Sends so many events; gives whether the other side still reads.
+    async fn stream(
+        &self,
+        connection: &mut PlainConnection,
+        headers: &[(&str, &str)],
+        attempt: &str,
+        place: usize,
+        count: u64,
+    ) -> anyhow::Result<bool> {
+        let mut all = headers.to_vec();
+        all.push(("content-type", "text/event-stream"));
+        connection.begin_chunked(&all).await?;
+        let after = self.after(place);
+        for number in after + 1..=after + count {
+            let left = tokio::time::timeout(self.pace, connection.closed()).await.is_ok();
+            if left || connection.chunk(event(attempt, number).as_bytes()).await.is_err() {
+                self.runs.borrow_mut()[place].left = true;
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    fn note(&self, request: &PlainRequest, attempt: &str) -> usize {
+        let number = |name: &str| request.header(name).parse().unwrap_or(0);
+        let mut runs = self.runs.borrow_mut();
+        runs.push(EngineRun {
+            attempt: attempt.to_string(),
+            request: format!("{} {}", request.method, request.path),
+            body: request.body.clone(),
+            account: request.header(WIRE_PROFILE.account).to_string(),
+            key: request.header("authorization").to_string(),
+            time_left: number(WIRE_PROFILE.time_left),
+            after: number(WIRE_PROFILE.last_event),
+            ran: false,
+            left: false,
+        });
+        runs.len() - 1
+    }
+}
+
+fn event(attempt: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {attempt} {number}\n\n")
+}
+
+/// The record of a try.
+fn record(attempt: &str) -> String {
+    format!("record of {attempt}")
+}
+
+impl PlainHandler for NativeEngine {
+    fn handle<'a>(
+        &'a self,
+        request: PlainRequest,
+        connection: &'a mut PlainConnection,
+    ) -> HandlerFuture<'a> {
+        Box::pin(self.answer(request, connection))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/native/fleet.rs
@@ -0,0 +1,134 @@
+//! Store, engines and daemons of a test, together.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Result;
+use curlewcleat_adapter::example::example_config;
+use curlewcleat_adapter::format::{Config, Server};
+use curlewcleat_adapter::names::{CONFIG, READY, SERVERS};
+use serde_json::to_value;
+
+use super::{NativeEngine, NativeStore};
+use crate::fleet::{free_address, program_folder, spawn, wait_listening, FleetProcess};
+use crate::http;
+
+/// A daemon of a test.
+pub struct NativeDaemon {
+    /// Its process.
+    pub process: FleetProcess,
+    /// Where callers reach it.
+    pub callers: String,
+    /// Where operators and the balancer reach it.
+    pub operators: String,
+    /// Its settings file.
+    pub settings: PathBuf,
+}
+
+/// Store, engines and daemons.
+pub struct NativeFleet {
+    /// The store.
+    pub store: Rc<NativeStore>,
+    /// The engines.
+    pub engines: Vec<Rc<NativeEngine>>,
+    /// Their addresses.
+    pub engine_addresses: Vec<String>,
+    /// The daemons.
+    pub daemons: Vec<NativeDaemon>,
+    /// The configuration that was stored last.
+    pub config: Config,
+    store_address: String,
+    folder: PathBuf,
+}
+
+impl NativeFleet {
+    /// A store with the small configuration.
+    pub async fn start(name: &str) -> Result<NativeFleet> {
+        let store = NativeStore::new();
+        let store_address = free_address()?;
+        let folder =
+            std::env::temp_dir().join(format!("curlewcleat-native-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let address = store_address.clone();
+        let handler: Rc<dyn http::PlainHandler> = store.clone();
+        actix_rt::spawn(async move { http::serve(&address, handler).await });
+        wait_listening(&store_address).await?;
+        let fleet = NativeFleet {
+            store,
+            engines: Vec::new(),
+            engine_addresses: Vec::new(),
+            daemons: Vec::new(),
+            config: example_config(),
+            store_address,
+            folder,
+        };
+        Ok(fleet)
+    }
+
+    /// Stores the configuration with a higher version.
+    pub fn store_config(&mut self) -> Result<()> {
+        self.config.resource_version += 3;
+        let (kind, name) = CONFIG.split_once('/').unwrap_or((CONFIG, ""));
+        self.store.put(kind, name, to_value(&self.config)?);
+        Ok(())
+    }
+
+    /// Starts an engine and announces it.
+    pub async fn engine(&mut self, backend: &str, events: u64, pace: Duration) -> Result<()> {
+        let address = free_address()?;
+        let engine = NativeEngine::new(&format!("i-{}", self.engines.len()), events, pace);
+        let handler: Rc<dyn http::PlainHandler> = engine.clone();
+        let bound = address.clone();
+        actix_rt::spawn(async move { http::serve(&bound, handler).await });
+        wait_listening(&address).await?;
+        self.announce(&engine.id, backend, &address, READY)?;
+        self.engines.push(engine);
+        self.engine_addresses.push(address);
+        Ok(())
+    }
+
+    /// Writes the entry of an engine.
+    pub fn announce(&self, id: &str, backend: &str, address: &str, state: &str) -> Result<()> {
+        let server = Server {
+            backend: backend.to_string(),
+            address: address.to_string(),
+            zone: "here".to_string(),
+            slots: 4,
+            state: state.to_string(),
+        };
+        self.store.put(SERVERS, id, to_value(server)?);
+        Ok(())
+    }
+
+    /// Starts daemons; `bounds` are lines of that section of their settings.
+    pub async fn daemons(&mut self, count: usize, bounds: &str) -> Result<()> {
+        let peers: Vec<String> = (0..count).map(|_| free_address()).collect::<Result<_>>()?;
+        for (index, peer) in peers.iter().enumerate() {
+            let (callers, operators) = (free_address()?, free_address()?);
+            let text = format!(
+                "[vm]\nname = vm-{index}\ndata_centre = here\n\
+                 [callers]\naddress = {callers}\ndrain_grace = 200ms\n\
+                 [operators]\naddress = {operators}\n\
+                 [peers]\naddress = {peer}\nseeds = {}\nask_limit = 100ms\n\
+                 [platform]\nkind = fleet\naddress = {}\ncall_limit = 500ms\n\
+                 [bounds]\nconfig_apply_limit = 400ms\n{bounds}\n",
+                peers[0], self.store_address
+            );
+            let settings = self.folder.join(format!("vm-{index}.ini"));
+            std::fs::write(&settings, text)?;
+            let process = self.spawn(&format!("vm-{index}"), &callers, &settings)?;
+            self.daemons.push(NativeDaemon { process, callers, operators, settings });
+        }
+        for daemon in &self.daemons {
+            wait_listening(&daemon.operators).await?;
+        }
+        Ok(())
+    }
+
+    fn spawn(&self, name: &str, callers: &str, settings: &std::path::Path) -> Result<FleetProcess> {
+        let program = program_folder()?.join("curlewcleatd");
+        let settings = settings.display().to_string();
+        spawn(&program, "", callers, &self.folder, name, &["--settings", &settings])
+    }
+}
--- /dev/null
+++ b/crates/standins/src/native/store.rs
@@ -0,0 +1,278 @@
+//! The store: objects by kind and name with one counter of revisions, lists in pages, watches that
+//! resume, and faults.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use curlewcleat_adapter::names::OBJECTS;
+use serde_json::{json, Value};
+use tokio::sync::Notify;
+
+use crate::http::{AfterAnswer, HandlerFuture, PlainConnection, PlainHandler, PlainRequest};
+
+/// Objects of one page.
+const PAGE_SIZE: usize = 3;
+/// Changes that the store remembers.
+const HISTORY_LENGTH: usize = 256;
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreOutage {
+    /// Every call is answered with this status, and nothing is done.
+    Status(u16),
+    /// No call is answered.
+    Silent,
+    /// Every connection is closed without an answer.
+    Closed,
+}
+
+#[derive(Clone, Debug)]
+struct StoredChange {
+    revision: u64,
+    kind: String,
+    object: Value,
+    gone: bool,
+}
+
+#[derive(Default)]
+struct StoreState {
+    revision: u64,
+    kinds: BTreeMap<String, BTreeMap<String, Value>>,
+    history: VecDeque<StoredChange>,
+}
+
+/// A store in this process.
+#[derive(Default)]
+pub struct NativeStore {
+    state: RefCell<StoreState>,
+    changed: Notify,
+    outage: Cell<Option<StoreOutage>>,
+    calls: Cell<u64>,
+    /// Writes that take effect and are not answered.
+    lose_writes: Cell<u64>,
+    /// Whether watches are answered at once, with nothing.
+    hasty_watches: Cell<bool>,
+}
+
+impl NativeStore {
+    /// An empty store.
+    pub fn new() -> Rc<NativeStore> {
+        Rc::default()
+    }
+
+    /// Begins or ends an outage.
+    pub fn set_outage(&self, outage: Option<StoreOutage>) {
+        self.outage.set(outage);
+        self.changed.notify_waiters();
+    }
+
+    /// Loses the answers of the next writes.
+    pub fn lose_writes(&self, count: u64) {
+        self.lose_writes.set(count);
+    }
+
+    /// Answers watches at once, with nothing.
+    pub fn set_hasty_watches(&self, hasty: bool) {
+        self.hasty_watches.set(hasty);
+        self.changed.notify_waiters();
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// Forgets the history, so that watches have to begin anew.
+    pub fn forget_history(&self) {
+        let mut state = self.state.borrow_mut();
+        state.revision += 1;
+        state.history.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Writes an object, as the operator or an engine does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.state.borrow_mut().put(kind, name, spec);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.state.borrow_mut().remove(kind, name);
+        self.changed.notify_waiters();
+    }
+
+    /// Names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.state.borrow();
+        state.kinds.get(kind).map(|kind| kind.keys().cloned().collect()).unwrap_or_default()
+    }
+
+    async fn answer(
+        &self,
+        request: PlainRequest,
+        connection: &mut PlainConnection,
+    ) -> anyhow::Result<AfterAnswer> {
+        self.calls.set(self.calls.get() + 1);
+        match self.outage.get() {
+            Some(StoreOutage::Closed) => return Ok(AfterAnswer::Close),
+            Some(StoreOutage::Silent) => {
+                connection.closed().await;
+                return Ok(AfterAnswer::Close);
+            }
+            Some(StoreOutage::Status(status)) => {
+                connection.answer(status, &[], b"").await?;
+                return Ok(AfterAnswer::KeepOpen);
+            }
+            None => {}
+        }
+        let path = request.path.strip_prefix(OBJECTS).unwrap_or_default().to_string();
+        let mut parts = path.trim_matches('/').split('/');
+        let kind = parts.next().unwrap_or_default().to_string();
+        let name = parts.next().unwrap_or_default().to_string();
+        let (status, body) = match request.method.as_str() {
+            "GET" if request.query.contains_key("watch") => self.watch(&kind, &request).await,
+            "GET" if name.is_empty() => {
+                (200, self.list(&kind, request.query.get("since_revision")))
+            }
+            "GET" => self.read(&kind, &name),
+            "POST" => self.create(&kind, &request),
+            "PUT" => self.replace(&kind, &name, &request),
+            _ => (405, Value::Null),
+        };
+        if request.method != "GET" {
+            self.changed.notify_waiters();
+            if self.lose_writes.get() > 0 {
+                self.lose_writes.set(self.lose_writes.get() - 1);
+                return Ok(AfterAnswer::Close);
+            }
+        }
+        connection.answer_json(status, &body).await?;
+        Ok(AfterAnswer::KeepOpen)
+    }
+
+    fn read(&self, kind: &str, name: &str) -> (u16, Value) {
+        let state = self.state.borrow();
+        match state.kinds.get(kind).and_then(|kind| kind.get(name)) {
+            Some(object) => (200, object.clone()),
+            None => (404, Value::Null),
+        }
+    }
+
+    fn list(&self, kind: &str, after: Option<&String>) -> Value {
+        let state = self.state.borrow();
+        let empty = BTreeMap::new();
+        let objects = state.kinds.get(kind).unwrap_or(&empty).iter();
+        let left: Vec<&Value> = objects
+            .filter(|(name, _)| after.is_none_or(|after| *name > after))
+            .map(|(_, object)| object)
+            .collect();
+        let page: Vec<&&Value> = left.iter().take(PAGE_SIZE).collect();
+        json!({ "items": page, "more": left.len() > PAGE_SIZE, "at": state.revision })
+    }
+
+    async fn watch(&self, kind: &str, request: &PlainRequest) -> (u16, Value) {
+        let number = |name: &str| {
+            request.query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0)
+        };
+        let after = number("watch");
+        let end = tokio::time::Instant::now() + Duration::from_millis(number("wait_ms"));
+        loop {
+            let changed = self.changed.notified();
+            if self.outage.get().is_some() {
+                return (503, Value::Null);
+            }
+            if let Some(answer) = self.state.borrow().since(kind, after) {
+                return answer;
+            }
+            let none = json!({ "events": [], "at": self.state.borrow().revision });
+            if self.hasty_watches.get() || tokio::time::timeout_at(end, changed).await.is_err() {
+                return (200, none);
+            }
+        }
+    }
+
+    fn create(&self, kind: &str, request: &PlainRequest) -> (u16, Value) {
+        let object: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let name = object["metadata"]["name"].as_str().unwrap_or_default().to_string();
+        if self.read(kind, &name).0 == 200 {
+            return (409, self.read(kind, &name).1);
+        }
+        self.state.borrow_mut().put(kind, &name, object["spec"].clone());
+        self.read(kind, &name)
+    }
+
+    fn replace(&self, kind: &str, name: &str, request: &PlainRequest) -> (u16, Value) {
+        let object: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let (status, present) = self.read(kind, name);
+        if status != 200 {
+            return (404, Value::Null);
+        }
+        let wanted = object["metadata"]["revision"].as_u64();
+        if wanted.is_some_and(|wanted| present["metadata"]["revision"].as_u64() != Some(wanted)) {
+            return (409, present);
+        }
+        self.state.borrow_mut().put(kind, name, object["spec"].clone());
+        self.read(kind, name)
+    }
+}
+
+impl StoreState {
+    fn put(&mut self, kind: &str, name: &str, spec: Value) {
+        let objects = self.kinds.entry(kind.to_string()).or_default();
+        if objects.get(name).is_some_and(|object| object["spec"] == spec) {
+            return;
+        }
+        self.revision += 1;
+        let metadata = json!({ "name": name, "revision": self.revision });
+        let object = json!({ "metadata": metadata, "spec": spec, "status": null });
+        objects.insert(name.to_string(), object.clone());
+        self.note(kind, object, false);
+    }
+
+    fn remove(&mut self, kind: &str, name: &str) {
+        let removed = self.kinds.get_mut(kind).and_then(|objects| objects.remove(name));
+        if let Some(object) = removed {
+            self.revision += 1;
+            self.note(kind, object, true);
+        }
+    }
+
+    fn note(&mut self, kind: &str, object: Value, gone: bool) {
+        let revision = self.revision;
+        self.history.push_back(StoredChange { revision, kind: kind.to_string(), object, gone });
+        if self.history.len() > HISTORY_LENGTH {
+            self.history.pop_front();
+        }
+    }
+
+    /// The answer of a watch that need not wait.
+    fn since(&self, kind: &str, after: u64) -> Option<(u16, Value)> {
+        let forgotten = self.revision - self.history.len() as u64;
+        if after < forgotten {
+            return Some((410, Value::Null));
+        }
+        let changes = self.history.iter().filter(|change| change.revision > after);
+        let events: Vec<Value> = changes
+            .filter(|change| change.kind == kind)
+            .map(|change| json!({ "gone": change.gone, "object": change.object }))
+            .collect();
+        if events.is_empty() {
+            return None;
+        }
+        Some((200, json!({ "events": events, "at": self.revision })))
+    }
+}
+
+impl PlainHandler for NativeStore {
+    fn handle<'a>(
+        &'a self,
+        request: PlainRequest,
+        connection: &'a mut PlainConnection,
+    ) -> HandlerFuture<'a> {
+        Box::pin(self.answer(request, connection))
+    }
+}
