--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod drain;
 mod entry;
+mod flow;
 mod level;
 mod members;
 mod pace;
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::account::{AccountLimit, RateBucket};
+use crate::flow::PoolFlow;
 use crate::pace::StreamPace;
 use crate::queue::{TierQueues, WaitingAsk};
 use crate::shed::OverloadLevel;
@@ -134,6 +135,8 @@
     away: BTreeSet<VmId>,
     /// How fast its targets stream on the whole.
     pace: StreamPace,
+    /// How much work it takes in.
+    flow: PoolFlow,
     /// When the targets' beliefs last faded.
     faded: Uptime,
 }
@@ -151,6 +154,7 @@
             level: OverloadLevel::default(),
             away: BTreeSet::new(),
             pace: StreamPace::of_pool(),
+            flow: PoolFlow::default(),
             faded: Duration::ZERO,
         }
     }
@@ -249,6 +253,7 @@
         let permit = ask.permit;
         let weight = self.limit_of(&ask.account).weight;
         let waiting = self.waiting_ask(now, entry.clone(), ask);
+        self.flow.arrived(waiting.ask.tier, waiting.work);
         self.queues.push(waiting, weight);
         self.grant(now, &mut actions);
         if self.queues.contains(&permit) {
@@ -316,6 +321,7 @@
     pub fn tick(&mut self, now: Uptime) -> Vec<SchedulerAction> {
         let mut actions = Vec::new();
         self.level.tick(self.options.lowest, now);
+        self.flow.tick(now, !self.queues.is_empty());
         if now >= self.faded + Duration::from_secs(1) {
             self.faded = now;
             let pace = self.pace;
@@ -512,6 +518,7 @@
     fn grant(&mut self, now: Uptime, actions: &mut Vec<SchedulerAction>) {
         while let Some((permit, target)) = self.next_grant(now) {
             let Some(waiting) = self.queues.take(&permit) else { return };
+            self.flow.granted(waiting.work, !self.queues.is_empty());
             let Some(state) = self.targets.get_mut(&target) else { return };
             let estimate = state.estimate(&waiting.ask);
             let expected = estimate * 1_000 / state.slowness().max(1);
@@ -674,6 +681,10 @@
     /// Estimated time until a new ask would be granted.
     fn wait_estimate(&self, ask: &PermitAsk, limit: &AccountLimit) -> WorkMicros {
         let ahead = self.queues.work_ahead(ask, limit.weight);
+        if let Some(capacity) = self.flow.capacity_for(ask.tier) {
+            let micros = u128::from(ahead) * 1_000_000 / u128::from(capacity);
+            return u64::try_from(micros).unwrap_or(u64::MAX);
+        }
         ahead / self.speed_slots().max(1)
     }
 
