Requests that come back go first in their account's line

Expected: a request refused again costs three tenths of its worth besides, so one that came back should rarely be refused; one refused for its account's rate is told to come back after those refused before it.

--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -157,12 +157,20 @@
     pub first_by: Duration,
     /// Pause between two parts of the answer above which it is late.
     pub pause_limit: Duration,
+    /// Whether it was refused before and has come back as it was told.
+    pub came_back: bool,
 }
 
 impl Default for ServiceAims {
     fn default() -> ServiceAims {
         let ever = Duration::MAX;
-        ServiceAims { wait_limit: ever, forecast_limit: ever, first_by: ever, pause_limit: ever }
+        ServiceAims {
+            wait_limit: ever,
+            forecast_limit: ever,
+            first_by: ever,
+            pause_limit: ever,
+            came_back: false,
+        }
     }
 }
 
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -186,7 +186,7 @@
             true => wait_limit,
             false => (objective * FORECAST_PERCENT / 100).min(wait_limit),
         };
-        ServiceAims { wait_limit, forecast_limit, first_by: objective, pause_limit }
+        ServiceAims { wait_limit, forecast_limit, first_by: objective, pause_limit, came_back }
     }
 
     fn work(&self, pool: &TargetPool, head: &HeaderMap, tokens: Option<(u64, u64)>) -> WorkHint {
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -100,7 +100,7 @@
 
     fn permit_asked(&mut self, from: &DaemonId, ask: PermitAsk) {
         if let Err(wait) = self.charge(&ask) {
-            let advice = spread_advice(ask.permit, wait, ask.time_left);
+            let advice = spread_advice(ask.permit, wait, ask.time_left).max(wait);
             let refusal = Refusal::not_run(RefusalReason::AccountRate, Some(advice));
             let decision = PermitDecision::Refused(refusal);
             let answer = PermitAnswer { permit: ask.permit, pool: ask.pool, decision };
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -27,6 +27,8 @@
 /// Age that makes up for a unit of work in the order of an account's line. At 0 the oldest goes
 /// first, at infinity the shortest; docs/MEASUREMENTS.md gives the figures for the values tried.
 const AGE_PER_WORK: u64 = 32;
+/// Age that a request is credited with that was refused before and came back as it was told.
+const HEAD_START: Duration = Duration::from_secs(60);
 /// Share of the targets that may be ejected at the same time, in percent. Where all fail, the fault is
 /// hardly theirs, and refusing everything would help nobody.
 const EJECT_PERCENT: usize = 50;
@@ -668,7 +670,8 @@
         let estimate = with_margin(self.fastest_estimate(&ask));
         let wait_until = now.saturating_add(ask.aims.wait_limit);
         let latest_start = deadline.saturating_sub(Duration::from_micros(estimate)).min(wait_until);
-        let order = now + Duration::from_micros(work * AGE_PER_WORK);
+        let head_start = if ask.aims.came_back { HEAD_START } else { Duration::ZERO };
+        let order = now.saturating_sub(head_start) + Duration::from_micros(work * AGE_PER_WORK);
         let first_by = now.saturating_add(ask.aims.first_by);
         WaitingAsk { entry, ask, deadline, first_by, wait_until, latest_start, order, work }
     }
--- a/crates/sched/src/rate.rs
+++ b/crates/sched/src/rate.rs
@@ -39,6 +39,8 @@
     /// Scaled units that may be given out now; below zero after a large request.
     level: i128,
     filled: Uptime,
+    /// Scaled units of requests that were told to come back and are expected before a newer one.
+    told: i128,
 }
 
 /// The rates that a daemon keeps.
@@ -79,16 +81,23 @@
         let per_s = of_part(rate.per_s + rate.per_s * self.margin.percent / 100);
         let limit = of_part(rate.burst + self.margin.units) * SCALE;
         let since = self.since;
-        let bucket =
-            self.buckets.entry(account.clone()).or_insert(UnitBucket { level: 0, filled: since });
+        let bucket = self.buckets.entry(account.clone()).or_insert(UnitBucket {
+            level: 0,
+            filled: since,
+            told: 0,
+        });
         let elapsed = now.saturating_sub(bucket.filled).as_micros() as i128;
         bucket.filled = now;
-        bucket.level = (bucket.level + elapsed * per_s * SCALE / 1_000_000).min(limit);
+        let gained = elapsed * per_s * SCALE / 1_000_000;
+        bucket.level = (bucket.level + gained).min(limit);
+        bucket.told = (bucket.told - gained).max(0);
         if bucket.level > 0 {
             bucket.level -= i128::from(cost) * SCALE;
             return Ok(());
         }
-        let missing = (1 - bucket.level) / SCALE + 1;
+        // Those that were refused before are told to come back first.
+        let missing = (1 - bucket.level + bucket.told) / SCALE + 1;
+        bucket.told += i128::from(cost) * SCALE;
         let millis = missing * 1_000 / per_s.max(1) + 1;
         let wait = Duration::from_millis(u64::try_from(millis).unwrap_or(u64::MAX));
         Err(wait.clamp(SHORTEST_WAIT, LONGEST_WAIT))
