--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -123,6 +123,7 @@
         entry: EntryOptions::default(),
         rate_margin: curlewcleat_sched::RateMargin::default(),
         one_scheduler: false,
+        age_per_work: 32,
         request_limit: 1_000_000,
         beat: Duration::from_millis(500),
         drain_grace: Duration::from_secs(2),
--- a/crates/bench/src/ours.rs
+++ b/crates/bench/src/ours.rs
@@ -32,6 +32,7 @@
     ) -> OurScheduler {
         let limits = (0..accounts).map(|account| (account.to_string(), AccountLimit::default()));
         let options = PoolOptions {
+            age_per_work: 32,
             queue_limit: 2_000,
             reserve_percent,
             cached_prefixes: targets.first().map_or(0, |target| target.prefixes),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -58,6 +58,9 @@
     pub ask_limit: Duration,
     /// Asks sent to a silent scheduler before another one is asked.
     pub ask_tries: u32,
+    /// Age that makes up for a unit of work where requests of one account and tier wait: 0 serves the
+    /// oldest first, a large number the shortest.
+    pub age_per_work: u64,
     /// What the platform promises its users, for the daemons there.
     pub bounds: FleetBounds,
 }
@@ -161,6 +164,7 @@
         platform_kind: PlatformKind::Files,
         ask_limit: Duration::from_millis(250),
         ask_tries: 2,
+        age_per_work: 32,
         bounds: FleetBounds::default(),
     }
 }
@@ -203,6 +207,10 @@
             settings.ask_limit = section.duration("ask_limit", settings.ask_limit, report);
             settings.ask_tries = section.number("ask_tries", 2, 1..=10, report) as u32;
         }
+        "scheduling" => {
+            settings.age_per_work =
+                section.number("age_per_work", settings.age_per_work, 0..=1_000, report);
+        }
         "bounds" => read_bounds(&mut section, &mut settings.bounds, report),
         "platform" => {
             settings.platform_address = section.address("address", report);
@@ -226,7 +234,7 @@
         title => {
             let message = format!(
                 "'{title}' is not known; known are vm, callers, operators, peers, platform, keys, \
-                 bounds"
+                 scheduling, bounds"
             );
             section.fault("", message, report);
             return;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -157,6 +157,8 @@
     pub first_by: Duration,
     /// Pause between two parts of the answer above which it is late.
     pub pause_limit: Duration,
+    /// Rank of the rule; decides between requests of one account and tier.
+    pub urgency: TierRank,
     /// Whether it was refused before and has come back as it was told.
     pub came_back: bool,
 }
@@ -169,6 +171,7 @@
             forecast_limit: ever,
             first_by: ever,
             pause_limit: ever,
+            urgency: 0,
             came_back: false,
         }
     }
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -113,7 +113,8 @@
             .or(tier.map(|tier| tier.rank))
             .unwrap_or_default();
         let tokens = tokens(head, self.profile.tokens);
-        let aims = self.aims(rule, asked, time);
+        let urgency = tier.map_or(0, |tier| tier.rank);
+        let aims = ServiceAims { urgency, ..self.aims(rule, asked, time) };
         Ok(AdmittedCall {
             id,
             attempt_id: attempt_id.to_string(),
@@ -186,7 +187,14 @@
             true => wait_limit,
             false => (objective * FORECAST_PERCENT / 100).min(wait_limit),
         };
-        ServiceAims { wait_limit, forecast_limit, first_by: objective, pause_limit, came_back }
+        ServiceAims {
+            wait_limit,
+            forecast_limit,
+            first_by: objective,
+            pause_limit,
+            came_back,
+            ..ServiceAims::default()
+        }
     }
 
     fn work(&self, pool: &TargetPool, head: &HeaderMap, tokens: Option<(u64, u64)>) -> WorkHint {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -107,6 +107,7 @@
         },
         rate_margin: curlewcleat_sched::RateMargin::default(),
         one_scheduler: false,
+        age_per_work: settings.age_per_work,
         request_limit: settings.request_limit,
         beat: settings.beat,
         drain_grace: settings.drain_grace,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -45,6 +45,8 @@
     pub entry: EntryOptions,
     /// How far the rates that all daemons share may be exceeded.
     pub rate_margin: RateMargin,
+    /// Age that makes up for a unit of work in the order of an account's line.
+    pub age_per_work: u64,
     /// Whether one daemon schedules all pools, so that it can keep the rates that daemons share.
     pub one_scheduler: bool,
     /// Requests in progress at most.
--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -54,9 +54,10 @@
     pub(super) fn configure_pools(&mut self) {
         let config = Arc::clone(&self.active);
         let away = self.away();
+        let age_per_work = self.options.age_per_work;
         for (id, pool) in &config.pools {
             let scheduler = self.pool(id);
-            scheduler.configure(pool_options(&config, pool), pool);
+            scheduler.configure(pool_options(&config, pool, age_per_work), pool);
             scheduler.set_away(away.clone());
         }
         self.pools
--- a/crates/node/src/wiring.rs
+++ b/crates/node/src/wiring.rs
@@ -4,7 +4,11 @@
 use curlewcleat_sched::{AccountLimit, PoolOptions};
 
 /// Options of a pool's scheduler.
-pub(crate) fn pool_options(config: &ActiveConfig, pool: &TargetPool) -> PoolOptions {
+pub(crate) fn pool_options(
+    config: &ActiveConfig,
+    pool: &TargetPool,
+    age_per_work: u64,
+) -> PoolOptions {
     let accounts = config.accounts.values().map(|account| {
         let limit = AccountLimit {
             weight: account.weight,
@@ -19,6 +23,7 @@
         cached_prefixes: pool.cached_prefixes as usize,
         top: config.top_rank(),
         lowest: config.tiers.values().map(|tier| tier.rank).max().unwrap_or(0),
+        age_per_work,
         accounts: accounts.collect(),
     }
 }
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -103,6 +103,7 @@
         entry: EntryOptions::default(),
         rate_margin: curlewcleat_sched::RateMargin::default(),
         one_scheduler: false,
+        age_per_work: 32,
         request_limit: 10_000,
         beat: Duration::from_millis(500),
         drain_grace: Duration::from_secs(1),
--- a/crates/node/tests/nodes.rs
+++ b/crates/node/tests/nodes.rs
@@ -26,6 +26,7 @@
         entry: EntryOptions::default(),
         rate_margin: curlewcleat_sched::RateMargin::default(),
         one_scheduler: false,
+        age_per_work: 32,
         request_limit,
         beat: Duration::from_millis(500),
         drain_grace: Duration::from_secs(1),
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -24,9 +24,8 @@
 const HEADS_TRIED: usize = 8;
 /// Permits older than this are confirmed with their entry.
 const CONFIRM_AFTER: Duration = Duration::from_secs(5);
-/// Age that makes up for a unit of work in the order of an account's line. At 0 the oldest goes
-/// first, at infinity the shortest; docs/MEASUREMENTS.md gives the figures for the values tried.
-const AGE_PER_WORK: u64 = 32;
+/// Age that makes up for one rank of the rule inside an account's line.
+const URGENCY_AGE: Duration = Duration::from_secs(1_000);
 /// Age that a request is credited with that was refused before and came back as it was told.
 const HEAD_START: Duration = Duration::from_secs(60);
 /// Share of the targets that may be ejected at the same time, in percent. Where all fail, the fault is
@@ -64,6 +63,9 @@
     pub top: TierRank,
     /// Rank of the lowest tier.
     pub lowest: TierRank,
+    /// Age that makes up for a unit of work in the order of an account's line. At 0 the oldest goes
+    /// first, at infinity the shortest; docs/MEASUREMENTS.md gives the figures for the values tried.
+    pub age_per_work: u64,
     /// Limits of the accounts.
     pub accounts: BTreeMap<AccountId, AccountLimit>,
 }
@@ -76,6 +78,7 @@
             cached_prefixes: 16,
             top: 0,
             lowest: 3,
+            age_per_work: 32,
             accounts: BTreeMap::new(),
         }
     }
@@ -670,8 +673,11 @@
         let estimate = with_margin(self.fastest_estimate(&ask));
         let wait_until = now.saturating_add(ask.aims.wait_limit);
         let latest_start = deadline.saturating_sub(Duration::from_micros(estimate)).min(wait_until);
+        let urgency = URGENCY_AGE * u32::from(ask.aims.urgency);
         let head_start = if ask.aims.came_back { HEAD_START } else { Duration::ZERO };
-        let order = now.saturating_sub(head_start) + Duration::from_micros(work * AGE_PER_WORK);
+        let order = now.saturating_sub(head_start)
+            + urgency
+            + Duration::from_micros(work * self.options.age_per_work);
         let first_by = now.saturating_add(ask.aims.first_by);
         WaitingAsk { entry, ask, deadline, first_by, wait_until, latest_start, order, work }
     }
