Tests of a pool of targets that stream

Placement by learned pace, long prompts before slow targets, the backlog that is not learned as a prompt's own time, slots that are used while asks wait, failing targets, refusal by forecast without shedding, the order inside a line, the spread of returns.

--- /dev/null
+++ b/crates/sched/tests/streams.rs
@@ -0,0 +1,289 @@
+//! The scheduler of a pool of targets that stream: where prompts go, who goes first, who is refused at
+//! once, and what is learned.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use curlewcleat_core::{
+    AttemptEnd, DaemonId, PermitAsk, PermitDecision, PermitId, PermitReturn, PoolKind,
+    RefusalReason, RequestId, ServiceAims, StreamTiming, TargetEntry, TargetId, TargetLimits,
+    TargetPool,
+};
+use curlewcleat_sched::{spread_advice, PoolOptions, PoolScheduler, SchedulerAction};
+
+const POOL: &str = "engines";
+const PAUSE_LIMIT: Duration = Duration::from_millis(400);
+const FAST: &str = "fast";
+const SLOW: &str = "slow";
+
+/// A pool with one scheduler, its targets' true speeds, and a clock.
+struct Play {
+    scheduler: PoolScheduler,
+    now: Duration,
+    next: u128,
+}
+
+impl Play {
+    fn new(targets: &[&str], slots: u32) -> Play {
+        let options = PoolOptions { queue_limit: 1_000, age_per_work: 1, ..PoolOptions::default() };
+        let mut scheduler = PoolScheduler::new(POOL.to_string(), options.clone());
+        scheduler.configure(options, &pool(targets, slots));
+        Play { scheduler, now: Duration::from_secs(1), next: 0 }
+    }
+
+    fn ask(&mut self, ask: PermitAsk) -> (u128, Vec<SchedulerAction>) {
+        self.next += 1;
+        let permit = permit(self.next);
+        let actions = self.scheduler.ask(self.now, entry(), PermitAsk { permit, ..ask });
+        (self.next, actions)
+    }
+
+    fn end(&mut self, number: u128, end: AttemptEnd) -> Vec<SchedulerAction> {
+        let back = PermitReturn { permit: permit(number), pool: POOL.to_string(), end };
+        self.scheduler.give_back(self.now, &back)
+    }
+
+    fn run(&mut self, time: Duration) -> Vec<SchedulerAction> {
+        let end = self.now + time;
+        let mut actions = Vec::new();
+        while self.now < end {
+            self.now += Duration::from_millis(20);
+            actions.extend(self.scheduler.tick(self.now));
+        }
+        actions
+    }
+
+    /// Lets a target serve streams of this kind one by one, so that its pace is learned.
+    fn teach(&mut self, target: &str, others: &[&str], seen: StreamTiming) {
+        for _ in 0..20 {
+            let avoid = others.iter().map(|other| other.to_string()).collect();
+            let (number, actions) = self.ask(PermitAsk { avoid, ..prompt(5_000) });
+            assert_eq!(granted(&actions).get(&number).map(String::as_str), Some(target));
+            self.now += seen.first + seen.rest;
+            self.end(number, AttemptEnd::Streamed(seen));
+        }
+    }
+}
+
+fn pool(targets: &[&str], slots: u32) -> TargetPool {
+    let second = Duration::from_secs(1);
+    let entries = targets.iter().map(|id| {
+        let entry = TargetEntry {
+            id: id.to_string(),
+            address: String::new(),
+            vm: id.to_string(),
+            data_centre: String::new(),
+            slots,
+        };
+        (id.to_string(), entry)
+    });
+    TargetPool {
+        id: POOL.to_string(),
+        kind: PoolKind::Engine,
+        queue_limit: 1_000,
+        reserve_percent: 0,
+        cached_prefixes: 4,
+        prompt_token_us: 100,
+        output_token_us: 10_000,
+        base_us: 5_000,
+        limits: TargetLimits { connect: second, first_byte: second, between_bytes: second },
+        not_started_status: None,
+        end_event: None,
+        resumable: true,
+        reuse_connections: true,
+        report_path: None,
+        connection_limit: None,
+        targets: entries.collect(),
+    }
+}
+
+fn entry() -> DaemonId {
+    DaemonId { vm: "e".to_string(), incarnation: 1 }
+}
+
+fn permit(number: u128) -> PermitId {
+    PermitId { request: RequestId::from_u128(number), attempt: 0 }
+}
+
+/// An ask with a prompt of so many tokens and an output of a hundred.
+fn prompt(tokens: u64) -> PermitAsk {
+    PermitAsk {
+        permit: permit(0),
+        pool: POOL.to_string(),
+        tier: 0,
+        account: "a".to_string(),
+        time_left: Duration::from_secs(15),
+        aims: ServiceAims {
+            wait_limit: Duration::from_millis(1_600),
+            forecast_limit: Duration::from_millis(480),
+            first_by: Duration::from_millis(800),
+            pause_limit: PAUSE_LIMIT,
+            ..ServiceAims::default()
+        },
+        prompt_work: tokens * 100,
+        output_work: 1_000_000,
+        prefix: None,
+        cost: 1,
+        avoid: Vec::new(),
+    }
+}
+
+/// A stream at a target that reads so many microseconds a token and pauses so long.
+fn timing(read_us: u64, part_ms: u64, pause_ms: u64) -> StreamTiming {
+    StreamTiming {
+        first: Duration::from_micros(5_000 * read_us),
+        rest: Duration::from_millis(20 * part_ms),
+        parts: 21,
+        pause: Duration::from_millis(pause_ms),
+    }
+}
+
+fn granted(actions: &[SchedulerAction]) -> BTreeMap<u128, TargetId> {
+    let grants = actions.iter().filter_map(|action| match &action.answer.decision {
+        PermitDecision::Granted(target) => {
+            Some((action.answer.permit.request.as_u128(), target.clone()))
+        }
+        _ => None,
+    });
+    grants.collect()
+}
+
+fn refused(actions: &[SchedulerAction]) -> BTreeMap<u128, (RefusalReason, Option<Duration>)> {
+    let refusals = actions.iter().filter_map(|action| match &action.answer.decision {
+        PermitDecision::Refused(refusal) => {
+            Some((action.answer.permit.request.as_u128(), (refusal.reason, refusal.retry_after)))
+        }
+        _ => None,
+    });
+    refusals.collect()
+}
+
+/// A pool in which both paces are known.
+fn taught(slots: u32) -> Play {
+    let mut play = Play::new(&[FAST, SLOW], slots);
+    play.teach(SLOW, &[FAST], timing(50, 70, 590));
+    play.teach(FAST, &[SLOW], timing(10, 16, 120));
+    play.run(Duration::from_millis(40));
+    play
+}
+
+#[test]
+fn faster_target_gets_the_prompt() {
+    let mut play = taught(2);
+    let (number, actions) = play.ask(prompt(5_000));
+    assert_eq!(granted(&actions).get(&number).map(String::as_str), Some(FAST));
+}
+
+#[test]
+fn long_prompt_waits_rather_than_stall_the_streams_of_a_slow_target() {
+    let mut play = taught(1);
+    play.ask(prompt(1_000));
+    // The slow target has another slot and a stream in the first.
+    let mut options = pool(&[FAST, SLOW], 1);
+    options.targets.get_mut(SLOW).expect("the slow target").slots = 2;
+    let (short, actions) = play.ask(prompt(1_000));
+    assert_eq!(granted(&actions).get(&short).map(String::as_str), Some(SLOW));
+    play.scheduler.configure(PoolOptions { age_per_work: 1, ..PoolOptions::default() }, &options);
+    let (long, actions) = play.ask(prompt(20_000));
+    assert!(granted(&actions).is_empty() && refused(&actions).is_empty());
+    // Once its answer has to begin, a late start is better than none.
+    let later = play.run(Duration::from_millis(900));
+    assert_eq!(granted(&later).get(&long).map(String::as_str), Some(SLOW));
+}
+
+#[test]
+fn wait_for_earlier_prompts_is_not_learned_as_the_prompts_own_time() {
+    let mut play = Play::new(&[FAST], 8);
+    play.teach(FAST, &[], timing(10, 16, 120));
+    // Eight prompts of 50 ms at once: the last one begins after 400 ms, over and over.
+    for _ in 0..40 {
+        let numbers: Vec<u128> = (0..8).map(|_| play.ask(prompt(5_000)).0).collect();
+        play.now += Duration::from_millis(800);
+        for (place, number) in numbers.iter().enumerate() {
+            let first = Duration::from_millis(50 * (place as u64 + 1));
+            let seen = StreamTiming { first, ..timing(10, 16, 120) };
+            play.end(*number, AttemptEnd::Streamed(seen));
+        }
+    }
+    let pace = play.scheduler.targets()[FAST].pace;
+    let learned = pace.prompt_time(500_000).expect("a pace");
+    assert!((30_000..=80_000).contains(&learned), "{learned} us for a prompt of 50 ms");
+}
+
+#[test]
+fn targets_are_used_while_asks_wait() {
+    let mut play = taught(4);
+    // Everything that was learned says that nothing is in time; what waits is served all the same.
+    let asks: Vec<u128> = (0..8).map(|_| play.ask(prompt(60_000)).0).collect();
+    let later = play.run(Duration::from_millis(1_000));
+    let served: BTreeSet<u128> = granted(&later).into_keys().collect();
+    assert!(play.scheduler.in_flight() >= 6, "{} of 8 slots", play.scheduler.in_flight());
+    assert!(asks.iter().filter(|ask| served.contains(ask)).count() >= 1);
+}
+
+#[test]
+fn failing_target_is_passed_over() {
+    let mut play = taught(4);
+    for _ in 0..2 {
+        let (number, _) = play.ask(prompt(1_000));
+        play.end(number, AttemptEnd::Failed);
+        let (number, _) = play.ask(PermitAsk { avoid: vec![SLOW.to_string()], ..prompt(1_000) });
+        play.end(number, AttemptEnd::Failed);
+    }
+    let (number, actions) = play.ask(prompt(1_000));
+    assert_eq!(granted(&actions).get(&number).map(String::as_str), Some(SLOW));
+}
+
+#[test]
+fn new_ask_is_refused_at_once_where_it_would_wait_long_and_sheds_no_tier() {
+    let mut play = taught(1);
+    let mut refusals = Vec::new();
+    for _ in 0..40 {
+        let (_, actions) = play.ask(prompt(1_000));
+        refusals.extend(refused(&actions).into_values());
+    }
+    assert!(!refusals.is_empty());
+    let advice: BTreeSet<Duration> = refusals.iter().filter_map(|(_, advice)| *advice).collect();
+    assert!(refusals.iter().all(|(reason, _)| *reason == RefusalReason::WaitTooLong));
+    assert!(advice.iter().all(|advice| *advice <= Duration::from_millis(4_500)));
+    assert_eq!(play.scheduler.level().lowest_open(), None);
+}
+
+#[test]
+fn rank_of_the_rule_goes_before_length_and_a_return_before_both() {
+    let mut play = taught(1);
+    play.ask(prompt(1_000));
+    play.ask(prompt(1_000));
+    let patient = |tokens: u64, urgency: u8, came_back: bool| {
+        let ask = prompt(tokens);
+        let aims = ServiceAims { urgency, came_back, ..ServiceAims::default() };
+        PermitAsk { aims, time_left: Duration::from_secs(600), ..ask }
+    };
+    let (triage, _) = play.ask(patient(500, 2, false));
+    let (review, _) = play.ask(patient(6_000, 0, false));
+    let (returned, _) = play.ask(patient(6_000, 0, true));
+    let mut order = Vec::new();
+    while let Some(running) = play.scheduler.permits().keys().next().copied() {
+        let next = play.end(running.request.as_u128(), AttemptEnd::Unused);
+        order.extend(granted(&next).into_keys());
+    }
+    let place = |number: u128| order.iter().position(|other| *other == number);
+    assert!(place(returned) < place(review) && place(review) < place(triage), "{order:?}");
+    assert!(place(triage).is_some());
+}
+
+#[test]
+fn returns_are_spread_over_a_part_of_the_time_that_is_left() {
+    let left = Duration::from_secs(12);
+    let advice: Vec<Duration> = (0..2_000u128)
+        .map(|number| {
+            let request = RequestId::from_u128(number * 7_919);
+            let permit = PermitId { request, attempt: 0 };
+            spread_advice(permit, Duration::from_millis(500), left)
+        })
+        .collect();
+    let early = advice.iter().filter(|advice| **advice < Duration::from_millis(1_250)).count();
+    let late = advice.iter().filter(|advice| **advice > Duration::from_millis(2_750)).count();
+    assert!((400..=600).contains(&early) && (400..=600).contains(&late), "{early} {late}");
+    assert!(advice.iter().all(|advice| *advice <= left * 30 / 100));
+}
