curlewcleat explain: the story of a request out of the logs of many daemons

Joins the lines of a request by the system's id or the caller's with what its daemon had noted shortly before, orders them, names outcome, most likely cause and the page to read; text or JSON. Refusals before admission now name the caller's id.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -81,12 +81,18 @@
         let arrived = Instant::now();
         let call = match self.admit(id, arrived, &request) {
             Ok(call) => call,
-            Err(refusal) => return self.refuse(id, &refusal, None),
+            Err(refusal) => {
+                let attempt = crate::headers::text(request.headers(), self.profile.attempt_id);
+                return self.refuse(id, attempt.unwrap_or_default(), &refusal, None);
+            }
         };
         self.context.metrics.request(&call.tier, &call.pool);
         let body = match read_body(&mut request, call.rule.body_limit).await {
             Ok(body) => body,
-            Err(reason) => return self.refuse(id, &Refusal::not_run(reason, None), Some(&call)),
+            Err(reason) => {
+                let refusal = Refusal::not_run(reason, None);
+                return self.refuse(id, &call.attempt_id, &refusal, Some(&call));
+            }
         };
         let caller = CallerRequest {
             method: request.method().clone(),
@@ -137,11 +143,12 @@
     fn refuse(
         &self,
         id: RequestId,
+        attempt: &str,
         refusal: &Refusal,
         call: Option<&AdmittedCall>,
     ) -> Response<BoxBody> {
         let answer = refusal_answer(id, refusal);
-        self.count_refusal(id, refusal, call);
+        self.count_refusal(id, attempt, refusal, call);
         let (_, received) = AnswerParts::channel();
         self.respond(answer, received, TaskGuard(actix_rt::spawn(async {})))
     }
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -217,12 +217,12 @@
     pub(super) fn count_refusal(
         &self,
         id: RequestId,
+        attempt: &str,
         refusal: &Refusal,
         call: Option<&AdmittedCall>,
     ) {
         let tier = call.map_or("", |call| call.tier.as_str());
         let pool = call.map_or("", |call| call.pool.as_str());
-        let attempt = call.map_or("", |call| call.attempt_id.as_str());
         let account = call.and_then(|call| call.account.as_deref()).unwrap_or_default();
         let cost = call.map_or(0, |call| call.cost);
         self.context.metrics.refusal(refusal.reason, tier, pool);
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -335,7 +335,8 @@
     async fn refuse(&mut self, reason: RefusalReason, retry_after: Option<Duration>) {
         let retry_after = retry_after.filter(|_| self.verdict == Verdict::NotRun);
         let refusal = Refusal { reason, verdict: self.verdict, retry_after };
-        self.gateway.count_refusal(self.call.id, &refusal, Some(&self.call));
+        let attempt = self.call.attempt_id.as_str();
+        self.gateway.count_refusal(self.call.id, attempt, &refusal, Some(&self.call));
         if self.begin.is_none() {
             if let Some(parts) = self.parts.take() {
                 parts.cut().await;
--- a/crates/tool/src/arguments.rs
+++ b/crates/tool/src/arguments.rs
@@ -41,6 +41,8 @@
     History,
     /// Begin the planned stop of a daemon.
     Drain(DrainArguments),
+    /// Tell the story of a request out of the logs of daemons.
+    Explain(ExplainArguments),
     /// Print a completion script for a shell.
     Completions(CompletionArguments),
 }
@@ -95,6 +97,16 @@
     Accounts,
 }
 
+/// Which request to explain.
+#[derive(Args)]
+pub struct ExplainArguments {
+    /// Id of the request: the system's, or the one that its caller gave.
+    pub request: String,
+    /// Logs of daemons; `-` is standard input.
+    #[arg(required = true)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Which daemon to drain.
 #[derive(Args)]
 pub struct DrainArguments {
--- a/crates/tool/src/main.rs
+++ b/crates/tool/src/main.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod arguments;
 mod daemons;
+mod explain;
 mod files;
 mod show;
 mod table;
@@ -38,6 +39,7 @@
         Command::Show(options) => show::show(&arguments, options).await,
         Command::History => show::history(&arguments).await,
         Command::Drain(options) => daemons::drain(options).await,
+        Command::Explain(options) => explain::explain(&arguments, options),
         Command::Completions(options) => {
             clap_complete::generate(
                 options.shell,
