--- a/crates/daemon/src/brain.rs
+++ b/crates/daemon/src/brain.rs
@@ -201,14 +201,9 @@
             let ejected = pool.targets.iter().filter(|target| target.ejected).count();
             let leaving = pool.targets.iter().filter(|target| target.leaving).count();
             let slots: u32 = pool.targets.iter().map(|target| target.slots).sum();
-            let detail: Vec<String> = pool
-                .targets
-                .iter()
-                .map(|t| format!("{}:{}/{} s{}", t.id, t.in_flight, t.slots, t.slowness))
-                .collect();
             info!("pool_waits", kv: {
                 pool = pool.id.as_str(), waiting = pool.waiting, in_flight = pool.in_flight, slots,
-                targets = pool.targets.len(), ejected, leaving, detail = detail.join(" "),
+                targets = pool.targets.len(), ejected, leaving,
                 lowest_open = pool.lowest_open.map_or(-1, i64::from)
             });
         }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -171,9 +171,13 @@
                 }
                 AttemptVerdict::Again(end, reason) => self.again(&target, end, reason),
                 AttemptVerdict::Failed(reason) => {
-                    self.log_attempt(&target, reason.code());
-                    let unsent = reason == RefusalReason::ConfigurationStale;
-                    self.end(if unsent { AttemptEnd::Unused } else { AttemptEnd::Failed });
+                    // A request that is refused for want of proof was not sent.
+                    if reason == RefusalReason::ConfigurationStale {
+                        self.end(AttemptEnd::Unused);
+                    } else {
+                        self.log_attempt(&target, reason.code());
+                        self.end(AttemptEnd::Failed);
+                    }
                     return self.refuse(reason, Some(RETRY_WAIT)).await;
                 }
             }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,11 +1,20 @@
 //! Logs as JSON lines on standard output; each line has an event name and key-values.
 
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 
 use anyhow::Result;
 use spdlog::formatter::JsonFormatter;
-use spdlog::sink::StdStreamSink;
-use spdlog::{Level, LevelFilter, Logger};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger, ThreadPool};
+
+/// Lines that wait to be written. Where the reader of the logs does not keep up, further lines are
+/// dropped; no request waits for a log.
+const QUEUE_LENGTH: usize = 4_096;
+
+fn queue_length() -> NonZeroUsize {
+    NonZeroUsize::new(QUEUE_LENGTH).unwrap_or(NonZeroUsize::MIN)
+}
 
 /// Makes JSON lines the default logger.
 ///
@@ -19,8 +28,14 @@
         _ => Level::Info,
     };
     let sink = StdStreamSink::builder().stdout().formatter(JsonFormatter::new()).build_arc()?;
-    let logger = Logger::builder()
+    let pool = Arc::new(ThreadPool::builder().capacity(queue_length()).build()?);
+    let queue = AsyncPoolSink::builder()
         .sink(sink)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .thread_pool(pool)
+        .build_arc()?;
+    let logger = Logger::builder()
+        .sink(queue)
         .level_filter(LevelFilter::MoreSevereEqual(least))
         .flush_level_filter(LevelFilter::All)
         .build()?;
