--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -159,6 +159,8 @@
     pub pause_limit: Duration,
     /// Rank of the rule; decides between requests of one account and tier.
     pub urgency: TierRank,
+    /// Whether the length of its answer is a guess, so that it may well end sooner than it seems.
+    pub length_guessed: bool,
     /// Whether it was refused before and has come back as it was told.
     pub came_back: bool,
 }
@@ -172,6 +174,7 @@
             first_by: ever,
             pause_limit: ever,
             urgency: 0,
+            length_guessed: false,
             came_back: false,
         }
     }
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -114,7 +114,8 @@
             .unwrap_or_default();
         let tokens = tokens(head, self.profile.tokens);
         let urgency = tier.map_or(0, |tier| tier.rank);
-        let aims = ServiceAims { urgency, ..self.aims(rule, asked, time) };
+        let aims = self.aims(rule, asked, time);
+        let aims = ServiceAims { urgency, length_guessed: true, ..aims };
         Ok(AdmittedCall {
             id,
             attempt_id: attempt_id.to_string(),
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -31,6 +31,8 @@
 /// Share of the targets that may be ejected at the same time, in percent. Where all fail, the fault is
 /// hardly theirs, and refusing everything would help nobody.
 const EJECT_PERCENT: usize = 50;
+/// A guessed length may be this many times too long.
+const GUESS_DIVISOR: u64 = 3;
 /// Estimates are taken this much longer, in percent, where a deadline depends on them.
 const MARGIN_PERCENT: u64 = 125;
 /// Reading prompts for this part of the longest allowed pause, in percent, stalls no stream.
@@ -398,7 +400,7 @@
         if !self.reachable(now, ask) {
             return Err(self.no_target(now));
         }
-        let estimate = with_margin(self.fastest_estimate(ask));
+        let estimate = self.fastest_estimate(ask);
         let time_left = ask.time_left.as_micros() as u64;
         if estimate > time_left {
             return Err(Refusal::not_run(RefusalReason::DeadlineUnreachable, None));
@@ -670,7 +672,7 @@
     fn waiting_ask(&self, now: Uptime, entry: DaemonId, ask: PermitAsk) -> WaitingAsk {
         let work = ask.prompt_work + ask.output_work;
         let deadline = now + ask.time_left;
-        let estimate = with_margin(self.fastest_estimate(&ask));
+        let estimate = self.fastest_estimate(&ask);
         let wait_until = now.saturating_add(ask.aims.wait_limit);
         let latest_start = deadline.saturating_sub(Duration::from_micros(estimate)).min(wait_until);
         let urgency = URGENCY_AGE * u32::from(ask.aims.urgency);
@@ -682,9 +684,23 @@
         WaitingAsk { entry, ask, deadline, first_by, wait_until, latest_start, order, work }
     }
 
+    /// Time that the fastest target needs, with room for the error of the estimate: too late where the
+    /// work is known, too early where the length of the answer is a guess.
     fn fastest_estimate(&self, ask: &PermitAsk) -> WorkMicros {
         let usable = self.targets.values().filter(|state| !state.leaving && !state.ejected());
-        usable.map(|state| state.estimate(ask)).min().unwrap_or(ask.prompt_work + ask.output_work)
+        if ask.aims.length_guessed {
+            let times = usable.filter_map(|state| self.stream_time(ask, state));
+            return times.min().unwrap_or(0) / GUESS_DIVISOR;
+        }
+        let fastest = usable.map(|state| state.estimate(ask)).min();
+        with_margin(fastest.unwrap_or(ask.prompt_work + ask.output_work))
+    }
+
+    /// Time of a stream on an idle target by what was learned, `None` while nothing is known.
+    fn stream_time(&self, ask: &PermitAsk, state: &TargetState) -> Option<WorkMicros> {
+        let prompt = state.pace.prompt_time(ask.prompt_work)?;
+        let output = state.pace.output_time(ask.output_work, &self.pace)?;
+        Some(prompt + output)
     }
 
     /// Estimated time until a new ask would be granted.
--- a/crates/sched/tests/streams.rs
+++ b/crates/sched/tests/streams.rs
@@ -272,6 +272,27 @@
     assert!(place(triage).is_some());
 }
 
+#[test]
+fn long_answer_by_guess_is_tried_where_it_may_well_end_in_time() {
+    // Nothing is known of the targets yet, and the operator's numbers would say forty seconds.
+    let mut play = Play::new(&[FAST], 2);
+    let guessed = |output: u64| {
+        let ask = prompt(5_000);
+        let aims = ServiceAims { length_guessed: true, ..ask.aims };
+        PermitAsk { aims, output_work: output, ..ask }
+    };
+    let (first, actions) = play.ask(guessed(40_000_000));
+    assert!(granted(&actions).contains_key(&first));
+    play.end(first, AttemptEnd::Unused);
+    // Known: 20 parts of 16 ms for a second of work, so that forty seconds of it take 13 s.
+    play.teach(FAST, &[], timing(10, 16, 120));
+    let (long, actions) = play.ask(guessed(40_000_000));
+    assert!(granted(&actions).contains_key(&long));
+    play.end(long, AttemptEnd::Unused);
+    let (endless, actions) = play.ask(guessed(400_000_000));
+    assert_eq!(refused(&actions)[&endless].0, RefusalReason::DeadlineUnreachable);
+}
+
 #[test]
 fn returns_are_spread_over_a_part_of_the_time_that_is_left() {
     let left = Duration::from_secs(12);
