The configuration is watched, and proved by reads three times within the age it may have

A watch now brings changes at once and reads prove the configuration at a third of the age that the proof may have. The test of a store whose watches do not wait failed first (42 calls in a second): such watches are asked later and later.

--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -3,6 +3,7 @@
 //! No loop here calls again without a pause, whatever the answer was; pauses after failures grow and
 //! carry jitter.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 use curlewcleat_core::{DiscoveredTarget, ObjectVersion, TargetId};
 use curlewcleat_node::NodeEvent;
 use curlewcleat_platform::{
-    ConfigRead, DaemonRecord, Error, FleetPlatform, TargetChange, TargetWatch,
+    ConfigRead, ConfigWatch, DaemonRecord, Error, FleetPlatform, TargetChange, TargetWatch,
 };
 use rand::Rng;
 use spdlog::prelude::*;
@@ -19,8 +20,8 @@
 use crate::context::DaemonContext;
 use crate::gateway::ConfigProof;
 
-/// Time between reads of the configuration, in parts of the time in which it has to be in force.
-const READS_PER_APPLY: u32 = 2;
+/// Reads within the age that the proof of the configuration may have.
+const READS_PER_LIMIT: u32 = 3;
 /// Reads that fail in a row before this daemon's view of the platform counts as old.
 const STALE_READS: u32 = 2;
 /// First pause after a failed call; doubles up to the limit.
@@ -29,7 +30,7 @@
 /// Least time between two calls of one loop.
 const FLOOR: Duration = Duration::from_millis(50);
 /// Longest wait of a watch.
-const WATCH_LIMIT: Duration = Duration::from_secs(10);
+const WATCH_LIMIT: Duration = Duration::from_secs(20);
 
 /// What the tasks share.
 struct FleetFollower {
@@ -38,6 +39,10 @@
     proof: Rc<ConfigProof>,
     /// The platform is reachable again after a failure.
     regained: Notify,
+    /// The configuration may have changed.
+    config_news: Notify,
+    /// Revision up to which the configuration is known.
+    revision: Cell<ObjectVersion>,
 }
 
 /// Starts the tasks on this arbiter.
@@ -47,27 +52,40 @@
     proof: Rc<ConfigProof>,
     record: DaemonRecord,
 ) {
-    let follower = Rc::new(FleetFollower { platform, context, proof, regained: Notify::new() });
+    let follower = Rc::new(FleetFollower {
+        platform,
+        context,
+        proof,
+        regained: Notify::new(),
+        config_news: Notify::new(),
+        revision: Cell::new(0),
+    });
+    actix_rt::spawn(Rc::clone(&follower).watch_config());
     actix_rt::spawn(Rc::clone(&follower).follow_config());
     actix_rt::spawn(Rc::clone(&follower).follow_targets());
     actix_rt::spawn(follower.find_peers(record));
 }
 
 impl FleetFollower {
-    /// Reads the configuration again and again. The proof of its age counts from the sending of a read.
+    /// Reads the configuration when it may have changed, and often enough to prove that it has not. The
+    /// age of the proof counts from the sending of a read.
     async fn follow_config(self: Rc<Self>) {
         let mut known: ObjectVersion = 0;
         let mut pause = CallPause::default();
         loop {
-            let every = self.context.bounds().config_apply_limit / READS_PER_APPLY;
+            let every = self.proof_interval();
             let sent = Instant::now();
             match self.platform.read_config(known).await {
-                Ok(ConfigRead::Absent) => pause.wait().await,
-                Ok(ConfigRead::Unchanged) => self.proved(sent),
-                Ok(ConfigRead::Changed(version, bundle)) => {
-                    self.context.apply(bundle).await;
-                    known = version;
-                    self.proved(sent);
+                Ok(state) => {
+                    pause = CallPause::default();
+                    self.revision.set(state.revision);
+                    if let ConfigRead::Changed(version, bundle) = state.read {
+                        self.context.apply(bundle).await;
+                        known = version;
+                    }
+                    if known > 0 {
+                        self.proved(sent);
+                    }
                 }
                 Err(error) => {
                     self.proof.fail();
@@ -78,8 +96,46 @@
                     continue;
                 }
             }
-            pause = CallPause::default();
-            tokio::time::sleep(every.saturating_sub(sent.elapsed()).max(FLOOR)).await;
+            tokio::time::sleep(FLOOR).await;
+            tokio::select! {
+                _ = tokio::time::sleep(every.saturating_sub(sent.elapsed())) => {}
+                _ = self.config_news.notified() => {}
+            }
+        }
+    }
+
+    /// Time between reads that prove the configuration. One read may fail without harm.
+    fn proof_interval(&self) -> Duration {
+        let bounds = self.context.bounds();
+        let limit = bounds.config_age_limit.unwrap_or(bounds.config_apply_limit * READS_PER_LIMIT);
+        (limit / READS_PER_LIMIT).min(bounds.config_apply_limit / 4 * 3)
+    }
+
+    /// Watches the configuration, so that a change is read at once.
+    async fn watch_config(self: Rc<Self>) {
+        let mut pause = CallPause::default();
+        loop {
+            let begun = Instant::now();
+            match self.platform.watch_config(self.revision.get(), WATCH_LIMIT).await {
+                Ok(ConfigWatch::Unchanged(revision)) => {
+                    self.revision.set(revision.max(self.revision.get()));
+                    pause.after_quiet_watch(begun).await;
+                }
+                Ok(ConfigWatch::ReadAgain) => {
+                    self.config_news.notify_one();
+                    // The read gives the revision to go on from; a history that is gone stays gone.
+                    pause.wait().await;
+                }
+                Err(error) => {
+                    pause.failed("watch_config", &error, &self.context).await;
+                    self.config_news.notify_one();
+                    // Reads go on meanwhile; there is no use in watching what cannot be read.
+                    if self.proof.is_failing() {
+                        self.regained.notified().await;
+                    }
+                }
+            }
+            tokio::time::sleep(FLOOR.saturating_sub(begun.elapsed())).await;
         }
     }
 
@@ -113,6 +169,7 @@
 
     /// Watches until the list has to be read again.
     async fn watch_targets(&self, targets: &mut TargetMap, mut revision: ObjectVersion) {
+        let mut pause = CallPause::default();
         loop {
             let begun = Instant::now();
             let watch = self.platform.watch_targets(revision, WATCH_LIMIT);
@@ -123,7 +180,10 @@
             match watched {
                 Ok(TargetWatch::Changes(changes, at)) => {
                     revision = at;
-                    if !changes.is_empty() {
+                    if changes.is_empty() {
+                        pause.after_quiet_watch(begun).await;
+                    } else {
+                        pause = CallPause::default();
                         changes.into_iter().for_each(|change| apply_change(targets, change));
                         self.tell_targets(targets);
                     }
@@ -195,6 +255,16 @@
         self.next = (self.next * 2).min(PAUSE_LIMIT);
     }
 
+    /// A watch that has nothing to tell should have waited; one that did not is asked again later and
+    /// later.
+    async fn after_quiet_watch(&mut self, begun: Instant) {
+        if begun.elapsed() >= WATCH_LIMIT / 2 {
+            *self = CallPause::default();
+            return;
+        }
+        self.wait().await;
+    }
+
     async fn failed(&mut self, call: &str, error: &Error, context: &DaemonContext) {
         context.metrics.platform_error(call);
         if self.next == PAUSE_FIRST {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,7 +11,8 @@
 
 pub use applying::run_apply;
 pub use fleet::{
-    ConfigRead, DaemonRecord, FleetPlatform, TargetChange, TargetList, TargetWatch, WireProfile,
+    ConfigRead, ConfigState, ConfigWatch, DaemonRecord, FleetPlatform, TargetChange, TargetList,
+    TargetWatch, WireProfile,
 };
 pub use http::HttpStore;
 pub use store::{
--- a/crates/standins/src/native/fleet.rs
+++ b/crates/standins/src/native/fleet.rs
@@ -7,7 +7,7 @@
 use anyhow::Result;
 use curlewcleat_adapter::example::example_config;
 use curlewcleat_adapter::format::{Config, Server};
-use curlewcleat_adapter::names::{CONFIG, READY, SERVERS};
+use curlewcleat_adapter::names::{CONFIG_KIND, CONFIG_NAME, READY, SERVERS};
 use serde_json::to_value;
 
 use super::{NativeEngine, NativeStore};
@@ -69,8 +69,7 @@
     /// Stores the configuration with a higher version.
     pub fn store_config(&mut self) -> Result<()> {
         self.config.resource_version += 3;
-        let (kind, name) = CONFIG.split_once('/').unwrap_or((CONFIG, ""));
-        self.store.put(kind, name, to_value(&self.config)?);
+        self.store.put(CONFIG_KIND, CONFIG_NAME, to_value(&self.config)?);
         Ok(())
     }
 
