--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -60,6 +60,7 @@
             scheduler.configure(pool_options(&config, pool, age_per_work), pool);
             scheduler.set_away(away.clone());
         }
+        self.renew_places();
         self.pools
             .retain(|id, scheduler| config.pools.contains_key(id) || scheduler.in_flight() > 0);
     }
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use curlewcleat_core::{DaemonId, PoolId};
+use curlewcleat_core::{DaemonId, PoolId, VmId};
 
 use super::{order_of, Node};
 use crate::event::ListedVm;
@@ -29,6 +29,7 @@
             return;
         }
         self.review_rates(&before);
+        self.renew_places();
         let orders = &self.orders;
         let members = &self.members;
         let actions =
@@ -36,6 +37,18 @@
         self.perform(actions);
     }
 
+    /// Tells the schedulers where the entries are.
+    pub(super) fn renew_places(&mut self) {
+        let peers = self.members.peers().iter();
+        let mut places: BTreeMap<VmId, String> =
+            peers.map(|(vm, peer)| (vm.clone(), peer.data_centre.clone())).collect();
+        let own = self.options.members.data_centre.clone();
+        places.insert(self.options.me.vm.clone(), own);
+        for scheduler in self.pools.values_mut() {
+            scheduler.set_places(places.clone());
+        }
+    }
+
     /// A daemon that begins to schedule knows nothing of what others gave out of the rates.
     fn review_rates(&mut self, before: &BTreeMap<PoolId, Vec<DaemonId>>) {
         let me = &self.options.me;
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -37,6 +37,8 @@
 const MARGIN_PERCENT: u64 = 125;
 /// Reading prompts for this part of the longest allowed pause, in percent, stalls no stream.
 const STALL_PERCENT: u32 = 70;
+/// How much more the time on a target of another data centre counts, in percent.
+const FAR_PERCENT: u64 = 15;
 /// At least this part of the time to the first part, one in so many, is for the own prompt.
 const OWN_PART: u32 = 4;
 /// Times that a target's time counts more where all its requests failed lately.
@@ -140,6 +142,8 @@
     buckets: BTreeMap<AccountId, RateBucket>,
     level: OverloadLevel,
     away: BTreeSet<VmId>,
+    /// Data centres of the entries, as far as they are known.
+    places: BTreeMap<VmId, String>,
     /// How fast its targets stream on the whole.
     pace: StreamPace,
     /// How much work it takes in.
@@ -160,6 +164,7 @@
             buckets: BTreeMap::new(),
             level: OverloadLevel::default(),
             away: BTreeSet::new(),
+            places: BTreeMap::new(),
             pace: StreamPace::of_pool(),
             flow: PoolFlow::default(),
             faded: Duration::ZERO,
@@ -176,6 +181,7 @@
                 TargetState::new(entry.vm.clone(), entry.slots).with_pace(self.pace.of_new_target())
             });
             state.slots = entry.slots;
+            state.data_centre.clone_from(&entry.data_centre);
             state.vm.clone_from(&entry.vm);
             state.leaving = away;
         }
@@ -193,6 +199,17 @@
         self.away = away;
     }
 
+    /// Names the data centres of the entries, so that near targets go first among equals.
+    pub fn set_places(&mut self, places: BTreeMap<VmId, String>) {
+        self.places = places;
+    }
+
+    /// Whether a target is known to be in another data centre than the entry.
+    fn is_far(&self, entry: &DaemonId, state: &TargetState) -> bool {
+        let place = self.places.get(&entry.vm).filter(|place| !place.is_empty());
+        place.is_some_and(|place| !state.data_centre.is_empty() && *place != state.data_centre)
+    }
+
     /// Takes a target's report in.
     pub fn reported(
         &mut self,
@@ -594,7 +611,7 @@
         let output = state.pace.output_time(ask.output_work, &self.pace);
         let (Some(prompt), Some(output)) = (prompt, output) else {
             let time = state.estimate(ask);
-            let penalty = penalty(time, state);
+            let penalty = penalty(time, state) + self.distance(waiting, state, time);
             return TargetFit { stalls: false, late: false, penalized: time + penalty, time };
         };
         let backlog = state.prompt_backlog(now);
@@ -602,7 +619,8 @@
         let stalls = state.in_flight > 0 && self.would_stall(now, state, reading, ask);
         let late = now + reading > waiting.first_by;
         let time = micros(reading) + output;
-        TargetFit { stalls, late, penalized: time + penalty(time, state), time }
+        let penalty = penalty(time, state) + self.distance(waiting, state, time);
+        TargetFit { stalls, late, penalized: time + penalty, time }
     }
 
     /// Whether reading prompts for so long makes the streams of a target pause for too long. A target
@@ -619,6 +637,14 @@
         pauses && reading > limit / 100 * STALL_PERCENT
     }
 
+    /// What a target's time counts more since it is far from the entry.
+    fn distance(&self, waiting: &WaitingAsk, state: &TargetState, time: WorkMicros) -> WorkMicros {
+        match self.is_far(&waiting.entry, state) {
+            true => time / 100 * FAR_PERCENT,
+            false => 0,
+        }
+    }
+
     /// Whether some target that takes new work, busy or not, would end the answer in time.
     fn has_fast_target(&self, now: Uptime, waiting: &WaitingAsk, time_left: WorkMicros) -> bool {
         self.targets.iter().any(|(id, state)| {
--- a/crates/sched/src/target.rs
+++ b/crates/sched/src/target.rs
@@ -32,6 +32,8 @@
 pub struct TargetState {
     /// VM of the target.
     pub vm: VmId,
+    /// Its data centre, empty where it is not known.
+    pub data_centre: String,
     /// Requests that it serves at the same time.
     pub slots: u32,
     /// Permits in use.
@@ -63,6 +65,7 @@
     pub fn new(vm: VmId, slots: u32) -> TargetState {
         TargetState {
             vm,
+            data_centre: String::new(),
             slots,
             in_flight: 0,
             leaving: false,
--- a/crates/sched/tests/streams.rs
+++ b/crates/sched/tests/streams.rs
@@ -174,6 +174,27 @@
     assert_eq!(granted(&actions).get(&number).map(String::as_str), Some(FAST));
 }
 
+#[test]
+fn near_target_goes_first_among_equals_only() {
+    let mut play = Play::new(&[FAST, SLOW], 8);
+    play.teach(SLOW, &[FAST], timing(10, 17, 120));
+    play.teach(FAST, &[SLOW], timing(10, 16, 120));
+    let mut places = pool(&[FAST, SLOW], 8);
+    places.targets.get_mut(FAST).expect("a target").data_centre = "there".to_string();
+    places.targets.get_mut(SLOW).expect("a target").data_centre = "here".to_string();
+    play.scheduler.configure(PoolOptions { age_per_work: 1, ..PoolOptions::default() }, &places);
+    let here = BTreeMap::from([("e".to_string(), "here".to_string())]);
+    play.scheduler.set_places(here);
+    play.run(Duration::from_millis(100));
+    let (number, actions) = play.ask(prompt(1_000));
+    assert_eq!(granted(&actions).get(&number).map(String::as_str), Some(SLOW));
+    play.end(number, AttemptEnd::Unused);
+    play.teach(SLOW, &[FAST], timing(20, 40, 120));
+    play.run(Duration::from_millis(100));
+    let (number, actions) = play.ask(prompt(1_000));
+    assert_eq!(granted(&actions).get(&number).map(String::as_str), Some(FAST));
+}
+
 #[test]
 fn long_prompt_waits_rather_than_stall_the_streams_of_a_slow_target() {
     let mut play = taught(1);
