--- /dev/null
+++ b/crates/sched/src/pool/placement.rs
@@ -0,0 +1,174 @@
+//! Which waiting ask goes next, and to which target.
+
+use std::time::Duration;
+
+use curlewcleat_core::{
+    DaemonId, PermitAsk, PermitDecision, PermitId, TargetId, Uptime, WorkMicros,
+};
+
+use super::{micros, with_margin, PermitRecord, PoolScheduler, SchedulerAction};
+use crate::queue::WaitingAsk;
+use crate::target::TargetState;
+
+/// Accounts of each tier whose first ask is tried when the best one finds no target.
+const HEADS_TRIED: usize = 8;
+/// Reading prompts for this part of the longest allowed pause, in percent, stalls no stream.
+const STALL_PERCENT: u32 = 70;
+/// How much more the time on a target of another data centre counts, in percent.
+const FAR_PERCENT: u64 = 15;
+/// Times that a target's time counts more where all its requests failed lately.
+const FAILING_PENALTY: u64 = 8;
+
+/// How well a target suits an ask; the least is the best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TargetFit {
+    /// Streams there would pause for too long.
+    stalls: bool,
+    /// The answer would begin too late.
+    late: bool,
+    /// Time until its end, longer where requests failed there lately.
+    penalized: WorkMicros,
+    /// Time until its end.
+    time: WorkMicros,
+}
+
+impl PoolScheduler {
+    /// Whether a target is known to be in another data centre than the entry.
+    fn is_far(&self, entry: &DaemonId, state: &TargetState) -> bool {
+        let place = self.places.get(&entry.vm).filter(|place| !place.is_empty());
+        place.is_some_and(|place| !state.data_centre.is_empty() && *place != state.data_centre)
+    }
+
+    /// Gives permits as long as the best waiting asks find targets with room.
+    pub(super) fn grant(&mut self, now: Uptime, actions: &mut Vec<SchedulerAction>) {
+        while let Some((permit, target)) = self.next_grant(now) {
+            let Some(waiting) = self.queues.take(&permit) else { return };
+            self.flow.granted(waiting.work, !self.queues.is_empty());
+            let Some(state) = self.targets.get_mut(&target) else { return };
+            let estimate = state.estimate(&waiting.ask);
+            let expected = estimate * 1_000 / state.slowness().max(1);
+            state.in_flight += 1;
+            let backlog = state.prompt_backlog(now);
+            if let Some(time) = state.pace.prompt_time(waiting.ask.prompt_work) {
+                state.prompt_sent(now, time);
+            }
+            if let Some(prefix) = waiting.ask.prefix {
+                state.prefixes.touch(prefix, self.options.cached_prefixes);
+            }
+            let record = PermitRecord {
+                entry: waiting.entry.clone(),
+                target: target.clone(),
+                expected,
+                prompt_work: waiting.ask.prompt_work,
+                output_work: waiting.ask.output_work,
+                backlog,
+                confirmed: now,
+            };
+            self.permits.insert(permit, record);
+            actions.push(self.answer(waiting.entry, permit, PermitDecision::Granted(target)));
+        }
+    }
+
+    fn next_grant(&self, now: Uptime) -> Option<(PermitId, TargetId)> {
+        // Where everything is busy, and at an overload it is, no ask needs to be looked at.
+        let room = |state: &TargetState| state.has_room(true, 0, now);
+        if self.queues.is_empty() || !self.targets.values().any(room) {
+            return None;
+        }
+        let heads = self.queues.heads(HEADS_TRIED);
+        heads.filter_map(|waiting| Some((waiting.ask.permit, self.place(now, waiting)?))).next()
+    }
+
+    /// The target with room that suits the ask best, `None` where waiting for another one is better.
+    fn place(&self, now: Uptime, waiting: &WaitingAsk) -> Option<TargetId> {
+        let top = waiting.ask.tier == self.options.top;
+        let reserve = self.options.reserve_percent;
+        let open = self.targets.iter().filter(|(id, state)| {
+            state.has_room(top, reserve, now) && !waiting.ask.avoid.contains(id)
+        });
+        let scored = open.map(|(id, state)| {
+            let fit = self.fit(now, waiting, state);
+            (fit, load_permille(state), id)
+        });
+        let (fit, _, target) = scored.min()?;
+        // Waiting for a better target is worth while only as long as the answer need not begin yet, and
+        // where there is a better one that is busy.
+        let may_wait = now < waiting.first_by;
+        let time_left = micros(waiting.deadline.saturating_sub(now));
+        let too_slow = with_margin(fit.time) > time_left;
+        if too_slow && may_wait && self.has_fast_target(now, waiting, time_left) {
+            return None;
+        }
+        if fit.stalls && may_wait && self.has_steady_target(now, waiting) {
+            return None;
+        }
+        Some(target.clone())
+    }
+
+    /// How well a target suits an ask.
+    fn fit(&self, now: Uptime, waiting: &WaitingAsk, state: &TargetState) -> TargetFit {
+        let ask = &waiting.ask;
+        let prompt = state.pace.prompt_time(ask.prompt_work);
+        let output = state.pace.output_time(ask.output_work, &self.pace);
+        let (Some(prompt), Some(output)) = (prompt, output) else {
+            let time = state.estimate(ask);
+            let penalty = penalty(time, state) + self.distance(waiting, state, time);
+            return TargetFit { stalls: false, late: false, penalized: time + penalty, time };
+        };
+        let backlog = state.prompt_backlog(now);
+        let reading = backlog + Duration::from_micros(prompt);
+        let stalls = state.in_flight > 0 && self.would_stall(now, state, reading, ask);
+        let late = now + reading > waiting.first_by;
+        let time = micros(reading) + output;
+        let penalty = penalty(time, state) + self.distance(waiting, state, time);
+        TargetFit { stalls, late, penalized: time + penalty, time }
+    }
+
+    /// Whether reading prompts for so long makes the streams of a target pause for too long. A target
+    /// that was seen to pause so long does so again, unless it has little to read.
+    fn would_stall(
+        &self,
+        now: Uptime,
+        state: &TargetState,
+        reading: Duration,
+        ask: &PermitAsk,
+    ) -> bool {
+        let limit = ask.aims.pause_limit;
+        let pauses = state.pace.longest_pause(now) > limit;
+        pauses && reading > limit / 100 * STALL_PERCENT
+    }
+
+    /// What a target's time counts more since it is far from the entry.
+    fn distance(&self, waiting: &WaitingAsk, state: &TargetState, time: WorkMicros) -> WorkMicros {
+        match self.is_far(&waiting.entry, state) {
+            true => time / 100 * FAR_PERCENT,
+            false => 0,
+        }
+    }
+
+    /// Whether some target that takes new work, busy or not, would end the answer in time.
+    fn has_fast_target(&self, now: Uptime, waiting: &WaitingAsk, time_left: WorkMicros) -> bool {
+        self.targets.iter().any(|(id, state)| {
+            let usable = state.usable(now) && !waiting.ask.avoid.contains(id);
+            usable && with_margin(self.fit(now, waiting, state).time) <= time_left
+        })
+    }
+
+    /// Whether some target that takes new work, busy or not, has not been seen to stall.
+    fn has_steady_target(&self, now: Uptime, waiting: &WaitingAsk) -> bool {
+        let limit = waiting.ask.aims.pause_limit;
+        self.targets.iter().any(|(id, state)| {
+            let usable = state.usable(now) && !waiting.ask.avoid.contains(id);
+            usable && state.pace.longest_pause(now) <= limit
+        })
+    }
+}
+
+/// What the time on a target counts more where its requests failed lately.
+fn penalty(time: WorkMicros, state: &TargetState) -> WorkMicros {
+    time / 1_000 * state.failing() * FAILING_PENALTY
+}
+
+fn load_permille(state: &TargetState) -> u32 {
+    state.in_flight * 1_000 / state.slots.max(1)
+}
