--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -3,7 +3,6 @@
 
 mod admission;
 mod answers;
-mod events;
 mod proof;
 mod relay;
 mod send;
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -11,14 +11,13 @@
     AttemptEnd, Refusal, RefusalReason, RetryReason, StreamTiming, TargetEntry, Verdict,
 };
 use curlewcleat_node::{CallerDecision, NodeEvent};
-use curlewcleat_targets::{AnswerBody, TargetAnswer};
+use curlewcleat_targets::{AnswerBody, EventSplitter, TargetAnswer};
 use futures_util::StreamExt;
 use spdlog::prelude::*;
 use tokio::sync::oneshot;
 
 use super::admission::AdmittedCall;
 use super::answers::{refusal_answer, AnswerParts, CallerAnswer};
-use super::events::EventSplitter;
 use super::send::AttemptStart;
 use super::{CallerRequest, Gateway};
 use crate::context::PendingRequest;
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -4,135 +4,21 @@
 //! target. A request leaves the waiting phase exactly once per attempt, and a further attempt is
 //! made only after proof that the earlier one did not run.
 
+mod request;
+mod surface;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AccountId, AttemptEnd, DaemonId, KeptAnswer, KeyAnswer, KeyClaim, KeyDecision, KeyOutcome,
-    PermitAnswer, PermitAsk, PermitDecision, PermitHeld, PermitId, PermitReturn, PoolId, Refusal,
-    RefusalReason, RequestId, RetryReason, ServiceAims, TargetId, TierRank, Uptime, Verdict, VmId,
-    WorkMicros,
+    AttemptEnd, DaemonId, KeptAnswer, KeyAnswer, KeyDecision, PermitAnswer, PermitDecision,
+    PermitHeld, PermitId, PermitReturn, PoolId, Refusal, RefusalReason, RequestId, RetryReason,
+    TargetId, Uptime, Verdict, VmId,
 };
 
-use crate::budget::{RetryBudget, RetryLimits};
-
-/// Times and bounds of an entry.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct EntryOptions {
-    /// Time for the first sign of the scheduler, then for each further one.
-    pub ask_limit: Duration,
-    /// Time between repeated asks while a request waits.
-    pub ask_again: Duration,
-    /// Time for the answer of the key's holder.
-    pub key_limit: Duration,
-    /// Claims sent before the holder counts as unreachable.
-    pub key_tries: u32,
-    /// Dispatches of a request at most.
-    pub attempt_limit: u32,
-    /// Time for which a silent scheduler is passed over.
-    pub avoid_for: Duration,
-    /// Asks sent to a silent scheduler before it is passed over.
-    pub ask_tries: u32,
-    /// Retries in each pool.
-    pub retries: RetryLimits,
-}
-
-impl Default for EntryOptions {
-    fn default() -> EntryOptions {
-        EntryOptions {
-            ask_limit: Duration::from_millis(250),
-            ask_again: Duration::from_secs(1),
-            key_limit: Duration::from_millis(150),
-            key_tries: 3,
-            attempt_limit: 3,
-            avoid_for: Duration::from_secs(3),
-            ask_tries: 2,
-            retries: RetryLimits::default(),
-        }
-    }
-}
-
-/// A request as it is admitted.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct RequestSpec {
-    /// Its id.
-    pub request: RequestId,
-    /// Pool that serves it.
-    pub pool: PoolId,
-    /// Rank of its tier.
-    pub tier: TierRank,
-    /// Account that pays.
-    pub account: AccountId,
-    /// Time until its deadline.
-    pub time_left: Duration,
-    /// What its caller hopes for.
-    pub aims: ServiceAims,
-    /// Targets that it may be sent to, `None` for the entry's own limit.
-    pub attempt_limit: Option<u32>,
-    /// Prompt work.
-    pub prompt_work: WorkMicros,
-    /// Other work.
-    pub output_work: WorkMicros,
-    /// Hash of the prompt's beginning.
-    pub prefix: Option<u64>,
-    /// What it counts against its account's shared rate.
-    pub cost: u64,
-    /// The key of a request that may not be repeated, with the caller's attempt number.
-    pub key: Option<(String, Option<u32>)>,
-}
-
-/// What an entry wants done.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum EntryAction {
-    /// Send a claim to the holder of the key.
-    ClaimKey(KeyClaim),
-    /// Tell the holder of the key how a claimed request ended.
-    ReportKey(KeyOutcome),
-    /// Send an ask to a scheduler.
-    AskPermit(VmId, PermitAsk),
-    /// Send a permit or an ask back to the scheduler that has it.
-    ReturnPermit(VmId, PermitReturn),
-    /// Tell a scheduler of a permit in use.
-    HoldPermit(VmId, PermitHeld),
-    /// Send the request to the target. Given once per permit.
-    Dispatch {
-        /// The attempt.
-        permit: PermitId,
-        /// Where to.
-        target: TargetId,
-    },
-    /// Answer the caller with a refusal.
-    Refuse(RequestId, Refusal),
-    /// Answer the caller with the kept answer of an earlier attempt.
-    Replay(RequestId, KeptAnswer),
-    /// Count a retry.
-    Count(RetryReason),
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum RequestPhase {
-    /// Waits for the holder of its key.
-    Claiming { tries: u32, sent: Uptime },
-    /// Waits for a permit.
-    Waiting { scheduler: VmId, sent: Uptime, heard: bool, silent: u32 },
-    /// Was sent to a target.
-    Dispatched { scheduler: VmId, target: TargetId },
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct EntryRequest {
-    spec: RequestSpec,
-    deadline: Uptime,
-    wait_until: Uptime,
-    first_by: Uptime,
-    attempt: u32,
-    /// Permits that were not used, since this daemon knows better than to use their targets.
-    unsent: u32,
-    avoid: Vec<TargetId>,
-    /// Why the latest attempt did not run.
-    failed: Option<RetryReason>,
-    phase: RequestPhase,
-}
+use self::request::{EntryRequest, RequestPhase};
+pub use self::surface::{EntryAction, EntryOptions, RequestSpec};
+use crate::budget::RetryBudget;
 
 /// The requests that an entry owns.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -585,75 +471,3 @@
         }
     }
 }
-
-impl EntryRequest {
-    fn permit(&self) -> PermitId {
-        PermitId { request: self.spec.request, attempt: self.attempt }
-    }
-
-    fn first_attempt(&self) -> bool {
-        matches!(self.spec.key, Some((_, Some(1))))
-    }
-
-    fn claim(&self) -> Option<KeyClaim> {
-        let (key, attempt) = self.spec.key.clone()?;
-        Some(KeyClaim {
-            request: self.spec.request,
-            account: self.spec.account.clone(),
-            key,
-            attempt,
-        })
-    }
-
-    fn report(&self, verdict: Verdict, answer: Option<KeptAnswer>) -> Option<EntryAction> {
-        let claim = self.claim()?;
-        Some(EntryAction::ReportKey(KeyOutcome { claim, verdict, answer }))
-    }
-
-    fn unreachable_home(&self) -> Refusal {
-        let wait = Some(Duration::from_secs(1));
-        if self.first_attempt() {
-            return Refusal::not_run(RefusalReason::KeyHomeUnreachable, wait);
-        }
-        Refusal::may_have_run(RefusalReason::KeyHomeUnreachable, wait)
-    }
-
-    fn permit_ask(&self, now: Uptime) -> PermitAsk {
-        PermitAsk {
-            permit: self.permit(),
-            pool: self.spec.pool.clone(),
-            tier: self.spec.tier,
-            account: self.spec.account.clone(),
-            time_left: self.deadline.saturating_sub(now),
-            aims: self.aims(now),
-            prompt_work: self.spec.prompt_work,
-            output_work: self.spec.output_work,
-            prefix: self.spec.prefix,
-            cost: self.spec.cost,
-            avoid: self.avoid.clone(),
-        }
-    }
-
-    /// What is left of the caller's aims. A request that was offered once is kept as long as it may
-    /// wait.
-    fn aims(&self, now: Uptime) -> ServiceAims {
-        let aims = &self.spec.aims;
-        let wait_limit = self.wait_until.saturating_sub(now);
-        let forecast_limit = match self.failed {
-            Some(_) => wait_limit,
-            None => aims.forecast_limit.min(wait_limit),
-        };
-        let first_by = self.first_by.saturating_sub(now);
-        ServiceAims { wait_limit, forecast_limit, first_by, ..*aims }
-    }
-
-    fn return_permit(&self, end: AttemptEnd) -> Vec<EntryAction> {
-        let scheduler = match &self.phase {
-            RequestPhase::Claiming { .. } => return Vec::new(),
-            RequestPhase::Waiting { scheduler, .. }
-            | RequestPhase::Dispatched { scheduler, .. } => scheduler,
-        };
-        let back = PermitReturn { permit: self.permit(), pool: self.spec.pool.clone(), end };
-        vec![EntryAction::ReturnPermit(scheduler.clone(), back)]
-    }
-}
--- /dev/null
+++ b/crates/sched/src/entry/request.rs
@@ -0,0 +1,115 @@
+//! One request of an entry.
+
+use std::time::Duration;
+
+use super::surface::{EntryAction, RequestSpec};
+use curlewcleat_core::{
+    AttemptEnd, KeptAnswer, KeyClaim, KeyOutcome, PermitAsk, PermitId, PermitReturn, Refusal,
+    RefusalReason, RetryReason, ServiceAims, TargetId, Uptime, Verdict, VmId,
+};
+
+/// Where a request stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) enum RequestPhase {
+    /// Waits for the holder of its key.
+    Claiming { tries: u32, sent: Uptime },
+    /// Waits for a permit.
+    Waiting { scheduler: VmId, sent: Uptime, heard: bool, silent: u32 },
+    /// Was sent to a target.
+    Dispatched { scheduler: VmId, target: TargetId },
+}
+
+/// A request that the entry owns.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct EntryRequest {
+    pub spec: RequestSpec,
+    pub deadline: Uptime,
+    pub wait_until: Uptime,
+    pub first_by: Uptime,
+    pub attempt: u32,
+    /// Permits that were not used, since this daemon knows better than to use their targets.
+    pub unsent: u32,
+    pub avoid: Vec<TargetId>,
+    /// Why the latest attempt did not run.
+    pub failed: Option<RetryReason>,
+    pub phase: RequestPhase,
+}
+
+impl EntryRequest {
+    /// The permit of the present attempt.
+    pub fn permit(&self) -> PermitId {
+        PermitId { request: self.spec.request, attempt: self.attempt }
+    }
+
+    /// Whether its caller says that it is the first attempt with its key.
+    pub fn first_attempt(&self) -> bool {
+        matches!(self.spec.key, Some((_, Some(1))))
+    }
+
+    /// The claim of its key, where it has one.
+    pub fn claim(&self) -> Option<KeyClaim> {
+        let (key, attempt) = self.spec.key.clone()?;
+        Some(KeyClaim {
+            request: self.spec.request,
+            account: self.spec.account.clone(),
+            key,
+            attempt,
+        })
+    }
+
+    /// Tells the holder of its key how it ended.
+    pub fn report(&self, verdict: Verdict, answer: Option<KeptAnswer>) -> Option<EntryAction> {
+        let claim = self.claim()?;
+        Some(EntryAction::ReportKey(KeyOutcome { claim, verdict, answer }))
+    }
+
+    /// The refusal where the holder of its key does not answer.
+    pub fn unreachable_home(&self) -> Refusal {
+        let wait = Some(Duration::from_secs(1));
+        if self.first_attempt() {
+            return Refusal::not_run(RefusalReason::KeyHomeUnreachable, wait);
+        }
+        Refusal::may_have_run(RefusalReason::KeyHomeUnreachable, wait)
+    }
+
+    /// What is asked of a scheduler.
+    pub fn permit_ask(&self, now: Uptime) -> PermitAsk {
+        PermitAsk {
+            permit: self.permit(),
+            pool: self.spec.pool.clone(),
+            tier: self.spec.tier,
+            account: self.spec.account.clone(),
+            time_left: self.deadline.saturating_sub(now),
+            aims: self.aims(now),
+            prompt_work: self.spec.prompt_work,
+            output_work: self.spec.output_work,
+            prefix: self.spec.prefix,
+            cost: self.spec.cost,
+            avoid: self.avoid.clone(),
+        }
+    }
+
+    /// What is left of the caller's aims. A request that was offered once is kept as long as it may
+    /// wait.
+    pub fn aims(&self, now: Uptime) -> ServiceAims {
+        let aims = &self.spec.aims;
+        let wait_limit = self.wait_until.saturating_sub(now);
+        let forecast_limit = match self.failed {
+            Some(_) => wait_limit,
+            None => aims.forecast_limit.min(wait_limit),
+        };
+        let first_by = self.first_by.saturating_sub(now);
+        ServiceAims { wait_limit, forecast_limit, first_by, ..*aims }
+    }
+
+    /// Gives the permit or the ask back to its scheduler.
+    pub fn return_permit(&self, end: AttemptEnd) -> Vec<EntryAction> {
+        let scheduler = match &self.phase {
+            RequestPhase::Claiming { .. } => return Vec::new(),
+            RequestPhase::Waiting { scheduler, .. }
+            | RequestPhase::Dispatched { scheduler, .. } => scheduler,
+        };
+        let back = PermitReturn { permit: self.permit(), pool: self.spec.pool.clone(), end };
+        vec![EntryAction::ReturnPermit(scheduler.clone(), back)]
+    }
+}
--- /dev/null
+++ b/crates/sched/src/entry/surface.rs
@@ -0,0 +1,103 @@
+//! What an entry is made with, what it is asked, and what it wants done.
+
+use std::time::Duration;
+
+use curlewcleat_core::{
+    AccountId, KeptAnswer, KeyClaim, KeyOutcome, PermitAsk, PermitHeld, PermitId, PermitReturn,
+    PoolId, Refusal, RequestId, RetryReason, ServiceAims, TargetId, TierRank, VmId, WorkMicros,
+};
+
+use crate::budget::RetryLimits;
+
+/// Times and bounds of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct EntryOptions {
+    /// Time for the first sign of the scheduler, then for each further one.
+    pub ask_limit: Duration,
+    /// Time between repeated asks while a request waits.
+    pub ask_again: Duration,
+    /// Time for the answer of the key's holder.
+    pub key_limit: Duration,
+    /// Claims sent before the holder counts as unreachable.
+    pub key_tries: u32,
+    /// Dispatches of a request at most.
+    pub attempt_limit: u32,
+    /// Time for which a silent scheduler is passed over.
+    pub avoid_for: Duration,
+    /// Asks sent to a silent scheduler before it is passed over.
+    pub ask_tries: u32,
+    /// Retries in each pool.
+    pub retries: RetryLimits,
+}
+
+impl Default for EntryOptions {
+    fn default() -> EntryOptions {
+        EntryOptions {
+            ask_limit: Duration::from_millis(250),
+            ask_again: Duration::from_secs(1),
+            key_limit: Duration::from_millis(150),
+            key_tries: 3,
+            attempt_limit: 3,
+            avoid_for: Duration::from_secs(3),
+            ask_tries: 2,
+            retries: RetryLimits::default(),
+        }
+    }
+}
+
+/// A request as it is admitted.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RequestSpec {
+    /// Its id.
+    pub request: RequestId,
+    /// Pool that serves it.
+    pub pool: PoolId,
+    /// Rank of its tier.
+    pub tier: TierRank,
+    /// Account that pays.
+    pub account: AccountId,
+    /// Time until its deadline.
+    pub time_left: Duration,
+    /// What its caller hopes for.
+    pub aims: ServiceAims,
+    /// Targets that it may be sent to, `None` for the entry's own limit.
+    pub attempt_limit: Option<u32>,
+    /// Prompt work.
+    pub prompt_work: WorkMicros,
+    /// Other work.
+    pub output_work: WorkMicros,
+    /// Hash of the prompt's beginning.
+    pub prefix: Option<u64>,
+    /// What it counts against its account's shared rate.
+    pub cost: u64,
+    /// The key of a request that may not be repeated, with the caller's attempt number.
+    pub key: Option<(String, Option<u32>)>,
+}
+
+/// What an entry wants done.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum EntryAction {
+    /// Send a claim to the holder of the key.
+    ClaimKey(KeyClaim),
+    /// Tell the holder of the key how a claimed request ended.
+    ReportKey(KeyOutcome),
+    /// Send an ask to a scheduler.
+    AskPermit(VmId, PermitAsk),
+    /// Send a permit or an ask back to the scheduler that has it.
+    ReturnPermit(VmId, PermitReturn),
+    /// Tell a scheduler of a permit in use.
+    HoldPermit(VmId, PermitHeld),
+    /// Send the request to the target. Given once per permit.
+    Dispatch {
+        /// The attempt.
+        permit: PermitId,
+        /// Where to.
+        target: TargetId,
+    },
+    /// Answer the caller with a refusal.
+    Refuse(RequestId, Refusal),
+    /// Answer the caller with the kept answer of an earlier attempt.
+    Replay(RequestId, KeptAnswer),
+    /// Count a retry.
+    Count(RetryReason),
+}
--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/targets/src/events.rs
@@ -7,7 +7,7 @@
 
 /// Splits a stream after whole events, so that a stream that breaks within one can be taken up.
 #[derive(Debug, Default)]
-pub(super) struct EventSplitter {
+pub struct EventSplitter {
     held: BytesMut,
     last: Option<u64>,
 }
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod answer;
 mod connection;
+mod events;
 mod pool;
 
 pub use answer::{AnswerBody, BodyCut, TargetAnswer};
 pub use connection::{Error, ExchangeOptions, Result};
+pub use events::EventSplitter;
 pub use pool::{ConnectionOptions, ConnectionPool, PooledConnection};
--- /dev/null
+++ b/crates/targets/tests/events.rs
@@ -0,0 +1,90 @@
+//! Whole events out of streams that come in any parts, break, and are taken up.
+
+use curlewcleat_targets::EventSplitter;
+use proptest::prelude::*;
+
+fn event(number: u64) -> String {
+    format!("id: {number}\ndata: token {number}\n\n")
+}
+
+fn stream(from: u64, to: u64) -> String {
+    (from..=to).map(event).collect()
+}
+
+#[test]
+fn part_of_an_event_is_held_back() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(b"id: 1\ndata: a\n"), "");
+    assert_eq!(splitter.push(b"\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    assert_eq!(splitter.last(), Some(1));
+    assert_eq!(splitter.rest(), "id: 2\nda");
+}
+
+#[test]
+fn events_that_were_given_out_are_left_out_of_what_takes_the_stream_up() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(stream(1, 3).as_bytes());
+    splitter.push(b"id: 4\nda");
+    splitter.restart();
+    assert_eq!(splitter.push(stream(2, 5).as_bytes()), stream(4, 5));
+}
+
+#[test]
+fn carriage_returns_and_events_without_a_number_pass() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(b"id: 1\r\ndata: a\r\n\r\n"), "id: 1\r\ndata: a\r\n\r\n");
+    assert_eq!(splitter.push(b": comment\n\n"), ": comment\n\n");
+    assert_eq!(splitter.last(), Some(1));
+}
+
+proptest! {
+    #[test]
+    fn stream_in_any_parts_comes_out_whole(
+        events in 1u64..12,
+        cuts in prop::collection::vec(0usize..400, 0..8),
+    ) {
+        let whole = stream(1, events);
+        let mut places: Vec<usize> = cuts.into_iter().map(|cut| cut.min(whole.len())).collect();
+        places.sort_unstable();
+        places.push(whole.len());
+        let mut splitter = EventSplitter::default();
+        let mut out = String::new();
+        let mut begin = 0;
+        for place in places {
+            let part = splitter.push(&whole.as_bytes()[begin..place]);
+            prop_assert!(part.is_empty() || part.ends_with(b"\n\n"));
+            out.push_str(std::str::from_utf8(&part).expect("text"));
+            begin = place;
+        }
+        prop_assert_eq!(out, whole);
+        prop_assert!(splitter.rest().is_empty());
+    }
+
+    #[test]
+    fn nothing_is_lost_doubled_or_broken_where_a_stream_is_taken_up(
+        events in 2u64..12,
+        cut in 0usize..400,
+    ) {
+        let whole = stream(1, events);
+        let cut = cut.min(whole.len());
+        let mut splitter = EventSplitter::default();
+        let mut out = splitter.push(&whole.as_bytes()[..cut]).to_vec();
+        splitter.restart();
+        let next = splitter.last().unwrap_or(0) + 1;
+        out.extend_from_slice(&splitter.push(stream(next, events).as_bytes()));
+        prop_assert_eq!(String::from_utf8(out).expect("text"), whole);
+    }
+
+    #[test]
+    fn any_bytes_pass_through_in_order(parts in prop::collection::vec(any::<Vec<u8>>(), 0..6)) {
+        let mut splitter = EventSplitter::default();
+        let mut out = Vec::new();
+        for part in &parts {
+            out.extend_from_slice(&splitter.push(part));
+        }
+        out.extend_from_slice(&splitter.rest());
+        let sent: Vec<u8> = parts.concat();
+        let numbered = String::from_utf8_lossy(&sent).contains("id:");
+        prop_assert!(numbered || out == sent);
+    }
+}
