Settings lines of the deployment stand only where the platform gives their figures

A deployment without some of the contracts would have given lines without a number, and no daemon would have started. The template guards them; config/tests/files.rs fills it with and without figures.

--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -79,3 +79,49 @@
         "{report}"
     );
 }
+
+/// The deployment's settings file with its gaps filled; `bounds` says whether the platform gave figures.
+fn filled_template(bounds: bool) -> String {
+    let template = include_str!("../../../deploy/daemon.ini");
+    let values = [
+        ("{{node_name}}", "front-1"),
+        ("{{zone}}", "here"),
+        ("{{listen.front}}", "10.0.0.1:1"),
+        ("{{listen.ready}}", "10.0.0.1:2"),
+        ("{{listen.control}}", "10.0.0.1:3"),
+        ("{{seeds}}", "10.0.0.1:3,10.0.0.2:3"),
+        ("{{provider.address}}", "10.0.0.9:4"),
+        ("{{bounds.revoke_ms}}", "5000"),
+        ("{{bounds.config_apply_ms}}", "2000"),
+        ("{{bounds.grace_s}}", "8"),
+        ("{{bounds.retry_budget_ratio}}", "0.2"),
+        ("{{bounds.budget_slack}}", "52"),
+        ("{{bounds.budget_window_s}}", "10"),
+        ("{{bounds.quota_overshoot}}", "0.1"),
+        ("{{bounds.quota_slack}}", "140000"),
+    ];
+    let mut text = String::new();
+    for line in template.lines() {
+        let Some(rest) = line.strip_prefix("{{#") else {
+            text.push_str(&format!("{line}\n"));
+            continue;
+        };
+        if bounds {
+            let begin = rest.find("}}").map_or(0, |end| end + 2);
+            let end = rest.find("{{/").unwrap_or(rest.len());
+            text.push_str(&format!("{}\n", &rest[begin..end]));
+        }
+    }
+    values.iter().fold(text, |text, (gap, value)| text.replace(gap, value))
+}
+
+#[test]
+fn settings_of_the_deployment_are_valid_with_and_without_figures() {
+    let all = check_settings("daemon.ini", &filled_template(true)).expect("valid settings");
+    assert_eq!(all.bounds.config_age_limit, Some(std::time::Duration::from_secs(5)));
+    assert_eq!((all.bounds.retry_percent, all.bounds.retry_saved), (20, 52));
+    assert_eq!((all.bounds.rate_percent, all.bounds.rate_slack), (10, 140_000));
+    assert_eq!(all.seeds.len(), 2);
+    let none = check_settings("daemon.ini", &filled_template(false)).expect("valid settings");
+    assert_eq!(none.bounds, curlewcleat_config::FleetBounds::default());
+}
