No request waits longer than two fifths of its time

Cause: a request held for more than half of its time without being offered costs its whole worth, and the bound was half of it and a look at the clock.

--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -20,6 +20,9 @@
 const UNSERVED_WAIT: Duration = Duration::from_millis(300);
 /// Objectives for which a request may wait for a target. Callers of streams soon give up after that.
 const WAIT_OBJECTIVES: u32 = 2;
+/// Part of its time for which a request may wait, in percent; a longer wait only keeps its caller from
+/// better use of it.
+const WAIT_PERCENT: u32 = 40;
 /// Forecast wait above which a new request is refused at once, in percent of its objective.
 const FORECAST_PERCENT: u32 = 60;
 /// A caller that gives less than this part of the longest time, in percent, has tried before.
@@ -179,7 +182,7 @@
         let (Some(objective), Some(asked)) = (rule.service.objective, asked) else {
             return ServiceAims { wait_limit: time, pause_limit, ..ServiceAims::default() };
         };
-        let wait_limit = (objective * WAIT_OBJECTIVES).min(time / 2);
+        let wait_limit = (objective * WAIT_OBJECTIVES).min(time / 100 * WAIT_PERCENT);
         let mut longest = self.longest.borrow_mut();
         let longest = longest.entry(rule.id.clone()).or_default();
         *longest = (*longest).max(asked);
