A daemon that is asked out of turn has no burst of an account's rate saved

Found by the new model of account rates (three daemons, cuts, deaths, views that lag): a daemon that entries ask since the leading one is silent had its part of the burst saved, which the leading one may have given out. Now only the one whose turn it is saves a burst.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,6 +10,7 @@
 mod explore;
 mod keys;
 mod levels;
+mod rates;
 mod request;
 
 pub use config::{ConfigFault, ConfigModel};
@@ -17,4 +18,5 @@
 pub use explore::{explore, Exploration, SpecModel};
 pub use keys::{KeyFault, KeyModel};
 pub use levels::{LevelFault, LevelModel};
+pub use rates::{RateFault, RateModel};
 pub use request::{RequestFault, RequestModel};
--- a/crates/model/tests/models.rs
+++ b/crates/model/tests/models.rs
@@ -3,7 +3,7 @@
 
 use curlewcleat_model::{
     explore, ConfigFault, ConfigModel, DrainFault, DrainModel, KeyFault, KeyModel, LevelFault,
-    LevelModel, RequestFault, RequestModel, SpecModel,
+    LevelModel, RateFault, RateModel, RequestFault, RequestModel, SpecModel,
 };
 use rstest::rstest;
 
@@ -139,3 +139,21 @@
 fn broken_drain_is_caught(#[case] fault: DrainFault, #[case] promise: &str, #[case] steps: usize) {
     caught(&format!("drain, {fault:?}"), &drain(fault), promise, steps);
 }
+
+fn rates(fault: RateFault) -> RateModel {
+    RateModel { fault, cuts: 2, deaths: 1, steps: 7 }
+}
+
+#[test]
+fn daemons_give_out_no_more_than_the_rate_however_they_are_cut() {
+    holds("rates", &rates(RateFault::None));
+}
+
+#[rstest]
+#[case::saved_burst(RateFault::SavedBurst, 6)]
+#[case::whole_rate_alone(RateFault::WholeRateAlone, 5)]
+#[case::burst_out_of_turn(RateFault::BurstOutOfTurn, 6)]
+fn broken_rates_are_caught(#[case] fault: RateFault, #[case] steps: usize) {
+    let promise = "more was given out in a window than rate and burst";
+    caught(&format!("rates, {fault:?}"), &rates(fault), promise, steps);
+}
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -7,7 +7,7 @@
     AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitAsk, PermitId, Refusal, RefusalReason,
     RequestId, RetryReason,
 };
-use curlewcleat_sched::{EntryAction, RequestSpec};
+use curlewcleat_sched::{EntryAction, RatePart, RequestSpec};
 
 use super::{order_of, Node};
 use crate::event::{CallerDecision, NodeAction};
@@ -56,7 +56,7 @@
         let mut part = self.members.reached_part();
         if leads != Some(&self.options.me) {
             // Another daemon gives out the rate; this one was asked since it seems to be silent.
-            part.reached = 1;
+            part = RatePart { reached: 1, leads: false, ..part };
         }
         self.rates.take(self.now, &ask.account, &rate, ask.cost, part)
     }
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -203,7 +203,7 @@
     /// The part of what all daemons share that falls to those that this one reaches.
     pub fn reached_part(&self) -> RatePart {
         let reached = self.peers.values().filter(|peer| peer.live).count() + 1;
-        RatePart { reached, all: self.fleet_size() }
+        RatePart { reached, all: self.fleet_size(), leads: true }
     }
 
     /// Daemons that there may be, this one among them. Until the recorded ones are known there may be
--- a/crates/sched/src/rate.rs
+++ b/crates/sched/src/rate.rs
@@ -13,6 +13,8 @@
 const SHORTEST_WAIT: Duration = Duration::from_millis(100);
 /// Longest advice when to come back.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
+/// A daemon that is asked out of turn saves at most this part of a second's units, one in so many.
+const OUT_OF_TURN_DIVISOR: i128 = 4;
 /// Scale of the units in a bucket, so that small rates do not round to nothing.
 const SCALE: i128 = 1_000_000;
 
@@ -23,6 +25,9 @@
     pub reached: usize,
     /// Daemons that there are.
     pub all: usize,
+    /// Whether it is the one to ask. One that is asked out of turn has no burst saved, since the one
+    /// whose turn it is may have given it out.
+    pub leads: bool,
 }
 
 /// How far the daemons may go beyond the rates, half of what the platform tolerates.
@@ -79,7 +84,10 @@
             i128::from(units) * part.reached.min(part.all) as i128 / part.all.max(1) as i128
         };
         let per_s = of_part(rate.per_s + rate.per_s * self.margin.percent / 100);
-        let limit = of_part(rate.burst + self.margin.units) * SCALE;
+        let limit = match part.leads {
+            true => of_part(rate.burst + self.margin.units) * SCALE,
+            false => per_s * SCALE / OUT_OF_TURN_DIVISOR,
+        };
         let since = self.since;
         let bucket = self.buckets.entry(account.clone()).or_insert(UnitBucket {
             level: 0,
--- a/crates/sched/tests/rates.rs
+++ b/crates/sched/tests/rates.rs
@@ -7,7 +7,7 @@
 
 const RATE: SharedRate = SharedRate { per_s: 100_000, burst: 100_000, unit: RateUnit::Tokens(200) };
 const COST: u64 = 1_000;
-const WHOLE: RatePart = RatePart { reached: 6, all: 6 };
+const WHOLE: RatePart = RatePart { reached: 6, all: 6, leads: true };
 
 /// Units given out for one request of `COST` every millisecond from `begin` on.
 fn drain(rates: &mut AccountRates, begin: Duration, time: Duration, part: RatePart) -> u64 {
@@ -46,11 +46,19 @@
     let mut given = 0;
     for reached in [4, 1, 1] {
         let mut rates = AccountRates::default();
-        given += drain(&mut rates, begin, time, RatePart { reached, all: 6 });
+        given += drain(&mut rates, begin, time, RatePart { reached, all: 6, leads: true });
     }
     assert!(given <= RATE.per_s * 8 + RATE.burst + 3 * COST, "{given}");
 }
 
+#[test]
+fn daemon_that_is_asked_out_of_turn_has_no_burst_saved() {
+    let mut rates = AccountRates::default();
+    let part = RatePart { reached: 1, all: 6, leads: false };
+    let given = drain(&mut rates, Duration::from_secs(10), Duration::from_millis(10), part);
+    assert!(given <= RATE.per_s / 6 / 4 + COST, "{given}");
+}
+
 #[test]
 fn daemon_that_takes_over_has_nothing_saved() {
     let mut given = 0;
