Callers' connections rest for as long as the configuration says; smaller clean-ups

The idle limit of the stored configuration was read and not used: connections rested for a minute. Each new connection now takes the limit in force. Refusals without a task carry none; reasons are named in full.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -34,7 +34,7 @@
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Time for which connections of operators may rest.
 const OPERATOR_IDLE: Duration = Duration::from_secs(15);
-/// Time for which connections of callers may rest. Configurations bound what callers rely on.
+/// Time for which connections of callers may rest where the configuration does not say.
 const CALLER_IDLE: Duration = Duration::from_secs(60);
 
 /// Runs a daemon of a fleet.
@@ -102,12 +102,13 @@
     platform: &Rc<dyn FleetPlatform>,
     proof: &Rc<ConfigProof>,
 ) -> Result<()> {
+    let caller_context = context.clone();
     let callers = ListenOptions {
         head_limit: settings.head_limit,
-        idle_limit: CALLER_IDLE,
+        idle_limit: Rc::new(move || caller_context.config().idle_limit.unwrap_or(CALLER_IDLE)),
         connection_limit: settings.connection_limit,
     };
-    let operators = ListenOptions { idle_limit: OPERATOR_IDLE, ..callers };
+    let operators = ListenOptions { idle_limit: Rc::new(|| OPERATOR_IDLE), ..callers.clone() };
     let gateway = Gateway::new(context.clone(), platform.profile().clone(), Rc::clone(proof));
     let serve_caller = move |request: Request| Rc::clone(&gateway).serve(request);
     listen("callers", &settings.caller_address, callers, serve_caller).await?;
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -16,7 +16,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, Method, Request, Response, Uri};
 use bytes::Bytes;
-use curlewcleat_core::{Refusal, RequestId};
+use curlewcleat_core::{Refusal, RefusalReason, RequestId};
 use curlewcleat_platform::WireProfile;
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool};
 use futures_util::StreamExt;
@@ -111,14 +111,15 @@
         let task = actix_rt::spawn(relay.run());
         let guard = TaskGuard(task);
         let answer = began.await.unwrap_or_else(|_| CallerAnswer::cut());
-        self.respond(answer, received, guard)
+        self.respond(answer, received, Some(guard))
     }
 
+    /// Turns an answer into what is sent; its body ends the task of its request when it is dropped.
     fn respond(
         &self,
         answer: CallerAnswer,
         received: answers::ReceivedParts,
-        guard: TaskGuard,
+        guard: Option<TaskGuard>,
     ) -> Response<BoxBody> {
         let mut builder = Response::build(answer.status);
         for (name, value) in answer.headers {
@@ -139,6 +140,7 @@
         }
     }
 
+    /// Counts, logs and answers a refusal of a request that has no task.
     fn refuse(
         &self,
         id: RequestId,
@@ -149,7 +151,7 @@
         let answer = refusal_answer(id, refusal);
         self.count_refusal(id, attempt, refusal, call);
         let (_, received) = AnswerParts::channel();
-        self.respond(answer, received, TaskGuard(actix_rt::spawn(async {})))
+        self.respond(answer, received, None)
     }
 }
 
@@ -163,18 +165,14 @@
 }
 
 /// Reads a body whole, so that it can be sent again.
-async fn read_body(
-    request: &mut Request,
-    limit: usize,
-) -> Result<Option<Bytes>, curlewcleat_core::RefusalReason> {
-    use curlewcleat_core::RefusalReason::{BodyIncomplete, BodyTooLarge};
+async fn read_body(request: &mut Request, limit: usize) -> Result<Option<Bytes>, RefusalReason> {
     let headers = request.headers();
     let length = crate::headers::text(headers, "content-length");
     if length.is_none() && !headers.contains_key("transfer-encoding") {
         return Ok(None);
     }
     if length.and_then(|text| text.parse::<usize>().ok()).is_some_and(|length| length > limit) {
-        return Err(BodyTooLarge);
+        return Err(RefusalReason::BodyTooLarge);
     }
     let mut payload = request.take_payload();
     let mut whole = Vec::new();
@@ -182,10 +180,10 @@
         match tokio::time::timeout(PART_LIMIT, payload.next()).await {
             Ok(Some(Ok(part))) => whole.extend_from_slice(&part),
             Ok(None) => return Ok(Some(Bytes::from(whole))),
-            Ok(Some(Err(_))) | Err(_) => return Err(BodyIncomplete),
+            Ok(Some(Err(_))) | Err(_) => return Err(RefusalReason::BodyIncomplete),
         }
         if whole.len() > limit {
-            return Err(BodyTooLarge);
+            return Err(RefusalReason::BodyTooLarge);
         }
     }
 }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -355,13 +355,14 @@
         let since = |then: Option<Instant>| {
             then.map_or(-1, |then| then.duration_since(self.call.arrived).as_millis() as i64)
         };
+        let spec = self.call.spec();
         info!("request_served", kv: {
             request = self.call.id.to_string(), attempt = self.call.attempt_id.as_str(),
             account = self.call.account.as_deref().unwrap_or_default(),
-            cost = self.call.spec().cost, rule = self.call.rule.id.as_str(),
+            cost = spec.cost, rule = self.call.rule.id.as_str(),
             pool = self.call.pool.as_str(),
             target = target.id.as_str(), attempts = progress.attempts,
-            prompt_work = self.call.spec().prompt_work, output_work = self.call.spec().output_work,
+            prompt_work = spec.prompt_work, output_work = spec.output_work,
             sent_ms = since(progress.sent), first_ms = since(progress.first),
             end_ms = self.call.arrived.elapsed().as_millis() as i64, parts = progress.parts,
             longest_pause_ms = progress.longest_pause.as_millis() as i64
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -9,7 +9,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Request, Response};
-use actix_service::{Service, ServiceFactory};
+use actix_service::{fn_service, Service, ServiceFactory};
 use anyhow::{Context, Result};
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpSocket};
@@ -20,12 +20,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// How connections are served.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone)]
 pub struct ListenOptions {
     /// Time for the head of a request.
     pub head_limit: Duration,
-    /// Time for which a connection may rest.
-    pub idle_limit: Duration,
+    /// Time for which a connection may rest, asked anew for each connection.
+    pub idle_limit: Rc<dyn Fn() -> Duration>,
     /// Connections held at the same time.
     pub connection_limit: usize,
 }
@@ -45,16 +45,10 @@
     A: Future<Output = Response<BoxBody>> + 'static,
 {
     let listener = bind(address).with_context(|| format!("{name}: bind {address}"))?;
-    let factory = HttpService::build()
-        .client_request_timeout(options.head_limit)
-        .keep_alive(KeepAlive::Timeout(options.idle_limit))
-        .h1_allow_half_closed(false)
-        .h1(move |request| {
-            let answer = serve(request);
-            async move { Ok::<_, Infallible>(answer.await) }
-        });
-    let service = factory.new_service(()).await.map_err(|_| anyhow::anyhow!("{name}: service"))?;
-    let service = Rc::new(service);
+    let service = fn_service(move |request: Request| {
+        let answer = serve(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
     let open = Rc::new(Cell::new(0usize));
     actix_rt::spawn(async move {
         loop {
@@ -72,7 +66,13 @@
             };
             // A connection that does not take the option is served all the same.
             let _ = stream.set_nodelay(true);
-            let connection = service.call((stream, Some(peer)));
+            let factory = HttpService::build()
+                .client_request_timeout(options.head_limit)
+                .keep_alive(KeepAlive::Timeout((options.idle_limit)()))
+                .h1_allow_half_closed(false)
+                .h1(service.clone());
+            let Ok(handler) = factory.new_service(()).await else { continue };
+            let connection = handler.call((stream, Some(peer)));
             let open = Rc::clone(&open);
             open.set(open.get() + 1);
             actix_rt::spawn(async move {
