A configuration that cannot be taken over proves nothing

Found by reading the diff: a read of a newer configuration that does not pass the product's checks renewed the proof of the one in force, so a key that the newer one takes away would have been served on.

--- a/crates/acceptance/tests/native.rs
+++ b/crates/acceptance/tests/native.rs
@@ -493,3 +493,22 @@
     assert_eq!(fleet.store.names("curlewcleat-daemons").len(), 3);
     Ok(())
 }
+
+#[actix_rt::test]
+async fn configuration_that_cannot_be_taken_over_proves_nothing() -> Result<()> {
+    let mut fleet = ready("invalid", 1, 1, 0).await?;
+    // It takes a key away, and one of its routes leads to a service that it does not have.
+    fleet.config.tenants.retain(|tenant| tenant.name != "depots");
+    fleet.config.routes[0].backend = Some("missing".to_string());
+    fleet.store_config()?;
+    let daemon = &fleet.daemons[0];
+    wait_ready(&daemon.operators, false).await?;
+    let lost = Call::new("/again/a", "t1").key(Some(DEPOTS_KEY)).send(&daemon.callers).await?;
+    assert_eq!((lost.status, runs(&fleet, "t1")), (503, 0));
+    fleet.config.routes[0].backend = Some("records".to_string());
+    fleet.store_config()?;
+    wait_ready(&fleet.daemons[0].operators, true).await?;
+    let entry = &fleet.daemons[0].callers;
+    assert_eq!(Call::new("/again/a", "t2").send(entry).await?.status, 200);
+    Ok(())
+}
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use curlewcleat_core::{DiscoveredTarget, ObjectVersion, TargetId};
+use curlewcleat_core::{DiscoveredTarget, Generation, ObjectVersion, TargetId};
 use curlewcleat_node::NodeEvent;
 use curlewcleat_platform::{
     ConfigRead, ConfigWatch, DaemonRecord, Error, FleetPlatform, TargetChange, TargetWatch,
@@ -71,6 +71,8 @@
     /// age of the proof counts from the sending of a read.
     async fn follow_config(self: Rc<Self>) {
         let mut known: ObjectVersion = 0;
+        // What was read last may not pass the checks; then the one in force is not the newest.
+        let mut newest: Generation = 0;
         let mut pause = CallPause::default();
         loop {
             let every = self.proof_interval();
@@ -80,10 +82,11 @@
                     pause = CallPause::default();
                     self.revision.set(state.revision);
                     if let ConfigRead::Changed(version, bundle) = state.read {
+                        newest = bundle.generation;
                         self.context.apply(bundle).await;
                         known = version;
                     }
-                    if known > 0 {
+                    if known > 0 && self.context.config().generation >= newest {
                         self.proved(sent);
                     }
                 }
