A scheduler that has granted nothing yet makes no forecast out of that

Cause: after the scheduler's death the next one had asks waiting and no grant, since the permits in use were others'; the forecast by the work granted lately took that for a pool that takes in nothing. No forecast is made of no grants, and where the work is known the targets' speeds decide as before.

--- a/crates/sched/src/flow.rs
+++ b/crates/sched/src/flow.rs
@@ -76,9 +76,11 @@
     }
 
     /// Work that the pool takes in each second of what waits in a tier, once the tiers above have had
-    /// theirs. `None` where it was not busy long enough to tell.
+    /// theirs. `None` where it cannot be told.
     pub fn capacity_for(&self, tier: TierRank) -> Option<u64> {
-        if u128::from(self.granted.micros) < LEAST_BUSY.as_micros() {
+        let busy = u128::from(self.granted.micros);
+        // A scheduler that has just taken over may have granted nothing, since others hold the permits.
+        if busy < LEAST_BUSY.as_micros() || self.granted.work == 0 {
             return None;
         }
         let capacity = self.granted.per_second();
--- a/crates/sched/src/pool/admission.rs
+++ b/crates/sched/src/pool/admission.rs
@@ -230,7 +230,9 @@
     /// Estimated time until a new ask would be granted.
     fn wait_estimate(&self, ask: &PermitAsk, limit: &AccountLimit) -> WorkMicros {
         let ahead = self.queues.work_ahead(ask, limit.weight);
-        if let Some(capacity) = self.flow.capacity_for(ask.tier) {
+        // Where the work is known, the targets' speeds tell more than what happened to be granted lately.
+        let capacity = self.flow.capacity_for(ask.tier).filter(|_| ask.aims.length_guessed);
+        if let Some(capacity) = capacity {
             let micros = u128::from(ahead) * 1_000_000 / u128::from(capacity);
             return u64::try_from(micros).unwrap_or(u64::MAX);
         }
--- a/crates/sched/tests/pools.rs
+++ b/crates/sched/tests/pools.rs
@@ -374,3 +374,16 @@
         }
     }
 }
+
+#[test]
+fn ask_is_taken_in_while_a_new_scheduler_has_granted_nothing_yet() {
+    let mut scheduler = scheduler(PoolOptions { queue_limit: 10, ..PoolOptions::default() }, 1, 1);
+    let held = curlewcleat_core::PermitHeld { ask: ask(1, 0, "a", LONG), target: "t0".to_string() };
+    scheduler.hold(Duration::ZERO, entry(), held);
+    scheduler.ask(Duration::ZERO, entry(), ask(2, 0, "a", LONG));
+    for step in 1..40 {
+        scheduler.tick(Duration::from_millis(20) * step);
+    }
+    let actions = scheduler.ask(Duration::from_millis(800), entry(), ask(3, 0, "a", LONG));
+    assert_eq!(refused(&actions), BTreeMap::new());
+}
