--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -117,6 +117,8 @@
             data_centre: "dc".to_string(),
             seeds: Vec::new(),
             suspect_after: Duration::from_secs(2),
+            mesh_limit: usize::MAX,
+            capacity: 100,
         },
         keys: KeyHomeOptions::default(),
         key_slots: 64,
@@ -125,6 +127,7 @@
         one_scheduler: false,
         age_per_work: 32,
         request_limit: 1_000_000,
+        freshness: None,
         beat: Duration::from_millis(500),
         drain_grace: Duration::from_secs(2),
         hand_over_limit: Duration::from_secs(30),
@@ -190,6 +193,8 @@
     let address = |index: usize| format!("10.1.{}.{}:7100", index / 250, index % 250 + 1);
     let beat = Heartbeat {
         stale: false,
+        capacity: 100,
+        answer_wanted: false,
         address: address(index),
         data_centre: "dc".to_string(),
         generation: 0,
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -14,6 +14,8 @@
     pub vm: String,
     /// Data centre of this VM.
     pub data_centre: String,
+    /// Processor of this VM in percent of a core; the daemons of the strongest VMs schedule.
+    pub capacity_percent: u32,
     /// `ip:port` for callers.
     pub caller_address: String,
     /// `ip:port` for operators: health, status and metrics.
@@ -82,6 +84,8 @@
     pub config_age_limit: Option<Duration>,
     /// Time in which a stored configuration is in force.
     pub config_apply_limit: Duration,
+    /// Time after which a target that leaves gets nothing new.
+    pub leave_limit: Duration,
     /// Time from the signal to stop to the end of the process by force.
     pub stop_limit: Duration,
     /// Retries for each hundred requests of a pool, over all daemons.
@@ -101,6 +105,7 @@
         FleetBounds {
             config_age_limit: None,
             config_apply_limit: Duration::from_secs(2),
+            leave_limit: Duration::from_secs(2),
             stop_limit: Duration::from_secs(8),
             retry_percent: 10,
             retry_saved: 20,
@@ -142,6 +147,7 @@
     DaemonSettings {
         vm: String::new(),
         data_centre: String::new(),
+        capacity_percent: 100,
         caller_address: String::new(),
         operator_address: String::new(),
         workers: 2,
@@ -178,6 +184,9 @@
         "vm" => {
             settings.vm = section.required("name", report);
             settings.data_centre = section.required("data_centre", report);
+            let cores = section.number("cores", 1, 1..=1_024, report);
+            let share = section.percent("core_share", 100, report);
+            settings.capacity_percent = u32::try_from(cores * share).unwrap_or(u32::MAX);
         }
         "callers" => {
             settings.caller_address = section.address("address", report);
@@ -266,6 +275,7 @@
     }
     bounds.config_apply_limit =
         section.duration("config_apply_limit", bounds.config_apply_limit, report);
+    bounds.leave_limit = section.duration("leave_limit", bounds.leave_limit, report);
     bounds.stop_limit = section.duration("stop_limit", bounds.stop_limit, report);
     bounds.retry_percent = section.percent("retry_ratio", bounds.retry_percent, report);
     bounds.retry_window = section.duration("retry_window", bounds.retry_window, report);
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -93,6 +93,9 @@
         ("{{provider.address}}", "10.0.0.9:4"),
         ("{{bounds.revoke_ms}}", "5000"),
         ("{{bounds.config_apply_ms}}", "2000"),
+        ("{{bounds.drain_ms}}", "3000"),
+        ("{{limits.cores}}", "2"),
+        ("{{limits.cpu_share}}", "0.25"),
         ("{{bounds.grace_s}}", "8"),
         ("{{bounds.retry_budget_ratio}}", "0.2"),
         ("{{bounds.budget_slack}}", "52"),
@@ -121,6 +124,8 @@
     assert_eq!(all.bounds.config_age_limit, Some(std::time::Duration::from_secs(5)));
     assert_eq!((all.bounds.retry_percent, all.bounds.retry_saved), (20, 52));
     assert_eq!((all.bounds.rate_percent, all.bounds.rate_slack), (10, 140_000));
+    assert_eq!(all.bounds.leave_limit, std::time::Duration::from_secs(3));
+    assert_eq!(all.capacity_percent, 50);
     assert_eq!(all.seeds.len(), 2);
     let none = check_settings("daemon.ini", &filled_template(false)).expect("valid settings");
     assert_eq!(none.bounds, curlewcleat_config::FleetBounds::default());
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,8 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AccountId, Generation, IdempotencyKey, Incarnation, KeySlot, ObjectVersion, PermitId, PoolId,
-    Refusal, RequestId, TargetId, TierRank, Verdict, VmId, WallTime, WorkMicros,
+    AccountId, DiscoveredTarget, Generation, IdempotencyKey, Incarnation, KeySlot, ObjectVersion,
+    PermitId, PoolId, Refusal, RequestId, TargetChange, TargetId, TierRank, Uptime, Verdict, VmId,
+    WallTime, WorkMicros,
 };
 
 /// One start of a daemon on a VM.
@@ -39,6 +40,14 @@
     ConfigPush(ConfigBundle),
     /// The key table.
     TablePush(TablePush),
+    /// Asks a daemon that reads the platform how old its latest read is.
+    FreshnessAsk(FreshnessAsk),
+    /// The answer.
+    FreshnessAnswer(FreshnessAnswer),
+    /// Asks for the targets as the platform showed them after a revision.
+    TargetsPull(ObjectVersion),
+    /// The answer.
+    TargetsPush(TargetsPush),
     /// Asks the scheduler of a pool for a permit.
     PermitAsk(PermitAsk),
     /// The scheduler's answer.
@@ -78,10 +87,55 @@
     pub draining: bool,
     /// Whether the sender's view of the platform is old; it takes roles only after all others.
     pub stale: bool,
+    /// Processor of the sender's VM, in percent of a core.
+    pub capacity: u32,
+    /// Whether the receiver is to send a heartbeat back at its next beat.
+    pub answer_wanted: bool,
     /// Peer addresses that the sender knows, so that a newborn learns the rest.
     pub known: Vec<String>,
 }
 
+/// Asks how old the receiver's latest read of the platform is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct FreshnessAsk {
+    /// Start of the asking process; an answer to an earlier one is void.
+    pub incarnation: Incarnation,
+    /// When the ask was sent, by the asker's own clock.
+    pub sent: Uptime,
+}
+
+/// What the answering daemon knew when the ask reached it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct FreshnessAnswer {
+    /// The ask, as it was.
+    pub ask: FreshnessAsk,
+    /// Age of the latest own read that showed the configuration below to be the newest, counted from
+    /// its sending; `None` where the answering daemon does not read the platform.
+    pub age: Option<Duration>,
+    /// Configuration in force at the answering daemon.
+    pub generation: Generation,
+    /// Revision of the platform up to which it knows the targets.
+    pub targets_at: ObjectVersion,
+}
+
+/// Targets as the platform shows them at a revision.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct TargetsPush {
+    /// What is pushed.
+    pub content: TargetsContent,
+    /// Revision of the platform.
+    pub at: ObjectVersion,
+}
+
+/// All targets, or what changed among them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum TargetsContent {
+    /// All of them.
+    All(Vec<DiscoveredTarget>),
+    /// Changes in order, all that happened after this revision.
+    Since(ObjectVersion, Vec<TargetChange>),
+}
+
 /// What the sender has; the receiver sends what it has newer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StatePull {
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{AccountId, Generation, PoolId, TargetId, TierId, TierRank, TokenHash, VmId};
 
 /// A tier of requests. Lower ranks are served first and shed last.
@@ -114,7 +116,7 @@
 }
 
 /// One target as it is configured.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// Name of the target.
     pub id: TargetId,
@@ -129,7 +131,7 @@
 }
 
 /// A target that announced itself at the platform.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct DiscoveredTarget {
     /// Pool that it serves.
     pub pool: PoolId,
@@ -139,6 +141,15 @@
     pub leaving: bool,
 }
 
+/// A change among the targets that announced themselves.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum TargetChange {
+    /// A target is new, or has another state.
+    Present(DiscoveredTarget),
+    /// A target is no longer listed.
+    Gone(TargetId),
+}
+
 /// Gives requests their tier and pool.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct AdmissionRule {
@@ -310,7 +321,7 @@
 }
 
 /// What a target says of itself, late and with gaps.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TargetReport {
     /// Requests that run there, whoever sent them.
     pub running: u32,
@@ -320,7 +331,7 @@
 }
 
 /// A prompt beginning that left a target's cache.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CacheEviction {
     /// Number of the event.
     pub number: u64,
--- a/crates/daemon/src/brain.rs
+++ b/crates/daemon/src/brain.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use crate::context::{BrainMessage, DaemonContext};
+use crate::fleet::FleetLink;
 use crate::platform::read_table;
 
 /// Time between looks at the clock.
@@ -27,6 +28,8 @@
     transport: Box<dyn PeerTransport>,
     /// Where the key table is, if there is one.
     store: Option<Rc<dyn ObjectStore>>,
+    /// What the tasks that follow a fleet's platform are told.
+    fleet: Option<Rc<FleetLink>>,
     callers: BTreeMap<RequestId, mpsc::UnboundedSender<CallerDecision>>,
     /// Frames by address; those of one batch go out as one.
     outgoing: BTreeMap<String, PeerFrame>,
@@ -40,12 +43,14 @@
         context: DaemonContext,
         transport: Box<dyn PeerTransport>,
         store: Option<Rc<dyn ObjectStore>>,
+        fleet: Option<Rc<FleetLink>>,
     ) -> BrainLoop {
         BrainLoop {
             node,
             context,
             transport,
             store,
+            fleet,
             callers: BTreeMap::new(),
             outgoing: BTreeMap::new(),
             ended: false,
@@ -122,6 +127,16 @@
                 self.context.set_config(self.node.config());
                 self.transport.keep_only(&self.node.peer_addresses());
             }
+            NodeAction::ConfigProved(at) => {
+                if let Some(fleet) = &self.fleet {
+                    fleet.proof.prove(self.context.moment_of(at));
+                }
+            }
+            NodeAction::ReadPlatform(duty) => {
+                if let Some(fleet) = &self.fleet {
+                    fleet.set_duty(duty);
+                }
+            }
             NodeAction::Count(reason) => self.context.metrics.retry(reason),
             NodeAction::Note(note) => {
                 if note == NodeNote::DrainBegun {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -64,6 +64,16 @@
         self.born.elapsed()
     }
 
+    /// The same at an earlier moment.
+    pub fn uptime_at(&self, moment: Instant) -> Duration {
+        moment.saturating_duration_since(self.born)
+    }
+
+    /// The moment of an uptime.
+    pub fn moment_of(&self, uptime: Duration) -> Instant {
+        self.born + uptime
+    }
+
     /// Wall-clock time.
     pub fn wall(&self) -> WallTime {
         std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default()
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -14,12 +14,12 @@
 use anyhow::{Context, Result};
 use curlewcleat_config::DaemonSettings;
 use curlewcleat_core::{DaemonId, Incarnation};
-use curlewcleat_node::{Node, NodeOptions};
+use curlewcleat_node::{FreshnessLimits, Node, NodeOptions, ReadDuty};
 use curlewcleat_peers::TransportCounts;
 use curlewcleat_platform::{DaemonRecord, FleetPlatform};
-use curlewcleat_sched::{EntryOptions, RateMargin, RetryLimits};
+use curlewcleat_sched::{EntryOptions, MemberOptions, RateMargin, RetryLimits};
 use spdlog::prelude::*;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use self::reload::SettingsReloader;
 use crate::brain::BrainLoop;
@@ -30,6 +30,8 @@
 use crate::operators::serve_operator;
 use crate::run::{listen_for_peers, node_options, watch_signals};
 
+/// Daemons up to which each sends every heartbeat to all others.
+const MESH_LIMIT: usize = 12;
 /// Time for the last bytes of answers to leave after the node has ended.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Time for which connections of operators may rest.
@@ -37,6 +39,32 @@
 /// Time for which connections of callers may rest where the configuration does not say.
 const CALLER_IDLE: Duration = Duration::from_secs(60);
 
+/// What the node and the tasks that follow the platform tell each other.
+pub struct FleetLink {
+    /// How old the proof of the configuration is.
+    pub proof: Rc<ConfigProof>,
+    duty: watch::Sender<ReadDuty>,
+}
+
+impl Default for FleetLink {
+    /// A daemon reads for itself until it knows that others do.
+    fn default() -> FleetLink {
+        FleetLink { proof: Rc::default(), duty: watch::Sender::new(ReadDuty::Reader) }
+    }
+}
+
+impl FleetLink {
+    /// Whether this daemon reads the platform, and changes of that.
+    pub fn duty(&self) -> watch::Receiver<ReadDuty> {
+        self.duty.subscribe()
+    }
+
+    /// From now on this daemon reads the platform, or others do for it.
+    pub fn set_duty(&self, duty: ReadDuty) {
+        self.duty.send_replace(duty);
+    }
+}
+
 /// Runs a daemon of a fleet.
 ///
 /// # Errors
@@ -60,18 +88,19 @@
     let metrics = Arc::new(DaemonMetrics::new(Arc::clone(&counts)).context("metrics")?);
     let (brain, messages) = mpsc::unbounded_channel();
     let context = DaemonContext::new(settings.clone(), metrics, brain.clone());
-    let proof = Rc::new(ConfigProof::default());
+    let link = Rc::new(FleetLink::default());
     let transport = listen_for_peers(&settings, counts, brain)?;
     let node = Node::new(fleet_options(&settings, incarnation));
-    serve(&settings, &context, &platform, &proof).await?;
+    serve(&settings, &context, &platform, &link.proof).await?;
     let me = DaemonId { vm: settings.vm.clone(), incarnation };
     let record = DaemonRecord { daemon: me, address: settings.advertised_address.clone() };
-    follow::follow_fleet(platform, context.clone(), proof, record);
+    let limits = freshness_limits(&settings);
+    follow::follow_fleet(platform, context.clone(), Rc::clone(&link), limits, record);
     watch_signals(context.clone())?;
     reloader.follow(context.clone())?;
     info!("started", kv: { vm = settings.vm.as_str(), incarnation });
 
-    BrainLoop::new(node, context, transport, None).run(messages).await;
+    BrainLoop::new(node, context, transport, None, Some(link)).run(messages).await;
     tokio::time::sleep(FLUSH_TIME).await;
     info!("ended", kv: { vm = settings.vm.as_str() });
     Ok(())
@@ -92,7 +121,22 @@
         percent: settings.bounds.rate_percent / 2,
         units: settings.bounds.rate_slack / 2,
     };
-    NodeOptions { entry, rate_margin, one_scheduler: true, key_slots: 0, ..options }
+    let members = MemberOptions { mesh_limit: MESH_LIMIT, ..options.members };
+    NodeOptions {
+        entry,
+        rate_margin,
+        members,
+        one_scheduler: true,
+        key_slots: 0,
+        freshness: Some(freshness_limits(settings)),
+        ..options
+    }
+}
+
+/// Both a change of the configuration and a leaving target have to be known in their time.
+fn freshness_limits(settings: &DaemonSettings) -> FreshnessLimits {
+    let bounds = &settings.bounds;
+    FreshnessLimits::within(bounds.config_apply_limit.min(bounds.leave_limit))
 }
 
 /// Binds the callers' and the operators' addresses.
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -1,34 +1,34 @@
 //! Follows the platform of a fleet: configuration, targets, daemons. Outages only delay these.
 //!
-//! No loop here calls again without a pause, whatever the answer was; pauses after failures grow and
-//! carry jitter.
+//! The node says whether this daemon reads the platform, or others read it on its behalf. No loop here
+//! calls again without a pause, whatever the answer was; pauses after failures grow and carry jitter.
 
-use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use curlewcleat_core::{DiscoveredTarget, Generation, ObjectVersion, TargetId};
-use curlewcleat_node::NodeEvent;
-use curlewcleat_platform::{
-    ConfigRead, ConfigWatch, DaemonRecord, Error, FleetPlatform, TargetChange, TargetWatch,
-};
+use curlewcleat_core::{Generation, ObjectVersion};
+use curlewcleat_node::{FreshnessLimits, NodeEvent, ReadDuty};
+use curlewcleat_platform::{ConfigRead, DaemonRecord, Error, FleetPlatform, TargetWatch};
 use rand::Rng;
 use spdlog::prelude::*;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 
+use super::FleetLink;
 use crate::context::DaemonContext;
-use crate::gateway::ConfigProof;
 
-/// Reads within the age that the proof of the configuration may have.
-const READS_PER_LIMIT: u32 = 3;
-/// Reads that fail in a row before this daemon's view of the platform counts as old.
-const STALE_READS: u32 = 2;
-/// First pause after a failed call; doubles up to the limit.
+/// First pause after a failed call; doubles up to a limit.
 const PAUSE_FIRST: Duration = Duration::from_millis(50);
-const PAUSE_LIMIT: Duration = Duration::from_millis(800);
+/// Longest pause of a daemon that reads for the others.
+const READER_PAUSE: Duration = Duration::from_millis(800);
+/// Longest pause of one that reads for itself because the others prove too little: where the platform
+/// fails for all of them, the readers notice its return.
+const FALLBACK_PAUSE: Duration = Duration::from_millis(2_400);
 /// Least time between two calls of one loop.
 const FLOOR: Duration = Duration::from_millis(50);
+/// Watches within the time between two reads at most, so that changes that come in a row are told in one
+/// answer.
+const WATCHES_PER_READ: u32 = 2;
 /// Longest wait of a watch.
 const WATCH_LIMIT: Duration = Duration::from_secs(20);
 
@@ -36,52 +36,43 @@
 struct FleetFollower {
     platform: Rc<dyn FleetPlatform>,
     context: DaemonContext,
-    proof: Rc<ConfigProof>,
+    link: Rc<FleetLink>,
+    limits: FreshnessLimits,
     /// The platform is reachable again after a failure.
     regained: Notify,
-    /// The configuration may have changed.
-    config_news: Notify,
-    /// Revision up to which the configuration is known.
-    revision: Cell<ObjectVersion>,
 }
 
 /// Starts the tasks on this arbiter.
 pub fn follow_fleet(
     platform: Rc<dyn FleetPlatform>,
     context: DaemonContext,
-    proof: Rc<ConfigProof>,
+    link: Rc<FleetLink>,
+    limits: FreshnessLimits,
     record: DaemonRecord,
 ) {
-    let follower = Rc::new(FleetFollower {
-        platform,
-        context,
-        proof,
-        regained: Notify::new(),
-        config_news: Notify::new(),
-        revision: Cell::new(0),
-    });
-    actix_rt::spawn(Rc::clone(&follower).watch_config());
+    let regained = Notify::new();
+    let follower = Rc::new(FleetFollower { platform, context, link, limits, regained });
     actix_rt::spawn(Rc::clone(&follower).follow_config());
     actix_rt::spawn(Rc::clone(&follower).follow_targets());
     actix_rt::spawn(follower.find_peers(record));
 }
 
 impl FleetFollower {
-    /// Reads the configuration when it may have changed, and often enough to prove that it has not. The
-    /// age of the proof counts from the sending of a read.
+    /// Reads the configuration often enough to prove that it has not changed. The age of the proof
+    /// counts from the sending of a read.
     async fn follow_config(self: Rc<Self>) {
+        let mut duty = self.link.duty();
         let mut known: ObjectVersion = 0;
         // What was read last may not pass the checks; then the one in force is not the newest.
         let mut newest: Generation = 0;
         let mut pause = CallPause::default();
         loop {
-            let every = self.proof_interval();
+            until_reading(&mut duty).await;
             let sent = Instant::now();
             match self.platform.read_config(known).await {
-                Ok(state) => {
+                Ok(read) => {
                     pause = CallPause::default();
-                    self.revision.set(state.revision);
-                    if let ConfigRead::Changed(version, bundle) = state.read {
+                    if let ConfigRead::Changed(version, bundle) = read {
                         newest = bundle.generation;
                         self.context.apply(bundle).await;
                         known = version;
@@ -89,107 +80,82 @@
                     if known > 0 && self.context.config().generation >= newest {
                         self.proved(sent);
                     }
+                    tokio::time::sleep(self.limits.read_every.saturating_sub(sent.elapsed())).await;
                 }
                 Err(error) => {
-                    self.proof.fail();
-                    if !self.proof.is_within(every * STALE_READS) {
-                        self.context.tell(NodeEvent::PlatformStale(true));
-                    }
-                    pause.failed("read_config", &error, &self.context).await;
-                    continue;
-                }
-            }
-            tokio::time::sleep(FLOOR).await;
-            tokio::select! {
-                _ = tokio::time::sleep(every.saturating_sub(sent.elapsed())) => {}
-                _ = self.config_news.notified() => {}
-            }
-        }
-    }
-
-    /// Time between reads that prove the configuration. One read may fail without harm.
-    fn proof_interval(&self) -> Duration {
-        let bounds = self.context.bounds();
-        let limit = bounds.config_age_limit.unwrap_or(bounds.config_apply_limit * READS_PER_LIMIT);
-        (limit / READS_PER_LIMIT).min(bounds.config_apply_limit / 4 * 3)
-    }
-
-    /// Watches the configuration, so that a change is read at once.
-    async fn watch_config(self: Rc<Self>) {
-        let mut pause = CallPause::default();
-        loop {
-            let begun = Instant::now();
-            match self.platform.watch_config(self.revision.get(), WATCH_LIMIT).await {
-                Ok(ConfigWatch::Unchanged(revision)) => {
-                    self.revision.set(revision.max(self.revision.get()));
-                    pause.after_quiet_watch(begun).await;
-                }
-                Ok(ConfigWatch::ReadAgain) => {
-                    self.config_news.notify_one();
-                    // The read gives the revision to go on from; a history that is gone stays gone.
-                    pause.wait().await;
-                }
-                Err(error) => {
-                    pause.failed("watch_config", &error, &self.context).await;
-                    self.config_news.notify_one();
-                    // Reads go on meanwhile; there is no use in watching what cannot be read.
-                    if self.proof.is_failing() {
-                        self.regained.notified().await;
-                    }
+                    self.link.proof.fail();
+                    self.context.tell(NodeEvent::PlatformFailed);
+                    pause.failed("read_config", &error, &self.context);
+                    let limit = match *duty.borrow_and_update() {
+                        ReadDuty::Reader => READER_PAUSE,
+                        ReadDuty::Fallback | ReadDuty::Rest => FALLBACK_PAUSE,
+                    };
+                    let changed = async { drop(duty.changed().await) };
+                    pause.wait(limit, changed).await;
                 }
             }
-            tokio::time::sleep(FLOOR.saturating_sub(begun.elapsed())).await;
+            tokio::time::sleep(FLOOR.saturating_sub(sent.elapsed())).await;
         }
     }
 
     fn proved(&self, sent: Instant) {
-        if self.proof.is_failing() {
+        if self.link.proof.is_failing() {
             info!("platform_regained", kv: { call = "read_config" });
-            self.context.tell(NodeEvent::PlatformStale(false));
-            self.regained.notify_waiters();
         }
-        self.proof.prove(sent);
+        self.link.proof.prove(sent);
+        self.context.tell(NodeEvent::PlatformRead(self.context.uptime_at(sent)));
+        self.regained.notify_waiters();
     }
 
-    /// Lists the targets, then watches; lists again when the history is gone or the watch may be deaf.
+    /// While this daemon reads: lists the targets, then watches; lists again when the history is gone
+    /// or the watch may be deaf.
     async fn follow_targets(self: Rc<Self>) {
+        let mut duty = self.link.duty();
         let mut pause = CallPause::default();
         loop {
+            until_reading(&mut duty).await;
             match self.platform.list_targets().await {
                 Ok(list) => {
                     pause = CallPause::default();
-                    let named = list.targets.into_iter();
-                    let mut targets: TargetMap =
-                        named.map(|target| (target.entry.id.clone(), target)).collect();
-                    self.tell_targets(&targets);
-                    self.watch_targets(&mut targets, list.revision).await;
+                    self.context.tell(NodeEvent::TargetsListed(list.targets, list.revision));
+                    tokio::select! {
+                        _ = self.watch_targets(list.revision) => {}
+                        _ = until_resting(&mut duty) => {}
+                    }
+                }
+                Err(error) => {
+                    pause.failed("list_targets", &error, &self.context);
+                    pause.wait(READER_PAUSE, std::future::pending()).await;
                 }
-                Err(error) => pause.failed("list_targets", &error, &self.context).await,
+            }
+            // There is no use in listing while nothing can be read.
+            if self.link.proof.is_failing() {
+                self.regained.notified().await;
             }
             tokio::time::sleep(FLOOR).await;
         }
     }
 
     /// Watches until the list has to be read again.
-    async fn watch_targets(&self, targets: &mut TargetMap, mut revision: ObjectVersion) {
+    async fn watch_targets(&self, mut revision: ObjectVersion) {
         let mut pause = CallPause::default();
         loop {
             let begun = Instant::now();
             let watch = self.platform.watch_targets(revision, WATCH_LIMIT);
             let watched = tokio::select! {
                 watched = watch => watched,
-                _ = self.regained.notified() => return,
+                _ = self.outage() => return,
             };
             match watched {
                 Ok(TargetWatch::Changes(changes, at)) => {
-                    revision = at;
                     if changes.is_empty() {
                         pause.after_quiet_watch(begun).await;
                     } else {
                         pause = CallPause::default();
-                        changes.into_iter().for_each(|change| apply_change(targets, change));
-                        self.tell_targets(targets);
                     }
+                    let from = revision;
+                    revision = at;
+                    self.context.tell(NodeEvent::TargetsChanged { from, changes, at });
                 }
                 Ok(TargetWatch::HistoryGone) => return,
                 Err(error) => {
@@ -198,19 +164,28 @@
                     return;
                 }
             }
-            tokio::time::sleep(FLOOR.saturating_sub(begun.elapsed())).await;
+            let floor = self.limits.read_every / WATCHES_PER_READ;
+            tokio::time::sleep(floor.saturating_sub(begun.elapsed())).await;
         }
     }
 
-    fn tell_targets(&self, targets: &TargetMap) {
-        self.context.tell(NodeEvent::TargetsRead(targets.values().cloned().collect()));
+    /// Ends when the platform is back after a failure; a watch that waited through it may be deaf.
+    async fn outage(&self) {
+        loop {
+            let failed = self.link.proof.is_failing();
+            self.regained.notified().await;
+            if failed {
+                return;
+            }
+        }
     }
 
     /// Records this daemon, then learns of the others; from then on they tell each other.
     async fn find_peers(self: Rc<Self>, record: DaemonRecord) {
         let mut pause = CallPause::default();
         while let Err(error) = self.platform.record_daemon(&record).await {
-            pause.failed("record_daemon", &error, &self.context).await;
+            pause.failed("record_daemon", &error, &self.context);
+            pause.wait(READER_PAUSE, std::future::pending()).await;
         }
         let mut pause = CallPause::default();
         loop {
@@ -221,23 +196,24 @@
                         .context
                         .tell(NodeEvent::PeersRecorded { addresses, complete: true });
                 }
-                Err(error) => pause.failed("list_daemons", &error, &self.context).await,
+                Err(error) => {
+                    pause.failed("list_daemons", &error, &self.context);
+                    pause.wait(READER_PAUSE, std::future::pending()).await;
+                }
             }
         }
     }
 }
 
-type TargetMap = BTreeMap<TargetId, DiscoveredTarget>;
+/// Ends when this daemon has to read the platform.
+async fn until_reading(duty: &mut watch::Receiver<ReadDuty>) {
+    // The sender lives as long as the process.
+    let _ = duty.wait_for(|duty| *duty != ReadDuty::Rest).await;
+}
 
-fn apply_change(targets: &mut TargetMap, change: TargetChange) {
-    match change {
-        TargetChange::Present(target) => {
-            targets.insert(target.entry.id.clone(), target);
-        }
-        TargetChange::Gone(id) => {
-            targets.remove(&id);
-        }
-    }
+/// Ends when others read the platform for this daemon.
+async fn until_resting(duty: &mut watch::Receiver<ReadDuty>) {
+    let _ = duty.wait_for(|duty| *duty == ReadDuty::Rest).await;
 }
 
 /// Pauses between calls, longer each time, with jitter.
@@ -252,10 +228,11 @@
 }
 
 impl CallPause {
-    async fn wait(&mut self) {
+    /// Waits, `limit` at most, or until something happens.
+    async fn wait(&mut self, limit: Duration, happens: impl Future<Output = ()>) {
         let jitter = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(self.next.mul_f64(jitter)).await;
-        self.next = (self.next * 2).min(PAUSE_LIMIT);
+        let _ = tokio::time::timeout(self.next.min(limit).mul_f64(jitter), happens).await;
+        self.next = (self.next * 2).min(FALLBACK_PAUSE);
     }
 
     /// A watch that has nothing to tell should have waited; one that did not is asked again later and
@@ -265,14 +242,13 @@
             *self = CallPause::default();
             return;
         }
-        self.wait().await;
+        self.wait(READER_PAUSE, std::future::pending()).await;
     }
 
-    async fn failed(&mut self, call: &str, error: &Error, context: &DaemonContext) {
+    fn failed(&self, call: &str, error: &Error, context: &DaemonContext) {
         context.metrics.platform_error(call);
         if self.next == PAUSE_FIRST {
             warn!("platform_call_failed", kv: { call, error = error.to_string() });
         }
-        self.wait().await;
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -61,7 +61,7 @@
     watch_signals(context.clone())?;
     info!("started", kv: { vm = settings.vm.as_str(), incarnation });
 
-    BrainLoop::new(node, context, transport, Some(store)).run(messages).await;
+    BrainLoop::new(node, context, transport, Some(store), None).run(messages).await;
     stop_serving(handle, serving).await;
     info!("ended", kv: { vm = settings.vm.as_str() });
     Ok(())
@@ -93,6 +93,8 @@
             data_centre: settings.data_centre.clone(),
             seeds: settings.seeds.clone(),
             suspect_after: settings.suspect_after,
+            mesh_limit: usize::MAX,
+            capacity: settings.capacity_percent,
         },
         keys: KeyHomeOptions {
             retention: settings.key_retention,
@@ -109,6 +111,7 @@
         one_scheduler: false,
         age_per_work: settings.age_per_work,
         request_limit: settings.request_limit,
+        freshness: None,
         beat: settings.beat,
         drain_grace: settings.drain_grace,
         hand_over_limit: HAND_OVER_LIMIT,
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -3,12 +3,13 @@
 use curlewcleat_config::CheckReport;
 use curlewcleat_core::{
     AttemptEnd, ConfigBundle, DaemonId, DiscoveredTarget, Generation, KeptAnswer, ObjectVersion,
-    PeerFrame, PermitId, PoolId, Refusal, RequestId, RetryReason, TargetEntry, TargetId,
-    TargetReport, Verdict, VmId,
+    PeerFrame, PermitId, PoolId, Refusal, RequestId, RetryReason, TargetChange, TargetEntry,
+    TargetId, TargetReport, Uptime, Verdict, VmId,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::RequestSpec;
 
+use crate::freshness::ReadDuty;
 use crate::status::PoolStatus;
 
 /// A line of the platform's VM list.
@@ -52,10 +53,21 @@
     TableWritten(TableWrite),
     /// A target's report, for the scheduler of its pool.
     TargetReported(PoolId, TargetId, TargetReport),
-    /// Targets that announced themselves at the platform, all of them.
-    TargetsRead(Vec<DiscoveredTarget>),
-    /// Whether the view of the platform is too old to give orders by.
-    PlatformStale(bool),
+    /// Targets that announced themselves at the platform, all of them at a revision.
+    TargetsListed(Vec<DiscoveredTarget>, ObjectVersion),
+    /// What changed among them between two revisions.
+    TargetsChanged {
+        /// The earlier revision.
+        from: ObjectVersion,
+        /// The changes in order.
+        changes: Vec<TargetChange>,
+        /// The later revision.
+        at: ObjectVersion,
+    },
+    /// A read of the platform that was sent then showed the configuration in force to be the newest.
+    PlatformRead(Uptime),
+    /// A read of the platform failed.
+    PlatformFailed,
     /// Addresses of daemons that are recorded at the platform.
     PeersRecorded {
         /// The addresses.
@@ -93,6 +105,10 @@
     ReadTable,
     /// A new configuration is in force.
     ConfigChanged,
+    /// The configuration in force was the newest then.
+    ConfigProved(Uptime),
+    /// Read the platform from now on, or no longer.
+    ReadPlatform(ReadDuty),
     /// Count a retry.
     Count(RetryReason),
     /// Tell the operators.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,12 +3,16 @@
 //! [`Node::handle`] takes an event with the time and gives the actions to perform.
 
 mod event;
+mod freshness;
 mod node;
 mod status;
+mod target_view;
 mod vms;
 mod wiring;
 
 pub use event::{CallerDecision, ListedVm, NodeAction, NodeEvent, NodeNote, TableWrite};
+pub use freshness::{FreshnessLimits, PlatformFreshness, ReadDuty};
 pub use node::{Node, NodeOptions};
 pub use status::{NodeStatus, PoolStatus, TargetStatus};
+pub use target_view::{TargetView, ViewUpdate};
 pub use vms::VmView;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,6 +4,7 @@
 mod keys;
 mod members;
 mod messages;
+mod platform;
 mod requests;
 mod stop;
 mod time;
@@ -24,7 +25,9 @@
 };
 
 use crate::event::{NodeAction, NodeEvent};
+use crate::freshness::{FreshnessLimits, PlatformFreshness, ReadDuty};
 use crate::status::{NodeStatus, PoolStatus, TargetStatus};
+use crate::target_view::TargetView;
 use crate::vms::VmView;
 
 /// Subject by which the one scheduler of all pools is drawn.
@@ -51,6 +54,8 @@
     pub one_scheduler: bool,
     /// Requests in progress at most.
     pub request_limit: usize,
+    /// Times of the view of a platform that daemons read for each other, `None` where each reads it.
+    pub freshness: Option<FreshnessLimits>,
     /// Time between heartbeats.
     pub beat: Duration,
     /// Time for the balancer to notice a failing health check.
@@ -67,6 +72,9 @@
     /// The configuration in force with the targets that announced themselves.
     active: Arc<ActiveConfig>,
     discovered: Vec<DiscoveredTarget>,
+    targets: TargetView,
+    freshness: Option<PlatformFreshness>,
+    duty: ReadDuty,
     home: KeyHome,
     rates: AccountRates,
     pools: BTreeMap<PoolId, PoolScheduler>,
@@ -75,6 +83,10 @@
     drain: DrainState,
     vms: VmView,
     takers: Vec<DaemonId>,
+    /// Order of schedulers over all pools.
+    order: Vec<DaemonId>,
+    /// When the latest pull of a peer's state was sent.
+    last_pull: Option<Uptime>,
     orders: BTreeMap<PoolId, Vec<DaemonId>>,
     table_absent: bool,
     proposing: bool,
@@ -97,6 +109,11 @@
             store: ConfigStore::default(),
             active: Arc::default(),
             discovered: Vec::new(),
+            targets: TargetView::default(),
+            freshness: options
+                .freshness
+                .map(|limits| PlatformFreshness::new(limits, me.incarnation)),
+            duty: ReadDuty::Rest,
             home: KeyHome::new(me.clone(), options.keys.clone()),
             rates: AccountRates::new(options.rate_margin),
             pools: BTreeMap::new(),
@@ -104,7 +121,9 @@
             entry: EntryRequests::new(options.entry.clone()),
             drain: DrainState::new(options.drain_grace, options.hand_over_limit),
             vms: VmView::default(),
+            order: vec![me.clone()],
             takers: vec![me],
+            last_pull: None,
             orders: BTreeMap::new(),
             table_absent: false,
             proposing: false,
@@ -144,8 +163,12 @@
                 let actions = self.pool(&pool).reported(now, &target, &report);
                 self.send_answers(actions);
             }
-            NodeEvent::TargetsRead(targets) => self.targets_read(targets),
-            NodeEvent::PlatformStale(stale) => self.platform_stale(stale),
+            NodeEvent::TargetsListed(targets, at) => self.targets_listed(targets, at),
+            NodeEvent::TargetsChanged { from, changes, at } => {
+                self.targets_changed(from, changes, at);
+            }
+            NodeEvent::PlatformRead(sent) => self.platform_read(sent),
+            NodeEvent::PlatformFailed => self.platform_failed(),
             NodeEvent::PeersRecorded { addresses, complete } => {
                 self.members.hint(addresses, complete)
             }
@@ -182,6 +205,11 @@
         self.pools.get(pool).cloned()
     }
 
+    /// Daemons in the order in which they would schedule, best first.
+    pub fn scheduler_order(&self) -> &[DaemonId] {
+        &self.order
+    }
+
     /// A view for operators.
     pub fn status(&self) -> NodeStatus {
         NodeStatus {
--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use curlewcleat_config::StoreChange;
-use curlewcleat_core::{ConfigBundle, DiscoveredTarget, VmId};
+use curlewcleat_core::{ConfigBundle, VmId};
 
 use super::Node;
 use crate::event::{NodeAction, NodeNote};
@@ -26,8 +26,9 @@
         }
     }
 
-    /// Takes the whole list of targets that announced themselves.
-    pub(super) fn targets_read(&mut self, targets: Vec<DiscoveredTarget>) {
+    /// The targets that announced themselves may have changed.
+    pub(super) fn renew_discovered(&mut self) {
+        let targets = self.targets.targets();
         if targets == self.discovered {
             return;
         }
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -5,7 +5,7 @@
 
 use curlewcleat_core::{DaemonId, PoolId, VmId};
 
-use super::{order_of, Node};
+use super::{order_of, Node, ALL_POOLS};
 use crate::event::ListedVm;
 
 impl Node {
@@ -23,6 +23,7 @@
             return;
         }
         self.takers = self.members.role_takers();
+        self.order = self.members.scheduler_order(ALL_POOLS);
         let before = std::mem::take(&mut self.orders);
         self.renew_orders();
         if before == self.orders {
@@ -60,14 +61,6 @@
         }
     }
 
-    /// The view of the platform is old, or is not any more; the peers are told at once.
-    pub(super) fn platform_stale(&mut self, stale: bool) {
-        if self.members.set_stale(stale) {
-            self.last_beat = None;
-            self.review_takers();
-        }
-    }
-
     pub(super) fn renew_orders(&mut self) {
         let config = Arc::clone(&self.active);
         self.orders = config
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -1,5 +1,7 @@
 //! Messages between daemons, in and out.
 
+use std::time::Duration;
+
 use curlewcleat_core::{
     DaemonId, Heartbeat, KeyAnswer, KeyDecision, LevelRaise, PeerFrame, PeerMessage, PermitAnswer,
     PermitAsk, PermitDecision, PoolId, Refusal, RefusalReason, StatePull, TablePush, VmId,
@@ -10,6 +12,9 @@
 use super::{order_of, Node};
 use crate::event::{NodeAction, NodeNote};
 
+/// Time between pulls of peers' state.
+const PULL_PAUSE: Duration = Duration::from_millis(100);
+
 impl Node {
     /// Puts a message on its way; to this daemon itself without a frame.
     pub(super) fn post(&mut self, vm: &VmId, message: PeerMessage) {
@@ -55,6 +60,10 @@
             PeerMessage::TablePush(push) => {
                 self.table_known(push.version, KeyTable { slots: push.slots })
             }
+            PeerMessage::FreshnessAsk(ask) => self.freshness_asked(&from.vm, ask),
+            PeerMessage::FreshnessAnswer(answer) => self.freshness_answered(from, &answer),
+            PeerMessage::TargetsPull(known) => self.targets_pulled(&from.vm, known),
+            PeerMessage::TargetsPush(push) => self.targets_pushed(&from.vm, push),
             PeerMessage::PermitAsk(ask) => {
                 self.permit_asked(from, ask);
             }
@@ -127,10 +136,18 @@
         }
         self.review_takers();
         if beat.generation > self.store.generation() || beat.table > self.home.version() {
-            let pull =
-                StatePull { generation: self.store.generation(), table: self.home.version() };
-            self.post(&from.vm, PeerMessage::StatePull(pull));
+            self.pull_state(&from.vm);
+        }
+    }
+
+    /// Asks a peer for what it has newer; several peers may have it, and one is asked at a time.
+    pub(super) fn pull_state(&mut self, from: &VmId) {
+        if self.last_pull.is_some_and(|last| self.now < last + PULL_PAUSE) {
+            return;
         }
+        self.last_pull = Some(self.now);
+        let pull = StatePull { generation: self.store.generation(), table: self.home.version() };
+        self.post(from, PeerMessage::StatePull(pull));
     }
 
     pub(super) fn state_pulled(&mut self, from: &VmId, pull: StatePull) {
--- /dev/null
+++ b/crates/node/src/node/platform.rs
@@ -0,0 +1,128 @@
+//! What is known of the platform: by own reads, and by way of the peers that read it.
+
+use curlewcleat_core::{
+    DaemonId, DiscoveredTarget, FreshnessAnswer, FreshnessAsk, ObjectVersion, PeerMessage,
+    TargetChange, TargetsContent, TargetsPush, Uptime, VmId,
+};
+
+use super::Node;
+use crate::event::NodeAction;
+use crate::target_view::ViewUpdate;
+
+impl Node {
+    /// An own read that was sent then showed the configuration in force to be the newest.
+    pub(super) fn platform_read(&mut self, sent: Uptime) {
+        let Some(freshness) = self.freshness.as_mut() else { return };
+        freshness.read(self.now, sent);
+        self.actions.push(NodeAction::ConfigProved(sent));
+        self.review_freshness();
+    }
+
+    pub(super) fn platform_failed(&mut self) {
+        if let Some(freshness) = self.freshness.as_mut() {
+            freshness.read_failed(self.now);
+        }
+    }
+
+    pub(super) fn freshness_asked(&mut self, from: &VmId, ask: FreshnessAsk) {
+        let Some(freshness) = self.freshness.as_mut() else { return };
+        let answer = FreshnessAnswer {
+            ask,
+            age: freshness.asked(self.now),
+            generation: self.store.generation(),
+            targets_at: self.targets.at(),
+        };
+        self.post(from, PeerMessage::FreshnessAnswer(answer));
+    }
+
+    pub(super) fn freshness_answered(&mut self, from: &DaemonId, answer: &FreshnessAnswer) {
+        let Some(freshness) = self.freshness.as_mut() else { return };
+        let Some(read) = freshness.answered(self.now, answer) else { return };
+        if answer.generation > self.store.generation() {
+            self.pull_state(&from.vm);
+        } else {
+            // What is in force here is at least as new as what the peer's read showed.
+            freshness.prove(self.now, read);
+            self.actions.push(NodeAction::ConfigProved(read));
+        }
+        if answer.targets_at > self.targets.at() {
+            self.post(&from.vm, PeerMessage::TargetsPull(self.targets.at()));
+        }
+    }
+
+    pub(super) fn targets_pulled(&mut self, from: &VmId, known: ObjectVersion) {
+        let push = TargetsPush { content: self.targets.since(known), at: self.targets.at() };
+        self.post(from, PeerMessage::TargetsPush(push));
+    }
+
+    pub(super) fn targets_pushed(&mut self, from: &VmId, push: TargetsPush) {
+        match push.content {
+            TargetsContent::All(targets) => self.targets_listed(targets, push.at),
+            TargetsContent::Since(known, changes) => {
+                if self.targets_changed(known, changes, push.at) == ViewUpdate::Gap {
+                    self.post(from, PeerMessage::TargetsPull(self.targets.at()));
+                }
+            }
+        }
+    }
+
+    pub(super) fn targets_listed(&mut self, targets: Vec<DiscoveredTarget>, at: ObjectVersion) {
+        let doubtful = self.is_doubtful();
+        if self.targets.list(targets, at, doubtful) == ViewUpdate::Taken {
+            self.renew_discovered();
+        }
+    }
+
+    pub(super) fn targets_changed(
+        &mut self,
+        from: ObjectVersion,
+        changes: Vec<TargetChange>,
+        at: ObjectVersion,
+    ) -> ViewUpdate {
+        let doubtful = self.is_doubtful();
+        let news = !changes.is_empty();
+        let update = self.targets.change(from, changes, at, doubtful);
+        if update == ViewUpdate::Taken && news {
+            self.renew_discovered();
+        }
+        update
+    }
+
+    fn is_doubtful(&self) -> bool {
+        self.freshness.as_ref().is_some_and(|freshness| freshness.is_doubtful(self.now))
+    }
+
+    /// Asks the daemons that read the platform how old their reads are.
+    pub(super) fn ask_freshness(&mut self) {
+        let Some(freshness) = self.freshness.as_ref() else { return };
+        let (ask, readers) = freshness.ask(self.now, &self.options.me, &self.order);
+        let readers: Vec<VmId> = readers.into_iter().cloned().collect();
+        for reader in readers {
+            self.post(&reader, PeerMessage::FreshnessAsk(ask));
+        }
+    }
+
+    /// Decides whether this daemon has to read the platform.
+    pub(super) fn step_freshness(&mut self) {
+        let Some(freshness) = self.freshness.as_mut() else { return };
+        let me = &self.options.me;
+        let duty = freshness.duty(self.now, me, &self.order);
+        if self.duty != duty {
+            self.duty = duty;
+            self.actions.push(NodeAction::ReadPlatform(duty));
+        }
+        if !freshness.is_doubtful(self.now) && self.targets.settle() {
+            self.renew_discovered();
+        }
+        self.review_freshness();
+    }
+
+    /// A daemon whose view of the platform is old says so to its peers at once.
+    fn review_freshness(&mut self) {
+        let Some(freshness) = self.freshness.as_ref() else { return };
+        if self.members.set_stale(freshness.is_stale(self.now)) {
+            self.last_beat = None;
+            self.review_takers();
+        }
+    }
+}
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -53,7 +53,7 @@
         let account = self.active.accounts.get(&ask.account);
         let Some(rate) = account.and_then(|account| account.shared_rate) else { return Ok(()) };
         let leads = self.orders.get(&ask.pool).and_then(|order| order.first());
-        let mut part = self.members.reached_part();
+        let mut part = self.members.reached_part(self.now);
         if leads != Some(&self.options.me) {
             // Another daemon gives out the rate; this one was asked since it seems to be silent.
             part = RatePart { reached: 1, leads: false, ..part };
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -35,6 +35,7 @@
             let step = self.guards.entry(pool.clone()).or_default().tick(self.now, &peers);
             self.take_guard_step(&pool, step);
         }
+        self.step_freshness();
         self.beat();
         if self.now >= self.last_review + REVIEW {
             self.last_review = self.now;
@@ -61,11 +62,13 @@
             return;
         }
         self.last_beat = Some(self.now);
+        self.ask_freshness();
         let beat = self.heartbeat();
-        for address in self.members.addresses() {
-            let messages = vec![PeerMessage::Heartbeat(beat.clone())];
+        for receiver in self.members.beat_receivers(self.now, &self.order) {
+            let beat = Heartbeat { answer_wanted: receiver.answer_wanted, ..beat.clone() };
+            let messages = vec![PeerMessage::Heartbeat(beat)];
             let frame = PeerFrame { from: self.options.me.clone(), messages };
-            self.actions.push(NodeAction::Send(address, frame));
+            self.actions.push(NodeAction::Send(receiver.address, frame));
         }
     }
 
--- /dev/null
+++ b/crates/node/src/target_view.rs
@@ -0,0 +1,145 @@
+//! The targets that announced themselves, as the platform showed them at a revision.
+//!
+//! A daemon learns of them from the platform itself or from a peer that reads it. The view keeps the
+//! latest changes, so that a peer that knows an earlier revision is told only what it lacks.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use curlewcleat_core::{DiscoveredTarget, ObjectVersion, TargetChange, TargetId, TargetsContent};
+
+/// Changes that are kept for peers.
+const LOG_LENGTH: usize = 256;
+
+/// What a view was told is older than what it has, or does not follow on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ViewUpdate {
+    /// It was taken in.
+    Taken,
+    /// It says nothing new.
+    Old,
+    /// Changes in between are missing.
+    Gap,
+}
+
+/// The targets at a revision of the platform, and those that may come back.
+#[derive(Clone, Debug, Default)]
+pub struct TargetView {
+    listed: BTreeMap<TargetId, DiscoveredTarget>,
+    /// Targets that vanished while the platform failed. They may have lost their entry without having
+    /// ended, and are used until they are back or the platform has settled.
+    missing: BTreeMap<TargetId, DiscoveredTarget>,
+    at: ObjectVersion,
+    /// Revision from which the log is complete.
+    log_from: ObjectVersion,
+    log: VecDeque<(ObjectVersion, TargetChange)>,
+}
+
+impl TargetView {
+    /// Revision up to which the targets are known.
+    pub fn at(&self) -> ObjectVersion {
+        self.at
+    }
+
+    /// All targets in use.
+    pub fn targets(&self) -> Vec<DiscoveredTarget> {
+        self.listed.values().chain(self.missing.values()).cloned().collect()
+    }
+
+    /// Takes all targets at a revision. `doubtful` says whether those that are missing may come back.
+    pub fn list(
+        &mut self,
+        targets: Vec<DiscoveredTarget>,
+        at: ObjectVersion,
+        doubtful: bool,
+    ) -> ViewUpdate {
+        if at < self.at {
+            return ViewUpdate::Old;
+        }
+        let before = std::mem::take(&mut self.listed);
+        for target in targets {
+            let left = before.get(&target.entry.id).is_some_and(|known| known.leaving);
+            self.put(target, left);
+        }
+        for (id, target) in before {
+            if !self.listed.contains_key(&id) {
+                self.vanished(id, target, doubtful);
+            }
+        }
+        self.at = at;
+        // What happened between the revisions is not known, so the log begins anew.
+        self.log_from = at;
+        self.log.clear();
+        ViewUpdate::Taken
+    }
+
+    /// Takes the changes between two revisions.
+    pub fn change(
+        &mut self,
+        from: ObjectVersion,
+        changes: Vec<TargetChange>,
+        at: ObjectVersion,
+        doubtful: bool,
+    ) -> ViewUpdate {
+        if at <= self.at {
+            return ViewUpdate::Old;
+        }
+        if from > self.at {
+            return ViewUpdate::Gap;
+        }
+        for change in changes {
+            self.apply(change.clone(), doubtful);
+            self.log.push_back((at, change));
+        }
+        while self.log.len() > LOG_LENGTH {
+            if let Some((dropped, _)) = self.log.pop_front() {
+                self.log_from = dropped;
+            }
+        }
+        self.at = at;
+        ViewUpdate::Taken
+    }
+
+    /// What a peer lacks that knows the targets up to a revision.
+    pub fn since(&self, known: ObjectVersion) -> TargetsContent {
+        if known < self.log_from || known > self.at {
+            return TargetsContent::All(self.listed.values().cloned().collect());
+        }
+        let changes = self.log.iter().filter(|(at, _)| *at > known);
+        TargetsContent::Since(known, changes.map(|(_, change)| change.clone()).collect())
+    }
+
+    /// The platform has settled: what is still missing has ended. Returns whether that is news.
+    pub fn settle(&mut self) -> bool {
+        let news = !self.missing.is_empty();
+        self.missing.clear();
+        news
+    }
+
+    fn apply(&mut self, change: TargetChange, doubtful: bool) {
+        match change {
+            TargetChange::Present(target) => {
+                let known = self.listed.get(&target.entry.id);
+                let left = known.is_some_and(|known| known.leaving);
+                self.put(target, left);
+            }
+            TargetChange::Gone(id) => {
+                if let Some(target) = self.listed.remove(&id) {
+                    self.vanished(id, target, doubtful);
+                }
+            }
+        }
+    }
+
+    /// A target that leaves never stays after all: its id names one start of its process.
+    fn put(&mut self, target: DiscoveredTarget, left: bool) {
+        self.missing.remove(&target.entry.id);
+        let leaving = target.leaving || left;
+        self.listed.insert(target.entry.id.clone(), DiscoveredTarget { leaving, ..target });
+    }
+
+    fn vanished(&mut self, id: TargetId, target: DiscoveredTarget, doubtful: bool) {
+        if doubtful && !target.leaving {
+            self.missing.insert(id, target);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/freshness.rs
@@ -0,0 +1,165 @@
+//! A few daemons read the platform, and the others know what they know.
+
+mod support;
+
+use std::time::Duration;
+
+use curlewcleat_node::{FreshnessLimits, ReadDuty};
+use rstest::rstest;
+
+use support::{daemon, recorded, target, Fleet, APPLY_LIMIT};
+
+/// Time after the loss of the readers in which the others have to know for themselves.
+const KNOWN_WITHIN: Duration = Duration::from_millis(1_500);
+
+#[rstest]
+#[case(3)]
+#[case(7)]
+#[case(40)]
+fn two_daemons_read_and_all_have_a_young_proof(#[case] daemons: usize) {
+    let mut fleet = Fleet::new(daemons);
+    assert_eq!(fleet.readers().len(), 2);
+    let limits = FreshnessLimits::within(APPLY_LIMIT);
+    for _ in 0..100 {
+        fleet.run(Duration::from_millis(40));
+        for index in 0..daemons {
+            assert!(fleet.proof_age(index) < limits.fallback_after, "{index}");
+        }
+    }
+    let before = fleet.calls;
+    fleet.run(Duration::from_secs(10));
+    assert!(fleet.calls - before <= 42, "{} calls in ten seconds", fleet.calls - before);
+}
+
+#[test]
+fn change_reaches_daemons_that_do_not_read() {
+    let mut fleet = Fleet::new(20);
+    fleet.generation = 5;
+    fleet.targets = (vec![target("x", true), target("z", false)], 9);
+    fleet.run(Duration::from_secs(1));
+    for index in 0..20 {
+        assert_eq!(fleet.daemons[index].node.config().generation, 5, "{index}");
+        assert_eq!(fleet.known_targets(index), ["x", "z"], "{index}");
+    }
+}
+
+#[rstest]
+#[case::cut_from_the_platform(false)]
+#[case::cut_from_everyone(true)]
+fn loss_of_both_readers_is_made_up_for(#[case] cut: bool) {
+    let mut fleet = Fleet::new(20);
+    for reader in fleet.readers() {
+        fleet.daemons[reader].reaches = false;
+        fleet.daemons[reader].cut = cut;
+    }
+    let lost: Vec<usize> = (0..20).filter(|index| !fleet.daemons[*index].reaches).collect();
+    fleet.generation = 5;
+    fleet.targets = (vec![target("x", true), target("y", false)], 9);
+    fleet.run(KNOWN_WITHIN);
+    for index in (0..20).filter(|index| !lost.contains(index)) {
+        assert_eq!(fleet.daemons[index].node.config().generation, 5, "{index}");
+    }
+    fleet.run(Duration::from_secs(6));
+    let readers = fleet.readers();
+    assert!(readers.iter().filter(|reader| !lost.contains(reader)).count() == 2, "{readers:?}");
+    let fallback = fleet.daemons.iter().filter(|daemon| daemon.duty == ReadDuty::Fallback).count();
+    assert!(fallback <= 2, "{fallback} daemons read for themselves");
+}
+
+#[test]
+fn answer_to_an_earlier_process_proves_nothing() {
+    let mut fleet = Fleet::new(3);
+    let other = (0..3).find(|index| fleet.daemons[*index].duty == ReadDuty::Rest);
+    let other = other.expect("one that rests");
+    // The process starts again and its clock with it; what it had asked is answered to the new one.
+    fleet.daemons[other] = daemon(other, Vec::new());
+    fleet.daemons[other].reaches = false;
+    for index in 0..3 {
+        fleet.daemons[index].reaches = false;
+    }
+    fleet.run(APPLY_LIMIT * 3);
+    let age = fleet.proof_age(other);
+    assert!(age > APPLY_LIMIT * 2, "{age:?}");
+}
+
+#[test]
+fn proof_by_way_of_a_peer_is_never_younger_than_the_read() {
+    let mut fleet = Fleet::new(7);
+    for index in 0..7 {
+        fleet.daemons[index].reaches = false;
+    }
+    let cut_off = fleet.now;
+    fleet.run(Duration::from_secs(3));
+    for index in 0..7 {
+        let proved = fleet.daemons[index].proved.expect("an earlier proof");
+        assert!(proved <= cut_off, "{index}: {proved:?} after {cut_off:?}");
+    }
+}
+
+#[test]
+fn targets_that_lose_their_entries_in_an_outage_are_used_until_they_are_back() {
+    let mut fleet = Fleet::new(5);
+    for index in 0..5 {
+        fleet.daemons[index].reaches = false;
+    }
+    fleet.run(Duration::from_secs(4));
+    // Both entries lapsed; one target is alive and announces itself again.
+    fleet.targets = (Vec::new(), 20);
+    for index in 0..5 {
+        fleet.daemons[index].reaches = true;
+    }
+    fleet.run(Duration::from_secs(1));
+    for index in 0..5 {
+        assert_eq!(fleet.known_targets(index), ["x", "y"], "{index}");
+    }
+    fleet.targets = (vec![target("x", false)], 21);
+    fleet.run(Duration::from_secs(3));
+    for index in 0..5 {
+        assert_eq!(fleet.known_targets(index), ["x"], "{index}");
+    }
+}
+
+#[test]
+fn target_that_vanishes_while_the_platform_answers_is_gone_at_once() {
+    let mut fleet = Fleet::new(5);
+    fleet.targets = (vec![target("y", false)], 20);
+    fleet.run(Duration::from_secs(1));
+    assert!((0..5).all(|index| fleet.known_targets(index) == ["y"]));
+}
+
+#[test]
+fn heartbeats_of_a_large_fleet_do_not_grow_with_its_square() {
+    let mut fleet = Fleet::new(60);
+    let before = fleet.frames;
+    fleet.run(Duration::from_secs(10));
+    let each = (fleet.frames - before) / 60 / 10;
+    // Four candidates and a tenth of the others at two beats a second, answers to and from candidates,
+    // and four asks a second with their answers; the full mesh takes 118.
+    assert!(each <= 45, "{each} frames a second each");
+    assert!((0..60).all(|index| fleet.scheduler(index) == fleet.scheduler(0)));
+}
+
+#[test]
+fn large_fleet_finds_a_new_scheduler_when_all_candidates_die() {
+    let mut fleet = Fleet::new(40);
+    let order = fleet.candidates();
+    for index in &order {
+        fleet.daemons[*index].cut = true;
+    }
+    fleet.run(Duration::from_secs(4));
+    let rest: Vec<usize> = (0..40).filter(|index| !order.contains(index)).collect();
+    let scheduler = fleet.scheduler(rest[0]);
+    assert!(!order.contains(&fleet.position(&scheduler)));
+    assert!(rest.iter().all(|index| fleet.scheduler(*index) == scheduler));
+}
+
+#[test]
+fn newborn_daemon_of_a_large_fleet_is_known_to_all() {
+    let mut fleet = Fleet::new(40);
+    let newborn = 13;
+    fleet.daemons[newborn] = daemon(newborn, Vec::new());
+    fleet.event(newborn, recorded(40));
+    fleet.run(Duration::from_secs(2));
+    assert_eq!(fleet.scheduler(newborn), fleet.scheduler((newborn + 1) % 40));
+    assert_eq!(fleet.known_targets(newborn), ["x", "y"]);
+}
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,238 @@
+//! Some daemons of a fleet, the frames between them, and the platform that they read.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use curlewcleat_core::{
+    ConfigBundle, DaemonId, DiscoveredTarget, PeerFrame, RequestId, TargetEntry,
+};
+use curlewcleat_keys::KeyHomeOptions;
+use curlewcleat_node::{
+    CallerDecision, FreshnessLimits, Node, NodeAction, NodeEvent, NodeOptions, ReadDuty,
+};
+use curlewcleat_sched::{EntryOptions, MemberOptions, RequestSpec};
+
+const CONFIG: &str = "[tier t0]\nrank = 0\n[pool p]\nkind = service\n\
+    [account a]\ntoken_sha256 = 2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824\n\
+    shared_rate_per_s = 1000\n";
+const STEP: Duration = Duration::from_millis(20);
+/// Time in which changes have to be in force.
+pub const APPLY_LIMIT: Duration = Duration::from_secs(2);
+
+/// A daemon and what the world does to it.
+pub struct Daemon {
+    pub node: Node,
+    /// Whether it reaches the platform.
+    pub reaches: bool,
+    /// Whether frames to and from it are lost.
+    pub cut: bool,
+    /// Whether it reads the platform, by its own word.
+    pub duty: ReadDuty,
+    /// When the read was sent that proved its configuration last.
+    pub proved: Option<Duration>,
+    next_read: Duration,
+}
+
+/// Some daemons and the frames between them, which arrive at once.
+pub struct Fleet {
+    pub daemons: Vec<Daemon>,
+    pub now: Duration,
+    pub decisions: Vec<(RequestId, CallerDecision)>,
+    /// Targets as the platform has them, with their revision.
+    pub targets: (Vec<DiscoveredTarget>, u64),
+    /// Newest configuration at the platform.
+    pub generation: u64,
+    /// Calls of the platform.
+    pub calls: usize,
+    /// Frames sent.
+    pub frames: usize,
+}
+
+impl Fleet {
+    /// A fleet that has settled.
+    pub fn new(daemons: usize) -> Fleet {
+        let addresses: Vec<String> = (0..daemons).map(address).collect();
+        let mut fleet = Fleet {
+            daemons: (0..daemons).map(|index| daemon(index, addresses.clone())).collect(),
+            now: Duration::ZERO,
+            decisions: Vec::new(),
+            targets: (vec![target("x", false), target("y", false)], 1),
+            generation: 1,
+            calls: 0,
+            frames: 0,
+        };
+        for index in 0..daemons {
+            fleet.event(index, recorded(daemons));
+        }
+        fleet.run(Duration::from_secs(4));
+        fleet
+    }
+
+    pub fn event(&mut self, index: usize, event: NodeEvent) {
+        let mut events = vec![(index, event)];
+        while let Some((index, event)) = events.pop() {
+            let wall = Duration::from_secs(1_000) + self.now;
+            for action in self.daemons[index].node.handle(self.now, wall, event) {
+                match action {
+                    NodeAction::Send(to, frame) => {
+                        self.frames += 1;
+                        events.extend(self.delivery(index, &to, frame));
+                    }
+                    NodeAction::Decide(id, decision) => self.decisions.push((id, decision)),
+                    NodeAction::ReadPlatform(duty) => self.daemons[index].duty = duty,
+                    NodeAction::ConfigProved(at) => {
+                        let proved = &mut self.daemons[index].proved;
+                        *proved = (*proved).max(Some(at));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn delivery(&self, from: usize, to: &str, frame: PeerFrame) -> Option<(usize, NodeEvent)> {
+        let index = (0..self.daemons.len()).find(|index| address(*index) == to)?;
+        let lost = self.daemons[from].cut || self.daemons[index].cut;
+        (!lost).then_some((index, NodeEvent::Peer(frame)))
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            for index in 0..self.daemons.len() {
+                self.event(index, NodeEvent::Tick);
+                self.read_platform(index);
+            }
+        }
+    }
+
+    /// What the daemon's own tasks do: reads of the configuration and the targets.
+    fn read_platform(&mut self, index: usize) {
+        let daemon = &mut self.daemons[index];
+        if daemon.duty == ReadDuty::Rest || self.now < daemon.next_read {
+            return;
+        }
+        daemon.next_read = self.now + FreshnessLimits::within(APPLY_LIMIT).read_every;
+        self.calls += 1;
+        if !daemon.reaches {
+            return self.event(index, NodeEvent::PlatformFailed);
+        }
+        let files = BTreeMap::from([("a.ini".to_string(), CONFIG.to_string())]);
+        let bundle = ConfigBundle { generation: self.generation, files };
+        self.event(index, NodeEvent::ConfigRead(bundle));
+        self.event(index, NodeEvent::PlatformRead(self.now));
+        let (targets, at) = self.targets.clone();
+        self.event(index, NodeEvent::TargetsListed(targets, at));
+    }
+
+    pub fn admit(&mut self, index: usize, number: u128) {
+        self.event(index, NodeEvent::Admit(Box::new(spec(number))));
+    }
+
+    pub fn decision(&self, number: u128) -> Option<&CallerDecision> {
+        let found = self.decisions.iter().rev().find(|(id, _)| id.as_u128() == number);
+        found.map(|(_, decision)| decision)
+    }
+
+    pub fn scheduler(&self, index: usize) -> String {
+        self.daemons[index].node.status().pools[0].scheduler.clone()
+    }
+
+    /// Place of the daemon that schedules, as the first daemon sees it.
+    pub fn leader(&self) -> usize {
+        self.position(&self.scheduler(0))
+    }
+
+    pub fn position(&self, vm: &str) -> usize {
+        (0..self.daemons.len()).find(|index| vm == format!("vm-{index}")).expect("a daemon")
+    }
+
+    pub fn readers(&self) -> Vec<usize> {
+        (0..self.daemons.len())
+            .filter(|index| self.daemons[*index].duty == ReadDuty::Reader)
+            .collect()
+    }
+
+    /// The first four daemons in the order of schedulers.
+    pub fn candidates(&self) -> Vec<usize> {
+        let order = self.daemons[0].node.scheduler_order();
+        order.iter().take(4).map(|daemon| self.position(&daemon.vm)).collect()
+    }
+
+    /// Age of a daemon's proof of its configuration.
+    pub fn proof_age(&self, index: usize) -> Duration {
+        self.daemons[index].proved.map_or(Duration::MAX, |proved| self.now - proved)
+    }
+
+    /// Targets that a daemon would send to.
+    pub fn known_targets(&self, index: usize) -> Vec<String> {
+        let config = self.daemons[index].node.config();
+        config.pools.values().flat_map(|pool| pool.targets.keys().cloned()).collect()
+    }
+}
+
+fn address(index: usize) -> String {
+    format!("127.0.0.1:{}", 1_000 + index)
+}
+
+pub fn recorded(daemons: usize) -> NodeEvent {
+    NodeEvent::PeersRecorded { addresses: (0..daemons).map(address).collect(), complete: true }
+}
+
+pub fn daemon(index: usize, seeds: Vec<String>) -> Daemon {
+    let node = Node::new(NodeOptions {
+        me: DaemonId { vm: format!("vm-{index}"), incarnation: 1 },
+        members: MemberOptions {
+            address: address(index),
+            data_centre: "d".to_string(),
+            seeds,
+            suspect_after: Duration::from_secs(2),
+            mesh_limit: 12,
+            capacity: 100,
+        },
+        keys: KeyHomeOptions::default(),
+        key_slots: 0,
+        entry: EntryOptions::default(),
+        rate_margin: curlewcleat_sched::RateMargin::default(),
+        one_scheduler: true,
+        age_per_work: 32,
+        request_limit: 10_000,
+        freshness: Some(FreshnessLimits::within(APPLY_LIMIT)),
+        beat: Duration::from_millis(500),
+        drain_grace: Duration::from_secs(1),
+        hand_over_limit: Duration::from_secs(1),
+    });
+    let duty = ReadDuty::Reader;
+    Daemon { node, reaches: true, cut: false, duty, proved: None, next_read: Duration::ZERO }
+}
+
+pub fn target(id: &str, leaving: bool) -> DiscoveredTarget {
+    let entry = TargetEntry {
+        id: id.to_string(),
+        address: "127.0.0.1:1".to_string(),
+        vm: id.to_string(),
+        data_centre: "d".to_string(),
+        slots: 4,
+    };
+    DiscoveredTarget { pool: "p".to_string(), entry, leaving }
+}
+
+fn spec(number: u128) -> RequestSpec {
+    RequestSpec {
+        request: RequestId::from_u128(number),
+        pool: "p".to_string(),
+        tier: 0,
+        account: "a".to_string(),
+        time_left: Duration::from_secs(5),
+        aims: curlewcleat_core::ServiceAims::default(),
+        attempt_limit: Some(1),
+        cost: 1,
+        prompt_work: 0,
+        output_work: 1_000,
+        prefix: None,
+        key: None,
+    }
+}
--- a/crates/platform/src/fleet.rs
+++ b/crates/platform/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use curlewcleat_core::{ConfigBundle, DaemonId, DiscoveredTarget, ObjectVersion, TargetId};
+use curlewcleat_core::{ConfigBundle, DaemonId, DiscoveredTarget, ObjectVersion, TargetChange};
 
 use crate::store::StoreFuture;
 
@@ -18,24 +18,6 @@
     Changed(ObjectVersion, ConfigBundle),
 }
 
-/// The configuration at one revision of the platform.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ConfigState {
-    /// What was read.
-    pub read: ConfigRead,
-    /// The revision, from which a watch goes on.
-    pub revision: ObjectVersion,
-}
-
-/// What a watch of the configuration gave.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConfigWatch {
-    /// It may have changed, or the platform has forgotten: read it again.
-    ReadAgain,
-    /// It has not changed up to this revision.
-    Unchanged(ObjectVersion),
-}
-
 /// All targets at one revision of the platform.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TargetList {
@@ -45,15 +27,6 @@
     pub revision: ObjectVersion,
 }
 
-/// A change among the targets.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum TargetChange {
-    /// A target is new, or has another state.
-    Present(DiscoveredTarget),
-    /// A target is no longer listed.
-    Gone(TargetId),
-}
-
 /// What a watch of the targets gave.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TargetWatch {
@@ -78,10 +51,7 @@
     fn profile(&self) -> &WireProfile;
 
     /// Reads the newest configuration; never an old one.
-    fn read_config(&self, known: ObjectVersion) -> StoreFuture<'_, ConfigState>;
-
-    /// Waits for a change of the configuration after a revision, for `limit` at most.
-    fn watch_config(&self, after: ObjectVersion, limit: Duration) -> StoreFuture<'_, ConfigWatch>;
+    fn read_config(&self, known: ObjectVersion) -> StoreFuture<'_, ConfigRead>;
 
     /// Reads all targets.
     fn list_targets(&self) -> StoreFuture<'_, TargetList>;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,10 +10,7 @@
 mod store;
 
 pub use applying::run_apply;
-pub use fleet::{
-    ConfigRead, ConfigState, ConfigWatch, DaemonRecord, FleetPlatform, TargetChange, TargetList,
-    TargetWatch, WireProfile,
-};
+pub use fleet::{ConfigRead, DaemonRecord, FleetPlatform, TargetList, TargetWatch, WireProfile};
 pub use http::HttpStore;
 pub use store::{
     Error, ObjectStore, PutOutcome, Result, StoreFuture, StoredObject, VmRecord, VmState,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -23,7 +23,7 @@
 pub use drain::{DrainInput, DrainPhase, DrainState};
 pub use entry::{EntryAction, EntryOptions, EntryRequests, RequestSpec};
 pub use level::{GuardStep, LevelGuard};
-pub use members::{MemberOptions, MemberView, PeerState};
+pub use members::{BeatReceiver, MemberOptions, MemberView, PeerState};
 pub use pace::StreamPace;
 pub use pool::{spread_advice, PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
 pub use prefix::PrefixCache;
