The oldest of the strongest daemons schedules; its deputy has a reserve of the rates

When the old scheduler is back it takes the role at once, with no rates saved, nothing learned and no connections, and the same follows.

Change: among equally strong daemons the oldest schedules, so one that comes back takes nothing away. The deputy, next in the order, has as a reserve what the platform tolerates and the leader does not use; it fills over two windows while the leader stays the same, so that deputies after one another do not add up. Where even that is used up the answer is 503 rate_unknown with the time until somebody leads again, not 429.

--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -119,6 +119,7 @@
             suspect_after: Duration::from_secs(2),
             mesh_limit: usize::MAX,
             capacity: 100,
+            born: 0,
         },
         keys: KeyHomeOptions::default(),
         key_slots: 64,
@@ -194,6 +195,7 @@
     let beat = Heartbeat {
         stale: false,
         capacity: 100,
+        born: 0,
         answer_wanted: false,
         address: address(index),
         data_centre: "dc".to_string(),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -98,6 +98,8 @@
     pub rate_percent: u64,
     /// Units by which it may be exceeded besides.
     pub rate_slack: u64,
+    /// Time over which that is counted.
+    pub rate_window: Duration,
 }
 
 impl Default for FleetBounds {
@@ -112,6 +114,7 @@
             retry_window: Duration::from_secs(10),
             rate_percent: 0,
             rate_slack: 0,
+            rate_window: Duration::from_secs(8),
         }
     }
 }
@@ -281,6 +284,7 @@
     bounds.retry_window = section.duration("retry_window", bounds.retry_window, report);
     bounds.rate_percent = section.percent("rate_overshoot", bounds.rate_percent, report);
     bounds.rate_slack = section.number("rate_slack", bounds.rate_slack, 0..=1 << 40, report);
+    bounds.rate_window = section.duration("rate_window", bounds.rate_window, report);
     bounds.retry_saved = section.number("retry_saved", bounds.retry_saved, 0..=1_000_000, report);
 }
 
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -102,6 +102,7 @@
         ("{{bounds.budget_window_s}}", "10"),
         ("{{bounds.quota_overshoot}}", "0.1"),
         ("{{bounds.quota_slack}}", "140000"),
+        ("{{bounds.quota_window_s}}", "9"),
     ];
     let mut text = String::new();
     for line in template.lines() {
@@ -125,6 +126,7 @@
     assert_eq!((all.bounds.retry_percent, all.bounds.retry_saved), (20, 52));
     assert_eq!((all.bounds.rate_percent, all.bounds.rate_slack), (10, 140_000));
     assert_eq!(all.bounds.leave_limit, std::time::Duration::from_secs(3));
+    assert_eq!(all.bounds.rate_window, std::time::Duration::from_secs(9));
     assert_eq!(all.capacity_percent, 50);
     assert_eq!(all.seeds.len(), 2);
     let none = check_settings("daemon.ini", &filled_template(false)).expect("valid settings");
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -89,6 +89,8 @@
     pub stale: bool,
     /// Processor of the sender's VM, in percent of a core.
     pub capacity: u32,
+    /// When the sender's process was born, for the order of schedulers; 0 where that does not count.
+    pub born: u64,
     /// Whether the receiver is to send a heartbeat back at its next beat.
     pub answer_wanted: bool,
     /// Peer addresses that the sender knows, so that a newborn learns the rest.
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -68,6 +68,8 @@
         EntryFull => "entry_full",
         /// The account has used up its rate.
         AccountRate => "account_rate",
+        /// The daemon that keeps the account's rate is silent, and nobody else may give more of it out.
+        RateUnknown => "rate_unknown",
         /// The account has too many requests waiting in this pool.
         AccountQueue => "account_queue",
         /// The queue of the pool is full.
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -88,6 +88,7 @@
             StatusCode::GATEWAY_TIMEOUT
         }
         RefusalReason::NoConfiguration
+        | RefusalReason::RateUnknown
         | RefusalReason::ConfigurationStale
         | RefusalReason::Draining
         | RefusalReason::EntryFull
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -13,7 +13,7 @@
 use actix_http::{Request, Response, StatusCode};
 use anyhow::{Context, Result};
 use curlewcleat_config::DaemonSettings;
-use curlewcleat_core::{DaemonId, Incarnation};
+use curlewcleat_core::{DaemonId, Incarnation, WallTime};
 use curlewcleat_node::{FreshnessLimits, Node, NodeOptions, ReadDuty};
 use curlewcleat_peers::TransportCounts;
 use curlewcleat_platform::{DaemonRecord, FleetPlatform};
@@ -30,6 +30,8 @@
 use crate::operators::serve_operator;
 use crate::run::{listen_for_peers, node_options, watch_signals};
 
+/// Daemons that are born within this time of each other count as equally old.
+const BORN_TOGETHER: Duration = Duration::from_secs(4);
 /// Daemons up to which each sends every heartbeat to all others.
 const MESH_LIMIT: usize = 12;
 /// Time for the last bytes of answers to leave after the node has ended.
@@ -90,7 +92,7 @@
     let context = DaemonContext::new(settings.clone(), metrics, brain.clone());
     let link = Rc::new(FleetLink::default());
     let transport = listen_for_peers(&settings, counts, brain)?;
-    let node = Node::new(fleet_options(&settings, incarnation));
+    let node = Node::new(fleet_options(&settings, incarnation, context.wall()));
     serve(&settings, &context, &platform, &link.proof).await?;
     let me = DaemonId { vm: settings.vm.clone(), incarnation };
     let record = DaemonRecord { daemon: me, address: settings.advertised_address.clone() };
@@ -106,7 +108,11 @@
     Ok(())
 }
 
-fn fleet_options(settings: &DaemonSettings, incarnation: Incarnation) -> NodeOptions {
+fn fleet_options(
+    settings: &DaemonSettings,
+    incarnation: Incarnation,
+    born: WallTime,
+) -> NodeOptions {
     let retries = RetryLimits {
         percent: settings.bounds.retry_percent,
         extra: settings.bounds.retry_saved,
@@ -116,12 +122,14 @@
     let options = node_options(settings, incarnation);
     let entry = EntryOptions { retries, ..options.entry };
     // Requests carry their own ids and each meets one daemon, so there are no keys to keep.
-    // Half of what may be exceeded is kept for the moments in which two daemons schedule.
+    // The other half of what may be exceeded is kept for the moments in which two daemons schedule.
     let rate_margin = RateMargin {
         percent: settings.bounds.rate_percent / 2,
         units: settings.bounds.rate_slack / 2,
+        window: settings.bounds.rate_window,
     };
-    let members = MemberOptions { mesh_limit: MESH_LIMIT, ..options.members };
+    let born = born.as_secs() / BORN_TOGETHER.as_secs();
+    let members = MemberOptions { mesh_limit: MESH_LIMIT, born, ..options.members };
     NodeOptions {
         entry,
         rate_margin,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -95,6 +95,7 @@
             suspect_after: settings.suspect_after,
             mesh_limit: usize::MAX,
             capacity: settings.capacity_percent,
+            born: 0,
         },
         keys: KeyHomeOptions {
             retention: settings.key_retention,
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -50,13 +50,10 @@
         }
     }
 
-    /// A daemon that begins to schedule knows nothing of what others gave out of the rates.
+    /// A daemon that begins to schedule, or to be asked next, knows nothing of what others gave out of
+    /// the rates.
     fn review_rates(&mut self, before: &BTreeMap<PoolId, Vec<DaemonId>>) {
-        let me = &self.options.me;
-        let leads = |orders: &BTreeMap<PoolId, Vec<DaemonId>>| {
-            orders.values().any(|order| order.first() == Some(me))
-        };
-        if leads(&self.orders) && !leads(before) {
+        if rate_role(&self.orders, &self.options.me) != rate_role(before, &self.options.me) {
             self.rates.restart(self.now);
         }
     }
@@ -78,3 +75,13 @@
         }
     }
 }
+
+/// Whether a daemon is asked first for permits of some pool, and the daemons before which it is next.
+fn rate_role<'a>(
+    orders: &'a BTreeMap<PoolId, Vec<DaemonId>>,
+    me: &DaemonId,
+) -> (bool, Vec<&'a DaemonId>) {
+    let leads = orders.values().any(|order| order.first() == Some(me));
+    let next = orders.values().filter(|order| order.get(1) == Some(me));
+    (leads, next.filter_map(|order| order.first()).collect())
+}
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -4,10 +4,10 @@
 
 use curlewcleat_core::{
     DaemonId, Heartbeat, KeyAnswer, KeyDecision, LevelRaise, PeerFrame, PeerMessage, PermitAnswer,
-    PermitAsk, PermitDecision, PoolId, Refusal, RefusalReason, StatePull, TablePush, VmId,
+    PermitAsk, PermitDecision, PoolId, StatePull, TablePush, VmId,
 };
 use curlewcleat_keys::KeyTable;
-use curlewcleat_sched::{spread_advice, GuardStep, PoolScheduler, SchedulerAction};
+use curlewcleat_sched::{GuardStep, PoolScheduler, SchedulerAction};
 
 use super::{order_of, Node};
 use crate::event::{NodeAction, NodeNote};
@@ -109,8 +109,7 @@
 
     fn permit_asked(&mut self, from: &DaemonId, ask: PermitAsk) {
         if let Err(wait) = self.charge(&ask) {
-            let advice = spread_advice(ask.permit, wait, ask.time_left).max(wait);
-            let refusal = Refusal::not_run(RefusalReason::AccountRate, Some(advice));
+            let refusal = self.rate_refusal(&ask, wait);
             let decision = PermitDecision::Refused(refusal);
             let answer = PermitAnswer { permit: ask.permit, pool: ask.pool, decision };
             self.post(&from.vm, PeerMessage::PermitAnswer(answer));
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -7,7 +7,7 @@
     AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitAsk, PermitId, Refusal, RefusalReason,
     RequestId, RetryReason,
 };
-use curlewcleat_sched::{EntryAction, RatePart, RequestSpec};
+use curlewcleat_sched::{spread_advice, EntryAction, RatePart, RateTurn, RequestSpec};
 
 use super::{order_of, Node};
 use crate::event::{CallerDecision, NodeAction};
@@ -52,15 +52,35 @@
         }
         let account = self.active.accounts.get(&ask.account);
         let Some(rate) = account.and_then(|account| account.shared_rate) else { return Ok(()) };
-        let leads = self.orders.get(&ask.pool).and_then(|order| order.first());
-        let mut part = self.members.reached_part(self.now);
-        if leads != Some(&self.options.me) {
+        let part = match self.rate_turn(&ask.pool) {
+            RateTurn::Leader => self.members.reached_part(self.now),
             // Another daemon gives out the rate; this one was asked since it seems to be silent.
-            part = RatePart { reached: 1, leads: false, ..part };
-        }
+            turn => RatePart { reached: 1, all: self.members.fleet_size(), turn },
+        };
         self.rates.take(self.now, &ask.account, &rate, ask.cost, part)
     }
 
+    /// The refusal of an ask for which there is no room in its account's rate. Where the daemon that keeps
+    /// the rate is silent, there may be room once another one has taken over.
+    pub(super) fn rate_refusal(&self, ask: &PermitAsk, wait: Duration) -> Refusal {
+        let (reason, wait) = match self.rate_turn(&ask.pool) {
+            RateTurn::Leader => (RefusalReason::AccountRate, wait),
+            _ => (RefusalReason::RateUnknown, wait.min(self.options.members.suspect_after)),
+        };
+        let advice = spread_advice(ask.permit, wait, ask.time_left).max(wait);
+        Refusal::not_run(reason, Some(advice))
+    }
+
+    /// Whether this daemon is to be asked for permits of a pool first, next, or later.
+    fn rate_turn(&self, pool: &str) -> RateTurn {
+        let order = self.orders.get(pool).map_or(&[][..], Vec::as_slice);
+        match order.iter().position(|daemon| *daemon == self.options.me) {
+            Some(0) => RateTurn::Leader,
+            Some(1) => RateTurn::Deputy,
+            _ => RateTurn::Other,
+        }
+    }
+
     pub(super) fn attempt_not_run(&mut self, id: RequestId, end: AttemptEnd, retry: RetryReason) {
         let orders = &self.orders;
         let members = &self.members;
--- a/crates/node/tests/nodes.rs
+++ b/crates/node/tests/nodes.rs
@@ -22,6 +22,7 @@
             suspect_after: Duration::from_secs(2),
             mesh_limit: usize::MAX,
             capacity: 100,
+            born: 0,
         },
         keys: KeyHomeOptions::default(),
         key_slots: 4,
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -192,6 +192,7 @@
             suspect_after: Duration::from_secs(2),
             mesh_limit: 12,
             capacity: 100,
+            born: 0,
         },
         keys: KeyHomeOptions::default(),
         key_slots: 0,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -28,6 +28,6 @@
 pub use pool::{spread_advice, PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
 pub use prefix::PrefixCache;
 pub use queue::{TierQueues, WaitingAsk};
-pub use rate::{AccountRates, RateMargin, RatePart};
+pub use rate::{AccountRates, RateMargin, RatePart, RateTurn};
 pub use shed::OverloadLevel;
 pub use target::TargetState;
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -14,7 +14,7 @@
 use curlewcleat_core::{DaemonId, Generation, Heartbeat, Incarnation, ObjectVersion, Uptime, VmId};
 use siphasher::sip::SipHasher13;
 
-use crate::rate::RatePart;
+use crate::rate::{RatePart, RateTurn};
 
 /// Silence after which a peer is forgotten altogether.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
@@ -49,6 +49,9 @@
     pub mesh_limit: usize,
     /// Processor of this VM, in percent of a core; the strongest VMs schedule.
     pub capacity: u32,
+    /// When this process was born, by its own wall clock in some unit; among equals the oldest schedules,
+    /// so that a daemon that comes back takes no role away. 0 where that does not count.
+    pub born: u64,
 }
 
 /// What is known of a peer.
@@ -70,6 +73,8 @@
     pub stale: bool,
     /// Processor of its VM, in percent of a core.
     pub capacity: u32,
+    /// When its process was born, by its own word.
+    pub born: u64,
     /// Whether it is reachable.
     pub live: bool,
     last_heard: Uptime,
@@ -184,6 +189,7 @@
             draining: beat.draining,
             stale: beat.stale,
             capacity: beat.capacity,
+            born: beat.born,
             live: true,
             last_heard: now,
             near_since: self.peers.get(&from.vm).and_then(|peer| peer.near_since),
@@ -272,6 +278,7 @@
             draining: self.draining,
             stale: self.stale,
             capacity: self.options.capacity,
+            born: self.options.born,
             answer_wanted: false,
             known: known.map(|address| address.to_string()).collect(),
         };
@@ -332,7 +339,7 @@
     pub fn reached_part(&self, now: Uptime) -> RatePart {
         let limit = self.options.suspect_after;
         let reached = self.peers.values().filter(|peer| peer.heard_within(now, limit)).count() + 1;
-        RatePart { reached, all: self.fleet_size(), leads: true }
+        RatePart { reached, all: self.fleet_size(), turn: RateTurn::Leader }
     }
 
     /// Daemons that there may be, this one among them. Until the recorded ones are known there may be
@@ -384,13 +391,19 @@
         self.peers.get(&taker.vm).map_or(self.options.capacity, |peer| peer.capacity)
     }
 
+    fn born_of(&self, taker: &DaemonId) -> u64 {
+        self.peers.get(&taker.vm).map_or(self.options.born, |peer| peer.born)
+    }
+
     /// Daemons to ask for permits of a pool, best first; this one is last if nobody takes roles. Those on
-    /// the strongest VMs go first, since whoever schedules has a part in every request.
+    /// the strongest VMs go first, since whoever schedules has a part in every request, and of these the
+    /// oldest.
     pub fn scheduler_order(&self, pool: &str) -> Vec<DaemonId> {
         let mut takers = self.role_takers();
         takers.sort_by_cached_key(|taker| {
             let weight = rendezvous_weight(pool, &taker.vm);
-            (self.is_stale(taker), Reverse(self.capacity_of(taker)), Reverse(weight))
+            let strength = Reverse(self.capacity_of(taker));
+            (self.is_stale(taker), strength, self.born_of(taker), Reverse(weight))
         });
         if takers.is_empty() {
             takers.push(self.me.clone());
