Near targets first unless several times slower; births read the platform less

At a birth a daemon went on to read the platform for a second after others proved its configuration, and for 2.5 s after it had been asked by mistake while views still differed.

--- a/crates/node/src/freshness.rs
+++ b/crates/node/src/freshness.rs
@@ -20,7 +20,7 @@
 /// The same, above which the platform counts as lost, so that what vanishes may come back.
 const LOST_PERCENT: u32 = 55;
 /// Time for which a daemon goes on to read after the reason for it has passed.
-const READ_HOLD: Duration = Duration::from_secs(1);
+const READ_HOLD: Duration = Duration::from_millis(250);
 /// Time after the platform's return in which targets that lost their entries are back.
 const RETURN_LIMIT: Duration = Duration::from_secs(2);
 
@@ -146,7 +146,7 @@
 
     /// Answers a peer's ask: the age of the latest own read. From now on this daemon reads for others.
     pub fn asked(&mut self, now: Uptime) -> Option<Duration> {
-        self.asked_until = now + self.limits.stale_after;
+        self.asked_until = now + self.limits.fallback_after;
         self.own.map(|own| now.saturating_sub(own))
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -170,7 +170,9 @@
             NodeEvent::PlatformRead(sent) => self.platform_read(sent),
             NodeEvent::PlatformFailed => self.platform_failed(),
             NodeEvent::PeersRecorded { addresses, complete } => {
-                self.members.hint(addresses, complete)
+                self.members.hint(addresses, complete);
+                // A newborn daemon is known to the others at once, and they to it.
+                self.last_beat = None;
             }
             NodeEvent::VmsRead(list) => self.vms_read(&list),
             NodeEvent::Drain => self.begin_drain(),
--- a/crates/sched/src/pool/placement.rs
+++ b/crates/sched/src/pool/placement.rs
@@ -14,8 +14,9 @@
 const HEADS_TRIED: usize = 8;
 /// Reading prompts for this part of the longest allowed pause, in percent, stalls no stream.
 const STALL_PERCENT: u32 = 70;
-/// How much more the time on a target of another data centre counts, in percent.
-const FAR_PERCENT: u64 = 15;
+/// How much more the time on a target of another data centre counts, in percent. A near target is taken
+/// unless a far one is several times as fast, or the near one would be late (docs/MEASUREMENTS.md).
+const FAR_PERCENT: u64 = 250;
 /// Times that a target's time counts more where all its requests failed lately.
 const FAILING_PENALTY: u64 = 8;
 
