--- /dev/null
+++ b/crates/soak/src/link.rs
@@ -0,0 +1,128 @@
+//! A loopback proxy whose connections can be delayed, reset, silenced and cut one way.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Result;
+use curlewcleat_standins::fleet::free_address;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// Bytes forwarded at a time.
+const CHUNK: usize = 16 << 10;
+
+/// What a link does to its connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LinkFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Bytes arrive later.
+    Delay(Duration),
+    /// Bytes towards the far end wait until the fault ends, those of the near end pass.
+    CutThere,
+    /// Bytes from the far end wait until the fault ends.
+    CutBack,
+    /// No bytes pass either way; new connections hang.
+    Silent,
+}
+
+impl LinkFault {
+    fn holds(self, towards: bool) -> bool {
+        match self {
+            LinkFault::None | LinkFault::Delay(_) => false,
+            LinkFault::CutThere => towards,
+            LinkFault::CutBack => !towards,
+            LinkFault::Silent => true,
+        }
+    }
+}
+
+#[derive(Default)]
+struct LinkState {
+    fault: Cell<LinkFault>,
+    changed: Notify,
+    connections: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
+}
+
+/// A link to one address.
+pub struct FaultyLink {
+    /// Where it listens.
+    pub address: String,
+    state: Rc<LinkState>,
+}
+
+impl FaultyLink {
+    /// Begins to forward to an address.
+    ///
+    /// # Errors
+    /// Where no port can be bound.
+    pub async fn start(target: &str) -> Result<FaultyLink> {
+        let address = free_address()?;
+        let listener = TcpListener::bind(&address).await?;
+        let state = Rc::new(LinkState::default());
+        actix_rt::spawn(accept(listener, target.to_string(), Rc::clone(&state)));
+        Ok(FaultyLink { address, state })
+    }
+
+    /// Begins or ends a fault.
+    pub fn set(&self, fault: LinkFault) {
+        self.state.fault.set(fault);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Closes all connections.
+    pub fn reset(&self) {
+        for connection in self.state.connections.borrow_mut().drain(..) {
+            connection.abort();
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, target: String, state: Rc<LinkState>) {
+    while let Ok((near, _)) = listener.accept().await {
+        let task = actix_rt::spawn(carry(near, target.clone(), Rc::clone(&state)));
+        let mut connections = state.connections.borrow_mut();
+        connections.retain(|connection| !connection.is_finished());
+        connections.push(task);
+    }
+}
+
+async fn carry(near: TcpStream, target: String, state: Rc<LinkState>) {
+    let Ok(far) = TcpStream::connect(&target).await else { return };
+    // Small frames are passed on at once.
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    // Both ends close when either does.
+    tokio::select! {
+        _ = forward(near_read, far_write, &state, true) => {}
+        _ = forward(far_read, near_write, &state, false) => {}
+    }
+}
+
+async fn forward(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    state: &LinkState,
+    towards: bool,
+) {
+    let mut buffer = vec![0u8; CHUNK];
+    loop {
+        let Ok(length) = from.read(&mut buffer).await else { return };
+        if length == 0 {
+            return;
+        }
+        if let LinkFault::Delay(time) = state.fault.get() {
+            tokio::time::sleep(time).await;
+        }
+        while state.fault.get().holds(towards) {
+            state.changed.notified().await;
+        }
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/soak.rs
@@ -0,0 +1,125 @@
+//! A short seeded soak, and the judge on evidence that it must not pass.
+
+use std::time::{Duration, Instant};
+
+use curlewcleat_soak::{
+    judge, plan, run_soak, CallKind, CallOutcome, CallRecord, Evidence, KeyLoss, PlanOptions,
+    SoakOptions,
+};
+use curlewcleat_standins::native::EngineRun;
+use rstest::rstest;
+
+#[rstest]
+#[case::everything(3, false)]
+#[case::planned_work(4, true)]
+fn short_soak_breaks_nothing(#[case] seed: u64, #[case] planned_only: bool) {
+    let name = format!("curlewcleat-soak-test-{}-{seed}", std::process::id());
+    let options = SoakOptions {
+        seed,
+        daemons: 3,
+        engines: 2,
+        callers: 6,
+        time: Duration::from_secs(4),
+        planned_only,
+        folder: std::env::temp_dir().join(name),
+    };
+    let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
+    assert!(report.findings.is_empty(), "{report:#?}");
+}
+
+#[test]
+fn seed_gives_the_same_plan_again() {
+    let options =
+        PlanOptions { daemons: 5, engines: 6, time: Duration::from_secs(10), planned_only: false };
+    assert_eq!(plan(7, &options), plan(7, &options));
+    assert_ne!(plan(7, &options), plan(8, &options));
+}
+
+fn served(kind: CallKind) -> CallRecord {
+    let now = Instant::now();
+    let outcome = CallOutcome::Answer {
+        status: 200,
+        text: "record of a".to_string(),
+        whole: true,
+        seal: Some("i-0".to_string()),
+        echo: Some("a".to_string()),
+    };
+    let key = "key-of-drivers";
+    CallRecord { attempt: "a".to_string(), kind, key, daemon: 0, sent: now, ended: now, outcome }
+}
+
+fn run(engine: &str) -> (String, EngineRun) {
+    let run = EngineRun {
+        attempt: "a".to_string(),
+        request: "POST /once/1".to_string(),
+        body: b"body of a".to_vec(),
+        account: "drivers".to_string(),
+        ran: true,
+        begun: Some(Instant::now()),
+        ..EngineRun::default()
+    };
+    (engine.to_string(), run)
+}
+
+fn promises(evidence: &Evidence) -> Vec<&'static str> {
+    judge(evidence).into_iter().map(|finding| finding.promise).collect()
+}
+
+#[test]
+fn sound_answer_passes() {
+    let evidence = Evidence {
+        records: vec![served(CallKind::Once)],
+        runs: vec![run("i-0")],
+        ..Evidence::default()
+    };
+    assert!(promises(&evidence).is_empty());
+}
+
+#[test]
+fn broken_promises_are_found() {
+    let twice = Evidence {
+        records: vec![served(CallKind::Once)],
+        runs: vec![run("i-0"), run("i-1")],
+        ..Evidence::default()
+    };
+    assert_eq!(promises(&twice), ["what may not be repeated runs once"]);
+
+    let unasked = Evidence { runs: vec![run("i-0")], ..Evidence::default() };
+    assert_eq!(promises(&unasked), ["nothing runs unasked"]);
+
+    let mut refused = served(CallKind::Once);
+    refused.outcome = CallOutcome::Answer {
+        status: 503,
+        text: String::new(),
+        whole: true,
+        seal: None,
+        echo: None,
+    };
+    let refused =
+        Evidence { records: vec![refused], runs: vec![run("i-0")], ..Evidence::default() };
+    assert_eq!(promises(&refused), ["refused means not run"]);
+
+    let mut lost = served(CallKind::Once);
+    lost.outcome = CallOutcome::NoAnswer("closed".to_string());
+    let lost = Evidence { records: vec![lost], runs: vec![run("i-0")], ..Evidence::default() };
+    assert_eq!(promises(&lost), ["planned work loses nothing"]);
+
+    let mut changed = run("i-0");
+    changed.1.account = "depots".to_string();
+    let changed = Evidence {
+        records: vec![served(CallKind::Once)],
+        runs: vec![changed],
+        ..Evidence::default()
+    };
+    assert_eq!(promises(&changed), ["requests run unchanged"]);
+
+    let lost = Instant::now() - Duration::from_secs(5);
+    let revoked = Evidence {
+        records: vec![served(CallKind::Once)],
+        runs: vec![run("i-0")],
+        key_losses: vec![KeyLoss { key: "key-of-drivers", lost, back: None }],
+        age_limit: Duration::from_secs(2),
+        ..Evidence::default()
+    };
+    assert_eq!(promises(&revoked), ["a lost key is refused in time"]);
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -397,7 +397,10 @@
 }
 
 /// Folder in which the programs were built, beside the running one.
-pub(crate) fn program_folder() -> Result<PathBuf> {
+///
+/// # Errors
+/// Where the daemon is not built.
+pub fn program_folder() -> Result<PathBuf> {
     let own = std::env::current_exe()?;
     let folders = own.ancestors().skip(1);
     let found = folders.map(Path::to_path_buf).find(|folder| folder.join("curlewcleatd").is_file());
@@ -424,7 +427,11 @@
     PROBE_OR_SPAWN.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-pub(crate) fn spawn(
+/// Starts a process whose output goes into a log file.
+///
+/// # Errors
+/// Where it cannot be started.
+pub fn spawn(
     program: &Path,
     kind: &str,
     address: &str,
@@ -446,7 +453,11 @@
     Ok(FleetProcess { name: name.to_string(), address: address.to_string(), child })
 }
 
-pub(crate) async fn wait_listening(address: &str) -> Result<()> {
+/// Waits until somebody listens at an address.
+///
+/// # Errors
+/// Where nobody does in time.
+pub async fn wait_listening(address: &str) -> Result<()> {
     wait_until(&format!("{address} listens"), || async move {
         tokio::net::TcpStream::connect(address).await.is_ok()
     })
--- a/crates/standins/src/native/engine.rs
+++ b/crates/standins/src/native/engine.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use curlewcleat_adapter::names::{SEAL, WIRE_PROFILE};
 
@@ -51,6 +51,8 @@
     pub ran: bool,
     /// Whether the other side closed before the end.
     pub left: bool,
+    /// When it arrived.
+    pub begun: Option<Instant>,
 }
 
 /// An engine in this process.
@@ -206,6 +208,7 @@
             after: number(WIRE_PROFILE.last_event),
             ran: false,
             left: false,
+            begun: Some(Instant::now()),
         });
         runs.len() - 1
     }
