--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -58,9 +58,10 @@
 }
 
 /// Kind of the targets of a pool.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub enum PoolKind {
     /// Model engines that stream long answers.
+    #[default]
     Engine,
     /// Plain services that return records.
     Service,
@@ -77,8 +78,15 @@
     pub between_bytes: Duration,
 }
 
+impl Default for TargetLimits {
+    fn default() -> TargetLimits {
+        let second = Duration::from_secs(1);
+        TargetLimits { connect: second, first_byte: second * 30, between_bytes: second * 30 }
+    }
+}
+
 /// A pool of targets that serve the same requests.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct TargetPool {
     /// Name of the pool.
     pub id: PoolId,
@@ -116,7 +124,7 @@
 }
 
 /// One target as it is configured.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// Name of the target.
     pub id: TargetId,
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -89,11 +89,6 @@
         self.idle_limit = Some(limit);
     }
 
-    /// The connection is not used again after this answer.
-    pub fn set_last(&mut self) {
-        self.reusable = false;
-    }
-
     /// The connection after a whole body that is not given back to the pool.
     pub(crate) fn into_connection(self) -> Option<Framed<TcpStream, ClientCodec>> {
         match self.state {
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -78,15 +78,6 @@
         Ok(PooledConnection { stream, address: address.to_string(), pool: self.clone() })
     }
 
-    /// A new connection, whatever rests.
-    ///
-    /// # Errors
-    /// [`Error::Connect`] where the target does not take the connection within `limit`.
-    pub async fn connect_new(&self, address: &str, limit: Duration) -> Result<PooledConnection> {
-        let stream = connect(address, limit).await?;
-        Ok(PooledConnection { stream, address: address.to_string(), pool: self.clone() })
-    }
-
     fn take_idle(&self, address: &str) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
