A scheduler that was silent for a moment is asked again once it is heard of

The first asks go out before connections stand, the scheduler is silent for 30 ms, and every entry passes it over for 3 s and asks its deputy, which has no rates to give.

Ruled out: births that see different orders (all had the same within a second, by their status); the rates themselves (account_rate falls at once when the scheduler is asked).

Test first: node/tests/fleet.rs scheduler_that_was_silent_for_a_moment_is_asked_again_once_it_is_heard (failed without the change).

--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -59,3 +59,22 @@
     }
     assert!(refused >= 300, "{refused}");
 }
+
+#[test]
+fn scheduler_that_was_silent_for_a_moment_is_asked_again_once_it_is_heard() {
+    let mut fleet = Fleet::new(3);
+    let leader = fleet.leader();
+    let entry = (0..3).find(|index| *index != leader).expect("an entry");
+    // Nothing reaches it yet, as at a birth before connections stand.
+    fleet.daemons[leader].cut = true;
+    fleet.admit(entry, 1);
+    fleet.run(Duration::from_millis(900));
+    assert!(matches!(fleet.decision(1), Some(CallerDecision::Dispatch(..))));
+    assert_eq!(fleet.in_flight(leader), 0);
+    fleet.daemons[leader].cut = false;
+    fleet.run(Duration::from_millis(600));
+    fleet.admit(entry, 2);
+    fleet.run(Duration::from_millis(100));
+    assert!(matches!(fleet.decision(2), Some(CallerDecision::Dispatch(..))));
+    assert!(fleet.in_flight(leader) > 0, "the leader was passed over");
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -141,6 +141,11 @@
         self.daemons[index].node.status().pools[0].scheduler.clone()
     }
 
+    /// Permits that a daemon has given and that are in use.
+    pub fn in_flight(&self, index: usize) -> usize {
+        self.daemons[index].node.status().pools.iter().map(|pool| pool.in_flight).sum()
+    }
+
     /// Place of the daemon that schedules, as the first daemon sees it.
     pub fn leader(&self) -> usize {
         self.position(&self.scheduler(0))
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -246,6 +246,12 @@
         actions
     }
 
+    /// A daemon was heard of, so it may be asked again: a scheduler that was silent because nothing had
+    /// reached it yet would otherwise be passed over long after.
+    pub fn heard(&mut self, vm: &VmId) {
+        self.silent.remove(vm);
+    }
+
     /// Lets time pass: deadlines, silent schedulers, silent holders of keys.
     pub fn tick(&mut self, now: Uptime, order: SchedulerOrder<'_>) -> Vec<EntryAction> {
         let mut actions = Vec::new();
