Announced heartbeats follow each other quickly, also once the recorded peers are known

Cause, by the same log: the first frame to a peer is lost while its connection is opened, and the next heartbeat came half a second later, so that newborn daemons knew each other after a second and more.

Test: newborn_daemon_of_a_large_fleet_is_known_to_all has 600 ms instead of 2 s.

--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -9,6 +9,8 @@
 
 /// Time between looks whether the key table has to change, and between pulls.
 const REVIEW: Duration = Duration::from_millis(500);
+/// Heartbeats within the time of one while a daemon announces itself.
+const ANNOUNCED_BEATS_PER_BEAT: u32 = 4;
 /// Time between clean-ups of old keys.
 const EXPIRE: Duration = Duration::from_secs(10);
 
@@ -58,7 +60,11 @@
     }
 
     pub(super) fn beat(&mut self) {
-        if self.last_beat.is_some_and(|last| self.now < last + self.options.beat) {
+        let pause = match self.members.is_announcing() {
+            true => self.options.beat / ANNOUNCED_BEATS_PER_BEAT,
+            false => self.options.beat,
+        };
+        if self.last_beat.is_some_and(|last| self.now < last + pause) {
             return;
         }
         self.last_beat = Some(self.now);
--- a/crates/node/tests/freshness.rs
+++ b/crates/node/tests/freshness.rs
@@ -159,7 +159,7 @@
     let newborn = 13;
     fleet.daemons[newborn] = daemon(newborn, Vec::new());
     fleet.event(newborn, recorded(40));
-    fleet.run(Duration::from_secs(2));
+    fleet.run(Duration::from_millis(600));
     assert_eq!(fleet.scheduler(newborn), fleet.scheduler((newborn + 1) % 40));
     assert_eq!(fleet.known_targets(newborn), ["x", "y"]);
 }
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -31,8 +31,9 @@
 /// Heartbeats of which a daemon in a large fleet sends one to a peer that is no candidate.
 const FAR_BEATS: u32 = 10;
 
-/// Heartbeats that go to everyone after a daemon's birth and after a change of what it can do.
-const ANNOUNCED_BEATS: u32 = 3;
+/// Heartbeats that go to everyone after a daemon's birth and after a change of what it can do. The first
+/// one only opens connections.
+const ANNOUNCED_BEATS: u32 = 4;
 
 /// Times and addresses of a member view.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -212,6 +213,14 @@
             }
         }
         self.records_known |= complete;
+        if complete {
+            self.announced = ANNOUNCED_BEATS;
+        }
+    }
+
+    /// Whether the next heartbeat goes to everyone, and soon.
+    pub fn is_announcing(&self) -> bool {
+        self.announced > 0
     }
 
     fn is_heard(&self, address: &str) -> bool {
@@ -290,7 +299,7 @@
     pub fn beat_receivers(&mut self, now: Uptime, order: &[DaemonId]) -> BTreeSet<BeatReceiver> {
         self.beats = self.beats.wrapping_add(1);
         let due = std::mem::take(&mut self.due);
-        let announced = self.announced > 0;
+        let announced = self.is_announcing();
         self.announced = self.announced.saturating_sub(1);
         if self.is_mesh() {
             let receiver = |address| BeatReceiver { address, answer_wanted: false };
