--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -19,6 +19,8 @@
 use curlewcleat_standins::callers::{caller_client, CallerCall, CallerEnd};
 use curlewcleat_standins::fleet::{get_text, Fleet};
 
+/// Daemons up to which each sends every heartbeat to all others, as on a fleet.
+const MESH_LIMIT: usize = 12;
 const POOL: &str = "pool";
 
 /// Measures slopes; build with `--release`.
@@ -43,6 +45,7 @@
     targets();
     waiting();
     peers();
+    sparse_peers();
     accounts()?;
     keys();
     codec();
@@ -110,6 +113,11 @@
 }
 
 fn node(index: usize) -> Node {
+    node_in(index, usize::MAX)
+}
+
+/// A daemon whose heartbeats go to all others in a fleet up to `mesh_limit`.
+fn node_in(index: usize, mesh_limit: usize) -> Node {
     Node::new(NodeOptions {
         me: daemon(index),
         members: MemberOptions {
@@ -117,7 +125,7 @@
             data_centre: "dc".to_string(),
             seeds: Vec::new(),
             suspect_after: Duration::from_secs(2),
-            mesh_limit: usize::MAX,
+            mesh_limit,
             capacity: 100,
             born: 0,
         },
@@ -191,10 +199,14 @@
 }
 
 fn beat_of(index: usize, known: usize) -> PeerFrame {
+    beat_with(index, known, 100)
+}
+
+fn beat_with(index: usize, known: usize, capacity: u32) -> PeerFrame {
     let address = |index: usize| format!("10.1.{}.{}:7100", index / 250, index % 250 + 1);
     let beat = Heartbeat {
         stale: false,
-        capacity: 100,
+        capacity,
         born: 0,
         answer_wanted: false,
         address: address(index),
@@ -246,6 +258,42 @@
     }
 }
 
+/// Heartbeats of a daemon that is no candidate, as they are sent on a fleet, where all others are heard.
+fn sparse_peers() {
+    println!("peers | heartbeats out a second | bytes out a second | the same of a candidate");
+    for count in [6usize, 62, 200, 1_100] {
+        let (frames, bytes) = sent_each_second(count, 200);
+        let (candidate, _) = sent_each_second(count, 50);
+        println!("{count:>5} | {frames:>8.1} | {bytes:>9.0} | {candidate:>8.1}");
+    }
+}
+
+/// Frames and bytes that a daemon with 100 % of a core sends each second to peers with `capacity`.
+fn sent_each_second(count: usize, capacity: u32) -> (f64, f64) {
+    const SETTLED: u64 = 5;
+    const MEASURED: u64 = 20;
+    let mut node = node_in(0, MESH_LIMIT);
+    let wall = Duration::from_secs(1);
+    let (mut frames, mut bytes) = (0usize, 0usize);
+    for step in 1..=(SETTLED + MEASURED) * 2 {
+        let now = Duration::from_millis(step * 500);
+        for index in 1..=count {
+            node.handle(now, wall, NodeEvent::Peer(beat_with(index, 4, capacity)));
+        }
+        let actions = node.handle(now, wall, NodeEvent::Tick);
+        if step <= SETTLED * 2 {
+            continue;
+        }
+        for action in actions {
+            if let curlewcleat_node::NodeAction::Send(_, frame) = action {
+                frames += 1;
+                bytes += encode_frame(&frame).len();
+            }
+        }
+    }
+    (frames as f64 / MEASURED as f64, bytes as f64 / MEASURED as f64)
+}
+
 fn accounts() -> Result<()> {
     println!("accounts | targets | configuration bytes | check (ms) | take in force (ms) | resident bytes");
     for (accounts, targets) in [(5, 22), (300, 1_000), (2_700, 1_000), (2_700, 10_000)] {
