--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -139,6 +139,9 @@
     /// Watches until the list has to be read again.
     async fn watch_targets(&self, mut revision: ObjectVersion) {
         let mut pause = CallPause::default();
+        let floor = self.limits.read_every / WATCHES_PER_READ;
+        // A newborn daemon may find by then that others read for it.
+        tokio::time::sleep(floor).await;
         loop {
             let begun = Instant::now();
             let watch = self.platform.watch_targets(revision, WATCH_LIMIT);
@@ -164,7 +167,6 @@
                     return;
                 }
             }
-            let floor = self.limits.read_every / WATCHES_PER_READ;
             tokio::time::sleep(floor.saturating_sub(begun.elapsed())).await;
         }
     }
--- a/crates/node/tests/freshness.rs
+++ b/crates/node/tests/freshness.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use curlewcleat_node::{FreshnessLimits, ReadDuty};
+use curlewcleat_node::{CallerDecision, FreshnessLimits, ReadDuty};
 use rstest::rstest;
 
 use support::{daemon, recorded, target, Fleet, APPLY_LIMIT};
@@ -119,6 +119,31 @@
     }
 }
 
+#[test]
+fn target_that_was_said_to_leave_never_stays_after_all() {
+    let mut fleet = Fleet::new(5);
+    fleet.targets = (vec![target("x", true), target("y", false)], 20);
+    fleet.run(Duration::from_secs(1));
+    // The store fails, and what it shows then is older than what was acknowledged.
+    for index in 0..5 {
+        fleet.daemons[index].reaches = false;
+    }
+    fleet.run(Duration::from_secs(3));
+    fleet.targets = (vec![target("x", false), target("y", false)], 21);
+    for index in 0..5 {
+        fleet.daemons[index].reaches = true;
+    }
+    fleet.run(Duration::from_secs(1));
+    for number in 1..=4 {
+        fleet.admit(number as usize, number);
+        fleet.run(Duration::from_millis(200));
+        match fleet.decision(number) {
+            Some(CallerDecision::Dispatch(_, target)) => assert_eq!(target.id, "y"),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
 #[test]
 fn target_that_vanishes_while_the_platform_answers_is_gone_at_once() {
     let mut fleet = Fleet::new(5);
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -22,8 +22,9 @@
 /// Daemons that there may be where nobody has named them yet.
 const UNKNOWN_FLEET: usize = 16;
 
-/// Known addresses that one heartbeat names.
+/// Known addresses that a heartbeat names, and heartbeats of which one does.
 const KNOWN_EACH: usize = 4;
+const KNOWN_EVERY: u32 = 4;
 
 /// Daemons, first in the order of schedulers, with which all others exchange every heartbeat.
 const CANDIDATES: usize = 4;
@@ -272,13 +273,17 @@
         lost
     }
 
-    /// The heartbeat to send. It names a few known addresses, others each time, so that its length
-    /// does not grow with the fleet.
+    /// The heartbeat to send. Now and then it names a few known addresses, others each time, so that its
+    /// length does not grow with the fleet.
     pub fn heartbeat(&mut self, generation: Generation, table: ObjectVersion) -> Heartbeat {
         let live: Vec<&String> =
             self.peers.values().filter(|peer| peer.live).map(|peer| &peer.address).collect();
         let begin = if live.is_empty() { 0 } else { self.named % live.len() };
-        let known = live.iter().cycle().skip(begin).take(live.len().min(KNOWN_EACH));
+        let named = match self.is_announcing() || self.beats % KNOWN_EVERY == 0 {
+            true => live.len().min(KNOWN_EACH),
+            false => 0,
+        };
+        let known = live.iter().cycle().skip(begin).take(named);
         let beat = Heartbeat {
             address: self.options.address.clone(),
             data_centre: self.options.data_centre.clone(),
@@ -291,7 +296,7 @@
             answer_wanted: false,
             known: known.map(|address| address.to_string()).collect(),
         };
-        self.named = begin + KNOWN_EACH;
+        self.named = begin + named;
         beat
     }
 
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -25,7 +25,7 @@
 
 /// A broken promise.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Finding {
+pub struct SoakFinding {
     /// The promise.
     pub promise: &'static str,
     /// What was seen.
@@ -63,7 +63,7 @@
 
 /// All that is known after a run.
 #[derive(Default)]
-pub struct Evidence {
+pub struct SoakEvidence {
     /// Requests and their outcomes.
     pub records: Vec<CallRecord>,
     /// What reached each engine, by its name.
@@ -88,7 +88,7 @@
     pub healed: Option<Instant>,
 }
 
-impl Evidence {
+impl SoakEvidence {
     /// Whether no unplanned fault could have had a part in what happened in a time.
     fn is_calm(&self, from: Instant, to: Instant) -> bool {
         self.faults.iter().all(|(begin, end)| *begin > to || *end + AFTERMATH < from)
@@ -101,28 +101,28 @@
 }
 
 /// A request with what reached engines of it.
-struct Case<'a> {
+struct JudgedCase<'a> {
     record: &'a CallRecord,
     arrivals: Vec<&'a (String, EngineRun)>,
 }
 
-impl Case<'_> {
+impl JudgedCase<'_> {
     fn runs(&self) -> impl Iterator<Item = &(String, EngineRun)> {
         self.arrivals.iter().copied().filter(|(_, run)| run.ran)
     }
 
-    fn finding(&self, promise: &'static str, why: &str) -> Finding {
+    fn finding(&self, promise: &'static str, why: &str) -> SoakFinding {
         let CallRecord { attempt, kind, daemon, outcome, .. } = self.record;
         let engines: Vec<&str> = self.runs().map(|(engine, _)| engine.as_str()).collect();
         let detail = format!(
             "{attempt} {kind:?} at daemon {daemon}: {why}; ran at {engines:?}; {outcome:?}"
         );
-        Finding { promise, detail }
+        SoakFinding { promise, detail }
     }
 }
 
 /// Every promise that the evidence shows to be broken.
-pub fn judge(evidence: &Evidence) -> Vec<Finding> {
+pub fn judge(evidence: &SoakEvidence) -> Vec<SoakFinding> {
     let mut arrivals: BTreeMap<&str, Vec<&(String, EngineRun)>> = BTreeMap::new();
     for arrival in &evidence.runs {
         arrivals.entry(arrival.1.attempt.as_str()).or_default().push(arrival);
@@ -130,7 +130,7 @@
     let mut findings = Vec::new();
     for record in &evidence.records {
         let arrivals = arrivals.remove(record.attempt.as_str()).unwrap_or_default();
-        let case = Case { record, arrivals };
+        let case = JudgedCase { record, arrivals };
         findings.extend(check_runs(&case));
         findings.extend(check_arrivals(&case));
         findings.extend(check_answer(&case, evidence.events));
@@ -140,15 +140,16 @@
     }
     for attempt in arrivals.keys() {
         let detail = format!("{attempt} reached an engine and was sent by nobody");
-        findings.push(Finding { promise: "nothing runs unasked", detail });
+        findings.push(SoakFinding { promise: "nothing runs unasked", detail });
     }
     let exits = evidence.exits.iter().cloned();
-    findings.extend(exits.map(|detail| Finding { promise: "no process ends by itself", detail }));
+    findings
+        .extend(exits.map(|detail| SoakFinding { promise: "no process ends by itself", detail }));
     findings.extend(check_recovery(evidence));
     findings
 }
 
-fn check_runs(case: &Case<'_>) -> Option<Finding> {
+fn check_runs(case: &JudgedCase<'_>) -> Option<SoakFinding> {
     let kind = case.record.kind;
     let runs = case.runs().count();
     if !kind.is_repeatable() && runs > 1 {
@@ -163,7 +164,7 @@
 }
 
 /// Requests reach engines as they were sent, with the account in place of the key.
-fn check_arrivals(case: &Case<'_>) -> Option<Finding> {
+fn check_arrivals(case: &JudgedCase<'_>) -> Option<SoakFinding> {
     let record = case.record;
     let wanted = format!("POST {}", record.kind.path());
     let account = match record.key {
@@ -180,7 +181,7 @@
     changed.then(|| case.finding("requests run unchanged", "it reached an engine otherwise"))
 }
 
-fn check_answer(case: &Case<'_>, events: u64) -> Option<Finding> {
+fn check_answer(case: &JudgedCase<'_>, events: u64) -> Option<SoakFinding> {
     let CallOutcome::Answer { status, text, whole, seal, echo } = &case.record.outcome else {
         return None;
     };
@@ -210,7 +211,7 @@
     wrong.then(|| case.finding("answers are whole and in order", "it is not the engine's answer"))
 }
 
-fn check_keys(case: &Case<'_>, evidence: &Evidence) -> Option<Finding> {
+fn check_keys(case: &JudgedCase<'_>, evidence: &SoakEvidence) -> Option<SoakFinding> {
     let record = case.record;
     if let CallOutcome::Answer { status, .. } = &record.outcome {
         let kept = matches!(record.key, DRIVERS_KEY | DEPOTS_KEY);
@@ -228,7 +229,7 @@
 }
 
 /// In calm times, planned work or not, what reached an engine is answered whole.
-fn check_lost(case: &Case<'_>, evidence: &Evidence) -> Option<Finding> {
+fn check_lost(case: &JudgedCase<'_>, evidence: &SoakEvidence) -> Option<SoakFinding> {
     let record = case.record;
     let complete = matches!(&record.outcome, CallOutcome::Answer { whole: true, .. });
     let reached = !case.arrivals.is_empty();
@@ -242,7 +243,7 @@
     Some(case.finding("planned work loses nothing", stopping))
 }
 
-fn check_leaves(case: &Case<'_>, evidence: &Evidence) -> Option<Finding> {
+fn check_leaves(case: &JudgedCase<'_>, evidence: &SoakEvidence) -> Option<SoakFinding> {
     let late = case.runs().find(|(engine, run)| {
         let leave = evidence.leaves.iter().find(|leave| leave.engine == *engine);
         let (Some(leave), Some(begun)) = (leave, run.begun) else { return false };
@@ -254,7 +255,7 @@
     })
 }
 
-fn check_recovery(evidence: &Evidence) -> Option<Finding> {
+fn check_recovery(evidence: &SoakEvidence) -> Option<SoakFinding> {
     let from = evidence.healed? + RECOVERED_AFTER;
     let late = evidence.records.iter().filter(|record| record.sent > from);
     let served = |record: &&CallRecord| {
@@ -274,7 +275,7 @@
         })
         .collect();
     let detail = format!("{count} of {} requests served; the others: {refused:?}", late.len());
-    Some(Finding { promise: "requests are served once faults have ended", detail })
+    Some(SoakFinding { promise: "requests are served once faults have ended", detail })
 }
 
 /// Kinds and outcomes of a run, for its report.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,7 @@
 mod world;
 
 pub use callers::{CallKind, CallOutcome, CallRecord};
-pub use judge::{judge, Evidence, Finding, KeyLoss, PlannedStop};
+pub use judge::{judge, KeyLoss, PlannedStop, SoakEvidence, SoakFinding};
 pub use link::{FaultyLink, LinkFault};
 pub use plan::{plan, FaultStep, PlanOptions, SoakFault};
 pub use world::{run_soak, SoakOptions, SoakReport};
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -52,6 +52,7 @@
     /// Where it listens.
     pub address: String,
     state: Rc<LinkState>,
+    listening: actix_rt::task::JoinHandle<()>,
 }
 
 impl FaultyLink {
@@ -63,8 +64,8 @@
         let address = free_address()?;
         let listener = TcpListener::bind(&address).await?;
         let state = Rc::new(LinkState::default());
-        actix_rt::spawn(accept(listener, target.to_string(), Rc::clone(&state)));
-        Ok(FaultyLink { address, state })
+        let listening = actix_rt::spawn(accept(listener, target.to_string(), Rc::clone(&state)));
+        Ok(FaultyLink { address, state, listening })
     }
 
     /// Begins or ends a fault.
@@ -73,6 +74,12 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Closes all connections and listens no more.
+    pub fn close(self) {
+        self.listening.abort();
+        self.reset();
+    }
+
     /// Closes all connections.
     pub fn reset(&self) {
         for connection in self.state.connections.borrow_mut().drain(..) {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -19,7 +19,7 @@
 
 use crate::callers::SoakCallers;
 use crate::judge::{
-    judge, summary, unserved, EngineLeave, Evidence, Finding, KeyLoss, PlannedStop,
+    judge, summary, unserved, EngineLeave, KeyLoss, PlannedStop, SoakEvidence, SoakFinding,
 };
 use crate::link::{FaultyLink, LinkFault};
 use crate::plan::{plan, FaultStep, PlanOptions, SoakFault};
@@ -65,7 +65,7 @@
     /// Requests by outcome.
     pub outcomes: BTreeMap<String, usize>,
     /// Broken promises.
-    pub findings: Vec<Finding>,
+    pub findings: Vec<SoakFinding>,
 }
 
 struct EngineSlot {
@@ -96,7 +96,7 @@
     left: RefCell<Vec<Rc<NativeEngine>>>,
     started: Cell<usize>,
     daemons: Vec<DaemonSlot>,
-    evidence: RefCell<Evidence>,
+    evidence: RefCell<SoakEvidence>,
     open_faults: Cell<usize>,
 }
 
@@ -134,12 +134,24 @@
     let mut findings = judge(&evidence);
     if !kinds.is_empty() {
         let detail = format!("{kinds:?}");
-        findings.push(Finding { promise: "every kind is served at some time", detail });
+        findings.push(SoakFinding { promise: "every kind is served at some time", detail });
+    }
+    if let Ok(world) = Rc::try_unwrap(world) {
+        world.close();
     }
     Ok(SoakReport { steps, outcomes: summary(&evidence.records), findings })
 }
 
 impl SoakWorld {
+    /// Ends the processes and their links.
+    fn close(self) {
+        for daemon in self.daemons {
+            daemon.process.into_inner().kill();
+            daemon.peer_link.close();
+            daemon.store_link.close();
+        }
+    }
+
     async fn start(options: SoakOptions) -> Result<SoakWorld> {
         std::fs::create_dir_all(&options.folder).context("soak: folder")?;
         let store = NativeStore::new();
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use curlewcleat_soak::{
-    judge, plan, run_soak, CallKind, CallOutcome, CallRecord, Evidence, KeyLoss, PlanOptions,
+    judge, plan, run_soak, CallKind, CallOutcome, CallRecord, KeyLoss, PlanOptions, SoakEvidence,
     SoakOptions,
 };
 use curlewcleat_standins::native::EngineRun;
@@ -61,30 +61,30 @@
     (engine.to_string(), run)
 }
 
-fn promises(evidence: &Evidence) -> Vec<&'static str> {
+fn promises(evidence: &SoakEvidence) -> Vec<&'static str> {
     judge(evidence).into_iter().map(|finding| finding.promise).collect()
 }
 
 #[test]
 fn sound_answer_passes() {
-    let evidence = Evidence {
+    let evidence = SoakEvidence {
         records: vec![served(CallKind::Once)],
         runs: vec![run("i-0")],
-        ..Evidence::default()
+        ..SoakEvidence::default()
     };
     assert!(promises(&evidence).is_empty());
 }
 
 #[test]
 fn broken_promises_are_found() {
-    let twice = Evidence {
+    let twice = SoakEvidence {
         records: vec![served(CallKind::Once)],
         runs: vec![run("i-0"), run("i-1")],
-        ..Evidence::default()
+        ..SoakEvidence::default()
     };
     assert_eq!(promises(&twice), ["what may not be repeated runs once"]);
 
-    let unasked = Evidence { runs: vec![run("i-0")], ..Evidence::default() };
+    let unasked = SoakEvidence { runs: vec![run("i-0")], ..SoakEvidence::default() };
     assert_eq!(promises(&unasked), ["nothing runs unasked"]);
 
     let mut refused = served(CallKind::Once);
@@ -96,30 +96,31 @@
         echo: None,
     };
     let refused =
-        Evidence { records: vec![refused], runs: vec![run("i-0")], ..Evidence::default() };
+        SoakEvidence { records: vec![refused], runs: vec![run("i-0")], ..SoakEvidence::default() };
     assert_eq!(promises(&refused), ["refused means not run"]);
 
     let mut lost = served(CallKind::Once);
     lost.outcome = CallOutcome::NoAnswer("closed".to_string());
-    let lost = Evidence { records: vec![lost], runs: vec![run("i-0")], ..Evidence::default() };
+    let lost =
+        SoakEvidence { records: vec![lost], runs: vec![run("i-0")], ..SoakEvidence::default() };
     assert_eq!(promises(&lost), ["planned work loses nothing"]);
 
     let mut changed = run("i-0");
     changed.1.account = "depots".to_string();
-    let changed = Evidence {
+    let changed = SoakEvidence {
         records: vec![served(CallKind::Once)],
         runs: vec![changed],
-        ..Evidence::default()
+        ..SoakEvidence::default()
     };
     assert_eq!(promises(&changed), ["requests run unchanged"]);
 
     let lost = Instant::now() - Duration::from_secs(5);
-    let revoked = Evidence {
+    let revoked = SoakEvidence {
         records: vec![served(CallKind::Once)],
         runs: vec![run("i-0")],
         key_losses: vec![KeyLoss { key: "key-of-drivers", lost, back: None }],
         age_limit: Duration::from_secs(2),
-        ..Evidence::default()
+        ..SoakEvidence::default()
     };
     assert_eq!(promises(&revoked), ["a lost key is refused in time"]);
 }
