--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -279,7 +279,7 @@
         let live: Vec<&String> =
             self.peers.values().filter(|peer| peer.live).map(|peer| &peer.address).collect();
         let begin = if live.is_empty() { 0 } else { self.named % live.len() };
-        let named = match self.is_announcing() || self.beats % KNOWN_EVERY == 0 {
+        let named = match self.is_announcing() || self.beats.is_multiple_of(KNOWN_EVERY) {
             true => live.len().min(KNOWN_EACH),
             false => 0,
         };
