A watch that waited through an own failure is begun anew; a peer's proof says nothing of the own way

A peer's proof also cleared the mark of failing own reads.

Change: own failures are counted, and the first success after one ends the watch; the mark is cleared by own reads alone.

--- a/crates/daemon/src/brain.rs
+++ b/crates/daemon/src/brain.rs
@@ -129,7 +129,7 @@
             }
             NodeAction::ConfigProved(at) => {
                 if let Some(fleet) = &self.fleet {
-                    fleet.proof.prove(self.context.moment_of(at));
+                    fleet.proof.prove_by_peer(self.context.moment_of(at));
                 }
             }
             NodeAction::ReadPlatform(duty) => {
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -3,6 +3,7 @@
 //! The node says whether this daemon reads the platform, or others read it on its behalf. No loop here
 //! calls again without a pause, whatever the answer was; pauses after failures grow and carry jitter.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -38,8 +39,10 @@
     context: DaemonContext,
     link: Rc<FleetLink>,
     limits: FreshnessLimits,
-    /// The platform is reachable again after a failure.
-    regained: Notify,
+    /// Own reads that failed.
+    failures: Cell<u64>,
+    /// An own read has succeeded.
+    read: Notify,
 }
 
 /// Starts the tasks on this arbiter.
@@ -50,8 +53,14 @@
     limits: FreshnessLimits,
     record: DaemonRecord,
 ) {
-    let regained = Notify::new();
-    let follower = Rc::new(FleetFollower { platform, context, link, limits, regained });
+    let follower = Rc::new(FleetFollower {
+        platform,
+        context,
+        link,
+        limits,
+        failures: Cell::new(0),
+        read: Notify::new(),
+    });
     actix_rt::spawn(Rc::clone(&follower).follow_config());
     actix_rt::spawn(Rc::clone(&follower).follow_targets());
     actix_rt::spawn(follower.find_peers(record));
@@ -84,6 +93,7 @@
                 }
                 Err(error) => {
                     self.link.proof.fail();
+                    self.failures.set(self.failures.get() + 1);
                     self.context.tell(NodeEvent::PlatformFailed);
                     pause.failed("read_config", &error, &self.context);
                     let limit = match *duty.borrow_and_update() {
@@ -104,7 +114,7 @@
         }
         self.link.proof.prove(sent);
         self.context.tell(NodeEvent::PlatformRead(self.context.uptime_at(sent)));
-        self.regained.notify_waiters();
+        self.read.notify_waiters();
     }
 
     /// While this daemon reads: lists the targets, then watches; lists again when the history is gone
@@ -130,7 +140,7 @@
             }
             // There is no use in listing while nothing can be read.
             if self.link.proof.is_failing() {
-                self.regained.notified().await;
+                self.read.notified().await;
             }
             tokio::time::sleep(FLOOR).await;
         }
@@ -171,14 +181,11 @@
         }
     }
 
-    /// Ends when the platform is back after a failure; a watch that waited through it may be deaf.
+    /// Ends when an own read succeeds after one has failed; a watch that waited through it may be deaf.
     async fn outage(&self) {
-        loop {
-            let failed = self.link.proof.is_failing();
-            self.regained.notified().await;
-            if failed {
-                return;
-            }
+        let before = self.failures.get();
+        while self.failures.get() == before {
+            self.read.notified().await;
         }
     }
 
--- a/crates/daemon/src/gateway/proof.rs
+++ b/crates/daemon/src/gateway/proof.rs
@@ -7,23 +7,28 @@
 #[derive(Debug, Default)]
 pub struct ConfigProof {
     proved: Cell<Option<Instant>>,
-    /// Whether the latest call of the platform failed.
+    /// Whether the latest own read failed.
     failing: Cell<bool>,
 }
 
 impl ConfigProof {
-    /// A read that was sent then has shown the configuration in force to be the newest.
+    /// An own read that was sent then has shown the configuration in force to be the newest.
     pub fn prove(&self, sent: Instant) {
-        self.proved.set(self.proved.get().max(Some(sent)));
+        self.prove_by_peer(sent);
         self.failing.set(false);
     }
 
+    /// A peer's read has; it says nothing of the own way to the platform.
+    pub fn prove_by_peer(&self, sent: Instant) {
+        self.proved.set(self.proved.get().max(Some(sent)));
+    }
+
     /// A read has failed.
     pub fn fail(&self) {
         self.failing.set(true);
     }
 
-    /// Whether the latest read failed.
+    /// Whether the latest own read failed.
     pub fn is_failing(&self) -> bool {
         self.failing.get()
     }
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -27,12 +27,14 @@
     CutBack,
     /// No bytes pass either way; new connections hang.
     Silent,
+    /// The connections of that time stay open and never say anything again.
+    Deaf,
 }
 
 impl LinkFault {
     fn holds(self, towards: bool) -> bool {
         match self {
-            LinkFault::None | LinkFault::Delay(_) => false,
+            LinkFault::None | LinkFault::Delay(_) | LinkFault::Deaf => false,
             LinkFault::CutThere => towards,
             LinkFault::CutBack => !towards,
             LinkFault::Silent => true,
@@ -43,6 +45,8 @@
 #[derive(Default)]
 struct LinkState {
     fault: Cell<LinkFault>,
+    /// Times that the connections have become deaf.
+    deafened: Cell<u64>,
     changed: Notify,
     connections: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
 }
@@ -70,6 +74,9 @@
 
     /// Begins or ends a fault.
     pub fn set(&self, fault: LinkFault) {
+        if fault == LinkFault::Deaf {
+            self.state.deafened.set(self.state.deafened.get() + 1);
+        }
         self.state.fault.set(fault);
         self.state.changed.notify_waiters();
     }
@@ -117,13 +124,17 @@
     towards: bool,
 ) {
     let mut buffer = vec![0u8; CHUNK];
+    let deafened = state.deafened.get();
     loop {
         let Ok(length) = from.read(&mut buffer).await else { return };
         if length == 0 {
             return;
         }
-        if let LinkFault::Delay(time) = state.fault.get() {
-            tokio::time::sleep(time).await;
+        match state.fault.get() {
+            LinkFault::Delay(time) => tokio::time::sleep(time).await,
+            LinkFault::Deaf => return std::future::pending().await,
+            _ if state.deafened.get() > deafened => return std::future::pending().await,
+            _ => {}
         }
         while state.fault.get().holds(towards) {
             state.changed.notified().await;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -74,6 +74,7 @@
         callers: arguments.callers,
         time: Duration::from_secs(arguments.seconds),
         planned_only: arguments.planned,
+        script: None,
         folder: folder.join(format!("curlewcleat-soak-{}-{seed}", std::process::id())),
     }
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -167,8 +167,13 @@
 
 fn link_fault(random: &mut StdRng) -> LinkFault {
     let delay = Duration::from_millis(random.random_range(5..400));
-    let faults =
-        [LinkFault::Delay(delay), LinkFault::CutThere, LinkFault::CutBack, LinkFault::Silent];
+    let faults = [
+        LinkFault::Delay(delay),
+        LinkFault::CutThere,
+        LinkFault::CutBack,
+        LinkFault::Silent,
+        LinkFault::Deaf,
+    ];
     faults.choose(random).copied().unwrap_or_default()
 }
 
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -53,6 +53,8 @@
     pub time: Duration,
     /// Whether only planned work happens.
     pub planned_only: bool,
+    /// Faults in place of those of the seed.
+    pub script: Option<Vec<FaultStep>>,
     /// Folder for settings and logs.
     pub folder: PathBuf,
 }
@@ -111,7 +113,10 @@
         time: options.time,
         planned_only: options.planned_only,
     };
-    let steps = plan(options.seed, &plan_options);
+    let steps = match &options.script {
+        Some(script) => script.clone(),
+        None => plan(options.seed, &plan_options),
+    };
     let world = Rc::new(SoakWorld::start(options).await?);
     let addresses: Vec<String> =
         world.daemons.iter().map(|daemon| daemon.callers.clone()).collect();
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use curlewcleat_soak::{
-    judge, plan, run_soak, CallKind, CallOutcome, CallRecord, KeyLoss, PlanOptions, SoakEvidence,
-    SoakOptions,
+    judge, plan, run_soak, CallKind, CallOutcome, CallRecord, FaultStep, KeyLoss, LinkFault,
+    PlanOptions, SoakEvidence, SoakFault, SoakOptions,
 };
 use curlewcleat_standins::native::EngineRun;
 use rstest::rstest;
@@ -21,12 +21,41 @@
         callers: 6,
         time: Duration::from_secs(4),
         planned_only,
+        script: None,
         folder: std::env::temp_dir().join(name),
     };
     let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
     assert!(report.findings.is_empty(), "{report:#?}");
 }
 
+/// Each daemon's connections to the store go deaf in turn, so also those of the ones that read it. Once it
+/// is reachable again, it has to hear of what leaves.
+#[test]
+fn reader_whose_watch_went_deaf_learns_of_leaving_engines() {
+    let step = |at, time, fault| FaultStep {
+        at: Duration::from_millis(at),
+        time: Duration::from_millis(time),
+        fault,
+    };
+    let deaf = (0..3).map(|index| {
+        let fault = SoakFault::StoreLink(index, LinkFault::Deaf);
+        step(600 + 2_000 * index as u64, 1_800, fault)
+    });
+    let leave = (0..4).map(|index| step(8_400, 2_500, SoakFault::Leave(index)));
+    let options = SoakOptions {
+        seed: 1,
+        daemons: 3,
+        engines: 2,
+        callers: 8,
+        time: Duration::from_secs(9),
+        planned_only: false,
+        script: Some(deaf.chain(leave).collect()),
+        folder: std::env::temp_dir().join(format!("curlewcleat-deaf-{}", std::process::id())),
+    };
+    let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
+    assert!(report.findings.is_empty(), "{report:#?}");
+}
+
 #[test]
 fn seed_gives_the_same_plan_again() {
     let options =
