--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -133,7 +133,7 @@
             self.actions.push(NodeAction::Note(NodeNote::PeerReplaced(ended.clone())));
             self.entry_ended(&ended);
         }
-        self.entry.heard(&from.vm);
+        self.entry.heard(self.now, &from.vm);
         self.review_takers();
         if beat.generation > self.store.generation() || beat.table > self.home.version() {
             self.pull_state(&from.vm);
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -78,3 +78,19 @@
     assert!(matches!(fleet.decision(2), Some(CallerDecision::Dispatch(..))));
     assert!(fleet.in_flight(leader) > 0, "the leader was passed over");
 }
+
+#[test]
+fn schedulers_that_are_heard_but_hear_nothing_hold_no_request_up() {
+    let mut fleet = Fleet::new(20);
+    let entry = (0..20).find(|index| !fleet.candidates().contains(index)).expect("an entry");
+    for index in (0..20).filter(|index| *index != entry) {
+        fleet.daemons[index].deaf = true;
+    }
+    for number in 1..=10 {
+        fleet.admit(entry, number);
+        fleet.run(Duration::from_millis(1_200));
+        let decision = fleet.decision(number);
+        assert!(matches!(decision, Some(CallerDecision::Dispatch(..))), "{number}: {decision:?}");
+        fleet.finish(entry, number);
+    }
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    ConfigBundle, DaemonId, DiscoveredTarget, PeerFrame, RequestId, TargetEntry,
+    AttemptEnd, ConfigBundle, DaemonId, DiscoveredTarget, PeerFrame, RequestId, TargetEntry,
+    Verdict,
 };
 use curlewcleat_keys::KeyHomeOptions;
 use curlewcleat_node::{
@@ -28,6 +29,8 @@
     pub reaches: bool,
     /// Whether frames to and from it are lost.
     pub cut: bool,
+    /// Whether frames to it are lost.
+    pub deaf: bool,
     /// Whether it reads the platform, by its own word.
     pub duty: ReadDuty,
     /// When the read was sent that proved its configuration last.
@@ -94,7 +97,8 @@
 
     fn delivery(&self, from: usize, to: &str, frame: PeerFrame) -> Option<(usize, NodeEvent)> {
         let index = (0..self.daemons.len()).find(|index| address(*index) == to)?;
-        let lost = self.daemons[from].cut || self.daemons[index].cut;
+        let to = &self.daemons[index];
+        let lost = self.daemons[from].cut || to.cut || to.deaf;
         (!lost).then_some((index, NodeEvent::Peer(frame)))
     }
 
@@ -132,6 +136,13 @@
         self.event(index, NodeEvent::Admit(Box::new(spec(number))));
     }
 
+    /// The target has answered whole.
+    pub fn finish(&mut self, index: usize, number: u128) {
+        let end = AttemptEnd::Whole(Duration::from_millis(5));
+        let id = RequestId::from_u128(number);
+        self.event(index, NodeEvent::Finished(id, Verdict::Ran, end, None));
+    }
+
     pub fn decision(&self, number: u128) -> Option<&CallerDecision> {
         let found = self.decisions.iter().rev().find(|(id, _)| id.as_u128() == number);
         found.map(|(_, decision)| decision)
@@ -201,7 +212,11 @@
         },
         keys: KeyHomeOptions::default(),
         key_slots: 0,
-        entry: EntryOptions::default(),
+        entry: EntryOptions {
+            ask_limit: Duration::from_millis(30),
+            ask_tries: 1,
+            ..EntryOptions::default()
+        },
         rate_margin: curlewcleat_sched::RateMargin::default(),
         one_scheduler: true,
         age_per_work: 32,
@@ -212,7 +227,15 @@
         hand_over_limit: Duration::from_secs(1),
     });
     let duty = ReadDuty::Reader;
-    Daemon { node, reaches: true, cut: false, duty, proved: None, next_read: Duration::ZERO }
+    Daemon {
+        node,
+        reaches: true,
+        cut: false,
+        deaf: false,
+        duty,
+        proved: None,
+        next_read: Duration::ZERO,
+    }
 }
 
 pub fn target(id: &str, leaving: bool) -> DiscoveredTarget {
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -28,10 +28,13 @@
     /// Daemons that share the budgets.
     daemons: u64,
     requests: BTreeMap<RequestId, EntryRequest>,
-    /// Schedulers that were silent, and until when they are passed over.
+    /// Schedulers that were silent, and since when.
     silent: BTreeMap<VmId, Uptime>,
 }
 
+/// A silent scheduler is passed over for at least so many times the time that it was waited for.
+const SILENCE_TIMES: u32 = 4;
+
 /// Daemons to ask for permits of a pool, best first.
 type SchedulerOrder<'a> = &'a dyn Fn(&str) -> Vec<DaemonId>;
 
@@ -85,6 +88,7 @@
             attempt: 0,
             unsent: 0,
             avoid: Vec::new(),
+            unheard: Vec::new(),
             failed: None,
             phase,
         };
@@ -227,7 +231,7 @@
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
         for id in ids {
             let Some(request) = self.requests.get(&id) else { continue };
-            let best = self.choose(now, &request.spec.pool, order);
+            let best = self.choose(now, &request.spec.pool, &request.unheard, order);
             match &request.phase {
                 RequestPhase::Waiting { scheduler, .. } if *scheduler != best => {
                     actions.extend(request.return_permit(AttemptEnd::Unused));
@@ -247,15 +251,20 @@
     }
 
     /// A daemon was heard of, so it may be asked again: a scheduler that was silent because nothing had
-    /// reached it yet would otherwise be passed over long after.
-    pub fn heard(&mut self, vm: &VmId) {
-        self.silent.remove(vm);
+    /// reached it yet would otherwise be passed over long after. It is for some time all the same, since
+    /// it may be that nothing reaches it still.
+    pub fn heard(&mut self, now: Uptime, vm: &VmId) {
+        let least = self.options.ask_limit * self.options.ask_tries * SILENCE_TIMES;
+        if self.silent.get(vm).is_some_and(|since| now >= *since + least) {
+            self.silent.remove(vm);
+        }
     }
 
     /// Lets time pass: deadlines, silent schedulers, silent holders of keys.
     pub fn tick(&mut self, now: Uptime, order: SchedulerOrder<'_>) -> Vec<EntryAction> {
         let mut actions = Vec::new();
-        self.silent.retain(|_, until| now < *until);
+        let avoid_for = self.options.avoid_for;
+        self.silent.retain(|_, since| now < *since + avoid_for);
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
         for id in ids {
             let Some(request) = self.requests.get(&id) else { continue };
@@ -347,7 +356,8 @@
             return actions;
         }
         actions.extend(request.return_permit(AttemptEnd::Unused));
-        self.silent.insert(scheduler, now + self.options.avoid_for);
+        request.unheard.push(scheduler.clone());
+        self.silent.insert(scheduler, now);
         actions.extend(self.ask(now, id, order));
         actions
     }
@@ -436,7 +446,7 @@
 
     fn ask(&mut self, now: Uptime, id: RequestId, order: SchedulerOrder<'_>) -> Vec<EntryAction> {
         let Some(request) = self.requests.get(&id) else { return Vec::new() };
-        let scheduler = self.choose(now, &request.spec.pool, order);
+        let scheduler = self.choose(now, &request.spec.pool, &request.unheard, order);
         let ask = request.permit_ask(now);
         let phase = RequestPhase::Waiting {
             scheduler: scheduler.clone(),
@@ -449,11 +459,16 @@
     }
 
     /// The best scheduler that was not silent lately, or the best one if all were.
-    fn choose(&self, now: Uptime, pool: &str, order: SchedulerOrder<'_>) -> VmId {
+    /// One that was silent to this very request is asked again only after all others.
+    fn choose(&self, now: Uptime, pool: &str, unheard: &[VmId], order: SchedulerOrder<'_>) -> VmId {
         let order = order(pool);
-        let talks =
-            |daemon: &&DaemonId| self.silent.get(&daemon.vm).is_none_or(|until| now >= *until);
-        let best = order.iter().find(talks).or(order.first());
+        let talks = |daemon: &&DaemonId| {
+            let since = self.silent.get(&daemon.vm);
+            since.is_none_or(|since| now >= *since + self.options.avoid_for)
+        };
+        let asked = |daemon: &&DaemonId| unheard.contains(&daemon.vm);
+        let fresh = order.iter().find(|daemon| talks(daemon) && !asked(daemon));
+        let best = fresh.or(order.iter().find(talks)).or(order.first());
         best.map(|daemon| daemon.vm.clone()).unwrap_or_default()
     }
 
--- a/crates/sched/src/entry/request.rs
+++ b/crates/sched/src/entry/request.rs
@@ -30,6 +30,8 @@
     /// Permits that were not used, since this daemon knows better than to use their targets.
     pub unsent: u32,
     pub avoid: Vec<TargetId>,
+    /// Schedulers that were silent when they were asked for it.
+    pub unheard: Vec<VmId>,
     /// Why the latest attempt did not run.
     pub failed: Option<RetryReason>,
     pub phase: RequestPhase,
