Sight: what peers have sent of configurations, and what the process holds

To tell copies of the configuration from other causes of full links and memory: bytes of configurations that peers sent, by whether they were put in force; bytes received from peers; resident memory (gauges, and one line daemon_usage every five seconds, so that the log of a killed process tells it). A caller's connection that fails is logged at debug level.

No decision changes.

--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -184,3 +184,10 @@
     /// Texts by file name.
     pub files: BTreeMap<String, String>,
 }
+
+impl ConfigBundle {
+    /// Length of all texts in bytes.
+    pub fn text_bytes(&self) -> u64 {
+        self.files.values().map(|text| text.len() as u64).sum()
+    }
+}
--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -17,6 +17,7 @@
 use crate::metrics::DaemonMetrics;
 use crate::node_loop::NodeLoop;
 use crate::parts::PlatformParts;
+use crate::usage::log_usage;
 
 /// Runs a daemon.
 ///
@@ -35,11 +36,12 @@
     let context = DaemonContext::new(settings.clone(), metrics, sender.clone());
 
     // The peer address is bound first: a process that has it knows that no earlier one lives here.
-    let transport = listen_for_peers(&settings, counts, sender)?;
+    let transport = listen_for_peers(&settings, Arc::clone(&counts), sender)?;
     let node = Node::new(parts.node_options(&settings, me.clone(), context.wall()));
     let server = parts.serve(&context).await?;
     parts.follow(&context, me)?;
     watch_signals(context.clone())?;
+    log_usage(context.clone(), counts);
     info!("started", kv: { vm = settings.vm.as_str(), incarnation });
 
     NodeLoop::new(node, context, transport, parts).run(messages).await;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod parts;
 mod reports;
 mod request;
+mod usage;
 
 pub use assembly::run_daemon;
 pub use files::FilesParts;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -70,8 +70,10 @@
             let open = Rc::clone(&open);
             open.set(open.get() + 1);
             actix_rt::spawn(async move {
-                // How a caller's connection ends is known to its requests.
-                let _ = connection.await;
+                // How a caller's connection ends is known to its requests; callers that leave are many.
+                if let Err(error) = connection.await {
+                    debug!("connection_failed", kv: { listener = name, error = error.to_string() });
+                }
                 open.set(open.get() - 1);
             });
         }
--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -11,6 +11,7 @@
 use prometheus::{IntGauge, IntGaugeVec, Result};
 
 use super::registry::MetricRegistry;
+use crate::usage::resident_bytes;
 
 /// Gauges of one daemon.
 pub struct StatusGauges {
@@ -22,6 +23,8 @@
     peers_live: IntGauge,
     waiting: IntGaugeVec,
     in_flight: IntGaugeVec,
+    config_intake: IntGaugeVec,
+    resident: IntGauge,
     frames: IntGaugeVec,
     counts: Arc<TransportCounts>,
 }
@@ -30,6 +33,7 @@
     /// Registers all gauges.
     pub fn new(registry: &MetricRegistry, counts: Arc<TransportCounts>) -> Result<StatusGauges> {
         let frames_help = "Peer frames and their bytes since the start";
+        let intake_help = "Bytes of configurations that peers have sent since the start";
         Ok(StatusGauges {
             generation: registry.gauge("config_generation", "Configuration in force")?,
             table: registry.gauge("key_table_version", "Known key table")?,
@@ -43,6 +47,8 @@
                 "Permits given by this scheduler",
                 "pool",
             )?,
+            config_intake: registry.gauges("config_intake_bytes", intake_help, "use")?,
+            resident: registry.gauge("resident_bytes", "Resident memory of the process")?,
             frames: registry.gauges("peer_frames", frames_help, "kind")?,
             counts,
         })
@@ -60,11 +66,20 @@
             self.waiting.with_label_values(&[&pool.id]).set(pool.waiting as i64);
             self.in_flight.with_label_values(&[&pool.id]).set(pool.in_flight as i64);
         }
+        let intake = status.config_intake;
+        for (use_of, bytes) in [("taken", intake.taken), ("unused", intake.unused)] {
+            self.config_intake.with_label_values(&[use_of]).set(bytes as i64);
+        }
+        // Where the memory cannot be read the gauge keeps its last value; the usage line says why.
+        if let Ok(bytes) = resident_bytes() {
+            self.resident.set(bytes as i64);
+        }
         let kinds = [
             ("sent", &self.counts.sent),
             ("sent_bytes", &self.counts.sent_bytes),
             ("dropped", &self.counts.dropped),
             ("received", &self.counts.received),
+            ("received_bytes", &self.counts.received_bytes),
             ("unreadable", &self.counts.unreadable),
         ];
         for (kind, count) in kinds {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,6 @@
 };
 pub use freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
 pub use node::{Node, NodeOptions};
-pub use status::{NodeStatus, PoolStatus, TargetStatus};
+pub use status::{ConfigIntake, NodeStatus, PoolStatus, TargetStatus};
 pub use target_view::{TargetView, ViewUpdate};
 pub use vms::VmView;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,7 +28,7 @@
 
 use crate::event::{NodeAction, NodeEvent};
 use crate::freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
-use crate::status::{NodeStatus, PoolStatus, TargetStatus};
+use crate::status::{ConfigIntake, NodeStatus, PoolStatus, TargetStatus};
 use crate::target_view::TargetView;
 use crate::vms::VmView;
 
@@ -90,6 +90,7 @@
     order: Vec<DaemonId>,
     /// When the latest pull of a peer's state was sent.
     last_pull: Option<Uptime>,
+    config_intake: ConfigIntake,
     orders: BTreeMap<PoolId, Vec<DaemonId>>,
     table_absent: bool,
     proposing: bool,
@@ -127,6 +128,7 @@
             order: vec![me.clone()],
             eligible: vec![me],
             last_pull: None,
+            config_intake: ConfigIntake::default(),
             orders: BTreeMap::new(),
             table_absent: false,
             proposing: false,
@@ -221,6 +223,7 @@
             key_slots: self.home.slots_held(),
             keys: self.home.keys(),
             requests: self.entry.len(),
+            config_intake: self.config_intake,
             drain: self.drain.phase(),
             pools: self.pools.iter().map(|(id, pool)| self.pool_status(id, pool)).collect(),
             peers: self
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -60,7 +60,7 @@
         match message {
             PeerMessage::Heartbeat(beat) => self.heartbeat_received(from, &beat),
             PeerMessage::StatePull(pull) => self.state_pulled(&from.vm, pull),
-            PeerMessage::ConfigPush(bundle) => self.config_offered(bundle),
+            PeerMessage::ConfigPush(bundle) => self.config_pushed(bundle),
             PeerMessage::TablePush(push) => {
                 self.table_known(push.version, KeyTable { slots: push.slots })
             }
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -39,6 +39,15 @@
     pub targets: Vec<TargetStatus>,
 }
 
+/// Bytes of configurations that peers have sent to a daemon since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfigIntake {
+    /// Of configurations that were put in force.
+    pub taken: u64,
+    /// Of configurations that were not newer than the one in force, or did not pass the checks.
+    pub unused: u64,
+}
+
 /// A daemon as it sees itself and its peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeStatus {
@@ -54,6 +63,8 @@
     pub keys: usize,
     /// Requests in progress.
     pub requests: usize,
+    /// Configurations that peers have sent.
+    pub config_intake: ConfigIntake,
     /// Planned stop.
     pub drain: DrainPhase,
     /// Pools.
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -44,6 +44,8 @@
     pub dropped: AtomicU64,
     /// Frames received.
     pub received: AtomicU64,
+    /// Bytes received.
+    pub received_bytes: AtomicU64,
     /// Frames received that do not decode.
     pub unreadable: AtomicU64,
 }
@@ -146,6 +148,7 @@
             Err(_) => continue,
         };
         counts.received.fetch_add(1, Ordering::Relaxed);
+        counts.received_bytes.fetch_add(message.as_slice().len() as u64, Ordering::Relaxed);
         match decode_frame(message.as_slice()) {
             Ok(frame) => {
                 if frames.send(frame).is_err() {
