--- /dev/null
+++ b/crates/node/tests/support/link.rs
@@ -0,0 +1,78 @@
+//! A link that delivers so many bytes a second, shared evenly by its senders as by TCP connections.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use curlewcleat_core::PeerFrame;
+use curlewcleat_peers::encode_frame;
+
+/// Bytes that one sender may put on the link before the next one's turn: a packet.
+const PACKET: usize = 1_460;
+
+/// A frame on its way.
+struct SentFrame {
+    bytes_left: usize,
+    frame: PeerFrame,
+}
+
+/// Frames on their way to one daemon.
+pub struct SlowLink {
+    bytes_per_s: usize,
+    /// One frame in so many is lost, `None` where none is.
+    pub lost_each: Option<usize>,
+    queues: BTreeMap<String, VecDeque<SentFrame>>,
+    served_until: Duration,
+    frames: usize,
+    /// Bytes sent so far.
+    pub sent_bytes: usize,
+    /// Most bytes that were on their way at one time.
+    pub most_waiting: usize,
+}
+
+impl SlowLink {
+    /// A link of so many megabits a second.
+    pub fn megabits(rate: usize) -> SlowLink {
+        SlowLink {
+            bytes_per_s: rate * 1_000_000 / 8,
+            lost_each: None,
+            queues: BTreeMap::new(),
+            served_until: Duration::ZERO,
+            frames: 0,
+            sent_bytes: 0,
+            most_waiting: 0,
+        }
+    }
+
+    pub fn send(&mut self, frame: PeerFrame) {
+        let bytes = encode_frame(&frame).expect("a frame").len();
+        self.frames += 1;
+        self.sent_bytes += bytes;
+        if self.lost_each.is_some_and(|each| self.frames.is_multiple_of(each)) {
+            return;
+        }
+        let queue = self.queues.entry(frame.from.vm.clone()).or_default();
+        queue.push_back(SentFrame { bytes_left: bytes, frame });
+        let waiting = self.queues.values().flatten().map(|sent| sent.bytes_left).sum();
+        self.most_waiting = self.most_waiting.max(waiting);
+    }
+
+    /// What has arrived by now.
+    pub fn arrived(&mut self, now: Duration) -> Vec<PeerFrame> {
+        let time = now - std::mem::replace(&mut self.served_until, now);
+        let mut bytes = (time.as_secs_f64() * self.bytes_per_s as f64) as usize;
+        let mut frames = Vec::new();
+        while bytes > 0 && !self.queues.is_empty() {
+            for queue in self.queues.values_mut() {
+                let Some(first) = queue.front_mut() else { continue };
+                let served = first.bytes_left.min(PACKET).min(bytes);
+                first.bytes_left -= served;
+                bytes -= served;
+                if first.bytes_left == 0 {
+                    frames.extend(queue.pop_front().map(|sent| sent.frame));
+                }
+            }
+            self.queues.retain(|_, queue| !queue.is_empty());
+        }
+        frames
+    }
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+mod link;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -16,6 +18,8 @@
 };
 use curlewcleat_sched::{EntryOptions, MemberOptions, RequestSpec};
 
+pub use link::SlowLink;
+
 const CONFIG: &str = "[tier t0]\nrank = 0\n[pool p]\nkind = service\n\
     [account a]\ntoken_sha256 = 2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824\n\
     shared_rate_per_s = 1000\n";
@@ -28,6 +32,8 @@
     pub node: Node,
     /// Whether it reaches the platform.
     pub reaches: bool,
+    /// Whether its reads of the platform are still on their way when the test ends.
+    pub reads_late: bool,
     /// Whether frames to and from it are lost.
     pub cut: bool,
     /// Whether frames to it are lost.
@@ -39,7 +45,7 @@
     next_read: Duration,
 }
 
-/// Some daemons and the frames between them, which arrive at once.
+/// Some daemons and the frames between them, which arrive at once but for those over slow links.
 pub struct Fleet {
     pub daemons: Vec<Daemon>,
     pub now: Duration,
@@ -48,6 +54,10 @@
     pub targets: (Vec<DiscoveredTarget>, u64),
     /// Newest configuration at the platform.
     pub generation: u64,
+    /// Its text.
+    pub config: String,
+    /// Slow links into daemons.
+    pub links: BTreeMap<usize, SlowLink>,
     /// Calls of the platform.
     pub calls: usize,
     /// Frames sent.
@@ -64,6 +74,8 @@
             decisions: Vec::new(),
             targets: (vec![target("x", false), target("y", false)], 1),
             generation: 1,
+            config: CONFIG.to_string(),
+            links: BTreeMap::new(),
             calls: 0,
             frames: 0,
         };
@@ -98,11 +110,27 @@
         }
     }
 
-    fn delivery(&self, from: usize, to: &str, frame: PeerFrame) -> Option<(usize, NodeEvent)> {
+    /// The frame where it arrives at once; a slow link delivers it later.
+    fn delivery(&mut self, from: usize, to: &str, frame: PeerFrame) -> Option<(usize, NodeEvent)> {
         let index = (0..self.daemons.len()).find(|index| address(*index) == to)?;
         let to = &self.daemons[index];
-        let lost = self.daemons[from].cut || to.cut || to.deaf;
-        (!lost).then_some((index, NodeEvent::Peer(frame)))
+        if self.daemons[from].cut || to.cut || to.deaf {
+            return None;
+        }
+        match self.links.get_mut(&index) {
+            Some(link) => {
+                link.send(frame);
+                None
+            }
+            None => Some((index, NodeEvent::Peer(frame))),
+        }
+    }
+
+    fn deliver_late(&mut self, index: usize) {
+        let Some(link) = self.links.get_mut(&index) else { return };
+        for frame in link.arrived(self.now) {
+            self.event(index, NodeEvent::Peer(frame));
+        }
     }
 
     pub fn run(&mut self, time: Duration) {
@@ -110,12 +138,22 @@
         while self.now < end {
             self.now += STEP;
             for index in 0..self.daemons.len() {
+                self.deliver_late(index);
                 self.event(index, NodeEvent::Tick);
                 self.read_platform(index);
             }
         }
     }
 
+    /// Runs until something holds, for `limit` at most. Returns how long that took.
+    pub fn run_until(&mut self, limit: Duration, holds: impl Fn(&Fleet) -> bool) -> Duration {
+        let begun = self.now;
+        while !holds(self) && self.now < begun + limit {
+            self.run(STEP);
+        }
+        self.now - begun
+    }
+
     /// What the daemon's own tasks do: reads of the configuration and the targets.
     fn read_platform(&mut self, index: usize) {
         let daemon = &mut self.daemons[index];
@@ -124,10 +162,13 @@
         }
         daemon.next_read = self.now + FreshnessLimits::within(APPLY_LIMIT).read_every;
         self.calls += 1;
+        if daemon.reads_late {
+            return;
+        }
         if !daemon.reaches {
             return self.event(index, NodeEvent::PlatformFailed);
         }
-        let files = BTreeMap::from([("a.ini".to_string(), CONFIG.to_string())]);
+        let files = BTreeMap::from([("a.ini".to_string(), self.config.clone())]);
         let bundle = ConfigBundle { generation: self.generation, files };
         self.event(index, NodeEvent::ConfigRead(bundle));
         self.event(index, NodeEvent::PlatformRead(self.now));
@@ -169,6 +210,12 @@
         (0..self.daemons.len()).find(|index| vm == format!("vm-{index}")).expect("a daemon")
     }
 
+    /// Daemons that are no candidates.
+    pub fn outsiders(&self) -> Vec<usize> {
+        let candidates = self.candidates();
+        (0..self.daemons.len()).filter(|index| !candidates.contains(index)).collect()
+    }
+
     pub fn readers(&self) -> Vec<usize> {
         (0..self.daemons.len())
             .filter(|index| self.daemons[*index].duty == ReadRole::Reader)
@@ -186,6 +233,24 @@
         self.daemons[index].proved.map_or(Duration::MAX, |proved| self.now - proved)
     }
 
+    /// The platform has a newer configuration of about so many bytes, which no coding makes shorter
+    /// than half of that.
+    pub fn change_config(&mut self, bytes: usize) {
+        self.generation += 1;
+        let mut state = self.generation;
+        let mut config = CONFIG.to_string();
+        while config.len() < bytes {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            config += &format!("; {state:016x}\n");
+        }
+        self.config = config;
+    }
+
+    /// Generation in force at a daemon.
+    pub fn generation_of(&self, index: usize) -> u64 {
+        self.daemons[index].node.status().generation
+    }
+
     /// Targets that a daemon would send to.
     pub fn known_targets(&self, index: usize) -> Vec<String> {
         let config = self.daemons[index].node.config();
@@ -233,6 +298,7 @@
     Daemon {
         node,
         reaches: true,
+        reads_late: false,
         cut: false,
         deaf: false,
         duty,
