A configuration is fetched from peers once, packed and in parts

Cause: a daemon that heard of a newer configuration asked whoever said so for the whole of it, at most once in 100 ms but without regard to whether an answer was on its way. Over a link of 10 Mbit/s a megabyte takes a second, so copies queued at the senders, filled links and memory; heartbeats, proofs and answers came late behind them, and processes were killed for memory.

Change: the receiver asks for one part of 32 KiB at a time (ConfigPartPull, ConfigPart, new at the end of the peer messages) and asks again after 500 ms only; what it has it keeps when it asks another peer. Configurations travel packed (zlib: a megabyte of rules is 100 kB). The same rule holds for pulls of the key table and of the targets, which had no look at open pulls either. A configuration that cannot be used is not fetched again. Daemons of an earlier release still get a whole configuration, once in two seconds each; they cannot read the new messages, so while both run, a daemon that is behind reads the platform itself.

Golden files: only additions at the end.

--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -12,12 +12,12 @@
 use curlewcleat_acceptance::ready_fleet;
 use curlewcleat_config::{ApplyRecord, ConfigManifest, MANIFEST_KEY};
 use curlewcleat_core::{
-    AttemptEnd, ConfigBundle, DaemonId, DiscoveredTarget, FreshnessAnswer, FreshnessQuery,
-    Heartbeat, KeptAnswer, KeyAnswer, KeyClaim, KeyDecision, KeyHandOver, KeyOutcome, KeyRecord,
-    LatencyObjectives, PeerFrame, PeerMessage, PermitAnswer, PermitDecision, PermitHeld, PermitId,
-    PermitRequest, PermitReturn, Refusal, RefusalReason, RetryReason, ShedRequest, SlotHolder,
-    StatePull, StreamTiming, TablePush, TargetChange, TargetEntry, TargetsContent, TargetsPush,
-    Verdict,
+    ArchiveId, AttemptEnd, ConfigBundle, ConfigPart, ConfigPartPull, DaemonId, DiscoveredTarget,
+    FreshnessAnswer, FreshnessQuery, Heartbeat, KeptAnswer, KeyAnswer, KeyClaim, KeyDecision,
+    KeyHandOver, KeyOutcome, KeyRecord, LatencyObjectives, PeerFrame, PeerMessage, PermitAnswer,
+    PermitDecision, PermitHeld, PermitId, PermitRequest, PermitReturn, Refusal, RefusalReason,
+    RetryReason, ShedRequest, SlotHolder, StatePull, StreamTiming, TablePush, TargetChange,
+    TargetEntry, TargetsContent, TargetsPush, Verdict,
 };
 use curlewcleat_keys::{KeyTable, TABLE_KEY};
 use curlewcleat_platform::format::{Daemon, Metadata, Object};
@@ -123,6 +123,10 @@
     }
 }
 
+fn archive() -> ArchiveId {
+    ArchiveId { generation: 4, length: 600, checksum: 7 }
+}
+
 /// At least one message of each kind, and each variant of what messages carry.
 fn messages() -> Vec<(&'static str, PeerMessage)> {
     let refusal = |verdict| Refusal {
@@ -250,6 +254,22 @@
             }),
         ),
         ("key hand-over acknowledgement", PeerMessage::KeyHandOverAck(1)),
+        (
+            "configuration part pull",
+            PeerMessage::ConfigPartPull(ConfigPartPull {
+                known: 3,
+                archive: Some(archive()),
+                offset: 2,
+            }),
+        ),
+        (
+            "configuration part",
+            PeerMessage::ConfigPart(ConfigPart {
+                archive: archive(),
+                offset: 2,
+                bytes: vec![0x78, 0x01],
+            }),
+        ),
     ]
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,7 @@
 //! what would be right. Nothing in this crate performs input or output.
 
 mod apply;
+mod archive;
 mod check;
 mod manifest;
 mod problem;
@@ -12,6 +13,7 @@
 mod store;
 
 pub use apply::{ApplyAction, ApplyEvent, ApplyOptions, ApplyResult, ConfigApply};
+pub use archive::{ArchiveError, ConfigArchive};
 pub use check::check_files;
 pub use manifest::{content_hash, ApplyRecord, ConfigManifest, HISTORY_LENGTH};
 pub use manifest::{content_key, manifest_bytes, parse_manifest, MANIFEST_KEY};
--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -4,6 +4,7 @@
 
 use curlewcleat_core::{ActiveConfig, ConfigBundle, Generation};
 
+use crate::archive::{ArchiveError, ConfigArchive};
 use crate::check::check_files;
 use crate::problem::CheckReport;
 
@@ -23,6 +24,8 @@
 pub struct ConfigStore {
     active: Arc<ActiveConfig>,
     bundle: Option<ConfigBundle>,
+    /// The texts packed, once a peer has asked for them.
+    archive: Option<ConfigArchive>,
 }
 
 impl ConfigStore {
@@ -41,6 +44,17 @@
         self.bundle.as_ref()
     }
 
+    /// The texts in force, packed; `None` where there are none.
+    ///
+    /// # Errors
+    /// Where they cannot be packed.
+    pub fn archive(&mut self) -> Result<Option<&ConfigArchive>, ArchiveError> {
+        if self.archive.is_none() {
+            self.archive = self.bundle.as_ref().map(ConfigArchive::pack).transpose()?;
+        }
+        Ok(self.archive.as_ref())
+    }
+
     /// Takes an offer from the platform or a peer. Only a higher generation is accepted, so a
     /// store or peer that shows an old version never causes a rollback.
     pub fn offer(&mut self, bundle: ConfigBundle) -> StoreChange {
@@ -51,6 +65,7 @@
             Ok(active) => {
                 self.active = Arc::new(active);
                 self.bundle = Some(bundle);
+                self.archive = None;
                 StoreChange::Accepted
             }
             Err(report) => StoreChange::Invalid(report),
--- /dev/null
+++ b/crates/config/tests/archives.rs
@@ -0,0 +1,53 @@
+//! Configurations packed for their way to other daemons.
+
+use curlewcleat_config::{ArchiveError, ConfigArchive};
+use curlewcleat_core::{ArchiveId, ConfigBundle};
+use proptest::prelude::*;
+
+/// Asks for part after part, as a peer does.
+fn fetch(archive: &ConfigArchive) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    while let Some(part) = archive.part(bytes.len() as u32) {
+        assert_eq!(part.archive, archive.id());
+        assert!(part.bytes.len() <= 32 << 10);
+        bytes.extend_from_slice(&part.bytes);
+    }
+    bytes
+}
+
+proptest! {
+    #[test]
+    fn parts_make_the_same_configuration(
+        generation in 1u64..,
+        files in prop::collection::btree_map("[a-z]{1,8}", "(?s).{0,200}", 0..4),
+        repeated in 0usize..2_000,
+    ) {
+        let mut bundle = ConfigBundle { generation, files };
+        bundle.files.insert("long".to_string(), "[rule r]\npath = /x\n".repeat(repeated));
+        let archive = ConfigArchive::pack(&bundle).expect("packs");
+        let again = ConfigArchive::pack(&bundle).expect("packs");
+        prop_assert_eq!(archive.id(), again.id());
+        let unpacked = ConfigArchive::unpack(archive.id(), &fetch(&archive)).expect("unpacks");
+        prop_assert_eq!(unpacked, bundle);
+    }
+
+    #[test]
+    fn bytes_of_peers_never_panic(
+        id in (any::<u64>(), any::<u32>(), any::<u32>()),
+        bytes in prop::collection::vec(any::<u8>(), 0..300),
+    ) {
+        let (generation, length, checksum) = id;
+        let result = ConfigArchive::unpack(ArchiveId { generation, length, checksum }, &bytes);
+        prop_assert!(result.is_err());
+    }
+}
+
+#[test]
+fn bytes_under_another_name_are_refused() {
+    let files = [("a.ini".to_string(), "[tier a]\nrank = 0\n".to_string())].into();
+    let archive = ConfigArchive::pack(&ConfigBundle { generation: 4, files }).expect("packs");
+    let mut bytes = fetch(&archive);
+    bytes[3] ^= 1;
+    let result = ConfigArchive::unpack(archive.id(), &bytes);
+    assert!(matches!(result, Err(ArchiveError::Checksum)), "{result:?}");
+}
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -5,6 +5,7 @@
 //!
 //! Owns: the form of peer frames. Relies on: nothing.
 
+mod archive;
 mod keys;
 mod permits;
 
@@ -18,6 +19,7 @@
     Uptime, VmId,
 };
 
+pub use archive::*;
 pub use keys::*;
 pub use permits::*;
 
@@ -44,9 +46,9 @@
 pub enum PeerMessage {
     /// Liveness and what the sender knows.
     Heartbeat(Heartbeat),
-    /// Asks for what the receiver has newer.
+    /// Asks for what the receiver has newer, whole.
     StatePull(StatePull),
-    /// The whole configuration.
+    /// The whole configuration, for daemons that cannot ask for parts.
     ConfigPush(ConfigBundle),
     /// The key table.
     TablePush(TablePush),
@@ -80,6 +82,10 @@
     KeyHandOver(KeyHandOver),
     /// The next holder has taken the keys in.
     KeyHandOverAck(KeySlot),
+    /// Asks for a part of the receiver's configuration.
+    ConfigPartPull(ConfigPartPull),
+    /// The answer.
+    ConfigPart(ConfigPart),
 }
 
 /// Sent to peers every beat.
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -168,6 +168,12 @@
         NodeNote::ConfigInvalid(generation, report) => {
             error!("config_invalid", kv: { generation = *generation, problems = report.to_string() });
         }
+        NodeNote::ConfigNotPacked(generation, error) => {
+            error!("config_not_packed", kv: { generation = *generation, error = error.as_str() });
+        }
+        NodeNote::ConfigUnreadable(generation, error) => {
+            error!("config_unreadable", kv: { generation = *generation, error = error.as_str() });
+        }
         NodeNote::PeerLost(peer) => warn!("peer_lost", kv: { vm = peer.vm.as_str() }),
         NodeNote::PeerReplaced(peer) => info!("peer_replaced", kv: { vm = peer.vm.as_str() }),
         NodeNote::TableKnown(version, slots) => {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -133,6 +133,10 @@
     ConfigAccepted(Generation),
     /// A configuration does not pass the checks here.
     ConfigInvalid(Generation, CheckReport),
+    /// The configuration in force cannot be packed for peers.
+    ConfigNotPacked(Generation, String),
+    /// A configuration that came from peers cannot be unpacked.
+    ConfigUnreadable(Generation, String),
     /// A peer became unreachable.
     PeerLost(DaemonId),
     /// A peer's VM has started a new daemon.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! [`Node::handle`] takes an event with the time and gives the actions to perform.
 
+mod config_pull;
 mod event;
 mod freshness;
 mod node;
+mod open_pull;
 mod pool_options;
 mod status;
 mod target_view;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 mod members;
 mod messages;
 mod platform;
+mod pulls;
 mod requests;
 mod stop;
 mod time;
@@ -26,8 +27,10 @@
     PoolScheduler, RateMargin,
 };
 
+use crate::config_pull::ConfigPull;
 use crate::event::{NodeAction, NodeEvent};
 use crate::freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
+use crate::open_pull::OpenPull;
 use crate::status::{ConfigIntake, NodeStatus, PoolStatus, TargetStatus};
 use crate::target_view::TargetView;
 use crate::vms::VmView;
@@ -88,8 +91,11 @@
     eligible: Vec<DaemonId>,
     /// Order of schedulers over all pools.
     order: Vec<DaemonId>,
-    /// When the latest pull of a peer's state was sent.
-    last_pull: Option<Uptime>,
+    config_pull: ConfigPull,
+    table_pull: OpenPull,
+    targets_pull: OpenPull,
+    /// When peers that cannot ask for parts were last sent a whole configuration.
+    whole_pushes: BTreeMap<VmId, Uptime>,
     config_intake: ConfigIntake,
     orders: BTreeMap<PoolId, Vec<DaemonId>>,
     table_absent: bool,
@@ -127,7 +133,10 @@
             vms: VmView::default(),
             order: vec![me.clone()],
             eligible: vec![me],
-            last_pull: None,
+            config_pull: ConfigPull::default(),
+            table_pull: OpenPull::default(),
+            targets_pull: OpenPull::default(),
+            whole_pushes: BTreeMap::new(),
             config_intake: ConfigIntake::default(),
             orders: BTreeMap::new(),
             table_absent: false,
--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -13,22 +13,12 @@
 use crate::pool_options::pool_options;
 
 impl Node {
-    /// A peer has sent a configuration.
-    pub(super) fn config_pushed(&mut self, bundle: ConfigBundle) {
-        let (generation, bytes) = (bundle.generation, bundle.text_bytes());
-        let before = self.store.generation();
-        self.config_offered(bundle);
-        match before < generation && self.store.generation() == generation {
-            true => self.config_intake.taken += bytes,
-            false => self.config_intake.unused += bytes,
-        }
-    }
-
     pub(super) fn config_offered(&mut self, bundle: ConfigBundle) {
         let generation = bundle.generation;
         match self.store.offer(bundle) {
             StoreChange::Stale => {}
             StoreChange::Invalid(report) => {
+                self.config_pull.reject(generation);
                 self.actions.push(NodeAction::Note(NodeNote::ConfigInvalid(generation, report)));
             }
             StoreChange::Accepted => {
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -2,23 +2,16 @@
 //!
 //! Owns: nothing; these are methods of `Node`. Relies on: transports that may lose or delay frames.
 
-use std::time::Duration;
-
 use curlewcleat_core::{
     DaemonId, Heartbeat, KeyAnswer, KeyClaim, KeyDecision, PeerFrame, PeerMessage, PermitAnswer,
-    PermitDecision, PermitHeld, PermitRequest, PermitReturn, PoolId, ShedRequest, StatePull,
-    TablePush, TargetId, TargetReport, VmId,
+    PermitDecision, PermitHeld, PermitRequest, PermitReturn, PoolId, ShedRequest, TargetId,
+    TargetReport, VmId,
 };
-use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{GuardStep, PoolScheduler, SchedulerAction};
 
 use super::{order_of, Node};
 use crate::event::{NodeAction, NodeNote, PlatformCall};
 
-/// Time between pulls of peers' state.
-/// Chosen, not measured.
-const PULL_PAUSE: Duration = Duration::from_millis(100);
-
 impl Node {
     /// Puts a message on its way; to this daemon itself without a frame.
     pub(super) fn post(&mut self, vm: &VmId, message: PeerMessage) {
@@ -61,9 +54,7 @@
             PeerMessage::Heartbeat(beat) => self.heartbeat_received(from, &beat),
             PeerMessage::StatePull(pull) => self.state_pulled(&from.vm, pull),
             PeerMessage::ConfigPush(bundle) => self.config_pushed(bundle),
-            PeerMessage::TablePush(push) => {
-                self.table_known(push.version, KeyTable { slots: push.slots })
-            }
+            PeerMessage::TablePush(push) => self.table_pushed(push),
             PeerMessage::FreshnessQuery(query) => self.freshness_queried(&from.vm, query),
             PeerMessage::FreshnessAnswer(answer) => self.freshness_answered(from, &answer),
             PeerMessage::TargetsPull(known) => self.targets_pulled(&from.vm, known),
@@ -87,6 +78,8 @@
                 }
             }
             PeerMessage::KeyHandOverAck(slot) => self.home.hand_over_acked(from, slot),
+            PeerMessage::ConfigPartPull(pull) => self.config_part_pulled(&from.vm, pull),
+            PeerMessage::ConfigPart(part) => self.config_part_received(&from.vm, part),
         }
     }
 
@@ -154,34 +147,8 @@
         }
         self.entry.heartbeat_received(self.now, &from.vm);
         self.review_roles();
-        if beat.generation > self.store.generation() || beat.table > self.home.version() {
-            self.pull_state(&from.vm);
-        }
-    }
-
-    /// Asks a peer for what it has newer; several peers may have it, and one is asked at a time.
-    pub(super) fn pull_state(&mut self, from: &VmId) {
-        if self.last_pull.is_some_and(|last| self.now < last + PULL_PAUSE) {
-            return;
-        }
-        self.last_pull = Some(self.now);
-        let pull = StatePull { generation: self.store.generation(), table: self.home.version() };
-        self.post(from, PeerMessage::StatePull(pull));
-    }
-
-    pub(super) fn state_pulled(&mut self, from: &VmId, pull: StatePull) {
-        if pull.generation < self.store.generation() {
-            if let Some(bundle) = self.store.bundle().cloned() {
-                self.post(from, PeerMessage::ConfigPush(bundle));
-            }
-        }
-        if pull.table < self.home.version() {
-            let slots = self.home.table().slots.clone();
-            self.post(
-                from,
-                PeerMessage::TablePush(TablePush { version: self.home.version(), slots }),
-            );
-        }
+        self.config_offered_by(&from.vm, beat.generation);
+        self.table_offered_by(&from.vm, beat.table);
     }
 
     pub(super) fn permit_answered(&mut self, from: &VmId, answer: PermitAnswer) {
--- a/crates/node/src/node/platform.rs
+++ b/crates/node/src/node/platform.rs
@@ -41,13 +41,13 @@
         let Some(freshness) = self.freshness.as_mut() else { return };
         let Some(read) = freshness.answered(self.now, answer) else { return };
         if answer.generation > self.store.generation() {
-            self.pull_state(&from.vm);
+            self.config_offered_by(&from.vm, answer.generation);
         } else {
             // What is in force here is at least as new as what the peer's read showed.
             freshness.prove(self.now, read);
             self.actions.push(NodeAction::Platform(PlatformCall::ConfigConfirmed(read)));
         }
-        if answer.targets_at > self.targets.at() {
+        if answer.targets_at > self.targets.at() && self.targets_pull.begin(self.now) {
             self.post(&from.vm, PeerMessage::TargetsPull(self.targets.at()));
         }
     }
@@ -58,10 +58,12 @@
     }
 
     pub(super) fn targets_pushed(&mut self, from: &VmId, push: TargetsPush) {
+        self.targets_pull.answered();
         match push.content {
             TargetsContent::All(targets) => self.targets_listed(targets, push.at),
             TargetsContent::Since(known, changes) => {
-                if self.targets_changed(known, changes, push.at) == ViewUpdate::Gap {
+                let update = self.targets_changed(known, changes, push.at);
+                if update == ViewUpdate::Gap && self.targets_pull.begin(self.now) {
                     self.post(from, PeerMessage::TargetsPull(self.targets.at()));
                 }
             }
--- /dev/null
+++ b/crates/node/src/node/pulls.rs
@@ -0,0 +1,131 @@
+//! What peers have newer: configurations and key tables, in and out.
+//!
+//! Owns: nothing; these are methods of `Node`. Relies on: [`ConfigPull`] and [`OpenPull`] for asking once
+//! for what is on its way.
+//!
+//! [`ConfigPull`]: crate::config_pull::ConfigPull
+//! [`OpenPull`]: crate::open_pull::OpenPull
+
+use std::time::Duration;
+
+use curlewcleat_config::ConfigArchive;
+use curlewcleat_core::{
+    ArchiveId, ConfigBundle, ConfigPart, ConfigPartPull, Generation, ObjectVersion, PeerMessage,
+    StatePull, TablePush, VmId,
+};
+use curlewcleat_keys::KeyTable;
+
+use super::Node;
+use crate::config_pull::PartOutcome;
+use crate::event::{NodeAction, NodeNote};
+
+/// Least time between two whole configurations to one peer. Chosen, not measured: a megabyte takes a
+/// second over the slowest link that the users' VMs have.
+const WHOLE_PUSH_PAUSE: Duration = Duration::from_secs(2);
+
+impl Node {
+    /// A peer has a configuration of this generation.
+    pub(super) fn config_offered_by(&mut self, peer: &VmId, generation: Generation) {
+        let in_force = self.store.generation();
+        if let Some(pull) = self.config_pull.offered(self.now, generation, in_force) {
+            self.post(peer, PeerMessage::ConfigPartPull(pull));
+        }
+    }
+
+    /// A peer asks for a part of a newer configuration. What it has of another one than that in force
+    /// here is of no use, so it gets the beginning.
+    pub(super) fn config_part_pulled(&mut self, peer: &VmId, pull: ConfigPartPull) {
+        if pull.known >= self.store.generation() {
+            return;
+        }
+        let archive = match self.store.archive() {
+            Ok(archive) => archive,
+            Err(error) => {
+                let note = NodeNote::ConfigNotPacked(self.store.generation(), error.to_string());
+                return self.actions.push(NodeAction::Note(note));
+            }
+        };
+        let offset = |archive: &ConfigArchive| match pull.archive == Some(archive.id()) {
+            true => pull.offset,
+            false => 0,
+        };
+        let part = archive.and_then(|archive| archive.part(offset(archive)));
+        if let Some(part) = part {
+            self.post(peer, PeerMessage::ConfigPart(part));
+        }
+    }
+
+    pub(super) fn config_part_received(&mut self, peer: &VmId, part: ConfigPart) {
+        let bytes = part.bytes.len() as u64;
+        let in_force = self.store.generation();
+        let outcome = self.config_pull.part_received(self.now, part, in_force);
+        match outcome {
+            PartOutcome::Unused => return self.config_intake.unused += bytes,
+            PartOutcome::Next(pull) => self.post(peer, PeerMessage::ConfigPartPull(pull)),
+            PartOutcome::Whole(id, archive) => self.archive_received(id, &archive),
+        }
+        self.config_intake.taken += bytes;
+    }
+
+    fn archive_received(&mut self, id: ArchiveId, bytes: &[u8]) {
+        match ConfigArchive::unpack(id, bytes) {
+            Ok(bundle) => self.config_offered(bundle),
+            Err(error) => {
+                // Asked for again, it would come again.
+                self.config_pull.reject(id.generation);
+                let note = NodeNote::ConfigUnreadable(id.generation, error.to_string());
+                self.actions.push(NodeAction::Note(note));
+            }
+        }
+    }
+
+    /// A peer has sent a whole configuration.
+    pub(super) fn config_pushed(&mut self, bundle: ConfigBundle) {
+        let (generation, bytes) = (bundle.generation, bundle.text_bytes());
+        let before = self.store.generation();
+        self.config_offered(bundle);
+        match before < generation && self.store.generation() == generation {
+            true => self.config_intake.taken += bytes,
+            false => self.config_intake.unused += bytes,
+        }
+    }
+
+    /// A peer has a key table of this version.
+    pub(super) fn table_offered_by(&mut self, peer: &VmId, version: ObjectVersion) {
+        if version <= self.home.version() || !self.table_pull.begin(self.now) {
+            return;
+        }
+        // The configuration comes in parts, so no generation is asked for here.
+        let pull = StatePull { generation: Generation::MAX, table: self.home.version() };
+        self.post(peer, PeerMessage::StatePull(pull));
+    }
+
+    /// A peer asks for what it has not, whole.
+    pub(super) fn state_pulled(&mut self, peer: &VmId, pull: StatePull) {
+        if pull.generation < self.store.generation() {
+            self.push_whole(peer);
+        }
+        if pull.table < self.home.version() {
+            let slots = self.home.table().slots.clone();
+            let push = TablePush { version: self.home.version(), slots };
+            self.post(peer, PeerMessage::TablePush(push));
+        }
+    }
+
+    /// Sends a whole configuration, unless one is on its way to the peer.
+    fn push_whole(&mut self, peer: &VmId) {
+        self.whole_pushes.retain(|_, sent| self.now < *sent + WHOLE_PUSH_PAUSE);
+        if self.whole_pushes.contains_key(peer) {
+            return;
+        }
+        if let Some(bundle) = self.store.bundle().cloned() {
+            self.whole_pushes.insert(peer.clone(), self.now);
+            self.post(peer, PeerMessage::ConfigPush(bundle));
+        }
+    }
+
+    pub(super) fn table_pushed(&mut self, push: TablePush) {
+        self.table_pull.answered();
+        self.table_known(push.version, KeyTable { slots: push.slots });
+    }
+}
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -42,9 +42,9 @@
 /// Bytes of configurations that peers have sent to a daemon since its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConfigIntake {
-    /// Of configurations that were put in force.
+    /// Of those that were needed.
     pub taken: u64,
-    /// Of configurations that were not newer than the one in force, or did not pass the checks.
+    /// Of those that were here already, or too old.
     pub unused: u64,
 }
 
--- a/crates/node/tests/distribution.rs
+++ b/crates/node/tests/distribution.rs
@@ -15,9 +15,15 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use support::{Fleet, SlowLink, APPLY_LIMIT};
+use curlewcleat_config::ConfigArchive;
+use curlewcleat_core::{ConfigBundle, ConfigPartPull, DaemonId, PeerFrame, PeerMessage, StatePull};
+use curlewcleat_node::{NodeAction, NodeEvent};
+use rstest::rstest;
+
+use support::{heartbeat, Fleet, SlowLink, APPLY_LIMIT};
 
 /// Length of a large configuration in bytes: near what a platform stores in one object.
 const LARGE: usize = 900_000;
@@ -58,3 +64,99 @@
     }
     assert!(taken_after < APPLY_LIMIT, "{taken_after:?}");
 }
+
+#[rstest]
+#[case::one_frame_in_three(3)]
+#[case::one_frame_in_ten(10)]
+fn lost_parts_are_asked_for_again(#[case] lost_each: usize) {
+    let mut fleet = fleet_of_small_vms();
+    for link in fleet.links.values_mut() {
+        link.lost_each = Some(lost_each);
+    }
+    fleet.change_config(LARGE / 10);
+    let taken_after = fleet.run_until(Duration::from_secs(20), |fleet| all_have(fleet, 2));
+    assert!(taken_after < Duration::from_secs(20));
+    let most = fleet.links.values().map(|link| link.sent_bytes).max().unwrap_or_default();
+    assert!(most < LARGE / 4, "{most} bytes");
+}
+
+#[test]
+fn fetching_goes_on_at_another_peer_where_the_first_dies() {
+    let mut fleet = fleet_of_small_vms();
+    let before: Vec<u64> = (0..DAEMONS).map(|index| fleet.intake_of(index).taken).collect();
+    fleet.change_config(LARGE);
+    fleet.run_until(APPLY_LIMIT, |fleet| {
+        fleet.outsiders().iter().any(|index| fleet.intake_of(*index).taken > before[*index])
+    });
+    for reader in fleet.readers() {
+        fleet.daemons[reader].cut = true;
+    }
+    let alive: Vec<usize> = (0..DAEMONS).filter(|index| !fleet.daemons[*index].cut).collect();
+    let taken_after = fleet.run_until(Duration::from_secs(10), |fleet| {
+        alive.iter().all(|index| fleet.generation_of(*index) == 2)
+    });
+    assert!(taken_after < Duration::from_secs(10));
+    for index in alive {
+        let unused = fleet.intake_of(index).unused as usize;
+        assert!(unused < LARGE / 10, "{unused} bytes came twice to daemon {index}");
+    }
+}
+
+/// The pulls of parts that a daemon sends when it takes a message of a peer that offers generation 9.
+fn pulls_after(fleet: &mut Fleet, message: PeerMessage) -> Vec<ConfigPartPull> {
+    fleet.now += Duration::from_secs(1);
+    let peer = DaemonId { vm: "vm-1".to_string(), incarnation: 1 };
+    let event = NodeEvent::Peer(PeerFrame { from: peer, messages: vec![message] });
+    let actions = fleet.daemons[0].node.handle(fleet.now, fleet.now, event);
+    let frames = actions.into_iter().filter_map(|action| match action {
+        NodeAction::Send(_, frame) => Some(frame.messages),
+        _ => None,
+    });
+    let pulls = frames.flatten().filter_map(|message| match message {
+        PeerMessage::ConfigPartPull(pull) => Some(pull),
+        _ => None,
+    });
+    pulls.collect()
+}
+
+#[rstest]
+#[case::no_such_section("[no such section]\n", true)]
+#[case::bytes_that_do_not_unpack("", false)]
+fn configuration_that_cannot_be_used_is_fetched_once(#[case] text: &str, #[case] intact: bool) {
+    let mut fleet = Fleet::new(2);
+    let files = BTreeMap::from([("a.ini".to_string(), text.to_string())]);
+    let archive = ConfigArchive::pack(&ConfigBundle { generation: 9, files }).expect("an archive");
+    let offer = PeerMessage::Heartbeat(heartbeat(9));
+    let first = pulls_after(&mut fleet, offer.clone());
+    assert_eq!(first, [ConfigPartPull { known: 1, archive: None, offset: 0 }]);
+    let mut part = archive.part(0).expect("a part");
+    if !intact {
+        part.bytes[0] ^= 1;
+    }
+    assert_eq!(pulls_after(&mut fleet, PeerMessage::ConfigPart(part)), []);
+    for _ in 0..5 {
+        assert_eq!(pulls_after(&mut fleet, offer.clone()), []);
+    }
+    assert_eq!(fleet.generation_of(0), 1);
+}
+
+/// A daemon of a release that asks for whole configurations is sent one, and not again while that is on
+/// its way.
+#[test]
+fn whole_configuration_is_not_sent_again_while_it_is_on_its_way() {
+    let mut fleet = Fleet::new(2);
+    let asker = DaemonId { vm: "vm-1".to_string(), incarnation: 1 };
+    let pull = PeerMessage::StatePull(StatePull { generation: 0, table: 0 });
+    let frame = PeerFrame { from: asker, messages: vec![pull] };
+    let mut pushes = 0;
+    for step in 0..20 {
+        let now = fleet.now + Duration::from_millis(100) * step;
+        let event = NodeEvent::Peer(frame.clone());
+        for action in fleet.daemons[0].node.handle(now, now, event) {
+            let NodeAction::Send(_, frame) = action else { continue };
+            let whole = |message: &&PeerMessage| matches!(message, PeerMessage::ConfigPush(_));
+            pushes += frame.messages.iter().filter(whole).count();
+        }
+    }
+    assert_eq!(pushes, 1);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AttemptEnd, ConfigBundle, DaemonId, DiscoveredTarget, PeerFrame, RequestId, TargetEntry,
-    Verdict,
+    AttemptEnd, ConfigBundle, DaemonId, DiscoveredTarget, Heartbeat, PeerFrame, RequestId,
+    TargetEntry, Verdict,
 };
 use curlewcleat_keys::KeyHomeOptions;
 use curlewcleat_node::{
-    CallerDecision, FreshnessLimits, Node, NodeAction, NodeEvent, NodeOptions, PlatformCall,
-    ReadRole,
+    CallerDecision, ConfigIntake, FreshnessLimits, Node, NodeAction, NodeEvent, NodeOptions,
+    PlatformCall, ReadRole,
 };
 use curlewcleat_sched::{EntryOptions, MemberOptions, RequestSpec};
 
@@ -246,6 +246,11 @@
         self.config = config;
     }
 
+    /// What peers have sent to a daemon of configurations.
+    pub fn intake_of(&self, index: usize) -> ConfigIntake {
+        self.daemons[index].node.status().config_intake
+    }
+
     /// Generation in force at a daemon.
     pub fn generation_of(&self, index: usize) -> u64 {
         self.daemons[index].node.status().generation
@@ -307,6 +312,22 @@
     }
 }
 
+/// A heartbeat of the second daemon, with a configuration of this generation.
+pub fn heartbeat(generation: u64) -> Heartbeat {
+    Heartbeat {
+        address: address(1),
+        data_centre: "d".to_string(),
+        generation,
+        table: 0,
+        draining: false,
+        stale: false,
+        capacity: 100,
+        started: 0,
+        answer_wanted: false,
+        known: Vec::new(),
+    }
+}
+
 pub fn target(id: &str, leaving: bool) -> DiscoveredTarget {
     let entry = TargetEntry {
         id: id.to_string(),
