A call of the store is given up when nothing comes, not while its answer comes

Cause: a call's limit held for its whole answer. Change: the limit holds for the beginning of the answer and for each pause in it; the whole may take eight times as long.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -47,7 +47,7 @@
     pub suspect_after: Duration,
     /// `ip:port` of the platform's object API.
     pub platform_address: String,
-    /// Time after which a call of the object API is given up.
+    /// Time without a part of its answer after which a call of the object API is given up.
     pub platform_limit: Duration,
     /// Slots of the key table, used when this daemon creates it.
     pub key_slots: u16,
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -3,6 +3,7 @@
 //! Owns: the connections to one store. Relies on: `curlewcleat-targets`, which tells a whole answer
 //! from a cut one.
 
+use std::future::Future;
 use std::time::Duration;
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -17,6 +18,9 @@
 /// Longest answer in bytes. Chosen, not measured: a page of objects, of which each has a megabyte at
 /// most.
 const ANSWER_LIMIT: usize = 16 << 20;
+/// Times the limit of a call that its answer may take in all, as long as its parts keep coming. Chosen,
+/// not measured: a megabyte takes most of a second over 10 Mbit/s, and several beside callers' requests.
+const WHOLE_LIMITS: u32 = 8;
 /// Time for the answer of a watch beyond the time for which it waits. Chosen, not measured.
 const WATCH_SLACK: Duration = Duration::from_secs(1);
 
@@ -94,7 +98,8 @@
 }
 
 impl StoreClient {
-    /// A client of the store at `ip:port`; each call but a watch is given up after `limit`.
+    /// A client of the store at `ip:port`. A call is given up where `limit` passes without a part of its
+    /// answer.
     pub fn new(address: &str, limit: Duration) -> StoreClient {
         let options = ConnectionOptions { rest: Duration::ZERO, ..ConnectionOptions::default() };
         let connections = ConnectionPool::new(options);
@@ -117,22 +122,26 @@
         self.call_within(request, wait + WATCH_SLACK).await
     }
 
+    /// Makes a call; `limit` is the time until its answer begins.
     async fn call_within(&self, request: StoreRequest, limit: Duration) -> Result<StoreReply> {
-        match tokio::time::timeout(limit, self.exchange(request, limit)).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::Unclear(format!("no answer within {limit:?}"))),
-        }
+        let answer = within(limit, self.begin(request, limit)).await?;
+        within(self.limit * WHOLE_LIMITS, self.read(answer)).await
     }
 
-    async fn exchange(&self, request: StoreRequest, limit: Duration) -> Result<StoreReply> {
+    async fn begin(&self, request: StoreRequest, limit: Duration) -> Result<TargetAnswer> {
         let connection = self.connections.connect(&self.address, limit).await.map_err(unclear)?;
         let head = request.head()?;
         // Reads have no body.
         let body = request.body.map(Bytes::from).unwrap_or_default();
-        let TargetAnswer { head, mut body } =
-            connection.exchange(head, body).await.map_err(unclear)?;
+        connection.exchange(head, body).await.map_err(unclear)
+    }
+
+    /// Reads an answer whole. It is given up when nothing comes for the limit of a call: one that was
+    /// given up while it comes would have to be carried again from its beginning.
+    async fn read(&self, answer: TargetAnswer) -> Result<StoreReply> {
+        let TargetAnswer { head, mut body } = answer;
         let mut bytes = Vec::new();
-        while let Some(part) = body.next().await {
+        while let Some(part) = within(self.limit, async { Ok(body.next().await) }).await? {
             bytes.extend_from_slice(&part.map_err(unclear)?);
             if bytes.len() > ANSWER_LIMIT {
                 return Err(Error::Protocol("the answer is too long".to_string()));
@@ -142,6 +151,14 @@
     }
 }
 
+/// Gives a step of a call up after a limit.
+async fn within<T>(limit: Duration, step: impl Future<Output = Result<T>>) -> Result<T> {
+    match tokio::time::timeout(limit, step).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::Unclear(format!("no answer within {limit:?}"))),
+    }
+}
+
 /// What a status says that is no success.
 pub(crate) fn refusal(status: StatusCode) -> Error {
     match status {
--- /dev/null
+++ b/crates/store/tests/client.rs
@@ -0,0 +1,70 @@
+//! Calls of a store whose answers take their time.
+//!
+//! A daemon on a small VM whose peers could not tell it the configuration read it itself: a megabyte over
+//! a link of 10 Mbit/s. Each read was given up after a second, although its bytes were coming, and begun
+//! anew, which filled the link and never ended; the configuration could not be proved, and keyed requests
+//! were refused.
+
+use std::time::{Duration, Instant};
+
+use curlewcleat_store::{Error, StoreClient, StoreRequest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Limit of a call.
+const LIMIT: Duration = Duration::from_millis(400);
+
+/// A store that answers one call with so many parts of 100 bytes and a pause after each; it announces
+/// `announced` parts.
+async fn store(parts: usize, announced: usize, pause: Duration) -> std::io::Result<String> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?.to_string();
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await?;
+        let mut buffer = [0u8; 4096];
+        stream.read(&mut buffer).await?;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", announced * 100);
+        stream.write_all(head.as_bytes()).await?;
+        for _ in 0..parts {
+            stream.write_all(&[b'x'; 100]).await?;
+            tokio::time::sleep(pause).await;
+        }
+        // The connection stays open without a further byte.
+        std::future::pending::<std::io::Result<()>>().await
+    });
+    Ok(address)
+}
+
+async fn read(address: &str) -> (Result<usize, Error>, Duration) {
+    let client = StoreClient::new(address, LIMIT);
+    let begun = Instant::now();
+    let reply = client.call(StoreRequest::get("/object".to_string())).await;
+    (reply.map(|reply| reply.body.len()), begun.elapsed())
+}
+
+#[actix_rt::test]
+async fn answer_that_keeps_coming_is_read_to_its_end() -> std::io::Result<()> {
+    let address = store(10, 10, LIMIT / 4).await?;
+    let (result, took) = read(&address).await;
+    assert_eq!(result.ok(), Some(1_000), "after {took:?}");
+    assert!(took > LIMIT, "{took:?}");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn answer_that_stops_coming_is_given_up_after_the_limit() -> std::io::Result<()> {
+    let address = store(2, 10, Duration::ZERO).await?;
+    let (result, took) = read(&address).await;
+    assert!(matches!(result, Err(Error::Unclear(_))), "{result:?}");
+    assert!(took < LIMIT * 3, "{took:?}");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn answer_that_does_not_end_is_given_up() -> std::io::Result<()> {
+    let address = store(1_000, 1_000, LIMIT / 4).await?;
+    let (result, took) = read(&address).await;
+    assert!(matches!(result, Err(Error::Unclear(_))), "{result:?}");
+    assert!(took < LIMIT * 12, "{took:?}");
+    Ok(())
+}
