--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, TargetAnswer};
 use futures_util::StreamExt;
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
 
 use crate::store::{Error, Result};
 
@@ -85,7 +85,7 @@
     ///
     /// # Errors
     /// [`Error::Protocol`] where it cannot be read as one.
-    pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
+    pub fn json<'r, T: Deserialize<'r>>(&'r self) -> Result<T> {
         serde_json::from_slice(&self.body).map_err(unreadable)
     }
 }
