--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -33,6 +33,7 @@
     peers::heartbeats();
     peers::sparse_heartbeats();
     state::accounts()?;
+    state::changes()?;
     state::keys();
     peers::codec();
     if arguments.processes {
--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -3,9 +3,9 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result};
-use curlewcleat_config::check_files;
-use curlewcleat_core::{KeyClaim, KeyDecision, RequestId};
+use anyhow::{ensure, Context, Result};
+use curlewcleat_config::{check_files, ConfigArchive, ConfigStore, StoreChange};
+use curlewcleat_core::{hash_token, ConfigBundle, KeyClaim, KeyDecision, RequestId};
 use curlewcleat_keys::{KeyHome, KeyHomeOptions, KeyTable};
 
 use crate::support::{configuration, configured, daemon, resident, time_each};
@@ -34,6 +34,73 @@
     Ok(())
 }
 
+/// Rules in one file of the measured configurations.
+const RULES_EACH: usize = 256;
+
+/// What a change of a configuration costs: the first check, a change of one file of rules, and the way
+/// to another daemon.
+pub fn changes() -> Result<()> {
+    println!("rules | text bytes | check (ms) | one file changed (ms) | packed bytes | pack (ms) | unpack (ms)");
+    for count in [250, 1_000, 4_000, 16_000] {
+        let mut store = ConfigStore::default();
+        let first = rule_bundle(1, count);
+        let bytes = first.text_bytes();
+        let (check, _) = timed(|| store.offer(first));
+        let mut second = rule_bundle(2, count);
+        if let Some(text) = second.files.get_mut("rules-00000.ini") {
+            text.push_str("; changed\n");
+        }
+        let (change, taken) = timed(|| store.offer(second));
+        ensure!(taken == StoreChange::Accepted, "{taken:?}");
+        let (pack, archive) = timed(|| store.archive().map(|archive| archive.cloned()));
+        let archive = archive?.context("an archive")?;
+        let mut packed = Vec::new();
+        while let Some(part) = archive.part(packed.len() as u32) {
+            packed.extend_from_slice(&part.bytes);
+        }
+        let (unpack, bundle) = timed(|| ConfigArchive::unpack(archive.id(), &packed));
+        black_box(bundle?);
+        let length = packed.len();
+        println!(
+            "{count:>5} | {bytes:>10} | {check:>7.2} | {change:>7.2} | {length:>8} | {pack:>6.2} | {unpack:>6.2}"
+        );
+    }
+    Ok(())
+}
+
+/// A configuration of rules as the users' platform has them; names are drawn so that they pack no better
+/// than real ones.
+fn rule_bundle(generation: u64, count: usize) -> ConfigBundle {
+    let hex = |number: usize| -> String {
+        let hash = hash_token(&number.to_string());
+        hash.bytes().iter().take(4).map(|byte| format!("{byte:02x}")).collect()
+    };
+    let rule = |index: usize| {
+        format!(
+            "[rule r-{0}]\norder = {1}\nhost = {2}.example\npath = /{3}/*\ntier = t\npool = p\n\
+             repeatable = yes\nstreams = yes\nresumable = yes\npublic = no\nbody_limit = 4194304\n\
+             timeout = 12000ms\nobjective = 1000ms\npause_limit = 800ms\nattempt_limit = 2\n",
+            hex(index),
+            1_000 + index % 20,
+            hex(index % 100),
+            hex(index + 1_000_000)
+        )
+    };
+    let base = "[tier t]\nrank = 0\n[pool p]\nkind = engine\n".to_string();
+    let rules: Vec<String> = (0..count).map(rule).collect();
+    let files = rules.chunks(RULES_EACH).enumerate();
+    let files = files.map(|(index, rules)| (format!("rules-{index:05}.ini"), rules.concat()));
+    let base = std::iter::once(("base.ini".to_string(), base));
+    ConfigBundle { generation, files: base.chain(files).collect() }
+}
+
+/// Milliseconds that a call takes, and what it gives.
+fn timed<T>(call: impl FnOnce() -> T) -> (f64, T) {
+    let begun = Instant::now();
+    let given = call();
+    (begun.elapsed().as_secs_f64() * 1e3, given)
+}
+
 pub fn keys() {
     println!("keys held | one claim (ns) | resident bytes per key");
     for count in [10_000u32, 100_000, 400_000] {
