core: the doc of PermitId stands at its item

Cause: a derive over three lines stood between doc and item, and the doc spoke of "one attempt" where the type names a permit.

The derived traits are the same.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Name of a VM that runs a daemon or a target, as the platform lists it.
 pub type VmId = String;
 /// Name of a target, unique in the configuration.
@@ -33,10 +35,8 @@
 /// Work in microseconds of one target slot.
 pub type WorkMicros = u64;
 
-/// One attempt to get a request dispatched: the request and the count of permits asked for it.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+/// Identifies a permit: the request, and which of its dispatch attempts the permit is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PermitId {
     /// The request that the permit is for.
     pub request: RequestId,
