sched: whether a daemon announces itself belongs to the member view

Cause: membership imported ANNOUNCED_BEATS from heartbeats, which imports membership and order, and order imports membership: a circle of three files.

Changed: ANNOUNCED_BEATS, is_announcing and announce stand in membership, beside the count that they set and read; membership imports neither heartbeats nor order. The constant is private, for nothing else used it.

--- a/crates/sched/src/election/heartbeats.rs
+++ b/crates/sched/src/election/heartbeats.rs
@@ -4,8 +4,9 @@
 //! `mesh_limit` daemons, every heartbeat goes to all. In a larger fleet it goes to the candidates (the
 //! first [`CANDIDATES`] in the order of schedulers), from a candidate to all, to the rest one in
 //! [`FAR_BEATS`], and to whoever waits for a reply; so the cost of a daemon grows by a tenth of a
-//! heartbeat with each further one. After a start and after a change of role [`ANNOUNCED_BEATS`] go to
-//! everyone. docs/MEASUREMENTS.md, "two readers, sparse heartbeats, strongest schedule".
+//! heartbeat with each further one. After a start and after a change of role the next ones go to
+//! everyone ([`MemberView::is_announcing`]). docs/MEASUREMENTS.md, "two readers, sparse heartbeats,
+//! strongest schedule".
 //!
 //! Owns: nothing; the state is [`MemberView`]'s.
 
@@ -26,9 +27,6 @@
 const CANDIDATES: usize = 4;
 /// One heartbeat in this many goes to a peer that is no candidate. Chosen, not measured.
 pub const FAR_BEATS: u32 = 10;
-/// Heartbeats that go to everyone after a daemon's start and after a change of what it can do. Chosen,
-/// not measured; the first one only opens connections.
-pub const ANNOUNCED_BEATS: u32 = 4;
 
 /// A heartbeat's receiver.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -40,16 +38,6 @@
 }
 
 impl MemberView {
-    /// Whether the next heartbeat goes to everyone, and soon.
-    pub fn is_announcing(&self) -> bool {
-        self.announced > 0
-    }
-
-    /// The next heartbeats go to everyone.
-    pub(super) fn announce(&mut self) {
-        self.announced = ANNOUNCED_BEATS;
-    }
-
     /// Whether every heartbeat goes to all others.
     pub(super) fn is_mesh(&self) -> bool {
         self.fleet_size() <= self.options.mesh_limit
--- a/crates/sched/src/election/membership.rs
+++ b/crates/sched/src/election/membership.rs
@@ -8,9 +8,12 @@
 
 use curlewcleat_core::{DaemonId, Generation, Heartbeat, Incarnation, ObjectVersion, Uptime, VmId};
 
-use super::heartbeats::ANNOUNCED_BEATS;
 use crate::admission::shared_rate::{RatePart, RateTurn};
 
+/// Heartbeats that go to everyone after a daemon's start and after a change of what it can do. Chosen,
+/// not measured; the first one only opens connections.
+const ANNOUNCED_BEATS: u32 = 4;
+
 /// Times and addresses of a member view.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct MemberOptions {
@@ -160,6 +163,16 @@
         news
     }
 
+    /// Whether the next heartbeat goes to everyone, and soon.
+    pub fn is_announcing(&self) -> bool {
+        self.announced > 0
+    }
+
+    /// The next heartbeats go to everyone.
+    pub(super) fn announce(&mut self) {
+        self.announced = ANNOUNCED_BEATS;
+    }
+
     /// Takes a heartbeat. Returns the daemon that ended, where the VM has started a new one.
     pub fn heartbeat_received(
         &mut self,
