soak: the options of a run in a file of their own

Cause: fleet imported SoakOptions from run, which imports the fleet: a circle of two files.

Changed: SoakOptions stands in options.rs; the crate exports it as before.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -17,7 +17,7 @@
 
 use crate::judge::SoakEvidence;
 use crate::link::FaultyLink;
-use crate::run::SoakOptions;
+use crate::options::SoakOptions;
 
 /// Events of a whole stream, and the time between two.
 const EVENTS: u64 = 6;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,11 +6,13 @@
 mod fleet;
 mod judge;
 mod link;
+mod options;
 mod plan;
 mod run;
 
 pub use callers::{CallKind, CallOutcome, CallRecord};
 pub use judge::{judge, KeyLoss, PlannedStop, SoakEvidence, SoakFinding};
 pub use link::{FaultyLink, LinkFault};
+pub use options::SoakOptions;
 pub use plan::{plan, FaultStep, PlanOptions, SoakFault};
-pub use run::{run_soak, SoakOptions, SoakReport};
+pub use run::{run_soak, SoakReport};
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,7 +1,6 @@
 //! One run: faults of a plan happen to a fleet under load; then what happened is judged.
 
 use std::collections::BTreeMap;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,32 +10,12 @@
 use crate::callers::SoakCallers;
 use crate::fleet::{SoakFleet, BACKENDS};
 use crate::judge::{judge, summary, unserved, SoakFinding};
+use crate::options::SoakOptions;
 use crate::plan::{plan, FaultStep, PlanOptions};
 
 /// Time for which the traffic goes on after the last fault.
 const RECOVERY: Duration = Duration::from_secs(5);
 
-/// What a run is made with.
-#[derive(Clone, Debug)]
-pub struct SoakOptions {
-    /// Draws the faults and the requests.
-    pub seed: u64,
-    /// Daemons.
-    pub daemons: usize,
-    /// Engines of each service.
-    pub engines: usize,
-    /// Callers.
-    pub callers: usize,
-    /// Time in which faults happen.
-    pub time: Duration,
-    /// Whether only planned work happens.
-    pub planned_only: bool,
-    /// Faults in place of those of the seed.
-    pub script: Option<Vec<FaultStep>>,
-    /// Folder for settings and logs.
-    pub folder: PathBuf,
-}
-
 /// What a run showed.
 #[derive(Clone, Debug)]
 pub struct SoakReport {
