soak: the settings of a daemon in a file of their own, one daemon started by one function

Cause: start_daemons held links, seeds, the text of the settings and the processes in 53 lines; the bounds stood in fleet.rs although the faults go by them too.

Changed: settings.rs writes the text and holds the three bounds; start_peer_links and start_daemon hold a step each; the three seeds are a named constant.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,10 +9,11 @@
 use curlewcleat_platform::names::{DRAINING, SERVERS};
 use curlewcleat_standins::fleet::EngineStep;
 
-use crate::fleet::{DaemonSlot, EngineSlot, SoakFleet, AGE_LIMIT, LOOK_EVERY, STOP_LIMIT};
+use crate::fleet::{DaemonSlot, EngineSlot, SoakFleet, LOOK_EVERY};
 use crate::judge::{EngineLeave, KeyLoss, PlannedStop};
 use crate::link::{FaultyLink, LinkFault};
 use crate::plan::{FaultStep, SoakFault};
+use crate::settings::{AGE_LIMIT, STOP_LIMIT};
 
 impl SoakFleet {
     /// Plays one fault and notes when it was felt.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -18,16 +18,15 @@
 use crate::judge::SoakEvidence;
 use crate::link::FaultyLink;
 use crate::options::SoakOptions;
+use crate::settings::{DaemonSettings, AGE_LIMIT, APPLY_LIMIT};
 
 /// Events of a whole stream, and the time between two.
 const EVENTS: u64 = 6;
 const PACE: Duration = Duration::from_millis(15);
 /// Slots of an engine.
 const SLOTS: u32 = 8;
-/// Bounds of the daemons.
-pub const AGE_LIMIT: Duration = Duration::from_secs(2);
-const APPLY_LIMIT: Duration = Duration::from_secs(1);
-pub const STOP_LIMIT: Duration = Duration::from_secs(5);
+/// Daemons whose addresses the settings of each name. Chosen, not measured.
+const SEEDS: usize = 3;
 /// Time between looks at processes.
 pub const LOOK_EVERY: Duration = Duration::from_millis(25);
 /// Services of the example configuration.
@@ -53,6 +52,12 @@
     pub taken: Cell<bool>,
 }
 
+/// Where a daemon receives frames, and the link through which its peers send them.
+struct PeerEndpoint {
+    link: FaultyLink,
+    address: String,
+}
+
 /// The processes and stand-ins of a run.
 pub struct SoakFleet {
     pub options: SoakOptions,
@@ -112,48 +117,12 @@
     }
 
     async fn start_daemons(&mut self, store: &str) -> Result<()> {
-        let mut links = Vec::new();
-        for _ in 0..self.options.daemons {
-            let peers = free_address()?;
-            links.push((FaultyLink::start(&peers).await?, peers));
-        }
+        let peers = self.start_peer_links().await?;
         let seeds: Vec<String> =
-            links.iter().take(3).map(|(link, _)| link.address.clone()).collect();
-        for (index, (peer_link, peers)) in links.into_iter().enumerate() {
-            let store_link = FaultyLink::start(store).await?;
-            let (callers, operators) = (free_address()?, free_address()?);
-            let name = format!("vm-{index}");
-            let text = format!(
-                "[vm]\nname = {name}\ndata_centre = here\n\
-                 [callers]\naddress = {callers}\ndrain_grace = 600ms\n\
-                 [operators]\naddress = {operators}\n\
-                 [peers]\naddress = {peers}\nadvertised_address = {}\nseeds = {}\n\
-                 beat = 200ms\nsuspect_after = 700ms\nask_limit = 60ms\nask_tries = 1\n\
-                 [platform]\nkind = fleet\naddress = {}\ncall_limit = 400ms\n\
-                 [bounds]\nconfig_age_limit = {}ms\nconfig_apply_limit = {}ms\n\
-                 leave_limit = {}ms\nstop_limit = {}ms\nretry_ratio = 0.5\nretry_saved = 100\n",
-                peer_link.address,
-                seeds.join(","),
-                store_link.address,
-                AGE_LIMIT.as_millis(),
-                APPLY_LIMIT.as_millis(),
-                APPLY_LIMIT.as_millis(),
-                STOP_LIMIT.as_millis(),
-            );
-            let settings = self.options.folder.join(format!("{name}.ini"));
-            std::fs::write(&settings, text)?;
-            let process = RefCell::new(self.spawn(&name, &callers, &settings)?);
-            let taken = Cell::new(false);
-            self.daemons.push(DaemonSlot {
-                name,
-                callers,
-                operators,
-                peer_link,
-                store_link,
-                settings,
-                process,
-                taken,
-            });
+            peers.iter().take(SEEDS).map(|peer| peer.link.address.clone()).collect();
+        for (index, peer) in peers.into_iter().enumerate() {
+            let daemon = self.start_daemon(index, peer, &seeds, store).await?;
+            self.daemons.push(daemon);
         }
         for daemon in &self.daemons {
             let operators = daemon.operators.as_str();
@@ -165,6 +134,51 @@
         Ok(())
     }
 
+    /// Starts the links to all daemons first, since each daemon's settings name some of them.
+    async fn start_peer_links(&self) -> Result<Vec<PeerEndpoint>> {
+        let mut peers = Vec::new();
+        for _ in 0..self.options.daemons {
+            let address = free_address()?;
+            peers.push(PeerEndpoint { link: FaultyLink::start(&address).await?, address });
+        }
+        Ok(peers)
+    }
+
+    async fn start_daemon(
+        &self,
+        index: usize,
+        peer: PeerEndpoint,
+        seeds: &[String],
+        store: &str,
+    ) -> Result<DaemonSlot> {
+        let store_link = FaultyLink::start(store).await?;
+        let (callers, operators) = (free_address()?, free_address()?);
+        let name = format!("vm-{index}");
+        let text = DaemonSettings {
+            name: &name,
+            callers: &callers,
+            operators: &operators,
+            peers: &peer.address,
+            advertised: &peer.link.address,
+            seeds,
+            store: &store_link.address,
+        }
+        .to_ini();
+        let settings = self.options.folder.join(format!("{name}.ini"));
+        std::fs::write(&settings, text)?;
+        let process = RefCell::new(self.spawn(&name, &callers, &settings)?);
+        Ok(DaemonSlot {
+            name,
+            callers,
+            operators,
+            peer_link: peer.link,
+            store_link,
+            settings,
+            process,
+            taken: Cell::new(false),
+        })
+    }
+
     fn spawn(&self, name: &str, callers: &str, settings: &Path) -> Result<ChildProcess> {
         let program = self.programs.join("curlewcleatd");
         let settings = settings.display().to_string();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod options;
 mod plan;
 mod run;
+mod settings;
 
 pub use callers::{CallKind, CallOutcome, CallRecord};
 pub use judge::{judge, KeyLoss, PlannedStop, SoakEvidence, SoakFinding};
