soak: each kind of fault in a function of its own

Cause: `fault` chose among 16 faults and played half of them itself, in 59 lines.

Changed: store_outage, lost_writes, engine_fault and change, each with the steps that it had; the match only chooses.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -7,7 +7,7 @@
 use curlewcleat_platform::example::DRIVERS_SECOND_KEY;
 use curlewcleat_platform::format::Config;
 use curlewcleat_platform::names::{DRAINING, SERVERS};
-use curlewcleat_standins::fleet::EngineStep;
+use curlewcleat_standins::fleet::{EngineStep, StoreOutage};
 
 use crate::fleet::{DaemonSlot, EngineSlot, SoakFleet, LOOK_EVERY};
 use crate::judge::{EngineLeave, KeyLoss, PlannedStop};
@@ -32,61 +32,28 @@
     async fn fault(&self, step: FaultStep) -> Result<()> {
         let time = step.time;
         match step.fault {
-            SoakFault::Kill(index) => self.kill(index, time).await,
-            SoakFault::Freeze(index) => self.freeze(index, time).await,
-            SoakFault::Stop(index) => self.stop(index).await,
-            SoakFault::Reload(index) => self.reload(index),
+            SoakFault::Kill(index) => self.kill(index, time).await?,
+            SoakFault::Freeze(index) => self.freeze(index, time).await?,
+            SoakFault::Stop(index) => self.stop(index).await?,
+            SoakFault::Reload(index) => self.reload(index)?,
             SoakFault::PeerLink(index, fault) => {
-                let link = &self.daemons[index].peer_link;
-                hold(link, fault, time).await;
-                Ok(())
-            }
-            SoakFault::PeerReset(index) => {
-                self.daemons[index].peer_link.reset();
-                Ok(())
+                hold(&self.daemons[index].peer_link, fault, time).await
             }
+            SoakFault::PeerReset(index) => self.daemons[index].peer_link.reset(),
             SoakFault::StoreLink(index, fault) => {
-                let link = &self.daemons[index].store_link;
-                hold(link, fault, time).await;
-                Ok(())
-            }
-            SoakFault::StoreReset(index) => {
-                self.daemons[index].store_link.reset();
-                Ok(())
-            }
-            SoakFault::Store(outage) => {
-                self.store.set_outage(Some(outage));
-                tokio::time::sleep(time).await;
-                self.store.set_outage(None);
-                Ok(())
-            }
-            SoakFault::LostWrites(count) => {
-                self.store.lose_writes(count);
-                tokio::time::sleep(time).await;
-                self.store.lose_writes(0);
-                Ok(())
-            }
-            SoakFault::Forget => {
-                self.store.forget_history();
-                Ok(())
-            }
-            SoakFault::Engine(index, fault) => {
-                let engine = Rc::clone(&self.engines.borrow()[index].engine);
-                engine.always(fault);
-                tokio::time::sleep(time).await;
-                engine.always(EngineStep::Serve);
-                Ok(())
+                hold(&self.daemons[index].store_link, fault, time).await
             }
-            SoakFault::Leave(index) => self.leave(index, time).await,
-            SoakFault::Vanish(index) => self.vanish(index).await,
-            SoakFault::Change => {
-                for route in &mut self.config.borrow_mut().routes {
-                    route.timeout_ms = route.timeout_ms.map(|timeout| timeout + 100.0);
-                }
-                self.store_config()
-            }
-            SoakFault::TakeKey => self.take_key(time).await,
+            SoakFault::StoreReset(index) => self.daemons[index].store_link.reset(),
+            SoakFault::Store(outage) => self.store_outage(outage, time).await,
+            SoakFault::LostWrites(count) => self.lost_writes(count, time).await,
+            SoakFault::Forget => self.store.forget_history(),
+            SoakFault::Engine(index, fault) => self.engine_fault(index, fault, time).await,
+            SoakFault::Leave(index) => self.leave(index, time).await?,
+            SoakFault::Vanish(index) => self.vanish(index).await?,
+            SoakFault::Change => self.change()?,
+            SoakFault::TakeKey => self.take_key(time).await?,
         }
+        Ok(())
     }
 
     /// Takes hold of a daemon's process; one fault at a time has it.
@@ -149,6 +116,26 @@
         daemon.process.borrow().signal("HUP")
     }
 
+    async fn store_outage(&self, outage: StoreOutage, time: Duration) {
+        self.store.set_outage(Some(outage));
+        tokio::time::sleep(time).await;
+        self.store.set_outage(None);
+    }
+
+    async fn lost_writes(&self, count: u64, time: Duration) {
+        self.store.lose_writes(count);
+        tokio::time::sleep(time).await;
+        self.store.lose_writes(0);
+    }
+
+    /// An engine serves in another way for some time.
+    async fn engine_fault(&self, index: usize, fault: EngineStep, time: Duration) {
+        let engine = Rc::clone(&self.engines.borrow()[index].engine);
+        engine.always(fault);
+        tokio::time::sleep(time).await;
+        engine.always(EngineStep::Serve);
+    }
+
     async fn leave(&self, index: usize, time: Duration) -> Result<()> {
         let old = self.replace_engine(index).await?;
         let id = old.engine.id.clone();
@@ -180,6 +167,13 @@
         self.evidence.borrow_mut().leaves.push(leave);
     }
 
+    fn change(&self) -> Result<()> {
+        for route in &mut self.config.borrow_mut().routes {
+            route.timeout_ms = route.timeout_ms.map(|timeout| timeout + 100.0);
+        }
+        self.store_config()
+    }
+
     async fn take_key(&self, time: Duration) -> Result<()> {
         let drop_key = |config: &mut Config| {
             let keys = config.tenants.iter_mut().map(|tenant| &mut tenant.api_keys);
