soak tests: each evidence that breaks a promise in a function that names it

Cause: broken_promises_are_found built six evidences between its assertions, in 48 lines.

Changed: the evidences are built by functions; the six assertions are the same.

--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -104,52 +104,56 @@
     assert!(promises(&evidence).is_empty());
 }
 
-#[test]
-fn broken_promises_are_found() {
-    let twice = SoakEvidence {
+fn run_twice() -> SoakEvidence {
+    SoakEvidence {
         records: vec![served(CallKind::Once)],
         runs: vec![run("i-0"), run("i-1")],
         ..SoakEvidence::default()
-    };
-    assert_eq!(promises(&twice), ["what may not be repeated runs once"]);
+    }
+}
 
-    let unasked = SoakEvidence { runs: vec![run("i-0")], ..SoakEvidence::default() };
-    assert_eq!(promises(&unasked), ["nothing runs unasked"]);
+fn run_unasked() -> SoakEvidence {
+    SoakEvidence { runs: vec![run("i-0")], ..SoakEvidence::default() }
+}
 
-    let mut refused = served(CallKind::Once);
-    refused.outcome = CallOutcome::Answer {
-        status: 503,
-        text: String::new(),
-        whole: true,
-        seal: None,
-        echo: None,
-    };
-    let refused =
-        SoakEvidence { records: vec![refused], runs: vec![run("i-0")], ..SoakEvidence::default() };
-    assert_eq!(promises(&refused), ["refused means not run"]);
+/// A request that ran, and what its caller got.
+fn run_with_outcome(outcome: CallOutcome) -> SoakEvidence {
+    let record = CallRecord { outcome, ..served(CallKind::Once) };
+    SoakEvidence { records: vec![record], runs: vec![run("i-0")], ..SoakEvidence::default() }
+}
 
-    let mut lost = served(CallKind::Once);
-    lost.outcome = CallOutcome::NoAnswer("closed".to_string());
-    let lost =
-        SoakEvidence { records: vec![lost], runs: vec![run("i-0")], ..SoakEvidence::default() };
-    assert_eq!(promises(&lost), ["planned work loses nothing"]);
+fn refused() -> CallOutcome {
+    CallOutcome::Answer { status: 503, text: String::new(), whole: true, seal: None, echo: None }
+}
 
+fn run_for_another_account() -> SoakEvidence {
     let mut changed = run("i-0");
     changed.1.account = "depots".to_string();
-    let changed = SoakEvidence {
+    SoakEvidence {
         records: vec![served(CallKind::Once)],
         runs: vec![changed],
         ..SoakEvidence::default()
-    };
-    assert_eq!(promises(&changed), ["requests run unchanged"]);
+    }
+}
 
+fn run_with_revoked_key() -> SoakEvidence {
     let lost = Instant::now() - Duration::from_secs(5);
-    let revoked = SoakEvidence {
+    SoakEvidence {
         records: vec![served(CallKind::Once)],
         runs: vec![run("i-0")],
         key_losses: vec![KeyLoss { key: "key-of-drivers", lost, back: None }],
         age_limit: Duration::from_secs(2),
         ..SoakEvidence::default()
-    };
-    assert_eq!(promises(&revoked), ["a lost key is refused in time"]);
+    }
+}
+
+#[test]
+fn broken_promises_are_found() {
+    assert_eq!(promises(&run_twice()), ["what may not be repeated runs once"]);
+    assert_eq!(promises(&run_unasked()), ["nothing runs unasked"]);
+    assert_eq!(promises(&run_with_outcome(refused())), ["refused means not run"]);
+    let no_answer = CallOutcome::NoAnswer("closed".to_string());
+    assert_eq!(promises(&run_with_outcome(no_answer)), ["planned work loses nothing"]);
+    assert_eq!(promises(&run_for_another_account()), ["requests run unchanged"]);
+    assert_eq!(promises(&run_with_revoked_key()), ["a lost key is refused in time"]);
 }
