model: the steps, the states and the promises of applying configurations stand apart

Changed: a function for each action; config/state.rs with the state, config/promises.rs with a function for each promise; the two ids of an apply come from one function.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -1,15 +1,20 @@
 //! Applying configurations: two operators, a store that loses answers and shows old versions, two
 //! daemons that read the store and each other.
 
+mod promises;
+mod state;
+
 use std::collections::BTreeMap;
 
 use curlewcleat_config::{
-    content_hash, ApplyAction, ApplyEvent, ApplyOptions, ApplyResult, ConfigApply, ConfigManifest,
-    ConfigStore, FileTexts,
+    content_hash, ApplyAction, ApplyEvent, ApplyOptions, ConfigApply, ConfigManifest, ConfigStore,
+    FileTexts,
 };
-use curlewcleat_core::{ConfigBundle, Generation};
+use curlewcleat_core::{ConfigBundle, ObjectVersion};
 use uuid::Uuid;
 
+use self::promises::violation;
+use self::state::{apply_ids, ConfigState, Operator};
 use crate::explore::SpecModel;
 
 /// A fault put into the protocol, which the search must find.
@@ -38,26 +43,6 @@
     pub old_reads: u8,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Operator {
-    apply: ConfigApply,
-    pending: ApplyAction,
-    /// Generation of the first manifest that it read.
-    first_read: Option<Generation>,
-}
-
-/// A state: operators, store, daemons.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct ConfigState {
-    operators: [Operator; 2],
-    manifests: Vec<ConfigManifest>,
-    losses: u8,
-    old_reads: u8,
-    daemons: [ConfigStore; 2],
-    /// Highest generation that each daemon has had in force.
-    highest: [Generation; 2],
-}
-
 impl ConfigModel {
     fn texts(&self, operator: usize) -> FileTexts {
         let name = if self.same_file || operator == 0 { "a.ini" } else { "b.ini" };
@@ -65,9 +50,10 @@
         BTreeMap::from([(name.to_string(), text)])
     }
 
-    fn operator(&self, index: usize, salt: u128) -> Operator {
+    /// An operator who begins to apply under this id.
+    fn operator(&self, index: usize, apply: Uuid) -> Operator {
         let options = ApplyOptions {
-            apply: Uuid::from_u128(index as u128 + 1 + salt),
+            apply,
             operator: format!("operator {index}"),
             applied_at: 0,
             expected: None,
@@ -102,64 +88,76 @@
     }
 
     fn operator_steps(&self, state: &ConfigState, index: usize) -> Vec<(String, ConfigState)> {
-        let mut steps = Vec::new();
-        let who = format!("operator {index}");
         match &state.operators[index].pending {
-            ApplyAction::ReadManifest => {
-                let latest = state.manifests.len();
-                for version in 0..=latest {
-                    if version < latest && state.old_reads >= self.old_reads {
-                        continue;
-                    }
-                    let read = version
-                        .checked_sub(1)
-                        .map(|place| (version as u64, state.manifests[place].clone()));
-                    let mut next = Self::feed(state, index, ApplyEvent::Manifest(read));
-                    next.old_reads += u8::from(version < latest);
-                    steps.push((format!("{who} reads manifest {version} of {latest}"), next));
-                }
-            }
-            ApplyAction::ReadContent(hash) => {
-                if let Some(text) = self.text_of(hash) {
-                    let event = ApplyEvent::Content(hash.clone(), text);
-                    steps.push((format!("{who} reads a content"), Self::feed(state, index, event)));
-                }
-            }
+            ApplyAction::ReadManifest => self.manifest_reads(state, index),
+            ApplyAction::ReadContent(hash) => self.content_reads(state, index, hash),
             ApplyAction::PutContent(..) => {
-                steps.push((
-                    format!("{who} stores a content"),
-                    Self::feed(state, index, ApplyEvent::ContentStored),
-                ));
+                let next = Self::feed(state, index, ApplyEvent::ContentStored);
+                vec![(format!("operator {index} stores a content"), next)]
             }
             ApplyAction::PutManifest(expected, manifest) => {
-                let fits = *expected == state.manifests.len() as u64;
-                if fits || self.fault == ConfigFault::UnconditionalWrite {
-                    let mut stored = Self::feed(state, index, ApplyEvent::ManifestStored);
-                    stored.manifests.push(manifest.clone());
-                    steps.push((
-                        format!("{who} stores manifest {}", stored.manifests.len()),
-                        stored,
-                    ));
-                    if state.losses < self.losses {
-                        let mut lost = self.lose_answer(state, index);
-                        lost.manifests.push(manifest.clone());
-                        steps.push((
-                            format!("{who} stores a manifest and the answer is lost"),
-                            lost,
-                        ));
-                    }
-                } else {
-                    let event = ApplyEvent::ManifestConflict;
-                    steps.push((
-                        format!("{who} finds another version"),
-                        Self::feed(state, index, event),
-                    ));
-                }
-                if state.losses < self.losses {
-                    steps.push((format!("{who}'s write is lost"), self.lose_answer(state, index)));
-                }
+                self.manifest_writes(state, index, *expected, manifest)
             }
-            ApplyAction::Finish(_) => {}
+            ApplyAction::Finish(_) => Vec::new(),
+        }
+    }
+
+    /// Reads of each manifest that the store may show.
+    fn manifest_reads(&self, state: &ConfigState, index: usize) -> Vec<(String, ConfigState)> {
+        let mut steps = Vec::new();
+        let latest = state.manifests.len();
+        for version in 0..=latest {
+            if version < latest && state.old_reads >= self.old_reads {
+                continue;
+            }
+            let read = version
+                .checked_sub(1)
+                .map(|place| (version as u64, state.manifests[place].clone()));
+            let mut next = Self::feed(state, index, ApplyEvent::Manifest(read));
+            next.old_reads += u8::from(version < latest);
+            steps.push((format!("operator {index} reads manifest {version} of {latest}"), next));
+        }
+        steps
+    }
+
+    fn content_reads(
+        &self,
+        state: &ConfigState,
+        index: usize,
+        hash: &str,
+    ) -> Vec<(String, ConfigState)> {
+        let Some(text) = self.text_of(hash) else { return Vec::new() };
+        let event = ApplyEvent::Content(hash.to_string(), text);
+        vec![(format!("operator {index} reads a content"), Self::feed(state, index, event))]
+    }
+
+    /// The ends of a write of the manifest: stored, stored without an answer, refused, lost.
+    fn manifest_writes(
+        &self,
+        state: &ConfigState,
+        index: usize,
+        expected: ObjectVersion,
+        manifest: &ConfigManifest,
+    ) -> Vec<(String, ConfigState)> {
+        let mut steps = Vec::new();
+        let who = format!("operator {index}");
+        let may_lose = state.losses < self.losses;
+        let fits = expected == state.manifests.len() as u64;
+        if fits || self.fault == ConfigFault::UnconditionalWrite {
+            let mut stored = Self::feed(state, index, ApplyEvent::ManifestStored);
+            stored.manifests.push(manifest.clone());
+            steps.push((format!("{who} stores manifest {}", stored.manifests.len()), stored));
+            if may_lose {
+                let mut lost = self.lose_answer(state, index);
+                lost.manifests.push(manifest.clone());
+                steps.push((format!("{who} stores a manifest and the answer is lost"), lost));
+            }
+        } else {
+            let next = Self::feed(state, index, ApplyEvent::ManifestConflict);
+            steps.push((format!("{who} finds another version"), next));
+        }
+        if may_lose {
+            steps.push((format!("{who}'s write is lost"), self.lose_answer(state, index)));
         }
         steps
     }
@@ -169,7 +167,8 @@
         next.losses += 1;
         if self.fault == ConfigFault::RetriesBlindly {
             let first_read = next.operators[index].first_read;
-            next.operators[index] = self.operator(index, 100);
+            let [_, again] = apply_ids(index);
+            next.operators[index] = self.operator(index, again);
             next.operators[index].first_read = first_read;
         }
         next
@@ -192,7 +191,7 @@
 
     fn initial(&self) -> ConfigState {
         ConfigState {
-            operators: [self.operator(0, 0), self.operator(1, 0)],
+            operators: [0, 1].map(|index| self.operator(index, apply_ids(index)[0])),
             manifests: Vec::new(),
             losses: 0,
             old_reads: 0,
@@ -218,52 +217,6 @@
     }
 
     fn violation(&self, state: &ConfigState) -> Option<String> {
-        for daemon in 0..2 {
-            if state.daemons[daemon].generation() < state.highest[daemon] {
-                return Some(format!("daemon {daemon} went back"));
-            }
-        }
-        let [one, two] = &state.daemons;
-        if one.generation() == two.generation() && one.bundle() != two.bundle() {
-            return Some("two configurations of one generation".to_string());
-        }
-        let applied = |operator: &Operator| match &operator.pending {
-            ApplyAction::Finish(ApplyResult::Applied(generation)) => Some(*generation),
-            _ => None,
-        };
-        if let (Some(first), Some(second)) =
-            (applied(&state.operators[0]), applied(&state.operators[1]))
-        {
-            if first == second {
-                return Some("two applies in one place".to_string());
-            }
-            let later = usize::from(second > first);
-            if self.same_file && state.operators[later].first_read < Some(first.min(second)) {
-                return Some("an apply overwrote one that its operator had not seen".to_string());
-            }
-        }
-        for (index, operator) in state.operators.iter().enumerate() {
-            let id = Uuid::from_u128(index as u128 + 1);
-            let id_again = Uuid::from_u128(index as u128 + 101);
-            let records = state.manifests.last().map_or(0, |manifest| {
-                manifest
-                    .history
-                    .iter()
-                    .filter(|record| record.apply == id || record.apply == id_again)
-                    .count()
-            });
-            if records > 1 {
-                return Some(format!("operator {index}'s apply took effect twice"));
-            }
-            let done = matches!(operator.pending, ApplyAction::Finish(_));
-            let claimed = applied(operator).is_some();
-            if done
-                && claimed != (records == 1)
-                && !matches!(operator.pending, ApplyAction::Finish(ApplyResult::Unclear))
-            {
-                return Some(format!("operator {index} was told the wrong end"));
-            }
-        }
-        None
+        violation(state, self.same_file)
     }
 }
