model: each move of the table, and each model of the program, in a function of its own

Changed: table_proposals, table_reads, hand_over and deliver_claim; a function for each model in main.rs that has several variants.

Safe: the 34 runs of the models print the same states, depths and traces as before. The program prints the same as before with bounds of 1; for keys that was compared without hand-overs and repeats, since with them the search outgrew 26 GB of memory.

--- a/crates/model/src/keys.rs
+++ b/crates/model/src/keys.rs
@@ -124,17 +124,7 @@
     fn deliver(&self, state: &KeyState, message: &Message) -> Option<KeyState> {
         let mut next = state.clone();
         match message {
-            Message::Claim(to, attempt) => {
-                let claim = self.claim(*attempt);
-                // The careless holder lets keys run as if it were not handing over.
-                let careless = next.careless.get_mut(to);
-                let decision = match careless {
-                    Some(home) => home.claim(state.wall, &claim),
-                    None => next.homes.get_mut(to)?.claim(state.wall, &claim),
-                };
-                let number = intern(&mut next.decisions, decision);
-                next.network.insert(Message::Answer(*attempt, number));
-            }
+            Message::Claim(to, attempt) => self.deliver_claim(&mut next, to, *attempt)?,
             Message::Answer(attempt, number) => {
                 let decision = next.decisions.get(usize::from(*number))?.clone();
                 let answer = KeyAnswer { request: self.claim(*attempt).request, decision };
@@ -163,6 +153,20 @@
         Some(next)
     }
 
+    /// A home decides on a claim and answers it; `None` where the home no longer runs.
+    fn deliver_claim(&self, next: &mut KeyState, to: &DaemonId, attempt: usize) -> Option<()> {
+        let claim = self.claim(attempt);
+        // The careless holder lets keys run as if it were not handing over.
+        let careless = next.careless.get_mut(to);
+        let decision = match careless {
+            Some(home) => home.claim(next.wall, &claim),
+            None => next.homes.get_mut(to)?.claim(next.wall, &claim),
+        };
+        let number = intern(&mut next.decisions, decision);
+        next.network.insert(Message::Answer(attempt, number));
+        Some(())
+    }
+
     /// The attempt ends in each possible way.
     fn ends(&self, state: &KeyState, attempt: usize) -> Vec<(String, KeyState)> {
         let mut ends = Vec::new();
@@ -217,60 +221,64 @@
 
     fn moves(&self, state: &KeyState) -> Vec<(String, KeyState)> {
         let mut steps = Vec::new();
-        let eligible: Vec<DaemonId> = state.homes.keys().cloned().collect();
         for (id, home) in &state.homes {
-            let mut gone = state.gone.clone();
-            if self.fault == KeyFault::MoveByTimeOut {
-                gone.extend(["a", "b"].map(str::to_string));
-                gone.remove(&id.vm);
-            }
-            let usable: Vec<DaemonId> =
-                eligible.iter().filter(|daemon| !gone.contains(&daemon.vm)).cloned().collect();
-            if let Some(mut table) = home.reassign(&gone, &usable, state.wall) {
-                if self.fault == KeyFault::HistoryClaimed {
-                    table.slots.iter_mut().for_each(|slot| slot.complete_since_ms = 0);
-                }
-                steps.extend(self.propose(state, id, table, "its holder has ended"));
-            }
-            if let Some(table) = home.handed_over() {
-                steps.extend(self.propose(state, id, table, "handed over"));
-            }
-            for version in 1..=state.tables.len() {
-                if version as u64 > home.version() {
-                    let mut next = state.clone();
-                    if let Some(home) = next.homes.get_mut(id) {
-                        home.table_read(version as u64, state.tables[version - 1].clone());
-                    }
-                    steps.push((
-                        format!("{}/{} reads table {version}", id.vm, id.incarnation),
-                        next,
-                    ));
-                }
-            }
-            if !self.hand_overs || home.slots_held() == 0 {
-                continue;
-            }
-            let others: Vec<DaemonId> =
-                eligible.iter().filter(|daemon| *daemon != id).cloned().collect();
-            let mut next = state.clone();
-            if self.fault == KeyFault::GrantsWhilePassing && home.slots_held() > 0 {
-                next.careless.entry(id.clone()).or_insert_with(|| home.clone());
+            steps.extend(self.table_proposals(state, id, home));
+            steps.extend(table_reads(state, id, home));
+            if self.hand_overs && home.slots_held() > 0 {
+                steps.push(self.hand_over(state, id, home));
             }
-            let sends =
-                next.homes.get_mut(id).map(|home| home.hand_over(&others)).unwrap_or_default();
-            for (to, hand_over) in sends {
-                let number = next.hand_overs.iter().position(|known| *known == hand_over);
-                let number = number.unwrap_or_else(|| {
-                    next.hand_overs.push(hand_over);
-                    next.hand_overs.len() - 1
-                });
-                next.network.insert(Message::HandOver(id.clone(), to, number));
+        }
+        steps
+    }
+
+    /// Tables that a daemon proposes: after a holder's end, and after a hand-over.
+    fn table_proposals(
+        &self,
+        state: &KeyState,
+        id: &DaemonId,
+        home: &KeyHome,
+    ) -> Vec<(String, KeyState)> {
+        let mut steps = Vec::new();
+        let mut gone = state.gone.clone();
+        if self.fault == KeyFault::MoveByTimeOut {
+            gone.extend(["a", "b"].map(str::to_string));
+            gone.remove(&id.vm);
+        }
+        let running = state.homes.keys();
+        let usable: Vec<DaemonId> =
+            running.filter(|daemon| !gone.contains(&daemon.vm)).cloned().collect();
+        if let Some(mut table) = home.reassign(&gone, &usable, state.wall) {
+            if self.fault == KeyFault::HistoryClaimed {
+                table.slots.iter_mut().for_each(|slot| slot.complete_since_ms = 0);
             }
-            steps.push((format!("{}/{} hands over", id.vm, id.incarnation), next));
+            steps.extend(self.propose(state, id, table, "its holder has ended"));
+        }
+        if let Some(table) = home.handed_over() {
+            steps.extend(self.propose(state, id, table, "handed over"));
         }
         steps
     }
 
+    /// A holder hands its slot over to the other daemons.
+    fn hand_over(&self, state: &KeyState, id: &DaemonId, home: &KeyHome) -> (String, KeyState) {
+        let others: Vec<DaemonId> =
+            state.homes.keys().filter(|daemon| *daemon != id).cloned().collect();
+        let mut next = state.clone();
+        if self.fault == KeyFault::GrantsWhilePassing {
+            next.careless.entry(id.clone()).or_insert_with(|| home.clone());
+        }
+        let sends = next.homes.get_mut(id).map(|home| home.hand_over(&others)).unwrap_or_default();
+        for (to, hand_over) in sends {
+            let number = next.hand_overs.iter().position(|known| *known == hand_over);
+            let number = number.unwrap_or_else(|| {
+                next.hand_overs.push(hand_over);
+                next.hand_overs.len() - 1
+            });
+            next.network.insert(Message::HandOver(id.clone(), to, number));
+        }
+        (format!("{}/{} hands over", id.vm, id.incarnation), next)
+    }
+
     /// The second attempt comes after the first; a key that tells its time is not used before it.
     fn may_begin(&self, state: &KeyState, attempt: usize) -> bool {
         let in_turn = attempt == 0 || state.attempts[0] != AttemptPhase::Idle;
@@ -385,6 +393,23 @@
     }
 }
 
+/// A daemon reads a table that is newer than its own.
+fn table_reads(state: &KeyState, id: &DaemonId, home: &KeyHome) -> Vec<(String, KeyState)> {
+    let mut steps = Vec::new();
+    for (place, table) in state.tables.iter().enumerate() {
+        let version = place as u64 + 1;
+        if version <= home.version() {
+            continue;
+        }
+        let mut next = state.clone();
+        if let Some(home) = next.homes.get_mut(id) {
+            home.table_read(version, table.clone());
+        }
+        steps.push((format!("{}/{} reads table {version}", id.vm, id.incarnation), next));
+    }
+    steps
+}
+
 /// Every daemon that some table, old or new, names as the holder.
 fn holders(state: &KeyState) -> Vec<DaemonId> {
     let named: BTreeSet<DaemonId> = state
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -2,8 +2,8 @@
 
 use clap::{Parser, ValueEnum};
 use curlewcleat_model::{
-    explore, ConfigFault, ConfigModel, DrainFault, DrainModel, KeyFault, KeyModel, LevelFault,
-    LevelModel, RequestFault, RequestModel,
+    explore, ConfigFault, ConfigModel, DrainFault, DrainModel, Exploration, KeyFault, KeyModel,
+    LevelFault, LevelModel, RequestFault, RequestModel,
 };
 
 /// Which model.
@@ -36,53 +36,8 @@
 }
 
 fn main() -> std::process::ExitCode {
-    let arguments = Arguments::parse();
-    let Arguments { steps, faults, requests, .. } = arguments;
-    let explorations = match arguments.model {
-        ModelName::Request => {
-            let keys = [None, Some(None), Some(Some(1))];
-            let models = keys.map(|key| RequestModel {
-                fault: RequestFault::None,
-                attempts: u32::from(faults) + 1,
-                steps,
-                key,
-            });
-            models.iter().map(explore).collect()
-        }
-        ModelName::Keys => [false, true]
-            .map(|minted_later| {
-                let moves = usize::from(steps);
-                let stops = requests;
-                let fault = KeyFault::None;
-                let hand_overs = !arguments.no_hand_overs;
-                explore(&KeyModel {
-                    fault,
-                    minted_later,
-                    moves,
-                    hand_overs,
-                    stops,
-                    repeats: faults,
-                })
-            })
-            .into(),
-        ModelName::Config => [false, true]
-            .map(|same_file| {
-                explore(&ConfigModel {
-                    fault: ConfigFault::None,
-                    same_file,
-                    losses: faults,
-                    old_reads: 2,
-                })
-            })
-            .into(),
-        ModelName::Levels => {
-            let asks = (0..requests).map(|number| 2 - number % 3).collect();
-            vec![explore(&LevelModel { fault: LevelFault::None, asks, losses: faults, steps })]
-        }
-        ModelName::Drain => vec![explore(&DrainModel { fault: DrainFault::None, requests, steps })],
-    };
     let mut held = true;
-    for exploration in explorations {
+    for exploration in explorations(&Arguments::parse()) {
         println!("{exploration}");
         held &= exploration.broken.is_none();
     }
@@ -92,3 +47,53 @@
         std::process::ExitCode::FAILURE
     }
 }
+
+fn explorations(arguments: &Arguments) -> Vec<Exploration> {
+    let Arguments { steps, faults, requests, .. } = *arguments;
+    match arguments.model {
+        ModelName::Request => request_explorations(arguments),
+        ModelName::Keys => key_explorations(arguments),
+        ModelName::Config => config_explorations(arguments),
+        ModelName::Levels => {
+            let asks = (0..requests).map(|number| 2 - number % 3).collect();
+            vec![explore(&LevelModel { fault: LevelFault::None, asks, losses: faults, steps })]
+        }
+        ModelName::Drain => vec![explore(&DrainModel { fault: DrainFault::None, requests, steps })],
+    }
+}
+
+/// Without a key, with one, and with one on its first attempt.
+fn request_explorations(arguments: &Arguments) -> Vec<Exploration> {
+    let keys = [None, Some(None), Some(Some(1))];
+    let models = keys.map(|key| RequestModel {
+        fault: RequestFault::None,
+        attempts: u32::from(arguments.faults) + 1,
+        steps: arguments.steps,
+        key,
+    });
+    models.iter().map(explore).collect()
+}
+
+/// With an opaque key, and with one that tells when it was minted.
+fn key_explorations(arguments: &Arguments) -> Vec<Exploration> {
+    let models = [false, true].map(|minted_later| KeyModel {
+        fault: KeyFault::None,
+        minted_later,
+        moves: usize::from(arguments.steps),
+        hand_overs: !arguments.no_hand_overs,
+        stops: arguments.requests,
+        repeats: arguments.faults,
+    });
+    models.iter().map(explore).collect()
+}
+
+/// With operators that apply different files, and the same file.
+fn config_explorations(arguments: &Arguments) -> Vec<Exploration> {
+    let models = [false, true].map(|same_file| ConfigModel {
+        fault: ConfigFault::None,
+        same_file,
+        losses: arguments.faults,
+        old_reads: 2,
+    });
+    models.iter().map(explore).collect()
+}
