standins: each way in which an engine answers in a function of its own

Changed: route notes and refuses, `run` chooses the way, and whole, twice, unframed and broken-off answers have a function each; what these need of the request is RunningRequest.

--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -57,6 +57,17 @@
     pub begun: Option<Instant>,
 }
 
+/// A request that has begun to run.
+#[derive(Clone, Copy)]
+struct RunningRequest<'a> {
+    /// The caller's name of the try.
+    attempt: &'a str,
+    /// Its place in the runs.
+    place: usize,
+    /// Whether the answer is an event stream.
+    streams: bool,
+}
+
 /// An engine in this process.
 pub struct FleetEngine {
     /// Name of this start of the engine.
@@ -117,7 +128,6 @@
             return Ok(AfterAnswer::KeepOpen);
         }
         let step = self.steps.borrow_mut().pop_front().unwrap_or(self.otherwise.get());
-        let sealed = [echo, (SEAL, self.id.as_str()), ("keep-alive", "timeout=10")];
         if step == EngineStep::Decline {
             let headers = [echo, (WIRE_PROFILE.not_run, "1")];
             connection.answer(503, &headers, b"").await?;
@@ -125,52 +135,107 @@
         }
         self.runs.borrow_mut()[place].ran = true;
         let streams = request.path.contains("/stream/");
+        self.run(step, RunningRequest { attempt: &attempt, place, streams }, connection).await
+    }
+
+    /// Runs a request in the way of a step.
+    async fn run(
+        &self,
+        step: EngineStep,
+        run: RunningRequest<'_>,
+        connection: &mut PlainConnection,
+    ) -> anyhow::Result<AfterAnswer> {
         match step {
-            EngineStep::Fail(status) => connection.answer(status, &sealed, b"failed").await?,
-            EngineStep::Close => return Ok(AfterAnswer::Close),
-            EngineStep::Unnamed => connection.answer(200, &[], b"anonymous").await?,
+            EngineStep::Fail(status) => {
+                connection.answer(status, &self.sealed(run.attempt), b"failed").await?;
+                Ok(AfterAnswer::KeepOpen)
+            }
+            EngineStep::Close => Ok(AfterAnswer::Close),
+            EngineStep::Unnamed => {
+                connection.answer(200, &[], b"anonymous").await?;
+                Ok(AfterAnswer::KeepOpen)
+            }
             EngineStep::Silent => {
                 connection.closed().await;
-                self.runs.borrow_mut()[place].left = true;
-                return Ok(AfterAnswer::Close);
+                self.runs.borrow_mut()[run.place].left = true;
+                Ok(AfterAnswer::Close)
             }
-            EngineStep::Unframed => {
-                let head = format!(
-                    "HTTP/1.1 200 OK\r\n{}: {attempt}\r\n{SEAL}: {}\r\nConnection: close\r\n\r\n",
-                    WIRE_PROFILE.attempt_id, self.id
-                );
-                let body = match streams {
-                    true => FleetEngine::expected_stream(&attempt, self.events),
-                    false => record(&attempt),
-                };
-                connection.write_raw(format!("{head}{body}").as_bytes()).await?;
-                return Ok(AfterAnswer::Close);
+            EngineStep::Unframed => self.answer_unframed(run, connection).await,
+            EngineStep::Break(events) if run.streams => {
+                self.break_off(run, events, connection).await
             }
-            EngineStep::Break(events) if streams => {
-                self.stream(connection, &sealed, &attempt, place, events).await?;
-                let next = event(&attempt, events + self.after(place) + 1);
-                connection.chunk(&next.as_bytes()[..next.len() / 2]).await?;
+            EngineStep::Twice => self.answer_twice(run, connection).await,
+            _ => self.answer_whole(run, connection).await,
+        }
+    }
+
+    async fn answer_whole(
+        &self,
+        run: RunningRequest<'_>,
+        connection: &mut PlainConnection,
+    ) -> anyhow::Result<AfterAnswer> {
+        if run.streams {
+            let left = self.events - self.after(run.place);
+            if !self.stream(run, left, connection).await? {
                 return Ok(AfterAnswer::Close);
             }
-            _ if streams => {
-                let left = self.events - self.after(place);
-                if !self.stream(connection, &sealed, &attempt, place, left).await? {
-                    return Ok(AfterAnswer::Close);
-                }
-                connection.chunk(b"").await?;
-            }
-            _ => {
-                tokio::time::sleep(self.pace).await;
-                connection.answer(200, &sealed, record(&attempt).as_bytes()).await?;
-            }
-        }
-        if step == EngineStep::Twice {
+            connection.chunk(b"").await?;
+        } else {
             tokio::time::sleep(self.pace).await;
-            connection.answer(200, &sealed, b"nobody asked").await?;
+            let body = record(run.attempt);
+            connection.answer(200, &self.sealed(run.attempt), body.as_bytes()).await?;
         }
         Ok(AfterAnswer::KeepOpen)
     }
 
+    async fn answer_twice(
+        &self,
+        run: RunningRequest<'_>,
+        connection: &mut PlainConnection,
+    ) -> anyhow::Result<AfterAnswer> {
+        let first = self.answer_whole(run, connection).await?;
+        if first == AfterAnswer::KeepOpen {
+            tokio::time::sleep(self.pace).await;
+            connection.answer(200, &self.sealed(run.attempt), b"nobody asked").await?;
+        }
+        Ok(first)
+    }
+
+    async fn answer_unframed(
+        &self,
+        run: RunningRequest<'_>,
+        connection: &mut PlainConnection,
+    ) -> anyhow::Result<AfterAnswer> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{}: {}\r\n{SEAL}: {}\r\nConnection: close\r\n\r\n",
+            WIRE_PROFILE.attempt_id, run.attempt, self.id
+        );
+        let body = match run.streams {
+            true => FleetEngine::expected_stream(run.attempt, self.events),
+            false => record(run.attempt),
+        };
+        connection.write_raw(format!("{head}{body}").as_bytes()).await?;
+        Ok(AfterAnswer::Close)
+    }
+
+    /// Sends so many events and half of the next.
+    async fn break_off(
+        &self,
+        run: RunningRequest<'_>,
+        events: u64,
+        connection: &mut PlainConnection,
+    ) -> anyhow::Result<AfterAnswer> {
+        self.stream(run, events, connection).await?;
+        let next = event(run.attempt, events + self.after(run.place) + 1);
+        connection.chunk(&next.as_bytes()[..next.len() / 2]).await?;
+        Ok(AfterAnswer::Close)
+    }
+
+    /// Headers of an answer by which its engine and its request are known.
+    fn sealed<'a>(&'a self, attempt: &'a str) -> [(&'a str, &'a str); 3] {
+        [(WIRE_PROFILE.attempt_id, attempt), (SEAL, &self.id), ("keep-alive", "timeout=10")]
+    }
+
     fn after(&self, place: usize) -> u64 {
         self.runs.borrow()[place].after
     }
@@ -178,20 +243,18 @@
     /// Sends so many events; gives whether the other side still reads.
     async fn stream(
         &self,
-        connection: &mut PlainConnection,
-        headers: &[(&str, &str)],
-        attempt: &str,
-        place: usize,
+        run: RunningRequest<'_>,
         count: u64,
+        connection: &mut PlainConnection,
     ) -> anyhow::Result<bool> {
-        let mut all = headers.to_vec();
-        all.push(("content-type", "text/event-stream"));
-        connection.begin_chunked(&all).await?;
-        let after = self.after(place);
+        let mut headers = self.sealed(run.attempt).to_vec();
+        headers.push(("content-type", "text/event-stream"));
+        connection.begin_chunked(&headers).await?;
+        let after = self.after(run.place);
         for number in after + 1..=after + count {
             let left = tokio::time::timeout(self.pace, connection.closed()).await.is_ok();
-            if left || connection.chunk(event(attempt, number).as_bytes()).await.is_err() {
-                self.runs.borrow_mut()[place].left = true;
+            if left || connection.chunk(event(run.attempt, number).as_bytes()).await.is_err() {
+                self.runs.borrow_mut()[run.place].left = true;
                 return Ok(false);
             }
         }
