standins: a conditional write in a function of its own

Cause: PlatformStandIn::put checked sizes and conditions, stored, lost answers and answered, in 42 lines.

Changed: `store` holds the conditions and the versions, takes_loss the fault, as takes_cut does for reads.

--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -211,6 +211,13 @@
         cut
     }
 
+    fn takes_loss(&self) -> bool {
+        let mut faults = self.faults.borrow_mut();
+        let lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        lost
+    }
+
     async fn answer_object(&self, key: &str, connection: &mut PlainConnection) -> Result<()> {
         match self.visible(key) {
             Some((version, bytes)) => {
@@ -265,32 +272,12 @@
             connection.answer(413, &[], b"").await?;
             return Ok(AfterAnswer::KeepOpen);
         }
-        let expected = request.header("if-match").trim_matches('"').parse::<u64>().ok();
-        let absent = request.header("if-none-match") == "*";
-        let stored = {
-            let mut objects = self.objects.borrow_mut();
-            let versions = objects.entry(key.to_string()).or_default();
-            let current = versions.current.as_ref().map(|(version, _)| *version);
-            let fits =
-                if absent { current.is_none() } else { expected.is_none() || expected == current };
-            fits.then(|| {
-                let version = current.unwrap_or(0) + 1;
-                versions.previous = versions.current.replace((version, request.body));
-                version
-            })
-        };
-        let Some(version) = stored else {
+        let Some(version) = self.store(key, request) else {
             connection.answer(412, &[], b"").await?;
             return Ok(AfterAnswer::KeepOpen);
         };
         self.changed.notify_waiters();
-        let lost = {
-            let mut faults = self.faults.borrow_mut();
-            let lost = faults.lose_answers > 0;
-            faults.lose_answers = faults.lose_answers.saturating_sub(1);
-            lost
-        };
-        if lost {
+        if self.takes_loss() {
             return Ok(AfterAnswer::Close);
         }
         let tag = format!("\"{version}\"");
@@ -298,6 +285,22 @@
         Ok(AfterAnswer::KeepOpen)
     }
 
+    /// Stores a value where its conditions fit, and gives its version.
+    fn store(&self, key: &str, request: PlainRequest) -> Option<u64> {
+        let expected = request.header("if-match").trim_matches('"').parse::<u64>().ok();
+        let absent = request.header("if-none-match") == "*";
+        let mut objects = self.objects.borrow_mut();
+        let versions = objects.entry(key.to_string()).or_default();
+        let current = versions.current.as_ref().map(|(version, _)| *version);
+        let fits =
+            if absent { current.is_none() } else { expected.is_none() || expected == current };
+        fits.then(|| {
+            let version = current.unwrap_or(0) + 1;
+            versions.previous = versions.current.replace((version, request.body));
+            version
+        })
+    }
+
     fn listed_vms(&self) -> serde_json::Value {
         let lag = Duration::from_millis(self.options.list_lag_ms);
         let vms = self.vms.borrow();
