standins: what the store holds, and how it fails a call, stand apart from its calls

Changed: `call` chooses, answer_outage fails; objects, revisions and history stand in store/state.rs.

--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -1,8 +1,10 @@
 //! The store: objects by kind and name with one counter of revisions, lists in pages, watches that
 //! resume, and faults.
 
+mod state;
+
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,12 +14,11 @@
 use serde_json::{json, Value};
 use tokio::sync::Notify;
 
+use self::state::StoreState;
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
 /// Objects of one page.
 const PAGE_SIZE: usize = 3;
-/// Changes that the store remembers.
-const HISTORY_LENGTH: usize = 256;
 
 /// How the store fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,21 +31,6 @@
     Closed,
 }
 
-#[derive(Clone, Debug)]
-struct StoredChange {
-    revision: u64,
-    kind: String,
-    object: Value,
-    gone: bool,
-}
-
-#[derive(Default)]
-struct StoreState {
-    revision: u64,
-    kinds: BTreeMap<String, BTreeMap<String, Value>>,
-    history: VecDeque<StoredChange>,
-}
-
 /// A store in this process.
 #[derive(Default)]
 pub struct FleetStore {
@@ -88,10 +74,7 @@
 
     /// Forgets the history, so that watches have to begin anew.
     pub fn forget_history(&self) {
-        let mut state = self.state.borrow_mut();
-        state.revision += 1;
-        state.history.clear();
-        drop(state);
+        self.state.borrow_mut().forget_history();
         self.changed.notify_waiters();
     }
 
@@ -142,32 +125,10 @@
         connection: &mut PlainConnection,
     ) -> Result<AfterAnswer> {
         self.calls.set(self.calls.get() + 1);
-        match self.outage.get() {
-            Some(StoreOutage::Closed) => return Ok(AfterAnswer::Close),
-            Some(StoreOutage::Silent) => {
-                connection.closed().await;
-                return Ok(AfterAnswer::Close);
-            }
-            Some(StoreOutage::Status(status)) => {
-                connection.answer(status, &[], b"").await?;
-                return Ok(AfterAnswer::KeepOpen);
-            }
-            None => {}
+        if let Some(outage) = self.outage.get() {
+            return answer_outage(outage, connection).await;
         }
-        let path = request.path.strip_prefix(OBJECTS).unwrap_or_default().to_string();
-        let mut parts = path.trim_matches('/').split('/');
-        let kind = parts.next().unwrap_or_default().to_string();
-        let name = parts.next().unwrap_or_default().to_string();
-        let (status, body) = match request.method.as_str() {
-            "GET" if request.query.contains_key("watch") => self.watch(&kind, &request).await,
-            "GET" if name.is_empty() => {
-                (200, self.list(&kind, request.query.get("since_revision")))
-            }
-            "GET" => self.read(&kind, &name),
-            "POST" => self.create(&kind, &request),
-            "PUT" => self.replace(&kind, &name, &request),
-            _ => (405, Value::Null),
-        };
+        let (status, body) = self.call(&request).await;
         if request.method != "GET" {
             self.changed.notify_waiters();
             if self.lose_writes.get() > 0 {
@@ -179,6 +140,22 @@
         Ok(AfterAnswer::KeepOpen)
     }
 
+    /// Status and body of a call's answer.
+    async fn call(&self, request: &PlainRequest) -> (u16, Value) {
+        let path = request.path.strip_prefix(OBJECTS).unwrap_or_default();
+        let mut parts = path.trim_matches('/').split('/');
+        let kind = parts.next().unwrap_or_default();
+        let name = parts.next().unwrap_or_default();
+        match request.method.as_str() {
+            "GET" if request.query.contains_key("watch") => self.watch(kind, request).await,
+            "GET" if name.is_empty() => (200, self.list(kind, request.query.get("since_revision"))),
+            "GET" => self.read(kind, name),
+            "POST" => self.create(kind, request),
+            "PUT" => self.replace(kind, name, request),
+            _ => (405, Value::Null),
+        }
+    }
+
     fn read(&self, kind: &str, name: &str) -> (u16, Value) {
         let state = self.state.borrow();
         match state.kinds.get(kind).and_then(|kind| kind.get(name)) {
@@ -245,50 +222,21 @@
     }
 }
 
-impl StoreState {
-    fn put(&mut self, kind: &str, name: &str, spec: Value) {
-        let objects = self.kinds.entry(kind.to_string()).or_default();
-        if objects.get(name).is_some_and(|object| object["spec"] == spec) {
-            return;
-        }
-        self.revision += 1;
-        let metadata = json!({ "name": name, "revision": self.revision });
-        let object = json!({ "metadata": metadata, "spec": spec, "status": null });
-        objects.insert(name.to_string(), object.clone());
-        self.note(kind, object, false);
-    }
-
-    fn remove(&mut self, kind: &str, name: &str) {
-        let removed = self.kinds.get_mut(kind).and_then(|objects| objects.remove(name));
-        if let Some(object) = removed {
-            self.revision += 1;
-            self.note(kind, object, true);
+/// Fails a call in the way of an outage.
+async fn answer_outage(
+    outage: StoreOutage,
+    connection: &mut PlainConnection,
+) -> Result<AfterAnswer> {
+    match outage {
+        StoreOutage::Closed => Ok(AfterAnswer::Close),
+        StoreOutage::Silent => {
+            connection.closed().await;
+            Ok(AfterAnswer::Close)
         }
-    }
-
-    fn note(&mut self, kind: &str, object: Value, gone: bool) {
-        let revision = self.revision;
-        self.history.push_back(StoredChange { revision, kind: kind.to_string(), object, gone });
-        if self.history.len() > HISTORY_LENGTH {
-            self.history.pop_front();
-        }
-    }
-
-    /// The answer of a watch that need not wait.
-    fn since(&self, kind: &str, after: u64) -> Option<(u16, Value)> {
-        let forgotten = self.revision - self.history.len() as u64;
-        if after < forgotten {
-            return Some((410, Value::Null));
-        }
-        let changes = self.history.iter().filter(|change| change.revision > after);
-        let events: Vec<Value> = changes
-            .filter(|change| change.kind == kind)
-            .map(|change| json!({ "gone": change.gone, "object": change.object }))
-            .collect();
-        if events.is_empty() {
-            return None;
+        StoreOutage::Status(status) => {
+            connection.answer(status, &[], b"").await?;
+            Ok(AfterAnswer::KeepOpen)
         }
-        Some((200, json!({ "events": events, "at": self.revision })))
     }
 }
 
