bench: a load is set up, held, sent and measured by a function each

Cause: streams (69 lines) set a deployment up, began, held and measured its loads; one_path (58 lines) held the calls of a caller; the cost of a process was a tuple of three numbers.

Changed: stream_fleet, hold, begin, one_caller, cpu_of_both; ProcessCost; REQUESTS_EACH at the head of the file. Calls, figures and printed lines are the same.

--- a/crates/bench/src/processes.rs
+++ b/crates/bench/src/processes.rs
@@ -2,19 +2,42 @@
 
 use std::time::{Duration, Instant};
 
+use actix_rt::task::JoinHandle;
 use anyhow::Result;
 use curlewcleat_core::hash_token;
-use curlewcleat_standins::callers::{caller_client, CallerCall, CallerEnd};
+use curlewcleat_standins::callers::{caller_client, CallerCall, CallerEnd, CallerRecord};
 use curlewcleat_standins::deployment::{get_text, Deployment};
 
-/// Processor time of a process in milliseconds, and its resident bytes and threads.
-fn process_cost(id: u32) -> Result<(u64, u64, u64)> {
+/// Requests that each caller sends on each path. Chosen, not measured.
+const REQUESTS_EACH: usize = 300;
+
+/// What a process has cost so far.
+struct ProcessCost {
+    cpu_ms: u64,
+    resident_bytes: u64,
+    threads: u64,
+}
+
+/// Callers whose streams are held open, or whose requests wait.
+#[derive(Clone, Copy)]
+struct HeldLoad {
+    pool: &'static str,
+    count: usize,
+    /// Tokens of each stream.
+    tokens: u64,
+}
+
+fn process_cost(id: u32) -> Result<ProcessCost> {
     let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
     let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
     let field =
         |index: usize| fields.get(index).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
     // Fields 14 and 15 of the whole line, in ticks of 10 ms; 20 is the threads, 24 the pages.
-    Ok(((field(11) + field(12)) * 10, field(21) * 4_096, field(17)))
+    Ok(ProcessCost {
+        cpu_ms: (field(11) + field(12)) * 10,
+        resident_bytes: field(21) * 4_096,
+        threads: field(17),
+    })
 }
 
 pub async fn daemons() -> Result<()> {
@@ -29,14 +52,15 @@
         fleet.key_table_ready().await?;
         let id = fleet.daemons[0].process.id();
         let sent = sent_bytes(&fleet).await?;
-        let (before, ..) = process_cost(id)?;
+        let before = process_cost(id)?;
         tokio::time::sleep(Duration::from_secs(4)).await;
-        let (after, memory, threads) = process_cost(id)?;
+        let after = process_cost(id)?;
         let sent = sent_bytes(&fleet).await? - sent;
         println!(
-            "{count:>7} | {:>5.2} | {:>5.1} | {threads:>3} | {:>6}",
-            (after - before) as f64 / 40.0,
-            memory as f64 / 1e6,
+            "{count:>7} | {:>5.2} | {:>5.1} | {:>3} | {:>6}",
+            (after.cpu_ms - before.cpu_ms) as f64 / 40.0,
+            after.resident_bytes as f64 / 1e6,
+            after.threads,
             sent / 4
         );
     }
@@ -93,6 +117,22 @@
 
 /// What a streamed token, an open stream and a waiting request cost a daemon.
 async fn streams() -> Result<()> {
+    let fleet = stream_fleet().await?;
+    println!("held | of a kind | resident bytes of the daemon each | CPU us per token | CPU % of a core while held");
+    for (pool, count, tokens) in [
+        ("open", 250, 200),
+        ("open", 500, 200),
+        ("open", 1_000, 200),
+        ("wait", 1_000, 1),
+        ("wait", 2_000, 1),
+    ] {
+        hold(&fleet, HeldLoad { pool, count, tokens }).await?;
+    }
+    Ok(())
+}
+
+/// One daemon before an engine with slots for every stream and one with a single, slow slot.
+async fn stream_fleet() -> Result<Deployment> {
     let mut fleet = Deployment::start("slopes-streams").await?;
     fleet
         .target(
@@ -118,50 +158,48 @@
         ));
     }
     fleet.apply("all.ini", &text)?;
-    println!("held | of a kind | resident bytes of the daemon each | CPU us per token | CPU % of a core while held");
-    for (kind, count, tokens) in [
-        ("open", 250usize, 200u64),
-        ("open", 500, 200),
-        ("open", 1_000, 200),
-        ("wait", 1_000, 1),
-        ("wait", 2_000, 1),
-    ] {
-        let id = fleet.daemons[0].process.id();
-        let (cpu, memory, _) = process_cost(id)?;
-        let address = fleet.daemons[0].callers.clone();
-        let tasks: Vec<_> = (0..count)
-            .map(|number| {
-                let address = address.clone();
-                actix_rt::spawn(async move {
-                    let nonce = format!("{kind}-{number}");
-                    let call =
-                        CallerCall::engine(&format!("/{kind}"), "t", &nonce, "prompt", tokens);
-                    call.send(&caller_client(), &address).await
-                })
-            })
-            .collect();
-        tokio::time::sleep(Duration::from_secs(3)).await;
-        let (held_cpu, held, _) = process_cost(id)?;
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        let busy = (process_cost(id)?.0 - held_cpu) as f64 / 10.0;
-        let mut per_token = 0.0;
-        if kind == "open" {
-            for task in tasks {
-                anyhow::ensure!(
-                    task.await?.end == CallerEnd::Whole,
-                    "slopes: a stream is not whole"
-                );
-            }
-            per_token = (process_cost(id)?.0 - cpu) as f64 * 1e3 / (count as u64 * tokens) as f64;
-        } else {
-            tasks.iter().for_each(|task| task.abort());
+    Ok(fleet)
+}
+
+/// Holds a load for some seconds and prints what it costs.
+async fn hold(fleet: &Deployment, load: HeldLoad) -> Result<()> {
+    let HeldLoad { pool, count, tokens } = load;
+    let id = fleet.daemons[0].process.id();
+    let before = process_cost(id)?;
+    let tasks = begin(load, &fleet.daemons[0].callers);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let held = process_cost(id)?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let busy = (process_cost(id)?.cpu_ms - held.cpu_ms) as f64 / 10.0;
+    let mut per_token = 0.0;
+    if pool == "open" {
+        for task in tasks {
+            anyhow::ensure!(task.await?.end == CallerEnd::Whole, "slopes: a stream is not whole");
         }
-        let bytes = held.saturating_sub(memory) / count as u64;
-        println!("{count:>5} | {kind} | {bytes:>7} | {per_token:>5.1} | {busy:>5.1}");
+        let spent = process_cost(id)?.cpu_ms - before.cpu_ms;
+        per_token = spent as f64 * 1e3 / (count as u64 * tokens) as f64;
+    } else {
+        tasks.iter().for_each(|task| task.abort());
     }
+    let bytes = held.resident_bytes.saturating_sub(before.resident_bytes) / count as u64;
+    println!("{count:>5} | {pool} | {bytes:>7} | {per_token:>5.1} | {busy:>5.1}");
     Ok(())
 }
 
+/// Starts the calls of a load without waiting for them.
+fn begin(load: HeldLoad, address: &str) -> Vec<JoinHandle<CallerRecord>> {
+    let HeldLoad { pool, count, tokens } = load;
+    let start = |number| {
+        let address = address.to_string();
+        actix_rt::spawn(async move {
+            let nonce = format!("{pool}-{number}");
+            let call = CallerCall::engine(&format!("/{pool}"), "t", &nonce, "prompt", tokens);
+            call.send(&caller_client(), &address).await
+        })
+    };
+    (0..count).map(start).collect()
+}
+
 async fn one_path(
     fleet: &Deployment,
     name: &str,
@@ -169,34 +207,13 @@
     callers: usize,
     keyed: bool,
 ) -> Result<()> {
-    const EACH: usize = 300;
-    let before = [
-        process_cost(fleet.daemons[0].process.id())?.0,
-        process_cost(fleet.daemons[1].process.id())?.0,
-    ];
+    let before = cpu_of_both(fleet)?;
     let begun = Instant::now();
-    let tasks: Vec<_> = (0..callers)
-        .map(|caller| {
-            let address = addresses[caller % addresses.len()].clone();
-            let name = name.to_string();
-            actix_rt::spawn(async move {
-                let client = caller_client();
-                let mut times = Vec::new();
-                for number in 0..EACH {
-                    let nonce = format!("{name}-{caller}-{number}-{}", uuid::Uuid::new_v4());
-                    let mut call = CallerCall::service("/v1/x", "t", &nonce);
-                    if keyed {
-                        call = call.header("Idempotency-Key", &nonce);
-                    }
-                    let record = call.send(&client, &address).await;
-                    if record.end == CallerEnd::Whole {
-                        times.push(record.took);
-                    }
-                }
-                times
-            })
-        })
-        .collect();
+    let start = |caller: usize| {
+        let address = addresses[caller % addresses.len()].clone();
+        actix_rt::spawn(one_caller(address, format!("{name}-{caller}"), keyed))
+    };
+    let tasks: Vec<_> = (0..callers).map(start).collect();
     let mut times = Vec::new();
     for task in tasks {
         times.extend(task.await?);
@@ -204,11 +221,9 @@
     let elapsed = begun.elapsed();
     times.sort();
     let requests = times.len();
-    anyhow::ensure!(requests == callers * EACH, "slopes: {requests} of {} whole", callers * EACH);
-    let after = [
-        process_cost(fleet.daemons[0].process.id())?.0,
-        process_cost(fleet.daemons[1].process.id())?.0,
-    ];
+    let sent = callers * REQUESTS_EACH;
+    anyhow::ensure!(requests == sent, "slopes: {requests} of {sent} whole");
+    let after = cpu_of_both(fleet)?;
     let cpu = |index: usize| (after[index] - before[index]) as f64 * 1e3 / requests as f64;
     println!(
         "{name:<16} | {callers:>3} | {:>7.0} | {:>6} | {:>6} | {:>5.0} {:>5.0}",
@@ -220,3 +235,29 @@
     );
     Ok(())
 }
+
+/// Processor time of the two daemons in milliseconds.
+fn cpu_of_both(fleet: &Deployment) -> Result<[u64; 2]> {
+    Ok([
+        process_cost(fleet.daemons[0].process.id())?.cpu_ms,
+        process_cost(fleet.daemons[1].process.id())?.cpu_ms,
+    ])
+}
+
+/// Sends one request after the other, and gives the times of those that were answered whole.
+async fn one_caller(address: String, name: String, keyed: bool) -> Vec<Duration> {
+    let client = caller_client();
+    let mut times = Vec::new();
+    for number in 0..REQUESTS_EACH {
+        let nonce = format!("{name}-{number}-{}", uuid::Uuid::new_v4());
+        let mut call = CallerCall::service("/v1/x", "t", &nonce);
+        if keyed {
+            call = call.header("Idempotency-Key", &nonce);
+        }
+        let record = call.send(&client, &address).await;
+        if record.end == CallerEnd::Whole {
+            times.push(record.took);
+        }
+    }
+    times
+}
