sched tests: the steps and the checks of the pool property stand apart

Changed: PoolRun plays a step and checks what came of it; the eight assertions, the steps, their weights and the 400 cases are the same.

--- a/crates/sched/tests/pools.rs
+++ b/crates/sched/tests/pools.rs
@@ -300,75 +300,139 @@
     ]
 }
 
+/// A pool under a sequence of steps, and what is known of its requests.
+struct PoolRun {
+    scheduler: PoolScheduler,
+    now: Duration,
+    /// Requests asked for so far; the latest has this number.
+    asked: u128,
+    tiers: BTreeMap<u128, u8>,
+    /// Requests that wait.
+    open: BTreeSet<u128>,
+    /// Requests that have a permit.
+    held: BTreeSet<u128>,
+    /// Whether the VM of target t0 leaves.
+    away: bool,
+}
+
+impl PoolRun {
+    fn new() -> PoolRun {
+        let options = PoolOptions { queue_limit: 6, ..PoolOptions::default() };
+        PoolRun {
+            scheduler: scheduler(options, 2, 2),
+            now: Duration::ZERO,
+            asked: 0,
+            tiers: BTreeMap::new(),
+            open: BTreeSet::new(),
+            held: BTreeSet::new(),
+            away: false,
+        }
+    }
+
+    /// Plays a step; gives what the scheduler did, `None` where there is nothing to check.
+    fn play(&mut self, step: Step) -> Result<Option<Vec<SchedulerAction>>, TestCaseError> {
+        let actions = match step {
+            Step::Ask(tier, account, left) => self.ask(tier, account, left),
+            Step::Back(which, whole) => {
+                let Some(id) = self.held_at(which) else { return Ok(None) };
+                self.give_back(id, whole)
+            }
+            Step::Again(which) => {
+                let Some(id) = self.held_at(which) else { return Ok(None) };
+                self.check_asked_again(id)?;
+                return Ok(None);
+            }
+            Step::Pass(millis) => {
+                self.now += Duration::from_millis(u64::from(millis));
+                self.scheduler.tick(self.now)
+            }
+            Step::Gone => {
+                self.open.clear();
+                self.held.clear();
+                self.scheduler.entry_gone(self.now, &entry())
+            }
+            Step::Away(leaves) => {
+                self.set_away(leaves);
+                return Ok(None);
+            }
+        };
+        Ok(Some(actions))
+    }
+
+    fn ask(&mut self, tier: u8, account: u8, left: u16) -> Vec<SchedulerAction> {
+        self.asked += 1;
+        self.tiers.insert(self.asked, tier);
+        self.open.insert(self.asked);
+        let left = Duration::from_millis(u64::from(left));
+        let request = ask(self.asked, tier, &account.to_string(), left);
+        self.scheduler.request_permit(self.now, entry(), request)
+    }
+
+    fn held_at(&self, which: u8) -> Option<u128> {
+        self.held.iter().nth(usize::from(which) % self.held.len().max(1)).copied()
+    }
+
+    fn give_back(&mut self, id: u128, whole: bool) -> Vec<SchedulerAction> {
+        self.held.remove(&id);
+        let took = Duration::from_millis(100);
+        let end = if whole { AttemptEnd::Whole(took) } else { AttemptEnd::Unused };
+        self.scheduler.give_back(self.now, &back(id, end))
+    }
+
+    fn check_asked_again(&mut self, id: u128) -> Result<(), TestCaseError> {
+        let request = ask(id, self.tiers[&id], "0", LONG);
+        let again = self.scheduler.request_permit(self.now, entry(), request);
+        prop_assert_eq!(granted(&again), vec![id], "a repeated ask gets its grant again");
+        Ok(())
+    }
+
+    fn set_away(&mut self, leaves: bool) {
+        self.away = leaves;
+        let vms = if leaves { BTreeSet::from(["vm0".to_string()]) } else { BTreeSet::new() };
+        self.scheduler.set_away(vms);
+    }
+
+    /// Takes in what the scheduler did, and checks each answer.
+    fn check_actions(&mut self, actions: &[SchedulerAction]) -> Result<(), TestCaseError> {
+        for id in refused(actions).keys() {
+            prop_assert!(self.open.remove(id), "{} was refused and not open", id);
+        }
+        for action in actions {
+            let id = action.answer.permit.request.as_u128();
+            if let PermitDecision::Granted(target) = &action.answer.decision {
+                // An old permit is confirmed by granting it again.
+                let new = self.open.remove(&id);
+                prop_assert!(new || self.held.contains(&id));
+                let leaving = self.away && target == "t0";
+                prop_assert!(!(new && leaving), "a leaving target got new work");
+                self.held.insert(id);
+            }
+            if let Some(tier) = action.shed {
+                let below = self.scheduler.holds_below(tier);
+                prop_assert!(!below, "a lower tier waits while {} is shed", tier);
+            }
+        }
+        Ok(())
+    }
+
+    fn check_counts(&self) -> Result<(), TestCaseError> {
+        let mut targets = self.scheduler.targets().values();
+        prop_assert!(targets.all(|target| target.in_flight <= target.slots));
+        prop_assert_eq!(self.scheduler.in_flight(), self.held.len());
+        prop_assert_eq!(self.scheduler.waiting(), self.open.len());
+        Ok(())
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(400))]
     #[test]
     fn slots_are_held_and_each_ask_is_answered_once(steps in prop::collection::vec(step(), 1..120)) {
-        let options = PoolOptions { queue_limit: 6, ..PoolOptions::default() };
-        let mut scheduler = scheduler(options, 2, 2);
-        let mut now = Duration::ZERO;
-        let mut number = 0u128;
-        let mut tiers = BTreeMap::new();
-        let mut open = BTreeSet::new();
-        let mut held = BTreeSet::new();
-        let mut away = false;
+        let mut run = PoolRun::new();
         for step in steps {
-            let actions = match step {
-                Step::Ask(tier, account, left) => {
-                    number += 1;
-                    tiers.insert(number, tier);
-                    open.insert(number);
-                    let left = Duration::from_millis(u64::from(left));
-                    scheduler.request_permit(now, entry(), ask(number, tier, &account.to_string(), left))
-                }
-                Step::Back(which, whole) => {
-                    let Some(id) = held.iter().nth(usize::from(which) % held.len().max(1)).copied() else { continue };
-                    held.remove(&id);
-                    let took = Duration::from_millis(100);
-                    let end = if whole { AttemptEnd::Whole(took) } else { AttemptEnd::Unused };
-                    scheduler.give_back(now, &back(id, end))
-                }
-                Step::Again(which) => {
-                    let Some(id) = held.iter().nth(usize::from(which) % held.len().max(1)).copied() else { continue };
-                    let again = scheduler.request_permit(now, entry(), ask(id, tiers[&id], "0", LONG));
-                    prop_assert_eq!(granted(&again), vec![id], "a repeated ask gets its grant again");
-                    continue;
-                }
-                Step::Pass(millis) => {
-                    now += Duration::from_millis(u64::from(millis));
-                    scheduler.tick(now)
-                }
-                Step::Gone => {
-                    open.clear();
-                    held.clear();
-                    scheduler.entry_gone(now, &entry())
-                }
-                Step::Away(leaves) => {
-                    away = leaves;
-                    let vms = if leaves { BTreeSet::from(["vm0".to_string()]) } else { BTreeSet::new() };
-                    scheduler.set_away(vms);
-                    continue;
-                }
-            };
-            for id in refused(&actions).keys() {
-                prop_assert!(open.remove(id), "{} was refused and not open", id);
-            }
-            for action in &actions {
-                let id = action.answer.permit.request.as_u128();
-                if let PermitDecision::Granted(target) = &action.answer.decision {
-                    // An old permit is confirmed by granting it again.
-                    let new = open.remove(&id);
-                    prop_assert!(new || held.contains(&id));
-                    prop_assert!(!(new && away && target == "t0"), "a leaving target got new work");
-                    held.insert(id);
-                }
-                if let Some(tier) = action.shed {
-                    prop_assert!(!scheduler.holds_below(tier), "a lower tier waits while {} is shed", tier);
-                }
-            }
-            prop_assert!(scheduler.targets().values().all(|target| target.in_flight <= target.slots));
-            prop_assert_eq!(scheduler.in_flight(), held.len());
-            prop_assert_eq!(scheduler.waiting(), open.len());
+            let Some(actions) = run.play(step)? else { continue };
+            run.check_actions(&actions)?;
+            run.check_counts()?;
         }
     }
 }
