acceptance tests: the peer messages of the golden file by kind

Cause: messages() listed 28 messages and the closures that build them in 128 lines.

Changed: a function for each kind returns its part; messages() puts them together in the same order. The list, the golden file and the assertions are the same.

--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -127,37 +127,33 @@
     ArchiveId { generation: 4, length: 600, checksum: 7 }
 }
 
-/// At least one message of each kind, and each variant of what messages carry.
-fn messages() -> Vec<(&'static str, PeerMessage)> {
-    let refusal = |verdict| Refusal {
+/// A peer message and what the golden file calls it.
+type NamedMessage = (&'static str, PeerMessage);
+
+fn refusal(verdict: Verdict) -> Refusal {
+    Refusal {
         reason: RefusalReason::TierShed,
         verdict,
         retry_after: Some(Duration::from_millis(250)),
-    };
-    let permit_answer = |decision| {
-        PeerMessage::PermitAnswer(PermitAnswer {
-            permit: permit(),
-            pool: "engines".to_string(),
-            decision,
-        })
-    };
-    let permit_return = |end| {
-        PeerMessage::PermitReturn(PermitReturn {
-            permit: permit(),
-            pool: "engines".to_string(),
-            end,
-        })
-    };
-    let key_answer = |decision| PeerMessage::KeyAnswer(KeyAnswer { request: request(), decision });
-    let targets = |content| PeerMessage::TargetsPush(TargetsPush { content, at: 9 });
-    let outcome =
-        |verdict, answer| PeerMessage::KeyOutcome(KeyOutcome { claim: claim(), verdict, answer });
-    let timing = StreamTiming {
-        first: Duration::from_millis(90),
-        rest: Duration::from_millis(800),
-        parts: 5,
-        pause: Duration::from_millis(30),
-    };
+    }
+}
+
+/// At least one message of each kind, and each variant of what messages carry.
+fn messages() -> Vec<NamedMessage> {
+    [
+        state_messages(),
+        freshness_messages(),
+        target_messages(),
+        permit_messages(),
+        used_permit_messages(),
+        level_messages(),
+        key_messages(),
+        archive_messages(),
+    ]
+    .concat()
+}
+
+fn state_messages() -> Vec<NamedMessage> {
     vec![
         (
             "heartbeat",
@@ -189,6 +185,11 @@
                 slots: vec![SlotHolder { holder: daemon(), complete_since_ms: 8 }],
             }),
         ),
+    ]
+}
+
+fn freshness_messages() -> Vec<NamedMessage> {
+    vec![
         ("freshness question", PeerMessage::FreshnessQuery(question())),
         (
             "freshness answer",
@@ -199,6 +200,12 @@
                 targets_at: 9,
             }),
         ),
+    ]
+}
+
+fn target_messages() -> Vec<NamedMessage> {
+    let targets = |content| PeerMessage::TargetsPush(TargetsPush { content, at: 9 });
+    vec![
         ("targets pull", PeerMessage::TargetsPull(9)),
         ("all targets", targets(TargetsContent::All(vec![target()]))),
         (
@@ -208,10 +215,40 @@
                 vec![TargetChange::Present(target()), TargetChange::Gone("e-2".to_string())],
             )),
         ),
+    ]
+}
+
+fn permit_messages() -> Vec<NamedMessage> {
+    let permit_answer = |decision| {
+        PeerMessage::PermitAnswer(PermitAnswer {
+            permit: permit(),
+            pool: "engines".to_string(),
+            decision,
+        })
+    };
+    vec![
         ("permit request", PeerMessage::PermitRequest(permit_request())),
         ("permit queued", permit_answer(PermitDecision::Queued)),
         ("permit granted", permit_answer(PermitDecision::Granted("e-1".to_string()))),
         ("permit refused", permit_answer(PermitDecision::Refused(refusal(Verdict::NotRun)))),
+    ]
+}
+
+fn used_permit_messages() -> Vec<NamedMessage> {
+    let permit_return = |end| {
+        PeerMessage::PermitReturn(PermitReturn {
+            permit: permit(),
+            pool: "engines".to_string(),
+            end,
+        })
+    };
+    let timing = StreamTiming {
+        first: Duration::from_millis(90),
+        rest: Duration::from_millis(800),
+        parts: 5,
+        pause: Duration::from_millis(30),
+    };
+    vec![
         ("permit unused", permit_return(AttemptEnd::Unused)),
         ("permit of a whole answer", permit_return(AttemptEnd::Whole(Duration::from_millis(60)))),
         ("permit of a whole stream", permit_return(AttemptEnd::Streamed(timing))),
@@ -223,6 +260,11 @@
                 target: "e-1".to_string(),
             }),
         ),
+    ]
+}
+
+fn level_messages() -> Vec<NamedMessage> {
+    vec![
         (
             "level raise",
             PeerMessage::ShedRequest(ShedRequest {
@@ -232,6 +274,14 @@
             }),
         ),
         ("level confirmation", PeerMessage::ShedConfirm("engines".to_string(), 3)),
+    ]
+}
+
+fn key_messages() -> Vec<NamedMessage> {
+    let key_answer = |decision| PeerMessage::KeyAnswer(KeyAnswer { request: request(), decision });
+    let outcome =
+        |verdict, answer| PeerMessage::KeyOutcome(KeyOutcome { claim: claim(), verdict, answer });
+    vec![
         ("key claim", PeerMessage::KeyClaim(claim())),
         ("key is new", key_answer(KeyDecision::First)),
         ("key is known", key_answer(KeyDecision::Known(refusal(Verdict::MayHaveRun)))),
@@ -254,6 +304,11 @@
             }),
         ),
         ("key hand-over acknowledgement", PeerMessage::KeyHandOverAck(1)),
+    ]
+}
+
+fn archive_messages() -> Vec<NamedMessage> {
+    vec![
         (
             "configuration part pull",
             PeerMessage::ConfigPartPull(ConfigPartPull {
