acceptance tests: the calls and the refusals of the dead-home test in functions

Changed: unlock_twelve sends them, refusals picks what is asserted, time_beyond_skew gives the time of the last keys. The calls go over one client as before; the assertions are the same, each after its twelve requests in place of between them.

--- a/crates/acceptance/tests/daemons.rs
+++ b/crates/acceptance/tests/daemons.rs
@@ -8,6 +8,7 @@
 use curlewcleat_standins::callers::{caller_client, CallerCall, CallerEnd, CallerRecord};
 use curlewcleat_standins::deployment::{status, wait_status, wait_until, Deployment};
 use curlewcleat_standins::verdicts::{disagreements, ledgers};
+use curlewcleat_targets::ConnectionPool;
 use rstest::rstest;
 use serde_json::json;
 
@@ -235,49 +236,60 @@
     }
 }
 
+/// Sends twelve requests with a key each to an entry; the same ones every time.
+async fn unlock_twelve(client: &ConnectionPool, entry: &str) -> Vec<CallerRecord> {
+    let mut records = Vec::new();
+    for index in 0..12 {
+        let call = unlock(&format!("n-{index}"), &format!("k-{index}"));
+        records.push(call.send(client, entry).await);
+    }
+    records
+}
+
+/// Reason of each refusal, and whether the request may have run.
+fn refusals(records: &[CallerRecord]) -> Vec<(&str, bool)> {
+    let refusals = records.iter().filter_map(|record| match &record.end {
+        CallerEnd::Refused { reason, may_have_run, .. } => Some((reason.as_str(), *may_have_run)),
+        _ => None,
+    });
+    refusals.collect()
+}
+
+/// A time six seconds from now: more than clocks may differ, so that a key minted then counts as newer
+/// than what has happened so far.
+fn time_beyond_skew() -> uuid::Timestamp {
+    let later = Duration::from_secs(6);
+    let now = uuid::Uuid::now_v7();
+    let (seconds, nanos) = now.get_timestamp().map(|stamp| stamp.to_unix()).unwrap_or_default();
+    uuid::Timestamp::from_unix(uuid::NoContext, seconds + later.as_secs(), nanos)
+}
+
 #[actix_rt::test]
 async fn keys_of_a_dead_home_are_never_run_again() -> Result<()> {
     let mut fleet = ready_fleet("dead-home", 0, 1, 3).await?;
     fleet.list_vms(&["entry-0", "entry-1", "entry-2"], &[]).await?;
     let client = caller_client();
-    let mut records = Vec::new();
-    for index in 0..12 {
-        let call = unlock(&format!("n-{index}"), &format!("k-{index}"));
-        records.push(call.send(&client, &fleet.daemons[0].callers).await);
-    }
+    let mut records = unlock_twelve(&client, &fleet.daemons[0].callers).await;
     fleet.daemons[2].process.kill();
     // While the home is dead and nobody has said that its VM is gone, its keys are refused.
-    let mut unreachable = 0;
-    for index in 0..12 {
-        let call = unlock(&format!("n-{index}"), &format!("k-{index}"));
-        let record = call.send(&client, &fleet.daemons[1].callers);
-        let record = record.await;
-        if let CallerEnd::Refused { reason, may_have_run, .. } = &record.end {
-            assert_eq!((reason.as_str(), *may_have_run), ("key_home_unreachable", true));
-            unreachable += 1;
-        }
-        records.push(record);
+    let repeated = unlock_twelve(&client, &fleet.daemons[1].callers).await;
+    for refusal in refusals(&repeated) {
+        assert_eq!(refusal, ("key_home_unreachable", true));
     }
-    assert!(unreachable > 0, "the dead daemon held some of the keys");
+    assert!(!refusals(&repeated).is_empty(), "the dead daemon held some of the keys");
+    records.extend(repeated);
     fleet.list_vms(&["entry-0", "entry-1"], &[]).await?;
     wait_status(&fleet.daemons[1].operators, "the slots of the dead home", |status| {
         status["key_table"].as_u64() > Some(1)
     })
     .await?;
-    for index in 0..12 {
-        let call = unlock(&format!("n-{index}"), &format!("k-{index}"));
-        let record = call.send(&client, &fleet.daemons[1].callers);
-        let record = record.await;
-        if let CallerEnd::Refused { reason, may_have_run, .. } = &record.end {
-            assert_eq!((reason.as_str(), *may_have_run), ("key_history_lost", true));
-        }
-        records.push(record);
+    let repeated = unlock_twelve(&client, &fleet.daemons[1].callers).await;
+    for refusal in refusals(&repeated) {
+        assert_eq!(refusal, ("key_history_lost", true));
     }
+    records.extend(repeated);
     // A key minted after the move runs.
-    let fresh = uuid::Uuid::now_v7();
-    let later = std::time::Duration::from_secs(6);
-    let (seconds, nanos) = fresh.get_timestamp().map(|stamp| stamp.to_unix()).unwrap_or_default();
-    let minted = uuid::Timestamp::from_unix(uuid::NoContext, seconds + later.as_secs(), nanos);
+    let minted = time_beyond_skew();
     for index in 0..8 {
         let key = uuid::Uuid::new_v7(minted).to_string();
         let record = unlock(&format!("fresh-{index}"), &key)
