--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -1,4 +1,7 @@
 //! The configuration a daemon has in force; it only ever moves forward.
+//!
+//! Owns: the configuration in force, its texts and what was read of them. Relies on: `check` for what
+//! files have to meet, `archive` for the form that other daemons get.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
+use actix_http::error::DispatchError;
 use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_service::{fn_service, Service, ServiceFactory};
 use anyhow::{Context, Result};
@@ -70,10 +71,7 @@
             let open = Rc::clone(&open);
             open.set(open.get() + 1);
             actix_rt::spawn(async move {
-                // How a caller's connection ends is known to its requests; callers that leave are many.
-                if let Err(error) = connection.await {
-                    debug!("connection_failed", kv: { listener = name, error = error.to_string() });
-                }
+                note_end(name, connection.await);
                 open.set(open.get() - 1);
             });
         }
@@ -97,6 +95,14 @@
     }
 }
 
+/// How a caller's connection ends is known to its requests; callers that leave are many, so it is logged
+/// at debug level only.
+fn note_end(name: &str, end: Result<(), DispatchError>) {
+    if let Err(error) = end {
+        debug!("connection_failed", kv: { listener = name, error = error.to_string() });
+    }
+}
+
 fn bind(address: &str) -> std::io::Result<TcpListener> {
     let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/crates/daemon/src/usage.rs
+++ b/crates/daemon/src/usage.rs
@@ -18,7 +18,7 @@
 /// Time between two lines. Chosen, not measured: a fifth of a line a second, and memory that grows too
 /// fast for it shows in the bytes of the line before.
 const USAGE_EVERY: Duration = Duration::from_secs(5);
-/// Bytes in a megabyte of the log line.
+/// Bytes in a megabyte of the log line. From the unit of VMs' memory.
 const MEGABYTE: u64 = 1 << 20;
 
 /// Logs the usage on this arbiter until the process ends.
