--- a/crates/daemon/src/config_freshness.rs
+++ b/crates/daemon/src/config_freshness.rs
@@ -38,6 +38,12 @@
         self.proved.get().map(|proved| proved.elapsed())
     }
 
+    /// Whether requests may rely on the configuration: the proof is younger than the limit, where there is
+    /// one.
+    pub fn allows(&self, age_limit: Option<Duration>) -> bool {
+        age_limit.is_none_or(|limit| self.is_within(limit))
+    }
+
     /// Whether the proof is younger than a limit.
     pub fn is_within(&self, limit: Duration) -> bool {
         self.age().is_some_and(|age| age < limit)
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -219,9 +219,8 @@
     freshness: Rc<ConfigFreshness>,
     request: Request,
 ) -> Response<BoxBody> {
-    let limit = context.bounds().config_age_limit;
-    let stale = limit.is_some_and(|limit| !freshness.is_within(limit));
-    if stale && request.path() == "/readyz" {
+    let fresh = freshness.allows(context.bounds().config_age_limit);
+    if !fresh && request.path() == "/readyz" {
         return Response::with_body(
             StatusCode::SERVICE_UNAVAILABLE,
             BoxBody::new("configuration stale"),
--- a/crates/daemon/src/reports.rs
+++ b/crates/daemon/src/reports.rs
@@ -8,9 +8,8 @@
 use actix_http::RequestHead;
 use curlewcleat_core::{TargetEntry, TargetPool, TargetReport};
 use curlewcleat_node::NodeEvent;
-use curlewcleat_targets::ConnectionPool;
+use curlewcleat_targets::{collect, ConnectionPool};
 use futures_util::future::join_all;
-use futures_util::StreamExt;
 
 use crate::context::DaemonContext;
 
@@ -60,13 +59,7 @@
     let mut head = RequestHead::default();
     head.uri = path.parse().ok()?;
     let connection = connections.connect(&target.address, REPORT_LIMIT).await.ok()?;
-    let mut answer = connection.exchange(head, ()).await.ok()?;
-    let mut body = Vec::new();
-    while let Some(part) = answer.body.next().await {
-        body.extend_from_slice(&part.ok()?);
-        if body.len() > REPORT_BYTES {
-            return None;
-        }
-    }
+    let answer = connection.exchange(head, ()).await.ok()?;
+    let body = collect(answer.body, REPORT_BYTES).await.ok()?;
     serde_json::from_slice(&body).ok()
 }
--- a/crates/daemon/src/request/pass_on.rs
+++ b/crates/daemon/src/request/pass_on.rs
@@ -5,10 +5,11 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use curlewcleat_core::{AttemptEnd, RefusalReason, RetryReason, TargetEntry, Verdict};
-use curlewcleat_targets::{AnswerBody, TargetAnswer};
+use curlewcleat_targets::{collect, AnswerBody, TargetAnswer};
 use futures_util::StreamExt;
+use spdlog::prelude::*;
 
 use super::run::{AttemptVerdict, RequestRun};
 
@@ -27,17 +28,26 @@
         sent: Instant,
     ) -> AttemptVerdict {
         match self.protocol().holds_answer(&self.request, answer.head.status) {
-            true => self.pass_whole(answer, sent).await,
+            true => self.pass_whole(answer, target, sent).await,
             false => self.pass_parts(answer, target, sent).await,
         }
     }
 
     /// Passes an answer on once it is whole; one that says that the target failed is kept as a
     /// fallback where a further attempt may do better.
-    async fn pass_whole(&mut self, answer: TargetAnswer, sent: Instant) -> AttemptVerdict {
+    async fn pass_whole(
+        &mut self,
+        answer: TargetAnswer,
+        target: &TargetEntry,
+        sent: Instant,
+    ) -> AttemptVerdict {
         let TargetAnswer { head, body } = answer;
-        let Some(bytes) = collect(body).await else {
-            return self.broken(RefusalReason::TargetClosed);
+        let bytes = match collect(body, WHOLE_LIMIT).await {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                debug!("exchange_broken", kv: { target = target.id.as_str(), error = error.to_string() });
+                return self.broken(RefusalReason::TargetClosed);
+            }
         };
         if self.answer.has_begun() {
             // The answer has begun at another target and cannot become this one.
@@ -153,15 +163,3 @@
         metrics.began(began, &self.request.tier, &self.request.pool.id);
     }
 }
-
-/// Reads an answer whole, `None` where it is cut or too long.
-async fn collect(mut body: AnswerBody) -> Option<Bytes> {
-    let mut bytes = BytesMut::new();
-    while let Some(part) = body.next().await {
-        bytes.extend_from_slice(&part.ok()?);
-        if bytes.len() > WHOLE_LIMIT {
-            return None;
-        }
-    }
-    Some(bytes.freeze())
-}
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -92,8 +92,7 @@
 
     /// Whether the configuration is proved young enough for requests with a token.
     pub(super) fn is_config_fresh(&self) -> bool {
-        let limit = self.context.bounds().config_age_limit;
-        limit.is_none_or(|limit| self.freshness.is_within(limit))
+        self.freshness.allows(self.context.bounds().config_age_limit)
     }
 
     /// An unknown token or path is refused for good only while the configuration is proved the newest.
--- /dev/null
+++ b/crates/node/tests/support/parts.rs
@@ -0,0 +1,99 @@
+//! Daemons, targets and messages with which tests begin.
+
+use std::time::Duration;
+
+use curlewcleat_core::{DaemonId, DiscoveredTarget, Heartbeat, RequestId, TargetEntry};
+use curlewcleat_keys::KeyHomeOptions;
+use curlewcleat_node::{FreshnessLimits, Node, NodeEvent, NodeOptions, ReadRole};
+use curlewcleat_sched::{EntryOptions, MemberOptions, RequestSpec};
+
+use super::{Daemon, APPLY_LIMIT};
+
+pub fn address(index: usize) -> String {
+    format!("127.0.0.1:{}", 1_000 + index)
+}
+
+pub fn recorded(daemons: usize) -> NodeEvent {
+    NodeEvent::PeersRecorded { addresses: (0..daemons).map(address).collect(), complete: true }
+}
+
+pub fn daemon(index: usize, seeds: Vec<String>) -> Daemon {
+    let node = Node::new(NodeOptions {
+        me: DaemonId { vm: format!("vm-{index}"), incarnation: 1 },
+        members: MemberOptions {
+            address: address(index),
+            data_centre: "d".to_string(),
+            seeds,
+            suspect_after: Duration::from_secs(2),
+            mesh_limit: 12,
+            capacity: 100,
+            started: 0,
+        },
+        keys: KeyHomeOptions::default(),
+        key_slots: 0,
+        entry: EntryOptions {
+            answer_timeout: Duration::from_millis(30),
+            answer_tries: 1,
+            ..EntryOptions::default()
+        },
+        rate_margin: curlewcleat_sched::RateMargin::default(),
+        one_scheduler: true,
+        age_per_work: 32,
+        request_limit: 10_000,
+        freshness: Some(FreshnessLimits::within(APPLY_LIMIT)),
+        heartbeat_every: Duration::from_millis(500),
+        drain_grace: Duration::from_secs(1),
+        hand_over_limit: Duration::from_secs(1),
+    });
+    let duty = ReadRole::Reader;
+    Daemon {
+        node,
+        reaches: true,
+        reads_late: false,
+        cut: false,
+        deaf: false,
+        duty,
+        proved: None,
+        next_read: Duration::ZERO,
+    }
+}
+
+/// A heartbeat of the second daemon, with a configuration of this generation.
+pub fn heartbeat(generation: u64) -> Heartbeat {
+    Heartbeat {
+        address: address(1),
+        data_centre: "d".to_string(),
+        generation,
+        table: 0,
+        draining: false,
+        stale: false,
+        capacity: 100,
+        started: 0,
+        answer_wanted: false,
+        known: Vec::new(),
+    }
+}
+
+pub fn target(id: &str, leaving: bool) -> DiscoveredTarget {
+    let entry = TargetEntry {
+        id: id.to_string(),
+        address: "127.0.0.1:1".to_string(),
+        vm: id.to_string(),
+        data_centre: "d".to_string(),
+        slots: 4,
+    };
+    DiscoveredTarget { pool: "p".to_string(), entry, leaving }
+}
+
+pub fn spec(number: u128) -> RequestSpec {
+    RequestSpec {
+        request: RequestId::from_u128(number),
+        pool: "p".to_string(),
+        account: "a".to_string(),
+        time_left: Duration::from_secs(5),
+        attempt_limit: Some(1),
+        cost: 1,
+        output_work: 1_000,
+        ..RequestSpec::default()
+    }
+}
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -10,7 +10,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec};
 use actix_http::ResponseHead;
 use bytes::{Bytes, BytesMut};
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt};
 use tokio::net::TcpStream;
 
 use crate::pool::ConnectionPool;
@@ -145,6 +145,35 @@
     }
 }
 
+/// Why an answer could not be read whole.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CollectError {
+    /// It was cut.
+    #[error(transparent)]
+    Cut(#[from] BodyCut),
+    /// It has more bytes than were wanted.
+    #[error("targets: the answer has more than {0} bytes")]
+    TooLong(usize),
+}
+
+/// Reads the parts of an answer to its end, `limit` bytes at most.
+///
+/// # Errors
+/// Where it is cut or too long.
+pub async fn collect(
+    mut parts: impl Stream<Item = std::result::Result<Bytes, BodyCut>> + Unpin,
+    limit: usize,
+) -> std::result::Result<Bytes, CollectError> {
+    let mut bytes = BytesMut::new();
+    while let Some(part) = parts.next().await {
+        bytes.extend_from_slice(&part?);
+        if bytes.len() > limit {
+            return Err(CollectError::TooLong(limit));
+        }
+    }
+    Ok(bytes.freeze())
+}
+
 impl Stream for AnswerBody {
     type Item = Result<Bytes, BodyCut>;
 
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -11,7 +11,7 @@
 mod events;
 mod pool;
 
-pub use answer::{AnswerBody, BodyCut, TargetAnswer};
+pub use answer::{collect, AnswerBody, BodyCut, CollectError, TargetAnswer};
 pub use connection::ExchangeOptions;
 pub use error::{Error, Result};
 pub use events::EventSplitter;
