Review of the mend: a pull always ends, and a slow sender serves a few peers at a time

Change: what cannot be used is named to peers as here whole; only peers with at least what has begun are asked, a beginning that stalls for four seconds is dropped; each unanswered pull doubles the wait; parts of 64 KiB, the first of 32; a sender serves as many peers at once as its link carries in half a second and tells the others so (a part without bytes).

--- a/crates/bench/src/support.rs
+++ b/crates/bench/src/support.rs
@@ -92,6 +92,7 @@
         one_scheduler: false,
         age_per_work: 32,
         request_limit: 1_000_000,
+        link_bytes_per_s: 125_000_000,
         freshness: None,
         heartbeat_every: Duration::from_millis(500),
         drain_grace: Duration::from_secs(2),
--- a/crates/config/src/archive.rs
+++ b/crates/config/src/archive.rs
@@ -10,12 +10,15 @@
 use flate2::write::ZlibEncoder;
 use flate2::{Compression, Crc};
 
-/// Longest part in bytes. Chosen, not measured: 26 ms on a link of 10 Mbit/s, the least that the users'
-/// VMs have, so that heartbeats and proofs behind it are not late.
-const PART_BYTES: usize = 32 << 10;
-/// Longest unpacked configuration in bytes. Chosen, not measured: bounds what a peer can make this
+/// Longest part in bytes. Chosen, not measured: 52 ms on a link of 10 Mbit/s, the least that the users'
+/// VMs have, so that heartbeats and proofs behind it are not late; two parts for a megabyte of rules, so
+/// that changes in quick succession are not faster than the parts.
+pub const PART_BYTES: usize = 64 << 10;
+/// Longest first part in bytes. Chosen, not measured: many ask for it at the same time.
+const FIRST_PART_BYTES: usize = 32 << 10;
+/// Longest configuration in bytes, packed or not. Chosen, not measured: bounds what a peer can make this
 /// daemon hold; the platform's object has a megabyte.
-const UNPACKED_LIMIT: u64 = 16 << 20;
+pub const ARCHIVE_LIMIT: usize = 16 << 20;
 
 /// Why an archive cannot be packed or unpacked.
 #[derive(Debug, thiserror::Error)]
@@ -49,6 +52,9 @@
     pub fn pack(bundle: &ConfigBundle) -> Result<ConfigArchive, ArchiveError> {
         let pack_error = |error: &dyn std::fmt::Display| ArchiveError::Pack(error.to_string());
         let plain = postcard::to_stdvec(&bundle.files).map_err(|error| pack_error(&error))?;
+        if plain.len() > ARCHIVE_LIMIT {
+            return Err(ArchiveError::Pack(format!("{} bytes are too many", plain.len())));
+        }
         let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
         encoder.write_all(&plain).map_err(|error| pack_error(&error))?;
         let bytes = encoder.finish().map_err(|error| pack_error(&error))?;
@@ -65,7 +71,8 @@
     /// The part that begins at an offset, `None` where the archive ends before.
     pub fn part(&self, offset: u32) -> Option<ConfigPart> {
         let rest = self.bytes.get(offset as usize..).filter(|rest| !rest.is_empty())?;
-        let bytes = rest[..rest.len().min(PART_BYTES)].to_vec();
+        let longest = if offset == 0 { FIRST_PART_BYTES } else { PART_BYTES };
+        let bytes = rest[..rest.len().min(longest)].to_vec();
         Some(ConfigPart { archive: self.id, offset, bytes })
     }
 
@@ -78,7 +85,7 @@
             return Err(ArchiveError::Checksum);
         }
         let mut plain = Vec::new();
-        let mut decoder = ZlibDecoder::new(bytes).take(UNPACKED_LIMIT);
+        let mut decoder = ZlibDecoder::new(bytes).take(ARCHIVE_LIMIT as u64);
         decoder.read_to_end(&mut plain).map_err(ArchiveError::Unpack)?;
         let files = postcard::from_bytes(&plain).map_err(ArchiveError::Decode)?;
         Ok(ConfigBundle { generation: id.generation, files })
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,7 +13,7 @@
 mod store;
 
 pub use apply::{ApplyAction, ApplyEvent, ApplyOptions, ApplyResult, ConfigApply};
-pub use archive::{ArchiveError, ConfigArchive};
+pub use archive::{ArchiveError, ConfigArchive, ARCHIVE_LIMIT, PART_BYTES};
 pub use check::check_files;
 pub use manifest::{content_hash, ApplyRecord, ConfigManifest, HISTORY_LENGTH};
 pub use manifest::{content_key, manifest_bytes, parse_manifest, MANIFEST_KEY};
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -183,6 +183,23 @@
         }
     }
 
+    /// A number above zero such as `0.5` or `10`, in whole thousandths.
+    pub fn thousandths(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        report: &mut CheckReport,
+    ) -> u64 {
+        let Some(text) = self.text(key) else { return default };
+        match text.parse::<f64>() {
+            Ok(number) if (0.001..=1e9).contains(&number) => (number * 1_000.0).round() as u64,
+            _ => {
+                self.fault(key, format!("'{text}' should be a number such as 10 or 0.5"), report);
+                default
+            }
+        }
+    }
+
     /// `yes` or `no`.
     pub fn flag(&mut self, key: &'static str, default: bool, report: &mut CheckReport) -> bool {
         match self.text(key).as_deref() {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -19,6 +19,8 @@
     pub data_centre: String,
     /// Processor of this VM in percent of a core; the daemons of the strongest VMs schedule.
     pub capacity_percent: u32,
+    /// Link of this VM in kilobits a second; as many peers are sent a configuration at once as it carries.
+    pub link_kbit_per_s: u64,
     /// `ip:port` for callers.
     pub caller_address: String,
     /// `ip:port` for operators: health, status and metrics.
@@ -154,6 +156,7 @@
         vm: String::new(),
         data_centre: String::new(),
         capacity_percent: 100,
+        link_kbit_per_s: 1_000_000,
         caller_address: String::new(),
         operator_address: String::new(),
         workers: 2,
@@ -224,6 +227,7 @@
     let cores = section.number("cores", 1, 1..=1_024, report);
     let share = section.percent("core_share", 100, report);
     settings.capacity_percent = u32::try_from(cores * share).unwrap_or(u32::MAX);
+    settings.link_kbit_per_s = section.thousandths("link_mbps", settings.link_kbit_per_s, report);
 }
 
 fn read_callers(
--- a/crates/core/src/message/archive.rs
+++ b/crates/core/src/message/archive.rs
@@ -31,7 +31,8 @@
 }
 
 /// A part of a packed configuration: of the one that was asked for or, where the sender has another one
-/// in force, the beginning of that.
+/// in force, the beginning of that. One without bytes says that the sender has it and sends it to others
+/// first.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ConfigPart {
     /// What it is a part of.
@@ -41,3 +42,10 @@
     /// The bytes.
     pub bytes: Vec<u8>,
 }
+
+impl ConfigPart {
+    /// Whether the archive ends with it.
+    pub fn is_last(&self) -> bool {
+        self.offset as usize + self.bytes.len() >= self.archive.length as usize
+    }
+}
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -85,6 +85,7 @@
         one_scheduler: false,
         age_per_work: settings.age_per_work,
         request_limit: settings.request_limit,
+        link_bytes_per_s: settings.link_kbit_per_s * 1_000 / 8,
         freshness: None,
         heartbeat_every: settings.beat,
         drain_grace: settings.drain_grace,
--- a/crates/node/src/config_pull.rs
+++ b/crates/node/src/config_pull.rs
@@ -2,13 +2,15 @@
 //!
 //! A configuration comes in parts of bounded length, of which one is asked for at a time, so that
 //! neither a slow link nor a sender's memory holds more than one part for each daemon. A part that is
-//! lost is asked for again, of whichever peer next says that it has the configuration.
+//! lost is asked for again, of whichever peer next says that it has the configuration. A beginning that
+//! does not grow, since whoever has the rest of it is gone, makes room for what the others have.
 //!
 //! Owns: the parts that have come so far. Relies on: peers that name equal archives equally.
 
+use curlewcleat_config::ARCHIVE_LIMIT;
 use curlewcleat_core::{ArchiveId, ConfigPart, ConfigPartPull, Generation, Uptime};
 
-use crate::open_pull::OpenPull;
+use crate::awaited_answer::AwaitedAnswer;
 
 /// What a part led to.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,14 +23,23 @@
     Whole(ArchiveId, Vec<u8>),
 }
 
+/// The beginning of an archive.
+#[derive(Clone, Debug)]
+struct BegunArchive {
+    id: ArchiveId,
+    bytes: Vec<u8>,
+    /// When the latest part came.
+    grown: Uptime,
+}
+
 /// A configuration on its way to this daemon.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigPull {
-    open: OpenPull,
-    /// What has the beginning here, and that beginning.
-    archive: Option<(ArchiveId, Vec<u8>)>,
-    /// The newest generation that cannot be used here; it is not asked for again.
-    rejected: Generation,
+    answer: AwaitedAnswer,
+    begun: Option<BegunArchive>,
+    /// The latest archive that could not be used here. Peers are told that it is here whole, so that they
+    /// send no part of it again.
+    unusable: Option<ArchiveId>,
 }
 
 impl ConfigPull {
@@ -40,8 +51,10 @@
         offered: Generation,
         in_force: Generation,
     ) -> Option<ConfigPartPull> {
-        let is_new = offered > in_force && offered > self.rejected;
-        (is_new && self.open.begin(now)).then(|| self.next_pull(in_force))
+        self.drop_stalled(now, in_force);
+        // A peer that is behind what has begun has no part of it.
+        let least = self.begun.as_ref().map_or(in_force + 1, |begun| begun.id.generation);
+        (offered >= least && self.answer.begin(now)).then(|| self.next_pull(in_force))
     }
 
     /// Takes a part that a peer has sent.
@@ -51,54 +64,74 @@
         part: ConfigPart,
         in_force: Generation,
     ) -> PartOutcome {
-        if !self.keep(part, in_force) {
+        if part.bytes.is_empty() {
+            // Another peer may have time for this daemon sooner.
+            self.answer.answered();
             return PartOutcome::Unused;
         }
-        self.open.answered();
-        match self.archive.take() {
-            Some((id, bytes)) if bytes.len() >= id.length as usize => PartOutcome::Whole(id, bytes),
+        if !self.keep(now, part, in_force) {
+            return PartOutcome::Unused;
+        }
+        self.answer.answered();
+        match self.begun.take() {
+            Some(begun) if begun.bytes.len() >= begun.id.length as usize => {
+                PartOutcome::Whole(begun.id, begun.bytes)
+            }
             unfinished => {
-                self.archive = unfinished;
-                self.open.begin(now);
+                self.begun = unfinished;
+                self.answer.begin(now);
                 PartOutcome::Next(self.next_pull(in_force))
             }
         }
     }
 
-    /// A configuration cannot be used by this daemon, whoever sends it.
-    pub fn reject(&mut self, generation: Generation) {
-        self.rejected = self.rejected.max(generation);
+    /// An archive that has come whole cannot be used by this daemon.
+    pub fn reject(&mut self, archive: ArchiveId) {
+        self.unusable = Some(archive);
     }
 
     /// Appends a part that continues what is here, or begins a newer archive.
-    fn keep(&mut self, part: ConfigPart, in_force: Generation) -> bool {
-        let generation = part.archive.generation;
-        if generation <= in_force || generation <= self.rejected || part.bytes.is_empty() {
+    fn keep(&mut self, now: Uptime, part: ConfigPart, in_force: Generation) -> bool {
+        let id = part.archive;
+        let usable = id.generation > in_force
+            && self.unusable != Some(id)
+            && id.length as usize <= ARCHIVE_LIMIT;
+        if !usable {
             return false;
         }
-        match &mut self.archive {
-            Some((id, bytes)) if *id == part.archive => {
-                let continues = bytes.len() == part.offset as usize;
+        match &mut self.begun {
+            Some(begun) if begun.id == id => {
+                let continues = begun.bytes.len() == part.offset as usize;
                 if continues {
-                    bytes.extend_from_slice(&part.bytes);
+                    begun.bytes.extend_from_slice(&part.bytes);
+                    begun.grown = now;
                 }
                 continues
             }
-            Some((id, _)) if generation < id.generation => false,
+            // Two archives of one generation must not throw each other's beginning away in turn.
+            Some(begun) if id.generation <= begun.id.generation => false,
             _ if part.offset == 0 => {
-                self.archive = Some((part.archive, part.bytes));
+                self.begun = Some(BegunArchive { id, bytes: part.bytes, grown: now });
                 true
             }
             _ => false,
         }
     }
 
+    /// A beginning is given up when no part has come for longer than an answer is waited for, or when it
+    /// is no longer newer than what is in force.
+    fn drop_stalled(&mut self, now: Uptime, in_force: Generation) {
+        let limit = self.answer.longest_wait();
+        self.begun.take_if(|begun| begun.id.generation <= in_force || now >= begun.grown + limit);
+    }
+
     fn next_pull(&self, known: Generation) -> ConfigPartPull {
-        match &self.archive {
-            Some((id, bytes)) if id.generation > known => {
-                ConfigPartPull { known, archive: Some(*id), offset: bytes.len() as u32 }
-            }
-            _ => ConfigPartPull { known, archive: None, offset: 0 },
-        }
+        let whole = self.unusable.map(|id| (id, id.length));
+        let begun = self.begun.as_ref().map(|begun| (begun.id, begun.bytes.len() as u32));
+        let (archive, offset) = match begun.or(whole) {
+            Some((id, offset)) => (Some(id), offset),
+            None => (None, 0),
+        };
+        ConfigPartPull { known, archive, offset }
     }
 }
--- /dev/null
+++ b/crates/node/src/config_serving.rs
@@ -0,0 +1,53 @@
+//! Peers that fetch this daemon's configuration.
+//!
+//! A configuration of several parts goes to as many peers at a time as the link of this VM has room for,
+//! however many ask; the others are told to ask again, of whoever has it by then.
+//!
+//! Owns: who is being sent a configuration. Relies on: peers that ask for the next part once they have
+//! one.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use curlewcleat_config::PART_BYTES;
+use curlewcleat_core::{Uptime, VmId};
+
+/// Time in which a link carries the parts that are on their way at once. Chosen, not measured: the first
+/// wait for an answer, so that no part is asked for twice.
+const OUTSTANDING_TIME: Duration = Duration::from_millis(500);
+/// Peers that are sent a configuration at the same time over the slowest link. Chosen, not measured.
+const LEAST_PEERS: usize = 4;
+/// Time after which a peer that has not asked for its next part has gone elsewhere. Chosen, not measured:
+/// twice the first wait for an answer.
+const PEER_PAUSE: Duration = Duration::from_secs(1);
+
+/// The peers that are being sent a configuration, with the time of their latest part.
+#[derive(Clone, Debug)]
+pub struct ConfigServing {
+    peer_limit: usize,
+    peers: BTreeMap<VmId, Uptime>,
+}
+
+impl ConfigServing {
+    /// Nobody is served yet. The link of this VM carries so many bytes a second.
+    pub fn new(link_bytes_per_s: u64) -> ConfigServing {
+        let outstanding = link_bytes_per_s * OUTSTANDING_TIME.as_millis() as u64 / 1_000;
+        let peer_limit = (outstanding as usize / PART_BYTES).max(LEAST_PEERS);
+        ConfigServing { peer_limit, peers: BTreeMap::new() }
+    }
+
+    /// Whether to send a peer a part now; `more` says that others follow it.
+    pub fn begin_part(&mut self, now: Uptime, peer: &VmId, more: bool) -> bool {
+        self.peers.retain(|_, sent| now < *sent + PEER_PAUSE);
+        let known = self.peers.contains_key(peer);
+        if !more {
+            self.peers.remove(peer);
+            return true;
+        }
+        if !known && self.peers.len() >= self.peer_limit {
+            return false;
+        }
+        self.peers.insert(peer.clone(), now);
+        true
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! [`Node::handle`] takes an event with the time and gives the actions to perform.
 
+mod awaited_answer;
 mod config_pull;
+mod config_serving;
 mod event;
 mod freshness;
 mod node;
-mod open_pull;
 mod pool_options;
 mod status;
 mod target_view;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,10 +27,11 @@
     PoolScheduler, RateMargin,
 };
 
+use crate::awaited_answer::AwaitedAnswer;
 use crate::config_pull::ConfigPull;
+use crate::config_serving::ConfigServing;
 use crate::event::{NodeAction, NodeEvent};
 use crate::freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
-use crate::open_pull::OpenPull;
 use crate::status::{ConfigIntake, NodeStatus, PoolStatus, TargetStatus};
 use crate::target_view::TargetView;
 use crate::vms::VmView;
@@ -59,6 +60,8 @@
     pub one_scheduler: bool,
     /// Requests in progress at most.
     pub request_limit: usize,
+    /// What the link of this VM carries, in bytes a second.
+    pub link_bytes_per_s: u64,
     /// Times of the view of a platform that daemons read for each other, `None` where each reads it.
     pub freshness: Option<FreshnessLimits>,
     /// Time between heartbeats.
@@ -92,8 +95,9 @@
     /// Order of schedulers over all pools.
     order: Vec<DaemonId>,
     config_pull: ConfigPull,
-    table_pull: OpenPull,
-    targets_pull: OpenPull,
+    config_serving: ConfigServing,
+    table_pull: AwaitedAnswer,
+    targets_pull: AwaitedAnswer,
     /// When peers that cannot ask for parts were last sent a whole configuration.
     whole_pushes: BTreeMap<VmId, Uptime>,
     config_intake: ConfigIntake,
@@ -134,8 +138,9 @@
             order: vec![me.clone()],
             eligible: vec![me],
             config_pull: ConfigPull::default(),
-            table_pull: OpenPull::default(),
-            targets_pull: OpenPull::default(),
+            config_serving: ConfigServing::new(options.link_bytes_per_s),
+            table_pull: AwaitedAnswer::default(),
+            targets_pull: AwaitedAnswer::default(),
             whole_pushes: BTreeMap::new(),
             config_intake: ConfigIntake::default(),
             orders: BTreeMap::new(),
--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -18,7 +18,6 @@
         match self.store.offer(bundle) {
             StoreChange::Stale => {}
             StoreChange::Invalid(report) => {
-                self.config_pull.reject(generation);
                 self.actions.push(NodeAction::Note(NodeNote::ConfigInvalid(generation, report)));
             }
             StoreChange::Accepted => {
--- a/crates/node/src/node/pulls.rs
+++ b/crates/node/src/node/pulls.rs
@@ -1,10 +1,10 @@
 //! What peers have newer: configurations and key tables, in and out.
 //!
-//! Owns: nothing; these are methods of `Node`. Relies on: [`ConfigPull`] and [`OpenPull`] for asking once
+//! Owns: nothing; these are methods of `Node`. Relies on: [`ConfigPull`] and [`AwaitedAnswer`] for asking once
 //! for what is on its way.
 //!
 //! [`ConfigPull`]: crate::config_pull::ConfigPull
-//! [`OpenPull`]: crate::open_pull::OpenPull
+//! [`AwaitedAnswer`]: crate::awaited_answer::AwaitedAnswer
 
 use std::time::Duration;
 
@@ -50,9 +50,11 @@
             false => 0,
         };
         let part = archive.and_then(|archive| archive.part(offset(archive)));
-        if let Some(part) = part {
-            self.post(peer, PeerMessage::ConfigPart(part));
+        let Some(mut part) = part else { return };
+        if !self.config_serving.begin_part(self.now, peer, !part.is_last()) {
+            part.bytes.clear();
         }
+        self.post(peer, PeerMessage::ConfigPart(part));
     }
 
     pub(super) fn config_part_received(&mut self, peer: &VmId, part: ConfigPart) {
@@ -69,10 +71,14 @@
 
     fn archive_received(&mut self, id: ArchiveId, bytes: &[u8]) {
         match ConfigArchive::unpack(id, bytes) {
-            Ok(bundle) => self.config_offered(bundle),
+            Ok(bundle) => {
+                self.config_offered(bundle);
+                if self.store.generation() < id.generation {
+                    self.config_pull.reject(id);
+                }
+            }
             Err(error) => {
-                // Asked for again, it would come again.
-                self.config_pull.reject(id.generation);
+                self.config_pull.reject(id);
                 let note = NodeNote::ConfigUnreadable(id.generation, error.to_string());
                 self.actions.push(NodeAction::Note(note));
             }
--- a/crates/node/tests/nodes.rs
+++ b/crates/node/tests/nodes.rs
@@ -31,6 +31,7 @@
         one_scheduler: false,
         age_per_work: 32,
         request_limit,
+        link_bytes_per_s: 125_000_000,
         freshness: None,
         heartbeat_every: Duration::from_millis(500),
         drain_grace: Duration::from_secs(1),
--- /dev/null
+++ b/crates/node/tests/pull_faults.rs
@@ -0,0 +1,277 @@
+//! Ways in which a daemon that pulls a configuration never gets it, or holds more than one.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use curlewcleat_config::ConfigArchive;
+use curlewcleat_core::{
+    ArchiveId, ConfigBundle, ConfigPart, ConfigPartPull, DaemonId, Heartbeat, PeerFrame,
+    PeerMessage,
+};
+use curlewcleat_node::{NodeAction, NodeEvent};
+
+use support::{heartbeat, Fleet};
+
+/// Time between the heartbeats of a peer.
+const BEAT: Duration = Duration::from_millis(500);
+const STEP: Duration = Duration::from_millis(10);
+
+/// A configuration of several parts, packed.
+fn archive(generation: u64, salt: u64) -> ConfigArchive {
+    let mut state = generation ^ salt;
+    let mut text = "[tier t0]\nrank = 0\n[pool p]\nkind = service\n".to_string();
+    while text.len() < 300_000 {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        text += &format!("; {state:016x}\n");
+    }
+    let files = BTreeMap::from([("a.ini".to_string(), text)]);
+    ConfigArchive::pack(&ConfigBundle { generation, files }).expect("an archive")
+}
+
+/// A peer that answers pulls as a daemon does.
+struct Peer {
+    index: usize,
+    archive: ConfigArchive,
+    /// When its first heartbeat arrives, after the beginning.
+    phase: Duration,
+    /// Answers that are lost, counted from the first one.
+    lost: Vec<usize>,
+    answers: usize,
+}
+
+impl Peer {
+    fn new(index: usize, archive: ConfigArchive, phase: Duration) -> Peer {
+        Peer { index, archive, phase, lost: Vec::new(), answers: 0 }
+    }
+
+    fn address(&self) -> String {
+        format!("127.0.0.1:{}", 1_000 + self.index)
+    }
+
+    fn beats_at(&self, since: Duration) -> bool {
+        since >= self.phase && (since - self.phase).as_millis().is_multiple_of(BEAT.as_millis())
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat { address: self.address(), ..heartbeat(self.archive.id().generation) }
+    }
+
+    fn answer(&mut self, pull: ConfigPartPull) -> Option<ConfigPart> {
+        let archive = &self.archive;
+        if pull.known >= archive.id().generation {
+            return None;
+        }
+        let offset = if pull.archive == Some(archive.id()) { pull.offset } else { 0 };
+        self.answers += 1;
+        archive.part(offset).filter(|_| !self.lost.contains(&self.answers))
+    }
+}
+
+/// The first daemon of a fleet, and peers whose messages take a while.
+struct World {
+    fleet: Fleet,
+    begun: Duration,
+    peers: Vec<Peer>,
+    round_trip: Duration,
+    on_the_way: Vec<(Duration, usize, PeerMessage)>,
+    pulls: Vec<(Duration, usize, ConfigPartPull)>,
+}
+
+impl World {
+    fn new(peers: Vec<Peer>, round_trip: Duration) -> World {
+        let fleet = Fleet::new(3);
+        let begun = fleet.now;
+        World { fleet, begun, peers, round_trip, on_the_way: Vec::new(), pulls: Vec::new() }
+    }
+
+    /// The first daemon takes a message of a peer.
+    fn take(&mut self, index: usize, message: PeerMessage) {
+        let from = DaemonId { vm: format!("vm-{index}"), incarnation: 1 };
+        let event = NodeEvent::Peer(PeerFrame { from, messages: vec![message] });
+        let now = self.fleet.now;
+        for action in self.fleet.daemons[0].node.handle(now, now, event) {
+            let NodeAction::Send(to, frame) = action else { continue };
+            for message in frame.messages {
+                if let PeerMessage::ConfigPartPull(pull) = message {
+                    self.pull(&to, pull);
+                }
+            }
+        }
+    }
+
+    /// A peer answers, where it has something.
+    fn pull(&mut self, to: &str, pull: ConfigPartPull) {
+        let Some(peer) = self.peers.iter_mut().find(|peer| peer.address() == to) else { return };
+        self.pulls.push((self.fleet.now - self.begun, peer.index, pull));
+        if let Some(part) = peer.answer(pull) {
+            let arrives = self.fleet.now + self.round_trip;
+            self.on_the_way.push((arrives, peer.index, PeerMessage::ConfigPart(part)));
+        }
+    }
+
+    fn step(&mut self) {
+        self.fleet.now += STEP;
+        let now = self.fleet.now;
+        let (arrived, later) =
+            std::mem::take(&mut self.on_the_way).into_iter().partition(|(at, _, _)| *at <= now);
+        self.on_the_way = later;
+        let arrived: Vec<(Duration, usize, PeerMessage)> = arrived;
+        for (_, index, message) in arrived {
+            self.take(index, message);
+        }
+        let since = now - self.begun;
+        let beating = self.peers.iter().filter(|peer| peer.beats_at(since));
+        let beats: Vec<(usize, Heartbeat)> =
+            beating.map(|peer| (peer.index, peer.heartbeat())).collect();
+        for (index, beat) in beats {
+            self.take(index, PeerMessage::Heartbeat(beat));
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.fleet.now + time;
+        while self.fleet.now < end {
+            self.step();
+        }
+    }
+
+    fn generation(&self) -> u64 {
+        self.fleet.generation_of(0)
+    }
+}
+
+/// The only peer with generation 3 dies after its first part; the other peer has generation 2, which is
+/// newer than what is in force, but its parts are passed over as older than the beginning of 3.
+#[test]
+fn beginning_of_a_newer_configuration_does_not_keep_an_older_one_out() {
+    let newest = Peer::new(1, archive(3, 7), Duration::from_millis(10));
+    let mut world = World::new(vec![newest], Duration::from_millis(20));
+    while world.peers[0].answers == 0 {
+        world.step();
+    }
+    world.run(STEP * 3);
+    // Its daemon dies; another one has what came before.
+    world.peers = vec![Peer::new(2, archive(2, 7), Duration::from_millis(100))];
+    world.on_the_way.clear();
+    world.run(Duration::from_secs(60));
+    let unused = world.fleet.intake_of(0).unused;
+    let pulls = world.pulls.len();
+    assert_eq!(world.generation(), 2, "after 60 s, {pulls} pulls, {unused} bytes not used");
+}
+
+/// One part of generation 3 is lost on its way. The peer that has it goes on to say so, but each time
+/// the pull that is open is one of the other peer, which has only generation 2.
+#[test]
+fn peer_that_is_behind_does_not_keep_the_open_pull() {
+    let mut newest = Peer::new(1, archive(3, 7), Duration::from_millis(110));
+    newest.lost = vec![2];
+    let behind = Peer::new(2, archive(2, 7), Duration::from_millis(200));
+    let mut world = World::new(vec![newest, behind], Duration::from_millis(20));
+    // The slow beat of the one that is behind comes first after the loss, and then always.
+    world.run(Duration::from_secs(30));
+    let asked = |peer: usize| world.pulls.iter().filter(|(_, index, _)| *index == peer).count();
+    assert_eq!(
+        world.generation(),
+        3,
+        "after 30 s; the one that has it was asked {} times, the other {}",
+        asked(1),
+        asked(2)
+    );
+}
+
+/// Two releases translate one configuration differently, so its archives differ. Answers take longer than
+/// the time after which a pull counts as lost: each answer throws away the beginning of the other.
+#[test]
+fn archives_of_one_generation_do_not_replace_each_other_for_ever() {
+    let one = Peer::new(1, archive(2, 7), Duration::from_millis(10));
+    let other = Peer::new(2, archive(2, 8), Duration::from_millis(260));
+    let mut world = World::new(vec![one, other], Duration::from_millis(620));
+    world.run(Duration::from_secs(60));
+    let intake = world.fleet.intake_of(0);
+    assert_eq!(world.generation(), 2, "after 60 s, {} bytes taken", intake.taken);
+}
+
+/// The same with one archive, for comparison.
+#[test]
+fn slow_answers_of_equal_archives_make_a_configuration() {
+    let one = Peer::new(1, archive(2, 7), Duration::from_millis(10));
+    let other = Peer::new(2, archive(2, 7), Duration::from_millis(260));
+    let mut world = World::new(vec![one, other], Duration::from_millis(620));
+    world.run(Duration::from_secs(60));
+    let intake = world.fleet.intake_of(0);
+    assert_eq!(world.generation(), 2, "after 60 s, {} bytes taken", intake.taken);
+}
+
+/// Changes come faster than a configuration of five parts over a link whose answers take 400 ms.
+#[test]
+fn changes_in_quick_succession_do_not_keep_all_out() {
+    let mut world = World::new(
+        vec![Peer::new(1, archive(2, 7), Duration::from_millis(10))],
+        Duration::from_millis(400),
+    );
+    for generation in 3..33 {
+        world.run(Duration::from_millis(1_500));
+        world.peers[0].archive = archive(generation, 7);
+    }
+    let intake = world.fleet.intake_of(0);
+    assert!(world.generation() > 1, "after 45 s, {} bytes taken", intake.taken);
+}
+
+/// A peer names an archive of 4 GiB and sends part after part.
+#[test]
+fn archive_longer_than_a_configuration_may_be_is_not_gathered() {
+    let mut fleet = Fleet::new(3);
+    let id = ArchiveId { generation: 9, length: u32::MAX, checksum: 1 };
+    let from = DaemonId { vm: "vm-1".to_string(), incarnation: 1 };
+    let mut gathered = 0;
+    for index in 0..64u32 {
+        let bytes = vec![0; 1 << 20];
+        let part = ConfigPart { archive: id, offset: index << 20, bytes };
+        let messages = vec![PeerMessage::ConfigPart(part)];
+        let event = NodeEvent::Peer(PeerFrame { from: from.clone(), messages });
+        let now = fleet.now;
+        let actions = fleet.daemons[0].node.handle(now, now, event);
+        let goes_on = actions.iter().any(|action| {
+            matches!(action, NodeAction::Send(_, frame)
+                if frame.messages.iter().any(|message| matches!(message, PeerMessage::ConfigPartPull(_))))
+        });
+        gathered += if goes_on { 1 } else { 0 };
+    }
+    assert!(gathered <= 16, "{gathered} MiB gathered and more asked for");
+}
+
+/// A bundle that does not pass the checks.
+fn invalid(generation: u64) -> ConfigBundle {
+    let files = BTreeMap::from([("a.ini".to_string(), "[no such section]\n".to_string())]);
+    ConfigBundle { generation, files }
+}
+
+/// The newest configuration of the platform does not pass the checks, so all daemons go on with the one
+/// before. A daemon that starts reads the newest, refuses it, and has nothing else; its peers have the one
+/// before.
+#[test]
+fn daemon_that_starts_beside_an_invalid_configuration_takes_the_one_in_force() {
+    let peer = Peer::new(1, archive(8, 7), Duration::from_millis(10));
+    let mut world = World::new(vec![peer], Duration::from_millis(20));
+    // It starts without a configuration, as each new process does.
+    world.fleet.daemons[0] = support::daemon(0, Vec::new());
+    let now = world.fleet.now;
+    world.fleet.daemons[0].node.handle(now, now, NodeEvent::ConfigRead(invalid(9)));
+    world.run(Duration::from_secs(60));
+    assert_eq!(world.generation(), 8, "after 60 s, {} pulls", world.pulls.len());
+}
+
+/// One peer's archive of a generation cannot be used; another peer's archive of it has another name and
+/// can.
+#[test]
+fn archive_that_cannot_be_used_does_not_keep_another_one_out() {
+    let bad = ConfigArchive::pack(&invalid(9)).expect("an archive");
+    let one = Peer::new(1, bad, Duration::from_millis(10));
+    let other = Peer::new(2, archive(9, 7), Duration::from_millis(260));
+    let mut world = World::new(vec![one, other], Duration::from_millis(20));
+    world.run(Duration::from_secs(60));
+    let asked = world.pulls.iter().filter(|(_, index, _)| *index == 2).count();
+    assert_eq!(world.generation(), 9, "after 60 s, the good one was asked for {asked} times");
+}
--- a/crates/node/tests/support/parts.rs
+++ b/crates/node/tests/support/parts.rs
@@ -18,6 +18,11 @@
 }
 
 pub fn daemon(index: usize, seeds: Vec<String>) -> Daemon {
+    daemon_behind(index, seeds, 1_000)
+}
+
+/// A daemon whose link carries so many megabits a second.
+pub fn daemon_behind(index: usize, seeds: Vec<String>, megabits: u64) -> Daemon {
     let node = Node::new(NodeOptions {
         me: DaemonId { vm: format!("vm-{index}"), incarnation: 1 },
         members: MemberOptions {
@@ -40,6 +45,7 @@
         one_scheduler: true,
         age_per_work: 32,
         request_limit: 10_000,
+        link_bytes_per_s: megabits * 1_000_000 / 8,
         freshness: Some(FreshnessLimits::within(APPLY_LIMIT)),
         heartbeat_every: Duration::from_millis(500),
         drain_grace: Duration::from_secs(1),
