A watch ends when it should, however its answer comes

Found by the review: since the limit of a call held for each pause in its answer, a watch whose answer began at once was given up before its time, and one whose answer trickled lasted for eight limits more. Change: a watch has its own limit for each pause and for the whole.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// When a call is given up.
+#[derive(Clone, Copy)]
+struct CallLimits {
+    /// Time until its answer begins, and between two parts of it.
+    pause: Duration,
+    /// Time for all of it.
+    whole: Duration,
+}
+
 /// Calls one store.
 pub struct StoreClient {
     address: String,
@@ -111,21 +120,25 @@
     /// # Errors
     /// [`Error::Unclear`] where no whole answer comes in time; the call may have taken effect.
     pub async fn call(&self, request: StoreRequest) -> Result<StoreReply> {
-        self.call_within(request, self.limit).await
+        let limits = CallLimits { pause: self.limit, whole: self.limit * WHOLE_LIMITS };
+        self.call_within(request, limits).await
     }
 
-    /// Makes a call for which the store waits up to `wait` for a change.
+    /// Makes a call for which the store waits up to `wait` for a change, before its answer or within it.
     ///
     /// # Errors
     /// As [`call`](StoreClient::call).
     pub async fn watch(&self, request: StoreRequest, wait: Duration) -> Result<StoreReply> {
-        self.call_within(request, wait + WATCH_SLACK).await
+        let limit = wait + WATCH_SLACK;
+        self.call_within(request, CallLimits { pause: limit, whole: limit }).await
     }
 
-    /// Makes a call; `limit` is the time until its answer begins.
-    async fn call_within(&self, request: StoreRequest, limit: Duration) -> Result<StoreReply> {
-        let answer = within(limit, self.begin(request, limit)).await?;
-        within(self.limit * WHOLE_LIMITS, self.read(answer)).await
+    async fn call_within(&self, request: StoreRequest, limits: CallLimits) -> Result<StoreReply> {
+        let exchange = async {
+            let answer = within(limits.pause, self.begin(request, limits.pause)).await?;
+            read(answer, limits.pause).await
+        };
+        within(limits.whole, exchange).await
     }
 
     async fn begin(&self, request: StoreRequest, limit: Duration) -> Result<TargetAnswer> {
@@ -135,20 +148,20 @@
         let body = request.body.map(Bytes::from).unwrap_or_default();
         connection.exchange(head, body).await.map_err(unclear)
     }
+}
 
-    /// Reads an answer whole. It is given up when nothing comes for the limit of a call: one that was
-    /// given up while it comes would have to be carried again from its beginning.
-    async fn read(&self, answer: TargetAnswer) -> Result<StoreReply> {
-        let TargetAnswer { head, mut body } = answer;
-        let mut bytes = Vec::new();
-        while let Some(part) = within(self.limit, async { Ok(body.next().await) }).await? {
-            bytes.extend_from_slice(&part.map_err(unclear)?);
-            if bytes.len() > ANSWER_LIMIT {
-                return Err(Error::Protocol("the answer is too long".to_string()));
-            }
+/// Reads an answer whole. It is given up when nothing comes for `pause`: one that was given up while it
+/// comes would have to be carried again from its beginning.
+async fn read(answer: TargetAnswer, pause: Duration) -> Result<StoreReply> {
+    let TargetAnswer { head, mut body } = answer;
+    let mut bytes = Vec::new();
+    while let Some(part) = within(pause, async { Ok(body.next().await) }).await? {
+        bytes.extend_from_slice(&part.map_err(unclear)?);
+        if bytes.len() > ANSWER_LIMIT {
+            return Err(Error::Protocol("the answer is too long".to_string()));
         }
-        Ok(StoreReply { status: head.status, headers: head.headers, body: bytes })
     }
+    Ok(StoreReply { status: head.status, headers: head.headers, body: bytes })
 }
 
 /// Gives a step of a call up after a limit.
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -18,7 +18,7 @@
 }
 
 impl HttpStore {
-    /// A client for `ip:port`; each call is given up after `limit`.
+    /// A client for `ip:port`; a call is given up where `limit` passes without a part of its answer.
     pub fn new(address: &str, limit: Duration) -> HttpStore {
         HttpStore { client: StoreClient::new(address, limit) }
     }
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -69,3 +69,42 @@
     assert!(took < LIMIT * 12, "{took:?}");
     Ok(())
 }
+
+/// A store that begins the answer of a watch at once, and ends it when something changes.
+async fn store_that_streams_watches(wait: Duration) -> std::io::Result<String> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?.to_string();
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await?;
+        let mut buffer = [0u8; 4096];
+        let _ = stream.read(&mut buffer).await?;
+        stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await?;
+        tokio::time::sleep(wait).await;
+        stream.write_all(b"2\r\n{}\r\n0\r\n\r\n").await?;
+        std::future::pending::<std::io::Result<()>>().await
+    });
+    Ok(address)
+}
+
+#[actix_rt::test]
+async fn watch_whose_answer_begins_before_the_change_is_not_given_up() -> std::io::Result<()> {
+    let address = store_that_streams_watches(LIMIT * 3).await?;
+    let client = StoreClient::new(&address, LIMIT);
+    let request = StoreRequest::get("/objects?watch=1".to_string());
+    let reply = client.watch(request, LIMIT * 10).await;
+    assert!(reply.is_ok(), "{:?}", reply.err());
+    Ok(())
+}
+
+/// The daemon and the tool expect a watch to end one second after its own limit.
+#[actix_rt::test]
+async fn watch_ends_soon_after_its_own_limit() -> std::io::Result<()> {
+    let address = store(1_000, 1_000, LIMIT / 4).await?;
+    let client = StoreClient::new(&address, LIMIT);
+    let begun = Instant::now();
+    let reply = client.watch(StoreRequest::get("/objects?watch=1".to_string()), LIMIT).await;
+    assert!(reply.is_err());
+    let took = begun.elapsed();
+    assert!(took < LIMIT + Duration::from_millis(1_500), "{took:?}");
+    Ok(())
+}
--- a/crates/tool/src/apply.rs
+++ b/crates/tool/src/apply.rs
@@ -14,7 +14,7 @@
 use crate::arguments::{ApplyArguments, Arguments, FileArguments};
 use crate::{daemons, files, ToolExit};
 
-/// Time after which a call of the platform is given up.
+/// Time without a part of its answer after which a call of the platform is given up.
 /// Chosen, not measured.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 
