A configuration that does not pass the checks is read less often by those that do not read for others

Found by the review: where the newest configuration is invalid nobody can prove the one in force, and each daemon read the whole of it four times within the time in which changes have to be in force, for as long as it stood. Change: daemons that do not read for others pause 2.4 s between such reads. Test: reads_that_prove_nothing_are_rare (a table of the decision).

--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -5,6 +5,9 @@
 //!
 //! Owns: the reads of the platform. Relies on: the node for whether this daemon reads.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::Cell;
 use std::future::pending;
 use std::rc::Rc;
@@ -92,10 +95,12 @@
                         self.context.apply(bundle).await;
                         known = version;
                     }
-                    if known > 0 && self.context.config().generation >= newest {
+                    let in_force = self.context.config().generation >= newest;
+                    if known > 0 && in_force {
                         self.proved(sent);
                     }
-                    tokio::time::sleep(self.limits.read_every.saturating_sub(sent.elapsed())).await;
+                    let every = time_between(*role.borrow(), in_force, self.limits.read_every);
+                    tokio::time::sleep(every.saturating_sub(sent.elapsed())).await;
                 }
                 Err(error) => {
                     self.link.freshness.fail();
@@ -221,6 +226,15 @@
     }
 }
 
+/// Time between two reads. Where the newest configuration does not pass the checks nobody can prove the one
+/// in force, so that all daemons read; that it has been replaced the readers find out.
+fn time_between(role: ReadRole, in_force: bool, read_every: Duration) -> Duration {
+    match (role, in_force) {
+        (ReadRole::Fallback | ReadRole::Idle, false) => FALLBACK_PAUSE.max(read_every),
+        _ => read_every,
+    }
+}
+
 /// A watch that delivers nothing should have waited; one that returned at once is repeated later and
 /// later.
 async fn after_quiet_watch(pause: &mut BackOff, begun: Instant) {
