The objective counts from the caller's first attempt; a request waits for one objective

Cause: a request that came back after a refusal was treated as new but for its head start: it was queued before those that could still be in time though its own objective, counted from the first attempt, had passed, and every request could wait for two objectives, which keeps the queue long. Change: what has passed since the first attempt (the time that a retry gives less than others) is taken off its objective; it goes before new requests only while it can be in time; no request waits for longer than its objective. Tests: the table of waits has the new rule, with the time until an answer is late; return_that_is_late_already_goes_by_its_age failed first.

--- a/crates/daemon/src/request/profile/objectives.rs
+++ b/crates/daemon/src/request/profile/objectives.rs
@@ -4,11 +4,12 @@
 //! caller gives, the longest that callers of the rule have given, the time until the deadline; all are
 //! durations.
 //!
-//! The rule: a request may wait for [`WAIT_OBJECTIVES`] objectives, but for no more than
-//! [`WAIT_PERCENT`] of its time. A new request is refused at once where its forecast wait is above
-//! [`FORECAST_PERCENT`] of the objective, so that its caller can retry in time; a retry (it gives
-//! less time than others, [`RETRY_TIME_PERCENT`]) is refused only where the forecast is above the whole
-//! wait. A rule without an objective lets requests wait until their deadline.
+//! The rule: a request may wait for its objective, but for no more than [`WAIT_PERCENT`] of its time. A
+//! new request is refused at once where its forecast wait is above [`FORECAST_PERCENT`] of the objective,
+//! so that its caller can retry in time; a retry (it gives less time than others,
+//! [`RETRY_TIME_PERCENT`]) is refused only where the forecast is above the whole wait. Its objective counts
+//! from the caller's first attempt: what has passed since is the time that it gives less. A rule without an
+//! objective lets requests wait until their deadline.
 //!
 //! Owns: nothing; a pure function. Relies on: callers that give less time when they retry.
 
@@ -16,9 +17,6 @@
 
 use curlewcleat_core::{AdmissionRule, LatencyObjectives, TierRank};
 
-/// Objectives for which a request may wait for a target. Callers of streams soon give up after that.
-/// From docs/MEASUREMENTS.md, "a wait of one objective in place of two" (not better).
-const WAIT_OBJECTIVES: u32 = 2;
 /// Part of its time for which a request may wait, in percent; a longer wait only keeps its caller from
 /// a better use of the time. From docs/MEASUREMENTS.md, "no wait beyond two fifths of the time".
 const WAIT_PERCENT: u32 = 40;
@@ -46,7 +44,7 @@
     let (Some(objective), Some(asked)) = (rule.service.objective, asked) else {
         return LatencyObjectives { wait_limit: time, ..objectives };
     };
-    let wait_limit = (objective * WAIT_OBJECTIVES).min(time / 100 * WAIT_PERCENT);
+    let wait_limit = objective.min(time / 100 * WAIT_PERCENT);
     let is_retry = asked * 100 < longest * RETRY_TIME_PERCENT;
     let forecast_limit = match is_retry {
         true => wait_limit,
@@ -55,7 +53,10 @@
     LatencyObjectives {
         wait_limit,
         forecast_limit,
-        first_part_by: objective,
+        first_part_by: match is_retry {
+            true => objective.saturating_sub(longest - asked),
+            false => objective,
+        },
         is_retry,
         ..objectives
     }
--- a/crates/sched/tests/streams.rs
+++ b/crates/sched/tests/streams.rs
@@ -284,6 +284,31 @@
     assert!(place(triage).is_some());
 }
 
+/// A return goes first for the sake of its objective; one that is late already takes no other's.
+#[test]
+fn return_that_is_late_already_goes_by_its_age() {
+    let mut play = taught(1);
+    play.request_permit(prompt(1_000));
+    play.request_permit(prompt(1_000));
+    let returned = |first_part_by: Duration| {
+        let objectives =
+            LatencyObjectives { is_retry: true, first_part_by, ..LatencyObjectives::default() };
+        PermitRequest { objectives, time_left: Duration::from_secs(600), ..prompt(6_000) }
+    };
+    let new = PermitRequest { time_left: Duration::from_secs(600), ..prompt(6_000) };
+    let (new, _) = play.request_permit(new);
+    let (late, _) = play.request_permit(returned(Duration::ZERO));
+    let (in_time, _) = play.request_permit(returned(Duration::from_millis(1)));
+    let mut order = Vec::new();
+    while let Some(running) = play.scheduler.permits().keys().next().copied() {
+        let next = play.end(running.request.as_u128(), AttemptEnd::Unused);
+        order.extend(granted(&next).into_keys());
+    }
+    let place = |number: u128| order.iter().position(|other| *other == number);
+    assert!(place(in_time) < place(new) && place(new) < place(late), "{order:?}");
+    assert!(place(in_time).is_some());
+}
+
 #[test]
 fn long_answer_by_guess_is_tried_where_it_may_well_end_in_time() {
     // Nothing is known of the targets yet, and the operator's numbers would say forty seconds.
