--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -226,8 +226,8 @@
     }
 }
 
-/// Time between two reads. Where the newest configuration does not pass the checks nobody can prove the one
-/// in force, so that all daemons read; that it has been replaced the readers find out.
+/// Time between two reads. Where the newest configuration does not pass the checks no daemon can prove the
+/// one in force, so that all read; that it has been replaced the readers find out.
 fn time_between(role: ReadRole, in_force: bool, read_every: Duration) -> Duration {
     match (role, in_force) {
         (ReadRole::Fallback | ReadRole::Idle, false) => FALLBACK_PAUSE.max(read_every),
--- a/crates/daemon/src/fleet/follow/tests.rs
+++ b/crates/daemon/src/fleet/follow/tests.rs
@@ -7,6 +7,7 @@
 
 use super::{time_between, FALLBACK_PAUSE};
 
+/// Time between two reads of the tests. From the users' large fleets: a quarter of three seconds.
 const READ_EVERY: Duration = Duration::from_millis(750);
 
 /// Each of 87 daemons read a configuration that did not pass its checks four times within the time in which
--- a/crates/node/src/config_pull.rs
+++ b/crates/node/src/config_pull.rs
@@ -37,7 +37,7 @@
 pub struct ConfigPull {
     answer: AwaitedAnswer,
     begun: Option<BegunArchive>,
-    /// The latest archive that could not be used here. Peers are told that it is here whole, so that they
+    /// The latest archive that could not be used here. A pull says that it is here whole, so that peers
     /// send no part of it again.
     unusable: Option<ArchiveId>,
 }
--- a/crates/node/src/config_serving.rs
+++ b/crates/node/src/config_serving.rs
@@ -1,7 +1,7 @@
 //! Peers that fetch this daemon's configuration.
 //!
 //! A configuration of several parts goes to as many peers at a time as the link of this VM has room for,
-//! however many ask; the others are told to ask again, of whoever has it by then.
+//! however many ask; the others get a part without bytes, and ask again whoever has it by then.
 //!
 //! Owns: who is being sent a configuration. Relies on: peers that ask for the next part once they have
 //! one.
@@ -29,7 +29,7 @@
 }
 
 impl ConfigServing {
-    /// Nobody is served yet. The link of this VM carries so many bytes a second.
+    /// No peer is served yet. The argument is what the link of this VM carries, in bytes a second.
     pub fn new(link_bytes_per_s: u64) -> ConfigServing {
         let outstanding = link_bytes_per_s * OUTSTANDING_TIME.as_millis() as u64 / 1_000;
         let peer_limit = (outstanding as usize / PART_BYTES).max(LEAST_PEERS);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,11 +29,10 @@
 
 use self::stop::HAND_OVER_WAIT;
 use crate::awaited_answer::AwaitedAnswer;
-use crate::config_pull::ConfigPull;
-use crate::config_serving::ConfigServing;
+use crate::config_exchange::ConfigExchange;
 use crate::event::{NodeAction, NodeEvent};
 use crate::freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
-use crate::status::{ConfigIntake, NodeStatus, PoolStatus, TargetStatus};
+use crate::status::{NodeStatus, PoolStatus, TargetStatus};
 use crate::target_view::TargetView;
 use crate::vms::VmView;
 
@@ -95,15 +94,11 @@
     eligible: Vec<DaemonId>,
     /// Order of schedulers over all pools.
     order: Vec<DaemonId>,
-    config_pull: ConfigPull,
-    config_serving: ConfigServing,
+    configs: ConfigExchange,
     table_pull: AwaitedAnswer,
     targets_pull: AwaitedAnswer,
     /// Acknowledgements of the records that this daemon hands over at its planned stop.
     hand_over_answer: AwaitedAnswer,
-    /// When peers that cannot ask for parts were last sent a whole configuration.
-    whole_pushes: BTreeMap<VmId, Uptime>,
-    config_intake: ConfigIntake,
     orders: BTreeMap<PoolId, Vec<DaemonId>>,
     table_absent: bool,
     proposing: bool,
@@ -140,13 +135,10 @@
             vms: VmView::default(),
             order: vec![me.clone()],
             eligible: vec![me],
-            config_pull: ConfigPull::default(),
-            config_serving: ConfigServing::new(options.link_bytes_per_s),
+            configs: ConfigExchange::new(options.link_bytes_per_s),
             table_pull: AwaitedAnswer::default(),
             targets_pull: AwaitedAnswer::default(),
             hand_over_answer: AwaitedAnswer::new(HAND_OVER_WAIT),
-            whole_pushes: BTreeMap::new(),
-            config_intake: ConfigIntake::default(),
             orders: BTreeMap::new(),
             table_absent: false,
             proposing: false,
@@ -241,7 +233,7 @@
             key_slots: self.home.slots_held(),
             keys: self.home.keys(),
             requests: self.entry.len(),
-            config_intake: self.config_intake,
+            config_intake: self.configs.intake,
             drain: self.drain.phase(),
             pools: self.pools.iter().map(|(id, pool)| self.pool_status(id, pool)).collect(),
             peers: self
--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -21,7 +21,7 @@
                 self.actions.push(NodeAction::Note(NodeNote::ConfigInvalid(generation, report)));
             }
             StoreChange::Accepted => {
-                self.config_pull.arrived();
+                self.configs.pull.arrived();
                 self.renew_active();
                 self.renew_orders();
                 self.actions.push(NodeAction::Note(NodeNote::ConfigAccepted(generation)));
--- a/crates/node/src/node/pulls.rs
+++ b/crates/node/src/node/pulls.rs
@@ -1,13 +1,11 @@
 //! What peers have newer: configurations and key tables, in and out.
 //!
-//! Owns: nothing; these are methods of `Node`. Relies on: [`ConfigPull`] and [`AwaitedAnswer`] for asking once
-//! for what is on its way.
+//! Owns: nothing; these are methods of `Node`. Relies on: [`ConfigExchange`] and [`AwaitedAnswer`] for
+//! asking once for what is on its way.
 //!
-//! [`ConfigPull`]: crate::config_pull::ConfigPull
+//! [`ConfigExchange`]: crate::config_exchange::ConfigExchange
 //! [`AwaitedAnswer`]: crate::awaited_answer::AwaitedAnswer
 
-use std::time::Duration;
-
 use curlewcleat_config::ConfigArchive;
 use curlewcleat_core::{
     ArchiveId, ConfigBundle, ConfigPart, ConfigPartPull, Generation, ObjectVersion, PeerMessage,
@@ -19,15 +17,11 @@
 use crate::config_pull::PartOutcome;
 use crate::event::{NodeAction, NodeNote};
 
-/// Least time between two whole configurations to one peer. Chosen, not measured: a megabyte takes a
-/// second over the slowest link that the users' VMs have.
-const WHOLE_PUSH_PAUSE: Duration = Duration::from_secs(2);
-
 impl Node {
     /// A peer has a configuration of this generation.
     pub(super) fn config_offered_by(&mut self, peer: &VmId, generation: Generation) {
         let in_force = self.store.generation();
-        if let Some(pull) = self.config_pull.offered(self.now, generation, in_force) {
+        if let Some(pull) = self.configs.pull.offered(self.now, generation, in_force) {
             self.post(peer, PeerMessage::ConfigPartPull(pull));
         }
     }
@@ -51,7 +45,7 @@
         };
         let part = archive.and_then(|archive| archive.part(offset(archive)));
         let Some(mut part) = part else { return };
-        if !self.config_serving.begin_part(self.now, peer, !part.is_last()) {
+        if !self.configs.serving.begin_part(self.now, peer, !part.is_last()) {
             part.bytes.clear();
         }
         self.post(peer, PeerMessage::ConfigPart(part));
@@ -60,13 +54,13 @@
     pub(super) fn config_part_received(&mut self, peer: &VmId, part: ConfigPart) {
         let bytes = part.bytes.len() as u64;
         let in_force = self.store.generation();
-        let outcome = self.config_pull.part_received(self.now, part, in_force);
+        let outcome = self.configs.pull.part_received(self.now, part, in_force);
         match outcome {
-            PartOutcome::Unused => return self.config_intake.unused += bytes,
+            PartOutcome::Unused => return self.configs.intake.unused += bytes,
             PartOutcome::Next(pull) => self.post(peer, PeerMessage::ConfigPartPull(pull)),
             PartOutcome::Whole(id, archive) => self.archive_received(id, &archive),
         }
-        self.config_intake.taken += bytes;
+        self.configs.intake.taken += bytes;
     }
 
     fn archive_received(&mut self, id: ArchiveId, bytes: &[u8]) {
@@ -74,11 +68,11 @@
             Ok(bundle) => {
                 self.config_offered(bundle);
                 if self.store.generation() < id.generation {
-                    self.config_pull.reject(id);
+                    self.configs.pull.reject(id);
                 }
             }
             Err(error) => {
-                self.config_pull.reject(id);
+                self.configs.pull.reject(id);
                 let note = NodeNote::ConfigUnreadable(id.generation, error.to_string());
                 self.actions.push(NodeAction::Note(note));
             }
@@ -91,8 +85,8 @@
         let before = self.store.generation();
         self.config_offered(bundle);
         match before < generation && self.store.generation() == generation {
-            true => self.config_intake.taken += bytes,
-            false => self.config_intake.unused += bytes,
+            true => self.configs.intake.taken += bytes,
+            false => self.configs.intake.unused += bytes,
         }
     }
 
@@ -120,12 +114,8 @@
 
     /// Sends a whole configuration, unless one is on its way to the peer.
     fn push_whole(&mut self, peer: &VmId) {
-        self.whole_pushes.retain(|_, sent| self.now < *sent + WHOLE_PUSH_PAUSE);
-        if self.whole_pushes.contains_key(peer) {
-            return;
-        }
-        if let Some(bundle) = self.store.bundle().cloned() {
-            self.whole_pushes.insert(peer.clone(), self.now);
+        let Some(bundle) = self.store.bundle().cloned() else { return };
+        if self.configs.begin_whole_push(self.now, peer) {
             self.post(peer, PeerMessage::ConfigPush(bundle));
         }
     }
--- a/crates/node/tests/pull_faults.rs
+++ b/crates/node/tests/pull_faults.rs
@@ -6,144 +6,10 @@
 use std::time::Duration;
 
 use curlewcleat_config::ConfigArchive;
-use curlewcleat_core::{
-    ArchiveId, ConfigBundle, ConfigPart, ConfigPartPull, DaemonId, Heartbeat, PeerFrame,
-    PeerMessage,
-};
+use curlewcleat_core::{ArchiveId, ConfigBundle, ConfigPart, DaemonId, PeerFrame, PeerMessage};
 use curlewcleat_node::{NodeAction, NodeEvent};
 
-use support::{heartbeat, Fleet};
-
-/// Time between the heartbeats of a peer.
-const BEAT: Duration = Duration::from_millis(500);
-const STEP: Duration = Duration::from_millis(10);
-
-/// A configuration of several parts, packed.
-fn archive(generation: u64, salt: u64) -> ConfigArchive {
-    ConfigArchive::pack(&bundle(generation, salt)).expect("an archive")
-}
-
-fn bundle(generation: u64, salt: u64) -> ConfigBundle {
-    let mut state = generation ^ salt;
-    let mut text = "[tier t0]\nrank = 0\n[pool p]\nkind = service\n".to_string();
-    while text.len() < 300_000 {
-        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-        text += &format!("; {state:016x}\n");
-    }
-    ConfigBundle { generation, files: BTreeMap::from([("a.ini".to_string(), text)]) }
-}
-
-/// A peer that answers pulls as a daemon does.
-struct Peer {
-    index: usize,
-    archive: ConfigArchive,
-    /// When its first heartbeat arrives, after the beginning.
-    phase: Duration,
-    /// Answers that are lost, counted from the first one.
-    lost: Vec<usize>,
-    answers: usize,
-}
-
-impl Peer {
-    fn new(index: usize, archive: ConfigArchive, phase: Duration) -> Peer {
-        Peer { index, archive, phase, lost: Vec::new(), answers: 0 }
-    }
-
-    fn address(&self) -> String {
-        format!("127.0.0.1:{}", 1_000 + self.index)
-    }
-
-    fn beats_at(&self, since: Duration) -> bool {
-        since >= self.phase && (since - self.phase).as_millis().is_multiple_of(BEAT.as_millis())
-    }
-
-    fn heartbeat(&self) -> Heartbeat {
-        Heartbeat { address: self.address(), ..heartbeat(self.archive.id().generation) }
-    }
-
-    fn answer(&mut self, pull: ConfigPartPull) -> Option<ConfigPart> {
-        let archive = &self.archive;
-        if pull.known >= archive.id().generation {
-            return None;
-        }
-        let offset = if pull.archive == Some(archive.id()) { pull.offset } else { 0 };
-        self.answers += 1;
-        archive.part(offset).filter(|_| !self.lost.contains(&self.answers))
-    }
-}
-
-/// The first daemon of a fleet, and peers whose messages take a while.
-struct World {
-    fleet: Fleet,
-    begun: Duration,
-    peers: Vec<Peer>,
-    round_trip: Duration,
-    on_the_way: Vec<(Duration, usize, PeerMessage)>,
-    pulls: Vec<(Duration, usize, ConfigPartPull)>,
-}
-
-impl World {
-    fn new(peers: Vec<Peer>, round_trip: Duration) -> World {
-        let fleet = Fleet::new(3);
-        let begun = fleet.now;
-        World { fleet, begun, peers, round_trip, on_the_way: Vec::new(), pulls: Vec::new() }
-    }
-
-    /// The first daemon takes a message of a peer.
-    fn take(&mut self, index: usize, message: PeerMessage) {
-        let from = DaemonId { vm: format!("vm-{index}"), incarnation: 1 };
-        let event = NodeEvent::Peer(PeerFrame { from, messages: vec![message] });
-        let now = self.fleet.now;
-        for action in self.fleet.daemons[0].node.handle(now, now, event) {
-            let NodeAction::Send(to, frame) = action else { continue };
-            for message in frame.messages {
-                if let PeerMessage::ConfigPartPull(pull) = message {
-                    self.pull(&to, pull);
-                }
-            }
-        }
-    }
-
-    /// A peer answers, where it has something.
-    fn pull(&mut self, to: &str, pull: ConfigPartPull) {
-        let Some(peer) = self.peers.iter_mut().find(|peer| peer.address() == to) else { return };
-        self.pulls.push((self.fleet.now - self.begun, peer.index, pull));
-        if let Some(part) = peer.answer(pull) {
-            let arrives = self.fleet.now + self.round_trip;
-            self.on_the_way.push((arrives, peer.index, PeerMessage::ConfigPart(part)));
-        }
-    }
-
-    fn step(&mut self) {
-        self.fleet.now += STEP;
-        let now = self.fleet.now;
-        let (arrived, later) =
-            std::mem::take(&mut self.on_the_way).into_iter().partition(|(at, _, _)| *at <= now);
-        self.on_the_way = later;
-        let arrived: Vec<(Duration, usize, PeerMessage)> = arrived;
-        for (_, index, message) in arrived {
-            self.take(index, message);
-        }
-        let since = now - self.begun;
-        let beating = self.peers.iter().filter(|peer| peer.beats_at(since));
-        let beats: Vec<(usize, Heartbeat)> =
-            beating.map(|peer| (peer.index, peer.heartbeat())).collect();
-        for (index, beat) in beats {
-            self.take(index, PeerMessage::Heartbeat(beat));
-        }
-    }
-
-    fn run(&mut self, time: Duration) {
-        let end = self.fleet.now + time;
-        while self.fleet.now < end {
-            self.step();
-        }
-    }
-
-    fn generation(&self) -> u64 {
-        self.fleet.generation_of(0)
-    }
-}
+use support::{archive, bundle, Fleet, Peer, World};
 
 /// The only peer with generation 3 dies after its first part; the other peer has generation 2, which is
 /// newer than what is in force, but its parts are passed over as older than the beginning of 3.
@@ -154,7 +20,7 @@
     while world.peers[0].answers == 0 {
         world.step();
     }
-    world.run(STEP * 3);
+    world.run(Duration::from_millis(30));
     // Its daemon dies; another one has what came before.
     world.peers = vec![Peer::new(2, archive(2, 7), Duration::from_millis(100))];
     world.on_the_way.clear();
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -3,13 +3,15 @@
 #![allow(dead_code)]
 
 mod link;
+mod network;
 mod parts;
+mod scripted;
 mod uplink;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use curlewcleat_core::{AttemptEnd, ConfigBundle, DiscoveredTarget, PeerFrame, RequestId, Verdict};
+use curlewcleat_core::{AttemptEnd, ConfigBundle, DiscoveredTarget, RequestId, Verdict};
 use curlewcleat_node::{
     CallerDecision, ConfigIntake, FreshnessLimits, Node, NodeAction, NodeEvent, PlatformCall,
     ReadRole,
@@ -23,6 +25,8 @@
 #[allow(unused_imports)]
 pub use parts::{daemon, heartbeat, recorded, target};
 #[allow(unused_imports)]
+pub use scripted::{archive, bundle, Peer, World};
+#[allow(unused_imports)]
 pub use uplink::Uplink;
 
 const CONFIG: &str = "[tier t0]\nrank = 0\n[pool p]\nkind = service\n\
@@ -74,12 +78,12 @@
 impl Fleet {
     /// A fleet that has settled.
     pub fn new(daemons: usize) -> Fleet {
-        Fleet::of(daemons, |_| 1_000)
+        Fleet::of(daemons, 1_000)
     }
 
     /// The same where all frames go over links of so many megabits a second, out of a daemon and into it.
     pub fn behind_links(daemons: usize, megabits: usize) -> Fleet {
-        let mut fleet = Fleet::of(daemons, |_| megabits as u64);
+        let mut fleet = Fleet::of(daemons, megabits as u64);
         for index in 0..daemons {
             let mut link = SlowLink::megabits(megabits);
             link.arrived(fleet.now);
@@ -89,9 +93,9 @@
         fleet
     }
 
-    fn of(daemons: usize, megabits: impl Fn(usize) -> u64) -> Fleet {
+    fn of(daemons: usize, megabits: u64) -> Fleet {
         let addresses: Vec<String> = (0..daemons).map(address).collect();
-        let new = |index| daemon_behind(index, addresses.clone(), megabits(index));
+        let new = |index| daemon_behind(index, addresses.clone(), megabits);
         let mut fleet = Fleet {
             daemons: (0..daemons).map(new).collect(),
             now: Duration::ZERO,
@@ -135,48 +139,6 @@
         }
     }
 
-    /// The frame where it arrives at once; a slow link delivers it later.
-    fn delivery(&mut self, from: usize, to: &str, frame: PeerFrame) -> Option<(usize, NodeEvent)> {
-        let port: usize = to.rsplit(':').next()?.parse().ok()?;
-        let index = port.checked_sub(1_000).filter(|index| *index < self.daemons.len())?;
-        let to = &self.daemons[index];
-        if self.daemons[from].cut || to.cut || to.deaf {
-            return None;
-        }
-        if let Some(uplink) = self.uplinks.get_mut(&from) {
-            uplink.send(index, frame);
-            return None;
-        }
-        self.into(index, frame)
-    }
-
-    /// The frame where its receiver has no slow link.
-    fn into(&mut self, index: usize, frame: PeerFrame) -> Option<(usize, NodeEvent)> {
-        match self.links.get_mut(&index) {
-            Some(link) => {
-                link.send(frame);
-                None
-            }
-            None => Some((index, NodeEvent::Peer(frame))),
-        }
-    }
-
-    fn leave_late(&mut self, index: usize) {
-        let Some(uplink) = self.uplinks.get_mut(&index) else { return };
-        for (to, frame) in uplink.left(self.now) {
-            if let Some((to, event)) = self.into(to, frame) {
-                self.event(to, event);
-            }
-        }
-    }
-
-    fn deliver_late(&mut self, index: usize) {
-        let Some(link) = self.links.get_mut(&index) else { return };
-        for frame in link.arrived(self.now) {
-            self.event(index, NodeEvent::Peer(frame));
-        }
-    }
-
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
--- a/crates/node/tests/support/parts.rs
+++ b/crates/node/tests/support/parts.rs
@@ -23,7 +23,20 @@
 
 /// A daemon whose link carries so many megabits a second.
 pub fn daemon_behind(index: usize, seeds: Vec<String>, megabits: u64) -> Daemon {
-    let node = Node::new(NodeOptions {
+    Daemon {
+        node: Node::new(options(index, seeds, megabits)),
+        reaches: true,
+        reads_late: false,
+        cut: false,
+        deaf: false,
+        duty: ReadRole::Reader,
+        proved: None,
+        next_read: Duration::ZERO,
+    }
+}
+
+fn options(index: usize, seeds: Vec<String>, megabits: u64) -> NodeOptions {
+    NodeOptions {
         me: DaemonId { vm: format!("vm-{index}"), incarnation: 1 },
         members: MemberOptions {
             address: address(index),
@@ -50,17 +63,6 @@
         heartbeat_every: Duration::from_millis(500),
         drain_grace: Duration::from_secs(1),
         hand_over_limit: Duration::from_secs(1),
-    });
-    let duty = ReadRole::Reader;
-    Daemon {
-        node,
-        reaches: true,
-        reads_late: false,
-        cut: false,
-        deaf: false,
-        duty,
-        proved: None,
-        next_read: Duration::ZERO,
     }
 }
 
