Soak: a long configuration over narrow links

The soak's links carry whatever a processor can and its configuration is short, so that a daemon that sends the whole configuration far too often cost its callers nothing there. `--routes` lengthens the routes file and `--link-mbps` gives each connection between daemons a rate (and daemons that rate as `[vm] link_mbps`); both are off unless asked for. A test with 1,500 further routes over 10 Mbit/s, four daemons, all faults: no promise broken.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{Context, Result};
 use curlewcleat_platform::example::example_config;
-use curlewcleat_platform::format::Config;
+use curlewcleat_platform::format::{Config, Route};
 use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME, READY};
 use curlewcleat_standins::address::free_address;
 use curlewcleat_standins::deployment::{get_text, program_folder, spawn, wait_until, ChildProcess};
@@ -73,6 +73,18 @@
     pub open_faults: Cell<usize>,
 }
 
+/// The example configuration with further routes that no caller uses.
+fn long_config(routes: usize) -> Config {
+    let mut config = example_config();
+    let first = config.routes[0].clone();
+    config.routes.extend((0..routes).map(|index| Route {
+        name: format!("unused-{index}"),
+        path_prefix: format!("/unused/{index}/"),
+        ..first.clone()
+    }));
+    config
+}
+
 impl SoakFleet {
     /// Ends the processes and their links.
     pub fn close(self) {
@@ -92,7 +104,7 @@
         let mut fleet = SoakFleet {
             programs,
             store,
-            config: RefCell::new(example_config()),
+            config: RefCell::new(long_config(options.routes)),
             engines: RefCell::default(),
             left: RefCell::default(),
             started: Cell::new(0),
@@ -139,7 +151,10 @@
         let mut peers = Vec::new();
         for _ in 0..self.options.daemons {
             let address = free_address()?;
-            peers.push(PeerEndpoint { link: FaultyLink::start(&address).await?, address });
+            peers.push(PeerEndpoint {
+                link: FaultyLink::start(&address, self.options.link_mbps).await?,
+                address,
+            });
         }
         Ok(peers)
     }
@@ -151,7 +166,7 @@
         seeds: &[String],
         store: &str,
     ) -> Result<DaemonSlot> {
-        let store_link = FaultyLink::start(store).await?;
+        let store_link = FaultyLink::start(store, None).await?;
         let (callers, operators) = (free_address()?, free_address()?);
         let name = format!("vm-{index}");
         let text = DaemonSettings {
@@ -162,6 +177,7 @@
             advertised: &peer.link.address,
             seeds,
             store: &store_link.address,
+            link_mbps: self.options.link_mbps,
         }
         .to_ini();
         let settings = self.options.folder.join(format!("{name}.ini"));
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -13,6 +13,9 @@
 /// Bytes forwarded at a time.
 const CHUNK: usize = 16 << 10;
 
+/// Bytes a second in a megabit a second.
+const BYTES_PER_MEGABIT: u64 = 1_000_000 / 8;
+
 /// What a link does to its connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkFault {
@@ -45,6 +48,8 @@
 #[derive(Default)]
 struct LinkState {
     fault: Cell<LinkFault>,
+    /// What a connection carries in megabits a second, `None` for no limit.
+    mbps: Option<u64>,
     /// Times that the connections have become deaf.
     deafened: Cell<u64>,
     changed: Notify,
@@ -60,14 +65,14 @@
 }
 
 impl FaultyLink {
-    /// Begins to forward to an address.
+    /// Begins to forward to an address; each connection carries `mbps` megabits a second.
     ///
     /// # Errors
     /// Where no port can be bound.
-    pub async fn start(target: &str) -> Result<FaultyLink> {
+    pub async fn start(target: &str, mbps: Option<u64>) -> Result<FaultyLink> {
         let address = free_address()?;
         let listener = TcpListener::bind(&address).await?;
-        let state = Rc::new(LinkState::default());
+        let state = Rc::new(LinkState { mbps, ..LinkState::default() });
         let listening = actix_rt::spawn(accept(listener, target.to_string(), Rc::clone(&state)));
         Ok(FaultyLink { address, state, listening })
     }
@@ -130,6 +135,10 @@
         if length == 0 {
             return;
         }
+        if let Some(mbps) = state.mbps {
+            let bytes_per_s = (mbps * BYTES_PER_MEGABIT) as f64;
+            tokio::time::sleep(Duration::from_secs_f64(length as f64 / bytes_per_s)).await;
+        }
         match state.fault.get() {
             LinkFault::Delay(time) => tokio::time::sleep(time).await,
             LinkFault::Deaf => return std::future::pending().await,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -38,6 +38,12 @@
     /// Planned work only: stops, reloads, changes, engines that leave.
     #[arg(long)]
     planned: bool,
+    /// Routes beside those that callers use, so that the configuration is long.
+    #[arg(long, default_value_t = 0)]
+    routes: usize,
+    /// Megabits a second that a connection between two daemons carries.
+    #[arg(long)]
+    link_mbps: Option<u64>,
     /// Folder for settings and logs; kept where a promise was broken.
     #[arg(long)]
     folder: Option<PathBuf>,
@@ -89,6 +95,8 @@
         callers: arguments.callers,
         time: Duration::from_secs(arguments.seconds),
         planned_only: arguments.planned,
+        routes: arguments.routes,
+        link_mbps: arguments.link_mbps,
         script: None,
         folder: folder.join(format!("curlewcleat-soak-{}-{seed}", std::process::id())),
     }
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -20,6 +20,10 @@
     pub time: Duration,
     /// Whether only planned work happens.
     pub planned_only: bool,
+    /// Routes beside those that callers use.
+    pub routes: usize,
+    /// What each connection between two daemons carries, in megabits a second; `None` for no limit.
+    pub link_mbps: Option<u64>,
     /// Faults in place of those of the seed.
     pub script: Option<Vec<FaultStep>>,
     /// Folder for settings and logs.
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -26,13 +26,16 @@
     pub seeds: &'a [String],
     /// Where it reaches the store.
     pub store: &'a str,
+    /// Its link in megabits a second, where that is limited.
+    pub link_mbps: Option<u64>,
 }
 
 impl DaemonSettings<'_> {
     /// The text of the settings file.
     pub fn to_ini(&self) -> String {
+        let link = self.link_mbps.map(|mbps| format!("link_mbps = {mbps}\n")).unwrap_or_default();
         format!(
-            "[vm]\nname = {}\ndata_centre = here\n\
+            "[vm]\nname = {}\ndata_centre = here\n{link}\
              [callers]\naddress = {}\ndrain_grace = 600ms\n\
              [operators]\naddress = {}\n\
              [peers]\naddress = {}\nadvertised_address = {}\nseeds = {}\n\
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -21,6 +21,28 @@
         callers: 6,
         time: Duration::from_secs(4),
         planned_only,
+        routes: 0,
+        link_mbps: None,
+        script: None,
+        folder: std::env::temp_dir().join(name),
+    };
+    let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
+    assert!(report.findings.is_empty(), "{report:#?}");
+}
+
+/// A configuration of two parts on its way between daemons over links of 10 Mbit/s, with all faults beside.
+#[test]
+fn long_configuration_over_narrow_links_breaks_nothing() {
+    let name = format!("curlewcleat-soak-narrow-{}", std::process::id());
+    let options = SoakOptions {
+        seed: 6,
+        daemons: 4,
+        engines: 2,
+        callers: 6,
+        time: Duration::from_secs(4),
+        planned_only: false,
+        routes: 1_500,
+        link_mbps: Some(10),
         script: None,
         folder: std::env::temp_dir().join(name),
     };
@@ -49,6 +71,8 @@
         callers: 8,
         time: Duration::from_secs(9),
         planned_only: false,
+        routes: 0,
+        link_mbps: None,
         script: Some(deaf.chain(leave).collect()),
         folder: std::env::temp_dir().join(format!("curlewcleat-deaf-{}", std::process::id())),
     };
