--- a/crates/acceptance/tests/words.rs
+++ b/crates/acceptance/tests/words.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Words of the platform that stand in its folder, in tests and in the files of the deployment only.
-const WORDS: [&str; 23] = [
+const WORDS: [&str; 25] = [
     "x-attempt-id",
     "x-server-seal",
     "x-expect-instance",
@@ -16,6 +16,8 @@
     "x-prompt-prefix",
     "x-length-hint",
     "x-weight-versions",
+    "x-hold",
+    "x-pin-ms",
     "x-kv-backup",
     "kv-from",
     "kv-fetch",
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -1,7 +1,7 @@
 //! An engine: answers records and event streams, says who it is, keeps a ledger, and fails on command.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -39,6 +39,8 @@
     pub attempt: String,
     /// Method and path.
     pub request: String,
+    /// Headers by lower-case name.
+    pub headers: BTreeMap<String, String>,
     /// Body.
     pub body: Vec<u8>,
     /// Account that it names.
@@ -267,6 +269,7 @@
         runs.push(EngineRun {
             attempt: attempt.to_string(),
             request: format!("{} {}", request.method, request.path),
+            headers: request.headers.clone(),
             body: request.body.clone(),
             account: request.header(WIRE_PROFILE.account).to_string(),
             key: request.header("authorization").to_string(),
