Headers with which a daemon orders a target about are not taken from callers

Cause: whatever the daemon did not set itself was passed on, so that a caller could take a place or memory of a target, name an address from which it copies, or have sound targets refuse (which counted against them). A caller that named its attempt's header in Connection took it away. Now these headers end at the daemon, and the attempt's name is always set.

--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -4,6 +4,7 @@
 //! Relies on: the platform's routes as rules, [`ConfigFreshness`] for the age of the configuration.
 
 mod admission;
+mod forwarding;
 mod objectives;
 #[cfg(test)]
 mod tests;
@@ -160,25 +161,15 @@
         let mut head = RequestHead::default();
         head.method = attempt.caller.method.clone();
         head.uri = attempt.caller.uri.clone();
+        head.headers = forwarding::forwarded_headers(&self.profile, &attempt.caller.headers);
         let profile = &self.profile;
-        let own = [profile.time_left, profile.account, profile.instance];
-        for (name, value) in attempt.caller.headers.iter() {
-            let passes = headers::passes_on(name)
-                && !headers::ends_here(name)
-                && !own.contains(&name.as_str());
-            if passes {
-                head.headers.append(name.clone(), value.clone());
-            }
-        }
-        for name in headers::connection_options(&attempt.caller.headers) {
-            head.headers.remove(name);
-        }
         let mut set = |name, text: &str| {
             headers::set(&mut head.headers, HeaderName::from_static(name), text);
         };
         let millis = attempt.request.time_left().as_millis().max(1);
         set(profile.time_left, &millis.to_string());
         set(profile.instance, &attempt.target.id);
+        set(profile.attempt_id, &attempt.request.attempt_id);
         if let Some(account) = &attempt.request.account {
             set(profile.account, account);
         }
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -28,6 +28,7 @@
     prompt_parts: "parts",
     last_event: "last",
     load: "load",
+    reserved: &["hold"],
 };
 
 const fn ms(millis: u64) -> Duration {
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -93,4 +93,6 @@
     pub last_event: &'static str,
     /// Load of a target: running, waiting and slots by commas.
     pub load: &'static str,
+    /// Headers with which only a daemon orders a target about; a caller's end at the daemon.
+    pub reserved: &'static [&'static str],
 }
