A request that is refused after it waited is not charged to its account's rate

Cause: only requests that were refused at once got their units back; one that waited and was refused, evicted or withdrawn by its caller kept them. Under overload an account at its rate (308,839 units a second, 324,000 with its margin) was served 220,000, while its requests were refused as account_rate. Found by summing the costs of request_served by account. Test: tests/charges.rs, both cases fail before.

--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -92,15 +92,7 @@
             return;
         }
         let now = self.now;
-        let (permit, account, cost) = (request.permit, request.account.clone(), request.cost);
         let actions = self.pool(&request.pool.clone()).request_permit(now, from.clone(), request);
-        let refused = actions.iter().any(|action| {
-            let refuses = matches!(action.answer.decision, PermitDecision::Refused(_));
-            refuses && action.answer.permit == permit
-        });
-        if refused && permit.attempt == 0 {
-            self.rates.give_back(&account, cost);
-        }
         self.send_answers(actions);
     }
 
@@ -117,6 +109,9 @@
 
     fn permit_returned(&mut self, back: &PermitReturn) {
         let now = self.now;
+        if let Some(charge) = self.pool(&back.pool).charge_of_waiting(&back.permit) {
+            self.rates.give_back(&charge.account, charge.cost);
+        }
         let actions = self.pool(&back.pool).give_back(now, back);
         self.send_answers(actions);
     }
@@ -129,6 +124,7 @@
     fn shed_requested(&mut self, from: &VmId, raise: ShedRequest) {
         let now = self.now;
         let actions = self.pool(&raise.pool).shed_for_peer(now, raise.tier);
+        self.return_unused(&actions);
         // What is shed here is shed on behalf of a round that has begun already.
         self.post_answers(actions);
         self.post(from, PeerMessage::ShedConfirm(raise.pool, raise.round));
@@ -170,6 +166,7 @@
 
     /// Sends a scheduler's answers; refusals for want of capacity pass the guard of their pool.
     pub(super) fn send_answers(&mut self, actions: Vec<SchedulerAction>) {
+        self.return_unused(&actions);
         for action in actions {
             let pool = action.answer.pool.clone();
             let lowest = self.pools.get(&pool).map_or(0, PoolScheduler::lowest);
@@ -180,6 +177,15 @@
         }
     }
 
+    /// Gives what refused requests were charged back to their accounts. Without that, an account at its rate
+    /// was served 220,000 of the 324,000 units a second that it may use while its pool was overloaded
+    /// (sums of the log's costs over ten seconds): the rest was charged to requests that ran nowhere.
+    fn return_unused(&mut self, actions: &[SchedulerAction]) {
+        for charge in actions.iter().filter_map(|action| action.unused.as_ref()) {
+            self.rates.give_back(&charge.account, charge.cost);
+        }
+    }
+
     pub(super) fn take_guard_step(&mut self, pool: &PoolId, step: GuardStep) {
         self.post_answers(step.answers);
         let Some((tier, round, peers)) = step.raise else { return };
--- /dev/null
+++ b/crates/node/tests/charges.rs
@@ -0,0 +1,67 @@
+//! What a request takes out of its account's rate. Symptom: under overload an account at its rate was served
+//! two thirds of what it may use, while its other requests were refused as `account_rate`. Sequence: a
+//! request was charged when it arrived, waited for a target, and was refused as `wait_too_long` or
+//! withdrawn by its caller; only requests that were refused at once were given back. Log: 220,000 units
+//! a second in `request_served` of an account with 324,000, for ten seconds.
+
+mod support;
+
+use std::time::Duration;
+
+use curlewcleat_core::{LatencyObjectives, RefusalReason, RequestId};
+use curlewcleat_node::{CallerDecision, NodeEvent};
+use curlewcleat_sched::RequestSpec;
+use rstest::rstest;
+
+use support::Fleet;
+
+/// Slots of all targets together.
+const SLOTS: u128 = 8;
+/// More than the account has saved: while it is charged, the account is below zero for seconds.
+const LARGE: u64 = 5_000;
+const WAIT_LIMIT: Duration = Duration::from_millis(200);
+
+fn ask(fleet: &mut Fleet, number: u128, cost: u64) {
+    let objectives = LatencyObjectives { wait_limit: WAIT_LIMIT, ..LatencyObjectives::default() };
+    let spec = RequestSpec {
+        request: RequestId::from_u128(number),
+        pool: "p".to_string(),
+        account: "a".to_string(),
+        time_left: Duration::from_secs(5),
+        attempt_limit: Some(1),
+        output_work: 1_000,
+        cost,
+        objectives,
+        ..RequestSpec::default()
+    };
+    fleet.event(0, NodeEvent::Admit(Box::new(spec)));
+}
+
+fn reason(fleet: &Fleet, number: u128) -> Option<RefusalReason> {
+    match fleet.decision(number) {
+        Some(CallerDecision::Refuse(refusal)) => Some(refusal.reason),
+        _ => None,
+    }
+}
+
+#[rstest]
+#[case::refused_after_its_wait(false)]
+#[case::withdrawn_by_its_caller(true)]
+fn request_that_ran_nowhere_takes_nothing_out_of_its_accounts_rate(#[case] withdrawn: bool) {
+    let mut fleet = Fleet::new(1);
+    (1..=SLOTS).for_each(|number| ask(&mut fleet, number, 1));
+    assert_eq!(fleet.in_flight(0) as u128, SLOTS);
+    let waiting = SLOTS + 1;
+    ask(&mut fleet, waiting, LARGE);
+    if withdrawn {
+        fleet.event(0, NodeEvent::Cancelled(RequestId::from_u128(waiting)));
+    } else {
+        fleet.run(WAIT_LIMIT * 2);
+        assert_eq!(reason(&fleet, waiting), Some(RefusalReason::WaitTooLong));
+    }
+    fleet.finish(0, 1);
+    let next = waiting + 1;
+    ask(&mut fleet, next, 1);
+    let decision = fleet.decision(next);
+    assert!(matches!(decision, Some(CallerDecision::Dispatch(..))), "{decision:?}");
+}
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -30,8 +30,7 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AccountId, DaemonId, PermitDecision, PermitId, PermitRequest, Refusal, RefusalReason, TierRank,
-    Uptime,
+    AccountId, DaemonId, PermitId, PermitRequest, Refusal, RefusalReason, TierRank, Uptime,
 };
 
 use self::account::{AccountLimit, RateBucket};
@@ -49,7 +48,7 @@
         for permit in lost.map(|waiting| waiting.request.permit).collect::<Vec<_>>() {
             if let Some(waiting) = self.queues.remove(&permit) {
                 let refusal = self.no_target(now);
-                actions.push(self.answer(waiting.entry, permit, PermitDecision::Refused(refusal)));
+                actions.push(self.refuse(waiting.entry, &waiting.request, refusal));
             }
         }
     }
@@ -156,7 +155,7 @@
         let Some(waiting) = self.queues.remove(&victim) else { return };
         let tier = waiting.request.tier;
         let refusal = self.capacity_refusal(now, tier, reason);
-        actions.push(self.refuse_for_capacity(waiting.entry, victim, tier, refusal));
+        actions.push(self.refuse_for_capacity(waiting.entry, &waiting.request, refusal));
         self.shed_below(now, tier, actions);
     }
 
@@ -172,8 +171,7 @@
             if let Some(waiting) = self.queues.remove(&permit) {
                 let refusal =
                     Refusal::not_run(RefusalReason::ShedForHigherTier, Some(self.drain_time()));
-                let tier = waiting.request.tier;
-                actions.push(self.refuse_for_capacity(waiting.entry, permit, tier, refusal));
+                actions.push(self.refuse_for_capacity(waiting.entry, &waiting.request, refusal));
             }
         }
     }
@@ -188,12 +186,11 @@
     pub(crate) fn refuse_for_capacity(
         &self,
         entry: DaemonId,
-        permit: PermitId,
-        tier: TierRank,
+        request: &PermitRequest,
         refusal: Refusal,
     ) -> SchedulerAction {
-        let action = self.answer(entry, permit, PermitDecision::Refused(refusal));
-        SchedulerAction { shed: Some(tier), ..action }
+        let action = self.refuse(entry, request, refusal);
+        SchedulerAction { shed: Some(request.tier), ..action }
     }
 
     pub(crate) fn capacity_refusal(
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -114,6 +114,13 @@
     pub fn contains(&self, permit: &PermitId) -> bool {
         self.places.contains_key(permit)
     }
+
+    /// A waiting request.
+    pub fn get(&self, permit: &PermitId) -> Option<&WaitingRequest> {
+        let QueuePlace { rank, account, key, .. } = self.places.get(permit)?;
+        self.tiers.get(rank)?.lines.get(account)?.waiting.get(key)
+    }
+
     /// Number of waiting requests of an account in all tiers.
     pub fn account_len(&self, account: &AccountId) -> usize {
         self.tiers
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AccountId, DaemonId, PermitAnswer, PermitDecision, PermitId, PoolId, TargetId, TierRank,
-    Uptime, VmId, WorkMicros,
+    AccountId, DaemonId, PermitAnswer, PermitDecision, PermitId, PermitRequest, PoolId, Refusal,
+    TargetId, TierRank, Uptime, VmId, WorkMicros,
 };
 
 use crate::admission::account::{AccountLimit, RateBucket};
@@ -84,6 +84,25 @@
     pub answer: PermitAnswer,
     /// Tier that the answer refuses for want of capacity.
     pub shed: Option<TierRank>,
+    /// Units of its account's rate that a refused request was charged and does not use.
+    pub unused: Option<RateCharge>,
+}
+
+/// Units of an account's rate that a request was charged.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RateCharge {
+    /// The account.
+    pub account: AccountId,
+    /// Its units.
+    pub cost: u64,
+}
+
+impl RateCharge {
+    /// What a request was charged. Only its first attempt was.
+    pub(crate) fn of(request: &PermitRequest) -> Option<RateCharge> {
+        let first = request.permit.attempt == 0;
+        first.then(|| RateCharge { account: request.account.clone(), cost: request.cost })
+    }
 }
 
 /// The scheduler of one pool.
@@ -136,8 +155,20 @@
             entry,
             answer: PermitAnswer { permit, pool: self.pool.clone(), decision },
             shed: None,
+            unused: None,
         }
     }
+
+    /// Refuses a permit request that ran nowhere.
+    pub(crate) fn refuse(
+        &self,
+        entry: DaemonId,
+        request: &PermitRequest,
+        refusal: Refusal,
+    ) -> SchedulerAction {
+        let action = self.answer(entry, request.permit, PermitDecision::Refused(refusal));
+        SchedulerAction { unused: RateCharge::of(request), ..action }
+    }
 }
 
 /// Microseconds of a time, at most what fits.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -21,7 +21,7 @@
 use crate::admission::{is_for_capacity, wait_too_long};
 use crate::placement::ejection::may_eject_one_more;
 use crate::placement::target::TargetState;
-use crate::pool::{PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
+use crate::pool::{PermitRecord, PoolOptions, PoolScheduler, RateCharge, SchedulerAction};
 
 /// Permits older than this are confirmed with their entry. Chosen, not measured.
 const CONFIRM_AFTER: Duration = Duration::from_secs(5);
@@ -126,8 +126,8 @@
         if let Err(refusal) = self.admit(now, &request, &mut actions) {
             let capacity = is_for_capacity(&refusal);
             let action = match capacity {
-                true => self.refuse_for_capacity(entry, request.permit, request.tier, refusal),
-                false => self.answer(entry, request.permit, PermitDecision::Refused(refusal)),
+                true => self.refuse_for_capacity(entry, &request, refusal),
+                false => self.refuse(entry, &request, refusal),
             };
             actions.push(action);
             return actions;
@@ -144,6 +144,11 @@
         actions
     }
 
+    /// What a permit request that waits was charged.
+    pub fn charge_of_waiting(&self, permit: &PermitId) -> Option<RateCharge> {
+        self.queues.get(permit).and_then(|waiting| RateCharge::of(&waiting.request))
+    }
+
     /// Takes a permit or a permit request back.
     pub fn give_back(&mut self, now: Uptime, back: &PermitReturn) -> Vec<SchedulerAction> {
         self.queues.remove(&back.permit);
@@ -213,8 +218,7 @@
             if let Some(waiting) = self.queues.remove(&permit) {
                 if now > waiting.wait_until {
                     let refusal = wait_too_long(&waiting.request, self.drain_time());
-                    let decision = PermitDecision::Refused(refusal);
-                    actions.push(self.answer(waiting.entry, permit, decision));
+                    actions.push(self.refuse(waiting.entry, &waiting.request, refusal));
                     continue;
                 }
                 let refusal = self.capacity_refusal(
@@ -223,7 +227,7 @@
                     RefusalReason::DeadlineUnreachable,
                 );
                 let tier = waiting.request.tier;
-                actions.push(self.refuse_for_capacity(waiting.entry, permit, tier, refusal));
+                actions.push(self.refuse_for_capacity(waiting.entry, &waiting.request, refusal));
                 self.shed_below(now, tier, &mut actions);
             }
         }
@@ -272,7 +276,8 @@
             record.confirmed = now;
             let decision = PermitDecision::Granted(record.target.clone());
             let answer = PermitAnswer { permit: *permit, pool: self.pool.clone(), decision };
-            actions.push(SchedulerAction { entry: record.entry.clone(), answer, shed: None });
+            let entry = record.entry.clone();
+            actions.push(SchedulerAction { entry, answer, shed: None, unused: None });
         }
     }
 }
