--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -21,6 +21,22 @@
 /// Chosen, not measured.
 const PERCENT_FOR_ALL: usize = 50;
 
+/// Advice where the daemon itself takes no request in. Chosen, not measured.
+const ENTRY_ADVICE: Duration = Duration::from_secs(1);
+/// Advice of a daemon that stops. Load pattern: all daemons are replaced one after the other, and callers'
+/// connections stay with those that stop. Another daemon has room now, so that a wait only makes the answer
+/// late: with none, credit of the requests of a day with such a series rose from .827 to .844 (mean of six
+/// seeds).
+const DRAINING_ADVICE: Duration = Duration::ZERO;
+
+/// When the caller of a request that is not taken in may come back.
+fn return_advice(reason: RefusalReason) -> Duration {
+    match reason {
+        RefusalReason::Draining => DRAINING_ADVICE,
+        _ => ENTRY_ADVICE,
+    }
+}
+
 impl Node {
     pub(super) fn admit(&mut self, spec: RequestSpec) {
         let id = spec.request;
@@ -37,7 +53,7 @@
             None
         };
         if let Some(reason) = reason {
-            let refusal = Refusal::not_run(reason, Some(Duration::from_secs(1)));
+            let refusal = Refusal::not_run(reason, Some(return_advice(reason)));
             self.actions.push(NodeAction::Decide(id, CallerDecision::Refuse(refusal)));
             return;
         }
--- a/crates/node/tests/nodes.rs
+++ b/crates/node/tests/nodes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use curlewcleat_core::{ConfigBundle, DaemonId, RefusalReason, RequestId};
+use curlewcleat_core::{ConfigBundle, DaemonId, Refusal, RefusalReason, RequestId};
 use curlewcleat_keys::KeyHomeOptions;
 use curlewcleat_node::{CallerDecision, Node, NodeAction, NodeEvent, NodeOptions};
 use curlewcleat_sched::{EntryOptions, MemberOptions, RequestSpec};
@@ -45,6 +45,11 @@
 
 /// Whether a request of a tier is taken in; the reason if not.
 fn admit(node: &mut Node, number: u128, tier: u8) -> Option<RefusalReason> {
+    refusal(node, Duration::ZERO, number, tier).map(|refusal| refusal.reason)
+}
+
+/// The refusal of a request of a tier, `None` where it is taken in.
+fn refusal(node: &mut Node, now: Duration, number: u128, tier: u8) -> Option<Refusal> {
     let spec = RequestSpec {
         request: RequestId::from_u128(number),
         pool: "p".to_string(),
@@ -55,10 +60,9 @@
         output_work: 1_000,
         ..RequestSpec::default()
     };
-    let actions =
-        node.handle(Duration::ZERO, Duration::from_secs(1), NodeEvent::Admit(Box::new(spec)));
+    let actions = node.handle(now, Duration::from_secs(1), NodeEvent::Admit(Box::new(spec)));
     actions.into_iter().find_map(|action| match action {
-        NodeAction::Decide(_, CallerDecision::Refuse(refusal)) => Some(refusal.reason),
+        NodeAction::Decide(_, CallerDecision::Refuse(refusal)) => Some(refusal),
         _ => None,
     })
 }
@@ -85,3 +89,17 @@
     // From its first refusal on no lower tier is taken in while a higher one is refused.
     assert!(refused_at[2] < refused_at[1] && refused_at[1] < refused_at[0], "{refused_at:?}");
 }
+
+/// While all daemons are replaced one after the other, callers hold connections to those that stop. Told to come
+/// back in a second, all of them were late, though another daemon had room.
+#[test]
+fn caller_of_a_daemon_that_stops_may_come_back_at_once() {
+    let mut node = node(100);
+    let wall = Duration::from_secs(1);
+    node.handle(Duration::ZERO, wall, NodeEvent::Drain);
+    assert_eq!(refusal(&mut node, Duration::from_millis(100), 1, 0), None);
+    let closing = Duration::from_millis(1_100);
+    node.handle(closing, wall, NodeEvent::Tick);
+    let refused = refusal(&mut node, closing, 2, 0);
+    assert_eq!(refused, Some(Refusal::not_run(RefusalReason::Draining, Some(Duration::ZERO))));
+}
