Logs and metrics tell the new decisions

request_refused names retry_after_ms; pool_waits names how many of those that wait can no longer begin in time; reserved_headers_total counts headers of callers that end at the daemon.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -28,6 +28,7 @@
     first_byte: HistogramVec,
     callers_gone: IntCounter,
     callers_stalled: IntCounter,
+    reserved_headers: IntCounter,
     platform_errors: IntCounterVec,
     reports: IntCounterVec,
     gauges: StatusGauges,
@@ -57,6 +58,10 @@
                 .counter("callers_gone_total", "Callers that left before their answer was whole")?,
             callers_stalled: registry
                 .counter("callers_stalled_total", "Callers given up because they did not read")?,
+            reserved_headers: registry.counter(
+                "reserved_headers_total",
+                "Headers of callers that ended here since only a daemon may set them",
+            )?,
             platform_errors: count("platform_errors_total", "Failed platform calls", &["call"])?,
             reports: count("target_reports_total", "Reports of targets", &["result"])?,
             gauges: StatusGauges::new(&registry, counts)?,
@@ -81,6 +86,11 @@
         self.refusals.with_label_values(&[reason.code(), tier, pool]).inc();
     }
 
+    /// A caller set so many headers that only a daemon may set.
+    pub fn reserved_headers(&self, count: usize) {
+        self.reserved_headers.inc_by(count as u64);
+    }
+
     /// Something was tried again.
     pub fn retry(&self, reason: RetryReason) {
         self.retries.with_label_values(&[reason.code()]).inc();
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -184,7 +184,8 @@
             let leaving = pool.targets.iter().filter(|target| target.leaving).count();
             let slots: u32 = pool.targets.iter().map(|target| target.slots).sum();
             info!("pool_waits", kv: {
-                pool = pool.id.as_str(), waiting = pool.waiting, in_flight = pool.in_flight, slots,
+                pool = pool.id.as_str(), waiting = pool.waiting, late = pool.late,
+                in_flight = pool.in_flight, slots,
                 targets = pool.targets.len(), ejected, leaving,
                 lowest_open = pool.lowest_open.map_or(-1, i64::from)
             });
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -161,7 +161,10 @@
         let mut head = RequestHead::default();
         head.method = attempt.caller.method.clone();
         head.uri = attempt.caller.uri.clone();
-        head.headers = forwarding::forwarded_headers(&self.profile, &attempt.caller.headers);
+        let caller = &attempt.caller.headers;
+        head.headers = forwarding::forwarded_headers(&self.profile, caller);
+        let reserved = forwarding::reserved_headers(&self.profile, caller);
+        self.context.metrics.reserved_headers(reserved);
         let profile = &self.profile;
         let mut set = |name, text: &str| {
             headers::set(&mut head.headers, HeaderName::from_static(name), text);
--- a/crates/daemon/src/request/profile/forwarding.rs
+++ b/crates/daemon/src/request/profile/forwarding.rs
@@ -12,6 +12,11 @@
 
 use crate::headers;
 
+/// Number of headers of a caller with which only a daemon orders a target about.
+pub fn reserved_headers(profile: &WireProfile, caller: &HeaderMap) -> usize {
+    caller.keys().filter(|name| profile.reserved.contains(&name.as_str())).count()
+}
+
 /// The headers of a caller's request that its target gets.
 pub fn forwarded_headers(profile: &WireProfile, caller: &HeaderMap) -> HeaderMap {
     let own = [profile.time_left, profile.account, profile.instance];
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -313,6 +313,7 @@
         reason = refusal.reason.code(), tier, pool,
         may_have_run = refusal.verdict.may_have_run(),
         held_ms = request.map_or(0, |request| request.arrived.elapsed().as_millis() as i64),
+        retry_after_ms = refusal.retry_after.map_or(-1, |wait| wait.as_millis() as i64),
         config_age_ms = config_age.map_or(-1, |age| age.as_millis() as i64)
     });
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -268,6 +268,7 @@
             id: id.clone(),
             scheduler: order[0].vm.clone(),
             waiting: pool.waiting(),
+            late: pool.waiting_late(),
             in_flight: pool.in_flight(),
             lowest_open: pool.level().lowest_open(),
             targets: targets.collect(),
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -31,6 +31,8 @@
     pub scheduler: String,
     /// Requests that wait here.
     pub waiting: usize,
+    /// Those of them that can no longer begin in time.
+    pub late: usize,
     /// Permits given here and in use.
     pub in_flight: usize,
     /// Lowest tier taken in here, `None` for all.
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -105,6 +105,11 @@
         self.places.len()
     }
 
+    /// Number of waiting requests that can no longer begin in time.
+    pub fn late_len(&self) -> usize {
+        self.places.len() - self.in_time.len()
+    }
+
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
         self.places.is_empty()
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -88,6 +88,11 @@
         self.queues.len()
     }
 
+    /// Number of waiting requests that can no longer begin in time.
+    pub fn waiting_late(&self) -> usize {
+        self.queues.late_len()
+    }
+
     /// Number of permits in use.
     pub fn in_flight(&self) -> usize {
         self.permits.len()
