--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod headers;
 mod listen;
 mod logging;
+mod memory;
 mod metrics;
 mod node_loop;
 mod operators;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -86,7 +86,7 @@
         self.refusals.with_label_values(&[reason.code(), tier, pool]).inc();
     }
 
-    /// A caller set so many headers that only a daemon may set.
+    /// A caller set this number of headers that only a daemon may set.
     pub fn reserved_headers(&self, count: usize) {
         self.reserved_headers.inc_by(count as u64);
     }
--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -11,7 +11,7 @@
 use prometheus::{IntGauge, IntGaugeVec, Result};
 
 use super::registry::MetricRegistry;
-use crate::usage::resident_bytes;
+use crate::memory::resident_bytes;
 
 /// Gauges of one daemon.
 pub struct StatusGauges {
--- /dev/null
+++ b/crates/daemon/src/request/run/log.rs
@@ -0,0 +1,76 @@
+//! What is logged of a request: one line for each attempt that failed, and one for its end.
+//!
+//! Owns: the lines `request_served`, `attempt_failed`, `answer_cut`, `request_refused`. Relies on: the run's
+//! progress.
+
+use std::time::Instant;
+
+use curlewcleat_core::{Refusal, RequestId, TargetEntry};
+use spdlog::prelude::*;
+
+use super::RequestRun;
+use crate::request::admitted::AdmittedRequest;
+use crate::request::RequestService;
+
+impl RequestRun {
+    pub(super) fn log_served(&self, target: &TargetEntry) {
+        let (request, progress) = (&self.request, &self.progress);
+        let since = |then: Option<Instant>| {
+            then.map_or(-1, |then| then.duration_since(request.arrived).as_millis() as i64)
+        };
+        // A public rule asks for no account.
+        let account = request.account.as_deref().unwrap_or_default();
+        info!("request_served", kv: {
+            request = request.id.to_string(), attempt = request.attempt_id.as_str(), account,
+            cost = request.cost, rule = request.rule.id.as_str(),
+            pool = request.pool.id.as_str(),
+            target = target.id.as_str(), attempts = progress.attempts,
+            prompt_work = request.work.prompt, output_work = request.work.output,
+            sent_ms = since(progress.sent), first_ms = since(progress.first),
+            end_ms = request.arrived.elapsed().as_millis() as i64, parts = progress.parts,
+            longest_pause_ms = progress.longest_pause.as_millis() as i64
+        });
+    }
+
+    pub(super) fn log_attempt(&self, target: &TargetEntry, reason: &str) {
+        info!("attempt_failed", kv: {
+            request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
+            target = target.id.as_str(), reason
+        });
+    }
+
+    pub(super) fn log_cut(&self, target: &TargetEntry) {
+        if !self.answer.has_begun() {
+            return;
+        }
+        warn!("answer_cut", kv: {
+            request = self.request.id.to_string(), target = target.id.as_str(),
+            offset = self.progress.bytes
+        });
+    }
+}
+
+/// Counts and logs a refusal.
+pub fn note_refusal(
+    service: &RequestService,
+    id: RequestId,
+    attempt: &str,
+    request: Option<&AdmittedRequest>,
+    refusal: &Refusal,
+) {
+    let tier = request.map_or("", |request| request.tier.as_str());
+    let pool = request.map_or("", |request| request.pool.id.as_str());
+    // Unknown before the admission, and not asked for by a public rule.
+    let account = request.and_then(|request| request.account.as_deref()).unwrap_or_default();
+    let config_age = service.protocol.config_age();
+    service.context.metrics.refusal(refusal.reason, tier, pool);
+    info!("request_refused", kv: {
+        request = id.to_string(), attempt, account,
+        cost = request.map_or(0, |request| request.cost),
+        reason = refusal.reason.code(), tier, pool,
+        may_have_run = refusal.verdict.may_have_run(),
+        held_ms = request.map_or(0, |request| request.arrived.elapsed().as_millis() as i64),
+        retry_after_ms = refusal.retry_after.map_or(-1, |wait| wait.as_millis() as i64),
+        config_age_ms = config_age.map_or(-1, |age| age.as_millis() as i64)
+    });
+}
--- a/crates/daemon/src/usage.rs
+++ b/crates/daemon/src/usage.rs
@@ -1,8 +1,7 @@
 //! What the process uses: one log line every few seconds, so that the log of a process that was killed
 //! tells what it held shortly before.
 //!
-//! Owns: the line `daemon_usage`. Relies on: `/proc` for the memory, the node's status, the transport's
-//! counts.
+//! Owns: the line `daemon_usage`. Relies on: `memory`, the node's status, the transport's counts.
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -10,10 +9,10 @@
 
 use curlewcleat_node::NodeStatus;
 use curlewcleat_peers::TransportCounts;
-use procfs::process::Process;
 use spdlog::prelude::*;
 
 use crate::context::DaemonContext;
+use crate::memory::resident_bytes;
 
 /// Time between two lines. Chosen, not measured: a fifth of a line a second, and memory that grows too
 /// fast for it shows in the bytes of the line before.
@@ -32,14 +31,6 @@
     });
 }
 
-/// Memory of this process that is resident, in bytes.
-///
-/// # Errors
-/// Where `/proc` cannot be read.
-pub fn resident_bytes() -> procfs::ProcResult<u64> {
-    Ok(Process::myself()?.statm()?.resident * procfs::page_size())
-}
-
 fn log_line(status: &NodeStatus, counts: &TransportCounts) {
     let resident_mb = match resident_bytes() {
         Ok(bytes) => (bytes / MEGABYTE) as i64,
--- a/crates/sched/src/admission/shared_rate.rs
+++ b/crates/sched/src/admission/shared_rate.rs
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Lets time pass. Units of the rate that nobody uses pay back what was taken of the burst.
+    /// Lets time pass. Unused units of the rate pay back what was taken of the burst.
     fn pass(&mut self, now: Uptime, window: Duration, flow: &BucketFlow) {
         let before = self.units.level();
         let gained = self.units.refill(now, flow.per_s, flow.limit);
--- a/crates/sched/src/order/priority.rs
+++ b/crates/sched/src/order/priority.rs
@@ -1,17 +1,21 @@
 //! Where does a request stand among those of its account and tier?
 //!
 //! Inputs: when it arrived, its work in microseconds, the rank of its rule, whether it comes back after
-//! an early refusal and can still be in time, and `age_per_work` from the settings (`[scheduling]`). The rule: its place is the
+//! an early refusal and can still be in time, and `age_per_work` from the settings (`[scheduling]`). The rule:
+//! its place is the
 //! time of its arrival, later by [`URGENCY_AGE`] for each rank of its rule and by `age_per_work` for
 //! each microsecond of work, and earlier by [`HEAD_START`] where it has come back and can still be in
 //! time. The lowest place goes first. At 0 `age_per_work` serves the oldest first, at a large number the shortest;
 //! docs/MEASUREMENTS.md, "Rounds", has the figures for 0, 2, 8 and 32.
+//!
+//! Owns: nothing; these are methods of `PoolScheduler`. Relies on: the pace that was learned of the targets, for
+//! whether a request can still be in time.
 
 use std::time::Duration;
 
 use curlewcleat_core::{DaemonId, PermitRequest, Uptime};
 
-use super::queue::WaitingRequest;
+use super::waiting::WaitingRequest;
 use crate::pool::PoolScheduler;
 
 /// Age that makes up for one rank of the rule. Chosen longer than any request waits, so that a rule's
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -19,63 +19,14 @@
     AccountId, DaemonId, PermitId, PermitRequest, TierRank, Uptime, WorkMicros,
 };
 
+use super::waiting::{class_of, AccountQueue, QueueKey, TierQueue, WaitingRequest};
+
 /// Scale of virtual time, so that division by weights keeps precision.
 const SHARE_SCALE: u64 = 1_000;
 
-/// A permit request in the queue.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct WaitingRequest {
-    /// The daemon that asked.
-    pub entry: DaemonId,
-    /// The permit request.
-    pub request: PermitRequest,
-    /// When its caller's time ends.
-    pub deadline: Uptime,
-    /// When its answer has to begin to be in time.
-    pub first_part_by: Uptime,
-    /// Until when it may wait.
-    pub wait_until: Uptime,
-    /// When it has to start at the latest.
-    pub latest_start: Uptime,
-    /// Until when it can begin in time; from then on it is late.
-    pub in_time_until: Uptime,
-    /// Place in its account's queue: the lowest goes first.
-    pub order: Uptime,
-    /// Estimated work.
-    pub work: WorkMicros,
-}
-
 /// Requests of an account's queue that are tried, so that one that no target suits does not hold up the
 /// others.
 const HEADS_PER_ACCOUNT: usize = 4;
-/// Size classes of work in a line, one for each power of two of microseconds.
-/// Chosen, not measured.
-const CLASSES: usize = 40;
-
-/// Order inside an account's queue.
-type QueueKey = (Uptime, PermitId);
-
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct AccountQueue {
-    /// Work served so far divided by the weight.
-    served: u64,
-    weight: u64,
-    waiting: BTreeMap<QueueKey, WaitingRequest>,
-    /// Waiting work by size class; shorter classes go before longer ones.
-    by_class: BTreeMap<usize, WorkMicros>,
-}
-
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct TierQueue {
-    lines: BTreeMap<AccountId, AccountQueue>,
-    /// Accounts with waiting requests by their served work.
-    order: BTreeSet<(u64, AccountId)>,
-    /// Served work of the account chosen last; newcomers begin here.
-    clock: u64,
-    work: WorkMicros,
-    length: usize,
-}
-
 /// A tier, and whether what waits there is late: the late ones of a tier go after its other ones.
 type QueueRank = (TierRank, bool);
 
@@ -162,8 +113,8 @@
         line.waiting.insert(key, waiting);
     }
 
-    /// Moves what can no longer begin in time behind the others of its tier. Late ones still have slots
-    /// that nobody else can use in time.
+    /// Moves what can no longer begin in time behind the others of its tier. Late ones still get the
+    /// slots that are left.
     pub fn defer_late(&mut self, now: Uptime) {
         while let Some((_, permit)) = self.in_time.first().filter(|(until, _)| *until <= now) {
             let permit = *permit;
@@ -305,8 +256,3 @@
         self.tiers.values().map(|queue| queue.work).sum()
     }
 }
-
-fn class_of(work: WorkMicros) -> usize {
-    // No work at all belongs to the lowest class.
-    (work.checked_ilog2().unwrap_or(0) as usize).min(CLASSES - 1)
-}
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -26,7 +26,7 @@
 };
 
 use self::target::TargetState;
-use crate::order::queue::WaitingRequest;
+use crate::order::waiting::WaitingRequest;
 use crate::pool::{micros, with_margin, PermitRecord, PoolScheduler, SchedulerAction};
 
 /// Accounts of each tier whose first requests are tried when the best one finds no target. Chosen, not
