Settings: bounds that a platform gives may be fractions

Cause: [bounds] retry_saved and rate_slack and [vm] cores were read as whole numbers only. Change: these keys take decimals and keep the whole part; ratios keep whole percent rounded down (0.199 was 0.20 before), so that no limit is ever exceeded. Text, negative and huge values are refused by file, key, value and what would be right.

--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -14,6 +14,10 @@
 /// Chosen, not measured.
 const FILE_LIMIT: usize = 1_000_000;
 
+/// Added to a ratio in percent before its whole part is taken: 0.29 times 100 is 28.999999999999996. Far
+/// below any ratio that a file names, far above the error of a multiplication.
+const PERCENT_ERROR: f64 = 1e-6;
+
 /// A parsed file.
 #[derive(Debug)]
 pub struct IniFile {
@@ -150,6 +154,30 @@
         }
     }
 
+    /// A limit such as `52` or `33.16`, of which the whole part is kept: a platform may give a fraction, and
+    /// a limit that is rounded up would be exceeded.
+    pub fn whole_limit(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+        report: &mut CheckReport,
+    ) -> u64 {
+        let Some(text) = self.text(key) else { return default };
+        // Text that is not finite becomes the largest number, which no range contains.
+        let whole =
+            text.parse::<f64>().ok().filter(|number| *number >= 0.0).map(|number| number as u64);
+        match whole {
+            Some(whole) if range.contains(&whole) => whole,
+            _ => {
+                let wanted =
+                    format!("should be a number from {} to {}", range.start(), range.end());
+                self.fault(key, format!("'{text}' {wanted}"), report);
+                default
+            }
+        }
+    }
+
     /// A time with its unit: `250ms`, `5s`, `10m` or `1h`.
     pub fn duration(
         &mut self,
@@ -171,11 +199,12 @@
         }
     }
 
-    /// A ratio such as `0.2`, in whole percent.
+    /// A ratio such as `0.2`, in whole percent; what exceeds the last one is left out, so that no limit is
+    /// exceeded.
     pub fn percent(&mut self, key: &'static str, default: u64, report: &mut CheckReport) -> u64 {
         let Some(text) = self.text(key) else { return default };
         match text.parse::<f64>() {
-            Ok(ratio) if (0.0..=10.0).contains(&ratio) => (ratio * 100.0).round() as u64,
+            Ok(ratio) if (0.0..=10.0).contains(&ratio) => (ratio * 100.0 + PERCENT_ERROR) as u64,
             _ => {
                 self.fault(key, format!("'{text}' should be a ratio such as 0.2"), report);
                 default
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -224,7 +224,7 @@
 fn read_vm(section: &mut IniSection<'_>, settings: &mut DaemonSettings, report: &mut CheckReport) {
     settings.vm = section.required("name", report);
     settings.data_centre = section.required("data_centre", report);
-    let cores = section.number("cores", 1, 1..=1_024, report);
+    let cores = section.whole_limit("cores", 1, 1..=1_024, report);
     let share = section.percent("core_share", 100, report);
     settings.capacity_percent = u32::try_from(cores * share).unwrap_or(u32::MAX);
     settings.link_kbit_per_s = section.thousandths("link_mbps", settings.link_kbit_per_s, report);
@@ -308,9 +308,10 @@
     bounds.retry_percent = section.percent("retry_ratio", bounds.retry_percent, report);
     bounds.retry_window = section.duration("retry_window", bounds.retry_window, report);
     bounds.rate_percent = section.percent("rate_overshoot", bounds.rate_percent, report);
-    bounds.rate_slack = section.number("rate_slack", bounds.rate_slack, 0..=1 << 40, report);
+    bounds.rate_slack = section.whole_limit("rate_slack", bounds.rate_slack, 0..=1 << 40, report);
     bounds.rate_window = section.duration("rate_window", bounds.rate_window, report);
-    bounds.retry_saved = section.number("retry_saved", bounds.retry_saved, 0..=1_000_000, report);
+    bounds.retry_saved =
+        section.whole_limit("retry_saved", bounds.retry_saved, 0..=1_000_000, report);
 }
 
 fn read_seeds(section: &mut IniSection<'_>, report: &mut CheckReport) -> Vec<String> {
