The next daemons are asked for a proof where the readers prove too little

Cause: the platform turned a third of the daemons away, both readers among them. Change: above half of that time a daemon asks the first four in the order, ten times a second; whoever is asked reads. A reader whose own reads fail while others prove that the platform answers leaves the role at half of that time. Measured: node/tests/freshness.rs readers_that_are_turned_away_are_replaced_before_any_proof_is_too_old, 20 and 60 daemons: failed before (a proof of 1.2 s, the limit), passes.

--- a/crates/node/src/awaited_answer.rs
+++ b/crates/node/src/awaited_answer.rs
@@ -55,6 +55,11 @@
         true
     }
 
+    /// Whether an answer is awaited.
+    pub fn is_awaited(&self) -> bool {
+        self.sent.is_some()
+    }
+
     /// The answer has come.
     pub fn answered(&mut self) {
         self.sent = None;
--- a/crates/node/src/config_pull.rs
+++ b/crates/node/src/config_pull.rs
@@ -57,6 +57,11 @@
         (offered >= least && self.answer.begin(now)).then(|| self.next_pull(in_force))
     }
 
+    /// Whether a part is awaited, or some have come and more are missing.
+    pub fn is_under_way(&self) -> bool {
+        self.begun.is_some() || self.answer.is_awaited()
+    }
+
     /// Takes a part that a peer has sent.
     pub fn part_received(
         &mut self,
--- a/crates/node/src/freshness.rs
+++ b/crates/node/src/freshness.rs
@@ -16,6 +16,16 @@
 /// Daemons, first in the order of schedulers, that read the platform.
 /// Chosen, not measured: two, so that one may fail.
 const READERS: usize = 2;
+/// Daemons that are asked where the readers prove too little: those that read, and the next ones.
+/// Chosen, not measured: as many that may be turned away at once.
+const READERS_IN_NEED: usize = 2 * READERS;
+/// Share of that time, in percent, above which a proof is so old that the next ones are asked too: beyond
+/// the age that proofs reach while all is well, a read and a heartbeat, and so long before
+/// [`FALLBACK_PERCENT`] that the next ones have read by then.
+const NEED_PERCENT: u32 = 50;
+/// Time between queries while a proof is so old.
+/// Chosen, not measured: some round trips and a read of the platform.
+const NEED_PAUSE: Duration = Duration::from_millis(100);
 /// Reads within the time in which a change has to be in force.
 /// Chosen, not measured.
 const READS_PER_LIMIT: u32 = 4;
@@ -38,6 +48,8 @@
 pub struct FreshnessLimits {
     /// Time between reads.
     pub read_every: Duration,
+    /// Age of the proof above which more daemons are asked for one.
+    pub need_after: Duration,
     /// Age of the proof above which the daemon reads for itself.
     pub fallback_after: Duration,
     /// Age of the proof above which the view counts as old.
@@ -52,6 +64,7 @@
         let percent = |percent: u32| limit * percent / 100;
         FreshnessLimits {
             read_every: limit / READS_PER_LIMIT,
+            need_after: percent(NEED_PERCENT),
             fallback_after: percent(FALLBACK_PERCENT),
             stale_after: percent(STALE_PERCENT),
             lost_after: percent(LOST_PERCENT),
@@ -94,6 +107,8 @@
     fallback_until: Uptime,
     /// Until when it reads because others ask it.
     asked_until: Uptime,
+    /// When it last asked others.
+    queried: Uptime,
     /// Whether own reads have failed for long, and none has succeeded since.
     turned_away: bool,
     reach: PlatformReach,
@@ -109,6 +124,7 @@
             proved: None,
             fallback_until: Duration::ZERO,
             asked_until: Duration::ZERO,
+            queried: Duration::ZERO,
             turned_away: false,
             reach: PlatformReach::Steady,
         }
@@ -126,10 +142,17 @@
         self.prove(now, sent);
     }
 
-    /// An own read has failed.
+    /// An own read has failed. Where others prove that the platform answers them, this daemon is turned away,
+    /// and leaves the roles to them while all proofs are young: later, daemons that cannot read
+    /// themselves refused requests until the order had changed.
     pub fn read_failed(&mut self, now: Uptime) {
         let own_age = self.own.map(|own| now.saturating_sub(own));
-        self.turned_away |= own_age.is_some_and(|age| age > self.limits.stale_after);
+        let others_prove = self.is_within(now, self.limits.need_after);
+        let limit = match others_prove {
+            true => self.limits.need_after,
+            false => self.limits.stale_after,
+        };
+        self.turned_away |= own_age.is_some_and(|age| age > limit);
         // Others may still reach the platform; then their proofs keep this view young.
         if !self.is_within(now, self.limits.lost_after) {
             self.reach = PlatformReach::Lost;
@@ -160,33 +183,49 @@
         self.own.map(|own| now.saturating_sub(own))
     }
 
-    /// The query to send now and the daemons to send it to; none where this daemon reads well itself. It is
+    /// The query to send now and the daemons to send it to, more of them `in_need`; none where this daemon
+    /// reads well itself. It is
     /// sent as soon as a read of its own is due, so that an answer comes before the proof is too old: asked
     /// at twice that age, 7 of 18 daemons that had begun together read for themselves again.
     pub fn query<'a>(
-        &self,
+        &mut self,
         now: Uptime,
         me: &DaemonId,
         order: &'a [DaemonId],
+        in_need: bool,
     ) -> (FreshnessQuery, Vec<&'a VmId>) {
         let query = FreshnessQuery { incarnation: self.incarnation, sent: now };
         let young = self.limits.read_every;
         if self.own.is_some_and(|own| now.saturating_sub(own) < young) {
             return (query, Vec::new());
         }
-        let readers = order.iter().take(READERS).filter(|reader| *reader != me);
+        self.queried = now;
+        let asked = if in_need { READERS_IN_NEED } else { READERS };
+        let readers = order.iter().take(asked).filter(|reader| *reader != me);
         (query, readers.map(|reader| &reader.vm).collect())
     }
 
+    /// Whether the proof is so old that more daemons are asked than read.
+    pub fn is_in_need(&self, now: Uptime) -> bool {
+        self.proof_age(now) >= self.limits.need_after
+    }
+
+    /// Whether it is time to ask again for one that is in need.
+    pub fn is_query_due(&self, now: Uptime) -> bool {
+        now >= self.queried + NEED_PAUSE
+    }
+
+    /// Age of the proof; a new process has made its first read, whatever came of it.
+    fn proof_age(&self, now: Uptime) -> Duration {
+        now.saturating_sub(self.proved.unwrap_or_default())
+    }
+
     /// Lets time pass; says whether this daemon has to read.
     pub fn read_role(&mut self, now: Uptime, me: &DaemonId, order: &[DaemonId]) -> ReadRole {
         if self.proved.is_some() && !self.is_within(now, self.limits.lost_after * 2) {
             self.reach = PlatformReach::Lost;
         }
-        // A new process has made its first read, whatever came of it; the next one is for the readers.
-        let proved = self.proved.unwrap_or_default();
-        let proves_enough = now.saturating_sub(proved) < self.limits.fallback_after;
-        if !proves_enough || self.turned_away {
+        if self.proof_age(now) >= self.limits.fallback_after || self.turned_away {
             self.fallback_until = now + READ_HOLD;
         }
         if order.iter().take(READERS).any(|reader| reader == me) || now < self.asked_until {
--- a/crates/node/src/node/platform.rs
+++ b/crates/node/src/node/platform.rs
@@ -98,14 +98,22 @@
 
     /// Asks the daemons that read the platform how old their reads are.
     pub(super) fn query_freshness(&mut self) {
-        let Some(freshness) = self.freshness.as_ref() else { return };
-        let (query, readers) = freshness.query(self.now, &self.options.me, &self.order);
+        let in_need = self.is_in_need();
+        let Some(freshness) = self.freshness.as_mut() else { return };
+        let (query, readers) = freshness.query(self.now, &self.options.me, &self.order, in_need);
         let readers: Vec<VmId> = readers.into_iter().cloned().collect();
         for reader in readers {
             self.post(&reader, PeerMessage::FreshnessQuery(query));
         }
     }
 
+    /// Whether the readers prove too little. While a configuration is on its way here no daemon can prove the
+    /// one in force, and each answer would offer it once more.
+    fn is_in_need(&self) -> bool {
+        let in_need = self.freshness.as_ref().is_some_and(|known| known.is_in_need(self.now));
+        in_need && !self.configs.pull.is_under_way()
+    }
+
     /// Decides whether this daemon has to read the platform.
     pub(super) fn step_freshness(&mut self) {
         let Some(freshness) = self.freshness.as_mut() else { return };
@@ -115,9 +123,13 @@
             self.read_role = role;
             self.actions.push(NodeAction::Platform(PlatformCall::Read(role)));
         }
+        let query_due = freshness.is_query_due(self.now);
         if !freshness.is_doubtful(self.now) && self.targets.settle() {
             self.renew_discovered();
         }
+        if query_due && self.is_in_need() {
+            self.query_freshness();
+        }
         self.review_freshness();
     }
 
--- a/crates/node/tests/freshness.rs
+++ b/crates/node/tests/freshness.rs
@@ -66,6 +66,34 @@
     assert!(fallback <= 2, "{fallback} daemons read for themselves");
 }
 
+/// The platform turned a third of the daemons away, both readers among them. They kept the role until their view
+/// counted as old, after all proofs were as old: every daemon that could read did so, in one moment, and
+/// those that could not refused requests with a token (107 of them for good within three seconds).
+#[rstest]
+#[case(20)]
+#[case(60)]
+fn readers_that_are_turned_away_are_replaced_before_any_proof_is_too_old(#[case] daemons: usize) {
+    let mut fleet = Fleet::new(daemons);
+    let readers = fleet.readers();
+    let candidates = fleet.candidates();
+    for index in 0..daemons {
+        let ordinary = index % 3 == 0 && !candidates.contains(&index);
+        fleet.daemons[index].reaches = !(readers.contains(&index) || ordinary);
+    }
+    let before = fleet.calls;
+    let limits = FreshnessLimits::within(APPLY_LIMIT);
+    for _ in 0..300 {
+        fleet.run(Duration::from_millis(20));
+        for index in 0..daemons {
+            let age = fleet.proof_age(index);
+            assert!(age < limits.fallback_after, "{index}: {age:?}");
+        }
+    }
+    // Two readers and those that were, and whoever was asked for a while.
+    let calls = fleet.calls - before;
+    assert!(calls <= 150, "{calls} calls in six seconds");
+}
+
 #[test]
 fn answer_to_an_earlier_process_proves_nothing() {
     let mut fleet = Fleet::new(3);
