--- a/crates/bench/src/peers.rs
+++ b/crates/bench/src/peers.rs
@@ -86,6 +86,9 @@
     }
 }
 
+/// Processor of the measured daemon, in percent of a core.
+const OWN_CAPACITY: u32 = 100;
+
 /// Frames and bytes that a daemon with 100 % of a core sends each second to peers with `capacity`.
 fn sent_each_second(count: usize, capacity: u32) -> (f64, f64) {
     const SETTLED: u64 = 5;
@@ -96,7 +99,13 @@
     for step in 1..=(SETTLED + MEASURED) * 2 {
         let now = Duration::from_millis(step * 500);
         for index in 1..=count {
-            node.handle(now, wall, NodeEvent::Peer(beat_with(index, 4, capacity)));
+            let mut frame = beat_with(index, 4, capacity);
+            // Whoever takes this daemon for a candidate wants its answers.
+            for message in &mut frame.messages {
+                let PeerMessage::Heartbeat(beat) = message else { continue };
+                beat.answer_wanted = capacity < OWN_CAPACITY;
+            }
+            node.handle(now, wall, NodeEvent::Peer(frame));
         }
         let actions = node.handle(now, wall, NodeEvent::Tick);
         if step <= SETTLED * 2 {
