--- a/crates/node/tests/membership.rs
+++ b/crates/node/tests/membership.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use curlewcleat_core::RefusalReason;
+use curlewcleat_node::CallerDecision;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -151,6 +153,42 @@
     }
 }
 
+/// All daemons lost power and began anew. Equally strong ones counted as equally old, the one that was drawn
+/// began last, and most could not reach it for a second, since the opening packets of their connections were
+/// lost while it was down; the others had heard of it and gave out no rates: 2,100 requests were refused as
+/// `rate_unknown` within two seconds.
+#[rstest]
+#[case::equally_old(0, true)]
+#[case::the_last_is_the_youngest(15, false)]
+fn daemon_that_begins_last_takes_no_role_from_those_that_are_reached(
+    #[case] younger_by: u64,
+    #[case] refuses: bool,
+) {
+    const DAEMONS: usize = 60;
+    let drawn = {
+        let mut fleet = Fleet::unlike(DAEMONS);
+        fleet.run(Duration::from_secs(1));
+        fleet.leader()
+    };
+    let mut fleet = Fleet::unlike(DAEMONS);
+    fleet.daemons[drawn].cut = true;
+    fleet.run(Duration::from_millis(300));
+    let weak: Vec<usize> = (0..DAEMONS).filter(|index| unlike_capacity(*index) < 50).collect();
+    fleet.blocked = weak.iter().flat_map(|index| [(*index, drawn), (drawn, *index)]).collect();
+    fleet.daemons[drawn] = unlike_daemon(drawn, Vec::new(), 1, younger_by);
+    fleet.event(drawn, unlike_records(DAEMONS));
+    fleet.run(Duration::from_millis(200));
+    for (number, index) in weak.iter().enumerate() {
+        fleet.admit_for(*index, number as u128, 10);
+        fleet.run(Duration::from_millis(20));
+    }
+    let unknown = fleet.decisions.iter().filter(|(_, decision)| {
+        matches!(decision, CallerDecision::Refuse(refusal)
+            if refusal.reason == RefusalReason::RateUnknown)
+    });
+    assert_eq!(unknown.count() > 0, refuses, "{:?}", fleet.decisions.len());
+}
+
 /// The same as [`schedulers`], of daemons that are reached.
 fn connected(fleet: &Fleet) -> BTreeSet<String> {
     let reached: Vec<usize> =
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,7 +8,7 @@
 mod scripted;
 mod uplink;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use curlewcleat_core::{
@@ -83,6 +83,8 @@
     /// One packet in this many is lost, where set; the state draws which.
     pub losses: Option<(u64, u64)>,
     held_up: Vec<(Duration, usize, PeerFrame)>,
+    /// Frames between these are lost, from the first to the second.
+    pub blocked: BTreeSet<(usize, usize)>,
     /// Peers that a daemon took for ended, with the place of that daemon.
     pub lost: Vec<(usize, VmId)>,
 }
@@ -122,6 +124,7 @@
             frames_of: BTreeMap::new(),
             losses: None,
             held_up: Vec::new(),
+            blocked: BTreeSet::new(),
             lost: Vec::new(),
         };
         for index in 0..daemons {
--- a/crates/node/tests/support/network.rs
+++ b/crates/node/tests/support/network.rs
@@ -22,7 +22,8 @@
         let port: usize = to.rsplit(':').next()?.parse().ok()?;
         let index = port.checked_sub(1_000).filter(|index| *index < self.daemons.len())?;
         let to = &self.daemons[index];
-        if self.daemons[from].cut || to.cut || to.deaf {
+        let blocked = self.blocked.contains(&(from, index));
+        if self.daemons[from].cut || to.cut || to.deaf || blocked {
             return None;
         }
         let held_up = match (self.is_lost(), self.is_lost()) {
