Review: peers of a fleet have a file of their own and are listed again now and then; words

Cause: a daemon listed the others once in its life; a fleet that grew to more than twice its size would have exceeded its retry budget, whose shares are by the number of daemons. Change: listed again after 150 to 300 s, an old list each time; the failure is logged; the steps of joining and the pause after a failed read are functions; some doc texts in plainer words.

--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -5,6 +5,7 @@
 //!
 //! Owns: the reads of the platform. Relies on: the node for whether this daemon reads.
 
+mod peers;
 #[cfg(test)]
 mod tests;
 
@@ -15,7 +16,7 @@
 
 use curlewcleat_core::{DaemonRecord, Generation, ObjectVersion};
 use curlewcleat_node::{FreshnessLimits, NodeEvent, ReadRole};
-use curlewcleat_store::{ConfigRead, FleetPlatform, ListAge, TargetWatch};
+use curlewcleat_store::{ConfigRead, Error, FleetPlatform, ListAge, TargetWatch};
 use rand::Rng;
 use spdlog::prelude::*;
 use tokio::sync::{watch, Notify};
@@ -31,7 +32,7 @@
 /// fails for all of them, the readers notice its return.
 const FALLBACK_PAUSE: Duration = Duration::from_millis(2_400);
 /// Daemons that begin to read for themselves together make their first reads within this time: the next ones
-/// in the order have been asked by then, and where they can read nobody else has to. In an outage of five
+/// in the order have been asked by then, and where they can read no other has to. In an outage of five
 /// seconds 18 daemons made 215 reads that failed. Chosen, not measured: half of the longest pause.
 const FALLBACK_SPREAD: Duration = Duration::from_millis(1_200);
 /// Pauses after failed calls. Chosen, not measured: daemons that fail together come back apart.
@@ -112,27 +113,34 @@
                     let every = time_between(*role.borrow(), in_force, self.limits.read_every);
                     tokio::time::sleep(every.saturating_sub(sent.elapsed())).await;
                 }
-                Err(error) => {
-                    self.link.freshness.fail();
-                    self.failures.set(self.failures.get() + 1);
-                    self.context.tell(NodeEvent::PlatformFailed);
-                    pause.failed("read_config", &error, &self.context);
-                    match *role.borrow_and_update() {
-                        ReadRole::Reader => {}
-                        ReadRole::Fallback | ReadRole::Idle => pause.skip_to_longest(),
-                    }
-                    let limit = match *role.borrow() {
-                        ReadRole::Reader => READER_PAUSE,
-                        ReadRole::Fallback | ReadRole::Idle => FALLBACK_PAUSE,
-                    };
-                    let changed = async { drop(role.changed().await) };
-                    pause.wait_until(limit, changed).await;
-                }
+                Err(error) => self.config_not_read(&mut role, &mut pause, &error).await,
             }
             tokio::time::sleep(FLOOR.saturating_sub(sent.elapsed())).await;
         }
     }
 
+    /// A read has failed. Pauses, longer where others notice the platform's return, or until the role changes.
+    async fn config_not_read(
+        &self,
+        role: &mut watch::Receiver<ReadRole>,
+        pause: &mut BackOff,
+        error: &Error,
+    ) {
+        self.link.freshness.fail();
+        self.failures.set(self.failures.get() + 1);
+        self.context.tell(NodeEvent::PlatformFailed);
+        pause.failed("read_config", error, &self.context);
+        let limit = match *role.borrow_and_update() {
+            ReadRole::Reader => READER_PAUSE,
+            ReadRole::Fallback | ReadRole::Idle => {
+                pause.skip_to_longest();
+                FALLBACK_PAUSE
+            }
+        };
+        let changed = async { drop(role.changed().await) };
+        pause.wait_until(limit, changed).await;
+    }
+
     fn proved(&self, sent: Instant) {
         if self.link.freshness.is_failing() {
             info!("platform_regained", kv: { call = "read_config" });
@@ -221,11 +229,6 @@
         }
     }
 
-    async fn record(&self, record: &DaemonRecord) -> curlewcleat_store::Result<()> {
-        self.context.metrics.platform_call("record_daemon");
-        self.platform.record_daemon(record).await
-    }
-
     /// Waits until the targets have to be listed again: at once by a reader, by others once a read of their own
     /// has succeeded. Returns whether that is so still.
     async fn until_list(&self, role: &mut watch::Receiver<ReadRole>) -> bool {
@@ -238,33 +241,6 @@
             _ = until_not_fallback(role) => false,
         }
     }
-
-    /// Records this daemon, then learns of the others; from then on they tell each other. One that begins again
-    /// where it was finds its record among the others and need not write it.
-    async fn find_peers(self: Rc<Self>, record: DaemonRecord) {
-        let mut pause = BackOff::new(BACK_OFF);
-        self.context.metrics.platform_call("list_daemons");
-        if let Ok(records) = self.platform.list_daemons(ListAge::Seconds).await {
-            if records.iter().any(|earlier| earlier.is_as_useful_as(&record)) {
-                return self.context.tell(NodeEvent::DaemonsListed(records));
-            }
-        }
-        while let Err(error) = self.record(&record).await {
-            pause.failed("record_daemon", &error, &self.context);
-            pause.wait_until(FALLBACK_PAUSE, pending()).await;
-        }
-        let mut pause = BackOff::new(BACK_OFF);
-        loop {
-            self.context.metrics.platform_call("list_daemons");
-            match self.platform.list_daemons(ListAge::Newest).await {
-                Ok(records) => return self.context.tell(NodeEvent::DaemonsListed(records)),
-                Err(error) => {
-                    pause.failed("list_daemons", &error, &self.context);
-                    pause.wait_until(FALLBACK_PAUSE, pending()).await;
-                }
-            }
-        }
-    }
 }
 
 /// Time between two reads. Where the newest configuration does not pass the checks no daemon can prove the
@@ -292,7 +268,7 @@
 }
 
 /// Waits until this daemon has to read the configuration. One that reads because the others prove too little
-/// gives them some more time, less than the next one. Returns whether it has to read still.
+/// gives them some more time. Returns whether it has to read still.
 async fn until_own_read(role: &mut watch::Receiver<ReadRole>) -> bool {
     until_reading(role).await;
     if *role.borrow() == ReadRole::Reader {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -63,11 +63,7 @@
                 "reserved_headers_total",
                 "Headers of callers that ended here since only a daemon may set them",
             )?,
-            platform_calls: count(
-                "platform_calls_total",
-                "Calls of a fleet's platform that were begun",
-                &["call"],
-            )?,
+            platform_calls: count("platform_calls_total", "Calls of the platform", &["call"])?,
             platform_errors: count("platform_errors_total", "Failed platform calls", &["call"])?,
             reports: count("target_reports_total", "Reports of targets", &["result"])?,
             gauges: StatusGauges::new(&registry, counts)?,
--- a/crates/node/src/freshness.rs
+++ b/crates/node/src/freshness.rs
@@ -19,8 +19,8 @@
 /// Daemons that are asked where the readers prove too little: those that read, and the next ones.
 /// Chosen, not measured: as many that may be turned away at once.
 const READERS_IN_NEED: usize = 2 * READERS;
-/// Share of that time, in percent, above which a proof is so old that the next ones are asked too: beyond
-/// the age that proofs reach while all is well, a read and a heartbeat, and so long before
+/// Share of that time, in percent, above which a proof is so old that the next ones are asked too.
+/// Chosen, not measured: beyond the age that proofs reach while all is well, a read and a heartbeat, and so long before
 /// [`FALLBACK_PERCENT`] that the next ones have read by then.
 const NEED_PERCENT: u32 = 50;
 /// Time between queries while a proof is so old.
@@ -215,9 +215,9 @@
         now >= self.queried + NEED_PAUSE
     }
 
-    /// Age of the proof; a new process has made its first read, whatever came of it.
+    /// Age of the proof; of a new process its own age, since it has made its first read as it began.
     fn proof_age(&self, now: Uptime) -> Duration {
-        now.saturating_sub(self.proved.unwrap_or_default())
+        self.proved.map_or(now, |proved| now.saturating_sub(proved))
     }
 
     /// Lets time pass; says whether this daemon has to read.
--- a/crates/sched/src/election/candidates.rs
+++ b/crates/sched/src/election/candidates.rs
@@ -5,8 +5,8 @@
 //! fleet of more than `mesh_limit`: the candidates are the first [`CANDIDATES`] in the order of schedulers,
 //! where a recorded daemon counts as reachable until it has not answered for the suspicion time-out.
 //! Every daemon sends each heartbeat to the candidates, and to those that would be the first if all were
-//! reachable, so that one that was cut off comes back; these answer. Nobody sends heartbeats to the
-//! others, so that the heartbeats of an ordinary daemon do not grow with the fleet.
+//! reachable, so that one that was cut off comes back; these answer. The others get no heartbeats, so that
+//! those of an ordinary daemon do not grow with the fleet.
 //!
 //! Load pattern: hundreds of daemons that begin at once on VMs with an eighth of a core. Where each
 //! greeted all others, connecting took them longer than the time in which callers gave up.
@@ -50,7 +50,7 @@
 
 impl MemberView {
     /// The daemons to ask for permits, best first, in a fleet that is no mesh. This one schedules for itself
-    /// once all others that it would ask are silent.
+    /// once none of the others that it would ask answers.
     pub(super) fn candidate_order(&self, subject: &str) -> Vec<DaemonId> {
         if self.is_cut_off() {
             return vec![self.me.clone()];
@@ -85,7 +85,7 @@
         });
         let unheard = self.records.values().filter(|record| {
             let vm = &record.daemon.vm;
-            !self.peers.contains_key(vm) && !self.silent.contains_key(vm)
+            !self.peers.contains_key(vm) && !self.unanswered.contains_key(vm)
         });
         let unheard = unheard.map(|record| {
             let rank = CandidateRank {
@@ -101,7 +101,7 @@
         reachable
     }
 
-    /// Whether all daemons that this one has heard of are silent; then nobody reaches it.
+    /// Whether no daemon that this one has heard of is reachable; then this one is cut off.
     pub(super) fn is_cut_off(&self) -> bool {
         !self.peers.is_empty() && !self.peers.values().any(|peer| peer.live)
     }
@@ -147,9 +147,9 @@
     /// Recorded daemons that have not answered for long are passed over for a while.
     pub(super) fn review_probes(&mut self, now: Uptime) {
         let limit = self.options.suspect_after;
-        let before = self.silent.len();
-        self.silent.retain(|_, since| now < *since + limit * PROBE_AGAIN);
-        self.changed |= before != self.silent.len();
+        let before = self.unanswered.len();
+        self.unanswered.retain(|_, since| now < *since + limit * PROBE_AGAIN);
+        self.changed |= before != self.unanswered.len();
         let over: Vec<VmId> = self
             .probes
             .iter()
@@ -158,7 +158,7 @@
             .collect();
         for vm in over {
             self.probes.remove(&vm);
-            self.silent.insert(vm, now);
+            self.unanswered.insert(vm, now);
             self.changed = true;
         }
     }
--- a/crates/sched/src/election/failure.rs
+++ b/crates/sched/src/election/failure.rs
@@ -3,7 +3,7 @@
 //! Inputs: when it was heard of last, whether every heartbeat is exchanged with it and since when, the
 //! suspicion time-out of the settings (`[peers] suspect_after`). The rule: a peer with which every
 //! heartbeat is exchanged is unreachable after the time-out, counted from its last heartbeat or from
-//! when the exchange began. Of another peer nothing is expected, so its silence says nothing; the exchange
+//! when the exchange began. Of another peer no heartbeats are expected; the exchange
 //! begins when it comes to be asked. Where no peer at all was heard of within the time-out, this daemon
 //! itself is cut off, and all of them are unreachable for it.
 //!
--- a/crates/sched/src/election/heartbeats.rs
+++ b/crates/sched/src/election/heartbeats.rs
@@ -3,7 +3,7 @@
 //! Inputs: the addresses, the order of schedulers, the number of heartbeats sent. The rule: up to
 //! `mesh_limit` daemons, every heartbeat goes to all. In a larger fleet it goes to the candidates
 //! ([`candidates`](super::candidates)) and to whoever waits for a reply, so that what an ordinary daemon
-//! sends does not grow with the fleet; a daemon that hears nobody tries the seeds and some known
+//! sends does not grow with the fleet; a daemon that hears no other tries the seeds and some known
 //! addresses besides. After a start and after a change of role the next ones go to everyone heard of
 //! ([`MemberView::is_announcing`]), which for a candidate is everyone.
 //!
@@ -21,7 +21,7 @@
 const KNOWN_EACH: usize = 4;
 /// One heartbeat in this many names addresses. Chosen, not measured.
 const KNOWN_EVERY: u32 = 4;
-/// Known addresses that a daemon that hears nobody tries with a heartbeat. Chosen, not measured: few, since
+/// Known addresses that a daemon that hears no other tries with a heartbeat. Chosen, not measured: few, since
 /// they may all be cut off.
 const TRIED_EACH: usize = 2;
 
@@ -156,7 +156,7 @@
         }
     }
 
-    /// Addresses that a daemon tries that hears nobody: the seeds and some known ones in turn.
+    /// Addresses that a daemon tries that hears no other: the seeds and some known ones in turn.
     fn tried_addresses(&mut self) -> Vec<String> {
         let known = self.known_addresses.iter().cycle().skip(self.named);
         let tried = known.take(TRIED_EACH.min(self.known_addresses.len()));
--- a/crates/sched/src/election/membership.rs
+++ b/crates/sched/src/election/membership.rs
@@ -126,7 +126,7 @@
     /// Recorded daemons that get heartbeats and were never heard of, and since when.
     pub(super) probes: BTreeMap<VmId, Uptime>,
     /// Those that did not answer, and since when they are passed over.
-    pub(super) silent: BTreeMap<VmId, Uptime>,
+    pub(super) unanswered: BTreeMap<VmId, Uptime>,
     /// Addresses that the platform or peers have named.
     pub(super) known_addresses: BTreeSet<String>,
     /// Place in the peers from which the next heartbeat names addresses.
@@ -157,7 +157,7 @@
             records: BTreeMap::new(),
             partners: BTreeSet::new(),
             probes: BTreeMap::new(),
-            silent: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
             known_addresses: BTreeSet::new(),
             named: 0,
             first_named: Vec::new(),
@@ -214,7 +214,7 @@
         }
         self.addresses_named(&beat.known);
         self.probes.remove(&from.vm);
-        self.silent.remove(&from.vm);
+        self.unanswered.remove(&from.vm);
         let mut peer = PeerState::from_heartbeat(now, from, beat);
         let earlier = self.peers.get(&from.vm);
         if let Some(moved) = earlier.filter(|earlier| earlier.address != beat.address) {
