--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -141,14 +141,27 @@
         default: u64,
         range: RangeInclusive<u64>,
         report: &mut CheckReport,
+    ) -> u64 {
+        let parsed = |text: &str| text.parse::<u64>().ok();
+        self.parsed_number(key, default, range, "a whole number", parsed, report)
+    }
+
+    fn parsed_number(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+        wanted: &str,
+        parsed: impl Fn(&str) -> Option<u64>,
+        report: &mut CheckReport,
     ) -> u64 {
         let Some(text) = self.text(key) else { return default };
-        match text.parse::<u64>() {
-            Ok(number) if range.contains(&number) => number,
+        match parsed(&text) {
+            Some(number) if range.contains(&number) => number,
             _ => {
-                let wanted =
-                    format!("should be a whole number from {} to {}", range.start(), range.end());
-                self.fault(key, format!("'{text}' {wanted}"), report);
+                let (least, most) = (range.start(), range.end());
+                let message = format!("'{text}' should be {wanted} from {least} to {most}");
+                self.fault(key, message, report);
                 default
             }
         }
@@ -163,19 +176,12 @@
         range: RangeInclusive<u64>,
         report: &mut CheckReport,
     ) -> u64 {
-        let Some(text) = self.text(key) else { return default };
-        // Text that is not finite becomes the largest number, which no range contains.
-        let whole =
-            text.parse::<f64>().ok().filter(|number| *number >= 0.0).map(|number| number as u64);
-        match whole {
-            Some(whole) if range.contains(&whole) => whole,
-            _ => {
-                let wanted =
-                    format!("should be a number from {} to {}", range.start(), range.end());
-                self.fault(key, format!("'{text}' {wanted}"), report);
-                default
-            }
-        }
+        // An infinite number becomes the largest one, which no range contains.
+        let parsed = |text: &str| {
+            let number = text.parse::<f64>().ok();
+            number.filter(|number| *number >= 0.0).map(|number| number as u64)
+        };
+        self.parsed_number(key, default, range, "a number", parsed, report)
     }
 
     /// A time with its unit: `250ms`, `5s`, `10m` or `1h`.
--- a/crates/sched/src/election/candidates.rs
+++ b/crates/sched/src/election/candidates.rs
@@ -13,13 +13,12 @@
 //!
 //! Owns: nothing; the state is [`MemberView`]'s.
 
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
 use curlewcleat_core::{DaemonId, Uptime, VmId};
 
 use super::membership::MemberView;
-use super::order::hash_of_pair;
+use super::order::{rank_of_peer, rank_of_record, CandidateRank};
 
 /// Subject by which the one scheduler of all pools is drawn.
 pub const ALL_POOLS: &str = "all pools";
@@ -32,21 +31,6 @@
 /// A recorded daemon that has not answered is tried again after this many suspicion time-outs. Chosen,
 /// not measured.
 const PROBE_AGAIN: u32 = 10;
-/// Start of a daemon that was not heard of, so that those heard of go first among equally strong ones.
-const UNKNOWN_START: u64 = u64::MAX;
-
-/// Place of a daemon among the candidates; the least goes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct CandidateRank {
-    /// What it knows of the platform is old.
-    stale: bool,
-    /// Processor of its VM.
-    capacity: Reverse<u32>,
-    /// When its process started.
-    started: u64,
-    /// Draws among equals.
-    weight: Reverse<u64>,
-}
 
 impl MemberView {
     /// The daemons to ask for permits, best first, in a fleet that is no mesh. This one schedules for itself
@@ -75,27 +59,15 @@
     fn reachable(&self, subject: &str) -> Vec<(CandidateRank, DaemonId)> {
         let heard = self.peers.iter().filter(|(_, peer)| peer.live && !peer.draining);
         let heard = heard.map(|(vm, peer)| {
-            let rank = CandidateRank {
-                stale: peer.stale,
-                capacity: Reverse(peer.capacity),
-                started: peer.started,
-                weight: Reverse(hash_of_pair(subject, vm)),
-            };
-            (rank, DaemonId { vm: vm.clone(), incarnation: peer.incarnation })
+            let daemon = DaemonId { vm: vm.clone(), incarnation: peer.incarnation };
+            (rank_of_peer(subject, vm, peer), daemon)
         });
         let unheard = self.records.values().filter(|record| {
             let vm = &record.daemon.vm;
             !self.peers.contains_key(vm) && !self.unanswered.contains_key(vm)
         });
-        let unheard = unheard.map(|record| {
-            let rank = CandidateRank {
-                stale: false,
-                capacity: Reverse(record.capacity),
-                started: UNKNOWN_START,
-                weight: Reverse(hash_of_pair(subject, &record.daemon.vm)),
-            };
-            (rank, record.daemon.clone())
-        });
+        let unheard =
+            unheard.map(|record| (rank_of_record(subject, record), record.daemon.clone()));
         let mut reachable: Vec<(CandidateRank, DaemonId)> = heard.chain(unheard).collect();
         reachable.sort();
         reachable
@@ -106,15 +78,6 @@
         !self.peers.is_empty() && !self.peers.values().any(|peer| peer.live)
     }
 
-    fn own_rank(&self, subject: &str) -> CandidateRank {
-        CandidateRank {
-            stale: self.stale,
-            capacity: Reverse(self.options.capacity),
-            started: self.options.started,
-            weight: Reverse(hash_of_pair(subject, &self.me.vm)),
-        }
-    }
-
     /// VMs whose daemons get each heartbeat and are to answer it.
     pub(super) fn exchange_partners(&self) -> BTreeSet<VmId> {
         let reachable = self.reachable(ALL_POOLS).into_iter();
@@ -124,17 +87,13 @@
 
     /// VMs whose daemons would be asked first if all were reachable.
     fn foremost(&self) -> Vec<&VmId> {
-        let heard = self.peers.iter().map(|(vm, peer)| {
-            (Reverse(peer.capacity), peer.started, Reverse(hash_of_pair(ALL_POOLS, vm)), vm)
-        });
-        let unheard = self.records.values().map(|record| {
-            let vm = &record.daemon.vm;
-            (Reverse(record.capacity), UNKNOWN_START, Reverse(hash_of_pair(ALL_POOLS, vm)), vm)
-        });
-        let unheard = unheard.filter(|(.., vm)| !self.peers.contains_key(*vm));
-        let mut foremost: Vec<_> = heard.chain(unheard).collect();
+        let heard = self.peers.iter();
+        let heard = heard.map(|(vm, peer)| (rank_of_peer(ALL_POOLS, vm, peer).if_fresh(), vm));
+        let unheard = self.records.iter().filter(|(vm, _)| !self.peers.contains_key(*vm));
+        let unheard = unheard.map(|(vm, record)| (rank_of_record(ALL_POOLS, record), vm));
+        let mut foremost: Vec<(CandidateRank, &VmId)> = heard.chain(unheard).collect();
         foremost.sort();
-        foremost.into_iter().take(CANDIDATES).map(|(.., vm)| vm).collect()
+        foremost.into_iter().take(CANDIDATES).map(|(_, vm)| vm).collect()
     }
 
     /// Notes which partners were never heard of, so that they are passed over where they do not answer.
--- a/crates/sched/src/election/order.rs
+++ b/crates/sched/src/election/order.rs
@@ -13,20 +13,34 @@
 use std::cmp::Reverse;
 use std::hash::Hasher;
 
-use curlewcleat_core::DaemonId;
+use curlewcleat_core::{DaemonId, DaemonRecord};
 use siphasher::sip::SipHasher13;
 
-use super::membership::MemberView;
+use super::membership::{MemberView, PeerState};
 
 /// Place of a daemon in the order; the least goes first.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct CandidateRank {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct CandidateRank {
+    /// What it knows of the platform is old.
     stale: bool,
+    /// Processor of its VM.
     capacity: Reverse<u32>,
+    /// When its process started.
     started: u64,
+    /// Draws among equals.
     weight: Reverse<u64>,
 }
 
+impl CandidateRank {
+    /// The rank that it would have if its view of the platform were fresh.
+    pub(super) fn if_fresh(self) -> CandidateRank {
+        CandidateRank { stale: false, ..self }
+    }
+}
+
+/// Start of a daemon that was not heard of, so that those heard of go first among equally strong ones.
+const UNKNOWN_START: u64 = u64::MAX;
+
 impl MemberView {
     /// Reachable daemons that take roles, this one among them.
     pub fn eligible_daemons(&self) -> Vec<DaemonId> {
@@ -55,26 +69,45 @@
     }
 
     fn rank_of(&self, daemon: &DaemonId, pool: &str) -> CandidateRank {
-        let weight = Reverse(hash_of_pair(pool, &daemon.vm));
         match self.peers.get(&daemon.vm) {
-            Some(peer) => CandidateRank {
-                stale: peer.stale,
-                capacity: Reverse(peer.capacity),
-                started: peer.started,
-                weight,
-            },
-            None => CandidateRank {
-                stale: self.stale,
-                capacity: Reverse(self.options.capacity),
-                started: self.options.started,
-                weight,
-            },
+            Some(peer) => rank_of_peer(pool, &daemon.vm, peer),
+            None => self.own_rank(pool),
+        }
+    }
+
+    /// Rank of this daemon.
+    pub(super) fn own_rank(&self, pool: &str) -> CandidateRank {
+        CandidateRank {
+            stale: self.stale,
+            capacity: Reverse(self.options.capacity),
+            started: self.options.started,
+            weight: Reverse(hash_of_pair(pool, &self.me.vm)),
         }
     }
 }
 
+/// Rank of a daemon that was heard of.
+pub(super) fn rank_of_peer(pool: &str, vm: &str, peer: &PeerState) -> CandidateRank {
+    CandidateRank {
+        stale: peer.stale,
+        capacity: Reverse(peer.capacity),
+        started: peer.started,
+        weight: Reverse(hash_of_pair(pool, vm)),
+    }
+}
+
+/// Rank of a daemon of which only the record is known.
+pub(super) fn rank_of_record(pool: &str, record: &DaemonRecord) -> CandidateRank {
+    CandidateRank {
+        stale: false,
+        capacity: Reverse(record.capacity),
+        started: UNKNOWN_START,
+        weight: Reverse(hash_of_pair(pool, &record.daemon.vm)),
+    }
+}
+
 /// Hash of two texts; the same on every daemon.
-pub(super) fn hash_of_pair(first: &str, second: &str) -> u64 {
+fn hash_of_pair(first: &str, second: &str) -> u64 {
     let mut hasher = SipHasher13::new();
     hasher.write(first.as_bytes());
     hasher.write_u8(0);
