--- a/crates/sched/src/election/candidates.rs
+++ b/crates/sched/src/election/candidates.rs
@@ -8,8 +8,9 @@
 //! reachable, so that one that was cut off comes back; these answer. The others get no heartbeats, so that
 //! those of an ordinary daemon do not grow with the fleet.
 //!
-//! Load pattern: hundreds of daemons that begin at once on VMs with an eighth of a core. Where each
-//! greeted all others, connecting took them longer than the time in which callers gave up.
+//! Load pattern: many daemons that begin at once on VMs with an eighth of a core. Where each greeted all
+//! others and sent them a tenth of its heartbeats, 87 daemons took 129 s of processor time over a day of 48 s
+//! in place of 63 s (one run each).
 //!
 //! Owns: nothing; the state is [`MemberView`]'s.
 
--- a/crates/sched/tests/members.rs
+++ b/crates/sched/tests/members.rs
@@ -170,7 +170,7 @@
 }
 
 /// Where 295 daemons that began together greeted all others, each dialled 294 connections and served as
-/// many, on an eighth of a core, while callers waited.
+/// many.
 #[rstest]
 #[case(30)]
 #[case(295)]
