--- a/crates/sched/src/election/candidates.rs
+++ b/crates/sched/src/election/candidates.rs
@@ -9,7 +9,7 @@
 //! those of an ordinary daemon do not grow with the fleet.
 //!
 //! Load pattern: many daemons that begin at once on VMs with an eighth of a core. Where each greeted all
-//! others and sent them a tenth of its heartbeats, 87 daemons took 129 s of processor time over a day of 48 s
+//! others and sent them a tenth of its heartbeats, 87 daemons took 129 s of processor time over a day
 //! in place of 63 s (one run each).
 //!
 //! Owns: nothing; the state is [`MemberView`]'s.
