Tests: a deployment has a folder of its own

The cases hold and lower_case, and backup and upper_case, name their deployments alike, in one process; with the same folder one takes the other's settings file. No test is changed.

--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -103,10 +103,7 @@
     /// Starts a platform.
     pub async fn start(name: &str) -> Result<Deployment> {
         let programs = program_folder()?;
-        let count = NEXT_DEPLOYMENT.fetch_add(1, Ordering::Relaxed);
-        let folder = format!("curlewcleat-{name}-{}-{count}", std::process::id());
-        let folder = std::env::temp_dir().join(folder);
-        std::fs::create_dir_all(&folder)?;
+        let folder = own_folder(name)?;
         let address = free_address()?;
         let options = ["--address", &address, "--list-lag-ms", "300"];
         let platform =
@@ -315,6 +312,16 @@
     }
 }
 
+/// A folder that belongs to one deployment alone, also where another one of this process has its name: two
+/// that shared their folder took each other's settings files, and one daemon was never reached.
+pub(crate) fn own_folder(name: &str) -> Result<PathBuf> {
+    let count = NEXT_DEPLOYMENT.fetch_add(1, Ordering::Relaxed);
+    let folder = format!("curlewcleat-{name}-{}-{count}", std::process::id());
+    let folder = std::env::temp_dir().join(folder);
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
+
 /// Live peers in a status.
 pub fn live_peers(status: &Value) -> usize {
     status["peers"]
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -12,7 +12,7 @@
 
 use super::{FleetEngine, FleetStore};
 use crate::address::free_address;
-use crate::deployment::{program_folder, spawn, wait_listening, ChildProcess};
+use crate::deployment::{own_folder, program_folder, spawn, wait_listening, ChildProcess};
 use crate::http;
 
 /// Slots of an engine.
@@ -51,9 +51,7 @@
     pub async fn start(name: &str) -> Result<FleetDeployment> {
         let store = FleetStore::new();
         let store_address = http::serve_here(store.clone()).await?;
-        let folder =
-            std::env::temp_dir().join(format!("curlewcleat-fleet-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder)?;
+        let folder = own_folder(&format!("fleet-{name}"))?;
         let fleet = FleetDeployment {
             store,
             engines: Vec::new(),
