Sight: why an attempt failed, what keeps a request from another one, which answers are cut, what a stop leaves

attempt_failed said stream_resumed whether a target was silent, broke off or could not be read, and answer_cut was written only where an attempt fails for good. New: attempt_failed names cause, silent_ms, parts and answer_begun; retry_denied names what bound (deadline, attempts, budget); answer_cut stands wherever an answer that has begun is given up, with the reason; stop_unfinished counts what is in progress half a second before the stop limit. The names of before stay. No behaviour changes.

--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -4,7 +4,7 @@
 //! [`PlatformParts`] for calls of the platform, the transport for frames to peers.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use curlewcleat_core::{PeerFrame, RequestId};
 use curlewcleat_node::{CallerDecision, Node, NodeAction, NodeEvent, NodeNote};
@@ -17,6 +17,9 @@
 
 /// Time between looks at the clock. Chosen: a fifth of the least objective of the users' requests.
 const TICK: Duration = Duration::from_millis(20);
+/// Time before the stop limit at which requests in progress are noted: enough for a log line to leave.
+/// Chosen, not measured.
+const STOP_NOTICE: Duration = Duration::from_millis(500);
 /// Messages taken before the clock is looked at again. Chosen, not measured.
 const BATCH: usize = 256;
 
@@ -30,6 +33,8 @@
     callers: BTreeMap<RequestId, mpsc::UnboundedSender<CallerDecision>>,
     /// Frames by address; those of one batch go out as one.
     outgoing: BTreeMap<String, PeerFrame>,
+    /// When to note the requests that keep a planned stop from its end; `None` while there is no stop.
+    stop_notice: Option<Instant>,
     ended: bool,
 }
 
@@ -48,6 +53,7 @@
             parts,
             callers: BTreeMap::new(),
             outgoing: BTreeMap::new(),
+            stop_notice: None,
             ended: false,
         }
     }
@@ -62,6 +68,7 @@
                 _ = clock.tick() => {
                     self.event(NodeEvent::Tick);
                     self.send_frames();
+                    self.note_unfinished_stop();
                 }
                 message = messages.recv() => {
                     let Some(message) = message else { break };
@@ -126,6 +133,8 @@
             NodeAction::Note(note) => {
                 if note == NodeNote::DrainBegun {
                     self.context.set_draining();
+                    let limit = self.context.bounds().stop_limit;
+                    self.stop_notice = Some(Instant::now() + limit.saturating_sub(STOP_NOTICE));
                 }
                 log_note(&note);
             }
@@ -133,6 +142,15 @@
         }
     }
 
+    /// Whoever stops the daemon kills it at the stop limit, and what is in progress then is cut without a
+    /// line of its own.
+    fn note_unfinished_stop(&mut self) {
+        if self.stop_notice.is_some_and(|notice| Instant::now() >= notice) {
+            self.stop_notice = None;
+            warn!("stop_unfinished", kv: { requests = self.callers.len() });
+        }
+    }
+
     /// Messages to one peer within a batch share a frame.
     fn queue_frame(&mut self, address: String, frame: PeerFrame) {
         match self.outgoing.get_mut(&address) {
@@ -174,6 +192,9 @@
         NodeNote::ConfigUnreadable(generation, error) => {
             error!("config_unreadable", kv: { generation = *generation, error = error.as_str() });
         }
+        NodeNote::RetryDenied(request, bound) => {
+            info!("retry_denied", kv: { request = request.to_string(), bound = bound.code() });
+        }
         NodeNote::PeerLost(peer) => warn!("peer_lost", kv: { vm = peer.vm.as_str() }),
         NodeNote::PeerReplaced(peer) => info!("peer_replaced", kv: { vm = peer.vm.as_str() }),
         NodeNote::TableKnown(version, slots) => {
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -18,6 +18,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod cause;
 mod form;
 mod own;
 mod pass_on;
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -12,6 +12,7 @@
 use spdlog::prelude::*;
 
 use super::admitted::AdmittedRequest;
+use super::cause::AttemptCause;
 use super::protocol::{CallerProtocol, HeadVerdict, TargetAttempt};
 
 /// How an attempt began.
@@ -19,9 +20,9 @@
     /// The target answers.
     Answer(Box<TargetAnswer>),
     /// Provably nothing ran.
-    NotRun(RetryReason),
+    NotRun(RetryReason, AttemptCause),
     /// It may have run and there is no answer.
-    Failed(RefusalReason),
+    Failed(RefusalReason, AttemptCause),
 }
 
 /// Sends a request to its target and waits for the head of the answer.
@@ -31,20 +32,28 @@
     let connections = protocol.connections(&request.pool);
     let connected = connections.connect(&attempt.target.address, limits.connect).await;
     // Nothing is written before the connection stands.
-    let Ok(connection) = connected else { return AttemptStart::NotRun(RetryReason::ConnectFailed) };
+    let Ok(connection) = connected else {
+        return AttemptStart::NotRun(RetryReason::ConnectFailed, AttemptCause::ConnectFailed);
+    };
     let head = protocol.target_head(&attempt);
     let options = protocol.exchange_options(request);
     let exchange = connection.exchange_with(head, attempt.caller.body.sending(), &options);
     let head_by = head_limit(protocol, request, Instant::now() + limits.head);
     let mut answer = match tokio::time::timeout_at(head_by.into(), exchange).await {
         Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => return AttemptStart::Failed(exchange_failed(attempt.target, &error)),
-        Err(_) => return AttemptStart::Failed(RefusalReason::FirstByteTimeout),
+        Ok(Err(error)) => return exchange_failed(attempt.target, &error),
+        Err(_) => {
+            return AttemptStart::Failed(RefusalReason::FirstByteTimeout, AttemptCause::HeadTimeout)
+        }
     };
     match protocol.judge_head(request, &mut answer) {
         HeadVerdict::Accepted => AttemptStart::Answer(Box::new(answer)),
-        HeadVerdict::NotRun => AttemptStart::NotRun(RetryReason::TargetNotStarted),
-        HeadVerdict::Foreign => AttemptStart::Failed(RefusalReason::TargetProtocol),
+        HeadVerdict::NotRun => {
+            AttemptStart::NotRun(RetryReason::TargetNotStarted, AttemptCause::NotStarted)
+        }
+        HeadVerdict::Foreign => {
+            AttemptStart::Failed(RefusalReason::TargetProtocol, AttemptCause::Unreadable)
+        }
     }
 }
 
@@ -62,10 +71,12 @@
     }
 }
 
-fn exchange_failed(target: &TargetEntry, error: &Error) -> RefusalReason {
+fn exchange_failed(target: &TargetEntry, error: &Error) -> AttemptStart {
     debug!("exchange_broken", kv: { target = target.id.as_str(), error = error.to_string() });
     match error {
-        Error::Protocol(_) => RefusalReason::TargetProtocol,
-        _ => RefusalReason::TargetClosed,
+        Error::Protocol(_) => {
+            AttemptStart::Failed(RefusalReason::TargetProtocol, AttemptCause::Unreadable)
+        }
+        _ => AttemptStart::Failed(RefusalReason::TargetClosed, AttemptCause::Closed),
     }
 }
--- /dev/null
+++ b/crates/daemon/src/request/cause.rs
@@ -0,0 +1,40 @@
+//! Why an attempt ended without an answer for its caller.
+//!
+//! Owns: the codes, which stand in log lines and are stable. Relies on: nothing.
+
+/// Why an attempt ended without an answer for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptCause {
+    /// No connection stood within its limit, or the target refused it.
+    ConnectFailed,
+    /// The target said that it did not start the request.
+    NotStarted,
+    /// The head of the answer did not come within its limit.
+    HeadTimeout,
+    /// The next part of the answer did not come within its limit.
+    PartTimeout,
+    /// The target ended the connection before the end of its answer.
+    Closed,
+    /// The answer could not be read, or belongs to another request.
+    Unreadable,
+    /// The target answered that it failed.
+    Failed,
+    /// The body that the caller sent is at fault.
+    CallerBody,
+}
+
+impl AttemptCause {
+    /// The code used in logs.
+    pub fn code(self) -> &'static str {
+        match self {
+            AttemptCause::ConnectFailed => "connect_failed",
+            AttemptCause::NotStarted => "not_started",
+            AttemptCause::HeadTimeout => "head_timeout",
+            AttemptCause::PartTimeout => "part_timeout",
+            AttemptCause::Closed => "closed",
+            AttemptCause::Unreadable => "unreadable",
+            AttemptCause::Failed => "failed",
+            AttemptCause::CallerBody => "caller_body",
+        }
+    }
+}
--- a/crates/daemon/src/request/pass_on.rs
+++ b/crates/daemon/src/request/pass_on.rs
@@ -11,6 +11,7 @@
 use futures_util::StreamExt;
 use spdlog::prelude::*;
 
+use super::cause::AttemptCause;
 use super::run::{AttemptVerdict, RequestRun};
 
 /// Longest answer in bytes that is held back until it is whole. Chosen, not measured: the platform's
@@ -46,17 +47,17 @@
             Ok(bytes) => bytes,
             Err(error) => {
                 debug!("exchange_broken", kv: { target = target.id.as_str(), error = error.to_string() });
-                return self.broken(RefusalReason::TargetClosed);
+                return self.broken(RefusalReason::TargetClosed, AttemptCause::Closed);
             }
         };
         if self.answer.has_begun() {
             // The answer has begun at another target and cannot become this one.
-            return self.broken(RefusalReason::TargetProtocol);
+            return self.broken(RefusalReason::TargetProtocol, AttemptCause::Unreadable);
         }
         let whole = self.protocol().caller_answer(self.request.id, &head).with_body(bytes);
         if head.status.is_server_error() && self.protocol().may_repeat(&self.request) {
             self.fallback = Some(whole);
-            return AttemptVerdict::Again(RetryReason::TargetFailed);
+            return AttemptVerdict::Again(RetryReason::TargetFailed, AttemptCause::Failed);
         }
         self.note_began();
         self.answer.begin(whole);
@@ -78,7 +79,8 @@
         }
         let mut limit = self.part_limit();
         loop {
-            let part = match tokio::time::timeout(limit, body.next()).await {
+            let next = tokio::time::timeout(limit, body.next()).await;
+            let part = match next {
                 Ok(Some(Ok(part))) => self.form.push(part),
                 Ok(None) if self.form.is_whole() => break,
                 _ => match self.resume(target, limit).await {
@@ -86,7 +88,12 @@
                         body = rest;
                         continue;
                     }
-                    None => return self.broken(RefusalReason::TargetClosed),
+                    None => {
+                        let silent = next.is_err();
+                        let cause =
+                            if silent { AttemptCause::PartTimeout } else { AttemptCause::Closed };
+                        return self.broken(RefusalReason::TargetClosed, cause);
+                    }
                 },
             };
             if part.is_empty() {
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -4,13 +4,15 @@
 
 use std::time::{Duration, Instant};
 
-use curlewcleat_core::{AttemptEnd, StreamTiming};
+use curlewcleat_core::{AttemptEnd, StreamTiming, TargetId};
 
 /// What was seen of a request.
 #[derive(Default)]
 pub struct RequestProgress {
     /// Attempts sent.
     pub attempts: u32,
+    /// Target of the latest attempt.
+    pub target: Option<TargetId>,
     /// When the latest attempt was sent.
     pub sent: Option<Instant>,
     /// When the first part of the answer came.
@@ -35,8 +37,9 @@
 
 impl RequestProgress {
     /// An attempt is sent.
-    pub fn note_sent(&mut self) {
+    pub fn note_sent(&mut self, target: &TargetId) {
         self.attempts += 1;
+        self.target = Some(target.clone());
         self.sent = Some(Instant::now());
         self.attempt = AttemptProgress::default();
     }
@@ -59,6 +62,17 @@
         self.bytes += bytes as u64;
     }
 
+    /// Parts that came in the latest attempt.
+    pub fn attempt_parts(&self) -> u32 {
+        self.attempt.parts
+    }
+
+    /// Time since the latest attempt was sent or had a part.
+    pub fn target_silence(&self) -> Duration {
+        let part = self.latest.filter(|_| self.attempt.parts > 0);
+        part.or(self.sent).map_or(Duration::ZERO, |heard| heard.elapsed())
+    }
+
     /// What the target's scheduler learns of the latest attempt, which was sent then and is whole.
     pub fn stream_end(&self, sent: Instant) -> AttemptEnd {
         let attempt = &self.attempt;
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -21,6 +21,7 @@
 use super::admitted::AdmittedRequest;
 use super::answer::{AnswerChannel, AnswerContent, CallerAnswer};
 use super::attempt::{send, AttemptStart};
+use super::cause::AttemptCause;
 use super::form::AnswerForm;
 use super::problem::REQUEST_ID;
 use super::progress::RequestProgress;
@@ -38,11 +39,11 @@
     /// The request has its answer.
     Served(AttemptEnd),
     /// It goes to a further target, if the node has one.
-    Again(RetryReason),
+    Again(RetryReason, AttemptCause),
     /// It was not sent and is given up.
     NotSent(RefusalReason),
     /// It was sent and is given up.
-    Failed(AttemptEnd, RefusalReason),
+    Failed(AttemptEnd, RefusalReason, AttemptCause),
     /// The caller no longer reads its answer.
     Stalled,
 }
@@ -130,14 +131,13 @@
                     self.log_served(&target);
                     return self.end(end);
                 }
-                AttemptVerdict::Again(reason) => self.again(&target, reason),
+                AttemptVerdict::Again(reason, cause) => self.again(&target, reason, cause),
                 AttemptVerdict::NotSent(reason) => {
                     self.end(AttemptEnd::Unused);
                     return self.refuse(reason);
                 }
-                AttemptVerdict::Failed(end, reason) => {
-                    self.log_attempt(&target, reason.code());
-                    self.log_cut(&target);
+                AttemptVerdict::Failed(end, reason, cause) => {
+                    self.log_attempt(&target, reason.code(), cause);
                     self.end(end);
                     return self.refuse(reason);
                 }
@@ -170,7 +170,7 @@
         let metrics = &self.service.context.metrics;
         metrics.waited(waited, &self.request.tier, &self.request.pool.id);
         let sent = Instant::now();
-        self.progress.note_sent();
+        self.progress.note_sent(&target.id);
         // Whatever ends the wait from here on, the request may have run until its target says
         // otherwise.
         let before = std::mem::replace(&mut self.verdict, Verdict::MayHaveRun);
@@ -182,32 +182,34 @@
         };
         match send(self.service.protocol.as_ref(), attempt).await {
             AttemptStart::Answer(answer) => self.pass_on(*answer, target, sent).await,
-            AttemptStart::Failed(reason) => self.broken(reason),
-            AttemptStart::NotRun(reason) => {
+            AttemptStart::Failed(reason, cause) => self.broken(reason, cause),
+            AttemptStart::NotRun(reason, cause) => {
                 self.verdict = before;
                 if !self.caller.body.is_intact() {
-                    return AttemptVerdict::Failed(AttemptEnd::Failed, reason.final_refusal());
+                    let refusal = reason.final_refusal();
+                    return AttemptVerdict::Failed(AttemptEnd::Failed, refusal, cause);
                 }
-                AttemptVerdict::Again(reason)
+                AttemptVerdict::Again(reason, cause)
             }
         }
     }
 
     /// The attempt may have run and has no whole answer.
-    pub(super) fn broken(&mut self, reason: RefusalReason) -> AttemptVerdict {
+    pub(super) fn broken(&mut self, reason: RefusalReason, cause: AttemptCause) -> AttemptVerdict {
         self.form.restart();
         if let Some(fault) = self.caller.body.fault() {
             // The target is not to blame for what the caller sent.
-            return AttemptVerdict::Failed(AttemptEnd::Unused, fault.reason());
+            let (end, cause) = (AttemptEnd::Unused, AttemptCause::CallerBody);
+            return AttemptVerdict::Failed(end, fault.reason(), cause);
         }
         if self.protocol().may_repeat(&self.request) {
-            return AttemptVerdict::Again(RetryReason::StreamResumed);
+            return AttemptVerdict::Again(RetryReason::StreamResumed, cause);
         }
-        AttemptVerdict::Failed(AttemptEnd::Failed, reason)
+        AttemptVerdict::Failed(AttemptEnd::Failed, reason, cause)
     }
 
-    fn again(&mut self, target: &TargetEntry, reason: RetryReason) {
-        self.log_attempt(target, reason.code());
+    fn again(&mut self, target: &TargetEntry, reason: RetryReason, cause: AttemptCause) {
+        self.log_attempt(target, reason.code(), cause);
         if let Some(pending) = &self.pending {
             pending.not_run(AttemptEnd::Failed, reason);
         }
@@ -252,12 +254,13 @@
         refusal.verdict = refusal.verdict.join(self.verdict);
         let request = &self.request;
         note_refusal(&self.service, request.id, &request.attempt_id, Some(request), &refusal);
-        if !self.answer.has_begun() {
-            let fallback = self.fallback.take();
-            let answer =
-                fallback.unwrap_or_else(|| self.protocol().refusal_answer(request.id, &refusal));
-            self.answer.begin(answer);
+        if self.answer.has_begun() {
+            return self.log_cut(refusal.reason);
         }
+        let fallback = self.fallback.take();
+        let answer =
+            fallback.unwrap_or_else(|| self.protocol().refusal_answer(request.id, &refusal));
+        self.answer.begin(answer);
     }
 }
 
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -5,11 +5,12 @@
 
 use std::time::Instant;
 
-use curlewcleat_core::{Refusal, RequestId, TargetEntry};
+use curlewcleat_core::{Refusal, RefusalReason, RequestId, TargetEntry};
 use spdlog::prelude::*;
 
 use super::RequestRun;
 use crate::request::admitted::AdmittedRequest;
+use crate::request::cause::AttemptCause;
 use crate::request::RequestService;
 
 impl RequestRun {
@@ -32,20 +33,21 @@
         });
     }
 
-    pub(super) fn log_attempt(&self, target: &TargetEntry, reason: &str) {
+    pub(super) fn log_attempt(&self, target: &TargetEntry, reason: &str, cause: AttemptCause) {
         info!("attempt_failed", kv: {
             request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
-            target = target.id.as_str(), reason
+            target = target.id.as_str(), reason, cause = cause.code(),
+            silent_ms = self.progress.target_silence().as_millis() as i64,
+            parts = self.progress.attempt_parts(), answer_begun = self.answer.has_begun()
         });
     }
 
-    pub(super) fn log_cut(&self, target: &TargetEntry) {
-        if !self.answer.has_begun() {
-            return;
-        }
+    /// An answer that has begun is cut, since the request is given up for this reason.
+    pub(super) fn log_cut(&self, reason: RefusalReason) {
         warn!("answer_cut", kv: {
-            request = self.request.id.to_string(), target = target.id.as_str(),
-            offset = self.progress.bytes
+            request = self.request.id.to_string(),
+            target = self.progress.target.as_deref().unwrap_or_default(),
+            offset = self.progress.bytes, reason = reason.code()
         });
     }
 }
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -90,6 +90,7 @@
                 | EntryAction::HoldPermit(..)
                 | EntryAction::Replay(..)
                 | EntryAction::ReportKey(_)
+                | EntryAction::RetryDenied(..)
                 | EntryAction::Count(_) => {}
             }
         }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -9,7 +9,7 @@
     TargetEntry, TargetId, TargetReport, Uptime, Verdict, VmId,
 };
 use curlewcleat_keys::KeyTable;
-use curlewcleat_sched::RequestSpec;
+use curlewcleat_sched::{RequestSpec, RetryBound};
 
 use crate::freshness::ReadRole;
 use crate::status::PoolStatus;
@@ -134,6 +134,8 @@
     ConfigNotPacked(Generation, String),
     /// A configuration that came from peers cannot be unpacked.
     ConfigUnreadable(Generation, String),
+    /// A request is not tried again.
+    RetryDenied(RequestId, RetryBound),
     /// A peer became unreachable.
     PeerLost(DaemonId),
     /// A peer's VM has started a new daemon.
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -12,7 +12,7 @@
 use curlewcleat_sched::{rate_advice, EntryAction, RatePart, RateTurn, RequestSpec};
 
 use super::{order_of, Node};
-use crate::event::{CallerDecision, NodeAction};
+use crate::event::{CallerDecision, NodeAction, NodeNote};
 
 /// Share of the request limit, in percent, that each tier may use less than the one above it, so that
 /// an entry that fills up refuses the lowest tier first.
@@ -129,6 +129,9 @@
                     self.actions.push(NodeAction::Decide(id, CallerDecision::Replay(answer)));
                 }
                 EntryAction::Count(reason) => self.actions.push(NodeAction::Count(reason)),
+                EntryAction::RetryDenied(id, bound) => {
+                    self.actions.push(NodeAction::Note(NodeNote::RetryDenied(id, bound)));
+                }
             }
         }
     }
--- a/crates/sched/src/entry/action.rs
+++ b/crates/sched/src/entry/action.rs
@@ -5,6 +5,8 @@
     RequestId, RetryReason, TargetId, VmId,
 };
 
+use crate::retry::RetryBound;
+
 /// What an entry wants done.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum EntryAction {
@@ -31,4 +33,6 @@
     Replay(RequestId, KeptAnswer),
     /// Count a retry.
     Count(RetryReason),
+    /// Note that a request is not tried again, and what keeps it from that.
+    RetryDenied(RequestId, RetryBound),
 }
--- a/crates/sched/src/entry/permits.rs
+++ b/crates/sched/src/entry/permits.rs
@@ -67,6 +67,7 @@
                 if let Some(request) = self.requests.remove(&id) {
                     actions.extend(request.report(Verdict::NotRun, None));
                 }
+                actions.push(EntryAction::RetryDenied(id, input.bound(now)));
                 let refusal = Refusal::not_run(reason, Some(DEFAULT_ADVICE));
                 actions.push(EntryAction::Refuse(id, refusal));
             }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -44,4 +44,4 @@
 pub use placement::target::TargetState;
 pub use pool::{PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
 pub use retry::budget::{RetryBudget, RetryLimits};
-pub use retry::{decide_retry, RetryDecision, RetryInput};
+pub use retry::{decide_retry, RetryBound, RetryDecision, RetryInput};
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -39,6 +39,41 @@
     GiveUp(RefusalReason),
 }
 
+/// What keeps a request from being tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RetryBound {
+    /// Its deadline has passed.
+    Deadline,
+    /// It was sent to as many targets as its rule allows.
+    Attempts,
+    /// There is no room in the retry budget.
+    Budget,
+}
+
+impl RetryBound {
+    /// The code used in logs.
+    pub fn code(self) -> &'static str {
+        match self {
+            RetryBound::Deadline => "deadline",
+            RetryBound::Attempts => "attempts",
+            RetryBound::Budget => "budget",
+        }
+    }
+}
+
+impl RetryInput {
+    /// What keeps the request from being tried again once [`decide_retry`] has given it up.
+    pub fn bound(&self, now: Uptime) -> RetryBound {
+        if now >= self.deadline {
+            return RetryBound::Deadline;
+        }
+        match self.attempts < self.attempt_limit {
+            true => RetryBound::Budget,
+            false => RetryBound::Attempts,
+        }
+    }
+}
+
 /// Decides, and spends from the budget where the request is tried again.
 pub fn decide_retry(now: Uptime, input: RetryInput, budget: &mut RetryBudget) -> RetryDecision {
     if input.reason == RetryReason::TargetUnknown {
