A silent target counts as failed once another one is asked for

Cause: since a silent target is left only for another one, its failure reached the scheduler only with that grant; under overload that takes seconds, in which an ended target is given further requests and is not ejected. Change: a request that has a permit and asks for another one marks the target of the first as failed, once. The new case of replacement.rs fails without it.

--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -88,6 +88,7 @@
                 output_work: waiting.request.output_work,
                 backlog,
                 confirmed: now,
+                silent: false,
             };
             self.permits.insert(permit, record);
             actions.push(self.answer(waiting.entry, permit, PermitDecision::Granted(target)));
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -127,6 +127,7 @@
         if self.queues.contains(&request.permit) {
             return vec![self.answer(entry, request.permit, PermitDecision::Queued)];
         }
+        self.note_silent(now, &request);
         let mut actions = Vec::new();
         let in_time_until = match self.admit(now, &request, &mut actions) {
             Ok(in_time_until) => in_time_until,
@@ -186,6 +187,7 @@
             output_work,
             backlog: Duration::ZERO,
             confirmed: now,
+            silent: false,
         };
         self.permits.insert(held.request.permit, record);
     }
@@ -254,9 +256,29 @@
         self.options.lowest
     }
 
-    fn settle(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
+    /// A request that still has a permit and asks for another one is at a target that is silent. That target has
+    /// failed now, not only once the request can leave it: under overload that takes seconds, in which an
+    /// ended target would be given further requests.
+    fn note_silent(&mut self, now: Uptime, request: &PermitRequest) {
+        let may_eject = self.may_eject();
+        let first = PermitId { attempt: 0, ..request.permit };
+        for (_, record) in self.permits.range_mut(first..request.permit) {
+            if std::mem::replace(&mut record.silent, true) {
+                continue;
+            }
+            if let Some(state) = self.targets.get_mut(&record.target) {
+                state.failed(now, may_eject);
+            }
+        }
+    }
+
+    fn may_eject(&self) -> bool {
         let ejected = self.targets.values().filter(|target| target.ejected()).count();
-        let may_eject = may_eject_one_more(ejected, self.targets.len());
+        may_eject_one_more(ejected, self.targets.len())
+    }
+
+    fn settle(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
+        let may_eject = self.may_eject();
         let Some(state) = self.targets.get_mut(&record.target) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         match end {
@@ -270,6 +292,8 @@
                 state.pace.learn(now, record.prompt_work, record.output_work, &seen);
                 self.pace.learn(now, record.prompt_work, record.output_work, &seen);
             }
+            // Counted when its request asked for another one.
+            AttemptEnd::Failed if record.silent => {}
             AttemptEnd::Failed => state.failed(now, may_eject),
         }
     }
--- a/crates/sched/tests/replacement.rs
+++ b/crates/sched/tests/replacement.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AttemptEnd, DaemonId, PermitAnswer, PermitDecision, PermitReturn, Refusal, RefusalReason,
-    RequestId, RetryReason, TargetEntry, TargetId, TargetPool, Uptime, Verdict,
+    AttemptEnd, DaemonId, LatencyObjectives, PermitAnswer, PermitDecision, PermitId, PermitRequest,
+    PermitReturn, Refusal, RefusalReason, RequestId, RetryReason, TargetEntry, TargetId,
+    TargetPool, Uptime, Verdict,
 };
 use curlewcleat_sched::{
     EntryAction, EntryOptions, EntryRequests, PoolOptions, PoolScheduler, ReplacementStep,
@@ -385,7 +386,7 @@
     let mut machines = silent(1, 1);
     let target = machines.target.clone().expect("a target");
     machines.node_gets();
-    let permit = curlewcleat_core::PermitId { request: ID, attempt: 0 };
+    let permit = PermitId { request: ID, attempt: 0 };
     let decision = PermitDecision::Granted(target);
     let answer = PermitAnswer { permit, pool: POOL.to_string(), decision };
     machines.answered[0].push_front(answer);
@@ -406,3 +407,63 @@
     assert_eq!(machines.refusals.len(), 1);
     assert_eq!(machines.refusals[0].0.reason, RefusalReason::NoTarget);
 }
+
+/// Under overload nothing is granted for seconds. A target whose requests ask for another one is ejected all the same,
+/// and what it fails then is not counted twice.
+#[test]
+fn silent_target_is_ejected_before_another_one_has_room() {
+    let mut scheduler = PoolScheduler::new(POOL.to_string(), PoolOptions::default());
+    let entries = ["t0", "t1"].map(|id| {
+        let entry = TargetEntry {
+            id: id.to_string(),
+            vm: id.to_string(),
+            slots: 3,
+            ..TargetEntry::default()
+        };
+        (id.to_string(), entry)
+    });
+    let pool = TargetPool {
+        id: POOL.to_string(),
+        targets: entries.into_iter().collect(),
+        ..TargetPool::default()
+    };
+    scheduler.configure(PoolOptions::default(), &pool);
+    let now = Duration::from_secs(1);
+    for number in 0..6 {
+        scheduler.request_permit(now, daemon(0), ask(number, 0, &[]));
+    }
+    let at_first: Vec<PermitId> = permits_at(&scheduler, "t0");
+    assert_eq!(at_first.len(), 3);
+    for permit in &at_first {
+        let again = ask(permit.request.as_u128(), 1, &["t0"]);
+        let actions = scheduler.request_permit(now, daemon(0), again);
+        assert_eq!(actions[0].answer.decision, PermitDecision::Queued);
+    }
+    assert!(scheduler.targets()["t0"].ejected());
+    for permit in at_first {
+        let end = AttemptEnd::Failed;
+        scheduler.give_back(now, &PermitReturn { permit, pool: POOL.to_string(), end });
+    }
+    assert!(scheduler.targets()["t0"].usable(now + Duration::from_secs(2)));
+}
+
+fn ask(number: u128, attempt: u32, avoid: &[&str]) -> PermitRequest {
+    PermitRequest {
+        permit: PermitId { request: RequestId::from_u128(number), attempt },
+        pool: POOL.to_string(),
+        tier: 0,
+        account: "a".to_string(),
+        cost: 1,
+        objectives: LatencyObjectives::default(),
+        time_left: TIME,
+        prompt_work: 0,
+        output_work: 1_000,
+        prefix: None,
+        avoid: avoid.iter().map(|id| id.to_string()).collect(),
+    }
+}
+
+fn permits_at(scheduler: &PoolScheduler, target: &str) -> Vec<PermitId> {
+    let permits = scheduler.permits().iter();
+    permits.filter(|(_, record)| record.target == target).map(|(permit, _)| *permit).collect()
+}
