Explain: entries that named no target, where a request missed one

Cause: the daemons that read the platform note an unusable entry, perhaps long before; the daemon that refuses for want of a target says nothing of it. Change: lines of all logs up to the request's end are read for entries whose fault has not ended, and the cause of a refusal for want of targets names their number and the last one.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -5,6 +5,7 @@
 use curlewcleat_core::RefusalReason;
 use serde::Serialize;
 
+use crate::entries::unusable_text;
 use crate::line::LogLine;
 
 /// A cause, and where to read on.
@@ -92,8 +93,8 @@
 }
 
 /// The most likely cause: the reason of the refusal, made sharper by failed attempts and by what the
-/// daemon had noted.
-pub fn likely_cause(own: &[&LogLine], lines: &[&LogLine]) -> LikelyCause {
+/// daemon had noted; where targets were too few, also by the entries that named none.
+pub fn likely_cause(own: &[&LogLine], lines: &[&LogLine], unusable: &[&LogLine]) -> LikelyCause {
     let refused = own.iter().rev().find(|line| line.event == "request_refused");
     let failed: Vec<&&LogLine> = own.iter().filter(|line| line.event == "attempt_failed").collect();
     let Some(refused) = refused else {
@@ -117,9 +118,21 @@
             text.push_str(&format!("; the store answered: {}", lost.text("error")));
         }
     }
+    if known.is_some_and(is_for_want_of_targets) {
+        text.push_str(&unusable_text(unusable));
+    }
     LikelyCause { text, page: format!("docs/OPERATIONS.md, {section}") }
 }
 
+/// Whether more targets would have served the request.
+fn is_for_want_of_targets(reason: RefusalReason) -> bool {
+    use RefusalReason::*;
+    matches!(
+        reason,
+        NoTarget | WaitTooLong | QueueFull | TierShed | ShedForHigherTier | DeadlineUnreachable
+    )
+}
+
 fn without_refusal(own: &[&LogLine], failed: &[&&LogLine]) -> LikelyCause {
     let page = "docs/OPERATIONS.md, Broken off by a target".to_string();
     let served = own.iter().any(|line| line.event == "request_served");
--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -5,6 +5,7 @@
 //! cause.
 
 mod cause;
+mod entries;
 mod line;
 mod merged;
 mod story;
--- a/crates/explain/src/story.rs
+++ b/crates/explain/src/story.rs
@@ -7,12 +7,13 @@
 use serde::Serialize;
 
 use crate::cause::{likely_cause, LikelyCause};
+use crate::entries::{unusable_targets, ENTRY_FAULT_ENDED, ENTRY_UNUSABLE};
 use crate::line::LogLine;
 
 /// Time before a request's first line from which the state of its daemon is shown.
 const BEFORE_MS: u64 = 10_000;
 /// Events that change what a daemon believes.
-const STATE_EVENTS: [&str; 12] = [
+const STATE_EVENTS: [&str; 14] = [
     "started",
     "drain_begun",
     "drain_closing",
@@ -25,6 +26,8 @@
     "peer_replaced",
     "pool_waits",
     "accept_failed",
+    ENTRY_UNUSABLE,
+    ENTRY_FAULT_ENDED,
 ];
 
 /// One step of a story.
@@ -62,6 +65,7 @@
         let first = own.iter().map(|line| line.at_ms).min()?;
         let last = own.iter().map(|line| line.at_ms).max()?;
         let begin = first.saturating_sub(held_ms(&own));
+        let unusable = unusable_targets(lines, last);
         let sources: BTreeSet<&str> = own.iter().map(|line| line.source.as_str()).collect();
         let states = lines.iter().filter(|line| {
             STATE_EVENTS.contains(&line.event.as_str())
@@ -82,7 +86,7 @@
             id: id.to_string(),
             steps: steps.collect(),
             outcome,
-            cause: likely_cause(&own, &lines),
+            cause: likely_cause(&own, &lines, &unusable),
         })
     }
 
--- a/crates/explain/tests/stories.rs
+++ b/crates/explain/tests/stories.rs
@@ -118,3 +118,22 @@
         assert!(known, "{}: no section {section}", reason.code());
     }
 }
+
+/// The daemons that read the platform note an entry that names no target, long before a request misses it.
+#[rstest]
+#[case::still("", "naming no target to use: 1, the last i-7 (address)")]
+#[case::mended("entry_fault_ended", "")]
+fn refusal_for_want_of_targets_names_unusable_entries(#[case] later: &str, #[case] expected: &str) {
+    let fields = "\"kind\":\"target\",\"entry\":\"i-7\",\"reason\":\"address\"";
+    let mut noted = line(1_000, "entry_unusable", fields);
+    if !later.is_empty() {
+        noted += &line(2_000, later, "\"kind\":\"target\",\"entry\":\"i-7\"");
+    }
+    let mut log = MergedLog::default();
+    log.read("reader.log", &noted);
+    let refused = request("\"reason\":\"no_target\",\"may_have_run\":false,\"held_ms\":0");
+    log.read("vm-1.log", &line(90_000, "request_refused", &refused));
+    let cause = log.story("r1").expect("a story").cause.text;
+    assert!(cause.contains(expected), "{cause}");
+    assert_eq!(cause.contains("i-7"), later.is_empty(), "{cause}");
+}
