Entries of another writer: each is decoded out of its own bytes, and one that cannot be read names no target

Cause: pages, watches and objects were parsed as a whole, so that one entry without spec, or with bytes that are no UTF-8, a number out of range or deep nesting, made the list or the watch an unreadable answer; an entry that became unreadable while watched was left out of the changes, and its target used on as it was. Change: platform/src/entries/split.rs finds where values end by brackets and quotes alone; each entry is then decoded by itself. One that cannot be read, or has an unknown state or an address that is none, is present as a target of no pool (DiscoveredTarget::unusable), which replaces what its id named before, also after an outage and at peers of an earlier state of the code; the peer messages keep their bytes. An unknown state counted as leaving before; one that is known again is used again now. Records of daemons likewise; the configuration stays whole or not at all. A name stands percent-encoded in the query of the next page. Log lines entry_unusable, entry_fault_ended (once an entry and reason, 20 an answer) and entry_lines_left_out, counter unusable_entries_total{kind,reason}; golden files gain these names only. Tests: discovered_target takes an Entry, so tests/formats.rs builds one around its spec; what it asserts stays.

--- a/crates/acceptance/tests/fleet.rs
+++ b/crates/acceptance/tests/fleet.rs
@@ -401,6 +401,45 @@
     Ok(())
 }
 
+/// The entry of an engine that another writer overwrites: its engine was used on as it was before, since an
+/// entry that could not be read was left out of the changes of a watch.
+#[rstest]
+#[case::fields("fields", json!({"backend": 7}))]
+#[case::state("state", json!({"backend": "records", "address": "127.0.0.1:1", "zone": "z", "slots": 4,
+    "state": "retired"}))]
+#[case::address("address", json!({"backend": "records", "address": "nowhere", "zone": "z", "slots": 4,
+    "state": "ready"}))]
+#[case::service("service", json!({"backend": "else", "address": "127.0.0.1:1", "zone": "z", "slots": 4,
+    "state": "ready"}))]
+#[actix_rt::test]
+async fn entry_that_names_no_target_is_not_used(
+    #[case] reason: &str,
+    #[case] spec: serde_json::Value,
+) -> Result<()> {
+    let fleet = ready(&format!("unusable-{reason}"), 1, 2, 0).await?;
+    let daemon = &fleet.daemons[0];
+    let late = |index: usize, mark: char| {
+        fleet.engines[index].runs().iter().filter(|run| run.attempt.starts_with(mark)).count()
+    };
+    let counted =
+        format!("curlewcleat_unusable_entries_total{{kind=\"target\",reason=\"{reason}\"}} 1\n");
+    fleet.store.put(SERVERS, "i-0", spec);
+    wait_until("the entry is noted", || async {
+        get_text(&daemon.operators, "/metrics").await.is_ok_and(|text| text.contains(&counted))
+    })
+    .await?;
+    for number in 0..10 {
+        let answer = Call::new("/once/a", &format!("t{number}")).send(&daemon.callers).await?;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!((late(0, 't'), late(1, 't')), (0, 10));
+    fleet.announce("i-0", "records", &fleet.engine_addresses[0], "ready")?;
+    wait_until("the entry is used again", || async {
+        Call::new("/once/a", "u").send(&daemon.callers).await.is_ok() && late(0, 'u') > 0
+    })
+    .await
+}
+
 #[actix_rt::test]
 async fn address_that_is_used_again_runs_nothing_that_is_meant_for_another() -> Result<()> {
     let fleet = ready("reused", 1, 2, 0).await?;
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -156,6 +156,16 @@
     pub leaving: bool,
 }
 
+impl DiscoveredTarget {
+    /// An entry that names no target to use. It belongs to no pool, so that nothing is sent there; it is
+    /// present, so that the target which its id named before is replaced and not merely missing: one that
+    /// is missing after an outage is used until it is back.
+    pub fn unusable(id: TargetId) -> DiscoveredTarget {
+        let entry = TargetEntry { vm: id.clone(), id, ..TargetEntry::default() };
+        DiscoveredTarget { pool: PoolId::new(), entry, leaving: false }
+    }
+}
+
 /// A daemon as it is recorded at the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct DaemonRecord {
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -5,22 +5,24 @@
 //!
 //! Owns: the reads of the platform. Relies on: the node for whether this daemon reads.
 
+mod faults;
 mod peers;
+mod targets;
 #[cfg(test)]
 mod tests;
 
-use std::cell::Cell;
-use std::future::pending;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use curlewcleat_core::{DaemonRecord, Generation, ObjectVersion};
 use curlewcleat_node::{FreshnessLimits, NodeEvent, ReadRole};
-use curlewcleat_store::{ConfigRead, Error, FleetPlatform, ListAge, TargetWatch};
+use curlewcleat_store::{ConfigRead, Error, FleetPlatform};
 use rand::Rng;
 use spdlog::prelude::*;
 use tokio::sync::{watch, Notify};
 
+use self::faults::EntryFaults;
 use super::FleetLink;
 use crate::back_off::{BackOff, BackOffOptions};
 use crate::context::DaemonContext;
@@ -41,13 +43,6 @@
 /// Least time between two calls of one loop.
 /// Chosen, not measured.
 const FLOOR: Duration = Duration::from_millis(50);
-/// Watches within the time between two reads at most, so that consecutive changes arrive in one
-/// answer.
-const WATCHES_PER_READ: u32 = 2;
-/// Longest wait of a watch.
-/// Chosen, not measured.
-const WATCH_LIMIT: Duration = Duration::from_secs(20);
-
 /// What the tasks share.
 struct FleetFollower {
     platform: Rc<dyn FleetPlatform>,
@@ -58,6 +53,10 @@
     failures: Cell<u64>,
     /// An own read has succeeded.
     read: Notify,
+    /// Entries that name no target.
+    target_faults: RefCell<EntryFaults>,
+    /// Entries that record no daemon.
+    daemon_faults: RefCell<EntryFaults>,
 }
 
 /// Starts the tasks on this arbiter.
@@ -75,6 +74,8 @@
         limits,
         failures: Cell::new(0),
         read: Notify::new(),
+        target_faults: RefCell::default(),
+        daemon_faults: RefCell::default(),
     });
     actix_rt::spawn(Rc::clone(&follower).follow_config());
     actix_rt::spawn(Rc::clone(&follower).follow_targets());
@@ -149,98 +150,6 @@
         self.context.tell(NodeEvent::PlatformRead(self.context.uptime_at(sent)));
         self.read.notify_waiters();
     }
-
-    /// While this daemon reads: lists the targets, then watches; lists again when the history is gone
-    /// or the watch may be deaf.
-    async fn follow_targets(self: Rc<Self>) {
-        let mut role = self.link.read_role();
-        let mut pause = BackOff::new(BACK_OFF);
-        // A new daemon needs some targets at once; what has changed lately it learns from a watch or a peer.
-        let mut age = ListAge::Seconds;
-        loop {
-            if age == ListAge::Newest && !self.until_list(&mut role).await {
-                continue;
-            }
-            self.context.metrics.platform_call("list_targets");
-            match self.platform.list_targets(std::mem::replace(&mut age, ListAge::Newest)).await {
-                Ok(list) => {
-                    pause.reset();
-                    self.context.tell(NodeEvent::TargetsListed(list.targets, list.revision));
-                    tokio::select! {
-                        _ = self.watch_targets(list.revision) => {}
-                        _ = until_resting(&mut role) => {}
-                    }
-                }
-                Err(error) => {
-                    pause.failed("list_targets", &error, &self.context);
-                    pause.wait_until(READER_PAUSE, pending()).await;
-                }
-            }
-            // There is no use in listing while nothing can be read.
-            if self.link.freshness.is_failing() {
-                self.read.notified().await;
-            }
-            tokio::time::sleep(FLOOR).await;
-        }
-    }
-
-    /// Watches until the list has to be read again.
-    async fn watch_targets(&self, mut revision: ObjectVersion) {
-        let mut pause = BackOff::new(BACK_OFF);
-        let floor = self.limits.read_every / WATCHES_PER_READ;
-        // A new daemon finds by then that others read for it.
-        tokio::time::sleep(self.limits.read_every).await;
-        loop {
-            let begun = Instant::now();
-            self.context.metrics.platform_call("watch_targets");
-            let watch = self.platform.watch_targets(revision, WATCH_LIMIT);
-            let watched = tokio::select! {
-                watched = watch => watched,
-                _ = self.outage() => return,
-            };
-            match watched {
-                Ok(TargetWatch::Changes(changes, at)) => {
-                    if changes.is_empty() {
-                        after_quiet_watch(&mut pause, begun).await;
-                    } else {
-                        pause.reset();
-                    }
-                    let from = revision;
-                    revision = at;
-                    self.context.tell(NodeEvent::TargetsChanged { from, changes, at });
-                }
-                Ok(TargetWatch::HistoryGone) => return,
-                Err(error) => {
-                    self.context.metrics.platform_error("watch_targets");
-                    debug!("platform_call_failed", kv: { call = "watch_targets", error = error.to_string() });
-                    return;
-                }
-            }
-            tokio::time::sleep(floor.saturating_sub(begun.elapsed())).await;
-        }
-    }
-
-    /// Ends when an own read succeeds after one has failed; a watch that was open during the outage may
-    /// deliver nothing more.
-    async fn outage(&self) {
-        let before = self.failures.get();
-        while self.failures.get() == before {
-            self.read.notified().await;
-        }
-    }
-
-    /// Waits until the targets have to be listed again: at once by a reader, by others once a read of their own
-    /// has succeeded. Returns whether that is so still.
-    async fn until_list(&self, role: &mut watch::Receiver<ReadRole>) -> bool {
-        until_reading(role).await;
-        if *role.borrow() == ReadRole::Reader {
-            return true;
-        }
-        tokio::select! {
-            _ = self.read.notified() => *role.borrow() != ReadRole::Idle,
-            _ = until_not_fallback(role) => false,
-        }
-    }
 }
 
 /// Time between two reads. Where the newest configuration does not pass the checks no daemon can prove the
@@ -252,15 +161,6 @@
     }
 }
 
-/// A watch that delivers nothing should have waited; one that returned at once is repeated later and
-/// later.
-async fn after_quiet_watch(pause: &mut BackOff, begun: Instant) {
-    if begun.elapsed() >= WATCH_LIMIT / 2 {
-        return pause.reset();
-    }
-    pause.wait_until(READER_PAUSE, pending()).await;
-}
-
 /// Ends when this daemon has to read the platform.
 async fn until_reading(role: &mut watch::Receiver<ReadRole>) {
     // The sender lives as long as the process.
@@ -283,9 +183,3 @@
     // The sender lives as long as the process.
     let _ = role.wait_for(|role| *role != ReadRole::Fallback).await;
 }
-
-/// Ends when others read the platform for this daemon.
-async fn until_resting(role: &mut watch::Receiver<ReadRole>) {
-    // The sender lives as long as the process.
-    let _ = role.wait_for(|role| *role == ReadRole::Idle).await;
-}
--- a/crates/daemon/src/fleet/follow/peers.rs
+++ b/crates/daemon/src/fleet/follow/peers.rs
@@ -21,6 +21,8 @@
 const LIST_AGAIN: Duration = Duration::from_secs(300);
 /// Part of that time that passes at least; daemons that begin together list apart from then on.
 const LIST_JITTER: RangeInclusive<f64> = 0.5..=1.0;
+/// What records of daemons are called in logs and metrics.
+const ENTRY_KIND: &str = "daemon";
 
 impl FleetFollower {
     /// Makes this daemon known, learns of the others, and now and then how many there are by now.
@@ -67,7 +69,10 @@
 
     async fn recorded_daemons(&self, age: ListAge) -> Result<Vec<DaemonRecord>> {
         self.context.metrics.platform_call("list_daemons");
-        self.platform.list_daemons(age).await
+        let list = self.platform.list_daemons(age).await?;
+        let news = self.daemon_faults.borrow_mut().listed(list.faults);
+        news.report(ENTRY_KIND, &self.context.metrics);
+        Ok(list.daemons)
     }
 
     async fn record(&self, record: &DaemonRecord) -> Result<()> {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -11,6 +11,7 @@
 use curlewcleat_core::{RefusalReason, RetryReason, Verdict};
 use curlewcleat_node::NodeStatus;
 use curlewcleat_peers::TransportCounts;
+use curlewcleat_store::FaultReason;
 use prometheus::{HistogramVec, IntCounter, IntCounterVec};
 use spdlog::prelude::*;
 
@@ -31,6 +32,7 @@
     reserved_headers: IntCounter,
     platform_calls: IntCounterVec,
     platform_errors: IntCounterVec,
+    unusable_entries: IntCounterVec,
     reports: IntCounterVec,
     gauges: StatusGauges,
 }
@@ -65,6 +67,11 @@
             )?,
             platform_calls: count("platform_calls_total", "Calls of the platform", &["call"])?,
             platform_errors: count("platform_errors_total", "Failed platform calls", &["call"])?,
+            unusable_entries: count(
+                "unusable_entries_total",
+                "Entries of the platform that came to name nothing to use, by reason",
+                &["kind", "reason"],
+            )?,
             reports: count("target_reports_total", "Reports of targets", &["result"])?,
             gauges: StatusGauges::new(&registry, counts)?,
             registry,
@@ -75,6 +82,11 @@
         for reason in RetryReason::ALL {
             metrics.retries.with_label_values(&[reason.code()]);
         }
+        for reason in FaultReason::ALL {
+            for kind in ["target", "daemon"] {
+                metrics.unusable_entries.with_label_values(&[kind, reason.code()]);
+            }
+        }
         Ok(metrics)
     }
 
@@ -139,6 +151,11 @@
         self.platform_calls.with_label_values(&[call]).inc();
     }
 
+    /// An entry of the platform came to name nothing to use, or does so for another reason.
+    pub fn unusable_entry(&self, kind: &str, reason: FaultReason) {
+        self.unusable_entries.with_label_values(&[kind, reason.code()]).inc();
+    }
+
     /// A call of the platform failed.
     pub fn platform_error(&self, call: &str) {
         self.platform_errors.with_label_values(&[call]).inc();
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use curlewcleat_core::{ConfigBundle, DaemonRecord, DiscoveredTarget, ObjectVersion, TargetChange};
 
+use crate::entry_fault::EntryFault;
 use crate::store::StoreFuture;
 
 /// What a read of the configuration gave.
@@ -32,17 +33,29 @@
 /// All targets at one revision of the platform.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TargetList {
-    /// The targets.
+    /// The targets; an entry that names none stands here as [`DiscoveredTarget::unusable`].
     pub targets: Vec<DiscoveredTarget>,
     /// The revision, from which a watch goes on.
     pub revision: ObjectVersion,
+    /// The entries that name no target.
+    pub faults: Vec<EntryFault>,
+}
+
+/// The recorded daemons.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DaemonList {
+    /// The records.
+    pub daemons: Vec<DaemonRecord>,
+    /// The entries that are no record.
+    pub faults: Vec<EntryFault>,
 }
 
 /// What a watch of the targets gave.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TargetWatch {
-    /// Changes in order, and the revision after them.
-    Changes(Vec<TargetChange>, ObjectVersion),
+    /// Changes in order, the revision after them, and the entries among them that name no target. Such an
+    /// entry is present as [`DiscoveredTarget::unusable`] where it has a name.
+    Changes(Vec<TargetChange>, ObjectVersion, Vec<EntryFault>),
     /// The platform has forgotten what came after the revision; the list has to be read again.
     HistoryGone,
 }
@@ -65,7 +78,7 @@
     fn record_daemon<'a>(&'a self, record: &'a DaemonRecord) -> StoreFuture<'a, ()>;
 
     /// Reads the recorded daemons; they may have ended.
-    fn list_daemons(&self, age: ListAge) -> StoreFuture<'_, Vec<DaemonRecord>>;
+    fn list_daemons(&self, age: ListAge) -> StoreFuture<'_, DaemonList>;
 }
 
 /// Names of headers with which callers, daemons and targets of a fleet talk. All are in lower case.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,13 +6,17 @@
 
 mod applying;
 mod client;
+mod entry_fault;
 mod fleet;
 mod http;
 mod store;
 
 pub use applying::run_apply;
 pub use client::{StoreClient, StoreReply, StoreRequest};
-pub use fleet::{ConfigRead, FleetPlatform, ListAge, TargetList, TargetWatch, WireProfile};
+pub use entry_fault::{EntryFault, FaultReason};
+pub use fleet::{
+    ConfigRead, DaemonList, FleetPlatform, ListAge, TargetList, TargetWatch, WireProfile,
+};
 pub use http::HttpStore;
 pub use store::{
     Error, ObjectStore, PutOutcome, Result, StoreFuture, StoredObject, VmRecord, VmState,
