A retry that was counted and not made is taken back where it was counted

Cause: the refund took a retry off the newest part of the window that had one. What was counted for a silent target's request may lie in an older part, or have left the window: a retry that was made then left the count too early, and the bound was passed.

Measured: budgets.rs, refund_takes_back_the_retry_that_was_not_made: failed before (three retries at 9, 10 and 13 s with room for two in 10 s), passes now; so does refund_after_the_window_takes_no_other_retry_back (new). All tests of sched passed.

--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -97,6 +97,7 @@
             unresponsive: Vec::new(),
             failed: None,
             kept: None,
+            wanted: now,
             phase,
         };
         let claim = request.claim();
@@ -145,7 +146,7 @@
         if let Some(kept) = request.kept.take() {
             // The silent target has answered after all; the other one was not asked.
             actions.extend(request.return_permit(AttemptEnd::Unused));
-            self.budget_of(&request.spec.pool).refund();
+            self.budget_of(&request.spec.pool).refund(request.wanted);
             request.phase = RequestPhase::Dispatched(kept);
         }
         actions.extend(request.return_permit(end));
--- a/crates/sched/src/entry/replacement.rs
+++ b/crates/sched/src/entry/replacement.rs
@@ -67,6 +67,7 @@
             request.avoid_target(&used.target);
             request.note_not_run(RetryReason::StreamResumed);
             request.kept = Some(used);
+            request.wanted = now;
         }
         self.request_permit(now, id, order)
     }
@@ -112,8 +113,8 @@
         let Some(kept) = request.kept.take() else { return false };
         request.unsent += 1;
         request.phase = RequestPhase::Dispatched(kept);
-        let pool = request.spec.pool.clone();
-        self.budget_of(&pool).refund();
+        let (pool, wanted) = (request.spec.pool.clone(), request.wanted);
+        self.budget_of(&pool).refund(wanted);
         true
     }
 
--- a/crates/sched/src/entry/request.rs
+++ b/crates/sched/src/entry/request.rs
@@ -69,6 +69,8 @@
     /// Permit of the silent target that has the request while another one is asked for; the phase is then that
     /// of the other one.
     pub kept: Option<UsedPermit>,
+    /// When the other target was first asked for, and a retry counted.
+    pub wanted: Uptime,
     pub phase: RequestPhase,
 }
 
--- a/crates/sched/src/retry/budget.rs
+++ b/crates/sched/src/retry/budget.rs
@@ -94,10 +94,11 @@
         true
     }
 
-    /// A retry that was counted is not made.
-    pub fn refund(&mut self) {
-        if let Some(part) = self.parts.iter_mut().rev().find(|part| part.retries > 0) {
-            part.retries -= 1;
+    /// A retry that was counted then is not made. It is taken back where it was counted: taken off a later part,
+    /// a retry that was made would leave the window too early.
+    pub fn refund(&mut self, spent: Uptime) {
+        if let Some(part) = self.parts.iter_mut().rev().find(|part| part.begin <= spent) {
+            part.retries = part.retries.saturating_sub(1);
         }
     }
 
--- a/crates/sched/tests/budgets.rs
+++ b/crates/sched/tests/budgets.rs
@@ -55,3 +55,28 @@
     let granted = (0..50).filter(|_| budget.spend(Duration::from_secs(1))).count();
     assert_eq!(granted, 4);
 }
+
+/// A retry was counted as a silent target's request asked for another one, and was not made. Taken off the newest
+/// part of the window, it took a later retry away that had been made: with room for two in ten seconds, there were
+/// retries at 9, 10 and 13 s.
+#[test]
+fn refund_takes_back_the_retry_that_was_not_made() {
+    let two = RetryLimits { percent: 0, extra: 2, shared: false, window: WINDOW };
+    let mut budget = RetryBudget::new(two, 1);
+    assert!(budget.spend(Duration::from_secs(1)), "not made");
+    assert!(budget.spend(Duration::from_secs(9)));
+    budget.refund(Duration::from_secs(1));
+    assert!(budget.spend(Duration::from_secs(10)));
+    assert!(!budget.spend(Duration::from_secs(13)), "three retries within four seconds");
+}
+
+/// The count of a retry that was not made has left the window: nothing is left to take back.
+#[test]
+fn refund_after_the_window_takes_no_other_retry_back() {
+    let one = RetryLimits { percent: 0, extra: 1, shared: false, window: WINDOW };
+    let mut budget = RetryBudget::new(one, 1);
+    assert!(budget.spend(Duration::from_secs(1)), "not made");
+    assert!(budget.spend(Duration::from_secs(12)));
+    budget.refund(Duration::from_secs(1));
+    assert!(!budget.spend(Duration::from_secs(13)));
+}
