A silent target is not left before the other one takes a connection

Cause: the grant of another target was answered by leaving the silent one; then the connection was made. Where that failed (refused, or a SYN lost with 100 ms to connect) the attempts were used up, and an answer that had begun was cut though its target may have been at work. The same where the configuration had become stale by then, so that nothing could be sent.

Change: the granted target is connected to while the wait goes on; where that fails the permit goes back as failed, no attempt is used, and a further ask is for yet another target (ReplacementStep::Unreachable, log line replacement_unreachable). A grant that is overtaken by the target's own sign is put back and followed, or declined, by what comes next.

--- a/crates/acceptance/tests/silent_targets.rs
+++ b/crates/acceptance/tests/silent_targets.rs
@@ -23,7 +23,8 @@
 use anyhow::Result;
 use bytes::Bytes;
 use curlewcleat_platform::example::{DRIVERS_KEY, HOST};
-use curlewcleat_platform::names::WIRE_PROFILE;
+use curlewcleat_platform::names::{READY, WIRE_PROFILE};
+use curlewcleat_standins::address::free_address;
 use curlewcleat_standins::deployment::{get_text, wait_until};
 use curlewcleat_standins::fleet::{EngineStep, FleetDeployment, FleetEngine};
 use curlewcleat_targets::ConnectionPool;
@@ -154,6 +155,32 @@
     Ok(())
 }
 
+/// The other target is granted and takes no connection. The silent one was left before that was known, and the answer
+/// was cut a millisecond later:
+///
+/// ```text
+/// attempt_failed target=i-0 reason=stream_resumed cause=part_timeout silent_ms=1002 parts=3 answer_begun=true
+/// attempt_failed target=i-dead reason=connect_failed cause=connect_failed parts=0 answer_begun=true
+/// retry_denied   bound=attempts
+/// answer_cut     target=i-dead offset=51 reason=connect_failed
+/// ```
+#[actix_rt::test]
+async fn silent_target_is_not_left_for_one_that_takes_no_connection() -> Result<()> {
+    let fleet = ready("no-connection", "engines", 1, ROOM).await?;
+    fleet.engines[0].next(EngineStep::Pause(BEFORE, SILENCE));
+    let unused = free_address()?;
+    let announced = async {
+        let runs = || fleet.engines[0].runs();
+        wait_until("it runs", || async { runs().iter().any(|run| run.attempt == "t") }).await?;
+        fleet.announce("i-dead", "engines", &unused, READY)
+    };
+    let entry = &fleet.daemons[0].callers;
+    let (answer, announced) = tokio::join!(call(entry, "/resumed/stream/a", "t"), announced);
+    announced?;
+    assert_eq!(answer?, (200, FleetEngine::expected_stream("t", EVENTS), true));
+    Ok(())
+}
+
 /// What has to stay: a target that says nothing any more is left while another one takes the stream.
 #[actix_rt::test]
 async fn target_that_is_silent_for_good_is_left_for_another_one() -> Result<()> {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -146,7 +146,8 @@
         let request = spec.request;
         // Where the node has ended, the dropped sender tells the request so.
         let _ = self.node.send(NodeMessage::Admit(Box::new(spec), sender));
-        PendingRequest { request, decisions, context: self.clone(), silent: false, open: true }
+        let context = self.clone();
+        PendingRequest { request, decisions, unread: None, context, silent: false, open: true }
     }
 
     /// The node's status, `None` while the process ends.
@@ -169,6 +170,8 @@
 pub struct PendingRequest {
     request: RequestId,
     decisions: mpsc::UnboundedReceiver<CallerDecision>,
+    /// A decision that was read and is still to be followed.
+    unread: Option<CallerDecision>,
     context: DaemonContext,
     /// Whether its target is silent and another one was asked for.
     silent: bool,
@@ -178,7 +181,15 @@
 impl PendingRequest {
     /// The next decision, `None` while the process ends.
     pub async fn decision(&mut self) -> Option<CallerDecision> {
-        self.decisions.recv().await
+        match self.unread.take() {
+            Some(decision) => Some(decision),
+            None => self.decisions.recv().await,
+        }
+    }
+
+    /// A decision that was read is the next one again.
+    pub fn put_back(&mut self, decision: CallerDecision) {
+        self.unread = Some(decision);
     }
 
     /// The node knows that the request has ended, or learns it from another event.
@@ -215,15 +226,20 @@
         }
     }
 
-    /// Another target was granted. Gives whether the present one is to be left for it, which is so while it is
-    /// silent.
-    pub fn take_replacement(&mut self) -> bool {
-        let silent = std::mem::take(&mut self.silent);
-        self.tell_replacement(match silent {
-            true => ReplacementStep::Taken,
-            false => ReplacementStep::Declined,
-        });
-        silent
+    /// The silent target is left for the one that was granted.
+    pub fn take_replacement(&mut self) {
+        self.silent = false;
+        self.tell_replacement(ReplacementStep::Taken);
+    }
+
+    /// The target that was granted is not used.
+    pub fn decline_replacement(&mut self) {
+        self.tell_replacement(ReplacementStep::Declined);
+    }
+
+    /// The target that was granted takes no connection; the request stays at the silent one.
+    pub fn replacement_unreachable(&mut self) {
+        self.tell_replacement(ReplacementStep::Unreachable);
     }
 
     fn tell_replacement(&self, step: ReplacementStep) {
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -8,13 +8,13 @@
 use std::time::Instant;
 
 use curlewcleat_core::{RefusalReason, RetryReason, TargetEntry};
-use curlewcleat_targets::{Error, TargetAnswer};
+use curlewcleat_targets::{Error, PooledConnection, TargetAnswer};
 use spdlog::prelude::*;
 
 use super::admitted::AdmittedRequest;
 use super::cause::AttemptCause;
 use super::protocol::{CallerProtocol, HeadVerdict, TargetAttempt};
-use super::target_wait::{TargetWait, WaitEnd};
+use super::target_wait::{GrantedTarget, TargetWait, WaitEnd};
 
 /// How an attempt began.
 pub enum AttemptStart {
@@ -25,19 +25,24 @@
     /// It may have run and there is no answer.
     Failed(RefusalReason, AttemptCause),
     /// Its target was silent and is left for this one.
-    Replaced(Box<TargetEntry>),
+    Replaced(Box<GrantedTarget>),
 }
 
-/// Sends a request to its target and waits for the head of the answer.
+/// Sends a request to its target, by `connection` where there is one, and waits for the head of the answer.
 pub async fn send(
-    protocol: &dyn CallerProtocol,
     attempt: TargetAttempt<'_>,
+    connection: Option<PooledConnection>,
     wait: TargetWait<'_>,
 ) -> AttemptStart {
-    let request = attempt.request;
+    let (protocol, request) = (wait.protocol, attempt.request);
     let limits = protocol.limits(request);
-    let connections = protocol.connections(&request.pool);
-    let connected = connections.connect(&attempt.target.address, limits.connect).await;
+    let connected = match connection {
+        Some(connection) => Ok(connection),
+        None => {
+            let connections = protocol.connections(&request.pool);
+            connections.connect(&attempt.target.address, limits.connect).await
+        }
+    };
     // Nothing is written before the connection stands.
     let Ok(connection) = connected else {
         return AttemptStart::NotRun(RetryReason::ConnectFailed, AttemptCause::ConnectFailed);
--- a/crates/daemon/src/request/pass_on.rs
+++ b/crates/daemon/src/request/pass_on.rs
@@ -13,7 +13,7 @@
 
 use super::cause::AttemptCause;
 use super::run::{AttemptVerdict, RequestRun};
-use super::target_wait::{TargetWait, WaitEnd};
+use super::target_wait::{GrantedTarget, WaitEnd};
 
 /// Longest answer in bytes that is held back until it is whole. Chosen, not measured: the platform's
 /// values have a megabyte at most.
@@ -28,7 +28,7 @@
     /// Its end.
     End,
     /// Its target is silent and is left for this one.
-    Replaced(Box<TargetEntry>),
+    Replaced(Box<GrantedTarget>),
     /// It ends before its end.
     Broken(AttemptCause),
 }
@@ -128,7 +128,7 @@
         target: &TargetEntry,
         limit: Duration,
     ) -> NextPart {
-        let wait = TargetWait::new(self.replaceable(), target);
+        let wait = self.target_wait(target);
         match wait.wait(limit, body.next()).await {
             WaitEnd::Came(Some(Ok(part))) => {
                 self.note_heard();
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -16,6 +16,7 @@
     AttemptEnd, KeptAnswer, Refusal, RefusalReason, RequestId, RetryReason, TargetEntry, Verdict,
 };
 use curlewcleat_node::{CallerDecision, NodeEvent};
+use curlewcleat_targets::PooledConnection;
 use spdlog::prelude::*;
 
 use super::admitted::AdmittedRequest;
@@ -26,7 +27,7 @@
 use super::problem::REQUEST_ID;
 use super::progress::RequestProgress;
 use super::protocol::{CallerProtocol, TargetAttempt};
-use super::target_wait::TargetWait;
+use super::target_wait::{GrantedTarget, TargetWait};
 use super::{CallerRequest, RequestService};
 use crate::context::PendingRequest;
 
@@ -42,7 +43,7 @@
     /// It goes to a further target, if the node has one.
     Again(RetryReason, AttemptCause),
     /// Its target was silent for as long as this cause says and is left for another one.
-    Replaced(Box<TargetEntry>, AttemptCause),
+    Replaced(Box<GrantedTarget>, AttemptCause),
     /// It was not sent and is given up.
     NotSent(RefusalReason),
     /// It was sent and is given up.
@@ -54,7 +55,7 @@
 /// What the node decided.
 enum PermitOutcome {
     /// The request may be sent to this target.
-    Granted(TargetEntry),
+    Granted(GrantedTarget),
     /// The node refuses it.
     Refused(Refusal),
     /// An earlier attempt with the same idempotency key got this answer.
@@ -120,10 +121,10 @@
     async fn follow(&mut self) {
         let mut granted = None;
         loop {
-            let target = match granted.take() {
-                Some(target) => target,
+            let GrantedTarget { entry: target, connection } = match granted.take() {
+                Some(granted) => granted,
                 None => match self.wait_for_permit().await {
-                    PermitOutcome::Granted(target) => target,
+                    PermitOutcome::Granted(granted) => granted,
                     PermitOutcome::Refused(refusal) => {
                         self.forget();
                         return self.refuse_with(refusal);
@@ -134,7 +135,7 @@
                     }
                 },
             };
-            match self.attempt(&target).await {
+            match self.attempt(&target, connection).await {
                 AttemptVerdict::Served(end) => {
                     self.log_served(&target);
                     return self.end(end);
@@ -165,7 +166,9 @@
             None => None,
         };
         match decision {
-            Some(CallerDecision::Dispatch(_, target)) => PermitOutcome::Granted(target),
+            Some(CallerDecision::Dispatch(_, entry)) => {
+                PermitOutcome::Granted(GrantedTarget { entry, connection: None })
+            }
             Some(CallerDecision::Refuse(refusal)) => PermitOutcome::Refused(refusal),
             Some(CallerDecision::Replay(answer)) => PermitOutcome::Replayed(answer),
             None => {
@@ -175,7 +178,11 @@
         }
     }
 
-    async fn attempt(&mut self, target: &TargetEntry) -> AttemptVerdict {
+    async fn attempt(
+        &mut self,
+        target: &TargetEntry,
+        connection: Option<PooledConnection>,
+    ) -> AttemptVerdict {
         if let Err(reason) = self.protocol().check_sendable(&self.request) {
             return AttemptVerdict::NotSent(reason);
         }
@@ -187,16 +194,20 @@
         // Whatever ends the wait from here on, the request may have run until its target says
         // otherwise.
         let before = std::mem::replace(&mut self.verdict, Verdict::MayHaveRun);
+        let may_repeat = self.protocol().may_repeat(&self.request);
         let attempt = TargetAttempt {
             request: &self.request,
             caller: &self.caller,
             target,
             last_event: self.form.last_event(),
         };
-        let pending = self.pending.as_mut();
-        let may_repeat = self.service.protocol.may_repeat(&self.request);
-        let wait = TargetWait::new(pending.filter(|_| may_repeat), target);
-        match send(self.service.protocol.as_ref(), attempt, wait).await {
+        let wait = TargetWait {
+            pending: self.pending.as_mut().filter(|_| may_repeat),
+            protocol: self.service.protocol.as_ref(),
+            request: &self.request,
+            target,
+        };
+        match send(attempt, connection, wait).await {
             AttemptStart::Answer(answer) => {
                 self.note_heard();
                 self.pass_on(*answer, target, sent).await
@@ -216,10 +227,12 @@
         }
     }
 
-    /// The way to the node where the request may go to another target.
-    pub(super) fn replaceable(&mut self) -> Option<&mut PendingRequest> {
-        let may_repeat = self.service.protocol.may_repeat(&self.request);
-        self.pending.as_mut().filter(|_| may_repeat)
+    /// A wait for a target that has the request.
+    pub(super) fn target_wait<'a>(&'a mut self, target: &'a TargetEntry) -> TargetWait<'a> {
+        let protocol = self.service.protocol.as_ref();
+        let may_repeat = protocol.may_repeat(&self.request);
+        let pending = self.pending.as_mut().filter(|_| may_repeat);
+        TargetWait { pending, protocol, request: &self.request, target }
     }
 
     /// The target has sent something.
--- a/crates/sched/src/entry/replacement.rs
+++ b/crates/sched/src/entry/replacement.rs
@@ -2,8 +2,8 @@
 //!
 //! Inputs: the silence, which the holder of the caller's connection measures; what bounds retries
 //! ([`retry`](crate::retry)); the scheduler's answer. The rule: a silent target is left only for another one that
-//! is granted. Until the holder of the connection has taken that one, both permits are held; where there is no
-//! further attempt, no room in the budget, or the scheduler refuses, the request stays where it is. Load pattern:
+//! is granted and takes a connection. Until the holder of the connection has taken that one, both permits are held;
+//! where there is no further attempt, no room in the budget, or the scheduler refuses, the request stays where it is. Load pattern:
 //! targets that pause while they are at work, and queues in targets, beside rules that allow two attempts.
 //!
 //! Owns: nothing; these are methods of `EntryRequests`. Relies on: [`ReplacementStep`]s in the order in which
@@ -24,8 +24,10 @@
     Unwanted,
     /// The target was left for the one that was granted.
     Taken,
-    /// The target spoke before the grant of another one was seen.
+    /// The one that was granted is not needed, or the request may not be sent there.
     Declined,
+    /// The one that was granted takes no connection.
+    Unreachable,
 }
 
 impl EntryRequests {
@@ -41,7 +43,8 @@
             ReplacementStep::Wanted => self.want_replacement(now, id, order),
             ReplacementStep::Unwanted => self.withdraw_replacement(id),
             ReplacementStep::Taken => self.take_replacement(id),
-            ReplacementStep::Declined => self.decline_replacement(id),
+            ReplacementStep::Declined => self.decline_replacement(id, AttemptEnd::Unused),
+            ReplacementStep::Unreachable => self.replacement_unreachable(id),
         }
     }
 
@@ -74,23 +77,34 @@
 
     fn withdraw_replacement(&mut self, id: RequestId) -> Vec<EntryAction> {
         let waits = |request: &&EntryRequest| matches!(request.phase, RequestPhase::Waiting(_));
-        self.give_replacement_up(id, waits)
+        self.give_replacement_up(id, AttemptEnd::Unused, waits)
     }
 
-    fn decline_replacement(&mut self, id: RequestId) -> Vec<EntryAction> {
+    fn decline_replacement(&mut self, id: RequestId, end: AttemptEnd) -> Vec<EntryAction> {
         let granted =
             |request: &&EntryRequest| matches!(request.phase, RequestPhase::Dispatched(_));
-        self.give_replacement_up(id, granted)
+        self.give_replacement_up(id, end, granted)
+    }
+
+    /// Nothing was sent, so that no attempt is used up; a further ask is for yet another target.
+    fn replacement_unreachable(&mut self, id: RequestId) -> Vec<EntryAction> {
+        if let Some(request) = self.requests.get_mut(&id).filter(|request| request.kept.is_some()) {
+            if let RequestPhase::Dispatched(granted) = request.phase.clone() {
+                request.avoid_target(&granted.target);
+            }
+        }
+        self.decline_replacement(id, AttemptEnd::Failed)
     }
 
     fn give_replacement_up(
         &mut self,
         id: RequestId,
+        end: AttemptEnd,
         stands: impl Fn(&&EntryRequest) -> bool,
     ) -> Vec<EntryAction> {
         let asked = self.requests.get(&id).filter(|request| request.kept.is_some());
         let Some(request) = asked.filter(stands) else { return Vec::new() };
-        let actions = request.return_permit(AttemptEnd::Unused);
+        let actions = request.return_permit(end);
         self.keep_target(id);
         actions
     }
--- a/crates/sched/tests/replacement.rs
+++ b/crates/sched/tests/replacement.rs
@@ -188,6 +188,14 @@
         }
     }
 
+    /// The target that was granted for a silent one takes no connection.
+    fn holder_cannot_connect(&mut self) {
+        if !self.ended && self.target.is_some() && self.silent && self.granted.pop_front().is_some()
+        {
+            self.told.push_back(Told::Step(ReplacementStep::Unreachable));
+        }
+    }
+
     fn send(&mut self, target: TargetId) {
         assert_ne!(self.target.as_ref(), Some(&target), "the silent target itself");
         self.target = Some(target);
@@ -262,6 +270,7 @@
             11 => self.target_fails(),
             12 => self.target_ends(),
             13 => self.time_passes(Duration::from_millis(100)),
+            14 => self.holder_cannot_connect(),
             _ => self.other_scheduler(),
         }
     }
@@ -277,7 +286,7 @@
     #![proptest_config(ProptestConfig { cases: 4_000, ..ProptestConfig::default() })]
     #[test]
     fn silence_gives_no_request_up_and_no_permit_leaks(
-        steps in prop::collection::vec(0u8..15, 0..60),
+        steps in prop::collection::vec(0u8..16, 0..60),
         targets in 1usize..4,
         retries in 0u64..3,
     ) {
@@ -350,6 +359,24 @@
     assert_eq!(in_use(&machines), 0);
 }
 
+/// The target that is granted takes no connection: the request stays, is asked for yet another one, and has used no
+/// attempt up.
+#[test]
+fn request_stays_where_its_other_target_takes_no_connection() {
+    let mut machines = silent(3, 1);
+    machines.node_gets();
+    machines.scheduler_gets(0);
+    machines.entry_gets(0);
+    let unreachable = machines.granted.front().cloned();
+    machines.holder_cannot_connect();
+    machines.settle();
+    assert_eq!((machines.sent, machines.refusals.len(), in_use(&machines)), (1, 0, 1));
+    machines.target_is_silent();
+    machines.settle();
+    assert_eq!((machines.sent, in_use(&machines)), (2, 1));
+    assert!(machines.target.is_some() && machines.target != unreachable);
+}
+
 /// A retry that was counted when another target was asked for is free again where none was granted.
 #[test]
 fn denied_replacement_takes_nothing_out_of_the_retry_budget() {
