--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -99,6 +99,7 @@
             kept: None,
             silent: false,
             begun: false,
+            wanted: now,
             phase,
         };
         let claim = request.claim();
@@ -147,7 +148,7 @@
         if let Some(kept) = request.kept.take() {
             // The silent target has answered after all; the other one was not asked.
             actions.extend(request.return_permit(AttemptEnd::Unused));
-            self.budget_of(&request.spec.pool).refund();
+            self.budget_of(&request.spec.pool).refund(request.wanted);
             request.phase = RequestPhase::Dispatched(kept);
         }
         actions.extend(request.return_permit(end));
--- a/crates/sched/src/entry/request.rs
+++ b/crates/sched/src/entry/request.rs
@@ -73,6 +73,8 @@
     pub silent: bool,
     /// Whether its caller has a part of the answer, so that a refusal would only cut it.
     pub begun: bool,
+    /// When the other target was first asked for, and a retry counted.
+    pub wanted: Uptime,
     pub phase: RequestPhase,
 }
 
