soak: connections that go silent for good

Cause: no kind of the soak let open connections go silent without a reset while new ones work, and no judge asked whether the daemons hear each other at the end: one that hears nobody schedules for itself and its requests are served. Change: kind 'silence' (--extra silence) for connections between daemons, to the store and to engines, drawn apart from the plan, so that a seed gives the same plan as before without the option; each run now ends with a look at each daemon's /status.

--- /dev/null
+++ b/crates/soak/src/extra.rs
@@ -0,0 +1,74 @@
+//! Kinds of faults that a run has beside those of its plan. They are drawn apart from it, so that a seed
+//! gives the same plan with and without them.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use crate::plan::{FaultStep, PlanOptions, SoakFault};
+
+/// Sets the draws of a kind apart from those of the plan with the same seed.
+const APART: u64 = 0x5eed_0000_0000_0000;
+/// Shortest and longest pause before a fault, in milliseconds. Chosen, not measured: longer than what
+/// notices a silent connection with the settings of a run.
+const PAUSE_MS: std::ops::Range<u64> = 800..2_500;
+
+/// A kind of faults beside those of the plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum ExtraKind {
+    /// Open connections go silent for good, without a reset, while new ones work.
+    Silence,
+}
+
+/// Whose connections go silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SilentConnections {
+    /// All between machines, to the store and to engines.
+    All,
+    /// Those on which peers reach a daemon.
+    Peers(usize),
+    /// Those of a daemon to the store.
+    Store(usize),
+    /// Those to an engine.
+    Engine(usize),
+}
+
+/// The plan of a seed with the faults of a kind among it.
+pub fn with_extra(
+    mut steps: Vec<FaultStep>,
+    kind: ExtraKind,
+    seed: u64,
+    options: &PlanOptions,
+) -> Vec<FaultStep> {
+    let mut random = StdRng::seed_from_u64(seed ^ APART);
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(random.random_range(PAUSE_MS));
+        if at > options.time {
+            break;
+        }
+        let fault = draw(&mut random, kind, options);
+        steps.push(FaultStep { at, time: Duration::ZERO, fault });
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+fn draw(random: &mut StdRng, kind: ExtraKind, options: &PlanOptions) -> SoakFault {
+    let daemon = random.random_range(0..options.daemons);
+    let engine = random.random_range(0..options.engines);
+    match kind {
+        ExtraKind::Silence => {
+            let connections = [
+                SilentConnections::All,
+                SilentConnections::Peers(daemon),
+                SilentConnections::Store(daemon),
+                SilentConnections::Engine(engine),
+            ];
+            let drawn = connections.choose(random).copied();
+            SoakFault::Silence(drawn.unwrap_or(SilentConnections::All))
+        }
+    }
+}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,6 +9,7 @@
 use curlewcleat_platform::names::{DRAINING, SERVERS};
 use curlewcleat_standins::fleet::{EngineStep, StoreOutage};
 
+use crate::extra::SilentConnections;
 use crate::fleet::{DaemonSlot, EngineSlot, SoakFleet, LOOK_EVERY};
 use crate::judge::{EngineLeave, KeyLoss, PlannedStop};
 use crate::link::{FaultyLink, LinkFault};
@@ -52,6 +53,7 @@
             SoakFault::Vanish(index) => self.vanish(index).await?,
             SoakFault::Change => self.change()?,
             SoakFault::TakeKey => self.take_key(time).await?,
+            SoakFault::Silence(connections) => self.silence(connections),
         }
         Ok(())
     }
@@ -122,6 +124,32 @@
         self.store.set_outage(None);
     }
 
+    /// Open connections carry nothing again; new ones work.
+    fn silence(&self, connections: SilentConnections) {
+        let peers = |index: usize| &self.daemons[index].peer_link;
+        let stores = |index: usize| &self.daemons[index].store_link;
+        match connections {
+            SilentConnections::Peers(index) => peers(index).silence(),
+            SilentConnections::Store(index) => stores(index).silence(),
+            SilentConnections::Engine(index) => self.silence_engines(index..index + 1),
+            SilentConnections::All => {
+                for index in 0..self.daemons.len() {
+                    peers(index).silence();
+                    stores(index).silence();
+                }
+                self.silence_engines(0..self.engines.borrow().len());
+            }
+        }
+    }
+
+    fn silence_engines(&self, indexes: std::ops::Range<usize>) {
+        for slot in &self.engines.borrow()[indexes] {
+            if let Some(link) = &slot.link {
+                link.silence();
+            }
+        }
+    }
+
     async fn lost_writes(&self, count: u64, time: Duration) {
         self.store.lose_writes(count);
         tokio::time::sleep(time).await;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -15,6 +15,7 @@
 use curlewcleat_standins::http::serve_here;
 use serde_json::to_value;
 
+use crate::extra::ExtraKind;
 use crate::judge::SoakEvidence;
 use crate::link::FaultyLink;
 use crate::options::SoakOptions;
@@ -36,7 +37,10 @@
 pub struct EngineSlot {
     pub engine: Rc<FleetEngine>,
     pub backend: &'static str,
+    /// Where it announces itself: at its link, where it has one.
     pub address: String,
+    /// The link on which daemons reach it, in runs whose connections go silent.
+    pub link: Option<FaultyLink>,
 }
 
 /// A daemon, the links through which it is reached, and its process.
@@ -225,9 +229,14 @@
         let number = self.started.get();
         self.started.set(number + 1);
         let engine = FleetEngine::new(&format!("i-{number}"), EVENTS, PACE);
-        let address = serve_here(engine.clone()).await?;
+        let served = serve_here(engine.clone()).await?;
+        let link = match self.options.extra {
+            Some(ExtraKind::Silence) => Some(FaultyLink::start(&served, None).await?),
+            _ => None,
+        };
+        let address = link.as_ref().map_or(served, |link| link.address.clone());
         self.announce(&engine.id, backend, &address, READY)?;
-        Ok(EngineSlot { engine, backend, address })
+        Ok(EngineSlot { engine, backend, address, link })
     }
 
     pub fn announce(&self, id: &str, backend: &str, address: &str, state: &str) -> Result<()> {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,16 +2,19 @@
 //! judge that compares what callers got with what engines ran.
 
 mod callers;
+mod extra;
 mod faults;
 mod fleet;
 mod judge;
 mod link;
 mod options;
 mod plan;
+mod reach;
 mod run;
 mod settings;
 
 pub use callers::{CallKind, CallOutcome, CallRecord};
+pub use extra::{with_extra, ExtraKind, SilentConnections};
 pub use judge::{judge, KeyLoss, PlannedStop, SoakEvidence, SoakFinding};
 pub use link::{FaultyLink, LinkFault};
 pub use options::SoakOptions;
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -52,6 +52,8 @@
     mbps: Option<u64>,
     /// Times that the connections have become deaf.
     deafened: Cell<u64>,
+    /// Times that the connections have gone silent.
+    silenced: Cell<u64>,
     changed: Notify,
     connections: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
 }
@@ -86,6 +88,12 @@
         self.state.changed.notify_waiters();
     }
 
+    /// The present connections stay open and carry nothing again, not even their end; new ones work.
+    pub fn silence(&self) {
+        self.state.silenced.set(self.state.silenced.get() + 1);
+        self.state.changed.notify_waiters();
+    }
+
     /// Closes all connections and listens no more.
     pub fn close(self) {
         self.listening.abort();
@@ -109,16 +117,39 @@
     }
 }
 
+impl LinkState {
+    /// Waits until the connections that were open after so many silences go silent.
+    async fn silence_after(&self, silenced: u64) {
+        loop {
+            let changed = self.changed.notified();
+            if self.silenced.get() > silenced {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
 async fn carry(near: TcpStream, target: String, state: Rc<LinkState>) {
+    let silenced = state.silenced.get();
     let Ok(far) = TcpStream::connect(&target).await else { return };
+    let mut carrying = std::pin::pin!(carry_both_ways(near, far, &state));
+    tokio::select! {
+        () = &mut carrying => {}
+        // Both ends stay open, and what was on its way is lost.
+        () = state.silence_after(silenced) => std::future::pending().await,
+    }
+}
+
+async fn carry_both_ways(near: TcpStream, far: TcpStream, state: &LinkState) {
     // Small frames are passed on at once.
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     // Both ends close when either does.
     tokio::select! {
-        _ = forward(near_read, far_write, &state, true) => {}
-        _ = forward(far_read, near_write, &state, false) => {}
+        () = forward(near_read, far_write, state, true) => {}
+        () = forward(far_read, near_write, state, false) => {}
     }
 }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,7 +6,7 @@
 
 use anyhow::{Context, Result};
 use clap::Parser;
-use curlewcleat_soak::{run_soak, SoakOptions, SoakReport};
+use curlewcleat_soak::{run_soak, ExtraKind, SoakOptions, SoakReport};
 
 /// A randomized fault soak of real daemons on loopback.
 #[derive(Parser)]
@@ -44,6 +44,9 @@
     /// Megabits a second that a connection between two daemons carries.
     #[arg(long)]
     link_mbps: Option<u64>,
+    /// Kind of faults beside those of the plan.
+    #[arg(long)]
+    extra: Option<ExtraKind>,
     /// Folder for settings and logs; kept where a promise was broken.
     #[arg(long)]
     folder: Option<PathBuf>,
@@ -97,6 +100,7 @@
         planned_only: arguments.planned,
         routes: arguments.routes,
         link_mbps: arguments.link_mbps,
+        extra: arguments.extra,
         script: None,
         folder: folder.join(format!("curlewcleat-soak-{}-{seed}", std::process::id())),
     }
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use crate::extra::ExtraKind;
 use crate::plan::FaultStep;
 
 /// Sizes, seed and folder of a run.
@@ -24,6 +25,8 @@
     pub routes: usize,
     /// What each connection between two daemons carries, in megabits a second; `None` for no limit.
     pub link_mbps: Option<u64>,
+    /// Kind of faults beside those of the seed.
+    pub extra: Option<ExtraKind>,
     /// Faults in place of those of the seed.
     pub script: Option<Vec<FaultStep>>,
     /// Folder for settings and logs.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,6 +7,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use crate::extra::SilentConnections;
 use crate::link::LinkFault;
 
 /// Time before the first fault, in which the fleet settles.
@@ -66,6 +67,8 @@
     Change,
     /// A key is taken away, and given back.
     TakeKey,
+    /// Open connections go silent for good.
+    Silence(SilentConnections),
 }
 
 impl SoakFault {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,10 +8,12 @@
 use curlewcleat_standins::deployment::wait_until;
 
 use crate::callers::SoakCallers;
+use crate::extra::with_extra;
 use crate::fleet::{SoakFleet, BACKENDS};
 use crate::judge::{judge, summary, unserved, SoakFinding};
 use crate::options::SoakOptions;
 use crate::plan::{plan, FaultStep, PlanOptions};
+use crate::reach::unheard_peers;
 
 /// Time for which the traffic goes on after the last fault.
 const RECOVERY: Duration = Duration::from_secs(5);
@@ -38,9 +40,13 @@
         time: options.time,
         planned_only: options.planned_only,
     };
-    let steps = match &options.script {
-        Some(script) => script.clone(),
-        None => plan(options.seed, &plan_options),
+    let steps = match (&options.script, options.extra) {
+        (Some(script), _) => script.clone(),
+        (None, None) => plan(options.seed, &plan_options),
+        (None, Some(kind)) => {
+            let steps = plan(options.seed, &plan_options);
+            with_extra(steps, kind, options.seed, &plan_options)
+        }
     };
     let fleet = Rc::new(SoakFleet::start(options).await?);
     let addresses: Vec<String> =
@@ -57,6 +63,7 @@
     tokio::time::sleep(RECOVERY).await;
     let records = callers.close().await;
     watch.abort();
+    let unheard = unheard_peers(&fleet).await;
     let mut evidence = fleet.evidence.take();
     let kinds = unserved(&records);
     evidence.records = records;
@@ -66,6 +73,7 @@
         let detail = format!("{kinds:?}");
         findings.push(SoakFinding { promise: "every kind is served at some time", detail });
     }
+    findings.extend(unheard);
     if let Ok(fleet) = Rc::try_unwrap(fleet) {
         fleet.close();
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use curlewcleat_soak::{
-    judge, plan, run_soak, CallKind, CallOutcome, CallRecord, FaultStep, KeyLoss, LinkFault,
-    PlanOptions, SoakEvidence, SoakFault, SoakOptions,
+    judge, plan, run_soak, CallKind, CallOutcome, CallRecord, ExtraKind, FaultStep, KeyLoss,
+    LinkFault, PlanOptions, SilentConnections, SoakEvidence, SoakFault, SoakOptions,
 };
 use curlewcleat_standins::fleet::EngineRun;
 use rstest::rstest;
@@ -23,6 +23,7 @@
         planned_only,
         routes: 0,
         link_mbps: None,
+        extra: None,
         script: None,
         folder: std::env::temp_dir().join(name),
     };
@@ -43,6 +44,7 @@
         planned_only: false,
         routes: 1_500,
         link_mbps: Some(10),
+        extra: None,
         script: None,
         folder: std::env::temp_dir().join(name),
     };
@@ -73,6 +75,7 @@
         planned_only: false,
         routes: 0,
         link_mbps: None,
+        extra: None,
         script: Some(deaf.chain(leave).collect()),
         folder: std::env::temp_dir().join(format!("curlewcleat-deaf-{}", std::process::id())),
     };
@@ -80,6 +83,42 @@
     assert!(report.findings.is_empty(), "{report:#?}");
 }
 
+/// Connections that were open carry nothing again, without a reset, and new ones work. Frames to a peer went on
+/// into the silent connection for good: nothing closed it and nothing else dialed, so that after this script
+/// every daemon heard nobody for the rest of the run (`peer_lost` of all others) and scheduled for itself.
+#[rstest]
+#[case::all(vec![SilentConnections::All])]
+#[case::those_of_one_daemon(vec![SilentConnections::Peers(1)])]
+#[case::one_after_the_other(vec![
+    SilentConnections::Peers(0),
+    SilentConnections::Store(1),
+    SilentConnections::Engine(0),
+    SilentConnections::All,
+])]
+fn connections_that_go_silent_are_replaced(#[case] silences: Vec<SilentConnections>) {
+    let name = format!("curlewcleat-silence-{}-{}", std::process::id(), silences.len());
+    let steps = silences.iter().enumerate().map(|(index, connections)| FaultStep {
+        at: Duration::from_millis(1_500 * (index as u64 + 1)),
+        time: Duration::ZERO,
+        fault: SoakFault::Silence(*connections),
+    });
+    let options = SoakOptions {
+        seed: 1,
+        daemons: 3,
+        engines: 2,
+        callers: 6,
+        time: Duration::from_secs(7),
+        planned_only: false,
+        routes: 0,
+        link_mbps: None,
+        extra: Some(ExtraKind::Silence),
+        script: Some(steps.collect()),
+        folder: std::env::temp_dir().join(name),
+    };
+    let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
+    assert!(report.findings.is_empty(), "{report:#?}");
+}
+
 #[test]
 fn seed_gives_the_same_plan_again() {
     let options =
