peers: a connection that went silent is dialed anew

Cause: frames went on into a publisher whose connection carried nothing any more; nothing closes such a connection, and nng dials only after an end. The daemons heard nobody for the rest of their lives. No message changes. Frames go out on both connections for 200 ms meanwhile.

--- /dev/null
+++ b/crates/peers/src/hearing.rs
@@ -0,0 +1,78 @@
+//! When does a connection to a peer count as silent?
+//!
+//! Frames go one way on a connection, and one that has gone silent without a reset takes them for as long
+//! as the process lives: measured with three daemons whose open connections carried nothing any more, none
+//! heard another for the rest of the run. The sender cannot see that on the connection itself; it sees it
+//! by what it hears on the peer's own one.
+//!
+//! Inputs: when this daemon dialed, when it heard of the peer last, when the peer dialed anew. The rule: a connection is dialed anew where for the limit nothing was heard of its
+//! peer, since the dialing; or where the peer itself has dialed anew by then, which tells that it heard
+//! nothing. The second part covers a connection that fails one way. Two daemons that lose each other at
+//! once dial within a heartbeat of each other, which is shorter than the limit, so neither answers the
+//! other's dialing by its own.
+//!
+//! Owns: [`PeerHearing`]. Relies on: heartbeats, which name the address of their sender.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use curlewcleat_core::{PeerFrame, PeerMessage, VmId};
+
+/// What was heard of the peer at an address, on connections of type `C`.
+#[derive(Debug)]
+struct HeardPeer<C> {
+    last: Instant,
+    connection: C,
+    /// First frame on this connection, where there was one before.
+    anew: Option<Instant>,
+}
+
+/// What was heard of each peer.
+#[derive(Debug)]
+pub struct PeerHearing<C> {
+    /// Time without a frame after which a connection is dialed anew.
+    limit: Duration,
+    addresses: BTreeMap<VmId, String>,
+    heard: BTreeMap<String, HeardPeer<C>>,
+}
+
+impl<C: PartialEq> PeerHearing<C> {
+    /// Nothing heard yet.
+    pub fn new(limit: Duration) -> PeerHearing<C> {
+        PeerHearing { limit, addresses: BTreeMap::new(), heard: BTreeMap::new() }
+    }
+
+    /// Notes a frame that came on a connection.
+    pub fn note(&mut self, now: Instant, frame: &PeerFrame, connection: C) {
+        let named = frame.messages.iter().find_map(|message| match message {
+            PeerMessage::Heartbeat(beat) => Some(&beat.address),
+            _ => None,
+        });
+        if let Some(address) = named {
+            self.addresses.insert(frame.from.vm.clone(), address.clone());
+        }
+        let Some(address) = self.addresses.get(&frame.from.vm) else { return };
+        let earlier = self.heard.get(address);
+        let anew = match earlier {
+            Some(peer) if peer.connection != connection => Some(now),
+            other => other.and_then(|peer| peer.anew),
+        };
+        self.heard.insert(address.clone(), HeardPeer { last: now, connection, anew });
+    }
+
+    /// Whether the connection to an address that was dialed then is to be dialed anew.
+    pub fn is_silent(&self, now: Instant, address: &str, dialed: Instant) -> bool {
+        let Some(peer) = self.heard.get(address) else {
+            return now.saturating_duration_since(dialed) >= self.limit;
+        };
+        let unheard = now.saturating_duration_since(peer.last.max(dialed)) >= self.limit;
+        let dialed_anew = |anew: Instant| anew.saturating_duration_since(dialed) >= self.limit;
+        unheard || peer.anew.is_some_and(dialed_anew)
+    }
+
+    /// Forgets all addresses but these.
+    pub fn keep_only(&mut self, addresses: &BTreeSet<String>) {
+        self.addresses.retain(|_, address| addresses.contains(address));
+        self.heard.retain(|address, _| addresses.contains(address));
+    }
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -5,7 +5,9 @@
 //! by postcard with a leading version byte.
 
 mod codec;
+mod hearing;
 mod transport;
 
 pub use codec::{decode_frame, encode_frame, Error, Result, FRAME_LIMIT};
+pub use hearing::PeerHearing;
 pub use transport::{NngTransport, PeerTransport, TransportCounts};
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -4,22 +4,27 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use curlewcleat_core::PeerFrame;
 use nng::options::protocol::pubsub::Subscribe;
 use nng::options::{Options, RecvBufferSize, RecvMaxSize, SendBufferSize};
-use nng::{Protocol, Socket};
+use nng::{Pipe, Protocol, Socket};
 use tokio::sync::mpsc::UnboundedSender;
 
 use spdlog::prelude::*;
 
 use crate::codec::{decode_frame, encode_frame, FRAME_LIMIT};
+use crate::hearing::PeerHearing;
 
 /// Frames that wait for a peer before the oldest are dropped.
 const SEND_QUEUE: i32 = 1_024;
 /// Received frames that wait for the thread that reads them before the oldest are dropped.
 const RECEIVE_QUEUE: i32 = 8_192;
+/// Time for which frames go out on both connections after one was dialed anew, so that none is lost while the
+/// new one is being made. Chosen, not measured: several round trips between data centres.
+const OVERLAP: Duration = Duration::from_millis(200);
 
 /// The border towards peers.
 pub trait PeerTransport {
@@ -56,18 +61,54 @@
 /// closed back on its list when a send completes late, and aborts the process at the next send.
 pub struct NngTransport {
     listener: Socket,
-    peers: BTreeMap<String, Socket>,
+    peers: BTreeMap<String, PeerSocket>,
+    hearing: SharedHearing,
     counts: Arc<TransportCounts>,
 }
 
+/// What the thread that receives has heard; `None` stands for a frame without a connection.
+type SharedHearing = Arc<Mutex<PeerHearing<Option<Pipe>>>>;
+
+/// The socket on which a peer is sent frames.
+struct PeerSocket {
+    socket: Socket,
+    dialed: Instant,
+    /// The one before, for as long as the present one is being connected.
+    earlier: Option<Socket>,
+}
+
+impl PeerSocket {
+    fn dial(address: &str, earlier: Option<Socket>) -> Result<PeerSocket, nng::Error> {
+        Ok(PeerSocket { socket: dial(address)?, dialed: Instant::now(), earlier })
+    }
+
+    fn send(&mut self, bytes: &[u8]) -> bool {
+        if let Some(earlier) = self.earlier.take_if(|_| self.dialed.elapsed() >= OVERLAP) {
+            earlier.close();
+        }
+        // Frames may be repeated.
+        let early = self.earlier.as_ref().is_some_and(|socket| socket.try_send(bytes).is_ok());
+        self.socket.try_send(bytes).is_ok() || early
+    }
+
+    fn close(&self) {
+        self.socket.close();
+        if let Some(earlier) = &self.earlier {
+            earlier.close();
+        }
+    }
+}
+
 impl NngTransport {
     /// Listens on `ip:port`. Received frames go into `frames` from a thread of their own, because
-    /// nng's calls must not block the arbiter.
+    /// nng's calls must not block the arbiter. A peer is dialed anew where nothing is heard of it for
+    /// `silence_limit`.
     ///
     /// # Errors
     /// What nng says when the address cannot be bound.
     pub fn listen(
         address: &str,
+        silence_limit: Duration,
         frames: UnboundedSender<PeerFrame>,
         counts: Arc<TransportCounts>,
     ) -> Result<NngTransport, nng::Error> {
@@ -76,21 +117,48 @@
         listener.set_opt::<RecvBufferSize>(RECEIVE_QUEUE)?;
         listener.set_opt::<Subscribe>(Vec::new())?;
         listener.listen(&format!("tcp://{address}"))?;
-        let socket = listener.clone();
-        let thread_counts = Arc::clone(&counts);
+        let hearing = SharedHearing::new(Mutex::new(PeerHearing::new(silence_limit)));
+        let receiver = FrameReceiver {
+            socket: listener.clone(),
+            frames,
+            hearing: Arc::clone(&hearing),
+            counts: Arc::clone(&counts),
+        };
         std::thread::Builder::new()
             .name("peer-frames".to_string())
-            .spawn(move || receive(&socket, &frames, &thread_counts))
+            .spawn(move || receiver.run())
             .map_err(|_| nng::Error::OutOfMemory)?;
-        Ok(NngTransport { listener, peers: BTreeMap::new(), counts })
+        Ok(NngTransport { listener, peers: BTreeMap::new(), hearing, counts })
     }
 
-    fn socket(&mut self, address: &str) -> Option<&Socket> {
-        if !self.peers.contains_key(address) {
-            let socket = dial(address).ok()?;
-            self.peers.insert(address.to_string(), socket);
+    fn socket(&mut self, address: &str) -> Option<&mut PeerSocket> {
+        let dialed = self.peers.get(address).map(|peer| peer.dialed);
+        let silent = dialed
+            .is_some_and(|dialed| heard(&self.hearing).is_silent(Instant::now(), address, dialed));
+        if silent || dialed.is_none() {
+            self.dial(address);
+        }
+        self.peers.get_mut(address)
+    }
+
+    /// Dials a peer, anew where it was dialed before.
+    fn dial(&mut self, address: &str) {
+        let present = self.peers.remove(address);
+        if let Some(earlier) = present.as_ref().and_then(|peer| peer.earlier.as_ref()) {
+            earlier.close();
+        }
+        let present = present.map(|peer| peer.socket);
+        let again = present.is_some();
+        match PeerSocket::dial(address, present) {
+            Ok(peer) => {
+                if again {
+                    debug!("peer_dialed_anew", kv: { address });
+                }
+                self.peers.insert(address.to_string(), peer);
+            }
+            // It is dialed with the next frame.
+            Err(error) => warn!("peer_not_dialed", kv: { address, error = error.to_string() }),
         }
-        self.peers.get(address)
     }
 }
 
@@ -104,8 +172,7 @@
             }
         };
         let length = bytes.len() as u64;
-        let sent =
-            self.socket(address).is_some_and(|socket| socket.try_send(bytes.as_slice()).is_ok());
+        let sent = self.socket(address).is_some_and(|peer| peer.send(&bytes));
         if sent {
             self.counts.sent.fetch_add(1, Ordering::Relaxed);
             self.counts.sent_bytes.fetch_add(length, Ordering::Relaxed);
@@ -115,18 +182,19 @@
     }
 
     fn keep_only(&mut self, addresses: &BTreeSet<String>) {
-        self.peers.retain(|address, socket| {
+        self.peers.retain(|address, peer| {
             let keep = addresses.contains(address);
             if !keep {
-                socket.close();
+                peer.close();
             }
             keep
         });
+        heard(&self.hearing).keep_only(addresses);
     }
 
     fn close(self: Box<Self>) {
-        for socket in self.peers.values() {
-            socket.close();
+        for peer in self.peers.values() {
+            peer.close();
         }
         self.listener.close();
     }
@@ -139,24 +207,38 @@
     Ok(socket)
 }
 
-/// Receives until the socket is closed.
-fn receive(socket: &Socket, frames: &UnboundedSender<PeerFrame>, counts: &TransportCounts) {
-    loop {
-        let message = match socket.recv() {
-            Ok(message) => message,
-            Err(nng::Error::Closed) => return,
-            Err(_) => continue,
-        };
-        counts.received.fetch_add(1, Ordering::Relaxed);
-        counts.received_bytes.fetch_add(message.as_slice().len() as u64, Ordering::Relaxed);
-        match decode_frame(message.as_slice()) {
-            Ok(frame) => {
-                if frames.send(frame).is_err() {
-                    return;
-                }
-            }
-            Err(_) => {
-                counts.unreadable.fetch_add(1, Ordering::Relaxed);
+/// What was heard so far. A thread that panicked with it leaves it whole: each change is one step.
+fn heard(hearing: &SharedHearing) -> MutexGuard<'_, PeerHearing<Option<Pipe>>> {
+    hearing.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Receives frames on a thread of its own.
+struct FrameReceiver {
+    socket: Socket,
+    frames: UnboundedSender<PeerFrame>,
+    hearing: SharedHearing,
+    counts: Arc<TransportCounts>,
+}
+
+impl FrameReceiver {
+    /// Receives until the socket is closed.
+    fn run(self) {
+        loop {
+            let mut message = match self.socket.recv() {
+                Ok(message) => message,
+                Err(nng::Error::Closed) => return,
+                Err(_) => continue,
+            };
+            self.counts.received.fetch_add(1, Ordering::Relaxed);
+            let length = message.as_slice().len() as u64;
+            self.counts.received_bytes.fetch_add(length, Ordering::Relaxed);
+            let Ok(frame) = decode_frame(message.as_slice()) else {
+                self.counts.unreadable.fetch_add(1, Ordering::Relaxed);
+                continue;
+            };
+            heard(&self.hearing).note(Instant::now(), &frame, message.pipe());
+            if self.frames.send(frame).is_err() {
+                return;
             }
         }
     }
