targets: one request without an answer retires the connections that rested beside it

Cause: open connections may go silent all at once. An idle one shows nothing of it, so each cost a request its whole limit, at a target that served new connections at once; requests that may run once fail by it.

--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 
 use crate::pool::ConnectionPool;
+use crate::silence::SilenceGuard;
 
 /// Bytes read at once from an answer that ends with its connection.
 const READ_SIZE: usize = 16 << 10;
@@ -63,6 +64,7 @@
     idle_limit: Option<Duration>,
     address: String,
     pool: ConnectionPool,
+    silence: SilenceGuard,
 }
 
 impl AnswerBody {
@@ -83,7 +85,8 @@
                 BodyState::UntilClose(parts.io, parts.read_buf)
             }
         };
-        AnswerBody { state, reusable, idle_limit: None, address, pool }
+        let silence = SilenceGuard::begin(&pool, &address);
+        AnswerBody { state, reusable, idle_limit: None, address, pool, silence }
     }
 
     /// The target closes the connection after it has rested for so long.
@@ -178,6 +181,18 @@
     type Item = Result<Bytes, BodyCut>;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let polled = self.poll_part(context);
+        match &polled {
+            Poll::Pending => {}
+            Poll::Ready(Some(Ok(_))) => self.silence.note_sign(),
+            Poll::Ready(Some(Err(_)) | None) => self.silence.end(),
+        }
+        polled
+    }
+}
+
+impl AnswerBody {
+    fn poll_part(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyCut>>> {
         let polled = match &mut self.state {
             BodyState::Ended | BodyState::Whole(_) => return Poll::Ready(None),
             BodyState::Empty(_) => {
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -10,6 +10,7 @@
 mod error;
 mod events;
 mod pool;
+mod silence;
 
 pub use answer::{collect, AnswerBody, BodyCut, CollectError, TargetAnswer};
 pub use connection::ExchangeOptions;
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -90,6 +90,13 @@
         Some(connections.remove(place).stream)
     }
 
+    /// Closes the idle connections that were used last before then.
+    pub(crate) fn discard_rested(&self, address: &str, before: Instant) {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(address) {
+            connections.retain(|connection| connection.since >= before);
+        }
+    }
+
     /// Keeps a connection for a further request; `limit` is the time for which its target does.
     pub(crate) fn put_idle(&self, address: &str, stream: TcpStream, limit: Option<Duration>) {
         if self.options.idle_count == 0 {
