standins: an engine starts again under its id, the store serves entries of other writers

Cause: no stand-in could end as a process does and start again, nor leave entries in the store that are not an engine's.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -3,8 +3,10 @@
 
 mod deployment;
 mod engine;
+mod entry;
 mod store;
 
 pub use deployment::{FleetDaemon, FleetDeployment};
 pub use engine::{EngineRun, EngineStep, FleetEngine};
+pub use entry::{EngineEntry, ForeignEntry};
 pub use store::{FleetStore, StoreOutage};
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -10,10 +10,11 @@
 use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME, READY};
 use serde_json::to_value;
 
-use super::{FleetEngine, FleetStore};
+use super::{EngineEntry, FleetEngine, FleetStore};
 use crate::address::free_address;
 use crate::deployment::{own_folder, program_folder, spawn, wait_listening, ChildProcess};
 use crate::http;
+use crate::served::ServedHandler;
 
 /// Slots of an engine.
 const SLOTS: u32 = 4;
@@ -38,6 +39,10 @@
     pub engines: Vec<Rc<FleetEngine>>,
     /// Their addresses.
     pub engine_addresses: Vec<String>,
+    /// Where they are served, until they end.
+    engines_served: Vec<Option<ServedHandler>>,
+    /// Their services.
+    engine_backends: Vec<String>,
     /// The daemons.
     pub daemons: Vec<FleetDaemon>,
     /// The configuration that was stored last.
@@ -56,6 +61,8 @@
             store,
             engines: Vec::new(),
             engine_addresses: Vec::new(),
+            engines_served: Vec::new(),
+            engine_backends: Vec::new(),
             daemons: Vec::new(),
             config: example_config(),
             store_address,
@@ -74,13 +81,37 @@
     /// Starts an engine and announces it.
     pub async fn engine(&mut self, backend: &str, events: u64, pace: Duration) -> Result<()> {
         let engine = FleetEngine::new(&format!("i-{}", self.engines.len()), events, pace);
-        let address = http::serve_here(engine.clone()).await?;
-        self.announce(&engine.id, backend, &address, READY)?;
+        let address = free_address()?;
+        let served = ServedHandler::start(&address, engine.clone()).await?;
+        self.write_entry(&engine, backend, &address)?;
         self.engines.push(engine);
         self.engine_addresses.push(address);
+        self.engines_served.push(Some(served));
+        self.engine_backends.push(backend.to_string());
         Ok(())
     }
 
+    /// An engine ends at once and starts again under its id, at this address.
+    pub async fn restart_engine(&mut self, index: usize, address: String) -> Result<()> {
+        if let Some(served) = self.engines_served[index].take() {
+            served.close().await;
+        }
+        let engine = self.engines[index].started_again();
+        let served = ServedHandler::start(&address, engine.clone()).await?;
+        self.write_entry(&engine, &self.engine_backends[index], &address)?;
+        self.engines_served[index] = Some(served);
+        self.engine_addresses[index] = address;
+        self.engines[index] = engine;
+        Ok(())
+    }
+
+    fn write_entry(&self, engine: &FleetEngine, backend: &str, address: &str) -> Result<()> {
+        let born = Some(engine.born);
+        let entry =
+            EngineEntry { backend, address, zone: "here", slots: SLOTS, state: READY, born };
+        self.store.write_entry(&engine.id, entry)
+    }
+
     /// Writes the entry of an engine.
     pub fn announce(&self, id: &str, backend: &str, address: &str, state: &str) -> Result<()> {
         self.store.announce(id, backend, address, SLOTS, state)
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::RangeInclusive;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use curlewcleat_platform::names::{SEAL, WIRE_PROFILE};
 
@@ -77,8 +77,10 @@
 
 /// An engine in this process.
 pub struct FleetEngine {
-    /// Name of this start of the engine.
+    /// Name of the engine, which a further start of it may have again.
     pub id: String,
+    /// Unix millisecond of this start.
+    pub born: u64,
     /// Events of a stream.
     pub events: u64,
     /// Time between two events.
@@ -93,6 +95,7 @@
     pub fn new(id: &str, events: u64, pace: Duration) -> Rc<FleetEngine> {
         Rc::new(FleetEngine {
             id: id.to_string(),
+            born: unix_millisecond(),
             events,
             pace,
             steps: RefCell::default(),
@@ -101,6 +104,11 @@
         })
     }
 
+    /// The engine's next start: it knows nothing of before.
+    pub fn started_again(&self) -> Rc<FleetEngine> {
+        FleetEngine::new(&self.id, self.events, self.pace)
+    }
+
     /// What it does with the next request; later ones queue behind.
     pub fn next(&self, step: EngineStep) {
         self.steps.borrow_mut().push_back(step);
@@ -347,6 +355,13 @@
     }
 }
 
+/// The present time as engines tell it.
+fn unix_millisecond() -> u64 {
+    // A clock that stands before 1970 tells no time of a start.
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn event(attempt: &str, number: u64) -> String {
     format!("id: {number}\ndata: {attempt} {number}\n\n")
 }
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use curlewcleat_platform::format::Server;
 use curlewcleat_platform::names::{OBJECTS, SERVERS};
 use serde_json::{json, Value};
 use tokio::sync::Notify;
 
 use self::state::StoreState;
+use super::entry::{with_unreadable_bytes, EngineEntry};
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
 /// Objects of one page.
@@ -98,7 +98,7 @@
         self.changed.notify_waiters();
     }
 
-    /// Writes the entry of an engine, as the engine does.
+    /// Writes the entry of an engine, as one does that says nothing of its start.
     ///
     /// # Errors
     /// Where the entry cannot be written as JSON.
@@ -110,14 +110,18 @@
         slots: u32,
         state: &str,
     ) -> Result<()> {
-        let server = Server {
-            backend: backend.to_string(),
-            address: address.to_string(),
-            zone: "here".to_string(),
-            slots,
-            state: state.to_string(),
-        };
-        self.put(SERVERS, id, serde_json::to_value(server)?);
+        self.write_entry(
+            id,
+            EngineEntry { backend, address, zone: "here", slots, state, born: None },
+        )
+    }
+
+    /// Writes the entry of an engine, as the engine does.
+    ///
+    /// # Errors
+    /// Where the entry cannot be written as JSON.
+    pub fn write_entry(&self, id: &str, entry: EngineEntry<'_>) -> Result<()> {
+        self.put(SERVERS, id, serde_json::to_value(entry)?);
         Ok(())
     }
 
@@ -133,6 +137,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Content of an object.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state.borrow();
+        Some(state.kinds.get(kind)?.get(name)?["spec"].clone())
+    }
+
     /// Names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.state.borrow();
@@ -157,7 +167,8 @@
                 return Ok(AfterAnswer::Close);
             }
         }
-        connection.answer_json(status, &body).await?;
+        let body = with_unreadable_bytes(&body.to_string());
+        connection.answer(status, &[("Content-Type", "application/json")], &body).await?;
         Ok(AfterAnswer::KeepOpen)
     }
 
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -167,7 +167,11 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, handler: Rc<dyn PlainHandler>) -> Result<()> {
+/// Serves one connection until either side closes it.
+pub(crate) async fn serve_connection(
+    stream: TcpStream,
+    handler: Rc<dyn PlainHandler>,
+) -> Result<()> {
     let mut connection = PlainConnection { stream };
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut connection.stream, &mut buffer).await? {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod platform;
 pub mod relay;
+pub mod served;
 pub mod service;
 pub mod target;
 pub mod verdicts;
