soak: engines that start again, entries of other writers

Cause: the soak had neither. Change: kinds 'restart' and 'foreign' (--extra), drawn apart from the plan; nothing may reach an address that only a foreign entry names, and an engine whose entry was written over counts as leaving. extra_faults_leave_the_plan_of_a_seed shows that plans stay. The tests play 'silence' and 'restart' for five seconds with fixed seeds; 'foreign' is not yet among them.

--- a/crates/soak/src/extra.rs
+++ b/crates/soak/src/extra.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use curlewcleat_standins::fleet::ForeignEntry;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -15,11 +16,27 @@
 /// notices a silent connection with the settings of a run.
 const PAUSE_MS: std::ops::Range<u64> = 800..2_500;
 
+/// Shortest and longest time of a fault, in milliseconds: an engine is away, an entry is there. Chosen, not measured.
+const FAULT_MS: std::ops::Range<u64> = 10..1_200;
+
 /// A kind of faults beside those of the plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum ExtraKind {
     /// Open connections go silent for good, without a reset, while new ones work.
     Silence,
+    /// Engines end and start again under their ids.
+    Restart,
+    /// Entries of other writers than engines.
+    Foreign,
+}
+
+/// Where an engine starts again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RestartPlace {
+    /// At the address that it had.
+    Same,
+    /// At another one.
+    Other,
 }
 
 /// Whose connections go silent.
@@ -49,8 +66,9 @@
         if at > options.time {
             break;
         }
+        let time = Duration::from_millis(random.random_range(FAULT_MS));
         let fault = draw(&mut random, kind, options);
-        steps.push(FaultStep { at, time: Duration::ZERO, fault });
+        steps.push(FaultStep { at, time, fault });
     }
     steps.sort_by_key(|step| step.at);
     steps
@@ -70,5 +88,17 @@
             let drawn = connections.choose(random).copied();
             SoakFault::Silence(drawn.unwrap_or(SilentConnections::All))
         }
+        ExtraKind::Restart => {
+            let same = random.random_ratio(1, 2);
+            let place = if same { RestartPlace::Same } else { RestartPlace::Other };
+            SoakFault::Restart(engine, place)
+        }
+        ExtraKind::Foreign => {
+            let entry = ForeignEntry::ALL.choose(random).copied().unwrap_or(ForeignEntry::Bytes);
+            match random.random_ratio(1, 3) {
+                true => SoakFault::Overwrite(engine, entry),
+                false => SoakFault::Foreign(entry),
+            }
+        }
     }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -54,6 +54,9 @@
             SoakFault::Change => self.change()?,
             SoakFault::TakeKey => self.take_key(time).await?,
             SoakFault::Silence(connections) => self.silence(connections),
+            SoakFault::Restart(index, place) => self.restart_engine(index, place, time).await?,
+            SoakFault::Foreign(entry) => self.foreign_entry(entry, time).await?,
+            SoakFault::Overwrite(index, entry) => self.overwrite(index, entry).await?,
         }
         Ok(())
     }
@@ -167,7 +170,7 @@
     async fn leave(&self, index: usize, time: Duration) -> Result<()> {
         let old = self.replace_engine(index).await?;
         let id = old.engine.id.clone();
-        self.announce(&id, old.backend, &old.address, DRAINING)?;
+        self.write_entry(&old, DRAINING)?;
         self.note_leave(&id);
         tokio::time::sleep(time).await;
         self.store.remove(SERVERS, &id);
@@ -182,7 +185,7 @@
     }
 
     /// Puts a new engine in the place of one that is about to leave, and gives that one.
-    async fn replace_engine(&self, index: usize) -> Result<EngineSlot> {
+    pub(crate) async fn replace_engine(&self, index: usize) -> Result<EngineSlot> {
         let backend = self.engines.borrow()[index].backend;
         let fresh = self.new_engine(backend).await?;
         let old = std::mem::replace(&mut self.engines.borrow_mut()[index], fresh);
@@ -190,7 +193,7 @@
         Ok(old)
     }
 
-    fn note_leave(&self, id: &str) {
+    pub(crate) fn note_leave(&self, id: &str) {
         let leave = EngineLeave { engine: id.to_string(), told: Instant::now() };
         self.evidence.borrow_mut().leaves.push(leave);
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -11,8 +11,9 @@
 use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME, READY};
 use curlewcleat_standins::address::free_address;
 use curlewcleat_standins::deployment::{get_text, program_folder, spawn, wait_until, ChildProcess};
-use curlewcleat_standins::fleet::{EngineRun, FleetEngine, FleetStore};
+use curlewcleat_standins::fleet::{EngineEntry, EngineRun, FleetEngine, FleetStore};
 use curlewcleat_standins::http::serve_here;
+use curlewcleat_standins::served::ServedHandler;
 use serde_json::to_value;
 
 use crate::extra::ExtraKind;
@@ -22,8 +23,8 @@
 use crate::settings::{DaemonSettings, AGE_LIMIT, APPLY_LIMIT};
 
 /// Events of a whole stream, and the time between two.
-const EVENTS: u64 = 6;
-const PACE: Duration = Duration::from_millis(15);
+pub const EVENTS: u64 = 6;
+pub const PACE: Duration = Duration::from_millis(15);
 /// Slots of an engine.
 const SLOTS: u32 = 8;
 /// Daemons whose addresses the settings of each name. Chosen, not measured.
@@ -41,6 +42,8 @@
     pub address: String,
     /// The link on which daemons reach it, in runs whose connections go silent.
     pub link: Option<FaultyLink>,
+    /// Where it is served, until it ends.
+    pub served: Option<ServedHandler>,
 }
 
 /// A daemon, the links through which it is reached, and its process.
@@ -229,18 +232,38 @@
         let number = self.started.get();
         self.started.set(number + 1);
         let engine = FleetEngine::new(&format!("i-{number}"), EVENTS, PACE);
-        let served = serve_here(engine.clone()).await?;
+        self.serve_engine(engine, backend, &free_address()?).await
+    }
+
+    /// Serves an engine at an address, and writes its entry.
+    pub async fn serve_engine(
+        &self,
+        engine: Rc<FleetEngine>,
+        backend: &'static str,
+        address: &str,
+    ) -> Result<EngineSlot> {
+        let served = ServedHandler::start(address, engine.clone()).await?;
         let link = match self.options.extra {
-            Some(ExtraKind::Silence) => Some(FaultyLink::start(&served, None).await?),
+            Some(ExtraKind::Silence) => Some(FaultyLink::start(address, None).await?),
             _ => None,
         };
-        let address = link.as_ref().map_or(served, |link| link.address.clone());
-        self.announce(&engine.id, backend, &address, READY)?;
-        Ok(EngineSlot { engine, backend, address, link })
+        let address = link.as_ref().map_or(address, |link| &link.address).to_string();
+        let slot = EngineSlot { engine, backend, address, link, served: Some(served) };
+        self.write_entry(&slot, READY)?;
+        Ok(slot)
     }
 
-    pub fn announce(&self, id: &str, backend: &str, address: &str, state: &str) -> Result<()> {
-        self.store.announce(id, backend, address, SLOTS, state)
+    /// Writes the entry of an engine.
+    pub fn write_entry(&self, slot: &EngineSlot, state: &str) -> Result<()> {
+        let entry = EngineEntry {
+            backend: slot.backend,
+            address: &slot.address,
+            zone: "here",
+            slots: SLOTS,
+            state,
+            born: Some(slot.engine.born),
+        };
+        self.store.write_entry(&slot.engine.id, entry)
     }
 
     /// What reached each engine.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,19 +2,21 @@
 //! judge that compares what callers got with what engines ran.
 
 mod callers;
+mod entries;
 mod extra;
 mod faults;
 mod fleet;
 mod judge;
 mod link;
 mod options;
+mod outcomes;
 mod plan;
 mod reach;
 mod run;
 mod settings;
 
 pub use callers::{CallKind, CallOutcome, CallRecord};
-pub use extra::{with_extra, ExtraKind, SilentConnections};
+pub use extra::{with_extra, ExtraKind, RestartPlace, SilentConnections};
 pub use judge::{judge, KeyLoss, PlannedStop, SoakEvidence, SoakFinding};
 pub use link::{FaultyLink, LinkFault};
 pub use options::SoakOptions;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use curlewcleat_standins::fleet::{EngineStep, StoreOutage};
+use curlewcleat_standins::fleet::{EngineStep, ForeignEntry, StoreOutage};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use crate::extra::SilentConnections;
+use crate::extra::{RestartPlace, SilentConnections};
 use crate::link::LinkFault;
 
 /// Time before the first fault, in which the fleet settles.
@@ -69,10 +69,16 @@
     TakeKey,
     /// Open connections go silent for good.
     Silence(SilentConnections),
+    /// An engine ends and starts again under its id.
+    Restart(usize, RestartPlace),
+    /// There is an entry that is not an engine's.
+    Foreign(ForeignEntry),
+    /// Another writer writes over an engine's entry.
+    Overwrite(usize, ForeignEntry),
 }
 
 impl SoakFault {
-    /// Whether it is planned work, around which nothing may be lost.
+    /// Whether it is planned work, or what others write: nothing may be lost around it.
     pub fn is_planned(self) -> bool {
         matches!(
             self,
@@ -81,6 +87,8 @@
                 | SoakFault::Change
                 | SoakFault::Leave(_)
                 | SoakFault::TakeKey
+                | SoakFault::Foreign(_)
+                | SoakFault::Overwrite(..)
         )
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,8 +10,9 @@
 use crate::callers::SoakCallers;
 use crate::extra::with_extra;
 use crate::fleet::{SoakFleet, BACKENDS};
-use crate::judge::{judge, summary, unserved, SoakFinding};
+use crate::judge::{judge, SoakFinding};
 use crate::options::SoakOptions;
+use crate::outcomes::{summary, unserved};
 use crate::plan::{plan, FaultStep, PlanOptions};
 use crate::reach::unheard_peers;
 
