--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,9 +9,9 @@
 use curlewcleat_platform::names::{DRAINING, SERVERS};
 use curlewcleat_standins::fleet::{EngineStep, StoreOutage};
 
+use crate::evidence::{EngineLeave, KeyLoss, PlannedStop};
 use crate::extra::SilentConnections;
 use crate::fleet::{DaemonSlot, EngineSlot, SoakFleet, LOOK_EVERY};
-use crate::judge::{EngineLeave, KeyLoss, PlannedStop};
 use crate::link::{FaultyLink, LinkFault};
 use crate::plan::{FaultStep, SoakFault};
 use crate::settings::{AGE_LIMIT, STOP_LIMIT};
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -16,8 +16,8 @@
 use curlewcleat_standins::served::ServedHandler;
 use serde_json::to_value;
 
+use crate::evidence::SoakEvidence;
 use crate::extra::ExtraKind;
-use crate::judge::SoakEvidence;
 use crate::link::FaultyLink;
 use crate::options::SoakOptions;
 use crate::settings::{DaemonSettings, AGE_LIMIT, APPLY_LIMIT};
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -7,6 +7,7 @@
 use curlewcleat_standins::fleet::{EngineRun, FleetEngine};
 
 use crate::callers::{body_of, CallOutcome, CallRecord};
+use crate::evidence::{SoakEvidence, AFTERMATH};
 
 /// Statuses that promise that nothing ran and nothing will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -16,8 +17,6 @@
 const ATTEMPT_LIMIT: usize = 2;
 /// Error of the clocks between a write to the store and its note.
 const SLACK: Duration = Duration::from_millis(100);
-/// Time after an unplanned fault in which what it broke may still show.
-const AFTERMATH: Duration = Duration::from_millis(1_500);
 /// Time after the last fault in which requests are served again.
 const RECOVERED_AFTER: Duration = Duration::from_millis(2_500);
 /// Requests from which recovery can be told.
@@ -32,76 +31,6 @@
     pub detail: String,
 }
 
-/// A key that was taken away.
-#[derive(Clone, Debug)]
-pub struct KeyLoss {
-    /// The key.
-    pub key: &'static str,
-    /// When the store had the configuration without it.
-    pub lost: Instant,
-    /// When it had one with it again.
-    pub back: Option<Instant>,
-}
-
-/// An engine that was said to leave.
-#[derive(Clone, Debug)]
-pub struct EngineLeave {
-    /// Name of its start.
-    pub engine: String,
-    /// When the store had it.
-    pub told: Instant,
-}
-
-/// A daemon that was told to stop.
-#[derive(Clone, Copy, Debug)]
-pub struct PlannedStop {
-    /// Number of the daemon.
-    pub daemon: usize,
-    /// When.
-    pub told: Instant,
-}
-
-/// All that is known after a run.
-#[derive(Default)]
-pub struct SoakEvidence {
-    /// Requests and their outcomes.
-    pub records: Vec<CallRecord>,
-    /// What reached each engine, by its name.
-    pub runs: Vec<(String, EngineRun)>,
-    /// Events of a whole stream.
-    pub events: u64,
-    /// Keys that were taken away.
-    pub key_losses: Vec<KeyLoss>,
-    /// Age of the proof of a configuration above which keys are refused.
-    pub age_limit: Duration,
-    /// Engines that left.
-    pub leaves: Vec<EngineLeave>,
-    /// Time after which nothing reaches them.
-    pub leave_limit: Duration,
-    /// Daemons that were stopped.
-    pub stops: Vec<PlannedStop>,
-    /// Times of unplanned faults.
-    pub faults: Vec<(Instant, Instant)>,
-    /// Names of entries that name no engine.
-    pub foreign: BTreeSet<String>,
-    /// What processes did that nobody asked for.
-    pub exits: Vec<String>,
-    /// When the last fault had ended.
-    pub healed: Option<Instant>,
-}
-
-impl SoakEvidence {
-    /// Whether no unplanned fault could have had a part in what happened in a time.
-    fn is_calm(&self, from: Instant, to: Instant) -> bool {
-        self.faults.iter().all(|(begin, end)| *begin > to || *end + AFTERMATH < from)
-    }
-
-    /// Whether a daemon was told to stop before a time.
-    fn is_stopping(&self, daemon: usize, at: Instant) -> bool {
-        self.stops.iter().any(|stop| stop.daemon == daemon && stop.told <= at)
-    }
-}
-
 /// A request with what reached engines of it.
 struct JudgedCase<'a> {
     record: &'a CallRecord,
--- /dev/null
+++ b/crates/soak/src/kept.rs
@@ -0,0 +1,45 @@
+//! Seeds that failed once, as `kept-seeds.txt` lists them.
+
+use anyhow::{anyhow, Context, Result};
+use clap::ValueEnum;
+
+use crate::extra::ExtraKind;
+
+/// Word of a line whose seed is played with planned work only.
+const PLANNED: &str = "planned";
+
+/// A seed with the options that change its plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlayedSeed {
+    /// The seed.
+    pub seed: u64,
+    /// Whether only planned work happens.
+    pub planned: bool,
+    /// Kind of faults beside the plan.
+    pub extra: Option<ExtraKind>,
+}
+
+/// The seeds of a list with a line for each: `SEED [planned] [KIND]: CAUSE`.
+///
+/// # Errors
+/// Where a line cannot be read.
+pub fn kept_seeds(list: &str) -> Result<Vec<PlayedSeed>> {
+    list.lines().filter(|line| !line.starts_with('#')).map(kept_seed).collect()
+}
+
+fn kept_seed(line: &str) -> Result<PlayedSeed> {
+    let (options, _) = line.split_once(':').context("kept seeds: a line without a cause")?;
+    let mut words = options.split_whitespace();
+    let seed = words.next().context("kept seeds: a line without a seed")?.parse()?;
+    let mut kept = PlayedSeed { seed, planned: false, extra: None };
+    for word in words {
+        match word {
+            PLANNED => kept.planned = true,
+            kind => {
+                let kind = ExtraKind::from_str(kind, false);
+                kept.extra = Some(kind.map_err(|error| anyhow!("kept seeds: {error}"))?);
+            }
+        }
+    }
+    Ok(kept)
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,10 +3,12 @@
 
 mod callers;
 mod entries;
+mod evidence;
 mod extra;
 mod faults;
 mod fleet;
 mod judge;
+mod kept;
 mod link;
 mod options;
 mod outcomes;
@@ -16,8 +18,10 @@
 mod settings;
 
 pub use callers::{CallKind, CallOutcome, CallRecord};
+pub use evidence::{EngineLeave, KeyLoss, PlannedStop, SoakEvidence};
 pub use extra::{with_extra, ExtraKind, RestartPlace, SilentConnections};
-pub use judge::{judge, KeyLoss, PlannedStop, SoakEvidence, SoakFinding};
+pub use judge::{judge, SoakFinding};
+pub use kept::{kept_seeds, PlayedSeed};
 pub use link::{FaultyLink, LinkFault};
 pub use options::SoakOptions;
 pub use plan::{plan, FaultStep, PlanOptions, SoakFault};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,9 +4,9 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use clap::Parser;
-use curlewcleat_soak::{run_soak, ExtraKind, SoakOptions, SoakReport};
+use curlewcleat_soak::{kept_seeds, run_soak, ExtraKind, PlayedSeed, SoakOptions, SoakReport};
 
 /// A randomized fault soak of real daemons on loopback.
 #[derive(Parser)]
@@ -54,10 +54,11 @@
 
 fn main() -> Result<ExitCode> {
     let arguments = SoakArguments::parse();
-    let seeds = match arguments.seed {
-        Some(seed) => vec![seed],
-        None if arguments.kept => kept_seeds()?,
-        None => (arguments.first..arguments.first + arguments.seeds).collect(),
+    let own = |seed| PlayedSeed { seed, planned: arguments.planned, extra: arguments.extra };
+    let seeds: Vec<PlayedSeed> = match arguments.seed {
+        Some(seed) => vec![own(seed)],
+        None if arguments.kept => kept_seeds(include_str!("../kept-seeds.txt"))?,
+        None => (arguments.first..arguments.first + arguments.seeds).map(own).collect(),
     };
     let count = seeds.len();
     let mut broken = 0;
@@ -65,7 +66,7 @@
         let options = options(&arguments, seed);
         let folder = options.folder.clone();
         let report = actix_rt::System::new().block_on(run_soak(options))?;
-        print(seed, &report, arguments.seed.is_some());
+        print(seed.seed, &report, arguments.seed.is_some());
         match report.findings.is_empty() {
             // A folder that stays behind in the temporary files does no harm.
             true => drop(std::fs::remove_dir_all(&folder)),
@@ -79,28 +80,19 @@
     Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-/// Seeds that failed once.
-fn kept_seeds() -> Result<Vec<u64>> {
-    let lines = include_str!("../kept-seeds.txt").lines().filter(|line| !line.starts_with('#'));
-    let seeds = lines.map(|line| {
-        let (seed, _) = line.split_once(':').context("kept-seeds.txt: a line without a cause")?;
-        Ok(seed.parse()?)
-    });
-    seeds.collect()
-}
-
-fn options(arguments: &SoakArguments, seed: u64) -> SoakOptions {
+fn options(arguments: &SoakArguments, played: PlayedSeed) -> SoakOptions {
     let folder = arguments.folder.clone().unwrap_or_else(std::env::temp_dir);
+    let PlayedSeed { seed, planned, extra } = played;
     SoakOptions {
         seed,
         daemons: arguments.daemons,
         engines: arguments.engines,
         callers: arguments.callers,
         time: Duration::from_secs(arguments.seconds),
-        planned_only: arguments.planned,
+        planned_only: planned,
         routes: arguments.routes,
         link_mbps: arguments.link_mbps,
-        extra: arguments.extra,
+        extra,
         script: None,
         folder: folder.join(format!("curlewcleat-soak-{}-{seed}", std::process::id())),
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use curlewcleat_soak::{
-    judge, plan, run_soak, with_extra, CallKind, CallOutcome, CallRecord, ExtraKind, FaultStep,
-    KeyLoss, LinkFault, PlanOptions, SilentConnections, SoakEvidence, SoakFault, SoakOptions,
+    judge, kept_seeds, plan, run_soak, with_extra, CallKind, CallOutcome, CallRecord, ExtraKind,
+    FaultStep, KeyLoss, LinkFault, PlanOptions, PlayedSeed, SilentConnections, SoakEvidence,
+    SoakFault, SoakOptions,
 };
 use curlewcleat_standins::fleet::EngineRun;
 use rstest::rstest;
@@ -176,6 +177,18 @@
     assert_ne!(plan(7, &options), plan(8, &options));
 }
 
+#[test]
+fn kept_seeds_are_read_with_their_options() {
+    let list = "# seeds\n1: a cause\n2 planned foreign: another: cause\n";
+    let kept = kept_seeds(list).expect("a list");
+    let first = PlayedSeed { seed: 1, planned: false, extra: None };
+    let second = PlayedSeed { seed: 2, planned: true, extra: Some(ExtraKind::Foreign) };
+    assert_eq!(kept, [first, second]);
+    assert!(kept_seeds("3 unheard-of: a cause").is_err());
+    assert!(kept_seeds("4 without a cause").is_err());
+    assert!(kept_seeds(include_str!("../kept-seeds.txt")).is_ok());
+}
+
 fn served(kind: CallKind) -> CallRecord {
     let now = Instant::now();
     let outcome = CallOutcome::Answer {
