--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,8 +9,9 @@
 use curlewcleat_platform::names::{DRAINING, SERVERS};
 use curlewcleat_standins::fleet::{EngineStep, StoreOutage};
 
+use crate::evidence::{EngineLeave, KeyLoss, PlannedStop};
+use crate::extra::SilentConnections;
 use crate::fleet::{DaemonSlot, EngineSlot, SoakFleet, LOOK_EVERY};
-use crate::judge::{EngineLeave, KeyLoss, PlannedStop};
 use crate::link::{FaultyLink, LinkFault};
 use crate::plan::{FaultStep, SoakFault};
 use crate::settings::{AGE_LIMIT, STOP_LIMIT};
@@ -52,6 +53,10 @@
             SoakFault::Vanish(index) => self.vanish(index).await?,
             SoakFault::Change => self.change()?,
             SoakFault::TakeKey => self.take_key(time).await?,
+            SoakFault::Silence(connections) => self.silence(connections),
+            SoakFault::Restart(index, place) => self.restart_engine(index, place, time).await?,
+            SoakFault::Foreign(entry) => self.foreign_entry(entry, time).await?,
+            SoakFault::Overwrite(index, entry) => self.overwrite(index, entry).await?,
         }
         Ok(())
     }
@@ -122,6 +127,32 @@
         self.store.set_outage(None);
     }
 
+    /// Open connections carry nothing again; new ones work.
+    fn silence(&self, connections: SilentConnections) {
+        let peers = |index: usize| &self.daemons[index].peer_link;
+        let stores = |index: usize| &self.daemons[index].store_link;
+        match connections {
+            SilentConnections::Peers(index) => peers(index).silence(),
+            SilentConnections::Store(index) => stores(index).silence(),
+            SilentConnections::Engine(index) => self.silence_engines(index..index + 1),
+            SilentConnections::All => {
+                for index in 0..self.daemons.len() {
+                    peers(index).silence();
+                    stores(index).silence();
+                }
+                self.silence_engines(0..self.engines.borrow().len());
+            }
+        }
+    }
+
+    fn silence_engines(&self, indexes: std::ops::Range<usize>) {
+        for slot in &self.engines.borrow()[indexes] {
+            if let Some(link) = &slot.link {
+                link.silence();
+            }
+        }
+    }
+
     async fn lost_writes(&self, count: u64, time: Duration) {
         self.store.lose_writes(count);
         tokio::time::sleep(time).await;
@@ -139,7 +170,7 @@
     async fn leave(&self, index: usize, time: Duration) -> Result<()> {
         let old = self.replace_engine(index).await?;
         let id = old.engine.id.clone();
-        self.announce(&id, old.backend, &old.address, DRAINING)?;
+        self.write_entry(&old, DRAINING)?;
         self.note_leave(&id);
         tokio::time::sleep(time).await;
         self.store.remove(SERVERS, &id);
@@ -154,7 +185,7 @@
     }
 
     /// Puts a new engine in the place of one that is about to leave, and gives that one.
-    async fn replace_engine(&self, index: usize) -> Result<EngineSlot> {
+    pub(crate) async fn replace_engine(&self, index: usize) -> Result<EngineSlot> {
         let backend = self.engines.borrow()[index].backend;
         let fresh = self.new_engine(backend).await?;
         let old = std::mem::replace(&mut self.engines.borrow_mut()[index], fresh);
@@ -162,7 +193,7 @@
         Ok(old)
     }
 
-    fn note_leave(&self, id: &str) {
+    pub(crate) fn note_leave(&self, id: &str) {
         let leave = EngineLeave { engine: id.to_string(), told: Instant::now() };
         self.evidence.borrow_mut().leaves.push(leave);
     }
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -6,7 +6,8 @@
 use curlewcleat_platform::example::{DEPOTS_KEY, DRIVERS_KEY, DRIVERS_SECOND_KEY};
 use curlewcleat_standins::fleet::{EngineRun, FleetEngine};
 
-use crate::callers::{body_of, CallKind, CallOutcome, CallRecord};
+use crate::callers::{body_of, CallOutcome, CallRecord};
+use crate::evidence::{SoakEvidence, AFTERMATH};
 
 /// Statuses that promise that nothing ran and nothing will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -16,8 +17,6 @@
 const ATTEMPT_LIMIT: usize = 2;
 /// Error of the clocks between a write to the store and its note.
 const SLACK: Duration = Duration::from_millis(100);
-/// Time after an unplanned fault in which what it broke may still show.
-const AFTERMATH: Duration = Duration::from_millis(1_500);
 /// Time after the last fault in which requests are served again.
 const RECOVERED_AFTER: Duration = Duration::from_millis(2_500);
 /// Requests from which recovery can be told.
@@ -32,74 +31,6 @@
     pub detail: String,
 }
 
-/// A key that was taken away.
-#[derive(Clone, Debug)]
-pub struct KeyLoss {
-    /// The key.
-    pub key: &'static str,
-    /// When the store had the configuration without it.
-    pub lost: Instant,
-    /// When it had one with it again.
-    pub back: Option<Instant>,
-}
-
-/// An engine that was said to leave.
-#[derive(Clone, Debug)]
-pub struct EngineLeave {
-    /// Name of its start.
-    pub engine: String,
-    /// When the store had it.
-    pub told: Instant,
-}
-
-/// A daemon that was told to stop.
-#[derive(Clone, Copy, Debug)]
-pub struct PlannedStop {
-    /// Number of the daemon.
-    pub daemon: usize,
-    /// When.
-    pub told: Instant,
-}
-
-/// All that is known after a run.
-#[derive(Default)]
-pub struct SoakEvidence {
-    /// Requests and their outcomes.
-    pub records: Vec<CallRecord>,
-    /// What reached each engine, by its name.
-    pub runs: Vec<(String, EngineRun)>,
-    /// Events of a whole stream.
-    pub events: u64,
-    /// Keys that were taken away.
-    pub key_losses: Vec<KeyLoss>,
-    /// Age of the proof of a configuration above which keys are refused.
-    pub age_limit: Duration,
-    /// Engines that left.
-    pub leaves: Vec<EngineLeave>,
-    /// Time after which nothing reaches them.
-    pub leave_limit: Duration,
-    /// Daemons that were stopped.
-    pub stops: Vec<PlannedStop>,
-    /// Times of unplanned faults.
-    pub faults: Vec<(Instant, Instant)>,
-    /// What processes did that nobody asked for.
-    pub exits: Vec<String>,
-    /// When the last fault had ended.
-    pub healed: Option<Instant>,
-}
-
-impl SoakEvidence {
-    /// Whether no unplanned fault could have had a part in what happened in a time.
-    fn is_calm(&self, from: Instant, to: Instant) -> bool {
-        self.faults.iter().all(|(begin, end)| *begin > to || *end + AFTERMATH < from)
-    }
-
-    /// Whether a daemon was told to stop before a time.
-    fn is_stopping(&self, daemon: usize, at: Instant) -> bool {
-        self.stops.iter().any(|stop| stop.daemon == daemon && stop.told <= at)
-    }
-}
-
 /// A request with what reached engines of it.
 struct JudgedCase<'a> {
     record: &'a CallRecord,
@@ -137,6 +68,7 @@
         findings.extend(check_keys(&case, evidence));
         findings.extend(check_lost(&case, evidence));
         findings.extend(check_leaves(&case, evidence));
+        findings.extend(check_foreign(&case, evidence));
     }
     for attempt in arrivals.keys() {
         let detail = format!("{attempt} reached an engine and was sent by nobody");
@@ -255,6 +187,12 @@
     })
 }
 
+fn check_foreign(case: &JudgedCase<'_>, evidence: &SoakEvidence) -> Option<SoakFinding> {
+    let reached = case.arrivals.iter().find(|(engine, _)| evidence.foreign.contains(engine));
+    let promise = "an entry of another writer names no engine";
+    reached.map(|(engine, _)| case.finding(promise, &format!("it reached {engine}")))
+}
+
 fn check_recovery(evidence: &SoakEvidence) -> Option<SoakFinding> {
     let from = evidence.healed? + RECOVERED_AFTER;
     let late = evidence.records.iter().filter(|record| record.sent > from);
@@ -277,31 +215,3 @@
     let detail = format!("{count} of {} requests served; the others: {refused:?}", late.len());
     Some(SoakFinding { promise: "requests are served once faults have ended", detail })
 }
-
-/// Kinds and outcomes of a run, for its report.
-pub fn summary(records: &[CallRecord]) -> BTreeMap<String, usize> {
-    let mut counts = BTreeMap::new();
-    for record in records {
-        let outcome = match &record.outcome {
-            CallOutcome::Unsent => "unsent".to_string(),
-            CallOutcome::NoAnswer(_) => "no answer".to_string(),
-            CallOutcome::Answer { status, whole: true, .. } => status.to_string(),
-            CallOutcome::Answer { status, whole: false, .. } => format!("{status} cut"),
-        };
-        *counts.entry(outcome).or_default() += 1;
-    }
-    counts
-}
-
-/// Whether a kind was served at all, so that a run that serves nothing proves nothing.
-pub fn unserved(records: &[CallRecord]) -> Vec<CallKind> {
-    let kinds =
-        [CallKind::Once, CallKind::Open, CallKind::Again, CallKind::Resumed, CallKind::Plain];
-    let served = |kind: &CallKind| {
-        records.iter().any(|record| {
-            record.kind == *kind
-                && matches!(&record.outcome, CallOutcome::Answer { status: 200, whole: true, .. })
-        })
-    };
-    kinds.into_iter().filter(|kind| !served(kind)).collect()
-}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,17 +2,26 @@
 //! judge that compares what callers got with what engines ran.
 
 mod callers;
+mod entries;
+mod evidence;
+mod extra;
 mod faults;
 mod fleet;
 mod judge;
+mod kept;
 mod link;
 mod options;
+mod outcomes;
 mod plan;
+mod reach;
 mod run;
 mod settings;
 
 pub use callers::{CallKind, CallOutcome, CallRecord};
-pub use judge::{judge, KeyLoss, PlannedStop, SoakEvidence, SoakFinding};
+pub use evidence::{EngineLeave, KeyLoss, PlannedStop, SoakEvidence};
+pub use extra::{with_extra, ExtraKind, RestartPlace, SilentConnections};
+pub use judge::{judge, SoakFinding};
+pub use kept::{kept_seeds, PlayedSeed};
 pub use link::{FaultyLink, LinkFault};
 pub use options::SoakOptions;
 pub use plan::{plan, FaultStep, PlanOptions, SoakFault};
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use curlewcleat_soak::{
-    judge, plan, run_soak, CallKind, CallOutcome, CallRecord, FaultStep, KeyLoss, LinkFault,
-    PlanOptions, SoakEvidence, SoakFault, SoakOptions,
+    judge, kept_seeds, plan, run_soak, with_extra, CallKind, CallOutcome, CallRecord, ExtraKind,
+    FaultStep, KeyLoss, LinkFault, PlanOptions, PlayedSeed, SilentConnections, SoakEvidence,
+    SoakFault, SoakOptions,
 };
 use curlewcleat_standins::fleet::EngineRun;
 use rstest::rstest;
@@ -23,6 +24,7 @@
         planned_only,
         routes: 0,
         link_mbps: None,
+        extra: None,
         script: None,
         folder: std::env::temp_dir().join(name),
     };
@@ -43,6 +45,7 @@
         planned_only: false,
         routes: 1_500,
         link_mbps: Some(10),
+        extra: None,
         script: None,
         folder: std::env::temp_dir().join(name),
     };
@@ -73,6 +76,7 @@
         planned_only: false,
         routes: 0,
         link_mbps: None,
+        extra: None,
         script: Some(deaf.chain(leave).collect()),
         folder: std::env::temp_dir().join(format!("curlewcleat-deaf-{}", std::process::id())),
     };
@@ -80,6 +84,91 @@
     assert!(report.findings.is_empty(), "{report:#?}");
 }
 
+/// Connections that were open carry nothing again, without a reset, and new ones work. Frames to a peer went on
+/// into the silent connection for good: nothing closed it and nothing else dialed, so that after this script
+/// every daemon heard nobody for the rest of the run (`peer_lost` of all others) and scheduled for itself.
+#[rstest]
+#[case::all(vec![SilentConnections::All])]
+#[case::those_of_one_daemon(vec![SilentConnections::Peers(1)])]
+#[case::one_after_the_other(vec![
+    SilentConnections::Peers(0),
+    SilentConnections::Store(1),
+    SilentConnections::Engine(0),
+    SilentConnections::All,
+])]
+fn connections_that_go_silent_are_replaced(#[case] silences: Vec<SilentConnections>) {
+    let name = format!("curlewcleat-silence-{}-{}", std::process::id(), silences.len());
+    let steps = silences.iter().enumerate().map(|(index, connections)| FaultStep {
+        at: Duration::from_millis(1_500 * (index as u64 + 1)),
+        time: Duration::ZERO,
+        fault: SoakFault::Silence(*connections),
+    });
+    let options = SoakOptions {
+        seed: 1,
+        daemons: 3,
+        engines: 2,
+        callers: 6,
+        time: Duration::from_secs(7),
+        planned_only: false,
+        routes: 0,
+        link_mbps: None,
+        extra: Some(ExtraKind::Silence),
+        script: Some(steps.collect()),
+        folder: std::env::temp_dir().join(name),
+    };
+    let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
+    assert!(report.findings.is_empty(), "{report:#?}");
+}
+
+/// Kinds of faults beside the plan that a test plays, with their seeds. `(ExtraKind::Foreign, 13)` belongs here as
+/// soon as the daemon reads entries one by one.
+const EXTRA_KINDS: &[(ExtraKind, u64)] = &[(ExtraKind::Silence, 11), (ExtraKind::Restart, 12)];
+
+#[test]
+fn short_soak_with_extra_faults_breaks_nothing() {
+    for (kind, seed) in EXTRA_KINDS {
+        let name = format!("curlewcleat-soak-extra-{}-{seed}", std::process::id());
+        let options = SoakOptions {
+            seed: *seed,
+            daemons: 3,
+            engines: 2,
+            callers: 6,
+            time: Duration::from_secs(5),
+            // Beside other faults little is promised of engines that leave.
+            planned_only: *kind == ExtraKind::Foreign,
+            routes: 0,
+            link_mbps: None,
+            extra: Some(*kind),
+            script: None,
+            folder: std::env::temp_dir().join(name),
+        };
+        let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
+        assert!(report.findings.is_empty(), "{kind:?}: {report:#?}");
+    }
+}
+
+#[test]
+fn extra_faults_leave_the_plan_of_a_seed() {
+    let options =
+        PlanOptions { daemons: 5, engines: 6, time: Duration::from_secs(10), planned_only: false };
+    for kind in [ExtraKind::Silence, ExtraKind::Restart, ExtraKind::Foreign] {
+        let plain = plan(7, &options);
+        let is_extra = |step: &FaultStep| {
+            matches!(
+                step.fault,
+                SoakFault::Silence(_)
+                    | SoakFault::Restart(..)
+                    | SoakFault::Foreign(_)
+                    | SoakFault::Overwrite(..)
+            )
+        };
+        let mut mixed = with_extra(plain.clone(), kind, 7, &options);
+        assert!(mixed.iter().any(is_extra), "{kind:?}");
+        mixed.retain(|step| !is_extra(step));
+        assert_eq!(mixed, plain, "{kind:?}");
+    }
+}
+
 #[test]
 fn seed_gives_the_same_plan_again() {
     let options =
@@ -88,6 +177,18 @@
     assert_ne!(plan(7, &options), plan(8, &options));
 }
 
+#[test]
+fn kept_seeds_are_read_with_their_options() {
+    let list = "# seeds\n1: a cause\n2 planned foreign: another: cause\n";
+    let kept = kept_seeds(list).expect("a list");
+    let first = PlayedSeed { seed: 1, planned: false, extra: None };
+    let second = PlayedSeed { seed: 2, planned: true, extra: Some(ExtraKind::Foreign) };
+    assert_eq!(kept, [first, second]);
+    assert!(kept_seeds("3 unheard-of: a cause").is_err());
+    assert!(kept_seeds("4 without a cause").is_err());
+    assert!(kept_seeds(include_str!("../kept-seeds.txt")).is_ok());
+}
+
 fn served(kind: CallKind) -> CallRecord {
     let now = Instant::now();
     let outcome = CallOutcome::Answer {
@@ -160,6 +261,15 @@
     }
 }
 
+fn reached_by_foreign_entry() -> SoakEvidence {
+    SoakEvidence {
+        records: vec![served(CallKind::Once)],
+        runs: vec![run("i-0")],
+        foreign: ["i-0".to_string()].into(),
+        ..SoakEvidence::default()
+    }
+}
+
 fn run_with_revoked_key() -> SoakEvidence {
     let lost = Instant::now() - Duration::from_secs(5);
     SoakEvidence {
@@ -179,5 +289,9 @@
     let no_answer = CallOutcome::NoAnswer("closed".to_string());
     assert_eq!(promises(&run_with_outcome(no_answer)), ["planned work loses nothing"]);
     assert_eq!(promises(&run_for_another_account()), ["requests run unchanged"]);
+    assert_eq!(
+        promises(&reached_by_foreign_entry()),
+        ["an entry of another writer names no engine"]
+    );
     assert_eq!(promises(&run_with_revoked_key()), ["a lost key is refused in time"]);
 }
