--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -120,9 +120,9 @@
     assert!(report.findings.is_empty(), "{report:#?}");
 }
 
-/// Kinds of faults beside the plan that a test plays, with their seeds. `(ExtraKind::Foreign, 13)` belongs here as
-/// soon as the daemon reads entries one by one.
-const EXTRA_KINDS: &[(ExtraKind, u64)] = &[(ExtraKind::Silence, 11), (ExtraKind::Restart, 12)];
+/// Kinds of faults beside the plan that a test plays, with their seeds.
+const EXTRA_KINDS: &[(ExtraKind, u64)] =
+    &[(ExtraKind::Silence, 11), (ExtraKind::Restart, 12), (ExtraKind::Foreign, 13)];
 
 #[test]
 fn short_soak_with_extra_faults_breaks_nothing() {
