Targets: an entry tells the start of its target's life

Cause: a target may start again under its id, and its entry tells the start. The start was decoded nowhere, so nothing could distinguish the lives.

Between daemons the starts travel beside the entries in two new messages, TargetLivesPull and TargetLivesPush: the codec is positional, so an entry can gain no field without changing the meaning of present frames. Daemons of an earlier version drop a frame with the new messages; a repeated pull is followed by the old one in a frame of its own, and the old pull is answered as before, without starts.

--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -17,7 +17,7 @@
     KeyHandOver, KeyOutcome, KeyRecord, LatencyObjectives, PeerFrame, PeerMessage, PermitAnswer,
     PermitDecision, PermitHeld, PermitId, PermitRequest, PermitReturn, Refusal, RefusalReason,
     RetryReason, ShedRequest, SlotHolder, StatePull, StreamTiming, TablePush, TargetChange,
-    TargetEntry, TargetsContent, TargetsPush, Verdict,
+    TargetEntry, TargetLivesPush, TargetStart, TargetsContent, TargetsPush, Verdict,
 };
 use curlewcleat_keys::{KeyTable, TABLE_KEY};
 use curlewcleat_platform::format::{Daemon, Metadata, Object};
@@ -118,6 +118,7 @@
             vm: "vm-9".to_string(),
             data_centre: "here".to_string(),
             slots: 4,
+            start: None,
         },
         leaving: true,
     }
@@ -149,6 +150,7 @@
         level_messages(),
         key_messages(),
         archive_messages(),
+        target_life_messages(),
     ]
     .concat()
 }
@@ -218,6 +220,26 @@
     ]
 }
 
+/// Targets with the starts of their lives; one of them tells none.
+fn target_life_messages() -> Vec<NamedMessage> {
+    let mut started = target();
+    started.entry.start = Some(TargetStart(1_764_720_000_123));
+    let lives = |content| {
+        PeerMessage::TargetLivesPush(TargetLivesPush::new(TargetsPush { content, at: 9 }))
+    };
+    vec![
+        ("target lives pull", PeerMessage::TargetLivesPull(9)),
+        ("all target lives", lives(TargetsContent::All(vec![target(), started.clone()]))),
+        (
+            "changed target lives",
+            lives(TargetsContent::Since(
+                8,
+                vec![TargetChange::Gone("e-2".to_string()), TargetChange::Present(started)],
+            )),
+        ),
+    ]
+}
+
 fn permit_messages() -> Vec<NamedMessage> {
     let permit_answer = |decision| {
         PeerMessage::PermitAnswer(PermitAnswer {
--- a/crates/config/src/check/file.rs
+++ b/crates/config/src/check/file.rs
@@ -152,6 +152,8 @@
         // A target without one counts as near to all daemons.
         data_centre: section.text("data_centre").unwrap_or_default(),
         slots: section.number("slots", 8, 1..=4_096, report) as u32,
+        // Files name no start: the id stands for the target's life.
+        start: None,
     };
     SectionContent::Target(target, pool)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,10 +5,12 @@
 mod ids;
 mod message;
 mod model;
+mod target_life;
 mod verdict;
 
 pub use account::{hash_token, TokenHash};
 pub use ids::*;
 pub use message::*;
 pub use model::*;
+pub use target_life::{LifeOrder, TargetLife, TargetStart};
 pub use verdict::{Refusal, RefusalReason, RetryReason, Verdict};
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -7,6 +7,7 @@
 
 mod archive;
 mod keys;
+mod lives;
 mod permits;
 
 use std::collections::BTreeMap;
@@ -21,6 +22,7 @@
 
 pub use archive::*;
 pub use keys::*;
+pub use lives::*;
 pub use permits::*;
 
 /// One start of a daemon on a VM.
@@ -86,6 +88,11 @@
     ConfigPartPull(ConfigPartPull),
     /// The answer.
     ConfigPart(ConfigPart),
+    /// As [`TargetsPull`](PeerMessage::TargetsPull), for the starts of the targets too. A daemon of an
+    /// earlier version drops the frame.
+    TargetLivesPull(ObjectVersion),
+    /// The answer.
+    TargetLivesPush(TargetLivesPush),
 }
 
 /// Sent to peers every beat.
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -12,7 +12,10 @@
 
 pub use rule::*;
 
-use crate::{AccountId, DaemonId, Generation, PoolId, TargetId, TierId, TierRank, TokenHash, VmId};
+use crate::{
+    AccountId, DaemonId, Generation, PoolId, TargetId, TargetLife, TargetStart, TierId, TierRank,
+    TokenHash, VmId,
+};
 
 /// A tier of requests. Lower ranks are served first and shed last.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -143,6 +146,17 @@
     pub data_centre: String,
     /// Requests that it serves at the same time.
     pub slots: u32,
+    /// When its process started, `None` where it does not tell. Between daemons it travels beside the
+    /// entry ([`TargetLivesPush`](crate::TargetLivesPush)), whose form has no place for it.
+    #[serde(skip)]
+    pub start: Option<TargetStart>,
+}
+
+impl TargetEntry {
+    /// The life of the target that this entry describes.
+    pub fn life(&self) -> TargetLife {
+        TargetLife { id: self.id.clone(), start: self.start }
+    }
 }
 
 /// A target that announced itself at the platform.
@@ -150,7 +164,7 @@
 pub struct DiscoveredTarget {
     /// Pool that it serves.
     pub pool: PoolId,
-    /// The target; its id names one start of its process.
+    /// The target, in one of its lives.
     pub entry: TargetEntry,
     /// Whether it takes no new work.
     pub leaving: bool,
--- a/crates/node/src/awaited_answer.rs
+++ b/crates/node/src/awaited_answer.rs
@@ -55,6 +55,11 @@
         true
     }
 
+    /// Whether the request that was sent last repeats one that has no answer.
+    pub fn is_repeated(&self) -> bool {
+        self.unanswered > 0
+    }
+
     /// Whether an answer is awaited.
     pub fn is_awaited(&self) -> bool {
         self.sent.is_some()
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -60,6 +60,10 @@
             PeerMessage::FreshnessAnswer(answer) => self.freshness_answered(from, &answer),
             PeerMessage::TargetsPull(known) => self.targets_pulled(&from.vm, known),
             PeerMessage::TargetsPush(push) => self.targets_pushed(&from.vm, push),
+            PeerMessage::TargetLivesPull(known) => self.target_lives_pulled(&from.vm, known),
+            PeerMessage::TargetLivesPush(lives) => {
+                self.targets_pushed(&from.vm, lives.into_push());
+            }
             PeerMessage::PermitRequest(request) => self.permit_requested(from, request),
             PeerMessage::PermitAnswer(answer) => self.permit_answered(&from.vm, answer),
             PeerMessage::PermitReturn(back) => self.permit_returned(&back),
--- a/crates/node/src/node/platform.rs
+++ b/crates/node/src/node/platform.rs
@@ -4,7 +4,7 @@
 
 use curlewcleat_core::{
     DaemonId, DiscoveredTarget, FreshnessAnswer, FreshnessQuery, ObjectVersion, PeerMessage,
-    TargetChange, TargetsContent, TargetsPush, Uptime, VmId,
+    TargetChange, TargetLivesPush, TargetsContent, TargetsPush, Uptime, VmId,
 };
 
 use super::Node;
@@ -47,24 +47,50 @@
             freshness.prove(self.now, read);
             self.actions.push(NodeAction::Platform(PlatformCall::ConfigConfirmed(read)));
         }
-        if answer.targets_at > self.targets.at() && self.targets_pull.begin(self.now) {
-            self.post(&from.vm, PeerMessage::TargetsPull(self.targets.at()));
+        if answer.targets_at > self.targets.at() {
+            self.pull_targets(&from.vm);
+        }
+    }
+
+    /// Asks a peer for the targets, unless an answer is on its way. A peer of an earlier version cannot
+    /// read the pull for their starts and drops its frame; so a repeated one is followed by the pull
+    /// that such a peer knows, in a frame of its own. A peer that reads both answers both, and the second
+    /// answer changes nothing.
+    fn pull_targets(&mut self, peer: &VmId) {
+        if !self.targets_pull.begin(self.now) {
+            return;
+        }
+        let known = self.targets.at();
+        self.post(peer, PeerMessage::TargetLivesPull(known));
+        if self.targets_pull.is_repeated() {
+            self.flush();
+            self.post(peer, PeerMessage::TargetsPull(known));
+            self.flush();
         }
     }
 
     pub(super) fn targets_pulled(&mut self, from: &VmId, known: ObjectVersion) {
-        let push = TargetsPush { content: self.targets.since(known), at: self.targets.at() };
+        let push = self.targets_push(known);
         self.post(from, PeerMessage::TargetsPush(push));
     }
 
+    pub(super) fn target_lives_pulled(&mut self, from: &VmId, known: ObjectVersion) {
+        let lives = TargetLivesPush::new(self.targets_push(known));
+        self.post(from, PeerMessage::TargetLivesPush(lives));
+    }
+
+    fn targets_push(&self, known: ObjectVersion) -> TargetsPush {
+        TargetsPush { content: self.targets.since(known), at: self.targets.at() }
+    }
+
     pub(super) fn targets_pushed(&mut self, from: &VmId, push: TargetsPush) {
         self.targets_pull.answered();
         match push.content {
             TargetsContent::All(targets) => self.targets_listed(targets, push.at),
             TargetsContent::Since(known, changes) => {
                 let update = self.targets_changed(known, changes, push.at);
-                if update == ViewUpdate::Gap && self.targets_pull.begin(self.now) {
-                    self.post(from, PeerMessage::TargetsPull(self.targets.at()));
+                if update == ViewUpdate::Gap {
+                    self.pull_targets(from);
                 }
             }
         }
--- a/crates/node/tests/support/parts.rs
+++ b/crates/node/tests/support/parts.rs
@@ -128,6 +128,7 @@
         vm: id.to_string(),
         data_centre: "d".to_string(),
         slots: 4,
+        start: None,
     };
     DiscoveredTarget { pool: "p".to_string(), entry, leaving }
 }
--- a/crates/peers/tests/frames.rs
+++ b/crates/peers/tests/frames.rs
@@ -1,7 +1,9 @@
 //! Frames survive their way, and nothing else is taken for one.
 
 use curlewcleat_core::{
-    DaemonId, PeerFrame, PeerMessage, PermitId, PermitRequest, RequestId, StatePull,
+    DaemonId, DiscoveredTarget, PeerFrame, PeerMessage, PermitId, PermitRequest, RequestId,
+    StatePull, TargetChange, TargetEntry, TargetLivesPush, TargetStart, TargetsContent,
+    TargetsPush,
 };
 use curlewcleat_peers::{decode_frame, encode_frame, Error};
 use proptest::prelude::*;
@@ -25,6 +27,36 @@
     PeerFrame { from: DaemonId { vm, incarnation }, messages }
 }
 
+/// An engine that starts again under its id is told apart by its start on every daemon.
+#[test]
+fn starts_of_targets_survive_their_way() {
+    let target = |id: &str, start: Option<u64>| DiscoveredTarget {
+        pool: "p".to_string(),
+        entry: TargetEntry {
+            id: id.to_string(),
+            start: start.map(TargetStart),
+            ..TargetEntry::default()
+        },
+        leaving: false,
+    };
+    let changes = vec![
+        TargetChange::Present(target("a", Some(5))),
+        TargetChange::Gone("b".to_string()),
+        TargetChange::Present(target("c", None)),
+        TargetChange::Present(target("a", Some(6))),
+    ];
+    let all = TargetsContent::All(vec![target("a", Some(5)), target("c", None)]);
+    for content in [TargetsContent::Since(3, changes), all] {
+        let push = TargetsPush { content, at: 9 };
+        let message = PeerMessage::TargetLivesPush(TargetLivesPush::new(push.clone()));
+        let from = DaemonId { vm: "vm".to_string(), incarnation: 1 };
+        let frame = PeerFrame { from, messages: vec![message] };
+        let mut taken = decode_frame(&encode_frame(&frame).expect("encodes")).expect("decodes");
+        let Some(PeerMessage::TargetLivesPush(lives)) = taken.messages.pop() else { panic!() };
+        assert_eq!(lives.into_push(), push);
+    }
+}
+
 proptest! {
     #[test]
     fn frames_come_back_as_they_went(vm in ".{0,20}", incarnation: u64, tier: u8, work: u64) {
