--- a/crates/daemon/src/request/target_wait.rs
+++ b/crates/daemon/src/request/target_wait.rs
@@ -158,8 +158,8 @@
         }
         let connections = self.protocol.connections(&self.request.pool);
         let limit = self.protocol.limits(self.request).connect;
-        let address = entry.address.clone();
-        let connecting = Box::pin(async move { connections.connect(&address, limit).await });
+        let target = entry.clone();
+        let connecting = Box::pin(async move { connections.connect_to(&target, limit).await });
         self.offered = Some(OfferedTarget { permit, entry, connecting });
     }
 
--- a/crates/targets/src/silence.rs
+++ b/crates/targets/src/silence.rs
@@ -8,7 +8,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::pool::ConnectionPool;
+use crate::pool::{ConnectionEnd, ConnectionPool};
 
 /// Time without a sign of the target after which an exchange that is given up counts as unanswered. Chosen, not
 /// measured: half of the least time after which a target counts as stalled; callers that leave sooner say
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub(crate) struct SilenceGuard {
     pool: ConnectionPool,
-    address: String,
+    end: ConnectionEnd,
     /// The target's last sign, or the beginning.
     heard: Instant,
     waiting: bool,
@@ -28,9 +28,9 @@
 
 impl SilenceGuard {
     /// An exchange begins.
-    pub(crate) fn begin(pool: &ConnectionPool, address: &str) -> SilenceGuard {
-        let (pool, address) = (pool.clone(), address.to_string());
-        SilenceGuard { pool, address, heard: Instant::now(), waiting: true }
+    pub(crate) fn begin(pool: &ConnectionPool, end: &ConnectionEnd) -> SilenceGuard {
+        let (pool, end) = (pool.clone(), end.clone());
+        SilenceGuard { pool, end, heard: Instant::now(), waiting: true }
     }
 
     /// Bytes have come.
@@ -47,7 +47,7 @@
 impl Drop for SilenceGuard {
     fn drop(&mut self) {
         if self.waiting && self.heard.elapsed() >= UNANSWERED_AFTER {
-            self.pool.discard_rested(&self.address, self.heard);
+            self.pool.discard_rested(&self.end, self.heard);
         }
     }
 }
