--- a/crates/sched/tests/replacement.rs
+++ b/crates/sched/tests/replacement.rs
@@ -539,3 +539,18 @@
     let permits = scheduler.permits().iter();
     permits.filter(|(_, record)| record.target.id == target).map(|(permit, _)| *permit).collect()
 }
+
+/// A request whose target broke off while the grant of another one was on its way, beside a change of scheduler.
+#[test]
+fn found_interleaving_ends_the_request() {
+    let steps = [0, 2, 6, 8, 8, 4, 0, 8, 2, 4, 10, 14, 6, 11, 4, 4, 4, 14];
+    let mut machines = Machines::new(2, 1);
+    for step in steps {
+        machines.step(step);
+    }
+    machines.target_ends();
+    machines.settle();
+    machines.target_ends();
+    machines.settle();
+    assert!(machines.ended);
+}
