Scheduler and view: what is known of a target is known of one life

Cause: the view of the targets and the schedulers kept everything by a target's id. A target that started again under its id stayed as leaving, had its places taken by permits of its earlier life (whose return then freed places of the later one), and inherited ejection, pace, backlog, prefixes and the numbers of its reports; a late entry of the earlier life replaced the later one.

Change: TargetView orders entries of one id by the start of the life, whatever their revision, and remembers the latest starts of 2,048 targets that have vanished (EndedLives). PoolScheduler begins a target anew where its entry tells a later start, ignores entries and reports of an earlier one, and binds permits to a life. Entries without a start hold as before.

Changed tests: the two tests of reports in sched/tests/pools.rs name the target as a TargetLife without a start, since PoolScheduler::reported takes the life; their assertions are the same.

--- /dev/null
+++ b/crates/node/src/ended_lives.rs
@@ -0,0 +1,43 @@
+//! Lives of targets that are not listed any more.
+//!
+//! Owns: their latest starts, up to a limit. Relies on: `TargetView` for what is listed.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use curlewcleat_core::{TargetId, TargetStart};
+
+/// Targets that are remembered. Chosen, not measured: more than a fleet has, since all may vanish and
+/// come back at an outage; some 200 kB.
+const ENDED_LIMIT: usize = 2_048;
+
+/// Latest starts of targets that have vanished, so that a late entry of an earlier life does not bring
+/// that life back.
+#[derive(Clone, Debug, Default)]
+pub struct EndedLives {
+    latest: BTreeMap<TargetId, TargetStart>,
+    /// The same targets in the order in which they vanished first.
+    order: VecDeque<TargetId>,
+}
+
+impl EndedLives {
+    /// The latest start that is remembered of a target.
+    pub fn latest(&self, id: &str) -> Option<TargetStart> {
+        self.latest.get(id).copied()
+    }
+
+    /// A target is no longer listed.
+    pub fn ended(&mut self, id: &TargetId, start: Option<TargetStart>) {
+        let Some(start) = start else { return };
+        if let Some(latest) = self.latest.get_mut(id) {
+            *latest = start.max(*latest);
+            return;
+        }
+        self.latest.insert(id.clone(), start);
+        self.order.push_back(id.clone());
+        if self.order.len() > ENDED_LIMIT {
+            if let Some(oldest) = self.order.pop_front() {
+                self.latest.remove(&oldest);
+            }
+        }
+    }
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -6,7 +6,7 @@
 use curlewcleat_core::{
     AttemptEnd, ConfigBundle, DaemonId, DaemonRecord, DiscoveredTarget, Generation, KeptAnswer,
     ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestId, RetryReason, TargetChange,
-    TargetEntry, TargetId, TargetReport, Uptime, Verdict, VmId,
+    TargetEntry, TargetLife, TargetReport, Uptime, Verdict, VmId,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound};
@@ -58,7 +58,7 @@
     /// The result of a proposal.
     TableWritten(TableWrite),
     /// A target's report, for the scheduler of its pool.
-    TargetReported(PoolId, TargetId, TargetReport),
+    TargetReported(PoolId, TargetLife, TargetReport),
     /// Targets that announced themselves at the platform, all of them at a revision.
     TargetsListed(Vec<DiscoveredTarget>, ObjectVersion),
     /// What changed among them between two revisions.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod config_exchange;
 mod config_pull;
 mod config_serving;
+mod ended_lives;
 mod event;
 mod freshness;
 mod node;
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -4,7 +4,7 @@
 
 use curlewcleat_core::{
     DaemonId, Heartbeat, KeyAnswer, KeyClaim, KeyDecision, PeerFrame, PeerMessage, PermitAnswer,
-    PermitDecision, PermitHeld, PermitRequest, PermitReturn, PoolId, ShedRequest, TargetId,
+    PermitDecision, PermitHeld, PermitRequest, PermitReturn, PoolId, ShedRequest, TargetLife,
     TargetReport, VmId,
 };
 use curlewcleat_sched::{GuardStep, PoolScheduler, SchedulerAction};
@@ -104,7 +104,7 @@
     pub(super) fn target_reported(
         &mut self,
         pool: &PoolId,
-        target: &TargetId,
+        target: &TargetLife,
         report: &TargetReport,
     ) {
         let now = self.now;
--- a/crates/node/src/target_view.rs
+++ b/crates/node/src/target_view.rs
@@ -3,12 +3,19 @@
 //! A daemon learns of them from the platform itself or from a peer that reads it. The view keeps the
 //! latest changes, so that a peer that knows an earlier revision gets only what it lacks.
 //!
+//! A target may start again under its id. An entry of an earlier life than the latest that was seen says
+//! nothing any more, whatever revision it has: its target may write it late.
+//!
 //! Owns: the targets that announced themselves, and recent changes. Relies on: revisions of the
 //! platform.
 
 use std::collections::{BTreeMap, VecDeque};
 
-use curlewcleat_core::{DiscoveredTarget, ObjectVersion, TargetChange, TargetId, TargetsContent};
+use curlewcleat_core::{
+    DiscoveredTarget, LifeOrder, ObjectVersion, TargetChange, TargetId, TargetsContent,
+};
+
+use crate::ended_lives::EndedLives;
 
 /// Changes that are kept for peers.
 /// Chosen, not measured.
@@ -32,6 +39,7 @@
     /// Targets that vanished while the platform failed. They may have lost their entry without having
     /// ended, and are used until they are back or the platform has settled.
     missing: BTreeMap<TargetId, DiscoveredTarget>,
+    ended: EndedLives,
     at: ObjectVersion,
     /// Revision from which the log is complete.
     log_from: ObjectVersion,
@@ -59,15 +67,15 @@
         if at < self.at {
             return ViewUpdate::Old;
         }
-        let before = std::mem::take(&mut self.listed);
+        let mut before = std::mem::take(&mut self.listed);
         for target in targets {
-            let left = before.get(&target.entry.id).is_some_and(|known| known.leaving);
-            self.put(target, left);
+            let id = &target.entry.id;
+            // An entry that moves between two pages of a list stands in both.
+            let listed = before.remove(id).or_else(|| self.listed.remove(id));
+            self.put(target, listed);
         }
         for (id, target) in before {
-            if !self.listed.contains_key(&id) {
-                self.vanished(id, target, doubtful);
-            }
+            self.vanished(id, target, doubtful);
         }
         self.at = at;
         // What happened between the revisions is not known, so the log begins anew.
@@ -123,9 +131,8 @@
     fn apply(&mut self, change: TargetChange, doubtful: bool) {
         match change {
             TargetChange::Present(target) => {
-                let known = self.listed.get(&target.entry.id);
-                let left = known.is_some_and(|known| known.leaving);
-                self.put(target, left);
+                let listed = self.listed.remove(&target.entry.id);
+                self.put(target, listed);
             }
             TargetChange::Gone(id) => {
                 if let Some(target) = self.listed.remove(&id) {
@@ -135,14 +142,29 @@
         }
     }
 
-    /// A target that leaves never stays after all: its id names one start of its process.
-    fn put(&mut self, target: DiscoveredTarget, left: bool) {
-        self.missing.remove(&target.entry.id);
-        let leaving = target.leaving || left;
-        self.listed.insert(target.entry.id.clone(), DiscoveredTarget { leaving, ..target });
+    /// Takes an entry in, of a target that was listed so before. In the same life a target that leaves
+    /// never stays after all, and its start stays known where a peer does not tell it.
+    fn put(&mut self, mut told: DiscoveredTarget, listed: Option<DiscoveredTarget>) {
+        let id = told.entry.id.clone();
+        let known = listed.as_ref().or_else(|| self.missing.get(&id));
+        let start = known.and_then(|known| known.entry.start);
+        match LifeOrder::of(told.entry.start, start.max(self.ended.latest(&id))) {
+            LifeOrder::Earlier => {
+                self.listed.extend(listed.map(|listed| (id, listed)));
+                return;
+            }
+            LifeOrder::Same => {
+                told.leaving |= known.is_some_and(|known| known.leaving);
+                told.entry.start = told.entry.start.or(start);
+            }
+            LifeOrder::Later => {}
+        }
+        self.missing.remove(&id);
+        self.listed.insert(id, told);
     }
 
     fn vanished(&mut self, id: TargetId, target: DiscoveredTarget, doubtful: bool) {
+        self.ended.ended(&id, target.entry.start);
         if doubtful && !target.leaving {
             self.missing.insert(id, target);
         }
--- /dev/null
+++ b/crates/node/tests/target_lives.rs
@@ -0,0 +1,204 @@
+//! A target that starts again under its id: what daemons know of it is known of one life.
+
+mod support;
+
+use std::time::Duration;
+
+use curlewcleat_core::{
+    AttemptEnd, DiscoveredTarget, PeerFrame, PeerMessage, TargetChange, TargetStart,
+    TargetsContent, TargetsPush,
+};
+use curlewcleat_node::{CallerDecision, NodeAction, NodeEvent, TargetView, ViewUpdate};
+
+use support::{target, Fleet};
+
+/// A target that started then.
+fn started(id: &str, start: u64, leaving: bool) -> DiscoveredTarget {
+    let mut target = target(id, leaving);
+    target.entry.start = Some(TargetStart(start));
+    target
+}
+
+/// Starts and whether they leave, of the targets in use.
+fn lives(view: &TargetView) -> Vec<(String, Option<u64>, bool)> {
+    let life = |target: DiscoveredTarget| {
+        (target.entry.id, target.entry.start.map(|start| start.0), target.leaving)
+    };
+    view.targets().into_iter().map(life).collect()
+}
+
+fn present(target: DiscoveredTarget) -> Vec<TargetChange> {
+    vec![TargetChange::Present(target)]
+}
+
+/// A view whose target has started again at 20, after a life from 10 that left.
+fn view_of_second_life() -> TargetView {
+    let mut view = TargetView::default();
+    view.list(vec![started("a", 10, true)], 1, false);
+    view.change(1, present(started("a", 20, false)), 2, false);
+    view
+}
+
+/// A target that left was never used again, since its id was taken for one start of its process.
+#[test]
+fn target_that_left_stays_once_it_has_started_again() {
+    assert_eq!(lives(&view_of_second_life()), [("a".to_string(), Some(20), false)]);
+    let mut listed = TargetView::default();
+    listed.list(vec![started("a", 10, true)], 1, false);
+    listed.list(vec![started("a", 20, false)], 2, false);
+    assert_eq!(lives(&listed), [("a".to_string(), Some(20), false)]);
+}
+
+#[test]
+fn target_that_leaves_never_stays_after_all_in_the_same_life() {
+    for start in [Some(TargetStart(10)), None] {
+        let mut view = TargetView::default();
+        view.list(vec![started("a", 10, true)], 1, false);
+        let mut late = target("a", false);
+        late.entry.start = start;
+        view.change(1, present(late), 2, false);
+        assert_eq!(lives(&view), [("a".to_string(), Some(10), true)]);
+    }
+}
+
+#[test]
+fn late_entry_of_an_earlier_life_changes_nothing() {
+    let known = [("a".to_string(), Some(20), false)];
+    let mut view = view_of_second_life();
+    view.change(2, present(started("a", 10, true)), 3, false);
+    assert_eq!(lives(&view), known, "a watch");
+    view.list(vec![started("a", 10, true)], 4, false);
+    assert_eq!(lives(&view), known, "a list");
+    view.change(4, present(target("a", false)), 5, false);
+    assert_eq!(lives(&view), known, "a peer that tells no start");
+}
+
+#[test]
+fn earlier_life_does_not_come_back_after_the_later_one_is_gone() {
+    let mut view = view_of_second_life();
+    view.change(2, vec![TargetChange::Gone("a".to_string())], 3, false);
+    view.change(3, present(started("a", 10, false)), 4, false);
+    assert_eq!(lives(&view), []);
+    view.list(vec![started("a", 10, false)], 5, false);
+    assert_eq!(lives(&view), []);
+    view.change(5, present(started("a", 20, false)), 6, false);
+    assert_eq!(lives(&view), [("a".to_string(), Some(20), false)], "it was only out of sight");
+}
+
+#[test]
+fn earlier_life_does_not_come_back_while_the_platform_fails() {
+    let mut view = view_of_second_life();
+    view.change(2, vec![TargetChange::Gone("a".to_string())], 3, true);
+    view.change(3, present(started("a", 10, false)), 4, true);
+    assert_eq!(lives(&view), [("a".to_string(), Some(20), false)]);
+    view.settle();
+    assert_eq!(lives(&view), []);
+    view.change(4, present(started("a", 10, false)), 5, false);
+    assert_eq!(lives(&view), []);
+}
+
+#[test]
+fn peers_learn_of_both_lives_in_order() {
+    let view = view_of_second_life();
+    let mut peer = TargetView::default();
+    peer.list(vec![started("a", 10, true)], 1, false);
+    let TargetsContent::Since(from, changes) = view.since(1) else { panic!("a list") };
+    assert_eq!(peer.change(from, changes, view.at(), false), ViewUpdate::Taken);
+    assert_eq!(lives(&peer), lives(&view));
+}
+
+/// Only the daemons that read the platform see a start; the others schedule and send by what these tell.
+#[test]
+fn start_of_a_target_reaches_all_daemons() {
+    let mut fleet = Fleet::new(6);
+    fleet.targets = (vec![started("x", 10, false)], 2);
+    fleet.run(Duration::from_secs(3));
+    fleet.targets = (vec![started("x", 20, false)], 3);
+    fleet.run(Duration::from_secs(3));
+    for daemon in &fleet.daemons {
+        let start = daemon.node.config().pools["p"].targets["x"].start;
+        assert_eq!(start, Some(TargetStart(20)));
+    }
+}
+
+/// A daemon that tells no starts cannot read the pull for them, and drops its frame.
+#[test]
+fn peer_of_an_earlier_version_is_asked_as_before() {
+    let mut fleet = Fleet::new(1);
+    let from = || curlewcleat_core::DaemonId { vm: "vm-1".to_string(), incarnation: 1 };
+    let mut pulls = Vec::new();
+    let mut now = fleet.now;
+    for _ in 0..3 {
+        let query = curlewcleat_core::FreshnessQuery { incarnation: 1, sent: now };
+        let answer = curlewcleat_core::FreshnessAnswer {
+            query,
+            age: Some(Duration::ZERO),
+            generation: 1,
+            targets_at: 50,
+        };
+        let messages = vec![
+            PeerMessage::Heartbeat(support::heartbeat(1)),
+            PeerMessage::FreshnessAnswer(answer),
+        ];
+        let event = NodeEvent::Peer(PeerFrame { from: from(), messages });
+        for action in fleet.daemons[0].node.handle(now, now, event) {
+            let NodeAction::Send(_, frame) = action else { continue };
+            pulls.extend(frame.messages.into_iter().filter(|message| {
+                let new = matches!(message, PeerMessage::TargetLivesPull(_));
+                new || matches!(message, PeerMessage::TargetsPull(_))
+            }));
+        }
+        now += Duration::from_secs(1);
+    }
+    assert_eq!(pulls[0], PeerMessage::TargetLivesPull(1));
+    assert!(pulls.contains(&PeerMessage::TargetsPull(1)), "{pulls:?}");
+    let content = TargetsContent::All(vec![target("z", false)]);
+    let push = PeerMessage::TargetsPush(TargetsPush { content, at: 50 });
+    let event = NodeEvent::Peer(PeerFrame { from: from(), messages: vec![push] });
+    fleet.daemons[0].node.handle(now, now, event);
+    assert_eq!(fleet.daemons[0].node.config().pools["p"].targets["z"].start, None);
+}
+
+/// A target that had ended in its earlier life is used by its start, whoever schedules.
+#[test]
+fn request_goes_to_a_target_that_left_and_started_again() {
+    let mut fleet = Fleet::new(3);
+    fleet.targets = (vec![started("x", 10, true)], 2);
+    fleet.run(Duration::from_secs(3));
+    fleet.targets = (vec![started("x", 20, false)], 3);
+    fleet.run(Duration::from_secs(3));
+    let entry = (0..3).find(|index| *index != fleet.leader()).expect("an entry");
+    fleet.admit(entry, 1);
+    fleet.run(Duration::from_millis(200));
+    match fleet.decision(1) {
+        Some(CallerDecision::Dispatch(_, target)) => {
+            assert_eq!((target.id.as_str(), target.start), ("x", Some(TargetStart(20))));
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The report of a request to the earlier life arrives after the start: three failures of that life
+/// ejected the later one, which had not failed.
+#[test]
+fn failures_of_the_earlier_life_do_not_eject_the_later_one() {
+    let mut fleet = Fleet::new(1);
+    fleet.targets = (vec![started("x", 10, false), started("y", 10, false)], 2);
+    fleet.run(Duration::from_secs(1));
+    let numbers: Vec<u128> = (1..=8).collect();
+    for number in &numbers {
+        fleet.admit(0, *number);
+    }
+    fleet.run(Duration::from_millis(100));
+    fleet.targets = (vec![started("x", 20, false), started("y", 10, false)], 3);
+    fleet.run(Duration::from_secs(1));
+    for number in numbers {
+        let request = curlewcleat_core::RequestId::from_u128(number);
+        let verdict = curlewcleat_core::Verdict::MayHaveRun;
+        fleet.event(0, NodeEvent::Finished(request, verdict, AttemptEnd::Failed, None));
+    }
+    let scheduler = fleet.daemons[0].node.scheduler("p").expect("a scheduler");
+    let ejected = |id: &str| scheduler.targets()[id].ejected();
+    assert_eq!((ejected("x"), ejected("y")), (false, true));
+    assert_eq!(scheduler.targets()["x"].in_flight, 0);
+}
--- a/crates/sched/src/admission/replacement.rs
+++ b/crates/sched/src/admission/replacement.rs
@@ -13,6 +13,7 @@
 use curlewcleat_core::{DaemonId, PermitId, PermitRequest, Refusal, RefusalReason, Uptime};
 
 use crate::pool::{PoolScheduler, SchedulerAction};
+use crate::targets::state_of;
 
 impl PoolScheduler {
     /// Whether a permit of an earlier attempt of the same request is in use.
@@ -64,7 +65,7 @@
             if std::mem::replace(&mut record.silent, true) {
                 continue;
             }
-            if let Some(state) = self.targets.get_mut(&record.target) {
+            if let Some(state) = state_of(&mut self.targets, &record.target) {
                 state.failed(now, may_eject);
             }
         }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -9,7 +9,8 @@
 //! | When is it given up, and when may it retry? | [`entry`], [`advice`] | the requests of an entry |
 //! | Who decides? | [`election`] | the members |
 //!
-//! [`scheduler`] is what happens at the scheduler of a pool ([`pool`] is its state), [`entry`] what
+//! [`scheduler`] is what happens at the scheduler of a pool ([`pool`] is its state, [`targets`] what it is
+//! told of its targets), [`entry`] what
 //! happens at the daemon that holds a caller's connection, [`drain`] the planned stop.
 //!
 //! Time is passed in. The daemon, the tests, the slopes and the model checker run this code.
@@ -25,6 +26,7 @@
 mod pool;
 mod retry;
 mod scheduler;
+mod targets;
 
 pub use admission::account::{AccountLimit, RateBucket};
 pub use admission::level_guard::{GuardStep, LevelGuard};
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, PermitDecision, PermitId, PermitRequest, TargetId, Uptime, WorkMicros,
+    DaemonId, PermitDecision, PermitId, PermitRequest, TargetId, TargetLife, Uptime, WorkMicros,
 };
 
 use self::target::TargetState;
@@ -82,7 +82,7 @@
             }
             let record = PermitRecord {
                 entry: waiting.entry.clone(),
-                target: target.clone(),
+                target: TargetLife { id: target.clone(), start: state.start },
                 expected,
                 prompt_work: waiting.request.prompt_work,
                 output_work: waiting.request.output_work,
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -1,4 +1,4 @@
-//! Does a target have room, and how fast is it? What a scheduler knows of one target.
+//! Does a target have room, and how fast is it? What a scheduler knows of one life of a target.
 //!
 //! The rules: a target has room while the permits in use, and what others sent by its latest report,
 //! are fewer than its slots (less a reserve for the top tier), and it is not ejected ([`ejection`]).
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use curlewcleat_core::{PermitRequest, TargetReport, Uptime, VmId, WorkMicros};
+use curlewcleat_core::{PermitRequest, TargetReport, TargetStart, Uptime, VmId, WorkMicros};
 
 use super::ejection::TargetEjection;
 use super::pace::StreamPace;
@@ -34,6 +34,8 @@
 /// Slots, load, speed and health of one target.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct TargetState {
+    /// Start of the life that this is known of, `None` where the target does not tell.
+    pub start: Option<TargetStart>,
     /// VM of the target.
     pub vm: VmId,
     /// Its data centre, empty where it is not known.
@@ -66,6 +68,7 @@
     /// A target about which nothing is known yet.
     pub fn new(vm: VmId, slots: u32) -> TargetState {
         TargetState {
+            start: None,
             vm,
             data_centre: String::new(),
             slots,
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -8,7 +8,7 @@
 
 use curlewcleat_core::{
     AccountId, DaemonId, PermitAnswer, PermitDecision, PermitId, PermitRequest, PoolId, Refusal,
-    TargetId, TierRank, Uptime, VmId, WorkMicros,
+    TargetId, TargetLife, TierRank, Uptime, VmId, WorkMicros,
 };
 
 use crate::admission::account::{AccountLimit, RateBucket};
@@ -61,8 +61,8 @@
 pub struct PermitRecord {
     /// Daemon that uses it.
     pub entry: DaemonId,
-    /// Target that it is for.
-    pub target: TargetId,
+    /// Target that it is for, in the life in which it was given.
+    pub target: TargetLife,
     /// Work as estimated at normal speed, without the prompt where its prefix was cached.
     pub expected: WorkMicros,
     /// Prompt work as estimated by the entry.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -8,20 +8,19 @@
 //! Owns: queue, permits in use, what is learned of the targets. Relies on: the rules in `admission`,
 //! `order` and `placement`, which are methods of [`PoolScheduler`]; entries that give permits back.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use curlewcleat_core::{
     AttemptEnd, DaemonId, PermitAnswer, PermitDecision, PermitHeld, PermitId, PermitRequest,
-    PermitReturn, RefusalReason, StreamTiming, TargetId, TargetPool, TargetReport, TierRank,
-    Uptime, VmId,
+    PermitReturn, RefusalReason, StreamTiming, TierRank, Uptime,
 };
 
 use crate::admission::overload::OverloadLevel;
 use crate::admission::{is_for_capacity, wait_too_long};
 use crate::placement::ejection::may_eject_one_more;
-use crate::placement::target::TargetState;
-use crate::pool::{PermitRecord, PoolOptions, PoolScheduler, RateCharge, SchedulerAction};
+use crate::pool::{PermitRecord, PoolScheduler, RateCharge, SchedulerAction};
+use crate::targets::state_of;
 
 /// Permits older than this are confirmed with their entry. Chosen, not measured.
 const CONFIRM_AFTER: Duration = Duration::from_secs(5);
@@ -30,59 +29,6 @@
 const OWN_PART: u32 = 4;
 
 impl PoolScheduler {
-    /// Takes a new configuration over. What is learned of targets that stay is kept.
-    pub fn configure(&mut self, options: PoolOptions, pool: &TargetPool) {
-        self.options = options;
-        self.targets.retain(|id, _| pool.targets.contains_key(id));
-        for (id, entry) in &pool.targets {
-            let away = self.away.contains(&entry.vm);
-            let state = self.targets.entry(id.clone()).or_insert_with(|| {
-                TargetState::new(entry.vm.clone(), entry.slots).with_pace(self.pace.of_new_target())
-            });
-            state.slots = entry.slots;
-            state.data_centre.clone_from(&entry.data_centre);
-            state.vm.clone_from(&entry.vm);
-            state.leaving = away;
-        }
-        for (id, state) in &mut self.targets {
-            state.in_flight =
-                self.permits.values().filter(|permit| permit.target == *id).count() as u32;
-        }
-    }
-
-    /// Names the VMs that leave or are gone; their targets get no new permits.
-    pub fn set_away(&mut self, away: BTreeSet<VmId>) {
-        for state in self.targets.values_mut() {
-            state.leaving = away.contains(&state.vm);
-        }
-        self.away = away;
-    }
-
-    /// Names the data centres of the entries, so that near targets go first among equals.
-    pub fn set_places(&mut self, places: BTreeMap<VmId, String>) {
-        self.places = places;
-    }
-
-    /// Takes a target's report in.
-    pub fn reported(
-        &mut self,
-        now: Uptime,
-        target: &TargetId,
-        report: &TargetReport,
-    ) -> Vec<SchedulerAction> {
-        if let Some(state) = self.targets.get_mut(target) {
-            state.reported(now, report);
-        }
-        let mut actions = Vec::new();
-        self.grant(now, &mut actions);
-        actions
-    }
-
-    /// Known targets.
-    pub fn targets(&self) -> &BTreeMap<TargetId, TargetState> {
-        &self.targets
-    }
-
     /// Number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.queues.len()
@@ -121,7 +67,7 @@
         request: PermitRequest,
     ) -> Vec<SchedulerAction> {
         if let Some(record) = self.permits.get(&request.permit) {
-            let decision = PermitDecision::Granted(record.target.clone());
+            let decision = PermitDecision::Granted(record.target.id.clone());
             return vec![self.answer(entry, request.permit, decision)];
         }
         if self.queues.contains(&request.permit) {
@@ -190,12 +136,13 @@
         }
         let (prompt_work, output_work) = (held.request.prompt_work, held.request.output_work);
         let expected = prompt_work + output_work;
-        if let Some(state) = self.targets.get_mut(&held.target) {
+        let target = self.life_of(&held.target);
+        if let Some(state) = state_of(&mut self.targets, &target) {
             state.in_flight += 1;
         }
         let record = PermitRecord {
             entry,
-            target: held.target,
+            target,
             expected,
             prompt_work,
             output_work,
@@ -277,7 +224,7 @@
 
     fn settle(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
         let may_eject = self.may_eject();
-        let Some(state) = self.targets.get_mut(&record.target) else { return };
+        let Some(state) = state_of(&mut self.targets, &record.target) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         match end {
             AttemptEnd::Unused => {}
@@ -303,7 +250,7 @@
                 continue;
             }
             record.confirmed = now;
-            let decision = PermitDecision::Granted(record.target.clone());
+            let decision = PermitDecision::Granted(record.target.id.clone());
             let answer = PermitAnswer { permit: *permit, pool: self.pool.clone(), decision };
             let entry = record.entry.clone();
             actions.push(SchedulerAction { entry, answer, shed: None, unused: None });
--- a/crates/sched/tests/pools.rs
+++ b/crates/sched/tests/pools.rs
@@ -6,7 +6,7 @@
 
 use curlewcleat_core::{
     AttemptEnd, CacheEviction, DaemonId, PermitDecision, PermitId, PermitRequest, PermitReturn,
-    RefusalReason, RequestId, TargetEntry, TargetPool, TargetReport,
+    RefusalReason, RequestId, TargetEntry, TargetLife, TargetPool, TargetReport,
 };
 use curlewcleat_sched::{AccountLimit, PoolOptions, PoolScheduler, SchedulerAction};
 use proptest::prelude::*;
@@ -243,7 +243,7 @@
 #[test]
 fn load_that_others_put_on_a_target_counts_until_its_report_is_old() {
     let mut scheduler = scheduler(PoolOptions::default(), 1, 2);
-    let target = "t0".to_string();
+    let target = TargetLife { id: "t0".to_string(), start: None };
     scheduler.reported(Duration::ZERO, &target, &report(2, &[]));
     assert!(granted(&scheduler.request_permit(Duration::ZERO, entry(), ask(1, 0, "a", LONG)))
         .is_empty());
@@ -260,7 +260,7 @@
 #[test]
 fn cache_events_are_taken_once_and_a_gap_forgets_everything() {
     let mut scheduler = scheduler(PoolOptions::default(), 1, 8);
-    let target = "t0".to_string();
+    let target = TargetLife { id: "t0".to_string(), start: None };
     scheduler.reported(Duration::ZERO, &target, &report(0, &[(1, 99)]));
     for prefix in 1..=3u64 {
         let ask = PermitRequest { prefix: Some(prefix), ..ask(u128::from(prefix), 0, "a", LONG) };
--- a/crates/sched/tests/replacement.rs
+++ b/crates/sched/tests/replacement.rs
@@ -510,5 +510,5 @@
 
 fn permits_at(scheduler: &PoolScheduler, target: &str) -> Vec<PermitId> {
     let permits = scheduler.permits().iter();
-    permits.filter(|(_, record)| record.target == target).map(|(permit, _)| *permit).collect()
+    permits.filter(|(_, record)| record.target.id == target).map(|(permit, _)| *permit).collect()
 }
