Connections: an idle one leads to one life of a target

Cause: idle connections went by address. A target that starts again at its address, or another target that gets the address, was sent requests on connections to the earlier life where its end had not been noticed: such a request counts as one that may have run, and an answer that came late on it was the earlier life's.

Change: idle connections are kept by address and life (ConnectionPool::connect_to takes the entry; connect, for an address alone, keeps those apart). The daemon concludes that a request did not run only from the exchange's own connection, which a test now fixes: a 421 of a later life on a connection of its own leaves the earlier request as one that may have run.

--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -37,7 +37,7 @@
     let request = attempt.request;
     let limits = protocol.limits(request);
     let connections = protocol.connections(&request.pool);
-    let connected = connections.connect(&attempt.target.address, limits.connect).await;
+    let connected = connections.connect_to(attempt.target, limits.connect).await;
     // Nothing is written before the connection stands.
     let Ok(connection) = connected else {
         return AttemptStart::NotRun(RetryReason::ConnectFailed, AttemptCause::ConnectFailed);
--- a/crates/daemon/src/request/pass_on.rs
+++ b/crates/daemon/src/request/pass_on.rs
@@ -177,7 +177,7 @@
         while let Some(head) = self.form.resumption() {
             self.service.context.metrics.retry(RetryReason::StreamResumed);
             let exchange = async {
-                let connection = connections.connect(&target.address, RESUME_CONNECT_LIMIT).await;
+                let connection = connections.connect_to(target, RESUME_CONNECT_LIMIT).await;
                 connection?.exchange(head, ()).await
             };
             match tokio::time::timeout(limit, exchange).await {
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -13,7 +13,7 @@
 use futures_util::{Stream, StreamExt};
 use tokio::net::TcpStream;
 
-use crate::pool::ConnectionPool;
+use crate::pool::{ConnectionEnd, ConnectionPool};
 
 /// Bytes read at once from an answer that ends with its connection.
 const READ_SIZE: usize = 16 << 10;
@@ -61,7 +61,7 @@
     state: BodyState,
     reusable: bool,
     idle_limit: Option<Duration>,
-    address: String,
+    end: ConnectionEnd,
     pool: ConnectionPool,
 }
 
@@ -70,7 +70,7 @@
         framed: Framed<TcpStream, ClientCodec>,
         frame: BodyFrame,
         reusable: bool,
-        address: String,
+        end: ConnectionEnd,
         pool: ConnectionPool,
     ) -> AnswerBody {
         let state = match frame {
@@ -83,7 +83,7 @@
                 BodyState::UntilClose(parts.io, parts.read_buf)
             }
         };
-        AnswerBody { state, reusable, idle_limit: None, address, pool }
+        AnswerBody { state, reusable, idle_limit: None, end, pool }
     }
 
     /// The target closes the connection after it has rested for so long.
@@ -112,7 +112,7 @@
             return;
         }
         if self.reusable && framed.is_read_buf_empty() {
-            self.pool.put_idle(&self.address, framed.into_parts().io, self.idle_limit);
+            self.pool.put_idle(&self.end, framed.into_parts().io, self.idle_limit);
         } else {
             self.state = BodyState::Whole(framed);
         }
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -16,7 +16,7 @@
 
 use crate::answer::{AnswerBody, BodyFrame, TargetAnswer};
 use crate::error::{Error, Result};
-use crate::pool::{ConnectionPool, PooledConnection};
+use crate::pool::{ConnectionEnd, ConnectionPool, PooledConnection};
 
 /// Answers to earlier requests that one exchange passes over.
 /// Chosen, not measured.
@@ -63,7 +63,7 @@
         B::Error: std::fmt::Display,
     {
         if !head.headers.contains_key(header::HOST) {
-            let host = HeaderValue::from_str(&self.address)
+            let host = HeaderValue::from_str(&self.end.address)
                 .map_err(|error| Error::Protocol(error.to_string()))?;
             head.headers.insert(header::HOST, host);
         }
@@ -77,11 +77,11 @@
             }
             let frame = body_frame(&method, &answer_head, &framed, options.unframed)?;
             if !belongs(&answer_head.headers, options)? {
-                framed = skip_body(framed, frame, &self.address, &self.pool).await?;
+                framed = skip_body(framed, frame, &self.end, &self.pool).await?;
                 continue;
             }
             let reusable = upload.is_done();
-            let body = AnswerBody::new(framed, frame, reusable, self.address, self.pool);
+            let body = AnswerBody::new(framed, frame, reusable, self.end, self.pool);
             return Ok(TargetAnswer { head: answer_head, body });
         }
         Err(Error::Protocol("too many answers to earlier requests".to_string()))
@@ -190,10 +190,10 @@
 async fn skip_body(
     framed: Connection,
     frame: BodyFrame,
-    address: &str,
+    end: &ConnectionEnd,
     pool: &ConnectionPool,
 ) -> Result<Connection> {
-    let mut body = AnswerBody::new(framed, frame, false, address.to_string(), pool.clone());
+    let mut body = AnswerBody::new(framed, frame, false, end.clone(), pool.clone());
     while let Some(part) = body.next().await {
         part.map_err(|cut| Error::Closed(cut.to_string()))?;
     }
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -1,4 +1,8 @@
-//! Idle connections by target address.
+//! Idle connections by the life of their target.
+//!
+//! A connection reaches one life of a target. A later life at the same address, or another target there,
+//! gets connections of its own: what an earlier connection says is nothing that the later life says, and
+//! its end may not have been noticed yet.
 //!
 //! Owns: idle connections. Relies on: `answer` for giving back only sound ones.
 
@@ -7,6 +11,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use curlewcleat_core::{TargetEntry, TargetLife};
 use tokio::net::TcpStream;
 
 use crate::error::{Error, Result};
@@ -16,7 +21,7 @@
 pub struct ConnectionOptions {
     /// Time after which an idle connection is closed.
     pub idle_limit: Duration,
-    /// Idle connections kept for each target; 0 never uses one twice.
+    /// Idle connections kept for each life of a target; 0 never uses one twice.
     pub idle_count: usize,
     /// Time for which a connection rests before it is used again, so that unsolicited bytes
     /// have arrived and are noticed.
@@ -33,6 +38,15 @@
     }
 }
 
+/// What a connection leads to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ConnectionEnd {
+    /// `ip:port`.
+    pub address: String,
+    /// The target there, `None` where only its address is known.
+    life: Option<TargetLife>,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     stream: TcpStream,
@@ -50,14 +64,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionPool {
     options: ConnectionOptions,
-    idle: Rc<RefCell<BTreeMap<String, Vec<IdleConnection>>>>,
+    idle: Rc<RefCell<BTreeMap<ConnectionEnd, Vec<IdleConnection>>>>,
 }
 
 /// A connection on which nothing is under way.
 #[derive(Debug)]
 pub struct PooledConnection {
     pub(crate) stream: TcpStream,
-    pub(crate) address: String,
+    pub(crate) end: ConnectionEnd,
     pub(crate) pool: ConnectionPool,
 }
 
@@ -67,22 +81,39 @@
         ConnectionPool { options, idle: Rc::default() }
     }
 
-    /// An idle connection that is still sound, or a new one. Nothing is written.
+    /// An idle connection to this life of the target that is still sound, or a new one. Nothing is written.
     ///
     /// # Errors
     /// [`Error::Connect`] where the target does not take the connection within `limit`.
+    pub async fn connect_to(
+        &self,
+        target: &TargetEntry,
+        limit: Duration,
+    ) -> Result<PooledConnection> {
+        let end = ConnectionEnd { address: target.address.clone(), life: Some(target.life()) };
+        self.connect_end(end, limit).await
+    }
+
+    /// As [`connect_to`](ConnectionPool::connect_to), where only an address is known.
+    ///
+    /// # Errors
+    /// [`Error::Connect`] where the connection is not taken within `limit`.
     pub async fn connect(&self, address: &str, limit: Duration) -> Result<PooledConnection> {
-        let idle = self.take_idle(address);
-        let stream = match idle {
+        let end = ConnectionEnd { address: address.to_string(), life: None };
+        self.connect_end(end, limit).await
+    }
+
+    async fn connect_end(&self, end: ConnectionEnd, limit: Duration) -> Result<PooledConnection> {
+        let stream = match self.take_idle(&end) {
             Some(stream) => stream,
-            None => connect(address, limit).await?,
+            None => connect(&end.address, limit).await?,
         };
-        Ok(PooledConnection { stream, address: address.to_string(), pool: self.clone() })
+        Ok(PooledConnection { stream, end, pool: self.clone() })
     }
 
-    fn take_idle(&self, address: &str) -> Option<TcpStream> {
+    fn take_idle(&self, end: &ConnectionEnd) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(address)?;
+        let connections = idle.get_mut(end)?;
         connections.retain(|connection| connection.is_fresh() && is_sound(&connection.stream));
         // The newest that has rested is the least likely to be closed by its target meanwhile.
         let rested = |connection: &IdleConnection| connection.since.elapsed() >= self.options.rest;
@@ -91,7 +122,7 @@
     }
 
     /// Keeps a connection for a further request; `limit` is the time for which its target does.
-    pub(crate) fn put_idle(&self, address: &str, stream: TcpStream, limit: Option<Duration>) {
+    pub(crate) fn put_idle(&self, end: &ConnectionEnd, stream: TcpStream, limit: Option<Duration>) {
         if self.options.idle_count == 0 {
             return;
         }
@@ -100,7 +131,7 @@
             connections.retain(IdleConnection::is_fresh);
             !connections.is_empty()
         });
-        let connections = idle.entry(address.to_string()).or_default();
+        let connections = idle.entry(end.clone()).or_default();
         // The oldest connections are the least likely to be sound.
         if connections.len() >= self.options.idle_count {
             connections.remove(0);
--- a/crates/targets/tests/exchanges.rs
+++ b/crates/targets/tests/exchanges.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use actix_http::{Method, RequestHead};
+use curlewcleat_core::{TargetEntry, TargetStart};
 use curlewcleat_targets::{BodyCut, ConnectionPool, Error, TargetAnswer};
 use futures_util::StreamExt;
 use rstest::rstest;
@@ -123,3 +124,79 @@
     assert_eq!(read(second).await, Ok("own".to_string()));
     Ok(())
 }
+
+/// Answers each connection by its number, for as long as it is open; gives the address.
+async fn numbered_server() -> std::io::Result<String> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?.to_string();
+    actix_rt::spawn(async move {
+        for number in 1.. {
+            let Ok((mut stream, _)) = listener.accept().await else { return };
+            actix_rt::spawn(async move {
+                let mut buffer = [0u8; 4096];
+                while stream.read(&mut buffer).await.is_ok_and(|read| read > 0) {
+                    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}");
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+            });
+        }
+    });
+    Ok(address)
+}
+
+async fn read_from(pool: &ConnectionPool, target: &TargetEntry) -> Result<String, Error> {
+    // Until a connection has rested.
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    let connection = pool.connect_to(target, LIMIT).await?;
+    let answer = connection.exchange(head(Method::GET), ()).await?;
+    read(answer).await.map_err(|cut| Error::Closed(cut.to_string()))
+}
+
+/// Idle connections went by address: a request to a target that had started again was written on a
+/// connection to its earlier life, whose end had not been noticed, and counted as one that may have run.
+#[actix_rt::test]
+async fn connection_to_an_earlier_life_is_not_used_for_a_later_one() -> std::io::Result<()> {
+    let address = numbered_server().await?;
+    let target = |id: &str, start: Option<u64>| TargetEntry {
+        id: id.to_string(),
+        address: address.clone(),
+        start: start.map(TargetStart),
+        ..TargetEntry::default()
+    };
+    let pool = ConnectionPool::default();
+    let asked = [
+        (target("a", Some(1)), "1"),
+        (target("a", Some(1)), "1"),
+        (target("a", Some(2)), "2"),
+        // A request that was under way to the earlier life has left a connection to that one.
+        (target("a", Some(1)), "1"),
+        (target("a", Some(2)), "2"),
+        (target("b", Some(2)), "3"),
+        (target("c", None), "4"),
+        (target("c", None), "4"),
+    ];
+    for (target, number) in asked {
+        let answer = read_from(&pool, &target).await.map_err(std::io::Error::other)?;
+        assert_eq!(answer, number, "{:?}", target.life());
+    }
+    Ok(())
+}
+
+/// A request is written to the earlier life, which ends. What the later life at the same address says on
+/// a connection of its own is no proof about that request.
+#[actix_rt::test]
+async fn refusal_of_a_later_life_is_not_the_answer_to_an_earlier_request() -> std::io::Result<()> {
+    let refusal = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+    // The first connection ends without a word, the second is refused.
+    let address = server(vec!["", refusal]).await?;
+    let target = TargetEntry { address, start: Some(TargetStart(1)), ..TargetEntry::default() };
+    let later = TargetEntry { start: Some(TargetStart(2)), ..target.clone() };
+    let pool = ConnectionPool::default();
+    let earlier = pool.connect_to(&target, LIMIT).await.map_err(std::io::Error::other)?;
+    let written = earlier.exchange(head(Method::POST), "body").await;
+    assert!(matches!(written, Err(Error::Closed(_))), "it may have run");
+    let connection = pool.connect_to(&later, LIMIT).await.map_err(std::io::Error::other)?;
+    let answer = connection.exchange(head(Method::POST), "body").await;
+    assert_eq!(answer.map_err(std::io::Error::other)?.head.status.as_u16(), 421);
+    Ok(())
+}
