Model drain: a target that starts again under its id

Cause: the model knew targets that leave, but none that starts again while requests to its earlier life are in progress.

Change: t0 has one life more, and an entry of its earlier life may come late. New promise: the places in use at a target are those of its present life, so that permits of the earlier one neither keep nor free a place.

The other models were not run: they do not use what changed.

--- a/crates/model/src/drain.rs
+++ b/crates/model/src/drain.rs
@@ -1,10 +1,12 @@
 //! Planned stop and leaving targets: a daemon that drains with requests in progress, a target whose
-//! VM leaves.
+//! VM leaves, and that starts again under its id while requests to its earlier life are in progress.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use curlewcleat_core::{AttemptEnd, DaemonId, PermitId, RequestId, TargetId, Uptime, Verdict};
+use curlewcleat_core::{
+    AttemptEnd, DaemonId, PermitId, RequestId, TargetLife, TargetPool, TargetStart, Uptime, Verdict,
+};
 use curlewcleat_sched::{
     DrainInput, DrainPhase, DrainState, EntryAction, EntryOptions, EntryRequests, PoolOptions,
     PoolScheduler, RequestSpec, SchedulerAction,
@@ -16,6 +18,12 @@
 const POOL: &str = "pool";
 /// One step of the clock: the time that the balancer has to notice.
 const STEP: Duration = Duration::from_secs(1);
+/// The target that starts again.
+const RESTARTED: &str = "t0";
+/// Starts of its lives; the third is none of its own.
+const FIRST_START: TargetStart = TargetStart(1);
+const SECOND_START: TargetStart = TargetStart(2);
+const THIRD_START: TargetStart = TargetStart(3);
 
 /// A fault put into the protocol, which the search must find.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +34,10 @@
     EndsByTimeOut,
     /// The scheduler is not told which targets leave.
     LeavingIgnored,
+    /// The scheduler is not told that a target has started again.
+    StartIgnored,
+    /// An entry of the earlier life that comes late is taken for a start.
+    LateEntryTaken,
 }
 
 /// The specification with its bounds.
@@ -48,7 +60,11 @@
     entry: EntryRequests,
     scheduler: PoolScheduler,
     arrived: u8,
-    exchanges: BTreeMap<PermitId, TargetId>,
+    exchanges: BTreeMap<PermitId, TargetLife>,
+    /// Start of the life of `t0`.
+    start: TargetStart,
+    /// Whether an entry of its earlier life came late.
+    late_entry: bool,
     leaving: bool,
     cut_off: bool,
     sent_to_leaving: bool,
@@ -79,8 +95,9 @@
                         answers.extend(state.scheduler.give_back(state.now, &back));
                     }
                     EntryAction::Dispatch { permit, target } => {
-                        state.sent_to_leaving |= state.leaving && target == "t0";
-                        state.exchanges.insert(permit, target);
+                        state.sent_to_leaving |= state.leaving && target == RESTARTED;
+                        let start = (target == RESTARTED).then_some(state.start);
+                        state.exchanges.insert(permit, TargetLife { id: target, start });
                     }
                     _ => {}
                 }
@@ -104,13 +121,47 @@
 
     fn finish(&self, state: &DrainModelState, permit: PermitId) -> DrainModelState {
         let mut next = state.clone();
-        next.exchanges.remove(&permit);
-        let end = AttemptEnd::Whole(Duration::from_millis(1));
-        let actions = next.entry.finished(permit.request, Verdict::Ran, end, None);
+        let ended = next.exchanges.remove(&permit);
+        let life = TargetLife { id: RESTARTED.to_string(), start: Some(state.start) };
+        // What was under way to an earlier life has no answer.
+        let is_cut = ended.is_some_and(|ended| ended.id == life.id && ended != life);
+        let (verdict, end) = match is_cut {
+            true => (Verdict::MayHaveRun, AttemptEnd::Failed),
+            false => (Verdict::Ran, AttemptEnd::Whole(Duration::from_millis(1))),
+        };
+        let actions = next.entry.finished(permit.request, verdict, end, None);
         self.settle(&mut next, actions, Vec::new());
         next
     }
 
+    /// Target `t0` starts again: it runs nothing and no longer leaves.
+    fn start_again(&self, state: &DrainModelState) -> DrainModelState {
+        let mut next = state.clone();
+        next.start = SECOND_START;
+        next.leaving = false;
+        if self.fault != DrainFault::StartIgnored {
+            next.scheduler.configure(PoolOptions::default(), &targets(next.start));
+        }
+        next.scheduler.set_away(BTreeSet::new());
+        let answers = next.scheduler.tick(next.now);
+        self.settle(&mut next, Vec::new(), answers);
+        next
+    }
+
+    /// An entry of the earlier life of `t0` comes after that of the later one.
+    fn take_late_entry(&self, state: &DrainModelState) -> DrainModelState {
+        let mut next = state.clone();
+        next.late_entry = true;
+        let start = match self.fault {
+            DrainFault::LateEntryTaken => THIRD_START,
+            _ => FIRST_START,
+        };
+        next.scheduler.configure(PoolOptions::default(), &targets(start));
+        let answers = next.scheduler.tick(next.now);
+        self.settle(&mut next, Vec::new(), answers);
+        next
+    }
+
     fn step_clock(&self, state: &DrainModelState) -> DrainModelState {
         let mut next = state.clone();
         next.now += STEP;
@@ -130,7 +181,7 @@
 
     fn initial(&self) -> DrainModelState {
         let mut scheduler = PoolScheduler::new(POOL.to_string(), PoolOptions::default());
-        scheduler.configure(PoolOptions::default(), &pool(&["t0", "t1"], 1));
+        scheduler.configure(PoolOptions::default(), &targets(FIRST_START));
         DrainModelState {
             now: Duration::ZERO,
             steps: 0,
@@ -139,6 +190,8 @@
             scheduler,
             arrived: 0,
             exchanges: BTreeMap::new(),
+            start: FIRST_START,
+            late_entry: false,
             leaving: false,
             cut_off: false,
             sent_to_leaving: false,
@@ -173,6 +226,12 @@
             }
             steps.push(("the VM of target t0 leaves".to_string(), next));
         }
+        if state.start == FIRST_START {
+            steps.push(("target t0 starts again".to_string(), self.start_again(state)));
+        } else if !state.late_entry {
+            let name = "an entry of the earlier life of t0 comes late".to_string();
+            steps.push((name, self.take_late_entry(state)));
+        }
         if state.steps < self.steps {
             steps.push(("1 s passes".to_string(), self.step_clock(state)));
         }
@@ -186,10 +245,26 @@
         if state.sent_to_leaving {
             return Some("a leaving target got new work".to_string());
         }
+        let life = TargetLife { id: RESTARTED.to_string(), start: Some(state.start) };
+        let running = state.exchanges.values().filter(|running| **running == life).count();
+        if state.scheduler.targets()[RESTARTED].in_flight != running as u32 {
+            return Some(
+                "the places in use are not those of the target's present life".to_string(),
+            );
+        }
         state.admitted_late.then(|| "a request was taken in while closing".to_string())
     }
 }
 
+/// Two targets with a slot each, of which the first tells its start.
+fn targets(start: TargetStart) -> TargetPool {
+    let mut pool = pool(&[RESTARTED, "t1"], 1);
+    if let Some(entry) = pool.targets.get_mut(RESTARTED) {
+        entry.start = Some(start);
+    }
+    pool
+}
+
 fn me() -> DaemonId {
     DaemonId { vm: "d".to_string(), incarnation: 1 }
 }
--- a/crates/model/tests/models.rs
+++ b/crates/model/tests/models.rs
@@ -136,6 +136,16 @@
 #[rstest]
 #[case::ends_by_time_out(DrainFault::EndsByTimeOut, "the stop cut a request off", 4)]
 #[case::leaving_ignored(DrainFault::LeavingIgnored, "a leaving target got new work", 2)]
+#[case::start_ignored(
+    DrainFault::StartIgnored,
+    "the places in use are not those of the target's present life",
+    2
+)]
+#[case::late_entry_taken(
+    DrainFault::LateEntryTaken,
+    "the places in use are not those of the target's present life",
+    3
+)]
 fn broken_drain_is_caught(#[case] fault: DrainFault, #[case] promise: &str, #[case] steps: usize) {
     caught(&format!("drain, {fault:?}"), &drain(fault), promise, steps);
 }
