Reports: numbers that go back are those of a target that has started again

Cause: a target that tells no start and begins anew numbers its cache events from 1. They were passed over as seen until they had reached the latest number of before, so that prefixes it had evicted were believed to be kept.

Change: reports of one target come in order, so numbers that go back clear what is believed of its cache and begin anew.

--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -110,6 +110,16 @@
         let own = self.in_flight.max(self.in_flight_before);
         self.in_flight_before = self.in_flight;
         self.foreign = (report.running.saturating_sub(own), now + REPORT_LIFE);
+        self.note_evictions(report);
+    }
+
+    /// Takes the cache events of a report in. Reports come in order, so numbers that go back are those of
+    /// a target that has started again and holds nothing of before.
+    fn note_evictions(&mut self, report: &TargetReport) {
+        let newest = report.evictions.last().map(|eviction| eviction.number);
+        if newest.is_some() && newest < self.last_eviction {
+            self.last_eviction = None;
+        }
         for eviction in &report.evictions {
             match self.last_eviction {
                 Some(last) if eviction.number <= last => continue,
--- a/crates/sched/tests/lives.rs
+++ b/crates/sched/tests/lives.rs
@@ -280,3 +280,22 @@
     scheduler.reported(NOW, &life(2), &report(0, &[(1, 1), (2, 7)]));
     assert!(!scheduler.targets()["t"].prefixes.holds(7));
 }
+
+/// A target that tells no start began anew. Its numbers went back from 40 to 1, and all of its evictions
+/// were passed over as seen until they had reached 40 again.
+#[test]
+fn numbers_that_go_back_without_a_start_forget_everything() {
+    let mut scheduler = scheduler(&[("t", None)], 2);
+    let target = TargetLife { id: "t".to_string(), start: None };
+    scheduler.reported(NOW, &target, &report(0, &[(40, 1)]));
+    scheduler.request_permit(NOW, entry(), ask(1));
+    scheduler.reported(NOW, &target, &report(0, &[]));
+    assert!(scheduler.targets()["t"].prefixes.holds(7), "nothing was evicted");
+    scheduler.reported(NOW, &target, &report(0, &[(1, 1)]));
+    assert!(!scheduler.targets()["t"].prefixes.holds(7));
+    scheduler.request_permit(NOW, entry(), ask(2));
+    scheduler.reported(NOW, &target, &report(0, &[(1, 1)]));
+    assert!(scheduler.targets()["t"].prefixes.holds(7), "the same report once more");
+    scheduler.reported(NOW, &target, &report(0, &[(1, 1), (2, 7)]));
+    assert!(!scheduler.targets()["t"].prefixes.holds(7));
+}
