Sight: one line where a target has started again, or its entry is late

Cause: nothing told which life of a target a daemon believes in.

Change: TargetView tells what entries say of another life than is known; the daemon logs target_started_again (info) and target_entry_late (warn) with the start told and the one known. explain shows the first beside a request.

--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use curlewcleat_core::{PeerFrame, RequestId};
-use curlewcleat_node::{CallerDecision, Node, NodeAction, NodeEvent, NodeNote};
+use curlewcleat_node::{CallerDecision, LifeNews, Node, NodeAction, NodeEvent, NodeNote};
 use curlewcleat_peers::PeerTransport;
 use spdlog::prelude::*;
 use tokio::sync::mpsc;
@@ -197,6 +197,7 @@
         }
         NodeNote::PeerLost(peer) => warn!("peer_lost", kv: { vm = peer.vm.as_str() }),
         NodeNote::PeerReplaced(peer) => info!("peer_replaced", kv: { vm = peer.vm.as_str() }),
+        NodeNote::TargetLife(news) => log_life(news),
         NodeNote::TableKnown(version, slots) => {
             info!("key_table_known", kv: { version = *version, slots_held = *slots })
         }
@@ -215,3 +216,15 @@
         NodeNote::DrainClosing => info!("drain_closing"),
     }
 }
+
+fn log_life(news: &LifeNews) {
+    let LifeNews { target, told, known } = news;
+    match news.is_late() {
+        true => warn!("target_entry_late", kv: {
+            target = target.as_str(), start = told.0, known = known.0
+        }),
+        false => info!("target_started_again", kv: {
+            target = target.as_str(), start = told.0, known = known.0
+        }),
+    }
+}
--- a/crates/explain/src/story.rs
+++ b/crates/explain/src/story.rs
@@ -13,7 +13,7 @@
 /// Time before a request's first line from which the state of its daemon is shown.
 const BEFORE_MS: u64 = 10_000;
 /// Events that change what a daemon believes.
-const STATE_EVENTS: [&str; 14] = [
+const STATE_EVENTS: [&str; 15] = [
     "started",
     "drain_begun",
     "drain_closing",
@@ -28,6 +28,7 @@
     "accept_failed",
     ENTRY_UNUSABLE,
     ENTRY_FAULT_ENDED,
+    "target_started_again",
 ];
 
 /// One step of a story.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -13,6 +13,7 @@
 
 use crate::freshness::ReadRole;
 use crate::status::PoolStatus;
+use crate::target_view::LifeNews;
 
 /// A line of the platform's VM list.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -144,6 +145,8 @@
     PeerLost(DaemonId),
     /// A peer's VM has started a new daemon.
     PeerReplaced(DaemonId),
+    /// What an entry told of the lives of its target.
+    TargetLife(LifeNews),
     /// A key table is known, and the number of slots that this daemon holds.
     TableKnown(ObjectVersion, usize),
     /// What the scheduler of a pool sees while requests wait there.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,5 +21,5 @@
 pub use freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
 pub use node::{Node, NodeOptions};
 pub use status::{ConfigIntake, NodeStatus, PoolStatus, TargetStatus};
-pub use target_view::{TargetView, ViewUpdate};
+pub use target_view::{LifeNews, TargetView, ViewUpdate};
 pub use vms::VmView;
--- a/crates/node/src/node/platform.rs
+++ b/crates/node/src/node/platform.rs
@@ -8,7 +8,7 @@
 };
 
 use super::Node;
-use crate::event::{NodeAction, PlatformCall};
+use crate::event::{NodeAction, NodeNote, PlatformCall};
 use crate::target_view::ViewUpdate;
 
 impl Node {
@@ -99,6 +99,7 @@
     pub(super) fn targets_listed(&mut self, targets: Vec<DiscoveredTarget>, at: ObjectVersion) {
         let doubtful = self.is_doubtful();
         if self.targets.list(targets, at, doubtful) == ViewUpdate::Taken {
+            self.note_lives();
             self.renew_discovered();
         }
     }
@@ -113,11 +114,17 @@
         let news = !changes.is_empty();
         let update = self.targets.change(from, changes, at, doubtful);
         if update == ViewUpdate::Taken && news {
+            self.note_lives();
             self.renew_discovered();
         }
         update
     }
 
+    fn note_lives(&mut self) {
+        let news = self.targets.take_news().into_iter().map(NodeNote::TargetLife);
+        self.actions.extend(news.map(NodeAction::Note));
+    }
+
     fn is_doubtful(&self) -> bool {
         self.freshness.as_ref().is_some_and(|freshness| freshness.is_doubtful(self.now))
     }
--- a/crates/node/src/target_view.rs
+++ b/crates/node/src/target_view.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use curlewcleat_core::{
-    DiscoveredTarget, LifeOrder, ObjectVersion, TargetChange, TargetId, TargetsContent,
+    DiscoveredTarget, LifeOrder, ObjectVersion, TargetChange, TargetId, TargetStart, TargetsContent,
 };
 
 use crate::ended_lives::EndedLives;
@@ -32,6 +32,24 @@
     Gap,
 }
 
+/// An entry told of another life of its target than is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LifeNews {
+    /// The target.
+    pub target: TargetId,
+    /// The start that its entry told.
+    pub told: TargetStart,
+    /// The latest start that was known.
+    pub known: TargetStart,
+}
+
+impl LifeNews {
+    /// Whether the entry was one of an earlier life, and left out; else the target has started again.
+    pub fn is_late(&self) -> bool {
+        self.told < self.known
+    }
+}
+
 /// The targets at a revision of the platform, and those that may come back.
 #[derive(Clone, Debug, Default)]
 pub struct TargetView {
@@ -40,6 +58,7 @@
     /// ended, and are used until they are back or the platform has settled.
     missing: BTreeMap<TargetId, DiscoveredTarget>,
     ended: EndedLives,
+    news: Vec<LifeNews>,
     at: ObjectVersion,
     /// Revision from which the log is complete.
     log_from: ObjectVersion,
@@ -120,6 +139,11 @@
         TargetsContent::Since(known, changes.map(|(_, change)| change.clone()).collect())
     }
 
+    /// What the entries told of lives since the last call.
+    pub fn take_news(&mut self) -> Vec<LifeNews> {
+        std::mem::take(&mut self.news)
+    }
+
     /// The platform has settled: what is still missing has ended. Returns whether any target was
     /// removed.
     pub fn settle(&mut self) -> bool {
@@ -148,7 +172,14 @@
         let id = told.entry.id.clone();
         let known = listed.as_ref().or_else(|| self.missing.get(&id));
         let start = known.and_then(|known| known.entry.start);
-        match LifeOrder::of(told.entry.start, start.max(self.ended.latest(&id))) {
+        let latest = start.max(self.ended.latest(&id));
+        let order = LifeOrder::of(told.entry.start, latest);
+        if let (Some((told, known)), true) =
+            (told.entry.start.zip(latest), order != LifeOrder::Same)
+        {
+            self.news.push(LifeNews { target: id.clone(), told, known });
+        }
+        match order {
             LifeOrder::Earlier => {
                 self.listed.extend(listed.map(|listed| (id, listed)));
                 return;
--- a/crates/node/tests/target_lives.rs
+++ b/crates/node/tests/target_lives.rs
@@ -8,7 +8,7 @@
     AttemptEnd, DiscoveredTarget, PeerFrame, PeerMessage, TargetChange, TargetStart,
     TargetsContent, TargetsPush,
 };
-use curlewcleat_node::{CallerDecision, NodeAction, NodeEvent, TargetView, ViewUpdate};
+use curlewcleat_node::{CallerDecision, LifeNews, NodeAction, NodeEvent, TargetView, ViewUpdate};
 
 use support::{target, Fleet};
 
@@ -39,6 +39,20 @@
     view
 }
 
+#[test]
+fn news_of_lives_are_told_once() {
+    let mut view = view_of_second_life();
+    let news = |told, known| {
+        let (told, known) = (TargetStart(told), TargetStart(known));
+        [LifeNews { target: "a".to_string(), told, known }]
+    };
+    assert_eq!(view.take_news(), news(20, 10));
+    view.change(2, present(started("a", 20, true)), 3, false);
+    assert_eq!(view.take_news(), []);
+    view.change(3, present(started("a", 10, true)), 4, false);
+    assert_eq!(view.take_news(), news(10, 20));
+}
+
 /// A target that left was never used again, since its id was taken for one start of its process.
 #[test]
 fn target_that_left_stays_once_it_has_started_again() {
