Model request: a target that starts again while a request is on its way to it

Cause: no model had the case that the later life of a target declines a request that the earlier one may have run.

Change: an attempt may end by a start of its target, before or after it ran. Broken variant: what the later life says is taken for proof that the attempt did not run.

--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -1,5 +1,6 @@
 //! Request, permit and dispatch: one entry, schedulers and a network that may do anything, targets
-//! that refuse, run, cut and leave unanswered.
+//! that refuse, run, cut and leave unanswered, and that start again under their id with a request on its
+//! way to the earlier life.
 //!
 //! The schedulers are not modelled as they are but as the worst that they and the network could be:
 //! any answer to any attempt that was asked for may arrive from either scheduler at any time, any
@@ -31,6 +32,9 @@
     None,
     /// A connection that ends under a written request is taken for one that never stood.
     CutTakenForNotRun,
+    /// The later life of a target says that it did not run a request that was written to the earlier one, and
+    /// that is taken for proof.
+    LaterLifeTakenForProof,
     /// Every grant is followed, also a repeated one.
     EveryGrantDispatches,
     /// A request that was sent and has no answer is refused as not run.
@@ -182,6 +186,7 @@
             let when = if ran { "after" } else { "before" };
             ends.push((format!("the connection of attempt {attempt} ends {when} it ran"), cut));
         }
+        ends.extend([true, false].map(|ran| self.starts_again(&open, attempt, ran)));
         let mut left = open;
         left.runs += 1;
         let actions = left.entry.cancelled(request());
@@ -191,6 +196,19 @@
         ends
     }
 
+    /// The target of an attempt starts again, and its later life declines what it is asked. The earlier one
+    /// may have run the attempt.
+    fn starts_again(&self, open: &RequestState, attempt: u32, ran: bool) -> (String, RequestState) {
+        let mut next = open.clone();
+        next.runs += u8::from(ran);
+        match self.fault {
+            RequestFault::LaterLifeTakenForProof => self.not_run(&mut next),
+            _ => self.finish(&mut next, Verdict::MayHaveRun),
+        }
+        let when = if ran { "after" } else { "before" };
+        (format!("the target of attempt {attempt} starts again {when} it ran"), next)
+    }
+
     fn not_run(&self, state: &mut RequestState) {
         let order = Self::order(state);
         let (end, retry) = (AttemptEnd::Failed, RetryReason::ConnectFailed);
--- a/crates/model/tests/models.rs
+++ b/crates/model/tests/models.rs
@@ -41,6 +41,11 @@
     "the caller was told \"not run\" and it ran",
     3
 )]
+#[case::later_life_taken_for_proof(
+    RequestFault::LaterLifeTakenForProof,
+    "the caller was told \"not run\" and it ran",
+    3
+)]
 #[case::every_grant_dispatches(RequestFault::EveryGrantDispatches, "one permit was used twice", 2)]
 #[case::unanswered_told_not_run(
     RequestFault::UnansweredToldNotRun,
