--- a/crates/node/tests/target_lives.rs
+++ b/crates/node/tests/target_lives.rs
@@ -99,6 +99,17 @@
     assert_eq!(lives(&view), [("a".to_string(), Some(20), false)], "it was only out of sight");
 }
 
+/// An entry that cannot be read tells no start.
+#[test]
+fn unusable_entry_in_between_brings_no_earlier_life_back() {
+    let mut view = view_of_second_life();
+    view.change(2, present(DiscoveredTarget::unusable("a".to_string())), 3, false);
+    view.change(3, present(started("a", 10, false)), 4, false);
+    assert_eq!(view.targets()[0].pool, "", "nothing is sent there");
+    view.change(4, present(started("a", 20, false)), 5, false);
+    assert_eq!(view.targets(), [started("a", 20, false)]);
+}
+
 #[test]
 fn earlier_life_does_not_come_back_while_the_platform_fails() {
     let mut view = view_of_second_life();
--- a/crates/sched/tests/lives.rs
+++ b/crates/sched/tests/lives.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AttemptEnd, CacheEviction, DaemonId, LatencyObjectives, PermitDecision, PermitHeld, PermitId,
-    PermitRequest, PermitReturn, RequestId, StreamTiming, TargetEntry, TargetLife, TargetPool,
-    TargetReport, TargetStart,
+    AttemptEnd, DaemonId, LatencyObjectives, PermitDecision, PermitHeld, PermitId, PermitRequest,
+    PermitReturn, RequestId, StreamTiming, TargetEntry, TargetPool, TargetStart,
 };
 use curlewcleat_sched::{PoolOptions, PoolScheduler, SchedulerAction};
 use rstest::rstest;
@@ -246,56 +245,19 @@
     assert_eq!(scheduler.targets()["t"].in_flight, 0);
 }
 
-fn life(start: u64) -> TargetLife {
-    TargetLife { id: "t".to_string(), start: Some(TargetStart(start)) }
-}
-
-fn report(running: u32, evictions: &[(u64, u64)]) -> TargetReport {
-    let evictions =
-        evictions.iter().map(|(number, prefix)| CacheEviction { number: *number, prefix: *prefix });
-    TargetReport { running, evictions: evictions.collect() }
-}
-
+/// A request at a silent target asks for another one, after that target has started again.
 #[test]
-fn report_of_another_life_says_nothing() {
-    let mut scheduler = scheduler(&[("t", Some(2))], 2);
-    for start in [1, 3] {
-        scheduler.reported(NOW, &life(start), &report(2, &[(9, 7)]));
-        assert_eq!(scheduler.targets()["t"].foreign(NOW), 0);
+fn silence_of_the_earlier_life_does_not_count_against_the_later_one() {
+    let mut scheduler = scheduler(&[("t", Some(1)), ("u", Some(1))], 4);
+    let to_t = |number| PermitRequest { avoid: vec!["u".to_string()], ..ask(number) };
+    for number in 1..=3 {
+        scheduler.request_permit(NOW, entry(), to_t(number));
     }
-    scheduler.reported(NOW, &life(2), &report(2, &[]));
-    assert_eq!(scheduler.targets()["t"].foreign(NOW), 2);
-}
-
-/// The numbers of the later life begin at 1 and were passed over as seen, up to the latest of the
-/// earlier life: evictions were not noticed.
-#[test]
-fn counts_that_begin_anew_are_not_taken_for_old_ones() {
-    let mut scheduler = scheduler(&[("t", Some(1))], 2);
-    scheduler.reported(NOW, &life(1), &report(0, &[(40, 1)]));
-    configure(&mut scheduler, &[("t", Some(2))], 2);
-    scheduler.reported(NOW, &life(2), &report(0, &[(1, 1)]));
-    scheduler.request_permit(NOW, entry(), ask(1));
-    assert!(scheduler.targets()["t"].prefixes.holds(7));
-    scheduler.reported(NOW, &life(2), &report(0, &[(1, 1), (2, 7)]));
-    assert!(!scheduler.targets()["t"].prefixes.holds(7));
-}
-
-/// A target that tells no start began anew. Its numbers went back from 40 to 1, and all of its evictions
-/// were passed over as seen until they had reached 40 again.
-#[test]
-fn numbers_that_go_back_without_a_start_forget_everything() {
-    let mut scheduler = scheduler(&[("t", None)], 2);
-    let target = TargetLife { id: "t".to_string(), start: None };
-    scheduler.reported(NOW, &target, &report(0, &[(40, 1)]));
-    scheduler.request_permit(NOW, entry(), ask(1));
-    scheduler.reported(NOW, &target, &report(0, &[]));
-    assert!(scheduler.targets()["t"].prefixes.holds(7), "nothing was evicted");
-    scheduler.reported(NOW, &target, &report(0, &[(1, 1)]));
-    assert!(!scheduler.targets()["t"].prefixes.holds(7));
-    scheduler.request_permit(NOW, entry(), ask(2));
-    scheduler.reported(NOW, &target, &report(0, &[(1, 1)]));
-    assert!(scheduler.targets()["t"].prefixes.holds(7), "the same report once more");
-    scheduler.reported(NOW, &target, &report(0, &[(1, 1), (2, 7)]));
-    assert!(!scheduler.targets()["t"].prefixes.holds(7));
+    configure(&mut scheduler, &[("t", Some(2)), ("u", Some(1))], 4);
+    for number in 1..=3 {
+        let permit = PermitId { request: RequestId::from_u128(number), attempt: 1 };
+        scheduler.request_permit(NOW, entry(), PermitRequest { permit, ..ask(number) });
+    }
+    let later = &scheduler.targets()["t"];
+    assert_eq!((later.ejected(), later.failing()), (false, 0));
 }
