Reverted: idle connections to targets are closed where peers go silent together

Tried and not kept. What is known of a silent connection to a target stays with its own exchange (targets/src/silence.rs).

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -33,8 +33,7 @@
     let counts = Arc::new(TransportCounts::default());
     let metrics = Arc::new(DaemonMetrics::new(Arc::clone(&counts)).context("metrics")?);
     let (sender, messages) = mpsc::unbounded_channel();
-    let context =
-        DaemonContext::new(settings.clone(), metrics, sender.clone(), Arc::clone(&counts.silences));
+    let context = DaemonContext::new(settings.clone(), metrics, sender.clone());
 
     // The peer address is bound first: a process that has it knows that no earlier one lives here.
     let transport = listen_for_peers(&settings, Arc::clone(&counts), sender)?;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -3,7 +3,7 @@
 //! Owns: the configuration in force as the threads see it, the way to the node. Relies on: the node's
 //! thread ending last.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
 
@@ -42,8 +42,6 @@
     draining: Arc<AtomicBool>,
     bounds: Arc<RwLock<FleetBounds>>,
     started: Instant,
-    /// Times that connections to peers went silent together.
-    pub silences: Arc<AtomicU64>,
 }
 
 impl DaemonContext {
@@ -52,7 +50,6 @@
         settings: DaemonSettings,
         metrics: Arc<DaemonMetrics>,
         node: mpsc::UnboundedSender<NodeMessage>,
-        silences: Arc<AtomicU64>,
     ) -> DaemonContext {
         DaemonContext {
             bounds: Arc::new(RwLock::new(settings.bounds.clone())),
@@ -62,7 +59,6 @@
             node,
             draining: Arc::default(),
             started: Instant::now(),
-            silences,
         }
     }
 
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -13,7 +13,6 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
@@ -82,11 +81,10 @@
             rest: Duration::ZERO,
             ..ConnectionOptions::default()
         };
-        let silences = Arc::clone(&context.silences);
         ProfileProtocol {
             context,
             profile,
-            connections: ConnectionPool::new(options).retired_by(silences),
+            connections: ConnectionPool::new(options),
             freshness,
             longest: RefCell::default(),
         }
--- a/crates/peers/src/hearing.rs
+++ b/crates/peers/src/hearing.rs
@@ -70,11 +70,6 @@
         unheard || peer.anew.is_some_and(dialed_anew)
     }
 
-    /// Whether anything was heard of the peer at an address since then.
-    pub fn was_heard(&self, address: &str, since: Instant) -> bool {
-        self.heard.get(address).is_some_and(|peer| peer.last > since)
-    }
-
     /// Forgets all addresses but these.
     pub fn keep_only(&mut self, addresses: &BTreeSet<String>) {
         self.addresses.retain(|_, address| addresses.contains(address));
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -6,10 +6,8 @@
 
 mod codec;
 mod hearing;
-mod silence;
 mod transport;
 
 pub use codec::{decode_frame, encode_frame, Error, Result, FRAME_LIMIT};
 pub use hearing::PeerHearing;
-pub use silence::SilenceCounter;
 pub use transport::{NngTransport, PeerTransport, TransportCounts};
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -17,7 +17,6 @@
 
 use crate::codec::{decode_frame, encode_frame, FRAME_LIMIT};
 use crate::hearing::PeerHearing;
-use crate::silence::SilenceCounter;
 
 /// Frames that wait for a peer before the oldest are dropped.
 const SEND_QUEUE: i32 = 1_024;
@@ -54,8 +53,6 @@
     pub received_bytes: AtomicU64,
     /// Frames received that do not decode.
     pub unreadable: AtomicU64,
-    /// Times that connections to peers went silent together.
-    pub silences: Arc<AtomicU64>,
 }
 
 /// Frames over nng's publish and subscribe sockets, one publisher for each peer.
@@ -66,7 +63,6 @@
     listener: Socket,
     peers: BTreeMap<String, PeerSocket>,
     hearing: SharedHearing,
-    silences: SilenceCounter,
     counts: Arc<TransportCounts>,
 }
 
@@ -132,34 +128,19 @@
             .name("peer-frames".to_string())
             .spawn(move || receiver.run())
             .map_err(|_| nng::Error::OutOfMemory)?;
-        // Daemons that lose each other dial anew within a heartbeat, which is shorter than the limit.
-        let silences = SilenceCounter::new(silence_limit * 2);
-        Ok(NngTransport { listener, peers: BTreeMap::new(), hearing, silences, counts })
+        Ok(NngTransport { listener, peers: BTreeMap::new(), hearing, counts })
     }
 
     fn socket(&mut self, address: &str) -> Option<&mut PeerSocket> {
         let dialed = self.peers.get(address).map(|peer| peer.dialed);
         let silent = dialed
             .is_some_and(|dialed| heard(&self.hearing).is_silent(Instant::now(), address, dialed));
-        if silent {
-            self.note_silence(address);
-        }
         if silent || dialed.is_none() {
             self.dial(address);
         }
         self.peers.get_mut(address)
     }
 
-    /// A peer is about to be dialed anew. Where others are too, connections went silent together.
-    fn note_silence(&mut self, address: &str) {
-        let Some(dialed) = self.peers.get(address).map(|peer| peer.dialed) else { return };
-        let lived = heard(&self.hearing).was_heard(address, dialed);
-        if lived && self.silences.note(Instant::now(), address, self.peers.len()) {
-            self.counts.silences.fetch_add(1, Ordering::Relaxed);
-            info!("connections_silent", kv: { peers = self.peers.len() });
-        }
-    }
-
     /// Dials a peer, anew where it was dialed before.
     fn dial(&mut self, address: &str) {
         let present = self.peers.remove(address);
--- a/crates/peers/tests/hearing.rs
+++ b/crates/peers/tests/hearing.rs
@@ -87,15 +87,6 @@
     }
 }
 
-#[test]
-fn peer_that_ended_before_the_dialing_was_not_heard_since() {
-    let start = Instant::now();
-    let mut hearing = PeerHearing::new(LIMIT);
-    hearing.note(start + BEAT, &heartbeat(), 1);
-    assert!(hearing.was_heard(PEER, start));
-    assert!(!hearing.was_heard(PEER, start + LIMIT));
-}
-
 #[test]
 fn addresses_that_are_not_kept_are_forgotten() {
     let start = Instant::now();
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -6,11 +6,9 @@
 //!
 //! Owns: idle connections. Relies on: `answer` for giving back only sound ones.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use curlewcleat_core::{TargetEntry, TargetLife};
@@ -66,10 +64,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionPool {
     options: ConnectionOptions,
-    /// Times that open connections went silent together, whatever they lead to.
-    silences: Arc<AtomicU64>,
-    /// Those of them after which the idle connections were closed.
-    silences_seen: Rc<Cell<u64>>,
     idle: Rc<RefCell<BTreeMap<ConnectionEnd, Vec<IdleConnection>>>>,
 }
 
@@ -84,20 +78,7 @@
 impl ConnectionPool {
     /// An empty pool.
     pub fn new(options: ConnectionOptions) -> ConnectionPool {
-        ConnectionPool { options, ..ConnectionPool::default() }
-    }
-
-    /// The same, where each time that this count rises all idle connections are closed.
-    pub fn retired_by(self, silences: Arc<AtomicU64>) -> ConnectionPool {
-        let silences_seen = Rc::new(Cell::new(silences.load(Ordering::Relaxed)));
-        ConnectionPool { silences, silences_seen, ..self }
-    }
-
-    fn retire_silent(&self) {
-        let silences = self.silences.load(Ordering::Relaxed);
-        if self.silences_seen.replace(silences) != silences {
-            self.idle.borrow_mut().clear();
-        }
+        ConnectionPool { options, idle: Rc::default() }
     }
 
     /// An idle connection to this life of the target that is still sound, or a new one. Nothing is written.
@@ -123,7 +104,6 @@
     }
 
     async fn connect_end(&self, end: ConnectionEnd, limit: Duration) -> Result<PooledConnection> {
-        self.retire_silent();
         let stream = match self.take_idle(&end) {
             Some(stream) => stream,
             None => connect(&end.address, limit).await?,
--- a/crates/targets/tests/silence.rs
+++ b/crates/targets/tests/silence.rs
@@ -6,8 +6,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::{Method, RequestHead};
@@ -129,20 +127,6 @@
     Ok(())
 }
 
-/// Connections elsewhere went silent; a request need not find out for this target.
-#[actix_rt::test]
-async fn silence_elsewhere_retires_all_idle_connections() -> std::io::Result<()> {
-    let (target, address) = SilencedTarget::start().await?;
-    let silences = Arc::<AtomicU64>::default();
-    let pool = ConnectionPool::default().retired_by(Arc::clone(&silences));
-    with_idle_connections(&pool, &address).await;
-    target.silence();
-    silences.fetch_add(1, Ordering::Relaxed);
-    assert!(is_served(&pool, &address).await);
-    assert_eq!(target.accepted.get(), IDLE + 1);
-    Ok(())
-}
-
 /// A caller that leaves soon tells nothing of the target.
 #[actix_rt::test]
 async fn request_that_is_given_up_soon_keeps_the_others() -> std::io::Result<()> {
