A daemon that stops ends once its callers have taken their answers

Cause: a request has ended for the node once the last part of its answer is handed to the caller's connection; 100 ms later the process ended, with what the kernel had not taken. A slow caller got 3,874,790 bytes of its answer and a closed connection, seconds before the stop limit, while the log said request_served.

Change (fleet): connections with bytes to write are counted, and the process waits until there are none, 300 ms before the stop limit at the latest (log line answers_unread). Callers of the files kind have actix-server's own wait (FLUSH_LIMIT), unchanged.

Measured: last_bytes.rs, slow_caller_gets_its_whole_answer_of_a_daemon_that_stops: fails with the wait taken out, passes with it, as does caller_that_does_not_read_does_not_outlast_the_stop_limit (new). All tests of acceptance and daemon passed.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -3,8 +3,7 @@
 //! Owns: the configuration in force as the threads see it, the way to the node. Relies on: the node's
 //! thread ending last.
 
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, OnceLock, RwLock};
 use std::time::{Duration, Instant};
 
 use curlewcleat_config::{DaemonSettings, FleetBounds};
@@ -39,7 +38,8 @@
     /// Configuration in force.
     config: Arc<RwLock<Arc<ActiveConfig>>>,
     node: mpsc::UnboundedSender<NodeMessage>,
-    draining: Arc<AtomicBool>,
+    /// When the planned stop began.
+    draining: Arc<OnceLock<Instant>>,
     bounds: Arc<RwLock<FleetBounds>>,
     started: Instant,
 }
@@ -117,12 +117,18 @@
 
     /// The planned stop has begun.
     pub fn set_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+        // A second signal begins no second stop.
+        let _ = self.draining.set(Instant::now());
     }
 
     /// Whether the planned stop has begun.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.draining.get().is_some()
+    }
+
+    /// When whoever stops the process ends it, `None` where it is not told to stop.
+    pub fn stop_by(&self) -> Option<Instant> {
+        Some(*self.draining.get()? + self.bounds().stop_limit)
     }
 
     /// Offers a configuration to the node and waits until it is in force, or a newer one.
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,7 +10,7 @@
 
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
@@ -20,6 +20,7 @@
 use curlewcleat_node::{FreshnessLimits, NodeOptions, PlatformCall, ReadRole};
 use curlewcleat_sched::{EntryOptions, MemberOptions, RateMargin, RetryLimits};
 use curlewcleat_store::FleetPlatform;
+use spdlog::prelude::*;
 use tokio::sync::watch;
 
 use self::reload::SettingsReloader;
@@ -29,6 +30,7 @@
 use crate::operators::serve_operator;
 use crate::parts::{node_options, CallerServer, LocalFuture, PlatformParts};
 use crate::request::{ProfileProtocol, RequestService};
+use crate::unwritten::UnwrittenCount;
 
 /// Daemons that start within this time of each other count as equally old. Chosen: shorter than daemons that
 /// are started together need. Where all begin anew, those that begin first are reached by the others first:
@@ -39,9 +41,13 @@
 /// Daemons up to which each sends every heartbeat to all others.
 /// Chosen, not measured: more than the users' small deployments have.
 const MESH_LIMIT: usize = 12;
-/// Time for the last bytes of answers to leave after the node has ended.
+/// Time for the last bytes of answers to be handed to the kernel after the node has ended, and between two looks at
+/// whether callers have taken them.
 /// Chosen, not measured.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
+/// Time before the stop limit at which the process ends although callers have not taken all of their answers.
+/// Chosen, not measured.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Time for which connections of operators may rest.
 /// Chosen, not measured.
 const OPERATOR_IDLE: Duration = Duration::from_secs(15);
@@ -110,8 +116,9 @@
         context: &'a DaemonContext,
     ) -> LocalFuture<'a, Result<Box<dyn CallerServer>>> {
         Box::pin(async move {
-            serve(context, self.platform.as_ref(), &self.link.freshness).await?;
-            Ok(Box::new(LocalServer) as Box<dyn CallerServer>)
+            let unwritten = serve(context, self.platform.as_ref(), &self.link.freshness).await?;
+            let server = LocalServer { context: context.clone(), unwritten };
+            Ok(Box::new(server) as Box<dyn CallerServer>)
         })
     }
 
@@ -144,11 +151,31 @@
 }
 
 /// A server on the daemon's own thread; its listeners end with the process.
-struct LocalServer;
+struct LocalServer {
+    context: DaemonContext,
+    unwritten: UnwrittenCount,
+}
+
+impl LocalServer {
+    /// Whether the process would be ended before it could look again.
+    fn must_end(&self) -> bool {
+        let stop_by = self.context.stop_by();
+        stop_by.is_none_or(|stop_by| Instant::now() + STOP_MARGIN >= stop_by)
+    }
+}
 
 impl CallerServer for LocalServer {
     fn close(self: Box<Self>) -> LocalFuture<'static, ()> {
-        Box::pin(tokio::time::sleep(FLUSH_TIME))
+        Box::pin(async move {
+            tokio::time::sleep(FLUSH_TIME).await;
+            // A caller that reads slowly has not all of its answer yet.
+            while !self.unwritten.is_zero() && !self.must_end() {
+                tokio::time::sleep(FLUSH_TIME).await;
+            }
+            if !self.unwritten.is_zero() {
+                warn!("answers_unread", kv: { connections = self.unwritten.get() });
+            }
+        })
     }
 }
 
@@ -192,20 +219,26 @@
     FreshnessLimits::within(bounds.config_apply_limit.min(bounds.leave_limit))
 }
 
-/// Binds the callers' and the operators' addresses.
+/// Binds the callers' and the operators' addresses; gives the count of callers that have not read all.
 async fn serve(
     context: &DaemonContext,
     platform: &dyn FleetPlatform,
     freshness: &Rc<ConfigFreshness>,
-) -> Result<()> {
+) -> Result<UnwrittenCount> {
     let settings = &context.settings;
     let caller_context = context.clone();
     let callers = ListenOptions {
         head_limit: settings.head_limit,
         idle_limit: Rc::new(move || caller_context.config().idle_limit.unwrap_or(CALLER_IDLE)),
         connection_limit: settings.connection_limit,
+        unwritten: UnwrittenCount::default(),
+    };
+    let unwritten = callers.unwritten.clone();
+    let operators = ListenOptions {
+        idle_limit: Rc::new(|| OPERATOR_IDLE),
+        unwritten: UnwrittenCount::default(),
+        ..callers.clone()
     };
-    let operators = ListenOptions { idle_limit: Rc::new(|| OPERATOR_IDLE), ..callers.clone() };
     let profile = platform.profile().clone();
     let protocol = ProfileProtocol::new(context.clone(), profile, Rc::clone(freshness));
     let service = RequestService::new(context.clone(), Box::new(protocol));
@@ -218,7 +251,8 @@
         let freshness = Rc::clone(&freshness);
         async move { operator_answer(context, freshness, request).await }
     };
-    listen("operators", &settings.operator_address, operators, serve_operator).await
+    listen("operators", &settings.operator_address, operators, serve_operator).await?;
+    Ok(unwritten)
 }
 
 /// The health check fails while requests with a token are refused because the configuration is stale.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod parts;
 mod reports;
 mod request;
+mod unwritten;
 mod usage;
 
 pub use assembly::run_daemon;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -17,6 +17,8 @@
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+use crate::unwritten::{CountedStream, UnwrittenCount};
+
 /// Connections that wait to be accepted.
 /// Chosen, not measured.
 const BACKLOG: u32 = 1_024;
@@ -33,6 +35,8 @@
     pub idle_limit: Rc<dyn Fn() -> Duration>,
     /// Connections held at the same time.
     pub connection_limit: usize,
+    /// Counts the connections that have bytes to write.
+    pub unwritten: UnwrittenCount,
 }
 
 /// Binds an address and serves its connections until the process ends.
@@ -67,6 +71,7 @@
                 .h1_allow_half_closed(false)
                 .h1(service.clone());
             let Ok(handler) = factory.new_service(()).await else { continue };
+            let stream = CountedStream::new(stream, options.unwritten.clone());
             let connection = handler.call((stream, Some(peer)));
             let open = Rc::clone(&open);
             open.set(open.get() + 1);
