--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -40,7 +40,7 @@
         Some(connection) => Ok(connection),
         None => {
             let connections = protocol.connections(&request.pool);
-            connections.connect(&attempt.target.address, limits.connect).await
+            connections.connect_to(attempt.target, limits.connect).await
         }
     };
     // Nothing is written before the connection stands.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -6,13 +6,14 @@
 use curlewcleat_core::{
     AttemptEnd, ConfigBundle, DaemonId, DaemonRecord, DiscoveredTarget, Generation, KeptAnswer,
     ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestId, RetryReason, TargetChange,
-    TargetEntry, TargetId, TargetReport, Uptime, Verdict, VmId,
+    TargetEntry, TargetLife, TargetReport, Uptime, Verdict, VmId,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound};
 
 use crate::freshness::ReadRole;
 use crate::status::PoolStatus;
+use crate::target_view::LifeNews;
 
 /// A line of the platform's VM list.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -47,6 +48,8 @@
     NotRun(RequestId, AttemptEnd, RetryReason),
     /// A dispatched request's target is silent, or speaks again.
     Replacement(RequestId, ReplacementStep),
+    /// The caller of a dispatched request has a part of its answer.
+    AnswerBegun(RequestId),
     /// The caller has gone while its request waited.
     Cancelled(RequestId),
     /// A configuration as the platform shows it.
@@ -56,7 +59,7 @@
     /// The result of a proposal.
     TableWritten(TableWrite),
     /// A target's report, for the scheduler of its pool.
-    TargetReported(PoolId, TargetId, TargetReport),
+    TargetReported(PoolId, TargetLife, TargetReport),
     /// Targets that announced themselves at the platform, all of them at a revision.
     TargetsListed(Vec<DiscoveredTarget>, ObjectVersion),
     /// What changed among them between two revisions.
@@ -142,6 +145,8 @@
     PeerLost(DaemonId),
     /// A peer's VM has started a new daemon.
     PeerReplaced(DaemonId),
+    /// What an entry told of the lives of its target.
+    TargetLife(LifeNews),
     /// A key table is known, and the number of slots that this daemon holds.
     TableKnown(ObjectVersion, usize),
     /// What the scheduler of a pool sees while requests wait there.
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -4,7 +4,7 @@
 
 use curlewcleat_core::{
     DaemonId, Heartbeat, KeyAnswer, KeyClaim, KeyDecision, PeerFrame, PeerMessage, PermitAnswer,
-    PermitDecision, PermitHeld, PermitRequest, PermitReturn, PoolId, ShedRequest, TargetId,
+    PermitDecision, PermitHeld, PermitRequest, PermitReturn, PoolId, ShedRequest, TargetLife,
     TargetReport, VmId,
 };
 use curlewcleat_sched::{GuardStep, PoolScheduler, SchedulerAction};
@@ -60,6 +60,10 @@
             PeerMessage::FreshnessAnswer(answer) => self.freshness_answered(from, &answer),
             PeerMessage::TargetsPull(known) => self.targets_pulled(&from.vm, known),
             PeerMessage::TargetsPush(push) => self.targets_pushed(&from.vm, push),
+            PeerMessage::TargetLivesPull(known) => self.target_lives_pulled(&from.vm, known),
+            PeerMessage::TargetLivesPush(lives) => {
+                self.targets_pushed(&from.vm, lives.into_push());
+            }
             PeerMessage::PermitRequest(request) => self.permit_requested(from, request),
             PeerMessage::PermitAnswer(answer) => self.permit_answered(&from.vm, answer),
             PeerMessage::PermitReturn(back) => self.permit_returned(&back),
@@ -100,7 +104,7 @@
     pub(super) fn target_reported(
         &mut self,
         pool: &PoolId,
-        target: &TargetId,
+        target: &TargetLife,
         report: &TargetReport,
     ) {
         let now = self.now;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -8,20 +8,19 @@
 //! Owns: queue, permits in use, what is learned of the targets. Relies on: the rules in `admission`,
 //! `order` and `placement`, which are methods of [`PoolScheduler`]; entries that give permits back.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use curlewcleat_core::{
     AttemptEnd, DaemonId, PermitAnswer, PermitDecision, PermitHeld, PermitId, PermitRequest,
-    PermitReturn, RefusalReason, StreamTiming, TargetId, TargetPool, TargetReport, TierRank,
-    Uptime, VmId,
+    PermitReturn, RefusalReason, StreamTiming, TierRank, Uptime,
 };
 
 use crate::admission::overload::OverloadLevel;
 use crate::admission::{is_for_capacity, wait_too_long};
 use crate::placement::ejection::may_eject_one_more;
-use crate::placement::target::TargetState;
-use crate::pool::{PermitRecord, PoolOptions, PoolScheduler, RateCharge, SchedulerAction};
+use crate::pool::{PermitRecord, PoolScheduler, RateCharge, SchedulerAction};
+use crate::targets::state_of;
 
 /// Permits older than this are confirmed with their entry. Chosen, not measured.
 const CONFIRM_AFTER: Duration = Duration::from_secs(5);
@@ -30,59 +29,6 @@
 const OWN_PART: u32 = 4;
 
 impl PoolScheduler {
-    /// Takes a new configuration over. What is learned of targets that stay is kept.
-    pub fn configure(&mut self, options: PoolOptions, pool: &TargetPool) {
-        self.options = options;
-        self.targets.retain(|id, _| pool.targets.contains_key(id));
-        for (id, entry) in &pool.targets {
-            let away = self.away.contains(&entry.vm);
-            let state = self.targets.entry(id.clone()).or_insert_with(|| {
-                TargetState::new(entry.vm.clone(), entry.slots).with_pace(self.pace.of_new_target())
-            });
-            state.slots = entry.slots;
-            state.data_centre.clone_from(&entry.data_centre);
-            state.vm.clone_from(&entry.vm);
-            state.leaving = away;
-        }
-        for (id, state) in &mut self.targets {
-            state.in_flight =
-                self.permits.values().filter(|permit| permit.target == *id).count() as u32;
-        }
-    }
-
-    /// Names the VMs that leave or are gone; their targets get no new permits.
-    pub fn set_away(&mut self, away: BTreeSet<VmId>) {
-        for state in self.targets.values_mut() {
-            state.leaving = away.contains(&state.vm);
-        }
-        self.away = away;
-    }
-
-    /// Names the data centres of the entries, so that near targets go first among equals.
-    pub fn set_places(&mut self, places: BTreeMap<VmId, String>) {
-        self.places = places;
-    }
-
-    /// Takes a target's report in.
-    pub fn reported(
-        &mut self,
-        now: Uptime,
-        target: &TargetId,
-        report: &TargetReport,
-    ) -> Vec<SchedulerAction> {
-        if let Some(state) = self.targets.get_mut(target) {
-            state.reported(now, report);
-        }
-        let mut actions = Vec::new();
-        self.grant(now, &mut actions);
-        actions
-    }
-
-    /// Known targets.
-    pub fn targets(&self) -> &BTreeMap<TargetId, TargetState> {
-        &self.targets
-    }
-
     /// Number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.queues.len()
@@ -121,12 +67,15 @@
         request: PermitRequest,
     ) -> Vec<SchedulerAction> {
         if let Some(record) = self.permits.get(&request.permit) {
-            let decision = PermitDecision::Granted(record.target.clone());
+            let decision = PermitDecision::Granted(record.target.id.clone());
             return vec![self.answer(entry, request.permit, decision)];
         }
         if self.queues.contains(&request.permit) {
             return vec![self.answer(entry, request.permit, PermitDecision::Queued)];
         }
+        if self.is_at_target(&request.permit) {
+            return self.request_replacement(now, entry, request);
+        }
         let mut actions = Vec::new();
         let in_time_until = match self.admit(now, &request, &mut actions) {
             Ok(in_time_until) => in_time_until,
@@ -139,16 +88,28 @@
                 return actions;
             }
         };
+        self.enqueue(now, entry, request, in_time_until, &mut actions);
+        actions
+    }
+
+    /// Lets a permit request wait, and grants what can be granted.
+    pub(crate) fn enqueue(
+        &mut self,
+        now: Uptime,
+        entry: DaemonId,
+        request: PermitRequest,
+        in_time_until: Uptime,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
         let permit = request.permit;
         let weight = self.limit_of(&request.account).weight;
         let waiting = self.waiting_request(now, entry.clone(), request, in_time_until);
         self.throughput.arrived(waiting.request.tier, waiting.work);
         self.queues.push(now, waiting, weight);
-        self.grant(now, &mut actions);
+        self.grant(now, actions);
         if self.queues.contains(&permit) {
             actions.push(self.answer(entry, permit, PermitDecision::Queued));
         }
-        actions
     }
 
     /// What a permit request that waits was charged.
@@ -175,17 +136,19 @@
         }
         let (prompt_work, output_work) = (held.request.prompt_work, held.request.output_work);
         let expected = prompt_work + output_work;
-        if let Some(state) = self.targets.get_mut(&held.target) {
+        let target = self.life_of(&held.target);
+        if let Some(state) = state_of(&mut self.targets, &target) {
             state.in_flight += 1;
         }
         let record = PermitRecord {
             entry,
-            target: held.target,
+            target,
             expected,
             prompt_work,
             output_work,
             backlog: Duration::ZERO,
             confirmed: now,
+            silent: false,
         };
         self.permits.insert(held.request.permit, record);
     }
@@ -223,7 +186,7 @@
         }
         for permit in self.queues.overdue(now) {
             if let Some(waiting) = self.queues.remove(&permit) {
-                if now > waiting.wait_until {
+                if now > waiting.wait_until || self.is_at_target(&permit) {
                     let refusal = wait_too_long(&waiting.request, self.drain_time());
                     actions.push(self.refuse(waiting.entry, &waiting.request, refusal));
                     continue;
@@ -254,10 +217,14 @@
         self.options.lowest
     }
 
-    fn settle(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
+    pub(crate) fn may_eject(&self) -> bool {
         let ejected = self.targets.values().filter(|target| target.ejected()).count();
-        let may_eject = may_eject_one_more(ejected, self.targets.len());
-        let Some(state) = self.targets.get_mut(&record.target) else { return };
+        may_eject_one_more(ejected, self.targets.len())
+    }
+
+    fn settle(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
+        let may_eject = self.may_eject();
+        let Some(state) = state_of(&mut self.targets, &record.target) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         match end {
             AttemptEnd::Unused => {}
@@ -270,6 +237,8 @@
                 state.pace.learn(now, record.prompt_work, record.output_work, &seen);
                 self.pace.learn(now, record.prompt_work, record.output_work, &seen);
             }
+            // Counted when its request asked for another one.
+            AttemptEnd::Failed if record.silent => {}
             AttemptEnd::Failed => state.failed(now, may_eject),
         }
     }
@@ -281,7 +250,7 @@
                 continue;
             }
             record.confirmed = now;
-            let decision = PermitDecision::Granted(record.target.clone());
+            let decision = PermitDecision::Granted(record.target.id.clone());
             let answer = PermitAnswer { permit: *permit, pool: self.pool.clone(), decision };
             let entry = record.entry.clone();
             actions.push(SchedulerAction { entry, answer, shed: None, unused: None });
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -13,7 +13,8 @@
 use futures_util::{Stream, StreamExt};
 use tokio::net::TcpStream;
 
-use crate::pool::ConnectionPool;
+use crate::pool::{ConnectionEnd, ConnectionPool};
+use crate::silence::SilenceGuard;
 
 /// Bytes read at once from an answer that ends with its connection.
 const READ_SIZE: usize = 16 << 10;
@@ -61,8 +62,9 @@
     state: BodyState,
     reusable: bool,
     idle_limit: Option<Duration>,
-    address: String,
+    end: ConnectionEnd,
     pool: ConnectionPool,
+    silence: SilenceGuard,
 }
 
 impl AnswerBody {
@@ -70,7 +72,7 @@
         framed: Framed<TcpStream, ClientCodec>,
         frame: BodyFrame,
         reusable: bool,
-        address: String,
+        end: ConnectionEnd,
         pool: ConnectionPool,
     ) -> AnswerBody {
         let state = match frame {
@@ -83,7 +85,8 @@
                 BodyState::UntilClose(parts.io, parts.read_buf)
             }
         };
-        AnswerBody { state, reusable, idle_limit: None, address, pool }
+        let silence = SilenceGuard::begin(&pool, &end);
+        AnswerBody { state, reusable, idle_limit: None, end, pool, silence }
     }
 
     /// The target closes the connection after it has rested for so long.
@@ -112,7 +115,7 @@
             return;
         }
         if self.reusable && framed.is_read_buf_empty() {
-            self.pool.put_idle(&self.address, framed.into_parts().io, self.idle_limit);
+            self.pool.put_idle(&self.end, framed.into_parts().io, self.idle_limit);
         } else {
             self.state = BodyState::Whole(framed);
         }
@@ -178,6 +181,18 @@
     type Item = Result<Bytes, BodyCut>;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let polled = self.poll_part(context);
+        match &polled {
+            Poll::Pending => {}
+            Poll::Ready(Some(Ok(_))) => self.silence.note_sign(),
+            Poll::Ready(Some(Err(_)) | None) => self.silence.end(),
+        }
+        polled
+    }
+}
+
+impl AnswerBody {
+    fn poll_part(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyCut>>> {
         let polled = match &mut self.state {
             BodyState::Ended | BodyState::Whole(_) => return Poll::Ready(None),
             BodyState::Empty(_) => {
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -16,7 +16,8 @@
 
 use crate::answer::{AnswerBody, BodyFrame, TargetAnswer};
 use crate::error::{Error, Result};
-use crate::pool::{ConnectionPool, PooledConnection};
+use crate::pool::{ConnectionEnd, ConnectionPool, PooledConnection};
+use crate::silence::SilenceGuard;
 
 /// Answers to earlier requests that one exchange passes over.
 /// Chosen, not measured.
@@ -63,25 +64,28 @@
         B::Error: std::fmt::Display,
     {
         if !head.headers.contains_key(header::HOST) {
-            let host = HeaderValue::from_str(&self.address)
+            let host = HeaderValue::from_str(&self.end.address)
                 .map_err(|error| Error::Protocol(error.to_string()))?;
             head.headers.insert(header::HOST, host);
         }
         let method = head.method.clone();
+        let mut silence = SilenceGuard::begin(&self.pool, &self.end);
         let mut framed = Framed::new(self.stream, ClientCodec::default());
         let mut upload = Upload::begin(&mut framed, head, body)?;
         for _ in 0..STALE_LIMIT {
-            let answer_head = upload.answer_head(&mut framed).await?;
+            let answer_head = upload.answer_head(&mut framed).await;
+            let answer_head = answer_head.inspect_err(|_| silence.end())?;
+            silence.note_sign();
             if answer_head.status.is_informational() {
                 continue;
             }
             let frame = body_frame(&method, &answer_head, &framed, options.unframed)?;
             if !belongs(&answer_head.headers, options)? {
-                framed = skip_body(framed, frame, &self.address, &self.pool).await?;
+                framed = skip_body(framed, frame, &self.end, &self.pool).await?;
                 continue;
             }
             let reusable = upload.is_done();
-            let body = AnswerBody::new(framed, frame, reusable, self.address, self.pool);
+            let body = AnswerBody::new(framed, frame, reusable, self.end, self.pool);
             return Ok(TargetAnswer { head: answer_head, body });
         }
         Err(Error::Protocol("too many answers to earlier requests".to_string()))
@@ -190,10 +194,10 @@
 async fn skip_body(
     framed: Connection,
     frame: BodyFrame,
-    address: &str,
+    end: &ConnectionEnd,
     pool: &ConnectionPool,
 ) -> Result<Connection> {
-    let mut body = AnswerBody::new(framed, frame, false, address.to_string(), pool.clone());
+    let mut body = AnswerBody::new(framed, frame, false, end.clone(), pool.clone());
     while let Some(part) = body.next().await {
         part.map_err(|cut| Error::Closed(cut.to_string()))?;
     }
