--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -55,7 +55,7 @@
 /// What the node decided.
 enum PermitOutcome {
     /// The request may be sent to this target.
-    Granted(GrantedTarget),
+    Granted(Box<GrantedTarget>),
     /// The node refuses it.
     Refused(Refusal),
     /// An earlier attempt with the same idempotency key got this answer.
@@ -121,20 +121,12 @@
     async fn follow(&mut self) {
         let mut granted = None;
         loop {
-            let GrantedTarget { entry: target, connection } = match granted.take() {
-                Some(granted) => granted,
-                None => match self.wait_for_permit().await {
-                    PermitOutcome::Granted(granted) => granted,
-                    PermitOutcome::Refused(refusal) => {
-                        self.forget();
-                        return self.refuse_with(refusal);
-                    }
-                    PermitOutcome::Replayed(answer) => {
-                        self.forget();
-                        return self.answer.begin(replayed_answer(self.request.id, answer));
-                    }
-                },
+            let next = match granted.take() {
+                Some(granted) => Some(granted),
+                None => self.next_target().await,
             };
+            let Some(next) = next else { return };
+            let GrantedTarget { entry: target, connection } = *next;
             match self.attempt(&target, connection).await {
                 AttemptVerdict::Served(end) => {
                     self.log_served(&target);
@@ -144,7 +136,7 @@
                 AttemptVerdict::Replaced(other, cause) => {
                     self.log_attempt(&target.id, RetryReason::StreamResumed.code(), cause);
                     self.form.restart();
-                    granted = Some(*other);
+                    granted = Some(other);
                 }
                 AttemptVerdict::NotSent(reason) => {
                     self.end(AttemptEnd::Unused);
@@ -160,6 +152,22 @@
         }
     }
 
+    /// The target that the node grants, `None` where it has decided the end itself.
+    async fn next_target(&mut self) -> Option<Box<GrantedTarget>> {
+        match self.wait_for_permit().await {
+            PermitOutcome::Granted(granted) => return Some(granted),
+            PermitOutcome::Refused(refusal) => {
+                self.forget();
+                self.refuse_with(refusal);
+            }
+            PermitOutcome::Replayed(answer) => {
+                self.forget();
+                self.answer.begin(replayed_answer(self.request.id, answer));
+            }
+        }
+        None
+    }
+
     async fn wait_for_permit(&mut self) -> PermitOutcome {
         let decision = match &mut self.pending {
             Some(pending) => pending.decision().await,
@@ -167,7 +175,7 @@
         };
         match decision {
             Some(CallerDecision::Dispatch(_, entry)) => {
-                PermitOutcome::Granted(GrantedTarget { entry, connection: None })
+                PermitOutcome::Granted(Box::new(GrantedTarget { entry, connection: None }))
             }
             Some(CallerDecision::Refuse(refusal)) => PermitOutcome::Refused(refusal),
             Some(CallerDecision::Replay(answer)) => PermitOutcome::Replayed(answer),
