--- a/crates/core/src/target_life.rs
+++ b/crates/core/src/target_life.rs
@@ -37,10 +37,10 @@
 }
 
 impl LifeOrder {
-    /// Compares the start that is told with the one that is known. Without both starts nothing speaks
+    /// Compares the start that is stated with the one that is known. Without both starts nothing speaks
     /// for another life.
-    pub fn of(told: Option<TargetStart>, known: Option<TargetStart>) -> LifeOrder {
-        match told.zip(known).map(|(told, known)| told.cmp(&known)) {
+    pub fn of(stated: Option<TargetStart>, known: Option<TargetStart>) -> LifeOrder {
+        match stated.zip(known).map(|(stated, known)| stated.cmp(&known)) {
             Some(Ordering::Less) => LifeOrder::Earlier,
             Some(Ordering::Greater) => LifeOrder::Later,
             Some(Ordering::Equal) | None => LifeOrder::Same,
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -126,7 +126,7 @@
         self.draining.get().is_some()
     }
 
-    /// When whoever stops the process ends it, `None` where it is not told to stop.
+    /// When whoever stops the process ends it, `None` where no stop has begun.
     pub fn stop_by(&self) -> Option<Instant> {
         Some(*self.draining.get()? + self.bounds().stop_limit)
     }
@@ -153,7 +153,7 @@
         // Where the node has ended, the dropped sender tells the request so.
         let _ = self.node.send(NodeMessage::Admit(Box::new(spec), sender));
         let context = self.clone();
-        PendingRequest { request, decisions, unread: None, context, silent: false, open: true }
+        PendingRequest { request, decisions, unread: None, context, stalled: false, open: true }
     }
 
     /// The node's status, `None` while the process ends.
@@ -179,8 +179,8 @@
     /// A decision that was read and is still to be followed.
     unread: Option<CallerDecision>,
     context: DaemonContext,
-    /// Whether its target is silent and another one was asked for.
-    silent: bool,
+    /// Whether its target is stalled and another one was asked for.
+    stalled: bool,
     open: bool,
 }
 
@@ -219,27 +219,27 @@
         self.context.tell(NodeEvent::AnswerBegun(self.request));
     }
 
-    /// Whether its target is silent.
-    pub fn is_silent(&self) -> bool {
-        self.silent
+    /// Whether its target is stalled.
+    pub fn is_stalled(&self) -> bool {
+        self.stalled
     }
 
-    /// The target is silent. A further decision follows only if another one is granted.
-    pub fn target_silent(&mut self) {
-        self.silent = true;
+    /// The target is stalled. A further decision follows only if another one is granted.
+    pub fn target_stalled(&mut self) {
+        self.stalled = true;
         self.tell_replacement(ReplacementStep::Wanted);
     }
 
     /// The target has sent something.
     pub fn target_heard(&mut self) {
-        if std::mem::take(&mut self.silent) {
+        if std::mem::take(&mut self.stalled) {
             self.tell_replacement(ReplacementStep::Unwanted);
         }
     }
 
-    /// The silent target is left for the one that was granted.
+    /// The stalled target is left for the one that was granted.
     pub fn take_replacement(&mut self) {
-        self.silent = false;
+        self.stalled = false;
         self.tell_replacement(ReplacementStep::Taken);
     }
 
@@ -248,7 +248,7 @@
         self.tell_replacement(ReplacementStep::Declined);
     }
 
-    /// The target that was granted takes no connection; the request stays at the silent one.
+    /// The target that was granted takes no connection; the request stays at the stalled one.
     pub fn replacement_unreachable(&mut self) {
         self.tell_replacement(ReplacementStep::Unreachable);
     }
@@ -263,7 +263,7 @@
         end: curlewcleat_core::AttemptEnd,
         retry: curlewcleat_core::RetryReason,
     ) {
-        self.silent = false;
+        self.stalled = false;
         self.context.tell(NodeEvent::NotRun(self.request, end, retry));
     }
 }
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -218,13 +218,13 @@
 }
 
 fn log_life(news: &LifeNews) {
-    let LifeNews { target, told, known } = news;
+    let LifeNews { target, stated, known } = news;
     match news.is_late() {
         true => warn!("target_entry_late", kv: {
-            target = target.as_str(), start = told.0, known = known.0
+            target = target.as_str(), start = stated.0, known = known.0
         }),
         false => info!("target_started_again", kv: {
-            target = target.as_str(), start = told.0, known = known.0
+            target = target.as_str(), start = stated.0, known = known.0
         }),
     }
 }
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -24,7 +24,7 @@
     NotRun(RetryReason, AttemptCause),
     /// It may have run and there is no answer.
     Failed(RefusalReason, AttemptCause),
-    /// Its target was silent and is left for this one.
+    /// Its target was stalled and is left for this one.
     Replaced(Box<GrantedTarget>),
 }
 
@@ -39,8 +39,7 @@
     let connected = match connection {
         Some(connection) => Ok(connection),
         None => {
-            let connections = protocol.connections(&request.pool);
-            connections.connect_to(attempt.target, limits.connect).await
+            protocol.connections(&request.pool).connect_to(attempt.target, limits.connect).await
         }
     };
     // Nothing is written before the connection stands.
--- a/crates/daemon/src/request/pass_on.rs
+++ b/crates/daemon/src/request/pass_on.rs
@@ -27,7 +27,7 @@
     Part(Bytes),
     /// Its end.
     End,
-    /// Its target is silent and is left for this one.
+    /// Its target is stalled and is left for this one.
     Replaced(Box<GrantedTarget>),
     /// It ends before its end.
     Broken(AttemptCause),
@@ -86,10 +86,7 @@
         sent: Instant,
     ) -> AttemptVerdict {
         let TargetAnswer { head, mut body } = answer;
-        self.form.begin(&head);
-        if !self.form.holds_head() {
-            self.begin_answer(&head);
-        }
+        self.begin_parts(&head);
         let mut limit = self.part_limit();
         loop {
             let part = match self.next_part(&mut body, target, limit).await {
@@ -98,13 +95,13 @@
                 NextPart::Replaced(other) => {
                     return AttemptVerdict::Replaced(other, AttemptCause::PartTimeout)
                 }
-                NextPart::Broken(cause) => match self.resume(target, limit).await {
-                    Some(rest) => {
-                        body = rest;
-                        continue;
-                    }
-                    None => return self.broken(RefusalReason::TargetClosed, cause),
-                },
+                NextPart::Broken(cause) => {
+                    let Some(rest) = self.resume(target, limit).await else {
+                        return self.broken(RefusalReason::TargetClosed, cause);
+                    };
+                    body = rest;
+                    continue;
+                }
             };
             if part.is_empty() {
                 continue;
@@ -122,6 +119,13 @@
         self.finish_parts(sent).await
     }
 
+    fn begin_parts(&mut self, head: &actix_http::ResponseHead) {
+        self.form.begin(head);
+        if !self.form.holds_head() {
+            self.begin_answer(head);
+        }
+    }
+
     async fn next_part(
         &mut self,
         body: &mut AnswerBody,
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -68,7 +68,7 @@
     }
 
     /// Time since the latest attempt was sent or had a part.
-    pub fn target_silence(&self) -> Duration {
+    pub fn unheard_for(&self) -> Duration {
         let part = self.latest.filter(|_| self.attempt.parts > 0);
         part.or(self.sent).map_or(Duration::ZERO, |heard| heard.elapsed())
     }
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -4,10 +4,10 @@
 //! that the earlier one did not run, or where the rule lets requests run more than once.
 //! Relies on: the node, which grants permits and counts attempts ([`PendingRequest`]).
 
+mod attempts;
 mod log;
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::StatusCode;
@@ -16,18 +16,16 @@
     AttemptEnd, KeptAnswer, Refusal, RefusalReason, RequestId, RetryReason, TargetEntry, Verdict,
 };
 use curlewcleat_node::{CallerDecision, NodeEvent};
-use curlewcleat_targets::PooledConnection;
 use spdlog::prelude::*;
 
 use super::admitted::AdmittedRequest;
 use super::answer::{AnswerChannel, AnswerContent, CallerAnswer};
-use super::attempt::{send, AttemptStart};
 use super::cause::AttemptCause;
 use super::form::AnswerForm;
 use super::problem::REQUEST_ID;
 use super::progress::RequestProgress;
-use super::protocol::{CallerProtocol, TargetAttempt};
-use super::target_wait::{GrantedTarget, TargetWait};
+use super::protocol::CallerProtocol;
+use super::target_wait::GrantedTarget;
 use super::{CallerRequest, RequestService};
 use crate::context::PendingRequest;
 
@@ -42,7 +40,7 @@
     Served(AttemptEnd),
     /// It goes to a further target, if the node has one.
     Again(RetryReason, AttemptCause),
-    /// Its target was silent for as long as this cause says and is left for another one.
+    /// Its target was stalled for as long as this cause says and is left for another one.
     Replaced(Box<GrantedTarget>, AttemptCause),
     /// It was not sent and is given up.
     NotSent(RefusalReason),
@@ -186,84 +184,6 @@
         }
     }
 
-    async fn attempt(
-        &mut self,
-        target: &TargetEntry,
-        connection: Option<PooledConnection>,
-    ) -> AttemptVerdict {
-        if let Err(reason) = self.protocol().check_sendable(&self.request) {
-            return AttemptVerdict::NotSent(reason);
-        }
-        let waited = self.request.arrived.elapsed().as_secs_f64();
-        let metrics = &self.service.context.metrics;
-        metrics.waited(waited, &self.request.tier, &self.request.pool.id);
-        let sent = Instant::now();
-        self.progress.note_sent(&target.id);
-        // Whatever ends the wait from here on, the request may have run until its target says
-        // otherwise.
-        let before = std::mem::replace(&mut self.verdict, Verdict::MayHaveRun);
-        let may_repeat = self.protocol().may_repeat(&self.request);
-        let attempt = TargetAttempt {
-            request: &self.request,
-            caller: &self.caller,
-            target,
-            last_event: self.form.last_event(),
-        };
-        let wait = TargetWait {
-            pending: self.pending.as_mut().filter(|_| may_repeat),
-            protocol: self.service.protocol.as_ref(),
-            request: &self.request,
-            target,
-        };
-        match send(attempt, connection, wait).await {
-            AttemptStart::Answer(answer) => {
-                self.note_heard();
-                self.pass_on(*answer, target, sent).await
-            }
-            AttemptStart::Failed(reason, cause) => self.broken(reason, cause),
-            AttemptStart::Replaced(other) => {
-                AttemptVerdict::Replaced(other, AttemptCause::HeadTimeout)
-            }
-            AttemptStart::NotRun(reason, cause) => {
-                self.verdict = before;
-                if !self.caller.body.is_intact() {
-                    let refusal = reason.final_refusal();
-                    return AttemptVerdict::Failed(AttemptEnd::Failed, refusal, cause);
-                }
-                AttemptVerdict::Again(reason, cause)
-            }
-        }
-    }
-
-    /// A wait for a target that has the request.
-    pub(super) fn target_wait<'a>(&'a mut self, target: &'a TargetEntry) -> TargetWait<'a> {
-        let protocol = self.service.protocol.as_ref();
-        let may_repeat = protocol.may_repeat(&self.request);
-        let pending = self.pending.as_mut().filter(|_| may_repeat);
-        TargetWait { pending, protocol, request: &self.request, target }
-    }
-
-    /// The target has sent something.
-    pub(super) fn note_heard(&mut self) {
-        if let Some(pending) = &mut self.pending {
-            pending.target_heard();
-        }
-    }
-
-    /// The attempt may have run and has no whole answer.
-    pub(super) fn broken(&mut self, reason: RefusalReason, cause: AttemptCause) -> AttemptVerdict {
-        self.form.restart();
-        if let Some(fault) = self.caller.body.fault() {
-            // The target is not to blame for what the caller sent.
-            let (end, cause) = (AttemptEnd::Unused, AttemptCause::CallerBody);
-            return AttemptVerdict::Failed(end, fault.reason(), cause);
-        }
-        if self.protocol().may_repeat(&self.request) {
-            return AttemptVerdict::Again(RetryReason::StreamResumed, cause);
-        }
-        AttemptVerdict::Failed(AttemptEnd::Failed, reason, cause)
-    }
-
     fn again(&mut self, target: &TargetEntry, reason: RetryReason, cause: AttemptCause) {
         self.log_attempt(&target.id, reason.code(), cause);
         let begun = self.answer.has_begun();
@@ -277,7 +197,7 @@
 
     /// What the scheduler learns of the target that has the request at its deadline.
     fn end_at_deadline(&self) -> AttemptEnd {
-        match self.pending.as_ref().is_some_and(PendingRequest::is_silent) {
+        match self.pending.as_ref().is_some_and(PendingRequest::is_stalled) {
             true => AttemptEnd::Failed,
             false => AttemptEnd::Unused,
         }
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -37,16 +37,17 @@
         info!("attempt_failed", kv: {
             request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
             target = target.as_str(), reason, cause = cause.code(),
-            silent_ms = self.progress.target_silence().as_millis() as i64,
+            silent_ms = self.progress.unheard_for().as_millis() as i64,
             parts = self.progress.attempt_parts(), answer_begun = self.answer.has_begun()
         });
     }
 
     /// An answer that has begun is cut, since the request is given up for this reason.
     pub(super) fn log_cut(&self, reason: RefusalReason) {
+        // An answer that has begun had a target.
+        let target = self.progress.target.as_deref().unwrap_or_default();
         warn!("answer_cut", kv: {
-            request = self.request.id.to_string(),
-            target = self.progress.target.as_deref().unwrap_or_default(),
+            request = self.request.id.to_string(), target,
             offset = self.progress.bytes, reason = reason.code()
         });
     }
--- a/crates/daemon/src/request/target_wait.rs
+++ b/crates/daemon/src/request/target_wait.rs
@@ -1,6 +1,6 @@
 //! The wait for the next sign of a target that has the request.
 //!
-//! Owns: the rule when a silent target is left: where the request may be repeated, only for another one that the
+//! Owns: the rule when a stalled target is left: where the request may be repeated, only for another one that the
 //! node has granted and that takes a connection. Relies on: the node, which grants one or says nothing.
 
 use std::future::{pending, Future};
@@ -57,7 +57,7 @@
     Came(T),
     Granted(PermitId, TargetEntry),
     Connected(Result<PooledConnection>),
-    Silent,
+    Stalled,
 }
 
 /// A wait that may end at another target.
@@ -109,7 +109,7 @@
                         return WaitEnd::Replaced(Box::new(granted));
                     }
                 }
-                WaitStep::Silent => {
+                WaitStep::Stalled => {
                     self.ask(begun.elapsed());
                     pause *= 2;
                     ask_at += pause;
@@ -138,22 +138,22 @@
             Some(CallerDecision::Dispatch(permit, entry)) = self.pending.decision(), if free => {
                 WaitStep::Granted(permit, entry)
             }
-            () = tokio::time::sleep_until(ask_at.into()), if free => WaitStep::Silent,
+            () = tokio::time::sleep_until(ask_at.into()), if free => WaitStep::Stalled,
         }
     }
 
-    fn ask(&mut self, silent: Duration) {
+    fn ask(&mut self, stalled: Duration) {
         info!("target_silent", kv: {
             request = self.pending.id().to_string(), target = self.target.id.as_str(),
-            silent_ms = silent.as_millis() as i64
+            silent_ms = stalled.as_millis() as i64
         });
-        self.pending.target_silent();
+        self.pending.target_stalled();
     }
 
-    /// The silent target is not left before the other one takes a connection: where that fails, an answer that
+    /// The stalled target is not left before the other one takes a connection: where that fails, an answer that
     /// has begun could only be cut, though its target may be at work.
     fn consider(&mut self, permit: PermitId, entry: TargetEntry) {
-        if !self.pending.is_silent() || self.protocol.check_sendable(self.request).is_err() {
+        if !self.pending.is_stalled() || self.protocol.check_sendable(self.request).is_err() {
             return self.pending.decline_replacement();
         }
         let connections = self.protocol.connections(&self.request.pool);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -46,7 +46,7 @@
     Finished(RequestId, Verdict, AttemptEnd, Option<KeptAnswer>),
     /// An attempt provably did not run.
     NotRun(RequestId, AttemptEnd, RetryReason),
-    /// A dispatched request's target is silent, or speaks again.
+    /// A dispatched request's target is stalled, or speaks again.
     Replacement(RequestId, ReplacementStep),
     /// The caller of a dispatched request has a part of its answer.
     AnswerBegun(RequestId),
@@ -145,7 +145,7 @@
     PeerLost(DaemonId),
     /// A peer's VM has started a new daemon.
     PeerReplaced(DaemonId),
-    /// What an entry told of the lives of its target.
+    /// An entry stated another life of its target.
     TargetLife(LifeNews),
     /// A key table is known, and the number of slots that this daemon holds.
     TableKnown(ObjectVersion, usize),
--- a/crates/node/src/target_view.rs
+++ b/crates/node/src/target_view.rs
@@ -32,13 +32,13 @@
     Gap,
 }
 
-/// An entry told of another life of its target than is known.
+/// An entry stated another life of its target than is known.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LifeNews {
     /// The target.
     pub target: TargetId,
-    /// The start that its entry told.
-    pub told: TargetStart,
+    /// The start that its entry stated.
+    pub stated: TargetStart,
     /// The latest start that was known.
     pub known: TargetStart,
 }
@@ -46,7 +46,7 @@
 impl LifeNews {
     /// Whether the entry was one of an earlier life, and left out; else the target has started again.
     pub fn is_late(&self) -> bool {
-        self.told < self.known
+        self.stated < self.known
     }
 }
 
@@ -139,7 +139,7 @@
         TargetsContent::Since(known, changes.map(|(_, change)| change.clone()).collect())
     }
 
-    /// What the entries told of lives since the last call.
+    /// The lives that entries stated since the last call.
     pub fn take_news(&mut self) -> Vec<LifeNews> {
         std::mem::take(&mut self.news)
     }
@@ -168,16 +168,16 @@
 
     /// Takes an entry in, of a target that was listed so before. In the same life a target that leaves
     /// never stays after all, and its start stays known where a peer does not tell it.
-    fn put(&mut self, mut told: DiscoveredTarget, listed: Option<DiscoveredTarget>) {
-        let id = told.entry.id.clone();
+    fn put(&mut self, mut stated: DiscoveredTarget, listed: Option<DiscoveredTarget>) {
+        let id = stated.entry.id.clone();
         let known = listed.as_ref().or_else(|| self.missing.get(&id));
         let start = known.and_then(|known| known.entry.start);
         let latest = start.max(self.ended.latest(&id));
-        let order = LifeOrder::of(told.entry.start, latest);
-        if let (Some((told, known)), true) =
-            (told.entry.start.zip(latest), order != LifeOrder::Same)
+        let order = LifeOrder::of(stated.entry.start, latest);
+        if let (Some((stated, known)), true) =
+            (stated.entry.start.zip(latest), order != LifeOrder::Same)
         {
-            self.news.push(LifeNews { target: id.clone(), told, known });
+            self.news.push(LifeNews { target: id.clone(), stated, known });
         }
         match order {
             LifeOrder::Earlier => {
@@ -185,13 +185,13 @@
                 return;
             }
             LifeOrder::Same => {
-                told.leaving |= known.is_some_and(|known| known.leaving);
-                told.entry.start = told.entry.start.or(start);
+                stated.leaving |= known.is_some_and(|known| known.leaving);
+                stated.entry.start = stated.entry.start.or(start);
             }
             LifeOrder::Later => {}
         }
         self.missing.remove(&id);
-        self.listed.insert(id, told);
+        self.listed.insert(id, stated);
     }
 
     fn vanished(&mut self, id: TargetId, target: DiscoveredTarget, doubtful: bool) {
--- a/crates/node/tests/target_lives.rs
+++ b/crates/node/tests/target_lives.rs
@@ -44,7 +44,7 @@
     let mut view = view_of_second_life();
     let news = |told, known| {
         let (told, known) = (TargetStart(told), TargetStart(known));
-        [LifeNews { target: "a".to_string(), told, known }]
+        [LifeNews { target: "a".to_string(), stated: told, known }]
     };
     assert_eq!(view.take_news(), news(20, 10));
     view.change(2, present(started("a", 20, true)), 3, false);
--- a/crates/peers/src/hearing.rs
+++ b/crates/peers/src/hearing.rs
@@ -1,6 +1,6 @@
-//! When does a connection to a peer count as silent?
+//! When does a connection to a peer count as dead?
 //!
-//! Frames go one way on a connection, and one that has gone silent without a reset takes them for as long
+//! Frames go one way on a connection, and one that has gone dead without a reset takes them for as long
 //! as the process lives: measured with three daemons whose open connections carried nothing any more, none
 //! heard another for the rest of the run. The sender cannot see that on the connection itself; it sees it
 //! by what it hears on the peer's own one.
@@ -61,7 +61,7 @@
     }
 
     /// Whether the connection to an address that was dialed then is to be dialed anew.
-    pub fn is_silent(&self, now: Instant, address: &str, dialed: Instant) -> bool {
+    pub fn is_dead(&self, now: Instant, address: &str, dialed: Instant) -> bool {
         let Some(peer) = self.heard.get(address) else {
             return now.saturating_duration_since(dialed) >= self.limit;
         };
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -102,13 +102,13 @@
 impl NngTransport {
     /// Listens on `ip:port`. Received frames go into `frames` from a thread of their own, because
     /// nng's calls must not block the arbiter. A peer is dialed anew where nothing is heard of it for
-    /// `silence_limit`.
+    /// `dead_after`.
     ///
     /// # Errors
     /// What nng says when the address cannot be bound.
     pub fn listen(
         address: &str,
-        silence_limit: Duration,
+        dead_after: Duration,
         frames: UnboundedSender<PeerFrame>,
         counts: Arc<TransportCounts>,
     ) -> Result<NngTransport, nng::Error> {
@@ -117,7 +117,7 @@
         listener.set_opt::<RecvBufferSize>(RECEIVE_QUEUE)?;
         listener.set_opt::<Subscribe>(Vec::new())?;
         listener.listen(&format!("tcp://{address}"))?;
-        let hearing = SharedHearing::new(Mutex::new(PeerHearing::new(silence_limit)));
+        let hearing = SharedHearing::new(Mutex::new(PeerHearing::new(dead_after)));
         let receiver = FrameReceiver {
             socket: listener.clone(),
             frames,
@@ -133,9 +133,9 @@
 
     fn socket(&mut self, address: &str) -> Option<&mut PeerSocket> {
         let dialed = self.peers.get(address).map(|peer| peer.dialed);
-        let silent = dialed
-            .is_some_and(|dialed| heard(&self.hearing).is_silent(Instant::now(), address, dialed));
-        if silent || dialed.is_none() {
+        let dead = dialed
+            .is_some_and(|dialed| heard(&self.hearing).is_dead(Instant::now(), address, dialed));
+        if dead || dialed.is_none() {
             self.dial(address);
         }
         self.peers.get_mut(address)
--- a/crates/peers/tests/hearing.rs
+++ b/crates/peers/tests/hearing.rs
@@ -37,13 +37,13 @@
 fn peer_that_says_nothing_is_dialed_anew_after_the_limit() {
     let start = Instant::now();
     let mut hearing = PeerHearing::new(LIMIT);
-    assert!(!hearing.is_silent(start + LIMIT / 2, PEER, start));
-    assert!(hearing.is_silent(start + LIMIT, PEER, start), "never heard of");
+    assert!(!hearing.is_dead(start + LIMIT / 2, PEER, start));
+    assert!(hearing.is_dead(start + LIMIT, PEER, start), "never heard of");
     hearing.note(start + LIMIT, &heartbeat(), 1);
-    assert!(!hearing.is_silent(start + LIMIT + BEAT, PEER, start));
-    assert!(hearing.is_silent(start + LIMIT * 2, PEER, start), "heard of once");
+    assert!(!hearing.is_dead(start + LIMIT + BEAT, PEER, start));
+    assert!(hearing.is_dead(start + LIMIT * 2, PEER, start), "heard of once");
     // Time has to pass after the dialing, too.
-    assert!(!hearing.is_silent(start + LIMIT * 2, PEER, start + LIMIT + BEAT));
+    assert!(!hearing.is_dead(start + LIMIT * 2, PEER, start + LIMIT + BEAT));
 }
 
 #[test]
@@ -52,10 +52,10 @@
     let mut hearing = PeerHearing::new(LIMIT);
     let pull = PeerMessage::StatePull(StatePull { generation: 1, table: 0 });
     hearing.note(start, &frame(pull.clone()), 1);
-    assert!(hearing.is_silent(start + LIMIT, PEER, start), "its address is not known yet");
+    assert!(hearing.is_dead(start + LIMIT, PEER, start), "its address is not known yet");
     hearing.note(start, &heartbeat(), 1);
     hearing.note(start + LIMIT, &frame(pull), 1);
-    assert!(!hearing.is_silent(start + LIMIT + BEAT, PEER, start));
+    assert!(!hearing.is_dead(start + LIMIT + BEAT, PEER, start));
 }
 
 /// The peer hears nothing of this daemon, while its own frames arrive.
@@ -66,10 +66,10 @@
     hearing.note(start, &heartbeat(), 1);
     let again = start + LIMIT + BEAT;
     hearing.note(again, &heartbeat(), 2);
-    assert!(hearing.is_silent(again, PEER, start));
-    assert!(!hearing.is_silent(again + BEAT, PEER, again));
+    assert!(hearing.is_dead(again, PEER, start));
+    assert!(!hearing.is_dead(again + BEAT, PEER, again));
     hearing.note(again + LIMIT, &heartbeat(), 2);
-    assert!(!hearing.is_silent(again + LIMIT, PEER, again));
+    assert!(!hearing.is_dead(again + LIMIT, PEER, again));
 }
 
 /// Both dial anew, a heartbeat apart; were each new connection answered by another one, they would never end.
@@ -79,11 +79,11 @@
     let mut hearing = PeerHearing::new(LIMIT);
     hearing.note(start, &heartbeat(), 1);
     let dialed = start + LIMIT;
-    assert!(hearing.is_silent(dialed, PEER, start));
+    assert!(hearing.is_dead(dialed, PEER, start));
     for beat in 1..20 {
         let now = dialed + BEAT * beat;
         hearing.note(now, &heartbeat(), 2);
-        assert!(!hearing.is_silent(now, PEER, dialed), "{beat} beats after the dialing");
+        assert!(!hearing.is_dead(now, PEER, dialed), "{beat} beats after the dialing");
     }
 }
 
@@ -93,5 +93,5 @@
     let mut hearing = PeerHearing::new(LIMIT);
     hearing.note(start + LIMIT, &heartbeat(), 1);
     hearing.keep_only(&[].into());
-    assert!(hearing.is_silent(start + LIMIT, PEER, start));
+    assert!(hearing.is_dead(start + LIMIT, PEER, start));
 }
--- a/crates/sched/src/admission/replacement.rs
+++ b/crates/sched/src/admission/replacement.rs
@@ -1,4 +1,4 @@
-//! May a request that is at a silent target wait for another one?
+//! May a request that is at a stalled target wait for another one?
 //!
 //! Inputs: the permits of the request, as the scheduler knows them; the overload level and the queue of the pool.
 //!
@@ -8,7 +8,7 @@
 //! again for another one.
 //!
 //! Owns: the rule; the state is the [`PoolScheduler`]'s. Relies on: entries that hold both permits until they leave
-//! the silent target.
+//! the stalled target.
 
 use curlewcleat_core::{DaemonId, PermitId, PermitRequest, Refusal, RefusalReason, Uptime};
 
@@ -22,14 +22,14 @@
         self.permits.range(first..*permit).next().is_some()
     }
 
-    /// Takes the permit request of a request that is at a silent target.
+    /// Takes the permit request of a request that is at a stalled target.
     pub(crate) fn request_replacement(
         &mut self,
         now: Uptime,
         entry: DaemonId,
         request: PermitRequest,
     ) -> Vec<SchedulerAction> {
-        self.note_silent(now, &request);
+        self.note_stalled(now, &request);
         if let Some(refusal) = self.replacement_refusal(now, &request) {
             return vec![self.refuse(entry, &request, refusal)];
         }
@@ -58,11 +58,11 @@
 
     /// The target of a request that asks for another one has failed now, not only once the request can leave it:
     /// under overload that takes seconds, in which an ended target would be given further requests.
-    fn note_silent(&mut self, now: Uptime, request: &PermitRequest) {
+    fn note_stalled(&mut self, now: Uptime, request: &PermitRequest) {
         let may_eject = self.may_eject();
         let first = PermitId { attempt: 0, ..request.permit };
         for (_, record) in self.permits.range_mut(first..request.permit) {
-            if std::mem::replace(&mut record.silent, true) {
+            if std::mem::replace(&mut record.stalled, true) {
                 continue;
             }
             if let Some(state) = state_of(&mut self.targets, &record.target) {
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -97,7 +97,7 @@
             unresponsive: Vec::new(),
             failed: None,
             kept: None,
-            silent: false,
+            stalled: false,
             begun: false,
             wanted: now,
             phase,
@@ -146,7 +146,7 @@
         let Some(mut request) = self.requests.remove(&id) else { return Vec::new() };
         let mut actions = Vec::new();
         if let Some(kept) = request.kept.take() {
-            // The silent target has answered after all; the other one was not asked.
+            // The stalled target has answered after all; the other one was not asked.
             actions.extend(request.return_permit(AttemptEnd::Unused));
             self.budget_of(&request.spec.pool).refund(request.wanted);
             request.phase = RequestPhase::Dispatched(kept);
@@ -166,8 +166,8 @@
     /// The caller has gone while its request waited.
     pub fn cancelled(&mut self, id: RequestId) -> Vec<EntryAction> {
         let Some(request) = self.requests.remove(&id) else { return Vec::new() };
-        // A silent target has failed, also where the caller did not wait for its end.
-        let end = if request.silent { AttemptEnd::Failed } else { AttemptEnd::Unused };
+        // A stalled target has failed, also where the caller did not wait for its end.
+        let end = if request.stalled { AttemptEnd::Failed } else { AttemptEnd::Unused };
         let mut actions: Vec<EntryAction> =
             request.kept.iter().map(|kept| request.return_kept(kept, end)).collect();
         let present = if request.kept.is_some() { AttemptEnd::Unused } else { end };
--- a/crates/sched/src/entry/permits.rs
+++ b/crates/sched/src/entry/permits.rs
@@ -54,10 +54,7 @@
         if let RequestPhase::Dispatched(used) = request.phase.clone() {
             request.avoid_target(&used.target);
         }
-        request.attempt += 1;
-        request.silent = false;
-        request.note_not_run(retry);
-        let input = request.retry_input(retry, request.attempt, limit);
+        let input = request.next_attempt(retry, limit);
         let pool = request.spec.pool.clone();
         match decide_retry(now, input, self.budget_of(&pool)) {
             RetryDecision::Again => {
--- a/crates/sched/src/entry/replacement.rs
+++ b/crates/sched/src/entry/replacement.rs
@@ -1,7 +1,7 @@
-//! Another target for a request whose target is silent.
+//! Another target for a request whose target is stalled.
 //!
-//! Inputs: the silence, which the holder of the caller's connection measures; what bounds retries
-//! ([`retry`](crate::retry)); the scheduler's answer. The rule: a silent target is left only for another one that
+//! Inputs: how long the target has been stalled, which the holder of the caller's connection measures; what bounds retries
+//! ([`retry`](crate::retry)); the scheduler's answer. The rule: a stalled target is left only for another one that
 //! is granted and takes a connection. Until the holder of the connection has taken that one, both permits are held;
 //! where there is no further attempt, no room in the budget, or the scheduler refuses, the request stays where it is. Load pattern:
 //! targets that pause while they are at work, and queues in targets, beside rules that allow two attempts.
@@ -15,10 +15,10 @@
 use super::{EntryAction, EntryRequests, SchedulerOrder};
 use crate::retry::{decide_retry, RetryDecision};
 
-/// What happens between a request and its silent target.
+/// What happens between a request and its stalled target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ReplacementStep {
-    /// The target is silent; another one is wanted.
+    /// The target is stalled; another one is wanted.
     Wanted,
     /// The target speaks again.
     Unwanted,
@@ -56,7 +56,7 @@
     ) -> Vec<EntryAction> {
         let limit = self.options.attempt_limit;
         let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
-        request.silent = true;
+        request.stalled = true;
         let RequestPhase::Dispatched(used) = request.phase.clone() else { return Vec::new() };
         if request.kept.is_some() {
             return Vec::new();
@@ -78,7 +78,7 @@
 
     fn withdraw_replacement(&mut self, id: RequestId) -> Vec<EntryAction> {
         if let Some(request) = self.requests.get_mut(&id) {
-            request.silent = false;
+            request.stalled = false;
         }
         let waits = |request: &&EntryRequest| matches!(request.phase, RequestPhase::Waiting(_));
         self.give_replacement_up(id, AttemptEnd::Unused, waits)
@@ -119,14 +119,14 @@
             return Vec::new();
         }
         let Some(kept) = request.kept.take() else { return Vec::new() };
-        request.silent = false;
+        request.stalled = false;
         vec![
             request.return_kept(&kept, AttemptEnd::Failed),
             EntryAction::Count(RetryReason::StreamResumed),
         ]
     }
 
-    /// The request stays at its silent target, where it has one: what was asked for another one is not used.
+    /// The request stays at its stalled target, where it has one: what was asked for another one is not used.
     pub(super) fn keep_target(&mut self, id: RequestId) -> bool {
         let Some(request) = self.requests.get_mut(&id) else { return false };
         let Some(kept) = request.kept.take() else { return false };
@@ -137,7 +137,7 @@
         true
     }
 
-    /// The silent target has failed while another one was asked for, which goes on.
+    /// The stalled target has failed while another one was asked for, which goes on.
     pub(super) fn kept_target_failed(
         &mut self,
         id: RequestId,
@@ -146,14 +146,14 @@
     ) -> Option<Vec<EntryAction>> {
         let request = self.requests.get_mut(&id)?;
         let kept = request.kept.take()?;
-        request.silent = false;
+        request.stalled = false;
         request.failed = Some(retry);
         Some(vec![request.return_kept(&kept, end), EntryAction::Count(retry)])
     }
 }
 
 impl EntryRequest {
-    /// Tells a new scheduler of the silent target.
+    /// Tells a new scheduler of the stalled target.
     pub(super) fn move_kept(&mut self, now: Uptime, best: &VmId) -> Option<EntryAction> {
         let kept = self.kept.as_ref().filter(|kept| kept.scheduler != *best)?;
         let moved = UsedPermit { scheduler: best.clone(), ..kept.clone() };
--- a/crates/sched/src/entry/request.rs
+++ b/crates/sched/src/entry/request.rs
@@ -66,11 +66,11 @@
     pub unresponsive: Vec<VmId>,
     /// Why the latest attempt did not run.
     pub failed: Option<RetryReason>,
-    /// Permit of the silent target that has the request while another one is asked for; the phase is then that
+    /// Permit of the stalled target that has the request while another one is asked for; the phase is then that
     /// of the other one.
     pub kept: Option<UsedPermit>,
-    /// Whether the target that has it is silent.
-    pub silent: bool,
+    /// Whether the target that has it is stalled.
+    pub stalled: bool,
     /// Whether its caller has a part of the answer, so that a refusal would only cut it.
     pub begun: bool,
     /// When the other target was first asked for, and a retry counted.
@@ -109,7 +109,15 @@
         self.kept.is_some() || matches!(self.phase, RequestPhase::Dispatched(_))
     }
 
-    /// Whether it may be tried again after so many attempts, as far as it knows itself.
+    /// The latest attempt did not run; may there be another one?
+    pub fn next_attempt(&mut self, retry: RetryReason, limit: u32) -> RetryInput {
+        self.attempt += 1;
+        self.stalled = false;
+        self.note_not_run(retry);
+        self.retry_input(retry, self.attempt, limit)
+    }
+
+    /// Whether it may be tried again after this number of attempts, as far as it knows itself.
     pub fn retry_input(&self, reason: RetryReason, attempts: u32, limit: u32) -> RetryInput {
         RetryInput {
             reason,
@@ -216,7 +224,7 @@
         vec![self.give_back(scheduler, self.permit(), end)]
     }
 
-    /// Gives the permit of a silent target back.
+    /// Gives the permit of a stalled target back.
     pub fn return_kept(&self, kept: &UsedPermit, end: AttemptEnd) -> EntryAction {
         self.give_back(&kept.scheduler, self.permit_of(kept.attempt), end)
     }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -10,7 +10,7 @@
 //! | Who decides? | [`election`] | the members |
 //!
 //! [`scheduler`] is what happens at the scheduler of a pool ([`pool`] is its state, [`targets`] what it is
-//! told of its targets), [`entry`] what
+//! known of its targets), [`entry`] what
 //! happens at the daemon that holds a caller's connection, [`drain`] the planned stop.
 //!
 //! Time is passed in. The daemon, the tests, the slopes and the model checker run this code.
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -88,7 +88,7 @@
                 output_work: waiting.request.output_work,
                 backlog,
                 confirmed: now,
-                silent: false,
+                stalled: false,
             };
             self.permits.insert(permit, record);
             actions.push(self.answer(waiting.entry, permit, PermitDecision::Granted(target)));
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -73,8 +73,8 @@
     pub backlog: Duration,
     /// When it was given, or last confirmed.
     pub confirmed: Uptime,
-    /// Whether its target was silent, so that its request asked for another one; that counts as a failure.
-    pub silent: bool,
+    /// Whether its target was stalled, so that its request asked for another one; that counts as a failure.
+    pub stalled: bool,
 }
 
 /// What a scheduler wants sent.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -148,7 +148,7 @@
             output_work,
             backlog: Duration::ZERO,
             confirmed: now,
-            silent: false,
+            stalled: false,
         };
         self.permits.insert(held.request.permit, record);
     }
@@ -238,7 +238,7 @@
                 self.pace.learn(now, record.prompt_work, record.output_work, &seen);
             }
             // Counted when its request asked for another one.
-            AttemptEnd::Failed if record.silent => {}
+            AttemptEnd::Failed if record.stalled => {}
             AttemptEnd::Failed => state.failed(now, may_eject),
         }
     }
--- a/crates/sched/src/targets.rs
+++ b/crates/sched/src/targets.rs
@@ -1,4 +1,4 @@
-//! What a scheduler is told of its targets: their entries, whether they leave, and their reports.
+//! What a scheduler knows of its targets: their entries, whether they leave, and their reports.
 //!
 //! What is learned of a target is learned of one life. Where its entry tells a later start, the target
 //! begins anew: it has none of the permits in use, and nothing is believed of it. Those permits stay
@@ -50,7 +50,7 @@
         state.leaving = away;
     }
 
-    /// The start of a target is told. Permits from before were given for the same life.
+    /// The start of a target is stated. Permits from before were given for the same life.
     fn start_told(&mut self, entry: &TargetEntry) {
         let permits = self.permits.values_mut().map(|permit| &mut permit.target);
         for life in permits.filter(|life| life.id == entry.id && life.start.is_none()) {
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 
 use crate::pool::{ConnectionEnd, ConnectionPool};
-use crate::silence::SilenceGuard;
+use crate::stall::StallGuard;
 
 /// Bytes read at once from an answer that ends with its connection.
 const READ_SIZE: usize = 16 << 10;
@@ -64,7 +64,7 @@
     idle_limit: Option<Duration>,
     end: ConnectionEnd,
     pool: ConnectionPool,
-    silence: SilenceGuard,
+    stall: StallGuard,
 }
 
 impl AnswerBody {
@@ -85,8 +85,8 @@
                 BodyState::UntilClose(parts.io, parts.read_buf)
             }
         };
-        let silence = SilenceGuard::begin(&pool, &end);
-        AnswerBody { state, reusable, idle_limit: None, end, pool, silence }
+        let stall = StallGuard::begin(&pool, &end);
+        AnswerBody { state, reusable, idle_limit: None, end, pool, stall }
     }
 
     /// The target closes the connection after it has rested for so long.
@@ -184,8 +184,8 @@
         let polled = self.poll_part(context);
         match &polled {
             Poll::Pending => {}
-            Poll::Ready(Some(Ok(_))) => self.silence.note_sign(),
-            Poll::Ready(Some(Err(_)) | None) => self.silence.end(),
+            Poll::Ready(Some(Ok(_))) => self.stall.note_sign(),
+            Poll::Ready(Some(Err(_)) | None) => self.stall.end(),
         }
         polled
     }
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -17,7 +17,7 @@
 use crate::answer::{AnswerBody, BodyFrame, TargetAnswer};
 use crate::error::{Error, Result};
 use crate::pool::{ConnectionEnd, ConnectionPool, PooledConnection};
-use crate::silence::SilenceGuard;
+use crate::stall::StallGuard;
 
 /// Answers to earlier requests that one exchange passes over.
 /// Chosen, not measured.
@@ -69,13 +69,13 @@
             head.headers.insert(header::HOST, host);
         }
         let method = head.method.clone();
-        let mut silence = SilenceGuard::begin(&self.pool, &self.end);
+        let mut stall = StallGuard::begin(&self.pool, &self.end);
         let mut framed = Framed::new(self.stream, ClientCodec::default());
         let mut upload = Upload::begin(&mut framed, head, body)?;
         for _ in 0..STALE_LIMIT {
             let answer_head = upload.answer_head(&mut framed).await;
-            let answer_head = answer_head.inspect_err(|_| silence.end())?;
-            silence.note_sign();
+            let answer_head = answer_head.inspect_err(|_| stall.end())?;
+            stall.note_sign();
             if answer_head.status.is_informational() {
                 continue;
             }
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -10,7 +10,7 @@
 mod error;
 mod events;
 mod pool;
-mod silence;
+mod stall;
 
 pub use answer::{collect, AnswerBody, BodyCut, CollectError, TargetAnswer};
 pub use connection::ExchangeOptions;
--- a/crates/targets/src/silence.rs
+++ b/crates/targets/src/stall.rs
@@ -1,10 +1,10 @@
 //! What an exchange that is given up tells of the idle connections to the same target.
 //!
-//! Connections may go silent without a reset, all at once; an idle one shows nothing of it. Without this,
+//! Connections may die without a reset, all at once; an idle one shows nothing of it. Without this,
 //! each of five idle connections cost a request its whole limit, at a target that served new connections at
 //! once; with it one request is enough.
 //!
-//! Owns: [`SilenceGuard`]. Relies on: whoever waits gives up by dropping the exchange or the answer.
+//! Owns: [`StallGuard`]. Relies on: whoever waits gives up by dropping the exchange or the answer.
 
 use std::time::{Duration, Instant};
 
@@ -18,7 +18,7 @@
 /// Watches one exchange. Where it is dropped while an answer is awaited, the connections that have rested
 /// since before the target's last sign are not used again.
 #[derive(Debug)]
-pub(crate) struct SilenceGuard {
+pub(crate) struct StallGuard {
     pool: ConnectionPool,
     end: ConnectionEnd,
     /// The target's last sign, or the beginning.
@@ -26,11 +26,11 @@
     waiting: bool,
 }
 
-impl SilenceGuard {
+impl StallGuard {
     /// An exchange begins.
-    pub(crate) fn begin(pool: &ConnectionPool, end: &ConnectionEnd) -> SilenceGuard {
+    pub(crate) fn begin(pool: &ConnectionPool, end: &ConnectionEnd) -> StallGuard {
         let (pool, end) = (pool.clone(), end.clone());
-        SilenceGuard { pool, end, heard: Instant::now(), waiting: true }
+        StallGuard { pool, end, heard: Instant::now(), waiting: true }
     }
 
     /// Bytes have come.
@@ -44,7 +44,7 @@
     }
 }
 
-impl Drop for SilenceGuard {
+impl Drop for StallGuard {
     fn drop(&mut self) {
         if self.waiting && self.heard.elapsed() >= UNANSWERED_AFTER {
             self.pool.discard_rested(&self.end, self.heard);
