A target that takes no connection uses up no attempt of a begun stream

Cause: a failed connect counted as an attempt though nothing was sent; with two attempts a stream whose target had broken off was cut for one connection that was not made within 100 ms. The retry budget, the targets to avoid and the deadline bound it. Measured: the new case of replacement.rs failed before and passes now; a request without an answer is refused as before.

--- a/crates/sched/src/entry/request.rs
+++ b/crates/sched/src/entry/request.rs
@@ -86,6 +86,10 @@
             self.unsent += 1;
             return;
         }
+        if retry == RetryReason::ConnectFailed && self.begun {
+            // Nothing was sent, and an answer that has begun would be cut once the attempts are used up.
+            self.unsent += 1;
+        }
         self.failed = Some(retry);
         // It was offered in time; from here on only its deadline counts.
         self.wait_until = self.deadline;
--- a/crates/sched/tests/replacement.rs
+++ b/crates/sched/tests/replacement.rs
@@ -441,6 +441,31 @@
     assert_eq!(in_use(&machines), 1);
 }
 
+/// A stream's target breaks off, and two others take no connection. Nothing was sent to these, so they use up none of
+/// the two attempts: the answer that has begun would be cut. What has not begun is refused, as its attempts are used up.
+#[rstest]
+#[case::begun(true)]
+#[case::not_begun(false)]
+fn target_that_takes_no_connection_uses_up_no_attempt_of_a_begun_stream(#[case] begun: bool) {
+    let mut machines = Machines::new(4, 4);
+    machines.settle();
+    if begun {
+        machines.entry.answer_begun(ID);
+    }
+    machines.target_fails();
+    machines.settle();
+    for _ in 0..2 {
+        machines.target = None;
+        let (end, retry) = (AttemptEnd::Failed, RetryReason::ConnectFailed);
+        let order = machines.order();
+        let actions = machines.entry.not_run(machines.now, ID, end, retry, &|_| order.clone());
+        machines.perform(actions);
+        machines.settle();
+    }
+    assert_eq!(machines.refusals.len(), usize::from(!begun));
+    assert_eq!(machines.target.is_some(), begun);
+}
+
 /// Reasons of a scheduler end a request that is nowhere, and only that.
 #[test]
 fn refusal_ends_a_request_that_is_at_no_target() {
