Soak tests: each run has a folder of its own

The cases all and those_of_one_daemon have one silence each and so one folder name: one run took the other's settings files. No case is changed.

--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -7,6 +7,7 @@
     FaultStep, KeyLoss, LinkFault, PlanOptions, PlayedSeed, SilentConnections, SoakEvidence,
     SoakFault, SoakOptions,
 };
+use curlewcleat_standins::deployment::own_folder;
 use curlewcleat_standins::fleet::EngineRun;
 use rstest::rstest;
 
@@ -14,7 +15,7 @@
 #[case::everything(3, false)]
 #[case::planned_work(4, true)]
 fn short_soak_breaks_nothing(#[case] seed: u64, #[case] planned_only: bool) {
-    let name = format!("curlewcleat-soak-test-{}-{seed}", std::process::id());
+    let name = format!("soak-test-{seed}");
     let options = SoakOptions {
         seed,
         daemons: 3,
@@ -26,7 +27,7 @@
         link_mbps: None,
         extra: None,
         script: None,
-        folder: std::env::temp_dir().join(name),
+        folder: own_folder(&name).expect("a folder"),
     };
     let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
     assert!(report.findings.is_empty(), "{report:#?}");
@@ -35,7 +36,7 @@
 /// A configuration of two parts on its way between daemons over links of 10 Mbit/s, with all faults beside.
 #[test]
 fn long_configuration_over_narrow_links_breaks_nothing() {
-    let name = format!("curlewcleat-soak-narrow-{}", std::process::id());
+    let name = "soak-narrow";
     let options = SoakOptions {
         seed: 6,
         daemons: 4,
@@ -47,7 +48,7 @@
         link_mbps: Some(10),
         extra: None,
         script: None,
-        folder: std::env::temp_dir().join(name),
+        folder: own_folder(name).expect("a folder"),
     };
     let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
     assert!(report.findings.is_empty(), "{report:#?}");
@@ -78,7 +79,7 @@
         link_mbps: None,
         extra: None,
         script: Some(deaf.chain(leave).collect()),
-        folder: std::env::temp_dir().join(format!("curlewcleat-deaf-{}", std::process::id())),
+        folder: own_folder("deaf").expect("a folder"),
     };
     let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
     assert!(report.findings.is_empty(), "{report:#?}");
@@ -97,7 +98,7 @@
     SilentConnections::All,
 ])]
 fn connections_that_go_silent_are_replaced(#[case] silences: Vec<SilentConnections>) {
-    let name = format!("curlewcleat-silence-{}-{}", std::process::id(), silences.len());
+    let name = format!("silence-{}", silences.len());
     let steps = silences.iter().enumerate().map(|(index, connections)| FaultStep {
         at: Duration::from_millis(1_500 * (index as u64 + 1)),
         time: Duration::ZERO,
@@ -114,7 +115,7 @@
         link_mbps: None,
         extra: Some(ExtraKind::Silence),
         script: Some(steps.collect()),
-        folder: std::env::temp_dir().join(name),
+        folder: own_folder(&name).expect("a folder"),
     };
     let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
     assert!(report.findings.is_empty(), "{report:#?}");
@@ -127,7 +128,7 @@
 #[test]
 fn short_soak_with_extra_faults_breaks_nothing() {
     for (kind, seed) in EXTRA_KINDS {
-        let name = format!("curlewcleat-soak-extra-{}-{seed}", std::process::id());
+        let name = format!("soak-extra-{seed}");
         let options = SoakOptions {
             seed: *seed,
             daemons: 3,
@@ -140,7 +141,7 @@
             link_mbps: None,
             extra: Some(*kind),
             script: None,
-            folder: std::env::temp_dir().join(name),
+            folder: own_folder(&name).expect("a folder"),
         };
         let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
         assert!(report.findings.is_empty(), "{kind:?}: {report:#?}");
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -314,7 +314,10 @@
 
 /// A folder that belongs to one deployment alone, also where another one of this process has its name: two
 /// that shared their folder took each other's settings files, and one daemon was never reached.
-pub(crate) fn own_folder(name: &str) -> Result<PathBuf> {
+///
+/// # Errors
+/// Where it cannot be created.
+pub fn own_folder(name: &str) -> Result<PathBuf> {
     let count = NEXT_DEPLOYMENT.fetch_add(1, Ordering::Relaxed);
     let folder = format!("curlewcleat-{name}-{}-{count}", std::process::id());
     let folder = std::env::temp_dir().join(folder);
