--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -598,7 +598,7 @@
         paths.sort();
         for path in paths {
             if path.is_dir() {
-                // Days for the users' bench; platform/tests/days.rs reads them all.
+                // Day files; platform/tests/days.rs reads them all.
                 assert_eq!(path, root().join("deploy/days"), "a folder that no test reads");
                 continue;
             }
--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -57,8 +57,8 @@
 ) -> Result<Box<dyn PeerTransport>> {
     let (frames, mut received) = mpsc::unbounded_channel();
     // Before the peer counts as unreachable, and at least one and a half beats.
-    let silence_limit = settings.suspect_after / 2;
-    let transport = NngTransport::listen(&settings.peer_address, silence_limit, frames, counts)
+    let dead_after = settings.suspect_after / 2;
+    let transport = NngTransport::listen(&settings.peer_address, dead_after, frames, counts)
         .map_err(|error| anyhow!("peers: bind {}: {error}", settings.peer_address))?;
     actix_rt::spawn(async move {
         while let Some(frame) = received.recv().await {
