Sight: attempts and refusals name the request by what its caller repeats; a target's entry that goes is logged

The logs named each try by ids that change with it, and a target that ended read as a cut connection. attempt_failed and request_refused carry the digest of method, host, path, caller and body; target_gone says whether the target had said that it leaves. No decision changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 mod ids;
 mod message;
 mod model;
+mod request_digest;
 mod target_life;
 mod verdict;
 
@@ -12,5 +13,6 @@
 pub use ids::*;
 pub use message::*;
 pub use model::*;
+pub use request_digest::{RequestDigest, RequestIdentity};
 pub use target_life::{LifeOrder, TargetLife, TargetStart};
 pub use verdict::{Refusal, RefusalReason, RetryReason, Verdict};
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -198,6 +198,9 @@
         NodeNote::PeerLost(peer) => warn!("peer_lost", kv: { vm = peer.vm.as_str() }),
         NodeNote::PeerReplaced(peer) => info!("peer_replaced", kv: { vm = peer.vm.as_str() }),
         NodeNote::TargetLife(news) => log_life(news),
+        NodeNote::TargetGone(gone) => {
+            info!("target_gone", kv: { target = gone.target.as_str(), left = gone.left })
+        }
         NodeNote::TableKnown(version, slots) => {
             info!("key_table_known", kv: { version = *version, slots_held = *slots })
         }
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -35,10 +35,11 @@
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, Method, Request, Response, Uri};
-use curlewcleat_core::{Refusal, RefusalReason, RequestId};
+use curlewcleat_core::{Refusal, RefusalReason, RequestDigest, RequestId, RequestIdentity};
 use tokio::sync::oneshot;
 
 use crate::context::DaemonContext;
+use crate::headers;
 use admitted::AdmittedRequest;
 use answer::{AnswerChannel, CallerAnswer};
 use body::RequestBody;
@@ -62,6 +63,22 @@
     body: RequestBody,
 }
 
+impl CallerRequest {
+    /// Names the request by what its caller sends again when it repeats it. `None` for a body that is longer than what
+    /// is read before the scheduling: its beginning alone would name other requests too.
+    fn digest(&self, account: Option<&str>) -> Option<RequestDigest> {
+        let identity = RequestIdentity {
+            method: self.method.as_str(),
+            host: headers::text(&self.headers, "host").unwrap_or_default(),
+            path: self.uri.path_and_query().map_or(self.uri.path(), |path| path.as_str()),
+            // A rule that asks for no account may still be sent a token.
+            caller: account.or(headers::bearer_token(&self.headers)).unwrap_or_default(),
+            body: self.body.beginning(),
+        };
+        self.body.is_whole().then(|| identity.digest())
+    }
+}
+
 impl RequestService {
     /// A service for callers that speak `protocol`.
     pub fn new(context: DaemonContext, protocol: Box<dyn CallerProtocol>) -> Rc<RequestService> {
@@ -113,6 +130,7 @@
             headers: request.headers().clone(),
             body,
         };
+        admitted.digest = caller.digest(admitted.account.as_deref());
         let pending = self.context.admit(admitted.spec());
         let (begin, begun) = oneshot::channel();
         let (channel, parts) = AnswerChannel::new(begin);
--- a/crates/daemon/src/request/admitted.rs
+++ b/crates/daemon/src/request/admitted.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use curlewcleat_core::{
-    AccountId, AdmissionRule, LatencyObjectives, RequestId, TargetPool, TierId, TierRank,
-    WorkMicros,
+    AccountId, AdmissionRule, LatencyObjectives, RequestDigest, RequestId, TargetPool, TierId,
+    TierRank, WorkMicros,
 };
 use curlewcleat_sched::RequestSpec;
 
@@ -50,6 +50,8 @@
     pub cost: u64,
     /// Its work.
     pub work: WorkEstimate,
+    /// Names what its caller sent, `None` until its body is read and where that is read only in part.
+    pub digest: Option<RequestDigest>,
     /// Idempotency key and the caller's count of attempts with it.
     pub key: Option<(String, Option<u32>)>,
 }
--- a/crates/daemon/src/request/own.rs
+++ b/crates/daemon/src/request/own.rs
@@ -88,6 +88,7 @@
             attempt_limit: None,
             cost: 1,
             work: WorkEstimate::default(),
+            digest: None,
             key,
         })
     }
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -66,6 +66,7 @@
             attempt_limit: Some(rule.service.attempt_limit),
             cost: account.map_or(0, |account| work::cost(account, tokens)),
             work: work::estimate(&self.profile, pool, head, tokens),
+            digest: None,
             key: None,
             rule: rule.clone(),
         })
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -36,6 +36,7 @@
     pub(super) fn log_attempt(&self, target: &TargetId, reason: &str, cause: AttemptCause) {
         info!("attempt_failed", kv: {
             request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
+            digest = digest_text(&self.request),
             target = target.as_str(), reason, cause = cause.code(),
             silent_ms = self.progress.unheard_for().as_millis() as i64,
             parts = self.progress.attempt_parts(), answer_begun = self.answer.has_begun()
@@ -53,6 +54,11 @@
     }
 }
 
+/// The digest of a request, empty where it has none.
+fn digest_text(request: &AdmittedRequest) -> String {
+    request.digest.map(|digest| digest.to_string()).unwrap_or_default()
+}
+
 /// Counts and logs a refusal.
 pub fn note_refusal(
     service: &RequestService,
@@ -65,12 +71,13 @@
     let pool = request.map_or("", |request| request.pool.id.as_str());
     // Unknown before the admission, and not asked for by a public rule.
     let account = request.and_then(|request| request.account.as_deref()).unwrap_or_default();
+    let digest = request.map(digest_text).unwrap_or_default();
     let config_age = service.protocol.config_age();
     service.context.metrics.refusal(refusal.reason, tier, pool);
     info!("request_refused", kv: {
         request = id.to_string(), attempt, account,
         cost = request.map_or(0, |request| request.cost),
-        reason = refusal.reason.code(), tier, pool,
+        reason = refusal.reason.code(), tier, pool, digest,
         may_have_run = refusal.verdict.may_have_run(),
         held_ms = request.map_or(0, |request| request.arrived.elapsed().as_millis() as i64),
         retry_after_ms = refusal.retry_after.map_or(-1, |wait| wait.as_millis() as i64),
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -13,7 +13,7 @@
 
 use crate::freshness::ReadRole;
 use crate::status::PoolStatus;
-use crate::target_view::LifeNews;
+use crate::target_view::{GoneTarget, LifeNews};
 
 /// A line of the platform's VM list.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -147,6 +147,8 @@
     PeerReplaced(DaemonId),
     /// An entry stated another life of its target.
     TargetLife(LifeNews),
+    /// The entry of a target has gone.
+    TargetGone(GoneTarget),
     /// A key table is known, and the number of slots that this daemon holds.
     TableKnown(ObjectVersion, usize),
     /// What the scheduler of a pool sees while requests wait there.
--- a/crates/node/src/node/platform.rs
+++ b/crates/node/src/node/platform.rs
@@ -123,6 +123,8 @@
     fn note_lives(&mut self) {
         let news = self.targets.take_news().into_iter().map(NodeNote::TargetLife);
         self.actions.extend(news.map(NodeAction::Note));
+        let gone = self.targets.take_gone().into_iter().map(NodeNote::TargetGone);
+        self.actions.extend(gone.map(NodeAction::Note));
     }
 
     fn is_doubtful(&self) -> bool {
--- a/crates/node/src/target_view.rs
+++ b/crates/node/src/target_view.rs
@@ -50,6 +50,15 @@
     }
 }
 
+/// A target's entry has gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GoneTarget {
+    /// The target.
+    pub target: TargetId,
+    /// Whether it had said that it leaves; one that had not has most likely ended without notice.
+    pub left: bool,
+}
+
 /// The targets at a revision of the platform, and those that may come back.
 #[derive(Clone, Debug, Default)]
 pub struct TargetView {
@@ -59,6 +68,7 @@
     missing: BTreeMap<TargetId, DiscoveredTarget>,
     ended: EndedLives,
     news: Vec<LifeNews>,
+    gone: Vec<GoneTarget>,
     at: ObjectVersion,
     /// Revision from which the log is complete.
     log_from: ObjectVersion,
@@ -144,6 +154,11 @@
         std::mem::take(&mut self.news)
     }
 
+    /// The targets whose entries have gone since the last call.
+    pub fn take_gone(&mut self) -> Vec<GoneTarget> {
+        std::mem::take(&mut self.gone)
+    }
+
     /// The platform has settled: what is still missing has ended. Returns whether any target was
     /// removed.
     pub fn settle(&mut self) -> bool {
@@ -196,6 +211,7 @@
 
     fn vanished(&mut self, id: TargetId, target: DiscoveredTarget, doubtful: bool) {
         self.ended.ended(&id, target.entry.start);
+        self.gone.push(GoneTarget { target: id.clone(), left: target.leaving });
         if doubtful && !target.leaving {
             self.missing.insert(id, target);
         }
