--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -1,5 +1,6 @@
 //! Store, engines and daemons of a test, together.
 
+use std::cell::RefCell;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,10 +8,10 @@
 use anyhow::Result;
 use curlewcleat_platform::example::example_config;
 use curlewcleat_platform::format::Config;
-use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME, READY};
+use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME, READY, SERVERS};
 use serde_json::to_value;
 
-use super::{EngineEntry, FleetEngine, FleetStore};
+use super::{EngineEntry, FleetEngine, FleetStore, LethalBody};
 use crate::address::free_address;
 use crate::deployment::{own_folder, program_folder, spawn, wait_listening, ChildProcess};
 use crate::http;
@@ -40,7 +41,7 @@
     /// Their addresses.
     pub engine_addresses: Vec<String>,
     /// Where they are served, until they end.
-    engines_served: Vec<Option<ServedHandler>>,
+    engines_served: Rc<RefCell<Vec<Option<ServedHandler>>>>,
     /// Their services.
     engine_backends: Vec<String>,
     /// The daemons.
@@ -61,7 +62,7 @@
             store,
             engines: Vec::new(),
             engine_addresses: Vec::new(),
-            engines_served: Vec::new(),
+            engines_served: Rc::default(),
             engine_backends: Vec::new(),
             daemons: Vec::new(),
             config: example_config(),
@@ -86,25 +87,45 @@
         self.write_entry(&engine, backend, &address)?;
         self.engines.push(engine);
         self.engine_addresses.push(address);
-        self.engines_served.push(Some(served));
+        self.engines_served.borrow_mut().push(Some(served));
         self.engine_backends.push(backend.to_string());
         Ok(())
     }
 
     /// An engine ends at once and starts again under its id, at this address.
     pub async fn restart_engine(&mut self, index: usize, address: String) -> Result<()> {
-        if let Some(served) = self.engines_served[index].take() {
+        let served = self.engines_served.borrow_mut()[index].take();
+        if let Some(served) = served {
             served.close().await;
         }
         let engine = self.engines[index].started_again();
         let served = ServedHandler::start(&address, engine.clone()).await?;
         self.write_entry(&engine, &self.engine_backends[index], &address)?;
-        self.engines_served[index] = Some(served);
+        self.engines_served.borrow_mut()[index] = Some(served);
         self.engine_addresses[index] = address;
         self.engines[index] = engine;
         Ok(())
     }
 
+    /// Every engine ends once it begins to run a request with this body; its entry lapses that much later.
+    pub fn engines_end_under(&self, body: &[u8], lapse: Duration) {
+        for (index, engine) in self.engines.iter().enumerate() {
+            let (served, store) = (Rc::clone(&self.engines_served), Rc::clone(&self.store));
+            let id = engine.id.clone();
+            let end = move || {
+                actix_rt::spawn(async move {
+                    let served = served.borrow_mut()[index].take();
+                    if let Some(served) = served {
+                        served.close().await;
+                    }
+                    tokio::time::sleep(lapse).await;
+                    store.remove(SERVERS, &id);
+                });
+            };
+            engine.set_lethal(LethalBody { body: body.to_vec(), end: Box::new(end) });
+        }
+    }
+
     fn write_entry(&self, engine: &FleetEngine, backend: &str, address: &str) -> Result<()> {
         let born = Some(engine.born);
         let entry =
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -75,6 +75,14 @@
     streams: bool,
 }
 
+/// What ends an engine's process as soon as it begins to run a request with this body.
+pub struct LethalBody {
+    /// The body.
+    pub body: Vec<u8>,
+    /// Ends the process.
+    pub end: Box<dyn FnOnce()>,
+}
+
 /// An engine in this process.
 pub struct FleetEngine {
     /// Name of the engine, which a further start of it may have again.
@@ -88,6 +96,7 @@
     steps: RefCell<VecDeque<EngineStep>>,
     otherwise: Cell<EngineStep>,
     runs: RefCell<Vec<EngineRun>>,
+    lethal: RefCell<Option<LethalBody>>,
 }
 
 impl FleetEngine {
@@ -101,6 +110,7 @@
             steps: RefCell::default(),
             otherwise: Cell::new(EngineStep::Serve),
             runs: RefCell::default(),
+            lethal: RefCell::default(),
         })
     }
 
@@ -119,6 +129,19 @@
         self.otherwise.set(step);
     }
 
+    /// Its process ends under requests with a body.
+    pub fn set_lethal(&self, lethal: LethalBody) {
+        *self.lethal.borrow_mut() = Some(lethal);
+    }
+
+    /// Ends where the body of a request is the one that is lethal.
+    fn ends_under(&self, body: &[u8]) -> bool {
+        let lethal = self.lethal.borrow_mut().take_if(|lethal| lethal.body == body);
+        let Some(lethal) = lethal else { return false };
+        (lethal.end)();
+        true
+    }
+
     /// What has reached it.
     pub fn runs(&self) -> Vec<EngineRun> {
         self.runs.borrow().clone()
@@ -149,6 +172,9 @@
             return Ok(AfterAnswer::KeepOpen);
         }
         self.runs.borrow_mut()[place].ran = true;
+        if self.ends_under(&request.body) {
+            return Ok(AfterAnswer::Close);
+        }
         let streams = request.path.contains("/stream/");
         self.run(step, RunningRequest { attempt: &attempt, place, streams }, connection).await
     }
