--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -60,11 +60,8 @@
 
     /// A request that has ended was served whole.
     pub(super) fn served_whole(&mut self, id: RequestId) {
-        if self.lethal.requests.is_empty() {
-            return;
-        }
         let Some(digest) = self.entry.digest_of(id) else { return };
-        if self.lethal.requests.served(&digest) {
+        if self.lethal.requests.served(self.now, &digest) {
             self.tell_suspect(&digest);
         }
     }
@@ -175,7 +172,8 @@
 
     /// Peers or the platform know of suspect requests.
     pub(super) fn suspects_known(&mut self, reports: Vec<SuspectReport>) {
-        self.lethal.requests.merge(self.now, reports);
+        let cleared = self.lethal.requests.merge(self.now, reports);
+        cleared.iter().for_each(|digest| self.tell_suspect(digest));
         self.review_lethal();
     }
 
--- a/crates/sched/src/lethal.rs
+++ b/crates/sched/src/lethal.rs
@@ -24,6 +24,7 @@
 
 mod blame;
 mod ends;
+mod served;
 mod suspect;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,6 +34,7 @@
 
 use self::blame::blamed;
 use self::ends::RecentEnds;
+use self::served::RecentlyServed;
 use self::suspect::SuspectRequest;
 
 /// Requests that are kept at most, about 300 bytes each. Chosen: more than 40 targets have in progress when all of
@@ -103,6 +105,7 @@
     held: BTreeSet<RequestDigest>,
     refused: BTreeSet<RequestDigest>,
     ends: RecentEnds,
+    served: RecentlyServed,
     /// Changes so far.
     at: u64,
 }
@@ -122,19 +125,28 @@
         news
     }
 
-    /// Takes what another daemon or the platform knows.
-    pub fn merge(&mut self, now: Uptime, reports: Vec<SuspectReport>) {
+    /// Takes what another daemon or the platform knows. Returns the requests that this one has served whole since they
+    /// broke off, which the others do not know.
+    pub fn merge(&mut self, now: Uptime, reports: Vec<SuspectReport>) -> Vec<RequestDigest> {
+        let mut cleared = Vec::new();
         for report in reports {
             let at = self.at + 1;
             let digest = report.digest;
             let suspect = self.suspects.entry(digest).or_default();
-            let news = suspect.merge(now, report);
+            let mut news = suspect.merge(now, report);
+            let served = self.served.latest(&digest);
+            if served.is_some_and(|served| suspect.clear_until(served)) {
+                cleared.push(digest);
+                news = true;
+            }
             self.changed_if(news, at, digest);
         }
+        cleared
     }
 
     /// A request was served whole: whatever ended under it before did not end for it. Returns whether that is news.
-    pub fn served(&mut self, digest: &RequestDigest) -> bool {
+    pub fn served(&mut self, now: Uptime, digest: &RequestDigest) -> bool {
+        self.served.note(now, *digest);
         self.clear(digest)
     }
 
--- a/crates/sched/src/lethal/suspect.rs
+++ b/crates/sched/src/lethal/suspect.rs
@@ -61,7 +61,11 @@
         self.stored |= report.stored;
         for life in report.cleared {
             self.breaks.remove(&life);
-            news |= self.cleared.len() < BREAK_LIMIT && self.cleared.insert(life);
+            if self.cleared.len() < BREAK_LIMIT && self.cleared.insert(life) {
+                news = true;
+                // What does not count is remembered as long as what does.
+                self.latest = now;
+            }
         }
         for told in report.breaks {
             let at = now.saturating_sub(told.age);
@@ -97,8 +101,17 @@
 
     /// Nothing of before counts any more; returns whether anything did.
     pub fn clear(&mut self) -> bool {
-        let news = !self.breaks.is_empty();
-        for life in std::mem::take(&mut self.breaks).into_keys() {
+        self.clear_until(Uptime::MAX)
+    }
+
+    /// Nothing until then counts any more; returns whether anything did.
+    pub fn clear_until(&mut self, until: Uptime) -> bool {
+        let breaks = std::mem::take(&mut self.breaks);
+        let (cleared, left): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            breaks.into_iter().partition(|(_, known)| known.at <= until);
+        self.breaks = left;
+        let news = !cleared.is_empty();
+        for life in cleared.into_keys() {
             if self.cleared.len() >= BREAK_LIMIT {
                 self.cleared.pop_first();
             }
