--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -190,31 +190,43 @@
         key: &str,
         attempt: &str,
     ) -> CallOutcome {
-        let connected =
-            self.connections.connect(&self.daemons[daemon], Duration::from_secs(1)).await;
-        let Ok(connection) = connected else { return CallOutcome::Unsent };
-        let answer = match connection.exchange(head(kind, key, attempt), body_of(attempt)).await {
-            Ok(answer) => answer,
-            Err(error) => return CallOutcome::NoAnswer(error.to_string()),
-        };
-        let header = |name: &str| {
-            let value = answer.head.headers.get(name).and_then(|value| value.to_str().ok());
-            value.map(str::to_string)
-        };
-        let (seal, echo) = (header(SEAL), header(WIRE_PROFILE.attempt_id));
-        let status = answer.head.status.as_u16();
-        let mut body = answer.body;
-        let mut bytes = Vec::new();
-        let mut whole = true;
-        while let Some(part) = body.next().await {
-            match part {
-                Ok(part) => bytes.extend_from_slice(&part),
-                Err(_) => whole = false,
-            }
+        let daemon = &self.daemons[daemon];
+        exchange_as(&self.connections, daemon, kind, (key, attempt), body_of(attempt)).await
+    }
+}
+
+/// One exchange with the daemon at an address, by a key and a name of the try.
+pub async fn exchange_as(
+    connections: &ConnectionPool,
+    daemon: &str,
+    kind: CallKind,
+    (key, attempt): (&str, &str),
+    body: Bytes,
+) -> CallOutcome {
+    let Ok(connection) = connections.connect(daemon, Duration::from_secs(1)).await else {
+        return CallOutcome::Unsent;
+    };
+    let answer = match connection.exchange(head(kind, key, attempt), body).await {
+        Ok(answer) => answer,
+        Err(error) => return CallOutcome::NoAnswer(error.to_string()),
+    };
+    let header = |name: &str| {
+        let value = answer.head.headers.get(name).and_then(|value| value.to_str().ok());
+        value.map(str::to_string)
+    };
+    let (seal, echo) = (header(SEAL), header(WIRE_PROFILE.attempt_id));
+    let status = answer.head.status.as_u16();
+    let mut body = answer.body;
+    let mut bytes = Vec::new();
+    let mut whole = true;
+    while let Some(part) = body.next().await {
+        match part {
+            Ok(part) => bytes.extend_from_slice(&part),
+            Err(_) => whole = false,
         }
-        let text = String::from_utf8_lossy(&bytes).to_string();
-        CallOutcome::Answer { status, text, whole, seal, echo }
     }
+    let text = String::from_utf8_lossy(&bytes).to_string();
+    CallOutcome::Answer { status, text, whole, seal, echo }
 }
 
 /// Body of a request.
--- a/crates/soak/src/extra.rs
+++ b/crates/soak/src/extra.rs
@@ -28,6 +28,8 @@
     Restart,
     /// Entries of other writers than engines.
     Foreign,
+    /// A request under which engines end, which comes again and again.
+    Lethal,
 }
 
 /// Where an engine starts again.
@@ -93,6 +95,7 @@
             let place = if same { RestartPlace::Same } else { RestartPlace::Other };
             SoakFault::Restart(engine, place)
         }
+        ExtraKind::Lethal => SoakFault::Lethal,
         ExtraKind::Foreign => {
             let entry = ForeignEntry::ALL.choose(random).copied().unwrap_or(ForeignEntry::Bytes);
             match random.random_ratio(1, 3) {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -56,6 +56,7 @@
             SoakFault::Silence(connections) => self.silence(connections),
             SoakFault::Restart(index, place) => self.restart_engine(index, place, time).await?,
             SoakFault::Foreign(entry) => self.foreign_entry(entry, time).await?,
+            SoakFault::Lethal => self.send_lethal(time).await,
             SoakFault::Overwrite(index, entry) => self.overwrite(index, entry).await?,
         }
         Ok(())
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -18,6 +18,7 @@
 
 use crate::evidence::SoakEvidence;
 use crate::extra::ExtraKind;
+use crate::lethal::{arm, EndedFlag};
 use crate::link::FaultyLink;
 use crate::options::SoakOptions;
 use crate::settings::{DaemonSettings, AGE_LIMIT, APPLY_LIMIT};
@@ -44,6 +45,8 @@
     pub link: Option<FaultyLink>,
     /// Where it is served, until it ends.
     pub served: Option<ServedHandler>,
+    /// Whether its process has ended under a request.
+    pub ended: EndedFlag,
 }
 
 /// A daemon, the links through which it is reached, and its process.
@@ -248,7 +251,11 @@
             _ => None,
         };
         let address = link.as_ref().map_or(address, |link| &link.address).to_string();
-        let slot = EngineSlot { engine, backend, address, link, served: Some(served) };
+        let ended = EndedFlag::default();
+        if self.options.extra == Some(ExtraKind::Lethal) {
+            arm(&engine, &ended);
+        }
+        let slot = EngineSlot { engine, backend, address, link, served: Some(served), ended };
         self.write_entry(&slot, READY)?;
         Ok(slot)
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod judge;
 mod kept;
+mod lethal;
 mod link;
 mod options;
 mod outcomes;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -73,6 +73,8 @@
     Restart(usize, RestartPlace),
     /// There is an entry that is not an engine's.
     Foreign(ForeignEntry),
+    /// A request under which engines end comes again and again.
+    Lethal,
     /// Another writer writes over an engine's entry.
     Overwrite(usize, ForeignEntry),
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -54,6 +54,7 @@
         fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect();
     let callers = SoakCallers::start(fleet.options.seed, fleet.options.callers, &addresses);
     let watch = actix_rt::spawn(Rc::clone(&fleet).watch_processes());
+    let engines = actix_rt::spawn(Rc::clone(&fleet).watch_engines());
     let begun = Instant::now();
     for step in &steps {
         tokio::time::sleep((begun + step.at).saturating_duration_since(Instant::now())).await;
@@ -64,6 +65,7 @@
     tokio::time::sleep(RECOVERY).await;
     let records = callers.close().await;
     watch.abort();
+    engines.abort();
     let unheard = unheard_peers(&fleet).await;
     let mut evidence = fleet.evidence.take();
     let kinds = unserved(&records);
