Ages, leases and deadlines count the time for which the machine was suspended

Cause: all ages came from the steady clock, which does not count a suspension: after two seconds away a daemon accepted keys on a proof that was two seconds older than it took it for, and held a request for three seconds beyond its caller's time.

--- a/crates/daemon/src/config_freshness.rs
+++ b/crates/daemon/src/config_freshness.rs
@@ -1,25 +1,27 @@
 //! How old the proof is that the configuration in force is the newest.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use curlewcleat_clock::Moment;
 
 /// Age of the configuration, counted from the sending of the read that proved it.
 #[derive(Debug, Default)]
 pub struct ConfigFreshness {
-    proved: Cell<Option<Instant>>,
+    proved: Cell<Option<Moment>>,
     /// Whether the latest own read failed.
     failing: Cell<bool>,
 }
 
 impl ConfigFreshness {
     /// A read of this daemon, sent at that time, has shown the configuration in force to be the newest.
-    pub fn prove(&self, sent: Instant) {
+    pub fn prove(&self, sent: Moment) {
         self.confirm_by_peer(sent);
         self.failing.set(false);
     }
 
     /// A peer's read has; it says nothing of the own way to the platform.
-    pub fn confirm_by_peer(&self, sent: Instant) {
+    pub fn confirm_by_peer(&self, sent: Moment) {
         self.proved.set(self.proved.get().max(Some(sent)));
     }
 
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -4,13 +4,14 @@
 //! thread ending last.
 
 use std::sync::{Arc, OnceLock, RwLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use curlewcleat_clock::Moment;
 use curlewcleat_config::{DaemonSettings, FleetBounds};
 use curlewcleat_core::{ActiveConfig, RequestId, WallTime};
 use curlewcleat_node::{CallerDecision, NodeEvent, NodeStatus};
 use curlewcleat_sched::{ReplacementStep, RequestSpec};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::metrics::DaemonMetrics;
 
@@ -39,9 +40,11 @@
     config: Arc<RwLock<Arc<ActiveConfig>>>,
     node: mpsc::UnboundedSender<NodeMessage>,
     /// When the planned stop began.
-    draining: Arc<OnceLock<Instant>>,
+    draining: Arc<OnceLock<Moment>>,
     bounds: Arc<RwLock<FleetBounds>>,
-    started: Instant,
+    started: Moment,
+    /// Told where the machine was suspended: timers of the runtime have not counted that time.
+    suspended: Arc<watch::Sender<Duration>>,
 }
 
 impl DaemonContext {
@@ -58,7 +61,8 @@
             config: Arc::default(),
             node,
             draining: Arc::default(),
-            started: Instant::now(),
+            started: Moment::now(),
+            suspended: Arc::new(watch::Sender::new(Duration::ZERO)),
         }
     }
 
@@ -67,13 +71,34 @@
         self.started.elapsed()
     }
 
+    /// The machine was suspended for this long.
+    pub fn note_suspended(&self, time: Duration) {
+        self.suspended.send_replace(time);
+    }
+
+    /// Waits until a moment, also where the machine is suspended meanwhile.
+    pub async fn until(&self, moment: Moment) {
+        let mut suspended = self.suspended.subscribe();
+        loop {
+            let left = moment.time_left();
+            if left.is_zero() {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(left) => {}
+                // The sender lives as long as this context.
+                _ = suspended.changed() => {}
+            }
+        }
+    }
+
     /// The same at an earlier moment.
-    pub fn uptime_at(&self, moment: Instant) -> Duration {
+    pub fn uptime_at(&self, moment: Moment) -> Duration {
         moment.saturating_duration_since(self.started)
     }
 
     /// The moment of an uptime.
-    pub fn moment_of(&self, uptime: Duration) -> Instant {
+    pub fn moment_of(&self, uptime: Duration) -> Moment {
         self.started + uptime
     }
 
@@ -118,7 +143,7 @@
     /// The planned stop has begun.
     pub fn set_draining(&self) {
         // A second signal begins no second stop.
-        let _ = self.draining.set(Instant::now());
+        let _ = self.draining.set(Moment::now());
     }
 
     /// Whether the planned stop has begun.
@@ -127,7 +152,7 @@
     }
 
     /// When whoever stops the process ends it, `None` where no stop has begun.
-    pub fn stop_by(&self) -> Option<Instant> {
+    pub fn stop_by(&self) -> Option<Moment> {
         Some(*self.draining.get()? + self.bounds().stop_limit)
     }
 
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,11 +10,12 @@
 
 use std::path::Path;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
 use anyhow::Result;
+use curlewcleat_clock::Moment;
 use curlewcleat_config::DaemonSettings;
 use curlewcleat_core::{DaemonId, DaemonRecord, WallTime};
 use curlewcleat_node::{FreshnessLimits, NodeOptions, PlatformCall, ReadRole};
@@ -166,7 +167,7 @@
     /// Whether the process would be ended before it could look again.
     fn must_end(&self) -> bool {
         let stop_by = self.context.stop_by();
-        stop_by.is_none_or(|stop_by| Instant::now() + STOP_MARGIN >= stop_by)
+        stop_by.is_none_or(|stop_by| Moment::now() + STOP_MARGIN >= stop_by)
     }
 }
 
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -14,8 +14,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{DaemonRecord, Generation, ObjectVersion};
 use curlewcleat_node::{FreshnessLimits, NodeEvent, ReadRole};
 use curlewcleat_store::{ConfigRead, Error, FleetPlatform};
@@ -103,7 +104,7 @@
             if !std::mem::take(&mut first) && !until_own_read(&mut role).await {
                 continue;
             }
-            let sent = Instant::now();
+            let sent = Moment::now();
             self.context.metrics.platform_call("read_config");
             let read = self.platform.read_config(known);
             // A new daemon serves from its first configuration on, and knows by then what it has to refuse.
@@ -159,7 +160,7 @@
         pause.wait_until(limit, changed).await;
     }
 
-    fn proved(&self, sent: Instant) {
+    fn proved(&self, sent: Moment) {
         if self.link.freshness.is_failing() {
             info!("platform_regained", kv: { call = "read_config" });
         }
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{PeerFrame, PeerMessage, RequestId, SuspectReport};
 use curlewcleat_node::{CallerDecision, LifeNews, Node, NodeAction, NodeEvent, NodeNote};
 use curlewcleat_peers::PeerTransport;
@@ -20,6 +21,12 @@
 /// Time before the stop limit at which requests in progress are noted: enough for a log line to leave.
 /// Chosen, not measured.
 const STOP_NOTICE: Duration = Duration::from_millis(500);
+/// Time without an event after which a tick goes before whatever has come: what the node believes of roles, permits and
+/// its configuration may have ended meanwhile. Chosen: some ticks, shorter than any time-out of the node.
+const PAUSED_AFTER: Duration = Duration::from_millis(200);
+/// Time by which the two clocks have to come apart to count as a suspension. Chosen, not measured: more than between
+/// two readings.
+const SUSPENDED_LEAST: Duration = Duration::from_millis(50);
 /// Messages taken before the clock is looked at again. Chosen, not measured.
 const BATCH: usize = 256;
 
@@ -34,7 +41,9 @@
     /// Frames by address; those of one batch go out as one, but for messages that stand alone.
     outgoing: BTreeMap<String, Vec<PeerFrame>>,
     /// When to note the requests that keep a planned stop from its end; `None` while there is no stop.
-    stop_notice: Option<Instant>,
+    stop_notice: Option<Moment>,
+    /// When the latest event came, by both clocks.
+    latest: (Moment, Instant),
     ended: bool,
 }
 
@@ -54,6 +63,7 @@
             callers: BTreeMap::new(),
             outgoing: BTreeMap::new(),
             stop_notice: None,
+            latest: (Moment::now(), Instant::now()),
             ended: false,
         }
     }
@@ -114,6 +124,21 @@
     }
 
     fn event(&mut self, event: NodeEvent) {
+        let (moment, instant) = (Moment::now(), Instant::now());
+        let (before, before_instant) = std::mem::replace(&mut self.latest, (moment, instant));
+        let paused = moment.saturating_duration_since(before);
+        let suspended = paused.saturating_sub(instant - before_instant);
+        if suspended >= SUSPENDED_LEAST {
+            warn!("suspended", kv: { time_ms = suspended.as_millis() as i64 });
+            self.context.note_suspended(suspended);
+        }
+        if paused >= PAUSED_AFTER && !matches!(event, NodeEvent::Tick) {
+            self.handle(NodeEvent::Tick);
+        }
+        self.handle(event);
+    }
+
+    fn handle(&mut self, event: NodeEvent) {
         let actions = self.node.handle(self.context.uptime(), self.context.wall(), event);
         for action in actions {
             self.perform(action);
@@ -134,7 +159,7 @@
                 if note == NodeNote::DrainBegun {
                     self.context.set_draining();
                     let limit = self.context.bounds().stop_limit;
-                    self.stop_notice = Some(Instant::now() + limit.saturating_sub(STOP_NOTICE));
+                    self.stop_notice = Some(Moment::now() + limit.saturating_sub(STOP_NOTICE));
                 }
                 if let NodeNote::TargetEnded(..) = &note {
                     self.context.metrics.target_ended();
@@ -148,7 +173,7 @@
     /// Whoever stops the daemon kills it at the stop limit, and what is in progress then is cut without a
     /// line of its own.
     fn note_unfinished_stop(&mut self) {
-        if self.stop_notice.is_some_and(|notice| Instant::now() >= notice) {
+        if self.stop_notice.is_some_and(|notice| Moment::now() >= notice) {
             self.stop_notice = None;
             warn!("stop_unfinished", kv: { requests = self.callers.len() });
         }
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -30,11 +30,11 @@
 mod target_wait;
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, Method, Request, Response, Uri};
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{Refusal, RefusalReason, RequestDigest, RequestId, RequestIdentity};
 use tokio::sync::oneshot;
 
@@ -89,7 +89,7 @@
     fn admit(
         &self,
         id: RequestId,
-        arrived: Instant,
+        arrived: Moment,
         request: &Request,
     ) -> Result<AdmittedRequest, Refusal> {
         let config = self.context.config();
@@ -103,7 +103,7 @@
     /// Serves one request.
     pub async fn serve(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
         let id = RequestId::now_v7();
-        let arrived = Instant::now();
+        let arrived = Moment::now();
         let mut admitted = match self.admit(id, arrived, &request) {
             Ok(admitted) => admitted,
             Err(refusal) => {
--- a/crates/daemon/src/request/admitted.rs
+++ b/crates/daemon/src/request/admitted.rs
@@ -3,8 +3,9 @@
 //! Owns: what a protocol read out of the request's head and the configuration. Relies on: nothing that
 //! changes later; a newer configuration does not touch an admitted request.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     AccountId, AdmissionRule, LatencyObjectives, RequestDigest, RequestId, TargetPool, TierId,
     TierRank, WorkMicros,
@@ -29,9 +30,9 @@
     /// The caller's own name of this attempt, empty where the protocol has none.
     pub attempt_id: String,
     /// When its head had arrived.
-    pub arrived: Instant,
+    pub arrived: Moment,
     /// When its caller stops waiting.
-    pub deadline: Instant,
+    pub deadline: Moment,
     /// Account that pays, `None` where its rule or the configuration needs none.
     pub account: Option<AccountId>,
     /// Rule that took it.
@@ -79,6 +80,6 @@
 
     /// Time until the deadline, zero once it has passed.
     pub fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.time_left()
     }
 }
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -5,8 +5,7 @@
 //!
 //! [`CallerProtocol`]: super::CallerProtocol
 
-use std::time::Instant;
-
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{RefusalReason, RetryReason, TargetEntry};
 use curlewcleat_targets::{Error, PooledConnection, TargetAnswer};
 use spdlog::prelude::*;
@@ -49,8 +48,8 @@
     let head = protocol.target_head(&attempt);
     let options = protocol.exchange_options(request);
     let exchange = connection.exchange_with(head, attempt.caller.body.sending(), &options);
-    let head_by = head_limit(protocol, request, Instant::now() + limits.head);
-    let limit = head_by.saturating_duration_since(Instant::now());
+    let head_by = head_limit(protocol, request, Moment::now() + limits.head);
+    let limit = head_by.saturating_duration_since(Moment::now());
     let mut answer = match wait.wait(limit, exchange).await {
         WaitEnd::Came(Ok(answer)) => answer,
         WaitEnd::Came(Err(error)) => return exchange_failed(attempt.target, &error),
@@ -73,11 +72,7 @@
 /// Until when the head of the answer is waited for. Where a request is cut at its deadline, the wait
 /// ends no later: at the same instant this limit is looked at first, so that a target that says nothing
 /// is always the reason, however long it took to connect.
-fn head_limit(
-    protocol: &dyn CallerProtocol,
-    request: &AdmittedRequest,
-    head_by: Instant,
-) -> Instant {
+fn head_limit(protocol: &dyn CallerProtocol, request: &AdmittedRequest, head_by: Moment) -> Moment {
     match protocol.options().cuts_at_deadline {
         true => head_by.min(request.deadline),
         false => head_by,
--- a/crates/daemon/src/request/own.rs
+++ b/crates/daemon/src/request/own.rs
@@ -7,11 +7,12 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Request, RequestHead, ResponseHead, StatusCode};
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     hash_token, ActiveConfig, LatencyObjectives, PoolId, Refusal, RefusalReason, RequestId,
     TargetPool,
@@ -57,7 +58,7 @@
         &self,
         config: &ActiveConfig,
         id: RequestId,
-        arrived: Instant,
+        arrived: Moment,
         request: &Request,
     ) -> Result<AdmittedRequest, Refusal> {
         let not_run = |reason| Refusal::not_run(reason, None);
--- a/crates/daemon/src/request/pass_on.rs
+++ b/crates/daemon/src/request/pass_on.rs
@@ -3,9 +3,10 @@
 //! Owns: the choice between passing parts on as they come and holding an answer until it is whole, and
 //! what a break in it means. Relies on: [`AnswerForm`](super::form::AnswerForm) for the position.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{AttemptEnd, RefusalReason, RetryReason, TargetEntry, Verdict};
 use curlewcleat_targets::{collect, AnswerBody, TargetAnswer};
 use futures_util::StreamExt;
@@ -39,7 +40,7 @@
         &mut self,
         answer: TargetAnswer,
         target: &TargetEntry,
-        sent: Instant,
+        sent: Moment,
     ) -> AttemptVerdict {
         match self.protocol().holds_answer(&self.request, answer.head.status) {
             true => self.pass_whole(answer, target, sent).await,
@@ -53,7 +54,7 @@
         &mut self,
         answer: TargetAnswer,
         target: &TargetEntry,
-        sent: Instant,
+        sent: Moment,
     ) -> AttemptVerdict {
         let TargetAnswer { head, body } = answer;
         let bytes = match collect(body, WHOLE_LIMIT).await {
@@ -83,7 +84,7 @@
         &mut self,
         answer: TargetAnswer,
         target: &TargetEntry,
-        sent: Instant,
+        sent: Moment,
     ) -> AttemptVerdict {
         let TargetAnswer { head, mut body } = answer;
         self.begin_parts(&head);
@@ -146,7 +147,7 @@
     }
 
     /// Passes on what the form has held back, and ends the answer.
-    async fn finish_parts(&mut self, sent: Instant) -> AttemptVerdict {
+    async fn finish_parts(&mut self, sent: Moment) -> AttemptVerdict {
         let rest = self.form.rest();
         if !rest.is_empty() && !self.pass(rest).await {
             return AttemptVerdict::Stalled;
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -13,11 +13,12 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Request, RequestHead, ResponseHead, StatusCode};
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{ActiveConfig, Refusal, RefusalReason, RequestId, TargetPool, Verdict};
 use curlewcleat_store::WireProfile;
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
@@ -122,7 +123,7 @@
         &self,
         config: &ActiveConfig,
         id: RequestId,
-        arrived: Instant,
+        arrived: Moment,
         request: &Request,
     ) -> Result<AdmittedRequest, Refusal> {
         self.admit_request(config, id, arrived, request)
@@ -137,6 +138,10 @@
     fn estimate(&self, _: &mut AdmittedRequest, _: &RequestBody) {}
 
     fn check_sendable(&self, request: &AdmittedRequest) -> Result<(), RefusalReason> {
+        // The machine may have been suspended since the permit was granted.
+        if request.time_left().is_zero() {
+            return Err(RefusalReason::DeadlinePassed);
+        }
         match request.account.is_some() && !self.is_config_fresh() {
             true => Err(RefusalReason::ConfigurationStale),
             false => Ok(()),
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -9,10 +9,11 @@
 //! Owns: nothing. Relies on: the configuration in force, `ConfigFreshness` for its age.
 
 use std::num::ParseFloatError;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::header::{self, HeaderMap};
 use actix_http::{HttpMessage, Request};
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     hash_token, ActiveConfig, AdmissionRule, ClientAccount, Refusal, RefusalReason, RequestId,
 };
@@ -34,7 +35,7 @@
         &self,
         config: &ActiveConfig,
         id: RequestId,
-        arrived: Instant,
+        arrived: Moment,
         request: &Request,
     ) -> Result<AdmittedRequest, Refusal> {
         let head = request.headers();
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -2,8 +2,9 @@
 //!
 //! Owns: times of the attempts and parts of one request.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{AttemptEnd, StreamTiming, TargetId};
 
 /// What was seen of a request.
@@ -14,23 +15,23 @@
     /// Target of the latest attempt.
     pub target: Option<TargetId>,
     /// When the latest attempt was sent.
-    pub sent: Option<Instant>,
+    pub sent: Option<Moment>,
     /// When the first part of the answer came.
-    pub first: Option<Instant>,
+    pub first: Option<Moment>,
     /// Longest time between two parts.
     pub longest_pause: Duration,
     /// Parts passed on.
     pub parts: u64,
     /// Bytes passed on.
     pub bytes: u64,
-    latest: Option<Instant>,
+    latest: Option<Moment>,
     attempt: AttemptProgress,
 }
 
 /// What was seen of the latest attempt.
 #[derive(Default)]
 struct AttemptProgress {
-    first: Option<Instant>,
+    first: Option<Moment>,
     parts: u32,
     pause: Duration,
 }
@@ -40,15 +41,15 @@
     pub fn note_sent(&mut self, target: &TargetId) {
         self.attempts += 1;
         self.target = Some(target.clone());
-        self.sent = Some(Instant::now());
+        self.sent = Some(Moment::now());
         self.attempt = AttemptProgress::default();
     }
 
     /// A part of the answer is passed on.
     pub fn note_part(&mut self, bytes: usize) {
-        let now = Instant::now();
+        let now = Moment::now();
         if let Some(latest) = self.latest {
-            let pause = now - latest;
+            let pause = now.saturating_duration_since(latest);
             self.longest_pause = self.longest_pause.max(pause);
             if self.attempt.parts > 0 {
                 self.attempt.pause = self.attempt.pause.max(pause);
@@ -74,14 +75,14 @@
     }
 
     /// What the target's scheduler learns of the latest attempt, which was sent then and is whole.
-    pub fn stream_end(&self, sent: Instant) -> AttemptEnd {
+    pub fn stream_end(&self, sent: Moment) -> AttemptEnd {
         let attempt = &self.attempt;
         let (Some(first), Some(latest)) = (attempt.first, self.latest) else {
             return AttemptEnd::Whole(sent.elapsed());
         };
         AttemptEnd::Streamed(StreamTiming {
-            first: first.duration_since(sent),
-            rest: latest.duration_since(first),
+            first: first.saturating_duration_since(sent),
+            rest: latest.saturating_duration_since(first),
             parts: attempt.parts,
             pause: attempt.pause,
         })
--- a/crates/daemon/src/request/protocol.rs
+++ b/crates/daemon/src/request/protocol.rs
@@ -3,10 +3,11 @@
 //! Owns: the border towards protocols. Each difference is one method or one field of
 //! [`ProtocolOptions`]; docs/DESIGN.md says why it is kept.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use actix_http::{Request, RequestHead, ResponseHead, StatusCode};
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{ActiveConfig, Refusal, RefusalReason, RequestId, TargetEntry, TargetPool};
 use curlewcleat_targets::{ConnectionPool, ExchangeOptions, TargetAnswer};
 
@@ -73,7 +74,7 @@
         &self,
         config: &ActiveConfig,
         id: RequestId,
-        arrived: Instant,
+        arrived: Moment,
         request: &Request,
     ) -> Result<AdmittedRequest, Refusal>;
 
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -105,8 +105,15 @@
         if !self.protocol().options().cuts_at_deadline {
             return self.follow().await;
         }
-        let deadline = tokio::time::Instant::from_std(self.request.deadline);
-        if tokio::time::timeout_at(deadline, self.follow()).await.is_err() {
+        let context = self.service.context.clone();
+        let deadline = context.until(self.request.deadline);
+        let passed = tokio::select! {
+            // At the same moment the limits within go first: they name the reason.
+            biased;
+            () = self.follow() => false,
+            () = deadline => true,
+        };
+        if passed {
             let end = self.end_at_deadline();
             self.end(end);
             self.refuse(RefusalReason::DeadlinePassed);
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -2,8 +2,7 @@
 //!
 //! Owns: nothing; these are methods of [`RequestRun`]. Relies on: [`send`] for what may have been written.
 
-use std::time::Instant;
-
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{AttemptEnd, RefusalReason, RetryReason, TargetEntry, Verdict};
 use curlewcleat_targets::PooledConnection;
 
@@ -26,7 +25,7 @@
         let waited = self.request.arrived.elapsed().as_secs_f64();
         let metrics = &self.service.context.metrics;
         metrics.waited(waited, &self.request.tier, &self.request.pool.id);
-        let sent = Instant::now();
+        let sent = Moment::now();
         self.progress.note_sent(&target.id);
         // Whatever ends the wait from here on, the request may have run until its target says
         // otherwise.
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -3,8 +3,7 @@
 //! Owns: the lines `request_served`, `attempt_failed`, `answer_cut`, `request_refused`. Relies on: the run's
 //! progress.
 
-use std::time::Instant;
-
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{Refusal, RefusalReason, RequestId, TargetEntry, TargetId};
 use spdlog::prelude::*;
 
@@ -16,8 +15,10 @@
 impl RequestRun {
     pub(super) fn log_served(&self, target: &TargetEntry) {
         let (request, progress) = (&self.request, &self.progress);
-        let since = |then: Option<Instant>| {
-            then.map_or(-1, |then| then.duration_since(request.arrived).as_millis() as i64)
+        let since = |then: Option<Moment>| {
+            then.map_or(-1, |then| {
+                then.saturating_duration_since(request.arrived).as_millis() as i64
+            })
         };
         // A public rule asks for no account.
         let account = request.account.as_deref().unwrap_or_default();
--- a/crates/peers/src/hearing.rs
+++ b/crates/peers/src/hearing.rs
@@ -14,17 +14,18 @@
 //! Owns: [`PeerHearing`]. Relies on: heartbeats, which name the address of their sender.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{PeerFrame, PeerMessage, VmId};
 
 /// What was heard of the peer at an address, on connections of type `C`.
 #[derive(Debug)]
 struct HeardPeer<C> {
-    last: Instant,
+    last: Moment,
     connection: C,
     /// First frame on this connection, where there was one before.
-    anew: Option<Instant>,
+    anew: Option<Moment>,
 }
 
 /// What was heard of each peer.
@@ -43,7 +44,7 @@
     }
 
     /// Notes a frame that came on a connection.
-    pub fn note(&mut self, now: Instant, frame: &PeerFrame, connection: C) {
+    pub fn note(&mut self, now: Moment, frame: &PeerFrame, connection: C) {
         let named = frame.messages.iter().find_map(|message| match message {
             PeerMessage::Heartbeat(beat) => Some(&beat.address),
             _ => None,
@@ -61,12 +62,12 @@
     }
 
     /// Whether the connection to an address that was dialed then is to be dialed anew.
-    pub fn is_dead(&self, now: Instant, address: &str, dialed: Instant) -> bool {
+    pub fn is_dead(&self, now: Moment, address: &str, dialed: Moment) -> bool {
         let Some(peer) = self.heard.get(address) else {
             return now.saturating_duration_since(dialed) >= self.limit;
         };
         let unheard = now.saturating_duration_since(peer.last.max(dialed)) >= self.limit;
-        let dialed_anew = |anew: Instant| anew.saturating_duration_since(dialed) >= self.limit;
+        let dialed_anew = |anew: Moment| anew.saturating_duration_since(dialed) >= self.limit;
         unheard || peer.anew.is_some_and(dialed_anew)
     }
 
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -5,8 +5,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use curlewcleat_clock::Moment;
 use curlewcleat_core::PeerFrame;
 use nng::options::protocol::pubsub::Subscribe;
 use nng::options::{Options, RecvBufferSize, RecvMaxSize, SendBufferSize};
@@ -72,14 +73,14 @@
 /// The socket on which a peer is sent frames.
 struct PeerSocket {
     socket: Socket,
-    dialed: Instant,
+    dialed: Moment,
     /// The one before, for as long as the present one is being connected.
     earlier: Option<Socket>,
 }
 
 impl PeerSocket {
     fn dial(address: &str, earlier: Option<Socket>) -> Result<PeerSocket, nng::Error> {
-        Ok(PeerSocket { socket: dial(address)?, dialed: Instant::now(), earlier })
+        Ok(PeerSocket { socket: dial(address)?, dialed: Moment::now(), earlier })
     }
 
     fn send(&mut self, bytes: &[u8]) -> bool {
@@ -134,7 +135,7 @@
     fn socket(&mut self, address: &str) -> Option<&mut PeerSocket> {
         let dialed = self.peers.get(address).map(|peer| peer.dialed);
         let dead = dialed
-            .is_some_and(|dialed| heard(&self.hearing).is_dead(Instant::now(), address, dialed));
+            .is_some_and(|dialed| heard(&self.hearing).is_dead(Moment::now(), address, dialed));
         if dead || dialed.is_none() {
             self.dial(address);
         }
@@ -236,7 +237,7 @@
                 self.counts.unreadable.fetch_add(1, Ordering::Relaxed);
                 continue;
             };
-            heard(&self.hearing).note(Instant::now(), &frame, message.pipe());
+            heard(&self.hearing).note(Moment::now(), &frame, message.pipe());
             if self.frames.send(frame).is_err() {
                 return;
             }
--- a/crates/peers/tests/hearing.rs
+++ b/crates/peers/tests/hearing.rs
@@ -4,8 +4,9 @@
 //! them, `curlewcleat_peer` frames were counted as sent, and no daemon heard another again, since nothing dials
 //! while a connection looks open.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{DaemonId, Heartbeat, PeerFrame, PeerMessage, StatePull};
 use curlewcleat_peers::PeerHearing;
 
@@ -35,7 +36,7 @@
 
 #[test]
 fn peer_that_says_nothing_is_dialed_anew_after_the_limit() {
-    let start = Instant::now();
+    let start = Moment::now();
     let mut hearing = PeerHearing::new(LIMIT);
     assert!(!hearing.is_dead(start + LIMIT / 2, PEER, start));
     assert!(hearing.is_dead(start + LIMIT, PEER, start), "never heard of");
@@ -48,7 +49,7 @@
 
 #[test]
 fn every_frame_of_a_known_peer_counts() {
-    let start = Instant::now();
+    let start = Moment::now();
     let mut hearing = PeerHearing::new(LIMIT);
     let pull = PeerMessage::StatePull(StatePull { generation: 1, table: 0 });
     hearing.note(start, &frame(pull.clone()), 1);
@@ -61,7 +62,7 @@
 /// The peer hears nothing of this daemon, while its own frames arrive.
 #[test]
 fn peer_that_dials_anew_is_dialed_anew_once() {
-    let start = Instant::now();
+    let start = Moment::now();
     let mut hearing = PeerHearing::new(LIMIT);
     hearing.note(start, &heartbeat(), 1);
     let again = start + LIMIT + BEAT;
@@ -75,7 +76,7 @@
 /// Both dial anew, a heartbeat apart; were each new connection answered by another one, they would never end.
 #[test]
 fn two_daemons_that_lost_each_other_dial_once() {
-    let start = Instant::now();
+    let start = Moment::now();
     let mut hearing = PeerHearing::new(LIMIT);
     hearing.note(start, &heartbeat(), 1);
     let dialed = start + LIMIT;
@@ -89,7 +90,7 @@
 
 #[test]
 fn addresses_that_are_not_kept_are_forgotten() {
-    let start = Instant::now();
+    let start = Moment::now();
     let mut hearing = PeerHearing::new(LIMIT);
     hearing.note(start + LIMIT, &heartbeat(), 1);
     hearing.keep_only(&[].into());
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -34,6 +34,16 @@
     pub settings: PathBuf,
 }
 
+/// Where a daemon is reached, and its settings.
+pub struct DaemonPlace {
+    /// Where callers reach it.
+    pub callers: String,
+    /// Where operators and the balancer reach it.
+    pub operators: String,
+    /// Its settings file.
+    pub settings: PathBuf,
+}
+
 /// Store, engines and daemons.
 pub struct FleetDeployment {
     /// The store.
@@ -144,19 +154,9 @@
     pub async fn daemons(&mut self, count: usize, bounds: &str) -> Result<()> {
         let peers: Vec<String> = (0..count).map(|_| free_address()).collect::<Result<_>>()?;
         for (index, peer) in peers.iter().enumerate() {
-            let (callers, operators) = (free_address()?, free_address()?);
-            let text = format!(
-                "[vm]\nname = vm-{index}\ndata_centre = here\n\
-                 [callers]\naddress = {callers}\ndrain_grace = 200ms\n\
-                 [operators]\naddress = {operators}\n\
-                 [peers]\naddress = {peer}\nseeds = {}\nask_limit = 100ms\n\
-                 [platform]\nkind = fleet\naddress = {}\ncall_limit = 500ms\n\
-                 [bounds]\nconfig_apply_limit = 400ms\n{bounds}\n",
-                peers[0], self.store_address
-            );
-            let settings = self.folder.join(format!("vm-{index}.ini"));
-            std::fs::write(&settings, text)?;
-            let process = self.spawn(&format!("vm-{index}"), &callers, &settings)?;
+            let place = self.write_settings(index, peer, &peers[0], bounds)?;
+            let process = self.spawn(&format!("vm-{index}"), &place.callers, &place.settings)?;
+            let DaemonPlace { callers, operators, settings } = place;
             self.daemons.push(FleetDaemon { process, callers, operators, settings });
         }
         for daemon in &self.daemons {
@@ -165,6 +165,29 @@
         Ok(())
     }
 
+    /// Writes the settings of a daemon, whose first peer is at `seed`.
+    pub fn write_settings(
+        &self,
+        index: usize,
+        peer: &str,
+        seed: &str,
+        bounds: &str,
+    ) -> Result<DaemonPlace> {
+        let (callers, operators) = (free_address()?, free_address()?);
+        let text = format!(
+            "[vm]\nname = vm-{index}\ndata_centre = here\n\
+                 [callers]\naddress = {callers}\ndrain_grace = 200ms\n\
+                 [operators]\naddress = {operators}\n\
+                 [peers]\naddress = {peer}\nseeds = {}\nask_limit = 100ms\n\
+                 [platform]\nkind = fleet\naddress = {}\ncall_limit = 500ms\n\
+                 [bounds]\nconfig_apply_limit = 400ms\n{bounds}\n",
+            seed, self.store_address
+        );
+        let settings = self.folder.join(format!("vm-{index}.ini"));
+        std::fs::write(&settings, text)?;
+        Ok(DaemonPlace { callers, operators, settings })
+    }
+
     /// Runs the operators' tool against the daemons; gives its exit code and output.
     pub fn tool(&self, arguments: &[&str]) -> Result<(i32, String)> {
         let daemons: Vec<&str> =
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -9,8 +9,9 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use curlewcleat_clock::Moment;
 use curlewcleat_core::{TargetEntry, TargetLife};
 use tokio::net::TcpStream;
 
@@ -50,7 +51,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     stream: TcpStream,
-    since: Instant,
+    since: Moment,
     limit: Duration,
 }
 
@@ -122,7 +123,7 @@
     }
 
     /// Closes the idle connections that were used last before then.
-    pub(crate) fn discard_rested(&self, end: &ConnectionEnd, before: Instant) {
+    pub(crate) fn discard_rested(&self, end: &ConnectionEnd, before: Moment) {
         if let Some(connections) = self.idle.borrow_mut().get_mut(end) {
             connections.retain(|connection| connection.since >= before);
         }
@@ -144,7 +145,7 @@
             connections.remove(0);
         }
         let limit = limit.unwrap_or(self.options.idle_limit).min(self.options.idle_limit);
-        connections.push(IdleConnection { stream, since: Instant::now(), limit });
+        connections.push(IdleConnection { stream, since: Moment::now(), limit });
     }
 }
 
--- a/crates/targets/src/stall.rs
+++ b/crates/targets/src/stall.rs
@@ -6,7 +6,9 @@
 //!
 //! Owns: [`StallGuard`]. Relies on: whoever waits gives up by dropping the exchange or the answer.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use curlewcleat_clock::Moment;
 
 use crate::pool::{ConnectionEnd, ConnectionPool};
 
@@ -22,7 +24,7 @@
     pool: ConnectionPool,
     end: ConnectionEnd,
     /// The target's last sign, or the beginning.
-    heard: Instant,
+    heard: Moment,
     waiting: bool,
 }
 
@@ -30,12 +32,12 @@
     /// An exchange begins.
     pub(crate) fn begin(pool: &ConnectionPool, end: &ConnectionEnd) -> StallGuard {
         let (pool, end) = (pool.clone(), end.clone());
-        StallGuard { pool, end, heard: Instant::now(), waiting: true }
+        StallGuard { pool, end, heard: Moment::now(), waiting: true }
     }
 
     /// Bytes have come.
     pub(crate) fn note_sign(&mut self) {
-        self.heard = Instant::now();
+        self.heard = Moment::now();
     }
 
     /// Nothing is awaited any more: the answer is whole, or the connection has ended visibly.
