A peer's silence counts only where it owes an answer

Hypothesis: in a large fleet most pairs are silent by design, and whoever sends to such a peer dialed it anew each half of suspect_after; it dialed back. Change: a connection is dialed anew where a message that is always answered, or a due heartbeat, has waited for the limit, or where the peer has dialed anew itself.

--- a/crates/peers/src/hearing.rs
+++ b/crates/peers/src/hearing.rs
@@ -11,6 +11,8 @@
 //! once dial within a heartbeat of each other, which is shorter than the limit, so neither answers the
 //! other's dialing by its own.
 //!
+//! Where nothing is owed by the peer ([`owed`](crate::OwedAnswers)), silence says nothing.
+//!
 //! Owns: [`PeerHearing`]. Relies on: heartbeats, which name the address of their sender.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -67,8 +69,32 @@
             return now.saturating_duration_since(dialed) >= self.limit;
         };
         let unheard = now.saturating_duration_since(peer.last.max(dialed)) >= self.limit;
-        let dialed_anew = |anew: Moment| anew.saturating_duration_since(dialed) >= self.limit;
-        unheard || peer.anew.is_some_and(dialed_anew)
+        unheard || self.has_dialed_anew(address, dialed)
+    }
+
+    /// When a frame of the peer at an address came last.
+    pub fn last(&self, address: &str) -> Option<Moment> {
+        self.heard.get(address).map(|peer| peer.last)
+    }
+
+    /// As [`is_dead`](PeerHearing::is_dead) where the peer owes an answer since then: before that its silence says
+    /// nothing.
+    pub fn is_dead_owing(
+        &self,
+        now: Moment,
+        address: &str,
+        dialed: Moment,
+        owed: Option<Moment>,
+    ) -> bool {
+        let overdue =
+            owed.is_some_and(|owed| now.saturating_duration_since(owed.max(dialed)) >= self.limit);
+        overdue && self.is_dead(now, address, dialed) || self.has_dialed_anew(address, dialed)
+    }
+
+    /// Whether the peer has dialed anew, which tells that it heard nothing on a connection dialed then.
+    fn has_dialed_anew(&self, address: &str, dialed: Moment) -> bool {
+        let anew = self.heard.get(address).and_then(|peer| peer.anew);
+        anew.is_some_and(|anew| anew.saturating_duration_since(dialed) >= self.limit)
     }
 
     /// Forgets all addresses but these.
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod codec;
 mod hearing;
+mod owed;
 mod transport;
 
 pub use codec::{decode_frame, encode_frame, Error, Result, FRAME_LIMIT};
 pub use hearing::PeerHearing;
+pub use owed::OwedAnswers;
 pub use transport::{NngTransport, PeerTransport, TransportCounts};
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -18,6 +18,7 @@
 
 use crate::codec::{decode_frame, encode_frame, FRAME_LIMIT};
 use crate::hearing::PeerHearing;
+use crate::owed::OwedAnswers;
 
 /// Frames that wait for a peer before the oldest are dropped.
 const SEND_QUEUE: i32 = 1_024;
@@ -54,6 +55,8 @@
     pub received_bytes: AtomicU64,
     /// Frames received that do not decode.
     pub unreadable: AtomicU64,
+    /// Peers that were dialed anew.
+    pub dialed_anew: AtomicU64,
 }
 
 /// Frames over nng's publish and subscribe sockets, one publisher for each peer.
@@ -64,6 +67,7 @@
     listener: Socket,
     peers: BTreeMap<String, PeerSocket>,
     hearing: SharedHearing,
+    owed: OwedAnswers,
     counts: Arc<TransportCounts>,
 }
 
@@ -129,13 +133,25 @@
             .name("peer-frames".to_string())
             .spawn(move || receiver.run())
             .map_err(|_| nng::Error::OutOfMemory)?;
-        Ok(NngTransport { listener, peers: BTreeMap::new(), hearing, counts })
+        Ok(NngTransport {
+            listener,
+            peers: BTreeMap::new(),
+            hearing,
+            owed: OwedAnswers::default(),
+            counts,
+        })
     }
 
-    fn socket(&mut self, address: &str) -> Option<&mut PeerSocket> {
+    /// The socket for a frame to an address.
+    fn socket(&mut self, address: &str, frame: &PeerFrame) -> Option<&mut PeerSocket> {
         let dialed = self.peers.get(address).map(|peer| peer.dialed);
-        let dead = dialed
-            .is_some_and(|dialed| heard(&self.hearing).is_dead(Moment::now(), address, dialed));
+        let dead = {
+            let hearing = heard(&self.hearing);
+            let (now, last) = (Moment::now(), hearing.last(address));
+            self.owed.sent(now, address, last, frame);
+            let owed = self.owed.since(address, last);
+            dialed.is_some_and(|dialed| hearing.is_dead_owing(now, address, dialed, owed))
+        };
         if dead || dialed.is_none() {
             self.dial(address);
         }
@@ -153,6 +169,7 @@
         match PeerSocket::dial(address, present) {
             Ok(peer) => {
                 if again {
+                    self.counts.dialed_anew.fetch_add(1, Ordering::Relaxed);
                     debug!("peer_dialed_anew", kv: { address });
                 }
                 self.peers.insert(address.to_string(), peer);
@@ -173,7 +190,7 @@
             }
         };
         let length = bytes.len() as u64;
-        let sent = self.socket(address).is_some_and(|peer| peer.send(&bytes));
+        let sent = self.socket(address, frame).is_some_and(|peer| peer.send(&bytes));
         if sent {
             self.counts.sent.fetch_add(1, Ordering::Relaxed);
             self.counts.sent_bytes.fetch_add(length, Ordering::Relaxed);
@@ -191,6 +208,7 @@
             keep
         });
         heard(&self.hearing).keep_only(addresses);
+        self.owed.keep_only(addresses);
     }
 
     fn close(self: Box<Self>) {
