--- a/crates/acceptance/src/lib.rs
+++ b/crates/acceptance/src/lib.rs
@@ -1,7 +1,11 @@
 //! What the tests of real processes share: a small configuration and a fleet that has it in force.
 
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead};
 use anyhow::Result;
 use curlewcleat_core::hash_token;
+use curlewcleat_platform::example::{DRIVERS_KEY, HOST};
+use curlewcleat_platform::names::WIRE_PROFILE;
 use curlewcleat_standins::deployment::Deployment;
 
 /// Token of the account `drivers`.
@@ -63,3 +67,24 @@
     fleet.key_table_ready().await?;
     Ok(fleet)
 }
+
+/// Head of a request to a daemon of a fleet, with the key of the account `drivers` and three seconds left.
+///
+/// # Errors
+/// Where the path or the name of the try is no header text.
+pub fn fleet_head(path: &str, attempt: &str) -> Result<RequestHead> {
+    let mut head = RequestHead::default();
+    head.method = Method::POST;
+    head.uri = path.parse()?;
+    let key = format!("Bearer {DRIVERS_KEY}");
+    let headers = [
+        ("host", HOST),
+        ("authorization", key.as_str()),
+        (WIRE_PROFILE.attempt_id, attempt),
+        (WIRE_PROFILE.time_left, "3000"),
+    ];
+    for (name, value) in headers {
+        head.headers.insert(HeaderName::from_static(name), HeaderValue::from_str(value)?);
+    }
+    Ok(head)
+}
--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -364,7 +364,7 @@
         digest: RequestDigest::new([7; 32]),
         breaks: vec![
             told("e-1", BreakKind::Closed, false, true),
-            told("e-2", BreakKind::Silent, true, false),
+            told("e-2", BreakKind::Stalled, true, false),
         ],
         cleared: vec![life("e-3")],
         stored: true,
--- a/crates/acceptance/tests/lethal_requests.rs
+++ b/crates/acceptance/tests/lethal_requests.rs
@@ -14,12 +14,10 @@
 
 use std::time::Duration;
 
-use actix_http::header::{self, HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead};
+use actix_http::header;
 use anyhow::Result;
 use bytes::Bytes;
-use curlewcleat_platform::example::{DRIVERS_KEY, HOST};
-use curlewcleat_platform::names::WIRE_PROFILE;
+use curlewcleat_acceptance::fleet_head;
 use curlewcleat_standins::deployment::{get_text, wait_until};
 use curlewcleat_standins::fleet::FleetDeployment;
 use curlewcleat_targets::{collect, ConnectionPool};
@@ -45,19 +43,7 @@
 }
 
 async fn call(entry: &str, path: &str, attempt: &str, body: &'static [u8]) -> Result<CallerResult> {
-    let mut head = RequestHead::default();
-    head.method = Method::POST;
-    head.uri = path.parse()?;
-    let key = format!("Bearer {DRIVERS_KEY}");
-    let headers = [
-        ("host", HOST),
-        ("authorization", key.as_str()),
-        (WIRE_PROFILE.attempt_id, attempt),
-        (WIRE_PROFILE.time_left, "3000"),
-    ];
-    for (name, value) in headers {
-        head.headers.insert(HeaderName::from_static(name), HeaderValue::from_str(value)?);
-    }
+    let head = fleet_head(path, attempt)?;
     let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
     let answer = connection.exchange(head, Bytes::from_static(body)).await?;
     let status = answer.head.status.as_u16();
--- a/crates/acceptance/tests/suspended.rs
+++ b/crates/acceptance/tests/suspended.rs
@@ -8,14 +8,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead};
 use anyhow::Result;
 use bytes::Bytes;
+use curlewcleat_acceptance::fleet_head;
 use curlewcleat_clock::{install, AgeClock, BootClock};
 use curlewcleat_config::check_settings;
-use curlewcleat_platform::example::{DRIVERS_KEY, HOST};
-use curlewcleat_platform::names::WIRE_PROFILE;
 use curlewcleat_platform::FleetClient;
 use curlewcleat_standins::address::free_address;
 use curlewcleat_standins::deployment::wait_until;
@@ -44,19 +41,7 @@
 
 /// Status and problem reason or body.
 async fn call(entry: &str, path: &str, attempt: &str) -> Result<(u16, String)> {
-    let mut head = RequestHead::default();
-    head.method = Method::POST;
-    head.uri = path.parse()?;
-    let key = format!("Bearer {DRIVERS_KEY}");
-    let headers = [
-        ("host", HOST),
-        ("authorization", key.as_str()),
-        (WIRE_PROFILE.attempt_id, attempt),
-        (WIRE_PROFILE.time_left, "3000"),
-    ];
-    for (name, value) in headers {
-        head.headers.insert(HeaderName::from_static(name), HeaderValue::from_str(value)?);
-    }
+    let head = fleet_head(path, attempt)?;
     // A connection of its own, on which nothing rests.
     let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
     let answer = connection.exchange(head, Bytes::from_static(b"b")).await?;
--- a/crates/core/src/message/lethal.rs
+++ b/crates/core/src/message/lethal.rs
@@ -16,7 +16,7 @@
     /// The target ended the connection.
     Closed,
     /// The target said nothing for too long.
-    Silent,
+    Stalled,
 }
 
 /// A request broke off at a life of a target.
--- a/crates/core/src/request_digest.rs
+++ b/crates/core/src/request_digest.rs
@@ -13,7 +13,7 @@
 
 use crate::TokenHash;
 
-/// Bytes of a digest: all of SHA-256.
+/// Bytes of a digest: all that SHA-256 gives.
 const DIGEST_BYTES: usize = 32;
 
 /// The parts of a request that stay the same when its caller repeats it.
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -19,7 +19,7 @@
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{DaemonRecord, Generation, ObjectVersion};
 use curlewcleat_node::{FreshnessLimits, NodeEvent, ReadRole};
-use curlewcleat_store::{ConfigRead, Error, FleetPlatform};
+use curlewcleat_store::{ConfigRead, Error, FleetPlatform, Result};
 use rand::Rng;
 use spdlog::prelude::*;
 use tokio::sync::{watch, Notify};
@@ -105,19 +105,7 @@
                 continue;
             }
             let sent = Moment::now();
-            self.context.metrics.platform_call("read_config");
-            let read = self.platform.read_config(known);
-            // A new daemon serves from its first configuration on, and knows by then what it has to refuse.
-            let read = match refusals_read {
-                true => read.await,
-                false => {
-                    let (known, read) = tokio::join!(self.read_refusals(), read);
-                    // Once the configuration is read, peers tell the rest.
-                    refusals_read = known || read.is_ok();
-                    read
-                }
-            };
-            match read {
+            match self.read_config(known, &mut refusals_read).await {
                 Ok(read) => {
                     pause.reset();
                     if let ConfigRead::Changed(version, bundle) = read {
@@ -138,6 +126,23 @@
         }
     }
 
+    /// Reads the configuration and, until that has succeeded once, the refused requests: a new daemon serves from its first
+    /// configuration on, and knows by then what it has to refuse. Afterwards peers tell the rest.
+    async fn read_config(
+        &self,
+        known: ObjectVersion,
+        refusals_read: &mut bool,
+    ) -> Result<ConfigRead> {
+        self.context.metrics.platform_call("read_config");
+        let read = self.platform.read_config(known);
+        if *refusals_read {
+            return read.await;
+        }
+        let (refusals, read) = tokio::join!(self.read_refusals(), read);
+        *refusals_read = refusals || read.is_ok();
+        read
+    }
+
     /// A read has failed. Pauses, longer where others notice the platform's return, or until the role changes.
     async fn config_not_read(
         &self,
--- a/crates/daemon/src/fleet/follow/refusals.rs
+++ b/crates/daemon/src/fleet/follow/refusals.rs
@@ -46,13 +46,13 @@
 /// What the platform keeps of a request, `None` where that is too old.
 fn report_of(kept: StoredRefusal, now: WallTime) -> Option<SuspectReport> {
     let age = now.saturating_sub(kept.at);
-    let told = |life| {
+    let report = |life| {
         let broke = RequestBreak { life, kind: BreakKind::Closed, begun: false };
         BreakReport { broke, ended: true, age }
     };
     (age < KEPT_FOR).then(|| SuspectReport {
         digest: kept.digest,
-        breaks: kept.lives.into_iter().map(told).collect(),
+        breaks: kept.lives.into_iter().map(report).collect(),
         cleared: Vec::new(),
         stored: true,
     })
@@ -67,8 +67,8 @@
     let (platform, context) = (Rc::clone(platform), context.clone());
     actix_rt::spawn(async move {
         let digest = report.digest;
-        let ended = report.breaks.into_iter().filter(|told| told.ended);
-        let lives = ended.map(|told| told.broke.life).collect();
+        let ended = report.breaks.into_iter().filter(|report| report.ended);
+        let lives = ended.map(|report| report.broke.life).collect();
         let refusal = StoredRefusal { digest, lives, at: context.wall() };
         context.metrics.platform_call("store_refusal");
         match platform.store_refusal(&refusal).await {
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -261,8 +261,8 @@
 }
 
 fn log_lethal(report: &SuspectReport) {
-    let ended = report.breaks.iter().filter(|told| told.ended);
-    let targets: Vec<&str> = ended.map(|told| told.broke.life.id.as_str()).collect();
+    let ended = report.breaks.iter().filter(|seen| seen.ended);
+    let targets: Vec<&str> = ended.map(|seen| seen.broke.life.id.as_str()).collect();
     warn!("request_lethal", kv: {
         digest = report.digest.to_string(), ended = targets.len(), targets = targets.join(" ")
     });
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -94,10 +94,10 @@
     Value::Array(suspects.collect())
 }
 
-fn target_break_json(told: &BreakReport) -> Value {
+fn target_break_json(seen: &BreakReport) -> Value {
     json!({
-        "id": told.broke.life.id, "ended": told.ended, "answer_begun": told.broke.begun,
-        "ago_ms": told.age.as_millis() as u64,
+        "id": seen.broke.life.id, "ended": seen.ended, "answer_begun": seen.broke.begun,
+        "ago_ms": seen.age.as_millis() as u64,
     })
 }
 
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -30,7 +30,7 @@
     pub fn break_kind(self) -> Option<BreakKind> {
         match self {
             AttemptCause::Closed => Some(BreakKind::Closed),
-            AttemptCause::HeadTimeout | AttemptCause::PartTimeout => Some(BreakKind::Silent),
+            AttemptCause::HeadTimeout | AttemptCause::PartTimeout => Some(BreakKind::Stalled),
             AttemptCause::ConnectFailed
             | AttemptCause::NotStarted
             | AttemptCause::Unreadable
--- a/crates/model/src/lethal.rs
+++ b/crates/model/src/lethal.rs
@@ -154,7 +154,7 @@
         let in_touch = (0..DAEMONS).filter(|index| state.cut != Some(*index));
         let reports = in_touch.filter_map(|index| state.daemons[index].report(NOW, &lethal()));
         let reports = reports.chain(state.stored.clone());
-        let lives = reports.flat_map(|report| report.breaks).map(|told| told.broke.life);
+        let lives = reports.flat_map(|report| report.breaks).map(|seen| seen.broke.life);
         lives.collect::<BTreeSet<TargetLife>>().len()
     }
 
--- a/crates/sched/src/lethal/suspect.rs
+++ b/crates/sched/src/lethal/suspect.rs
@@ -67,11 +67,11 @@
                 self.latest = now;
             }
         }
-        for told in report.breaks {
-            let at = now.saturating_sub(told.age);
-            let RequestBreak { life, kind, begun } = told.broke;
+        for seen in report.breaks {
+            let at = now.saturating_sub(seen.age);
+            let RequestBreak { life, kind, begun } = seen.broke;
             news |=
-                self.add(now, life, LifeBreak { kind, begun, own: false, ended: told.ended, at });
+                self.add(now, life, LifeBreak { kind, begun, own: false, ended: seen.ended, at });
         }
         news
     }
--- a/crates/sched/tests/lethal.rs
+++ b/crates/sched/tests/lethal.rs
@@ -110,7 +110,7 @@
     let mut requests = new();
     let now = seconds(100);
     for number in 0..3 {
-        requests.broken_off(now, digest(0), broke(number, BreakKind::Silent));
+        requests.broken_off(now, digest(0), broke(number, BreakKind::Stalled));
     }
     assert_eq!(requests.verdict(now, &digest(0)), LethalVerdict::Clear);
     review(&mut requests, now + MOMENT, sight);
