--- /dev/null
+++ b/crates/bench/src/lethal.rs
@@ -0,0 +1,65 @@
+//! What it costs to name requests, and to know those under which targets end.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use curlewcleat_core::{
+    BreakKind, RequestBreak, RequestDigest, RequestIdentity, TargetLife, TargetStart,
+};
+use curlewcleat_sched::{LethalOptions, LethalRequests, LifeSight};
+
+use crate::support::{resident, time_each};
+
+/// Targets that the platform shows.
+const TARGETS: usize = 10_000;
+
+fn digest(body: &[u8]) -> RequestDigest {
+    RequestIdentity { method: "POST", host: "h.example", path: "/p", caller: "a", body }.digest()
+}
+
+/// Digest by length of the body; verdict, break and review by the number of suspects.
+pub fn lethal() {
+    println!("body bytes | digest (us)");
+    for length in [100, 1_000, 10_000, 100_000] {
+        let body = vec![7; length];
+        let each = time_each(2_000, |_| {
+            black_box(digest(&body));
+        });
+        println!("{length:>10} | {:>8.2}", each.as_secs_f64() * 1e6);
+    }
+    println!("suspects | verdict (us) | break (us) | review (us) | resident bytes");
+    for suspects in [0u32, 100, 512] {
+        let before = resident();
+        let mut requests = LethalRequests::new(LethalOptions::default());
+        let now = Duration::from_secs(10);
+        for number in 0..suspects {
+            broken_off(&mut requests, now, number);
+        }
+        let bytes = resident().saturating_sub(before);
+        let asked = digest(b"asked");
+        let verdict = time_each(10_000, |_| {
+            black_box(requests.verdict(now, &asked));
+        });
+        let added = time_each(50, |number| broken_off(&mut requests, now, suspects + number));
+        let review = time_each(100, |_| {
+            black_box(requests.review(now, TARGETS, &|_| LifeSight::Shown));
+        });
+        let micros = |time: Duration| time.as_secs_f64() * 1e6;
+        println!(
+            "{suspects:>8} | {:>8.3} | {:>8.2} | {:>8.2} | {bytes:>9}",
+            micros(verdict),
+            micros(added),
+            micros(review)
+        );
+    }
+}
+
+fn broken_off(requests: &mut LethalRequests, now: Duration, number: u32) {
+    // Eight requests run at a target.
+    let life = TargetLife {
+        id: format!("target-{}", number / 8),
+        start: Some(TargetStart(1_764_720_000_000)),
+    };
+    let broke = RequestBreak { life, kind: BreakKind::Closed, begun: false };
+    requests.broken_off(now, digest(&number.to_be_bytes()), broke);
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Owns: nothing but its printed tables. Relies on: the state machines of the product as they are.
 
+mod lethal;
 mod peers;
 mod processes;
 mod scheduler;
@@ -35,6 +36,7 @@
     state::accounts()?;
     state::changes()?;
     state::keys();
+    lethal::lethal();
     peers::codec();
     if arguments.processes {
         actix_rt::System::new().block_on(processes::daemons())?;
