--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, Incarnation, PeerMessage, Refusal, RefusalReason, RequestBreak, RequestDigest,
-    RequestId, SuspectReport, SuspectsPull, SuspectsPush, TargetLife, Uptime, VmId,
+    ActiveConfig, DaemonId, Incarnation, PeerMessage, Refusal, RefusalReason, RequestBreak,
+    RequestDigest, RequestId, SuspectReport, SuspectsPull, SuspectsPush, TargetLife, Uptime, VmId,
 };
-use curlewcleat_sched::{LethalRequests, LethalVerdict, LifeSight};
+use curlewcleat_sched::{LethalRequests, LethalVerdict, LifeSight, ReplacementStep};
 
 use super::Node;
 use crate::event::{CallerDecision, NodeAction, NodeNote, PlatformCall};
@@ -49,7 +49,7 @@
         let life = &broke.life;
         let announced = self.targets.shows(life);
         let leaving = self.targets.is_leaving(&life.id);
-        if leaving || !announced && !self.is_configured(life) {
+        if leaving || !announced && !names_target(&self.store.active(), life) {
             return;
         }
         if self.lethal.requests.broken_off(self.now, digest, broke) {
@@ -95,7 +95,7 @@
     /// a target stays there.
     pub(super) fn refuse_granted(&mut self, id: RequestId, refusal: Refusal) {
         let actions = match self.entry.keeps_target(id) {
-            true => return self.replacement(id, curlewcleat_sched::ReplacementStep::Declined),
+            true => return self.replacement(id, ReplacementStep::Declined),
             false => self.entry.cancelled(id),
         };
         self.perform(actions);
@@ -108,14 +108,18 @@
             return;
         }
         let doubtful = self.is_doubtful();
-        let (targets, store) = (&self.targets, self.store.active());
-        let sight = |life: &TargetLife| match () {
-            () if store.pools.values().any(|pool| pool.targets.contains_key(&life.id)) => {
+        let config = self.store.active();
+        let targets = &self.targets;
+        let sight = |life: &TargetLife| {
+            if names_target(&config, life) {
                 LifeSight::Shown
+            } else if doubtful {
+                LifeSight::Unknown
+            } else if targets.shows(life) {
+                LifeSight::Shown
+            } else {
+                LifeSight::Gone
             }
-            () if doubtful => LifeSight::Unknown,
-            () if targets.shows(life) => LifeSight::Shown,
-            () => LifeSight::Gone,
         };
         let ended = self.lethal.requests.review(self.now, self.targets.len(), &sight);
         let repeated: BTreeSet<RequestDigest> = ended
@@ -244,9 +248,9 @@
             }
         }
     }
+}
 
-    /// Whether the configuration itself names the target, so that no entry tells of its lives.
-    fn is_configured(&self, life: &TargetLife) -> bool {
-        self.store.active().pools.values().any(|pool| pool.targets.contains_key(&life.id))
-    }
+/// Whether a configuration itself names the target, so that no entry tells of its lives.
+fn names_target(config: &ActiveConfig, life: &TargetLife) -> bool {
+    config.pools.values().any(|pool| pool.targets.contains_key(&life.id))
 }
