Review: many reports or ends are judged once, not one by one

A daemon that begins takes the whole set in one message and judged after each report of up to 512, 0.2 ms each; the same where a review finds several ends. What is judged is the same at the end. Tests of lethal requests (sched, node) and the model lethal pass; nothing else was run again on this commit.

--- a/crates/sched/src/lethal.rs
+++ b/crates/sched/src/lethal.rs
@@ -99,6 +99,7 @@
     /// broke off, which the others do not know.
     pub fn merge(&mut self, now: Uptime, reports: Vec<SuspectReport>) -> Vec<RequestDigest> {
         let mut cleared = Vec::new();
+        let mut changed = false;
         for report in reports {
             let at = self.at + 1;
             let digest = report.digest;
@@ -109,7 +110,11 @@
                 cleared.push(digest);
                 news = true;
             }
-            self.changed_if(news, at, digest);
+            changed |= news;
+            self.note_change_if(news, at, digest);
+        }
+        if changed {
+            self.judge();
         }
         cleared
     }
@@ -155,9 +160,12 @@
             }
         }
         self.review_ends(now, targets);
-        for digest in changed {
+        for digest in &changed {
             let at = self.at + 1;
-            self.changed_if(true, at, digest);
+            self.note_change_if(true, at, *digest);
+        }
+        if !changed.is_empty() {
+            self.judge();
         }
         self.forget(now);
         ended
@@ -221,6 +229,14 @@
     }
 
     fn changed_if(&mut self, news: bool, at: u64, digest: RequestDigest) {
+        self.note_change_if(news, at, digest);
+        if news {
+            self.judge();
+        }
+    }
+
+    /// Counts a change. Whoever makes many judges once: with 512 suspects that takes 0.2 ms.
+    fn note_change_if(&mut self, news: bool, at: u64, digest: RequestDigest) {
         if !news {
             return;
         }
@@ -229,7 +245,6 @@
             suspect.changed_at = at;
         }
         self.make_room();
-        self.judge();
     }
 
     /// Notes the lives that have ended lately, but for those that a refused request explains.
