Sight: what a target says of itself is decoded, and logged where it changes what is believed

No line said what a target had said, so that a daemon which heard of a limit and did nothing looked like one that heard nothing. The head of each answer is read for whether the target leaves, how long it wants to rest and how many requests a second it takes; the word of each life is kept in one room (placement/notice.rs) with its rule, and log event target_said tells each change, target_notice_unreadable what cannot be meant. Nothing acts on it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod model;
 mod request_digest;
 mod target_life;
+mod target_notice;
 mod verdict;
 
 pub use account::{hash_token, TokenHash};
@@ -15,4 +16,5 @@
 pub use model::*;
 pub use request_digest::{RequestDigest, RequestIdentity};
 pub use target_life::{LifeOrder, TargetLife, TargetStart};
+pub use target_notice::{LimitNotice, LimitReport, NoticeReport, RequestRate, TargetNotice};
 pub use verdict::{Refusal, RefusalReason, RetryReason, Verdict};
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::metrics::DaemonMetrics;
+use crate::target_notices::SharedGate;
 
 /// What reaches the thread of the node.
 pub enum NodeMessage {
@@ -36,6 +37,8 @@
     pub settings: Arc<DaemonSettings>,
     /// Metrics.
     pub metrics: Arc<DaemonMetrics>,
+    /// What the targets say of themselves.
+    pub gate: SharedGate,
     /// Configuration in force.
     config: Arc<RwLock<Arc<ActiveConfig>>>,
     node: mpsc::UnboundedSender<NodeMessage>,
@@ -58,6 +61,7 @@
             bounds: Arc::new(RwLock::new(settings.bounds.clone())),
             settings: Arc::new(settings),
             metrics,
+            gate: SharedGate::default(),
             config: Arc::default(),
             node,
             draining: Arc::default(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod parts;
 mod reports;
 mod request;
+mod target_notices;
 mod unwritten;
 mod usage;
 
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -7,6 +7,7 @@
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{RefusalReason, RetryReason, TargetEntry};
+use curlewcleat_sched::HeardNotice;
 use curlewcleat_targets::{Error, PooledConnection, TargetAnswer};
 use spdlog::prelude::*;
 
@@ -14,6 +15,7 @@
 use super::cause::AttemptCause;
 use super::protocol::{CallerProtocol, HeadVerdict, TargetAttempt};
 use super::target_wait::{GrantedTarget, TargetWait, WaitEnd};
+use crate::context::DaemonContext;
 
 /// How an attempt began.
 pub enum AttemptStart {
@@ -29,6 +31,7 @@
 
 /// Sends a request to its target, by `connection` where there is one, and waits for the head of the answer.
 pub async fn send(
+    context: &DaemonContext,
     attempt: TargetAttempt<'_>,
     connection: Option<PooledConnection>,
     wait: TargetWait<'_>,
@@ -48,6 +51,7 @@
     let head = protocol.target_head(&attempt);
     let options = protocol.exchange_options(request);
     let exchange = connection.exchange_with(head, attempt.caller.body.sending(), &options);
+    let sent = Moment::now();
     let head_by = head_limit(protocol, request, Moment::now() + limits.head);
     let limit = head_by.saturating_duration_since(Moment::now());
     let mut answer = match wait.wait(limit, exchange).await {
@@ -58,6 +62,10 @@
             return AttemptStart::Failed(RefusalReason::FirstByteTimeout, AttemptCause::HeadTimeout)
         }
     };
+    if let Some(notice) = protocol.target_notice(&answer.head) {
+        let heard = HeardNotice { sent: context.uptime_at(sent), notice };
+        context.gate.heard(context.uptime(), &attempt.target.life(), &heard, request.id);
+    }
     match protocol.judge_head(request, &mut answer) {
         HeadVerdict::Accepted => AttemptStart::Answer(Box::new(answer)),
         HeadVerdict::NotRun => {
--- a/crates/daemon/src/request/own.rs
+++ b/crates/daemon/src/request/own.rs
@@ -15,7 +15,7 @@
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     hash_token, ActiveConfig, LatencyObjectives, PoolId, Refusal, RefusalReason, RequestId,
-    TargetPool,
+    TargetNotice, TargetPool,
 };
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
 
@@ -157,6 +157,10 @@
         }
     }
 
+    fn target_notice(&self, _: &ResponseHead) -> Option<TargetNotice> {
+        None
+    }
+
     /// A cut answer is resumed by the target that runs it; nothing is sent a second time.
     fn may_repeat(&self, _: &AdmittedRequest) -> bool {
         false
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod forwarding;
+mod notice;
 mod objectives;
 #[cfg(test)]
 mod tests;
@@ -19,7 +20,9 @@
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Request, RequestHead, ResponseHead, StatusCode};
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{ActiveConfig, Refusal, RefusalReason, RequestId, TargetPool, Verdict};
+use curlewcleat_core::{
+    ActiveConfig, Refusal, RefusalReason, RequestId, TargetNotice, TargetPool, Verdict,
+};
 use curlewcleat_store::WireProfile;
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
 
@@ -204,6 +207,10 @@
         }
     }
 
+    fn target_notice(&self, head: &ResponseHead) -> Option<TargetNotice> {
+        notice::read_notice(&self.profile, head)
+    }
+
     fn may_repeat(&self, request: &AdmittedRequest) -> bool {
         request.rule.repeatable
     }
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -28,6 +28,8 @@
     prompt_parts: "parts",
     last_event: "last",
     load: "load",
+    leaving: "leaving",
+    limit: "limit",
     reserved: &["hold"],
 };
 
--- a/crates/daemon/src/request/protocol.rs
+++ b/crates/daemon/src/request/protocol.rs
@@ -8,7 +8,9 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Request, RequestHead, ResponseHead, StatusCode};
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{ActiveConfig, Refusal, RefusalReason, RequestId, TargetEntry, TargetPool};
+use curlewcleat_core::{
+    ActiveConfig, Refusal, RefusalReason, RequestId, TargetEntry, TargetNotice, TargetPool,
+};
 use curlewcleat_targets::{ConnectionPool, ExchangeOptions, TargetAnswer};
 
 use super::admitted::AdmittedRequest;
@@ -103,6 +105,9 @@
     /// What the head of an answer says; notes how long the target keeps its connection.
     fn judge_head(&self, request: &AdmittedRequest, answer: &mut TargetAnswer) -> HeadVerdict;
 
+    /// What the head of an answer says of its target; `None` where it says nothing of the one that was meant.
+    fn target_notice(&self, head: &ResponseHead) -> Option<TargetNotice>;
+
     /// Whether a request that may have run may be sent to a further target.
     fn may_repeat(&self, request: &AdmittedRequest) -> bool;
 
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -64,7 +64,7 @@
             request: &self.request,
             target,
         };
-        send(attempt, connection, wait).await
+        send(&self.service.context, attempt, connection, wait).await
     }
 
     fn not_run(&self, reason: RetryReason, cause: AttemptCause) -> AttemptVerdict {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -4,7 +4,7 @@
 //! |---|---|---|
 //! | Is it admitted? | [`admission`] | level, rates and queue of a pool |
 //! | What goes first? | [`order`] | the queue of a pool |
-//! | Which target? | [`placement`] | what is believed of each target |
+//! | Which target? | [`placement`] | what is believed of each target, and what it says |
 //! | Is it tried again? | [`retry`] | the retry budget of an entry |
 //! | When is it given up, and when may it retry? | [`entry`], [`advice`] | the requests of an entry |
 //! | Is it the reason for which targets end? | [`lethal`] | the suspect requests |
@@ -28,6 +28,7 @@
 mod pool;
 mod retry;
 mod scheduler;
+mod target_gate;
 mod targets;
 
 pub use admission::account::{AccountLimit, RateBucket};
@@ -44,9 +45,11 @@
 pub use order::queue::TierQueues;
 pub use order::waiting::WaitingRequest;
 pub use placement::ejection::{may_eject_one_more, TargetEjection};
+pub use placement::notice::{HeardNotice, TargetWord};
 pub use placement::pace::StreamPace;
 pub use placement::prefix::PrefixCache;
 pub use placement::target::TargetState;
 pub use pool::{PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
 pub use retry::budget::{RetryBudget, RetryLimits};
 pub use retry::{decide_retry, RetryBound, RetryDecision, RetryInput};
+pub use target_gate::{NoticeNews, TargetGate};
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -15,6 +15,7 @@
 //! about targets.
 
 pub mod ejection;
+pub mod notice;
 pub mod pace;
 pub mod prefix;
 pub mod target;
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -138,6 +138,10 @@
     pub last_event: &'static str,
     /// Load of a target: running, waiting and slots by commas.
     pub load: &'static str,
+    /// On an answer: the target leaves.
+    pub leaving: &'static str,
+    /// On an answer: the requests a second that the target takes from all daemons together.
+    pub limit: &'static str,
     /// Headers with which only a daemon orders a target about; a caller's end at the daemon.
     pub reserved: &'static [&'static str],
 }
