Failing tests: an engine that names its limit gets whatever comes

Real daemons, engines that name a limit in their answers and count what arrives. That a limit ends passes and has to go on passing.

--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -17,6 +17,8 @@
     Serve,
     /// Says that it did not run the request.
     Decline,
+    /// Says that it did not run the request, and wants nothing from its sender for so long.
+    Rest(Duration),
     /// Runs it and answers with this status.
     Fail(u16),
     /// Runs it and closes the connection without an answer.
@@ -97,6 +99,7 @@
     otherwise: Cell<EngineStep>,
     runs: RefCell<Vec<EngineRun>>,
     lethal: RefCell<Option<LethalBody>>,
+    says: RefCell<Vec<(String, String)>>,
 }
 
 impl FleetEngine {
@@ -111,6 +114,7 @@
             otherwise: Cell::new(EngineStep::Serve),
             runs: RefCell::default(),
             lethal: RefCell::default(),
+            says: RefCell::default(),
         })
     }
 
@@ -129,6 +133,12 @@
         self.otherwise.set(step);
     }
 
+    /// Headers that all its answers have from now on: what it says of itself.
+    pub fn says(&self, headers: &[(&str, &str)]) {
+        let owned = |(name, value): &(&str, &str)| (name.to_string(), value.to_string());
+        *self.says.borrow_mut() = headers.iter().map(owned).collect();
+    }
+
     /// Its process ends under requests with a body.
     pub fn set_lethal(&self, lethal: LethalBody) {
         *self.lethal.borrow_mut() = Some(lethal);
@@ -165,9 +175,14 @@
             connection.answer(WIRE_PROFILE.misdirected_status, &[echo], b"").await?;
             return Ok(AfterAnswer::KeepOpen);
         }
-        let step = self.steps.borrow_mut().pop_front().unwrap_or(self.otherwise.get());
-        if step == EngineStep::Decline {
-            let headers = [echo, (WIRE_PROFILE.not_run, "1")];
+        let next = self.steps.borrow_mut().pop_front();
+        let step = next.unwrap_or(self.otherwise.get());
+        if let Some(rest) = declined(step) {
+            let seconds = rest.map(|rest| rest.as_secs_f64().to_string());
+            let says = self.says.borrow().clone();
+            let mut headers = vec![echo, (WIRE_PROFILE.not_run, "1")];
+            headers.extend(seconds.iter().map(|seconds| ("retry-after", seconds.as_str())));
+            headers.extend(says.iter().map(|(name, value)| (name.as_str(), value.as_str())));
             connection.answer(503, &headers, b"").await?;
             return Ok(AfterAnswer::KeepOpen);
         }
@@ -188,7 +203,7 @@
     ) -> anyhow::Result<AfterAnswer> {
         match step {
             EngineStep::Fail(status) => {
-                connection.answer(status, &self.sealed(run.attempt), b"failed").await?;
+                connection.answer(status, &borrowed(&self.sealed(run.attempt)), b"failed").await?;
                 Ok(AfterAnswer::KeepOpen)
             }
             EngineStep::Close => Ok(AfterAnswer::Close),
@@ -228,7 +243,7 @@
         } else {
             tokio::time::sleep(self.pace).await;
             let body = record(run.attempt);
-            connection.answer(200, &self.sealed(run.attempt), body.as_bytes()).await?;
+            connection.answer(200, &borrowed(&self.sealed(run.attempt)), body.as_bytes()).await?;
         }
         Ok(AfterAnswer::KeepOpen)
     }
@@ -286,7 +301,7 @@
         let first = self.answer_whole(run, connection).await?;
         if first == AfterAnswer::KeepOpen {
             tokio::time::sleep(self.pace).await;
-            connection.answer(200, &self.sealed(run.attempt), b"nobody asked").await?;
+            connection.answer(200, &borrowed(&self.sealed(run.attempt)), b"nobody asked").await?;
         }
         Ok(first)
     }
@@ -322,8 +337,11 @@
     }
 
     /// Headers of an answer by which its engine and its request are known.
-    fn sealed<'a>(&'a self, attempt: &'a str) -> [(&'a str, &'a str); 3] {
-        [(WIRE_PROFILE.attempt_id, attempt), (SEAL, &self.id), ("keep-alive", "timeout=10")]
+    fn sealed(&self, attempt: &str) -> Vec<(String, String)> {
+        let headers =
+            [(WIRE_PROFILE.attempt_id, attempt), (SEAL, &self.id), ("keep-alive", "timeout=10")];
+        let sealed = headers.map(|(name, value)| (name.to_string(), value.to_string()));
+        sealed.into_iter().chain(self.says.borrow().clone()).collect()
     }
 
     fn after(&self, place: usize) -> u64 {
@@ -337,7 +355,8 @@
         count: u64,
         connection: &mut PlainConnection,
     ) -> anyhow::Result<bool> {
-        let mut headers = self.sealed(run.attempt).to_vec();
+        let sealed = self.sealed(run.attempt);
+        let mut headers = borrowed(&sealed);
         headers.push(("content-type", "text/event-stream"));
         connection.begin_chunked(&headers).await?;
         let after = self.after(run.place);
@@ -381,6 +400,19 @@
     }
 }
 
+/// Whether a step declines, and for how long the engine wants to rest.
+fn declined(step: EngineStep) -> Option<Option<Duration>> {
+    match step {
+        EngineStep::Decline => Some(None),
+        EngineStep::Rest(time) => Some(Some(time)),
+        _ => None,
+    }
+}
+
+fn borrowed(headers: &[(String, String)]) -> Vec<(&str, &str)> {
+    headers.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect()
+}
+
 /// The present time as engines tell it.
 fn unix_millisecond() -> u64 {
     // A clock that stands before 1970 tells no time of a start.
