--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -14,11 +14,12 @@
 use curlewcleat_core::{
     ArchiveId, AttemptEnd, BreakKind, BreakReport, ConfigBundle, ConfigPart, ConfigPartPull,
     DaemonId, DiscoveredTarget, FreshnessAnswer, FreshnessQuery, Heartbeat, KeptAnswer, KeyAnswer,
-    KeyClaim, KeyDecision, KeyHandOver, KeyOutcome, KeyRecord, LatencyObjectives, PeerFrame,
-    PeerMessage, PermitAnswer, PermitDecision, PermitHeld, PermitId, PermitRequest, PermitReturn,
-    Refusal, RefusalReason, RequestBreak, RequestDigest, RetryReason, ShedRequest, SlotHolder,
-    StatePull, StreamTiming, SuspectReport, SuspectsPull, SuspectsPush, TablePush, TargetChange,
-    TargetEntry, TargetLife, TargetLivesPush, TargetStart, TargetsContent, TargetsPush, Verdict,
+    KeyClaim, KeyDecision, KeyHandOver, KeyOutcome, KeyRecord, LatencyObjectives, LimitReport,
+    NoticeReport, PeerFrame, PeerMessage, PermitAnswer, PermitDecision, PermitHeld, PermitId,
+    PermitRequest, PermitReturn, PoolNotice, Refusal, RefusalReason, RequestBreak, RequestDigest,
+    RequestRate, RetryReason, ShedRequest, SlotHolder, StatePull, StreamTiming, SuspectReport,
+    SuspectsPull, SuspectsPush, TablePush, TargetChange, TargetEntry, TargetLife, TargetLivesPush,
+    TargetStart, TargetsContent, TargetsPush, Verdict,
 };
 use curlewcleat_keys::{KeyTable, TABLE_KEY};
 use curlewcleat_platform::format::{Daemon, EndedTarget, Metadata, Object, RefusedRequest};
@@ -370,9 +371,17 @@
         stored: true,
     };
     let push = SuspectsPush { at: 4, requests: vec![report] };
+    let limit = LimitReport { rate: Some(RequestRate(1_700)), age: Duration::from_millis(20) };
+    let report = NoticeReport {
+        life: life("e-4"),
+        leaving: true,
+        rest: Some(Duration::from_secs(3)),
+        limit: Some(limit),
+    };
     vec![
         ("suspects pull", PeerMessage::SuspectsPull(SuspectsPull { known: 3 })),
         ("suspects", PeerMessage::SuspectsPush(push)),
+        ("target notice", PeerMessage::TargetNotice(PoolNotice { pool: "p".to_string(), report })),
     ]
 }
 
--- a/crates/acceptance/tests/target_limits.rs
+++ b/crates/acceptance/tests/target_limits.rs
@@ -32,6 +32,8 @@
 const LIMIT: f64 = 2.0;
 /// Time from the first word in which the daemons come to keep it: the users' bound, three seconds, is longer.
 const CONTACT: Duration = Duration::from_secs(2);
+/// Time in which callers hope for an answer.
+const OBJECTIVE: Duration = Duration::from_millis(500);
 /// Span in which requests are counted, and the requests allowed in it: the users' bound.
 const SPAN: Duration = Duration::from_secs(4);
 const ALLOWED: usize = (1.5 * LIMIT * 4.0) as usize + 5;
@@ -186,6 +188,7 @@
     for got in results.iter().filter(|got| got.status != 200) {
         assert_eq!(got.status, 503, "{got:?}");
         assert!(got.retry_after.is_some_and(|wait| wait > 0.0), "{got:?}");
+        assert!(got.took < OBJECTIVE, "held: {got:?}");
     }
     Ok(())
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod lethal;
 mod lives;
+mod notices;
 mod permits;
 
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
 pub use keys::*;
 pub use lethal::*;
 pub use lives::*;
+pub use notices::*;
 pub use permits::*;
 
 /// One start of a daemon on a VM.
@@ -99,6 +101,8 @@
     SuspectsPull(SuspectsPull),
     /// The answer, or news.
     SuspectsPush(SuspectsPush),
+    /// What a target has said to the sender. A daemon of an earlier version drops the frame.
+    TargetNotice(PoolNotice),
 }
 
 impl PeerMessage {
@@ -107,7 +111,8 @@
         match self {
             PeerMessage::TargetLivesPull(_)
             | PeerMessage::TargetLivesPush(_)
-            | PeerMessage::SuspectsPush(_) => true,
+            | PeerMessage::SuspectsPush(_)
+            | PeerMessage::TargetNotice(_) => true,
             // A receiver that has answered before can read it.
             PeerMessage::SuspectsPull(pull) => pull.known == 0,
             _ => false,
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -138,14 +138,22 @@
         StreamResumed => "stream_resumed",
         /// The target answered that it failed, and the rule lets the request run again.
         TargetFailed => "target_failed",
+        /// The target has said that it takes no request now, so that nothing was sent.
+        TargetUnwilling => "target_unwilling",
     }
 }
 
 impl RetryReason {
+    /// Whether nothing was sent, since this daemon knew better than whoever chose the target.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, RetryReason::TargetUnknown | RetryReason::TargetUnwilling)
+    }
+
     /// The reason given to the caller when the attempt that failed so was the last.
     pub fn final_refusal(self) -> RefusalReason {
         match self {
             RetryReason::TargetNotStarted => RefusalReason::TargetNotStarted,
+            RetryReason::TargetUnwilling => RefusalReason::NoTarget,
             _ => RefusalReason::ConnectFailed,
         }
     }
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -7,7 +7,8 @@
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{RefusalReason, RetryReason, TargetEntry};
-use curlewcleat_sched::HeardNotice;
+use curlewcleat_node::NodeEvent;
+use curlewcleat_sched::{GateStop, HeardNotice};
 use curlewcleat_targets::{Error, PooledConnection, TargetAnswer};
 use spdlog::prelude::*;
 
@@ -15,7 +16,6 @@
 use super::cause::AttemptCause;
 use super::protocol::{CallerProtocol, HeadVerdict, TargetAttempt};
 use super::target_wait::{GrantedTarget, TargetWait, WaitEnd};
-use crate::context::DaemonContext;
 
 /// How an attempt began.
 pub enum AttemptStart {
@@ -31,12 +31,15 @@
 
 /// Sends a request to its target, by `connection` where there is one, and waits for the head of the answer.
 pub async fn send(
-    context: &DaemonContext,
     attempt: TargetAttempt<'_>,
     connection: Option<PooledConnection>,
     wait: TargetWait<'_>,
 ) -> AttemptStart {
-    let (protocol, request) = (wait.protocol, attempt.request);
+    let (context, protocol, request) = (wait.context, wait.protocol, attempt.request);
+    let life = attempt.target.life();
+    if let Some(stop) = context.gate.stop(context.uptime(), &life) {
+        return stopped(stop);
+    }
     let limits = protocol.limits(request);
     let connected = match connection {
         Some(connection) => Ok(connection),
@@ -48,6 +51,11 @@
     let Ok(connection) = connected else {
         return AttemptStart::NotRun(RetryReason::ConnectFailed, AttemptCause::ConnectFailed);
     };
+    // The target may have spoken while the connection was made.
+    if let Some(stop) = context.gate.pass(context.uptime(), &life) {
+        connection.put_back();
+        return stopped(stop);
+    }
     let head = protocol.target_head(&attempt);
     let options = protocol.exchange_options(request);
     let exchange = connection.exchange_with(head, attempt.caller.body.sending(), &options);
@@ -64,7 +72,10 @@
     };
     if let Some(notice) = protocol.target_notice(&answer.head) {
         let heard = HeardNotice { sent: context.uptime_at(sent), notice };
-        context.gate.heard(context.uptime(), &attempt.target.life(), &heard, request.id);
+        let report = context.gate.heard(context.uptime(), &life, &heard, request.id);
+        if let Some(report) = report {
+            context.tell(NodeEvent::TargetSaid(request.pool.id.clone(), report));
+        }
     }
     match protocol.judge_head(request, &mut answer) {
         HeadVerdict::Accepted => AttemptStart::Answer(Box::new(answer)),
@@ -77,6 +88,11 @@
     }
 }
 
+/// The target's own word excludes it.
+fn stopped(stop: GateStop) -> AttemptStart {
+    AttemptStart::NotRun(RetryReason::TargetUnwilling, stop.into())
+}
+
 /// Until when the head of the answer is waited for. Where a request is cut at its deadline, the wait
 /// ends no later: at the same instant this limit is looked at first, so that a target that says nothing
 /// is always the reason, however long it took to connect.
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -2,7 +2,8 @@
 //!
 //! Owns: the codes, which stand in log lines and are stable. Relies on: nothing.
 
-use curlewcleat_core::BreakKind;
+use curlewcleat_core::{AttemptEnd, BreakKind};
+use curlewcleat_sched::GateStop;
 
 /// Why an attempt ended without an answer for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +24,8 @@
     Failed,
     /// The body that the caller sent is at fault.
     CallerBody,
+    /// Nothing was sent: as many requests have gone to the target as it takes.
+    TargetLimited,
 }
 
 impl AttemptCause {
@@ -35,7 +38,16 @@
             | AttemptCause::NotStarted
             | AttemptCause::Unreadable
             | AttemptCause::Failed
-            | AttemptCause::CallerBody => None,
+            | AttemptCause::CallerBody
+            | AttemptCause::TargetLimited => None,
+        }
+    }
+
+    /// What the scheduler learns of the target. One that said beforehand that it takes no more has not failed.
+    pub fn attempt_end(self) -> AttemptEnd {
+        match self {
+            AttemptCause::TargetLimited => AttemptEnd::Unused,
+            _ => AttemptEnd::Failed,
         }
     }
 
@@ -50,6 +62,15 @@
             AttemptCause::Unreadable => "unreadable",
             AttemptCause::Failed => "failed",
             AttemptCause::CallerBody => "caller_body",
+            AttemptCause::TargetLimited => "target_limited",
+        }
+    }
+}
+
+impl From<GateStop> for AttemptCause {
+    fn from(stop: GateStop) -> AttemptCause {
+        match stop {
+            GateStop::Limited => AttemptCause::TargetLimited,
         }
     }
 }
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -203,7 +203,7 @@
             if begun {
                 pending.answer_begun();
             }
-            pending.not_run(AttemptEnd::Failed, reason);
+            pending.not_run(cause.attempt_end(), reason);
         }
     }
 
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -58,19 +58,21 @@
             target,
             last_event: self.form.last_event(),
         };
+        let context = &self.service.context;
         let wait = TargetWait {
+            context,
             pending: self.pending.as_mut().filter(|_| may_repeat),
             protocol: self.service.protocol.as_ref(),
             request: &self.request,
             target,
         };
-        send(&self.service.context, attempt, connection, wait).await
+        send(attempt, connection, wait).await
     }
 
     fn not_run(&self, reason: RetryReason, cause: AttemptCause) -> AttemptVerdict {
         match self.caller.body.is_intact() {
             true => AttemptVerdict::Again(reason, cause),
-            false => AttemptVerdict::Failed(AttemptEnd::Failed, reason.final_refusal(), cause),
+            false => AttemptVerdict::Failed(cause.attempt_end(), reason.final_refusal(), cause),
         }
     }
 
@@ -82,7 +84,8 @@
         let protocol = self.service.protocol.as_ref();
         let may_repeat = protocol.may_repeat(&self.request);
         let pending = self.pending.as_mut().filter(|_| may_repeat);
-        TargetWait { pending, protocol, request: &self.request, target }
+        let context = &self.service.context;
+        TargetWait { context, pending, protocol, request: &self.request, target }
     }
 
     /// The target has sent something.
--- a/crates/daemon/src/request/target_wait.rs
+++ b/crates/daemon/src/request/target_wait.rs
@@ -14,7 +14,7 @@
 
 use super::admitted::AdmittedRequest;
 use super::protocol::CallerProtocol;
-use crate::context::PendingRequest;
+use crate::context::{DaemonContext, PendingRequest};
 
 /// Least time after which another target is asked for. Chosen, not measured: where no time is left, the deadline
 /// comes first.
@@ -38,6 +38,7 @@
 
 /// Waits for a target.
 pub struct TargetWait<'a> {
+    pub context: &'a DaemonContext,
     /// `None` where the request may not go to another target; then the limit ends the wait.
     pub pending: Option<&'a mut PendingRequest>,
     pub protocol: &'a dyn CallerProtocol,
@@ -62,6 +63,7 @@
 
 /// A wait that may end at another target.
 struct ReplaceableWait<'a> {
+    context: &'a DaemonContext,
     pending: &'a mut PendingRequest,
     protocol: &'a dyn CallerProtocol,
     request: &'a AdmittedRequest,
@@ -74,10 +76,11 @@
     /// asked for after `limit`, again after twice as long and so on, and the wait goes on meanwhile. Dropped with
     /// its exchange, it leaves the target.
     pub async fn wait<T>(self, limit: Duration, expected: impl Future<Output = T>) -> WaitEnd<T> {
-        let TargetWait { pending, protocol, request, target } = self;
+        let TargetWait { context, pending, protocol, request, target } = self;
         match pending {
             Some(pending) => {
-                let wait = ReplaceableWait { pending, protocol, request, target, offered: None };
+                let offered = None;
+                let wait = ReplaceableWait { context, pending, protocol, request, target, offered };
                 wait.run(limit.max(LEAST_PAUSE), expected).await
             }
             None => match tokio::time::timeout(limit, expected).await {
@@ -153,7 +156,9 @@
     /// The stalled target is not left before the other one takes a connection: where that fails, an answer that
     /// has begun could only be cut, though its target may be at work.
     fn consider(&mut self, permit: PermitId, entry: TargetEntry) {
-        if !self.pending.is_stalled() || self.protocol.check_sendable(self.request).is_err() {
+        let excluded = self.context.gate.stop(self.context.uptime(), &entry.life()).is_some();
+        let sendable = self.protocol.check_sendable(self.request).is_ok();
+        if !self.pending.is_stalled() || !sendable || excluded {
             return self.pending.decline_replacement();
         }
         let connections = self.protocol.connections(&self.request.pool);
--- a/crates/daemon/src/target_notices.rs
+++ b/crates/daemon/src/target_notices.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use curlewcleat_core::{NoticeReport, RequestId, TargetLife, Uptime};
-use curlewcleat_sched::{HeardNotice, TargetGate};
+use curlewcleat_sched::{GateStop, HeardNotice, TargetGate};
 use spdlog::prelude::*;
 
 /// The gate of the daemon, for all its threads.
@@ -14,7 +14,14 @@
 
 impl SharedGate {
     /// Takes the head of the answer to a request in.
-    pub fn heard(&self, now: Uptime, life: &TargetLife, heard: &HeardNotice, request: RequestId) {
+    /// What daemons that may schedule are to be told.
+    pub fn heard(
+        &self,
+        now: Uptime,
+        life: &TargetLife,
+        heard: &HeardNotice,
+        request: RequestId,
+    ) -> Option<NoticeReport> {
         let news = self.lock().heard(now, life, heard);
         if news.unreadable {
             warn!("target_notice_unreadable", kv: {
@@ -24,6 +31,17 @@
         if news.changed {
             log_said(&news.report, request);
         }
+        news.tell.then_some(news.report)
+    }
+
+    /// What would stop a request to a target now.
+    pub fn stop(&self, now: Uptime, life: &TargetLife) -> Option<GateStop> {
+        self.lock().stop(now, life)
+    }
+
+    /// Lets a request pass whose first byte goes now, or says what stops it.
+    pub fn pass(&self, now: Uptime, life: &TargetLife) -> Option<GateStop> {
+        self.lock().pass(now, life)
     }
 
     fn lock(&self) -> MutexGuard<'_, TargetGate> {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -5,9 +5,9 @@
 use curlewcleat_config::CheckReport;
 use curlewcleat_core::{
     AttemptEnd, ConfigBundle, DaemonId, DaemonRecord, DiscoveredTarget, Generation, KeptAnswer,
-    ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestBreak, RequestDigest, RequestId,
-    RetryReason, SuspectReport, TargetChange, TargetEntry, TargetLife, TargetReport, Uptime,
-    Verdict, VmId,
+    NoticeReport, ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestBreak, RequestDigest,
+    RequestId, RetryReason, SuspectReport, TargetChange, TargetEntry, TargetLife, TargetReport,
+    Uptime, Verdict, VmId,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound};
@@ -61,6 +61,8 @@
     TableWritten(TableWrite),
     /// A request broke off at a life of a target.
     BrokeOff(RequestDigest, RequestBreak),
+    /// What a target of a pool has said to this daemon and still counts.
+    TargetSaid(PoolId, NoticeReport),
     /// The requests that are refused for good, as the platform keeps them.
     RefusalsRead(Vec<SuspectReport>),
     /// The platform keeps that a request is refused.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 mod lethal;
 mod members;
 mod messages;
+mod notices;
 mod platform;
 mod pulls;
 mod requests;
@@ -29,6 +30,7 @@
 };
 
 use self::lethal::LethalExchange;
+use self::notices::HeardNotices;
 use self::stop::HAND_OVER_WAIT;
 use crate::awaited_answer::AwaitedAnswer;
 use crate::config_exchange::ConfigExchange;
@@ -88,6 +90,7 @@
     guards: BTreeMap<PoolId, LevelGuard>,
     entry: EntryRequests,
     lethal: LethalExchange,
+    notices: HeardNotices,
     drain: DrainState,
     vms: VmView,
     /// Reachable daemons that may take roles, this one too.
@@ -133,6 +136,7 @@
             guards: BTreeMap::new(),
             entry: EntryRequests::new(options.entry.clone()),
             lethal: LethalExchange::default(),
+            notices: HeardNotices::default(),
             drain: DrainState::new(options.drain_grace, options.hand_over_limit),
             vms: VmView::default(),
             order: vec![me.clone()],
@@ -165,6 +169,7 @@
             NodeEvent::Peer(frame) => self.peer_frame(frame),
             NodeEvent::Admit(spec) => self.admit(*spec),
             NodeEvent::BrokeOff(digest, broke) => self.broke_off(digest, broke),
+            NodeEvent::TargetSaid(pool, report) => self.target_said(pool, report),
             NodeEvent::RefusalsRead(reports) => self.suspects_known(reports),
             NodeEvent::RefusalStored(digest) => self.refusal_stored(&digest),
             NodeEvent::ClearSuspect(digest) => self.clear_suspect(digest),
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -44,9 +44,11 @@
         let order = self.members.scheduler_order(ALL_POOLS);
         let schedulers = std::mem::replace(&mut self.order, order);
         self.tell_new_schedulers(&schedulers);
+        self.tell_notices(&schedulers);
         let before = std::mem::take(&mut self.orders);
         self.renew_orders();
         self.renew_places();
+        self.renew_parts();
         if before == self.orders {
             return;
         }
--- /dev/null
+++ b/crates/node/src/node/notices.rs
@@ -0,0 +1,99 @@
+//! What targets say of themselves: from the daemon that heard it to those that may schedule.
+//!
+//! The daemon that hears keeps to it by itself. The daemons that may schedule are told at once; those that come to schedule
+//! are told by everyone, since those before them may have ended with what they knew.
+//!
+//! Owns: nothing; these are methods of `Node`. Relies on: [`TargetGate`](curlewcleat_sched::TargetGate) for what is worth
+//! telling, and for telling it again while it is heard.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use curlewcleat_core::{
+    DaemonId, LimitReport, NoticeReport, PeerMessage, PoolId, PoolNotice, TargetLife, Uptime, VmId,
+};
+use curlewcleat_sched::{RatePart, RateTurn};
+
+use super::Node;
+
+/// Time for which those that come to schedule are told what a target said last.
+const TOLD_FOR: Duration = Duration::from_secs(600);
+
+/// What targets have said to this daemon.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeardNotices {
+    lives: BTreeMap<TargetLife, (PoolNotice, Uptime)>,
+}
+
+impl HeardNotices {
+    fn keep(&mut self, now: Uptime, notice: PoolNotice) {
+        self.lives.retain(|_, (_, heard)| now < *heard + TOLD_FOR);
+        self.lives.insert(notice.report.life.clone(), (notice, now));
+    }
+
+    /// What still counts now.
+    fn present(&self, now: Uptime) -> Vec<PoolNotice> {
+        let heard = self.lives.values().filter(|(_, heard)| now < *heard + TOLD_FOR);
+        heard.map(|(notice, heard)| aged(notice, now.saturating_sub(*heard))).collect()
+    }
+}
+
+/// A notice after some time.
+fn aged(notice: &PoolNotice, time: Duration) -> PoolNotice {
+    let report = &notice.report;
+    let limit = report.limit.map(|limit| LimitReport { age: limit.age + time, ..limit });
+    let rest = report.rest.and_then(|rest| rest.checked_sub(time));
+    let report = NoticeReport { limit, rest, ..report.clone() };
+    PoolNotice { report, ..notice.clone() }
+}
+
+impl Node {
+    /// A target has said something to this daemon.
+    pub(super) fn target_said(&mut self, pool: PoolId, report: NoticeReport) {
+        let notice = PoolNotice { pool, report };
+        self.notices.keep(self.now, notice.clone());
+        let me = self.options.me.vm.clone();
+        let others = self.other_schedulers().into_iter().map(|daemon| daemon.vm);
+        for vm in others.chain([me]).collect::<Vec<VmId>>() {
+            self.post(&vm, PeerMessage::TargetNotice(notice.clone()));
+        }
+    }
+
+    /// A daemon tells what a target has said to it.
+    pub(super) fn target_noticed(&mut self, notice: &PoolNotice) {
+        if !self.active.pools.contains_key(&notice.pool) {
+            return;
+        }
+        let now = self.now;
+        let actions = self.pool(&notice.pool).noticed(now, &notice.report);
+        self.send_answers(actions);
+    }
+
+    /// Daemons that may schedule from now on learn what targets have said to this one.
+    pub(super) fn tell_notices(&mut self, before: &[DaemonId]) {
+        let notices = self.notices.present(self.now);
+        if notices.is_empty() {
+            return;
+        }
+        let schedulers = self.other_schedulers().into_iter();
+        let new: Vec<VmId> =
+            schedulers.filter(|daemon| !before.contains(daemon)).map(|daemon| daemon.vm).collect();
+        for vm in new {
+            for notice in &notices {
+                self.post(&vm, PeerMessage::TargetNotice(notice.clone()));
+            }
+        }
+    }
+
+    /// The part of the limits of a pool's targets that this daemon grants: none while another one is asked first.
+    pub(super) fn renew_parts(&mut self) {
+        for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
+            let part = match self.rate_turn(&pool) {
+                RateTurn::Leader => self.members.reached_part(self.now),
+                turn => RatePart { reached: 0, all: 1, turn },
+            };
+            let now = self.now;
+            self.pool(&pool).set_part(now, part);
+        }
+    }
+}
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -98,7 +98,7 @@
     }
 
     /// Whether this daemon is to be asked for permits of a pool first, next, or later.
-    fn rate_turn(&self, pool: &str) -> RateTurn {
+    pub(super) fn rate_turn(&self, pool: &str) -> RateTurn {
         let order = self.orders.get(pool).map_or(&[][..], Vec::as_slice);
         match order.iter().position(|daemon| *daemon == self.options.me) {
             Some(0) => RateTurn::Leader,
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -27,6 +27,7 @@
         }
         self.review_roles();
         self.entry.set_daemons(self.members.fleet_size() as u64);
+        self.renew_parts();
         let orders = &self.orders;
         let members = &self.members;
         let actions = self.entry.tick(self.now, &|pool| order_of(orders, members, pool));
--- /dev/null
+++ b/crates/node/tests/notices.rs
@@ -0,0 +1,221 @@
+//! A target that names how many requests a second it takes, seen by a fleet: what all daemons send together stays within it
+//! whoever schedules, is cut off, ends or begins. Each daemon has the gate that its requests pass.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use curlewcleat_core::{
+    LimitNotice, RequestId, RequestRate, RetryReason, TargetLife, TargetNotice,
+};
+use curlewcleat_node::{CallerDecision, NodeEvent};
+use curlewcleat_sched::{HeardNotice, RequestSpec, TargetGate};
+use rstest::rstest;
+
+use support::{spec, target, unlike_daemon, Fleet};
+
+/// Requests a second that the target takes.
+const LIMIT: f64 = 2.0;
+/// Span in which the users count, and what they allow there.
+const SPAN: Duration = Duration::from_secs(4);
+const ALLOWED: usize = (1.5 * LIMIT * 4.0) as usize + 5;
+/// Time in which all daemons have come to keep the limit; the users allow three seconds.
+const CONTACT: Duration = Duration::from_secs(2);
+const STEP: Duration = Duration::from_millis(20);
+
+/// A fleet before one target that names a limit in each answer and answers at once.
+struct LimitedFleet {
+    fleet: Fleet,
+    gates: BTreeMap<usize, TargetGate>,
+    number: u128,
+    /// Decisions that were followed already.
+    followed: usize,
+    /// When requests reached the target.
+    arrived: Vec<Duration>,
+    /// What the target says.
+    notice: TargetNotice,
+}
+
+fn life() -> TargetLife {
+    TargetLife { id: "x".to_string(), start: None }
+}
+
+impl LimitedFleet {
+    fn new(daemons: usize) -> LimitedFleet {
+        let mut fleet = Fleet::new(daemons);
+        fleet.targets = (vec![target("x", false)], fleet.targets.1 + 1);
+        fleet.run(Duration::from_secs(3));
+        let limit = LimitNotice::Named(RequestRate::per_second(LIMIT).expect("a rate"));
+        LimitedFleet {
+            fleet,
+            gates: BTreeMap::new(),
+            number: 0,
+            followed: 0,
+            arrived: Vec::new(),
+            notice: TargetNotice { limit, ..TargetNotice::default() },
+        }
+    }
+
+    /// Callers send to these daemons for so long, more than the target takes.
+    fn load(&mut self, daemons: &[usize], time: Duration) {
+        let end = self.fleet.now + time;
+        while self.fleet.now < end {
+            self.fleet.run(STEP);
+            for index in daemons {
+                // The daemon that a request came to stands in its number.
+                self.number += 1;
+                let number = self.number * 1_000 + *index as u128;
+                let spec = RequestSpec { time_left: Duration::from_secs(1), ..spec(number) };
+                self.fleet.event(*index, NodeEvent::Admit(Box::new(spec)));
+            }
+            self.follow();
+        }
+    }
+
+    /// Sends what was granted, and has it answered.
+    fn follow(&mut self) {
+        while self.followed < self.fleet.decisions.len() {
+            let (id, decision) = self.fleet.decisions[self.followed].clone();
+            self.followed += 1;
+            if let CallerDecision::Dispatch(..) = decision {
+                self.send(id);
+            }
+        }
+    }
+
+    fn send(&mut self, id: RequestId) {
+        let (now, index) = (self.fleet.now, (id.as_u128() % 1_000) as usize);
+        let gate = self.gates.entry(index).or_default();
+        if gate.pass(now, &life()).is_some() {
+            let end = curlewcleat_core::AttemptEnd::Unused;
+            let stopped = NodeEvent::NotRun(id, end, RetryReason::TargetUnwilling);
+            return self.fleet.event(index, stopped);
+        }
+        self.arrived.push(now);
+        let news = gate.heard(now, &life(), &HeardNotice { sent: now, notice: self.notice });
+        if news.tell {
+            self.fleet.event(index, NodeEvent::TargetSaid("p".to_string(), news.report));
+        }
+        self.fleet.finish(index, id.as_u128());
+    }
+
+    /// Most requests that reached the target in a span, from then on.
+    fn most_since(&self, since: Duration) -> usize {
+        let arrived: Vec<&Duration> = self.arrived.iter().filter(|at| **at >= since).collect();
+        let within =
+            |from: Duration| arrived.iter().filter(|at| (from..from + SPAN).contains(**at)).count();
+        arrived.iter().map(|from| within(**from)).max().unwrap_or(0)
+    }
+
+    fn count_since(&self, since: Duration) -> usize {
+        self.arrived.iter().filter(|at| **at >= since).count()
+    }
+
+    fn everyone(&self) -> Vec<usize> {
+        (0..self.fleet.daemons.len()).collect()
+    }
+}
+
+#[rstest]
+#[case::alone(1)]
+#[case::small(6)]
+#[case::large(40)]
+fn all_daemons_together_send_what_the_target_takes(#[case] daemons: usize) {
+    let mut limited = LimitedFleet::new(daemons);
+    let everyone = limited.everyone();
+    limited.load(&everyone, CONTACT);
+    let since = limited.fleet.now;
+    limited.load(&everyone, Duration::from_secs(20));
+    let most = limited.most_since(since);
+    assert!(most <= ALLOWED, "{most}");
+    let served = limited.count_since(since);
+    assert!(served >= (LIMIT * 20.0 * 0.8) as usize, "{served}: what it takes is used");
+}
+
+/// A packet in four is lost.
+#[test]
+fn lost_frames_break_nothing() {
+    let mut limited = LimitedFleet::new(6);
+    limited.fleet.losses = Some((4, 7));
+    let everyone = limited.everyone();
+    limited.load(&everyone, CONTACT);
+    let since = limited.fleet.now;
+    limited.load(&everyone, Duration::from_secs(20));
+    let most = limited.most_since(since);
+    assert!(most <= ALLOWED, "{most}");
+}
+
+/// The scheduler ends again and again; the next one has heard of nothing by itself.
+#[rstest]
+#[case::small(6)]
+#[case::large(40)]
+fn elections_break_nothing(#[case] daemons: usize) {
+    let mut limited = LimitedFleet::new(daemons);
+    let everyone = limited.everyone();
+    limited.load(&everyone, CONTACT);
+    let since = limited.fleet.now;
+    let mut living = everyone;
+    for _ in 0..3 {
+        let leader = limited.fleet.daemons[living[0]].node.scheduler_order()[0].vm.clone();
+        let leader = limited.fleet.position(&leader);
+        limited.fleet.daemons[leader].cut = true;
+        living.retain(|index| *index != leader);
+        limited.load(&living, Duration::from_secs(6));
+    }
+    let most = limited.most_since(since);
+    assert!(most <= ALLOWED, "{most}");
+    let served = limited.count_since(limited.fleet.now - Duration::from_secs(3));
+    assert!(served > 0, "nothing is served after an election");
+}
+
+/// The fleet falls into two parts that each have a scheduler, and joins again.
+#[test]
+fn two_schedulers_send_no_more_together() {
+    let mut limited = LimitedFleet::new(6);
+    let everyone = limited.everyone();
+    limited.load(&everyone, CONTACT);
+    let since = limited.fleet.now;
+    for one in 0..3 {
+        for other in 3..6 {
+            limited.fleet.blocked.insert((one, other));
+            limited.fleet.blocked.insert((other, one));
+        }
+    }
+    limited.load(&everyone, Duration::from_secs(15));
+    limited.fleet.blocked.clear();
+    limited.load(&everyone, Duration::from_secs(10));
+    let most = limited.most_since(since);
+    assert!(most <= ALLOWED, "{most}");
+}
+
+/// A daemon begins and comes to schedule, since it is the strongest; it hears of the limit from the others.
+#[test]
+fn daemon_that_begins_learns_the_limit() {
+    let mut limited = LimitedFleet::new(5);
+    let everyone = limited.everyone();
+    limited.load(&everyone, CONTACT);
+    let addresses: Vec<String> =
+        limited.fleet.daemons[0].node.peer_addresses().into_iter().collect();
+    let leader = limited.fleet.leader();
+    limited.fleet.daemons[leader] = unlike_daemon(leader, addresses, 2, 0);
+    limited.gates.remove(&leader);
+    let since = limited.fleet.now;
+    limited.load(&everyone, Duration::from_secs(20));
+    let most = limited.most_since(since);
+    assert!(most <= ALLOWED, "{most}");
+}
+
+/// The target names its limit no longer: all is served again, soon and everywhere.
+#[test]
+fn end_of_the_limit_reaches_the_scheduler() {
+    let mut limited = LimitedFleet::new(6);
+    let everyone = limited.everyone();
+    limited.load(&everyone, CONTACT * 2);
+    limited.notice = TargetNotice::default();
+    limited.load(&everyone, CONTACT * 2);
+    let since = limited.fleet.now;
+    limited.load(&everyone, Duration::from_secs(4));
+    let served = limited.count_since(since);
+    assert!(served > 1_000, "{served} of 1,200");
+}
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -90,6 +90,7 @@
         }
         let in_time_until = self.in_time_until(now, request);
         let wait = self.wait_estimate(request, &limit, in_time_until <= now);
+        let wait = wait.max(self.limit_wait(now));
         if wait > micros(request.objectives.forecast_limit) {
             return Err(wait_too_long(request, Duration::from_micros(wait)));
         }
--- a/crates/sched/src/admission/forecast.rs
+++ b/crates/sched/src/admission/forecast.rs
@@ -3,7 +3,7 @@
 //! Inputs: the request's work in microseconds, its place in the queue, what was learned of the targets'
 //! speeds, and what the pool has taken in lately. The rule: the wait is the work ahead of the request
 //! by the pool's capacity, which is what was granted lately where lengths are guesses, and the slots by
-//! the targets' speeds where they are known. The time on a target is that of the fastest one, longer by
+//! the targets' speeds, or by the limits that they name, where they are known. The time on a target is that of the fastest one, longer by
 //! a margin where the work is known, and shorter by [`GUESS_DIVISOR`] where the length of the answer is
 //! a guess, so that neither error refuses what could be served.
 //!
@@ -12,12 +12,12 @@
 
 use std::time::Duration;
 
-use curlewcleat_core::{PermitRequest, WorkMicros};
+use curlewcleat_core::{PermitRequest, RequestRate, Uptime, WorkMicros};
 
 use super::account::AccountLimit;
 use crate::advice::capacity_advice;
 use crate::placement::target::TargetState;
-use crate::pool::{with_margin, PoolScheduler};
+use crate::pool::{micros, with_margin, PoolScheduler};
 
 /// A guessed length may be this many times too long. Chosen, not measured.
 const GUESS_DIVISOR: u64 = 3;
@@ -60,7 +60,15 @@
             let micros = u128::from(ahead) * 1_000_000 / u128::from(capacity);
             return u64::try_from(micros).unwrap_or(u64::MAX);
         }
-        ahead / self.speed_slots().max(1)
+        let slots = self.speed_slots(request.prompt_work + request.output_work);
+        self.wait_for_slots(ahead, slots)
+    }
+
+    /// Estimated time until a target's own limit lets the next request pass, where all name one.
+    pub(super) fn limit_wait(&self, now: Uptime) -> WorkMicros {
+        // Without a target that ever lets one pass the queue decides.
+        let waits = self.open_targets().filter_map(|state| state.limit_wait(now));
+        waits.min().map_or(0, micros)
     }
 
     /// Targets that neither leave nor are ejected.
@@ -68,15 +76,29 @@
         self.targets.values().filter(|state| !state.leaving && !state.ejected())
     }
 
-    /// Slots of the usable targets, each weighed by its speed.
-    fn speed_slots(&self) -> u64 {
-        self.open_targets()
-            .map(|state| u64::from(state.slots) * 1_000 / state.slowness().max(1))
-            .sum()
+    /// Slots of the usable targets, each weighed by its speed, in thousandths. One that limits its rate keeps as many busy
+    /// as requests of this work do that come so often.
+    fn speed_slots(&self, work: WorkMicros) -> u64 {
+        let slots = self.open_targets().map(|state| {
+            let slots = u64::from(state.slots) * 1_000 / state.slowness().max(1) * 1_000;
+            let of_limit = |rate: RequestRate| {
+                let slots = u128::from(rate.0) * u128::from(work) / 1_000_000;
+                u64::try_from(slots).unwrap_or(u64::MAX)
+            };
+            state.rate().map_or(slots, |rate| slots.min(of_limit(rate)))
+        });
+        slots.fold(0, u64::saturating_add)
+    }
+
+    /// Time in which so many thousandths of slots take work in. Where there are none, as one slot does.
+    fn wait_for_slots(&self, work: WorkMicros, slots: u64) -> WorkMicros {
+        let slots = if slots == 0 { 1_000 } else { slots };
+        u64::try_from(u128::from(work) * 1_000 / u128::from(slots)).unwrap_or(u64::MAX)
     }
 
     pub(crate) fn drain_time(&self) -> Duration {
-        let slots = self.speed_slots().max(1);
-        capacity_advice(Duration::from_micros(self.queues.total_work() / slots))
+        let work = self.queues.total_work();
+        let slots = self.speed_slots(work / (self.queues.len() as u64).max(1));
+        capacity_advice(Duration::from_micros(self.wait_for_slots(work, slots)))
     }
 }
--- a/crates/sched/src/entry/permits.rs
+++ b/crates/sched/src/entry/permits.rs
@@ -43,7 +43,7 @@
         retry: RetryReason,
         order: SchedulerOrder<'_>,
     ) -> Vec<EntryAction> {
-        if retry != RetryReason::TargetUnknown {
+        if !retry.is_unsent() {
             if let Some(actions) = self.kept_target_failed(id, end, retry) {
                 return actions;
             }
--- a/crates/sched/src/entry/request.rs
+++ b/crates/sched/src/entry/request.rs
@@ -81,7 +81,7 @@
 impl EntryRequest {
     /// The latest attempt did not run.
     pub fn note_not_run(&mut self, retry: RetryReason) {
-        if retry == RetryReason::TargetUnknown {
+        if retry.is_unsent() {
             // Nothing was sent, so it counts as no attempt.
             self.unsent += 1;
             return;
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -17,6 +17,7 @@
 pub mod ejection;
 pub mod notice;
 pub mod pace;
+pub mod pacing;
 pub mod prefix;
 pub mod target;
 
@@ -74,6 +75,7 @@
             let estimate = state.estimate(&waiting.request);
             let expected = estimate * 1_000 / state.slowness().max(1);
             state.in_flight += 1;
+            state.request_sent(now);
             let backlog = state.prompt_backlog(now);
             if let Some(time) = state.pace.prompt_time(waiting.request.prompt_work) {
                 state.prompt_sent(now, time);
--- a/crates/sched/src/placement/notice.rs
+++ b/crates/sched/src/placement/notice.rs
@@ -12,10 +12,15 @@
 //!
 //! Owns: the word of one life. Relies on: clocks that count a suspension.
 
+use std::time::Duration;
+
 use curlewcleat_core::{
     LimitNotice, LimitReport, NoticeReport, RequestRate, TargetLife, TargetNotice, Uptime,
 };
 
+/// Time for which others are told again that a limit has ended.
+const ENDED_TOLD: Duration = Duration::from_secs(30);
+
 /// A limit, or that there is none any more, and since when that counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct LimitWord {
@@ -100,9 +105,10 @@
         self.limit.and_then(|limit| limit.rate)
     }
 
-    /// Whether the target has said anything that others have to know.
-    pub fn is_silent(&self) -> bool {
-        *self == TargetWord::default()
+    /// Whether others may still believe something else, where a report was lost.
+    pub fn is_worth_telling(&self, now: Uptime) -> bool {
+        let limited = |limit: LimitWord| limit.rate.is_some() || now < limit.at + ENDED_TOLD;
+        self.leaving || self.limit.is_some_and(limited)
     }
 
     /// What there is to tell others.
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -1,20 +1,28 @@
 //! Does a target have room, and how fast is it? What a scheduler knows of one life of a target.
 //!
 //! The rules: a target has room while the permits in use, and what others sent by its latest report,
-//! are fewer than its slots (less a reserve for the top tier), and it is not ejected ([`ejection`]).
+//! are fewer than its slots (less a reserve for the top tier), it is not ejected ([`ejection`]), and the limit that it
+//! names has room ([`notice`], [`pacing`]).
 //! Its slowness is the ratio of seen to estimated time, in an exponentially weighted mean.
 //!
 //! Owns: slots, permits in use, beliefs. Relies on: reports that may be late or missing.
 //!
 //! [`ejection`]: super::ejection
+//! [`notice`]: super::notice
+//! [`pacing`]: super::pacing
 
 use std::time::Duration;
 
-use curlewcleat_core::{PermitRequest, TargetReport, TargetStart, Uptime, VmId, WorkMicros};
+use curlewcleat_core::{
+    NoticeReport, PermitRequest, RequestRate, TargetReport, TargetStart, Uptime, VmId, WorkMicros,
+};
 
 use super::ejection::TargetEjection;
+use super::notice::TargetWord;
 use super::pace::StreamPace;
+use super::pacing::{part_of, SendPace};
 use super::prefix::PrefixCache;
+use crate::admission::shared_rate::RatePart;
 
 /// Slowness of a target that takes exactly the estimated time, in thousandths. Chosen as the unit.
 const NORMAL: u64 = 1_000;
@@ -62,6 +70,10 @@
     prompts_until: Uptime,
     /// Share of its requests that failed lately, in thousandths.
     failing: u64,
+    /// What it says of itself.
+    word: TargetWord,
+    /// The part of its limit that this scheduler grants, `None` where it names none, with what it has granted.
+    limit: Option<(RequestRate, SendPace)>,
 }
 
 impl TargetState {
@@ -83,6 +95,8 @@
             pace: StreamPace::of_pool().of_new_target(),
             prompts_until: Duration::ZERO,
             failing: 0,
+            word: TargetWord::default(),
+            limit: None,
         }
     }
 
@@ -140,11 +154,54 @@
         }
     }
 
+    /// Takes in what a daemon has heard of it.
+    pub fn noticed(&mut self, now: Uptime, report: &NoticeReport, part: RatePart) {
+        self.word.merge(now, report);
+        self.keep_part(now, part);
+    }
+
+    /// Grants this part of its limit from now on.
+    pub fn keep_part(&mut self, now: Uptime, part: RatePart) {
+        let rate = self.word.rate().map(|rate| part_of(rate, part));
+        let limit = self.limit.take();
+        // A part that was nothing before has been used by others.
+        let pace = limit.filter(|(before, _)| before.0 > 0).map(|(_, pace)| pace);
+        self.limit = rate.map(|rate| (rate, pace.unwrap_or_else(|| SendPace::begin(now, 0))));
+    }
+
+    /// A request goes there.
+    pub fn request_sent(&mut self, now: Uptime) {
+        if let Some((rate, pace)) = &mut self.limit {
+            pace.sent(now, *rate);
+        }
+    }
+
+    /// The requests a second that this scheduler grants there, `None` for any number.
+    pub fn rate(&self) -> Option<RequestRate> {
+        self.limit.as_ref().map(|(rate, _)| *rate)
+    }
+
+    /// Time until the limit that it names lets one more request pass, `None` where it does not at this scheduler.
+    pub fn limit_wait(&self, now: Uptime) -> Option<Duration> {
+        match &self.limit {
+            Some((rate, pace)) => pace.wait(now, *rate),
+            None => Some(Duration::ZERO),
+        }
+    }
+
+    /// What the target says of itself.
+    pub fn word(&self) -> &TargetWord {
+        &self.word
+    }
+
     /// Whether one more request may go there; the reserve is kept free unless `top`.
     pub fn has_room(&self, top: bool, reserve_percent: u32, now: Uptime) -> bool {
         if self.leaving {
             return false;
         }
+        if self.limit.as_ref().is_some_and(|(rate, pace)| !pace.admits(now, *rate)) {
+            return false;
+        }
         if self.ejection.is_ejected() {
             // After the ejection one request at a time tries the target out.
             return self.ejection.admits(now) && self.in_flight == 0;
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::account::{AccountLimit, RateBucket};
 use crate::admission::overload::OverloadLevel;
+use crate::admission::shared_rate::{RatePart, RateTurn};
 use crate::admission::throughput::PoolThroughput;
 use crate::order::queue::TierQueues;
 use crate::placement::pace::StreamPace;
@@ -126,6 +127,8 @@
     pub(crate) throughput: PoolThroughput,
     /// When the targets' beliefs last faded.
     pub(crate) faded: Uptime,
+    /// The part of the targets' limits that it grants.
+    pub(crate) part: RatePart,
 }
 
 impl PoolScheduler {
@@ -144,6 +147,7 @@
             pace: StreamPace::of_pool(),
             throughput: PoolThroughput::default(),
             faded: Duration::ZERO,
+            part: RatePart { reached: 1, all: 1, turn: RateTurn::Leader },
         }
     }
 
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -5,7 +5,7 @@
 //!
 //! The rule: an attempt that provably did not run is followed by another one while the deadline has not
 //! passed, fewer attempts were sent than the rule of the request allows, and the budget has room. An
-//! attempt that was not even sent, because this daemon knows that its target is gone, counts neither as
+//! attempt that was not even sent, because this daemon knows that its target is gone or takes nothing now, counts neither as
 //! an attempt nor against the budget. Whatever may have run is tried again only where the caller's rule
 //! lets requests run more than once; the daemon decides that before it reports the attempt here.
 //!
@@ -79,7 +79,7 @@
 
 /// Decides, and spends from the budget where the request is tried again.
 pub fn decide_retry(now: Uptime, input: RetryInput, budget: &mut RetryBudget) -> RetryDecision {
-    if input.reason == RetryReason::TargetUnknown {
+    if input.reason.is_unsent() {
         return RetryDecision::Again;
     }
     let in_time = now < input.deadline;
--- a/crates/sched/src/targets.rs
+++ b/crates/sched/src/targets.rs
@@ -1,4 +1,4 @@
-//! What a scheduler knows of its targets: their entries, whether they leave, and their reports.
+//! What a scheduler knows of its targets: their entries, whether they leave, their reports, and what they say.
 //!
 //! What is learned of a target is learned of one life. Where its entry tells a later start, the target
 //! begins anew: it has none of the permits in use, and nothing is believed of it. Those permits stay
@@ -10,9 +10,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use curlewcleat_core::{
-    LifeOrder, TargetEntry, TargetId, TargetLife, TargetPool, TargetReport, Uptime, VmId,
+    LifeOrder, NoticeReport, TargetEntry, TargetId, TargetLife, TargetPool, TargetReport, Uptime,
+    VmId,
 };
 
+use crate::admission::shared_rate::RatePart;
 use crate::placement::target::TargetState;
 use crate::pool::{PoolOptions, PoolScheduler, SchedulerAction};
 
@@ -92,6 +94,26 @@
         actions
     }
 
+    /// Takes in what an entry has heard of a target. What another life said says nothing.
+    pub fn noticed(&mut self, now: Uptime, report: &NoticeReport) -> Vec<SchedulerAction> {
+        let part = self.part;
+        if let Some(state) = state_of(&mut self.targets, &report.life) {
+            state.noticed(now, report, part);
+        }
+        let mut actions = Vec::new();
+        self.grant(now, &mut actions);
+        actions
+    }
+
+    /// Grants this part of what limited targets take.
+    pub fn set_part(&mut self, now: Uptime, part: RatePart) {
+        if self.part == part {
+            return;
+        }
+        self.part = part;
+        self.targets.values_mut().for_each(|state| state.keep_part(now, part));
+    }
+
     /// Known targets.
     pub fn targets(&self) -> &BTreeMap<TargetId, TargetState> {
         &self.targets
--- /dev/null
+++ b/crates/sched/tests/notices.rs
@@ -0,0 +1,305 @@
+//! What a target says of itself, and what a scheduler and a daemon's gate make of it, as sequences of events. An engine that
+//! named a limit of 1.8 requests a second got 23 in four seconds where 16 were allowed, since nothing kept to it.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use curlewcleat_core::{
+    AttemptEnd, DaemonId, LatencyObjectives, LimitNotice, LimitReport, NoticeReport,
+    PermitDecision, PermitId, PermitRequest, PermitReturn, RequestId, RequestRate, TargetEntry,
+    TargetLife, TargetNotice, TargetPool, TargetStart,
+};
+use curlewcleat_sched::{
+    GateStop, HeardNotice, PoolOptions, PoolScheduler, RatePart, RateTurn, SchedulerAction,
+    TargetGate, TargetWord,
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(20);
+/// Span in which the users count.
+const SPAN: Duration = Duration::from_secs(4);
+
+fn life(id: &str) -> TargetLife {
+    TargetLife { id: id.to_string(), start: None }
+}
+
+fn rate(per_second: f64) -> RequestRate {
+    RequestRate::per_second(per_second).expect("a rate")
+}
+
+fn named(per_second: f64) -> TargetNotice {
+    TargetNotice { limit: LimitNotice::Named(rate(per_second)), ..TargetNotice::default() }
+}
+
+fn limited(id: &str, per_second: f64) -> NoticeReport {
+    let limit = LimitReport { rate: Some(rate(per_second)), age: Duration::ZERO };
+    NoticeReport { life: life(id), leaving: false, rest: None, limit: Some(limit) }
+}
+
+fn unlimited(id: &str, age: Duration) -> NoticeReport {
+    let limit = LimitReport { rate: None, age };
+    NoticeReport { limit: Some(limit), ..limited(id, 1.0) }
+}
+
+fn leader(reached: usize, all: usize) -> RatePart {
+    RatePart { reached, all, turn: RateTurn::Leader }
+}
+
+fn scheduler(ids: &[&str], slots: u32) -> PoolScheduler {
+    let entry = |id: &&str| {
+        let entry =
+            TargetEntry { id: id.to_string(), vm: id.to_string(), slots, ..TargetEntry::default() };
+        (id.to_string(), entry)
+    };
+    let targets = ids.iter().map(entry).collect();
+    let pool = TargetPool { id: "p".to_string(), targets, ..TargetPool::default() };
+    let mut scheduler = PoolScheduler::new("p".to_string(), PoolOptions::default());
+    scheduler.configure(PoolOptions::default(), &pool);
+    scheduler
+}
+
+fn ask(number: u128, tier: u8) -> PermitRequest {
+    PermitRequest {
+        permit: PermitId { request: RequestId::from_u128(number), attempt: 0 },
+        pool: "p".to_string(),
+        tier,
+        account: "a".to_string(),
+        cost: 1,
+        objectives: LatencyObjectives::default(),
+        time_left: Duration::from_secs(3_600),
+        prompt_work: 0,
+        output_work: 1_000,
+        prefix: None,
+        avoid: Vec::new(),
+    }
+}
+
+fn entry(vm: &str) -> DaemonId {
+    DaemonId { vm: vm.to_string(), incarnation: 1 }
+}
+
+fn granted(actions: &[SchedulerAction]) -> Vec<u128> {
+    let grants = actions
+        .iter()
+        .filter(|action| matches!(action.answer.decision, PermitDecision::Granted(_)));
+    grants.map(|action| action.answer.permit.request.as_u128()).collect()
+}
+
+/// Times at which a scheduler with more than enough to do grants its target, where each answer comes at once.
+fn grants(scheduler: &mut PoolScheduler, from: Duration, time: Duration) -> Vec<Duration> {
+    let mut times = Vec::new();
+    let mut now = from;
+    let mut number = from.as_millis() * 1_000;
+    while now < from + time {
+        now += STEP;
+        number += 1;
+        let mut actions = scheduler.request_permit(now, entry("e"), ask(number, 0));
+        actions.extend(scheduler.tick(now));
+        while let Some(number) = granted(&actions).pop() {
+            times.push(now);
+            actions.retain(|action| action.answer.permit.request.as_u128() != number);
+            actions.extend(scheduler.give_back(now, &served(number)));
+        }
+    }
+    times
+}
+
+fn served(number: u128) -> PermitReturn {
+    let permit = PermitId { request: RequestId::from_u128(number), attempt: 0 };
+    let end = AttemptEnd::Whole(Duration::from_millis(1));
+    PermitReturn { permit, pool: "p".to_string(), end }
+}
+
+fn most_in_span(times: &[Duration]) -> usize {
+    let within =
+        |from: Duration| times.iter().filter(|at| (from..from + SPAN).contains(at)).count();
+    times.iter().map(|from| within(*from)).max().unwrap_or(0)
+}
+
+/// 1.2 times what the limit allows in a span, and five.
+fn allowed(per_second: f64) -> usize {
+    (1.2 * per_second * SPAN.as_secs_f64()) as usize + 5
+}
+
+#[rstest]
+#[case::low(0.3)]
+#[case::of_the_report(1.8)]
+#[case::high(40.0)]
+fn scheduler_grants_what_the_target_takes_and_no_more(#[case] limit: f64) {
+    let mut scheduler = scheduler(&["t"], 1_000);
+    scheduler.noticed(SECOND, &limited("t", limit));
+    let times = grants(&mut scheduler, SECOND, SECOND * 60);
+    assert!(most_in_span(&times) <= allowed(limit), "{}", most_in_span(&times));
+    let least = (limit * 60.0 * 0.9) as usize;
+    assert!(times.len() >= least, "{} of {least}", times.len());
+}
+
+/// The limit rises, falls, is zero, and ends.
+#[test]
+fn changes_of_the_limit_allow_no_burst() {
+    let mut scheduler = scheduler(&["t"], 10_000);
+    scheduler.noticed(SECOND, &limited("t", 2.0));
+    let mut times = Vec::new();
+    for (index, limit) in [2.0, 20.0, 1.0, 0.0, 5.0].into_iter().enumerate() {
+        let from = SECOND * (1 + 10 * index as u32);
+        scheduler.noticed(from, &limited("t", limit));
+        times = grants(&mut scheduler, from, SECOND * 10);
+        assert!(most_in_span(&times) <= allowed(limit), "{limit}: {}", most_in_span(&times));
+    }
+    assert!(!times.is_empty());
+    scheduler.noticed(SECOND * 60, &unlimited("t", Duration::ZERO));
+    let times = grants(&mut scheduler, SECOND * 60, SECOND * 4);
+    assert!(times.len() > 100, "{}", times.len());
+}
+
+/// A target that takes nothing is asked again, rarely.
+#[test]
+fn target_without_room_is_tried_out() {
+    let mut scheduler = scheduler(&["t"], 10);
+    scheduler.noticed(SECOND, &limited("t", 0.0));
+    let times = grants(&mut scheduler, SECOND, SECOND * 60);
+    assert!((5..=7).contains(&times.len()), "{}", times.len());
+}
+
+/// Daemons are cut off from each other: each side's scheduler grants the part of the daemons that it reaches. One that is asked
+/// out of turn grants nothing.
+#[test]
+fn parts_add_up_to_the_limit() {
+    let limit = 10.0;
+    let mut times = Vec::new();
+    for part in [leader(4, 7), leader(2, 7), leader(1, 7)] {
+        let mut scheduler = scheduler(&["t"], 1_000);
+        scheduler.set_part(SECOND, part);
+        scheduler.noticed(SECOND, &limited("t", limit));
+        times.extend(grants(&mut scheduler, SECOND, SECOND * 30));
+    }
+    times.sort();
+    assert!(most_in_span(&times) <= allowed(limit), "{}", most_in_span(&times));
+    let mut scheduler = scheduler(&["t"], 1_000);
+    scheduler.set_part(SECOND, RatePart { reached: 0, all: 1, turn: RateTurn::Deputy });
+    scheduler.noticed(SECOND, &limited("t", limit));
+    assert_eq!(grants(&mut scheduler, SECOND, SECOND * 30), []);
+    // It comes to be asked first: what others let pass before is no credit of its own.
+    scheduler.set_part(SECOND * 31, leader(7, 7));
+    let times = grants(&mut scheduler, SECOND * 31, SECOND * 8);
+    assert!(most_in_span(&times) <= allowed(limit) - 2, "{}", most_in_span(&times));
+}
+
+/// A higher tier gets what the limit lets pass.
+#[test]
+fn lower_tier_does_not_use_up_the_limit() {
+    let mut scheduler = scheduler(&["t"], 100);
+    scheduler.noticed(SECOND, &limited("t", 2.0));
+    let mut known = BTreeSet::new();
+    let mut served = [0, 0];
+    for step in 0..500u32 {
+        let now = SECOND + STEP * step;
+        let number = u128::from(step) * 2;
+        let mut actions = scheduler.request_permit(now, entry("e"), ask(number, 1));
+        // One request of the higher tier a second.
+        if step % 50 == 0 {
+            actions.extend(scheduler.request_permit(now, entry("e"), ask(number + 1, 0)));
+        }
+        actions.extend(scheduler.tick(now));
+        let new = granted(&actions).into_iter().filter(|number| known.insert(*number));
+        new.for_each(|number| served[(number % 2) as usize] += 1);
+    }
+    assert_eq!(served[1], 10, "of the higher tier");
+    assert!(served[0] >= 7, "{} of the lower one", served[0]);
+}
+
+/// A new start has said nothing, and what an earlier life said counts no more.
+#[test]
+fn word_belongs_to_one_life() {
+    let start = |millis| Some(TargetStart(millis));
+    let mut scheduler = scheduler(&["t"], 100);
+    let pool = |start| {
+        let entry = TargetEntry {
+            id: "t".to_string(),
+            vm: "t".to_string(),
+            slots: 100,
+            start,
+            ..TargetEntry::default()
+        };
+        let targets = [("t".to_string(), entry)].into();
+        TargetPool { id: "p".to_string(), targets, ..TargetPool::default() }
+    };
+    scheduler.configure(PoolOptions::default(), &pool(start(1)));
+    let first = NoticeReport {
+        life: TargetLife { id: "t".to_string(), start: start(1) },
+        ..limited("t", 1.0)
+    };
+    scheduler.noticed(SECOND, &first);
+    assert_eq!(scheduler.targets()["t"].rate(), Some(rate(1.0)));
+    scheduler.configure(PoolOptions::default(), &pool(start(2)));
+    assert_eq!(scheduler.targets()["t"].rate(), None);
+    scheduler.noticed(SECOND * 2, &first);
+    assert_eq!(scheduler.targets()["t"].rate(), None);
+}
+
+/// The gate of one daemon, which hears with each request that passes.
+#[test]
+fn gate_lets_no_more_pass_than_the_whole_limit() {
+    let mut gate = TargetGate::default();
+    let heard = HeardNotice { sent: SECOND, notice: named(1.8) };
+    gate.heard(SECOND, &life("t"), &heard);
+    let mut times = Vec::new();
+    for step in 0..1_000 {
+        let now = SECOND + STEP * step;
+        match gate.pass(now, &life("t")) {
+            None => {
+                times.push(now);
+                gate.heard(now, &life("t"), &HeardNotice { sent: now, notice: named(1.8) });
+            }
+            Some(stop) => assert_eq!(stop, GateStop::Limited),
+        }
+    }
+    assert!(most_in_span(&times) <= allowed(1.8), "{}", most_in_span(&times));
+    assert!(times.len() >= 36, "{}", times.len());
+    assert_eq!(gate.pass(SECOND * 2, &life("other")), None);
+}
+
+/// An answer that was overtaken by the one that named the limit ends nothing; one to a later request does.
+#[test]
+fn limit_ends_with_a_later_request() {
+    let mut word = TargetWord::default();
+    assert!(word.heard(SECOND * 5, &HeardNotice { sent: SECOND * 4, notice: named(2.0) }));
+    let silent = TargetNotice::default();
+    assert!(!word.heard(SECOND * 6, &HeardNotice { sent: SECOND * 3, notice: silent }));
+    assert_eq!(word.rate(), Some(rate(2.0)));
+    let unreadable = TargetNotice { limit: LimitNotice::Unreadable, ..silent };
+    assert!(!word.heard(SECOND * 7, &HeardNotice { sent: SECOND * 6, notice: unreadable }));
+    assert_eq!(word.rate(), Some(rate(2.0)));
+    assert!(word.heard(SECOND * 8, &HeardNotice { sent: SECOND * 6, notice: silent }));
+    assert_eq!(word.rate(), None);
+}
+
+proptest! {
+    /// Whatever order reports come in, and however often, the newest word is believed.
+    #[test]
+    fn merged_reports_end_with_the_newest(
+        said in proptest::collection::vec((1u64..1_000, proptest::option::of(0u64..50)), 1..8),
+        order in proptest::collection::vec(0usize..8, 1..24),
+    ) {
+        let now = SECOND * 10;
+        let mut said = said;
+        said.sort();
+        said.dedup_by_key(|(at, _)| *at);
+        let report = |(at, tenths): (u64, Option<u64>)| {
+            let rate = tenths.map(|tenths| RequestRate(tenths * 100));
+            let limit = LimitReport { rate, age: now - Duration::from_millis(at) };
+            NoticeReport { limit: Some(limit), ..limited("t", 1.0) }
+        };
+        let mut word = TargetWord::default();
+        for index in order {
+            word.merge(now, &report(said[index % said.len()]));
+        }
+        for one in &said {
+            word.merge(now, &report(*one));
+        }
+        let newest = said.last().and_then(|(_, tenths)| tenths.map(|tenths| RequestRate(tenths * 100)));
+        prop_assert_eq!(word.rate(), newest);
+    }
+}
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -76,6 +76,14 @@
     pub(crate) pool: ConnectionPool,
 }
 
+impl PooledConnection {
+    /// Gives back a connection on which nothing was written.
+    pub fn put_back(self) {
+        let PooledConnection { stream, end, pool } = self;
+        pool.put_idle(&end, stream, None);
+    }
+}
+
 impl ConnectionPool {
     /// An empty pool.
     pub fn new(options: ConnectionOptions) -> ConnectionPool {
