--- a/crates/acceptance/tests/lethal_requests.rs
+++ b/crates/acceptance/tests/lethal_requests.rs
@@ -67,7 +67,10 @@
     Ok(fleet)
 }
 
+/// Daemons that have begun, know each other, and serve. Before they know each other they tell each other of no end: a try 20 ms
+/// after another one at a daemon that had begun 100 ms ago reached a fourth engine.
 async fn wait_ready(fleet: &FleetDeployment, path: &str) -> Result<()> {
+    fleet.peers_known().await?;
     for daemon in &fleet.daemons {
         wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() })
             .await?;
--- a/crates/acceptance/tests/target_limits.rs
+++ b/crates/acceptance/tests/target_limits.rs
@@ -64,6 +64,7 @@
         fleet.engine("records", 0, PACE).await?;
     }
     fleet.daemons(DAEMONS, "").await?;
+    fleet.peers_known().await?;
     for daemon in &fleet.daemons {
         wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() })
             .await?;
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -14,7 +14,8 @@
 use super::{EngineEntry, FleetEngine, FleetStore, LethalBody};
 use crate::address::free_address;
 use crate::deployment::{
-    output_of, own_folder, program_folder, spawn, start_tool, wait_listening, ChildProcess,
+    get_json, live_peers, output_of, own_folder, program_folder, spawn, start_tool, wait_listening,
+    wait_until, ChildProcess,
 };
 use crate::http;
 use crate::served::ServedHandler;
@@ -165,6 +166,19 @@
         Ok(())
     }
 
+    /// Waits until every daemon has heard of all others.
+    pub async fn peers_known(&self) -> Result<()> {
+        let others = self.daemons.len() - 1;
+        for daemon in &self.daemons {
+            wait_until("peers", || async {
+                let status = get_json(&daemon.operators, "/status").await;
+                status.is_ok_and(|status| live_peers(&status) == others)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Writes the settings of a daemon, whose first peer is at `seed`.
     pub fn write_settings(
         &self,
