Mend: targets that say that they leave, or ask for rest, are taken at their word

Callers were sent to engines that had said so: 12.8 s after an answer that said that the engine leaves (the platform was silent, and its list stood still), and six times in three seconds of rest. Cause: of the same class as the limit; the daemon believed the list and its own count of failures, which one success wipes out.

The gate of each daemon stops what the target's own word excludes: leaving for good, resting until then. It holds without the platform, a scheduler or another daemon. What one daemon heard reaches those that may schedule: a target that leaves is granted to nobody, one that rests not to the entry that it asked and to others only where nobody else has room. Neither is a failure: no ejection, no blame. Where all targets rest, callers hear when the first is back, spread over a quarter of that. A target that turns requests away without saying for how long gets what others have no room for, with a pause after each that it turned away (placement/declines.rs).

Why it holds: the word is heard when the head is read, in any answer of the target that was meant, and asked after the last wait and before the first byte.

--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -70,7 +70,8 @@
             return AttemptStart::Failed(RefusalReason::FirstByteTimeout, AttemptCause::HeadTimeout)
         }
     };
-    if let Some(notice) = protocol.target_notice(&answer.head) {
+    let notice = protocol.target_notice(&answer.head);
+    if let Some(notice) = notice {
         let heard = HeardNotice { sent: context.uptime_at(sent), notice };
         let report = context.gate.heard(context.uptime(), &life, &heard, request.id);
         if let Some(report) = report {
@@ -80,7 +81,12 @@
     match protocol.judge_head(request, &mut answer) {
         HeadVerdict::Accepted => AttemptStart::Answer(Box::new(answer)),
         HeadVerdict::NotRun => {
-            AttemptStart::NotRun(RetryReason::TargetNotStarted, AttemptCause::NotStarted)
+            let turned_away = notice.is_some_and(|notice| notice.turned_away);
+            let cause = match turned_away {
+                true => AttemptCause::TurnedAway,
+                false => AttemptCause::NotStarted,
+            };
+            AttemptStart::NotRun(RetryReason::TargetNotStarted, cause)
         }
         HeadVerdict::Foreign => {
             AttemptStart::Failed(RefusalReason::TargetProtocol, AttemptCause::Unreadable)
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -24,6 +24,12 @@
     Failed,
     /// The body that the caller sent is at fault.
     CallerBody,
+    /// The target turned the request away, and did not start it.
+    TurnedAway,
+    /// Nothing was sent: the target has said that it leaves.
+    TargetLeaving,
+    /// Nothing was sent: the target has asked this daemon for rest.
+    TargetResting,
     /// Nothing was sent: as many requests have gone to the target as it takes.
     TargetLimited,
 }
@@ -39,14 +45,21 @@
             | AttemptCause::Unreadable
             | AttemptCause::Failed
             | AttemptCause::CallerBody
+            | AttemptCause::TurnedAway
+            | AttemptCause::TargetLeaving
+            | AttemptCause::TargetResting
             | AttemptCause::TargetLimited => None,
         }
     }
 
-    /// What the scheduler learns of the target. One that said beforehand that it takes no more has not failed.
+    /// What the scheduler learns of the target. One that says that it takes no more has not failed; of that the scheduler
+    /// learns by what the target says.
     pub fn attempt_end(self) -> AttemptEnd {
         match self {
-            AttemptCause::TargetLimited => AttemptEnd::Unused,
+            AttemptCause::TurnedAway
+            | AttemptCause::TargetLeaving
+            | AttemptCause::TargetResting
+            | AttemptCause::TargetLimited => AttemptEnd::Unused,
             _ => AttemptEnd::Failed,
         }
     }
@@ -62,6 +75,9 @@
             AttemptCause::Unreadable => "unreadable",
             AttemptCause::Failed => "failed",
             AttemptCause::CallerBody => "caller_body",
+            AttemptCause::TurnedAway => "turned_away",
+            AttemptCause::TargetLeaving => "target_leaving",
+            AttemptCause::TargetResting => "target_resting",
             AttemptCause::TargetLimited => "target_limited",
         }
     }
@@ -70,6 +86,8 @@
 impl From<GateStop> for AttemptCause {
     fn from(stop: GateStop) -> AttemptCause {
         match stop {
+            GateStop::Leaving => AttemptCause::TargetLeaving,
+            GateStop::Resting => AttemptCause::TargetResting,
             GateStop::Limited => AttemptCause::TargetLimited,
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -276,7 +276,7 @@
             in_flight: state.in_flight,
             slots: state.slots,
             slowness: state.slowness(),
-            leaving: state.leaving,
+            leaving: state.is_leaving(),
             ejected: state.ejected(),
         });
         // The order names at least this daemon.
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -90,7 +90,7 @@
             PeerMessage::ConfigPartPull(pull) => self.config_part_pulled(&from.vm, pull),
             PeerMessage::ConfigPart(part) => self.config_part_received(&from.vm, part),
             PeerMessage::SuspectsPull(pull) => self.suspects_pulled(&from.vm, pull),
-            PeerMessage::TargetNotice(notice) => self.target_noticed(&notice),
+            PeerMessage::TargetNotice(notice) => self.target_noticed(&from.vm, &notice),
             PeerMessage::SuspectsPush(push) => self.suspects_pushed(from, push),
         }
     }
--- a/crates/node/src/node/notices.rs
+++ b/crates/node/src/node/notices.rs
@@ -43,7 +43,8 @@
     let report = &notice.report;
     let limit = report.limit.map(|limit| LimitReport { age: limit.age + time, ..limit });
     let rest = report.rest.and_then(|rest| rest.checked_sub(time));
-    let report = NoticeReport { limit, rest, ..report.clone() };
+    // What it turned away before says little now.
+    let report = NoticeReport { limit, rest, declined: false, ..report.clone() };
     PoolNotice { report, ..notice.clone() }
 }
 
@@ -60,12 +61,12 @@
     }
 
     /// A daemon tells what a target has said to it.
-    pub(super) fn target_noticed(&mut self, notice: &PoolNotice) {
+    pub(super) fn target_noticed(&mut self, from: &VmId, notice: &PoolNotice) {
         if !self.active.pools.contains_key(&notice.pool) {
             return;
         }
         let now = self.now;
-        let actions = self.pool(&notice.pool).noticed(now, &notice.report);
+        let actions = self.pool(&notice.pool).noticed(now, from, &notice.report);
         self.send_answers(actions);
     }
 
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -36,33 +36,51 @@
 };
 
 use self::account::{AccountLimit, RateBucket};
-use crate::advice::{spread_advice, DEFAULT_ADVICE};
+use crate::advice::{rest_advice, spread_advice, DEFAULT_ADVICE};
+use crate::placement::target::TargetState;
 use crate::pool::{micros, PoolScheduler, SchedulerAction};
 
 impl PoolScheduler {
     /// Refuses what waits and has no target left that could take it.
     pub(crate) fn refuse_unreachable(&mut self, now: Uptime, actions: &mut Vec<SchedulerAction>) {
-        if self.targets.values().all(|target| target.usable(now)) && !self.targets.is_empty() {
+        let open = |target: &TargetState| target.usable(now) && !target.rests(now);
+        if self.targets.values().all(open) && !self.targets.is_empty() {
             return;
         }
-        let lost =
-            self.queues.heads(usize::MAX).filter(|waiting| !self.reachable(now, &waiting.request));
+        let lost = self
+            .queues
+            .heads(usize::MAX)
+            .filter(|waiting| !self.reachable(now, &waiting.entry, &waiting.request));
         for permit in lost.map(|waiting| waiting.request.permit).collect::<Vec<_>>() {
             if let Some(waiting) = self.queues.remove(&permit) {
-                let refusal = self.no_target(now);
+                let refusal = self.no_target(now, &waiting.entry, &waiting.request);
                 actions.push(self.refuse(waiting.entry, &waiting.request, refusal));
             }
         }
     }
 
-    /// Whether a target takes new work that has not failed this request already.
-    pub(crate) fn reachable(&self, now: Uptime, request: &PermitRequest) -> bool {
-        self.targets.iter().any(|(id, target)| target.usable(now) && !request.avoid.contains(id))
+    /// Whether a target takes new work from this entry that has not failed this request already.
+    pub(crate) fn reachable(&self, now: Uptime, entry: &DaemonId, request: &PermitRequest) -> bool {
+        self.targets.iter().any(|(id, target)| {
+            let takes = target.usable(now) && target.rest_left(now, &entry.vm).is_none();
+            takes && !request.avoid.contains(id)
+        })
     }
 
-    pub(crate) fn no_target(&self, now: Uptime) -> Refusal {
+    pub(crate) fn no_target(
+        &self,
+        now: Uptime,
+        entry: &DaemonId,
+        request: &PermitRequest,
+    ) -> Refusal {
         let back = self.targets.values().filter_map(|target| target.back_after(now)).min();
-        let wait = back.unwrap_or(DEFAULT_ADVICE).max(DEFAULT_ADVICE);
+        let back = back.unwrap_or(DEFAULT_ADVICE).max(DEFAULT_ADVICE);
+        let rests = self.targets.values().filter(|target| target.usable(now));
+        let rested = rests.filter_map(|target| target.rest_left(now, &entry.vm)).min();
+        let wait = match rested {
+            Some(rest) => rest_advice(request.permit, rest),
+            None => back,
+        };
         Refusal::not_run(RefusalReason::NoTarget, Some(wait))
     }
 
@@ -71,6 +89,7 @@
     pub(crate) fn admit(
         &mut self,
         now: Uptime,
+        entry: &DaemonId,
         request: &PermitRequest,
         actions: &mut Vec<SchedulerAction>,
     ) -> Result<Uptime, Refusal> {
@@ -80,8 +99,8 @@
         }
         let limit = self.limit_of(&request.account);
         self.check_account(now, request, &limit)?;
-        if !self.reachable(now, request) {
-            return Err(self.no_target(now));
+        if !self.reachable(now, entry, request) {
+            return Err(self.no_target(now, entry, request));
         }
         let estimate = self.fastest_estimate(request);
         let time_left = request.time_left.as_micros() as u64;
--- a/crates/sched/src/admission/forecast.rs
+++ b/crates/sched/src/admission/forecast.rs
@@ -73,14 +73,14 @@
 
     /// Targets that neither leave nor are ejected.
     pub(crate) fn open_targets(&self) -> impl Iterator<Item = &TargetState> {
-        self.targets.values().filter(|state| !state.leaving && !state.ejected())
+        self.targets.values().filter(|state| !state.is_leaving() && !state.ejected())
     }
 
     /// Slots of the usable targets, each weighed by its speed, in thousandths. One that limits its rate keeps as many busy
     /// as requests of this work do that come so often.
     fn speed_slots(&self, work: WorkMicros) -> u64 {
         let slots = self.open_targets().map(|state| {
-            let slots = u64::from(state.slots) * 1_000 / state.slowness().max(1) * 1_000;
+            let slots = state.served_slots() * 1_000 / state.slowness().max(1) * 1_000;
             let of_limit = |rate: RequestRate| {
                 let slots = u128::from(rate.0) * u128::from(work) / 1_000_000;
                 u64::try_from(slots).unwrap_or(u64::MAX)
--- a/crates/sched/src/admission/replacement.rs
+++ b/crates/sched/src/admission/replacement.rs
@@ -30,7 +30,7 @@
         request: PermitRequest,
     ) -> Vec<SchedulerAction> {
         self.note_stalled(now, &request);
-        if let Some(refusal) = self.replacement_refusal(now, &request) {
+        if let Some(refusal) = self.replacement_refusal(now, &entry, &request) {
             return vec![self.refuse(entry, &request, refusal)];
         }
         let in_time_until = self.in_time_until(now, &request);
@@ -39,9 +39,14 @@
         actions
     }
 
-    fn replacement_refusal(&self, now: Uptime, request: &PermitRequest) -> Option<Refusal> {
-        if !self.reachable(now, request) {
-            return Some(self.no_target(now));
+    fn replacement_refusal(
+        &self,
+        now: Uptime,
+        entry: &DaemonId,
+        request: &PermitRequest,
+    ) -> Option<Refusal> {
+        if !self.reachable(now, entry, request) {
+            return Some(self.no_target(now, entry, request));
         }
         let account = self.limit_of(&request.account);
         let reason = if self.level.sheds(request.tier) {
--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -30,12 +30,16 @@
 
 /// Advice when to come back: not before `wait`, and spread over a part of the time that is left.
 pub fn spread_advice(permit: PermitId, wait: Duration, time_left: Duration) -> Duration {
-    let drawn = (permit.request.as_u128() % u128::from(SPREAD_STEPS)) as u32;
-    let spread = time_left / 100 * SPREAD_PERCENT / SPREAD_STEPS * drawn;
+    let spread = time_left / 100 * SPREAD_PERCENT / SPREAD_STEPS * drawn(permit);
     let most = (time_left / 100 * ADVICE_PERCENT).max(LEAST_ADVICE);
     (wait + spread).clamp(LEAST_ADVICE, most)
 }
 
+/// A step of the spread, by the permit's random id.
+fn drawn(permit: PermitId) -> u32 {
+    (permit.request.as_u128() % u128::from(SPREAD_STEPS)) as u32
+}
+
 /// Advice for a request for which its account has no room in its rate for `wait`: spread over as long again,
 /// so that a caller whose wait is short can still be in time. Load pattern: a fleet that begins anew with
 /// nothing saved, whose accounts have room after tens of milliseconds. With a spread over
@@ -45,6 +49,13 @@
     spread_advice(permit, wait, time_left).clamp(wait, wait * 2)
 }
 
+/// Advice for a request all of whose targets have asked for rest, the shortest for `rest`: spread over a quarter of that, so
+/// that those who wait for the same target do not meet there. Load pattern: a pool all of whose targets turn requests away.
+pub fn rest_advice(permit: PermitId, rest: Duration) -> Duration {
+    let spread = rest / 100 * SPREAD_PERCENT / SPREAD_STEPS * drawn(permit);
+    (rest + spread).clamp(LEAST_ADVICE, MOST_ADVICE)
+}
+
 /// Advice for a pool that needs so long to take in what waits.
 pub fn capacity_advice(drain_time: Duration) -> Duration {
     drain_time.clamp(DEFAULT_ADVICE, MOST_ADVICE)
--- a/crates/sched/src/placement/notice.rs
+++ b/crates/sched/src/placement/notice.rs
@@ -116,6 +116,7 @@
         NoticeReport {
             life: life.clone(),
             leaving: self.leaving,
+            declined: false,
             rest: self
                 .rest_until
                 .map(|until| until.saturating_sub(now))
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -11,12 +11,14 @@
 //! [`notice`]: super::notice
 //! [`pacing`]: super::pacing
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use curlewcleat_core::{
     NoticeReport, PermitRequest, RequestRate, TargetReport, TargetStart, Uptime, VmId, WorkMicros,
 };
 
+use super::declines::TargetDeclines;
 use super::ejection::TargetEjection;
 use super::notice::TargetWord;
 use super::pace::StreamPace;
@@ -72,6 +74,10 @@
     failing: u64,
     /// What it says of itself.
     word: TargetWord,
+    /// Until when it wants nothing from an entry, by the entry's VM.
+    rests: BTreeMap<VmId, Uptime>,
+    /// What it turns away.
+    declines: TargetDeclines,
     /// The part of its limit that this scheduler grants, `None` where it names none, with what it has granted.
     limit: Option<(RequestRate, SendPace)>,
 }
@@ -96,6 +102,8 @@
             prompts_until: Duration::ZERO,
             failing: 0,
             word: TargetWord::default(),
+            rests: BTreeMap::new(),
+            declines: TargetDeclines::default(),
             limit: None,
         }
     }
@@ -112,6 +120,7 @@
             self.pace.fade_towards(pool);
         }
         self.failing -= self.failing / FAILING_WEIGHT;
+        self.declines.second_passed();
         if self.in_flight == 0 && self.slowness > NORMAL {
             let excess = self.slowness - NORMAL;
             self.slowness -= excess.div_ceil(SLOWNESS_WEIGHT);
@@ -155,11 +164,44 @@
     }
 
     /// Takes in what a daemon has heard of it.
-    pub fn noticed(&mut self, now: Uptime, report: &NoticeReport, part: RatePart) {
+    pub fn noticed(&mut self, now: Uptime, from: &VmId, report: &NoticeReport, part: RatePart) {
         self.word.merge(now, report);
+        self.rests.retain(|_, until| now < *until);
+        if let Some(rest) = report.rest {
+            self.rests.insert(from.clone(), now + rest);
+        }
+        if report.declined {
+            self.declines.declined(now);
+        }
         self.keep_part(now, part);
     }
 
+    /// Time for which it still wants nothing from an entry's VM, `None` where it takes what comes.
+    pub fn rest_left(&self, now: Uptime, vm: &VmId) -> Option<Duration> {
+        let until = self.rests.get(vm)?;
+        Some(until.saturating_sub(now)).filter(|left| !left.is_zero())
+    }
+
+    /// Whether it has asked any entry for rest that lasts.
+    pub fn rests(&self, now: Uptime) -> bool {
+        self.rests.values().any(|until| now < *until)
+    }
+
+    /// Whether it gets only what no other target has room for: it turns requests away, or has asked an entry for rest.
+    pub fn turns_away(&self, now: Uptime) -> bool {
+        self.declines.is_declining() || self.rests(now)
+    }
+
+    /// Of its slots, those that it does not keep free by turning requests away.
+    pub fn served_slots(&self) -> u64 {
+        self.declines.served_part(u64::from(self.slots))
+    }
+
+    /// Whether it leaves, by the platform's word or its own.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.word.is_leaving()
+    }
+
     /// Grants this part of its limit from now on.
     pub fn keep_part(&mut self, now: Uptime, part: RatePart) {
         let rate = self.word.rate().map(|rate| part_of(rate, part));
@@ -196,7 +238,7 @@
 
     /// Whether one more request may go there; the reserve is kept free unless `top`.
     pub fn has_room(&self, top: bool, reserve_percent: u32, now: Uptime) -> bool {
-        if self.leaving {
+        if self.is_leaving() || !self.declines.admits(now) {
             return false;
         }
         if self.limit.as_ref().is_some_and(|(rate, pace)| !pace.admits(now, *rate)) {
@@ -213,12 +255,12 @@
 
     /// Whether the target takes new work at all.
     pub fn usable(&self, now: Uptime) -> bool {
-        !self.leaving && self.ejection.admits(now)
+        !self.is_leaving() && self.ejection.admits(now)
     }
 
     /// Time until an ejected target is tried out again.
     pub fn back_after(&self, now: Uptime) -> Option<Duration> {
-        self.ejection.time_left(now).filter(|_| !self.leaving)
+        self.ejection.time_left(now).filter(|_| !self.is_leaving())
     }
 
     /// Whether the target is ejected for failures.
@@ -262,6 +304,7 @@
     pub fn succeeded(&mut self, expected: WorkMicros, took: Duration) {
         self.failing -= self.failing / FAILING_WEIGHT;
         self.ejection.succeeded();
+        self.declines.served();
         let ratio = took.as_micros() as u64 * NORMAL / expected.max(1);
         let ratio = ratio.clamp(NORMAL / 10, NORMAL * 20);
         self.slowness = (self.slowness * (SLOWNESS_WEIGHT - 1) + ratio) / SLOWNESS_WEIGHT;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -77,7 +77,7 @@
             return self.request_replacement(now, entry, request);
         }
         let mut actions = Vec::new();
-        let in_time_until = match self.admit(now, &request, &mut actions) {
+        let in_time_until = match self.admit(now, &entry, &request, &mut actions) {
             Ok(in_time_until) => in_time_until,
             Err(refusal) => {
                 let action = match is_for_capacity(&refusal) {
--- a/crates/sched/src/target_gate.rs
+++ b/crates/sched/src/target_gate.rs
@@ -39,6 +39,10 @@
 /// Why the gate stops a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GateStop {
+    /// The target leaves.
+    Leaving,
+    /// It wants nothing from this daemon now.
+    Resting,
     /// As many have gone there as the target takes.
     Limited,
 }
@@ -76,18 +80,26 @@
             .rate()
             .map(|_| record.pace.take().unwrap_or_else(|| SendPace::begin(now, SPARE)));
         let due = record.told.is_none_or(|told| now >= told + TELL_EVERY);
-        let tell = changed || due && record.word.is_worth_telling(now);
+        let declined = heard.notice.turned_away && heard.notice.rest.is_none();
+        let tell = changed || declined || due && record.word.is_worth_telling(now);
         if tell {
             record.told = Some(now);
         }
         let unreadable =
             heard.notice.unreadable && !std::mem::replace(&mut record.noted_unreadable, true);
-        NoticeNews { report: record.word.report(now, life), changed, tell, unreadable }
+        let report = NoticeReport { declined, ..record.word.report(now, life) };
+        NoticeNews { report, changed, tell, unreadable }
     }
 
     /// What would stop a request now.
     pub fn stop(&self, now: Uptime, life: &TargetLife) -> Option<GateStop> {
         let record = self.lives.get(life)?;
+        if record.word.is_leaving() {
+            return Some(GateStop::Leaving);
+        }
+        if record.word.rest_until().is_some_and(|until| now < until) {
+            return Some(GateStop::Resting);
+        }
         let limit = record.word.rate().zip(record.pace.as_ref());
         match limit {
             Some((rate, pace)) if !pace.admits(now, rate) => Some(GateStop::Limited),
--- a/crates/sched/src/targets.rs
+++ b/crates/sched/src/targets.rs
@@ -95,10 +95,15 @@
     }
 
     /// Takes in what an entry has heard of a target. What another life said says nothing.
-    pub fn noticed(&mut self, now: Uptime, report: &NoticeReport) -> Vec<SchedulerAction> {
+    pub fn noticed(
+        &mut self,
+        now: Uptime,
+        from: &VmId,
+        report: &NoticeReport,
+    ) -> Vec<SchedulerAction> {
         let part = self.part;
         if let Some(state) = state_of(&mut self.targets, &report.life) {
-            state.noticed(now, report, part);
+            state.noticed(now, from, report, part);
         }
         let mut actions = Vec::new();
         self.grant(now, &mut actions);
--- a/crates/sched/tests/notices.rs
+++ b/crates/sched/tests/notices.rs
@@ -7,7 +7,7 @@
 use curlewcleat_core::{
     AttemptEnd, DaemonId, LatencyObjectives, LimitNotice, LimitReport, NoticeReport,
     PermitDecision, PermitId, PermitRequest, PermitReturn, RequestId, RequestRate, TargetEntry,
-    TargetLife, TargetNotice, TargetPool, TargetStart,
+    TargetLife, TargetNotice, TargetPool, TargetStart, VmId,
 };
 use curlewcleat_sched::{
     GateStop, HeardNotice, PoolOptions, PoolScheduler, RatePart, RateTurn, SchedulerAction,
@@ -35,7 +35,7 @@
 
 fn limited(id: &str, per_second: f64) -> NoticeReport {
     let limit = LimitReport { rate: Some(rate(per_second)), age: Duration::ZERO };
-    NoticeReport { life: life(id), leaving: false, rest: None, limit: Some(limit) }
+    NoticeReport { life: life(id), leaving: false, declined: false, rest: None, limit: Some(limit) }
 }
 
 fn unlimited(id: &str, age: Duration) -> NoticeReport {
@@ -76,6 +76,11 @@
     }
 }
 
+/// The entry that heard.
+fn vm() -> VmId {
+    "e".to_string()
+}
+
 fn entry(vm: &str) -> DaemonId {
     DaemonId { vm: vm.to_string(), incarnation: 1 }
 }
@@ -129,7 +134,7 @@
 #[case::high(40.0)]
 fn scheduler_grants_what_the_target_takes_and_no_more(#[case] limit: f64) {
     let mut scheduler = scheduler(&["t"], 1_000);
-    scheduler.noticed(SECOND, &limited("t", limit));
+    scheduler.noticed(SECOND, &vm(), &limited("t", limit));
     let times = grants(&mut scheduler, SECOND, SECOND * 60);
     assert!(most_in_span(&times) <= allowed(limit), "{}", most_in_span(&times));
     let least = (limit * 60.0 * 0.9) as usize;
@@ -140,16 +145,16 @@
 #[test]
 fn changes_of_the_limit_allow_no_burst() {
     let mut scheduler = scheduler(&["t"], 10_000);
-    scheduler.noticed(SECOND, &limited("t", 2.0));
+    scheduler.noticed(SECOND, &vm(), &limited("t", 2.0));
     let mut times = Vec::new();
     for (index, limit) in [2.0, 20.0, 1.0, 0.0, 5.0].into_iter().enumerate() {
         let from = SECOND * (1 + 10 * index as u32);
-        scheduler.noticed(from, &limited("t", limit));
+        scheduler.noticed(from, &vm(), &limited("t", limit));
         times = grants(&mut scheduler, from, SECOND * 10);
         assert!(most_in_span(&times) <= allowed(limit), "{limit}: {}", most_in_span(&times));
     }
     assert!(!times.is_empty());
-    scheduler.noticed(SECOND * 60, &unlimited("t", Duration::ZERO));
+    scheduler.noticed(SECOND * 60, &vm(), &unlimited("t", Duration::ZERO));
     let times = grants(&mut scheduler, SECOND * 60, SECOND * 4);
     assert!(times.len() > 100, "{}", times.len());
 }
@@ -158,7 +163,7 @@
 #[test]
 fn target_without_room_is_tried_out() {
     let mut scheduler = scheduler(&["t"], 10);
-    scheduler.noticed(SECOND, &limited("t", 0.0));
+    scheduler.noticed(SECOND, &vm(), &limited("t", 0.0));
     let times = grants(&mut scheduler, SECOND, SECOND * 60);
     assert!((5..=7).contains(&times.len()), "{}", times.len());
 }
@@ -172,14 +177,14 @@
     for part in [leader(4, 7), leader(2, 7), leader(1, 7)] {
         let mut scheduler = scheduler(&["t"], 1_000);
         scheduler.set_part(SECOND, part);
-        scheduler.noticed(SECOND, &limited("t", limit));
+        scheduler.noticed(SECOND, &vm(), &limited("t", limit));
         times.extend(grants(&mut scheduler, SECOND, SECOND * 30));
     }
     times.sort();
     assert!(most_in_span(&times) <= allowed(limit), "{}", most_in_span(&times));
     let mut scheduler = scheduler(&["t"], 1_000);
     scheduler.set_part(SECOND, RatePart { reached: 0, all: 1, turn: RateTurn::Deputy });
-    scheduler.noticed(SECOND, &limited("t", limit));
+    scheduler.noticed(SECOND, &vm(), &limited("t", limit));
     assert_eq!(grants(&mut scheduler, SECOND, SECOND * 30), []);
     // It comes to be asked first: what others let pass before is no credit of its own.
     scheduler.set_part(SECOND * 31, leader(7, 7));
@@ -191,7 +196,7 @@
 #[test]
 fn lower_tier_does_not_use_up_the_limit() {
     let mut scheduler = scheduler(&["t"], 100);
-    scheduler.noticed(SECOND, &limited("t", 2.0));
+    scheduler.noticed(SECOND, &vm(), &limited("t", 2.0));
     let mut known = BTreeSet::new();
     let mut served = [0, 0];
     for step in 0..500u32 {
@@ -231,11 +236,11 @@
         life: TargetLife { id: "t".to_string(), start: start(1) },
         ..limited("t", 1.0)
     };
-    scheduler.noticed(SECOND, &first);
+    scheduler.noticed(SECOND, &vm(), &first);
     assert_eq!(scheduler.targets()["t"].rate(), Some(rate(1.0)));
     scheduler.configure(PoolOptions::default(), &pool(start(2)));
     assert_eq!(scheduler.targets()["t"].rate(), None);
-    scheduler.noticed(SECOND * 2, &first);
+    scheduler.noticed(SECOND * 2, &vm(), &first);
     assert_eq!(scheduler.targets()["t"].rate(), None);
 }
 
