--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -375,7 +375,6 @@
     let report = NoticeReport {
         life: life("e-4"),
         leaving: true,
-        declined: true,
         rest: Some(Duration::from_secs(3)),
         limit: Some(limit),
     };
--- a/crates/core/src/target_notice.rs
+++ b/crates/core/src/target_notice.rs
@@ -53,8 +53,6 @@
 pub struct TargetNotice {
     /// Whether the target leaves.
     pub leaving: bool,
-    /// Whether it has turned its request away.
-    pub turned_away: bool,
     /// Time for which it wants nothing from the daemon that it answers.
     pub rest: Option<Duration>,
     /// The requests a second that it takes.
@@ -79,8 +77,6 @@
     pub life: TargetLife,
     /// Whether it leaves.
     pub leaving: bool,
-    /// Whether it has just turned a request away and has asked for no rest.
-    pub declined: bool,
     /// Time for which it still wants nothing from the sender.
     pub rest: Option<Duration>,
     /// Its limit, `None` where it has named none.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -35,6 +35,7 @@
     unusable_entries: IntCounterVec,
     reports: IntCounterVec,
     targets_ended: IntCounter,
+    gate_stops: IntCounterVec,
     gauges: StatusGauges,
 }
 
@@ -78,6 +79,11 @@
                 "targets_ended_under_requests_total",
                 "Ends of targets that were found to have happened under a request, one for each of them",
             )?,
+            gate_stops: count(
+                "gate_stops_total",
+                "Requests not sent to a target, by what the target had said",
+                &["cause"],
+            )?,
             gauges: StatusGauges::new(&registry, counts)?,
             registry,
         };
@@ -156,6 +162,11 @@
         self.targets_ended.inc();
     }
 
+    /// A request was not sent to a target, for what the target had said.
+    pub fn gate_stop(&self, cause: &str) {
+        self.gate_stops.with_label_values(&[cause]).inc();
+    }
+
     /// A call of the platform is made.
     pub fn platform_call(&self, call: &str) {
         self.platform_calls.with_label_values(&[call]).inc();
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -16,6 +16,7 @@
 use super::cause::AttemptCause;
 use super::protocol::{CallerProtocol, HeadVerdict, TargetAttempt};
 use super::target_wait::{GrantedTarget, TargetWait, WaitEnd};
+use crate::context::DaemonContext;
 
 /// How an attempt began.
 pub enum AttemptStart {
@@ -38,7 +39,7 @@
     let (context, protocol, request) = (wait.context, wait.protocol, attempt.request);
     let life = attempt.target.life();
     if let Some(stop) = context.gate.stop(context.uptime(), &life) {
-        return stopped(stop);
+        return stopped(context, stop);
     }
     let limits = protocol.limits(request);
     let connected = match connection {
@@ -54,7 +55,7 @@
     // The target may have spoken while the connection was made.
     if let Some(stop) = context.gate.pass(context.uptime(), &life) {
         connection.put_back();
-        return stopped(stop);
+        return stopped(context, stop);
     }
     let head = protocol.target_head(&attempt);
     let options = protocol.exchange_options(request);
@@ -81,9 +82,9 @@
     match protocol.judge_head(request, &mut answer) {
         HeadVerdict::Accepted => AttemptStart::Answer(Box::new(answer)),
         HeadVerdict::NotRun => {
-            let turned_away = notice.is_some_and(|notice| notice.turned_away);
-            let cause = match turned_away {
-                true => AttemptCause::TurnedAway,
+            let asks_for_rest = notice.is_some_and(|notice| notice.rest.is_some());
+            let cause = match asks_for_rest {
+                true => AttemptCause::AskedForRest,
                 false => AttemptCause::NotStarted,
             };
             AttemptStart::NotRun(RetryReason::TargetNotStarted, cause)
@@ -95,8 +96,10 @@
 }
 
 /// The target's own word excludes it.
-fn stopped(stop: GateStop) -> AttemptStart {
-    AttemptStart::NotRun(RetryReason::TargetUnwilling, stop.into())
+fn stopped(context: &DaemonContext, stop: GateStop) -> AttemptStart {
+    let cause = AttemptCause::from(stop);
+    context.metrics.gate_stop(cause.code());
+    AttemptStart::NotRun(RetryReason::TargetUnwilling, cause)
 }
 
 /// Until when the head of the answer is waited for. Where a request is cut at its deadline, the wait
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -24,8 +24,8 @@
     Failed,
     /// The body that the caller sent is at fault.
     CallerBody,
-    /// The target turned the request away, and did not start it.
-    TurnedAway,
+    /// The target did not start the request, and asked for rest.
+    AskedForRest,
     /// Nothing was sent: the target has said that it leaves.
     TargetLeaving,
     /// Nothing was sent: the target has asked this daemon for rest.
@@ -45,7 +45,7 @@
             | AttemptCause::Unreadable
             | AttemptCause::Failed
             | AttemptCause::CallerBody
-            | AttemptCause::TurnedAway
+            | AttemptCause::AskedForRest
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
             | AttemptCause::TargetLimited => None,
@@ -56,7 +56,7 @@
     /// learns by what the target says.
     pub fn attempt_end(self) -> AttemptEnd {
         match self {
-            AttemptCause::TurnedAway
+            AttemptCause::AskedForRest
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
             | AttemptCause::TargetLimited => AttemptEnd::Unused,
@@ -75,7 +75,7 @@
             AttemptCause::Unreadable => "unreadable",
             AttemptCause::Failed => "failed",
             AttemptCause::CallerBody => "caller_body",
-            AttemptCause::TurnedAway => "turned_away",
+            AttemptCause::AskedForRest => "asked_for_rest",
             AttemptCause::TargetLeaving => "target_leaving",
             AttemptCause::TargetResting => "target_resting",
             AttemptCause::TargetLimited => "target_limited",
--- a/crates/daemon/src/request/profile/notice.rs
+++ b/crates/daemon/src/request/profile/notice.rs
@@ -24,13 +24,12 @@
         return None;
     }
     let (limit, limit_read) = read_limit(texts(&head.headers, profile.limit));
-    let turned_away = turns_away(head.status);
-    let (rest, rest_read) = match turned_away {
+    let (rest, rest_read) = match turns_away(head.status) {
         true => read_rest(texts(&head.headers, header::RETRY_AFTER.as_str())),
         false => (None, true),
     };
     let leaving = texts(&head.headers, profile.leaving).any(|text| text == LEAVES);
-    Some(TargetNotice { leaving, turned_away, rest, limit, unreadable: !(limit_read && rest_read) })
+    Some(TargetNotice { leaving, rest, limit, unreadable: !(limit_read && rest_read) })
 }
 
 /// Whether a status says that the target takes no request now.
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -1,6 +1,8 @@
 //! Rules of the admission of a fleet's requests as tables: inputs and outcome. Times are in
 //! milliseconds.
 
+mod notices;
+
 use std::time::Duration;
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -278,6 +278,8 @@
             slowness: state.slowness(),
             leaving: state.is_leaving(),
             ejected: state.ejected(),
+            limit: state.word().rate(),
+            rests: state.rests(self.now),
         });
         // The order names at least this daemon.
         let order = self.members.scheduler_order(self.subject_of(id));
--- a/crates/node/src/node/notices.rs
+++ b/crates/node/src/node/notices.rs
@@ -43,8 +43,7 @@
     let report = &notice.report;
     let limit = report.limit.map(|limit| LimitReport { age: limit.age + time, ..limit });
     let rest = report.rest.and_then(|rest| rest.checked_sub(time));
-    // What it turned away before says little now.
-    let report = NoticeReport { limit, rest, declined: false, ..report.clone() };
+    let report = NoticeReport { limit, rest, ..report.clone() };
     PoolNotice { report, ..notice.clone() }
 }
 
@@ -86,6 +85,12 @@
         }
     }
 
+    /// Whether a target has said to any daemon that it leaves, also where the platform does not show it.
+    pub(super) fn says_that_it_leaves(&self, target: &str) -> bool {
+        let states = self.pools.values().filter_map(|pool| pool.targets().get(target));
+        states.into_iter().any(|state| state.word().is_leaving())
+    }
+
     /// The part of the limits of a pool's targets that this daemon grants: none while another one is asked first.
     pub(super) fn renew_parts(&mut self) {
         for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -3,7 +3,8 @@
 //! Owns: the form of a status inside the product. Relies on: nothing.
 
 use curlewcleat_core::{
-    DaemonId, Generation, ObjectVersion, PoolId, RequestDigest, SuspectReport, TargetId, TierRank,
+    DaemonId, Generation, ObjectVersion, PoolId, RequestDigest, RequestRate, SuspectReport,
+    TargetId, TierRank,
 };
 use curlewcleat_sched::{DrainPhase, PeerState};
 
@@ -22,6 +23,10 @@
     pub leaving: bool,
     /// Whether it is ejected for failures.
     pub ejected: bool,
+    /// The requests a second that it takes from all daemons, by its own word, `None` for any number.
+    pub limit: Option<RequestRate>,
+    /// Whether it has asked any daemon for rest that lasts.
+    pub rests: bool,
 }
 
 /// One pool as this daemon sees it.
--- a/crates/sched/src/admission/forecast.rs
+++ b/crates/sched/src/admission/forecast.rs
@@ -80,7 +80,7 @@
     /// as requests of this work do that come so often.
     fn speed_slots(&self, work: WorkMicros) -> u64 {
         let slots = self.open_targets().map(|state| {
-            let slots = state.served_slots() * 1_000 / state.slowness().max(1) * 1_000;
+            let slots = u64::from(state.slots) * 1_000 / state.slowness().max(1) * 1_000;
             let of_limit = |rate: RequestRate| {
                 let slots = u128::from(rate.0) * u128::from(work) / 1_000_000;
                 u64::try_from(slots).unwrap_or(u64::MAX)
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -5,16 +5,15 @@
 //! and data centre.
 //!
 //! The rule: of the targets with room ([`target`]) that have not asked the entry for rest the one is taken that, in this
-//! order, turns nothing away ([`declines`]) and has asked no other entry for rest, makes no running stream pause for too long, begins the answer in time, ends it soonest (failing and far
+//! order, has asked no other entry for rest either, makes no running stream pause for too long, begins the answer in time, ends it soonest (failing and far
 //! targets count longer), and is least loaded. A request waits instead where a busy target would end it
 //! in time and this one would not, or where another does not stall, as long as its first part is not
-//! due; so it does where another one does not turn requests away. docs/MEASUREMENTS.md, "placement by learned pace" and "near targets first", has what this
+//! due. docs/MEASUREMENTS.md, "placement by learned pace" and "near targets first", has what this
 //! gained.
 //!
 //! Owns: the rule; the state is the [`PoolScheduler`]'s. Relies on: [`pace`] and [`prefix`] for beliefs
 //! about targets.
 
-pub mod declines;
 pub mod ejection;
 pub mod notice;
 pub mod pace;
@@ -49,8 +48,8 @@
 /// How well a target suits a permit request; the least is the best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct TargetFit {
-    /// It turns requests away, or has asked some entry for rest.
-    declines: bool,
+    /// It has asked some entry for rest.
+    rests: bool,
     /// Streams there would pause for too long.
     stalls: bool,
     /// The answer would begin too late.
@@ -132,9 +131,6 @@
         if too_slow && may_wait && self.has_fast_target(now, waiting, time_left) {
             return None;
         }
-        if fit.declines && may_wait && self.has_willing_target(now, waiting) {
-            return None;
-        }
         if fit.stalls && may_wait && self.has_steady_target(now, waiting) {
             return None;
         }
@@ -144,14 +140,14 @@
     /// How well a target suits a permit request.
     fn fit(&self, now: Uptime, waiting: &WaitingRequest, state: &TargetState) -> TargetFit {
         let request = &waiting.request;
-        let declines = state.turns_away(now);
+        let rests = state.rests(now);
         let prompt = state.pace.prompt_time(request.prompt_work);
         let output = state.pace.output_time(request.output_work, &self.pace);
         let (Some(prompt), Some(output)) = (prompt, output) else {
             let time = state.estimate(request);
             let penalty = penalty(time, state) + self.distance(waiting, state, time);
             let penalized = time + penalty;
-            return TargetFit { declines, stalls: false, late: false, penalized, time };
+            return TargetFit { rests, stalls: false, late: false, penalized, time };
         };
         let backlog = state.prompt_backlog(now);
         let reading = backlog + Duration::from_micros(prompt);
@@ -159,7 +155,7 @@
         let late = now + reading > waiting.first_part_by;
         let time = micros(reading) + output;
         let penalty = penalty(time, state) + self.distance(waiting, state, time);
-        TargetFit { declines, stalls, late, penalized: time + penalty, time }
+        TargetFit { rests, stalls, late, penalized: time + penalty, time }
     }
 
     /// Whether reading prompts for so long makes the streams of a target pause for too long. A target
@@ -202,14 +198,6 @@
         })
     }
 
-    /// Whether some target that takes new work, busy or not, turns nothing away.
-    fn has_willing_target(&self, now: Uptime, waiting: &WaitingRequest) -> bool {
-        self.targets.iter().any(|(id, state)| {
-            let usable = state.usable(now) && eligible(now, waiting, id, state);
-            usable && !state.turns_away(now)
-        })
-    }
-
     /// Whether some target that takes new work, busy or not, has not been seen to stall.
     fn has_steady_target(&self, now: Uptime, waiting: &WaitingRequest) -> bool {
         let limit = waiting.request.objectives.pause_limit;
--- a/crates/sched/src/placement/notice.rs
+++ b/crates/sched/src/placement/notice.rs
@@ -116,7 +116,6 @@
         NoticeReport {
             life: life.clone(),
             leaving: self.leaving,
-            declined: false,
             rest: self
                 .rest_until
                 .map(|until| until.saturating_sub(now))
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -18,7 +18,6 @@
     NoticeReport, PermitRequest, RequestRate, TargetReport, TargetStart, Uptime, VmId, WorkMicros,
 };
 
-use super::declines::TargetDeclines;
 use super::ejection::TargetEjection;
 use super::notice::TargetWord;
 use super::pace::StreamPace;
@@ -76,8 +75,6 @@
     word: TargetWord,
     /// Until when it wants nothing from an entry, by the entry's VM.
     rests: BTreeMap<VmId, Uptime>,
-    /// What it turns away.
-    declines: TargetDeclines,
     /// The part of its limit that this scheduler grants, `None` where it names none, with what it has granted.
     limit: Option<(RequestRate, SendPace)>,
 }
@@ -103,7 +100,6 @@
             failing: 0,
             word: TargetWord::default(),
             rests: BTreeMap::new(),
-            declines: TargetDeclines::default(),
             limit: None,
         }
     }
@@ -120,7 +116,6 @@
             self.pace.fade_towards(pool);
         }
         self.failing -= self.failing / FAILING_WEIGHT;
-        self.declines.second_passed();
         if self.in_flight == 0 && self.slowness > NORMAL {
             let excess = self.slowness - NORMAL;
             self.slowness -= excess.div_ceil(SLOWNESS_WEIGHT);
@@ -170,9 +165,6 @@
         if let Some(rest) = report.rest {
             self.rests.insert(from.clone(), now + rest);
         }
-        if report.declined {
-            self.declines.declined(now);
-        }
         self.keep_part(now, part);
     }
 
@@ -187,16 +179,6 @@
         self.rests.values().any(|until| now < *until)
     }
 
-    /// Whether it gets only what no other target has room for: it turns requests away, or has asked an entry for rest.
-    pub fn turns_away(&self, now: Uptime) -> bool {
-        self.declines.is_declining() || self.rests(now)
-    }
-
-    /// Of its slots, those that it does not keep free by turning requests away.
-    pub fn served_slots(&self) -> u64 {
-        self.declines.served_part(u64::from(self.slots))
-    }
-
     /// Whether it leaves, by the platform's word or its own.
     pub fn is_leaving(&self) -> bool {
         self.leaving || self.word.is_leaving()
@@ -238,7 +220,7 @@
 
     /// Whether one more request may go there; the reserve is kept free unless `top`.
     pub fn has_room(&self, top: bool, reserve_percent: u32, now: Uptime) -> bool {
-        if self.is_leaving() || !self.declines.admits(now) {
+        if self.is_leaving() {
             return false;
         }
         if self.limit.as_ref().is_some_and(|(rate, pace)| !pace.admits(now, *rate)) {
@@ -304,7 +286,6 @@
     pub fn succeeded(&mut self, expected: WorkMicros, took: Duration) {
         self.failing -= self.failing / FAILING_WEIGHT;
         self.ejection.succeeded();
-        self.declines.served();
         let ratio = took.as_micros() as u64 * NORMAL / expected.max(1);
         let ratio = ratio.clamp(NORMAL / 10, NORMAL * 20);
         self.slowness = (self.slowness * (SLOWNESS_WEIGHT - 1) + ratio) / SLOWNESS_WEIGHT;
--- a/crates/sched/src/target_gate.rs
+++ b/crates/sched/src/target_gate.rs
@@ -80,15 +80,13 @@
             .rate()
             .map(|_| record.pace.take().unwrap_or_else(|| SendPace::begin(now, SPARE)));
         let due = record.told.is_none_or(|told| now >= told + TELL_EVERY);
-        let declined = heard.notice.turned_away && heard.notice.rest.is_none();
-        let tell = changed || declined || due && record.word.is_worth_telling(now);
+        let tell = changed || due && record.word.is_worth_telling(now);
         if tell {
             record.told = Some(now);
         }
         let unreadable =
             heard.notice.unreadable && !std::mem::replace(&mut record.noted_unreadable, true);
-        let report = NoticeReport { declined, ..record.word.report(now, life) };
-        NoticeNews { report, changed, tell, unreadable }
+        NoticeNews { report: record.word.report(now, life), changed, tell, unreadable }
     }
 
     /// What would stop a request now.
--- a/crates/sched/tests/notices.rs
+++ b/crates/sched/tests/notices.rs
@@ -6,8 +6,8 @@
 
 use curlewcleat_core::{
     AttemptEnd, DaemonId, LatencyObjectives, LimitNotice, LimitReport, NoticeReport,
-    PermitDecision, PermitId, PermitRequest, PermitReturn, RequestId, RequestRate, TargetEntry,
-    TargetLife, TargetNotice, TargetPool, TargetStart, VmId,
+    PermitDecision, PermitId, PermitRequest, PermitReturn, RefusalReason, RequestId, RequestRate,
+    TargetEntry, TargetLife, TargetNotice, TargetPool, TargetStart, VmId,
 };
 use curlewcleat_sched::{
     GateStop, HeardNotice, PoolOptions, PoolScheduler, RatePart, RateTurn, SchedulerAction,
@@ -35,7 +35,7 @@
 
 fn limited(id: &str, per_second: f64) -> NoticeReport {
     let limit = LimitReport { rate: Some(rate(per_second)), age: Duration::ZERO };
-    NoticeReport { life: life(id), leaving: false, declined: false, rest: None, limit: Some(limit) }
+    NoticeReport { life: life(id), leaving: false, rest: None, limit: Some(limit) }
 }
 
 fn unlimited(id: &str, age: Duration) -> NoticeReport {
@@ -215,6 +215,91 @@
     assert!(served[0] >= 7, "{} of the lower one", served[0]);
 }
 
+fn resting(id: &str, rest: Duration) -> NoticeReport {
+    NoticeReport { rest: Some(rest), limit: None, ..limited(id, 1.0) }
+}
+
+/// Targets of the grants among these answers.
+fn targets(actions: &[SchedulerAction]) -> Vec<String> {
+    let target = |action: &SchedulerAction| match &action.answer.decision {
+        PermitDecision::Granted(target) => Some(target.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(target).collect()
+}
+
+/// A rest holds for the entry that was asked for it; others go there where nobody else has room.
+#[test]
+fn rest_is_kept_for_the_entry_that_was_asked() {
+    let mut scheduler = scheduler(&["a", "b"], 2);
+    let mut now = SECOND;
+    scheduler.noticed(now, &vm(), &resting("a", SECOND * 3));
+    let mut number = 0;
+    let mut ask_as = |scheduler: &mut PoolScheduler, now, vm: &str| {
+        number += 1;
+        let request = PermitRequest { time_left: SECOND * 10, ..ask(number, 0) };
+        scheduler.request_permit(now, entry(vm), request)
+    };
+    assert_eq!(targets(&ask_as(&mut scheduler, now, "e")), ["b"]);
+    assert_eq!(targets(&ask_as(&mut scheduler, now, "other")), ["b"], "as long as it has room");
+    assert_eq!(targets(&ask_as(&mut scheduler, now, "other")), ["a"]);
+    assert_eq!(targets(&ask_as(&mut scheduler, now, "e")), [""; 0], "waits for the other target");
+    assert!(!scheduler.targets()["a"].ejected());
+    now += SECOND * 3;
+    assert_eq!(targets(&scheduler.tick(now)), ["a"], "the rest is over");
+}
+
+/// All targets rest: the caller hears at once when the first is back.
+#[test]
+fn refusal_tells_when_the_first_rest_ends() {
+    let mut scheduler = scheduler(&["a", "b"], 2);
+    scheduler.noticed(SECOND, &vm(), &resting("a", SECOND * 3));
+    scheduler.noticed(SECOND, &vm(), &resting("b", SECOND * 2));
+    for number in 0..50 {
+        let actions = scheduler.request_permit(SECOND, entry("e"), ask(number * 37, 0));
+        let PermitDecision::Refused(refusal) = &actions[0].answer.decision else {
+            panic!("{actions:?}")
+        };
+        assert_eq!(refusal.reason, RefusalReason::NoTarget);
+        let wait = refusal.retry_after.expect("when to come back");
+        assert!((SECOND * 2..SECOND * 5 / 2).contains(&wait), "{wait:?}");
+    }
+    let actions = scheduler.request_permit(SECOND, entry("other"), ask(9_999, 0));
+    assert_eq!(targets(&actions).len(), 1, "another entry was asked for nothing");
+}
+
+/// A target that says that it leaves is granted to nobody, whatever its entry says.
+#[test]
+fn target_that_says_that_it_leaves_is_granted_to_nobody() {
+    let mut scheduler = scheduler(&["a", "b"], 100);
+    let leaving = NoticeReport { leaving: true, limit: None, ..limited("a", 1.0) };
+    scheduler.noticed(SECOND, &vm(), &leaving);
+    for number in 0..20 {
+        let actions = scheduler.request_permit(SECOND * 2, entry("other"), ask(number, 0));
+        assert_eq!(targets(&actions), ["b"]);
+    }
+}
+
+/// The gate holds without anybody else's word.
+#[test]
+fn gate_stops_what_the_target_excludes() {
+    let mut gate = TargetGate::default();
+    let heard = |notice| HeardNotice { sent: SECOND, notice };
+    let rest = TargetNotice { rest: Some(SECOND * 3), ..TargetNotice::default() };
+    gate.heard(SECOND, &life("a"), &heard(rest));
+    // A shorter rest does not end a longer one.
+    let short = TargetNotice { rest: Some(SECOND), ..TargetNotice::default() };
+    gate.heard(SECOND, &life("a"), &heard(short));
+    assert_eq!(gate.pass(SECOND * 3, &life("a")), Some(GateStop::Resting));
+    assert_eq!(gate.pass(SECOND * 4, &life("a")), None);
+    let leaving = TargetNotice { leaving: true, ..TargetNotice::default() };
+    gate.heard(SECOND * 4, &life("a"), &heard(leaving));
+    gate.heard(SECOND * 5, &life("a"), &heard(TargetNotice::default()));
+    assert_eq!(gate.pass(SECOND * 3_000, &life("a")), Some(GateStop::Leaving));
+    let later = TargetLife { start: Some(TargetStart(2)), ..life("a") };
+    assert_eq!(gate.pass(SECOND * 5, &later), None, "a new start has said nothing");
+}
+
 /// A new start has said nothing, and what an earlier life said counts no more.
 #[test]
 fn word_belongs_to_one_life() {
--- a/crates/tool/src/show.rs
+++ b/crates/tool/src/show.rs
@@ -126,6 +126,8 @@
                     text(&target["slowness_permille"]),
                     text(&target["leaving"]),
                     text(&target["ejected"]),
+                    text(&target["limit_per_s"]),
+                    text(&target["rests"]),
                     text(&status["vm"]),
                 ]);
             }
@@ -134,8 +136,17 @@
     if arguments.json {
         println!("{}", json!(found));
     } else {
-        let titles =
-            ["POOL", "TARGET", "IN FLIGHT", "SLOWNESS/1000", "LEAVING", "EJECTED", "SCHEDULER"];
+        let titles = [
+            "POOL",
+            "TARGET",
+            "IN FLIGHT",
+            "SLOWNESS/1000",
+            "LEAVING",
+            "EJECTED",
+            "LIMIT/S",
+            "RESTS",
+            "SCHEDULER",
+        ];
         table::print(&titles, &rows);
     }
     Ok(exit_of(&statuses))
