A target that says itself that it leaves ends as planned, whatever the platform shows

A request under which such a target ended counted as suspect, since only the platform's list was asked whether the target had said that it leaves, and that list stands still where the platform is silent. Test: the node test one_daemon_that_hears_that_a_target_leaves_spares_the_others.

--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -48,7 +48,7 @@
     pub(super) fn broke_off(&mut self, digest: RequestDigest, broke: RequestBreak) {
         let life = &broke.life;
         let announced = self.targets.shows(life);
-        let leaving = self.targets.is_leaving(&life.id);
+        let leaving = self.targets.is_leaving(&life.id) || self.says_that_it_leaves(&life.id);
         if leaving || !announced && !names_target(&self.store.active(), life) {
             return;
         }
--- a/crates/node/tests/notices.rs
+++ b/crates/node/tests/notices.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    LimitNotice, RequestId, RequestRate, RetryReason, TargetLife, TargetNotice,
+    BreakKind, LimitNotice, NoticeReport, RequestBreak, RequestId, RequestIdentity, RequestRate,
+    RetryReason, TargetLife, TargetNotice,
 };
 use curlewcleat_node::{CallerDecision, NodeEvent};
 use curlewcleat_sched::{HeardNotice, RequestSpec, TargetGate};
@@ -206,6 +207,31 @@
     assert!(most <= ALLOWED, "{most}");
 }
 
+/// Leaving, told by one daemon, and the platform does not show it: no daemon sends there any more, and its end under a request is
+/// a planned one.
+#[test]
+fn one_daemon_that_hears_that_a_target_leaves_spares_the_others() {
+    let mut fleet = Fleet::new(6);
+    let outsider = 5;
+    let leaving = NoticeReport { life: life(), leaving: true, rest: None, limit: None };
+    fleet.event(outsider, NodeEvent::TargetSaid("p".to_string(), leaving));
+    for number in 0..40 {
+        let index = (number % 6) as usize;
+        fleet.admit(index, number);
+        match fleet.decision(number) {
+            Some(CallerDecision::Dispatch(_, entry)) => assert_eq!(entry.id, "y"),
+            other => panic!("{other:?}"),
+        }
+        fleet.finish(index, number);
+    }
+    let identity =
+        RequestIdentity { method: "POST", host: "h", path: "/p", caller: "a", body: b"ends" };
+    let broke = RequestBreak { life: life(), kind: BreakKind::Closed, begun: false };
+    fleet.event(fleet.leader(), NodeEvent::BrokeOff(identity.digest(), broke));
+    let suspects = fleet.daemons[fleet.leader()].node.status().suspects;
+    assert_eq!(suspects, [], "a target that leaves ends as planned");
+}
+
 /// The target names its limit no longer: all is served again, soon and everywhere.
 #[test]
 fn end_of_the_limit_reaches_the_scheduler() {
