--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -59,7 +59,7 @@
             "Broken off by a target",
         ),
         NoTarget => (
-            "every target was leaving, ejected, or had failed this request",
+            "every target was leaving, ejected, at rest, or had failed this request",
             "Broken off by a target",
         ),
         KeyInProgress => ("an attempt with the same key was still in progress", "Refusals"),
