Model limits and soak kind words: what all daemons together send to a target that names a limit

Model: three daemons with the product's scheduler state and gate, cuts, deaths, late permits. Caught: each daemon keeps the whole limit (5 steps), out of turn as much as in turn (5), heard and told to nobody (6). Without the gate the search found a daemon that had been told asking one that had begun anew and had not: a gate that stops a request beyond the limit has the next answer told at once.

Soak kind words: engines name limits, say that they leave and ask for rest beside all other faults; the judge counts what reaches them.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 mod keys;
 mod lethal;
 mod levels;
+mod limits;
 mod rates;
 mod request;
 
@@ -20,5 +21,6 @@
 pub use keys::{KeyFault, KeyModel};
 pub use lethal::{LethalFault, LethalModel};
 pub use levels::{LevelFault, LevelModel};
+pub use limits::{LimitFault, LimitModel};
 pub use rates::{RateFault, RateModel};
 pub use request::{RequestFault, RequestModel};
--- a/crates/model/tests/models.rs
+++ b/crates/model/tests/models.rs
@@ -3,8 +3,8 @@
 
 use curlewcleat_model::{
     explore, ConfigFault, ConfigModel, DrainFault, DrainModel, KeyFault, KeyModel, LethalFault,
-    LethalModel, LevelFault, LevelModel, RateFault, RateModel, RequestFault, RequestModel,
-    SpecModel,
+    LethalModel, LevelFault, LevelModel, LimitFault, LimitModel, RateFault, RateModel,
+    RequestFault, RequestModel, SpecModel,
 };
 use rstest::rstest;
 
@@ -276,3 +276,24 @@
 
 const SENT_ON: &str = "it was sent on after everyone had time to know";
 const REFUSED: &str = "a request that ended nothing was refused";
+
+fn limits(fault: LimitFault) -> LimitModel {
+    LimitModel { fault, cuts: 1, deaths: 1, steps: 4, lates: 0 }
+}
+
+#[rstest]
+#[case::cut_and_death(limits(LimitFault::None))]
+#[case::cut_that_heals(LimitModel { cuts: 2, deaths: 0, lates: 1, ..limits(LimitFault::None) })]
+#[case::deaths(LimitModel { cuts: 0, deaths: 2, lates: 1, ..limits(LimitFault::None) })]
+fn daemons_together_send_no_more_than_a_limited_target_takes(#[case] model: LimitModel) {
+    holds("limits", &model);
+}
+
+#[rstest]
+#[case::whole_limit_each(LimitFault::WholeLimitEach, 5)]
+#[case::out_of_turn(LimitFault::OutOfTurnGrants, 5)]
+#[case::heard_and_kept(LimitFault::HeardAndKept, 6)]
+fn broken_limit_is_caught(#[case] fault: LimitFault, #[case] steps: usize) {
+    let promise = "more requests reached the target than it takes";
+    caught(&format!("limits, {fault:?}"), &limits(fault), promise, steps);
+}
--- a/crates/sched/src/target_gate.rs
+++ b/crates/sched/src/target_gate.rs
@@ -23,7 +23,7 @@
 const KEEP: Duration = Duration::from_secs(3_600);
 
 /// What is kept of one life.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct GateRecord {
     word: TargetWord,
     /// When it was heard of last.
@@ -61,7 +61,7 @@
 }
 
 /// What the targets have said to this daemon.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct TargetGate {
     lives: BTreeMap<TargetLife, GateRecord>,
 }
@@ -90,8 +90,8 @@
     }
 
     /// What would stop a request now.
-    pub fn stop(&self, now: Uptime, life: &TargetLife) -> Option<GateStop> {
-        let record = self.lives.get(life)?;
+    pub fn stop(&mut self, now: Uptime, life: &TargetLife) -> Option<GateStop> {
+        let record = self.lives.get_mut(life)?;
         if record.word.is_leaving() {
             return Some(GateStop::Leaving);
         }
@@ -100,7 +100,11 @@
         }
         let limit = record.word.rate().zip(record.pace.as_ref());
         match limit {
-            Some((rate, pace)) if !pace.admits(now, rate) => Some(GateStop::Limited),
+            Some((rate, pace)) if !pace.admits(now, rate) => {
+                // Whoever grants so much does not know the limit, and hears of it with the next answer.
+                record.told = None;
+                Some(GateStop::Limited)
+            }
             _ => None,
         }
     }
--- a/crates/soak/src/evidence.rs
+++ b/crates/soak/src/evidence.rs
@@ -6,6 +6,7 @@
 use curlewcleat_standins::fleet::EngineRun;
 
 use crate::callers::CallRecord;
+use crate::words::SaidWord;
 
 /// Time after an unplanned fault in which what it broke may still show.
 pub(crate) const AFTERMATH: Duration = Duration::from_millis(1_500);
@@ -60,6 +61,10 @@
     pub stops: Vec<PlannedStop>,
     /// Times of unplanned faults.
     pub faults: Vec<(Instant, Instant)>,
+    /// Daemons that stood still or began anew, and when.
+    pub struck: Vec<(usize, Instant, Instant)>,
+    /// What engines have said of themselves.
+    pub words: Vec<SaidWord>,
     /// Names of entries that name no engine.
     pub foreign: BTreeSet<String>,
     /// What processes did that nobody asked for.
@@ -74,6 +79,12 @@
         self.faults.iter().all(|(begin, end)| *begin > to || *end + AFTERMATH < from)
     }
 
+    /// Whether a daemon neither stood still nor began anew in a time.
+    pub(crate) fn was_sound(&self, daemon: usize, from: Instant, to: Instant) -> bool {
+        let struck = self.struck.iter().filter(|(struck, ..)| *struck == daemon);
+        struck.into_iter().all(|(_, begin, end)| *begin > to || *end + AFTERMATH < from)
+    }
+
     /// Whether a daemon was told to stop before a time.
     pub(crate) fn is_stopping(&self, daemon: usize, at: Instant) -> bool {
         self.stops.iter().any(|stop| stop.daemon == daemon && stop.told <= at)
--- a/crates/soak/src/extra.rs
+++ b/crates/soak/src/extra.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::plan::{FaultStep, PlanOptions, SoakFault};
+use crate::words::EngineWord;
 
 /// Sets the draws of a kind apart from those of the plan with the same seed.
 const APART: u64 = 0x5eed_0000_0000_0000;
@@ -30,6 +31,8 @@
     Foreign,
     /// A request under which engines end, which comes again and again.
     Lethal,
+    /// Engines name limits, say that they leave, and ask for rest.
+    Words,
 }
 
 /// Where an engine starts again.
@@ -96,6 +99,12 @@
             SoakFault::Restart(engine, place)
         }
         ExtraKind::Lethal => SoakFault::Lethal,
+        ExtraKind::Words => {
+            let words =
+                [EngineWord::Limit(2), EngineWord::Limit(8), EngineWord::Leaving, EngineWord::Rest];
+            let drawn = words.choose(random).copied();
+            SoakFault::Word(engine, drawn.unwrap_or(EngineWord::Leaving))
+        }
         ExtraKind::Foreign => {
             let entry = ForeignEntry::ALL.choose(random).copied().unwrap_or(ForeignEntry::Bytes);
             match random.random_ratio(1, 3) {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -56,6 +56,7 @@
             SoakFault::Silence(connections) => self.silence(connections),
             SoakFault::Restart(index, place) => self.restart_engine(index, place, time).await?,
             SoakFault::Foreign(entry) => self.foreign_entry(entry, time).await?,
+            SoakFault::Word(index, word) => self.say(index, word, time).await?,
             SoakFault::Lethal => self.send_lethal(time).await,
             SoakFault::Overwrite(index, entry) => self.overwrite(index, entry).await?,
         }
@@ -70,18 +71,22 @@
 
     async fn kill(&self, index: usize, time: Duration) -> Result<()> {
         let Some(daemon) = self.take(index) else { return Ok(()) };
+        let begun = Instant::now();
         daemon.process.borrow_mut().kill();
         tokio::time::sleep(time).await;
         self.respawn(daemon);
+        self.note_struck(index, begun);
         daemon.taken.set(false);
         Ok(())
     }
 
     async fn freeze(&self, index: usize, time: Duration) -> Result<()> {
         let Some(daemon) = self.take(index) else { return Ok(()) };
+        let begun = Instant::now();
         daemon.process.borrow().signal("STOP")?;
         tokio::time::sleep(time).await;
         daemon.process.borrow().signal("CONT")?;
+        self.note_struck(index, begun);
         daemon.taken.set(false);
         Ok(())
     }
@@ -100,6 +105,7 @@
             }
             tokio::time::sleep(LOOK_EVERY).await;
         };
+        self.note_struck(index, told);
         if code != Some(0) {
             self.note_exit(format!("{} was told to stop and ended with {code:?}", daemon.name));
         }
@@ -108,6 +114,11 @@
         Ok(())
     }
 
+    /// A daemon has stood still or begun anew.
+    fn note_struck(&self, index: usize, begun: Instant) {
+        self.evidence.borrow_mut().struck.push((index, begun, Instant::now()));
+    }
+
     fn reload(&self, index: usize) -> Result<()> {
         let daemon = &self.daemons[index];
         let text = std::fs::read_to_string(&daemon.settings)?;
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -9,6 +9,7 @@
 use crate::callers::{body_of, CallOutcome, CallRecord};
 use crate::evidence::{SoakEvidence, AFTERMATH};
 use crate::lethal::LETHAL;
+use crate::words::check_words;
 
 /// Statuses that promise that nothing ran and nothing will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -82,6 +83,7 @@
         findings.push(SoakFinding { promise: "nothing runs unasked", detail });
     }
     findings.extend(check_lethal(&lethal));
+    findings.extend(check_words(evidence));
     let exits = evidence.exits.iter().cloned();
     findings
         .extend(exits.map(|detail| SoakFinding { promise: "no process ends by itself", detail }));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,7 @@
 mod reach;
 mod run;
 mod settings;
+mod words;
 
 pub use callers::{CallKind, CallOutcome, CallRecord};
 pub use evidence::{EngineLeave, KeyLoss, PlannedStop, SoakEvidence};
@@ -27,3 +28,4 @@
 pub use options::SoakOptions;
 pub use plan::{plan, FaultStep, PlanOptions, SoakFault};
 pub use run::{run_soak, SoakReport};
+pub use words::{EngineWord, SaidWord};
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -9,6 +9,7 @@
 
 use crate::extra::{RestartPlace, SilentConnections};
 use crate::link::LinkFault;
+use crate::words::EngineWord;
 
 /// Time before the first fault, in which the fleet settles.
 const SETTLED: Duration = Duration::from_millis(600);
@@ -37,6 +38,8 @@
 pub enum SoakFault {
     /// The process is killed and started again.
     Kill(usize),
+    /// An engine says something of itself.
+    Word(usize, EngineWord),
     /// The process stands still.
     Freeze(usize),
     /// The process is told to stop and started again after its end.
@@ -85,6 +88,7 @@
         matches!(
             self,
             SoakFault::Stop(_)
+                | SoakFault::Word(..)
                 | SoakFault::Reload(_)
                 | SoakFault::Change
                 | SoakFault::Leave(_)
