--- a/crates/model/src/limits.rs
+++ b/crates/model/src/limits.rs
@@ -132,8 +132,8 @@
         let before_cut = state.daemons[index].believed_cut;
         state.daemons[index].believed_cut = state.cut;
         state.daemons[index].known = state.starts.map(Some);
-        for other in 0..DAEMONS {
-            let new = before[other] != Some(state.starts[other]) || before_cut.is_some();
+        for (other, known) in before.into_iter().enumerate() {
+            let new = known != Some(state.starts[other]) || before_cut.is_some();
             if new {
                 self.tell(state, index, other);
             }
@@ -291,13 +291,11 @@
                 });
             }
         }
-        if state.cuts < self.cuts {
-            if state.cut.is_some() {
-                add("the cut heals".to_string(), &|after| {
-                    after.cuts += 1;
-                    after.cut = None;
-                });
-            }
+        if state.cuts < self.cuts && state.cut.is_some() {
+            add("the cut heals".to_string(), &|after| {
+                after.cuts += 1;
+                after.cut = None;
+            });
         }
         next
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The processes of a run and what their engines saw.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -81,6 +82,8 @@
     pub daemons: Vec<DaemonSlot>,
     pub evidence: RefCell<SoakEvidence>,
     pub open_faults: Cell<usize>,
+    /// Engines that say something of themselves now.
+    pub speaking: RefCell<BTreeSet<String>>,
 }
 
 /// The example configuration with further routes that no caller uses.
@@ -121,6 +124,7 @@
             daemons: Vec::new(),
             evidence: RefCell::default(),
             open_faults: Cell::new(0),
+            speaking: RefCell::default(),
             options,
         };
         {
--- a/crates/soak/src/words.rs
+++ b/crates/soak/src/words.rs
@@ -58,6 +58,10 @@
     /// An engine says something for some time; one that leaves is replaced after that.
     pub async fn say(&self, index: usize, word: EngineWord, time: Duration) -> Result<()> {
         let engine = Rc::clone(&self.engines.borrow()[index].engine);
+        // One word at a time: the end of an earlier one would end a later one too.
+        if !self.speaking.borrow_mut().insert(engine.id.clone()) {
+            return Ok(());
+        }
         let from = Instant::now();
         match word {
             EngineWord::Limit(rate) => {
@@ -81,6 +85,7 @@
                 tokio::time::sleep(time).await;
             }
         }
+        self.speaking.borrow_mut().remove(&engine.id);
         let said = SaidWord { engine: engine.id.clone(), word, from, until: Instant::now() };
         self.evidence.borrow_mut().words.push(said);
         Ok(())
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -127,6 +127,7 @@
     (ExtraKind::Restart, 12),
     (ExtraKind::Foreign, 14),
     (ExtraKind::Lethal, 15),
+    (ExtraKind::Words, 16),
 ];
 
 #[test]
