--- a/crates/bench/src/processes.rs
+++ b/crates/bench/src/processes.rs
@@ -8,7 +8,7 @@
 use curlewcleat_standins::callers::{caller_client, CallerCall, CallerEnd, CallerRecord};
 use curlewcleat_standins::deployment::{get_text, Deployment};
 
-/// Requests that each caller sends on each path. Chosen, not measured.
+/// Requests that each caller sends on each path.
 const REQUESTS_EACH: usize = 300;
 
 /// What a process has cost so far.
--- a/crates/config/src/apply.rs
+++ b/crates/config/src/apply.rs
@@ -17,7 +17,6 @@
 use crate::FileTexts;
 
 /// Rounds of conditional updates before the apply gives up.
-/// Chosen, not measured.
 const ROUND_LIMIT: u32 = 20;
 
 /// Who applies what.
--- a/crates/config/src/archive.rs
+++ b/crates/config/src/archive.rs
@@ -10,14 +10,14 @@
 use flate2::write::ZlibEncoder;
 use flate2::{Compression, Crc};
 
-/// Longest part in bytes. Chosen, not measured: 52 ms on a link of 10 Mbit/s, the least that the users'
-/// VMs have, so that heartbeats and proofs behind it are not late; two parts for a megabyte of rules, so
-/// that changes in quick succession are not faster than the parts.
+/// Longest part in bytes: 52 ms on a link of 10 Mbit/s, the least that the users' VMs have, so that heartbeats and
+/// proofs behind it are not late; two parts for a megabyte of rules, so that changes in quick succession are not
+/// faster than the parts.
 pub const PART_BYTES: usize = 64 << 10;
-/// Longest first part in bytes. Chosen, not measured: many ask for it at the same time.
+/// Longest first part in bytes: many ask for it at the same time.
 const FIRST_PART_BYTES: usize = 32 << 10;
-/// Longest configuration in bytes, packed or not. Chosen, not measured: bounds what a peer can make this
-/// daemon hold; the platform's object has a megabyte.
+/// Longest configuration in bytes, packed or not: bounds what a peer can make this daemon hold; the platform's object
+/// has a megabyte.
 pub const ARCHIVE_LIMIT: usize = 16 << 20;
 
 /// Why an archive cannot be packed or unpacked.
--- a/crates/config/src/manifest.rs
+++ b/crates/config/src/manifest.rs
@@ -11,7 +11,6 @@
 /// Key of the manifest in the object API.
 pub const MANIFEST_KEY: &str = "config/manifest";
 /// Applies that the manifest remembers.
-/// Chosen, not measured.
 pub const HISTORY_LENGTH: usize = 100;
 
 /// What is in force: the files by the hash of their contents, and who applied what.
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -11,11 +11,10 @@
 use crate::problem::CheckReport;
 
 /// Longest file that is read, in bytes. The platform holds values up to a megabyte.
-/// Chosen, not measured.
 const FILE_LIMIT: usize = 1_000_000;
 
-/// Added to a ratio in percent before its whole part is taken: 0.29 times 100 is 28.999999999999996. Chosen:
-/// far below any ratio that a file names, far above the error of a multiplication.
+/// Added to a ratio in percent before its whole part is taken: 0.29 times 100 is 28.999999999999996. Far below any
+/// ratio that a file names, far above the error of a multiplication.
 const PERCENT_ERROR: f64 = 1e-6;
 
 /// A parsed file.
--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -24,7 +24,7 @@
 use crate::reports::follow_targets;
 use crate::request::{OwnProtocol, RequestService};
 
-/// Seconds for the last bytes of answers to leave after the node has ended. Chosen, not measured.
+/// Seconds for the last bytes of answers to leave after the node has ended.
 const FLUSH_LIMIT: u64 = 3;
 
 /// The parts of a daemon on the object API.
--- a/crates/daemon/src/files/follow.rs
+++ b/crates/daemon/src/files/follow.rs
@@ -16,17 +16,14 @@
 use crate::context::DaemonContext;
 
 /// Longest wait of a watch.
-/// Chosen, not measured.
 const WATCH_LIMIT: Duration = Duration::from_secs(30);
-/// Pauses after failed calls. Chosen, not measured: an outage of the store delays changes only, so that
-/// its calls need not be frequent.
+/// Pauses after failed calls: an outage of the store delays changes only, so that its calls need not be frequent.
 const BACK_OFF: BackOffOptions = BackOffOptions {
     first: Duration::from_millis(200),
     limit: Duration::from_secs(5),
     jitter: 1.0..=1.0,
 };
 /// Time between reads of the VM list.
-/// Chosen, not measured.
 const VM_LIST_EVERY: Duration = Duration::from_secs(1);
 
 /// Starts the tasks that follow the platform on this arbiter.
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -33,27 +33,22 @@
 use crate::request::{ProfileProtocol, RequestService};
 use crate::unwritten::UnwrittenCount;
 
-/// Daemons that start within this time of each other count as equally old. Chosen: shorter than daemons that
-/// are started together need. Where all begin anew, those that begin first are reached by the others first:
-/// a connection to a VM that is still down is tried again only a second later. With four seconds, whichever of equally strong daemons was drawn took the role
-/// over as it came, and the others, who could not reach it, refused 2,100 requests as `rate_unknown` in the two
-/// seconds after the end of 78 daemons (log).
+/// Daemons that start within this time of each other count as equally old: shorter than daemons that are started
+/// together need. Where all begin anew, those that begin first are reached by the others first: a connection to a VM
+/// that is still down is tried again only a second later. With four seconds, whichever of equally strong daemons was
+/// drawn took the role over as it came, and the others, who could not reach it, refused 2,100 requests as
+/// `rate_unknown` in the two seconds after the end of 78 daemons (log).
 const START_GRANULARITY: Duration = Duration::from_millis(20);
-/// Daemons up to which each sends every heartbeat to all others.
-/// Chosen, not measured: more than the users' small deployments have.
+/// Daemons up to which each sends every heartbeat to all others: more than the users' small deployments have.
 const MESH_LIMIT: usize = 12;
 /// Time for the last bytes of answers to be handed to the kernel after the node has ended, and between two looks at
 /// whether callers have taken them.
-/// Chosen, not measured.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Time before the stop limit at which the process ends although callers have not taken all of their answers.
-/// Chosen, not measured.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Time for which connections of operators may rest.
-/// Chosen, not measured.
 const OPERATOR_IDLE: Duration = Duration::from_secs(15);
 /// Time for which connections of callers may rest where the configuration does not say.
-/// Chosen, not measured.
 const CALLER_IDLE: Duration = Duration::from_secs(60);
 
 /// What the node and the tasks that follow the platform tell each other.
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -31,20 +31,18 @@
 use crate::context::DaemonContext;
 
 /// Longest pause of a daemon that reads for the others.
-/// Chosen, not measured.
 const READER_PAUSE: Duration = Duration::from_millis(800);
 /// Longest pause of one that reads for itself because the others prove too little: where the platform
 /// fails for all of them, the readers notice its return.
 const FALLBACK_PAUSE: Duration = Duration::from_millis(2_400);
-/// Daemons that begin to read for themselves together make their first reads within this time: the next ones
-/// in the order have been asked by then, and where they can read no other has to. In an outage of five
-/// seconds 18 daemons made 215 reads that failed. Chosen, not measured: half of the longest pause.
+/// Daemons that begin to read for themselves together make their first reads within this time: the next ones in the
+/// order have been asked by then, and where they can read no other has to. In an outage of five seconds 18 daemons
+/// made 215 reads that failed. Half of the longest pause.
 const FALLBACK_SPREAD: Duration = Duration::from_millis(1_200);
-/// Pauses after failed calls. Chosen, not measured: daemons that fail together come back apart.
+/// Pauses after failed calls: daemons that fail together come back apart.
 const BACK_OFF: BackOffOptions =
     BackOffOptions { first: Duration::from_millis(50), limit: FALLBACK_PAUSE, jitter: 0.5..=1.0 };
 /// Least time between two calls of one loop.
-/// Chosen, not measured.
 const FLOOR: Duration = Duration::from_millis(50);
 /// What the tasks share.
 struct FleetFollower {
--- a/crates/daemon/src/fleet/follow/faults.rs
+++ b/crates/daemon/src/fleet/follow/faults.rs
@@ -15,10 +15,10 @@
 
 use crate::metrics::DaemonMetrics;
 
-/// Lines for one answer of the platform; one more says how many were left out. Chosen, not measured: an
-/// operator needs some names, and a page has five hundred entries.
+/// Lines for one answer of the platform; one more says how many were left out: an operator needs some names, and a
+/// page has five hundred entries.
 const LINES_PER_ANSWER: usize = 20;
-/// Longest name or detail in a line, in bytes; an entry may have a megabyte of either. Chosen, not measured.
+/// Longest name or detail in a line, in bytes; an entry may have a megabyte of either.
 const TEXT_LIMIT: usize = 120;
 
 /// Entries that name nothing to use, as the platform showed them last. There are no more of them than entries.
--- a/crates/daemon/src/fleet/follow/peers.rs
+++ b/crates/daemon/src/fleet/follow/peers.rs
@@ -16,8 +16,8 @@
 use super::{FleetFollower, BACK_OFF, FALLBACK_PAUSE};
 use crate::back_off::BackOff;
 
-/// Longest time between two lists. Chosen, not measured: long beside the life of a change, short beside the
-/// time in which a fleet grows to twice its size, up to which the shares of a retry budget hold.
+/// Longest time between two lists: long beside the life of a change, short beside the time in which a fleet grows to
+/// twice its size, up to which the shares of a retry budget hold.
 const LIST_AGAIN: Duration = Duration::from_secs(300);
 /// Part of that time that passes at least; daemons that begin together list apart from then on.
 const LIST_JITTER: RangeInclusive<f64> = 0.5..=1.0;
--- a/crates/daemon/src/fleet/follow/refusals.rs
+++ b/crates/daemon/src/fleet/follow/refusals.rs
@@ -17,7 +17,7 @@
 use crate::back_off::BackOff;
 use crate::context::DaemonContext;
 
-/// Time after which what the platform keeps counts no more, as with the daemons themselves. Chosen, not measured.
+/// Time after which what the platform keeps counts no more, as with the daemons themselves.
 const KEPT_FOR: Duration = Duration::from_secs(3_600);
 /// What these entries are called in logs and metrics.
 const ENTRY_KIND: &str = "refusal";
--- a/crates/daemon/src/fleet/follow/targets.rs
+++ b/crates/daemon/src/fleet/follow/targets.rs
@@ -19,7 +19,6 @@
 /// answer.
 const WATCHES_PER_READ: u32 = 2;
 /// Longest wait of a watch.
-/// Chosen, not measured.
 const WATCH_LIMIT: Duration = Duration::from_secs(20);
 
 /// What entries of targets are called in logs and metrics.
--- a/crates/daemon/src/fleet/reload.rs
+++ b/crates/daemon/src/fleet/reload.rs
@@ -14,7 +14,6 @@
 use crate::context::DaemonContext;
 
 /// Time between looks at the file, which may change without a signal.
-/// Chosen, not measured.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
 
 /// Watches the settings file of a daemon.
--- a/crates/daemon/src/headers.rs
+++ b/crates/daemon/src/headers.rs
@@ -13,11 +13,9 @@
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Count of the caller's attempts with one key, from 1.
 const IDEMPOTENCY_ATTEMPT: &str = "idempotency-attempt";
-/// Longest key in bytes.
-/// Chosen, not measured: bounds what a key takes of memory.
+/// Longest key in bytes: bounds what a key takes of memory.
 const KEY_LIMIT: usize = 255;
 /// Longest time that a caller may ask for.
-/// Chosen, not measured.
 const TIMEOUT_LIMIT: Duration = Duration::from_secs(24 * 3_600);
 
 /// Headers of one connection, never passed on (RFC 9110, section 7.6.1).
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -20,10 +20,8 @@
 use crate::unwritten::{CountedStream, UnwrittenCount};
 
 /// Connections that wait to be accepted.
-/// Chosen, not measured.
 const BACKLOG: u32 = 1_024;
 /// Pause after a connection could not be accepted, as where descriptors are used up.
-/// Chosen, not measured.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// How connections are served.
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -8,9 +8,8 @@
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
 use spdlog::{Level, LevelFilter, Logger, ThreadPool};
 
-/// Lines that wait to be written. Where the reader of the logs does not keep up, further lines are
-/// dropped; no request waits for a log.
-/// Chosen, not measured.
+/// Lines that wait to be written. Where the reader of the logs does not keep up, further lines are dropped; no
+/// request waits for a log.
 const QUEUE_LENGTH: usize = 4_096;
 
 fn queue_length() -> NonZeroUsize {
--- a/crates/daemon/src/metrics/registry.rs
+++ b/crates/daemon/src/metrics/registry.rs
@@ -8,8 +8,7 @@
     Result, TextEncoder,
 };
 
-/// Bounds of times in seconds. Chosen, not measured: from a millisecond, a permit from another daemon,
-/// to the longest answers.
+/// Bounds of times in seconds: from a millisecond, a permit from another daemon, to the longest answers.
 const TIME_BUCKETS: &[f64] = &[
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.56, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
 ];
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -16,18 +16,16 @@
 use crate::context::{DaemonContext, NodeMessage};
 use crate::parts::PlatformParts;
 
-/// Time between looks at the clock. Chosen: a fifth of the least objective of the users' requests.
+/// Time between looks at the clock: a fifth of the least objective of the users' requests.
 const TICK: Duration = Duration::from_millis(20);
 /// Time before the stop limit at which requests in progress are noted: enough for a log line to leave.
-/// Chosen, not measured.
 const STOP_NOTICE: Duration = Duration::from_millis(500);
-/// Time without an event after which a tick goes before whatever has come: what the node believes of roles, permits and
-/// its configuration may have ended meanwhile. Chosen: some ticks, shorter than any time-out of the node.
+/// Time without an event after which a tick goes before whatever has come: what the node believes of roles, permits
+/// and its configuration may have ended meanwhile. Some ticks, shorter than any time-out of the node.
 const PAUSED_AFTER: Duration = Duration::from_millis(200);
-/// Time by which the two clocks have to come apart to count as a suspension. Chosen, not measured: more than between
-/// two readings.
+/// Time by which the two clocks have to come apart to count as a suspension: more than between two readings.
 const SUSPENDED_LEAST: Duration = Duration::from_millis(50);
-/// Messages taken before the clock is looked at again. Chosen, not measured.
+/// Messages taken before the clock is looked at again.
 const BATCH: usize = 256;
 
 /// Owns the node and performs its actions.
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -16,7 +16,7 @@
 
 use crate::context::DaemonContext;
 
-/// Time for which an unreachable platform may delay a planned stop. Chosen, not measured.
+/// Time for which an unreachable platform may delay a planned stop.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(30);
 
 /// A step of the daemon's start or stop, on its own thread.
--- a/crates/daemon/src/reports.rs
+++ b/crates/daemon/src/reports.rs
@@ -14,13 +14,10 @@
 use crate::context::DaemonContext;
 
 /// Time between reports.
-/// Chosen, not measured.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 /// Time after which a report is given up.
-/// Chosen, not measured.
 const REPORT_LIMIT: Duration = Duration::from_secs(2);
 /// Longest report in bytes.
-/// Chosen, not measured.
 const REPORT_BYTES: usize = 64 << 10;
 
 /// Starts the task on this arbiter.
--- a/crates/daemon/src/request/answer.rs
+++ b/crates/daemon/src/request/answer.rs
@@ -17,8 +17,8 @@
 
 use super::TaskGuard;
 
-/// Parts that wait for a caller to read them. Chosen, not measured: small, so that a caller that does
-/// not read holds the target's connection back rather than this daemon's memory.
+/// Parts that wait for a caller to read them: small, so that a caller that does not read holds the target's
+/// connection back rather than this daemon's memory.
 const PART_QUEUE: usize = 8;
 
 /// What follows the head of an answer.
--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -17,7 +17,7 @@
 
 use crate::headers;
 
-/// Time between two parts of a caller's body. Chosen, not measured.
+/// Time between two parts of a caller's body.
 const PART_LIMIT: Duration = Duration::from_secs(10);
 
 /// How bodies are read and sent on.
--- a/crates/daemon/src/request/form.rs
+++ b/crates/daemon/src/request/form.rs
@@ -10,10 +10,9 @@
 
 use crate::headers;
 
-/// Longest answer in bytes that is kept with its idempotency key. Chosen, not measured: a record of
-/// the services is about 800 bytes.
+/// Longest answer in bytes that is kept with its idempotency key: a record of the services is about 800 bytes.
 const KEPT_LIMIT: usize = 4 << 10;
-/// Resumptions of one stream at most. Chosen, not measured.
+/// Resumptions of one stream at most.
 const RESUME_LIMIT: u32 = 3;
 /// Header with which an engine names a stream that can be resumed.
 const STREAM_ID: &str = "stream-id";
--- a/crates/daemon/src/request/own/prompt.rs
+++ b/crates/daemon/src/request/own/prompt.rs
@@ -12,11 +12,11 @@
 use crate::request::admitted::WorkEstimate;
 use crate::request::body::RequestBody;
 
-/// Bytes of a prompt that count as one token. Chosen: the usual rule of thumb for English text.
+/// Bytes of a prompt that count as one token: the usual rule of thumb for English text.
 const BYTES_PER_TOKEN: u64 = 4;
-/// Bytes of a prompt that make its prefix; shorter prompts have none. Chosen, not measured.
+/// Bytes of a prompt that make its prefix; shorter prompts have none.
 const PREFIX_BYTES: usize = 1_024;
-/// Tokens assumed where the request does not ask for a number. Chosen, not measured.
+/// Tokens assumed where the request does not ask for a number.
 const DEFAULT_OUTPUT: u64 = 256;
 
 #[derive(Deserialize)]
--- a/crates/daemon/src/request/pass_on.rs
+++ b/crates/daemon/src/request/pass_on.rs
@@ -16,10 +16,9 @@
 use super::run::{AttemptVerdict, RequestRun};
 use super::target_wait::{GrantedTarget, WaitEnd};
 
-/// Longest answer in bytes that is held back until it is whole. Chosen, not measured: the platform's
-/// values have a megabyte at most.
+/// Longest answer in bytes that is held back until it is whole: the platform's values have a megabyte at most.
 const WHOLE_LIMIT: usize = 1 << 20;
-/// Time to connect for a resumption. Chosen, not measured.
+/// Time to connect for a resumption.
 const RESUME_CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 /// What follows in an answer.
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -36,26 +36,24 @@
 use crate::context::DaemonContext;
 use crate::headers;
 
-/// Time for which a connection to a target is kept where the target does not say. Chosen, not
-/// measured.
+/// Time for which a connection to a target is kept where the target does not say.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
-/// A target closes an idle connection about when it says; the connection is not used in the last part
-/// of that time. Chosen, not measured.
+/// A target closes an idle connection about when it says; the connection is not used in the last part of that time.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
-/// Divides the latency objective into the time to connect. Chosen, not measured.
+/// Divides the latency objective into the time to connect.
 const CONNECT_DIVISOR: u32 = 4;
-/// Least time to connect. Chosen, not measured: many round trips between data centres.
+/// Least time to connect: many round trips between data centres.
 const CONNECT_LEAST: Duration = Duration::from_millis(100);
 /// Latency objectives after which a target that says nothing counts as stalled, so that another one is asked
 /// for. Twelve days of overload and faults on six daemons (four days, three seeds, no processor time charged) are
 /// worth .533, .535 and .529 in the mean with 1, 2 and 4.
 const STALL_OBJECTIVES: u32 = 2;
-/// Bounds of the time after which a target counts as stalled. Chosen, not measured: targets at work pause for
-/// 0.6 to 2 s while they read a long prompt (log of a day with 78 daemons).
+/// Bounds of the time after which a target counts as stalled: targets at work pause for 0.6 to 2 s while they read a
+/// long prompt (log of a day with 78 daemons).
 const STALL_RANGE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(5));
 
-/// Bodies are read whole, so that any attempt can send them again. Callers that retry after
-/// `retry_after` are still in time for their objective; chosen, not measured.
+/// Bodies are read whole, so that any attempt can send them again. Callers that retry after `retry_after` are still
+/// in time for their objective.
 const OPTIONS: ProtocolOptions = ProtocolOptions {
     body: BodyOptions { peek_limit: usize::MAX, empty: BodySize::Sized(0) },
     retry_after: Duration::from_millis(200),
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -23,10 +23,10 @@
 use crate::headers;
 use crate::request::admitted::AdmittedRequest;
 
-/// `Retry-After` where the daemon itself cannot serve. Chosen, not measured: about the time in which
-/// another read of the platform may have succeeded.
+/// `Retry-After` where the daemon itself cannot serve: about the time in which another read of the platform may have
+/// succeeded.
 pub(super) const UNSERVED_WAIT: Duration = Duration::from_millis(300);
-/// Deadline of a request that names none and whose rule names none. Chosen, not measured.
+/// Deadline of a request that names none and whose rule names none.
 const DEADLINE: Duration = Duration::from_secs(30);
 
 impl ProfileProtocol {
--- a/crates/daemon/src/request/profile/objectives.rs
+++ b/crates/daemon/src/request/profile/objectives.rs
@@ -23,8 +23,8 @@
 /// Forecast wait above which a new request is refused at once, in percent of its objective. From
 /// docs/MEASUREMENTS.md, "refusal by forecast" and "a forecast of 35 %" (worse).
 const FORECAST_PERCENT: u32 = 60;
-/// A caller that gives less than this part of the longest time, in percent, retries after a
-/// refusal. Chosen, not measured: callers that retry have lost at least the advised wait.
+/// A caller that gives less than this part of the longest time, in percent, retries after a refusal: callers that
+/// retry have lost at least the advised wait.
 const RETRY_TIME_PERCENT: u32 = 95;
 
 /// The objectives and limits of a request.
--- a/crates/daemon/src/request/profile/work.rs
+++ b/crates/daemon/src/request/profile/work.rs
@@ -13,8 +13,8 @@
 use crate::headers;
 use crate::request::admitted::WorkEstimate;
 
-/// The shared parts of a prompt make its prefix where they are at least one part in this many of it.
-/// Chosen, not measured: a smaller prefix saves less than a busier target costs.
+/// The shared parts of a prompt make its prefix where they are at least one part in this many of it: a smaller prefix
+/// saves less than a busier target costs.
 const PREFIX_DIVISOR: u64 = 2;
 
 /// Token counts of a request as its caller states them.
--- a/crates/daemon/src/request/target_wait.rs
+++ b/crates/daemon/src/request/target_wait.rs
@@ -16,8 +16,7 @@
 use super::protocol::CallerProtocol;
 use crate::context::{DaemonContext, PendingRequest};
 
-/// Least time after which another target is asked for. Chosen, not measured: where no time is left, the deadline
-/// comes first.
+/// Least time after which another target is asked for: where no time is left, the deadline comes first.
 const LEAST_PAUSE: Duration = Duration::from_millis(10);
 
 /// A target that was granted, with the connection to it where one stands.
--- a/crates/daemon/src/usage.rs
+++ b/crates/daemon/src/usage.rs
@@ -14,8 +14,8 @@
 use crate::context::DaemonContext;
 use crate::memory::resident_bytes;
 
-/// Time between two lines. Chosen, not measured: a fifth of a line a second, and memory that grows too
-/// fast for it shows in the bytes of the line before.
+/// Time between two lines: a fifth of a line a second, and memory that grows too fast for it shows in the bytes of
+/// the line before.
 const USAGE_EVERY: Duration = Duration::from_secs(5);
 /// Bytes in a megabyte of the log line. From the unit of VMs' memory.
 const MEGABYTE: u64 = 1 << 20;
--- a/crates/keys/src/slot.rs
+++ b/crates/keys/src/slot.rs
@@ -11,7 +11,6 @@
 };
 
 /// Advice when to ask again for an attempt in progress.
-/// Chosen, not measured.
 const IN_PROGRESS_WAIT: Duration = Duration::from_secs(1);
 
 /// A slot that this daemon holds.
--- a/crates/model/src/config/state.rs
+++ b/crates/model/src/config/state.rs
@@ -4,8 +4,7 @@
 use curlewcleat_core::Generation;
 use uuid::Uuid;
 
-/// Distance between an operator's two ids. Chosen: more than there are operators, so that all ids
-/// differ.
+/// Distance between an operator's two ids: more than there are operators, so that all ids differ.
 const SECOND_ID: u128 = 100;
 
 /// An operator in the middle of an apply.
--- a/crates/node/src/awaited_answer.rs
+++ b/crates/node/src/awaited_answer.rs
@@ -11,11 +11,10 @@
 
 use curlewcleat_core::Uptime;
 
-/// First wait for an answer of a few kilobytes. Chosen, not measured: a heartbeat's time, in which a link
-/// of 10 Mbit/s carries 600 kB.
+/// First wait for an answer of a few kilobytes: a heartbeat's time, in which a link of 10 Mbit/s carries 600 kB.
 const FIRST_WAIT: Duration = Duration::from_millis(500);
-/// Doublings of the wait at most. Chosen, not measured: with the first wait four seconds, after which a
-/// peer that is reachable has answered over any link that is of use.
+/// Doublings of the wait at most: with the first wait four seconds, after which a peer that is reachable has answered
+/// over any link that is of use.
 const DOUBLINGS: u32 = 3;
 
 /// Whether an answer is on its way.
--- a/crates/node/src/config_exchange.rs
+++ b/crates/node/src/config_exchange.rs
@@ -12,8 +12,8 @@
 use crate::config_serving::ConfigServing;
 use crate::status::ConfigIntake;
 
-/// Least time between two whole configurations to one peer. Chosen, not measured: a megabyte takes a
-/// second over the slowest link that the users' VMs have.
+/// Least time between two whole configurations to one peer: a megabyte takes a second over the slowest link that the
+/// users' VMs have.
 const WHOLE_PUSH_PAUSE: Duration = Duration::from_secs(2);
 
 /// A daemon's part in the exchange of configurations.
--- a/crates/node/src/config_serving.rs
+++ b/crates/node/src/config_serving.rs
@@ -12,13 +12,13 @@
 use curlewcleat_config::PART_BYTES;
 use curlewcleat_core::{Uptime, VmId};
 
-/// Time in which a link carries the parts that are on their way at once. Chosen, not measured: the first
-/// wait for an answer, so that no part is asked for twice.
+/// Time in which a link carries the parts that are on their way at once: the first wait for an answer, so that no
+/// part is asked for twice.
 const OUTSTANDING_TIME: Duration = Duration::from_millis(500);
-/// Peers that are sent a configuration at the same time over the slowest link. Chosen, not measured.
+/// Peers that are sent a configuration at the same time over the slowest link.
 const LEAST_PEERS: usize = 4;
-/// Time after which a peer that has not asked for its next part has gone elsewhere. Chosen, not measured:
-/// twice the first wait for an answer.
+/// Time after which a peer that has not asked for its next part has gone elsewhere: twice the first wait for an
+/// answer.
 const PEER_PAUSE: Duration = Duration::from_secs(1);
 
 /// The peers that are being sent a configuration, with the time of their latest part.
--- a/crates/node/src/ended_lives.rs
+++ b/crates/node/src/ended_lives.rs
@@ -6,8 +6,7 @@
 
 use curlewcleat_core::{TargetId, TargetStart};
 
-/// Targets that are remembered. Chosen, not measured: more than a fleet has, since all may vanish and
-/// come back at an outage; some 200 kB.
+/// Targets that are remembered: more than a fleet has, since all may vanish and come back at an outage; some 200 kB.
 const ENDED_LIMIT: usize = 2_048;
 
 /// Latest starts of targets that have vanished, so that a late entry of an earlier life does not bring
--- a/crates/node/src/freshness.rs
+++ b/crates/node/src/freshness.rs
@@ -13,27 +13,22 @@
 
 use curlewcleat_core::{DaemonId, FreshnessAnswer, FreshnessQuery, Incarnation, Uptime, VmId};
 
-/// Daemons, first in the order of schedulers, that read the platform.
-/// Chosen, not measured: two, so that one may fail.
+/// Daemons, first in the order of schedulers, that read the platform: two, so that one may fail.
 const READERS: usize = 2;
-/// Daemons that are asked where the readers prove too little: those that read, and the next ones.
-/// Chosen, not measured: as many that may be turned away at once.
+/// Daemons that are asked where the readers prove too little: those that read, and the next ones: as many that may be
+/// turned away at once.
 const READERS_IN_NEED: usize = 2 * READERS;
-/// Share of that time, in percent, above which a proof is so old that the next ones are asked too.
-/// Chosen, not measured: beyond the age that proofs reach while all is well, a read and a heartbeat, and so long before
-/// [`FALLBACK_PERCENT`] that the next ones have read by then.
+/// Share of that time, in percent, above which a proof is so old that the next ones are asked too: beyond the age
+/// that proofs reach while all is well, a read and a heartbeat, and so long before [`FALLBACK_PERCENT`] that the next
+/// ones have read by then.
 const NEED_PERCENT: u32 = 50;
-/// Time between queries while a proof is so old.
-/// Chosen, not measured: some round trips and a read of the platform.
+/// Time between queries while a proof is so old: some round trips and a read of the platform.
 const NEED_PAUSE: Duration = Duration::from_millis(100);
 /// Reads within the time in which a change has to be in force.
-/// Chosen, not measured.
 const READS_PER_LIMIT: u32 = 4;
 /// Share of that time, in percent, above which a proof is too old to go on without an own read.
-/// Chosen, not measured.
 const FALLBACK_PERCENT: u32 = 60;
 /// The same, above which the view of the platform counts as old.
-/// Chosen, not measured.
 const STALE_PERCENT: u32 = 125;
 /// The same, above which the platform counts as lost, so that what vanishes may come back.
 const LOST_PERCENT: u32 = 55;
--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -19,15 +19,15 @@
 use super::Node;
 use crate::event::{CallerDecision, NodeAction, NodeNote, PlatformCall};
 
-/// Time between two questions for what others know. Chosen: with its answer a third of the users' shortest bound for
-/// what all daemons have to know, three seconds, so that one of them may be lost.
+/// Time between two questions for what others know: with its answer a third of the users' shortest bound for what all
+/// daemons have to know, three seconds, so that one of them may be lost.
 const PULL_EVERY: Duration = Duration::from_secs(1);
-/// Daemons that are asked. Chosen: two, so that one may fail.
+/// Daemons that are asked: two, so that one may fail.
 const ASKED: usize = 2;
-/// Time after which a call that would have the platform keep a refusal is made again. Chosen, not measured.
+/// Time after which a call that would have the platform keep a refusal is made again.
 const STORE_AGAIN: Duration = Duration::from_secs(5);
-/// Least time after which a request may come back that is not refused for good. Chosen, not measured: several
-/// reviews, where it cannot be told when the platform will show what ended.
+/// Least time after which a request may come back that is not refused for good: several reviews, where it cannot be
+/// told when the platform will show what ended.
 const LEAST_ADVICE: Duration = Duration::from_secs(1);
 
 /// What a node keeps beside the requests themselves.
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -20,10 +20,9 @@
 /// an entry that fills up refuses the lowest tier first.
 const PERCENT_PER_TIER: usize = 10;
 /// Share of the request limit that every tier may use, in percent.
-/// Chosen, not measured.
 const PERCENT_FOR_ALL: usize = 50;
 
-/// Advice where the daemon itself takes no request in. Chosen, not measured.
+/// Advice where the daemon itself takes no request in.
 const ENTRY_ADVICE: Duration = Duration::from_secs(1);
 /// Advice of a daemon that stops. Load pattern: all daemons are replaced one after the other, and callers'
 /// connections stay with those that stop. Another daemon has room now, so that a wait only makes the answer
--- a/crates/node/src/node/stop.rs
+++ b/crates/node/src/node/stop.rs
@@ -11,8 +11,8 @@
 use super::Node;
 use crate::event::{NodeAction, NodeNote};
 
-/// First wait for the acknowledgement of records. Chosen, not measured: a link of 10 Mbit/s carries
-/// 20,000 keys meanwhile; sent with each tick they filled it fifty times.
+/// First wait for the acknowledgement of records: a link of 10 Mbit/s carries 20,000 keys meanwhile; sent with each
+/// tick they filled it fifty times.
 pub(super) const HAND_OVER_WAIT: Duration = Duration::from_secs(1);
 
 impl Node {
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -10,13 +10,10 @@
 use crate::event::{NodeAction, NodeNote};
 
 /// Time between looks whether the key table has to change, and between pulls.
-/// Chosen, not measured.
 const REVIEW: Duration = Duration::from_millis(500);
 /// Heartbeats within the time of one while a daemon announces itself.
-/// Chosen, not measured.
 const ANNOUNCED_BEATS_PER_BEAT: u32 = 4;
 /// Time between clean-ups of old keys.
-/// Chosen, not measured.
 const EXPIRE: Duration = Duration::from_secs(10);
 
 impl Node {
--- a/crates/node/src/target_view.rs
+++ b/crates/node/src/target_view.rs
@@ -19,7 +19,6 @@
 use crate::ended_lives::EndedLives;
 
 /// Changes that are kept for peers.
-/// Chosen, not measured.
 const LOG_LENGTH: usize = 256;
 
 /// Whether an update follows on what the view has.
--- a/crates/node/src/vms.rs
+++ b/crates/node/src/vms.rs
@@ -7,9 +7,8 @@
 
 use crate::event::ListedVm;
 
-/// Time for which a VM has to stay off the list before it counts as gone. Lists of different age
-/// may alternate for a while after a VM starts.
-/// Chosen, not measured.
+/// Time for which a VM has to stay off the list before it counts as gone. Lists of different age may alternate for a
+/// while after a VM starts.
 const GONE_AFTER: Duration = Duration::from_secs(10);
 
 /// What the lists have said. Only a VM that was listed before can be gone; one that never was may
--- a/crates/peers/src/codec.rs
+++ b/crates/peers/src/codec.rs
@@ -2,11 +2,9 @@
 
 use curlewcleat_core::PeerFrame;
 
-/// Version of the frame format; the first byte of each frame.
-/// Chosen: the first format.
+/// Version of the frame format; the first byte of each frame: the first format.
 const FORMAT: u8 = 1;
-/// Longest frame in bytes.
-/// Chosen, not measured: bounds what a peer can make this daemon hold.
+/// Longest frame in bytes: bounds what a peer can make this daemon hold.
 pub const FRAME_LIMIT: usize = 16 << 20;
 
 /// Why bytes are not a frame.
--- a/crates/peers/src/owed.rs
+++ b/crates/peers/src/owed.rs
@@ -16,7 +16,7 @@
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{PeerFrame, PeerMessage};
 
-/// Time since a peer was heard within which its heartbeats are due. Chosen: some beats.
+/// Time since a peer was heard within which its heartbeats are due: some beats.
 const NEAR: Duration = Duration::from_secs(2);
 
 /// Since when peers owe answers, by address.
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -24,8 +24,8 @@
 const SEND_QUEUE: i32 = 1_024;
 /// Received frames that wait for the thread that reads them before the oldest are dropped.
 const RECEIVE_QUEUE: i32 = 8_192;
-/// Time for which frames go out on both connections after one was dialed anew, so that none is lost while the
-/// new one is being made. Chosen, not measured: several round trips between data centres.
+/// Time for which frames go out on both connections after one was dialed anew, so that none is lost while the new one
+/// is being made: several round trips between data centres.
 const OVERLAP: Duration = Duration::from_millis(200);
 
 /// The border towards peers.
--- a/crates/sched/src/admission/burst_window.rs
+++ b/crates/sched/src/admission/burst_window.rs
@@ -17,8 +17,8 @@
 
 use curlewcleat_core::Uptime;
 
-/// What is taken within one part in this many of a window is remembered together, and comes back together.
-/// Chosen, not measured: bounds the entries of an account.
+/// What is taken within one part in this many of a window is remembered together, and comes back together: bounds the
+/// entries of an account.
 const WINDOW_PARTS: u32 = 16;
 
 /// Units that were taken within a short time.
--- a/crates/sched/src/admission/forecast.rs
+++ b/crates/sched/src/admission/forecast.rs
@@ -19,7 +19,7 @@
 use crate::placement::target::TargetState;
 use crate::pool::{micros, with_margin, PoolScheduler};
 
-/// A guessed length may be this many times too long. Chosen, not measured.
+/// A guessed length may be this many times too long.
 const GUESS_DIVISOR: u64 = 3;
 
 impl PoolScheduler {
--- a/crates/sched/src/admission/level_guard.rs
+++ b/crates/sched/src/admission/level_guard.rs
@@ -16,8 +16,7 @@
 use super::overload::LEVEL_HOLD;
 use crate::pool::SchedulerAction;
 
-/// Time after which a level is sent again to those that have not confirmed it. Chosen, not measured:
-/// many round trips.
+/// Time after which a level is sent again to those that have not confirmed it: many round trips.
 const RAISE_AGAIN: Duration = Duration::from_millis(100);
 
 /// What a guard wants done.
--- a/crates/sched/src/admission/overload.rs
+++ b/crates/sched/src/admission/overload.rs
@@ -10,7 +10,7 @@
 
 use curlewcleat_core::{TierRank, Uptime};
 
-/// Time without a capacity refusal after which the level falls by one tier. Chosen, not measured.
+/// Time without a capacity refusal after which the level falls by one tier.
 pub const LEVEL_HOLD: Duration = Duration::from_secs(1);
 
 /// Refuses every tier below a rank. It rises when a tier is refused for want of capacity, so that
--- a/crates/sched/src/admission/shared_rate.rs
+++ b/crates/sched/src/admission/shared_rate.rs
@@ -23,14 +23,14 @@
 use super::token_bucket::{TokenBucket, SCALE};
 use crate::advice::{LEAST_ADVICE, MOST_ADVICE};
 
-/// Divides a second's units into what a daemon that is asked out of turn may save. Chosen, not
-/// measured: little, since the daemon whose turn it is may have given the burst out.
+/// Divides a second's units into what a daemon that is asked out of turn may save: little, since the daemon whose
+/// turn it is may have given the burst out.
 const OUT_OF_TURN_DIVISOR: i128 = 4;
-/// Divides the burst into what unused units of the rate fill, for gaps between requests; the rest comes back
-/// once a window. Chosen, not measured: no more than what the rate gains in a second.
+/// Divides the burst into what unused units of the rate fill, for gaps between requests; the rest comes back once a
+/// window: no more than what the rate gains in a second.
 const SAVED_DIVISOR: i128 = 2;
-/// Windows in which the reserve of a deputy fills. Chosen so that what is saved and what fills up
-/// within one window are the reserve together; model `rates`.
+/// Windows in which the reserve of a deputy fills, so that what is saved and what fills up within one window are the
+/// reserve together; model `rates`.
 const RESERVE_WINDOWS: i128 = 2;
 
 /// Whose turn it is to give out the rates, as a daemon sees itself.
--- a/crates/sched/src/admission/throughput.rs
+++ b/crates/sched/src/admission/throughput.rs
@@ -13,13 +13,13 @@
 
 use crate::decaying_ratio::DecayingRatio;
 
-/// Time after which the sums decay, by one part in [`DECAY_PARTS`]. Chosen, not measured.
+/// Time after which the sums decay, by one part in [`DECAY_PARTS`].
 const PART: Duration = Duration::from_millis(500);
-/// The sums lose one part in this many each time. Chosen, not measured.
+/// The sums lose one part in this many each time.
 const DECAY_PARTS: u64 = 4;
-/// Least time of a busy pool from which its capacity can be estimated. Chosen, not measured.
+/// Least time of a busy pool from which its capacity can be estimated.
 const LEAST_BUSY: Duration = Duration::from_millis(300);
-/// A tier is believed to get at least one part in this many of the capacity. Chosen, not measured.
+/// A tier is believed to get at least one part in this many of the capacity.
 const LEAST_PART: u64 = 8;
 /// Microseconds in a second, by definition; a figure from no setting.
 const MICROS_PER_SECOND: u64 = 1_000_000;
--- a/crates/sched/src/admission/token_bucket.rs
+++ b/crates/sched/src/admission/token_bucket.rs
@@ -5,8 +5,8 @@
 
 use curlewcleat_core::Uptime;
 
-/// Millionths of a token in a token; one token a second is one millionth a microsecond.
-/// Chosen so that a token a second is one millionth of a token a microsecond.
+/// Millionths of a token in a token; one token a second is one millionth a microsecond, so that a token a second is
+/// one millionth of a token a microsecond.
 pub const SCALE: i128 = 1_000_000;
 
 /// The bucket.
--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -13,11 +13,11 @@
 
 use curlewcleat_core::PermitId;
 
-/// Shortest advice. Chosen, not measured: a few round trips.
+/// Shortest advice: a few round trips.
 pub const LEAST_ADVICE: Duration = Duration::from_millis(100);
-/// Longest advice. Chosen, not measured.
+/// Longest advice.
 pub const MOST_ADVICE: Duration = Duration::from_secs(60);
-/// Advice where nothing better is known, and the least for a pool without room. Chosen, not measured.
+/// Advice where nothing better is known, and the least for a pool without room.
 pub const DEFAULT_ADVICE: Duration = Duration::from_secs(1);
 /// Part of the remaining time over which returns are spread, in percent. From docs/MEASUREMENTS.md, row
 /// "forecasts shed no tier, returns spread"; the figure itself is chosen.
@@ -25,7 +25,7 @@
 /// Part of the time left after which there is no use in coming back, in percent. Chosen; all of the
 /// time left was worse (docs/MEASUREMENTS.md, "advice as long as all the time left").
 const ADVICE_PERCENT: u32 = 30;
-/// Steps in which returns are spread. Chosen: finer than a millisecond for the users' deadlines.
+/// Steps in which returns are spread: finer than a millisecond for the users' deadlines.
 const SPREAD_STEPS: u32 = 1_024;
 
 /// Advice when to come back: not before `wait`, and spread over a part of the time that is left.
--- a/crates/sched/src/election/addresses.rs
+++ b/crates/sched/src/election/addresses.rs
@@ -15,8 +15,8 @@
 use super::candidates::CANDIDATES;
 use super::membership::MemberView;
 
-/// Daemons that there may be where none has been listed yet. Chosen: more than the users' small
-/// deployments have, so that a new daemon claims too small a part of the rates rather than too large.
+/// Daemons that there may be where none has been listed yet: more than the users' small deployments have, so that a
+/// new daemon claims too small a part of the rates rather than too large.
 const UNKNOWN_FLEET: usize = 16;
 
 impl MemberView {
--- a/crates/sched/src/election/candidates.rs
+++ b/crates/sched/src/election/candidates.rs
@@ -23,14 +23,13 @@
 
 /// Subject by which the one scheduler of all pools is drawn.
 pub const ALL_POOLS: &str = "all pools";
-/// Daemons, first in the order of schedulers, with which all others exchange every heartbeat. Chosen,
-/// not measured: the scheduler, its deputy and one more for each.
+/// Daemons, first in the order of schedulers, with which all others exchange every heartbeat: the scheduler, its
+/// deputy and one more for each.
 pub(super) const CANDIDATES: usize = 4;
-/// Daemons that are asked for permits, one after the other, before a daemon schedules for itself. Chosen:
-/// the candidates and as many again, for the moment in which all candidates have ended together.
+/// Daemons that are asked for permits, one after the other, before a daemon schedules for itself: the candidates and
+/// as many again, for the moment in which all candidates have ended together.
 const ASKED: usize = 2 * CANDIDATES;
-/// A recorded daemon that has not answered is tried again after this many suspicion time-outs. Chosen,
-/// not measured.
+/// A recorded daemon that has not answered is tried again after this many suspicion time-outs.
 const PROBE_AGAIN: u32 = 10;
 
 impl MemberView {
--- a/crates/sched/src/election/failure.rs
+++ b/crates/sched/src/election/failure.rs
@@ -15,8 +15,7 @@
 
 use super::membership::{MemberView, PeerState};
 
-/// Time without heartbeats after which an unreachable peer is forgotten altogether. Chosen, not measured: longer
-/// than a restart takes.
+/// Time without heartbeats after which an unreachable peer is forgotten altogether: longer than a restart takes.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
 impl MemberView {
--- a/crates/sched/src/election/heartbeats.rs
+++ b/crates/sched/src/election/heartbeats.rs
@@ -16,13 +16,11 @@
 use super::candidates::{ALL_POOLS, CANDIDATES};
 use super::membership::MemberView;
 
-/// Known addresses that a heartbeat names, so that its length does not grow with the fleet. Chosen, not
-/// measured.
+/// Known addresses that a heartbeat names, so that its length does not grow with the fleet.
 const KNOWN_EACH: usize = 4;
-/// One heartbeat in this many names addresses. Chosen, not measured.
+/// One heartbeat in this many names addresses.
 const KNOWN_EVERY: u32 = 4;
-/// Known addresses that a daemon that hears no other tries with a heartbeat. Chosen, not measured: few, since
-/// they may all be cut off.
+/// Known addresses that a daemon that hears no other tries with a heartbeat: few, since they may all be cut off.
 const TRIED_EACH: usize = 2;
 
 /// A heartbeat's receiver.
--- a/crates/sched/src/election/unresponsive.rs
+++ b/crates/sched/src/election/unresponsive.rs
@@ -14,8 +14,7 @@
 
 use curlewcleat_core::{DaemonId, Uptime, VmId};
 
-/// A scheduler of which a heartbeat arrives is passed over for this many times the time that was waited
-/// for it. Chosen, not measured.
+/// A scheduler of which a heartbeat arrives is passed over for this many times the time that was waited for it.
 const TIMEOUT_FACTOR: u32 = 4;
 
 /// Schedulers that did not answer.
--- a/crates/sched/src/lethal.rs
+++ b/crates/sched/src/lethal.rs
@@ -39,10 +39,10 @@
 use self::served::RecentlyServed;
 use self::suspect::SuspectRequest;
 
-/// Requests that are kept at most, about 300 bytes each. Chosen: more than 40 targets have in progress when all of
-/// them end. Those with the fewest breaks go first, then the oldest.
+/// Requests that are kept at most, about 300 bytes each: more than 40 targets have in progress when all of them end.
+/// Those with the fewest breaks go first, then the oldest.
 const REQUEST_LIMIT: usize = 512;
-/// Lives that are kept of one request. Chosen: some more than any limit on them.
+/// Lives that are kept of one request: some more than any limit on them.
 const BREAK_LIMIT: usize = 12;
 
 /// How the platform shows a life of a target.
--- a/crates/sched/src/lethal/ends.rs
+++ b/crates/sched/src/lethal/ends.rs
@@ -11,7 +11,7 @@
 
 use curlewcleat_core::{TargetLife, Uptime};
 
-/// Time for which an end counts. Chosen, not measured: some times as long as a target needs to end and begin again.
+/// Time for which an end counts: some times as long as a target needs to end and begin again.
 const WINDOW: Duration = Duration::from_secs(60);
 
 /// The latest ends of targets.
--- a/crates/sched/src/lethal/served.rs
+++ b/crates/sched/src/lethal/served.rs
@@ -10,10 +10,9 @@
 
 use curlewcleat_core::{RequestDigest, Uptime};
 
-/// Time in which news of a break reach every daemon. Chosen: a multiple of the time between two questions for them.
+/// Time in which news of a break reach every daemon: a multiple of the time between two questions for them.
 const NEWS_LIMIT: Duration = Duration::from_secs(10);
-/// Requests that are kept at most, about 100 bytes each. Chosen, not measured: several seconds of a daemon at a hundred a
-/// second.
+/// Requests that are kept at most, about 100 bytes each: several seconds of a daemon at a hundred a second.
 const SERVED_LIMIT: usize = 1_024;
 
 /// The latest requests that were served whole.
--- a/crates/sched/src/order/waiting.rs
+++ b/crates/sched/src/order/waiting.rs
@@ -31,7 +31,6 @@
 }
 
 /// Size classes of work in a line, one for each power of two of microseconds.
-/// Chosen, not measured.
 const CLASSES: usize = 40;
 
 /// Order inside an account's queue.
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -31,18 +31,15 @@
 use crate::order::waiting::WaitingRequest;
 use crate::pool::{micros, with_margin, PermitRecord, PoolScheduler, SchedulerAction};
 
-/// Accounts of each tier whose first requests are tried when the best one finds no target. Chosen, not
-/// measured.
+/// Accounts of each tier whose first requests are tried when the best one finds no target.
 const HEADS_TRIED: usize = 8;
 /// Reading prompts for up to this part of the longest allowed pause, in percent, stalls no stream.
-/// Chosen, not measured.
 const STALL_PERCENT: u32 = 70;
 /// The time on a target of another data centre counts longer by this, in percent: a near target is
 /// taken unless a far one is several times as fast, or the near one would be late. From
 /// docs/MEASUREMENTS.md, "Far targets count", which has 15, 80, 250 and 800.
 const FAR_PERCENT: u64 = 250;
-/// The time on a target counts longer by this many times where all its requests failed lately. Chosen,
-/// not measured.
+/// The time on a target counts longer by this many times where all its requests failed lately.
 const FAILING_PENALTY: u64 = 8;
 
 /// How well a target suits a permit request; the least is the best.
--- a/crates/sched/src/placement/ejection.rs
+++ b/crates/sched/src/placement/ejection.rs
@@ -15,13 +15,13 @@
 
 use curlewcleat_core::Uptime;
 
-/// Consecutive failures after which a target is ejected. Chosen, not measured.
+/// Consecutive failures after which a target is ejected.
 const EJECT_AFTER: u32 = 3;
-/// First time of ejection; doubles while the target keeps failing. Chosen, not measured.
+/// First time of ejection; doubles while the target keeps failing.
 const EJECT_FIRST: Duration = Duration::from_secs(2);
-/// Longest time of ejection. Chosen, not measured.
+/// Longest time of ejection.
 const EJECT_LIMIT: Duration = Duration::from_secs(60);
-/// Share of a pool's targets that may be ejected at the same time, in percent. Chosen, not measured.
+/// Share of a pool's targets that may be ejected at the same time, in percent.
 const EJECT_PERCENT: usize = 50;
 
 /// Whether a pool may eject one more target, by its counts of ejected targets and of all.
--- a/crates/sched/src/placement/pace.rs
+++ b/crates/sched/src/placement/pace.rs
@@ -15,14 +15,13 @@
 
 use crate::decaying_ratio::DecayingRatio;
 
-/// A stream weighs one in this many in the learned pace of its target. Chosen, not measured.
+/// A stream weighs one in this many in the learned pace of its target.
 const TARGET_WEIGHT: u64 = 8;
-/// A stream weighs one in this many in the pace that is assumed of new targets. Chosen, not measured.
+/// A stream weighs one in this many in the pace that is assumed of new targets.
 const POOL_WEIGHT: u64 = 64;
-/// Half-life of a long pause. Chosen, not measured.
+/// Half-life of a long pause.
 const PAUSE_LIFE: Duration = Duration::from_secs(10);
-/// Work in microseconds that every prompt has besides its tokens, so that short prompts do not look
-/// slow. Chosen, not measured.
+/// Work in microseconds that every prompt has besides its tokens, so that short prompts do not look slow.
 const PROMPT_BASE: WorkMicros = 50_000;
 
 /// Learned pace of a target, or of a whole pool.
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -25,19 +25,19 @@
 use super::prefix::PrefixCache;
 use crate::admission::shared_rate::RatePart;
 
-/// Slowness of a target that takes exactly the estimated time, in thousandths. Chosen as the unit.
+/// Slowness of a target that takes exactly the estimated time, in thousandths.
 const NORMAL: u64 = 1_000;
-/// Time for which a report counts. Chosen: some reports may be lost, which come once a second.
+/// Time for which a report counts: some reports may be lost, which come once a second.
 const REPORT_LIFE: Duration = Duration::from_secs(5);
-/// Share of the prompt work that is left when the prefix is cached, in percent. Chosen, not measured.
+/// Share of the prompt work that is left when the prefix is cached, in percent.
 const CACHED_PROMPT_PERCENT: u64 = 10;
-/// A request weighs one part in this many in the share that failed. Chosen, not measured.
+/// A request weighs one part in this many in the share that failed.
 const FAILING_WEIGHT: u64 = 8;
-/// Longest time that prompts are believed to keep a target. Chosen as a bound on a wrong belief.
+/// Longest time that prompts are believed to keep a target: a bound on a wrong belief.
 const BACKLOG_LIMIT: Duration = Duration::from_secs(5);
-/// The share where every request fails, in thousandths. Chosen as the unit.
+/// The share where every request fails, in thousandths.
 const ALL_FAILING: u64 = 1_000;
-/// An answer weighs one part in this many in the learned slowness. Chosen, not measured.
+/// An answer weighs one part in this many in the learned slowness.
 const SLOWNESS_WEIGHT: u64 = 8;
 
 /// Slots, load, speed and health of one target.
--- a/crates/sched/src/retry/budget.rs
+++ b/crates/sched/src/retry/budget.rs
@@ -32,13 +32,12 @@
     }
 }
 
-/// Daemons that share a budget where fewer are known, since others may not be known yet. Chosen, not
-/// measured.
+/// Daemons that share a budget where fewer are known, since others may not be known yet.
 const LEAST_DAEMONS: u64 = 4;
 /// A daemon that restarts forgets its retries; each has only one part in this many of its share.
 /// Chosen, so that one restart in a window stays within the bound.
 const RESTART_PARTS: u64 = 2;
-/// Parts in which a window is counted. Chosen, not measured.
+/// Parts in which a window is counted.
 const WINDOW_PARTS: u32 = 20;
 
 /// Requests and retries of a part of the window.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -22,10 +22,9 @@
 use crate::pool::{PermitRecord, PoolScheduler, RateCharge, SchedulerAction};
 use crate::targets::state_of;
 
-/// Permits older than this are confirmed with their entry. Chosen, not measured.
+/// Permits older than this are confirmed with their entry.
 const CONFIRM_AFTER: Duration = Duration::from_secs(5);
-/// Of the time to the first part, at least one part in this many is for the own prompt. Chosen, not
-/// measured.
+/// Of the time to the first part, at least one part in this many is for the own prompt.
 const OWN_PART: u32 = 4;
 
 impl PoolScheduler {
--- a/crates/soak/src/extra.rs
+++ b/crates/soak/src/extra.rs
@@ -13,11 +13,11 @@
 
 /// Sets the draws of a kind apart from those of the plan with the same seed.
 const APART: u64 = 0x5eed_0000_0000_0000;
-/// Shortest and longest pause before a fault, in milliseconds. Chosen, not measured: longer than what
-/// notices a silent connection with the settings of a run.
+/// Shortest and longest pause before a fault, in milliseconds: longer than what notices a silent connection with the
+/// settings of a run.
 const PAUSE_MS: std::ops::Range<u64> = 800..2_500;
 
-/// Shortest and longest time of a fault, in milliseconds: an engine is away, an entry is there. Chosen, not measured.
+/// Shortest and longest time of a fault, in milliseconds: an engine is away, an entry is there.
 const FAULT_MS: std::ops::Range<u64> = 10..1_200;
 
 /// A kind of faults beside those of the plan.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -29,7 +29,7 @@
 pub const PACE: Duration = Duration::from_millis(15);
 /// Slots of an engine.
 const SLOTS: u32 = 8;
-/// Daemons whose addresses the settings of each name. Chosen, not measured.
+/// Daemons whose addresses the settings of each name.
 const SEEDS: usize = 3;
 /// Time between looks at processes.
 pub const LOOK_EVERY: Duration = Duration::from_millis(25);
--- a/crates/soak/src/lethal.rs
+++ b/crates/soak/src/lethal.rs
@@ -15,10 +15,10 @@
 
 /// Its body.
 pub const LETHAL: &[u8] = b"ends its engine";
-/// Time after the end of an engine at which its entry lapses and another one has started. Chosen: shorter than
-/// engines need, so that more of them can end.
+/// Time after the end of an engine at which its entry lapses and another one has started: shorter than engines need,
+/// so that more of them can end.
 const LAPSE: Duration = Duration::from_millis(400);
-/// Copies that are sent at the same time. Chosen: callers that repeat at once.
+/// Copies that are sent at the same time: callers that repeat at once.
 const COPIES: usize = 2;
 /// Time between two rounds.
 const PAUSE: Duration = Duration::from_millis(60);
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-/// Age from which a configuration is too old to admit requests by. Chosen, not measured.
+/// Age from which a configuration is too old to admit requests by.
 pub const AGE_LIMIT: Duration = Duration::from_secs(2);
-/// Time in which a changed configuration takes effect, and in which engines that leave get no more
-/// work. Chosen, not measured.
+/// Time in which a changed configuration takes effect, and in which engines that leave get no more work.
 pub const APPLY_LIMIT: Duration = Duration::from_secs(1);
-/// Time in which a daemon that was told to stop ends. Chosen, not measured.
+/// Time in which a daemon that was told to stop ends.
 pub const STOP_LIMIT: Duration = Duration::from_secs(5);
 
 /// What differs between the daemons of a run.
--- a/crates/standins/src/fleet/store/state.rs
+++ b/crates/standins/src/fleet/store/state.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{json, Value};
 
-/// Changes that the store remembers. Chosen, not measured.
+/// Changes that the store remembers.
 const HISTORY_LENGTH: usize = 256;
 
 /// A change that watches hear of.
--- a/crates/store/src/applying.rs
+++ b/crates/store/src/applying.rs
@@ -12,7 +12,6 @@
 use crate::store::{ObjectStore, PutOutcome};
 
 /// Time between tries while the platform does not answer.
-/// Chosen, not measured.
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// Applies files; see [`ConfigApply`] for the protocol.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -15,13 +15,12 @@
 
 use crate::store::{Error, Result};
 
-/// Longest answer in bytes. Chosen, not measured: a page of objects, of which each has a megabyte at
-/// most.
+/// Longest answer in bytes: a page of objects, of which each has a megabyte at most.
 const ANSWER_LIMIT: usize = 16 << 20;
-/// Times the limit of a call that its answer may take in all, as long as its parts keep coming. Chosen,
-/// not measured: a megabyte takes most of a second over 10 Mbit/s, and several beside callers' requests.
+/// Times the limit of a call that its answer may take in all, as long as its parts keep coming: a megabyte takes most
+/// of a second over 10 Mbit/s, and several beside callers' requests.
 const WHOLE_LIMITS: u32 = 8;
-/// Time for the answer of a watch beyond the time for which it waits. Chosen, not measured.
+/// Time for the answer of a watch beyond the time for which it waits.
 const WATCH_SLACK: Duration = Duration::from_secs(1);
 
 /// A call of a store.
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -20,7 +20,6 @@
 use crate::stall::StallGuard;
 
 /// Answers to earlier requests that one exchange passes over.
-/// Chosen, not measured.
 const STALE_LIMIT: usize = 4;
 
 /// How the answers of a target are distinguished and where they may end.
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -5,7 +5,6 @@
 use bytes::{Bytes, BytesMut};
 
 /// Longest event that is held back until it is whole.
-/// Chosen, not measured.
 const EVENT_LIMIT: usize = 1 << 20;
 
 /// Splits a stream after whole events, so that a stream that breaks within one can be taken up.
--- a/crates/targets/src/stall.rs
+++ b/crates/targets/src/stall.rs
@@ -12,9 +12,8 @@
 
 use crate::pool::{ConnectionEnd, ConnectionPool};
 
-/// Time without a sign of the target after which an exchange that is given up counts as unanswered. Chosen, not
-/// measured: half of the least time after which a target counts as stalled; callers that leave sooner say
-/// nothing of the target.
+/// Time without a sign of the target after which an exchange that is given up counts as unanswered: half of the least
+/// time after which a target counts as stalled; callers that leave sooner say nothing of the target.
 const UNANSWERED_AFTER: Duration = Duration::from_millis(250);
 
 /// Watches one exchange. Where it is dropped while an answer is awaited, the connections that have rested
--- a/crates/tool/src/apply.rs
+++ b/crates/tool/src/apply.rs
@@ -15,7 +15,6 @@
 use crate::{daemons, files, ToolExit};
 
 /// Time without a part of its answer after which a call of the platform is given up.
-/// Chosen, not measured.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 
 /// The platform as the arguments name it.
--- a/crates/tool/src/daemons.rs
+++ b/crates/tool/src/daemons.rs
@@ -12,10 +12,8 @@
 use crate::ToolExit;
 
 /// Time after which a daemon counts as unreachable.
-/// Chosen, not measured.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 /// Time between looks at a daemon.
-/// Chosen, not measured.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
 /// The status of a daemon.
