--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -8,12 +8,13 @@
 
 use curlewcleat_clock::Moment;
 use curlewcleat_config::{DaemonSettings, FleetBounds};
-use curlewcleat_core::{ActiveConfig, RequestId, WallTime};
+use curlewcleat_core::{ActiveConfig, WallTime};
 use curlewcleat_node::{CallerDecision, NodeEvent, NodeStatus};
-use curlewcleat_sched::{ReplacementStep, RequestSpec};
+use curlewcleat_sched::RequestSpec;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::metrics::DaemonMetrics;
+use crate::pending::PendingRequest;
 use crate::target_notices::SharedGate;
 
 /// What reaches the thread of the node.
@@ -181,8 +182,7 @@
         let request = spec.request;
         // Where the node has ended, the dropped sender tells the request so.
         let _ = self.node.send(NodeMessage::Admit(Box::new(spec), sender));
-        let context = self.clone();
-        PendingRequest { request, decisions, unread: None, context, stalled: false, open: true }
+        PendingRequest::new(request, decisions, self.clone())
     }
 
     /// The node's status, `None` while the process ends.
@@ -199,109 +199,3 @@
         receiver.await.ok()?
     }
 }
-
-/// The daemon's handle on a request that the node decides about. Dropped while open, it cancels the
-/// request.
-pub struct PendingRequest {
-    request: RequestId,
-    decisions: mpsc::UnboundedReceiver<CallerDecision>,
-    /// A decision that was read and is still to be followed.
-    unread: Option<CallerDecision>,
-    context: DaemonContext,
-    /// Whether its target is stalled and another one was asked for.
-    stalled: bool,
-    open: bool,
-}
-
-impl PendingRequest {
-    /// The next decision, `None` while the process ends.
-    pub async fn decision(&mut self) -> Option<CallerDecision> {
-        match self.unread.take() {
-            Some(decision) => Some(decision),
-            None => self.decisions.recv().await,
-        }
-    }
-
-    /// A decision that was read is the next one again.
-    pub fn put_back(&mut self, decision: CallerDecision) {
-        self.unread = Some(decision);
-    }
-
-    /// The node knows that the request has ended, or learns it from another event.
-    pub fn close(mut self) {
-        self.open = false;
-    }
-
-    /// Tells the node how the request ended.
-    pub fn finish(self, event: NodeEvent) {
-        self.context.tell(event);
-        self.close();
-    }
-
-    /// The request that is decided about.
-    pub fn id(&self) -> RequestId {
-        self.request
-    }
-
-    /// The caller has a part of the answer.
-    pub fn answer_begun(&self) {
-        self.context.tell(NodeEvent::AnswerBegun(self.request));
-    }
-
-    /// Whether its target is stalled.
-    pub fn is_stalled(&self) -> bool {
-        self.stalled
-    }
-
-    /// The target is stalled. A further decision follows only if another one is granted.
-    pub fn target_stalled(&mut self) {
-        self.stalled = true;
-        self.tell_replacement(ReplacementStep::Wanted);
-    }
-
-    /// The target has sent something.
-    pub fn target_heard(&mut self) {
-        if std::mem::take(&mut self.stalled) {
-            self.tell_replacement(ReplacementStep::Unwanted);
-        }
-    }
-
-    /// The stalled target is left for the one that was granted.
-    pub fn take_replacement(&mut self) {
-        self.stalled = false;
-        self.tell_replacement(ReplacementStep::Taken);
-    }
-
-    /// The target that was granted is not used.
-    pub fn decline_replacement(&mut self) {
-        self.tell_replacement(ReplacementStep::Declined);
-    }
-
-    /// The target that was granted takes no connection; the request stays at the stalled one.
-    pub fn replacement_unreachable(&mut self) {
-        self.tell_replacement(ReplacementStep::Unreachable);
-    }
-
-    fn tell_replacement(&self, step: ReplacementStep) {
-        self.context.tell(NodeEvent::Replacement(self.request, step));
-    }
-
-    /// Tells the node that an attempt did not run; a further decision follows.
-    pub fn not_run(
-        &mut self,
-        end: curlewcleat_core::AttemptEnd,
-        retry: curlewcleat_core::RetryReason,
-    ) {
-        self.stalled = false;
-        self.context.tell(NodeEvent::NotRun(self.request, end, retry));
-    }
-}
-
-impl Drop for PendingRequest {
-    fn drop(&mut self) {
-        if self.open {
-            self.context.metrics.caller_gone();
-            self.context.tell(NodeEvent::Cancelled(self.request));
-        }
-    }
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod node_loop;
 mod operators;
 mod parts;
+mod pending;
 mod reports;
 mod request;
 mod target_notices;
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -6,7 +6,7 @@
 //! [`CallerProtocol`]: super::CallerProtocol
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{RefusalReason, RetryReason, TargetEntry};
+use curlewcleat_core::{RefusalReason, RetryReason, TargetEntry, TargetNotice};
 use curlewcleat_node::NodeEvent;
 use curlewcleat_sched::{GateStop, HeardNotice};
 use curlewcleat_targets::{Error, PooledConnection, TargetAnswer};
@@ -37,33 +37,17 @@
     wait: TargetWait<'_>,
 ) -> AttemptStart {
     let (context, protocol, request) = (wait.context, wait.protocol, attempt.request);
-    let life = attempt.target.life();
-    if let Some(stop) = context.gate.stop(context.uptime(), &life) {
-        return stopped(context, stop);
-    }
-    let limits = protocol.limits(request);
-    let connected = match connection {
-        Some(connection) => Ok(connection),
-        None => {
-            protocol.connections(&request.pool).connect_to(attempt.target, limits.connect).await
-        }
-    };
-    // Nothing is written before the connection stands.
-    let Ok(connection) = connected else {
-        return AttemptStart::NotRun(RetryReason::ConnectFailed, AttemptCause::ConnectFailed);
+    let connection = match connect(&attempt, connection, &wait).await {
+        Ok(connection) => connection,
+        Err(start) => return start,
     };
-    // The target may have spoken while the connection was made.
-    if let Some(stop) = context.gate.pass(context.uptime(), &life) {
-        connection.put_back();
-        return stopped(context, stop);
-    }
     let head = protocol.target_head(&attempt);
     let options = protocol.exchange_options(request);
     let exchange = connection.exchange_with(head, attempt.caller.body.sending(), &options);
     let sent = Moment::now();
-    let head_by = head_limit(protocol, request, Moment::now() + limits.head);
+    let head_by = head_limit(protocol, request, sent + protocol.limits(request).head);
     let limit = head_by.saturating_duration_since(Moment::now());
-    let mut answer = match wait.wait(limit, exchange).await {
+    let answer = match wait.wait(limit, exchange).await {
         WaitEnd::Came(Ok(answer)) => answer,
         WaitEnd::Came(Err(error)) => return exchange_failed(attempt.target, &error),
         WaitEnd::Replaced(target) => return AttemptStart::Replaced(target),
@@ -74,11 +58,56 @@
     let notice = protocol.target_notice(&answer.head);
     if let Some(notice) = notice {
         let heard = HeardNotice { sent: context.uptime_at(sent), notice };
-        let report = context.gate.heard(context.uptime(), &life, &heard, request.id);
-        if let Some(report) = report {
-            context.tell(NodeEvent::TargetSaid(request.pool.id.clone(), report));
+        hear(context, &attempt, &heard);
+    }
+    judge(protocol, request, answer, notice)
+}
+
+/// The connection by which the request may be sent now: one that stands, and a target whose own word does not exclude it.
+async fn connect(
+    attempt: &TargetAttempt<'_>,
+    connection: Option<PooledConnection>,
+    wait: &TargetWait<'_>,
+) -> Result<PooledConnection, AttemptStart> {
+    let (context, protocol, request) = (wait.context, wait.protocol, attempt.request);
+    let life = attempt.target.life();
+    if let Some(stop) = context.gate.stop(context.uptime(), &life) {
+        return Err(stopped(context, stop));
+    }
+    let connected = match connection {
+        Some(connection) => Ok(connection),
+        None => {
+            let limit = protocol.limits(request).connect;
+            protocol.connections(&request.pool).connect_to(attempt.target, limit).await
+        }
+    };
+    // Nothing is written before the connection stands.
+    let failed = AttemptStart::NotRun(RetryReason::ConnectFailed, AttemptCause::ConnectFailed);
+    let connection = connected.map_err(|_| failed)?;
+    // The target may have spoken while the connection was made.
+    match context.gate.pass(context.uptime(), &life) {
+        Some(stop) => {
+            connection.put_back();
+            Err(stopped(context, stop))
         }
+        None => Ok(connection),
+    }
+}
+
+/// What the target says of itself counts before anything of its answer is passed on.
+fn hear(context: &DaemonContext, attempt: &TargetAttempt<'_>, heard: &HeardNotice) {
+    let (life, request) = (attempt.target.life(), attempt.request);
+    if let Some(report) = context.gate.heard(context.uptime(), &life, heard, request.id) {
+        context.tell(NodeEvent::TargetSaid(request.pool.id.clone(), report));
     }
+}
+
+fn judge(
+    protocol: &dyn CallerProtocol,
+    request: &AdmittedRequest,
+    mut answer: TargetAnswer,
+    notice: Option<TargetNotice>,
+) -> AttemptStart {
     match protocol.judge_head(request, &mut answer) {
         HeadVerdict::Accepted => AttemptStart::Answer(Box::new(answer)),
         HeadVerdict::NotRun => {
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -28,7 +28,7 @@
 use super::protocol::CallerProtocol;
 use super::target_wait::GrantedTarget;
 use super::{CallerRequest, RequestService};
-use crate::context::PendingRequest;
+use crate::pending::PendingRequest;
 
 pub use self::log::note_refusal;
 
--- a/crates/daemon/src/request/target_wait.rs
+++ b/crates/daemon/src/request/target_wait.rs
@@ -14,7 +14,8 @@
 
 use super::admitted::AdmittedRequest;
 use super::protocol::CallerProtocol;
-use crate::context::{DaemonContext, PendingRequest};
+use crate::context::DaemonContext;
+use crate::pending::PendingRequest;
 
 /// Least time after which another target is asked for: where no time is left, the deadline comes first.
 const LEAST_PAUSE: Duration = Duration::from_millis(10);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,6 +13,7 @@
 mod requests;
 mod stop;
 mod time;
+mod views;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -36,7 +37,6 @@
 use crate::config_exchange::ConfigExchange;
 use crate::event::{NodeAction, NodeEvent};
 use crate::freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
-use crate::status::{NodeStatus, PoolStatus, TargetStatus};
 use crate::target_view::TargetView;
 use crate::vms::VmView;
 
@@ -239,29 +239,6 @@
         &self.order
     }
 
-    /// A view for operators.
-    pub fn status(&self) -> NodeStatus {
-        NodeStatus {
-            me: self.options.me.clone(),
-            generation: self.store.generation(),
-            table: self.home.version(),
-            key_slots: self.home.slots_held(),
-            keys: self.home.keys(),
-            requests: self.entry.len(),
-            suspects: self.lethal.requests.since(self.now, 0),
-            refused: self.lethal.requests.refused().copied().collect(),
-            config_intake: self.configs.intake,
-            drain: self.drain.phase(),
-            pools: self.pools.iter().map(|(id, pool)| self.pool_status(id, pool)).collect(),
-            peers: self
-                .members
-                .peers()
-                .iter()
-                .map(|(vm, peer)| (vm.clone(), peer.clone()))
-                .collect(),
-        }
-    }
-
     /// What the order of schedulers of a pool is drawn by.
     fn subject_of<'a>(&self, pool: &'a str) -> &'a str {
         if self.options.one_scheduler {
@@ -269,30 +246,6 @@
         }
         pool
     }
-
-    pub(crate) fn pool_status(&self, id: &PoolId, pool: &PoolScheduler) -> PoolStatus {
-        let targets = pool.targets().iter().map(|(id, state)| TargetStatus {
-            id: id.clone(),
-            in_flight: state.in_flight,
-            slots: state.slots,
-            slowness: state.slowness(),
-            leaving: state.is_leaving(),
-            ejected: state.ejected(),
-            limit: state.word().rate(),
-            rests: state.rests(self.now),
-        });
-        // The order names at least this daemon.
-        let order = self.members.scheduler_order(self.subject_of(id));
-        PoolStatus {
-            id: id.clone(),
-            scheduler: order[0].vm.clone(),
-            waiting: pool.waiting(),
-            late: pool.waiting_late(),
-            in_flight: pool.in_flight(),
-            lowest_open: pool.level().lowest_open(),
-            targets: targets.collect(),
-        }
-    }
 }
 
 /// The cached order of schedulers of a pool.
--- /dev/null
+++ b/crates/node/src/node/views.rs
@@ -0,0 +1,58 @@
+//! What operators see of a node.
+//!
+//! Owns: nothing; these are methods of `Node`. Relies on: [`NodeStatus`] for the form.
+
+use curlewcleat_core::PoolId;
+use curlewcleat_sched::PoolScheduler;
+
+use super::Node;
+use crate::status::{NodeStatus, PoolStatus, TargetStatus};
+
+impl Node {
+    /// A view for operators.
+    pub fn status(&self) -> NodeStatus {
+        NodeStatus {
+            me: self.options.me.clone(),
+            generation: self.store.generation(),
+            table: self.home.version(),
+            key_slots: self.home.slots_held(),
+            keys: self.home.keys(),
+            requests: self.entry.len(),
+            suspects: self.lethal.requests.since(self.now, 0),
+            refused: self.lethal.requests.refused().copied().collect(),
+            config_intake: self.configs.intake,
+            drain: self.drain.phase(),
+            pools: self.pools.iter().map(|(id, pool)| self.pool_status(id, pool)).collect(),
+            peers: self
+                .members
+                .peers()
+                .iter()
+                .map(|(vm, peer)| (vm.clone(), peer.clone()))
+                .collect(),
+        }
+    }
+
+    pub(crate) fn pool_status(&self, id: &PoolId, pool: &PoolScheduler) -> PoolStatus {
+        let targets = pool.targets().iter().map(|(id, state)| TargetStatus {
+            id: id.clone(),
+            in_flight: state.in_flight,
+            slots: state.slots,
+            slowness: state.slowness(),
+            leaving: state.is_leaving(),
+            ejected: state.ejected(),
+            limit: state.word().rate(),
+            rests: state.rests(self.now),
+        });
+        // The order names at least this daemon.
+        let order = self.members.scheduler_order(self.subject_of(id));
+        PoolStatus {
+            id: id.clone(),
+            scheduler: order[0].vm.clone(),
+            waiting: pool.waiting(),
+            late: pool.waiting_late(),
+            in_flight: pool.in_flight(),
+            lowest_open: pool.level().lowest_open(),
+            targets: targets.collect(),
+        }
+    }
+}
