--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -311,10 +311,11 @@
         run: RunningRequest<'_>,
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
-        let head = format!(
-            "HTTP/1.1 200 OK\r\n{}: {}\r\n{SEAL}: {}\r\nConnection: close\r\n\r\n",
-            WIRE_PROFILE.attempt_id, run.attempt, self.id
-        );
+        let mut head = "HTTP/1.1 200 OK\r\n".to_string();
+        for (name, value) in self.sealed(run.attempt) {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("Connection: close\r\n\r\n");
         let body = match run.streams {
             true => FleetEngine::expected_stream(run.attempt, self.events),
             false => record(run.attempt),
