Review: the part of what daemons share, the schedulers that are new and the callers of the tests each in one place

Limits asked for their part of what all daemons share by a match of their own beside that of the accounts' rates: both call rate_part now. News of suspects and of targets tell new schedulers by one list. The limits and rests of a head are read by one function. A merge of reports gave back whether it changed anything, and nobody asked. target_limits and target_leaving share their callers (tests/support), and the second asserts as well that refusals are not held.

--- a/crates/acceptance/tests/target_leaving.rs
+++ b/crates/acceptance/tests/target_leaving.rs
@@ -14,24 +14,23 @@
 //! attempt_failed target=i-0 reason=target_not_started cause=not_started
 //! ```
 
+mod support;
+
 use std::time::{Duration, Instant};
 
-use actix_http::header;
 use anyhow::Result;
-use bytes::Bytes;
-use curlewcleat_acceptance::fleet_head;
 use curlewcleat_platform::names::WIRE_PROFILE;
-use curlewcleat_standins::deployment::{get_text, wait_until};
+use curlewcleat_standins::deployment::wait_until;
 use curlewcleat_standins::fleet::{EngineStep, FleetDeployment, FleetEngine, StoreOutage};
-use curlewcleat_targets::{collect, ConnectionPool};
 use rstest::rstest;
 
+use support::{call, entries, load, wait_served, OBJECTIVE};
+
 const PACE: Duration = Duration::from_millis(5);
 const DAEMONS: usize = 3;
 /// Asks for no account, so that it is served while the store is silent.
 const OPEN: &str = "/once/open/a";
 const STREAM: &str = "/plain/stream/a";
-const CALL_EVERY: Duration = Duration::from_millis(40);
 /// Time after which a daemon that was told sends no more to an engine that leaves: the users' bound.
 const DRAIN: Duration = Duration::from_secs(2);
 /// Rest that an engine asks for.
@@ -44,24 +43,6 @@
 /// Part by which returns may be spread beyond the time that is told.
 const SPREAD: f64 = 1.25;
 
-/// What a caller got.
-#[derive(Clone, Debug)]
-struct CallerResult {
-    status: u16,
-    retry_after: Option<f64>,
-}
-
-async fn call(entry: &str, path: &str, attempt: &str) -> Result<CallerResult> {
-    let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
-    let answer = connection.exchange(fleet_head(path, attempt)?, Bytes::from_static(b"b")).await?;
-    let status = answer.head.status.as_u16();
-    let retry_after = answer.head.headers.get(header::RETRY_AFTER);
-    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
-    // An answer that its engine broke off has no whole body.
-    let _ = collect(answer.body, 1 << 16).await;
-    Ok(CallerResult { status, retry_after })
-}
-
 async fn ready(name: &str, pool: &str, path: &str, engines: usize) -> Result<FleetDeployment> {
     let mut fleet = FleetDeployment::start(name).await?;
     fleet.store_config()?;
@@ -69,43 +50,10 @@
         fleet.engine(pool, 3, PACE).await?;
     }
     fleet.daemons(DAEMONS, "retry_saved = 100\nretry_ratio = 0.5").await?;
-    fleet.peers_known().await?;
-    for daemon in &fleet.daemons {
-        wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() })
-            .await?;
-        wait_until("served", || async {
-            call(&daemon.callers, path, "warm").await.is_ok_and(|got| got.status == 200)
-        })
-        .await?;
-    }
+    wait_served(&fleet, path).await?;
     Ok(fleet)
 }
 
-/// Callers send to all daemons for so long, whose number begins the name of each try; what they got.
-async fn load(fleet: &FleetDeployment, path: &'static str, time: Duration) -> Vec<CallerResult> {
-    let end = Instant::now() + time;
-    let callers = fleet.daemons.iter().enumerate().map(|(index, daemon)| {
-        let entry = daemon.callers.clone();
-        actix_rt::spawn(async move {
-            let mut results = Vec::new();
-            for number in 0.. {
-                if Instant::now() >= end {
-                    break;
-                }
-                results.extend(call(&entry, path, &format!("{index}-{number}")).await);
-                tokio::time::sleep(CALL_EVERY).await;
-            }
-            results
-        })
-    });
-    let callers: Vec<_> = callers.collect();
-    let mut results = Vec::new();
-    for caller in callers {
-        results.extend(caller.await.expect("a caller"));
-    }
-    results
-}
-
 /// When requests of a daemon reached an engine.
 fn arrived(engine: &FleetEngine, daemon: usize) -> Vec<Instant> {
     let prefix = format!("{daemon}-");
@@ -130,9 +78,9 @@
     let engine = &fleet.engines[0];
     engine.always(step);
     engine.says(&[(WIRE_PROFILE.leaving, "1")]);
-    load(&fleet, path, DRAIN).await;
+    load(entries(&fleet), path, DRAIN).await;
     let since = Instant::now();
-    let results = load(&fleet, path, Duration::from_secs(3)).await;
+    let results = load(entries(&fleet), path, Duration::from_secs(3)).await;
     for daemon in 0..DAEMONS {
         let told = arrived(engine, daemon).first().copied();
         let late = arrived(engine, daemon).into_iter().filter(|at| *at >= since).count();
@@ -172,7 +120,7 @@
             engine.next(EngineStep::Serve);
         }
     }
-    load(&fleet, path, REST * 2).await;
+    load(entries(&fleet), path, REST * 2).await;
     for engine in &fleet.engines {
         for daemon in 0..DAEMONS {
             let most = most_in_rest(engine, daemon);
@@ -188,9 +136,10 @@
     let path = "/again/a";
     let fleet = ready("rest-all", "records", path, 2).await?;
     fleet.engines.iter().for_each(|engine| engine.always(EngineStep::Rest(REST)));
-    let results = load(&fleet, path, REST - ON_THEIR_WAY).await;
+    let results = load(entries(&fleet), path, REST - ON_THEIR_WAY).await;
     for got in &results {
         assert_eq!(got.status, 503, "{got:?}");
+        assert!(got.took < OBJECTIVE, "held: {got:?}");
         let wait = got.retry_after.unwrap_or_default();
         assert!(wait > 0.0 && wait <= REST.as_secs_f64() * SPREAD, "{got:?}");
     }
--- a/crates/acceptance/tests/target_limits.rs
+++ b/crates/acceptance/tests/target_limits.rs
@@ -10,53 +10,29 @@
 //! request_served target=i-0 attempts=1
 //! ```
 
+mod support;
+
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::header;
 use anyhow::Result;
-use bytes::Bytes;
-use curlewcleat_acceptance::fleet_head;
 use curlewcleat_platform::names::WIRE_PROFILE;
-use curlewcleat_standins::deployment::{get_text, wait_until};
 use curlewcleat_standins::fleet::{FleetDeployment, FleetEngine};
-use curlewcleat_targets::{collect, ConnectionPool};
 use rstest::rstest;
 
+use support::{entries, load, wait_served, OBJECTIVE};
+
 const PACE: Duration = Duration::from_millis(5);
 const DAEMONS: usize = 4;
 const PATH: &str = "/again/a";
-/// Time between two requests of the callers of one daemon.
-const CALL_EVERY: Duration = Duration::from_millis(40);
 /// Requests a second that the engine takes.
 const LIMIT: f64 = 2.0;
 /// Time from the first word in which the daemons come to keep it: the users' bound, three seconds, is longer.
 const CONTACT: Duration = Duration::from_secs(2);
-/// Time in which callers hope for an answer.
-const OBJECTIVE: Duration = Duration::from_millis(500);
 /// Span in which requests are counted, and the requests allowed in it: the users' bound.
 const SPAN: Duration = Duration::from_secs(4);
 const ALLOWED: usize = (1.5 * LIMIT * 4.0) as usize + 5;
 
-/// What a caller got.
-#[derive(Clone, Debug)]
-struct CallerResult {
-    status: u16,
-    retry_after: Option<f64>,
-    took: Duration,
-}
-
-async fn call(entry: &str, attempt: &str) -> Result<CallerResult> {
-    let begun = Instant::now();
-    let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
-    let answer = connection.exchange(fleet_head(PATH, attempt)?, Bytes::from_static(b"b")).await?;
-    let status = answer.head.status.as_u16();
-    let retry_after = answer.head.headers.get(header::RETRY_AFTER);
-    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
-    collect(answer.body, 1 << 16).await.map_err(anyhow::Error::msg)?;
-    Ok(CallerResult { status, retry_after, took: begun.elapsed() })
-}
-
 async fn ready(name: &str, engines: usize) -> Result<FleetDeployment> {
     let mut fleet = FleetDeployment::start(name).await?;
     fleet.store_config()?;
@@ -64,47 +40,10 @@
         fleet.engine("records", 0, PACE).await?;
     }
     fleet.daemons(DAEMONS, "").await?;
-    fleet.peers_known().await?;
-    for daemon in &fleet.daemons {
-        wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() })
-            .await?;
-        wait_until("served", || async {
-            call(&daemon.callers, "warm").await.is_ok_and(|got| got.status == 200)
-        })
-        .await?;
-    }
+    wait_served(&fleet, PATH).await?;
     Ok(fleet)
 }
 
-/// Callers send to each of these daemons for so long; what they got.
-async fn load(entries: Vec<String>, time: Duration) -> Vec<CallerResult> {
-    let end = Instant::now() + time;
-    let callers = entries.into_iter().map(|entry| {
-        actix_rt::spawn(async move {
-            let mut results = Vec::new();
-            for number in 0.. {
-                if Instant::now() >= end {
-                    break;
-                }
-                // A daemon that is killed meanwhile answers nothing.
-                results.extend(call(&entry, &format!("{entry}-{number}")).await);
-                tokio::time::sleep(CALL_EVERY).await;
-            }
-            results
-        })
-    });
-    let callers: Vec<_> = callers.collect();
-    let mut results = Vec::new();
-    for caller in callers {
-        results.extend(caller.await.expect("a caller"));
-    }
-    results
-}
-
-fn entries(fleet: &FleetDeployment) -> Vec<String> {
-    fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect()
-}
-
 /// Most requests that reached an engine within a span, from this time on.
 fn most_in_span(engine: &FleetEngine, since: Instant) -> usize {
     let arrived: Vec<Instant> =
@@ -125,7 +64,7 @@
     let engine = &fleet.engines[0];
     let named = Instant::now();
     name_limit(engine, LIMIT);
-    let results = load(entries(&fleet), CONTACT + SPAN + Duration::from_secs(1)).await;
+    let results = load(entries(&fleet), PATH, CONTACT + SPAN + Duration::from_secs(1)).await;
     let most = most_in_span(engine, named + CONTACT);
     assert!(most <= ALLOWED, "{most} requests in four seconds");
     let refused = results.iter().filter(|got| got.status != 200).count();
@@ -139,14 +78,13 @@
     let mut fleet = ready("limit-election", 2).await?;
     let engine = Rc::clone(&fleet.engines[0]);
     name_limit(&engine, LIMIT);
-    load(entries(&fleet), CONTACT).await;
+    load(entries(&fleet), PATH, CONTACT).await;
     let since = Instant::now();
     // Each in turn, so that whichever schedules ends.
     for index in 0..DAEMONS {
-        let others = entries(&fleet).into_iter().enumerate();
-        let others = others.filter(|(place, _)| *place != index).map(|(_, entry)| entry).collect();
+        let others = entries(&fleet).into_iter().filter(|(place, _)| *place != index).collect();
         fleet.daemons[index].process.kill();
-        load(others, Duration::from_millis(1_500)).await;
+        load(others, PATH, Duration::from_millis(1_500)).await;
         fleet.restart(index).await?;
     }
     let most = most_in_span(&engine, since);
@@ -160,11 +98,11 @@
     let fleet = ready("limit-ends", 1).await?;
     let engine = &fleet.engines[0];
     name_limit(engine, LIMIT);
-    load(entries(&fleet), CONTACT).await;
+    load(entries(&fleet), PATH, CONTACT).await;
     engine.says(&[]);
-    load(entries(&fleet), CONTACT).await;
+    load(entries(&fleet), PATH, CONTACT).await;
     let since = Instant::now();
-    load(entries(&fleet), CONTACT).await;
+    load(entries(&fleet), PATH, CONTACT).await;
     let most = most_in_span(engine, since);
     assert!(most > ALLOWED, "{most}: it takes what comes");
     Ok(())
@@ -181,7 +119,7 @@
     let engine = &fleet.engines[0];
     let named = Instant::now();
     name_limit(engine, limit);
-    let results = load(entries(&fleet), CONTACT + SPAN).await;
+    let results = load(entries(&fleet), PATH, CONTACT + SPAN).await;
     let most = most_in_span(engine, named + CONTACT);
     let allowed = (1.5 * limit * 4.0) as usize + 5;
     assert!(most <= allowed, "{most} requests in four seconds, {allowed} allowed");
--- a/crates/core/src/target_notice.rs
+++ b/crates/core/src/target_notice.rs
@@ -9,9 +9,7 @@
 use crate::TargetLife;
 
 /// Requests a second, in thousandths.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestRate(pub u64);
 
 impl RequestRate {
--- a/crates/daemon/src/request/profile/notice.rs
+++ b/crates/daemon/src/request/profile/notice.rs
@@ -23,13 +23,19 @@
     if head.status.as_u16() == profile.misdirected_status {
         return None;
     }
-    let (limit, limit_read) = read_limit(texts(&head.headers, profile.limit));
-    let (rest, rest_read) = match turns_away(head.status) {
-        true => read_rest(texts(&head.headers, header::RETRY_AFTER.as_str())),
-        false => (None, true),
+    let (limits, limits_read) = read_values(&head.headers, profile.limit, RequestRate::per_second);
+    let limit = match limits.into_iter().min() {
+        Some(rate) => LimitNotice::Named(rate),
+        None if limits_read => LimitNotice::Absent,
+        None => LimitNotice::Unreadable,
     };
+    let (rests, rests_read) = match turns_away(head.status) {
+        true => read_values(&head.headers, header::RETRY_AFTER.as_str(), seconds),
+        false => (Vec::new(), true),
+    };
+    let rest = rests.into_iter().max();
     let leaving = texts(&head.headers, profile.leaving).any(|text| text == LEAVES);
-    Some(TargetNotice { leaving, rest, limit, unreadable: !(limit_read && rest_read) })
+    Some(TargetNotice { leaving, rest, limit, unreadable: !(limits_read && rests_read) })
 }
 
 /// Whether a status says that the target takes no request now.
@@ -43,40 +49,24 @@
     headers.get_all(name).map(|value| value.to_str().unwrap_or_default().trim())
 }
 
-/// The lowest limit, and whether all could be read.
-fn read_limit<'a>(texts: impl Iterator<Item = &'a str>) -> (LimitNotice, bool) {
-    let mut limit = LimitNotice::Absent;
-    let mut read = true;
-    for text in texts {
-        match text.parse().ok().and_then(RequestRate::per_second) {
-            Some(rate) => {
-                limit = match limit {
-                    LimitNotice::Named(known) => LimitNotice::Named(known.min(rate)),
-                    LimitNotice::Absent | LimitNotice::Unreadable => LimitNotice::Named(rate),
-                }
-            }
-            None => read = false,
-        }
-    }
-    match (limit, read) {
-        (LimitNotice::Absent, false) => (LimitNotice::Unreadable, false),
-        known => known,
-    }
-}
-
-/// The longest rest, and whether all could be read. A date is no number of seconds.
-fn read_rest<'a>(texts: impl Iterator<Item = &'a str>) -> (Option<Duration>, bool) {
-    let mut rest = None;
-    let mut read = true;
-    for text in texts {
-        match text.parse().ok().and_then(seconds) {
-            Some(time) => rest = rest.max(Some(time)),
-            None => read = false,
+/// The values of a header that can be read, and whether all can.
+fn read_values<T>(
+    headers: &HeaderMap,
+    name: &str,
+    read: impl Fn(f64) -> Option<T>,
+) -> (Vec<T>, bool) {
+    let mut values = Vec::new();
+    let mut all_read = true;
+    for text in texts(headers, name) {
+        match text.parse().ok().and_then(&read) {
+            Some(value) => values.push(value),
+            None => all_read = false,
         }
     }
-    (rest, read)
+    (values, all_read)
 }
 
+/// A time in seconds, at most [`REST_LIMIT`]; `None` for what is none.
 fn seconds(seconds: f64) -> Option<Duration> {
     if !seconds.is_finite() || seconds < 0.0 {
         return None;
--- a/crates/daemon/src/target_notices.rs
+++ b/crates/daemon/src/target_notices.rs
@@ -13,8 +13,7 @@
 pub struct SharedGate(Arc<Mutex<TargetGate>>);
 
 impl SharedGate {
-    /// Takes the head of the answer to a request in.
-    /// What daemons that may schedule are to be told.
+    /// Takes the head of the answer to a request in. Returns what the daemons that may schedule have to know.
     pub fn heard(
         &self,
         now: Uptime,
--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -195,13 +195,7 @@
         if requests.is_empty() {
             return;
         }
-        let new: Vec<VmId> = self
-            .other_schedulers()
-            .into_iter()
-            .filter(|daemon| !before.contains(daemon))
-            .map(|daemon| daemon.vm)
-            .collect();
-        for vm in new {
+        for vm in self.new_schedulers(before) {
             let push = SuspectsPush { at: 0, requests: requests.clone() };
             self.post(&vm, PeerMessage::SuspectsPush(push));
         }
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -228,6 +228,12 @@
         others.filter(|daemon| self.eligible.contains(daemon)).cloned().collect()
     }
 
+    /// Those of them that were not in the order before.
+    pub(super) fn new_schedulers(&self, before: &[DaemonId]) -> Vec<VmId> {
+        let others = self.other_schedulers().into_iter();
+        others.filter(|daemon| !before.contains(daemon)).map(|daemon| daemon.vm).collect()
+    }
+
     pub(super) fn post_answers(&mut self, actions: Vec<SchedulerAction>) {
         for action in actions {
             self.post(&action.entry.vm, PeerMessage::PermitAnswer(action.answer));
--- a/crates/node/src/node/notices.rs
+++ b/crates/node/src/node/notices.rs
@@ -12,7 +12,6 @@
 use curlewcleat_core::{
     DaemonId, LimitReport, NoticeReport, PeerMessage, PoolId, PoolNotice, TargetLife, Uptime, VmId,
 };
-use curlewcleat_sched::{RatePart, RateTurn};
 
 use super::Node;
 
@@ -75,10 +74,7 @@
         if notices.is_empty() {
             return;
         }
-        let schedulers = self.other_schedulers().into_iter();
-        let new: Vec<VmId> =
-            schedulers.filter(|daemon| !before.contains(daemon)).map(|daemon| daemon.vm).collect();
-        for vm in new {
+        for vm in self.new_schedulers(before) {
             for notice in &notices {
                 self.post(&vm, PeerMessage::TargetNotice(notice.clone()));
             }
@@ -94,11 +90,7 @@
     /// The part of the limits of a pool's targets that this daemon grants: none while another one is asked first.
     pub(super) fn renew_parts(&mut self) {
         for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
-            let part = match self.rate_turn(&pool) {
-                RateTurn::Leader => self.members.reached_part(self.now),
-                turn => RatePart { reached: 0, all: 1, turn },
-            };
-            let now = self.now;
+            let (now, part) = (self.now, self.rate_part(&pool));
             self.pool(&pool).set_part(now, part);
         }
     }
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -76,12 +76,7 @@
         }
         let account = self.active.accounts.get(&request.account);
         let Some(rate) = account.and_then(|account| account.shared_rate) else { return Ok(()) };
-        let part = match self.rate_turn(&request.pool) {
-            RateTurn::Leader => self.members.reached_part(self.now),
-            // Another daemon gives out the rate; this one was asked because that one seems
-            // unresponsive.
-            turn => RatePart { reached: 1, all: self.members.fleet_size(), turn },
-        };
+        let part = self.rate_part(&request.pool);
         self.rates.take(self.now, &request.account, &rate, request.cost, part)
     }
 
@@ -96,8 +91,17 @@
         Refusal::not_run(reason, Some(advice))
     }
 
+    /// The part of what all daemons share that this one gives out for a pool.
+    pub(super) fn rate_part(&self, pool: &str) -> RatePart {
+        match self.rate_turn(pool) {
+            RateTurn::Leader => self.members.reached_part(self.now),
+            // Another daemon gives it out; this one was asked because that one seems unresponsive.
+            turn => RatePart { reached: 1, all: self.members.fleet_size(), turn },
+        }
+    }
+
     /// Whether this daemon is to be asked for permits of a pool first, next, or later.
-    pub(super) fn rate_turn(&self, pool: &str) -> RateTurn {
+    fn rate_turn(&self, pool: &str) -> RateTurn {
         let order = self.orders.get(pool).map_or(&[][..], Vec::as_slice);
         match order.iter().position(|daemon| *daemon == self.options.me) {
             Some(0) => RateTurn::Leader,
--- a/crates/sched/src/placement/notice.rs
+++ b/crates/sched/src/placement/notice.rs
@@ -61,8 +61,7 @@
     }
 
     /// Takes in what a daemon reports; its rest is that of the daemon alone and is left out.
-    pub fn merge(&mut self, now: Uptime, report: &NoticeReport) -> bool {
-        let before = self.clone();
+    pub fn merge(&mut self, now: Uptime, report: &NoticeReport) {
         self.leaving |= report.leaving;
         if let Some(LimitReport { rate, age }) = report.limit {
             let at = now.saturating_sub(age);
@@ -74,7 +73,6 @@
                 None => self.end_limit(at),
             }
         }
-        self.differs(&before)
     }
 
     /// The limit is named no longer by an answer to a request of then.
