--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -272,6 +272,7 @@
             zone: "here",
             slots: SLOTS,
             state,
+            version: None,
             born: Some(slot.engine.born),
         };
         self.store.write_entry(&slot.engine.id, entry)
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -57,6 +57,8 @@
     engines_served: Rc<RefCell<Vec<Option<ServedHandler>>>>,
     /// Their services.
     engine_backends: Vec<String>,
+    /// Their versions.
+    engine_versions: Vec<Option<String>>,
     /// The daemons.
     pub daemons: Vec<FleetDaemon>,
     /// The configuration that was stored last.
@@ -77,6 +79,7 @@
             engine_addresses: Vec::new(),
             engines_served: Rc::default(),
             engine_backends: Vec::new(),
+            engine_versions: Vec::new(),
             daemons: Vec::new(),
             config: example_config(),
             store_address,
@@ -94,10 +97,32 @@
 
     /// Starts an engine and announces it.
     pub async fn engine(&mut self, backend: &str, events: u64, pace: Duration) -> Result<()> {
+        self.start_engine(backend, None, events, pace).await
+    }
+
+    /// Starts an engine of a version and announces it.
+    pub async fn engine_of(
+        &mut self,
+        backend: &str,
+        version: &str,
+        events: u64,
+        pace: Duration,
+    ) -> Result<()> {
+        self.start_engine(backend, Some(version.to_string()), events, pace).await
+    }
+
+    async fn start_engine(
+        &mut self,
+        backend: &str,
+        version: Option<String>,
+        events: u64,
+        pace: Duration,
+    ) -> Result<()> {
         let engine = FleetEngine::new(&format!("i-{}", self.engines.len()), events, pace);
         let address = free_address()?;
         let served = ServedHandler::start(&address, engine.clone()).await?;
-        self.write_entry(&engine, backend, &address)?;
+        self.write_entry(&engine, backend, version.as_deref(), &address)?;
+        self.engine_versions.push(version);
         self.engines.push(engine);
         self.engine_addresses.push(address);
         self.engines_served.borrow_mut().push(Some(served));
@@ -113,7 +138,8 @@
         }
         let engine = self.engines[index].started_again();
         let served = ServedHandler::start(&address, engine.clone()).await?;
-        self.write_entry(&engine, &self.engine_backends[index], &address)?;
+        let version = self.engine_versions[index].as_deref();
+        self.write_entry(&engine, &self.engine_backends[index], version, &address)?;
         self.engines_served.borrow_mut()[index] = Some(served);
         self.engine_addresses[index] = address;
         self.engines[index] = engine;
@@ -139,10 +165,31 @@
         }
     }
 
-    fn write_entry(&self, engine: &FleetEngine, backend: &str, address: &str) -> Result<()> {
-        let born = Some(engine.born);
-        let entry =
-            EngineEntry { backend, address, zone: "here", slots: SLOTS, state: READY, born };
+    /// An engine ends at once, and its entry goes.
+    pub async fn end_engine(&mut self, index: usize) {
+        let served = self.engines_served.borrow_mut()[index].take();
+        if let Some(served) = served {
+            served.close().await;
+        }
+        self.store.remove(SERVERS, &self.engines[index].id);
+    }
+
+    fn write_entry(
+        &self,
+        engine: &FleetEngine,
+        backend: &str,
+        version: Option<&str>,
+        address: &str,
+    ) -> Result<()> {
+        let entry = EngineEntry {
+            backend,
+            address,
+            zone: "here",
+            slots: SLOTS,
+            state: READY,
+            version,
+            born: Some(engine.born),
+        };
         self.store.write_entry(&engine.id, entry)
     }
 
--- a/crates/standins/src/fleet/entry.rs
+++ b/crates/standins/src/fleet/entry.rs
@@ -16,6 +16,9 @@
     pub slots: u32,
     /// Whether it serves or leaves.
     pub state: &'a str,
+    /// Version of its software; earlier engines do not write it.
+    #[serde(rename = "resource_version", skip_serializing_if = "Option::is_none")]
+    pub version: Option<&'a str>,
     /// Unix millisecond of its start; earlier engines do not write it.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub born: Option<u64>,
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -112,7 +112,7 @@
     ) -> Result<()> {
         self.write_entry(
             id,
-            EngineEntry { backend, address, zone: "here", slots, state, born: None },
+            EngineEntry { backend, address, zone: "here", slots, state, version: None, born: None },
         )
     }
 
@@ -143,6 +143,12 @@
         Some(state.kinds.get(kind)?.get(name)?["spec"].clone())
     }
 
+    /// Status of an object.
+    pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state.borrow();
+        Some(state.kinds.get(kind)?.get(name)?["status"].clone())
+    }
+
     /// Names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.state.borrow();
@@ -178,12 +184,14 @@
         let mut parts = path.trim_matches('/').split('/');
         let kind = parts.next().unwrap_or_default();
         let name = parts.next().unwrap_or_default();
+        let part = parts.next().unwrap_or_default();
         match request.method.as_str() {
             "GET" if request.query.contains_key("watch") => self.watch(kind, request).await,
             "GET" if name.is_empty() => (200, self.list(kind, request.query.get("since_revision"))),
             "GET" => self.read(kind, name),
             "POST" => self.create(kind, request),
-            "PUT" => self.replace(kind, name, request),
+            "PUT" if part == "status" => self.replace(kind, name, request, ObjectPart::Status),
+            "PUT" => self.replace(kind, name, request, ObjectPart::Spec),
             "DELETE" => {
                 let status = self.read(kind, name).0;
                 self.state.borrow_mut().remove(kind, name);
@@ -244,7 +252,13 @@
         self.read(kind, &name)
     }
 
-    fn replace(&self, kind: &str, name: &str, request: &PlainRequest) -> (u16, Value) {
+    fn replace(
+        &self,
+        kind: &str,
+        name: &str,
+        request: &PlainRequest,
+        part: ObjectPart,
+    ) -> (u16, Value) {
         let object: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let (status, present) = self.read(kind, name);
         if status != 200 {
@@ -254,11 +268,23 @@
         if wanted.is_some_and(|wanted| present["metadata"]["revision"].as_u64() != Some(wanted)) {
             return (409, present);
         }
-        self.state.borrow_mut().put(kind, name, object["spec"].clone());
+        match part {
+            ObjectPart::Spec => self.state.borrow_mut().put(kind, name, object["spec"].clone()),
+            ObjectPart::Status => {
+                self.state.borrow_mut().put_status(kind, name, object["status"].clone());
+            }
+        }
         self.read(kind, name)
     }
 }
 
+/// What a write replaces of an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ObjectPart {
+    Spec,
+    Status,
+}
+
 /// Fails a call in the way of an outage.
 async fn answer_outage(
     outage: StoreOutage,
--- a/crates/standins/src/fleet/store/state.rs
+++ b/crates/standins/src/fleet/store/state.rs
@@ -33,9 +33,23 @@
         if objects.get(name).is_some_and(|object| object["spec"] == spec) {
             return;
         }
+        let status = objects.get(name).map_or(Value::Null, |object| object["status"].clone());
+        self.write(kind, name, spec, status);
+    }
+
+    /// Writes the status of an object that there is; the same status again is no change.
+    pub fn put_status(&mut self, kind: &str, name: &str, status: Value) {
+        let known = self.kinds.get(kind).and_then(|objects| objects.get(name));
+        let Some(object) = known.filter(|object| object["status"] != status) else { return };
+        let spec = object["spec"].clone();
+        self.write(kind, name, spec, status);
+    }
+
+    fn write(&mut self, kind: &str, name: &str, spec: Value, status: Value) {
         self.revision += 1;
         let metadata = json!({ "name": name, "revision": self.revision });
-        let object = json!({ "metadata": metadata, "spec": spec, "status": null });
+        let object = json!({ "metadata": metadata, "spec": spec, "status": status });
+        let objects = self.kinds.entry(kind.to_string()).or_default();
         objects.insert(name.to_string(), object.clone());
         self.note(kind, object, false);
     }
