Order: urgencies of rules share the places of a tier, before the accounts

What callers saw: at the worst load the most urgent requests, which alone fill half of the places, were served less often than the least urgent ones of the same engines. Cause: inside a tier the accounts' fair shares went before the rank of the rule, in the queue and in the forecast by which requests are refused.

--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -1,4 +1,4 @@
-//! What goes first? Tiers strictly by rank, fair shares between accounts inside a tier ([`queue`]), and
+//! What goes first? Tiers strictly by rank, shares of the urgencies inside a tier and of the accounts inside these ([`queue`]), and
 //! a place inside an account that weighs age against length ([`priority`]). [`waiting`] has the data.
 
 mod priority;
--- a/crates/sched/src/order/priority.rs
+++ b/crates/sched/src/order/priority.rs
@@ -1,10 +1,10 @@
 //! Where does a request stand among those of its account and tier?
 //!
-//! Inputs: when it arrived, its work in microseconds, the rank of its rule, whether it comes back after
+//! Inputs: when it arrived, its work in microseconds, whether it comes back after
 //! an early refusal and can still be in time, and `age_per_work` from the settings (`[scheduling]`). The rule:
-//! its place is the time of its arrival, later by [`URGENCY_AGE`] for each rank of its rule and by `age_per_work` for
+//! its place is the time of its arrival, later by `age_per_work` for
 //! each microsecond of work, and earlier by [`HEAD_START`] where it has come back and can still be in
-//! time. The lowest place goes first. At 0 `age_per_work` serves the oldest first, at a large number the shortest;
+//! time. Requests of other urgencies wait in queues of their own. The lowest place goes first. At 0 `age_per_work` serves the oldest first, at a large number the shortest;
 //! docs/MEASUREMENTS.md, "Rounds", has the figures for 0, 2, 8 and 32.
 //!
 //! Owns: nothing; these are methods of `PoolScheduler`. Relies on: the pace that was learned of the targets, for
@@ -17,9 +17,6 @@
 use super::waiting::WaitingRequest;
 use crate::pool::PoolScheduler;
 
-/// Age that makes up for one rank of the rule. Chosen longer than any request waits, so that a rule's
-/// rank goes before age (docs/MEASUREMENTS.md, "rule's rank, then age in a line").
-const URGENCY_AGE: Duration = Duration::from_secs(1_000);
 /// Age that a request is credited with that retries after an early refusal and can still be in time. Chosen
 /// longer than requests wait, so that it goes before new ones (docs/MEASUREMENTS.md, "returns go first",
 /// "returns without a head start" and "the objective counts from the first attempt").
@@ -38,14 +35,12 @@
         let estimate = self.fastest_estimate(&request);
         let wait_until = now.saturating_add(request.objectives.wait_limit);
         let latest_start = deadline.saturating_sub(Duration::from_micros(estimate)).min(wait_until);
-        let urgency = URGENCY_AGE * u32::from(request.objectives.urgency);
         let objectives = &request.objectives;
         let head_start = match objectives.is_retry && in_time_until > now {
             true => HEAD_START,
             false => Duration::ZERO,
         };
         let order = now.saturating_sub(head_start)
-            + urgency
             + Duration::from_micros(work * self.options.age_per_work);
         let first_part_by = now.saturating_add(request.objectives.first_part_by);
         WaitingRequest {
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -1,19 +1,23 @@
 //! The waiting requests of a pool, in the order in which they go.
 //!
-//! The rule: the highest tier first; inside it those that can still begin in time before those that are
-//! late; inside these the account that was served the least work for its
-//! weight (start-time fair queueing, an idle account gets no credit); inside an account the lowest
+//! The rule: the highest tier first; inside it the urgency of the rules that was served the least work for its
+//! share, which is [`URGENCY_SHARE`] times that of the next one (start-time fair queueing, as for accounts);
+//! inside an urgency those that can still begin in time before those that are late; inside these the account
+//! that was served the least work for its weight (an idle account gets no credit); inside an account the lowest
 //! place ([`priority`](super)). A few requests behind the first are offered too, so that one that no
 //! target suits does not hold up the others.
 //!
 //! Load pattern: more requests than slots for seconds, of which those that wait longest are granted just too
-//! late. With the late ones last, 104 in place of 68 of 200 answers begin in time at twice what the slots
-//! can serve, and 101 in place of 57 of 400 at four times (ten seconds, tests/overload.rs).
+//! late, and of which the most urgent alone would fit. With the late ones last, 104 in place of 68 of 200 answers
+//! begin in time at twice what the slots can serve, and 101 in place of 57 of 400 at four times (ten seconds,
+//! tests/overload.rs). Urgencies go before the accounts' shares, so that an account's least urgent requests do not
+//! pass the most urgent ones of others, and each keeps a share, so that none is starved (tests/urgencies.rs).
 //!
-//! Owns: the waiting requests, and the work served to each account. Relies on: estimates of work in
+//! Owns: the waiting requests, and the work served to each urgency and account. Relies on: estimates of work in
 //! microseconds.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 
 use curlewcleat_core::{
     AccountId, DaemonId, PermitId, PermitRequest, TierRank, Uptime, WorkMicros,
@@ -27,17 +31,42 @@
 /// Requests of an account's queue that are tried, so that one that no target suits does not hold up the
 /// others.
 const HEADS_PER_ACCOUNT: usize = 4;
-/// Which queue goes first: the highest tier, and inside it those that are not late.
+/// Each urgency has this many times the share of the next one: so much that what it asks for fits its share at the usual
+/// mix, and so little that the next ones go on.
+const URGENCY_SHARE: u64 = 4;
+/// The least urgent that has a share of its own; those after it have the same.
+const LAST_URGENCY: TierRank = 4;
+
+/// A queue: the highest tier goes first; inside it the urgencies share the places, each with those that are not late first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct QueueRank {
     tier: TierRank,
+    urgency: TierRank,
     late: bool,
 }
 
+/// A tier and an urgency, whose queues have one share.
+type QueueShare = (TierRank, TierRank);
+
 impl QueueRank {
+    /// All queues of a tier.
+    fn of_tier(tier: TierRank) -> RangeInclusive<QueueRank> {
+        let first = QueueRank { tier, urgency: 0, late: false };
+        first..=QueueRank { tier, urgency: TierRank::MAX, late: true }
+    }
+
+    fn shared(self) -> QueueShare {
+        (self.tier, self.urgency)
+    }
+
+    /// Its share relative to the other urgencies of its tier.
+    fn share(self) -> u64 {
+        URGENCY_SHARE.pow(u32::from(LAST_URGENCY - self.urgency.min(LAST_URGENCY)))
+    }
+
     /// The first rank of the tiers below one.
     fn below(tier: TierRank) -> QueueRank {
-        QueueRank { tier: tier + 1, late: false }
+        QueueRank { tier: tier + 1, late: false, urgency: 0 }
     }
 }
 
@@ -54,6 +83,10 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct TierQueues {
     tiers: BTreeMap<QueueRank, TierQueue>,
+    /// Work served, by its share, to the urgency of each tier that was chosen last; newcomers begin here.
+    clocks: BTreeMap<TierRank, u64>,
+    /// Work served to each urgency, by its share.
+    served: BTreeMap<QueueShare, u64>,
     places: BTreeMap<PermitId, QueuePlace>,
     /// All requests by their latest start.
     starts: BTreeSet<(Uptime, PermitId)>,
@@ -100,13 +133,22 @@
     /// Adds a permit request; `weight` is its account's share.
     pub fn push(&mut self, now: Uptime, waiting: WaitingRequest, weight: u32) {
         let late = waiting.in_time_until <= now;
-        let rank = QueueRank { tier: waiting.request.tier, late };
+        let urgency = waiting.request.objectives.urgency;
+        let rank = QueueRank { tier: waiting.request.tier, late, urgency };
         let account = waiting.request.account.clone();
         let key = (waiting.order, waiting.request.permit);
         self.starts.insert((waiting.latest_start, waiting.request.permit));
         if !late {
             self.in_time.insert((waiting.in_time_until, waiting.request.permit));
         }
+        let other = QueueRank { late: !late, ..rank };
+        let is_idle = |rank| self.tiers.get(&rank).is_none_or(|queue| queue.length == 0);
+        if is_idle(rank) && is_idle(other) {
+            // Like an account, an urgency that asked for nothing gets no credit for it.
+            let begun = self.clocks.get(&rank.tier).copied().unwrap_or(0);
+            let served = self.served.entry(rank.shared()).or_default();
+            *served = (*served).max(begun);
+        }
         let queue = self.tiers.entry(rank).or_default();
         let clock = queue.clock;
         let line = queue.lines.entry(account.clone()).or_default();
@@ -166,6 +208,10 @@
         queue.clock = queue.clock.max(line.served);
         let work = line.waiting.get(&key).map_or(0, |waiting| waiting.work);
         line.served += work * SHARE_SCALE / line.weight;
+        let served = self.served.entry(rank.shared()).or_default();
+        let clock = self.clocks.entry(rank.tier).or_default();
+        *clock = (*clock).max(*served);
+        *served += work * SHARE_SCALE / rank.share();
         queue.order.insert((line.served, account));
         self.remove(permit)
     }
@@ -173,7 +219,11 @@
     /// The requests that may go next, best first: of each tier by rank the first requests of each of
     /// its first `accounts` accounts.
     pub fn heads(&self, accounts: usize) -> impl Iterator<Item = &WaitingRequest> {
-        self.tiers.values().flat_map(move |queue| {
+        let mut queues: Vec<(&QueueRank, &TierQueue)> =
+            self.tiers.iter().filter(|(_, queue)| queue.length > 0).collect();
+        let served = |rank: &QueueRank| self.served.get(&rank.shared()).copied().unwrap_or(0);
+        queues.sort_by_key(|(rank, _)| (rank.tier, served(rank), **rank));
+        queues.into_iter().flat_map(move |(_, queue)| {
             queue
                 .order
                 .iter()
@@ -227,11 +277,8 @@
     /// The permit request to evict in favour of `account` inside its own tier: the last one of the
     /// account that waits with the most work for its weight, if that is more than this account has.
     pub fn victim_within(&self, tier: TierRank, account: &AccountId) -> Option<PermitId> {
-        let of_tier = [true, false].map(|late| QueueRank { tier, late });
-        let queue = of_tier
-            .iter()
-            .filter_map(|rank| self.tiers.get(rank))
-            .find(|queue| queue.length > 0)?;
+        let of_tier = self.tiers.range(QueueRank::of_tier(tier)).rev().map(|(_, queue)| queue);
+        let queue = of_tier.into_iter().find(|queue| queue.length > 0)?;
         let own = queue
             .lines
             .get(account)
@@ -249,9 +296,14 @@
     /// Work that goes before a new request: higher tiers, and of its own tier what fair shares and its
     /// account's line let go first.
     pub fn work_ahead(&self, request: &PermitRequest, weight: u32, late: bool) -> WorkMicros {
-        let rank = QueueRank { tier: request.tier, late };
-        let higher: WorkMicros = self.tiers.range(..rank).map(|(_, queue)| queue.work).sum();
-        let Some(queue) = self.tiers.get(&rank) else { return higher };
+        let rank = QueueRank { tier: request.tier, late, urgency: request.objectives.urgency };
+        let first = QueueRank { urgency: 0, late: false, ..rank };
+        let higher: WorkMicros = self.tiers.range(..first).map(|(_, queue)| queue.work).sum();
+        let in_time = self.tiers.get(&QueueRank { late: false, ..rank }).filter(|_| late);
+        let sooner = in_time.map_or(0, |queue| queue.work);
+        let Some(queue) = self.tiers.get(&rank) else {
+            return higher + self.work_beside(rank, sooner);
+        };
         let class = class_of(request.prompt_work + request.output_work);
         let line = queue.lines.get(&request.account);
         let own: WorkMicros =
@@ -259,7 +311,22 @@
         let waits = |line: &&AccountQueue| !line.waiting.is_empty();
         let weights: u64 = queue.lines.values().filter(waits).map(|line| line.weight).sum();
         let share = own * weights.max(1) / u64::from(weight.max(1));
-        higher + share.min(queue.work)
+        higher + self.work_beside(rank, sooner + share.min(queue.work))
+    }
+
+    /// Work that is served until so much of one urgency is, with that of the other urgencies.
+    fn work_beside(&self, rank: QueueRank, own: WorkMicros) -> WorkMicros {
+        let tier = self.tiers.range(QueueRank::of_tier(rank.tier));
+        let mut others: BTreeMap<TierRank, WorkMicros> = BTreeMap::new();
+        for (other, queue) in tier.filter(|(_, queue)| queue.length > 0) {
+            if other.urgency != rank.urgency {
+                *others.entry(other.urgency).or_default() += queue.work;
+            }
+        }
+        let share = |urgency: &TierRank| QueueRank { urgency: *urgency, ..rank }.share();
+        let shares = rank.share() + others.keys().map(share).sum::<u64>();
+        let work: WorkMicros = others.values().sum();
+        (own * shares / rank.share()).min(own + work)
     }
 
     /// Work of all waiting requests.
