Targets that answer 429 ask for no rest

What callers saw: an engine that turned one request away as one too many got nothing from that daemon for the time it named. The users' page names 503 with Retry-After alone as a wish for rest; 429 speaks of one request or its account. The case of the test that expected the rest now expects none.

--- a/crates/daemon/src/request/profile/notice.rs
+++ b/crates/daemon/src/request/profile/notice.rs
@@ -38,9 +38,10 @@
     Some(TargetNotice { leaving, rest, limit, unreadable: !(limits_read && rests_read) })
 }
 
-/// Whether a status says that the target takes no request now.
+/// Whether a status says that the target takes no request now. That one request is one too many speaks of that request or its
+/// account.
 fn turns_away(status: StatusCode) -> bool {
-    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+    status == StatusCode::SERVICE_UNAVAILABLE
 }
 
 /// The texts of a header; one that is no text is empty.
