--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod memory;
 mod metrics;
 mod node_loop;
+mod node_notes;
 mod operators;
 mod parts;
 mod pending;
--- /dev/null
+++ b/crates/daemon/src/node_notes.rs
@@ -0,0 +1,102 @@
+//! What the node notes, as log lines.
+//!
+//! Owns: the lines and their fields, which are stable. Relies on: nothing.
+
+use curlewcleat_core::SuspectReport;
+use curlewcleat_node::{LifeNews, NodeNote, PoolStatus, RolloutStatus};
+use curlewcleat_sched::RolloutReason;
+use spdlog::prelude::*;
+
+/// Logs what the node notes.
+pub fn log_note(note: &NodeNote) {
+    match note {
+        NodeNote::ConfigAccepted(generation) => {
+            info!("config_accepted", kv: { generation = *generation })
+        }
+        NodeNote::ConfigInvalid(generation, report) => {
+            error!("config_invalid", kv: { generation = *generation, problems = report.to_string() });
+        }
+        NodeNote::ConfigNotPacked(generation, error) => {
+            error!("config_not_packed", kv: { generation = *generation, error = error.as_str() });
+        }
+        NodeNote::ConfigUnreadable(generation, error) => {
+            error!("config_unreadable", kv: { generation = *generation, error = error.as_str() });
+        }
+        NodeNote::RetryDenied(request, bound) => {
+            info!("retry_denied", kv: { request = request.to_string(), bound = bound.code() });
+        }
+        NodeNote::PeerLost(peer) => warn!("peer_lost", kv: { vm = peer.vm.as_str() }),
+        NodeNote::PeerReplaced(peer) => info!("peer_replaced", kv: { vm = peer.vm.as_str() }),
+        NodeNote::TargetLife(news) => log_life(news),
+        NodeNote::TargetGone(gone) => {
+            info!("target_gone", kv: { target = gone.target.as_str(), left = gone.left })
+        }
+        NodeNote::TableKnown(version, slots) => {
+            info!("key_table_known", kv: { version = *version, slots_held = *slots })
+        }
+        NodeNote::PoolWaits(pool) => log_waiting(pool),
+        NodeNote::TargetEnded(digest, life) => {
+            warn!("target_ended_under_request", kv: {
+                digest = digest.to_string(), target = life.id.as_str()
+            });
+        }
+        NodeNote::RequestLethal(report) => log_lethal(report),
+        NodeNote::RolloutStage(rollout, reason) => log_rollout(rollout, *reason),
+        NodeNote::VersionsHeld(pool, versions) => info!("versions_held", kv: {
+            pool = pool.as_str(), versions = versions.join(" ")
+        }),
+        NodeNote::RequestAllowed(digest) => {
+            info!("request_allowed", kv: { digest = digest.to_string() })
+        }
+        NodeNote::SuspectCleared(digest) => {
+            info!("suspect_cleared", kv: { digest = digest.to_string() })
+        }
+        NodeNote::DrainBegun => info!("drain_begun"),
+        NodeNote::DrainClosing => info!("drain_closing"),
+    }
+}
+
+fn log_waiting(pool: &PoolStatus) {
+    let ejected = pool.targets.iter().filter(|target| target.ejected).count();
+    let leaving = pool.targets.iter().filter(|target| target.leaving).count();
+    let slots: u32 = pool.targets.iter().map(|target| target.slots).sum();
+    info!("pool_waits", kv: {
+        pool = pool.id.as_str(), waiting = pool.waiting, late = pool.late,
+        in_flight = pool.in_flight, slots,
+        targets = pool.targets.len(), ejected, leaving,
+        lowest_open = pool.lowest_open.map_or(-1, i64::from)
+    });
+}
+
+fn log_lethal(report: &SuspectReport) {
+    let ended = report.breaks.iter().filter(|seen| seen.ended);
+    let targets: Vec<&str> = ended.map(|seen| seen.broke.life.id.as_str()).collect();
+    warn!("request_lethal", kv: {
+        digest = report.digest.to_string(), ended = targets.len(), targets = targets.join(" ")
+    });
+}
+
+/// The figures are those of this daemon; the one that has decided for a reason knows most.
+fn log_rollout(rollout: &RolloutStatus, reason: Option<RolloutReason>) {
+    info!("rollout_stage", kv: {
+        pool = rollout.pool.as_str(), version = rollout.version.as_str(),
+        stage = rollout.stage.code(), reason = reason.map_or("told", RolloutReason::code),
+        age_ms = rollout.age.as_millis() as i64,
+        time_ms = rollout.time.map_or(-1, |time| time.as_millis() as i64),
+        requests = rollout.requests, trial_requests = rollout.trial_requests,
+        answers = rollout.answers, other_answers = rollout.other_answers,
+        bad_answers = rollout.bad_answers
+    });
+}
+
+fn log_life(news: &LifeNews) {
+    let LifeNews { target, stated, known } = news;
+    match news.is_late() {
+        true => warn!("target_entry_late", kv: {
+            target = target.as_str(), start = stated.0, known = known.0
+        }),
+        false => info!("target_started_again", kv: {
+            target = target.as_str(), start = stated.0, known = known.0
+        }),
+    }
+}
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -3,4 +3,5 @@
 
 mod priority;
 pub mod queue;
+mod rank;
 pub mod waiting;
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -1,7 +1,7 @@
 //! The waiting requests of a pool, in the order in which they go.
 //!
 //! The rule: the highest tier first; inside it the urgency of the rules that was served the least work for its
-//! share, which is [`URGENCY_SHARE`] times that of the next one (start-time fair queueing, as for accounts);
+//! share, which is [`URGENCY_SHARE`](super::rank) times that of the next one (start-time fair queueing, as for accounts);
 //! inside an urgency those that can still begin in time before those that are late; inside these the account
 //! that was served the least work for its weight (an idle account gets no credit); inside an account the lowest
 //! place ([`priority`](super)). A few requests behind the first are offered too, so that one that no
@@ -17,12 +17,12 @@
 //! microseconds.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::ops::RangeInclusive;
 
 use curlewcleat_core::{
     AccountId, DaemonId, PermitId, PermitRequest, TierRank, Uptime, WorkMicros,
 };
 
+use super::rank::{QueueRank, QueueShare};
 use super::waiting::{class_of, AccountQueue, QueueKey, TierQueue, WaitingRequest};
 
 /// Scale of virtual time, so that division by weights keeps precision.
@@ -31,45 +31,6 @@
 /// Requests of an account's queue that are tried, so that one that no target suits does not hold up the
 /// others.
 const HEADS_PER_ACCOUNT: usize = 4;
-/// Each urgency has this many times the share of the next one: so much that what it asks for fits its share at the usual
-/// mix, and so little that the next ones go on.
-const URGENCY_SHARE: u64 = 4;
-/// The least urgent that has a share of its own; those after it have the same.
-const LAST_URGENCY: TierRank = 4;
-
-/// A queue: the highest tier goes first; inside it the urgencies share the places, each with those that are not late first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-struct QueueRank {
-    tier: TierRank,
-    urgency: TierRank,
-    late: bool,
-}
-
-/// A tier and an urgency, whose queues have one share.
-type QueueShare = (TierRank, TierRank);
-
-impl QueueRank {
-    /// All queues of a tier.
-    fn of_tier(tier: TierRank) -> RangeInclusive<QueueRank> {
-        let first = QueueRank { tier, urgency: 0, late: false };
-        first..=QueueRank { tier, urgency: TierRank::MAX, late: true }
-    }
-
-    fn shared(self) -> QueueShare {
-        (self.tier, self.urgency)
-    }
-
-    /// Its share relative to the other urgencies of its tier.
-    fn share(self) -> u64 {
-        URGENCY_SHARE.pow(u32::from(LAST_URGENCY - self.urgency.min(LAST_URGENCY)))
-    }
-
-    /// The first rank of the tiers below one.
-    fn below(tier: TierRank) -> QueueRank {
-        QueueRank { tier: tier + 1, late: false, urgency: 0 }
-    }
-}
-
 /// Where a request waits.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct QueuePlace {
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -243,13 +243,6 @@
         self.in_flight + self.foreign(now) < self.slots - reserve
     }
 
-    /// Whether one more request may go there while its version is on trial, where this many at the same time are usual.
-    pub fn has_trial_room(&self, usual_load: u32, now: Uptime) -> bool {
-        let limited = self.limit.as_ref().is_some_and(|(rate, pace)| !pace.admits(now, *rate));
-        let closed = self.is_leaving() || self.ejection.is_ejected() || limited;
-        !closed && self.in_flight + self.foreign(now) < usual_load.min(self.slots)
-    }
-
     /// Whether the target takes new work at all.
     pub fn usable(&self, now: Uptime) -> bool {
         !self.is_leaving() && self.access == VersionAccess::Open && self.ejection.admits(now)
--- a/crates/sched/src/placement/trial.rs
+++ b/crates/sched/src/placement/trial.rs
@@ -85,7 +85,7 @@
         let first = (turn % on_trial.len().max(1) as u128) as usize;
         let in_turn = on_trial[first..].iter().chain(&on_trial[..first]);
         let mut fit = in_turn.filter(|(id, state)| {
-            state.has_trial_room(load, now) && eligible(now, waiting, id, state)
+            has_trial_room(state, load, now) && eligible(now, waiting, id, state)
         });
         fit.next().map(|(id, _)| (*id).clone())
     }
@@ -98,3 +98,10 @@
         in_flight.div_ceil(targets.max(1)).max(LEAST_LOAD)
     }
 }
+
+/// Whether one more request may go to a target while its version is on trial, where so many at the same time are usual.
+fn has_trial_room(state: &TargetState, usual_load: u32, now: Uptime) -> bool {
+    let is_limited = state.limit_wait(now) != Some(Duration::ZERO);
+    let is_shut = state.is_leaving() || state.ejected() || is_limited;
+    !is_shut && state.in_flight + state.foreign(now) < usual_load.min(state.slots)
+}
--- a/crates/sched/src/rollout/evidence.rs
+++ b/crates/sched/src/rollout/evidence.rs
@@ -16,11 +16,12 @@
 //!
 //! Owns: the rule. Relies on: [`AnswerLog`] for the answers.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
-use curlewcleat_core::{AnswerSight, Uptime};
+use curlewcleat_core::Uptime;
 
+use super::measures::{sum, AnswerView, HitCount, LeastAnswers, TargetTimes, TimeMeasure};
 pub use super::samples::AnswerLog;
 use super::samples::{LoggedAnswer, NamePlace};
 use super::statistics::{binomial_tail, mean_and_deviation, median};
@@ -46,9 +47,6 @@
 const LEAST_SLOW: f64 = 0.03;
 /// Least part of the targets that is expected to have answers that count against them.
 const LEAST_HIT_TARGETS: f64 = 0.05;
-/// Answers of one target that break off within this time count as this many: they have one cause.
-const BREAK_SPAN: Duration = Duration::from_secs(1);
-const BREAKS_PER_SPAN: u64 = 2;
 /// Answers of a target from which its middle is known, and from which its answers are compared with it.
 const LEAST_FOR_ODD: LeastAnswers = LeastAnswers { of_all: 3, of_rule: 1, beside_rule: 2 };
 const LEAST_FOR_MIDDLE: LeastAnswers = LeastAnswers { of_all: 3, of_rule: 2, beside_rule: 3 };
@@ -61,8 +59,6 @@
 /// Deviations above which a difference between targets is none of chance, and the least deviation that is assumed.
 const DEVIATIONS: f64 = 4.0;
 const LEAST_DEVIATION: f64 = 0.3;
-/// Work that every answer has besides what is estimated, so that short ones do not look slow.
-const WORK_BASE: f64 = 50_000.0;
 
 /// What speaks against a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -97,152 +93,14 @@
     Unproved,
 }
 
-/// A time of an answer that is compared.
-#[derive(Clone, Copy, Debug)]
-enum TimeMeasure {
-    /// To the first part, by the estimated work. A target that has begun lately has read no prompt yet.
-    First,
-    /// Between two parts.
-    Part,
-}
-
-impl TimeMeasure {
-    fn fault(self) -> VersionFault {
-        match self {
-            TimeMeasure::First => VersionFault::Late,
-            TimeMeasure::Part => VersionFault::Slow,
-        }
-    }
-
-    /// How many times as long counts as slow: of a target's middle, and of one answer beside it.
-    fn limits(self) -> (f64, f64) {
-        match self {
-            TimeMeasure::First => (2.5, 3.0),
-            TimeMeasure::Part => (1.6, 2.2),
-        }
-    }
-
-    /// Whether an answer counts that takes so much longer than its target's middle, or so much less: where most are slow
-    /// the others are those that differ.
-    fn differs(self, distance: f64) -> bool {
-        let limit = self.limits().1.ln();
-        match self {
-            TimeMeasure::First => distance > limit,
-            TimeMeasure::Part => distance.abs() > limit,
-        }
-    }
-
-    /// The logarithm of the time, `None` where the sight tells none.
-    fn of(self, answer: &LoggedAnswer) -> Option<f64> {
-        let micros = |time: Duration| (time.as_micros() as f64).max(1.0);
-        match (self, answer.sight) {
-            (TimeMeasure::First, AnswerSight::Begun(first)) => {
-                Some((micros(first) / (answer.work as f64 + WORK_BASE)).ln())
-            }
-            (TimeMeasure::Part, AnswerSight::Paced(part)) => Some(micros(part).ln()),
-            _ => None,
-        }
+/// What speaks against a version whose answers take longer by a measure.
+fn fault_of(measure: TimeMeasure) -> VersionFault {
+    match measure {
+        TimeMeasure::First => VersionFault::Late,
+        TimeMeasure::Part => VersionFault::Slow,
     }
 }
 
-/// Answers of one group in one time.
-struct AnswerView<'a> {
-    answers: Vec<&'a LoggedAnswer>,
-}
-
-impl<'a> AnswerView<'a> {
-    fn new(answers: impl Iterator<Item = &'a LoggedAnswer>, since: Uptime) -> AnswerView<'a> {
-        AnswerView { answers: answers.filter(|answer| answer.at >= since).collect() }
-    }
-
-    /// By target: its answers of a rule, or of all, and those of them that are bad.
-    fn bad_by_target(&self, rule: Option<NamePlace>) -> Vec<HitCount> {
-        let mut counts: BTreeMap<NamePlace, HitCount> = BTreeMap::new();
-        let mut breaks: BTreeMap<(NamePlace, u64), u64> = BTreeMap::new();
-        let of_rule = |answer: &&&LoggedAnswer| rule.is_none_or(|rule| answer.rule == rule);
-        for answer in self.answers.iter().filter(of_rule).filter(|answer| answer.is_answer()) {
-            let count = counts.entry(answer.target).or_default();
-            count.all += 1;
-            match answer.sight {
-                AnswerSight::Broken => {
-                    let span = answer.at.as_secs() / BREAK_SPAN.as_secs();
-                    let broken = breaks.entry((answer.target, span)).or_default();
-                    *broken += 1;
-                    count.hits += u64::from(*broken <= BREAKS_PER_SPAN);
-                }
-                _ => count.hits += u64::from(answer.is_bad()),
-            }
-        }
-        counts.into_values().collect()
-    }
-
-    /// Times of its targets, each less what is usual for its rule.
-    fn times(&self, measure: TimeMeasure, usual: &BTreeMap<NamePlace, f64>) -> Vec<TargetTimes> {
-        let mut times: BTreeMap<NamePlace, TargetTimes> = BTreeMap::new();
-        for answer in &self.answers {
-            let Some((time, usual)) = measure.of(answer).zip(usual.get(&answer.rule)) else {
-                continue;
-            };
-            times.entry(answer.target).or_default().0.push((answer.rule, time - usual));
-        }
-        times.into_values().collect()
-    }
-
-    /// The middle time of each rule.
-    fn usual(&self, measure: TimeMeasure) -> BTreeMap<NamePlace, f64> {
-        let mut times: BTreeMap<NamePlace, Vec<f64>> = BTreeMap::new();
-        for answer in &self.answers {
-            times.entry(answer.rule).or_default().extend(measure.of(answer));
-        }
-        let middle = |(rule, mut times): (NamePlace, Vec<f64>)| Some((rule, median(&mut times)?));
-        times.into_iter().filter_map(middle).collect()
-    }
-}
-
-/// Answers that a target needs to be compared, over all rules or of one.
-#[derive(Clone, Copy, Debug)]
-struct LeastAnswers {
-    of_all: usize,
-    of_rule: usize,
-    /// Of other rules than this one.
-    beside_rule: usize,
-}
-
-/// Times of one target with their rules.
-#[derive(Clone, Debug, Default)]
-struct TargetTimes(Vec<(NamePlace, f64)>);
-
-impl TargetTimes {
-    /// Its times, or those of one rule less the middle of the others; `None` where there are too few.
-    fn of(&self, rule: Option<NamePlace>, least: LeastAnswers) -> Option<Vec<f64>> {
-        let Some(rule) = rule else {
-            let times: Vec<f64> = self.0.iter().map(|(_, time)| *time).collect();
-            return Some(times).filter(|times| times.len() >= least.of_all);
-        };
-        let (own, others): (Vec<_>, Vec<_>) = self.0.iter().partition(|(other, _)| *other == rule);
-        let mut others: Vec<f64> = others.into_iter().map(|(_, time)| time).collect();
-        if own.len() < least.of_rule || others.len() < least.beside_rule {
-            return None;
-        }
-        let usual = median(&mut others)?;
-        Some(own.into_iter().map(|(_, time)| time - usual).collect())
-    }
-}
-
-/// Answers of a target, and those of them that count against it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct HitCount {
-    all: u64,
-    hits: u64,
-}
-
-fn sum(counts: &[HitCount]) -> HitCount {
-    counts.iter().fold(HitCount::default(), |sum, count| HitCount {
-        all: sum.all + count.all,
-        hits: sum.hits + count.hits,
-    })
-}
-
 /// Whether more answers of some targets count against them than of the others, also without the worst of them.
 fn is_more_often(trial: &mut [HitCount], others: &[HitCount], least_share: f64) -> bool {
     let (seen, usual) = (sum(trial), sum(others));
@@ -347,7 +205,7 @@
         }
         let measures = [TimeMeasure::First, TimeMeasure::Part];
         let is_slow = |measure: &TimeMeasure| is_slow(&trial, &others, &scopes, *measure);
-        measures.into_iter().find(is_slow).map(TimeMeasure::fault)
+        measures.into_iter().find(is_slow).map(fault_of)
     }
 
     /// Whether the version has answered enough requests of each rule.
