A version that may be completed is sent back by the platform's word alone; model of roll-outs

What callers would have seen: requests cut at targets that stop. Found by the model: a daemon writes that the version is completed, judges its answers anew, sends it back and uses the targets before it again; the write on its way is taken, and they stop at once. Mend: once that was written, the version is sent back only where the platform shows that it has taken this instead; the write says so under the same revision, so that one of the two is taken.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod rates;
 mod request;
+mod rollout;
 
 pub use config::{ConfigFault, ConfigModel};
 pub use drain::{DrainFault, DrainModel};
@@ -24,3 +25,4 @@
 pub use limits::{LimitFault, LimitModel};
 pub use rates::{RateFault, RateModel};
 pub use request::{RequestFault, RequestModel};
+pub use rollout::{RolloutFault, RolloutModel};
--- a/crates/model/tests/models.rs
+++ b/crates/model/tests/models.rs
@@ -1,6 +1,9 @@
 //! Every promise over every reachable state within the bounds, and the broken variants that the
 //! search must catch. Run with `--nocapture` to see the counts and the traces.
 
+#[path = "models/rollouts.rs"]
+mod rollouts;
+
 use curlewcleat_model::{
     explore, ConfigFault, ConfigModel, DrainFault, DrainModel, KeyFault, KeyModel, LethalFault,
     LethalModel, LevelFault, LevelModel, LimitFault, LimitModel, RateFault, RateModel,
--- a/crates/sched/src/rollout.rs
+++ b/crates/sched/src/rollout.rs
@@ -30,7 +30,7 @@
 pub use self::plan::{RolloutReason, RolloutSight, RolloutStep};
 
 /// One order and how far it is.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PoolRollout {
     name: String,
     order: RolloutOrder,
@@ -45,6 +45,10 @@
     log: AnswerLog,
     judged: Uptime,
     written: Option<(RolloutStage, Uptime)>,
+    /// Whether the version is to be sent back although the platform may have taken that it is completed.
+    recalled: bool,
+    /// When that was written last.
+    recalled_at: Option<Uptime>,
 }
 
 impl PoolRollout {
@@ -81,6 +85,8 @@
             log: AnswerLog::default(),
             judged: Duration::ZERO,
             written: None,
+            recalled: false,
+            recalled_at: None,
         }
     }
 
@@ -132,6 +138,7 @@
         if record.revision > self.revision {
             // A write that was decided on an earlier one was not taken, or is this one.
             self.written = None;
+            self.recalled = false;
         }
         self.revision = record.revision;
         self.order.time = record.order.time;
@@ -149,7 +156,7 @@
     pub fn told(&mut self, now: Uptime, news: &RolloutNews) -> bool {
         self.begun = self.begun.min(now.saturating_sub(news.age));
         self.revision = self.revision.max(news.revision);
-        news.stage > self.stage && self.ended.is_none() && self.set_stage(now, news.stage)
+        news.stage > self.stage && self.ended.is_none() && self.go_to(now, news.stage)
     }
 
     /// What peers are told.
@@ -170,6 +177,18 @@
         }
     }
 
+    /// Goes to a stage that was decided on. Once the platform may have taken that the version is completed, the targets of
+    /// others may stop at any moment: then it is only sent back once the platform shows that it has taken that instead.
+    fn go_to(&mut self, now: Uptime, stage: RolloutStage) -> bool {
+        let may_be_completed =
+            self.written.is_some_and(|(written, _)| written == RolloutStage::Completed);
+        if stage == RolloutStage::RolledBack && may_be_completed {
+            self.recalled = true;
+            return false;
+        }
+        self.set_stage(now, stage)
+    }
+
     fn set_stage(&mut self, now: Uptime, stage: RolloutStage) -> bool {
         if self.stage == stage {
             return false;
--- a/crates/sched/src/rollout/plan.rs
+++ b/crates/sched/src/rollout/plan.rs
@@ -90,11 +90,15 @@
     /// Decides what is next, at the daemon that decides.
     pub fn step(&mut self, now: Uptime, sight: &RolloutSight) -> Option<RolloutStep> {
         if let Some((stage, reason)) = self.next_stage(now, sight) {
-            self.set_stage(now, stage);
-            return Some(RolloutStep::Stage(stage, reason));
+            if self.go_to(now, stage) {
+                return Some(RolloutStep::Stage(stage, reason));
+            }
         }
         self.next_write(now, sight).map(|stage| {
-            self.written = Some((stage, now));
+            if !self.recalled {
+                self.written = Some((stage, now));
+            }
+            self.recalled_at = self.recalled.then_some(now);
             RolloutStep::Write(stage)
         })
     }
@@ -148,13 +152,17 @@
         let stage = match self.stage {
             RolloutStage::Trial if self.noted => return None,
             RolloutStage::Trial => RolloutStage::Trial,
+            RolloutStage::Move if self.recalled => RolloutStage::RolledBack,
             RolloutStage::Move if !settled || sight.others_in_flight > 0 => return None,
             RolloutStage::Move => RolloutStage::Completed,
             ended => ended,
         };
         let kept = self.ended.is_some();
-        let under_way =
-            self.written.is_some_and(|(written, at)| written == stage && now < at + WRITE_AGAIN);
+        let latest = match self.recalled {
+            true => self.recalled_at,
+            false => self.written.filter(|(written, _)| *written == stage).map(|(_, at)| at),
+        };
+        let under_way = latest.is_some_and(|at| now < at + WRITE_AGAIN);
         (!kept && !under_way).then_some(stage)
     }
 }
--- a/crates/sched/src/rollout/samples.rs
+++ b/crates/sched/src/rollout/samples.rs
@@ -21,7 +21,7 @@
 pub type NamePlace = u16;
 
 /// One answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LoggedAnswer {
     /// When it was heard of.
     pub at: Uptime,
@@ -48,7 +48,7 @@
 }
 
 /// Names by their places.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct NameTable(BTreeMap<String, NamePlace>);
 
 impl NameTable {
@@ -65,7 +65,7 @@
 }
 
 /// The answers of one order.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct AnswerLog {
     trial: VecDeque<LoggedAnswer>,
     others: VecDeque<LoggedAnswer>,
--- a/crates/sched/src/rollout/versions.rs
+++ b/crates/sched/src/rollout/versions.rs
@@ -38,7 +38,7 @@
 }
 
 /// The versions of one pool.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct PoolVersions {
     in_service: BTreeSet<ToldVersion>,
     /// Versions that are held back, since when.
--- a/crates/sched/tests/rollout_rules.rs
+++ b/crates/sched/tests/rollout_rules.rs
@@ -5,7 +5,8 @@
 
 use curlewcleat_core::{RolloutNews, RolloutOrder, RolloutRecord, RolloutStage};
 use curlewcleat_sched::{
-    PoolVersions, RatePart, RateTurn, RolloutLimits, ToldVersion, TrialShare, VersionAccess,
+    PoolVersions, RatePart, RateTurn, RolloutLimits, RolloutSight, RolloutStep, ToldVersion,
+    TrialShare, VersionAccess,
 };
 use rstest::rstest;
 
@@ -118,6 +119,25 @@
     assert_eq!(access(&versions, ["v1", "v2"]), [VersionAccess::Closed, VersionAccess::Open]);
 }
 
+/// Once the platform may have taken that the version is completed, the targets before it may stop at any moment. They were used
+/// again as soon as the answers of the version spoke against it, and were ended under their requests by the write on its way.
+#[test]
+fn version_that_may_be_completed_is_sent_back_by_the_platforms_word_alone() {
+    let mut versions = in_service();
+    versions.order_shown(NOW, &record("v2", None, 3));
+    versions.order_told(NOW, &news("v2", RolloutStage::Move, 3));
+    let later = NOW + Duration::from_secs(5);
+    let sight = RolloutSight { targets: 4, others: 4, ..RolloutSight::default() };
+    let rollout = versions.rollout_mut().expect("an order");
+    assert_eq!(rollout.step(later, &sight), Some(RolloutStep::Write(RolloutStage::Completed)));
+    versions.order_told(later, &news("v2", RolloutStage::RolledBack, 3));
+    assert_eq!(access(&versions, ["v1", "v2"]), [VersionAccess::Closed, VersionAccess::Open]);
+    let rollout = versions.rollout_mut().expect("an order");
+    assert_eq!(rollout.step(later, &sight), Some(RolloutStep::Write(RolloutStage::RolledBack)));
+    versions.order_shown(later, &record("v2", Some(RolloutStage::RolledBack), 4));
+    assert_eq!(access(&versions, ["v1", "v2"]), [VersionAccess::Open, VersionAccess::Closed]);
+}
+
 #[test]
 fn order_that_is_replaced_closes_its_version() {
     let mut versions = in_service();
