Roll-outs: nothing is worked out for an order that the platform keeps as ended; one rule for which order counts

Every 20 ms the daemon that schedules counted targets and permits of each pool whose order had ended long ago, and looked through all targets while a version was held back, though only a read of the orders or a change of the targets can release it. Both are gone. The platform's word and a peer's word of an order shared a copied rule for which of two orders counts; it stands in one place now. A reason that was never given is removed.

--- a/crates/node/src/node/rollouts.rs
+++ b/crates/node/src/node/rollouts.rs
@@ -132,13 +132,12 @@
         }
     }
 
-    /// Looks whether a version that is held back may be released, and wants to know the orders anew while one is.
+    /// Wants to know the orders anew while a version is held back; what they tell may release it.
     fn review_held(&mut self) {
         let is_held = |versions: &PoolVersions| versions.held().next().is_some();
         if !self.rollouts.pools.values().any(is_held) {
             return;
         }
-        self.renew_versions(false);
         if self.rollouts.wanted.is_none_or(|wanted| self.now >= wanted + WANT_EVERY) {
             self.rollouts.wanted = Some(self.now);
             self.actions.push(NodeAction::Platform(PlatformCall::ReadRollouts));
@@ -150,7 +149,8 @@
         let leads_since = self.rollouts.leads_since;
         let decides = self.rate_part(pool).turn == RateTurn::Leader;
         let versions = self.rollouts.pools.get(pool).and_then(PoolVersions::rollout);
-        let (Some(leads_since), Some(rollout), true) = (leads_since, versions, decides) else {
+        let open = versions.filter(|rollout| !rollout.is_kept());
+        let (Some(leads_since), Some(rollout), true) = (leads_since, open, decides) else {
             return self.pool(pool).end_trial();
         };
         let version = rollout.order().version.clone();
--- a/crates/node/src/node/rollouts/answers.rs
+++ b/crates/node/src/node/rollouts/answers.rs
@@ -13,6 +13,7 @@
 const OTHERS_PER_REPORT: usize = 16;
 /// Answers that are kept for daemons that come to schedule.
 const ANSWERS_KEPT: usize = 512;
+
 /// Answers that this daemon has seen during one roll-out.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SeenAnswers {
--- a/crates/sched/src/rollout.rs
+++ b/crates/sched/src/rollout.rs
@@ -105,6 +105,11 @@
         self.stage == RolloutStage::Trial
     }
 
+    /// Whether the platform keeps how it ended, so that nothing is left to decide or to write.
+    pub fn is_kept(&self) -> bool {
+        self.ended.is_some()
+    }
+
     /// Since when the stage holds.
     pub fn staged(&self) -> Uptime {
         self.staged
--- a/crates/sched/src/rollout/plan.rs
+++ b/crates/sched/src/rollout/plan.rs
@@ -36,8 +36,6 @@
     Sound,
     /// No other target is left.
     NoOthers,
-    /// Nothing is at work at the others any more.
-    Moved,
     /// Its answers speak against it.
     Faulty(VersionFault),
     /// Its answers were too few to tell.
@@ -52,7 +50,6 @@
         match self {
             RolloutReason::Sound => "sound",
             RolloutReason::NoOthers => "no_others",
-            RolloutReason::Moved => "moved",
             RolloutReason::Faulty(fault) => fault.code(),
             RolloutReason::Unproved => "unproved",
             RolloutReason::NoTime => "no_time",
--- a/crates/sched/src/rollout/versions.rs
+++ b/crates/sched/src/rollout/versions.rs
@@ -161,40 +161,27 @@
 
     /// Takes in an order that the platform shows; returns whether anything has changed.
     pub fn order_shown(&mut self, now: Uptime, record: &RolloutRecord) -> bool {
-        let version = &record.order.version;
-        let changed = match self.rollout.as_mut().filter(|known| known.order().version == *version)
-        {
+        let changed = match self.known_order(&record.order.version) {
             Some(known) => known.shown(now, record),
-            None => {
-                let newer = |known: &PoolRollout| record.revision > known.revision();
-                if !self.rollout.as_ref().is_none_or(newer) {
-                    return false;
-                }
-                self.replace(PoolRollout::of_record(now, record.clone()));
-                true
-            }
+            None => self.replace(PoolRollout::of_record(now, record.clone())),
         };
         self.settle_stage(changed)
     }
 
     /// Takes in what a peer knows of an order; returns whether anything has changed.
     pub fn order_told(&mut self, now: Uptime, news: &RolloutNews) -> bool {
-        let version = &news.order.version;
-        let changed = match self.rollout.as_mut().filter(|known| known.order().version == *version)
-        {
+        let changed = match self.known_order(&news.order.version) {
             Some(known) => known.told(now, news),
-            None => {
-                let newer = |known: &PoolRollout| news.revision > known.revision();
-                if !self.rollout.as_ref().is_none_or(newer) {
-                    return false;
-                }
-                self.replace(PoolRollout::of_news(now, news.clone()));
-                true
-            }
+            None => self.replace(PoolRollout::of_news(now, news.clone())),
         };
         self.settle_stage(changed)
     }
 
+    /// The latest order, where it is for this version.
+    fn known_order(&mut self, version: &TargetVersion) -> Option<&mut PoolRollout> {
+        self.rollout.as_mut().filter(|known| known.order().version == *version)
+    }
+
     /// The platform shows no order for the pool at this revision; returns whether anything has changed.
     pub fn order_absent(&mut self, at: ObjectVersion) -> bool {
         if self.rollout.as_ref().is_none_or(|known| known.revision() > at) {
@@ -224,13 +211,17 @@
         true
     }
 
-    /// Another order takes the place of the one before.
-    fn replace(&mut self, rollout: PoolRollout) {
+    /// Another order takes the place of the one before, unless it is older; returns whether it does.
+    fn replace(&mut self, rollout: PoolRollout) -> bool {
+        if self.rollout.as_ref().is_some_and(|known| known.revision() >= rollout.revision()) {
+            return false;
+        }
         self.withdraw();
         let version = Some(rollout.order().version.clone());
         self.held.remove(&version);
         self.closed.remove(&version);
         self.rollout = Some(rollout);
+        true
     }
 
     /// The order goes. A version that was on trial then gets nothing more, since nobody wants it any longer.
