--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -60,11 +60,13 @@
     let ejected = pool.targets.iter().filter(|target| target.ejected).count();
     let leaving = pool.targets.iter().filter(|target| target.leaving).count();
     let slots: u32 = pool.targets.iter().map(|target| target.slots).sum();
+    let granted: Vec<String> = pool.granted.iter().map(ToString::to_string).collect();
     info!("pool_waits", kv: {
         pool = pool.id.as_str(), waiting = pool.waiting, late = pool.late,
         in_flight = pool.in_flight, slots,
         targets = pool.targets.len(), ejected, leaving,
-        lowest_open = pool.lowest_open.map_or(-1, i64::from)
+        lowest_open = pool.lowest_open.map_or(-1, i64::from),
+        granted = granted.join(" ")
     });
 }
 
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -70,6 +70,7 @@
 ) {
     let tier = request.map_or("", |request| request.tier.as_str());
     let pool = request.map_or("", |request| request.pool.id.as_str());
+    let rule = request.map_or("", |request| request.rule.id.as_str());
     // Unknown before the admission, and not asked for by a public rule.
     let account = request.and_then(|request| request.account.as_deref()).unwrap_or_default();
     let digest = request.map(digest_text).unwrap_or_default();
@@ -78,7 +79,7 @@
     info!("request_refused", kv: {
         request = id.to_string(), attempt, account,
         cost = request.map_or(0, |request| request.cost),
-        reason = refusal.reason.code(), tier, pool, digest,
+        reason = refusal.reason.code(), rule, tier, pool, digest,
         may_have_run = refusal.verdict.may_have_run(),
         held_ms = request.map_or(0, |request| request.arrived.elapsed().as_millis() as i64),
         retry_after_ms = refusal.retry_after.map_or(-1, |wait| wait.as_millis() as i64),
--- a/crates/node/src/node/views.rs
+++ b/crates/node/src/node/views.rs
@@ -3,10 +3,10 @@
 //! Owns: nothing; these are methods of `Node`. Relies on: [`NodeStatus`] for the form.
 
 use curlewcleat_core::PoolId;
-use curlewcleat_sched::PoolScheduler;
+use curlewcleat_sched::{PoolScheduler, UrgencyFlow};
 
 use super::Node;
-use crate::status::{NodeStatus, PoolStatus, TargetStatus};
+use crate::status::{GrantedPart, NodeStatus, PoolStatus, TargetStatus};
 
 impl Node {
     /// A view for operators.
@@ -51,9 +51,18 @@
             scheduler: order[0].vm.clone(),
             waiting: pool.waiting(),
             late: pool.waiting_late(),
+            granted: granted_parts(pool),
             in_flight: pool.in_flight(),
             lowest_open: pool.level().lowest_open(),
             targets: targets.collect(),
         }
     }
 }
+
+fn granted_parts(pool: &PoolScheduler) -> Vec<GrantedPart> {
+    let part = |((tier, urgency), flow): (_, &UrgencyFlow)| {
+        let percent = flow.granted_percent();
+        GrantedPart { tier, urgency, percent }
+    };
+    pool.flows().all().map(part).collect()
+}
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -2,6 +2,7 @@
 //!
 //! Owns: the form of a status inside the product. Relies on: nothing.
 
+use std::fmt;
 use std::time::Duration;
 
 use curlewcleat_core::{
@@ -31,6 +32,23 @@
     pub rests: bool,
 }
 
+/// The part of the work of one urgency that was granted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GrantedPart {
+    /// Rank of the tier.
+    pub tier: TierRank,
+    /// Rank of the rules.
+    pub urgency: TierRank,
+    /// Part, in percent.
+    pub percent: u64,
+}
+
+impl fmt::Display for GrantedPart {
+    fn fmt(&self, form: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(form, "{}/{}:{}", self.tier, self.urgency, self.percent)
+    }
+}
+
 /// One pool as this daemon sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolStatus {
@@ -42,6 +60,8 @@
     pub waiting: usize,
     /// Those of them that can no longer begin in time.
     pub late: usize,
+    /// Of each urgency of each tier the part of the work asked for that was granted here lately, in percent.
+    pub granted: Vec<GrantedPart>,
     /// Permits given here and in use.
     pub in_flight: usize,
     /// Lowest tier taken in here, `None` for all.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -44,6 +44,7 @@
 pub use election::membership::{HeartbeatNews, MemberOptions, MemberView, PeerState};
 pub use entry::{EntryAction, EntryOptions, EntryRequests, ReplacementStep, RequestSpec};
 pub use lethal::{LethalOptions, LethalRequests, LethalVerdict, LifeSight};
+pub use order::flows::{UrgencyFlow, UrgencyFlows};
 pub use order::queue::TierQueues;
 pub use order::waiting::WaitingRequest;
 pub use placement::ejection::{may_eject_one_more, TargetEjection};
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -72,6 +72,7 @@
         while let Some((permit, target)) = self.next_trial(now).or_else(|| self.next_grant(now)) {
             let Some(waiting) = self.queues.take(&permit) else { return };
             self.throughput.granted(waiting.work, !self.queues.is_empty());
+            self.flows.granted(&waiting.request);
             let Some(state) = self.targets.get_mut(&target) else { return };
             let estimate = state.estimate(&waiting.request);
             let expected = estimate * 1_000 / state.slowness().max(1);
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -15,6 +15,7 @@
 use crate::admission::overload::OverloadLevel;
 use crate::admission::shared_rate::{RatePart, RateTurn};
 use crate::admission::throughput::PoolThroughput;
+use crate::order::flows::UrgencyFlows;
 use crate::order::queue::TierQueues;
 use crate::placement::pace::StreamPace;
 use crate::placement::target::TargetState;
@@ -126,6 +127,8 @@
     pub(crate) pace: StreamPace,
     /// How much work it takes in.
     pub(crate) throughput: PoolThroughput,
+    /// How much work each urgency asks for and is granted.
+    pub(crate) flows: UrgencyFlows,
     /// When the targets' beliefs last faded.
     pub(crate) faded: Uptime,
     /// The part of the targets' limits, and of a trial, that it grants.
@@ -149,6 +152,7 @@
             places: BTreeMap::new(),
             pace: StreamPace::of_pool(),
             throughput: PoolThroughput::default(),
+            flows: UrgencyFlows::default(),
             faded: Duration::ZERO,
             part: RatePart { reached: 1, all: 1, turn: RateTurn::Leader },
             trial: None,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -18,6 +18,7 @@
 
 use crate::admission::overload::OverloadLevel;
 use crate::admission::{is_for_capacity, wait_too_long};
+use crate::order::flows::UrgencyFlows;
 use crate::placement::ejection::may_eject_one_more;
 use crate::pool::{PermitRecord, PoolScheduler, RateCharge, SchedulerAction};
 use crate::targets::state_of;
@@ -43,6 +44,11 @@
         self.permits.len()
     }
 
+    /// How much work each urgency asks for and is granted.
+    pub fn flows(&self) -> &UrgencyFlows {
+        &self.flows
+    }
+
     /// The overload level.
     pub fn level(&self) -> &OverloadLevel {
         &self.level
@@ -75,6 +81,7 @@
         if self.is_at_target(&request.permit) {
             return self.request_replacement(now, entry, request);
         }
+        self.flows.asked(&request);
         let mut actions = Vec::new();
         let in_time_until = match self.admit(now, &entry, &request, &mut actions) {
             Ok(in_time_until) => in_time_until,
@@ -178,6 +185,7 @@
         let mut actions = Vec::new();
         self.level.tick(self.options.lowest, now);
         self.throughput.tick(now, !self.queues.is_empty());
+        self.flows.tick(now);
         if now >= self.faded + Duration::from_secs(1) {
             self.faded = now;
             let pace = self.pace;
--- /dev/null
+++ b/crates/sched/tests/flows.rs
@@ -0,0 +1,69 @@
+//! What operators see of the urgencies of a pool: the part of the work asked for that was granted.
+
+use std::time::Duration;
+
+use curlewcleat_core::{LatencyObjectives, PermitId, PermitRequest, RequestId};
+use curlewcleat_sched::UrgencyFlows;
+
+fn request(number: u128, urgency: u8, work: u64) -> PermitRequest {
+    PermitRequest {
+        permit: PermitId { request: RequestId::from_u128(number), attempt: 0 },
+        pool: "p".to_string(),
+        tier: 0,
+        account: "a".to_string(),
+        time_left: Duration::from_secs(10),
+        objectives: LatencyObjectives { urgency, ..LatencyObjectives::default() },
+        prompt_work: work,
+        output_work: 0,
+        prefix: None,
+        cost: 1,
+        avoid: Vec::new(),
+    }
+}
+
+fn granted_percent(flows: &UrgencyFlows, urgency: u8) -> Option<u64> {
+    let mut all = flows.all();
+    all.find(|(share, _)| *share == (0, urgency)).map(|(_, flow)| flow.granted_percent())
+}
+
+#[test]
+fn granted_part_is_that_of_each_urgency() {
+    let mut flows = UrgencyFlows::default();
+    for number in 0..4 {
+        flows.asked(&request(number, 1, 1_000));
+    }
+    flows.asked(&request(10, 0, 500));
+    flows.granted(&request(0, 1, 1_000));
+    flows.granted(&request(10, 0, 500));
+    assert_eq!(granted_percent(&flows, 0), Some(100));
+    assert_eq!(granted_percent(&flows, 1), Some(25));
+    assert_eq!(granted_percent(&flows, 2), None);
+}
+
+/// A request that comes back after a refusal is not asked for twice.
+#[test]
+fn retry_is_no_further_work() {
+    let mut flows = UrgencyFlows::default();
+    let first = request(1, 0, 1_000);
+    let mut retry = first.clone();
+    retry.objectives.is_retry = true;
+    let mut attempt = first.clone();
+    attempt.permit.attempt = 1;
+    for request in [&first, &retry, &attempt] {
+        flows.asked(request);
+    }
+    flows.granted(&attempt);
+    assert_eq!(granted_percent(&flows, 0), Some(100));
+}
+
+#[test]
+fn what_is_long_past_is_forgotten() {
+    let mut flows = UrgencyFlows::default();
+    flows.asked(&request(1, 0, 1_000));
+    for second in 1..120 {
+        flows.tick(Duration::from_secs(second));
+    }
+    flows.asked(&request(2, 0, 1_000));
+    flows.granted(&request(2, 0, 1_000));
+    assert!(granted_percent(&flows, 0) >= Some(99));
+}
