Mend: urgencies of a tier share its places by what they ask for, none less than two fifths of that

Cause: fixed shares, four to one from urgency to urgency. Where the most urgent alone want nearly all places, the next has 19 of 100 however much it asks for, the least urgent, which asks for little, nearly all of it. Class: a share fixed in advance in place of one of what is observed. Why it holds: the share is worked out of asked work and capacity four times a second (order/shares.rs): each two fifths of what it asks for, the rest to the most urgent, up to a quarter more than it asks for; all the same part where even that does not fit. The forecast divides by the same share, so that waits are not told too short.

--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -5,4 +5,5 @@
 mod priority;
 pub mod queue;
 mod rank;
+pub mod shares;
 pub mod waiting;
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -1,7 +1,7 @@
 //! The waiting requests of a pool, in the order in which they go.
 //!
 //! The rule: the highest tier first; inside it the urgency of the rules that was served the least work for its
-//! share, which is [`URGENCY_SHARE`](super::rank) times that of the next one (start-time fair queueing, as for accounts);
+//! share ([`shares`](super::shares); start-time fair queueing, as for accounts);
 //! inside an urgency those that can still begin in time before those that are late; inside these the account
 //! that was served the least work for its weight (an idle account gets no credit); inside an account the lowest
 //! place ([`priority`](super)). A few requests behind the first are offered too, so that one that no
@@ -23,6 +23,7 @@
 };
 
 use super::rank::{QueueRank, QueueShare};
+use super::shares::{UrgencyShares, ALL_PLACES};
 use super::waiting::{class_of, AccountQueue, QueueKey, TierQueue, WaitingRequest};
 
 /// Scale of virtual time, so that division by weights keeps precision.
@@ -48,6 +49,8 @@
     clocks: BTreeMap<TierRank, u64>,
     /// Work served to each urgency, by its share.
     served: BTreeMap<QueueShare, u64>,
+    /// Shares of the urgencies of each tier.
+    shares: BTreeMap<TierRank, UrgencyShares>,
     places: BTreeMap<PermitId, QueuePlace>,
     /// All requests by their latest start.
     starts: BTreeSet<(Uptime, PermitId)>,
@@ -91,6 +94,18 @@
             .sum()
     }
 
+    /// Divides the places of a tier among its urgencies from now on.
+    pub fn share_out(&mut self, tier: TierRank, shares: UrgencyShares) {
+        self.shares.insert(tier, shares);
+    }
+
+    /// The part of the places that a queue's urgency has, in thousandths. Those that nothing is known of have all, so that
+    /// their virtual time stands nearly still.
+    fn share_of(&self, rank: QueueRank) -> u64 {
+        let shares = self.shares.get(&rank.tier);
+        shares.and_then(|shares| shares.get(&rank.urgency)).copied().unwrap_or(ALL_PLACES)
+    }
+
     /// Adds a permit request; `weight` is its account's share.
     pub fn push(&mut self, now: Uptime, waiting: WaitingRequest, weight: u32) {
         let late = waiting.in_time_until <= now;
@@ -163,6 +178,7 @@
     /// Takes a permit request out that is going to run, and charges its account.
     pub fn take(&mut self, permit: &PermitId) -> Option<WaitingRequest> {
         let QueuePlace { rank, account, key, .. } = self.places.get(permit)?.clone();
+        let share = self.share_of(rank);
         let queue = self.tiers.get_mut(&rank)?;
         let line = queue.lines.get_mut(&account)?;
         queue.order.remove(&(line.served, account.clone()));
@@ -172,7 +188,7 @@
         let served = self.served.entry(rank.shared()).or_default();
         let clock = self.clocks.entry(rank.tier).or_default();
         *clock = (*clock).max(*served);
-        *served += work * SHARE_SCALE / rank.share();
+        *served += work * SHARE_SCALE / share;
         queue.order.insert((line.served, account));
         self.remove(permit)
     }
@@ -275,19 +291,9 @@
         higher + self.work_beside(rank, sooner + share.min(queue.work))
     }
 
-    /// Work that is served until so much of one urgency is, with that of the other urgencies.
+    /// Work that is served until so much of one urgency is, with that of the other urgencies, which go on asking.
     fn work_beside(&self, rank: QueueRank, own: WorkMicros) -> WorkMicros {
-        let tier = self.tiers.range(QueueRank::of_tier(rank.tier));
-        let mut others: BTreeMap<TierRank, WorkMicros> = BTreeMap::new();
-        for (other, queue) in tier.filter(|(_, queue)| queue.length > 0) {
-            if other.urgency != rank.urgency {
-                *others.entry(other.urgency).or_default() += queue.work;
-            }
-        }
-        let share = |urgency: &TierRank| QueueRank { urgency: *urgency, ..rank }.share();
-        let shares = rank.share() + others.keys().map(share).sum::<u64>();
-        let work: WorkMicros = others.values().sum();
-        (own * shares / rank.share()).min(own + work)
+        own * ALL_PLACES / self.share_of(rank)
     }
 
     /// Work of all waiting requests.
--- a/crates/sched/src/order/rank.rs
+++ b/crates/sched/src/order/rank.rs
@@ -1,4 +1,4 @@
-//! Which queue goes first, and which part of the places an urgency has.
+//! Which queue goes first.
 //!
 //! Owns: the order of queues. Relies on: nothing; [`queue`](super::queue) keeps what was served.
 
@@ -6,12 +6,6 @@
 
 use curlewcleat_core::TierRank;
 
-/// Each urgency has this many times the share of the next one: so much that what it asks for fits its share at the usual
-/// mix, and so little that the next ones go on.
-const URGENCY_SHARE: u64 = 4;
-/// The least urgent that has a share of its own; those after it have the same.
-const LAST_URGENCY: TierRank = 4;
-
 /// A queue: the highest tier goes first; inside it the urgencies share the places, each with those that are not late first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueueRank {
@@ -38,11 +32,6 @@
         (self.tier, self.urgency)
     }
 
-    /// Its share relative to the other urgencies of its tier.
-    pub fn share(self) -> u64 {
-        URGENCY_SHARE.pow(u32::from(LAST_URGENCY - self.urgency.min(LAST_URGENCY)))
-    }
-
     /// The first rank of the tiers below one.
     pub fn below(tier: TierRank) -> QueueRank {
         QueueRank { tier: tier + 1, late: false, urgency: 0 }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -19,6 +19,7 @@
 use crate::admission::overload::OverloadLevel;
 use crate::admission::{is_for_capacity, wait_too_long};
 use crate::order::flows::UrgencyFlows;
+use crate::order::shares::divide;
 use crate::placement::ejection::may_eject_one_more;
 use crate::pool::{PermitRecord, PoolScheduler, RateCharge, SchedulerAction};
 use crate::targets::state_of;
@@ -185,7 +186,9 @@
         let mut actions = Vec::new();
         self.level.tick(self.options.lowest, now);
         self.throughput.tick(now, !self.queues.is_empty());
-        self.flows.tick(now);
+        if self.flows.tick(now) {
+            self.share_out();
+        }
         if now >= self.faded + Duration::from_secs(1) {
             self.faded = now;
             let pace = self.pace;
@@ -229,6 +232,14 @@
         may_eject_one_more(ejected, self.targets.len())
     }
 
+    /// Divides the places of each tier among its urgencies, by what they ask for.
+    fn share_out(&mut self) {
+        for (tier, asked) in self.flows.asked_per_second() {
+            let capacity = self.throughput.capacity_for(tier);
+            self.queues.share_out(tier, divide(&asked, capacity));
+        }
+    }
+
     fn settle(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
         let may_eject = self.may_eject();
         let Some(state) = state_of(&mut self.targets, &record.target) else { return };
