--- a/crates/daemon/src/fleet/follow/targets.rs
+++ b/crates/daemon/src/fleet/follow/targets.rs
@@ -41,6 +41,9 @@
                 Ok(list) => {
                     pause.reset();
                     self.note_listed(&list);
+                    info!("targets_listed", kv: {
+                        at = list.revision, targets = list.targets.len(), faults = list.faults.len()
+                    });
                     self.context.tell(NodeEvent::TargetsListed(list.targets, list.revision));
                     tokio::select! {
                         _ = self.watch_targets(list.revision) => {}
--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -31,6 +31,9 @@
         NodeNote::TargetGone(gone) => {
             info!("target_gone", kv: { target = gone.target.as_str(), left = gone.left })
         }
+        NodeNote::TargetListLate { at, known } => {
+            info!("target_list_late", kv: { at = *at, known = *known })
+        }
         NodeNote::TableKnown(version, slots) => {
             info!("key_table_known", kv: { version = *version, slots_held = *slots })
         }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -179,6 +179,13 @@
     TargetLife(LifeNews),
     /// The entry of a target has gone.
     TargetGone(GoneTarget),
+    /// A list of targets was left out, since a later one is known.
+    TargetListLate {
+        /// Revision of the list.
+        at: ObjectVersion,
+        /// Revision that is known.
+        known: ObjectVersion,
+    },
     /// A target has ended under a request.
     TargetEnded(RequestDigest, TargetLife),
     /// A request is refused for good from now on.
--- a/crates/node/src/node/platform.rs
+++ b/crates/node/src/node/platform.rs
@@ -102,10 +102,13 @@
 
     pub(super) fn targets_listed(&mut self, targets: Vec<DiscoveredTarget>, at: ObjectVersion) {
         let doubtful = self.is_doubtful();
+        let known = self.targets.at();
         if self.targets.list(targets, at, doubtful) == ViewUpdate::Taken {
             self.note_lives();
             self.renew_discovered();
+            return;
         }
+        self.actions.push(NodeAction::Note(NodeNote::TargetListLate { at, known }));
     }
 
     pub(super) fn targets_changed(
