Failing tests: after the platform came back from an older copy daemons do not hear of engines that leave

The stand-in of the platform takes a copy, goes away, and comes back from it with its era raised and its revisions going back. What passes already guards: a revision given out again, and an engine that had said before that it leaves.

--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -44,6 +44,10 @@
     lose_writes: Cell<u64>,
     /// Whether watches are answered at once, with nothing.
     hasty_watches: Cell<bool>,
+    /// Copy from which the store comes back.
+    copy: RefCell<StoreState>,
+    /// Times that it has come back from a copy.
+    era: Cell<u64>,
 }
 
 impl FleetStore {
@@ -98,6 +102,18 @@
         self.changed.notify_waiters();
     }
 
+    /// Takes a copy of all that is stored.
+    pub fn take_copy(&self) {
+        *self.copy.borrow_mut() = self.state.borrow().clone();
+    }
+
+    /// Comes back from the latest copy. Open watches end without an answer.
+    pub fn restore_copy(&self) {
+        *self.state.borrow_mut() = self.copy.borrow().clone();
+        self.era.set(self.era.get() + 1);
+        self.changed.notify_waiters();
+    }
+
     /// Writes the entry of an engine, as one does that says nothing of its start.
     ///
     /// # Errors
@@ -165,7 +181,11 @@
         if let Some(outage) = self.outage.get() {
             return answer_outage(outage, connection).await;
         }
+        let era = self.era.get();
         let (status, body) = self.call(&request).await;
+        if era != self.era.get() {
+            return Ok(AfterAnswer::Close);
+        }
         if request.method != "GET" {
             self.changed.notify_waiters();
             if self.lose_writes.get() > 0 {
@@ -174,7 +194,9 @@
             }
         }
         let body = with_unreadable_bytes(&body.to_string());
-        connection.answer(status, &[("Content-Type", "application/json")], &body).await?;
+        let era = era.to_string();
+        let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+        connection.answer(status, &headers, &body).await?;
         Ok(AfterAnswer::KeepOpen)
     }
 
@@ -226,10 +248,11 @@
             request.query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0)
         };
         let after = number("watch");
+        let era = self.era.get();
         let end = tokio::time::Instant::now() + Duration::from_millis(number("wait_ms"));
         loop {
             let changed = self.changed.notified();
-            if self.outage.get().is_some() {
+            if self.outage.get().is_some() || era != self.era.get() {
                 return (503, Value::Null);
             }
             if let Some(answer) = self.state.borrow().since(kind, after) {
--- a/crates/standins/src/fleet/store/state.rs
+++ b/crates/standins/src/fleet/store/state.rs
@@ -17,7 +17,7 @@
 }
 
 /// Objects by kind and name, with one counter of revisions.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct StoreState {
     /// Revision of the latest change.
     pub revision: u64,
@@ -80,7 +80,7 @@
     /// The answer of a watch that need not wait.
     pub fn since(&self, kind: &str, after: u64) -> Option<(u16, Value)> {
         let forgotten = self.revision - self.history.len() as u64;
-        if after < forgotten {
+        if after < forgotten || after > self.revision {
             return Some((410, Value::Null));
         }
         let changes = self.history.iter().filter(|change| change.revision > after);
