Mend: what the platform tells is ordered by the era of its store, then by revision

Callers saw: requests went to an engine 2.3 s after it had said that it leaves. Cause: in a drill the store comes back from an older copy and gives its revisions out again; daemons took a revision alone for an order in time, left the new lists out as old ones, and watched from revisions of another history. Class: an order in time from a counter that can go back. Why it holds: Store-Era is decoded in platform/ alone and stands above the revision in the version, so that each comparison of versions, here and between daemons, is one of eras first; era 0 gives the bare revision, so that daemons of the former build in a rolling restart read it. A watch of an era that has ended is given up as soon as any answer tells a later one. An answer of an earlier era, or with an era that cannot be read, says nothing. A list that may be seconds old counts as one of the era before. What was seen to leave stays so. Not covered: orders of roll-outs keep bare revisions (one that is missing from a copy stays in force); what the system itself had written is not written again; an engine that was gone and stands in the copy is used again.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod model;
 mod request_digest;
 mod rollout;
+mod store_place;
 mod target_life;
 mod target_notice;
 mod verdict;
@@ -20,6 +21,7 @@
     AnswerSample, AnswerSight, RolloutAnswers, RolloutNews, RolloutOrder, RolloutRecord,
     RolloutStage, RolloutWrite,
 };
+pub use store_place::{StoreEra, StorePlace};
 pub use target_life::{LifeOrder, TargetLife, TargetStart};
 pub use target_notice::{LimitNotice, LimitReport, NoticeReport, RequestRate, TargetNotice};
 pub use verdict::{Refusal, RefusalReason, RetryReason, Verdict};
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{DaemonRecord, Generation, ObjectVersion};
+use curlewcleat_core::{DaemonRecord, Generation, ObjectVersion, StoreEra};
 use curlewcleat_node::{FreshnessLimits, NodeEvent, ReadRole};
 use curlewcleat_store::{ConfigRead, Error, FleetPlatform, Result};
 use rand::Rng;
@@ -52,6 +52,8 @@
     context: DaemonContext,
     link: Rc<FleetLink>,
     limits: FreshnessLimits,
+    /// Era of the platform's store that was noted last.
+    era: Cell<StoreEra>,
     /// Own reads that failed.
     failures: Cell<u64>,
     /// An own read has succeeded.
@@ -79,6 +81,7 @@
         context,
         link,
         limits,
+        era: Cell::new(0),
         failures: Cell::new(0),
         read: Notify::new(),
         target_faults: RefCell::default(),
@@ -114,6 +117,7 @@
             match self.read_config(known, &mut refusals_read).await {
                 Ok(read) => {
                     pause.reset();
+                    self.note_era();
                     if let ConfigRead::Changed(version, bundle) = read {
                         newest = bundle.generation;
                         self.context.apply(bundle).await;
@@ -171,6 +175,14 @@
         pause.wait_until(limit, changed).await;
     }
 
+    /// Logs that the platform's store has come back from an older copy.
+    fn note_era(&self) {
+        let era = self.platform.era();
+        if era != self.era.replace(era) {
+            warn!("store_era", kv: { era });
+        }
+    }
+
     fn proved(&self, sent: Moment) {
         if self.link.freshness.is_failing() {
             info!("platform_regained", kv: { call = "read_config" });
--- a/crates/sched/src/rollout/versions.rs
+++ b/crates/sched/src/rollout/versions.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    ObjectVersion, RolloutNews, RolloutRecord, RolloutStage, TargetVersion, Uptime,
+    ObjectVersion, RolloutNews, RolloutRecord, RolloutStage, StorePlace, TargetVersion, Uptime,
 };
 
 use super::PoolRollout;
@@ -184,6 +184,8 @@
 
     /// The platform shows no order for the pool at this revision; returns whether anything has changed.
     pub fn order_absent(&mut self, at: ObjectVersion) -> bool {
+        // Orders keep bare revisions, so that one that is missing from an older copy stays in force.
+        let at = StorePlace::of(at).revision;
         if self.rollout.as_ref().is_none_or(|known| known.revision() > at) {
             return false;
         }
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use curlewcleat_core::{
     ConfigBundle, DaemonRecord, DiscoveredTarget, ObjectVersion, RequestDigest, RolloutRecord,
-    RolloutWrite, TargetChange, TargetLife, WallTime,
+    RolloutWrite, StoreEra, TargetChange, TargetLife, WallTime,
 };
 
 use crate::entry_fault::EntryFault;
@@ -108,6 +108,9 @@
     /// Names of headers on the wire.
     fn profile(&self) -> &WireProfile;
 
+    /// Times that the platform's store has come back from an older copy, as far as its answers have told.
+    fn era(&self) -> StoreEra;
+
     /// Reads the newest configuration; never an old one.
     fn read_config(&self, known: ObjectVersion) -> StoreFuture<'_, ConfigRead>;
 
