Mend: requests under which one target ended are told a few at a time

Class: news whose cost is requests times daemons, at the moment of the highest load, on the daemon that everyone waits for. Failed first: a daemon with 300 suspects told all of them at once; now 16 and those with two breaks or more, the next ones with the next question.

--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -2,7 +2,7 @@
 //!
 //! Each daemon keeps the whole set and judges for itself. News go at once to the daemons that may schedule, and each
 //! daemon asks the first of those every [`PULL_EVERY`] for what it has not, so that all know within two such times,
-//! also where frames were lost. Only that a request is refused goes to the platform, in one call.
+//! also where frames were lost; requests that broke off once only are told a few at a time. Only that a request is refused goes to the platform, in one call.
 //!
 //! Owns: nothing; these are methods of `Node`. Relies on: `LethalRequests` for the rule, `TargetView` for the lives that
 //! are shown.
@@ -14,7 +14,7 @@
     ActiveConfig, DaemonId, Incarnation, PeerMessage, Refusal, RefusalReason, RequestBreak,
     RequestDigest, RequestId, SuspectReport, SuspectsPull, SuspectsPush, TargetLife, Uptime, VmId,
 };
-use curlewcleat_sched::{LethalRequests, LethalVerdict, LifeSight, ReplacementStep};
+use curlewcleat_sched::{LethalRequests, LethalVerdict, LifeSight, ReplacementStep, SuspectNews};
 
 use super::Node;
 use crate::event::{CallerDecision, NodeAction, NodeNote, PlatformCall};
@@ -164,7 +164,7 @@
         if pull.known >= at {
             return;
         }
-        let requests = self.lethal.requests.since(self.now, pull.known);
+        let SuspectNews { at, requests } = self.lethal.requests.news(self.now, pull.known);
         self.post(from, PeerMessage::SuspectsPush(SuspectsPush { at, requests }));
     }
 
--- a/crates/node/tests/lethal.rs
+++ b/crates/node/tests/lethal.rs
@@ -385,3 +385,58 @@
     assert_eq!(ask(0), 1, "it has not asked before");
     assert_eq!(ask(1), 0);
 }
+
+/// All targets of a data centre ended under hundreds of requests: each of hundreds of daemons was told of all of them at once.
+#[test]
+fn ends_under_many_requests_are_told_a_few_at_a_time() {
+    let mut fleet = fleet_of(3);
+    let now = fleet.now;
+    let many = |number: usize| {
+        let body = number.to_string();
+        let identity = RequestIdentity {
+            method: "POST",
+            host: "h",
+            path: "/p",
+            caller: "a",
+            body: body.as_bytes(),
+        };
+        identity.digest()
+    };
+    for number in 0..300 {
+        let broke = RequestBreak { life: life("t0"), kind: BreakKind::Closed, begun: false };
+        fleet.daemons[0].node.handle(now, now, NodeEvent::BrokeOff(many(number), broke));
+    }
+    // One of the last ones breaks off twice.
+    let broke = RequestBreak { life: life("t1"), kind: BreakKind::Closed, begun: false };
+    fleet.daemons[0].node.handle(now, now, NodeEvent::BrokeOff(many(299), broke));
+    let from = DaemonId { vm: "vm-1".to_string(), incarnation: 1 };
+    let mut ask = |known| {
+        let pull = PeerMessage::SuspectsPull(SuspectsPull { known });
+        let event = NodeEvent::Peer(PeerFrame { from: from.clone(), messages: vec![pull] });
+        let actions = fleet.daemons[0].node.handle(now, now, event);
+        let pushed = actions.into_iter().filter_map(|action| match action {
+            NodeAction::Send(_, frame) => Some(frame.messages),
+            _ => None,
+        });
+        let push = pushed.flatten().find_map(|message| match message {
+            PeerMessage::SuspectsPush(push) => Some(push),
+            _ => None,
+        });
+        push.expect("an answer")
+    };
+    let first = ask(0);
+    let told: Vec<RequestDigest> = first.requests.iter().map(|report| report.digest).collect();
+    assert!(told.len() <= 32, "{}", told.len());
+    assert!(told.contains(&many(299)), "the one near its limit is told at once");
+    let mut all: std::collections::BTreeSet<RequestDigest> = told.into_iter().collect();
+    let mut known = first.at;
+    for _ in 0..40 {
+        let next = ask(known);
+        all.extend(next.requests.iter().map(|report| report.digest));
+        if next.at == known || all.len() == 300 {
+            break;
+        }
+        known = next.at;
+    }
+    assert_eq!(all.len(), 300);
+}
--- a/crates/sched/src/lethal.rs
+++ b/crates/sched/src/lethal.rs
@@ -24,6 +24,7 @@
 
 mod blame;
 mod ends;
+pub mod news;
 mod options;
 mod served;
 mod suspect;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -43,6 +43,7 @@
 pub use election::heartbeats::HeartbeatReceiver;
 pub use election::membership::{HeartbeatNews, MemberOptions, MemberView, PeerState};
 pub use entry::{EntryAction, EntryOptions, EntryRequests, ReplacementStep, RequestSpec};
+pub use lethal::news::{SuspectNews, ORDINARY_LIMIT};
 pub use lethal::{LethalOptions, LethalRequests, LethalVerdict, LifeSight};
 pub use order::flows::{UrgencyFlow, UrgencyFlows};
 pub use order::queue::TierQueues;
