Mend: a scheduler that answers late is waited for as long as its answers take

Cause: an entry waits 30 ms for the first sign of the scheduler, then withdraws its ask and asks the next daemon, which does not keep the accounts' rates and refuses. At the burst the scheduler answered each ask some ten milliseconds too late; asks that are withdrawn, permits that move and retries of the refused kept it so. Class: a time limit that takes late for dead, and by what follows keeps it late (a metastable overload). Why it holds: a late answer, also one to an ask that was withdrawn, tells how long the scheduler takes; it is waited for twice that, up to ten times the limit, until none has come late for five seconds.

--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -48,9 +48,9 @@
 impl EntryRequests {
     /// An entry without requests.
     pub fn new(options: EntryOptions) -> EntryRequests {
-        let waited = options.answer_timeout * options.answer_tries;
+        let (limit, tries) = (options.answer_timeout, options.answer_tries);
         EntryRequests {
-            unresponsive: UnresponsiveSchedulers::new(options.avoid_for, waited),
+            unresponsive: UnresponsiveSchedulers::new(options.avoid_for, limit, tries),
             options,
             budgets: BTreeMap::new(),
             daemons: 1,
--- a/crates/sched/src/entry/permits.rs
+++ b/crates/sched/src/entry/permits.rs
@@ -22,7 +22,8 @@
         answer: PermitAnswer,
         order: SchedulerOrder<'_>,
     ) -> Vec<EntryAction> {
-        self.unresponsive.answered(from);
+        let sent = self.asked_at(from, answer.permit);
+        self.unresponsive.answered(now, from, &answer.permit, sent);
         match answer.decision {
             PermitDecision::Queued => self.queued(now, from, answer.permit),
             PermitDecision::Granted(target) => {
@@ -181,6 +182,14 @@
         vec![EntryAction::RetryDenied(id, RetryBound::Refused(reason))]
     }
 
+    /// When a scheduler was asked for a permit for which it has not answered yet.
+    fn asked_at(&self, scheduler: &VmId, permit: PermitId) -> Option<Uptime> {
+        let request = self.requests.get(&permit.request)?;
+        let RequestPhase::Waiting(wait) = &request.phase else { return None };
+        let awaited = !wait.acknowledged && wait.scheduler == *scheduler;
+        (awaited && request.attempt == permit.attempt).then_some(wait.sent)
+    }
+
     /// Whether the attempt of a permit waits for an answer of this scheduler.
     fn waits_at(&self, scheduler: &VmId, permit: PermitId) -> bool {
         self.requests.get(&permit.request).is_some_and(|request| {
--- a/crates/sched/src/entry/timeouts.rs
+++ b/crates/sched/src/entry/timeouts.rs
@@ -4,7 +4,7 @@
 //! those of the daemon's own clock. The rule: at the deadline it is refused, as not run. A holder of
 //! its key that does not answer within `key_limit` is asked `key_tries` times; then a first attempt
 //! goes on without it, and any other is refused. A scheduler that does not answer within
-//! `answer_timeout` is asked `answer_tries` times; then the next one is asked
+//! `answer_timeout`, or the longer time that its late answers have taken, is asked `answer_tries` times; then the next one is asked
 //! ([`unresponsive`](crate::election)). One that has answered is asked again every `refresh_every`, so
 //! that its end is noticed. What the scheduler itself gives up is decided in `scheduler` by the
 //! request's wait limit and latest start.
@@ -97,7 +97,7 @@
     fn answer_limit(&self, wait: &PermitWait) -> Duration {
         match wait.acknowledged {
             true => self.options.refresh_every,
-            false => self.options.answer_timeout,
+            false => self.unresponsive.answer_limit(&wait.scheduler),
         }
     }
 
@@ -109,7 +109,7 @@
         order: SchedulerOrder<'_>,
     ) -> Vec<EntryAction> {
         let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
-        let PermitWait { scheduler, acknowledged, timeouts, .. } = wait;
+        let PermitWait { scheduler, acknowledged, timeouts, sent } = wait;
         if acknowledged {
             // The scheduler answered last time; it is asked again so that its end is noticed.
             return vec![request.ask(now, scheduler, 0)];
@@ -119,9 +119,10 @@
             actions.push(request.ask(now, scheduler, timeouts + 1));
             return actions;
         }
+        let permit = request.permit();
         actions.extend(request.return_permit(AttemptEnd::Unused));
         request.unresponsive.push(scheduler.clone());
-        self.unresponsive.timed_out(now, scheduler);
+        self.unresponsive.timed_out(now, scheduler, permit, sent);
         actions.extend(self.request_permit(now, id, order));
         actions
     }
