--- a/crates/config/src/check/pool.rs
+++ b/crates/config/src/check/pool.rs
@@ -10,9 +10,9 @@
 use crate::problem::CheckReport;
 use crate::reader::IniSection;
 
-/// Work of a prompt's token on an engine, in microseconds. A default, not measured.
+/// Work of a prompt's token on an engine, in microseconds, where the file has none.
 const PROMPT_TOKEN_US: u64 = 100;
-/// Work of an answer's token on an engine, in microseconds. A default, not measured.
+/// Work of an answer's token on an engine, in microseconds, where the file has none.
 const OUTPUT_TOKEN_US: u64 = 10_000;
 
 /// A pool without targets.
--- a/crates/core/src/store_place.rs
+++ b/crates/core/src/store_place.rs
@@ -12,7 +12,7 @@
 pub type StoreEra = u16;
 
 /// Bits of a version that hold the revision; the era stands above them. In era 0 a version is the revision, as it was before
-/// stores told their era.
+/// stores had eras.
 const REVISION_BITS: u32 = 48;
 
 /// An era of a store and a revision in it.
--- a/crates/daemon/src/request/form.rs
+++ b/crates/daemon/src/request/form.rs
@@ -17,7 +17,7 @@
 /// Header with which an engine names a stream that can be resumed.
 const STREAM_ID: &str = "stream-id";
 /// Bytes kept before the data of the end event: its field name and line ends.
-/// Chosen: `data: ` and two line ends need ten.
+/// `data: ` and two line ends need ten.
 const END_EVENT_MARGIN: usize = 16;
 
 /// The form of an answer.
--- a/crates/daemon/src/request/own.rs
+++ b/crates/daemon/src/request/own.rs
@@ -32,7 +32,7 @@
 /// Lowest urgency that the header can tell (RFC 9218).
 const LOWEST_URGENCY: u8 = 7;
 
-/// Chosen, not measured: 64 KiB hold the whole of all but the longest prompts; the rest streams. One
+/// 64 KiB hold the whole of all but the longest prompts; the rest streams. One
 /// second is the least that `Retry-After` can tell in whole seconds.
 const OPTIONS: ProtocolOptions = ProtocolOptions {
     body: BodyOptions { peek_limit: 64 << 10, empty: BodySize::None },
--- a/crates/daemon/src/request/profile/objectives.rs
+++ b/crates/daemon/src/request/profile/objectives.rs
@@ -18,10 +18,9 @@
 use curlewcleat_core::{AdmissionRule, LatencyObjectives, TierRank};
 
 /// Part of its time for which a request may wait, in percent; a longer wait only keeps its caller from
-/// a better use of the time. From docs/MEASUREMENTS.md, "no wait beyond two fifths of the time".
+/// a better use of the time.
 const WAIT_PERCENT: u32 = 40;
-/// Forecast wait above which a new request is refused at once, in percent of its objective. From
-/// docs/MEASUREMENTS.md, "refusal by forecast" and "a forecast of 35 %" (worse).
+/// Forecast wait above which a new request is refused at once, in percent of its objective.
 const FORECAST_PERCENT: u32 = 60;
 /// A caller that gives less than this part of the longest time, in percent, retries after a refusal: callers that
 /// retry have lost at least the advised wait.
--- a/crates/node/src/node/keys.rs
+++ b/crates/node/src/node/keys.rs
@@ -12,7 +12,7 @@
 use super::Node;
 use crate::event::{NodeAction, NodeNote, PlatformCall, TableWrite};
 
-/// Subject by which the daemon is chosen that proposes key tables.
+/// Subject that decides which daemon proposes key tables.
 const TABLE_SUBJECT: &str = "key table";
 /// Time after the start before a first key table is proposed, so that the peers are known.
 const SETTLE: Duration = Duration::from_secs(2);
--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -2,7 +2,7 @@
 //!
 //! Each daemon keeps the whole set and judges for itself. News go at once to the daemons that may schedule, and each
 //! daemon asks the first of those every [`PULL_EVERY`] for what it has not, so that all know within two such times,
-//! also where frames were lost; requests that broke off once only are told a few at a time. Only that a request is refused goes to the platform, in one call.
+//! also where frames were lost; requests that broke off once only are sent a few at a time. Only that a request is refused goes to the platform, in one call.
 //!
 //! Owns: nothing; these are methods of `Node`. Relies on: `LethalRequests` for the rule, `TargetView` for the lives that
 //! are shown.
--- a/crates/peers/src/hearing.rs
+++ b/crates/peers/src/hearing.rs
@@ -1,8 +1,7 @@
 //! When does a connection to a peer count as dead?
 //!
 //! Frames go one way on a connection, and one that has gone dead without a reset takes them for as long
-//! as the process lives: measured with three daemons whose open connections carried nothing any more, none
-//! heard another for the rest of the run. The sender cannot see that on the connection itself; it sees it
+//! as the process lives. The sender cannot see that on the connection itself; it sees it
 //! by what it hears on the peer's own one.
 //!
 //! Inputs: when this daemon dialed, when it heard of the peer last, when the peer dialed anew. The rule: a connection is dialed anew where for the limit nothing was heard of its
--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -19,11 +19,9 @@
 pub const MOST_ADVICE: Duration = Duration::from_secs(60);
 /// Advice where nothing better is known, and the least for a pool without room.
 pub const DEFAULT_ADVICE: Duration = Duration::from_secs(1);
-/// Part of the remaining time over which returns are spread, in percent. From docs/MEASUREMENTS.md, row
-/// "forecasts shed no tier, returns spread"; the figure itself is chosen.
+/// Part of the remaining time over which returns are spread, in percent.
 const SPREAD_PERCENT: u32 = 25;
-/// Part of the time left after which there is no use in coming back, in percent. Chosen; all of the
-/// time left was worse (docs/MEASUREMENTS.md, "advice as long as all the time left").
+/// Part of the time left after which there is no use in coming back, in percent.
 const ADVICE_PERCENT: u32 = 30;
 /// Steps in which returns are spread: finer than a millisecond for the users' deadlines.
 const SPREAD_STEPS: u32 = 1_024;
--- a/crates/sched/src/election/membership.rs
+++ b/crates/sched/src/election/membership.rs
@@ -13,7 +13,7 @@
 use crate::admission::shared_rate::{RatePart, RateTurn};
 
 /// Heartbeats that go to everyone heard of after a daemon's start and after a change of what it can do.
-/// Chosen, not measured; the first one only opens connections.
+/// The first one only opens connections.
 const ANNOUNCED_BEATS: u32 = 4;
 
 /// Times and addresses of a member view.
--- a/crates/sched/src/election/order.rs
+++ b/crates/sched/src/election/order.rs
@@ -6,7 +6,6 @@
 //! request, then the longest running, so that a daemon that comes back takes no role away, then by
 //! rendezvous hashing. Every daemon works the order out for itself. In a large fleet only some are asked
 //! ([`candidates`](super::candidates)).
-//! docs/MEASUREMENTS.md, "the strongest VMs schedule" and "the oldest schedules".
 //!
 //! Owns: nothing; the state is [`MemberView`]'s.
 
--- a/crates/sched/src/entry/options.rs
+++ b/crates/sched/src/entry/options.rs
@@ -31,8 +31,7 @@
     pub retries: RetryLimits,
 }
 
-/// The settings `[peers] ask_limit` and `ask_tries` give the times of schedulers; the others are
-/// chosen, not measured.
+/// The settings `[peers] ask_limit` and `ask_tries` give the times of schedulers; the others have no settings.
 impl Default for EntryOptions {
     fn default() -> EntryOptions {
         EntryOptions {
--- a/crates/sched/src/lethal/news.rs
+++ b/crates/sched/src/lethal/news.rs
@@ -1,11 +1,11 @@
-//! What is told to a daemon that asks what it does not know of suspect requests?
+//! What is sent to a daemon that asks what it does not know of suspect requests?
 //!
 //! Inputs: the changes after the count that it knows. The rule: all requests that broke off at two lives or more, which are
 //! near being held or refused, and those that the platform keeps; of the others the [`ORDINARY_LIMIT`] that changed first.
 //! The next question gets the next ones.
 //!
 //! Load pattern: many targets end at once under hundreds of requests, each of which broke off there alone, and hundreds of
-//! daemons ask for them within a second. Told whole, they took the scheduler of the pool longer than its askers wait.
+//! daemons ask for them within a second. Sent whole, they took the scheduler of the pool longer than its askers wait.
 //!
 //! Owns: nothing; a method of [`LethalRequests`]. Relies on: the counts of changes.
 
@@ -14,13 +14,13 @@
 use super::suspect::SuspectRequest;
 use super::LethalRequests;
 
-/// Requests with one break that are told in one answer.
+/// Requests with one break that are sent in one answer.
 pub const ORDINARY_LIMIT: usize = 16;
 
 /// What has changed, or a part of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SuspectNews {
-    /// Count of changes up to which this tells all.
+    /// Count of changes up to which this has all.
     pub at: u64,
     /// What is known of the requests.
     pub requests: Vec<SuspectReport>,
--- a/crates/sched/src/lethal/options.rs
+++ b/crates/sched/src/lethal/options.rs
@@ -21,8 +21,7 @@
 }
 
 /// The limit is the users' bound. Entries lapse after three heartbeats of a second or so, seen up to 3.6 s after an end,
-/// and twice that is waited for; views of them are up to two seconds old. The times for which requests are remembered are chosen, not
-/// measured: a caller that is told that coming back does not help comes back later than in minutes, and whatever
+/// and twice that is waited for; views of them are up to two seconds old. A caller that is told that coming back does not help comes back later than in minutes, and whatever
 /// a release mended is tried again within the hour.
 impl Default for LethalOptions {
     fn default() -> LethalOptions {
--- a/crates/sched/src/order/flows.rs
+++ b/crates/sched/src/order/flows.rs
@@ -111,6 +111,7 @@
         let mut asked: BTreeMap<TierRank, BTreeMap<TierRank, WorkMicros>> = BTreeMap::new();
         for ((tier, urgency), flow) in &self.flows {
             let flow = DecayingRatio { above: flow.fairly_asked(), below: self.time.max(1) };
+            // The time is at least 1, so that there always is a ratio.
             let work = flow.of(MICROS_PER_SECOND).unwrap_or(0);
             asked.entry(*tier).or_default().insert(*urgency, work);
         }
--- a/crates/sched/src/order/priority.rs
+++ b/crates/sched/src/order/priority.rs
@@ -4,8 +4,7 @@
 //! an early refusal and can still be in time, and `age_per_work` from the settings (`[scheduling]`). The rule:
 //! its place is the time of its arrival, later by `age_per_work` for
 //! each microsecond of work, and earlier by [`HEAD_START`] where it has come back and can still be in
-//! time. Requests of other urgencies wait in queues of their own. The lowest place goes first. At 0 `age_per_work` serves the oldest first, at a large number the shortest;
-//! docs/MEASUREMENTS.md, "Rounds", has the figures for 0, 2, 8 and 32.
+//! time. Requests of other urgencies wait in queues of their own. The lowest place goes first. At 0 `age_per_work` serves the oldest first, at a large number the shortest.
 //!
 //! Owns: nothing; these are methods of `PoolScheduler`. Relies on: the pace that was learned of the targets, for
 //! whether a request can still be in time.
@@ -17,9 +16,8 @@
 use super::waiting::WaitingRequest;
 use crate::pool::PoolScheduler;
 
-/// Age that a request is credited with that retries after an early refusal and can still be in time. Chosen
-/// longer than requests wait, so that it goes before new ones (docs/MEASUREMENTS.md, "returns go first",
-/// "returns without a head start" and "the objective counts from the first attempt").
+/// Age that a request is credited with that retries after an early refusal and can still be in time:
+/// longer than requests wait, so that it goes before new ones.
 const HEAD_START: Duration = Duration::from_secs(60);
 
 impl PoolScheduler {
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -45,7 +45,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct TierQueues {
     tiers: BTreeMap<QueueRank, TierQueue>,
-    /// Work served, by its share, to the urgency of each tier that was chosen last; newcomers begin here.
+    /// Work served, by its share, to the urgency of each tier that went last; newcomers begin here.
     clocks: BTreeMap<TierRank, u64>,
     /// Work served to each urgency, by its share.
     served: BTreeMap<QueueShare, u64>,
--- a/crates/sched/src/order/waiting.rs
+++ b/crates/sched/src/order/waiting.rs
@@ -56,7 +56,7 @@
     pub lines: BTreeMap<AccountId, AccountQueue>,
     /// Accounts with waiting requests by their served work.
     pub order: BTreeSet<(u64, AccountId)>,
-    /// Served work of the account chosen last; newcomers begin here.
+    /// Served work of the account that went last; newcomers begin here.
     pub clock: u64,
     /// Waiting work.
     pub work: WorkMicros,
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -8,8 +8,7 @@
 //! order, has asked no other entry for rest either, makes no running stream pause for too long, begins the answer in time, ends it soonest (failing and far
 //! targets count longer), and is least loaded. A request waits instead where a busy target would end it
 //! in time and this one would not, or where another does not stall, as long as its first part is not
-//! due. docs/MEASUREMENTS.md, "placement by learned pace" and "near targets first", has what this
-//! gained.
+//! due.
 //!
 //! Owns: the rule; the state is the [`PoolScheduler`]'s. Relies on: [`pace`] and [`prefix`] for beliefs
 //! about targets.
@@ -38,8 +37,7 @@
 /// Reading prompts for up to this part of the longest allowed pause, in percent, stalls no stream.
 const STALL_PERCENT: u32 = 70;
 /// The time on a target of another data centre counts longer by this, in percent: a near target is
-/// taken unless a far one is several times as fast, or the near one would be late. From
-/// docs/MEASUREMENTS.md, "Far targets count", which has 15, 80, 250 and 800.
+/// taken unless a far one is several times as fast, or the near one would be late.
 const FAR_PERCENT: u64 = 250;
 /// The time on a target counts longer by this many times where all its requests failed lately.
 const FAILING_PENALTY: u64 = 8;
--- a/crates/sched/src/placement/pace.rs
+++ b/crates/sched/src/placement/pace.rs
@@ -4,8 +4,7 @@
 //! longest pause, and the work in microseconds that was estimated for it. The rule: times are learned
 //! as ratios to the estimated work, in exponentially weighted means; a new target is believed to be as
 //! fast as its pool; what is believed of an idle target approaches its pool, so that a belief that
-//! keeps requests away cannot keep itself alive. docs/MEASUREMENTS.md, "placement by learned pace", has
-//! what this gained.
+//! keeps requests away cannot keep itself alive.
 //!
 //! Owns: the means of one target or pool. Relies on: entries that report whole streams.
 
--- a/crates/sched/src/placement/prefix.rs
+++ b/crates/sched/src/placement/prefix.rs
@@ -17,7 +17,7 @@
     }
 
     /// Notes that the target has just computed or used the prefix; it is believed to hold `limit` of
-    /// them. A belief that is too large costs more than none: see docs/MEASUREMENTS.md.
+    /// them. A belief that is too large costs more than none.
     pub fn touch(&mut self, prefix: u64, limit: usize) {
         self.forget(prefix);
         self.clock += 1;
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -21,8 +21,7 @@
 use crate::placement::target::TargetState;
 use crate::rollout::exposure::TrialShare;
 
-/// Estimates are taken as this part, in percent, where a deadline depends on them. From
-/// docs/MEASUREMENTS.md, "Rounds", margin of a quarter.
+/// Estimates are taken as this part, in percent, where a deadline depends on them.
 const MARGIN_PERCENT: u64 = 125;
 
 /// Options of a pool's scheduler.
@@ -39,7 +38,7 @@
     /// Rank of the lowest tier.
     pub lowest: TierRank,
     /// Age that makes up for a unit of work in the order of an account's queue. At 0 the oldest goes
-    /// first, at infinity the shortest; docs/MEASUREMENTS.md gives the figures for the values tried.
+    /// first, at infinity the shortest.
     pub age_per_work: u64,
     /// Limits of the accounts.
     pub accounts: BTreeMap<AccountId, AccountLimit>,
--- a/crates/sched/src/retry/budget.rs
+++ b/crates/sched/src/retry/budget.rs
@@ -4,7 +4,6 @@
 //! Inputs: requests and retries of the last window, by this daemon; limits from the settings (`[bounds]
 //! retry_*`) or [`RetryLimits::default`]. The rule: retries of a window are at most `percent` of its
 //! requests and `extra` besides, which daemons share where a platform counts them together.
-//! docs/MEASUREMENTS.md, "retry budget by window", and `tests/budgets.rs`.
 //!
 //! Owns: the counts of the last window. Relies on: the entry for the clock.
 
@@ -35,7 +34,7 @@
 /// Daemons that share a budget where fewer are known, since others may not be known yet.
 const LEAST_DAEMONS: u64 = 4;
 /// A daemon that restarts forgets its retries; each has only one part in this many of its share.
-/// Chosen, so that one restart in a window stays within the bound.
+/// One restart in a window stays within the bound.
 const RESTART_PARTS: u64 = 2;
 /// Parts in which a window is counted.
 const WINDOW_PARTS: u32 = 20;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -1,7 +1,7 @@
 //! What happens at the scheduler of a pool: it holds the queue, knows what is in flight, and binds
 //! late.
 //!
-//! A permit request waits until a target has room, and only then is the target chosen. The role is
+//! A permit request waits until a target has room, and only then is the target picked. The role is
 //! soft: if two daemons act as scheduler for a moment, targets may get more than their slots, and no
 //! promise depends on it.
 //!
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -108,7 +108,7 @@
     /// Names of headers on the wire.
     fn profile(&self) -> &WireProfile;
 
-    /// Times that the platform's store has come back from an older copy, as far as its answers have told.
+    /// Times that the platform's store has come back from an older copy, as far as its answers show.
     fn era(&self) -> StoreEra;
 
     /// Reads the newest configuration; never an old one.
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 exchanges with targets, over the client codec of actix-http.
 //!
-//! awc is not used towards targets, for two reasons measured in this repository's tests: awc 3.11
+//! awc is not used towards targets, for two reasons that this repository's tests show: awc 3.11
 //! reports a connection that closes under a written request as a failure to connect, and ends a cut
 //! body as if it were whole. Both would make a verdict untrue. This crate knows of every exchange
 //! whether a byte was written, and of every answer whether its own end mark arrived.
