--- a/crates/node/tests/lethal.rs
+++ b/crates/node/tests/lethal.rs
@@ -7,7 +7,8 @@
 
 use curlewcleat_core::{
     BreakKind, DaemonId, DiscoveredTarget, PeerFrame, PeerMessage, Refusal, RefusalReason,
-    RequestBreak, RequestDigest, RequestIdentity, SuspectReport, SuspectsPull, TargetLife,
+    RequestBreak, RequestDigest, RequestIdentity, SuspectReport, SuspectsPull, SuspectsPush,
+    TargetLife,
 };
 use curlewcleat_node::{CallerDecision, NodeAction, NodeEvent};
 use curlewcleat_sched::RequestSpec;
@@ -386,22 +387,41 @@
     assert_eq!(ask(1), 0);
 }
 
+/// One of many requests.
+fn many(number: usize) -> RequestDigest {
+    let body = number.to_string();
+    let identity = RequestIdentity {
+        method: "POST",
+        host: "h",
+        path: "/p",
+        caller: "a",
+        body: body.as_bytes(),
+    };
+    identity.digest()
+}
+
+/// What the first daemon answers to one that knows so much.
+fn answer_to_pull(fleet: &mut Fleet, known: u64) -> SuspectsPush {
+    let from = DaemonId { vm: "vm-1".to_string(), incarnation: 1 };
+    let pull = PeerMessage::SuspectsPull(SuspectsPull { known });
+    let event = NodeEvent::Peer(PeerFrame { from, messages: vec![pull] });
+    let actions = fleet.daemons[0].node.handle(fleet.now, fleet.now, event);
+    let frames = actions.into_iter().filter_map(|action| match action {
+        NodeAction::Send(_, frame) => Some(frame.messages),
+        _ => None,
+    });
+    let push = frames.flatten().find_map(|message| match message {
+        PeerMessage::SuspectsPush(push) => Some(push),
+        _ => None,
+    });
+    push.expect("an answer")
+}
+
 /// All targets of a data centre ended under hundreds of requests: each of hundreds of daemons was told of all of them at once.
 #[test]
 fn ends_under_many_requests_are_told_a_few_at_a_time() {
     let mut fleet = fleet_of(3);
     let now = fleet.now;
-    let many = |number: usize| {
-        let body = number.to_string();
-        let identity = RequestIdentity {
-            method: "POST",
-            host: "h",
-            path: "/p",
-            caller: "a",
-            body: body.as_bytes(),
-        };
-        identity.digest()
-    };
     for number in 0..300 {
         let broke = RequestBreak { life: life("t0"), kind: BreakKind::Closed, begun: false };
         fleet.daemons[0].node.handle(now, now, NodeEvent::BrokeOff(many(number), broke));
@@ -409,21 +429,7 @@
     // One of the last ones breaks off twice.
     let broke = RequestBreak { life: life("t1"), kind: BreakKind::Closed, begun: false };
     fleet.daemons[0].node.handle(now, now, NodeEvent::BrokeOff(many(299), broke));
-    let from = DaemonId { vm: "vm-1".to_string(), incarnation: 1 };
-    let mut ask = |known| {
-        let pull = PeerMessage::SuspectsPull(SuspectsPull { known });
-        let event = NodeEvent::Peer(PeerFrame { from: from.clone(), messages: vec![pull] });
-        let actions = fleet.daemons[0].node.handle(now, now, event);
-        let pushed = actions.into_iter().filter_map(|action| match action {
-            NodeAction::Send(_, frame) => Some(frame.messages),
-            _ => None,
-        });
-        let push = pushed.flatten().find_map(|message| match message {
-            PeerMessage::SuspectsPush(push) => Some(push),
-            _ => None,
-        });
-        push.expect("an answer")
-    };
+    let mut ask = |known| answer_to_pull(&mut fleet, known);
     let first = ask(0);
     let told: Vec<RequestDigest> = first.requests.iter().map(|report| report.digest).collect();
     assert!(told.len() <= 32, "{}", told.len());
--- a/crates/sched/src/lethal.rs
+++ b/crates/sched/src/lethal.rs
@@ -223,12 +223,6 @@
         self.suspects.get(digest).map(|suspect| suspect.report(now, *digest))
     }
 
-    /// What has changed after this count, 0 for all.
-    pub fn since(&self, now: Uptime, known: u64) -> Vec<SuspectReport> {
-        let changed = self.suspects.iter().filter(|(_, suspect)| suspect.changed_at + 1 > known);
-        changed.map(|(digest, suspect)| suspect.report(now, *digest)).collect()
-    }
-
     fn changed_if(&mut self, news: bool, at: u64, digest: RequestDigest) {
         self.note_change_if(news, at, digest);
         if news {
--- a/crates/sched/src/lethal/news.rs
+++ b/crates/sched/src/lethal/news.rs
@@ -27,6 +27,12 @@
 }
 
 impl LethalRequests {
+    /// What has changed after this count, 0 for all.
+    pub fn since(&self, now: Uptime, known: u64) -> Vec<SuspectReport> {
+        let changed = self.suspects.iter().filter(|(_, suspect)| suspect.changed_at + 1 > known);
+        changed.map(|(digest, suspect)| suspect.report(now, *digest)).collect()
+    }
+
     /// What a daemon lacks that knows all up to this count.
     pub fn news(&self, now: Uptime, known: u64) -> SuspectNews {
         let changed = self.suspects.iter().filter(|(_, suspect)| suspect.changed_at + 1 > known);
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -16,15 +16,15 @@
 //! Owns: the waiting requests, and the work served to each urgency and account. Relies on: estimates of work in
 //! microseconds.
 
+mod ahead;
+
 use std::collections::{BTreeMap, BTreeSet};
 
-use curlewcleat_core::{
-    AccountId, DaemonId, PermitId, PermitRequest, TierRank, Uptime, WorkMicros,
-};
+use curlewcleat_core::{AccountId, DaemonId, PermitId, TierRank, Uptime, WorkMicros};
 
 use super::rank::{QueueRank, QueueShare};
 use super::shares::{UrgencyShares, ALL_PLACES};
-use super::waiting::{class_of, AccountQueue, QueueKey, TierQueue, WaitingRequest};
+use super::waiting::{class_of, QueueKey, TierQueue, WaitingRequest};
 
 /// Scale of virtual time, so that division by weights keeps precision.
 const SHARE_SCALE: u64 = 1_000;
@@ -270,37 +270,6 @@
         longest.waiting.keys().next_back().map(|key| key.1)
     }
 
-    /// Work that goes before a new request: higher tiers, and of its own tier what fair shares and its
-    /// account's line let go first.
-    pub fn work_ahead(&self, request: &PermitRequest, weight: u32, late: bool) -> WorkMicros {
-        let rank = QueueRank { tier: request.tier, late, urgency: request.objectives.urgency };
-        let first = QueueRank { urgency: 0, late: false, ..rank };
-        let higher: WorkMicros = self.tiers.range(..first).map(|(_, queue)| queue.work).sum();
-        let in_time = self.tiers.get(&QueueRank { late: false, ..rank }).filter(|_| late);
-        let sooner = in_time.map_or(0, |queue| queue.work);
-        let Some(queue) = self.tiers.get(&rank) else {
-            return higher + self.work_beside(rank, sooner);
-        };
-        let class = class_of(request.prompt_work + request.output_work);
-        let line = queue.lines.get(&request.account);
-        let own: WorkMicros =
-            line.map_or(0, |line| line.by_class.range(..=class).map(|(_, work)| *work).sum());
-        let waits = |line: &&AccountQueue| !line.waiting.is_empty();
-        let weights: u64 = queue.lines.values().filter(waits).map(|line| line.weight).sum();
-        // The accounts that wait are served in turn. One with nothing waiting still lets each other one go first once.
-        let turn = match request.objectives.length_guessed {
-            true => request.prompt_work + request.output_work,
-            false => 0,
-        };
-        let share = (own + turn) * weights.max(1) / u64::from(weight.max(1));
-        higher + self.work_beside(rank, sooner + share.min(queue.work))
-    }
-
-    /// Work that is served until so much of one urgency is, with that of the other urgencies, which go on asking.
-    fn work_beside(&self, rank: QueueRank, own: WorkMicros) -> WorkMicros {
-        own * ALL_PLACES / self.share_of(rank)
-    }
-
     /// Work of all waiting requests.
     pub fn total_work(&self) -> WorkMicros {
         self.tiers.values().map(|queue| queue.work).sum()
--- a/crates/sched/tests/late_schedulers.rs
+++ b/crates/sched/tests/late_schedulers.rs
@@ -13,6 +13,7 @@
 const STEP: Duration = Duration::from_millis(5);
 /// A request comes every so often.
 const EVERY: Duration = Duration::from_millis(100);
+const BEGIN: Duration = Duration::from_secs(100);
 const LASTS: Duration = Duration::from_secs(10);
 const BEAT: Duration = Duration::from_millis(500);
 
@@ -25,66 +26,105 @@
     asked: [usize; 2],
 }
 
-/// The first scheduler answers after `takes`; the next one refuses at once, since it does not keep the rates.
-fn play(takes: impl Fn(Duration) -> Option<Duration>) -> Vec<AnswerCount> {
-    let options = EntryOptions {
-        answer_timeout: LIMIT,
-        answer_tries: 1,
-        avoid_for: Duration::from_secs(3),
-        ..EntryOptions::default()
-    };
-    let mut entry = EntryRequests::new(options);
-    let daemon = |vm: &str| DaemonId { vm: vm.to_string(), incarnation: 1 };
-    let order = |_: &str| vec![daemon("s0"), daemon("s1")];
-    let mut answers: VecDeque<(Duration, &str, PermitId, PermitDecision)> = VecDeque::new();
-    let mut counts = Vec::new();
-    let mut count = AnswerCount::default();
-    let begin = Duration::from_secs(100);
-    let (mut now, mut asked) = (begin, 0u32);
-    while now < begin + LASTS {
-        now += STEP;
-        let passed = now - begin;
-        let mut actions = entry.tick(now, &order);
-        if passed.as_millis().is_multiple_of(BEAT.as_millis()) {
-            entry.heartbeat_received(now, &"s0".to_string());
-        }
-        if passed >= EVERY * asked {
-            asked += 1;
-            let spec = RequestSpec {
-                request: RequestId::from_u128(u128::from(asked)),
-                pool: "p".to_string(),
-                account: "a".to_string(),
-                time_left: Duration::from_secs(3),
-                output_work: 1_000,
-                ..RequestSpec::default()
-            };
-            actions.extend(entry.admit(now, spec, &order));
+/// An answer on its way: when it arrives, who sent it, and what it says.
+type SentAnswer = (Duration, &'static str, PermitId, PermitDecision);
+
+/// An entry and two schedulers. The first one answers after a time; the next one refuses at once, since it does not keep the
+/// rates.
+struct LatePlay {
+    now: Duration,
+    entry: EntryRequests,
+    answers: VecDeque<SentAnswer>,
+    count: AnswerCount,
+}
+
+fn order(_: &str) -> Vec<DaemonId> {
+    ["s0", "s1"].map(|vm| DaemonId { vm: vm.to_string(), incarnation: 1 }).to_vec()
+}
+
+impl LatePlay {
+    fn new() -> LatePlay {
+        let options = EntryOptions {
+            answer_timeout: LIMIT,
+            answer_tries: 1,
+            avoid_for: Duration::from_secs(3),
+            ..EntryOptions::default()
+        };
+        LatePlay {
+            now: BEGIN,
+            entry: EntryRequests::new(options),
+            answers: VecDeque::new(),
+            count: AnswerCount::default(),
         }
-        while let Some(at) = answers.iter().position(|(due, ..)| *due <= now) {
-            let Some((_, from, permit, decision)) = answers.remove(at) else { break };
+    }
+
+    fn admit(&mut self, number: u32) -> Vec<EntryAction> {
+        let spec = RequestSpec {
+            request: RequestId::from_u128(u128::from(number)),
+            pool: "p".to_string(),
+            account: "a".to_string(),
+            time_left: Duration::from_secs(3),
+            output_work: 1_000,
+            ..RequestSpec::default()
+        };
+        self.entry.admit(self.now, spec, &order)
+    }
+
+    fn answers_arrive(&mut self) -> Vec<EntryAction> {
+        let now = self.now;
+        let mut actions = Vec::new();
+        while let Some(at) = self.answers.iter().position(|(due, ..)| *due <= now) {
+            let Some((_, from, permit, decision)) = self.answers.remove(at) else { break };
             let answer = PermitAnswer { permit, pool: "p".to_string(), decision };
-            actions.extend(entry.permit_answered(now, &from.to_string(), answer, &order));
+            actions.extend(self.entry.permit_answered(now, &from.to_string(), answer, &order));
         }
+        actions
+    }
+
+    /// Sends what the entry asks for; the first scheduler takes this long to answer.
+    fn perform(&mut self, actions: Vec<EntryAction>, takes: Option<Duration>) {
         for action in actions {
             match action {
                 EntryAction::RequestPermit(vm, ask) if vm == "s0" => {
-                    count.asked[0] += 1;
+                    self.count.asked[0] += 1;
                     let granted = PermitDecision::Granted("t".to_string());
-                    let due = takes(passed).map(|takes| now + takes);
-                    answers.extend(due.map(|due| (due, "s0", ask.permit, granted)));
+                    let due = takes.map(|takes| self.now + takes);
+                    self.answers.extend(due.map(|due| (due, "s0", ask.permit, granted)));
                 }
                 EntryAction::RequestPermit(_, ask) => {
-                    count.asked[1] += 1;
+                    self.count.asked[1] += 1;
                     let refusal = Refusal::not_run(RefusalReason::RateUnknown, None);
-                    answers.push_back((now, "s1", ask.permit, PermitDecision::Refused(refusal)));
+                    let refused = PermitDecision::Refused(refusal);
+                    self.answers.push_back((self.now, "s1", ask.permit, refused));
                 }
-                EntryAction::Dispatch { .. } => count.dispatched += 1,
-                EntryAction::Refuse(..) => count.refused += 1,
+                EntryAction::Dispatch { .. } => self.count.dispatched += 1,
+                EntryAction::Refuse(..) => self.count.refused += 1,
                 _ => {}
             }
         }
+    }
+}
+
+/// Plays ten seconds, by what the first scheduler takes to answer; gives the counts of each.
+fn play(takes: impl Fn(Duration) -> Option<Duration>) -> Vec<AnswerCount> {
+    let mut play = LatePlay::new();
+    let mut counts = Vec::new();
+    let mut asked = 0;
+    while play.now < BEGIN + LASTS {
+        play.now += STEP;
+        let passed = play.now - BEGIN;
+        let mut actions = play.entry.tick(play.now, &order);
+        if passed.as_millis().is_multiple_of(BEAT.as_millis()) {
+            play.entry.heartbeat_received(play.now, &"s0".to_string());
+        }
+        if passed >= EVERY * asked {
+            asked += 1;
+            actions.extend(play.admit(asked));
+        }
+        actions.extend(play.answers_arrive());
+        play.perform(actions, takes(passed));
         if passed.as_millis().is_multiple_of(1_000) {
-            counts.push(std::mem::take(&mut count));
+            counts.push(std::mem::take(&mut play.count));
         }
     }
     counts
