Mend: an absurd stated length counts for no more than the time of its request in what its urgency asks for

What callers would see: one request that states 10^18 tokens made its urgency seem to ask for all places, for half a minute (the sums lose an eighth in a quarter of a second), with the tenth of a hundredth left to each other one. Found by reading the change; failed first (an overflow in debug builds). Its work counts up to its time left, since it keeps a place no longer.

--- a/crates/sched/src/order/flows.rs
+++ b/crates/sched/src/order/flows.rs
@@ -77,13 +77,13 @@
         }
         let flow = self.flows.entry(share_of(request)).or_default();
         let asked = flow.asked.entry(request.account.clone()).or_default();
-        *asked += request.prompt_work + request.output_work;
+        *asked += work_of(request);
     }
 
     /// A request got a permit.
     pub fn granted(&mut self, request: &PermitRequest) {
         let flow = self.flows.entry(share_of(request)).or_default();
-        flow.granted += request.prompt_work + request.output_work;
+        flow.granted += work_of(request);
     }
 
     /// Lets time pass. Whether the sums have decayed.
@@ -119,6 +119,11 @@
     }
 }
 
+/// Work of a request, of which its caller may state any length: it keeps a place no longer than its time.
+fn work_of(request: &PermitRequest) -> WorkMicros {
+    request.prompt_work.saturating_add(request.output_work).min(micros(request.time_left))
+}
+
 fn share_of(request: &PermitRequest) -> QueueShare {
     (request.tier, request.objectives.urgency)
 }
--- a/crates/sched/tests/flows.rs
+++ b/crates/sched/tests/flows.rs
@@ -67,3 +67,18 @@
     flows.granted(&request(2, 0, 1_000));
     assert!(granted_percent(&flows, 0) >= Some(99));
 }
+
+/// One caller that stated an absurd length took the places of the other urgencies for half a minute.
+#[test]
+fn absurd_length_counts_no_more_than_the_time_of_its_request() {
+    let mut flows = UrgencyFlows::default();
+    for second in 1..=4 {
+        flows.tick(Duration::from_secs(second));
+        flows.asked(&request(u128::from(second), 0, 1_000_000));
+    }
+    flows.asked(&request(10, 1, u64::MAX));
+    flows.tick(Duration::from_secs(5));
+    let asked = flows.asked_per_second();
+    let of_urgency = |urgency: u8| asked[&0][&urgency];
+    assert!(of_urgency(1) <= 10 * of_urgency(0), "{asked:?}");
+}
