--- a/crates/model/src/drain.rs
+++ b/crates/model/src/drain.rs
@@ -102,6 +102,8 @@
                     _ => {}
                 }
             } else {
+                // All requests have one urgency, whose share is all.
+                state.scheduler.forget_flows();
                 return;
             }
         }
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -99,6 +99,11 @@
         self.shares.insert(tier, shares);
     }
 
+    /// Forgets how the places are divided.
+    pub fn forget_shares(&mut self) {
+        self.shares.clear();
+    }
+
     /// The part of the places that a queue's urgency has, in thousandths. Those that nothing is known of have all, so that
     /// their virtual time stands nearly still.
     fn share_of(&self, rank: QueueRank) -> u64 {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -50,6 +50,12 @@
         &self.flows
     }
 
+    /// Forgets how much work each urgency asks for. A model with one urgency, whose share is all, has fewer states so.
+    pub fn forget_flows(&mut self) {
+        self.flows = UrgencyFlows::default();
+        self.queues.forget_shares();
+    }
+
     /// The overload level.
     pub fn level(&self) -> &OverloadLevel {
         &self.level
