--- a/crates/sched/src/election/unresponsive.rs
+++ b/crates/sched/src/election/unresponsive.rs
@@ -6,7 +6,7 @@
 //! passed over for `pass_over_for`, or, once a heartbeat of it arrives, for [`TIMEOUT_FACTOR`] times
 //! the time that was waited for it: it may not have answered because nothing had reached it yet, but it
 //! may be that nothing reaches it still. One whose answers come late is waited for longer, [`ANSWER_FACTOR`] times what
-//! the slowest of them took, until none has come late for [`PATIENT_FOR`].
+//! the slowest of them took, until none has taken more than half the limit for [`PATIENT_FOR`].
 //!
 //! Load pattern: a burst at which the scheduler of a large fleet answers each ask, some ten milliseconds too late. Passed
 //! over by all, it was sent each ask, its withdrawal and the state of what is in flight, which kept it late
--- a/crates/sched/src/lethal/news.rs
+++ b/crates/sched/src/lethal/news.rs
@@ -29,13 +29,13 @@
 impl LethalRequests {
     /// What has changed after this count, 0 for all.
     pub fn since(&self, now: Uptime, known: u64) -> Vec<SuspectReport> {
-        let changed = self.suspects.iter().filter(|(_, suspect)| suspect.changed_at + 1 > known);
+        let changed = self.changed_after(known);
         changed.map(|(digest, suspect)| suspect.report(now, *digest)).collect()
     }
 
     /// What a daemon lacks that knows all up to this count.
     pub fn news(&self, now: Uptime, known: u64) -> SuspectNews {
-        let changed = self.suspects.iter().filter(|(_, suspect)| suspect.changed_at + 1 > known);
+        let changed = self.changed_after(known);
         let (urgent, mut ordinary): (Vec<_>, Vec<_>) =
             changed.partition(|(_, suspect)| is_urgent(suspect));
         ordinary.sort_by_key(|(_, suspect)| suspect.changed_at);
@@ -46,6 +46,10 @@
         let requests = urgent.into_iter().chain(ordinary).map(report).collect();
         SuspectNews { at: left_out.unwrap_or(self.at()), requests }
     }
+
+    fn changed_after(&self, known: u64) -> impl Iterator<Item = (&RequestDigest, &SuspectRequest)> {
+        self.suspects.iter().filter(move |(_, suspect)| suspect.changed_at + 1 > known)
+    }
 }
 
 /// Whether another break may make it one that is held or refused.
