--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -38,8 +38,9 @@
 
 use self::account::{AccountLimit, RateBucket};
 use crate::placement::target::TargetState;
-use crate::pool::{micros, PoolScheduler, SchedulerAction};
+use crate::pool::{PoolScheduler, SchedulerAction};
 use crate::retry_after::{rest_retry_after, spread_retry_after, DEFAULT_RETRY_AFTER};
+use crate::work_estimate::micros;
 
 impl PoolScheduler {
     /// Refuses waiting requests for which no target remains.
--- a/crates/sched/src/admission/forecast.rs
+++ b/crates/sched/src/admission/forecast.rs
@@ -20,9 +20,10 @@
 
 use super::account::AccountLimit;
 use crate::placement::target::TargetState;
-use crate::pool::{micros, with_margin, PoolScheduler};
+use crate::pool::PoolScheduler;
 use crate::retry_after::capacity_retry_after;
 use crate::rollout::versions::VersionAccess;
+use crate::work_estimate::{micros, with_margin};
 
 /// Factor by which a guessed length may be too long.
 const GUESS_DIVISOR: u64 = 3;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -35,6 +35,7 @@
 mod scheduler;
 mod target_gate;
 mod targets;
+mod work_estimate;
 
 pub use admission::account::{AccountLimit, RateBucket};
 pub use admission::level_guard::{GuardStep, LevelGuard};
--- a/crates/sched/src/order/flows.rs
+++ b/crates/sched/src/order/flows.rs
@@ -12,7 +12,7 @@
 
 use super::rank::UrgencyKey;
 use crate::decaying_ratio::DecayingRatio;
-use crate::pool::micros;
+use crate::work_estimate::micros;
 
 /// Interval at which the sums decay by the fraction 1 / [`DECAY_DIVISOR`].
 const DECAY_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -34,8 +34,9 @@
 
 use self::target::TargetState;
 use crate::order::waiting::WaitingRequest;
-use crate::pool::{micros, with_margin, PermitRecord, PoolScheduler, SchedulerAction};
+use crate::pool::{PermitRecord, PoolScheduler, SchedulerAction};
 use crate::rollout::versions::VersionAccess;
+use crate::work_estimate::{micros, with_margin};
 
 /// Number of accounts of each tier whose first requests are considered when the best one finds no target.
 const HEADS_TRIED: usize = 8;
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -21,9 +21,6 @@
 use crate::placement::target::TargetState;
 use crate::rollout::exposure::TrialShare;
 
-/// Percentage of an estimate that is compared with a deadline.
-const ESTIMATE_PERCENT: u64 = 125;
-
 /// Options of a pool's scheduler.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PoolOptions {
@@ -185,13 +182,3 @@
         SchedulerAction { unused: RateCharge::of(request), ..action }
     }
 }
-
-/// Returns a duration in microseconds, saturating at the maximum.
-pub(crate) fn micros(time: Duration) -> WorkMicros {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
-
-/// Returns an estimate with a margin for its error.
-pub(crate) fn with_margin(estimate: WorkMicros) -> WorkMicros {
-    estimate * ESTIMATE_PERCENT / 100
-}
