Targets: a list that is read again reaches the other daemons as its differences

Cause: a daemon that listed the targets again (as a new reader, after an outage, or because the store had forgotten its history) began its log of changes anew, so that every other daemon got the whole list; a burst of more than 256 changes had the same effect. 2,048 ended instances were remembered, fewer than 3,000 targets that may vanish in one outage. A dispatch searched all discovered targets for one that leaves. Change: the log holds the latest entry of each target, as many as are listed; a list that is read again enters it as its differences. The number of remembered instances follows the list. A dispatch looks its target up.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Node::handle`] takes an event with the time and returns the actions to perform.
 
 mod awaited_answer;
+mod change_log;
 mod config_exchange;
 mod config_pull;
 mod config_serving;
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -162,7 +162,7 @@
             return self.refuse_granted(permit.request, refusal);
         }
         let config = Arc::clone(&self.active);
-        let leaving = self.discovered.iter().any(|known| known.leaving && known.entry.id == target);
+        let leaving = self.targets.is_leaving(target);
         let mut pools = config.pools.iter();
         let known = pools.find_map(|(id, pool)| Some((id, pool.targets.get(target)?)));
         if known.is_some_and(|(pool, entry)| self.is_blocked(pool, entry)) {
--- a/crates/node/src/target_view.rs
+++ b/crates/node/src/target_view.rs
@@ -1,25 +1,23 @@
 //! Holds the discovered targets as the platform lists them at a revision.
 //!
-//! A daemon learns of them from the platform itself or from a peer that reads it. The view keeps the latest changes,
-//! so that a peer that knows an earlier revision gets only what it lacks.
+//! A daemon learns of them from the platform itself or from a peer that reads it. The view keeps the latest changes
+//! ([`ChangeLog`]), so that a peer that knows an earlier revision gets only what it lacks.
 //!
 //! A target may restart under its id. A list entry of an earlier instance than the latest known one is ignored,
 //! whatever its revision: the target may have written it late.
 //!
 //! Owns: the discovered targets and recent changes. Relies on: revisions of the platform.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use curlewcleat_core::{
     DiscoveredTarget, InstanceOrder, ObjectVersion, TargetChange, TargetId, TargetInstance,
     TargetStart, TargetsContent,
 };
 
+use crate::change_log::ChangeLog;
 use crate::ended_instances::EndedInstances;
 
-/// Number of changes that are kept for peers.
-const LOG_LENGTH: usize = 256;
-
 /// Result of applying an update to the view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ViewUpdate {
@@ -70,9 +68,7 @@
     instance_changes: Vec<InstanceChange>,
     removed: Vec<RemovedTarget>,
     at: ObjectVersion,
-    /// Revision from which the log is complete.
-    log_from: ObjectVersion,
-    log: VecDeque<(ObjectVersion, TargetChange)>,
+    log: ChangeLog,
 }
 
 impl TargetView {
@@ -120,6 +116,7 @@
             return ViewUpdate::Stale;
         }
         let mut before = std::mem::take(&mut self.listed);
+        let previous = before.clone();
         for target in targets {
             let id = &target.entry.id;
             // A list entry that moves from one page of a list to another may appear in both.
@@ -129,13 +126,37 @@
         for (id, target) in before {
             self.remove_entry(id, target, uncertain);
         }
+        match self.at {
+            0 => self.log.restart(at),
+            _ => self.log_differences(&previous, at),
+        }
         self.at = at;
-        // The changes between the two revisions are unknown, so the log starts anew.
-        self.log_from = at;
-        self.log.clear();
         ViewUpdate::Applied
     }
 
+    /// Records how the list differs from the previous one, so that peers that know the previous one need not get the
+    /// whole list.
+    fn log_differences(
+        &mut self,
+        previous: &BTreeMap<TargetId, DiscoveredTarget>,
+        at: ObjectVersion,
+    ) {
+        let changed = self.listed.iter().filter(|(id, target)| previous.get(*id) != Some(target));
+        let gone = previous.keys().filter(|id| !self.listed.contains_key(*id));
+        let ids: Vec<TargetId> = changed.map(|(id, _)| id).chain(gone).cloned().collect();
+        ids.into_iter().for_each(|id| self.log_entry(id, at));
+        self.log.trim(self.listed.len());
+    }
+
+    /// Records the entry of a target as it is now. A late entry of an earlier instance is not what peers lack.
+    fn log_entry(&mut self, id: TargetId, at: ObjectVersion) {
+        let change = match self.listed.get(&id) {
+            Some(target) => TargetChange::Present(target.clone()),
+            None => TargetChange::Gone(id),
+        };
+        self.log.record(at, change);
+    }
+
     /// Applies the changes between two revisions.
     pub fn apply_changes(
         &mut self,
@@ -151,25 +172,20 @@
             return ViewUpdate::Gap;
         }
         for change in changes {
-            self.apply(change.clone(), uncertain);
-            self.log.push_back((at, change));
-        }
-        while self.log.len() > LOG_LENGTH {
-            if let Some((dropped, _)) = self.log.pop_front() {
-                self.log_from = dropped;
-            }
+            let id = self.apply(change, uncertain);
+            self.log_entry(id, at);
         }
+        self.log.trim(self.listed.len());
         self.at = at;
         ViewUpdate::Applied
     }
 
     /// Returns what a peer lacks that knows the targets up to a revision.
     pub fn since(&self, known: ObjectVersion) -> TargetsContent {
-        if known < self.log_from || known > self.at {
-            return TargetsContent::All(self.listed.values().cloned().collect());
+        match self.log.since(known).filter(|_| known <= self.at) {
+            Some(changes) => TargetsContent::Since(known, changes),
+            None => TargetsContent::All(self.listed.values().cloned().collect()),
         }
-        let changes = self.log.iter().filter(|(at, _)| *at > known);
-        TargetsContent::Since(known, changes.map(|(_, change)| change.clone()).collect())
     }
 
     /// Returns the changed instances that list entries stated since the last call.
@@ -190,16 +206,20 @@
         changed
     }
 
-    fn apply(&mut self, change: TargetChange, uncertain: bool) {
+    /// Applies a change and returns its target.
+    fn apply(&mut self, change: TargetChange, uncertain: bool) -> TargetId {
         match change {
             TargetChange::Present(target) => {
-                let listed = self.listed.remove(&target.entry.id);
+                let id = target.entry.id.clone();
+                let listed = self.listed.remove(&id);
                 self.insert_entry(target, listed);
+                id
             }
             TargetChange::Gone(id) => {
                 if let Some(target) = self.listed.remove(&id) {
-                    self.remove_entry(id, target, uncertain);
+                    self.remove_entry(id.clone(), target, uncertain);
                 }
+                id
             }
         }
     }
@@ -233,7 +253,7 @@
     }
 
     fn remove_entry(&mut self, id: TargetId, target: DiscoveredTarget, uncertain: bool) {
-        self.ended.record(&id, target.entry.start);
+        self.ended.record(&id, target.entry.start, self.listed.len());
         self.removed.push(RemovedTarget { target: id.clone(), announced_leaving: target.leaving });
         if uncertain && !target.leaving {
             self.missing.insert(id, target);
