Outages: a daemon that starts while the store does not answer learns the targets from its peers

Cause: an answer about the age of a peer's read was ignored as a whole where that read is older than the asking process, and with it the version of the targets that the peer knows, which is what a pull of the targets waits for. Change: the version of the targets is looked at first; the proof is judged as before. Red before: acceptance evacuations.rs evacuation_holds_while_the_store_is_unresponsive (its daemon that starts anew was not served within 30 s); births.rs daemon_that_starts_in_an_outage_... holds the case alone.

--- a/crates/acceptance/tests/births.rs
+++ b/crates/acceptance/tests/births.rs
@@ -1,4 +1,6 @@
-//! Calls of a starting daemon to the platform's store.
+//! Calls of a starting daemon to the platform's store, and a start while the store does not answer.
+
+mod support;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -6,7 +8,9 @@
 use anyhow::Result;
 use curlewcleat_platform::names::{DAEMONS, SERVERS};
 use curlewcleat_standins::deployment::{get_text, wait_until};
-use curlewcleat_standins::fleet::FleetDeployment;
+use curlewcleat_standins::fleet::{FleetDeployment, StoreOutage};
+
+use support::{call, wait_served};
 
 /// Time that the engine takes for an event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
@@ -77,3 +81,23 @@
     })
     .await
 }
+
+/// Guards against a daemon that learns the configuration from its peers and no targets: the latest reads of the peers are
+/// older than its process, and their answers were ignored as a whole. Its callers' requests waited until they gave up.
+#[actix_rt::test]
+async fn daemon_that_starts_in_an_outage_serves_by_what_its_peers_know() -> Result<()> {
+    let mut fleet = FleetDeployment::start("births-outage").await?;
+    fleet.store_config()?;
+    fleet.engine("records", 1, EVENT_INTERVAL).await?;
+    fleet.daemons(DAEMON_COUNT, "").await?;
+    wait_served(&fleet, "/once/open/a").await?;
+    fleet.store.set_outage(Some(StoreOutage::Unresponsive));
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    let restarted = DAEMON_COUNT - 1;
+    fleet.restart(restarted).await?;
+    wait_until("served", || async {
+        let result = call(&fleet.daemons[restarted].callers, "/once/open/a", "anew").await;
+        result.is_ok_and(|result| result.status == 200)
+    })
+    .await
+}
--- a/crates/node/src/node/platform.rs
+++ b/crates/node/src/node/platform.rs
@@ -39,6 +39,10 @@
     }
 
     pub(super) fn freshness_answered(&mut self, from: &DaemonId, answer: &FreshnessAnswer) {
+        // A peer knows the targets even if its latest read is older than this process, as after a start in an outage.
+        if self.freshness.is_some() && answer.targets_at > self.targets.at() {
+            self.pull_targets(&from.vm);
+        }
         let Some(freshness) = self.freshness.as_mut() else { return };
         let Some(read) = freshness.answer_received(self.now, answer) else { return };
         if answer.generation > self.store.generation() {
@@ -48,9 +52,6 @@
             freshness.record_proof(self.now, read);
             self.actions.push(NodeAction::Platform(PlatformCall::ConfigConfirmed(read)));
         }
-        if answer.targets_at > self.targets.at() {
-            self.pull_targets(&from.vm);
-        }
     }
 
     /// Pulls the targets from a peer, unless an answer is awaited. A peer of an earlier version cannot decode the
