--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -13,8 +13,8 @@
 use curlewcleat_config::{ApplyRecord, ConfigManifest, MANIFEST_KEY};
 use curlewcleat_core::{
     AnswerObservation, AnswerSample, ArchiveId, AttemptEnd, ConfigBundle, ConfigPart,
-    ConfigPartPull, DaemonId, DiscoveredTarget, FreshnessAnswer, FreshnessQuery, Heartbeat,
-    InterruptionKind, InterruptionReport, KeptAnswer, KeyAnswer, KeyClaim, KeyDecision,
+    ConfigPartPull, DaemonId, DiscoveredTarget, EvacuationList, FreshnessAnswer, FreshnessQuery,
+    Heartbeat, InterruptionKind, InterruptionReport, KeptAnswer, KeyAnswer, KeyClaim, KeyDecision,
     KeyHandOver, KeyOutcome, KeyRecord, LatencyObjectives, LimitReport, NoticeReport, PeerFrame,
     PeerMessage, PermitAnswer, PermitDecision, PermitHeld, PermitId, PermitRequest, PermitReturn,
     PoolNotice, Refusal, RefusalReason, RequestDigest, RequestInterruption, RequestRate,
@@ -127,6 +127,7 @@
             version: None,
         },
         leaving: true,
+        warm_up: None,
     }
 }
 
@@ -426,11 +427,15 @@
             sample(AnswerObservation::Broken),
         ],
     };
+    let data_centres = ["d1", "d2"].map(String::from).into();
+    let evacuations = EvacuationList { at: 12, data_centres };
     vec![
         ("target versions pull", PeerMessage::TargetVersionsPull(9)),
         ("target versions", PeerMessage::TargetVersionsPush(versions)),
         ("rollout news", PeerMessage::RolloutReport(report)),
         ("rollout answers", PeerMessage::RolloutAnswers(answers)),
+        ("evacuations pull", PeerMessage::EvacuationsPull(9)),
+        ("evacuations", PeerMessage::EvacuationsPush(evacuations)),
     ]
 }
 
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -90,6 +90,9 @@
     pub config_apply_limit: Duration,
     /// Time after which a leaving target gets no new requests.
     pub leave_limit: Duration,
+    /// Time after which the targets of an evacuated data centre get no new requests; `None` if the platform has no
+    /// evacuations.
+    pub evacuation_limit: Option<Duration>,
     /// Time from the stop signal until the process is killed.
     pub stop_limit: Duration,
     /// Retries allowed per hundred requests of a pool, over all daemons.
@@ -123,6 +126,7 @@
             config_age_limit: None,
             config_apply_limit: Duration::from_secs(2),
             leave_limit: Duration::from_secs(2),
+            evacuation_limit: None,
             stop_limit: Duration::from_secs(8),
             retry_percent: 10,
             retry_saved: 20,
@@ -320,6 +324,10 @@
     bounds.config_apply_limit =
         section.duration("config_apply_limit", bounds.config_apply_limit, report);
     bounds.leave_limit = section.duration("leave_limit", bounds.leave_limit, report);
+    if section.text("evacuation_limit").is_some() {
+        let limit = section.duration("evacuation_limit", Duration::from_secs(5), report);
+        bounds.evacuation_limit = Some(limit);
+    }
     bounds.stop_limit = section.duration("stop_limit", bounds.stop_limit, report);
     bounds.retry_percent = section.percent("retry_ratio", bounds.retry_percent, report);
     bounds.retry_window = section.duration("retry_window", bounds.retry_window, report);
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -12,6 +12,8 @@
 pub type TargetVersion = String;
 /// Name of a target pool.
 pub type PoolId = String;
+/// Name of a data centre, as the platform lists it.
+pub type DataCentreId = String;
 /// Name of a tier of requests.
 pub type TierId = String;
 /// Rank of a tier: 0 is the highest and is shed last.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,7 @@
 //! this crate performs input or output.
 
 mod account;
+mod evacuation;
 mod ids;
 mod message;
 mod model;
@@ -11,8 +12,10 @@
 mod target_instance;
 mod target_notice;
 mod verdict;
+mod warm_up;
 
 pub use account::{hash_token, TokenHash};
+pub use evacuation::EvacuationList;
 pub use ids::*;
 pub use message::*;
 pub use model::*;
@@ -25,3 +28,4 @@
 pub use target_instance::{InstanceOrder, TargetInstance, TargetStart};
 pub use target_notice::{LimitNotice, LimitReport, NoticeReport, RequestRate, TargetNotice};
 pub use verdict::{Refusal, RefusalReason, RetryReason, Verdict};
+pub use warm_up::WarmUpLimit;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -20,8 +20,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    DiscoveredTarget, Generation, Incarnation, KeySlot, ObjectVersion, PoolId, RolloutAnswers,
-    RolloutReport, TargetChange, Uptime, VmId,
+    DiscoveredTarget, EvacuationList, Generation, Incarnation, KeySlot, ObjectVersion, PoolId,
+    RolloutAnswers, RolloutReport, TargetChange, Uptime, VmId,
 };
 
 pub use archive::*;
@@ -119,6 +119,10 @@
     RolloutReport(RolloutReport),
     /// Observations of target answers that the sender made during a rollout.
     RolloutAnswers(RolloutAnswers),
+    /// Requests the evacuated data centres if the receiver knows a list of a later version.
+    EvacuationsPull(ObjectVersion),
+    /// The evacuated data centres as the sender knows them.
+    EvacuationsPush(EvacuationList),
 }
 
 impl PeerMessage {
@@ -133,7 +137,9 @@
             | PeerMessage::TargetVersionsPull(_)
             | PeerMessage::TargetVersionsPush(_)
             | PeerMessage::RolloutReport(_)
-            | PeerMessage::RolloutAnswers(_) => true,
+            | PeerMessage::RolloutAnswers(_)
+            | PeerMessage::EvacuationsPull(_)
+            | PeerMessage::EvacuationsPush(_) => true,
             // A receiver that has answered a pull before can decode this one.
             PeerMessage::SuspectsPull(pull) => pull.known == 0,
             _ => false,
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -175,6 +175,10 @@
     pub entry: TargetEntry,
     /// Whether the target is leaving and accepts no new work.
     pub leaving: bool,
+    /// Remaining time for which the target warms up, `None` where it is not stated. Only the daemon that reads the list
+    /// entry knows it: it is not sent to other daemons.
+    #[serde(skip)]
+    pub warm_up: Option<Duration>,
 }
 
 impl DiscoveredTarget {
@@ -183,7 +187,7 @@
     /// after an outage, it would be used until it was listed again.
     pub fn unusable(id: TargetId) -> DiscoveredTarget {
         let entry = TargetEntry { vm: id.clone(), id, ..TargetEntry::default() };
-        DiscoveredTarget { pool: PoolId::new(), entry, leaving: false }
+        DiscoveredTarget { pool: PoolId::new(), entry, leaving: false, warm_up: None }
     }
 }
 
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -245,10 +245,13 @@
     RolloutLimits { permille: bounds.share_permille / 2, slack: bounds.slack / 2 }
 }
 
-/// Returns the limits within which both a change of the configuration and a leaving target become known in time.
+/// Returns the limits within which a change of the configuration, a leaving target and an evacuation become known in
+/// time.
 fn freshness_limits(settings: &DaemonSettings) -> FreshnessLimits {
     let bounds = &settings.bounds;
-    FreshnessLimits::within(bounds.config_apply_limit.min(bounds.leave_limit))
+    let limits =
+        [Some(bounds.config_apply_limit), Some(bounds.leave_limit), bounds.evacuation_limit];
+    FreshnessLimits::within(limits.into_iter().flatten().min().unwrap_or_default())
 }
 
 /// Binds the callers' and the operators' addresses. Returns the count of callers' connections with unwritten bytes.
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -6,7 +6,9 @@
 //!
 //! Owns: the reads of the platform. Relies on: the node for the read role of this daemon.
 
+mod evacuations;
 mod faults;
+mod list_watch;
 mod peers;
 mod refusals;
 mod rollouts;
@@ -68,6 +70,8 @@
     refusal_faults: RefCell<EntryFaults>,
     /// Unusable list entries of rollouts.
     rollout_faults: RefCell<EntryFaults>,
+    /// Unusable list entries of evacuations.
+    evacuation_faults: RefCell<EntryFaults>,
 }
 
 /// Starts the tasks that follow the platform on this arbiter.
@@ -90,10 +94,14 @@
         daemon_faults: RefCell::default(),
         refusal_faults: RefCell::default(),
         rollout_faults: RefCell::default(),
+        evacuation_faults: RefCell::default(),
     });
     if follower.context.settings.bounds.rollout.is_some() {
         actix_rt::spawn(Rc::clone(&follower).follow_rollouts());
     }
+    if follower.has_evacuations() {
+        actix_rt::spawn(Rc::clone(&follower).follow_evacuations());
+    }
     actix_rt::spawn(Rc::clone(&follower).follow_config());
     actix_rt::spawn(Rc::clone(&follower).follow_targets());
     actix_rt::spawn(follower.find_peers(record));
@@ -120,9 +128,10 @@
                 Ok(read) => {
                     back_off.reset();
                     self.log_new_era();
-                    if let ConfigRead::Changed(version, bundle) = read {
-                        newest = bundle.generation;
-                        self.context.apply(bundle).await;
+                    if let ConfigRead::Changed(version, config) = read {
+                        newest = config.bundle.generation;
+                        self.context.send_event(NodeEvent::WarmUpLimitsRead(config.warm_up_limits));
+                        self.context.apply(config.bundle).await;
                         known = version;
                     }
                     let in_force = self.context.config().generation >= newest;
@@ -138,8 +147,9 @@
         }
     }
 
-    /// Reads the configuration and, until either read has succeeded, the refused requests: a new daemon serves from
-    /// its first configuration on and has to know by then what to refuse. Later changes come from peers.
+    /// Reads the configuration and, until either read has succeeded, the refused requests and the evacuations: a new
+    /// daemon serves from its first configuration on and has to know by then what to refuse and which targets not to
+    /// use. Later changes come from peers.
     async fn read_config(
         &self,
         known: ObjectVersion,
@@ -150,7 +160,8 @@
         if *refusals_read {
             return read.await;
         }
-        let (refusals, read) = tokio::join!(self.read_refusals(), read);
+        let (refusals, (), read) =
+            tokio::join!(self.read_refusals(), self.read_evacuations_at_start(), read);
         *refusals_read = refusals || read.is_ok();
         read
     }
--- a/crates/daemon/src/fleet/follow/rollouts.rs
+++ b/crates/daemon/src/fleet/follow/rollouts.rs
@@ -6,20 +6,17 @@
 
 use std::future::pending;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{ObjectVersion, RolloutWrite};
+use curlewcleat_core::RolloutWrite;
 use curlewcleat_node::{NodeEvent, ReadRole};
-use curlewcleat_store::{FleetPlatform, RolloutWatch};
-use spdlog::prelude::*;
+use curlewcleat_store::FleetPlatform;
 
+use super::list_watch::WATCH_LIMIT;
 use super::{FleetFollower, BACK_OFF, MIN_CALL_INTERVAL, READER_PAUSE};
 use crate::back_off::BackOff;
 use crate::context::DaemonContext;
 
-/// Longest wait of a watch.
-const WATCH_LIMIT: Duration = Duration::from_secs(20);
 /// Kind of these entries in logs and metrics.
 const ENTRY_KIND: &str = "rollout";
 
@@ -45,8 +42,9 @@
                         at: list.version,
                         sent,
                     });
+                    let watch = |at| self.platform.watch_rollouts(at, WATCH_LIMIT);
                     tokio::select! {
-                        () = self.wait_for_rollout_change(list.version) => {}
+                        () = self.wait_for_list_change("watch_rollouts", list.version, watch) => {}
                         () = self.wait_for_recovery() => {}
                         () = self.signals.rollout_read_requested() => {}
                     }
@@ -59,25 +57,6 @@
             tokio::time::sleep(MIN_CALL_INTERVAL).await;
         }
     }
-
-    /// Waits until the rollouts may have changed since a revision.
-    async fn wait_for_rollout_change(&self, mut at: ObjectVersion) {
-        loop {
-            let begun = Instant::now();
-            self.context.metrics.count_platform_call("watch_rollouts");
-            match self.platform.watch_rollouts(at, WATCH_LIMIT).await {
-                Ok(RolloutWatch::Unchanged(newer)) => at = newer,
-                Ok(RolloutWatch::Changed) => return,
-                Err(error) => {
-                    self.context.metrics.count_platform_error("watch_rollouts");
-                    debug!("platform_call_failed", kv: { call = "watch_rollouts", error = error.to_string() });
-                    return tokio::time::sleep(READER_PAUSE).await;
-                }
-            }
-            // A watch may return early without a change; the next one is delayed.
-            tokio::time::sleep(READER_PAUSE.saturating_sub(begun.elapsed())).await;
-        }
-    }
 }
 
 /// Writes the stage of a rollout to the platform, then requests a new list: it shows whether the write succeeded, even
--- a/crates/daemon/src/fleet/follow/targets.rs
+++ b/crates/daemon/src/fleet/follow/targets.rs
@@ -117,7 +117,7 @@
 
     /// Waits until the targets have to be listed again: at once for a reader, otherwise after this daemon's next
     /// successful read of the configuration. Returns whether they still have to be listed.
-    async fn wait_until_list_due(&self, role: &mut watch::Receiver<ReadRole>) -> bool {
+    pub(super) async fn wait_until_list_due(&self, role: &mut watch::Receiver<ReadRole>) -> bool {
         wait_until_not_idle(role).await;
         if *role.borrow() == ReadRole::Reader {
             return true;
@@ -183,7 +183,7 @@
 }
 
 /// Waits until others read the platform for this daemon.
-async fn wait_until_idle(role: &mut watch::Receiver<ReadRole>) {
+pub(super) async fn wait_until_idle(role: &mut watch::Receiver<ReadRole>) {
     // The sender lives as long as the process.
     let _ = role.wait_for(|role| *role == ReadRole::Idle).await;
 }
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -155,6 +155,7 @@
                 self.context.set_config(self.node.config());
                 self.transport.keep_only(&self.node.peer_addresses());
             }
+            NodeAction::SetEvacuated(data_centres) => self.context.gate.set_evacuated(data_centres),
             NodeAction::Count(reason) => self.context.metrics.count_retry(reason),
             NodeAction::Note(note) => {
                 if note == NodeNote::DrainBegun {
--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -2,7 +2,9 @@
 //!
 //! Owns: the log events and their fields, which are stable. Relies on: nothing.
 
-use curlewcleat_core::SuspectReport;
+use std::collections::BTreeSet;
+
+use curlewcleat_core::{DataCentreId, SuspectReport};
 use curlewcleat_node::{InstanceChange, NodeNote, PoolStatus, RolloutStatus};
 use curlewcleat_sched::RolloutReason;
 use spdlog::prelude::*;
@@ -48,6 +50,9 @@
         NodeNote::VersionsHeld(pool, versions) => info!("versions_held", kv: {
             pool = pool.as_str(), versions = versions.join(" ")
         }),
+        NodeNote::EvacuationsChanged(change) => info!("evacuations_changed", kv: {
+            at = change.at, begun = join(&change.begun), ended = join(&change.ended)
+        }),
         NodeNote::RequestAllowed(digest) => {
             info!("request_allowed", kv: { digest = digest.to_string() })
         }
@@ -59,6 +64,10 @@
     }
 }
 
+fn join(data_centres: &BTreeSet<DataCentreId>) -> String {
+    data_centres.iter().map(String::as_str).collect::<Vec<_>>().join(" ")
+}
+
 fn log_waiting(pool: &PoolStatus) {
     let ejected = pool.targets.iter().filter(|target| target.ejected).count();
     let leaving = pool.targets.iter().filter(|target| target.leaving).count();
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -75,6 +75,7 @@
         "data_centre": context.settings.data_centre,
         "generation": status.generation, "key_table": status.table, "key_slots": status.key_slots,
         "keys": status.keys, "requests": status.requests,
+        "evacuated": status.evacuated,
         "drain": format!("{:?}", status.drain).to_lowercase(),
         "pools": pools, "peers": peers,
     })
@@ -141,6 +142,7 @@
             "id": target.id, "in_flight": target.in_flight, "slots": target.slots,
             "slowness_permille": target.slowness, "leaving": target.leaving, "ejected": target.ejected,
             "limit_per_s": target.limit.map(|limit| limit.as_per_second()), "rests": target.is_resting,
+            "warm_up_per_s": target.warm_up_rate.map(|rate| rate.as_per_second()),
         })
     }).collect();
     json!({
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -70,8 +70,7 @@
     wait: &TargetWait<'_>,
 ) -> Result<PooledConnection, AttemptStart> {
     let (context, protocol, request) = (wait.context, wait.protocol, attempt.request);
-    let instance = attempt.target.instance();
-    if let Some(stop) = context.gate.stop(context.uptime(), &instance) {
+    if let Some(stop) = context.gate.stop(context.uptime(), attempt.target) {
         return Err(gate_stopped(context, stop));
     }
     let connected = match connection {
@@ -84,8 +83,8 @@
     // Nothing is written before the connection is established.
     let failed = AttemptStart::NotRun(RetryReason::ConnectFailed, AttemptCause::ConnectFailed);
     let connection = connected.map_err(|_| failed)?;
-    // A notice of the target may have arrived while the connection was established.
-    match context.gate.pass(context.uptime(), &instance) {
+    // An evacuation or a notice of the target may have arrived while the connection was established.
+    match context.gate.pass(context.uptime(), attempt.target) {
         Some(stop) => {
             connection.put_back();
             Err(gate_stopped(context, stop))
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -26,6 +26,8 @@
     CallerBody,
     /// The target did not start the request and requested a rest.
     RestRequested,
+    /// Nothing was sent: the data centre of the target is evacuated.
+    TargetEvacuated,
     /// Nothing was sent: the target has reported that it is leaving.
     TargetLeaving,
     /// Nothing was sent: the target has requested a rest from this daemon.
@@ -49,6 +51,7 @@
             | AttemptCause::Failed
             | AttemptCause::CallerBody
             | AttemptCause::RestRequested
+            | AttemptCause::TargetEvacuated
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
             | AttemptCause::TargetLimited => None,
@@ -68,6 +71,7 @@
             | AttemptCause::NotStarted
             | AttemptCause::CallerBody
             | AttemptCause::RestRequested
+            | AttemptCause::TargetEvacuated
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
             | AttemptCause::TargetLimited => None,
@@ -79,6 +83,7 @@
     pub fn attempt_end(self) -> AttemptEnd {
         match self {
             AttemptCause::RestRequested
+            | AttemptCause::TargetEvacuated
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
             | AttemptCause::TargetLimited => AttemptEnd::Unused,
@@ -98,6 +103,7 @@
             AttemptCause::Failed => "failed",
             AttemptCause::CallerBody => "caller_body",
             AttemptCause::RestRequested => "asked_for_rest",
+            AttemptCause::TargetEvacuated => "target_evacuated",
             AttemptCause::TargetLeaving => "target_leaving",
             AttemptCause::TargetResting => "target_resting",
             AttemptCause::TargetLimited => "target_limited",
@@ -108,6 +114,7 @@
 impl From<GateStop> for AttemptCause {
     fn from(stop: GateStop) -> AttemptCause {
         match stop {
+            GateStop::Evacuated => AttemptCause::TargetEvacuated,
             GateStop::Leaving => AttemptCause::TargetLeaving,
             GateStop::Resting => AttemptCause::TargetResting,
             GateStop::Limited => AttemptCause::TargetLimited,
--- a/crates/daemon/src/request/target_wait.rs
+++ b/crates/daemon/src/request/target_wait.rs
@@ -167,7 +167,7 @@
     /// it. The stalled target is kept until the replacement accepts a connection: if connecting failed after the
     /// target was abandoned, an answer that has begun could only be cut, though its target may still be working.
     fn connect_replacement(&mut self, permit: PermitId, entry: TargetEntry) {
-        let excluded = self.context.gate.stop(self.context.uptime(), &entry.instance()).is_some();
+        let excluded = self.context.gate.stop(self.context.uptime(), &entry).is_some();
         let sendable = self.protocol.check_sendable(self.request).is_ok();
         if !self.pending.is_stalled() || !sendable || excluded {
             return self.pending.decline_replacement();
--- a/crates/daemon/src/target_notices.rs
+++ b/crates/daemon/src/target_notices.rs
@@ -3,9 +3,12 @@
 //! Owns: the [`TargetGate`] of the daemon. Relies on: the tasks of requests, which pass in the notices of each
 //! answer's head.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use curlewcleat_core::{NoticeReport, RequestId, TargetInstance, Uptime};
+use curlewcleat_core::{
+    DataCentreId, NoticeReport, RequestId, TargetEntry, TargetInstance, Uptime,
+};
 use curlewcleat_sched::{GateStop, ReceivedNotice, TargetGate};
 use spdlog::prelude::*;
 
@@ -35,14 +38,19 @@
         change.send_report.then_some(change.report)
     }
 
+    /// Sets the data centres that are evacuated.
+    pub fn set_evacuated(&self, data_centres: BTreeSet<DataCentreId>) {
+        self.lock().set_evacuated(data_centres);
+    }
+
     /// Returns why a request may not be sent to a target now, or `None` if it may.
-    pub fn stop(&self, now: Uptime, instance: &TargetInstance) -> Option<GateStop> {
-        self.lock().stop(now, instance)
+    pub fn stop(&self, now: Uptime, target: &TargetEntry) -> Option<GateStop> {
+        self.lock().stop_at(now, target)
     }
 
     /// Admits a request whose first byte is sent now, or returns why it may not be sent.
-    pub fn pass(&self, now: Uptime, instance: &TargetInstance) -> Option<GateStop> {
-        self.lock().pass(now, instance)
+    pub fn pass(&self, now: Uptime, target: &TargetEntry) -> Option<GateStop> {
+        self.lock().pass_to(now, target)
     }
 
     fn lock(&self) -> MutexGuard<'_, TargetGate> {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -2,16 +2,20 @@
 //!
 //! Owns: the form of both. Relies on: nothing.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use curlewcleat_config::CheckReport;
 use curlewcleat_core::{
-    AnswerSample, AttemptEnd, ConfigBundle, DaemonId, DaemonRecord, DiscoveredTarget, Generation,
-    KeptAnswer, NoticeReport, ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestDigest,
-    RequestId, RequestInterruption, RetryReason, RolloutRecord, RolloutWrite, SuspectReport,
-    TargetChange, TargetEntry, TargetInstance, TargetReport, TargetVersion, Uptime, Verdict, VmId,
+    AnswerSample, AttemptEnd, ConfigBundle, DaemonId, DaemonRecord, DataCentreId, DiscoveredTarget,
+    EvacuationList, Generation, KeptAnswer, NoticeReport, ObjectVersion, PeerFrame, PermitId,
+    PoolId, Refusal, RequestDigest, RequestId, RequestInterruption, RetryReason, RolloutRecord,
+    RolloutWrite, SuspectReport, TargetChange, TargetEntry, TargetInstance, TargetReport,
+    TargetVersion, Uptime, Verdict, VmId, WarmUpLimit,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound, RolloutReason};
 
+use crate::evacuation_view::EvacuationChange;
 use crate::freshness::ReadRole;
 use crate::status::{PoolStatus, RolloutStatus};
 use crate::target_view::{InstanceChange, RemovedTarget};
@@ -93,6 +97,10 @@
         /// The later revision.
         at: ObjectVersion,
     },
+    /// The evacuated data centres that the platform shows.
+    EvacuationsListed(EvacuationList),
+    /// What the targets of each pool accept while they warm up, as the platform states it.
+    WarmUpLimitsRead(BTreeMap<PoolId, WarmUpLimit>),
     /// A read of the platform that was sent at this time showed the configuration in force to be the newest.
     PlatformRead(Uptime),
     /// A read of the platform failed.
@@ -150,6 +158,8 @@
     Platform(PlatformCall),
     /// A new configuration is in force.
     ConfigChanged,
+    /// Send nothing more to the targets of these data centres, and of no others.
+    SetEvacuated(BTreeSet<DataCentreId>),
     /// Count a retry.
     Count(RetryReason),
     /// Report to the operators.
@@ -199,6 +209,8 @@
     /// These versions of a pool's targets are held back until the orders are read; empty if none is held back any
     /// more.
     VersionsHeld(PoolId, Vec<TargetVersion>),
+    /// Data centres are evacuated, or no longer are.
+    EvacuationsChanged(EvacuationChange),
     /// A key table became known; with the number of slots that this daemon holds.
     TableKnown(ObjectVersion, usize),
     /// The state of a pool's scheduler while requests wait there.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod config_pull;
 mod config_serving;
 mod ended_instances;
+mod evacuation_view;
 mod event;
 mod freshness;
 mod node;
@@ -15,7 +16,9 @@
 mod status;
 mod target_view;
 mod vms;
+mod warm_ups;
 
+pub use evacuation_view::EvacuationChange;
 pub use event::{
     CallerDecision, ListedVm, NodeAction, NodeEvent, NodeNote, PlatformCall, TableWrite,
 };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,6 +3,7 @@
 //! Owns: all state machines of one daemon. Relies on: its driver for clocks, messages and platform calls.
 
 mod configuration;
+mod evacuations;
 mod keys;
 mod lethal;
 mod members;
@@ -15,6 +16,7 @@
 mod stop;
 mod time;
 mod views;
+mod warm_ups;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -37,10 +39,12 @@
 use self::stop::HAND_OVER_ACK_WAIT;
 use crate::awaited_answer::AwaitedAnswer;
 use crate::config_exchange::ConfigExchange;
+use crate::evacuation_view::EvacuationView;
 use crate::event::{NodeAction, NodeEvent};
 use crate::freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
 use crate::target_view::TargetView;
 use crate::vms::VmView;
+use crate::warm_ups::WarmUps;
 
 /// Options of a [`Node`].
 #[derive(Clone, Debug)]
@@ -86,6 +90,8 @@
     active: Arc<ActiveConfig>,
     discovered: Vec<DiscoveredTarget>,
     targets: TargetView,
+    evacuations: EvacuationView,
+    warm_ups: WarmUps,
     freshness: Option<PlatformFreshness>,
     read_role: ReadRole,
     key_holder: KeyHolder,
@@ -131,6 +137,8 @@
             active: Arc::default(),
             discovered: Vec::new(),
             targets: TargetView::default(),
+            evacuations: EvacuationView::default(),
+            warm_ups: WarmUps::default(),
             freshness: options
                 .freshness
                 .map(|limits| PlatformFreshness::new(limits, me.incarnation)),
@@ -210,6 +218,11 @@
             NodeEvent::TargetsChanged { from, changes, at } => {
                 self.targets_changed(from, changes, at);
             }
+            NodeEvent::EvacuationsListed(list) => self.evacuations_listed(list),
+            NodeEvent::WarmUpLimitsRead(limits) => {
+                self.warm_ups.set_limits(limits);
+                self.apply_warm_ups();
+            }
             NodeEvent::PlatformRead(sent) => self.platform_read(sent),
             NodeEvent::PlatformFailed => self.platform_failed(),
             NodeEvent::DaemonsListed(records) => self.daemons_listed(records),
--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -69,16 +69,22 @@
             scheduler.set_leaving_vms(unavailable.clone());
         }
         self.apply_versions();
+        self.warm_ups.mark_all_changed();
+        self.apply_warm_ups();
         self.update_data_centres();
         self.pools
             .retain(|id, scheduler| config.pools.contains_key(id) || scheduler.in_flight() > 0);
     }
 
-    /// Returns the VMs whose targets get no new work, according to the VM list and to what the targets report.
+    /// Returns the VMs whose targets get no new work, according to the VM list, to what the targets report and to the
+    /// evacuations.
     pub(super) fn unavailable_vms(&self) -> BTreeSet<VmId> {
-        let leaving = self.discovered.iter().filter(|target| target.leaving);
+        let closed = self
+            .discovered
+            .iter()
+            .filter(|target| target.leaving || self.is_evacuated(&target.entry.data_centre));
         let mut unavailable = self.vms.unavailable();
-        unavailable.extend(leaving.map(|target| target.entry.vm.clone()));
+        unavailable.extend(closed.map(|target| target.entry.vm.clone()));
         unavailable
     }
 }
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -98,6 +98,8 @@
             PeerMessage::TargetVersionsPush(versions) => {
                 self.targets_pushed(&from.vm, versions.into_push());
             }
+            PeerMessage::EvacuationsPull(known) => self.evacuations_pulled(&from.vm, known),
+            PeerMessage::EvacuationsPush(list) => self.evacuations_listed(list),
             PeerMessage::RolloutReport(report) => self.rollout_report_received(&report),
             PeerMessage::RolloutAnswers(answers) => self.peer_answers_received(from, &answers),
         }
--- a/crates/node/src/node/platform.rs
+++ b/crates/node/src/node/platform.rs
@@ -36,6 +36,7 @@
             targets_at: self.targets.at(),
         };
         self.post(from, PeerMessage::FreshnessAnswer(answer));
+        self.report_evacuations(from);
     }
 
     pub(super) fn freshness_answered(&mut self, from: &DaemonId, answer: &FreshnessAnswer) {
@@ -102,12 +103,14 @@
         }
     }
 
-    pub(super) fn targets_listed(&mut self, targets: Vec<DiscoveredTarget>, at: ObjectVersion) {
+    pub(super) fn targets_listed(&mut self, mut targets: Vec<DiscoveredTarget>, at: ObjectVersion) {
+        self.take_warm_ups(targets.iter_mut());
         let uncertain = self.is_removal_uncertain();
         let known = self.targets.at();
         if self.targets.apply_list(targets, at, uncertain) == ViewUpdate::Applied {
             self.note_target_changes();
             self.refresh_discovered();
+            self.apply_warm_ups();
             return;
         }
         self.actions.push(NodeAction::Note(NodeNote::StaleTargetList { at, known }));
@@ -116,9 +119,14 @@
     pub(super) fn targets_changed(
         &mut self,
         from: ObjectVersion,
-        changes: Vec<TargetChange>,
+        mut changes: Vec<TargetChange>,
         at: ObjectVersion,
     ) -> ViewUpdate {
+        let present = changes.iter_mut().filter_map(|change| match change {
+            TargetChange::Present(target) => Some(target),
+            TargetChange::Gone(_) => None,
+        });
+        self.take_warm_ups(present);
         let uncertain = self.is_removal_uncertain();
         let changed = !changes.is_empty();
         let update = self.targets.apply_changes(from, changes, at, uncertain);
@@ -126,6 +134,7 @@
             self.note_target_changes();
             self.refresh_discovered();
         }
+        self.apply_warm_ups();
         update
     }
 
@@ -151,6 +160,7 @@
         let readers: Vec<VmId> = readers.into_iter().cloned().collect();
         for reader in readers {
             self.post(&reader, PeerMessage::FreshnessQuery(query));
+            self.pull_evacuations(&reader);
         }
     }
 
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitId, PermitRequest, Refusal, RefusalReason,
-    RequestId, RetryReason,
+    AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitId, PermitRequest, PoolId, Refusal,
+    RefusalReason, RequestId, RetryReason, TargetEntry,
 };
 use curlewcleat_sched::{
     rate_retry_after, EntryAction, RateRole, RateShare, ReplacementStep, RequestSpec,
@@ -165,8 +165,11 @@
         let leaving = self.targets.is_leaving(target);
         let mut pools = config.pools.iter();
         let known = pools.find_map(|(id, pool)| Some((id, pool.targets.get(target)?)));
-        if known.is_some_and(|(pool, entry)| self.is_blocked(pool, entry)) {
-            // The version was rolled back or replaced since the permit was granted.
+        let is_closed = |(pool, entry): (&PoolId, &TargetEntry)| {
+            self.is_blocked(pool, entry) || self.is_evacuated(&entry.data_centre)
+        };
+        if known.is_some_and(is_closed) {
+            // The version was rolled back or replaced, or the data centre evacuated, since the permit was granted.
             return self.attempt_not_run(
                 permit.request,
                 AttemptEnd::Unused,
--- a/crates/node/src/node/views.rs
+++ b/crates/node/src/node/views.rs
@@ -20,6 +20,7 @@
             requests: self.entry.len(),
             suspects: self.lethal.requests.changes_since(self.now, 0),
             refused: self.lethal.requests.refused().copied().collect(),
+            evacuated: self.evacuations.list().data_centres.iter().cloned().collect(),
             rollouts: self.rollout_statuses(),
             config_intake: self.configs.intake,
             drain: self.drain.phase(),
@@ -43,6 +44,7 @@
             ejected: state.ejected(),
             limit: state.notices().rate(),
             is_resting: state.rests(self.now),
+            warm_up_rate: state.warm_up_rate(),
         });
         // The order contains at least this daemon.
         let order = self.members.scheduler_order(self.scheduling_subject(id));
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, Generation, ObjectVersion, PoolId, RequestDigest, RequestRate, RolloutStage,
-    SuspectReport, TargetId, TargetVersion, TierRank,
+    DaemonId, DataCentreId, Generation, ObjectVersion, PoolId, RequestDigest, RequestRate,
+    RolloutStage, SuspectReport, TargetId, TargetVersion, TierRank,
 };
 use curlewcleat_sched::{DrainPhase, PeerState};
 
@@ -30,6 +30,8 @@
     pub limit: Option<RequestRate>,
     /// Whether the target has requested rest from any daemon and the rest still lasts.
     pub is_resting: bool,
+    /// The requests per second that the target accepts until it is warm, `None` if it is warm or states no limit.
+    pub warm_up_rate: Option<RequestRate>,
 }
 
 /// The share of the requested work of one urgency that was granted.
@@ -123,6 +125,8 @@
     pub keys: usize,
     /// Requests in progress.
     pub requests: usize,
+    /// Data centres whose targets get no new requests.
+    pub evacuated: Vec<DataCentreId>,
     /// Orders to move pools to targets of other versions.
     pub rollouts: Vec<RolloutStatus>,
     /// Configurations that peers have sent.
--- a/crates/node/tests/support/builders.rs
+++ b/crates/node/tests/support/builders.rs
@@ -140,7 +140,7 @@
         start: None,
         version: None,
     };
-    DiscoveredTarget { pool: "p".to_string(), entry, leaving }
+    DiscoveredTarget { pool: "p".to_string(), entry, leaving, warm_up: None }
 }
 
 pub fn spec(number: u128) -> RequestSpec {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -12,13 +12,14 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AttemptEnd, ConfigBundle, DiscoveredTarget, PeerFrame, RequestId, RolloutOrder, RolloutRecord,
-    RolloutWrite, SuspectReport, Verdict, VmId,
+    AttemptEnd, ConfigBundle, DiscoveredTarget, EvacuationList, PeerFrame, PeerMessage, RequestId,
+    RolloutOrder, RolloutRecord, RolloutWrite, SuspectReport, Verdict, VmId,
 };
 use curlewcleat_node::{
     CallerDecision, ConfigIntake, FreshnessLimits, Node, NodeAction, NodeEvent, NodeNote,
     PlatformCall, ReadRole,
 };
+use curlewcleat_peers::encode_frame;
 use curlewcleat_sched::RequestSpec;
 
 use builders::{address, daemon_behind};
@@ -70,6 +71,8 @@
     pub targets: (Vec<DiscoveredTarget>, u64),
     /// Rollout orders at the platform, with their revision.
     pub rollouts: (Vec<RolloutRecord>, u64),
+    /// Evacuated data centres at the platform, with their revision.
+    pub evacuations: EvacuationList,
     /// Newest configuration at the platform.
     pub generation: u64,
     /// Its text.
@@ -84,6 +87,10 @@
     pub frames: usize,
     /// Number of frames sent by each daemon.
     pub frames_of: BTreeMap<usize, usize>,
+    /// Bytes sent by each daemon, and all bytes by kind of message, while `counts_bytes` is set.
+    pub bytes_of: BTreeMap<usize, usize>,
+    pub bytes_of_kind: BTreeMap<&'static str, usize>,
+    pub counts_bytes: bool,
     /// One packet in how many is lost, if set, and the state of the generator that selects it.
     pub losses: Option<(u64, u64)>,
     delayed: Vec<(Duration, usize, PeerFrame)>,
@@ -123,6 +130,7 @@
             decisions: Vec::new(),
             targets: (vec![target("x", false), target("y", false)], 1),
             rollouts: (Vec::new(), 1),
+            evacuations: EvacuationList { at: 1, ..EvacuationList::default() },
             generation: 1,
             config: CONFIG.to_string(),
             links: BTreeMap::new(),
@@ -130,6 +138,9 @@
             calls: 0,
             frames: 0,
             frames_of: BTreeMap::new(),
+            bytes_of: BTreeMap::new(),
+            bytes_of_kind: BTreeMap::new(),
+            counts_bytes: false,
             losses: None,
             delayed: Vec::new(),
             blocked: BTreeSet::new(),
@@ -164,6 +175,7 @@
                     NodeAction::Send(to, frame) => {
                         self.frames += 1;
                         *self.frames_of.entry(index).or_default() += 1;
+                        self.count_bytes(index, &frame);
                         events.extend(self.delivery(index, &to, frame));
                     }
                     NodeAction::Note(NodeNote::PeerLost(peer)) => self.lost.push((index, peer.vm)),
@@ -191,6 +203,24 @@
         }
     }
 
+    fn count_bytes(&mut self, index: usize, frame: &PeerFrame) {
+        if !self.counts_bytes {
+            return;
+        }
+        let bytes = encode_frame(frame).expect("a frame").len();
+        *self.bytes_of.entry(index).or_default() += bytes;
+        // Messages of one frame are small; the frame counts as the kind of its first one.
+        let kind = frame.messages.first().map_or("empty", kind_of);
+        *self.bytes_of_kind.entry(kind).or_default() += bytes;
+    }
+
+    /// Counts bytes anew from now on.
+    pub fn restart_byte_count(&mut self) {
+        self.counts_bytes = true;
+        self.bytes_of.clear();
+        self.bytes_of_kind.clear();
+    }
+
     /// Applies a write at the platform if it was decided on the current revision of its order.
     pub fn write_rollout(&mut self, write: &RolloutWrite) {
         let (records, at) = &mut self.rollouts;
@@ -213,6 +243,12 @@
             vec![RolloutRecord { name, order, ended: None, has_status: false, revision: *at }];
     }
 
+    /// Stores which data centres are evacuated.
+    pub fn evacuate(&mut self, data_centres: &[&str]) {
+        let data_centres = data_centres.iter().map(ToString::to_string).collect();
+        self.evacuations = EvacuationList { at: self.evacuations.at + 1, data_centres };
+    }
+
     fn rollouts_listed(&self) -> NodeEvent {
         let (rollouts, at) = self.rollouts.clone();
         NodeEvent::RolloutsListed { rollouts, at, sent: self.now }
@@ -262,6 +298,7 @@
         if self.generation_of(index) >= self.generation {
             self.event(index, NodeEvent::PlatformRead(self.now));
         }
+        self.event(index, NodeEvent::EvacuationsListed(self.evacuations.clone()));
         let (targets, at) = self.targets.clone();
         self.event(index, NodeEvent::TargetsListed(targets, at));
         if self.daemons[index].read_role == ReadRole::Reader {
@@ -360,3 +397,18 @@
         config.pools.values().flat_map(|pool| pool.targets.keys().cloned()).collect()
     }
 }
+
+/// Returns the name of a message's kind in the tables of sent bytes.
+fn kind_of(message: &PeerMessage) -> &'static str {
+    match message {
+        PeerMessage::Heartbeat(heartbeat) if heartbeat.known.len() > 8 => "greetings",
+        PeerMessage::Heartbeat(_) => "heartbeats",
+        PeerMessage::FreshnessQuery(_) | PeerMessage::FreshnessAnswer(_) => "freshness",
+        PeerMessage::TargetsPush(_)
+        | PeerMessage::TargetInstancesPush(_)
+        | PeerMessage::TargetVersionsPush(_) => "targets",
+        PeerMessage::ConfigPush(_) | PeerMessage::ConfigPart(_) => "configuration",
+        PeerMessage::SuspectsPull(_) | PeerMessage::SuspectsPush(_) => "suspects",
+        _ => "others",
+    }
+}
--- a/crates/peers/tests/frames.rs
+++ b/crates/peers/tests/frames.rs
@@ -38,6 +38,7 @@
             ..TargetEntry::default()
         },
         leaving: false,
+        warm_up: None,
     };
     let changes = vec![
         TargetChange::Present(target("a", Some(5))),
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -82,7 +82,9 @@
     notices: NoticeState,
     /// Until when it requires rest from an entry daemon, by the entry daemon's VM.
     rests: BTreeMap<VmId, Uptime>,
-    /// This scheduler's share of the limit that the target states, with the limiter of the requests granted; `None`
+    /// The rate that it accepts until it is warm, `None` if it is warm.
+    warm_up_rate: Option<RequestRate>,
+    /// This scheduler's share of the limit that the target states, or of the lower one while it warms up, with the limiter of the requests granted; `None`
     /// if it states no limit.
     limit: Option<(RequestRate, SendPace)>,
 }
@@ -110,6 +112,7 @@
             failing: 0,
             notices: NoticeState::default(),
             rests: BTreeMap::new(),
+            warm_up_rate: None,
             limit: None,
         }
     }
@@ -201,9 +204,26 @@
         self.leaving || self.notices.is_leaving()
     }
 
+    /// Sets the rate that the target accepts until it is warm, `None` once it is.
+    pub fn set_warm_up_rate(
+        &mut self,
+        now: Uptime,
+        rate: Option<RequestRate>,
+        rate_share: RateShare,
+    ) {
+        self.warm_up_rate = rate;
+        self.update_rate_share(now, rate_share);
+    }
+
+    /// Returns the rate that the target accepts until it is warm, `None` if it is warm.
+    pub fn warm_up_rate(&self) -> Option<RequestRate> {
+        self.warm_up_rate
+    }
+
     /// Sets this scheduler's share of the target's limit.
     pub fn update_rate_share(&mut self, now: Uptime, rate_share: RateShare) {
-        let rate = self.notices.rate().map(|rate| share_of(rate, rate_share));
+        let lowest = self.notices.rate().into_iter().chain(self.warm_up_rate).min();
+        let rate = lowest.map(|rate| share_of(rate, rate_share));
         let limit = self.limit.take();
         // If the share was zero before, other schedulers have used the limit, so the limiter begins empty.
         let pace = limit.filter(|(before, _)| before.0 > 0).map(|(_, pace)| pace);
--- a/crates/sched/src/target_gate.rs
+++ b/crates/sched/src/target_gate.rs
@@ -1,18 +1,20 @@
-//! Decides whether a request may be sent to its target, by the notices that this daemon has received from the target.
+//! Decides whether a request may be sent to its target, by the evacuated data centres and by the notices that this
+//! daemon has received from the target.
 //!
-//! Inputs: the notices in the response headers that this daemon received. The rule: the gate is checked after the
-//! last wait and before the first byte, no matter which scheduler granted the target and how long ago. It stops
-//! requests that the target's notices exclude. A target that limits its rate gets no more than the whole limit from
+//! Inputs: the evacuated data centres that this daemon knows, and the notices in the response headers that it received.
+//! The rule: the gate is checked after the last wait and before the first byte, no matter which scheduler granted the
+//! target and how long ago. It stops requests to evacuated targets, and those that the target's notices exclude. A
+//! target that limits its rate gets no more than the whole limit from
 //! this daemon alone; the scheduler ensures that all daemons together send no more
 //! ([`pacing`](crate::placement::pacing)).
 //!
-//! Owns: the notices of each target instance that has answered this daemon. Relies on: [`NoticeState`] for which
-//! notices hold.
+//! Owns: the notices of each target instance that has answered this daemon, and a copy of the evacuated data centres.
+//! Relies on: [`NoticeState`] for which notices hold, the node for the evacuations.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use curlewcleat_core::{NoticeReport, TargetInstance, Uptime};
+use curlewcleat_core::{DataCentreId, NoticeReport, TargetEntry, TargetInstance, Uptime};
 
 use crate::placement::notice::{NoticeState, ReceivedNotice};
 use crate::placement::pacing::SendPace;
@@ -41,6 +43,8 @@
 /// Why the gate stops a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GateStop {
+    /// The data centre of the target is evacuated.
+    Evacuated,
     /// The target is leaving.
     Leaving,
     /// The target currently requires rest from this daemon.
@@ -66,6 +70,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct TargetGate {
     instances: BTreeMap<TargetInstance, GateRecord>,
+    /// Data centres whose targets get no new requests.
+    evacuated: BTreeSet<DataCentreId>,
 }
 
 impl TargetGate {
@@ -101,7 +107,26 @@
         }
     }
 
-    /// Returns why a request would be stopped now, `None` if it may be sent.
+    /// Sets the data centres that are evacuated.
+    pub fn set_evacuated(&mut self, data_centres: BTreeSet<DataCentreId>) {
+        self.evacuated = data_centres;
+    }
+
+    /// Returns why a request to a target would be stopped now, `None` if it may be sent.
+    pub fn stop_at(&mut self, now: Uptime, target: &TargetEntry) -> Option<GateStop> {
+        self.evacuation_stop(target).or_else(|| self.stop(now, &target.instance()))
+    }
+
+    /// Counts a request that is sent to a target now, or returns why it is stopped.
+    pub fn pass_to(&mut self, now: Uptime, target: &TargetEntry) -> Option<GateStop> {
+        self.evacuation_stop(target).or_else(|| self.pass(now, &target.instance()))
+    }
+
+    fn evacuation_stop(&self, target: &TargetEntry) -> Option<GateStop> {
+        self.evacuated.contains(&target.data_centre).then_some(GateStop::Evacuated)
+    }
+
+    /// Returns why the notices of a target instance would stop a request now, `None` if it may be sent.
     pub fn stop(&mut self, now: Uptime, instance: &TargetInstance) -> Option<GateStop> {
         let record = self.instances.get_mut(instance)?;
         if record.notices.is_leaving() {
--- a/crates/sched/src/targets.rs
+++ b/crates/sched/src/targets.rs
@@ -10,8 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use curlewcleat_core::{
-    InstanceOrder, NoticeReport, TargetEntry, TargetId, TargetInstance, TargetPool, TargetReport,
-    Uptime, VmId,
+    InstanceOrder, NoticeReport, RequestRate, TargetEntry, TargetId, TargetInstance, TargetPool,
+    TargetReport, Uptime, VmId,
 };
 
 use crate::admission::shared_rate::RateShare;
@@ -115,6 +115,14 @@
         actions
     }
 
+    /// Sets the rate that a target accepts until it is warm, `None` once it is.
+    pub fn set_warm_up_rate(&mut self, now: Uptime, target: &TargetId, rate: Option<RequestRate>) {
+        let rate_share = self.rate_share;
+        if let Some(state) = self.targets.get_mut(target) {
+            state.set_warm_up_rate(now, rate, rate_share);
+        }
+    }
+
     /// Sets this scheduler's share of the limits of its targets.
     pub fn set_rate_share(&mut self, now: Uptime, rate_share: RateShare) {
         if self.rate_share == rate_share {
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -22,6 +22,8 @@
 
 /// Number of slots of an engine.
 const SLOTS: u32 = 4;
+/// Data centre of the daemons, and of engines for which no other is given.
+const HERE: &str = "here";
 
 /// A daemon of a test.
 pub struct FleetDaemon {
@@ -59,6 +61,8 @@
     engine_backends: Vec<String>,
     /// Versions of the engines.
     engine_versions: Vec<Option<String>>,
+    /// Data centres of the engines.
+    engine_zones: Vec<String>,
     /// The daemons.
     pub daemons: Vec<FleetDaemon>,
     /// The configuration, which [`FleetDeployment::store_config`] stores.
@@ -80,6 +84,7 @@
             engines_served: Rc::default(),
             engine_backends: Vec::new(),
             engine_versions: Vec::new(),
+            engine_zones: Vec::new(),
             daemons: Vec::new(),
             config: example_config(),
             store_address,
@@ -102,7 +107,18 @@
         events: u64,
         event_interval: Duration,
     ) -> Result<()> {
-        self.start_engine(backend, None, events, event_interval).await
+        self.start_engine(backend, None, HERE, events, event_interval).await
+    }
+
+    /// Starts an engine in a data centre and writes its list entry.
+    pub async fn engine_in(
+        &mut self,
+        zone: &str,
+        backend: &str,
+        events: u64,
+        event_interval: Duration,
+    ) -> Result<()> {
+        self.start_engine(backend, None, zone, events, event_interval).await
     }
 
     /// Starts an engine with a version and writes its list entry.
@@ -113,21 +129,23 @@
         events: u64,
         event_interval: Duration,
     ) -> Result<()> {
-        self.start_engine(backend, Some(version.to_string()), events, event_interval).await
+        self.start_engine(backend, Some(version.to_string()), HERE, events, event_interval).await
     }
 
     async fn start_engine(
         &mut self,
         backend: &str,
         version: Option<String>,
+        zone: &str,
         events: u64,
         event_interval: Duration,
     ) -> Result<()> {
         let engine = FleetEngine::new(&format!("i-{}", self.engines.len()), events, event_interval);
         let address = free_address()?;
         let served = ServedHandler::start(&address, engine.clone()).await?;
-        self.write_entry(&engine, backend, version.as_deref(), &address)?;
+        self.write_entry(&engine, backend, version.as_deref(), zone, &address)?;
         self.engine_versions.push(version);
+        self.engine_zones.push(zone.to_string());
         self.engines.push(engine);
         self.engine_addresses.push(address);
         self.engines_served.borrow_mut().push(Some(served));
@@ -144,7 +162,8 @@
         let engine = self.engines[index].restarted();
         let served = ServedHandler::start(&address, engine.clone()).await?;
         let version = self.engine_versions[index].as_deref();
-        self.write_entry(&engine, &self.engine_backends[index], version, &address)?;
+        let (backend, zone) = (&self.engine_backends[index], &self.engine_zones[index]);
+        self.write_entry(&engine, backend, version, zone, &address)?;
         self.engines_served.borrow_mut()[index] = Some(served);
         self.engine_addresses[index] = address;
         self.engines[index] = engine;
@@ -185,12 +204,13 @@
         engine: &FleetEngine,
         backend: &str,
         version: Option<&str>,
+        zone: &str,
         address: &str,
     ) -> Result<()> {
         let entry = EngineEntry {
             backend,
             address,
-            zone: "here",
+            zone,
             slots: SLOTS,
             state: READY,
             version,
--- a/crates/store/src/entry_fault.rs
+++ b/crates/store/src/entry_fault.rs
@@ -19,13 +19,17 @@
     State,
     /// The service is not in the configuration.
     Service,
+    /// No target is in the data centre.
+    DataCentre,
     /// The request digest is invalid.
     Digest,
+    /// The warm-up of a target is no time. The target is used without it.
+    WarmUp,
 }
 
 impl FaultReason {
     /// All reasons.
-    pub const ALL: [FaultReason; 8] = [
+    pub const ALL: [FaultReason; 10] = [
         FaultReason::NotText,
         FaultReason::NotJson,
         FaultReason::NoName,
@@ -33,7 +37,9 @@
         FaultReason::Address,
         FaultReason::State,
         FaultReason::Service,
+        FaultReason::DataCentre,
         FaultReason::Digest,
+        FaultReason::WarmUp,
     ];
 
     /// Returns the name of the reason in logs and metrics.
@@ -46,7 +52,9 @@
             FaultReason::Address => "address",
             FaultReason::State => "state",
             FaultReason::Service => "service",
+            FaultReason::DataCentre => "data_centre",
             FaultReason::Digest => "digest",
+            FaultReason::WarmUp => "warm_up",
         }
     }
 }
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -2,16 +2,28 @@
 //!
 //! Owns: the interface, no state. Relies on: an implementation in `platform/`.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use curlewcleat_core::{
-    ConfigBundle, DaemonRecord, DiscoveredTarget, ObjectVersion, RequestDigest, RolloutRecord,
-    RolloutWrite, StoreEra, TargetChange, TargetInstance, WallTime,
+    ConfigBundle, DaemonRecord, DiscoveredTarget, EvacuationList, ObjectVersion, PoolId,
+    RequestDigest, RolloutRecord, RolloutWrite, StoreEra, TargetChange, TargetInstance, WallTime,
+    WarmUpLimit,
 };
 
 use crate::entry_fault::EntryFault;
 use crate::store::StoreFuture;
 
+/// A configuration and what it states about targets beyond the configuration files.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetConfig {
+    /// The configuration files.
+    pub bundle: ConfigBundle,
+    /// Limits of targets that warm up, for each pool that states one. The files do not hold them, since daemons of an
+    /// earlier version refuse files with unknown keys.
+    pub warm_up_limits: BTreeMap<PoolId, WarmUpLimit>,
+}
+
 /// Result of reading the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ConfigRead {
@@ -20,7 +32,7 @@
     /// The configuration still has the version that the reader knows.
     Unchanged,
     /// The configuration has another version than the reader knows.
-    Changed(ObjectVersion, ConfigBundle),
+    Changed(ObjectVersion, FleetConfig),
 }
 
 /// How old a list may be.
@@ -93,12 +105,21 @@
     pub faults: Vec<EntryFault>,
 }
 
-/// Result of watching the rollout orders.
+/// The evacuated data centres.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EvacuationEntries {
+    /// The data centres at one revision, from which a watch can continue.
+    pub list: EvacuationList,
+    /// The unusable entries. An entry whose name is readable evacuates the data centre of that name all the same.
+    pub faults: Vec<EntryFault>,
+}
+
+/// Result of watching a list that is read again after each change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RolloutWatch {
-    /// No order has changed up to this revision.
+pub enum ListWatch {
+    /// No entry has changed up to this revision.
     Unchanged(ObjectVersion),
-    /// Orders have changed or may have changed; the list has to be read again.
+    /// Entries have changed or may have changed; the list has to be read again.
     Changed,
 }
 
@@ -137,11 +158,17 @@
     fn list_rollouts(&self) -> StoreFuture<'_, RolloutList>;
 
     /// Waits at most `limit` for a change to the rollout orders after a revision.
-    fn watch_rollouts(
+    fn watch_rollouts(&self, after: ObjectVersion, limit: Duration) -> StoreFuture<'_, ListWatch>;
+
+    /// Reads the data centres that are evacuated, never an older list.
+    fn list_evacuations(&self) -> StoreFuture<'_, EvacuationEntries>;
+
+    /// Waits at most `limit` for a change to the evacuations after a revision.
+    fn watch_evacuations(
         &self,
         after: ObjectVersion,
         limit: Duration,
-    ) -> StoreFuture<'_, RolloutWatch>;
+    ) -> StoreFuture<'_, ListWatch>;
 
     /// Stores the state of a rollout if its order has not changed. The next list shows whether the state was stored.
     fn write_rollout<'a>(&'a self, write: &'a RolloutWrite) -> StoreFuture<'a, ()>;
