Births: refusals and records of daemons from lists that may be seconds old

Change: the list before the record is used as it is where it names daemons; after the record, lists that may be seconds old are read until one contains it, at most three, then the current one as before. Refusals are read from an old list at birth, and once from the current one by a daemon that reads for others. Ruled out: an old configuration at birth; without a proof of its own a daemon would refuse keyed requests until a peer's arrives.

--- a/crates/acceptance/tests/births.rs
+++ b/crates/acceptance/tests/births.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use curlewcleat_platform::names::{DAEMONS, SERVERS};
+use curlewcleat_platform::names::{DAEMONS, REFUSALS, SERVERS};
 use curlewcleat_standins::deployment::{get_text, wait_until};
 use curlewcleat_standins::fleet::{FleetDeployment, StoreOutage};
 
@@ -47,6 +47,7 @@
     ready(&fleet).await?;
     let first = fleet.store.call_counts();
     assert_eq!(first.get(&format!("POST {DAEMONS}")), Some(&(DAEMON_COUNT as u64)), "{first:?}");
+    assert_eq!(first.get(&format!("GET {DAEMONS}")), None, "{first:?}");
     // The restarted daemon is the last one, since the first ones schedule and read from the store.
     actix_rt::time::sleep(Duration::from_secs(1)).await;
     let before = fleet.store.call_counts();
@@ -60,6 +61,8 @@
     assert_eq!(calls(format!("PUT {DAEMONS}")), 0, "{after:?}");
     assert_eq!(calls(format!("GET {SERVERS} old")), 1, "{after:?}");
     assert_eq!(calls(format!("GET {SERVERS}")), 0, "{after:?}");
+    assert_eq!(calls(format!("GET {REFUSALS} old")), 1, "{after:?}");
+    assert_eq!(calls(format!("GET {REFUSALS}")), 0, "{after:?}");
     Ok(())
 }
 
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -23,7 +23,7 @@
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{DaemonRecord, Generation, ObjectVersion, StoreEra};
 use curlewcleat_node::{FreshnessLimits, NodeEvent, ReadRole};
-use curlewcleat_store::{ConfigRead, Error, FleetPlatform, Result};
+use curlewcleat_store::{ConfigRead, Error, FleetPlatform, ListAge, Result};
 use rand::Rng;
 use spdlog::prelude::*;
 use tokio::sync::{watch, Notify};
@@ -118,13 +118,14 @@
         let mut back_off = BackOff::new(BACK_OFF);
         // The first read is made in any role: a new daemon serves requests before it knows its peers.
         let mut first = true;
-        let mut refusals_read = false;
+        let mut refusals_known = None;
         loop {
             if !std::mem::take(&mut first) && !wait_for_own_read(&mut role).await {
                 continue;
             }
             let sent = Moment::now();
-            match self.read_config(known, &mut refusals_read).await {
+            let role_now = *role.borrow();
+            match self.read_config(known, role_now, &mut refusals_known).await {
                 Ok(read) => {
                     back_off.reset();
                     self.log_new_era();
@@ -149,21 +150,31 @@
 
     /// Reads the configuration and, until either read has succeeded, the refused requests and the evacuations: a new
     /// daemon serves from its first configuration on and has to know by then what to refuse and which targets not to
-    /// use. Later changes come from peers.
+    /// use. Later changes come from peers. `refusals_known` is how old the refusals may be that were read.
     async fn read_config(
         &self,
         known: ObjectVersion,
-        refusals_read: &mut bool,
+        role: ReadRole,
+        refusals_known: &mut Option<ListAge>,
     ) -> Result<ConfigRead> {
         self.context.metrics.count_platform_call("read_config");
         let read = self.platform.read_config(known);
-        if *refusals_read {
-            return read.await;
+        match (*refusals_known, role) {
+            (None, _) => {
+                let refusals = self.read_refusals(ListAge::SecondsOld);
+                let (refusals, (), read) =
+                    tokio::join!(refusals, self.read_evacuations_at_start(), read);
+                *refusals_known = (refusals || read.is_ok()).then_some(ListAge::SecondsOld);
+                read
+            }
+            (Some(ListAge::SecondsOld), ReadRole::Reader) => {
+                let (refusals, read) = tokio::join!(self.read_refusals(ListAge::Newest), read);
+                *refusals_known =
+                    Some(if refusals { ListAge::Newest } else { ListAge::SecondsOld });
+                read
+            }
+            _ => read.await,
         }
-        let (refusals, (), read) =
-            tokio::join!(self.read_refusals(), self.read_evacuations_at_start(), read);
-        *refusals_read = refusals || read.is_ok();
-        read
     }
 
     /// Records a failed read, then pauses until the next try or until the role changes. The pause is longer if this
--- a/crates/daemon/src/fleet/follow/peers.rs
+++ b/crates/daemon/src/fleet/follow/peers.rs
@@ -21,6 +21,10 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(300);
 /// Range of the random factor of this interval, which spreads the reads of daemons that started together.
 const LIST_JITTER: RangeInclusive<f64> = 0.5..=1.0;
+/// Waits before each list that may be seconds old, after this daemon has recorded itself. The seeds name the first peers
+/// meanwhile.
+const OLD_LIST_WAITS: [Duration; 3] =
+    [Duration::ZERO, Duration::from_secs(1), Duration::from_secs(2)];
 /// Kind of these entries in logs and metrics.
 const ENTRY_KIND: &str = "daemon";
 
@@ -50,6 +54,10 @@
             {
                 return self.context.send_event(NodeEvent::DaemonsListed(records));
             }
+            // The other daemons are known already; at the very first start of a fleet there are none.
+            Ok(records) if !records.is_empty() => {
+                self.context.send_event(NodeEvent::DaemonsListed(records));
+            }
             Ok(_) => {}
             Err(error) => back_off.record_failure("list_daemons", &error, &self.context),
         }
@@ -57,6 +65,9 @@
             back_off.record_failure("record_daemon", &error, &self.context);
             back_off.wait_at_most(FALLBACK_PAUSE, pending()).await;
         }
+        if self.list_with_own_record(record).await {
+            return;
+        }
         let mut back_off = BackOff::new(BACK_OFF);
         while let Err(error) = self.list_daemons(ListAge::Newest).await {
             back_off.record_failure("list_daemons", &error, &self.context);
@@ -64,6 +75,27 @@
         }
     }
 
+    /// Reads lists that may be seconds old until one contains this daemon's own record, so that it is about as new as a
+    /// current list when the record was written. Returns whether one did. Where many daemons start together, current
+    /// lists of all are most of the calls, and each is out of date when the next daemon has recorded itself.
+    async fn list_with_own_record(&self, record: &DaemonRecord) -> bool {
+        for wait in OLD_LIST_WAITS {
+            let jitter = rand::rng().random_range(LIST_JITTER);
+            tokio::time::sleep(wait.mul_f64(jitter)).await;
+            match self.read_daemon_records(ListAge::SecondsOld).await {
+                Ok(records) if records.iter().any(|it| it.is_equal_except_incarnation(record)) => {
+                    self.context.send_event(NodeEvent::DaemonsListed(records));
+                    return true;
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    BackOff::new(BACK_OFF).record_failure("list_daemons", &error, &self.context);
+                }
+            }
+        }
+        false
+    }
+
     async fn list_daemons(&self, age: ListAge) -> Result<()> {
         let records = self.read_daemon_records(age).await?;
         self.context.send_event(NodeEvent::DaemonsListed(records));
--- a/crates/daemon/src/fleet/follow/refusals.rs
+++ b/crates/daemon/src/fleet/follow/refusals.rs
@@ -1,5 +1,6 @@
-//! Reads and writes the platform's list of requests that are refused permanently. A daemon reads the list once, at its
-//! start, so that the list outlives a restart of all daemons.
+//! Reads and writes the platform's list of requests that are refused permanently. A daemon reads the list at its start,
+//! so that the list outlives a restart of all daemons. That list may be some seconds old; a daemon that reads the
+//! platform for others reads the newest one once and passes it on.
 //!
 //! Owns: nothing; these are methods of [`FleetFollower`] and the calls that the node requests. Relies on: the node,
 //! which decides which requests are refused.
@@ -12,7 +13,7 @@
     WallTime,
 };
 use curlewcleat_node::NodeEvent;
-use curlewcleat_store::{FleetPlatform, StoredRefusal};
+use curlewcleat_store::{FleetPlatform, ListAge, StoredRefusal};
 
 use super::{FleetFollower, BACK_OFF};
 use crate::back_off::BackOff;
@@ -25,9 +26,9 @@
 
 impl FleetFollower {
     /// Reads the refused requests. Returns whether the platform has answered; if it does not, peers send the list.
-    pub(super) async fn read_refusals(&self) -> bool {
+    pub(super) async fn read_refusals(&self, age: ListAge) -> bool {
         self.context.metrics.count_platform_call("list_refusals");
-        match self.platform.list_refusals().await {
+        match self.platform.list_refusals(age).await {
             Ok(list) => {
                 let change = self.refusal_faults.borrow_mut().apply_list(list.faults);
                 change.report(ENTRY_KIND, &self.context.metrics);
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -152,7 +152,7 @@
     fn drop_refusal<'a>(&'a self, digest: &'a RequestDigest) -> StoreFuture<'a, ()>;
 
     /// Reads the refused requests.
-    fn list_refusals(&self) -> StoreFuture<'_, RefusalList>;
+    fn list_refusals(&self, age: ListAge) -> StoreFuture<'_, RefusalList>;
 
     /// Reads the current rollout orders, never an older list.
     fn list_rollouts(&self) -> StoreFuture<'_, RolloutList>;
