--- a/crates/tool/src/arguments.rs
+++ b/crates/tool/src/arguments.rs
@@ -84,6 +84,9 @@
 pub struct ShowArguments {
     /// What to show.
     pub what: ShowSubject,
+    /// With `status`: a row for each daemon, however many there are.
+    #[arg(long)]
+    pub all: bool,
 }
 
 /// What can be shown.
--- a/crates/tool/src/show.rs
+++ b/crates/tool/src/show.rs
@@ -4,21 +4,26 @@
 //! object API.
 
 mod rollouts;
+mod status;
 
 use anyhow::{anyhow, bail, Result};
 use curlewcleat_config::check_files;
 use curlewcleat_store::{ObjectStore, VmState};
+use futures_util::stream::{self, StreamExt};
 use serde_json::{json, Value};
 
 use crate::apply::{http_store, read_manifest, read_texts};
 use crate::arguments::{Arguments, ShowArguments, ShowSubject};
 use crate::{daemons, table, ToolExit};
 
+/// Number of daemons whose status is read at the same time.
+const READS_AT_ONCE: usize = 32;
+
 /// `show`: prints the requested subject.
 pub async fn show(arguments: &Arguments, options: &ShowArguments) -> Result<ToolExit> {
     match options.what {
         ShowSubject::Config => show_config(arguments).await,
-        ShowSubject::Status => show_status(arguments).await,
+        ShowSubject::Status => status::show_status(arguments, options.all).await,
         ShowSubject::Vms => show_vms(arguments).await,
         ShowSubject::Targets => show_targets(arguments).await,
         ShowSubject::Accounts => show_accounts(arguments).await,
@@ -64,50 +69,6 @@
     Ok(ToolExit::Done)
 }
 
-async fn show_status(arguments: &Arguments) -> Result<ToolExit> {
-    let statuses = read_statuses(arguments).await?;
-    if arguments.json {
-        println!("{}", json!(statuses));
-        return Ok(exit_code(&statuses));
-    }
-    let rows = statuses.iter().map(status_row);
-    let titles = [
-        "DAEMON",
-        "VM",
-        "DATA CENTRE",
-        "GENERATION",
-        "STATE",
-        "REQUESTS",
-        "PEERS",
-        "KEY SLOTS",
-        "SCHEDULES",
-        "ERROR",
-    ];
-    table::print(&titles, &rows.collect::<Vec<_>>());
-    Ok(exit_code(&statuses))
-}
-
-fn status_row(status: &Value) -> Vec<String> {
-    let live_peers = status["peers"]
-        .as_array()
-        .map_or(0, |peers| peers.iter().filter(|peer| peer["live"] == true).count());
-    let is_scheduled_here = |pool: &&Value| pool["scheduler"] == status["vm"];
-    let pools = status["pools"].as_array().into_iter().flatten().filter(is_scheduled_here);
-    let pools: Vec<String> = pools.map(|pool| text(&pool["id"])).collect();
-    vec![
-        text(&status["daemon"]),
-        text(&status["vm"]),
-        text(&status["data_centre"]),
-        text(&status["generation"]),
-        text(&status["drain"]),
-        text(&status["requests"]),
-        live_peers.to_string(),
-        text(&status["key_slots"]),
-        pools.join(","),
-        text(&status["error"]),
-    ]
-}
-
 async fn show_targets(arguments: &Arguments) -> Result<ToolExit> {
     let statuses = read_statuses(arguments).await?;
     let mut rows = Vec::new();
@@ -131,6 +92,7 @@
                     text(&target["ejected"]),
                     text(&target["limit_per_s"]),
                     text(&target["rests"]),
+                    text(&target["warm_up_per_s"]),
                     text(&status["vm"]),
                 ]);
             }
@@ -148,6 +110,7 @@
             "EJECTED",
             "LIMIT/S",
             "RESTS",
+            "WARM-UP/S",
             "SCHEDULER",
         ];
         table::print(&titles, &rows);
@@ -222,21 +185,22 @@
     table::print(&["DIGEST", "REFUSED", "ENDED TARGETS"], &rows.collect::<Vec<_>>());
 }
 
-/// Reads the status of each daemon; for a daemon that does not answer, the value holds the error instead.
+/// Reads the status of each daemon, some at a time; for a daemon that does not answer, the value holds the error instead.
 async fn read_statuses(arguments: &Arguments) -> Result<Vec<Value>> {
     if arguments.daemons.is_empty() {
         bail!("this command needs --daemons: operators' addresses of daemons as ip:port,ip:port");
     }
-    let mut statuses = Vec::new();
-    for daemon in &arguments.daemons {
-        let mut status = match daemons::status(daemon).await {
-            Ok(status) => status,
-            Err(error) => json!({ "error": error.to_string() }),
-        };
-        status["daemon"] = json!(daemon);
-        statuses.push(status);
-    }
-    Ok(statuses)
+    let reads = arguments.daemons.iter().map(|daemon| read_status(daemon));
+    Ok(stream::iter(reads).buffered(READS_AT_ONCE).collect().await)
+}
+
+async fn read_status(daemon: &str) -> Value {
+    let mut status = match daemons::status(daemon).await {
+        Ok(status) => status,
+        Err(error) => json!({ "error": error.to_string() }),
+    };
+    status["daemon"] = json!(daemon);
+    status
 }
 
 fn exit_code(statuses: &[Value]) -> ToolExit {
