--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -129,6 +129,7 @@
         ("{{bounds.revoke_ms}}", "5000"),
         ("{{bounds.config_apply_ms}}", "2000"),
         ("{{bounds.drain_ms}}", "3000"),
+        ("{{bounds.evac_ms}}", "4000"),
         ("{{limits.cores}}", "2"),
         ("{{limits.cpu_share}}", "0.25"),
         ("{{limits.link_mbps}}", "10.0"),
@@ -166,6 +167,7 @@
     let rollout = all.bounds.rollout.expect("bounds of rollouts");
     assert_eq!((rollout.share_permille, rollout.slack), (100, 50));
     assert_eq!(all.bounds.leave_limit, std::time::Duration::from_secs(3));
+    assert_eq!(all.bounds.evacuation_limit, Some(std::time::Duration::from_secs(4)));
     assert_eq!(all.bounds.rate_window, std::time::Duration::from_secs(9));
     assert_eq!((all.capacity_percent, all.link_kbit_per_s), (50, 10_000));
     assert_eq!(all.seeds.len(), 2);
