Warm-ups and the log of targets: work only for what has changed; an evacuation's end does not shorten a stated warm-up

Found by reading the change. Each tick walked all targets that warm up, which at a common start are all targets, and each pull of the targets walked the whole log, three thousand entries at the whole fleet. Both are indexed now, by the end of a warm-up and by revision; the log keeps as many changes as are listed and not half of them. The end of an evacuation replaced a longer warm-up that a list entry states, and ended it where the platform states no time.

--- a/crates/node/src/change_log.rs
+++ b/crates/node/src/change_log.rs
@@ -5,7 +5,7 @@
 //!
 //! Owns: the latest changes. Relies on: revisions of the platform.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use curlewcleat_core::{ObjectVersion, TargetChange, TargetId};
 
@@ -18,31 +18,36 @@
     /// Revision from which the log is complete.
     from: ObjectVersion,
     changes: BTreeMap<TargetId, (ObjectVersion, TargetChange)>,
+    /// The same targets by the revision of their change, so that a pull costs no more than it returns.
+    order: BTreeSet<(ObjectVersion, TargetId)>,
 }
 
 impl ChangeLog {
     /// Starts anew at a revision up to which no changes are known.
     pub fn restart(&mut self, at: ObjectVersion) {
-        self.from = at;
-        self.changes.clear();
+        *self = ChangeLog { from: at, ..ChangeLog::default() };
     }
 
     /// Records a change up to a revision.
     pub fn record(&mut self, at: ObjectVersion, change: TargetChange) {
-        self.changes.insert(target_of(&change).clone(), (at, change));
+        let id = target_of(&change).clone();
+        if let Some((earlier, _)) = self.changes.insert(id.clone(), (at, change)) {
+            self.order.remove(&(earlier, id.clone()));
+        }
+        self.order.insert((at, id));
     }
 
-    /// Drops the oldest half of the changes if there are more than the listed targets. An older peer then gets the
-    /// whole list, which is shorter than the changes would be.
+    /// Drops the oldest changes if there are more than the listed targets. An older peer then gets the whole list, which
+    /// is shorter than the changes would be.
     pub fn trim(&mut self, listed: usize) {
         let limit = listed.max(MIN_LENGTH);
-        if self.changes.len() <= limit {
-            return;
+        while self.order.len() > limit || self.order.first().is_some_and(|(at, _)| *at <= self.from)
+        {
+            let Some((at, id)) = self.order.pop_first() else { return };
+            self.changes.remove(&id);
+            // The other changes of this revision go as well: part of them would not be complete.
+            self.from = self.from.max(at);
         }
-        let mut versions: Vec<ObjectVersion> = self.changes.values().map(|(at, _)| *at).collect();
-        versions.sort_unstable();
-        self.from = versions[versions.len() - limit / 2 - 1];
-        self.changes.retain(|_, (at, _)| *at > self.from);
     }
 
     /// Returns the changes after a revision in the order of their revisions, `None` if some are no longer known.
@@ -50,10 +55,9 @@
         if known < self.from {
             return None;
         }
-        let mut later: Vec<&(ObjectVersion, TargetChange)> =
-            self.changes.values().filter(|(at, _)| *at > known).collect();
-        later.sort_by_key(|(at, _)| *at);
-        Some(later.into_iter().map(|(_, change)| change.clone()).collect())
+        let later = self.order.range((known + 1, TargetId::new())..);
+        let changes = later.filter_map(|(_, id)| self.changes.get(id));
+        Some(changes.map(|(_, change)| change.clone()).collect())
     }
 }
 
--- a/crates/node/src/warm_ups.rs
+++ b/crates/node/src/warm_ups.rs
@@ -33,6 +33,8 @@
 pub struct WarmUps {
     limits: BTreeMap<PoolId, WarmUpLimit>,
     targets: BTreeMap<TargetId, TargetWarmUp>,
+    /// The same targets by the end of their warm-up.
+    ends: BTreeSet<(Uptime, TargetId)>,
     /// Targets whose warm-up has begun or ended since the last call of [`WarmUps::take_changes`].
     changed: BTreeMap<TargetId, PoolId>,
 }
@@ -48,33 +50,28 @@
 
     /// Records the remaining time that a target's list entry states.
     pub fn record(&mut self, now: Uptime, target: TargetId, pool: PoolId, remaining: Duration) {
-        let until = now + remaining;
-        let known = self.targets.get(&target);
-        if remaining.is_zero() {
-            self.end(&target);
-        } else if known.is_none_or(|known| known.until != until || known.pool != pool) {
-            self.changed.insert(target.clone(), pool.clone());
-            self.targets.insert(target, TargetWarmUp { pool, until });
+        self.end(&target);
+        if !remaining.is_zero() {
+            self.begin(target, pool, now + remaining);
         }
     }
 
-    /// Begins a whole warm-up of a target.
+    /// Begins a whole warm-up of a target, unless its list entry has stated a longer one.
     pub fn begin_whole(&mut self, now: Uptime, target: TargetId, pool: PoolId) {
-        if let Some(limit) = self.limits.get(&pool) {
-            let time = limit.time;
-            self.record(now, target, pool, time);
+        let Some(limit) = self.limits.get(&pool) else { return };
+        let until = now + limit.time;
+        if self.targets.get(&target).is_none_or(|known| known.until < until) {
+            self.end(&target);
+            self.begin(target, pool, until);
         }
     }
 
     /// Ends the warm-ups whose time has passed.
     pub fn expire(&mut self, now: Uptime) {
-        let ended: BTreeSet<TargetId> = self
-            .targets
-            .iter()
-            .filter(|(_, warm_up)| now >= warm_up.until)
-            .map(|(target, _)| target.clone())
-            .collect();
-        ended.iter().for_each(|target| self.end(target));
+        while let Some((_, target)) = self.ends.first().filter(|(until, _)| now >= *until).cloned()
+        {
+            self.end(&target);
+        }
     }
 
     /// Makes [`WarmUps::take_changes`] return all targets again, after their schedulers were configured anew.
@@ -93,8 +90,15 @@
         changed.into_iter().map(change).collect()
     }
 
+    fn begin(&mut self, target: TargetId, pool: PoolId, until: Uptime) {
+        self.changed.insert(target.clone(), pool.clone());
+        self.ends.insert((until, target.clone()));
+        self.targets.insert(target, TargetWarmUp { pool, until });
+    }
+
     fn end(&mut self, target: &TargetId) {
         if let Some(warm_up) = self.targets.remove(target) {
+            self.ends.remove(&(warm_up.until, target.clone()));
             self.changed.insert(target.clone(), warm_up.pool);
         }
     }
--- a/crates/node/tests/evacuations.rs
+++ b/crates/node/tests/evacuations.rs
@@ -237,3 +237,33 @@
     let after = divided.sent_since("d", since) + divided.sent_since("e", since);
     assert!(after > during, "{after} requests once warm");
 }
+
+/// A target turns cold shortly before its evacuation ends and states a longer time than a whole warm-up, or the
+/// platform states no time: what the list entry states holds.
+#[rstest]
+#[case::shorter_limit(Duration::from_secs(1))]
+#[case::no_time(Duration::ZERO)]
+fn end_of_an_evacuation_does_not_shorten_a_stated_warm_up(#[case] time: Duration) {
+    let mut divided = DividedFleet::new(3);
+    let rate = RequestRate::per_second(5.0).expect("a rate");
+    let limits = BTreeMap::from([("p".to_string(), WarmUpLimit { rate, time })]);
+    for index in 0..3 {
+        divided.fleet.event(index, NodeEvent::WarmUpLimitsRead(limits.clone()));
+    }
+    divided.fleet.evacuate(&["d"]);
+    divided.load(SPREAD_LIMIT);
+    let list = |fleet: &mut Fleet, remaining: Option<Duration>| {
+        fleet.targets.0.iter_mut().for_each(|target| target.warm_up = remaining);
+        fleet.targets.1 += 1;
+    };
+    list(&mut divided.fleet, Some(Duration::from_secs(30)));
+    divided.load(Duration::from_secs(1));
+    // The entries are not read again until the evacuation has ended.
+    list(&mut divided.fleet, None);
+    divided.fleet.evacuate(&[]);
+    divided.load(SPREAD_LIMIT + time);
+    let leader = divided.fleet.leader();
+    let status = divided.fleet.daemons[leader].node.status();
+    let limited = status.pools[0].targets.iter().filter(|target| target.warm_up_rate.is_some());
+    assert_eq!(limited.count(), 2 * TARGETS);
+}
