Gate: one check before a request is sent, which no caller can take without the evacuations; tests that check what their names say

The gate kept its earlier pass and stop, by instance alone, beside new ones that also look at the evacuated data centres: a request that took the earlier ones would have gone past an evacuation. Only those by the target's list entry are left; the tests and the model of limits call them. permit_granted_before_... also shows that the same request is granted without the evacuation. no_messages_about_evacuations_... looked at one tick, in which no query is due: it is messages_about_evacuations_are_sent_only_while_there_is_one, over two seconds each before, during and after. ordinary_daemon_sends_the_same_... is named after its bound. One alias for data centres; a stand-in's engine has one record of what its list entry states, in the project's words; the row of a target has a function.

--- a/crates/acceptance/tests/evacuations.rs
+++ b/crates/acceptance/tests/evacuations.rs
@@ -34,9 +34,9 @@
 async fn ready(name: &str) -> Result<FleetDeployment> {
     let mut fleet = FleetDeployment::start(name).await?;
     fleet.store_config()?;
-    for zone in [HERE, AWAY] {
+    for data_centre in [HERE, AWAY] {
         for _ in 0..ENGINES {
-            fleet.engine_in(zone, POOL, 3, RECORD_TIME).await?;
+            fleet.engine_in(data_centre, POOL, 3, RECORD_TIME).await?;
         }
     }
     fleet.daemons(DAEMONS, BOUNDS).await?;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -20,8 +20,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    DiscoveredTarget, EvacuationList, Generation, Incarnation, KeySlot, ObjectVersion, PoolId,
-    RolloutAnswers, RolloutReport, TargetChange, Uptime, VmId,
+    DataCentreId, DiscoveredTarget, EvacuationList, Generation, Incarnation, KeySlot,
+    ObjectVersion, PoolId, RolloutAnswers, RolloutReport, TargetChange, Uptime, VmId,
 };
 
 pub use archive::*;
@@ -153,7 +153,7 @@
     /// `ip:port` at which the sender receives peer frames.
     pub address: String,
     /// Data centre of the sender.
-    pub data_centre: String,
+    pub data_centre: DataCentreId,
     /// Generation of the configuration in force at the sender, 0 for none.
     pub generation: Generation,
     /// Version of the key table at the sender.
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -13,8 +13,8 @@
 pub use rule::*;
 
 use crate::{
-    AccountId, DaemonId, Generation, PoolId, TargetId, TargetInstance, TargetStart, TargetVersion,
-    TierId, TierRank, TokenHash, VmId,
+    AccountId, DaemonId, DataCentreId, Generation, PoolId, TargetId, TargetInstance, TargetStart,
+    TargetVersion, TierId, TierRank, TokenHash, VmId,
 };
 
 /// A tier of requests. Tiers with a lower rank number are served first and shed last.
@@ -145,7 +145,7 @@
     /// VM that the target runs on, as the platform lists it.
     pub vm: VmId,
     /// Data centre of the target, empty where it is not known.
-    pub data_centre: String,
+    pub data_centre: DataCentreId,
     /// Number of requests that the target serves at the same time.
     pub slots: u32,
     /// When the target's process started, `None` where the target does not report it. Between daemons it is sent
--- a/crates/daemon/src/target_notices.rs
+++ b/crates/daemon/src/target_notices.rs
@@ -1,7 +1,7 @@
-//! The notices of targets, shared by all threads of the daemon.
+//! The gate to the targets, shared by all threads of the daemon: their notices, and the evacuated data centres.
 //!
 //! Owns: the [`TargetGate`] of the daemon. Relies on: the tasks of requests, which pass in the notices of each
-//! answer's head.
+//! answer's head, and the node for the evacuations.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -45,12 +45,12 @@
 
     /// Returns why a request may not be sent to a target now, or `None` if it may.
     pub fn stop(&self, now: Uptime, target: &TargetEntry) -> Option<GateStop> {
-        self.lock().stop_at(now, target)
+        self.lock().stop(now, target)
     }
 
     /// Admits a request whose first byte is sent now, or returns why it may not be sent.
     pub fn pass(&self, now: Uptime, target: &TargetEntry) -> Option<GateStop> {
-        self.lock().pass_to(now, target)
+        self.lock().pass(now, target)
     }
 
     fn lock(&self) -> MutexGuard<'_, TargetGate> {
--- a/crates/model/src/limits.rs
+++ b/crates/model/src/limits.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    LimitNotice, NoticeReport, RequestRate, TargetInstance, TargetNotice, Uptime,
+    LimitNotice, NoticeReport, RequestRate, TargetEntry, TargetInstance, TargetNotice, Uptime,
 };
 use curlewcleat_sched::{RateRole, RateShare, ReceivedNotice, TargetGate, TargetState};
 
@@ -210,7 +210,7 @@
         let now = state.now;
         for _ in 0..granted {
             let daemon = &mut state.daemons[sender];
-            if daemon.gate.pass(now, &instance()).is_some() {
+            if daemon.gate.pass(now, &target()).is_some() {
                 return;
             }
             if daemon.report.is_some() && daemon.uncounted_steps == 0 {
@@ -330,6 +330,12 @@
     TargetNotice { limit: LimitNotice::Stated(rate), ..TargetNotice::default() }
 }
 
+/// Returns the list entry of the only target.
+fn target() -> TargetEntry {
+    let TargetInstance { id, start } = instance();
+    TargetEntry { id, start, ..TargetEntry::default() }
+}
+
 fn instance() -> TargetInstance {
     TargetInstance { id: TARGET.to_string(), start: None }
 }
--- a/crates/node/src/ended_instances.rs
+++ b/crates/node/src/ended_instances.rs
@@ -1,6 +1,7 @@
 //! Remembers the target instances that are no longer listed.
 //!
-//! Owns: their latest starts, up to a limit that follows the number of targets. Relies on: `TargetView` for what is listed.
+//! Owns: their latest starts, up to a limit that follows the number of targets. Relies on: `TargetView` for what is
+//! listed.
 
 use std::collections::{BTreeMap, VecDeque};
 
--- a/crates/node/tests/evacuations.rs
+++ b/crates/node/tests/evacuations.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use curlewcleat_core::{DiscoveredTarget, EvacuationList, PeerMessage, RequestRate, WarmUpLimit};
-use curlewcleat_node::{CallerDecision, NodeAction, NodeEvent};
+use curlewcleat_core::{DiscoveredTarget, EvacuationList, RequestRate, WarmUpLimit};
+use curlewcleat_node::{CallerDecision, NodeEvent};
 use curlewcleat_sched::RequestSpec;
 use rstest::rstest;
 
@@ -157,29 +157,30 @@
 #[test]
 fn permit_granted_before_the_evacuation_is_not_used() {
     let mut divided = DividedFleet::new(6);
-    let leader = divided.fleet.leader();
-    let entry = (leader + 1) % 6;
+    let entry = (divided.fleet.leader() + 1) % 6;
+    let is_sent = |fleet: &Fleet, number: u128| {
+        matches!(fleet.decision(number), Some(CallerDecision::Dispatch(..)))
+    };
+    divided.fleet.admit(entry, 6);
+    assert!(is_sent(&divided.fleet, 6), "the scheduler grants at once");
     let everywhere = EvacuationList { at: 50, data_centres: ["d", "e"].map(String::from).into() };
     divided.fleet.event(entry, NodeEvent::EvacuationsListed(everywhere));
-    divided.fleet.decisions.clear();
     divided.fleet.admit(entry, 7);
-    let sent = |decision: &CallerDecision| matches!(decision, CallerDecision::Dispatch(..));
-    assert!(!divided.fleet.decisions.iter().any(|(_, decision)| sent(decision)));
+    assert!(!is_sent(&divided.fleet, 7));
 }
 
+/// What evacuations cost is paid only while there is one.
 #[test]
-fn no_messages_about_evacuations_are_sent_while_there_is_none() {
+fn messages_about_evacuations_are_sent_only_while_there_is_one() {
     let mut divided = DividedFleet::new(6);
-    let wall = Duration::from_secs(1_000) + divided.fleet.now;
-    let now = divided.fleet.now;
-    for index in 0..6 {
-        for action in divided.fleet.daemons[index].node.handle(now, wall, NodeEvent::Tick) {
-            let NodeAction::Send(_, frame) = action else { continue };
-            let about_evacuations = |message: &PeerMessage| {
-                matches!(message, PeerMessage::EvacuationsPull(_) | PeerMessage::EvacuationsPush(_))
-            };
-            assert!(!frame.messages.iter().any(about_evacuations));
-        }
+    for (evacuated, are_sent) in [(&[][..], false), (&["d"][..], true), (&[][..], false)] {
+        divided.fleet.evacuate(evacuated);
+        divided.load(SPREAD_LIMIT);
+        divided.fleet.restart_byte_count();
+        divided.load(SPREAD_LIMIT);
+        let bytes = &divided.fleet.bytes_of_kind;
+        assert!(bytes.contains_key("freshness"), "{bytes:?}");
+        assert_eq!(bytes.contains_key("evacuations"), are_sent, "{bytes:?}");
     }
 }
 
--- a/crates/node/tests/notices.rs
+++ b/crates/node/tests/notices.rs
@@ -88,7 +88,7 @@
     fn send(&mut self, id: RequestId) {
         let (now, index) = (self.fleet.now, (id.as_u128() % 1_000) as usize);
         let gate = self.gates.entry(index).or_default();
-        if gate.pass(now, &instance()).is_some() {
+        if gate.pass(now, &target("x", false).entry).is_some() {
             let end = curlewcleat_core::AttemptEnd::Unused;
             let stopped = NodeEvent::AttemptNotRun(id, end, RetryReason::TargetUnwilling);
             return self.fleet.event(index, stopped);
--- a/crates/node/tests/scale.rs
+++ b/crates/node/tests/scale.rs
@@ -55,7 +55,7 @@
 #[case(30)]
 #[case(100)]
 #[case(300)]
-fn ordinary_daemon_sends_the_same_in_fleets_of_any_size(#[case] daemons: usize) {
+fn ordinary_daemon_keeps_its_budget_of_bytes_in_fleets_of_any_size(#[case] daemons: usize) {
     let mut fleet = starting(daemons);
     fleet.run(Duration::from_secs(10));
     let (_, most) = sent_in(&mut fleet, Duration::from_secs(5));
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -408,6 +408,7 @@
         | PeerMessage::TargetInstancesPush(_)
         | PeerMessage::TargetVersionsPush(_) => "targets",
         PeerMessage::ConfigPush(_) | PeerMessage::ConfigPart(_) => "configuration",
+        PeerMessage::EvacuationsPull(_) | PeerMessage::EvacuationsPush(_) => "evacuations",
         PeerMessage::SuspectsPull(_) | PeerMessage::SuspectsPush(_) => "suspects",
         _ => "others",
     }
--- a/crates/sched/src/election/membership.rs
+++ b/crates/sched/src/election/membership.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, DaemonRecord, Generation, Heartbeat, Incarnation, ObjectVersion, Uptime, VmId,
+    DaemonId, DaemonRecord, DataCentreId, Generation, Heartbeat, Incarnation, ObjectVersion,
+    Uptime, VmId,
 };
 
 use crate::admission::shared_rate::{RateRole, RateShare};
@@ -22,7 +23,7 @@
     /// Peer address of this daemon.
     pub address: String,
     /// Data centre of this daemon.
-    pub data_centre: String,
+    pub data_centre: DataCentreId,
     /// Addresses that are known at the start.
     pub seeds: Vec<String>,
     /// Suspicion timeout: a peer without heartbeats for this long counts as unreachable.
@@ -44,7 +45,7 @@
     /// Address at which it receives frames.
     pub address: String,
     /// Its data centre.
-    pub data_centre: String,
+    pub data_centre: DataCentreId,
     /// Generation of the configuration in force there.
     pub generation: Generation,
     /// Version of the key table known there.
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    NoticeReport, PermitRequest, RequestRate, TargetReport, TargetStart, TargetVersion, Uptime,
-    VmId, WorkMicros,
+    DataCentreId, NoticeReport, PermitRequest, RequestRate, TargetReport, TargetStart,
+    TargetVersion, Uptime, VmId, WorkMicros,
 };
 
 use super::ejection::TargetEjection;
@@ -54,7 +54,7 @@
     /// The VM that it runs on.
     pub vm: VmId,
     /// Its data centre, empty if unknown.
-    pub data_centre: String,
+    pub data_centre: DataCentreId,
     /// Number of requests that it can serve at the same time.
     pub slots: u32,
     /// Number of permits in use.
@@ -84,8 +84,8 @@
     rests: BTreeMap<VmId, Uptime>,
     /// The rate that it accepts until it is warm, `None` if it is warm.
     warm_up_rate: Option<RequestRate>,
-    /// This scheduler's share of the limit that the target states, or of the lower one while it warms up, with the limiter of the requests granted; `None`
-    /// if it states no limit.
+    /// This scheduler's share of the lowest limit, stated by the target or of its warm-up, with the limiter of the
+    /// requests granted; `None` if there is no limit.
     limit: Option<(RequestRate, SendPace)>,
 }
 
--- a/crates/sched/src/target_gate.rs
+++ b/crates/sched/src/target_gate.rs
@@ -3,10 +3,9 @@
 //!
 //! Inputs: the evacuated data centres that this daemon knows, and the notices in the response headers that it received.
 //! The rule: the gate is checked after the last wait and before the first byte, no matter which scheduler granted the
-//! target and how long ago. It stops requests to evacuated targets, and those that the target's notices exclude. A
-//! target that limits its rate gets no more than the whole limit from
-//! this daemon alone; the scheduler ensures that all daemons together send no more
-//! ([`pacing`](crate::placement::pacing)).
+//! target and how long ago. It stops requests to targets of evacuated data centres, and those that the target's notices
+//! exclude. A target that limits its rate gets no more than the whole limit from this daemon alone; the scheduler ensures
+//! that all daemons together send no more ([`pacing`](crate::placement::pacing)).
 //!
 //! Owns: the notices of each target instance that has answered this daemon, and a copy of the evacuated data centres.
 //! Relies on: [`NoticeState`] for which notices hold, the node for the evacuations.
@@ -113,21 +112,27 @@
     }
 
     /// Returns why a request to a target would be stopped now, `None` if it may be sent.
-    pub fn stop_at(&mut self, now: Uptime, target: &TargetEntry) -> Option<GateStop> {
-        self.evacuation_stop(target).or_else(|| self.stop(now, &target.instance()))
+    pub fn stop(&mut self, now: Uptime, target: &TargetEntry) -> Option<GateStop> {
+        if self.evacuated.contains(&target.data_centre) {
+            return Some(GateStop::Evacuated);
+        }
+        self.notice_stop(now, &target.instance())
     }
 
     /// Counts a request that is sent to a target now, or returns why it is stopped.
-    pub fn pass_to(&mut self, now: Uptime, target: &TargetEntry) -> Option<GateStop> {
-        self.evacuation_stop(target).or_else(|| self.pass(now, &target.instance()))
-    }
-
-    fn evacuation_stop(&self, target: &TargetEntry) -> Option<GateStop> {
-        self.evacuated.contains(&target.data_centre).then_some(GateStop::Evacuated)
+    pub fn pass(&mut self, now: Uptime, target: &TargetEntry) -> Option<GateStop> {
+        if let Some(stop) = self.stop(now, target) {
+            return Some(stop);
+        }
+        let record = self.instances.get_mut(&target.instance())?;
+        if let Some((rate, pace)) = record.notices.rate().zip(record.pace.as_mut()) {
+            pace.sent(now, rate);
+        }
+        None
     }
 
-    /// Returns why the notices of a target instance would stop a request now, `None` if it may be sent.
-    pub fn stop(&mut self, now: Uptime, instance: &TargetInstance) -> Option<GateStop> {
+    /// Returns why the notices of a target instance would stop a request now.
+    fn notice_stop(&mut self, now: Uptime, instance: &TargetInstance) -> Option<GateStop> {
         let record = self.instances.get_mut(instance)?;
         if record.notices.is_leaving() {
             return Some(GateStop::Leaving);
@@ -146,16 +151,4 @@
             _ => None,
         }
     }
-
-    /// Counts a request that is sent now, or returns why it is stopped.
-    pub fn pass(&mut self, now: Uptime, instance: &TargetInstance) -> Option<GateStop> {
-        if let Some(stop) = self.stop(now, instance) {
-            return Some(stop);
-        }
-        let record = self.instances.get_mut(instance)?;
-        if let Some((rate, pace)) = record.notices.rate().zip(record.pace.as_mut()) {
-            pace.sent(now, rate);
-        }
-        None
-    }
 }
--- a/crates/sched/tests/evacuations.rs
+++ b/crates/sched/tests/evacuations.rs
@@ -23,14 +23,14 @@
 #[test]
 fn gate_stops_requests_to_evacuated_data_centres_only() {
     let mut gate = TargetGate::default();
-    assert_eq!(gate.pass_to(SECOND, &target("d")), None);
+    assert_eq!(gate.pass(SECOND, &target("d")), None);
     gate.set_evacuated(only("d"));
-    assert_eq!(gate.stop_at(SECOND, &target("d")), Some(GateStop::Evacuated));
-    assert_eq!(gate.pass_to(SECOND, &target("d")), Some(GateStop::Evacuated));
-    assert_eq!(gate.pass_to(SECOND, &target("e")), None);
+    assert_eq!(gate.stop(SECOND, &target("d")), Some(GateStop::Evacuated));
+    assert_eq!(gate.pass(SECOND, &target("d")), Some(GateStop::Evacuated));
+    assert_eq!(gate.pass(SECOND, &target("e")), None);
     gate.set_evacuated(only("e"));
-    assert_eq!(gate.pass_to(SECOND, &target("d")), None);
-    assert_eq!(gate.pass_to(SECOND, &target("e")), Some(GateStop::Evacuated));
+    assert_eq!(gate.pass(SECOND, &target("d")), None);
+    assert_eq!(gate.pass(SECOND, &target("e")), Some(GateStop::Evacuated));
 }
 
 /// A target whose data centre is unknown is in no data centre that could be evacuated.
@@ -38,7 +38,7 @@
 fn target_without_a_data_centre_is_not_evacuated() {
     let mut gate = TargetGate::default();
     gate.set_evacuated(only("d"));
-    assert_eq!(gate.pass_to(SECOND, &target("")), None);
+    assert_eq!(gate.pass(SECOND, &target("")), None);
 }
 
 #[test]
@@ -49,5 +49,5 @@
     gate.apply_notice(SECOND, &target.instance(), &ReceivedNotice { sent: SECOND, notice });
     gate.set_evacuated(only("d"));
     gate.set_evacuated(BTreeSet::new());
-    assert_eq!(gate.pass_to(SECOND * 9, &target), Some(GateStop::Leaving));
+    assert_eq!(gate.pass(SECOND * 9, &target), Some(GateStop::Leaving));
 }
--- a/crates/sched/tests/notices.rs
+++ b/crates/sched/tests/notices.rs
@@ -26,6 +26,11 @@
     TargetInstance { id: id.to_string(), start: None }
 }
 
+/// Returns the list entry of a target instance.
+fn entry_of(instance: &TargetInstance) -> TargetEntry {
+    TargetEntry { id: instance.id.clone(), start: instance.start, ..TargetEntry::default() }
+}
+
 fn rate(per_second: f64) -> RequestRate {
     RequestRate::per_second(per_second).expect("a rate")
 }
@@ -306,14 +311,14 @@
     // A shorter rest does not end a longer one.
     let short = TargetNotice { rest: Some(SECOND), ..TargetNotice::default() };
     gate.apply_notice(SECOND, &instance("a"), &received(short));
-    assert_eq!(gate.pass(SECOND * 3, &instance("a")), Some(GateStop::Resting));
-    assert_eq!(gate.pass(SECOND * 4, &instance("a")), None);
+    assert_eq!(gate.pass(SECOND * 3, &entry_of(&instance("a"))), Some(GateStop::Resting));
+    assert_eq!(gate.pass(SECOND * 4, &entry_of(&instance("a"))), None);
     let leaving = TargetNotice { leaving: true, ..TargetNotice::default() };
     gate.apply_notice(SECOND * 4, &instance("a"), &received(leaving));
     gate.apply_notice(SECOND * 5, &instance("a"), &received(TargetNotice::default()));
-    assert_eq!(gate.pass(SECOND * 3_000, &instance("a")), Some(GateStop::Leaving));
+    assert_eq!(gate.pass(SECOND * 3_000, &entry_of(&instance("a"))), Some(GateStop::Leaving));
     let later = TargetInstance { start: Some(TargetStart(2)), ..instance("a") };
-    assert_eq!(gate.pass(SECOND * 5, &later), None, "a new instance has no notices");
+    assert_eq!(gate.pass(SECOND * 5, &entry_of(&later)), None, "a new instance has no notices");
 }
 
 /// A new instance begins without notices, and notices of an earlier instance are ignored.
@@ -354,7 +359,7 @@
     let mut times = Vec::new();
     for step in 0..1_000 {
         let now = SECOND + STEP * step;
-        match gate.pass(now, &instance("t")) {
+        match gate.pass(now, &entry_of(&instance("t"))) {
             None => {
                 times.push(now);
                 gate.apply_notice(
@@ -368,7 +373,7 @@
     }
     assert!(most_in_span(&times) <= allowed(1.8), "{}", most_in_span(&times));
     assert!(times.len() >= 36, "{}", times.len());
-    assert_eq!(gate.pass(SECOND * 2, &instance("other")), None);
+    assert_eq!(gate.pass(SECOND * 2, &entry_of(&instance("other"))), None);
 }
 
 /// An answer that was overtaken by the one that states the limit does not end it; an answer to a later request does.
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -47,6 +47,23 @@
     pub settings: PathBuf,
 }
 
+/// What the list entry of an engine states besides its address and its start.
+struct EngineOrigin {
+    backend: String,
+    data_centre: String,
+    version: Option<String>,
+}
+
+impl EngineOrigin {
+    fn new(backend: &str, data_centre: &str) -> EngineOrigin {
+        EngineOrigin {
+            backend: backend.to_string(),
+            data_centre: data_centre.to_string(),
+            version: None,
+        }
+    }
+}
+
 /// Store, engines and daemons of a test.
 pub struct FleetDeployment {
     /// The store.
@@ -57,12 +74,8 @@
     pub engine_addresses: Vec<String>,
     /// Servers of the engines, `None` after an engine has terminated.
     engines_served: Rc<RefCell<Vec<Option<ServedHandler>>>>,
-    /// Services of the engines.
-    engine_backends: Vec<String>,
-    /// Versions of the engines.
-    engine_versions: Vec<Option<String>>,
-    /// Data centres of the engines.
-    engine_zones: Vec<String>,
+    /// What the list entries of the engines state.
+    engine_origins: Vec<EngineOrigin>,
     /// The daemons.
     pub daemons: Vec<FleetDaemon>,
     /// The configuration, which [`FleetDeployment::store_config`] stores.
@@ -82,9 +95,7 @@
             engines: Vec::new(),
             engine_addresses: Vec::new(),
             engines_served: Rc::default(),
-            engine_backends: Vec::new(),
-            engine_versions: Vec::new(),
-            engine_zones: Vec::new(),
+            engine_origins: Vec::new(),
             daemons: Vec::new(),
             config: example_config(),
             store_address,
@@ -107,18 +118,19 @@
         events: u64,
         event_interval: Duration,
     ) -> Result<()> {
-        self.start_engine(backend, None, HERE, events, event_interval).await
+        self.engine_in(HERE, backend, events, event_interval).await
     }
 
     /// Starts an engine in a data centre and writes its list entry.
     pub async fn engine_in(
         &mut self,
-        zone: &str,
+        data_centre: &str,
         backend: &str,
         events: u64,
         event_interval: Duration,
     ) -> Result<()> {
-        self.start_engine(backend, None, zone, events, event_interval).await
+        let origin = EngineOrigin::new(backend, data_centre);
+        self.start_engine(origin, events, event_interval).await
     }
 
     /// Starts an engine with a version and writes its list entry.
@@ -129,27 +141,25 @@
         events: u64,
         event_interval: Duration,
     ) -> Result<()> {
-        self.start_engine(backend, Some(version.to_string()), HERE, events, event_interval).await
+        let origin = EngineOrigin::new(backend, HERE);
+        let origin = EngineOrigin { version: Some(version.to_string()), ..origin };
+        self.start_engine(origin, events, event_interval).await
     }
 
     async fn start_engine(
         &mut self,
-        backend: &str,
-        version: Option<String>,
-        zone: &str,
+        origin: EngineOrigin,
         events: u64,
         event_interval: Duration,
     ) -> Result<()> {
         let engine = FleetEngine::new(&format!("i-{}", self.engines.len()), events, event_interval);
         let address = free_address()?;
         let served = ServedHandler::start(&address, engine.clone()).await?;
-        self.write_entry(&engine, backend, version.as_deref(), zone, &address)?;
-        self.engine_versions.push(version);
-        self.engine_zones.push(zone.to_string());
+        self.write_entry(&engine, &origin, &address)?;
+        self.engine_origins.push(origin);
         self.engines.push(engine);
         self.engine_addresses.push(address);
         self.engines_served.borrow_mut().push(Some(served));
-        self.engine_backends.push(backend.to_string());
         Ok(())
     }
 
@@ -161,9 +171,7 @@
         }
         let engine = self.engines[index].restarted();
         let served = ServedHandler::start(&address, engine.clone()).await?;
-        let version = self.engine_versions[index].as_deref();
-        let (backend, zone) = (&self.engine_backends[index], &self.engine_zones[index]);
-        self.write_entry(&engine, backend, version, zone, &address)?;
+        self.write_entry(&engine, &self.engine_origins[index], &address)?;
         self.engines_served.borrow_mut()[index] = Some(served);
         self.engine_addresses[index] = address;
         self.engines[index] = engine;
@@ -202,18 +210,16 @@
     fn write_entry(
         &self,
         engine: &FleetEngine,
-        backend: &str,
-        version: Option<&str>,
-        zone: &str,
+        origin: &EngineOrigin,
         address: &str,
     ) -> Result<()> {
         let entry = EngineEntry {
-            backend,
+            backend: &origin.backend,
             address,
-            zone,
+            zone: &origin.data_centre,
             slots: SLOTS,
             state: READY,
-            version,
+            version: origin.version.as_deref(),
             born: Some(engine.born),
         };
         self.store.write_entry(&engine.id, entry)
--- a/crates/tool/src/show.rs
+++ b/crates/tool/src/show.rs
@@ -16,6 +16,19 @@
 use crate::arguments::{Arguments, ShowArguments, ShowSubject};
 use crate::{daemons, table, ToolExit};
 
+/// Titles of the columns for each target.
+const TARGET_TITLES: [&str; 10] = [
+    "POOL",
+    "TARGET",
+    "IN FLIGHT",
+    "SLOWNESS/1000",
+    "LEAVING",
+    "EJECTED",
+    "LIMIT/S",
+    "RESTS",
+    "WARM-UP/S",
+    "SCHEDULER",
+];
 /// Number of daemons whose status is read at the same time.
 const READS_AT_ONCE: usize = 32;
 
@@ -83,41 +96,33 @@
                 found.push(
                     json!({ "pool": pool["id"], "scheduler": status["vm"], "target": target }),
                 );
-                rows.push(vec![
-                    text(&pool["id"]),
-                    text(&target["id"]),
-                    format!("{}/{}", text(&target["in_flight"]), text(&target["slots"])),
-                    text(&target["slowness_permille"]),
-                    text(&target["leaving"]),
-                    text(&target["ejected"]),
-                    text(&target["limit_per_s"]),
-                    text(&target["rests"]),
-                    text(&target["warm_up_per_s"]),
-                    text(&status["vm"]),
-                ]);
+                rows.push(target_row(status, pool, target));
             }
         }
     }
     if arguments.json {
         println!("{}", json!(found));
     } else {
-        let titles = [
-            "POOL",
-            "TARGET",
-            "IN FLIGHT",
-            "SLOWNESS/1000",
-            "LEAVING",
-            "EJECTED",
-            "LIMIT/S",
-            "RESTS",
-            "WARM-UP/S",
-            "SCHEDULER",
-        ];
-        table::print(&titles, &rows);
+        table::print(&TARGET_TITLES, &rows);
     }
     Ok(exit_code(&statuses))
 }
 
+fn target_row(status: &Value, pool: &Value, target: &Value) -> Vec<String> {
+    vec![
+        text(&pool["id"]),
+        text(&target["id"]),
+        format!("{}/{}", text(&target["in_flight"]), text(&target["slots"])),
+        text(&target["slowness_permille"]),
+        text(&target["leaving"]),
+        text(&target["ejected"]),
+        text(&target["limit_per_s"]),
+        text(&target["rests"]),
+        text(&target["warm_up_per_s"]),
+        text(&status["vm"]),
+    ]
+}
+
 async fn show_accounts(arguments: &Arguments) -> Result<ToolExit> {
     let store = http_store(arguments);
     let Some(manifest) = read_manifest(&store).await? else {
@@ -185,7 +190,8 @@
     table::print(&["DIGEST", "REFUSED", "ENDED TARGETS"], &rows.collect::<Vec<_>>());
 }
 
-/// Reads the status of each daemon, some at a time; for a daemon that does not answer, the value holds the error instead.
+/// Reads the status of each daemon, some at a time; for a daemon that does not answer, the value holds the error
+/// instead.
 async fn read_statuses(arguments: &Arguments) -> Result<Vec<Value>> {
     if arguments.daemons.is_empty() {
         bail!("this command needs --daemons: operators' addresses of daemons as ip:port,ip:port");
