--- a/crates/standins/src/address.rs
+++ b/crates/standins/src/address.rs
@@ -15,15 +15,39 @@
 /// the probed socket and keep another process from binding the port.
 static PROBE_OR_SPAWN_LOCK: Mutex<()> = Mutex::new(());
 
+/// IP number of engines.
+const ENGINE_IP: &str = "127.0.0.2";
+
 /// Returns a free address on loopback.
 ///
 /// # Errors
 /// Fails if all ports of this process are in use.
 pub fn free_address() -> Result<String> {
+    free_address_at("127.0.0.1")
+}
+
+/// Returns a free address for an engine, which differs from the addresses of other processes by its IP number.
+///
+/// # Errors
+/// Fails if all ports of this process are in use.
+pub fn free_engine_address() -> Result<String> {
+    free_address_at(ENGINE_IP)
+}
+
+/// Returns the IP number of the daemon with this index, where each daemon of a test has one of its own.
+pub fn daemon_ip(index: usize) -> String {
+    format!("127.0.1.{}", index + 1)
+}
+
+/// Returns a free address with this IP number.
+///
+/// # Errors
+/// Fails if all ports of this process are in use.
+pub fn free_address_at(ip: &str) -> Result<String> {
     let base = FIRST_PORT + (std::process::id() % 100) as u16 * PORTS_PER_PROCESS;
     for _ in 0..PORTS_PER_PROCESS {
         let port = base + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
-        let address = format!("127.0.0.1:{port}");
+        let address = format!("{ip}:{port}");
         let _guard = lock_probe_or_spawn();
         if TcpListener::bind(&address).is_ok() {
             return Ok(address);
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -428,6 +428,22 @@
     folder: &Path,
     name: &str,
     options: &[&str],
+) -> Result<ChildProcess> {
+    spawn_with_variables(program, kind, address, folder, name, options, &[])
+}
+
+/// Same as [`spawn`], with environment variables for the process.
+///
+/// # Errors
+/// Fails if the process cannot be started.
+pub fn spawn_with_variables(
+    program: &Path,
+    kind: &str,
+    address: &str,
+    folder: &Path,
+    name: &str,
+    options: &[&str],
+    variables: &[(String, String)],
 ) -> Result<ChildProcess> {
     let log = std::fs::OpenOptions::new()
         .create(true)
@@ -437,7 +453,9 @@
     if !kind.is_empty() {
         command.arg(kind);
     }
-    let command = command.args(options).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+    let variables = variables.iter().map(|(name, value)| (name, value));
+    let command = command.args(options).envs(variables);
+    let command = command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
     let _guard = lock_probe_or_spawn();
     let child =
         command.spawn().with_context(|| format!("deployment: start {}", program.display()))?;
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -11,11 +11,11 @@
 use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME, READY, SERVERS};
 use serde_json::to_value;
 
-use super::{EngineEntry, FleetEngine, FleetStore, LethalBody};
-use crate::address::free_address;
+use super::{EngineEntry, EngineLinks, FleetEngine, FleetStore, LethalBody};
+use crate::address::{daemon_ip, free_address, free_address_at, free_engine_address};
 use crate::deployment::{
-    create_temp_folder, get_json, live_peers, output_of, program_folder, spawn, start_tool,
-    wait_listening, wait_until, ChildProcess,
+    create_temp_folder, get_json, live_peers, output_of, program_folder, spawn_with_variables,
+    start_tool, wait_listening, wait_until, ChildProcess,
 };
 use crate::http;
 use crate::served::ServedHandler;
@@ -80,6 +80,9 @@
     pub daemons: Vec<FleetDaemon>,
     /// The configuration, which [`FleetDeployment::store_config`] stores.
     pub config: Config,
+    /// Sets the faults of the links from daemons to engines; `None` unless
+    /// [`FleetDeployment::use_engine_links`] was called.
+    pub engine_links: Option<EngineLinks>,
     store_address: String,
     folder: PathBuf,
 }
@@ -98,12 +101,20 @@
             engine_origins: Vec::new(),
             daemons: Vec::new(),
             config: example_config(),
+            engine_links: None,
             store_address,
             folder,
         };
         Ok(fleet)
     }
 
+    /// Makes the links from the daemons that are started from now on to the engines able to fail. `loader_variable`
+    /// names the variable in which the system's loader expects additional libraries.
+    pub fn use_engine_links(&mut self, loader_variable: &'static str) -> Result<()> {
+        self.engine_links = Some(EngineLinks::build(&self.folder, loader_variable)?);
+        Ok(())
+    }
+
     /// Stores the configuration with a higher version.
     pub fn store_config(&mut self) -> Result<()> {
         self.config.resource_version += 3;
@@ -153,7 +164,7 @@
         event_interval: Duration,
     ) -> Result<()> {
         let engine = FleetEngine::new(&format!("i-{}", self.engines.len()), events, event_interval);
-        let address = free_address()?;
+        let address = free_engine_address()?;
         let served = ServedHandler::start(&address, engine.clone()).await?;
         self.write_entry(&engine, &origin, &address)?;
         self.engine_origins.push(origin);
@@ -232,7 +243,8 @@
 
     /// Starts daemons; `bounds` holds additional lines for the section `bounds` of their settings.
     pub async fn daemons(&mut self, count: usize, bounds: &str) -> Result<()> {
-        let peers: Vec<String> = (0..count).map(|_| free_address()).collect::<Result<_>>()?;
+        let peer = |index| free_address_at(&daemon_ip(index));
+        let peers: Vec<String> = (0..count).map(peer).collect::<Result<_>>()?;
         for (index, peer) in peers.iter().enumerate() {
             let endpoint = self.write_settings(index, peer, &peers[0], bounds)?;
             let process =
@@ -301,6 +313,9 @@
     fn spawn(&self, name: &str, callers: &str, settings: &std::path::Path) -> Result<ChildProcess> {
         let program = program_folder()?.join("curlewcleatd");
         let settings = settings.display().to_string();
-        spawn(&program, "", callers, &self.folder, name, &["--settings", &settings])
+        let options = ["--settings", settings.as_str()];
+        let variables = self.engine_links.as_ref().map(|links| links.variables(name));
+        let variables = variables.transpose()?.unwrap_or_default();
+        spawn_with_variables(&program, "", callers, &self.folder, name, &options, &variables)
     }
 }
