Relays: a daemon that has lost its links to the targets connects to them through a peer

What callers saw: 0 of 106 first tries served at daemons that were cut from all targets for twelve seconds, 446 of 450 at the others.

Cause: only the daemon that holds a caller's connection sends its request, and it could connect to a target by its own link alone. With every link lost, each permit named a target that it could not reach, and a refusal was all that was left. The class of the fault: a role that depends on one path, while another daemon has a working one.

Change: such a daemon asks a peer for a connection to the granted target (crates/relay). The peer carries framed bytes; the request, its verdict, the gate and the accounting stay with the entry daemon, so a request is still sent once, by one daemon. sched/target_reach.rs decides from connects, bytes and silence whether a link or all links are lost, and what is tried again; sched/relay_choice.rs chooses the peer. A peer serves known peers at their addresses only, for targets that it knows and would use itself, connects directly (one hop), and refuses when full or stopping. Failures of a daemon without links are no longer reported as those of targets. Peers listen on [peers] relay_port, the first of the platform's internal ports.

Who is affected: deploy/daemon.ini has one new line; settings, log events and metrics have additions only (golden files). A daemon of the former build does not listen on the port and is passed over; no message between daemons has changed.

--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -31,13 +31,14 @@
 use uuid::Uuid;
 
 /// Crates whose sources contain names that operators rely on.
-const PRODUCT: [&str; 11] = [
+const PRODUCT: [&str; 12] = [
     "crates/core",
     "crates/config",
     "crates/sched",
     "crates/keys",
     "crates/node",
     "crates/peers",
+    "crates/relay",
     "crates/targets",
     "crates/store",
     "crates/daemon",
--- a/crates/acceptance/tests/cut_daemons.rs
+++ b/crates/acceptance/tests/cut_daemons.rs
@@ -5,10 +5,12 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use anyhow::Result;
-use curlewcleat_standins::fleet::{EngineLinkFault, FleetDeployment};
+use curlewcleat_standins::deployment::get_text;
+use curlewcleat_standins::fleet::{EngineLinkFault, FleetDaemon, FleetDeployment};
 use rstest::rstest;
 
 use support::{load, wait_served, CallerResult};
@@ -50,10 +52,18 @@
     daemons.iter().try_for_each(|daemon| links.set(&format!("vm-{daemon}"), fault))
 }
 
-/// Sends requests of each kind to a daemon.
-async fn load_all(fleet: &FleetDeployment, daemon: usize, time: Duration) -> Vec<CallerResult> {
-    let entry = vec![(daemon, fleet.daemons[daemon].callers.clone())];
-    let loads = [ONCE, AGAIN, STREAM].map(|path| actix_rt::spawn(load(entry.clone(), path, time)));
+/// Sends requests of each kind to a daemon. Their ids begin with the name of the load.
+async fn load_all(
+    fleet: &FleetDeployment,
+    daemon: usize,
+    name: &str,
+    time: Duration,
+) -> Vec<CallerResult> {
+    let callers = &fleet.daemons[daemon].callers;
+    let loads = [ONCE, AGAIN, STREAM].map(|path| {
+        let entry = vec![(format!("{name}{path}"), callers.clone())];
+        actix_rt::spawn(load(entry, path, time))
+    });
     let mut results = Vec::new();
     for load in loads {
         results.extend(load.await.expect("the load ends"));
@@ -61,6 +71,24 @@
     results
 }
 
+/// Returns the attempts that may run once and ran more often.
+fn attempts_run_twice(fleet: &FleetDeployment) -> Vec<String> {
+    let mut runs = BTreeMap::<String, usize>::new();
+    for run in fleet.engines.iter().flat_map(|engine| engine.runs()).filter(|run| run.ran) {
+        *runs.entry(run.attempt).or_default() += 1;
+    }
+    let twice = runs.into_iter().filter(|(attempt, count)| *count > 1 && !attempt.contains(AGAIN));
+    twice.map(|(attempt, _)| attempt).filter(|attempt| attempt != "warm").collect()
+}
+
+/// Returns the number of connections that a daemon has asked its peers for.
+async fn relays_asked(daemon: &FleetDaemon) -> Result<usize> {
+    let metrics = get_text(&daemon.operators, "/metrics").await?;
+    let asked =
+        metrics.lines().filter(|line| line.contains("relays_total") && line.contains("asked"));
+    Ok(asked.filter_map(|line| line.rsplit(' ').next()?.parse::<usize>().ok()).sum())
+}
+
 /// Returns the share of results that were served, in percent.
 fn served_percent(results: &[CallerResult]) -> usize {
     results.iter().filter(|result| result.status == 200).count() * 100 / results.len().max(1)
@@ -84,9 +112,11 @@
     let cut_daemons: Vec<usize> = (0..cut).collect();
     set_links(&fleet, &cut_daemons, fault)?;
     // Callers send requests from the start of the cut on.
-    let before = load_all(&fleet, 0, SERVED_AFTER).await;
-    let (at_cut, at_other) =
-        tokio::join!(load_all(&fleet, 0, MEASURED), load_all(&fleet, cut, MEASURED));
+    let before = load_all(&fleet, 0, "before", SERVED_AFTER).await;
+    let (at_cut, at_other) = tokio::join!(
+        load_all(&fleet, 0, "cut", MEASURED),
+        load_all(&fleet, cut, "other", MEASURED)
+    );
     let (cut_percent, other_percent) = (served_percent(&at_cut), served_percent(&at_other));
     assert!(other_percent >= 95, "at the other daemon {other_percent} of 100 are served");
     assert!(
@@ -96,7 +126,26 @@
     );
     set_links(&fleet, &cut_daemons, EngineLinkFault::None)?;
     tokio::time::sleep(BACK_WITHIN).await;
-    let healed = served_percent(&load_all(&fleet, 0, MEASURED / 2).await);
+    let asked = relays_asked(&fleet.daemons[0]).await?;
+    let healed = served_percent(&load_all(&fleet, 0, "healed", MEASURED / 2).await);
     assert!(healed >= 95, "{healed} of 100 are served after the cut");
+    let asked_after = relays_asked(&fleet.daemons[0]).await?;
+    assert_eq!(asked_after, asked, "the daemon's own links are used again");
+    assert_eq!(attempts_run_twice(&fleet), Vec::<String>::new());
+    Ok(())
+}
+
+/// A daemon that starts while it is cut knows no target that it reaches.
+#[actix_rt::test]
+async fn callers_of_a_daemon_that_starts_in_a_cut_are_served() -> Result<()> {
+    let mut fleet = ready("cut-start", 2).await?;
+    set_links(&fleet, &[0], EngineLinkFault::Silent)?;
+    fleet.restart(0).await?;
+    for path in [ONCE, STREAM] {
+        wait_served(&fleet, path).await?;
+    }
+    let served = served_percent(&load_all(&fleet, 0, "started", MEASURED / 2).await);
+    assert!(served >= 95, "{served} of 100 are served at the daemon that started in the cut");
+    assert_eq!(attempts_run_twice(&fleet), Vec::<String>::new());
     Ok(())
 }
--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -4,6 +4,7 @@
 // Each test file uses only some of these items.
 #![allow(dead_code)]
 
+use std::fmt::Display;
 use std::time::{Duration, Instant};
 
 use actix_http::header;
@@ -53,15 +54,15 @@
     Ok(())
 }
 
-/// Sends requests to each of these daemons for `duration` and returns the results. Attempt ids begin with the number
-/// of the daemon.
-pub async fn load(
-    entry_daemons: Vec<(usize, String)>,
+/// Sends requests to each of these daemons for `duration` and returns the results. Attempt ids begin with what stands
+/// beside the daemon's address.
+pub async fn load<N: Display + Clone + 'static>(
+    entry_daemons: Vec<(N, String)>,
     path: &'static str,
     duration: Duration,
 ) -> Vec<CallerResult> {
     let end = Instant::now() + duration;
-    let callers = entry_daemons.into_iter().map(|(index, entry)| {
+    let callers = entry_daemons.into_iter().map(|(name, entry)| {
         actix_rt::spawn(async move {
             let mut results = Vec::new();
             for number in 0.. {
@@ -69,7 +70,7 @@
                     break;
                 }
                 // A daemon that is killed during the load does not answer.
-                results.extend(call(&entry, path, &format!("{index}-{number}")).await);
+                results.extend(call(&entry, path, &format!("{name}-{number}")).await);
                 tokio::time::sleep(CALL_INTERVAL).await;
             }
             results
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -40,6 +40,9 @@
     pub peer_address: String,
     /// `ip:port` at which peers reach this daemon, if it differs from the one that is bound.
     pub advertised_address: String,
+    /// Port, the same on all VMs, at which each daemon makes connections to targets for peers that have lost their own
+    /// links; `None` for no such connections.
+    pub relay_port: Option<u16>,
     /// `ip:port` of the peers to contact first.
     pub seeds: Vec<String>,
     /// Time between heartbeats.
@@ -187,6 +190,7 @@
         drain_grace: Duration::from_secs(2),
         peer_address: String::new(),
         advertised_address: String::new(),
+        relay_port: None,
         seeds: Vec::new(),
         beat: Duration::from_millis(500),
         suspect_after: Duration::from_secs(2),
@@ -276,6 +280,9 @@
         Some(_) => section.address("advertised_address", report),
         None => settings.peer_address.clone(),
     };
+    if section.text("relay_port").is_some() {
+        settings.relay_port = Some(section.number("relay_port", 0, 1..=65_535, report) as u16);
+    }
     settings.seeds = read_seeds(section, report);
     settings.beat = section.duration("beat", settings.beat, report);
     settings.suspect_after = section.duration("suspect_after", settings.suspect_after, report);
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -142,6 +142,7 @@
         ("{{bounds.quota_window_s}}", "9"),
         ("{{bounds.expose_share}}", "0.1"),
         ("{{bounds.expose_slack}}", "50"),
+        ("{{internal_port_range.0}}", "7600"),
     ];
     let mut text = String::new();
     for line in template.lines() {
@@ -171,6 +172,7 @@
     assert_eq!(all.bounds.rate_window, std::time::Duration::from_secs(9));
     assert_eq!((all.capacity_percent, all.link_kbit_per_s), (50, 10_000));
     assert_eq!(all.seeds.len(), 2);
+    assert_eq!(all.relay_port, Some(7_600));
     let none = check_settings("daemon.ini", &fill_template(false)).expect("valid settings");
     assert_eq!(none.bounds, curlewcleat_config::FleetBounds::default());
 }
--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -18,6 +18,7 @@
 use crate::metrics::DaemonMetrics;
 use crate::node_loop::NodeLoop;
 use crate::platform_adapter::PlatformAdapter;
+use crate::relays::{probe_lost_links, RelayServer};
 use crate::usage::log_usage;
 
 /// Runs a daemon until its planned stop is complete.
@@ -34,12 +35,14 @@
     let counts = Arc::new(TransportCounts::default());
     let metrics = Arc::new(DaemonMetrics::new(Arc::clone(&counts)).context("metrics")?);
     let (sender, messages) = mpsc::unbounded_channel();
-    let context = DaemonContext::new(settings.clone(), metrics, sender.clone());
+    let context = DaemonContext::new(me.clone(), settings.clone(), metrics, sender.clone());
 
     // The peer address is bound first: a successful bind shows that no earlier process of this daemon still runs.
     let transport = listen_for_peers(&settings, Arc::clone(&counts), sender)?;
     let node = Node::new(adapter.node_options(&settings, me.clone(), context.wall()));
+    let relays = RelayServer::start(&context).await?;
     let server = adapter.serve(&context).await?;
+    probe_lost_links(context.clone());
     adapter.follow(&context, me)?;
     watch_signals(context.clone())?;
     log_usage(context.clone(), counts);
@@ -47,6 +50,7 @@
 
     NodeLoop::new(node, context, transport, adapter).run(messages).await;
     server.close().await;
+    relays.close().await;
     info!("ended", kv: { vm = settings.vm.as_str() });
     Ok(())
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -3,19 +3,21 @@
 //! Owns: the threads' copy of the configuration in force and of the bounds, the channel to the node. Relies on: the
 //! node's thread ending last.
 
+use std::net::IpAddr;
 use std::sync::{Arc, OnceLock, RwLock};
 use std::time::Duration;
 
 use curlewcleat_clock::Moment;
 use curlewcleat_config::{DaemonSettings, FleetBounds};
-use curlewcleat_core::{ActiveConfig, WallTime};
+use curlewcleat_core::{ActiveConfig, DaemonId, PoolId, TargetEntry, VmId, WallTime};
 use curlewcleat_node::{CallerDecision, NodeEvent, NodeStatus};
-use curlewcleat_sched::RequestSpec;
+use curlewcleat_sched::{RelayPeer, RequestSpec};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::metrics::DaemonMetrics;
 use crate::pending::PendingRequest;
 use crate::target_notices::SharedGate;
+use crate::target_reach::SharedReach;
 
 /// A message to the thread of the node.
 pub enum NodeMessage {
@@ -27,6 +29,10 @@
     Apply(curlewcleat_core::ConfigBundle, oneshot::Sender<()>),
     /// A request for the node's status.
     Status(oneshot::Sender<NodeStatus>),
+    /// A request for peers that may relay connections; the number selects where the list begins.
+    RelayPeers(usize, oneshot::Sender<Vec<RelayPeer>>),
+    /// A request whether the daemon of a VM is known at an IP number.
+    KnowsPeer(VmId, IpAddr, oneshot::Sender<bool>),
     /// A request for the files of the configuration in force.
     Config(oneshot::Sender<Option<curlewcleat_core::ConfigBundle>>),
 }
@@ -34,12 +40,16 @@
 /// State shared by all threads of the daemon.
 #[derive(Clone)]
 pub struct DaemonContext {
+    /// This daemon.
+    pub daemon: DaemonId,
     /// Settings at the start of the process.
     pub settings: Arc<DaemonSettings>,
     /// Metrics.
     pub metrics: Arc<DaemonMetrics>,
     /// Notices of targets.
     pub gate: SharedGate,
+    /// Links to targets.
+    pub reach: SharedReach,
     /// Configuration in force.
     config: Arc<RwLock<Arc<ActiveConfig>>>,
     node: mpsc::UnboundedSender<NodeMessage>,
@@ -54,15 +64,18 @@
 impl DaemonContext {
     /// Creates a context whose messages go to `node`.
     pub fn new(
+        daemon: DaemonId,
         settings: DaemonSettings,
         metrics: Arc<DaemonMetrics>,
         node: mpsc::UnboundedSender<NodeMessage>,
     ) -> DaemonContext {
         DaemonContext {
+            daemon,
             bounds: Arc::new(RwLock::new(settings.bounds.clone())),
             settings: Arc::new(settings),
             metrics,
             gate: SharedGate::default(),
+            reach: SharedReach::default(),
             config: Arc::default(),
             node,
             draining: Arc::default(),
@@ -185,6 +198,33 @@
         PendingRequest::new(request, decisions, self.clone())
     }
 
+    /// Returns peers that may relay connections, none while the process is ending.
+    pub async fn relay_peers(&self, draw: usize) -> Vec<RelayPeer> {
+        let (sender, receiver) = oneshot::channel();
+        if self.node.send(NodeMessage::RelayPeers(draw, sender)).is_err() {
+            return Vec::new();
+        }
+        // The sender is dropped only while the process is ending.
+        receiver.await.unwrap_or_default()
+    }
+
+    /// Returns whether the daemon of a VM is known at an IP number; `false` while the process is ending.
+    pub async fn knows_peer_at(&self, vm: &VmId, ip: IpAddr) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        if self.node.send(NodeMessage::KnowsPeer(vm.clone(), ip, sender)).is_err() {
+            return false;
+        }
+        // The sender is dropped only while the process is ending.
+        receiver.await.unwrap_or_default()
+    }
+
+    /// Returns the pool to which a target belongs in the configuration in force.
+    pub fn pool_of(&self, target: &TargetEntry) -> Option<PoolId> {
+        let config = self.config();
+        let mut pools = config.pools.values();
+        pools.find(|pool| pool.targets.contains_key(&target.id)).map(|pool| pool.id.clone())
+    }
+
     /// Returns the node's status, or `None` while the process is ending.
     pub async fn status(&self) -> Option<NodeStatus> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -126,8 +126,8 @@
     let server = builder
         .bind("callers", settings.caller_address.as_str(), move || {
             let context = caller_context.clone();
-            let protocol = Box::<BuiltinProtocol>::default();
-            let service = RequestService::new(context, protocol);
+            let protocol = BuiltinProtocol::new(&context);
+            let service = RequestService::new(context, Box::new(protocol));
             HttpService::build()
                 .client_request_timeout(head_limit)
                 .h1_allow_half_closed(false)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,9 +17,11 @@
 mod operators;
 mod pending;
 mod platform_adapter;
+mod relays;
 mod reports;
 mod request;
 mod target_notices;
+mod target_reach;
 mod unwritten;
 mod usage;
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -37,6 +37,7 @@
     targets_terminated: IntCounter,
     gate_stops: IntCounterVec,
     rollout_stages: IntCounterVec,
+    relays: IntCounterVec,
     gauges: StatusGauges,
 }
 
@@ -90,6 +91,11 @@
                 "Stages of roll-outs on which this daemon has decided",
                 &["stage", "reason"],
             )?,
+            relays: count(
+                "relays_total",
+                "Connections to targets through a peer that were asked for or served, by outcome",
+                &["role", "outcome"],
+            )?,
             gauges: StatusGauges::new(&registry, counts)?,
             registry,
         };
@@ -117,6 +123,11 @@
         self.rollout_stages.with_label_values(&[stage, reason]).inc();
     }
 
+    /// Counts a connection through a peer that this daemon has asked for or served.
+    pub fn count_relay(&self, role: &str, outcome: &str) {
+        self.relays.with_label_values(&[role, outcome]).inc();
+    }
+
     /// Counts a refused request; tier and pool are empty if no rule matched.
     pub fn count_refusal(&self, reason: RefusalReason, tier: &str, pool: &str) {
         self.refusals.with_label_values(&[reason.code(), tier, pool]).inc();
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -119,6 +119,12 @@
             }
             // The receiver may have stopped waiting; that is no fault.
             NodeMessage::Status(sender) => drop(sender.send(self.node.status())),
+            NodeMessage::RelayPeers(draw, sender) => {
+                drop(sender.send(self.node.relay_peers(draw)));
+            }
+            NodeMessage::KnowsPeer(vm, ip, sender) => {
+                let _ = sender.send(self.node.knows_peer_at(&vm, ip));
+            }
             NodeMessage::Config(sender) => drop(sender.send(self.node.config_bundle().cloned())),
         }
     }
--- a/crates/daemon/src/reports.rs
+++ b/crates/daemon/src/reports.rs
@@ -60,7 +60,7 @@
 ) -> Option<TargetReport> {
     let mut head = RequestHead::default();
     head.uri = path.parse().ok()?;
-    let connection = connections.connect_to(target, REPORT_TIMEOUT).await.ok()?;
+    let connection = connections.connect_to(target, REPORT_TIMEOUT, None).await.ok()?;
     let answer = connection.exchange(head, ()).await.ok()?;
     let body = collect(answer.body, MAX_REPORT_BYTES).await.ok()?;
     serde_json::from_slice(&body).ok()
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -30,17 +30,13 @@
     Replaced(Box<GrantedTarget>),
 }
 
-/// Sends a request to its target, over `connection` if there is one, and waits for the head of the answer.
+/// Sends a request to its target over an established connection and waits for the head of the answer.
 pub async fn send(
     attempt: TargetAttempt<'_>,
-    connection: Option<PooledConnection>,
+    connection: PooledConnection,
     wait: TargetWait<'_>,
 ) -> AttemptStart {
     let (context, protocol, request) = (wait.context, wait.protocol, attempt.request);
-    let connection = match connect(&attempt, connection, &wait).await {
-        Ok(connection) => connection,
-        Err(start) => return start,
-    };
     let head = protocol.target_head(&attempt);
     let options = protocol.exchange_options(request);
     let exchange = connection.exchange_with(head, attempt.caller.body.outgoing(), &options);
@@ -63,8 +59,9 @@
     evaluate_answer(protocol, request, answer, notice)
 }
 
-/// Returns an established connection to a target whose notices allow the request to be sent now.
-async fn connect(
+/// Returns an established connection to a target whose notices allow the request to be sent now: `connection`, if there
+/// is one.
+pub async fn connect(
     attempt: &TargetAttempt<'_>,
     connection: Option<PooledConnection>,
     wait: &TargetWait<'_>,
@@ -77,7 +74,8 @@
         Some(connection) => Ok(connection),
         None => {
             let limit = protocol.limits(request).connect;
-            protocol.connections(&request.pool).connect_to(attempt.target, limit).await
+            let connections = protocol.connections(&request.pool);
+            connections.connect_to(attempt.target, limit, Some(request.id)).await
         }
     };
     // Nothing is written before the connection is established.
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::BodySize;
@@ -25,7 +26,9 @@
 use super::framing::{AnswerFraming, ByteFraming};
 use super::problem::{problem_answer, REQUEST_ID};
 use super::protocol::{AttemptLimits, CallerProtocol, HeadVerdict, ProtocolOptions, TargetAttempt};
+use crate::context::DaemonContext;
 use crate::headers;
+use crate::relays::TargetDialer;
 
 /// Header with the urgency of a request (RFC 9218).
 const PRIORITY: HeaderName = HeaderName::from_static("priority");
@@ -42,13 +45,20 @@
 };
 
 /// Protocol of callers and targets that use the built-in interface.
-#[derive(Default)]
 pub struct BuiltinProtocol {
+    links: Rc<TargetDialer>,
     /// Connections by pool and by whether they are reused. Pools share no connections, so that no request
     /// waits behind one of another pool.
     connections: RefCell<BTreeMap<(PoolId, bool), ConnectionPool>>,
 }
 
+impl BuiltinProtocol {
+    /// Creates the protocol of one thread.
+    pub fn new(context: &DaemonContext) -> BuiltinProtocol {
+        BuiltinProtocol { links: TargetDialer::new(context), connections: RefCell::default() }
+    }
+}
+
 impl CallerProtocol for BuiltinProtocol {
     fn options(&self) -> &ProtocolOptions {
         &OPTIONS
@@ -116,7 +126,8 @@
         let options = ConnectionOptions { max_idle_connections, ..defaults };
         let key = (pool.id.clone(), pool.reuse_connections);
         let mut connections = self.connections.borrow_mut();
-        connections.entry(key).or_insert_with(|| ConnectionPool::new(options)).clone()
+        let new_pool = || ConnectionPool::new(options).with_links(Rc::clone(&self.links) as _);
+        connections.entry(key).or_insert_with(new_pool).clone()
     }
 
     fn limits(&self, request: &AdmittedRequest) -> AttemptLimits {
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -35,6 +35,7 @@
 use crate::config_freshness::ConfigFreshness;
 use crate::context::DaemonContext;
 use crate::headers;
+use crate::relays::TargetDialer;
 
 /// Time for which an idle connection to a target is kept if the target states none.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
@@ -80,6 +81,7 @@
         profile: WireProfile,
         freshness: Rc<ConfigFreshness>,
     ) -> ProfileProtocol {
+        let links = TargetDialer::new(&context);
         let options = ConnectionOptions {
             idle_limit: IDLE_LIMIT,
             min_idle: Duration::ZERO,
@@ -88,7 +90,7 @@
         ProfileProtocol {
             context,
             profile,
-            connections: ConnectionPool::new(options),
+            connections: ConnectionPool::new(options).with_links(links),
             freshness,
             longest_timeouts: RefCell::default(),
         }
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -35,6 +35,8 @@
 /// Progress of the latest attempt.
 #[derive(Default)]
 struct AttemptProgress {
+    /// Whether the connection to the target goes through a peer.
+    relayed: bool,
     /// Whether the target answered with a server error.
     server_error: bool,
     first: Option<Moment>,
@@ -51,6 +53,16 @@
         self.attempt = AttemptProgress::default();
     }
 
+    /// Records that the latest attempt has a connection, and whether it goes through a peer.
+    pub fn record_connection(&mut self, relayed: bool) {
+        self.attempt.relayed = relayed;
+    }
+
+    /// Returns whether the connection of the latest attempt goes through a peer.
+    pub fn is_relayed(&self) -> bool {
+        self.attempt.relayed
+    }
+
     /// Records that a part of the answer is relayed.
     pub fn record_part(&mut self, bytes: usize) {
         let now = Moment::now();
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -186,8 +186,10 @@
         let connections = self.protocol().connections(&self.request.pool);
         while let Some(head) = self.framing.resume_request() {
             self.service.context.metrics.count_retry(RetryReason::StreamResumed);
+            let request = Some(self.request.id);
             let exchange = async {
-                let connection = connections.connect_to(target, RESUME_CONNECT_LIMIT).await;
+                let connection =
+                    connections.connect_to(target, RESUME_CONNECT_LIMIT, request).await;
                 connection?.exchange(head, ()).await
             };
             match tokio::time::timeout(limit, exchange).await {
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -5,6 +5,7 @@
 //! Relies on: the node, which grants permits and counts attempts ([`PendingRequest`]).
 
 mod attempts;
+mod fault;
 mod log;
 mod sample;
 
@@ -31,6 +32,7 @@
 use super::{CallerRequest, RequestService};
 use crate::pending::PendingRequest;
 
+use self::fault::AttemptFault;
 pub use self::log::record_refusal;
 
 /// Header that marks an answer replayed from an earlier attempt with the same idempotency key.
@@ -145,7 +147,8 @@
                 AttemptOutcome::Retry(reason, cause) => self.retry(&target, reason, cause),
                 AttemptOutcome::Replaced(other, cause) => {
                     self.log_failed_attempt(&target.id, RetryReason::StreamResumed.code(), cause);
-                    self.report_interruption(&target, cause);
+                    let fault = self.fault_of(&target, cause);
+                    self.report_interruption(&target, cause, fault);
                     self.framing.restart();
                     granted = Some(other);
                 }
@@ -155,8 +158,9 @@
                 }
                 AttemptOutcome::Failed(end, reason, cause) => {
                     self.log_failed_attempt(&target.id, reason.code(), cause);
-                    self.report_interruption(&target, cause);
-                    self.report_end(end);
+                    let fault = self.fault_of(&target, cause);
+                    self.report_interruption(&target, cause, fault);
+                    self.report_end(fault.reported_end(end));
                     return self.refuse(reason);
                 }
                 AttemptOutcome::CallerStalled => return self.abandon_stalled_caller(),
@@ -203,18 +207,22 @@
     fn retry(&mut self, target: &TargetEntry, reason: RetryReason, cause: AttemptCause) {
         self.log_failed_attempt(&target.id, reason.code(), cause);
         // The node needs the report before it decides about another attempt.
-        self.report_interruption(target, cause);
+        let fault = self.fault_of(target, cause);
+        self.report_interruption(target, cause, fault);
         let answer_begun = self.answer.has_begun();
         if let Some(pending) = &mut self.pending {
             if answer_begun {
                 pending.answer_begun();
             }
-            pending.attempt_not_run(cause.attempt_end(), reason);
+            pending.attempt_not_run(fault.reported_end(cause.attempt_end()), reason);
         }
     }
 
     /// Reports an interrupted attempt to the node: the request may be what terminated its target.
-    fn report_interruption(&self, target: &TargetEntry, cause: AttemptCause) {
+    fn report_interruption(&self, target: &TargetEntry, cause: AttemptCause, fault: AttemptFault) {
+        if fault == AttemptFault::Link {
+            return;
+        }
         self.report_observations(target, cause.answer_observation());
         if let (Some(digest), Some(kind)) = (self.request.digest, cause.interruption_kind()) {
             let begun = self.progress.attempt_parts() > 0;
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -7,7 +7,7 @@
 use curlewcleat_targets::PooledConnection;
 
 use super::{AttemptOutcome, RequestRun};
-use crate::request::attempt::{send, AttemptStart};
+use crate::request::attempt::{connect, send, AttemptStart};
 use crate::request::cause::AttemptCause;
 use crate::request::protocol::TargetAttempt;
 use crate::request::target_wait::TargetWait;
@@ -66,6 +66,11 @@
             request: &self.request,
             target,
         };
+        let connection = match connect(&attempt, connection, &wait).await {
+            Ok(connection) => connection,
+            Err(start) => return start,
+        };
+        self.progress.record_connection(connection.is_relayed());
         send(attempt, connection, wait).await
     }
 
--- /dev/null
+++ b/crates/daemon/src/request/run/fault.rs
@@ -0,0 +1,55 @@
+//! Decides whether a failed attempt says anything about its target, or only about this daemon's link to it.
+//!
+//! A daemon that has lost its links fails at every target. If these failures counted against the targets, it would get
+//! targets ejected for all daemons, and a version under rollout or a request would be blamed for them.
+//!
+//! Owns: nothing; these are methods of [`RequestRun`]. Relies on: [`SharedReach`](crate::target_reach::SharedReach) for
+//! the lost links.
+
+use curlewcleat_core::{AttemptEnd, TargetEntry};
+use curlewcleat_sched::TargetRoute;
+
+use super::RequestRun;
+use crate::request::cause::AttemptCause;
+
+/// Whose fault a failed attempt is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptFault {
+    /// The target's, or the request's.
+    Target,
+    /// That of this daemon's link to the target, or of the peer that relays the connection.
+    Link,
+}
+
+impl AttemptFault {
+    /// Returns the result that is reported to the scheduler for an attempt with this result of its own.
+    pub fn reported_end(self, end: AttemptEnd) -> AttemptEnd {
+        match self {
+            AttemptFault::Target => end,
+            AttemptFault::Link => AttemptEnd::Unused,
+        }
+    }
+}
+
+impl RequestRun {
+    /// Returns whose fault the failure of the latest attempt is.
+    pub(super) fn fault_of(&self, target: &TargetEntry, cause: AttemptCause) -> AttemptFault {
+        let context = &self.service.context;
+        let is_lost = || context.reach.route(&target.address) == TargetRoute::Peer;
+        let is_relayed = self.progress.is_relayed();
+        let is_link_fault = match cause {
+            AttemptCause::ConnectFailed => is_lost(),
+            AttemptCause::Closed if !is_relayed => {
+                context.reach.broke(context.uptime(), &target.address)
+            }
+            AttemptCause::Closed | AttemptCause::HeadTimeout | AttemptCause::PartTimeout => {
+                is_relayed || is_lost()
+            }
+            _ => false,
+        };
+        match is_link_fault {
+            true => AttemptFault::Link,
+            false => AttemptFault::Target,
+        }
+    }
+}
--- a/crates/daemon/src/request/target_wait.rs
+++ b/crates/daemon/src/request/target_wait.rs
@@ -175,7 +175,9 @@
         let connections = self.protocol.connections(&self.request.pool);
         let limit = self.protocol.limits(self.request).connect;
         let target = entry.clone();
-        let connecting = Box::pin(async move { connections.connect_to(&target, limit).await });
+        let request = Some(self.request.id);
+        let connecting =
+            Box::pin(async move { connections.connect_to(&target, limit, request).await });
         self.replacement = Some(ConnectingTarget { permit, entry, connecting });
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,6 +11,7 @@
 mod notices;
 mod platform;
 mod pulls;
+mod relays;
 mod requests;
 mod rollouts;
 mod stop;
--- a/crates/sched/src/election/membership.rs
+++ b/crates/sched/src/election/membership.rs
@@ -256,6 +256,11 @@
         &self.peers
     }
 
+    /// Returns the daemons that the platform has recorded.
+    pub fn records(&self) -> &BTreeMap<VmId, DaemonRecord> {
+        &self.records
+    }
+
     /// Returns the address of a peer, or of a recorded daemon that is not a peer yet.
     pub fn address_of(&self, vm: &VmId) -> Option<&str> {
         let peer = self.peers.get(vm).map(|peer| peer.address.as_str());
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -11,6 +11,7 @@
 //! | whether it terminates its targets | [`lethal`] | the suspect requests |
 //! | whether a version is accepted or rolled back | [`rollout`] | the versions of a pool, a rollout and its answers |
 //! | which daemon decides | [`election`] | the members |
+//! | whether a target is reached directly or through a peer | [`target_reach`], [`relay_choice`] | the lost links of a daemon, its peers |
 //!
 //! [`scheduler`] handles the events at the scheduler of a pool ([`pool`] is its state, [`targets`] its view of the
 //! targets), [`entry`] the events at the daemon that holds a caller's connection, [`drain`] the planned stop.
@@ -29,11 +30,13 @@
 mod order;
 mod placement;
 mod pool;
+mod relay_choice;
 mod retry;
 mod retry_after;
 mod rollout;
 mod scheduler;
 mod target_gate;
+mod target_reach;
 mod targets;
 mod work_estimate;
 
@@ -58,6 +61,7 @@
 pub use placement::prefix::PrefixCache;
 pub use placement::target::TargetState;
 pub use pool::{PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
+pub use relay_choice::{RelayChoice, RelayPeer};
 pub use retry::budget::{RetryBudget, RetryLimits};
 pub use retry::{decide_retry, RetryBound, RetryDecision, RetryInput};
 pub use retry_after::{rate_retry_after, spread_retry_after};
@@ -66,3 +70,4 @@
 pub use rollout::versions::{PoolVersions, ReportedVersion, VersionAccess};
 pub use rollout::{PoolRollout, RolloutReason, RolloutStep, RolloutView};
 pub use target_gate::{GateStop, NoticeChange, TargetGate};
+pub use target_reach::{ReachChange, TargetReach, TargetRoute};
--- a/crates/standins/src/address.rs
+++ b/crates/standins/src/address.rs
@@ -39,6 +39,15 @@
     format!("127.0.1.{}", index + 1)
 }
 
+/// Returns a port that is free at this IP number.
+///
+/// # Errors
+/// Fails if all ports of this process are in use.
+pub fn free_port_at(ip: &str) -> Result<u16> {
+    let address: std::net::SocketAddr = free_address_at(ip)?.parse()?;
+    Ok(address.port())
+}
+
 /// Returns a free address with this IP number.
 ///
 /// # Errors
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -12,7 +12,7 @@
 use serde_json::to_value;
 
 use super::{EngineEntry, EngineLinks, FleetEngine, FleetStore, LethalBody};
-use crate::address::{daemon_ip, free_address, free_address_at, free_engine_address};
+use crate::address::{daemon_ip, free_address, free_address_at, free_engine_address, free_port_at};
 use crate::deployment::{
     create_temp_folder, get_json, live_peers, output_of, program_folder, spawn_with_variables,
     start_tool, wait_listening, wait_until, ChildProcess,
@@ -83,6 +83,8 @@
     /// Sets the faults of the links from daemons to engines; `None` unless
     /// [`FleetDeployment::use_engine_links`] was called.
     pub engine_links: Option<EngineLinks>,
+    /// Port of the relays of all daemons, `None` before the first daemons are started.
+    relay_port: Option<u16>,
     store_address: String,
     folder: PathBuf,
 }
@@ -102,6 +104,7 @@
             daemons: Vec::new(),
             config: example_config(),
             engine_links: None,
+            relay_port: None,
             store_address,
             folder,
         };
@@ -245,6 +248,7 @@
     pub async fn daemons(&mut self, count: usize, bounds: &str) -> Result<()> {
         let peer = |index| free_address_at(&daemon_ip(index));
         let peers: Vec<String> = (0..count).map(peer).collect::<Result<_>>()?;
+        self.relay_port = Some(free_port_at(&daemon_ip(0))?);
         for (index, peer) in peers.iter().enumerate() {
             let endpoint = self.write_settings(index, peer, &peers[0], bounds)?;
             let process =
@@ -280,14 +284,17 @@
         bounds: &str,
     ) -> Result<DaemonEndpoint> {
         let (callers, operators) = (free_address()?, free_address()?);
+        let relay = self.relay_port.map(|port| format!("relay_port = {port}\n"));
         let text = format!(
             "[vm]\nname = vm-{index}\ndata_centre = here\n\
                  [callers]\naddress = {callers}\ndrain_grace = 200ms\n\
                  [operators]\naddress = {operators}\n\
-                 [peers]\naddress = {peer}\nseeds = {}\nask_limit = 100ms\n\
+                 [peers]\naddress = {peer}\nseeds = {}\nask_limit = 100ms\n{}\
                  [platform]\nkind = fleet\naddress = {}\ncall_limit = 500ms\n\
                  [bounds]\nconfig_apply_limit = 400ms\n{bounds}\n",
-            seed, self.store_address
+            seed,
+            relay.unwrap_or_default(),
+            self.store_address
         );
         let settings = self.folder.join(format!("vm-{index}.ini"));
         std::fs::write(&settings, text)?;
--- a/crates/standins/src/fleet/link_faults.rs
+++ b/crates/standins/src/fleet/link_faults.rs
@@ -11,6 +11,8 @@
 
 use anyhow::{bail, Context, Result};
 
+use crate::address::lock_probe_or_spawn;
+
 /// Source of the library.
 const SOURCE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/link_fault/link_fault.c");
 /// Variable with which the library finds its file.
@@ -59,12 +61,17 @@
     /// Fails if there is no C compiler.
     pub fn build(folder: &Path, loader_variable: &'static str) -> Result<EngineLinks> {
         let library = folder.join("link_fault.so");
-        let status = Command::new("cc")
-            .args(["-shared", "-fPIC", "-O1", "-o"])
-            .args([library.as_os_str(), SOURCE.as_ref(), "-ldl".as_ref()])
-            .status()
-            .context("link faults: start the C compiler")?;
-        if !status.success() {
+        let mut compiler = Command::new("cc");
+        compiler.args(["-shared", "-fPIC", "-O1", "-o"]).args([
+            library.as_os_str(),
+            SOURCE.as_ref(),
+            "-ldl".as_ref(),
+        ]);
+        let mut process = {
+            let _guard = lock_probe_or_spawn();
+            compiler.spawn().context("link faults: start the C compiler")?
+        };
+        if !process.wait()?.success() {
             bail!("link faults: the library does not compile");
         }
         Ok(EngineLinks { folder: folder.to_path_buf(), library, loader_variable })
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -11,10 +11,10 @@
 use actix_http::ResponseHead;
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
-use tokio::net::TcpStream;
 
 use crate::pool::{ConnectionEndpoint, ConnectionPool};
 use crate::stall::StallGuard;
+use crate::stream::TargetStream;
 
 /// Size in bytes of one read from an answer that ends when its connection closes.
 const READ_SIZE: usize = 16 << 10;
@@ -45,13 +45,13 @@
 
 enum BodyState {
     /// The answer has no body.
-    Empty(Framed<TcpStream, ClientCodec>),
+    Empty(Framed<TargetStream, ClientCodec>),
     /// The body is being read.
-    Open(Framed<TcpStream, ClientPayloadCodec>),
+    Open(Framed<TargetStream, ClientPayloadCodec>),
     /// The body is being read until the connection ends; the bytes arrived with the head.
-    UntilClose(TcpStream, BytesMut),
+    UntilClose(TargetStream, BytesMut),
     /// The body is complete, and the connection was not returned to the pool but may be reused.
-    Complete(Framed<TcpStream, ClientCodec>),
+    Complete(Framed<TargetStream, ClientCodec>),
     /// The body has ended, complete or truncated.
     Ended,
 }
@@ -70,12 +70,13 @@
 
 impl AnswerBody {
     pub(crate) fn new(
-        framed: Framed<TcpStream, ClientCodec>,
+        framed: Framed<TargetStream, ClientCodec>,
         frame: BodyFrame,
         reusable: bool,
         endpoint: ConnectionEndpoint,
         pool: ConnectionPool,
     ) -> AnswerBody {
+        let stall = StallGuard::begin(&pool, &endpoint, framed.io_ref());
         let state = match frame {
             BodyFrame::Empty => BodyState::Empty(framed),
             BodyFrame::Framed => {
@@ -86,7 +87,6 @@
                 BodyState::UntilClose(parts.io, parts.read_buf)
             }
         };
-        let stall = StallGuard::begin(&pool, &endpoint);
         AnswerBody { state, reusable, idle_limit: None, endpoint, pool, stall }
     }
 
@@ -96,7 +96,7 @@
     }
 
     /// Returns the connection after a complete body, if it was not returned to the pool.
-    pub(crate) fn into_connection(self) -> Option<Framed<TcpStream, ClientCodec>> {
+    pub(crate) fn into_connection(self) -> Option<Framed<TargetStream, ClientCodec>> {
         match self.state {
             BodyState::Complete(framed) => Some(framed),
             _ => None,
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -12,12 +12,12 @@
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use futures_util::StreamExt;
-use tokio::net::TcpStream;
 
 use crate::answer::{AnswerBody, BodyFrame, TargetAnswer};
 use crate::error::{Error, Result};
 use crate::pool::{ConnectionEndpoint, ConnectionPool, PooledConnection};
 use crate::stall::StallGuard;
+use crate::stream::TargetStream;
 
 /// Maximum number of heads that one exchange reads: informational ones, answers to earlier requests, and its own.
 const HEAD_LIMIT: usize = 4;
@@ -32,7 +32,7 @@
     pub allow_close_delimited: bool,
 }
 
-type Connection = Framed<TcpStream, ClientCodec>;
+type Connection = Framed<TargetStream, ClientCodec>;
 
 impl PooledConnection {
     /// Writes a request and reads the head of its answer. Consumes the connection, so that nothing else can be sent on
@@ -68,7 +68,7 @@
             head.headers.insert(header::HOST, host);
         }
         let method = head.method.clone();
-        let mut stall = StallGuard::begin(&self.pool, &self.endpoint);
+        let mut stall = StallGuard::begin(&self.pool, &self.endpoint, &self.stream);
         let mut framed = Framed::new(self.stream, ClientCodec::default());
         let mut upload = Upload::begin(&mut framed, head, body)?;
         for _ in 0..HEAD_LIMIT {
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -9,11 +9,15 @@
 mod connection;
 mod error;
 mod events;
+mod links;
 mod pool;
 mod stall;
+mod stream;
 
 pub use answer::{collect, AnswerBody, CollectError, TargetAnswer, TruncatedBody};
 pub use connection::ExchangeOptions;
 pub use error::{Error, Result};
 pub use events::EventSplitter;
+pub use links::{connect_directly, ConnectFuture, TargetLinks};
 pub use pool::{ConnectionOptions, ConnectionPool, PooledConnection};
+pub use stream::{ByteStream, TargetStream};
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -8,14 +8,17 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{TargetEntry, TargetInstance};
+use curlewcleat_core::{RequestId, TargetEntry, TargetInstance};
 use tokio::net::TcpStream;
 
-use crate::error::{Error, Result};
+use crate::error::Result;
+use crate::links::{connect_directly, TargetLinks};
+use crate::stream::TargetStream;
 
 /// Limits of a connection pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,21 +64,34 @@
 }
 
 /// Connections of one thread to the targets of one pool.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct ConnectionPool {
     options: ConnectionOptions,
     idle: Rc<RefCell<BTreeMap<ConnectionEndpoint, Vec<IdleConnection>>>>,
+    /// How connections to targets are established; `None` for direct connections only.
+    links: Option<Rc<dyn TargetLinks>>,
+}
+
+impl fmt::Debug for ConnectionPool {
+    fn fmt(&self, form: &mut fmt::Formatter<'_>) -> fmt::Result {
+        form.debug_struct("ConnectionPool").field("idle", &self.idle).finish_non_exhaustive()
+    }
 }
 
 /// A connection without an exchange in progress.
 #[derive(Debug)]
 pub struct PooledConnection {
-    pub(crate) stream: TcpStream,
+    pub(crate) stream: TargetStream,
     pub(crate) endpoint: ConnectionEndpoint,
     pub(crate) pool: ConnectionPool,
 }
 
 impl PooledConnection {
+    /// Returns whether the connection goes through a peer.
+    pub fn is_relayed(&self) -> bool {
+        self.stream.is_relayed()
+    }
+
     /// Returns an unused connection to its pool.
     pub fn put_back(self) {
         let PooledConnection { stream, endpoint, pool } = self;
@@ -86,51 +102,72 @@
 impl ConnectionPool {
     /// Creates an empty pool.
     pub fn new(options: ConnectionOptions) -> ConnectionPool {
-        ConnectionPool { options, idle: Rc::default() }
+        ConnectionPool { options, ..ConnectionPool::default() }
     }
 
-    /// Returns a usable idle connection to this target instance, or opens a new one. Nothing is written.
+    /// Returns the pool with connections to targets that are established by `links`.
+    pub fn with_links(self, links: Rc<dyn TargetLinks>) -> ConnectionPool {
+        ConnectionPool { links: Some(links), ..self }
+    }
+
+    /// Returns a usable idle connection to this target instance, or opens a new one for the request. Nothing is written.
     ///
     /// # Errors
-    /// Returns [`Error::Connect`] if the target does not accept the connection within `limit`.
+    /// Returns [`Error::Connect`](crate::Error::Connect) if the target does not accept the connection within `limit`.
     pub async fn connect_to(
         &self,
         target: &TargetEntry,
         limit: Duration,
+        request: Option<RequestId>,
     ) -> Result<PooledConnection> {
         let endpoint = ConnectionEndpoint {
             address: target.address.clone(),
             instance: Some(target.instance()),
         };
-        self.connect_endpoint(endpoint, limit).await
+        let stream = match (self.take_idle(&endpoint), &self.links) {
+            (Some(stream), _) => TargetStream::Direct(stream),
+            (None, Some(links)) => links.connect(target, limit, request).await?,
+            (None, None) => TargetStream::Direct(connect_directly(&target.address, limit).await?),
+        };
+        Ok(PooledConnection { stream, endpoint, pool: self.clone() })
     }
 
     /// Same as [`connect_to`](ConnectionPool::connect_to), if only an address is known.
     ///
     /// # Errors
-    /// Returns [`Error::Connect`] if the connection is not accepted within `limit`.
+    /// Returns [`Error::Connect`](crate::Error::Connect) if the connection is not accepted within `limit`.
     pub async fn connect(&self, address: &str, limit: Duration) -> Result<PooledConnection> {
         let endpoint = ConnectionEndpoint { address: address.to_string(), instance: None };
-        self.connect_endpoint(endpoint, limit).await
-    }
-
-    async fn connect_endpoint(
-        &self,
-        endpoint: ConnectionEndpoint,
-        limit: Duration,
-    ) -> Result<PooledConnection> {
         let stream = match self.take_idle(&endpoint) {
             Some(stream) => stream,
-            None => connect(&endpoint.address, limit).await?,
+            None => connect_directly(address, limit).await?,
         };
+        let stream = TargetStream::Direct(stream);
         Ok(PooledConnection { stream, endpoint, pool: self.clone() })
     }
 
+    /// Returns the links that observe an exchange, if it is one with a target on a direct connection.
+    pub(crate) fn observing_links(
+        &self,
+        endpoint: &ConnectionEndpoint,
+        is_direct: bool,
+    ) -> Option<Rc<dyn TargetLinks>> {
+        let is_observed = is_direct && endpoint.instance.is_some();
+        self.links.clone().filter(|_| is_observed)
+    }
+
     fn take_idle(&self, endpoint: &ConnectionEndpoint) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(endpoint)?;
-        connections
-            .retain(|connection| connection.is_fresh() && has_nothing_to_read(&connection.stream));
+        let is_trusted = |connection: &IdleConnection| {
+            let links = self.links.as_ref();
+            links.is_none_or(|links| links.trusts_idle(&endpoint.address, connection.since))
+        };
+        connections.retain(|connection| {
+            connection.is_fresh()
+                && has_nothing_to_read(&connection.stream)
+                && is_trusted(connection)
+        });
         // Of the connections that were idle for the minimum time, the newest is the least likely to have been closed.
         let is_reusable =
             |connection: &IdleConnection| connection.since.elapsed() >= self.options.min_idle;
@@ -149,9 +186,11 @@
     pub(crate) fn put_idle(
         &self,
         endpoint: &ConnectionEndpoint,
-        stream: TcpStream,
+        stream: TargetStream,
         limit: Option<Duration>,
     ) {
+        // A connection through a peer carries one exchange.
+        let TargetStream::Direct(stream) = stream else { return };
         if self.options.max_idle_connections == 0 {
             return;
         }
@@ -170,15 +209,6 @@
     }
 }
 
-async fn connect(address: &str, limit: Duration) -> Result<TcpStream> {
-    let stream = match tokio::time::timeout(limit, TcpStream::connect(address)).await {
-        Ok(connected) => connected.map_err(|error| Error::Connect(error.to_string()))?,
-        Err(_) => return Err(Error::Connect(format!("no connection within {limit:?}"))),
-    };
-    stream.set_nodelay(true).map_err(|error| Error::Connect(error.to_string()))?;
-    Ok(stream)
-}
-
 /// Returns whether an idle connection is usable: it has nothing to read, neither its close nor unsolicited bytes.
 fn has_nothing_to_read(stream: &TcpStream) -> bool {
     let mut byte = [0u8; 1];
--- a/crates/targets/tests/exchanges.rs
+++ b/crates/targets/tests/exchanges.rs
@@ -147,7 +147,7 @@
 async fn read_from(pool: &ConnectionPool, target: &TargetEntry) -> Result<String, Error> {
     // Longer than the minimum idle time before a connection is reused.
     tokio::time::sleep(Duration::from_millis(30)).await;
-    let connection = pool.connect_to(target, LIMIT).await?;
+    let connection = pool.connect_to(target, LIMIT, None).await?;
     let answer = connection.exchange(head(Method::GET), ()).await?;
     read(answer).await.map_err(|truncated| Error::Closed(truncated.to_string()))
 }
@@ -192,10 +192,10 @@
     let target = TargetEntry { address, start: Some(TargetStart(1)), ..TargetEntry::default() };
     let later = TargetEntry { start: Some(TargetStart(2)), ..target.clone() };
     let pool = ConnectionPool::default();
-    let earlier = pool.connect_to(&target, LIMIT).await.map_err(std::io::Error::other)?;
+    let earlier = pool.connect_to(&target, LIMIT, None).await.map_err(std::io::Error::other)?;
     let written = earlier.exchange(head(Method::POST), "body").await;
     assert!(matches!(written, Err(Error::Closed(_))), "it may have run");
-    let connection = pool.connect_to(&later, LIMIT).await.map_err(std::io::Error::other)?;
+    let connection = pool.connect_to(&later, LIMIT, None).await.map_err(std::io::Error::other)?;
     let answer = connection.exchange(head(Method::POST), "body").await;
     assert_eq!(answer.map_err(std::io::Error::other)?.head.status.as_u16(), 421);
     Ok(())
