Brittle targets: a target that terminates when it turns requests away is offered no more than it holds

What callers would have seen: engines that state in their answers how many refusals a second they bear, and terminate beyond that.

Cause: a scheduler knows how many requests a target runs only from its own grants and from what entry daemons report to it. After a change of the scheduler, or with requests of former daemons at the target, it offers places that are taken.

The gate of each daemon stops requests to a target after half of the refusals that it bears, which bounds two schedulers at once. Without the header nothing changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,8 @@
 };
 pub use store_position::{StoreEra, StorePosition};
 pub use target_instance::{InstanceOrder, TargetInstance, TargetStart};
-pub use target_notice::{LimitNotice, LimitReport, NoticeReport, RequestRate, TargetNotice};
+pub use target_notice::{
+    BrittleNotice, LimitNotice, LimitReport, NoticeReport, RequestRate, TargetNotice,
+};
 pub use verdict::{Refusal, RefusalReason, RetryReason, Verdict};
 pub use warm_up::WarmUpLimit;
--- a/crates/core/src/target_notice.rs
+++ b/crates/core/src/target_notice.rs
@@ -48,6 +48,18 @@
     Stated(RequestRate),
 }
 
+/// What a target states in the response headers about terminating when it has to turn requests away.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum BrittleNotice {
+    /// Nothing is stated: the target can turn any number of requests away.
+    #[default]
+    Absent,
+    /// The stated value is not a number of requests.
+    Unreadable,
+    /// The target terminates if it has to turn away more requests than this within a second.
+    Stated(u32),
+}
+
 /// The notices in the response headers of one answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct TargetNotice {
@@ -57,6 +69,8 @@
     pub rest: Option<Duration>,
     /// The rate limit of the target.
     pub limit: LimitNotice,
+    /// Whether the target terminates when it has to turn requests away.
+    pub brittle: BrittleNotice,
     /// Whether one of the headers could not be parsed.
     pub unreadable: bool,
 }
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -56,7 +56,11 @@
         let received = ReceivedNotice { sent: context.uptime_at(sent), notice };
         apply_notice(context, &attempt, &received);
     }
-    evaluate_answer(protocol, request, answer, notice)
+    let start = evaluate_answer(protocol, request, answer, notice);
+    if matches!(start, AttemptStart::NotRun(..)) {
+        context.gate.refused(context.uptime(), &attempt.target.instance());
+    }
+    start
 }
 
 /// Returns an established connection to a target whose notices allow the request to be sent now: `connection`, if there
@@ -94,6 +98,13 @@
 /// Applies the target's notice at the gate before any of the answer is relayed, and reports it to the node.
 fn apply_notice(context: &DaemonContext, attempt: &TargetAttempt<'_>, received: &ReceivedNotice) {
     let (instance, request) = (attempt.target.instance(), attempt.request);
+    if let Some(brittle) = context.gate.brittle_change(&request.pool.id, &received.notice) {
+        info!("targets_brittle", kv: {
+            pool = request.pool.id.as_str(), target = instance.id.as_str(),
+            refusals_per_s = brittle.map_or(-1, i64::from)
+        });
+        context.send_event(NodeEvent::BrittleChanged(request.pool.id.clone(), brittle));
+    }
     if let Some(report) =
         context.gate.apply_notice(context.uptime(), &instance, received, request.id)
     {
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -34,6 +34,8 @@
     TargetResting,
     /// Nothing was sent: the target's request limit is reached.
     TargetLimited,
+    /// Nothing was sent: the target may terminate if it has to turn away another request.
+    TargetBrittle,
 }
 
 impl AttemptCause {
@@ -54,7 +56,8 @@
             | AttemptCause::TargetEvacuated
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
-            | AttemptCause::TargetLimited => None,
+            | AttemptCause::TargetLimited
+            | AttemptCause::TargetBrittle => None,
         }
     }
 
@@ -74,7 +77,8 @@
             | AttemptCause::TargetEvacuated
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
-            | AttemptCause::TargetLimited => None,
+            | AttemptCause::TargetLimited
+            | AttemptCause::TargetBrittle => None,
         }
     }
 
@@ -86,7 +90,8 @@
             | AttemptCause::TargetEvacuated
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
-            | AttemptCause::TargetLimited => AttemptEnd::Unused,
+            | AttemptCause::TargetLimited
+            | AttemptCause::TargetBrittle => AttemptEnd::Unused,
             _ => AttemptEnd::Failed,
         }
     }
@@ -107,6 +112,7 @@
             AttemptCause::TargetLeaving => "target_leaving",
             AttemptCause::TargetResting => "target_resting",
             AttemptCause::TargetLimited => "target_limited",
+            AttemptCause::TargetBrittle => "target_brittle",
         }
     }
 }
@@ -118,6 +124,7 @@
             GateStop::Leaving => AttemptCause::TargetLeaving,
             GateStop::Resting => AttemptCause::TargetResting,
             GateStop::Limited => AttemptCause::TargetLimited,
+            GateStop::Brittle => AttemptCause::TargetBrittle,
         }
     }
 }
--- a/crates/daemon/src/request/profile/notice.rs
+++ b/crates/daemon/src/request/profile/notice.rs
@@ -2,7 +2,7 @@
 //!
 //! Rules for invalid values: one that is not a number, negative, infinite or empty is ignored, and the notice is marked
 //! as unreadable for the operators. A rest is shortened to [`REST_LIMIT`], so that only the notice that it is leaving
-//! excludes a target permanently. Of several limits the lowest applies, of several rests the longest.
+//! excludes a target permanently. Of several limits or numbers of refusals the lowest applies, of several rests the longest.
 //!
 //! Owns: these rules. Relies on: [`WireProfile`] for the header names.
 
@@ -10,7 +10,7 @@
 
 use actix_http::header::{self, HeaderMap};
 use actix_http::{ResponseHead, StatusCode};
-use curlewcleat_core::{LimitNotice, RequestRate, TargetNotice};
+use curlewcleat_core::{BrittleNotice, LimitNotice, RequestRate, TargetNotice};
 use curlewcleat_store::WireProfile;
 
 /// Longest rest. A target that requests a longer one gets requests again after this time.
@@ -35,7 +35,14 @@
     };
     let rest = rests.into_iter().max();
     let leaving = header_texts(&head.headers, profile.leaving).any(|text| text == LEAVING_VALUE);
-    Some(TargetNotice { leaving, rest, limit, unreadable: !(limits_read && rests_read) })
+    let (borne, borne_read) = read_values(&head.headers, profile.brittle, refusals);
+    let brittle = match borne.into_iter().min() {
+        Some(borne) => BrittleNotice::Stated(borne),
+        None if borne_read => BrittleNotice::Absent,
+        None => BrittleNotice::Unreadable,
+    };
+    let unreadable = !(limits_read && rests_read && borne_read);
+    Some(TargetNotice { leaving, rest, limit, brittle, unreadable })
 }
 
 /// Returns whether a status means that the target accepts no requests now. 429 is not one: it concerns the single
@@ -67,6 +74,13 @@
     (values, all_read)
 }
 
+/// Converts a value to a number of refused requests, rounded down; `None` for a negative or infinite value.
+fn refusals(value: f64) -> Option<u32> {
+    let is_valid = value.is_finite() && value >= 0.0;
+    // A value beyond the range is more than any target turns away.
+    is_valid.then_some(value as u32)
+}
+
 /// Converts seconds to a rest of at most [`REST_LIMIT`]; `None` for a negative or infinite value.
 fn seconds(seconds: f64) -> Option<Duration> {
     if !seconds.is_finite() || seconds < 0.0 {
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -31,6 +31,7 @@
     load: "load",
     leaving: "leaving",
     limit: "limit",
+    brittle: "brittle",
     reserved: &["hold"],
 };
 
--- a/crates/daemon/src/request/profile/tests/notices.rs
+++ b/crates/daemon/src/request/profile/tests/notices.rs
@@ -4,7 +4,7 @@
 
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{ResponseHead, StatusCode};
-use curlewcleat_core::{LimitNotice, RequestRate, TargetNotice};
+use curlewcleat_core::{BrittleNotice, LimitNotice, RequestRate, TargetNotice};
 use rand::{rngs::StdRng, Rng, SeedableRng};
 use rstest::rstest;
 
@@ -46,6 +46,27 @@
     assert_eq!(read(200, &headers).limit, limit);
 }
 
+#[rstest]
+#[case::whole(&["3"], BrittleNotice::Stated(3))]
+#[case::zero(&["0"], BrittleNotice::Stated(0))]
+#[case::decimal(&["1.9"], BrittleNotice::Stated(1))]
+#[case::enormous(&["1e300"], BrittleNotice::Stated(u32::MAX))]
+#[case::the_lowest_counts(&["5", "2"], BrittleNotice::Stated(2))]
+#[case::one_that_can_be_read(&["x", "2"], BrittleNotice::Stated(2))]
+#[case::none(&[], BrittleNotice::Absent)]
+#[case::no_number(&["very"], BrittleNotice::Unreadable)]
+#[case::empty(&[""], BrittleNotice::Unreadable)]
+#[case::below_zero(&["-1"], BrittleNotice::Unreadable)]
+fn lowest_readable_number_of_refusals_applies(
+    #[case] texts: &[&str],
+    #[case] brittle: BrittleNotice,
+) {
+    let headers: Vec<_> = texts.iter().map(|text| ("brittle", *text)).collect();
+    let notice = read(200, &headers);
+    assert_eq!(notice.brittle, brittle);
+    assert_eq!(notice.unreadable, brittle == BrittleNotice::Unreadable || texts.contains(&"x"));
+}
+
 #[rstest]
 #[case::seconds(503, &["3"], Some(3_000))]
 #[case::fraction(503, &["0.25"], Some(250))]
--- a/crates/daemon/src/target_notices.rs
+++ b/crates/daemon/src/target_notices.rs
@@ -3,20 +3,44 @@
 //! Owns: the [`TargetGate`] of the daemon. Relies on: the tasks of requests, which pass in the notices of each
 //! answer's head, and the node for the evacuations.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use curlewcleat_core::{
-    DataCentreId, NoticeReport, RequestId, TargetEntry, TargetInstance, Uptime,
+    BrittleNotice, DataCentreId, NoticeReport, PoolId, RequestId, TargetEntry, TargetInstance,
+    TargetNotice, Uptime,
 };
 use curlewcleat_sched::{GateStop, ReceivedNotice, TargetGate};
 use spdlog::prelude::*;
 
 /// The daemon's [`TargetGate`], shared by its threads.
 #[derive(Clone, Default)]
-pub struct SharedGate(Arc<Mutex<TargetGate>>);
+pub struct SharedGate {
+    gate: Arc<Mutex<TargetGate>>,
+    /// The refusals a second that the targets of a pool bear, for the pools whose targets are brittle.
+    pools: Arc<Mutex<BTreeMap<PoolId, u32>>>,
+}
 
 impl SharedGate {
+    /// Returns how many refusals a second the targets of a pool bear, if the notice of one of them has changed that.
+    pub fn brittle_change(&self, pool: &PoolId, notice: &TargetNotice) -> Option<Option<u32>> {
+        let brittle = match notice.brittle {
+            BrittleNotice::Stated(borne) => Some(borne),
+            BrittleNotice::Absent => None,
+            BrittleNotice::Unreadable => return None,
+        };
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = pools.get(pool).copied();
+        if known == brittle {
+            return None;
+        }
+        match brittle {
+            Some(borne) => drop(pools.insert(pool.clone(), borne)),
+            None => drop(pools.remove(pool)),
+        }
+        Some(brittle)
+    }
+
     /// Applies the notice in the head of an answer. Returns the report for the daemons that may schedule, if one is
     /// due.
     pub fn apply_notice(
@@ -38,6 +62,11 @@
         change.send_report.then_some(change.report)
     }
 
+    /// Records that a target has turned away a request of this daemon for lack of capacity.
+    pub fn refused(&self, now: Uptime, instance: &TargetInstance) {
+        self.lock().refused(now, instance);
+    }
+
     /// Sets the data centres that are evacuated.
     pub fn set_evacuated(&self, data_centres: BTreeSet<DataCentreId>) {
         self.lock().set_evacuated(data_centres);
@@ -55,7 +84,7 @@
 
     fn lock(&self) -> MutexGuard<'_, TargetGate> {
         // No panic can leave a change half done, so the value of a poisoned lock is valid.
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -67,6 +67,8 @@
     RequestInterrupted(RequestDigest, RequestInterruption),
     /// The valid notices of a target of a pool that this daemon has received.
     NoticeReceived(PoolId, NoticeReport),
+    /// The targets of a pool bear this many refusals a second before they terminate; `None` if they are not brittle.
+    BrittleChanged(PoolId, Option<u32>),
     /// All rollout orders at a revision.
     RolloutsListed {
         /// The orders.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -188,6 +188,11 @@
                 self.attempt_interrupted(digest, interruption)
             }
             NodeEvent::NoticeReceived(pool, report) => self.own_notice_received(pool, report),
+            NodeEvent::BrittleChanged(pool, brittle) => {
+                if self.active.pools.contains_key(&pool) {
+                    self.pool(&pool).set_brittle(brittle);
+                }
+            }
             NodeEvent::RolloutsListed { rollouts, at, sent } => {
                 self.rollouts_listed(rollouts, at, sent);
             }
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -23,6 +23,7 @@
 pub mod pace;
 pub mod pacing;
 pub mod prefix;
+pub mod room;
 pub mod target;
 mod trial;
 
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -24,6 +24,7 @@
 use super::pace::StreamPace;
 use super::pacing::{share_of, SendPace};
 use super::prefix::PrefixCache;
+use super::room::TargetRoom;
 use crate::admission::shared_rate::RateShare;
 use crate::rollout::versions::VersionAccess;
 
@@ -87,6 +88,8 @@
     /// This scheduler's share of the lowest limit, stated by the target or of its warm-up, with the limiter of the
     /// requests granted; `None` if there is no limit.
     limit: Option<(RequestRate, SendPace)>,
+    /// The requests that it is offered while it is brittle, `None` for its slots.
+    room: Option<TargetRoom>,
 }
 
 impl TargetState {
@@ -114,6 +117,7 @@
             rests: BTreeMap::new(),
             warm_up_rate: None,
             limit: None,
+            room: None,
         }
     }
 
@@ -230,6 +234,17 @@
         self.limit = rate.map(|rate| (rate, pace.unwrap_or_else(|| SendPace::begin(now, 0))));
     }
 
+    /// Sets the requests that it is offered while it is brittle, `None` for its slots.
+    pub fn set_room(&mut self, room: Option<TargetRoom>) {
+        self.room = room;
+    }
+
+    /// Counts a request that the target already runs, as another daemon reports it.
+    pub fn held_request_reported(&mut self) {
+        self.in_flight += 1;
+        self.room = self.room.map(TargetRoom::with_held_request);
+    }
+
     /// Counts a request sent to the target against its limit.
     pub fn request_sent(&mut self, now: Uptime) {
         if let Some((rate, pace)) = &mut self.limit {
@@ -242,13 +257,15 @@
         self.limit.as_ref().map(|(rate, _)| *rate)
     }
 
-    /// Returns the time until the target's limit allows one more request, `None` if this scheduler has no share of
-    /// it.
+    /// Returns the time until the target's limit and its room allow one more request, `None` if this scheduler has no
+    /// share of the limit.
     pub fn limit_wait(&self, now: Uptime) -> Option<Duration> {
-        match &self.limit {
-            Some((rate, pace)) => pace.wait(now, *rate),
-            None => Some(Duration::ZERO),
-        }
+        let limit_wait = match &self.limit {
+            Some((rate, pace)) => pace.wait(now, *rate)?,
+            None => Duration::ZERO,
+        };
+        let room = self.room.filter(|room| room.offered(now) == 0);
+        Some(limit_wait.max(room.map_or(Duration::ZERO, |room| room.next_in(now))))
     }
 
     /// Returns the merged notices of the target instance.
@@ -268,6 +285,9 @@
             // After the time of the ejection the target is tried with one request at a time.
             return self.ejection.admits(now) && self.in_flight == 0;
         }
+        if self.room.is_some_and(|room| self.in_flight >= room.offered(now)) {
+            return false;
+        }
         let reserve =
             if top { 0 } else { (self.slots * reserve_percent).div_ceil(100).min(self.slots - 1) };
         self.in_flight + self.external_load(now) < self.slots - reserve
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -128,6 +128,8 @@
     pub(crate) flows: UrgencyFlows,
     /// When the learned state of the targets last decayed.
     pub(crate) last_decay: Uptime,
+    /// The refusals a second that each target bears before it terminates, `None` if its targets are not brittle.
+    pub(crate) brittle: Option<u32>,
     /// The share of the targets' limits, and of a trial, that it grants.
     pub(crate) rate_share: RateShare,
     /// Requests that it has granted to a version on trial and to others.
@@ -151,6 +153,7 @@
             throughput: PoolThroughput::default(),
             flows: UrgencyFlows::default(),
             last_decay: Duration::ZERO,
+            brittle: None,
             rate_share: RateShare { reached: 1, all: 1, role: RateRole::Leader },
             trial: None,
         }
--- a/crates/sched/src/target_gate.rs
+++ b/crates/sched/src/target_gate.rs
@@ -10,10 +10,12 @@
 //! Owns: the notices of each target instance that has answered this daemon, and a copy of the evacuated data centres.
 //! Relies on: [`NoticeState`] for which notices hold, the node for the evacuations.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use curlewcleat_core::{DataCentreId, NoticeReport, TargetEntry, TargetInstance, Uptime};
+use curlewcleat_core::{
+    BrittleNotice, DataCentreId, NoticeReport, TargetEntry, TargetInstance, Uptime,
+};
 
 use crate::placement::notice::{NoticeState, ReceivedNotice};
 use crate::placement::pacing::SendPace;
@@ -22,6 +24,8 @@
 const EXTRA_BURST: u64 = 1;
 /// Minimum interval between reports of unchanged notices.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time over which a brittle target counts the requests that it turns away.
+const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
 /// Time for which the record of a target instance is kept without a new notice.
 const RECORD_RETENTION: Duration = Duration::from_secs(3_600);
 
@@ -37,6 +41,20 @@
     pace: Option<SendPace>,
     /// When its notices were last reported to other daemons.
     last_report: Option<Uptime>,
+    /// The refusals a second that it bears before it terminates, `None` if it is not brittle.
+    brittle: Option<u32>,
+    /// When it turned away requests of this daemon.
+    refusals: VecDeque<Uptime>,
+}
+
+impl GateRecord {
+    /// Returns whether a brittle target has turned away as many requests of this daemon as this daemon may cause: half of
+    /// what it bears, since others may cause refusals at the same time.
+    fn has_refused_enough(&self, now: Uptime) -> bool {
+        let Some(borne) = self.brittle else { return false };
+        let recent = self.refusals.iter().filter(|refused| now < **refused + REFUSAL_WINDOW);
+        recent.count() >= (borne / 2).max(1) as usize
+    }
 }
 
 /// Why the gate stops a request.
@@ -50,6 +68,8 @@
     Resting,
     /// The limit of the target allows no further request now.
     Limited,
+    /// The target is brittle and has turned away too many requests of this daemon within a second.
+    Brittle,
 }
 
 /// The effect of a received notice.
@@ -87,6 +107,11 @@
         let record = self.instances.entry(instance.clone()).or_default();
         record.last_notice = now;
         let changed = record.notices.apply_notice(now, received);
+        match received.notice.brittle {
+            BrittleNotice::Stated(borne) => record.brittle = Some(borne),
+            BrittleNotice::Absent => record.brittle = None,
+            BrittleNotice::Unreadable => {}
+        }
         record.pace = record
             .notices
             .rate()
@@ -106,6 +131,13 @@
         }
     }
 
+    /// Records that a target has turned away a request of this daemon for lack of capacity.
+    pub fn refused(&mut self, now: Uptime, instance: &TargetInstance) {
+        let Some(record) = self.instances.get_mut(instance) else { return };
+        record.refusals.retain(|refused| now < *refused + REFUSAL_WINDOW);
+        record.refusals.push_back(now);
+    }
+
     /// Sets the data centres that are evacuated.
     pub fn set_evacuated(&mut self, data_centres: BTreeSet<DataCentreId>) {
         self.evacuated = data_centres;
@@ -140,6 +172,9 @@
         if record.notices.rest_until().is_some_and(|until| now < until) {
             return Some(GateStop::Resting);
         }
+        if record.has_refused_enough(now) {
+            return Some(GateStop::Brittle);
+        }
         let limit = record.notices.rate().zip(record.pace.as_ref());
         match limit {
             Some((rate, pace)) if !pace.admits(now, rate) => {
--- a/crates/sched/src/targets.rs
+++ b/crates/sched/src/targets.rs
@@ -14,7 +14,8 @@
     TargetReport, Uptime, VmId,
 };
 
-use crate::admission::shared_rate::RateShare;
+use crate::admission::shared_rate::{RateRole, RateShare};
+use crate::placement::room::TargetRoom;
 use crate::placement::target::TargetState;
 use crate::pool::{PoolOptions, PoolScheduler, SchedulerAction};
 
@@ -128,10 +129,31 @@
         if self.rate_share == rate_share {
             return;
         }
+        let takes_over =
+            rate_share.role == RateRole::Leader && self.rate_share.role != RateRole::Leader;
         self.rate_share = rate_share;
+        if takes_over && self.brittle.is_some() {
+            self.offer_unknown_room(now);
+        }
         self.targets.values_mut().for_each(|state| state.update_rate_share(now, rate_share));
     }
 
+    /// Sets how many refusals a second each target bears before it terminates, `None` if the targets are not brittle.
+    pub fn set_brittle(&mut self, brittle: Option<u32>) {
+        self.brittle = brittle;
+        if brittle.is_none() {
+            self.targets.values_mut().for_each(|state| state.set_room(None));
+        }
+    }
+
+    /// Limits what each target is offered, since it may run requests that this scheduler does not know of.
+    fn offer_unknown_room(&mut self, now: Uptime) {
+        for state in self.targets.values_mut() {
+            let room = TargetRoom::unknown(now, state.in_flight);
+            state.set_room(Some(room));
+        }
+    }
+
     /// Returns the known targets.
     pub fn targets(&self) -> &BTreeMap<TargetId, TargetState> {
         &self.targets
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -206,6 +206,8 @@
     pub leaving: &'static str,
     /// On an answer: the requests a second that the target accepts from all daemons together.
     pub limit: &'static str,
+    /// On an answer: the requests a second that the target can turn away without terminating.
+    pub brittle: &'static str,
     /// Headers with which only a daemon may control a target; daemons remove them from callers' requests.
     pub reserved: &'static [&'static str],
 }
