Relays in large fleets: peers recognize a daemon by its address; tests name the loader's variable

A peer of a large fleet learns the records of new daemons from a list every few minutes, and refused a daemon whose VM it did not know. It now also recognizes the IP number of an address that heartbeats have named, and a daemon leaves peers that do not know it out for longer, so that it finds those that do.

--- a/crates/acceptance/tests/cut_daemons.rs
+++ b/crates/acceptance/tests/cut_daemons.rs
@@ -15,6 +15,8 @@
 
 use support::{load, wait_served, CallerResult};
 
+/// Variable in which the system's loader expects additional libraries.
+const LOADER_VARIABLE: &str = "LD_PRELOAD";
 const ENGINES: usize = 6;
 /// Time that an engine takes for a record, or for an event of a stream.
 const RECORD_TIME: Duration = Duration::from_millis(5);
@@ -37,7 +39,7 @@
         fleet.engine("records", 0, RECORD_TIME).await?;
         fleet.engine("engines", EVENTS, RECORD_TIME).await?;
     }
-    fleet.use_engine_links()?;
+    fleet.use_engine_links(LOADER_VARIABLE)?;
     fleet.daemons(daemons, "retry_saved = 1000").await?;
     for path in [ONCE, STREAM] {
         wait_served(&fleet, path).await?;
--- a/crates/daemon/src/relays/outgoing.rs
+++ b/crates/daemon/src/relays/outgoing.rs
@@ -138,8 +138,11 @@
             Ok(Err(Error::Refused(refusal))) => Some(refusal),
             Ok(Err(_)) | Err(_) => None,
         };
-        if !refusal.is_some_and(RelayRefusal::is_about_target) {
-            self.state.borrow_mut().choice.failed(self.context.uptime(), &peer.vm);
+        let (now, choice) = (self.context.uptime(), &mut self.state.borrow_mut().choice);
+        match refusal {
+            Some(refusal) if refusal.is_about_target() => {}
+            Some(RelayRefusal::UnknownPeer) => choice.refused_as_stranger(now, &peer.vm),
+            _ => choice.failed(now, &peer.vm),
         }
         Err(refusal)
     }
--- a/crates/node/src/node/relays.rs
+++ b/crates/node/src/node/relays.rs
@@ -28,9 +28,13 @@
         all.iter().cycle().skip(begin).take(all.len().min(NAMED_PEERS)).cloned().collect()
     }
 
-    /// Returns whether the daemon of a VM is known at an IP number.
+    /// Returns whether the daemon of a VM is known at an IP number. In a large fleet the address of a daemon may be known
+    /// before its VM is.
     pub fn knows_peer_at(&self, vm: &VmId, ip: IpAddr) -> bool {
-        self.members.address_of(vm).and_then(ip_of) == Some(ip)
+        match self.members.address_of(vm) {
+            Some(address) => ip_of(address) == Some(ip),
+            None => self.members.knows_ip(ip),
+        }
     }
 }
 
--- a/crates/sched/src/election/addresses.rs
+++ b/crates/sched/src/election/addresses.rs
@@ -8,6 +8,7 @@
 //! Owns: nothing; the state is [`MemberView`]'s.
 
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 
 use curlewcleat_core::DaemonRecord;
 
@@ -67,6 +68,16 @@
         self.peers.values().any(|peer| peer.live && peer.address == address)
     }
 
+    /// Returns whether another daemon is known at an IP number.
+    pub fn knows_ip(&self, ip: IpAddr) -> bool {
+        let prefix = match ip {
+            IpAddr::V4(ip) => format!("{ip}:"),
+            IpAddr::V6(ip) => format!("[{ip}]:"),
+        };
+        let first = self.known_addresses.range(prefix.clone()..).next();
+        first.is_some_and(|address| address.starts_with(&prefix))
+    }
+
     /// Returns the known addresses of other daemons.
     pub fn addresses(&self) -> BTreeSet<String> {
         let mut addresses = self.known_addresses.clone();
--- a/crates/sched/src/relay_choice.rs
+++ b/crates/sched/src/relay_choice.rs
@@ -18,6 +18,9 @@
 
 /// Time for which a peer that has refused or failed is left out.
 const AVOIDED_FOR: Duration = Duration::from_secs(1);
+/// Time for which a peer that does not know this daemon is left out: in a large fleet it learns of it only from a list that
+/// it reads every few minutes.
+const STRANGER_FOR: Duration = Duration::from_secs(10);
 
 /// A peer that may make connections for this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -87,6 +90,11 @@
         self.states.entry(vm.clone()).or_default().avoided_until = now + AVOIDED_FOR;
     }
 
+    /// Records a peer that does not know this daemon.
+    pub fn refused_as_stranger(&mut self, now: Uptime, vm: &VmId) {
+        self.states.entry(vm.clone()).or_default().avoided_until = now + STRANGER_FOR;
+    }
+
     fn state(&self, peer: &RelayPeer) -> RelayState {
         self.states.get(&peer.vm).copied().unwrap_or_default()
     }
--- a/crates/sched/tests/target_reach.rs
+++ b/crates/sched/tests/target_reach.rs
@@ -164,3 +164,16 @@
     let asked = ["vm-0".to_string(), "vm-1".to_string()];
     assert_eq!(choice.choose(ms(600), &asked, &mut random), None);
 }
+
+/// In a large fleet a daemon that had just started asked peers again and again that did not know it yet.
+#[test]
+fn peers_that_do_not_know_this_daemon_are_left_out_for_longer() {
+    let mut choice = RelayChoice::default();
+    choice.set_peers(peers(2));
+    let mut random = StdRng::seed_from_u64(7);
+    choice.refused_as_stranger(ms(0), &"vm-0".to_string());
+    for _ in 0..20 {
+        let peer = choice.choose(ms(5_000), &[], &mut random).expect("a peer");
+        assert_eq!(peer.vm, "vm-1");
+    }
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
+use anyhow::{bail, Context, Result};
 use curlewcleat_platform::example::example_config;
 use curlewcleat_platform::format::{Config, Route};
 use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME, READY};
@@ -123,8 +123,11 @@
         let store = FleetStore::new();
         let store_address = serve_here(store.clone()).await?;
         let programs = program_folder()?;
-        let engine_links = match options.extra {
-            Some(ExtraKind::Cuts) => Some(EngineLinks::build(&options.folder)?),
+        let engine_links = match (options.extra, &options.loader_variable) {
+            (Some(ExtraKind::Cuts), Some(variable)) => {
+                Some(EngineLinks::build(&options.folder, variable)?)
+            }
+            (Some(ExtraKind::Cuts), None) => bail!("soak: cuts need the loader's variable"),
             _ => None,
         };
         let mut fleet = SoakFleet {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -47,6 +47,9 @@
     /// Kind of faults to inject in addition to those drawn from the seed.
     #[arg(long)]
     extra: Option<ExtraKind>,
+    /// Variable in which the system's loader expects additional libraries; needed for cuts.
+    #[arg(long)]
+    loader_variable: Option<String>,
     /// Folder for settings and logs; kept if a check failed.
     #[arg(long)]
     folder: Option<PathBuf>,
@@ -93,6 +96,7 @@
         routes: arguments.routes,
         link_mbps: arguments.link_mbps,
         extra,
+        loader_variable: arguments.loader_variable.clone(),
         script: None,
         folder: folder.join(format!("curlewcleat-soak-{}-{seed}", std::process::id())),
     }
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -27,6 +27,8 @@
     pub link_mbps: Option<u64>,
     /// Kind of faults to inject in addition to those drawn from the seed.
     pub extra: Option<ExtraKind>,
+    /// Variable in which the system's loader expects additional libraries; needed for [`ExtraKind::Cuts`].
+    pub loader_variable: Option<String>,
     /// Faults to inject instead of those drawn from the seed.
     pub script: Option<Vec<FaultStep>>,
     /// Folder for settings and logs.
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -11,6 +11,9 @@
 use curlewcleat_standins::fleet::EngineRun;
 use rstest::rstest;
 
+/// Variable in which the system's loader expects additional libraries.
+const LOADER_VARIABLE: &str = "LD_PRELOAD";
+
 #[rstest]
 #[case::everything(3, false)]
 #[case::planned_work(4, true)]
@@ -26,6 +29,7 @@
         routes: 0,
         link_mbps: None,
         extra: None,
+        loader_variable: None,
         script: None,
         folder: create_temp_folder(&name).expect("a folder"),
     };
@@ -47,6 +51,7 @@
         routes: 0,
         link_mbps: None,
         extra: Some(ExtraKind::Cuts),
+        loader_variable: Some(LOADER_VARIABLE.to_string()),
         script: None,
         folder: create_temp_folder("soak-cuts").expect("a folder"),
     };
@@ -69,6 +74,7 @@
         routes: 1_500,
         link_mbps: Some(10),
         extra: None,
+        loader_variable: None,
         script: None,
         folder: create_temp_folder(name).expect("a folder"),
     };
@@ -101,6 +107,7 @@
         routes: 0,
         link_mbps: None,
         extra: None,
+        loader_variable: None,
         script: Some(stalls.chain(leave).collect()),
         folder: create_temp_folder("deaf").expect("a folder"),
     };
@@ -137,6 +144,7 @@
         routes: 0,
         link_mbps: None,
         extra: Some(ExtraKind::Stall),
+        loader_variable: None,
         script: Some(steps.collect()),
         folder: create_temp_folder(&name).expect("a folder"),
     };
@@ -168,6 +176,7 @@
             routes: 0,
             link_mbps: None,
             extra: Some(*kind),
+            loader_variable: None,
             script: None,
             folder: create_temp_folder(&name).expect("a folder"),
         };
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -112,8 +112,8 @@
     }
 
     /// Makes the links from the daemons that are started from now on to the engines able to fail.
-    pub fn use_engine_links(&mut self) -> Result<()> {
-        self.engine_links = Some(EngineLinks::build(&self.folder)?);
+    pub fn use_engine_links(&mut self, loader_variable: &str) -> Result<()> {
+        self.engine_links = Some(EngineLinks::build(&self.folder, loader_variable)?);
         Ok(())
     }
 
--- a/crates/standins/src/fleet/link_faults.rs
+++ b/crates/standins/src/fleet/link_faults.rs
@@ -15,8 +15,6 @@
 
 /// Source of the library.
 const SOURCE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/link_fault/link_fault.c");
-/// Variable in which the system's loader expects additional libraries.
-const LOADER_VARIABLE: &str = "LD_PRELOAD";
 /// Variable with which the library finds its file.
 const FILE_VARIABLE: &str = "LINK_FAULT";
 
@@ -52,14 +50,16 @@
 pub struct EngineLinks {
     folder: PathBuf,
     library: PathBuf,
+    loader_variable: String,
 }
 
 impl EngineLinks {
-    /// Compiles the library into a folder.
+    /// Compiles the library into a folder. `loader_variable` names the variable in which the system's loader expects
+    /// additional libraries.
     ///
     /// # Errors
     /// Fails if there is no C compiler.
-    pub fn build(folder: &Path) -> Result<EngineLinks> {
+    pub fn build(folder: &Path, loader_variable: &str) -> Result<EngineLinks> {
         let library = folder.join("link_fault.so");
         let mut compiler = Command::new("cc");
         compiler.args(["-shared", "-fPIC", "-O1", "-o"]).args([
@@ -74,7 +74,8 @@
         if !process.wait()?.success() {
             bail!("link faults: the library does not compile");
         }
-        Ok(EngineLinks { folder: folder.to_path_buf(), library })
+        let loader_variable = loader_variable.to_string();
+        Ok(EngineLinks { folder: folder.to_path_buf(), library, loader_variable })
     }
 
     /// Returns the variables for a daemon's process.
@@ -87,7 +88,7 @@
         }
         let variable = |name: &str, path: &Path| (name.to_string(), path.display().to_string());
         Ok(vec![
-            variable(LOADER_VARIABLE, &self.library),
+            variable(&self.loader_variable, &self.library),
             variable(FILE_VARIABLE, &self.file(daemon)),
         ])
     }
