Relays: shorter functions, bound to the peers' address; what a relayed request costs

Connections to peers leave from the address on which a daemon listens for peers, which exists on its VM also where another one is advertised.

--- a/crates/daemon/src/relays.rs
+++ b/crates/daemon/src/relays.rs
@@ -14,3 +14,10 @@
 pub use dialer::TargetDialer;
 pub use probe::probe_lost_links;
 pub use server::RelayServer;
+
+use curlewcleat_core::RequestId;
+
+/// Returns the id of a request for a log line, empty for a connection that is not made for a request.
+fn request_text(request: Option<RequestId>) -> String {
+    request.map_or_else(String::new, |id| id.to_string())
+}
--- a/crates/daemon/src/relays/outgoing.rs
+++ b/crates/daemon/src/relays/outgoing.rs
@@ -22,6 +22,7 @@
 use spdlog::prelude::*;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use super::request_text;
 use crate::context::DaemonContext;
 
 /// Most peers that are asked for one connection. Only if all of them find the target unreachable does the target count
@@ -43,7 +44,7 @@
 #[derive(Clone)]
 pub struct RelayDialer {
     context: DaemonContext,
-    /// This daemon's IP number for peers, and the port of the relays of all daemons.
+    /// IP number from which this daemon connects to peers, and the port of the relays of all daemons.
     source: IpAddr,
     port: u16,
     state: Rc<RefCell<RelayDialerState>>,
@@ -61,7 +62,7 @@
     pub fn new(context: &DaemonContext) -> Option<RelayDialer> {
         let port = context.settings.relay_port?;
         // The settings are checked when they are read.
-        let source = context.settings.advertised_address.parse::<SocketAddr>().ok()?.ip();
+        let source = context.settings.peer_address.parse::<SocketAddr>().ok()?.ip();
         let state = RelayDialerState {
             choice: RelayChoice::default(),
             listed: None,
@@ -112,39 +113,42 @@
         time_limit: Duration,
         request: Option<RequestId>,
     ) -> Result<CountedRelay, Option<RelayRefusal>> {
-        let relay_request = RelayRequest {
-            from: self.context.daemon.clone(),
-            request,
-            pool: self.context.pool_of(target).unwrap_or_default(),
-            target: target.clone(),
-            time_limit,
-        };
+        // The target has left the configuration since it was granted.
+        let pool = self.context.pool_of(target).ok_or(None)?;
+        let from = self.context.daemon.clone();
+        let relay_request =
+            RelayRequest { from, request, pool, target: target.clone(), time_limit };
         let address = SocketAddr::new(peer.ip, self.port);
         let connecting = connect_through_peer(address, self.source, &relay_request);
         let result = tokio::time::timeout(time_limit, connecting).await;
-        let code = match &result {
-            Ok(Ok(_)) => "connected",
-            Ok(Err(Error::Refused(refusal))) => refusal.code(),
-            Ok(Err(_)) => "failed",
-            Err(_) => "timeout",
+        let (code, refusal) = match &result {
+            Ok(Ok(_)) => ("connected", None),
+            Ok(Err(Error::Refused(refusal))) => (refusal.code(), Some(*refusal)),
+            Ok(Err(_)) => ("failed", None),
+            Err(_) => ("timeout", None),
         };
         self.context.metrics.count_relay("asked", code);
         info!("relay_asked", kv: {
-            request = request.map(|id| id.to_string()).unwrap_or_default(),
-            peer = peer.vm.as_str(), target = target.id.as_str(), outcome = code
+            request = request_text(request), peer = peer.vm.as_str(), target = target.id.as_str(),
+            outcome = code
         });
-        let refusal = match result {
-            Ok(Ok(connection)) => return Ok(CountedRelay::new(connection, peer.vm.clone(), self)),
-            Ok(Err(Error::Refused(refusal))) => Some(refusal),
-            Ok(Err(_)) | Err(_) => None,
-        };
+        match result {
+            Ok(Ok(connection)) => Ok(CountedRelay::new(connection, peer.vm.clone(), self)),
+            _ => {
+                self.record_failure(peer, refusal);
+                Err(refusal)
+            }
+        }
+    }
+
+    /// Records that a peer has refused or failed, unless its refusal is about the target.
+    fn record_failure(&self, peer: &RelayPeer, refusal: Option<RelayRefusal>) {
         let (now, choice) = (self.context.uptime(), &mut self.state.borrow_mut().choice);
         match refusal {
             Some(refusal) if refusal.is_about_target() => {}
             Some(RelayRefusal::UnknownPeer) => choice.refused_as_stranger(now, &peer.vm),
             _ => choice.failed(now, &peer.vm),
         }
-        Err(refusal)
     }
 
     async fn refresh_peers(&self) {
--- a/crates/daemon/src/relays/server.rs
+++ b/crates/daemon/src/relays/server.rs
@@ -21,6 +21,7 @@
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpStream};
 
+use super::request_text;
 use crate::context::DaemonContext;
 
 /// Connections of callers for each relayed connection that is allowed.
@@ -137,7 +138,7 @@
         }
     };
     info!("relay_served", kv: {
-        request = request.request.map(|id| id.to_string()).unwrap_or_default(),
+        request = request_text(request.request),
         peer = request.from.vm.as_str(), target = request.target.id.as_str(),
         outcome, time_ms = begun.elapsed().as_millis() as i64
     });
--- a/crates/node/src/node/relays.rs
+++ b/crates/node/src/node/relays.rs
@@ -9,7 +9,7 @@
 
 use super::Node;
 
-/// Most peers that are named at a time. With so many, the connections of a daemon spread widely enough.
+/// Most peers that are named at a time; bounds the list in a large fleet.
 const NAMED_PEERS: usize = 32;
 
 impl Node {
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -18,8 +18,8 @@
 
 type PeerFrames = Framed<TcpStream, FrameCodec>;
 
-/// Asks the peer at an address for a connection to a target. `source` is the IP number by which the peer knows this
-/// daemon.
+/// Asks the peer at an address for a connection to a target. `source` is the IP number on which this daemon listens for
+/// peers, since a peer checks from where it is asked.
 ///
 /// # Errors
 /// Returns an error where the peer cannot be reached or refuses. Nothing was written to the target.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -66,7 +66,7 @@
     /// Carries bytes between the daemon and a target that has accepted a connection, until either side ends.
     ///
     /// # Errors
-    /// Returns an error where the daemon cannot be told that the target has accepted.
+    /// Returns an error where the daemon has closed its connection before the reply.
     pub async fn carry(mut self, target: TcpStream) -> Result<RelayEnd> {
         self.reply(RelayReply::Connected).await?;
         let (target_read, target_write) = target.into_split();
--- a/crates/sched/src/relay_choice.rs
+++ b/crates/sched/src/relay_choice.rs
@@ -96,6 +96,6 @@
     }
 
     fn state(&self, peer: &RelayPeer) -> RelayState {
-        self.states.get(&peer.vm).copied().unwrap_or_default()
+        self.states.get(&peer.vm).map_or(RelayState::default(), |state| *state)
     }
 }
--- a/crates/sched/src/target_reach.rs
+++ b/crates/sched/src/target_reach.rs
@@ -223,7 +223,9 @@
         let after = (Bound::Excluded(self.last_probe.as_str()), Bound::Unbounded);
         let next = self.lost.range::<str, _>(after).next().or(self.lost.iter().next());
         let next = next.map(|(address, _)| address.clone());
-        self.last_probe = next.clone().unwrap_or_default();
+        if let Some(address) = &next {
+            self.last_probe.clone_from(address);
+        }
         next.into_iter().collect()
     }
 
--- a/crates/soak/src/extra.rs
+++ b/crates/soak/src/extra.rs
@@ -94,16 +94,7 @@
     let daemon = random.random_range(0..options.daemons);
     let engine = random.random_range(0..options.engines);
     match kind {
-        ExtraKind::Stall => {
-            let connections = [
-                StalledConnections::All,
-                StalledConnections::Peers(daemon),
-                StalledConnections::Store(daemon),
-                StalledConnections::Engine(engine),
-            ];
-            let drawn = connections.choose(random).copied();
-            SoakFault::StallConnections(drawn.unwrap_or(StalledConnections::All))
-        }
+        ExtraKind::Stall => draw_stall(random, daemon, engine),
         ExtraKind::Restart => {
             let same = random.random_ratio(1, 2);
             let address = if same { RestartAddress::Same } else { RestartAddress::Other };
@@ -131,3 +122,14 @@
         }
     }
 }
+
+fn draw_stall(random: &mut StdRng, daemon: usize, engine: usize) -> SoakFault {
+    let connections = [
+        StalledConnections::All,
+        StalledConnections::Peers(daemon),
+        StalledConnections::Store(daemon),
+        StalledConnections::Engine(engine),
+    ];
+    let drawn = connections.choose(random).copied();
+    SoakFault::StallConnections(drawn.unwrap_or(StalledConnections::All))
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -107,6 +107,17 @@
     config
 }
 
+/// Builds what makes the links to the engines able to fail, if a run needs it.
+fn build_engine_links(options: &SoakOptions) -> Result<Option<EngineLinks>> {
+    match (options.extra, &options.loader_variable) {
+        (Some(ExtraKind::Cuts), Some(variable)) => {
+            EngineLinks::build(&options.folder, variable).map(Some)
+        }
+        (Some(ExtraKind::Cuts), None) => bail!("soak: cuts need the loader's variable"),
+        _ => Ok(None),
+    }
+}
+
 impl SoakFleet {
     /// Stops the daemon processes and closes their links.
     pub fn close(self) {
@@ -123,13 +134,7 @@
         let store = FleetStore::new();
         let store_address = serve_here(store.clone()).await?;
         let programs = program_folder()?;
-        let engine_links = match (options.extra, &options.loader_variable) {
-            (Some(ExtraKind::Cuts), Some(variable)) => {
-                Some(EngineLinks::build(&options.folder, variable)?)
-            }
-            (Some(ExtraKind::Cuts), None) => bail!("soak: cuts need the loader's variable"),
-            _ => None,
-        };
+        let engine_links = build_engine_links(&options)?;
         let mut fleet = SoakFleet {
             programs,
             store,
