--- a/crates/daemon/src/relays/dialer.rs
+++ b/crates/daemon/src/relays/dialer.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use curlewcleat_targets::{
     connect_directly, ConnectFuture, Error, Result, TargetLinks, TargetStream,
 };
+use tokio::net::TcpStream;
 
 use super::outgoing::{RelayDialer, RelayFailure};
 use crate::context::DaemonContext;
@@ -56,22 +58,36 @@
         };
         let mut relayed =
             std::pin::pin!(self.connect_by_peer(target, deadline.time_left(), request));
-        if let Some(error) = refused {
-            return self.finish(target, relayed.await, error);
-        }
-        tokio::select! {
-            biased;
-            connected = direct.as_mut() => match connected {
-                Ok(stream) => Ok(self.connected(target, stream)),
-                Err(error) => self.finish(target, relayed.await, error),
-            },
-            stream = relayed.as_mut() => match stream {
-                Ok(stream) => self.finish(target, Ok(stream), Error::Connect(String::new())),
-                Err(failure) => match direct.await {
-                    Ok(stream) => Ok(self.connected(target, stream)),
-                    Err(error) => self.finish(target, Err(failure), error),
+        let error = match refused {
+            Some(error) => error,
+            None => tokio::select! {
+                biased;
+                connected = direct.as_mut() => match connected {
+                    Ok(stream) => return Ok(self.connected(target, stream)),
+                    Err(error) => error,
+                },
+                relay = relayed.as_mut() => match relay {
+                    Ok(stream) => return Ok(self.relayed(target, stream)),
+                    Err(failure) => return self.await_direct(target, direct, failure).await,
                 },
             },
+        };
+        match relayed.await {
+            Ok(stream) => Ok(self.relayed(target, stream)),
+            Err(failure) => Err(self.unreached(target, failure, error)),
+        }
+    }
+
+    /// Waits for the direct connection after no peer has connected.
+    async fn await_direct(
+        &self,
+        target: &TargetEntry,
+        direct: impl Future<Output = Result<TcpStream>>,
+        failure: RelayFailure,
+    ) -> Result<TargetStream> {
+        match direct.await {
+            Ok(stream) => Ok(self.connected(target, stream)),
+            Err(error) => Err(self.unreached(target, failure, error)),
         }
     }
 
@@ -118,32 +134,26 @@
         unreachable.contains_key(address)
     }
 
-    fn connected(&self, target: &TargetEntry, stream: tokio::net::TcpStream) -> TargetStream {
+    fn connected(&self, target: &TargetEntry, stream: TcpStream) -> TargetStream {
         self.context.reach.connected(self.context.uptime(), &target.address);
         TargetStream::Direct(stream)
     }
 
-    /// Records what a peer found after this daemon's own connection has failed with `error`.
-    fn finish(
-        &self,
-        target: &TargetEntry,
-        relayed: std::result::Result<TargetStream, RelayFailure>,
-        error: Error,
-    ) -> Result<TargetStream> {
+    /// Records that a peer has connected to a target that this daemon did not reach itself.
+    fn relayed(&self, target: &TargetEntry, stream: TargetStream) -> TargetStream {
         let (now, reach) = (self.context.uptime(), &self.context.reach);
-        match relayed {
-            Ok(stream) => {
-                reach.connect_failed(now, &target.address);
-                reach.reached_by_peer(now, &target.address);
-                Ok(stream)
-            }
-            // The peer reaches other targets, so this target is at fault.
-            Err(RelayFailure::Target) => Err(error),
-            Err(RelayFailure::NoPeer) => {
-                reach.connect_failed(now, &target.address);
-                Err(error)
-            }
+        reach.connect_failed(now, &target.address);
+        reach.reached_by_peer(now, &target.address);
+        stream
+    }
+
+    /// Records that neither this daemon nor a peer has connected to a target. If peers that reach other targets do not
+    /// reach this one either, the target is at fault and not the link.
+    fn unreached(&self, target: &TargetEntry, failure: RelayFailure, error: Error) -> Error {
+        if failure == RelayFailure::NoPeer {
+            self.context.reach.connect_failed(self.context.uptime(), &target.address);
         }
+        error
     }
 }
 
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -261,6 +261,14 @@
         Ok(())
     }
 
+    /// Returns the port of the relays of all daemons.
+    ///
+    /// # Panics
+    /// Panics if no daemon was started.
+    pub fn relay_port(&self) -> u16 {
+        self.relay_port.expect("the daemons were started")
+    }
+
     /// Waits until every daemon reports all others as live peers.
     pub async fn wait_for_all_peers(&self) -> Result<()> {
         let others = self.daemons.len() - 1;
