Brittle targets: only a request that was turned away limits what a target is offered

What callers would have seen: in a pool of brittle targets one failed answer (a server error, a closed connection) was taken for a refusal for want of room. A target that ran nothing else was then offered nothing for up to five seconds, and with errors at each target of a small pool nothing was served. Cause: the end of an attempt does not say why it failed, and every failure set the room. Change: the entry daemon, which sees the refusal, reports it with the notices as a rest of a millisecond, a message that former builds read as well; the scheduler sets the room from that. An answer of another target (misdirected) is no refusal.

--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -57,8 +57,9 @@
         apply_notice(context, &attempt, &received);
     }
     let start = evaluate_answer(protocol, request, answer, notice);
-    if matches!(start, AttemptStart::NotRun(..)) {
-        context.gate.refused(context.uptime(), &attempt.target.instance());
+    // An answer without a notice comes from another target.
+    if notice.is_some() && matches!(start, AttemptStart::NotRun(..)) {
+        report_refusal(context, &attempt);
     }
     start
 }
@@ -112,6 +113,14 @@
     }
 }
 
+/// Records at the gate that the target has turned the request away, and reports it to the node if the target is brittle.
+fn report_refusal(context: &DaemonContext, attempt: &TargetAttempt<'_>) {
+    let instance = attempt.target.instance();
+    if let Some(report) = context.gate.refused(context.uptime(), &instance) {
+        context.send_event(NodeEvent::NoticeReceived(attempt.request.pool.id.clone(), report));
+    }
+}
+
 /// Decides from the head of the answer whether the target runs the request.
 fn evaluate_answer(
     protocol: &dyn CallerProtocol,
--- a/crates/daemon/src/target_notices.rs
+++ b/crates/daemon/src/target_notices.rs
@@ -62,9 +62,10 @@
         change.send_report.then_some(change.report)
     }
 
-    /// Records that a target has turned away a request of this daemon for lack of capacity.
-    pub fn refused(&self, now: Uptime, instance: &TargetInstance) {
-        self.lock().refused(now, instance);
+    /// Records that a target has turned away a request of this daemon. Returns the report for the daemons that may
+    /// schedule, if one is due.
+    pub fn refused(&self, now: Uptime, instance: &TargetInstance) -> Option<NoticeReport> {
+        self.lock().refused(now, instance)
     }
 
     /// Sets the data centres that are evacuated.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -20,7 +20,6 @@
 use crate::order::flows::UrgencyFlows;
 use crate::order::shares::divide_capacity;
 use crate::placement::ejection::may_eject_one_more;
-use crate::placement::room::TargetRoom;
 use crate::pool::{PermitRecord, PoolScheduler, RateCharge, SchedulerAction};
 use crate::targets::state_of;
 
@@ -251,7 +250,7 @@
 
     /// Records the end of an attempt at its target, and learns the target's speed from it.
     fn record_end(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
-        let (may_eject, brittle) = (self.may_eject(), self.brittle);
+        let may_eject = self.may_eject();
         let Some(state) = state_of(&mut self.targets, &record.target) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         match end {
@@ -270,13 +269,7 @@
             }
             // The failure was counted when its request requested another target.
             AttemptEnd::Failed if record.stalled => {}
-            AttemptEnd::Failed => {
-                state.failed(now, may_eject);
-                let room = |borne| TargetRoom::after_refusal(now, state.in_flight, borne);
-                if let Some(room) = brittle.map(room) {
-                    state.set_room(Some(room));
-                }
-            }
+            AttemptEnd::Failed => state.failed(now, may_eject),
         }
     }
 
--- a/crates/sched/src/target_gate.rs
+++ b/crates/sched/src/target_gate.rs
@@ -24,6 +24,8 @@
 const EXTRA_BURST: u64 = 1;
 /// Minimum interval between reports of unchanged notices.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Rest that is reported after a refusal: so short that it excludes no request. It tells the schedulers of the refusal.
+const REFUSAL_REST: Duration = Duration::from_millis(1);
 /// Time over which a brittle target counts the requests that it turns away.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
 /// Time for which the record of a target instance is kept without a new notice.
@@ -131,11 +133,15 @@
         }
     }
 
-    /// Records that a target has turned away a request of this daemon for lack of capacity.
-    pub fn refused(&mut self, now: Uptime, instance: &TargetInstance) {
-        let Some(record) = self.instances.get_mut(instance) else { return };
+    /// Records that a target has turned away a request of this daemon. Returns the report for the daemons that may
+    /// schedule if the target is brittle: it states a short rest, which daemons of every version can read.
+    pub fn refused(&mut self, now: Uptime, instance: &TargetInstance) -> Option<NoticeReport> {
+        let record = self.instances.get_mut(instance)?;
+        record.brittle?;
         record.refusals.retain(|refused| now < *refused + REFUSAL_WINDOW);
         record.refusals.push_back(now);
+        let report = record.notices.report(now, instance);
+        Some(NoticeReport { rest: report.rest.max(Some(REFUSAL_REST)), ..report })
     }
 
     /// Sets the data centres that are evacuated.
--- a/crates/sched/src/targets.rs
+++ b/crates/sched/src/targets.rs
@@ -100,16 +100,20 @@
     }
 
     /// Applies an entry daemon's report of a target's notices. Notices of another instance than the known one are
-    /// ignored.
+    /// ignored. A brittle target that requests rest has turned a request away, whose permit is still in use here.
     pub fn apply_notice_report(
         &mut self,
         now: Uptime,
         from: &VmId,
         report: &NoticeReport,
     ) -> Vec<SchedulerAction> {
-        let rate_share = self.rate_share;
+        let (rate_share, brittle) = (self.rate_share, self.brittle);
         if let Some(state) = state_of(&mut self.targets, &report.instance) {
             state.apply_notice_report(now, from, report, rate_share);
+            if let Some(borne) = brittle.filter(|_| report.rest.is_some()) {
+                let held = state.in_flight.saturating_sub(1);
+                state.set_room(Some(TargetRoom::after_refusal(now, held, borne)));
+            }
         }
         let mut actions = Vec::new();
         self.grant(now, &mut actions);
--- a/crates/sched/tests/brittle_targets.rs
+++ b/crates/sched/tests/brittle_targets.rs
@@ -84,6 +84,7 @@
 /// A scheduler that has taken over, and the targets with what they really run.
 struct Takeover {
     scheduler: PoolScheduler,
+    gate: TargetGate,
     targets: BTreeMap<TargetId, RunningTarget>,
     random: StdRng,
     next_request: u128,
@@ -104,9 +105,18 @@
                 .collect(),
             ..RunningTarget::default()
         };
-        let targets = (0..TARGETS).map(|index| (format!("t{index}"), full())).collect();
+        let targets: BTreeMap<TargetId, RunningTarget> =
+            (0..TARGETS).map(|index| (format!("t{index}"), full())).collect();
+        let mut gate = TargetGate::default();
+        for id in targets.keys() {
+            let notice =
+                TargetNotice { brittle: BrittleNotice::Stated(borne), ..TargetNotice::default() };
+            let received = ReceivedNotice { sent: Duration::ZERO, notice };
+            let instance = TargetInstance { id: id.clone(), start: None };
+            gate.apply_notice(Duration::ZERO, &instance, &received);
+        }
         scheduler.set_rate_share(Duration::ZERO, share(RateRole::Leader));
-        Takeover { scheduler, targets, random, next_request: 0, served: 0 }
+        Takeover { scheduler, gate, targets, random, next_request: 0, served: 0 }
     }
 
     /// Sends requests, half again as many as the targets can serve, for this time.
@@ -145,6 +155,10 @@
                 continue;
             }
             running.refuse(now);
+            let instance = TargetInstance { id: target.clone(), start: None };
+            let refusal = self.gate.refused(now, &instance).expect("the target is brittle");
+            let actions = self.scheduler.apply_notice_report(now, &entry().vm, &refusal);
+            self.deliver(now, actions);
             self.give_back(now, permit, AttemptEnd::Failed);
             let again = permit_request(permit.request.as_u128(), permit.attempt + 1, vec![target]);
             if permit.attempt == 0 {
@@ -195,6 +209,24 @@
     }
 }
 
+/// A brittle target that answered one request with an error while it ran no other was offered nothing for seconds.
+#[test]
+fn failing_target_is_not_taken_for_a_full_one() {
+    let mut scheduler = PoolScheduler::new("p".to_string(), PoolOptions::default());
+    scheduler.configure(PoolOptions::default(), &pool());
+    scheduler.set_brittle(Some(0));
+    for number in 0..TARGETS as u128 {
+        scheduler.request_permit(SECOND, entry(), permit_request(number, 0, Vec::new()));
+        let permit = PermitId { request: RequestId::from_u128(number), attempt: 0 };
+        let returned = PermitReturn { permit, pool: "p".to_string(), end: AttemptEnd::Failed };
+        scheduler.return_permit(SECOND, &returned);
+    }
+    let actions = scheduler.request_permit(SECOND, entry(), permit_request(99, 0, Vec::new()));
+    let is_granted =
+        |action: &SchedulerAction| matches!(action.answer.decision, PermitDecision::Granted(_));
+    assert!(actions.iter().any(is_granted), "{actions:?}");
+}
+
 /// Requests that other daemons report as running are not unknown.
 #[test]
 fn reported_requests_do_not_delay_a_takeover() {
@@ -221,7 +253,8 @@
     let mut gate = TargetGate::default();
     let notice = TargetNotice { brittle: BrittleNotice::Stated(4), ..TargetNotice::default() };
     gate.apply_notice(SECOND, &instance, &ReceivedNotice { sent: Duration::ZERO, notice });
-    gate.refused(SECOND, &instance);
+    let report = gate.refused(SECOND, &instance).expect("the schedulers learn of it");
+    assert!(report.rest.is_some(), "{report:?}");
     assert_eq!(gate.stop(SECOND, &target), None);
     gate.refused(SECOND + STEP, &instance);
     assert_eq!(gate.stop(SECOND + STEP, &target), Some(GateStop::Brittle));
