--- a/crates/sched/src/target_reach.rs
+++ b/crates/sched/src/target_reach.rs
@@ -65,6 +65,8 @@
     since: Uptime,
     /// When a peer last connected to the target.
     confirmed: Uptime,
+    /// Whether the loss was reported to the operators by itself, and not only as part of a cut.
+    is_reported: bool,
 }
 
 /// Requests that wait for a target on a direct connection.
@@ -137,8 +139,10 @@
         if let Some(since) = self.cut_since.take() {
             changes.push(ReachChange::CutEnded(now.saturating_sub(since)));
         }
-        if self.lost.remove(address).is_some() {
-            changes.push(ReachChange::LinkRestored(address.to_string()));
+        if let Some(link) = self.lost.remove(address) {
+            if link.is_reported {
+                changes.push(ReachChange::LinkRestored(address.to_string()));
+            }
             // The other links have probably been restored with this one.
             self.next_probe = now;
         }
@@ -156,7 +160,7 @@
         self.cut_since = Some(now);
         self.next_probe = now + PROBE_INTERVAL;
         for address in &self.failed {
-            let link = LostLink { since: now, confirmed: now };
+            let link = LostLink { since: now, confirmed: now, is_reported: false };
             self.lost.entry(address.clone()).or_insert(link);
         }
         Some(ReachChange::Cut(self.failed.iter().cloned().collect()))
@@ -166,12 +170,12 @@
     /// its link is lost.
     pub fn reached_by_peer(&mut self, now: Uptime, address: &str) -> Option<ReachChange> {
         let is_new = !self.lost.contains_key(address);
-        let link = LostLink { since: now, confirmed: now };
+        let is_reported = is_new && self.cut_since.is_none();
+        let link = LostLink { since: now, confirmed: now, is_reported };
         self.lost.entry(address.to_string()).or_insert(link).confirmed = now;
         if is_new && self.lost.len() == 1 {
             self.next_probe = now + PROBE_INTERVAL;
         }
-        let is_reported = is_new && self.cut_since.is_none();
         is_reported.then(|| ReachChange::LinkLost(address.to_string()))
     }
 
@@ -231,10 +235,12 @@
 
     /// Returns targets that run requests, if no target has sent anything for [`SILENT_AFTER`].
     fn silence_probes(&mut self, now: Uptime) -> Vec<TargetAddress> {
-        let Some(first_since) = self.waiting.values().map(|waiting| waiting.since).min() else {
+        // Checked first, so that a busy daemon does not look at all targets each time.
+        if now < self.last_activity + SILENT_AFTER {
             return Vec::new();
-        };
-        if now < first_since.max(self.last_activity) + SILENT_AFTER {
+        }
+        let first_since = self.waiting.values().map(|waiting| waiting.since).min();
+        if first_since.is_none_or(|since| now < since + SILENT_AFTER) {
             return Vec::new();
         }
         self.next_probe = now + PROBE_INTERVAL;
--- a/crates/sched/tests/target_reach.rs
+++ b/crates/sched/tests/target_reach.rs
@@ -63,6 +63,18 @@
     assert_eq!(reach.route(A), TargetRoute::Direct);
 }
 
+/// Operators saw the end of losses that they had not been told of: those found during a cut.
+#[test]
+fn only_a_reported_loss_is_reported_as_restored() {
+    let mut reach = TargetReach::default();
+    reach.connect_failed(ms(1_000), A);
+    reach.connect_failed(ms(1_000), B);
+    assert_eq!(reach.reached_by_peer(ms(1_010), C), None);
+    let changes = reach.connected(ms(2_000), C);
+    assert_eq!(changes, vec![ReachChange::CutEnded(ms(1_000))]);
+    assert_eq!(reach.connected(ms(2_010), A), vec![]);
+}
+
 /// Requests on open connections waited for their deadlines, and no new connection was tried.
 #[test]
 fn silence_of_all_targets_is_tried_with_new_connections() {
