Relays: connections that ask are bounded before they are known

The relay listener accepted any number of connections and gave each two seconds to state what it asks for; strangers could use up the daemon's descriptors. Beyond the relayed connections 64 more are accepted, further ones are closed at once. By reading; no test of its own.

--- a/crates/daemon/src/relays/server.rs
+++ b/crates/daemon/src/relays/server.rs
@@ -26,6 +26,8 @@
 
 /// Connections of callers for each relayed connection that is allowed.
 const CALLERS_PER_RELAY: usize = 8;
+/// Connections accepted beyond those that may be relayed, for daemons that get a refusal.
+const WAITING_LIMIT: usize = 64;
 /// Longest time for which a connection to a target is awaited.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 /// Share of the time that the asking daemon waits in which the target has to accept the connection, in percent.
@@ -84,6 +86,8 @@
 async fn accept_all(listener: TcpListener, context: DaemonContext, open: Rc<Cell<usize>>) {
     loop {
         match listener.accept().await {
+            // A daemon whose connection is closed at once asks another peer.
+            Ok((stream, _)) if open.get() >= relay_limit(&context) + WAITING_LIMIT => drop(stream),
             Ok((stream, from)) => {
                 let guard = OpenRelay::new(&open);
                 let serving = serve(context.clone(), stream, from.ip(), guard);
@@ -97,6 +101,11 @@
     }
 }
 
+/// Returns the most connections that are relayed at a time.
+fn relay_limit(context: &DaemonContext) -> usize {
+    context.settings.connection_limit / CALLERS_PER_RELAY
+}
+
 /// Counts a connection while it is open.
 struct OpenRelay(Rc<Cell<usize>>);
 
@@ -165,7 +174,7 @@
     if context.is_draining() {
         return Err(RelayRefusal::Draining);
     }
-    if open > context.settings.connection_limit / CALLERS_PER_RELAY {
+    if open > relay_limit(context) {
         return Err(RelayRefusal::Full);
     }
     let target = known_target(context, request).ok_or(RelayRefusal::UnknownTarget)?;
