Faults: a deadline that passes over a lost link is not told of the target

A request at a stalled target that reached its deadline was reported as the target's failure even if this daemon's link was lost or a peer relayed the connection. It is now reported like its other failures over such links. Found by reading; silent_targets and cut_daemons pass. Not mended: the scheduler counts a stalled target as failed when a replacement is requested, also over a lost link; the message has no field for it.

--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{AnswerObservation, AttemptEnd, StreamTiming, TargetId};
+use curlewcleat_core::{AnswerObservation, AttemptEnd, StreamTiming, TargetEntry, TargetId};
 
 /// Number of parts after which the mean time between two parts is reported.
 const MEAN_INTERVAL_PARTS: u32 = 8;
@@ -17,6 +17,8 @@
     pub attempts: u32,
     /// Target of the latest attempt.
     pub target: Option<TargetId>,
+    /// Address of that target.
+    pub address: Option<String>,
     /// When the latest attempt was sent.
     pub sent: Option<Moment>,
     /// When the first part of the answer arrived.
@@ -46,9 +48,10 @@
 
 impl RequestProgress {
     /// Records that an attempt is sent.
-    pub fn record_sent(&mut self, target: &TargetId) {
+    pub fn record_sent(&mut self, target: &TargetEntry) {
         self.attempts += 1;
-        self.target = Some(target.clone());
+        self.target = Some(target.id.clone());
+        self.address = Some(target.address.clone());
         self.sent = Some(Moment::now());
         self.attempt = AttemptProgress::default();
     }
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -233,7 +233,8 @@
 
     /// Returns what is reported to the scheduler about the target that still runs the request at its deadline.
     fn attempt_end_at_deadline(&self) -> AttemptEnd {
-        match self.pending.as_ref().is_some_and(PendingRequest::is_stalled) {
+        let is_stalled = self.pending.as_ref().is_some_and(PendingRequest::is_stalled);
+        match is_stalled && !self.is_over_lost_link() {
             true => AttemptEnd::Failed,
             false => AttemptEnd::Unused,
         }
--- a/crates/daemon/src/request/run/fault.rs
+++ b/crates/daemon/src/request/run/fault.rs
@@ -32,19 +32,25 @@
 }
 
 impl RequestRun {
+    /// Returns whether the latest attempt goes through a peer, or over a link that is lost.
+    pub(super) fn is_over_lost_link(&self) -> bool {
+        let reach = &self.service.context.reach;
+        let address = self.progress.address.as_ref();
+        self.progress.is_relayed()
+            || address.is_some_and(|address| reach.route(address) == TargetRoute::Peer)
+    }
+
     /// Returns whose fault the failure of the latest attempt is.
     pub(super) fn fault_of(&self, target: &TargetEntry, cause: AttemptCause) -> AttemptFault {
         let context = &self.service.context;
-        let is_lost = || context.reach.route(&target.address) == TargetRoute::Peer;
-        let is_relayed = self.progress.is_relayed();
         let is_link_fault = match cause {
-            AttemptCause::ConnectFailed => is_lost(),
-            AttemptCause::Closed if !is_relayed => {
+            AttemptCause::Closed if !self.progress.is_relayed() => {
                 context.reach.broke(context.uptime(), &target.address)
             }
-            AttemptCause::Closed | AttemptCause::HeadTimeout | AttemptCause::PartTimeout => {
-                is_relayed || is_lost()
-            }
+            AttemptCause::ConnectFailed
+            | AttemptCause::Closed
+            | AttemptCause::HeadTimeout
+            | AttemptCause::PartTimeout => self.is_over_lost_link(),
             _ => false,
         };
         match is_link_fault {
