Names: a daemon that reaches no target is partitioned; the bytes of relay messages are kept by tests

'Cut' named both a truncated answer (answer_cut) and a daemon without links. The probe task wakes every 100 ms in place of 20 while no link is lost.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -208,7 +208,7 @@
     /// Returns the metrics as text, with the gauges set from a node's status and the links to targets.
     pub fn render(&self, status: &NodeStatus, reach: &SharedReach) -> String {
         self.gauges.set(status);
-        self.gauges.set_links(reach.is_cut(), reach.lost_links());
+        self.gauges.set_links(reach.is_partitioned(), reach.lost_links());
         self.registry.render().unwrap_or_else(|error| {
             error!("metrics_not_written", kv: { error = error.to_string() });
             String::new()
--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -27,7 +27,7 @@
     in_flight: IntGaugeVec,
     config_intake: IntGaugeVec,
     resident: IntGauge,
-    targets_cut: IntGauge,
+    targets_unreachable: IntGauge,
     target_links_lost: IntGauge,
     frames: IntGaugeVec,
     counts: Arc<TransportCounts>,
@@ -58,8 +58,10 @@
                 "pool",
             )?,
             config_intake: registry.gauges("config_intake_bytes", intake_help, "use")?,
-            targets_cut: registry
-                .gauge("targets_cut", "1 while this daemon reaches no target, 0 otherwise")?,
+            targets_unreachable: registry.gauge(
+                "targets_unreachable",
+                "1 while this daemon reaches no target, 0 otherwise",
+            )?,
             target_links_lost: registry
                 .gauge("target_links_lost", "Targets that only peers reach for this daemon")?,
             resident: registry.gauge("resident_bytes", "Resident memory of the process")?,
@@ -69,8 +71,8 @@
     }
 
     /// Sets the gauges of this daemon's links to targets.
-    pub fn set_links(&self, is_cut: bool, links_lost: usize) {
-        self.targets_cut.set(i64::from(is_cut));
+    pub fn set_links(&self, is_partitioned: bool, links_lost: usize) {
+        self.targets_unreachable.set(i64::from(is_partitioned));
         self.target_links_lost.set(links_lost as i64);
     }
 
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -78,7 +78,7 @@
         "generation": status.generation, "key_table": status.table, "key_slots": status.key_slots,
         "keys": status.keys, "requests": status.requests,
         "evacuated": status.evacuated,
-        "targets_cut": context.reach.is_cut(), "target_links_lost": context.reach.lost_links(),
+        "targets_unreachable": context.reach.is_partitioned(), "target_links_lost": context.reach.lost_links(),
         "drain": format!("{:?}", status.drain).to_lowercase(),
         "pools": pools, "peers": peers,
     })
--- a/crates/daemon/src/relays/probe.rs
+++ b/crates/daemon/src/relays/probe.rs
@@ -8,8 +8,10 @@
 
 use crate::context::DaemonContext;
 
-/// Interval at which the task looks for links to try.
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which the task looks for links to try while some are lost: the links come back one after the other.
+const LOST_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which it looks for silence otherwise.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time within which a target has to accept a connection: many round trips between data centres.
 const PROBE_LIMIT: Duration = Duration::from_millis(250);
 
@@ -17,7 +19,9 @@
 pub fn probe_lost_links(context: DaemonContext) {
     actix_rt::spawn(async move {
         loop {
-            tokio::time::sleep(CHECK_INTERVAL).await;
+            let interval =
+                if context.reach.lost_links() > 0 { LOST_INTERVAL } else { IDLE_INTERVAL };
+            tokio::time::sleep(interval).await;
             for address in context.reach.probes(context.uptime()) {
                 actix_rt::spawn(probe(context.clone(), address));
             }
--- a/crates/daemon/src/target_reach.rs
+++ b/crates/daemon/src/target_reach.rs
@@ -24,8 +24,8 @@
     }
 
     /// Returns whether all links to targets count as lost.
-    pub fn is_cut(&self) -> bool {
-        self.lock().is_cut()
+    pub fn is_partitioned(&self) -> bool {
+        self.lock().is_partitioned()
     }
 
     /// Returns whether anything has arrived from any target recently.
@@ -89,9 +89,11 @@
 
 fn log_change(change: &ReachChange) {
     match change {
-        ReachChange::Cut(failed) => warn!("targets_unreachable", kv: { failed = failed.join(" ") }),
-        ReachChange::CutEnded(time) => {
-            info!("targets_reachable", kv: { cut_ms = time.as_millis() as i64 });
+        ReachChange::Partitioned(failed) => {
+            warn!("targets_unreachable", kv: { failed = failed.join(" ") })
+        }
+        ReachChange::PartitionEnded(time) => {
+            info!("targets_reachable", kv: { unreachable_ms = time.as_millis() as i64 });
         }
         ReachChange::LinkLost(address) => {
             warn!("target_link_lost", kv: { address = address.as_str() })
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -154,3 +154,6 @@
         self.0.decode(buffer)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sched/src/target_reach.rs
+++ b/crates/sched/src/target_reach.rs
@@ -6,11 +6,11 @@
 //! The rules:
 //! - A link to a target is lost if this daemon cannot connect to it while a peer can. Without the peer's result, a
 //!   target that does not accept a connection counts as failed, not its link.
-//! - All links count as lost, which is called a cut, once connections to [`CUT_AFTER_TARGETS`] different targets have
+//! - All links count as lost, which is called a partition, once connections to [`PARTITION_AFTER_TARGETS`] different targets have
 //!   failed and nothing has arrived from any target in between. One finding then serves all requests.
 //! - If nothing arrives from any target for [`SILENT_AFTER`] while requests wait, the daemon tries new connections,
 //!   since open ones may be dead without a sign.
-//! - A lost link is tried again at intervals of [`PROBE_INTERVAL`], one target at a time. The first success ends a cut.
+//! - A lost link is tried again at intervals of [`PROBE_INTERVAL`], one target at a time. The first success ends a partition.
 //! - The failures of a daemon that has lost its links say nothing about the targets.
 //!
 //! Owns: the lost links of this daemon. Relies on: its caller for connections and results.
@@ -22,7 +22,7 @@
 use curlewcleat_core::Uptime;
 
 /// Different targets whose connections have to fail before all links count as lost.
-const CUT_AFTER_TARGETS: usize = 2;
+const PARTITION_AFTER_TARGETS: usize = 2;
 /// Time without anything from any target, while requests wait, after which links are tried.
 const SILENT_AFTER: Duration = Duration::from_millis(500);
 /// Time between two tries of lost links.
@@ -50,9 +50,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReachChange {
     /// All links are lost; connections to these targets have failed.
-    Cut(Vec<String>),
-    /// A target was reached again after a cut of this duration.
-    CutEnded(Duration),
+    Partitioned(Vec<String>),
+    /// A target was reached again after a partition of this duration.
+    PartitionEnded(Duration),
     /// The link to this target is lost.
     LinkLost(String),
     /// The link to this target works again.
@@ -65,7 +65,7 @@
     since: Uptime,
     /// When a peer last connected to the target.
     confirmed: Uptime,
-    /// Whether the loss was reported to the operators by itself, and not only as part of a cut.
+    /// Whether the loss was reported to the operators by itself, and not only as part of a partition.
     is_reported: bool,
 }
 
@@ -82,7 +82,7 @@
 pub struct TargetReach {
     lost: BTreeMap<TargetAddress, LostLink>,
     /// Since when all links count as lost, `None` if they do not.
-    cut_since: Option<Uptime>,
+    partitioned_since: Option<Uptime>,
     /// Targets to which connecting has failed since anything arrived from any target.
     failed: BTreeSet<TargetAddress>,
     waiting: BTreeMap<TargetAddress, WaitingRequests>,
@@ -111,14 +111,14 @@
     }
 
     /// Returns whether all links count as lost.
-    pub fn is_cut(&self) -> bool {
-        self.cut_since.is_some()
+    pub fn is_partitioned(&self) -> bool {
+        self.partitioned_since.is_some()
     }
 
     /// Returns whether anything has arrived from any target recently, so that a connection that fails now is probably
     /// the fault of its target.
     pub fn has_recent_activity(&self, now: Uptime) -> bool {
-        self.cut_since.is_none() && now < self.last_activity + ACTIVITY_VALID
+        self.partitioned_since.is_none() && now < self.last_activity + ACTIVITY_VALID
     }
 
     /// Returns the number of targets whose links are known to be lost.
@@ -128,7 +128,7 @@
 
     fn lost_since(&self, address: &str) -> Option<Uptime> {
         let link_since = self.lost.get(address).map(|link| link.since);
-        link_since.into_iter().chain(self.cut_since).min()
+        link_since.into_iter().chain(self.partitioned_since).min()
     }
 
     /// Records a direct connection that was established.
@@ -136,8 +136,8 @@
         self.activity(now);
         self.failed.clear();
         let mut changes = Vec::new();
-        if let Some(since) = self.cut_since.take() {
-            changes.push(ReachChange::CutEnded(now.saturating_sub(since)));
+        if let Some(since) = self.partitioned_since.take() {
+            changes.push(ReachChange::PartitionEnded(now.saturating_sub(since)));
         }
         if let Some(link) = self.lost.remove(address) {
             if link.is_reported {
@@ -151,26 +151,26 @@
 
     /// Records a direct connection that failed.
     pub fn connect_failed(&mut self, now: Uptime, address: &str) -> Option<ReachChange> {
-        if self.failed.len() < CUT_AFTER_TARGETS {
+        if self.failed.len() < PARTITION_AFTER_TARGETS {
             self.failed.insert(address.to_string());
         }
-        if self.cut_since.is_some() || self.failed.len() < CUT_AFTER_TARGETS {
+        if self.partitioned_since.is_some() || self.failed.len() < PARTITION_AFTER_TARGETS {
             return None;
         }
-        self.cut_since = Some(now);
+        self.partitioned_since = Some(now);
         self.next_probe = now + PROBE_INTERVAL;
         for address in &self.failed {
             let link = LostLink { since: now, confirmed: now, is_reported: false };
             self.lost.entry(address.clone()).or_insert(link);
         }
-        Some(ReachChange::Cut(self.failed.iter().cloned().collect()))
+        Some(ReachChange::Partitioned(self.failed.iter().cloned().collect()))
     }
 
     /// Records that a peer has connected to a target that this daemon could not connect to, or did not try to because
     /// its link is lost.
     pub fn reached_by_peer(&mut self, now: Uptime, address: &str) -> Option<ReachChange> {
         let is_new = !self.lost.contains_key(address);
-        let is_reported = is_new && self.cut_since.is_none();
+        let is_reported = is_new && self.partitioned_since.is_none();
         let link = LostLink { since: now, confirmed: now, is_reported };
         self.lost.entry(address.to_string()).or_insert(link).confirmed = now;
         if is_new && self.lost.len() == 1 {
@@ -198,7 +198,7 @@
     /// Records that something has arrived from a target on a direct connection.
     pub fn activity(&mut self, now: Uptime) {
         self.last_activity = now;
-        if self.cut_since.is_none() {
+        if self.partitioned_since.is_none() {
             self.failed.clear();
         }
     }
@@ -220,7 +220,7 @@
         }
         self.lost.retain(|_, link| now < link.confirmed + LOST_LINK_RETENTION);
         if self.lost.is_empty() {
-            self.cut_since = None;
+            self.partitioned_since = None;
             return self.silence_probes(now);
         }
         self.next_probe = now + PROBE_INTERVAL;
@@ -244,6 +244,6 @@
             return Vec::new();
         }
         self.next_probe = now + PROBE_INTERVAL;
-        self.waiting.keys().take(CUT_AFTER_TARGETS).cloned().collect()
+        self.waiting.keys().take(PARTITION_AFTER_TARGETS).cloned().collect()
     }
 }
--- a/crates/sched/tests/target_reach.rs
+++ b/crates/sched/tests/target_reach.rs
@@ -21,14 +21,14 @@
     let mut reach = TargetReach::default();
     assert_eq!(reach.connect_failed(ms(1_000), A), None);
     assert_eq!(reach.route(B), TargetRoute::Direct);
-    let cut = reach.connect_failed(ms(1_100), B);
-    assert_eq!(cut, Some(ReachChange::Cut(vec![A.to_string(), B.to_string()])));
+    let change = reach.connect_failed(ms(1_100), B);
+    assert_eq!(change, Some(ReachChange::Partitioned(vec![A.to_string(), B.to_string()])));
     assert_eq!(reach.route(C), TargetRoute::Peer);
-    assert!(!reach.trusts_idle(C, ms(900)), "a connection from before the cut may be dead");
+    assert!(!reach.trusts_idle(C, ms(900)), "a connection from before the partition may be dead");
 }
 
 #[test]
-fn one_dead_target_is_no_cut() {
+fn one_dead_target_is_no_partition() {
     let mut reach = TargetReach::default();
     for at in 0..20 {
         assert_eq!(reach.connect_failed(ms(1_000 + at), A), None);
@@ -38,12 +38,12 @@
 }
 
 #[test]
-fn two_dead_targets_are_no_cut_while_others_answer() {
+fn two_dead_targets_are_no_partition_while_others_answer() {
     let mut reach = TargetReach::default();
     reach.connect_failed(ms(1_000), A);
     reach.activity(ms(1_010));
     assert_eq!(reach.connect_failed(ms(1_020), B), None);
-    assert!(!reach.is_cut());
+    assert!(!reach.is_partitioned());
 }
 
 /// With links to half of the targets lost, a daemon tried the lost ones directly for each request.
@@ -63,7 +63,7 @@
     assert_eq!(reach.route(A), TargetRoute::Direct);
 }
 
-/// Operators saw the end of losses that they had not been told of: those found during a cut.
+/// Operators saw the end of losses that they had not been told of: those found during a partition.
 #[test]
 fn only_a_reported_loss_is_reported_as_restored() {
     let mut reach = TargetReach::default();
@@ -71,7 +71,7 @@
     reach.connect_failed(ms(1_000), B);
     assert_eq!(reach.reached_by_peer(ms(1_010), C), None);
     let changes = reach.connected(ms(2_000), C);
-    assert_eq!(changes, vec![ReachChange::CutEnded(ms(1_000))]);
+    assert_eq!(changes, vec![ReachChange::PartitionEnded(ms(1_000))]);
     assert_eq!(reach.connected(ms(2_010), A), vec![]);
 }
 
@@ -87,7 +87,7 @@
     assert_eq!(reach.probes(ms(1_600)), Vec::<String>::new(), "at most five tries a second");
     reach.connect_failed(ms(1_650), A);
     reach.connect_failed(ms(1_650), B);
-    assert!(reach.is_cut());
+    assert!(reach.is_partitioned());
 }
 
 #[test]
@@ -98,9 +98,9 @@
     assert_eq!(reach.probes(ms(9_000)), Vec::<String>::new());
 }
 
-/// After a cut, the lost links were tried one interval after the other, so that the last came back seconds later.
+/// After a partition, the lost links were tried one interval after the other, so that the last came back seconds later.
 #[test]
-fn all_links_are_used_again_within_a_second_after_a_cut() {
+fn all_links_are_used_again_within_a_second_after_a_partition() {
     let mut reach = TargetReach::default();
     let targets: Vec<String> = (0..20).map(|index| format!("10.0.0.{index}:80")).collect();
     reach.connect_failed(ms(1_000), &targets[0]);
@@ -108,19 +108,19 @@
     for target in &targets {
         reach.reached_by_peer(ms(1_100), target);
     }
-    let (healed, mut now, mut tried_in_cut) = (ms(5_000), ms(1_100), 0);
+    let (healed, mut now, mut tried_before) = (ms(5_000), ms(1_100), 0);
     while now < healed {
-        tried_in_cut += reach.probes(now).len();
+        tried_before += reach.probes(now).len();
         now += ms(20);
     }
-    assert!(tried_in_cut <= 20, "{tried_in_cut} tries in four seconds");
+    assert!(tried_before <= 20, "{tried_before} tries in four seconds");
     while now < healed + ms(1_000) {
         for target in reach.probes(now) {
             reach.connected(now, &target);
         }
         now += ms(20);
     }
-    assert!(!reach.is_cut());
+    assert!(!reach.is_partitioned());
     assert_eq!(reach.lost_links(), 0);
 }
 
