--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -114,36 +114,38 @@
     );
 }
 
+/// Values for the placeholders of the deployment's settings template.
+const TEMPLATE_VALUES: [(&str, &str); 24] = [
+    ("{{node_name}}", "front-1"),
+    ("{{zone}}", "here"),
+    ("{{listen.front}}", "10.0.0.1:1"),
+    ("{{listen.ready}}", "10.0.0.1:2"),
+    ("{{listen.control}}", "10.0.0.1:3"),
+    ("{{seeds}}", "10.0.0.1:3,10.0.0.2:3"),
+    ("{{provider.address}}", "10.0.0.9:4"),
+    ("{{bounds.revoke_ms}}", "5000"),
+    ("{{bounds.config_apply_ms}}", "2000"),
+    ("{{bounds.drain_ms}}", "3000"),
+    ("{{bounds.evac_ms}}", "4000"),
+    ("{{limits.cores}}", "2"),
+    ("{{limits.cpu_share}}", "0.25"),
+    ("{{limits.link_mbps}}", "10.0"),
+    ("{{bounds.grace_s}}", "8"),
+    ("{{bounds.retry_budget_ratio}}", "0.2"),
+    ("{{bounds.budget_slack}}", "52"),
+    ("{{bounds.budget_window_s}}", "10"),
+    ("{{bounds.quota_overshoot}}", "0.1"),
+    ("{{bounds.quota_slack}}", "140000"),
+    ("{{bounds.quota_window_s}}", "9"),
+    ("{{bounds.expose_share}}", "0.1"),
+    ("{{bounds.expose_slack}}", "50"),
+    ("{{internal_port_range.0}}", "7600"),
+];
+
 /// Returns the deployment's settings template with its placeholders filled. Without `bounds`, the optional lines are
 /// left out, as for a platform that gives no bounds.
 fn fill_template(bounds: bool) -> String {
     let template = include_str!("../../../deploy/daemon.ini");
-    let values = [
-        ("{{node_name}}", "front-1"),
-        ("{{zone}}", "here"),
-        ("{{listen.front}}", "10.0.0.1:1"),
-        ("{{listen.ready}}", "10.0.0.1:2"),
-        ("{{listen.control}}", "10.0.0.1:3"),
-        ("{{seeds}}", "10.0.0.1:3,10.0.0.2:3"),
-        ("{{provider.address}}", "10.0.0.9:4"),
-        ("{{bounds.revoke_ms}}", "5000"),
-        ("{{bounds.config_apply_ms}}", "2000"),
-        ("{{bounds.drain_ms}}", "3000"),
-        ("{{bounds.evac_ms}}", "4000"),
-        ("{{limits.cores}}", "2"),
-        ("{{limits.cpu_share}}", "0.25"),
-        ("{{limits.link_mbps}}", "10.0"),
-        ("{{bounds.grace_s}}", "8"),
-        ("{{bounds.retry_budget_ratio}}", "0.2"),
-        ("{{bounds.budget_slack}}", "52"),
-        ("{{bounds.budget_window_s}}", "10"),
-        ("{{bounds.quota_overshoot}}", "0.1"),
-        ("{{bounds.quota_slack}}", "140000"),
-        ("{{bounds.quota_window_s}}", "9"),
-        ("{{bounds.expose_share}}", "0.1"),
-        ("{{bounds.expose_slack}}", "50"),
-        ("{{internal_port_range.0}}", "7600"),
-    ];
     let mut text = String::new();
     for line in template.lines() {
         let Some(rest) = line.strip_prefix("{{#") else {
@@ -156,7 +158,7 @@
             text.push_str(&format!("{}\n", &rest[begin..end]));
         }
     }
-    values.iter().fold(text, |text, (placeholder, value)| text.replace(placeholder, value))
+    TEMPLATE_VALUES.iter().fold(text, |text, (placeholder, value)| text.replace(placeholder, value))
 }
 
 #[test]
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -1,10 +1,10 @@
 //! The platform kind `fleet`: a daemon on a platform that stores the configuration and on which targets announce
 //! themselves.
 //!
-//! Owns: the signals between the node and the tasks that follow the platform ([`ReadSignals`]), the options by which
-//! the daemons of a fleet share readers, rates and one scheduler. Relies on: [`FleetPlatform`] for calls.
+//! Owns: the options by which the daemons of a fleet share readers, rates and one scheduler. Relies on: [`FleetPlatform`] for calls.
 
 mod follow;
+mod read_signals;
 mod reload;
 
 use std::path::Path;
@@ -17,12 +17,12 @@
 use curlewcleat_clock::Moment;
 use curlewcleat_config::{DaemonSettings, RolloutBounds};
 use curlewcleat_core::{DaemonId, DaemonRecord, WallTime};
-use curlewcleat_node::{FreshnessLimits, NodeOptions, PlatformCall, ReadRole};
+use curlewcleat_node::{FreshnessLimits, NodeOptions, PlatformCall};
 use curlewcleat_sched::{EntryOptions, MemberOptions, RateMargin, RetryLimits, RolloutLimits};
 use curlewcleat_store::FleetPlatform;
 use spdlog::prelude::*;
-use tokio::sync::{watch, Notify};
 
+pub use self::read_signals::ReadSignals;
 use self::reload::SettingsReloader;
 use crate::config_freshness::ConfigFreshness;
 use crate::context::DaemonContext;
@@ -52,48 +52,6 @@
 /// Time for which connections of callers may be idle if the configuration does not set it.
 const CALLER_IDLE_LIMIT: Duration = Duration::from_secs(60);
 
-/// Signals between the node and the tasks that follow the platform.
-pub struct ReadSignals {
-    /// Age of the configuration in force.
-    pub freshness: Rc<ConfigFreshness>,
-    read_role: watch::Sender<ReadRole>,
-    /// Notified when the node requests that the rollouts are read again.
-    rollouts: Notify,
-}
-
-impl Default for ReadSignals {
-    /// A daemon reads the platform itself until it knows that others do.
-    fn default() -> ReadSignals {
-        ReadSignals {
-            freshness: Rc::default(),
-            read_role: watch::Sender::new(ReadRole::Reader),
-            rollouts: Notify::new(),
-        }
-    }
-}
-
-impl ReadSignals {
-    /// Returns a receiver of this daemon's read role and its changes.
-    pub fn read_role(&self) -> watch::Receiver<ReadRole> {
-        self.read_role.subscribe()
-    }
-
-    /// Sets whether this daemon reads the platform or others read it on its behalf.
-    pub fn set_read_role(&self, role: ReadRole) {
-        self.read_role.send_replace(role);
-    }
-
-    /// Requests that the rollouts are read again.
-    pub fn request_rollout_read(&self) {
-        self.rollouts.notify_one();
-    }
-
-    /// Waits until the rollouts have to be read again.
-    pub async fn rollout_read_requested(&self) {
-        self.rollouts.notified().await;
-    }
-}
-
 /// Connects a daemon to a fleet's platform.
 pub struct FleetAdapter {
     platform: Rc<dyn FleetPlatform>,
--- a/crates/daemon/src/relays/probe.rs
+++ b/crates/daemon/src/relays/probe.rs
@@ -10,7 +10,7 @@
 
 /// Interval at which the task looks for links to try while some are lost: the links come back one after the other.
 const LOST_INTERVAL: Duration = Duration::from_millis(20);
-/// Interval at which it looks for silence otherwise.
+/// Interval at which it looks while no link is lost.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time within which a target has to accept a connection: many round trips between data centres.
 const PROBE_LIMIT: Duration = Duration::from_millis(250);
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -15,8 +15,7 @@
 use actix_http::StatusCode;
 use bytes::Bytes;
 use curlewcleat_core::{
-    AttemptEnd, KeptAnswer, Refusal, RefusalReason, RequestId, RequestInterruption, RetryReason,
-    TargetEntry, Verdict,
+    AttemptEnd, KeptAnswer, Refusal, RefusalReason, RequestId, RetryReason, TargetEntry, Verdict,
 };
 use curlewcleat_node::{CallerDecision, NodeEvent};
 use spdlog::prelude::*;
@@ -32,7 +31,6 @@
 use super::{CallerRequest, RequestService};
 use crate::pending::PendingRequest;
 
-use self::fault::AttemptFault;
 pub use self::log::record_refusal;
 
 /// Header that marks an answer replayed from an earlier attempt with the same idempotency key.
@@ -218,28 +216,6 @@
         }
     }
 
-    /// Reports an interrupted attempt to the node: the request may be what terminated its target.
-    fn report_interruption(&self, target: &TargetEntry, cause: AttemptCause, fault: AttemptFault) {
-        if fault == AttemptFault::Link {
-            return;
-        }
-        self.report_observations(target, cause.answer_observation());
-        if let (Some(digest), Some(kind)) = (self.request.digest, cause.interruption_kind()) {
-            let begun = self.progress.attempt_parts() > 0;
-            let interruption = RequestInterruption { instance: target.instance(), kind, begun };
-            self.service.context.send_event(NodeEvent::RequestInterrupted(digest, interruption));
-        }
-    }
-
-    /// Returns what is reported to the scheduler about the target that still runs the request at its deadline.
-    fn attempt_end_at_deadline(&self) -> AttemptEnd {
-        let is_stalled = self.pending.as_ref().is_some_and(PendingRequest::is_stalled);
-        match is_stalled && !self.is_over_lost_link() {
-            true => AttemptEnd::Failed,
-            false => AttemptEnd::Unused,
-        }
-    }
-
     /// Closes the request at the node without a report: the node ended it itself.
     fn close_pending(&mut self) {
         if let Some(pending) = self.pending.take() {
--- a/crates/daemon/src/request/run/fault.rs
+++ b/crates/daemon/src/request/run/fault.rs
@@ -1,4 +1,5 @@
-//! Decides whether a failed attempt says anything about its target, or only about this daemon's link to it.
+//! Decides whether a failed attempt says anything about its target, or only about this daemon's link to it, and reports
+//! it accordingly.
 //!
 //! A daemon that has lost its links fails at every target. If these failures counted against the targets, it would get
 //! targets ejected for all daemons, and a version under rollout or a request would be blamed for them.
@@ -6,10 +7,12 @@
 //! Owns: nothing; these are methods of [`RequestRun`]. Relies on: [`SharedReach`](crate::target_reach::SharedReach) for
 //! the lost links.
 
-use curlewcleat_core::{AttemptEnd, TargetEntry};
+use curlewcleat_core::{AttemptEnd, RequestInterruption, TargetEntry};
+use curlewcleat_node::NodeEvent;
 use curlewcleat_sched::TargetRoute;
 
 use super::RequestRun;
+use crate::pending::PendingRequest;
 use crate::request::cause::AttemptCause;
 
 /// Whose fault a failed attempt is.
@@ -58,4 +61,31 @@
             false => AttemptFault::Target,
         }
     }
+
+    /// Reports an interrupted attempt to the node: the request may be what terminated its target.
+    pub(super) fn report_interruption(
+        &self,
+        target: &TargetEntry,
+        cause: AttemptCause,
+        fault: AttemptFault,
+    ) {
+        if fault == AttemptFault::Link {
+            return;
+        }
+        self.report_observations(target, cause.answer_observation());
+        if let (Some(digest), Some(kind)) = (self.request.digest, cause.interruption_kind()) {
+            let begun = self.progress.attempt_parts() > 0;
+            let interruption = RequestInterruption { instance: target.instance(), kind, begun };
+            self.service.context.send_event(NodeEvent::RequestInterrupted(digest, interruption));
+        }
+    }
+
+    /// Returns what is reported to the scheduler about the target that still runs the request at its deadline.
+    pub(super) fn attempt_end_at_deadline(&self) -> AttemptEnd {
+        let is_stalled = self.pending.as_ref().is_some_and(PendingRequest::is_stalled);
+        match is_stalled && !self.is_over_lost_link() {
+            true => AttemptEnd::Failed,
+            false => AttemptEnd::Unused,
+        }
+    }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,25 +30,30 @@
     pub violations: Vec<SoakViolation>,
 }
 
-/// Runs one seed and checks its evidence.
-///
-/// # Errors
-/// Fails if a process cannot be started. A violated invariant is part of the report, not an error.
-pub async fn run_soak(options: SoakOptions) -> Result<SoakReport> {
+/// Returns the faults of a run: those of its script, or those drawn from its seed.
+fn planned_steps(options: &SoakOptions) -> Vec<FaultStep> {
     let plan_options = PlanOptions {
         daemons: options.daemons,
         engines: options.engines * BACKENDS.len(),
         time: options.time,
         planned_only: options.planned_only,
     };
-    let steps = match (&options.script, options.extra) {
+    match (&options.script, options.extra) {
         (Some(script), _) => script.clone(),
         (None, None) => plan(options.seed, &plan_options),
         (None, Some(kind)) => {
             let steps = plan(options.seed, &plan_options);
             with_extra(steps, kind, options.seed, &plan_options)
         }
-    };
+    }
+}
+
+/// Runs one seed and checks its evidence.
+///
+/// # Errors
+/// Fails if a process cannot be started. A violated invariant is part of the report, not an error.
+pub async fn run_soak(options: SoakOptions) -> Result<SoakReport> {
+    let steps = planned_steps(&options);
     let fleet = Rc::new(SoakFleet::start(options).await?);
     let addresses: Vec<String> =
         fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect();
