Logs and metrics: by what the answer of a target ended

Nothing told an answer that ended with its length or its last chunk from one whose connection had merely closed, so the hypotheses about answers that reach their callers cut but framed as complete could not be told apart. `request_served` has `ended_by`, and answer_ends_total{ended_by,tier,pool} counts. No behaviour changes.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -26,6 +26,7 @@
     refusals: IntCounterVec,
     retries: IntCounterVec,
     ends: IntCounterVec,
+    answer_ends: IntCounterVec,
     wait: HistogramVec,
     first_byte: HistogramVec,
     callers_disconnected: IntCounter,
@@ -59,6 +60,11 @@
                 "Dispatched requests by verdict",
                 &["verdict", "tier", "pool"],
             )?,
+            answer_ends: count(
+                "answer_ends_total",
+                "Served answers by what marked the end of the target's answer",
+                &["ended_by", "tier", "pool"],
+            )?,
             wait: registry.histograms("wait_seconds", "Time from arrival to dispatch")?,
             first_byte: registry
                 .histograms("first_byte_seconds", "Time from arrival to the answer's first byte")?,
@@ -119,6 +125,11 @@
         self.requests.with_label_values(&[tier, pool]).inc();
     }
 
+    /// Counts a served answer by what marked its end.
+    pub fn count_answer_end(&self, ended_by: &str, tier: &str, pool: &str) {
+        self.answer_ends.with_label_values(&[ended_by, tier, pool]).inc();
+    }
+
     /// Counts a rollout stage decided by this daemon.
     pub fn count_rollout_stage(&self, stage: &str, reason: &str) {
         self.rollout_stages.with_label_values(&[stage, reason]).inc();
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -6,6 +6,7 @@
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{AnswerObservation, AttemptEnd, StreamTiming, TargetEntry, TargetId};
+use curlewcleat_targets::BodyFrame;
 
 /// Number of parts after which the mean time between two parts is reported.
 const MEAN_INTERVAL_PARTS: u32 = 8;
@@ -41,6 +42,8 @@
     relayed: bool,
     /// Whether the target answered with a server error.
     server_error: bool,
+    /// How the end of the answer is determined, once its head has arrived.
+    frame: Option<BodyFrame>,
     first: Option<Moment>,
     parts: u32,
     longest_pause: Duration,
@@ -89,6 +92,16 @@
         self.attempt.server_error = true;
     }
 
+    /// Records how the end of the answer of the latest attempt, or of its resumption, is determined.
+    pub fn record_frame(&mut self, frame: BodyFrame) {
+        self.attempt.frame = Some(frame);
+    }
+
+    /// Returns how the end of the latest attempt's answer is determined.
+    pub fn frame(&self) -> Option<BodyFrame> {
+        self.attempt.frame
+    }
+
     /// Returns the observation that the newest part allows: the time to the first part, or the mean interval once
     /// [`MEAN_INTERVAL_PARTS`] have arrived.
     pub fn part_observation(&self) -> Option<AnswerObservation> {
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -42,6 +42,7 @@
         target: &TargetEntry,
         sent: Moment,
     ) -> AttemptOutcome {
+        self.progress.record_frame(answer.body.frame());
         if answer.head.status.is_server_error() {
             self.progress.record_server_error();
         }
@@ -103,6 +104,7 @@
                     let Some(rest) = self.resume(target, limit).await else {
                         return self.interrupted(RefusalReason::TargetClosed, cause);
                     };
+                    self.progress.record_frame(rest.frame());
                     body = rest;
                     continue;
                 }
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -5,6 +5,7 @@
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{Refusal, RefusalReason, RequestId, TargetEntry, TargetId};
+use curlewcleat_targets::BodyFrame;
 use spdlog::prelude::*;
 
 use super::RequestRun;
@@ -13,6 +14,7 @@
 use crate::request::RequestService;
 
 impl RequestRun {
+    /// Logs and counts an answer that its caller has completely.
     pub(super) fn log_served(&self, target: &TargetEntry) {
         let (request, progress) = (&self.request, &self.progress);
         let millis_until = |moment: Option<Moment>| {
@@ -22,6 +24,9 @@
         };
         // A public rule requires no account.
         let account = request.account.as_deref().unwrap_or_default();
+        // Every answer that was served has a head.
+        let ended_by = progress.frame().map_or("", BodyFrame::code);
+        self.service.context.metrics.count_answer_end(ended_by, &request.tier, &request.pool.id);
         info!("request_served", kv: {
             request = request.id.to_string(), attempt = request.attempt_id.as_str(), account,
             cost = request.cost, rule = request.rule.id.as_str(),
@@ -29,7 +34,7 @@
             target = target.id.as_str(), attempts = progress.attempts,
             prompt_work = request.work.prompt, output_work = request.work.output,
             sent_ms = millis_until(progress.sent), first_ms = millis_until(progress.first),
-            end_ms = request.arrived.elapsed().as_millis() as i64, parts = progress.parts,
+            end_ms = request.arrived.elapsed().as_millis() as i64, parts = progress.parts, ended_by,
             longest_pause_ms = progress.longest_pause.as_millis() as i64
         });
     }
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -34,15 +34,33 @@
 
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum BodyFrame {
+pub enum BodyFrame {
     /// The answer has no body.
     Empty,
-    /// By its length, or its last chunk.
-    Framed,
-    /// By the end of the connection.
+    /// By its length.
+    Length,
+    /// By its last chunk.
+    Chunks,
+    /// By the end of the connection. A target that terminates while it answers may end the connection in the same way.
     UntilClose,
 }
 
+impl BodyFrame {
+    /// All frames.
+    pub const ALL: [BodyFrame; 4] =
+        [BodyFrame::Empty, BodyFrame::Length, BodyFrame::Chunks, BodyFrame::UntilClose];
+
+    /// Returns the code for log lines and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            BodyFrame::Empty => "no_body",
+            BodyFrame::Length => "length",
+            BodyFrame::Chunks => "last_chunk",
+            BodyFrame::UntilClose => "connection_closed",
+        }
+    }
+}
+
 enum BodyState {
     /// The answer has no body.
     Empty(Framed<TargetStream, ClientCodec>),
@@ -61,6 +79,7 @@
 /// connection of a complete body returns to its pool if it can be reused.
 pub struct AnswerBody {
     state: BodyState,
+    frame: BodyFrame,
     reusable: bool,
     idle_limit: Option<Duration>,
     endpoint: ConnectionEndpoint,
@@ -79,7 +98,7 @@
         let stall = StallGuard::begin(&pool, &endpoint, framed.io_ref());
         let state = match frame {
             BodyFrame::Empty => BodyState::Empty(framed),
-            BodyFrame::Framed => {
+            BodyFrame::Length | BodyFrame::Chunks => {
                 BodyState::Open(framed.into_map_codec(ClientCodec::into_payload_codec))
             }
             BodyFrame::UntilClose => {
@@ -87,7 +106,12 @@
                 BodyState::UntilClose(parts.io, parts.read_buf)
             }
         };
-        AnswerBody { state, reusable, idle_limit: None, endpoint, pool, stall }
+        AnswerBody { state, frame, reusable, idle_limit: None, endpoint, pool, stall }
+    }
+
+    /// Returns how the end of the body is determined.
+    pub fn frame(&self) -> BodyFrame {
+        self.frame
     }
 
     /// Sets the idle time after which the target closes the connection.
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -219,12 +219,13 @@
     let bodiless = *method == Method::HEAD
         || head.status == StatusCode::NO_CONTENT
         || head.status == StatusCode::NOT_MODIFIED;
-    let has_length = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
+    let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let has_length = head.headers.contains_key(header::CONTENT_LENGTH) || is_chunked;
     match framed.codec_ref().message_type() {
         _ if bodiless => Ok(BodyFrame::Empty),
         MessageType::None if has_length => Ok(BodyFrame::Empty),
-        MessageType::Payload if has_length => Ok(BodyFrame::Framed),
+        MessageType::Payload if is_chunked => Ok(BodyFrame::Chunks),
+        MessageType::Payload if has_length => Ok(BodyFrame::Length),
         _ if allow_close_delimited => Ok(BodyFrame::UntilClose),
         MessageType::Stream => {
             Err(Error::Protocol("the answer ends only with its connection".to_string()))
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -14,7 +14,7 @@
 mod stall;
 mod stream;
 
-pub use answer::{collect, AnswerBody, CollectError, TargetAnswer, TruncatedBody};
+pub use answer::{collect, AnswerBody, BodyFrame, CollectError, TargetAnswer, TruncatedBody};
 pub use connection::ExchangeOptions;
 pub use error::{Error, Result};
 pub use events::EventSplitter;
--- a/crates/targets/tests/exchanges.rs
+++ b/crates/targets/tests/exchanges.rs
@@ -4,7 +4,9 @@
 
 use actix_http::{Method, RequestHead};
 use curlewcleat_core::{TargetEntry, TargetStart};
-use curlewcleat_targets::{ConnectionPool, Error, TargetAnswer, TruncatedBody};
+use curlewcleat_targets::{
+    BodyFrame, ConnectionPool, Error, ExchangeOptions, TargetAnswer, TruncatedBody,
+};
 use futures_util::StreamExt;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -65,6 +67,29 @@
     Ok(())
 }
 
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello", BodyFrame::Length)]
+#[case::empty("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", BodyFrame::Empty)]
+#[case::no_content("HTTP/1.1 204 No Content\r\n\r\n", BodyFrame::Empty)]
+#[case::chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", BodyFrame::Chunks)]
+#[case::closed("HTTP/1.1 200 OK\r\n\r\nhello", BodyFrame::UntilClose)]
+#[case::announced_close("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello", BodyFrame::UntilClose)]
+#[case::old_version("HTTP/1.0 200 OK\r\n\r\nhello", BodyFrame::UntilClose)]
+#[case::closed_without_content("HTTP/1.1 200 OK\r\n\r\n", BodyFrame::UntilClose)]
+#[actix_rt::test]
+async fn answer_states_how_its_end_is_determined(
+    #[case] text: &'static str,
+    #[case] frame: BodyFrame,
+) -> std::io::Result<()> {
+    let address = server(vec![text]).await?;
+    let connection = ConnectionPool::default().connect(&address, LIMIT).await;
+    let connection = connection.map_err(std::io::Error::other)?;
+    let options = ExchangeOptions { allow_close_delimited: true, ..ExchangeOptions::default() };
+    let answer = connection.exchange_with(head(Method::POST), "body", &options).await;
+    assert_eq!(answer.map_err(std::io::Error::other)?.body.frame(), frame);
+    Ok(())
+}
+
 #[rstest]
 #[case::by_length("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello")]
 #[case::by_chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n")]
