--- /dev/null
+++ b/crates/acceptance/tests/cut_answers.rs
@@ -0,0 +1,192 @@
+//! Answers that a target cuts off, with each way to mark the end of an answer.
+//!
+//! Guards against a daemon that takes the orderly end of a connection for the end of an answer: the caller gets half an
+//! answer that is framed as complete.
+//!
+//! ```text
+//! 6.712  the target begins to run the stream
+//! 6.817  the target terminates; its connections close without a reset
+//! 6.819  the caller gets 200, the last chunk, and half an event
+//! ```
+
+use std::time::Duration;
+
+use actix_http::header;
+use actix_http::ResponseHead;
+use anyhow::Result;
+use bytes::Bytes;
+use curlewcleat_acceptance::fleet_head;
+use curlewcleat_standins::deployment::{get_text, wait_until};
+use curlewcleat_standins::fleet::{AnswerFrame, EngineStep, FleetDeployment, FleetEngine};
+use curlewcleat_targets::{BodyFrame, ConnectionPool, ExchangeOptions};
+use futures_util::StreamExt;
+use rstest::rstest;
+
+/// Events of a stream.
+const EVENTS: u64 = 4;
+/// Bounds under which every cut stream may be resumed.
+const BOUNDS: &str = "retry_saved = 10000\nretry_ratio = 10";
+
+/// What a caller received.
+#[derive(Debug)]
+struct Received {
+    head: ResponseHead,
+    frame: BodyFrame,
+    text: String,
+    /// Whether the body ended without an error.
+    ended: bool,
+}
+
+impl Received {
+    /// Returns whether the answer states that it is complete.
+    fn claims_completeness(&self) -> bool {
+        self.ended && self.head.status.is_success() && self.frame != BodyFrame::UntilClose
+    }
+
+    fn closes_connection(&self) -> bool {
+        let connection = self.head.headers.get(header::CONNECTION);
+        connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+    }
+}
+
+/// Sends a request of a caller and reads the answer to its end.
+async fn receive(entry: &str, path: &str, attempt: &str) -> Result<Received> {
+    let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
+    let head = fleet_head(path, attempt)?;
+    let options = ExchangeOptions { allow_close_delimited: true, ..ExchangeOptions::default() };
+    let body = Bytes::from(attempt.to_string());
+    let mut answer = connection.exchange_with(head, body, &options).await?;
+    let (mut bytes, mut ended) = (Vec::new(), true);
+    while let Some(part) = answer.body.next().await {
+        match part {
+            Ok(part) => bytes.extend_from_slice(&part),
+            Err(_) => ended = false,
+        }
+    }
+    let text = String::from_utf8(bytes)?;
+    Ok(Received { frame: answer.body.frame(), head: answer.head, text, ended })
+}
+
+/// Starts one daemon, an engine for records and two for streams, and waits until all routes are served.
+async fn ready(name: &str) -> Result<FleetDeployment> {
+    let mut fleet = FleetDeployment::start(name).await?;
+    fleet.store_config()?;
+    fleet.engine("records", 0, Duration::ZERO).await?;
+    for _ in 0..2 {
+        fleet.engine("engines", EVENTS, Duration::ZERO).await?;
+    }
+    fleet.daemons(1, BOUNDS).await?;
+    let daemon = &fleet.daemons[0];
+    wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() }).await?;
+    for path in ["/once/a", "/resumed/stream/a", "/plain/stream/a"] {
+        wait_until("served", || async {
+            let warm = receive(&daemon.callers, path, "warm").await;
+            warm.is_ok_and(|answer| answer.head.status.is_success())
+        })
+        .await?;
+    }
+    Ok(fleet)
+}
+
+/// Returns the number of bytes of the first `events` events of an attempt.
+fn stream_length(attempt: &str, events: u64) -> usize {
+    FleetEngine::expected_stream(attempt, events).len()
+}
+
+#[rstest]
+#[case::stream("stream", "/plain/stream/a")]
+#[case::stream_that_may_be_resumed("resumed", "/resumed/stream/a")]
+#[case::record("record", "/once/a")]
+#[case::record_that_may_be_repeated("again", "/again/a")]
+#[actix_rt::test]
+async fn answer_that_ends_with_its_connection_does_not_claim_to_be_complete(
+    #[case] name: &str,
+    #[case] path: &str,
+    #[values(true, false)] is_whole: bool,
+) -> Result<()> {
+    let fleet = ready(&format!("unframed-{name}-{is_whole}")).await?;
+    let length = match (is_whole, path.contains("stream")) {
+        (true, _) => usize::MAX,
+        (false, true) => stream_length("t", EVENTS - 1),
+        (false, false) => 5,
+    };
+    fleet.set_attempt_step("t", EngineStep::Truncate(AnswerFrame::Close, length));
+    let answer = receive(&fleet.daemons[0].callers, path, "t").await?;
+    let whole = match path.contains("stream") {
+        true => FleetEngine::expected_stream("t", EVENTS),
+        false => "record of t".to_string(),
+    };
+    assert_eq!(answer.text, whole[..length.min(whole.len())], "{answer:?}");
+    assert_eq!((answer.head.status.as_u16(), answer.ended), (200, true), "{answer:?}");
+    assert!(!answer.claims_completeness(), "{answer:?}");
+    assert!(answer.closes_connection(), "{answer:?}");
+    Ok(())
+}
+
+#[rstest]
+#[case::closed("close", AnswerFrame::Close)]
+#[case::chunks("chunks", AnswerFrame::Chunks)]
+#[case::length("length", AnswerFrame::Length)]
+#[actix_rt::test]
+async fn stream_that_is_cut_at_any_byte_is_never_passed_on_as_complete(
+    #[case] name: &str,
+    #[case] frame: AnswerFrame,
+) -> Result<()> {
+    let fleet = ready(&format!("cut-{name}")).await?;
+    let entry = &fleet.daemons[0].callers;
+    let ends: Vec<usize> = (0..=EVENTS).map(|events| stream_length("p00", events)).collect();
+    for length in 0..ends[EVENTS as usize] {
+        let is_within_event = !ends.contains(&length);
+        if !is_within_event && frame != AnswerFrame::Close {
+            // The target itself claims that the answer is complete.
+            continue;
+        }
+        let attempt = format!("p{length:02}");
+        fleet.set_attempt_step(&attempt, EngineStep::Truncate(frame, length));
+        let whole_events = ends.iter().rev().find(|end| **end <= length).copied().unwrap_or(0);
+        let expected = &FleetEngine::expected_stream(&attempt, EVENTS)[..whole_events];
+        match receive(entry, "/plain/stream/a", &attempt).await {
+            Ok(answer) if answer.head.status.is_success() => {
+                assert_eq!(answer.text, expected, "cut at {length}: {answer:?}");
+                assert!(!answer.claims_completeness(), "cut at {length}: {answer:?}");
+                assert!(!answer.ended || !is_within_event, "cut at {length}: {answer:?}");
+            }
+            Ok(answer) => assert_eq!(answer.head.status.as_u16(), 502, "cut at {length}"),
+            Err(error) => assert!(is_within_event, "cut at {length}: {error:#}"),
+        }
+        // Between two cuts a whole answer, since a target that fails again and again is not used for a while.
+        let served = receive(entry, "/plain/stream/a", &format!("w{length:02}")).await?;
+        assert_eq!(served.text, FleetEngine::expected_stream(&format!("w{length:02}"), EVENTS));
+    }
+    Ok(())
+}
+
+#[rstest]
+#[case::closed("close", AnswerFrame::Close)]
+#[case::chunks("chunks", AnswerFrame::Chunks)]
+#[case::length("length", AnswerFrame::Length)]
+#[actix_rt::test]
+async fn stream_that_ends_within_an_event_is_resumed_once_after_its_last_whole_event(
+    #[case] name: &str,
+    #[case] frame: AnswerFrame,
+) -> Result<()> {
+    let fleet = ready(&format!("within-{name}")).await?;
+    let entry = &fleet.daemons[0].callers;
+    let ends: Vec<usize> = (0..=EVENTS).map(|events| stream_length("p00", events)).collect();
+    for length in (0..ends[EVENTS as usize]).filter(|length| !ends.contains(length)) {
+        let attempt = format!("p{length:02}");
+        fleet.set_attempt_step(&attempt, EngineStep::Truncate(frame, length));
+        let answer = receive(entry, "/resumed/stream/a", &attempt).await?;
+        let expected = FleetEngine::expected_stream(&attempt, EVENTS);
+        assert_eq!((answer.text, answer.ended), (expected, true), "cut at {length}");
+        let runs = fleet.engines.iter().flat_map(|engine| engine.runs());
+        let runs: Vec<u64> =
+            runs.filter(|run| run.attempt == attempt).map(|run| run.after).collect();
+        let whole_events = ends.iter().filter(|end| **end <= length).count() as u64 - 1;
+        assert!(runs.len() == 2 && runs.contains(&whole_events), "cut at {length}: {runs:?}");
+        let attempt = format!("w{length:02}");
+        let served = receive(entry, "/resumed/stream/a", &attempt).await?;
+        assert!(served.ended);
+    }
+    Ok(())
+}
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -11,7 +11,9 @@
 use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME, READY, SERVERS};
 use serde_json::to_value;
 
-use super::{EngineEntry, EngineLinks, FleetEngine, FleetStore, LethalBody};
+use super::{
+    AttemptSteps, EngineEntry, EngineLinks, EngineStep, FleetEngine, FleetStore, LethalBody,
+};
 use crate::address::{daemon_ip, free_address, free_address_at, free_engine_address, free_port_at};
 use crate::deployment::{
     create_temp_folder, get_json, live_peers, output_of, program_folder, spawn_with_variables,
@@ -70,6 +72,8 @@
     pub store: Rc<FleetStore>,
     /// The engines.
     pub engines: Vec<Rc<FleetEngine>>,
+    /// Behaviour of the engines for the first requests of attempts.
+    attempt_steps: AttemptSteps,
     /// Addresses of the engines.
     pub engine_addresses: Vec<String>,
     /// Servers of the engines, `None` after an engine has terminated.
@@ -98,6 +102,7 @@
         let fleet = FleetDeployment {
             store,
             engines: Vec::new(),
+            attempt_steps: AttemptSteps::default(),
             engine_addresses: Vec::new(),
             engines_served: Rc::default(),
             engine_origins: Vec::new(),
@@ -166,6 +171,7 @@
         event_interval: Duration,
     ) -> Result<()> {
         let engine = FleetEngine::new(&format!("i-{}", self.engines.len()), events, event_interval);
+        engine.set_attempt_steps(Rc::clone(&self.attempt_steps));
         let address = free_engine_address()?;
         let served = ServedHandler::start(&address, engine.clone()).await?;
         self.write_entry(&engine, &origin, &address)?;
@@ -176,6 +182,11 @@
         Ok(())
     }
 
+    /// Sets the behaviour for the first request of an attempt that reaches an engine.
+    pub fn set_attempt_step(&self, attempt: &str, step: EngineStep) {
+        self.attempt_steps.borrow_mut().insert(attempt.to_string(), step);
+    }
+
     /// Terminates an engine and restarts it with the same id at this address.
     pub async fn restart_engine(&mut self, index: usize, address: String) -> Result<()> {
         let served = self.engines_served.borrow_mut()[index].take();
@@ -183,6 +194,7 @@
             served.close().await;
         }
         let engine = self.engines[index].restarted();
+        engine.set_attempt_steps(Rc::clone(&self.attempt_steps));
         let served = ServedHandler::start(&address, engine.clone()).await?;
         self.write_entry(&engine, &self.engine_origins[index], &address)?;
         self.engines_served.borrow_mut()[index] = Some(served);
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -32,6 +32,8 @@
     AnswerTwice,
     /// Sends a complete answer without a length, and closes the connection.
     WithoutLength,
+    /// Sends an answer that is framed in this way and ends after this number of bytes of its body.
+    Truncate(AnswerFrame, usize),
     /// Runs the request and answers without the attempt id.
     WithoutAttemptId,
     /// Waits for this duration before it sends a complete answer.
@@ -40,6 +42,20 @@
     Pause(u64, Duration),
 }
 
+/// How the end of an answer is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerFrame {
+    /// By its length.
+    Length,
+    /// By its last chunk.
+    Chunks,
+    /// By an orderly end of the connection.
+    Close,
+}
+
+/// Behaviour for the first request of certain attempts, whichever engine it reaches.
+pub type AttemptSteps = Rc<RefCell<BTreeMap<String, EngineStep>>>;
+
 /// A request that reached an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineRun {
@@ -98,6 +114,7 @@
     pub event_interval: Duration,
     steps: RefCell<VecDeque<EngineStep>>,
     default_step: Cell<EngineStep>,
+    attempt_steps: RefCell<AttemptSteps>,
     runs: RefCell<Vec<EngineRun>>,
     lethal: RefCell<Option<LethalBody>>,
     notices: RefCell<Vec<(String, String)>>,
@@ -113,6 +130,7 @@
             event_interval,
             steps: RefCell::default(),
             default_step: Cell::new(EngineStep::Serve),
+            attempt_steps: RefCell::default(),
             runs: RefCell::default(),
             lethal: RefCell::default(),
             notices: RefCell::default(),
@@ -134,6 +152,11 @@
         self.default_step.set(step);
     }
 
+    /// Sets the behaviour for the first requests of attempts, which other engines may share.
+    pub fn set_attempt_steps(&self, steps: AttemptSteps) {
+        *self.attempt_steps.borrow_mut() = steps;
+    }
+
     /// Sets the notice headers that all answers have from now on.
     pub fn set_notices(&self, headers: &[(&str, &str)]) {
         let owned = |(name, value): &(&str, &str)| (name.to_string(), value.to_string());
@@ -176,8 +199,7 @@
             connection.answer(WIRE_PROFILE.misdirected_status, &[attempt_header], b"").await?;
             return Ok(AfterAnswer::KeepOpen);
         }
-        let next = self.steps.borrow_mut().pop_front();
-        let step = next.unwrap_or(self.default_step.get());
+        let step = self.next_step(&attempt);
         if let Some(rest) = requested_rest(step) {
             let seconds = rest.map(|rest| rest.as_secs_f64().to_string());
             let notices = self.notices.borrow().clone();
@@ -195,6 +217,13 @@
         self.run(step, RunningRequest { attempt: &attempt, run_index, is_stream }, connection).await
     }
 
+    /// Returns the behaviour for a request.
+    fn next_step(&self, attempt: &str) -> EngineStep {
+        let attempt_step = self.attempt_steps.borrow().borrow_mut().remove(attempt);
+        let next = attempt_step.or_else(|| self.steps.borrow_mut().pop_front());
+        next.unwrap_or(self.default_step.get())
+    }
+
     /// Runs a request with the behaviour of a step.
     async fn run(
         &self,
@@ -219,7 +248,12 @@
                 self.runs.borrow_mut()[run.run_index].disconnected = true;
                 Ok(AfterAnswer::Close)
             }
-            EngineStep::WithoutLength => self.answer_without_length(run, connection).await,
+            EngineStep::WithoutLength => {
+                self.answer_truncated(run, AnswerFrame::Close, usize::MAX, connection).await
+            }
+            EngineStep::Truncate(frame, length) => {
+                self.answer_truncated(run, frame, length, connection).await
+            }
             EngineStep::Interrupt(events) if run.is_stream => {
                 self.answer_interrupted(run, events, connection).await
             }
@@ -313,22 +347,42 @@
         Ok(first)
     }
 
-    async fn answer_without_length(
+    /// Sends an answer with the first bytes of its body.
+    async fn answer_truncated(
         &self,
         run: RunningRequest<'_>,
+        frame: AnswerFrame,
+        length: usize,
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
-        let mut head = "HTTP/1.1 200 OK\r\n".to_string();
-        for (name, value) in self.identity_headers(run.attempt) {
-            head.push_str(&format!("{name}: {value}\r\n"));
-        }
-        head.push_str("Connection: close\r\n\r\n");
         let body = match run.is_stream {
-            true => FleetEngine::expected_stream(run.attempt, self.events),
+            true => (self.after(run.run_index) + 1..=self.events)
+                .map(|n| event(run.attempt, n))
+                .collect(),
             false => record(run.attempt),
         };
-        connection.write_raw(format!("{head}{body}").as_bytes()).await?;
-        Ok(AfterAnswer::Close)
+        let body = &body.as_bytes()[..length.min(body.len())];
+        let mut headers = self.identity_headers(run.attempt);
+        if run.is_stream {
+            headers.push(("content-type".to_string(), "text/event-stream".to_string()));
+        }
+        let headers = borrowed(&headers);
+        match frame {
+            AnswerFrame::Length => connection.answer(200, &headers, body).await?,
+            AnswerFrame::Chunks => {
+                connection.begin_chunked(&headers).await?;
+                if !body.is_empty() {
+                    connection.chunk(body).await?;
+                }
+                connection.chunk(b"").await?;
+            }
+            AnswerFrame::Close => {
+                connection.begin_unframed(&headers).await?;
+                connection.write_raw(body).await?;
+                return Ok(AfterAnswer::Close);
+            }
+        }
+        Ok(AfterAnswer::KeepOpen)
     }
 
     /// Sends this number of events and half of the next.
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -83,6 +83,16 @@
         self.write_raw(head.as_bytes()).await
     }
 
+    /// Writes the head of an answer that has neither a length nor chunks.
+    pub async fn begin_unframed(&mut self, headers: &[(&str, &str)]) -> Result<()> {
+        let mut head = "HTTP/1.1 200 OK\r\nConnection: close\r\n".to_string();
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        self.write_raw(head.as_bytes()).await
+    }
+
     /// Writes one chunk; an empty one ends the answer.
     pub async fn chunk(&mut self, bytes: &[u8]) -> Result<()> {
         let mut framed = format!("{:x}\r\n", bytes.len()).into_bytes();
