--- a/crates/targets/tests/events.rs
+++ b/crates/targets/tests/events.rs
@@ -1,7 +1,10 @@
 //! Splitting of event streams that arrive in arbitrary parts, are interrupted and are resumed.
 
+use std::time::{Duration, Instant};
+
 use curlewcleat_targets::EventSplitter;
 use proptest::prelude::*;
+use rstest::rstest;
 
 fn event(number: u64) -> String {
     format!("id: {number}\ndata: token {number}\n\n")
@@ -37,6 +40,57 @@
     assert_eq!(splitter.last(), Some(1));
 }
 
+/// Guards against streams whose lines end with a carriage return alone, in which no event is found: all of the stream is
+/// held until its end, and none of it can be resumed.
+#[rstest]
+#[case::line_feed("\n")]
+#[case::carriage_return("\r")]
+#[case::both("\r\n")]
+fn events_arrive_one_by_one_with_each_line_end(#[case] end: &str) {
+    let event = |number: u64| format!("id: {number}{end}data: a{end}{end}");
+    let mut splitter = EventSplitter::default();
+    for number in 1..=3 {
+        let bytes = event(number);
+        let (beginning, rest) = bytes.split_at(bytes.len() - end.len());
+        let mut out = splitter.push(beginning.as_bytes()).to_vec();
+        assert_eq!(splitter.last(), (number > 1).then_some(number - 1));
+        out.extend_from_slice(&splitter.push(rest.as_bytes()));
+        assert_eq!((out, splitter.last()), (bytes.into_bytes(), Some(number)));
+    }
+}
+
+#[rstest]
+#[case::byte_order_mark("\u{feff}id: 7\ndata: a\n\n", Some(7))]
+#[case::not_a_number("id: seven\ndata: a\n\n", None)]
+#[case::last_of_several("id: 1\ndata: a\nid: 7\n\n", Some(7))]
+#[case::comment(": id: 7\n\n", None)]
+fn number_of_an_event_is_its_id(#[case] event: &str, #[case] number: Option<u64>) {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(event.as_bytes()), event);
+    assert_eq!(splitter.last(), number);
+}
+
+#[test]
+fn number_is_found_beside_bytes_that_are_no_text() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 7\ndata: \xff\n\n");
+    assert_eq!(splitter.last(), Some(7));
+}
+
+/// Guards against a search that begins anew with each part, whose time grows with the square of the size of an event.
+#[test]
+fn time_for_an_event_grows_with_its_size() {
+    let mut splitter = EventSplitter::default();
+    let started = Instant::now();
+    splitter.push(b"id: 1\ndata: ");
+    for _ in 0..1_000_000 {
+        splitter.push(b"a");
+    }
+    splitter.push(b"\n\n");
+    assert_eq!(splitter.last(), Some(1));
+    assert!(started.elapsed() < Duration::from_secs(5), "{:?}", started.elapsed());
+}
+
 proptest! {
     #[test]
     fn stream_in_arbitrary_parts_is_returned_completely(
