Answers claim no more than their target has proved: unframed ones end with the caller's connection

Cause: what marked the end of a target's answer was forgotten once it had been read. An orderly end of the connection was taken for the end of the answer, as for a last chunk, and an engine that terminates may end its connections like that; an end within an event was taken for complete as well, and half an event was handed on.

Fix: how the end of a body is determined (BodyFrame) goes with it to the caller's answer. An answer without a length and chunks is passed on in the same form, with Connection: close. A stream that ends within an event, however it is framed, is an interrupted one: it continues after its last whole event where the route allows it, else it is cut visibly. A caller's answer in chunks is not ended by the end of a connection (cause end_unproven). A connection that ends an answer is reset unless it is shut down on purpose, also by the kernel when the daemon is killed, since both would look like a complete answer.

--- a/crates/acceptance/tests/cut_answers.rs
+++ b/crates/acceptance/tests/cut_answers.rs
@@ -67,13 +67,18 @@
     Ok(Received { frame: answer.body.frame(), head: answer.head, text, ended })
 }
 
-/// Starts one daemon, an engine for records and two for streams, and waits until all routes are served.
+/// Starts the deployment with streams of [`EVENTS`] events.
 async fn ready(name: &str) -> Result<FleetDeployment> {
+    ready_with(name, EVENTS).await
+}
+
+/// Starts one daemon, an engine for records and two for streams, and waits until all routes are served.
+async fn ready_with(name: &str, events: u64) -> Result<FleetDeployment> {
     let mut fleet = FleetDeployment::start(name).await?;
     fleet.store_config()?;
     fleet.engine("records", 0, Duration::ZERO).await?;
     for _ in 0..2 {
-        fleet.engine("engines", EVENTS, Duration::ZERO).await?;
+        fleet.engine("engines", events, Duration::ZERO).await?;
     }
     fleet.daemons(1, BOUNDS).await?;
     let daemon = &fleet.daemons[0];
@@ -190,3 +195,55 @@
     }
     Ok(())
 }
+
+/// The kernel closes the connections of a killed process in an orderly way, which ends an answer without a length.
+#[actix_rt::test]
+async fn answer_without_a_length_is_reset_when_its_daemon_is_killed() -> Result<()> {
+    let mut fleet = ready("killed").await?;
+    let length = stream_length("t", 2);
+    fleet.set_attempt_step("t", EngineStep::StallWithoutLength(length));
+    let entry = fleet.daemons[0].callers.clone();
+    let connection = ConnectionPool::default().connect(&entry, Duration::from_secs(2)).await?;
+    let options = ExchangeOptions { allow_close_delimited: true, ..ExchangeOptions::default() };
+    let head = fleet_head("/plain/stream/a", "t")?;
+    let mut answer = connection.exchange_with(head, Bytes::from_static(b"t"), &options).await?;
+    let mut received = 0;
+    while received < length {
+        received += answer.body.next().await.expect("the stream has not ended")?.len();
+    }
+    fleet.daemons[0].process.kill();
+    let end = answer.body.next().await;
+    assert!(matches!(end, Some(Err(_))), "{end:?}");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn whole_answer_without_a_length_reaches_a_caller_that_reads_slowly() -> Result<()> {
+    const MANY_EVENTS: u64 = 200_000;
+    let fleet = ready_with("slow", MANY_EVENTS).await?;
+    fleet.set_attempt_step("t", EngineStep::WithoutLength);
+    let entry = &fleet.daemons[0].callers;
+    let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
+    let options = ExchangeOptions { allow_close_delimited: true, ..ExchangeOptions::default() };
+    let head = fleet_head("/plain/stream/a", "t")?;
+    let mut answer = connection.exchange_with(head, Bytes::from_static(b"t"), &options).await?;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut received = 0;
+    while let Some(part) = answer.body.next().await {
+        received += part?.len();
+    }
+    assert_eq!(received, stream_length("t", MANY_EVENTS));
+    Ok(())
+}
+
+/// The caller expects a last chunk, which the end of the second target's connection does not justify.
+#[actix_rt::test]
+async fn stream_in_chunks_is_not_completed_by_the_end_of_a_connection() -> Result<()> {
+    let fleet = ready("mixed").await?;
+    fleet.set_attempt_step("t", EngineStep::Interrupt(2));
+    fleet.engines.iter().for_each(|engine| engine.set_default_step(EngineStep::WithoutLength));
+    let answer = receive(&fleet.daemons[0].callers, "/resumed/stream/a", "t").await?;
+    assert_eq!((answer.frame, answer.ended), (BodyFrame::Chunks, false), "{answer:?}");
+    assert_eq!(answer.text, FleetEngine::expected_stream("t", EVENTS));
+    Ok(())
+}
--- a/crates/acceptance/tests/fleet.rs
+++ b/crates/acceptance/tests/fleet.rs
@@ -19,7 +19,7 @@
     serve_here, AfterAnswer, HandlerFuture, PlainConnection, PlainHandler, PlainRequest,
 };
 use curlewcleat_store::{Error, FleetPlatform};
-use curlewcleat_targets::{AnswerBody, ConnectionPool};
+use curlewcleat_targets::{AnswerBody, BodyFrame, ConnectionPool, ExchangeOptions};
 use futures_util::StreamExt;
 use rstest::rstest;
 use serde_json::json;
@@ -87,7 +87,8 @@
         let client = ConnectionPool::default();
         let connection = client.connect(daemon, Duration::from_secs(2)).await?;
         let body = self.body.map(|body| Bytes::from(body.to_string())).unwrap_or_default();
-        let answer = connection.exchange(self.head(), body).await?;
+        let options = ExchangeOptions { allow_close_delimited: true, ..ExchangeOptions::default() };
+        let answer = connection.exchange_with(self.head(), body, &options).await?;
         Ok((answer.head, answer.body))
     }
 
@@ -107,7 +108,7 @@
         Ok(Answer {
             status: head.status.as_u16(),
             text: String::from_utf8_lossy(&bytes).to_string(),
-            complete,
+            complete: complete && body.frame() != BodyFrame::UntilClose,
             seal: header(SEAL_HEADER),
             echo: header(WIRE_PROFILE.attempt_id),
             retry_after: header("retry-after").and_then(|text| text.parse().ok()),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,7 +3,9 @@
 
 mod assembly;
 mod back_off;
+mod caller_stream;
 mod config_freshness;
+mod connection_guard;
 mod context;
 mod files;
 mod fleet;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -17,7 +17,8 @@
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::unwritten::{CountedStream, UnwrittenCount};
+use crate::caller_stream::CallerStream;
+use crate::unwritten::UnwrittenCount;
 
 /// Most connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -68,9 +69,12 @@
                 .client_request_timeout(options.head_limit)
                 .keep_alive(KeepAlive::Timeout((options.idle_limit)()))
                 .h1_allow_half_closed(false)
+                .on_connect_ext(|stream: &CallerStream, data| {
+                    data.insert(stream.guard());
+                })
                 .h1(service.clone());
             let Ok(handler) = factory.new_service(()).await else { continue };
-            let stream = CountedStream::new(stream, options.unwritten.clone());
+            let stream = CallerStream::new(stream, options.unwritten.clone());
             let connection = handler.call((stream, Some(peer)));
             let open_count = Rc::clone(&open_count);
             open_count.set(open_count.get() + 1);
--- a/crates/daemon/src/request/answer.rs
+++ b/crates/daemon/src/request/answer.rs
@@ -4,6 +4,7 @@
 //! connection dropping that body when it closes.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -12,10 +13,12 @@
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
-use futures_util::{Stream, StreamExt};
+use curlewcleat_targets::BodyFrame;
+use futures_util::{stream, Stream, StreamExt};
 use tokio::sync::{mpsc, oneshot};
 
 use super::TaskGuard;
+use crate::connection_guard::ConnectionGuard;
 
 /// Parts that may wait for the caller to read them. The queue is short so that a slow caller slows down the target's
 /// connection instead of filling this daemon's memory.
@@ -25,8 +28,21 @@
 pub enum AnswerContent {
     /// The complete body.
     Complete(Bytes),
-    /// Parts that follow, with their total length in bytes if it is known.
-    Parts(Option<u64>),
+    /// A body that the target may have cut off. It ends with the connection, and so claims no more than the target did.
+    UntilClose(Bytes),
+    /// Parts that follow.
+    Parts(PartsFrame),
+}
+
+/// How the end of an answer in parts is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartsFrame {
+    /// By its length in bytes.
+    Length(u64),
+    /// By a last chunk.
+    Chunks,
+    /// By the end of the connection.
+    UntilClose,
 }
 
 /// The head of an answer, with the complete body or parts that follow.
@@ -52,36 +68,81 @@
         }
     }
 
-    /// Replaces the content by the complete body.
-    pub fn with_body(self, body: Bytes) -> CallerAnswer {
-        CallerAnswer { content: AnswerContent::Complete(body), ..self }
+    /// Replaces the content by the body of the target's answer, whose end is determined by `frame`.
+    pub fn with_body(self, frame: BodyFrame, body: Bytes) -> CallerAnswer {
+        let content = match frame {
+            BodyFrame::UntilClose => AnswerContent::UntilClose(body),
+            BodyFrame::Empty | BodyFrame::Length | BodyFrame::Chunks => {
+                AnswerContent::Complete(body)
+            }
+        };
+        CallerAnswer { content, ..self }
+    }
+
+    /// Lets the parts end with the connection if those of the target's answer do.
+    pub fn with_parts_of(mut self, frame: BodyFrame) -> CallerAnswer {
+        if frame == BodyFrame::UntilClose {
+            self.content = AnswerContent::Parts(PartsFrame::UntilClose);
+        }
+        self
     }
 
     /// Returns the response for an answer without parts.
     pub fn into_complete_response(self) -> Response<BoxBody> {
         let body = match &self.content {
-            AnswerContent::Complete(body) => body.clone(),
+            AnswerContent::Complete(body) | AnswerContent::UntilClose(body) => body.clone(),
             AnswerContent::Parts(_) => Bytes::new(),
         };
         self.head().set_body(body).map_into_boxed_body()
     }
 
     /// Returns the response. Dropping its body aborts the task of the request.
-    pub(super) fn into_response(self, parts: AnswerParts, guard: TaskGuard) -> Response<BoxBody> {
-        let AnswerContent::Parts(length) = self.content else {
-            return self.into_complete_response();
+    pub(super) fn into_response(
+        self,
+        parts: AnswerParts,
+        guard: TaskGuard,
+        connection: Option<&ConnectionGuard>,
+    ) -> Response<BoxBody> {
+        let frame = match &self.content {
+            AnswerContent::Complete(_) => return self.into_complete_response(),
+            AnswerContent::UntilClose(body) => {
+                let body = stream::iter([Ok::<_, Infallible>(body.clone())]);
+                return self.into_response_until_close(body, connection);
+            }
+            AnswerContent::Parts(frame) => *frame,
         };
         let stream = parts.map(move |part| {
             // The closure owns the guard, so the task ends with the body.
             let _ = &guard;
             part
         });
-        match length {
-            Some(length) => {
+        match frame {
+            PartsFrame::Length(length) => {
                 self.head().set_body(SizedStream::new(length, stream)).map_into_boxed_body()
             }
-            None => self.head().set_body(BodyStream::new(stream)).map_into_boxed_body(),
+            PartsFrame::Chunks => {
+                self.head().set_body(BodyStream::new(stream)).map_into_boxed_body()
+            }
+            PartsFrame::UntilClose => self.into_response_until_close(stream, connection),
+        }
+    }
+
+    /// Returns the response with a body that ends with the connection.
+    fn into_response_until_close<E>(
+        mut self,
+        body: impl Stream<Item = Result<Bytes, E>> + 'static,
+        connection: Option<&ConnectionGuard>,
+    ) -> Response<BoxBody>
+    where
+        E: Into<Box<dyn std::error::Error>> + 'static,
+    {
+        self.close = true;
+        if let Some(connection) = connection {
+            connection.activate();
         }
+        let mut head = self.head();
+        head.head_mut().no_chunking(true);
+        head.set_body(BodyStream::new(Box::pin(body))).map_into_boxed_body()
     }
 
     fn head(self) -> Response<()> {
@@ -107,6 +168,8 @@
     head_sender: Option<oneshot::Sender<CallerAnswer>>,
     parts: mpsc::Sender<Bytes>,
     complete: Rc<Cell<bool>>,
+    /// How the end of the answer is marked, once its head was sent.
+    frame: Option<PartsFrame>,
 }
 
 /// The receiving end: the body of the answer.
@@ -125,6 +188,7 @@
             head_sender: Some(head_sender),
             parts: sender,
             complete: Rc::clone(&complete),
+            frame: None,
         };
         (channel, AnswerParts { parts: receiver, complete, ended: false })
     }
@@ -134,9 +198,19 @@
         self.head_sender.is_none()
     }
 
+    /// Returns whether the answer may end where a target's answer has ended whose end is determined by `frame`. The
+    /// end of a connection does not prove what a length or a last chunk would state.
+    pub fn may_end_with(&self, frame: BodyFrame) -> bool {
+        frame != BodyFrame::UntilClose
+            || self.frame.is_none_or(|claimed| claimed == PartsFrame::UntilClose)
+    }
+
     /// Sends the head; later calls are ignored.
     pub fn send_head(&mut self, answer: CallerAnswer) {
         if let Some(head_sender) = self.head_sender.take() {
+            if let AnswerContent::Parts(frame) = &answer.content {
+                self.frame = Some(*frame);
+            }
             // If the caller has disconnected, its connection aborts the task of the request.
             let _ = head_sender.send(answer);
         }
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -21,7 +21,7 @@
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
 
 use super::admitted::{AdmittedRequest, WorkEstimate};
-use super::answer::{AnswerContent, CallerAnswer};
+use super::answer::{AnswerContent, CallerAnswer, PartsFrame};
 use super::body::{BodyOptions, RequestBody};
 use super::framing::{AnswerFraming, ByteFraming};
 use super::problem::{problem_answer, REQUEST_ID};
@@ -188,12 +188,13 @@
 
     fn caller_answer(&self, id: RequestId, head: &ResponseHead) -> CallerAnswer {
         let length = headers::text(&head.headers, "content-length");
+        let length = length.and_then(|text| text.parse().ok());
         let forwarded =
             head.headers.iter().filter(|(name, _)| headers::is_forwarded_to_caller(name));
         let mut answer = CallerAnswer {
             status: head.status,
             headers: forwarded.map(|(name, value)| (name.clone(), value.clone())).collect(),
-            content: AnswerContent::Parts(length.and_then(|text| text.parse().ok())),
+            content: AnswerContent::Parts(length.map_or(PartsFrame::Chunks, PartsFrame::Length)),
             close: false,
         };
         add_request_id(&mut answer, id);
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -18,6 +18,8 @@
     PartTimeout,
     /// The target closed the connection before the end of its answer.
     Closed,
+    /// The answer ended with its connection, as a continuation of one whose caller expects a last chunk.
+    EndUnproven,
     /// The answer could not be read, or belongs to another request.
     Unreadable,
     /// The target answered with a server error.
@@ -49,6 +51,7 @@
             }
             AttemptCause::ConnectFailed
             | AttemptCause::NotStarted
+            | AttemptCause::EndUnproven
             | AttemptCause::Unreadable
             | AttemptCause::Failed
             | AttemptCause::CallerBody
@@ -72,6 +75,7 @@
             | AttemptCause::Unreadable => Some(AnswerObservation::Broken),
             AttemptCause::ConnectFailed
             | AttemptCause::NotStarted
+            | AttemptCause::EndUnproven
             | AttemptCause::CallerBody
             | AttemptCause::RestRequested
             | AttemptCause::TargetEvacuated
@@ -86,7 +90,8 @@
     /// the scheduler learns of it from the target's notices.
     pub fn attempt_end(self) -> AttemptEnd {
         match self {
-            AttemptCause::RestRequested
+            AttemptCause::EndUnproven
+            | AttemptCause::RestRequested
             | AttemptCause::TargetEvacuated
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
@@ -104,6 +109,7 @@
             AttemptCause::HeadTimeout => "head_timeout",
             AttemptCause::PartTimeout => "part_timeout",
             AttemptCause::Closed => "closed",
+            AttemptCause::EndUnproven => "end_unproven",
             AttemptCause::Unreadable => "unreadable",
             AttemptCause::Failed => "failed",
             AttemptCause::CallerBody => "caller_body",
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -6,7 +6,7 @@
 use actix_http::{Method, RequestHead, ResponseHead};
 use bytes::Bytes;
 use curlewcleat_core::{KeptAnswer, TargetPool};
-use curlewcleat_targets::EventSplitter;
+use curlewcleat_targets::{BodyFrame, EventSplitter};
 
 use crate::headers;
 
@@ -32,8 +32,8 @@
     /// Adds a part and returns the bytes that can be relayed now.
     fn push(&mut self, part: Bytes) -> Bytes;
 
-    /// Returns whether the answer is complete if its body ends now.
-    fn is_complete(&self) -> bool;
+    /// Returns whether the answer may be complete if its body, whose end is determined by `frame`, ends now.
+    fn is_complete(&self, frame: BodyFrame) -> bool;
 
     /// Returns the remaining bytes after the end of the body.
     fn take_remaining(&mut self) -> Bytes;
@@ -124,7 +124,7 @@
     }
 
     /// An event stream is complete after its end event. Other answers have a length, so the end of the body suffices.
-    fn is_complete(&self) -> bool {
+    fn is_complete(&self, _: BodyFrame) -> bool {
         match &self.end_event {
             Some(end) if self.content_type.starts_with("text/event-stream") => {
                 String::from_utf8_lossy(&self.tail).contains(end.as_str())
@@ -171,6 +171,8 @@
 #[derive(Default)]
 pub struct EventFraming {
     events: EventSplitter,
+    /// Whether an event was relayed.
+    has_events: bool,
 }
 
 impl AnswerFraming for EventFraming {
@@ -181,11 +183,14 @@
     }
 
     fn push(&mut self, part: Bytes) -> Bytes {
-        self.events.push(&part)
+        let events = self.events.push(&part);
+        self.has_events |= !events.is_empty();
+        events
     }
 
-    fn is_complete(&self) -> bool {
-        true
+    /// A stream that ends within an event was cut, and so was one that ends with its connection before any event.
+    fn is_complete(&self, frame: BodyFrame) -> bool {
+        self.events.is_between_events() && (self.has_events || frame != BodyFrame::UntilClose)
     }
 
     fn take_remaining(&mut self) -> Bytes {
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -27,7 +27,7 @@
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
 
 use super::admitted::AdmittedRequest;
-use super::answer::{AnswerContent, CallerAnswer};
+use super::answer::{AnswerContent, CallerAnswer, PartsFrame};
 use super::body::{BodyOptions, RequestBody};
 use super::framing::{AnswerFraming, EventFraming};
 use super::problem::problem_answer;
@@ -240,7 +240,7 @@
         CallerAnswer {
             status: head.status,
             headers: forwarded.map(|(name, value)| (name.clone(), value.clone())).collect(),
-            content: AnswerContent::Parts(None),
+            content: AnswerContent::Parts(PartsFrame::Chunks),
             close: self.context.is_draining(),
         }
     }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{AttemptEnd, RefusalReason, RetryReason, TargetEntry, Verdict};
-use curlewcleat_targets::{collect, AnswerBody, TargetAnswer};
+use curlewcleat_targets::{collect, AnswerBody, BodyFrame, TargetAnswer};
 use futures_util::StreamExt;
 use spdlog::prelude::*;
 
@@ -61,6 +61,7 @@
         sent: Moment,
     ) -> AttemptOutcome {
         let TargetAnswer { head, body } = answer;
+        let frame = body.frame();
         let bytes = match collect(body, BUFFERED_ANSWER_LIMIT).await {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -72,7 +73,8 @@
             // The caller has the beginning of another target's answer, which this one cannot continue.
             return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Unreadable);
         }
-        let caller_answer = self.protocol().caller_answer(self.request.id, &head).with_body(bytes);
+        let caller_answer = self.protocol().caller_answer(self.request.id, &head);
+        let caller_answer = caller_answer.with_body(frame, bytes);
         if head.status.is_server_error() && self.protocol().may_repeat(&self.request) {
             self.fallback = Some(caller_answer);
             return AttemptOutcome::Retry(RetryReason::TargetFailed, AttemptCause::Failed);
@@ -146,13 +148,24 @@
                 self.report_target_activity();
                 NextPart::Part(part)
             }
-            WaitEnd::Arrived(None) if self.framing.is_complete() => NextPart::End,
-            WaitEnd::Arrived(_) => NextPart::Interrupted(AttemptCause::Closed),
+            WaitEnd::Arrived(None) => self.evaluate_end(body.frame()),
+            WaitEnd::Arrived(Some(Err(_))) => NextPart::Interrupted(AttemptCause::Closed),
             WaitEnd::Replaced(other) => NextPart::Replaced(other),
             WaitEnd::TimedOut => NextPart::Interrupted(AttemptCause::PartTimeout),
         }
     }
 
+    /// Decides whether the answer is complete after the end of a body, and whether the caller's answer may end as well.
+    fn evaluate_end(&self, frame: BodyFrame) -> NextPart {
+        if !self.framing.is_complete(frame) {
+            return NextPart::Interrupted(AttemptCause::Closed);
+        }
+        match self.answer.may_end_with(frame) {
+            true => NextPart::End,
+            false => NextPart::Interrupted(AttemptCause::EndUnproven),
+        }
+    }
+
     /// Relays what the framing has buffered, and finishes the answer.
     async fn finish_parts(&mut self, sent: Moment) -> AttemptOutcome {
         let remaining = self.framing.take_remaining();
@@ -172,7 +185,10 @@
             return;
         }
         self.record_answer_begin();
-        let answer = self.protocol().caller_answer(self.request.id, head);
+        let mut answer = self.protocol().caller_answer(self.request.id, head);
+        if let Some(frame) = self.progress.frame() {
+            answer = answer.with_parts_of(frame);
+        }
         self.answer.send_head(answer);
     }
 
--- a/crates/daemon/src/unwritten.rs
+++ b/crates/daemon/src/unwritten.rs
@@ -6,14 +6,7 @@
 //! Owns: the count of such connections. Relies on: writers that retry a write that was pending.
 
 use std::cell::Cell;
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
-
-use actix_rt::net::{ActixStream, Ready};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Number of connections that have bytes to write.
 #[derive(Clone, Default)]
@@ -29,74 +22,14 @@
     pub fn is_zero(&self) -> bool {
         self.get() == 0
     }
-}
-
-/// A connection that is counted in an [`UnwrittenCount`] while it has bytes to write.
-pub struct CountedStream {
-    stream: TcpStream,
-    count: UnwrittenCount,
-    counted: bool,
-}
-
-impl CountedStream {
-    /// Wraps a connection so that it is counted in `count`.
-    pub fn new(stream: TcpStream, count: UnwrittenCount) -> CountedStream {
-        CountedStream { stream, count, counted: false }
-    }
-
-    fn set_unwritten(&mut self, unwritten: bool) {
-        let count = &self.count.0;
-        match (self.counted, unwritten) {
-            (false, true) => count.set(count.get() + 1),
-            (true, false) => count.set(count.get() - 1),
-            _ => {}
-        }
-        self.counted = unwritten;
-    }
-}
-
-impl Drop for CountedStream {
-    fn drop(&mut self) {
-        self.set_unwritten(false);
-    }
-}
-
-impl AsyncRead for CountedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for CountedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.set_unwritten(written.is_pending());
-        written
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
 
-impl ActixStream for CountedStream {
-    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.stream, context)
+    /// Counts one connection more.
+    pub(crate) fn increment(&self) {
+        self.0.set(self.0.get() + 1);
     }
 
-    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.stream, context)
+    /// Counts one connection less.
+    pub(crate) fn decrement(&self) {
+        self.0.set(self.0.get() - 1);
     }
 }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use curlewcleat_platform::example::{DEPOTS_KEY, DRIVERS_KEY, DRIVERS_SECOND_KEY, HOST};
 use curlewcleat_platform::names::{SEAL_HEADER, WIRE_PROFILE};
-use curlewcleat_targets::ConnectionPool;
+use curlewcleat_targets::{BodyFrame, ConnectionPool, ExchangeOptions};
 use futures_util::StreamExt;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -81,7 +81,7 @@
         status: u16,
         /// The received part of the body.
         text: String,
-        /// Whether the end of the body arrived.
+        /// Whether the answer stated that it was complete.
         complete: bool,
         /// Engine that the seal header names.
         sealed_by: Option<String>,
@@ -211,7 +211,9 @@
     let Ok(connection) = connections.connect(daemon, Duration::from_secs(1)).await else {
         return CallOutcome::Unsent;
     };
-    let answer = match connection.exchange(request_head(kind, key, attempt), body).await {
+    let options = ExchangeOptions { allow_close_delimited: true, ..ExchangeOptions::default() };
+    let head = request_head(kind, key, attempt);
+    let answer = match connection.exchange_with(head, body, &options).await {
         Ok(answer) => answer,
         Err(error) => return CallOutcome::NoAnswer(error.to_string()),
     };
@@ -223,7 +225,8 @@
     let status = answer.head.status.as_u16();
     let mut body = answer.body;
     let mut bytes = Vec::new();
-    let mut complete = true;
+    // The end of the connection does not state that the answer is complete.
+    let mut complete = body.frame() != BodyFrame::UntilClose;
     while let Some(part) = body.next().await {
         match part {
             Ok(part) => bytes.extend_from_slice(&part),
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -34,6 +34,9 @@
     WithoutLength,
     /// Sends an answer that is framed in this way and ends after this number of bytes of its body.
     Truncate(AnswerFrame, usize),
+    /// Sends this number of bytes of an answer without a length, and nothing more until the caller closes the
+    /// connection.
+    StallWithoutLength(usize),
     /// Runs the request and answers without the attempt id.
     WithoutAttemptId,
     /// Waits for this duration before it sends a complete answer.
@@ -254,6 +257,11 @@
             EngineStep::Truncate(frame, length) => {
                 self.answer_truncated(run, frame, length, connection).await
             }
+            EngineStep::StallWithoutLength(length) => {
+                self.answer_truncated(run, AnswerFrame::Close, length, connection).await?;
+                connection.closed().await;
+                Ok(AfterAnswer::Close)
+            }
             EngineStep::Interrupt(events) if run.is_stream => {
                 self.answer_interrupted(run, events, connection).await
             }
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -89,6 +89,11 @@
         out.freeze()
     }
 
+    /// Returns whether no event is incomplete.
+    pub fn is_between_events(&self) -> bool {
+        self.scan.line_start == self.buffered.len() && !self.scan.has_content
+    }
+
     /// Returns the buffered bytes at the end of a complete stream.
     pub fn take_remaining(&mut self) -> Bytes {
         self.scan = EventScan::default();
