Cut answers: what arrived before the cut reaches the caller

Callers of a stream that was cut got fewer events than had arrived: the connection drops what it has not written yet when the answer ends with an error. They had to have these events computed again when they took the stream up. The error is delayed by one turn, in which the connection writes.

--- a/crates/acceptance/tests/cut_answers.rs
+++ b/crates/acceptance/tests/cut_answers.rs
@@ -247,3 +247,19 @@
     assert_eq!(answer.text, FleetEngine::expected_stream("t", EVENTS));
     Ok(())
 }
+
+/// Guards against events that arrive with the end of a cut stream and are dropped with the caller's connection.
+#[actix_rt::test]
+async fn events_just_before_a_cut_reach_the_caller() -> Result<()> {
+    let fleet = ready("before").await?;
+    for number in 0..40 {
+        let attempt = format!("p{number}");
+        fleet.set_attempt_step(&attempt, EngineStep::Interrupt(2));
+        let entry = &fleet.daemons[0].callers;
+        let answer = receive(entry, "/plain/stream/a", &attempt).await?;
+        assert_eq!(answer.text, FleetEngine::expected_stream(&attempt, 2), "{answer:?}");
+        assert!(!answer.ended, "{answer:?}");
+        assert!(receive(entry, "/plain/stream/a", &format!("w{number}")).await?.ended);
+    }
+    Ok(())
+}
--- a/crates/daemon/src/request/answer.rs
+++ b/crates/daemon/src/request/answer.rs
@@ -177,6 +177,8 @@
     parts: mpsc::Receiver<Bytes>,
     complete: Rc<Cell<bool>>,
     ended: bool,
+    /// Whether the end of a cut answer was delayed.
+    cut_delayed: bool,
 }
 
 impl AnswerChannel {
@@ -190,7 +192,7 @@
             complete: Rc::clone(&complete),
             frame: None,
         };
-        (channel, AnswerParts { parts: receiver, complete, ended: false })
+        (channel, AnswerParts { parts: receiver, complete, ended: false, cut_delayed: false })
     }
 
     /// Returns whether the head was sent.
@@ -238,9 +240,19 @@
         match self.parts.poll_recv(context) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(part)) => Poll::Ready(Some(Ok(part))),
+            Poll::Ready(None) if self.complete.get() => {
+                self.ended = true;
+                Poll::Ready(None)
+            }
+            Poll::Ready(None) if !self.cut_delayed => {
+                // The connection writes what it has while the answer is pending, and drops it after an error.
+                self.cut_delayed = true;
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
             Poll::Ready(None) => {
                 self.ended = true;
-                Poll::Ready((!self.complete.get()).then_some(Err(AnswerCut)))
+                Poll::Ready(Some(Err(AnswerCut)))
             }
         }
     }
