Callers of HTTP/1.0 get no chunks: their streams end with the connection

Callers of HTTP/1.0 got the sizes of the chunks as a part of their stream ("11\r\nid: 1..."), on both platform kinds, since the encoder chunks every answer without a length. Their answers in parts now end with the connection, which is reset where the answer is cut; the connections of callers have the guard with files as well.

--- a/crates/acceptance/tests/cut_answers.rs
+++ b/crates/acceptance/tests/cut_answers.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use actix_http::header;
-use actix_http::ResponseHead;
+use actix_http::{ResponseHead, Version};
 use anyhow::Result;
 use bytes::Bytes;
 use curlewcleat_acceptance::fleet_head;
@@ -51,8 +51,19 @@
 
 /// Sends a request of a caller and reads the answer to its end.
 async fn receive(entry: &str, path: &str, attempt: &str) -> Result<Received> {
+    receive_with(entry, path, attempt, Version::HTTP_11).await
+}
+
+/// Sends a request of a caller in a version of HTTP and reads the answer to its end.
+async fn receive_with(
+    entry: &str,
+    path: &str,
+    attempt: &str,
+    version: Version,
+) -> Result<Received> {
     let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
-    let head = fleet_head(path, attempt)?;
+    let mut head = fleet_head(path, attempt)?;
+    head.version = version;
     let options = ExchangeOptions { allow_close_delimited: true, ..ExchangeOptions::default() };
     let body = Bytes::from(attempt.to_string());
     let mut answer = connection.exchange_with(head, body, &options).await?;
@@ -263,3 +274,24 @@
     }
     Ok(())
 }
+
+/// Guards against chunks that are sent to callers of HTTP/1.0, who take them for a part of the answer.
+#[rstest]
+#[case::whole("whole", EngineStep::Serve, EVENTS, true)]
+#[case::cut_within_an_event("cut", EngineStep::Interrupt(2), 2, false)]
+#[actix_rt::test]
+async fn stream_for_a_caller_of_http_1_0_ends_with_its_connection(
+    #[case] name: &str,
+    #[case] step: EngineStep,
+    #[case] events: u64,
+    #[case] ended: bool,
+) -> Result<()> {
+    let fleet = ready(&format!("old-{name}")).await?;
+    fleet.set_attempt_step("t", step);
+    let entry = &fleet.daemons[0].callers;
+    let answer = receive_with(entry, "/plain/stream/a", "t", Version::HTTP_10).await?;
+    assert_eq!(answer.text, FleetEngine::expected_stream("t", events), "{answer:?}");
+    assert_eq!((answer.frame, answer.ended), (BodyFrame::UntilClose, ended), "{answer:?}");
+    assert!(!answer.head.headers.contains_key(header::TRANSFER_ENCODING), "{answer:?}");
+    Ok(())
+}
--- a/crates/daemon/src/caller_stream.rs
+++ b/crates/daemon/src/caller_stream.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
+use actix_http::Extensions;
 use actix_rt::net::{ActixStream, Ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -27,9 +28,9 @@
         CallerStream { stream, guard: ConnectionGuard::default(), count, counted: false }
     }
 
-    /// Returns the guard of the connection.
-    pub fn guard(&self) -> ConnectionGuard {
-        self.guard.clone()
+    /// Makes the guard of the connection available to its requests.
+    pub fn share_guard(&self, data: &mut Extensions) {
+        data.insert(self.guard.clone());
     }
 
     fn set_unwritten(&mut self, unwritten: bool) {
--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -6,10 +6,13 @@
 mod follow;
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
+use actix_http::error::DispatchError;
 use actix_http::HttpService;
 use actix_server::{Server, ServerHandle};
+use actix_service::{fn_service, ServiceFactoryExt};
 use anyhow::{Context, Result};
 use curlewcleat_config::DaemonSettings;
 use curlewcleat_core::{DaemonId, ObjectVersion, WallTime};
@@ -17,12 +20,15 @@
 use curlewcleat_node::{NodeEvent, NodeOptions, PlatformCall, TableWrite};
 use curlewcleat_store::{Error, ObjectStore, PutOutcome, Result as StoreResult};
 use spdlog::prelude::*;
+use tokio::net::TcpStream;
 
+use crate::caller_stream::CallerStream;
 use crate::context::DaemonContext;
 use crate::operators::serve_operator;
 use crate::platform_adapter::{node_options, CallerServer, LocalFuture, PlatformAdapter};
 use crate::reports::poll_target_reports;
 use crate::request::{BuiltinProtocol, RequestService};
+use crate::unwritten::UnwrittenCount;
 
 /// Time in seconds for sending the last bytes of answers after the node has ended.
 const FLUSH_TIMEOUT_S: u64 = 3;
@@ -128,14 +134,15 @@
             let context = caller_context.clone();
             let protocol = BuiltinProtocol::new(&context);
             let service = RequestService::new(context, Box::new(protocol));
-            HttpService::build()
+            let connections = HttpService::build()
                 .client_request_timeout(head_limit)
                 .h1_allow_half_closed(false)
+                .on_connect_ext(CallerStream::share_guard)
                 .h1(move |request| {
                     let answer = Rc::clone(&service).serve(request);
                     async move { Ok::<_, Infallible>(answer.await) }
-                })
-                .tcp()
+                });
+            fn_service(caller_stream).and_then(connections)
         })
         .with_context(|| format!("callers: bind {}", settings.caller_address))?
         .bind("operators", settings.operator_address.as_str(), move || {
@@ -152,6 +159,15 @@
     Ok(server.run())
 }
 
+/// Prepares a connection of a caller to be served.
+async fn caller_stream(
+    stream: TcpStream,
+) -> std::result::Result<(CallerStream, Option<SocketAddr>), DispatchError> {
+    // The address is only logged.
+    let peer = stream.peer_addr().ok();
+    Ok((CallerStream::new(stream, UnwrittenCount::default()), peer))
+}
+
 /// A server that runs on threads of its own.
 struct ThreadedServer {
     handle: ServerHandle,
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -69,9 +69,7 @@
                 .client_request_timeout(options.head_limit)
                 .keep_alive(KeepAlive::Timeout((options.idle_limit)()))
                 .h1_allow_half_closed(false)
-                .on_connect_ext(|stream: &CallerStream, data| {
-                    data.insert(stream.guard());
-                })
+                .on_connect_ext(CallerStream::share_guard)
                 .h1(service.clone());
             let Ok(handler) = factory.new_service(()).await else { continue };
             let stream = CallerStream::new(stream, options.unwritten.clone());
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -38,11 +38,10 @@
 use curlewcleat_core::{Refusal, RefusalReason, RequestDigest, RequestId, RequestIdentity};
 use tokio::sync::oneshot;
 
-use crate::connection_guard::ConnectionGuard;
 use crate::context::DaemonContext;
 use crate::headers;
 use admitted::AdmittedRequest;
-use answer::{AnswerChannel, CallerAnswer};
+use answer::{AnswerChannel, CallerAnswer, CallerConnection};
 use body::RequestBody;
 use run::RequestRun;
 
@@ -133,14 +132,14 @@
         };
         admitted.digest = caller.digest(admitted.account.as_deref());
         let pending = self.context.admit(admitted.spec());
-        let connection = request.conn_data::<ConnectionGuard>().cloned();
+        let connection = CallerConnection::of(&request);
         let (head_sender, head_receiver) = oneshot::channel();
         let (channel, parts) = AnswerChannel::new(head_sender);
         let run = RequestRun::new(self, admitted, caller, pending, channel);
         let guard = TaskGuard(actix_rt::spawn(run.run()));
         // The task ends without an answer only if it panicked.
         let answer = head_receiver.await.unwrap_or_else(|_| CallerAnswer::bad_gateway());
-        answer.into_response(parts, guard, connection.as_ref())
+        answer.into_response(parts, guard, &connection)
     }
 }
 
--- a/crates/daemon/src/request/answer.rs
+++ b/crates/daemon/src/request/answer.rs
@@ -11,7 +11,7 @@
 
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
 use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Response, StatusCode};
+use actix_http::{Request, Response, StatusCode, Version};
 use bytes::Bytes;
 use curlewcleat_targets::BodyFrame;
 use futures_util::{stream, Stream, StreamExt};
@@ -45,6 +45,29 @@
     UntilClose,
 }
 
+/// What an answer depends on of the connection on which it is sent.
+pub struct CallerConnection {
+    version: Version,
+    guard: ConnectionGuard,
+}
+
+impl CallerConnection {
+    /// Returns the connection of a request.
+    pub fn of(request: &Request) -> CallerConnection {
+        // Every listener of callers has a guard for each connection.
+        let guard = request.conn_data::<ConnectionGuard>().cloned().unwrap_or_default();
+        CallerConnection { version: request.version(), guard }
+    }
+
+    /// Returns how the end of an answer in parts is marked: HTTP/1.0 has no chunks.
+    fn frame_of(&self, frame: PartsFrame) -> PartsFrame {
+        match frame {
+            PartsFrame::Chunks if self.version < Version::HTTP_11 => PartsFrame::UntilClose,
+            frame => frame,
+        }
+    }
+}
+
 /// The head of an answer, with the complete body or parts that follow.
 pub struct CallerAnswer {
     /// Status code.
@@ -101,7 +124,7 @@
         self,
         parts: AnswerParts,
         guard: TaskGuard,
-        connection: Option<&ConnectionGuard>,
+        connection: &CallerConnection,
     ) -> Response<BoxBody> {
         let frame = match &self.content {
             AnswerContent::Complete(_) => return self.into_complete_response(),
@@ -109,7 +132,7 @@
                 let body = stream::iter([Ok::<_, Infallible>(body.clone())]);
                 return self.into_response_until_close(body, connection);
             }
-            AnswerContent::Parts(frame) => *frame,
+            AnswerContent::Parts(frame) => connection.frame_of(*frame),
         };
         let stream = parts.map(move |part| {
             // The closure owns the guard, so the task ends with the body.
@@ -131,15 +154,13 @@
     fn into_response_until_close<E>(
         mut self,
         body: impl Stream<Item = Result<Bytes, E>> + 'static,
-        connection: Option<&ConnectionGuard>,
+        connection: &CallerConnection,
     ) -> Response<BoxBody>
     where
         E: Into<Box<dyn std::error::Error>> + 'static,
     {
         self.close = true;
-        if let Some(connection) = connection {
-            connection.activate();
-        }
+        connection.guard.activate();
         let mut head = self.head();
         head.head_mut().no_chunking(true);
         head.set_body(BodyStream::new(Box::pin(body))).map_into_boxed_body()
