Logs: which version an attempt goes on with, after which event, begun as which attempt

Neither request_served nor attempt_failed told that a request continues a stream, nor at which version of the targets' software, so the hypotheses about streams that are joined of two versions could not be told apart. `stream_continued` names both, for a continuation within one answer and for a caller that takes a stream up (Last-Event-Id, Resumes). The headers are read and nothing is decided by them yet.

--- a/crates/daemon/src/request/admitted.rs
+++ b/crates/daemon/src/request/admitted.rs
@@ -23,6 +23,15 @@
     pub prefix: Option<u64>,
 }
 
+/// What a caller states about a stream that it takes up again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamResumption {
+    /// The attempt that brought the first event, `None` where the caller does not name one.
+    pub begun_as: Option<String>,
+    /// The last event that the caller has, as it states it.
+    pub last_event: String,
+}
+
 /// A request with everything that its admission determined.
 pub struct AdmittedRequest {
     /// Id inside the system.
@@ -55,6 +64,8 @@
     pub digest: Option<RequestDigest>,
     /// Idempotency key and the caller's attempt number for it.
     pub key: Option<(String, Option<u32>)>,
+    /// The stream that the request takes up, `None` where it begins one or has another answer.
+    pub resumption: Option<StreamResumption>,
 }
 
 impl AdmittedRequest {
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -7,6 +7,7 @@
 mod forwarding;
 mod notice;
 mod objectives;
+mod resumption;
 #[cfg(test)]
 mod tests;
 mod work;
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -14,8 +14,10 @@
 use rstest::rstest;
 
 use super::objectives::objectives;
+use super::resumption::read_resumption;
 use super::work::{cost, estimate, token_counts, TokenCounts};
 use super::{status_of, OPTIONS};
+use crate::request::admitted::StreamResumption;
 
 const PROFILE: WireProfile = WireProfile {
     attempt_id: "attempt",
@@ -28,6 +30,7 @@
     length_hint: "hint",
     prompt_parts: "parts",
     last_event: "last",
+    resumes: "resumes",
     load: "load",
     leaving: "leaving",
     limit: "limit",
@@ -187,3 +190,22 @@
     let refusal = Refusal { reason, verdict, retry_after: Some(OPTIONS.retry_after) };
     assert_eq!(status_of(&refusal), StatusCode::from_u16(expected).expect("a status"));
 }
+
+#[rstest]
+#[case::first_try(&[], None)]
+#[case::without_events(&[("last", "0"), ("resumes", "a")], None)]
+#[case::named(&[("last", "12"), ("resumes", " a ")], Some((Some("a"), "12")))]
+#[case::unnamed(&[("last", "12")], Some((None, "12")))]
+#[case::empty_name(&[("last", "12"), ("resumes", "")], Some((None, "12")))]
+#[case::several_names(&[("last", "12"), ("resumes", "a"), ("resumes", "b")], Some((None, "12")))]
+#[case::unreadable_event(&[("last", "x"), ("resumes", "a")], Some((Some("a"), "x")))]
+fn caller_that_takes_up_a_stream_names_its_first_attempt(
+    #[case] headers: &[(&'static str, &'static str)],
+    #[case] expected: Option<(Option<&str>, &str)>,
+) {
+    let expected = expected.map(|(begun_as, last_event)| StreamResumption {
+        begun_as: begun_as.map(str::to_string),
+        last_event: last_event.to_string(),
+    });
+    assert_eq!(read_resumption(&PROFILE, &head(headers)), expected);
+}
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{AnswerObservation, AttemptEnd, StreamTiming, TargetEntry, TargetId};
+use curlewcleat_core::{
+    AnswerObservation, AttemptEnd, StreamTiming, TargetEntry, TargetId, TargetVersion,
+};
 use curlewcleat_targets::BodyFrame;
 
 /// Number of parts after which the mean time between two parts is reported.
@@ -32,6 +34,8 @@
     pub bytes: u64,
     /// When the latest part of the answer arrived.
     latest: Option<Moment>,
+    /// Version of the target that brought the first part.
+    begun_version: Option<TargetVersion>,
     attempt: AttemptProgress,
 }
 
@@ -87,6 +91,16 @@
         self.bytes += bytes as u64;
     }
 
+    /// Records the version of the target that brings the first part.
+    pub fn record_begin(&mut self, version: Option<TargetVersion>) {
+        self.begun_version = version;
+    }
+
+    /// Returns the version of the target that brought the first part, `None` if it stated none.
+    pub fn begun_version(&self) -> Option<&TargetVersion> {
+        self.begun_version.as_ref()
+    }
+
     /// Records that the target answered with a server error.
     pub fn record_server_error(&mut self) {
         self.attempt.server_error = true;
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -115,6 +115,7 @@
                 continue;
             }
             if !self.answer.has_begun() {
+                self.progress.record_begin(target.version.clone());
                 self.begin_answer(&head);
                 limit = self.part_limit();
             }
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -27,6 +27,7 @@
         metrics.observe_wait(waited, &self.request.tier, &self.request.pool.id);
         let sent = Moment::now();
         self.progress.record_sent(target);
+        self.log_continued_stream(target);
         // From here on the request may have run, however the wait ends, until it is proved that it did not.
         let previous_verdict = std::mem::replace(&mut self.verdict, Verdict::MayHaveRun);
         match self.send(target, connection).await {
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -1,10 +1,10 @@
 //! Logs a request: one line for each failed attempt and one for the end.
 //!
-//! Owns: the lines `request_served`, `attempt_failed`, `answer_cut`, `request_refused`. Relies on: the run's
+//! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `answer_cut`, `request_refused`. Relies on: the run's
 //! progress.
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{Refusal, RefusalReason, RequestId, TargetEntry, TargetId};
+use curlewcleat_core::{Refusal, RefusalReason, RequestId, TargetEntry, TargetId, TargetVersion};
 use curlewcleat_targets::BodyFrame;
 use spdlog::prelude::*;
 
@@ -49,6 +49,25 @@
         });
     }
 
+    /// Logs that an attempt continues a stream, within one answer or because the caller takes it up.
+    pub(super) fn log_continued_stream(&self, target: &TargetEntry) {
+        let (request, taken_up) = (&self.request, self.request.resumption.as_ref());
+        let after = match (self.framing.last_event(), taken_up) {
+            (Some(last), _) => last.to_string(),
+            (None, Some(taken_up)) => taken_up.last_event.clone(),
+            (None, None) => return,
+        };
+        // The caller may not name the attempt that began the stream.
+        let begun_as =
+            taken_up.map_or(Some(&request.attempt_id), |stream| stream.begun_as.as_ref());
+        info!("stream_continued", kv: {
+            request = request.id.to_string(), attempt = request.attempt_id.as_str(),
+            begun_as = begun_as.map_or("", String::as_str), after, target = target.id.as_str(),
+            version = version_text(target.version.as_ref()),
+            begun_version = version_text(self.progress.begun_version())
+        });
+    }
+
     /// Logs that an answer was cut after its beginning, because the request was refused for `reason`.
     pub(super) fn log_cut(&self, reason: RefusalReason) {
         // An answer that has begun comes from a target, so the default is never used.
@@ -60,6 +79,11 @@
     }
 }
 
+/// Returns a version as text, empty if none is known or stated.
+fn version_text(version: Option<&TargetVersion>) -> &str {
+    version.map_or("", |version| version.as_str())
+}
+
 /// Returns the digest of a request as text, empty if it has none.
 fn digest_text(request: &AdmittedRequest) -> String {
     request.digest.map(|digest| digest.to_string()).unwrap_or_default()
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -200,6 +200,8 @@
     pub prompt_parts: &'static str,
     /// Last event that the reader of a stream has received.
     pub last_event: &'static str,
+    /// On a request that takes up a stream: the attempt of the caller that brought the first event of the stream.
+    pub resumes: &'static str,
     /// Load of a target: running requests, waiting requests and slots, separated by commas.
     pub load: &'static str,
     /// On an answer: the target is leaving.
