--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -19,9 +19,10 @@
     PeerMessage, PermitAnswer, PermitDecision, PermitHeld, PermitId, PermitRequest, PermitReturn,
     PoolNotice, Refusal, RefusalReason, RequestDigest, RequestInterruption, RequestRate,
     RetryReason, RolloutAnswers, RolloutOrder, RolloutReport, RolloutStage, ShedRequest,
-    SlotHolder, StatePull, StreamTiming, SuspectReport, SuspectsPull, SuspectsPush, TablePush,
-    TargetChange, TargetEntry, TargetInstance, TargetInstancesPush, TargetStart,
-    TargetVersionsPush, TargetsContent, TargetsPush, Verdict,
+    SlotHolder, StatePull, StreamAnswer, StreamId, StreamQuery, StreamTiming, StreamVersion,
+    SuspectReport, SuspectsPull, SuspectsPush, TablePush, TargetChange, TargetEntry,
+    TargetInstance, TargetInstancesPush, TargetStart, TargetVersionsPush, TargetsContent,
+    TargetsPush, Verdict, VersionDigest, VersionPermitRequest,
 };
 use curlewcleat_keys::{KeyTable, TABLE_KEY};
 use curlewcleat_platform::format::{Daemon, EndedTarget, Metadata, Object, RefusedRequest};
@@ -95,6 +96,7 @@
         prefix: Some(13),
         cost: 14,
         avoid: vec!["e-9".to_string()],
+        version: None,
     }
 }
 
@@ -162,6 +164,7 @@
         suspect_messages(),
         rollout_messages(),
         evacuation_messages(),
+        stream_messages(),
     ]
     .concat()
 }
@@ -446,6 +449,22 @@
     ]
 }
 
+fn stream_messages() -> Vec<NamedMessage> {
+    let stream = StreamId::new("assistant", "drivers", "attempt");
+    let version = VersionDigest::of(Some(&"v1".to_string()));
+    let request = request();
+    let limited = VersionPermitRequest { request: permit_request(), version };
+    vec![
+        ("streams begun", PeerMessage::StreamsBegun(vec![StreamVersion { stream, version }])),
+        ("stream query", PeerMessage::StreamQuery(StreamQuery { request, stream })),
+        (
+            "stream answer",
+            PeerMessage::StreamAnswer(StreamAnswer { request, version: Some(version) }),
+        ),
+        ("version permit request", PeerMessage::VersionPermitRequest(limited)),
+    ]
+}
+
 #[test]
 fn peer_messages_keep_their_bytes() -> Result<()> {
     let mut text = String::new();
--- a/crates/bench/src/support.rs
+++ b/crates/bench/src/support.rs
@@ -43,6 +43,7 @@
         output_work: 500_000,
         prefix: Some(u64::from(number % 50)),
         avoid: Vec::new(),
+        version: None,
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod request_digest;
 mod rollout;
 mod store_position;
+mod stream;
 mod target_instance;
 mod target_notice;
 mod verdict;
@@ -25,6 +26,7 @@
     RolloutStage, RolloutWrite,
 };
 pub use store_position::{StoreEra, StorePosition};
+pub use stream::{StreamId, VersionDigest};
 pub use target_instance::{InstanceOrder, TargetInstance, TargetStart};
 pub use target_notice::{
     BrittleNotice, LimitNotice, LimitReport, NoticeReport, RequestRate, TargetNotice,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -12,6 +12,7 @@
 mod lethal;
 mod notices;
 mod permits;
+mod streams;
 mod versions;
 
 use std::collections::BTreeMap;
@@ -30,6 +31,7 @@
 pub use lethal::*;
 pub use notices::*;
 pub use permits::*;
+pub use streams::*;
 pub use versions::*;
 
 /// One start of a daemon on a VM.
@@ -123,6 +125,14 @@
     EvacuationsPull(ObjectVersion),
     /// The evacuated data centres as the sender knows them.
     EvacuationsPush(EvacuationList),
+    /// The versions that began streams for callers of the sender.
+    StreamsBegun(Vec<StreamVersion>),
+    /// Requests the version that began a stream.
+    StreamQuery(StreamQuery),
+    /// Answers a [`StreamQuery`](PeerMessage::StreamQuery).
+    StreamAnswer(StreamAnswer),
+    /// Like [`PermitRequest`](PeerMessage::PermitRequest), for a target of one version.
+    VersionPermitRequest(VersionPermitRequest),
 }
 
 impl PeerMessage {
@@ -139,7 +149,11 @@
             | PeerMessage::RolloutReport(_)
             | PeerMessage::RolloutAnswers(_)
             | PeerMessage::EvacuationsPull(_)
-            | PeerMessage::EvacuationsPush(_) => true,
+            | PeerMessage::EvacuationsPush(_)
+            | PeerMessage::StreamsBegun(_)
+            | PeerMessage::StreamQuery(_)
+            | PeerMessage::StreamAnswer(_)
+            | PeerMessage::VersionPermitRequest(_) => true,
             // A receiver that has answered a pull before can decode this one.
             PeerMessage::SuspectsPull(pull) => pull.known == 0,
             _ => false,
--- a/crates/core/src/message/permits.rs
+++ b/crates/core/src/message/permits.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountId, PermitId, PoolId, Refusal, TargetId, TierRank, WorkMicros};
+use crate::{AccountId, PermitId, PoolId, Refusal, TargetId, TierRank, VersionDigest, WorkMicros};
 
 /// Requests a permit, with the properties of the request that the scheduler needs.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -33,6 +33,17 @@
     pub cost: u64,
     /// Targets that have failed this request already.
     pub avoid: Vec<TargetId>,
+    /// The version that its target must have, `None` for any. It is sent as a part of
+    /// [`VersionPermitRequest`](super::VersionPermitRequest), since the codec is positional.
+    #[serde(skip)]
+    pub version: Option<VersionDigest>,
+}
+
+impl PermitRequest {
+    /// Returns whether a target of a version may serve the request.
+    pub fn allows_version(&self, version: VersionDigest) -> bool {
+        self.version.is_none_or(|required| required == version)
+    }
 }
 
 /// Latency objectives of a request; they are not guaranteed.
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -117,6 +117,8 @@
         RequestSuspect => "request_suspect",
         /// Several targets terminated while running the request.
         RequestLethal => "request_lethal",
+        /// The request takes up a stream, and no daemon knows the version of the target that began it.
+        StreamVersionUnknown => "stream_version_unknown",
     }
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -39,6 +39,7 @@
     targets_terminated: IntCounter,
     gate_stops: IntCounterVec,
     rollout_stages: IntCounterVec,
+    streams_taken_up: IntCounterVec,
     relays: IntCounterVec,
     gauges: StatusGauges,
 }
@@ -98,6 +99,11 @@
                 "Stages of roll-outs on which this daemon has decided",
                 &["stage", "reason"],
             )?,
+            streams_taken_up: count(
+                "streams_taken_up_total",
+                "Streams that callers took up, by how the version that began them was found",
+                &["known_from"],
+            )?,
             relays: count(
                 "relays_total",
                 "Connections to targets through a peer that were asked for or served, by outcome",
@@ -130,6 +136,11 @@
         self.answer_ends.with_label_values(&[ended_by, tier, pool]).inc();
     }
 
+    /// Counts a stream that a caller took up, by how the version that began it was found.
+    pub fn count_stream_taken_up(&self, known_from: &str) {
+        self.streams_taken_up.with_label_values(&[known_from]).inc();
+    }
+
     /// Counts a rollout stage decided by this daemon.
     pub fn count_rollout_stage(&self, stage: &str, reason: &str) {
         self.rollout_stages.with_label_values(&[stage, reason]).inc();
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -176,6 +176,9 @@
                 if let NodeNote::RolloutStage(rollout, Some(reason)) = &note {
                     self.context.metrics.count_rollout_stage(rollout.stage.code(), reason.code());
                 }
+                if let NodeNote::StreamTakenUp { source, .. } = &note {
+                    self.context.metrics.count_stream_taken_up(source.code());
+                }
                 log_node_note(&note);
             }
             NodeAction::End => self.ended = true,
--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -27,6 +27,12 @@
         NodeNote::RetryDenied(request, bound) => {
             info!("retry_denied", kv: { request = request.to_string(), bound = bound.code() });
         }
+        NodeNote::StreamTakenUp { request, source, waited } => {
+            info!("stream_taken_up", kv: {
+                request = request.to_string(), known_from = source.code(),
+                waited_ms = waited.as_millis() as i64
+            });
+        }
         NodeNote::PeerLost(peer) => warn!("peer_lost", kv: { vm = peer.vm.as_str() }),
         NodeNote::PeerReplaced(peer) => info!("peer_replaced", kv: { vm = peer.vm.as_str() }),
         NodeNote::InstanceChanged(change) => log_instance_change(change),
--- a/crates/daemon/src/request/admitted.rs
+++ b/crates/daemon/src/request/admitted.rs
@@ -7,10 +7,10 @@
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
-    AccountId, AdmissionRule, LatencyObjectives, RequestDigest, RequestId, TargetPool, TierId,
-    TierRank, WorkMicros,
+    AccountId, AdmissionRule, LatencyObjectives, RequestDigest, RequestId, StreamId, TargetPool,
+    TierId, TierRank, WorkMicros,
 };
-use curlewcleat_sched::RequestSpec;
+use curlewcleat_sched::{RequestSpec, TakenUpStream};
 
 /// Estimated work of a request, in microseconds of a target's slot.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -86,9 +86,26 @@
             prefix: self.work.prefix,
             digest: self.digest,
             key: self.key.clone(),
+            takes_up: self.resumption.as_ref().map(|resumption| TakenUpStream {
+                stream: resumption.begun_as.as_ref().map(|attempt| self.stream(attempt)),
+            }),
+            version: None,
         }
     }
 
+    /// Returns the stream that the answer begins or continues, `None` where it cannot be taken up by its attempt.
+    pub fn begun_stream(&self) -> Option<StreamId> {
+        let may_be_taken_up = self.rule.service.streams && self.rule.repeatable;
+        let begun_as = self.resumption.as_ref().and_then(|resumption| resumption.begun_as.as_ref());
+        may_be_taken_up.then(|| self.stream(begun_as.unwrap_or(&self.attempt_id)))
+    }
+
+    fn stream(&self, attempt: &str) -> StreamId {
+        // Requests without an account share their streams.
+        let account = self.account.as_deref().unwrap_or_default();
+        StreamId::new(&self.pool.id, account, attempt)
+    }
+
     /// Returns the time until the deadline, zero once it has passed.
     pub fn time_left(&self) -> Duration {
         self.deadline.time_left()
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -72,6 +72,10 @@
     wait: &TargetWait<'_>,
 ) -> Result<PooledConnection, AttemptStart> {
     let (context, protocol, request) = (wait.context, wait.protocol, attempt.request);
+    if !wait.allows(attempt.target) {
+        // It was granted before the first event of the answer arrived.
+        return Err(AttemptStart::NotRun(RetryReason::TargetUnwilling, AttemptCause::OtherVersion));
+    }
     if let Some(stop) = context.gate.stop(context.uptime(), attempt.target) {
         return Err(gate_stopped(context, stop));
     }
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -259,6 +259,7 @@
         | RefusalReason::KeyHomeUnreachable
         | RefusalReason::KeyStoreFull
         | RefusalReason::RequestSuspect
+        | RefusalReason::StreamVersionUnknown
         | RefusalReason::TargetNotStarted => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -36,6 +36,8 @@
     TargetResting,
     /// Nothing was sent: the target's request limit is reached.
     TargetLimited,
+    /// Nothing was sent: the target has another version than the one that began the answer.
+    OtherVersion,
     /// Nothing was sent: the target may terminate if it has to turn away another request.
     TargetBrittle,
 }
@@ -60,6 +62,7 @@
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
             | AttemptCause::TargetLimited
+            | AttemptCause::OtherVersion
             | AttemptCause::TargetBrittle => None,
         }
     }
@@ -82,6 +85,7 @@
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
             | AttemptCause::TargetLimited
+            | AttemptCause::OtherVersion
             | AttemptCause::TargetBrittle => None,
         }
     }
@@ -96,6 +100,7 @@
             | AttemptCause::TargetLeaving
             | AttemptCause::TargetResting
             | AttemptCause::TargetLimited
+            | AttemptCause::OtherVersion
             | AttemptCause::TargetBrittle => AttemptEnd::Unused,
             _ => AttemptEnd::Failed,
         }
@@ -118,6 +123,7 @@
             AttemptCause::TargetLeaving => "target_leaving",
             AttemptCause::TargetResting => "target_resting",
             AttemptCause::TargetLimited => "target_limited",
+            AttemptCause::OtherVersion => "other_version",
             AttemptCause::TargetBrittle => "target_brittle",
         }
     }
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -7,6 +7,7 @@
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     AnswerObservation, AttemptEnd, StreamTiming, TargetEntry, TargetId, TargetVersion,
+    VersionDigest,
 };
 use curlewcleat_targets::BodyFrame;
 
@@ -36,6 +37,8 @@
     latest: Option<Moment>,
     /// Version of the target that brought the first part.
     begun_version: Option<TargetVersion>,
+    /// Digest of that version, `None` before the first part.
+    required_version: Option<VersionDigest>,
     attempt: AttemptProgress,
 }
 
@@ -91,16 +94,22 @@
         self.bytes += bytes as u64;
     }
 
-    /// Records the version of the target that brings the first part.
-    pub fn record_begin(&mut self, version: Option<TargetVersion>) {
-        self.begun_version = version;
+    /// Records the target that brings the first part.
+    pub fn record_begin(&mut self, target: &TargetEntry) {
+        self.begun_version.clone_from(&target.version);
+        self.required_version = Some(VersionDigest::of(target.version.as_ref()));
     }
 
-    /// Returns the version of the target that brought the first part, `None` if it stated none.
+    /// Returns the version of the target that brought the first part, `None` if there is none or it stated none.
     pub fn begun_version(&self) -> Option<&TargetVersion> {
         self.begun_version.as_ref()
     }
 
+    /// Returns the version that a target must have to continue the answer, `None` before the first part.
+    pub fn required_version(&self) -> Option<VersionDigest> {
+        self.required_version
+    }
+
     /// Records that the target answered with a server error.
     pub fn record_server_error(&mut self) {
         self.attempt.server_error = true;
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -8,7 +8,10 @@
 
 use bytes::Bytes;
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{AttemptEnd, RefusalReason, RetryReason, TargetEntry, Verdict};
+use curlewcleat_core::{
+    AttemptEnd, RefusalReason, RetryReason, StreamVersion, TargetEntry, Verdict, VersionDigest,
+};
+use curlewcleat_node::NodeEvent;
 use curlewcleat_targets::{collect, AnswerBody, BodyFrame, TargetAnswer};
 use futures_util::StreamExt;
 use spdlog::prelude::*;
@@ -115,7 +118,7 @@
                 continue;
             }
             if !self.answer.has_begun() {
-                self.progress.record_begin(target.version.clone());
+                self.record_stream_begin(target);
                 self.begin_answer(&head);
                 limit = self.part_limit();
             }
@@ -181,6 +184,17 @@
         }
     }
 
+    /// Records the version that begins a stream, so that it is continued at no other one.
+    fn record_stream_begin(&mut self, target: &TargetEntry) {
+        self.progress.record_begin(target);
+        let request = &self.request;
+        let Some(stream) = request.begun_stream() else { return };
+        let version = VersionDigest::of(target.version.as_ref());
+        let begun = StreamVersion { stream, version };
+        let event = NodeEvent::StreamBegun(request.id, request.pool.id.clone(), begun);
+        self.service.context.send_event(event);
+    }
+
     fn begin_answer(&mut self, head: &actix_http::ResponseHead) {
         if self.answer.has_begun() {
             return;
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -66,6 +66,7 @@
             protocol: self.service.protocol.as_ref(),
             request: &self.request,
             target,
+            version: self.progress.required_version(),
         };
         let connection = match connect(&attempt, connection, &wait).await {
             Ok(connection) => connection,
@@ -92,7 +93,8 @@
         let may_repeat = protocol.may_repeat(&self.request);
         let pending = self.pending.as_mut().filter(|_| may_repeat);
         let context = &self.service.context;
-        TargetWait { context, pending, protocol, request: &self.request, target }
+        let (request, version) = (&self.request, self.progress.required_version());
+        TargetWait { context, pending, protocol, request, target, version }
     }
 
     /// Reports that the target has sent data and is not stalled.
--- a/crates/daemon/src/request/target_wait.rs
+++ b/crates/daemon/src/request/target_wait.rs
@@ -8,7 +8,7 @@
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
-use curlewcleat_core::{PermitId, TargetEntry};
+use curlewcleat_core::{PermitId, TargetEntry, VersionDigest};
 use curlewcleat_node::CallerDecision;
 use curlewcleat_targets::{PooledConnection, Result};
 use spdlog::prelude::*;
@@ -46,6 +46,8 @@
     pub protocol: &'a dyn CallerProtocol,
     pub request: &'a AdmittedRequest,
     pub target: &'a TargetEntry,
+    /// Version that a target must have to continue the answer, `None` for any.
+    pub version: Option<VersionDigest>,
 }
 
 /// A granted replacement to which a connection is being established.
@@ -70,20 +72,32 @@
     protocol: &'a dyn CallerProtocol,
     request: &'a AdmittedRequest,
     target: &'a TargetEntry,
+    version: Option<VersionDigest>,
     replacement: Option<ConnectingTarget>,
 }
 
 impl TargetWait<'_> {
+    /// Returns whether a target has the version that is required to continue the answer.
+    pub fn allows(&self, target: &TargetEntry) -> bool {
+        allows_version(self.version, target)
+    }
+
     /// Waits for `expected`, at most for `limit` if the request may not move to another target. If it may, the wait
     /// requests another target after `limit`, doubles the interval after each such request, and goes on until
     /// `expected` arrives or a replacement is connected. Dropping the wait with its exchange abandons the target.
     pub async fn wait<T>(self, limit: Duration, expected: impl Future<Output = T>) -> WaitEnd<T> {
-        let TargetWait { context, pending, protocol, request, target } = self;
+        let TargetWait { context, pending, protocol, request, target, version } = self;
         match pending {
             Some(pending) => {
-                let replacement = None;
-                let wait =
-                    ReplaceableWait { context, pending, protocol, request, target, replacement };
+                let wait = ReplaceableWait {
+                    context,
+                    pending,
+                    protocol,
+                    request,
+                    target,
+                    version,
+                    replacement: None,
+                };
                 wait.run(limit.max(MIN_STALL_LIMIT), expected).await
             }
             None => match tokio::time::timeout(limit, expected).await {
@@ -94,6 +108,10 @@
     }
 }
 
+fn allows_version(required: Option<VersionDigest>, target: &TargetEntry) -> bool {
+    required.is_none_or(|required| required == VersionDigest::of(target.version.as_ref()))
+}
+
 impl ReplaceableWait<'_> {
     /// Waits until `expected` arrives or a replacement is connected.
     async fn run<T>(
@@ -167,7 +185,8 @@
     /// it. The stalled target is kept until the replacement accepts a connection: if connecting failed after the
     /// target was abandoned, an answer that has begun could only be cut, though its target may still be working.
     fn connect_replacement(&mut self, permit: PermitId, entry: TargetEntry) {
-        let excluded = self.context.gate.stop(self.context.uptime(), &entry).is_some();
+        let excluded = self.context.gate.stop(self.context.uptime(), &entry).is_some()
+            || !allows_version(self.version, &entry);
         let sendable = self.protocol.check_sendable(self.request).is_ok();
         if !self.pending.is_stalled() || !sendable || excluded {
             return self.pending.decline_replacement();
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -93,6 +93,10 @@
              they had terminated",
             "Requests under which targets end",
         ),
+        StreamVersionUnknown => (
+            "the caller took up a stream, and no daemon knew the version of the target that had begun it",
+            "Streams beside several versions",
+        ),
         RequestLethal => (
             "several targets had terminated while running this request, no matter which account sent it",
             "Requests under which targets end",
--- a/crates/model/src/levels.rs
+++ b/crates/model/src/levels.rs
@@ -215,5 +215,6 @@
         output_work: 1_000,
         prefix: None,
         avoid: Vec::new(),
+        version: None,
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -3,14 +3,15 @@
 //! Owns: the form of both. Relies on: nothing.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use curlewcleat_config::CheckReport;
 use curlewcleat_core::{
     AnswerSample, AttemptEnd, ConfigBundle, DaemonId, DaemonRecord, DataCentreId, DiscoveredTarget,
     EvacuationList, Generation, KeptAnswer, NoticeReport, ObjectVersion, PeerFrame, PermitId,
     PoolId, Refusal, RequestDigest, RequestId, RequestInterruption, RetryReason, RolloutRecord,
-    RolloutWrite, SuspectReport, TargetChange, TargetEntry, TargetInstance, TargetReport,
-    TargetVersion, Uptime, Verdict, VmId, WarmUpLimit,
+    RolloutWrite, StreamVersion, SuspectReport, TargetChange, TargetEntry, TargetInstance,
+    TargetReport, TargetVersion, Uptime, Verdict, VmId, WarmUpLimit,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound, RolloutReason};
@@ -55,6 +56,8 @@
     Replacement(RequestId, ReplacementStep),
     /// The caller of a dispatched request has received a part of its answer.
     AnswerBegun(RequestId),
+    /// A target has sent the first event of a stream that may be continued.
+    StreamBegun(RequestId, PoolId, StreamVersion),
     /// The caller disconnected while its request waited.
     CallerDisconnected(RequestId),
     /// The configuration that the platform shows.
@@ -170,6 +173,31 @@
     End,
 }
 
+/// How the version that began a stream was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionSource {
+    /// This daemon remembers the stream, or the pool has one version.
+    Own,
+    /// Another daemon remembers it.
+    Peer,
+    /// No daemon remembers it, since it began while the pool had one version.
+    Untold,
+    /// It was not found; the request is refused.
+    Unknown,
+}
+
+impl VersionSource {
+    /// Returns the code for log lines and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            VersionSource::Own => "own",
+            VersionSource::Peer => "peer",
+            VersionSource::Untold => "one_version",
+            VersionSource::Unknown => "unknown",
+        }
+    }
+}
+
 /// An event that is reported to the operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NodeNote {
@@ -183,6 +211,15 @@
     ConfigUnreadable(Generation, String),
     /// A request is not retried, because of this bound.
     RetryDenied(RequestId, RetryBound),
+    /// A request takes up a stream.
+    StreamTakenUp {
+        /// The request.
+        request: RequestId,
+        /// How the version that began the stream was found.
+        source: VersionSource,
+        /// How long the request waited for it.
+        waited: Duration,
+    },
     /// A peer became unreachable.
     PeerLost(DaemonId),
     /// A peer's VM has started a new daemon.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,6 +15,7 @@
 mod requests;
 mod rollouts;
 mod stop;
+mod streams;
 mod time;
 mod views;
 mod warm_ups;
@@ -38,6 +39,7 @@
 use self::notices::ReceivedNotices;
 use self::rollouts::RolloutExchange;
 use self::stop::HAND_OVER_ACK_WAIT;
+use self::streams::StreamExchange;
 use crate::awaited_answer::AwaitedAnswer;
 use crate::config_exchange::ConfigExchange;
 use crate::evacuation_view::EvacuationView;
@@ -103,6 +105,7 @@
     lethal: LethalExchange,
     notices: ReceivedNotices,
     rollouts: RolloutExchange,
+    streams: StreamExchange,
     drain: DrainState,
     vms: VmView,
     /// Reachable daemons that may take roles, including this one.
@@ -153,6 +156,7 @@
             lethal: LethalExchange::default(),
             notices: ReceivedNotices::default(),
             rollouts: RolloutExchange::default(),
+            streams: StreamExchange::default(),
             drain: DrainState::new(options.drain_grace, options.hand_over_limit),
             vms: VmView::default(),
             all_pools_order: vec![me.clone()],
@@ -204,13 +208,16 @@
                 if verdict == Verdict::Ran {
                     self.answer_completed(id);
                 }
+                self.forget_take_up(id);
                 let actions = self.entry.finished(id, verdict, end, answer);
                 self.perform(actions);
             }
             NodeEvent::AttemptNotRun(id, end, retry) => self.attempt_not_run(id, end, retry),
             NodeEvent::Replacement(id, step) => self.replacement(id, step),
+            NodeEvent::StreamBegun(id, pool, begun) => self.stream_begun(id, &pool, begun),
             NodeEvent::AnswerBegun(id) => self.entry.answer_begun(id),
             NodeEvent::CallerDisconnected(id) => {
+                self.forget_take_up(id);
                 let actions = self.entry.cancelled(id);
                 self.perform(actions);
             }
--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -68,6 +68,7 @@
             scheduler.configure(pool_options(&config, pool, age_per_work), pool);
             scheduler.set_leaving_vms(unavailable.clone());
         }
+        self.update_stream_versions(&config);
         self.apply_versions();
         self.warm_ups.mark_all_changed();
         self.apply_warm_ups();
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -101,6 +101,12 @@
             PeerMessage::EvacuationsPull(known) => self.evacuations_pulled(&from.vm, known),
             PeerMessage::EvacuationsPush(list) => self.evacuations_listed(list),
             PeerMessage::RolloutReport(report) => self.rollout_report_received(&report),
+            PeerMessage::StreamsBegun(streams) => self.streams_told(streams),
+            PeerMessage::StreamQuery(query) => self.stream_queried(&from.vm, query),
+            PeerMessage::StreamAnswer(answer) => self.stream_answered(&from.vm, answer),
+            PeerMessage::VersionPermitRequest(request) => {
+                self.permit_requested(from, request.into_request());
+            }
             PeerMessage::RolloutAnswers(answers) => self.peer_answers_received(from, &answers),
         }
     }
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -7,7 +7,7 @@
 
 use curlewcleat_core::{
     AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitId, PermitRequest, PoolId, Refusal,
-    RefusalReason, RequestId, RetryReason, TargetEntry,
+    RefusalReason, RequestId, RetryReason, TargetEntry, VersionDigest, VersionPermitRequest, VmId,
 };
 use curlewcleat_sched::{
     rate_retry_after, EntryAction, RateRole, RateShare, ReplacementStep, RequestSpec,
@@ -61,6 +61,7 @@
             self.actions.push(NodeAction::Decide(id, CallerDecision::Refuse(refusal)));
             return;
         }
+        let Some(spec) = self.resolve_stream(spec) else { return };
         let scheduler_orders = &self.scheduler_orders;
         let members = &self.members;
         let actions =
@@ -133,9 +134,7 @@
             match action {
                 EntryAction::ClaimKey(claim) => self.send_claim(claim),
                 EntryAction::ReportKey(outcome) => self.send_outcome(outcome),
-                EntryAction::RequestPermit(vm, request) => {
-                    self.post(&vm, PeerMessage::PermitRequest(request))
-                }
+                EntryAction::RequestPermit(vm, request) => self.send_permit_request(&vm, request),
                 EntryAction::ReturnPermit(vm, returned) => {
                     self.post(&vm, PeerMessage::PermitReturn(returned))
                 }
@@ -155,6 +154,16 @@
         }
     }
 
+    fn send_permit_request(&mut self, vm: &VmId, request: PermitRequest) {
+        let message = match request.version {
+            Some(version) if *vm != self.options.me.vm => {
+                PeerMessage::VersionPermitRequest(VersionPermitRequest { request, version })
+            }
+            _ => PeerMessage::PermitRequest(request),
+        };
+        self.post(vm, message);
+    }
+
     pub(super) fn dispatch(&mut self, permit: PermitId, target: &str) {
         // Targets may have terminated while running this request, here or elsewhere, since it was admitted.
         let digest = self.entry.digest_of(permit.request);
@@ -166,10 +175,14 @@
         let mut pools = config.pools.iter();
         let known = pools.find_map(|(id, pool)| Some((id, pool.targets.get(target)?)));
         let is_closed = |(pool, entry): (&PoolId, &TargetEntry)| {
-            self.is_blocked(pool, entry) || self.is_evacuated(&entry.data_centre)
+            let version = VersionDigest::of(entry.version.as_ref());
+            self.is_blocked(pool, entry)
+                || self.is_evacuated(&entry.data_centre)
+                || !self.entry.allows_version(permit.request, version)
         };
         if known.is_some_and(is_closed) {
-            // The version was rolled back or replaced, or the data centre evacuated, since the permit was granted.
+            // The version was rolled back or replaced, or the data centre evacuated, since the permit was granted; or the
+            // scheduler did not know which version began the stream.
             return self.attempt_not_run(
                 permit.request,
                 AttemptEnd::Unused,
--- /dev/null
+++ b/crates/node/tests/stream_versions.rs
@@ -0,0 +1,159 @@
+//! Streams that callers take up at other daemons of a fleet whose targets have two versions.
+//!
+//! Guards against daemons that do not know the version that began a stream: it was begun at another daemon, which has
+//! ended.
+
+mod support;
+
+use std::time::Duration;
+
+use curlewcleat_core::{RefusalReason, StreamId, StreamVersion, VersionDigest};
+use curlewcleat_node::{CallerDecision, NodeEvent};
+use curlewcleat_sched::{RequestSpec, TakenUpStream};
+use rstest::rstest;
+
+use support::{spec, target, Fleet};
+
+/// Time within which it is decided whether a stream goes on.
+const DECISION_LIMIT: Duration = Duration::from_millis(500);
+/// Longer than daemons remember the versions of targets that were removed.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(40);
+/// Targets of each version.
+const TARGETS: usize = 3;
+
+/// Returns a fleet whose targets are and were all of version `v1`.
+fn fleet_of(daemons: usize) -> Fleet {
+    let mut fleet = Fleet::new(daemons);
+    set_versions(&mut fleet, &["v1"]);
+    fleet.run(FORGOTTEN_AFTER);
+    fleet
+}
+
+/// Replaces the targets by some of each of these versions.
+fn set_versions(fleet: &mut Fleet, versions: &[&str]) {
+    let targets = versions.iter().flat_map(|version| {
+        (0..TARGETS).map(move |index| {
+            let mut target = target(&format!("{version}-{index}"), false);
+            target.entry.version = Some(version.to_string());
+            target
+        })
+    });
+    fleet.targets = (targets.collect(), fleet.targets.1 + 1);
+}
+
+fn stream(number: u128) -> StreamId {
+    StreamId::new("p", "a", &format!("first-{number}"))
+}
+
+/// Begins a stream at a daemon; returns the version that began it.
+fn begin(fleet: &mut Fleet, index: usize, number: u128) -> String {
+    fleet.admit(index, number);
+    fleet.run(DECISION_LIMIT);
+    let Some(CallerDecision::Dispatch(_, entry)) = fleet.decision(number).cloned() else {
+        panic!("{:?}", fleet.decision(number));
+    };
+    let version = VersionDigest::of(entry.version.as_ref());
+    let begun = StreamVersion { stream: stream(number), version };
+    fleet.event(index, NodeEvent::StreamBegun(spec(number).request, "p".to_string(), begun));
+    entry.version.expect("a version")
+}
+
+/// Takes up a stream at a daemon; returns the version at which it goes on, or why it does not.
+fn take_up(fleet: &mut Fleet, index: usize, number: u128) -> Result<String, RefusalReason> {
+    let second = 1_000_000 + number;
+    let takes_up = Some(TakenUpStream { stream: Some(stream(number)) });
+    let spec = RequestSpec { takes_up, ..spec(second) };
+    fleet.event(index, NodeEvent::Admit(Box::new(spec)));
+    fleet.run(DECISION_LIMIT);
+    match fleet.decision(second).cloned() {
+        Some(CallerDecision::Dispatch(_, entry)) => Ok(entry.version.expect("a version")),
+        Some(CallerDecision::Refuse(refusal)) => Err(refusal.reason),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Cuts daemons off for good.
+fn end(fleet: &mut Fleet, daemons: &[usize]) {
+    for index in daemons {
+        fleet.daemons[*index].cut = true;
+        fleet.daemons[*index].reaches_platform = false;
+    }
+}
+
+/// Returns a daemon that is none of the first in the order of schedulers.
+fn last_daemon(fleet: &Fleet) -> usize {
+    let candidates = fleet.candidates();
+    (0..fleet.daemons.len()).rev().find(|index| !candidates[..2].contains(index)).expect("one")
+}
+
+#[rstest]
+#[case::few(6)]
+#[case::many(60)]
+fn taken_up_stream_goes_on_at_its_version(#[case] daemons: usize) {
+    let mut fleet = Fleet::new(daemons);
+    set_versions(&mut fleet, &["v1", "v2"]);
+    fleet.run(Duration::from_secs(10));
+    let entry = last_daemon(&fleet);
+    let begun: Vec<(u128, String)> =
+        (1..=12).map(|number| (number, begin(&mut fleet, entry, number))).collect();
+    assert!(begun.iter().any(|(_, version)| version == "v1"));
+    assert!(begun.iter().any(|(_, version)| version == "v2"));
+    // The daemon of the first attempt, the scheduler and its deputy end together.
+    let candidates = fleet.candidates();
+    end(&mut fleet, &[entry, candidates[0], candidates[1]]);
+    let ended = [entry, candidates[0], candidates[1]];
+    let other = (0..daemons).find(|index| !ended.contains(index)).expect("another daemon");
+    // The first requests find out that the schedulers have ended.
+    fleet.run(Duration::from_secs(3));
+    for (number, version) in begun {
+        assert_eq!(take_up(&mut fleet, other, number), Ok(version), "{number}");
+    }
+}
+
+#[test]
+fn stream_that_began_before_the_second_version_goes_on_at_the_first() {
+    let mut fleet = fleet_of(6);
+    let entry = last_daemon(&fleet);
+    for number in 1..=6 {
+        assert_eq!(begin(&mut fleet, entry, number), "v1");
+    }
+    set_versions(&mut fleet, &["v1", "v2"]);
+    fleet.run(Duration::from_secs(2));
+    end(&mut fleet, &[entry]);
+    // Later than the time in which unknown streams are of the first version.
+    fleet.run(Duration::from_secs(8));
+    let other = (0..6).find(|index| *index != entry).expect("another daemon");
+    for number in 1..=6 {
+        assert_eq!(take_up(&mut fleet, other, number), Ok("v1".to_string()));
+    }
+}
+
+#[test]
+fn stream_whose_daemon_ended_with_the_second_version_goes_on_at_the_first() {
+    let mut fleet = fleet_of(6);
+    let entry = last_daemon(&fleet);
+    for number in 1..=6 {
+        assert_eq!(begin(&mut fleet, entry, number), "v1");
+    }
+    end(&mut fleet, &[entry]);
+    set_versions(&mut fleet, &["v1", "v2"]);
+    fleet.run(Duration::from_secs(2));
+    let other = (0..6).find(|index| *index != entry).expect("another daemon");
+    for number in 1..=3 {
+        assert_eq!(take_up(&mut fleet, other, number), Ok("v1".to_string()));
+    }
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(take_up(&mut fleet, other, 4), Err(RefusalReason::StreamVersionUnknown));
+}
+
+#[test]
+fn stream_that_nobody_knows_is_refused_within_its_time() {
+    let mut fleet = fleet_of(6);
+    set_versions(&mut fleet, &["v1", "v2"]);
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(take_up(&mut fleet, 1, 99), Err(RefusalReason::StreamVersionUnknown));
+    // Daemons that do not answer delay the refusal, not more.
+    let others: Vec<usize> = (0..6).filter(|index| *index != 1).collect();
+    end(&mut fleet, &others);
+    assert_eq!(take_up(&mut fleet, 1, 98), Err(RefusalReason::StreamVersionUnknown));
+}
--- a/crates/peers/tests/frames.rs
+++ b/crates/peers/tests/frames.rs
@@ -21,6 +21,7 @@
         output_work: work / 2,
         prefix: Some(work),
         avoid: vec![vm.clone()],
+        version: None,
     };
     let pull = StatePull { generation: work, table: incarnation };
     let messages = vec![PeerMessage::PermitRequest(request), PeerMessage::StatePull(pull)];
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -50,7 +50,9 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let open = |target: &TargetState| target.accepts_requests(now) && !target.rests(now);
-        if self.targets.values().all(open) && !self.targets.is_empty() {
+        // The last target of a version that a request is limited to may have been removed.
+        let changed = std::mem::take(&mut self.targets_changed);
+        if !changed && self.targets.values().all(open) && !self.targets.is_empty() {
             return;
         }
         let without_target = self
@@ -65,17 +67,24 @@
         }
     }
 
-    /// Returns whether some target accepts new work from this entry daemon and has not failed this request.
+    /// Returns whether some target accepts new work from this entry daemon, has not failed this request and has a version
+    /// that the request allows.
     pub(crate) fn has_usable_target(
         &self,
         now: Uptime,
         entry: &DaemonId,
         request: &PermitRequest,
     ) -> bool {
+        let only_ejected = self.has_only_ejected_targets(now, request);
         self.targets.iter().any(|(id, target)| {
-            let accepts =
-                target.accepts_requests(now) && target.rest_remaining(now, &entry.vm).is_none();
-            accepts && !request.avoid.contains(id)
+            let is_open = match only_ejected {
+                true => target.is_open_to(request.version),
+                false => target.accepts_requests_for(request.version, now),
+            };
+            let accepts = is_open && target.rest_remaining(now, &entry.vm).is_none();
+            let excluded =
+                request.avoid.contains(id) || !request.allows_version(target.version_digest);
+            accepts && !excluded
         })
     }
 
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -19,11 +19,11 @@
 
 use curlewcleat_core::{
     AttemptEnd, DaemonId, KeptAnswer, KeyAnswer, KeyDecision, PoolId, Refusal, RefusalReason,
-    RequestDigest, RequestId, RetryReason, Uptime, Verdict, VmId,
+    RequestDigest, RequestId, RetryReason, Uptime, Verdict, VersionDigest, VmId,
 };
 
 pub use self::action::EntryAction;
-pub use self::options::{EntryOptions, RequestSpec};
+pub use self::options::{EntryOptions, RequestSpec, TakenUpStream};
 pub use self::replacement::ReplacementStep;
 use self::request::{EntryRequest, RequestPhase, UsedPermit};
 use crate::election::unresponsive::UnresponsiveSchedulers;
@@ -174,6 +174,19 @@
         }
     }
 
+    /// Limits further attempts of a request to targets of the version that began its answer.
+    pub fn set_version(&mut self, id: RequestId, version: VersionDigest) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.spec.version.get_or_insert(version);
+        }
+    }
+
+    /// Returns whether a target of a version may serve a request.
+    pub fn allows_version(&self, id: RequestId, version: VersionDigest) -> bool {
+        let required = self.requests.get(&id).and_then(|request| request.spec.version);
+        required.is_none_or(|required| required == version)
+    }
+
     /// Removes a request whose caller has disconnected.
     pub fn cancelled(&mut self, id: RequestId) -> Vec<EntryAction> {
         let Some(request) = self.requests.remove(&id) else { return Vec::new() };
--- a/crates/sched/src/entry/options.rs
+++ b/crates/sched/src/entry/options.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AccountId, LatencyObjectives, PoolId, RequestDigest, RequestId, TierRank, WorkMicros,
+    AccountId, LatencyObjectives, PoolId, RequestDigest, RequestId, StreamId, TierRank,
+    VersionDigest, WorkMicros,
 };
 
 use crate::retry::budget::RetryLimits;
@@ -77,4 +78,15 @@
     pub digest: Option<RequestDigest>,
     /// Idempotency key of a request that may not be repeated, with the caller's attempt number.
     pub key: Option<(String, Option<u32>)>,
+    /// The stream that the request takes up, `None` where it takes up none.
+    pub takes_up: Option<TakenUpStream>,
+    /// The version that its target must have, `None` for any.
+    pub version: Option<VersionDigest>,
+}
+
+/// A stream that a caller takes up again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct TakenUpStream {
+    /// The stream, `None` where the caller does not name the attempt that began it.
+    pub stream: Option<StreamId>,
 }
--- a/crates/sched/src/entry/request.rs
+++ b/crates/sched/src/entry/request.rs
@@ -183,6 +183,7 @@
             prefix: self.spec.prefix,
             cost: self.spec.cost,
             avoid: self.avoid.clone(),
+            version: self.spec.version,
         }
     }
 
@@ -194,7 +195,12 @@
         timeouts: u32,
     ) -> EntryAction {
         self.phase = RequestPhase::Waiting(PermitWait::begin(scheduler.clone(), now, timeouts));
-        EntryAction::RequestPermit(scheduler, self.permit_request(now))
+        let mut request = self.permit_request(now);
+        if timeouts > 0 {
+            // The scheduler may be of an earlier version and unable to read the limit; a grant is checked again.
+            request.version = None;
+        }
+        EntryAction::RequestPermit(scheduler, request)
     }
 
     /// Returns the remaining time of the caller's objectives. After a failed attempt the forecast limit is
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -10,6 +10,7 @@
 //! | when a refused caller may retry | [`retry_after`] | none |
 //! | whether it terminates its targets | [`lethal`] | the suspect requests |
 //! | whether a version is accepted or rolled back | [`rollout`] | the versions of a pool, a rollout and its answers |
+//! | at which version of the targets a stream is continued | [`stream_versions`] | the streams and versions of a daemon |
 //! | which daemon decides | [`election`] | the members |
 //! | whether a target is reached directly or through a peer | [`target_reach`], [`relay_choice`] | the lost links of a daemon, its peers |
 //!
@@ -35,6 +36,7 @@
 mod retry_after;
 mod rollout;
 mod scheduler;
+mod stream_versions;
 mod target_gate;
 mod target_reach;
 mod targets;
@@ -48,7 +50,9 @@
 pub use election::candidates::ALL_POOLS;
 pub use election::heartbeats::HeartbeatReceiver;
 pub use election::membership::{HeartbeatChange, MemberOptions, MemberView, PeerState};
-pub use entry::{EntryAction, EntryOptions, EntryRequests, ReplacementStep, RequestSpec};
+pub use entry::{
+    EntryAction, EntryOptions, EntryRequests, ReplacementStep, RequestSpec, TakenUpStream,
+};
 pub use lethal::updates::{SuspectUpdates, ORDINARY_LIMIT};
 pub use lethal::{InstancePresence, LethalOptions, LethalRequests, LethalVerdict};
 pub use order::flows::{UrgencyFlow, UrgencyFlows};
@@ -70,5 +74,6 @@
 pub use rollout::exposure::{RolloutLimits, TrialShare};
 pub use rollout::versions::{PoolVersions, ReportedVersion, VersionAccess};
 pub use rollout::{PoolRollout, RolloutReason, RolloutStep, RolloutView};
+pub use stream_versions::{StreamBegin, StreamVersions};
 pub use target_gate::{GateStop, NoticeChange, TargetGate};
 pub use target_reach::{ReachChange, TargetReach, TargetRoute};
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -1,7 +1,7 @@
 //! Decides which target gets a waiting request.
 //!
 //! Inputs: the waiting request (work in microseconds, deadline, when its first part is due, targets
-//! that failed it), and for each target its free capacity, learned pace, prompt backlog, share of
+//! that failed it, the version that must serve it), and for each target its free capacity, learned pace, prompt backlog, share of
 //! failures and data centre.
 //!
 //! The rule: the candidates are the targets with free capacity ([`target`]) that have not requested rest
@@ -129,8 +129,11 @@
     fn choose_target(&self, now: Uptime, waiting: &WaitingRequest) -> Option<TargetId> {
         let top = waiting.request.tier == self.options.top;
         let reserve = self.options.reserve_percent;
+        let version = waiting.request.version;
+        let only_ejected = self.has_only_ejected_targets(now, &waiting.request);
         let candidates = self.targets.iter().filter(|(id, state)| {
-            state.has_capacity(top, reserve, now) && eligible(now, waiting, id, state)
+            state.has_capacity_for(version, only_ejected, top, reserve, now)
+                && eligible(now, waiting, id, state)
         });
         let scored = candidates.map(|(id, state)| {
             let fit = self.evaluate(now, waiting, state);
@@ -150,6 +153,14 @@
         Some(target.clone())
     }
 
+    /// Returns whether a request is limited to a version all of whose targets are ejected. The share of a pool's targets
+    /// that may be ejected does not protect the targets of one version; a request that may go nowhere else is sent to them.
+    pub(crate) fn has_only_ejected_targets(&self, now: Uptime, request: &PermitRequest) -> bool {
+        let Some(version) = request.version else { return false };
+        let mut of_version = self.targets.values().filter(|state| state.version_digest == version);
+        !of_version.any(|state| state.accepts_requests_for(Some(version), now))
+    }
+
     /// Returns how well a target suits a permit request.
     fn evaluate(&self, now: Uptime, waiting: &WaitingRequest, state: &TargetState) -> TargetFit {
         let request = &waiting.request;
@@ -221,10 +232,12 @@
     }
 }
 
-/// Returns whether a target has neither failed a request nor requested rest from its entry daemon.
+/// Returns whether a target has a version that the request allows, and has neither failed it nor requested rest from its
+/// entry daemon.
 fn eligible(now: Uptime, waiting: &WaitingRequest, id: &TargetId, state: &TargetState) -> bool {
-    let avoided = waiting.request.avoid.contains(id);
-    !avoided && state.rest_remaining(now, &waiting.entry.vm).is_none()
+    let request = &waiting.request;
+    let excluded = request.avoid.contains(id) || !request.allows_version(state.version_digest);
+    !excluded && state.rest_remaining(now, &waiting.entry.vm).is_none()
 }
 
 /// Returns the time added for a target whose requests failed recently.
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -16,7 +16,7 @@
 
 use curlewcleat_core::{
     DataCentreId, NoticeReport, PermitRequest, RequestRate, TargetReport, TargetStart,
-    TargetVersion, Uptime, VmId, WorkMicros,
+    TargetVersion, Uptime, VersionDigest, VmId, WorkMicros,
 };
 
 use super::ejection::TargetEjection;
@@ -50,6 +50,8 @@
     pub start: Option<TargetStart>,
     /// Version of its software, `None` if the target does not report one.
     pub version: Option<TargetVersion>,
+    /// Digest of the version.
+    pub version_digest: VersionDigest,
     /// Which requests its version may get.
     pub access: VersionAccess,
     /// The VM that it runs on.
@@ -98,6 +100,7 @@
         TargetState {
             start: None,
             version: None,
+            version_digest: VersionDigest::of(None),
             access: VersionAccess::Open,
             vm,
             data_centre: String::new(),
@@ -275,13 +278,26 @@
 
     /// Returns whether one more request may go to the target. The reserve is kept free unless `top` is set.
     pub fn has_capacity(&self, top: bool, reserve_percent: u32, now: Uptime) -> bool {
-        if self.is_leaving() || self.access != VersionAccess::Open {
+        self.has_capacity_for(None, false, top, reserve_percent, now)
+    }
+
+    /// Same as [`has_capacity`](TargetState::has_capacity), for a request that is limited to a version, and, with
+    /// `ignores_ejection`, that may go nowhere else.
+    pub fn has_capacity_for(
+        &self,
+        version: Option<VersionDigest>,
+        ignores_ejection: bool,
+        top: bool,
+        reserve_percent: u32,
+        now: Uptime,
+    ) -> bool {
+        if !self.is_open_to(version) {
             return false;
         }
         if self.limit.as_ref().is_some_and(|(rate, pace)| !pace.admits(now, *rate)) {
             return false;
         }
-        if self.ejection.is_ejected() {
+        if self.ejection.is_ejected() && !ignores_ejection {
             // After the time of the ejection the target is tried with one request at a time.
             return self.ejection.admits(now) && self.in_flight == 0;
         }
@@ -293,9 +309,25 @@
         self.in_flight + self.external_load(now) < self.slots - reserve
     }
 
+    /// Returns whether the target stays and its version may get a request that is limited to `version`. What a version on
+    /// trial has begun continues there.
+    pub fn is_open_to(&self, version: Option<VersionDigest>) -> bool {
+        let is_in_service = match self.access {
+            VersionAccess::Open => true,
+            VersionAccess::Trial => version == Some(self.version_digest),
+            _ => false,
+        };
+        is_in_service && !self.is_leaving()
+    }
+
     /// Returns whether the target accepts new requests when it has free capacity.
     pub fn accepts_requests(&self, now: Uptime) -> bool {
-        !self.is_leaving() && self.access == VersionAccess::Open && self.ejection.admits(now)
+        self.accepts_requests_for(None, now)
+    }
+
+    /// Same as [`accepts_requests`](TargetState::accepts_requests), for requests that are limited to a version.
+    pub fn accepts_requests_for(&self, version: Option<VersionDigest>, now: Uptime) -> bool {
+        self.is_open_to(version) && self.ejection.admits(now)
     }
 
     /// Returns the time until an ejected target may be tried again, `None` if it is not ejected or is leaving.
--- a/crates/sched/src/placement/trial.rs
+++ b/crates/sched/src/placement/trial.rs
@@ -69,7 +69,10 @@
         let is_candidate = |waiting: &&WaitingRequest| {
             let request = &waiting.request;
             let is_first = request.permit.attempt == 0 && request.avoid.is_empty();
-            is_first && trial.admits(request.objectives.urgency, self.rate_share)
+            // A stream that is continued goes to its own version, on trial or not.
+            is_first
+                && request.version.is_none()
+                && trial.admits(request.objectives.urgency, self.rate_share)
         };
         let candidates = self.queues.candidates(HEADS_TRIED).filter(is_candidate);
         let waiting = candidates
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -134,6 +134,8 @@
     pub(crate) rate_share: RateShare,
     /// Requests that it has granted to a version on trial and to others.
     pub(crate) trial: Option<TrialShare>,
+    /// Whether targets were added or removed since the waiting requests were last checked for a target.
+    pub(crate) targets_changed: bool,
 }
 
 impl PoolScheduler {
@@ -156,6 +158,7 @@
             brittle: None,
             rate_share: RateShare { reached: 1, all: 1, role: RateRole::Leader },
             trial: None,
+            targets_changed: false,
         }
     }
 
--- a/crates/sched/src/targets.rs
+++ b/crates/sched/src/targets.rs
@@ -11,7 +11,7 @@
 
 use curlewcleat_core::{
     InstanceOrder, NoticeReport, RequestRate, TargetEntry, TargetId, TargetInstance, TargetPool,
-    TargetReport, Uptime, VmId,
+    TargetReport, Uptime, VersionDigest, VmId,
 };
 
 use crate::admission::shared_rate::{RateRole, RateShare};
@@ -24,6 +24,7 @@
     pub fn configure(&mut self, options: PoolOptions, pool: &TargetPool) {
         self.options = options;
         self.targets.retain(|id, _| pool.targets.contains_key(id));
+        self.targets_changed = true;
         for entry in pool.targets.values() {
             self.configure_target(entry);
         }
@@ -49,7 +50,10 @@
         });
         state.start = entry.start.or(state.start);
         state.slots = entry.slots;
-        state.version.clone_from(&entry.version);
+        if state.version != entry.version {
+            state.version.clone_from(&entry.version);
+            state.version_digest = VersionDigest::of(entry.version.as_ref());
+        }
         state.data_centre.clone_from(&entry.data_centre);
         state.vm.clone_from(&entry.vm);
         state.leaving = is_leaving;
--- a/crates/sched/tests/brittle_targets.rs
+++ b/crates/sched/tests/brittle_targets.rs
@@ -78,6 +78,7 @@
         output_work: 500_000,
         prefix: None,
         avoid,
+        version: None,
     }
 }
 
--- a/crates/sched/tests/flows.rs
+++ b/crates/sched/tests/flows.rs
@@ -18,6 +18,7 @@
         prefix: None,
         cost: 1,
         avoid: Vec::new(),
+        version: None,
     }
 }
 
--- a/crates/sched/tests/life_reports.rs
+++ b/crates/sched/tests/life_reports.rs
@@ -49,6 +49,7 @@
         output_work: 100_000,
         prefix: Some(7),
         avoid: Vec::new(),
+        version: None,
     }
 }
 
--- a/crates/sched/tests/lives.rs
+++ b/crates/sched/tests/lives.rs
@@ -62,6 +62,7 @@
         output_work: 100_000,
         prefix: Some(7),
         avoid: Vec::new(),
+        version: None,
     }
 }
 
--- a/crates/sched/tests/notices.rs
+++ b/crates/sched/tests/notices.rs
@@ -79,6 +79,7 @@
         output_work: 1_000,
         prefix: None,
         avoid: Vec::new(),
+        version: None,
     }
 }
 
--- a/crates/sched/tests/overload.rs
+++ b/crates/sched/tests/overload.rs
@@ -94,6 +94,7 @@
             prefix: None,
             cost: 1,
             avoid: Vec::new(),
+            version: None,
         };
         let entry = DaemonId { vm: "e".to_string(), incarnation: 1 };
         let actions = self.scheduler.request_permit(self.now, entry, request);
--- a/crates/sched/tests/pools.rs
+++ b/crates/sched/tests/pools.rs
@@ -55,6 +55,7 @@
         output_work: 100_000,
         prefix: None,
         avoid: Vec::new(),
+        version: None,
     }
 }
 
--- a/crates/sched/tests/replacement.rs
+++ b/crates/sched/tests/replacement.rs
@@ -585,6 +585,7 @@
         output_work: 1_000,
         prefix: None,
         avoid: avoid.iter().map(|id| id.to_string()).collect(),
+        version: None,
     }
 }
 
--- /dev/null
+++ b/crates/sched/tests/stream_versions.rs
@@ -0,0 +1,214 @@
+//! The version of the targets at which a stream is continued, and the targets that such requests get.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use curlewcleat_core::{
+    AttemptEnd, DaemonId, LatencyObjectives, PermitDecision, PermitId, PermitRequest, PermitReturn,
+    RefusalReason, RequestId, StreamId, StreamVersion, TargetEntry, TargetPool, Uptime,
+    VersionDigest,
+};
+use curlewcleat_sched::{PoolOptions, PoolScheduler, SchedulerAction, StreamBegin, StreamVersions};
+use rstest::rstest;
+
+const POOL: &str = "p";
+const SLOTS: u32 = 2;
+
+const fn at(seconds: u64) -> Uptime {
+    Duration::from_secs(seconds)
+}
+
+fn version(name: &str) -> VersionDigest {
+    VersionDigest::of(Some(&name.to_string()))
+}
+
+fn stream(attempt: &str) -> StreamId {
+    StreamId::new(POOL, "a", attempt)
+}
+
+/// Returns the versions of a pool whose targets changed at these times.
+fn pool_versions(changes: &[(u64, &[&str])]) -> StreamVersions {
+    let mut versions = StreamVersions::default();
+    for (time, names) in changes {
+        let present: BTreeSet<_> = names.iter().map(|name| version(name)).collect();
+        versions.set_versions(at(*time), &POOL.to_string(), &present);
+    }
+    versions
+}
+
+#[rstest]
+#[case::no_targets(&[], StreamBegin::NoTargets)]
+#[case::one_version(&[(1, &["v1"][..])], StreamBegin::Version(version("v1")))]
+#[case::two_versions(&[(1, &["v1"][..]), (50, &["v1", "v2"])], StreamBegin::Unknown)]
+#[case::first_one_gone(&[(1, &["v1"][..]), (70, &["v1", "v2"]), (80, &["v2"])], StreamBegin::Unknown)]
+#[case::first_one_long_gone(&[(1, &["v1"][..]), (20, &["v1", "v2"]), (40, &["v2"])], StreamBegin::Version(version("v2")))]
+fn unknown_stream_has_the_only_version_of_its_pool(
+    #[case] changes: &[(u64, &[&str])],
+    #[case] expected: StreamBegin,
+) {
+    let versions = pool_versions(changes);
+    assert_eq!(versions.find(at(100), POOL, Some(&stream("x"))), expected);
+    assert_eq!(versions.find(at(100), POOL, None), expected);
+}
+
+#[rstest]
+#[case::second_version_is_new(&[(1, &["v1"][..]), (97, &["v1", "v2"])], StreamBegin::Version(version("v1")))]
+#[case::second_version_is_older(&[(1, &["v1"][..]), (90, &["v1", "v2"])], StreamBegin::Unknown)]
+#[case::both_were_there_at_the_start(&[(99, &["v1", "v2"][..])], StreamBegin::Unknown)]
+#[case::first_one_was_not_alone_for_long(&[(96, &["v1"][..]), (99, &["v1", "v2"])], StreamBegin::Unknown)]
+#[case::third_version_is_new(&[(1, &["v1"][..]), (80, &["v1", "v2"]), (99, &["v1", "v2", "v3"])], StreamBegin::Unknown)]
+fn stream_that_nobody_knows_began_before_a_second_version(
+    #[case] changes: &[(u64, &[&str])],
+    #[case] expected: StreamBegin,
+) {
+    assert_eq!(pool_versions(changes).untold(at(100), POOL), expected);
+}
+
+#[test]
+fn stream_is_remembered_for_its_time_and_at_its_first_version() {
+    let mut versions = pool_versions(&[(1, &["v1", "v2"])]);
+    let begun = |name| StreamVersion { stream: stream("x"), version: version(name) };
+    versions.remember(at(10), begun("v1"), false);
+    versions.remember(at(20), begun("v2"), false);
+    assert_eq!(versions.version_of(&stream("x")), Some(version("v1")));
+    versions.remember(at(30), begun("v1"), true);
+    let other = StreamVersion { stream: stream("y"), version: version("v2") };
+    versions.remember(at(59), other, false);
+    assert_eq!(versions.version_of(&stream("x")), Some(version("v1")), "continued at 30 s");
+    assert_eq!(versions.own_streams(at(59)), vec![begun("v1")]);
+    versions.remember(at(60), other, false);
+    assert_eq!(versions.version_of(&stream("x")), None);
+}
+
+#[rstest]
+#[case::pool("q", "a", "x")]
+#[case::account("p", "b", "x")]
+#[case::attempt("p", "a", "y")]
+#[case::moved_bytes("pa", "", "x")]
+fn stream_of_another_caller_is_another_stream(
+    #[case] pool: &str,
+    #[case] account: &str,
+    #[case] attempt: &str,
+) {
+    assert_ne!(StreamId::new(pool, account, attempt), stream("x"));
+}
+
+fn pool(versions: &[&str]) -> TargetPool {
+    let entry = |(index, version): (usize, &&str)| {
+        let id = format!("t{index}");
+        let version = Some(version.to_string());
+        let entry =
+            TargetEntry { vm: id.clone(), slots: SLOTS, version, id, ..TargetEntry::default() };
+        (entry.id.clone(), entry)
+    };
+    let targets = versions.iter().enumerate().map(entry).collect();
+    TargetPool { id: POOL.to_string(), targets, ..TargetPool::default() }
+}
+
+fn scheduler(versions: &[&str]) -> PoolScheduler {
+    let mut scheduler = PoolScheduler::new(POOL.to_string(), PoolOptions::default());
+    scheduler.configure(PoolOptions::default(), &pool(versions));
+    scheduler
+}
+
+fn daemon() -> DaemonId {
+    DaemonId { vm: "e".to_string(), incarnation: 1 }
+}
+
+fn permit(number: u128) -> PermitId {
+    PermitId { request: RequestId::from_u128(number), attempt: 0 }
+}
+
+fn permit_request(number: u128, limited_to: Option<&str>) -> PermitRequest {
+    PermitRequest {
+        permit: permit(number),
+        pool: POOL.to_string(),
+        tier: 0,
+        account: "a".to_string(),
+        time_left: Duration::from_secs(60),
+        objectives: LatencyObjectives::default(),
+        prompt_work: 0,
+        output_work: 100_000,
+        prefix: None,
+        cost: 1,
+        avoid: Vec::new(),
+        version: limited_to.map(version),
+    }
+}
+
+fn granted(actions: &[SchedulerAction]) -> Vec<&str> {
+    let decisions = actions.iter().map(|action| &action.answer.decision);
+    let targets = decisions.filter_map(|decision| match decision {
+        PermitDecision::Granted(target) => Some(target.as_str()),
+        _ => None,
+    });
+    targets.collect()
+}
+
+fn refused(actions: &[SchedulerAction]) -> Vec<RefusalReason> {
+    let decisions = actions.iter().map(|action| &action.answer.decision);
+    let reasons = decisions.filter_map(|decision| match decision {
+        PermitDecision::Refused(refusal) => Some(refusal.reason),
+        _ => None,
+    });
+    reasons.collect()
+}
+
+#[test]
+fn limited_requests_get_targets_of_their_version_only() {
+    let mut scheduler = scheduler(&["v1", "v1", "v2", "v2"]);
+    for number in 0..2 * u128::from(SLOTS) {
+        let actions = scheduler.request_permit(at(1), daemon(), permit_request(number, Some("v2")));
+        assert!(matches!(granted(&actions)[..], ["t2" | "t3"]), "{actions:?}");
+    }
+    let waiting = scheduler.request_permit(at(1), daemon(), permit_request(9, Some("v2")));
+    assert!(granted(&waiting).is_empty() && refused(&waiting).is_empty(), "{waiting:?}");
+    let other = scheduler.request_permit(at(1), daemon(), permit_request(10, None));
+    assert!(matches!(granted(&other)[..], ["t0" | "t1"]), "{other:?}");
+}
+
+#[test]
+fn limited_request_is_refused_at_once_when_the_last_target_of_its_version_is_gone() {
+    let mut scheduler = scheduler(&["v1", "v2"]);
+    let unserved = scheduler.request_permit(at(1), daemon(), permit_request(1, Some("v3")));
+    assert_eq!(refused(&unserved), [RefusalReason::NoTarget]);
+    for number in 2..=u128::from(SLOTS) + 2 {
+        scheduler.request_permit(at(1), daemon(), permit_request(number, Some("v2")));
+    }
+    assert_eq!(scheduler.waiting(), 1);
+    scheduler.configure(PoolOptions::default(), &pool(&["v1"]));
+    assert_eq!(refused(&scheduler.tick(at(2))), [RefusalReason::NoTarget]);
+}
+
+/// Guards against requests behind others that wait for the targets of one version, while other targets are idle.
+#[test]
+fn requests_that_wait_for_a_version_do_not_delay_others() {
+    let mut scheduler = scheduler(&["v1", "v2"]);
+    for number in 0..20 {
+        scheduler.request_permit(at(1), daemon(), permit_request(number, Some("v2")));
+    }
+    assert_eq!(scheduler.waiting(), 20 - SLOTS as usize);
+    let other = scheduler.request_permit(at(1), daemon(), permit_request(30, None));
+    assert_eq!(granted(&other), ["t0"]);
+}
+
+/// Guards against streams that cannot go on although targets of their version serve: a pool may eject half of its
+/// targets, and these may be all of one version.
+#[test]
+fn limited_request_gets_an_ejected_target_where_its_version_has_no_other() {
+    let mut scheduler = scheduler(&["v1", "v1", "v2"]);
+    for number in 0..3 {
+        scheduler.request_permit(at(1), daemon(), permit_request(number, Some("v2")));
+        let returned = PermitReturn {
+            permit: permit(number),
+            pool: POOL.to_string(),
+            end: AttemptEnd::Failed,
+        };
+        scheduler.return_permit(at(1), &returned);
+    }
+    assert!(scheduler.targets()["t2"].ejected());
+    let limited = scheduler.request_permit(at(1), daemon(), permit_request(10, Some("v2")));
+    assert_eq!(granted(&limited), ["t2"]);
+    let other = scheduler.request_permit(at(1), daemon(), permit_request(11, None));
+    assert!(matches!(granted(&other)[..], ["t0" | "t1"]), "{other:?}");
+}
--- a/crates/sched/tests/streams.rs
+++ b/crates/sched/tests/streams.rs
@@ -114,6 +114,7 @@
         prefix: None,
         cost: 1,
         avoid: Vec::new(),
+        version: None,
     }
 }
 
--- a/crates/sched/tests/urgencies.rs
+++ b/crates/sched/tests/urgencies.rs
@@ -117,6 +117,7 @@
             prefix: None,
             cost: 1,
             avoid: Vec::new(),
+            version: None,
         };
         let entry = DaemonId { vm: "e".to_string(), incarnation: 1 };
         let actions = self.scheduler.request_permit(self.now, entry, request);
