Event streams: one with an event that is too long to be buffered is not resumed

Callers of a stream with an event of more than a megabyte get it in parts. If the stream broke off within or behind it, it went on after the last numbered event before, so that the long event came again, whole, behind its own beginning (by reading; the number of an event that was returned in parts is never known). Such a stream is cut instead, and it has not ended between two events until the long one has. The test states both.

--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -44,6 +44,9 @@
     /// Prepares for another attempt after an interruption; that attempt may continue after the last event.
     fn restart(&mut self);
 
+    /// Returns whether another attempt can continue the answer at the right place.
+    fn is_resumable(&self) -> bool;
+
     /// Returns the number of the last event that was relayed.
     fn last_event(&self) -> Option<u64>;
 
@@ -152,6 +155,10 @@
 
     fn restart(&mut self) {}
 
+    fn is_resumable(&self) -> bool {
+        true
+    }
+
     fn last_event(&self) -> Option<u64> {
         None
     }
@@ -205,6 +212,10 @@
         self.events.discard_incomplete();
     }
 
+    fn is_resumable(&self) -> bool {
+        self.events.is_resumable()
+    }
+
     fn last_event(&self) -> Option<u64> {
         self.events.last()
     }
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -116,7 +116,7 @@
             let (end, cause) = (AttemptEnd::Unused, AttemptCause::CallerBody);
             return AttemptOutcome::Failed(end, error.reason(), cause);
         }
-        if self.protocol().may_repeat(&self.request) {
+        if self.protocol().may_repeat(&self.request) && self.framing.is_resumable() {
             return AttemptOutcome::Retry(RetryReason::StreamResumed, cause);
         }
         AttemptOutcome::Failed(AttemptEnd::Failed, reason, cause)
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -16,16 +16,20 @@
 pub struct EventSplitter {
     buffered: BytesMut,
     scan: EventScan,
+    /// Whether a part of an event was returned because the event is too long to be buffered. Its number is not known.
+    has_returned_part: bool,
     last_event_number: Option<u64>,
 }
 
 /// Search for the end of the first buffered event, which continues where the bytes ended.
 #[derive(Debug, Default)]
 struct EventScan {
-    /// Number of bytes that were searched.
+    /// Number of buffered bytes that were searched.
     searched: usize,
-    /// Start of the line that has not ended yet.
-    line_start: usize,
+    /// Whether the line that has not ended yet has content.
+    line_has_content: bool,
+    /// Whether the latest byte was a carriage return.
+    is_after_return: bool,
     /// Whether a line of the event has content.
     has_content: bool,
 }
@@ -33,31 +37,29 @@
 impl EventScan {
     /// Returns the length of the first event, including its blank line.
     fn event_end(&mut self, bytes: &[u8]) -> Option<usize> {
-        while self.searched < bytes.len() {
-            let index = self.searched;
+        while let Some(byte) = bytes.get(self.searched).copied() {
             self.searched += 1;
-            let is_line_end = match bytes[index] {
-                b'\r' => true,
-                // The line feed after a carriage return belongs to the end of the same line.
-                b'\n' if index > 0 && bytes[index - 1] == b'\r' => {
-                    self.line_start = index + 1;
-                    false
+            let was_return = std::mem::replace(&mut self.is_after_return, byte == b'\r');
+            match byte {
+                // It belongs to the end of the line that the carriage return has ended.
+                b'\n' if was_return => {}
+                b'\r' | b'\n' => {
+                    let is_blank = !std::mem::take(&mut self.line_has_content);
+                    if is_blank && self.has_content {
+                        let line_feed = bytes.get(self.searched) == Some(&b'\n');
+                        return Some(self.searched + usize::from(byte == b'\r' && line_feed));
+                    }
                 }
-                byte => byte == b'\n',
-            };
-            if !is_line_end {
-                continue;
+                _ => (self.line_has_content, self.has_content) = (true, true),
             }
-            let is_blank = self.line_start == index;
-            self.line_start = index + 1;
-            if is_blank && self.has_content {
-                let has_line_feed = bytes[index] == b'\r' && bytes.get(index + 1) == Some(&b'\n');
-                return Some(index + 1 + usize::from(has_line_feed));
-            }
-            self.has_content |= !is_blank;
         }
         None
     }
+
+    /// Returns whether no event is incomplete.
+    fn is_between_events(&self) -> bool {
+        !self.has_content
+    }
 }
 
 impl EventSplitter {
@@ -84,14 +86,21 @@
             }
         }
         if self.buffered.len() > EVENT_LIMIT {
-            out.extend_from_slice(&self.take_remaining());
+            self.has_returned_part = true;
+            self.scan.searched = 0;
+            out.extend_from_slice(&self.buffered.split());
         }
         out.freeze()
     }
 
     /// Returns whether no event is incomplete.
     pub fn is_between_events(&self) -> bool {
-        self.scan.line_start == self.buffered.len() && !self.scan.has_content
+        self.scan.is_between_events()
+    }
+
+    /// Returns whether the stream may continue after the last complete event: only complete events were returned.
+    pub fn is_resumable(&self) -> bool {
+        !self.has_returned_part
     }
 
     /// Returns the buffered bytes at the end of a complete stream.
--- a/crates/targets/tests/events.rs
+++ b/crates/targets/tests/events.rs
@@ -77,6 +77,26 @@
     assert_eq!(splitter.last(), Some(7));
 }
 
+/// Guards against streams that go on behind an event of which the caller has a part: the event came again, whole.
+#[test]
+fn stream_with_an_event_that_is_too_long_is_not_resumed() {
+    let mut splitter = EventSplitter::default();
+    assert!(splitter.is_resumable());
+    let mut returned = splitter.push(b"id: 1\ndata: ").len();
+    for _ in 0..30 {
+        returned += splitter.push(&[b'a'; 50_000]).len();
+        assert_eq!(splitter.is_resumable(), returned == 0);
+        assert!(!splitter.is_between_events());
+    }
+    assert!(returned > 1 << 20, "a long event is not held");
+    returned += splitter.push(b"\n").len();
+    assert!(!splitter.is_between_events(), "its blank line is missing");
+    returned += splitter.push(b"\n").len();
+    assert!(splitter.is_between_events() && !splitter.is_resumable());
+    assert_eq!(returned, 30 * 50_000 + 14);
+    assert_eq!(splitter.push(b"id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+}
+
 /// Guards against a search that begins anew with each part, whose time grows with the square of the size of an event.
 #[test]
 fn time_for_an_event_grows_with_its_size() {
