--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -73,18 +73,25 @@
                 .h1(service.clone());
             let Ok(handler) = factory.new_service(()).await else { continue };
             let stream = CallerStream::new(stream, options.unwritten.clone());
-            let connection = handler.call((stream, Some(peer)));
-            let open_count = Rc::clone(&open_count);
-            open_count.set(open_count.get() + 1);
-            actix_rt::spawn(async move {
-                log_connection_end(name, connection.await);
-                open_count.set(open_count.get() - 1);
-            });
+            serve_counted(name, handler.call((stream, Some(peer))), Rc::clone(&open_count));
         }
     });
     Ok(())
 }
 
+/// Serves a connection in a task of its own, which is counted while it runs.
+fn serve_counted(
+    name: &'static str,
+    connection: impl Future<Output = Result<(), DispatchError>> + 'static,
+    open_count: Rc<Cell<usize>>,
+) {
+    open_count.set(open_count.get() + 1);
+    actix_rt::spawn(async move {
+        log_connection_end(name, connection.await);
+        open_count.set(open_count.get() - 1);
+    });
+}
+
 /// Accepts a connection, or logs the error and pauses.
 async fn accept(name: &str, listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
     match listener.accept().await {
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -105,14 +105,13 @@
                 NextPart::Replaced(other) => {
                     return AttemptOutcome::Replaced(other, AttemptCause::PartTimeout)
                 }
-                NextPart::Interrupted(cause) => {
-                    let Some(rest) = self.resume(target, limit).await else {
-                        return self.interrupted(RefusalReason::TargetClosed, cause);
-                    };
-                    self.progress.record_frame(rest.frame());
-                    body = rest;
-                    continue;
-                }
+                NextPart::Interrupted(cause) => match self.resume(target, limit).await {
+                    Some(rest) => {
+                        body = rest;
+                        continue;
+                    }
+                    None => return self.interrupted(RefusalReason::TargetClosed, cause),
+                },
             };
             if part.is_empty() {
                 continue;
@@ -226,7 +225,10 @@
                 connection?.exchange(head, ()).await
             };
             match tokio::time::timeout(limit, exchange).await {
-                Ok(Ok(answer)) if answer.head.status.is_success() => return Some(answer.body),
+                Ok(Ok(answer)) if answer.head.status.is_success() => {
+                    self.progress.record_frame(answer.body.frame());
+                    return Some(answer.body);
+                }
                 // Each failure counts as one resumption, and the framing limits their number.
                 _ => {}
             }
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -22,11 +22,13 @@
 //! microseconds.
 
 mod ahead;
+mod candidates;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use curlewcleat_core::{AccountId, DaemonId, PermitId, TierRank, Uptime, WorkMicros};
 
+use self::candidates::first_candidates;
 use super::rank::{QueueRank, UrgencyKey};
 use super::shares::{UrgencyShares, FULL_SHARE};
 use super::waiting::{class_of, QueueKey, TierQueue, WaitingRequest};
@@ -34,29 +36,6 @@
 /// Scale of virtual time; keeps precision when work is divided by weights.
 const VIRTUAL_TIME_SCALE: u64 = 1_000;
 
-/// Requests of an account's queue that are candidates, so that one that suits no target does not delay the others.
-const CANDIDATES_PER_ACCOUNT: usize = 4;
-
-/// Requests of an account's queue that are searched for candidates beside those that are limited to a version.
-const SEARCHED_PER_ACCOUNT: usize = 32;
-
-/// Returns the candidates among the requests of an account. Those that are limited to a version of the targets are
-/// counted apart, so that they do not delay the others while the targets of their version are busy.
-fn first_candidates<'a>(
-    waiting: impl Iterator<Item = &'a WaitingRequest>,
-) -> impl Iterator<Item = &'a WaitingRequest> {
-    let (mut limited, mut others) = (0, 0);
-    let counted = waiting.take(SEARCHED_PER_ACCOUNT).map_while(move |waiting| {
-        if others == CANDIDATES_PER_ACCOUNT {
-            return None;
-        }
-        let count = if waiting.request.version.is_some() { &mut limited } else { &mut others };
-        *count += 1;
-        Some((*count <= CANDIDATES_PER_ACCOUNT).then_some(waiting))
-    });
-    counted.flatten()
-}
-
 /// Position of a waiting request: its queue, its account and its key there.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct QueuePosition {
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -234,6 +234,9 @@
         run: RunningRequest<'_>,
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
+        if let Some((frame, length)) = truncation(step) {
+            return self.answer_truncated(run, frame, length, connection).await;
+        }
         match step {
             EngineStep::Fail(status) => {
                 connection
@@ -251,12 +254,6 @@
                 self.runs.borrow_mut()[run.run_index].disconnected = true;
                 Ok(AfterAnswer::Close)
             }
-            EngineStep::WithoutLength => {
-                self.answer_truncated(run, AnswerFrame::Close, usize::MAX, connection).await
-            }
-            EngineStep::Truncate(frame, length) => {
-                self.answer_truncated(run, frame, length, connection).await
-            }
             EngineStep::StallWithoutLength(length) => {
                 self.answer_truncated(run, AnswerFrame::Close, length, connection).await?;
                 connection.closed().await;
@@ -485,6 +482,15 @@
     }
 }
 
+/// Returns how the answer of a step is framed and after how many bytes it ends, if the step states it.
+fn truncation(step: EngineStep) -> Option<(AnswerFrame, usize)> {
+    match step {
+        EngineStep::WithoutLength => Some((AnswerFrame::Close, usize::MAX)),
+        EngineStep::Truncate(frame, length) => Some((frame, length)),
+        _ => None,
+    }
+}
+
 fn borrowed(headers: &[(String, String)]) -> Vec<(&str, &str)> {
     headers.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect()
 }
