Soak: releases beside kills, answers cut at any byte, callers that take up their streams

No caller of the soak took up a stream and no engine had a version. Kind `releases`: engines are replaced by others of three versions, all engines cut off answers (without a length at any byte, in chunks, or by falling silent), and callers take up resumable streams at drawn daemons, at most three times. The check: no stream is run by engines of two versions, within one answer or over attempts; every byte is compared as before. The stand-in sent events behind the last one when it broke off a continued stream; it is bounded.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -15,6 +15,8 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use crate::releases::{broken_stream, TakenUp};
+
 /// Timeout that a caller states in each request, in milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 3_000;
 /// Time after the stated timeout at which a caller stops waiting.
@@ -22,6 +24,9 @@
 /// Upper bound of the pause between two requests of a caller, in milliseconds.
 const PAUSE_MS: u64 = 40;
 
+/// Most attempts at which a caller takes up a stream.
+const TAKE_UPS: usize = 3;
+
 /// Kind of a request, by whether and how it may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -107,6 +112,8 @@
     pub ended: Instant,
     /// The outcome.
     pub outcome: CallOutcome,
+    /// The stream that the request takes up, `None` where it begins one or has another answer.
+    pub taken_up: Option<TakenUp>,
 }
 
 /// The callers of a run.
@@ -118,8 +125,9 @@
 }
 
 impl SoakCallers {
-    /// Starts callers that send requests to daemons at these addresses.
-    pub fn start(seed: u64, count: usize, daemons: &[String]) -> SoakCallers {
+    /// Starts callers that send requests to daemons at these addresses, and with `takes_up` take up streams that broke
+    /// off.
+    pub fn start(seed: u64, count: usize, daemons: &[String], takes_up: bool) -> SoakCallers {
         let records = Rc::new(RefCell::new(Vec::new()));
         let ended = Rc::new(Cell::new(false));
         let tasks = (0..count).map(|number| {
@@ -130,6 +138,7 @@
                 connections: ConnectionPool::default(),
                 records: Rc::clone(&records),
                 ended: Rc::clone(&ended),
+                takes_up,
             };
             actix_rt::spawn(caller.run())
         });
@@ -155,6 +164,7 @@
     connections: ConnectionPool,
     records: Rc<RefCell<Vec<CallRecord>>>,
     ended: Rc<Cell<bool>>,
+    takes_up: bool,
 }
 
 impl SoakCaller {
@@ -164,12 +174,27 @@
             count += 1;
             let attempt = format!("c{}-{count}", self.number);
             let record = self.call(attempt).await;
+            let (broken, key) = (broken_stream(&record).filter(|_| self.takes_up), record.key);
             self.records.borrow_mut().push(record);
+            self.take_up(broken, key).await;
             let pause = Duration::from_millis(self.random.random_range(0..PAUSE_MS));
             tokio::time::sleep(pause).await;
         }
     }
 
+    /// Takes up a stream at drawn daemons until it is complete or the attempts are used up.
+    async fn take_up(&mut self, mut broken: Option<TakenUp>, key: &'static str) {
+        for number in 1..=TAKE_UPS {
+            let Some(taken_up) = broken.take() else { return };
+            let attempt = format!("{}-{number}", taken_up.begun_as);
+            let daemon = self.random.random_range(0..self.daemons.len());
+            let kind = CallKind::ResumableStream;
+            let record = self.call_with(daemon, attempt, kind, key, Some(taken_up)).await;
+            broken = broken_stream(&record);
+            self.records.borrow_mut().push(record);
+        }
+    }
+
     async fn call(&mut self, attempt: String) -> CallRecord {
         let daemon = self.random.random_range(0..self.daemons.len());
         let kind = CallKind::ALL.choose(&mut self.random).copied().unwrap_or(CallKind::Once);
@@ -178,14 +203,26 @@
             CallKind::Keyless => "",
             _ => keys.choose(&mut self.random).copied().unwrap_or(DRIVERS_KEY),
         };
+        self.call_with(daemon, attempt, kind, key, None).await
+    }
+
+    async fn call_with(
+        &self,
+        daemon: usize,
+        attempt: String,
+        kind: CallKind,
+        key: &'static str,
+        taken_up: Option<TakenUp>,
+    ) -> CallRecord {
         let sent = Instant::now();
         let limit = Duration::from_millis(REQUEST_TIMEOUT_MS) + CALLER_GRACE;
-        let exchange = self.exchange(daemon, kind, key, &attempt);
+        let exchange = self.exchange(daemon, kind, key, &attempt, taken_up.as_ref());
         let outcome = match tokio::time::timeout(limit, exchange).await {
             Ok(outcome) => outcome,
             Err(_) => CallOutcome::NoAnswer("the caller stopped waiting".to_string()),
         };
-        CallRecord { attempt, kind, key, daemon, sent, ended: Instant::now(), outcome }
+        let ended = Instant::now();
+        CallRecord { attempt, kind, key, daemon, sent, ended, outcome, taken_up }
     }
 
     async fn exchange(
@@ -194,9 +231,11 @@
         kind: CallKind,
         key: &str,
         attempt: &str,
+        taken_up: Option<&TakenUp>,
     ) -> CallOutcome {
         let daemon = &self.daemons[daemon];
-        send_request(&self.connections, daemon, kind, (key, attempt), request_body(attempt)).await
+        let head = request_head(kind, key, attempt, taken_up);
+        exchange_head(&self.connections, daemon, head, request_body(attempt)).await
     }
 }
 
@@ -207,12 +246,21 @@
     kind: CallKind,
     (key, attempt): (&str, &str),
     body: Bytes,
+) -> CallOutcome {
+    exchange_head(connections, daemon, request_head(kind, key, attempt, None), body).await
+}
+
+/// Sends a request and reads the answer.
+async fn exchange_head(
+    connections: &ConnectionPool,
+    daemon: &str,
+    head: RequestHead,
+    body: Bytes,
 ) -> CallOutcome {
     let Ok(connection) = connections.connect(daemon, Duration::from_secs(1)).await else {
         return CallOutcome::Unsent;
     };
     let options = ExchangeOptions { allow_close_delimited: true, ..ExchangeOptions::default() };
-    let head = request_head(kind, key, attempt);
     let answer = match connection.exchange_with(head, body, &options).await {
         Ok(answer) => answer,
         Err(error) => return CallOutcome::NoAnswer(error.to_string()),
@@ -242,7 +290,12 @@
     Bytes::from(format!("body of {attempt}"))
 }
 
-fn request_head(kind: CallKind, key: &str, attempt: &str) -> RequestHead {
+fn request_head(
+    kind: CallKind,
+    key: &str,
+    attempt: &str,
+    taken_up: Option<&TakenUp>,
+) -> RequestHead {
     let mut head = RequestHead::default();
     head.method = Method::POST;
     if let Ok(uri) = kind.path().parse() {
@@ -258,6 +311,11 @@
     if !key.is_empty() {
         headers.push(("authorization", &bearer));
     }
+    let after = taken_up.map(|taken_up| taken_up.after.to_string()).unwrap_or_default();
+    if let Some(taken_up) = taken_up {
+        headers.push((WIRE_PROFILE.last_event, &after));
+        headers.push((WIRE_PROFILE.resumes, &taken_up.begun_as));
+    }
     for (name, value) in headers {
         if let Ok(value) = HeaderValue::from_str(value) {
             head.headers.insert(HeaderName::from_static(name), value);
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -10,6 +10,7 @@
 use crate::evidence::{SoakEvidence, AFTERMATH};
 use crate::lethal::LETHAL;
 use crate::notices::check_notices;
+use crate::releases::check_versions;
 
 /// Statuses that guarantee that the request has not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -84,6 +85,7 @@
             .push(SoakViolation { invariant: "engines run only requests of callers", detail });
     }
     violations.extend(check_lethal(&lethal));
+    violations.extend(check_versions(evidence));
     violations.extend(check_notices(evidence));
     let failures = evidence.failures.iter().cloned();
     violations.extend(
@@ -153,7 +155,11 @@
         return None;
     }
     let expected = match case.record.kind.is_stream() {
-        true => FleetEngine::expected_stream(attempt, events),
+        true => {
+            let after = case.record.taken_up.as_ref().map_or(0, |stream| stream.after);
+            let skipped = FleetEngine::expected_stream(attempt, after).len();
+            FleetEngine::expected_stream(attempt, events)[skipped..].to_string()
+        }
         false => format!("record of {attempt}"),
     };
     let right = match complete {
--- a/crates/soak/src/evidence.rs
+++ b/crates/soak/src/evidence.rs
@@ -1,6 +1,6 @@
 //! Holds what a run recorded, as the input of the checks.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use curlewcleat_standins::fleet::EngineRun;
@@ -63,6 +63,8 @@
     pub faults: Vec<(Instant, Instant)>,
     /// Daemons that were suspended or restarted, with start and end.
     pub interruptions: Vec<(usize, Instant, Instant)>,
+    /// Versions of the engines, in runs with releases.
+    pub versions: BTreeMap<String, String>,
     /// Notices that engines have sent about themselves.
     pub notices: Vec<SentNotice>,
     /// Names of list entries that no engine wrote.
--- a/crates/soak/src/extra.rs
+++ b/crates/soak/src/extra.rs
@@ -11,6 +11,7 @@
 use crate::cuts::draw_cut;
 use crate::notices::EngineNotice;
 use crate::plan::{FaultStep, PlanOptions, SoakFault};
+use crate::releases::draw_release;
 
 /// Combined with the seed, so that the additional faults are drawn independently of the plan.
 const EXTRA_SEED_MASK: u64 = 0x5eed_0000_0000_0000;
@@ -39,6 +40,9 @@
     /// Daemons lose their links to all engines.
     #[value(name = "cuts")]
     Cuts,
+    /// Engines are replaced by others of another version and cut off answers, and callers take up their streams.
+    #[value(name = "releases")]
+    Releases,
 }
 
 /// Address at which an engine restarts.
@@ -102,6 +106,7 @@
         }
         ExtraKind::Lethal => SoakFault::Lethal,
         ExtraKind::Cuts => draw_cut(random, options.daemons).0,
+        ExtraKind::Releases => draw_release(random, engine),
         ExtraKind::Notices => {
             let notices = [
                 EngineNotice::Limit(2),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -59,6 +59,8 @@
             SoakFault::Notice(index, notice) => self.send_notice(index, notice, time).await?,
             SoakFault::Lethal => self.send_lethal(time).await,
             SoakFault::Overwrite(index, entry) => self.overwrite(index, entry).await?,
+            SoakFault::CutAnswers(step) => self.cut_answers(step, time).await,
+            SoakFault::Release(index, version) => self.release(index, version, time).await?,
             SoakFault::Cut(cut, fault) => self.cut_engines(cut, fault, time).await?,
         }
         Ok(())
@@ -180,7 +182,7 @@
         engine.set_default_step(EngineStep::Serve);
     }
 
-    async fn leave(&self, index: usize, time: Duration) -> Result<()> {
+    pub(crate) async fn leave(&self, index: usize, time: Duration) -> Result<()> {
         let old = self.replace_engine(index).await?;
         let id = old.engine.id.clone();
         self.write_entry(&old, DRAINING)?;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -91,6 +91,8 @@
     pub engine_links: Option<EngineLinks>,
     /// Port of the relays of all daemons.
     relay_port: u16,
+    /// Version of the engines that are started, in runs with releases.
+    pub version: Cell<u32>,
     /// Ids of the engines that send a notice now.
     pub notifying: RefCell<BTreeSet<String>>,
 }
@@ -147,6 +149,7 @@
             active_faults: Cell::new(0),
             engine_links,
             relay_port: free_port_at(&daemon_ip(0))?,
+            version: Cell::new(1),
             notifying: RefCell::default(),
             options,
         };
@@ -158,6 +161,8 @@
         }
         fleet.store_config()?;
         for index in 0..fleet.options.engines * BACKENDS.len() {
+            // Engines of two versions serve each backend from the start.
+            fleet.version.set(1 + u32::from(index % (2 * BACKENDS.len()) >= BACKENDS.len()));
             let handle = fleet.new_engine(BACKENDS[index % BACKENDS.len()]).await?;
             fleet.engines.borrow_mut().push(handle);
         }
@@ -269,6 +274,10 @@
         let number = self.engine_count.get();
         self.engine_count.set(number + 1);
         let engine = FleetEngine::new(&format!("i-{number}"), EVENTS, EVENT_INTERVAL);
+        if self.options.extra == Some(ExtraKind::Releases) {
+            let version = format!("v{}", self.version.get());
+            self.evidence.borrow_mut().versions.insert(engine.id.clone(), version);
+        }
         self.serve_engine(engine, backend, &free_engine_address()?).await
     }
 
@@ -297,13 +306,14 @@
 
     /// Writes the list entry of an engine.
     pub fn write_entry(&self, handle: &EngineHandle, state: &str) -> Result<()> {
+        let version = self.evidence.borrow().versions.get(&handle.engine.id).cloned();
         let entry = EngineEntry {
             backend: handle.backend,
             address: &handle.address,
             zone: "here",
             slots: SLOTS,
             state,
-            version: None,
+            version: version.as_deref(),
             born: Some(handle.engine.born),
         };
         self.store.write_entry(&handle.engine.id, entry)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,7 @@
 mod options;
 mod outcomes;
 mod plan;
+mod releases;
 mod run;
 mod settings;
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -81,6 +81,10 @@
     Lethal,
     /// Another writer overwrites an engine's list entry.
     Overwrite(usize, ForeignEntry),
+    /// All engines cut off their next answers.
+    CutAnswers(EngineStep),
+    /// An engine is replaced by one of this version.
+    Release(usize, u32),
     /// Daemons lose their links to all engines.
     Cut(CutDaemons, EngineLinkFault),
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,7 +10,7 @@
 use crate::callers::SoakCallers;
 use crate::checks::{check_evidence, SoakViolation};
 use crate::connectivity::check_connectivity;
-use crate::extra::with_extra;
+use crate::extra::{with_extra, ExtraKind};
 use crate::fleet::{SoakFleet, BACKENDS};
 use crate::options::SoakOptions;
 use crate::outcomes::{count_outcomes, unserved_kinds};
@@ -57,7 +57,9 @@
     let fleet = Rc::new(SoakFleet::start(options).await?);
     let addresses: Vec<String> =
         fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect();
-    let callers = SoakCallers::start(fleet.options.seed, fleet.options.callers, &addresses);
+    let SoakOptions { seed, callers, extra, .. } = fleet.options;
+    let takes_up = extra == Some(ExtraKind::Releases);
+    let callers = SoakCallers::start(seed, callers, &addresses, takes_up);
     let watch = actix_rt::spawn(Rc::clone(&fleet).watch_processes());
     let engines = actix_rt::spawn(Rc::clone(&fleet).replace_terminated_engines());
     let begun = Instant::now();
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -237,7 +237,8 @@
         echoed_attempt: Some("a".to_string()),
     };
     let key = "key-of-drivers";
-    CallRecord { attempt: "a".to_string(), kind, key, daemon: 0, sent: now, ended: now, outcome }
+    let attempt = "a".to_string();
+    CallRecord { attempt, kind, key, daemon: 0, sent: now, ended: now, outcome, taken_up: None }
 }
 
 fn run(engine: &str) -> (String, EngineRun) {
@@ -339,3 +340,25 @@
     );
     assert_eq!(invariants(&run_with_revoked_key()), ["a revoked key is refused in time"]);
 }
+
+/// Guards against streams that are joined of two versions of the engines' software, and against cut answers that are
+/// passed on as complete, while engines are replaced and daemons are killed, frozen and stopped.
+#[test]
+fn run_with_releases_and_cut_answers_violates_no_invariant() {
+    let options = SoakOptions {
+        seed: 500,
+        daemons: 4,
+        engines: 2,
+        callers: 8,
+        time: Duration::from_secs(6),
+        planned_only: false,
+        routes: 0,
+        link_mbps: None,
+        extra: Some(ExtraKind::Releases),
+        loader_variable: None,
+        script: None,
+        folder: create_temp_folder("soak-releases").expect("a folder"),
+    };
+    let report = actix_rt::System::new().block_on(run_soak(options)).expect("a run");
+    assert!(report.violations.is_empty(), "{report:#?}");
+}
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -150,6 +150,11 @@
         self.steps.borrow_mut().push_back(step);
     }
 
+    /// Removes the behaviours that were queued and not used.
+    pub fn clear_steps(&self) {
+        self.steps.borrow_mut().clear();
+    }
+
     /// Sets the behaviour for requests for which no step is queued.
     pub fn set_default_step(&self, step: EngineStep) {
         self.default_step.set(step);
@@ -277,7 +282,7 @@
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
         if run.is_stream {
-            let remaining = self.events - self.after(run.run_index);
+            let remaining = self.events.saturating_sub(self.after(run.run_index));
             if !self.stream(run, remaining, connection).await? {
                 return Ok(AfterAnswer::Close);
             }
@@ -397,8 +402,10 @@
         events: u64,
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
+        let after = self.after(run.run_index);
+        let events = events.min(self.events.saturating_sub(after + 1));
         self.stream(run, events, connection).await?;
-        let next = event(run.attempt, events + self.after(run.run_index) + 1);
+        let next = event(run.attempt, events + after + 1);
         connection.chunk(&next.as_bytes()[..next.len() / 2]).await?;
         Ok(AfterAnswer::Close)
     }
