--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -181,7 +181,7 @@
     /// Another daemon remembers it.
     Peer,
     /// No daemon remembers it, since it began while the pool had one version.
-    Untold,
+    Unreported,
     /// It was not found; the request is refused.
     Unknown,
 }
@@ -192,7 +192,7 @@
         match self {
             VersionSource::Own => "own",
             VersionSource::Peer => "peer",
-            VersionSource::Untold => "one_version",
+            VersionSource::Unreported => "one_version",
             VersionSource::Unknown => "unknown",
         }
     }
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -45,7 +45,7 @@
         let schedulers = std::mem::replace(&mut self.all_pools_order, order);
         self.send_suspects_to_new_schedulers(&schedulers);
         self.send_notices_to_new_schedulers(&schedulers);
-        self.tell_new_keepers(&schedulers);
+        self.report_to_new_keepers(&schedulers);
         self.send_answers_to_new_schedulers(&schedulers);
         let before = std::mem::take(&mut self.scheduler_orders);
         self.refresh_orders();
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -101,7 +101,7 @@
             PeerMessage::EvacuationsPull(known) => self.evacuations_pulled(&from.vm, known),
             PeerMessage::EvacuationsPush(list) => self.evacuations_listed(list),
             PeerMessage::RolloutReport(report) => self.rollout_report_received(&report),
-            PeerMessage::StreamsBegun(streams) => self.streams_told(streams),
+            PeerMessage::StreamsBegun(streams) => self.streams_reported(streams),
             PeerMessage::StreamQuery(query) => self.stream_queried(&from.vm, query),
             PeerMessage::StreamAnswer(answer) => self.stream_answered(&from.vm, answer),
             PeerMessage::VersionPermitRequest(request) => {
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -1,7 +1,7 @@
 //! Finds the version of the target that began a stream which a caller takes up, by asking other daemons where this one
 //! does not know it.
 //!
-//! While a pool has targets of several versions, the daemon that holds a caller's connection tells the first daemons in
+//! While a pool has targets of several versions, the daemon that holds a caller's connection reports to the first daemons in
 //! the order of schedulers, the keepers, which version begins which stream. They are the same for all daemons, and more
 //! than one, since a caller takes up its stream because a daemon has ended.
 //!
@@ -19,7 +19,7 @@
 use super::Node;
 use crate::event::{CallerDecision, NodeAction, NodeNote, VersionSource};
 
-/// Number of daemons that are told which version began a stream.
+/// Number of daemons to which it is reported which version began a stream.
 const KEEPERS: usize = 3;
 /// Number of daemons that are asked: one more, since a daemon that has joined may have displaced a keeper.
 const ASKED: usize = KEEPERS + 1;
@@ -64,14 +64,14 @@
             }
             (StreamBegin::NoTargets, _) => Some(spec),
             (StreamBegin::Unknown, Some(stream)) => self.ask_keepers(spec, stream),
-            (StreamBegin::Unknown, None) => self.resolve_untold(spec, Duration::ZERO),
+            (StreamBegin::Unknown, None) => self.resolve_unreported(spec, Duration::ZERO),
         }
     }
 
     fn ask_keepers(&mut self, spec: RequestSpec, stream: StreamId) -> Option<RequestSpec> {
         let asked = self.first_schedulers(&self.all_pools_order, ASKED);
         if asked.is_empty() {
-            return self.resolve_untold(spec, Duration::ZERO);
+            return self.resolve_unreported(spec, Duration::ZERO);
         }
         let query = StreamQuery { request: spec.request, stream };
         for vm in &asked {
@@ -84,10 +84,14 @@
     }
 
     /// Limits a request to the version that began a stream which no daemon knows, or refuses it.
-    fn resolve_untold(&mut self, mut spec: RequestSpec, waited: Duration) -> Option<RequestSpec> {
-        match self.streams.versions.untold(self.now, &spec.pool) {
+    fn resolve_unreported(
+        &mut self,
+        mut spec: RequestSpec,
+        waited: Duration,
+    ) -> Option<RequestSpec> {
+        match self.streams.versions.unreported(self.now, &spec.pool) {
             StreamBegin::Version(version) => {
-                self.note_taken_up(spec.request, VersionSource::Untold, waited);
+                self.note_taken_up(spec.request, VersionSource::Unreported, waited);
                 spec.version = Some(version);
                 Some(spec)
             }
@@ -103,17 +107,17 @@
         }
     }
 
-    /// Records the version that began the answer of a request, and tells it to the keepers.
+    /// Records the version that began the answer of a request, and reports it to the keepers.
     pub(super) fn stream_begun(&mut self, id: RequestId, pool: &PoolId, begun: StreamVersion) {
         self.entry.set_version(id, begun.version);
         self.streams.versions.remember(self.now, begun, true);
         if self.streams.versions.is_mixed(self.now, pool) {
             let keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
-            self.tell_streams(&keepers, &[begun]);
+            self.report_streams(&keepers, &[begun]);
         }
     }
 
-    fn tell_streams(&mut self, keepers: &[VmId], streams: &[StreamVersion]) {
+    fn report_streams(&mut self, keepers: &[VmId], streams: &[StreamVersion]) {
         for vm in keepers {
             for part in streams.chunks(STREAMS_PER_MESSAGE) {
                 self.post(vm, PeerMessage::StreamsBegun(part.to_vec()));
@@ -121,7 +125,7 @@
         }
     }
 
-    pub(super) fn streams_told(&mut self, streams: Vec<StreamVersion>) {
+    pub(super) fn streams_reported(&mut self, streams: Vec<StreamVersion>) {
         for stream in streams {
             self.streams.versions.remember(self.now, stream, false);
         }
@@ -155,7 +159,7 @@
                 spec.version = Some(version);
                 Some(spec)
             }
-            None => self.resolve_untold(spec, waited),
+            None => self.resolve_unreported(spec, waited),
         };
         if let Some(spec) = spec {
             self.admit(spec);
@@ -189,7 +193,7 @@
         self.streams.waiting.remove(&id);
     }
 
-    /// Records the versions of each pool's targets. Streams that were begun while a pool had one version are told to the
+    /// Records the versions of each pool's targets. Streams that were begun while a pool had one version are reported to the
     /// keepers once it has several.
     pub(super) fn update_stream_versions(&mut self, config: &ActiveConfig) {
         let mut became_mixed = false;
@@ -202,12 +206,12 @@
         if became_mixed {
             let keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
             let own = self.streams.versions.own_streams(self.now);
-            self.tell_streams(&keepers, &own);
+            self.report_streams(&keepers, &own);
         }
     }
 
-    /// Tells the streams of this daemon to daemons that are keepers from now on.
-    pub(super) fn tell_new_keepers(&mut self, before: &[DaemonId]) {
+    /// Reports the streams of this daemon to daemons that are keepers from now on.
+    pub(super) fn report_to_new_keepers(&mut self, before: &[DaemonId]) {
         let mut pools = self.active.pools.keys();
         if !pools.any(|pool| self.streams.versions.is_mixed(self.now, pool)) {
             return;
@@ -216,7 +220,7 @@
         let mut keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
         keepers.retain(|vm| !before.contains(vm));
         let own = self.streams.versions.own_streams(self.now);
-        self.tell_streams(&keepers, &own);
+        self.report_streams(&keepers, &own);
     }
 
     /// Returns the VMs of the first other daemons in an order of schedulers.
--- a/crates/sched/src/stream_versions.rs
+++ b/crates/sched/src/stream_versions.rs
@@ -1,17 +1,17 @@
 //! Decides at which version of a pool's targets a stream may be continued.
 //!
-//! Inputs: the streams that targets of this pool have begun, as far as this daemon was told; the versions that the pool
+//! Inputs: the streams that targets of this pool have begun, as far as this daemon knows; the versions that the pool
 //! has had, and when each was first seen. The rule:
 //! 1. A stream continues at the version that began it, where that is known.
 //! 2. Where the pool has had one version only, that version began it.
 //! 3. A stream that no daemon knows began before a second version was seen, if that was a short time ago: from then on
-//!    daemons tell each other which version begins which stream.
+//!    daemons report to each other which version begins which stream.
 //! 4. No other stream is continued.
 //!
 //! Load pattern: a release replaces targets one by one, while targets and daemons fail and callers take up their
 //! streams at other daemons.
 //!
-//! Owns: the streams and versions that it was told. Relies on: the caller for the exchange with other daemons.
+//! Owns: the streams and versions that were reported to it. Relies on: the caller for the exchange with other daemons.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -24,7 +24,7 @@
 /// Most streams that are remembered; the oldest are forgotten first. Each needs some 100 bytes.
 const STREAM_LIMIT: usize = 1 << 17;
 /// Time after the second version of a pool was first seen, within which unknown streams belong to the first one.
-const UNTOLD_PERIOD: Duration = Duration::from_secs(5);
+const UNREPORTED_PERIOD: Duration = Duration::from_secs(5);
 
 /// The version that a stream may be continued at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,7 +140,7 @@
         }
     }
 
-    /// Returns the version that began a stream, `None` if this daemon was not told.
+    /// Returns the version that began a stream, `None` if it was not reported to this daemon.
     pub fn version_of(&self, stream: &StreamId) -> Option<VersionDigest> {
         self.streams.get(stream).map(|known| known.version)
     }
@@ -168,14 +168,14 @@
     }
 
     /// Returns the version that began a stream that no daemon knows.
-    pub fn untold(&self, now: Uptime, pool: &str) -> StreamBegin {
+    pub fn unreported(&self, now: Uptime, pool: &str) -> StreamBegin {
         let mut presences: Vec<_> = self.recent(now, pool).collect();
         presences.sort_by_key(|(_, presence)| presence.first);
         let [(version, first), (_, second), ..] = presences.as_slice() else {
             return self.find(now, pool, None);
         };
-        let was_alone = second.first >= first.first + UNTOLD_PERIOD;
-        match was_alone && now < second.first + UNTOLD_PERIOD {
+        let was_alone = second.first >= first.first + UNREPORTED_PERIOD;
+        match was_alone && now < second.first + UNREPORTED_PERIOD {
             true => StreamBegin::Version(**version),
             false => StreamBegin::Unknown,
         }
--- a/crates/sched/tests/stream_versions.rs
+++ b/crates/sched/tests/stream_versions.rs
@@ -61,7 +61,7 @@
     #[case] changes: &[(u64, &[&str])],
     #[case] expected: StreamBegin,
 ) {
-    assert_eq!(pool_versions(changes).untold(at(100), POOL), expected);
+    assert_eq!(pool_versions(changes).unreported(at(100), POOL), expected);
 }
 
 #[test]
