Rollouts: streams that a version on trial began go on within its share

A caller that names a stream of a version on trial got that version with each request: the grants were counted towards its share and not limited by it, so a bad version could get any number of requests. The test was granted 40 of 40 before, and at most the share and the slack now.

--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -1,8 +1,8 @@
 //! Decides which target gets a waiting request.
 //!
 //! Inputs: the waiting request (work in microseconds, deadline, when its first part is due, targets
-//! that failed it, the version that must serve it), and for each target its free capacity, learned pace, prompt backlog, share of
-//! failures and data centre.
+//! that failed it, the version that must serve it), and for each target its free capacity, learned
+//! pace, prompt backlog, share of failures, version and data centre.
 //!
 //! The rule: the candidates are the targets with free capacity ([`target`]) that have not requested rest
 //! from the request's entry daemon. They are compared by these criteria, in this order:
@@ -131,9 +131,14 @@
         let reserve = self.options.reserve_percent;
         let version = waiting.request.version;
         let only_ejected = self.has_only_ejected_targets(now, &waiting.request);
+        // A caller can name a stream that a version on trial began as often as it likes.
+        let urgency = waiting.request.objectives.urgency;
+        let trial_admits =
+            self.trial.as_ref().is_some_and(|trial| trial.admits(urgency, self.rate_share));
         let candidates = self.targets.iter().filter(|(id, state)| {
             state.has_capacity_for(version, only_ejected, top, reserve, now)
                 && eligible(now, waiting, id, state)
+                && (state.access != VersionAccess::Trial || trial_admits)
         });
         let scored = candidates.map(|(id, state)| {
             let fit = self.evaluate(now, waiting, state);
--- a/crates/sched/tests/stream_versions.rs
+++ b/crates/sched/tests/stream_versions.rs
@@ -5,10 +5,13 @@
 
 use curlewcleat_core::{
     AttemptEnd, DaemonId, LatencyObjectives, PermitDecision, PermitId, PermitRequest, PermitReturn,
-    RefusalReason, RequestId, StreamId, StreamVersion, TargetEntry, TargetPool, Uptime,
-    VersionDigest,
+    RefusalReason, RequestId, RolloutOrder, RolloutReport, RolloutStage, StreamId, StreamVersion,
+    TargetEntry, TargetPool, Uptime, VersionDigest,
+};
+use curlewcleat_sched::{
+    PoolOptions, PoolScheduler, PoolVersions, RolloutLimits, SchedulerAction, StreamBegin,
+    StreamVersions,
 };
-use curlewcleat_sched::{PoolOptions, PoolScheduler, SchedulerAction, StreamBegin, StreamVersions};
 use rstest::rstest;
 
 const POOL: &str = "p";
@@ -212,3 +215,38 @@
     let other = scheduler.request_permit(at(1), daemon(), permit_request(11, None));
     assert!(matches!(granted(&other)[..], ["t0" | "t1"]), "{other:?}");
 }
+
+/// Returns the versions of a pool in which `v2` is on trial.
+fn versions_with_trial() -> PoolVersions {
+    let reported = |name: &str| Some(name.to_string());
+    let counts = |names: &[&str]| names.iter().map(|name| (reported(name), 2)).collect();
+    let mut versions = PoolVersions::default();
+    versions.update_reported(at(1), &counts(&["v1"]), Some(at(1)));
+    let order = RolloutOrder { pool: POOL.to_string(), version: "v2".to_string(), time: None };
+    let (name, stage, age) = (POOL.to_string(), RolloutStage::Trial, Duration::ZERO);
+    versions.merge_report(at(1), &RolloutReport { name, order, stage, revision: 3, age });
+    versions.update_reported(at(1), &counts(&["v1", "v2"]), Some(at(1)));
+    versions
+}
+
+/// Guards against callers that get a version on trial as often as they like, by naming a stream that it began.
+#[test]
+fn streams_that_a_version_on_trial_began_count_towards_its_share() {
+    const SLACK: u64 = 3;
+    let mut scheduler = scheduler(&["v1", "v1", "v2", "v2"]);
+    scheduler.apply_version_access(&versions_with_trial());
+    scheduler.begin_trial(RolloutLimits { permille: 50, slack: SLACK }, true);
+    let mut on_trial = 0;
+    for number in 0..40 {
+        let actions = scheduler.request_permit(at(1), daemon(), permit_request(number, Some("v2")));
+        on_trial += granted(&actions).len() as u64;
+        let returned = PermitReturn {
+            permit: permit(number),
+            pool: POOL.to_string(),
+            end: AttemptEnd::Unused,
+        };
+        scheduler.return_permit(at(1), &returned);
+    }
+    assert!(on_trial > 0, "a stream goes on within the share");
+    assert!(on_trial <= SLACK + 2, "{on_trial} of 40");
+}
