Streams taken up: waiting requests count towards the limit and hold a planned stop; the memory's order is bounded

Requests that wait for the version of their stream were in no count: a daemon took any number of them (the test: all of 12,000 where 10,000 may be held), and a planned stop could end before they were decided. The list of remembered streams by time grew with each report of the same stream, beyond the bound of the streams; a stream has one place in it now (by reading).

--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -51,7 +51,7 @@
             Some(RefusalReason::Draining)
         } else if self.store.generation() == 0 {
             Some(RefusalReason::NoConfiguration)
-        } else if self.entry.len() >= limit {
+        } else if self.requests_held() >= limit {
             Some(RefusalReason::EntryFull)
         } else {
             None
--- a/crates/node/src/node/stop.rs
+++ b/crates/node/src/node/stop.rs
@@ -28,8 +28,8 @@
 
     pub(super) fn step_drain(&mut self) {
         let before = self.drain.phase();
-        let input =
-            DrainInput { requests: self.entry.len(), slots_held: self.key_holder.slots_held() };
+        let (requests, slots_held) = (self.requests_held(), self.key_holder.slots_held());
+        let input = DrainInput { requests, slots_held };
         self.drain.tick(self.now, input);
         let phase = self.drain.phase();
         if phase == DrainPhase::Closing && self.hand_over_answer.begin(self.now) {
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -1,8 +1,8 @@
 //! Finds the version of the target that began a stream which a caller takes up, by asking other daemons where this one
 //! does not know it.
 //!
-//! While a pool has targets of several versions, the daemon that holds a caller's connection reports to the first daemons in
-//! the order of schedulers, the keepers, which version begins which stream. They are the same for all daemons, and more
+//! While a pool has targets of several versions, the daemon that holds a caller's connection reports which version begins
+//! which stream to the keepers: the first daemons in the order of schedulers. They are the same for all daemons, and more
 //! than one, since a caller takes up its stream because a daemon has ended.
 //!
 //! Owns: the requests that wait for the version of their stream. Relies on: [`StreamVersions`] for the rule.
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Returns the number of requests of callers that this daemon holds.
+    pub(super) fn requests_held(&self) -> usize {
+        self.entry.len() + self.streams.waiting.len()
+    }
+
     /// Asks again where answers are missing, and ends the waits that have lasted too long.
     pub(super) fn step_take_ups(&mut self) {
         let now = self.now;
--- a/crates/node/tests/stream_versions.rs
+++ b/crates/node/tests/stream_versions.rs
@@ -20,6 +20,8 @@
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(40);
 /// Targets of each version.
 const TARGETS: usize = 3;
+/// More requests than a daemon of the tests may hold.
+const MANY_REQUESTS: u128 = 12_000;
 
 /// Returns a fleet whose targets are and were all of version `v1`.
 fn fleet_of(daemons: usize) -> Fleet {
@@ -157,3 +159,21 @@
     end(&mut fleet, &others);
     assert_eq!(take_up(&mut fleet, 1, 98), Err(RefusalReason::StreamVersionUnknown));
 }
+
+/// Guards against a daemon that takes any number of requests while they wait for the versions of their streams.
+#[test]
+fn requests_that_wait_for_a_version_count_towards_the_limit_of_requests() {
+    let mut fleet = Fleet::new(6);
+    set_versions(&mut fleet, &["v1", "v2"]);
+    fleet.run(Duration::from_secs(10));
+    let others: Vec<usize> = (0..6).filter(|index| *index != 1).collect();
+    end(&mut fleet, &others);
+    for number in 0..MANY_REQUESTS {
+        let takes_up = Some(TakenUpStream { stream: Some(stream(number)) });
+        let spec = RequestSpec { takes_up, ..spec(1_000_000 + number) };
+        fleet.event(1, NodeEvent::Admit(Box::new(spec)));
+    }
+    let is_full = |(_, decision): &&(_, CallerDecision)| matches!(decision, CallerDecision::Refuse(refusal) if refusal.reason == RefusalReason::EntryFull);
+    let refused = fleet.decisions.iter().filter(is_full).count();
+    assert!(refused > 0, "all of {MANY_REQUESTS} wait");
+}
--- a/crates/sched/src/stream_versions.rs
+++ b/crates/sched/src/stream_versions.rs
@@ -13,7 +13,7 @@
 //!
 //! Owns: the streams and versions that were reported to it. Relies on: the caller for the exchange with other daemons.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use curlewcleat_core::{PoolId, StreamId, StreamVersion, Uptime, VersionDigest};
@@ -41,8 +41,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct StreamVersions {
     streams: BTreeMap<StreamId, RememberedStream>,
-    /// The streams in the order in which they were last remembered.
-    order: VecDeque<(Uptime, StreamId)>,
+    /// The same streams, by when they were begun or last continued.
+    by_time: BTreeSet<(Uptime, StreamId)>,
     pools: BTreeMap<PoolId, BTreeMap<VersionDigest, VersionPresence>>,
 }
 
@@ -113,29 +113,30 @@
     pub fn remember(&mut self, now: Uptime, stream: StreamVersion, is_own: bool) {
         self.forget_old(now);
         let StreamVersion { stream, version } = stream;
-        let known = self.streams.get(&stream);
+        let known = self.streams.get(&stream).copied();
         // A stream has one version; another report of it cannot be right for both.
         if known.is_some_and(|known| known.version != version) {
             return;
         }
         let is_own = is_own || known.is_some_and(|known| known.is_own);
+        if let Some(known) = known {
+            self.by_time.remove(&(known.at, stream));
+        }
         self.streams.insert(stream, RememberedStream { version, at: now, is_own });
-        self.order.push_back((now, stream));
-        while self.streams.len() > STREAM_LIMIT {
+        self.by_time.insert((now, stream));
+        if self.streams.len() > STREAM_LIMIT {
             self.forget_oldest();
         }
     }
 
     fn forget_old(&mut self, now: Uptime) {
-        while self.order.front().is_some_and(|(at, _)| now >= *at + RETENTION) {
+        while self.by_time.first().is_some_and(|(at, _)| now >= *at + RETENTION) {
             self.forget_oldest();
         }
     }
 
     fn forget_oldest(&mut self) {
-        let Some((at, stream)) = self.order.pop_front() else { return };
-        // It may have been remembered again since.
-        if self.streams.get(&stream).is_some_and(|known| known.at == at) {
+        if let Some((_, stream)) = self.by_time.pop_first() {
             self.streams.remove(&stream);
         }
     }
