--- a/crates/daemon/src/request/admitted.rs
+++ b/crates/daemon/src/request/admitted.rs
@@ -25,7 +25,7 @@
 
 /// What a caller states about a stream that it takes up again.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StreamResumption {
+pub struct TakeUpHeaders {
     /// The attempt that brought the first event, `None` where the caller does not name one.
     pub begun_as: Option<String>,
     /// The last event that the caller has, as it states it.
@@ -65,7 +65,7 @@
     /// Idempotency key and the caller's attempt number for it.
     pub key: Option<(String, Option<u32>)>,
     /// The stream that the request takes up, `None` where it begins one or has another answer.
-    pub resumption: Option<StreamResumption>,
+    pub take_up: Option<TakeUpHeaders>,
 }
 
 impl AdmittedRequest {
@@ -86,8 +86,8 @@
             prefix: self.work.prefix,
             digest: self.digest,
             key: self.key.clone(),
-            takes_up: self.resumption.as_ref().map(|resumption| TakenUpStream {
-                stream: resumption.begun_as.as_ref().map(|attempt| self.stream(attempt)),
+            takes_up: self.take_up.as_ref().map(|take_up| TakenUpStream {
+                stream: take_up.begun_as.as_ref().map(|attempt| self.stream(attempt)),
             }),
             version: None,
         }
@@ -96,7 +96,7 @@
     /// Returns the stream that the answer begins or continues, `None` where it cannot be taken up by its attempt.
     pub fn begun_stream(&self) -> Option<StreamId> {
         let may_be_taken_up = self.rule.service.streams && self.rule.repeatable;
-        let begun_as = self.resumption.as_ref().and_then(|resumption| resumption.begun_as.as_ref());
+        let begun_as = self.take_up.as_ref().and_then(|take_up| take_up.begun_as.as_ref());
         may_be_taken_up.then(|| self.stream(begun_as.unwrap_or(&self.attempt_id)))
     }
 
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -86,7 +86,7 @@
         let time = headers::timeout(head).map_err(bad_header)?.unwrap_or(tier.deadline);
         let key = headers::idempotency(head).map_err(bad_header)?.filter(|_| !rule.repeatable);
         Ok(AdmittedRequest {
-            resumption: None,
+            take_up: None,
             id,
             attempt_id: String::new(),
             arrived,
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -7,7 +7,7 @@
 mod forwarding;
 mod notice;
 mod objectives;
-mod resumption;
+mod take_up;
 #[cfg(test)]
 mod tests;
 mod work;
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -23,7 +23,7 @@
 };
 use spdlog::prelude::*;
 
-use super::{objectives, resumption, work, ProfileProtocol};
+use super::{objectives, take_up, work, ProfileProtocol};
 use crate::headers;
 use crate::request::admitted::AdmittedRequest;
 
@@ -80,7 +80,7 @@
             work: work::estimate(&self.profile, pool, head, tokens),
             digest: None,
             key: None,
-            resumption: resumption::read_resumption(&self.profile, head)
+            take_up: take_up::read_take_up(&self.profile, head)
                 .filter(|_| rule.service.streams && rule.repeatable),
             rule: rule.clone(),
         })
--- a/crates/daemon/src/request/profile/resumption.rs
+++ b/crates/daemon/src/request/profile/take_up.rs
@@ -5,20 +5,20 @@
 use actix_http::header::HeaderMap;
 use curlewcleat_store::WireProfile;
 
-use crate::request::admitted::StreamResumption;
+use crate::request::admitted::TakeUpHeaders;
 
 /// Longest attempt id in bytes that is looked up.
 const ATTEMPT_ID_LIMIT: usize = 256;
 
 /// Returns what the caller states, `None` where it does not take up a stream: it has received no event yet.
-pub fn read_resumption(profile: &WireProfile, caller: &HeaderMap) -> Option<StreamResumption> {
+pub fn read_take_up(profile: &WireProfile, caller: &HeaderMap) -> Option<TakeUpHeaders> {
     let last_event = caller.get(profile.last_event)?;
     // A value that is no text does not name the beginning of a stream either.
     let last_event = String::from_utf8_lossy(last_event.as_bytes()).trim().to_string();
     if last_event.is_empty() || last_event == "0" {
         return None;
     }
-    Some(StreamResumption { begun_as: first_attempt(profile, caller), last_event })
+    Some(TakeUpHeaders { begun_as: first_attempt(profile, caller), last_event })
 }
 
 /// Returns the attempt that brought the first event, `None` where the caller does not name exactly one.
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -14,10 +14,10 @@
 use rstest::rstest;
 
 use super::objectives::objectives;
-use super::resumption::read_resumption;
+use super::take_up::read_take_up;
 use super::work::{cost, estimate, token_counts, TokenCounts};
 use super::{status_of, OPTIONS};
-use crate::request::admitted::StreamResumption;
+use crate::request::admitted::TakeUpHeaders;
 
 const PROFILE: WireProfile = WireProfile {
     attempt_id: "attempt",
@@ -203,9 +203,9 @@
     #[case] headers: &[(&'static str, &'static str)],
     #[case] expected: Option<(Option<&str>, &str)>,
 ) {
-    let expected = expected.map(|(begun_as, last_event)| StreamResumption {
+    let expected = expected.map(|(begun_as, last_event)| TakeUpHeaders {
         begun_as: begun_as.map(str::to_string),
         last_event: last_event.to_string(),
     });
-    assert_eq!(read_resumption(&PROFILE, &head(headers)), expected);
+    assert_eq!(read_take_up(&PROFILE, &head(headers)), expected);
 }
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -1,7 +1,7 @@
 //! Logs a request: one line for each failed attempt and one for the end.
 //!
-//! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `answer_cut`, `request_refused`. Relies on: the run's
-//! progress.
+//! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `answer_cut`, `request_refused`. Relies on: the
+//! run's progress.
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{Refusal, RefusalReason, RequestId, TargetEntry, TargetId, TargetVersion};
@@ -51,7 +51,7 @@
 
     /// Logs that an attempt continues a stream, within one answer or because the caller takes it up.
     pub(super) fn log_continued_stream(&self, target: &TargetEntry) {
-        let (request, taken_up) = (&self.request, self.request.resumption.as_ref());
+        let (request, taken_up) = (&self.request, self.request.take_up.as_ref());
         let after = match (self.framing.last_event(), taken_up) {
             (Some(last), _) => last.to_string(),
             (None, Some(taken_up)) => taken_up.last_event.clone(),
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -181,8 +181,8 @@
                 || !self.entry.allows_version(permit.request, version)
         };
         if known.is_some_and(is_closed) {
-            // The version was rolled back or replaced, or the data centre evacuated, since the permit was granted; or the
-            // scheduler did not know which version began the stream.
+            // Since the permit was granted the version was rolled back or replaced, or the data centre evacuated; or the
+            // scheduler did not know which version must serve the request.
             return self.attempt_not_run(
                 permit.request,
                 AttemptEnd::Unused,
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -46,10 +46,6 @@
 }
 
 impl BodyFrame {
-    /// All frames.
-    pub const ALL: [BodyFrame; 4] =
-        [BodyFrame::Empty, BodyFrame::Length, BodyFrame::Chunks, BodyFrame::UntilClose];
-
     /// Returns the code for log lines and metrics.
     pub fn code(self) -> &'static str {
         match self {
