Suspect requests: an answer that ends with its connection clears none, and shows no time of a whole answer

A target that terminates may end its connections in an orderly way. What it had sent until then was taken for a whole answer, and cleared the request at all daemons, so that a request during which targets terminate could go on to further ones; a rollout took the time until the end for that of a whole answer. The node learns with the end of a request whether its answer proved that it was complete (RequestEnd). The test failed before: no daemon refused the request after three terminations.

--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -120,6 +120,11 @@
         self.attempt.frame = Some(frame);
     }
 
+    /// Returns whether the end of the latest attempt's answer proves that the answer is complete.
+    pub fn is_end_proved(&self) -> bool {
+        self.attempt.frame.is_some_and(|frame| frame != BodyFrame::UntilClose)
+    }
+
     /// Returns how the end of the latest attempt's answer is determined.
     pub fn frame(&self) -> Option<BodyFrame> {
         self.attempt.frame
@@ -147,7 +152,8 @@
         }
         let took = self.sent.map_or(Duration::ZERO, |sent| sent.elapsed());
         let begun = (self.attempt.parts == 0).then_some(AnswerObservation::Begun(took));
-        begun.into_iter().chain([AnswerObservation::Whole(took)]).collect()
+        let whole = self.is_end_proved().then_some(AnswerObservation::Whole(took));
+        begun.into_iter().chain(whole).collect()
     }
 
     /// Returns the number of parts that arrived in the latest attempt.
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -17,7 +17,7 @@
 use curlewcleat_core::{
     AttemptEnd, KeptAnswer, Refusal, RefusalReason, RequestId, RetryReason, TargetEntry, Verdict,
 };
-use curlewcleat_node::{CallerDecision, NodeEvent};
+use curlewcleat_node::{CallerDecision, NodeEvent, RequestEnd};
 use spdlog::prelude::*;
 
 use super::admitted::AdmittedRequest;
@@ -232,7 +232,13 @@
             Verdict::Ran => self.framing.kept_answer(),
             Verdict::NotRun | Verdict::MayHaveRun => None,
         };
-        pending.finish(NodeEvent::Finished(request.id, self.verdict, end, kept));
+        let end = RequestEnd {
+            verdict: self.verdict,
+            attempt_end: end,
+            is_proved: self.progress.is_end_proved(),
+            kept_answer: kept,
+        };
+        pending.finish(NodeEvent::Finished(request.id, Box::new(end)));
     }
 
     /// Gives up a request whose caller stopped reading: dropping it cancels it at the node and cuts its answer.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -39,6 +39,19 @@
     ReadAgain,
 }
 
+/// How a dispatched request has ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestEnd {
+    /// Whether it has run.
+    pub verdict: Verdict,
+    /// How its last attempt ended.
+    pub attempt_end: AttemptEnd,
+    /// Whether the target's answer proved that it was complete. The end of a connection does not.
+    pub is_proved: bool,
+    /// The answer, if it is kept with its idempotency key.
+    pub kept_answer: Option<KeptAnswer>,
+}
+
 /// An event for a node.
 #[derive(Clone, Debug)]
 pub enum NodeEvent {
@@ -49,7 +62,7 @@
     /// A caller's request.
     Admit(Box<RequestSpec>),
     /// A dispatched request has ended and is not retried.
-    Finished(RequestId, Verdict, AttemptEnd, Option<KeptAnswer>),
+    Finished(RequestId, Box<RequestEnd>),
     /// An attempt provably did not run.
     AttemptNotRun(RequestId, AttemptEnd, RetryReason),
     /// A dispatched request's target is stalled or responds again, or a step of its replacement.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,8 +20,8 @@
 
 pub use evacuation_view::EvacuationChange;
 pub use event::{
-    CallerDecision, ListedVm, NodeAction, NodeEvent, NodeNote, PlatformCall, TableWrite,
-    VersionSource,
+    CallerDecision, ListedVm, NodeAction, NodeEvent, NodeNote, PlatformCall, RequestEnd,
+    TableWrite, VersionSource,
 };
 pub use freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
 pub use node::{Node, NodeOptions};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,8 +26,8 @@
 
 use curlewcleat_config::ConfigStore;
 use curlewcleat_core::{
-    ActiveConfig, ConfigBundle, DaemonId, DiscoveredTarget, PeerMessage, PoolId, Uptime, Verdict,
-    VmId, WallTime,
+    ActiveConfig, ConfigBundle, DaemonId, DiscoveredTarget, PeerMessage, PoolId, Uptime, VmId,
+    WallTime,
 };
 use curlewcleat_keys::{KeyHolder, KeyHolderOptions};
 use curlewcleat_sched::{
@@ -204,14 +204,7 @@
             NodeEvent::RefusalsRead(reports) => self.merge_suspects(reports),
             NodeEvent::RefusalStored(digest) => self.refusal_stored(&digest),
             NodeEvent::ClearSuspect(digest) => self.clear_suspect(digest),
-            NodeEvent::Finished(id, verdict, end, answer) => {
-                if verdict == Verdict::Ran {
-                    self.answer_completed(id);
-                }
-                self.forget_take_up(id);
-                let actions = self.entry.finished(id, verdict, end, answer);
-                self.perform(actions);
-            }
+            NodeEvent::Finished(id, end) => self.request_finished(id, *end),
             NodeEvent::AttemptNotRun(id, end, retry) => self.attempt_not_run(id, end, retry),
             NodeEvent::Replacement(id, step) => self.replacement(id, step),
             NodeEvent::StreamBegun(id, pool, begun) => self.stream_begun(id, &pool, begun),
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -7,14 +7,15 @@
 
 use curlewcleat_core::{
     AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitId, PermitRequest, PoolId, Refusal,
-    RefusalReason, RequestId, RetryReason, TargetEntry, VersionDigest, VersionPermitRequest, VmId,
+    RefusalReason, RequestId, RetryReason, TargetEntry, Verdict, VersionDigest,
+    VersionPermitRequest, VmId,
 };
 use curlewcleat_sched::{
     rate_retry_after, EntryAction, RateRole, RateShare, ReplacementStep, RequestSpec,
 };
 
 use super::{cached_order, Node};
-use crate::event::{CallerDecision, NodeAction, NodeNote};
+use crate::event::{CallerDecision, NodeAction, NodeNote, RequestEnd};
 
 /// Share of the request limit, in percent, by which each tier's limit is below that of the tier above, so that an
 /// entry daemon that fills up refuses the lowest tier first.
@@ -111,6 +112,16 @@
         }
     }
 
+    pub(super) fn request_finished(&mut self, id: RequestId, end: RequestEnd) {
+        let RequestEnd { verdict, attempt_end, is_proved, kept_answer } = end;
+        if verdict == Verdict::Ran && is_proved {
+            self.answer_completed(id);
+        }
+        self.forget_take_up(id);
+        let actions = self.entry.finished(id, verdict, attempt_end, kept_answer);
+        self.perform(actions);
+    }
+
     pub(super) fn attempt_not_run(&mut self, id: RequestId, end: AttemptEnd, retry: RetryReason) {
         let scheduler_orders = &self.scheduler_orders;
         let members = &self.members;
--- a/crates/node/tests/lethal.rs
+++ b/crates/node/tests/lethal.rs
@@ -272,19 +272,32 @@
     assert_eq!(fleet.refusals, []);
 }
 
-#[test]
-fn request_that_another_daemon_answered_in_full_is_not_refused() {
+/// Returns the reasons for which three daemons refuse a request during which three targets terminated, after a daemon
+/// has answered it between the second and the third.
+fn reasons_after_answer(is_proved: bool) -> Vec<Option<RefusalReason>> {
     let mut fleet = fleet_of(3);
     fleet.event(0, interruption_event("t0"));
     fleet.event(1, interruption_event("t1"));
     fleet.run(SHORT_WAIT);
     let served = RequestSpec { digest: Some(digest()), ..spec(1) };
     fleet.event(2, NodeEvent::Admit(Box::new(served)));
-    fleet.finish(2, 1);
+    fleet.finish_with(2, 1, is_proved);
     fleet.event(0, interruption_event("t2"));
     expire_entries(&mut fleet, 3);
     fleet.run(SPREAD_LIMIT);
-    assert_eq!(reasons(&mut fleet, &[0, 1, 2], 2), [None, None, None]);
+    reasons(&mut fleet, &[0, 1, 2], 2)
+}
+
+#[test]
+fn request_that_another_daemon_answered_in_full_is_not_refused() {
+    assert_eq!(reasons_after_answer(true), [None, None, None]);
+}
+
+/// Guards against a target whose connections close in an orderly way when it terminates: what it has sent until then
+/// shows nothing about the request.
+#[test]
+fn answer_that_ends_with_its_connection_does_not_clear_a_suspect_request() {
+    assert_eq!(reasons_after_answer(false), [Some(RefusalReason::RequestLethal); 3]);
 }
 
 /// The request was admitted and waits for a slot when the third target terminates.
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -17,7 +17,7 @@
 };
 use curlewcleat_node::{
     CallerDecision, ConfigIntake, FreshnessLimits, Node, NodeAction, NodeEvent, NodeNote,
-    PlatformCall, ReadRole,
+    PlatformCall, ReadRole, RequestEnd,
 };
 use curlewcleat_peers::encode_frame;
 use curlewcleat_sched::RequestSpec;
@@ -317,9 +317,16 @@
 
     /// Reports that the target has answered the request in full.
     pub fn finish(&mut self, index: usize, number: u128) {
-        let end = AttemptEnd::Whole(Duration::from_millis(5));
+        self.finish_with(index, number, true);
+    }
+
+    /// Reports that the target has answered the request, and whether the answer proved that it was complete.
+    pub fn finish_with(&mut self, index: usize, number: u128, is_proved: bool) {
+        let attempt_end = AttemptEnd::Whole(Duration::from_millis(5));
+        let (verdict, kept_answer) = (Verdict::Ran, None);
+        let end = RequestEnd { verdict, attempt_end, is_proved, kept_answer };
         let id = RequestId::from_u128(number);
-        self.event(index, NodeEvent::Finished(id, Verdict::Ran, end, None));
+        self.event(index, NodeEvent::Finished(id, Box::new(end)));
     }
 
     pub fn decision(&self, number: u128) -> Option<&CallerDecision> {
--- a/crates/node/tests/target_lives.rs
+++ b/crates/node/tests/target_lives.rs
@@ -9,7 +9,7 @@
     TargetsContent, TargetsPush,
 };
 use curlewcleat_node::{
-    CallerDecision, InstanceChange, NodeAction, NodeEvent, TargetView, ViewUpdate,
+    CallerDecision, InstanceChange, NodeAction, NodeEvent, RequestEnd, TargetView, ViewUpdate,
 };
 
 use support::{target, Fleet};
@@ -226,7 +226,9 @@
     for number in numbers {
         let request = curlewcleat_core::RequestId::from_u128(number);
         let verdict = curlewcleat_core::Verdict::MayHaveRun;
-        fleet.event(0, NodeEvent::Finished(request, verdict, AttemptEnd::Failed, None));
+        let (attempt_end, kept_answer) = (AttemptEnd::Failed, None);
+        let end = RequestEnd { verdict, attempt_end, is_proved: false, kept_answer };
+        fleet.event(0, NodeEvent::Finished(request, Box::new(end)));
     }
     let scheduler = fleet.daemons[0].node.scheduler("p").expect("a scheduler");
     let ejected = |id: &str| scheduler.targets()[id].ejected();
