Returns: a refused caller is told to come back in a slice of time that has room for it

Cause: advice was the forecast wait plus a spread drawn from the permit's id, and nothing added up what was told to come back when; a return counted from its caller's first attempt, so that it was late on arrival and served last, and most were refused again.

--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -62,10 +62,10 @@
     pub(super) fn configure_pools(&mut self) {
         let config = Arc::clone(&self.active);
         let unavailable = self.unavailable_vms();
-        let age_per_work = self.options.age_per_work;
         for (id, pool) in &config.pools {
+            let options = pool_options(&config, pool, &self.options);
             let scheduler = self.pool(id);
-            scheduler.configure(pool_options(&config, pool, age_per_work), pool);
+            scheduler.configure(options, pool);
             scheduler.set_leaving_vms(unavailable.clone());
         }
         self.update_stream_versions(&config);
--- a/crates/node/src/pool_options.rs
+++ b/crates/node/src/pool_options.rs
@@ -3,11 +3,13 @@
 use curlewcleat_core::{ActiveConfig, TargetPool};
 use curlewcleat_sched::{AccountLimit, PoolOptions};
 
+use crate::node::NodeOptions;
+
 /// Returns the options of a pool's scheduler.
 pub(crate) fn pool_options(
     config: &ActiveConfig,
     pool: &TargetPool,
-    age_per_work: u64,
+    node: &NodeOptions,
 ) -> PoolOptions {
     let accounts = config.accounts.values().map(|account| {
         let limit = AccountLimit {
@@ -25,7 +27,8 @@
         cached_prefixes: pool.cached_prefixes as usize,
         top: config.top_rank(),
         lowest,
-        age_per_work,
+        age_per_work: node.age_per_work,
+        books_returns: node.books_returns,
         accounts: accounts.collect(),
     }
 }
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -9,7 +9,8 @@
 //! 2. its account has too many requests waiting, or no token remaining ([`account`]): `account_queue`, `account_rate`
 //! 3. no target accepts new work, apart from those at which it has failed: `no_target`
 //! 4. the fastest target needs more time than remains until its deadline ([`forecast`]): `deadline_unreachable`
-//! 5. its forecast wait exceeds its forecast limit: `wait_too_long`
+//! 5. its forecast wait exceeds its forecast limit, unless it is a booked return ([`returns`](crate::returns)):
+//!    `wait_too_long`
 //! 6. wait and work together exceed its deadline: `deadline_unreachable`, and all lower tiers are shed
 //! 7. the queue is full and nothing can be evicted: `queue_full`, and all lower tiers are shed
 //!
@@ -39,9 +40,18 @@
 use self::account::{AccountLimit, RateBucket};
 use crate::placement::target::TargetState;
 use crate::pool::{PoolScheduler, SchedulerAction};
-use crate::retry_after::{rest_retry_after, spread_retry_after, DEFAULT_RETRY_AFTER};
+use crate::retry_after::{rest_retry_after, DEFAULT_RETRY_AFTER};
 use crate::work_estimate::micros;
 
+/// What admission has found out about a request that may wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RequestAdmission {
+    /// Time until which the request can start and still be in time.
+    pub in_time_until: Uptime,
+    /// Whether it is a booked return.
+    pub returned: bool,
+}
+
 impl PoolScheduler {
     /// Refuses waiting requests for which no target remains.
     pub(crate) fn refuse_without_target(
@@ -111,7 +121,7 @@
     /// Decides whether a permit request may wait. If the queue is full, evicts a request of a lower tier, or one of
     /// the same tier.
     ///
-    /// Returns the time until which the request can start and still be in time.
+    /// `returned` is set for a booked return, which is not refused for its forecast wait.
     ///
     /// # Errors
     /// The refusal of the first check that the request does not pass.
@@ -120,8 +130,9 @@
         now: Uptime,
         entry: &DaemonId,
         request: &PermitRequest,
+        returned: bool,
         actions: &mut Vec<SchedulerAction>,
-    ) -> Result<Uptime, Refusal> {
+    ) -> Result<RequestAdmission, Refusal> {
         if self.level.sheds(request.tier) {
             let wait = Some(self.level.remaining(now).max(DEFAULT_RETRY_AFTER));
             return Err(Refusal::not_run(RefusalReason::TierShed, wait));
@@ -136,11 +147,11 @@
         if estimate > time_left {
             return Err(Refusal::not_run(RefusalReason::DeadlineUnreachable, None));
         }
-        let in_time_until = self.in_time_until(now, request);
+        let in_time_until = self.in_time_until(now, request, returned);
         let wait = self.wait_estimate(request, &limit, in_time_until <= now);
         let wait = wait.max(self.target_limit_wait(now));
-        if wait > micros(request.objectives.forecast_limit) {
-            return Err(wait_too_long(request, Duration::from_micros(wait)));
+        if wait > micros(request.objectives.forecast_limit) && !returned {
+            return Err(self.refuse_wait(now, request, Duration::from_micros(wait)));
         }
         if wait + estimate > time_left {
             let refusal =
@@ -151,7 +162,7 @@
         if self.queues.len() >= self.options.queue_limit {
             self.evict_for(now, request, actions)?;
         }
-        Ok(in_time_until)
+        Ok(RequestAdmission { in_time_until, returned })
     }
 
     /// Checks the account's queue limit and takes a token from its rate bucket.
@@ -279,13 +290,6 @@
     }
 }
 
-/// Builds the refusal of a permit request that would wait too long. It sheds no tier, since lower tiers would wait
-/// even longer.
-pub(crate) fn wait_too_long(request: &PermitRequest, wait: Duration) -> Refusal {
-    let retry_after = spread_retry_after(request.permit, wait, request.time_left);
-    Refusal::not_run(RefusalReason::WaitTooLong, Some(retry_after))
-}
-
 /// Returns whether a permit request is refused because the pool lacks capacity.
 pub(crate) fn is_for_capacity(refusal: &Refusal) -> bool {
     match refusal.reason {
--- a/crates/sched/src/admission/replacement.rs
+++ b/crates/sched/src/admission/replacement.rs
@@ -12,6 +12,7 @@
 
 use curlewcleat_core::{DaemonId, PermitId, PermitRequest, Refusal, RefusalReason, Uptime};
 
+use super::RequestAdmission;
 use crate::pool::{PoolScheduler, SchedulerAction};
 use crate::targets::state_of;
 
@@ -33,9 +34,10 @@
         if let Some(refusal) = self.replacement_refusal(now, &entry, &request) {
             return vec![self.refuse(entry, &request, refusal)];
         }
-        let in_time_until = self.in_time_until(now, &request);
+        let in_time_until = self.in_time_until(now, &request, false);
+        let admission = RequestAdmission { in_time_until, returned: false };
         let mut actions = Vec::new();
-        self.enqueue(now, entry, request, in_time_until, &mut actions);
+        self.enqueue(now, entry, request, admission, &mut actions);
         actions
     }
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -7,7 +7,7 @@
 //! | which target serves it | [`placement`] | the learned state and the notices of each target |
 //! | whether it is attempted again | [`retry`] | the retry budget of an entry daemon |
 //! | when it is abandoned | [`entry`] | the requests of an entry daemon |
-//! | when a refused caller may retry | [`retry_after`] | none |
+//! | when a refused caller may retry | [`retry_after`], [`returns`] | the booked returns of a pool |
 //! | whether it terminates its targets | [`lethal`] | the suspect requests |
 //! | whether a version is accepted or rolled back | [`rollout`] | the versions of a pool, a rollout and its answers |
 //! | at which version of the targets a stream is continued | [`stream_versions`] | the streams and versions of a daemon |
@@ -34,6 +34,7 @@
 mod relay_choice;
 mod retry;
 mod retry_after;
+mod returns;
 mod rollout;
 mod scheduler;
 mod stream_versions;
@@ -70,6 +71,7 @@
 pub use retry::budget::{RetryBudget, RetryLimits};
 pub use retry::{decide_retry, RetryBound, RetryDecision, RetryInput};
 pub use retry_after::{rate_retry_after, spread_retry_after};
+pub use returns::{ReturnBook, ReturnClaim, SliceRoom, HORIZON_SLICES, SLICE};
 pub use rollout::evidence::{AnswerLog, VersionFault, VersionVerdict};
 pub use rollout::exposure::{RolloutLimits, TrialShare};
 pub use rollout::versions::{PoolVersions, ReportedVersion, VersionAccess};
--- a/crates/sched/src/order.rs
+++ b/crates/sched/src/order.rs
@@ -5,6 +5,6 @@
 pub mod flows;
 mod priority;
 pub mod queue;
-mod rank;
+pub mod rank;
 pub mod shares;
 pub mod waiting;
--- a/crates/sched/src/order/priority.rs
+++ b/crates/sched/src/order/priority.rs
@@ -14,6 +14,7 @@
 use curlewcleat_core::{DaemonId, PermitRequest, Uptime};
 
 use super::waiting::WaitingRequest;
+use crate::admission::RequestAdmission;
 use crate::pool::PoolScheduler;
 
 /// Age credited to a retry after an early refusal that can still be in time: longer than requests wait, so that it has
@@ -27,8 +28,9 @@
         now: Uptime,
         entry: DaemonId,
         request: PermitRequest,
-        in_time_until: Uptime,
+        admission: RequestAdmission,
     ) -> WaitingRequest {
+        let RequestAdmission { in_time_until, returned } = admission;
         let work = request.prompt_work + request.output_work;
         let deadline = now + request.time_left;
         let estimate = self.fastest_estimate(&request);
@@ -41,7 +43,7 @@
         };
         let order = now.saturating_sub(age_credit)
             + Duration::from_micros(work * self.options.age_per_work);
-        let first_part_by = now.saturating_add(request.objectives.first_part_by);
+        let first_part_by = now.saturating_add(first_part_limit(&request, returned));
         WaitingRequest {
             entry,
             request,
@@ -51,16 +53,31 @@
             latest_start,
             in_time_until,
             order,
+            returned,
             work,
         }
     }
 
     /// Returns the time until which a request can start so that its answer begins in time on the fastest target.
-    pub(crate) fn in_time_until(&self, now: Uptime, request: &PermitRequest) -> Uptime {
+    pub(crate) fn in_time_until(
+        &self,
+        now: Uptime,
+        request: &PermitRequest,
+        returned: bool,
+    ) -> Uptime {
         let prompts =
             self.open_targets().filter_map(|state| state.pace.prompt_time(request.prompt_work));
         // While no pace is known, the time for the prompt is ignored.
         let prompt = Duration::from_micros(prompts.min().unwrap_or(0));
-        now.saturating_add(request.objectives.first_part_by).saturating_sub(prompt)
+        now.saturating_add(first_part_limit(request, returned)).saturating_sub(prompt)
+    }
+}
+
+/// Returns the time from now within which the answer of a request has to begin to be in time. A booked return was told
+/// when to come, so that its time counts from its return.
+fn first_part_limit(request: &PermitRequest, returned: bool) -> Duration {
+    match returned {
+        true => request.objectives.wait_limit,
+        false => request.objectives.first_part_by,
     }
 }
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -4,7 +4,8 @@
 //! - the highest tier first;
 //! - inside a tier the urgency that was served the least work for its share ([`shares`](super::shares);
 //!   start-time fair queueing, as for accounts);
-//! - inside an urgency the requests that can still begin in time before those that are late;
+//! - inside an urgency the requests that can still begin in time, then booked returns ([`returns`](crate::returns)),
+//!   then those that are late;
 //! - among these the account that was served the least work for its weight (an idle account gets no credit);
 //! - inside an account the lowest position ([`priority`](super)).
 //!
@@ -29,7 +30,7 @@
 use curlewcleat_core::{AccountId, DaemonId, PermitId, TierRank, Uptime, WorkMicros};
 
 use self::candidates::first_candidates;
-use super::rank::{QueueRank, UrgencyKey};
+use super::rank::{QueueRank, QueueStage, UrgencyKey};
 use super::shares::{UrgencyShares, FULL_SHARE};
 use super::waiting::{class_of, QueueKey, TierQueue, WaitingRequest};
 
@@ -116,20 +117,34 @@
         shares.and_then(|shares| shares.get(&rank.urgency)).copied().unwrap_or(FULL_SHARE)
     }
 
+    /// Returns the part of an amount of work that an urgency gets by its share.
+    pub fn part_of(&self, urgency: UrgencyKey, work: WorkMicros) -> WorkMicros {
+        let (tier, urgency) = urgency;
+        let share = self.share_of(QueueRank { tier, urgency, stage: QueueStage::InTime });
+        u64::try_from(u128::from(work) * u128::from(share) / u128::from(FULL_SHARE))
+            .unwrap_or(WorkMicros::MAX)
+    }
+
     /// Adds a permit request; `weight` is that of its account.
     pub fn push(&mut self, now: Uptime, waiting: WaitingRequest, weight: u32) {
         let late = waiting.in_time_until <= now;
+        let stage = match (late, waiting.returned) {
+            (true, _) => QueueStage::Late,
+            (false, true) => QueueStage::Returned,
+            (false, false) => QueueStage::InTime,
+        };
         let urgency = waiting.request.objectives.urgency;
-        let rank = QueueRank { tier: waiting.request.tier, late, urgency };
+        let rank = QueueRank { tier: waiting.request.tier, stage, urgency };
         let account = waiting.request.account.clone();
         let key = (waiting.order, waiting.request.permit);
         self.by_latest_start.insert((waiting.latest_start, waiting.request.permit));
         if !late {
             self.by_in_time_until.insert((waiting.in_time_until, waiting.request.permit));
         }
-        let counterpart = QueueRank { late: !late, ..rank };
-        let is_idle = |rank| self.tiers.get(&rank).is_none_or(|queue| queue.length == 0);
-        if is_idle(rank) && is_idle(counterpart) {
+        let is_idle = |stage| {
+            self.tiers.get(&QueueRank { stage, ..rank }).is_none_or(|queue| queue.length == 0)
+        };
+        if QueueStage::ALL.into_iter().all(is_idle) {
             // Like an account, an urgency gets no credit for the time in which it was idle.
             let start = self.virtual_times.get(&rank.tier).copied().unwrap_or(0);
             let served = self.served.entry(rank.urgency_key()).or_default();
--- a/crates/sched/src/order/queue/ahead.rs
+++ b/crates/sched/src/order/queue/ahead.rs
@@ -9,7 +9,7 @@
 use curlewcleat_core::{PermitRequest, WorkMicros};
 
 use super::TierQueues;
-use crate::order::rank::QueueRank;
+use crate::order::rank::{QueueRank, QueueStage};
 use crate::order::shares::FULL_SHARE;
 use crate::order::waiting::{class_of, AccountQueue};
 
@@ -17,11 +17,12 @@
     /// Returns the work that is served before a new request: that of higher tiers, and that of its own tier by the
     /// shares of the urgencies and accounts and by the order in its account's queue.
     pub fn work_ahead(&self, request: &PermitRequest, weight: u32, late: bool) -> WorkMicros {
-        let rank = QueueRank { tier: request.tier, late, urgency: request.objectives.urgency };
-        let first = QueueRank { urgency: 0, late: false, ..rank };
+        let stage = if late { QueueStage::Late } else { QueueStage::InTime };
+        let rank = QueueRank { tier: request.tier, stage, urgency: request.objectives.urgency };
+        let first = QueueRank { urgency: 0, stage: QueueStage::InTime, ..rank };
         let higher: WorkMicros = self.tiers.range(..first).map(|(_, queue)| queue.work).sum();
-        let in_time_queue = self.tiers.get(&QueueRank { late: false, ..rank }).filter(|_| late);
-        let in_time_work = in_time_queue.map_or(0, |queue| queue.work);
+        let earlier_stages = QueueRank { stage: QueueStage::InTime, ..rank }..rank;
+        let in_time_work = self.tiers.range(earlier_stages).map(|(_, queue)| queue.work).sum();
         let Some(queue) = self.tiers.get(&rank) else {
             return higher + self.work_of_all(rank, in_time_work);
         };
--- a/crates/sched/src/order/waiting.rs
+++ b/crates/sched/src/order/waiting.rs
@@ -22,10 +22,13 @@
     pub wait_until: Uptime,
     /// Latest time at which it may start.
     pub latest_start: Uptime,
-    /// Time until which it can start and begin its answer in time; from then on it is late.
+    /// Time until which it can start and begin its answer in time; from then on it is late. That of a booked return
+    /// counts from its return.
     pub in_time_until: Uptime,
     /// Position in its account's queue: the lowest is served first.
     pub order: Uptime,
+    /// Whether it is a booked return.
+    pub returned: bool,
     /// Estimated work.
     pub work: WorkMicros,
 }
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -19,6 +19,7 @@
 use crate::order::queue::TierQueues;
 use crate::placement::pace::StreamPace;
 use crate::placement::target::TargetState;
+use crate::returns::ReturnBook;
 use crate::rollout::exposure::TrialShare;
 
 /// Options of a pool's scheduler.
@@ -37,6 +38,8 @@
     /// Age that offsets a unit of work in the order of an account's queue. At 0 the oldest request is served
     /// first, at a large value the shortest.
     pub age_per_work: u64,
+    /// Whether the returns of refused requests are booked.
+    pub books_returns: bool,
     /// Limits of the accounts.
     pub accounts: BTreeMap<AccountId, AccountLimit>,
 }
@@ -50,6 +53,7 @@
             top: 0,
             lowest: 3,
             age_per_work: 32,
+            books_returns: false,
             accounts: BTreeMap::new(),
         }
     }
@@ -126,6 +130,10 @@
     pub(crate) throughput: PoolThroughput,
     /// Requested and granted work of each urgency.
     pub(crate) flows: UrgencyFlows,
+    /// Work per second that new requests of each tier ask for.
+    pub(crate) demand: BTreeMap<TierRank, WorkMicros>,
+    /// Booked returns of refused requests.
+    pub(crate) returns: ReturnBook,
     /// When the learned state of the targets last decayed.
     pub(crate) last_decay: Uptime,
     /// The refusals a second that each target bears before it terminates, `None` if its targets are not brittle.
@@ -154,6 +162,8 @@
             pace: StreamPace::of_pool(),
             throughput: PoolThroughput::default(),
             flows: UrgencyFlows::default(),
+            demand: BTreeMap::new(),
+            returns: ReturnBook::default(),
             last_decay: Duration::ZERO,
             brittle: None,
             rate_share: RateShare { reached: 1, all: 1, role: RateRole::Leader },
--- a/crates/sched/src/retry_after.rs
+++ b/crates/sched/src/retry_after.rs
@@ -12,6 +12,8 @@
 
 use curlewcleat_core::PermitId;
 
+use crate::returns::SLICE;
+
 /// Shortest `Retry-After`: a few round trips.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest `Retry-After`.
@@ -28,8 +30,17 @@
 /// Returns when to retry: not before `wait`, spread over a fraction of the remaining time.
 pub fn spread_retry_after(permit: PermitId, wait: Duration, time_left: Duration) -> Duration {
     let spread = time_left / 100 * SPREAD_PERCENT / SPREAD_STEPS * spread_step(permit);
-    let latest = (time_left / 100 * MAX_WAIT_PERCENT).max(MIN_RETRY_AFTER);
-    (wait + spread).clamp(MIN_RETRY_AFTER, latest)
+    (wait + spread).clamp(MIN_RETRY_AFTER, latest_return(time_left))
+}
+
+/// Returns the latest time from now at which a request is told to return.
+pub fn latest_return(time_left: Duration) -> Duration {
+    (time_left / 100 * MAX_WAIT_PERCENT).max(MIN_RETRY_AFTER)
+}
+
+/// Returns when to return in a slice that begins after `start`, so that the returns of one slice do not come together.
+pub fn spread_return(permit: PermitId, start: Duration) -> Duration {
+    (start + SLICE / SPREAD_STEPS * spread_step(permit)).max(MIN_RETRY_AFTER)
 }
 
 /// Returns a step of the spread, drawn from the permit's random id.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -12,11 +12,11 @@
 
 use curlewcleat_core::{
     AttemptEnd, DaemonId, PermitAnswer, PermitDecision, PermitHeld, PermitId, PermitRequest,
-    PermitReturn, RefusalReason, StreamTiming, TierRank, Uptime,
+    PermitReturn, RefusalReason, StreamTiming, TierRank, Uptime, WorkMicros,
 };
 
 use crate::admission::overload::OverloadLevel;
-use crate::admission::{is_for_capacity, wait_too_long};
+use crate::admission::{is_for_capacity, RequestAdmission};
 use crate::order::flows::UrgencyFlows;
 use crate::order::shares::divide_capacity;
 use crate::placement::ejection::may_eject_one_more;
@@ -53,6 +53,7 @@
     /// this to have fewer states.
     pub fn clear_flows(&mut self) {
         self.flows = UrgencyFlows::default();
+        self.demand.clear();
         self.queues.clear_shares();
     }
 
@@ -90,8 +91,9 @@
         }
         self.flows.record_request(&request);
         let mut actions = Vec::new();
-        let in_time_until = match self.admit(now, &entry, &request, &mut actions) {
-            Ok(in_time_until) => in_time_until,
+        let returned = self.redeem_return(now, &request);
+        let admission = match self.admit(now, &entry, &request, returned, &mut actions) {
+            Ok(admission) => admission,
             Err(refusal) => {
                 let action = match is_for_capacity(&refusal) {
                     true => self.refuse_for_capacity(entry, &request, refusal),
@@ -101,7 +103,7 @@
                 return actions;
             }
         };
-        self.enqueue(now, entry, request, in_time_until, &mut actions);
+        self.enqueue(now, entry, request, admission, &mut actions);
         actions
     }
 
@@ -111,12 +113,12 @@
         now: Uptime,
         entry: DaemonId,
         request: PermitRequest,
-        in_time_until: Uptime,
+        admission: RequestAdmission,
         actions: &mut Vec<SchedulerAction>,
     ) {
         let permit = request.permit;
         let weight = self.account_limit(&request.account).weight;
-        let waiting = self.waiting_request(now, entry.clone(), request, in_time_until);
+        let waiting = self.waiting_request(now, entry.clone(), request, admission);
         self.throughput.record_arrival(waiting.request.tier, waiting.work);
         self.queues.push(now, waiting, weight);
         self.grant(now, actions);
@@ -204,7 +206,8 @@
         for permit in self.queues.overdue(now) {
             if let Some(waiting) = self.queues.remove(&permit) {
                 if now > waiting.wait_until || self.is_at_target(&permit) {
-                    let refusal = wait_too_long(&waiting.request, self.queue_drain_time());
+                    let drain_time = self.queue_drain_time();
+                    let refusal = self.refuse_wait(now, &waiting.request, drain_time);
                     actions.push(self.refuse(waiting.entry, &waiting.request, refusal));
                     continue;
                 }
@@ -242,7 +245,12 @@
 
     /// Divides the slots of each tier among its urgencies, by their requested work.
     fn update_shares(&mut self) {
-        for (tier, requested) in self.flows.requested_per_second() {
+        let requested = self.flows.requested_per_second();
+        let work_of_tier = |(tier, work): (&TierRank, &BTreeMap<TierRank, WorkMicros>)| {
+            (*tier, work.values().sum())
+        };
+        self.demand = requested.iter().map(work_of_tier).collect();
+        for (tier, requested) in requested {
             let capacity = self.throughput.capacity_for(tier);
             self.queues.set_shares(tier, divide_capacity(&requested, capacity));
         }
