--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -25,6 +25,8 @@
     lethal_requests: IntGauge,
     waiting: IntGaugeVec,
     in_flight: IntGaugeVec,
+    returns_booked: IntGaugeVec,
+    returns_redeemed: IntGaugeVec,
     config_intake: IntGaugeVec,
     resident: IntGauge,
     targets_unreachable: IntGauge,
@@ -57,6 +59,16 @@
                 "Permits given by this scheduler",
                 "pool",
             )?,
+            returns_booked: registry.gauges(
+                "returns_booked",
+                "Refused requests that this scheduler has booked a return for",
+                "pool",
+            )?,
+            returns_redeemed: registry.gauges(
+                "returns_redeemed",
+                "Requests that came back as booked by this scheduler",
+                "pool",
+            )?,
             config_intake: registry.gauges("config_intake_bytes", intake_help, "use")?,
             targets_unreachable: registry.gauge(
                 "targets_unreachable",
@@ -89,6 +101,9 @@
         for pool in &status.pools {
             self.waiting.with_label_values(&[&pool.id]).set(pool.waiting as i64);
             self.in_flight.with_label_values(&[&pool.id]).set(pool.in_flight as i64);
+            let returns = pool.returns;
+            self.returns_booked.with_label_values(&[&pool.id]).set(returns.booked as i64);
+            self.returns_redeemed.with_label_values(&[&pool.id]).set(returns.redeemed as i64);
         }
         let intake = status.config_intake;
         for (use_label, bytes) in [("taken", intake.taken), ("unused", intake.unused)] {
--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -84,7 +84,8 @@
         in_flight = pool.in_flight, slots,
         targets = pool.targets.len(), ejected, leaving,
         lowest_open = pool.lowest_open.map_or(-1, i64::from),
-        granted = granted.join(" ")
+        granted = granted.join(" "), returns_booked = pool.returns.booked,
+        returns_not_booked = pool.returns.not_booked, returns_redeemed = pool.returns.redeemed
     });
 }
 
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -151,6 +151,10 @@
     json!({
         "id": pool.id, "scheduler": pool.scheduler, "waiting": pool.waiting, "in_flight": pool.in_flight,
         "lowest_open_rank": pool.lowest_open, "targets": targets,
+        "returns": json!({
+            "booked": pool.returns.booked, "not_booked": pool.returns.not_booked,
+            "redeemed": pool.returns.redeemed,
+        }),
     })
 }
 
--- a/crates/node/src/node/views.rs
+++ b/crates/node/src/node/views.rs
@@ -53,6 +53,7 @@
             scheduler: order[0].vm.clone(),
             waiting: pool.waiting(),
             late: pool.waiting_late(),
+            returns: pool.return_counts(),
             granted: granted_shares(pool),
             in_flight: pool.in_flight(),
             lowest_open: pool.level().lowest_open(),
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -9,7 +9,7 @@
     DaemonId, DataCentreId, Generation, ObjectVersion, PoolId, RequestDigest, RequestRate,
     RolloutStage, SuspectReport, TargetId, TargetVersion, TierRank,
 };
-use curlewcleat_sched::{DrainPhase, PeerState};
+use curlewcleat_sched::{DrainPhase, PeerState, ReturnCounts};
 
 /// One target as the scheduler of its pool sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,6 +62,8 @@
     pub waiting: usize,
     /// Waiting requests that can no longer start in time.
     pub late: usize,
+    /// Returns of refused requests that were booked here.
+    pub returns: ReturnCounts,
     /// The share of the requested work that was granted here recently, for each urgency of each tier.
     pub granted: Vec<GrantedShare>,
     /// Permits granted here and in use.
--- a/crates/sched/src/admission/forecast.rs
+++ b/crates/sched/src/admission/forecast.rs
@@ -87,7 +87,7 @@
 
     /// Returns the slots of the open targets, each weighted by its target's speed, in thousandths. A target that
     /// limits its rate has at most the slots that requests of this work keep busy at that rate.
-    fn effective_slots(&self, work: WorkMicros) -> u64 {
+    pub(crate) fn effective_slots(&self, work: WorkMicros) -> u64 {
         let slots = self.open_targets().map(|state| {
             let slots = u64::from(state.slots) * 1_000 / state.slowness().max(1) * 1_000;
             let slots_of_rate = |rate: RequestRate| {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -71,7 +71,7 @@
 pub use retry::budget::{RetryBudget, RetryLimits};
 pub use retry::{decide_retry, RetryBound, RetryDecision, RetryInput};
 pub use retry_after::{rate_retry_after, spread_retry_after};
-pub use returns::{ReturnBook, ReturnClaim, SliceRoom, HORIZON_SLICES, SLICE};
+pub use returns::{ReturnBook, ReturnClaim, ReturnCounts, SliceRoom, HORIZON_SLICES, SLICE};
 pub use rollout::evidence::{AnswerLog, VersionFault, VersionVerdict};
 pub use rollout::exposure::{RolloutLimits, TrialShare};
 pub use rollout::versions::{PoolVersions, ReportedVersion, VersionAccess};
--- a/crates/sched/src/returns.rs
+++ b/crates/sched/src/returns.rs
@@ -73,12 +73,25 @@
     remaining: WorkMicros,
 }
 
+/// Returns since the start of the scheduler.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct ReturnCounts {
+    /// Refused requests whose return was booked.
+    pub booked: u64,
+    /// Refused requests whose return could not be booked, since no slice had room.
+    pub not_booked: u64,
+    /// Requests that redeemed a booked return.
+    pub redeemed: u64,
+}
+
 /// The booked returns of one pool.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ReturnBook {
     slices: BTreeMap<SliceNumber, SliceSums>,
     /// Number of sums of accounts in all slices.
     entries: usize,
+    /// What was booked and redeemed so far.
+    pub(crate) counts: ReturnCounts,
 }
 
 impl ReturnBook {
@@ -132,6 +145,7 @@
         if remaining < claim.work || claim.work == 0 {
             return false;
         }
+        self.counts.redeemed += 1;
         let mut work = claim.work;
         for sum in &mut sums {
             let redeemed = work.min(sum.remaining);
@@ -148,6 +162,14 @@
         slices.flat_map(|sums| sums.by_account.values()).map(|sum| sum.remaining).sum()
     }
 
+    /// Counts a refused request, whose return was booked or not.
+    pub(crate) fn count_booking(&mut self, is_booked: bool) {
+        match is_booked {
+            true => self.counts.booked += 1,
+            false => self.counts.not_booked += 1,
+        }
+    }
+
     /// Forgets the slices before one. At most [`HORIZON_SLICES`] and those that may still be redeemed remain.
     fn forget_before(&mut self, slice: SliceNumber) {
         while let Some(first) = self.slices.first_entry().filter(|first| *first.key() < slice) {
--- a/crates/sched/src/returns/advice.rs
+++ b/crates/sched/src/returns/advice.rs
@@ -4,9 +4,10 @@
 //! shares of the urgencies, the caller's remaining time.
 //!
 //! The rule: the first slice for which the capacity exceeds the present demand of its tier and those above, if there is
-//! one after the forecast wait. While demand is above the capacity, nobody knows when it falls, so the last slice is
-//! taken in which the caller still has time for the answer: the later, the more likely the crest is over. Where no
-//! slice has room, or the capacity is not known, nothing is booked.
+//! one after the forecast wait. While demand is above the capacity, it is not known when it falls, so the last slice is
+//! taken in which the caller still has time for the answer: the later, the more likely the crest is over. Half of such
+//! a slice remains for new requests; only when all slices are half full are they filled. Where no
+//! slice has room, nothing is booked.
 //!
 //! A booked return is in time if it begins within the objective counted from its return. It waits behind the requests of
 //! its urgency that can still be in time, so that no new request is late for it, but is not refused for its forecast.
@@ -25,6 +26,13 @@
 /// forecast far beyond it only says that the pool is full.
 const EARLIEST_DIVISOR: u32 = 2;
 
+/// The capacity is divided by this for a slice whose demand is not known, which leaves room for new requests.
+const NEW_REQUESTS_DIVISOR: u64 = 2;
+/// Microseconds of work that a slot serves per second.
+const MICROS_PER_SECOND: u64 = 1_000_000;
+/// Units of a slot in which slots are counted.
+const SLOT_THOUSANDTHS: u64 = 1_000;
+
 impl PoolScheduler {
     /// Builds the refusal of a permit request that would wait, or has waited, too long. It sheds no tier, since lower
     /// tiers would wait even longer. `forecast` is the wait from now on that was forecast for it.
@@ -57,14 +65,19 @@
         // The slice in which the time ends is not booked, since a return may come at its end.
         let end = ReturnBook::slice_at(now + latest).min(first + HORIZON_SLICES);
         let claim = claim_of(request);
-        let demand = self.demand_down_to(request.tier);
-        let free = self.capacity()?.saturating_sub(demand);
+        let capacity = self.capacity(request, request.tier);
+        let shown = self.throughput.capacity_for(TierRank::MIN).unwrap_or(0);
+        let free = shown.saturating_sub(self.demand_down_to(request.tier));
         let free_room = self.slice_room(request, free);
-        let full_room = self.slice_room(request, self.throughput.capacity_for(request.tier)?);
+        let half_room = self.slice_room(request, capacity / NEW_REQUESTS_DIVISOR);
+        let full_room = self.slice_room(request, capacity);
         let book = &mut self.returns;
         let slice = (first..end)
             .find(|slice| book.book(*slice, &claim, free_room))
-            .or_else(|| (first..end).rev().find(|slice| book.book(*slice, &claim, full_room)))?;
+            .or_else(|| (first..end).rev().find(|slice| book.book(*slice, &claim, half_room)))
+            .or_else(|| (first..end).rev().find(|slice| book.book(*slice, &claim, full_room)));
+        book.count_booking(slice.is_some());
+        let slice = slice?;
         Some(spread_return(request.permit, start_of(slice).saturating_sub(now)))
     }
 
@@ -74,9 +87,13 @@
         may_be_booked && self.returns.redeem(now, &claim_of(request))
     }
 
-    /// Returns the work per second that the pool can grant, `None` if it is not known yet.
-    fn capacity(&self) -> Option<WorkMicros> {
-        self.throughput.capacity_for(TierRank::MIN)
+    /// Returns the work per second that the pool can grant to a tier: what it has granted while requests waited, or, while
+    /// that is not known, what its slots can serve.
+    fn capacity(&self, request: &PermitRequest, tier: TierRank) -> WorkMicros {
+        self.throughput.capacity_for(tier).unwrap_or_else(|| {
+            let slots = self.effective_slots(request.prompt_work + request.output_work);
+            slots.saturating_mul(MICROS_PER_SECOND) / SLOT_THOUSANDTHS
+        })
     }
 
     /// Returns the work per second that new requests of a tier and those above ask for.
@@ -93,7 +110,7 @@
         };
         SliceRoom {
             urgency: self.queues.part_of(urgency, per_slice(per_second)),
-            all: per_slice(self.capacity().unwrap_or(per_second)),
+            all: per_slice(self.capacity(request, TierRank::MIN)),
         }
     }
 }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -21,6 +21,7 @@
 use crate::order::shares::divide_capacity;
 use crate::placement::ejection::may_eject_one_more;
 use crate::pool::{PermitRecord, PoolScheduler, RateCharge, SchedulerAction};
+use crate::returns::ReturnCounts;
 use crate::targets::state_of;
 
 /// Age from which a permit is confirmed with its entry daemon.
@@ -57,6 +58,11 @@
         self.queues.clear_shares();
     }
 
+    /// Returns what was booked and redeemed of the returns of refused requests.
+    pub fn return_counts(&self) -> ReturnCounts {
+        self.returns.counts
+    }
+
     /// Returns the overload level.
     pub fn level(&self) -> &OverloadLevel {
         &self.level
