Placement: the load that targets state, weighted by its age

Targets of some pools share their VMs with others and state how slow work is at the moment. The learned pace is a mean over eight streams and shows a slow spell after its end.

StatedLoad is decoded once; LoadBelief keeps the newest statement of each target instance and adjusts the time until the first part and the end in TargetFit: weight halved each 300 ms, none from 1.5 s; slowness relative to the mean that the learned pace includes, bounded; grants since the statement are counted; requests of others count as load.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod model;
 mod request_digest;
 mod rollout;
+mod stated_load;
 mod store_position;
 mod stream;
 mod target_instance;
@@ -25,6 +26,7 @@
     AnswerObservation, AnswerSample, RolloutAnswers, RolloutOrder, RolloutRecord, RolloutReport,
     RolloutStage, RolloutWrite,
 };
+pub use stated_load::{LoadFault, LoadReading, StatedLoad};
 pub use store_position::{StoreEra, StorePosition};
 pub use stream::{StreamId, VersionDigest};
 pub use target_instance::{InstanceOrder, TargetInstance, TargetStart};
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -10,6 +10,7 @@
 mod instances;
 mod keys;
 mod lethal;
+mod loads;
 mod notices;
 mod permits;
 mod streams;
@@ -29,6 +30,7 @@
 pub use instances::*;
 pub use keys::*;
 pub use lethal::*;
+pub use loads::*;
 pub use notices::*;
 pub use permits::*;
 pub use streams::*;
@@ -133,6 +135,8 @@
     StreamAnswer(StreamAnswer),
     /// Like [`PermitRequest`](PeerMessage::PermitRequest), for a target of one version.
     VersionPermitRequest(VersionPermitRequest),
+    /// What targets state of their load, for the pools whose targets state a slowness.
+    TargetLoads(Vec<PoolLoads>),
 }
 
 impl PeerMessage {
@@ -153,7 +157,8 @@
             | PeerMessage::StreamsBegun(_)
             | PeerMessage::StreamQuery(_)
             | PeerMessage::StreamAnswer(_)
-            | PeerMessage::VersionPermitRequest(_) => true,
+            | PeerMessage::VersionPermitRequest(_)
+            | PeerMessage::TargetLoads(_) => true,
             // A receiver that has answered a pull before can decode this one.
             PeerMessage::SuspectsPull(pull) => pull.known == 0,
             _ => false,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -64,6 +64,7 @@
 pub use placement::pacing::SendPace;
 pub use placement::prefix::PrefixCache;
 pub use placement::room::TargetRoom;
+pub use placement::stated_load::LoadBelief;
 pub use placement::target::TargetState;
 pub use pool::{PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
 pub use relay_choice::{RelayChoice, RelayPeer};
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -2,7 +2,7 @@
 //!
 //! Inputs: the waiting request (work in microseconds, deadline, when its first part is due, targets
 //! that failed it, the version that must serve it), and for each target its free capacity, learned
-//! pace, prompt backlog, share of failures, version and data centre.
+//! pace, stated load, prompt backlog, share of failures, version and data centre.
 //!
 //! The rule: the candidates are the targets with free capacity ([`target`]) that have not requested rest
 //! from the request's entry daemon. They are compared by these criteria, in this order:
@@ -15,8 +15,8 @@
 //! As long as its first part is not due, the request waits instead if a busy target would end it in time
 //! and the best candidate would not, or if the best candidate stalls streams and another target does not.
 //!
-//! Owns: the rule; the state is the [`PoolScheduler`]'s. Relies on: [`pace`] and [`prefix`] for estimates
-//! about targets.
+//! Owns: the rule; the state is the [`PoolScheduler`]'s. Relies on: [`pace`], [`stated_load`] and [`prefix`] for
+//! estimates about targets.
 
 pub mod ejection;
 pub mod notice;
@@ -24,6 +24,7 @@
 pub mod pacing;
 pub mod prefix;
 pub mod room;
+pub mod stated_load;
 pub mod target;
 mod trial;
 
@@ -90,6 +91,7 @@
                 trial.record(waiting.request.objectives.urgency, on_trial);
             }
             state.request_sent(now);
+            state.stated.granted(now, state.in_flight);
             let backlog = state.prompt_backlog(now);
             if let Some(time) = state.pace.prompt_time(waiting.request.prompt_work) {
                 state.prompt_sent(now, time);
@@ -173,7 +175,7 @@
         let prompt = state.pace.prompt_time(request.prompt_work);
         let output = state.pace.output_time(request.output_work, &self.pace);
         let (Some(prompt), Some(output)) = (prompt, output) else {
-            let time = state.estimate(request);
+            let time = state.stated.adjusted(now, state.estimate(request), state.slots);
             let penalty = failure_penalty(time, state) + self.remote_penalty(waiting, state, time);
             let penalized = time + penalty;
             return TargetFit { rests, stalls: false, late: false, penalized, time };
@@ -181,8 +183,10 @@
         let backlog = state.prompt_backlog(now);
         let prompt_delay = backlog + Duration::from_micros(prompt);
         let stalls = state.in_flight > 0 && self.would_stall(now, state, prompt_delay, request);
-        let late = now + prompt_delay > waiting.first_part_by;
-        let time = micros(prompt_delay) + output;
+        let adjusted = |time| state.stated.adjusted(now, time, state.slots);
+        let first_part = Duration::from_micros(adjusted(micros(prompt_delay)));
+        let late = now + first_part > waiting.first_part_by;
+        let time = adjusted(micros(prompt_delay) + output);
         let penalty = failure_penalty(time, state) + self.remote_penalty(waiting, state, time);
         TargetFit { rests, stalls, late, penalized: time + penalty, time }
     }
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -25,6 +25,7 @@
 use super::pacing::{share_of, SendPace};
 use super::prefix::PrefixCache;
 use super::room::TargetRoom;
+use super::stated_load::LoadBelief;
 use crate::admission::shared_rate::RateShare;
 use crate::rollout::versions::VersionAccess;
 
@@ -77,6 +78,8 @@
     last_eviction: Option<u64>,
     /// Its learned streaming speed.
     pub pace: StreamPace,
+    /// What it states of its load.
+    pub stated: LoadBelief,
     /// Estimated time by which it has read the prompts sent to it.
     prompts_until: Uptime,
     /// Share of its recent requests that failed, in thousandths.
@@ -114,6 +117,7 @@
             previous_in_flight: 0,
             last_eviction: None,
             pace: StreamPace::of_pool().of_new_target(),
+            stated: LoadBelief::default(),
             prompts_until: Duration::ZERO,
             failing: 0,
             notices: NoticeState::default(),
@@ -134,6 +138,7 @@
     pub fn second_passed(&mut self, pool: &StreamPace) {
         if self.in_flight == 0 {
             self.pace.fade_towards(pool);
+            self.stated.fade();
         }
         self.failing -= self.failing / FAILING_WEIGHT;
         if self.in_flight == 0 && self.slowness > NORMAL_SLOWNESS {
@@ -172,11 +177,8 @@
 
     /// Returns the number of requests that others have sent to the target.
     pub fn external_load(&self, now: Uptime) -> u32 {
-        if now < self.external_load.1 {
-            self.external_load.0
-        } else {
-            0
-        }
+        let reported = if now < self.external_load.1 { self.external_load.0 } else { 0 };
+        reported.max(self.stated.external_load(now, self.slots))
     }
 
     /// Applies a daemon's report of the target's notices.
@@ -245,6 +247,7 @@
     /// Counts a request that the target already runs, as another daemon reports it.
     pub fn held_request_reported(&mut self) {
         self.in_flight += 1;
+        self.stated.held_request_reported();
         self.room = self.room.map(TargetRoom::with_held_request);
     }
 
--- a/crates/sched/src/targets.rs
+++ b/crates/sched/src/targets.rs
@@ -10,8 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use curlewcleat_core::{
-    InstanceOrder, NoticeReport, RequestRate, TargetEntry, TargetId, TargetInstance, TargetPool,
-    TargetReport, Uptime, VersionDigest, VmId,
+    InstanceOrder, LoadReport, NoticeReport, RequestRate, TargetEntry, TargetId, TargetInstance,
+    TargetPool, TargetReport, Uptime, VersionDigest, VmId,
 };
 
 use crate::admission::shared_rate::{RateRole, RateShare};
@@ -103,6 +103,15 @@
         actions
     }
 
+    /// Applies what a target stated of its load to an entry daemon, which reported it just now. A statement of another
+    /// instance than the known one is ignored.
+    pub fn apply_stated_load(&mut self, now: Uptime, report: &LoadReport) {
+        if let Some(state) = state_of(&mut self.targets, &report.instance) {
+            let seen = now.saturating_sub(report.age());
+            state.stated.apply(now, seen, &report.load, state.in_flight);
+        }
+    }
+
     /// Applies an entry daemon's report of a target's notices. Notices of another instance than the known one are
     /// ignored. A brittle target that requests rest has turned a request away, whose permit is still in use here.
     pub fn apply_notice_report(
