Stated loads: read from answers, and sent to the scheduler of the pool with their age

Nothing read the header in which targets state their load and how slow their VM is. The entry daemon reads it beside the notices, from the intended target only; figures that are absent, malformed, negative, absurd or repeated are ignored, counted (target_load_faults_total) and logged once for each target instance (target_load_unreadable). Statements with a slowness go to the pool's scheduler every 100 ms at most, in an appended message in a frame of its own (TargetLoads), up to 256 statements, the latest of each target with its age; a scheduler applies its own without a message. Status shows the figure and its age.

Golden files: additions only (one message, one metric, one log event, two keys of a target's status).

--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -15,14 +15,14 @@
     AnswerObservation, AnswerSample, ArchiveId, AttemptEnd, ConfigBundle, ConfigPart,
     ConfigPartPull, DaemonId, DiscoveredTarget, EvacuationList, FreshnessAnswer, FreshnessQuery,
     Heartbeat, InterruptionKind, InterruptionReport, KeptAnswer, KeyAnswer, KeyClaim, KeyDecision,
-    KeyHandOver, KeyOutcome, KeyRecord, LatencyObjectives, LimitReport, NoticeReport, PeerFrame,
-    PeerMessage, PermitAnswer, PermitDecision, PermitHeld, PermitId, PermitRequest, PermitReturn,
-    PoolNotice, Refusal, RefusalReason, RequestDigest, RequestInterruption, RequestRate,
-    RetryReason, RolloutAnswers, RolloutOrder, RolloutReport, RolloutStage, ShedRequest,
-    SlotHolder, StatePull, StreamAnswer, StreamId, StreamQuery, StreamTiming, StreamVersion,
-    SuspectReport, SuspectsPull, SuspectsPush, TablePush, TargetChange, TargetEntry,
-    TargetInstance, TargetInstancesPush, TargetStart, TargetVersionsPush, TargetsContent,
-    TargetsPush, Verdict, VersionDigest, VersionPermitRequest,
+    KeyHandOver, KeyOutcome, KeyRecord, LatencyObjectives, LimitReport, LoadReport, NoticeReport,
+    PeerFrame, PeerMessage, PermitAnswer, PermitDecision, PermitHeld, PermitId, PermitRequest,
+    PermitReturn, PoolLoads, PoolNotice, Refusal, RefusalReason, RequestDigest,
+    RequestInterruption, RequestRate, RetryReason, RolloutAnswers, RolloutOrder, RolloutReport,
+    RolloutStage, ShedRequest, SlotHolder, StatePull, StatedLoad, StreamAnswer, StreamId,
+    StreamQuery, StreamTiming, StreamVersion, SuspectReport, SuspectsPull, SuspectsPush, TablePush,
+    TargetChange, TargetEntry, TargetInstance, TargetInstancesPush, TargetStart,
+    TargetVersionsPush, TargetsContent, TargetsPush, Verdict, VersionDigest, VersionPermitRequest,
 };
 use curlewcleat_keys::{KeyTable, TABLE_KEY};
 use curlewcleat_platform::format::{Daemon, EndedTarget, Metadata, Object, RefusedRequest};
@@ -165,6 +165,7 @@
         rollout_messages(),
         evacuation_messages(),
         stream_messages(),
+        load_messages(),
     ]
     .concat()
 }
@@ -465,6 +466,17 @@
     ]
 }
 
+fn load_messages() -> Vec<NamedMessage> {
+    let report = |id: &str, start, slowness_percent| {
+        let instance = TargetInstance { id: id.to_string(), start };
+        let load = StatedLoad { running: 3, waiting: 1, slots: 8, slowness_percent };
+        LoadReport::new(instance, load, Duration::from_millis(300))
+    };
+    let loads = vec![report("e-1", Some(TargetStart(9)), Some(250)), report("e-2", None, None)];
+    let pools = vec![PoolLoads { pool: "engines".to_string(), loads }];
+    vec![("target loads", PeerMessage::TargetLoads(pools))]
+}
+
 #[test]
 fn peer_messages_keep_their_bytes() -> Result<()> {
     let mut text = String::new();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 
-use curlewcleat_core::{RefusalReason, RetryReason, Verdict};
+use curlewcleat_core::{LoadFault, RefusalReason, RetryReason, Verdict};
 use curlewcleat_node::NodeStatus;
 use curlewcleat_peers::TransportCounts;
 use curlewcleat_store::FaultReason;
@@ -38,6 +38,7 @@
     reports: IntCounterVec,
     targets_terminated: IntCounter,
     gate_stops: IntCounterVec,
+    load_faults: IntCounterVec,
     rollout_stages: IntCounterVec,
     streams_taken_up: IntCounterVec,
     relays: IntCounterVec,
@@ -94,6 +95,11 @@
                 "Requests not sent to a target, by what the target had said",
                 &["cause"],
             )?,
+            load_faults: count(
+                "target_load_faults_total",
+                "Stated loads of targets of which figures were ignored, by cause",
+                &["cause"],
+            )?,
             rollout_stages: count(
                 "rollout_stages_total",
                 "Stages of roll-outs on which this daemon has decided",
@@ -118,6 +124,9 @@
         for reason in RetryReason::ALL {
             metrics.retries.with_label_values(&[reason.code()]);
         }
+        for fault in LoadFault::ALL {
+            metrics.load_faults.with_label_values(&[fault.code()]);
+        }
         for reason in FaultReason::ALL {
             for kind in ["target", "daemon", "refusal", "rollout"] {
                 metrics.unusable_entries.with_label_values(&[kind, reason.code()]);
@@ -212,6 +221,11 @@
         self.gate_stops.with_label_values(&[cause]).inc();
     }
 
+    /// Counts a stated load of a target of which figures were ignored.
+    pub fn count_load_fault(&self, cause: &str) {
+        self.load_faults.with_label_values(&[cause]).inc();
+    }
+
     /// Counts a call to the platform.
     pub fn count_platform_call(&self, call: &str) {
         self.platform_calls.with_label_values(&[call]).inc();
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -146,6 +146,8 @@
             "slowness_permille": target.slowness, "leaving": target.leaving, "ejected": target.ejected,
             "limit_per_s": target.limit.map(|limit| limit.as_per_second()), "rests": target.is_resting,
             "warm_up_per_s": target.warm_up_rate.map(|rate| rate.as_per_second()),
+            "stated_slowness_percent": target.stated_slowness.map(|(slowness, _)| slowness),
+            "stated_age_ms": target.stated_slowness.map(|(_, age)| age.as_millis() as u64),
         })
     }).collect();
     json!({
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -6,7 +6,7 @@
 //! [`CallerProtocol`]: super::CallerProtocol
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{RefusalReason, RetryReason, TargetEntry, TargetNotice};
+use curlewcleat_core::{LoadReading, RefusalReason, RetryReason, TargetEntry, TargetNotice};
 use curlewcleat_node::NodeEvent;
 use curlewcleat_sched::{GateStop, ReceivedNotice};
 use curlewcleat_targets::{Error, PooledConnection, TargetAnswer};
@@ -56,6 +56,7 @@
         let received = ReceivedNotice { sent: context.uptime_at(sent), notice };
         apply_notice(context, &attempt, &received);
     }
+    report_load(context, &attempt, protocol.target_load(&answer.head));
     let start = evaluate_answer(protocol, request, answer, notice);
     // An answer without a notice comes from another target.
     if notice.is_some() && matches!(start, AttemptStart::NotRun(..)) {
@@ -117,6 +118,20 @@
     }
 }
 
+/// Reports to the node what the target states of its load. The operators learn of figures that cannot be used.
+fn report_load(context: &DaemonContext, attempt: &TargetAttempt<'_>, reading: LoadReading) {
+    let (instance, request) = (attempt.target.instance(), attempt.request);
+    if let Some(fault) = reading.fault {
+        context.metrics.count_load_fault(fault.code());
+        context.gate.report_load_fault(context.uptime(), &instance, fault, request.id);
+    }
+    // Without a slowness a statement changes no decision, so the node needs no event for it.
+    if let Some(load) = reading.load.filter(|load| load.slowness_percent.is_some()) {
+        let (pool, seen) = (request.pool.id.clone(), context.uptime());
+        context.send_event(NodeEvent::LoadStated { pool, instance, load, seen });
+    }
+}
+
 /// Records at the gate that the target has turned the request away, and reports it to the node if the target is brittle.
 fn report_refusal(context: &DaemonContext, attempt: &TargetAttempt<'_>) {
     let instance = attempt.target.instance();
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -15,8 +15,8 @@
 use actix_http::{HttpMessage, Request, RequestHead, ResponseHead, StatusCode};
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
-    hash_token, ActiveConfig, LatencyObjectives, PoolId, Refusal, RefusalReason, RequestId,
-    TargetNotice, TargetPool,
+    hash_token, ActiveConfig, LatencyObjectives, LoadReading, PoolId, Refusal, RefusalReason,
+    RequestId, TargetNotice, TargetPool,
 };
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
 
@@ -174,6 +174,11 @@
         None
     }
 
+    /// Returns nothing: these targets state their load in reports.
+    fn target_load(&self, _: &ResponseHead) -> LoadReading {
+        LoadReading::default()
+    }
+
     /// Returns `false`: only the target that runs a request resumes its answer, and no request is sent a second time.
     fn may_repeat(&self, _: &AdmittedRequest) -> bool {
         false
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -7,6 +7,7 @@
 mod forwarding;
 mod notice;
 mod objectives;
+mod stated_load;
 mod take_up;
 #[cfg(test)]
 mod tests;
@@ -22,7 +23,7 @@
 use actix_http::{Request, RequestHead, ResponseHead, StatusCode};
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
-    ActiveConfig, Refusal, RefusalReason, RequestId, TargetNotice, TargetPool, Verdict,
+    ActiveConfig, LoadReading, Refusal, RefusalReason, RequestId, TargetNotice, TargetPool, Verdict,
 };
 use curlewcleat_store::WireProfile;
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
@@ -221,6 +222,10 @@
         notice::read_notice(&self.profile, head)
     }
 
+    fn target_load(&self, head: &ResponseHead) -> LoadReading {
+        stated_load::read_load(&self.profile, head)
+    }
+
     fn may_repeat(&self, request: &AdmittedRequest) -> bool {
         request.rule.repeatable
     }
--- a/crates/daemon/src/request/protocol.rs
+++ b/crates/daemon/src/request/protocol.rs
@@ -9,7 +9,8 @@
 use actix_http::{Request, RequestHead, ResponseHead, StatusCode};
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
-    ActiveConfig, Refusal, RefusalReason, RequestId, TargetEntry, TargetNotice, TargetPool,
+    ActiveConfig, LoadReading, Refusal, RefusalReason, RequestId, TargetEntry, TargetNotice,
+    TargetPool,
 };
 use curlewcleat_targets::{ConnectionPool, ExchangeOptions, TargetAnswer};
 
@@ -108,6 +109,9 @@
     /// Reads the target's notice from the head of an answer; `None` where it is not a notice of the intended target.
     fn target_notice(&self, head: &ResponseHead) -> Option<TargetNotice>;
 
+    /// Reads what the intended target states of its load in the head of an answer.
+    fn target_load(&self, head: &ResponseHead) -> LoadReading;
+
     /// Returns whether a request that may have run may be sent to another target.
     fn may_repeat(&self, request: &AdmittedRequest) -> bool;
 
--- a/crates/daemon/src/target_notices.rs
+++ b/crates/daemon/src/target_notices.rs
@@ -7,8 +7,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use curlewcleat_core::{
-    BrittleNotice, DataCentreId, NoticeReport, PoolId, RequestId, TargetEntry, TargetInstance,
-    TargetNotice, Uptime,
+    BrittleNotice, DataCentreId, LoadFault, NoticeReport, PoolId, RequestId, TargetEntry,
+    TargetInstance, TargetNotice, Uptime,
 };
 use curlewcleat_sched::{GateStop, ReceivedNotice, TargetGate};
 use spdlog::prelude::*;
@@ -68,6 +68,22 @@
         self.lock().refused(now, instance)
     }
 
+    /// Logs a figure of a target's stated load that cannot be used, once for each target instance.
+    pub fn report_load_fault(
+        &self,
+        now: Uptime,
+        instance: &TargetInstance,
+        fault: LoadFault,
+        request: RequestId,
+    ) {
+        if self.lock().is_first_load_fault(now, instance) {
+            warn!("target_load_unreadable", kv: {
+                target = instance.id.as_str(), request = request.to_string(),
+                start = instance.start.map_or(-1, |start| start.0 as i64), cause = fault.code()
+            });
+        }
+    }
+
     /// Sets the data centres that are evacuated.
     pub fn set_evacuated(&self, data_centres: BTreeSet<DataCentreId>) {
         self.lock().set_evacuated(data_centres);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -10,8 +10,8 @@
     AnswerSample, AttemptEnd, ConfigBundle, DaemonId, DaemonRecord, DataCentreId, DiscoveredTarget,
     EvacuationList, Generation, KeptAnswer, NoticeReport, ObjectVersion, PeerFrame, PermitId,
     PoolId, Refusal, RequestDigest, RequestId, RequestInterruption, RetryReason, RolloutRecord,
-    RolloutWrite, StreamVersion, SuspectReport, TargetChange, TargetEntry, TargetInstance,
-    TargetReport, TargetVersion, Uptime, Verdict, VmId, WarmUpLimit,
+    RolloutWrite, StatedLoad, StreamVersion, SuspectReport, TargetChange, TargetEntry,
+    TargetInstance, TargetReport, TargetVersion, Uptime, Verdict, VmId, WarmUpLimit,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound, RolloutReason};
@@ -83,6 +83,17 @@
     RequestInterrupted(RequestDigest, RequestInterruption),
     /// The valid notices of a target of a pool that this daemon has received.
     NoticeReceived(PoolId, NoticeReport),
+    /// A target of a pool stated its load in an answer to this daemon.
+    LoadStated {
+        /// The pool.
+        pool: PoolId,
+        /// The target instance.
+        instance: TargetInstance,
+        /// What it stated.
+        load: StatedLoad,
+        /// When the head of the answer arrived.
+        seen: Uptime,
+    },
     /// The targets of a pool bear this many refusals a second before they terminate; `None` if they are not brittle.
     BrittleChanged(PoolId, Option<u32>),
     /// All rollout orders at a revision.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,6 +6,7 @@
 mod evacuations;
 mod keys;
 mod lethal;
+mod loads;
 mod members;
 mod messages;
 mod notices;
@@ -36,6 +37,7 @@
 };
 
 use self::lethal::LethalExchange;
+use self::loads::UnsentLoads;
 use self::notices::ReceivedNotices;
 use self::rollouts::RolloutExchange;
 use self::stop::HAND_OVER_ACK_WAIT;
@@ -104,6 +106,7 @@
     entry: EntryRequests,
     lethal: LethalExchange,
     notices: ReceivedNotices,
+    unsent_loads: UnsentLoads,
     rollouts: RolloutExchange,
     streams: StreamExchange,
     drain: DrainState,
@@ -155,6 +158,7 @@
             entry: EntryRequests::new(options.entry.clone()),
             lethal: LethalExchange::default(),
             notices: ReceivedNotices::default(),
+            unsent_loads: UnsentLoads::default(),
             rollouts: RolloutExchange::default(),
             streams: StreamExchange::default(),
             drain: DrainState::new(options.drain_grace, options.hand_over_limit),
@@ -192,6 +196,9 @@
                 self.attempt_interrupted(digest, interruption)
             }
             NodeEvent::NoticeReceived(pool, report) => self.own_notice_received(pool, report),
+            NodeEvent::LoadStated { pool, instance, load, seen } => {
+                self.load_stated(pool, instance, load, seen);
+            }
             NodeEvent::BrittleChanged(pool, brittle) => {
                 if self.active.pools.contains_key(&pool) {
                     self.pool(&pool).set_brittle(brittle);
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -108,6 +108,7 @@
                 self.permit_requested(from, request.into_request());
             }
             PeerMessage::RolloutAnswers(answers) => self.peer_answers_received(from, &answers),
+            PeerMessage::TargetLoads(pools) => self.loads_received(&pools),
         }
     }
 
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -38,6 +38,7 @@
             let step = self.guards.entry(pool.clone()).or_default().tick(self.now, &peers);
             self.apply_guard_step(&pool, step);
         }
+        self.send_loads();
         self.step_take_ups();
         self.step_warm_ups();
         self.step_rollouts();
--- a/crates/node/src/node/views.rs
+++ b/crates/node/src/node/views.rs
@@ -45,6 +45,7 @@
             limit: state.notices().rate(),
             is_resting: state.rests(self.now),
             warm_up_rate: state.warm_up_rate(),
+            stated_slowness: state.stated.stated_slowness(self.now),
         });
         // The order contains at least this daemon.
         let order = self.members.scheduler_order(self.scheduling_subject(id));
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -32,6 +32,8 @@
     pub is_resting: bool,
     /// The requests per second that the target accepts until it is warm, `None` if it is warm or states no limit.
     pub warm_up_rate: Option<RequestRate>,
+    /// The slowness in percent that the target stated last, and the age of the statement; `None` if none is believed.
+    pub stated_slowness: Option<(u32, Duration)>,
 }
 
 /// The share of the requested work of one urgency that was granted.
--- a/crates/sched/src/target_gate.rs
+++ b/crates/sched/src/target_gate.rs
@@ -39,6 +39,8 @@
     last_notice: Uptime,
     /// Whether an unreadable notice has been reported to the operators.
     unreadable_reported: bool,
+    /// Whether an unusable figure of its stated load has been reported to the operators.
+    load_fault_reported: bool,
     /// Limiter of the requests sent to it, `None` if it states no limit.
     pace: Option<SendPace>,
     /// When its notices were last reported to other daemons.
@@ -103,11 +105,7 @@
         instance: &TargetInstance,
         received: &ReceivedNotice,
     ) -> NoticeChange {
-        if !self.instances.contains_key(instance) {
-            self.instances.retain(|_, record| now < record.last_notice + RECORD_RETENTION);
-        }
-        let record = self.instances.entry(instance.clone()).or_default();
-        record.last_notice = now;
+        let record = self.record_of(now, instance);
         let changed = record.notices.apply_notice(now, received);
         match received.notice.brittle {
             BrittleNotice::Stated(borne) => record.brittle = Some(borne),
@@ -133,6 +131,22 @@
         }
     }
 
+    /// Returns whether an unusable figure of a target instance's stated load is the first one.
+    pub fn is_first_load_fault(&mut self, now: Uptime, instance: &TargetInstance) -> bool {
+        let record = self.record_of(now, instance);
+        !std::mem::replace(&mut record.load_fault_reported, true)
+    }
+
+    /// Returns the record of a target instance that has just answered.
+    fn record_of(&mut self, now: Uptime, instance: &TargetInstance) -> &mut GateRecord {
+        if !self.instances.contains_key(instance) {
+            self.instances.retain(|_, record| now < record.last_notice + RECORD_RETENTION);
+        }
+        let record = self.instances.entry(instance.clone()).or_default();
+        record.last_notice = now;
+        record
+    }
+
     /// Records that a target has turned away a request of this daemon. Returns the report for the daemons that may
     /// schedule if the target is brittle: it states a short rest, which daemons of every version can read.
     pub fn refused(&mut self, now: Uptime, instance: &TargetInstance) -> Option<NoticeReport> {
--- a/crates/sched/tests/stated_load.rs
+++ b/crates/sched/tests/stated_load.rs
@@ -7,9 +7,11 @@
 use curlewcleat_core::{
     AttemptEnd, DaemonId, LatencyObjectives, LoadReport, PermitDecision, PermitHeld, PermitId,
     PermitRequest, PermitReturn, RequestId, StatedLoad, StreamTiming, TargetEntry, TargetInstance,
-    TargetPool, TargetStart,
+    TargetNotice, TargetPool, TargetStart,
+};
+use curlewcleat_sched::{
+    LoadBelief, PoolOptions, PoolScheduler, ReceivedNotice, SchedulerAction, TargetGate,
 };
-use curlewcleat_sched::{LoadBelief, PoolOptions, PoolScheduler, SchedulerAction};
 use rand::{rngs::StdRng, Rng, SeedableRng};
 use rstest::rstest;
 
@@ -582,3 +584,16 @@
     scheduler.apply_stated_load(NOW, &stated(start(2)));
     assert_eq!(scheduler.targets()["t"].stated.stated_slowness(NOW), Some((250, ms(0))));
 }
+
+/// A target states an unusable figure in each of its answers; the operators are told once for each of its instances.
+#[test]
+fn unusable_figures_are_reported_once_for_each_instance() {
+    let mut gate = TargetGate::default();
+    let instance = |start| TargetInstance { id: "t".to_string(), start: Some(TargetStart(start)) };
+    assert!(gate.is_first_load_fault(NOW, &instance(1)));
+    assert!(!gate.is_first_load_fault(NOW + ms(20), &instance(1)));
+    let notice = ReceivedNotice { sent: NOW, notice: TargetNotice::default() };
+    gate.apply_notice(NOW + ms(30), &instance(1), &notice);
+    assert!(!gate.is_first_load_fault(NOW + ms(40), &instance(1)));
+    assert!(gate.is_first_load_fault(NOW + ms(60), &instance(2)));
+}
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -202,7 +202,8 @@
     pub last_event: &'static str,
     /// On a request that takes up a stream: the attempt of the caller that brought the first event of the stream.
     pub resumes: &'static str,
-    /// Load of a target: running requests, waiting requests and slots, separated by commas.
+    /// On an answer: the load of the target as running requests, waiting requests and slots, separated by commas, at some
+    /// deployments followed by the time that work takes on its VM at this moment, in percent of the usual.
     pub load: &'static str,
     /// On an answer: the target is leaving.
     pub leaving: &'static str,
