Slow readers: what a daemon holds for callers and targets has one budget

Cause: bodies, answers and unread bytes were bounded for each connection only, so that thousands of slow callers could need more than a VM of 112 MB has, and a caller that read nothing left its target's answer unread for 60 s.

Change: where the settings give the VM's memory ([vm] memory_limit; deploy/daemon.ini passes it on where the platform gives it), all bytes held for callers and targets are counted in one budget of 70 % of it. From 60 % of the budget on, large bodies of the lowest tier wait; those that would lead beyond 75 % are refused before they are read; from 90 % on, the callers that have read least for the longest time lose their connections. The parts of an answer are bounded by bytes in place of eight parts, so that targets are read without a pause, and a caller that stands still for 2 s loses its connection. Without a memory limit nothing changes. docs/design/slow-readers.md has the whole.

Interfaces, all additive, nobody has to migrate: the setting memory_limit; the gauges held_bytes, memory_budget_bytes, memory_decisions, memory_pressure; the events body_refused, memory_pressure, reader_ended, send_buffer_not_set; the fields held_bytes and memory_level of daemon_usage.

--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -17,6 +17,9 @@
 /// smaller than any ratio in a file, far larger than the rounding error of a multiplication.
 const PERCENT_ERROR: f64 = 1e-6;
 
+/// Bytes in a megabyte of a size, the unit in which the memory of VMs is given.
+const BYTES_PER_MB: u64 = 1 << 20;
+
 /// A parsed INI file.
 #[derive(Debug)]
 pub struct IniFile {
@@ -210,6 +213,24 @@
         }
     }
 
+    /// Reads an optional size with its unit, `112MB` or `1.5GB`, of at least `minimum` bytes, and rounds it down.
+    pub fn bytes(
+        &mut self,
+        key: &'static str,
+        minimum: u64,
+        report: &mut CheckReport,
+    ) -> Option<u64> {
+        let text = self.text(key)?;
+        let bytes = parse_bytes(&text).filter(|bytes| *bytes >= minimum);
+        if bytes.is_none() {
+            let minimum = minimum / BYTES_PER_MB;
+            let message =
+                format!("'{text}' should be a size of {minimum}MB or more, such as 112MB or 2GB");
+            self.report_problem(key, message, report);
+        }
+        bytes
+    }
+
     /// Reads a ratio such as `0.2` in percent, rounded down, as rounding up would allow more than the limit.
     pub fn percent(&mut self, key: &'static str, default: u64, report: &mut CheckReport) -> u64 {
         let Some(text) = self.text(key) else { return default };
@@ -295,6 +316,18 @@
     }
 }
 
+fn parse_bytes(text: &str) -> Option<u64> {
+    let split = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let (digits, unit) = text.split_at(split);
+    let number: f64 = digits.parse().ok()?;
+    let bytes_per_unit = match unit.trim() {
+        "MB" => BYTES_PER_MB,
+        "GB" => BYTES_PER_MB << 10,
+        _ => return None,
+    };
+    Some((number * bytes_per_unit as f64) as u64)
+}
+
 fn parse_duration(text: &str) -> Option<Duration> {
     let split = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
     let (digits, unit) = text.split_at(split);
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -9,6 +9,9 @@
 use crate::problem::CheckReport;
 use crate::reader::{IniFile, IniSection};
 
+/// Smallest memory limit in bytes. A smaller one is a mistake in the unit.
+const MIN_MEMORY_LIMIT: u64 = 1 << 20;
+
 /// The settings of a daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct DaemonSettings {
@@ -20,6 +23,8 @@
     pub capacity_percent: u32,
     /// Link speed of this VM in kilobits per second; limits to how many peers a configuration is sent at the same time.
     pub link_kbit_per_s: u64,
+    /// Memory of this VM in bytes, of which a part may be held for slow readers; `None` for no limit on it.
+    pub memory_limit: Option<u64>,
     /// `ip:port` for callers.
     pub caller_address: String,
     /// `ip:port` for operators: health, status and metrics.
@@ -180,6 +185,7 @@
         data_centre: String::new(),
         capacity_percent: 100,
         link_kbit_per_s: 1_000_000,
+        memory_limit: None,
         caller_address: String::new(),
         operator_address: String::new(),
         workers: 2,
@@ -252,6 +258,7 @@
     let share = section.percent("core_share", 100, report);
     settings.capacity_percent = u32::try_from(cores * share).unwrap_or(u32::MAX);
     settings.link_kbit_per_s = section.thousandths("link_mbps", settings.link_kbit_per_s, report);
+    settings.memory_limit = section.bytes("memory_limit", MIN_MEMORY_LIMIT, report);
 }
 
 fn read_callers(
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -115,7 +115,7 @@
 }
 
 /// Values for the placeholders of the deployment's settings template.
-const TEMPLATE_VALUES: [(&str, &str); 24] = [
+const TEMPLATE_VALUES: [(&str, &str); 25] = [
     ("{{node_name}}", "front-1"),
     ("{{zone}}", "here"),
     ("{{listen.front}}", "10.0.0.1:1"),
@@ -130,6 +130,7 @@
     ("{{limits.cores}}", "2"),
     ("{{limits.cpu_share}}", "0.25"),
     ("{{limits.link_mbps}}", "10.0"),
+    ("{{limits.memory_mb}}", "112"),
     ("{{bounds.grace_s}}", "8"),
     ("{{bounds.retry_budget_ratio}}", "0.2"),
     ("{{bounds.budget_slack}}", "52"),
@@ -173,8 +174,10 @@
     assert_eq!(all.bounds.evacuation_limit, Some(std::time::Duration::from_secs(4)));
     assert_eq!(all.bounds.rate_window, std::time::Duration::from_secs(9));
     assert_eq!((all.capacity_percent, all.link_kbit_per_s), (50, 10_000));
+    assert_eq!(all.memory_limit, Some(112 << 20));
     assert_eq!(all.seeds.len(), 2);
     assert_eq!(all.relay_port, Some(7_600));
     let none = check_settings("daemon.ini", &fill_template(false)).expect("valid settings");
     assert_eq!(none.bounds, curlewcleat_config::FleetBounds::default());
+    assert_eq!(none.memory_limit, None);
 }
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -97,3 +97,32 @@
         assert!(report.contains(part), "{part} is missing in {report}");
     }
 }
+
+#[rstest]
+#[case("112MB", 112 << 20)]
+#[case("112.0MB", 112 << 20)]
+#[case("160.5 MB", (160 << 20) + (512 << 10))]
+#[case("1.5GB", 1_536 << 20)]
+fn memory_limit_is_read_in_bytes(#[case] text: &str, #[case] bytes: u64) {
+    let vm = settings_with("vm", &format!("memory_limit = {text}"));
+    let settings = check_settings("daemon.ini", &vm).expect("valid settings");
+    assert_eq!(settings.memory_limit, Some(bytes));
+}
+
+#[test]
+fn missing_memory_limit_sets_none() {
+    let settings = check_settings("daemon.ini", &settings_with("vm", "")).expect("valid settings");
+    assert_eq!(settings.memory_limit, None);
+}
+
+#[rstest]
+#[case::no_unit("112")]
+#[case::other_unit("112KB")]
+#[case::too_small("0.5MB")]
+#[case::negative("-112MB")]
+#[case::text("muchMB")]
+fn unusable_memory_limit_is_reported(#[case] text: &str) {
+    let vm = settings_with("vm", &format!("memory_limit = {text}"));
+    let problems = check_settings("daemon.ini", &vm).expect_err("invalid settings").to_string();
+    assert!(problems.contains("should be a size of 1MB or more"), "{problems}");
+}
--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -46,6 +46,9 @@
     adapter.follow(&context, me)?;
     watch_signals(context.clone())?;
     log_usage(context.clone(), counts);
+    if let Some(budget) = context.budget.clone() {
+        actix_rt::spawn(budget.end_waiting_readers());
+    }
     info!("started", kv: { vm = settings.vm.as_str(), incarnation });
 
     NodeLoop::new(node, context, transport, adapter).run(messages).await;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -14,6 +14,7 @@
 use curlewcleat_sched::{RelayPeer, RequestSpec};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::byte_budget::SharedBudget;
 use crate::metrics::DaemonMetrics;
 use crate::pending::PendingRequest;
 use crate::target_notices::SharedGate;
@@ -50,6 +51,8 @@
     pub gate: SharedGate,
     /// Links to targets.
     pub reach: SharedReach,
+    /// Bytes held for callers and targets; `None` without a memory limit.
+    pub budget: Option<SharedBudget>,
     /// Configuration in force.
     config: Arc<RwLock<Arc<ActiveConfig>>>,
     node: mpsc::UnboundedSender<NodeMessage>,
@@ -71,6 +74,7 @@
     ) -> DaemonContext {
         DaemonContext {
             daemon,
+            budget: settings.memory_limit.map(SharedBudget::new),
             bounds: Arc::new(RwLock::new(settings.bounds.clone())),
             settings: Arc::new(settings),
             metrics,
--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -22,6 +22,7 @@
 use spdlog::prelude::*;
 use tokio::net::TcpStream;
 
+use crate::byte_budget::SharedBudget;
 use crate::caller_stream::CallerStream;
 use crate::context::DaemonContext;
 use crate::operators::serve_operator;
@@ -124,6 +125,7 @@
     let head_limit = settings.head_limit;
     let caller_context = context.clone();
     let operator_context = context.clone();
+    let connection_budget = context.budget.clone();
     let builder = Server::build()
         .workers(settings.workers)
         .max_concurrent_connections(settings.connection_limit)
@@ -142,7 +144,8 @@
                     let answer = Rc::clone(&service).serve(request);
                     async move { Ok::<_, Infallible>(answer.await) }
                 });
-            fn_service(caller_stream).and_then(connections)
+            let budget = connection_budget.clone();
+            fn_service(move |stream| caller_stream(stream, budget.clone())).and_then(connections)
         })
         .with_context(|| format!("callers: bind {}", settings.caller_address))?
         .bind("operators", settings.operator_address.as_str(), move || {
@@ -162,10 +165,11 @@
 /// Prepares a connection of a caller to be served.
 async fn caller_stream(
     stream: TcpStream,
+    budget: Option<SharedBudget>,
 ) -> std::result::Result<(CallerStream, Option<SocketAddr>), DispatchError> {
     // The address is only logged.
     let peer = stream.peer_addr().ok();
-    Ok((CallerStream::new(stream, UnwrittenCount::default()), peer))
+    Ok((CallerStream::new(stream, UnwrittenCount::default(), budget.as_ref()), peer))
 }
 
 /// A server that runs on threads of its own.
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -226,11 +226,13 @@
         }),
         connection_limit: settings.connection_limit,
         unwritten: UnwrittenCount::default(),
+        budget: context.budget.clone(),
     };
     let unwritten = callers.unwritten.clone();
     let operators = ListenOptions {
         idle_limit: Rc::new(|| OPERATOR_IDLE_LIMIT),
         unwritten: UnwrittenCount::default(),
+        budget: None,
         ..callers.clone()
     };
     let profile = platform.profile().clone();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod assembly;
 mod back_off;
+pub mod byte_budget;
 mod caller_stream;
 mod config_freshness;
 mod connection_guard;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -17,6 +17,7 @@
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+use crate::byte_budget::SharedBudget;
 use crate::caller_stream::CallerStream;
 use crate::unwritten::UnwrittenCount;
 
@@ -37,6 +38,8 @@
     pub connection_limit: usize,
     /// Counts the connections that have bytes to write.
     pub unwritten: UnwrittenCount,
+    /// Budget in which the connections and what they leave unread are counted; `None` without a memory limit.
+    pub budget: Option<SharedBudget>,
 }
 
 /// Binds an address and serves its connections until the process exits.
@@ -72,7 +75,8 @@
                 .on_connect_ext(CallerStream::share_guard)
                 .h1(service.clone());
             let Ok(handler) = factory.new_service(()).await else { continue };
-            let stream = CallerStream::new(stream, options.unwritten.clone());
+            let stream =
+                CallerStream::new(stream, options.unwritten.clone(), options.budget.as_ref());
             serve_counted(name, handler.call((stream, Some(peer))), Rc::clone(&open_count));
         }
     });
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Owns: all counters and histograms; their names are stable. Relies on: `registry` for their registration, `gauges`
 //! for the values of the node's status.
 
+mod budget_gauges;
 mod gauges;
 mod registry;
 
@@ -17,6 +18,7 @@
 
 use self::gauges::StatusGauges;
 use self::registry::MetricRegistry;
+use crate::byte_budget::BudgetStatus;
 use crate::target_reach::SharedReach;
 
 /// All metrics of the daemon; docs/OPERATIONS.md describes each of them.
@@ -227,9 +229,17 @@
         self.platform_errors.with_label_values(&[call]).inc();
     }
 
-    /// Returns the metrics as text, with the gauges set from a node's status and the links to targets.
-    pub fn render(&self, status: &NodeStatus, reach: &SharedReach) -> String {
+    /// Returns the metrics as text, with the gauges set from a node's status, the links to targets and the byte budget.
+    pub fn render(
+        &self,
+        status: &NodeStatus,
+        reach: &SharedReach,
+        budget: Option<&BudgetStatus>,
+    ) -> String {
         self.gauges.set(status);
+        if let Some(budget) = budget {
+            self.gauges.set_budget(budget);
+        }
         self.gauges.set_links(reach.is_partitioned(), reach.lost_links());
         self.registry.render().unwrap_or_else(|error| {
             error!("metrics_not_written", kv: { error = error.to_string() });
--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -1,4 +1,4 @@
-//! Gauges of a node's status, of peer frames and of the process's memory.
+//! Gauges of a node's status, of peer frames, of the byte budget and of the process's memory.
 //!
 //! Owns: the gauges, which are set when the metrics are read. Relies on: [`NodeStatus`] and the counts of the
 //! transport.
@@ -10,7 +10,9 @@
 use curlewcleat_peers::TransportCounts;
 use prometheus::{IntGauge, IntGaugeVec, Result};
 
+use super::budget_gauges::BudgetGauges;
 use super::registry::MetricRegistry;
+use crate::byte_budget::BudgetStatus;
 use crate::memory::resident_bytes;
 
 /// All gauges of one daemon.
@@ -30,6 +32,7 @@
     targets_unreachable: IntGauge,
     target_links_lost: IntGauge,
     frames: IntGaugeVec,
+    budget: BudgetGauges,
     counts: Arc<TransportCounts>,
 }
 
@@ -66,6 +69,7 @@
                 .gauge("target_links_lost", "Targets that only peers reach for this daemon")?,
             resident: registry.gauge("resident_bytes", "Resident memory of the process")?,
             frames: registry.gauges("peer_frames", frames_help, "kind")?,
+            budget: BudgetGauges::new(registry)?,
             counts,
         })
     }
@@ -76,6 +80,11 @@
         self.target_links_lost.set(links_lost as i64);
     }
 
+    /// Sets the gauges of the byte budget.
+    pub fn set_budget(&self, budget: &BudgetStatus) {
+        self.budget.set(budget);
+    }
+
     /// Sets all gauges from a status, the transport's counts and the process's memory.
     pub fn set(&self, status: &NodeStatus) {
         self.generation.set(status.generation as i64);
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -10,6 +10,7 @@
 use curlewcleat_node::{NodeEvent, NodeStatus};
 use serde_json::{json, Value};
 
+use crate::byte_budget::SharedBudget;
 use crate::context::DaemonContext;
 
 /// Serves one request of an operator, a load balancer or a metrics scraper.
@@ -29,7 +30,9 @@
         },
         (&Method::GET, "/metrics") => match context.status().await {
             Some(status) => {
-                text_response(StatusCode::OK, &context.metrics.render(&status, &context.reach))
+                let budget = context.budget.as_ref().map(SharedBudget::status);
+                let metrics = context.metrics.render(&status, &context.reach, budget.as_ref());
+                text_response(StatusCode::OK, &metrics)
             }
             None => text_response(StatusCode::SERVICE_UNAVAILABLE, "ending"),
         },
--- a/crates/daemon/src/relays/server.rs
+++ b/crates/daemon/src/relays/server.rs
@@ -22,6 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::request_text;
+use crate::byte_budget::ByteOwner;
 use crate::context::DaemonContext;
 
 /// Connections of callers for each relayed connection that is allowed.
@@ -38,6 +39,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Interval at which the end of the last relayed connection is awaited.
 const CLOSE_INTERVAL: Duration = Duration::from_millis(50);
+/// Bytes that a relayed connection holds at most: one part in each direction, as read and as a frame.
+const RELAY_COST: u64 = 32 << 10;
 /// Time before the stop limit at which relayed connections are given up.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
@@ -139,6 +142,8 @@
     let outcome = match connect(&context, &request, from, open.count()).await {
         Ok(target) => {
             context.metrics.count_relay("served", "connected");
+            let budget = context.budget.as_ref();
+            let _held = budget.map(|budget| budget.hold(ByteOwner::Relay, RELAY_COST));
             relay.carry(target).await.map_or("daemon_gone", |end| end.code())
         }
         Err(refusal) => {
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -3,10 +3,10 @@
 //! The steps, in order, one file each:
 //!
 //! 1. [`protocol`] admits the request: rule, account, tier, pool, deadline ([`admitted`]).
-//! 2. [`body`] reads the body, or as much of it as the work estimate needs.
+//! 2. [`body`] reads the body, or as much of it as the work estimate needs, if there is memory for it ([`body_intake`]).
 //! 3. [`run`] waits for a permit of the pool's scheduler and decides after each attempt how to go on.
 //! 4. [`attempt`] sends the request to one target, once.
-//! 5. [`relay`] relays the answer to the caller ([`answer`]) and resumes an interrupted stream ([`framing`]).
+//! 5. [`relay`] relays the answer to the caller ([`answer`], [`answer_channel`], [`answer_flow`]) and resumes an interrupted stream ([`framing`]).
 //!
 //! [`CallerProtocol`] covers the differences between the platform kinds: [`builtin`] implements the interface
 //! of docs/CALLERS.md, [`profile`] uses the header names of a fleet's platform.
@@ -16,8 +16,11 @@
 
 mod admitted;
 mod answer;
+mod answer_channel;
+mod answer_flow;
 mod attempt;
 mod body;
+mod body_intake;
 mod builtin;
 mod cause;
 mod framing;
@@ -38,11 +41,15 @@
 use curlewcleat_core::{Refusal, RefusalReason, RequestDigest, RequestId, RequestIdentity};
 use tokio::sync::oneshot;
 
+use crate::byte_budget::{ByteHold, ByteOwner, CallerReader, REQUEST_COST};
 use crate::context::DaemonContext;
 use crate::headers;
 use admitted::AdmittedRequest;
-use answer::{AnswerChannel, CallerAnswer, CallerConnection};
-use body::RequestBody;
+use answer::{CallerAnswer, CallerConnection};
+use answer_channel::AnswerChannel;
+use answer_flow::AnswerFlow;
+use body::{BodyError, RequestBody};
+use body_intake::BodyIntake;
 use run::RequestRun;
 
 pub use builtin::BuiltinProtocol;
@@ -61,9 +68,22 @@
     uri: Uri,
     headers: HeaderMap,
     body: RequestBody,
+    /// Counts the state of the request; `None` without a memory limit.
+    _held: Option<ByteHold>,
 }
 
 impl CallerRequest {
+    /// Copies the head of a request, whose state `held` counts.
+    fn new(request: &Request, body: RequestBody, held: Option<ByteHold>) -> CallerRequest {
+        CallerRequest {
+            method: request.method().clone(),
+            uri: request.uri().clone(),
+            headers: request.headers().clone(),
+            body,
+            _held: held,
+        }
+    }
+
     /// Returns a digest of everything that the caller sends again when it repeats the request. `None` for a body that
     /// is longer than the part read before scheduling: different requests may have the same beginning.
     fn digest(&self, account: Option<&str>) -> Option<RequestDigest> {
@@ -115,32 +135,51 @@
         self.context.metrics.count_request(&admitted.tier, &admitted.pool.id);
         let limit = admitted.rule.body_limit;
         let options = self.protocol.options().body;
-        let body = match RequestBody::read(&mut request, limit, options).await {
+        let reader = request.conn_data::<CallerReader>().cloned();
+        let held = reader.as_ref().map(|reader| {
+            reader.begin_request(id);
+            reader.budget().hold(ByteOwner::Request, REQUEST_COST)
+        });
+        let intake = BodyIntake::new(&self.context, &admitted);
+        let body = match RequestBody::read(&mut request, limit, options, intake.as_ref()).await {
             Ok(body) => body,
-            Err(error) => {
-                let refusal = Refusal::not_run(error.reason(), None);
-                run::record_refusal(&self, id, &admitted.attempt_id, Some(&admitted), &refusal);
-                return self.protocol.refusal_answer(id, &refusal).into_complete_response();
-            }
+            Err(error) => return self.refuse_body(&mut request, &admitted, intake, error),
         };
         self.protocol.estimate(&mut admitted, &body);
-        let caller = CallerRequest {
-            method: request.method().clone(),
-            uri: request.uri().clone(),
-            headers: request.headers().clone(),
-            body,
-        };
+        let caller = CallerRequest::new(&request, body, held);
         admitted.digest = caller.digest(admitted.account.as_deref());
         let pending = self.context.admit(admitted.spec());
         let connection = CallerConnection::of(&request);
         let (head_sender, head_receiver) = oneshot::channel();
-        let (channel, parts) = AnswerChannel::new(head_sender);
+        let (channel, parts) = AnswerChannel::new(head_sender, reader.map(AnswerFlow::new));
         let run = RequestRun::new(self, admitted, caller, pending, channel);
         let guard = TaskGuard(actix_rt::spawn(run.run()));
         // The task ends without an answer only if it panicked.
         let answer = head_receiver.await.unwrap_or_else(|_| CallerAnswer::bad_gateway());
         answer.into_response(parts, guard, &connection)
     }
+
+    /// Refuses a request whose body cannot be read. The refusal of one that the daemon has no memory for reaches its
+    /// caller although the body was not read.
+    fn refuse_body(
+        &self,
+        request: &mut Request,
+        admitted: &AdmittedRequest,
+        intake: Option<BodyIntake>,
+        error: BodyError,
+    ) -> Response<BoxBody> {
+        let size = body::stated_length(request).unwrap_or_default();
+        let refusal = match &intake {
+            Some(intake) => intake.refusal(error, size),
+            None => Refusal::not_run(error.reason(), None),
+        };
+        run::record_refusal(self, admitted.id, &admitted.attempt_id, Some(admitted), &refusal);
+        let answer = self.protocol.refusal_answer(admitted.id, &refusal);
+        match error {
+            BodyError::NoRoom => answer.into_discarding_response(request.take_payload()),
+            BodyError::TooLarge | BodyError::Incomplete => answer.into_complete_response(),
+        }
+    }
 }
 
 /// Aborts the task of a request when the caller's connection drops the answer.
--- a/crates/daemon/src/request/answer.rs
+++ b/crates/daemon/src/request/answer.rs
@@ -1,29 +1,22 @@
-//! Sends a caller the head of an answer and its parts as they arrive.
+//! Builds the response of a caller from the head of an answer and its parts, which follow as they arrive.
 //!
-//! Owns: the channel between a request's task and the body of its answer. Relies on: the caller's
-//! connection dropping that body when it closes.
+//! Owns: how the end of an answer is marked. Relies on: [`AnswerParts`] for the parts, the caller's connection dropping
+//! the body when it closes.
 
-use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll};
 
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
 use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Request, Response, StatusCode, Version};
+use actix_http::{Payload, Request, Response, StatusCode, Version};
 use bytes::Bytes;
 use curlewcleat_targets::BodyFrame;
 use futures_util::{stream, Stream, StreamExt};
-use tokio::sync::{mpsc, oneshot};
 
+use super::answer_channel::AnswerParts;
+use super::body_intake::discarding_body;
 use super::TaskGuard;
 use crate::connection_guard::ConnectionGuard;
 
-/// Parts that may wait for the caller to read them. The queue is short so that a slow caller slows down the target's
-/// connection instead of filling this daemon's memory.
-const PART_QUEUE: usize = 8;
-
 /// What follows the head of an answer.
 pub enum AnswerContent {
     /// The complete body.
@@ -119,6 +112,16 @@
         self.head().set_body(body).map_into_boxed_body()
     }
 
+    /// Returns the response for a request whose body was not read. The connection closes after the answer.
+    pub fn into_discarding_response(mut self, payload: Payload) -> Response<BoxBody> {
+        self.close = true;
+        let body = match &self.content {
+            AnswerContent::Complete(body) | AnswerContent::UntilClose(body) => body.clone(),
+            AnswerContent::Parts(_) => Bytes::new(),
+        };
+        self.head().set_body(discarding_body(body, payload)).map_into_boxed_body()
+    }
+
     /// Returns the response. Dropping its body aborts the task of the request.
     pub(super) fn into_response(
         self,
@@ -177,104 +180,3 @@
         builder.finish().set_body(())
     }
 }
-
-/// The answer ended before it was complete; the caller's connection is closed too.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("answer was cut before its end")]
-pub struct AnswerCut;
-
-/// The sending end of an answer. An answer that is dropped before [`finish`](AnswerChannel::finish)
-/// ends with [`AnswerCut`], so that no caller mistakes a partial answer for a complete one.
-pub struct AnswerChannel {
-    head_sender: Option<oneshot::Sender<CallerAnswer>>,
-    parts: mpsc::Sender<Bytes>,
-    complete: Rc<Cell<bool>>,
-    /// How the end of the answer is marked, once its head was sent.
-    frame: Option<PartsFrame>,
-}
-
-/// The receiving end: the body of the answer.
-pub struct AnswerParts {
-    parts: mpsc::Receiver<Bytes>,
-    complete: Rc<Cell<bool>>,
-    ended: bool,
-    /// Whether the end of a cut answer was delayed.
-    cut_delayed: bool,
-}
-
-impl AnswerChannel {
-    /// Creates both ends; the head of the answer is sent to `head_sender`.
-    pub fn new(head_sender: oneshot::Sender<CallerAnswer>) -> (AnswerChannel, AnswerParts) {
-        let (sender, receiver) = mpsc::channel(PART_QUEUE);
-        let complete = Rc::new(Cell::new(false));
-        let channel = AnswerChannel {
-            head_sender: Some(head_sender),
-            parts: sender,
-            complete: Rc::clone(&complete),
-            frame: None,
-        };
-        (channel, AnswerParts { parts: receiver, complete, ended: false, cut_delayed: false })
-    }
-
-    /// Returns whether the head was sent.
-    pub fn has_begun(&self) -> bool {
-        self.head_sender.is_none()
-    }
-
-    /// Returns whether the answer may end where a target's answer has ended whose end is determined by `frame`. The
-    /// end of a connection does not prove what a length or a last chunk would state.
-    pub fn may_end_with(&self, frame: BodyFrame) -> bool {
-        frame != BodyFrame::UntilClose
-            || self.frame.is_none_or(|claimed| claimed == PartsFrame::UntilClose)
-    }
-
-    /// Sends the head; later calls are ignored.
-    pub fn send_head(&mut self, answer: CallerAnswer) {
-        if let Some(head_sender) = self.head_sender.take() {
-            if let AnswerContent::Parts(frame) = &answer.content {
-                self.frame = Some(*frame);
-            }
-            // If the caller has disconnected, its connection aborts the task of the request.
-            let _ = head_sender.send(answer);
-        }
-    }
-
-    /// Sends a part; waits while the queue is full because the caller does not read.
-    pub async fn send_part(&self, part: Bytes) {
-        // If the caller has disconnected, its connection aborts the task of the request.
-        let _ = self.parts.send(part).await;
-    }
-
-    /// Marks the answer as complete with the parts sent so far.
-    pub fn finish(&self) {
-        self.complete.set(true);
-    }
-}
-
-impl Stream for AnswerParts {
-    type Item = Result<Bytes, AnswerCut>;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        if self.ended {
-            return Poll::Ready(None);
-        }
-        match self.parts.poll_recv(context) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(part)) => Poll::Ready(Some(Ok(part))),
-            Poll::Ready(None) if self.complete.get() => {
-                self.ended = true;
-                Poll::Ready(None)
-            }
-            Poll::Ready(None) if !self.cut_delayed => {
-                // The connection writes what it has while the answer is pending, and drops it after an error.
-                self.cut_delayed = true;
-                context.waker().wake_by_ref();
-                Poll::Pending
-            }
-            Poll::Ready(None) => {
-                self.ended = true;
-                Poll::Ready(Some(Err(AnswerCut)))
-            }
-        }
-    }
-}
--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -15,6 +15,8 @@
 use curlewcleat_core::RefusalReason;
 use futures_util::{Stream, StreamExt};
 
+use super::body_intake::BodyIntake;
+use crate::byte_budget::ByteHold;
 use crate::headers;
 
 /// Longest time between two parts of a caller's body.
@@ -38,6 +40,9 @@
     /// The caller stopped sending before the end.
     #[error("caller stopped sending the request body before its end")]
     Incomplete,
+    /// The daemon's memory has no room for it.
+    #[error("no memory for the request body")]
+    NoRoom,
 }
 
 impl BodyError {
@@ -46,6 +51,7 @@
         match self {
             BodyError::TooLarge => RefusalReason::BodyTooLarge,
             BodyError::Incomplete => RefusalReason::BodyIncomplete,
+            BodyError::NoRoom => RefusalReason::EntryFull,
         }
     }
 }
@@ -58,6 +64,8 @@
     /// Whether reading the rest has started, after which the body cannot be sent again.
     rest_started: bool,
     error: Option<BodyError>,
+    /// Counts the beginning; `None` without a memory limit.
+    _held: Option<ByteHold>,
 }
 
 /// A body that can be sent again as long as only its beginning was read.
@@ -70,17 +78,23 @@
 }
 
 impl RequestBody {
-    /// Reads the beginning of a request's body; the complete body may have `limit` bytes.
+    /// Reads the beginning of a request's body; the complete body may have `limit` bytes. Where there is an `intake`, it
+    /// decides whether the body is read; one that it refuses at once stays unread.
     pub async fn read(
         request: &mut Request,
         limit: usize,
         options: BodyOptions,
+        intake: Option<&BodyIntake>,
     ) -> Result<RequestBody, BodyError> {
-        let stated_length = headers::text(request.headers(), "content-length");
-        let stated_length = stated_length.and_then(|text| text.parse::<u64>().ok());
+        let stated_length = stated_length(request);
         if stated_length.is_some_and(|length| length > limit as u64) {
             return Err(BodyError::TooLarge);
         }
+        let size = stated_length.unwrap_or_default().min(options.peek_limit as u64);
+        let mut held = match intake {
+            Some(intake) => Some((intake, intake.admit(size).await?)),
+            None => None,
+        };
         let mut payload = request.take_payload();
         let mut beginning = BytesMut::new();
         let mut ended = false;
@@ -93,10 +107,15 @@
             if beginning.len() > limit {
                 return Err(BodyError::TooLarge);
             }
+            if let Some((intake, held)) = &mut held {
+                intake.grow(held, beginning.len() as u64)?;
+            }
         }
         let size = beginning.len();
         let rest = (!ended).then_some(payload);
-        let state = BodyState { rest, allowed: limit - size, rest_started: false, error: None };
+        let _held = held.map(|(_, held)| held);
+        let state =
+            BodyState { rest, allowed: limit - size, rest_started: false, error: None, _held };
         Ok(RequestBody {
             beginning: beginning.freeze(),
             state: Rc::new(RefCell::new(state)),
@@ -136,6 +155,11 @@
     }
 }
 
+/// Returns the length that the caller states for the body, if it does.
+pub fn stated_length(request: &Request) -> Option<u64> {
+    headers::text(request.headers(), "content-length")?.parse().ok()
+}
+
 /// The body of one attempt.
 pub struct OutgoingBody {
     body: RequestBody,
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -19,6 +19,7 @@
 use super::cause::AttemptCause;
 use super::run::{AttemptOutcome, RequestRun};
 use super::target_wait::{GrantedTarget, WaitEnd};
+use crate::byte_budget::{ByteHold, ByteOwner};
 
 /// Longest answer in bytes that is buffered until it is complete: the platform's values have a megabyte at most.
 const BUFFERED_ANSWER_LIMIT: usize = 1 << 20;
@@ -65,7 +66,16 @@
     ) -> AttemptOutcome {
         let TargetAnswer { head, body } = answer;
         let frame = body.frame();
-        let bytes = match collect(body, BUFFERED_ANSWER_LIMIT).await {
+        let mut held = self.hold_answer();
+        let body = body.inspect(|part| {
+            if let (Some(held), Ok(part)) = (&mut held, part) {
+                held.grow(part.len() as u64);
+            }
+        });
+        let collected = collect(body, BUFFERED_ANSWER_LIMIT).await;
+        // Counted until the connection has the answer, or a fallback is no longer needed.
+        self.buffered = held;
+        let bytes = match collected {
             Ok(bytes) => bytes,
             Err(error) => {
                 debug!("exchange_broken", kv: { target = target.id.as_str(), error = error.to_string() });
@@ -131,6 +141,12 @@
         self.finish_parts(sent).await
     }
 
+    /// Starts to count an answer that is buffered; `None` without a memory limit.
+    fn hold_answer(&self) -> Option<ByteHold> {
+        let budget = self.service.context.budget.as_ref()?;
+        Some(budget.hold(ByteOwner::Answer, 0))
+    }
+
     fn begin_parts(&mut self, head: &actix_http::ResponseHead) {
         self.framing.begin(head);
         if !self.framing.delays_head() {
@@ -206,10 +222,11 @@
         self.answer.send_head(answer);
     }
 
-    /// Relays a part; returns `false` if the caller has not read for `stall_limit`.
+    /// Relays a part; returns `false` if the caller has not read for `stall_limit`, or for the shorter time for which
+    /// the target's answer may be left unread.
     async fn relay_part(&mut self, part: Bytes) -> bool {
         self.progress.record_part(part.len());
-        let limit = self.service.context.settings.stall_limit;
+        let limit = self.answer.part_wait(self.service.context.settings.stall_limit);
         tokio::time::timeout(limit, self.answer.send_part(part)).await.is_ok()
     }
 
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -21,7 +21,8 @@
 use spdlog::prelude::*;
 
 use super::admitted::AdmittedRequest;
-use super::answer::{AnswerChannel, AnswerContent, CallerAnswer};
+use super::answer::{AnswerContent, CallerAnswer};
+use super::answer_channel::AnswerChannel;
 use super::cause::AttemptCause;
 use super::framing::AnswerFraming;
 use super::problem::REQUEST_ID;
@@ -29,6 +30,7 @@
 use super::protocol::CallerProtocol;
 use super::target_wait::GrantedTarget;
 use super::{CallerRequest, RequestService};
+use crate::byte_budget::ByteHold;
 use crate::pending::PendingRequest;
 
 pub use self::log::record_refusal;
@@ -75,6 +77,8 @@
     pub(super) verdict: Verdict,
     /// A target's server error, which the caller gets if no later attempt succeeds.
     pub(super) fallback: Option<CallerAnswer>,
+    /// Counts the latest answer that was buffered until it was complete.
+    pub(super) buffered: Option<ByteHold>,
     pub(super) progress: RequestProgress,
 }
 
@@ -97,6 +101,7 @@
             framing,
             verdict: Verdict::NotRun,
             fallback: None,
+            buffered: None,
             progress: RequestProgress::default(),
         }
     }
@@ -247,6 +252,7 @@
             request = self.request.id.to_string(), offset = self.progress.bytes
         });
         self.service.context.metrics.count_caller_stalled();
+        self.answer.end_stalled();
         self.pending = None;
     }
 
--- a/crates/daemon/src/usage.rs
+++ b/crates/daemon/src/usage.rs
@@ -11,6 +11,7 @@
 use curlewcleat_peers::TransportCounts;
 use spdlog::prelude::*;
 
+use crate::byte_budget::{BudgetStatus, SharedBudget};
 use crate::context::DaemonContext;
 use crate::memory::resident_bytes;
 
@@ -26,12 +27,13 @@
         loop {
             tokio::time::sleep(LOG_INTERVAL).await;
             let Some(status) = context.status().await else { return };
-            log_status(&status, &counts);
+            let budget = context.budget.as_ref().map(SharedBudget::status);
+            log_status(&status, &counts, budget.as_ref());
         }
     });
 }
 
-fn log_status(status: &NodeStatus, counts: &TransportCounts) {
+fn log_status(status: &NodeStatus, counts: &TransportCounts, budget: Option<&BudgetStatus>) {
     let resident_mb = match resident_bytes() {
         Ok(bytes) => (bytes / MEGABYTE) as i64,
         Err(error) => {
@@ -46,6 +48,8 @@
         config_taken_bytes = intake.taken, config_unused_bytes = intake.unused,
         peer_sent_bytes = counts.sent_bytes.load(Ordering::Relaxed),
         peer_received_bytes = counts.received_bytes.load(Ordering::Relaxed),
-        peer_frames_dropped = counts.dropped.load(Ordering::Relaxed)
+        peer_frames_dropped = counts.dropped.load(Ordering::Relaxed),
+        held_bytes = budget.map_or(-1, |budget| budget.total as i64),
+        memory_level = budget.map_or("", |budget| budget.level.code())
     });
 }
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -87,6 +87,8 @@
     /// Sets the faults of the links from daemons to engines; `None` unless
     /// [`FleetDeployment::use_engine_links`] was called.
     pub engine_links: Option<EngineLinks>,
+    /// Lines for the section `vm` of the settings of daemons that are started from now on.
+    pub vm_settings: String,
     /// Port of the relays of all daemons, `None` before the first daemons are started.
     relay_port: Option<u16>,
     store_address: String,
@@ -109,6 +111,7 @@
             daemons: Vec::new(),
             config: example_config(),
             engine_links: None,
+            vm_settings: String::new(),
             relay_port: None,
             store_address,
             folder,
@@ -305,12 +308,13 @@
         let (callers, operators) = (free_address()?, free_address()?);
         let relay = self.relay_port.map(|port| format!("relay_port = {port}\n"));
         let text = format!(
-            "[vm]\nname = vm-{index}\ndata_centre = here\n\
+            "[vm]\nname = vm-{index}\ndata_centre = here\n{}\
                  [callers]\naddress = {callers}\ndrain_grace = 200ms\n\
                  [operators]\naddress = {operators}\n\
                  [peers]\naddress = {peer}\nseeds = {}\nask_limit = 100ms\n{}\
                  [platform]\nkind = fleet\naddress = {}\ncall_limit = 500ms\n\
                  [bounds]\nconfig_apply_limit = 400ms\n{bounds}\n",
+            self.vm_settings,
             seed,
             relay.unwrap_or_default(),
             self.store_address
