Placement: among about equally good targets, one to which the entry daemon has an idle connection

The scheduler chose targets without regard to the connections that the entry daemons keep, so that most pairs of an entry daemon and a target met again only after their connection had been closed. It now infers idle connections from grants and complete answers, and prefers such a target where the caller does not notice the difference: no later first part than a sixteenth of its latency objective, no longer answer than a sixteenth of its time, no more load, no other data centre. Pools without reuse are served exactly as before.

--- a/crates/node/src/pool_options.rs
+++ b/crates/node/src/pool_options.rs
@@ -27,5 +27,6 @@
         lowest,
         age_per_work,
         accounts: accounts.collect(),
+        reuses_connections: pool.reuse_connections,
     }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -59,6 +59,9 @@
 pub use order::queue::TierQueues;
 pub use order::waiting::WaitingRequest;
 pub use placement::ejection::{may_eject_one_more, TargetEjection};
+pub use placement::idle_connections::{
+    limit_per_target, EntryNumber, EntryNumbers, IdleConnections,
+};
 pub use placement::notice::{NoticeState, ReceivedNotice};
 pub use placement::pace::StreamPace;
 pub use placement::pacing::SendPace;
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -12,14 +12,20 @@
 //! 4. It ends the answer soonest; the time on failing and remote targets is weighted up.
 //! 5. It has the lowest load.
 //!
+//! If targets are about equally good, one to which the entry daemon has an idle connection is chosen
+//! ([`connection_choice`]), where connections are reused.
+//!
 //! As long as its first part is not due, the request waits instead if a busy target would end it in time
 //! and the best candidate would not, or if the best candidate stalls streams and another target does not.
 //!
 //! Owns: the rule; the state is the [`PoolScheduler`]'s. Relies on: [`pace`] and [`prefix`] for estimates
 //! about targets.
 
+mod connection_choice;
 pub mod ejection;
+pub mod idle_connections;
 pub mod notice;
+mod origin;
 pub mod pace;
 pub mod pacing;
 pub mod prefix;
@@ -30,9 +36,11 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, PermitDecision, PermitId, PermitRequest, TargetId, TargetInstance, Uptime, WorkMicros,
+    PermitDecision, PermitId, PermitRequest, TargetId, TargetInstance, Uptime, WorkMicros,
 };
 
+use self::connection_choice::{TargetCandidate, TargetChoice};
+use self::origin::RequestOrigin;
 use self::target::TargetState;
 use crate::order::waiting::WaitingRequest;
 use crate::pool::{PermitRecord, PoolScheduler, SchedulerAction};
@@ -43,9 +51,6 @@
 const HEADS_TRIED: usize = 8;
 /// Reading prompts for up to this percentage of the longest allowed pause stalls no stream.
 const STALL_PERCENT: u32 = 70;
-/// Percentage added to the time on a target of another data centre: a local target is chosen unless a
-/// remote one is several times as fast, or the local one would be late.
-const REMOTE_PENALTY_PERCENT: u64 = 250;
 /// Multiple of its time added for a target all of whose recent requests failed.
 const FAILING_PENALTY: u64 = 8;
 
@@ -65,15 +70,6 @@
 }
 
 impl PoolScheduler {
-    /// Returns whether a target is known to be in another data centre than the entry daemon.
-    fn is_remote(&self, entry: &DaemonId, state: &TargetState) -> bool {
-        let data_centre =
-            self.data_centres.get(&entry.vm).filter(|data_centre| !data_centre.is_empty());
-        data_centre.is_some_and(|data_centre| {
-            !state.data_centre.is_empty() && *data_centre != state.data_centre
-        })
-    }
-
     /// Grants permits as long as the best waiting requests find targets with free capacity.
     pub(crate) fn grant(&mut self, now: Uptime, actions: &mut Vec<SchedulerAction>) {
         self.queues.defer_late(now);
@@ -85,6 +81,9 @@
             let estimate = state.estimate(&waiting.request);
             let expected = estimate * 1_000 / state.slowness().max(1);
             state.in_flight += 1;
+            if let Some(number) = self.entry_numbers.get(&waiting.entry) {
+                state.idle_connections.record_use(number);
+            }
             if let Some(trial) = &mut self.trial {
                 let on_trial = state.access == VersionAccess::Trial;
                 trial.record(waiting.request.objectives.urgency, on_trial);
@@ -140,22 +139,27 @@
                 && eligible(now, waiting, id, state)
                 && (state.access != VersionAccess::Trial || trial_admits)
         });
-        let scored = candidates.map(|(id, state)| {
-            let fit = self.evaluate(now, waiting, state);
-            (fit, load_permille(state), id)
-        });
-        let (fit, _, target) = scored.min()?;
+        let origin = self.origin_of(&waiting.entry);
+        let time_left = micros(waiting.deadline.saturating_sub(now));
+        let mut choice = TargetChoice::default();
+        for (id, state) in candidates {
+            let fit = self.evaluate(now, waiting, &origin, state);
+            let too_slow = with_margin(fit.time) > time_left;
+            choice.add(TargetCandidate {
+                too_slow,
+                ..TargetCandidate::new(now, fit, id, state, &origin)
+            });
+        }
+        let chosen = choice.close(now, &waiting.request)?;
         // The request waits only while its first part is not due, and only if a better target is busy.
         let may_wait = now < waiting.first_part_by;
-        let time_left = micros(waiting.deadline.saturating_sub(now));
-        let too_slow = with_margin(fit.time) > time_left;
-        if too_slow && may_wait && self.has_fast_target(now, waiting, time_left) {
+        if chosen.too_slow && may_wait && self.has_fast_target(now, waiting, time_left) {
             return None;
         }
-        if fit.stalls && may_wait && self.has_target_without_stalls(now, waiting) {
+        if chosen.fit.stalls && may_wait && self.has_target_without_stalls(now, waiting) {
             return None;
         }
-        Some(target.clone())
+        Some(chosen.id.clone())
     }
 
     /// Returns whether a request is limited to a version all of whose targets are ejected. The share of a pool's targets
@@ -167,14 +171,20 @@
     }
 
     /// Returns how well a target suits a permit request.
-    fn evaluate(&self, now: Uptime, waiting: &WaitingRequest, state: &TargetState) -> TargetFit {
+    fn evaluate(
+        &self,
+        now: Uptime,
+        waiting: &WaitingRequest,
+        origin: &RequestOrigin<'_>,
+        state: &TargetState,
+    ) -> TargetFit {
         let request = &waiting.request;
         let rests = state.rests(now);
         let prompt = state.pace.prompt_time(request.prompt_work);
         let output = state.pace.output_time(request.output_work, &self.pace);
         let (Some(prompt), Some(output)) = (prompt, output) else {
             let time = state.estimate(request);
-            let penalty = failure_penalty(time, state) + self.remote_penalty(waiting, state, time);
+            let penalty = failure_penalty(time, state) + origin.remote_penalty(state, time);
             let penalized = time + penalty;
             return TargetFit { rests, stalls: false, late: false, penalized, time };
         };
@@ -183,7 +193,7 @@
         let stalls = state.in_flight > 0 && self.would_stall(now, state, prompt_delay, request);
         let late = now + prompt_delay > waiting.first_part_by;
         let time = micros(prompt_delay) + output;
-        let penalty = failure_penalty(time, state) + self.remote_penalty(waiting, state, time);
+        let penalty = failure_penalty(time, state) + origin.remote_penalty(state, time);
         TargetFit { rests, stalls, late, penalized: time + penalty, time }
     }
 
@@ -201,19 +211,6 @@
         pauses && prompt_delay > limit / 100 * STALL_PERCENT
     }
 
-    /// Returns the time added for a target in another data centre than the entry daemon.
-    fn remote_penalty(
-        &self,
-        waiting: &WaitingRequest,
-        state: &TargetState,
-        time: WorkMicros,
-    ) -> WorkMicros {
-        match self.is_remote(&waiting.entry, state) {
-            true => time / 100 * REMOTE_PENALTY_PERCENT,
-            false => 0,
-        }
-    }
-
     /// Returns whether any target that accepts new requests, busy or not, would end the answer in time.
     fn has_fast_target(
         &self,
@@ -221,9 +218,10 @@
         waiting: &WaitingRequest,
         time_left: WorkMicros,
     ) -> bool {
+        let origin = self.origin_of(&waiting.entry);
         self.targets.iter().any(|(id, state)| {
             let suitable = state.accepts_requests(now) && eligible(now, waiting, id, state);
-            suitable && with_margin(self.evaluate(now, waiting, state).time) <= time_left
+            suitable && with_margin(self.evaluate(now, waiting, &origin, state).time) <= time_left
         })
     }
 
@@ -249,8 +247,3 @@
 fn failure_penalty(time: WorkMicros, state: &TargetState) -> WorkMicros {
     time / 1_000 * state.failing() * FAILING_PENALTY
 }
-
-/// Returns the permits in use relative to the slots, in thousandths.
-fn load_permille(state: &TargetState) -> u32 {
-    state.in_flight * 1_000 / state.slots.max(1)
-}
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -20,6 +20,7 @@
 };
 
 use super::ejection::TargetEjection;
+use super::idle_connections::IdleConnections;
 use super::notice::NoticeState;
 use super::pace::StreamPace;
 use super::pacing::{share_of, SendPace};
@@ -66,6 +67,8 @@
     pub leaving: bool,
     /// Prefixes that it is assumed to hold in its prompt cache.
     pub prefixes: PrefixCache,
+    /// Idle connections that entry daemons are assumed to have to it.
+    pub idle_connections: IdleConnections,
     /// Ratio of measured to estimated time, in thousandths.
     slowness: u64,
     ejection: TargetEjection,
@@ -108,6 +111,7 @@
             in_flight: 0,
             leaving: false,
             prefixes: PrefixCache::default(),
+            idle_connections: IdleConnections::default(),
             slowness: NORMAL_SLOWNESS,
             ejection: TargetEjection::default(),
             external_load: (0, Duration::ZERO),
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::admission::throughput::PoolThroughput;
 use crate::order::flows::UrgencyFlows;
 use crate::order::queue::TierQueues;
+use crate::placement::idle_connections::EntryNumbers;
 use crate::placement::pace::StreamPace;
 use crate::placement::target::TargetState;
 use crate::rollout::exposure::TrialShare;
@@ -39,6 +40,8 @@
     pub age_per_work: u64,
     /// Limits of the accounts.
     pub accounts: BTreeMap<AccountId, AccountLimit>,
+    /// Whether entry daemons reuse their connections to the targets.
+    pub reuses_connections: bool,
 }
 
 impl Default for PoolOptions {
@@ -51,6 +54,7 @@
             lowest: 3,
             age_per_work: 32,
             accounts: BTreeMap::new(),
+            reuses_connections: false,
         }
     }
 }
@@ -120,6 +124,8 @@
     pub(crate) leaving_vms: BTreeSet<VmId>,
     /// Data centres of the entry daemons' VMs, as far as they are known.
     pub(crate) data_centres: BTreeMap<VmId, String>,
+    /// Numbers of the entry daemons that are assumed to have idle connections.
+    pub(crate) entry_numbers: EntryNumbers,
     /// Learned pace of all its targets together.
     pub(crate) pace: StreamPace,
     /// Learned capacity.
@@ -151,6 +157,7 @@
             level: OverloadLevel::default(),
             leaving_vms: BTreeSet::new(),
             data_centres: BTreeMap::new(),
+            entry_numbers: EntryNumbers::default(),
             pace: StreamPace::of_pool(),
             throughput: PoolThroughput::default(),
             flows: UrgencyFlows::default(),
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -20,6 +20,7 @@
 use crate::order::flows::UrgencyFlows;
 use crate::order::shares::divide_capacity;
 use crate::placement::ejection::may_eject_one_more;
+use crate::placement::idle_connections::limit_per_target;
 use crate::pool::{PermitRecord, PoolScheduler, RateCharge, SchedulerAction};
 use crate::targets::state_of;
 
@@ -182,6 +183,7 @@
                 self.record_end(now, &record, AttemptEnd::Unused);
             }
         }
+        self.entry_numbers.remove(entry);
         let mut actions = Vec::new();
         self.grant(now, &mut actions);
         actions
@@ -251,8 +253,15 @@
     /// Records the end of an attempt at its target, and learns the target's speed from it.
     fn record_end(&mut self, now: Uptime, record: &PermitRecord, end: AttemptEnd) {
         let may_eject = self.may_eject();
+        let idle_limit = limit_per_target(self.targets.len());
         let Some(state) = state_of(&mut self.targets, &record.target) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
+        // A target that is leaving closes its connections.
+        let leaves_connection = matches!(end, AttemptEnd::Whole(_) | AttemptEnd::Streamed(_));
+        if leaves_connection && self.options.reuses_connections && !state.is_leaving() {
+            let entry = self.entry_numbers.assign(&record.entry);
+            state.idle_connections.record_idle(now, entry, idle_limit);
+        }
         match end {
             AttemptEnd::Unused => {}
             AttemptEnd::Whole(took) => state.succeeded(record.expected, took),
--- a/crates/sched/src/targets.rs
+++ b/crates/sched/src/targets.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::admission::shared_rate::{RateRole, RateShare};
+use crate::placement::idle_connections::EntryNumbers;
 use crate::placement::room::TargetRoom;
 use crate::placement::target::TargetState;
 use crate::pool::{PoolOptions, PoolScheduler, SchedulerAction};
@@ -34,6 +35,10 @@
                 targets.filter(|target| target.id == *id && is_same_instance(target, state));
             state.in_flight = of_instance.count() as u32;
         }
+        if !self.options.reuses_connections {
+            self.entry_numbers = EntryNumbers::default();
+            self.targets.values_mut().for_each(|state| state.idle_connections.clear());
+        }
     }
 
     fn configure_target(&mut self, entry: &TargetEntry) {
