Connections to targets: counted by origin, pool and data centre, and named in request_served

Operators could not see how often an attempt opened a connection. target_connections_total{origin,pool,data_centre} counts attempts by where their connection came from (opened, reused, relayed), and request_served has it as connection.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -41,6 +41,7 @@
     rollout_stages: IntCounterVec,
     streams_taken_up: IntCounterVec,
     relays: IntCounterVec,
+    target_connections: IntCounterVec,
     gauges: StatusGauges,
 }
 
@@ -109,6 +110,11 @@
                 "Connections to targets through a peer that were asked for or served, by outcome",
                 &["role", "outcome"],
             )?,
+            target_connections: count(
+                "target_connections_total",
+                "Attempts sent to targets, by where their connection came from",
+                &["origin", "pool", "data_centre"],
+            )?,
             gauges: StatusGauges::new(&registry, counts)?,
             registry,
         };
@@ -151,6 +157,11 @@
         self.relays.with_label_values(&[role, outcome]).inc();
     }
 
+    /// Counts an attempt by where its connection to the target came from.
+    pub fn count_target_connection(&self, origin: &str, pool: &str, data_centre: &str) {
+        self.target_connections.with_label_values(&[origin, pool, data_centre]).inc();
+    }
+
     /// Counts a refused request; tier and pool are empty if no rule matched.
     pub fn count_refusal(&self, reason: RefusalReason, tier: &str, pool: &str) {
         self.refusals.with_label_values(&[reason.code(), tier, pool]).inc();
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -9,7 +9,7 @@
     AnswerObservation, AttemptEnd, StreamTiming, TargetEntry, TargetId, TargetVersion,
     VersionDigest,
 };
-use curlewcleat_targets::BodyFrame;
+use curlewcleat_targets::{BodyFrame, ConnectionOrigin};
 
 /// Number of parts after which the mean time between two parts is reported.
 const MEAN_INTERVAL_PARTS: u32 = 8;
@@ -45,8 +45,8 @@
 /// Progress of the latest attempt.
 #[derive(Default)]
 struct AttemptProgress {
-    /// Whether the connection to the target goes through a peer.
-    relayed: bool,
+    /// Where the connection to the target comes from, `None` before it is established.
+    connection: Option<ConnectionOrigin>,
     /// Whether the target answered with a server error.
     server_error: bool,
     /// How the end of the answer is determined, once its head has arrived.
@@ -66,14 +66,19 @@
         self.attempt = AttemptProgress::default();
     }
 
-    /// Records that the latest attempt has a connection, and whether it goes through a peer.
-    pub fn record_connection(&mut self, relayed: bool) {
-        self.attempt.relayed = relayed;
+    /// Records that the latest attempt has a connection, and where that comes from.
+    pub fn record_connection(&mut self, origin: ConnectionOrigin) {
+        self.attempt.connection = Some(origin);
+    }
+
+    /// Returns where the connection of the latest attempt comes from, `None` before it is established.
+    pub fn connection(&self) -> Option<ConnectionOrigin> {
+        self.attempt.connection
     }
 
     /// Returns whether the connection of the latest attempt goes through a peer.
     pub fn is_relayed(&self) -> bool {
-        self.attempt.relayed
+        self.attempt.connection == Some(ConnectionOrigin::Relayed)
     }
 
     /// Records that a part of the answer is relayed.
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -72,7 +72,13 @@
             Ok(connection) => connection,
             Err(start) => return start,
         };
-        self.progress.record_connection(connection.is_relayed());
+        let origin = connection.origin();
+        self.progress.record_connection(origin);
+        context.metrics.count_target_connection(
+            origin.code(),
+            &self.request.pool.id,
+            &target.data_centre,
+        );
         send(attempt, connection, wait).await
     }
 
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -5,7 +5,7 @@
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{Refusal, RefusalReason, RequestId, TargetEntry, TargetId, TargetVersion};
-use curlewcleat_targets::BodyFrame;
+use curlewcleat_targets::{BodyFrame, ConnectionOrigin};
 use spdlog::prelude::*;
 
 use super::RequestRun;
@@ -26,6 +26,7 @@
         let account = request.account.as_deref().unwrap_or_default();
         // Every answer that was served has a head.
         let ended_by = progress.frame().map_or("", BodyFrame::code);
+        let connection = progress.connection().map_or("", ConnectionOrigin::code);
         self.service.context.metrics.count_answer_end(ended_by, &request.tier, &request.pool.id);
         info!("request_served", kv: {
             request = request.id.to_string(), attempt = request.attempt_id.as_str(), account,
@@ -35,7 +36,7 @@
             prompt_work = request.work.prompt, output_work = request.work.output,
             sent_ms = millis_until(progress.sent), first_ms = millis_until(progress.first),
             end_ms = request.arrived.elapsed().as_millis() as i64, parts = progress.parts, ended_by,
-            longest_pause_ms = progress.longest_pause.as_millis() as i64
+            longest_pause_ms = progress.longest_pause.as_millis() as i64, connection
         });
     }
 
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -19,5 +19,5 @@
 pub use error::{Error, Result};
 pub use events::EventSplitter;
 pub use links::{connect_directly, ConnectFuture, TargetLinks};
-pub use pool::{ConnectionOptions, ConnectionPool, PooledConnection};
+pub use pool::{ConnectionOptions, ConnectionOrigin, ConnectionPool, PooledConnection};
 pub use stream::{ByteStream, TargetStream};
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -78,15 +78,48 @@
     }
 }
 
+/// Where a connection comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionOrigin {
+    /// It was opened for the request.
+    Opened,
+    /// It was idle.
+    Reused,
+    /// It was opened through a peer.
+    Relayed,
+}
+
+impl ConnectionOrigin {
+    /// Returns the code for log lines and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            ConnectionOrigin::Opened => "opened",
+            ConnectionOrigin::Reused => "reused",
+            ConnectionOrigin::Relayed => "relayed",
+        }
+    }
+}
+
 /// A connection without an exchange in progress.
 #[derive(Debug)]
 pub struct PooledConnection {
     pub(crate) stream: TargetStream,
     pub(crate) endpoint: ConnectionEndpoint,
     pub(crate) pool: ConnectionPool,
+    /// Whether it was idle before.
+    reused: bool,
 }
 
 impl PooledConnection {
+    /// Returns where the connection comes from.
+    pub fn origin(&self) -> ConnectionOrigin {
+        match self.reused {
+            true => ConnectionOrigin::Reused,
+            false if self.stream.is_relayed() => ConnectionOrigin::Relayed,
+            false => ConnectionOrigin::Opened,
+        }
+    }
+
     /// Returns whether the connection goes through a peer.
     pub fn is_relayed(&self) -> bool {
         self.stream.is_relayed()
@@ -94,7 +127,7 @@
 
     /// Returns an unused connection to its pool.
     pub fn put_back(self) {
-        let PooledConnection { stream, endpoint, pool } = self;
+        let PooledConnection { stream, endpoint, pool, .. } = self;
         pool.put_idle(&endpoint, stream, None);
     }
 }
@@ -124,12 +157,14 @@
             address: target.address.clone(),
             instance: Some(target.instance()),
         };
-        let stream = match (self.take_idle(&endpoint), &self.links) {
+        let idle = self.take_idle(&endpoint);
+        let reused = idle.is_some();
+        let stream = match (idle, &self.links) {
             (Some(stream), _) => TargetStream::Direct(stream),
             (None, Some(links)) => links.connect(target, limit, request).await?,
             (None, None) => TargetStream::Direct(connect_directly(&target.address, limit).await?),
         };
-        Ok(PooledConnection { stream, endpoint, pool: self.clone() })
+        Ok(PooledConnection { stream, endpoint, pool: self.clone(), reused })
     }
 
     /// Same as [`connect_to`](ConnectionPool::connect_to), if only an address is known.
@@ -138,12 +173,14 @@
     /// Returns [`Error::Connect`](crate::Error::Connect) if the connection is not accepted within `limit`.
     pub async fn connect(&self, address: &str, limit: Duration) -> Result<PooledConnection> {
         let endpoint = ConnectionEndpoint { address: address.to_string(), instance: None };
-        let stream = match self.take_idle(&endpoint) {
+        let idle = self.take_idle(&endpoint);
+        let reused = idle.is_some();
+        let stream = match idle {
             Some(stream) => stream,
             None => connect_directly(address, limit).await?,
         };
         let stream = TargetStream::Direct(stream);
-        Ok(PooledConnection { stream, endpoint, pool: self.clone() })
+        Ok(PooledConnection { stream, endpoint, pool: self.clone(), reused })
     }
 
     /// Returns the links that observe an exchange, if it is one with a target on a direct connection.
--- a/crates/targets/tests/exchanges.rs
+++ b/crates/targets/tests/exchanges.rs
@@ -5,7 +5,8 @@
 use actix_http::{Method, RequestHead};
 use curlewcleat_core::{TargetEntry, TargetStart};
 use curlewcleat_targets::{
-    BodyFrame, ConnectionPool, Error, ExchangeOptions, TargetAnswer, TruncatedBody,
+    BodyFrame, ConnectionOptions, ConnectionOrigin, ConnectionPool, Error, ExchangeOptions,
+    TargetAnswer, TruncatedBody,
 };
 use futures_util::StreamExt;
 use rstest::rstest;
@@ -207,6 +208,23 @@
     Ok(())
 }
 
+#[actix_rt::test]
+async fn connection_states_whether_it_was_opened_or_idle() -> std::io::Result<()> {
+    let address = numbered_server().await?;
+    let target = TargetEntry { address, ..TargetEntry::default() };
+    let pool = ConnectionPool::new(ConnectionOptions {
+        min_idle: Duration::ZERO,
+        ..ConnectionOptions::default()
+    });
+    for expected in [ConnectionOrigin::Opened, ConnectionOrigin::Reused] {
+        let connection = pool.connect_to(&target, LIMIT, None).await;
+        let connection = connection.map_err(std::io::Error::other)?;
+        assert_eq!(connection.origin(), expected);
+        connection.put_back();
+    }
+    Ok(())
+}
+
 /// A request is written to an instance that then terminates. A refusal by the later instance at the same address, on
 /// another connection, does not prove that the request did not run.
 #[actix_rt::test]
