--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -120,11 +120,6 @@
         }
     }
 
-    /// Returns whether the connection goes through a peer.
-    pub fn is_relayed(&self) -> bool {
-        self.stream.is_relayed()
-    }
-
     /// Returns an unused connection to its pool.
     pub fn put_back(self) {
         let PooledConnection { stream, endpoint, pool, .. } = self;
