--- a/crates/node/src/pool_options.rs
+++ b/crates/node/src/pool_options.rs
@@ -30,5 +30,6 @@
         age_per_work: node.age_per_work,
         books_returns: node.books_returns,
         accounts: accounts.collect(),
+        reuses_connections: pool.reuse_connections,
     }
 }
