Peers: an unreachable peer in a small fleet is requested to answer, so that a connection dead in one direction is redialed

Cause: a daemon redials a peer where an answer of it is pending. In a full mesh heartbeats requested none, and counted as such only where the last frame of the peer was less than two seconds old. A daemon that was frozen for longer, while new connections to it stalled until it ran again, held that its peers owed it nothing; they received its frames and saw no reason either.

Change: heartbeats of a full mesh request an answer of peers that are unreachable, as those of a larger fleet do. A peer is removed no sooner than a tick after it became unreachable, so that a daemon that was suspended for longer than peers are kept asks first. Nothing changes on the wire between daemons that hear each other. What bounds it: a redial follows the last dialing by at least half of suspect_after, one for each unreachable address of the mesh, as before where an answer was pending.

--- a/crates/sched/src/election/failure.rs
+++ b/crates/sched/src/election/failure.rs
@@ -21,9 +21,10 @@
 impl MemberView {
     /// Advances the clock. Returns the daemons that became unreachable.
     pub fn tick(&mut self, now: Uptime) -> Vec<DaemonId> {
+        // A daemon that was suspended for longer than peers are kept requests an answer of them before they are removed.
+        self.remove_expired(now);
         let lost = self.mark_unreachable(now);
         self.review_probes(now);
-        self.remove_expired(now);
         lost
     }
 
--- a/crates/sched/src/election/heartbeats.rs
+++ b/crates/sched/src/election/heartbeats.rs
@@ -1,10 +1,11 @@
 //! Decides which daemons get a heartbeat, and which addresses it contains.
 //!
 //! Inputs: the addresses, the order of schedulers, the number of heartbeats sent. The rule: up to `mesh_limit` daemons,
-//! every heartbeat goes to all. In a larger fleet it goes to the candidates ([`candidates`](super::candidates)) and to
-//! each daemon that waits for a reply, so that the traffic of an ordinary daemon does not grow with the fleet; a daemon
-//! that receives no heartbeats also tries the seeds and some known addresses. After a start and after a change of role
-//! the next ones go to all reachable peers ([`MemberView::is_announcing`]), which for a candidate are all daemons.
+//! every heartbeat goes to all, and requests an answer of the peers that are unreachable. In a larger fleet it goes to
+//! the candidates ([`candidates`](super::candidates)) and to each daemon that waits for a reply, so that the traffic of
+//! an ordinary daemon does not grow with the fleet; a daemon that receives no heartbeats also tries the seeds and some
+//! known addresses. After a start and after a change of role the next ones go to all reachable peers
+//! ([`MemberView::is_announcing`]), which for a candidate are all daemons.
 //!
 //! Owns: nothing; the state is [`MemberView`]'s.
 
@@ -117,8 +118,7 @@
         let announcing = self.is_announcing();
         self.announcements_due = self.announcements_due.saturating_sub(1);
         if self.is_mesh() {
-            let receiver = |address| HeartbeatReceiver { address, answer_wanted: false };
-            return self.addresses().into_iter().map(receiver).collect();
+            return self.mesh_receivers();
         }
         let partners = self.exchange_partners();
         self.start_probes(now, &partners);
@@ -148,6 +148,22 @@
         receivers.into_iter().map(receiver).collect()
     }
 
+    /// Returns the receivers in a small fleet. An unreachable peer may receive this daemon's frames while its own go
+    /// into a dead connection. It notices only where this daemon redials, which the transport does for pending answers.
+    fn mesh_receivers(&mut self) -> BTreeSet<HeartbeatReceiver> {
+        let unreachable: Vec<&VmId> =
+            self.peers.iter().filter(|(_, peer)| !peer.live).map(|(vm, _)| vm).collect();
+        let asked: BTreeSet<&str> =
+            unreachable.iter().filter_map(|vm| self.address_of(vm)).collect();
+        let receiver = |address: String| {
+            let answer_wanted = asked.contains(address.as_str());
+            HeartbeatReceiver { address, answer_wanted }
+        };
+        let receivers = self.addresses().into_iter().map(receiver).collect();
+        self.partners = unreachable.into_iter().cloned().collect();
+        receivers
+    }
+
     /// Updates which peers exchange every heartbeat with this daemon: the partners, and those that require answers.
     fn update_exchanges(&mut self, now: Uptime, partners: &BTreeSet<VmId>) {
         for (vm, peer) in &mut self.peers {
--- a/crates/sched/tests/members.rs
+++ b/crates/sched/tests/members.rs
@@ -163,6 +163,55 @@
     assert_eq!(wants_answer(&mut view, 27), None);
 }
 
+/// A daemon in a small fleet stayed unheard by one whose frames it received: it was never asked for an answer, so that
+/// the one that did not hear it had no reason to redial.
+#[test]
+fn unreachable_peer_in_a_small_fleet_is_requested_to_answer_until_it_is_heard() {
+    let mut view = view(12, 12, 5);
+    view.update_records((1..4).map(|index| record(index, 12)).collect());
+    let mut now = Duration::from_secs(1);
+    for index in [1, 2] {
+        view.heartbeat_received(now, &daemon(index), &heartbeat(index, 12, 5));
+    }
+    let asked = |view: &mut MemberView, now: Duration| {
+        let receivers = view.heartbeat_receivers(now).into_iter();
+        let (asked, others): (Vec<_>, Vec<_>) = receivers.partition(|to| to.answer_wanted);
+        assert_eq!(asked.len() + others.len(), 3, "every heartbeat goes to all");
+        asked.into_iter().map(|receiver| receiver.address).collect::<Vec<_>>()
+    };
+    assert_eq!(asked(&mut view, now), Vec::<String>::new(), "the third was never heard");
+    now += SUSPECT_AFTER;
+    view.heartbeat_received(now, &daemon(1), &heartbeat(1, 12, 5));
+    view.tick(now);
+    assert_eq!(asked(&mut view, now), [address(2)]);
+    view.heartbeat_received(now, &daemon(2), &heartbeat(2, 12, 5));
+    assert_eq!(asked(&mut view, now), Vec::<String>::new());
+}
+
+/// A peer that is still requested to answer, and expects heartbeats, would count a daemon as unreachable that sends it
+/// none because the fleet has grown.
+#[test]
+fn peer_requested_to_answer_in_a_small_fleet_learns_that_the_fleet_has_grown() {
+    let mut view = view(12, 12, 5);
+    view.update_records(Vec::new());
+    let mut now = Duration::from_secs(1);
+    view.heartbeat_received(now, &daemon(1), &heartbeat(1, 1, 5));
+    (0..5).for_each(|_| drop(view.heartbeat_receivers(now)));
+    now += SUSPECT_AFTER;
+    view.tick(now);
+    assert!(view.heartbeat_receivers(now).iter().all(|to| to.answer_wanted));
+    for index in 1..30 {
+        let capacity = if index == 1 { 1 } else { 50 };
+        view.heartbeat_received(now, &daemon(index), &heartbeat(index, capacity, 5));
+    }
+    let to_first = |view: &mut MemberView| {
+        let receivers = view.heartbeat_receivers(now);
+        receivers.into_iter().find(|to| to.address == address(1)).map(|to| to.answer_wanted)
+    };
+    assert_eq!(to_first(&mut view), Some(false));
+    assert_eq!(to_first(&mut view), None);
+}
+
 fn record(index: usize, capacity: u32) -> DaemonRecord {
     DaemonRecord { daemon: daemon(index), address: address(index), capacity }
 }
