Stand-ins: the port that all daemons bind for relays is probed at the IP number of each

Cause: it was probed at the first daemon's IP number only.

Change: free_daemon_port returns a port that is free for all daemons of a deployment; the deployment and the soak use it.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -11,7 +11,7 @@
 use curlewcleat_platform::format::{Config, Route};
 use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME, READY};
 use curlewcleat_standins::address::{
-    daemon_ip, free_address, free_address_at, free_engine_address, free_port_at,
+    daemon_ip, free_address, free_address_at, free_daemon_port, free_engine_address,
 };
 use curlewcleat_standins::deployment::{
     get_text, program_folder, spawn_with_variables, wait_until, ChildProcess,
@@ -148,7 +148,7 @@
             evidence: RefCell::default(),
             active_faults: Cell::new(0),
             engine_links,
-            relay_port: free_port_at(&daemon_ip(0))?,
+            relay_port: free_daemon_port(options.daemons)?,
             version: Cell::new(1),
             notifying: RefCell::default(),
             options,
--- a/crates/standins/src/address.rs
+++ b/crates/standins/src/address.rs
@@ -41,13 +41,13 @@
     format!("127.0.1.{}", index + 1)
 }
 
-/// Returns a port that is free at this IP number.
+/// Returns a port that is free at the IP numbers of this many daemons, all of which bind it. Another process may use it
+/// at the IP number of one daemon and not at that of another.
 ///
 /// # Errors
-/// Fails if all ports of this process are in use.
-pub fn free_port_at(ip: &str) -> Result<u16> {
-    let address: std::net::SocketAddr = free_address_at(ip)?.parse()?;
-    Ok(address.port())
+/// Fails if no port of this process is free at all of them.
+pub fn free_daemon_port(daemons: usize) -> Result<u16> {
+    free_port_at(&(0..daemons).map(daemon_ip).collect::<Vec<_>>())
 }
 
 /// Returns a free address with this IP number.
@@ -55,13 +55,17 @@
 /// # Errors
 /// Fails if all ports of this process are in use.
 pub fn free_address_at(ip: &str) -> Result<String> {
+    Ok(format!("{ip}:{}", free_port_at(&[ip.to_string()])?))
+}
+
+/// Returns the next port that is free at all of these IP numbers.
+fn free_port_at(ips: &[String]) -> Result<u16> {
     let base = FIRST_PORT + (std::process::id() % 100) as u16 * PORTS_PER_PROCESS;
     for _ in 0..PORTS_PER_PROCESS {
         let port = base + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
-        let address = format!("{ip}:{port}");
         let _guard = lock_probe_or_spawn();
-        if TcpListener::bind(&address).is_ok() {
-            return Ok(address);
+        if ips.iter().all(|ip| TcpListener::bind(format!("{ip}:{port}")).is_ok()) {
+            return Ok(port);
         }
     }
     bail!("deployment: no free port from {base} on")
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -14,7 +14,9 @@
 use super::{
     AttemptSteps, EngineEntry, EngineLinks, EngineStep, FleetEngine, FleetStore, LethalBody,
 };
-use crate::address::{daemon_ip, free_address, free_address_at, free_engine_address, free_port_at};
+use crate::address::{
+    daemon_ip, free_address, free_address_at, free_daemon_port, free_engine_address,
+};
 use crate::deployment::{
     create_temp_folder, get_json, live_peers, output_of, program_folder, spawn_with_variables,
     start_tool, wait_listening, wait_until, ChildProcess,
@@ -259,7 +261,7 @@
     pub async fn daemons(&mut self, count: usize, bounds: &str) -> Result<()> {
         let peer = |index| free_address_at(&daemon_ip(index));
         let peers: Vec<String> = (0..count).map(peer).collect::<Result<_>>()?;
-        self.relay_port = Some(free_port_at(&daemon_ip(0))?);
+        self.relay_port = Some(free_daemon_port(count)?);
         for (index, peer) in peers.iter().enumerate() {
             let endpoint = self.write_settings(index, peer, &peers[0], bounds)?;
             let process =
