--- a/crates/core/src/stated_load.rs
+++ b/crates/core/src/stated_load.rs
@@ -106,6 +106,7 @@
 /// Reads the figures that every statement has. A target without slots runs nothing, so it cannot have answered.
 fn read_counts(figures: &[&str]) -> Result<StatedLoad, LoadFault> {
     let count = |index: usize, lowest: f64| {
+        // A missing figure is read like an empty one, which is malformed.
         let text = figures.get(index).copied().unwrap_or_default();
         read_figure(text).and_then(|figure| in_range(figure, (lowest, MAX_REQUESTS)))
     };
--- a/crates/daemon/src/byte_budget/ledger.rs
+++ b/crates/daemon/src/byte_budget/ledger.rs
@@ -214,6 +214,7 @@
             let margin = if *level <= self.level { RETURN_PERCENT } else { 0 };
             self.total >= self.mark(level.mark_percent() - margin)
         });
+        // Below all marks the level is the default, calm.
         self.level = reached.unwrap_or_default();
     }
 }
--- a/crates/daemon/src/byte_budget/levels.rs
+++ b/crates/daemon/src/byte_budget/levels.rs
@@ -3,7 +3,7 @@
 //! Owns: codes for metrics and log lines, which are stable, and the marks. Relies on: nothing.
 
 /// Share of the budget from which on bodies of the lowest tier wait. Below it a third of the budget is free for bodies
-/// and answers that have begun, and nobody is delayed.
+/// and answers that have begun, and no other request is delayed.
 pub const PAUSE_PERCENT: u64 = 60;
 /// Share of the budget that no large body may lead beyond: what is left is for answers, whose work has been done.
 pub const REFUSE_PERCENT: u64 = 75;
@@ -56,7 +56,7 @@
 /// How near what is held is to the budget.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PressureLevel {
-    /// Nobody is affected.
+    /// No request is affected.
     #[default]
     Calm,
     /// Bodies of the lowest tier wait.
--- a/crates/daemon/src/byte_budget/shared.rs
+++ b/crates/daemon/src/byte_budget/shared.rs
@@ -214,7 +214,9 @@
         if let Some(waker) = link.waker.take() {
             waker.wake();
         }
+        // Between two requests the connection has none.
         let request = link.request.map(|request| request.to_string()).unwrap_or_default();
+        // A reader that has left in the meantime shows no progress.
         let (waited, accepted) = self.ledger.readers().progress(now, reader).unwrap_or_default();
         warn!("reader_ended", kv: {
             request, reason, waited_ms = waited.as_millis() as i64, accepted_bytes = accepted,
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -168,6 +168,7 @@
         intake: Option<BodyIntake>,
         error: BodyError,
     ) -> Response<BoxBody> {
+        // A chunked body states no length.
         let size = body::stated_length(request).unwrap_or_default();
         let refusal = match &intake {
             Some(intake) => intake.refusal(error, size),
--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -90,27 +90,15 @@
         if stated_length.is_some_and(|length| length > limit as u64) {
             return Err(BodyError::TooLarge);
         }
+        // A chunked body states no length; it is counted as it arrives.
         let size = stated_length.unwrap_or_default().min(options.peek_limit as u64);
         let mut held = match intake {
             Some(intake) => Some((intake, intake.admit(size).await?)),
             None => None,
         };
         let mut payload = request.take_payload();
-        let mut beginning = BytesMut::new();
-        let mut ended = false;
-        while beginning.len() < options.peek_limit && !ended {
-            match tokio::time::timeout(PART_LIMIT, payload.next()).await {
-                Ok(Some(Ok(bytes))) => beginning.extend_from_slice(&bytes),
-                Ok(None) => ended = true,
-                Ok(Some(Err(_))) | Err(_) => return Err(BodyError::Incomplete),
-            }
-            if beginning.len() > limit {
-                return Err(BodyError::TooLarge);
-            }
-            if let Some((intake, held)) = &mut held {
-                intake.grow(held, beginning.len() as u64)?;
-            }
-        }
+        let (beginning, ended) =
+            read_beginning(&mut payload, limit, options.peek_limit, &mut held).await?;
         let size = beginning.len();
         let rest = (!ended).then_some(payload);
         let _held = held.map(|(_, held)| held);
@@ -160,6 +148,32 @@
     headers::text(request.headers(), "content-length")?.parse().ok()
 }
 
+/// Reads a body until `peek_limit` or its end, and returns what was read and whether it has ended. What is read is counted
+/// in `held`.
+async fn read_beginning(
+    payload: &mut Payload,
+    limit: usize,
+    peek_limit: usize,
+    held: &mut Option<(&BodyIntake, ByteHold)>,
+) -> Result<(BytesMut, bool), BodyError> {
+    let mut beginning = BytesMut::new();
+    let mut ended = false;
+    while beginning.len() < peek_limit && !ended {
+        match tokio::time::timeout(PART_LIMIT, payload.next()).await {
+            Ok(Some(Ok(bytes))) => beginning.extend_from_slice(&bytes),
+            Ok(None) => ended = true,
+            Ok(Some(Err(_))) | Err(_) => return Err(BodyError::Incomplete),
+        }
+        if beginning.len() > limit {
+            return Err(BodyError::TooLarge);
+        }
+        if let Some((intake, held)) = held {
+            intake.grow(held, beginning.len() as u64)?;
+        }
+    }
+    Ok((beginning, ended))
+}
+
 /// The body of one attempt.
 pub struct OutgoingBody {
     body: RequestBody,
--- a/crates/peers/src/pending.rs
+++ b/crates/peers/src/pending.rs
@@ -8,7 +8,7 @@
 //! first frame that was sent after the last received one and contains a message that is always answered. A heartbeat is
 //! such a message where it requests an answer, or where nothing was ever received from the peer, or where the last
 //! frame was received within [`RECENT`], because then either both daemons send heartbeats to each other or neither
-//! does. After a longer silence, as that of a daemon that was frozen, its heartbeats request an answer.
+//! does. After a longer time without frames, as of a daemon that was frozen, its heartbeats request an answer.
 //!
 //! Owns: since when an answer is pending from each peer. Relies on: `PeerActivity` for the received frames.
 
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -38,20 +38,12 @@
 };
 
 use self::account::{AccountLimit, RateBucket};
+use crate::order::waiting::RequestAdmission;
 use crate::placement::target::TargetState;
 use crate::pool::{PoolScheduler, SchedulerAction};
 use crate::retry_after::{rest_retry_after, DEFAULT_RETRY_AFTER};
 use crate::work_estimate::micros;
 
-/// What admission has found out about a request that may wait.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct RequestAdmission {
-    /// Time until which the request can start and still be in time.
-    pub in_time_until: Uptime,
-    /// Whether it is a booked return.
-    pub returned: bool,
-}
-
 impl PoolScheduler {
     /// Refuses waiting requests for which no target remains.
     pub(crate) fn refuse_without_target(
--- a/crates/sched/src/admission/replacement.rs
+++ b/crates/sched/src/admission/replacement.rs
@@ -12,7 +12,7 @@
 
 use curlewcleat_core::{DaemonId, PermitId, PermitRequest, Refusal, RefusalReason, Uptime};
 
-use super::RequestAdmission;
+use crate::order::waiting::RequestAdmission;
 use crate::pool::{PoolScheduler, SchedulerAction};
 use crate::targets::state_of;
 
--- a/crates/sched/src/order/priority.rs
+++ b/crates/sched/src/order/priority.rs
@@ -13,8 +13,7 @@
 
 use curlewcleat_core::{DaemonId, PermitRequest, Uptime};
 
-use super::waiting::WaitingRequest;
-use crate::admission::RequestAdmission;
+use super::waiting::{RequestAdmission, WaitingRequest};
 use crate::pool::PoolScheduler;
 
 /// Age credited to a retry after an early refusal that can still be in time: longer than requests wait, so that it has
@@ -73,8 +72,8 @@
     }
 }
 
-/// Returns the time from now within which the answer of a request has to begin to be in time. A booked return was told
-/// when to come, so that its time counts from its return.
+/// Returns the time from now within which the answer of a request has to begin to be in time. A booked return comes
+/// when it was advised to, so that its time counts from its return.
 fn first_part_limit(request: &PermitRequest, returned: bool) -> Duration {
     match returned {
         true => request.objectives.wait_limit,
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -117,14 +117,6 @@
         shares.and_then(|shares| shares.get(&rank.urgency)).copied().unwrap_or(FULL_SHARE)
     }
 
-    /// Returns the part of an amount of work that an urgency gets by its share.
-    pub fn part_of(&self, urgency: UrgencyKey, work: WorkMicros) -> WorkMicros {
-        let (tier, urgency) = urgency;
-        let share = self.share_of(QueueRank { tier, urgency, stage: QueueStage::InTime });
-        u64::try_from(u128::from(work) * u128::from(share) / u128::from(FULL_SHARE))
-            .unwrap_or(WorkMicros::MAX)
-    }
-
     /// Adds a permit request; `weight` is that of its account.
     pub fn push(&mut self, now: Uptime, waiting: WaitingRequest, weight: u32) {
         let late = waiting.in_time_until <= now;
--- a/crates/sched/src/order/queue/ahead.rs
+++ b/crates/sched/src/order/queue/ahead.rs
@@ -9,7 +9,7 @@
 use curlewcleat_core::{PermitRequest, WorkMicros};
 
 use super::TierQueues;
-use crate::order::rank::{QueueRank, QueueStage};
+use crate::order::rank::{QueueRank, QueueStage, UrgencyKey};
 use crate::order::shares::FULL_SHARE;
 use crate::order::waiting::{class_of, AccountQueue};
 
@@ -43,6 +43,14 @@
         higher + self.work_of_all(rank, in_time_work + fair_work.min(queue.work))
     }
 
+    /// Returns the part of an amount of work that an urgency gets by its share.
+    pub fn part_of(&self, urgency: UrgencyKey, work: WorkMicros) -> WorkMicros {
+        let (tier, urgency) = urgency;
+        let share = self.share_of(QueueRank { tier, urgency, stage: QueueStage::InTime });
+        u64::try_from(u128::from(work) * u128::from(share) / u128::from(FULL_SHARE))
+            .unwrap_or(WorkMicros::MAX)
+    }
+
     /// Returns the work of all urgencies that is served until `urgency_work` of one urgency is served, assuming that
     /// the others keep requesting work.
     fn work_of_all(&self, rank: QueueRank, urgency_work: WorkMicros) -> WorkMicros {
--- a/crates/sched/src/order/waiting.rs
+++ b/crates/sched/src/order/waiting.rs
@@ -7,6 +7,15 @@
 
 use curlewcleat_core::{AccountId, DaemonId, PermitId, PermitRequest, Uptime, WorkMicros};
 
+/// What admission has found out about a request that may wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestAdmission {
+    /// Time until which the request can start and still be in time.
+    pub in_time_until: Uptime,
+    /// Whether it is a booked return.
+    pub returned: bool,
+}
+
 /// A permit request in the queue.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct WaitingRequest {
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -12,7 +12,7 @@
 //! 4. It ends the answer soonest; the time on failing and remote targets is weighted up.
 //! 5. It has the lowest load.
 //!
-//! If targets are about equally good, one to which the entry daemon has an idle connection is chosen
+//! If targets are about equally good, one to which the entry daemon has an idle connection is taken
 //! ([`connection_choice`]), where connections are reused.
 //!
 //! As long as its first part is not due, the request waits instead if a busy target would end it in time
--- a/crates/sched/src/placement/connection_choice.rs
+++ b/crates/sched/src/placement/connection_choice.rs
@@ -3,7 +3,7 @@
 //! Inputs: the candidates of one decision with their fit and load, and which of them are assumed to have an idle
 //! connection from the entry daemon.
 //!
-//! The rule: the best candidate is chosen unless it has no idle connection and another one has, is equal in all criteria
+//! The rule: the best candidate is taken unless it has no idle connection and another one has, is equal in all criteria
 //! but time and load, and
 //! - begins the answer later by no more than the time of a new connection and a small fraction of the latency objective,
 //! - ends the answer later by no more than the time of a new connection and a small fraction of the estimated time,
@@ -12,7 +12,7 @@
 //! - is in the entry daemon's data centre, or in that of the best candidate,
 //! - is on trial if and only if the best candidate is, so that each version keeps its share.
 //!
-//! Of several such candidates, the one with the lowest load is chosen, and of these the one whose connection has been idle
+//! Of several such candidates, the one with the lowest load is taken, and of these the one whose connection has been idle
 //! for longest, so that the work spreads over all of them.
 //!
 //! Load pattern: a pool with free capacity, most of whose targets are about equally fast. In an overload only one target
@@ -76,7 +76,7 @@
         (self.fit, self.load, self.id)
     }
 
-    /// Returns whether it may be chosen instead of the best candidate for the sake of a connection.
+    /// Returns whether it may be taken instead of the best candidate for the sake of a connection.
     fn may_replace(&self, best: &TargetCandidate<'_>) -> bool {
         let criteria = |fit: &TargetFit| (fit.rests, fit.stalls, fit.late);
         let is_near = !self.remote || self.state.data_centre == best.state.data_centre;
@@ -116,7 +116,7 @@
         }
     }
 
-    /// Returns the chosen candidate, `None` if there is none.
+    /// Returns the candidate that is taken, `None` if there is none.
     pub fn close(self, now: Uptime, request: &PermitRequest) -> Option<TargetCandidate<'a>> {
         let best = self.best?;
         if best.idle_since.is_some() || self.connected.is_empty() {
--- a/crates/sched/src/placement/origin.rs
+++ b/crates/sched/src/placement/origin.rs
@@ -10,7 +10,7 @@
 use super::target::TargetState;
 use crate::pool::PoolScheduler;
 
-/// Percentage added to the time on a target of another data centre: a local target is chosen unless a
+/// Percentage added to the time on a target of another data centre: a local target is taken unless a
 /// remote one is several times as fast, or the local one would be late.
 const REMOTE_PENALTY_PERCENT: u64 = 250;
 
--- a/crates/sched/src/placement/stated_load.rs
+++ b/crates/sched/src/placement/stated_load.rs
@@ -26,7 +26,7 @@
 /// Time after which half of the slow spells seen have ended: half of a typical spell, and less than the time within which
 /// callers expect the first part of an answer.
 const HALF_LIFE: Duration = Duration::from_millis(300);
-/// Age from which a statement is not believed: five half-lives. A new scheduler or a silent target is bound by it too.
+/// Age from which a statement is not believed: five half-lives. It also bounds a new scheduler, and a target that sends no answers.
 const BELIEF_LIMIT: Duration = Duration::from_millis(1_500);
 /// Expected rest of a spell: the sum of the weights over all later moments, which is the half-life over the natural
 /// logarithm of two.
--- a/crates/sched/src/retry_after.rs
+++ b/crates/sched/src/retry_after.rs
@@ -33,7 +33,7 @@
     (wait + spread).clamp(MIN_RETRY_AFTER, latest_return(time_left))
 }
 
-/// Returns the latest time from now at which a request is told to return.
+/// Returns the latest time from now at which a request is advised to return.
 pub fn latest_return(time_left: Duration) -> Duration {
     (time_left / 100 * MAX_WAIT_PERCENT).max(MIN_RETRY_AFTER)
 }
--- a/crates/sched/src/returns.rs
+++ b/crates/sched/src/returns.rs
@@ -1,10 +1,10 @@
-//! Books the returns of refused requests, so that callers are told to come back when there is room for them.
+//! Books the returns of refused requests, so that callers are advised to return when there is room for them.
 //!
 //! Load pattern: demand that exceeds the slots of a pool for seconds and then falls. Refused callers that return without
 //! a plan form a second crest, and most of them are refused again, although the pool has room when the crest is over.
 //!
 //! The rule: time is divided into slices of [`SLICE`]. A refused request is booked with its work in one slice, and its
-//! caller is told to return within it. What is booked in a slice never exceeds the work that the pool grants in that
+//! caller is advised to return within it. What is booked in a slice never exceeds the work that the pool grants in that
 //! time, in all and for each urgency. A return in its slice, or at most [`REDEEMED_SLICES`] later, redeems the booked
 //! work of its tier, urgency and account, through whichever entry daemon it comes. The book holds sums, not requests:
 //! a caller that returns early finds nothing to redeem, one that returns several times uses up what is booked for its
@@ -121,6 +121,7 @@
         let Some(sums) = self.slices.get(&slice) else {
             return claim.work <= room.urgency.min(room.all);
         };
+        // Nothing is booked yet for an urgency without a sum.
         let of_urgency = sums.by_urgency.get(&claim.urgency).copied().unwrap_or(0);
         let account = sums.by_account.get(&(claim.urgency, claim.account.clone()));
         let of_account = account.map_or(0, |account| account.booked);
--- a/crates/sched/src/returns/advice.rs
+++ b/crates/sched/src/returns/advice.rs
@@ -66,6 +66,7 @@
         let end = ReturnBook::slice_at(now + latest).min(first + HORIZON_SLICES);
         let claim = claim_of(request);
         let capacity = self.capacity(request, request.tier);
+        // While the capacity is not known, no slice is known to have free room.
         let shown = self.throughput.capacity_for(TierRank::MIN).unwrap_or(0);
         let free = shown.saturating_sub(self.demand_down_to(request.tier));
         let free_room = self.slice_room(request, free);
