--- a/crates/acceptance/tests/stated_loads.rs
+++ b/crates/acceptance/tests/stated_loads.rs
@@ -25,7 +25,7 @@
     let mut fleet = FleetDeployment::start(name).await?;
     fleet.store_config()?;
     fleet.engine("records", 0, RECORD_TIME).await?;
-    fleet.daemons(DAEMONS, "").await?;
+    fleet.daemons(DAEMONS, "[scheduling]\nstated_loads = yes\n").await?;
     wait_served(&fleet, PATH).await?;
     Ok(fleet)
 }
--- a/crates/bench/src/support.rs
+++ b/crates/bench/src/support.rs
@@ -96,6 +96,7 @@
         rate_margin: curlewcleat_sched::RateMargin::default(),
         one_scheduler: false,
         age_per_work: 32,
+        uses_stated_loads: false,
         books_returns: false,
         request_limit: 1_000_000,
         link_bytes_per_s: 125_000_000,
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -75,6 +75,8 @@
     /// Weight of work against age in the order of waiting requests of one account and tier: how much age makes up for a
     /// unit of work. 0 serves the oldest request first, a large number the shortest.
     pub age_per_work: u64,
+    /// Whether placement uses what targets state of their load.
+    pub uses_stated_loads: bool,
     /// Whether schedulers book when refused callers return, so that there is room for them.
     pub books_returns: bool,
     /// Bounds that the platform promises its users, for the daemons of a fleet.
@@ -212,6 +214,7 @@
         ask_limit: Duration::from_millis(250),
         ask_tries: 2,
         age_per_work: 32,
+        uses_stated_loads: false,
         books_returns: false,
         bounds: FleetBounds::default(),
     }
@@ -233,6 +236,8 @@
         "scheduling" => {
             settings.age_per_work =
                 section.number("age_per_work", settings.age_per_work, 0..=1_000, report);
+            settings.uses_stated_loads =
+                section.flag("stated_loads", settings.uses_stated_loads, report);
             settings.books_returns = section.flag("book_returns", settings.books_returns, report);
         }
         "bounds" => read_bounds(&mut section, &mut settings.bounds, report),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -68,6 +68,8 @@
     pub rate_margin: RateMargin,
     /// Age that offsets one unit of work when the requests of an account are ordered.
     pub age_per_work: u64,
+    /// Whether placement uses what targets state of their load.
+    pub uses_stated_loads: bool,
     /// Whether the returns of refused requests are booked.
     pub books_returns: bool,
     /// Whether one daemon schedules all pools, so that it can enforce the rates that daemons share.
--- a/crates/node/src/node/loads.rs
+++ b/crates/node/src/node/loads.rs
@@ -61,7 +61,8 @@
 
 impl Node {
     /// Handles what a target stated to this daemon: applies it if this daemon schedules the pool, and otherwise keeps it
-    /// for the next message to the scheduler. A statement without a slowness changes no decision and is not forwarded.
+    /// for the next message to the scheduler. A statement without a slowness changes no decision and is not forwarded, nor is any
+    /// unless the settings ask for it.
     pub(super) fn load_stated(
         &mut self,
         pool: PoolId,
@@ -69,7 +70,7 @@
         load: StatedLoad,
         seen: Uptime,
     ) {
-        if load.slowness_percent.is_none() {
+        if load.slowness_percent.is_none() || !self.options.uses_stated_loads {
             return;
         }
         match self.scheduler_of(&pool) {
@@ -99,6 +100,9 @@
     /// Applies statements in the schedulers of their pools. They are used at the next grant, at the latest with the next
     /// tick.
     pub(super) fn loads_received(&mut self, pools: &[PoolLoads]) {
+        if !self.options.uses_stated_loads {
+            return;
+        }
         let now = self.now;
         for loads in pools {
             // A scheduler is not created for a pool that this daemon does not know.
--- a/crates/node/tests/nodes.rs
+++ b/crates/node/tests/nodes.rs
@@ -30,6 +30,7 @@
         rate_margin: curlewcleat_sched::RateMargin::default(),
         one_scheduler: false,
         age_per_work: 32,
+        uses_stated_loads: false,
         books_returns: false,
         request_limit,
         link_bytes_per_s: 125_000_000,
--- a/crates/node/tests/support/builders.rs
+++ b/crates/node/tests/support/builders.rs
@@ -104,6 +104,7 @@
         rate_margin: curlewcleat_sched::RateMargin::default(),
         one_scheduler: true,
         age_per_work: 32,
+        uses_stated_loads: true,
         books_returns: false,
         request_limit: 10_000,
         link_bytes_per_s: megabits * 1_000_000 / 8,
