--- a/crates/daemon/src/request/body_intake/tests.rs
+++ b/crates/daemon/src/request/body_intake/tests.rs
@@ -1,4 +1,6 @@
 //! A body of the lowest tier that has to wait, and bodies that turn out to be larger than there is memory for.
+//!
+//! Relies on: nothing outside the process; the clock is the runtime's.
 
 use std::time::Duration;
 
