--- a/crates/sched/src/returns/advice.rs
+++ b/crates/sched/src/returns/advice.rs
@@ -82,10 +82,11 @@
         Some(spread_return(request.permit, start_of(slice).saturating_sub(now)))
     }
 
-    /// Returns whether a permit request is a booked return, and redeems what was booked for it.
+    /// Returns whether a permit request is a booked return, and redeems what was booked for it. A further attempt of the
+    /// same request would redeem what was booked for another one of its account.
     pub(crate) fn redeem_return(&mut self, now: Uptime, request: &PermitRequest) -> bool {
-        let may_be_booked = self.options.books_returns && request.objectives.is_retry;
-        may_be_booked && self.returns.redeem(now, &claim_of(request))
+        let is_return = request.objectives.is_retry && request.permit.attempt == 0;
+        self.options.books_returns && is_return && self.returns.redeem(now, &claim_of(request))
     }
 
     /// Returns the work per second that the pool can grant to a tier: what it has granted while requests waited, or, while
