Returns: enormous work is not booked, and the book forgets the past also where nobody returns

By reading: in a release build the sum of a stated length and what was booked could wrap around and pass the check of the room; and slices were forgotten only when a return asked for its place, so that a book without returns filled up and booked nothing more. Both have a test; that they fail on the code before was concluded by reading and not run.

--- a/crates/sched/src/returns.rs
+++ b/crates/sched/src/returns.rs
@@ -126,16 +126,18 @@
         let account = sums.by_account.get(&(claim.urgency, claim.account.clone()));
         let of_account = account.map_or(0, |account| account.booked);
         let is_first = of_account == 0;
-        sums.booked + claim.work <= room.all
-            && of_urgency + claim.work <= room.urgency
-            && (is_first || of_account + claim.work <= room.urgency / ACCOUNT_DIVISOR)
+        // Callers may state any length.
+        let with_claim = |booked: WorkMicros| booked.saturating_add(claim.work);
+        with_claim(sums.booked) <= room.all
+            && with_claim(of_urgency) <= room.urgency
+            && (is_first || with_claim(of_account) <= room.urgency / ACCOUNT_DIVISOR)
     }
 
     /// Redeems the work booked for a return, in the current slice or an earlier one. Returns whether all of it was
     /// booked.
     pub fn redeem(&mut self, now: Uptime, claim: &ReturnClaim) -> bool {
         let current = ReturnBook::slice_at(now);
-        self.forget_before(current.saturating_sub(REDEEMED_SLICES));
+        self.forget_past(now);
         let key = (claim.urgency, claim.account.clone());
         let mut sums: Vec<&mut AccountSum> = self
             .slices
@@ -171,8 +173,9 @@
         }
     }
 
-    /// Forgets the slices before one. At most [`HORIZON_SLICES`] and those that may still be redeemed remain.
-    fn forget_before(&mut self, slice: SliceNumber) {
+    /// Forgets the slices that can no longer be redeemed. At most [`HORIZON_SLICES`] and those that can remain.
+    pub fn forget_past(&mut self, now: Uptime) {
+        let slice = ReturnBook::slice_at(now).saturating_sub(REDEEMED_SLICES);
         while let Some(first) = self.slices.first_entry().filter(|first| *first.key() < slice) {
             self.entries -= first.remove().by_account.len();
         }
--- a/crates/sched/src/returns/advice.rs
+++ b/crates/sched/src/returns/advice.rs
@@ -73,6 +73,7 @@
         let half_room = self.slice_room(request, capacity / NEW_REQUESTS_DIVISOR);
         let full_room = self.slice_room(request, capacity);
         let book = &mut self.returns;
+        book.forget_past(now);
         let slice = (first..end)
             .find(|slice| book.book(*slice, &claim, free_room))
             .or_else(|| (first..end).rev().find(|slice| book.book(*slice, &claim, half_room)))
--- a/crates/sched/tests/returns.rs
+++ b/crates/sched/tests/returns.rs
@@ -93,3 +93,25 @@
     let longest = SLICE * u32::try_from(HORIZON_SLICES).expect("a number of slices");
     assert!(longest >= LONGEST_RETURN, "callers return within {longest:?}");
 }
+
+/// Callers may state any length.
+#[test]
+fn enormous_work_is_not_booked() {
+    let mut book = ReturnBook::default();
+    assert!(book.book(400, &claim("a", 100), ROOM));
+    assert!(!book.book(400, &claim("b", u64::MAX), ROOM));
+    assert!(!book.book(400, &claim("a", u64::MAX - 50), ROOM));
+}
+
+/// Without this, a book to which nobody returns fills up and books nothing more.
+#[test]
+fn book_forgets_the_past_although_nobody_returns() {
+    let mut book = ReturnBook::default();
+    let wide = SliceRoom { urgency: u64::MAX, all: u64::MAX };
+    for number in 0..20_000u32 {
+        book.book(400, &claim(&number.to_string(), 1), wide);
+    }
+    assert!(!book.book(500, &claim("new", 1), wide));
+    book.forget_past(start_of(499));
+    assert!(book.book(500, &claim("new", 1), wide));
+}
