Logs: failed attempts and refusals name the shared parts of the prompt

The log lines of a failed attempt know a request as a whole only, so two hypotheses about targets that terminate one after the other look the same: one part common to all of the interrupted requests, or ends for other reasons. attempt_failed and request_refused now list the digests of the parts that other prompts may share (prompt_parts), in the prompt's order.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod message;
 mod model;
 mod request_digest;
+mod request_feature;
 mod rollout;
 mod stated_load;
 mod store_position;
@@ -22,6 +23,7 @@
 pub use message::*;
 pub use model::*;
 pub use request_digest::{RequestDigest, RequestIdentity};
+pub use request_feature::{FeatureKind, RequestFeature, SharedParts, PART_LIMIT};
 pub use rollout::{
     AnswerObservation, AnswerSample, RolloutAnswers, RolloutOrder, RolloutRecord, RolloutReport,
     RolloutStage, RolloutWrite,
--- a/crates/core/src/request_digest.rs
+++ b/crates/core/src/request_digest.rs
@@ -16,6 +16,9 @@
 /// Length of a digest in bytes: the full output of SHA-256.
 const DIGEST_BYTES: usize = 32;
 
+/// Length of the short form of a digest.
+const SHORT_DIGITS: usize = 16;
+
 /// The parts of a request that stay the same when its caller repeats it.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestIdentity<'a> {
@@ -61,6 +64,11 @@
         TokenHash::from_hex(text).map(|hash| RequestDigest(*hash.bytes()))
     }
 
+    /// Returns the first [`SHORT_DIGITS`] hexadecimal digits, which distinguish digests in log lines that list several.
+    pub fn short(&self) -> String {
+        self.to_string().chars().take(SHORT_DIGITS).collect()
+    }
+
     /// Returns the first byte, over whose values digests are uniformly distributed.
     pub fn first_byte(&self) -> u8 {
         self.0[0]
--- a/crates/daemon/src/request/admitted.rs
+++ b/crates/daemon/src/request/admitted.rs
@@ -7,8 +7,8 @@
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
-    AccountId, AdmissionRule, LatencyObjectives, RequestDigest, RequestId, StreamId, TargetPool,
-    TierId, TierRank, WorkMicros,
+    AccountId, AdmissionRule, LatencyObjectives, RequestDigest, RequestFeature, RequestId,
+    StreamId, TargetPool, TierId, TierRank, WorkMicros,
 };
 use curlewcleat_sched::{RequestSpec, TakenUpStream};
 
@@ -62,6 +62,8 @@
     pub work: WorkEstimate,
     /// Digest of what the caller sent, `None` until the body is read and where only its beginning is read.
     pub digest: Option<RequestDigest>,
+    /// Features of the parts of its prompt that other prompts may share.
+    pub part_features: Vec<RequestFeature>,
     /// Idempotency key and the caller's attempt number for it.
     pub key: Option<(String, Option<u32>)>,
     /// The stream that the request takes up, `None` where it begins one or has another answer.
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -101,6 +101,7 @@
             cost: 1,
             work: WorkEstimate::default(),
             digest: None,
+            part_features: Vec::new(),
             key,
         })
     }
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -7,6 +7,7 @@
 mod forwarding;
 mod notice;
 mod objectives;
+mod prompt_parts;
 mod stated_load;
 mod take_up;
 #[cfg(test)]
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -23,7 +23,7 @@
 };
 use spdlog::prelude::*;
 
-use super::{objectives, take_up, work, ProfileProtocol};
+use super::{objectives, prompt_parts, take_up, work, ProfileProtocol};
 use crate::headers;
 use crate::request::admitted::AdmittedRequest;
 
@@ -79,6 +79,12 @@
             cost: account.map_or(0, |account| work::cost(account, tokens)),
             work: work::estimate(&self.profile, pool, head, tokens),
             digest: None,
+            part_features: prompt_parts::part_features(
+                &self.profile,
+                pool,
+                account.map(|account| account.id.as_str()),
+                head,
+            ),
             key: None,
             take_up: take_up::read_take_up(&self.profile, head)
                 .filter(|_| rule.service.streams && rule.repeatable),
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests the admission rules of a fleet's requests as tables of inputs and results. Times are in milliseconds.
 
 mod notices;
+mod prompt_parts;
 mod stated_load;
 
 use std::time::Duration;
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -4,7 +4,9 @@
 //! run's progress.
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{Refusal, RefusalReason, RequestId, TargetEntry, TargetId, TargetVersion};
+use curlewcleat_core::{
+    FeatureKind, Refusal, RefusalReason, RequestId, TargetEntry, TargetId, TargetVersion,
+};
 use curlewcleat_targets::{BodyFrame, ConnectionOrigin};
 use spdlog::prelude::*;
 
@@ -43,7 +45,7 @@
     pub(super) fn log_failed_attempt(&self, target: &TargetId, reason: &str, cause: AttemptCause) {
         info!("attempt_failed", kv: {
             request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
-            digest = digest_text(&self.request),
+            digest = digest_text(&self.request), prompt_parts = part_texts(&self.request),
             target = target.as_str(), reason, cause = cause.code(),
             silent_ms = self.progress.idle_time().as_millis() as i64,
             parts = self.progress.attempt_parts(), answer_begun = self.answer.has_begun()
@@ -90,6 +92,13 @@
     request.digest.map(|digest| digest.to_string()).unwrap_or_default()
 }
 
+/// Returns the shared parts of a request's prompt as short digests, so that lines about requests that share one can be
+/// found.
+fn part_texts(request: &AdmittedRequest) -> String {
+    let parts = request.part_features.iter().filter(|feature| feature.kind == FeatureKind::Part);
+    parts.map(|feature| feature.digest.short()).collect::<Vec<_>>().join(" ")
+}
+
 /// Counts and logs a refusal.
 pub fn record_refusal(
     service: &RequestService,
@@ -104,12 +113,13 @@
     // The account is unknown before admission, and a public rule requires none.
     let account = request.and_then(|request| request.account.as_deref()).unwrap_or_default();
     let digest = request.map(digest_text).unwrap_or_default();
+    let prompt_parts = request.map(part_texts).unwrap_or_default();
     let config_age = service.protocol.config_age();
     service.context.metrics.count_refusal(refusal.reason, tier, pool);
     info!("request_refused", kv: {
         request = id.to_string(), attempt, account,
         cost = request.map_or(0, |request| request.cost),
-        reason = refusal.reason.code(), rule, tier, pool, digest,
+        reason = refusal.reason.code(), rule, tier, pool, digest, prompt_parts,
         may_have_run = refusal.verdict.may_have_run(),
         held_ms = request.map_or(0, |request| request.arrived.elapsed().as_millis() as i64),
         retry_after_ms = refusal.retry_after.map_or(-1, |wait| wait.as_millis() as i64),
