--- a/crates/acceptance/tests/lethal_requests.rs
+++ b/crates/acceptance/tests/lethal_requests.rs
@@ -20,7 +20,7 @@
 use bytes::Bytes;
 use curlewcleat_acceptance::fleet_head;
 use curlewcleat_standins::deployment::{get_text, wait_until};
-use curlewcleat_standins::fleet::FleetDeployment;
+use curlewcleat_standins::fleet::{FleetDeployment, LethalTrigger};
 use curlewcleat_targets::{collect, ConnectionPool};
 use rstest::rstest;
 
@@ -66,7 +66,8 @@
     }
     fleet.daemons(3, "retry_saved = 100\nretry_ratio = 0.5").await?;
     wait_ready(&fleet, path).await?;
-    fleet.terminate_engines_on(LETHAL, ENTRY_EXPIRY);
+    let trigger = LethalTrigger::Body(LETHAL.to_vec());
+    fleet.terminate_engines_on(&trigger, Duration::ZERO, ENTRY_EXPIRY);
     Ok(fleet)
 }
 
--- a/crates/soak/src/lethal.rs
+++ b/crates/soak/src/lethal.rs
@@ -8,7 +8,7 @@
 
 use curlewcleat_platform::example::DRIVERS_KEY;
 use curlewcleat_platform::names::SERVERS;
-use curlewcleat_standins::fleet::{FleetEngine, LethalBody};
+use curlewcleat_standins::fleet::{FleetEngine, LethalRequests, LethalTrigger};
 use curlewcleat_targets::ConnectionPool;
 
 use crate::callers::{send_request, CallKind};
@@ -32,8 +32,9 @@
 /// Makes an engine terminate as soon as it begins to run the lethal request.
 pub fn terminate_on_lethal(engine: &FleetEngine, terminated: &TerminationFlag) {
     let terminated = Rc::clone(terminated);
-    engine.set_lethal(LethalBody {
-        body: LETHAL.to_vec(),
+    engine.set_lethal(LethalRequests {
+        trigger: LethalTrigger::Body(LETHAL.to_vec()),
+        delay: Duration::ZERO,
         terminate: Box::new(move || terminated.set(true)),
     });
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -8,7 +8,10 @@
 mod store;
 
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
-pub use engine::{AnswerFrame, AttemptSteps, EngineRun, EngineStep, FleetEngine, LethalBody};
+pub use engine::{
+    has_part, AnswerFrame, AttemptSteps, EngineRun, EngineStep, FleetEngine, LethalRequests,
+    LethalTrigger,
+};
 pub use entry::{EngineEntry, ForeignEntry};
 pub use link_faults::{EngineLinkFault, EngineLinks};
 pub use store::{FleetStore, StoreOutage};
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -12,7 +12,8 @@
 use serde_json::to_value;
 
 use super::{
-    AttemptSteps, EngineEntry, EngineLinks, EngineStep, FleetEngine, FleetStore, LethalBody,
+    AttemptSteps, EngineEntry, EngineLinks, EngineStep, FleetEngine, FleetStore, LethalRequests,
+    LethalTrigger,
 };
 use crate::address::{
     daemon_ip, free_address, free_address_at, free_daemon_port, free_engine_address,
@@ -208,9 +209,14 @@
         Ok(())
     }
 
-    /// Makes every engine terminate when it begins to run a request with this body. Its list entry is removed
-    /// `removal_delay` later.
-    pub fn terminate_engines_on(&self, body: &[u8], removal_delay: Duration) {
+    /// Makes every engine terminate `delay` after it began to run a request to which the trigger applies. Its list entry
+    /// is removed `removal_delay` later.
+    pub fn terminate_engines_on(
+        &self,
+        trigger: &LethalTrigger,
+        delay: Duration,
+        removal_delay: Duration,
+    ) {
         for (index, engine) in self.engines.iter().enumerate() {
             let (served, store) = (Rc::clone(&self.engines_served), Rc::clone(&self.store));
             let id = engine.id.clone();
@@ -224,7 +230,11 @@
                     store.remove(SERVERS, &id);
                 });
             };
-            engine.set_lethal(LethalBody { body: body.to_vec(), terminate: Box::new(terminate) });
+            engine.set_lethal(LethalRequests {
+                trigger: trigger.clone(),
+                delay,
+                terminate: Box::new(terminate),
+            });
         }
     }
 
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -1,6 +1,8 @@
 //! Stand-in of an engine: answers with records and event streams, identifies itself, records the requests that reach
 //! it, and simulates faults.
 
+mod lethal;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::RangeInclusive;
@@ -9,6 +11,8 @@
 
 use curlewcleat_platform::names::{SEAL_HEADER, WIRE_PROFILE};
 
+pub use self::lethal::{has_part, LethalRequests, LethalTrigger};
+
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
 /// Behaviour of an engine for one request.
@@ -97,14 +101,6 @@
     is_stream: bool,
 }
 
-/// A request body that terminates an engine as soon as the engine begins to run it.
-pub struct LethalBody {
-    /// The body.
-    pub body: Vec<u8>,
-    /// Terminates the engine.
-    pub terminate: Box<dyn FnOnce()>,
-}
-
 /// An engine in this process.
 pub struct FleetEngine {
     /// Id of the engine, which remains the same after a restart.
@@ -119,7 +115,7 @@
     default_step: Cell<EngineStep>,
     attempt_steps: RefCell<AttemptSteps>,
     runs: RefCell<Vec<EngineRun>>,
-    lethal: RefCell<Option<LethalBody>>,
+    lethal: RefCell<Option<LethalRequests>>,
     notices: RefCell<Vec<(String, String)>>,
 }
 
@@ -171,15 +167,16 @@
         *self.notices.borrow_mut() = headers.iter().map(owned).collect();
     }
 
-    /// Makes the engine terminate when it begins to run a request with this body.
-    pub fn set_lethal(&self, lethal: LethalBody) {
+    /// Makes the engine terminate when it runs one of these requests.
+    pub fn set_lethal(&self, lethal: LethalRequests) {
         *self.lethal.borrow_mut() = Some(lethal);
     }
 
-    /// Terminates the engine if the body is the lethal one, and returns whether it is.
-    fn terminate_if_lethal(&self, body: &[u8]) -> bool {
-        let lethal = self.lethal.borrow_mut().take_if(|lethal| lethal.body == body);
+    /// Terminates the engine if the request is lethal, and returns whether it is.
+    async fn terminate_if_lethal(&self, request: &PlainRequest) -> bool {
+        let lethal = self.lethal.borrow_mut().take_if(|lethal| lethal.trigger.applies_to(request));
         let Some(lethal) = lethal else { return false };
+        tokio::time::sleep(lethal.delay).await;
         (lethal.terminate)();
         true
     }
@@ -218,7 +215,7 @@
             return Ok(AfterAnswer::KeepOpen);
         }
         self.runs.borrow_mut()[run_index].ran = true;
-        if self.terminate_if_lethal(&request.body) {
+        if self.terminate_if_lethal(&request).await {
             return Ok(AfterAnswer::Close);
         }
         let is_stream = request.path.contains("/stream/");
