--- a/crates/bench/src/lethal.rs
+++ b/crates/bench/src/lethal.rs
@@ -38,7 +38,7 @@
             record_interruption(&mut requests, now, number);
         }
         let bytes = resident().saturating_sub(before);
-        let other = digest(b"asked");
+        let other = [digest(b"asked").into()];
         let verdict = time_each(10_000, |_| {
             black_box(requests.verdict(now, &other));
         });
@@ -66,5 +66,5 @@
     };
     let interruption =
         RequestInterruption { instance, kind: InterruptionKind::Closed, begun: false };
-    requests.record_interruption(now, digest(&number.to_be_bytes()), interruption);
+    requests.record_interruption(now, digest(&number.to_be_bytes()).into(), interruption);
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,7 +23,7 @@
 pub use message::*;
 pub use model::*;
 pub use request_digest::{RequestDigest, RequestIdentity};
-pub use request_feature::{FeatureKind, RequestFeature, SharedParts, PART_LIMIT};
+pub use request_feature::{FeatureKind, PoolHash, RequestFeature, SharedParts, PART_LIMIT};
 pub use rollout::{
     AnswerObservation, AnswerSample, RolloutAnswers, RolloutOrder, RolloutRecord, RolloutReport,
     RolloutStage, RolloutWrite,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -137,6 +137,10 @@
     VersionPermitRequest(VersionPermitRequest),
     /// What targets state of their load, for the pools whose targets state a slowness.
     TargetLoads(Vec<PoolLoads>),
+    /// Like [`SuspectsPull`](PeerMessage::SuspectsPull), but requests the reports on all kinds of features.
+    FeaturesPull(SuspectsPull),
+    /// Answers a [`FeaturesPull`](PeerMessage::FeaturesPull), or sends an update that was not requested.
+    FeaturesPush(FeaturesPush),
 }
 
 impl PeerMessage {
@@ -158,9 +162,10 @@
             | PeerMessage::StreamQuery(_)
             | PeerMessage::StreamAnswer(_)
             | PeerMessage::VersionPermitRequest(_)
-            | PeerMessage::TargetLoads(_) => true,
+            | PeerMessage::TargetLoads(_)
+            | PeerMessage::FeaturesPush(_) => true,
             // A receiver that has answered a pull before can decode this one.
-            PeerMessage::SuspectsPull(pull) => pull.known == 0,
+            PeerMessage::SuspectsPull(pull) | PeerMessage::FeaturesPull(pull) => pull.known == 0,
             _ => false,
         }
     }
--- a/crates/core/src/message/lethal.rs
+++ b/crates/core/src/message/lethal.rs
@@ -1,4 +1,4 @@
-//! Messages between daemons about requests under which targets terminated.
+//! Messages between daemons about requests, and features of requests, under which targets terminated.
 //!
 //! Reports are merged as sets: each may be lost, repeated, or arrive in any order and through any daemon.
 //!
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{RequestDigest, TargetInstance};
+use crate::{FeatureKind, RequestDigest, RequestFeature, TargetInstance};
 
 /// How a request was interrupted at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -58,6 +58,50 @@
     pub stored: bool,
 }
 
+/// What is known of one suspect feature.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct FeatureReport {
+    /// The feature.
+    pub feature: RequestFeature,
+    /// The interruptions of requests with the feature, each at another target instance.
+    pub interruptions: Vec<InterruptionReport>,
+    /// Instances whose interruptions are ignored, see [`SuspectReport::cleared`].
+    pub cleared: Vec<TargetInstance>,
+    /// Whether the platform stores that requests with the feature are refused.
+    pub stored: bool,
+    /// Time since the answer to a request with the feature last began, `None` where none is known to have begun, and for
+    /// whole requests.
+    pub begun: Option<Duration>,
+    /// Time since the answer to a request without the feature last began in the same pool, `None` where none is known to
+    /// have begun since the first interruption, and for whole requests.
+    pub others_begun: Option<Duration>,
+}
+
+impl From<SuspectReport> for FeatureReport {
+    fn from(report: SuspectReport) -> FeatureReport {
+        FeatureReport {
+            feature: report.digest.into(),
+            interruptions: report.interruptions,
+            cleared: report.cleared,
+            stored: report.stored,
+            begun: None,
+            others_begun: None,
+        }
+    }
+}
+
+impl FeatureReport {
+    /// Returns the report on a whole request, `None` for other features.
+    pub fn request_report(self) -> Option<SuspectReport> {
+        (self.feature.kind == FeatureKind::Request).then_some(SuspectReport {
+            digest: self.feature.digest,
+            interruptions: self.interruptions,
+            cleared: self.cleared,
+            stored: self.stored,
+        })
+    }
+}
+
 /// Requests the reports that changed at the receiver.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SuspectsPull {
@@ -74,3 +118,12 @@
     /// The reports, one per request.
     pub requests: Vec<SuspectReport>,
 }
+
+/// The answer to a pull of reports on all kinds of features, or an update with the sender's latest changes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct FeaturesPush {
+    /// Number of the sender's changes that the receiver has with this answer, see [`SuspectsPush::at`].
+    pub at: u64,
+    /// The reports, one per feature.
+    pub features: Vec<FeatureReport>,
+}
--- a/crates/core/src/request_feature.rs
+++ b/crates/core/src/request_feature.rs
@@ -53,18 +53,35 @@
     }
 }
 
+/// Hash of the id of a pool.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct PoolHash(pub u64);
+
+impl PoolHash {
+    /// Returns the hash of a pool's id.
+    pub fn of(pool: &str) -> PoolHash {
+        let digest: [u8; 32] = Sha256::digest(pool.as_bytes()).into();
+        let (first, _) = digest.split_first_chunk().expect("the digest has 32 bytes");
+        PoolHash(u64::from_be_bytes(*first))
+    }
+}
+
 /// A feature of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestFeature {
     /// What the feature covers.
     pub kind: FeatureKind,
-    /// Digest of that.
+    /// The pool whose targets run requests with the feature, 0 for a whole request.
+    pub pool: PoolHash,
+    /// Digest of what the feature covers.
     pub digest: RequestDigest,
 }
 
 impl From<RequestDigest> for RequestFeature {
     fn from(digest: RequestDigest) -> RequestFeature {
-        RequestFeature { kind: FeatureKind::Request, digest }
+        RequestFeature { kind: FeatureKind::Request, pool: PoolHash::default(), digest }
     }
 }
 
@@ -82,15 +99,15 @@
 impl SharedParts<'_> {
     /// Returns the features of the first [`PART_LIMIT`] parts.
     pub fn features(&self) -> Vec<RequestFeature> {
+        let pool = PoolHash::of(self.pool);
+        let feature =
+            |kind, texts: &[&str]| RequestFeature { kind, pool, digest: digest_of(texts) };
         let ids = self.ids.iter().take(PART_LIMIT);
         ids.flat_map(|id| {
-            let of_account = self.account.map(|account| RequestFeature {
-                kind: FeatureKind::AccountPart,
-                digest: digest_of(&[self.pool, account, id]),
-            });
-            let of_all =
-                RequestFeature { kind: FeatureKind::Part, digest: digest_of(&[self.pool, id]) };
-            of_account.into_iter().chain([of_all])
+            let of_account = self
+                .account
+                .map(|account| feature(FeatureKind::AccountPart, &[self.pool, account, id]));
+            of_account.into_iter().chain([feature(FeatureKind::Part, &[self.pool, id])])
         })
         .collect()
     }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -117,8 +117,8 @@
             PlatformCall::StoreRefusal(report) => {
                 follow::store_refusal(&self.platform, context, report);
             }
-            PlatformCall::DropRefusal(digest) => {
-                follow::drop_refusal(&self.platform, context, digest);
+            PlatformCall::DropRefusal(feature) => {
+                follow::drop_refusal(&self.platform, context, feature);
             }
             PlatformCall::ReadRollouts => self.signals.request_rollout_read(),
             PlatformCall::WriteRollout(write) => {
--- a/crates/daemon/src/fleet/follow/refusals.rs
+++ b/crates/daemon/src/fleet/follow/refusals.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    InterruptionKind, InterruptionReport, RequestDigest, RequestInterruption, SuspectReport,
+    FeatureReport, InterruptionKind, InterruptionReport, RequestFeature, RequestInterruption,
     WallTime,
 };
 use curlewcleat_node::NodeEvent;
@@ -47,18 +47,20 @@
 }
 
 /// Converts a stored refusal to a report, or returns `None` if it is too old.
-fn suspect_report(refusal: StoredRefusal, now: WallTime) -> Option<SuspectReport> {
+fn suspect_report(refusal: StoredRefusal, now: WallTime) -> Option<FeatureReport> {
     let age = now.saturating_sub(refusal.at);
     let report = |instance| {
         let interruption =
             RequestInterruption { instance, kind: InterruptionKind::Closed, begun: false };
         InterruptionReport { interruption, ended: true, age }
     };
-    (age < RETENTION).then(|| SuspectReport {
-        digest: refusal.digest,
+    (age < RETENTION).then(|| FeatureReport {
+        feature: refusal.feature,
         interruptions: refusal.instances.into_iter().map(report).collect(),
         cleared: Vec::new(),
         stored: true,
+        begun: None,
+        others_begun: None,
     })
 }
 
@@ -66,17 +68,17 @@
 pub fn store_refusal(
     platform: &Rc<dyn FleetPlatform>,
     context: &DaemonContext,
-    suspect: SuspectReport,
+    suspect: FeatureReport,
 ) {
     let (platform, context) = (Rc::clone(platform), context.clone());
     actix_rt::spawn(async move {
-        let digest = suspect.digest;
+        let feature = suspect.feature;
         let ended = suspect.interruptions.into_iter().filter(|report| report.ended);
         let instances = ended.map(|report| report.interruption.instance).collect();
-        let refusal = StoredRefusal { digest, instances, at: context.wall() };
+        let refusal = StoredRefusal { feature, instances, at: context.wall() };
         context.metrics.count_platform_call("store_refusal");
         match platform.store_refusal(&refusal).await {
-            Ok(()) => context.send_event(NodeEvent::RefusalStored(digest)),
+            Ok(()) => context.send_event(NodeEvent::RefusalStored(feature)),
             Err(error) => BackOff::new(BACK_OFF).record_failure("store_refusal", &error, &context),
         }
     });
@@ -86,12 +88,12 @@
 pub fn drop_refusal(
     platform: &Rc<dyn FleetPlatform>,
     context: &DaemonContext,
-    digest: RequestDigest,
+    feature: RequestFeature,
 ) {
     let (platform, context) = (Rc::clone(platform), context.clone());
     actix_rt::spawn(async move {
         context.metrics.count_platform_call("drop_refusal");
-        if let Err(error) = platform.drop_refusal(&digest).await {
+        if let Err(error) = platform.drop_refusal(&feature.digest).await {
             BackOff::new(BACK_OFF).record_failure("drop_refusal", &error, &context);
         }
     });
--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use curlewcleat_core::{DataCentreId, SuspectReport};
+use curlewcleat_core::{DataCentreId, FeatureReport};
 use curlewcleat_node::{InstanceChange, NodeNote, PoolStatus, RolloutStatus};
 use curlewcleat_sched::RolloutReason;
 use spdlog::prelude::*;
@@ -46,9 +46,10 @@
             info!("key_table_known", kv: { version = *version, slots_held = *slots })
         }
         NodeNote::PoolQueueStatus(pool) => log_waiting(pool),
-        NodeNote::TargetTerminated(digest, instance) => {
+        NodeNote::TargetTerminated(feature, instance) => {
             warn!("target_ended_under_request", kv: {
-                digest = digest.to_string(), target = instance.id.as_str()
+                kind = feature.kind.code(), digest = feature.digest.to_string(),
+                target = instance.id.as_str()
             });
         }
         NodeNote::RequestLethal(suspect) => log_lethal(suspect),
@@ -59,12 +60,12 @@
         NodeNote::EvacuationsChanged(change) => info!("evacuations_changed", kv: {
             at = change.at, begun = join(&change.begun), ended = join(&change.ended)
         }),
-        NodeNote::RequestAllowed(digest) => {
-            info!("request_allowed", kv: { digest = digest.to_string() })
-        }
-        NodeNote::SuspectCleared(digest) => {
-            info!("suspect_cleared", kv: { digest = digest.to_string() })
-        }
+        NodeNote::RequestAllowed(feature) => info!("request_allowed", kv: {
+            kind = feature.kind.code(), digest = feature.digest.to_string()
+        }),
+        NodeNote::SuspectCleared(feature) => info!("suspect_cleared", kv: {
+            kind = feature.kind.code(), digest = feature.digest.to_string()
+        }),
         NodeNote::DrainBegun => info!("drain_begun"),
         NodeNote::DrainClosing => info!("drain_closing"),
     }
@@ -89,11 +90,11 @@
     });
 }
 
-fn log_lethal(suspect: &SuspectReport) {
+fn log_lethal(suspect: &FeatureReport) {
     let ended = suspect.interruptions.iter().filter(|report| report.ended);
     let targets: Vec<&str> = ended.map(|report| report.interruption.instance.id.as_str()).collect();
     warn!("request_lethal", kv: {
-        digest = suspect.digest.to_string(), ended = targets.len(), targets = targets.join(" ")
+        kind = suspect.feature.kind.code(), digest = suspect.feature.digest.to_string(), ended = targets.len(), targets = targets.join(" ")
     });
 }
 
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -6,7 +6,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
-use curlewcleat_core::{InterruptionReport, RequestDigest, SuspectReport};
+use curlewcleat_core::{FeatureReport, InterruptionReport, RequestDigest};
 use curlewcleat_node::{NodeEvent, NodeStatus};
 use serde_json::{json, Value};
 
@@ -102,20 +102,23 @@
     Value::Array(rollouts.collect())
 }
 
-/// Returns the requests that terminated targets, or may have, as JSON: first those that are refused, then by the
-/// number of interruptions.
+/// Returns the features of requests that terminated targets, or may have, as JSON: first those that are refused, then by
+/// the number of interruptions.
 fn suspects_json(status: &NodeStatus) -> Value {
-    let mut suspects: Vec<&SuspectReport> =
+    let mut suspects: Vec<&FeatureReport> =
         status.suspects.iter().filter(|suspect| !suspect.interruptions.is_empty()).collect();
     suspects.sort_by_key(|suspect| {
-        (!status.refused.contains(&suspect.digest), Reverse(suspect.interruptions.len()))
+        (!status.refused.contains(&suspect.feature), Reverse(suspect.interruptions.len()))
     });
     let suspects = suspects.into_iter().map(|suspect| {
         let targets: Vec<Value> = suspect.interruptions.iter().map(interruption_json).collect();
         json!({
-            "digest": suspect.digest.to_string(),
-            "refused": status.refused.contains(&suspect.digest),
+            "kind": suspect.feature.kind.code(),
+            "digest": suspect.feature.digest.to_string(),
+            "refused": status.refused.contains(&suspect.feature),
             "stored": suspect.stored, "targets": targets,
+            "answer_begun_ago_ms": suspect.begun.map(|age| age.as_millis() as u64),
+            "others_begun_ago_ms": suspect.others_begun.map(|age| age.as_millis() as u64),
         })
     });
     Value::Array(suspects.collect())
--- a/crates/daemon/src/request/admitted.rs
+++ b/crates/daemon/src/request/admitted.rs
@@ -87,6 +87,7 @@
             output_work: self.work.output,
             prefix: self.work.prefix,
             digest: self.digest,
+            part_features: self.part_features.clone(),
             key: self.key.clone(),
             takes_up: self.take_up.as_ref().map(|take_up| TakenUpStream {
                 stream: take_up.begun_as.as_ref().map(|attempt| self.stream(attempt)),
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -14,6 +14,10 @@
 /// Number of parts after which the mean time between two parts is reported.
 const MEAN_INTERVAL_PARTS: u32 = 8;
 
+/// Time from the first part of an answer after which its target has not terminated as it began the answer: several
+/// times what the end of a process takes to close its connections.
+const ESTABLISHED_AFTER: Duration = Duration::from_millis(100);
+
 /// Progress of a request over all its attempts.
 #[derive(Default)]
 pub struct RequestProgress {
@@ -52,6 +56,8 @@
     /// How the end of the answer is determined, once its head has arrived.
     frame: Option<BodyFrame>,
     first: Option<Moment>,
+    /// Whether the node knows that the answer began and went on.
+    established_reported: bool,
     parts: u32,
     longest_pause: Duration,
 }
@@ -161,6 +167,16 @@
         begun.into_iter().chain(whole).collect()
     }
 
+    /// Returns whether the target of the latest attempt has begun an answer and gone on with it.
+    pub fn is_established(&self) -> bool {
+        self.attempt.first.is_some_and(|first| first.elapsed() >= ESTABLISHED_AFTER)
+    }
+
+    /// Returns, once for each attempt, whether its answer has begun and gone on.
+    pub fn take_established(&mut self) -> bool {
+        self.is_established() && !std::mem::replace(&mut self.attempt.established_reported, true)
+    }
+
     /// Returns the number of parts that arrived in the latest attempt.
     pub fn attempt_parts(&self) -> u32 {
         self.attempt.parts
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -135,12 +135,20 @@
                 return AttemptOutcome::CallerStalled;
             }
             self.report_observations(target, self.progress.part_observation());
+            self.report_established_answer();
         }
         // Sends the head of an answer that has no parts.
         self.begin_answer(&head);
         self.finish_parts(sent).await
     }
 
+    /// Reports to the node, once for each attempt, that the target began the answer and went on with it.
+    fn report_established_answer(&mut self) {
+        if !self.request.part_features.is_empty() && self.progress.take_established() {
+            self.service.context.send_event(NodeEvent::AnswerEstablished(self.request.id));
+        }
+    }
+
     /// Starts to count an answer that is buffered; `None` without a memory limit.
     fn hold_answer(&self) -> Option<ByteHold> {
         let budget = self.service.context.budget.as_ref()?;
--- a/crates/daemon/src/request/run/fault.rs
+++ b/crates/daemon/src/request/run/fault.rs
@@ -7,7 +7,7 @@
 //! Owns: nothing; these are methods of [`RequestRun`]. Relies on: [`SharedReach`](crate::target_reach::SharedReach) for
 //! the lost links.
 
-use curlewcleat_core::{AttemptEnd, RequestInterruption, TargetEntry};
+use curlewcleat_core::{AttemptEnd, RequestFeature, RequestInterruption, TargetEntry};
 use curlewcleat_node::NodeEvent;
 use curlewcleat_sched::TargetRoute;
 
@@ -73,13 +73,26 @@
             return;
         }
         self.report_observations(target, cause.answer_observation());
-        if let (Some(digest), Some(kind)) = (self.request.digest, cause.interruption_kind()) {
+        let Some(kind) = cause.interruption_kind() else { return };
+        let features = self.interrupted_features();
+        if !features.is_empty() {
             let begun = self.progress.attempt_parts() > 0;
             let interruption = RequestInterruption { instance: target.instance(), kind, begun };
-            self.service.context.send_event(NodeEvent::RequestInterrupted(digest, interruption));
+            self.service.context.send_event(NodeEvent::RequestInterrupted(features, interruption));
         }
     }
 
+    /// Returns the features that may be why the target of the latest attempt terminated: the whole request, and the
+    /// parts of its prompt unless the target had begun the answer and gone on with it.
+    fn interrupted_features(&self) -> Vec<RequestFeature> {
+        let whole = self.request.digest.map(RequestFeature::from);
+        let parts = match self.progress.is_established() {
+            true => &[][..],
+            false => &self.request.part_features,
+        };
+        whole.into_iter().chain(parts.iter().copied()).collect()
+    }
+
     /// Returns what is reported to the scheduler about the target that still runs the request at its deadline.
     pub(super) fn attempt_end_at_deadline(&self) -> AttemptEnd {
         let is_stalled = self.pending.as_ref().is_some_and(PendingRequest::is_stalled);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -8,9 +8,9 @@
 use curlewcleat_config::CheckReport;
 use curlewcleat_core::{
     AnswerSample, AttemptEnd, ConfigBundle, DaemonId, DaemonRecord, DataCentreId, DiscoveredTarget,
-    EvacuationList, Generation, KeptAnswer, NoticeReport, ObjectVersion, PeerFrame, PermitId,
-    PoolId, Refusal, RequestDigest, RequestId, RequestInterruption, RetryReason, RolloutRecord,
-    RolloutWrite, StatedLoad, StreamVersion, SuspectReport, TargetChange, TargetEntry,
+    EvacuationList, FeatureReport, Generation, KeptAnswer, NoticeReport, ObjectVersion, PeerFrame,
+    PermitId, PoolId, Refusal, RequestDigest, RequestFeature, RequestId, RequestInterruption,
+    RetryReason, RolloutRecord, RolloutWrite, StatedLoad, StreamVersion, TargetChange, TargetEntry,
     TargetInstance, TargetReport, TargetVersion, Uptime, Verdict, VmId, WarmUpLimit,
 };
 use curlewcleat_keys::KeyTable;
@@ -69,6 +69,9 @@
     Replacement(RequestId, ReplacementStep),
     /// The caller of a dispatched request has received a part of its answer.
     AnswerBegun(RequestId),
+    /// The answer to a dispatched request has begun and went on for a while, so that its target did not terminate as it
+    /// began.
+    AnswerEstablished(RequestId),
     /// A target has sent the first event of a stream that may be continued.
     StreamBegun(RequestId, PoolId, StreamVersion),
     /// The caller disconnected while its request waited.
@@ -80,7 +83,7 @@
     /// The result of proposing a key table.
     TableWritten(TableWrite),
     /// A request was interrupted at a target instance.
-    RequestInterrupted(RequestDigest, RequestInterruption),
+    RequestInterrupted(Vec<RequestFeature>, RequestInterruption),
     /// The valid notices of a target of a pool that this daemon has received.
     NoticeReceived(PoolId, NoticeReport),
     /// A target of a pool stated its load in an answer to this daemon.
@@ -108,9 +111,9 @@
     /// An answer of a target was observed in a pool that is being rolled out.
     AnswerObserved(PoolId, Box<AnswerSample>),
     /// The permanently refused requests that the platform has stored.
-    RefusalsRead(Vec<SuspectReport>),
+    RefusalsRead(Vec<FeatureReport>),
     /// The platform has stored the refusal of a request.
-    RefusalStored(RequestDigest),
+    RefusalStored(RequestFeature),
     /// An operator states that a request is not the reason for which targets terminated.
     ClearSuspect(RequestDigest),
     /// The report on a target, for the scheduler of its pool.
@@ -167,9 +170,9 @@
     /// Set whether the daemon reads the platform from now on.
     Read(ReadRole),
     /// Store the refusal of a request.
-    StoreRefusal(SuspectReport),
+    StoreRefusal(FeatureReport),
     /// Delete the stored refusal of a request.
-    DropRefusal(RequestDigest),
+    DropRefusal(RequestFeature),
     /// Read the rollout orders again.
     ReadRollouts,
     /// Store the stage of an order, and read the orders again.
@@ -259,14 +262,14 @@
         /// Revision that is known.
         known: ObjectVersion,
     },
-    /// A target has terminated while running a request.
-    TargetTerminated(RequestDigest, TargetInstance),
-    /// A request is refused permanently from now on.
-    RequestLethal(SuspectReport),
-    /// A request is no longer refused.
-    RequestAllowed(RequestDigest),
-    /// An operator has cleared a request.
-    SuspectCleared(RequestDigest),
+    /// A target has terminated while running a request with a feature.
+    TargetTerminated(RequestFeature, TargetInstance),
+    /// Requests with a feature are refused permanently from now on.
+    RequestLethal(FeatureReport),
+    /// Requests with a feature are no longer refused.
+    RequestAllowed(RequestFeature),
+    /// An operator has cleared a feature.
+    SuspectCleared(RequestFeature),
     /// An order has reached this stage, and the reason if this daemon has decided it.
     RolloutStage(RolloutStatus, Option<RolloutReason>),
     /// These versions of a pool's targets are held back until the orders are read; empty if none is held back any
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,6 +17,7 @@
 mod rollouts;
 mod stop;
 mod streams;
+mod suspects;
 mod time;
 mod views;
 mod warm_ups;
@@ -196,9 +197,10 @@
             NodeEvent::Tick => self.tick(),
             NodeEvent::PeerFrameReceived(frame) => self.peer_frame(frame),
             NodeEvent::Admit(spec) => self.admit(*spec),
-            NodeEvent::RequestInterrupted(digest, interruption) => {
-                self.attempt_interrupted(digest, interruption)
+            NodeEvent::RequestInterrupted(features, interruption) => {
+                self.attempt_interrupted(&features, &interruption);
             }
+            NodeEvent::AnswerEstablished(id) => self.answer_established(id),
             NodeEvent::NoticeReceived(pool, report) => self.own_notice_received(pool, report),
             NodeEvent::LoadStated { pool, instance, load, seen } => {
                 self.load_stated(pool, instance, load, seen);
@@ -213,8 +215,8 @@
             }
             NodeEvent::AnswerObserved(pool, sample) => self.answer_observed(pool, *sample),
             NodeEvent::RefusalsRead(reports) => self.merge_suspects(reports),
-            NodeEvent::RefusalStored(digest) => self.refusal_stored(&digest),
-            NodeEvent::ClearSuspect(digest) => self.clear_suspect(digest),
+            NodeEvent::RefusalStored(feature) => self.refusal_stored(&feature),
+            NodeEvent::ClearSuspect(digest) => self.clear_suspect(&digest),
             NodeEvent::Finished(id, end) => self.request_finished(id, *end),
             NodeEvent::AttemptNotRun(id, end, retry) => self.attempt_not_run(id, end, retry),
             NodeEvent::Replacement(id, step) => self.replacement(id, step),
--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -1,9 +1,7 @@
-//! Exchanges reports on requests that terminate their targets: with peers, and with the platform.
+//! Records which requests terminate their targets, refuses them, and has the platform store the refusals.
 //!
-//! Each daemon keeps the whole set and evaluates it on its own. Updates are sent at once to the daemons that may
-//! schedule. Each daemon also pulls what it lacks from the first of these every [`PULL_INTERVAL`], so that all
-//! daemons know within two such intervals even if frames are lost. Requests that were interrupted only once are sent
-//! a few at a time. The platform stores only that a request is refused, in one call.
+//! The platform stores only that requests with a feature are refused, in one call. `suspects` exchanges the reports with
+//! the other daemons.
 //!
 //! Owns: nothing; these are methods of `Node`. Relies on: `LethalRequests` for the rule, `TargetView` for the target
 //! instances that the platform lists.
@@ -12,48 +10,39 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    ActiveConfig, DaemonId, Incarnation, PeerMessage, Refusal, RefusalReason, RequestDigest,
-    RequestId, RequestInterruption, SuspectReport, SuspectsPull, SuspectsPush, TargetInstance,
-    Uptime, VmId,
-};
-use curlewcleat_sched::{
-    InstancePresence, LethalRequests, LethalVerdict, ReplacementStep, SuspectUpdates,
+    ActiveConfig, FeatureReport, PoolHash, Refusal, RefusalReason, RequestDigest, RequestFeature,
+    RequestId, RequestInterruption, TargetInstance, Uptime,
 };
+use curlewcleat_sched::{InstancePresence, LethalRequests, LethalVerdict, ReplacementStep};
 
+use super::suspects::SuspectPulls;
 use super::Node;
 use crate::event::{CallerDecision, NodeAction, NodeNote, PlatformCall};
 
-/// Interval between pulls. With the answer it takes a third of the users' shortest bound in which all daemons have to
-/// know, three seconds, so that one pull may be lost.
-const PULL_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of daemons to pull from: two, so that one may fail.
-const PULL_PEERS: usize = 2;
 /// Time after which an unanswered call to store a refusal is repeated.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// Minimum retry advice for a request that is held but not refused permanently: several reviews, since it is unknown
 /// when the platform will show which targets terminated.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The suspect requests and the state of their exchange.
+/// The suspect features and the state of their exchange.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LethalExchange {
     pub requests: LethalRequests,
-    /// Incarnation of each pulled daemon, and the number of its changes that are known here.
-    known_changes: BTreeMap<VmId, (Incarnation, u64)>,
-    last_pull: Option<Uptime>,
-    /// Refused requests that were reported to the operators.
-    reported: BTreeSet<RequestDigest>,
+    pub pulls: SuspectPulls,
+    /// Refused features that were reported to the operators.
+    reported: BTreeSet<RequestFeature>,
     /// When the platform was last called to store each refusal.
-    store_requested: BTreeMap<RequestDigest, Uptime>,
+    store_requested: BTreeMap<RequestFeature, Uptime>,
 }
 
 impl Node {
-    /// Records that a request was interrupted at a target, unless the target had announced that it leaves, gets no
-    /// requests because of its version, or is not known.
+    /// Records that a request with these features was interrupted at a target, unless the target had announced that it
+    /// leaves, gets no requests because of its version, or is not known.
     pub(super) fn attempt_interrupted(
         &mut self,
-        digest: RequestDigest,
-        interruption: RequestInterruption,
+        features: &[RequestFeature],
+        interruption: &RequestInterruption,
     ) {
         let instance = &interruption.instance;
         let listed = self.targets.shows(instance);
@@ -63,36 +52,62 @@
         if leaving || !listed && !names_target(&self.store.active(), instance) {
             return;
         }
-        if self.lethal.requests.record_interruption(self.now, digest, interruption) {
-            self.send_suspect(&digest);
+        let changed = self.lethal.requests.record_interruptions(self.now, features, interruption);
+        if !changed.is_empty() {
+            self.send_suspects(&changed);
             self.report_refusal_changes();
         }
     }
 
     /// Records that a request was answered in full.
     pub(super) fn answer_completed(&mut self, id: RequestId) {
-        let Some(digest) = self.entry.digest_of(id) else { return };
-        if self.lethal.requests.record_served(self.now, &digest) {
-            self.send_suspect(&digest);
+        let Some(whole) = self.entry.spec_of(id).map(|spec| spec.digest) else { return };
+        let whole = whole.map(RequestFeature::from);
+        if let Some(whole) =
+            whole.filter(|whole| self.lethal.requests.record_served(self.now, whole))
+        {
+            self.send_suspects(&[whole]);
+        }
+        self.answer_established(id);
+    }
+
+    /// Records that the answer to a request began and went on, so that its target has not terminated as it began.
+    pub(super) fn answer_established(&mut self, id: RequestId) {
+        let Some(spec) = self.entry.spec_of(id) else { return };
+        let pool = PoolHash::of(&spec.pool);
+        let changed = self.lethal.requests.record_begun(self.now, pool, &spec.part_features);
+        if !changed.is_empty() {
+            self.send_suspects(&changed);
+            self.report_refusal_changes();
         }
     }
 
-    /// Clears a request on an operator's order.
-    pub(super) fn clear_suspect(&mut self, digest: RequestDigest) {
-        let refused = self.lethal.requests.refused().any(|refused| *refused == digest);
-        if self.lethal.requests.clear(&digest) {
-            self.actions.push(NodeAction::Note(NodeNote::SuspectCleared(digest)));
-            self.send_suspect(&digest);
-        }
-        if refused {
-            self.actions.push(NodeAction::Platform(PlatformCall::DropRefusal(digest)));
+    /// Clears the features with a digest on an operator's order.
+    pub(super) fn clear_suspect(&mut self, digest: &RequestDigest) {
+        for feature in self.lethal.requests.with_digest(digest) {
+            let refused = self.lethal.requests.refused().any(|refused| *refused == feature);
+            if self.lethal.requests.clear(&feature) {
+                self.actions.push(NodeAction::Note(NodeNote::SuspectCleared(feature)));
+                self.send_suspects(&[feature]);
+            }
+            if refused {
+                self.actions.push(NodeAction::Platform(PlatformCall::DropRefusal(feature)));
+            }
         }
         self.report_refusal_changes();
     }
 
-    /// Returns the refusal of a request that may not be sent to a target, either for now or permanently.
-    pub(super) fn lethal_refusal(&mut self, digest: Option<RequestDigest>) -> Option<Refusal> {
-        match self.lethal.requests.verdict(self.now, &digest?) {
+    /// Returns the refusal of a request that may not be sent to a target because of its features, either for now or
+    /// permanently.
+    pub(super) fn lethal_refusal(
+        &mut self,
+        features: impl Iterator<Item = RequestFeature>,
+    ) -> Option<Refusal> {
+        if self.lethal.requests.is_empty() {
+            return None;
+        }
+        let features: Vec<RequestFeature> = features.collect();
+        match self.lethal.requests.verdict(self.now, &features) {
             LethalVerdict::Clear => None,
             LethalVerdict::Held(time) => {
                 let wait = time.max(MIN_RETRY_AFTER);
@@ -133,112 +148,50 @@
             }
         };
         let ended = self.lethal.requests.review(self.now, self.targets.len(), &presence);
-        let repeated: BTreeSet<RequestDigest> = ended
+        let repeated: BTreeSet<RequestFeature> = ended
             .iter()
-            .map(|(digest, _)| *digest)
-            .filter(|digest| self.lethal.requests.interruption_count(digest) > 1)
+            .map(|(feature, _)| *feature)
+            .filter(|feature| self.lethal.requests.interruption_count(feature) > 1)
             .collect();
-        for (digest, instance) in ended {
-            self.actions.push(NodeAction::Note(NodeNote::TargetTerminated(digest, instance)));
+        for (feature, instance) in ended {
+            // A termination concerns all parts of all requests there; those of a single one tell nothing.
+            if !feature.kind.is_shared() || repeated.contains(&feature) {
+                self.actions.push(NodeAction::Note(NodeNote::TargetTerminated(feature, instance)));
+            }
         }
-        // Most requests that ran at a terminated target are involved in no other termination; peers pull those
-        // reports.
-        repeated.iter().for_each(|digest| self.send_suspect(digest));
+        // Most features of requests that ran at a terminated target are involved in no other termination; peers pull
+        // those reports.
+        self.send_suspects(&repeated.into_iter().collect::<Vec<_>>());
         self.report_refusal_changes();
         self.store_refusals();
     }
 
-    /// Pulls from the first daemons that may schedule the reports that this one lacks.
-    pub(super) fn pull_suspects(&mut self) {
-        if self.lethal.last_pull.is_some_and(|last| self.now < last + PULL_INTERVAL) {
-            return;
-        }
-        self.lethal.last_pull = Some(self.now);
-        let me = &self.options.me;
-        let pulled: Vec<DaemonId> = self
-            .all_pools_order
-            .iter()
-            .filter(|daemon| *daemon != me)
-            .take(PULL_PEERS)
-            .cloned()
-            .collect();
-        for daemon in pulled {
-            self.pull_suspects_from(&daemon);
-        }
-    }
-
-    fn pull_suspects_from(&mut self, daemon: &DaemonId) {
-        let known = self.lethal.known_changes.get(&daemon.vm);
-        let known = known.filter(|(incarnation, _)| *incarnation == daemon.incarnation);
-        let known = known.map_or(0, |(_, changes)| *changes);
-        self.post(&daemon.vm, PeerMessage::SuspectsPull(SuspectsPull { known }));
-    }
-
-    /// Answers a pull if the peer has not pulled before or lacks any report.
-    pub(super) fn suspects_pulled(&mut self, from: &VmId, pull: SuspectsPull) {
-        let next_change = self.lethal.requests.next_change();
-        if pull.known >= next_change {
-            return;
-        }
-        let SuspectUpdates { next_change, requests } =
-            self.lethal.requests.updates(self.now, pull.known);
-        self.post(from, PeerMessage::SuspectsPush(SuspectsPush { at: next_change, requests }));
-    }
-
-    pub(super) fn suspects_pushed(&mut self, from: &DaemonId, push: SuspectsPush) {
-        if push.at > 0 {
-            self.lethal.known_changes.insert(from.vm.clone(), (from.incarnation, push.at));
-        }
-        self.merge_suspects(push.requests);
-    }
-
-    /// Merges reports on suspect requests from peers or from the platform.
-    pub(super) fn merge_suspects(&mut self, reports: Vec<SuspectReport>) {
+    /// Merges reports on suspect features from peers or from the platform.
+    pub(super) fn merge_suspects(&mut self, reports: Vec<FeatureReport>) {
         let cleared = self.lethal.requests.merge(self.now, reports);
-        cleared.iter().for_each(|digest| self.send_suspect(digest));
+        self.send_suspects(&cleared);
         self.review_lethal();
     }
 
     /// Records that the platform has stored a refusal.
-    pub(super) fn refusal_stored(&mut self, digest: &RequestDigest) {
-        self.lethal.store_requested.remove(digest);
-        self.lethal.requests.record_stored(digest);
-        self.send_suspect(digest);
-    }
-
-    /// Sends all reports to daemons that may schedule from now on: the earlier schedulers may have ended without
-    /// passing them on, or may have been unable to reach the new ones.
-    pub(super) fn send_suspects_to_new_schedulers(&mut self, before: &[DaemonId]) {
-        let requests = self.lethal.requests.changes_since(self.now, 0);
-        if requests.is_empty() {
-            return;
-        }
-        for vm in self.new_schedulers(before) {
-            let push = SuspectsPush { at: 0, requests: requests.clone() };
-            self.post(&vm, PeerMessage::SuspectsPush(push));
-        }
-    }
-
-    fn send_suspect(&mut self, digest: &RequestDigest) {
-        let Some(report) = self.lethal.requests.report(self.now, digest) else { return };
-        for daemon in self.other_schedulers() {
-            let push = SuspectsPush { at: 0, requests: vec![report.clone()] };
-            self.post(&daemon.vm, PeerMessage::SuspectsPush(push));
-        }
+    pub(super) fn refusal_stored(&mut self, feature: &RequestFeature) {
+        self.lethal.store_requested.remove(feature);
+        self.lethal.requests.record_stored(feature);
+        self.send_suspects(&[*feature]);
     }
 
-    /// Reports to the operators which requests are refused from now on, and which are no longer refused.
+    /// Reports to the operators which features are refused from now on, and which are no longer refused.
     fn report_refusal_changes(&mut self) {
-        let refused: BTreeSet<RequestDigest> = self.lethal.requests.refused().copied().collect();
+        let refused: BTreeSet<RequestFeature> = self.lethal.requests.refused().copied().collect();
         if refused == self.lethal.reported {
             return;
         }
-        for digest in refused.difference(&self.lethal.reported) {
-            let Some(report) = self.lethal.requests.report(self.now, digest) else { continue };
+        for feature in refused.difference(&self.lethal.reported) {
+            let Some(report) = self.lethal.requests.report(self.now, feature) else { continue };
             self.actions.push(NodeAction::Note(NodeNote::RequestLethal(report)));
         }
-        for digest in self.lethal.reported.difference(&refused) {
-            self.actions.push(NodeAction::Note(NodeNote::RequestAllowed(*digest)));
+        for feature in self.lethal.reported.difference(&refused) {
+            self.actions.push(NodeAction::Note(NodeNote::RequestAllowed(*feature)));
         }
         self.lethal.reported = refused;
     }
@@ -248,14 +201,14 @@
         if self.all_pools_order.first() != Some(&self.options.me) {
             return;
         }
-        let unstored: Vec<RequestDigest> = self.lethal.requests.unstored().copied().collect();
-        for digest in unstored {
-            let requested = self.lethal.store_requested.get(&digest);
+        let unstored: Vec<RequestFeature> = self.lethal.requests.unstored().copied().collect();
+        for feature in unstored {
+            let requested = self.lethal.store_requested.get(&feature);
             if requested.is_some_and(|requested| self.now < *requested + STORE_RETRY_AFTER) {
                 continue;
             }
-            self.lethal.store_requested.insert(digest, self.now);
-            if let Some(report) = self.lethal.requests.report(self.now, &digest) {
+            self.lethal.store_requested.insert(feature, self.now);
+            if let Some(report) = self.lethal.requests.report(self.now, &feature) {
                 self.actions.push(NodeAction::Platform(PlatformCall::StoreRefusal(report)));
             }
         }
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -94,6 +94,8 @@
             PeerMessage::SuspectsPull(pull) => self.suspects_pulled(&from.vm, pull),
             PeerMessage::TargetNotice(notice) => self.peer_notice_received(&from.vm, &notice),
             PeerMessage::SuspectsPush(push) => self.suspects_pushed(from, push),
+            PeerMessage::FeaturesPull(pull) => self.features_pulled(&from.vm, pull),
+            PeerMessage::FeaturesPush(push) => self.features_pushed(from, push),
             PeerMessage::TargetVersionsPull(known) => self.target_versions_pulled(&from.vm, known),
             PeerMessage::TargetVersionsPush(versions) => {
                 self.targets_pushed(&from.vm, versions.into_push());
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -7,7 +7,7 @@
 
 use curlewcleat_core::{
     AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitId, PermitRequest, PoolId, Refusal,
-    RefusalReason, RequestId, RetryReason, TargetEntry, Verdict, VersionDigest,
+    RefusalReason, RequestFeature, RequestId, RetryReason, TargetEntry, Verdict, VersionDigest,
     VersionPermitRequest, VmId,
 };
 use curlewcleat_sched::{
@@ -44,7 +44,7 @@
         let below_top = usize::from(spec.tier.saturating_sub(self.active.top_rank()));
         let percent = 100usize.saturating_sub(below_top * PERCENT_PER_TIER).max(PERCENT_FOR_ALL);
         let limit = self.options.request_limit * percent / 100;
-        if let Some(refusal) = self.lethal_refusal(spec.digest) {
+        if let Some(refusal) = self.lethal_refusal(spec.features()) {
             self.actions.push(NodeAction::Decide(id, CallerDecision::Refuse(refusal)));
             return;
         }
@@ -176,9 +176,12 @@
     }
 
     pub(super) fn dispatch(&mut self, permit: PermitId, target: &str) {
-        // Targets may have terminated while running this request, here or elsewhere, since it was admitted.
-        let digest = self.entry.digest_of(permit.request);
-        if let Some(refusal) = self.lethal_refusal(digest) {
+        // Targets may have terminated while running this request or others that share a feature, here or elsewhere, since
+        // it was admitted.
+        let spec = self.entry.spec_of(permit.request);
+        let features: Vec<RequestFeature> =
+            spec.into_iter().flat_map(RequestSpec::features).collect();
+        if let Some(refusal) = self.lethal_refusal(features.into_iter()) {
             return self.refuse_granted(permit.request, refusal);
         }
         let config = Arc::clone(&self.active);
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, DataCentreId, Generation, ObjectVersion, PoolId, RequestDigest, RequestRate,
-    RolloutStage, SuspectReport, TargetId, TargetVersion, TierRank,
+    DaemonId, DataCentreId, FeatureReport, Generation, ObjectVersion, PoolId, RequestFeature,
+    RequestRate, RolloutStage, TargetId, TargetVersion, TierRank,
 };
 use curlewcleat_sched::{DrainPhase, PeerState, ReturnCounts};
 
@@ -119,10 +119,10 @@
     pub generation: Generation,
     /// Version of the known key table.
     pub table: ObjectVersion,
-    /// Requests that terminated their targets, or are suspected of it.
-    pub suspects: Vec<SuspectReport>,
-    /// Requests that are refused permanently.
-    pub refused: Vec<RequestDigest>,
+    /// Features of requests that terminated their targets, or are suspected of it.
+    pub suspects: Vec<FeatureReport>,
+    /// Features whose requests are refused permanently.
+    pub refused: Vec<RequestFeature>,
     /// Key slots held.
     pub key_slots: usize,
     /// Keys held.
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -19,7 +19,7 @@
 
 use curlewcleat_core::{
     AttemptEnd, DaemonId, KeptAnswer, KeyAnswer, KeyDecision, PoolId, Refusal, RefusalReason,
-    RequestDigest, RequestId, RetryReason, Uptime, Verdict, VersionDigest, VmId,
+    RequestId, RetryReason, Uptime, Verdict, VersionDigest, VmId,
 };
 
 pub use self::action::EntryAction;
@@ -73,9 +73,9 @@
         self.requests.values().filter(|request| request.is_at_target()).count()
     }
 
-    /// Returns the digest of what the caller of a request sent, `None` if its body was not read whole.
-    pub fn digest_of(&self, id: RequestId) -> Option<RequestDigest> {
-        self.requests.get(&id)?.spec.digest
+    /// Returns the specification of a request, `None` if it has ended.
+    pub fn spec_of(&self, id: RequestId) -> Option<&RequestSpec> {
+        self.requests.get(&id).map(|request| &request.spec)
     }
 
     /// Returns whether a request is at a stalled target while another target is requested for it.
--- a/crates/sched/src/entry/options.rs
+++ b/crates/sched/src/entry/options.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AccountId, LatencyObjectives, PoolId, RequestDigest, RequestId, StreamId, TierRank,
-    VersionDigest, WorkMicros,
+    AccountId, LatencyObjectives, PoolId, RequestDigest, RequestFeature, RequestId, StreamId,
+    TierRank, VersionDigest, WorkMicros,
 };
 
 use crate::retry::budget::RetryLimits;
@@ -76,6 +76,8 @@
     pub cost: u64,
     /// Digest of what the caller sent, `None` if the body was not read whole.
     pub digest: Option<RequestDigest>,
+    /// Features of the parts of its prompt that other prompts may share.
+    pub part_features: Vec<RequestFeature>,
     /// Idempotency key of a request that may not be repeated, with the caller's attempt number.
     pub key: Option<(String, Option<u32>)>,
     /// The stream that the request takes up, `None` where it takes up none.
@@ -84,6 +86,14 @@
     pub version: Option<VersionDigest>,
 }
 
+impl RequestSpec {
+    /// Returns the features under which targets may terminate.
+    pub fn features(&self) -> impl Iterator<Item = RequestFeature> + '_ {
+        let whole = self.digest.map(RequestFeature::from);
+        whole.into_iter().chain(self.part_features.iter().copied())
+    }
+}
+
 /// A stream that a caller takes up again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct TakenUpStream {
--- a/crates/sched/src/lethal.rs
+++ b/crates/sched/src/lethal.rs
@@ -1,14 +1,20 @@
-//! Decides which requests are refused because targets terminate while running them.
+//! Decides which requests are refused because targets terminate while running them, or others that share a feature.
 //!
-//! Inputs: for each request (identified by the digest of what its caller sends again on a repeat), the target instances
-//! at which it was interrupted; whether the platform still lists them; whether the request has been served whole since.
+//! Inputs: for each feature of a request, the target instances at which requests with it were interrupted; whether the
+//! platform still lists them; whether such requests were answered since. A feature is the whole request, identified by
+//! the digest of what its caller sends again on a repeat, or a part of its prompt, in prompts of its account or of all.
 //!
-//! The rule: a request is refused once [`LethalOptions::limit`] instances have terminated while running it, until
-//! [`LethalOptions::refused_for`] after its latest repeat. Until it is known whether they terminated, the request is
-//! held once that many instances have closed their connections while running it. An instance that is still listed
-//! [`LethalOptions::listing_expiry`] after the interruption has not terminated, so a cut link, a reset connection or an
-//! invalid answer is ignored. So are terminations before the request was served whole and those explained by another
-//! refused request ([`blame`]): a target runs several requests at once, and its termination makes them all suspect.
+//! The rule: requests with a feature are refused once [`LethalOptions::limit`] instances have terminated while running
+//! them, until [`LethalOptions::refused_for`] after the latest interruption, or the latest repeat of a whole request.
+//! Until it is known whether they terminated, the requests are held once that many instances have closed their
+//! connections while running them. An instance that is still listed [`LethalOptions::listing_expiry`] after the
+//! interruption has not terminated, so a cut link, a reset connection or an invalid answer is ignored. So are
+//! terminations before a request was served whole, and those explained by another refused feature ([`blame`]): a target
+//! runs several requests at once, and its termination makes all of their features suspect.
+//!
+//! A part terminates a target as the target begins to write the answer. So an answer that has begun refutes the
+//! interruptions of all requests with the part until [`LethalOptions::begun_for`] after it, and a part counts only where
+//! the answers to requests without it begin in the same pool: where none does, its requests may all share the part.
 //!
 //! The limit is one higher where targets often terminate for other reasons ([`terminations`]), and one higher still
 //! where an answer had begun at any of the instances: a request that terminates its target does so as it begins to run.
@@ -25,27 +31,28 @@
 //! report only interruptions at targets that had not announced that they were leaving.
 
 mod blame;
+mod classification;
 mod options;
 mod served;
 mod suspect;
 mod terminations;
 pub mod updates;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use curlewcleat_core::{RequestDigest, RequestInterruption, SuspectReport, TargetInstance, Uptime};
+use curlewcleat_core::{
+    FeatureReport, PoolHash, RequestDigest, RequestFeature, RequestInterruption, TargetInstance,
+    Uptime,
+};
 
-use self::blame::blamed;
+use self::blame::BlamedGroup;
 pub use self::options::LethalOptions;
 use self::served::RecentlyServed;
-use self::suspect::SuspectRequest;
+use self::suspect::SuspectFeature;
 use self::terminations::RecentTerminations;
 
-/// Maximum number of suspect requests, about 300 bytes each: more than 40 targets have in progress when all of them
-/// terminate. Requests with the fewest interruptions are evicted first, then the oldest.
-const REQUEST_LIMIT: usize = 512;
-/// Maximum number of instances recorded for one request: above any limit on terminated instances.
+/// Maximum number of instances recorded for one feature: above any limit on terminated instances.
 const INSTANCE_LIMIT: usize = 12;
 
 /// Whether the platform lists a target instance.
@@ -70,13 +77,13 @@
     Refused,
 }
 
-/// The requests that are suspected of, or established as, terminating their targets.
+/// The features that are suspected of, or established as, terminating the targets of requests that have them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct LethalRequests {
     options: LethalOptions,
-    suspects: BTreeMap<RequestDigest, SuspectRequest>,
-    held: BTreeSet<RequestDigest>,
-    refused: BTreeSet<RequestDigest>,
+    suspects: BTreeMap<RequestFeature, SuspectFeature>,
+    held: Vec<BlamedGroup>,
+    refused: Vec<BlamedGroup>,
     terminations: RecentTerminations,
     served: RecentlyServed,
     /// Number of the latest change; the first one has the number 1.
@@ -89,66 +96,120 @@
         LethalRequests { options, ..LethalRequests::default() }
     }
 
-    /// Records that a request was interrupted at an instance that this daemon saw listed then. Returns whether the
-    /// state changed.
+    /// Records that a request with a feature was interrupted at an instance that this daemon saw listed then. Returns
+    /// whether the state changed.
     pub fn record_interruption(
         &mut self,
         now: Uptime,
-        digest: RequestDigest,
+        feature: RequestFeature,
         interruption: RequestInterruption,
     ) -> bool {
-        let change = self.latest_change + 1;
-        let suspect = self.suspects.entry(digest).or_default();
-        let changed = suspect.record_interruption(now, interruption);
-        self.record_and_classify_if(changed, change, digest);
+        !self.record_interruptions(now, &[feature], &interruption).is_empty()
+    }
+
+    /// Records that a request with these features was interrupted. Returns those whose state changed.
+    pub fn record_interruptions(
+        &mut self,
+        now: Uptime,
+        features: &[RequestFeature],
+        interruption: &RequestInterruption,
+    ) -> Vec<RequestFeature> {
+        let mut changed = Vec::new();
+        for feature in features {
+            let begun = self.served.latest(feature).filter(|_| feature.kind.is_shared());
+            if begun.is_some_and(|begun| now <= begun + self.options.begun_for) {
+                continue;
+            }
+            let change = self.latest_change + 1;
+            let suspect = self.suspects.entry(*feature).or_default();
+            if let Some(begun) = begun {
+                suspect.record_begun(begun, &self.options);
+            }
+            if suspect.record_interruption(now, &self.options, interruption.clone()) {
+                self.record_change(change, *feature);
+                changed.push(*feature);
+            }
+        }
+        self.classify_if(!changed.is_empty());
         changed
     }
 
-    /// Merges the reports of another daemon or of the platform. Returns the requests that this daemon has served whole
-    /// since they were interrupted, which the reporters do not know.
-    pub fn merge(&mut self, now: Uptime, reports: Vec<SuspectReport>) -> Vec<RequestDigest> {
+    /// Merges the reports of another daemon or of the platform. Returns the features for which this daemon knows answers
+    /// since the interruptions, which the reporters do not know.
+    pub fn merge(&mut self, now: Uptime, reports: Vec<FeatureReport>) -> Vec<RequestFeature> {
         let mut cleared = Vec::new();
         let mut any_changed = false;
         for report in reports {
             let change = self.latest_change + 1;
-            let digest = report.digest;
-            let suspect = self.suspects.entry(digest).or_default();
-            let mut changed = suspect.merge(now, report);
-            let served = self.served.latest(&digest);
-            if served.is_some_and(|served| suspect.clear_until(served)) {
-                cleared.push(digest);
-                changed = true;
+            let feature = report.feature;
+            let served = self.served.latest(&feature);
+            let suspect = self.suspects.entry(feature).or_default();
+            let (is_changed, is_cleared) = match feature.kind.is_shared() {
+                true => merge_shared(suspect, now, &self.options, served, report),
+                false => merge_request(suspect, now, &self.options, served, report),
+            };
+            if is_cleared {
+                cleared.push(feature);
+            }
+            if is_changed || is_cleared {
+                any_changed = true;
+                self.record_change(change, feature);
             }
-            any_changed |= changed;
-            self.record_change_if(changed, change, digest);
-        }
-        if any_changed {
-            self.classify();
         }
+        self.classify_if(any_changed);
         cleared
     }
 
     /// Records that a request was served whole, so that earlier terminations do not count against it. Returns whether
     /// the state changed.
-    pub fn record_served(&mut self, now: Uptime, digest: &RequestDigest) -> bool {
-        self.served.record(now, *digest);
-        self.clear(digest)
+    pub fn record_served(&mut self, now: Uptime, feature: &RequestFeature) -> bool {
+        self.served.record(now, *feature);
+        self.clear(feature)
     }
 
-    /// Clears a request of everything recorded against it. Returns whether the state changed.
-    pub fn clear(&mut self, digest: &RequestDigest) -> bool {
-        let change = self.latest_change + 1;
-        let changed = self.suspects.get_mut(digest).is_some_and(SuspectRequest::clear);
-        self.record_and_classify_if(changed, change, *digest);
+    /// Records that the answer to a request with these features began in a pool; features of whole requests are
+    /// ignored. Returns the features whose state changed, also of other requests of the pool.
+    pub fn record_begun(
+        &mut self,
+        now: Uptime,
+        pool: PoolHash,
+        features: &[RequestFeature],
+    ) -> Vec<RequestFeature> {
+        for feature in features.iter().filter(|feature| feature.kind.is_shared()) {
+            self.served.record(now, *feature);
+        }
+        let mut changed = Vec::new();
+        for (feature, suspect) in &mut self.suspects {
+            if !feature.kind.is_shared() || feature.pool != pool {
+                continue;
+            }
+            let has_changed = match features.contains(feature) {
+                true => suspect.record_begun(now, &self.options),
+                false => suspect.record_others_begun(now),
+            };
+            if has_changed {
+                changed.push(*feature);
+            }
+        }
+        self.record_changes(&changed);
         changed
     }
 
-    /// Records that the platform has stored the refusal of a request.
-    pub fn record_stored(&mut self, digest: &RequestDigest) {
-        let change = self.latest_change + 1;
-        let suspect = self.suspects.get_mut(digest);
-        let changed = suspect.is_some_and(|suspect| !std::mem::replace(&mut suspect.stored, true));
-        self.record_and_classify_if(changed, change, *digest);
+    /// Clears a feature of everything recorded against it. Returns whether the state changed.
+    pub fn clear(&mut self, feature: &RequestFeature) -> bool {
+        let changed = self.suspects.get_mut(feature).is_some_and(SuspectFeature::clear);
+        if changed {
+            self.record_changes(&[*feature]);
+        }
+        changed
+    }
+
+    /// Records that the platform has stored the refusal of requests with a feature.
+    pub fn record_stored(&mut self, feature: &RequestFeature) {
+        let suspect = self.suspects.get_mut(feature);
+        if suspect.is_some_and(|suspect| !std::mem::replace(&mut suspect.stored, true)) {
+            self.record_changes(&[*feature]);
+        }
     }
 
     /// Advances the clock and checks which instances the platform lists; `targets` is the number of targets it lists.
@@ -158,66 +219,69 @@
         now: Uptime,
         targets: usize,
         presence_of: &dyn Fn(&TargetInstance) -> InstancePresence,
-    ) -> Vec<(RequestDigest, TargetInstance)> {
+    ) -> Vec<(RequestFeature, TargetInstance)> {
         let mut terminated = Vec::new();
         let mut changed = Vec::new();
-        for (digest, suspect) in &mut self.suspects {
+        for (feature, suspect) in &mut self.suspects {
             let before = terminated.len();
             let found = suspect.review(now, &self.options, presence_of);
-            terminated.extend(found.terminated.into_iter().map(|instance| (*digest, instance)));
+            terminated.extend(found.terminated.into_iter().map(|instance| (*feature, instance)));
             if terminated.len() > before || found.dropped {
-                changed.push(*digest);
+                changed.push(*feature);
             }
         }
         self.review_terminations(now, targets);
-        for digest in &changed {
-            let change = self.latest_change + 1;
-            self.record_change_if(true, change, *digest);
-        }
-        if !changed.is_empty() {
-            self.classify();
-        }
+        self.record_changes(&changed);
         self.remove_expired(now);
         terminated
     }
 
-    /// Returns whether a request may be sent. A call for a refused request extends its refusal.
-    pub fn verdict(&mut self, now: Uptime, digest: &RequestDigest) -> LethalVerdict {
-        if self.refused.contains(digest) {
-            if let Some(suspect) = self.suspects.get_mut(digest) {
-                suspect.latest = now;
+    /// Returns whether a request with these features may be sent. A call for a refused whole request extends its refusal.
+    pub fn verdict(&mut self, now: Uptime, features: &[RequestFeature]) -> LethalVerdict {
+        let concerned =
+            |group: &&BlamedGroup| group.iter().all(|feature| features.contains(feature));
+        if let Some(group) = self.refused.iter().find(concerned) {
+            let whole = group.iter().filter(|feature| !feature.kind.is_shared());
+            for feature in whole {
+                if let Some(suspect) = self.suspects.get_mut(feature) {
+                    suspect.latest = now;
+                }
             }
             return LethalVerdict::Refused;
         }
-        match self.suspects.get(digest).filter(|_| self.held.contains(digest)) {
-            Some(suspect) => LethalVerdict::Held(suspect.time_until_known(now, &self.options)),
-            None => LethalVerdict::Clear,
-        }
+        let held = self.held.iter().filter(concerned).flatten();
+        let suspects = held.filter_map(|feature| self.suspects.get(feature));
+        let times = suspects.map(|suspect| suspect.time_until_known(now, &self.options));
+        times.max().map_or(LethalVerdict::Clear, LethalVerdict::Held)
     }
 
-    /// Returns the requests that are refused.
-    pub fn refused(&self) -> impl Iterator<Item = &RequestDigest> {
-        self.refused.iter()
+    /// Returns the features whose requests are refused.
+    pub fn refused(&self) -> impl Iterator<Item = &RequestFeature> {
+        self.refused.iter().flatten()
     }
 
-    /// Returns the refused requests that the platform has not stored yet.
-    pub fn unstored(&self) -> impl Iterator<Item = &RequestDigest> {
-        self.refused
-            .iter()
-            .filter(|digest| self.suspects.get(*digest).is_some_and(|suspect| !suspect.stored))
+    /// Returns the refused features that the platform has not stored yet.
+    pub fn unstored(&self) -> impl Iterator<Item = &RequestFeature> {
+        self.refused()
+            .filter(|feature| self.suspects.get(*feature).is_some_and(|suspect| !suspect.stored))
     }
 
-    /// Returns the number of instances at which a request was interrupted.
-    pub fn interruption_count(&self, digest: &RequestDigest) -> usize {
-        self.suspects.get(digest).map_or(0, SuspectRequest::interruption_count)
+    /// Returns the suspect features with this digest, of any kind.
+    pub fn with_digest(&self, digest: &RequestDigest) -> Vec<RequestFeature> {
+        self.suspects.keys().filter(|feature| feature.digest == *digest).copied().collect()
     }
 
-    /// Returns the number of suspect requests, refused or not.
+    /// Returns the number of instances at which requests with a feature were interrupted.
+    pub fn interruption_count(&self, feature: &RequestFeature) -> usize {
+        self.suspects.get(feature).map_or(0, SuspectFeature::interruption_count)
+    }
+
+    /// Returns the number of suspect features, refused or not.
     pub fn len(&self) -> usize {
         self.suspects.len()
     }
 
-    /// Returns whether no request is suspect.
+    /// Returns whether no feature is suspect.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
@@ -227,81 +291,35 @@
         self.latest_change + 1
     }
 
-    /// Returns the report about a request, for other daemons.
-    pub fn report(&self, now: Uptime, digest: &RequestDigest) -> Option<SuspectReport> {
-        self.suspects.get(digest).map(|suspect| suspect.report(now, *digest))
-    }
-
-    fn record_and_classify_if(&mut self, changed: bool, change: u64, digest: RequestDigest) {
-        self.record_change_if(changed, change, digest);
-        if changed {
-            self.classify();
-        }
-    }
-
-    /// Records a change without classifying anew: with 512 suspects that takes 0.2 ms, so callers that record many
-    /// changes classify once at the end.
-    fn record_change_if(&mut self, changed: bool, change: u64, digest: RequestDigest) {
-        if !changed {
-            return;
-        }
-        self.latest_change = change;
-        if let Some(suspect) = self.suspects.get_mut(&digest) {
-            suspect.changed_at = change;
-        }
-        self.evict_least();
-    }
-
-    /// Records recent terminations, except those that a refused request explains.
-    fn review_terminations(&mut self, now: Uptime, targets: usize) {
-        let explained: BTreeSet<&TargetInstance> = self
-            .refused
-            .iter()
-            .filter_map(|digest| self.suspects.get(digest))
-            .flat_map(|suspect| suspect.terminated_instances().into_keys())
-            .collect();
-        let terminated =
-            self.suspects.values().flat_map(|suspect| suspect.terminated_instances().into_keys());
-        if self.terminations.review(now, targets, terminated, &explained) {
-            self.classify();
-        }
-    }
-
-    fn classify(&mut self) {
-        let refused = std::mem::take(&mut self.refused);
-        // A refused request stays refused if terminations become common afterwards.
-        let limit = |digest: &RequestDigest, suspect: &SuspectRequest| {
-            let needs_one_more =
-                self.terminations.are_common() && !suspect.stored && !refused.contains(digest);
-            self.options.limit + usize::from(needs_one_more)
-        };
-        self.refused = blamed(&self.suspects, &limit, SuspectRequest::terminated_instances);
-        let held = blamed(&self.suspects, &limit, SuspectRequest::disconnected_instances);
-        self.held = held.difference(&self.refused).copied().collect();
+    /// Returns the report about a feature, for other daemons.
+    pub fn report(&self, now: Uptime, feature: &RequestFeature) -> Option<FeatureReport> {
+        self.suspects.get(feature).map(|suspect| suspect.report(now, *feature))
     }
+}
 
-    fn evict_least(&mut self) {
-        if self.suspects.len() <= REQUEST_LIMIT {
-            return;
-        }
-        let least = self.suspects.iter().min_by_key(|(_, suspect)| suspect.eviction_key());
-        if let Some(digest) = least.map(|(digest, _)| *digest) {
-            self.suspects.remove(&digest);
-        }
-    }
+/// Merges a report on a whole request, which this daemon served last at `served`. Returns whether the state changed, and
+/// whether the reporter does not know that the request was served.
+fn merge_request(
+    suspect: &mut SuspectFeature,
+    now: Uptime,
+    options: &LethalOptions,
+    served: Option<Uptime>,
+    report: FeatureReport,
+) -> (bool, bool) {
+    let changed = suspect.merge(now, options, report);
+    (changed, served.is_some_and(|served| suspect.clear_until(served)))
+}
 
-    fn remove_expired(&mut self, now: Uptime) {
-        let (options, refused) = (self.options, &self.refused);
-        let before = self.suspects.len();
-        self.suspects.retain(|digest, suspect| {
-            let kept_for = match refused.contains(digest) {
-                true => options.refused_for,
-                false => options.suspect_for,
-            };
-            !suspect.is_empty() && now.saturating_sub(suspect.latest) < kept_for
-        });
-        if self.suspects.len() != before {
-            self.classify();
-        }
-    }
+/// Merges a report on a shared feature, with which this daemon saw an answer begin last at `begun`. Returns whether the
+/// state changed, and whether the reporter does not know of an answer.
+fn merge_shared(
+    suspect: &mut SuspectFeature,
+    now: Uptime,
+    options: &LethalOptions,
+    begun: Option<Uptime>,
+    report: FeatureReport,
+) -> (bool, bool) {
+    let recorded = begun.is_some_and(|begun| suspect.record_begun(begun, options));
+    let is_refuted = suspect.refutes(now, options, &report);
+    (suspect.merge(now, options, report) || recorded, is_refuted)
 }
--- a/crates/sched/src/lethal/options.rs
+++ b/crates/sched/src/lethal/options.rs
@@ -14,6 +14,9 @@
     /// Time after an interruption from which a daemon that did not observe it itself treats a list entry it does not
     /// know as expired: by then it has read every list entry of that time.
     pub listing_propagation: Duration,
+    /// Time after the answer to a request began for which interruptions of requests with the same shared feature do not
+    /// count: many connections may be reset at the same moment.
+    pub begun_for: Duration,
     /// Time after the latest interruption for which a request stays suspect.
     pub suspect_for: Duration,
     /// Time after the latest interruption or repeat for which a refused request stays refused.
@@ -30,6 +33,7 @@
             limit: 3,
             listing_expiry: Duration::from_secs(8),
             listing_propagation: Duration::from_secs(3),
+            begun_for: Duration::from_secs(1),
             suspect_for: Duration::from_secs(600),
             refused_for: Duration::from_secs(3_600),
         }
--- a/crates/sched/src/lethal/suspect.rs
+++ b/crates/sched/src/lethal/suspect.rs
@@ -1,16 +1,17 @@
-//! The state of one suspect request.
+//! The state of one suspect feature.
 //!
-//! Owns: the instances at which it was interrupted, and which of them count. Relies on: `LethalRequests` for when it is
-//! classified.
+//! Owns: the instances at which requests with it were interrupted, and which of them count; for a shared feature, when
+//! answers began with and without it. Relies on: `LethalRequests` for when it is classified.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use curlewcleat_core::{
-    InterruptionKind, InterruptionReport, RequestDigest, RequestInterruption, SuspectReport,
+    FeatureReport, InterruptionKind, InterruptionReport, RequestFeature, RequestInterruption,
     TargetInstance, Uptime,
 };
 
+use super::served::PROPAGATION_LIMIT;
 use super::{InstancePresence, LethalOptions, INSTANCE_LIMIT};
 
 /// The interruption of the request at one instance.
@@ -37,34 +38,50 @@
     pub dropped: bool,
 }
 
-/// A request that is suspected of, or established as, terminating its targets.
+/// A feature that is suspected of, or established as, terminating the targets of requests that have it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(super) struct SuspectRequest {
+pub(super) struct SuspectFeature {
     interruptions: BTreeMap<TargetInstance, InstanceInterruption>,
     cleared: BTreeSet<TargetInstance>,
     /// Whether the platform has stored its refusal.
     pub stored: bool,
+    /// When the answer to a request with the feature last began, `None` for a whole request.
+    begun: Option<Uptime>,
+    /// When the answer to a request without the feature last began, `None` if none did since the first interruption.
+    others_begun: Option<Uptime>,
+    /// Whether it was ever interrupted at several instances, so that it may be held or refused at other daemons.
+    pub is_urgent: bool,
     /// Time of the latest interruption, or of the latest repeat of a refused request.
     pub latest: Uptime,
-    /// Number of the latest change of this request, counted over all requests.
+    /// Number of the latest change of this feature, counted over all features.
     pub changed_at: u64,
 }
 
-impl SuspectRequest {
+impl SuspectFeature {
     /// Records an interruption at an instance that was listed then. Returns whether the state changed.
-    pub fn record_interruption(&mut self, now: Uptime, interruption: RequestInterruption) -> bool {
+    pub fn record_interruption(
+        &mut self,
+        now: Uptime,
+        options: &LethalOptions,
+        interruption: RequestInterruption,
+    ) -> bool {
         let RequestInterruption { instance, kind, begun } = interruption;
         self.add(
             now,
+            options,
             instance,
             InstanceInterruption { kind, begun, observed_here: true, terminated: false, at: now },
         )
     }
 
     /// Merges a report. Returns whether the state changed.
-    pub fn merge(&mut self, now: Uptime, report: SuspectReport) -> bool {
+    pub fn merge(&mut self, now: Uptime, options: &LethalOptions, report: FeatureReport) -> bool {
         let mut changed = report.stored && !self.stored;
         self.stored |= report.stored;
+        let time_of = |age: Duration| now.saturating_sub(age);
+        if let Some(begun) = report.begun.map(time_of) {
+            changed |= self.record_begun(begun, options);
+        }
         for instance in report.cleared {
             self.interruptions.remove(&instance);
             if self.cleared.len() < INSTANCE_LIMIT && self.cleared.insert(instance) {
@@ -78,6 +95,7 @@
             let RequestInterruption { instance, kind, begun } = reported.interruption;
             changed |= self.add(
                 now,
+                options,
                 instance,
                 InstanceInterruption {
                     kind,
@@ -88,10 +106,70 @@
                 },
             );
         }
+        if let Some(others_begun) = report.others_begun.map(time_of) {
+            changed |= self.record_others_begun(others_begun);
+        }
         changed
     }
 
-    fn add(&mut self, now: Uptime, instance: TargetInstance, added: InstanceInterruption) -> bool {
+    /// Records that the answer to a request with the feature began. Interruptions before it, and shortly after it, do not
+    /// count. Returns whether any did.
+    pub fn record_begun(&mut self, begun: Uptime, options: &LethalOptions) -> bool {
+        let begun = self.begun.map_or(begun, |earlier| earlier.max(begun));
+        self.begun = Some(begun);
+        self.latest = self.latest.max(begun);
+        let before = self.interruptions.len();
+        let refuted_until = begun + options.begun_for;
+        self.interruptions.retain(|_, interruption| interruption.at > refuted_until);
+        self.forget_others_without_interruption();
+        before != self.interruptions.len()
+    }
+
+    /// Returns whether a report has interruptions that an answer refutes of which its sender does not know.
+    pub fn refutes(&self, now: Uptime, options: &LethalOptions, report: &FeatureReport) -> bool {
+        let mut reported = report.interruptions.iter();
+        reported.any(|reported| self.is_refuted(options, now.saturating_sub(reported.age)))
+    }
+
+    /// Returns whether an interruption at this time does not count, since an answer to a request with the feature has begun
+    /// afterwards or shortly before.
+    fn is_refuted(&self, options: &LethalOptions, at: Uptime) -> bool {
+        self.begun.is_some_and(|begun| at <= begun + options.begun_for)
+    }
+
+    /// Records that the answer to a request without the feature began. Returns whether it is the first one since the first
+    /// interruption.
+    pub fn record_others_begun(&mut self, begun: Uptime) -> bool {
+        let before = self.has_contrast();
+        self.others_begun = self.others_begun.max(Some(begun));
+        before != self.has_contrast()
+    }
+
+    /// Returns whether other requests of the pool were answered since the first interruption, so that the interruptions can
+    /// be due to the feature. It is known of a feature whose refusal is stored.
+    pub fn has_contrast(&self) -> bool {
+        let first = self.interruptions.values().map(|interruption| interruption.at).min();
+        self.stored || first.is_some_and(|first| self.others_begun >= Some(first))
+    }
+
+    /// Returns whether the answer to a request with the feature is known to have begun.
+    pub fn has_begun(&self) -> bool {
+        self.begun.is_some()
+    }
+
+    fn forget_others_without_interruption(&mut self) {
+        if self.interruptions.is_empty() {
+            self.others_begun = None;
+        }
+    }
+
+    fn add(
+        &mut self,
+        now: Uptime,
+        options: &LethalOptions,
+        instance: TargetInstance,
+        added: InstanceInterruption,
+    ) -> bool {
         if self.cleared.contains(&instance) {
             return false;
         }
@@ -107,11 +185,12 @@
             interruption.terminated |= added.terminated;
             return changed;
         }
-        if self.interruptions.len() >= INSTANCE_LIMIT {
+        if self.interruptions.len() >= INSTANCE_LIMIT || self.is_refuted(options, added.at) {
             return false;
         }
         self.latest = self.latest.max(added.at).min(now);
         self.interruptions.insert(instance, added);
+        self.is_urgent |= self.interruptions.len() > 1;
         true
     }
 
@@ -197,18 +276,19 @@
         (oldest + options.listing_expiry).saturating_sub(now)
     }
 
-    /// Returns whether nothing is recorded.
-    pub fn is_empty(&self) -> bool {
-        self.interruptions.is_empty() && self.cleared.is_empty()
+    /// Returns whether nothing is recorded that other daemons may still have to learn.
+    pub fn is_empty(&self, now: Uptime) -> bool {
+        let has_just_begun = self.begun.is_some_and(|begun| now < begun + PROPAGATION_LIMIT);
+        self.interruptions.is_empty() && self.cleared.is_empty() && !has_just_begun
     }
 
-    /// Returns the eviction order: requests with fewer interruptions first, then older ones.
+    /// Returns the eviction order: features with fewer interruptions first, then older ones.
     pub fn eviction_key(&self) -> (usize, Uptime) {
         (self.interruptions.len(), self.latest)
     }
 
     /// Returns the report for other daemons.
-    pub fn report(&self, now: Uptime, digest: RequestDigest) -> SuspectReport {
+    pub fn report(&self, now: Uptime, feature: RequestFeature) -> FeatureReport {
         let interruptions =
             self.interruptions.iter().map(|(instance, interruption)| InterruptionReport {
                 interruption: RequestInterruption {
@@ -219,11 +299,14 @@
                 ended: interruption.terminated,
                 age: now.saturating_sub(interruption.at),
             });
-        SuspectReport {
-            digest,
+        let age_of = |time: Option<Uptime>| Some(now.saturating_sub(time?));
+        FeatureReport {
+            feature,
             interruptions: interruptions.collect(),
             cleared: self.cleared.iter().cloned().collect(),
             stored: self.stored,
+            begun: age_of(self.begun),
+            others_begun: age_of(self.others_begun),
         }
     }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -54,7 +54,7 @@
 pub use entry::{
     EntryAction, EntryOptions, EntryRequests, ReplacementStep, RequestSpec, TakenUpStream,
 };
-pub use lethal::updates::{SuspectUpdates, ORDINARY_LIMIT};
+pub use lethal::updates::{SuspectUpdates, UpdateScope, ORDINARY_LIMIT};
 pub use lethal::{InstancePresence, LethalOptions, LethalRequests, LethalVerdict};
 pub use order::flows::{UrgencyFlow, UrgencyFlows};
 pub use order::queue::TierQueues;
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -7,8 +7,8 @@
 
 use curlewcleat_core::{
     ConfigBundle, DaemonRecord, DiscoveredTarget, EvacuationList, ObjectVersion, PoolId,
-    RequestDigest, RolloutRecord, RolloutWrite, StoreEra, TargetChange, TargetInstance, WallTime,
-    WarmUpLimit,
+    RequestDigest, RequestFeature, RolloutRecord, RolloutWrite, StoreEra, TargetChange,
+    TargetInstance, WallTime, WarmUpLimit,
 };
 
 use crate::entry_fault::EntryFault;
@@ -64,12 +64,12 @@
     pub faults: Vec<EntryFault>,
 }
 
-/// A permanently refused request, as the platform stores it.
+/// A feature whose requests are refused permanently, as the platform stores it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredRefusal {
-    /// Digest of the request.
-    pub digest: RequestDigest,
-    /// The target instances that terminated while running it.
+    /// The feature of the refused requests.
+    pub feature: RequestFeature,
+    /// The target instances that terminated while running such requests.
     pub instances: Vec<TargetInstance>,
     /// When it was stored, by the clock of the daemon that stored it.
     pub at: WallTime,
