Lethal requests: a new daemon that knows no target yet holds what the others hold

Terminations count as common where there were more of them than targets, and a daemon that has just started knows terminations from its peers before any target: it needed one more than the others.

With it the tests of parts in fleets of 3 to 40 daemons: held within 3 s with no list entry expired, through lost frames, the loss of the scheduler, a partition, a new daemon, a restart of all; others with the shared parts are served.

--- a/crates/node/src/node/suspects.rs
+++ b/crates/node/src/node/suspects.rs
@@ -73,12 +73,12 @@
 
     fn pull_suspects_from(&mut self, daemon: &DaemonId) {
         let known = self.lethal.pulls.features.of(daemon);
-        self.post(&daemon.vm, PeerMessage::FeaturesPull(SuspectsPull { known }));
         if known == 0 {
             // The daemon may be of an earlier version.
             let known = self.lethal.pulls.requests.of(daemon);
             self.post(&daemon.vm, PeerMessage::SuspectsPull(SuspectsPull { known }));
         }
+        self.post(&daemon.vm, PeerMessage::FeaturesPull(SuspectsPull { known }));
     }
 
     /// Answers a pull of a daemon of an earlier version if it has not pulled before or lacks any report.
--- /dev/null
+++ b/crates/node/tests/lethal_parts.rs
@@ -0,0 +1,304 @@
+//! Tests parts of prompts that terminate targets, in a fleet: every daemon holds requests with the part before any list
+//! entry has expired, whichever daemons saw the terminations and whichever are lost, and serves those without it.
+
+mod support;
+
+use std::time::Duration;
+
+use curlewcleat_core::{
+    DaemonId, FeatureKind, FeatureReport, InterruptionKind, PeerFrame, PeerMessage, PoolHash,
+    RefusalReason, RequestFeature, RequestIdentity, RequestInterruption, SharedParts, SuspectsPull,
+    TargetInstance,
+};
+use curlewcleat_node::{CallerDecision, NodeAction, NodeEvent};
+use curlewcleat_sched::RequestSpec;
+use rstest::rstest;
+
+use support::{mixed_fleet_daemon, spec, target, Fleet};
+
+/// Time within which every daemon has to know: the users' shortest bound.
+const SPREAD_LIMIT: Duration = Duration::from_secs(3);
+/// Time after which the list entry of a terminated target expires.
+const EXPIRY: Duration = Duration::from_millis(3_500);
+const PAUSE: Duration = Duration::from_millis(100);
+const TARGETS: usize = 12;
+/// Terminations after which requests with a part are held.
+const TERMINATIONS: usize = 4;
+const LETHAL: &[&str] = &["system", "lethal"];
+const SOUND: &[&str] = &["system", "other"];
+
+fn part_features(account: &str, parts: &[&str]) -> Vec<RequestFeature> {
+    SharedParts { pool: "p", account: Some(account), ids: parts }.features()
+}
+
+/// Returns the features of a request like no other.
+fn features(number: u128, account: &str, parts: &[&str]) -> Vec<RequestFeature> {
+    let body = number.to_be_bytes();
+    let identity =
+        RequestIdentity { method: "POST", host: "h", path: "/p", caller: account, body: &body };
+    let whole = RequestFeature::from(identity.digest());
+    [whole].into_iter().chain(part_features(account, parts)).collect()
+}
+
+fn list_targets(fleet: &mut Fleet, first: usize) {
+    let listed = (first..TARGETS).map(|number| target(&format!("t{number}"), false)).collect();
+    fleet.targets = (listed, fleet.targets.1 + 1);
+}
+
+fn fleet_of(daemons: usize) -> Fleet {
+    let mut fleet = Fleet::new(daemons);
+    list_targets(&mut fleet, 0);
+    fleet.run(Duration::from_secs(3));
+    fleet
+}
+
+/// Terminates a target under a request with these parts, seen by a daemon.
+fn terminate(fleet: &mut Fleet, index: usize, number: usize, parts: &[&str]) {
+    let account = if number.is_multiple_of(2) { "a" } else { "b" };
+    let interruption = RequestInterruption {
+        instance: TargetInstance { id: format!("t{number}"), start: None },
+        kind: InterruptionKind::Closed,
+        begun: false,
+    };
+    let features = features(number as u128, account, parts);
+    fleet.event(index, NodeEvent::RequestInterrupted(features, interruption));
+    fleet.run(PAUSE);
+}
+
+/// Sends a request with these parts to a daemon; returns the reason if it is refused, and has it served otherwise.
+fn submit(fleet: &mut Fleet, index: usize, number: u128, parts: &[&str]) -> Option<RefusalReason> {
+    let part_features = part_features("a", parts);
+    let spec = RequestSpec { part_features, ..spec(number) };
+    fleet.event(index, NodeEvent::Admit(Box::new(spec)));
+    if fleet.decision(number).is_none() {
+        fleet.run(PAUSE);
+    }
+    match fleet.decision(number) {
+        Some(CallerDecision::Refuse(refusal)) => Some(refusal.reason),
+        Some(CallerDecision::Dispatch(..)) => {
+            fleet.finish(index, number);
+            None
+        }
+        other => panic!("no decision: {other:?}"),
+    }
+}
+
+/// Terminates a target at each of these daemons in turn, with an answer to another request in between.
+fn terminations(fleet: &mut Fleet, seen_by: [usize; TERMINATIONS]) {
+    for (number, index) in seen_by.into_iter().enumerate() {
+        terminate(fleet, index, number, LETHAL);
+        let reason = submit(fleet, seen_by[0], 900_000 + number as u128, SOUND);
+        assert_eq!(reason, None, "a request without the part");
+    }
+}
+
+fn assert_all(fleet: &mut Fleet, daemons: &[usize], number: u128, reason: RefusalReason) {
+    for (number, index) in (number * 1_000..).zip(daemons) {
+        assert_eq!(submit(fleet, *index, number, LETHAL), Some(reason), "daemon {index}");
+    }
+}
+
+/// No list entry has expired: by then the users' bound has passed.
+#[rstest]
+#[case::small(3)]
+#[case::large(40)]
+fn every_daemon_holds_requests_with_the_part_within_the_bound(#[case] daemons: usize) {
+    let mut fleet = fleet_of(daemons);
+    let other = fleet.non_candidates().last().copied().unwrap_or(0);
+    terminations(&mut fleet, [other, 0, daemons - 1, other]);
+    fleet.run(SPREAD_LIMIT - PAUSE * TERMINATIONS as u32);
+    let everyone: Vec<usize> = (0..daemons).collect();
+    assert_all(&mut fleet, &everyone, 1, RefusalReason::RequestSuspect);
+}
+
+#[test]
+fn requests_with_the_part_are_refused_once_the_entries_have_expired_and_others_are_served() {
+    let mut fleet = fleet_of(5);
+    terminations(&mut fleet, [0, 1, 2, 3]);
+    fleet.run(EXPIRY);
+    list_targets(&mut fleet, TERMINATIONS);
+    fleet.run(SPREAD_LIMIT);
+    let everyone: Vec<usize> = (0..5).collect();
+    assert_all(&mut fleet, &everyone, 1, RefusalReason::RequestLethal);
+    for index in everyone {
+        assert_eq!(submit(&mut fleet, index, 5_000 + index as u128, SOUND), None);
+    }
+    let stored: Vec<FeatureKind> =
+        fleet.refusals.iter().map(|(_, report)| report.feature.kind).collect();
+    assert_eq!(stored, [FeatureKind::Part], "one call, and none for the parts of the accounts");
+}
+
+/// One packet in four is lost.
+#[test]
+fn lost_frames_only_delay_reports_on_parts() {
+    let mut fleet = fleet_of(6);
+    terminate(&mut fleet, 5, 0, LETHAL);
+    assert_eq!(submit(&mut fleet, 5, 900_000, SOUND), None);
+    fleet.losses = Some((4, 7));
+    for (number, index) in [(1, 0), (2, 3), (3, 1)] {
+        terminate(&mut fleet, index, number, LETHAL);
+    }
+    fleet.run(SPREAD_LIMIT * 2);
+    fleet.losses = None;
+    assert_all(&mut fleet, &[0, 1, 2, 3, 4, 5], 1, RefusalReason::RequestSuspect);
+}
+
+#[rstest]
+#[case::small(5)]
+#[case::large(40)]
+fn loss_of_the_scheduler_loses_no_termination(#[case] daemons: usize) {
+    let mut fleet = fleet_of(daemons);
+    let leader = fleet.leader();
+    let others: Vec<usize> = (0..daemons).filter(|index| *index != leader).collect();
+    let seen_by = *others.last().expect("another daemon");
+    for number in 0..3 {
+        terminate(&mut fleet, seen_by, number, LETHAL);
+        assert_eq!(submit(&mut fleet, others[0], 900_000 + number as u128, SOUND), None);
+    }
+    fleet.daemons[leader].cut = true;
+    fleet.run(SPREAD_LIMIT);
+    terminate(&mut fleet, others[0], 3, LETHAL);
+    fleet.run(SPREAD_LIMIT - PAUSE);
+    assert_all(&mut fleet, &others, 1, RefusalReason::RequestSuspect);
+}
+
+/// One side of the partition knows of three terminations, the other of one.
+#[test]
+fn both_sides_of_a_partition_hold_requests_with_the_part_after_it_has_healed() {
+    let mut fleet = fleet_of(6);
+    terminate(&mut fleet, 0, 0, LETHAL);
+    assert_eq!(submit(&mut fleet, 0, 900_000, SOUND), None);
+    for one in 0..3 {
+        for other in 3..6 {
+            fleet.blocked.insert((one, other));
+            fleet.blocked.insert((other, one));
+        }
+    }
+    terminate(&mut fleet, 0, 1, LETHAL);
+    terminate(&mut fleet, 1, 2, LETHAL);
+    terminate(&mut fleet, 4, 3, LETHAL);
+    fleet.blocked.clear();
+    fleet.run(SPREAD_LIMIT);
+    assert_all(&mut fleet, &[0, 1, 2, 3, 4, 5], 1, RefusalReason::RequestSuspect);
+}
+
+#[test]
+fn new_daemon_holds_requests_with_the_part_before_it_serves() {
+    let mut fleet = fleet_of(5);
+    terminations(&mut fleet, [0, 1, 2, 0]);
+    fleet.run(SPREAD_LIMIT);
+    let addresses: Vec<String> = fleet.daemons[0].node.peer_addresses().into_iter().collect();
+    fleet.daemons[4] = mixed_fleet_daemon(4, addresses, 2, 0);
+    // It does not reach the platform, so that it knows only what its peers send.
+    fleet.daemons[4].reaches_platform = false;
+    fleet.run_until(Duration::from_secs(5), |fleet| fleet.generation_of(4) > 0);
+    assert_all(&mut fleet, &[4], 1, RefusalReason::RequestSuspect);
+}
+
+/// All daemons restart and read what the platform has stored. No other request was answered since.
+#[test]
+fn restarted_fleet_refuses_the_stored_part() {
+    let mut fleet = fleet_of(3);
+    terminations(&mut fleet, [0, 1, 2, 0]);
+    fleet.run(EXPIRY);
+    list_targets(&mut fleet, TERMINATIONS);
+    fleet.run(SPREAD_LIMIT);
+    let (_, stored) = fleet.refusals[0].clone();
+    let mut restarted = fleet_of(3);
+    let stored = FeatureReport { stored: true, begun: None, others_begun: None, ..stored };
+    restarted.event(1, NodeEvent::RefusalsRead(vec![stored]));
+    restarted.run(SPREAD_LIMIT);
+    assert_all(&mut restarted, &[0, 1, 2], 1, RefusalReason::RequestLethal);
+    assert_eq!(submit(&mut restarted, 0, 5_000, SOUND), None);
+}
+
+/// A request with the part that was admitted before the others terminated targets has its answer at one daemon.
+#[test]
+fn answer_that_goes_on_frees_the_part_at_every_daemon() {
+    let mut fleet = fleet_of(5);
+    let running = RequestSpec { part_features: part_features("b", LETHAL), ..spec(7) };
+    fleet.event(3, NodeEvent::Admit(Box::new(running)));
+    fleet.run(PAUSE);
+    terminations(&mut fleet, [0, 1, 2, 0]);
+    fleet.run(SPREAD_LIMIT);
+    assert_all(&mut fleet, &[0, 1, 2, 3, 4], 1, RefusalReason::RequestSuspect);
+    fleet.event(3, NodeEvent::AnswerEstablished(spec(7).request));
+    fleet.run(SPREAD_LIMIT);
+    let lethal_of_all = &part_features("b", &["lethal"])[1..];
+    let statuses = fleet.daemons.iter().map(|daemon| daemon.node.status());
+    for status in statuses {
+        let suspects = status.suspects.iter();
+        let remaining = suspects.filter(|suspect| lethal_of_all.contains(&suspect.feature));
+        assert!(remaining.clone().all(|suspect| suspect.interruptions.is_empty()));
+    }
+}
+
+/// The request was admitted and waits for a slot when the last target terminates.
+#[test]
+fn waiting_request_with_the_part_is_refused_when_granted() {
+    let mut fleet = fleet_of(3);
+    for number in 1..=(TARGETS * 4) as u128 {
+        fleet.admit(0, number);
+    }
+    let waiting = RequestSpec { part_features: part_features("a", LETHAL), ..spec(500) };
+    fleet.event(1, NodeEvent::Admit(Box::new(waiting)));
+    fleet.run(PAUSE);
+    assert_eq!(fleet.decision(500), None);
+    for number in 0..TERMINATIONS {
+        terminate(&mut fleet, 2, number, LETHAL);
+        let other = RequestSpec { part_features: part_features("a", SOUND), ..spec(600) };
+        fleet.event(2, NodeEvent::Admit(Box::new(other)));
+        fleet.event(2, NodeEvent::AnswerEstablished(spec(600).request));
+        fleet.event(2, NodeEvent::CallerDisconnected(spec(600).request));
+    }
+    fleet.run(SPREAD_LIMIT / 2);
+    for number in 1..=4 {
+        fleet.finish(0, number);
+    }
+    fleet.run(Duration::from_secs(1));
+    let Some(CallerDecision::Refuse(refusal)) = fleet.decision(500) else {
+        panic!("{:?}", fleet.decision(500));
+    };
+    assert_eq!(refusal.reason, RefusalReason::RequestSuspect);
+}
+
+#[test]
+fn part_cleared_by_an_operator_is_refused_by_no_daemon() {
+    let mut fleet = fleet_of(3);
+    terminations(&mut fleet, [0, 1, 2, 0]);
+    fleet.run(SPREAD_LIMIT);
+    let lethal = part_features("a", &["lethal"]);
+    for feature in lethal {
+        fleet.event(1, NodeEvent::ClearSuspect(feature.digest));
+    }
+    fleet.run(SPREAD_LIMIT);
+    for index in 0..3 {
+        assert_eq!(submit(&mut fleet, index, 7_000 + index as u128, LETHAL), None);
+    }
+}
+
+/// A daemon of an earlier version requests reports on whole requests and cannot decode others.
+#[test]
+fn peer_of_an_earlier_version_gets_no_reports_on_parts() {
+    let mut fleet = fleet_of(3);
+    terminations(&mut fleet, [0, 0, 0, 0]);
+    let from = DaemonId { vm: "vm-1".to_string(), incarnation: 1 };
+    let messages = vec![PeerMessage::SuspectsPull(SuspectsPull { known: 0 })];
+    let frame = PeerFrame { from, messages };
+    let event = NodeEvent::PeerFrameReceived(frame);
+    let actions = fleet.daemons[0].node.handle(fleet.now, fleet.now, event);
+    let sent = actions.into_iter().filter_map(|action| match action {
+        NodeAction::Send(_, frame) => Some(frame.messages),
+        _ => None,
+    });
+    let sent: Vec<PeerMessage> = sent.flatten().collect();
+    assert!(matches!(&sent[..], [PeerMessage::SuspectsPush(push)] if push.requests.len() == 4));
+}
+
+/// The answer of another pool says nothing about the targets of this one.
+#[test]
+fn features_of_two_pools_differ() {
+    assert_ne!(PoolHash::of("p"), PoolHash::of("q"));
+    let of = |pool| SharedParts { pool, account: None, ids: &["x"] }.features();
+    assert_ne!(of("p"), of("q"));
+}
