Lethal requests: a daemon that has read no list of targets does not take all targets for terminated

A new daemon learns of interruptions from its peers before it knows any target. No instance was in its list, so each counted as terminated after three seconds, which made terminations common there, and then let it refuse for good what the others only held.

--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -133,7 +133,8 @@
         if self.lethal.requests.is_empty() {
             return;
         }
-        let uncertain = self.is_removal_uncertain();
+        let is_list_unknown = self.freshness.is_some() && self.targets.at() == 0;
+        let uncertain = self.is_removal_uncertain() || is_list_unknown;
         let config = self.store.active();
         let targets = &self.targets;
         let presence = |instance: &TargetInstance| {
--- a/crates/sched/src/lethal/terminations.rs
+++ b/crates/sched/src/lethal/terminations.rs
@@ -40,8 +40,7 @@
         self.terminated_at.retain(|_, at| now < *at + WINDOW);
         let unexplained =
             self.terminated_at.keys().filter(|instance| !explained.contains(instance)).count();
-        // A daemon that has just started may know terminations before it knows any target.
-        let common = targets > 0 && unexplained > targets;
+        let common = unexplained > targets;
         std::mem::replace(&mut self.common, common) != common
     }
 
