Operators: suspect parts in show suspects, metrics, explain

show suspects lists parts beside whole requests (KIND); suspect_parts and lethal_parts count them by kind, while suspect_requests, lethal_requests and targets_ended_under_requests_total keep counting whole requests. explain names the part and the targets that terminated under it, from the line request_lethal whose digest the refused request has among its prompt_parts.

--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
+use curlewcleat_core::FeatureKind;
 use curlewcleat_node::NodeStatus;
 use curlewcleat_peers::TransportCounts;
 use prometheus::{IntGauge, IntGaugeVec, Result};
@@ -25,6 +26,8 @@
     peers_live: IntGauge,
     suspect_requests: IntGauge,
     lethal_requests: IntGauge,
+    suspect_parts: IntGaugeVec,
+    lethal_parts: IntGaugeVec,
     waiting: IntGaugeVec,
     in_flight: IntGaugeVec,
     returns_booked: IntGaugeVec,
@@ -56,6 +59,16 @@
                 "lethal_requests",
                 "Requests that are refused since targets ended under them",
             )?,
+            suspect_parts: registry.gauges(
+                "suspect_parts",
+                "Parts of prompts under which targets ended, or may have, by kind of feature",
+                "kind",
+            )?,
+            lethal_parts: registry.gauges(
+                "lethal_parts",
+                "Parts of prompts with which requests are refused, by kind of feature",
+                "kind",
+            )?,
             waiting: registry.gauges("queue_length", "Asks that wait at this scheduler", "pool")?,
             in_flight: registry.gauges(
                 "permits_in_use",
@@ -97,6 +110,24 @@
         self.budget.set(budget);
     }
 
+    /// Sets the numbers of suspect and refused features, whole requests apart from parts of prompts.
+    fn set_features(&self, status: &NodeStatus) {
+        for kind in FeatureKind::ALL {
+            let suspects = status.suspects.iter().filter(|report| report.feature.kind == kind);
+            let suspects =
+                suspects.filter(|report| !report.interruptions.is_empty()).count() as i64;
+            let refused =
+                status.refused.iter().filter(|feature| feature.kind == kind).count() as i64;
+            if kind == FeatureKind::Request {
+                self.suspect_requests.set(suspects);
+                self.lethal_requests.set(refused);
+                continue;
+            }
+            self.suspect_parts.with_label_values(&[kind.code()]).set(suspects);
+            self.lethal_parts.with_label_values(&[kind.code()]).set(refused);
+        }
+    }
+
     /// Sets all gauges from a status, the transport's counts and the process's memory.
     pub fn set(&self, status: &NodeStatus) {
         self.generation.set(status.generation as i64);
@@ -105,8 +136,7 @@
         self.keys.set(status.keys as i64);
         self.in_progress.set(status.requests as i64);
         self.peers_live.set(status.peers.iter().filter(|(_, peer)| peer.live).count() as i64);
-        self.suspect_requests.set(status.suspects.len() as i64);
-        self.lethal_requests.set(status.refused.len() as i64);
+        self.set_features(status);
         for pool in &status.pools {
             self.waiting.with_label_values(&[&pool.id]).set(pool.waiting as i64);
             self.in_flight.with_label_values(&[&pool.id]).set(pool.in_flight as i64);
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -170,7 +170,8 @@
                     self.stop_warning_at =
                         Some(Moment::now() + limit.saturating_sub(STOP_WARNING_MARGIN));
                 }
-                if let NodeNote::TargetTerminated(..) = &note {
+                if matches!(&note, NodeNote::TargetTerminated(feature, _) if !feature.kind.is_shared())
+                {
                     self.context.metrics.count_target_terminated();
                 }
                 if let NodeNote::RolloutStage(rollout, Some(reason)) = &note {
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -98,7 +98,7 @@
             "Streams beside several versions",
         ),
         RequestLethal => (
-            "several targets had terminated while running this request, no matter which account sent it",
+            "several targets had terminated while running this request, or others that share a part of its prompt",
             "Requests under which targets end",
         ),
         TargetProtocol => ("the target's answer could not be parsed", "Broken off by a target"),
@@ -137,12 +137,40 @@
             text.push_str(&format!("; the store answered: {}", failure.text("error")));
         }
     }
+    if let Some(line) = lethal_line(refusal, lines) {
+        text.push_str(&lethal_text(line));
+    }
     if known_reason.is_some_and(is_for_lack_of_targets) {
         text.push_str(&unusable_text(unusable));
     }
     LikelyCause { text, page: format!("docs/OPERATIONS.md, {section}") }
 }
 
+/// Returns the latest line that named the request, or a part of its prompt, as the reason why targets terminated; `None`
+/// for a request that was refused for another reason, or before any daemon had established it.
+fn lethal_line<'l>(refusal: &LogLine, lines: &[&'l LogLine]) -> Option<&'l LogLine> {
+    let reasons = [RefusalReason::RequestLethal, RefusalReason::RequestSuspect];
+    if !reasons.iter().any(|reason| reason.code() == refusal.text("reason")) {
+        return None;
+    }
+    let (whole, parts) = (refusal.text("digest"), refusal.text("prompt_parts"));
+    let names_request = |line: &&&LogLine| {
+        let digest = line.text("digest");
+        let is_part = parts.split_whitespace().any(|part| digest.starts_with(part));
+        line.event == "request_lethal" && (digest == whole || is_part)
+    };
+    lines.iter().rev().find(names_request).copied()
+}
+
+fn lethal_text(line: &LogLine) -> String {
+    let kind = match line.text("kind") {
+        "part" => "a part of its prompt",
+        "account_part" => "a part of its prompt in requests of its account",
+        _ => "the request itself",
+    };
+    format!("; it is {kind}, digest {}, targets {}", line.text("digest"), line.text("targets"))
+}
+
 /// Returns whether the request might have been served if more targets had been available.
 fn is_for_lack_of_targets(reason: RefusalReason) -> bool {
     use RefusalReason::*;
--- a/crates/explain/tests/stories.rs
+++ b/crates/explain/tests/stories.rs
@@ -147,3 +147,27 @@
     assert!(cause.contains(expected), "{cause}");
     assert_eq!(cause.contains("i-7"), later.is_empty(), "{cause}");
 }
+
+/// The line of the refused request names its parts in their short form; only one of them is the reason.
+#[test]
+fn refusal_for_a_part_of_the_prompt_names_the_targets_that_terminated() {
+    let mut log = MergedLog::default();
+    let lethal = |kind: &str, digest: &str, targets: &str| {
+        let fields =
+            format!("\"kind\":\"{kind}\",\"digest\":\"{digest}\",\"targets\":\"{targets}\"");
+        line(5_000, "request_lethal", &fields)
+    };
+    let refused =
+        "\"reason\":\"request_lethal\",\"may_have_run\":false,\"held_ms\":0,\"digest\":\"ff\",\
+                   \"prompt_parts\":\"aa11 bb22\"";
+    let text = lethal("part", "bb22cc", "i-1 i-2 i-3 i-4")
+        + &lethal("request", "dd44", "i-8")
+        + &line(6_000, "request_refused", &request(refused));
+    log.add_log("vm-1.log", &text);
+    let timeline = log.request_timeline("r1").expect("a timeline");
+    let cause = timeline.cause.text;
+    assert!(
+        cause.contains("a part of its prompt, digest bb22cc, targets i-1 i-2 i-3 i-4"),
+        "{cause}"
+    );
+}
--- a/crates/tool/src/show.rs
+++ b/crates/tool/src/show.rs
@@ -161,7 +161,7 @@
     Ok(ToolExit::Done)
 }
 
-/// Prints the requests that terminated targets, as known to the first daemon that answers; all daemons know the same.
+/// Prints the features of requests that terminated targets, as known to the first daemon that answers; all daemons know the same.
 async fn show_suspects(arguments: &Arguments) -> Result<ToolExit> {
     let mut last_error =
         anyhow!("this command needs --daemons: operators' addresses of daemons as ip:port,ip:port");
@@ -185,9 +185,14 @@
         let targets = suspect["targets"].as_array().into_iter().flatten();
         let terminated = targets.filter(|target| target["ended"] == true);
         let terminated: Vec<String> = terminated.map(|target| text(&target["id"])).collect();
-        vec![text(&suspect["digest"]), text(&suspect["refused"]), terminated.join(",")]
+        vec![
+            text(&suspect["digest"]),
+            text(&suspect["refused"]),
+            terminated.join(","),
+            text(&suspect["kind"]),
+        ]
     });
-    table::print(&["DIGEST", "REFUSED", "ENDED TARGETS"], &rows.collect::<Vec<_>>());
+    table::print(&["DIGEST", "REFUSED", "ENDED TARGETS", "KIND"], &rows.collect::<Vec<_>>());
 }
 
 /// Reads the status of each daemon, some at a time; for a daemon that does not answer, the value holds the error
