--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -37,6 +37,7 @@
     state::measure_changes()?;
     state::measure_keys();
     lethal::measure_lethal_requests();
+    lethal::measure_lethal_parts();
     peers::measure_codec();
     if arguments.processes {
         actix_rt::System::new().block_on(processes::measure_daemons())?;
--- a/crates/core/src/request_feature.rs
+++ b/crates/core/src/request_feature.rs
@@ -15,12 +15,9 @@
 pub const PART_LIMIT: usize = 16;
 
 /// Kinds of features, from the narrowest to the widest.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum FeatureKind {
     /// The whole request, as its caller repeats it.
-    #[default]
     Request,
     /// A part of prompts of one account in one pool.
     AccountPart,
@@ -54,12 +51,13 @@
 }
 
 /// Hash of the id of a pool.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PoolHash(pub u64);
 
 impl PoolHash {
+    /// No pool: that of a whole request.
+    pub const NONE: PoolHash = PoolHash(0);
+
     /// Returns the hash of a pool's id.
     pub fn of(pool: &str) -> PoolHash {
         let digest: [u8; 32] = Sha256::digest(pool.as_bytes()).into();
@@ -73,7 +71,7 @@
 pub struct RequestFeature {
     /// What the feature covers.
     pub kind: FeatureKind,
-    /// The pool whose targets run requests with the feature, 0 for a whole request.
+    /// The pool whose targets run requests with the feature, [`PoolHash::NONE`] for a whole request.
     pub pool: PoolHash,
     /// Digest of what the feature covers.
     pub digest: RequestDigest,
@@ -81,7 +79,7 @@
 
 impl From<RequestDigest> for RequestFeature {
     fn from(digest: RequestDigest) -> RequestFeature {
-        RequestFeature { kind: FeatureKind::Request, pool: PoolHash::default(), digest }
+        RequestFeature { kind: FeatureKind::Request, pool: PoolHash::NONE, digest }
     }
 }
 
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -113,6 +113,7 @@
     // The account is unknown before admission, and a public rule requires none.
     let account = request.and_then(|request| request.account.as_deref()).unwrap_or_default();
     let digest = request.map(digest_text).unwrap_or_default();
+    // Before admission the pool is unknown, and the features depend on it.
     let prompt_parts = request.map(part_texts).unwrap_or_default();
     let config_age = service.protocol.config_age();
     service.context.metrics.count_refusal(refusal.reason, tier, pool);
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -175,13 +175,15 @@
         self.post(vm, message);
     }
 
+    /// Returns the refusal of a request while running which, or others that share a feature, targets have terminated since
+    /// it was admitted.
+    fn refusal_at_grant(&mut self, id: RequestId) -> Option<Refusal> {
+        let features: Vec<RequestFeature> = self.entry.spec_of(id)?.features().collect();
+        self.lethal_refusal(features.into_iter())
+    }
+
     pub(super) fn dispatch(&mut self, permit: PermitId, target: &str) {
-        // Targets may have terminated while running this request or others that share a feature, here or elsewhere, since
-        // it was admitted.
-        let spec = self.entry.spec_of(permit.request);
-        let features: Vec<RequestFeature> =
-            spec.into_iter().flat_map(RequestSpec::features).collect();
-        if let Some(refusal) = self.lethal_refusal(features.into_iter()) {
+        if let Some(refusal) = self.refusal_at_grant(permit.request) {
             return self.refuse_granted(permit.request, refusal);
         }
         let config = Arc::clone(&self.active);
--- a/crates/sched/src/lethal.rs
+++ b/crates/sched/src/lethal.rs
@@ -1,39 +1,30 @@
 //! Decides which requests are refused because targets terminate while running them, or others that share a feature.
 //!
 //! Inputs: for each feature of a request, the target instances at which requests with it were interrupted; whether the
-//! platform still lists them; whether such requests were answered since. A feature is the whole request, identified by
-//! the digest of what its caller sends again on a repeat, or a part of its prompt, in prompts of its account or of all.
+//! platform still lists them; whether such requests were answered since. A feature is the whole request, as its caller
+//! repeats it, or a part of its prompt, in prompts of its account or of all.
 //!
 //! The rule: requests with a feature are refused once [`LethalOptions::limit`] instances have terminated while running
-//! them, until [`LethalOptions::refused_for`] after the latest interruption, or the latest repeat of a whole request.
-//! Until it is known whether they terminated, the requests are held once that many instances have closed their
-//! connections while running them. An instance that is still listed [`LethalOptions::listing_expiry`] after the
-//! interruption has not terminated, so a cut link, a reset connection or an invalid answer is ignored. So are
-//! terminations before a request was served whole, and those explained by another refused feature ([`blame`]): a target
-//! runs several requests at once, and its termination makes all of their features suspect.
+//! them, or [`LethalOptions::shared_limit`] for a part, which different requests and their repeats add up to. Until it is
+//! known whether the instances terminated, closed connections hold the requests. An instance that is still listed
+//! [`LethalOptions::listing_expiry`] after an interruption has not terminated. Terminations before an answer, and those
+//! that another refused feature explains ([`blame`]), do not count: a target runs several requests at once. The limits
+//! are one higher where targets often terminate for other reasons ([`terminations`]).
 //!
-//! A part terminates a target as the target begins to write the answer. So an answer that has begun refutes the
-//! interruptions of all requests with the part until [`LethalOptions::begun_for`] after it. A part counts only once the
-//! answer to a request without it has begun in the same pool between two interruptions: while all targets of a pool
-//! terminate over and over, the part that all its requests have does not stand out. Different requests with a part add up,
-//! so one more termination is needed ([`LethalOptions::shared_limit`]).
+//! A part terminates a target that begins to write the answer, so an answer that has begun refutes the interruptions
+//! until [`LethalOptions::begun_for`] after it. A part counts only once the answer to a request without it has begun in
+//! the same pool between two interruptions: while all targets of a pool terminate over and over, the part that all its
+//! requests have does not stand out.
 //!
-//! The limit is one higher where targets often terminate for other reasons ([`terminations`]), and one higher still
-//! where an answer had begun at any of the instances: a request that terminates its target does so as it begins to run.
-//! Of 132,000 harmless requests beside eighteen targets of which two terminated each second, 122 were refused without
-//! these two exceptions, 22 with the second alone and 3 with both; with one termination in two seconds 5, 1 and 1; with
-//! one in ten seconds none.
+//! Load pattern: callers repeat a request, or send others that share a part, at any daemon, and every engine that begins
+//! to run one terminates.
 //!
-//! Load pattern: a caller repeats a request, at any daemon, and every engine that begins to run it terminates. Where
-//! only the targets were blamed, 12 and 20 more engines terminated under two such requests after the third. Every
-//! daemon keeps the same set of suspect requests and merges the reports of the others, so that it survives the loss of
-//! any daemon.
-//!
-//! Owns: the suspect requests, bounded by [`REQUEST_LIMIT`] and [`INSTANCE_LIMIT`]. Relies on: entry daemons that
-//! report only interruptions at targets that had not announced that they were leaving.
+//! Owns: the suspect features, bounded in number and in instances of each. Relies on: entry daemons that report only
+//! interruptions at targets that had not announced that they were leaving.
 
 mod blame;
 mod classification;
+mod merge;
 mod options;
 mod served;
 mod suspect;
@@ -136,32 +127,6 @@
         changed
     }
 
-    /// Merges the reports of another daemon or of the platform. Returns the features for which this daemon knows answers
-    /// since the interruptions, which the reporters do not know.
-    pub fn merge(&mut self, now: Uptime, reports: Vec<FeatureReport>) -> Vec<RequestFeature> {
-        let mut cleared = Vec::new();
-        let mut any_changed = false;
-        for report in reports {
-            let change = self.latest_change + 1;
-            let feature = report.feature;
-            let served = self.served.latest(&feature);
-            let suspect = self.suspects.entry(feature).or_default();
-            let (is_changed, is_cleared) = match feature.kind.is_shared() {
-                true => merge_shared(suspect, now, &self.options, served, report),
-                false => merge_request(suspect, now, &self.options, served, report),
-            };
-            if is_cleared {
-                cleared.push(feature);
-            }
-            if is_changed || is_cleared {
-                any_changed = true;
-                self.record_change(change, feature);
-            }
-        }
-        self.classify_if(any_changed);
-        cleared
-    }
-
     /// Records that a request was served whole, so that earlier terminations do not count against it. Returns whether
     /// the state changed.
     pub fn record_served(&mut self, now: Uptime, feature: &RequestFeature) -> bool {
@@ -298,30 +263,3 @@
         self.suspects.get(feature).map(|suspect| suspect.report(now, *feature))
     }
 }
-
-/// Merges a report on a whole request, which this daemon served last at `served`. Returns whether the state changed, and
-/// whether the reporter does not know that the request was served.
-fn merge_request(
-    suspect: &mut SuspectFeature,
-    now: Uptime,
-    options: &LethalOptions,
-    served: Option<Uptime>,
-    report: FeatureReport,
-) -> (bool, bool) {
-    let changed = suspect.merge(now, options, report);
-    (changed, served.is_some_and(|served| suspect.clear_until(served)))
-}
-
-/// Merges a report on a shared feature, with which this daemon saw an answer begin last at `begun`. Returns whether the
-/// state changed, and whether the reporter does not know of an answer.
-fn merge_shared(
-    suspect: &mut SuspectFeature,
-    now: Uptime,
-    options: &LethalOptions,
-    begun: Option<Uptime>,
-    report: FeatureReport,
-) -> (bool, bool) {
-    let recorded = begun.is_some_and(|begun| suspect.record_begun(begun, options));
-    let is_refuted = suspect.refutes(now, options, &report);
-    (suspect.merge(now, options, report) || recorded, is_refuted)
-}
