Lethal requests: the end of a long stream does not clear parts of later terminations

The end of an answer counted as the beginning of one. A stream that began before targets started to terminate under a part, because of a new version or by chance, cleared the part when it ended, so that requests with it were sent again. An answer now speaks against the interruptions once, as it begins and goes on, or as it completes if that comes first.

end_of_a_stream_that_began_earlier_does_not_free_the_part failed on the code before and passes.

--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -177,6 +177,11 @@
         self.is_established() && !std::mem::replace(&mut self.attempt.established_reported, true)
     }
 
+    /// Returns whether the answer of the latest attempt is complete before it was reported that it began and went on.
+    pub fn take_completed(&mut self) -> bool {
+        self.is_end_proved() && !std::mem::replace(&mut self.attempt.established_reported, true)
+    }
+
     /// Returns the number of parts that arrived in the latest attempt.
     pub fn attempt_parts(&self) -> u32 {
         self.attempt.parts
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -144,7 +144,20 @@
 
     /// Reports to the node, once for each attempt, that the target began the answer and went on with it.
     fn report_established_answer(&mut self) {
-        if !self.request.part_features.is_empty() && self.progress.take_established() {
+        if self.progress.take_established() {
+            self.send_established();
+        }
+    }
+
+    /// Reports to the node that the target completed the answer, unless it knows already that the answer began.
+    pub(super) fn report_completed_answer(&mut self) {
+        if self.progress.take_completed() {
+            self.send_established();
+        }
+    }
+
+    fn send_established(&self) {
+        if !self.request.part_features.is_empty() {
             self.service.context.send_event(NodeEvent::AnswerEstablished(self.request.id));
         }
     }
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -144,6 +144,7 @@
             match self.attempt(&target, connection).await {
                 AttemptOutcome::Served(end) => {
                     self.report_observations(&target, self.progress.end_observations());
+                    self.report_completed_answer();
                     self.log_served(&target);
                     return self.report_end(end);
                 }
--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -68,7 +68,6 @@
         {
             self.send_suspects(&[whole]);
         }
-        self.answer_established(id);
     }
 
     /// Records that the answer to a request began and went on, so that its target has not terminated as it began.
--- a/crates/node/tests/lethal_parts.rs
+++ b/crates/node/tests/lethal_parts.rs
@@ -7,8 +7,8 @@
 
 use curlewcleat_core::{
     DaemonId, FeatureKind, FeatureReport, InterruptionKind, PeerFrame, PeerMessage, PoolHash,
-    RefusalReason, RequestFeature, RequestIdentity, RequestInterruption, SharedParts, SuspectsPull,
-    TargetInstance,
+    RefusalReason, RequestFeature, RequestId, RequestIdentity, RequestInterruption, SharedParts,
+    SuspectsPull, TargetInstance,
 };
 use curlewcleat_node::{CallerDecision, NodeAction, NodeEvent};
 use curlewcleat_sched::RequestSpec;
@@ -76,6 +76,7 @@
     match fleet.decision(number) {
         Some(CallerDecision::Refuse(refusal)) => Some(refusal.reason),
         Some(CallerDecision::Dispatch(..)) => {
+            fleet.event(index, NodeEvent::AnswerEstablished(RequestId::from_u128(number)));
             fleet.finish(index, number);
             None
         }
@@ -302,3 +303,19 @@
     let of = |pool| SharedParts { pool, account: None, ids: &["x"] }.features();
     assert_ne!(of("p"), of("q"));
 }
+
+/// A stream that began before a version made the part lethal ends long after: its end says nothing about targets that
+/// begin an answer now.
+#[test]
+fn end_of_a_stream_that_began_earlier_does_not_free_the_part() {
+    let mut fleet = fleet_of(3);
+    let running = RequestSpec { part_features: part_features("b", LETHAL), ..spec(7) };
+    fleet.event(0, NodeEvent::Admit(Box::new(running)));
+    fleet.run(PAUSE);
+    fleet.event(0, NodeEvent::AnswerEstablished(spec(7).request));
+    fleet.run(Duration::from_secs(2));
+    terminations(&mut fleet, [0, 1, 2, 0]);
+    fleet.finish(0, 7);
+    fleet.run(PAUSE);
+    assert_all(&mut fleet, &[0, 1, 2], 1, RefusalReason::RequestSuspect);
+}
