Lethal requests: daemons agree on a part although they saw the same termination at different times

Each daemon kept its own time of an interruption, and whether an answer to another request lies between two of them depends on the times: with equal reports one daemon refused a part and two did not. The earliest time now counts everywhere.

--- a/crates/sched/src/lethal/suspect.rs
+++ b/crates/sched/src/lethal/suspect.rs
@@ -134,6 +134,8 @@
             interruption.begun &= added.begun;
             interruption.observed_here |= added.observed_here;
             interruption.terminated |= added.terminated;
+            // Daemons see the same termination at slightly different times, and have to agree on what came before it.
+            interruption.at = interruption.at.min(added.at);
             return changed;
         }
         if self.interruptions.len() >= INSTANCE_LIMIT || self.is_refuted(options, added.at) {
