Lethal requests: answers to requests without shared parts count as those of others

A part counts only once the answer to a request without it began between two interruptions, and beginnings were reported for requests with shared parts only: in a pool whose other requests state none, requests with a lethal part were sent for ever. Their complete answers now count. part_is_held_where_other_requests_of_the_pool_state_no_shared_parts failed on the code before and passes; found by reading.

--- a/crates/node/src/node/lethal.rs
+++ b/crates/node/src/node/lethal.rs
@@ -61,13 +61,18 @@
 
     /// Records that a request was answered in full.
     pub(super) fn answer_completed(&mut self, id: RequestId) {
-        let Some(whole) = self.entry.spec_of(id).map(|spec| spec.digest) else { return };
-        let whole = whole.map(RequestFeature::from);
+        let Some(spec) = self.entry.spec_of(id) else { return };
+        let whole = spec.digest.map(RequestFeature::from);
+        // The beginning of an answer is reported only for requests with shared parts.
+        let has_parts = !spec.part_features.is_empty();
         if let Some(whole) =
             whole.filter(|whole| self.lethal.requests.record_served(self.now, whole))
         {
             self.send_suspects(&[whole]);
         }
+        if !has_parts {
+            self.answer_established(id);
+        }
     }
 
     /// Records that the answer to a request began and went on, so that its target has not terminated as it began.
--- a/crates/node/tests/lethal_parts.rs
+++ b/crates/node/tests/lethal_parts.rs
@@ -319,3 +319,18 @@
     fleet.run(PAUSE);
     assert_all(&mut fleet, &[0, 1, 2], 1, RefusalReason::RequestSuspect);
 }
+
+/// All sound requests of the pool state no parts that other prompts share, so that only their ends are seen.
+#[test]
+fn part_is_held_where_other_requests_of_the_pool_state_no_shared_parts() {
+    let mut fleet = fleet_of(3);
+    for number in 0..TERMINATIONS {
+        terminate(&mut fleet, 0, number, LETHAL);
+        let sound = 900_000 + number as u128;
+        fleet.event(1, NodeEvent::Admit(Box::new(spec(sound))));
+        fleet.run(PAUSE);
+        fleet.finish(1, sound);
+    }
+    fleet.run(SPREAD_LIMIT / 2);
+    assert_all(&mut fleet, &[0, 1, 2], 1, RefusalReason::RequestSuspect);
+}
