--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -113,9 +113,8 @@
     /// Sets the numbers of suspect and refused features, whole requests apart from parts of prompts.
     fn set_features(&self, status: &NodeStatus) {
         for kind in FeatureKind::ALL {
-            let suspects = status.suspects.iter().filter(|report| report.feature.kind == kind);
             let suspects =
-                suspects.filter(|report| !report.interruptions.is_empty()).count() as i64;
+                status.suspects.iter().filter(|report| report.feature.kind == kind).count() as i64;
             let refused =
                 status.refused.iter().filter(|feature| feature.kind == kind).count() as i64;
             if kind == FeatureKind::Request {
