Reading: what the header of the rule on lethal requests had lost

When a refusal ends, what a closed connection may be, why one more termination is needed where an answer had begun, and that every daemon keeps the same set.

--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -94,7 +94,8 @@
     let ended = suspect.interruptions.iter().filter(|report| report.ended);
     let targets: Vec<&str> = ended.map(|report| report.interruption.instance.id.as_str()).collect();
     warn!("request_lethal", kv: {
-        kind = suspect.feature.kind.code(), digest = suspect.feature.digest.to_string(), ended = targets.len(), targets = targets.join(" ")
+        kind = suspect.feature.kind.code(), digest = suspect.feature.digest.to_string(),
+        ended = targets.len(), targets = targets.join(" ")
     });
 }
 
--- a/crates/sched/src/lethal.rs
+++ b/crates/sched/src/lethal.rs
@@ -4,12 +4,20 @@
 //! platform still lists them; whether such requests were answered since. A feature is the whole request, as its caller
 //! repeats it, or a part of its prompt, in prompts of its account or of all.
 //!
+//! Owns: the suspect features, bounded in number and in instances of each. Relies on: entry daemons that report only
+//! interruptions at targets that had not announced that they were leaving.
+//!
 //! The rule: requests with a feature are refused once [`LethalOptions::limit`] instances have terminated while running
-//! them, or [`LethalOptions::shared_limit`] for a part, which different requests and their repeats add up to. Until it is
+//! them, or [`LethalOptions::shared_limit`] for a part, which different requests and their repeats add up to, until
+//! [`LethalOptions::refused_for`] after the latest interruption, or the latest repeat of a whole request. Until it is
 //! known whether the instances terminated, closed connections hold the requests. An instance that is still listed
-//! [`LethalOptions::listing_expiry`] after an interruption has not terminated. Terminations before an answer, and those
-//! that another refused feature explains ([`blame`]), do not count: a target runs several requests at once. The limits
-//! are one higher where targets often terminate for other reasons ([`terminations`]).
+//! [`LethalOptions::listing_expiry`] after an interruption has not terminated, so a cut link, a reset connection or an
+//! invalid answer is ignored. Terminations before an answer, and those that another refused feature explains
+//! ([`blame`]), do not count: a target runs several requests at once, and its termination makes all of them suspect.
+//!
+//! The limits are one higher where targets often terminate for other reasons ([`terminations`]), and for a whole request
+//! one higher still where an answer had begun at any of the instances: a request that terminates its target does so as
+//! it begins to run.
 //!
 //! A part terminates a target that begins to write the answer, so an answer that has begun refutes the interruptions
 //! until [`LethalOptions::begun_for`] after it. A part counts only once the answer to a request without it has begun in
@@ -17,10 +25,8 @@
 //! requests have does not stand out.
 //!
 //! Load pattern: callers repeat a request, or send others that share a part, at any daemon, and every engine that begins
-//! to run one terminates.
-//!
-//! Owns: the suspect features, bounded in number and in instances of each. Relies on: entry daemons that report only
-//! interruptions at targets that had not announced that they were leaving.
+//! to run one terminates. Every daemon keeps the same set of suspect features and merges the reports of the others, so
+//! that it survives the loss of any daemon.
 
 mod blame;
 mod classification;
--- a/crates/sched/src/lethal/suspect/answers.rs
+++ b/crates/sched/src/lethal/suspect/answers.rs
@@ -45,7 +45,7 @@
     }
 
     /// Returns whether a request of the pool without the feature was answered between two interruptions, so that these can
-    /// be due to the feature. It is known of a feature whose refusal is stored.
+    /// be due to the feature. A feature whose refusal is stored had this before.
     pub fn has_contrast(&self) -> bool {
         let others_begun =
             self.others_begun.filter(|begun| self.first_interruption() <= Some(*begun));
--- a/crates/tool/src/show.rs
+++ b/crates/tool/src/show.rs
@@ -161,7 +161,8 @@
     Ok(ToolExit::Done)
 }
 
-/// Prints the features of requests that terminated targets, as known to the first daemon that answers; all daemons know the same.
+/// Prints the features of requests that terminated targets, as known to the first daemon that answers; all daemons know
+/// the same.
 async fn show_suspects(arguments: &Arguments) -> Result<ToolExit> {
     let mut last_error =
         anyhow!("this command needs --daemons: operators' addresses of daemons as ip:port,ip:port");
