--- a/crates/sched/tests/lethal_crowds/main.rs
+++ b/crates/sched/tests/lethal_crowds/main.rs
@@ -91,8 +91,8 @@
         terminations_per_s: 0.2,
         ..CrowdFaults::default()
     });
-    // What is in progress when the third engine terminates: a quarter of all slots at the most.
+    // Lethal requests have their share of all slots when the part is held, which takes four terminations.
     let in_progress = (126.0 * share).ceil() as usize;
     assert!(count.terminations <= SEEDS as usize * (3 + in_progress), "{count:?}");
-    assert!((count.held + count.refused) * 1_000 <= count.requests, "{count:?}");
+    assert!((count.held + count.refused) * 10_000 <= count.requests, "{count:?}");
 }
