--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -1,4 +1,4 @@
-//! Provides the clock by which ages, leases and deadlines are measured.
+//! Provides the clock by which ages, leases and deadlines are taken.
 //!
 //! A machine may be suspended for seconds. `std::time::Instant` and the timers of the runtime do not count that time,
 //! so a daemon that used them would underestimate the ages of its configuration, permits and roles by the length of the
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -184,8 +184,9 @@
         range: RangeInclusive<u64>,
         report: &mut CheckReport,
     ) -> u64 {
-        // The parser's error is dropped, as in `number`. Infinity becomes `u64::MAX`, which no range contains.
+        // Infinity becomes `u64::MAX`, which no range contains.
         let parse = |text: &str| {
+            // The parser's error is dropped, as in `number`.
             let number = text.parse::<f64>().ok();
             number.filter(|number| *number >= 0.0).map(|number| number as u64)
         };
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -36,7 +36,7 @@
 pub type Uptime = Duration;
 /// Wall-clock time since the Unix epoch.
 pub type WallTime = Duration;
-/// Work, measured as the microseconds for which it occupies one target slot.
+/// Work, as the microseconds for which it occupies one target slot.
 pub type WorkMicros = u64;
 
 /// Identifies a permit by the request and the dispatch attempt that it is for.
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -10,12 +10,9 @@
 
 /// Stage of a rollout. Where daemons disagree, the stage that is listed later here applies: a move can still be rolled
 /// back, but a rollout that the platform stores as completed cannot.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum RolloutStage {
     /// Targets of the new version get a small share of the requests.
-    #[default]
     Trial,
     /// Targets of the new version get all new requests; the others finish the requests that they run.
     Move,
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -123,6 +123,7 @@
                 drop(sender.send(self.node.relay_peers(draw)));
             }
             NodeMessage::KnowsPeer(vm, ip, sender) => {
+                // The connection that asked may have been closed.
                 let _ = sender.send(self.node.knows_peer_at(&vm, ip));
             }
             NodeMessage::Config(sender) => drop(sender.send(self.node.config_bundle().cloned())),
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -89,6 +89,7 @@
     fn digest(&self, account: Option<&str>) -> Option<RequestDigest> {
         let identity = RequestIdentity {
             method: self.method.as_str(),
+            // A request without a readable host is repeated without one.
             host: headers::text(&self.headers, "host").unwrap_or_default(),
             path: self.uri.path_and_query().map_or(self.uri.path(), |path| path.as_str()),
             // A caller may send a token even where the rule requires no account.
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -89,6 +89,7 @@
 
 /// Returns the digest of a request as text, empty if it has none.
 fn digest_text(request: &AdmittedRequest) -> String {
+    // A body that was not read whole has no digest.
     request.digest.map(|digest| digest.to_string()).unwrap_or_default()
 }
 
@@ -112,6 +113,7 @@
     let rule = request.map_or("", |request| request.rule.id.as_str());
     // The account is unknown before admission, and a public rule requires none.
     let account = request.and_then(|request| request.account.as_deref()).unwrap_or_default();
+    // The body is read after admission.
     let digest = request.map(digest_text).unwrap_or_default();
     // Before admission the pool is unknown, and the features depend on it.
     let prompt_parts = request.map(part_texts).unwrap_or_default();
--- a/crates/explain/src/line.rs
+++ b/crates/explain/src/line.rs
@@ -42,8 +42,9 @@
         Some(LogLine { source, at_ms: raw.timestamp, event: raw.payload, fields: raw.kv })
     }
 
-    /// Returns a field's text; empty if the field is missing or no string, since the output shows both as empty.
+    /// Returns a field's text, empty if the field is missing or no string.
     pub fn text(&self, name: &str) -> &str {
+        // The output shows both as empty.
         self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
     }
 
--- a/crates/sched/src/election/candidates.rs
+++ b/crates/sched/src/election/candidates.rs
@@ -20,7 +20,7 @@
 use super::membership::MemberView;
 use super::order::{rank_of_peer, rank_of_record, CandidateRank};
 
-/// Subject under which the single scheduler of all pools is chosen.
+/// Subject under which the single scheduler of all pools is elected.
 pub const ALL_POOLS: &str = "all pools";
 /// Number of candidates, the first in the order of schedulers: the scheduler, its deputy and one more for each.
 pub(super) const CANDIDATES: usize = 4;
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -219,6 +219,7 @@
     pub fn candidates(&self, accounts: usize) -> impl Iterator<Item = &WaitingRequest> {
         let mut queues: Vec<(&QueueRank, &TierQueue)> =
             self.tiers.iter().filter(|(_, queue)| queue.length > 0).collect();
+        // An urgency that was never granted has been served nothing.
         let served = |rank: &QueueRank| self.served.get(&rank.urgency_key()).copied().unwrap_or(0);
         queues.sort_by_key(|(rank, _)| (rank.tier, served(rank), **rank));
         queues.into_iter().flat_map(move |(_, queue)| {
--- a/crates/sched/src/placement/target.rs
+++ b/crates/sched/src/placement/target.rs
@@ -3,7 +3,7 @@
 //! The rules: a target has free capacity if the permits in use plus the requests of others in its latest
 //! report are fewer than its slots (less a reserve for the top tier), it is not ejected ([`ejection`]), and
 //! the limit that it states allows one more request ([`notice`], [`pacing`]).
-//! Its slowness is the ratio of measured to estimated time, in an exponentially weighted mean.
+//! Its slowness is the ratio of actual to estimated time, in an exponentially weighted mean.
 //!
 //! Owns: slots, permits in use, estimates. Relies on: reports that may be late or missing.
 //!
@@ -70,7 +70,7 @@
     pub prefixes: PrefixCache,
     /// Idle connections that entry daemons are assumed to have to it.
     pub idle_connections: IdleConnections,
-    /// Ratio of measured to estimated time, in thousandths.
+    /// Ratio of actual to estimated time, in thousandths.
     slowness: u64,
     ejection: TargetEjection,
     /// Number of requests sent by others, by its latest report, and until when that is valid.
@@ -374,12 +374,12 @@
         self.failing
     }
 
-    /// Returns the ratio of measured to estimated time, in thousandths.
+    /// Returns the ratio of actual to estimated time, in thousandths.
     pub fn slowness(&self) -> u64 {
         self.slowness
     }
 
-    /// Records a complete answer: `expected` is its estimated time at normal speed, `took` the measured time.
+    /// Records a complete answer: `expected` is its estimated time at normal speed, `took` the actual time.
     pub fn succeeded(&mut self, expected: WorkMicros, took: Duration) {
         self.failing -= self.failing / FAILING_WEIGHT;
         self.ejection.succeeded();
--- a/crates/sched/src/placement/trial.rs
+++ b/crates/sched/src/placement/trial.rs
@@ -3,7 +3,7 @@
 //! Inputs: the first waiting requests, the targets of the version, and the share of requests that it may get
 //! ([`exposure`](crate::rollout::exposure)).
 //!
-//! The rule: among first attempts, one whose urgency has had the least of the trial is chosen. It goes to one of a
+//! The rule: among first attempts, one whose urgency has had the least of the trial is selected. It goes to one of a
 //! few targets of the version, which change every [`ROTATION_PERIOD`] and are loaded like the mean of the other
 //! targets. Spread over many targets with little load, faults that need load would not show; one target alone would
 //! not represent the version.
--- a/crates/sched/src/rollout.rs
+++ b/crates/sched/src/rollout.rs
@@ -57,7 +57,7 @@
     /// Returns the state of an order that the platform lists.
     pub fn from_record(now: Uptime, record: RolloutRecord) -> PoolRollout {
         let RolloutRecord { name, order, ended, has_status, revision } = record;
-        let stage = ended.unwrap_or_default();
+        let stage = ended.unwrap_or(RolloutStage::Trial);
         PoolRollout {
             ended,
             has_status,
--- a/crates/sched/src/rollout/exposure.rs
+++ b/crates/sched/src/rollout/exposure.rs
@@ -74,6 +74,7 @@
 
     /// Returns the number of requests of an urgency that have gone to the version.
     pub fn granted_to_urgency(&self, urgency: TierRank) -> u64 {
+        // An urgency that never had a request there is not recorded.
         self.by_urgency.get(&urgency).copied().unwrap_or(0)
     }
 
--- a/crates/sched/src/rollout/samples.rs
+++ b/crates/sched/src/rollout/samples.rs
@@ -114,6 +114,7 @@
         first: u64,
         samples: &[AnswerSample],
     ) {
+        // A daemon that has not reported before starts at 0.
         let known = self.known.get(from).copied().unwrap_or(0);
         // Answers that were reported before are skipped.
         let already_known = usize::try_from(known.saturating_sub(first)).unwrap_or(usize::MAX);
@@ -162,6 +163,7 @@
         let mut times: Vec<Duration> = times.collect();
         times.sort_unstable();
         let index = times.len() - times.len().div_ceil(LONGEST_OF);
+        // Without any answer there is no time.
         times.get(index).copied().unwrap_or_default()
     }
 }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -1,6 +1,6 @@
 //! Handles the events at the scheduler of a pool: permit requests, returned permits and the passing of time.
 //!
-//! A permit request waits until a target has capacity; its target is chosen only then. Only one daemon should act as
+//! A permit request waits until a target has capacity; its target is selected only then. Only one daemon should act as
 //! scheduler of a pool, but this is not guaranteed: if two do so briefly, targets may get more requests than they
 //! have slots. No guarantee depends on it.
 //!
--- a/crates/tool/src/show/rollouts.rs
+++ b/crates/tool/src/show/rollouts.rs
@@ -58,6 +58,7 @@
 
 /// Keeps a daemon's status of a rollout if it has counted more answers than the status kept so far.
 fn keep_most_complete(by_pool: &mut BTreeMap<String, Value>, reported: &Value) {
+    // A status without the number is the least complete.
     let answers = |rollout: &Value| rollout["answers"].as_u64().unwrap_or(0);
     let pool = text(&reported["pool"]);
     if by_pool.get(&pool).is_none_or(|kept| answers(kept) < answers(reported)) {
--- a/crates/tool/src/show/status.rs
+++ b/crates/tool/src/show/status.rs
@@ -89,6 +89,7 @@
 
 /// Returns a number of a daemon's status, 0 where its version does not report it.
 fn number(value: &Value) -> u64 {
+    // An earlier version shows as 0 in the table.
     value.as_u64().unwrap_or(0)
 }
 
