--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -4,6 +4,7 @@
 //! for the values of the node's status.
 
 mod budget_gauges;
+mod feature_gauges;
 mod gauges;
 mod registry;
 
--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -6,12 +6,12 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
-use curlewcleat_core::FeatureKind;
 use curlewcleat_node::NodeStatus;
 use curlewcleat_peers::TransportCounts;
 use prometheus::{IntGauge, IntGaugeVec, Result};
 
 use super::budget_gauges::BudgetGauges;
+use super::feature_gauges::FeatureGauges;
 use super::registry::MetricRegistry;
 use crate::byte_budget::BudgetStatus;
 use crate::memory::resident_bytes;
@@ -24,10 +24,7 @@
     keys: IntGauge,
     in_progress: IntGauge,
     peers_live: IntGauge,
-    suspect_requests: IntGauge,
-    lethal_requests: IntGauge,
-    suspect_parts: IntGaugeVec,
-    lethal_parts: IntGaugeVec,
+    features: FeatureGauges,
     waiting: IntGaugeVec,
     in_flight: IntGaugeVec,
     returns_booked: IntGaugeVec,
@@ -53,22 +50,7 @@
             keys: registry.gauge("keys", "Keys held")?,
             in_progress: registry.gauge("requests_in_progress", "Requests in progress")?,
             peers_live: registry.gauge("peers_live", "Reachable peers")?,
-            suspect_requests: registry
-                .gauge("suspect_requests", "Requests under which targets ended, or may have")?,
-            lethal_requests: registry.gauge(
-                "lethal_requests",
-                "Requests that are refused since targets ended under them",
-            )?,
-            suspect_parts: registry.gauges(
-                "suspect_parts",
-                "Parts of prompts under which targets ended, or may have, by kind of feature",
-                "kind",
-            )?,
-            lethal_parts: registry.gauges(
-                "lethal_parts",
-                "Parts of prompts with which requests are refused, by kind of feature",
-                "kind",
-            )?,
+            features: FeatureGauges::new(registry)?,
             waiting: registry.gauges("queue_length", "Asks that wait at this scheduler", "pool")?,
             in_flight: registry.gauges(
                 "permits_in_use",
@@ -110,23 +92,6 @@
         self.budget.set(budget);
     }
 
-    /// Sets the numbers of suspect and refused features, whole requests apart from parts of prompts.
-    fn set_features(&self, status: &NodeStatus) {
-        for kind in FeatureKind::ALL {
-            let suspects =
-                status.suspects.iter().filter(|report| report.feature.kind == kind).count() as i64;
-            let refused =
-                status.refused.iter().filter(|feature| feature.kind == kind).count() as i64;
-            if kind == FeatureKind::Request {
-                self.suspect_requests.set(suspects);
-                self.lethal_requests.set(refused);
-                continue;
-            }
-            self.suspect_parts.with_label_values(&[kind.code()]).set(suspects);
-            self.lethal_parts.with_label_values(&[kind.code()]).set(refused);
-        }
-    }
-
     /// Sets all gauges from a status, the transport's counts and the process's memory.
     pub fn set(&self, status: &NodeStatus) {
         self.generation.set(status.generation as i64);
@@ -135,7 +100,7 @@
         self.keys.set(status.keys as i64);
         self.in_progress.set(status.requests as i64);
         self.peers_live.set(status.peers.iter().filter(|(_, peer)| peer.live).count() as i64);
-        self.set_features(status);
+        self.features.set(status);
         for pool in &status.pools {
             self.waiting.with_label_values(&[&pool.id]).set(pool.waiting as i64);
             self.in_flight.with_label_values(&[&pool.id]).set(pool.in_flight as i64);
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -127,21 +127,24 @@
                 continue;
             }
             if !self.answer.has_begun() {
-                self.record_stream_begin(target);
-                self.begin_answer(&head);
+                self.begin_stream(&head, target);
                 limit = self.part_limit();
             }
             if !self.relay_part(part).await {
                 return AttemptOutcome::CallerStalled;
             }
-            self.report_observations(target, self.progress.part_observation());
-            self.report_established_answer();
+            self.report_part(target);
         }
         // Sends the head of an answer that has no parts.
         self.begin_answer(&head);
         self.finish_parts(sent).await
     }
 
+    fn report_part(&mut self, target: &TargetEntry) {
+        self.report_observations(target, self.progress.part_observation());
+        self.report_established_answer();
+    }
+
     /// Reports to the node, once for each attempt, that the target began the answer and went on with it.
     fn report_established_answer(&mut self) {
         if self.progress.take_established() {
@@ -231,6 +234,11 @@
         self.service.context.send_event(event);
     }
 
+    fn begin_stream(&mut self, head: &actix_http::ResponseHead, target: &TargetEntry) {
+        self.record_stream_begin(target);
+        self.begin_answer(head);
+    }
+
     fn begin_answer(&mut self, head: &actix_http::ResponseHead) {
         if self.answer.has_begun() {
             return;
--- a/crates/model/src/lethal.rs
+++ b/crates/model/src/lethal.rs
@@ -3,6 +3,8 @@
 //! exchange them, none of them sends the request again. Another request, which terminates nothing and was served, is
 //! refused by no daemon.
 
+mod steps;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -12,8 +14,6 @@
 };
 use curlewcleat_sched::{InstancePresence, LethalOptions, LethalRequests, LethalVerdict};
 
-use crate::explore::SpecModel;
-
 /// Number of daemons.
 const DAEMONS: usize = 3;
 /// Number of terminations after which the request isn't sent again: the users' bound.
@@ -338,79 +338,3 @@
         Some(next)
     }
 }
-
-impl SpecModel for LethalModel {
-    type State = LethalState;
-
-    fn initial(&self) -> LethalState {
-        LethalState {
-            daemons: vec![LethalModel::new_daemon(); DAEMONS],
-            running_at: [None; DAEMONS],
-            instance_count: 0,
-            terminated: Vec::new(),
-            stored: None,
-            partitioned: None,
-            reports_settled: true,
-            sends: self.sends,
-            partitions: self.partitions,
-            restarts: self.restarts,
-            bystander_interruptions: self.bystander_interruptions,
-            bystander_arrivals: self.bystander_arrivals,
-            sent_too_late: false,
-            bystander_terminations: 0,
-            bystander_refused: false,
-        }
-    }
-
-    fn successors(&self, state: &LethalState) -> Vec<(String, LethalState)> {
-        let mut steps = Vec::new();
-        let mut add_step = |name: String, next: Option<LethalState>| {
-            steps.extend(next.map(|next| (name, next)));
-        };
-        for index in 0..self.calling_daemons {
-            add_step(format!("daemon {index} sends the request"), self.send(state, index));
-            for (reported, with_bystander) in [(true, false), (false, false), (true, true)] {
-                if !reported && !self.loses_reports {
-                    continue;
-                }
-                let name = format!(
-                    "target of {index} terminates, reported {reported}, at both {with_bystander}"
-                );
-                add_step(name, self.terminate_target(state, index, reported, with_bystander));
-            }
-            add_step(
-                format!("the other request of daemon {index} is interrupted"),
-                self.interrupt_bystander(state, index),
-            );
-            add_step(
-                format!("the other request arrives at daemon {index}"),
-                self.bystander_arrives(state, index),
-            );
-        }
-        for index in 0..DAEMONS {
-            add_step(format!("daemon {index} restarts"), self.restart_daemon(state, index));
-            if state.partitioned.is_none() {
-                add_step(
-                    format!("daemon {index} is partitioned"),
-                    self.change_partition(state, Some(index)),
-                );
-            }
-        }
-        if state.partitioned.is_some() {
-            add_step("the partition ends".to_string(), self.change_partition(state, None));
-        }
-        add_step("all daemons restart together".to_string(), self.restart_all(state));
-        add_step("time passes".to_string(), Some(self.exchange_reports(state)));
-        steps
-    }
-
-    fn violation(&self, state: &LethalState) -> Option<String> {
-        if state.sent_too_late {
-            return Some(
-                "it was sent again after all daemons had time to learn of the third termination"
-                    .to_string(),
-            );
-        }
-        state.bystander_refused.then(|| "a request that terminated nothing was refused".to_string())
-    }
-}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,7 @@
 mod members;
 mod messages;
 mod notices;
+mod options;
 mod platform;
 mod pulls;
 mod relays;
@@ -31,15 +32,15 @@
     ActiveConfig, ConfigBundle, DaemonId, DiscoveredTarget, PeerMessage, PoolId, Uptime, VmId,
     WallTime,
 };
-use curlewcleat_keys::{KeyHolder, KeyHolderOptions};
+use curlewcleat_keys::KeyHolder;
 use curlewcleat_sched::{
-    AccountRates, DrainState, EntryOptions, EntryRequests, LevelGuard, MemberOptions, MemberView,
-    PoolScheduler, RateMargin, RolloutLimits, ALL_POOLS,
+    AccountRates, DrainState, EntryRequests, LevelGuard, MemberView, PoolScheduler, ALL_POOLS,
 };
 
 use self::lethal::LethalExchange;
 use self::loads::UnsentLoads;
 use self::notices::ReceivedNotices;
+pub use self::options::NodeOptions;
 use self::rollouts::RolloutExchange;
 use self::stop::HAND_OVER_ACK_WAIT;
 use self::streams::StreamExchange;
@@ -47,50 +48,11 @@
 use crate::config_exchange::ConfigExchange;
 use crate::evacuation_view::EvacuationView;
 use crate::event::{NodeAction, NodeEvent};
-use crate::freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
+use crate::freshness::{PlatformFreshness, ReadRole};
 use crate::target_view::TargetView;
 use crate::vms::VmView;
 use crate::warm_ups::WarmUps;
 
-/// Options of a [`Node`].
-#[derive(Clone, Debug)]
-pub struct NodeOptions {
-    /// Identity of this daemon.
-    pub me: DaemonId,
-    /// Options of the membership view.
-    pub members: MemberOptions,
-    /// Options of the idempotency key store.
-    pub keys: KeyHolderOptions,
-    /// Slots of a key table that this node creates; 0 if the daemon keeps no keys.
-    pub key_slots: u16,
-    /// Options of request handling at the entry daemon.
-    pub entry: EntryOptions,
-    /// How far daemons together may exceed the rates that they share.
-    pub rate_margin: RateMargin,
-    /// Age that offsets one unit of work when the requests of an account are ordered.
-    pub age_per_work: u64,
-    /// Whether placement uses what targets state of their load.
-    pub uses_stated_loads: bool,
-    /// Whether the returns of refused requests are booked.
-    pub books_returns: bool,
-    /// Whether one daemon schedules all pools, so that it can enforce the rates that daemons share.
-    pub one_scheduler: bool,
-    /// Maximum number of requests in progress.
-    pub request_limit: usize,
-    /// Capacity of the link of this VM, in bytes per second.
-    pub link_bytes_per_s: u64,
-    /// Age limits for the view of a platform that few daemons read on behalf of all, `None` if each daemon reads it.
-    pub freshness: Option<FreshnessLimits>,
-    /// Limits on the share of a pool's requests that a version on trial may get, `None` if rollouts are off.
-    pub rollout: Option<RolloutLimits>,
-    /// Time between heartbeats.
-    pub heartbeat_every: Duration,
-    /// Time that the load balancer needs to notice a failing health check.
-    pub drain_grace: Duration,
-    /// Maximum time for which an unreachable platform may delay a planned stop.
-    pub hand_over_limit: Duration,
-}
-
 /// All state machines of one daemon.
 pub struct Node {
     options: NodeOptions,
