--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -527,24 +527,8 @@
     assert_golden("peer-messages.txt", &text)
 }
 
-#[test]
-fn stored_objects_keep_their_format() -> Result<()> {
-    let manifest = ConfigManifest {
-        generation: 2,
-        files: BTreeMap::from([("a.ini".to_string(), "hash".to_string())]),
-        history: vec![ApplyRecord {
-            apply: request(),
-            generation: 2,
-            operator: "amina".to_string(),
-            applied_at: 1_700_000_000,
-            files: vec!["a.ini".to_string()],
-        }],
-    };
-    let table = KeyTable { slots: vec![SlotHolder { holder: daemon(), complete_since_ms: 8 }] };
-    let record = Object {
-        metadata: Metadata { name: "vm-1".to_string(), revision: None },
-        spec: Daemon { address: "10.0.0.2:8201".to_string(), incarnation: 7, capacity: 0 },
-    };
+/// Returns the objects that store the refusal of a whole request and that of a part of prompts.
+fn refused_objects() -> (Object<RefusedRequest>, Object<RefusedRequest>) {
     let targets = [Some(9), None].map(|start| EndedTarget { id: "e-1".to_string(), start });
     let refused = Object {
         metadata: Metadata { name: "place-07".to_string(), revision: None },
@@ -564,6 +548,28 @@
         },
         ..refused.clone()
     };
+    (refused, refused_part)
+}
+
+#[test]
+fn stored_objects_keep_their_format() -> Result<()> {
+    let manifest = ConfigManifest {
+        generation: 2,
+        files: BTreeMap::from([("a.ini".to_string(), "hash".to_string())]),
+        history: vec![ApplyRecord {
+            apply: request(),
+            generation: 2,
+            operator: "amina".to_string(),
+            applied_at: 1_700_000_000,
+            files: vec!["a.ini".to_string()],
+        }],
+    };
+    let table = KeyTable { slots: vec![SlotHolder { holder: daemon(), complete_since_ms: 8 }] };
+    let record = Object {
+        metadata: Metadata { name: "vm-1".to_string(), revision: None },
+        spec: Daemon { address: "10.0.0.2:8201".to_string(), incarnation: 7, capacity: 0 },
+    };
+    let (refused, refused_part) = refused_objects();
     let with_capacity =
         Object { spec: Daemon { capacity: 50, ..record.spec.clone() }, ..record.clone() };
     let text = format!(
--- a/crates/node/tests/lethal_parts.rs
+++ b/crates/node/tests/lethal_parts.rs
@@ -1,103 +1,25 @@
 //! Tests parts of prompts that terminate targets, in a fleet: every daemon holds requests with the part before any list
 //! entry has expired, whichever daemons saw the terminations and whichever are lost, and serves those without it.
 
+#[path = "lethal_parts/fleet.rs"]
+mod fleet;
 mod support;
 
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, FeatureKind, FeatureReport, InterruptionKind, PeerFrame, PeerMessage, PoolHash,
-    RefusalReason, RequestFeature, RequestId, RequestIdentity, RequestInterruption, SharedParts,
-    SuspectsPull, TargetInstance,
+    DaemonId, FeatureKind, FeatureReport, PeerFrame, PeerMessage, PoolHash, RefusalReason,
+    SharedParts, SuspectsPull,
 };
 use curlewcleat_node::{CallerDecision, NodeAction, NodeEvent};
 use curlewcleat_sched::RequestSpec;
 use rstest::rstest;
 
-use support::{mixed_fleet_daemon, spec, target, Fleet};
-
-/// Time within which every daemon has to know: the users' shortest bound.
-const SPREAD_LIMIT: Duration = Duration::from_secs(3);
-/// Time after which the list entry of a terminated target expires.
-const EXPIRY: Duration = Duration::from_millis(3_500);
-const PAUSE: Duration = Duration::from_millis(100);
-const TARGETS: usize = 12;
-/// Terminations after which requests with a part are held.
-const TERMINATIONS: usize = 4;
-const LETHAL: &[&str] = &["system", "lethal"];
-const SOUND: &[&str] = &["system", "other"];
-
-fn part_features(account: &str, parts: &[&str]) -> Vec<RequestFeature> {
-    SharedParts { pool: "p", account: Some(account), ids: parts }.features()
-}
-
-/// Returns the features of a request like no other.
-fn features(number: u128, account: &str, parts: &[&str]) -> Vec<RequestFeature> {
-    let body = number.to_be_bytes();
-    let identity =
-        RequestIdentity { method: "POST", host: "h", path: "/p", caller: account, body: &body };
-    let whole = RequestFeature::from(identity.digest());
-    [whole].into_iter().chain(part_features(account, parts)).collect()
-}
-
-fn list_targets(fleet: &mut Fleet, first: usize) {
-    let listed = (first..TARGETS).map(|number| target(&format!("t{number}"), false)).collect();
-    fleet.targets = (listed, fleet.targets.1 + 1);
-}
-
-fn fleet_of(daemons: usize) -> Fleet {
-    let mut fleet = Fleet::new(daemons);
-    list_targets(&mut fleet, 0);
-    fleet.run(Duration::from_secs(3));
-    fleet
-}
-
-/// Terminates a target under a request with these parts, seen by a daemon.
-fn terminate(fleet: &mut Fleet, index: usize, number: usize, parts: &[&str]) {
-    let account = if number.is_multiple_of(2) { "a" } else { "b" };
-    let interruption = RequestInterruption {
-        instance: TargetInstance { id: format!("t{number}"), start: None },
-        kind: InterruptionKind::Closed,
-        begun: false,
-    };
-    let features = features(number as u128, account, parts);
-    fleet.event(index, NodeEvent::RequestInterrupted(features, interruption));
-    fleet.run(PAUSE);
-}
-
-/// Sends a request with these parts to a daemon; returns the reason if it is refused, and has it served otherwise.
-fn submit(fleet: &mut Fleet, index: usize, number: u128, parts: &[&str]) -> Option<RefusalReason> {
-    let part_features = part_features("a", parts);
-    let spec = RequestSpec { part_features, ..spec(number) };
-    fleet.event(index, NodeEvent::Admit(Box::new(spec)));
-    if fleet.decision(number).is_none() {
-        fleet.run(PAUSE);
-    }
-    match fleet.decision(number) {
-        Some(CallerDecision::Refuse(refusal)) => Some(refusal.reason),
-        Some(CallerDecision::Dispatch(..)) => {
-            fleet.event(index, NodeEvent::AnswerEstablished(RequestId::from_u128(number)));
-            fleet.finish(index, number);
-            None
-        }
-        other => panic!("no decision: {other:?}"),
-    }
-}
-
-/// Terminates a target at each of these daemons in turn, with an answer to another request in between.
-fn terminations(fleet: &mut Fleet, seen_by: [usize; TERMINATIONS]) {
-    for (number, index) in seen_by.into_iter().enumerate() {
-        terminate(fleet, index, number, LETHAL);
-        let reason = submit(fleet, seen_by[0], 900_000 + number as u128, SOUND);
-        assert_eq!(reason, None, "a request without the part");
-    }
-}
-
-fn assert_all(fleet: &mut Fleet, daemons: &[usize], number: u128, reason: RefusalReason) {
-    for (number, index) in (number * 1_000..).zip(daemons) {
-        assert_eq!(submit(fleet, *index, number, LETHAL), Some(reason), "daemon {index}");
-    }
-}
+use fleet::{
+    assert_all, fleet_of, list_targets, part_features, submit, terminate, terminations, EXPIRY,
+    LETHAL, PAUSE, SOUND, SPREAD_LIMIT, TARGETS, TERMINATIONS,
+};
+use support::{mixed_fleet_daemon, spec};
 
 /// No list entry has expired: by then the users' bound has passed.
 #[rstest]
--- a/crates/sched/tests/lethal_crowds/main.rs
+++ b/crates/sched/tests/lethal_crowds/main.rs
@@ -6,12 +6,14 @@
 //! close; its list entry expires 3.5 s later, and the next instance starts after that.
 
 mod crowd;
+mod load;
 
 use std::time::Duration;
 
 use rstest::rstest;
 
-use crowd::{Crowd, CrowdCount, CrowdFaults, COPIES};
+use crowd::{Crowd, COPIES};
+use load::{CrowdCount, CrowdFaults};
 
 const SEEDS: u64 = 10;
 /// Time after which lethal requests terminate their engine: as they begin to run, or after a part of the answer.
--- a/crates/sched/tests/lethal_parts.rs
+++ b/crates/sched/tests/lethal_parts.rs
@@ -1,92 +1,20 @@
-//! Which shared parts of prompts count as lethal: what counts for and against them, and what callers can turn on others.
+//! Which shared parts of prompts count as lethal: what counts for and against them.
+
+#[path = "lethal_parts/attacks.rs"]
+mod attacks;
+#[path = "lethal_parts/daemon.rs"]
+mod daemon;
+#[path = "lethal_parts/exchange.rs"]
+mod exchange;
 
 use std::time::Duration;
 
-use curlewcleat_core::{
-    FeatureKind, InterruptionKind, PoolHash, RequestFeature, RequestIdentity, RequestInterruption,
-    SharedParts, TargetInstance, TargetStart, PART_LIMIT,
-};
-use curlewcleat_sched::{
-    InstancePresence, LethalOptions, LethalRequests, LethalVerdict, UpdateScope,
-};
+use curlewcleat_core::PoolHash;
+use curlewcleat_sched::{InstancePresence, LethalVerdict};
 use proptest::prelude::*;
 use rstest::rstest;
 
-const TARGETS: usize = 20;
-const POOL: &str = "p";
-const MOMENT: Duration = Duration::from_millis(100);
-/// Time after which an answer that began no longer refutes an interruption.
-const LATER: Duration = Duration::from_secs(2);
-
-fn seconds(count: u64) -> Duration {
-    Duration::from_secs(count)
-}
-
-/// Returns the features of a request: the whole, and its shared parts.
-fn request(number: u64, account: &str, parts: &[&str]) -> Vec<RequestFeature> {
-    let body = number.to_be_bytes();
-    let identity =
-        RequestIdentity { method: "POST", host: "h", path: "/p", caller: account, body: &body };
-    let shared = SharedParts { pool: POOL, account: Some(account), ids: parts };
-    [identity.digest().into()].into_iter().chain(shared.features()).collect()
-}
-
-fn closed(number: usize) -> RequestInterruption {
-    let instance = TargetInstance { id: format!("i-{number}"), start: Some(TargetStart(1)) };
-    RequestInterruption { instance, kind: InterruptionKind::Closed, begun: false }
-}
-
-/// One daemon, with the numbers of its next request and target instance.
-struct Daemon {
-    lethal: LethalRequests,
-    now: Duration,
-    next: u64,
-}
-
-impl Daemon {
-    fn new() -> Daemon {
-        let lethal = LethalRequests::new(LethalOptions::default());
-        Daemon { lethal, now: seconds(100), next: 1 }
-    }
-
-    /// Interrupts a request like no other at an instance like no other.
-    fn terminate(&mut self, account: &str, parts: &[&str]) {
-        self.now += MOMENT;
-        self.next += 1;
-        let features = request(self.next, account, parts);
-        self.lethal.record_interruptions(self.now, &features, &closed(self.next as usize));
-    }
-
-    /// Begins the answer to a request.
-    fn answer(&mut self, account: &str, parts: &[&str]) {
-        self.now += MOMENT;
-        let features = request(0, account, parts);
-        self.lethal.record_begun(self.now, PoolHash::of(POOL), &features);
-    }
-
-    /// Returns the verdict on a request like no other.
-    fn verdict(&mut self, account: &str, parts: &[&str]) -> LethalVerdict {
-        self.next += 1;
-        let features = request(self.next, account, parts);
-        self.lethal.verdict(self.now, &features)
-    }
-
-    fn is_held(&mut self, account: &str, parts: &[&str]) -> bool {
-        matches!(self.verdict(account, parts), LethalVerdict::Held(_))
-    }
-
-    /// Lets the list entries of all instances expire.
-    fn expire_entries(&mut self) {
-        self.now += seconds(4);
-        self.lethal.review(self.now, TARGETS, &|_| InstancePresence::Unlisted);
-    }
-
-    /// Sends all reports to another daemon, at once.
-    fn report_to(&self, other: &mut Daemon) -> Vec<RequestFeature> {
-        other.now = other.now.max(self.now);
-        other.lethal.merge(other.now, self.lethal.changes_since(self.now, 0))
-    }
-}
+use daemon::{closed, request, seconds, Daemon, LATER, MOMENT, POOL, TARGETS};
 
 #[test]
 fn unlike_requests_with_a_lethal_part_are_held_and_then_refused() {
@@ -155,34 +83,6 @@
     assert_ne!(daemon.verdict("a", &["system"]), LethalVerdict::Clear);
 }
 
-/// A caller that sends requests that terminate targets under parts of others must not get those refused.
-#[test]
-fn terminations_of_one_account_count_against_that_account_only() {
-    let mut daemon = Daemon::new();
-    for _ in 0..5 {
-        daemon.terminate("attacker", &["part-of-others"]);
-        daemon.answer("b", &["other"]);
-    }
-    assert!(daemon.is_held("attacker", &["part-of-others"]));
-    assert_eq!(daemon.verdict("victim", &["part-of-others"]), LethalVerdict::Clear);
-    daemon.expire_entries();
-    assert_eq!(daemon.verdict("attacker", &["part-of-others"]), LethalVerdict::Refused);
-    assert_eq!(daemon.verdict("victim", &["part-of-others"]), LethalVerdict::Clear);
-}
-
-/// The parts of an attacker's requests are in use by others, whose answers begin meanwhile.
-#[test]
-fn part_that_others_use_is_not_refused_for_the_terminations_of_two_accounts() {
-    let mut daemon = Daemon::new();
-    for account in ["attacker", "accomplice"].repeat(3) {
-        daemon.terminate(account, &["part-of-others"]);
-        daemon.answer("victim", &["part-of-others"]);
-        daemon.now += LATER;
-    }
-    daemon.expire_entries();
-    assert_eq!(daemon.verdict("victim", &["part-of-others"]), LethalVerdict::Clear);
-}
-
 /// A request that its caller repeats is refused as a whole; others with its parts are not.
 #[test]
 fn repeated_request_is_refused_and_its_parts_are_not() {
@@ -234,16 +134,6 @@
     assert_eq!(daemon.verdict("a", &["subject"]), LethalVerdict::Clear);
 }
 
-/// The last part of a prompt is not among the features; the limit on parts keeps those of a long list apart.
-#[test]
-fn parts_beyond_the_limit_are_no_features() {
-    let ids: Vec<String> = (0..PART_LIMIT + 1).map(|number| number.to_string()).collect();
-    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-    let features = SharedParts { pool: POOL, account: None, ids: &ids }.features();
-    assert_eq!(features.len(), PART_LIMIT);
-    assert!(features.iter().all(|feature| feature.kind == FeatureKind::Part));
-}
-
 /// Two parts, in requests of their own.
 #[rstest]
 #[case::same_time(1)]
@@ -283,101 +173,6 @@
     assert_eq!(daemon.verdict("c", &["lethal"]), LethalVerdict::Clear);
 }
 
-/// Answers and interruptions are seen by different daemons.
-#[test]
-fn daemon_that_saw_the_answer_corrects_the_one_that_saw_the_interruptions() {
-    let (mut first, mut second) = (Daemon::new(), Daemon::new());
-    for account in ["a", "b", "a", "b"] {
-        first.terminate(account, &["shared"]);
-        first.answer("b", &["other"]);
-    }
-    assert!(first.is_held("a", &["shared"]));
-    second.now = first.now;
-    second.answer("a", &["shared"]);
-    let cleared = first.report_to(&mut second);
-    assert!(!cleared.is_empty(), "the other daemon must be told");
-    second.report_to(&mut first);
-    assert_eq!(first.verdict("a", &["shared"]), LethalVerdict::Clear);
-    assert_eq!(second.verdict("a", &["shared"]), LethalVerdict::Clear);
-}
-
-/// A daemon whose callers send nothing but lethal requests has seen no other answer begin.
-#[test]
-fn contrast_is_learned_from_other_daemons() {
-    let (mut first, mut second) = (Daemon::new(), Daemon::new());
-    for account in ["a", "b", "a", "b"] {
-        first.terminate(account, &["lethal"]);
-    }
-    assert_eq!(first.verdict("a", &["lethal"]), LethalVerdict::Clear);
-    first.report_to(&mut second);
-    second.answer("a", &["other"]);
-    second.report_to(&mut first);
-    first.terminate("a", &["lethal"]);
-    assert!(first.is_held("a", &["lethal"]));
-    first.report_to(&mut second);
-    assert!(second.is_held("a", &["lethal"]));
-}
-
-/// Daemons of an earlier version know whole requests only.
-#[test]
-fn reports_on_parts_are_not_among_those_on_whole_requests() {
-    let mut daemon = Daemon::new();
-    daemon.terminate("a", &["shared"]);
-    let kinds = |scope| {
-        let updates = daemon.lethal.updates(daemon.now, 0, scope);
-        updates.reports.iter().map(|report| report.feature.kind).collect::<Vec<_>>()
-    };
-    assert_eq!(kinds(UpdateScope::Requests), [FeatureKind::Request]);
-    assert_eq!(kinds(UpdateScope::Features).len(), 3);
-}
-
-/// A daemon that is told of a part only once it is cleared must not keep it held until then.
-#[test]
-fn cleared_part_is_reported_before_parts_with_one_interruption() {
-    let mut daemon = Daemon::new();
-    for account in ["a", "b", "a", "b"] {
-        daemon.terminate(account, &["shared"]);
-    }
-    let known = daemon.lethal.next_change();
-    for number in 0..100 {
-        daemon.terminate("a", &[&format!("single-{number}")]);
-    }
-    daemon.answer("a", &["shared"]);
-    let updates = daemon.lethal.updates(daemon.now, known, UpdateScope::Features);
-    let shared = request(0, "a", &["shared"])[2];
-    assert!(
-        updates.reports.iter().any(|report| report.feature == shared),
-        "{}",
-        updates.reports.len()
-    );
-}
-
-/// Callers that invent parts must push neither a lethal part nor a lethal request out of the table.
-#[test]
-fn flood_of_parts_is_bounded_and_evicts_no_lethal_feature() {
-    let mut daemon = Daemon::new();
-    let lethal = request(0, "c", &[]);
-    for number in 0..3 {
-        daemon.lethal.record_interruptions(daemon.now, &lethal, &closed(1_000_000 + number));
-    }
-    for account in ["a", "b", "a", "b"] {
-        daemon.terminate(account, &["lethal"]);
-        daemon.answer("b", &["other"]);
-    }
-    daemon.expire_entries();
-    for number in 0..3_000 {
-        let ids: Vec<String> = (0..PART_LIMIT).map(|id| format!("{number}-{id}")).collect();
-        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-        daemon.next += 1;
-        let features = request(daemon.next, "attacker", &ids);
-        daemon.lethal.record_interruptions(daemon.now, &features, &closed(number));
-    }
-    daemon.expire_entries();
-    assert!(daemon.lethal.len() <= 1_024, "{}", daemon.lethal.len());
-    assert_eq!(daemon.verdict("c", &["lethal"]), LethalVerdict::Refused);
-    assert_eq!(daemon.lethal.verdict(daemon.now, &lethal[..1]), LethalVerdict::Refused);
-}
-
 /// A step of one daemon.
 #[derive(Clone, Copy, Debug)]
 enum Step {
