--- a/review/standin.rs
+++ b/review/standin.rs
@@ -43,12 +43,20 @@
     }
 }
 
-/// Ends a case that cannot run.
+/// Ends a case that cannot run. `run.sh` ends the processes that are left.
 pub fn fail(why: &str) -> ! {
     eprintln!("could not run: {why}");
     std::process::exit(COULD_NOT_RUN);
 }
 
+/// Writes down a process that was started, so that `run.sh` can end it whatever happens here.
+fn note_process(id: u32) {
+    let Ok(path) = std::env::var("REVIEW_PIDS") else { return };
+    if let Ok(mut file) = File::options().create(true).append(true).open(path) {
+        let _ = writeln!(file, "{id}");
+    }
+}
+
 /// Whether the disruption takes place.
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
@@ -688,6 +696,7 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|error| fail(&format!("target/release/curlewcleatd: {error}")));
+        note_process(child.id());
         let (front, ready) = (format!("{ip}:{}", ports[0]), format!("{ip}:{}", ports[1]));
         Daemon { name, front, ready, folder, child }
     }
