Standins: the faulty link is shared by soak and acceptance tests, and can stall quiet connections only

The proxy whose connections can stall moves from the soak to the stand-ins, since acceptance tests need it as well. New: only the connections that have carried no bytes for a time stall, as at a middlebox that forgets idle flows.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -8,11 +8,11 @@
 use curlewcleat_platform::format::Config;
 use curlewcleat_platform::names::{DRAINING, SERVERS};
 use curlewcleat_standins::fleet::{EngineStep, StoreOutage};
+use curlewcleat_standins::link::{FaultyLink, LinkFault};
 
 use crate::evidence::{EngineLeave, KeyRevocation, PlannedStop};
 use crate::extra::StalledConnections;
 use crate::fleet::{DaemonHandle, EngineHandle, SoakFleet, POLL_INTERVAL};
-use crate::link::{FaultyLink, LinkFault};
 use crate::plan::{FaultStep, SoakFault};
 use crate::settings::{AGE_LIMIT, STOP_LIMIT};
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -18,13 +18,13 @@
 };
 use curlewcleat_standins::fleet::{EngineEntry, EngineLinks, EngineRun, FleetEngine, FleetStore};
 use curlewcleat_standins::http::serve_here;
+use curlewcleat_standins::link::FaultyLink;
 use curlewcleat_standins::served::ServedHandler;
 use serde_json::to_value;
 
 use crate::evidence::SoakEvidence;
 use crate::extra::ExtraKind;
 use crate::lethal::{terminate_on_lethal, TerminationFlag};
-use crate::link::FaultyLink;
 use crate::options::SoakOptions;
 use crate::settings::{SoakSettings, AGE_LIMIT, APPLY_LIMIT};
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use curlewcleat_standins::fleet::{EngineLinkFault, EngineStep, ForeignEntry, StoreOutage};
+use curlewcleat_standins::link::LinkFault;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
 use crate::cuts::CutDaemons;
 use crate::extra::{RestartAddress, StalledConnections};
-use crate::link::LinkFault;
 use crate::notices::EngineNotice;
 
 /// Time before the first fault, in which the fleet reaches a steady state.
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -4,11 +4,12 @@
 
 use curlewcleat_soak::{
     check_evidence, kept_seeds, plan, run_soak, with_extra, CallKind, CallOutcome, CallRecord,
-    ExtraKind, FaultStep, KeyRevocation, LinkFault, PlanOptions, PlayedSeed, SoakEvidence,
-    SoakFault, SoakOptions, StalledConnections,
+    ExtraKind, FaultStep, KeyRevocation, PlanOptions, PlayedSeed, SoakEvidence, SoakFault,
+    SoakOptions, StalledConnections,
 };
 use curlewcleat_standins::deployment::create_temp_folder;
 use curlewcleat_standins::fleet::EngineRun;
+use curlewcleat_standins::link::LinkFault;
 use rstest::rstest;
 
 /// Variable in which the system's loader expects additional libraries.
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -24,6 +24,7 @@
     start_tool, wait_listening, wait_until, ChildProcess,
 };
 use crate::http;
+use crate::link::FaultyLink;
 use crate::served::ServedHandler;
 
 /// Number of slots of an engine.
@@ -123,6 +124,13 @@
         Ok(fleet)
     }
 
+    /// Starts a proxy through which the daemons that are started from now on reach the store.
+    pub async fn use_store_link(&mut self) -> Result<FaultyLink> {
+        let link = FaultyLink::start(&self.store_address, None).await?;
+        self.store_address = link.address.clone();
+        Ok(link)
+    }
+
     /// Makes the links from the daemons that are started from now on to the engines able to fail.
     pub fn use_engine_links(&mut self, loader_variable: &str) -> Result<()> {
         self.engine_links = Some(EngineLinks::build(&self.folder, loader_variable)?);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod http;
 pub mod ledger;
+pub mod link;
 pub mod load;
 pub mod platform;
 pub mod relay;
--- a/crates/soak/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use curlewcleat_standins::address::{free_address_at, LOOPBACK};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::address::{free_address_at, LOOPBACK};
 
 /// Size of the read buffer in bytes.
 const CHUNK: usize = 16 << 10;
@@ -52,8 +54,10 @@
     mbps: Option<u64>,
     /// Number of times that [`LinkFault::Stall`] was set.
     stall_faults: Cell<u64>,
-    /// Number of calls of [`FaultyLink::stall_open_connections`].
+    /// Number of calls that stalled open connections.
     stalls_of_open: Cell<u64>,
+    /// Time without bytes from which a connection was stalled by the latest of these calls.
+    stalled_quiet_time: Cell<Duration>,
     changed: Notify,
     connections: RefCell<Vec<actix_rt::task::JoinHandle<()>>>,
 }
@@ -99,6 +103,13 @@
     /// Stalls the open connections permanently: they stay open and carry nothing more, not even their end. New
     /// connections work.
     pub fn stall_open_connections(&self) {
+        self.stall_quiet_connections(Duration::ZERO);
+    }
+
+    /// Same as [`stall_open_connections`](FaultyLink::stall_open_connections), for connections that have carried no
+    /// bytes for `quiet_time`.
+    pub fn stall_quiet_connections(&self, quiet_time: Duration) {
+        self.state.stalled_quiet_time.set(quiet_time);
         self.state.stalls_of_open.set(self.state.stalls_of_open.get() + 1);
         self.state.changed.notify_waiters();
     }
@@ -127,14 +138,15 @@
 }
 
 impl LinkState {
-    /// Waits until the connections that were opened after `stalls_of_open` calls of
-    /// [`FaultyLink::stall_open_connections`] are stalled.
-    async fn stalled_after(&self, stalls_of_open: u64) {
+    /// Waits until a connection is stalled that was opened after `stalls_of_open` of the calls that stall open ones.
+    async fn stalled_after(&self, mut stalls_of_open: u64, last_bytes: &Cell<Instant>) {
         loop {
             let changed = self.changed.notified();
-            if self.stalls_of_open.get() > stalls_of_open {
+            let stalled = self.stalls_of_open.get() > stalls_of_open;
+            if stalled && last_bytes.get().elapsed() >= self.stalled_quiet_time.get() {
                 return;
             }
+            stalls_of_open = self.stalls_of_open.get();
             changed.await;
         }
     }
@@ -143,23 +155,29 @@
 async fn forward_connection(client: TcpStream, target: String, state: Rc<LinkState>) {
     let stalls_of_open = state.stalls_of_open.get();
     let Ok(upstream) = TcpStream::connect(&target).await else { return };
-    let mut forwarding = std::pin::pin!(forward_both_ways(client, upstream, &state));
+    let last_bytes = Cell::new(Instant::now());
+    let mut forwarding = std::pin::pin!(forward_both_ways(client, upstream, &state, &last_bytes));
     tokio::select! {
         () = &mut forwarding => {}
         // Both sockets stay open, and bytes in transit are lost.
-        () = state.stalled_after(stalls_of_open) => std::future::pending().await,
+        () = state.stalled_after(stalls_of_open, &last_bytes) => std::future::pending().await,
     }
 }
 
-async fn forward_both_ways(client: TcpStream, upstream: TcpStream, state: &LinkState) {
+async fn forward_both_ways(
+    client: TcpStream,
+    upstream: TcpStream,
+    state: &LinkState,
+    last_bytes: &Cell<Instant>,
+) {
     // Forward small frames without delay.
     let _ = (client.set_nodelay(true), upstream.set_nodelay(true));
     let (client_read, client_write) = client.into_split();
     let (upstream_read, upstream_write) = upstream.into_split();
     // Both sockets close when either does.
     tokio::select! {
-        () = forward(client_read, upstream_write, state, true) => {}
-        () = forward(upstream_read, client_write, state, false) => {}
+        () = forward(client_read, upstream_write, state, last_bytes, true) => {}
+        () = forward(upstream_read, client_write, state, last_bytes, false) => {}
     }
 }
 
@@ -167,6 +185,7 @@
     mut from: tokio::net::tcp::OwnedReadHalf,
     mut to: tokio::net::tcp::OwnedWriteHalf,
     state: &LinkState,
+    last_bytes: &Cell<Instant>,
     to_upstream: bool,
 ) {
     let mut buffer = vec![0u8; CHUNK];
@@ -176,6 +195,7 @@
         if length == 0 {
             return;
         }
+        last_bytes.set(Instant::now());
         if let Some(mbps) = state.mbps {
             let bytes_per_s = (mbps * BYTES_PER_MEGABIT) as f64;
             tokio::time::sleep(Duration::from_secs_f64(length as f64 / bytes_per_s)).await;
