Watches of the store: one that has stalled is noticed by the version that reads state

Cause: a watch was given up only after a failed read of the configuration that succeeded again, or at its limit of 20 s and a second. Reads use connections of their own, so a watch that stalls alone shows nowhere. Class: the health of one connection is judged by another's, and a limit is a constant where a rule has a bound.

Change: the configuration is read as the list of its kind, which states the store's version at the price of the same call. If it is later than what a watch has delivered, the changes in between are requested by a second call that does not wait; if it finds any, they are applied and the watch is replaced (watch_behind). The same for evacuations and rollouts, which shared the fault. Looked for elsewhere: docs/PROMISES.md, 'Connections that may stall'; kind = files and idle connections to engines are listed there.

Why it works: any change raises the version, and each read proves it.

--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -15,6 +15,7 @@
 mod targets;
 #[cfg(test)]
 mod tests;
+mod watch_check;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -23,7 +24,7 @@
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{DaemonRecord, Generation, ObjectVersion, StoreEra};
 use curlewcleat_node::{FreshnessLimits, NodeEvent, ReadRole};
-use curlewcleat_store::{ConfigRead, Error, FleetPlatform, ListAge, Result};
+use curlewcleat_store::{ConfigAnswer, ConfigRead, Error, FleetPlatform, ListAge, Result};
 use rand::Rng;
 use spdlog::prelude::*;
 use tokio::sync::{watch, Notify};
@@ -62,6 +63,8 @@
     failures: Cell<u64>,
     /// Notified when this daemon has read the configuration and confirmed the one in force.
     read_succeeded: Notify,
+    /// Latest version of the store that a read of the configuration has stated.
+    store_version: watch::Sender<ObjectVersion>,
     /// Unusable list entries of targets.
     target_faults: RefCell<EntryFaults>,
     /// Unusable list entries of daemons.
@@ -90,6 +93,7 @@
         era: Cell::new(0),
         failures: Cell::new(0),
         read_succeeded: Notify::new(),
+        store_version: watch::Sender::new(0),
         target_faults: RefCell::default(),
         daemon_faults: RefCell::default(),
         refusal_faults: RefCell::default(),
@@ -126,10 +130,11 @@
             let sent = Moment::now();
             let role_now = *role.borrow();
             match self.read_config(known, role_now, &mut refusals_known).await {
-                Ok(read) => {
+                Ok(answer) => {
                     back_off.reset();
                     self.log_new_era();
-                    if let ConfigRead::Changed(version, config) = read {
+                    self.record_store_version(answer.store_version);
+                    if let ConfigRead::Changed(version, config) = answer.config {
                         newest = config.bundle.generation;
                         self.context.send_event(NodeEvent::WarmUpLimitsRead(config.warm_up_limits));
                         self.context.apply(config.bundle).await;
@@ -156,7 +161,7 @@
         known: ObjectVersion,
         role: ReadRole,
         refusals_known: &mut Option<ListAge>,
-    ) -> Result<ConfigRead> {
+    ) -> Result<ConfigAnswer> {
         self.context.metrics.count_platform_call("read_config");
         let read = self.platform.read_config(known);
         match (*refusals_known, role) {
--- a/crates/daemon/src/fleet/follow/evacuations.rs
+++ b/crates/daemon/src/fleet/follow/evacuations.rs
@@ -9,11 +9,13 @@
 use curlewcleat_node::NodeEvent;
 use curlewcleat_store::{EntryFault, EvacuationEntries, FaultReason, Result};
 
-use super::list_watch::WATCH_LIMIT;
 use super::targets::wait_until_idle;
+use super::watch_check::WatchCalls;
 use super::{FleetFollower, BACK_OFF, MIN_CALL_INTERVAL, READER_PAUSE};
 use crate::back_off::BackOff;
 
+/// Names of the calls in logs and metrics.
+const CALLS: WatchCalls = WatchCalls { watch: "watch_evacuations", check: "check_evacuations" };
 /// Kind of these entries in logs and metrics.
 const ENTRY_KIND: &str = "evacuation";
 
@@ -34,9 +36,9 @@
             match self.list_evacuations().await {
                 Ok(at) => {
                     back_off.reset();
-                    let watch = |at| self.platform.watch_evacuations(at, WATCH_LIMIT);
+                    let watch = |after, limit| self.platform.watch_evacuations(after, limit);
                     tokio::select! {
-                        () = self.wait_for_list_change("watch_evacuations", at, watch) => {}
+                        () = self.wait_for_list_change(CALLS, at, watch) => {}
                         () = self.wait_for_recovery() => {}
                         () = wait_until_idle(&mut role) => {}
                     }
--- a/crates/daemon/src/fleet/follow/rollouts.rs
+++ b/crates/daemon/src/fleet/follow/rollouts.rs
@@ -12,11 +12,13 @@
 use curlewcleat_node::{NodeEvent, ReadRole};
 use curlewcleat_store::FleetPlatform;
 
-use super::list_watch::WATCH_LIMIT;
+use super::watch_check::WatchCalls;
 use super::{FleetFollower, BACK_OFF, MIN_CALL_INTERVAL, READER_PAUSE};
 use crate::back_off::BackOff;
 use crate::context::DaemonContext;
 
+/// Names of the calls in logs and metrics.
+const CALLS: WatchCalls = WatchCalls { watch: "watch_rollouts", check: "check_rollouts" };
 /// Kind of these entries in logs and metrics.
 const ENTRY_KIND: &str = "rollout";
 
@@ -42,9 +44,9 @@
                         at: list.version,
                         sent,
                     });
-                    let watch = |at| self.platform.watch_rollouts(at, WATCH_LIMIT);
+                    let watch = |after, limit| self.platform.watch_rollouts(after, limit);
                     tokio::select! {
-                        () = self.wait_for_list_change("watch_rollouts", list.version, watch) => {}
+                        () = self.wait_for_list_change(CALLS, list.version, watch) => {}
                         () = self.wait_for_recovery() => {}
                         () = self.signals.rollout_read_requested() => {}
                     }
--- a/crates/daemon/src/fleet/follow/targets.rs
+++ b/crates/daemon/src/fleet/follow/targets.rs
@@ -8,10 +8,11 @@
 
 use curlewcleat_core::{DiscoveredTarget, ObjectVersion, TargetChange};
 use curlewcleat_node::{NodeEvent, ReadRole};
-use curlewcleat_store::{EntryFault, FaultReason, ListAge, TargetList, TargetWatch};
+use curlewcleat_store::{EntryFault, FaultReason, ListAge, Result, TargetList, TargetWatch};
 use spdlog::prelude::*;
 use tokio::sync::watch;
 
+use super::watch_check::WatchCalls;
 use super::{
     wait_until_not_fallback, wait_until_not_idle, FleetFollower, BACK_OFF, MIN_CALL_INTERVAL,
     READER_PAUSE,
@@ -23,6 +24,8 @@
 /// Longest wait of a watch.
 const WATCH_LIMIT: Duration = Duration::from_secs(20);
 
+/// Names of the calls in logs and metrics.
+const CALLS: WatchCalls = WatchCalls { watch: "watch_targets", check: "check_targets" };
 /// Kind of these entries in logs and metrics.
 const ENTRY_KIND: &str = "target";
 
@@ -74,10 +77,8 @@
         tokio::time::sleep(self.limits.read_every).await;
         loop {
             let begun = Instant::now();
-            self.context.metrics.count_platform_call("watch_targets");
-            let watch = self.platform.watch_targets(revision, WATCH_LIMIT);
             let watched = tokio::select! {
-                watched = watch => watched,
+                watched = self.next_target_watch(revision) => watched,
                 _ = self.wait_for_recovery() => return,
             };
             match watched {
@@ -97,8 +98,8 @@
                 }
                 Ok(TargetWatch::HistoryUnavailable) => return,
                 Err(error) => {
-                    self.context.metrics.count_platform_error("watch_targets");
-                    debug!("platform_call_failed", kv: { call = "watch_targets", error = error.to_string() });
+                    self.context.metrics.count_platform_error(CALLS.watch);
+                    debug!("platform_call_failed", kv: { call = CALLS.watch, error = error.to_string() });
                     return;
                 }
             }
@@ -106,6 +107,24 @@
         }
     }
 
+    /// Makes one watch, and checks meanwhile that it delivers.
+    async fn next_target_watch(&self, revision: ObjectVersion) -> Result<TargetWatch> {
+        self.context.metrics.count_platform_call(CALLS.watch);
+        let watch = |after, limit| self.platform.watch_targets(after, limit);
+        let unchanged_until = |watched: &TargetWatch| match watched {
+            TargetWatch::Changes(changes, at, faults)
+                if changes.is_empty() && faults.is_empty() =>
+            {
+                Some(*at)
+            }
+            _ => None,
+        };
+        tokio::select! {
+            watched = watch(revision, WATCH_LIMIT) => watched,
+            missed = self.check_watch(CALLS, revision, &watch, unchanged_until) => missed,
+        }
+    }
+
     /// Waits until a read by this daemon succeeds after a failed one. A watch that was open during the outage may
     /// deliver no further changes.
     pub(super) async fn wait_for_recovery(&self) {
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -35,6 +35,16 @@
     Changed(ObjectVersion, FleetConfig),
 }
 
+/// Answer to a read of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigAnswer {
+    /// The configuration.
+    pub config: ConfigRead,
+    /// Version of the store at the time of the read, to which changes of objects of all kinds contribute; `None` where
+    /// the answer states none.
+    pub store_version: Option<ObjectVersion>,
+}
+
 /// How old a list may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListAge {
@@ -132,8 +142,8 @@
     /// copy.
     fn era(&self) -> StoreEra;
 
-    /// Reads the current configuration, never an older one.
-    fn read_config(&self, known: ObjectVersion) -> StoreFuture<'_, ConfigRead>;
+    /// Reads the current configuration, never an older one, and the version of the store.
+    fn read_config(&self, known: ObjectVersion) -> StoreFuture<'_, ConfigAnswer>;
 
     /// Reads all targets.
     fn list_targets(&self, age: ListAge) -> StoreFuture<'_, TargetList>;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,8 +15,8 @@
 pub use client::{StoreClient, StoreReply, StoreRequest};
 pub use entry_fault::{EntryFault, FaultReason};
 pub use fleet::{
-    ConfigRead, DaemonList, EvacuationEntries, FleetConfig, FleetPlatform, ListAge, ListWatch,
-    RefusalList, RolloutList, StoredRefusal, TargetList, TargetWatch, WireProfile,
+    ConfigAnswer, ConfigRead, DaemonList, EvacuationEntries, FleetConfig, FleetPlatform, ListAge,
+    ListWatch, RefusalList, RolloutList, StoredRefusal, TargetList, TargetWatch, WireProfile,
 };
 pub use http::HttpStore;
 pub use store::{
