Accounts: one without keys stays an account, which nobody can use

Cause: the translation left out a tenant without keys, and a configuration without accounts admits requests without a key. Class: an empty value is read as a permission.

Why it works: accounts are missing only where the configuration has no tenants.

--- a/crates/acceptance/tests/fleet.rs
+++ b/crates/acceptance/tests/fleet.rs
@@ -378,6 +378,27 @@
     Ok(())
 }
 
+/// Guards against requests that run without any key after the last key of the last account was taken away.
+#[actix_rt::test]
+async fn nobody_is_admitted_after_the_last_key_was_taken_away() -> Result<()> {
+    let mut fleet = ready("last-key", 2, 1, 0).await?;
+    fleet.config.tenants.iter_mut().for_each(|tenant| tenant.api_keys.clear());
+    fleet.store_config()?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let keys = [Some(DRIVERS_KEY), Some(DEPOTS_KEY), Some("never held"), Some(""), None];
+    for (daemon, number) in fleet.daemons.iter().zip(0..) {
+        for (key, other) in keys.into_iter().zip(0..) {
+            let attempt = format!("k{number}-{other}");
+            let answer = Call::new("/again/a", &attempt).key(key).send(&daemon.callers).await?;
+            assert_eq!((answer.status, runs(&fleet, &attempt)), (401, 0), "{key:?}");
+        }
+        let attempt = format!("open{number}");
+        let open = Call::new("/once/open/a", &attempt).key(None).send(&daemon.callers).await?;
+        assert_eq!((open.status, runs(&fleet, &attempt)), (200, 1));
+    }
+    Ok(())
+}
+
 #[rstest]
 #[case::watched("watched", false)]
 #[case::history_gone("gone", true)]
--- a/crates/config/src/check/file.rs
+++ b/crates/config/src/check/file.rs
@@ -14,6 +14,9 @@
 use crate::problem::{CheckReport, ConfigProblem};
 use crate::reader::{IniFile, IniSection};
 
+/// Value of `token_sha256` for an account that has no tokens.
+const NO_TOKENS: &str = "none";
+
 /// The content of a section.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum SectionContent {
@@ -116,15 +119,7 @@
     section: &mut IniSection<'_>,
     report: &mut CheckReport,
 ) -> SectionContent {
-    let text = section.required("token_sha256", report);
-    let tokens: Vec<TokenHash> = text.split(',').filter_map(TokenHash::from_hex).collect();
-    if tokens.len() != text.split(',').count() && !text.is_empty() {
-        section.report_problem(
-            "token_sha256",
-            "should be the 64 hexadecimal digits of the token's SHA-256, or several of these separated by commas",
-            report,
-        );
-    }
+    let tokens = read_tokens(section, report);
     let rank = section.text("rank").map(|_| section.number("rank", 0, 0..=15, report) as u8);
     let shared_rate = read_shared_rate(section, report);
     let weight = section.number("weight", 1, 1..=1_000, report) as u32;
@@ -142,6 +137,23 @@
     })
 }
 
+/// Reads the hashes of an account's tokens. An account without tokens stays an account, which nobody can use.
+fn read_tokens(section: &mut IniSection<'_>, report: &mut CheckReport) -> Vec<TokenHash> {
+    let text = section.required("token_sha256", report);
+    if text == NO_TOKENS {
+        return Vec::new();
+    }
+    let tokens: Vec<TokenHash> = text.split(',').filter_map(TokenHash::from_hex).collect();
+    if tokens.len() != text.split(',').count() && !text.is_empty() {
+        section.report_problem(
+            "token_sha256",
+            "should be the 64 hexadecimal digits of the token's SHA-256, several of these separated by commas, or none",
+            report,
+        );
+    }
+    tokens
+}
+
 fn read_callers(
     _: String,
     section: &mut IniSection<'_>,
