Configuration of a platform: decoded by the adapter itself, one unusable value affects its own route or tenant

Cause: the platform's configuration was written out as the operators' INI files and parsed again under the narrower rules of that syntax; one section that failed made all of it invalid. Class: a second language in between. Related: whether callers need keys was deduced from the number of accounts.

Change: the adapter decodes the configuration into the checked types; daemons exchange these as a document, not as files. What cannot be used closes its route (rule_closed) or tenant (account_closed), or is replaced by the most restrictive value, and is logged, counted and shown. Whether callers need keys is a stated value. Only an object that is no configuration is left out; the daemons that read it are then unready at once. Ranks keep the order of any priorities.

Why it works: no value has to pass the syntax of another format.

--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -75,7 +75,7 @@
 /// compress better than real ones.
 fn rule_bundle(generation: u64, count: usize) -> ConfigBundle {
     let hex = |number: usize| -> String {
-        let hash = hash_token(&number.to_string());
+        let hash = hash_token(number.to_string());
         hash.bytes().iter().take(4).map(|byte| format!("{byte:02x}")).collect()
     };
     let rule = |index: usize| {
--- a/crates/bench/src/support.rs
+++ b/crates/bench/src/support.rs
@@ -62,7 +62,7 @@
     }
     let mut account_text = String::new();
     for index in 0..accounts {
-        let hash = hash_token(&index.to_string());
+        let hash = hash_token(index.to_string());
         let hex: String = hash.bytes().iter().map(|byte| format!("{byte:02x}")).collect();
         account_text.push_str(&format!(
             "[account account-{index:04}]\ntoken_sha256 = {hex}\nqueue_limit = 1000000\n"
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -3,6 +3,7 @@
 //! Owns: the checks across files: unique names, ranks and tokens, and references. Relies on: [`CheckedFile`] for the
 //! checks within one file.
 
+mod defaults;
 mod file;
 mod pool;
 
@@ -10,6 +11,7 @@
 
 use curlewcleat_core::{ActiveConfig, ClientAccount, Generation, TargetEntry, TierRule};
 
+pub use defaults::{default_pool, ACCOUNT_QUEUE_LIMIT, TIER_DEADLINE};
 pub use file::CheckedFile;
 
 use self::file::{CheckedSection, SectionContent};
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 mod apply;
 mod archive;
 mod check;
+mod document;
 mod manifest;
 mod problem;
 mod reader;
@@ -14,7 +15,8 @@
 
 pub use apply::{ApplyAction, ApplyEvent, ApplyOptions, ApplyResult, ConfigApply};
 pub use archive::{ArchiveError, ConfigArchive, MAX_ARCHIVE_BYTES, MAX_PART_BYTES};
-pub use check::check_files;
+pub use check::{check_files, default_pool, ACCOUNT_QUEUE_LIMIT, TIER_DEADLINE};
+pub use document::{DocumentError, DOCUMENT_FILE};
 pub use manifest::{content_hash, ApplyRecord, ConfigManifest, MAX_HISTORY_LENGTH};
 pub use manifest::{content_key, manifest_bytes, parse_manifest, MANIFEST_KEY};
 pub use problem::{CheckReport, ConfigProblem};
--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -10,6 +10,7 @@
 
 use crate::archive::{ArchiveError, ConfigArchive};
 use crate::check::{merge_files, CheckedFile};
+use crate::document;
 use crate::problem::CheckReport;
 
 /// The outcome of offering a configuration to the store.
@@ -32,9 +33,16 @@
     files: BTreeMap<String, Arc<CheckedFile>>,
     /// The texts in compressed form, made when a peer first requests them.
     archive: Option<ConfigArchive>,
+    /// Whether configurations of a platform are accepted, which pass no checks of operators' files.
+    accepts_documents: bool,
 }
 
 impl ConfigStore {
+    /// Creates a store for a platform that keeps the configuration itself.
+    pub fn for_platform() -> ConfigStore {
+        ConfigStore { accepts_documents: true, ..ConfigStore::default() }
+    }
+
     /// Returns the generation in force, 0 if there is none.
     pub fn generation(&self) -> Generation {
         self.active.generation
@@ -67,19 +75,45 @@
         if bundle.generation <= self.generation() {
             return OfferResult::Stale;
         }
+        match document::decode(&bundle).filter(|_| self.accepts_documents) {
+            None => self.offer_files(bundle),
+            Some(Ok(config)) => self.accept(config, BTreeMap::new(), bundle),
+            Some(Err(error)) => invalid_document(&error),
+        }
+    }
+
+    /// Puts a configuration in force that the platform's adapter has decoded, under the same condition.
+    pub fn offer_decoded(&mut self, config: ActiveConfig) -> OfferResult {
+        if config.generation <= self.generation() {
+            return OfferResult::Stale;
+        }
+        match document::encode(&config) {
+            Ok(bundle) => self.accept(config, BTreeMap::new(), bundle),
+            Err(error) => invalid_document(&error),
+        }
+    }
+
+    fn offer_files(&mut self, bundle: ConfigBundle) -> OfferResult {
         let files = self.checked_files(&bundle);
         match merge_files(bundle.generation, files.values().map(Arc::as_ref)) {
-            Ok(active) => {
-                self.active = Arc::new(active);
-                self.files = files;
-                self.bundle = Some(bundle);
-                self.archive = None;
-                OfferResult::Accepted
-            }
+            Ok(active) => self.accept(active, files, bundle),
             Err(report) => OfferResult::Invalid(report),
         }
     }
 
+    fn accept(
+        &mut self,
+        active: ActiveConfig,
+        files: BTreeMap<String, Arc<CheckedFile>>,
+        bundle: ConfigBundle,
+    ) -> OfferResult {
+        self.active = Arc::new(active);
+        self.files = files;
+        self.bundle = Some(bundle);
+        self.archive = None;
+        OfferResult::Accepted
+    }
+
     /// Checks the files of an offered configuration; reuses the result for files equal to those in force.
     fn checked_files(&self, offered: &ConfigBundle) -> BTreeMap<String, Arc<CheckedFile>> {
         let checked = offered.files.iter().map(|(name, text)| {
@@ -94,3 +128,9 @@
         self.files.get(name).filter(|_| in_force == text).map(Arc::clone)
     }
 }
+
+fn invalid_document(error: &document::DocumentError) -> OfferResult {
+    let mut report = CheckReport::default();
+    report.add(document::DOCUMENT_FILE, "", "", error.to_string());
+    OfferResult::Invalid(report)
+}
--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -1,12 +1,28 @@
 //! Hashes of the bearer tokens of client accounts; only the SHA-256 of a token is ever stored.
 
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
 /// SHA-256 of a bearer token. Equality is checked in constant time.
-#[derive(Clone, Debug, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct TokenHash([u8; 32]);
 
+impl From<TokenHash> for String {
+    fn from(hash: TokenHash) -> String {
+        hash.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
+impl TryFrom<String> for TokenHash {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<TokenHash, String> {
+        TokenHash::from_hex(&text).ok_or_else(|| format!("'{text}' is not a SHA-256 in hex digits"))
+    }
+}
+
 impl std::hash::Hash for TokenHash {
     fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
         self.0.hash(state);
@@ -39,7 +55,7 @@
     }
 }
 
-/// Returns the hash of a bearer token in the form that the configuration stores.
-pub fn hash_token(token: &str) -> TokenHash {
-    TokenHash(Sha256::digest(token.as_bytes()).into())
+/// Returns the hash of a bearer token, which may be any bytes, in the form that the configuration stores.
+pub fn hash_token(token: impl AsRef<[u8]>) -> TokenHash {
+    TokenHash(Sha256::digest(token).into())
 }
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -2,6 +2,7 @@
 //!
 //! Owns: the validated configuration, which never changes once built. Relies on: `config` for the validation.
 
+mod config_fault;
 mod rule;
 
 use std::collections::BTreeMap;
@@ -10,15 +11,17 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use config_fault::*;
 pub use rule::*;
 
 use crate::{
-    AccountId, DaemonId, DataCentreId, Generation, PoolId, TargetId, TargetInstance, TargetStart,
-    TargetVersion, TierId, TierRank, TokenHash, VmId,
+    AccountId, DaemonId, DataCentreId, Generation, PoolId, RefusalReason, TargetId, TargetInstance,
+    TargetStart, TargetVersion, TierId, TierRank, TokenHash, VmId,
 };
 
 /// A tier of requests. Tiers with a lower rank number are served first and shed last.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct TierRule {
     /// Name of the tier.
     pub id: TierId,
@@ -29,7 +32,8 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ClientAccount {
     /// Name of the account.
     pub id: AccountId,
@@ -45,10 +49,13 @@
     pub rate_per_s: Option<u32>,
     /// Highest number of the account's requests that may wait in one pool at the same time.
     pub queue_limit: u32,
+    /// Whether all requests of the account are refused, because part of its configuration cannot be used.
+    pub closed: bool,
 }
 
 /// Rate limit of a client account over all daemons together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct SharedRate {
     /// Units per second.
     pub per_s: u64,
@@ -59,7 +66,7 @@
 }
 
 /// How many units of a shared rate a request uses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RateUnit {
     /// One unit per request.
     Request,
@@ -68,7 +75,7 @@
 }
 
 /// Kind of the targets of a pool.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum PoolKind {
     /// Model engines, which stream long answers.
     #[default]
@@ -78,7 +85,8 @@
 }
 
 /// Limits on one exchange with a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct TargetLimits {
     /// Longest time to connect.
     pub connect: Duration,
@@ -96,7 +104,8 @@
 }
 
 /// A pool of targets that serve the same requests.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct TargetPool {
     /// Name of the pool.
     pub id: PoolId,
@@ -130,8 +139,10 @@
     /// Path at which targets report their load and cache events, `None` where they do not.
     pub report_path: Option<String>,
     /// Targets of the pool by name.
+    #[serde(skip)]
     pub targets: BTreeMap<TargetId, TargetEntry>,
     /// Whether answers of the pool's targets are recorded because a rollout is running.
+    #[serde(skip)]
     pub has_rollout: bool,
 }
 
@@ -220,7 +231,8 @@
 }
 
 /// A complete configuration that passed every check.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ActiveConfig {
     /// Position in the order of all accepted configurations.
     pub generation: Generation,
@@ -229,6 +241,7 @@
     /// Accounts by name.
     pub accounts: BTreeMap<AccountId, ClientAccount>,
     /// Account names by the hash of each token.
+    #[serde(skip)]
     pub tokens: BTreeMap<TokenHash, AccountId>,
     /// Pools by name.
     pub pools: BTreeMap<PoolId, TargetPool>,
@@ -236,6 +249,20 @@
     pub rules: Vec<Arc<AdmissionRule>>,
     /// Time for which a caller's connection may be idle, `None` where the daemon's settings decide.
     pub idle_limit: Option<Duration>,
+    /// Whether requests need the token of an account.
+    pub authentication: CallerAuthentication,
+    /// Values that cannot be used as they stand, and what follows from each.
+    pub faults: Vec<ConfigFault>,
+}
+
+/// Whether requests under rules that are not public need the token of an account.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum CallerAuthentication {
+    /// They do.
+    #[default]
+    Required,
+    /// They are admitted without an account.
+    NotRequired,
 }
 
 impl ActiveConfig {
@@ -244,6 +271,38 @@
         self.tokens.get(token).and_then(|id| self.accounts.get(id))
     }
 
+    /// Fills the index of tokens. A token that several accounts have belongs to the first of them by name.
+    pub fn index_tokens(&mut self) {
+        self.tokens.clear();
+        for account in self.accounts.values() {
+            for token in &account.tokens {
+                self.tokens.entry(token.clone()).or_insert_with(|| account.id.clone());
+            }
+        }
+    }
+
+    /// Returns the account that a request under a rule belongs to, `None` where it needs none.
+    ///
+    /// # Errors
+    /// The reason for which the request is refused.
+    pub fn authenticate(
+        &self,
+        rule: &AdmissionRule,
+        token: Option<&TokenHash>,
+    ) -> Result<Option<&ClientAccount>, RefusalReason> {
+        if rule.closed {
+            return Err(RefusalReason::RuleClosed);
+        }
+        if rule.public || self.authentication == CallerAuthentication::NotRequired {
+            return Ok(None);
+        }
+        let account = token.and_then(|token| self.account_of(token));
+        match account.ok_or(RefusalReason::Unauthorized)? {
+            account if account.closed => Err(RefusalReason::AccountClosed),
+            account => Ok(Some(account)),
+        }
+    }
+
     /// Returns the first rule that matches a request.
     pub fn rule_for<'a>(
         &self,
--- a/crates/core/src/model/rule.rs
+++ b/crates/core/src/model/rule.rs
@@ -4,22 +4,28 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{AccountId, PoolId, TierId};
 
 /// A rule that assigns a tier and a pool to the requests that it matches.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct AdmissionRule {
     /// Name of the rule.
     pub id: String,
     /// Rules are evaluated in ascending order of this number.
     pub order: u32,
     /// HTTP method, `None` for any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub method: Option<String>,
     /// Path; a trailing `*` matches any suffix.
     pub path: String,
     /// Client account, `None` for any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub account: Option<AccountId>,
     /// Header name in lower case and its value, `None` for any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub header: Option<(String, String)>,
     /// Tier of the matched requests.
     pub tier: TierId,
@@ -30,17 +36,22 @@
     /// Longest body in bytes.
     pub body_limit: usize,
     /// Host of the request, `None` for any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub host: Option<String>,
     /// Pools that share the requests, with their weights; empty where `pool` gets all of them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub split: Vec<PoolShare>,
     /// Whether requests need no account.
     pub public: bool,
     /// Time limits and attempts of the requests.
     pub service: ServiceLimits,
+    /// Whether all requests under the rule are refused, because part of its configuration cannot be used.
+    pub closed: bool,
 }
 
 /// A pool's share of a rule's requests.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct PoolShare {
     /// The pool.
     pub pool: PoolId,
@@ -49,13 +60,17 @@
 }
 
 /// Time limits, attempts and streaming behaviour of a rule's requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ServiceLimits {
     /// Longest time from the request to the end of its answer, `None` where only the deadline applies.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub timeout: Option<Duration>,
     /// Longest time to the first part of the answer that still meets the latency objective.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub objective: Option<Duration>,
     /// Longest pause between two parts of the answer that still meets the latency objective.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pause_limit: Option<Duration>,
     /// Highest number of targets to which one request may be sent.
     pub attempt_limit: u32,
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -119,6 +119,10 @@
         RequestLethal => "request_lethal",
         /// The request takes up a stream, and no daemon knows the version of the target that began it.
         StreamVersionUnknown => "stream_version_unknown",
+        /// Part of the rule's configuration cannot be used.
+        RuleClosed => "rule_closed",
+        /// Part of the account's configuration cannot be used.
+        AccountClosed => "account_closed",
     }
 }
 
--- a/crates/daemon/src/config_freshness.rs
+++ b/crates/daemon/src/config_freshness.rs
@@ -11,6 +11,8 @@
     confirmed_at: Cell<Option<Moment>>,
     /// Whether the latest read by this daemon failed.
     failing: Cell<bool>,
+    /// Whether the newest object at the platform is no configuration.
+    unusable: Cell<bool>,
 }
 
 impl ConfigFreshness {
@@ -30,6 +32,16 @@
         self.failing.set(true);
     }
 
+    /// Records whether the object that this daemon has read is no configuration.
+    pub fn set_unusable(&self, unusable: bool) {
+        self.unusable.set(unusable);
+    }
+
+    /// Returns whether the newest object at the platform is no configuration, so that an earlier one is in force.
+    pub fn is_unusable(&self) -> bool {
+        self.unusable.get()
+    }
+
     /// Returns whether the latest read by this daemon failed.
     pub fn is_failing(&self) -> bool {
         self.failing.get()
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -27,7 +27,7 @@
     /// A caller's request; the node's decisions about it go to the sender.
     Admit(Box<RequestSpec>, mpsc::UnboundedSender<CallerDecision>),
     /// A configuration read from the platform; the sender is notified once the node has handled it.
-    Apply(curlewcleat_core::ConfigBundle, oneshot::Sender<()>),
+    Apply(Box<ActiveConfig>, oneshot::Sender<()>),
     /// A request for the node's status.
     Status(oneshot::Sender<NodeStatus>),
     /// A request for peers that may relay connections; the number selects where the list begins.
@@ -179,9 +179,9 @@
     }
 
     /// Passes a configuration to the node and waits until the node has handled it.
-    pub async fn apply(&self, bundle: curlewcleat_core::ConfigBundle) {
+    pub async fn apply(&self, config: ActiveConfig) {
         let (sender, receiver) = oneshot::channel();
-        if self.node.send(NodeMessage::Apply(bundle, sender)).is_ok() {
+        if self.node.send(NodeMessage::Apply(Box::new(config), sender)).is_ok() {
             // The node's thread ends last; a dropped sender means that the process is ending.
             let _ = receiver.await;
         }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -264,18 +264,20 @@
 }
 
 /// Answers an operator. The readiness check fails while requests with a token are refused because of a stale
-/// configuration.
+/// configuration, and while they will be because the newest object at the platform is no configuration.
 async fn operator_answer(
     context: DaemonContext,
     freshness: Rc<ConfigFreshness>,
     request: Request,
 ) -> Response<BoxBody> {
     let fresh = freshness.allows(context.bounds().config_age_limit);
-    if !fresh && request.path() == "/readyz" {
-        return Response::with_body(
-            StatusCode::SERVICE_UNAVAILABLE,
-            BoxBody::new("configuration stale"),
-        );
+    let problem = match (freshness.is_unusable(), fresh) {
+        (true, _) => "newest configuration unusable",
+        (false, false) => "configuration stale",
+        (false, true) => return serve_operator(context, request).await,
+    };
+    match request.path() {
+        "/readyz" => Response::with_body(StatusCode::SERVICE_UNAVAILABLE, BoxBody::new(problem)),
+        _ => serve_operator(context, request).await,
     }
-    serve_operator(context, request).await
 }
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -134,11 +134,22 @@
                     back_off.reset();
                     self.log_new_era();
                     self.record_store_version(answer.store_version);
-                    if let ConfigRead::Changed(version, config) = answer.config {
-                        newest = config.bundle.generation;
-                        self.context.send_event(NodeEvent::WarmUpLimitsRead(config.warm_up_limits));
-                        self.context.apply(config.bundle).await;
-                        known = version;
+                    match answer.config {
+                        ConfigRead::Absent | ConfigRead::Unchanged => {}
+                        ConfigRead::Changed(version, read) => {
+                            self.signals.freshness.set_unusable(false);
+                            newest = read.config.generation;
+                            known = version;
+                            let limits = NodeEvent::WarmUpLimitsRead(read.warm_up_limits);
+                            self.context.send_event(limits);
+                            self.context.apply(read.config).await;
+                        }
+                        ConfigRead::Unusable(version, problem) => {
+                            self.signals.freshness.set_unusable(true);
+                            newest = Generation::MAX;
+                            known = version;
+                            error!("config_invalid", kv: { generation = 0, problems = problem });
+                        }
                     }
                     let in_force = self.context.config().generation >= newest;
                     if known > 0 && in_force {
--- a/crates/daemon/src/headers.rs
+++ b/crates/daemon/src/headers.rs
@@ -40,9 +40,9 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
-/// Sets a header. A text that is no valid header value is logged and left out.
+/// Sets a header to the bytes of a text. A text that is no valid header value is logged and left out.
 pub fn set(headers: &mut HeaderMap, name: HeaderName, text: &str) {
-    match HeaderValue::from_str(text) {
+    match HeaderValue::from_bytes(text.as_bytes()) {
         Ok(value) => drop(headers.insert(name, value)),
         Err(error) => {
             warn!("header_left_out", kv: { header = name.as_str(), error = error.to_string() })
@@ -50,10 +50,11 @@
     }
 }
 
-/// Returns the bearer token (RFC 6750).
-pub fn bearer_token(headers: &HeaderMap) -> Option<&str> {
-    let (scheme, token) = text(headers, "authorization")?.split_once(' ')?;
-    scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
+/// Returns the bearer token (RFC 6750), which may be any bytes.
+pub fn bearer_token(headers: &HeaderMap) -> Option<&[u8]> {
+    let value = headers.get("authorization")?.as_bytes();
+    let (scheme, token) = value.split_at(value.iter().position(|byte| *byte == b' ')?);
+    scheme.eq_ignore_ascii_case("bearer".as_bytes()).then(|| token.trim_ascii())
 }
 
 /// Returns the time for which the caller waits, or `None` if no header gives it.
--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
+use curlewcleat_core::FaultEffect;
 use curlewcleat_node::NodeStatus;
 use curlewcleat_peers::TransportCounts;
 use prometheus::{IntGauge, IntGaugeVec, Result};
@@ -19,6 +20,7 @@
 /// All gauges of one daemon.
 pub struct StatusGauges {
     generation: IntGauge,
+    config_faults: IntGaugeVec,
     table_version: IntGauge,
     key_slots: IntGauge,
     keys: IntGauge,
@@ -45,6 +47,11 @@
         let intake_help = "Bytes of configurations that peers have sent since the start";
         Ok(StatusGauges {
             generation: registry.gauge("config_generation", "Configuration in force")?,
+            config_faults: registry.gauges(
+                "config_faults",
+                "Values of the configuration in force that cannot be used",
+                "effect",
+            )?,
             table_version: registry.gauge("key_table_version", "Known key table")?,
             key_slots: registry.gauge("key_slots", "Key slots held")?,
             keys: registry.gauge("keys", "Keys held")?,
@@ -95,6 +102,10 @@
     /// Sets all gauges from a status, the transport's counts and the process's memory.
     pub fn set(&self, status: &NodeStatus) {
         self.generation.set(status.generation as i64);
+        for effect in FaultEffect::ALL {
+            let faults = status.config_faults.iter().filter(|fault| fault.effect == effect);
+            self.config_faults.with_label_values(&[effect.code()]).set(faults.count() as i64);
+        }
         self.table_version.set(status.table as i64);
         self.key_slots.set(status.key_slots as i64);
         self.keys.set(status.keys as i64);
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -112,8 +112,8 @@
                 self.decision_senders.insert(spec.request, sender);
                 self.handle_event(NodeEvent::Admit(spec));
             }
-            NodeMessage::Apply(bundle, sender) => {
-                self.handle_event(NodeEvent::ConfigRead(bundle));
+            NodeMessage::Apply(config, sender) => {
+                self.handle_event(NodeEvent::ConfigDecoded(config));
                 // The sender of the configuration may have stopped waiting.
                 let _ = sender.send(());
             }
--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -4,11 +4,14 @@
 
 use std::collections::BTreeSet;
 
-use curlewcleat_core::{DataCentreId, FeatureReport};
+use curlewcleat_core::{ConfigFault, DataCentreId, FeatureReport, Generation};
 use curlewcleat_node::{InstanceChange, NodeNote, PoolStatus, RolloutStatus};
 use curlewcleat_sched::RolloutReason;
 use spdlog::prelude::*;
 
+/// Most unusable values that are logged for one configuration.
+const MAX_LOGGED_FAULTS: usize = 20;
+
 /// Logs a note of the node.
 pub fn log_node_note(note: &NodeNote) {
     match note {
@@ -18,6 +21,7 @@
         NodeNote::ConfigInvalid(generation, report) => {
             error!("config_invalid", kv: { generation = *generation, problems = report.to_string() });
         }
+        NodeNote::ConfigFaults(generation, faults) => log_config_faults(*generation, faults),
         NodeNote::ConfigNotPacked(generation, error) => {
             error!("config_not_packed", kv: { generation = *generation, error = error.as_str() });
         }
@@ -124,3 +128,14 @@
         }),
     }
 }
+
+/// Logs the first values of a configuration that cannot be used, and how many there are.
+fn log_config_faults(generation: Generation, faults: &[ConfigFault]) {
+    warn!("config_faults", kv: { generation, faults = faults.len() });
+    for fault in faults.iter().take(MAX_LOGGED_FAULTS) {
+        warn!("config_fault", kv: {
+            generation, path = fault.path.as_str(), value = fault.value.as_str(),
+            problem = fault.problem.as_str(), effect = fault.effect.code()
+        });
+    }
+}
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -13,6 +13,9 @@
 use crate::byte_budget::SharedBudget;
 use crate::context::DaemonContext;
 
+/// Most unusable values of a configuration that the status lists.
+const MAX_LISTED_FAULTS: usize = 50;
+
 /// Serves one request of an operator, a load balancer or a metrics scraper.
 pub async fn serve_operator(context: DaemonContext, request: Request) -> Response<BoxBody> {
     match (request.method(), request.path()) {
@@ -78,7 +81,7 @@
     json!({
         "vm": status.me.vm, "incarnation": status.me.incarnation.to_string(),
         "data_centre": context.settings.data_centre,
-        "generation": status.generation, "key_table": status.table, "key_slots": status.key_slots,
+        "generation": status.generation, "config_faults": config_faults_json(status), "key_table": status.table, "key_slots": status.key_slots,
         "keys": status.keys, "requests": status.requests,
         "evacuated": status.evacuated,
         "targets_unreachable": context.reach.is_partitioned(), "target_links_lost": context.reach.lost_links(),
@@ -87,6 +90,17 @@
     })
 }
 
+/// Returns how many values of the configuration cannot be used as they stand, and the first of them, as JSON.
+fn config_faults_json(status: &NodeStatus) -> Value {
+    let first = status.config_faults.iter().take(MAX_LISTED_FAULTS).map(|fault| {
+        json!({
+            "path": fault.path, "value": fault.value, "problem": fault.problem,
+            "effect": fault.effect.code(),
+        })
+    });
+    json!({ "count": status.config_faults.len(), "first": first.collect::<Vec<Value>>() })
+}
+
 /// Returns the rollouts, which move pools to targets of other versions, as JSON.
 fn rollouts_json(status: &NodeStatus) -> Value {
     let rollouts = status.rollouts.iter().map(|rollout| {
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -87,13 +87,14 @@
     /// Returns a digest of everything that the caller sends again when it repeats the request. `None` for a body that
     /// is longer than the part read before scheduling: different requests may have the same beginning.
     fn digest(&self, account: Option<&str>) -> Option<RequestDigest> {
+        let token = headers::bearer_token(&self.headers).map(String::from_utf8_lossy);
         let identity = RequestIdentity {
             method: self.method.as_str(),
             // A request without a readable host is repeated without one.
             host: headers::text(&self.headers, "host").unwrap_or_default(),
             path: self.uri.path_and_query().map_or(self.uri.path(), |path| path.as_str()),
             // A caller may send a token even where the rule requires no account.
-            caller: account.or(headers::bearer_token(&self.headers)).unwrap_or_default(),
+            caller: account.or(token.as_deref()).unwrap_or_default(),
             body: self.body.beginning(),
         };
         self.body.is_fully_read().then(|| identity.digest())
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -252,6 +252,8 @@
             StatusCode::GATEWAY_TIMEOUT
         }
         RefusalReason::NoConfiguration
+        | RefusalReason::RuleClosed
+        | RefusalReason::AccountClosed
         | RefusalReason::RateUnknown
         | RefusalReason::ConfigurationStale
         | RefusalReason::Draining
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -2,8 +2,9 @@
 //!
 //! A request is admitted if all of these hold:
 //! - a rule matches its host, method and path;
-//! - the rule is public, or the configuration has no accounts, or its token belongs to an account and the
+//! - the rule is public, or the configuration requires no accounts, or its token belongs to an account and the
 //!   configuration was confirmed recently enough;
+//! - neither the rule nor the account is closed because part of its configuration cannot be used;
 //! - it has an attempt id, and its timeout, if there is one, is readable.
 //!
 //! An unknown token or path is refused without a `Retry-After` only if the configuration was confirmed to be the newest
@@ -99,16 +100,16 @@
         rule: &AdmissionRule,
         head: &HeaderMap,
     ) -> Result<Option<&'c ClientAccount>, Refusal> {
-        if rule.public || config.accounts.is_empty() {
-            return Ok(None);
-        }
-        let token = headers::bearer_token(head);
-        let account = token.and_then(|token| config.account_of(&hash_token(token)));
-        let account = account.ok_or_else(|| self.denied(RefusalReason::Unauthorized))?;
-        if !self.is_config_fresh() {
+        let token = headers::bearer_token(head).map(hash_token);
+        let account = config.authenticate(rule, token.as_ref()).map_err(|reason| match reason {
+            RefusalReason::Unauthorized => self.denied(reason),
+            // Only a change of the configuration helps.
+            _ => Refusal::not_run(reason, None),
+        })?;
+        if account.is_some() && !self.is_config_fresh() {
             return Err(retryable_refusal(RefusalReason::ConfigurationStale));
         }
-        Ok(Some(account))
+        Ok(account)
     }
 
     /// Returns whether the configuration was confirmed recently enough for requests with a token.
@@ -163,6 +164,7 @@
 /// Returns the host of a request without its port.
 fn host_name(head: &HeaderMap) -> &str {
     // A request without a readable host matches only rules without a host.
-    let host = head.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let host = head.get(header::HOST).and_then(|value| std::str::from_utf8(value.as_bytes()).ok());
+    let host = host.unwrap_or_default();
     host.rsplit_once(':').map_or(host, |(name, _)| name)
 }
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -60,6 +60,7 @@
         pool: "p".to_string(),
         repeatable: false,
         body_limit: 0,
+        closed: false,
     }
 }
 
@@ -139,6 +140,7 @@
         weight: 1,
         rate_per_s: None,
         queue_limit: 1,
+        closed: false,
     };
     let counts = counted.then_some(TokenCounts { prompt: 120, output: 40 });
     assert_eq!(cost(&account, counts), expected);
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -101,6 +101,14 @@
             "several targets had terminated while running this request, or others that share a part of its prompt",
             "Requests under which targets end",
         ),
+        RuleClosed => (
+            "part of the route's configuration cannot be used; config_fault in the log names it",
+            "Values that cannot be used",
+        ),
+        AccountClosed => (
+            "part of the account's configuration cannot be used; config_fault in the log names it",
+            "Values that cannot be used",
+        ),
         TargetProtocol => ("the target's answer could not be parsed", "Broken off by a target"),
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -7,11 +7,12 @@
 
 use curlewcleat_config::CheckReport;
 use curlewcleat_core::{
-    AnswerSample, AttemptEnd, ConfigBundle, DaemonId, DaemonRecord, DataCentreId, DiscoveredTarget,
-    EvacuationList, FeatureReport, Generation, KeptAnswer, NoticeReport, ObjectVersion, PeerFrame,
-    PermitId, PoolId, Refusal, RequestDigest, RequestFeature, RequestId, RequestInterruption,
-    RetryReason, RolloutRecord, RolloutWrite, StatedLoad, StreamVersion, TargetChange, TargetEntry,
-    TargetInstance, TargetReport, TargetVersion, Uptime, Verdict, VmId, WarmUpLimit,
+    ActiveConfig, AnswerSample, AttemptEnd, ConfigBundle, ConfigFault, DaemonId, DaemonRecord,
+    DataCentreId, DiscoveredTarget, EvacuationList, FeatureReport, Generation, KeptAnswer,
+    NoticeReport, ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestDigest,
+    RequestFeature, RequestId, RequestInterruption, RetryReason, RolloutRecord, RolloutWrite,
+    StatedLoad, StreamVersion, TargetChange, TargetEntry, TargetInstance, TargetReport,
+    TargetVersion, Uptime, Verdict, VmId, WarmUpLimit,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound, RolloutReason};
@@ -78,6 +79,8 @@
     CallerDisconnected(RequestId),
     /// The configuration that the platform shows.
     ConfigRead(ConfigBundle),
+    /// A configuration that the platform's adapter has decoded.
+    ConfigDecoded(Box<ActiveConfig>),
     /// The key table that the platform shows; `None` if it has none.
     TableRead(Option<(ObjectVersion, KeyTable)>),
     /// The result of proposing a key table.
@@ -232,6 +235,8 @@
     ConfigAccepted(Generation),
     /// A configuration does not pass the checks of this daemon.
     ConfigInvalid(Generation, CheckReport),
+    /// Values of the configuration in force cannot be used as they stand.
+    ConfigFaults(Generation, Vec<ConfigFault>),
     /// The configuration in force cannot be packed for peers.
     ConfigNotPacked(Generation, String),
     /// A configuration that was received from peers cannot be unpacked.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -107,7 +107,10 @@
         let me = options.me.clone();
         Node {
             members: MemberView::new(me.clone(), options.members.clone()),
-            store: ConfigStore::default(),
+            store: match options.freshness {
+                Some(_) => ConfigStore::for_platform(),
+                None => ConfigStore::default(),
+            },
             active: Arc::default(),
             discovered: Vec::new(),
             targets: TargetView::default(),
@@ -190,6 +193,7 @@
                 self.perform(actions);
             }
             NodeEvent::ConfigRead(bundle) => self.config_offered(bundle),
+            NodeEvent::ConfigDecoded(config) => self.decoded_config_offered(*config),
             NodeEvent::TableRead(read) => self.table_read(read),
             NodeEvent::TableWritten(write) => self.table_written(write),
             NodeEvent::TargetReported(pool, target, report) => {
--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use curlewcleat_config::OfferResult;
-use curlewcleat_core::{ConfigBundle, VmId};
+use curlewcleat_core::{ActiveConfig, ConfigBundle, Generation, VmId};
 
 use super::Node;
 use crate::event::{NodeAction, NodeNote};
@@ -15,7 +15,18 @@
 impl Node {
     pub(super) fn config_offered(&mut self, bundle: ConfigBundle) {
         let generation = bundle.generation;
-        match self.store.offer(bundle) {
+        let result = self.store.offer(bundle);
+        self.record_offer(generation, result);
+    }
+
+    pub(super) fn decoded_config_offered(&mut self, config: ActiveConfig) {
+        let generation = config.generation;
+        let result = self.store.offer_decoded(config);
+        self.record_offer(generation, result);
+    }
+
+    fn record_offer(&mut self, generation: Generation, result: OfferResult) {
+        match result {
             OfferResult::Stale => {}
             OfferResult::Invalid(report) => {
                 self.actions.push(NodeAction::Note(NodeNote::ConfigInvalid(generation, report)));
@@ -25,6 +36,11 @@
                 self.rebuild_active();
                 self.refresh_orders();
                 self.actions.push(NodeAction::Note(NodeNote::ConfigAccepted(generation)));
+                let faults = self.store.active().faults.clone();
+                if !faults.is_empty() {
+                    let note = NodeNote::ConfigFaults(generation, faults);
+                    self.actions.push(NodeAction::Note(note));
+                }
             }
         }
     }
--- a/crates/node/src/node/views.rs
+++ b/crates/node/src/node/views.rs
@@ -14,6 +14,7 @@
         NodeStatus {
             me: self.options.me.clone(),
             generation: self.store.generation(),
+            config_faults: self.active.faults.clone(),
             table: self.key_holder.version(),
             key_slots: self.key_holder.slots_held(),
             keys: self.key_holder.keys(),
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, DataCentreId, FeatureReport, Generation, ObjectVersion, PoolId, RequestFeature,
-    RequestRate, RolloutStage, TargetId, TargetVersion, TierRank,
+    ConfigFault, DaemonId, DataCentreId, FeatureReport, Generation, ObjectVersion, PoolId,
+    RequestFeature, RequestRate, RolloutStage, TargetId, TargetVersion, TierRank,
 };
 use curlewcleat_sched::{DrainPhase, PeerState, ReturnCounts};
 
@@ -117,6 +117,8 @@
     pub me: DaemonId,
     /// Configuration in force.
     pub generation: Generation,
+    /// Values of this configuration that cannot be used as they stand.
+    pub config_faults: Vec<ConfigFault>,
     /// Version of the known key table.
     pub table: ObjectVersion,
     /// Features of requests that terminated their targets, or are suspected of it.
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    ConfigBundle, DaemonRecord, DiscoveredTarget, EvacuationList, ObjectVersion, PoolId,
+    ActiveConfig, DaemonRecord, DiscoveredTarget, EvacuationList, ObjectVersion, PoolId,
     RequestDigest, RequestFeature, RolloutRecord, RolloutWrite, StoreEra, TargetChange,
     TargetInstance, WallTime, WarmUpLimit,
 };
@@ -14,13 +14,12 @@
 use crate::entry_fault::EntryFault;
 use crate::store::StoreFuture;
 
-/// A configuration and what it states about targets beyond the configuration files.
+/// A configuration, and what it states that only the daemons that read the platform know.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetConfig {
-    /// The configuration files.
-    pub bundle: ConfigBundle,
-    /// Limits of targets that warm up, for each pool that states one. The files do not hold them, since daemons of an
-    /// earlier version refuse files with unknown keys.
+    /// The configuration.
+    pub config: ActiveConfig,
+    /// Limits of targets that warm up, for each pool that states one.
     pub warm_up_limits: BTreeMap<PoolId, WarmUpLimit>,
 }
 
@@ -32,7 +31,9 @@
     /// The configuration still has the version that the reader knows.
     Unchanged,
     /// The configuration has another version than the reader knows.
-    Changed(ObjectVersion, FleetConfig),
+    Changed(ObjectVersion, Box<FleetConfig>),
+    /// The object has this version and is no configuration, for this reason.
+    Unusable(ObjectVersion, String),
 }
 
 /// Answer to a read of the configuration.
