--- a/crates/acceptance/tests/fleet.rs
+++ b/crates/acceptance/tests/fleet.rs
@@ -533,6 +533,29 @@
     Ok(())
 }
 
+/// Guards against a rate below one a second that is taken for no limit.
+#[actix_rt::test]
+async fn rate_below_one_a_second_limits_an_account() -> Result<()> {
+    let mut fleet = ready("slow-rate", 2, 1, 0).await?;
+    let depots = fleet.config.tenants.iter_mut().find(|tenant| tenant.name == "depots");
+    let depots = depots.expect("the account");
+    (depots.rate_per_s, depots.burst, depots.unit) = (0.5, 2.0, None);
+    fleet.store_config()?;
+    tokio::time::sleep(APPLY_LIMIT).await;
+    let mut admitted = 0;
+    for number in 0..40 {
+        let entry = &fleet.daemons[number % 2].callers;
+        let attempt = format!("t{number}");
+        let answer = Call::new("/again/a", &attempt).key(Some(DEPOTS_KEY)).send(entry).await?;
+        admitted += usize::from(answer.status == 200);
+        assert!(matches!(answer.status, 200 | 429), "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // Within some two seconds, the burst and one request of the rate; one more may be on its way.
+    assert!((1..=4).contains(&admitted), "{admitted} admitted");
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn planned_stop_completes_streams_and_reload_stops_nothing() -> Result<()> {
     let mut fleet = ready("stop", 1, 1, 0).await?;
--- a/crates/config/src/check/file.rs
+++ b/crates/config/src/check/file.rs
@@ -235,7 +235,7 @@
             RateUnit::Request
         }
     };
-    (per_s > 0).then_some(SharedRate { per_s, burst, unit })
+    (per_s > 0).then_some(SharedRate { per_s, burst, unit, scale: 1 })
 }
 
 /// Reads pools and their weights, written as `name:weight` and separated by commas.
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -63,6 +63,8 @@
     pub burst: u64,
     /// The unit in which requests are counted.
     pub unit: RateUnit,
+    /// Units that stand for one of what the unit counts, so that a fraction of it per second can be expressed.
+    pub scale: u64,
 }
 
 /// How many units of a shared rate a request uses.
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -136,7 +136,7 @@
         id: "a".to_string(),
         tokens: Vec::new(),
         rank: None,
-        shared_rate: unit.map(|unit| SharedRate { per_s: 1, burst: 1, unit }),
+        shared_rate: unit.map(|unit| SharedRate { per_s: 1, burst: 1, unit, scale: 1 }),
         weight: 1,
         rate_per_s: None,
         queue_limit: 1,
--- a/crates/daemon/src/request/profile/work.rs
+++ b/crates/daemon/src/request/profile/work.rs
@@ -34,12 +34,14 @@
 
 /// Returns the units that a request counts against its account's shared rate.
 pub fn cost(account: &ClientAccount, tokens: Option<TokenCounts>) -> u64 {
-    match account.shared_rate.map(|rate| rate.unit) {
-        Some(RateUnit::Tokens(plain)) => {
+    let Some(rate) = account.shared_rate else { return 1 };
+    let count = match rate.unit {
+        RateUnit::Request => 1,
+        RateUnit::Tokens(plain) => {
             tokens.map_or(plain, |tokens| tokens.prompt.saturating_add(tokens.output))
         }
-        _ => 1,
-    }
+    };
+    count.saturating_mul(rate.scale)
 }
 
 /// Estimates the work of a request.
--- a/crates/model/src/rates.rs
+++ b/crates/model/src/rates.rs
@@ -18,7 +18,7 @@
 const WINDOW: usize = 4;
 /// Number of steps within which every daemon detects a change.
 const DETECTION_STEPS: u8 = 1;
-const RATE: SharedRate = SharedRate { per_s: 6, burst: 30, unit: RateUnit::Request };
+const RATE: SharedRate = SharedRate { per_s: 6, burst: 30, unit: RateUnit::Request, scale: 1 };
 
 /// A fault injected into the protocol, which the search must detect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/sched/src/admission/shared_rate.rs
+++ b/crates/sched/src/admission/shared_rate.rs
@@ -70,11 +70,16 @@
 }
 
 impl RateMargin {
+    /// Returns the units above a burst.
+    fn units(&self, rate: &SharedRate) -> u64 {
+        self.units.saturating_mul(rate.scale)
+    }
+
     /// Returns the units that a deputy may grant within a window.
     fn reserve(&self, rate: &SharedRate) -> u64 {
         let of_window = u128::from(rate.per_s) * self.window.as_millis() / 1_000;
         let of_rate = of_window * u128::from(self.percent) / 100;
-        u64::try_from(of_rate).unwrap_or(u64::MAX).saturating_add(self.units)
+        u64::try_from(of_rate).unwrap_or(u64::MAX).saturating_add(self.units(rate))
     }
 }
 
@@ -191,7 +196,7 @@
         let saved = per_s * SCALE / NON_LEADER_SAVED_DIVISOR;
         match rate_share.role {
             RateRole::Leader => {
-                let whole_burst = share_of(rate.burst + self.margin.units) * SCALE;
+                let whole_burst = share_of(rate.burst + self.margin.units(rate)) * SCALE;
                 let limit = (whole_burst / LEADER_SAVED_DIVISOR).min(per_s * SCALE);
                 BucketLimits { per_s, limit, burst: whole_burst - limit }
             }
--- a/crates/sched/tests/rates.rs
+++ b/crates/sched/tests/rates.rs
@@ -5,7 +5,8 @@
 use curlewcleat_core::{RateUnit, SharedRate};
 use curlewcleat_sched::{AccountRates, RateMargin, RateRole, RateShare};
 
-const RATE: SharedRate = SharedRate { per_s: 100_000, burst: 100_000, unit: RateUnit::Tokens(200) };
+const RATE: SharedRate =
+    SharedRate { per_s: 100_000, burst: 100_000, unit: RateUnit::Tokens(200), scale: 1 };
 const COST: u64 = 1_000;
 const MARGIN: RateMargin = RateMargin { percent: 5, units: 70_000, window: Duration::from_secs(8) };
 const WHOLE: RateShare = RateShare { reached: 6, all: 6, role: RateRole::Leader };
@@ -149,3 +150,14 @@
     let percent = granted.len() * 100 / 12_000;
     assert!(percent >= 57, "{percent} %");
 }
+
+/// A quarter of a request a second and a burst of one request, in units of a thousandth.
+#[test]
+fn rate_below_one_a_second_is_granted_and_no_more() {
+    let rate = SharedRate { per_s: 250, burst: 1_000, unit: RateUnit::Request, scale: 1_000 };
+    let (mut rates, account) = (AccountRates::default(), "a".to_string());
+    let asked = (10_000..50_000).map(Duration::from_millis);
+    let granted = asked.filter(|now| rates.take(*now, &account, &rate, rate.scale, WHOLE).is_ok());
+    let granted = granted.count();
+    assert!((9..=12).contains(&granted), "{granted} in 40 s");
+}
