--- a/crates/config/src/check/file.rs
+++ b/crates/config/src/check/file.rs
@@ -140,7 +140,7 @@
     })
 }
 
-/// Reads the hashes of an account's tokens. An account without tokens stays an account, which nobody can use.
+/// Reads the hashes of an account's tokens. An account without tokens stays an account, which no caller can use.
 fn read_tokens(section: &mut IniSection<'_>, report: &mut CheckReport) -> Vec<TokenHash> {
     let text = section.required("token_sha256", report);
     if text == NO_TOKENS {
--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -1,4 +1,6 @@
 //! Hashes of the bearer tokens of client accounts; only the SHA-256 of a token is ever stored.
+//!
+//! Owns: the form of a hash in documents. Relies on: nothing.
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
--- a/crates/daemon/src/config_freshness.rs
+++ b/crates/daemon/src/config_freshness.rs
@@ -1,4 +1,6 @@
 //! Tracks when the configuration in force was last confirmed to be the newest.
+//!
+//! Owns: the time of the latest confirmation. Relies on: the reads of this daemon and of its peers.
 
 use std::cell::Cell;
 use std::time::Duration;
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -77,6 +77,14 @@
     evacuation_faults: RefCell<EntryFaults>,
 }
 
+/// The configuration that this daemon has read last.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownConfig {
+    version: ObjectVersion,
+    /// Its generation; the highest one if it is no configuration, so that none in force is the newest.
+    newest: Generation,
+}
+
 /// Starts the tasks that follow the platform on this arbiter.
 pub fn follow_fleet(
     platform: Rc<dyn FleetPlatform>,
@@ -116,9 +124,7 @@
     /// latest confirming read.
     async fn follow_config(self: Rc<Self>) {
         let mut role = self.signals.read_role();
-        let mut known: ObjectVersion = 0;
-        // The configuration read last may not pass the checks; then the one in force is not the newest.
-        let mut newest: Generation = 0;
+        let mut known = KnownConfig::default();
         let mut back_off = BackOff::new(BACK_OFF);
         // The first read is made in any role: a new daemon serves requests before it knows its peers.
         let mut first = true;
@@ -129,30 +135,14 @@
             }
             let sent = Moment::now();
             let role_now = *role.borrow();
-            match self.read_config(known, role_now, &mut refusals_known).await {
+            match self.read_config(known.version, role_now, &mut refusals_known).await {
                 Ok(answer) => {
                     back_off.reset();
                     self.log_new_era();
                     self.record_store_version(answer.store_version);
-                    match answer.config {
-                        ConfigRead::Absent | ConfigRead::Unchanged => {}
-                        ConfigRead::Changed(version, read) => {
-                            self.signals.freshness.set_unusable(false);
-                            newest = read.config.generation;
-                            known = version;
-                            let limits = NodeEvent::WarmUpLimitsRead(read.warm_up_limits);
-                            self.context.send_event(limits);
-                            self.context.apply(read.config).await;
-                        }
-                        ConfigRead::Unusable(version, problem) => {
-                            self.signals.freshness.set_unusable(true);
-                            newest = Generation::MAX;
-                            known = version;
-                            error!("config_invalid", kv: { generation = 0, problems = problem });
-                        }
-                    }
-                    let in_force = self.context.config().generation >= newest;
-                    if known > 0 && in_force {
+                    self.apply_config(answer.config, &mut known).await;
+                    let in_force = self.context.config().generation >= known.newest;
+                    if known.version > 0 && in_force {
                         self.confirm_config(sent);
                     }
                     let interval = read_interval(*role.borrow(), in_force, self.limits.read_every);
@@ -164,6 +154,24 @@
         }
     }
 
+    /// Passes a configuration that was read to the node.
+    async fn apply_config(&self, read: ConfigRead, known: &mut KnownConfig) {
+        match read {
+            ConfigRead::Absent | ConfigRead::Unchanged => {}
+            ConfigRead::Changed(version, read) => {
+                *known = KnownConfig { version, newest: read.config.generation };
+                self.signals.freshness.set_unusable(false);
+                self.context.send_event(NodeEvent::WarmUpLimitsRead(read.warm_up_limits));
+                self.context.apply(read.config).await;
+            }
+            ConfigRead::Unusable(version, problem) => {
+                *known = KnownConfig { version, newest: Generation::MAX };
+                self.signals.freshness.set_unusable(true);
+                error!("config_invalid", kv: { generation = 0, problems = problem });
+            }
+        }
+    }
+
     /// Reads the configuration and, until either read has succeeded, the refused requests and the evacuations: a new
     /// daemon serves from its first configuration on and has to know by then what to refuse and which targets not to
     /// use. Later changes come from peers. `refusals_known` is how old the refusals may be that were read.
--- a/crates/daemon/src/fleet/follow/watch_check.rs
+++ b/crates/daemon/src/fleet/follow/watch_check.rs
@@ -32,9 +32,10 @@
 impl FleetFollower {
     /// Records the version of the store that a read of the configuration has stated.
     pub(super) fn record_store_version(&self, version: Option<ObjectVersion>) {
+        let Some(version) = version else { return };
         self.store_version.send_if_modified(|latest| {
-            let is_later = version.is_some_and(|version| version > *latest);
-            *latest = version.unwrap_or_default().max(*latest);
+            let is_later = version > *latest;
+            *latest = version.max(*latest);
             is_later
         });
     }
--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -43,15 +43,13 @@
 impl StatusGauges {
     /// Registers all gauges.
     pub fn new(registry: &MetricRegistry, counts: Arc<TransportCounts>) -> Result<StatusGauges> {
+        let faults_help = "Values of the configuration in force that cannot be used";
+        let permits_help = "Permits given by this scheduler";
         let frames_help = "Peer frames and their bytes since the start";
         let intake_help = "Bytes of configurations that peers have sent since the start";
         Ok(StatusGauges {
             generation: registry.gauge("config_generation", "Configuration in force")?,
-            config_faults: registry.gauges(
-                "config_faults",
-                "Values of the configuration in force that cannot be used",
-                "effect",
-            )?,
+            config_faults: registry.gauges("config_faults", faults_help, "effect")?,
             table_version: registry.gauge("key_table_version", "Known key table")?,
             key_slots: registry.gauge("key_slots", "Key slots held")?,
             keys: registry.gauge("keys", "Keys held")?,
@@ -59,11 +57,7 @@
             peers_live: registry.gauge("peers_live", "Reachable peers")?,
             features: FeatureGauges::new(registry)?,
             waiting: registry.gauges("queue_length", "Asks that wait at this scheduler", "pool")?,
-            in_flight: registry.gauges(
-                "permits_in_use",
-                "Permits given by this scheduler",
-                "pool",
-            )?,
+            in_flight: registry.gauges("permits_in_use", permits_help, "pool")?,
             returns_booked: registry.gauges(
                 "returns_booked",
                 "Refused requests that this scheduler has booked a return for",
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -163,8 +163,8 @@
 
 /// Returns the host of a request without its port.
 fn host_name(head: &HeaderMap) -> &str {
-    // A request without a readable host matches only rules without a host.
     let host = head.get(header::HOST).and_then(|value| std::str::from_utf8(value.as_bytes()).ok());
+    // A request without a readable host matches only rules without a host.
     let host = host.unwrap_or_default();
     host.rsplit_once(':').map_or(host, |(name, _)| name)
 }
