Rates: an account without a burst gets its rate

What callers saw: an account with a rate and no burst is refused always where the platform tolerates nothing beyond its rates: 0 requests in 8 s at a rate of 10 a second.

Cause: a request passes while bucket and burst together are above zero; without a burst the leader's bucket was held at zero.

Change: the leader's bucket may rise to one millionth of a unit. Evidence: rate_without_a_burst_is_granted failed before (0 granted, 78 to 81 wanted) and passes. Limits of accounts with a burst stay as they were.

--- a/crates/sched/src/admission/shared_rate.rs
+++ b/crates/sched/src/admission/shared_rate.rs
@@ -197,8 +197,9 @@
         match rate_share.role {
             RateRole::Leader => {
                 let whole_burst = share_of(rate.burst + self.margin.units(rate)) * SCALE;
-                let limit = (whole_burst / LEADER_SAVED_DIVISOR).min(per_s * SCALE);
-                BucketLimits { per_s, limit, burst: whole_burst - limit }
+                // Without a burst the bucket has to rise above zero, as a request passes only then.
+                let limit = (whole_burst / LEADER_SAVED_DIVISOR).min(per_s * SCALE).max(1);
+                BucketLimits { per_s, limit, burst: (whole_burst - limit).max(0) }
             }
             RateRole::Deputy => {
                 let reserve = i128::from(self.margin.reserve(rate));
--- a/crates/sched/tests/rates.rs
+++ b/crates/sched/tests/rates.rs
@@ -161,3 +161,13 @@
     let granted = granted.count();
     assert!((9..=12).contains(&granted), "{granted} in 40 s");
 }
+
+/// Guards against an account with a rate and no burst that is refused always.
+#[test]
+fn rate_without_a_burst_is_granted() {
+    let rate = SharedRate { per_s: 10, burst: 0, unit: RateUnit::Request, scale: 1 };
+    let (mut rates, account) = (AccountRates::default(), "a".to_string());
+    let asked = (10_000..18_000).map(Duration::from_millis);
+    let granted = asked.filter(|now| rates.take(*now, &account, &rate, 1, WHOLE).is_ok()).count();
+    assert!((78..=81).contains(&granted), "{granted} in 8 s");
+}
