Readiness: an unusable configuration is over when any daemon has confirmed a later one

Found by reading the change: a daemon that had read an object that is no configuration, and got the next configuration from its peers since it reads no longer, would have stayed unready. The time of the read is kept and compared with the latest confirmation, also by a peer. later_confirmation_by_a_peer_ends_an_unusable_configuration guards against it.

--- a/crates/daemon/src/config_freshness.rs
+++ b/crates/daemon/src/config_freshness.rs
@@ -13,8 +13,8 @@
     confirmed_at: Cell<Option<Moment>>,
     /// Whether the latest read by this daemon failed.
     failing: Cell<bool>,
-    /// Whether the newest object at the platform is no configuration.
-    unusable: Cell<bool>,
+    /// When the latest read was sent that showed an object that is no configuration.
+    unusable_at: Cell<Option<Moment>>,
 }
 
 impl ConfigFreshness {
@@ -34,14 +34,14 @@
         self.failing.set(true);
     }
 
-    /// Records whether the object that this daemon has read is no configuration.
-    pub fn set_unusable(&self, unusable: bool) {
-        self.unusable.set(unusable);
+    /// Records that a read by this daemon, sent at this moment, showed that the newest object is no configuration.
+    pub fn record_unusable(&self, sent: Moment) {
+        self.unusable_at.set(Some(sent));
     }
 
     /// Returns whether the newest object at the platform is no configuration, so that an earlier one is in force.
     pub fn is_unusable(&self) -> bool {
-        self.unusable.get()
+        self.unusable_at.get() > self.confirmed_at.get()
     }
 
     /// Returns whether the latest read by this daemon failed.
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -140,7 +140,7 @@
                     back_off.reset();
                     self.log_new_era();
                     self.record_store_version(answer.store_version);
-                    self.apply_config(answer.config, &mut known).await;
+                    self.apply_config(answer.config, sent, &mut known).await;
                     let in_force = self.context.config().generation >= known.newest;
                     if known.version > 0 && in_force {
                         self.confirm_config(sent);
@@ -154,19 +154,18 @@
         }
     }
 
-    /// Passes a configuration that was read to the node.
-    async fn apply_config(&self, read: ConfigRead, known: &mut KnownConfig) {
+    /// Passes a configuration to the node, which was read by a call sent at `sent`.
+    async fn apply_config(&self, read: ConfigRead, sent: Moment, known: &mut KnownConfig) {
         match read {
             ConfigRead::Absent | ConfigRead::Unchanged => {}
             ConfigRead::Changed(version, read) => {
                 *known = KnownConfig { version, newest: read.config.generation };
-                self.signals.freshness.set_unusable(false);
                 self.context.send_event(NodeEvent::WarmUpLimitsRead(read.warm_up_limits));
                 self.context.apply(read.config).await;
             }
             ConfigRead::Unusable(version, problem) => {
                 *known = KnownConfig { version, newest: Generation::MAX };
-                self.signals.freshness.set_unusable(true);
+                self.signals.freshness.record_unusable(sent);
                 error!("config_invalid", kv: { generation = 0, problems = problem });
             }
         }
--- a/crates/daemon/src/fleet/follow/tests.rs
+++ b/crates/daemon/src/fleet/follow/tests.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use curlewcleat_clock::Moment;
 use curlewcleat_node::ReadRole;
 use rstest::rstest;
 
 use super::{read_interval, FALLBACK_PAUSE};
+use crate::config_freshness::ConfigFreshness;
 
 /// Normal time between two reads, as in the users' large fleets: a quarter of three seconds.
 const READ_EVERY: Duration = Duration::from_millis(750);
@@ -25,3 +27,18 @@
 ) {
     assert_eq!(read_interval(role, in_force, READ_EVERY), expected);
 }
+
+/// Guards against a daemon that stays unready after peers have confirmed a later configuration than the unusable object
+/// that it has read itself.
+#[test]
+fn later_confirmation_by_a_peer_ends_an_unusable_configuration() {
+    let freshness = ConfigFreshness::default();
+    let [before, read, after] =
+        [0, 10, 20].map(|millis| Moment::now() + Duration::from_millis(millis));
+    freshness.confirm_by_peer(before);
+    freshness.record_unusable(read);
+    freshness.confirm_by_peer(before);
+    assert!(freshness.is_unusable(), "an earlier read shows nothing");
+    freshness.confirm_by_peer(after);
+    assert!(!freshness.is_unusable());
+}
