--- a/crates/core/src/model/config_fault.rs
+++ b/crates/core/src/model/config_fault.rs
@@ -18,7 +18,7 @@
     RuleUnmatched,
     /// All requests of its account are refused.
     AccountClosed,
-    /// The value is replaced by the most restrictive one, or left out.
+    /// Another value holds in its place, or none.
     ValueReplaced,
 }
 
