Targets: an answer is empty by its stated length, not because its head has framing headers

What callers saw: an answer with `Transfer-Encoding: identity`, or with a length and `Upgrade: websocket`, reached them as 200 with an empty body that is framed as complete, whether the target sent all of its body, a part or none.

Cause: the codec reads no body of such answers, and the exchange took "no body to read" together with any framing header for a length of zero.

The frame now follows from the value of the headers (frame.rs): empty is a length of 0. `identity` changes nothing, so that such an answer ends by its length or with its connection. Where the codec would not read what the head announces, the exchange fails, which is a refusal "may have run".

--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -8,13 +8,14 @@
 
 use actix_codec::Framed;
 use actix_http::body::{BodySize, MessageBody};
-use actix_http::h1::{ClientCodec, Message, MessageType};
+use actix_http::h1::{ClientCodec, Message};
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
+use actix_http::{RequestHead, RequestHeadType, ResponseHead};
 use futures_util::StreamExt;
 
 use crate::answer::{AnswerBody, BodyFrame, TargetAnswer};
 use crate::error::{Error, Result};
+use crate::frame::body_frame;
 use crate::pool::{ConnectionEndpoint, ConnectionPool, PooledConnection};
 use crate::stall::StallGuard;
 use crate::stream::TargetStream;
@@ -78,7 +79,8 @@
             if answer_head.status.is_informational() {
                 continue;
             }
-            let frame = body_frame(&method, &answer_head, &framed, options.allow_close_delimited)?;
+            let decoded = framed.codec_ref().message_type();
+            let frame = body_frame(&method, &answer_head, decoded, options.allow_close_delimited)?;
             if !is_answer_to_request(&answer_head.headers, options)? {
                 framed = skip_body(framed, frame, &self.endpoint, &self.pool).await?;
                 continue;
@@ -207,29 +209,3 @@
     body.into_connection()
         .ok_or_else(|| Error::Closed("after an answer to an earlier request".to_string()))
 }
-
-/// Returns how the end of an answer's body is determined. A body that ends with its connection cannot be distinguished
-/// from one whose target terminated while sending, so it is accepted only if `allow_close_delimited` is set.
-fn body_frame(
-    method: &Method,
-    head: &ResponseHead,
-    framed: &Connection,
-    allow_close_delimited: bool,
-) -> Result<BodyFrame> {
-    let bodiless = *method == Method::HEAD
-        || head.status == StatusCode::NO_CONTENT
-        || head.status == StatusCode::NOT_MODIFIED;
-    let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
-    let has_length = head.headers.contains_key(header::CONTENT_LENGTH) || is_chunked;
-    match framed.codec_ref().message_type() {
-        _ if bodiless => Ok(BodyFrame::Empty),
-        MessageType::None if has_length => Ok(BodyFrame::Empty),
-        MessageType::Payload if is_chunked => Ok(BodyFrame::Chunks),
-        MessageType::Payload if has_length => Ok(BodyFrame::Length),
-        _ if allow_close_delimited => Ok(BodyFrame::UntilClose),
-        MessageType::Stream => {
-            Err(Error::Protocol("the answer ends only with its connection".to_string()))
-        }
-        _ => Err(Error::Protocol("the answer has no length".to_string())),
-    }
-}
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod error;
 mod events;
+mod frame;
 mod links;
 mod pool;
 mod stall;
