Targets: chunks in an answer of HTTP/1.0 are an error

What callers saw: with a length as well, such an answer reached them as complete, with the encoding of the chunks as its body; without one, the encoding arrived in a body that was cut.

Cause: the codec ignores `Transfer-Encoding` in HTTP/1.0 and reads the body by its length, while the exchange took the frame from the header. HTTP/1.1 calls the framing of such an answer faulty; the exchange fails, which is a refusal "may have run".

Evidence: the 6 cases `chunks_and_length_of_an_old_version` of odd_head_never_completes_a_body_that_is_not_whole failed before (15 bytes in place of 5, as complete).

--- a/crates/targets/src/frame.rs
+++ b/crates/targets/src/frame.rs
@@ -5,7 +5,7 @@
 
 use actix_http::h1::MessageType;
 use actix_http::header;
-use actix_http::{Method, ResponseHead, StatusCode};
+use actix_http::{Method, ResponseHead, StatusCode, Version};
 
 use crate::answer::BodyFrame;
 use crate::error::{Error, Result};
@@ -57,7 +57,11 @@
 
 fn announced_body(head: &ResponseHead) -> Result<AnnouncedBody> {
     if has_chunks(head) {
-        return Ok(AnnouncedBody::Chunks);
+        // The codec reads chunks of HTTP/1.1 only, and would return their encoding as the body.
+        return match head.version {
+            Version::HTTP_11 => Ok(AnnouncedBody::Chunks),
+            _ => Err(unreadable("an answer of HTTP/1.0 has chunks")),
+        };
     }
     let Some(length) = head.headers.get(header::CONTENT_LENGTH) else {
         return Ok(AnnouncedBody::UntilClose);
--- a/crates/targets/tests/cut_heads.rs
+++ b/crates/targets/tests/cut_heads.rs
@@ -206,6 +206,12 @@
 #[case::offered_upgrade(
     "HTTP/1.1 200 OK\r\nUpgrade: websocket\r\nContent-Length: 5\r\nM\r\n\r\nhello"
 )]
+#[case::chunks_of_an_old_version(
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nM\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+)]
+#[case::chunks_and_length_of_an_old_version(
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 15\r\nM\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+)]
 #[case::chunks_and_length(
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\nM\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
 )]
