Targets: a switch of protocols and an informational answer with a body are errors

What callers saw: after `101 Switching Protocols`, which no request asks for, an answer with a length lost it: cut within its body it reached them as one that ends with its connection, without a sign of the cut. In a build with assertions, the task of the request panicked, also after 100 or 103 with a length or chunks, 100 of HTTP/1.0, and an answer 204 with a length to an earlier attempt.

Cause: the codec keeps how it reads a body until that body has ended, but the exchange skips informational answers, and those whose status rules out a body, without reading one. The exchange now fails where the codec expects a body there, before the next head is read.

--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use actix_codec::{AsyncRead, Framed, ReadBuf};
-use actix_http::h1::{ClientCodec, ClientPayloadCodec};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
 use actix_http::ResponseHead;
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
@@ -137,7 +137,8 @@
         }
         if self.reusable && framed.is_read_buf_empty() {
             self.pool.put_idle(&self.endpoint, framed.into_parts().io, self.idle_limit);
-        } else {
+        } else if framed.codec_ref().message_type() == MessageType::None {
+            // Otherwise the codec expects a body that the status rules out, and cannot read the next head.
             self.state = BodyState::Complete(framed);
         }
     }
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -8,7 +8,7 @@
 
 use actix_codec::Framed;
 use actix_http::body::{BodySize, MessageBody};
-use actix_http::h1::{ClientCodec, Message};
+use actix_http::h1::{ClientCodec, Message, MessageType};
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead};
 use futures_util::StreamExt;
@@ -76,10 +76,11 @@
             let answer_head = upload.answer_head(&mut framed).await;
             let answer_head = answer_head.inspect_err(|_| stall.finish())?;
             stall.record_activity();
+            let decoded = framed.codec_ref().message_type();
             if answer_head.status.is_informational() {
+                check_informational(decoded)?;
                 continue;
             }
-            let decoded = framed.codec_ref().message_type();
             let frame = body_frame(&method, &answer_head, decoded, options.allow_close_delimited)?;
             if !is_answer_to_request(&answer_head.headers, options)? {
                 framed = skip_body(framed, frame, &self.endpoint, &self.pool).await?;
@@ -180,6 +181,17 @@
     }
 }
 
+/// Checks that the next head follows an informational answer at once. The codec would read what follows a switch of
+/// protocols, or a body, by rules that no longer change with the next head.
+fn check_informational(decoded: MessageType) -> Result<()> {
+    match decoded {
+        MessageType::None => Ok(()),
+        MessageType::Payload | MessageType::Stream => {
+            Err(Error::Protocol("an informational answer has a body".to_string()))
+        }
+    }
+}
+
 fn closed(error: std::io::Error) -> Error {
     Error::Closed(error.to_string())
 }
--- a/crates/targets/tests/cut_heads.rs
+++ b/crates/targets/tests/cut_heads.rs
@@ -221,6 +221,22 @@
 #[case::other_coding(
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\nM\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
 )]
+#[case::switched_protocol(
+    "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\nM\r\n\r\nhello"
+)]
+#[case::informational_answer_with_a_length(
+    "HTTP/1.1 100 Continue\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\nM\r\n\r\nhello"
+)]
+#[case::informational_answer_with_chunks(
+    "HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\nM\r\n\r\nhello"
+)]
+#[case::informational_answer_of_an_old_version(
+    "HTTP/1.0 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\nM\r\n\r\nhello"
+)]
+#[case::earlier_answer_without_content_but_a_length(
+    "HTTP/1.1 204 None\r\nContent-Length: 5\r\nx-attempt-id: other\r\n\r\n\
+     HTTP/1.1 200 OK\r\nContent-Length: 5\r\nM\r\n\r\nhello"
+)]
 #[case::two_lengths("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 3\r\nM\r\n\r\nhello")]
 #[case::list_of_lengths("HTTP/1.1 200 OK\r\nContent-Length: 5, 3\r\nM\r\n\r\nhello")]
 #[case::negative_length("HTTP/1.1 200 OK\r\nContent-Length: -5\r\nM\r\n\r\nhello")]
