Targets: a length beside chunks is not passed on

What callers of a deployment with files could see: a target states a length of 3 and sends 5 bytes in chunks; the daemon reads the chunks, takes the length for the caller's answer, and its connection writes the first 3 bytes as a complete answer. Read in the code at this border; the tests show the head of the exchange only.

Cause: HTTP/1.1 has the chunks override the length and an intermediary remove it; the exchange returned it. Removed now where the head is read, so that no user of an exchange can take it for the length of the body.

Evidence: length_beside_chunks_is_not_passed_on failed before (length 3 beside a body of 5 bytes).

--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -15,7 +15,7 @@
 
 use crate::answer::{AnswerBody, BodyFrame, TargetAnswer};
 use crate::error::{Error, Result};
-use crate::frame::body_frame;
+use crate::frame::{body_frame, remove_contradicted_length};
 use crate::pool::{ConnectionEndpoint, ConnectionPool, PooledConnection};
 use crate::stall::StallGuard;
 use crate::stream::TargetStream;
@@ -74,7 +74,7 @@
         let mut upload = Upload::begin(&mut framed, head, body)?;
         for _ in 0..HEAD_LIMIT {
             let answer_head = upload.answer_head(&mut framed).await;
-            let answer_head = answer_head.inspect_err(|_| stall.finish())?;
+            let mut answer_head = answer_head.inspect_err(|_| stall.finish())?;
             stall.record_activity();
             let decoded = framed.codec_ref().message_type();
             if answer_head.status.is_informational() {
@@ -86,6 +86,7 @@
                 framed = skip_body(framed, frame, &self.endpoint, &self.pool).await?;
                 continue;
             }
+            remove_contradicted_length(&mut answer_head, frame);
             let reusable = upload.is_flushed();
             let body = AnswerBody::new(framed, frame, reusable, self.endpoint, self.pool);
             return Ok(TargetAnswer { head: answer_head, body });
--- a/crates/targets/src/frame.rs
+++ b/crates/targets/src/frame.rs
@@ -49,6 +49,13 @@
     }
 }
 
+/// Removes the length of an answer in chunks, which such an answer may not have and which need not be that of its body.
+pub(crate) fn remove_contradicted_length(head: &mut ResponseHead, frame: BodyFrame) {
+    if frame == BodyFrame::Chunks {
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
+}
+
 fn is_bodiless(method: &Method, status: StatusCode) -> bool {
     *method == Method::HEAD
         || status == StatusCode::NO_CONTENT
--- a/crates/targets/tests/cut_heads.rs
+++ b/crates/targets/tests/cut_heads.rs
@@ -272,6 +272,17 @@
     }
 }
 
+/// Guards against a length that contradicts the chunks and is passed on, so that the caller's answer is cut to it.
+#[actix_rt::test]
+async fn length_beside_chunks_is_not_passed_on() {
+    let text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\nx-attempt-id: own\r\n\r\n\
+                5\r\nhello\r\n0\r\n\r\n";
+    let parts = split(text.as_bytes(), &[4096]);
+    let outcome = exchange(Method::POST, parts, TargetEnd::Close, false).await;
+    let Outcome::Ended { frame, body, length, .. } = outcome else { panic!("{outcome:?}") };
+    assert_eq!((frame, body.as_slice(), length), (BodyFrame::Chunks, "hello".as_bytes(), None));
+}
+
 #[rstest]
 #[case::length("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nx-attempt-id: own\r\n\r\n")]
 #[case::chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nx-attempt-id: own\r\n\r\n")]
