Logs: where the events of a target that continues a stream begin, and in which pool

Neither said at which event a continuation began, so that a target that begins too late, or from the start, could not be told from one that goes on, nor whether a stream that its caller takes up reached another pool. stream_joined names the first new event and how many were repeated; stream_continued names the pool.

--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -6,7 +6,7 @@
 use actix_http::{Method, RequestHead, ResponseHead};
 use bytes::Bytes;
 use curlewcleat_core::{KeptAnswer, TargetPool};
-use curlewcleat_targets::{BodyFrame, EventSplitter};
+use curlewcleat_targets::{BodyFrame, EventSplitter, StreamJoin};
 
 use crate::headers;
 
@@ -50,6 +50,9 @@
     /// Returns the number of the last event that was relayed.
     fn last_event(&self) -> Option<u64>;
 
+    /// Returns where the latest attempt continued the answer, once.
+    fn take_join(&mut self) -> Option<StreamJoin>;
+
     /// Returns whether the times of the parts are reported as the target's streaming speed.
     fn reports_timing(&self) -> bool;
 
@@ -163,6 +166,10 @@
         None
     }
 
+    fn take_join(&mut self) -> Option<StreamJoin> {
+        None
+    }
+
     fn reports_timing(&self) -> bool {
         false
     }
@@ -220,6 +227,10 @@
         self.events.last()
     }
 
+    fn take_join(&mut self) -> Option<StreamJoin> {
+        self.events.take_join()
+    }
+
     fn reports_timing(&self) -> bool {
         true
     }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -123,6 +123,9 @@
                     None => return self.interrupted(RefusalReason::TargetClosed, cause),
                 },
             };
+            if let Some(join) = self.framing.take_join() {
+                self.log_join(target, join);
+            }
             if part.is_empty() {
                 continue;
             }
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -1,13 +1,13 @@
 //! Logs a request: one line for each failed attempt and one for the end.
 //!
-//! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `answer_cut`, `request_refused`. Relies on: the
-//! run's progress.
+//! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `stream_joined`, `answer_cut`,
+//! `request_refused`. Relies on: the run's progress.
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     FeatureKind, Refusal, RefusalReason, RequestId, TargetEntry, TargetId, TargetVersion,
 };
-use curlewcleat_targets::{BodyFrame, ConnectionOrigin};
+use curlewcleat_targets::{BodyFrame, ConnectionOrigin, StreamJoin};
 use spdlog::prelude::*;
 
 use super::RequestRun;
@@ -66,11 +66,21 @@
         info!("stream_continued", kv: {
             request = request.id.to_string(), attempt = request.attempt_id.as_str(),
             begun_as = begun_as.map_or("", String::as_str), after, target = target.id.as_str(),
+            pool = request.pool.id.as_str(),
             version = version_text(target.version.as_ref()),
             begun_version = version_text(self.progress.begun_version())
         });
     }
 
+    /// Logs where the events of a target that continues a stream begin.
+    pub(in crate::request) fn log_join(&self, target: &TargetEntry, join: StreamJoin) {
+        info!("stream_joined", kv: {
+            request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
+            target = target.id.as_str(), after = join.after, first = join.first,
+            repeated = join.repeated
+        });
+    }
+
     /// Logs that an answer was cut after its beginning, because the request was refused for `reason`.
     pub(super) fn log_cut(&self, reason: RefusalReason) {
         // An answer that has begun comes from a target, so the default is never used.
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -1,9 +1,12 @@
 //! Assembles complete events from the parts of an event stream.
 //!
-//! Owns: the bytes of an incomplete event. Relies on: events that end with a blank line.
+//! Owns: the bytes of an incomplete event. Relies on: events that end with a blank line, [`EventNumbers`] for the
+//! position.
 
 use bytes::{Bytes, BytesMut};
 
+use crate::event_numbers::{EventNumbers, EventPlace, StreamJoin};
+
 /// Maximum number of buffered bytes of an incomplete event; more are returned as they are.
 const EVENT_LIMIT: usize = 1 << 20;
 
@@ -18,7 +21,7 @@
     scan: EventScan,
     /// Whether a part of an event was returned because the event is too long to be buffered. Its number is not known.
     has_returned_part: bool,
-    last_event_number: Option<u64>,
+    numbers: EventNumbers,
 }
 
 /// Search for the end of the first buffered event, which continues where the bytes ended.
@@ -65,7 +68,7 @@
 impl EventSplitter {
     /// Returns the number of the last complete event returned by [`push`](EventSplitter::push).
     pub fn last(&self) -> Option<u64> {
-        self.last_event_number
+        self.numbers.last()
     }
 
     /// Appends a part and returns the events that it completes. Events whose number was already returned before the
@@ -76,13 +79,9 @@
         while let Some(end) = self.scan.event_end(&self.buffered) {
             self.scan = EventScan::default();
             let event = self.buffered.split_to(end);
-            match event_number(&event) {
-                Some(number) if self.last_event_number.is_some_and(|last| number <= last) => {}
-                Some(number) => {
-                    self.last_event_number = Some(number);
-                    out.extend_from_slice(&event);
-                }
-                None => out.extend_from_slice(&event),
+            let place = event_number(&event).map(|number| self.numbers.record(number));
+            if place != Some(EventPlace::Repeated) {
+                out.extend_from_slice(&event);
             }
         }
         if self.buffered.len() > EVENT_LIMIT {
@@ -93,6 +92,11 @@
         out.freeze()
     }
 
+    /// Returns where the resumed stream continued, once for each time that it was resumed.
+    pub fn take_join(&mut self) -> Option<StreamJoin> {
+        self.numbers.take_join()
+    }
+
     /// Returns whether no event is incomplete.
     pub fn is_between_events(&self) -> bool {
         self.scan.is_between_events()
@@ -113,6 +117,7 @@
     pub fn discard_incomplete(&mut self) {
         self.scan = EventScan::default();
         self.buffered.clear();
+        self.numbers.resume();
     }
 }
 
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod connection;
 mod error;
+mod event_numbers;
 mod events;
 mod frame;
 mod links;
@@ -18,6 +19,7 @@
 pub use answer::{collect, AnswerBody, BodyFrame, CollectError, TargetAnswer, TruncatedBody};
 pub use connection::ExchangeOptions;
 pub use error::{Error, Result};
+pub use event_numbers::StreamJoin;
 pub use events::EventSplitter;
 pub use links::{connect_directly, ConnectFuture, TargetLinks};
 pub use pool::{ConnectionOptions, ConnectionOrigin, ConnectionPool, PooledConnection};
