--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 pub mod crowd;
+pub mod event_streams;
 pub mod slow_link;
 
 use std::fmt::Display;
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -1,8 +1,9 @@
-//! Runs one stand-in: `standin platform|engine|service`.
+//! Runs one stand-in: `standin platform|engine|service|stream-engine`.
 
 use anyhow::Result;
 use clap::Parser;
 use curlewcleat_standins::engine::{EngineOptions, EngineStandIn};
+use curlewcleat_standins::fleet::stream_engine::{StreamEngine, StreamEngineOptions};
 use curlewcleat_standins::http::serve;
 use curlewcleat_standins::platform::{PlatformOptions, PlatformStandIn};
 use curlewcleat_standins::service::{ServiceOptions, ServiceStandIn};
@@ -16,6 +17,8 @@
     Engine(EngineOptions),
     /// A plain service.
     Service(ServiceOptions),
+    /// An engine of a fleet whose events name what made them.
+    StreamEngine(StreamEngineOptions),
 }
 
 #[actix_rt::main]
@@ -30,5 +33,8 @@
         StandIn::Service(options) => {
             serve(&options.address.clone(), ServiceStandIn::new(options)).await
         }
+        StandIn::StreamEngine(options) => {
+            serve(&options.address.clone(), StreamEngine::new(options)).await
+        }
     }
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod link_faults;
 mod store;
+pub mod stream_engine;
 
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
 pub use engine::{
--- /dev/null
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -0,0 +1,174 @@
+//! Stand-in of an engine in a process of its own, which a test can stop and continue. Each of its events names the
+//! stream, the service, the engine and the run that made it, so that a caller can check what it gets.
+//!
+//! Owns: the events of its streams. Relies on: callers that name the attempt that began a stream.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use clap::Args;
+use curlewcleat_platform::names::{SEAL_HEADER, WIRE_PROFILE};
+
+use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
+
+/// Time before the head, before the first event and before the end of an answer.
+const PHASE: Duration = Duration::from_millis(25);
+/// Time between two events.
+const EVENT_INTERVAL: Duration = Duration::from_millis(12);
+/// Time between both halves of an event.
+const HALF_INTERVAL: Duration = Duration::from_millis(3);
+/// Number between two events of a stream whose path has [`WIDE_MARK`].
+const WIDE_STEP: u64 = 7;
+/// Part of the path of streams whose numbers do not rise by one.
+pub const WIDE_MARK: &str = "/wide";
+/// Part of the path of streams that end with their connection.
+pub const UNFRAMED_MARK: &str = "/unframed";
+
+/// Options of an engine.
+#[derive(Args, Debug)]
+pub struct StreamEngineOptions {
+    /// Address to listen on.
+    #[arg(long)]
+    pub address: String,
+    /// Id of the engine.
+    #[arg(long)]
+    pub id: String,
+    /// Service of the engine.
+    #[arg(long)]
+    pub service: String,
+    /// Number of events in a stream.
+    #[arg(long)]
+    pub events: u64,
+}
+
+/// An event that a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// Number of the event.
+    pub number: u64,
+    /// The attempt that began the stream.
+    pub stream: String,
+    /// Service of the engine.
+    pub service: String,
+    /// Engine and number of its run.
+    pub run: String,
+}
+
+impl StreamEvent {
+    /// Reads an event; `None` if it is not one of this stand-in.
+    pub fn read(text: &str) -> Option<StreamEvent> {
+        let (id, data) = text.strip_prefix("id: ")?.split_once("\ndata: ")?;
+        let mut fields = data.split(' ').map(str::to_string);
+        let (stream, service, run) = (fields.next()?, fields.next()?, fields.next()?);
+        let ends = fields.next().as_deref() == Some("end");
+        ends.then_some(StreamEvent { number: id.parse().ok()?, stream, service, run })
+    }
+
+    fn text(&self) -> String {
+        let StreamEvent { number, stream, service, run } = self;
+        format!("id: {number}\ndata: {stream} {service} {run} end\n\n")
+    }
+}
+
+/// Returns the difference between the numbers of two events of a stream.
+pub fn number_step(path: &str) -> u64 {
+    if path.contains(WIDE_MARK) {
+        WIDE_STEP
+    } else {
+        1
+    }
+}
+
+/// An engine.
+pub struct StreamEngine {
+    options: StreamEngineOptions,
+    runs: Cell<u64>,
+}
+
+impl StreamEngine {
+    /// Creates an engine.
+    pub fn new(options: StreamEngineOptions) -> Rc<StreamEngine> {
+        Rc::new(StreamEngine { options, runs: Cell::new(0) })
+    }
+
+    async fn route(
+        &self,
+        request: PlainRequest,
+        connection: &mut PlainConnection,
+    ) -> Result<AfterAnswer> {
+        let attempt = request.header(WIRE_PROFILE.attempt_id);
+        let attempt_header = (WIRE_PROFILE.attempt_id, attempt);
+        let instance = request.header(WIRE_PROFILE.instance);
+        if !instance.is_empty() && instance != self.options.id {
+            connection.answer(WIRE_PROFILE.misdirected_status, &[attempt_header], b"").await?;
+            return Ok(AfterAnswer::KeepOpen);
+        }
+        tokio::time::sleep(PHASE).await;
+        let headers = [
+            attempt_header,
+            (SEAL_HEADER, self.options.id.as_str()),
+            ("content-type", "text/event-stream"),
+        ];
+        let framed = !request.path.contains(UNFRAMED_MARK);
+        match framed {
+            true => connection.begin_chunked(&headers).await?,
+            false => connection.begin_unframed(&headers).await?,
+        }
+        tokio::time::sleep(PHASE).await;
+        for event in self.events(&request)? {
+            self.send(event.text().as_bytes(), framed, connection).await?;
+        }
+        tokio::time::sleep(PHASE).await;
+        if !framed {
+            return Ok(AfterAnswer::Close);
+        }
+        connection.chunk(b"").await?;
+        Ok(AfterAnswer::KeepOpen)
+    }
+
+    /// Sends an event in two halves, so that an engine can be stopped within one.
+    async fn send(
+        &self,
+        event: &[u8],
+        framed: bool,
+        connection: &mut PlainConnection,
+    ) -> Result<()> {
+        tokio::time::sleep(EVENT_INTERVAL).await;
+        let (first, second) = event.split_at(event.len() / 2);
+        for half in [first, second] {
+            match framed {
+                true => connection.chunk(half).await?,
+                false => connection.write_raw(half).await?,
+            }
+            tokio::time::sleep(HALF_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// Returns the events of a stream, or those that follow on the last event that the caller has.
+    fn events(&self, request: &PlainRequest) -> Result<impl Iterator<Item = StreamEvent>> {
+        let run = self.runs.get() + 1;
+        self.runs.set(run);
+        let step = number_step(&request.path);
+        let after = match request.header(WIRE_PROFILE.last_event) {
+            "" => 0,
+            number => number.parse::<u64>().with_context(|| number.to_string())?,
+        };
+        let begun_as = match request.header(WIRE_PROFILE.resumes) {
+            "" => request.header(WIRE_PROFILE.attempt_id),
+            begun_as => begun_as,
+        };
+        let template = StreamEvent {
+            number: 0,
+            stream: begun_as.to_string(),
+            service: self.options.service.clone(),
+            run: format!("{}#{run}", self.options.id),
+        };
+        let numbers = after / step + 1..=self.options.events;
+        Ok(numbers.map(move |index| StreamEvent { number: index * step, ..template.clone() }))
+    }
+}
+
+handle_by_route!(StreamEngine);
