Streams that are taken up go on at the pool that began them, where a rule is split over pools

What callers saw: a stream whose caller took it up went on with events of the other service of its route, answered 200 and complete; the other service had never had the beginning. Cause: each attempt of a caller was drawn anew to one of the pools that share the rule; nothing tied the draw to the stream. The class is the one of streams joined of two versions: what a stream needs to go on was known to the attempt that began it alone. Attempt ids differ, so shares hold. Where the shares themselves change, the streams between the old and the new border still change their pool.

--- a/crates/core/src/model/rule.rs
+++ b/crates/core/src/model/rule.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 use crate::{AccountId, PoolId, TierId};
 
@@ -116,6 +117,15 @@
         &self.pool
     }
 
+    /// Returns the pool for a stream, selected by the attempt that began it, so that every daemon sends all attempts of a
+    /// caller at one stream to the same pool.
+    pub fn pool_for_stream(&self, begun_as: &str) -> &PoolId {
+        let digest = Sha256::digest(begun_as);
+        let (first, _) = digest.split_at(size_of::<u64>());
+        let drawn = first.iter().fold(0, |drawn: u64, byte| drawn << 8 | u64::from(*byte));
+        self.pool_for(drawn)
+    }
+
     /// Returns whether the rule has no account or header condition and matches host, method and path of a request.
     pub fn matches_route(&self, host: &str, method: &str, path: &str) -> bool {
         let host_matches =
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -20,13 +20,14 @@
 use actix_http::{HttpMessage, Request};
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
-    hash_token, ActiveConfig, AdmissionRule, ClientAccount, Refusal, RefusalReason, RequestId,
+    hash_token, ActiveConfig, AdmissionRule, ClientAccount, PoolId, Refusal, RefusalReason,
+    RequestId,
 };
 use spdlog::prelude::*;
 
 use super::{objectives, prompt_parts, take_up, work, ProfileProtocol};
 use crate::headers;
-use crate::request::admitted::AdmittedRequest;
+use crate::request::admitted::{AdmittedRequest, TakeUpHeaders};
 
 /// `Retry-After` while the daemon itself cannot serve: about the time within which the next read of the platform may
 /// succeed.
@@ -53,7 +54,8 @@
         let caller_timeout = self.caller_timeout(head).map_err(|_| bad_header())?;
         let timeout =
             caller_timeout.into_iter().chain(rule.service.timeout).min().unwrap_or(DEFAULT_TIMEOUT);
-        let pool = config.pools.get(rule.pool_for(rand::random()));
+        let take_up = take_up::read_take_up(&self.profile, head);
+        let pool = config.pools.get(drawn_pool(rule, attempt_id, take_up.as_ref()));
         let pool = pool.ok_or_else(|| self.denied(RefusalReason::NoRule))?;
         // The tier exists: the configuration was checked for the tier of each rule.
         let tier_rank = config.tiers.get(&rule.tier).map(|tier| tier.rank).unwrap_or_default();
@@ -87,8 +89,7 @@
                 head,
             ),
             key: None,
-            take_up: take_up::read_take_up(&self.profile, head)
-                .filter(|_| rule.service.streams && rule.repeatable),
+            take_up: take_up.filter(|_| rule.service.streams && rule.repeatable),
             rule: rule.clone(),
         })
     }
@@ -152,6 +153,19 @@
     }
 }
 
+/// Returns the pool that gets a request. The rest of a stream comes from the pool that began it.
+pub(super) fn drawn_pool<'r>(
+    rule: &'r AdmissionRule,
+    attempt_id: &str,
+    take_up: Option<&TakeUpHeaders>,
+) -> &'r PoolId {
+    if !rule.service.streams {
+        return rule.pool_for(rand::random());
+    }
+    let begun_as = take_up.and_then(|take_up| take_up.begun_as.as_deref());
+    rule.pool_for_stream(begun_as.unwrap_or(attempt_id))
+}
+
 /// Builds a refusal after which the caller may retry.
 fn retryable_refusal(reason: RefusalReason) -> Refusal {
     Refusal::not_run(reason, Some(UNSERVED_RETRY_AFTER))
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -9,12 +9,13 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::StatusCode;
 use curlewcleat_core::{
-    AdmissionRule, ClientAccount, PoolKind, RateUnit, Refusal, RefusalReason, ServiceLimits,
-    SharedRate, TargetPool, Verdict,
+    AdmissionRule, ClientAccount, PoolKind, PoolShare, RateUnit, Refusal, RefusalReason,
+    ServiceLimits, SharedRate, TargetPool, Verdict,
 };
 use curlewcleat_store::WireProfile;
 use rstest::rstest;
 
+use super::admission::drawn_pool;
 use super::objectives::objectives;
 use super::take_up::read_take_up;
 use super::work::{cost, estimate, token_counts, TokenCounts};
@@ -213,3 +214,24 @@
     });
     assert_eq!(read_take_up(&PROFILE, &head(headers)), expected);
 }
+
+/// Guards against a stream that its caller takes up and that goes on at another of the pools that share its rule.
+#[test]
+fn stream_that_is_taken_up_is_drawn_to_the_pool_that_began_it() {
+    let share = |pool: &str, weight| PoolShare { pool: pool.to_string(), weight };
+    let mut rule = rule(None);
+    rule.service.streams = true;
+    rule.split = vec![share("p", 900_000), share("q", 100_000)];
+    let mut others = 0;
+    for number in 0..2_000 {
+        let begun_as = format!("a{number}");
+        let begun = drawn_pool(&rule, &begun_as, None);
+        others += usize::from(begun == "q");
+        for (attempt, last_event) in [("b", "3"), ("c", "9")] {
+            let (begun_as, last_event) = (Some(begun_as.clone()), last_event.to_string());
+            let take_up = TakeUpHeaders { begun_as, last_event };
+            assert_eq!(drawn_pool(&rule, attempt, Some(&take_up)), begun);
+        }
+    }
+    assert!((150..250).contains(&others), "{others} of 2,000 at a tenth");
+}
