Streams are moved from a silent target only where what the caller has can be numbered

What callers saw: an event without a number twice, where its target fell silent behind it; likewise the part of an event that is too long to be buffered. Cause: whether a stream may go on elsewhere was checked where a target closes, not where it falls silent, and only for events that are too long. A continuation begins after the last number, so whatever has none and was sent behind it comes again. Evidence: silent_targets event_without_a_number_is_not_sent_twice_where_its_target_falls_silent: on the code before, the caller got "data: without a number" twice within one answer; events.rs stream_is_not_resumed_behind_data_without_a_number and data_without_a_number_is_left_out_among_repeated_events are new. Why it works: the splitter knows whether data without a number was returned since the last number, and both the silent and the closing target ask it. Such a stream stays at its target for its remaining time, like one that may not be moved; the next number makes it movable again. Comments carry nothing and change nothing.

--- a/crates/acceptance/tests/silent_targets.rs
+++ b/crates/acceptance/tests/silent_targets.rs
@@ -30,7 +30,7 @@
 use curlewcleat_platform::names::{READY, WIRE_PROFILE};
 use curlewcleat_standins::address::free_address;
 use curlewcleat_standins::deployment::{get_text, wait_until};
-use curlewcleat_standins::fleet::{EngineStep, FleetDeployment, FleetEngine};
+use curlewcleat_standins::fleet::{EngineStep, FleetDeployment, FleetEngine, UNNUMBERED_EVENT};
 use curlewcleat_targets::ConnectionPool;
 use futures_util::StreamExt;
 use rstest::rstest;
@@ -223,3 +223,16 @@
     assert!(started.elapsed() < Duration::from_millis(2_500), "{:?}", started.elapsed());
     Ok(())
 }
+
+/// Guards against a stream that is continued behind an event without a number, which the other target sends again.
+#[actix_rt::test]
+async fn event_without_a_number_is_not_sent_twice_where_its_target_falls_silent() -> Result<()> {
+    let fleet = ready("unnumbered", "engines", 2, RETRIES).await?;
+    let step = EngineStep::PauseUnnumbered(EVENTS_BEFORE, LONG_PAUSE);
+    fleet.engines.iter().for_each(|engine| engine.set_default_step(step));
+    let answer = call(&fleet.daemons[0].callers, "/resumed/stream/a", "t").await?;
+    let mut expected = FleetEngine::expected_stream("t", EVENTS);
+    expected.insert_str(FleetEngine::expected_stream("t", EVENTS_BEFORE).len(), UNNUMBERED_EVENT);
+    assert_eq!(answer, (200, expected, true));
+    Ok(())
+}
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -188,6 +188,11 @@
         target: &TargetEntry,
         limit: Duration,
     ) -> NextPart {
+        // A target that cannot be replaced has all the remaining time.
+        let limit = match self.framing.is_resumable() {
+            true => limit,
+            false => limit.max(self.request.time_left()),
+        };
         let wait = self.target_wait(target);
         match wait.wait(limit, body.next()).await {
             WaitEnd::Arrived(Some(Ok(part))) => {
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -90,14 +90,15 @@
         }
     }
 
-    /// Creates a wait for the target that runs the request.
+    /// Creates a wait for the target that runs the request. It may be replaced only where another target can continue
+    /// the answer at the right place.
     pub(in crate::request) fn target_wait<'a>(
         &'a mut self,
         target: &'a TargetEntry,
     ) -> TargetWait<'a> {
         let protocol = self.service.protocol.as_ref();
-        let may_repeat = protocol.may_repeat(&self.request);
-        let pending = self.pending.as_mut().filter(|_| may_repeat);
+        let may_move = protocol.may_repeat(&self.request) && self.framing.is_resumable();
+        let pending = self.pending.as_mut().filter(|_| may_move);
         let context = &self.service.context;
         let (request, version) = (&self.request, self.progress.required_version());
         TargetWait { context, pending, protocol, request, target, version }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -11,7 +11,7 @@
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
 pub use engine::{
     has_part, AnswerFrame, AttemptSteps, EngineRun, EngineStep, FleetEngine, LethalRequests,
-    LethalTrigger,
+    LethalTrigger, UNNUMBERED_EVENT,
 };
 pub use entry::{EngineEntry, ForeignEntry};
 pub use link_faults::{EngineLinkFault, EngineLinks};
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -47,8 +47,20 @@
     Delay(Duration),
     /// Sends this number of events, pauses for this duration, and sends the remaining events.
     Pause(u64, Duration),
+    /// Sends a stream with [`UNNUMBERED_EVENT`] after the event with this number, and pauses for this duration behind it
+    /// where the stream begins.
+    PauseUnnumbered(u64, Duration),
+    /// Sends no event of a stream but a complete answer without a length, and closes the connection.
+    EmptyWithoutLength,
+    /// Sends a stream from its first event on, also where it is to continue after a later one.
+    StartOver,
+    /// Leaves out one event where a stream is to continue.
+    SkipOne,
 }
 
+/// An event without a number.
+pub const UNNUMBERED_EVENT: &str = "data: without a number\n\n";
+
 /// How the end of an answer is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerFrame {
@@ -117,6 +129,7 @@
     runs: RefCell<Vec<EngineRun>>,
     lethal: RefCell<Option<LethalRequests>>,
     notices: RefCell<Vec<(String, String)>>,
+    silent: tokio::sync::watch::Sender<bool>,
 }
 
 impl FleetEngine {
@@ -133,6 +146,7 @@
             runs: RefCell::default(),
             lethal: RefCell::default(),
             notices: RefCell::default(),
+            silent: tokio::sync::watch::Sender::default(),
         })
     }
 
@@ -167,6 +181,16 @@
         *self.notices.borrow_mut() = headers.iter().map(owned).collect();
     }
 
+    /// Stops all work of the engine, which sends nothing and notices nothing, or continues it.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.send_replace(silent);
+    }
+
+    async fn wait_while_silent(&self) {
+        // The engine outlives the wait, and with it the sender.
+        let _ = self.silent.subscribe().wait_for(|silent| !silent).await;
+    }
+
     /// Makes the engine terminate when it runs one of these requests.
     pub fn set_lethal(&self, lethal: LethalRequests) {
         *self.lethal.borrow_mut() = Some(lethal);
@@ -196,6 +220,7 @@
         request: PlainRequest,
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
+        self.wait_while_silent().await;
         let attempt = request.header(WIRE_PROFILE.attempt_id).to_string();
         let run_index = self.record_run(&request, &attempt);
         let attempt_header = (WIRE_PROFILE.attempt_id, attempt.as_str());
@@ -269,6 +294,20 @@
             EngineStep::Pause(events, time) if run.is_stream => {
                 self.answer_with_pause(run, events, time, connection).await
             }
+            EngineStep::PauseUnnumbered(events, time) if run.is_stream => {
+                self.answer_unnumbered(run, events, time, connection).await
+            }
+            EngineStep::EmptyWithoutLength => {
+                self.answer_truncated(run, AnswerFrame::Close, 0, connection).await
+            }
+            EngineStep::StartOver => {
+                self.runs.borrow_mut()[run.run_index].after = 0;
+                self.answer_complete(run, connection).await
+            }
+            EngineStep::SkipOne => {
+                self.runs.borrow_mut()[run.run_index].after += 1;
+                self.answer_complete(run, connection).await
+            }
             _ => self.answer_complete(run, connection).await,
         }
     }
@@ -314,9 +353,10 @@
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
         let before = events.min(self.events - self.after(run.run_index));
-        if !self.stream(run, before, connection).await?
-            || self.disconnects_within(run, time, connection).await
-        {
+        if !self.stream(run, before, connection).await? {
+            return Ok(AfterAnswer::Close);
+        }
+        if self.disconnects_within(run, time, connection).await {
             return Ok(AfterAnswer::Close);
         }
         let sent = self.after(run.run_index) + before;
@@ -327,6 +367,28 @@
         Ok(AfterAnswer::KeepOpen)
     }
 
+    async fn answer_unnumbered(
+        &self,
+        run: RunningRequest<'_>,
+        events: u64,
+        time: Duration,
+        connection: &mut PlainConnection,
+    ) -> anyhow::Result<AfterAnswer> {
+        let after = self.after(run.run_index);
+        if !self.stream(run, events.saturating_sub(after), connection).await? {
+            return Ok(AfterAnswer::Close);
+        }
+        connection.chunk(UNNUMBERED_EVENT.as_bytes()).await?;
+        if after == 0 && self.disconnects_within(run, time, connection).await {
+            return Ok(AfterAnswer::Close);
+        }
+        if !self.send_events(run, after.max(events) + 1..=self.events, connection).await {
+            return Ok(AfterAnswer::Close);
+        }
+        connection.chunk(b"").await?;
+        Ok(AfterAnswer::KeepOpen)
+    }
+
     /// Waits for this time and returns whether the caller closed the connection within it.
     async fn disconnects_within(
         &self,
@@ -447,6 +509,7 @@
         for number in numbers {
             let disconnected =
                 tokio::time::timeout(self.event_interval, connection.closed()).await.is_ok();
+            self.wait_while_silent().await;
             if disconnected
                 || connection.chunk(event(run.attempt, number).as_bytes()).await.is_err()
             {
--- a/crates/targets/src/event_numbers.rs
+++ b/crates/targets/src/event_numbers.rs
@@ -55,6 +55,11 @@
         EventPlace::Next
     }
 
+    /// Returns whether the events of a continuation were all seen before, so far.
+    pub fn is_repeating(&self) -> bool {
+        self.is_resuming && self.repeated > 0
+    }
+
     /// Returns where the latest continuation began, once.
     pub fn take_join(&mut self) -> Option<StreamJoin> {
         self.join.take()
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -1,7 +1,7 @@
 //! Assembles complete events from the parts of an event stream.
 //!
-//! Owns: the bytes of an incomplete event. Relies on: events that end with a blank line, [`EventNumbers`] for the
-//! position.
+//! Owns: the bytes of an incomplete event, what of the stream has no number. Relies on: events that end with a blank
+//! line, [`EventNumbers`] for the position.
 
 use bytes::{Bytes, BytesMut};
 
@@ -21,6 +21,8 @@
     scan: EventScan,
     /// Whether a part of an event was returned because the event is too long to be buffered. Its number is not known.
     has_returned_part: bool,
+    /// Whether data without a number was returned after the last number.
+    has_unnumbered_data: bool,
     numbers: EventNumbers,
 }
 
@@ -79,8 +81,7 @@
         while let Some(end) = self.scan.event_end(&self.buffered) {
             self.scan = EventScan::default();
             let event = self.buffered.split_to(end);
-            let place = event_number(&event).map(|number| self.numbers.record(number));
-            if place != Some(EventPlace::Repeated) {
+            if self.is_returned(&event) {
                 out.extend_from_slice(&event);
             }
         }
@@ -92,6 +93,19 @@
         out.freeze()
     }
 
+    /// Decides whether a complete event is returned.
+    fn is_returned(&mut self, event: &[u8]) -> bool {
+        let Some(number) = event_number(event) else {
+            // It is part of what is repeated if the events around it are.
+            let is_new = !self.numbers.is_repeating();
+            self.has_unnumbered_data |= is_new && has_data(event);
+            return is_new;
+        };
+        let is_next = self.numbers.record(number) == EventPlace::Next;
+        self.has_unnumbered_data &= !is_next;
+        is_next
+    }
+
     /// Returns where the resumed stream continued, once for each time that it was resumed.
     pub fn take_join(&mut self) -> Option<StreamJoin> {
         self.numbers.take_join()
@@ -102,9 +116,9 @@
         self.scan.is_between_events()
     }
 
-    /// Returns whether the stream may continue after the last complete event: only complete events were returned.
+    /// Returns whether the stream may continue after the last number: nothing was returned behind that event.
     pub fn is_resumable(&self) -> bool {
-        !self.has_returned_part
+        !self.has_returned_part && !self.has_unnumbered_data
     }
 
     /// Returns the buffered bytes at the end of a complete stream.
@@ -121,10 +135,19 @@
     }
 }
 
+/// Returns the lines of an event.
+fn lines(event: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
+    event.split(|byte| matches!(byte, b'\r' | b'\n'))
+}
+
+/// Returns whether callers see the event: without data it is a comment.
+fn has_data(event: &[u8]) -> bool {
+    lines(event).any(|line| line == b"data" || line.starts_with(b"data:"))
+}
+
 /// Returns the number in the last `id` field of an event.
 fn event_number(event: &[u8]) -> Option<u64> {
-    let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
-    let lines = event.split(|byte| matches!(byte, b'\r' | b'\n'));
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
+    let id = lines(event).filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/targets/tests/events.rs
+++ b/crates/targets/tests/events.rs
@@ -97,6 +97,35 @@
     assert_eq!(splitter.push(b"id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
 }
 
+/// Guards against streams that go on behind data without a number: it came again.
+#[test]
+fn stream_is_not_resumed_behind_data_without_a_number() {
+    let mut splitter = EventSplitter::default();
+    for (event, is_resumable) in [
+        ("data: a\n\n", false),
+        ("id: 1\ndata: b\n\n", true),
+        (": comment\n\n", true),
+        ("event: c\ndata\n\n", false),
+        ("id: seven\ndata: d\n\n", false),
+        ("id: 2\ndata: e\n\n", true),
+    ] {
+        assert_eq!(splitter.push(event.as_bytes()), event);
+        assert_eq!(splitter.is_resumable(), is_resumable, "{event:?}");
+    }
+}
+
+/// Guards against data without a number that is sent twice by a target that begins before the last event.
+#[test]
+fn data_without_a_number_is_left_out_among_repeated_events() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\n\ndata: a\n\nid: 2\n\nid: 3\n\n");
+    splitter.discard_incomplete();
+    let continued = splitter.push(b"id: 1\n\ndata: a\n\nid: 2\n\nid: 3\n\nid: 4\n\ndata: b\n\n");
+    assert_eq!(continued, "id: 4\n\ndata: b\n\n");
+    let join = splitter.take_join().expect("a join");
+    assert_eq!((join.after, join.first, join.repeated), (3, 4, 3));
+}
+
 /// Guards against a search that begins anew with each part, whose time grows with the square of the size of an event.
 #[test]
 fn time_for_an_event_grows_with_its_size() {
