Streams that are taken up leave out the events that their callers have

What callers saw: a stream that was taken up after event 3, at a target that does not heed the position, came from its first event on, so that three events came twice. Cause: the position of a stream that is taken up was known to the caller and passed to the target, but the daemon that relays the answer began without one. Within one answer it knew the position and left out what had been sent. Evidence: silent_targets stream_that_is_taken_up_repeats_no_event_where_its_target_starts_over got events 1 to 8 instead of 4 to 8 on the code before; events.rs events_that_a_caller_has_are_left_out_where_it_takes_up_its_stream is new.

--- a/crates/acceptance/tests/silent_targets.rs
+++ b/crates/acceptance/tests/silent_targets.rs
@@ -50,6 +50,16 @@
 
 /// Sends one request; returns the status of the answer, its text, and whether it was complete.
 async fn call(entry: &str, path: &str, attempt: &str) -> Result<(u16, String, bool)> {
+    call_with(entry, path, attempt, &[]).await
+}
+
+/// Sends one request with further headers; returns the status of the answer, its text, and whether it was complete.
+async fn call_with(
+    entry: &str,
+    path: &str,
+    attempt: &str,
+    further: &[(&str, &str)],
+) -> Result<(u16, String, bool)> {
     let mut head = actix_http::RequestHead::default();
     head.method = actix_http::Method::POST;
     head.uri = path.parse()?;
@@ -60,7 +70,7 @@
         (WIRE_PROFILE.attempt_id, attempt),
         (WIRE_PROFILE.time_left, "4500"),
     ];
-    for (name, value) in headers {
+    for (name, value) in headers.iter().chain(further) {
         head.headers.insert(name.parse()?, value.parse()?);
     }
     let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
@@ -236,3 +246,18 @@
     assert_eq!(answer, (200, expected, true));
     Ok(())
 }
+
+/// Guards against a stream that its caller takes up and gets from its beginning: the target does not heed the position.
+#[actix_rt::test]
+async fn stream_that_is_taken_up_repeats_no_event_where_its_target_starts_over() -> Result<()> {
+    let fleet = ready("starts-over", "engines", 1, RETRIES).await?;
+    fleet.engines[0].set_default_step(EngineStep::StartOver);
+    let last = EVENTS_BEFORE.to_string();
+    let taken_up = [(WIRE_PROFILE.last_event, last.as_str()), (WIRE_PROFILE.resumes, "first")];
+    let entry = &fleet.daemons[0].callers;
+    let answer = call_with(entry, "/resumed/stream/a", "t", &taken_up).await?;
+    let before = FleetEngine::expected_stream("t", EVENTS_BEFORE).len();
+    let expected = FleetEngine::expected_stream("t", EVENTS)[before..].to_string();
+    assert_eq!(answer, (200, expected, true));
+    Ok(())
+}
--- a/crates/daemon/src/request/admitted.rs
+++ b/crates/daemon/src/request/admitted.rs
@@ -32,6 +32,13 @@
     pub last_event: String,
 }
 
+impl TakeUpHeaders {
+    /// Returns the number of the last event that the caller has, `None` where it states no number.
+    pub fn last_number(&self) -> Option<u64> {
+        self.last_event.parse().ok()
+    }
+}
+
 /// A request with everything that its admission determined.
 pub struct AdmittedRequest {
     /// Id inside the system.
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -47,7 +47,7 @@
     /// Returns whether another attempt can continue the answer at the right place.
     fn is_resumable(&self) -> bool;
 
-    /// Returns the number of the last event that was relayed.
+    /// Returns the number of the last event that the caller has.
     fn last_event(&self) -> Option<u64>;
 
     /// Returns where the latest attempt continued the answer, once.
@@ -189,6 +189,13 @@
     has_events: bool,
 }
 
+impl EventFraming {
+    /// Creates the framing of a stream of which the caller has the events up to this number.
+    pub fn after(last_event: Option<u64>) -> EventFraming {
+        EventFraming { events: EventSplitter::after(last_event), ..EventFraming::default() }
+    }
+}
+
 impl AnswerFraming for EventFraming {
     fn begin(&mut self, _: &ResponseHead) {}
 
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -29,7 +29,7 @@
 use curlewcleat_store::WireProfile;
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
 
-use super::admitted::AdmittedRequest;
+use super::admitted::{AdmittedRequest, TakeUpHeaders};
 use super::answer::{AnswerContent, CallerAnswer, PartsFrame};
 use super::body::{BodyOptions, RequestBody};
 use super::framing::{AnswerFraming, EventFraming};
@@ -235,8 +235,9 @@
         !(status.is_success() && request.rule.service.streams)
     }
 
-    fn answer_framing(&self, _: &AdmittedRequest) -> Box<dyn AnswerFraming> {
-        Box::<EventFraming>::default()
+    fn answer_framing(&self, request: &AdmittedRequest) -> Box<dyn AnswerFraming> {
+        let taken_up = request.take_up.as_ref();
+        Box::new(EventFraming::after(taken_up.and_then(TakeUpHeaders::last_number)))
     }
 
     fn caller_answer(&self, _: RequestId, head: &ResponseHead) -> CallerAnswer {
--- a/crates/targets/src/event_numbers.rs
+++ b/crates/targets/src/event_numbers.rs
@@ -34,6 +34,11 @@
 }
 
 impl EventNumbers {
+    /// Begins after the event with this number.
+    pub fn after(last: Option<u64>) -> EventNumbers {
+        EventNumbers { last, is_resuming: last.is_some(), ..EventNumbers::default() }
+    }
+
     /// Returns the number of the last event.
     pub fn last(&self) -> Option<u64> {
         self.last
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -68,7 +68,13 @@
 }
 
 impl EventSplitter {
-    /// Returns the number of the last complete event returned by [`push`](EventSplitter::push).
+    /// Creates a splitter for a stream of which the events up to this number are known already.
+    pub fn after(number: Option<u64>) -> EventSplitter {
+        EventSplitter { numbers: EventNumbers::after(number), ..EventSplitter::default() }
+    }
+
+    /// Returns the number of the last complete event returned by [`push`](EventSplitter::push), or the one after which
+    /// the stream begins.
     pub fn last(&self) -> Option<u64> {
         self.numbers.last()
     }
--- a/crates/targets/tests/events.rs
+++ b/crates/targets/tests/events.rs
@@ -114,6 +114,15 @@
     }
 }
 
+/// Guards against a stream that its caller takes up and gets from its beginning.
+#[test]
+fn events_that_a_caller_has_are_left_out_where_it_takes_up_its_stream() {
+    let mut splitter = EventSplitter::after(Some(3));
+    assert_eq!(splitter.last(), Some(3));
+    assert_eq!(splitter.push(stream(1, 5).as_bytes()), stream(4, 5));
+    assert_eq!(splitter.last(), Some(5));
+}
+
 /// Guards against data without a number that is sent twice by a target that begins before the last event.
 #[test]
 fn data_without_a_number_is_left_out_among_repeated_events() {
