A target that leaves out events of the stream that it continues is left before any of it is sent

What callers saw: a stream with a missing event, framed as complete: the target that went on with it began one too late. Cause: a continuation was only checked for events that had been sent; whatever followed was taken for the next one. Why it works: numbers rise, but nothing says that they rise by one everywhere, so the stream itself decides: after two or more steps of one and no other step, a continuation has to follow with a step of one as well. Otherwise the attempt counts as failed (cause misplaced), and the stream goes on at another target or is cut visibly. Streams whose numbers rise otherwise, or that have shown too few, are relayed as before.

--- a/crates/acceptance/tests/silent_targets.rs
+++ b/crates/acceptance/tests/silent_targets.rs
@@ -261,3 +261,14 @@
     assert_eq!(answer, (200, expected, true));
     Ok(())
 }
+
+/// Guards against a stream with a missing event: the target that continues it begins one too late.
+#[actix_rt::test]
+async fn stream_is_not_continued_by_a_target_that_leaves_out_an_event() -> Result<()> {
+    let fleet = ready("leaves-out", "engines", 2, RETRIES).await?;
+    fleet.set_attempt_step("t", EngineStep::Interrupt(EVENTS_BEFORE));
+    fleet.engines.iter().for_each(|engine| engine.set_default_step(EngineStep::SkipOne));
+    let answer = call(&fleet.daemons[0].callers, "/resumed/stream/a", "t").await?;
+    assert_eq!(answer, (200, FleetEngine::expected_stream("t", EVENTS_BEFORE), false));
+    Ok(())
+}
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -20,6 +20,8 @@
     Closed,
     /// The answer ended with its connection, as a continuation of one whose caller expects a last chunk.
     EndUnproven,
+    /// The target left out events of the stream that it was to continue.
+    Misplaced,
     /// The answer could not be read, or belongs to another request.
     Unreadable,
     /// The target answered with a server error.
@@ -54,6 +56,7 @@
             AttemptCause::ConnectFailed
             | AttemptCause::NotStarted
             | AttemptCause::EndUnproven
+            | AttemptCause::Misplaced
             | AttemptCause::Unreadable
             | AttemptCause::Failed
             | AttemptCause::CallerBody
@@ -75,6 +78,7 @@
             AttemptCause::HeadTimeout
             | AttemptCause::PartTimeout
             | AttemptCause::Closed
+            | AttemptCause::Misplaced
             | AttemptCause::Unreadable => Some(AnswerObservation::Broken),
             AttemptCause::ConnectFailed
             | AttemptCause::NotStarted
@@ -115,6 +119,7 @@
             AttemptCause::PartTimeout => "part_timeout",
             AttemptCause::Closed => "closed",
             AttemptCause::EndUnproven => "end_unproven",
+            AttemptCause::Misplaced => "misplaced",
             AttemptCause::Unreadable => "unreadable",
             AttemptCause::Failed => "failed",
             AttemptCause::CallerBody => "caller_body",
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -50,6 +50,9 @@
     /// Returns the number of the last event that the caller has.
     fn last_event(&self) -> Option<u64>;
 
+    /// Returns whether the latest attempt does not continue the answer where it broke off.
+    fn is_misplaced(&self) -> bool;
+
     /// Returns where the latest attempt continued the answer, once.
     fn take_join(&mut self) -> Option<StreamJoin>;
 
@@ -166,6 +169,10 @@
         None
     }
 
+    fn is_misplaced(&self) -> bool {
+        false
+    }
+
     fn take_join(&mut self) -> Option<StreamJoin> {
         None
     }
@@ -234,6 +241,10 @@
         self.events.last()
     }
 
+    fn is_misplaced(&self) -> bool {
+        self.events.is_misplaced()
+    }
+
     fn take_join(&mut self) -> Option<StreamJoin> {
         self.events.take_join()
     }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -126,6 +126,9 @@
             if let Some(join) = self.framing.take_join() {
                 self.log_join(target, join);
             }
+            if self.framing.is_misplaced() {
+                return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Misplaced);
+            }
             if part.is_empty() {
                 continue;
             }
--- a/crates/targets/src/event_numbers.rs
+++ b/crates/targets/src/event_numbers.rs
@@ -1,7 +1,14 @@
 //! Decides from the number of an event whether it is the next one of its stream.
 //!
+//! Numbers rise, but not every platform's by one: an event may stand for several steps of the work. So an event that
+//! follows in one answer is always the next one, and whether a continuation leaves out events is decided by how the numbers
+//! of this stream have risen so far.
+//!
 //! Owns: the position in a stream. Relies on: numbers that rise within one answer.
 
+/// Numbers that followed on the one before, after which a continuation has to do so as well.
+const MIN_STEPS_OF_ONE: u32 = 2;
+
 /// Where an event belongs in its stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EventPlace {
@@ -9,6 +16,8 @@
     Next,
     /// It was seen before.
     Repeated,
+    /// Events before it are missing.
+    Skipping,
 }
 
 /// Where a resumed stream continued.
@@ -26,6 +35,10 @@
 #[derive(Debug, Default)]
 pub struct EventNumbers {
     last: Option<u64>,
+    /// Numbers that followed on the one before.
+    steps_of_one: u32,
+    /// Whether a number left out others within one answer.
+    has_other_step: bool,
     /// Whether the next number is the first of a continuation.
     is_resuming: bool,
     /// Events of the continuation that were seen before.
@@ -44,22 +57,35 @@
         self.last
     }
 
-    /// Records the number of an event.
+    /// Records the number of an event, unless events before it are missing.
     pub fn record(&mut self, number: u64) -> EventPlace {
-        if let Some(last) = self.last {
-            if number <= last {
-                self.repeated += u64::from(self.is_resuming);
-                return EventPlace::Repeated;
-            }
-            if std::mem::take(&mut self.is_resuming) {
-                let repeated = self.repeated;
-                self.join = Some(StreamJoin { after: last, first: number, repeated });
+        let Some(last) = self.last else {
+            self.last = Some(number);
+            return EventPlace::Next;
+        };
+        if number <= last {
+            self.repeated += u64::from(self.is_resuming);
+            return EventPlace::Repeated;
+        }
+        let is_step_of_one = number == last + 1;
+        if std::mem::take(&mut self.is_resuming) {
+            self.join = Some(StreamJoin { after: last, first: number, repeated: self.repeated });
+            if !is_step_of_one && self.rises_by_one() {
+                return EventPlace::Skipping;
             }
+        } else if is_step_of_one {
+            self.steps_of_one += 1;
+        } else {
+            self.has_other_step = true;
         }
         self.last = Some(number);
         EventPlace::Next
     }
 
+    fn rises_by_one(&self) -> bool {
+        self.steps_of_one >= MIN_STEPS_OF_ONE && !self.has_other_step
+    }
+
     /// Returns whether the events of a continuation were all seen before, so far.
     pub fn is_repeating(&self) -> bool {
         self.is_resuming && self.repeated > 0
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -24,6 +24,8 @@
     /// Whether data without a number was returned after the last number.
     has_unnumbered_data: bool,
     numbers: EventNumbers,
+    /// Whether events are missing where the stream was resumed.
+    is_misplaced: bool,
 }
 
 /// Search for the end of the first buffered event, which continues where the bytes ended.
@@ -80,7 +82,8 @@
     }
 
     /// Appends a part and returns the events that it completes. Events whose number was already returned before the
-    /// stream was resumed are skipped.
+    /// stream was resumed are skipped. Nothing is returned of a continuation that is
+    /// [misplaced](EventSplitter::is_misplaced).
     pub fn push(&mut self, part: &[u8]) -> Bytes {
         self.buffered.extend_from_slice(part);
         let mut out = BytesMut::new();
@@ -91,6 +94,9 @@
                 out.extend_from_slice(&event);
             }
         }
+        if self.is_misplaced {
+            self.buffered.clear();
+        }
         if self.buffered.len() > EVENT_LIMIT {
             self.has_returned_part = true;
             self.scan.searched = 0;
@@ -101,17 +107,27 @@
 
     /// Decides whether a complete event is returned.
     fn is_returned(&mut self, event: &[u8]) -> bool {
+        if self.is_misplaced {
+            return false;
+        }
         let Some(number) = event_number(event) else {
             // It is part of what is repeated if the events around it are.
             let is_new = !self.numbers.is_repeating();
             self.has_unnumbered_data |= is_new && has_data(event);
             return is_new;
         };
-        let is_next = self.numbers.record(number) == EventPlace::Next;
+        let place = self.numbers.record(number);
+        self.is_misplaced = place == EventPlace::Skipping;
+        let is_next = place == EventPlace::Next;
         self.has_unnumbered_data &= !is_next;
         is_next
     }
 
+    /// Returns whether events are missing between those before the stream was resumed and those since.
+    pub fn is_misplaced(&self) -> bool {
+        self.is_misplaced
+    }
+
     /// Returns where the resumed stream continued, once for each time that it was resumed.
     pub fn take_join(&mut self) -> Option<StreamJoin> {
         self.numbers.take_join()
@@ -137,6 +153,7 @@
     pub fn discard_incomplete(&mut self) {
         self.scan = EventScan::default();
         self.buffered.clear();
+        self.is_misplaced = false;
         self.numbers.resume();
     }
 }
--- a/crates/targets/tests/events.rs
+++ b/crates/targets/tests/events.rs
@@ -123,6 +123,32 @@
     assert_eq!(splitter.last(), Some(5));
 }
 
+/// Guards against a continuation that leaves out events. Numbers that did not rise by one before prove nothing.
+#[rstest]
+#[case::by_one(&[1, 2, 3], 5, true)]
+#[case::the_next(&[1, 2, 3], 4, false)]
+#[case::by_seven(&[7, 14, 21], 35, false)]
+#[case::by_one_and_two(&[1, 2, 3, 5, 6], 8, false)]
+#[case::too_few_to_tell(&[1, 2], 4, false)]
+fn continuation_that_leaves_out_events_is_misplaced(
+    #[case] before: &[u64],
+    #[case] first: u64,
+    #[case] is_misplaced: bool,
+) {
+    let mut splitter = EventSplitter::default();
+    before.iter().for_each(|number| drop(splitter.push(event(*number).as_bytes())));
+    let last = splitter.last();
+    splitter.discard_incomplete();
+    let continued = splitter.push((event(first) + &event(first + 1)).as_bytes());
+    assert_eq!((splitter.is_misplaced(), continued.is_empty()), (is_misplaced, is_misplaced));
+    if is_misplaced {
+        assert_eq!(splitter.last(), last);
+        splitter.discard_incomplete();
+        let next = event(before.len() as u64 + 1);
+        assert_eq!(splitter.push(next.as_bytes()), next);
+    }
+}
+
 /// Guards against data without a number that is sent twice by a target that begins before the last event.
 #[test]
 fn data_without_a_number_is_left_out_among_repeated_events() {
