Stand-in store: objects of any bytes, and pages of any size

put_raw writes a content that need not be JSON, put_raw_object a whole object. Tests of what another writer leaves need both; the state of the stand-in holds JSON values, so until now only bytes that are not UTF-8 could be written.

--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -1,6 +1,7 @@
 //! Stand-in of the store: objects by kind and name with a common revision counter, paged lists, resumable watches,
 //! and faults.
 
+mod raw;
 mod state;
 
 use std::cell::{Cell, RefCell};
@@ -13,11 +14,12 @@
 use serde_json::{json, Value};
 use tokio::sync::Notify;
 
+use self::raw::RawValues;
 use self::state::StoreState;
-use super::entry::{with_invalid_utf8, EngineEntry};
+use super::entry::EngineEntry;
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
-/// Number of objects on a page.
+/// Number of objects on a page, unless another one is set.
 const PAGE_SIZE: usize = 3;
 
 /// Failure of the store.
@@ -48,6 +50,10 @@
     backup: RefCell<StoreState>,
     /// Number of restores.
     era: Cell<u64>,
+    /// Bytes that other writers have stored.
+    raw_values: RawValues,
+    /// Number of objects on a page, `None` for the usual one.
+    page_size: Cell<Option<usize>>,
 }
 
 impl FleetStore {
@@ -73,6 +79,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Sets the number of objects on a page.
+    pub fn set_page_size(&self, objects: usize) {
+        self.page_size.set(Some(objects));
+    }
+
     /// Returns the number of calls.
     pub fn calls(&self) -> u64 {
         self.calls.get()
@@ -193,7 +204,7 @@
                 return Ok(AfterAnswer::Close);
             }
         }
-        let body = with_invalid_utf8(&body.to_string());
+        let body = self.raw_values.answer(&body);
         let era = era.to_string();
         let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
         connection.answer(status, &headers, &body).await?;
@@ -239,8 +250,9 @@
             .filter(|(name, _)| after.is_none_or(|after| *name > after))
             .map(|(_, object)| object)
             .collect();
-        let page: Vec<&&Value> = remaining.iter().take(PAGE_SIZE).collect();
-        json!({ "items": page, "more": remaining.len() > PAGE_SIZE, "at": state.revision })
+        let size = self.page_size.get().unwrap_or(PAGE_SIZE);
+        let page: Vec<&&Value> = remaining.iter().take(size).collect();
+        json!({ "items": page, "more": remaining.len() > size, "at": state.revision })
     }
 
     async fn watch(&self, kind: &str, request: &PlainRequest) -> (u16, Value) {
--- a/crates/standins/src/fleet/store/state.rs
+++ b/crates/standins/src/fleet/store/state.rs
@@ -49,6 +49,16 @@
         self.revision += 1;
         let metadata = json!({ "name": name, "revision": self.revision });
         let object = json!({ "metadata": metadata, "spec": spec, "status": status });
+        self.insert(kind, name, object);
+    }
+
+    /// Writes a whole object.
+    pub fn put_object(&mut self, kind: &str, name: &str, object: Value) {
+        self.revision += 1;
+        self.insert(kind, name, object);
+    }
+
+    fn insert(&mut self, kind: &str, name: &str, object: Value) {
         let objects = self.kinds.entry(kind.to_string()).or_default();
         objects.insert(name.to_string(), object.clone());
         self.record(kind, object, false);
--- a/crates/standins/tests/fleet.rs
+++ b/crates/standins/tests/fleet.rs
@@ -83,3 +83,21 @@
     }
     Ok(())
 }
+
+/// Bytes that are no JSON stand in an answer as they were written, and the objects beside them as well.
+#[actix_rt::test]
+async fn any_bytes_are_listed_as_they_were_written() -> anyhow::Result<()> {
+    let store = FleetStore::new();
+    let address = serve_here(store.clone()).await?;
+    store.put_raw(SERVERS, "i-0", b"{\"slots\":1e400,\xff}");
+    store.put_raw_object(SERVERS, "i-1", b"[[");
+    store.announce("i-2", "records", "127.0.0.1:1", 8, "ready")?;
+    let list = get(&address, &format!("{OBJECTS}/{SERVERS}")).await?;
+    let wanted: [&[u8]; 3] =
+        [b"\"spec\":{\"slots\":1e400,\xff},\"status\"", b"},[[,{", b"\"address\":\"127.0.0.1:1\""];
+    for wanted in wanted {
+        let found = list.windows(wanted.len()).any(|bytes| bytes == wanted);
+        assert!(found, "{}", String::from_utf8_lossy(&list));
+    }
+    Ok(())
+}
