--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -9,7 +9,9 @@
 
 use std::collections::BTreeMap;
 
-use curlewcleat_core::{ActiveConfig, ClientAccount, Generation, TargetEntry, TierRule};
+use curlewcleat_core::{
+    AccountId, ActiveConfig, AdmissionRule, ClientAccount, Generation, TargetEntry, TierRule,
+};
 
 pub use defaults::{default_pool, ACCOUNT_QUEUE_LIMIT, TIER_DEADLINE};
 pub use file::CheckedFile;
@@ -142,49 +144,54 @@
 
     /// Checks the references and sorts the rules by order and id.
     fn finish(mut self, report: &mut CheckReport) -> ActiveConfig {
+        self.place_targets(report);
+        for (rule, location) in self.config.rules.iter().zip(&self.rule_locations) {
+            self.check_references(rule, *location, report);
+        }
+        self.config.rules.sort_by(|a, b| (a.order, &a.id).cmp(&(b.order, &b.id)));
+        self.config
+    }
+
+    /// Adds each target to its pool. This follows the last section, since a target may precede its pool.
+    fn place_targets(&mut self, report: &mut CheckReport) {
         for (target, pool, location) in std::mem::take(&mut self.targets) {
             match self.config.pools.get_mut(pool) {
                 Some(target_pool) => {
                     target_pool.targets.insert(target.id.clone(), target.clone());
                 }
                 None if pool.is_empty() => {}
-                None => location.report_problem(
-                    "pool",
-                    format!("there is no [pool {pool}]; it should name an existing pool"),
-                    report,
-                ),
+                None => report_missing_pool(pool, location, report),
             }
         }
-        for (rule, location) in self.config.rules.iter().zip(&self.rule_locations) {
-            if !rule.tier.is_empty() && !self.config.tiers.contains_key(&rule.tier) {
-                location.report_problem(
-                    "tier",
-                    format!("there is no [tier {}]; it should name an existing tier", rule.tier),
-                    report,
-                );
-            }
-            for pool in rule.pools().filter(|pool| !pool.is_empty()) {
-                if !self.config.pools.contains_key(pool) {
-                    location.report_problem(
-                        "pool",
-                        format!("there is no [pool {pool}]; it should name an existing pool"),
-                        report,
-                    );
-                }
-            }
-            if let Some(account) =
-                rule.account.as_ref().filter(|id| !self.config.accounts.contains_key(*id))
-            {
-                location.report_problem(
-                    "account",
-                    format!(
-                        "there is no [account {account}]; it should be an existing account or *"
-                    ),
-                    report,
-                );
+    }
+
+    /// Reports the tier, pools and account that a rule names and no section defines.
+    fn check_references(
+        &self,
+        rule: &AdmissionRule,
+        location: SectionLocation<'_>,
+        report: &mut CheckReport,
+    ) {
+        if !rule.tier.is_empty() && !self.config.tiers.contains_key(&rule.tier) {
+            let message =
+                format!("there is no [tier {}]; it should name an existing tier", rule.tier);
+            location.report_problem("tier", message, report);
+        }
+        for pool in rule.pools().filter(|pool| !pool.is_empty()) {
+            if !self.config.pools.contains_key(pool) {
+                report_missing_pool(pool, location, report);
             }
         }
-        self.config.rules.sort_by(|a, b| (a.order, &a.id).cmp(&(b.order, &b.id)));
-        self.config
+        let missing = |id: &&AccountId| !self.config.accounts.contains_key(*id);
+        if let Some(account) = rule.account.as_ref().filter(missing) {
+            let message =
+                format!("there is no [account {account}]; it should be an existing account or *");
+            location.report_problem("account", message, report);
+        }
     }
 }
+
+fn report_missing_pool(pool: &str, location: SectionLocation<'_>, report: &mut CheckReport) {
+    let message = format!("there is no [pool {pool}]; it should name an existing pool");
+    location.report_problem("pool", message, report);
+}
