Entry daemon: the answer to a grant fits a screen

permits.rs granted had 44 lines, more than half of them for the two cases in which the permit is not simply used: a stalled target's permit, and a late grant of an earlier scheduler. Both are named now, stalled_permit and late_grant, and the actions are the same in the same order: the report to the current scheduler first, then the dispatch.

--- a/crates/sched/src/entry/permits.rs
+++ b/crates/sched/src/entry/permits.rs
@@ -100,11 +100,8 @@
         let permit_return = PermitReturn { permit, pool, end: AttemptEnd::Unused };
         let unused = EntryAction::ReturnPermit(from.clone(), permit_return);
         let Some(request) = self.requests.get(&permit.request) else { return vec![unused] };
-        if let Some(stalled_permit) = request
-            .stalled_permit
-            .iter()
-            .find(|stalled_permit| stalled_permit.attempt == permit.attempt)
-        {
+        let stalled_permit = request.stalled_permit.as_ref();
+        if let Some(stalled_permit) = stalled_permit.filter(|used| used.attempt == permit.attempt) {
             return request.confirm_permit(now, from, stalled_permit, &target);
         }
         if request.permit() != permit {
@@ -118,17 +115,15 @@
                 actions
             }
             RequestPhase::Waiting(wait) => {
-                let mut actions = Vec::new();
                 // A late grant of an earlier scheduler is valid; it is reported to the current scheduler as in use.
-                if wait.scheduler != *from {
+                let late_grant = (wait.scheduler != *from).then(|| {
                     let current = wait.scheduler.clone();
-                    actions.push(request.hold_permit(now, current, permit.attempt, target.clone()));
-                }
+                    request.hold_permit(now, current, permit.attempt, target.clone())
+                });
                 let (attempt, scheduler) = (permit.attempt, from.clone());
                 let used = UsedPermit { attempt, scheduler, target: target.clone() };
                 self.set_phase(permit.request, RequestPhase::Dispatched(used));
-                actions.push(EntryAction::Dispatch { permit, target });
-                actions
+                late_grant.into_iter().chain([EntryAction::Dispatch { permit, target }]).collect()
             }
             RequestPhase::Dispatched(used) => request.confirm_permit(now, from, used, &target),
         }
