Notes of the node: one function for each log line with several fields

log_node_note was 61 lines in which the fields of log lines stood between the notes that lead to them, while half of the notes had a function of their own already. It is a list of the notes now, one line for most, and the fields are in a function named after the note. Events, levels, fields and their types are the same.

--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -3,10 +3,17 @@
 //! Owns: the log events and their fields, which are stable. Relies on: nothing.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-use curlewcleat_core::{ConfigFault, DataCentreId, FeatureReport, Generation};
-use curlewcleat_node::{InstanceChange, NodeNote, PoolStatus, RolloutStatus};
-use curlewcleat_sched::RolloutReason;
+use curlewcleat_config::CheckReport;
+use curlewcleat_core::{
+    ConfigFault, DataCentreId, FeatureReport, Generation, ObjectVersion, PoolId, RequestFeature,
+    RequestId, TargetInstance, TargetVersion,
+};
+use curlewcleat_node::{
+    EvacuationChange, InstanceChange, NodeNote, PoolStatus, RolloutStatus, VersionSource,
+};
+use curlewcleat_sched::{RetryBound, RolloutReason};
 use spdlog::prelude::*;
 
 /// Most unusable values that are logged for one configuration.
@@ -15,27 +22,14 @@
 /// Logs a note of the node.
 pub fn log_node_note(note: &NodeNote) {
     match note {
-        NodeNote::ConfigAccepted(generation) => {
-            info!("config_accepted", kv: { generation = *generation })
-        }
-        NodeNote::ConfigInvalid(generation, report) => {
-            error!("config_invalid", kv: { generation = *generation, problems = report.to_string() });
-        }
+        NodeNote::ConfigAccepted(generation) => log_config_accepted(*generation),
+        NodeNote::ConfigInvalid(generation, report) => log_config_invalid(*generation, report),
         NodeNote::ConfigFaults(generation, faults) => log_config_faults(*generation, faults),
-        NodeNote::ConfigNotPacked(generation, error) => {
-            error!("config_not_packed", kv: { generation = *generation, error = error.as_str() });
-        }
-        NodeNote::ConfigUnreadable(generation, error) => {
-            error!("config_unreadable", kv: { generation = *generation, error = error.as_str() });
-        }
-        NodeNote::RetryDenied(request, bound) => {
-            info!("retry_denied", kv: { request = request.to_string(), bound = bound.code() });
-        }
+        NodeNote::ConfigNotPacked(generation, error) => log_config_not_packed(*generation, error),
+        NodeNote::ConfigUnreadable(generation, error) => log_config_unreadable(*generation, error),
+        NodeNote::RetryDenied(request, bound) => log_retry_denied(*request, *bound),
         NodeNote::StreamTakenUp { request, source, waited } => {
-            info!("stream_taken_up", kv: {
-                request = request.to_string(), known_from = source.code(),
-                waited_ms = waited.as_millis() as i64
-            });
+            log_stream_taken_up(*request, *source, *waited)
         }
         NodeNote::PeerLost(peer) => warn!("peer_lost", kv: { vm = peer.vm.as_str() }),
         NodeNote::PeerReplaced(peer) => info!("peer_replaced", kv: { vm = peer.vm.as_str() }),
@@ -43,38 +37,85 @@
         NodeNote::TargetRemoved(removed) => {
             info!("target_gone", kv: { target = removed.target.as_str(), left = removed.announced_leaving })
         }
-        NodeNote::StaleTargetList { at, known } => {
-            info!("target_list_late", kv: { at = *at, known = *known })
-        }
-        NodeNote::TableKnown(version, slots) => {
-            info!("key_table_known", kv: { version = *version, slots_held = *slots })
-        }
+        NodeNote::StaleTargetList { at, known } => log_stale_target_list(*at, *known),
+        NodeNote::TableKnown(version, slots) => log_table_known(*version, *slots),
         NodeNote::PoolQueueStatus(pool) => log_waiting(pool),
-        NodeNote::TargetTerminated(feature, instance) => {
-            warn!("target_ended_under_request", kv: {
-                kind = feature.kind.code(), digest = feature.digest.to_string(),
-                target = instance.id.as_str()
-            });
-        }
+        NodeNote::TargetTerminated(feature, instance) => log_target_terminated(feature, instance),
         NodeNote::RequestLethal(suspect) => log_lethal(suspect),
         NodeNote::RolloutStage(rollout, reason) => log_rollout(rollout, *reason),
-        NodeNote::VersionsHeld(pool, versions) => info!("versions_held", kv: {
-            pool = pool.as_str(), versions = versions.join(" ")
-        }),
-        NodeNote::EvacuationsChanged(change) => info!("evacuations_changed", kv: {
-            at = change.at, begun = join(&change.begun), ended = join(&change.ended)
-        }),
-        NodeNote::RequestAllowed(feature) => info!("request_allowed", kv: {
-            kind = feature.kind.code(), digest = feature.digest.to_string()
-        }),
-        NodeNote::SuspectCleared(feature) => info!("suspect_cleared", kv: {
-            kind = feature.kind.code(), digest = feature.digest.to_string()
-        }),
+        NodeNote::VersionsHeld(pool, versions) => log_versions_held(pool, versions),
+        NodeNote::EvacuationsChanged(change) => log_evacuations(change),
+        NodeNote::RequestAllowed(feature) => log_request_allowed(feature),
+        NodeNote::SuspectCleared(feature) => log_suspect_cleared(feature),
         NodeNote::DrainBegun => info!("drain_begun"),
         NodeNote::DrainClosing => info!("drain_closing"),
     }
 }
 
+fn log_config_accepted(generation: Generation) {
+    info!("config_accepted", kv: { generation });
+}
+
+fn log_config_invalid(generation: Generation, report: &CheckReport) {
+    error!("config_invalid", kv: { generation, problems = report.to_string() });
+}
+
+fn log_config_not_packed(generation: Generation, error: &str) {
+    error!("config_not_packed", kv: { generation, error });
+}
+
+fn log_config_unreadable(generation: Generation, error: &str) {
+    error!("config_unreadable", kv: { generation, error });
+}
+
+fn log_retry_denied(request: RequestId, bound: RetryBound) {
+    info!("retry_denied", kv: { request = request.to_string(), bound = bound.code() });
+}
+
+fn log_stream_taken_up(request: RequestId, source: VersionSource, waited: Duration) {
+    info!("stream_taken_up", kv: {
+        request = request.to_string(), known_from = source.code(),
+        waited_ms = waited.as_millis() as i64
+    });
+}
+
+fn log_stale_target_list(at: ObjectVersion, known: ObjectVersion) {
+    info!("target_list_late", kv: { at, known });
+}
+
+fn log_table_known(version: ObjectVersion, slots: usize) {
+    info!("key_table_known", kv: { version, slots_held = slots });
+}
+
+fn log_target_terminated(feature: &RequestFeature, instance: &TargetInstance) {
+    warn!("target_ended_under_request", kv: {
+        kind = feature.kind.code(), digest = feature.digest.to_string(),
+        target = instance.id.as_str()
+    });
+}
+
+fn log_versions_held(pool: &PoolId, versions: &[TargetVersion]) {
+    info!("versions_held", kv: { pool = pool.as_str(), versions = versions.join(" ") });
+}
+
+fn log_evacuations(change: &EvacuationChange) {
+    info!("evacuations_changed", kv: {
+        at = change.at, begun = join(&change.begun), ended = join(&change.ended)
+    });
+}
+
+fn log_request_allowed(feature: &RequestFeature) {
+    info!("request_allowed", kv: {
+        kind = feature.kind.code(), digest = feature.digest.to_string()
+    });
+}
+
+fn log_suspect_cleared(feature: &RequestFeature) {
+    info!("suspect_cleared", kv: {
+        kind = feature.kind.code(), digest = feature.digest.to_string()
+    });
+}
+
 fn join(data_centres: &BTreeSet<DataCentreId>) -> String {
     data_centres.iter().map(String::as_str).collect::<Vec<_>>().join(" ")
 }
