Daemon with files: the callers' and the operators' addresses are bound by a function each

bind had two nested services in one chain of calls, with a copy of the context and of two settings for each before it, so that a reader could not see which limits belong to which address. bind sets up the server now, and bind_callers and bind_operators take what they need from the context. Addresses, limits, workers and error texts are the same.

--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -11,7 +11,7 @@
 
 use actix_http::error::DispatchError;
 use actix_http::HttpService;
-use actix_server::{Server, ServerHandle};
+use actix_server::{Server, ServerBuilder, ServerHandle};
 use actix_service::{fn_service, ServiceFactoryExt};
 use anyhow::{Context, Result};
 use curlewcleat_config::DaemonSettings;
@@ -122,44 +122,51 @@
 /// Binds the callers' and the operators' addresses.
 fn bind(context: &DaemonContext) -> Result<Server> {
     let settings = &context.settings;
-    let head_limit = settings.head_limit;
-    let caller_context = context.clone();
-    let operator_context = context.clone();
-    let connection_budget = context.budget.clone();
     let builder = Server::build()
         .workers(settings.workers)
         .max_concurrent_connections(settings.connection_limit)
         .shutdown_timeout(FLUSH_TIMEOUT_S)
         .disable_signals();
-    let server = builder
-        .bind("callers", settings.caller_address.as_str(), move || {
-            let context = caller_context.clone();
-            let protocol = BuiltinProtocol::new(&context);
-            let service = RequestService::new(context, Box::new(protocol));
-            let connections = HttpService::build()
-                .client_request_timeout(head_limit)
-                .h1_allow_half_closed(false)
-                .on_connect_ext(CallerStream::share_guard)
-                .h1(move |request| {
-                    let answer = Rc::clone(&service).serve(request);
-                    async move { Ok::<_, Infallible>(answer.await) }
-                });
-            let budget = connection_budget.clone();
-            fn_service(move |stream| caller_stream(stream, budget.clone())).and_then(connections)
-        })
-        .with_context(|| format!("callers: bind {}", settings.caller_address))?
-        .bind("operators", settings.operator_address.as_str(), move || {
-            let context = operator_context.clone();
-            HttpService::build()
-                .client_request_timeout(head_limit)
-                .h1(move |request| {
-                    let answer = serve_operator(context.clone(), request);
-                    async move { Ok::<_, Infallible>(answer.await) }
-                })
-                .tcp()
-        })
+    let builder = bind_callers(builder, context.clone())
+        .with_context(|| format!("callers: bind {}", settings.caller_address))?;
+    let builder = bind_operators(builder, context.clone())
         .with_context(|| format!("operators: bind {}", settings.operator_address))?;
-    Ok(server.run())
+    Ok(builder.run())
+}
+
+fn bind_callers(builder: ServerBuilder, context: DaemonContext) -> std::io::Result<ServerBuilder> {
+    let address = context.settings.caller_address.clone();
+    builder.bind("callers", address, move || {
+        let protocol = BuiltinProtocol::new(&context);
+        let service = RequestService::new(context.clone(), Box::new(protocol));
+        let connections = HttpService::build()
+            .client_request_timeout(context.settings.head_limit)
+            .h1_allow_half_closed(false)
+            .on_connect_ext(CallerStream::share_guard)
+            .h1(move |request| {
+                let answer = Rc::clone(&service).serve(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+        let budget = context.budget.clone();
+        fn_service(move |stream| caller_stream(stream, budget.clone())).and_then(connections)
+    })
+}
+
+fn bind_operators(
+    builder: ServerBuilder,
+    context: DaemonContext,
+) -> std::io::Result<ServerBuilder> {
+    let address = context.settings.operator_address.clone();
+    builder.bind("operators", address, move || {
+        let context = context.clone();
+        HttpService::build()
+            .client_request_timeout(context.settings.head_limit)
+            .h1(move |request| {
+                let answer = serve_operator(context.clone(), request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            })
+            .tcp()
+    })
 }
 
 /// Prepares a connection of a caller to be served.
