Streams that are taken up do not go on at another pool to which their route was moved

What callers saw: a stream whose route the configuration moved to another service, or whose shares of services it changed, went on at the new service when its caller took it up: answered with 200 and complete, joined of two services.

Cause: the pool of a stream that is taken up follows from the rule in force, not from the one under which the stream began. The class is the one of streams joined of two versions: what decided about the beginning does not go with the stream.

A stream goes on only if every rule that may have begun it selects the same pool. How long ago it can have begun follows from the longest timeout of the rule's callers and from what is left of it. Otherwise it is refused as not run, with the reason of an unknown version. What remains: a daemon that has just started knows no earlier rules.

--- a/crates/acceptance/tests/stream_versions.rs
+++ b/crates/acceptance/tests/stream_versions.rs
@@ -232,3 +232,38 @@
     assert_eq!(take_up(&fleet.daemons[1].callers, "b", "nobody").await?, 200);
     Ok(())
 }
+
+/// Guards against a stream that goes on at another pool, to which the configuration has moved its route.
+#[actix_rt::test]
+async fn stream_does_not_go_on_at_another_pool_after_its_route_was_moved() -> Result<()> {
+    let mut fleet = FleetDeployment::start("moved").await?;
+    let services = &mut fleet.config.services;
+    let mut others = services.iter().find(|s| s.name == "engines").context("a service")?.clone();
+    others.name = "others".to_string();
+    services.push(others);
+    fleet.store_config()?;
+    for pool in ["engines", "others"] {
+        fleet.engine_with_version(pool, "v1", EVENTS, EVENT_INTERVAL).await?;
+    }
+    fleet.daemons(2, BOUNDS).await?;
+    wait_served(&fleet).await?;
+    fleet.set_attempt_step("a", EngineStep::Pause(EVENTS_BEFORE, Duration::from_secs(2)));
+    begin_and_disconnect(&fleet.daemons[0].callers, "a").await?;
+
+    let route = fleet.config.routes.iter_mut().find(|route| route.name == "resumed-stream");
+    route.context("a route")?.backend = Some("others".to_string());
+    fleet.store_config()?;
+    for daemon in &fleet.daemons {
+        wait_until("the route is moved", || async {
+            let before = fleet.engines[1].runs().len();
+            let begun = begin(&daemon.callers, "moved", None).await;
+            begun.is_ok_and(|(status, _)| status == 200) && fleet.engines[1].runs().len() > before
+        })
+        .await?;
+    }
+    for (daemon, attempt) in fleet.daemons.iter().zip(["b", "c"]) {
+        assert_eq!(take_up(&daemon.callers, attempt, "a").await?, 503);
+    }
+    assert!(fleet.engines[1].runs().iter().all(|run| run.attempt == "moved"));
+    Ok(())
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 mod manifest;
 mod problem;
 mod reader;
+mod route_history;
 mod settings;
 mod store;
 
@@ -21,6 +22,7 @@
 pub use manifest::{content_key, manifest_bytes, parse_manifest, MANIFEST_KEY};
 pub use problem::{CheckReport, ConfigProblem};
 pub use reader::{IniFile, IniSection};
+pub use route_history::{RouteHistory, TakenUpRoute};
 pub use settings::{check_settings, DaemonSettings, FleetBounds, PlatformKind, RolloutBounds};
 pub use store::{ConfigStore, OfferResult};
 
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,15 +1,15 @@
 //! State shared by the threads of the daemon, and the channel to the node.
 //!
-//! Owns: the threads' copy of the configuration in force and of the bounds, the channel to the node. Relies on: the
+//! Owns: the threads' copy of the configuration in force, the rules before it, the bounds, the channel to the node. Relies on: the
 //! node's thread ending last.
 
 use std::net::IpAddr;
-use std::sync::{Arc, OnceLock, RwLock};
+use std::sync::{Arc, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
 use curlewcleat_clock::Moment;
-use curlewcleat_config::{DaemonSettings, FleetBounds};
-use curlewcleat_core::{ActiveConfig, DaemonId, PoolId, TargetEntry, VmId, WallTime};
+use curlewcleat_config::{DaemonSettings, FleetBounds, RouteHistory, TakenUpRoute};
+use curlewcleat_core::{ActiveConfig, DaemonId, PoolId, TargetEntry, Uptime, VmId, WallTime};
 use curlewcleat_node::{CallerDecision, NodeEvent, NodeStatus};
 use curlewcleat_sched::{RelayPeer, RequestSpec};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -55,6 +55,8 @@
     pub budget: Option<SharedBudget>,
     /// Configuration in force.
     config: Arc<RwLock<Arc<ActiveConfig>>>,
+    /// Rules that were replaced or added a short time ago.
+    routes: Arc<RwLock<RouteHistory>>,
     node: mpsc::UnboundedSender<NodeMessage>,
     /// When the planned stop began; empty before.
     draining: Arc<OnceLock<Moment>>,
@@ -81,6 +83,7 @@
             gate: SharedGate::default(),
             reach: SharedReach::default(),
             config: Arc::default(),
+            routes: Arc::default(),
             node,
             draining: Arc::default(),
             started: Moment::now(),
@@ -140,12 +143,28 @@
 
     /// Sets the configuration in force for new requests.
     pub fn set_config(&self, config: Arc<ActiveConfig>) {
+        // Recorded first, so that nobody finds the new rules without the ones that they replace.
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        routes.record_change(self.uptime(), &self.config(), &config);
+        drop(routes);
         match self.config.write() {
             Ok(mut current) => *current = config,
             Err(poisoned) => *poisoned.into_inner() = config,
         }
     }
 
+    /// Returns whether every rule that may have begun a stream since an uptime selects this pool for it.
+    pub fn confirms_pool(
+        &self,
+        config: &ActiveConfig,
+        since: Uptime,
+        route: TakenUpRoute<'_>,
+        pool: &PoolId,
+    ) -> bool {
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        routes.confirms_pool(config, since, route, pool)
+    }
+
     /// Returns the bounds in force.
     pub fn bounds(&self) -> FleetBounds {
         match self.bounds.read() {
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -11,7 +11,7 @@
 //! within `config_apply_limit`; otherwise the refusal has one, so that the caller retries. The pool's scheduler then
 //! decides what the admitted request may use.
 //!
-//! Owns: nothing. Relies on: the configuration in force, `ConfigFreshness` for its age.
+//! Owns: nothing. Relies on: the configuration in force and the rules before it, `ConfigFreshness` for its age.
 
 use std::num::ParseFloatError;
 use std::time::Duration;
@@ -19,9 +19,10 @@
 use actix_http::header::{self, HeaderMap};
 use actix_http::{HttpMessage, Request};
 use curlewcleat_clock::Moment;
+use curlewcleat_config::TakenUpRoute;
 use curlewcleat_core::{
     hash_token, ActiveConfig, AdmissionRule, ClientAccount, PoolId, Refusal, RefusalReason,
-    RequestId,
+    RequestId, Uptime,
 };
 use spdlog::prelude::*;
 
@@ -54,14 +55,19 @@
         let caller_timeout = self.caller_timeout(head).map_err(|_| bad_header())?;
         let timeout =
             caller_timeout.into_iter().chain(rule.service.timeout).min().unwrap_or(DEFAULT_TIMEOUT);
-        let take_up = take_up::read_take_up(&self.profile, head);
-        let pool = config.pools.get(drawn_pool(rule, attempt_id, take_up.as_ref()));
-        let pool = pool.ok_or_else(|| self.denied(RefusalReason::NoRule))?;
+        let may_be_taken_up = rule.service.streams && rule.repeatable;
+        let take_up = take_up::read_take_up(&self.profile, head).filter(|_| may_be_taken_up);
+        let longest_timeout = self.record_timeout(rule, caller_timeout);
+        let pool = drawn_pool(rule, attempt_id, take_up.as_ref());
+        if let Some(take_up) = &take_up {
+            let since = self.earliest_begin(rule, caller_timeout, longest_timeout);
+            self.confirm_pool(config, since, taken_up_route(request, take_up), pool)?;
+        }
+        let pool = config.pools.get(pool).ok_or_else(|| self.denied(RefusalReason::NoRule))?;
         // The tier exists: the configuration was checked for the tier of each rule.
         let tier_rank = config.tiers.get(&rule.tier).map(|tier| tier.rank).unwrap_or_default();
         let account_rank = account.and_then(|account| account.rank);
         let tokens = work::token_counts(head, self.profile.tokens);
-        let longest_timeout = self.record_timeout(rule, caller_timeout);
         Ok(AdmittedRequest {
             id,
             attempt_id: attempt_id.to_string(),
@@ -89,7 +95,7 @@
                 head,
             ),
             key: None,
-            take_up: take_up.filter(|_| rule.service.streams && rule.repeatable),
+            take_up,
             rule: rule.clone(),
         })
     }
@@ -141,6 +147,36 @@
         Ok(Some(caller_timeout))
     }
 
+    /// Refuses a stream that its caller takes up where another pool may have begun it.
+    fn confirm_pool(
+        &self,
+        config: &ActiveConfig,
+        since: Uptime,
+        route: TakenUpRoute<'_>,
+        pool: &PoolId,
+    ) -> Result<(), Refusal> {
+        match self.context.confirms_pool(config, since, route, pool) {
+            true => Ok(()),
+            // A retry finds no more than this attempt did.
+            false => Err(Refusal::not_run(RefusalReason::StreamVersionUnknown, None)),
+        }
+    }
+
+    /// Returns the uptime since when a stream can have begun that a caller takes up: the longest timeout of the rule's
+    /// callers, less what is left of it. Another daemon may have used an earlier rule for `config_apply_limit` longer.
+    fn earliest_begin(
+        &self,
+        rule: &AdmissionRule,
+        caller_timeout: Option<Duration>,
+        longest_timeout: Duration,
+    ) -> Uptime {
+        let longest = rule.service.timeout.unwrap_or(DEFAULT_TIMEOUT).max(longest_timeout);
+        // A caller that states no timeout may have begun its stream at any time.
+        let Some(remaining) = caller_timeout else { return Uptime::ZERO };
+        let age = longest.saturating_sub(remaining) + self.context.bounds().config_apply_limit;
+        self.context.uptime().saturating_sub(age)
+    }
+
     /// Records the timeout that a caller sends and returns the longest that was sent for its rule.
     fn record_timeout(&self, rule: &AdmissionRule, caller_timeout: Option<Duration>) -> Duration {
         let (Some(caller_timeout), Some(_)) = (caller_timeout, rule.service.objective) else {
@@ -153,6 +189,16 @@
     }
 }
 
+/// Returns what a caller states about the stream that it takes up.
+fn taken_up_route<'r>(request: &'r Request, take_up: &'r TakeUpHeaders) -> TakenUpRoute<'r> {
+    TakenUpRoute {
+        host: host_name(request.headers()),
+        method: request.method().as_str(),
+        path: request.path(),
+        begun_as: take_up.begun_as.as_deref(),
+    }
+}
+
 /// Returns the pool that gets a request. The rest of a stream comes from the pool that began it.
 pub(super) fn drawn_pool<'r>(
     rule: &'r AdmissionRule,
