A continuation without events that ends with its connection does not end the stream

What callers saw: a stream whose answer ends with its connection ended in an orderly way after two of four events: the target that went on with it closed its connection before any event. Cause: whether events had arrived was remembered over all attempts, so that the end of a connection counted as the end of the stream although the attempt in question had brought nothing. Evidence: cut_answers continuation_without_events_does_not_end_a_stream_with_its_connection: an orderly end on the code before, a reset now. Why it works: the events of the latest attempt alone count. A stream that ends by a length or a last chunk is not affected. A target that falls silent between the last event and the end of its connection, and is replaced, now leaves its caller with a visible cut behind the last event, since nothing proves that it was the last.

--- a/crates/acceptance/tests/cut_answers.rs
+++ b/crates/acceptance/tests/cut_answers.rs
@@ -295,3 +295,17 @@
     assert!(!answer.head.headers.contains_key(header::TRANSFER_ENCODING), "{answer:?}");
     Ok(())
 }
+
+/// Guards against a stream that ends early and unnoticed: the target that continues it closes its connection before any
+/// event, and the answer ends with its connection.
+#[actix_rt::test]
+async fn continuation_without_events_does_not_end_a_stream_with_its_connection() -> Result<()> {
+    let fleet = ready("empty-rest").await?;
+    let cut = EngineStep::Truncate(AnswerFrame::Close, stream_length("t", 2) + 5);
+    fleet.set_attempt_step("t", cut);
+    fleet.engines.iter().for_each(|engine| engine.set_default_step(EngineStep::EmptyWithoutLength));
+    let answer = receive(&fleet.daemons[0].callers, "/resumed/stream/a", "t").await?;
+    assert!(answer.text.len() <= stream_length("t", 2), "{answer:?}");
+    assert!(!answer.ended, "{answer:?}");
+    Ok(())
+}
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -192,7 +192,7 @@
 #[derive(Default)]
 pub struct EventFraming {
     events: EventSplitter,
-    /// Whether an event was relayed.
+    /// Whether the latest attempt has brought an event.
     has_events: bool,
 }
 
@@ -216,7 +216,8 @@
         events
     }
 
-    /// A stream that ends within an event was cut, and so was one that ends with its connection before any event.
+    /// A stream that ends within an event was cut, and so was one that ends with its connection before any event of the
+    /// same attempt.
     fn is_complete(&self, frame: BodyFrame) -> bool {
         self.events.is_between_events() && (self.has_events || frame != BodyFrame::UntilClose)
     }
@@ -231,6 +232,7 @@
 
     fn restart(&mut self) {
         self.events.discard_incomplete();
+        self.has_events = false;
     }
 
     fn is_resumable(&self) -> bool {
