Soak: engines that fall silent while the configuration of streams changes

--extra silences: 30, 60 or 100 of 100 engines send nothing for 0.3 to 3 s while idle limit, timeout, objective, resumption and service of the streams' routes change, beside the faults of the plan; callers keep their connections and take up their streams, and every event of every stream is compared with what its engine produced.

--- a/crates/soak/src/extra.rs
+++ b/crates/soak/src/extra.rs
@@ -13,6 +13,7 @@
 use crate::notices::EngineNotice;
 use crate::plan::{FaultStep, PlanOptions, SoakFault};
 use crate::releases::draw_release;
+use crate::silences::{draw_silence, SILENCE_MS};
 
 /// Combined with the seed, so that the additional faults are drawn independently of the plan.
 const EXTRA_SEED_MASK: u64 = 0x5eed_0000_0000_0000;
@@ -47,6 +48,10 @@
     /// Callers open many connections to one daemon, whose VM is weak meanwhile.
     #[value(name = "crowds")]
     Crowds,
+    /// Engines fall silent, all or a part of them, while the configuration of streams changes, and callers take up their
+    /// streams.
+    #[value(name = "silences")]
+    Silences,
 }
 
 /// Address at which an engine restarts.
@@ -88,6 +93,10 @@
         let (fault, time) = match kind {
             ExtraKind::Cuts => draw_cut(&mut random, options.daemons),
             ExtraKind::Crowds => draw_crowd(&mut random, options.daemons),
+            ExtraKind::Silences => {
+                let time = Duration::from_millis(random.random_range(SILENCE_MS));
+                (draw_silence(&mut random), time)
+            }
             _ => {
                 let time = Duration::from_millis(random.random_range(FAULT_MS));
                 (draw(&mut random, kind, options), time)
@@ -112,6 +121,7 @@
         ExtraKind::Lethal => SoakFault::Lethal,
         ExtraKind::Cuts => draw_cut(random, options.daemons).0,
         ExtraKind::Crowds => draw_crowd(random, options.daemons).0,
+        ExtraKind::Silences => draw_silence(random),
         ExtraKind::Releases => draw_release(random, engine),
         ExtraKind::Notices => {
             let notices = [
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -61,6 +61,8 @@
             SoakFault::Overwrite(index, entry) => self.overwrite(index, entry).await?,
             SoakFault::CutAnswers(step) => self.cut_answers(step, time).await,
             SoakFault::Release(index, version) => self.release(index, version, time).await?,
+            SoakFault::Silence(percent) => self.silence_engines(percent, time).await,
+            SoakFault::ChangeStreams(change) => self.change_streams(change)?,
             SoakFault::Crowd(index) => self.crowd(index, time).await?,
             SoakFault::Cut(cut, fault) => self.cut_engines(cut, fault, time).await?,
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -20,6 +20,7 @@
 mod releases;
 mod run;
 mod settings;
+mod silences;
 
 pub use callers::{CallKind, CallOutcome, CallRecord};
 pub use checks::{check_evidence, SoakViolation};
@@ -32,3 +33,4 @@
 pub use options::SoakOptions;
 pub use plan::{plan, FaultStep, PlanOptions, SoakFault};
 pub use run::{run_soak, SoakReport};
+pub use silences::StreamChange;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -11,6 +11,7 @@
 use crate::cuts::CutDaemons;
 use crate::extra::{RestartAddress, StalledConnections};
 use crate::notices::EngineNotice;
+use crate::silences::StreamChange;
 
 /// Time before the first fault, in which the fleet reaches a steady state.
 const WARM_UP: Duration = Duration::from_millis(600);
@@ -83,6 +84,10 @@
     Overwrite(usize, ForeignEntry),
     /// All engines cut off their next answers.
     CutAnswers(EngineStep),
+    /// This share of the engines, in percent, falls silent.
+    Silence(u8),
+    /// The configuration of streams changes.
+    ChangeStreams(StreamChange),
     /// An engine is replaced by one of this version.
     Release(usize, u32),
     /// Callers open many connections to a daemon, whose VM is weak meanwhile.
@@ -102,6 +107,7 @@
                 | SoakFault::Notice(..)
                 | SoakFault::Reload(_)
                 | SoakFault::ConfigChange
+                | SoakFault::ChangeStreams(_)
                 | SoakFault::Leave(_)
                 | SoakFault::RevokeKey
                 | SoakFault::Foreign(_)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -58,7 +58,7 @@
     let addresses: Vec<String> =
         fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect();
     let SoakOptions { seed, callers, extra, .. } = fleet.options;
-    let takes_up = extra == Some(ExtraKind::Releases);
+    let takes_up = matches!(extra, Some(ExtraKind::Releases | ExtraKind::Silences));
     let callers = SoakCallers::start(seed, callers, &addresses, takes_up);
     let watch = actix_rt::spawn(Rc::clone(&fleet).watch_processes());
     let engines = actix_rt::spawn(Rc::clone(&fleet).replace_terminated_engines());
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -160,6 +160,7 @@
     (ExtraKind::Foreign, 14),
     (ExtraKind::Lethal, 15),
     (ExtraKind::Notices, 16),
+    (ExtraKind::Silences, 17),
 ];
 
 #[test]
