--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -352,9 +352,14 @@
         output_of(start_tool(&program_folder()?, &daemons, arguments)?)
     }
 
+    /// Returns what a daemon has logged since its first start.
+    pub fn log(&self, index: usize) -> Result<String> {
+        Ok(std::fs::read_to_string(self.folder.join(format!("vm-{index}.log")))?)
+    }
+
     /// Returns the attempts of which a daemon has logged something since its first start.
     pub fn logged_attempts(&self, index: usize) -> Result<BTreeSet<String>> {
-        let log = std::fs::read_to_string(self.folder.join(format!("vm-{index}.log")))?;
+        let log = self.log(index)?;
         let attempt = |line: &str| {
             // Other lines may be no JSON.
             let line: Value = serde_json::from_str(line).ok()?;
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -244,15 +245,16 @@
 
     fn list(&self, kind: &str, after: Option<&String>) -> Value {
         let state = self.state.borrow();
-        let empty = BTreeMap::new();
-        let objects = state.kinds.get(kind).unwrap_or(&empty).iter();
-        let remaining: Vec<&Value> = objects
-            .filter(|(name, _)| after.is_none_or(|after| *name > after))
-            .map(|(_, object)| object)
-            .collect();
+        let Some(objects) = state.kinds.get(kind) else {
+            return json!({ "items": [], "more": false, "at": state.revision });
+        };
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut remaining =
+            objects.range::<String, _>((from, Bound::Unbounded)).map(|(_, object)| object);
         let size = self.page_size.get().unwrap_or(PAGE_SIZE);
-        let page: Vec<&&Value> = remaining.iter().take(size).collect();
-        json!({ "items": page, "more": remaining.len() > size, "at": state.revision })
+        let page: Vec<Value> = remaining.by_ref().take(size).cloned().collect();
+        let more = remaining.next().is_some();
+        json!({ "items": Value::Array(page), "more": more, "at": state.revision })
     }
 
     async fn watch(&self, kind: &str, request: &PlainRequest) -> (u16, Value) {
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -220,10 +220,31 @@
     let body = read_body(stream, buffer, &headers).await?;
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
-    let query = query.map(|(name, value)| (name.to_string(), value.to_string())).collect();
+    let query = query.map(|(name, value)| (name.to_string(), percent_decoded(value))).collect();
     Ok(Some(PlainRequest { method, path: path.to_string(), query, headers, body }))
 }
 
+/// Decodes the percent-encoded bytes of a text; what is no such byte stays as it is.
+fn percent_decoded(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let digits = after.get(..2).filter(|_| *first == b'%');
+        let digits = digits.and_then(|digits| std::str::from_utf8(digits).ok());
+        match digits.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            Some(byte) => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            None => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 async fn read_body(
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
