Relays: a reset that a write has noticed is not an orderly end

What callers saw: over a relay, an answer that ends with its connection lost its last byte and reached the caller as one that had ended; its target had reset the connection while the request was still being sent to it.

Cause: the system reports a reset once. Where the peer's write of the request takes the error, the next read of the answer returns an orderly end, and the peer told the daemon that the target had closed its connection. Class: a claim that is stronger than its evidence. The peer remembers that a write has failed; an end after that is a broken connection. Answers with a length or chunks are whole before that end is read.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -2,6 +2,8 @@
 //!
 //! Owns: the connection to the target until either side ends. Relies on: its caller for the decision whether to connect.
 
+use std::cell::Cell;
+
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
@@ -75,10 +77,11 @@
         let mut from_daemon = FramedRead::new(daemon_read, FrameCodec::default());
         from_daemon.read_buffer_mut().unsplit(read_buf);
         let to_daemon = FramedWrite::new(daemon_write, FrameCodec::default());
+        let write_failed = Cell::new(false);
         // Both connections are closed when either direction has ended: the daemon closes only to abandon the exchange.
         Ok(tokio::select! {
-            end = carry_request(from_daemon, target_write) => end,
-            end = carry_answer(target_read, to_daemon) => end,
+            end = carry_request(from_daemon, target_write, &write_failed) => end,
+            end = carry_answer(target_read, to_daemon, &write_failed) => end,
         })
     }
 
@@ -92,6 +95,7 @@
 async fn carry_request(
     mut from_daemon: FramedRead<OwnedReadHalf, FrameCodec>,
     mut to_target: OwnedWriteHalf,
+    write_failed: &Cell<bool>,
 ) -> RelayEnd {
     while let Some(Ok(frame)) = from_daemon.next().await {
         let Some(RelayPart::Data(bytes)) = RelayPart::decode(frame) else {
@@ -99,20 +103,24 @@
         };
         if to_target.write_all(&bytes).await.is_err() {
             // The target may have answered before it stopped reading; the other direction reports how it ended.
+            write_failed.set(true);
             return std::future::pending().await;
         }
     }
     RelayEnd::ClosedByDaemon
 }
 
-/// Carries bytes from the target to the daemon until the target's connection ends, and reports how it ended.
+/// Carries bytes from the target to the daemon until the target's connection ends, and reports how it ended. A reset is
+/// reported by the system once: where a write has failed, reading ends as after an orderly close.
 async fn carry_answer(
     mut from_target: OwnedReadHalf,
     mut to_daemon: FramedWrite<OwnedWriteHalf, FrameCodec>,
+    write_failed: &Cell<bool>,
 ) -> RelayEnd {
     let mut buffer = vec![0u8; PART_SIZE];
     let end = loop {
         match from_target.read(&mut buffer).await {
+            Ok(0) if write_failed.get() => break RelayEnd::TargetBroken,
             Ok(0) => break RelayEnd::ClosedByTarget,
             Ok(length) => {
                 let frame = RelayPart::encode_data(&buffer[..length]);
--- a/crates/relay/tests/relayed.rs
+++ b/crates/relay/tests/relayed.rs
@@ -14,6 +14,8 @@
 
 const SOURCE: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const LIMIT: Duration = Duration::from_secs(5);
+/// Number of resets, of which a write notices some and a read the others.
+const RESETS: usize = 100;
 
 fn request() -> RelayRequest {
     RelayRequest {
@@ -143,3 +145,25 @@
     let failed = connect_through_peer(peer, SOURCE, &request()).await;
     assert!(matches!(failed, Err(Error::Io(_))), "{failed:?}");
 }
+
+/// A target reset its connection while the peer still wrote a request to it. The write took the error, so that the next
+/// read returned an orderly end, and a cut answer that ends with its connection looked whole.
+#[actix_rt::test]
+async fn reset_that_a_write_has_noticed_is_an_error() {
+    for _ in 0..RESETS {
+        let (target, address) = listener().await;
+        let (peer, ended) = peer(address).await;
+        let mut connection =
+            connect_through_peer(peer, SOURCE, &request()).await.expect("connected");
+        let (mut accepted, _) = target.accept().await.expect("a connection");
+        accepted.write_all(b"part").await.expect("answered");
+        // Both are pending when the peer runs again; which it notices first is random.
+        connection.write_all(b"rest of the request").await.expect("written");
+        connection.flush().await.expect("flushed");
+        accepted.set_zero_linger().expect("an open connection");
+        drop(accepted);
+        let mut answer = Vec::new();
+        connection.read_to_end(&mut answer).await.expect_err("the answer is cut");
+        assert_eq!(ended.await, Ok(RelayEnd::TargetBroken));
+    }
+}
