Targets: a reset that the upload has noticed cuts an answer that ends with its connection

What callers could see: a target resets its connection while a request is still sent to it; an answer that has neither length nor chunks and had lost its end is passed on as one that ended with its connection.

Cause: the same as over a relay: the system reports a reset once. Where the write of the request takes the error, the exchange goes on to read, as the target may have answered before, and the read after the last byte returns an orderly end. The body of such an answer now knows that its connection has failed and ends as cut; answers with a length or chunks need no such end.

--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -77,6 +77,8 @@
     state: BodyState,
     frame: BodyFrame,
     reusable: bool,
+    /// Whether the connection has failed, so that its end does not show that the target has closed it.
+    broken: bool,
     idle_limit: Option<Duration>,
     endpoint: ConnectionEndpoint,
     pool: ConnectionPool,
@@ -102,7 +104,16 @@
                 BodyState::UntilClose(parts.io, parts.read_buf)
             }
         };
-        AnswerBody { state, frame, reusable, idle_limit: None, endpoint, pool, stall }
+        AnswerBody {
+            state,
+            frame,
+            reusable,
+            broken: false,
+            idle_limit: None,
+            endpoint,
+            pool,
+            stall,
+        }
     }
 
     /// Returns how the end of the body is determined.
@@ -110,6 +121,12 @@
         self.frame
     }
 
+    /// Records that the connection has failed while the request was written to it. The system reports a reset once, so
+    /// that reading may end as after an orderly close.
+    pub(crate) fn set_broken(&mut self) {
+        self.broken = true;
+    }
+
     /// Sets the idle time after which the target closes the connection.
     pub fn set_idle_limit(&mut self, limit: Duration) {
         self.idle_limit = Some(limit);
@@ -159,7 +176,8 @@
             Poll::Pending => Poll::Pending,
             Poll::Ready(Ok(())) if buffer.filled().is_empty() => {
                 self.state = BodyState::Ended;
-                Poll::Ready(None)
+                let broken = || TruncatedBody("the connection broke".to_string());
+                Poll::Ready(self.broken.then(|| Err(broken())))
             }
             Poll::Ready(Ok(())) => Poll::Ready(Some(Ok(Bytes::copy_from_slice(buffer.filled())))),
             Poll::Ready(Err(error)) => {
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -63,11 +63,7 @@
         B: MessageBody,
         B::Error: std::fmt::Display,
     {
-        if !head.headers.contains_key(header::HOST) {
-            let host = HeaderValue::from_str(&self.endpoint.address)
-                .map_err(|error| Error::Protocol(error.to_string()))?;
-            head.headers.insert(header::HOST, host);
-        }
+        set_host(&mut head, &self.endpoint)?;
         let method = head.method.clone();
         let mut stall = StallGuard::begin(&self.pool, &self.endpoint, &self.stream);
         let mut framed = Framed::new(self.stream, ClientCodec::default());
@@ -88,7 +84,10 @@
             }
             remove_contradicted_length(&mut answer_head, frame);
             let reusable = upload.is_flushed();
-            let body = AnswerBody::new(framed, frame, reusable, self.endpoint, self.pool);
+            let mut body = AnswerBody::new(framed, frame, reusable, self.endpoint, self.pool);
+            if upload.failed.is_some() {
+                body.set_broken();
+            }
             return Ok(TargetAnswer { head: answer_head, body });
         }
         Err(Error::Protocol(
@@ -182,6 +181,16 @@
     }
 }
 
+/// Names the endpoint as the host, unless the request names one.
+fn set_host(head: &mut RequestHead, endpoint: &ConnectionEndpoint) -> Result<()> {
+    if !head.headers.contains_key(header::HOST) {
+        let host = HeaderValue::from_str(&endpoint.address);
+        let host = host.map_err(|error| Error::Protocol(error.to_string()))?;
+        head.headers.insert(header::HOST, host);
+    }
+    Ok(())
+}
+
 /// Checks that the next head follows an informational answer at once. The codec would read what follows a switch of
 /// protocols, or a body, by rules that no longer change with the next head.
 fn check_informational(decoded: MessageType) -> Result<()> {
