--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod crowd;
 pub mod event_streams;
 pub mod slow_link;
+pub mod stream_callers;
 
 use std::fmt::Display;
 use std::time::{Duration, Instant};
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -371,10 +371,16 @@
     /// Kills a daemon and starts it again on the same VM.
     pub async fn restart(&mut self, index: usize) -> Result<()> {
         self.daemons[index].process.kill();
+        self.start_killed(index)?;
+        wait_listening(&self.daemons[index].operators).await
+    }
+
+    /// Starts a daemon again that was killed, on the same VM.
+    pub fn start_killed(&mut self, index: usize) -> Result<()> {
         let daemon = &self.daemons[index];
         let process = self.spawn(&format!("vm-{index}"), &daemon.callers, &daemon.settings)?;
         self.daemons[index].process = process;
-        wait_listening(&self.daemons[index].operators).await
+        Ok(())
     }
 
     fn spawn(&self, name: &str, callers: &str, settings: &std::path::Path) -> Result<ChildProcess> {
