--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -20,13 +20,15 @@
     PermitDecision, PermitHeld, PermitId, PermitRequest, PermitReturn, PoolHash, PoolLoads,
     PoolNotice, Refusal, RefusalReason, RequestDigest, RequestFeature, RequestInterruption,
     RequestRate, RetryReason, RolloutAnswers, RolloutOrder, RolloutReport, RolloutStage,
-    ShedRequest, SlotHolder, StatePull, StatedLoad, StreamAnswer, StreamId, StreamQuery,
-    StreamTiming, StreamVersion, SuspectReport, SuspectsPull, SuspectsPush, TablePush,
-    TargetChange, TargetEntry, TargetInstance, TargetInstancesPush, TargetStart,
-    TargetVersionsPush, TargetsContent, TargetsPush, Verdict, VersionDigest, VersionPermitRequest,
+    ShedRequest, SlotHolder, StatePull, StatedLoad, StreamAnswer, StreamId, StreamProofQuery,
+    StreamQuery, StreamStart, StreamTiming, StreamVersion, SuspectReport, SuspectsPull,
+    SuspectsPush, TablePush, TargetChange, TargetEntry, TargetInstance, TargetInstancesPush,
+    TargetStart, TargetVersionsPush, TargetsContent, TargetsPush, Verdict, VersionDigest,
+    VersionHistory, VersionPermitRequest, VersionSplit, SPLIT_SLOTS,
 };
 use curlewcleat_keys::{KeyTable, TABLE_KEY};
 use curlewcleat_platform::format::{Daemon, EndedTarget, Metadata, Object, RefusedRequest};
+use curlewcleat_platform::history_object;
 use curlewcleat_standins::deployment::{get_json, wait_until, Deployment};
 use rstest::rstest;
 use serde_json::Value;
@@ -485,6 +487,14 @@
     let version = VersionDigest::of(Some(&"v1".to_string()));
     let request = request();
     let limited = VersionPermitRequest { request: permit_request(), version };
+    let start =
+        StreamStart { permit: permit_request().permit, stream, timeout: Duration::from_secs(12) };
+    let proof = StreamProofQuery {
+        request,
+        pool: "assistant".to_string(),
+        stream: Some(stream),
+        time_left: Some(Duration::from_secs(5)),
+    };
     vec![
         ("streams begun", PeerMessage::StreamsBegun(vec![StreamVersion { stream, version }])),
         ("stream query", PeerMessage::StreamQuery(StreamQuery { request, stream })),
@@ -493,6 +503,8 @@
             PeerMessage::StreamAnswer(StreamAnswer { request, version: Some(version) }),
         ),
         ("version permit request", PeerMessage::VersionPermitRequest(limited)),
+        ("stream start", PeerMessage::StreamStart(start)),
+        ("stream proof query", PeerMessage::StreamProofQuery(proof)),
     ]
 }
 
@@ -551,6 +563,21 @@
     (refused, refused_part)
 }
 
+fn version_history() -> VersionHistory {
+    let version = VersionDigest::of(Some(&"v1".to_string()));
+    let split = VersionSplit {
+        since: Duration::from_millis(1_700_000_000_000),
+        slots: [version; SPLIT_SLOTS],
+        is_open: false,
+    };
+    VersionHistory {
+        pool: "assistant".to_string(),
+        revision: Some(7),
+        splits: vec![split],
+        longest_timeout: Some(Duration::from_secs(12)),
+    }
+}
+
 #[test]
 fn stored_objects_keep_their_format() -> Result<()> {
     let manifest = ConfigManifest {
@@ -574,13 +601,14 @@
         Object { spec: Daemon { capacity: 50, ..record.spec.clone() }, ..record.clone() };
     let text = format!(
         "{MANIFEST_KEY}: {}\n{TABLE_KEY}: {}\nrecord of a daemon: {}\nwith its processor: {}\n\
-         refused request: {}\nrefused part: {}\n",
+         refused request: {}\nrefused part: {}\nversions of streams: {}\n",
         serde_json::to_string(&manifest)?,
         serde_json::to_string(&table)?,
         serde_json::to_string(&record)?,
         serde_json::to_string(&with_capacity)?,
         serde_json::to_string(&refused)?,
-        serde_json::to_string(&refused_part)?
+        serde_json::to_string(&refused_part)?,
+        serde_json::to_string(&history_object(&version_history()))?
     );
     // Records of earlier versions do not contain the capacity.
     let without_capacity: Daemon =
--- a/crates/acceptance/tests/stream_versions.rs
+++ b/crates/acceptance/tests/stream_versions.rs
@@ -27,6 +27,8 @@
 /// Streams that break off at the same time.
 const STREAMS: usize = 8;
 const PATH: &str = "/resumed/stream/a";
+/// Longer than callers have for a stream, and the time by which clocks of daemons may differ beside it.
+const PROVED_AFTER: Duration = Duration::from_secs(7);
 /// Bounds under which every stream may be continued.
 const BOUNDS: &str = "retry_saved = 10000\nretry_ratio = 10";
 
@@ -178,6 +180,10 @@
     #[case] ended: Ended,
 ) -> Result<()> {
     let mut fleet = ready(&format!("taken-up-{name}")).await?;
+    if ended != Ended::Nothing {
+        // A daemon that is killed at once leaves only what the platform has stored.
+        tokio::time::sleep(PROVED_AFTER).await;
+    }
     let rounds = if ended == Ended::Nothing { 6 } else { 1 };
     let mut served = 0;
     for round in 0..rounds {
@@ -222,14 +228,26 @@
     Ok(())
 }
 
+/// Guards against the only version that serves being taken for the one that began a stream: another one may have left.
 #[actix_rt::test]
-async fn stream_of_an_unknown_version_goes_on_where_only_one_version_serves() -> Result<()> {
+async fn stream_of_an_unknown_version_goes_on_only_where_one_version_is_proved_to_have_served(
+) -> Result<()> {
     let mut fleet = FleetDeployment::start("alone").await?;
     fleet.store_config()?;
     fleet.engine_with_version("engines", "v1", EVENTS, EVENT_INTERVAL).await?;
     fleet.daemons(2, BOUNDS).await?;
     wait_served(&fleet).await?;
-    assert_eq!(take_up(&fleet.daemons[1].callers, "b", "nobody").await?, 200);
+    let entry = &fleet.daemons[1].callers.clone();
+    assert_eq!(take_up(entry, "b", "nobody").await?, 503);
+    tokio::time::sleep(PROVED_AFTER).await;
+    assert_eq!(take_up(entry, "c", "nobody").await?, 200);
+    fleet.engine_with_version("engines", "v2", EVENTS, EVENT_INTERVAL).await?;
+    fleet.terminate_engine(0).await;
+    wait_until("v2", || async {
+        begin(entry, "new", None).await.is_ok_and(|(status, _)| status == 200)
+    })
+    .await?;
+    assert_eq!(take_up(entry, "d", "nobody").await?, 503);
     Ok(())
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod target_instance;
 mod target_notice;
 mod verdict;
+mod version_split;
 mod warm_up;
 
 pub use account::{hash_token, TokenHash};
@@ -36,4 +37,5 @@
     BrittleNotice, LimitNotice, LimitReport, NoticeReport, RequestRate, TargetNotice,
 };
 pub use verdict::{Refusal, RefusalReason, RetryReason, Verdict};
+pub use version_split::{VersionHistory, VersionSplit, SPLIT_SLOTS};
 pub use warm_up::WarmUpLimit;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -141,6 +141,11 @@
     FeaturesPull(SuspectsPull),
     /// Answers a [`FeaturesPull`](PeerMessage::FeaturesPull), or sends an update that was not requested.
     FeaturesPush(FeaturesPush),
+    /// States that the next permit request of this permit is for a new stream.
+    StreamStart(StreamStart),
+    /// Like [`StreamQuery`](PeerMessage::StreamQuery), but requests a proof where the receiver does not remember the
+    /// stream.
+    StreamProofQuery(StreamProofQuery),
 }
 
 impl PeerMessage {
@@ -163,7 +168,9 @@
             | PeerMessage::StreamAnswer(_)
             | PeerMessage::VersionPermitRequest(_)
             | PeerMessage::TargetLoads(_)
-            | PeerMessage::FeaturesPush(_) => true,
+            | PeerMessage::FeaturesPush(_)
+            | PeerMessage::StreamStart(_)
+            | PeerMessage::StreamProofQuery(_) => true,
             // A receiver that has answered a pull before can decode this one.
             PeerMessage::SuspectsPull(pull) | PeerMessage::FeaturesPull(pull) => pull.known == 0,
             _ => false,
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -25,10 +25,16 @@
         let digest = hasher.finalize();
         StreamId(first_bytes(&digest).map_or(0, u128::from_be_bytes))
     }
+
+    /// Returns which of `count` slots the stream has. Streams are spread evenly.
+    pub fn slot(&self, count: usize) -> usize {
+        // The remainder is below `count`.
+        self.0.checked_rem(count as u128).map_or(0, |slot| slot as usize)
+    }
 }
 
 /// A version of the targets' software, of any length. Targets that state none are of one version.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct VersionDigest(u64);
 
 impl VersionDigest {
@@ -38,6 +44,16 @@
         let digest = Sha256::digest(version);
         VersionDigest(first_bytes(&digest).map_or(0, u64::from_be_bytes))
     }
+
+    /// Reads a digest from its hexadecimal digits, `None` if the text is no digest.
+    pub fn from_hex(text: &str) -> Option<VersionDigest> {
+        u64::from_str_radix(text, 16).ok().map(VersionDigest)
+    }
+
+    /// Returns the digest in hexadecimal digits.
+    pub fn to_hex(self) -> String {
+        format!("{:016x}", self.0)
+    }
 }
 
 impl fmt::Debug for VersionDigest {
--- /dev/null
+++ b/crates/core/src/version_split.rs
@@ -0,0 +1,51 @@
+//! At which version of the targets' software the streams of a pool begin, and since when.
+//!
+//! Owns: the types, and how a stream selects a slot. Relies on: digests of streams that are spread evenly.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::{PoolId, StreamId, VersionDigest, WallTime};
+
+/// Slots of a split. A stream has one of them, whatever the split is.
+pub const SPLIT_SLOTS: usize = 16;
+
+/// The versions at which streams begin from a moment on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct VersionSplit {
+    /// When the split was decided, by the clock of the daemon that decided it.
+    pub since: WallTime,
+    /// Version of the streams of each slot.
+    pub slots: [VersionDigest; SPLIT_SLOTS],
+    /// Whether each stream may begin at any of the versions, whatever its slot.
+    pub is_open: bool,
+}
+
+impl VersionSplit {
+    /// Returns the version at which a stream begins, `None` where it may be any.
+    pub fn version_of(&self, stream: &StreamId) -> Option<VersionDigest> {
+        let slot = self.slots.get(stream.slot(SPLIT_SLOTS)).copied();
+        slot.filter(|_| !self.is_open)
+    }
+
+    /// Returns the versions at which a stream may have begun; `None` stands for any stream.
+    pub fn candidates(&self, stream: Option<&StreamId>) -> BTreeSet<VersionDigest> {
+        match stream.and_then(|stream| self.version_of(stream)) {
+            Some(version) => BTreeSet::from([version]),
+            None => self.slots.iter().copied().collect(),
+        }
+    }
+}
+
+/// The latest splits of a pool, as the platform keeps them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct VersionHistory {
+    /// The pool.
+    pub pool: PoolId,
+    /// Revision of the stored object, `None` while there is none.
+    pub revision: Option<u64>,
+    /// The splits in the order in which they were in force. Each is in force until the next one.
+    pub splits: Vec<VersionSplit>,
+    /// Longest time that callers have for a stream over all of their attempts, rounded up; `None` if it is not known.
+    pub longest_timeout: Option<Duration>,
+}
--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -88,6 +88,7 @@
             PlatformCall::StoreRefusal(_) | PlatformCall::DropRefusal(_) => {}
             // Targets are listed in configuration files, which have no versions, so there are no rollouts.
             PlatformCall::ReadRollouts | PlatformCall::WriteRollout(_) => {}
+            PlatformCall::ReadVersionHistories | PlatformCall::WriteVersionHistory(_) => {}
         }
     }
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -129,6 +129,12 @@
                 let request_read = move || signals.request_rollout_read();
                 follow::write_rollout(&self.platform, context, write, request_read);
             }
+            PlatformCall::ReadVersionHistories => {
+                follow::read_histories(&self.platform, context);
+            }
+            PlatformCall::WriteVersionHistory(history) => {
+                follow::write_history(&self.platform, context, history);
+            }
             PlatformCall::Read(role) => self.signals.set_read_role(role),
             // Requests carry ids of their own, so a fleet has no key table.
             PlatformCall::ProposeTable(..) | PlatformCall::ReadTable => {}
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -15,6 +15,7 @@
 mod targets;
 #[cfg(test)]
 mod tests;
+mod versions;
 mod watch_check;
 
 use std::cell::{Cell, RefCell};
@@ -32,6 +33,7 @@
 use self::faults::EntryFaults;
 pub use self::refusals::{drop_refusal, store_refusal};
 pub use self::rollouts::write_rollout;
+pub use self::versions::{read_histories, write_history};
 use super::ReadSignals;
 use crate::back_off::{BackOff, BackOffOptions};
 use crate::context::DaemonContext;
--- a/crates/daemon/src/request/admitted.rs
+++ b/crates/daemon/src/request/admitted.rs
@@ -49,6 +49,8 @@
     pub arrived: Moment,
     /// When the caller stops waiting.
     pub deadline: Moment,
+    /// Time for which the caller still waited when the head had arrived, `None` if it does not state it.
+    pub caller_time_left: Option<Duration>,
     /// Account that the request is counted against, `None` where the rule or the configuration requires none.
     pub account: Option<AccountId>,
     /// Rule that matched the request.
@@ -100,6 +102,10 @@
                 stream: take_up.begun_as.as_ref().map(|attempt| self.stream(attempt)),
             }),
             version: None,
+            begins: self.begun_stream().filter(|_| self.take_up.is_none()),
+            caller_time_left: self
+                .caller_time_left
+                .map(|time_left| time_left.saturating_sub(self.arrived.elapsed())),
         }
     }
 
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -87,6 +87,7 @@
         let key = headers::idempotency(head).map_err(bad_header)?.filter(|_| !rule.repeatable);
         Ok(AdmittedRequest {
             take_up: None,
+            caller_time_left: None,
             id,
             attempt_id: String::new(),
             arrived,
--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -73,6 +73,7 @@
             attempt_id: attempt_id.to_string(),
             arrived,
             deadline: arrived + timeout,
+            caller_time_left: caller_timeout,
             account: account.map(|account| account.id.clone()),
             tier: rule.tier.clone(),
             rank: account_rank.unwrap_or(tier_rank),
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -12,7 +12,7 @@
     NoticeReport, ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestDigest,
     RequestFeature, RequestId, RequestInterruption, RetryReason, RolloutRecord, RolloutWrite,
     StatedLoad, StreamVersion, TargetChange, TargetEntry, TargetInstance, TargetReport,
-    TargetVersion, Uptime, Verdict, VmId, WarmUpLimit,
+    TargetVersion, Uptime, Verdict, VersionHistory, VmId, WarmUpLimit,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound, RolloutReason};
@@ -117,6 +117,13 @@
     RefusalsRead(Vec<FeatureReport>),
     /// The platform has stored the refusal of a request.
     RefusalStored(RequestFeature),
+    /// The versions at which the streams of all pools begin and began, from a read sent at `sent`.
+    VersionHistoriesRead {
+        /// The histories of the pools that have one.
+        histories: Vec<VersionHistory>,
+        /// When the read was sent.
+        sent: Uptime,
+    },
     /// An operator states that a request is not the reason for which targets terminated.
     ClearSuspect(RequestDigest),
     /// The report on a target, for the scheduler of its pool.
@@ -180,6 +187,11 @@
     ReadRollouts,
     /// Store the stage of an order, and read the orders again.
     WriteRollout(RolloutWrite),
+    /// Read at which versions the streams of all pools begin.
+    ReadVersionHistories,
+    /// Store at which versions the streams of a pool begin if the stored object still has the revision, and read them
+    /// again.
+    WriteVersionHistory(VersionHistory),
 }
 
 /// An action that the driver of a node has to perform.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,6 +20,7 @@
 mod streams;
 mod suspects;
 mod time;
+mod version_histories;
 mod views;
 mod warm_ups;
 
@@ -44,6 +45,7 @@
 use self::rollouts::RolloutExchange;
 use self::stop::HAND_OVER_ACK_WAIT;
 use self::streams::StreamExchange;
+use self::version_histories::HistoryExchange;
 use crate::awaited_answer::AwaitedAnswer;
 use crate::config_exchange::ConfigExchange;
 use crate::evacuation_view::EvacuationView;
@@ -76,6 +78,7 @@
     unsent_loads: UnsentLoads,
     rollouts: RolloutExchange,
     streams: StreamExchange,
+    histories: HistoryExchange,
     drain: DrainState,
     vms: VmView,
     /// Reachable daemons that may take roles, including this one.
@@ -131,6 +134,7 @@
             unsent_loads: UnsentLoads::default(),
             rollouts: RolloutExchange::default(),
             streams: StreamExchange::default(),
+            histories: HistoryExchange::default(),
             drain: DrainState::new(options.drain_grace, options.hand_over_limit),
             vms: VmView::default(),
             all_pools_order: vec![me.clone()],
@@ -181,6 +185,9 @@
             NodeEvent::AnswerObserved(pool, sample) => self.answer_observed(pool, *sample),
             NodeEvent::RefusalsRead(reports) => self.merge_suspects(reports),
             NodeEvent::RefusalStored(feature) => self.refusal_stored(&feature),
+            NodeEvent::VersionHistoriesRead { histories, sent } => {
+                self.histories_read(histories, sent);
+            }
             NodeEvent::ClearSuspect(digest) => self.clear_suspect(&digest),
             NodeEvent::Finished(id, end) => self.request_finished(id, *end),
             NodeEvent::AttemptNotRun(id, end, retry) => self.attempt_not_run(id, end, retry),
--- a/crates/node/src/node/configuration.rs
+++ b/crates/node/src/node/configuration.rs
@@ -85,6 +85,7 @@
             scheduler.set_leaving_vms(unavailable.clone());
         }
         self.update_stream_versions(&config);
+        self.update_version_weights(&config);
         self.apply_versions();
         self.warm_ups.mark_all_changed();
         self.apply_warm_ups();
--- a/crates/node/src/node/evacuations.rs
+++ b/crates/node/src/node/evacuations.rs
@@ -7,6 +7,8 @@
 //! Owns: nothing; these are methods of `Node`. Relies on: [`EvacuationView`](crate::evacuation_view) for the order of
 //! lists, the gate of the daemon, which stops requests that were granted before.
 
+use std::sync::Arc;
+
 use curlewcleat_core::{EvacuationList, ObjectVersion, PeerMessage, TargetId, VmId};
 
 use super::Node;
@@ -24,6 +26,8 @@
         for scheduler in self.pools.values_mut() {
             scheduler.set_leaving_vms(unavailable.clone());
         }
+        let config = Arc::clone(&self.active);
+        self.update_version_weights(&config);
         self.actions.push(NodeAction::Note(NodeNote::EvacuationsChanged(change)));
     }
 
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -111,10 +111,13 @@
             }
             PeerMessage::RolloutAnswers(answers) => self.peer_answers_received(from, &answers),
             PeerMessage::TargetLoads(pools) => self.loads_received(&pools),
+            PeerMessage::StreamStart(start) => self.stream_start_received(start),
+            PeerMessage::StreamProofQuery(query) => self.proof_queried(&from.vm, query),
         }
     }
 
     fn permit_requested(&mut self, from: &DaemonId, request: PermitRequest) {
+        let request = self.select_version(request);
         if let Err(wait) = self.charge(&request) {
             let refusal = self.rate_refusal(&request, wait);
             let decision = PermitDecision::Refused(refusal);
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -7,8 +7,8 @@
 
 use curlewcleat_core::{
     AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitId, PermitRequest, PoolId, Refusal,
-    RefusalReason, RequestFeature, RequestId, RetryReason, TargetEntry, Verdict, VersionDigest,
-    VersionPermitRequest, VmId,
+    RefusalReason, RequestFeature, RequestId, RetryReason, StreamStart, TargetEntry, Verdict,
+    VersionDigest, VersionPermitRequest, VmId,
 };
 use curlewcleat_sched::{
     rate_retry_after, EntryAction, RateRole, RateShare, ReplacementStep, RequestSpec,
@@ -166,6 +166,9 @@
     }
 
     fn send_permit_request(&mut self, vm: &VmId, request: PermitRequest) {
+        if let Some(start) = self.stream_start(&request) {
+            self.post(vm, PeerMessage::StreamStart(start));
+        }
         let message = match request.version {
             Some(version) if *vm != self.options.me.vm => {
                 PeerMessage::VersionPermitRequest(VersionPermitRequest { request, version })
@@ -175,6 +178,14 @@
         self.post(vm, message);
     }
 
+    /// Returns the new stream that a permit is requested for, `None` where the request begins none.
+    fn stream_start(&self, request: &PermitRequest) -> Option<StreamStart> {
+        let spec = self.entry.spec_of(request.permit.request)?;
+        let stream = spec.begins.filter(|_| spec.version.is_none())?;
+        let timeout = spec.caller_time_left.unwrap_or_default();
+        Some(StreamStart { permit: request.permit, stream, timeout })
+    }
+
     /// Returns the refusal of a request while running which, or others that share a feature, targets have terminated since
     /// it was admitted.
     fn refusal_at_grant(&mut self, id: RequestId) -> Option<Refusal> {
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -5,16 +5,19 @@
 //! which stream to the keepers: the first daemons in the order of schedulers. They are the same for all daemons, and more
 //! than one, since a caller takes up its stream because a daemon has ended.
 //!
-//! Owns: the requests that wait for the version of their stream. Relies on: [`StreamVersions`] for the rule.
+//! The daemon that schedules is asked as well, since it may prove the version of a stream that nobody remembers
+//! ([`version_histories`](super::version_histories)). What is neither remembered nor proved is refused.
+//!
+//! Owns: the requests that wait for the version of their stream. Relies on: [`StreamVersions`] for what is remembered.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use curlewcleat_core::{
     ActiveConfig, DaemonId, PeerMessage, PoolId, Refusal, RefusalReason, RequestId, StreamAnswer,
-    StreamId, StreamQuery, StreamVersion, Uptime, VersionDigest, VmId,
+    StreamId, StreamProofQuery, StreamQuery, StreamVersion, Uptime, VersionDigest, VmId,
 };
-use curlewcleat_sched::{RequestSpec, StreamBegin, StreamVersions};
+use curlewcleat_sched::{RequestSpec, StreamVersions};
 
 use super::Node;
 use crate::event::{CallerDecision, NodeAction, NodeNote, VersionSource};
@@ -27,6 +30,9 @@
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(100);
 /// Time after which a request does not wait for further answers.
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
+/// Retry advice where a daemon has not answered that may know the version: the one that schedules reads the platform, or
+/// another one takes its place.
+const UNANSWERED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Most streams in one message.
 const STREAMS_PER_MESSAGE: usize = 256;
 
@@ -41,7 +47,7 @@
 #[derive(Clone, Debug)]
 struct WaitingTakeUp {
     spec: RequestSpec,
-    stream: StreamId,
+    stream: Option<StreamId>,
     since: Uptime,
     /// Daemons that have not answered.
     unanswered: BTreeSet<VmId>,
@@ -55,58 +61,53 @@
         let Some(taken_up) = spec.takes_up.filter(|_| spec.version.is_none()) else {
             return Some(spec);
         };
-        let found = self.streams.versions.find(self.now, &spec.pool, taken_up.stream.as_ref());
-        match (found, taken_up.stream) {
-            (StreamBegin::Version(version), _) => {
+        let stream = taken_up.stream;
+        match stream.and_then(|stream| self.remembered_version(&stream)) {
+            Some(version) => {
                 self.note_taken_up(spec.request, VersionSource::Own, Duration::ZERO);
                 spec.version = Some(version);
                 Some(spec)
             }
-            (StreamBegin::NoTargets, _) => Some(spec),
-            (StreamBegin::Unknown, Some(stream)) => self.ask_keepers(spec, stream),
-            (StreamBegin::Unknown, None) => self.resolve_unreported(spec, Duration::ZERO),
+            None => {
+                self.ask_for_version(spec, stream);
+                None
+            }
         }
     }
 
-    fn ask_keepers(&mut self, spec: RequestSpec, stream: StreamId) -> Option<RequestSpec> {
-        let asked = self.first_schedulers(&self.all_pools_order, ASKED);
-        if asked.is_empty() {
-            return self.resolve_unreported(spec, Duration::ZERO);
-        }
-        let query = StreamQuery { request: spec.request, stream };
-        for vm in &asked {
-            self.post(vm, PeerMessage::StreamQuery(query));
-        }
-        let (since, unanswered) = (self.now, asked.into_iter().collect());
+    /// Returns the version that began a stream, `None` if this daemon does not remember it.
+    pub(super) fn remembered_version(&self, stream: &StreamId) -> Option<VersionDigest> {
+        self.streams.versions.version_of(stream)
+    }
+
+    /// Asks the keepers, and the daemon that schedules for a proof.
+    fn ask_for_version(&mut self, spec: RequestSpec, stream: Option<StreamId>) {
+        let asked: BTreeSet<VmId> =
+            self.all_pools_order.iter().take(ASKED).map(|daemon| daemon.vm.clone()).collect();
+        let query = StreamProofQuery {
+            request: spec.request,
+            pool: spec.pool.clone(),
+            stream,
+            time_left: spec.caller_time_left,
+        };
+        let (request, since) = (spec.request, self.now);
+        let unanswered = asked.clone();
         let take_up = WaitingTakeUp { stream, since, unanswered, asked_again: false, spec };
-        self.streams.waiting.insert(query.request, take_up);
-        None
-    }
-
-    /// Limits a request to the version that began a stream which no daemon knows, or refuses it.
-    fn resolve_unreported(
-        &mut self,
-        mut spec: RequestSpec,
-        waited: Duration,
-    ) -> Option<RequestSpec> {
-        match self.streams.versions.unreported(self.now, &spec.pool) {
-            StreamBegin::Version(version) => {
-                self.note_taken_up(spec.request, VersionSource::Unreported, waited);
-                spec.version = Some(version);
-                Some(spec)
-            }
-            StreamBegin::NoTargets => Some(spec),
-            StreamBegin::Unknown => {
-                self.note_taken_up(spec.request, VersionSource::Unknown, waited);
-                // A retry finds no more than this attempt did.
-                let refusal = Refusal::not_run(RefusalReason::StreamVersionUnknown, None);
-                let decision = CallerDecision::Refuse(refusal);
-                self.actions.push(NodeAction::Decide(spec.request, decision));
-                None
-            }
+        self.streams.waiting.insert(request, take_up);
+        for vm in &asked {
+            self.post(vm, PeerMessage::StreamProofQuery(query.clone()));
         }
     }
 
+    /// Refuses a request whose stream is of a version that no daemon remembers or proves.
+    fn refuse_take_up(&mut self, request: RequestId, is_answered: bool, waited: Duration) {
+        self.note_taken_up(request, VersionSource::Unknown, waited);
+        // A retry finds no more than this attempt did, unless a daemon has not answered.
+        let retry_after = (!is_answered).then_some(UNANSWERED_RETRY_AFTER);
+        let refusal = Refusal::not_run(RefusalReason::StreamVersionUnknown, retry_after);
+        self.actions.push(NodeAction::Decide(request, CallerDecision::Refuse(refusal)));
+    }
+
     /// Records the version that began the answer of a request, and reports it to the keepers.
     pub(super) fn stream_begun(&mut self, id: RequestId, pool: &PoolId, begun: StreamVersion) {
         self.entry.set_version(id, begun.version);
@@ -148,21 +149,17 @@
 
     /// Ends the wait of a request for the version of its stream, and admits or refuses it.
     fn finish_take_up(&mut self, id: RequestId, version: Option<VersionDigest>) {
-        let Some(WaitingTakeUp { mut spec, since, .. }) = self.streams.waiting.remove(&id) else {
-            return;
-        };
+        let Some(take_up) = self.streams.waiting.remove(&id) else { return };
+        let WaitingTakeUp { mut spec, since, unanswered, .. } = take_up;
         let waited = self.now.saturating_sub(since);
         spec.time_left = spec.time_left.saturating_sub(waited);
-        let spec = match version {
+        match version {
             Some(version) => {
                 self.note_taken_up(id, VersionSource::Peer, waited);
                 spec.version = Some(version);
-                Some(spec)
+                self.admit(spec);
             }
-            None => self.resolve_unreported(spec, waited),
-        };
-        if let Some(spec) = spec {
-            self.admit(spec);
+            None => self.refuse_take_up(id, unanswered.is_empty(), waited),
         }
     }
 
@@ -180,15 +177,18 @@
         for id in over.collect::<Vec<_>>() {
             self.finish_take_up(id, None);
         }
+        let me = self.options.me.vm.clone();
         let mut queries = Vec::new();
         for (request, take_up) in &mut self.streams.waiting {
             if !take_up.asked_again && now >= take_up.since + ASK_AGAIN_AFTER {
                 take_up.asked_again = true;
-                let query = StreamQuery { request: *request, stream: take_up.stream };
+                let Some(stream) = take_up.stream else { continue };
+                let query = StreamQuery { request: *request, stream };
                 queries.extend(take_up.unanswered.iter().map(|vm| (vm.clone(), query)));
             }
         }
-        for (vm, query) in queries {
+        // A daemon of an earlier version cannot read the first query.
+        for (vm, query) in queries.into_iter().filter(|(vm, _)| *vm != me) {
             self.post(&vm, PeerMessage::StreamQuery(query));
         }
     }
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -40,6 +40,7 @@
         }
         self.send_loads();
         self.step_take_ups();
+        self.step_histories();
         self.step_warm_ups();
         self.step_rollouts();
         self.step_freshness();
--- a/crates/node/tests/stream_versions.rs
+++ b/crates/node/tests/stream_versions.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use curlewcleat_core::{RefusalReason, StreamId, StreamVersion, VersionDigest};
+use curlewcleat_core::{RefusalReason, RequestId, StreamId, StreamVersion, VersionDigest};
 use curlewcleat_node::{CallerDecision, NodeEvent};
 use curlewcleat_sched::{RequestSpec, TakenUpStream};
 use rstest::rstest;
@@ -18,6 +18,8 @@
 const DECISION_LIMIT: Duration = Duration::from_millis(500);
 /// Longer than daemons remember the versions of targets that were removed.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(40);
+/// Time that callers have for a stream.
+const CALLER_LIMIT: Duration = Duration::from_secs(30);
 /// Targets of each version.
 const TARGETS: usize = 3;
 /// More requests than a daemon of the tests may hold.
@@ -49,22 +51,39 @@
 
 /// Begins a stream at a daemon; returns the version that began it.
 fn begin(fleet: &mut Fleet, index: usize, number: u128) -> String {
-    fleet.admit(index, number);
+    let spec = RequestSpec {
+        begins: Some(stream(number)),
+        caller_time_left: Some(CALLER_LIMIT),
+        ..spec(number)
+    };
+    fleet.event(index, NodeEvent::Admit(Box::new(spec)));
     fleet.run(DECISION_LIMIT);
     let Some(CallerDecision::Dispatch(_, entry)) = fleet.decision(number).cloned() else {
         panic!("{:?}", fleet.decision(number));
     };
     let version = VersionDigest::of(entry.version.as_ref());
     let begun = StreamVersion { stream: stream(number), version };
-    fleet.event(index, NodeEvent::StreamBegun(spec(number).request, "p".to_string(), begun));
+    let request = RequestId::from_u128(number);
+    fleet.event(index, NodeEvent::StreamBegun(request, "p".to_string(), begun));
     entry.version.expect("a version")
 }
 
 /// Takes up a stream at a daemon; returns the version at which it goes on, or why it does not.
 fn take_up(fleet: &mut Fleet, index: usize, number: u128) -> Result<String, RefusalReason> {
+    take_up_after(fleet, index, number, CALLER_LIMIT)
+}
+
+/// Takes up a stream whose first attempt was made `age` ago.
+fn take_up_after(
+    fleet: &mut Fleet,
+    index: usize,
+    number: u128,
+    age: Duration,
+) -> Result<String, RefusalReason> {
     let second = 1_000_000 + number;
     let takes_up = Some(TakenUpStream { stream: Some(stream(number)) });
-    let spec = RequestSpec { takes_up, ..spec(second) };
+    let caller_time_left = Some(CALLER_LIMIT.saturating_sub(age));
+    let spec = RequestSpec { takes_up, caller_time_left, ..spec(second) };
     fleet.event(index, NodeEvent::Admit(Box::new(spec)));
     fleet.run(DECISION_LIMIT);
     match fleet.decision(second).cloned() {
@@ -130,22 +149,60 @@
     }
 }
 
+/// Guards against a stream of an unknown version that is taken for one of the first version, since a second one appeared
+/// a short time ago.
 #[test]
-fn stream_whose_daemon_ended_with_the_second_version_goes_on_at_the_first() {
+fn stream_whose_daemon_ended_with_the_second_version_goes_on_only_where_its_slot_proves_it() {
+    const STREAMS: u128 = 24;
     let mut fleet = fleet_of(6);
     let entry = last_daemon(&fleet);
-    for number in 1..=6 {
+    // The platform stores which version serves from the first stream on.
+    begin(&mut fleet, entry, 100);
+    fleet.run(CALLER_LIMIT);
+    for number in 1..=STREAMS {
         assert_eq!(begin(&mut fleet, entry, number), "v1");
+        fleet.finish(entry, number);
     }
     end(&mut fleet, &[entry]);
     set_versions(&mut fleet, &["v1", "v2"]);
     fleet.run(Duration::from_secs(2));
+    let split = fleet.histories["p"].splits.last().expect("a split").clone();
+    let first = VersionDigest::of(Some(&"v1".to_string()));
     let other = (0..6).find(|index| *index != entry).expect("another daemon");
-    for number in 1..=3 {
-        assert_eq!(take_up(&mut fleet, other, number), Ok("v1".to_string()));
+    let mut refused = 0;
+    for number in 1..=STREAMS {
+        let taken_up = take_up_after(&mut fleet, other, number, Duration::from_secs(20));
+        if split.version_of(&stream(number)) == Some(first) {
+            assert_eq!(taken_up, Ok("v1".to_string()), "{number}");
+        } else {
+            assert_eq!(taken_up, Err(RefusalReason::StreamVersionUnknown), "{number}");
+            refused += 1;
+        }
     }
-    fleet.run(Duration::from_secs(10));
-    assert_eq!(take_up(&mut fleet, other, 4), Err(RefusalReason::StreamVersionUnknown));
+    assert!((1..STREAMS).contains(&refused), "{refused} of {STREAMS}");
+}
+
+/// Guards against streams that are taken for those of the only version that a new daemon has seen.
+#[test]
+fn stream_is_refused_where_the_platform_has_not_stored_which_version_served() {
+    let mut fleet = fleet_of(6);
+    assert_eq!(fleet.histories.len(), 0, "no stream has begun");
+    assert_eq!(take_up(&mut fleet, 1, 99), Err(RefusalReason::StreamVersionUnknown));
+}
+
+/// Guards against streams that cannot go on while the platform does not answer, although one version has served for long.
+#[test]
+fn stream_goes_on_while_the_platform_is_down_where_one_version_has_served() {
+    let mut fleet = fleet_of(6);
+    let entry = last_daemon(&fleet);
+    assert_eq!(begin(&mut fleet, entry, 1), "v1");
+    fleet.run(Duration::from_secs(40));
+    assert_eq!(begin(&mut fleet, entry, 2), "v1");
+    end(&mut fleet, &[entry]);
+    fleet.daemons.iter_mut().for_each(|daemon| daemon.reaches_platform = false);
+    let other = (0..6).find(|index| *index != entry).expect("another daemon");
+    let taken_up = take_up_after(&mut fleet, other, 2, Duration::from_secs(2));
+    assert_eq!(taken_up, Ok("v1".to_string()));
 }
 
 #[test]
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -13,7 +13,8 @@
 
 use curlewcleat_core::{
     AttemptEnd, ConfigBundle, DiscoveredTarget, EvacuationList, FeatureReport, PeerFrame,
-    PeerMessage, RequestId, RolloutOrder, RolloutRecord, RolloutWrite, Verdict, VmId,
+    PeerMessage, PoolId, RequestId, RolloutOrder, RolloutRecord, RolloutWrite, Verdict,
+    VersionHistory, VmId,
 };
 use curlewcleat_node::{
     CallerDecision, ConfigIntake, FreshnessLimits, Node, NodeAction, NodeEvent, NodeNote,
@@ -71,6 +72,8 @@
     pub targets: (Vec<DiscoveredTarget>, u64),
     /// Rollout orders at the platform, with their revision.
     pub rollouts: (Vec<RolloutRecord>, u64),
+    /// Versions at which streams begin, at the platform.
+    pub histories: BTreeMap<PoolId, VersionHistory>,
     /// Evacuated data centres at the platform, with their revision.
     pub evacuations: EvacuationList,
     /// Newest configuration at the platform.
@@ -130,6 +133,7 @@
             decisions: Vec::new(),
             targets: (vec![target("x", false), target("y", false)], 1),
             rollouts: (Vec::new(), 1),
+            histories: BTreeMap::new(),
             evacuations: EvacuationList { at: 1, ..EvacuationList::default() },
             generation: 1,
             config: CONFIG.to_string(),
@@ -170,6 +174,7 @@
         let mut events = vec![(index, event)];
         while let Some((index, event)) = events.pop() {
             let wall = Duration::from_secs(1_000) + self.now;
+            let earlier = events.len();
             for action in self.daemons[index].node.handle(self.now, wall, event) {
                 match action {
                     NodeAction::Send(to, frame) => {
@@ -189,6 +194,17 @@
                         self.write_rollout(&write);
                         events.push((index, self.rollouts_listed()));
                     }
+                    NodeAction::Platform(PlatformCall::ReadVersionHistories)
+                        if self.daemons[index].reaches_platform =>
+                    {
+                        events.push((index, self.histories_read()));
+                    }
+                    NodeAction::Platform(PlatformCall::WriteVersionHistory(history))
+                        if self.daemons[index].reaches_platform =>
+                    {
+                        self.write_history(history);
+                        events.push((index, self.histories_read()));
+                    }
                     NodeAction::Platform(PlatformCall::StoreRefusal(report)) => {
                         events.push((index, NodeEvent::RefusalStored(report.feature)));
                         self.refusals.push((index, report));
@@ -200,6 +216,8 @@
                     _ => {}
                 }
             }
+            // Frames arrive in the order in which they were sent.
+            events[earlier..].reverse();
         }
     }
 
@@ -249,6 +267,20 @@
         self.evacuations = EvacuationList { at: self.evacuations.at + 1, data_centres };
     }
 
+    fn histories_read(&self) -> NodeEvent {
+        let histories = self.histories.values().cloned().collect();
+        NodeEvent::VersionHistoriesRead { histories, sent: self.now }
+    }
+
+    /// Stores a history if it was derived from the stored one.
+    fn write_history(&mut self, history: VersionHistory) {
+        let stored = self.histories.get(&history.pool).and_then(|stored| stored.revision);
+        if stored == history.revision {
+            let revision = Some(stored.unwrap_or_default() + 1);
+            self.histories.insert(history.pool.clone(), VersionHistory { revision, ..history });
+        }
+    }
+
     fn rollouts_listed(&self) -> NodeEvent {
         let (rollouts, at) = self.rollouts.clone();
         NodeEvent::RolloutsListed { rollouts, at, sent: self.now }
--- a/crates/sched/src/entry/options.rs
+++ b/crates/sched/src/entry/options.rs
@@ -84,6 +84,10 @@
     pub takes_up: Option<TakenUpStream>,
     /// The version that its target must have, `None` for any.
     pub version: Option<VersionDigest>,
+    /// The stream that the request begins, `None` where it begins none that may be taken up.
+    pub begins: Option<StreamId>,
+    /// Time for which its caller waits as the caller states it, `None` if it does not.
+    pub caller_time_left: Option<Duration>,
 }
 
 impl RequestSpec {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -11,6 +11,7 @@
 //! | whether it terminates its targets | [`lethal`] | the suspect requests |
 //! | whether a version is accepted or rolled back | [`rollout`] | the versions of a pool, a rollout and its answers |
 //! | at which version of the targets a stream is continued | [`stream_versions`] | the streams and versions of a daemon |
+//! | at which version a stream begins, and what proves it | [`version_history`] | the stored splits of a pool |
 //! | which daemon decides | [`election`] | the members |
 //! | whether a target is reached directly or through a peer | [`target_reach`], [`relay_choice`] | the lost links of a daemon, its peers |
 //!
@@ -41,6 +42,7 @@
 mod target_gate;
 mod target_reach;
 mod targets;
+mod version_history;
 mod work_estimate;
 
 pub use admission::account::{AccountLimit, RateBucket};
@@ -80,6 +82,7 @@
 pub use rollout::exposure::{RolloutLimits, TrialShare};
 pub use rollout::versions::{PoolVersions, ReportedVersion, VersionAccess};
 pub use rollout::{PoolRollout, RolloutReason, RolloutStep, RolloutView};
-pub use stream_versions::{StreamBegin, StreamVersions};
+pub use stream_versions::StreamVersions;
 pub use target_gate::{GateStop, NoticeChange, TargetGate};
 pub use target_reach::{ReachChange, TargetReach, TargetRoute};
+pub use version_history::{prove_version, revise_history, VersionWeights};
--- a/crates/sched/src/stream_versions.rs
+++ b/crates/sched/src/stream_versions.rs
@@ -1,12 +1,8 @@
-//! Decides at which version of a pool's targets a stream may be continued.
+//! Remembers which version of a pool's targets began a stream, and whether the pool has several versions.
 //!
-//! Inputs: the streams that targets of this pool have begun, as far as this daemon knows; the versions that the pool
-//! has had, and when each was first seen. The rule:
-//! 1. A stream continues at the version that began it, where that is known.
-//! 2. Where the pool has had one version only, that version began it.
-//! 3. A stream that no daemon knows began before a second version was seen, if that was a short time ago: from then on
-//!    daemons report to each other which version begins which stream.
-//! 4. No other stream is continued.
+//! A stream continues at the version that began it. While a pool has several versions, daemons report to each other
+//! which version begins which stream. What no daemon remembers is proved by the stored splits
+//! ([`version_history`](crate::version_history)), or is not known.
 //!
 //! Load pattern: a release replaces targets one by one, while targets and daemons fail and callers take up their
 //! streams at other daemons.
@@ -23,19 +19,6 @@
 const RETENTION: Duration = Duration::from_secs(30);
 /// Most streams that are remembered; the oldest are forgotten first. Each needs some 100 bytes.
 const STREAM_LIMIT: usize = 1 << 17;
-/// Time after the second version of a pool was first seen, within which unknown streams belong to the first one.
-const UNREPORTED_PERIOD: Duration = Duration::from_secs(5);
-
-/// The version that a stream may be continued at.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StreamBegin {
-    /// This version began the stream.
-    Version(VersionDigest),
-    /// The pool has no targets, so that nothing can be continued now.
-    NoTargets,
-    /// This daemon does not know it.
-    Unknown,
-}
 
 /// What a daemon knows of the streams and versions of its pools.
 #[derive(Clone, Debug, Default)]
@@ -59,7 +42,6 @@
 /// When targets of a version were seen.
 #[derive(Clone, Copy, Debug)]
 struct VersionPresence {
-    first: Uptime,
     /// When the last target was found to be removed, `None` while there are targets.
     removed: Option<Uptime>,
 }
@@ -89,7 +71,7 @@
             }
         }
         for version in versions {
-            presences.entry(*version).or_insert(VersionPresence { first: now, removed: None });
+            presences.entry(*version).or_insert(VersionPresence { removed: None });
         }
         !was_mixed && self.is_mixed(now, pool)
     }
@@ -153,32 +135,4 @@
         own.map(|(stream, known)| StreamVersion { stream: *stream, version: known.version })
             .collect()
     }
-
-    /// Returns the version that began a stream, as far as this daemon knows without the others. `None` stands for a
-    /// stream that its caller does not name.
-    pub fn find(&self, now: Uptime, pool: &str, stream: Option<&StreamId>) -> StreamBegin {
-        if let Some(version) = stream.and_then(|stream| self.version_of(stream)) {
-            return StreamBegin::Version(version);
-        }
-        let mut versions = self.recent(now, pool).map(|(version, _)| *version);
-        match (versions.next(), versions.next()) {
-            (None, _) => StreamBegin::NoTargets,
-            (Some(version), None) => StreamBegin::Version(version),
-            _ => StreamBegin::Unknown,
-        }
-    }
-
-    /// Returns the version that began a stream that no daemon knows.
-    pub fn unreported(&self, now: Uptime, pool: &str) -> StreamBegin {
-        let mut presences: Vec<_> = self.recent(now, pool).collect();
-        presences.sort_by_key(|(_, presence)| presence.first);
-        let [(version, first), (_, second), ..] = presences.as_slice() else {
-            return self.find(now, pool, None);
-        };
-        let was_alone = second.first >= first.first + UNREPORTED_PERIOD;
-        match was_alone && now < second.first + UNREPORTED_PERIOD {
-            true => StreamBegin::Version(**version),
-            false => StreamBegin::Unknown,
-        }
-    }
 }
--- /dev/null
+++ b/crates/sched/src/version_history.rs
@@ -0,0 +1,149 @@
+//! Decides at which version of a pool's targets a new stream begins, and proves which version began a stream that no
+//! daemon remembers.
+//!
+//! Streams are spread over slots by the digest of their first attempt, and a split gives each slot a version. A split is
+//! stored by the platform before it is used, so that what its callers bring back tells the version of a stream even
+//! after all daemons have been killed. The rule:
+//! 1. A stream begins at the version of its slot, while the pool has targets of it.
+//! 2. A stream that is taken up may have begun under each split that was in force since its caller's first attempt can
+//!    have been made. If all of them give its slot the same version, that version began it.
+//! 3. Otherwise its version is not known.
+//!
+//! Load pattern: a release replaces targets one by one, while all daemons are killed at once and callers take up their
+//! streams.
+//!
+//! Owns: when a split changes, how many are kept. Relies on: the caller for storing and reading them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use curlewcleat_core::{
+    StreamId, VersionDigest, VersionHistory, VersionSplit, WallTime, SPLIT_SLOTS,
+};
+
+/// Slots by which the share of a version differs from the share of its targets before a split changes. With one slot,
+/// each target that fails and returns would change it.
+const TOLERATED_SLOTS: usize = 2;
+/// Most splits that are stored; the oldest are dropped first.
+const SPLIT_LIMIT: usize = 32;
+/// Difference of the clocks of two daemons, and time for which two of them may schedule, that a proof allows for.
+const CLOCK_MARGIN: Duration = Duration::from_secs(2);
+/// Unit of the longest timeout, so that it is stored rarely.
+const TIMEOUT_UNIT: Duration = Duration::from_secs(1);
+/// Longest timeout that is stored.
+const TIMEOUT_LIMIT: Duration = Duration::from_secs(3_600);
+
+/// Targets of each version that take new requests, weighted by their slots.
+pub type VersionWeights = BTreeMap<VersionDigest, u64>;
+
+/// Returns the version that began a stream, `None` if it is not proved. `stream` is `None` where the caller does not name it,
+/// and `time_left`, how long the caller still waits, where the caller does not state it.
+pub fn prove_version(
+    history: &VersionHistory,
+    stream: Option<&StreamId>,
+    now: WallTime,
+    time_left: Option<Duration>,
+) -> Option<VersionDigest> {
+    let age = history.longest_timeout?.saturating_sub(time_left?);
+    let begun_after = now.saturating_sub(age + CLOCK_MARGIN);
+    // Earlier splits may have been dropped.
+    if history.splits.first()?.since > begun_after {
+        return None;
+    }
+    let ends = history.splits.iter().skip(1).map(|next| Some(next.since)).chain([None]);
+    let in_force = history.splits.iter().zip(ends);
+    let in_force = in_force.filter(|(_, end)| end.is_none_or(|end| end >= begun_after));
+    let candidates: BTreeSet<_> =
+        in_force.flat_map(|(split, _)| split.candidates(stream)).collect();
+    let mut candidates = candidates.into_iter();
+    candidates.next().filter(|_| candidates.next().is_none())
+}
+
+/// Returns the history with another split or a longer timeout, `None` where the stored one still holds. `is_open`
+/// states that a rollout decides which version gets which request.
+pub fn revise_history(
+    history: &VersionHistory,
+    now: WallTime,
+    weights: &VersionWeights,
+    is_open: bool,
+    longest_timeout: Duration,
+) -> Option<VersionHistory> {
+    let timeout = history.longest_timeout.max(Some(rounded_up(longest_timeout)));
+    let slots = match history.splits.last() {
+        // A pool without targets keeps its split: nothing begins there.
+        _ if weights.is_empty() => None,
+        Some(last) if last.is_open == is_open && is_tolerated(&last.slots, weights) => None,
+        last => Some(divided(last.map(|last| &last.slots), weights)),
+    };
+    let is_changed = slots.is_some() || timeout != history.longest_timeout;
+    if !is_changed || (slots.is_none() && history.splits.is_empty()) {
+        return None;
+    }
+    let mut revised = VersionHistory { longest_timeout: timeout, ..history.clone() };
+    // The clock of the daemon that decided the last split may be ahead.
+    let since = history.splits.last().map_or(now, |last| now.max(last.since));
+    revised.splits.extend(slots.map(|slots| VersionSplit { since, slots, is_open }));
+    let excess = revised.splits.len().saturating_sub(SPLIT_LIMIT);
+    revised.splits.drain(..excess);
+    Some(revised)
+}
+
+fn rounded_up(timeout: Duration) -> Duration {
+    let units = timeout.min(TIMEOUT_LIMIT).as_millis().div_ceil(TIMEOUT_UNIT.as_millis());
+    TIMEOUT_UNIT * u32::try_from(units).unwrap_or(u32::MAX)
+}
+
+fn counted(slots: &[VersionDigest]) -> BTreeMap<VersionDigest, usize> {
+    let mut counts = BTreeMap::new();
+    slots.iter().for_each(|version| *counts.entry(*version).or_default() += 1);
+    counts
+}
+
+/// Returns whether every slot has a version with targets, and no version has far more or fewer slots than its share.
+fn is_tolerated(slots: &[VersionDigest], weights: &VersionWeights) -> bool {
+    let counts = counted(slots);
+    let quotas = quotas(weights);
+    let is_near = |(version, quota): (&VersionDigest, &usize)| {
+        counts.get(version).copied().unwrap_or_default().abs_diff(*quota) < TOLERATED_SLOTS
+    };
+    counts.keys().all(|version| weights.contains_key(version)) && quotas.iter().all(is_near)
+}
+
+/// Returns the slots that each version should have, by the largest remainders.
+fn quotas(weights: &VersionWeights) -> BTreeMap<VersionDigest, usize> {
+    let total = weights.values().sum::<u64>().max(1);
+    let slots = SPLIT_SLOTS as u64;
+    let mut quotas: BTreeMap<_, _> = weights
+        .iter()
+        .map(|(version, weight)| (*version, (weight * slots / total) as usize))
+        .collect();
+    let mut by_remainder: Vec<_> = weights
+        .iter()
+        .map(|(version, weight)| (std::cmp::Reverse(weight * slots % total), *version))
+        .collect();
+    by_remainder.sort();
+    let missing = SPLIT_SLOTS - quotas.values().sum::<usize>();
+    for (_, version) in by_remainder.into_iter().cycle().take(missing) {
+        *quotas.entry(version).or_default() += 1;
+    }
+    quotas
+}
+
+/// Divides the slots among the versions; as many slots as possible keep their version.
+fn divided(
+    before: Option<&[VersionDigest; SPLIT_SLOTS]>,
+    weights: &VersionWeights,
+) -> [VersionDigest; SPLIT_SLOTS] {
+    let mut left = quotas(weights);
+    let mut take = |version: &VersionDigest| {
+        let slots = left.get_mut(version).filter(|slots| **slots > 0)?;
+        *slots -= 1;
+        Some(*version)
+    };
+    let mut kept: [Option<VersionDigest>; SPLIT_SLOTS] =
+        std::array::from_fn(|slot| take(before?.get(slot)?));
+    for slot in kept.iter_mut().filter(|slot| slot.is_none()) {
+        *slot = weights.keys().find_map(&mut take);
+    }
+    kept.map(|slot| slot.unwrap_or_default())
+}
--- a/crates/sched/tests/stream_versions.rs
+++ b/crates/sched/tests/stream_versions.rs
@@ -9,8 +9,7 @@
     TargetEntry, TargetPool, Uptime, VersionDigest,
 };
 use curlewcleat_sched::{
-    PoolOptions, PoolScheduler, PoolVersions, RolloutLimits, SchedulerAction, StreamBegin,
-    StreamVersions,
+    PoolOptions, PoolScheduler, PoolVersions, RolloutLimits, SchedulerAction, StreamVersions,
 };
 use rstest::rstest;
 
@@ -39,34 +38,6 @@
     versions
 }
 
-#[rstest]
-#[case::no_targets(&[], StreamBegin::NoTargets)]
-#[case::one_version(&[(1, &["v1"][..])], StreamBegin::Version(version("v1")))]
-#[case::two_versions(&[(1, &["v1"][..]), (50, &["v1", "v2"])], StreamBegin::Unknown)]
-#[case::first_one_gone(&[(1, &["v1"][..]), (70, &["v1", "v2"]), (80, &["v2"])], StreamBegin::Unknown)]
-#[case::first_one_long_gone(&[(1, &["v1"][..]), (20, &["v1", "v2"]), (40, &["v2"])], StreamBegin::Version(version("v2")))]
-fn unknown_stream_has_the_only_version_of_its_pool(
-    #[case] changes: &[(u64, &[&str])],
-    #[case] expected: StreamBegin,
-) {
-    let versions = pool_versions(changes);
-    assert_eq!(versions.find(at(100), POOL, Some(&stream("x"))), expected);
-    assert_eq!(versions.find(at(100), POOL, None), expected);
-}
-
-#[rstest]
-#[case::second_version_is_new(&[(1, &["v1"][..]), (97, &["v1", "v2"])], StreamBegin::Version(version("v1")))]
-#[case::second_version_is_older(&[(1, &["v1"][..]), (90, &["v1", "v2"])], StreamBegin::Unknown)]
-#[case::both_were_there_at_the_start(&[(99, &["v1", "v2"][..])], StreamBegin::Unknown)]
-#[case::first_one_was_not_alone_for_long(&[(96, &["v1"][..]), (99, &["v1", "v2"])], StreamBegin::Unknown)]
-#[case::third_version_is_new(&[(1, &["v1"][..]), (80, &["v1", "v2"]), (99, &["v1", "v2", "v3"])], StreamBegin::Unknown)]
-fn stream_that_nobody_knows_began_before_a_second_version(
-    #[case] changes: &[(u64, &[&str])],
-    #[case] expected: StreamBegin,
-) {
-    assert_eq!(pool_versions(changes).unreported(at(100), POOL), expected);
-}
-
 #[test]
 fn stream_is_remembered_for_its_time_and_at_its_first_version() {
     let mut versions = pool_versions(&[(1, &["v1", "v2"])]);
--- /dev/null
+++ b/crates/sched/tests/version_history.rs
@@ -0,0 +1,216 @@
+//! The versions at which new streams begin, and what proves the version of a stream that no daemon remembers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use curlewcleat_core::{
+    StreamId, VersionDigest, VersionHistory, VersionSplit, WallTime, SPLIT_SLOTS,
+};
+use curlewcleat_sched::{prove_version, revise_history, VersionWeights};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+/// Time that callers have for a stream.
+const TIMEOUT: Duration = Duration::from_secs(12);
+/// When the callers of these tests take up a stream, by the wall clock.
+const NOW: WallTime = at(1_000);
+
+const fn at(seconds: u64) -> WallTime {
+    Duration::from_secs(seconds)
+}
+
+fn version(name: &str) -> VersionDigest {
+    VersionDigest::of(Some(&name.to_string()))
+}
+
+fn stream(number: u64) -> StreamId {
+    StreamId::new("p", "a", &number.to_string())
+}
+
+fn weights(targets: &[(&str, u64)]) -> VersionWeights {
+    targets.iter().map(|(name, count)| (version(name), *count)).collect()
+}
+
+/// Returns the history of a pool whose targets changed at these times.
+fn history(changes: &[(u64, &[(&str, u64)])]) -> VersionHistory {
+    let mut history = VersionHistory::default();
+    for (time, targets) in changes {
+        let revised = revise_history(&history, at(*time), &weights(targets), false, TIMEOUT);
+        history = revised.unwrap_or(history);
+    }
+    history
+}
+
+#[rstest]
+#[case::nothing_stored(&[], None)]
+#[case::one_version(&[(1, &[("v1", 4)][..])], Some("v1"))]
+#[case::stored_after_it_can_have_begun(&[(995, &[("v1", 4)][..])], None)]
+#[case::replaced_since_it_can_have_begun(&[(1, &[("v1", 4)][..]), (995, &[("v2", 4)])], None)]
+#[case::replaced_before_it_can_have_begun(&[(1, &[("v1", 4)][..]), (980, &[("v2", 4)])], Some("v2"))]
+#[case::replaced_just_now(&[(1, &[("v1", 4)][..]), (1_000, &[("v2", 4)])], None)]
+#[case::clock_of_the_daemon_ahead(&[(1, &[("v1", 4)][..]), (1_004, &[("v2", 4)])], None)]
+#[case::came_and_went(&[(1, &[("v1", 4)][..]), (993, &[("v2", 4)]), (995, &[("v1", 4)])], None)]
+#[case::no_targets_left(&[(1, &[("v1", 4)][..]), (995, &[])], Some("v1"))]
+fn stream_that_no_daemon_remembers_has_the_only_version_that_can_have_begun_it(
+    #[case] changes: &[(u64, &[(&str, u64)])],
+    #[case] expected: Option<&str>,
+) {
+    let time_left = Some(Duration::from_secs(8));
+    let proved = prove_version(&history(changes), Some(&stream(1)), NOW, time_left);
+    assert_eq!(proved, expected.map(version));
+    let unnamed = prove_version(&history(changes), None, NOW, time_left);
+    assert_eq!(unnamed, expected.map(version));
+}
+
+#[test]
+fn nothing_is_proved_without_the_time_that_is_left_or_the_longest_timeout() {
+    let history = history(&[(1, &[("v1", 4)])]);
+    assert_eq!(prove_version(&history, Some(&stream(1)), NOW, None), None);
+    let without_timeout = VersionHistory { longest_timeout: None, ..history };
+    assert_eq!(prove_version(&without_timeout, Some(&stream(1)), NOW, Some(TIMEOUT)), None);
+}
+
+#[test]
+fn stream_beside_two_versions_is_proved_by_its_slot() {
+    let history = history(&[(1, &[("v1", 4)]), (900, &[("v1", 4), ("v2", 4)])]);
+    let split = history.splits.last().expect("a split");
+    let mut versions = BTreeSet::new();
+    for number in 0..200 {
+        let proved = prove_version(&history, Some(&stream(number)), NOW, Some(TIMEOUT));
+        assert_eq!(proved, split.version_of(&stream(number)));
+        versions.extend(proved);
+    }
+    assert_eq!(versions.len(), 2);
+    assert_eq!(prove_version(&history, None, NOW, Some(TIMEOUT)), None, "not named");
+}
+
+#[test]
+fn streams_of_slots_that_keep_their_version_are_proved_beside_a_change() {
+    let history = history(&[(1, &[("v1", 18)]), (999, &[("v1", 14), ("v2", 4)])]);
+    let [before, after] = history.splits.as_slice() else { panic!("{history:?}") };
+    let mut proved_streams = 0;
+    for number in 0..200 {
+        let stream = stream(number);
+        let same = before.version_of(&stream) == after.version_of(&stream);
+        let proved = prove_version(&history, Some(&stream), NOW, Some(TIMEOUT));
+        assert_eq!(proved.is_some(), same);
+        proved_streams += usize::from(same);
+    }
+    assert!(proved_streams > 120, "{proved_streams}");
+}
+
+#[test]
+fn open_split_proves_nothing_beside_two_versions() {
+    let weights = weights(&[("v1", 4), ("v2", 4)]);
+    let open = revise_history(&VersionHistory::default(), at(1), &weights, true, TIMEOUT);
+    let open = open.expect("a history");
+    assert_eq!(open.splits[0].version_of(&stream(1)), None);
+    assert_eq!(prove_version(&open, Some(&stream(1)), NOW, Some(TIMEOUT)), None);
+}
+
+/// Guards against a store that is written for each target that fails and returns, and for each request.
+#[rstest]
+#[case::same_targets(&[("v1", 9), ("v2", 9)], 12, None)]
+#[case::one_target_less(&[("v1", 8), ("v2", 9)], 12, None)]
+#[case::shorter_timeout(&[("v1", 9), ("v2", 9)], 3, None)]
+#[case::no_targets(&[], 12, None)]
+#[case::longer_timeout(&[("v1", 9), ("v2", 9)], 13, Some(1))]
+#[case::another_share(&[("v1", 5), ("v2", 13)], 12, Some(2))]
+#[case::version_gone(&[("v2", 9)], 12, Some(2))]
+#[case::version_added(&[("v1", 9), ("v2", 9), ("v3", 3)], 12, Some(2))]
+fn history_changes_only_where_shares_or_the_timeout_do(
+    #[case] targets: &[(&str, u64)],
+    #[case] timeout: u64,
+    #[case] splits: Option<usize>,
+) {
+    let history = history(&[(1, &[("v1", 9), ("v2", 9)])]);
+    let revised = revise_history(&history, at(2), &weights(targets), false, at(timeout));
+    assert_eq!(revised.map(|revised| revised.splits.len()), splits);
+}
+
+#[test]
+fn slots_follow_the_targets_and_few_of_them_change() {
+    let mut history = history(&[(1, &[("v1", 18)])]);
+    let mut moved = 0;
+    for replaced in 1..=18u64 {
+        let weights = weights(&[("v1", 18 - replaced), ("v2", replaced)]);
+        let weights: VersionWeights = weights.into_iter().filter(|(_, count)| *count > 0).collect();
+        let before = history.splits.last().expect("a split").slots;
+        let revised = revise_history(&history, at(1 + replaced), &weights, false, TIMEOUT);
+        history = revised.unwrap_or(history);
+        let after = history.splits.last().expect("a split").slots;
+        moved += before.iter().zip(&after).filter(|(before, after)| before != after).count();
+        let new = after.iter().filter(|slot| **slot == version("v2")).count() as u64;
+        assert!(new.abs_diff(replaced * SPLIT_SLOTS as u64 / 18) <= 2, "{replaced}: {new}");
+    }
+    assert_eq!(moved, SPLIT_SLOTS, "each slot moves once");
+}
+
+#[test]
+fn history_is_bounded_and_proves_nothing_of_what_was_dropped() {
+    let mut history = VersionHistory::default();
+    for number in 0..100 {
+        let name = if number % 2 == 0 { "v1" } else { "v2" };
+        let revised = revise_history(&history, at(900), &weights(&[(name, 4)]), false, TIMEOUT);
+        history = revised.unwrap_or(history);
+    }
+    assert!(history.splits.len() <= 32);
+    let late = prove_version(&history, Some(&stream(1)), at(901), Some(TIMEOUT));
+    assert_eq!(late, None);
+}
+
+/// A stream of a random history.
+struct BegunStream {
+    id: StreamId,
+    at: WallTime,
+    version: VersionDigest,
+}
+
+/// Guards against a proof of another version than the one that began a stream, whatever targets come and go.
+#[test]
+fn random_histories_never_prove_another_version_than_the_one_that_began_a_stream() {
+    for seed in 0..300 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut history = VersionHistory::default();
+        let mut begun = Vec::new();
+        let mut counts: BTreeMap<&str, u64> = BTreeMap::from([("v1", random.random_range(1..10))]);
+        for step in 0..60u64 {
+            let now = Duration::from_millis(1_000_000 + step * 500);
+            if random.random_bool(0.3) {
+                let name = ["v1", "v2", "v3"][random.random_range(0..3)];
+                counts.insert(name, random.random_range(0..10));
+            }
+            let present = counts.iter().filter(|(_, count)| **count > 0);
+            let weights = present.map(|(name, count)| (version(name), *count)).collect();
+            let is_open = random.random_bool(0.05);
+            let revised = revise_history(&history, now, &weights, is_open, TIMEOUT);
+            history = revised.unwrap_or(history);
+            for _ in 0..3 {
+                begun.extend(begin(&mut random, &history, &weights, now));
+            }
+            for stream in &begun {
+                let age = now - stream.at;
+                let time_left = Some(TIMEOUT.saturating_sub(age));
+                let proved = prove_version(&history, Some(&stream.id), now, time_left);
+                if age <= TIMEOUT {
+                    assert!(proved.is_none_or(|proved| proved == stream.version), "seed {seed}");
+                }
+            }
+        }
+    }
+}
+
+/// Begins a stream as the scheduler does, where targets of the version of its slot take requests.
+fn begin(
+    random: &mut StdRng,
+    history: &VersionHistory,
+    weights: &VersionWeights,
+    now: WallTime,
+) -> Option<BegunStream> {
+    let id = stream(random.random());
+    let split: &VersionSplit = history.splits.last()?;
+    let any = split.slots[random.random_range(0..SPLIT_SLOTS)];
+    let version = split.version_of(&id).unwrap_or(any);
+    weights.contains_key(&version).then_some(BegunStream { id, at: now, version })
+}
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -8,7 +8,7 @@
 use curlewcleat_core::{
     ActiveConfig, DaemonRecord, DiscoveredTarget, EvacuationList, ObjectVersion, PoolId,
     RequestDigest, RequestFeature, RolloutRecord, RolloutWrite, StoreEra, TargetChange,
-    TargetInstance, WallTime, WarmUpLimit,
+    TargetInstance, VersionHistory, WallTime, WarmUpLimit,
 };
 
 use crate::entry_fault::EntryFault;
@@ -116,6 +116,15 @@
     pub faults: Vec<EntryFault>,
 }
 
+/// The versions at which the streams of the pools begin.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VersionHistoryList {
+    /// The histories of the pools that have one.
+    pub histories: Vec<VersionHistory>,
+    /// The unusable entries.
+    pub faults: Vec<EntryFault>,
+}
+
 /// The evacuated data centres.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EvacuationEntries {
@@ -184,6 +193,13 @@
     /// Stores the state of a rollout if its order has not changed. The next list shows whether the state was stored.
     fn write_rollout<'a>(&'a self, write: &'a RolloutWrite) -> StoreFuture<'a, ()>;
 
+    /// Reads at which versions the streams of all pools begin, never an older list.
+    fn list_version_histories(&self) -> StoreFuture<'_, VersionHistoryList>;
+
+    /// Stores at which versions the streams of a pool begin, if the stored object still has the revision. The next list
+    /// shows whether the history was stored.
+    fn write_version_history<'a>(&'a self, history: &'a VersionHistory) -> StoreFuture<'a, ()>;
+
     /// Reads the recorded daemons, including ones that no longer run.
     fn list_daemons(&self, age: ListAge) -> StoreFuture<'_, DaemonList>;
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,7 +16,8 @@
 pub use entry_fault::{EntryFault, FaultReason};
 pub use fleet::{
     ConfigAnswer, ConfigRead, DaemonList, EvacuationEntries, FleetConfig, FleetPlatform, ListAge,
-    ListWatch, RefusalList, RolloutList, StoredRefusal, TargetList, TargetWatch, WireProfile,
+    ListWatch, RefusalList, RolloutList, StoredRefusal, TargetList, TargetWatch,
+    VersionHistoryList, WireProfile,
 };
 pub use http::HttpStore;
 pub use store::{
