--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -218,12 +218,10 @@
 /// How the version that began a stream was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VersionSource {
-    /// This daemon remembers the stream, or the pool has one version.
+    /// This daemon remembers the stream.
     Own,
-    /// Another daemon remembers it.
+    /// Another daemon remembers it, or has proved it by the stored splits.
     Peer,
-    /// No daemon remembers it, since it began while the pool had one version.
-    Unreported,
     /// It was not found; the request is refused.
     Unknown,
 }
@@ -234,7 +232,6 @@
         match self {
             VersionSource::Own => "own",
             VersionSource::Peer => "peer",
-            VersionSource::Unreported => "one_version",
             VersionSource::Unknown => "unknown",
         }
     }
