--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 pub mod crowd;
+pub mod event_callers;
 pub mod event_streams;
 pub mod slow_link;
 pub mod stream_callers;
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -4,6 +4,8 @@
 //! handling of interrupted answers. Relies on: [`AnswerFraming`](super::framing::AnswerFraming) for the position in the
 //! answer.
 
+mod complete;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,17 +14,13 @@
     AttemptEnd, RefusalReason, RetryReason, StreamVersion, TargetEntry, Verdict, VersionDigest,
 };
 use curlewcleat_node::NodeEvent;
-use curlewcleat_targets::{collect, AnswerBody, BodyFrame, TargetAnswer};
+use curlewcleat_targets::{AnswerBody, BodyFrame, TargetAnswer};
 use futures_util::StreamExt;
-use spdlog::prelude::*;
 
 use super::cause::AttemptCause;
 use super::run::{AttemptOutcome, RequestRun};
 use super::target_wait::{GrantedTarget, WaitEnd};
-use crate::byte_budget::{ByteHold, ByteOwner};
 
-/// Longest answer in bytes that is buffered until it is complete: the platform's values have a megabyte at most.
-const BUFFERED_ANSWER_LIMIT: usize = 1 << 20;
 /// Time to connect when a stream is resumed.
 const RESUME_CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
@@ -56,48 +54,6 @@
         }
     }
 
-    /// Relays an answer once it is complete. A server error is kept as a fallback if the request may be
-    /// sent to another target.
-    async fn relay_complete(
-        &mut self,
-        answer: TargetAnswer,
-        target: &TargetEntry,
-        sent: Moment,
-    ) -> AttemptOutcome {
-        let TargetAnswer { head, body } = answer;
-        let frame = body.frame();
-        let mut held = self.hold_answer();
-        let body = body.inspect(|part| {
-            if let (Some(held), Ok(part)) = (&mut held, part) {
-                held.grow(part.len() as u64);
-            }
-        });
-        let collected = collect(body, BUFFERED_ANSWER_LIMIT).await;
-        // Counted until the connection has the answer, or a fallback is no longer needed.
-        self.buffered = held;
-        let bytes = match collected {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                debug!("exchange_broken", kv: { target = target.id.as_str(), error = error.to_string() });
-                return self.interrupted(RefusalReason::TargetClosed, AttemptCause::Closed);
-            }
-        };
-        if self.answer.has_begun() {
-            // The caller has the beginning of another target's answer, which this one cannot continue.
-            return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Unreadable);
-        }
-        let caller_answer = self.protocol().caller_answer(self.request.id, &head);
-        let caller_answer = caller_answer.with_body(frame, bytes);
-        if head.status.is_server_error() && self.protocol().may_repeat(&self.request) {
-            self.fallback = Some(caller_answer);
-            return AttemptOutcome::Retry(RetryReason::TargetFailed, AttemptCause::Failed);
-        }
-        self.record_answer_begin();
-        self.answer.send_head(caller_answer);
-        self.verdict = Verdict::Ran;
-        AttemptOutcome::Served(AttemptEnd::Whole(sent.elapsed()))
-    }
-
     /// Relays parts as they arrive.
     async fn relay_parts(
         &mut self,
@@ -123,11 +79,8 @@
                     None => return self.interrupted(RefusalReason::TargetClosed, cause),
                 },
             };
-            if let Some(join) = self.framing.take_join() {
-                self.log_join(target, join);
-            }
-            if self.framing.is_misplaced() {
-                return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Misplaced);
+            if let Some(outcome) = self.evaluate_join(target) {
+                return outcome;
             }
             if part.is_empty() {
                 continue;
@@ -146,6 +99,15 @@
         self.finish_parts(sent).await
     }
 
+    /// Logs where a continuation begins; returns the end of the attempt if that is not where the answer broke off.
+    fn evaluate_join(&mut self, target: &TargetEntry) -> Option<AttemptOutcome> {
+        let join = self.framing.take_join()?;
+        self.log_join(target, join);
+        let is_misplaced = self.framing.is_misplaced();
+        is_misplaced
+            .then(|| self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Misplaced))
+    }
+
     fn report_part(&mut self, target: &TargetEntry) {
         self.report_observations(target, self.progress.part_observation());
         self.report_established_answer();
@@ -171,12 +133,6 @@
         }
     }
 
-    /// Starts to count an answer that is buffered; `None` without a memory limit.
-    fn hold_answer(&self) -> Option<ByteHold> {
-        let budget = self.service.context.budget.as_ref()?;
-        Some(budget.hold(ByteOwner::Answer, 0))
-    }
-
     fn begin_parts(&mut self, head: &actix_http::ResponseHead) {
         self.framing.begin(head);
         if !self.framing.delays_head() {
--- a/crates/soak/src/silences.rs
+++ b/crates/soak/src/silences.rs
@@ -91,7 +91,7 @@
             StreamChange::Timeout => flip(&mut route.timeout_ms, 5_000.0, 4_000.0),
             StreamChange::Objective => flip(&mut route.target_latency_ms, 500.0, 250.0),
             StreamChange::Resumption if route.name == "resumed-stream" => {
-                route.stream_resume = !route.stream_resume;
+                route.toggle_resumption();
             }
             StreamChange::Service if route.kind == STREAMING => {
                 let other = BACKENDS.iter().find(|name| route.backend.as_deref() != Some(**name));
