Soak: engines also stop within the head of an answer

`--extra releases`: half of what were truncated answers now stop within the head, which announces a length, chunks or the end of the connection.

--- a/crates/soak/src/releases.rs
+++ b/crates/soak/src/releases.rs
@@ -18,6 +18,9 @@
 
 /// Number of versions that are released.
 const VERSIONS: u32 = 3;
+/// How the end of an answer is marked that stops within its head.
+const HEAD_FRAMES: [AnswerFrame; 3] =
+    [AnswerFrame::Length, AnswerFrame::Chunks, AnswerFrame::Close];
 /// Number of answers that each engine cuts off at a time.
 const CUT_ANSWERS: usize = 8;
 /// Longest answer in bytes that an engine cuts off.
@@ -45,6 +48,7 @@
     match random.random_range(0..4) {
         0 => EngineStep::Interrupt(random.random_range(0..4)),
         1 => EngineStep::StallWithoutLength(length),
+        2 => EngineStep::StopInHead(HEAD_FRAMES[length % HEAD_FRAMES.len()], length),
         _ => EngineStep::Truncate(AnswerFrame::Close, length),
     }
 }
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -1,6 +1,7 @@
 //! Stand-in of an engine: answers with records and event streams, identifies itself, records the requests that reach
 //! it, and simulates faults.
 
+mod cut_head;
 mod lethal;
 
 use std::cell::{Cell, RefCell};
@@ -38,6 +39,9 @@
     WithoutLength,
     /// Sends an answer that is framed in this way and ends after this number of bytes of its body.
     Truncate(AnswerFrame, usize),
+    /// Sends this number of bytes of the head of an answer that is framed in this way, at most all but the last, and closes
+    /// the connection.
+    StopInHead(AnswerFrame, usize),
     /// Sends this number of bytes of an answer without a length, and nothing more until the caller closes the
     /// connection.
     StallWithoutLength(usize),
@@ -286,6 +290,9 @@
                 connection.closed().await;
                 Ok(AfterAnswer::Close)
             }
+            EngineStep::StopInHead(frame, length) => {
+                self.stop_in_head(run, frame, length, connection).await
+            }
             EngineStep::Interrupt(events) if run.is_stream => {
                 self.answer_interrupted(run, events, connection).await
             }
