List of VMs: one odd record hides no other VM

With kind = files one odd record in the list of VMs (an unknown state, a missing data centre, a number out of range, a value nested deeply) made the whole list unreadable for as long as it stood: VMs that leave were not seen, so their targets went on getting requests.

Cause: the list was decoded as a whole.

Fix: each record is decoded separately. One whose name is readable counts as leaving: it is listed, since a VM that is not has ended and its keys move, and gets no new work. A record without a name may be that of any VM, so the list is refused as before. Faults are logged and counted as entry_unusable, kind vm.

--- a/crates/daemon/src/files/follow.rs
+++ b/crates/daemon/src/files/follow.rs
@@ -14,6 +14,7 @@
 
 use crate::back_off::{BackOff, BackOffOptions};
 use crate::context::DaemonContext;
+use crate::fleet::EntryFaults;
 
 /// Longest wait of a watch.
 const WATCH_LIMIT: Duration = Duration::from_secs(30);
@@ -23,6 +24,8 @@
     limit: Duration::from_secs(5),
     jitter: 1.0..=1.0,
 };
+/// Kind of the VM list's records in logs and metrics.
+const ENTRY_KIND: &str = "vm";
 /// Time between reads of the VM list.
 const VM_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -155,10 +158,12 @@
 
 async fn follow_vms(store: Rc<dyn ObjectStore>, context: DaemonContext) {
     let mut back_off = BackOff::new(BACK_OFF);
+    let mut faults = EntryFaults::default();
     loop {
         match store.vms().await {
-            Ok(records) => {
-                let records = records.into_iter();
+            Ok(list) => {
+                faults.apply_list(list.faults).report(ENTRY_KIND, &context.metrics);
+                let records = list.vms.into_iter();
                 let list = records.map(|record| ListedVm {
                     vm: record.vm,
                     leaving: record.state == VmState::Leaving,
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -24,6 +24,7 @@
 use curlewcleat_store::FleetPlatform;
 use spdlog::prelude::*;
 
+pub use self::follow::EntryFaults;
 pub use self::read_signals::ReadSignals;
 use self::reload::SettingsReloader;
 use self::unread_limit::unread_limit;
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -30,7 +30,7 @@
 use spdlog::prelude::*;
 use tokio::sync::{watch, Notify};
 
-use self::faults::EntryFaults;
+pub use self::faults::EntryFaults;
 pub use self::refusals::{drop_refusal, store_refusal};
 pub use self::rollouts::write_rollout;
 pub use self::versions::{read_histories, write_history};
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -7,11 +7,16 @@
 
 use actix_http::header::{self, HeaderMap};
 use actix_http::{Method, StatusCode};
-use curlewcleat_core::ObjectVersion;
+use curlewcleat_core::{ObjectVersion, VmId};
 use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::client::{refusal, StoreClient, StoreReply, StoreRequest};
-use crate::store::{Error, ObjectStore, PutOutcome, Result, StoreFuture, StoredObject, VmRecord};
+use crate::entry_fault::{EntryFault, FaultReason};
+use crate::store::{
+    Error, ObjectStore, PutOutcome, Result, StoreFuture, StoredObject, VmList, VmRecord, VmState,
+};
 
 /// Client of the object API.
 pub struct HttpStore {
@@ -38,6 +43,26 @@
         object(self.client.watch(StoreRequest::get(path), limit).await?)
     }
 
+    /// Reads the list of VMs and decodes each record separately.
+    async fn read_vms(&self) -> Result<VmList> {
+        let reply = self.client.call(StoreRequest::get("/vms".to_string())).await?.success()?;
+        let records: Vec<&RawValue> = reply.json()?;
+        let mut list = VmList::default();
+        for record in records {
+            match serde_json::from_str::<VmRecord>(record.get()) {
+                Ok(vm) if !vm.vm.is_empty() => list.vms.push(vm),
+                Ok(_) => return Err(nameless_vm()),
+                Err(error) => {
+                    let vm = unusable_vm(record)?;
+                    let (name, detail) = (vm.vm.clone(), error.to_string());
+                    list.faults.push(EntryFault { name, reason: FaultReason::Fields, detail });
+                    list.vms.push(vm);
+                }
+            }
+        }
+        Ok(list)
+    }
+
     async fn read_json<T: DeserializeOwned>(&self, path: String) -> Result<T> {
         self.client.call(StoreRequest::get(path)).await?.success()?.json()
     }
@@ -91,11 +116,29 @@
         Box::pin(self.read_json(format!("/objects?prefix={prefix}")))
     }
 
-    fn vms(&self) -> StoreFuture<'_, Vec<VmRecord>> {
-        Box::pin(self.read_json("/vms".to_string()))
+    fn vms(&self) -> StoreFuture<'_, VmList> {
+        Box::pin(self.read_vms())
     }
 }
 
+/// The part of a VM's record without which nothing is known of it.
+#[derive(Deserialize)]
+struct VmName {
+    vm: VmId,
+}
+
+/// Returns the VM of an unusable record. It is listed, since it would be taken for ended otherwise, and gets no new work.
+fn unusable_vm(record: &RawValue) -> Result<VmRecord> {
+    // The error says no more than that the name is missing.
+    let name = serde_json::from_str::<VmName>(record.get()).ok().map(|name| name.vm);
+    let vm = name.filter(|vm| !vm.is_empty()).ok_or_else(nameless_vm)?;
+    Ok(VmRecord { vm, data_centre: String::new(), state: VmState::Leaving })
+}
+
+fn nameless_vm() -> Error {
+    Error::Protocol("a VM in the list has no readable name".to_string())
+}
+
 /// Returns the object in an answer, or `None` if it does not exist or has not changed.
 fn object(reply: StoreReply) -> Result<Option<StoredObject>> {
     match reply.status {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -21,5 +21,5 @@
 };
 pub use http::HttpStore;
 pub use store::{
-    Error, ObjectStore, PutOutcome, Result, StoreFuture, StoredObject, VmRecord, VmState,
+    Error, ObjectStore, PutOutcome, Result, StoreFuture, StoredObject, VmList, VmRecord, VmState,
 };
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -9,6 +9,8 @@
 use curlewcleat_core::{ObjectVersion, VmId};
 use serde::{Deserialize, Serialize};
 
+use crate::entry_fault::EntryFault;
+
 /// Why a call to the platform failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -71,6 +73,15 @@
     pub state: VmState,
 }
 
+/// The platform's list of VMs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VmList {
+    /// The VMs. One whose record is unusable except for its name is included as leaving.
+    pub vms: Vec<VmRecord>,
+    /// The unusable records.
+    pub faults: Vec<EntryFault>,
+}
+
 /// The object API and the VM list.
 pub trait ObjectStore {
     /// Reads an object; returns `None` if it does not exist.
@@ -96,5 +107,5 @@
     fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Vec<String>>;
 
     /// Returns the platform's list of VMs, which lags behind their actual state.
-    fn vms(&self) -> StoreFuture<'_, Vec<VmRecord>>;
+    fn vms(&self) -> StoreFuture<'_, VmList>;
 }
--- a/crates/tool/src/show.rs
+++ b/crates/tool/src/show.rs
@@ -148,7 +148,7 @@
 }
 
 async fn show_vms(arguments: &Arguments) -> Result<ToolExit> {
-    let vms = http_store(arguments).vms().await?;
+    let vms = http_store(arguments).vms().await?.vms;
     if arguments.json {
         println!("{}", json!(vms));
         return Ok(ToolExit::Done);
