--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -52,6 +52,8 @@
     /// Daemons that have not answered.
     unanswered: BTreeSet<VmId>,
     asked_again: bool,
+    /// Whether this daemon was requested to prove the version.
+    asked_itself: bool,
 }
 
 impl Node {
@@ -82,17 +84,17 @@
 
     /// Asks the keepers, and the daemon that schedules for a proof.
     fn ask_for_version(&mut self, spec: RequestSpec, stream: Option<StreamId>) {
-        let asked: BTreeSet<VmId> =
-            self.all_pools_order.iter().take(ASKED).map(|daemon| daemon.vm.clone()).collect();
-        let query = StreamProofQuery {
-            request: spec.request,
-            pool: spec.pool.clone(),
-            stream,
-            time_left: spec.caller_time_left,
-        };
+        let mut asked: BTreeSet<VmId> =
+            self.first_schedulers(&self.all_pools_order, ASKED).into_iter().collect();
+        let asked_itself = asked.is_empty() || self.leads();
+        if asked_itself {
+            asked.insert(self.options.me.vm.clone());
+        }
+        let query = proof_query(&spec, stream);
         let (request, since) = (spec.request, self.now);
         let unanswered = asked.clone();
-        let take_up = WaitingTakeUp { stream, since, unanswered, asked_again: false, spec };
+        let take_up =
+            WaitingTakeUp { stream, since, unanswered, asked_again: false, asked_itself, spec };
         self.streams.waiting.insert(request, take_up);
         for vm in &asked {
             self.post(vm, PeerMessage::StreamProofQuery(query.clone()));
@@ -141,9 +143,19 @@
     pub(super) fn stream_answered(&mut self, from: &VmId, answer: StreamAnswer) {
         let Some(take_up) = self.streams.waiting.get_mut(&answer.request) else { return };
         take_up.unanswered.remove(from);
-        let is_complete = take_up.unanswered.is_empty();
-        if answer.version.is_some() || is_complete {
-            self.finish_take_up(answer.request, answer.version);
+        if answer.version.is_some() {
+            return self.finish_take_up(answer.request, answer.version);
+        }
+        if !take_up.unanswered.is_empty() {
+            return;
+        }
+        // After a start each daemon may take another one for the one that schedules.
+        match std::mem::replace(&mut take_up.asked_itself, true) {
+            true => self.finish_take_up(answer.request, None),
+            false => {
+                let query = proof_query(&take_up.spec, take_up.stream);
+                self.ask_itself(query);
+            }
         }
     }
 
@@ -179,9 +191,14 @@
         }
         let me = self.options.me.vm.clone();
         let mut queries = Vec::new();
+        let mut own_proofs = Vec::new();
         for (request, take_up) in &mut self.streams.waiting {
             if !take_up.asked_again && now >= take_up.since + ASK_AGAIN_AFTER {
                 take_up.asked_again = true;
+                // The daemon that schedules may have ended.
+                if !std::mem::replace(&mut take_up.asked_itself, true) {
+                    own_proofs.push(proof_query(&take_up.spec, take_up.stream));
+                }
                 let Some(stream) = take_up.stream else { continue };
                 let query = StreamQuery { request: *request, stream };
                 queries.extend(take_up.unanswered.iter().map(|vm| (vm.clone(), query)));
@@ -191,6 +208,18 @@
         for (vm, query) in queries.into_iter().filter(|(vm, _)| *vm != me) {
             self.post(&vm, PeerMessage::StreamQuery(query));
         }
+        for query in own_proofs {
+            self.ask_itself(query);
+        }
+    }
+
+    /// Requests a proof from this daemon itself.
+    fn ask_itself(&mut self, query: StreamProofQuery) {
+        let me = self.options.me.vm.clone();
+        if let Some(take_up) = self.streams.waiting.get_mut(&query.request) {
+            take_up.unanswered.insert(me.clone());
+        }
+        self.post(&me, PeerMessage::StreamProofQuery(query));
     }
 
     /// Forgets a request that has ended while it waited for the version of its stream.
@@ -239,3 +268,13 @@
         self.actions.push(NodeAction::Note(note));
     }
 }
+
+/// Returns the query for the version of a stream that a request takes up.
+fn proof_query(spec: &RequestSpec, stream: Option<StreamId>) -> StreamProofQuery {
+    StreamProofQuery {
+        request: spec.request,
+        pool: spec.pool.clone(),
+        stream,
+        time_left: spec.caller_time_left,
+    }
+}
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -20,7 +20,7 @@
 use crate::event::{NodeAction, PlatformCall};
 
 /// Minimum time between two reads of the splits.
-const READ_INTERVAL: Duration = Duration::from_millis(50);
+const READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which an unanswered read or write is repeated.
 const REPEAT_AFTER: Duration = Duration::from_secs(1);
 /// Time after which a proof is made without a read, or not at all.
@@ -104,11 +104,12 @@
         request
     }
 
-    /// Answers a daemon that asks for the version of a stream, at once where it is remembered or this daemon does not
-    /// schedule, else after a read of the splits.
+    /// Answers a daemon that asks for the version of a stream, at once where it is remembered or where another daemon
+    /// schedules, else after a read of the splits. This daemon asks itself where the one that schedules does not answer.
     pub(super) fn proof_queried(&mut self, from: &VmId, query: StreamProofQuery) {
         let known = query.stream.and_then(|stream| self.remembered_version(&stream));
-        if known.is_some() || !self.leads() {
+        let is_own = *from == self.options.me.vm;
+        if known.is_some() || !(is_own || self.leads()) {
             let answer = StreamAnswer { request: query.request, version: known };
             return self.post(from, PeerMessage::StreamAnswer(answer));
         }
@@ -155,7 +156,7 @@
     }
 
     /// Returns whether this daemon selects the versions of new streams.
-    fn leads(&self) -> bool {
+    pub(super) fn leads(&self) -> bool {
         self.options.freshness.is_some() && self.all_pools_order.first() == Some(&self.options.me)
     }
 
@@ -165,6 +166,9 @@
         self.histories.starts.retain(|_, (at, _)| now < *at + START_RETENTION);
         if !self.leads() {
             self.histories.leading_since = None;
+            if !self.histories.proofs.is_empty() {
+                self.request_history_read();
+            }
             return self.end_proofs();
         }
         let leading_since = *self.histories.leading_since.get_or_insert(now);
