Rules before a change: forgotten changes and changed places of rules are no proof

A stream whose caller has more than half a minute went on at another pool after its route had been moved: the change was forgotten and counted as none. Two rules that changed places counted as unchanged.

Cause: absence of a record was read as absence of a change; the order of a rule was no part of what was compared.

--- a/crates/config/src/route_history.rs
+++ b/crates/config/src/route_history.rs
@@ -36,8 +36,8 @@
 pub struct RouteHistory {
     replaced: VecDeque<ChangedRule>,
     added: VecDeque<ChangedRule>,
-    /// When a change was forgotten before its time because there were too many.
-    overflowed: Option<Uptime>,
+    /// When the newest change was made that is no longer remembered.
+    forgotten: Option<Uptime>,
 }
 
 /// A rule that is no longer in force, or that was not in force before.
@@ -49,7 +49,7 @@
 
 /// What of a rule decides which requests get which pool.
 type RouteKey<'a> =
-    (&'a Option<String>, &'a Option<String>, &'a String, &'a PoolId, &'a Vec<PoolShare>);
+    (u32, &'a Option<String>, &'a Option<String>, &'a String, &'a PoolId, &'a Vec<PoolShare>);
 
 impl RouteHistory {
     /// Records that a configuration has replaced another one. Takes a time that grows with the number of rules. The first
@@ -58,8 +58,6 @@
         if before.generation == 0 || before.generation == after.generation {
             return;
         }
-        forget_old(&mut self.replaced, now);
-        forget_old(&mut self.added, now);
         let changed = |rules: &[Arc<AdmissionRule>], others: &[Arc<AdmissionRule>]| {
             let others: HashSet<_> = others.iter().map(|rule| route_key(rule)).collect();
             let changed = rules.iter().filter(|rule| !others.contains(&route_key(rule)));
@@ -68,11 +66,11 @@
         self.replaced.extend(changed(&before.rules, &after.rules));
         self.added.extend(changed(&after.rules, &before.rules));
         for changes in [&mut self.replaced, &mut self.added] {
-            let surplus = changes.len().saturating_sub(RULE_LIMIT);
-            if surplus > 0 {
-                changes.drain(..surplus);
-                self.overflowed = Some(now);
-            }
+            let is_old = |change: &ChangedRule| now >= change.at + RETENTION;
+            let old = changes.iter().take_while(|change| is_old(change)).count();
+            let surplus = changes.len().saturating_sub(RULE_LIMIT).max(old);
+            let newest = changes.drain(..surplus).next_back().map(|change| change.at);
+            self.forgotten = self.forgotten.max(newest);
         }
     }
 
@@ -84,7 +82,7 @@
         route: TakenUpRoute<'_>,
         pool: &PoolId,
     ) -> bool {
-        if self.overflowed.is_some_and(|overflowed| overflowed >= since) {
+        if self.forgotten.is_some_and(|forgotten| forgotten >= since) {
             return false;
         }
         let selects_pool = |rule: &AdmissionRule| match route.begun_as {
@@ -128,11 +126,5 @@
 }
 
 fn route_key(rule: &AdmissionRule) -> RouteKey<'_> {
-    (&rule.host, &rule.method, &rule.path, &rule.pool, &rule.split)
-}
-
-fn forget_old(changes: &mut VecDeque<ChangedRule>, now: Uptime) {
-    while changes.front().is_some_and(|change| now >= change.at + RETENTION) {
-        changes.pop_front();
-    }
+    (rule.order, &rule.host, &rule.method, &rule.path, &rule.pool, &rule.split)
 }
--- a/crates/config/tests/route_history.rs
+++ b/crates/config/tests/route_history.rs
@@ -134,3 +134,29 @@
     assert!(!history.confirms_pool(&unchanged, BEFORE, route, &"p".to_string()));
     assert!(history.confirms_pool(&unchanged, AFTER, route, &"p".to_string()));
 }
+
+/// Guards against a change that is older than those remembered counting as none, for a caller with a longer timeout.
+#[test]
+fn stream_that_began_before_a_forgotten_change_does_not_go_on() {
+    let configs = [("p", 1), ("q", 2), ("q", 3)];
+    let configs =
+        configs.map(|(pool, generation)| config(generation, &[rule("/a/*", &[(pool, 1)])]));
+    let mut history = RouteHistory::default();
+    history.record_change(CHANGED, &configs[0], &configs[1]);
+    let later = CHANGED + Duration::from_secs(31);
+    history.record_change(later, &configs[1], &configs[2]);
+    let route =
+        TakenUpRoute { host: "h", method: "POST", path: "/a/stream", begun_as: Some("first") };
+    assert!(!history.confirms_pool(&configs[2], BEFORE, route, &"q".to_string()));
+    assert!(history.confirms_pool(&configs[2], AFTER, route, &"q".to_string()));
+}
+
+/// Guards against rules that change places counting as unchanged.
+#[test]
+fn stream_does_not_go_on_where_its_rules_changed_places() {
+    let ordered =
+        |path: &str, pool: &str, order| AdmissionRule { order, ..rule(path, &[(pool, 1)]) };
+    let before = [ordered("/a/*", "p", 1), ordered("/*", "q", 2)];
+    let after = [ordered("/*", "q", 1), ordered("/a/*", "p", 2)];
+    assert!(!goes_on(&before, &after, BEFORE, Some("first")));
+}
