Proofs of a stream's version: a second query is not answered before the proof

Streams were refused for good where the platform did not answer within a tenth of a second, though their version was proved a moment later. The daemon that asks repeats its query in the form that former builds read; the one that schedules answered it at once as unknown while its proof waited for the platform.

--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -136,6 +136,9 @@
 
     pub(super) fn stream_queried(&mut self, from: &VmId, query: StreamQuery) {
         let version = self.streams.versions.version_of(&query.stream);
+        if version.is_none() && self.is_proving(from, query.request) {
+            return;
+        }
         let answer = StreamAnswer { request: query.request, version };
         self.post(from, PeerMessage::StreamAnswer(answer));
     }
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    ActiveConfig, PeerMessage, PermitId, PermitRequest, PoolId, StreamAnswer, StreamProofQuery,
+    ActiveConfig, PeerMessage, PermitId, PermitRequest, PoolId, RequestId, StreamAnswer, StreamProofQuery,
     StreamStart, Uptime, VersionDigest, VersionHistory, VmId,
 };
 use curlewcleat_sched::{prove_version, revise_history, VersionWeights};
@@ -104,6 +104,12 @@
         request
     }
 
+    /// Returns whether a daemon waits for the proof of a request, which answers all its queries.
+    pub(super) fn is_proving(&self, from: &VmId, request: RequestId) -> bool {
+        let mut proofs = self.histories.proofs.iter();
+        proofs.any(|proof| proof.from == *from && proof.query.request == request)
+    }
+
     /// Answers a daemon that asks for the version of a stream, at once where it is remembered or where another daemon
     /// schedules, else after a read of the splits. This daemon asks itself where the one that schedules does not answer.
     pub(super) fn proof_queried(&mut self, from: &VmId, query: StreamProofQuery) {
