Proofs of a stream's version: none by a scheduler that does not reach most daemons

Streams were joined of two versions where a scheduler had been cut off and replaced, and a caller took its stream up at it: it had scheduled for long enough to prove without a read, by splits that the others had replaced.

Found by a review: 6 of 12 decisions wrong at the scheduler that was cut off with one other daemon of six, 4 s after the cut.

--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -215,9 +215,13 @@
     }
 
     /// Returns whether this daemon has scheduled for all the time in which the stream can have begun, and has read the
-    /// splits since.
+    /// splits since. One that does not reach most daemons may have been replaced by another one.
     fn has_led_since(&self, query: &StreamProofQuery) -> bool {
         let Some(leading_since) = self.histories.leading_since else { return false };
+        let share = self.members.reached_share(self.now);
+        if share.reached * 2 <= share.all {
+            return false;
+        }
         let history = self.histories.pools.get(&query.pool).map(|pool| &pool.history);
         let longest = history.and_then(|history| history.longest_timeout);
         let age = longest.zip(query.time_left).map(|(longest, left)| longest.saturating_sub(left));
