Proofs of a stream's version: a split is in force until the next one is in use

Streams were joined of two versions after a kill of all daemons where the platform had answered late: a split counted as replaced from the moment at which the next one was decided, but new streams began by it until a read had shown the next one.

Each split now has the time at which the next one came into use, stored by the daemon that uses it; without it, both count. So the margin of a proof is only for clocks. The first split of a pool is open, since streams begin at any version until it is in use. A caller that states more time than was ever stored proves nothing.

--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -567,6 +567,7 @@
     let version = VersionDigest::of(Some(&"v1".to_string()));
     let split = VersionSplit {
         since: Duration::from_millis(1_700_000_000_000),
+        until: Some(Duration::from_millis(1_700_000_000_500)),
         slots: [version; SPLIT_SLOTS],
         is_open: false,
     };
--- a/crates/core/src/version_split.rs
+++ b/crates/core/src/version_split.rs
@@ -15,6 +15,9 @@
 pub struct VersionSplit {
     /// When the split was decided, by the clock of the daemon that decided it.
     pub since: WallTime,
+    /// When the next split came into use, by the clock of the daemon that uses it; `None` while streams may still begin by
+    /// this one.
+    pub until: Option<WallTime>,
     /// Version of the streams of each slot.
     pub slots: [VersionDigest; SPLIT_SLOTS],
     /// Whether each stream may begin at any of the versions, whatever its slot.
@@ -44,7 +47,7 @@
     pub pool: PoolId,
     /// Revision of the stored object, `None` while there is none.
     pub revision: Option<u64>,
-    /// The splits in the order in which they were in force. Each is in force until the next one.
+    /// The splits in the order in which they were decided.
     pub splits: Vec<VersionSplit>,
     /// Longest time that callers have for a stream over all of their attempts, rounded up; `None` if it is not known.
     pub longest_timeout: Option<Duration>,
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    ActiveConfig, PeerMessage, PermitId, PermitRequest, PoolId, RequestId, StreamAnswer, StreamProofQuery,
-    StreamStart, Uptime, VersionDigest, VersionHistory, VmId,
+    ActiveConfig, PeerMessage, PermitId, PermitRequest, PoolId, RequestId, StreamAnswer,
+    StreamProofQuery, StreamStart, Uptime, VersionDigest, VersionHistory, VmId,
 };
-use curlewcleat_sched::{prove_version, revise_history, VersionWeights};
+use curlewcleat_sched::{confirm_last_split, prove_version, revise_history, VersionWeights};
 
 use super::Node;
 use crate::event::{NodeAction, PlatformCall};
@@ -245,8 +245,11 @@
                 continue;
             }
             let (weights, timeout) = (&pool.weights, pool.longest_timeout);
-            let revised = revise_history(&pool.history, wall, weights, open.contains(id), timeout);
-            let Some(revised) = revised else { continue };
+            // The last split that was read is the one in use here.
+            let confirmed = confirm_last_split(&pool.history, wall);
+            let current = confirmed.as_ref().unwrap_or(&pool.history);
+            let revised = revise_history(current, wall, weights, open.contains(id), timeout);
+            let Some(revised) = revised.or(confirmed) else { continue };
             pool.write_requested = Some(now);
             let write = VersionHistory { pool: id.clone(), ..revised };
             self.actions.push(NodeAction::Platform(PlatformCall::WriteVersionHistory(write)));
--- a/crates/node/tests/stream_versions.rs
+++ b/crates/node/tests/stream_versions.rs
@@ -7,106 +7,19 @@
 
 use std::time::Duration;
 
-use curlewcleat_core::{RefusalReason, RequestId, StreamId, StreamVersion, VersionDigest};
+use curlewcleat_core::{RefusalReason, VersionDigest};
 use curlewcleat_node::{CallerDecision, NodeEvent};
 use curlewcleat_sched::{RequestSpec, TakenUpStream};
 use rstest::rstest;
 
-use support::{spec, target, Fleet};
+use support::streams::{
+    begin, end, fleet_of, last_daemon, set_versions, stream, take_up, take_up_after, CALLER_LIMIT,
+};
+use support::{spec, Fleet};
 
-/// Time within which it is decided whether a stream goes on.
-const DECISION_LIMIT: Duration = Duration::from_millis(500);
-/// Longer than daemons remember the versions of targets that were removed.
-const FORGOTTEN_AFTER: Duration = Duration::from_secs(40);
-/// Time that callers have for a stream.
-const CALLER_LIMIT: Duration = Duration::from_secs(30);
-/// Targets of each version.
-const TARGETS: usize = 3;
 /// More requests than a daemon of the tests may hold.
 const MANY_REQUESTS: u128 = 12_000;
 
-/// Returns a fleet whose targets are and were all of version `v1`.
-fn fleet_of(daemons: usize) -> Fleet {
-    let mut fleet = Fleet::new(daemons);
-    set_versions(&mut fleet, &["v1"]);
-    fleet.run(FORGOTTEN_AFTER);
-    fleet
-}
-
-/// Replaces the targets by some of each of these versions.
-fn set_versions(fleet: &mut Fleet, versions: &[&str]) {
-    let targets = versions.iter().flat_map(|version| {
-        (0..TARGETS).map(move |index| {
-            let mut target = target(&format!("{version}-{index}"), false);
-            target.entry.version = Some(version.to_string());
-            target
-        })
-    });
-    fleet.targets = (targets.collect(), fleet.targets.1 + 1);
-}
-
-fn stream(number: u128) -> StreamId {
-    StreamId::new("p", "a", &format!("first-{number}"))
-}
-
-/// Begins a stream at a daemon; returns the version that began it.
-fn begin(fleet: &mut Fleet, index: usize, number: u128) -> String {
-    let spec = RequestSpec {
-        begins: Some(stream(number)),
-        caller_time_left: Some(CALLER_LIMIT),
-        ..spec(number)
-    };
-    fleet.event(index, NodeEvent::Admit(Box::new(spec)));
-    fleet.run(DECISION_LIMIT);
-    let Some(CallerDecision::Dispatch(_, entry)) = fleet.decision(number).cloned() else {
-        panic!("{:?}", fleet.decision(number));
-    };
-    let version = VersionDigest::of(entry.version.as_ref());
-    let begun = StreamVersion { stream: stream(number), version };
-    let request = RequestId::from_u128(number);
-    fleet.event(index, NodeEvent::StreamBegun(request, "p".to_string(), begun));
-    entry.version.expect("a version")
-}
-
-/// Takes up a stream at a daemon; returns the version at which it goes on, or why it does not.
-fn take_up(fleet: &mut Fleet, index: usize, number: u128) -> Result<String, RefusalReason> {
-    take_up_after(fleet, index, number, CALLER_LIMIT)
-}
-
-/// Takes up a stream whose first attempt was made `age` ago.
-fn take_up_after(
-    fleet: &mut Fleet,
-    index: usize,
-    number: u128,
-    age: Duration,
-) -> Result<String, RefusalReason> {
-    let second = 1_000_000 + number;
-    let takes_up = Some(TakenUpStream { stream: Some(stream(number)) });
-    let caller_time_left = Some(CALLER_LIMIT.saturating_sub(age));
-    let spec = RequestSpec { takes_up, caller_time_left, ..spec(second) };
-    fleet.event(index, NodeEvent::Admit(Box::new(spec)));
-    fleet.run(DECISION_LIMIT);
-    match fleet.decision(second).cloned() {
-        Some(CallerDecision::Dispatch(_, entry)) => Ok(entry.version.expect("a version")),
-        Some(CallerDecision::Refuse(refusal)) => Err(refusal.reason),
-        other => panic!("{other:?}"),
-    }
-}
-
-/// Cuts daemons off for good.
-fn end(fleet: &mut Fleet, daemons: &[usize]) {
-    for index in daemons {
-        fleet.daemons[*index].cut = true;
-        fleet.daemons[*index].reaches_platform = false;
-    }
-}
-
-/// Returns a daemon that is none of the first in the order of schedulers.
-fn last_daemon(fleet: &Fleet) -> usize {
-    let candidates = fleet.candidates();
-    (0..fleet.daemons.len()).rev().find(|index| !candidates[..2].contains(index)).expect("one")
-}
-
 #[rstest]
 #[case::few(6)]
 #[case::many(60)]
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod link;
 mod network;
 mod scripted;
+pub mod streams;
 mod uplink;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -74,6 +75,8 @@
     pub rollouts: (Vec<RolloutRecord>, u64),
     /// Versions at which streams begin, at the platform.
     pub histories: BTreeMap<PoolId, VersionHistory>,
+    /// Whether reads of the splits get no answer, while writes reach the platform.
+    pub drops_history_reads: bool,
     /// Evacuated data centres at the platform, with their revision.
     pub evacuations: EvacuationList,
     /// Newest configuration at the platform.
@@ -134,6 +137,7 @@
             targets: (vec![target("x", false), target("y", false)], 1),
             rollouts: (Vec::new(), 1),
             histories: BTreeMap::new(),
+            drops_history_reads: false,
             evacuations: EvacuationList { at: 1, ..EvacuationList::default() },
             generation: 1,
             config: CONFIG.to_string(),
@@ -195,7 +199,7 @@
                         events.push((index, self.rollouts_listed()));
                     }
                     NodeAction::Platform(PlatformCall::ReadVersionHistories)
-                        if self.daemons[index].reaches_platform =>
+                        if self.daemons[index].reaches_platform && !self.drops_history_reads =>
                     {
                         events.push((index, self.histories_read()));
                     }
@@ -203,7 +207,9 @@
                         if self.daemons[index].reaches_platform =>
                     {
                         self.write_history(history);
-                        events.push((index, self.histories_read()));
+                        if !self.drops_history_reads {
+                            events.push((index, self.histories_read()));
+                        }
                     }
                     NodeAction::Platform(PlatformCall::StoreRefusal(report)) => {
                         events.push((index, NodeEvent::RefusalStored(report.feature)));
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -85,4 +85,4 @@
 pub use stream_versions::StreamVersions;
 pub use target_gate::{GateStop, NoticeChange, TargetGate};
 pub use target_reach::{ReachChange, TargetReach, TargetRoute};
-pub use version_history::{prove_version, revise_history, VersionWeights};
+pub use version_history::{confirm_last_split, prove_version, revise_history, VersionWeights};
--- a/crates/sched/src/version_history.rs
+++ b/crates/sched/src/version_history.rs
@@ -5,14 +5,15 @@
 //! stored by the platform before it is used, so that what its callers bring back tells the version of a stream even
 //! after all daemons have been killed. The rule:
 //! 1. A stream begins at the version of its slot, while the pool has targets of it.
-//! 2. A stream that is taken up may have begun under each split that was in force since its caller's first attempt can
+//! 2. A split is in force from its decision until the next one is in use, however late the platform has stored that.
+//! 3. A stream that is taken up may have begun under each split that was in force since its caller's first attempt can
 //!    have been made. If all of them give its slot the same version, that version began it.
-//! 3. Otherwise its version is not known.
+//! 4. Otherwise its version is not known.
 //!
 //! Load pattern: a release replaces targets one by one, while all daemons are killed at once and callers take up their
 //! streams.
 //!
-//! Owns: when a split changes, how many are kept. Relies on: the caller for storing and reading them.
+//! Owns: when a split changes and how long it is in force, how many are kept. Relies on: the caller for storing and reading them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -26,7 +27,7 @@
 const TOLERATED_SLOTS: usize = 2;
 /// Most splits that are stored; the oldest are dropped first.
 const SPLIT_LIMIT: usize = 32;
-/// Difference of the clocks of two daemons, and time for which two of them may schedule, that a proof allows for.
+/// Difference of the clocks of two daemons that a proof allows for.
 const CLOCK_MARGIN: Duration = Duration::from_secs(1);
 /// Unit of the longest timeout, so that it is stored rarely.
 const TIMEOUT_UNIT: Duration = Duration::from_secs(1);
@@ -44,17 +45,16 @@
     now: WallTime,
     time_left: Option<Duration>,
 ) -> Option<VersionDigest> {
-    let age = history.longest_timeout?.saturating_sub(time_left?);
+    // A caller with more time than was ever stored tells nothing of when it began.
+    let age = history.longest_timeout?.checked_sub(time_left?)?;
     let begun_after = now.saturating_sub(age + CLOCK_MARGIN);
     // Earlier splits may have been dropped.
     if history.splits.first()?.since > begun_after {
         return None;
     }
-    let ends = history.splits.iter().skip(1).map(|next| Some(next.since)).chain([None]);
-    let in_force = history.splits.iter().zip(ends);
-    let in_force = in_force.filter(|(_, end)| end.is_none_or(|end| end >= begun_after));
-    let candidates: BTreeSet<_> =
-        in_force.flat_map(|(split, _)| split.candidates(stream)).collect();
+    let in_force =
+        history.splits.iter().filter(|split| split.until.is_none_or(|until| until >= begun_after));
+    let candidates: BTreeSet<_> = in_force.flat_map(|split| split.candidates(stream)).collect();
     let mut candidates = candidates.into_iter();
     candidates.next().filter(|_| candidates.next().is_none())
 }
@@ -82,12 +82,28 @@
     let mut revised = VersionHistory { longest_timeout: timeout, ..history.clone() };
     // The clock of the daemon that decided the last split may be ahead.
     let since = history.splits.last().map_or(now, |last| now.max(last.since));
-    revised.splits.extend(slots.map(|slots| VersionSplit { since, slots, is_open }));
+    // Until the first split is in use, streams begin at any version.
+    let is_open = is_open || history.splits.is_empty();
+    revised.splits.extend(slots.map(|slots| VersionSplit { since, until: None, slots, is_open }));
     let excess = revised.splits.len().saturating_sub(SPLIT_LIMIT);
     revised.splits.drain(..excess);
     Some(revised)
 }
 
+/// Returns the history that states since when the last split is in use, `None` where the stored one does.
+pub fn confirm_last_split(history: &VersionHistory, now: WallTime) -> Option<VersionHistory> {
+    let (_, earlier) = history.splits.split_last()?;
+    if earlier.iter().all(|split| split.until.is_some()) {
+        return None;
+    }
+    let mut confirmed = history.clone();
+    let last = confirmed.splits.len().saturating_sub(1);
+    for split in confirmed.splits.iter_mut().take(last) {
+        split.until.get_or_insert(now);
+    }
+    Some(confirmed)
+}
+
 fn rounded_up(timeout: Duration) -> Duration {
     let units = timeout.min(TIMEOUT_LIMIT).as_millis().div_ceil(TIMEOUT_UNIT.as_millis());
     TIMEOUT_UNIT * u32::try_from(units).unwrap_or(u32::MAX)
--- a/crates/sched/tests/version_history.rs
+++ b/crates/sched/tests/version_history.rs
@@ -6,7 +6,7 @@
 use curlewcleat_core::{
     StreamId, VersionDigest, VersionHistory, VersionSplit, WallTime, SPLIT_SLOTS,
 };
-use curlewcleat_sched::{prove_version, revise_history, VersionWeights};
+use curlewcleat_sched::{confirm_last_split, prove_version, revise_history, VersionWeights};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -32,12 +32,21 @@
     targets.iter().map(|(name, count)| (version(name), *count)).collect()
 }
 
-/// Returns the history of a pool whose targets changed at these times.
+/// Returns the history of a pool whose targets changed at these times. Each split came into use at once.
 fn history(changes: &[(u64, &[(&str, u64)])]) -> VersionHistory {
     let mut history = VersionHistory::default();
     for (time, targets) in changes {
-        let revised = revise_history(&history, at(*time), &weights(targets), false, TIMEOUT);
-        history = revised.unwrap_or(history);
+        history = settled(history, at(*time), &weights(targets));
+    }
+    history
+}
+
+/// Stores what has to change until nothing does.
+fn settled(mut history: VersionHistory, now: WallTime, weights: &VersionWeights) -> VersionHistory {
+    while let Some(revised) = revise_history(&history, now, weights, false, TIMEOUT)
+        .or_else(|| confirm_last_split(&history, now))
+    {
+        history = revised;
     }
     history
 }
@@ -88,7 +97,7 @@
 #[test]
 fn streams_of_slots_that_keep_their_version_are_proved_beside_a_change() {
     let history = history(&[(1, &[("v1", 18)]), (999, &[("v1", 14), ("v2", 4)])]);
-    let [before, after] = history.splits.as_slice() else { panic!("{history:?}") };
+    let [_, before, after] = history.splits.as_slice() else { panic!("{history:?}") };
     let mut proved_streams = 0;
     for number in 0..200 {
         let stream = stream(number);
@@ -115,10 +124,10 @@
 #[case::one_target_less(&[("v1", 8), ("v2", 9)], 12, None)]
 #[case::shorter_timeout(&[("v1", 9), ("v2", 9)], 3, None)]
 #[case::no_targets(&[], 12, None)]
-#[case::longer_timeout(&[("v1", 9), ("v2", 9)], 13, Some(1))]
-#[case::another_share(&[("v1", 5), ("v2", 13)], 12, Some(2))]
-#[case::version_gone(&[("v2", 9)], 12, Some(2))]
-#[case::version_added(&[("v1", 9), ("v2", 9), ("v3", 3)], 12, Some(2))]
+#[case::longer_timeout(&[("v1", 9), ("v2", 9)], 13, Some(2))]
+#[case::another_share(&[("v1", 5), ("v2", 13)], 12, Some(3))]
+#[case::version_gone(&[("v2", 9)], 12, Some(3))]
+#[case::version_added(&[("v1", 9), ("v2", 9), ("v3", 3)], 12, Some(3))]
 fn history_changes_only_where_shares_or_the_timeout_do(
     #[case] targets: &[(&str, u64)],
     #[case] timeout: u64,
@@ -137,8 +146,7 @@
         let weights = weights(&[("v1", 18 - replaced), ("v2", replaced)]);
         let weights: VersionWeights = weights.into_iter().filter(|(_, count)| *count > 0).collect();
         let before = history.splits.last().expect("a split").slots;
-        let revised = revise_history(&history, at(1 + replaced), &weights, false, TIMEOUT);
-        history = revised.unwrap_or(history);
+        history = settled(history, at(1 + replaced), &weights);
         let after = history.splits.last().expect("a split").slots;
         moved += before.iter().zip(&after).filter(|(before, after)| before != after).count();
         let new = after.iter().filter(|slot| **slot == version("v2")).count() as u64;
@@ -152,14 +160,51 @@
     let mut history = VersionHistory::default();
     for number in 0..100 {
         let name = if number % 2 == 0 { "v1" } else { "v2" };
-        let revised = revise_history(&history, at(900), &weights(&[(name, 4)]), false, TIMEOUT);
-        history = revised.unwrap_or(history);
+        history = settled(history, at(900), &weights(&[(name, 4)]));
     }
     assert!(history.splits.len() <= 32);
     let late = prove_version(&history, Some(&stream(1)), at(901), Some(TIMEOUT));
     assert_eq!(late, None);
 }
 
+/// Guards against streams that an earlier split began after the next one was stored: the platform had not answered yet.
+#[test]
+fn stream_is_not_proved_by_a_split_that_is_not_known_to_be_in_use() {
+    let before = history(&[(1, &[("v1", 4)])]);
+    let weights = weights(&[("v2", 4)]);
+    let stored = revise_history(&before, at(900), &weights, false, TIMEOUT).expect("a split");
+    let proved = |history: &VersionHistory| {
+        prove_version(history, Some(&stream(1)), NOW, Some(Duration::from_secs(8)))
+    };
+    assert_eq!(proved(&stored), None);
+    let confirmed = |time| confirm_last_split(&stored, time).expect("a use");
+    assert_eq!(proved(&confirmed(at(998))), None);
+    assert_eq!(proved(&confirmed(at(980))), Some(version("v2")));
+    assert_eq!(confirm_last_split(&confirmed(at(980)), NOW), None);
+}
+
+/// Guards against the first split proving the version of streams that began before it was in use.
+#[test]
+fn streams_that_began_before_the_first_split_was_in_use_are_not_proved_beside_two_versions() {
+    let weights = weights(&[("v1", 4), ("v2", 4)]);
+    let first = revise_history(&VersionHistory::default(), at(990), &weights, false, TIMEOUT);
+    let first = first.expect("a split");
+    let proved = |history: &VersionHistory, time_left| {
+        prove_version(history, Some(&stream(1)), NOW, Some(time_left))
+    };
+    assert_eq!(proved(&first, Duration::from_secs(8)), None);
+    let settled = settled(first, at(992), &weights);
+    assert_eq!(proved(&settled, Duration::from_secs(4)), None);
+    assert!(proved(&settled, Duration::from_secs(8)).is_some());
+}
+
+#[test]
+fn caller_with_more_time_than_was_stored_proves_nothing() {
+    let history = history(&[(1, &[("v1", 4)]), (900, &[("v2", 4)])]);
+    let time_left = Some(TIMEOUT + Duration::from_secs(5));
+    assert_eq!(prove_version(&history, Some(&stream(1)), NOW, time_left), None);
+}
+
 /// A stream of a random history.
 struct BegunStream {
     id: StreamId,
@@ -173,6 +218,7 @@
     for seed in 0..300 {
         let mut random = StdRng::seed_from_u64(seed);
         let mut history = VersionHistory::default();
+        let mut in_use = VersionHistory::default();
         let mut begun = Vec::new();
         let mut counts: BTreeMap<&str, u64> = BTreeMap::from([("v1", random.random_range(1..10))]);
         for step in 0..60u64 {
@@ -186,8 +232,13 @@
             let is_open = random.random_bool(0.05);
             let revised = revise_history(&history, now, &weights, is_open, TIMEOUT);
             history = revised.unwrap_or(history);
+            // The scheduler uses what a read has shown, at any time later.
+            if random.random_bool(0.5) {
+                in_use = history.clone();
+                history = confirm_last_split(&history, now).unwrap_or(history);
+            }
             for _ in 0..3 {
-                begun.extend(begin(&mut random, &history, &weights, now));
+                begun.extend(begin(&mut random, &in_use, &weights, now));
             }
             for stream in &begun {
                 let age = now - stream.at;
