--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -143,7 +143,7 @@
 
     /// Sets the configuration in force for new requests.
     pub fn set_config(&self, config: Arc<ActiveConfig>) {
-        // Recorded first, so that nobody finds the new rules without the ones that they replace.
+        // Recorded first, so that no request finds the new rules without the ones that they replace.
         let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
         routes.record_change(self.uptime(), &self.config(), &config);
         drop(routes);
--- a/crates/daemon/src/fleet/follow/versions.rs
+++ b/crates/daemon/src/fleet/follow/versions.rs
@@ -60,10 +60,9 @@
 
 /// Returns the versions of the latest split with their numbers of slots.
 fn slot_counts(history: &VersionHistory) -> String {
-    let slots = history.splits.last().map(|split| split.slots.to_vec()).unwrap_or_default();
-    let mut parts: Vec<String> = Vec::new();
-    for same in slots.chunk_by(|one, other| one == other) {
-        parts.push(format!("{}x{}", same.len(), same[0].to_hex()));
-    }
-    parts.join(" ")
+    let slots = history.splits.last().map_or(&[][..], |split| &split.slots);
+    let runs = slots.chunk_by(|one, other| one == other);
+    let counted =
+        runs.filter_map(|same| Some(format!("{}x{}", same.len(), same.first()?.to_hex())));
+    counted.collect::<Vec<_>>().join(" ")
 }
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -182,7 +182,8 @@
     fn stream_start(&self, request: &PermitRequest) -> Option<StreamStart> {
         let spec = self.entry.spec_of(request.permit.request)?;
         let stream = spec.begins.filter(|_| spec.version.is_none())?;
-        let timeout = spec.caller_time_left.unwrap_or_default();
+        // A caller that states no time gets no proof, so that the longest timeout does not depend on it.
+        let timeout = spec.caller_time_left.unwrap_or(Duration::ZERO);
         Some(StreamStart { permit: request.permit, stream, timeout })
     }
 
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -5,7 +5,7 @@
 //! which stream to the keepers: the first daemons in the order of schedulers. They are the same for all daemons, and more
 //! than one, since a caller takes up its stream because a daemon has ended.
 //!
-//! The daemon that schedules is asked as well, since it may prove the version of a stream that nobody remembers
+//! The daemon that schedules is asked as well, since it may prove the version of a stream that no daemon remembers
 //! ([`version_histories`](super::version_histories)). What is neither remembered nor proved is refused.
 //!
 //! Owns: the requests that wait for the version of their stream. Relies on: [`StreamVersions`] for what is remembered.
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -1,4 +1,4 @@
-//! Selects the version at which a new stream begins, and proves which version began a stream that nobody remembers.
+//! Selects the version at which a new stream begins, and proves which version began a stream that no daemon remembers.
 //!
 //! The daemon that schedules selects and proves. The platform stores each split before it is used; a proof is made after
 //! a read that was sent when the request for it had arrived, so that no split is missing. While the platform does not
--- a/crates/sched/src/version_history.rs
+++ b/crates/sched/src/version_history.rs
@@ -120,7 +120,7 @@
     let counts = counted(slots);
     let quotas = quotas(weights);
     let is_near = |(version, quota): (&VersionDigest, &usize)| {
-        counts.get(version).copied().unwrap_or_default().abs_diff(*quota) < TOLERATED_SLOTS
+        counts.get(version).map_or(*quota, |count| count.abs_diff(*quota)) < TOLERATED_SLOTS
     };
     counts.keys().all(|version| weights.contains_key(version)) && quotas.iter().all(is_near)
 }
@@ -161,5 +161,6 @@
     for slot in kept.iter_mut().filter(|slot| slot.is_none()) {
         *slot = weights.keys().find_map(&mut take);
     }
+    // The quotas cover all slots, so that each has a version.
     kept.map(|slot| slot.unwrap_or_default())
 }
