--- a/crates/acceptance/tests/silent_targets.rs
+++ b/crates/acceptance/tests/silent_targets.rs
@@ -251,10 +251,12 @@
 #[actix_rt::test]
 async fn stream_that_is_taken_up_repeats_no_event_where_its_target_starts_over() -> Result<()> {
     let fleet = ready("starts-over", "engines", 1, RETRIES).await?;
+    let entry = &fleet.daemons[0].callers;
+    let begun = call(entry, "/resumed/stream/a", "first").await?;
+    assert_eq!(begun, (200, FleetEngine::expected_stream("first", EVENTS), true));
     fleet.engines[0].set_default_step(EngineStep::StartOver);
     let last = EVENTS_BEFORE.to_string();
     let taken_up = [(WIRE_PROFILE.last_event, last.as_str()), (WIRE_PROFILE.resumes, "first")];
-    let entry = &fleet.daemons[0].callers;
     let answer = call_with(entry, "/resumed/stream/a", "t", &taken_up).await?;
     let before = FleetEngine::expected_stream("t", EVENTS_BEFORE).len();
     let expected = FleetEngine::expected_stream("t", EVENTS)[before..].to_string();
