Streams after a kill of all daemons: one caller's long timeout takes the proof from others

Read in the change: the longest timeout of a pool never shrinks and any caller can raise it to an hour. Listed, not mended; a module doc is wrapped.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,7 +1,7 @@
 //! State shared by the threads of the daemon, and the channel to the node.
 //!
-//! Owns: the threads' copy of the configuration in force, the rules before it, the bounds, the channel to the node. Relies on: the
-//! node's thread ending last.
+//! Owns: the threads' copy of the configuration in force, the rules before it, the bounds, the channel to the node.
+//! Relies on: the node's thread ending last.
 
 use std::net::IpAddr;
 use std::sync::{Arc, OnceLock, PoisonError, RwLock};
