--- /dev/null
+++ b/crates/node/tests/out_of_step.rs
@@ -0,0 +1,89 @@
+//! Streams that are taken up at a daemon that is out of step: cut off from others or from the platform, or standing
+//! still, while targets of another version join.
+
+mod support;
+
+#[path = "out_of_step/plan.rs"]
+mod plan;
+#[path = "out_of_step/play.rs"]
+mod play;
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use plan::play_seed;
+use play::StreamPlay;
+use support::streams::set_versions;
+
+const DAEMONS: usize = 6;
+/// Streams that begin while the daemon is out of step.
+const STREAMS: usize = 40;
+
+/// What the daemon that schedules does not reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cut {
+    Daemons,
+    DaemonsAndPlatform,
+}
+
+/// Guards against streams that other daemons begin without the scheduler's split, and that it proves by that split.
+#[rstest]
+fn streams_are_not_joined_at_a_scheduler_that_is_cut_off_while_a_version_joins(
+    #[values(Cut::Daemons, Cut::DaemonsAndPlatform)] cut: Cut,
+    #[values(&["v1", "v2"], &["v2"])] versions: &[&str],
+    #[values(0, 1_000, 2_000, 3_000, 6_000)] after_ms: u64,
+) {
+    let mut play = StreamPlay::start(DAEMONS);
+    let scheduler = play.fleet.leader();
+    let far = (0..DAEMONS).rev().find(|index| *index != scheduler).expect("one");
+    play.fleet.block(scheduler, 0..DAEMONS, true);
+    play.fleet.daemons[scheduler].reaches_platform = cut == Cut::Daemons;
+    set_versions(&mut play.fleet, versions);
+    let since = play.begun.len();
+    let after = Duration::from_millis(after_ms);
+    for _ in 0..STREAMS {
+        play.begin(far);
+        play.run(Duration::from_millis(200));
+        take_up_later(&mut play, since, scheduler, after);
+    }
+    let counts = &play.counts;
+    assert!(counts.joined.is_empty(), "{counts:?}");
+    assert!(counts.begun > STREAMS / 2, "{counts:?}");
+}
+
+/// Takes up the streams that began this long ago.
+fn take_up_later(play: &mut StreamPlay, since: usize, entry: usize, after: Duration) {
+    let now = play.fleet.now;
+    let is_due = |sent: Duration| sent + after <= now && now < sent + after + Duration::from_millis(200);
+    let due: Vec<_> = play.begun[since..].iter().filter(|begun| is_due(begun.sent)).cloned().collect();
+    for begun in due.iter().filter(|begun| play.is_awaited(begun)).cloned().collect::<Vec<_>>() {
+        play.take_up(&begun, entry);
+    }
+}
+
+/// Guards against streams that are joined beside any order of cuts, standstills, late answers and kills.
+#[test]
+fn streams_are_not_joined_beside_generated_faults() {
+    let (seeds, first) = (seed_count(), 0);
+    let mut taken_up = 0;
+    let mut went_on = 0;
+    let mut sent = 0;
+    let mut begun = 0;
+    let mut joined = Vec::new();
+    for seed in first..first + seeds {
+        let counts = play_seed(seed);
+        taken_up += counts.taken_up;
+        went_on += counts.went_on;
+        sent += counts.sent;
+        begun += counts.begun;
+        joined.extend(counts.joined.iter().map(|case| format!("seed {seed}: {case}")));
+    }
+    println!("{seeds} plays: {begun} of {sent} streams begun, {went_on} of {taken_up} taken up went on, {} joined", joined.len());
+    assert!(joined.is_empty(), "{} joined: {:#?}", joined.len(), &joined[..joined.len().min(20)]);
+}
+
+/// Number of generated plays; more by hand.
+fn seed_count() -> u64 {
+    std::env::var("OUT_OF_STEP_PLAYS").ok().and_then(|count| count.parse().ok()).unwrap_or(40)
+}
--- /dev/null
+++ b/crates/node/tests/out_of_step/plan.rs
@@ -0,0 +1,160 @@
+//! Generates faults of daemons, and changes of the versions of targets beside them.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use super::play::{PlayCounts, StreamPlay};
+use super::support::streams::set_versions;
+
+/// Time in which faults and changes begin.
+const PLAN_MS: u64 = 9_000;
+/// Time between two new streams.
+const STREAM_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What is done to a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FaultKind {
+    /// It and the other daemons do not reach each other.
+    Cut,
+    /// Frames to it are lost, while its own arrive.
+    CutOneWay,
+    /// It does not reach the platform.
+    StoreCut,
+    /// It reaches neither.
+    CutFromAll,
+    /// Its reads of the splits are answered late.
+    StoreSlow,
+    /// It does not run.
+    StandsStill,
+    /// It does not run, and afterwards does not reach the platform.
+    StandsStillThenStoreCut,
+    /// It is killed and starts again.
+    Kill,
+    /// All are killed and start again.
+    KillAll,
+}
+
+const KINDS: [FaultKind; 9] = [
+    FaultKind::Cut,
+    FaultKind::CutOneWay,
+    FaultKind::StoreCut,
+    FaultKind::CutFromAll,
+    FaultKind::StoreSlow,
+    FaultKind::StandsStill,
+    FaultKind::StandsStillThenStoreCut,
+    FaultKind::Kill,
+    FaultKind::KillAll,
+];
+/// Versions that serve one after the other.
+const CHANGES: [&[&str]; 5] = [&["v1", "v2"], &["v2"], &["v1"], &["v2", "v3"], &["v1", "v3"]];
+
+/// A step of a plan.
+#[derive(Clone, Debug)]
+enum PlanStep {
+    Begin(FaultKind, usize),
+    End(FaultKind, usize),
+    Versions(&'static [&'static str]),
+}
+
+/// Plays a generated plan.
+pub fn play_seed(seed: u64) -> PlayCounts {
+    let mut random = StdRng::seed_from_u64(seed);
+    let daemons = random.random_range(3..=6);
+    let mut play = StreamPlay::start(daemons);
+    let mut steps = plan(&mut random, &play);
+    steps.sort_by_key(|(at, _)| *at);
+    let begun_at = play.fleet.now;
+    let end = begun_at + Duration::from_millis(PLAN_MS + 4_000);
+    let mut incarnation = 1;
+    while play.fleet.now < end {
+        while steps.first().is_some_and(|(at, _)| begun_at + *at <= play.fleet.now) {
+            let (_, step) = steps.remove(0);
+            incarnation += 1;
+            apply(&mut play, step, incarnation);
+        }
+        play.begin(random.random_range(0..daemons));
+        take_up_some(&mut random, &mut play);
+        play.run(STREAM_INTERVAL);
+    }
+    play.counts
+}
+
+fn plan(random: &mut StdRng, play: &StreamPlay) -> Vec<(Duration, PlanStep)> {
+    let mut steps = Vec::new();
+    let scheduler = play.fleet.leader();
+    for _ in 0..random.random_range(1..=3) {
+        let daemon = match random.random_bool(0.6) {
+            true => scheduler,
+            false => random.random_range(0..play.fleet.daemons.len()),
+        };
+        let kind = *KINDS.choose(random).expect("a kind");
+        let from = Duration::from_millis(random.random_range(0..PLAN_MS));
+        let lasts = Duration::from_millis(random.random_range(200..6_000));
+        steps.push((from, PlanStep::Begin(kind, daemon)));
+        steps.push((from + lasts, PlanStep::End(kind, daemon)));
+    }
+    for _ in 0..random.random_range(1..=3) {
+        let at = Duration::from_millis(random.random_range(0..PLAN_MS));
+        steps.push((at, PlanStep::Versions(CHANGES.choose(random).expect("versions"))));
+    }
+    steps
+}
+
+fn take_up_some(random: &mut StdRng, play: &mut StreamPlay) {
+    let awaited: Vec<_> =
+        play.begun.iter().filter(|begun| play.is_awaited(begun)).cloned().collect();
+    for _ in 0..2 {
+        let Some(begun) = awaited.choose(random) else { return };
+        let entry = random.random_range(0..play.fleet.daemons.len());
+        if entry != begun.entry {
+            play.take_up(begun, entry);
+        }
+    }
+}
+
+fn apply(play: &mut StreamPlay, step: PlanStep, incarnation: u64) {
+    let fleet = &mut play.fleet;
+    let all = 0..fleet.daemons.len();
+    match step {
+        PlanStep::Versions(versions) => set_versions(fleet, versions),
+        PlanStep::Begin(FaultKind::Cut, index) => fleet.block(index, all, true),
+        PlanStep::Begin(FaultKind::CutOneWay, index) => fleet.block(index, all, false),
+        PlanStep::Begin(FaultKind::StoreCut, index) => {
+            fleet.daemons[index].reaches_platform = false;
+        }
+        PlanStep::Begin(FaultKind::CutFromAll, index) => {
+            fleet.block(index, all, true);
+            fleet.daemons[index].reaches_platform = false;
+        }
+        PlanStep::Begin(FaultKind::StoreSlow, index) => {
+            fleet.history_delays.insert(index, Duration::from_millis(700));
+        }
+        PlanStep::Begin(FaultKind::StandsStill | FaultKind::StandsStillThenStoreCut, index) => {
+            fleet.suspend(index);
+        }
+        PlanStep::Begin(FaultKind::Kill, index) => fleet.restart(index, incarnation),
+        PlanStep::Begin(FaultKind::KillAll, _) => {
+            all.for_each(|index| fleet.restart(index, incarnation));
+        }
+        PlanStep::End(FaultKind::Cut | FaultKind::CutOneWay, index) => {
+            fleet.blocked.retain(|(from, to)| ![*from, *to].contains(&index));
+        }
+        PlanStep::End(FaultKind::StoreCut, index) => fleet.daemons[index].reaches_platform = true,
+        PlanStep::End(FaultKind::CutFromAll, index) => {
+            fleet.blocked.retain(|(from, to)| ![*from, *to].contains(&index));
+            fleet.daemons[index].reaches_platform = true;
+        }
+        PlanStep::End(FaultKind::StoreSlow, index) => {
+            fleet.history_delays.remove(&index);
+        }
+        PlanStep::End(FaultKind::StandsStill, index) => fleet.resume(index),
+        PlanStep::End(FaultKind::StandsStillThenStoreCut, index) => {
+            fleet.daemons[index].reaches_platform = false;
+            fleet.resume(index);
+        }
+        PlanStep::End(FaultKind::Kill | FaultKind::KillAll, _) => {}
+    }
+}
--- a/crates/node/tests/support/builders.rs
+++ b/crates/node/tests/support/builders.rs
@@ -36,6 +36,14 @@
     with_node(Node::new(options(index, seeds, megabits)))
 }
 
+/// Returns the daemon of a later process on the same VM.
+pub fn later_daemon(index: usize, seeds: Vec<String>, incarnation: u64) -> Daemon {
+    let mut options = options(index, seeds, 1_000);
+    options.me.incarnation = incarnation;
+    options.members.started = incarnation;
+    with_node(Node::new(options))
+}
+
 /// Returns the CPU capacity of a VM of a mixed fleet, in percent of a core: few are strong.
 pub fn mixed_fleet_capacity(index: usize) -> u32 {
     if index % 16 == 5 {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -3,13 +3,14 @@
 #![allow(dead_code)]
 
 mod builders;
+mod faults;
 mod link;
 mod network;
 mod scripted;
 pub mod streams;
 mod uplink;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use curlewcleat_core::{
@@ -29,7 +30,7 @@
 // Each test file uses only some of these.
 #[allow(unused_imports)]
 pub use builders::{
-    daemon, heartbeat, mixed_fleet_capacity, mixed_fleet_daemon, mixed_fleet_records, recorded,
+    daemon, heartbeat, later_daemon, mixed_fleet_capacity, mixed_fleet_daemon, mixed_fleet_records, recorded,
     spec, target, ROLLOUT_LIMITS,
 };
 #[allow(unused_imports)]
@@ -77,6 +78,10 @@
     pub histories: BTreeMap<PoolId, VersionHistory>,
     /// Whether reads of the splits get no answer, while writes reach the platform.
     pub drops_history_reads: bool,
+    /// Time after which daemons get the answers to their reads of the splits, where they do not get them at once.
+    pub history_delays: BTreeMap<usize, Duration>,
+    /// Daemons that stand still, and what has arrived at them since.
+    pub standing_still: BTreeMap<usize, VecDeque<NodeEvent>>,
     /// Evacuated data centres at the platform, with their revision.
     pub evacuations: EvacuationList,
     /// Newest configuration at the platform.
@@ -100,6 +105,8 @@
     /// One packet in how many is lost, if set, and the state of the generator that selects it.
     pub losses: Option<(u64, u64)>,
     delayed: Vec<(Duration, usize, PeerFrame)>,
+    /// Answers of the platform that are under way, and when they arrive.
+    late_answers: Vec<(Duration, usize, NodeEvent)>,
     /// Pairs of sender and receiver whose frames are lost.
     pub blocked: BTreeSet<(usize, usize)>,
     /// Refusals that the platform was called to store, with the index of the calling daemon.
@@ -138,6 +145,8 @@
             rollouts: (Vec::new(), 1),
             histories: BTreeMap::new(),
             drops_history_reads: false,
+            history_delays: BTreeMap::new(),
+            standing_still: BTreeMap::new(),
             evacuations: EvacuationList { at: 1, ..EvacuationList::default() },
             generation: 1,
             config: CONFIG.to_string(),
@@ -151,6 +160,7 @@
             counts_bytes: false,
             losses: None,
             delayed: Vec::new(),
+            late_answers: Vec::new(),
             blocked: BTreeSet::new(),
             refusals: Vec::new(),
             lost: Vec::new(),
@@ -177,6 +187,7 @@
     pub fn event(&mut self, index: usize, event: NodeEvent) {
         let mut events = vec![(index, event)];
         while let Some((index, event)) = events.pop() {
+            let Some(event) = self.reached_by(index, event) else { continue };
             let wall = Duration::from_secs(1_000) + self.now;
             let earlier = events.len();
             for action in self.daemons[index].node.handle(self.now, wall, event) {
@@ -201,14 +212,16 @@
                     NodeAction::Platform(PlatformCall::ReadVersionHistories)
                         if self.daemons[index].reaches_platform && !self.drops_history_reads =>
                     {
-                        events.push((index, self.histories_read()));
+                        let read = self.histories_read();
+                        events.extend(self.history_answer(index, read));
                     }
                     NodeAction::Platform(PlatformCall::WriteVersionHistory(history))
                         if self.daemons[index].reaches_platform =>
                     {
                         self.write_history(history);
                         if !self.drops_history_reads {
-                            events.push((index, self.histories_read()));
+                            let read = self.histories_read();
+                            events.extend(self.history_answer(index, read));
                         }
                     }
                     NodeAction::Platform(PlatformCall::StoreRefusal(report)) => {
@@ -297,6 +310,7 @@
         while self.now < end {
             self.now += STEP;
             self.deliver_delayed();
+            self.deliver_late_answers();
             for index in 0..self.daemons.len() {
                 self.deliver_outbound(index);
                 self.deliver_inbound(index);
@@ -317,6 +331,9 @@
 
     /// Performs the reads of the daemon's tasks: the configuration, the targets and, for readers, the rollouts.
     fn read_platform(&mut self, index: usize) {
+        if self.standing_still.contains_key(&index) {
+            return;
+        }
         let daemon = &mut self.daemons[index];
         if daemon.read_role == ReadRole::Idle || self.now < daemon.next_read {
             return;
