Streams: logs tell a proof from memory, and a stream that begins outside the split

The logs could not tell apart the hypotheses of the incident: stream_taken_up has one source for a daemon that remembers and one that proves, and nothing said that a stream began without the split. stream_proof and stream_outside_split state it with the age of the read that showed the splits. No behaviour changes.

--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -8,7 +8,7 @@
 use curlewcleat_config::CheckReport;
 use curlewcleat_core::{
     ConfigFault, DataCentreId, FeatureReport, Generation, ObjectVersion, PoolId, RequestFeature,
-    RequestId, TargetInstance, TargetVersion,
+    RequestId, TargetInstance, TargetVersion, VersionDigest,
 };
 use curlewcleat_node::{
     EvacuationChange, InstanceChange, NodeNote, PoolStatus, RolloutStatus, VersionSource,
@@ -31,6 +31,12 @@
         NodeNote::StreamTakenUp { request, source, waited } => {
             log_stream_taken_up(*request, *source, *waited)
         }
+        NodeNote::StreamProof { request, version, read_age } => {
+            log_stream_proof(*request, *version, *read_age)
+        }
+        NodeNote::StreamOutsideSplit { request, pool, read_age } => {
+            log_stream_outside_split(*request, pool, *read_age)
+        }
         NodeNote::PeerLost(peer) => warn!("peer_lost", kv: { vm = peer.vm.as_str() }),
         NodeNote::PeerReplaced(peer) => info!("peer_replaced", kv: { vm = peer.vm.as_str() }),
         NodeNote::InstanceChanged(change) => log_instance_change(change),
@@ -79,6 +85,22 @@
     });
 }
 
+fn log_stream_proof(request: RequestId, version: Option<VersionDigest>, read_age: Duration) {
+    let version = version.map(VersionDigest::to_hex).unwrap_or_default();
+    info!("stream_proof", kv: {
+        request = request.to_string(), version = version.as_str(),
+        read_age_ms = read_age.as_millis() as i64
+    });
+}
+
+fn log_stream_outside_split(request: RequestId, pool: &str, read_age: Option<Duration>) {
+    // -1 stands for a daemon that has not read the splits.
+    let read_age = read_age.map_or(-1, |age| age.as_millis() as i64);
+    warn!("stream_outside_split", kv: {
+        request = request.to_string(), pool, read_age_ms = read_age
+    });
+}
+
 fn log_stale_target_list(at: ObjectVersion, known: ObjectVersion) {
     info!("target_list_late", kv: { at, known });
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -12,7 +12,7 @@
     NoticeReport, ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestDigest,
     RequestFeature, RequestId, RequestInterruption, RetryReason, RolloutRecord, RolloutWrite,
     StatedLoad, StreamVersion, TargetChange, TargetEntry, TargetInstance, TargetReport,
-    TargetVersion, Uptime, Verdict, VersionHistory, VmId, WarmUpLimit,
+    TargetVersion, Uptime, Verdict, VersionDigest, VersionHistory, VmId, WarmUpLimit,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound, RolloutReason};
@@ -261,6 +261,24 @@
         /// How long the request waited for it.
         waited: Duration,
     },
+    /// This daemon answers a query for the version of a stream by the stored splits.
+    StreamProof {
+        /// The request that takes up the stream.
+        request: RequestId,
+        /// The version, `None` where it is not proved.
+        version: Option<VersionDigest>,
+        /// Age of the read that showed the splits.
+        read_age: Duration,
+    },
+    /// This daemon grants a new stream without a split that selects its version.
+    StreamOutsideSplit {
+        /// The request.
+        request: RequestId,
+        /// Pool of the stream.
+        pool: PoolId,
+        /// Age of the latest read of the splits, `None` where there was none.
+        read_age: Option<Duration>,
+    },
     /// A peer became unreachable.
     PeerLost(DaemonId),
     /// A peer's VM has started a new daemon.
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -17,7 +17,7 @@
 use curlewcleat_sched::{confirm_last_split, prove_version, revise_history, VersionWeights};
 
 use super::Node;
-use crate::event::{NodeAction, PlatformCall};
+use crate::event::{NodeAction, NodeNote, PlatformCall};
 
 /// Minimum time between two reads of the splits.
 const READ_INTERVAL: Duration = Duration::from_millis(100);
@@ -101,9 +101,20 @@
             let selected = split.and_then(|split| split.version_of(&start.stream));
             request.version = selected.filter(|version| pool.weights.contains_key(version));
         }
+        let is_open = pool.history.splits.last().is_some_and(|split| split.is_open);
+        if request.version.is_none() && !is_open && self.options.freshness.is_some() {
+            self.note_outside_split(&request);
+        }
         request
     }
 
+    fn note_outside_split(&mut self, request: &PermitRequest) {
+        let read_age = self.histories.last_read.map(|read| self.now.saturating_sub(read));
+        let (request, pool) = (request.permit.request, request.pool.clone());
+        let note = NodeNote::StreamOutsideSplit { request, pool, read_age };
+        self.actions.push(NodeAction::Note(note));
+    }
+
     /// Returns whether a daemon waits for the proof of a request, which answers all its queries.
     pub(super) fn is_proving(&self, from: &VmId, request: RequestId) -> bool {
         let mut proofs = self.histories.proofs.iter();
@@ -156,6 +167,12 @@
             let proved = pool.and_then(|pool| {
                 prove_version(&pool.history, query.stream.as_ref(), self.wall, query.time_left)
             });
+            let read = self.histories.last_read.unwrap_or_default();
+            self.actions.push(NodeAction::Note(NodeNote::StreamProof {
+                request: query.request,
+                version: proved,
+                read_age: self.now.saturating_sub(read),
+            }));
             let answer = StreamAnswer { request: query.request, version: proved };
             self.post(&from, PeerMessage::StreamAnswer(answer));
         }
