--- a/crates/node/tests/out_of_step.rs
+++ b/crates/node/tests/out_of_step.rs
@@ -55,8 +55,10 @@
 /// Takes up the streams that began this long ago.
 fn take_up_later(play: &mut StreamPlay, since: usize, entry: usize, after: Duration) {
     let now = play.fleet.now;
-    let is_due = |sent: Duration| sent + after <= now && now < sent + after + Duration::from_millis(200);
-    let due: Vec<_> = play.begun[since..].iter().filter(|begun| is_due(begun.sent)).cloned().collect();
+    let is_due =
+        |sent: Duration| sent + after <= now && now < sent + after + Duration::from_millis(200);
+    let due: Vec<_> =
+        play.begun[since..].iter().filter(|begun| is_due(begun.sent)).cloned().collect();
     for begun in due.iter().filter(|begun| play.is_awaited(begun)).cloned().collect::<Vec<_>>() {
         play.take_up(&begun, entry);
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -30,8 +30,8 @@
 // Each test file uses only some of these.
 #[allow(unused_imports)]
 pub use builders::{
-    daemon, heartbeat, later_daemon, mixed_fleet_capacity, mixed_fleet_daemon, mixed_fleet_records, recorded,
-    spec, target, ROLLOUT_LIMITS,
+    daemon, heartbeat, later_daemon, mixed_fleet_capacity, mixed_fleet_daemon, mixed_fleet_records,
+    recorded, spec, target, ROLLOUT_LIMITS,
 };
 #[allow(unused_imports)]
 pub use link::SlowLink;
