Streams at a version on trial: an open split names every version with targets

A stream that a version of few targets had begun was proved for another version, where no daemon remembered it: an open split gave a version with less than a sixteenth of the targets no slot, so that one version seemed to have served alone. A rollout begins just so.

open_split_names_every_version_with_targets: both cases failed before. Each version of an open split has one slot at least.

--- a/crates/sched/src/version_history.rs
+++ b/crates/sched/src/version_history.rs
@@ -69,11 +69,14 @@
     longest_timeout: Duration,
 ) -> Option<VersionHistory> {
     let timeout = history.longest_timeout.max(Some(rounded_up(longest_timeout)));
+    // Until the first split is in use, streams begin at any version.
+    let is_open = is_open || history.splits.is_empty();
+    let quotas = quotas(weights, is_open);
     let slots = match history.splits.last() {
         // A pool without targets keeps its split: nothing begins there.
         _ if weights.is_empty() => None,
-        Some(last) if last.is_open == is_open && is_tolerated(&last.slots, weights) => None,
-        last => Some(divided(last.map(|last| &last.slots), weights)),
+        Some(last) if last.is_open == is_open && is_tolerated(last, &quotas) => None,
+        last => Some(divided(last.map(|last| &last.slots), quotas)),
     };
     let is_changed = slots.is_some() || timeout != history.longest_timeout;
     if !is_changed || (slots.is_none() && history.splits.is_empty()) {
@@ -82,8 +85,6 @@
     let mut revised = VersionHistory { longest_timeout: timeout, ..history.clone() };
     // The clock of the daemon that decided the last split may be ahead.
     let since = history.splits.last().map_or(now, |last| now.max(last.since));
-    // Until the first split is in use, streams begin at any version.
-    let is_open = is_open || history.splits.is_empty();
     revised.splits.extend(slots.map(|slots| VersionSplit { since, until: None, slots, is_open }));
     let excess = revised.splits.len().saturating_sub(SPLIT_LIMIT);
     revised.splits.drain(..excess);
@@ -115,18 +116,20 @@
     counts
 }
 
-/// Returns whether every slot has a version with targets, and no version has far more or fewer slots than its share.
-fn is_tolerated(slots: &[VersionDigest], weights: &VersionWeights) -> bool {
-    let counts = counted(slots);
-    let quotas = quotas(weights);
-    let is_near = |(version, quota): (&VersionDigest, &usize)| {
-        counts.get(version).map_or(*quota, |count| count.abs_diff(*quota)) < TOLERATED_SLOTS
+/// Returns whether a split still fits the targets: every slot has a version with targets, and no version has far more or
+/// fewer slots than its share. An open split names every version.
+fn is_tolerated(split: &VersionSplit, quotas: &BTreeMap<VersionDigest, usize>) -> bool {
+    let counts = counted(&split.slots);
+    let is_near = |(version, quota): (&VersionDigest, &usize)| match counts.get(version) {
+        Some(count) => count.abs_diff(*quota) < TOLERATED_SLOTS,
+        None => *quota < if split.is_open { 1 } else { TOLERATED_SLOTS },
     };
-    counts.keys().all(|version| weights.contains_key(version)) && quotas.iter().all(is_near)
+    counts.keys().all(|version| quotas.contains_key(version)) && quotas.iter().all(is_near)
 }
 
-/// Returns the slots that each version should have, by the largest remainders.
-fn quotas(weights: &VersionWeights) -> BTreeMap<VersionDigest, usize> {
+/// Returns the slots that each version should have, by the largest remainders. In an open split each version has one at
+/// least, as far as there are slots.
+fn quotas(weights: &VersionWeights, is_open: bool) -> BTreeMap<VersionDigest, usize> {
     let total = weights.values().sum::<u64>().max(1);
     let slots = SPLIT_SLOTS as u64;
     let mut quotas: BTreeMap<_, _> = weights
@@ -138,19 +141,32 @@
         .map(|(version, weight)| (std::cmp::Reverse(weight * slots % total), *version))
         .collect();
     by_remainder.sort();
-    let missing = SPLIT_SLOTS - quotas.values().sum::<usize>();
+    let missing = SPLIT_SLOTS.saturating_sub(quotas.values().sum::<usize>());
     for (_, version) in by_remainder.into_iter().cycle().take(missing) {
         *quotas.entry(version).or_default() += 1;
     }
+    if is_open {
+        give_each_one(&mut quotas);
+    }
     quotas
 }
 
+/// Takes slots from the versions that have most, until each version has one or there are no more.
+fn give_each_one(quotas: &mut BTreeMap<VersionDigest, usize>) {
+    while let Some(without) = quotas.iter().find(|(_, quota)| **quota == 0).map(|(id, _)| *id) {
+        let most = quotas.iter().max_by_key(|(_, quota)| **quota).map(|(id, quota)| (*id, *quota));
+        let Some((most, 2..)) = most else { return };
+        quotas.entry(most).and_modify(|quota| *quota -= 1);
+        quotas.insert(without, 1);
+    }
+}
+
 /// Divides the slots among the versions; as many slots as possible keep their version.
 fn divided(
     before: Option<&[VersionDigest; SPLIT_SLOTS]>,
-    weights: &VersionWeights,
+    mut left: BTreeMap<VersionDigest, usize>,
 ) -> [VersionDigest; SPLIT_SLOTS] {
-    let mut left = quotas(weights);
+    let versions: Vec<VersionDigest> = left.keys().copied().collect();
     let mut take = |version: &VersionDigest| {
         let slots = left.get_mut(version).filter(|slots| **slots > 0)?;
         *slots -= 1;
@@ -159,7 +175,7 @@
     let mut kept: [Option<VersionDigest>; SPLIT_SLOTS] =
         std::array::from_fn(|slot| take(before?.get(slot)?));
     for slot in kept.iter_mut().filter(|slot| slot.is_none()) {
-        *slot = weights.keys().find_map(&mut take);
+        *slot = versions.iter().find_map(&mut take);
     }
     // The quotas cover all slots, so that each has a version.
     kept.map(|slot| slot.unwrap_or_default())
--- a/crates/sched/tests/version_history.rs
+++ b/crates/sched/tests/version_history.rs
@@ -118,6 +118,21 @@
     assert_eq!(prove_version(&open, Some(&stream(1)), NOW, Some(TIMEOUT)), None);
 }
 
+/// Guards against streams that a version of few targets begins by an open split, and that another version is proved for.
+#[rstest]
+#[case::one_target_of_many(&[("v1", 99), ("v2", 1)])]
+#[case::several(&[("v1", 97), ("v2", 1), ("v3", 2)])]
+fn open_split_names_every_version_with_targets(#[case] targets: &[(&str, u64)]) {
+    let weights = weights(targets);
+    let first = revise_history(&VersionHistory::default(), at(1), &weights, true, TIMEOUT);
+    let first = first.expect("a history");
+    let later = revise_history(&history(&[(1, &[("v1", 99)])]), at(2), &weights, true, TIMEOUT);
+    for history in [first, later.expect("another split")] {
+        let named = history.splits.last().expect("a split").candidates(None);
+        assert_eq!(named, weights.keys().copied().collect());
+    }
+}
+
 /// Guards against a store that is written for each target that fails and returns, and for each request.
 #[rstest]
 #[case::same_targets(&[("v1", 9), ("v2", 9)], 12, None)]
