Streams at a daemon out of step: a split may be used for two seconds after the read that showed it

Callers that took up their streams at a daemon which was cut off or stood still, while engines of a new version joined, got a text joined of two versions.

Cause: the stored splits prove at which version a stream began, but nothing bound the daemons that begin streams to the splits in force. Daemons that are asked beside the scheduler had read none or old ones and granted at any version; so did one that had just started and not read its configuration; a scheduler that was cut off went on by its last read, and proved by it while frames from before the cut, or from before a standstill, made it reach most daemons.

A split may now be used for two seconds after the sending of the read that showed it; who reads the next one stores that the former ends two seconds later, and only daemons that reach most of the fleet bring it into use. Streams wait for a read or for the next split, 400 ms and one second, and are refused as not run after that (stream_start_refused, stream_starts_refused_total). Without the platform a scheduler that reaches half of the fleet goes on by its split. Proofs count back from when they can have been asked for; a late answer is not taken.

--- a/crates/daemon/src/metrics/caller_metrics.rs
+++ b/crates/daemon/src/metrics/caller_metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Owns: the registered metrics. Relies on: the runs of requests for the values.
 
+use curlewcleat_node::StartObstacle;
 use prometheus::{IntCounter, IntCounterVec, Result};
 
 use super::registry::MetricRegistry;
@@ -13,6 +14,7 @@
     stalled: IntCounter,
     reserved_headers: IntCounter,
     streams_taken_up: IntCounterVec,
+    stream_starts_refused: IntCounterVec,
 }
 
 impl CallerMetrics {
@@ -21,7 +23,7 @@
     /// # Errors
     /// If a name is registered twice.
     pub fn new(registry: &MetricRegistry) -> Result<CallerMetrics> {
-        Ok(CallerMetrics {
+        let metrics = CallerMetrics {
             disconnected: registry
                 .counter("callers_gone_total", "Callers that left before their answer was whole")?,
             stalled: registry
@@ -35,7 +37,16 @@
                 "Streams that callers took up, by how the version that began them was found",
                 &["known_from"],
             )?,
-        })
+            stream_starts_refused: registry.counters(
+                "stream_starts_refused_total",
+                "New streams that this scheduler refused since no split selects their version",
+                &["reason"],
+            )?,
+        };
+        for obstacle in StartObstacle::ALL {
+            metrics.stream_starts_refused.with_label_values(&[obstacle.code()]);
+        }
+        Ok(metrics)
     }
 }
 
@@ -45,6 +56,11 @@
         self.callers.streams_taken_up.with_label_values(&[known_from]).inc();
     }
 
+    /// Counts a new stream that this scheduler refused, by what was missing.
+    pub fn count_stream_start_refused(&self, reason: &str) {
+        self.callers.stream_starts_refused.with_label_values(&[reason]).inc();
+    }
+
     /// Counts headers of a caller that only a daemon may set.
     pub fn count_reserved_headers(&self, count: usize) {
         self.callers.reserved_headers.inc_by(count as u64);
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -181,6 +181,9 @@
                 if let NodeNote::StreamTakenUp { source, .. } = &note {
                     self.context.metrics.count_stream_taken_up(source.code());
                 }
+                if let NodeNote::StreamStartRefused { obstacle, .. } = &note {
+                    self.context.metrics.count_stream_start_refused(obstacle.code());
+                }
                 log_node_note(&note);
             }
             NodeAction::End => self.ended = true,
--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -11,7 +11,8 @@
     RequestId, TargetInstance, TargetVersion, VersionDigest,
 };
 use curlewcleat_node::{
-    EvacuationChange, InstanceChange, NodeNote, PoolStatus, RolloutStatus, VersionSource,
+    EvacuationChange, InstanceChange, NodeNote, PoolStatus, RolloutStatus, StartObstacle,
+    VersionSource,
 };
 use curlewcleat_sched::{RetryBound, RolloutReason};
 use spdlog::prelude::*;
@@ -34,8 +35,8 @@
         NodeNote::StreamProof { request, version, read_age } => {
             log_stream_proof(*request, *version, *read_age)
         }
-        NodeNote::StreamOutsideSplit { request, pool, read_age } => {
-            log_stream_outside_split(*request, pool, *read_age)
+        NodeNote::StreamStartRefused { request, pool, obstacle, waited, read_age } => {
+            log_start_refused(*request, pool, *obstacle, *waited, *read_age)
         }
         NodeNote::PeerLost(peer) => warn!("peer_lost", kv: { vm = peer.vm.as_str() }),
         NodeNote::PeerReplaced(peer) => info!("peer_replaced", kv: { vm = peer.vm.as_str() }),
@@ -93,11 +94,18 @@
     });
 }
 
-fn log_stream_outside_split(request: RequestId, pool: &str, read_age: Option<Duration>) {
+fn log_start_refused(
+    request: RequestId,
+    pool: &str,
+    obstacle: StartObstacle,
+    waited: Duration,
+    read_age: Option<Duration>,
+) {
     // -1 stands for a daemon that has not read the splits.
     let read_age = read_age.map_or(-1, |age| age.as_millis() as i64);
-    warn!("stream_outside_split", kv: {
-        request = request.to_string(), pool, read_age_ms = read_age
+    warn!("stream_start_refused", kv: {
+        request = request.to_string(), pool, reason = obstacle.code(),
+        waited_ms = waited.as_millis() as i64, read_age_ms = read_age
     });
 }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -237,6 +237,29 @@
     }
 }
 
+/// Why a new stream may not begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartObstacle {
+    /// The splits were not read for too long, and this daemon cannot tell that they are still in use.
+    NotRead,
+    /// The version of the stream's slot has no targets, and the next split is not in use.
+    VersionWithoutTargets,
+}
+
+impl StartObstacle {
+    /// All obstacles.
+    pub const ALL: [StartObstacle; 2] =
+        [StartObstacle::NotRead, StartObstacle::VersionWithoutTargets];
+
+    /// Returns the code for log lines and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            StartObstacle::NotRead => "splits_not_read",
+            StartObstacle::VersionWithoutTargets => "version_without_targets",
+        }
+    }
+}
+
 /// An event that is reported to the operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NodeNote {
@@ -270,12 +293,16 @@
         /// Age of the read that showed the splits.
         read_age: Duration,
     },
-    /// This daemon grants a new stream without a split that selects its version.
-    StreamOutsideSplit {
+    /// A new stream is refused, since no split selects its version.
+    StreamStartRefused {
         /// The request.
         request: RequestId,
         /// Pool of the stream.
         pool: PoolId,
+        /// What was missing.
+        obstacle: StartObstacle,
+        /// How long the request waited for it.
+        waited: Duration,
         /// Age of the latest read of the splits, `None` where there was none.
         read_age: Option<Duration>,
     },
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,7 +21,7 @@
 pub use evacuation_view::EvacuationChange;
 pub use event::{
     CallerDecision, ListedVm, NodeAction, NodeEvent, NodeNote, PlatformCall, RequestEnd,
-    TableWrite, VersionSource,
+    StartObstacle, TableWrite, VersionSource,
 };
 pub use freshness::{FreshnessLimits, PlatformFreshness, ReadRole};
 pub use node::{Node, NodeOptions};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,7 +16,10 @@
 mod relays;
 mod requests;
 mod rollouts;
+mod standstill;
 mod stop;
+mod stream_proofs;
+mod stream_starts;
 mod streams;
 mod suspects;
 mod time;
@@ -43,6 +46,7 @@
 use self::notices::ReceivedNotices;
 pub use self::options::NodeOptions;
 use self::rollouts::RolloutExchange;
+use self::standstill::Standstill;
 use self::stop::HAND_OVER_ACK_WAIT;
 use self::streams::StreamExchange;
 use self::version_histories::HistoryExchange;
@@ -97,6 +101,8 @@
     last_heartbeat: Option<Uptime>,
     last_review: Uptime,
     last_expire: Uptime,
+    /// The last time for which this daemon did not run.
+    standstill: Option<Standstill>,
     now: Uptime,
     wall: WallTime,
     outbox: BTreeMap<VmId, Vec<PeerMessage>>,
@@ -149,6 +155,7 @@
             last_heartbeat: None,
             last_review: Duration::ZERO,
             last_expire: Duration::ZERO,
+            standstill: None,
             now: Duration::ZERO,
             wall: Duration::ZERO,
             outbox: BTreeMap::new(),
@@ -160,6 +167,7 @@
 
     /// Handles an event and returns the actions to perform, in order.
     pub fn handle(&mut self, now: Uptime, wall: WallTime, event: NodeEvent) -> Vec<NodeAction> {
+        self.record_standstill(now);
         self.now = now;
         self.wall = wall;
         match event {
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -116,8 +116,8 @@
         }
     }
 
-    fn permit_requested(&mut self, from: &DaemonId, request: PermitRequest) {
-        let request = self.select_version(request);
+    /// Requests a permit from the scheduler of the pool.
+    pub(super) fn request_pool_permit(&mut self, from: &DaemonId, request: PermitRequest) {
         if let Err(wait) = self.charge(&request) {
             let refusal = self.rate_refusal(&request, wait);
             let decision = PermitDecision::Refused(refusal);
@@ -142,6 +142,7 @@
     }
 
     fn permit_returned(&mut self, returned: &PermitReturn) {
+        self.release_start(&returned.permit);
         let now = self.now;
         if let Some(charge) = self.pool(&returned.pool).charge_of_waiting(&returned.permit) {
             self.rates.refund(&charge.account, charge.cost);
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -29,7 +29,7 @@
 /// Time after which the daemons that have not answered are asked again.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(100);
 /// Time after which a request does not wait for further answers.
-const ANSWER_LIMIT: Duration = Duration::from_millis(300);
+pub(super) const ANSWER_LIMIT: Duration = Duration::from_millis(300);
 /// Retry advice where a daemon has not answered that may know the version: the one that schedules reads the platform, or
 /// another one takes its place.
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -90,7 +90,7 @@
         if asked_itself {
             asked.insert(self.options.me.vm.clone());
         }
-        let query = proof_query(&spec, stream);
+        let query = self.proof_query(&spec, stream);
         let (request, since) = (spec.request, self.now);
         let unanswered = asked.clone();
         let take_up =
@@ -146,7 +146,9 @@
     pub(super) fn stream_answered(&mut self, from: &VmId, answer: StreamAnswer) {
         let Some(take_up) = self.streams.waiting.get_mut(&answer.request) else { return };
         take_up.unanswered.remove(from);
-        if answer.version.is_some() {
+        // A proof allows for the time in which it is accepted, not for more.
+        let is_late = self.now >= take_up.since + ANSWER_LIMIT;
+        if answer.version.is_some() && !is_late {
             return self.finish_take_up(answer.request, answer.version);
         }
         if !take_up.unanswered.is_empty() {
@@ -156,8 +158,8 @@
         match std::mem::replace(&mut take_up.asked_itself, true) {
             true => self.finish_take_up(answer.request, None),
             false => {
-                let query = proof_query(&take_up.spec, take_up.stream);
-                self.ask_itself(query);
+                let (spec, stream) = (take_up.spec.clone(), take_up.stream);
+                self.ask_itself(self.proof_query(&spec, stream));
             }
         }
     }
@@ -194,13 +196,13 @@
         }
         let me = self.options.me.vm.clone();
         let mut queries = Vec::new();
-        let mut own_proofs = Vec::new();
+        let mut unasked = Vec::new();
         for (request, take_up) in &mut self.streams.waiting {
             if !take_up.asked_again && now >= take_up.since + ASK_AGAIN_AFTER {
                 take_up.asked_again = true;
                 // The daemon that schedules may have ended.
                 if !std::mem::replace(&mut take_up.asked_itself, true) {
-                    own_proofs.push(proof_query(&take_up.spec, take_up.stream));
+                    unasked.push((take_up.spec.clone(), take_up.stream));
                 }
                 let Some(stream) = take_up.stream else { continue };
                 let query = StreamQuery { request: *request, stream };
@@ -211,8 +213,8 @@
         for (vm, query) in queries.into_iter().filter(|(vm, _)| *vm != me) {
             self.post(&vm, PeerMessage::StreamQuery(query));
         }
-        for query in own_proofs {
-            self.ask_itself(query);
+        for (spec, stream) in unasked {
+            self.ask_itself(self.proof_query(&spec, stream));
         }
     }
 
@@ -270,14 +272,12 @@
         let note = NodeNote::StreamTakenUp { request, source, waited };
         self.actions.push(NodeAction::Note(note));
     }
-}
 
-/// Returns the query for the version of a stream that a request takes up.
-fn proof_query(spec: &RequestSpec, stream: Option<StreamId>) -> StreamProofQuery {
-    StreamProofQuery {
-        request: spec.request,
-        pool: spec.pool.clone(),
-        stream,
-        time_left: spec.caller_time_left,
+    /// Returns the query for the version of a stream that a request takes up. The time that its caller has left was
+    /// measured before the request came here.
+    fn proof_query(&self, spec: &RequestSpec, stream: Option<StreamId>) -> StreamProofQuery {
+        let elapsed = self.recent_standstill();
+        let time_left = spec.caller_time_left.map(|left| left.saturating_sub(elapsed));
+        StreamProofQuery { request: spec.request, pool: spec.pool.clone(), stream, time_left }
     }
 }
--- a/crates/node/tests/out_of_step.rs
+++ b/crates/node/tests/out_of_step.rs
@@ -13,7 +13,7 @@
 use rstest::rstest;
 
 use plan::play_seed;
-use play::StreamPlay;
+use play::{PlayCounts, StreamPlay};
 use support::streams::set_versions;
 
 const DAEMONS: usize = 6;
@@ -67,25 +67,24 @@
 /// Guards against streams that are joined beside any order of cuts, standstills, late answers and kills.
 #[test]
 fn streams_are_not_joined_beside_generated_faults() {
-    let (seeds, first) = (seed_count(), 0);
-    let mut taken_up = 0;
-    let mut went_on = 0;
-    let mut sent = 0;
-    let mut begun = 0;
-    let mut joined = Vec::new();
-    for seed in first..first + seeds {
+    let (first, count) = (number_from("OUT_OF_STEP_SEED", 0), number_from("OUT_OF_STEP_PLAYS", 40));
+    let mut sum = PlayCounts::default();
+    for seed in first..first + count {
         let counts = play_seed(seed);
-        taken_up += counts.taken_up;
-        went_on += counts.went_on;
-        sent += counts.sent;
-        begun += counts.begun;
-        joined.extend(counts.joined.iter().map(|case| format!("seed {seed}: {case}")));
+        sum.sent += counts.sent;
+        sum.begun += counts.begun;
+        sum.taken_up += counts.taken_up;
+        sum.went_on += counts.went_on;
+        sum.joined.extend(counts.joined.iter().map(|case| format!("seed {seed}: {case}")));
     }
-    println!("{seeds} plays: {begun} of {sent} streams begun, {went_on} of {taken_up} taken up went on, {} joined", joined.len());
+    let PlayCounts { sent, begun, taken_up, went_on, joined } = sum;
+    let ended =
+        format!("{begun} of {sent} streams begun, {went_on} of {taken_up} taken up went on");
+    println!("{count} plays: {ended}, {} joined", joined.len());
     assert!(joined.is_empty(), "{} joined: {:#?}", joined.len(), &joined[..joined.len().min(20)]);
 }
 
-/// Number of generated plays; more by hand.
-fn seed_count() -> u64 {
-    std::env::var("OUT_OF_STEP_PLAYS").ok().and_then(|count| count.parse().ok()).unwrap_or(40)
+/// Reads a number of plays from the environment, for longer runs by hand.
+fn number_from(variable: &str, otherwise: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|number| number.parse().ok()).unwrap_or(otherwise)
 }
--- a/crates/node/tests/support/faults.rs
+++ b/crates/node/tests/support/faults.rs
@@ -22,9 +22,10 @@
         self.standing_still.entry(index).or_default();
     }
 
-    /// Lets a daemon go on, with what has arrived in the meantime first.
+    /// Lets a daemon go on: after a tick it handles what has arrived in the meantime.
     pub fn resume(&mut self, index: usize) {
         let queue: VecDeque<NodeEvent> = self.standing_still.remove(&index).unwrap_or_default();
+        self.event(index, NodeEvent::Tick);
         for event in queue {
             self.event(index, event);
         }
--- a/crates/sched/src/election/membership.rs
+++ b/crates/sched/src/election/membership.rs
@@ -3,6 +3,7 @@
 //! Owns: [`MemberView`], which the other modules here read and change. Relies on: heartbeats, which may be lost,
 //! repeated or late.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -102,6 +103,17 @@
     }
 }
 
+/// How much of the fleet a daemon reaches, itself included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum FleetReach {
+    /// Less than half.
+    Few,
+    /// Half.
+    Half,
+    /// More than half.
+    Most,
+}
+
 /// What a heartbeat changes besides the state of its sender.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HeartbeatChange {
@@ -251,6 +263,19 @@
         RateShare { reached, all: self.fleet_size(), role: RateRole::Leader }
     }
 
+    /// Returns how much of the fleet this daemon has reached for so short a time that no other one can have taken it for
+    /// unreachable and taken over its roles.
+    pub fn recent_reach(&self, now: Uptime) -> FleetReach {
+        // A peer counts the time from its last frame, which is up to a heartbeat older: a third of the timeout.
+        let limit = self.options.suspect_after * 2 / 3;
+        let reached = self.peers.values().filter(|peer| peer.active_within(now, limit)).count() + 1;
+        match (reached * 2).cmp(&self.fleet_size()) {
+            Ordering::Greater => FleetReach::Most,
+            Ordering::Equal => FleetReach::Half,
+            Ordering::Less => FleetReach::Few,
+        }
+    }
+
     /// Returns the known peers.
     pub fn peers(&self) -> &BTreeMap<VmId, PeerState> {
         &self.peers
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -52,7 +52,7 @@
 pub use drain::{DrainInput, DrainPhase, DrainState};
 pub use election::candidates::ALL_POOLS;
 pub use election::heartbeats::HeartbeatReceiver;
-pub use election::membership::{HeartbeatChange, MemberOptions, MemberView, PeerState};
+pub use election::membership::{FleetReach, HeartbeatChange, MemberOptions, MemberView, PeerState};
 pub use entry::{
     EntryAction, EntryOptions, EntryRequests, ReplacementStep, RequestSpec, TakenUpStream,
 };
@@ -85,4 +85,6 @@
 pub use stream_versions::StreamVersions;
 pub use target_gate::{GateStop, NoticeChange, TargetGate};
 pub use target_reach::{ReachChange, TargetReach, TargetRoute};
-pub use version_history::{confirm_last_split, prove_version, revise_history, VersionWeights};
+pub use version_history::{
+    confirm_last_split, prove_version, revise_history, usable_split, VersionWeights, SPLIT_TERM,
+};
--- a/crates/sched/src/version_history.rs
+++ b/crates/sched/src/version_history.rs
@@ -5,10 +5,13 @@
 //! stored by the platform before it is used, so that what its callers bring back tells the version of a stream even
 //! after all daemons have been killed. The rule:
 //! 1. A stream begins at the version of its slot, while the pool has targets of it.
-//! 2. A split is in force from its decision until the next one is in use, however late the platform has stored that.
+//! 2. A daemon uses a split for [`SPLIT_TERM`] after it sent a read that showed it. A split is in force from its decision until
+//!    that time after a read has shown the next one, however late the platform has stored that.
 //! 3. A stream that is taken up may have begun under each split that was in force since its caller's first attempt can
 //!    have been made. If all of them give its slot the same version, that version began it.
 //! 4. Otherwise its version is not known.
+//! 5. The next split is used by daemons that reach most others, which state it in the store; the others go on by the one
+//!    before, so that a scheduler which reaches most daemons knows every split that is used.
 //!
 //! Load pattern: a release replaces targets one by one, while all daemons are killed at once and callers take up their
 //! streams.
@@ -22,6 +25,8 @@
     StreamId, VersionDigest, VersionHistory, VersionSplit, WallTime, SPLIT_SLOTS,
 };
 
+/// Time for which a split may be used, from when the read was sent that showed it.
+pub const SPLIT_TERM: Duration = Duration::from_secs(2);
 /// Slots by which the share of a version differs from the share of its targets before a split changes. With one slot,
 /// each target that fails and returns would change it.
 const TOLERATED_SLOTS: usize = 2;
@@ -48,8 +53,9 @@
     // A caller with more time than was ever stored tells nothing of when it began.
     let age = history.longest_timeout?.checked_sub(time_left?)?;
     let begun_after = now.saturating_sub(age + CLOCK_MARGIN);
-    // Earlier splits may have been dropped.
-    if history.splits.first()?.since > begun_after {
+    // Streams began at any version before the first split was in use; where it is not the first any more, earlier ones
+    // may have been in force until then.
+    if history.splits.first()?.until? >= begun_after {
         return None;
     }
     let in_force =
@@ -59,6 +65,15 @@
     candidates.next().filter(|_| candidates.next().is_none())
 }
 
+/// Returns the split by which a daemon begins streams, `None` while there is none. `is_adopted` states whether it may use the
+/// last one, although no daemon has stated in the store that it is in use.
+pub fn usable_split(history: &VersionHistory, is_adopted: bool) -> Option<&VersionSplit> {
+    match is_adopted {
+        true => history.splits.last(),
+        false => history.splits.iter().find(|split| split.until.is_none()),
+    }
+}
+
 /// Returns the history with another split or a longer timeout, `None` where the stored one still holds. `is_open`
 /// states that a rollout decides which version gets which request.
 pub fn revise_history(
@@ -91,8 +106,8 @@
     Some(revised)
 }
 
-/// Returns the history that states since when the last split is in use, `None` where the stored one does.
-pub fn confirm_last_split(history: &VersionHistory, now: WallTime) -> Option<VersionHistory> {
+/// Returns the history that states from when on only the last split is in use, `None` where the stored one does.
+pub fn confirm_last_split(history: &VersionHistory, from: WallTime) -> Option<VersionHistory> {
     let (_, earlier) = history.splits.split_last()?;
     if earlier.iter().all(|split| split.until.is_some()) {
         return None;
@@ -100,7 +115,7 @@
     let mut confirmed = history.clone();
     let last = confirmed.splits.len().saturating_sub(1);
     for split in confirmed.splits.iter_mut().take(last) {
-        split.until.get_or_insert(now);
+        split.until.get_or_insert(from);
     }
     Some(confirmed)
 }
--- a/crates/sched/tests/version_history.rs
+++ b/crates/sched/tests/version_history.rs
@@ -6,7 +6,9 @@
 use curlewcleat_core::{
     StreamId, VersionDigest, VersionHistory, VersionSplit, WallTime, SPLIT_SLOTS,
 };
-use curlewcleat_sched::{confirm_last_split, prove_version, revise_history, VersionWeights};
+use curlewcleat_sched::{
+    confirm_last_split, prove_version, revise_history, usable_split, VersionWeights,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -213,6 +215,40 @@
     assert!(proved(&settled, Duration::from_secs(8)).is_some());
 }
 
+/// Guards against daemons that begin streams by a split which others have not brought into use.
+#[test]
+fn split_that_no_daemon_has_brought_into_use_is_used_only_by_those_that_may() {
+    let before = history(&[(1, &[("v1", 4)])]);
+    let stored = revise_history(&before, at(900), &weights(&[("v2", 4)]), false, TIMEOUT);
+    let stored = stored.expect("a split");
+    let version_by = |history: &VersionHistory, is_adopted| {
+        usable_split(history, is_adopted).and_then(|split| split.version_of(&stream(1)))
+    };
+    assert_eq!(version_by(&stored, false), Some(version("v1")));
+    assert_eq!(version_by(&stored, true), Some(version("v2")));
+    let confirmed = confirm_last_split(&stored, at(902)).expect("a use");
+    assert_eq!(version_by(&confirmed, false), Some(version("v2")));
+    assert_eq!(usable_split(&VersionHistory::default(), true), None);
+}
+
+/// Guards against a proof for streams that an earlier split began, which has been dropped since.
+#[test]
+fn nothing_is_proved_of_the_time_in_which_the_first_kept_split_was_in_force() {
+    let mut history = history(&[(1, &[("v1", 4)]), (995, &[("v2", 4)])]);
+    history.splits.drain(..2);
+    let proved = |history: &VersionHistory| prove_version(history, None, at(1_020), Some(TIMEOUT));
+    assert_eq!(proved(&history), None, "it is the first one that is kept");
+    let weights = weights(&[("v2", 4), ("v3", 4)]);
+    let next = revise_history(&history, at(1_001), &weights, false, TIMEOUT).expect("a split");
+    let next = confirm_last_split(&next, at(1_003)).expect("a use");
+    let stream =
+        (0..100).map(stream).find(|id| next.splits[1].version_of(id) == Some(version("v2")));
+    let in_force = prove_version(&next, stream.as_ref(), at(1_003), Some(TIMEOUT));
+    assert_eq!(in_force, None);
+    let later = prove_version(&next, stream.as_ref(), at(1_005), Some(TIMEOUT));
+    assert_eq!(later, Some(version("v2")));
+}
+
 #[test]
 fn caller_with_more_time_than_was_stored_proves_nothing() {
     let history = history(&[(1, &[("v1", 4)]), (900, &[("v2", 4)])]);
