Model of streams that are taken up during a release

Two daemons that may both schedule, conditional and late writes, late answers, a cut between the daemons, a standstill, a kill of all.

Detected: BeginsWithoutRead 5 steps, SplitWithoutTerm 9, EndsWithoutTerm 7, CountsOldFrames 10.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,6 +15,7 @@
 mod rates;
 mod request;
 mod rollout;
+mod streams;
 
 pub use config::{ConfigFault, ConfigModel};
 pub use drain::{DrainFault, DrainModel};
@@ -26,3 +27,4 @@
 pub use rates::{RateFault, RateModel};
 pub use request::{RequestFault, RequestModel};
 pub use rollout::{RolloutFault, RolloutModel};
+pub use streams::{StreamFault, StreamModel, TakeUp};
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -4,7 +4,7 @@
 use clap::{Parser, ValueEnum};
 use curlewcleat_model::{
     explore, ConfigFault, ConfigModel, DrainFault, DrainModel, Exploration, KeyFault, KeyModel,
-    LevelFault, LevelModel, RequestFault, RequestModel,
+    LevelFault, LevelModel, RequestFault, RequestModel, StreamFault, StreamModel,
 };
 
 /// The models that can be explored from the command line.
@@ -15,6 +15,7 @@
     Config,
     Levels,
     Drain,
+    Streams,
 }
 
 /// Visits every reachable state of a model of the core protocol.
@@ -22,10 +23,11 @@
 struct Arguments {
     /// The model.
     model: ModelName,
-    /// Steps of the clock (request, levels, drain) or changes of the table (keys).
+    /// Steps of the clock (request, levels, drain, streams) or changes of the table (keys).
     #[arg(long, default_value_t = 4)]
     steps: u8,
-    /// Retries (request), messages that are repeated (keys) or lost (config, levels).
+    /// Retries (request), messages that are repeated (keys) or lost (config, levels),
+    /// or cuts (streams).
     #[arg(long, default_value_t = 2)]
     faults: u8,
     /// Requests (drain), permit requests (levels) or daemons that stop (keys).
@@ -60,6 +62,24 @@
             vec![explore(&LevelModel { fault: LevelFault::None, tiers, losses: faults, steps })]
         }
         ModelName::Drain => vec![explore(&DrainModel { fault: DrainFault::None, requests, steps })],
+        ModelName::Streams => vec![explore(&stream_model(steps, faults))],
+    }
+}
+
+/// Returns a model of one stream during a release.
+fn stream_model(seconds: u8, cuts: u8) -> StreamModel {
+    StreamModel {
+        fault: StreamFault::None,
+        reported: None,
+        seconds,
+        cuts,
+        standstills: 0,
+        kills: 0,
+        releases: 1,
+        writes: 3,
+        late_writes: false,
+        awaits_own_write: false,
+        skew: 900,
     }
 }
 
--- a/crates/model/tests/models.rs
+++ b/crates/model/tests/models.rs
@@ -3,6 +3,8 @@
 
 #[path = "models/rollouts.rs"]
 mod rollouts;
+#[path = "models/streams.rs"]
+mod streams;
 
 use curlewcleat_model::{
     explore, ConfigFault, ConfigModel, DrainFault, DrainModel, KeyFault, KeyModel, LethalFault,
--- /dev/null
+++ b/crates/model/tests/models/streams.rs
@@ -0,0 +1,72 @@
+//! Streams that are taken up during a release: they go on at the version that began them.
+
+use curlewcleat_model::{StreamFault, StreamModel, TakeUp};
+use rstest::rstest;
+
+use super::{assert_detected, assert_holds};
+
+const JOINED: &str = "a stream went on at another version";
+const WENT_ON: &str = "a stream went on";
+
+/// A release without anything that goes wrong.
+const RELEASE: StreamModel = StreamModel {
+    fault: StreamFault::None,
+    reported: None,
+    seconds: 4,
+    cuts: 0,
+    standstills: 0,
+    kills: 0,
+    releases: 1,
+    writes: 3,
+    late_writes: false,
+    awaits_own_write: true,
+    skew: 900,
+};
+const STANDSTILL: StreamModel = StreamModel { standstills: 1, seconds: 2, ..RELEASE };
+const KILL: StreamModel = StreamModel { kills: 1, seconds: 3, ..RELEASE };
+const LATE_WRITES: StreamModel = StreamModel { late_writes: true, seconds: 3, ..RELEASE };
+
+#[rstest]
+#[case::of_a_release(RELEASE)]
+#[case::with_a_standstill(STANDSTILL)]
+#[case::with_a_kill_of_all(KILL)]
+#[case::with_late_writes(LATE_WRITES)]
+fn stream_that_is_taken_up_goes_on_at_its_version(#[case] model: StreamModel) {
+    assert_holds("streams", &model);
+}
+
+/// The daemon that schedules does not know whether the splits are stored that it has decided on.
+#[test]
+fn stream_is_not_proved_by_splits_that_a_write_may_have_replaced() {
+    assert_holds("streams, own write", &StreamModel { awaits_own_write: false, ..RELEASE });
+}
+
+/// The next scheduler begins streams without the store by splits that the former one has replaced.
+#[test]
+fn stream_does_not_begin_by_splits_that_a_former_scheduler_replaced() {
+    assert_holds("streams, cut", &StreamModel { cuts: 1, seconds: 3, ..RELEASE });
+}
+
+/// Refusing all streams that are taken up would keep the invariant as well.
+#[rstest]
+#[case::remembered(TakeUp::Remembered, 4)]
+#[case::proved_by_read(TakeUp::ProvedByRead, 9)]
+#[case::proved_unread(TakeUp::ProvedUnread, 11)]
+fn streams_that_are_taken_up_go_on(#[case] by: TakeUp, #[case] steps: usize) {
+    let model = StreamModel { reported: Some(by), ..RELEASE };
+    assert_detected(&format!("streams, {by:?}"), &model, WENT_ON, steps);
+}
+
+#[rstest]
+#[case::begins_without_read(StreamFault::BeginsWithoutRead, RELEASE, 5)]
+#[case::split_without_term(StreamFault::SplitWithoutTerm, RELEASE, 9)]
+#[case::ends_without_term(StreamFault::EndsWithoutTerm, RELEASE, 7)]
+#[case::counts_old_frames(StreamFault::CountsOldFrames, STANDSTILL, 10)]
+fn broken_streams_are_detected(
+    #[case] fault: StreamFault,
+    #[case] model: StreamModel,
+    #[case] steps: usize,
+) {
+    let model = StreamModel { fault, ..model };
+    assert_detected(&format!("streams, {fault:?}"), &model, JOINED, steps);
+}
