--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -79,6 +79,9 @@
         writes: 3,
         late_writes: false,
         awaits_own_write: false,
+        begins_after_own_write: false,
+        reads_as_scheduler: false,
+        knows_targets: false,
         skew: 900,
     }
 }
--- a/crates/model/src/streams.rs
+++ b/crates/model/src/streams.rs
@@ -72,6 +72,12 @@
     pub late_writes: bool,
     /// Whether a daemon proves without a read only while it has wanted to replace none of the splits that it knows.
     pub awaits_own_write: bool,
+    /// The same for streams that it begins without the store.
+    pub begins_after_own_write: bool,
+    /// Whether a daemon begins streams without the store only after a read that it sent since it schedules.
+    pub reads_as_scheduler: bool,
+    /// Whether all daemons knew the last targets before their last read.
+    pub knows_targets: bool,
     /// Milliseconds by which the clock of the second daemon is ahead.
     pub skew: u16,
 }
@@ -101,7 +107,7 @@
     type State = StreamState;
 
     fn initial(&self) -> StreamState {
-        StreamState::new(self.releases)
+        StreamState::new(self.releases, if self.knows_targets { self.releases } else { 0 })
     }
 
     fn successors(&self, state: &StreamState) -> Vec<(String, StreamState)> {
--- a/crates/model/src/streams/daemon.rs
+++ b/crates/model/src/streams/daemon.rs
@@ -114,7 +114,12 @@
         let term = SPLIT_TERM.as_secs() as u8;
         let is_current = daemon.last_read.is_some_and(|read| !has_term || state.now < read + term);
         let stood_still = state.stood_still_lately(index);
-        if !is_current && !state.leads_without_store(index, FleetReach::Half, stood_still) {
+        let is_replaced = self.begins_after_own_write && daemon.replaced == Some(daemon.history);
+        let is_read = !self.reads_as_scheduler || daemon.last_read >= daemon.leading_since;
+        let is_known = is_read && !is_replaced;
+        let leads_alone = state.leads_without_store(index, FleetReach::Half, stood_still);
+        let may_begin = is_current || (is_known && leads_alone);
+        if !may_begin {
             return match self.fault {
                 StreamFault::BeginsWithoutRead => targets.into_keys().collect(),
                 _ => Vec::new(),
--- a/crates/model/src/streams/state.rs
+++ b/crates/model/src/streams/state.rs
@@ -102,7 +102,7 @@
 
 impl StreamState {
     /// Returns a fleet that has run for long with targets of one version.
-    pub(super) fn new(releases: u8) -> StreamState {
+    pub(super) fn new(releases: u8, targets_seen: u8) -> StreamState {
         let daemon = |index| StreamDaemon {
             targets_changed: 0,
             started: 0,
@@ -110,7 +110,7 @@
             fleet_heard: Some(START),
             other_heard: (index == 1).then_some(START),
             leading_since: (index == 0).then_some(0),
-            ..StreamDaemon::started(START, 0)
+            ..StreamDaemon::started(START, targets_seen)
         };
         StreamState {
             now: START,
--- a/crates/model/tests/models/streams.rs
+++ b/crates/model/tests/models/streams.rs
@@ -20,15 +20,21 @@
     writes: 3,
     late_writes: false,
     awaits_own_write: true,
+    begins_after_own_write: true,
+    reads_as_scheduler: true,
+    knows_targets: false,
     skew: 900,
 };
 const STANDSTILL: StreamModel = StreamModel { standstills: 1, seconds: 2, ..RELEASE };
+const LONG_STANDSTILL: StreamModel = StreamModel { seconds: 3, ..STANDSTILL };
 const KILL: StreamModel = StreamModel { kills: 1, seconds: 3, ..RELEASE };
+const CUT: StreamModel = StreamModel { cuts: 1, seconds: 3, ..RELEASE };
 const LATE_WRITES: StreamModel = StreamModel { late_writes: true, seconds: 3, ..RELEASE };
 
 #[rstest]
 #[case::of_a_release(RELEASE)]
 #[case::with_a_standstill(STANDSTILL)]
+#[case::with_a_long_standstill(LONG_STANDSTILL)]
 #[case::with_a_kill_of_all(KILL)]
 #[case::with_late_writes(LATE_WRITES)]
 fn stream_that_is_taken_up_goes_on_at_its_version(#[case] model: StreamModel) {
@@ -41,16 +47,36 @@
     assert_holds("streams, own write", &StreamModel { awaits_own_write: false, ..RELEASE });
 }
 
+/// The daemon that schedules loses the store and half of the fleet after it has had the end of a split stored.
+#[test]
+fn stream_does_not_begin_by_a_split_whose_end_an_own_write_may_have_stored() {
+    let model = StreamModel { begins_after_own_write: false, ..CUT };
+    assert_holds("streams, own end", &model);
+}
+
 /// The next scheduler begins streams without the store by splits that the former one has replaced.
 #[test]
 fn stream_does_not_begin_by_splits_that_a_former_scheduler_replaced() {
-    assert_holds("streams, cut", &StreamModel { cuts: 1, seconds: 3, ..RELEASE });
+    let model = StreamModel { reads_as_scheduler: false, ..CUT };
+    assert_holds("streams, former scheduler", &model);
+}
+
+/// As before, although both schedulers know the targets.
+#[test]
+fn stream_does_not_begin_by_replaced_splits_where_targets_are_known() {
+    let model = StreamModel { reads_as_scheduler: false, knows_targets: true, ..CUT };
+    assert_holds("streams, former scheduler, known targets", &model);
+}
+
+#[test]
+fn stream_goes_on_at_its_version_beside_a_cut() {
+    assert_holds("streams, cut", &CUT);
 }
 
 /// Refusing all streams that are taken up would keep the invariant as well.
 #[rstest]
 #[case::remembered(TakeUp::Remembered, 4)]
-#[case::proved_by_read(TakeUp::ProvedByRead, 9)]
+#[case::proved_by_read(TakeUp::ProvedByRead, 10)]
 #[case::proved_unread(TakeUp::ProvedUnread, 11)]
 fn streams_that_are_taken_up_go_on(#[case] by: TakeUp, #[case] steps: usize) {
     let model = StreamModel { reported: Some(by), ..RELEASE };
@@ -62,6 +88,7 @@
 #[case::split_without_term(StreamFault::SplitWithoutTerm, RELEASE, 9)]
 #[case::ends_without_term(StreamFault::EndsWithoutTerm, RELEASE, 7)]
 #[case::counts_old_frames(StreamFault::CountsOldFrames, STANDSTILL, 10)]
+#[case::counts_from_proof(StreamFault::CountsFromProof, LONG_STANDSTILL, 12)]
 fn broken_streams_are_detected(
     #[case] fault: StreamFault,
     #[case] model: StreamModel,
