--- a/crates/node/tests/out_of_step.rs
+++ b/crates/node/tests/out_of_step.rs
@@ -64,6 +64,31 @@
     }
 }
 
+/// Guards against a proof that counts back from when a standstill ended: the caller had measured its time before.
+#[test]
+fn streams_are_not_joined_at_a_daemon_that_stands_still_before_it_asks() {
+    let mut play = StreamPlay::start(DAEMONS);
+    let since = play.begun.len();
+    for _ in 0..STREAMS {
+        play.begin(1);
+    }
+    play.run(Duration::from_millis(300));
+    set_versions(&mut play.fleet, &["v2"]);
+    play.run(Duration::from_secs(1));
+    (0..DAEMONS).for_each(|index| play.fleet.restart(index, 2));
+    play.run(Duration::from_secs(2));
+    let entry = play.fleet.leader();
+    play.fleet.suspend(entry);
+    for begun in play.begun[since..].to_vec() {
+        play.take_up(&begun, entry);
+    }
+    play.run(Duration::from_secs(4));
+    play.fleet.resume(entry);
+    play.run(Duration::from_secs(1));
+    assert!(play.counts.taken_up > 8, "{:?}", play.counts);
+    assert!(play.counts.joined.is_empty(), "{:?}", play.counts);
+}
+
 /// Guards against streams that are joined beside any order of cuts, standstills, late answers and kills.
 #[test]
 fn streams_are_not_joined_beside_generated_faults() {
--- a/crates/node/tests/out_of_step/plan.rs
+++ b/crates/node/tests/out_of_step/plan.rs
@@ -35,9 +35,13 @@
     Kill,
     /// All are killed and start again.
     KillAll,
+    /// Its wall clock is ahead of the others.
+    ClockAhead,
+    /// The wall clocks of the others are ahead of its own.
+    ClockBehind,
 }
 
-const KINDS: [FaultKind; 9] = [
+const KINDS: [FaultKind; 11] = [
     FaultKind::Cut,
     FaultKind::CutOneWay,
     FaultKind::StoreCut,
@@ -47,7 +51,11 @@
     FaultKind::StandsStillThenStoreCut,
     FaultKind::Kill,
     FaultKind::KillAll,
+    FaultKind::ClockAhead,
+    FaultKind::ClockBehind,
 ];
+/// Largest difference between the wall clocks of two daemons.
+const CLOCK_DIFFERENCE: Duration = Duration::from_secs(2);
 /// Versions that serve one after the other.
 const CHANGES: [&[&str]; 5] = [&["v1", "v2"], &["v2"], &["v1"], &["v2", "v3"], &["v1", "v3"]];
 
@@ -96,6 +104,11 @@
         steps.push((from, PlanStep::Begin(kind, daemon)));
         steps.push((from + lasts, PlanStep::End(kind, daemon)));
     }
+    if random.random_bool(0.5) {
+        let kind = *[FaultKind::ClockAhead, FaultKind::ClockBehind].choose(random).expect("a kind");
+        let daemon = random.random_range(0..play.fleet.daemons.len());
+        steps.push((Duration::ZERO, PlanStep::Begin(kind, daemon)));
+    }
     for _ in 0..random.random_range(1..=3) {
         let at = Duration::from_millis(random.random_range(0..PLAN_MS));
         steps.push((at, PlanStep::Versions(CHANGES.choose(random).expect("versions"))));
@@ -155,6 +168,16 @@
             fleet.daemons[index].reaches_platform = false;
             fleet.resume(index);
         }
+        PlanStep::Begin(FaultKind::ClockAhead, index) => {
+            fleet.clocks_ahead.insert(index, CLOCK_DIFFERENCE);
+        }
+        PlanStep::Begin(FaultKind::ClockBehind, index) => {
+            let others = all.filter(|other| *other != index);
+            fleet.clocks_ahead = others.map(|other| (other, CLOCK_DIFFERENCE)).collect();
+        }
+        PlanStep::End(FaultKind::ClockAhead | FaultKind::ClockBehind, _) => {
+            fleet.clocks_ahead.clear();
+        }
         PlanStep::End(FaultKind::Kill | FaultKind::KillAll, _) => {}
     }
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -80,6 +80,8 @@
     pub drops_history_reads: bool,
     /// Time after which daemons get the answers to their reads of the splits, where they do not get them at once.
     pub history_delays: BTreeMap<usize, Duration>,
+    /// By how much the wall clocks of daemons are ahead.
+    pub clocks_ahead: BTreeMap<usize, Duration>,
     /// Daemons that stand still, and what has arrived at them since.
     pub standing_still: BTreeMap<usize, VecDeque<NodeEvent>>,
     /// Evacuated data centres at the platform, with their revision.
@@ -146,6 +148,7 @@
             histories: BTreeMap::new(),
             drops_history_reads: false,
             history_delays: BTreeMap::new(),
+            clocks_ahead: BTreeMap::new(),
             standing_still: BTreeMap::new(),
             evacuations: EvacuationList { at: 1, ..EvacuationList::default() },
             generation: 1,
@@ -188,7 +191,8 @@
         let mut events = vec![(index, event)];
         while let Some((index, event)) = events.pop() {
             let Some(event) = self.reached_by(index, event) else { continue };
-            let wall = Duration::from_secs(1_000) + self.now;
+            let ahead = self.clocks_ahead.get(&index).copied().unwrap_or_default();
+            let wall = Duration::from_secs(1_000) + self.now + ahead;
             let earlier = events.len();
             for action in self.daemons[index].node.handle(self.now, wall, event) {
                 match action {
