Proofs of a stream's version: clocks that differ by two seconds, requests that were under way

A proof counted back from the prover's clock with a margin of one second. Where its clock is two seconds ahead of the daemon that stated the end of a split, a stream that began last by that split is proved for the next version: stream_that_a_split_began_last_is_not_proved_by_a_daemon_whose_clock_is_ahead failed before. The margin is 2.5 s, with half a second for the way of the request.

--- a/crates/sched/src/version_history.rs
+++ b/crates/sched/src/version_history.rs
@@ -32,8 +32,8 @@
 const TOLERATED_SLOTS: usize = 2;
 /// Most splits that are stored; the oldest are dropped first.
 const SPLIT_LIMIT: usize = 32;
-/// Difference of the clocks of two daemons that a proof allows for.
-const CLOCK_MARGIN: Duration = Duration::from_secs(1);
+/// Difference of the clocks of two daemons that a proof allows for, and the time for which a request may have been under way.
+const CLOCK_MARGIN: Duration = Duration::from_millis(2_500);
 /// Unit of the longest timeout, so that it is stored rarely.
 const TIMEOUT_UNIT: Duration = Duration::from_secs(1);
 /// Longest timeout that is stored.
--- a/crates/sched/tests/version_history.rs
+++ b/crates/sched/tests/version_history.rs
@@ -231,6 +231,18 @@
     assert_eq!(usable_split(&VersionHistory::default(), true), None);
 }
 
+/// Guards against a proof that leaves out a split since the clock of the daemon that proves is ahead of the one that
+/// stated the end of the split.
+#[test]
+fn stream_that_a_split_began_last_is_not_proved_by_a_daemon_whose_clock_is_ahead() {
+    let ahead = Duration::from_secs(2);
+    let history = history(&[(1, &[("v1", 4)]), (995, &[("v2", 4)])]);
+    for age in [Duration::ZERO, Duration::from_secs(3)] {
+        let proved = prove_version(&history, None, at(995) + age + ahead, Some(TIMEOUT - age));
+        assert_eq!(proved, None, "{age:?}");
+    }
+}
+
 /// Guards against a proof for streams that an earlier split began, which has been dropped since.
 #[test]
 fn nothing_is_proved_of_the_time_in_which_the_first_kept_split_was_in_force() {
@@ -245,7 +257,7 @@
         (0..100).map(stream).find(|id| next.splits[1].version_of(id) == Some(version("v2")));
     let in_force = prove_version(&next, stream.as_ref(), at(1_003), Some(TIMEOUT));
     assert_eq!(in_force, None);
-    let later = prove_version(&next, stream.as_ref(), at(1_005), Some(TIMEOUT));
+    let later = prove_version(&next, stream.as_ref(), at(1_006), Some(TIMEOUT));
     assert_eq!(later, Some(version("v2")));
 }
 
