--- a/crates/node/tests/out_of_step.rs
+++ b/crates/node/tests/out_of_step.rs
@@ -79,7 +79,7 @@
     play.run(Duration::from_secs(2));
     let entry = play.fleet.leader();
     play.fleet.suspend(entry);
-    for begun in play.begun[since..].to_vec() {
+    for begun in play.begun.split_off(since) {
         play.take_up(&begun, entry);
     }
     play.run(Duration::from_secs(4));
