--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -242,20 +242,31 @@
 pub enum StartObstacle {
     /// The splits were not read for too long, and this daemon cannot tell that they are still in use.
     NotRead,
-    /// The version of the stream's slot has no targets, and the next split is not in use.
+    /// The version of the stream's slot has no targets, and the next split is not stored.
     VersionWithoutTargets,
+    /// The next split gives the stream's slot another version, and this daemon reaches too few others to use it.
+    SplitNotInUse,
+    /// The platform has not stored that callers have as much time as this one, so that a proof would not count back far
+    /// enough.
+    TimeoutNotStored,
 }
 
 impl StartObstacle {
     /// All obstacles.
-    pub const ALL: [StartObstacle; 2] =
-        [StartObstacle::NotRead, StartObstacle::VersionWithoutTargets];
+    pub const ALL: [StartObstacle; 4] = [
+        StartObstacle::NotRead,
+        StartObstacle::VersionWithoutTargets,
+        StartObstacle::SplitNotInUse,
+        StartObstacle::TimeoutNotStored,
+    ];
 
     /// Returns the code for log lines and metrics.
     pub fn code(self) -> &'static str {
         match self {
             StartObstacle::NotRead => "splits_not_read",
             StartObstacle::VersionWithoutTargets => "version_without_targets",
+            StartObstacle::SplitNotInUse => "split_not_in_use",
+            StartObstacle::TimeoutNotStored => "timeout_not_stored",
         }
     }
 }
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -101,6 +101,8 @@
         for scheduler in self.pools.values_mut() {
             scheduler.set_leaving_vms(unavailable.clone());
         }
+        let config = Arc::clone(&self.active);
+        self.update_version_weights(&config);
     }
 }
 
--- a/crates/node/src/node/standstill.rs
+++ b/crates/node/src/node/standstill.rs
@@ -27,19 +27,23 @@
     pub(super) fn record_standstill(&mut self, now: Uptime) {
         let length = now.saturating_sub(self.now);
         if length >= MIN_STANDSTILL {
+            let length = length.max(self.handling_delay());
             self.standstill = Some(Standstill { ended: now, length });
         }
     }
 
-    /// Returns whether peers that were heard lately may have been heard too late.
-    pub(super) fn stood_still_lately(&self) -> bool {
-        let limit = BACKLOG_TIME + self.options.members.suspect_after;
-        self.standstill.is_some_and(|standstill| self.now < standstill.ended + limit)
+    /// Returns for how long the frames may have waited by which peers seem to be reached.
+    pub(super) fn handling_delay(&self) -> Duration {
+        self.standstill_within(BACKLOG_TIME + self.options.members.suspect_after)
     }
 
     /// Returns by how much longer ago than it seems something can have arrived that is handled now.
     pub(super) fn recent_standstill(&self) -> Duration {
-        let recent = self.standstill.filter(|last| self.now < last.ended + BACKLOG_TIME);
+        self.standstill_within(BACKLOG_TIME)
+    }
+
+    fn standstill_within(&self, limit: Duration) -> Duration {
+        let recent = self.standstill.filter(|last| self.now < last.ended + limit);
         recent.map_or(Duration::ZERO, |standstill| standstill.length)
     }
 }
--- a/crates/node/src/node/stream_starts.rs
+++ b/crates/node/src/node/stream_starts.rs
@@ -7,13 +7,14 @@
 //!
 //! Owns: the new streams that wait. Relies on: [`version_histories`](super::version_histories) for the splits.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use curlewcleat_core::{
     DaemonId, PeerMessage, PermitAnswer, PermitDecision, PermitId, PermitRequest, Refusal,
-    RefusalReason, StreamId, StreamStart, Uptime, VersionDigest,
+    RefusalReason, StreamStart, Uptime, VersionDigest, SPLIT_SLOTS,
 };
-use curlewcleat_sched::{usable_split, FleetReach, SPLIT_TERM};
+use curlewcleat_sched::{choose_version, is_timeout_stored, FleetReach, SplitChoice, SPLIT_TERM};
 
 use super::version_histories::PoolHistory;
 use super::Node;
@@ -21,6 +22,8 @@
 
 /// Time for which a new stream is kept until its permit request arrives.
 const START_RETENTION: Duration = Duration::from_secs(1);
+/// Time for which a stream waits, in which a split can be stored and read.
+const WAIT_LIMIT: Duration = Duration::from_millis(600);
 /// Most new streams that wait for a split.
 const HELD_LIMIT: usize = 4_096;
 /// Retry advice for a stream that may not begin: another daemon may reach the platform, or schedule.
@@ -34,7 +37,7 @@
 pub(super) struct HeldStart {
     from: DaemonId,
     request: PermitRequest,
-    stream: StreamId,
+    start: StreamStart,
     since: Uptime,
     obstacle: StartObstacle,
 }
@@ -45,15 +48,6 @@
     }
 }
 
-/// Returns for how long a stream waits before it is refused.
-fn wait_limit(obstacle: StartObstacle) -> Duration {
-    match obstacle {
-        StartObstacle::NotRead => Duration::from_millis(400),
-        // The time in which a split is stored and read.
-        StartObstacle::VersionWithoutTargets => Duration::from_secs(1),
-    }
-}
-
 impl Node {
     pub(super) fn stream_start_received(&mut self, start: StreamStart) {
         self.histories.starts.insert(start.permit, (self.now, start));
@@ -74,9 +68,9 @@
         pool.has_streams = true;
         pool.longest_timeout = pool.longest_timeout.max(start.timeout);
         self.histories.last_start = Some(self.now);
-        match self.select_version(&request, &start.stream) {
+        match self.select_version(&request, &start) {
             Ok(version) => self.request_pool_permit(from, PermitRequest { version, ..request }),
-            Err(obstacle) => self.hold_start(from, request, start.stream, obstacle),
+            Err(obstacle) => self.hold_start(from, request, start, obstacle),
         }
     }
 
@@ -84,7 +78,7 @@
     fn select_version(
         &self,
         request: &PermitRequest,
-        stream: &StreamId,
+        start: &StreamStart,
     ) -> Result<Option<VersionDigest>, StartObstacle> {
         if self.options.freshness.is_none() {
             return Ok(None);
@@ -94,19 +88,17 @@
         if !is_current && !self.leads_without_platform(pool, FleetReach::Half) {
             return Err(StartObstacle::NotRead);
         }
-        let is_adopted =
+        if !is_timeout_stored(&pool.history, start.timeout) {
+            return Err(StartObstacle::TimeoutNotStored);
+        }
+        let is_adopting =
             self.adopts_splits() || self.now >= pool.last_split_seen + ADOPT_ALONE_AFTER;
-        let Some(split) = usable_split(&pool.history, is_adopted) else { return Ok(None) };
-        let version = split.version_of(stream);
-        let has_targets = match version {
-            // A pool without any targets keeps its split.
-            _ if pool.weights.is_empty() => true,
-            Some(version) => pool.weights.contains_key(&version),
-            None => are_all_named(pool, &split.candidates(None)),
-        };
-        match has_targets {
-            true => Ok(version),
-            false => Err(StartObstacle::VersionWithoutTargets),
+        match choose_version(&pool.history, &start.stream, is_adopting) {
+            SplitChoice::Unsplit => Ok(None),
+            SplitChoice::Undecided => Err(StartObstacle::SplitNotInUse),
+            SplitChoice::Version(version) if pool.may_serve(&version) => Ok(Some(version)),
+            SplitChoice::AnyOf(named) if pool.names_all(&named) => Ok(None),
+            _ => Err(StartObstacle::VersionWithoutTargets),
         }
     }
 
@@ -115,18 +107,17 @@
         &mut self,
         from: &DaemonId,
         request: PermitRequest,
-        stream: StreamId,
+        start: StreamStart,
         obstacle: StartObstacle,
     ) {
-        let known = self.histories.held.iter().find(|held| held.request.permit == request.permit);
-        let since = known.map_or(self.now, |held| held.since);
-        self.release_start(&request.permit);
-        let held = HeldStart { from: from.clone(), request, stream, since, obstacle };
+        let permit = request.permit;
+        let since = self.histories.held.get(&permit).map_or(self.now, |held| held.since);
+        let held = HeldStart { from: from.clone(), request, start, since, obstacle };
         if self.histories.held.len() >= HELD_LIMIT {
             return self.refuse_start(held);
         }
         self.answer_start(&held, PermitDecision::Queued);
-        self.histories.held.push(held);
+        self.histories.held.insert(permit, held);
         if obstacle == StartObstacle::NotRead {
             self.request_history_read();
         }
@@ -134,26 +125,26 @@
 
     /// Forgets a stream that waits, since its request was cancelled.
     pub(super) fn release_start(&mut self, permit: &PermitId) {
-        self.histories.held.retain(|held| held.request.permit != *permit);
+        self.histories.held.remove(permit);
     }
 
     /// Forgets the waiting streams of a daemon that has ended.
     pub(super) fn release_starts_of(&mut self, daemon: &DaemonId) {
-        self.histories.held.retain(|held| held.from != *daemon);
+        self.histories.held.retain(|_, held| held.from != *daemon);
     }
 
     /// Lets the streams begin that may, and refuses those that have waited for too long.
     pub(super) fn review_starts(&mut self) {
-        for held in std::mem::take(&mut self.histories.held) {
+        for (permit, held) in std::mem::take(&mut self.histories.held) {
             let waited = self.now.saturating_sub(held.since);
-            match self.select_version(&held.request, &held.stream) {
+            match self.select_version(&held.request, &held.start) {
                 Ok(version) => {
                     let time_left = held.request.time_left.saturating_sub(waited);
                     let request = PermitRequest { version, time_left, ..held.request };
                     self.request_pool_permit(&held.from, request);
                 }
-                Err(obstacle) if waited < wait_limit(obstacle) => {
-                    self.histories.held.push(HeldStart { obstacle, ..held });
+                Err(obstacle) if waited < WAIT_LIMIT => {
+                    self.histories.held.insert(permit, HeldStart { obstacle, ..held });
                 }
                 Err(obstacle) => self.refuse_start(HeldStart { obstacle, ..held }),
             }
@@ -180,8 +171,14 @@
     }
 }
 
-/// Returns whether an open split names all versions with targets, as far as it has room for them.
-fn are_all_named(pool: &PoolHistory, named: &std::collections::BTreeSet<VersionDigest>) -> bool {
-    named.len() == curlewcleat_core::SPLIT_SLOTS
-        || pool.weights.keys().all(|version| named.contains(version))
+impl PoolHistory {
+    /// Returns whether a stream may be limited to a version. A pool without any targets keeps its split.
+    fn may_serve(&self, version: &VersionDigest) -> bool {
+        self.weights.is_empty() || self.weights.contains_key(version)
+    }
+
+    /// Returns whether these are all versions with targets, as far as a split has room for them.
+    fn names_all(&self, named: &BTreeSet<VersionDigest>) -> bool {
+        named.len() == SPLIT_SLOTS || self.weights.keys().all(|version| named.contains(version))
+    }
 }
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -36,11 +36,12 @@
 /// Time after which a daemon that has just begun to schedule reads the splits again, and for which it does so: another
 /// one may schedule as well until both know each other.
 const FIRST_READS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
-/// Number of daemons, first in the order of schedulers, that read the splits when versions have come or gone, so that
+/// Number of daemons, first in the order of schedulers, that read the splits when the targets of versions have changed, so that
 /// they know them if they have to schedule while the platform does not answer.
 const CANDIDATES: usize = 4;
-/// How long after such a change their last read has to be sent, and the time between these reads.
-const CHANGE_READS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_millis(500));
+/// How long after such a change their last read has to be sent, so that it shows the split that follows from it, and the
+/// time between these reads.
+const CHANGE_READS: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(1));
 
 /// The splits of all pools and what waits for them.
 #[derive(Clone, Debug, Default)]
@@ -49,7 +50,7 @@
     /// New streams whose permit requests have not arrived, and since when.
     pub(super) starts: BTreeMap<PermitId, (Uptime, StreamStart)>,
     /// New streams that wait for a split.
-    pub(super) held: Vec<HeldStart>,
+    pub(super) held: BTreeMap<PermitId, HeldStart>,
     pub(super) proofs: Vec<PendingProof>,
     /// Since when this daemon schedules.
     pub(super) leading_since: Option<Uptime>,
@@ -59,8 +60,10 @@
     read_requested: Option<Uptime>,
     /// When the first read was requested since the last answer.
     unanswered_since: Option<Uptime>,
-    /// When versions with targets came or went for the last time.
-    versions_changed: Uptime,
+    /// When the targets of any version came or went for the last time.
+    weights_changed: Uptime,
+    /// How much of the fleet this daemon reaches, as of the last tick.
+    reach: FleetReach,
     /// When a permit was last requested for a new stream.
     pub(super) last_start: Option<Uptime>,
 }
@@ -95,8 +98,8 @@
                 *weights.entry(version).or_default() += u64::from(entry.slots);
             }
             let pool = self.histories.pools.entry(id.clone()).or_default();
-            if !pool.weights.keys().eq(weights.keys()) {
-                self.histories.versions_changed = self.now;
+            if pool.weights != weights {
+                self.histories.weights_changed = self.now;
             }
             pool.weights = weights;
         }
@@ -122,8 +125,8 @@
             if history.revision != pool.history.revision {
                 pool.write_requested = None;
             }
-            if history.splits.last().map(|split| (split.since, split.slots))
-                != pool.history.splits.last().map(|split| (split.since, split.slots))
+            if history.splits.last().map(|split| (split.since, split.slots, split.is_open))
+                != pool.history.splits.last().map(|split| (split.since, split.slots, split.is_open))
             {
                 pool.last_split_seen = self.now;
             }
@@ -141,23 +144,20 @@
     }
 
     /// Returns whether the platform has not answered for some time, while this daemon schedules most others and no other
-    /// one has decided on a split of a pool that it does not know. A daemon that stood still handles frames from before as
-    /// if they had just arrived, so that it cannot tell.
+    /// one has decided on a split of a pool that it does not know.
     pub(super) fn leads_without_platform(&self, pool: &PoolHistory, least: FleetReach) -> bool {
         let exchange = &self.histories;
         let is_overdue = exchange.unanswered_since.is_some_and(|at| self.now >= at + READ_LIMIT);
-        // Splits change with the versions; where they have changed since, this daemon would have decided on the next one.
-        let known_since = exchange.leading_since.map(|since| since.min(exchange.versions_changed));
+        // Splits change with the targets; since this daemon schedules it would have decided on the next one itself.
+        let settled = exchange.weights_changed + CHANGE_READS.0;
+        let known_since = exchange.leading_since.map(|since| since.min(settled));
         let is_known = known_since.is_some_and(|since| pool.last_read >= Some(since));
-        self.leads()
-            && is_overdue
-            && is_known
-            && !self.stood_still_lately()
-            && self.members.recent_reach(self.now) >= least
+        self.leads() && is_overdue && is_known && exchange.reach >= least
     }
 
     /// Reads the splits where this daemon needs them, stores those that have to change, and ends waits.
     pub(super) fn step_histories(&mut self) {
+        self.histories.reach = self.members.recent_reach(self.now, self.handling_delay());
         self.expire_stream_starts();
         if self.leads() {
             self.histories.leading_since.get_or_insert(self.now);
@@ -177,13 +177,13 @@
 
     fn is_history_read_due(&self) -> bool {
         let (exchange, now) = (&self.histories, self.now);
-        if !exchange.proofs.is_empty() || exchange.held.iter().any(HeldStart::awaits_read) {
+        if !exchange.proofs.is_empty() || exchange.held.values().any(HeldStart::awaits_read) {
             return true;
         }
         let is_older = |than: Duration| exchange.last_read.is_none_or(|read| now >= read + than);
         let Some(leading_since) = exchange.leading_since else {
             let (settled_after, interval) = CHANGE_READS;
-            let settled = exchange.versions_changed + settled_after;
+            let settled = exchange.weights_changed + settled_after;
             let is_settled = exchange.last_read.is_some_and(|read| read >= settled);
             return self.is_scheduling_candidate() && !is_settled && is_older(interval);
         };
@@ -218,7 +218,8 @@
         let (now, wall) = (self.now, self.wall);
         let open: Vec<PoolId> =
             self.histories.pools.keys().filter(|id| self.has_rollout(id)).cloned().collect();
-        let is_adopting = self.adopts_splits();
+        // Otherwise a daemon that reaches most others, and not the platform, may use or prove by the former split.
+        let is_confirming = self.histories.reach == FleetReach::Most;
         for (id, pool) in &mut self.histories.pools {
             let is_used =
                 pool.last_read.is_some() && (pool.has_streams || pool.history.revision.is_some());
@@ -229,8 +230,9 @@
             }
             let (weights, timeout) = (&pool.weights, pool.longest_timeout);
             // Daemons whose read was sent before the last split was stored use the former one for the term of that read.
-            let confirmed =
-                is_adopting.then(|| confirm_last_split(&pool.history, wall + SPLIT_TERM)).flatten();
+            let confirmed = is_confirming
+                .then(|| confirm_last_split(&pool.history, wall + SPLIT_TERM))
+                .flatten();
             let current = confirmed.as_ref().unwrap_or(&pool.history);
             let revised = revise_history(current, wall, weights, open.contains(id), timeout);
             let Some(revised) = revised.or(confirmed) else { continue };
@@ -240,9 +242,9 @@
         }
     }
 
-    /// Returns whether this daemon may bring the next split into use: it reaches most daemons, so that no other one which
-    /// does not reach the platform proves by the former split.
+    /// Returns whether this daemon may use the next split: it reaches so many daemons that no other one, which does not
+    /// reach the platform, proves by the former split.
     pub(super) fn adopts_splits(&self) -> bool {
-        self.members.recent_reach(self.now) == FleetReach::Most && !self.stood_still_lately()
+        self.histories.reach >= FleetReach::Half
     }
 }
--- a/crates/node/tests/support/faults.rs
+++ b/crates/node/tests/support/faults.rs
@@ -64,6 +64,14 @@
         None
     }
 
+    pub(super) fn apply_late_writes(&mut self) {
+        let now = self.now;
+        let writes = std::mem::take(&mut self.late_writes);
+        let (due, later): (Vec<_>, Vec<_>) = writes.into_iter().partition(|(at, _)| *at <= now);
+        self.late_writes = later;
+        due.into_iter().for_each(|(_, history)| self.write_history(history));
+    }
+
     pub(super) fn deliver_late_answers(&mut self) {
         let now = self.now;
         let answers = std::mem::take(&mut self.late_answers);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -80,6 +80,9 @@
     pub drops_history_reads: bool,
     /// Time after which daemons get the answers to their reads of the splits, where they do not get them at once.
     pub history_delays: BTreeMap<usize, Duration>,
+    /// Time after which the platform does the writes of splits of daemons, where it does not do them at once.
+    pub history_write_delays: BTreeMap<usize, Duration>,
+    late_writes: Vec<(Duration, VersionHistory)>,
     /// By how much the wall clocks of daemons are ahead.
     pub clocks_ahead: BTreeMap<usize, Duration>,
     /// Daemons that stand still, and what has arrived at them since.
@@ -148,6 +151,8 @@
             histories: BTreeMap::new(),
             drops_history_reads: false,
             history_delays: BTreeMap::new(),
+            history_write_delays: BTreeMap::new(),
+            late_writes: Vec::new(),
             clocks_ahead: BTreeMap::new(),
             standing_still: BTreeMap::new(),
             evacuations: EvacuationList { at: 1, ..EvacuationList::default() },
@@ -222,6 +227,10 @@
                     NodeAction::Platform(PlatformCall::WriteVersionHistory(history))
                         if self.daemons[index].reaches_platform =>
                     {
+                        if let Some(delay) = self.history_write_delays.get(&index) {
+                            self.late_writes.push((self.now + *delay, history));
+                            continue;
+                        }
                         self.write_history(history);
                         if !self.drops_history_reads {
                             let read = self.histories_read();
@@ -296,7 +305,7 @@
     }
 
     /// Stores a history if it was derived from the stored one.
-    fn write_history(&mut self, history: VersionHistory) {
+    pub(crate) fn write_history(&mut self, history: VersionHistory) {
         let stored = self.histories.get(&history.pool).and_then(|stored| stored.revision);
         if stored == history.revision {
             let revision = Some(stored.unwrap_or_default() + 1);
@@ -314,6 +323,7 @@
         while self.now < end {
             self.now += STEP;
             self.deliver_delayed();
+            self.apply_late_writes();
             self.deliver_late_answers();
             for index in 0..self.daemons.len() {
                 self.deliver_outbound(index);
--- a/crates/sched/src/election/membership.rs
+++ b/crates/sched/src/election/membership.rs
@@ -104,9 +104,10 @@
 }
 
 /// How much of the fleet a daemon reaches, itself included.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum FleetReach {
     /// Less than half.
+    #[default]
     Few,
     /// Half.
     Half,
@@ -264,10 +265,10 @@
     }
 
     /// Returns how much of the fleet this daemon has reached for so short a time that no other one can have taken it for
-    /// unreachable and taken over its roles.
-    pub fn recent_reach(&self, now: Uptime) -> FleetReach {
+    /// unreachable and taken over its roles. Frames may have waited for `delay` before they were handled.
+    pub fn recent_reach(&self, now: Uptime, delay: Duration) -> FleetReach {
         // A peer counts the time from its last frame, which is up to a heartbeat older: a third of the timeout.
-        let limit = self.options.suspect_after * 2 / 3;
+        let limit = (self.options.suspect_after * 2 / 3).saturating_sub(delay);
         let reached = self.peers.values().filter(|peer| peer.active_within(now, limit)).count() + 1;
         match (reached * 2).cmp(&self.fleet_size()) {
             Ordering::Greater => FleetReach::Most,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -86,5 +86,6 @@
 pub use target_gate::{GateStop, NoticeChange, TargetGate};
 pub use target_reach::{ReachChange, TargetReach, TargetRoute};
 pub use version_history::{
-    confirm_last_split, prove_version, revise_history, usable_split, VersionWeights, SPLIT_TERM,
+    choose_version, confirm_last_split, is_timeout_stored, prove_version, revise_history,
+    SplitChoice, VersionWeights, SPLIT_TERM,
 };
--- a/crates/sched/src/version_history.rs
+++ b/crates/sched/src/version_history.rs
@@ -10,8 +10,9 @@
 //! 3. A stream that is taken up may have begun under each split that was in force since its caller's first attempt can
 //!    have been made. If all of them give its slot the same version, that version began it.
 //! 4. Otherwise its version is not known.
-//! 5. The next split is used by daemons that reach most others, which state it in the store; the others go on by the one
-//!    before, so that a scheduler which reaches most daemons knows every split that is used.
+//! 5. The next split is used by daemons that reach half of the fleet, and those that reach most of it state so in the store; until
+//!    then the others begin only streams whose slots keep their version. So a scheduler which reaches most daemons, and not the
+//!    platform, knows every split that is used.
 //!
 //! Load pattern: a release replaces targets one by one, while all daemons are killed at once and callers take up their
 //! streams.
@@ -36,7 +37,7 @@
 const CLOCK_MARGIN: Duration = Duration::from_millis(2_500);
 /// Unit of the longest timeout, so that it is stored rarely.
 const TIMEOUT_UNIT: Duration = Duration::from_secs(1);
-/// Longest timeout that is stored.
+/// Longest timeout that is stored; it stands for any longer one, beside which nothing is proved.
 const TIMEOUT_LIMIT: Duration = Duration::from_secs(3_600);
 
 /// Targets of each version that take new requests, weighted by their slots.
@@ -51,7 +52,8 @@
     time_left: Option<Duration>,
 ) -> Option<VersionDigest> {
     // A caller with more time than was ever stored tells nothing of when it began.
-    let age = history.longest_timeout?.checked_sub(time_left?)?;
+    let longest = history.longest_timeout.filter(|longest| *longest < TIMEOUT_LIMIT)?;
+    let age = longest.checked_sub(time_left?)?;
     let begun_after = now.saturating_sub(age + CLOCK_MARGIN);
     // Streams began at any version before the first split was in use; where it is not the first any more, earlier ones
     // may have been in force until then.
@@ -65,15 +67,43 @@
     candidates.next().filter(|_| candidates.next().is_none())
 }
 
-/// Returns the split by which a daemon begins streams, `None` while there is none. `is_adopted` states whether it may use the
-/// last one, although no daemon has stated in the store that it is in use.
-pub fn usable_split(history: &VersionHistory, is_adopted: bool) -> Option<&VersionSplit> {
-    match is_adopted {
-        true => history.splits.last(),
-        false => history.splits.iter().find(|split| split.until.is_none()),
+/// At which version the splits let a new stream begin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SplitChoice {
+    /// There is no split yet.
+    Unsplit,
+    /// Any of these versions.
+    AnyOf(BTreeSet<VersionDigest>),
+    /// This version.
+    Version(VersionDigest),
+    /// The next split gives its slot another version and may not be used yet, nor the former one any more.
+    Undecided,
+}
+
+/// Returns at which version a new stream begins. `is_adopting` states whether the daemon may use the last split although no
+/// daemon has stated in the store that it is in use. Others begin streams only where that makes no difference.
+pub fn choose_version(
+    history: &VersionHistory,
+    stream: &StreamId,
+    is_adopting: bool,
+) -> SplitChoice {
+    let Some((last, earlier)) = history.splits.split_last() else { return SplitChoice::Unsplit };
+    let unended = earlier.iter().filter(|split| !is_adopting && split.until.is_none());
+    let is_undecided = unended.clone().next().is_some();
+    let mut versions = last.candidates(Some(stream));
+    versions.extend(unended.flat_map(|split| split.candidates(Some(stream))));
+    match versions.len() {
+        1 => versions.pop_first().map_or(SplitChoice::Unsplit, SplitChoice::Version),
+        _ if is_undecided => SplitChoice::Undecided,
+        _ => SplitChoice::AnyOf(versions),
     }
 }
 
+/// Returns whether the stored timeout covers that of a caller, so that proofs count back far enough.
+pub fn is_timeout_stored(history: &VersionHistory, timeout: Duration) -> bool {
+    history.longest_timeout >= Some(timeout.min(TIMEOUT_LIMIT))
+}
+
 /// Returns the history with another split or a longer timeout, `None` where the stored one still holds. `is_open`
 /// states that a rollout decides which version gets which request.
 pub fn revise_history(
--- a/crates/sched/tests/version_history.rs
+++ b/crates/sched/tests/version_history.rs
@@ -7,7 +7,7 @@
     StreamId, VersionDigest, VersionHistory, VersionSplit, WallTime, SPLIT_SLOTS,
 };
 use curlewcleat_sched::{
-    confirm_last_split, prove_version, revise_history, usable_split, VersionWeights,
+    choose_version, confirm_last_split, prove_version, revise_history, SplitChoice, VersionWeights,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -215,20 +215,46 @@
     assert!(proved(&settled, Duration::from_secs(8)).is_some());
 }
 
-/// Guards against daemons that begin streams by a split which others have not brought into use.
+/// Guards against daemons that begin streams by a split which others have not brought into use, or have replaced.
 #[test]
 fn split_that_no_daemon_has_brought_into_use_is_used_only_by_those_that_may() {
     let before = history(&[(1, &[("v1", 4)])]);
-    let stored = revise_history(&before, at(900), &weights(&[("v2", 4)]), false, TIMEOUT);
+    let stored =
+        revise_history(&before, at(900), &weights(&[("v1", 4), ("v2", 4)]), false, TIMEOUT);
     let stored = stored.expect("a split");
-    let version_by = |history: &VersionHistory, is_adopted| {
-        usable_split(history, is_adopted).and_then(|split| split.version_of(&stream(1)))
-    };
-    assert_eq!(version_by(&stored, false), Some(version("v1")));
-    assert_eq!(version_by(&stored, true), Some(version("v2")));
     let confirmed = confirm_last_split(&stored, at(902)).expect("a use");
-    assert_eq!(version_by(&confirmed, false), Some(version("v2")));
-    assert_eq!(usable_split(&VersionHistory::default(), true), None);
+    let mut undecided = 0;
+    for number in 0..100 {
+        let id = stream(number);
+        let next = stored.splits.last().and_then(|split| split.version_of(&id)).expect("a version");
+        let chosen = |history: &VersionHistory, adopts| choose_version(history, &id, adopts);
+        assert_eq!(chosen(&stored, true), SplitChoice::Version(next));
+        assert_eq!(chosen(&confirmed, false), SplitChoice::Version(next));
+        match next == version("v1") {
+            true => assert_eq!(chosen(&stored, false), SplitChoice::Version(next)),
+            false => assert_eq!(chosen(&stored, false), SplitChoice::Undecided),
+        }
+        undecided += usize::from(next == version("v2"));
+    }
+    assert!((1..100).contains(&undecided), "{undecided}");
+    assert_eq!(choose_version(&VersionHistory::default(), &stream(1), true), SplitChoice::Unsplit);
+}
+
+/// Guards against a proof that counts back an hour where a caller has more.
+#[test]
+fn stream_of_a_caller_with_two_hours_is_not_proved_by_the_stored_hour() {
+    let two_hours = Duration::from_secs(7_200);
+    let mut history = VersionHistory::default();
+    for (time, name) in [(1, "v1"), (4_000, "v2")] {
+        while let Some(revised) =
+            revise_history(&history, at(time), &weights(&[(name, 4)]), false, two_hours)
+                .or_else(|| confirm_last_split(&history, at(time)))
+        {
+            history = revised;
+        }
+    }
+    let left = Some(Duration::from_secs(1_800));
+    assert_eq!(prove_version(&history, Some(&stream(1)), at(7_700), left), None);
 }
 
 /// Guards against a proof that leaves out a split since the clock of the daemon that proves is ahead of the one that
