--- a/crates/standins/src/address.rs
+++ b/crates/standins/src/address.rs
@@ -19,6 +19,8 @@
 pub const LOOPBACK: &str = "127.0.0.1";
 /// IP number of engines.
 const ENGINE_IP: &str = "127.0.0.2";
+/// IP number of a store from which single daemons can be cut off.
+pub const STORE_IP: &str = "127.0.2.1";
 
 /// Returns a free address on loopback.
 ///
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -17,7 +17,7 @@
     LethalTrigger,
 };
 use crate::address::{
-    daemon_ip, free_address, free_address_at, free_daemon_port, free_engine_address,
+    daemon_ip, free_address, free_address_at, free_daemon_port, free_engine_address, STORE_IP,
 };
 use crate::deployment::{
     create_temp_folder, get_json, live_peers, output_of, program_folder, spawn_with_variables,
@@ -131,6 +131,14 @@
         Ok(link)
     }
 
+    /// Starts a proxy to the store at an address of its own, so that single daemons of those that are started from now
+    /// on can be cut off from it.
+    pub async fn use_separate_store(&mut self) -> Result<FaultyLink> {
+        let link = FaultyLink::start_at(STORE_IP, &self.store_address, None).await?;
+        self.store_address = link.address.clone();
+        Ok(link)
+    }
+
     /// Makes the links from the daemons that are started from now on to the engines able to fail.
     pub fn use_engine_links(&mut self, loader_variable: &str) -> Result<()> {
         self.engine_links = Some(EngineLinks::build(&self.folder, loader_variable)?);
