--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -17,7 +17,7 @@
     ActiveConfig, DaemonId, PeerMessage, PoolId, Refusal, RefusalReason, RequestId, StreamAnswer,
     StreamId, StreamProofQuery, StreamQuery, StreamVersion, Uptime, VersionDigest, VmId,
 };
-use curlewcleat_sched::{RequestSpec, StreamVersions};
+use curlewcleat_sched::{FleetReach, RequestSpec, StreamVersions};
 
 use super::Node;
 use crate::event::{CallerDecision, NodeAction, NodeNote, VersionSource};
@@ -104,8 +104,10 @@
     /// Refuses a request whose stream is of a version that no daemon remembers or proves.
     fn refuse_take_up(&mut self, request: RequestId, is_answered: bool, waited: Duration) {
         self.note_taken_up(request, VersionSource::Unknown, waited);
-        // A retry finds no more than this attempt did, unless a daemon has not answered.
-        let retry_after = (!is_answered).then_some(UNANSWERED_RETRY_AFTER);
+        // A retry finds no more than this attempt did, unless a daemon has not answered or was not asked, since it is out of
+        // reach.
+        let may_be_known = !is_answered || self.histories.reach < FleetReach::Most;
+        let retry_after = may_be_known.then_some(UNANSWERED_RETRY_AFTER);
         let refusal = Refusal::not_run(RefusalReason::StreamVersionUnknown, retry_after);
         self.actions.push(NodeAction::Decide(request, CallerDecision::Refuse(refusal)));
     }
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -63,7 +63,7 @@
     /// When the targets of any version came or went for the last time.
     weights_changed: Uptime,
     /// How much of the fleet this daemon reaches, as of the last tick.
-    reach: FleetReach,
+    pub(super) reach: FleetReach,
     /// When a permit was last requested for a new stream.
     pub(super) last_start: Option<Uptime>,
 }
