Keys: a standstill does not make a running holder count as ended

Callers would see: a request with a key runs twice. The daemon that proposes key tables moved the slots of a holder that runs, whose VM one list had left out, or several had.

Cause: a VM counted as ended ten seconds after the first list without it, also where no list was read since; and in the first tick after a standstill every peer seems unreachable, so that the second condition held for all.

--- a/crates/node/src/node/keys.rs
+++ b/crates/node/src/node/keys.rs
@@ -75,7 +75,11 @@
     }
 
     pub(super) fn changed_table(&self) -> Option<KeyTable> {
-        let mut ended = self.vms.ended(self.now, &self.options.me.vm);
+        let mut ended = self.vms.ended(&self.options.me.vm);
+        if self.stood_still_lately() {
+            // Reachable peers seem unreachable until their frames have been handled.
+            ended.clear();
+        }
         // A VM whose daemon is still reachable has not ended, whatever a VM list says.
         ended.retain(|vm| !self.members.peers().get(vm).is_some_and(|peer| peer.live));
         let has_earlier_slots = self.key_holder.table().slots.iter().any(|slot| {
--- a/crates/node/tests/support/builders.rs
+++ b/crates/node/tests/support/builders.rs
@@ -36,6 +36,11 @@
     with_node(Node::new(options(index, seeds, megabits)))
 }
 
+/// Returns a daemon that takes part in the table of key slots.
+pub fn key_daemon(index: usize, seeds: Vec<String>) -> Daemon {
+    with_node(Node::new(NodeOptions { key_slots: 4, ..options(index, seeds, 1_000) }))
+}
+
 /// Returns the daemon of a later process on the same VM.
 pub fn later_daemon(index: usize, seeds: Vec<String>, incarnation: u64) -> Daemon {
     let mut options = options(index, seeds, 1_000);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -25,13 +25,13 @@
 use curlewcleat_peers::encode_frame;
 use curlewcleat_sched::RequestSpec;
 
-use builders::{address, daemon_behind};
+use builders::daemon_behind;
 
 // Each test file uses only some of these.
 #[allow(unused_imports)]
 pub use builders::{
-    daemon, heartbeat, later_daemon, mixed_fleet_capacity, mixed_fleet_daemon, mixed_fleet_records,
-    recorded, spec, target, ROLLOUT_LIMITS,
+    address, daemon, heartbeat, key_daemon, later_daemon, mixed_fleet_capacity, mixed_fleet_daemon,
+    mixed_fleet_records, recorded, spec, target, ROLLOUT_LIMITS,
 };
 #[allow(unused_imports)]
 pub use link::SlowLink;
