Rates: a scheduler that was cut off or stood still grants no burst and no rate again

Callers would see: nothing at once; the platform counts more units of an account than its rate and burst allow.

Cause 1: the share of a scheduler that was cut off was applied only where an account requested something meanwhile. The others found the whole burst there when it reached all again, after another daemon had granted it. The share is now applied to all accounts twice a second while a scheduler reaches only a part; that walks the accounts that have requested something. Not mended: an account that the daemon did not know before the cut.

Cause 2: after a standstill, frames that have waited made a scheduler reach all, while another one had taken over. If the standstill ended in a cut, both granted the whole rate until the suspicion timeout. After a standstill of two thirds of that timeout, only frames that are handled a second after it count for the share of rates and limits. Price: such a scheduler grants only its own part for that second and up to a heartbeat.

--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use curlewcleat_core::{DaemonId, DaemonRecord, PoolId, VmId};
+use curlewcleat_core::{AccountId, DaemonId, DaemonRecord, PoolId, VmId};
 use curlewcleat_sched::ALL_POOLS;
 
 use super::{cached_order, Node};
@@ -86,6 +86,19 @@
         }
     }
 
+    /// Applies the share of the rates to accounts that request nothing, while this daemon schedules and reaches only a
+    /// part of the others.
+    pub(super) fn advance_rates(&mut self) {
+        let (leads, _) = permit_duties(&self.scheduler_orders, &self.options.me);
+        let share = self.leader_share();
+        if !leads || share.reached >= share.all {
+            return;
+        }
+        let accounts = &self.active.accounts;
+        let rate_of = |account: &AccountId| accounts.get(account)?.shared_rate;
+        self.rates.advance(self.now, share, rate_of);
+    }
+
     pub(super) fn refresh_orders(&mut self) {
         let config = Arc::clone(&self.active);
         self.scheduler_orders = config
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -96,7 +96,7 @@
     /// Returns the share of the common rates that this daemon grants for a pool.
     pub(super) fn rate_share(&self, pool: &str) -> RateShare {
         match self.own_rate_role(pool) {
-            RateRole::Leader => self.members.reached_share(self.now),
+            RateRole::Leader => self.leader_share(),
             // Another daemon grants the rates; this one received the request because that one seems unresponsive.
             role => RateShare { reached: 1, all: self.members.fleet_size(), role },
         }
--- a/crates/node/src/node/standstill.rs
+++ b/crates/node/src/node/standstill.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use curlewcleat_core::Uptime;
+use curlewcleat_sched::RateShare;
 
 use super::Node;
 
@@ -37,6 +38,16 @@
         self.standstill.is_some_and(|standstill| self.now < standstill.ended + limit)
     }
 
+    /// Returns the share of the fleet-wide limits that this daemon grants where it schedules. After a standstill in which
+    /// another daemon can have taken over, frames that have waited show nothing.
+    pub(super) fn leader_share(&self) -> RateShare {
+        // A peer counts the time from its last frame, which is up to a heartbeat older: a third of the timeout.
+        let takeover_time = self.options.members.suspect_after * 2 / 3;
+        let long = self.standstill.filter(|standstill| standstill.length >= takeover_time);
+        let since = long.map_or(Uptime::ZERO, |standstill| standstill.ended + BACKLOG_TIME);
+        self.members.reached_share(self.now, since)
+    }
+
     /// Returns by how much longer ago than it seems something can have arrived that is handled now.
     pub(super) fn recent_standstill(&self) -> Duration {
         let recent = self.standstill.filter(|last| self.now < last.ended + BACKLOG_TIME);
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -9,7 +9,7 @@
 use super::{cached_order, Node};
 use crate::event::{NodeAction, NodeNote};
 
-/// Interval between reviews of the key table, the lethal requests and the waiting pools.
+/// Interval between reviews of the key table, the lethal requests, the rates and the waiting pools.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
 /// Factor by which heartbeats are more frequent while a daemon announces itself.
 const ANNOUNCING_HEARTBEAT_FACTOR: u32 = 4;
@@ -48,6 +48,7 @@
         if self.now >= self.last_review + REVIEW_INTERVAL {
             self.last_review = self.now;
             self.note_waiting();
+            self.advance_rates();
             self.review_table();
             self.review_lethal();
         }
--- a/crates/node/tests/notices.rs
+++ b/crates/node/tests/notices.rs
@@ -191,6 +191,23 @@
     assert!(most <= ALLOWED, "{most}");
 }
 
+/// The scheduler stands still while another one takes over, and is cut off when it goes on.
+#[test]
+fn standstill_that_ends_in_a_cut_does_not_break_the_limit() {
+    let mut limited = LimitedFleet::new(6);
+    let everyone = limited.everyone();
+    limited.load(&everyone, SPREAD_LIMIT);
+    let (since, scheduler) = (limited.fleet.now, limited.fleet.leader());
+    limited.fleet.suspend(scheduler);
+    let others: Vec<usize> = everyone.iter().copied().filter(|index| *index != scheduler).collect();
+    limited.load(&others, Duration::from_secs(4));
+    limited.fleet.block(scheduler, 0..6, true);
+    limited.fleet.resume(scheduler);
+    limited.load(&everyone, Duration::from_secs(6));
+    let most = limited.most_since(since);
+    assert!(most <= ALLOWED, "{most}");
+}
+
 /// A restarted daemon becomes scheduler, since it is the strongest; it receives the limit from the others.
 #[test]
 fn new_scheduler_learns_the_limit() {
--- a/crates/sched/src/admission/shared_rate.rs
+++ b/crates/sched/src/admission/shared_rate.rs
@@ -81,6 +81,33 @@
         let of_rate = of_window * u128::from(self.percent) / 100;
         u64::try_from(of_rate).unwrap_or(u64::MAX).saturating_add(self.units(rate))
     }
+
+    /// Returns the refill rate and the limits of a bucket in a daemon with this share and role.
+    fn limits(&self, rate: &SharedRate, rate_share: RateShare) -> BucketLimits {
+        let share_of = |units: u64| {
+            i128::from(units) * rate_share.reached.min(rate_share.all) as i128
+                / rate_share.all.max(1) as i128
+        };
+        let per_s = share_of(rate.per_s + rate.per_s * self.percent / 100);
+        let saved = per_s * SCALE / NON_LEADER_SAVED_DIVISOR;
+        match rate_share.role {
+            RateRole::Leader => {
+                let whole_burst = share_of(rate.burst + self.units(rate)) * SCALE;
+                // Without a burst the bucket has to rise above zero, as a request passes only then.
+                let limit = (whole_burst / LEADER_SAVED_DIVISOR).min(per_s * SCALE).max(1);
+                BucketLimits { per_s, limit, burst: (whole_burst - limit).max(0) }
+            }
+            RateRole::Deputy => {
+                let reserve = i128::from(self.reserve(rate));
+                let millis = self.window.as_millis().max(1) as i128;
+                // The saved units and those gained within a window together make up the reserve.
+                let held = reserve * RESERVE_FILL_WINDOWS / (RESERVE_FILL_WINDOWS + 1);
+                let refill = held * 1_000 / (millis * RESERVE_FILL_WINDOWS);
+                BucketLimits { per_s: per_s + refill, limit: saved + held * SCALE, burst: 0 }
+            }
+            RateRole::Other => BucketLimits { per_s, limit: saved, burst: 0 },
+        }
+    }
 }
 
 /// The bucket and the burst of one account.
@@ -157,6 +184,21 @@
         self.since = now;
     }
 
+    /// Advances the buckets of all accounts in a daemon that reaches only a part of the others, who may grant the rest of
+    /// each burst. Otherwise an account that requests nothing in that time gets its burst again when the daemon reaches all.
+    pub fn advance(
+        &mut self,
+        now: Uptime,
+        rate_share: RateShare,
+        rate_of: impl Fn(&AccountId) -> Option<SharedRate>,
+    ) {
+        for (account, bucket) in &mut self.buckets {
+            if let Some(rate) = rate_of(account) {
+                bucket.refill(now, self.margin.window, &self.margin.limits(&rate, rate_share));
+            }
+        }
+    }
+
     /// Takes `cost` units from an account's rate.
     ///
     /// # Errors
@@ -169,7 +211,7 @@
         cost: u64,
         rate_share: RateShare,
     ) -> Result<(), Duration> {
-        let limits = self.limits(rate, rate_share);
+        let limits = self.margin.limits(rate, rate_share);
         let since = self.since;
         let bucket =
             self.buckets.entry(account.clone()).or_insert_with(|| SharedBucket::new(since));
@@ -186,33 +228,6 @@
         Err((wait + Duration::from_millis(1)).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
 
-    /// Returns the refill rate and the limits of a bucket in a daemon with this share and role.
-    fn limits(&self, rate: &SharedRate, rate_share: RateShare) -> BucketLimits {
-        let share_of = |units: u64| {
-            i128::from(units) * rate_share.reached.min(rate_share.all) as i128
-                / rate_share.all.max(1) as i128
-        };
-        let per_s = share_of(rate.per_s + rate.per_s * self.margin.percent / 100);
-        let saved = per_s * SCALE / NON_LEADER_SAVED_DIVISOR;
-        match rate_share.role {
-            RateRole::Leader => {
-                let whole_burst = share_of(rate.burst + self.margin.units(rate)) * SCALE;
-                // Without a burst the bucket has to rise above zero, as a request passes only then.
-                let limit = (whole_burst / LEADER_SAVED_DIVISOR).min(per_s * SCALE).max(1);
-                BucketLimits { per_s, limit, burst: (whole_burst - limit).max(0) }
-            }
-            RateRole::Deputy => {
-                let reserve = i128::from(self.margin.reserve(rate));
-                let millis = self.margin.window.as_millis().max(1) as i128;
-                // The saved units and those gained within a window together make up the reserve.
-                let held = reserve * RESERVE_FILL_WINDOWS / (RESERVE_FILL_WINDOWS + 1);
-                let refill = held * 1_000 / (millis * RESERVE_FILL_WINDOWS);
-                BucketLimits { per_s: per_s + refill, limit: saved + held * SCALE, burst: 0 }
-            }
-            RateRole::Other => BucketLimits { per_s, limit: saved, burst: 0 },
-        }
-    }
-
     /// Puts back the units that were taken for a request that is refused.
     pub fn refund(&mut self, account: &AccountId, cost: u64) {
         if let Some(bucket) = self.buckets.get_mut(account) {
--- a/crates/sched/src/election/membership.rs
+++ b/crates/sched/src/election/membership.rs
@@ -256,11 +256,11 @@
         }
     }
 
-    /// Returns the share of the fleet-wide limits that belongs to the daemons that this one reaches.
-    pub fn reached_share(&self, now: Uptime) -> RateShare {
-        let limit = self.options.suspect_after;
-        let reached = self.peers.values().filter(|peer| peer.active_within(now, limit)).count() + 1;
-        RateShare { reached, all: self.fleet_size(), role: RateRole::Leader }
+    /// Returns the share of the fleet-wide limits that belongs to the daemons that were heard from `since` on.
+    pub fn reached_share(&self, now: Uptime, since: Uptime) -> RateShare {
+        let heard = self.peers.values().filter(|peer| peer.last_received >= since);
+        let active = heard.filter(|peer| peer.active_within(now, self.options.suspect_after));
+        RateShare { reached: active.count() + 1, all: self.fleet_size(), role: RateRole::Leader }
     }
 
     /// Returns how much of the fleet this daemon has reached for so short a time that no other one can have taken it for
