Overload level: a scheduler that was out of reach confirms it when it is back

Callers would see: a higher tier is shed while another scheduler admits a lower one, for up to a second.

Cause: a daemon that was out of reach while a level was confirmed counted as having confirmed it when it was in reach again. A confirmed level now holds only for the daemons that have confirmed it; a refusal waits for another round where a daemon that may schedule has joined.

level_is_not_taken_as_confirmed_by_a_scheduler_that_was_out_of_reach failed before: the refusal was sent at once.

--- a/crates/sched/src/admission/level_guard.rs
+++ b/crates/sched/src/admission/level_guard.rs
@@ -36,6 +36,24 @@
     first_sent: Uptime,
     last_sent: Uptime,
     unconfirmed: BTreeSet<DaemonId>,
+    confirmed: BTreeSet<DaemonId>,
+}
+
+/// A level that other daemons have confirmed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct ConfirmedLevel {
+    tier: TierRank,
+    /// The daemons that shed all tiers below it; one that was out of reach may admit them.
+    daemons: BTreeSet<DaemonId>,
+    until: Uptime,
+}
+
+impl ConfirmedLevel {
+    fn covers(&self, now: Uptime, tier: TierRank, peers: &[DaemonId]) -> bool {
+        self.tier <= tier
+            && now < self.until
+            && peers.iter().all(|peer| self.daemons.contains(peer))
+    }
 }
 
 /// Holds the refusals of one pool until its level is confirmed.
@@ -43,8 +61,7 @@
 pub struct LevelGuard {
     rounds: u64,
     round: Option<ConfirmRound>,
-    /// The tiers below this one are shed by all schedulers until this time.
-    confirmed_level: Option<(TierRank, Uptime)>,
+    confirmed_level: Option<ConfirmedLevel>,
     /// Refusals that wait for the round.
     held: Vec<SchedulerAction>,
 }
@@ -63,7 +80,7 @@
             Some(tier) if tier < lowest && !peers.is_empty() => tier,
             _ => return GuardStep { answers: vec![action], raise: None },
         };
-        if self.confirmed_level.is_some_and(|(open, until)| open <= tier && now < until) {
+        if self.confirmed_level.as_ref().is_some_and(|level| level.covers(now, tier, peers)) {
             return GuardStep { answers: vec![action], raise: None };
         }
         self.held.push(action);
@@ -78,6 +95,7 @@
             first_sent: now,
             last_sent: now,
             unconfirmed,
+            confirmed: BTreeSet::new(),
         });
         GuardStep { answers: Vec::new(), raise: Some((tier, self.rounds, peers.to_vec())) }
     }
@@ -87,7 +105,9 @@
         let Some(round) = self.round.as_mut().filter(|round| round.number == number) else {
             return Vec::new();
         };
-        round.unconfirmed.remove(from);
+        if let Some(daemon) = round.unconfirmed.take(from) {
+            round.confirmed.insert(daemon);
+        }
         self.release()
     }
 
@@ -111,7 +131,11 @@
             return Vec::new();
         };
         // The other daemons hold the level for as long, but from a later time: when they received it.
-        self.confirmed_level = Some((round.tier, round.first_sent + LEVEL_HOLD));
+        self.confirmed_level = Some(ConfirmedLevel {
+            tier: round.tier,
+            daemons: round.confirmed,
+            until: round.first_sent + LEVEL_HOLD,
+        });
         let (released, held) = std::mem::take(&mut self.held)
             .into_iter()
             .partition(|action| action.shed.is_none_or(|tier| round.tier <= tier));
