Soak: kind steps: versions join while daemons are out of step, streams are taken up, and the judge counts joined ones by stream

Callers of this kind state the time that is left since the stream began and repeat refused take-ups. The links between daemons can hold the frames of single senders, for cuts in one direction. Engines, exchanges and streams have files of their own.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,21 +4,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead};
-use bytes::Bytes;
-use curlewcleat_platform::example::{DEPOTS_KEY, DRIVERS_KEY, DRIVERS_SECOND_KEY, HOST};
-use curlewcleat_platform::names::{SEAL_HEADER, WIRE_PROFILE};
-use curlewcleat_targets::{BodyFrame, ConnectionPool, ExchangeOptions};
-use futures_util::StreamExt;
+use curlewcleat_platform::example::{DEPOTS_KEY, DRIVERS_KEY, DRIVERS_SECOND_KEY};
+use curlewcleat_targets::ConnectionPool;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use crate::releases::{broken_stream, TakenUp};
+use crate::exchange::{exchange_head, request_body, CallHead, REQUEST_TIMEOUT};
+use crate::streams::{broken_stream, TakenUp};
 
-/// Timeout that a caller states in each request, in milliseconds.
-const REQUEST_TIMEOUT_MS: u64 = 3_000;
+/// Time that persistent callers have for a stream.
+const STREAM_TIME: Duration = Duration::from_millis(5_000);
 /// Time after the stated timeout at which a caller stops waiting.
 const CALLER_GRACE: Duration = Duration::from_millis(1_500);
 /// Upper bound of the pause between two requests of a caller, in milliseconds.
@@ -26,6 +22,10 @@
 
 /// Most attempts at which a caller takes up a stream.
 const TAKE_UPS: usize = 3;
+/// Most attempts at which a persistent caller takes up a stream.
+const PERSISTENT_TAKE_UPS: usize = 8;
+/// Range of the pause of a persistent caller before it takes up a stream, in milliseconds.
+const TAKE_UP_PAUSE_MS: std::ops::Range<u64> = 0..700;
 
 /// Kind of a request, by whether and how it may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,6 +116,46 @@
     pub taken_up: Option<TakenUp>,
 }
 
+impl CallRecord {
+    /// Returns whether the request got a complete answer of an engine.
+    pub(crate) fn is_served(&self) -> bool {
+        matches!(&self.outcome, CallOutcome::Answer { status: 200, complete: true, .. })
+    }
+}
+
+/// How callers handle streams that break off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakeUpPolicy {
+    /// They drop the streams.
+    Never,
+    /// They take them up at once, until an attempt is refused, and state their whole time at each.
+    Once,
+    /// Most of their requests are streams. They repeat refused attempts at other daemons, and state the time that is left
+    /// since the stream began.
+    Persistent,
+}
+
+impl TakeUpPolicy {
+    fn attempts(self) -> usize {
+        match self {
+            TakeUpPolicy::Never => 0,
+            TakeUpPolicy::Once => TAKE_UPS,
+            TakeUpPolicy::Persistent => PERSISTENT_TAKE_UPS,
+        }
+    }
+
+    /// Returns the time that a caller states in an attempt.
+    fn time_left(self, taken_up: Option<&TakenUp>) -> Duration {
+        match (self, taken_up) {
+            (TakeUpPolicy::Persistent, Some(stream)) => {
+                STREAM_TIME.saturating_sub(stream.begun.elapsed())
+            }
+            (TakeUpPolicy::Persistent, None) => STREAM_TIME,
+            _ => REQUEST_TIMEOUT,
+        }
+    }
+}
+
 /// The callers of a run.
 pub struct SoakCallers {
     /// Requests so far with their outcomes.
@@ -125,9 +165,9 @@
 }
 
 impl SoakCallers {
-    /// Starts callers that send requests to daemons at these addresses, and with `takes_up` take up streams that broke
-    /// off.
-    pub fn start(seed: u64, count: usize, daemons: &[String], takes_up: bool) -> SoakCallers {
+    /// Starts callers that send requests to daemons at these addresses, and handle streams that break off by a
+    /// policy.
+    pub fn start(seed: u64, count: usize, daemons: &[String], policy: TakeUpPolicy) -> SoakCallers {
         let records = Rc::new(RefCell::new(Vec::new()));
         let ended = Rc::new(Cell::new(false));
         let tasks = (0..count).map(|number| {
@@ -138,7 +178,7 @@
                 connections: ConnectionPool::default(),
                 records: Rc::clone(&records),
                 ended: Rc::clone(&ended),
-                takes_up,
+                policy,
             };
             actix_rt::spawn(caller.run())
         });
@@ -164,7 +204,7 @@
     connections: ConnectionPool,
     records: Rc<RefCell<Vec<CallRecord>>>,
     ended: Rc<Cell<bool>>,
-    takes_up: bool,
+    policy: TakeUpPolicy,
 }
 
 impl SoakCaller {
@@ -174,7 +214,7 @@
             count += 1;
             let attempt = format!("c{}-{count}", self.number);
             let record = self.call(attempt).await;
-            let (broken, key) = (broken_stream(&record).filter(|_| self.takes_up), record.key);
+            let (broken, key) = (broken_stream(&record), record.key);
             self.records.borrow_mut().push(record);
             self.take_up(broken, key).await;
             let pause = Duration::from_millis(self.random.random_range(0..PAUSE_MS));
@@ -182,22 +222,39 @@
         }
     }
 
-    /// Takes up a stream at drawn daemons until it is complete or the attempts are used up.
+    /// Takes up a stream at drawn daemons until it is complete, or the attempts or the time are used up.
     async fn take_up(&mut self, mut broken: Option<TakenUp>, key: &'static str) {
-        for number in 1..=TAKE_UPS {
+        for number in 1..=self.policy.attempts() {
             let Some(taken_up) = broken.take() else { return };
+            if self.policy == TakeUpPolicy::Persistent {
+                let pause = Duration::from_millis(self.random.random_range(TAKE_UP_PAUSE_MS));
+                tokio::time::sleep(pause).await;
+            }
+            if self.policy.time_left(Some(&taken_up)).is_zero() {
+                return;
+            }
             let attempt = format!("{}-{number}", taken_up.begun_as);
             let daemon = self.random.random_range(0..self.daemons.len());
             let kind = CallKind::ResumableStream;
             let record = self.call_with(daemon, attempt, kind, key, Some(taken_up)).await;
-            broken = broken_stream(&record);
+            broken = broken_stream(&record).or_else(|| self.retried(&record));
             self.records.borrow_mut().push(record);
         }
     }
 
+    /// Returns the stream that a persistent caller tries to take up again after an attempt that did not go on.
+    fn retried(&self, record: &CallRecord) -> Option<TakenUp> {
+        let went_on = matches!(&record.outcome, CallOutcome::Answer { status: 200, .. });
+        let is_retried = self.policy == TakeUpPolicy::Persistent && !went_on;
+        record.taken_up.clone().filter(|_| is_retried)
+    }
+
     async fn call(&mut self, attempt: String) -> CallRecord {
         let daemon = self.random.random_range(0..self.daemons.len());
-        let kind = CallKind::ALL.choose(&mut self.random).copied().unwrap_or(CallKind::Once);
+        let kind = match self.policy == TakeUpPolicy::Persistent && self.random.random_ratio(2, 3) {
+            true => CallKind::ResumableStream,
+            false => CallKind::ALL.choose(&mut self.random).copied().unwrap_or(CallKind::Once),
+        };
         let keys = [DRIVERS_KEY, DRIVERS_SECOND_KEY, DEPOTS_KEY];
         let key = match kind {
             CallKind::Keyless => "",
@@ -215,111 +272,16 @@
         taken_up: Option<TakenUp>,
     ) -> CallRecord {
         let sent = Instant::now();
-        let limit = Duration::from_millis(REQUEST_TIMEOUT_MS) + CALLER_GRACE;
-        let exchange = self.exchange(daemon, kind, key, &attempt, taken_up.as_ref());
-        let outcome = match tokio::time::timeout(limit, exchange).await {
+        let time_left = self.policy.time_left(taken_up.as_ref());
+        let head =
+            CallHead { kind, key, attempt: &attempt, time_left, taken_up: taken_up.as_ref() };
+        let address = &self.daemons[daemon];
+        let exchange = exchange_head(&self.connections, address, head, request_body(&attempt));
+        let outcome = match tokio::time::timeout(time_left + CALLER_GRACE, exchange).await {
             Ok(outcome) => outcome,
             Err(_) => CallOutcome::NoAnswer("the caller stopped waiting".to_string()),
         };
         let ended = Instant::now();
         CallRecord { attempt, kind, key, daemon, sent, ended, outcome, taken_up }
     }
-
-    async fn exchange(
-        &self,
-        daemon: usize,
-        kind: CallKind,
-        key: &str,
-        attempt: &str,
-        taken_up: Option<&TakenUp>,
-    ) -> CallOutcome {
-        let daemon = &self.daemons[daemon];
-        let head = request_head(kind, key, attempt, taken_up);
-        exchange_head(&self.connections, daemon, head, request_body(attempt)).await
-    }
-}
-
-/// Sends a request with a key and an attempt id to the daemon at an address, and reads the answer.
-pub async fn send_request(
-    connections: &ConnectionPool,
-    daemon: &str,
-    kind: CallKind,
-    (key, attempt): (&str, &str),
-    body: Bytes,
-) -> CallOutcome {
-    exchange_head(connections, daemon, request_head(kind, key, attempt, None), body).await
-}
-
-/// Sends a request and reads the answer.
-async fn exchange_head(
-    connections: &ConnectionPool,
-    daemon: &str,
-    head: RequestHead,
-    body: Bytes,
-) -> CallOutcome {
-    let Ok(connection) = connections.connect(daemon, Duration::from_secs(1)).await else {
-        return CallOutcome::Unsent;
-    };
-    let options = ExchangeOptions { allow_close_delimited: true, ..ExchangeOptions::default() };
-    let answer = match connection.exchange_with(head, body, &options).await {
-        Ok(answer) => answer,
-        Err(error) => return CallOutcome::NoAnswer(error.to_string()),
-    };
-    let header = |name: &str| {
-        let value = answer.head.headers.get(name).and_then(|value| value.to_str().ok());
-        value.map(str::to_string)
-    };
-    let (sealed_by, echoed_attempt) = (header(SEAL_HEADER), header(WIRE_PROFILE.attempt_id));
-    let status = answer.head.status.as_u16();
-    let mut body = answer.body;
-    let mut bytes = Vec::new();
-    // The end of the connection does not state that the answer is complete.
-    let mut complete = body.frame() != BodyFrame::UntilClose;
-    while let Some(part) = body.next().await {
-        match part {
-            Ok(part) => bytes.extend_from_slice(&part),
-            Err(_) => complete = false,
-        }
-    }
-    let text = String::from_utf8_lossy(&bytes).to_string();
-    CallOutcome::Answer { status, text, complete, sealed_by, echoed_attempt }
-}
-
-/// Returns the body of a request.
-pub fn request_body(attempt: &str) -> Bytes {
-    Bytes::from(format!("body of {attempt}"))
-}
-
-fn request_head(
-    kind: CallKind,
-    key: &str,
-    attempt: &str,
-    taken_up: Option<&TakenUp>,
-) -> RequestHead {
-    let mut head = RequestHead::default();
-    head.method = Method::POST;
-    if let Ok(uri) = kind.path().parse() {
-        head.uri = uri;
-    }
-    let time_left = REQUEST_TIMEOUT_MS.to_string();
-    let bearer = format!("Bearer {key}");
-    let mut headers = vec![
-        ("host", HOST),
-        (WIRE_PROFILE.attempt_id, attempt),
-        (WIRE_PROFILE.time_left, time_left.as_str()),
-    ];
-    if !key.is_empty() {
-        headers.push(("authorization", &bearer));
-    }
-    let after = taken_up.map(|taken_up| taken_up.after.to_string()).unwrap_or_default();
-    if let Some(taken_up) = taken_up {
-        headers.push((WIRE_PROFILE.last_event, &after));
-        headers.push((WIRE_PROFILE.resumes, &taken_up.begun_as));
-    }
-    for (name, value) in headers {
-        if let Ok(value) = HeaderValue::from_str(value) {
-            head.headers.insert(HeaderName::from_static(name), value);
-        }
-    }
-    head
 }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -6,12 +6,13 @@
 use curlewcleat_platform::example::{DEPOTS_KEY, DRIVERS_KEY, DRIVERS_SECOND_KEY};
 use curlewcleat_standins::fleet::{EngineRun, FleetEngine};
 
-use crate::callers::{request_body, CallOutcome, CallRecord};
+use crate::callers::{CallOutcome, CallRecord};
 use crate::crowds::check_crowds;
 use crate::evidence::{SoakEvidence, AFTERMATH};
+use crate::exchange::request_body;
 use crate::lethal::LETHAL;
 use crate::notices::check_notices;
-use crate::releases::check_versions;
+use crate::streams::check_versions;
 
 /// Statuses that guarantee that the request has not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
--- a/crates/soak/src/crowds.rs
+++ b/crates/soak/src/crowds.rs
@@ -12,9 +12,10 @@
 use rand::rngs::StdRng;
 use rand::Rng;
 
-use crate::callers::{request_body, send_request, CallKind, CallOutcome, CallRecord};
+use crate::callers::{CallKind, CallOutcome, CallRecord};
 use crate::checks::SoakViolation;
 use crate::evidence::{SoakEvidence, AFTERMATH};
+use crate::exchange::{request_body, send_request};
 use crate::fleet::SoakFleet;
 use crate::plan::SoakFault;
 
--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -9,8 +9,9 @@
 use curlewcleat_standins::fleet::{FleetEngine, ForeignEntry};
 use curlewcleat_standins::http::serve_here;
 
+use crate::engines::{BACKENDS, EVENTS, EVENT_INTERVAL};
 use crate::extra::RestartAddress;
-use crate::fleet::{SoakFleet, BACKENDS, EVENTS, EVENT_INTERVAL};
+use crate::fleet::SoakFleet;
 
 impl SoakFleet {
     /// Terminates an engine and restarts it with the same id after some time.
--- a/crates/soak/src/extra.rs
+++ b/crates/soak/src/extra.rs
@@ -14,6 +14,7 @@
 use crate::plan::{FaultStep, PlanOptions, SoakFault};
 use crate::releases::draw_release;
 use crate::silences::{draw_silence, SILENCE_MS};
+use crate::steps::{draw_join, draw_series, SERIES_PAUSE_MS};
 
 /// Combined with the seed, so that the additional faults are drawn independently of the plan.
 const EXTRA_SEED_MASK: u64 = 0x5eed_0000_0000_0000;
@@ -52,6 +53,9 @@
     /// streams.
     #[value(name = "silences")]
     Silences,
+    /// Engines of other versions join while daemons stand still or are cut off, and callers take up their streams.
+    #[value(name = "steps")]
+    Steps,
 }
 
 /// Address at which an engine restarts.
@@ -86,28 +90,41 @@
     let mut random = StdRng::seed_from_u64(seed ^ EXTRA_SEED_MASK);
     let mut at = Duration::ZERO;
     loop {
-        at += Duration::from_millis(random.random_range(PAUSE_MS));
+        let pause = if kind == ExtraKind::Steps { SERIES_PAUSE_MS } else { PAUSE_MS };
+        at += Duration::from_millis(random.random_range(pause));
         if at > options.time {
             break;
         }
-        let (fault, time) = match kind {
-            ExtraKind::Cuts => draw_cut(&mut random, options.daemons),
-            ExtraKind::Crowds => draw_crowd(&mut random, options.daemons),
-            ExtraKind::Silences => {
-                let time = Duration::from_millis(random.random_range(SILENCE_MS));
-                (draw_silence(&mut random), time)
-            }
-            _ => {
-                let time = Duration::from_millis(random.random_range(FAULT_MS));
-                (draw(&mut random, kind, options), time)
-            }
-        };
-        steps.push(FaultStep { at, time, fault });
+        match kind {
+            ExtraKind::Steps => steps.extend(draw_series(&mut random, at, options)),
+            _ => steps.push(draw_single(&mut random, kind, at, options)),
+        }
     }
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+fn draw_single(
+    random: &mut StdRng,
+    kind: ExtraKind,
+    at: Duration,
+    options: &PlanOptions,
+) -> FaultStep {
+    let (fault, time) = match kind {
+        ExtraKind::Cuts => draw_cut(random, options.daemons),
+        ExtraKind::Crowds => draw_crowd(random, options.daemons),
+        ExtraKind::Silences => {
+            let time = Duration::from_millis(random.random_range(SILENCE_MS));
+            (draw_silence(random), time)
+        }
+        _ => {
+            let time = Duration::from_millis(random.random_range(FAULT_MS));
+            (draw(random, kind, options), time)
+        }
+    };
+    FaultStep { at, time, fault }
+}
+
 fn draw(random: &mut StdRng, kind: ExtraKind, options: &PlanOptions) -> SoakFault {
     let daemon = random.random_range(0..options.daemons);
     let engine = random.random_range(0..options.engines);
@@ -123,6 +140,7 @@
         ExtraKind::Crowds => draw_crowd(random, options.daemons).0,
         ExtraKind::Silences => draw_silence(random),
         ExtraKind::Releases => draw_release(random, engine),
+        ExtraKind::Steps => draw_join(random),
         ExtraKind::Notices => {
             let notices = [
                 EngineNotice::Limit(2),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -10,9 +10,10 @@
 use curlewcleat_standins::fleet::{EngineStep, StoreOutage};
 use curlewcleat_standins::link::{FaultyLink, LinkFault};
 
+use crate::engines::EngineHandle;
 use crate::evidence::{EngineLeave, KeyRevocation, PlannedStop};
 use crate::extra::StalledConnections;
-use crate::fleet::{DaemonHandle, EngineHandle, SoakFleet, POLL_INTERVAL};
+use crate::fleet::{DaemonHandle, SoakFleet, POLL_INTERVAL};
 use crate::plan::{FaultStep, SoakFault};
 use crate::settings::{AGE_LIMIT, STOP_LIMIT};
 
@@ -37,13 +38,9 @@
             SoakFault::Freeze(index) => self.freeze(index, time).await?,
             SoakFault::Stop(index) => self.stop(index).await?,
             SoakFault::Reload(index) => self.reload(index)?,
-            SoakFault::PeerLink(index, fault) => {
-                set_for(&self.daemons[index].peer_link, fault, time).await
-            }
+            SoakFault::PeerLink(index, fault) => self.peer_fault(index, fault, time).await,
             SoakFault::PeerReset(index) => self.daemons[index].peer_link.reset(),
-            SoakFault::StoreLink(index, fault) => {
-                set_for(&self.daemons[index].store_link, fault, time).await
-            }
+            SoakFault::StoreLink(index, fault) => self.store_fault(index, fault, time).await,
             SoakFault::StoreReset(index) => self.daemons[index].store_link.reset(),
             SoakFault::Store(outage) => self.store_outage(outage, time).await,
             SoakFault::LostWrites(count) => self.lost_writes(count, time).await,
@@ -63,6 +60,10 @@
             SoakFault::Release(index, version) => self.release(index, version, time).await?,
             SoakFault::Silence(percent) => self.silence_engines(percent, time).await,
             SoakFault::ChangeStreams(change) => self.change_streams(change)?,
+            SoakFault::OutOfStep(group, reason) => {
+                self.put_out_of_step(group, reason, time).await?
+            }
+            SoakFault::Join(kind, version) => self.join_version(kind, version, time).await?,
             SoakFault::Crowd(index) => self.crowd(index, time).await?,
             SoakFault::Cut(cut, fault) => self.cut_engines(cut, fault, time).await?,
         }
@@ -75,6 +76,15 @@
         (!daemon.is_claimed.replace(true)).then_some(daemon)
     }
 
+    async fn peer_fault(&self, index: usize, fault: LinkFault, time: Duration) {
+        set_for(&self.daemons[index].peer_link, fault, time).await;
+    }
+
+    /// Sets a fault of a daemon's link to the store for some time.
+    pub(crate) async fn store_fault(&self, index: usize, fault: LinkFault, time: Duration) {
+        set_for(&self.daemons[index].store_link, fault, time).await;
+    }
+
     async fn kill(&self, index: usize, time: Duration) -> Result<()> {
         let Some(daemon) = self.claim_process(index) else { return Ok(()) };
         let begun = Instant::now();
@@ -86,7 +96,7 @@
         Ok(())
     }
 
-    async fn freeze(&self, index: usize, time: Duration) -> Result<()> {
+    pub(crate) async fn freeze(&self, index: usize, time: Duration) -> Result<()> {
         let Some(daemon) = self.claim_process(index) else { return Ok(()) };
         let begun = Instant::now();
         daemon.process.borrow().signal("STOP")?;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -9,51 +9,26 @@
 use anyhow::{bail, Context, Result};
 use curlewcleat_platform::example::example_config;
 use curlewcleat_platform::format::{Config, Route};
-use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME, READY};
-use curlewcleat_standins::address::{
-    daemon_ip, free_address, free_address_at, free_daemon_port, free_engine_address,
-};
+use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME};
+use curlewcleat_standins::address::{daemon_ip, free_address, free_address_at, free_daemon_port};
 use curlewcleat_standins::deployment::{
     get_text, program_folder, spawn_with_variables, wait_until, ChildProcess,
 };
-use curlewcleat_standins::fleet::{EngineEntry, EngineLinks, EngineRun, FleetEngine, FleetStore};
+use curlewcleat_standins::fleet::{EngineLinks, FleetEngine, FleetStore};
 use curlewcleat_standins::http::serve_here;
 use curlewcleat_standins::link::FaultyLink;
-use curlewcleat_standins::served::ServedHandler;
 use serde_json::to_value;
 
+use crate::engines::{first_version, EngineHandle, BACKENDS, EVENTS};
 use crate::evidence::SoakEvidence;
 use crate::extra::ExtraKind;
-use crate::lethal::{terminate_on_lethal, TerminationFlag};
 use crate::options::SoakOptions;
 use crate::settings::{SoakSettings, AGE_LIMIT, APPLY_LIMIT};
 
-/// Number of events of a complete stream.
-pub const EVENTS: u64 = 6;
-/// Time between two events of a stream.
-pub const EVENT_INTERVAL: Duration = Duration::from_millis(15);
-/// Slots of an engine.
-const SLOTS: u32 = 8;
 /// Number of peer addresses in the settings of each daemon.
 const SEEDS: usize = 3;
 /// Interval at which processes are polled.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Names of the services in the example configuration.
-pub const BACKENDS: [&str; 2] = ["records", "engines"];
-
-/// An engine with its address and server.
-pub struct EngineHandle {
-    pub engine: Rc<FleetEngine>,
-    pub backend: &'static str,
-    /// Address in the list entry: that of the link, if there is one.
-    pub address: String,
-    /// The link through which daemons reach the engine, in runs with stalled connections.
-    pub link: Option<FaultyLink>,
-    /// The running server, `None` after the engine has terminated.
-    pub served: Option<ServedHandler>,
-    /// Whether the engine has terminated while running a request.
-    pub terminated: TerminationFlag,
-}
 
 /// A daemon with its addresses, links and process.
 pub struct DaemonHandle {
@@ -91,7 +66,7 @@
     pub engine_links: Option<EngineLinks>,
     /// Port of the relays of all daemons.
     relay_port: u16,
-    /// Version of the engines that are started, in runs with releases.
+    /// Version of the engines that are started, in runs with several versions.
     pub version: Cell<u32>,
     /// Number of crowds so far.
     pub crowd_count: Cell<usize>,
@@ -164,8 +139,7 @@
         }
         fleet.store_config()?;
         for index in 0..fleet.options.engines * BACKENDS.len() {
-            // Engines of two versions serve each backend from the start.
-            fleet.version.set(1 + u32::from(index % (2 * BACKENDS.len()) >= BACKENDS.len()));
+            fleet.version.set(first_version(fleet.options.extra, index));
             let handle = fleet.new_engine(BACKENDS[index % BACKENDS.len()]).await?;
             fleet.engines.borrow_mut().push(handle);
         }
@@ -273,65 +247,6 @@
         Ok(())
     }
 
-    pub async fn new_engine(&self, backend: &'static str) -> Result<EngineHandle> {
-        let number = self.engine_count.get();
-        self.engine_count.set(number + 1);
-        let engine = FleetEngine::new(&format!("i-{number}"), EVENTS, EVENT_INTERVAL);
-        if self.options.extra == Some(ExtraKind::Releases) {
-            let version = format!("v{}", self.version.get());
-            self.evidence.borrow_mut().versions.insert(engine.id.clone(), version);
-        }
-        self.serve_engine(engine, backend, &free_engine_address()?).await
-    }
-
-    /// Serves an engine at an address and writes its list entry.
-    pub async fn serve_engine(
-        &self,
-        engine: Rc<FleetEngine>,
-        backend: &'static str,
-        address: &str,
-    ) -> Result<EngineHandle> {
-        let served = ServedHandler::start(address, engine.clone()).await?;
-        let link = match self.options.extra {
-            Some(ExtraKind::Stall) => Some(FaultyLink::start(address, None).await?),
-            _ => None,
-        };
-        let address = link.as_ref().map_or(address, |link| &link.address).to_string();
-        let terminated = TerminationFlag::default();
-        if self.options.extra == Some(ExtraKind::Lethal) {
-            terminate_on_lethal(&engine, &terminated);
-        }
-        let handle =
-            EngineHandle { engine, backend, address, link, served: Some(served), terminated };
-        self.write_entry(&handle, READY)?;
-        Ok(handle)
-    }
-
-    /// Writes the list entry of an engine.
-    pub fn write_entry(&self, handle: &EngineHandle, state: &str) -> Result<()> {
-        let version = self.evidence.borrow().versions.get(&handle.engine.id).cloned();
-        let entry = EngineEntry {
-            backend: handle.backend,
-            address: &handle.address,
-            zone: "here",
-            slots: SLOTS,
-            state,
-            version: version.as_deref(),
-            born: Some(handle.engine.born),
-        };
-        self.store.write_entry(&handle.engine.id, entry)
-    }
-
-    /// Returns the requests that reached engines, with the engine's id.
-    pub fn runs(&self) -> Vec<(String, EngineRun)> {
-        let present = self.engines.borrow();
-        let replaced = self.replaced_engines.borrow();
-        let engines = present.iter().map(|handle| &handle.engine).chain(replaced.iter());
-        let runs = engines
-            .flat_map(|engine| engine.runs().into_iter().map(|run| (engine.id.clone(), run)));
-        runs.collect()
-    }
-
     /// Records and restarts daemons that exit by themselves.
     pub async fn watch_processes(self: Rc<Self>) {
         loop {
--- a/crates/soak/src/lethal.rs
+++ b/crates/soak/src/lethal.rs
@@ -11,7 +11,8 @@
 use curlewcleat_standins::fleet::{FleetEngine, LethalRequests, LethalTrigger};
 use curlewcleat_targets::ConnectionPool;
 
-use crate::callers::{send_request, CallKind};
+use crate::callers::CallKind;
+use crate::exchange::send_request;
 use crate::fleet::SoakFleet;
 
 /// Body of the lethal request.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -106,6 +106,9 @@
     let outcomes: Vec<String> =
         report.outcomes.iter().map(|(outcome, count)| format!("{outcome}: {count}")).collect();
     println!("seed {seed}: {} faults; {}", report.steps.len(), outcomes.join(", "));
+    if report.streams.taken_up > 0 {
+        println!("  streams: {:?}", report.streams);
+    }
     if with_faults {
         for step in &report.steps {
             println!(
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -12,6 +12,7 @@
 use crate::extra::{RestartAddress, StalledConnections};
 use crate::notices::EngineNotice;
 use crate::silences::StreamChange;
+use crate::steps::{DaemonGroup, JoinKind, OutOfStep};
 
 /// Time before the first fault, in which the fleet reaches a steady state.
 const WARM_UP: Duration = Duration::from_millis(600);
@@ -90,6 +91,10 @@
     ChangeStreams(StreamChange),
     /// An engine is replaced by one of this version.
     Release(usize, u32),
+    /// Daemons are out of step: they stand still or are cut off.
+    OutOfStep(DaemonGroup, OutOfStep),
+    /// Engines of this version join.
+    Join(JoinKind, u32),
     /// Callers open many connections to a daemon, whose VM is weak meanwhile.
     Crowd(usize),
     /// Daemons lose their links to all engines.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,14 +7,16 @@
 use anyhow::Result;
 use curlewcleat_standins::deployment::wait_until;
 
-use crate::callers::SoakCallers;
+use crate::callers::{SoakCallers, TakeUpPolicy};
 use crate::checks::{check_evidence, SoakViolation};
 use crate::connectivity::check_connectivity;
+use crate::engines::BACKENDS;
 use crate::extra::{with_extra, ExtraKind};
-use crate::fleet::{SoakFleet, BACKENDS};
+use crate::fleet::SoakFleet;
 use crate::options::SoakOptions;
 use crate::outcomes::{count_outcomes, unserved_kinds};
 use crate::plan::{plan, FaultStep, PlanOptions};
+use crate::streams::{count_streams, StreamCounts};
 
 /// Time for which callers continue to send requests after the last fault.
 const RECOVERY: Duration = Duration::from_secs(5);
@@ -26,6 +28,8 @@
     pub steps: Vec<FaultStep>,
     /// Number of requests by outcome.
     pub outcomes: BTreeMap<String, usize>,
+    /// Streams that callers may take up.
+    pub streams: StreamCounts,
     /// Violated invariants.
     pub violations: Vec<SoakViolation>,
 }
@@ -58,8 +62,12 @@
     let addresses: Vec<String> =
         fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect();
     let SoakOptions { seed, callers, extra, .. } = fleet.options;
-    let takes_up = matches!(extra, Some(ExtraKind::Releases | ExtraKind::Silences));
-    let callers = SoakCallers::start(seed, callers, &addresses, takes_up);
+    let policy = match extra {
+        Some(ExtraKind::Releases | ExtraKind::Silences) => TakeUpPolicy::Once,
+        Some(ExtraKind::Steps) => TakeUpPolicy::Persistent,
+        _ => TakeUpPolicy::Never,
+    };
+    let callers = SoakCallers::start(seed, callers, &addresses, policy);
     let watch = actix_rt::spawn(Rc::clone(&fleet).watch_processes());
     let engines = actix_rt::spawn(Rc::clone(&fleet).replace_terminated_engines());
     let begun = Instant::now();
@@ -90,5 +98,6 @@
     if let Ok(fleet) = Rc::try_unwrap(fleet) {
         fleet.close();
     }
-    Ok(SoakReport { steps, outcomes: count_outcomes(evidence.all_records()), violations })
+    let streams = count_streams(&evidence);
+    Ok(SoakReport { steps, outcomes: count_outcomes(evidence.all_records()), streams, violations })
 }
--- a/crates/soak/src/silences.rs
+++ b/crates/soak/src/silences.rs
@@ -13,7 +13,8 @@
 use rand::seq::IndexedRandom;
 use rand::Rng;
 
-use crate::fleet::{SoakFleet, BACKENDS};
+use crate::engines::BACKENDS;
+use crate::fleet::SoakFleet;
 use crate::plan::SoakFault;
 
 /// Range of the time for which engines are silent, in milliseconds.
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -161,6 +161,7 @@
     (ExtraKind::Lethal, 15),
     (ExtraKind::Notices, 16),
     (ExtraKind::Silences, 17),
+    (ExtraKind::Steps, 18),
 ];
 
 #[test]
@@ -171,7 +172,8 @@
             seed: *seed,
             daemons: 3,
             engines: 2,
-            callers: 6,
+            // Streams that last longer leave few requests of other kinds.
+            callers: if *kind == ExtraKind::Steps { 24 } else { 6 },
             time: Duration::from_secs(5),
             // Together with unplanned faults, leaving engines have few guarantees that could be checked.
             planned_only: *kind == ExtraKind::Foreign,
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -12,6 +12,10 @@
 
 use crate::address::{free_address_at, LOOPBACK};
 
+mod sender;
+
+use sender::SenderProbe;
+
 /// Size of the read buffer in bytes.
 const CHUNK: usize = 16 << 10;
 
@@ -50,6 +54,8 @@
 #[derive(Default)]
 struct LinkState {
     fault: Cell<LinkFault>,
+    /// Daemons whose frames wait, once for each block that has not ended.
+    blocked_senders: RefCell<Vec<String>>,
     /// Bandwidth of a connection in megabits per second; `None` for no limit.
     mbps: Option<u64>,
     /// Number of times that [`LinkFault::Stall`] was set.
@@ -100,6 +106,22 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Makes frames of the daemon with this name wait, until [`unblock_sender`](FaultyLink::unblock_sender) was called
+    /// as often as this.
+    pub fn block_sender(&self, name: &str) {
+        self.state.blocked_senders.borrow_mut().push(name.to_string());
+    }
+
+    /// Ends one [`block_sender`](FaultyLink::block_sender).
+    pub fn unblock_sender(&self, name: &str) {
+        let mut blocked = self.state.blocked_senders.borrow_mut();
+        if let Some(index) = blocked.iter().position(|sender| sender == name) {
+            blocked.swap_remove(index);
+        }
+        drop(blocked);
+        self.state.changed.notify_waiters();
+    }
+
     /// Stalls the open connections permanently: they stay open and carry nothing more, not even their end. New
     /// connections work.
     pub fn stall_open_connections(&self) {
@@ -138,6 +160,18 @@
 }
 
 impl LinkState {
+    /// Waits as long as a fault holds the bytes of a direction, or those of their sender.
+    async fn passable(&self, to_upstream: bool, probe: &SenderProbe) {
+        let is_blocked = || {
+            let senders = self.blocked_senders.borrow();
+            let mut senders = senders.iter().map(String::as_str);
+            to_upstream && senders.any(|sender| Some(sender) == probe.sender())
+        };
+        while self.fault.get().holds(to_upstream) || is_blocked() {
+            self.changed.notified().await;
+        }
+    }
+
     /// Waits until a connection is stalled that was opened after `stalls_of_open` of the calls that stall open ones.
     async fn stalled_after(&self, mut stalls_of_open: u64, last_bytes: &Cell<Instant>) {
         loop {
@@ -190,6 +224,7 @@
 ) {
     let mut buffer = vec![0u8; CHUNK];
     let stall_faults = state.stall_faults.get();
+    let mut probe = SenderProbe::default();
     loop {
         let Ok(length) = from.read(&mut buffer).await else { return };
         if length == 0 {
@@ -206,9 +241,8 @@
             _ if state.stall_faults.get() > stall_faults => return std::future::pending().await,
             _ => {}
         }
-        while state.fault.get().holds(to_upstream) {
-            state.changed.notified().await;
-        }
+        probe.extend(&buffer[..length]);
+        state.passable(to_upstream, &probe).await;
         if to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
