--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -106,7 +106,7 @@
     let outcomes: Vec<String> =
         report.outcomes.iter().map(|(outcome, count)| format!("{outcome}: {count}")).collect();
     println!("seed {seed}: {} faults; {}", report.steps.len(), outcomes.join(", "));
-    if report.streams.taken_up > 0 {
+    if report.streams.begun > 0 {
         println!("  streams: {:?}", report.streams);
     }
     if with_faults {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -52,6 +52,14 @@
     }
 }
 
+fn take_up_policy(extra: Option<ExtraKind>) -> TakeUpPolicy {
+    match extra {
+        Some(ExtraKind::Releases | ExtraKind::Silences) => TakeUpPolicy::Once,
+        Some(ExtraKind::Steps) => TakeUpPolicy::Persistent,
+        _ => TakeUpPolicy::Never,
+    }
+}
+
 /// Runs one seed and checks its evidence.
 ///
 /// # Errors
@@ -62,12 +70,7 @@
     let addresses: Vec<String> =
         fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect();
     let SoakOptions { seed, callers, extra, .. } = fleet.options;
-    let policy = match extra {
-        Some(ExtraKind::Releases | ExtraKind::Silences) => TakeUpPolicy::Once,
-        Some(ExtraKind::Steps) => TakeUpPolicy::Persistent,
-        _ => TakeUpPolicy::Never,
-    };
-    let callers = SoakCallers::start(seed, callers, &addresses, policy);
+    let callers = SoakCallers::start(seed, callers, &addresses, take_up_policy(extra));
     let watch = actix_rt::spawn(Rc::clone(&fleet).watch_processes());
     let engines = actix_rt::spawn(Rc::clone(&fleet).replace_terminated_engines());
     let begun = Instant::now();
@@ -88,11 +91,9 @@
     evidence.runs = fleet.runs();
     let mut violations = check_evidence(&evidence);
     if !kinds.is_empty() {
-        let detail = format!("{kinds:?}");
-        violations.push(SoakViolation {
-            invariant: "every kind of request is served at least once",
-            detail,
-        });
+        let (invariant, detail) =
+            ("every kind of request is served at least once", format!("{kinds:?}"));
+        violations.push(SoakViolation { invariant, detail });
     }
     violations.extend(unreachable);
     if let Ok(fleet) = Rc::try_unwrap(fleet) {
