--- a/crates/soak/tests/steps.rs
+++ b/crates/soak/tests/steps.rs
@@ -143,7 +143,8 @@
 ) {
     let group = DaemonGroup { first: 0, count: 1 };
     let cut = FaultStep {
-        at: Duration::from_millis(600),
+        // Before this the daemons may not know each other, and lose nobody.
+        at: Duration::from_millis(3_000),
         time: Duration::from_millis(2_500),
         fault: SoakFault::OutOfStep(group, OutOfStep::CutFromDaemons(direction)),
     };
@@ -153,7 +154,7 @@
         daemons: 3,
         engines: 2,
         callers: 24,
-        time: Duration::from_secs(4),
+        time: Duration::from_secs(6),
         planned_only: false,
         routes: 0,
         link_mbps: None,
