--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -78,11 +78,10 @@
         releases: 1,
         writes: 3,
         late_writes: false,
-        awaits_own_write: false,
-        begins_after_own_write: false,
         reads_as_scheduler: false,
+        writes_in_reach: false,
         knows_targets: false,
-        skew: 900,
+        skew: 2_000,
     }
 }
 
--- a/crates/model/src/streams.rs
+++ b/crates/model/src/streams.rs
@@ -4,9 +4,10 @@
 //! Two daemons may both take themselves for the one that schedules; the rest of the fleet only counts for what they
 //! reach. Daemons may be cut off from each other, stand still, and all be killed. Splits are decided,
 //! confirmed, selected and proved by the product's rules. The model allows more than the product where timers decide:
-//! a daemon may read, write and learn of targets at any time, and a read may count as unanswered at any time,
-//! as where the daemon is cut off from the store. A proof is possible beside a keeper that remembers the stream, as where
-//! the keeper has been killed.
+//! a daemon may read, learn of targets, and write while it schedules at any time, and a read may count as unanswered at any
+//! time, as where the daemon is cut off from the store. A proof is possible beside a keeper that remembers the stream, as where
+//! the keeper has been killed. Longer timeouts, open splits, and splits that come into use 30 s after they were read are
+//! not part of it.
 
 mod daemon;
 mod state;
@@ -31,8 +32,14 @@
     SplitWithoutTerm,
     /// A split is stored as ended when the next one is read, although others may use it for its term.
     EndsWithoutTerm,
-    /// A daemon that stood still counts the frames from before when it proves without a read.
+    /// A daemon that stood still counts the frames from before as new ones.
     CountsOldFrames,
+    /// A daemon goes on without the store by what it read before it lost reach of the fleet.
+    CountsLostReach,
+    /// A daemon proves without a read although a write of its own may have replaced the splits.
+    ProvesBesideOwnWrite,
+    /// A daemon that reaches few others uses the next split.
+    AdoptsAnywhere,
     /// A proof counts back from when it is made, not from when the stream was taken up.
     CountsFromProof,
 }
@@ -70,12 +77,11 @@
     pub writes: u8,
     /// Whether a write may reach the store in a later second than it was sent.
     pub late_writes: bool,
-    /// Whether a daemon proves without a read only while it has wanted to replace none of the splits that it knows.
-    pub awaits_own_write: bool,
-    /// The same for streams that it begins without the store.
-    pub begins_after_own_write: bool,
-    /// Whether a daemon begins streams without the store only after a read that it sent since it schedules.
+    /// Whether a daemon begins streams without the store only after a read that it sent since it schedules, which the
+    /// product does not ask for.
     pub reads_as_scheduler: bool,
+    /// Whether a daemon stores the next split only while it reaches half of the fleet, which the product does not ask for.
+    pub writes_in_reach: bool,
     /// Whether all daemons knew the last targets before their last read.
     pub knows_targets: bool,
     /// Milliseconds by which the clock of the second daemon is ahead.
--- a/crates/model/src/streams/daemon.rs
+++ b/crates/model/src/streams/daemon.rs
@@ -4,15 +4,19 @@
 
 use curlewcleat_core::{VersionDigest, VersionHistory, WallTime};
 use curlewcleat_sched::{
-    confirm_last_split, prove_version, revise_history, usable_split, FleetReach, SPLIT_TERM,
+    choose_version, confirm_last_split, is_timeout_stored, prove_version, revise_history,
+    FleetReach, SplitChoice, SPLIT_TERM,
 };
 
-use super::state::{wall, weights, DaemonCut, StreamDaemon, StreamState, TIMEOUT};
+use super::state::{wall, weights, StreamDaemon, StreamState, TIMEOUT};
 use super::{StreamFault, StreamModel};
 
-/// Seconds after which a daemon that is not heard counts as lost, and for which frames count as recent.
+/// Seconds after which a daemon that is not heard counts as lost.
 const SUSPECT_AFTER: u8 = 2;
-const RECENT: u8 = 1;
+/// Time for which daemons count as reached after a frame of theirs.
+const REACHED_FOR: Duration = Duration::from_millis(1_333);
+/// Seconds after a change of the targets from which a read shows the split that follows from it.
+const SETTLED_AFTER: u8 = 2;
 /// Seconds after a standstill in which frames from before are handled.
 const BACKLOG_TIME: u8 = 1;
 /// Time for which an answer is awaited.
@@ -25,7 +29,9 @@
 impl StreamDaemon {
     /// Forgets times that decide nothing any more, so that fewer states differ.
     pub(super) fn forget_expired(&mut self, now: u8) {
-        self.fleet_heard = self.fleet_heard.filter(|heard| now <= heard + RECENT);
+        let is_recent = |heard: &u8| Duration::from_secs(u64::from(now - heard)) < REACHED_FOR;
+        self.fleet_heard = self.fleet_heard.filter(is_recent);
+        self.half_heard = self.half_heard.filter(is_recent);
         self.other_heard = self.other_heard.filter(|heard| now < heard + SUSPECT_AFTER);
         let backlog = BACKLOG_TIME + SUSPECT_AFTER;
         self.standstill = self.standstill.filter(|(ended, _)| now < ended + backlog);
@@ -39,18 +45,30 @@
         index == 0 || heard.is_none_or(|heard| self.now >= heard + SUSPECT_AFTER)
     }
 
-    fn reach(&self, index: usize) -> FleetReach {
-        let heard = self.daemons[index].fleet_heard;
-        match heard.is_some_and(|heard| self.now <= heard + RECENT) {
-            true => FleetReach::Most,
-            false if self.cut == DaemonCut::Halves => FleetReach::Half,
-            false => FleetReach::Few,
+    /// Returns how much of the fleet a daemon has reached for so short a time that no other one can have taken over.
+    fn recent_reach(&self, index: usize, counts_old_frames: bool) -> FleetReach {
+        let daemon = &self.daemons[index];
+        let backlog = BACKLOG_TIME + SUSPECT_AFTER;
+        let standstill = daemon.standstill.filter(|(ended, _)| self.now < ended + backlog);
+        let delay = standstill.filter(|_| !counts_old_frames).map_or(0, |(_, length)| length);
+        let limit = REACHED_FOR.saturating_sub(Duration::from_secs(u64::from(delay)));
+        let is_recent = |heard: Option<u8>| {
+            heard.is_some_and(|heard| Duration::from_secs(u64::from(self.now - heard)) < limit)
+        };
+        match (is_recent(daemon.fleet_heard), is_recent(daemon.half_heard)) {
+            (true, _) => FleetReach::Most,
+            (false, true) => FleetReach::Half,
+            (false, false) => FleetReach::Few,
         }
     }
 
-    fn stood_still_lately(&self, index: usize) -> bool {
-        let standstill = self.daemons[index].standstill;
-        standstill.is_some_and(|(ended, _)| self.now < ended + BACKLOG_TIME + SUSPECT_AFTER)
+    /// Records how much of the fleet a daemon reaches, and since when.
+    pub(super) fn update_reach(&mut self, index: usize, counts_old_frames: bool) {
+        let (now, reach) = (self.now, self.recent_reach(index, counts_old_frames));
+        let daemon = &mut self.daemons[index];
+        let since = |before: Option<u8>, least| (reach >= least).then(|| before.unwrap_or(now));
+        daemon.half_since = since(daemon.half_since, FleetReach::Half);
+        daemon.most_since = since(daemon.most_since, FleetReach::Most);
     }
 
     /// Returns the length of a standstill whose frames are still handled.
@@ -64,18 +82,14 @@
         &self.store[self.daemons[index].history].0 .0
     }
 
-    fn adopts_splits(&self, index: usize) -> bool {
-        self.reach(index) == FleetReach::Most && !self.stood_still_lately(index)
-    }
-
-    /// Returns whether a daemon that gets no answer of the store may go by what it knows.
-    fn leads_without_store(&self, index: usize, least: FleetReach, stood_still: bool) -> bool {
+    /// Returns whether a daemon that schedules and gets no answer of the store may go by what it knows.
+    fn leads_without_store(&self, index: usize, reached_since: Option<u8>) -> bool {
         let daemon = &self.daemons[index];
-        let known_since = daemon.leading_since.map(|since| since.min(daemon.targets_changed));
+        let settled = daemon.targets_changed + SETTLED_AFTER;
+        let known_since = daemon.leading_since.map(|since| since.min(settled));
         self.leads(index)
             && known_since.is_some_and(|since| daemon.last_read >= Some(since))
-            && !stood_still
-            && self.reach(index) >= least
+            && reached_since.is_some_and(|since| daemon.last_read >= Some(since))
     }
 }
 
@@ -92,18 +106,17 @@
         if !state.leads(index) || daemon.last_read.is_none() {
             return None;
         }
-        if daemon.last_read < daemon.leading_since {
-            return None;
-        }
         let wall = self.wall(state, index);
         let without_term = self.fault == StreamFault::EndsWithoutTerm;
         let term = if without_term { Duration::ZERO } else { SPLIT_TERM };
         let known = state.history(index);
-        let is_adopting = state.adopts_splits(index);
-        let confirmed = is_adopting.then(|| confirm_last_split(known, wall + term)).flatten();
+        let is_confirming = daemon.most_since.is_some();
+        let confirmed = is_confirming.then(|| confirm_last_split(known, wall + term)).flatten();
         let current = confirmed.as_ref().unwrap_or(known);
         let targets = weights(daemon.targets_seen);
-        revise_history(current, wall, &targets, false, TIMEOUT).or(confirmed)
+        let may_write = daemon.half_since.is_some() || !self.writes_in_reach;
+        let revised = revise_history(current, wall, &targets, false, TIMEOUT);
+        revised.filter(|_| may_write).or(confirmed)
     }
 
     /// Returns the versions at which a daemon may begin the stream, none if it has to wait.
@@ -113,21 +126,28 @@
         let has_term = self.fault != StreamFault::SplitWithoutTerm;
         let term = SPLIT_TERM.as_secs() as u8;
         let is_current = daemon.last_read.is_some_and(|read| !has_term || state.now < read + term);
-        let stood_still = state.stood_still_lately(index);
-        let is_replaced = self.begins_after_own_write && daemon.replaced == Some(daemon.history);
         let is_read = !self.reads_as_scheduler || daemon.last_read >= daemon.leading_since;
-        let is_known = is_read && !is_replaced;
-        let leads_alone = state.leads_without_store(index, FleetReach::Half, stood_still);
-        let may_begin = is_current || (is_known && leads_alone);
+        let leads_alone = state.leads_without_store(index, self.in_step(daemon.half_since));
+        let may_begin = is_current || (is_read && leads_alone);
         if !may_begin {
             return match self.fault {
                 StreamFault::BeginsWithoutRead => targets.into_keys().collect(),
                 _ => Vec::new(),
             };
         }
-        let split = usable_split(state.history(index), state.adopts_splits(index));
-        let version = split.and_then(|split| split.version_of(&self.stream()));
-        version.filter(|version| targets.contains_key(version)).into_iter().collect()
+        let history = state.history(index);
+        if !is_timeout_stored(history, TIMEOUT) {
+            return Vec::new();
+        }
+        let is_adopting = daemon.half_since.is_some() || self.fault == StreamFault::AdoptsAnywhere;
+        match choose_version(history, &self.stream(), is_adopting) {
+            SplitChoice::Version(version) if targets.contains_key(&version) => vec![version],
+            SplitChoice::AnyOf(named) if targets.keys().all(|target| named.contains(target)) => {
+                targets.into_keys().collect()
+            }
+            SplitChoice::Unsplit => targets.into_keys().collect(),
+            _ => Vec::new(),
+        }
     }
 
     /// Returns the version that a daemon proves by the splits that it knows, for a stream that began and was taken up in
@@ -155,13 +175,24 @@
         let (Some(read), Some(since)) = (daemon.last_read, daemon.leading_since) else {
             return false;
         };
-        let stood_still =
-            state.stood_still_lately(index) && self.fault != StreamFault::CountsOldFrames;
-        let is_replaced = self.awaits_own_write && daemon.replaced == Some(daemon.history);
+        let is_replaced = daemon.replaced == Some(daemon.history)
+            && self.fault != StreamFault::ProvesBesideOwnWrite;
         read >= since
             && !is_replaced
             && state.now < read + UNREAD_PROOF_LIMIT
             && state.now >= since + (state.now - begun) + LEAD_MARGIN
-            && state.leads_without_store(index, FleetReach::Most, stood_still)
+            && state.leads_without_store(index, self.in_step(daemon.most_since))
+    }
+
+    /// Returns from when on a daemon has to have read that has reached so much of the fleet since then.
+    fn in_step(&self, reached_since: Option<u8>) -> Option<u8> {
+        match self.fault {
+            StreamFault::CountsLostReach => reached_since.map(|_| 0),
+            _ => reached_since,
+        }
+    }
+
+    pub(super) fn counts_old_frames(&self) -> bool {
+        self.fault == StreamFault::CountsOldFrames
     }
 }
--- a/crates/model/src/streams/state.rs
+++ b/crates/model/src/streams/state.rs
@@ -51,8 +51,12 @@
     pub(super) write: Option<(StoredHistory, u8, usize)>,
     /// The number of the splits that it has last wanted to replace.
     pub(super) replaced: Option<usize>,
-    /// When it last heard most of the fleet.
+    /// When it last heard most of the fleet, and half of it.
     pub(super) fleet_heard: Option<u8>,
+    pub(super) half_heard: Option<u8>,
+    /// Since when it has reached most of the fleet, and half of it, without a break.
+    pub(super) most_since: Option<u8>,
+    pub(super) half_since: Option<u8>,
     /// When the second daemon last heard the first one.
     pub(super) other_heard: Option<u8>,
     pub(super) leading_since: Option<u8>,
@@ -92,6 +96,9 @@
             write: None,
             replaced: None,
             fleet_heard: None,
+            half_heard: None,
+            most_since: None,
+            half_since: None,
             other_heard: None,
             leading_since: Some(now),
             stalled: None,
@@ -104,10 +111,13 @@
     /// Returns a fleet that has run for long with targets of one version.
     pub(super) fn new(releases: u8, targets_seen: u8) -> StreamState {
         let daemon = |index| StreamDaemon {
-            targets_changed: 0,
+            targets_changed: if targets_seen > 0 { START } else { 0 },
             started: 0,
             last_read: Some(START),
             fleet_heard: Some(START),
+            half_heard: Some(START),
+            most_since: Some(0),
+            half_since: Some(0),
             other_heard: (index == 1).then_some(START),
             leading_since: (index == 0).then_some(0),
             ..StreamDaemon::started(START, targets_seen)
--- a/crates/model/src/streams/steps.rs
+++ b/crates/model/src/streams/steps.rs
@@ -30,22 +30,28 @@
     }
 
     /// Advances the clock by a second, in which daemons hear each other.
-    fn pass_second(&mut self) {
+    fn pass_second(&mut self, counts_old_frames: bool) {
         self.now += 1;
         let now = self.now;
         let all_run = self.daemons.iter().all(|daemon| daemon.stalled.is_none());
         for index in 0..DAEMONS {
-            let hears_fleet = !self.is_cut_off(index) && self.daemons[index].stalled.is_none();
+            let runs = self.daemons[index].stalled.is_none();
+            let hears_fleet = runs && !self.is_cut_off(index);
+            let hears_half = hears_fleet || (runs && self.cut == DaemonCut::Halves);
             let daemon = &mut self.daemons[index];
             if hears_fleet {
                 daemon.fleet_heard = Some(now);
             }
+            if hears_half {
+                daemon.half_heard = Some(now);
+            }
             if index == 1 && all_run && self.cut == DaemonCut::None {
                 daemon.other_heard = Some(now);
             }
             daemon.forget_expired(now);
-            if daemon.stalled.is_none() {
+            if runs {
                 self.update_lead(index);
+                self.update_reach(index, counts_old_frames);
             }
         }
         // What was taken up and has not been answered is refused.
@@ -66,16 +72,18 @@
     }
 
     /// Ends a standstill. Frames from before it count as if they had just arrived once they are handled.
-    fn resume(&mut self, index: usize, handles_frames: bool) {
+    fn resume(&mut self, index: usize, handles_frames: bool, counts_old_frames: bool) {
         let now = self.now;
         let daemon = &mut self.daemons[index];
         let Some(since) = daemon.stalled.take() else { return };
         daemon.standstill = Some((now, now - since));
         if handles_frames {
             daemon.fleet_heard = Some(now);
+            daemon.half_heard = Some(now);
             daemon.other_heard = (index == 1).then_some(now);
         }
         self.update_lead(index);
+        self.update_reach(index, counts_old_frames);
     }
 
     /// Ends all daemons, which start anew.
@@ -104,7 +112,9 @@
     pub(super) fn fleet_steps(&self, state: &StreamState) -> Steps {
         let mut next = Vec::new();
         if state.now < START + self.seconds {
-            next.push(step(state, "a second passes", StreamState::pass_second));
+            next.push(step(state, "a second passes", |after| {
+                after.pass_second(self.counts_old_frames());
+            }));
         }
         if state.kills < self.kills {
             next.push(step(state, "all daemons are killed", |after| {
@@ -142,7 +152,9 @@
                 for handles_frames in [false, true] {
                     let name =
                         format!("daemon {index} runs again, handles frames: {handles_frames}");
-                    next.push(step(state, name, |after| after.resume(index, handles_frames)));
+                    next.push(step(state, name, |after| {
+                        after.resume(index, handles_frames, self.counts_old_frames());
+                    }));
                 }
             }
             _ => {}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -25,13 +25,13 @@
 use curlewcleat_peers::encode_frame;
 use curlewcleat_sched::RequestSpec;
 
-use builders::{address, daemon_behind};
+use builders::daemon_behind;
 
 // Each test file uses only some of these.
 #[allow(unused_imports)]
 pub use builders::{
-    daemon, heartbeat, later_daemon, mixed_fleet_capacity, mixed_fleet_daemon, mixed_fleet_records,
-    recorded, spec, target, ROLLOUT_LIMITS,
+    address, daemon, heartbeat, key_daemon, later_daemon, mixed_fleet_capacity, mixed_fleet_daemon,
+    mixed_fleet_records, recorded, spec, target, ROLLOUT_LIMITS,
 };
 #[allow(unused_imports)]
 pub use link::SlowLink;
@@ -80,6 +80,11 @@
     pub drops_history_reads: bool,
     /// Time after which daemons get the answers to their reads of the splits, where they do not get them at once.
     pub history_delays: BTreeMap<usize, Duration>,
+    /// Time after which the platform does the writes of splits of daemons, where it does not do them at once.
+    pub history_write_delays: BTreeMap<usize, Duration>,
+    late_writes: Vec<(Duration, VersionHistory)>,
+    /// By how much the wall clocks of daemons are ahead.
+    pub clocks_ahead: BTreeMap<usize, Duration>,
     /// Daemons that stand still, and what has arrived at them since.
     pub standing_still: BTreeMap<usize, VecDeque<NodeEvent>>,
     /// Evacuated data centres at the platform, with their revision.
@@ -146,6 +151,9 @@
             histories: BTreeMap::new(),
             drops_history_reads: false,
             history_delays: BTreeMap::new(),
+            history_write_delays: BTreeMap::new(),
+            late_writes: Vec::new(),
+            clocks_ahead: BTreeMap::new(),
             standing_still: BTreeMap::new(),
             evacuations: EvacuationList { at: 1, ..EvacuationList::default() },
             generation: 1,
@@ -188,7 +196,8 @@
         let mut events = vec![(index, event)];
         while let Some((index, event)) = events.pop() {
             let Some(event) = self.reached_by(index, event) else { continue };
-            let wall = Duration::from_secs(1_000) + self.now;
+            let ahead = self.clocks_ahead.get(&index).copied().unwrap_or_default();
+            let wall = Duration::from_secs(1_000) + self.now + ahead;
             let earlier = events.len();
             for action in self.daemons[index].node.handle(self.now, wall, event) {
                 match action {
@@ -218,6 +227,10 @@
                     NodeAction::Platform(PlatformCall::WriteVersionHistory(history))
                         if self.daemons[index].reaches_platform =>
                     {
+                        if let Some(delay) = self.history_write_delays.get(&index) {
+                            self.late_writes.push((self.now + *delay, history));
+                            continue;
+                        }
                         self.write_history(history);
                         if !self.drops_history_reads {
                             let read = self.histories_read();
@@ -292,7 +305,7 @@
     }
 
     /// Stores a history if it was derived from the stored one.
-    fn write_history(&mut self, history: VersionHistory) {
+    pub(crate) fn write_history(&mut self, history: VersionHistory) {
         let stored = self.histories.get(&history.pool).and_then(|stored| stored.revision);
         if stored == history.revision {
             let revision = Some(stored.unwrap_or_default() + 1);
@@ -310,6 +323,7 @@
         while self.now < end {
             self.now += STEP;
             self.deliver_delayed();
+            self.apply_late_writes();
             self.deliver_late_answers();
             for index in 0..self.daemons.len() {
                 self.deliver_outbound(index);
