Streams without the platform: none where an own write is unanswered, or others were out of reach since the read

It proves nothing while no read has shown the outcome of its write, and neither proves nor begins streams unless its reach has been enough since the read.

--- a/crates/node/src/node/stream_proofs.rs
+++ b/crates/node/src/node/stream_proofs.rs
@@ -103,7 +103,9 @@
             .is_some_and(|read| read >= leading_since && now < read + UNREAD_PROOF_LIMIT);
         let longest = pool.history.longest_timeout;
         let age = longest.zip(query.time_left).map(|(longest, left)| longest.saturating_sub(left));
+        // Another daemon may have read a split that this one had stored, and begun the stream by it.
         is_read
+            && pool.write_requested.is_none()
             && age.is_some_and(|age| now >= leading_since + age + LEAD_MARGIN)
             && self.leads_without_platform(pool, FleetReach::Most)
     }
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -64,6 +64,9 @@
     weights_changed: Uptime,
     /// How much of the fleet this daemon reaches, as of the last tick.
     pub(super) reach: FleetReach,
+    /// Since when it has reached half of the fleet, and most of it, without a break.
+    half_since: Option<Uptime>,
+    most_since: Option<Uptime>,
     /// When a permit was last requested for a new stream.
     pub(super) last_start: Option<Uptime>,
 }
@@ -80,7 +83,26 @@
     /// Whether streams began here that may be taken up, since this process started.
     pub(super) has_streams: bool,
     pub(super) longest_timeout: Duration,
-    write_requested: Option<Uptime>,
+    /// When the write was requested whose outcome no read has shown.
+    pub(super) write_requested: Option<Uptime>,
+}
+
+impl HistoryExchange {
+    /// Records how much of the fleet this daemon reaches.
+    fn set_reach(&mut self, now: Uptime, reach: FleetReach) {
+        let since = |before: Option<Uptime>, least| (reach >= least).then(|| before.unwrap_or(now));
+        self.half_since = since(self.half_since, FleetReach::Half);
+        self.most_since = since(self.most_since, FleetReach::Most);
+        self.reach = reach;
+    }
+
+    /// Returns since when this daemon has reached so much of the fleet, `None` where it does not.
+    fn reached_since(&self, least: FleetReach) -> Option<Uptime> {
+        match least {
+            FleetReach::Most => self.most_since,
+            _ => self.half_since,
+        }
+    }
 }
 
 impl Node {
@@ -152,12 +174,16 @@
         let settled = exchange.weights_changed + CHANGE_READS.0;
         let known_since = exchange.leading_since.map(|since| since.min(settled));
         let is_known = known_since.is_some_and(|since| pool.last_read >= Some(since));
-        self.leads() && is_overdue && is_known && exchange.reach >= least
+        // Others may have replaced the splits while they were out of reach.
+        let reached_since = exchange.reached_since(least);
+        let is_in_step = reached_since.is_some_and(|since| pool.last_read >= Some(since));
+        self.leads() && is_overdue && is_known && is_in_step
     }
 
     /// Reads the splits where this daemon needs them, stores those that have to change, and ends waits.
     pub(super) fn step_histories(&mut self) {
-        self.histories.reach = self.members.recent_reach(self.now, self.handling_delay());
+        let reach = self.members.recent_reach(self.now, self.handling_delay());
+        self.histories.set_reach(self.now, reach);
         self.expire_stream_starts();
         if self.leads() {
             self.histories.leading_since.get_or_insert(self.now);
