--- a/crates/model/src/streams.rs
+++ b/crates/model/src/streams.rs
@@ -6,8 +6,8 @@
 //! confirmed, selected and proved by the product's rules. The model allows more than the product where timers decide:
 //! a daemon may read, learn of targets, and write while it schedules at any time, and a read may count as unanswered at any
 //! time, as where the daemon is cut off from the store. A proof is possible beside a keeper that remembers the stream, as where
-//! the keeper has been killed. Longer timeouts, open splits, and splits that come into use 30 s after they were read are
-//! not part of it.
+//! the keeper has been killed. Longer timeouts, open splits, splits that cannot be read, and splits that come into use 30 s
+//! after they were read are not part of it.
 
 mod daemon;
 mod state;
