--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -86,14 +86,23 @@
     });
 }
 
-fn log_stream_proof(request: RequestId, version: Option<VersionDigest>, read_age: Duration) {
-    let version = version.map(VersionDigest::to_hex).unwrap_or_default();
+fn log_stream_proof(
+    request: RequestId,
+    version: Option<VersionDigest>,
+    read_age: Option<Duration>,
+) {
+    let version = version.map_or(String::new(), VersionDigest::to_hex);
     info!("stream_proof", kv: {
         request = request.to_string(), version = version.as_str(),
-        read_age_ms = read_age.as_millis() as i64
+        read_age_ms = age_millis(read_age)
     });
 }
 
+/// Returns the age of a read of the splits in milliseconds, -1 for a daemon that has not read them.
+fn age_millis(read_age: Option<Duration>) -> i64 {
+    read_age.map_or(-1, |age| age.as_millis() as i64)
+}
+
 fn log_start_refused(
     request: RequestId,
     pool: &str,
@@ -101,11 +110,9 @@
     waited: Duration,
     read_age: Option<Duration>,
 ) {
-    // -1 stands for a daemon that has not read the splits.
-    let read_age = read_age.map_or(-1, |age| age.as_millis() as i64);
     warn!("stream_start_refused", kv: {
         request = request.to_string(), pool, reason = obstacle.code(),
-        waited_ms = waited.as_millis() as i64, read_age_ms = read_age
+        waited_ms = waited.as_millis() as i64, read_age_ms = age_millis(read_age)
     });
 }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -301,8 +301,8 @@
         request: RequestId,
         /// The version, `None` where it is not proved.
         version: Option<VersionDigest>,
-        /// Age of the read that showed the splits.
-        read_age: Duration,
+        /// Age of the read that showed the splits, `None` where there was none.
+        read_age: Option<Duration>,
     },
     /// A new stream is refused, since no split selects its version.
     StreamStartRefused {
--- a/crates/node/src/node/standstill.rs
+++ b/crates/node/src/node/standstill.rs
@@ -1,7 +1,7 @@
 //! Notices that this daemon did not run for some time.
 //!
 //! What has arrived in the meantime is handled afterwards as if it were new: frames of peers that have long taken this
-//! daemon for unreachable, and requests whose callers have less time than was measured.
+//! daemon for unreachable, and requests whose callers have less time than they stated.
 //!
 //! Owns: the last standstill. Relies on: an event every few milliseconds, at least a tick, and a clock that continues.
 
--- a/crates/node/src/node/stream_proofs.rs
+++ b/crates/node/src/node/stream_proofs.rs
@@ -67,7 +67,7 @@
     }
 
     fn answer_proofs(&mut self, proofs: Vec<PendingProof>) {
-        let read_age = self.now.saturating_sub(self.histories.last_read.unwrap_or_default());
+        let read_age = self.histories.last_read.map(|read| self.now.saturating_sub(read));
         for PendingProof { from, query, asked, .. } in proofs {
             let pool = self.histories.pools.get(&query.pool);
             let version = pool.and_then(|pool| {
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -275,8 +275,8 @@
         self.actions.push(NodeAction::Note(note));
     }
 
-    /// Returns the query for the version of a stream that a request takes up. The time that its caller has left was
-    /// measured before the request came here.
+    /// Returns the query for the version of a stream that a request takes up. The caller stated the
+    /// time that it has left before the request came here.
     fn proof_query(&self, spec: &RequestSpec, stream: Option<StreamId>) -> StreamProofQuery {
         let elapsed = self.recent_standstill();
         let time_left = spec.caller_time_left.map(|left| left.saturating_sub(elapsed));
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -45,13 +45,7 @@
         self.step_rollouts();
         self.step_freshness();
         self.send_heartbeats();
-        if self.now >= self.last_review + REVIEW_INTERVAL {
-            self.last_review = self.now;
-            self.note_waiting();
-            self.advance_rates();
-            self.review_table();
-            self.review_lethal();
-        }
+        self.step_reviews();
         if self.now >= self.last_expire + EXPIRE_INTERVAL {
             self.last_expire = self.now;
             self.key_holder.expire(self.wall);
@@ -59,6 +53,17 @@
         self.step_drain();
     }
 
+    fn step_reviews(&mut self) {
+        if self.now < self.last_review + REVIEW_INTERVAL {
+            return;
+        }
+        self.last_review = self.now;
+        self.note_waiting();
+        self.advance_rates();
+        self.review_table();
+        self.review_lethal();
+    }
+
     fn note_waiting(&mut self) {
         let waiting = self.pools.iter().filter(|(_, pool)| pool.waiting() > 0);
         let notes: Vec<NodeAction> = waiting
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -268,8 +268,8 @@
         }
     }
 
-    /// Returns whether this daemon may use the next split: it reaches so many daemons that no other one, which does not
-    /// reach the platform, proves by the former split.
+    /// Returns whether this daemon may use the next split: it reaches half of the fleet, so that no other one which
+    /// reaches most of it, and not the platform, proves by the former split.
     pub(super) fn adopts_splits(&self) -> bool {
         self.histories.reach >= FleetReach::Half
     }
--- a/crates/node/src/vms.rs
+++ b/crates/node/src/vms.rs
@@ -1,4 +1,6 @@
 //! Tracks the platform's VM list over time.
+//!
+//! Owns: which VMs are listed, leaving or missing. Relies on: lists in the order in which they were read.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/node/tests/out_of_step/plan.rs
+++ b/crates/node/tests/out_of_step/plan.rs
@@ -8,6 +8,7 @@
 
 use super::play::{PlayCounts, StreamPlay};
 use super::support::streams::set_versions;
+use super::support::Fleet;
 
 /// Time in which faults and changes begin.
 const PLAN_MS: u64 = 9_000;
@@ -129,55 +130,55 @@
 }
 
 fn apply(play: &mut StreamPlay, step: PlanStep, incarnation: u64) {
-    let fleet = &mut play.fleet;
-    let all = 0..fleet.daemons.len();
     match step {
-        PlanStep::Versions(versions) => set_versions(fleet, versions),
-        PlanStep::Begin(FaultKind::Cut, index) => fleet.block(index, all, true),
-        PlanStep::Begin(FaultKind::CutOneWay, index) => fleet.block(index, all, false),
-        PlanStep::Begin(FaultKind::StoreCut, index) => {
-            fleet.daemons[index].reaches_platform = false;
-        }
-        PlanStep::Begin(FaultKind::CutFromAll, index) => {
+        PlanStep::Versions(versions) => set_versions(&mut play.fleet, versions),
+        PlanStep::Begin(kind, index) => begin_fault(&mut play.fleet, kind, index, incarnation),
+        PlanStep::End(kind, index) => end_fault(&mut play.fleet, kind, index),
+    }
+}
+
+fn begin_fault(fleet: &mut Fleet, kind: FaultKind, index: usize, incarnation: u64) {
+    let all = 0..fleet.daemons.len();
+    match kind {
+        FaultKind::Cut => fleet.block(index, all, true),
+        FaultKind::CutOneWay => fleet.block(index, all, false),
+        FaultKind::StoreCut => fleet.daemons[index].reaches_platform = false,
+        FaultKind::CutFromAll => {
             fleet.block(index, all, true);
             fleet.daemons[index].reaches_platform = false;
         }
-        PlanStep::Begin(FaultKind::StoreSlow, index) => {
+        FaultKind::StoreSlow => {
             fleet.history_delays.insert(index, Duration::from_millis(700));
         }
-        PlanStep::Begin(FaultKind::StandsStill | FaultKind::StandsStillThenStoreCut, index) => {
-            fleet.suspend(index);
-        }
-        PlanStep::Begin(FaultKind::Kill, index) => fleet.restart(index, incarnation),
-        PlanStep::Begin(FaultKind::KillAll, _) => {
-            all.for_each(|index| fleet.restart(index, incarnation));
+        FaultKind::StandsStill | FaultKind::StandsStillThenStoreCut => fleet.suspend(index),
+        FaultKind::Kill => fleet.restart(index, incarnation),
+        FaultKind::KillAll => all.for_each(|index| fleet.restart(index, incarnation)),
+        FaultKind::ClockAhead => {
+            fleet.clocks_ahead.insert(index, CLOCK_DIFFERENCE);
         }
-        PlanStep::End(FaultKind::Cut | FaultKind::CutOneWay, index) => {
-            fleet.blocked.retain(|(from, to)| ![*from, *to].contains(&index));
+        FaultKind::ClockBehind => {
+            let others = all.filter(|other| *other != index);
+            fleet.clocks_ahead = others.map(|other| (other, CLOCK_DIFFERENCE)).collect();
         }
-        PlanStep::End(FaultKind::StoreCut, index) => fleet.daemons[index].reaches_platform = true,
-        PlanStep::End(FaultKind::CutFromAll, index) => {
-            fleet.blocked.retain(|(from, to)| ![*from, *to].contains(&index));
+    }
+}
+
+fn end_fault(fleet: &mut Fleet, kind: FaultKind, index: usize) {
+    let is_cut = [FaultKind::Cut, FaultKind::CutOneWay, FaultKind::CutFromAll].contains(&kind);
+    fleet.blocked.retain(|(from, to)| !(is_cut && [*from, *to].contains(&index)));
+    match kind {
+        FaultKind::StoreCut | FaultKind::CutFromAll => {
             fleet.daemons[index].reaches_platform = true;
         }
-        PlanStep::End(FaultKind::StoreSlow, index) => {
+        FaultKind::StoreSlow => {
             fleet.history_delays.remove(&index);
         }
-        PlanStep::End(FaultKind::StandsStill, index) => fleet.resume(index),
-        PlanStep::End(FaultKind::StandsStillThenStoreCut, index) => {
+        FaultKind::StandsStill => fleet.resume(index),
+        FaultKind::StandsStillThenStoreCut => {
             fleet.daemons[index].reaches_platform = false;
             fleet.resume(index);
         }
-        PlanStep::Begin(FaultKind::ClockAhead, index) => {
-            fleet.clocks_ahead.insert(index, CLOCK_DIFFERENCE);
-        }
-        PlanStep::Begin(FaultKind::ClockBehind, index) => {
-            let others = all.filter(|other| *other != index);
-            fleet.clocks_ahead = others.map(|other| (other, CLOCK_DIFFERENCE)).collect();
-        }
-        PlanStep::End(FaultKind::ClockAhead | FaultKind::ClockBehind, _) => {
-            fleet.clocks_ahead.clear();
-        }
-        PlanStep::End(FaultKind::Kill | FaultKind::KillAll, _) => {}
+        FaultKind::ClockAhead | FaultKind::ClockBehind => fleet.clocks_ahead.clear(),
+        FaultKind::Cut | FaultKind::CutOneWay | FaultKind::Kill | FaultKind::KillAll => {}
     }
 }
--- a/crates/sched/src/election.rs
+++ b/crates/sched/src/election.rs
@@ -2,7 +2,7 @@
 //!
 //! [`membership`] holds the state of the peers, [`addresses`] the addresses of possible daemons, [`candidates`] decides
 //! which daemons may schedule, [`heartbeats`] who receives heartbeats, [`failure`] when a peer counts as unreachable,
-//! [`order`] which daemon schedules, [`unresponsive`] which one gets a permit request if some do not answer.
+//! [`order`] which daemon schedules, [`reach`] how much of the fleet it reaches, [`unresponsive`] which one gets a permit request if some do not answer.
 //!
 //! Liveness decides only which daemon gets a permit request first; no guarantee depends on it.
 
@@ -12,4 +12,5 @@
 pub mod heartbeats;
 pub mod membership;
 pub mod order;
+pub mod reach;
 pub mod unresponsive;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -52,7 +52,8 @@
 pub use drain::{DrainInput, DrainPhase, DrainState};
 pub use election::candidates::ALL_POOLS;
 pub use election::heartbeats::HeartbeatReceiver;
-pub use election::membership::{FleetReach, HeartbeatChange, MemberOptions, MemberView, PeerState};
+pub use election::membership::{HeartbeatChange, MemberOptions, MemberView, PeerState};
+pub use election::reach::FleetReach;
 pub use entry::{
     EntryAction, EntryOptions, EntryRequests, ReplacementStep, RequestSpec, TakenUpStream,
 };
