Splits that cannot be read: new streams begin, and nothing is proved

The daemon passes on that the object cannot be read; streams of the pool begin at any version, nothing is written or proved. streams_begin_where_the_object_of_the_splits_cannot_be_read fails without the rule.

--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -576,6 +576,7 @@
         revision: Some(7),
         splits: vec![split],
         longest_timeout: Some(Duration::from_secs(12)),
+        ..VersionHistory::default()
     }
 }
 
--- a/crates/core/src/version_split.rs
+++ b/crates/core/src/version_split.rs
@@ -51,4 +51,7 @@
     pub splits: Vec<VersionSplit>,
     /// Longest time that callers have for a stream over all of their attempts, rounded up; `None` if it is not known.
     pub longest_timeout: Option<Duration>,
+    /// Whether the platform has an object of the pool's name that holds no splits, so that none can be stored. It is not
+    /// stored itself.
+    pub is_unreadable: bool,
 }
--- a/crates/daemon/src/fleet/follow/versions.rs
+++ b/crates/daemon/src/fleet/follow/versions.rs
@@ -49,7 +49,13 @@
             for fault in &list.faults {
                 warn!("stream_versions_unreadable", kv: { pool = fault.name.as_str() });
             }
-            let (histories, sent) = (list.histories, context.uptime_at(sent));
+            let unreadable = list.faults.iter().map(|fault| VersionHistory {
+                pool: fault.name.clone(),
+                is_unreadable: true,
+                ..VersionHistory::default()
+            });
+            let histories = list.histories.into_iter().chain(unreadable).collect();
+            let sent = context.uptime_at(sent);
             context.send_event(NodeEvent::VersionHistoriesRead { histories, sent });
         }
         Err(error) => {
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -165,8 +165,8 @@
         self.options.freshness.is_some() && self.all_pools_order.first() == Some(&self.options.me)
     }
 
-    /// Returns whether the platform has not answered for some time, while this daemon schedules most others and no other
-    /// one has decided on a split of a pool that it does not know.
+    /// Returns whether the platform has not answered for some time, while this daemon schedules, has reached at least `least` of
+    /// the fleet since its last read, and no other one can have decided on a split of a pool that it does not know.
     pub(super) fn leads_without_platform(&self, pool: &PoolHistory, least: FleetReach) -> bool {
         let exchange = &self.histories;
         let is_overdue = exchange.unanswered_since.is_some_and(|at| self.now >= at + READ_LIMIT);
@@ -247,8 +247,9 @@
         // Otherwise a daemon that reaches most others, and not the platform, may use or prove by the former split.
         let is_confirming = self.histories.reach == FleetReach::Most;
         for (id, pool) in &mut self.histories.pools {
-            let is_used =
-                pool.last_read.is_some() && (pool.has_streams || pool.history.revision.is_some());
+            let is_used = pool.last_read.is_some()
+                && !pool.history.is_unreadable
+                && (pool.has_streams || pool.history.revision.is_some());
             let is_pending =
                 pool.write_requested.is_some_and(|requested| now < requested + REPEAT_AFTER);
             if !is_used || is_pending {
--- a/crates/node/tests/out_of_step_orders.rs
+++ b/crates/node/tests/out_of_step_orders.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use curlewcleat_core::{RequestId, StreamVersion, VersionDigest};
+use curlewcleat_core::{RequestId, StreamVersion, VersionDigest, VersionHistory};
 use curlewcleat_node::{CallerDecision, ListedVm, NodeEvent};
 use curlewcleat_sched::{RequestSpec, TakenUpStream};
 use play::StreamPlay;
@@ -289,3 +289,18 @@
     let (_, earlier) = until.split_last().expect("splits");
     assert!(earlier.len() > 1 && earlier.iter().all(Option::is_some), "{until:?}");
 }
+
+/// Guards against new streams that are refused for good, since another writer's object has the name of the pool's splits.
+#[test]
+fn streams_begin_where_the_object_of_the_splits_cannot_be_read() {
+    let mut fleet = Fleet::new(DAEMONS);
+    set_versions(&mut fleet, &["v1"]);
+    let unreadable =
+        VersionHistory { pool: "p".into(), is_unreadable: true, ..VersionHistory::default() };
+    fleet.histories.insert("p".to_string(), unreadable.clone());
+    fleet.run(ms(2_000));
+    let far = far_from(&fleet);
+    let begun = begin_for(&mut fleet, far, 1, ms(8_000));
+    assert_eq!(begun, Some("v1".to_string()));
+    assert_eq!(fleet.histories["p"], unreadable, "nothing is written over it");
+}
--- a/crates/sched/src/version_history.rs
+++ b/crates/sched/src/version_history.rs
@@ -99,9 +99,10 @@
     }
 }
 
-/// Returns whether the stored timeout covers that of a caller, so that proofs count back far enough.
+/// Returns whether the stored timeout covers that of a caller, so that proofs count back far enough. Nothing is proved
+/// where none can be stored.
 pub fn is_timeout_stored(history: &VersionHistory, timeout: Duration) -> bool {
-    history.longest_timeout >= Some(timeout.min(TIMEOUT_LIMIT))
+    history.is_unreadable || history.longest_timeout >= Some(timeout.min(TIMEOUT_LIMIT))
 }
 
 /// Returns the history with another split or a longer timeout, `None` where the stored one still holds. `is_open`
