--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -269,8 +269,7 @@
         }
     }
 
-    /// Returns whether this daemon may use the next split: it reaches half of the fleet, so that no other one which
-    /// reaches most of it, and not the platform, proves by the former split.
+    /// Returns whether this daemon reaches enough of the fleet to use the next split.
     pub(super) fn adopts_splits(&self) -> bool {
         self.histories.reach >= FleetReach::Half
     }
