Streams: numbers that are irregular within an answer are logged and counted

Events that a target numbers wrongly count as seen and are left out without a trace, so the logs of streams that came out of order could not tell a wrong number from other causes. stream_irregular now states, once for each answer and kind, the number and the one before it in the same answer: fell, gap, left_out; stream_irregularities_total{kind} counts the same answers.

Nothing else is decided otherwise, but for the step after the highest number, whose calculation overflowed.

--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -3,6 +3,7 @@
 //! Owns: the registered metrics. Relies on: the runs of requests for the values.
 
 use curlewcleat_core::{RefusalReason, RetryReason, Verdict};
+use curlewcleat_targets::IrregularityKind;
 use prometheus::{HistogramVec, IntCounterVec, Result};
 
 use super::registry::MetricRegistry;
@@ -15,6 +16,7 @@
     retries: IntCounterVec,
     ends: IntCounterVec,
     answer_ends: IntCounterVec,
+    stream_irregularities: IntCounterVec,
     wait: HistogramVec,
     first_byte: HistogramVec,
 }
@@ -40,6 +42,11 @@
                 "Served answers by what marked the end of the target's answer",
                 &["ended_by", "tier", "pool"],
             )?,
+            stream_irregularities: count(
+                "stream_irregularities_total",
+                "Answers of targets with irregular event numbers, by what is irregular",
+                &["kind"],
+            )?,
             wait: registry.histograms("wait_seconds", "Time from arrival to dispatch")?,
             first_byte: registry
                 .histograms("first_byte_seconds", "Time from arrival to the answer's first byte")?,
@@ -50,6 +57,9 @@
         for reason in RetryReason::ALL {
             metrics.retries.with_label_values(&[reason.code()]);
         }
+        for kind in IrregularityKind::ALL {
+            metrics.stream_irregularities.with_label_values(&[kind.code()]);
+        }
         Ok(metrics)
     }
 }
@@ -65,6 +75,11 @@
         self.requests.answer_ends.with_label_values(&[ended_by, tier, pool]).inc();
     }
 
+    /// Counts an answer with irregular event numbers, by what is irregular.
+    pub fn count_stream_irregularity(&self, kind: &str) {
+        self.requests.stream_irregularities.with_label_values(&[kind]).inc();
+    }
+
     /// Counts a refused request; tier and pool are empty if no rule matched.
     pub fn count_refusal(&self, reason: RefusalReason, tier: &str, pool: &str) {
         self.requests.refusals.with_label_values(&[reason.code(), tier, pool]).inc();
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -6,7 +6,7 @@
 use actix_http::{Method, RequestHead, ResponseHead};
 use bytes::Bytes;
 use curlewcleat_core::{KeptAnswer, TargetPool};
-use curlewcleat_targets::{BodyFrame, EventSplitter, StreamJoin};
+use curlewcleat_targets::{BodyFrame, EventSplitter, StreamIrregularity, StreamJoin};
 
 use crate::headers;
 
@@ -56,6 +56,9 @@
     /// Returns where the latest attempt continued the answer, once.
     fn take_join(&mut self) -> Option<StreamJoin>;
 
+    /// Returns what was irregular about the events of the latest attempt, each kind once.
+    fn take_irregularities(&mut self) -> Vec<StreamIrregularity>;
+
     /// Returns whether the times of the parts are reported as the target's streaming speed.
     fn reports_timing(&self) -> bool;
 
@@ -177,6 +180,10 @@
         None
     }
 
+    fn take_irregularities(&mut self) -> Vec<StreamIrregularity> {
+        Vec::new()
+    }
+
     fn reports_timing(&self) -> bool {
         false
     }
@@ -251,6 +258,10 @@
         self.events.take_join()
     }
 
+    fn take_irregularities(&mut self) -> Vec<StreamIrregularity> {
+        self.events.take_irregularities()
+    }
+
     fn reports_timing(&self) -> bool {
         true
     }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -79,6 +79,7 @@
                     None => return self.interrupted(RefusalReason::TargetClosed, cause),
                 },
             };
+            self.report_irregularities(target);
             if let Some(outcome) = self.evaluate_join(target) {
                 return outcome;
             }
@@ -108,6 +109,13 @@
             .then(|| self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Misplaced))
     }
 
+    /// Logs and counts what is irregular about the numbers of the target's events.
+    fn report_irregularities(&mut self, target: &TargetEntry) {
+        for irregularity in self.framing.take_irregularities() {
+            self.log_irregularity(target, irregularity);
+        }
+    }
+
     fn report_part(&mut self, target: &TargetEntry) {
         self.report_observations(target, self.progress.part_observation());
         self.report_established_answer();
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -1,13 +1,13 @@
 //! Logs a request: one line for each failed attempt and one for the end.
 //!
-//! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `stream_joined`, `answer_cut`,
-//! `request_refused`. Relies on: the run's progress.
+//! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `stream_joined`,
+//! `stream_irregular`, `answer_cut`, `request_refused`. Relies on: the run's progress.
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     FeatureKind, Refusal, RefusalReason, RequestId, TargetEntry, TargetId, TargetVersion,
 };
-use curlewcleat_targets::{BodyFrame, ConnectionOrigin, StreamJoin};
+use curlewcleat_targets::{BodyFrame, ConnectionOrigin, StreamIrregularity, StreamJoin};
 use spdlog::prelude::*;
 
 use super::RequestRun;
@@ -81,6 +81,21 @@
         });
     }
 
+    /// Logs and counts a number that is irregular within the answer of a target.
+    pub(in crate::request) fn log_irregularity(
+        &self,
+        target: &TargetEntry,
+        irregularity: StreamIrregularity,
+    ) {
+        let kind = irregularity.kind.code();
+        self.service.context.metrics.count_stream_irregularity(kind);
+        warn!("stream_irregular", kv: {
+            request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
+            target = target.id.as_str(), kind, last = irregularity.last,
+            number = irregularity.number
+        });
+    }
+
     /// Logs that an answer was cut after its beginning, because the request was refused for `reason`.
     pub(super) fn log_cut(&self, reason: RefusalReason) {
         // An answer that has begun comes from a target, so the default is never used.
--- a/crates/targets/src/event_numbers.rs
+++ b/crates/targets/src/event_numbers.rs
@@ -4,7 +4,10 @@
 //! follows in one answer is always the next one, and whether a continuation leaves out events is decided by how the numbers
 //! of this stream have risen so far.
 //!
-//! Owns: the position in a stream. Relies on: numbers that rise within one answer.
+//! Owns: the position in a stream. Relies on: numbers that rise within one answer; [`StreamIrregularity`] for what is
+//! reported where they do not.
+
+use crate::stream_irregularity::{AnswerOrder, StreamIrregularity};
 
 /// Numbers that followed on the one before, after which a continuation has to do so as well.
 const MIN_STEPS_OF_ONE: u32 = 2;
@@ -44,6 +47,8 @@
     /// Events of the continuation that were seen before.
     repeated: u64,
     join: Option<StreamJoin>,
+    /// Order of the numbers within the latest answer.
+    order: AnswerOrder,
 }
 
 impl EventNumbers {
@@ -59,6 +64,7 @@
 
     /// Records the number of an event, unless events before it are missing.
     pub fn record(&mut self, number: u64) -> EventPlace {
+        self.order.record(number, self.last, self.rises_by_one());
         let Some(last) = self.last else {
             self.last = Some(number);
             return EventPlace::Next;
@@ -67,7 +73,7 @@
             self.repeated += u64::from(self.is_resuming);
             return EventPlace::Repeated;
         }
-        let is_step_of_one = number == last + 1;
+        let is_step_of_one = number - last == 1;
         if std::mem::take(&mut self.is_resuming) {
             self.join = Some(StreamJoin { after: last, first: number, repeated: self.repeated });
             if !is_step_of_one && self.rises_by_one() {
@@ -96,10 +102,16 @@
         self.join.take()
     }
 
+    /// Returns what was irregular in the latest answer, each kind once.
+    pub fn take_irregularities(&mut self) -> Vec<StreamIrregularity> {
+        self.order.take_irregularities()
+    }
+
     /// Prepares for a continuation after the last event.
     pub fn resume(&mut self) {
         self.is_resuming = self.last.is_some();
         self.repeated = 0;
         self.join = None;
+        self.order = AnswerOrder::default();
     }
 }
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 
 use crate::event_numbers::{EventNumbers, EventPlace, StreamJoin};
+use crate::stream_irregularity::StreamIrregularity;
 
 /// Maximum number of buffered bytes of an incomplete event; more are returned as they are.
 const EVENT_LIMIT: usize = 1 << 20;
@@ -133,6 +134,11 @@
         self.numbers.take_join()
     }
 
+    /// Returns what was irregular about the numbers of the latest answer, each kind once.
+    pub fn take_irregularities(&mut self) -> Vec<StreamIrregularity> {
+        self.numbers.take_irregularities()
+    }
+
     /// Returns whether no event is incomplete.
     pub fn is_between_events(&self) -> bool {
         self.scan.is_between_events()
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod stall;
 mod stream;
+mod stream_irregularity;
 
 pub use answer::{collect, AnswerBody, BodyFrame, CollectError, TargetAnswer, TruncatedBody};
 pub use connection::ExchangeOptions;
@@ -24,3 +25,4 @@
 pub use links::{connect_directly, ConnectFuture, TargetLinks};
 pub use pool::{ConnectionOptions, ConnectionOrigin, ConnectionPool, PooledConnection};
 pub use stream::{ByteStream, TargetStream};
+pub use stream_irregularity::{IrregularityKind, StreamIrregularity};
