Streams: a wrong number does not become the position of its stream

Callers got streams that ended as complete without events, or with events left out or twice. EventNumbers::record took any higher number as the position: where a target wrote `id: 40` for 4, the events 5, 6, ... counted as seen and were left out. A number that fell, repeats or is beyond what is represented did the same, and an answer might end behind a gap or within what it repeats.

Why it works: an event whose number leaves out others is held back until the next one confirms it by a higher number, as long as the stream's steps are all of one size. If the next one falls, or the answer ends, the answer is misplaced and the position stays before the held event, where a sound target continues. A second answer that states the same next number is believed, since not all numbers rise by one. An answer may begin again with its first number, once; any other number that does not rise ends it. Where a number that was passed on turns out to be wrong and nothing proves the position, the stream is cut. A continuation of a stream without known steps must go on with steps as wide as its first one.

The relay passes on what an answer brought before it was misplaced, and an answer that may not end by its numbers is an interruption (misplaced).

Other ways that were weighed: only steps of one held back (streams with steps of seven keep the fault); to end an answer at each gap until two agree (streams whose steps vary would need an attempt for each, and by_one_and_two forbids it); the number of a held event corrected from its place (not known where numbers do not rise by one); steps learnt by pool (state across requests; may still help the open cases).

Cost: the first event after the first one is late by one event where steps are not of one, and a stream whose last event alone leaves out others needs a second attempt.

Streams whose steps vary, and numbers that skip where events without a number came between, are not held back.

--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -20,7 +20,7 @@
     Closed,
     /// The answer ended with its connection, as a continuation of one whose caller expects a last chunk.
     EndUnproven,
-    /// The target left out events of the stream that it was to continue.
+    /// The target left out events of the stream, or numbered them wrongly.
     Misplaced,
     /// The answer could not be read, or belongs to another request.
     Unreadable,
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -35,6 +35,9 @@
     /// Returns whether the answer may be complete if its body, whose end is determined by `frame`, ends now.
     fn is_complete(&self, frame: BodyFrame) -> bool;
 
+    /// Returns whether the events of the latest attempt may be all of the answer, by their numbers.
+    fn may_end(&self) -> bool;
+
     /// Returns the remaining bytes after the end of the body.
     fn take_remaining(&mut self) -> Bytes;
 
@@ -50,7 +53,7 @@
     /// Returns the number of the last event that the caller has.
     fn last_event(&self) -> Option<u64>;
 
-    /// Returns whether the latest attempt does not continue the answer where it broke off.
+    /// Returns whether the latest attempt does not continue the answer where it broke off, or states a wrong position.
     fn is_misplaced(&self) -> bool;
 
     /// Returns where the latest attempt continued the answer, once.
@@ -145,6 +148,10 @@
         }
     }
 
+    fn may_end(&self) -> bool {
+        true
+    }
+
     fn take_remaining(&mut self) -> Bytes {
         Bytes::new()
     }
@@ -229,6 +236,10 @@
         self.events.is_between_events() && (self.has_events || frame != BodyFrame::UntilClose)
     }
 
+    fn may_end(&self) -> bool {
+        self.events.may_end()
+    }
+
     fn take_remaining(&mut self) -> Bytes {
         self.events.take_remaining()
     }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -79,41 +79,34 @@
                     None => return self.interrupted(RefusalReason::TargetClosed, cause),
                 },
             };
-            self.report_irregularities(target);
-            if let Some(outcome) = self.evaluate_join(target) {
-                return outcome;
-            }
-            if part.is_empty() {
-                continue;
-            }
-            if !self.answer.has_begun() {
-                self.begin_stream(&head, target);
-                limit = self.part_limit();
+            self.report_numbers(target);
+            if !part.is_empty() {
+                if !self.answer.has_begun() {
+                    self.begin_stream(&head, target);
+                    limit = self.part_limit();
+                }
+                if !self.relay_part(part).await {
+                    return AttemptOutcome::CallerStalled;
+                }
+                self.report_part(target);
             }
-            if !self.relay_part(part).await {
-                return AttemptOutcome::CallerStalled;
+            if self.framing.is_misplaced() {
+                return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Misplaced);
             }
-            self.report_part(target);
         }
         // Sends the head of an answer that has no parts.
         self.begin_answer(&head);
         self.finish_parts(sent).await
     }
 
-    /// Logs where a continuation begins; returns the end of the attempt if that is not where the answer broke off.
-    fn evaluate_join(&mut self, target: &TargetEntry) -> Option<AttemptOutcome> {
-        let join = self.framing.take_join()?;
-        self.log_join(target, join);
-        let is_misplaced = self.framing.is_misplaced();
-        is_misplaced
-            .then(|| self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Misplaced))
-    }
-
-    /// Logs and counts what is irregular about the numbers of the target's events.
-    fn report_irregularities(&mut self, target: &TargetEntry) {
+    /// Logs where a continuation begins, and what is irregular about the numbers of the target's events.
+    fn report_numbers(&mut self, target: &TargetEntry) {
         for irregularity in self.framing.take_irregularities() {
             self.log_irregularity(target, irregularity);
         }
+        if let Some(join) = self.framing.take_join() {
+            self.log_join(target, join);
+        }
     }
 
     fn report_part(&mut self, target: &TargetEntry) {
@@ -178,6 +171,9 @@
         if !self.framing.is_complete(frame) {
             return NextPart::Interrupted(AttemptCause::Closed);
         }
+        if !self.framing.may_end() {
+            return NextPart::Interrupted(AttemptCause::Misplaced);
+        }
         match self.answer.may_end_with(frame) {
             true => NextPart::End,
             false => NextPart::Interrupted(AttemptCause::EndUnproven),
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -1,8 +1,10 @@
 //! Assembles complete events from the parts of an event stream.
 //!
-//! Owns: the bytes of an incomplete event, what of the stream has no number. Relies on: events that end with a blank
+//! Owns: the bytes of an incomplete event and of one that is held back, what of the stream has no number. Relies on: events that end with a blank
 //! line, [`EventNumbers`] for the position.
 
+use std::num::IntErrorKind;
+
 use bytes::{Bytes, BytesMut};
 
 use crate::event_numbers::{EventNumbers, EventPlace, StreamJoin};
@@ -25,7 +27,11 @@
     /// Whether data without a number was returned after the last number.
     has_unnumbered_data: bool,
     numbers: EventNumbers,
-    /// Whether events are missing where the stream was resumed.
+    /// An event that is held back until the next one confirms its number, with the events without a number behind it.
+    held: BytesMut,
+    /// Whether data without a number is held back.
+    holds_unnumbered_data: bool,
+    /// Whether the latest answer is not in its place.
     is_misplaced: bool,
 }
 
@@ -83,7 +89,7 @@
     }
 
     /// Appends a part and returns the events that it completes. Events whose number was already returned before the
-    /// stream was resumed are skipped. Nothing is returned of a continuation that is
+    /// stream was resumed are skipped. Nothing more is returned of an answer that is
     /// [misplaced](EventSplitter::is_misplaced).
     pub fn push(&mut self, part: &[u8]) -> Bytes {
         self.buffered.extend_from_slice(part);
@@ -91,10 +97,11 @@
         while let Some(end) = self.scan.event_end(&self.buffered) {
             self.scan = EventScan::default();
             let event = self.buffered.split_to(end);
-            if self.is_returned(&event) {
-                out.extend_from_slice(&event);
-            }
+            self.place_event(&event, &mut out);
         }
+        // What is held back ends with a complete event that follows.
+        self.is_misplaced |=
+            self.numbers.is_holding() && self.held.len() + self.buffered.len() > EVENT_LIMIT;
         if self.is_misplaced {
             self.buffered.clear();
         }
@@ -106,25 +113,51 @@
         out.freeze()
     }
 
-    /// Decides whether a complete event is returned.
-    fn is_returned(&mut self, event: &[u8]) -> bool {
+    /// Returns a complete event, holds it back or leaves it out.
+    fn place_event(&mut self, event: &[u8], out: &mut BytesMut) {
         if self.is_misplaced {
-            return false;
+            return;
         }
         let Some(number) = event_number(event) else {
-            // It is part of what is repeated if the events around it are.
-            let is_new = !self.numbers.is_repeating();
-            self.has_unnumbered_data |= is_new && has_data(event);
-            return is_new;
+            return self.place_unnumbered(event, out);
         };
-        let place = self.numbers.record(number);
-        self.is_misplaced = place == EventPlace::Skipping;
-        let is_next = place == EventPlace::Next;
-        self.has_unnumbered_data &= !is_next;
-        is_next
+        match self.numbers.record(number) {
+            EventPlace::Next => {
+                self.return_held(out);
+                self.has_unnumbered_data = false;
+                out.extend_from_slice(event);
+            }
+            EventPlace::Held => {
+                self.return_held(out);
+                self.held.extend_from_slice(event);
+            }
+            EventPlace::Repeated => {}
+            EventPlace::Misplaced => self.is_misplaced = true,
+        }
+    }
+
+    fn place_unnumbered(&mut self, event: &[u8], out: &mut BytesMut) {
+        self.numbers.record_unnumbered();
+        if self.numbers.is_holding() {
+            self.holds_unnumbered_data |= has_data(event);
+            self.held.extend_from_slice(event);
+            self.is_misplaced |= self.held.len() > EVENT_LIMIT;
+        } else if !self.numbers.is_repeating() {
+            // It is part of what is repeated if the events around it are.
+            self.has_unnumbered_data |= has_data(event);
+            out.extend_from_slice(event);
+        }
+    }
+
+    /// Returns what was held back, once its number is confirmed.
+    fn return_held(&mut self, out: &mut BytesMut) {
+        if !self.held.is_empty() {
+            self.has_unnumbered_data = std::mem::take(&mut self.holds_unnumbered_data);
+            out.extend_from_slice(&self.held.split());
+        }
     }
 
-    /// Returns whether events are missing between those before the stream was resumed and those since.
+    /// Returns whether the latest answer does not go on where the stream broke off, or a number in it is wrong.
     pub fn is_misplaced(&self) -> bool {
         self.is_misplaced
     }
@@ -139,14 +172,21 @@
         self.numbers.take_irregularities()
     }
 
+    /// Returns whether the events of the latest answer may be all of its stream: none of them is held back, and those
+    /// that it repeated reach the last one.
+    pub fn may_end(&self) -> bool {
+        self.numbers.may_end()
+    }
+
     /// Returns whether no event is incomplete.
     pub fn is_between_events(&self) -> bool {
         self.scan.is_between_events()
     }
 
-    /// Returns whether the stream may continue after the last number: nothing was returned behind that event.
+    /// Returns whether the stream may continue after the last number: the number is right, and nothing was returned
+    /// behind that event.
     pub fn is_resumable(&self) -> bool {
-        !self.has_returned_part && !self.has_unnumbered_data
+        !self.has_returned_part && !self.has_unnumbered_data && !self.numbers.is_position_lost()
     }
 
     /// Returns the buffered bytes at the end of a complete stream.
@@ -155,10 +195,12 @@
         self.buffered.split().freeze()
     }
 
-    /// Prepares for a resumed stream: discards the bytes of the incomplete event.
+    /// Prepares for a resumed stream: discards the bytes of the incomplete event and of what is held back.
     pub fn discard_incomplete(&mut self) {
         self.scan = EventScan::default();
         self.buffered.clear();
+        self.held.clear();
+        self.holds_unnumbered_data = false;
         self.is_misplaced = false;
         self.numbers.resume();
     }
@@ -175,8 +217,11 @@
     lines(event).any(|line| line == b"data" || line.starts_with(b"data:"))
 }
 
-/// Returns the number in the last `id` field of an event.
+/// Returns the number in the last `id` field of an event, the highest one if it is too high to be represented.
 fn event_number(event: &[u8]) -> Option<u64> {
     let id = lines(event).filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
-    std::str::from_utf8(id).ok()?.trim().parse().ok()
+    match std::str::from_utf8(id).ok()?.trim().parse() {
+        Ok(number) => Some(number),
+        Err(error) => (*error.kind() == IntErrorKind::PosOverflow).then_some(u64::MAX),
+    }
 }
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod error;
 mod event_numbers;
+mod event_steps;
 mod events;
 mod frame;
 mod links;
--- a/crates/targets/src/stream_irregularity.rs
+++ b/crates/targets/src/stream_irregularity.rs
@@ -42,6 +42,7 @@
 /// The order of the numbers of one answer.
 #[derive(Debug, Default)]
 pub struct AnswerOrder {
+    first: Option<u64>,
     last: Option<u64>,
     has_fallen: bool,
     /// Kinds that were found, each at most once.
@@ -51,9 +52,22 @@
 }
 
 impl AnswerOrder {
+    /// Returns the latest number.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Returns whether an answer that goes on with this number begins again with its first one, as it may once.
+    pub fn may_start_over(&self, number: u64) -> bool {
+        !self.has_fallen && self.first == Some(number) && self.last > self.first
+    }
+
     /// Records the number of the next event. `position` is the highest number of the stream so far.
     pub fn record(&mut self, number: u64, position: Option<u64>, rises_by_one: bool) {
-        let Some(last) = self.last.replace(number) else { return };
+        let Some(last) = self.last.replace(number) else {
+            self.first = Some(number);
+            return;
+        };
         let kind = if number <= last {
             self.has_fallen = true;
             IrregularityKind::Fell
