Acceptance: engines that send bytes without end, failing

Operators saw a daemon run out of memory because an engine sent bytes that were no answer until the caller closed. Other clients' requests ended with the process.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -2,6 +2,7 @@
 //! the daemons in front of them. Formats and names are those of the crate in `platform/`.
 
 mod deployment;
+pub mod endless_engine;
 mod engine;
 mod entry;
 mod link_faults;
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -101,6 +101,15 @@
         self.write_raw(&framed).await
     }
 
+    /// Makes the close of the connection a reset.
+    ///
+    /// # Errors
+    /// Fails if the connection has no such option any more.
+    pub fn reset_on_close(&self) -> Result<()> {
+        self.stream.set_zero_linger()?;
+        Ok(())
+    }
+
     /// Waits until the caller closes the connection.
     pub async fn closed(&mut self) {
         let mut byte = [0u8; 1];
