Answers: undelivered bytes are bounded by target

What callers saw: a target that sends bytes without end, in a head, an event or a body, made the daemon keep up to a megabyte (twice that in a buffer that had doubled) for each of its answers; on a small VM the process ended, and with it the requests of all callers. What is read and yields nothing (extensions of chunks, trailers, repeated events) was read until the deadline, and a head was parsed anew with every read.

Cause: limits were for each answer, and the byte budget paused, refused and ended callers, never an answer of a target.

--- a/crates/daemon/src/byte_budget.rs
+++ b/crates/daemon/src/byte_budget.rs
@@ -11,7 +11,8 @@
 //! 2. where a large body would lead beyond [`REFUSE_PERCENT`], its request is refused before the body is read;
 //! 3. from [`END_PERCENT`] on, the callers that have read least for the longest time lose their connections.
 //!
-//! Reading from targets never stops because of the budget: a target cuts off an answer that is left unread.
+//! Reading from targets never stops because of the budget: a target cuts off an answer that is left unread. Answers of
+//! which too much cannot be delivered end instead ([`answer_intake`]).
 //!
 //! Load pattern: thousands of callers that read a part in seconds beside normal ones, bodies of the size limit from many
 //! callers at once, a link that narrows so that no caller reads at its usual speed.
@@ -22,6 +23,7 @@
 //! [`REFUSE_PERCENT`]: levels::REFUSE_PERCENT
 //! [`END_PERCENT`]: levels::END_PERCENT
 
+pub mod answer_intake;
 mod caller_reader;
 pub mod ledger;
 pub mod levels;
--- /dev/null
+++ b/crates/daemon/src/byte_budget/answer_intake.rs
@@ -0,0 +1,57 @@
+//! Decides how many undelivered bytes the answers of each target may have.
+//!
+//! Undelivered bytes are those that a target has sent and that cannot be passed on yet: heads and events that have not
+//! ended, and records that are buffered until they are complete. Targets decide their number.
+//!
+//! The rule, a dynamic threshold: the undelivered bytes of one target may not exceed what is left of the room for all of
+//! them. A target alone gets half of the room, each of `n` targets that take all they can gets a part of `n + 1`, and one
+//! part is always left. So faulty targets end their own answers, and others still find room. An answer of up to
+//! [`ALWAYS_ALLOWED`] bytes needs no room.
+//!
+//! Load pattern: some targets that send without end on all their connections, beside sound ones with answers of up to the
+//! size limit.
+//!
+//! Owns: the undelivered bytes by target. Relies on: holders that release what they hold.
+
+use std::collections::HashMap;
+
+/// Share of the budget that undelivered bytes may have. More than half is left for bodies and for slow callers.
+pub const INTAKE_PERCENT: u64 = 40;
+/// Undelivered bytes that every answer may have: those of usual heads, events and records.
+pub const ALWAYS_ALLOWED: u64 = 4 << 10;
+
+/// Undelivered bytes of answers, by the address of their target.
+#[derive(Debug, Default)]
+pub struct AnswerIntakes {
+    held: HashMap<String, u64>,
+    total: u64,
+}
+
+impl AnswerIntakes {
+    /// Returns the undelivered bytes of all answers.
+    pub fn total(&self) -> u64 {
+        self.total
+    }
+
+    /// Returns whether an answer of a target may hold `held` bytes in place of `before`, where all undelivered bytes have
+    /// `room`.
+    pub fn admits(&self, target: &str, before: u64, held: u64, room: u64) -> bool {
+        if held <= before.max(ALWAYS_ALLOWED) {
+            return true;
+        }
+        let more = held - before;
+        let of_target = self.held.get(target).copied().unwrap_or_default();
+        of_target + more <= room.saturating_sub(self.total + more)
+    }
+
+    /// Counts that an answer of a target holds `held` bytes in place of `before`.
+    pub fn record(&mut self, target: &str, before: u64, held: u64) {
+        let of_target = self.held.get(target).copied().unwrap_or_default();
+        let remaining = of_target + held - before;
+        self.total = self.total + held - before;
+        match remaining {
+            0 => drop(self.held.remove(target)),
+            _ => drop(self.held.insert(target.to_string(), remaining)),
+        }
+    }
+}
--- a/crates/daemon/src/byte_budget/ledger.rs
+++ b/crates/daemon/src/byte_budget/ledger.rs
@@ -11,6 +11,7 @@
 
 use curlewcleat_clock::Moment;
 
+use super::answer_intake::{AnswerIntakes, INTAKE_PERCENT};
 use super::levels::{
     ByteOwner, PressureLevel, END_PERCENT, PAUSE_PERCENT, REFUSE_PERCENT, RETURN_PERCENT,
 };
@@ -78,6 +79,7 @@
     total: u64,
     level: PressureLevel,
     readers: ReaderBook,
+    intakes: AnswerIntakes,
     released: ReleaseRate,
     /// Counts of decisions.
     pub counts: DecisionCounts,
@@ -92,6 +94,7 @@
             total: 0,
             level: PressureLevel::Calm,
             readers: ReaderBook::default(),
+            intakes: AnswerIntakes::default(),
             released: ReleaseRate::default(),
             counts: DecisionCounts::default(),
         }
@@ -189,6 +192,35 @@
         (self.budget / share).max(MIN_ANSWER_BYTES)
     }
 
+    /// Counts that an answer of a target holds `held` undelivered bytes in place of `before`. Returns `None`, and counts
+    /// nothing, if the target may not have that many; otherwise the readers that have to end.
+    pub fn resize_intake(
+        &mut self,
+        now: Moment,
+        target: &str,
+        before: u64,
+        held: u64,
+    ) -> Option<Vec<ReaderId>> {
+        if !self.intakes.admits(target, before, held, self.intake_room()) {
+            return None;
+        }
+        self.intakes.record(target, before, held);
+        match held.checked_sub(before) {
+            Some(more) => Some(self.add(now, ByteOwner::Answer, more)),
+            None => {
+                self.remove(now, ByteOwner::Answer, before - held);
+                Some(Vec::new())
+            }
+        }
+    }
+
+    /// Returns how many bytes all answers together may hold undelivered: their share of the budget, as far as the rest of
+    /// what is held leaves it.
+    fn intake_room(&self) -> u64 {
+        let others = self.total - self.intakes.total();
+        self.mark(INTAKE_PERCENT).min(self.mark(END_PERCENT).saturating_sub(others))
+    }
+
     /// Returns when a refused body may be accepted: after the time in which the bytes above the pause mark are released
     /// at the pace of the last seconds.
     pub fn retry_after(&self, now: Moment, size: u64) -> Duration {
--- a/crates/daemon/src/byte_budget/shared.rs
+++ b/crates/daemon/src/byte_budget/shared.rs
@@ -13,6 +13,7 @@
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::RequestId;
+use curlewcleat_targets::AnswerIntake;
 use spdlog::prelude::*;
 use tokio::sync::watch;
 
@@ -188,6 +189,19 @@
     }
 }
 
+impl AnswerIntake for SharedBudget {
+    fn resize(&self, address: &str, before: u64, held: u64) -> bool {
+        let now = Moment::now();
+        let mut state = self.lock();
+        let Some(ended) = state.ledger.resize_intake(now, address, before, held) else {
+            return false;
+        };
+        state.end_readers(now, &ended);
+        self.publish_level(now, state);
+        true
+    }
+}
+
 impl BudgetState {
     /// Adds a connection.
     pub fn open_reader(&mut self) -> (ReaderId, Arc<AtomicBool>) {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -4,6 +4,7 @@
 //! Relies on: the node's thread ending last.
 
 use std::net::IpAddr;
+use std::rc::Rc;
 use std::sync::{Arc, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use curlewcleat_core::{ActiveConfig, DaemonId, PoolId, TargetEntry, Uptime, VmId, WallTime};
 use curlewcleat_node::{CallerDecision, NodeEvent, NodeStatus};
 use curlewcleat_sched::{RelayPeer, RequestSpec};
+use curlewcleat_targets::AnswerIntake;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::byte_budget::SharedBudget;
@@ -91,6 +93,12 @@
         }
     }
 
+    /// Returns what bounds the undelivered bytes of answers; `None` without a memory limit.
+    pub fn answer_intake(&self) -> Option<Rc<dyn AnswerIntake>> {
+        let budget = self.budget.clone()?;
+        Some(Rc::new(budget))
+    }
+
     /// Returns the time since the process started.
     pub fn uptime(&self) -> Duration {
         self.started.elapsed()
--- a/crates/daemon/src/metrics/target_metrics.rs
+++ b/crates/daemon/src/metrics/target_metrics.rs
@@ -3,6 +3,7 @@
 //! Owns: the registered metrics. Relies on: attempts, reports and the gate for the values.
 
 use curlewcleat_core::LoadFault;
+use curlewcleat_targets::ExcessForm;
 use prometheus::{IntCounter, IntCounterVec, Result};
 
 use super::registry::MetricRegistry;
@@ -14,6 +15,7 @@
     terminated: IntCounter,
     gate_stops: IntCounterVec,
     load_faults: IntCounterVec,
+    excesses: IntCounterVec,
     relays: IntCounterVec,
     connections: IntCounterVec,
 }
@@ -41,6 +43,11 @@
                 "Stated loads of targets of which figures were ignored, by cause",
                 &["cause"],
             )?,
+            excesses: count(
+                "target_answer_excesses_total",
+                "Answers ended because of bytes that could not be delivered, by where these were",
+                &["form"],
+            )?,
             relays: count(
                 "relays_total",
                 "Connections to targets through a peer that were asked for or served, by outcome",
@@ -55,6 +62,9 @@
         for fault in LoadFault::ALL {
             metrics.load_faults.with_label_values(&[fault.code()]);
         }
+        for form in ExcessForm::ALL {
+            metrics.excesses.with_label_values(&[form.code()]);
+        }
         Ok(metrics)
     }
 }
@@ -86,6 +96,11 @@
         self.targets.gate_stops.with_label_values(&[cause]).inc();
     }
 
+    /// Counts an answer that was ended because of bytes that could not be delivered.
+    pub fn count_answer_excess(&self, form: ExcessForm) {
+        self.targets.excesses.with_label_values(&[form.code()]).inc();
+    }
+
     /// Counts a stated load of a target of which figures were ignored.
     pub fn count_load_fault(&self, cause: &str) {
         self.targets.load_faults.with_label_values(&[cause]).inc();
--- a/crates/daemon/src/request/answer_channel.rs
+++ b/crates/daemon/src/request/answer_channel.rs
@@ -112,13 +112,17 @@
     }
 
     /// Sends a part; waits while the queue is full because the caller does not read.
-    pub async fn send_part(&self, part: Bytes) {
-        let part = match &self.flow {
-            Some(flow) => flow.queue(part).await,
-            None => part,
-        };
+    pub async fn send_part(&self, mut part: Bytes) {
         // If the caller has disconnected, its connection aborts the task of the request.
-        let _ = self.parts.send(part).await;
+        match &self.flow {
+            Some(flow) => {
+                while !part.is_empty() {
+                    let piece = flow.queue(AnswerFlow::next_piece(&mut part)).await;
+                    let _ = self.parts.send(piece).await;
+                }
+            }
+            None => drop(self.parts.send(part).await),
+        }
     }
 
     /// Marks the answer as complete with the parts sent so far.
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -6,10 +6,12 @@
 //! [`CallerProtocol`]: super::CallerProtocol
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{LoadReading, RefusalReason, RetryReason, TargetEntry, TargetNotice};
+use curlewcleat_core::{
+    LoadReading, RefusalReason, RequestId, RetryReason, TargetId, TargetNotice,
+};
 use curlewcleat_node::NodeEvent;
 use curlewcleat_sched::{GateStop, ReceivedNotice};
-use curlewcleat_targets::{Error, PooledConnection, TargetAnswer};
+use curlewcleat_targets::{AnswerExcess, Error, PooledConnection, TargetAnswer};
 use spdlog::prelude::*;
 
 use super::admitted::AdmittedRequest;
@@ -45,7 +47,7 @@
     let limit = head_deadline.saturating_duration_since(Moment::now());
     let answer = match wait.wait(limit, exchange).await {
         WaitEnd::Arrived(Ok(answer)) => answer,
-        WaitEnd::Arrived(Err(error)) => return exchange_failed(attempt.target, &error),
+        WaitEnd::Arrived(Err(error)) => return exchange_failed(context, &attempt, &error),
         WaitEnd::Replaced(target) => return AttemptStart::Replaced(target),
         WaitEnd::TimedOut => {
             return AttemptStart::Failed(RefusalReason::FirstByteTimeout, AttemptCause::HeadTimeout)
@@ -185,12 +187,35 @@
 }
 
 /// Returns the result of an exchange that failed before the head of the answer; the request may have run.
-fn exchange_failed(target: &TargetEntry, error: &Error) -> AttemptStart {
-    debug!("exchange_broken", kv: { target = target.id.as_str(), error = error.to_string() });
+fn exchange_failed(
+    context: &DaemonContext,
+    attempt: &TargetAttempt<'_>,
+    error: &Error,
+) -> AttemptStart {
+    let target = attempt.target.id.as_str();
+    debug!("exchange_broken", kv: { target, error = error.to_string() });
     match error {
+        Error::Excess(excess) => {
+            report_excess(context, attempt.request.id, &attempt.target.id, *excess);
+            AttemptStart::Failed(RefusalReason::TargetProtocol, AttemptCause::Excess)
+        }
         Error::Protocol(_) => {
             AttemptStart::Failed(RefusalReason::TargetProtocol, AttemptCause::Unreadable)
         }
         _ => AttemptStart::Failed(RefusalReason::TargetClosed, AttemptCause::Closed),
     }
 }
+
+/// Logs and counts an answer that is ended because of bytes that could not be delivered.
+pub fn report_excess(
+    context: &DaemonContext,
+    request: RequestId,
+    target: &TargetId,
+    excess: AnswerExcess,
+) {
+    context.metrics.count_answer_excess(excess.form);
+    warn!("answer_excess", kv: {
+        request = request.to_string(), target = target.as_str(), form = excess.form.code(),
+        bytes = excess.bytes as i64, limit = excess.limit.code()
+    });
+}
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -18,7 +18,9 @@
     hash_token, ActiveConfig, LatencyObjectives, LoadReading, PoolId, Refusal, RefusalReason,
     RequestId, TargetNotice, TargetPool,
 };
-use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
+use curlewcleat_targets::{
+    AnswerIntake, ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer,
+};
 
 use super::admitted::{AdmittedRequest, WorkEstimate};
 use super::answer::{AnswerContent, CallerAnswer, PartsFrame};
@@ -50,12 +52,18 @@
     /// Connections by pool and by whether they are reused. Pools share no connections, so that no request
     /// waits behind one of another pool.
     connections: RefCell<BTreeMap<(PoolId, bool), ConnectionPool>>,
+    /// Bounds the undelivered bytes of answers; `None` without a memory limit.
+    intake: Option<Rc<dyn AnswerIntake>>,
 }
 
 impl BuiltinProtocol {
     /// Creates the protocol of one thread.
     pub fn new(context: &DaemonContext) -> BuiltinProtocol {
-        BuiltinProtocol { links: TargetDialer::new(context), connections: RefCell::default() }
+        BuiltinProtocol {
+            links: TargetDialer::new(context),
+            connections: RefCell::default(),
+            intake: context.answer_intake(),
+        }
     }
 }
 
@@ -129,7 +137,10 @@
         let options = ConnectionOptions { max_idle_connections, ..defaults };
         let key = (pool.id.clone(), pool.reuse_connections);
         let mut connections = self.connections.borrow_mut();
-        let new_pool = || ConnectionPool::new(options).with_links(Rc::clone(&self.links) as _);
+        let new_pool = || {
+            let pool = ConnectionPool::new(options).with_links(Rc::clone(&self.links) as _);
+            pool.with_intake(self.intake.clone())
+        };
         connections.entry(key).or_insert_with(new_pool).clone()
     }
 
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -22,6 +22,8 @@
     EndUnproven,
     /// The target left out events of the stream that it was to continue.
     Misplaced,
+    /// The target sent too many bytes that could not be delivered.
+    Excess,
     /// The answer could not be read, or belongs to another request.
     Unreadable,
     /// The target answered with a server error.
@@ -57,6 +59,7 @@
             | AttemptCause::NotStarted
             | AttemptCause::EndUnproven
             | AttemptCause::Misplaced
+            | AttemptCause::Excess
             | AttemptCause::Unreadable
             | AttemptCause::Failed
             | AttemptCause::CallerBody
@@ -79,6 +82,7 @@
             | AttemptCause::PartTimeout
             | AttemptCause::Closed
             | AttemptCause::Misplaced
+            | AttemptCause::Excess
             | AttemptCause::Unreadable => Some(AnswerObservation::Broken),
             AttemptCause::ConnectFailed
             | AttemptCause::NotStarted
@@ -120,6 +124,7 @@
             AttemptCause::Closed => "closed",
             AttemptCause::EndUnproven => "end_unproven",
             AttemptCause::Misplaced => "misplaced",
+            AttemptCause::Excess => "excess",
             AttemptCause::Unreadable => "unreadable",
             AttemptCause::Failed => "failed",
             AttemptCause::CallerBody => "caller_body",
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -32,6 +32,9 @@
     /// Adds a part and returns the bytes that can be relayed now.
     fn push(&mut self, part: Bytes) -> Bytes;
 
+    /// Returns the number of bytes that are kept until they can be relayed.
+    fn buffered(&self) -> usize;
+
     /// Returns whether the answer may be complete if its body, whose end is determined by `frame`, ends now.
     fn is_complete(&self, frame: BodyFrame) -> bool;
 
@@ -132,6 +135,10 @@
         part
     }
 
+    fn buffered(&self) -> usize {
+        0
+    }
+
     /// An event stream is complete after its end event. Other answers have a length, so the end of the body suffices.
     fn is_complete(&self, _: BodyFrame) -> bool {
         match &self.end_event {
@@ -216,6 +223,10 @@
         events
     }
 
+    fn buffered(&self) -> usize {
+        self.events.buffered()
+    }
+
     /// A stream that ends within an event was cut, and so was one that ends with its connection before any event of the
     /// same attempt.
     fn is_complete(&self, frame: BodyFrame) -> bool {
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -90,10 +90,12 @@
             min_idle: Duration::ZERO,
             ..ConnectionOptions::default()
         };
+        let connections =
+            ConnectionPool::new(options).with_links(links).with_intake(context.answer_intake());
         ProfileProtocol {
             context,
             profile,
-            connections: ConnectionPool::new(options).with_links(links),
+            connections,
             freshness,
             longest_timeouts: RefCell::default(),
         }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -14,9 +14,12 @@
     AttemptEnd, RefusalReason, RetryReason, StreamVersion, TargetEntry, Verdict, VersionDigest,
 };
 use curlewcleat_node::NodeEvent;
-use curlewcleat_targets::{AnswerBody, BodyFrame, TargetAnswer};
+use curlewcleat_targets::{
+    buffer_size, AnswerBody, AnswerExcess, BodyFrame, ExcessForm, TargetAnswer,
+};
 use futures_util::StreamExt;
 
+use super::attempt::report_excess;
 use super::cause::AttemptCause;
 use super::run::{AttemptOutcome, RequestRun};
 use super::target_wait::{GrantedTarget, WaitEnd};
@@ -34,6 +37,8 @@
     Replaced(Box<GrantedTarget>),
     /// The answer was interrupted before its end.
     Interrupted(AttemptCause),
+    /// The answer has too many bytes that cannot be delivered.
+    Excess(AnswerExcess),
 }
 
 impl RequestRun {
@@ -62,12 +67,15 @@
         sent: Moment,
     ) -> AttemptOutcome {
         let TargetAnswer { head, mut body } = answer;
+        let mut undelivered = body.intake_hold();
         self.begin_parts(&head);
         let mut limit = self.part_limit();
+        let mut relayed = Moment::now();
         loop {
             let part = match self.next_part(&mut body, target, limit).await {
                 NextPart::Part(part) => self.framing.push(part),
                 NextPart::End => break,
+                NextPart::Excess(excess) => return self.exceeded(target, excess),
                 NextPart::Replaced(other) => {
                     return AttemptOutcome::Replaced(other, AttemptCause::PartTimeout)
                 }
@@ -82,7 +90,17 @@
             if let Some(outcome) = self.evaluate_join(target) {
                 return outcome;
             }
+            // A part waits for its caller, so it is counted until it is queued.
+            let size = buffer_size(self.framing.buffered() + part.len());
+            if let Err(excess) = undelivered.resize(size, ExcessForm::Event) {
+                return self.exceeded(target, excess);
+            }
             if part.is_empty() {
+                // Bytes that complete no event arrive without being an answer.
+                if relayed.elapsed() >= self.wait_limit(limit) {
+                    return self
+                        .interrupted(RefusalReason::TargetClosed, AttemptCause::PartTimeout);
+                }
                 continue;
             }
             if !self.answer.has_begun() {
@@ -93,12 +111,24 @@
                 return AttemptOutcome::CallerStalled;
             }
             self.report_part(target);
+            relayed = Moment::now();
         }
+        undelivered.close();
         // Sends the head of an answer that has no parts.
         self.begin_answer(&head);
         self.finish_parts(sent).await
     }
 
+    /// Ends an answer of which too many bytes could not be delivered.
+    pub(super) fn exceeded(
+        &mut self,
+        target: &TargetEntry,
+        excess: AnswerExcess,
+    ) -> AttemptOutcome {
+        report_excess(&self.service.context, self.request.id, &target.id, excess);
+        self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Excess)
+    }
+
     /// Logs where a continuation begins; returns the end of the attempt if that is not where the answer broke off.
     fn evaluate_join(&mut self, target: &TargetEntry) -> Option<AttemptOutcome> {
         let join = self.framing.take_join()?;
@@ -147,11 +177,7 @@
         target: &TargetEntry,
         limit: Duration,
     ) -> NextPart {
-        // A target that cannot be replaced has all the remaining time.
-        let limit = match self.framing.is_resumable() {
-            true => limit,
-            false => limit.max(self.request.time_left()),
-        };
+        let limit = self.wait_limit(limit);
         let wait = self.target_wait(target);
         match wait.wait(limit, body.next()).await {
             WaitEnd::Arrived(Some(Ok(part))) => {
@@ -159,12 +185,23 @@
                 NextPart::Part(part)
             }
             WaitEnd::Arrived(None) => self.evaluate_end(body.frame()),
-            WaitEnd::Arrived(Some(Err(_))) => NextPart::Interrupted(AttemptCause::Closed),
+            WaitEnd::Arrived(Some(Err(_))) => match body.excess() {
+                Some(excess) => NextPart::Excess(excess),
+                None => NextPart::Interrupted(AttemptCause::Closed),
+            },
             WaitEnd::Replaced(other) => NextPart::Replaced(other),
             WaitEnd::TimedOut => NextPart::Interrupted(AttemptCause::PartTimeout),
         }
     }
 
+    /// Returns how long a part may take. A target that cannot be replaced has all the remaining time.
+    fn wait_limit(&self, limit: Duration) -> Duration {
+        match self.framing.is_resumable() {
+            true => limit,
+            false => limit.max(self.request.time_left()),
+        }
+    }
+
     /// Decides whether the answer is complete after the end of a body, and whether the caller's answer may end as well.
     fn evaluate_end(&self, frame: BodyFrame) -> NextPart {
         if !self.framing.is_complete(frame) {
--- a/crates/daemon/src/request/relay/complete.rs
+++ b/crates/daemon/src/request/relay/complete.rs
@@ -2,9 +2,12 @@
 //!
 //! Owns: nothing; these are methods of [`RequestRun`]. Relies on: the byte budget, which counts what is buffered.
 
+use bytes::{Bytes, BytesMut};
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{AttemptEnd, RefusalReason, RetryReason, TargetEntry, Verdict};
-use curlewcleat_targets::{collect, TargetAnswer};
+use curlewcleat_targets::{
+    buffer_size, AnswerBody, AnswerExcess, ExcessForm, ExcessLimit, TargetAnswer, TruncatedBody,
+};
 use futures_util::StreamExt;
 use spdlog::prelude::*;
 
@@ -15,6 +18,17 @@
 /// Longest answer in bytes that is buffered until it is complete: the platform's values have a megabyte at most.
 const BUFFERED_ANSWER_LIMIT: usize = 1 << 20;
 
+/// Why an answer could not be buffered until it was complete.
+#[derive(Debug, thiserror::Error)]
+enum BufferError {
+    /// The answer was truncated.
+    #[error(transparent)]
+    Truncated(#[from] TruncatedBody),
+    /// The answer has too many bytes.
+    #[error(transparent)]
+    Excess(#[from] AnswerExcess),
+}
+
 impl RequestRun {
     /// Relays an answer once it is complete. A server error is kept as a fallback if the request may be
     /// sent to another target.
@@ -26,22 +40,16 @@
     ) -> AttemptOutcome {
         let TargetAnswer { head, body } = answer;
         let frame = body.frame();
-        let mut held = self.hold_answer();
-        let body = body.inspect(|part| {
-            if let (Some(held), Ok(part)) = (&mut held, part) {
-                held.grow(part.len() as u64);
-            }
-        });
-        let collected = collect(body, BUFFERED_ANSWER_LIMIT).await;
-        // Counted until the connection has the answer, or a fallback is no longer needed.
-        self.buffered = held;
-        let bytes = match collected {
+        let bytes = match buffer_answer(body).await {
             Ok(bytes) => bytes,
-            Err(error) => {
+            Err(BufferError::Excess(excess)) => return self.exceeded(target, excess),
+            Err(BufferError::Truncated(error)) => {
                 debug!("exchange_broken", kv: { target = target.id.as_str(), error = error.to_string() });
                 return self.interrupted(RefusalReason::TargetClosed, AttemptCause::Closed);
             }
         };
+        // Counted until the connection has the answer, or a fallback is no longer needed.
+        self.buffered = self.hold_answer(bytes.len());
         if self.answer.has_begun() {
             // The caller has the beginning of another target's answer, which this one cannot continue.
             return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Unreadable);
@@ -58,9 +66,30 @@
         AttemptOutcome::Served(AttemptEnd::Whole(sent.elapsed()))
     }
 
-    /// Starts to count an answer that is buffered; `None` without a memory limit.
-    fn hold_answer(&self) -> Option<ByteHold> {
+    /// Counts an answer that is complete; `None` without a memory limit.
+    fn hold_answer(&self, bytes: usize) -> Option<ByteHold> {
         let budget = self.service.context.budget.as_ref()?;
-        Some(budget.hold(ByteOwner::Answer, 0))
+        Some(budget.hold(ByteOwner::Answer, bytes as u64))
+    }
+}
+
+/// Reads an answer until it is complete.
+async fn buffer_answer(mut body: AnswerBody) -> Result<Bytes, BufferError> {
+    let mut undelivered = body.intake_hold();
+    let mut bytes = BytesMut::new();
+    while let Some(part) = body.next().await {
+        let part = match (part, body.excess()) {
+            (Ok(part), _) => part,
+            (Err(_), Some(excess)) => return Err(excess.into()),
+            (Err(truncated), None) => return Err(truncated.into()),
+        };
+        let size = bytes.len() + part.len();
+        if size > BUFFERED_ANSWER_LIMIT {
+            let (form, limit) = (ExcessForm::Body, ExcessLimit::Size);
+            return Err(AnswerExcess { form, bytes: size as u64, limit }.into());
+        }
+        undelivered.resize(buffer_size(size), ExcessForm::Body)?;
+        bytes.extend_from_slice(&part);
     }
+    Ok(bytes.freeze())
 }
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -7,11 +7,14 @@
 use std::time::Duration;
 
 use actix_codec::{AsyncRead, Framed, ReadBuf};
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
+use actix_http::h1::{ClientCodec, MessageType};
 use actix_http::ResponseHead;
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 
+use crate::body_codec::BodyCodec;
+use crate::error::AnswerExcess;
+use crate::intake::IntakeHold;
 use crate::pool::{ConnectionEndpoint, ConnectionPool};
 use crate::stall::StallGuard;
 use crate::stream::TargetStream;
@@ -61,7 +64,7 @@
     /// The answer has no body.
     Empty(Framed<TargetStream, ClientCodec>),
     /// The body is being read.
-    Open(Framed<TargetStream, ClientPayloadCodec>),
+    Open(Framed<TargetStream, BodyCodec>),
     /// The body is being read until the connection ends; the bytes arrived with the head.
     UntilClose(TargetStream, BytesMut),
     /// The body is complete, and the connection was not returned to the pool but may be reused.
@@ -79,6 +82,8 @@
     reusable: bool,
     /// Whether the connection has failed, so that its end does not show that the target has closed it.
     broken: bool,
+    /// Why the body was ended, if that was its encoding.
+    excess: Option<AnswerExcess>,
     idle_limit: Option<Duration>,
     endpoint: ConnectionEndpoint,
     pool: ConnectionPool,
@@ -97,7 +102,7 @@
         let state = match frame {
             BodyFrame::Empty => BodyState::Empty(framed),
             BodyFrame::Length | BodyFrame::Chunks => {
-                BodyState::Open(framed.into_map_codec(ClientCodec::into_payload_codec))
+                BodyState::Open(framed.into_map_codec(BodyCodec::new))
             }
             BodyFrame::UntilClose => {
                 let parts = framed.into_parts();
@@ -109,6 +114,7 @@
             frame,
             reusable,
             broken: false,
+            excess: None,
             idle_limit: None,
             endpoint,
             pool,
@@ -121,6 +127,16 @@
         self.frame
     }
 
+    /// Returns why the body was ended, if that was its encoding.
+    pub fn excess(&self) -> Option<AnswerExcess> {
+        self.excess
+    }
+
+    /// Returns a guard that counts undelivered bytes of this answer.
+    pub fn intake_hold(&self) -> IntakeHold {
+        self.pool.intake_hold(&self.endpoint)
+    }
+
     /// Records that the connection has failed while the request was written to it. The system reports a reset once, so
     /// that reading may end as after an orderly close.
     pub(crate) fn set_broken(&mut self) {
@@ -144,9 +160,7 @@
     fn release(&mut self) {
         let framed = match std::mem::replace(&mut self.state, BodyState::Ended) {
             BodyState::Empty(framed) => framed,
-            BodyState::Open(framed) => {
-                framed.into_map_codec(ClientPayloadCodec::into_message_codec)
-            }
+            BodyState::Open(framed) => framed.into_map_codec(BodyCodec::into_codec),
             _ => return,
         };
         if !framed.codec_ref().keep_alive() {
@@ -243,7 +257,11 @@
                 return Poll::Ready(None);
             }
             BodyState::UntilClose(..) => return self.poll_until_close(context),
-            BodyState::Open(framed) => Pin::new(framed).next_item(context),
+            BodyState::Open(framed) => {
+                let polled = Pin::new(&mut *framed).next_item(context);
+                self.excess = framed.codec_ref().excess();
+                polled
+            }
         };
         let truncated = match polled {
             Poll::Pending => return Poll::Pending,
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -14,14 +14,17 @@
 use futures_util::StreamExt;
 
 use crate::answer::{AnswerBody, BodyFrame, TargetAnswer};
-use crate::error::{Error, Result};
+use crate::error::{AnswerExcess, Error, ExcessForm, ExcessLimit, Result};
 use crate::frame::{body_frame, remove_contradicted_length};
+use crate::head_codec::HeadCodec;
 use crate::pool::{ConnectionEndpoint, ConnectionPool, PooledConnection};
 use crate::stall::StallGuard;
 use crate::stream::TargetStream;
 
 /// Maximum number of heads that one exchange reads: informational ones, answers to earlier requests, and its own.
 const HEAD_LIMIT: usize = 4;
+/// Longest body in bytes of an answer to an earlier request that is skipped: no record is longer.
+const SKIPPED_BODY_LIMIT: usize = 1 << 20;
 
 /// How to match the answers of a target to requests, and how the answers may end.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -33,7 +36,7 @@
     pub allow_close_delimited: bool,
 }
 
-type Connection = Framed<TargetStream, ClientCodec>;
+type Connection = Framed<TargetStream, HeadCodec>;
 
 impl PooledConnection {
     /// Writes a request and reads the head of its answer. Consumes the connection, so that nothing else can be sent on
@@ -66,13 +69,14 @@
         set_host(&mut head, &self.endpoint)?;
         let method = head.method.clone();
         let mut stall = StallGuard::begin(&self.pool, &self.endpoint, &self.stream);
-        let mut framed = Framed::new(self.stream, ClientCodec::default());
+        let codec = HeadCodec::new(ClientCodec::default(), self.pool.intake_hold(&self.endpoint));
+        let mut framed = Framed::new(self.stream, codec);
         let mut upload = Upload::begin(&mut framed, head, body)?;
         for _ in 0..HEAD_LIMIT {
             let answer_head = upload.answer_head(&mut framed).await;
             let mut answer_head = answer_head.inspect_err(|_| stall.finish())?;
             stall.record_activity();
-            let decoded = framed.codec_ref().message_type();
+            let decoded = framed.codec_ref().codec().message_type();
             if answer_head.status.is_informational() {
                 check_informational(decoded)?;
                 continue;
@@ -84,6 +88,7 @@
             }
             remove_contradicted_length(&mut answer_head, frame);
             let reusable = upload.is_flushed();
+            let framed = framed.into_map_codec(HeadCodec::into_codec);
             let mut body = AnswerBody::new(framed, frame, reusable, self.endpoint, self.pool);
             if upload.failed.is_some() {
                 body.set_broken();
@@ -145,7 +150,8 @@
                     Poll::Ready(Err(closed(error)))
                 }
                 Poll::Ready(Some(Err(error))) => {
-                    Poll::Ready(Err(Error::Protocol(error.to_string())))
+                    let excess = framed.codec_ref().excess().map(Error::Excess);
+                    Poll::Ready(Err(excess.unwrap_or(Error::Protocol(error.to_string()))))
                 }
                 Poll::Ready(None) => {
                     Poll::Ready(Err(Error::Closed("before the answer".to_string())))
@@ -224,10 +230,18 @@
     endpoint: &ConnectionEndpoint,
     pool: &ConnectionPool,
 ) -> Result<Connection> {
+    let framed = framed.into_map_codec(HeadCodec::into_codec);
     let mut body = AnswerBody::new(framed, frame, false, endpoint.clone(), pool.clone());
+    let mut skipped = 0;
     while let Some(part) = body.next().await {
-        part.map_err(|truncated| Error::Closed(truncated.to_string()))?;
+        skipped += part.map_err(|truncated| Error::Closed(truncated.to_string()))?.len();
+        if skipped > SKIPPED_BODY_LIMIT {
+            let (form, limit) = (ExcessForm::Body, ExcessLimit::Size);
+            return Err(AnswerExcess { form, bytes: skipped as u64, limit }.into());
+        }
     }
-    body.into_connection()
-        .ok_or_else(|| Error::Closed("after an answer to an earlier request".to_string()))
+    let framed = body.into_connection();
+    let framed =
+        framed.ok_or_else(|| Error::Closed("after an answer to an earlier request".to_string()))?;
+    Ok(framed.into_map_codec(|codec| HeadCodec::new(codec, pool.intake_hold(endpoint))))
 }
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -100,11 +100,19 @@
         if self.buffered.len() > EVENT_LIMIT {
             self.has_returned_part = true;
             self.scan.searched = 0;
-            out.extend_from_slice(&self.buffered.split());
+            match out.is_empty() {
+                true => out = self.buffered.split(),
+                false => out.extend_from_slice(&self.buffered.split()),
+            }
         }
         out.freeze()
     }
 
+    /// Returns the number of bytes that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buffered.len()
+    }
+
     /// Decides whether a complete event is returned.
     fn is_returned(&mut self, event: &[u8]) -> bool {
         if self.is_misplaced {
--- /dev/null
+++ b/crates/targets/src/intake.rs
@@ -0,0 +1,76 @@
+//! Counts what has been read of answers and cannot be delivered yet.
+//!
+//! A target decides how much it sends before a head ends, an event is complete or a record has its last byte. Each of
+//! these is bounded by itself, but many of them at their bounds need more memory than a small VM has.
+//!
+//! Owns: the bytes counted for one answer. Relies on: [`AnswerIntake`] for the decision.
+
+use std::fmt;
+use std::rc::Rc;
+
+use crate::error::{AnswerExcess, ExcessForm, ExcessLimit};
+
+/// Decides how many bytes of answers this process may hold before they can be delivered.
+pub trait AnswerIntake {
+    /// Counts that an answer of the target at `address` holds `held` bytes in place of `before`. Returns `false`, and
+    /// counts nothing, if it may not hold that many.
+    fn resize(&self, address: &str, before: u64, held: u64) -> bool;
+}
+
+/// The undelivered bytes of one answer. They are no longer counted once this guard is dropped.
+pub struct IntakeHold {
+    /// `None` without a memory limit.
+    intake: Option<Rc<dyn AnswerIntake>>,
+    address: String,
+    bytes: u64,
+}
+
+impl IntakeHold {
+    pub(crate) fn new(intake: Option<Rc<dyn AnswerIntake>>, address: &str) -> IntakeHold {
+        IntakeHold { intake, address: address.to_string(), bytes: 0 }
+    }
+
+    /// Counts exactly this many undelivered bytes; `form` names what they are a part of.
+    ///
+    /// # Errors
+    /// Returns an error if the target may not have that many; fewer are always allowed.
+    pub fn resize(&mut self, bytes: u64, form: ExcessForm) -> Result<(), AnswerExcess> {
+        let Some(intake) = &self.intake else { return Ok(()) };
+        if bytes == self.bytes {
+            return Ok(());
+        }
+        if !intake.resize(&self.address, self.bytes, bytes) {
+            return Err(AnswerExcess { form, bytes, limit: ExcessLimit::Memory });
+        }
+        self.bytes = bytes;
+        Ok(())
+    }
+
+    /// Stops counting.
+    pub fn close(self) {}
+}
+
+impl fmt::Debug for IntakeHold {
+    fn fmt(&self, form: &mut fmt::Formatter<'_>) -> fmt::Result {
+        form.debug_struct("IntakeHold")
+            .field("address", &self.address)
+            .field("bytes", &self.bytes)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for IntakeHold {
+    fn drop(&mut self) {
+        if let Some(intake) = self.intake.take().filter(|_| self.bytes > 0) {
+            intake.resize(&self.address, self.bytes, 0);
+        }
+    }
+}
+
+/// Returns the size of a buffer that doubles whenever it is full.
+pub fn buffer_size(bytes: usize) -> u64 {
+    match bytes {
+        0 => 0,
+        _ => bytes.next_power_of_two() as u64,
+    }
+}
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -6,11 +6,14 @@
 //! byte may have been written, and for each answer whether it arrived completely.
 
 mod answer;
+mod body_codec;
 mod connection;
 mod error;
 mod event_numbers;
 mod events;
 mod frame;
+mod head_codec;
+mod intake;
 mod links;
 mod pool;
 mod stall;
@@ -18,9 +21,10 @@
 
 pub use answer::{collect, AnswerBody, BodyFrame, CollectError, TargetAnswer, TruncatedBody};
 pub use connection::ExchangeOptions;
-pub use error::{Error, Result};
+pub use error::{AnswerExcess, Error, ExcessForm, ExcessLimit, Result};
 pub use event_numbers::StreamJoin;
 pub use events::EventSplitter;
+pub use intake::{buffer_size, AnswerIntake, IntakeHold};
 pub use links::{connect_directly, ConnectFuture, TargetLinks};
 pub use pool::{ConnectionOptions, ConnectionOrigin, ConnectionPool, PooledConnection};
 pub use stream::{ByteStream, TargetStream};
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 
 use crate::error::Result;
+use crate::intake::{AnswerIntake, IntakeHold};
 use crate::links::{connect_directly, TargetLinks};
 use crate::stream::TargetStream;
 
@@ -70,6 +71,8 @@
     idle: Rc<RefCell<BTreeMap<ConnectionEndpoint, Vec<IdleConnection>>>>,
     /// How connections to targets are established; `None` for direct connections only.
     links: Option<Rc<dyn TargetLinks>>,
+    /// Bounds the undelivered bytes of answers; `None` without a memory limit.
+    intake: Option<Rc<dyn AnswerIntake>>,
 }
 
 impl fmt::Debug for ConnectionPool {
@@ -138,6 +141,15 @@
         ConnectionPool { links: Some(links), ..self }
     }
 
+    /// Returns the pool with answers whose undelivered bytes are bounded by `intake`, if there is one.
+    pub fn with_intake(self, intake: Option<Rc<dyn AnswerIntake>>) -> ConnectionPool {
+        ConnectionPool { intake, ..self }
+    }
+
+    pub(crate) fn intake_hold(&self, endpoint: &ConnectionEndpoint) -> IntakeHold {
+        IntakeHold::new(self.intake.clone(), &endpoint.address)
+    }
+
     /// Returns a usable idle connection to this target instance, or opens a new one for the request. Nothing is written.
     ///
     /// # Errors
