Answers: a long part is relayed in pieces, each with a time limit of its own

A part is queued in pieces of 16 KiB now; the limit for a caller that does not read holds for each piece, so that one that reads slowly but steadily keeps its stream.

--- a/crates/daemon/src/byte_budget.rs
+++ b/crates/daemon/src/byte_budget.rs
@@ -25,6 +25,7 @@
 
 pub mod answer_intake;
 mod caller_reader;
+mod hold;
 pub mod ledger;
 pub mod levels;
 mod readers;
@@ -32,7 +33,8 @@
 mod shared;
 
 pub use self::caller_reader::CallerReader;
+pub use self::hold::ByteHold;
 pub use self::ledger::{BodyDecision, BodyOffer, ByteLedger};
 pub use self::levels::{ByteOwner, PressureLevel};
 pub use self::readers::{ReaderId, REQUEST_COST};
-pub use self::shared::{BudgetStatus, ByteHold, SharedBudget};
+pub use self::shared::{BudgetStatus, SharedBudget};
--- a/crates/daemon/src/byte_budget/caller_reader.rs
+++ b/crates/daemon/src/byte_budget/caller_reader.rs
@@ -14,9 +14,10 @@
 use curlewcleat_clock::Moment;
 use curlewcleat_core::RequestId;
 
+use super::hold::ByteHold;
 use super::levels::ByteOwner;
 use super::readers::{ReaderId, CONNECTION_COST};
-use super::shared::{ByteHold, SharedBudget};
+use super::shared::SharedBudget;
 
 /// The caller's end of a connection, shared by the connection and its requests.
 #[derive(Clone)]
--- a/crates/daemon/src/byte_budget/shared.rs
+++ b/crates/daemon/src/byte_budget/shared.rs
@@ -17,6 +17,7 @@
 use spdlog::prelude::*;
 use tokio::sync::watch;
 
+use super::hold::ByteHold;
 use super::ledger::{BodyDecision, BodyOffer, ByteLedger, DecisionCounts};
 use super::levels::{ByteOwner, PressureLevel};
 use super::readers::ReaderId;
@@ -86,7 +87,7 @@
     /// Holds bytes until the guard is closed or dropped.
     pub fn hold(&self, owner: ByteOwner, bytes: u64) -> ByteHold {
         self.add(owner, bytes);
-        ByteHold { budget: self.clone(), owner, bytes }
+        ByteHold::new(self.clone(), owner, bytes)
     }
 
     /// Decides about a body, and holds its uncounted bytes if it is read.
@@ -166,7 +167,8 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn add(&self, owner: ByteOwner, bytes: u64) {
+    /// Counts bytes that a guard holds from now on.
+    pub(super) fn add(&self, owner: ByteOwner, bytes: u64) {
         let now = Moment::now();
         let mut state = self.lock();
         let ended = state.ledger.add(now, owner, bytes);
@@ -174,7 +176,8 @@
         self.publish_level(now, state);
     }
 
-    fn remove(&self, owner: ByteOwner, bytes: u64) {
+    /// Counts bytes that a guard no longer holds.
+    pub(super) fn remove(&self, owner: ByteOwner, bytes: u64) {
         let now = Moment::now();
         let mut state = self.lock();
         state.ledger.remove(now, owner, bytes);
@@ -254,48 +257,3 @@
         });
     }
 }
-
-/// Bytes that are held until this guard is closed or dropped.
-pub struct ByteHold {
-    budget: SharedBudget,
-    owner: ByteOwner,
-    bytes: u64,
-}
-
-impl ByteHold {
-    /// Returns the bytes held.
-    pub fn bytes(&self) -> u64 {
-        self.bytes
-    }
-
-    /// Holds more bytes.
-    pub fn grow(&mut self, bytes: u64) {
-        self.bytes += bytes;
-        self.budget.add(self.owner, bytes);
-    }
-
-    /// Releases some of the bytes.
-    pub fn shrink(&mut self, bytes: u64) {
-        let released = bytes.min(self.bytes);
-        self.bytes -= released;
-        self.budget.remove(self.owner, released);
-    }
-
-    /// Holds exactly this many bytes.
-    pub fn resize(&mut self, bytes: u64) {
-        match bytes.checked_sub(self.bytes) {
-            Some(0) => {}
-            Some(more) => self.grow(more),
-            None => self.shrink(self.bytes - bytes),
-        }
-    }
-
-    /// Releases all bytes.
-    pub fn close(self) {}
-}
-
-impl Drop for ByteHold {
-    fn drop(&mut self) {
-        self.shrink(self.bytes);
-    }
-}
--- a/crates/daemon/src/request/answer_channel.rs
+++ b/crates/daemon/src/request/answer_channel.rs
@@ -22,6 +22,8 @@
 const PART_QUEUE: usize = 8;
 /// The same where [`AnswerFlow`] bounds their bytes, which it does long before there are as many parts.
 const FLOW_PART_QUEUE: usize = 1 << 20;
+/// Longest piece in bytes where [`AnswerFlow`] bounds the bytes: a long part must not wait as a whole.
+const PIECE_SIZE: usize = 16 << 10;
 
 /// The answer ended before it was complete; the caller's connection is closed too.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -111,18 +113,20 @@
         }
     }
 
-    /// Sends a part; waits while the queue is full because the caller does not read.
-    pub async fn send_part(&self, mut part: Bytes) {
+    /// Splits off the piece of a part that is sent next: all of it, unless the bytes that wait are bounded.
+    pub fn next_piece(&self, part: &mut Bytes) -> Bytes {
+        let size = self.flow.as_ref().map_or(part.len(), |_| part.len().min(PIECE_SIZE));
+        part.split_to(size)
+    }
+
+    /// Sends a piece; waits while the queue is full because the caller does not read.
+    pub async fn send_piece(&self, piece: Bytes) {
+        let piece = match &self.flow {
+            Some(flow) => flow.queue(piece).await,
+            None => piece,
+        };
         // If the caller has disconnected, its connection aborts the task of the request.
-        match &self.flow {
-            Some(flow) => {
-                while !part.is_empty() {
-                    let piece = flow.queue(AnswerFlow::next_piece(&mut part)).await;
-                    let _ = self.parts.send(piece).await;
-                }
-            }
-            None => drop(self.parts.send(part).await),
-        }
+        let _ = self.parts.send(piece).await;
     }
 
     /// Marks the answer as complete with the parts sent so far.
--- a/crates/daemon/src/request/answer_flow.rs
+++ b/crates/daemon/src/request/answer_flow.rs
@@ -24,9 +24,6 @@
 /// Bytes that a waiting part needs besides its own: its entry in the queue and its allocation.
 const PART_COST: u64 = 128;
 
-/// Longest piece in bytes that is queued by itself.
-const PIECE_SIZE: usize = 16 << 10;
-
 /// The bytes of one answer that wait for the caller's connection; shared by both ends of the answer's channel.
 #[derive(Clone)]
 pub struct AnswerFlow(Rc<FlowState>);
@@ -44,11 +41,6 @@
         AnswerFlow(Rc::new(FlowState { reader, held, released: Notify::new() }))
     }
 
-    /// Splits off the next piece of a part that is queued by itself: a long part must not exceed the bound as a whole.
-    pub fn next_piece(part: &mut Bytes) -> Bytes {
-        part.split_to(part.len().min(PIECE_SIZE))
-    }
-
     /// Waits until a part may be queued, and counts it. The first one never waits. Returns it without the unused rest of
     /// the buffer in which it was assembled, which would not be counted.
     pub async fn queue(&self, part: Bytes) -> Bytes {
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -4,6 +4,7 @@
 //! handling of interrupted answers. Relies on: [`AnswerFraming`](super::framing::AnswerFraming) for the position in the
 //! answer.
 
+mod broken;
 mod complete;
 
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use bytes::Bytes;
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
-    AttemptEnd, RefusalReason, RetryReason, StreamVersion, TargetEntry, Verdict, VersionDigest,
+    AttemptEnd, RefusalReason, StreamVersion, TargetEntry, Verdict, VersionDigest,
 };
 use curlewcleat_node::NodeEvent;
 use curlewcleat_targets::{
@@ -19,14 +20,10 @@
 };
 use futures_util::StreamExt;
 
-use super::attempt::report_excess;
 use super::cause::AttemptCause;
 use super::run::{AttemptOutcome, RequestRun};
 use super::target_wait::{GrantedTarget, WaitEnd};
 
-/// Time to connect when a stream is resumed.
-const RESUME_CONNECT_LIMIT: Duration = Duration::from_secs(1);
-
 /// Next event in an answer.
 enum NextPart {
     /// A part of the answer.
@@ -119,16 +116,6 @@
         self.finish_parts(sent).await
     }
 
-    /// Ends an answer of which too many bytes could not be delivered.
-    pub(super) fn exceeded(
-        &mut self,
-        target: &TargetEntry,
-        excess: AnswerExcess,
-    ) -> AttemptOutcome {
-        report_excess(&self.service.context, self.request.id, &target.id, excess);
-        self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Excess)
-    }
-
     /// Logs where a continuation begins; returns the end of the attempt if that is not where the answer broke off.
     fn evaluate_join(&mut self, target: &TargetEntry) -> Option<AttemptOutcome> {
         let join = self.framing.take_join()?;
@@ -257,33 +244,16 @@
 
     /// Relays a part; returns `false` if the caller has not read for `stall_limit`, or for the shorter time for which
     /// the target's answer may be left unread.
-    async fn relay_part(&mut self, part: Bytes) -> bool {
+    async fn relay_part(&mut self, mut part: Bytes) -> bool {
         self.progress.record_part(part.len());
         let limit = self.answer.part_wait(self.service.context.settings.stall_limit);
-        tokio::time::timeout(limit, self.answer.send_part(part)).await.is_ok()
-    }
-
-    /// Requests the rest of an interrupted answer from the same target, which does not run the request again.
-    async fn resume(&mut self, target: &TargetEntry, limit: Duration) -> Option<AnswerBody> {
-        let connections = self.protocol().connections(&self.request.pool);
-        while let Some(head) = self.framing.resume_request() {
-            self.service.context.metrics.count_retry(RetryReason::StreamResumed);
-            let request = Some(self.request.id);
-            let exchange = async {
-                let connection =
-                    connections.connect_to(target, RESUME_CONNECT_LIMIT, request).await;
-                connection?.exchange(head, ()).await
-            };
-            match tokio::time::timeout(limit, exchange).await {
-                Ok(Ok(answer)) if answer.head.status.is_success() => {
-                    self.progress.record_frame(answer.body.frame());
-                    return Some(answer.body);
-                }
-                // Each failure counts as one resumption, and the framing limits their number.
-                _ => {}
+        while !part.is_empty() {
+            let piece = self.answer.next_piece(&mut part);
+            if tokio::time::timeout(limit, self.answer.send_piece(piece)).await.is_err() {
+                return false;
             }
         }
-        None
+        true
     }
 
     fn part_limit(&self) -> Duration {
