--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -4,6 +4,7 @@
 //! handling of interrupted answers. Relies on: [`AnswerFraming`](super::framing::AnswerFraming) for the position in the
 //! answer.
 
+mod broken;
 mod complete;
 
 use std::time::Duration;
@@ -11,19 +12,18 @@
 use bytes::Bytes;
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
-    AttemptEnd, RefusalReason, RetryReason, StreamVersion, TargetEntry, Verdict, VersionDigest,
+    AttemptEnd, RefusalReason, StreamVersion, TargetEntry, Verdict, VersionDigest,
 };
 use curlewcleat_node::NodeEvent;
-use curlewcleat_targets::{AnswerBody, BodyFrame, TargetAnswer};
+use curlewcleat_targets::{
+    buffer_size, AnswerBody, AnswerExcess, BodyFrame, ExcessForm, TargetAnswer,
+};
 use futures_util::StreamExt;
 
 use super::cause::AttemptCause;
 use super::run::{AttemptOutcome, RequestRun};
 use super::target_wait::{GrantedTarget, WaitEnd};
 
-/// Time to connect when a stream is resumed.
-const RESUME_CONNECT_LIMIT: Duration = Duration::from_secs(1);
-
 /// Next event in an answer.
 enum NextPart {
     /// A part of the answer.
@@ -34,6 +34,8 @@
     Replaced(Box<GrantedTarget>),
     /// The answer was interrupted before its end.
     Interrupted(AttemptCause),
+    /// The answer has too many bytes that cannot be delivered.
+    Excess(AnswerExcess),
 }
 
 impl RequestRun {
@@ -62,12 +64,14 @@
         sent: Moment,
     ) -> AttemptOutcome {
         let TargetAnswer { head, mut body } = answer;
+        let mut undelivered = body.intake_hold();
         self.begin_parts(&head);
         let mut limit = self.part_limit();
         loop {
             let part = match self.next_part(&mut body, target, limit).await {
                 NextPart::Part(part) => self.framing.push(part),
                 NextPart::End => break,
+                NextPart::Excess(excess) => return self.exceeded(target, excess),
                 NextPart::Replaced(other) => {
                     return AttemptOutcome::Replaced(other, AttemptCause::PartTimeout)
                 }
@@ -93,7 +97,13 @@
             if self.framing.is_misplaced() {
                 return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Misplaced);
             }
+            // What waited for its caller until now was counted as before.
+            let size = buffer_size(self.framing.buffered());
+            if let Err(excess) = undelivered.resize(size, ExcessForm::Event) {
+                return self.exceeded(target, excess);
+            }
         }
+        undelivered.close();
         // Sends the head of an answer that has no parts.
         self.begin_answer(&head);
         self.finish_parts(sent).await
@@ -160,7 +170,10 @@
                 NextPart::Part(part)
             }
             WaitEnd::Arrived(None) => self.evaluate_end(body.frame()),
-            WaitEnd::Arrived(Some(Err(_))) => NextPart::Interrupted(AttemptCause::Closed),
+            WaitEnd::Arrived(Some(Err(_))) => match body.excess() {
+                Some(excess) => NextPart::Excess(excess),
+                None => NextPart::Interrupted(AttemptCause::Closed),
+            },
             WaitEnd::Replaced(other) => NextPart::Replaced(other),
             WaitEnd::TimedOut => NextPart::Interrupted(AttemptCause::PartTimeout),
         }
@@ -224,33 +237,16 @@
 
     /// Relays a part; returns `false` if the caller has not read for `stall_limit`, or for the shorter time for which
     /// the target's answer may be left unread.
-    async fn relay_part(&mut self, part: Bytes) -> bool {
+    async fn relay_part(&mut self, mut part: Bytes) -> bool {
         self.progress.record_part(part.len());
         let limit = self.answer.part_wait(self.service.context.settings.stall_limit);
-        tokio::time::timeout(limit, self.answer.send_part(part)).await.is_ok()
-    }
-
-    /// Requests the rest of an interrupted answer from the same target, which does not run the request again.
-    async fn resume(&mut self, target: &TargetEntry, limit: Duration) -> Option<AnswerBody> {
-        let connections = self.protocol().connections(&self.request.pool);
-        while let Some(head) = self.framing.resume_request() {
-            self.service.context.metrics.count_retry(RetryReason::StreamResumed);
-            let request = Some(self.request.id);
-            let exchange = async {
-                let connection =
-                    connections.connect_to(target, RESUME_CONNECT_LIMIT, request).await;
-                connection?.exchange(head, ()).await
-            };
-            match tokio::time::timeout(limit, exchange).await {
-                Ok(Ok(answer)) if answer.head.status.is_success() => {
-                    self.progress.record_frame(answer.body.frame());
-                    return Some(answer.body);
-                }
-                // Each failure counts as one resumption, and the framing limits their number.
-                _ => {}
+        while !part.is_empty() {
+            let piece = self.answer.next_piece(&mut part);
+            if tokio::time::timeout(limit, self.answer.send_piece(piece)).await.is_err() {
+                return false;
             }
         }
-        None
+        true
     }
 
     fn part_limit(&self) -> Duration {
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -108,11 +108,19 @@
         if self.buffered.len() > EVENT_LIMIT {
             self.has_returned_part = true;
             self.scan.searched = 0;
-            out.extend_from_slice(&self.buffered.split());
+            match out.is_empty() {
+                true => out = self.buffered.split(),
+                false => out.extend_from_slice(&self.buffered.split()),
+            }
         }
         out.freeze()
     }
 
+    /// Returns the number of bytes that are kept until an event is complete, or confirmed.
+    pub fn buffered(&self) -> usize {
+        self.buffered.len() + self.held.len()
+    }
+
     /// Returns a complete event, holds it back or leaves it out.
     fn place_event(&mut self, event: &[u8], out: &mut BytesMut) {
         if self.is_misplaced {
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -6,12 +6,15 @@
 //! byte may have been written, and for each answer whether it arrived completely.
 
 mod answer;
+mod body_codec;
 mod connection;
 mod error;
 mod event_numbers;
 mod event_steps;
 mod events;
 mod frame;
+mod head_codec;
+mod intake;
 mod links;
 mod pool;
 mod stall;
@@ -20,9 +23,10 @@
 
 pub use answer::{collect, AnswerBody, BodyFrame, CollectError, TargetAnswer, TruncatedBody};
 pub use connection::ExchangeOptions;
-pub use error::{Error, Result};
+pub use error::{AnswerExcess, Error, ExcessForm, ExcessLimit, Result};
 pub use event_numbers::StreamJoin;
 pub use events::EventSplitter;
+pub use intake::{buffer_size, AnswerIntake, IntakeHold, UNCOUNTED_BYTES};
 pub use links::{connect_directly, ConnectFuture, TargetLinks};
 pub use pool::{ConnectionOptions, ConnectionOrigin, ConnectionPool, PooledConnection};
 pub use stream::{ByteStream, TargetStream};
