Frames of peers wait for the node in bounded memory

Received frames waited for the node in a channel without a bound in bytes. A peer that sends faster than the node handles frames could fill the memory of a small VM, and the process, with the requests of all its clients, would be ended.

Frames now count as waiting from their decoding until the node handles them: their encoded length and the size of their messages. Beyond an eighth of the VM's memory (64 MB without a memory limit), or a quarter of that from one sender, frames are dropped; every message may be lost without harm. The share of a sender keeps room for the frames of the others. A frame that is larger than the limit is received while nothing else waits.

Dropped frames are counted (peer_frames{kind="refused"}) and logged (peer_frame_refused, once a second at most).

Test: 64 frames of .6 MB from one peer to a node that handles none, limit of 8 MB. Frames that nng itself queues before the receiving thread takes them are bounded in number only, as before.

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -9,7 +9,7 @@
 use curlewcleat_config::DaemonSettings;
 use curlewcleat_core::{DaemonId, Incarnation};
 use curlewcleat_node::{Node, NodeEvent};
-use curlewcleat_peers::{NngTransport, PeerTransport, TransportCounts};
+use curlewcleat_peers::{NngTransport, PeerTransport, TransportCounts, WaitingFrames};
 use spdlog::prelude::*;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
@@ -22,6 +22,11 @@
 use crate::relays::{probe_lost_links, RelayServer};
 use crate::usage::log_usage;
 
+/// Most bytes of peers' frames that wait for the node without a memory limit.
+const WAITING_FRAMES_LIMIT: u64 = 64 << 20;
+/// Part of the VM's memory that frames of peers may use while they wait. It is not in the byte budget.
+const WAITING_FRAMES_SHARE: u64 = 8;
+
 /// Runs a daemon until its planned stop is complete.
 ///
 /// # Errors
@@ -68,11 +73,13 @@
     let (frames, mut received) = mpsc::unbounded_channel();
     // Shorter than the time after which a peer counts as unreachable, and at least 1.5 heartbeat intervals.
     let dead_after = settings.suspect_after / 2;
-    let transport = NngTransport::listen(&settings.peer_address, dead_after, frames, counts)
-        .map_err(|error| anyhow!("peers: bind {}: {error}", settings.peer_address))?;
+    let waiting = WaitingFrames::new(waiting_frames_limit(settings));
+    let transport =
+        NngTransport::listen(&settings.peer_address, dead_after, frames, waiting, counts)
+            .map_err(|error| anyhow!("peers: bind {}: {error}", settings.peer_address))?;
     actix_rt::spawn(async move {
         while let Some(frame) = received.recv().await {
-            if sender.send(NodeMessage::Event(NodeEvent::PeerFrameReceived(frame))).is_err() {
+            if sender.send(NodeMessage::PeerFrame(frame)).is_err() {
                 return;
             }
         }
@@ -80,6 +87,11 @@
     Ok(Box::new(transport))
 }
 
+/// Returns how many bytes of peers' frames may wait for the node.
+fn waiting_frames_limit(settings: &DaemonSettings) -> u64 {
+    settings.memory_limit.map_or(WAITING_FRAMES_LIMIT, |limit| limit / WAITING_FRAMES_SHARE)
+}
+
 /// Starts the planned stop on SIGTERM or SIGINT.
 fn watch_signals(context: DaemonContext) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("signals")?;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -11,6 +11,7 @@
 use curlewcleat_config::{DaemonSettings, FleetBounds, RouteHistory, TakenUpRoute};
 use curlewcleat_core::{ActiveConfig, DaemonId, PoolId, TargetEntry, Uptime, VmId, WallTime};
 use curlewcleat_node::{CallerDecision, NodeEvent, NodeStatus};
+use curlewcleat_peers::ReceivedFrame;
 use curlewcleat_sched::{RelayPeer, RequestSpec};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -24,6 +25,8 @@
 pub enum NodeMessage {
     /// An event for the node.
     Event(NodeEvent),
+    /// A frame of a peer.
+    PeerFrame(ReceivedFrame),
     /// A caller's request; the node's decisions about it go to the sender.
     Admit(Box<RequestSpec>, mpsc::UnboundedSender<CallerDecision>),
     /// A configuration read from the platform; the sender is notified once the node has handled it.
--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -128,6 +128,7 @@
             ("received", &self.counts.received),
             ("received_bytes", &self.counts.received_bytes),
             ("unreadable", &self.counts.unreadable),
+            ("refused", &self.counts.refused),
             ("dialed_anew", &self.counts.redialed),
         ];
         for (kind, count) in kinds {
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -108,6 +108,9 @@
                 }
                 self.handle_event(event);
             }
+            NodeMessage::PeerFrame(frame) => {
+                self.handle_event(NodeEvent::PeerFrameReceived(frame.close()));
+            }
             NodeMessage::Admit(spec, sender) => {
                 self.decision_senders.insert(spec.request, sender);
                 self.handle_event(NodeEvent::Admit(spec));
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -6,9 +6,12 @@
 mod activity;
 mod codec;
 mod pending;
+mod receiver;
 mod transport;
+mod waiting;
 
 pub use activity::PeerActivity;
 pub use codec::{decode_frame, encode_frame, Error, Result, FRAME_LIMIT};
 pub use pending::PendingAnswers;
 pub use transport::{NngTransport, PeerTransport, TransportCounts};
+pub use waiting::{FrameRefused, ReceivedFrame, WaitingFrames};
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -4,21 +4,23 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::PeerFrame;
 use nng::options::protocol::pubsub::Subscribe;
 use nng::options::{Options, RecvBufferSize, RecvMaxSize, SendBufferSize};
-use nng::{Pipe, Protocol, Socket};
+use nng::{Protocol, Socket};
 use tokio::sync::mpsc::UnboundedSender;
 
 use spdlog::prelude::*;
 
 use crate::activity::PeerActivity;
-use crate::codec::{decode_frame, encode_frame, FRAME_LIMIT};
+use crate::codec::{encode_frame, FRAME_LIMIT};
 use crate::pending::PendingAnswers;
+use crate::receiver::{lock_activity, FrameReceiver, SharedActivity};
+use crate::waiting::{ReceivedFrame, WaitingFrames};
 
 /// Number of frames that wait for a peer before the oldest are dropped.
 const SEND_QUEUE: i32 = 1_024;
@@ -55,6 +57,8 @@
     pub received_bytes: AtomicU64,
     /// Received frames that cannot be decoded.
     pub unreadable: AtomicU64,
+    /// Received frames that were dropped because too many bytes wait for the node.
+    pub refused: AtomicU64,
     /// Number of times that a peer was redialed.
     pub redialed: AtomicU64,
 }
@@ -71,10 +75,6 @@
     counts: Arc<TransportCounts>,
 }
 
-/// The frames that the receiving thread has recorded. A frame whose connection is not known has `None` as its
-/// connection.
-type SharedActivity = Arc<Mutex<PeerActivity<Option<Pipe>>>>;
-
 /// The socket for sending frames to one peer.
 struct PeerSocket {
     socket: Socket,
@@ -112,14 +112,16 @@
 
 impl NngTransport {
     /// Listens on `ip:port`. A separate thread sends the received frames to `frames`, because nng's calls must not
-    /// block the arbiter. A peer is redialed by the rules of [`PeerActivity`], with `dead_after` as the limit.
+    /// block the arbiter; those that `waiting` refuses are dropped. A peer is redialed by the rules of
+    /// [`PeerActivity`], with `dead_after` as the limit.
     ///
     /// # Errors
     /// Returns nng's error where the address cannot be bound.
     pub fn listen(
         address: &str,
         dead_after: Duration,
-        frames: UnboundedSender<PeerFrame>,
+        frames: UnboundedSender<ReceivedFrame>,
+        waiting: WaitingFrames,
         counts: Arc<TransportCounts>,
     ) -> Result<NngTransport, nng::Error> {
         let listener = Socket::new(Protocol::Sub0)?;
@@ -131,8 +133,10 @@
         let receiver = FrameReceiver {
             socket: listener.clone(),
             frames,
+            waiting,
             activity: Arc::clone(&activity),
             counts: Arc::clone(&counts),
+            refusal_logged: None,
         };
         std::thread::Builder::new()
             .name("peer-frames".to_string())
@@ -233,41 +237,3 @@
     socket.dial_async(&format!("tcp://{address}"))?;
     Ok(socket)
 }
-
-/// Locks the recorded frames. A poisoned lock is used as well: each change is a single step, so a thread that panicked
-/// leaves consistent state.
-fn lock_activity(activity: &SharedActivity) -> MutexGuard<'_, PeerActivity<Option<Pipe>>> {
-    activity.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Receives frames on a separate thread.
-struct FrameReceiver {
-    socket: Socket,
-    frames: UnboundedSender<PeerFrame>,
-    activity: SharedActivity,
-    counts: Arc<TransportCounts>,
-}
-
-impl FrameReceiver {
-    /// Receives frames until the socket or the channel is closed.
-    fn run(self) {
-        loop {
-            let mut message = match self.socket.recv() {
-                Ok(message) => message,
-                Err(nng::Error::Closed) => return,
-                Err(_) => continue,
-            };
-            self.counts.received.fetch_add(1, Ordering::Relaxed);
-            let length = message.as_slice().len() as u64;
-            self.counts.received_bytes.fetch_add(length, Ordering::Relaxed);
-            let Ok(frame) = decode_frame(message.as_slice()) else {
-                self.counts.unreadable.fetch_add(1, Ordering::Relaxed);
-                continue;
-            };
-            lock_activity(&self.activity).record(Moment::now(), &frame, message.pipe());
-            if self.frames.send(frame).is_err() {
-                return;
-            }
-        }
-    }
-}
