Answers of the store share a limit while they are read

Each call to the store had a limit of 16 MB of its own, and a daemon reads several kinds of objects at a time. A store that sends without end could make a daemon hold 16 MB for each of them, more than a VM of 112 MB has.

An answer of up to 2 MB, twice a page, is always read. The bytes beyond that are counted for all answers of a client together and limited to 14 MB, so a single answer may be as long as before. The error, which platform_call_failed logs, states the bytes of the answer and of all answers.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -13,10 +13,9 @@
 use futures_util::StreamExt;
 use serde::Deserialize;
 
+use crate::answer_budget::{AnswerBudget, AnswerHold};
 use crate::store::{Error, Result};
 
-/// Maximum size of an answer in bytes. An answer is a page of objects of at most a megabyte each.
-const ANSWER_LIMIT: usize = 16 << 20;
 /// Time limit of a complete call, as a multiple of the limit on a pause within its answer. A megabyte takes most of a
 /// second over 10 Mbit/s, and several seconds when callers' requests share the link.
 const TOTAL_LIMIT_FACTOR: u32 = 8;
@@ -103,6 +102,7 @@
     address: String,
     limit: Duration,
     connections: ConnectionPool,
+    budget: AnswerBudget,
 }
 
 impl StoreClient {
@@ -111,7 +111,12 @@
         let options =
             ConnectionOptions { min_idle: Duration::ZERO, ..ConnectionOptions::default() };
         let connections = ConnectionPool::new(options);
-        StoreClient { address: address.to_string(), limit, connections }
+        StoreClient {
+            address: address.to_string(),
+            limit,
+            connections,
+            budget: AnswerBudget::default(),
+        }
     }
 
     /// Makes one call. Its connection is reused only after a complete answer.
@@ -135,7 +140,7 @@
     async fn call_within(&self, request: StoreRequest, limits: CallLimits) -> Result<StoreReply> {
         let exchange = async {
             let answer = within(limits.pause, self.begin(request, limits.pause)).await?;
-            read(answer, limits.pause).await
+            read(answer, limits.pause, self.budget.begin()).await
         };
         within(limits.total, exchange).await
     }
@@ -152,14 +157,13 @@
 
 /// Reads a complete answer. It is abandoned only when nothing arrives for `pause`, because an answer abandoned while it
 /// arrives would have to be sent again from its beginning.
-async fn read(answer: TargetAnswer, pause: Duration) -> Result<StoreReply> {
+async fn read(answer: TargetAnswer, pause: Duration, mut held: AnswerHold) -> Result<StoreReply> {
     let TargetAnswer { head, mut body } = answer;
     let mut bytes = Vec::new();
     while let Some(part) = within(pause, async { Ok(body.next().await) }).await? {
-        bytes.extend_from_slice(&part.map_err(outcome_unknown)?);
-        if bytes.len() > ANSWER_LIMIT {
-            return Err(Error::Protocol("the answer exceeds the size limit".to_string()));
-        }
+        let part = part.map_err(outcome_unknown)?;
+        held.grow(bytes.len() + part.len())?;
+        bytes.extend_from_slice(&part);
     }
     Ok(StoreReply { status: head.status, headers: head.headers, body: bytes })
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,6 +4,7 @@
 //! interface to a platform that stores the configuration itself; the crate in `platform/` implements it. Both make
 //! their calls through [`StoreClient`]. docs/PLATFORM.md describes the object API.
 
+mod answer_budget;
 mod applying;
 mod client;
 mod entry_fault;
