A relay closes a connection that one side does not read

A peer that relays a connection kept it for as long as the daemon or the target read nothing. While it waits for the target it does not read from the daemon, so it did not notice one that had left. Each such connection used one of the relay's places until the process ended, and the kernel held several megabytes for it, which no budget counts.

A part that is not accepted for twice stall_limit ends the connection (relay_served with outcome "stalled", counted in relays_total). The kernel's buffers of relayed connections are 256 KB. The two belong together: a buffer that has grown to megabytes is writable again only after a large part of it was read, so a slow reader would look like one that stands still.

--- a/crates/daemon/src/relays/server.rs
+++ b/crates/daemon/src/relays/server.rs
@@ -15,7 +15,7 @@
 use curlewcleat_clock::Moment;
 use curlewcleat_config::PlatformKind;
 use curlewcleat_core::TargetEntry;
-use curlewcleat_relay::{accept_relay, IncomingRelay, RelayRefusal, RelayRequest};
+use curlewcleat_relay::{accept_relay, IncomingRelay, RelayEnd, RelayRefusal, RelayRequest};
 use curlewcleat_sched::TargetRoute;
 use curlewcleat_targets::connect_directly;
 use spdlog::prelude::*;
@@ -41,6 +41,9 @@
 const CLOSE_INTERVAL: Duration = Duration::from_millis(50);
 /// Bytes that a relayed connection holds at most: one part in each direction, as read and as a frame.
 const RELAY_COST: u64 = 32 << 10;
+/// Time after which a connection whose daemon or target reads nothing is closed, as a multiple of the time after which a
+/// daemon that uses it gives up its caller.
+const STALL_FACTOR: u32 = 2;
 /// Time before the stop limit at which relayed connections are given up.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
@@ -144,7 +147,12 @@
             context.metrics.count_relay("served", "connected");
             let budget = context.budget.as_ref();
             let _held = budget.map(|budget| budget.hold(ByteOwner::Relay, RELAY_COST));
-            relay.carry(target).await.map_or("daemon_gone", |end| end.code())
+            let stall_limit = context.settings.stall_limit * STALL_FACTOR;
+            let end = relay.carry(target, stall_limit).await;
+            if matches!(end, Ok(RelayEnd::Stalled)) {
+                context.metrics.count_relay("served", RelayEnd::Stalled.code());
+            }
+            end.map_or("daemon_gone", |end| end.code())
         }
         Err(refusal) => {
             context.metrics.count_relay("served", refusal.code());
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -14,7 +14,7 @@
 use tokio_util::codec::Framed;
 
 use crate::error::{Error, Result};
-use crate::message::{FrameCodec, RelayPart, RelayReply, RelayRequest, PART_SIZE};
+use crate::message::{FrameCodec, RelayPart, RelayReply, RelayRequest, PART_SIZE, WINDOW_SIZE};
 
 type PeerFrames = Framed<TcpStream, FrameCodec>;
 
@@ -29,6 +29,8 @@
     request: &RelayRequest,
 ) -> Result<RelayedConnection> {
     let socket = if peer.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_send_buffer_size(WINDOW_SIZE as u32)?;
+    socket.set_recv_buffer_size(WINDOW_SIZE as u32)?;
     socket.bind(SocketAddr::new(source, 0))?;
     let stream = socket.connect(peer).await?;
     stream.set_nodelay(true)?;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -16,6 +16,9 @@
 const FRAME_LIMIT: usize = 64 << 10;
 /// Most bytes that one frame carries, and the size of a read from the target.
 pub(crate) const PART_SIZE: usize = 8 << 10;
+/// Size of the kernel's buffers in bytes for what one side has not read yet. Without it they grow to several megabytes,
+/// and a reader shows progress only after it has read a large part of them.
+pub(crate) const WINDOW_SIZE: usize = 256 << 10;
 
 /// First byte of a frame that carries bytes.
 const DATA: u8 = 0;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -3,7 +3,10 @@
 //! Owns: the connection to the target until either side ends. Relies on: its caller for the decision whether to connect.
 
 use std::cell::Cell;
+use std::future::Future;
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
@@ -12,7 +15,9 @@
 use futures_util::{SinkExt, StreamExt};
 
 use crate::error::{Error, Result};
-use crate::message::{FrameCodec, RelayPart, RelayRefusal, RelayReply, RelayRequest, PART_SIZE};
+use crate::message::{
+    FrameCodec, RelayPart, RelayRefusal, RelayReply, RelayRequest, PART_SIZE, WINDOW_SIZE,
+};
 
 /// How a relayed connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +28,8 @@
     ClosedByTarget,
     /// The connection to the target broke.
     TargetBroken,
+    /// The daemon or the target has not read what was sent to it.
+    Stalled,
 }
 
 impl RelayEnd {
@@ -32,6 +39,7 @@
             RelayEnd::ClosedByDaemon => "closed_by_daemon",
             RelayEnd::ClosedByTarget => "closed_by_target",
             RelayEnd::TargetBroken => "target_broken",
+            RelayEnd::Stalled => "stalled",
         }
     }
 }
@@ -65,11 +73,15 @@
         self.reply(RelayReply::Refused(refusal)).await
     }
 
-    /// Carries bytes between the daemon and a target that has accepted a connection, until either side ends.
+    /// Carries bytes between the daemon and a target that has accepted a connection, until either side ends or does not
+    /// read a part for `stall_limit`.
     ///
     /// # Errors
-    /// Returns an error where the daemon has closed its connection before the reply.
-    pub async fn carry(mut self, target: TcpStream) -> Result<RelayEnd> {
+    /// Returns an error where the daemon has closed its connection before the reply, or a socket option cannot be set.
+    pub async fn carry(mut self, target: TcpStream, stall_limit: Duration) -> Result<RelayEnd> {
+        for stream in [self.frames.get_ref(), &target] {
+            limit_buffers(stream)?;
+        }
         self.reply(RelayReply::Connected).await?;
         let (target_read, target_write) = target.into_split();
         let FramedParts { io, read_buf, .. } = self.frames.into_parts();
@@ -80,8 +92,8 @@
         let write_failed = Cell::new(false);
         // Both connections are closed when either direction has ended: the daemon closes only to abandon the exchange.
         Ok(tokio::select! {
-            end = carry_request(from_daemon, target_write, &write_failed) => end,
-            end = carry_answer(target_read, to_daemon, &write_failed) => end,
+            end = carry_request(from_daemon, target_write, &write_failed, stall_limit) => end,
+            end = carry_answer(target_read, to_daemon, &write_failed, stall_limit) => end,
         })
     }
 
@@ -91,20 +103,33 @@
     }
 }
 
+/// Limits what the kernel holds for a connection whose other end does not read.
+fn limit_buffers(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_send_buffer_size(WINDOW_SIZE)?;
+    socket.set_recv_buffer_size(WINDOW_SIZE)
+}
+
 /// Carries bytes from the daemon to the target until the daemon closes its connection.
 async fn carry_request(
     mut from_daemon: FramedRead<OwnedReadHalf, FrameCodec>,
     mut to_target: OwnedWriteHalf,
     write_failed: &Cell<bool>,
+    stall_limit: Duration,
 ) -> RelayEnd {
     while let Some(Ok(frame)) = from_daemon.next().await {
         let Some(RelayPart::Data(bytes)) = RelayPart::decode(frame) else {
             return RelayEnd::ClosedByDaemon;
         };
-        if to_target.write_all(&bytes).await.is_err() {
-            // The target may have answered before it stopped reading; the other direction reports how it ended.
-            write_failed.set(true);
-            return std::future::pending().await;
+        match written(to_target.write_all(&bytes), stall_limit).await {
+            WriteOutcome::Written => {}
+            // While it waits for the target, a daemon that has left is not noticed.
+            WriteOutcome::Stalled => return RelayEnd::Stalled,
+            WriteOutcome::Failed => {
+                // The target may have answered before it stopped reading; the other direction reports how it ended.
+                write_failed.set(true);
+                return std::future::pending().await;
+            }
         }
     }
     RelayEnd::ClosedByDaemon
@@ -116,6 +141,7 @@
     mut from_target: OwnedReadHalf,
     mut to_daemon: FramedWrite<OwnedWriteHalf, FrameCodec>,
     write_failed: &Cell<bool>,
+    stall_limit: Duration,
 ) -> RelayEnd {
     let mut buffer = vec![0u8; PART_SIZE];
     let end = loop {
@@ -124,16 +150,38 @@
             Ok(0) => break RelayEnd::ClosedByTarget,
             Ok(length) => {
                 let frame = RelayPart::encode_data(&buffer[..length]);
-                if to_daemon.send(frame).await.is_err() {
-                    return RelayEnd::ClosedByDaemon;
+                match written(to_daemon.send(frame), stall_limit).await {
+                    WriteOutcome::Written => {}
+                    WriteOutcome::Stalled => return RelayEnd::Stalled,
+                    WriteOutcome::Failed => return RelayEnd::ClosedByDaemon,
                 }
             }
             Err(_) => break RelayEnd::TargetBroken,
         }
     };
     let last = RelayPart::encode_end(end == RelayEnd::TargetBroken);
-    match to_daemon.send(last).await {
-        Ok(()) => end,
-        Err(_) => RelayEnd::ClosedByDaemon,
+    match written(to_daemon.send(last), stall_limit).await {
+        WriteOutcome::Written => end,
+        WriteOutcome::Stalled => RelayEnd::Stalled,
+        WriteOutcome::Failed => RelayEnd::ClosedByDaemon,
+    }
+}
+
+/// How the write of a part ended.
+enum WriteOutcome {
+    Written,
+    Failed,
+    Stalled,
+}
+
+/// Waits for the write of a part, at most for `stall_limit`.
+async fn written(
+    write: impl Future<Output = std::io::Result<()>>,
+    stall_limit: Duration,
+) -> WriteOutcome {
+    match tokio::time::timeout(stall_limit, write).await {
+        Ok(Ok(())) => WriteOutcome::Written,
+        Ok(Err(_)) => WriteOutcome::Failed,
+        Err(_) => WriteOutcome::Stalled,
     }
 }
--- a/crates/relay/tests/cut_frames.rs
+++ b/crates/relay/tests/cut_frames.rs
@@ -12,6 +12,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Longer than any test.
+const STALL_LIMIT: Duration = Duration::from_secs(600);
 const SOURCE: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nbody";
 const CONNECTED: &[u8] = &[0];
@@ -123,7 +125,7 @@
         let (stream, _) = peer.accept().await.expect("a daemon");
         let relay = accept_relay(stream).await.ok()?;
         let target = TcpStream::connect(target_address).await.expect("the target accepts");
-        relay.carry(target).await.ok()
+        relay.carry(target, STALL_LIMIT).await.ok()
     });
     let mut daemon = TcpStream::connect(peer_address).await.expect("the peer accepts");
     daemon.write_all(bytes).await.expect("written");
--- a/crates/relay/tests/relayed.rs
+++ b/crates/relay/tests/relayed.rs
@@ -14,6 +14,8 @@
 
 const SOURCE: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const LIMIT: Duration = Duration::from_secs(5);
+/// Longer than any test.
+const STALL_LIMIT: Duration = Duration::from_secs(600);
 /// Number of resets, of which a write notices some and a read the others.
 const RESETS: usize = 100;
 
@@ -42,7 +44,7 @@
         let relay = accept_relay(stream).await.expect("a request");
         assert_eq!(relay.request, request());
         let target = TcpStream::connect(target).await.expect("the target accepts");
-        let end = relay.carry(target).await.expect("the daemon is connected");
+        let end = relay.carry(target, STALL_LIMIT).await.expect("the daemon is connected");
         sender.send(end).expect("the test waits");
     });
     (address, receiver)
@@ -100,7 +102,7 @@
         let (stream, _) = listener.accept().await.expect("a daemon");
         let relay = accept_relay(stream).await.expect("a request");
         let target = TcpStream::connect(address).await.expect("the target accepts");
-        relay.carry(target).await
+        relay.carry(target, STALL_LIMIT).await
     });
     let mut connection = connect_through_peer(peer, SOURCE, &request()).await.expect("connected");
     let (mut accepted, _) = target.accept().await.expect("a connection");
