Streams: the memory of a long event is free once it is relayed

A daemon kept a megabyte or more for each stream that had once had a long event: what followed the event stayed in the buffer that had held it, and nothing counted it, since few bytes of it were in use.

What is left behind complete events now gets a buffer of its own size. The test failed before, with 1,004,032 and 789,632 bytes kept for each of 32 streams (a buffered event, and one that is returned in parts); the bound is 64 KiB.

--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -87,6 +87,7 @@
     pub fn push(&mut self, part: &[u8]) -> Bytes {
         self.buffered.extend_from_slice(part);
         let mut out = BytesMut::new();
+        let before = self.buffered.len();
         while let Some(end) = self.scan.event_end(&self.buffered) {
             self.scan = EventScan::default();
             let event = self.buffered.split_to(end);
@@ -97,12 +98,16 @@
         if self.is_misplaced {
             self.buffered.clear();
         }
+        if self.buffered.len() < before {
+            // What is left would keep the memory of the events before it.
+            self.buffered = BytesMut::from(&self.buffered[..]);
+        }
         if self.buffered.len() > EVENT_LIMIT {
             self.has_returned_part = true;
             self.scan.searched = 0;
             match out.is_empty() {
-                true => out = self.buffered.split(),
-                false => out.extend_from_slice(&self.buffered.split()),
+                true => out = std::mem::take(&mut self.buffered),
+                false => out.extend_from_slice(&std::mem::take(&mut self.buffered)),
             }
         }
         out.freeze()
@@ -160,7 +165,7 @@
     /// Prepares for a resumed stream: discards the bytes of the incomplete event.
     pub fn discard_incomplete(&mut self) {
         self.scan = EventScan::default();
-        self.buffered.clear();
+        self.buffered = BytesMut::new();
         self.is_misplaced = false;
         self.numbers.resume();
     }
