--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -94,6 +94,7 @@
     pub fn push(&mut self, part: &[u8]) -> Bytes {
         self.buffered.extend_from_slice(part);
         let mut out = BytesMut::new();
+        let before = self.buffered.len();
         while let Some(end) = self.scan.event_end(&self.buffered) {
             self.scan = EventScan::default();
             let event = self.buffered.split_to(end);
@@ -105,12 +106,16 @@
         if self.is_misplaced {
             self.buffered.clear();
         }
+        if self.buffered.len() < before {
+            // What is left would keep the memory of the events before it.
+            self.buffered = BytesMut::from(&self.buffered[..]);
+        }
         if self.buffered.len() > EVENT_LIMIT {
             self.has_returned_part = true;
             self.scan.searched = 0;
             match out.is_empty() {
-                true => out = self.buffered.split(),
-                false => out.extend_from_slice(&self.buffered.split()),
+                true => out = std::mem::take(&mut self.buffered),
+                false => out.extend_from_slice(&std::mem::take(&mut self.buffered)),
             }
         }
         out.freeze()
@@ -161,7 +166,7 @@
     fn return_held(&mut self, out: &mut BytesMut) {
         if !self.held.is_empty() {
             self.has_unnumbered_data = std::mem::take(&mut self.holds_unnumbered_data);
-            out.extend_from_slice(&self.held.split());
+            out.extend_from_slice(&std::mem::take(&mut self.held));
         }
     }
 
@@ -206,8 +211,8 @@
     /// Prepares for a resumed stream: discards the bytes of the incomplete event and of what is held back.
     pub fn discard_incomplete(&mut self) {
         self.scan = EventScan::default();
-        self.buffered.clear();
-        self.held.clear();
+        self.buffered = BytesMut::new();
+        self.held = BytesMut::new();
         self.holds_unnumbered_data = false;
         self.is_misplaced = false;
         self.numbers.resume();
