Stand-ins: processes that run in turns, as on weak VMs

A fleet of weak VMs stands still for 50 to 450 ms everywhere and all the time, which no stand-in could show: the throttle limits one process to a fixed period, with a thread for each.

One thread now stops and continues any number of processes, each in turns of drawn lengths. Processes are held by their descriptors, so that a process that was killed and whose id is used again is never signalled, and all of them are continued when the cycle is closed or dropped.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod address;
 pub mod callers;
 pub mod deployment;
+pub mod duty_cycle;
 pub mod engine;
 pub mod fleet;
 pub mod http;
