Streams: events are passed on before their answer can end for want of memory

What callers saw: a stream that ended as whole without some of its events. Where a part of several events found no room among the undelivered bytes of its target, the answer ended after its events had moved the position of the stream and before they were relayed, so that the next attempt continued behind them. What was counted for the last part stayed counted until the next part arrived, though its caller had it.

Now a part is relayed first; after that the answer holds only what is buffered of the next event. What was buffered of a long event stays counted while it waits for its caller.

--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -86,22 +86,22 @@
             if let Some(outcome) = self.evaluate_join(target) {
                 return outcome;
             }
-            // A part waits for its caller, so it is counted until it is queued.
-            let size = buffer_size(self.framing.buffered() + part.len());
+            if !part.is_empty() {
+                if !self.answer.has_begun() {
+                    self.begin_stream(&head, target);
+                    limit = self.part_limit();
+                }
+                // What was buffered of an event is counted until its caller has taken it.
+                if !self.relay_part(part).await {
+                    return AttemptOutcome::CallerStalled;
+                }
+                self.report_part(target);
+            }
+            // The last step: an answer that ends here is continued after the events that were relayed.
+            let size = buffer_size(self.framing.buffered());
             if let Err(excess) = undelivered.resize(size, ExcessForm::Event) {
                 return self.exceeded(target, excess);
             }
-            if part.is_empty() {
-                continue;
-            }
-            if !self.answer.has_begun() {
-                self.begin_stream(&head, target);
-                limit = self.part_limit();
-            }
-            if !self.relay_part(part).await {
-                return AttemptOutcome::CallerStalled;
-            }
-            self.report_part(target);
         }
         undelivered.close();
         // Sends the head of an answer that has no parts.
