--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -97,7 +97,7 @@
             if self.framing.is_misplaced() {
                 return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Misplaced);
             }
-            // What waited for its caller until now was counted as before.
+            // The last step: an answer that ends here is continued after the events that were relayed.
             let size = buffer_size(self.framing.buffered());
             if let Err(excess) = undelivered.resize(size, ExcessForm::Event) {
                 return self.exceeded(target, excess);
