Splits are used only where half of the fleet was reached since they were read

What callers saw: a stream that was taken up could go on at another version than the one that began it. A daemon that was cut off alone took itself for the scheduler, had a split stored, and began a stream by it once the cut had ended, while the scheduler, which had reached all others all the time and not the store, proved the former version without a read.

Cause: a daemon used the next split as soon as it reached half of the fleet, however it had come to know the split. Reach at the time of use does not show that the scheduler of the others knows it too.

Now a daemon uses a split that nobody has confirmed only if it has reached half of the fleet without a break since it read the split, or had it stored; or if it schedules and has reached half for the suspicion timeout: any other daemon that reaches most of the fleet has then heard it and schedules no more.

The variant AdoptsAfterCut, which has the former rule, is detected after 10 steps.

--- a/crates/model/src/streams.rs
+++ b/crates/model/src/streams.rs
@@ -40,6 +40,8 @@
     ProvesBesideOwnWrite,
     /// A daemon that reaches few others uses the next split.
     AdoptsAnywhere,
+    /// A daemon that was cut off uses the next split as soon as it reaches half of the fleet again.
+    AdoptsAfterCut,
     /// A proof counts back from when it is made, not from when the stream was taken up.
     CountsFromProof,
 }
--- a/crates/model/src/streams/daemon.rs
+++ b/crates/model/src/streams/daemon.rs
@@ -36,6 +36,16 @@
         let backlog = BACKLOG_TIME + SUSPECT_AFTER;
         self.standstill = self.standstill.filter(|(ended, _)| now < ended + backlog);
     }
+
+    /// Records the splits that a read showed, which was sent in a second.
+    pub(super) fn splits_read(&mut self, history: usize, sent: u8) {
+        if self.last_read.is_none() || self.history != history {
+            self.is_split_in_step = self.half_since.is_some() && !self.is_write_out_of_step;
+            self.is_write_out_of_step = false;
+        }
+        self.history = history;
+        self.last_read = Some(sent);
+    }
 }
 
 impl StreamState {
@@ -69,6 +79,7 @@
         let since = |before: Option<u8>, least| (reach >= least).then(|| before.unwrap_or(now));
         daemon.half_since = since(daemon.half_since, FleetReach::Half);
         daemon.most_since = since(daemon.most_since, FleetReach::Most);
+        daemon.is_split_in_step &= daemon.half_since.is_some();
     }
 
     /// Returns the length of a standstill whose frames are still handled.
@@ -139,8 +150,7 @@
         if !is_timeout_stored(history, TIMEOUT) {
             return Vec::new();
         }
-        let is_adopting = daemon.half_since.is_some() || self.fault == StreamFault::AdoptsAnywhere;
-        match choose_version(history, &self.stream(), is_adopting) {
+        match choose_version(history, &self.stream(), self.adopts_split(state, index)) {
             SplitChoice::Version(version) if targets.contains_key(&version) => vec![version],
             SplitChoice::AnyOf(named) if targets.keys().all(|target| named.contains(target)) => {
                 targets.into_keys().collect()
@@ -150,6 +160,18 @@
         }
     }
 
+    /// Returns whether a daemon may use the last split although no daemon has stated in the store that it is in use.
+    fn adopts_split(&self, state: &StreamState, index: usize) -> bool {
+        let daemon = &state.daemons[index];
+        let half_since = daemon.half_since.filter(|_| state.leads(index));
+        let is_followed = half_since.is_some_and(|since| state.now >= since + SUSPECT_AFTER);
+        match self.fault {
+            StreamFault::AdoptsAnywhere => true,
+            StreamFault::AdoptsAfterCut => daemon.half_since.is_some(),
+            _ => daemon.is_split_in_step || is_followed,
+        }
+    }
+
     /// Returns the version that a daemon proves by the splits that it knows, for a stream that began and was taken up in
     /// these seconds.
     pub(super) fn proved(
--- a/crates/model/src/streams/state.rs
+++ b/crates/model/src/streams/state.rs
@@ -51,6 +51,10 @@
     pub(super) write: Option<(StoredHistory, u8, usize)>,
     /// The number of the splits that it has last wanted to replace.
     pub(super) replaced: Option<usize>,
+    /// Whether it has reached half of the fleet without a break since it read the splits, or had them stored.
+    pub(super) is_split_in_step: bool,
+    /// Whether it did not reach half of the fleet when it had splits stored that it has not read.
+    pub(super) is_write_out_of_step: bool,
     /// When it last heard most of the fleet, and half of it.
     pub(super) fleet_heard: Option<u8>,
     pub(super) half_heard: Option<u8>,
@@ -95,6 +99,8 @@
             started: now,
             write: None,
             replaced: None,
+            is_split_in_step: false,
+            is_write_out_of_step: false,
             fleet_heard: None,
             half_heard: None,
             most_since: None,
--- a/crates/model/src/streams/steps.rs
+++ b/crates/model/src/streams/steps.rs
@@ -177,7 +177,9 @@
         if let Some(revised) = self.revised(state, index).filter(|_| may_write) {
             let write = (StoredHistory(Arc::new(revised)), state.now, daemon.history);
             next.push(step(state, format!("daemon {index} writes"), |after| {
-                after.daemons[index].replaced = Some(write.2);
+                let daemon = &mut after.daemons[index];
+                daemon.is_write_out_of_step |= daemon.half_since.is_none();
+                daemon.replaced = Some(write.2);
                 after.daemons[index].write = Some(write);
                 if !self.late_writes {
                     after.apply_write(index);
@@ -201,8 +203,7 @@
                 }
                 let name = format!("daemon {index} gets the answer to a read of second {sent}");
                 next.push(step(state, name, |after| {
-                    after.daemons[index].last_read = Some(sent);
-                    after.daemons[index].history = history;
+                    after.daemons[index].splits_read(history, sent);
                 }));
             }
         }
--- a/crates/model/tests/models/streams.rs
+++ b/crates/model/tests/models/streams.rs
@@ -119,6 +119,7 @@
 #[case::counts_lost_reach(StreamFault::CountsLostReach, KNOWN_CUT, 9)]
 #[case::proves_beside_own_write(StreamFault::ProvesBesideOwnWrite, RELEASE, 6)]
 #[case::adopts_anywhere(StreamFault::AdoptsAnywhere, READ_CUT, 8)]
+#[case::adopts_after_cut(StreamFault::AdoptsAfterCut, READ_CUT, 10)]
 fn broken_streams_are_detected(
     #[case] fault: StreamFault,
     #[case] model: StreamModel,
--- a/crates/node/src/node/stream_starts.rs
+++ b/crates/node/src/node/stream_starts.rs
@@ -91,9 +91,7 @@
         if !is_timeout_stored(&pool.history, start.timeout) {
             return Err(StartObstacle::TimeoutNotStored);
         }
-        let is_adopting =
-            self.adopts_splits() || self.now >= pool.last_split_seen + ADOPT_ALONE_AFTER;
-        match choose_version(&pool.history, &start.stream, is_adopting) {
+        match choose_version(&pool.history, &start.stream, self.adopts_split(pool)) {
             SplitChoice::Unsplit => Ok(None),
             SplitChoice::Undecided => Err(StartObstacle::SplitNotInUse),
             SplitChoice::Version(version) if pool.may_serve(&version) => Ok(Some(version)),
@@ -102,6 +100,17 @@
         }
     }
 
+    /// Returns whether this daemon may use the last split of a pool although no daemon has stated in the store that it is in
+    /// use. After a break in its reach, another daemon may have reached the fleet all the time and prove by the former one.
+    fn adopts_split(&self, pool: &PoolHistory) -> bool {
+        // One that schedules half of the fleet for this long is heard by any other that reaches most of it.
+        let takeover_time = self.options.members.suspect_after;
+        let since = self.histories.half_since.filter(|_| self.leads());
+        let is_followed = since.is_some_and(|since| self.now >= since + takeover_time);
+        let is_known_to_all = self.now >= pool.last_split_seen + ADOPT_ALONE_AFTER;
+        pool.is_split_in_step || is_followed || is_known_to_all
+    }
+
     /// Keeps a stream until it may begin; the answer tells that this daemon has its request.
     fn hold_start(
         &mut self,
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -12,6 +12,7 @@
 
 use curlewcleat_core::{
     ActiveConfig, PermitId, PoolId, StreamStart, Uptime, VersionDigest, VersionHistory,
+    VersionSplit,
 };
 use curlewcleat_sched::{
     confirm_last_split, revise_history, FleetReach, VersionWeights, SPLIT_TERM,
@@ -65,7 +66,7 @@
     /// How much of the fleet this daemon reaches, as of the last tick.
     pub(super) reach: FleetReach,
     /// Since when it has reached half of the fleet, and most of it, without a break.
-    half_since: Option<Uptime>,
+    pub(super) half_since: Option<Uptime>,
     most_since: Option<Uptime>,
     /// When a permit was last requested for a new stream.
     pub(super) last_start: Option<Uptime>,
@@ -79,6 +80,10 @@
     pub(super) history: VersionHistory,
     /// When a read first showed the last split.
     pub(super) last_split_seen: Uptime,
+    /// Whether this daemon has reached half of the fleet without a break since it read the last split, or had it stored.
+    pub(super) is_split_in_step: bool,
+    /// Whether it did not reach half of the fleet when it last had a split stored whose outcome no read has shown.
+    is_write_out_of_step: bool,
     pub(super) weights: VersionWeights,
     /// Whether streams began here that may be taken up, since this process started.
     pub(super) has_streams: bool,
@@ -87,6 +92,23 @@
     pub(super) write_requested: Option<Uptime>,
 }
 
+impl PoolHistory {
+    /// Replaces the splits by those that a read showed. `is_in_reach` states whether this daemon reaches half of the fleet.
+    fn read(&mut self, history: VersionHistory, now: Uptime, is_in_reach: bool) {
+        let decided = |split: &VersionSplit| (split.since, split.slots, split.is_open);
+        let known = self.history.splits.last().map(decided);
+        if history.splits.last().map(decided) != known {
+            self.last_split_seen = now;
+            self.is_split_in_step = is_in_reach && !self.is_write_out_of_step;
+        }
+        if history.revision != self.history.revision {
+            self.write_requested = None;
+            self.is_write_out_of_step = false;
+        }
+        self.history = history;
+    }
+}
+
 impl HistoryExchange {
     /// Records how much of the fleet this daemon reaches.
     fn set_reach(&mut self, now: Uptime, reach: FleetReach) {
@@ -94,6 +116,8 @@
         self.half_since = since(self.half_since, FleetReach::Half);
         self.most_since = since(self.most_since, FleetReach::Most);
         self.reach = reach;
+        let is_in_reach = self.half_since.is_some();
+        self.pools.values_mut().for_each(|pool| pool.is_split_in_step &= is_in_reach);
     }
 
     /// Returns since when this daemon has reached so much of the fleet, `None` where it does not.
@@ -144,15 +168,7 @@
                 pool: id.clone(),
                 ..VersionHistory::default()
             });
-            if history.revision != pool.history.revision {
-                pool.write_requested = None;
-            }
-            if history.splits.last().map(|split| (split.since, split.slots, split.is_open))
-                != pool.history.splits.last().map(|split| (split.since, split.slots, split.is_open))
-            {
-                pool.last_split_seen = self.now;
-            }
-            pool.history = history;
+            pool.read(history, self.now, exchange.half_since.is_some());
             pool.last_read = Some(sent);
         }
         self.answer_proofs_after(sent);
@@ -246,6 +262,7 @@
             self.histories.pools.keys().filter(|id| self.has_rollout(id)).cloned().collect();
         // Otherwise a daemon that reaches most others, and not the platform, may use or prove by the former split.
         let is_confirming = self.histories.reach == FleetReach::Most;
+        let is_out_of_step = self.histories.half_since.is_none();
         for (id, pool) in &mut self.histories.pools {
             let is_used = pool.last_read.is_some()
                 && !pool.history.is_unreadable
@@ -264,13 +281,9 @@
             let revised = revise_history(current, wall, weights, open.contains(id), timeout);
             let Some(revised) = revised.or(confirmed) else { continue };
             pool.write_requested = Some(now);
+            pool.is_write_out_of_step |= is_out_of_step;
             let write = VersionHistory { pool: id.clone(), ..revised };
             self.actions.push(NodeAction::Platform(PlatformCall::WriteVersionHistory(write)));
         }
     }
-
-    /// Returns whether this daemon reaches enough of the fleet to use the next split.
-    pub(super) fn adopts_splits(&self) -> bool {
-        self.histories.reach >= FleetReach::Half
-    }
 }
