--- a/crates/acceptance/tests/answers_without_end/play.rs
+++ b/crates/acceptance/tests/answers_without_end/play.rs
@@ -56,6 +56,7 @@
     open: usize,
     ends: Vec<CallEnd>,
     refused_runs: usize,
+    closed_runs: usize,
     before: Vec<CallerResult>,
     beside: Vec<CallerResult>,
 }
@@ -79,7 +80,8 @@
         tokio::time::sleep(END_SLACK).await;
         let open = engines.switch.open_answers();
         let peak = observer.close();
-        let refused_runs = refused_runs(&ends, &engines.switch.runs());
+        let runs = engines.switch.runs();
+        let (refused_runs, closed_runs) = (refused_runs(&ends, &runs), closed_runs(&ends, &runs));
         let process_ended = fleet.daemons[0].process.ended();
         let sent = engines.switch.sent_bytes();
         fleet.daemons[0].process.kill();
@@ -92,6 +94,7 @@
             open,
             ends,
             refused_runs,
+            closed_runs,
             before,
             beside,
         })
@@ -144,6 +147,11 @@
     ends.iter().filter(states_not_run).filter(|end| runs.contains(&end.attempt)).count()
 }
 
+/// Returns how many requests ran whose connections closed before a status.
+fn closed_runs(ends: &[CallEnd], runs: &BTreeSet<String>) -> usize {
+    ends.iter().filter(|end| end.status.is_none() && runs.contains(&end.attempt)).count()
+}
+
 fn add_faulty_service(fleet: &mut FleetDeployment) {
     let template = fleet.config.routes[0].clone();
     let route = |name: &str, path: &str, kind: &str| Route {
@@ -243,7 +251,7 @@
         let play = &self.play;
         write!(
             f,
-            "{} {} {} callers {}, {} MB: peak {} MB, sent {} MB, ends {} ms {:?}, sound {:?} {} ms \
+            "{} {} {} callers {}, {} MB: peak {} MB, sent {} MB, ends {} ms {:?} (closed and ran: {}), sound {:?} {} ms \
              (before {}), {}",
             play.form.name,
             if play.streams { "stream" } else { "record" },
@@ -254,6 +262,7 @@
             self.sent >> 20,
             median_and_max(self.ends.iter().filter_map(|end| end.elapsed).collect()),
             self.statuses(),
+            self.closed_runs,
             self.sound_statuses(),
             times(&self.beside),
             times(&self.before),
