Answers take smaller turns; a continuation may start over from the first event

A target that begins again with an event before those of its continuation was ended as misplaced; the new test failed before.

--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -23,7 +23,9 @@
 const READ_SIZE: usize = 16 << 10;
 
 /// Bytes of one answer that are read before other tasks of the thread have their turn.
-const TURN_SIZE: usize = 64 << 10;
+const TURN_SIZE: usize = 16 << 10;
+/// Bytes that a part counts for in addition to its own, since each part takes time.
+const TURN_PART_COST: usize = 64;
 
 /// The body ended before its announced length or last chunk.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -250,7 +252,7 @@
         match &polled {
             Poll::Pending => self.turn = 0,
             Poll::Ready(Some(Ok(part))) => {
-                self.turn += part.len();
+                self.turn += part.len() + TURN_PART_COST;
                 self.stall.record_activity();
             }
             Poll::Ready(Some(Err(_)) | None) => self.stall.finish(),
--- a/crates/targets/src/stream_irregularity.rs
+++ b/crates/targets/src/stream_irregularity.rs
@@ -57,9 +57,12 @@
         self.last
     }
 
-    /// Returns whether an answer that goes on with this number begins again with its first one, as it may once.
+    /// Returns whether an answer that goes on with this number begins again, as it may once: with its first one, or where
+    /// the answer is a continuation, with one before it.
     pub fn may_start_over(&self, number: u64) -> bool {
-        !self.has_fallen && self.first == Some(number) && self.last > self.first
+        !self.has_fallen
+            && self.first.is_some_and(|first| number <= first)
+            && self.last > self.first
     }
 
     /// Records the number of the next event. `position` is the highest number of the stream so far.
--- a/crates/targets/tests/events.rs
+++ b/crates/targets/tests/events.rs
@@ -226,3 +226,12 @@
         prop_assert!(numbered || out == sent);
     }
 }
+
+/// Guards against a continuation that ends because its target begins again with an event before those of the answer.
+#[test]
+fn continuation_that_starts_over_from_the_first_event_goes_on() {
+    let mut splitter = EventSplitter::after(Some(5));
+    let sent = stream(6, 8) + &stream(1, 10);
+    assert_eq!(splitter.push(sent.as_bytes()), stream(6, 10));
+    assert!(!splitter.is_misplaced());
+}
