Streams: a test of processes whose targets write wrong numbers

Callers got streams that ended as complete without events where a target wrote a wrong number; the test of the splitter does not cover the relay and the callers. One engine of four of each service writes a wrong number in every second run; callers check each event.

--- a/crates/acceptance/tests/support/event_streams.rs
+++ b/crates/acceptance/tests/support/event_streams.rs
@@ -7,6 +7,7 @@
 use curlewcleat_standins::deployment::{
     create_temp_folder, program_folder, spawn, wait_listening, ChildProcess,
 };
+use curlewcleat_standins::fleet::stream_fault::StreamFault;
 use curlewcleat_standins::fleet::{EngineEntry, FleetDeployment};
 use rand::rngs::StdRng;
 use rand::Rng;
@@ -73,6 +74,11 @@
 impl EventFleet {
     /// Starts engines of two services and three daemons.
     pub async fn start(name: &str) -> Result<EventFleet> {
+        EventFleet::start_with_fault(name, None).await
+    }
+
+    /// Starts the same, with an engine of each service that numbers events wrongly.
+    pub async fn start_with_fault(name: &str, fault: Option<StreamFault>) -> Result<EventFleet> {
         let mut deployment = FleetDeployment::start(name).await?;
         add_routes(&mut deployment);
         deployment.store_config()?;
@@ -81,8 +87,11 @@
         for (index, service) in SERVICES.iter().cycle().take(ENGINES * SERVICES.len()).enumerate() {
             let (id, address) = (format!("e-{index}"), free_engine_address()?);
             let events = EVENTS.to_string();
-            let options =
-                ["--address", &address, "--id", &id, "--service", service, "--events", &events];
+            let mut options =
+                vec!["--address", &address, "--id", &id, "--service", service, "--events", &events];
+            if let Some(fault) = fault.filter(|_| index < SERVICES.len()) {
+                options.extend(["--fault", fault.name()]);
+            }
             let program = program_folder()?.join("standin");
             engines.push(spawn(&program, "stream-engine", &address, &folder, &id, &options)?);
             wait_listening(&address).await?;
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -7,6 +7,7 @@
 mod link_faults;
 mod store;
 pub mod stream_engine;
+pub mod stream_fault;
 
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
 pub use engine::{
--- a/crates/standins/src/fleet/stream_engine.rs
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -11,6 +11,7 @@
 use clap::Args;
 use curlewcleat_platform::names::{SEAL_HEADER, WIRE_PROFILE};
 
+use super::stream_fault::StreamFault;
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
 /// Time before the head, before the first event and before the end of an answer.
@@ -41,6 +42,9 @@
     /// Number of events in a stream.
     #[arg(long)]
     pub events: u64,
+    /// Fault of the numbers in every second run.
+    #[arg(long)]
+    pub fault: Option<StreamFault>,
 }
 
 /// An event that a caller got.
@@ -148,7 +152,7 @@
     }
 
     /// Returns the events of a stream, or those that follow on the last event that the caller has.
-    fn events(&self, request: &PlainRequest) -> Result<impl Iterator<Item = StreamEvent>> {
+    fn events(&self, request: &PlainRequest) -> Result<Vec<StreamEvent>> {
         let run = self.runs.get() + 1;
         self.runs.set(run);
         let step = number_step(&request.path);
@@ -167,7 +171,14 @@
             run: format!("{}#{run}", self.options.id),
         };
         let numbers = after / step + 1..=self.options.events;
-        Ok(numbers.map(move |index| StreamEvent { number: index * step, ..template.clone() }))
+        let mut events: Vec<StreamEvent> =
+            numbers.map(|index| StreamEvent { number: index * step, ..template.clone() }).collect();
+        if let Some(fault) = self.options.fault.filter(|_| run.is_multiple_of(2)) {
+            // The place changes from run to run.
+            let place = run as usize / 2 % events.len().max(1);
+            fault.apply(&mut events, place);
+        }
+        Ok(events)
     }
 }
 
