Soak: a kind for fleets of weak VMs

Callers of a fleet whose daemons nearly all have a small part of a core were reported to get streams out of order. No play had daemons that stand still all the time beside versions that join, and none with a store that is slow for some of them only.

The kind `weak` adds this to the series of `steps`: 15 of 16 daemons stand still in turns for 50 to 450 ms, the store is slow or out of reach for a third of them, and callers leave half of their streams and take them up at other daemons. The judge is that of all kinds, and counts refusals of attempts that ran in addition. Standstills end with the faults, and callers read to the end from then on, so that the checks of the time after them hold unchanged. Links to the store have an IP number of their own, and engines of this kind have several: 60 daemons, or engines that are replaced by the hundred, used up the ports of one.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -10,20 +10,20 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use crate::exchange::{exchange_head, request_body, CallHead, REQUEST_TIMEOUT};
+use crate::engines::EVENTS;
+use crate::exchange::{exchange_until, request_body, CallHead};
 use crate::streams::{broken_stream, TakenUp};
+use crate::take_up::TakeUpPolicy;
 
-/// Time that persistent callers have for a stream.
-const STREAM_TIME: Duration = Duration::from_millis(5_000);
 /// Time after the stated timeout at which a caller stops waiting.
 const CALLER_GRACE: Duration = Duration::from_millis(1_500);
 /// Upper bound of the pause between two requests of a caller, in milliseconds.
 const PAUSE_MS: u64 = 40;
 
-/// Most attempts at which a caller takes up a stream.
-const TAKE_UPS: usize = 3;
-/// Most attempts at which a persistent caller takes up a stream.
-const PERSISTENT_TAKE_UPS: usize = 8;
+/// Restless callers leave one in this many streams that they begin.
+const LEFT_STREAMS: u32 = 2;
+/// Restless callers leave one in this many streams that they have taken up.
+const LEFT_CONTINUATIONS: u32 = 4;
 /// Range of the pause of a persistent caller before it takes up a stream, in milliseconds.
 const TAKE_UP_PAUSE_MS: std::ops::Range<u64> = 0..700;
 
@@ -123,44 +123,12 @@
     }
 }
 
-/// How callers handle streams that break off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TakeUpPolicy {
-    /// They drop the streams.
-    Never,
-    /// They take them up at once, until an attempt is refused, and state their whole time at each.
-    Once,
-    /// Most of their requests are streams. They repeat refused attempts at other daemons, and state the time that is left
-    /// since the stream began.
-    Persistent,
-}
-
-impl TakeUpPolicy {
-    fn attempts(self) -> usize {
-        match self {
-            TakeUpPolicy::Never => 0,
-            TakeUpPolicy::Once => TAKE_UPS,
-            TakeUpPolicy::Persistent => PERSISTENT_TAKE_UPS,
-        }
-    }
-
-    /// Returns the time that a caller states in an attempt.
-    fn time_left(self, taken_up: Option<&TakenUp>) -> Duration {
-        match (self, taken_up) {
-            (TakeUpPolicy::Persistent, Some(stream)) => {
-                STREAM_TIME.saturating_sub(stream.begun.elapsed())
-            }
-            (TakeUpPolicy::Persistent, None) => STREAM_TIME,
-            _ => REQUEST_TIMEOUT,
-        }
-    }
-}
-
 /// The callers of a run.
 pub struct SoakCallers {
     /// Requests so far with their outcomes.
     pub records: Rc<RefCell<Vec<CallRecord>>>,
     ended: Rc<Cell<bool>>,
+    is_settled: Rc<Cell<bool>>,
     tasks: Vec<actix_rt::task::JoinHandle<()>>,
 }
 
@@ -170,6 +138,7 @@
     pub fn start(seed: u64, count: usize, daemons: &[String], policy: TakeUpPolicy) -> SoakCallers {
         let records = Rc::new(RefCell::new(Vec::new()));
         let ended = Rc::new(Cell::new(false));
+        let is_settled = Rc::new(Cell::new(false));
         let tasks = (0..count).map(|number| {
             let caller = SoakCaller {
                 number,
@@ -178,12 +147,18 @@
                 connections: ConnectionPool::default(),
                 records: Rc::clone(&records),
                 ended: Rc::clone(&ended),
+                is_settled: Rc::clone(&is_settled),
                 policy,
             };
             actix_rt::spawn(caller.run())
         });
         let tasks = tasks.collect();
-        SoakCallers { records, ended, tasks }
+        SoakCallers { records, ended, is_settled, tasks }
+    }
+
+    /// Makes restless callers read their answers to the end from now on, and drop streams that broke off before.
+    pub fn settle(&self) {
+        self.is_settled.set(true);
     }
 
     /// Stops all callers after their current requests and returns the records.
@@ -204,6 +179,7 @@
     connections: ConnectionPool,
     records: Rc<RefCell<Vec<CallRecord>>>,
     ended: Rc<Cell<bool>>,
+    is_settled: Rc<Cell<bool>>,
     policy: TakeUpPolicy,
 }
 
@@ -224,13 +200,15 @@
 
     /// Takes up a stream at drawn daemons until it is complete, or the attempts or the time are used up.
     async fn take_up(&mut self, mut broken: Option<TakenUp>, key: &'static str) {
+        let was_settled = self.is_settled.get();
         for number in 1..=self.policy.attempts() {
             let Some(taken_up) = broken.take() else { return };
-            if self.policy == TakeUpPolicy::Persistent {
+            if self.policy.is_persistent() {
                 let pause = Duration::from_millis(self.random.random_range(TAKE_UP_PAUSE_MS));
                 tokio::time::sleep(pause).await;
             }
-            if self.policy.time_left(Some(&taken_up)).is_zero() {
+            let is_dropped = self.is_settled.get() && !was_settled;
+            if is_dropped || self.policy.time_left(Some(&taken_up)).is_zero() {
                 return;
             }
             let attempt = format!("{}-{number}", taken_up.begun_as);
@@ -245,13 +223,13 @@
     /// Returns the stream that a persistent caller tries to take up again after an attempt that did not go on.
     fn retried(&self, record: &CallRecord) -> Option<TakenUp> {
         let went_on = matches!(&record.outcome, CallOutcome::Answer { status: 200, .. });
-        let is_retried = self.policy == TakeUpPolicy::Persistent && !went_on;
+        let is_retried = self.policy.is_persistent() && !went_on;
         record.taken_up.clone().filter(|_| is_retried)
     }
 
     async fn call(&mut self, attempt: String) -> CallRecord {
         let daemon = self.random.random_range(0..self.daemons.len());
-        let kind = match self.policy == TakeUpPolicy::Persistent && self.random.random_ratio(2, 3) {
+        let kind = match self.policy.is_persistent() && self.random.random_ratio(2, 3) {
             true => CallKind::ResumableStream,
             false => CallKind::ALL.choose(&mut self.random).copied().unwrap_or(CallKind::Once),
         };
@@ -264,7 +242,7 @@
     }
 
     async fn call_with(
-        &self,
+        &mut self,
         daemon: usize,
         attempt: String,
         kind: CallKind,
@@ -275,8 +253,10 @@
         let time_left = self.policy.time_left(taken_up.as_ref());
         let head =
             CallHead { kind, key, attempt: &attempt, time_left, taken_up: taken_up.as_ref() };
+        let leaves_after = self.draw_leave(kind, taken_up.as_ref());
         let address = &self.daemons[daemon];
-        let exchange = exchange_head(&self.connections, address, head, request_body(&attempt));
+        let exchange =
+            exchange_until(&self.connections, address, head, request_body(&attempt), leaves_after);
         let outcome = match tokio::time::timeout(time_left + CALLER_GRACE, exchange).await {
             Ok(outcome) => outcome,
             Err(_) => CallOutcome::NoAnswer("the caller stopped waiting".to_string()),
@@ -284,4 +264,16 @@
         let ended = Instant::now();
         CallRecord { attempt, kind, key, daemon, sent, ended, outcome, taken_up }
     }
+
+    /// Returns the number of events after which a caller leaves an answer, if it does. Most continuations are read to
+    /// their end.
+    fn draw_leave(&mut self, kind: CallKind, taken_up: Option<&TakenUp>) -> Option<u64> {
+        let is_restless = self.policy == TakeUpPolicy::Restless && !self.is_settled.get();
+        if !is_restless || kind != CallKind::ResumableStream {
+            return None;
+        }
+        let ratio = if taken_up.is_some() { LEFT_CONTINUATIONS } else { LEFT_STREAMS };
+        let events = self.random.random_range(1..EVENTS);
+        self.random.random_ratio(1, ratio).then_some(events)
+    }
 }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -15,7 +15,7 @@
 use crate::streams::check_versions;
 
 /// Statuses that guarantee that the request has not run and will not run.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+pub(crate) const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Status of a failing engine.
 const ENGINE_FAILURE: u16 = 500;
 /// Number of engines that may run a request in the example configuration.
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -5,7 +5,7 @@
 
 use anyhow::Result;
 use curlewcleat_platform::names::READY;
-use curlewcleat_standins::address::free_engine_address;
+use curlewcleat_standins::address::{free_address_at, free_engine_address};
 use curlewcleat_standins::fleet::{EngineEntry, EngineRun, FleetEngine};
 use curlewcleat_standins::link::FaultyLink;
 use curlewcleat_standins::served::ServedHandler;
@@ -24,6 +24,8 @@
 const SLOTS: u32 = 8;
 /// Slots of an engine where streams last longer.
 const LONG_STREAM_SLOTS: u32 = 32;
+/// Engines that share an IP number, in runs that replace many.
+const ENGINES_PER_IP: usize = 100;
 /// Names of the services in the example configuration.
 pub const BACKENDS: [&str; 2] = ["records", "engines"];
 
@@ -46,7 +48,7 @@
 pub fn first_version(extra: Option<ExtraKind>, index: usize) -> u32 {
     let is_second = index % (2 * BACKENDS.len()) >= BACKENDS.len();
     match extra {
-        Some(ExtraKind::Steps) => 1,
+        Some(ExtraKind::Steps | ExtraKind::WeakVms) => 1,
         _ => 1 + u32::from(is_second),
     }
 }
@@ -54,14 +56,14 @@
 impl SoakFleet {
     fn event_interval(&self) -> Duration {
         match self.options.extra {
-            Some(ExtraKind::Steps) => LONG_EVENT_INTERVAL,
+            Some(ExtraKind::Steps | ExtraKind::WeakVms) => LONG_EVENT_INTERVAL,
             _ => EVENT_INTERVAL,
         }
     }
 
     fn slots(&self) -> u32 {
         match self.options.extra {
-            Some(ExtraKind::Steps) => LONG_STREAM_SLOTS,
+            Some(ExtraKind::Steps | ExtraKind::WeakVms) => LONG_STREAM_SLOTS,
             _ => SLOTS,
         }
     }
@@ -71,11 +73,24 @@
         let number = self.engine_count.get();
         self.engine_count.set(number + 1);
         let engine = FleetEngine::new(&format!("i-{number}"), EVENTS, self.event_interval());
-        if matches!(self.options.extra, Some(ExtraKind::Releases | ExtraKind::Steps)) {
+        let extra = self.options.extra;
+        if matches!(extra, Some(ExtraKind::Releases | ExtraKind::Steps | ExtraKind::WeakVms)) {
             let version = format!("v{}", self.version.get());
             self.evidence.borrow_mut().versions.insert(engine.id.clone(), version);
         }
-        self.serve_engine(engine, backend, &free_engine_address()?).await
+        let address = self.engine_address(number)?;
+        self.serve_engine(engine, backend, &address).await
+    }
+
+    /// Returns a free address for an engine. In runs that replace engines by the hundred, several IP numbers share them:
+    /// replaced engines keep their ports.
+    pub fn engine_address(&self, number: usize) -> Result<String> {
+        match self.options.extra {
+            Some(ExtraKind::WeakVms) => {
+                free_address_at(&format!("127.0.3.{}", 1 + number / ENGINES_PER_IP))
+            }
+            _ => free_engine_address(),
+        }
     }
 
     /// Serves an engine at an address and writes its list entry.
--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -5,7 +5,6 @@
 
 use anyhow::Result;
 use curlewcleat_platform::names::SERVERS;
-use curlewcleat_standins::address::free_engine_address;
 use curlewcleat_standins::fleet::{FleetEngine, ForeignEntry};
 use curlewcleat_standins::http::serve_here;
 
@@ -32,7 +31,7 @@
         }
         let address = match restart_address {
             RestartAddress::Same => address,
-            RestartAddress::Other => free_engine_address()?,
+            RestartAddress::Other => self.engine_address(self.engine_count.get())?,
         };
         let handle = self.serve_engine(ended.restarted(), backend, &address).await?;
         self.engines.borrow_mut()[index] = handle;
--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -25,15 +25,16 @@
     body: Bytes,
 ) -> CallOutcome {
     let head = CallHead { kind, key, attempt, time_left: REQUEST_TIMEOUT, taken_up: None };
-    exchange_head(connections, daemon, head, body).await
+    exchange_until(connections, daemon, head, body, None).await
 }
 
-/// Sends a request and reads the answer.
-pub async fn exchange_head(
+/// Sends a request and reads the answer, or closes the connection once this many of its events have arrived.
+pub async fn exchange_until(
     connections: &ConnectionPool,
     daemon: &str,
     head: CallHead<'_>,
     body: Bytes,
+    leaves_after: Option<u64>,
 ) -> CallOutcome {
     let Ok(connection) = connections.connect(daemon, Duration::from_secs(1)).await else {
         return CallOutcome::Unsent;
@@ -58,11 +59,19 @@
             Ok(part) => bytes.extend_from_slice(&part),
             Err(_) => complete = false,
         }
+        if leaves_after.is_some_and(|events| count_events(&bytes) >= events) {
+            complete = false;
+            break;
+        }
     }
     let text = String::from_utf8_lossy(&bytes).to_string();
     CallOutcome::Answer { status, text, complete, sealed_by, echoed_attempt }
 }
 
+fn count_events(bytes: &[u8]) -> u64 {
+    bytes.windows(2).filter(|pair| pair == b"\n\n").count() as u64
+}
+
 /// Returns the body of a request.
 pub fn request_body(attempt: &str) -> Bytes {
     Bytes::from(format!("body of {attempt}"))
--- a/crates/soak/src/extra.rs
+++ b/crates/soak/src/extra.rs
@@ -15,6 +15,7 @@
 use crate::releases::draw_release;
 use crate::silences::{draw_silence, SILENCE_MS};
 use crate::steps::{draw_join, draw_series, SERIES_PAUSE_MS};
+use crate::weak_vms::draw_weak_series;
 
 /// Combined with the seed, so that the additional faults are drawn independently of the plan.
 const EXTRA_SEED_MASK: u64 = 0x5eed_0000_0000_0000;
@@ -56,6 +57,10 @@
     /// Engines of other versions join while daemons stand still or are cut off, and callers take up their streams.
     #[value(name = "steps")]
     Steps,
+    /// The same, on a fleet of which most daemons stand still in turns, with a store that is slow or out of reach for a
+    /// part of them.
+    #[value(name = "weak")]
+    WeakVms,
 }
 
 /// Address at which an engine restarts.
@@ -90,13 +95,17 @@
     let mut random = StdRng::seed_from_u64(seed ^ EXTRA_SEED_MASK);
     let mut at = Duration::ZERO;
     loop {
-        let pause = if kind == ExtraKind::Steps { SERIES_PAUSE_MS } else { PAUSE_MS };
+        let pause = match kind {
+            ExtraKind::Steps | ExtraKind::WeakVms => SERIES_PAUSE_MS,
+            _ => PAUSE_MS,
+        };
         at += Duration::from_millis(random.random_range(pause));
         if at > options.time {
             break;
         }
         match kind {
             ExtraKind::Steps => steps.extend(draw_series(&mut random, at, options)),
+            ExtraKind::WeakVms => steps.extend(draw_weak_series(&mut random, at, options)),
             _ => steps.push(draw_single(&mut random, kind, at, options)),
         }
     }
@@ -140,7 +149,7 @@
         ExtraKind::Crowds => draw_crowd(random, options.daemons).0,
         ExtraKind::Silences => draw_silence(random),
         ExtraKind::Releases => draw_release(random, engine),
-        ExtraKind::Steps => draw_join(random),
+        ExtraKind::Steps | ExtraKind::WeakVms => draw_join(random),
         ExtraKind::Notices => {
             let notices = [
                 EngineNotice::Limit(2),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -63,6 +63,7 @@
             SoakFault::OutOfStep(group, reason) => {
                 self.put_out_of_step(group, reason, time).await?
             }
+            SoakFault::SlowStore(group, delay) => self.slow_store(group, delay, time).await,
             SoakFault::Join(kind, version) => self.join_version(kind, version, time).await?,
             SoakFault::Crowd(index) => self.crowd(index, time).await?,
             SoakFault::Cut(cut, fault) => self.cut_engines(cut, fault, time).await?,
@@ -70,10 +71,14 @@
         Ok(())
     }
 
-    /// Claims a daemon's process for a fault; `None` if another fault controls it.
+    /// Claims a daemon's process for a fault, without standstills of its own; `None` if another fault controls it.
     pub(crate) fn claim_process(&self, index: usize) -> Option<&DaemonHandle> {
         let daemon = &self.daemons[index];
-        (!daemon.is_claimed.replace(true)).then_some(daemon)
+        if daemon.is_claimed.replace(true) {
+            return None;
+        }
+        self.strengthen(daemon);
+        Some(daemon)
     }
 
     async fn peer_fault(&self, index: usize, fault: LinkFault, time: Duration) {
@@ -102,6 +107,7 @@
         daemon.process.borrow().signal("STOP")?;
         tokio::time::sleep(time).await;
         daemon.process.borrow().signal("CONT")?;
+        self.weaken(daemon)?;
         self.record_interruption(index, begun);
         daemon.is_claimed.set(false);
         Ok(())
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -10,7 +10,9 @@
 use curlewcleat_platform::example::example_config;
 use curlewcleat_platform::format::{Config, Route};
 use curlewcleat_platform::names::{CONFIG_KIND, CONFIG_NAME};
-use curlewcleat_standins::address::{daemon_ip, free_address, free_address_at, free_daemon_port};
+use curlewcleat_standins::address::{
+    daemon_ip, free_address, free_address_at, free_daemon_port, STORE_IP,
+};
 use curlewcleat_standins::deployment::{
     get_text, program_folder, spawn_with_variables, wait_until, ChildProcess,
 };
@@ -24,6 +26,7 @@
 use crate::extra::ExtraKind;
 use crate::options::SoakOptions;
 use crate::settings::{SoakSettings, AGE_LIMIT, APPLY_LIMIT};
+use crate::weak_vms::Standstills;
 
 /// Number of peer addresses in the settings of each daemon.
 const SEEDS: usize = 3;
@@ -32,6 +35,7 @@
 
 /// A daemon with its addresses, links and process.
 pub struct DaemonHandle {
+    pub index: usize,
     pub name: String,
     pub callers: String,
     pub operators: String,
@@ -72,6 +76,8 @@
     pub crowd_count: Cell<usize>,
     /// Ids of the engines that send a notice now.
     pub notifying: RefCell<BTreeSet<String>>,
+    /// Standstills of weak daemons.
+    pub standstills: Standstills,
 }
 
 /// Returns the example configuration with additional routes that no caller uses.
@@ -129,6 +135,7 @@
             version: Cell::new(1),
             crowd_count: Cell::new(0),
             notifying: RefCell::default(),
+            standstills: Standstills::default(),
             options,
         };
         {
@@ -187,7 +194,7 @@
         seeds: &[String],
         store: &str,
     ) -> Result<DaemonHandle> {
-        let store_link = FaultyLink::start(store, None).await?;
+        let store_link = FaultyLink::start_at(STORE_IP, store, None).await?;
         let (callers, operators) = (free_address()?, free_address()?);
         let name = format!("vm-{index}");
         let text = SoakSettings {
@@ -206,6 +213,7 @@
         std::fs::write(&settings, text)?;
         let process = RefCell::new(self.spawn(&name, &callers, &settings)?);
         Ok(DaemonHandle {
+            index,
             name,
             callers,
             operators,
@@ -231,6 +239,7 @@
         match self.spawn(&daemon.name, &daemon.callers, &daemon.settings) {
             Ok(process) => {
                 daemon.process.replace(process);
+                self.weaken_or_record(daemon);
             }
             Err(error) => self.record_failure(format!("{} does not start: {error}", daemon.name)),
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -25,6 +25,8 @@
 mod silences;
 mod steps;
 mod streams;
+mod take_up;
+mod weak_vms;
 
 pub use callers::{CallKind, CallOutcome, CallRecord};
 pub use checks::{check_evidence, SoakViolation};
@@ -34,7 +36,7 @@
 pub use extra::{with_extra, ExtraKind, RestartAddress, StalledConnections};
 pub use kept::{kept_seeds, PlayedSeed};
 pub use notices::{EngineNotice, SentNotice};
-pub use options::SoakOptions;
+pub use options::{SoakOptions, WEAK_PERCENT};
 pub use plan::{plan, FaultStep, PlanOptions, SoakFault};
 pub use run::{run_soak, SoakReport};
 pub use silences::StreamChange;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,7 +6,9 @@
 
 use anyhow::Result;
 use clap::Parser;
-use curlewcleat_soak::{kept_seeds, run_soak, ExtraKind, PlayedSeed, SoakOptions, SoakReport};
+use curlewcleat_soak::{
+    kept_seeds, run_soak, ExtraKind, PlayedSeed, SoakOptions, SoakReport, WEAK_PERCENT,
+};
 
 /// Randomized fault tests of real daemons on loopback.
 #[derive(Parser)]
@@ -47,6 +49,9 @@
     /// Kind of faults to inject in addition to those drawn from the seed.
     #[arg(long)]
     extra: Option<ExtraKind>,
+    /// Part of a core that weak daemons have, in percent; for the kind `weak`.
+    #[arg(long, default_value_t = WEAK_PERCENT, value_parser = clap::value_parser!(u8).range(1..=99))]
+    weak_percent: u8,
     /// Variable in which the system's loader expects additional libraries; needed for cuts.
     #[arg(long)]
     loader_variable: Option<String>,
@@ -96,6 +101,7 @@
         routes: arguments.routes,
         link_mbps: arguments.link_mbps,
         extra,
+        weak_percent: arguments.weak_percent,
         loader_variable: arguments.loader_variable.clone(),
         script: None,
         folder: folder.join(format!("curlewcleat-soak-{}-{seed}", std::process::id())),
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -6,6 +6,9 @@
 use crate::extra::ExtraKind;
 use crate::plan::FaultStep;
 
+/// Part of a core that weak daemons have unless stated, in percent.
+pub const WEAK_PERCENT: u8 = 8;
+
 /// Seed, sizes, faults and folder of a run.
 #[derive(Clone, Debug)]
 pub struct SoakOptions {
@@ -27,6 +30,8 @@
     pub link_mbps: Option<u64>,
     /// Kind of faults to inject in addition to those drawn from the seed.
     pub extra: Option<ExtraKind>,
+    /// Part of a core that weak daemons have, in percent; for [`ExtraKind::WeakVms`].
+    pub weak_percent: u8,
     /// Variable in which the system's loader expects additional libraries; needed for [`ExtraKind::Cuts`].
     pub loader_variable: Option<String>,
     /// Faults to inject instead of those drawn from the seed.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -93,6 +93,8 @@
     Release(usize, u32),
     /// Daemons are out of step: they stand still or are cut off.
     OutOfStep(DaemonGroup, OutOfStep),
+    /// Bytes between daemons and the store are delayed by this time.
+    SlowStore(DaemonGroup, Duration),
     /// Engines of this version join.
     Join(JoinKind, u32),
     /// Callers open many connections to a daemon, whose VM is weak meanwhile.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use anyhow::Result;
 use curlewcleat_standins::deployment::wait_until;
 
-use crate::callers::{SoakCallers, TakeUpPolicy};
+use crate::callers::SoakCallers;
 use crate::checks::{check_evidence, SoakViolation};
 use crate::connectivity::check_connectivity;
 use crate::engines::BACKENDS;
@@ -17,6 +17,7 @@
 use crate::outcomes::{count_outcomes, unserved_kinds};
 use crate::plan::{plan, FaultStep, PlanOptions};
 use crate::streams::{count_streams, StreamCounts};
+use crate::take_up::TakeUpPolicy;
 
 /// Time for which callers continue to send requests after the last fault.
 const RECOVERY: Duration = Duration::from_secs(5);
@@ -56,6 +57,7 @@
     match extra {
         Some(ExtraKind::Releases | ExtraKind::Silences) => TakeUpPolicy::Once,
         Some(ExtraKind::Steps) => TakeUpPolicy::Persistent,
+        Some(ExtraKind::WeakVms) => TakeUpPolicy::Restless,
         _ => TakeUpPolicy::Never,
     }
 }
@@ -67,6 +69,7 @@
 pub async fn run_soak(options: SoakOptions) -> Result<SoakReport> {
     let steps = planned_steps(&options);
     let fleet = Rc::new(SoakFleet::start(options).await?);
+    fleet.begin_standstills()?;
     let addresses: Vec<String> =
         fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect();
     let SoakOptions { seed, callers, extra, .. } = fleet.options;
@@ -79,6 +82,10 @@
         actix_rt::spawn(Rc::clone(&fleet).run_step(*step));
     }
     wait_until("the faults have ended", || async { fleet.active_faults.get() == 0 }).await?;
+    if extra == Some(ExtraKind::WeakVms) {
+        callers.settle();
+    }
+    fleet.end_standstills();
     fleet.evidence.borrow_mut().faults_ended = Some(Instant::now());
     tokio::time::sleep(RECOVERY).await;
     let records = callers.close().await;
--- a/crates/soak/src/steps.rs
+++ b/crates/soak/src/steps.rs
@@ -76,7 +76,8 @@
 }
 
 impl DaemonGroup {
-    fn indexes(self, daemons: usize) -> Vec<usize> {
+    /// Returns the indexes of its daemons in a fleet.
+    pub(crate) fn indexes(self, daemons: usize) -> Vec<usize> {
         (0..self.count.min(daemons)).map(|offset| (self.first + offset) % daemons).collect()
     }
 }
--- a/crates/soak/src/streams.rs
+++ b/crates/soak/src/streams.rs
@@ -7,7 +7,7 @@
 use curlewcleat_standins::fleet::EngineRun;
 
 use crate::callers::{CallKind, CallOutcome, CallRecord};
-use crate::checks::SoakViolation;
+use crate::checks::{SoakViolation, NOT_RUN_STATUSES};
 use crate::engines::EVENTS;
 use crate::evidence::SoakEvidence;
 
@@ -33,6 +33,8 @@
     pub taken_up: usize,
     /// Streams that went on after they were taken up.
     pub went_on: usize,
+    /// Refusals of attempts that an engine ran.
+    pub refused_after_run: usize,
     /// Streams that were joined of several versions.
     pub joined: usize,
 }
@@ -96,11 +98,18 @@
         }));
         counts.taken_up += usize::from(stream.attempts.len() > 1);
         counts.went_on += usize::from(stream.attempts.iter().any(went_on));
+        counts.refused_after_run += stream.attempts.iter().filter(is_refused_after_run).count();
         counts.joined += usize::from(stream.joined(evidence).is_some());
     }
     counts
 }
 
+/// Returns whether an attempt was refused as not run although an engine ran it.
+fn is_refused_after_run((record, runs): &&(&CallRecord, Vec<&(String, EngineRun)>)) -> bool {
+    let CallOutcome::Answer { status, .. } = &record.outcome else { return false };
+    NOT_RUN_STATUSES.contains(status) && runs.iter().any(|(_, run)| run.ran)
+}
+
 /// Returns the attempts of all callers by stream.
 fn streams_of(evidence: &SoakEvidence) -> Vec<StreamAttempts<'_>> {
     let mut runs: BTreeMap<&str, Vec<&(String, EngineRun)>> = BTreeMap::new();
--- a/crates/soak/tests/frozen.rs
+++ b/crates/soak/tests/frozen.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use curlewcleat_soak::{run_soak, FaultStep, SoakFault, SoakOptions, StalledConnections};
+use curlewcleat_soak::{
+    run_soak, FaultStep, SoakFault, SoakOptions, StalledConnections, WEAK_PERCENT,
+};
 use curlewcleat_standins::deployment::create_temp_folder;
 
 const FROZEN: usize = 1;
@@ -37,6 +39,7 @@
         routes: 0,
         link_mbps: None,
         extra: None,
+        weak_percent: WEAK_PERCENT,
         loader_variable: None,
         script: Some(steps.collect()),
         folder: create_temp_folder("frozen").expect("a folder"),
--- a/crates/soak/tests/steps.rs
+++ b/crates/soak/tests/steps.rs
@@ -5,7 +5,7 @@
 use curlewcleat_soak::{
     check_evidence, plan, run_soak, with_extra, CallKind, CallOutcome, CallRecord, CutDirection,
     DaemonGroup, ExtraKind, FaultStep, OutOfStep, PlanOptions, SoakEvidence, SoakFault,
-    SoakOptions, TakenUp,
+    SoakOptions, TakenUp, WEAK_PERCENT,
 };
 use curlewcleat_standins::deployment::create_temp_folder;
 use curlewcleat_standins::fleet::{EngineRun, FleetEngine};
@@ -107,6 +107,7 @@
 #[rstest]
 #[case::missing(events("a-2", BEFORE + 2, EVENTS))]
 #[case::repeated(events("a-2", BEFORE, EVENTS))]
+#[case::ended_early(events("a-2", BEFORE + 1, EVENTS - 1))]
 fn missing_or_repeated_events_of_a_taken_up_stream_are_reported(#[case] last: String) {
     let evidence = taken_up_twice(["v1"; 3], &last);
     assert_eq!(invariants(&evidence), ["answers are complete and in order"]);
@@ -159,6 +160,7 @@
         routes: 0,
         link_mbps: None,
         extra: Some(ExtraKind::Steps),
+        weak_percent: WEAK_PERCENT,
         loader_variable: None,
         script: Some(vec![cut]),
         folder: folder.clone(),
