Splits prove nothing unread until a scheduler has reached most daemons for long

What callers saw: a stream that was taken up could go on at another version than the one that began it. A scheduler was cut off and came back, read the splits, and lost the store; the write of the one that had taken over meanwhile was done after that read. A stream began by it elsewhere, and the scheduler proved the former version.

Cause: a proof without a read asks for how long a daemon takes itself for the scheduler. One that is cut off does so all the time.

Now the time counts from when it also reaches most of the fleet, as the proof's rule says, and its read has to be two seconds younger than that, so that a write which a former scheduler requested before is done or lost.

--- a/crates/model/src/streams.rs
+++ b/crates/model/src/streams.rs
@@ -36,6 +36,8 @@
     CountsOldFrames,
     /// A daemon goes on without the store by what it read before it lost reach of the fleet.
     CountsLostReach,
+    /// A daemon proves without a read as soon as it reaches most of the fleet again and has read.
+    ProvesAfterCut,
     /// A daemon proves without a read although a write of its own may have replaced the splits.
     ProvesBesideOwnWrite,
     /// A daemon that reaches few others uses the next split.
--- a/crates/model/src/streams/daemon.rs
+++ b/crates/model/src/streams/daemon.rs
@@ -23,6 +23,8 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
 /// Seconds for which a daemon has to have scheduled before it proves without a read, beyond the age of the stream.
 const LEAD_MARGIN: u8 = 5;
+/// Seconds after which a write that a former scheduler has sent is done or lost.
+const LATEST_WRITE: u8 = 2;
 /// Age of the latest read in seconds up to which it does.
 const UNREAD_PROOF_LIMIT: u8 = 25;
 
@@ -194,12 +196,17 @@
     /// Returns whether a daemon may prove the version of a stream without a read.
     pub(super) fn may_prove_unread(&self, state: &StreamState, index: usize, begun: u8) -> bool {
         let daemon = &state.daemons[index];
-        let (Some(read), Some(since)) = (daemon.last_read, daemon.leading_since) else {
+        let led_since = daemon.leading_since.zip(self.in_step(daemon.most_since));
+        let since = led_since.map(|(leading, most)| match self.fault {
+            StreamFault::ProvesAfterCut => leading,
+            _ => leading.max(most),
+        });
+        let (Some(read), Some(since)) = (daemon.last_read, since) else {
             return false;
         };
         let is_replaced = daemon.replaced == Some(daemon.history)
             && self.fault != StreamFault::ProvesBesideOwnWrite;
-        read >= since
+        read >= since + LATEST_WRITE
             && !is_replaced
             && state.now < read + UNREAD_PROOF_LIMIT
             && state.now >= since + (state.now - begun) + LEAD_MARGIN
--- a/crates/model/tests/models/streams.rs
+++ b/crates/model/tests/models/streams.rs
@@ -38,6 +38,7 @@
 // Fewer states, for what is detected.
 const KNOWN_STANDSTILL: StreamModel = StreamModel { knows_targets: true, ..READ_STANDSTILL };
 const KNOWN_CUT: StreamModel = StreamModel { knows_targets: true, ..GUARDED_CUT };
+const LATE_KNOWN_CUT: StreamModel = StreamModel { late_writes: true, ..KNOWN_CUT };
 
 #[rstest]
 #[case::of_a_release(RELEASE)]
@@ -96,8 +97,7 @@
 /// The write of a daemon that does not schedule any more reaches the store.
 #[test]
 fn stream_goes_on_at_its_version_beside_a_late_write_of_a_former_scheduler() {
-    let model = StreamModel { late_writes: true, ..KNOWN_CUT };
-    assert_holds("streams, late write of a former scheduler", &model);
+    assert_holds("streams, late write of a former scheduler", &LATE_KNOWN_CUT);
 }
 
 /// Refusing all streams that are taken up would keep the invariant as well.
@@ -120,6 +120,7 @@
 #[case::proves_beside_own_write(StreamFault::ProvesBesideOwnWrite, RELEASE, 6)]
 #[case::adopts_anywhere(StreamFault::AdoptsAnywhere, READ_CUT, 8)]
 #[case::adopts_after_cut(StreamFault::AdoptsAfterCut, READ_CUT, 10)]
+#[case::proves_after_cut(StreamFault::ProvesAfterCut, LATE_KNOWN_CUT, 11)]
 fn broken_streams_are_detected(
     #[case] fault: StreamFault,
     #[case] model: StreamModel,
--- a/crates/node/src/node/stream_proofs.rs
+++ b/crates/node/src/node/stream_proofs.rs
@@ -21,6 +21,8 @@
 
 /// Time for which this daemon has to have scheduled before it proves without a read, beyond the age of the stream.
 const LEAD_MARGIN: Duration = Duration::from_secs(5);
+/// Time after which a write that a former scheduler has requested is done or lost, beyond which a read shows it.
+const LATEST_WRITE: Duration = Duration::from_secs(2);
 /// Age of the latest read up to which it does: a daemon that does not reach most others may bring another split into use
 /// later than that.
 const UNREAD_PROOF_LIMIT: Duration = ADOPT_ALONE_AFTER.saturating_sub(LEAD_MARGIN);
@@ -95,18 +97,19 @@
     /// Returns whether this daemon has scheduled most daemons for all the time in which the stream can have begun, and has
     /// read the splits since. One that does not reach most daemons may have been replaced by another one.
     fn has_led_since(&self, query: &StreamProofQuery) -> bool {
-        let (now, leading_since) = (self.now, self.histories.leading_since);
-        let pool = self.histories.pools.get(&query.pool);
-        let (Some(pool), Some(leading_since)) = (pool, leading_since) else { return false };
+        let (exchange, now) = (&self.histories, self.now);
+        let Some(pool) = exchange.pools.get(&query.pool) else { return false };
+        let since = exchange.leading_since.zip(exchange.most_since);
+        let Some(since) = since.map(|(leading, most)| leading.max(most)) else { return false };
         let is_read = pool
             .last_read
-            .is_some_and(|read| read >= leading_since && now < read + UNREAD_PROOF_LIMIT);
+            .is_some_and(|read| read >= since + LATEST_WRITE && now < read + UNREAD_PROOF_LIMIT);
         let longest = pool.history.longest_timeout;
         let age = longest.zip(query.time_left).map(|(longest, left)| longest.saturating_sub(left));
         // Another daemon may have read a split that this one had stored, and begun the stream by it.
         is_read
             && pool.write_requested.is_none()
-            && age.is_some_and(|age| now >= leading_since + age + LEAD_MARGIN)
+            && age.is_some_and(|age| now >= since + age + LEAD_MARGIN)
             && self.leads_without_platform(pool, FleetReach::Most)
     }
 }
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -67,7 +67,7 @@
     pub(super) reach: FleetReach,
     /// Since when it has reached half of the fleet, and most of it, without a break.
     pub(super) half_since: Option<Uptime>,
-    most_since: Option<Uptime>,
+    pub(super) most_since: Option<Uptime>,
     /// When a permit was last requested for a new stream.
     pub(super) last_start: Option<Uptime>,
 }
