Answers: a complete head is counted as long as its answer

What operators saw: nothing in held_bytes of heads of up to 128 KiB that targets had sent completely, though each was kept as long as its answer: the values of a head share the buffer that it was read into. Only incomplete heads were counted.

The guard that counts the head while it arrives now belongs to the body of its answer, and closes with it. Heads of up to 4 KiB are not counted, as before.

--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -89,6 +89,8 @@
     excess: Option<AnswerExcess>,
     /// Bytes that were read without a pause.
     turn: usize,
+    /// Counts the head, which is held as long as its answer.
+    head_hold: Option<IntakeHold>,
     idle_limit: Option<Duration>,
     endpoint: ConnectionEndpoint,
     pool: ConnectionPool,
@@ -121,6 +123,7 @@
             broken: false,
             excess: None,
             turn: 0,
+            head_hold: None,
             idle_limit: None,
             endpoint,
             pool,
@@ -143,6 +146,11 @@
         self.pool.intake_hold(&self.endpoint)
     }
 
+    /// Counts the head until the answer is dropped.
+    pub(crate) fn keep_head_hold(&mut self, hold: IntakeHold) {
+        self.head_hold = Some(hold);
+    }
+
     /// Records that the connection has failed while the request was written to it. The system reports a reset once, so
     /// that reading may end as after an orderly close.
     pub(crate) fn set_broken(&mut self) {
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -88,8 +88,11 @@
             }
             remove_contradicted_length(&mut answer_head, frame);
             let reusable = upload.is_flushed();
+            let next_hold = self.pool.intake_hold(&self.endpoint);
+            let head_hold = framed.codec_mut().replace_hold(next_hold);
             let framed = framed.into_map_codec(HeadCodec::into_codec);
             let mut body = AnswerBody::new(framed, frame, reusable, self.endpoint, self.pool);
+            body.keep_head_hold(head_hold);
             if upload.failed.is_some() {
                 body.set_broken();
             }
--- a/crates/targets/src/head_codec.rs
+++ b/crates/targets/src/head_codec.rs
@@ -66,24 +66,39 @@
         &self.codec
     }
 
-    /// Returns the codec of actix-http; nothing of a head is counted any longer.
+    /// Returns the codec of actix-http; the head is no longer counted here.
     pub(crate) fn into_codec(self) -> ClientCodec {
-        self.hold.close();
         self.codec
     }
 
+    /// Returns the guard that counts the head; `hold` counts the next one.
+    pub(crate) fn replace_hold(&mut self, hold: IntakeHold) -> IntakeHold {
+        std::mem::replace(&mut self.hold, hold)
+    }
+
     /// Returns why the head was ended, if that was its size.
     pub(crate) fn excess(&self) -> Option<AnswerExcess> {
         self.excess
     }
 
     /// Counts the bytes of an incomplete head.
-    fn hold_incomplete(&mut self, bytes: usize) -> Result<(), AnswerExcess> {
+    fn hold_incomplete(&mut self, bytes: usize) -> Result<(), ParseError> {
         if bytes >= HEAD_SIZE_LIMIT {
             let (form, limit) = (ExcessForm::Head, ExcessLimit::Size);
-            return Err(AnswerExcess { form, bytes: bytes as u64, limit });
+            return Err(self.end(AnswerExcess { form, bytes: bytes as u64, limit }));
         }
-        self.hold.resize(buffer_size(bytes), ExcessForm::Head)
+        self.hold_complete(bytes)
+    }
+
+    /// Counts the bytes of a head: its values share the buffer that it was read into.
+    fn hold_complete(&mut self, bytes: usize) -> Result<(), ParseError> {
+        let held = self.hold.resize(buffer_size(bytes), ExcessForm::Head);
+        held.map_err(|excess| self.end(excess))
+    }
+
+    fn end(&mut self, excess: AnswerExcess) -> ParseError {
+        self.excess = Some(excess);
+        ParseError::TooLarge
     }
 }
 
@@ -95,17 +110,17 @@
         let length = bytes.len();
         let is_complete = self.search.finds_end(bytes);
         if !is_complete {
-            self.hold_incomplete(length).map_err(|excess| {
-                self.excess = Some(excess);
-                ParseError::TooLarge
-            })?;
+            self.hold_incomplete(length)?;
         }
         if !is_complete && length < self.parsed_from {
             return Ok(None);
         }
         let head = self.codec.decode(bytes)?;
         match head {
-            Some(_) => (self.search, self.parsed_from) = (HeadSearch::default(), 1),
+            Some(_) => {
+                (self.search, self.parsed_from) = (HeadSearch::default(), 1);
+                self.hold_complete(length - bytes.len())?;
+            }
             None => self.parsed_from = length.max(1) * 2,
         }
         Ok(head)
--- a/crates/targets/tests/answers_without_end.rs
+++ b/crates/targets/tests/answers_without_end.rs
@@ -164,3 +164,19 @@
     let ending = tokio::time::timeout(LIMIT, exchange(&address, None)).await.expect("an end");
     assert_eq!((ending.form, ending.delivered), (None, 2));
 }
+
+/// Guards against long heads that are kept as long as their answers and counted by nobody.
+#[actix_rt::test]
+async fn complete_head_is_counted_as_long_as_its_answer() {
+    let beginning = format!("{HEAD}x: {}\r\n{CHUNKS}", "a".repeat(100 << 10));
+    let address = target(beginning, Vec::new()).await;
+    let intake = Rc::new(RecordedIntake::default());
+    let pool = ConnectionPool::default().with_intake(Some(Rc::clone(&intake) as _));
+    let mut head = RequestHead::default();
+    head.uri = Uri::from_static("/x");
+    let connection = pool.connect(&address, LIMIT).await.expect("a connection");
+    let answer = connection.exchange(head, ()).await.expect("an answer");
+    assert!(intake.held.get() >= 100 << 10, "{} bytes", intake.held.get());
+    drop(answer);
+    assert_eq!(intake.held.get(), 0);
+}
