A connection that sends without end is closed

The HTTP codec reads a chunked body to its end, also after its request was answered, and discards chunk extensions, zeros before a chunk size and trailers. No limit of a body notices these bytes: callers and operators could send them for ever, and reading them took the loop from all others.

Between two writes a connection may now send eight times the largest body that any rule allows (chunks of one byte) and 8 MB; then it is closed (connection_endless, connections_endless_total). Operators have no body, so 8 MB. A listener of kind = files is not covered.

--- a/crates/daemon/src/caller_stream.rs
+++ b/crates/daemon/src/caller_stream.rs
@@ -17,6 +17,7 @@
 
 use crate::byte_budget::{CallerReader, SharedBudget};
 use crate::connection_guard::ConnectionGuard;
+use crate::listen::read_limit::ReadCount;
 use crate::unwritten::UnwrittenCount;
 
 /// Send buffer in bytes of a connection whose unread bytes are counted. Without it the kernel buffers up to megabytes of
@@ -28,6 +29,8 @@
     stream: TcpStream,
     /// `None` where the daemon has no memory limit.
     reader: Option<CallerReader>,
+    /// `None` where what the caller sends is not limited.
+    read: Option<ReadCount>,
     guard: ConnectionGuard,
     count: UnwrittenCount,
     counted: bool,
@@ -47,7 +50,14 @@
                 debug!("send_buffer_not_set", kv: { error = error.to_string() });
             }
         }
-        CallerStream { stream, reader, guard: ConnectionGuard::default(), count, counted: false }
+        let guard = ConnectionGuard::default();
+        CallerStream { stream, reader, read: None, guard, count, counted: false }
+    }
+
+    /// Ends the connection where it sends more than its limit.
+    pub fn with_read_limit(mut self, read: ReadCount) -> CallerStream {
+        self.read = Some(read);
+        self
     }
 
     /// Makes the guard and the reader of the connection available to its requests.
@@ -110,7 +120,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if let Some(read) = &mut self.read {
+            read.record_read(buffer.filled().len() - before)?;
+        }
+        polled
     }
 }
 
@@ -124,6 +139,9 @@
         self.guard.before_write(&self.stream)?;
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.record_write(context, bytes.len(), &written);
+        if let (Some(read), Poll::Ready(Ok(1..))) = (&mut self.read, &written) {
+            read.record_write();
+        }
         self.set_unwritten(written.is_pending());
         written
     }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -233,6 +233,7 @@
     let operators = ListenOptions {
         idle_limit: Rc::new(|| OPERATOR_IDLE_LIMIT),
         unread_limit: Rc::new(|| None),
+        body_limit: Rc::new(|| 0),
         unwritten: UnwrittenCount::default(),
         budget: None,
         ..callers.clone()
@@ -256,7 +257,7 @@
 /// Returns how the connections of callers are served.
 fn caller_options(context: &DaemonContext) -> ListenOptions {
     let settings = &context.settings;
-    let caller_context = context.clone();
+    let (caller_context, body_context) = (context.clone(), context.clone());
     ListenOptions {
         head_limit: settings.head_limit,
         idle_limit: Rc::new(move || {
@@ -264,6 +265,10 @@
         }),
         connection_limit: settings.connection_limit,
         unread_limit: unread_limit(context),
+        body_limit: Rc::new(move || {
+            let config = body_context.config();
+            config.rules.iter().map(|rule| rule.body_limit as u64).max().unwrap_or_default()
+        }),
         metrics: Arc::clone(&context.metrics),
         unwritten: UnwrittenCount::default(),
         budget: context.budget.clone(),
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -5,6 +5,7 @@
 
 mod accept_queue;
 mod intake;
+pub mod read_limit;
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -23,6 +24,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 
 use self::intake::ConnectionIntake;
+use self::read_limit::ReadLimit;
 use crate::byte_budget::SharedBudget;
 use crate::caller_stream::CallerStream;
 use crate::metrics::DaemonMetrics;
@@ -42,7 +44,9 @@
     pub connection_limit: usize,
     /// Returns the time after which a connection that could not be read is closed; `None` if it waits on.
     pub unread_limit: Rc<dyn Fn() -> Option<Duration>>,
-    /// Counts the connections that are closed unread.
+    /// Returns the largest body in bytes that any request may have.
+    pub body_limit: Rc<dyn Fn() -> u64>,
+    /// Counts the connections that are closed unread, and those that send without end.
     pub metrics: Arc<DaemonMetrics>,
     /// Counts the connections that have bytes to write.
     pub unwritten: UnwrittenCount,
@@ -69,6 +73,8 @@
         let answer = serve(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    let metrics = Arc::clone(&options.metrics);
+    let read_limit = ReadLimit::new(name, Rc::clone(&options.body_limit), metrics);
     let mut intake = ConnectionIntake::new(name, listener, options.clone());
     actix_rt::spawn(async move {
         loop {
@@ -81,7 +87,8 @@
                 .h1(service.clone());
             let Ok(handler) = factory.new_service(()).await else { continue };
             let stream =
-                CallerStream::new(stream, options.unwritten.clone(), options.budget.as_ref());
+                CallerStream::new(stream, options.unwritten.clone(), options.budget.as_ref())
+                    .with_read_limit(read_limit.begin(peer));
             serve_counted(name, handler.call((stream, Some(peer))), intake.open_count());
         }
     });
--- a/crates/daemon/src/metrics/load_metrics.rs
+++ b/crates/daemon/src/metrics/load_metrics.rs
@@ -12,6 +12,7 @@
 pub struct LoadMetrics {
     loop_turn: Histogram,
     connections_unread: IntCounterVec,
+    connections_endless: IntCounterVec,
 }
 
 impl LoadMetrics {
@@ -30,6 +31,11 @@
                 "Connections closed unread since the daemon could not read them in time",
                 &["listener"],
             )?,
+            connections_endless: registry.counters(
+                "connections_endless_total",
+                "Connections closed since they sent without end",
+                &["listener"],
+            )?,
         })
     }
 
@@ -44,6 +50,11 @@
         (sum, self.loop_turn.get_sample_count())
     }
 
+    /// Counts a connection that was closed because it sent without end.
+    pub fn count_endless(&self, listener: &str) {
+        self.connections_endless.with_label_values(&[listener]).inc();
+    }
+
     /// Counts a connection that was closed unread.
     pub fn count_unread(&self, listener: &str) {
         self.connections_unread.with_label_values(&[listener]).inc();
