--- a/crates/targets/tests/support/numbered_streams.rs
+++ b/crates/targets/tests/support/numbered_streams.rs
@@ -19,7 +19,7 @@
 impl Random {
     /// Creates the numbers of a seed.
     pub fn new(seed: u64) -> Random {
-        Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+        Random(seed.wrapping_mul(0xd1b5_4a32_d192_ed03))
     }
 
     /// Returns a number below `end`.
