--- a/crates/daemon/src/byte_budget/answer_intake.rs
+++ b/crates/daemon/src/byte_budget/answer_intake.rs
@@ -38,18 +38,21 @@
     /// `room`.
     pub fn admits(&self, target: &str, before: u64, held: u64, room: u64) -> bool {
         let Some(more) = held.checked_sub(before) else { return true };
-        let of_target = self.held.get(target).copied().unwrap_or_default();
-        of_target + more <= room.saturating_sub(self.total + more)
+        self.of_target(target) + more <= room.saturating_sub(self.total + more)
     }
 
     /// Counts that an answer of a target holds `held` bytes in place of `before`.
     pub fn record(&mut self, target: &str, before: u64, held: u64) {
-        let of_target = self.held.get(target).copied().unwrap_or_default();
-        let remaining = of_target + held - before;
+        let remaining = self.of_target(target) + held - before;
         self.total = self.total + held - before;
         match remaining {
             0 => drop(self.held.remove(target)),
             _ => drop(self.held.insert(target.to_string(), remaining)),
         }
     }
+
+    fn of_target(&self, target: &str) -> u64 {
+        // A target that is not listed has no undelivered bytes.
+        self.held.get(target).copied().unwrap_or(0)
+    }
 }
--- a/crates/daemon/src/metrics/target_metrics.rs
+++ b/crates/daemon/src/metrics/target_metrics.rs
@@ -59,13 +59,17 @@
                 &["origin", "pool", "data_centre"],
             )?,
         };
+        metrics.begin_at_zero();
+        Ok(metrics)
+    }
+
+    fn begin_at_zero(&self) {
         for fault in LoadFault::ALL {
-            metrics.load_faults.with_label_values(&[fault.code()]);
+            self.load_faults.with_label_values(&[fault.code()]);
         }
         for form in ExcessForm::ALL {
-            metrics.excesses.with_label_values(&[form.code()]);
+            self.excesses.with_label_values(&[form.code()]);
         }
-        Ok(metrics)
     }
 }
 
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -16,7 +16,7 @@
 };
 use curlewcleat_node::NodeEvent;
 use curlewcleat_targets::{
-    buffer_size, AnswerBody, AnswerExcess, BodyFrame, ExcessForm, TargetAnswer,
+    buffer_size, AnswerBody, AnswerExcess, BodyFrame, ExcessForm, IntakeHold, TargetAnswer,
 };
 use futures_util::StreamExt;
 
@@ -94,13 +94,9 @@
                 }
                 self.report_part(target);
             }
-            if self.framing.is_misplaced() {
-                return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Misplaced);
-            }
             // The last step: an answer that ends here is continued after the events that were relayed.
-            let size = buffer_size(self.framing.buffered());
-            if let Err(excess) = undelivered.resize(size, ExcessForm::Event) {
-                return self.exceeded(target, excess);
+            if let Some(outcome) = self.evaluate_buffered(target, &mut undelivered) {
+                return outcome;
             }
         }
         undelivered.close();
@@ -109,6 +105,20 @@
         self.finish_parts(sent).await
     }
 
+    /// Counts what is kept of the answer after a part; returns the end of the attempt if the answer cannot go on.
+    fn evaluate_buffered(
+        &mut self,
+        target: &TargetEntry,
+        undelivered: &mut IntakeHold,
+    ) -> Option<AttemptOutcome> {
+        if self.framing.is_misplaced() {
+            return Some(self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Misplaced));
+        }
+        let size = buffer_size(self.framing.buffered());
+        let excess = undelivered.resize(size, ExcessForm::Event).err()?;
+        Some(self.exceeded(target, excess))
+    }
+
     /// Logs where a continuation begins, and what is irregular about the numbers of the target's events.
     fn report_numbers(&mut self, target: &TargetEntry) {
         for irregularity in self.framing.take_irregularities() {
--- a/crates/standins/src/fleet/endless_engine/forms.rs
+++ b/crates/standins/src/fleet/endless_engine/forms.rs
@@ -2,6 +2,8 @@
 //!
 //! Owns: the forms. Relies on: nothing.
 
+use curlewcleat_platform::names::WIRE_PROFILE;
+
 use super::answer_begin::AnswerBegin;
 
 /// Shortest block in bytes that is sent at once.
@@ -198,7 +200,9 @@
 }
 
 fn answers_to_others() -> Vec<u8> {
-    filled("HTTP/1.1 200 OK\r\nx-attempt-id: of-no-request\r\ncontent-length: 1\r\n\r\na")
+    let attempt_id = WIRE_PROFILE.attempt_id;
+    let answer = format!("{attempt_id}: of-no-request\r\ncontent-length: 1\r\n\r\na");
+    filled(&format!("HTTP/1.1 200 OK\r\n{answer}"))
 }
 
 fn late_head(begin: &AnswerBegin<'_>) -> Vec<u8> {
--- a/crates/targets/src/error.rs
+++ b/crates/targets/src/error.rs
@@ -1,4 +1,6 @@
 //! Errors of an exchange with a target, which distinguish whether the request may have been written.
+//!
+//! Owns: the codes in log lines and metrics, which are stable. Relies on: nothing.
 
 /// Why an exchange failed before its answer began.
 #[derive(Debug, thiserror::Error)]
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod body_codec;
+mod collect;
 mod connection;
 mod error;
 mod event_numbers;
@@ -21,7 +22,8 @@
 mod stream;
 mod stream_irregularity;
 
-pub use answer::{collect, AnswerBody, BodyFrame, CollectError, TargetAnswer, TruncatedBody};
+pub use answer::{AnswerBody, BodyFrame, TargetAnswer, TruncatedBody};
+pub use collect::{collect, CollectError};
 pub use connection::ExchangeOptions;
 pub use error::{AnswerExcess, Error, ExcessForm, ExcessLimit, Result};
 pub use event_numbers::StreamJoin;
