--- a/crates/soak/tests/late_daemons.rs
+++ b/crates/soak/tests/late_daemons.rs
@@ -12,8 +12,8 @@
 
 /// Guards against new streams that wait for the one engine in whose streams no daemon stood still.
 #[rstest]
-#[case::no_daemon(0)]
-#[case::all_daemons(DAEMONS)]
+#[case::none_stood_still(0)]
+#[case::whole_fleet_stood_still(DAEMONS)]
 fn engines_are_granted_after_daemons_stood_still_in_their_streams(#[case] daemons: usize) {
     let step = |at, time, fault| FaultStep {
         at: Duration::from_millis(at),
