--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -267,7 +267,8 @@
         unread_limit: unread_limit(context),
         body_limit: Rc::new(move || {
             let config = body_context.config();
-            config.rules.iter().map(|rule| rule.body_limit as u64).max().unwrap_or_default()
+            // Without rules no body is read.
+            config.rules.iter().map(|rule| rule.body_limit as u64).max().unwrap_or(0)
         }),
         metrics: Arc::clone(&context.metrics),
         unwritten: UnwrittenCount::default(),
--- a/crates/daemon/src/metrics/gauges.rs
+++ b/crates/daemon/src/metrics/gauges.rs
@@ -121,6 +121,10 @@
         if let Ok(bytes) = resident_bytes() {
             self.resident.set(bytes as i64);
         }
+        self.set_frames();
+    }
+
+    fn set_frames(&self) {
         let kinds = [
             ("sent", &self.counts.sent),
             ("sent_bytes", &self.counts.sent_bytes),
--- a/crates/peers/src/waiting.rs
+++ b/crates/peers/src/waiting.rs
@@ -53,7 +53,8 @@
     pub fn admit(&self, frame: PeerFrame, length: u64) -> Result<ReceivedFrame, FrameRefused> {
         let bytes = memory_size(&frame, length);
         let mut state = self.lock();
-        let from_sender = state.senders.get(&frame.from.vm).copied().unwrap_or_default();
+        // Nothing waits from a sender that is not listed.
+        let from_sender = state.senders.get(&frame.from.vm).copied().unwrap_or(0);
         let sender_is_full =
             from_sender > 0 && from_sender.saturating_add(bytes) > self.limit / SENDER_SHARE;
         // A frame of the largest size must be able to arrive on the smallest VM.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use anyhow::Result;
 use curlewcleat_standins::deployment::wait_until;
 
-use crate::callers::SoakCallers;
+use crate::callers::{CallRecord, SoakCallers};
 use crate::checks::{check_evidence, SoakViolation};
 use crate::connectivity::check_connectivity;
 use crate::engines::BACKENDS;
@@ -93,15 +93,11 @@
     engines.abort();
     let unreachable = check_connectivity(&fleet).await;
     let mut evidence = fleet.evidence.take();
-    let kinds = unserved_kinds(&records);
+    let unserved = check_kinds(&records);
     evidence.records = records;
     evidence.runs = fleet.runs();
     let mut violations = check_evidence(&evidence);
-    if !kinds.is_empty() {
-        let (invariant, detail) =
-            ("every kind of request is served at least once", format!("{kinds:?}"));
-        violations.push(SoakViolation { invariant, detail });
-    }
+    violations.extend(unserved);
     violations.extend(unreachable);
     if let Ok(fleet) = Rc::try_unwrap(fleet) {
         fleet.close();
@@ -109,3 +105,10 @@
     let streams = count_streams(&evidence);
     Ok(SoakReport { steps, outcomes: count_outcomes(evidence.all_records()), streams, violations })
 }
+
+/// Checks that requests of every kind were served.
+fn check_kinds(records: &[CallRecord]) -> Option<SoakViolation> {
+    let kinds = unserved_kinds(records);
+    let invariant = "every kind of request is served at least once";
+    (!kinds.is_empty()).then(|| SoakViolation { invariant, detail: format!("{kinds:?}") })
+}
--- a/crates/targets/src/connection.rs
+++ b/crates/targets/src/connection.rs
@@ -88,11 +88,7 @@
             }
             remove_contradicted_length(&mut answer_head, frame);
             let reusable = upload.is_flushed();
-            let next_hold = self.pool.intake_hold(&self.endpoint);
-            let head_hold = framed.codec_mut().replace_hold(next_hold);
-            let framed = framed.into_map_codec(HeadCodec::into_codec);
-            let mut body = AnswerBody::new(framed, frame, reusable, self.endpoint, self.pool);
-            body.keep_head_hold(head_hold);
+            let mut body = answer_body(framed, frame, reusable, self.endpoint, self.pool);
             if upload.failed.is_some() {
                 body.set_broken();
             }
@@ -104,6 +100,21 @@
     }
 }
 
+/// Returns the body of an answer whose head has been read. The head counts as undelivered as long as its answer.
+fn answer_body(
+    mut framed: Connection,
+    frame: BodyFrame,
+    reusable: bool,
+    endpoint: ConnectionEndpoint,
+    pool: ConnectionPool,
+) -> AnswerBody {
+    let head_hold = framed.codec_mut().replace_hold(pool.intake_hold(&endpoint));
+    let framed = framed.into_map_codec(HeadCodec::into_codec);
+    let mut body = AnswerBody::new(framed, frame, reusable, endpoint, pool);
+    body.keep_head_hold(head_hold);
+    body
+}
+
 /// Sends a request body while its answer may already arrive.
 struct Upload<B> {
     body: Pin<Box<B>>,
