--- a/crates/targets/tests/irregular_streams.rs
+++ b/crates/targets/tests/irregular_streams.rs
@@ -5,10 +5,13 @@
 
 #[path = "support/numbered_streams.rs"]
 mod numbered_streams;
+#[path = "support/random.rs"]
+mod random;
 
 use std::collections::BTreeMap;
 
-use numbered_streams::{relay_numbers, AnswerFault, CaseOutcome, Random, StreamCase};
+use numbered_streams::{relay_numbers, AnswerFault, CaseOutcome, StreamCase};
+use random::Random;
 use rstest::rstest;
 
 /// Cases of each fault.
