Streams: the last event is passed on where no other target can continue and nothing contradicts its number

What callers would have met: a stream of two events numbered 7 and 14, which may not be repeated, lost its second event: it was held back for its step, no target could confirm it, and the answer was cut. It was whole before numbers were held back. Where no step of the stream is known and no other attempt may continue, the end that the target states is taken.

--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -33,13 +33,22 @@
     fn push(&mut self, part: Bytes) -> Bytes;
 
     /// Returns the number of bytes that are kept until they can be relayed.
-    fn buffered(&self) -> usize;
+    fn buffered(&self) -> usize {
+        0
+    }
 
     /// Returns whether the answer may be complete if its body, whose end is determined by `frame`, ends now.
     fn is_complete(&self, frame: BodyFrame) -> bool;
 
     /// Returns whether the events of the latest attempt may be all of the answer, by their numbers.
-    fn may_end(&self) -> bool;
+    fn may_end(&self) -> bool {
+        true
+    }
+
+    /// Returns whether the answer may also end if no other attempt can continue it.
+    fn may_end_unconfirmed(&self) -> bool {
+        true
+    }
 
     /// Returns the remaining bytes after the end of the body.
     fn take_remaining(&mut self) -> Bytes;
@@ -141,10 +150,6 @@
         part
     }
 
-    fn buffered(&self) -> usize {
-        0
-    }
-
     /// An event stream is complete after its end event. Other answers have a length, so the end of the body suffices.
     fn is_complete(&self, _: BodyFrame) -> bool {
         match &self.end_event {
@@ -155,10 +160,6 @@
         }
     }
 
-    fn may_end(&self) -> bool {
-        true
-    }
-
     fn take_remaining(&mut self) -> Bytes {
         Bytes::new()
     }
@@ -251,6 +252,10 @@
         self.events.may_end()
     }
 
+    fn may_end_unconfirmed(&self) -> bool {
+        self.events.may_end_unconfirmed()
+    }
+
     fn take_remaining(&mut self) -> Bytes {
         self.events.take_remaining()
     }
