--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -33,22 +33,13 @@
     fn push(&mut self, part: Bytes) -> Bytes;
 
     /// Returns the number of bytes that are kept until they can be relayed.
-    fn buffered(&self) -> usize {
-        0
-    }
+    fn buffered(&self) -> usize;
 
     /// Returns whether the answer may be complete if its body, whose end is determined by `frame`, ends now.
     fn is_complete(&self, frame: BodyFrame) -> bool;
 
     /// Returns whether the events of the latest attempt may be all of the answer, by their numbers.
-    fn may_end(&self) -> bool {
-        true
-    }
-
-    /// Returns whether the answer may also end if no other attempt can continue it.
-    fn may_end_unconfirmed(&self) -> bool {
-        true
-    }
+    fn may_end(&self) -> bool;
 
     /// Returns the remaining bytes after the end of the body.
     fn take_remaining(&mut self) -> Bytes;
@@ -150,6 +141,10 @@
         part
     }
 
+    fn buffered(&self) -> usize {
+        0
+    }
+
     /// An event stream is complete after its end event. Other answers have a length, so the end of the body suffices.
     fn is_complete(&self, _: BodyFrame) -> bool {
         match &self.end_event {
@@ -160,6 +155,10 @@
         }
     }
 
+    fn may_end(&self) -> bool {
+        true
+    }
+
     fn take_remaining(&mut self) -> Bytes {
         Bytes::new()
     }
@@ -252,10 +251,6 @@
         self.events.may_end()
     }
 
-    fn may_end_unconfirmed(&self) -> bool {
-        self.events.may_end_unconfirmed()
-    }
-
     fn take_remaining(&mut self) -> Bytes {
         self.events.take_remaining()
     }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -194,7 +194,7 @@
         if !self.framing.is_complete(frame) {
             return NextPart::Interrupted(AttemptCause::Closed);
         }
-        if !self.may_end_by_numbers() {
+        if !self.framing.may_end() {
             return NextPart::Interrupted(AttemptCause::Misplaced);
         }
         match self.answer.may_end_with(frame) {
@@ -203,13 +203,6 @@
         }
     }
 
-    /// Returns whether the numbers of the events allow the answer to end here. An event whose number nothing else contradicts
-    /// is not withheld from a caller that can get it from no other target.
-    fn may_end_by_numbers(&self) -> bool {
-        let may_move = self.protocol().may_repeat(&self.request) && self.framing.is_resumable();
-        self.framing.may_end() || (!may_move && self.framing.may_end_unconfirmed())
-    }
-
     /// Relays what the framing has buffered, and finishes the answer.
     async fn finish_parts(&mut self, sent: Moment) -> AttemptOutcome {
         let remaining = self.framing.take_remaining();
--- a/crates/targets/src/event_numbers.rs
+++ b/crates/targets/src/event_numbers.rs
@@ -211,11 +211,6 @@
         self.held.is_none() && !is_behind && !self.is_end_unproven()
     }
 
-    /// Returns whether nothing but its step speaks against the event that is held back: no other step of the stream is known.
-    pub fn is_held_plausible(&self) -> bool {
-        self.held.is_some() && self.steps.is_unknown()
-    }
-
     /// Returns whether the answer repeats the last event alone: a new event with a wrong number looks the same.
     fn is_end_unproven(&self) -> bool {
         self.is_resuming
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -202,17 +202,10 @@
         !self.has_returned_part && !self.has_unnumbered_data && !self.numbers.is_position_lost()
     }
 
-    /// Returns whether the answer may end where no other one can continue it: the event that is held back may be the last.
-    pub fn may_end_unconfirmed(&self) -> bool {
-        self.numbers.is_held_plausible()
-    }
-
-    /// Returns what is held back and the buffered bytes at the end of a complete stream.
+    /// Returns the buffered bytes at the end of a complete stream.
     pub fn take_remaining(&mut self) -> Bytes {
         self.scan = EventScan::default();
-        let mut remaining = std::mem::take(&mut self.held);
-        remaining.extend_from_slice(&std::mem::take(&mut self.buffered));
-        remaining.freeze()
+        self.buffered.split().freeze()
     }
 
     /// Prepares for a resumed stream: discards the bytes of the incomplete event and of what is held back.
