Streams: numbers that count in steps of the first one are expected

What callers would have met: of a stream numbered 7, 14 the second event came one event late, and where it was the last and the stream may not be repeated it was held back and the answer cut. A stream that begins with its step counts in that step: no number is left out. The new test failed before (14 was held back).

--- a/crates/targets/src/event_numbers.rs
+++ b/crates/targets/src/event_numbers.rs
@@ -112,6 +112,7 @@
         }
         let Some(last) = self.last else {
             self.last = Some(number);
+            self.steps.begin(number);
             // No event can be before it.
             self.is_last_sure = number <= 1;
             return EventPlace::Next;
--- a/crates/targets/src/event_steps.rs
+++ b/crates/targets/src/event_steps.rs
@@ -8,6 +8,8 @@
 /// The steps by which the numbers of a stream have risen within its answers.
 #[derive(Debug, Default)]
 pub struct NumberSteps {
+    /// The first number of the stream, `None` where an earlier answer began it.
+    first: Option<u64>,
     /// The latest step, `None` before the first one.
     step: Option<u64>,
     /// Number of steps of this size.
@@ -16,6 +18,11 @@
 }
 
 impl NumberSteps {
+    /// Records the first number of a stream.
+    pub fn begin(&mut self, first: u64) {
+        self.first = Some(first);
+    }
+
     /// Records a step.
     pub fn record(&mut self, step: u64) {
         self.is_varying |= self.step.is_some_and(|known| known != step);
@@ -38,9 +45,14 @@
         self.step.is_none() && !self.is_varying
     }
 
-    /// Returns whether a step is of the size of all others, or of one if there are none.
+    /// Returns whether a step is of the size of all others. If there are none, it is of one, or of the first number, with
+    /// which a stream begins that counts in wider steps.
     pub fn expects(&self, step: u64) -> bool {
-        !self.is_varying && step == self.step.unwrap_or(1)
+        !self.is_varying
+            && match self.step {
+                Some(known) => step == known,
+                None => step == 1 || self.first == Some(step),
+            }
     }
 
     /// Returns whether the numbers have risen by one often enough that a continuation has to do so.
--- a/crates/targets/tests/events.rs
+++ b/crates/targets/tests/events.rs
@@ -235,3 +235,14 @@
     assert_eq!(splitter.push(sent.as_bytes()), stream(6, 10));
     assert!(!splitter.is_misplaced());
 }
+
+/// Guards against the last event of a stream that its caller never gets, since its step is not known, and against events
+/// that arrive one later than they could.
+#[test]
+fn stream_that_counts_in_wide_steps_from_its_first_number_is_passed_on_at_once() {
+    let mut splitter = EventSplitter::default();
+    for number in [7, 14, 21] {
+        assert_eq!(splitter.push(event(number).as_bytes()), event(number));
+        assert!(splitter.may_end());
+    }
+}
