Undelivered bytes: an answer that ends because others use the memory does not count against its target

What operators would have met: a target that is sound counted as failed, and could be ejected for all, because slow callers or other targets had used the room of its answers. A refusal says now whether the target itself holds most; only then it is at fault (limit share, cause excess). Otherwise the cause is no_memory, which reports nothing about the target.

--- a/crates/daemon/src/byte_budget/answer_intake.rs
+++ b/crates/daemon/src/byte_budget/answer_intake.rs
@@ -5,7 +5,8 @@
 //!
 //! The rule, a dynamic threshold: the undelivered bytes of one target may not exceed what is left of the room for all of
 //! them. A target alone gets half of the room, each of `n` targets that take all they can gets a part of `n + 1`, and one
-//! part is always left. So faulty targets end their own answers, and others still find room.
+//! part is always left. So faulty targets end their own answers, and others still find room. A target is at fault only if no
+//! other one holds more: where callers or other targets use the room, an answer that ends says nothing about its target.
 //!
 //! Load pattern: some targets that send without end on all their connections, beside sound ones with answers of up to the
 //! size limit.
@@ -14,6 +15,8 @@
 
 use std::collections::HashMap;
 
+use curlewcleat_targets::ExcessLimit;
+
 use super::levels::END_PERCENT;
 
 /// Share of the budget that undelivered bytes may have. More than half is left for bodies and for slow callers.
@@ -34,11 +37,30 @@
         self.total
     }
 
-    /// Returns whether an answer of a target may hold `held` bytes in place of `before`, where all undelivered bytes have
+    /// Decides whether an answer of a target may hold `held` bytes in place of `before`, where all undelivered bytes have
     /// `room`.
-    pub fn admits(&self, target: &str, before: u64, held: u64, room: u64) -> bool {
-        let Some(more) = held.checked_sub(before) else { return true };
-        self.of_target(target) + more <= room.saturating_sub(self.total + more)
+    ///
+    /// # Errors
+    /// Returns what prevents it: the share of the target if no other one holds more, otherwise the memory.
+    pub fn check(
+        &self,
+        target: &str,
+        before: u64,
+        held: u64,
+        room: u64,
+    ) -> Result<(), ExcessLimit> {
+        let more = held.saturating_sub(before);
+        if more == 0 {
+            return Ok(());
+        }
+        let of_target = self.of_target(target) + more;
+        if of_target <= room.saturating_sub(self.total + more) {
+            return Ok(());
+        }
+        match self.held.values().all(|of_other| *of_other <= of_target) {
+            true => Err(ExcessLimit::Share),
+            false => Err(ExcessLimit::Memory),
+        }
     }
 
     /// Counts that an answer of a target holds `held` bytes in place of `before`.
--- a/crates/daemon/src/byte_budget/ledger.rs
+++ b/crates/daemon/src/byte_budget/ledger.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use curlewcleat_clock::Moment;
+use curlewcleat_targets::ExcessLimit;
 
 use super::answer_intake::{AnswerIntakes, INTAKE_PERCENT, LEAST_INTAKE_PERCENT};
 use super::levels::{
@@ -192,24 +193,25 @@
         (self.budget / share).max(MIN_ANSWER_BYTES)
     }
 
-    /// Counts that an answer of a target holds `held` undelivered bytes in place of `before`. Returns `None`, and counts
-    /// nothing, if the target may not have that many; otherwise the readers that have to end.
+    /// Counts that an answer of a target holds `held` undelivered bytes in place of `before`. Returns the readers that have to
+    /// end.
+    ///
+    /// # Errors
+    /// Returns what prevents it, and counts nothing, if the target may not have that many.
     pub fn resize_intake(
         &mut self,
         now: Moment,
         target: &str,
         before: u64,
         held: u64,
-    ) -> Option<Vec<ReaderId>> {
-        if !self.intakes.admits(target, before, held, self.intake_room()) {
-            return None;
-        }
+    ) -> Result<Vec<ReaderId>, ExcessLimit> {
+        self.intakes.check(target, before, held, self.intake_room())?;
         self.intakes.record(target, before, held);
         match held.checked_sub(before) {
-            Some(more) => Some(self.add(now, ByteOwner::Answer, more)),
+            Some(more) => Ok(self.add(now, ByteOwner::Answer, more)),
             None => {
                 self.remove(now, ByteOwner::Answer, before - held);
-                Some(Vec::new())
+                Ok(Vec::new())
             }
         }
     }
--- a/crates/daemon/src/byte_budget/shared.rs
+++ b/crates/daemon/src/byte_budget/shared.rs
@@ -13,7 +13,7 @@
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::RequestId;
-use curlewcleat_targets::AnswerIntake;
+use curlewcleat_targets::{AnswerIntake, ExcessLimit};
 use spdlog::prelude::*;
 use tokio::sync::watch;
 
@@ -193,15 +193,13 @@
 }
 
 impl AnswerIntake for SharedBudget {
-    fn resize(&self, address: &str, before: u64, held: u64) -> bool {
+    fn resize(&self, address: &str, before: u64, held: u64) -> Result<(), ExcessLimit> {
         let now = Moment::now();
         let mut state = self.lock();
-        let Some(ended) = state.ledger.resize_intake(now, address, before, held) else {
-            return false;
-        };
+        let ended = state.ledger.resize_intake(now, address, before, held)?;
         state.end_readers(now, &ended);
         self.publish_level(now, state);
-        true
+        Ok(())
     }
 }
 
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -197,7 +197,7 @@
     match error {
         Error::Excess(excess) => {
             report_excess(context, attempt.request.id, &attempt.target.id, *excess);
-            AttemptStart::Failed(RefusalReason::TargetProtocol, AttemptCause::Excess)
+            AttemptStart::Failed(RefusalReason::TargetProtocol, excess.limit.into())
         }
         Error::Protocol(_) => {
             AttemptStart::Failed(RefusalReason::TargetProtocol, AttemptCause::Unreadable)
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -4,6 +4,7 @@
 
 use curlewcleat_core::{AnswerObservation, AttemptEnd, InterruptionKind};
 use curlewcleat_sched::GateStop;
+use curlewcleat_targets::ExcessLimit;
 
 /// Why an attempt ended without an answer for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +25,8 @@
     Misplaced,
     /// The target sent too many bytes that could not be delivered.
     Excess,
+    /// This daemon had no memory left for the answer, because of other targets or of callers.
+    NoMemory,
     /// The answer could not be read, or belongs to another request.
     Unreadable,
     /// The target answered with a server error.
@@ -60,6 +63,7 @@
             | AttemptCause::EndUnproven
             | AttemptCause::Misplaced
             | AttemptCause::Excess
+            | AttemptCause::NoMemory
             | AttemptCause::Unreadable
             | AttemptCause::Failed
             | AttemptCause::CallerBody
@@ -87,6 +91,7 @@
             AttemptCause::ConnectFailed
             | AttemptCause::NotStarted
             | AttemptCause::EndUnproven
+            | AttemptCause::NoMemory
             | AttemptCause::CallerBody
             | AttemptCause::RestRequested
             | AttemptCause::TargetEvacuated
@@ -103,6 +108,7 @@
     pub fn attempt_end(self) -> AttemptEnd {
         match self {
             AttemptCause::EndUnproven
+            | AttemptCause::NoMemory
             | AttemptCause::RestRequested
             | AttemptCause::TargetEvacuated
             | AttemptCause::TargetLeaving
@@ -125,6 +131,7 @@
             AttemptCause::EndUnproven => "end_unproven",
             AttemptCause::Misplaced => "misplaced",
             AttemptCause::Excess => "excess",
+            AttemptCause::NoMemory => "no_memory",
             AttemptCause::Unreadable => "unreadable",
             AttemptCause::Failed => "failed",
             AttemptCause::CallerBody => "caller_body",
@@ -139,6 +146,15 @@
     }
 }
 
+impl From<ExcessLimit> for AttemptCause {
+    fn from(limit: ExcessLimit) -> AttemptCause {
+        match limit {
+            ExcessLimit::Size | ExcessLimit::Share => AttemptCause::Excess,
+            ExcessLimit::Memory => AttemptCause::NoMemory,
+        }
+    }
+}
+
 impl From<GateStop> for AttemptCause {
     fn from(stop: GateStop) -> AttemptCause {
         match stop {
--- a/crates/daemon/src/request/relay/broken.rs
+++ b/crates/daemon/src/request/relay/broken.rs
@@ -8,7 +8,6 @@
 use curlewcleat_targets::{AnswerBody, AnswerExcess};
 
 use crate::request::attempt::report_excess;
-use crate::request::cause::AttemptCause;
 use crate::request::run::{AttemptOutcome, RequestRun};
 
 /// Time to connect when a stream is resumed.
@@ -22,7 +21,7 @@
         excess: AnswerExcess,
     ) -> AttemptOutcome {
         report_excess(&self.service.context, self.request.id, &target.id, excess);
-        self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Excess)
+        self.interrupted(RefusalReason::TargetProtocol, excess.limit.into())
     }
 
     /// Requests the rest of an interrupted answer from the same target, which does not run the request again.
--- a/crates/daemon/tests/answer_intake.rs
+++ b/crates/daemon/tests/answer_intake.rs
@@ -1,7 +1,8 @@
 //! The rule by which the undelivered bytes of answers stay below their share of the budget.
 
 use curlewcleat_clock::Moment;
-use curlewcleatd::byte_budget::answer_intake::INTAKE_PERCENT;
+use curlewcleat_targets::ExcessLimit;
+use curlewcleatd::byte_budget::answer_intake::{INTAKE_PERCENT, LEAST_INTAKE_PERCENT};
 use curlewcleatd::byte_budget::{ByteLedger, ByteOwner};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -33,9 +34,9 @@
     fn grow(&mut self, index: usize) -> bool {
         let (target, held) = &mut self.answers[index];
         let larger = (*held + STEP).min(RECORD);
-        let grown = self.ledger.resize_intake(self.now, target, *held, larger).is_some();
+        let grown = self.ledger.resize_intake(self.now, target, *held, larger).is_ok();
         if !grown {
-            self.ledger.resize_intake(self.now, target, *held, 0);
+            assert!(self.ledger.resize_intake(self.now, target, *held, 0).is_ok());
         }
         *held = if grown { larger } else { 0 };
         grown
@@ -80,7 +81,7 @@
         answers.grow(index);
     }
     let sound = answers.ledger.resize_intake(answers.now, "sound", 0, RECORD);
-    assert!(sound.is_some(), "{} bytes are held", answers.ledger.total());
+    assert!(sound.is_ok(), "{} bytes are held", answers.ledger.total());
 }
 
 /// Guards against answers of sound targets that end because slow callers use the budget.
@@ -90,9 +91,9 @@
     let now = Moment::now();
     ledger.add(now, ByteOwner::Unread, ledger.budget());
     for target in ["a", "b", "c", "d"] {
-        assert!(ledger.resize_intake(now, target, 0, 256 << 10).is_some());
+        assert!(ledger.resize_intake(now, target, 0, 256 << 10).is_ok());
     }
-    assert!(ledger.resize_intake(now, "a", 256 << 10, 8 << 20).is_none());
+    assert!(ledger.resize_intake(now, "a", 256 << 10, 8 << 20).is_err());
 }
 
 /// Guards against room that is lost with answers that have ended.
@@ -103,7 +104,27 @@
         answers.grow(round % 300);
     }
     for (target, held) in &answers.answers {
-        answers.ledger.resize_intake(answers.now, target, *held, 0);
+        assert!(answers.ledger.resize_intake(answers.now, target, *held, 0).is_ok());
     }
     assert_eq!(answers.ledger.total(), 0);
 }
+
+/// Guards against sound targets that count as failed because others use the memory.
+#[test]
+fn target_is_at_fault_only_where_no_other_one_holds_more() {
+    let mut ledger = ByteLedger::new(110 << 20);
+    let now = Moment::now();
+    ledger.add(now, ByteOwner::Unread, ledger.budget());
+    let mut faulty = 0;
+    while ledger.resize_intake(now, "faulty", faulty, faulty + STEP).is_ok() {
+        faulty += STEP;
+    }
+    let refused = |ledger: &mut ByteLedger, target, held| {
+        ledger.resize_intake(now, target, 0, held).expect_err("no room is left")
+    };
+    assert_eq!(refused(&mut ledger, "faulty", STEP), ExcessLimit::Share);
+    assert_eq!(refused(&mut ledger, "sound", faulty), ExcessLimit::Share);
+    let half = ledger.budget() / 100 * LEAST_INTAKE_PERCENT / 2;
+    assert!(ledger.resize_intake(now, "another", 0, half / 2).is_ok());
+    assert_eq!(refused(&mut ledger, "sound", half / 2), ExcessLimit::Memory);
+}
--- a/crates/targets/src/error.rs
+++ b/crates/targets/src/error.rs
@@ -56,7 +56,9 @@
 pub enum ExcessLimit {
     /// The size limit of its form.
     Size,
-    /// The memory that is left for the undelivered bytes of its target.
+    /// The share of its target, which has more undelivered bytes than any other.
+    Share,
+    /// The memory that other targets and callers leave for undelivered bytes.
     Memory,
 }
 
@@ -65,6 +67,7 @@
     pub fn code(self) -> &'static str {
         match self {
             ExcessLimit::Size => "size",
+            ExcessLimit::Share => "share",
             ExcessLimit::Memory => "memory",
         }
     }
--- a/crates/targets/src/intake.rs
+++ b/crates/targets/src/intake.rs
@@ -15,9 +15,11 @@
 
 /// Decides how many bytes of answers this process may hold before they can be delivered.
 pub trait AnswerIntake {
-    /// Counts that an answer of the target at `address` holds `held` bytes in place of `before`. Returns `false`, and
-    /// counts nothing, if it may not hold that many.
-    fn resize(&self, address: &str, before: u64, held: u64) -> bool;
+    /// Counts that an answer of the target at `address` holds `held` bytes in place of `before`.
+    ///
+    /// # Errors
+    /// Returns what prevents it, and counts nothing, if it may not hold that many.
+    fn resize(&self, address: &str, before: u64, held: u64) -> Result<(), ExcessLimit>;
 }
 
 /// The undelivered bytes of one answer. They are no longer counted once this guard is dropped.
@@ -43,9 +45,8 @@
         if counted == self.bytes {
             return Ok(());
         }
-        if !intake.resize(&self.address, self.bytes, counted) {
-            return Err(AnswerExcess { form, bytes, limit: ExcessLimit::Memory });
-        }
+        let resized = intake.resize(&self.address, self.bytes, counted);
+        resized.map_err(|limit| AnswerExcess { form, bytes, limit })?;
         self.bytes = counted;
         Ok(())
     }
@@ -66,7 +67,8 @@
 impl Drop for IntakeHold {
     fn drop(&mut self) {
         if let Some(intake) = self.intake.take().filter(|_| self.bytes > 0) {
-            intake.resize(&self.address, self.bytes, 0);
+            // Fewer bytes are always allowed.
+            let _ = intake.resize(&self.address, self.bytes, 0);
         }
     }
 }
--- a/crates/targets/tests/answers_without_end.rs
+++ b/crates/targets/tests/answers_without_end.rs
@@ -10,7 +10,7 @@
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, Uri};
 use curlewcleat_targets::{
-    AnswerIntake, BodyFrame, ConnectionPool, Error, ExcessForm, ExchangeOptions,
+    AnswerIntake, BodyFrame, ConnectionPool, Error, ExcessForm, ExcessLimit, ExchangeOptions,
 };
 use futures_util::StreamExt;
 use rstest::rstest;
@@ -34,14 +34,14 @@
 }
 
 impl AnswerIntake for RecordedIntake {
-    fn resize(&self, address: &str, before: u64, held: u64) -> bool {
+    fn resize(&self, address: &str, before: u64, held: u64) -> Result<(), ExcessLimit> {
         if held > before && self.limit.is_some_and(|limit| held > limit) {
-            return false;
+            return Err(ExcessLimit::Share);
         }
         self.held.set(self.held.get() + held - before);
         self.most.set(self.most.get().max(self.held.get()));
         *self.by_target.borrow_mut().entry(address.to_string()).or_default() += held;
-        true
+        Ok(())
     }
 }
 
