Streams: events unlike those of other streams of their source are logged

What an event lacks could not be told from the logs: an event without its number, a number without its data and two events in one all passed. The daemon now keeps, for each rule, pool and version, what the streams that ended whole had in common, and logs the first event of each kind that differs (stream_deviates, stream_deviations_total). answer_cut, caller_stalled and the new caller_left state the last event that was passed on, to compare with the position at which the stream is taken up, and stream_joined the connection. What is passed on does not change.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -20,6 +20,7 @@
 use crate::byte_budget::SharedBudget;
 use crate::metrics::DaemonMetrics;
 use crate::pending::PendingRequest;
+use crate::stream_forms::SharedForms;
 use crate::target_notices::SharedGate;
 use crate::target_reach::SharedReach;
 
@@ -56,6 +57,8 @@
     pub gate: SharedGate,
     /// Links to targets.
     pub reach: SharedReach,
+    /// Forms of the streams of targets.
+    pub forms: SharedForms,
     /// Bytes held for callers and targets; `None` without a memory limit.
     pub budget: Option<SharedBudget>,
     /// Configuration in force.
@@ -87,6 +90,7 @@
             metrics,
             gate: SharedGate::default(),
             reach: SharedReach::default(),
+            forms: SharedForms::default(),
             config: Arc::default(),
             routes: Arc::default(),
             node,
--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -3,7 +3,7 @@
 //! Owns: the registered metrics. Relies on: the runs of requests for the values.
 
 use curlewcleat_core::{RefusalReason, RetryReason, Verdict};
-use curlewcleat_targets::IrregularityKind;
+use curlewcleat_targets::{DeviationKind, IrregularityKind};
 use prometheus::{HistogramVec, IntCounterVec, Result};
 
 use super::registry::MetricRegistry;
@@ -17,6 +17,7 @@
     ends: IntCounterVec,
     answer_ends: IntCounterVec,
     stream_irregularities: IntCounterVec,
+    stream_deviations: IntCounterVec,
     wait: HistogramVec,
     first_byte: HistogramVec,
 }
@@ -47,6 +48,11 @@
                 "Answers of targets with irregular event numbers, by what is irregular",
                 &["kind"],
             )?,
+            stream_deviations: count(
+                "stream_deviations_total",
+                "Answers of targets with events unlike those of other streams, by the difference",
+                &["kind"],
+            )?,
             wait: registry.histograms("wait_seconds", "Time from arrival to dispatch")?,
             first_byte: registry
                 .histograms("first_byte_seconds", "Time from arrival to the answer's first byte")?,
@@ -60,6 +66,9 @@
         for kind in IrregularityKind::ALL {
             metrics.stream_irregularities.with_label_values(&[kind.code()]);
         }
+        for kind in DeviationKind::ALL {
+            metrics.stream_deviations.with_label_values(&[kind.code()]);
+        }
         Ok(metrics)
     }
 }
@@ -80,6 +89,11 @@
         self.requests.stream_irregularities.with_label_values(&[kind]).inc();
     }
 
+    /// Counts an answer with events unlike those of other streams, by the difference.
+    pub fn count_stream_deviation(&self, kind: &str) {
+        self.requests.stream_deviations.with_label_values(&[kind]).inc();
+    }
+
     /// Counts a refused request; tier and pool are empty if no rule matched.
     pub fn count_refusal(&self, reason: RefusalReason, tier: &str, pool: &str) {
         self.requests.refusals.with_label_values(&[reason.code(), tier, pool]).inc();
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -3,13 +3,19 @@
 //! Owns: the position in the answer of one request, over all its attempts. Relies on: the pool's
 //! `end_event` and `resumable` ([`ByteFraming`]), numbered events ([`EventFraming`]).
 
+mod events;
+
 use actix_http::{Method, RequestHead, ResponseHead};
 use bytes::Bytes;
 use curlewcleat_core::{KeptAnswer, TargetPool};
-use curlewcleat_targets::{BodyFrame, EventSplitter, StreamIrregularity, StreamJoin};
+use curlewcleat_targets::{
+    BodyFrame, EventDeviation, EventForm, StreamIrregularity, StreamJoin, StreamShape,
+};
 
 use crate::headers;
 
+pub use self::events::{EventFraming, StreamPosition};
+
 /// Longest answer in bytes that is kept with its idempotency key. A record of the services has about 800 bytes.
 const KEPT_ANSWER_LIMIT: usize = 4 << 10;
 /// Maximum number of resumptions of one stream.
@@ -65,6 +71,15 @@
     /// Returns what was irregular about the events of the latest attempt, each kind once.
     fn take_irregularities(&mut self) -> Vec<StreamIrregularity>;
 
+    /// Sets the form that the events of the latest attempt have to have, `None` if it is not known.
+    fn expect(&mut self, form: Option<EventForm>);
+
+    /// Returns the events of the latest attempt that deviate from the form, one of each kind.
+    fn take_deviations(&mut self) -> Vec<EventDeviation>;
+
+    /// Returns what the events of the answer look like, `None` where it does not consist of events, or began elsewhere.
+    fn shape(&self) -> Option<&StreamShape>;
+
     /// Returns whether the times of the parts are reported as the target's streaming speed.
     fn reports_timing(&self) -> bool;
 
@@ -198,97 +213,23 @@
         Vec::new()
     }
 
-    fn reports_timing(&self) -> bool {
-        false
-    }
-
-    fn kept_answer(&mut self) -> Option<KeptAnswer> {
-        let body = self.kept.take()?;
-        let content_type = self.content_type.clone();
-        Some(KeptAnswer { status: self.status, content_type, body })
-    }
-}
-
-/// Relays complete events. An attempt at another target continues an interrupted stream after its last event.
-#[derive(Default)]
-pub struct EventFraming {
-    events: EventSplitter,
-    /// Whether the latest attempt has brought an event.
-    has_events: bool,
-}
-
-impl EventFraming {
-    /// Creates the framing of a stream of which the caller has the events up to this number.
-    pub fn after(last_event: Option<u64>) -> EventFraming {
-        EventFraming { events: EventSplitter::after(last_event), ..EventFraming::default() }
-    }
-}
-
-impl AnswerFraming for EventFraming {
-    fn begin(&mut self, _: &ResponseHead) {}
-
-    fn delays_head(&self) -> bool {
-        true
-    }
-
-    fn push(&mut self, part: Bytes) -> Bytes {
-        let events = self.events.push(&part);
-        self.has_events |= !events.is_empty();
-        events
-    }
-
-    fn buffered(&self) -> usize {
-        self.events.buffered()
-    }
-
-    /// A stream that ends within an event was cut, and so was one that ends with its connection before any event of the
-    /// same attempt.
-    fn is_complete(&self, frame: BodyFrame) -> bool {
-        self.events.is_between_events() && (self.has_events || frame != BodyFrame::UntilClose)
-    }
-
-    fn may_end(&self) -> bool {
-        self.events.may_end()
-    }
+    fn expect(&mut self, _: Option<EventForm>) {}
 
-    fn take_remaining(&mut self) -> Bytes {
-        self.events.take_remaining()
+    fn take_deviations(&mut self) -> Vec<EventDeviation> {
+        Vec::new()
     }
 
-    fn resume_request(&mut self) -> Option<RequestHead> {
+    fn shape(&self) -> Option<&StreamShape> {
         None
     }
 
-    fn restart(&mut self) {
-        self.events.discard_incomplete();
-        self.has_events = false;
-    }
-
-    fn is_resumable(&self) -> bool {
-        self.events.is_resumable()
-    }
-
-    fn last_event(&self) -> Option<u64> {
-        self.events.last()
-    }
-
-    fn is_misplaced(&self) -> bool {
-        self.events.is_misplaced()
-    }
-
-    fn take_join(&mut self) -> Option<StreamJoin> {
-        self.events.take_join()
-    }
-
-    fn take_irregularities(&mut self) -> Vec<StreamIrregularity> {
-        self.events.take_irregularities()
-    }
-
     fn reports_timing(&self) -> bool {
-        true
+        false
     }
 
     fn kept_answer(&mut self) -> Option<KeptAnswer> {
-        None
+        let body = self.kept.take()?;
+        let content_type = self.content_type.clone();
+        Some(KeptAnswer { status: self.status, content_type, body })
     }
 }
--- /dev/null
+++ b/crates/daemon/src/request/framing/events.rs
@@ -0,0 +1,134 @@
+//! Splits an answer that consists of events, and tracks the last one that the caller has.
+//!
+//! Owns: the position in the stream of one request, over all its attempts. Relies on: [`EventSplitter`].
+
+use actix_http::{RequestHead, ResponseHead};
+use bytes::Bytes;
+use curlewcleat_core::KeptAnswer;
+use curlewcleat_targets::{
+    BodyFrame, EventDeviation, EventForm, EventSplitter, StreamIrregularity, StreamJoin,
+    StreamShape,
+};
+
+use super::AnswerFraming;
+
+/// Relays complete events. An attempt at another target continues an interrupted stream after its last event.
+#[derive(Default)]
+pub struct EventFraming {
+    events: EventSplitter,
+    /// Whether the latest attempt has brought an event.
+    has_events: bool,
+    /// What the caller has of the stream from an earlier request.
+    position: StreamPosition,
+}
+
+/// What the caller has of a stream before the answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StreamPosition {
+    /// Nothing.
+    #[default]
+    Beginning,
+    /// The events up to this number.
+    After(u64),
+    /// Events up to one whose id is no number.
+    Unknown,
+}
+
+impl StreamPosition {
+    fn number(self) -> Option<u64> {
+        match self {
+            StreamPosition::After(number) => Some(number),
+            StreamPosition::Beginning | StreamPosition::Unknown => None,
+        }
+    }
+}
+
+impl EventFraming {
+    /// Creates the framing of a stream that goes on from this position.
+    pub fn from(position: StreamPosition) -> EventFraming {
+        let events = EventSplitter::after(position.number());
+        EventFraming { events, has_events: false, position }
+    }
+}
+
+impl AnswerFraming for EventFraming {
+    fn begin(&mut self, _: &ResponseHead) {}
+
+    fn delays_head(&self) -> bool {
+        true
+    }
+
+    fn push(&mut self, part: Bytes) -> Bytes {
+        let events = self.events.push(&part);
+        self.has_events |= !events.is_empty();
+        events
+    }
+
+    fn buffered(&self) -> usize {
+        self.events.buffered()
+    }
+
+    /// A stream that ends within an event was cut, and so was one that ends with its connection before any event of the
+    /// same attempt.
+    fn is_complete(&self, frame: BodyFrame) -> bool {
+        self.events.is_between_events() && (self.has_events || frame != BodyFrame::UntilClose)
+    }
+
+    fn may_end(&self) -> bool {
+        self.events.may_end()
+    }
+
+    fn take_remaining(&mut self) -> Bytes {
+        self.events.take_remaining()
+    }
+
+    fn resume_request(&mut self) -> Option<RequestHead> {
+        None
+    }
+
+    fn restart(&mut self) {
+        self.events.discard_incomplete();
+        self.has_events = false;
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.events.is_resumable()
+    }
+
+    fn last_event(&self) -> Option<u64> {
+        self.events.last()
+    }
+
+    fn is_misplaced(&self) -> bool {
+        self.events.is_misplaced()
+    }
+
+    fn take_join(&mut self) -> Option<StreamJoin> {
+        self.events.take_join()
+    }
+
+    fn take_irregularities(&mut self) -> Vec<StreamIrregularity> {
+        self.events.take_irregularities()
+    }
+
+    fn expect(&mut self, form: Option<EventForm>) {
+        // Without a position the first number tells nothing.
+        self.events.expect(form.filter(|_| self.position != StreamPosition::Unknown));
+    }
+
+    fn take_deviations(&mut self) -> Vec<EventDeviation> {
+        self.events.take_deviations()
+    }
+
+    fn shape(&self) -> Option<&StreamShape> {
+        (self.position == StreamPosition::Beginning).then(|| self.events.shape())
+    }
+
+    fn reports_timing(&self) -> bool {
+        true
+    }
+
+    fn kept_answer(&mut self) -> Option<KeptAnswer> {
+        None
+    }
+}
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -29,10 +29,10 @@
 use curlewcleat_store::WireProfile;
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
 
-use super::admitted::{AdmittedRequest, TakeUpHeaders};
+use super::admitted::AdmittedRequest;
 use super::answer::{AnswerContent, CallerAnswer, PartsFrame};
 use super::body::{BodyOptions, RequestBody};
-use super::framing::{AnswerFraming, EventFraming};
+use super::framing::{AnswerFraming, EventFraming, StreamPosition};
 use super::problem::problem_answer;
 use super::protocol::{AttemptLimits, CallerProtocol, HeadVerdict, ProtocolOptions, TargetAttempt};
 use crate::config_freshness::ConfigFreshness;
@@ -238,8 +238,13 @@
     }
 
     fn answer_framing(&self, request: &AdmittedRequest) -> Box<dyn AnswerFraming> {
-        let taken_up = request.take_up.as_ref();
-        Box::new(EventFraming::after(taken_up.and_then(TakeUpHeaders::last_number)))
+        let position = match &request.take_up {
+            None => StreamPosition::Beginning,
+            Some(taken_up) => {
+                taken_up.last_number().map_or(StreamPosition::Unknown, StreamPosition::After)
+            }
+        };
+        Box::new(EventFraming::from(position))
     }
 
     fn caller_answer(&self, _: RequestId, head: &ResponseHead) -> CallerAnswer {
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -23,6 +23,7 @@
 use super::cause::AttemptCause;
 use super::run::{AttemptOutcome, RequestRun};
 use super::target_wait::{GrantedTarget, WaitEnd};
+use crate::stream_forms::StreamSource;
 
 /// Next event in an answer.
 enum NextPart {
@@ -65,7 +66,7 @@
     ) -> AttemptOutcome {
         let TargetAnswer { head, mut body } = answer;
         let mut undelivered = body.intake_hold();
-        self.begin_parts(&head);
+        self.begin_parts(&head, target);
         let mut limit = self.part_limit();
         loop {
             let part = match self.next_part(&mut body, target, limit).await {
@@ -119,8 +120,11 @@
         Some(self.exceeded(target, excess))
     }
 
-    /// Logs where a continuation begins, and what is irregular about the numbers of the target's events.
+    /// Logs where a continuation begins, and what is irregular about the target's events.
     fn report_numbers(&mut self, target: &TargetEntry) {
+        for deviation in self.framing.take_deviations() {
+            self.log_deviation(target, &deviation);
+        }
         for irregularity in self.framing.take_irregularities() {
             self.log_irregularity(target, irregularity);
         }
@@ -129,6 +133,18 @@
         }
     }
 
+    /// Returns the source that shares the form of its events with the answers of this target.
+    fn stream_source(&self, target: &TargetEntry) -> StreamSource {
+        StreamSource::new(&self.request.rule.id, &self.request.pool.id, target)
+    }
+
+    /// Records what the events of an answer looked like that its caller has whole.
+    pub(super) fn record_stream_shape(&self, target: &TargetEntry) {
+        if let Some(shape) = self.framing.shape() {
+            self.service.context.forms.record_whole(&self.stream_source(target), shape);
+        }
+    }
+
     fn report_part(&mut self, target: &TargetEntry) {
         self.report_observations(target, self.progress.part_observation());
         self.report_established_answer();
@@ -154,8 +170,10 @@
         }
     }
 
-    fn begin_parts(&mut self, head: &actix_http::ResponseHead) {
+    fn begin_parts(&mut self, head: &actix_http::ResponseHead, target: &TargetEntry) {
         self.framing.begin(head);
+        let source = self.stream_source(target);
+        self.framing.expect(self.service.context.forms.form(&source));
         if !self.framing.delays_head() {
             self.begin_answer(head);
         }
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -146,6 +146,7 @@
                 AttemptOutcome::Served(end) => {
                     self.report_observations(&target, self.progress.end_observations());
                     self.report_completed_answer();
+                    self.record_stream_shape(&target);
                     self.log_served(&target);
                     return self.report_end(end);
                 }
@@ -251,7 +252,8 @@
     /// Gives up a request whose caller stopped reading: dropping it cancels it at the node and cuts its answer.
     fn abandon_stalled_caller(&mut self) {
         warn!("caller_stalled", kv: {
-            request = self.request.id.to_string(), offset = self.progress.bytes
+            request = self.request.id.to_string(), offset = self.progress.bytes,
+            attempt = self.request.attempt_id.as_str(), last_event = self.last_event_text()
         });
         self.service.context.metrics.count_caller_stalled();
         self.answer.end_stalled();
@@ -280,6 +282,15 @@
     }
 }
 
+impl Drop for RequestRun {
+    /// Logs a stream whose caller has left: what was passed on may be more than its caller has.
+    fn drop(&mut self) {
+        if self.pending.is_some() && self.answer.has_begun() {
+            self.log_caller_left();
+        }
+    }
+}
+
 /// Builds the answer that was kept from an earlier attempt with the same idempotency key.
 fn replayed_answer(id: RequestId, kept: KeptAnswer) -> CallerAnswer {
     // Status and content type come from a target's answer. An invalid status becomes 200.
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -1,13 +1,15 @@
 //! Logs a request: one line for each failed attempt and one for the end.
 //!
 //! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `stream_joined`,
-//! `stream_irregular`, `answer_cut`, `request_refused`. Relies on: the run's progress.
+//! `stream_irregular`, `stream_deviates`, `caller_left`, `answer_cut`, `request_refused`. Relies on: the run's progress.
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     FeatureKind, Refusal, RefusalReason, RequestId, TargetEntry, TargetId, TargetVersion,
 };
-use curlewcleat_targets::{BodyFrame, ConnectionOrigin, StreamIrregularity, StreamJoin};
+use curlewcleat_targets::{
+    BodyFrame, ConnectionOrigin, EventDeviation, StreamIrregularity, StreamJoin,
+};
 use spdlog::prelude::*;
 
 use super::RequestRun;
@@ -28,7 +30,7 @@
         let account = request.account.as_deref().unwrap_or_default();
         // Every answer that was served has a head.
         let ended_by = progress.frame().map_or("", BodyFrame::code);
-        let connection = progress.connection().map_or("", ConnectionOrigin::code);
+        let connection = self.connection_code();
         self.service.context.metrics.count_answer_end(ended_by, &request.tier, &request.pool.id);
         info!("request_served", kv: {
             request = request.id.to_string(), attempt = request.attempt_id.as_str(), account,
@@ -42,6 +44,11 @@
         });
     }
 
+    /// Returns the number of the last event that was passed on, empty if there is none.
+    pub(super) fn last_event_text(&self) -> String {
+        self.framing.last_event().map_or(String::new(), |number| number.to_string())
+    }
+
     pub(super) fn log_failed_attempt(&self, target: &TargetId, reason: &str, cause: AttemptCause) {
         info!("attempt_failed", kv: {
             request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
@@ -77,10 +84,31 @@
         info!("stream_joined", kv: {
             request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
             target = target.id.as_str(), after = join.after, first = join.first,
-            repeated = join.repeated
+            repeated = join.repeated, connection = self.connection_code()
+        });
+    }
+
+    /// Logs and counts an event that deviates from the form that the streams of its source have.
+    pub(in crate::request) fn log_deviation(
+        &self,
+        target: &TargetEntry,
+        deviation: &EventDeviation,
+    ) {
+        let kind = deviation.kind.code();
+        self.service.context.metrics.count_stream_deviation(kind);
+        let number = deviation.number.map_or(String::new(), |number| number.to_string());
+        warn!("stream_deviates", kv: {
+            request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
+            target = target.id.as_str(), kind, after = deviation.after, number,
+            event = deviation.excerpt.as_str(), connection = self.connection_code()
         });
     }
 
+    /// Returns where the connection of the latest attempt comes from, empty before it is established.
+    fn connection_code(&self) -> &'static str {
+        self.progress.connection().map_or("", ConnectionOrigin::code)
+    }
+
     /// Logs and counts a number that is irregular within the answer of a target.
     pub(in crate::request) fn log_irregularity(
         &self,
@@ -96,13 +124,22 @@
         });
     }
 
+    /// Logs that a caller left before the end of its answer, with the last event that was passed on.
+    pub(super) fn log_caller_left(&self) {
+        info!("caller_left", kv: {
+            request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
+            offset = self.progress.bytes, last_event = self.last_event_text()
+        });
+    }
+
     /// Logs that an answer was cut after its beginning, because the request was refused for `reason`.
     pub(super) fn log_cut(&self, reason: RefusalReason) {
         // An answer that has begun comes from a target, so the default is never used.
         let target = self.progress.target.as_deref().unwrap_or_default();
         warn!("answer_cut", kv: {
             request = self.request.id.to_string(), target,
-            offset = self.progress.bytes, reason = reason.code()
+            offset = self.progress.bytes, reason = reason.code(),
+            attempt = self.request.attempt_id.as_str(), last_event = self.last_event_text()
         });
     }
 }
--- /dev/null
+++ b/crates/targets/src/event_form.rs
@@ -0,0 +1,170 @@
+//! Compares events with the form that the streams of a source have: they count from one by one, and each event has one
+//! number and data.
+//!
+//! Owns: the shape of one stream. Relies on: [`FormEvidence`](crate::FormEvidence) for the form, which is known only once
+//! enough streams have shown it.
+
+use crate::event_fields::EventFields;
+
+/// Number of the first event of a stream that has the form.
+pub const FIRST_NUMBER: u64 = 1;
+/// Longest beginning of a deviating event in bytes that is kept for a log line.
+const EXCERPT_LIMIT: usize = 64;
+
+/// What the events of all recent streams of a source have in common, beside numbers that count from one by one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventForm {
+    /// Fewest `data` fields of an event, at least one.
+    pub min_data_lines: u32,
+    /// Most `data` fields of an event.
+    pub max_data_lines: u32,
+    /// Whether streams may end with an event that has data and no number.
+    pub may_end_unnumbered: bool,
+}
+
+/// How an event deviates from the form.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeviationKind {
+    /// It has data and no number.
+    NoNumber,
+    /// Its `id` field is no number.
+    OddNumber,
+    /// It has several `id` fields.
+    SeveralNumbers,
+    /// It has a number and no data.
+    NoData,
+    /// It has more or fewer `data` fields than others.
+    OddData,
+    /// Its number leaves out others.
+    Gap,
+    /// Its number is not higher than the one before, in the same answer.
+    Fell,
+}
+
+impl DeviationKind {
+    /// All kinds.
+    pub const ALL: [DeviationKind; 7] = [
+        DeviationKind::NoNumber,
+        DeviationKind::OddNumber,
+        DeviationKind::SeveralNumbers,
+        DeviationKind::NoData,
+        DeviationKind::OddData,
+        DeviationKind::Gap,
+        DeviationKind::Fell,
+    ];
+
+    /// Returns the code for log lines and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            DeviationKind::NoNumber => "no_number",
+            DeviationKind::OddNumber => "odd_number",
+            DeviationKind::SeveralNumbers => "several_numbers",
+            DeviationKind::NoData => "no_data",
+            DeviationKind::OddData => "odd_data",
+            DeviationKind::Gap => "gap",
+            DeviationKind::Fell => "fell",
+        }
+    }
+}
+
+/// An event that deviates from the form of its source's streams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventDeviation {
+    /// How it deviates.
+    pub kind: DeviationKind,
+    /// Number of the last event before, 0 if there is none.
+    pub after: u64,
+    /// Its number, if it has one.
+    pub number: Option<u64>,
+    /// The beginning of the event, with other bytes than printable ASCII escaped.
+    pub excerpt: String,
+}
+
+impl EventDeviation {
+    /// Describes how an event deviates.
+    pub fn new(
+        kind: DeviationKind,
+        after: Option<u64>,
+        number: Option<u64>,
+        event: &[u8],
+    ) -> EventDeviation {
+        let excerpt = event[..event.len().min(EXCERPT_LIMIT)].escape_ascii().to_string();
+        // Numbers of the form begin with one, so that none is before the first event.
+        let after = after.unwrap_or(FIRST_NUMBER - 1);
+        EventDeviation { kind, after, number, excerpt }
+    }
+}
+
+impl EventForm {
+    /// Returns how the fields of an event deviate, whatever its number is. An event without a number deviates also where a
+    /// stream may end with one, since only the end of the answer shows that it is the last.
+    pub fn field_deviation(&self, fields: &EventFields) -> Option<DeviationKind> {
+        if fields.is_comment() {
+            return None;
+        }
+        match (fields.ids, fields.number) {
+            (0, _) => return Some(DeviationKind::NoNumber),
+            (1, None) => return Some(DeviationKind::OddNumber),
+            (1, Some(_)) => {}
+            _ => return Some(DeviationKind::SeveralNumbers),
+        }
+        match fields.data_lines {
+            0 => Some(DeviationKind::NoData),
+            lines if !(self.min_data_lines..=self.max_data_lines).contains(&lines) => {
+                Some(DeviationKind::OddData)
+            }
+            _ => None,
+        }
+    }
+}
+
+/// What the events of one stream looked like, in the order in which they were accepted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamShape {
+    events: u64,
+    min_data_lines: u32,
+    max_data_lines: u32,
+    /// Whether the latest event had data and no number.
+    ends_unnumbered: bool,
+    /// Whether an event did not count on from the one before, or lacked a number or data.
+    is_irregular: bool,
+}
+
+impl StreamShape {
+    /// Records the fields of an accepted event.
+    pub fn record(&mut self, fields: &EventFields) {
+        if fields.is_comment() {
+            return;
+        }
+        // Only the last event may lack a number.
+        self.is_irregular |= self.ends_unnumbered;
+        if fields.ids == 0 {
+            self.ends_unnumbered = true;
+            return;
+        }
+        let is_first = self.events == 0;
+        self.events += 1;
+        self.is_irregular |= fields.ids > 1 || !fields.has_data();
+        self.is_irregular |= fields.number != Some(self.events);
+        self.max_data_lines = self.max_data_lines.max(fields.data_lines);
+        self.min_data_lines = match is_first {
+            true => fields.data_lines,
+            false => self.min_data_lines.min(fields.data_lines),
+        };
+    }
+
+    /// Returns the number of events with a number.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Returns the narrowest form that the stream has, `None` if it has no such form or no event with a number.
+    pub fn form(&self) -> Option<EventForm> {
+        let is_regular = !self.is_irregular && self.events > 0;
+        is_regular.then_some(EventForm {
+            min_data_lines: self.min_data_lines,
+            max_data_lines: self.max_data_lines,
+            may_end_unnumbered: self.ends_unnumbered,
+        })
+    }
+}
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -3,19 +3,17 @@
 //! Owns: the bytes of an incomplete event and of one that is held back, what of the stream has no number. Relies on: events that end with a blank
 //! line, [`EventNumbers`] for the position.
 
-use std::num::IntErrorKind;
-
 use bytes::{Bytes, BytesMut};
 
+use crate::event_fields::EventFields;
+use crate::event_form::{EventDeviation, EventForm, StreamShape};
 use crate::event_numbers::{EventNumbers, EventPlace, StreamJoin};
+use crate::form_check::FormCheck;
 use crate::stream_irregularity::StreamIrregularity;
 
 /// Maximum number of buffered bytes of an incomplete event; more are returned as they are.
 const EVENT_LIMIT: usize = 1 << 20;
 
-/// Encoding of the mark with which a stream may begin.
-const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
-
 /// Splits a stream at the ends of events, so that a stream that is interrupted within an event can be resumed. Lines end
 /// with CR, LF or both.
 #[derive(Debug, Default)]
@@ -33,6 +31,10 @@
     holds_unnumbered_data: bool,
     /// Whether the latest answer is not in its place.
     is_misplaced: bool,
+    /// What the events of the source's streams look like.
+    check: FormCheck,
+    /// What the events of this stream look like.
+    shape: StreamShape,
 }
 
 /// Search for the end of the first buffered event, which continues where the bytes ended.
@@ -131,17 +133,21 @@
         if self.is_misplaced {
             return;
         }
-        let Some(number) = event_number(event) else {
-            return self.place_unnumbered(event, out);
+        let fields = EventFields::read(event);
+        self.check.check(&fields, self.numbers.last(), event);
+        let Some(number) = fields.number else {
+            return self.place_unnumbered(event, &fields, out);
         };
         match self.numbers.record(number) {
             EventPlace::Next => {
                 self.return_held(out);
+                self.shape.record(&fields);
                 self.has_unnumbered_data = false;
                 out.extend_from_slice(event);
             }
             EventPlace::Held => {
                 self.return_held(out);
+                self.shape.record(&fields);
                 self.held.extend_from_slice(event);
             }
             EventPlace::Repeated => {}
@@ -149,15 +155,17 @@
         }
     }
 
-    fn place_unnumbered(&mut self, event: &[u8], out: &mut BytesMut) {
+    fn place_unnumbered(&mut self, event: &[u8], fields: &EventFields, out: &mut BytesMut) {
         self.numbers.record_unnumbered();
         if self.numbers.is_holding() {
-            self.holds_unnumbered_data |= has_data(event);
+            self.shape.record(fields);
+            self.holds_unnumbered_data |= fields.has_data();
             self.held.extend_from_slice(event);
             self.is_misplaced |= self.held.len() > EVENT_LIMIT;
         } else if !self.numbers.is_repeating() {
             // It is part of what is repeated if the events around it are.
-            self.has_unnumbered_data |= has_data(event);
+            self.shape.record(fields);
+            self.has_unnumbered_data |= fields.has_data();
             out.extend_from_slice(event);
         }
     }
@@ -185,6 +193,23 @@
         self.numbers.take_irregularities()
     }
 
+    /// Sets the form that the events of the source's streams have. What an earlier event was judged by stays.
+    pub fn expect(&mut self, form: Option<EventForm>) {
+        if self.shape == StreamShape::default() {
+            self.check.expect(form);
+        }
+    }
+
+    /// Returns what the events of the stream looked like so far.
+    pub fn shape(&self) -> &StreamShape {
+        &self.shape
+    }
+
+    /// Returns the events of the latest answer that deviate from the form, one of each kind.
+    pub fn take_deviations(&mut self) -> Vec<EventDeviation> {
+        self.check.take_deviations()
+    }
+
     /// Returns whether the events of the latest answer may be all of its stream: none of them is held back, and those
     /// that it repeated reach the last one.
     pub fn may_end(&self) -> bool {
@@ -216,25 +241,6 @@
         self.holds_unnumbered_data = false;
         self.is_misplaced = false;
         self.numbers.resume();
-    }
-}
-
-/// Returns the lines of an event.
-fn lines(event: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
-    let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
-    event.split(|byte| matches!(byte, b'\r' | b'\n'))
-}
-
-/// Returns whether callers see the event: without data it is a comment.
-fn has_data(event: &[u8]) -> bool {
-    lines(event).any(|line| line == b"data" || line.starts_with(b"data:"))
-}
-
-/// Returns the number in the last `id` field of an event, the highest one if it is too high to be represented.
-fn event_number(event: &[u8]) -> Option<u64> {
-    let id = lines(event).filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
-    match std::str::from_utf8(id).ok()?.trim().parse() {
-        Ok(number) => Some(number),
-        Err(error) => (*error.kind() == IntErrorKind::PosOverflow).then_some(u64::MAX),
+        self.check.resume();
     }
 }
--- /dev/null
+++ b/crates/targets/src/form_evidence.rs
@@ -0,0 +1,83 @@
+//! Decides from the streams of one source which form its events have.
+//!
+//! Load pattern: many streams of one rule at one version, of which some in a thousand are damaged by a target. One stream
+//! is too short to tell a damaged event from a sound one, all of them together are not.
+//!
+//! Owns: what the recent streams had in common. Relies on: streams that began here and ended whole.
+
+use crate::event_form::{EventForm, StreamShape};
+
+/// Fewest streams that show a form. One stream may have it by chance.
+const MIN_STREAMS: u32 = 8;
+/// Fewest events that show a form: numbers that leave out one in three others show it by chance in no process's life.
+const MIN_EVENTS: u64 = 64;
+/// Factor by which more events are needed each time that targets agreed on another form.
+const CONTRADICTION_FACTOR: u64 = 4;
+/// Whole streams that outweigh one that was cut because it deviated.
+const CUT_WEIGHT: u32 = 32;
+/// Weight of cut streams above which the form no longer holds: more than four beside each other.
+const MAX_CUT_WEIGHT: u32 = 4 * CUT_WEIGHT;
+
+/// What the recent streams of a source had in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FormEvidence {
+    /// Form that covers all of them, `None` before the first one.
+    form: Option<EventForm>,
+    streams: u32,
+    events: u64,
+    /// Events that show a form.
+    required_events: u64,
+    cut_weight: u32,
+}
+
+impl Default for FormEvidence {
+    fn default() -> FormEvidence {
+        FormEvidence {
+            form: None,
+            streams: 0,
+            events: 0,
+            required_events: MIN_EVENTS,
+            cut_weight: 0,
+        }
+    }
+}
+
+impl FormEvidence {
+    /// Returns the form that events have, `None` while too few streams have shown one.
+    pub fn form(&self) -> Option<EventForm> {
+        self.form.filter(|_| self.streams >= MIN_STREAMS && self.events >= self.required_events)
+    }
+
+    /// Records a stream that its caller has whole.
+    pub fn record_whole(&mut self, shape: &StreamShape) {
+        let Some(shown) = shape.form() else { return self.take_back() };
+        self.streams = self.streams.saturating_add(1);
+        self.events = self.events.saturating_add(shape.events());
+        self.cut_weight = self.cut_weight.saturating_sub(1);
+        self.form = Some(self.form.map_or(shown, |form| widen(form, shown)));
+    }
+
+    /// Records a stream that was cut because an event of it deviated, and no other target showed which of both is right.
+    pub fn record_cut(&mut self) {
+        self.cut_weight += CUT_WEIGHT;
+        if self.cut_weight > MAX_CUT_WEIGHT {
+            self.take_back();
+        }
+    }
+
+    /// Begins anew after a sound stream of another form.
+    fn take_back(&mut self) {
+        let was_known = self.form().is_some();
+        let factor = if was_known { CONTRADICTION_FACTOR } else { 1 };
+        let required_events = self.required_events.saturating_mul(factor);
+        *self = FormEvidence { required_events, ..FormEvidence::default() };
+    }
+}
+
+fn widen(form: EventForm, other: EventForm) -> EventForm {
+    EventForm {
+        min_data_lines: form.min_data_lines.min(other.min_data_lines),
+        max_data_lines: form.max_data_lines.max(other.max_data_lines),
+        may_end_unnumbered: form.may_end_unnumbered || other.may_end_unnumbered,
+    }
+}
