Streams: a repeated last event states an end only where its answer has ended

Two events, cut twice behind the first one, then a wrong number 1 and the end: complete without the second. The cut answer that had brought the last event again counted as one that stated the end. Only an answer that has ended does so now.

--- a/crates/targets/src/event_numbers.rs
+++ b/crates/targets/src/event_numbers.rs
@@ -60,6 +60,8 @@
     steps: NumberSteps,
     held: Option<HeldNumber>,
     stated: Option<StatedNext>,
+    /// Whether the latest answer has ended after it repeated the last event alone.
+    has_stated_end: bool,
     /// Events without a number since the last one with a number.
     unnumbered: u64,
     /// Whether the next number is the first of a continuation.
@@ -216,10 +218,12 @@
         self.is_resuming && self.repeated > 0
     }
 
-    /// Returns whether the answer may end here: no event is held back, and one that repeats events has reached the last.
-    pub fn may_end(&self) -> bool {
+    /// Returns whether the answer, which ends here, may be the last one: no event is held back, and one that repeats events
+    /// has reached the last.
+    pub fn may_end(&mut self) -> bool {
         let is_behind = self.order.last().is_some_and(|number| Some(number) < self.last);
-        self.held.is_none() && !is_behind && !self.is_end_unproven()
+        self.has_stated_end = self.is_end_unproven();
+        self.held.is_none() && !is_behind && !self.has_stated_end
     }
 
     /// Returns whether the answer repeats the last event alone: a new event with a wrong number looks the same.
@@ -251,7 +255,8 @@
 
     /// Prepares for a continuation after the last event that is not held back.
     pub fn resume(&mut self) {
-        if self.is_end_unproven() {
+        // An answer that was cut states no end.
+        if std::mem::take(&mut self.has_stated_end) {
             self.stated = self.repeated_last();
         }
         if let (Some(held), Some(after)) = (self.held.take(), self.last) {
