--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -57,19 +57,24 @@
             first_byte: registry
                 .histograms("first_byte_seconds", "Time from arrival to the answer's first byte")?,
         };
+        metrics.begin_with_zeros();
+        Ok(metrics)
+    }
+
+    /// Begins the counters by reason, which are then known before the first count.
+    fn begin_with_zeros(&self) {
         for reason in RefusalReason::ALL {
-            metrics.refusals.with_label_values(&[reason.code(), "", ""]);
+            self.refusals.with_label_values(&[reason.code(), "", ""]);
         }
         for reason in RetryReason::ALL {
-            metrics.retries.with_label_values(&[reason.code()]);
+            self.retries.with_label_values(&[reason.code()]);
         }
         for kind in IrregularityKind::ALL {
-            metrics.stream_irregularities.with_label_values(&[kind.code()]);
+            self.stream_irregularities.with_label_values(&[kind.code()]);
         }
         for kind in DeviationKind::ALL {
-            metrics.stream_deviations.with_label_values(&[kind.code()]);
+            self.stream_deviations.with_label_values(&[kind.code()]);
         }
-        Ok(metrics)
     }
 }
 
--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -11,6 +11,7 @@
 };
 
 use super::AnswerFraming;
+use crate::request::admitted::TakeUpHeaders;
 
 /// Relays complete events. An attempt at another target continues an interrupted stream after its last event.
 #[derive(Default)]
@@ -35,6 +36,16 @@
 }
 
 impl StreamPosition {
+    /// Returns the position at which a caller takes up its stream, if it does.
+    pub fn of(take_up: Option<&TakeUpHeaders>) -> StreamPosition {
+        match take_up {
+            None => StreamPosition::Beginning,
+            Some(headers) => {
+                headers.last_number().map_or(StreamPosition::Unknown, StreamPosition::After)
+            }
+        }
+    }
+
     fn number(self) -> Option<u64> {
         match self {
             StreamPosition::After(number) => Some(number),
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -238,13 +238,7 @@
     }
 
     fn answer_framing(&self, request: &AdmittedRequest) -> Box<dyn AnswerFraming> {
-        let position = match &request.take_up {
-            None => StreamPosition::Beginning,
-            Some(taken_up) => {
-                taken_up.last_number().map_or(StreamPosition::Unknown, StreamPosition::After)
-            }
-        };
-        Box::new(EventFraming::from(position))
+        Box::new(EventFraming::from(StreamPosition::of(request.take_up.as_ref())))
     }
 
     fn caller_answer(&self, _: RequestId, head: &ResponseHead) -> CallerAnswer {
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -7,25 +7,21 @@
 mod attempts;
 mod fault;
 mod log;
+mod replay;
 mod sample;
 
 use std::rc::Rc;
 
-use actix_http::header::{self, HeaderName, HeaderValue};
-use actix_http::StatusCode;
-use bytes::Bytes;
 use curlewcleat_core::{
-    AttemptEnd, KeptAnswer, Refusal, RefusalReason, RequestId, RetryReason, TargetEntry, Verdict,
+    AttemptEnd, KeptAnswer, Refusal, RefusalReason, RetryReason, TargetEntry, Verdict,
 };
 use curlewcleat_node::{CallerDecision, NodeEvent, RequestEnd};
-use spdlog::prelude::*;
 
 use super::admitted::AdmittedRequest;
-use super::answer::{AnswerContent, CallerAnswer};
+use super::answer::CallerAnswer;
 use super::answer_channel::AnswerChannel;
 use super::cause::AttemptCause;
 use super::framing::AnswerFraming;
-use super::problem::REQUEST_ID;
 use super::progress::RequestProgress;
 use super::protocol::CallerProtocol;
 use super::target_wait::GrantedTarget;
@@ -33,11 +29,9 @@
 use crate::byte_budget::ByteHold;
 use crate::pending::PendingRequest;
 
+use self::fault::AttemptFault;
 pub use self::log::record_refusal;
 
-/// Header that marks an answer replayed from an earlier attempt with the same idempotency key.
-const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
-
 /// Result of an attempt, which decides how the request goes on.
 pub enum AttemptOutcome {
     /// The caller has the complete answer.
@@ -152,9 +146,8 @@
                 }
                 AttemptOutcome::Retry(reason, cause) => self.retry(&target, reason, cause),
                 AttemptOutcome::Replaced(other, cause) => {
-                    self.log_failed_attempt(&target.id, RetryReason::StreamResumed.code(), cause);
-                    let fault = self.fault_of(&target, cause);
-                    self.report_interruption(&target, cause, fault);
+                    let code = RetryReason::StreamResumed.code();
+                    self.record_failed_attempt(&target, code, cause);
                     self.framing.restart();
                     granted = Some(other);
                 }
@@ -163,9 +156,7 @@
                     return self.refuse(reason);
                 }
                 AttemptOutcome::Failed(end, reason, cause) => {
-                    self.log_failed_attempt(&target.id, reason.code(), cause);
-                    let fault = self.fault_of(&target, cause);
-                    self.report_interruption(&target, cause, fault);
+                    let fault = self.record_failed_attempt(&target, reason.code(), cause);
                     self.record_unresolved_deviation(&target);
                     self.report_end(fault.reported_end(end));
                     return self.refuse(reason);
@@ -185,7 +176,7 @@
             }
             PermitOutcome::Replayed(answer) => {
                 self.close_pending();
-                self.answer.send_head(replayed_answer(self.request.id, answer));
+                self.answer.send_head(replay::replayed_answer(self.request.id, answer));
             }
         }
         None
@@ -212,10 +203,8 @@
 
     /// Reports a failed attempt to the node, which then decides about another one.
     fn retry(&mut self, target: &TargetEntry, reason: RetryReason, cause: AttemptCause) {
-        self.log_failed_attempt(&target.id, reason.code(), cause);
         // The node needs the report before it decides about another attempt.
-        let fault = self.fault_of(target, cause);
-        self.report_interruption(target, cause, fault);
+        let fault = self.record_failed_attempt(target, reason.code(), cause);
         let answer_begun = self.answer.has_begun();
         if let Some(pending) = &mut self.pending {
             if answer_begun {
@@ -225,6 +214,19 @@
         }
     }
 
+    /// Logs a failed attempt and reports to the node what interrupted it; returns whose fault that was.
+    fn record_failed_attempt(
+        &self,
+        target: &TargetEntry,
+        reason: &str,
+        cause: AttemptCause,
+    ) -> AttemptFault {
+        self.log_failed_attempt(&target.id, reason, cause);
+        let fault = self.fault_of(target, cause);
+        self.report_interruption(target, cause, fault);
+        fault
+    }
+
     /// Closes the request at the node without a report: the node ended it itself.
     fn close_pending(&mut self) {
         if let Some(pending) = self.pending.take() {
@@ -252,10 +254,7 @@
 
     /// Gives up a request whose caller stopped reading: dropping it cancels it at the node and cuts its answer.
     fn abandon_stalled_caller(&mut self) {
-        warn!("caller_stalled", kv: {
-            request = self.request.id.to_string(), offset = self.progress.bytes,
-            attempt = self.request.attempt_id.as_str(), last_event = self.last_event_text()
-        });
+        self.log_caller_stalled();
         self.service.context.metrics.count_caller_stalled();
         self.answer.end_stalled();
         self.pending = None;
@@ -291,16 +290,3 @@
         }
     }
 }
-
-/// Builds the answer that was kept from an earlier attempt with the same idempotency key.
-fn replayed_answer(id: RequestId, kept: KeptAnswer) -> CallerAnswer {
-    // Status and content type come from a target's answer. An invalid status becomes 200.
-    let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
-    // An invalid content type is left out.
-    let content_type = HeaderValue::from_str(&kept.content_type).ok();
-    let mut headers = vec![(REPLAYED, HeaderValue::from_static("true"))];
-    headers.extend(content_type.map(|value| (header::CONTENT_TYPE, value)));
-    headers.extend(HeaderValue::from_str(&id.to_string()).ok().map(|value| (REQUEST_ID, value)));
-    let content = AnswerContent::Complete(Bytes::from(kept.body));
-    CallerAnswer { status, headers, content, close: false }
-}
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -1,7 +1,7 @@
 //! Logs a request: one line for each failed attempt and one for the end.
 //!
 //! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `stream_joined`,
-//! `stream_irregular`, `stream_deviates`, `caller_left`, `answer_cut`, `request_refused`. Relies on: the run's progress.
+//! `stream_irregular`, `stream_deviates`, `caller_left`, `caller_stalled`, `answer_cut`, `request_refused`. Relies on: the run's progress.
 
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
@@ -124,6 +124,14 @@
         });
     }
 
+    /// Logs that a caller did not read its answer, with the last event that was passed on.
+    pub(super) fn log_caller_stalled(&self) {
+        warn!("caller_stalled", kv: {
+            request = self.request.id.to_string(), offset = self.progress.bytes,
+            attempt = self.request.attempt_id.as_str(), last_event = self.last_event_text()
+        });
+    }
+
     /// Logs that a caller left before the end of its answer, with the last event that was passed on.
     pub(super) fn log_caller_left(&self) {
         info!("caller_left", kv: {
--- a/crates/targets/src/event_numbers.rs
+++ b/crates/targets/src/event_numbers.rs
@@ -198,7 +198,7 @@
         EventPlace::Next
     }
 
-    /// Takes back the latest event, which nobody has got; `last` is the number before it.
+    /// Takes back the latest event, which was not returned; `last` is the number before it.
     pub fn step_back(&mut self, last: Option<u64>) {
         (self.last, self.is_last_sure) = (last, true);
     }
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -3,17 +3,19 @@
 //! Owns: the bytes of an incomplete event and of one that is held back, what of the stream has no number. Relies on:
 //! [`EventNumbers`] for the position, [`FormCheck`] for events that are damaged.
 
-use std::hash::{DefaultHasher, Hasher};
+mod deviations;
 
 use bytes::{Bytes, BytesMut};
 
 use crate::event_fields::EventFields;
-use crate::event_form::{DeviationKind, EventDeviation, EventForm, StreamShape};
+use crate::event_form::{EventDeviation, EventForm, StreamShape};
 use crate::event_numbers::{EventNumbers, EventPlace, StreamJoin};
 use crate::event_scan::EventScan;
 use crate::form_check::{FormCheck, FormVerdict};
 use crate::stream_irregularity::StreamIrregularity;
 
+use self::deviations::LatestEvent;
+
 /// Maximum number of buffered bytes of an incomplete event; more are returned as they are.
 const EVENT_LIMIT: usize = 1 << 20;
 
@@ -46,16 +48,6 @@
     latest_digest: u64,
 }
 
-/// An event that can still be taken back.
-#[derive(Clone, Copy, Debug)]
-struct LatestEvent {
-    /// Where it begins in the events that are returned together.
-    begin: usize,
-    /// Shape and position of the stream before it.
-    shape: StreamShape,
-    last: Option<u64>,
-}
-
 impl EventSplitter {
     /// Creates a splitter for a stream of which the events up to this number are known already.
     pub fn after(number: Option<u64>) -> EventSplitter {
@@ -141,60 +133,6 @@
         }
     }
 
-    /// Remembers an event as the latest one that was accepted.
-    fn record_latest(
-        &mut self,
-        fields: &EventFields,
-        event: &[u8],
-        last: Option<u64>,
-        begin: usize,
-    ) {
-        self.latest = Some(LatestEvent { begin, shape: self.shape, last });
-        self.latest_digest = digest(event);
-        self.shape.record(fields);
-    }
-
-    /// Holds back an event without a number that ends the stream if nothing follows.
-    fn hold_last(&mut self, event: &[u8]) {
-        self.holds_last = true;
-        self.held.extend_from_slice(event);
-    }
-
-    /// Ends the answer at an event that deviates from the form. The one before it may be damaged as well: it is taken
-    /// back if it was not returned yet.
-    fn reject(
-        &mut self,
-        kind: DeviationKind,
-        fields: &EventFields,
-        event: &[u8],
-        out: &mut BytesMut,
-    ) {
-        self.is_misplaced = true;
-        if let Some(latest) = self.latest.take() {
-            out.truncate(latest.begin);
-            self.shape = latest.shape;
-            self.numbers.step_back(latest.last);
-        } else if kind == DeviationKind::Fell
-            && fields.number == self.numbers.last()
-            && digest(event) != self.latest_digest
-        {
-            // Which of two different events with this number is right is not known.
-            self.numbers.lose_position();
-        }
-    }
-
-    /// Goes on with a stream that has another form, as several targets have stated.
-    fn accept_other_form(&mut self, fields: &EventFields, out: &mut BytesMut) {
-        if std::mem::take(&mut self.holds_last) {
-            self.holds_unnumbered_data = true;
-            self.shape.record(&EventFields { data_lines: 1, ..EventFields::default() });
-            self.return_held(out);
-        }
-        if let Some(number) = fields.number {
-            self.numbers.expect(number);
-        }
-    }
-
     fn place_unnumbered(&mut self, event: &[u8], fields: &EventFields, out: &mut BytesMut) {
         self.numbers.record_unnumbered();
         if !self.held.is_empty() {
@@ -302,9 +240,3 @@
         self.check.resume();
     }
 }
-
-fn digest(event: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    hasher.write(event);
-    hasher.finish()
-}
--- a/crates/targets/src/form_check.rs
+++ b/crates/targets/src/form_check.rs
@@ -44,7 +44,7 @@
     form: Option<EventForm>,
     /// Target of the latest answer.
     source: String,
-    /// What answers stated of events that nobody has returned yet, one for each answer.
+    /// What answers stated of events that were not returned yet, one for each answer.
     stated: Vec<StatedDeviation>,
     /// First and latest number of the latest answer.
     numbers: Option<(u64, u64)>,
--- a/crates/targets/tests/irregular_streams.rs
+++ b/crates/targets/tests/irregular_streams.rs
@@ -3,6 +3,8 @@
 //! Each case has one faulty answer, which is cut, continued by sound targets, and taken up by its caller where it is cut
 //! visibly. Run with `STREAM_SEED` for other cases and `--nocapture` for the number of cases of each fault.
 
+#[path = "support/answer_faults.rs"]
+mod answer_faults;
 #[path = "support/numbered_streams.rs"]
 mod numbered_streams;
 #[path = "support/random.rs"]
@@ -10,7 +12,8 @@
 
 use std::collections::BTreeMap;
 
-use numbered_streams::{relay_numbers, AnswerFault, CaseOutcome, StreamCase, FORM_BY_ONE};
+use answer_faults::AnswerFault;
+use numbered_streams::{relay_numbers, CaseOutcome, StreamCase, FORM_BY_ONE};
 use random::Random;
 use rstest::rstest;
 
