Streams: an answer that is no stream does not take back the form of streams

Callers saw: damaged events passed on as before, on every rule whose targets answered a request with 400, 404 or any other complete answer.

Cause: the shape of the events was recorded for each answer that was served, also for those that are buffered and have no events.

It is recorded where a stream ends whole.

--- /dev/null
+++ b/crates/acceptance/tests/learned_stream_forms.rs
@@ -0,0 +1,87 @@
+//! What daemons learn of the form of streams from the answers of real targets, and how they unlearn it.
+
+mod support;
+
+use std::time::Duration;
+
+use anyhow::Result;
+use bytes::Bytes;
+use curlewcleat_acceptance::fleet_head;
+use curlewcleat_standins::fleet::{
+    EngineStep, FleetDeployment, FleetEngine,
+};
+use curlewcleat_targets::{AnswerBody, ConnectionPool, TargetAnswer};
+use futures_util::StreamExt;
+use rstest::rstest;
+use support::wait_served;
+
+/// Events of a stream.
+const EVENTS: u64 = 10;
+/// Time between two events.
+const EVENT_INTERVAL: Duration = Duration::from_millis(2);
+/// Streams after which their form is known.
+const SOUND_STREAMS: usize = 20;
+/// An event without a number follows on the one with this number.
+const UNNUMBERED: EngineStep = EngineStep::PauseUnnumbered(2, Duration::from_millis(20));
+const PATH: &str = "/resumed/stream/a";
+/// Bounds under which every stream may be continued.
+const BOUNDS: &str = "retry_saved = 10000\nretry_ratio = 10";
+
+/// Starts a daemon and engines, and plays sound streams.
+async fn start(name: &str, engines: usize) -> Result<FleetDeployment> {
+    let mut fleet = FleetDeployment::start(name).await?;
+    fleet.store_config()?;
+    for _ in 0..engines {
+        fleet.engine("engines", EVENTS, EVENT_INTERVAL).await?;
+    }
+    fleet.daemons(1, BOUNDS).await?;
+    wait_served(&fleet, PATH).await?;
+    for number in 0..SOUND_STREAMS {
+        let attempt = format!("sound-{number}");
+        assert_eq!(stream(&fleet, &attempt).await?, Some(sound(&attempt)));
+    }
+    Ok(fleet)
+}
+
+fn sound(attempt: &str) -> String {
+    FleetEngine::expected_stream(attempt, EVENTS)
+}
+
+async fn request(fleet: &FleetDeployment, attempt: &str) -> Result<TargetAnswer> {
+    let entry = &fleet.daemons[0].callers;
+    let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
+    Ok(connection.exchange(fleet_head(PATH, attempt)?, Bytes::from_static(b"b")).await?)
+}
+
+/// Requests a stream; `None` if it is refused or cut.
+async fn stream(fleet: &FleetDeployment, attempt: &str) -> Result<Option<String>> {
+    let answer = request(fleet, attempt).await?;
+    let is_served = answer.head.status == 200;
+    let text = read(answer.body).await?;
+    Ok(text.filter(|_| is_served))
+}
+
+async fn read(mut body: AnswerBody) -> Result<Option<String>> {
+    let mut bytes = Vec::new();
+    while let Some(part) = body.next().await {
+        match part {
+            Ok(part) => bytes.extend_from_slice(&part),
+            Err(_) => return Ok(None),
+        }
+    }
+    Ok(Some(String::from_utf8(bytes)?))
+}
+
+/// Guards against damaged streams that count as sound because other answers of their rule were no streams.
+#[rstest]
+#[case::bad_request(400)]
+#[case::not_found(404)]
+#[actix_rt::test]
+async fn answer_that_is_no_stream_takes_back_the_form(#[case] status: u16) -> Result<()> {
+    let fleet = start(&format!("no-stream-{status}"), 2).await?;
+    fleet.set_attempt_step("no-stream", EngineStep::Fail(status));
+    assert_eq!(stream(&fleet, "no-stream").await?, None);
+    fleet.set_attempt_step("damaged", UNNUMBERED);
+    assert_eq!(stream(&fleet, "damaged").await?, Some(sound("damaged")));
+    Ok(())
+}
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -6,6 +6,7 @@
 
 mod broken;
 mod complete;
+mod forms;
 
 use std::time::Duration;
 
@@ -23,7 +24,6 @@
 use super::cause::AttemptCause;
 use super::run::{AttemptOutcome, RequestRun};
 use super::target_wait::{GrantedTarget, WaitEnd};
-use crate::stream_forms::StreamSource;
 
 /// Next event in an answer.
 enum NextPart {
@@ -103,7 +103,7 @@
         undelivered.close();
         // Sends the head of an answer that has no parts.
         self.begin_answer(&head);
-        self.finish_parts(sent).await
+        self.finish_parts(target, sent).await
     }
 
     /// Counts what is kept of the answer after a part; returns the end of the attempt if the answer cannot go on.
@@ -120,38 +120,6 @@
         Some(self.exceeded(target, excess))
     }
 
-    /// Logs where a continuation begins, and what is irregular about the target's events.
-    fn report_numbers(&mut self, target: &TargetEntry) {
-        for deviation in self.framing.take_deviations() {
-            self.log_deviation(target, &deviation);
-        }
-        for irregularity in self.framing.take_irregularities() {
-            self.log_irregularity(target, irregularity);
-        }
-        if let Some(join) = self.framing.take_join() {
-            self.log_join(target, join);
-        }
-    }
-
-    /// Returns the source that shares the form of its events with the answers of this target.
-    fn stream_source(&self, target: &TargetEntry) -> StreamSource {
-        StreamSource::new(&self.request.rule.id, &self.request.pool.id, target)
-    }
-
-    /// Records what the events of an answer looked like that its caller has whole.
-    pub(super) fn record_stream_shape(&self, target: &TargetEntry) {
-        if let Some(shape) = self.framing.shape() {
-            self.service.context.forms.record_whole(&self.stream_source(target), shape);
-        }
-    }
-
-    /// Records that an answer ended unfinished because of an event of this target that deviates.
-    pub(super) fn record_unresolved_deviation(&self, target: &TargetEntry) {
-        if self.framing.is_unresolved() {
-            self.service.context.forms.record_cut(&self.stream_source(target));
-        }
-    }
-
     fn report_part(&mut self, target: &TargetEntry) {
         self.report_observations(target, self.progress.part_observation());
         self.report_established_answer();
@@ -231,12 +199,13 @@
     }
 
     /// Relays what the framing has buffered, and finishes the answer.
-    async fn finish_parts(&mut self, sent: Moment) -> AttemptOutcome {
+    async fn finish_parts(&mut self, target: &TargetEntry, sent: Moment) -> AttemptOutcome {
         let remaining = self.framing.take_remaining();
         if !remaining.is_empty() && !self.relay_part(remaining).await {
             return AttemptOutcome::CallerStalled;
         }
         self.answer.finish();
+        self.record_stream_shape(target);
         self.verdict = Verdict::Ran;
         match self.framing.reports_timing() {
             true => AttemptOutcome::Served(self.progress.stream_end(sent)),
--- /dev/null
+++ b/crates/daemon/src/request/relay/forms.rs
@@ -0,0 +1,43 @@
+//! What the events of an answer show about the streams of its source.
+//!
+//! Owns: nothing; these are methods of [`RequestRun`]. Relies on: the framing for the events of the answer, the daemon's
+//! [`SharedForms`](crate::stream_forms::SharedForms).
+
+use curlewcleat_core::TargetEntry;
+
+use crate::request::run::RequestRun;
+use crate::stream_forms::StreamSource;
+
+impl RequestRun {
+    /// Logs where a continuation begins, and what is irregular about the target's events.
+    pub(super) fn report_numbers(&mut self, target: &TargetEntry) {
+        for deviation in self.framing.take_deviations() {
+            self.log_deviation(target, &deviation);
+        }
+        for irregularity in self.framing.take_irregularities() {
+            self.log_irregularity(target, irregularity);
+        }
+        if let Some(join) = self.framing.take_join() {
+            self.log_join(target, join);
+        }
+    }
+
+    /// Returns the source that shares the form of its events with the answers of this target.
+    pub(super) fn stream_source(&self, target: &TargetEntry) -> StreamSource {
+        StreamSource::new(&self.request.rule.id, &self.request.pool.id, target)
+    }
+
+    /// Records what the events of a stream looked like that its caller has whole. Other answers show no form.
+    pub(super) fn record_stream_shape(&self, target: &TargetEntry) {
+        if let Some(shape) = self.framing.shape() {
+            self.service.context.forms.record_whole(&self.stream_source(target), shape);
+        }
+    }
+
+    /// Records that an answer ended unfinished because of an event of this target that deviates.
+    pub(in crate::request) fn record_unresolved_deviation(&self, target: &TargetEntry) {
+        if self.framing.is_unresolved() {
+            self.service.context.forms.record_cut(&self.stream_source(target));
+        }
+    }
+}
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -146,7 +146,6 @@
                 AttemptOutcome::Served(end) => {
                     self.report_observations(&target, self.progress.end_observations());
                     self.report_completed_answer();
-                    self.record_stream_shape(&target);
                     self.log_served(&target);
                     return self.report_end(end);
                 }
