Streams: a stream that is refused after a deviation weighs against the form as well

Callers saw: where a version began to write another form and had one target, each stream was refused or cut, without end.

Cause: only attempts after which the request could not be repeated counted as cut. A stream that may be repeated ends at the node's refusal (no other target, no retry left) or at its deadline, and neither was recorded, so that the form was never taken back.

The source of the latest deviation is kept with the request, and counts when the request is refused.

--- a/crates/acceptance/tests/learned_stream_forms.rs
+++ b/crates/acceptance/tests/learned_stream_forms.rs
@@ -23,6 +23,10 @@
 const SOUND_STREAMS: usize = 20;
 /// An event without a number follows on the one with this number.
 const UNNUMBERED: EngineStep = EngineStep::PauseUnnumbered(2, Duration::from_millis(20));
+/// Streams of another form, of which the last ones have to be served.
+const OTHER_STREAMS: usize = 12;
+/// Streams that may be refused or cut before the form is taken back.
+const MAX_LOST: usize = 4;
 const PATH: &str = "/resumed/stream/a";
 /// Bounds under which every stream may be continued.
 const BOUNDS: &str = "retry_saved = 10000\nretry_ratio = 10";
@@ -85,3 +89,17 @@
     assert_eq!(stream(&fleet, "damaged").await?, Some(sound("damaged")));
     Ok(())
 }
+
+/// Guards against streams of a new form that are cut without end because no other target can show that they are sound.
+#[actix_rt::test]
+async fn streams_of_a_new_form_at_the_only_target_are_cut_without_end() -> Result<()> {
+    let fleet = start("only-target", 1).await?;
+    fleet.engines[0].set_default_step(UNNUMBERED);
+    let mut served = Vec::new();
+    for number in 0..OTHER_STREAMS {
+        served.push(stream(&fleet, &format!("other-{number}")).await?.is_some());
+    }
+    println!("served: {served:?}");
+    assert!(served[MAX_LOST..].iter().all(|is_served| *is_served), "{served:?}");
+    Ok(())
+}
--- a/crates/daemon/src/request/relay/forms.rs
+++ b/crates/daemon/src/request/relay/forms.rs
@@ -13,6 +13,7 @@
     pub(super) fn report_numbers(&mut self, target: &TargetEntry) {
         for deviation in self.framing.take_deviations() {
             self.log_deviation(target, &deviation);
+            self.deviating_source = Some(self.stream_source(target));
         }
         for irregularity in self.framing.take_irregularities() {
             self.log_irregularity(target, irregularity);
@@ -34,10 +35,11 @@
         }
     }
 
-    /// Records that an answer ended unfinished because of an event of this target that deviates.
-    pub(in crate::request) fn record_unresolved_deviation(&self, target: &TargetEntry) {
+    /// Records that the request ends unserved after an event that deviates, and no other target has shown the right one.
+    pub(in crate::request) fn record_unresolved_deviation(&mut self) {
+        let Some(source) = self.deviating_source.take() else { return };
         if self.framing.is_unresolved() {
-            self.service.context.forms.record_cut(&self.stream_source(target));
+            self.service.context.forms.record_cut(&source);
         }
     }
 }
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -32,6 +32,7 @@
 use super::{CallerRequest, RequestService};
 use crate::byte_budget::ByteHold;
 use crate::pending::PendingRequest;
+use crate::stream_forms::StreamSource;
 
 pub use self::log::record_refusal;
 
@@ -80,6 +81,8 @@
     /// Counts the latest answer that was buffered until it was complete.
     pub(super) buffered: Option<ByteHold>,
     pub(super) progress: RequestProgress,
+    /// Where the latest event comes from that deviates from the form of its source.
+    pub(super) deviating_source: Option<StreamSource>,
 }
 
 impl RequestRun {
@@ -103,6 +106,7 @@
             fallback: None,
             buffered: None,
             progress: RequestProgress::default(),
+            deviating_source: None,
         }
     }
 
@@ -165,7 +169,6 @@
                     self.log_failed_attempt(&target.id, reason.code(), cause);
                     let fault = self.fault_of(&target, cause);
                     self.report_interruption(&target, cause, fault);
-                    self.record_unresolved_deviation(&target);
                     self.report_end(fault.reported_end(end));
                     return self.refuse(reason);
                 }
@@ -270,6 +273,7 @@
     /// An answer that has begun is cut when its channel is dropped.
     fn refuse_with(&mut self, mut refusal: Refusal) {
         refusal.verdict = refusal.verdict.join(self.verdict);
+        self.record_unresolved_deviation();
         let request = &self.request;
         record_refusal(&self.service, request.id, &request.attempt_id, Some(request), &refusal);
         if self.answer.has_begun() {
