Log: an empty answer deviates at the target that sent it

Operators saw stream_deviates with kind missing at the target that continued the stream, since what the end of an answer shows was logged with the next part, or not at all where no other attempt followed. It is logged at the end of the answer. Two engines, one empty answer: the line named the other engine before, the one that sent it after.

--- a/crates/acceptance/tests/learned_stream_forms.rs
+++ b/crates/acceptance/tests/learned_stream_forms.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use curlewcleat_acceptance::fleet_head;
 use curlewcleat_standins::fleet::{
-    EngineStep, FleetDeployment, FleetEngine,
+    AnswerFrame, EngineStep, FleetDeployment, FleetEngine,
 };
 use curlewcleat_targets::{AnswerBody, ConnectionPool, TargetAnswer};
 use futures_util::StreamExt;
@@ -90,6 +90,26 @@
     Ok(())
 }
 
+/// Guards against an empty answer that is logged as sent by the target that continues the stream.
+#[actix_rt::test]
+async fn empty_answer_is_logged_for_the_target_that_sent_it() -> Result<()> {
+    let fleet = start("empty", 2).await?;
+    fleet.set_attempt_step("empty", EngineStep::Truncate(AnswerFrame::Chunks, 0));
+    assert_eq!(stream(&fleet, "empty").await?, Some(sound("empty")));
+    let begun =
+        |engine: &FleetEngine| engine.runs().iter().find(|run| run.attempt == "empty")?.begun;
+    let first = fleet
+        .engines
+        .iter()
+        .filter(|engine| begun(engine).is_some())
+        .min_by_key(|engine| begun(engine));
+    let log = fleet.log(0)?;
+    let line = log.lines().find(|line| line.contains("stream_deviates")).unwrap_or_default();
+    assert!(line.contains("missing"), "{line}");
+    assert!(first.is_some_and(|engine| line.contains(&format!("\"{}\"", engine.id))), "{line}");
+    Ok(())
+}
+
 /// Guards against streams of a new form that are cut without end because no other target can show that they are sound.
 #[actix_rt::test]
 async fn streams_of_a_new_form_at_the_only_target_are_cut_without_end() -> Result<()> {
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -174,7 +174,11 @@
                 self.report_target_activity();
                 NextPart::Part(part)
             }
-            WaitEnd::Arrived(None) => self.evaluate_end(body.frame()),
+            WaitEnd::Arrived(None) => {
+                let end = self.evaluate_end(body.frame());
+                self.report_numbers(target);
+                end
+            }
             WaitEnd::Arrived(Some(Err(_))) => match body.excess() {
                 Some(excess) => NextPart::Excess(excess),
                 None => NextPart::Interrupted(AttemptCause::Closed),
