Streams: a first event with the number 0 deviates where streams begin with one

Callers saw the first event twice: a first number that is damaged into 0 became the position, and the next target began with number one. The first number was only compared with the highest one that it may have. The test passed the event on before.

--- a/crates/targets/src/form_check.rs
+++ b/crates/targets/src/form_check.rs
@@ -106,7 +106,10 @@
     /// Returns how a number deviates from those before it: it counts on from them, or the answer begins again, once.
     fn number_deviation(&mut self, number: u64, last: Option<u64>) -> Option<DeviationKind> {
         let Some((first, latest)) = self.numbers else {
-            return (number > next_number(last)).then_some(DeviationKind::Gap);
+            return match number {
+                _ if number < FIRST_NUMBER => Some(DeviationKind::Fell),
+                _ => (number > next_number(last)).then_some(DeviationKind::Gap),
+            };
         };
         if number > latest {
             return (number - latest > 1).then_some(DeviationKind::Gap);
--- /dev/null
+++ b/crates/targets/tests/form_limits.rs
@@ -0,0 +1,34 @@
+//! Where the form of a source's streams shows less than it could, or more than it should.
+
+use curlewcleat_targets::{EventForm, EventSplitter};
+
+const FORM: EventForm = EventForm {
+    min_data_lines: 1,
+    max_data_lines: 1,
+    may_end_unnumbered: false,
+    may_have_ignored_lines: false,
+};
+fn event(number: u64) -> String {
+    format!("id: {number}\ndata: event {number}\n\n")
+}
+
+fn dense(from: u64, to: u64) -> String {
+    (from..=to).map(event).collect()
+}
+
+fn expecting(form: Option<EventForm>) -> EventSplitter {
+    let mut splitter = EventSplitter::default();
+    splitter.expect(form, "a");
+    splitter
+}
+
+/// Guards against a first event with the number 0 that becomes the position, so that the next target sends it again.
+#[test]
+fn stream_that_begins_with_zero_where_others_begin_with_one() {
+    let mut splitter = expecting(Some(FORM));
+    assert_eq!(splitter.push(b"id: 0\ndata: event 1\n\n"), "");
+    assert!(splitter.is_misplaced());
+    splitter.discard_incomplete();
+    splitter.expect(Some(FORM), "b");
+    assert_eq!(splitter.push(dense(1, 3).as_bytes()), dense(1, 3));
+}
