Streams: the number behind an event that two targets state is judged on its own

Where two targets agreed on an event without a number, the number of the event behind it was expected without any check: in the test 90 behind 1 became the position. What the targets agreed on says nothing about it, so it is placed as any other.

--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -198,6 +198,8 @@
             self.holds_unnumbered_data = true;
             self.shape.record(&EventFields { data_lines: 1, ..EventFields::default() });
             self.return_held(out);
+            // What follows was not stated by another target.
+            return;
         }
         if let Some(number) = fields.number {
             self.numbers.expect(number);
--- a/crates/targets/tests/form_limits.rs
+++ b/crates/targets/tests/form_limits.rs
@@ -51,3 +51,18 @@
     splitter.discard_incomplete();
     assert_eq!(splitter.push(marked(dense(4, 5)).as_bytes()), dense(4, 5));
 }
+
+/// Guards against a number that is accepted because two targets agreed on the event before it.
+#[test]
+fn gap_behind_an_event_that_two_targets_state_is_not_confirmed() {
+    let form = EventForm { may_end_unnumbered: true, ..FORM };
+    let mut splitter = EventSplitter::default();
+    for (target, next) in [("a", 2), ("b", 90)] {
+        splitter.discard_incomplete();
+        splitter.expect(Some(form), target);
+        for text in [event(1), "data: x\n\n".to_string(), event(next)] {
+            splitter.push(text.as_bytes());
+        }
+    }
+    assert_eq!(splitter.last(), Some(1));
+}
