Log: a continuation that is taken back before its first event is not a join

stream_joined stated a continuation whose only event was taken back because the next one deviates, and again for the target that brought it.

--- a/crates/targets/src/event_numbers.rs
+++ b/crates/targets/src/event_numbers.rs
@@ -201,6 +201,8 @@
     /// Takes back the latest event, which nobody has got; `last` is the number before it.
     pub fn step_back(&mut self, last: Option<u64>) {
         (self.last, self.is_last_sure) = (last, true);
+        // A continuation that begins with it has not begun.
+        self.join = self.join.filter(|join| Some(join.after) != last);
     }
 
     /// Records that the latest event may be wrong, so that nothing can continue the stream.
--- a/crates/targets/tests/form_limits.rs
+++ b/crates/targets/tests/form_limits.rs
@@ -1,6 +1,7 @@
 //! Where the form of a source's streams shows less than it could, or more than it should.
 
 use curlewcleat_targets::{EventForm, EventSplitter};
+use rstest::rstest;
 
 const FORM: EventForm = EventForm {
     min_data_lines: 1,
@@ -66,3 +67,29 @@
     }
     assert_eq!(splitter.last(), Some(1));
 }
+
+/// Guards against log lines that state a continuation that was taken back before its caller got any of it.
+#[test]
+fn continuation_that_was_taken_back_is_reported_as_joined() {
+    let mut splitter = expecting(Some(FORM));
+    splitter.push(dense(1, 3).as_bytes());
+    splitter.discard_incomplete();
+    splitter.expect(Some(FORM), "b");
+    assert_eq!(splitter.push((event(4) + &event(6)).as_bytes()), "");
+    assert_eq!(splitter.take_join(), None);
+}
+
+/// Guards against streams in any line ends and parts that the form cuts.
+#[rstest]
+#[case::line_feed("\n")]
+#[case::carriage_return("\r")]
+#[case::both("\r\n")]
+fn line_ends_in_parts_of_one_byte_have_the_form(#[case] end: &str) {
+    let mut splitter = expecting(Some(FORM));
+    let text = dense(1, 6).replace('\n', end);
+    let mut returned = Vec::new();
+    text.as_bytes().iter().for_each(|byte| returned.extend_from_slice(&splitter.push(&[*byte])));
+    assert!(!splitter.is_misplaced() && splitter.may_end());
+    returned.extend_from_slice(&splitter.take_remaining());
+    assert_eq!(returned, text.as_bytes());
+}
