--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -28,6 +28,7 @@
 use super::{CallerRequest, RequestService};
 use crate::byte_budget::ByteHold;
 use crate::pending::PendingRequest;
+use crate::stream_forms::StreamSource;
 
 use self::fault::AttemptFault;
 pub use self::log::record_refusal;
@@ -74,6 +75,8 @@
     /// Counts the latest answer that was buffered until it was complete.
     pub(super) buffered: Option<ByteHold>,
     pub(super) progress: RequestProgress,
+    /// Where the latest event comes from that deviates from the form of its source.
+    pub(super) deviating_source: Option<StreamSource>,
 }
 
 impl RequestRun {
@@ -97,6 +100,7 @@
             fallback: None,
             buffered: None,
             progress: RequestProgress::default(),
+            deviating_source: None,
         }
     }
 
@@ -140,7 +144,6 @@
                 AttemptOutcome::Served(end) => {
                     self.report_observations(&target, self.progress.end_observations());
                     self.report_completed_answer();
-                    self.record_stream_shape(&target);
                     self.log_served(&target);
                     return self.report_end(end);
                 }
@@ -157,7 +160,6 @@
                 }
                 AttemptOutcome::Failed(end, reason, cause) => {
                     let fault = self.record_failed_attempt(&target, reason.code(), cause);
-                    self.record_unresolved_deviation(&target);
                     self.report_end(fault.reported_end(end));
                     return self.refuse(reason);
                 }
@@ -270,6 +272,7 @@
     /// An answer that has begun is cut when its channel is dropped.
     fn refuse_with(&mut self, mut refusal: Refusal) {
         refusal.verdict = refusal.verdict.join(self.verdict);
+        self.record_unresolved_deviation();
         let request = &self.request;
         record_refusal(&self.service, request.id, &request.attempt_id, Some(request), &refusal);
         if self.answer.has_begun() {
