--- a/crates/targets/tests/damaged_streams.rs
+++ b/crates/targets/tests/damaged_streams.rs
@@ -12,6 +12,8 @@
 mod damaged_plays;
 #[path = "support/random.rs"]
 mod random;
+#[path = "support/sound_beginning.rs"]
+mod sound_beginning;
 
 use std::collections::BTreeMap;
 
--- a/crates/targets/tests/support/damaged_plays.rs
+++ b/crates/targets/tests/support/damaged_plays.rs
@@ -2,13 +2,12 @@
 //!
 //! Owns: the answers of one stream. Relies on: the splitter, used as the daemon does.
 
-use std::slice;
-
 use curlewcleat_targets::{EventForm, EventSplitter, FormEvidence, StreamShape};
 
-use crate::caller_events::{last_number, normal_text, read_events, CallerEvent};
+use crate::caller_events::{last_number, read_events, CallerEvent};
 use crate::damaged_answers::AnswerDamage;
 use crate::random::Random;
+use crate::sound_beginning::SoundBeginning;
 
 /// Attempts of one request.
 const ATTEMPTS: usize = 8;
@@ -141,7 +140,9 @@
         let damage = if is_damaged { self.damage } else { AnswerDamage::None };
         let mut bytes = damage.write(&indexes, random);
         if is_damaged {
-            self.record_unsuspicious(&bytes, position);
+            let beginning = SoundBeginning::of(&bytes, position as u64);
+            self.unsuspicious = beginning.events;
+            self.is_unsuspicious = beginning.is_all;
         }
         if is_cut {
             bytes.truncate(random.below(bytes.len() + 1));
@@ -149,29 +150,6 @@
         bytes
     }
 
-    /// Finds how much of the damaged answer differs in nothing from that of a sound target.
-    fn record_unsuspicious(&mut self, bytes: &[u8], position: usize) {
-        let text = normal_text(bytes);
-        let mut rest = text.trim_start_matches('\n');
-        // It may begin with any event up to the next one.
-        let first = read_events(bytes).first().map(|event| last_number(slice::from_ref(event)));
-        let next = position as u64 + 1;
-        let Some(first) = first.unwrap_or(Some(next)).filter(|first| (1..=next).contains(first))
-        else {
-            return;
-        };
-        let mut number = first as usize;
-        while let Some(end) = sound_event_end(rest, number) {
-            let (event, others) = rest.split_at(end);
-            let events = read_events(event.as_bytes());
-            number += events.len();
-            self.unsuspicious.extend(events);
-            rest = others.trim_start_matches('\n');
-        }
-        // A stream has an event at least.
-        self.is_unsuspicious = rest.is_empty() && number > 1;
-    }
-
     fn judge(&self) -> PlayOutcome {
         let events = read_events(&self.caller);
         let is_right = |(place, event): (usize, &CallerEvent)| event.data == piece(place);
@@ -195,18 +173,6 @@
     }
 }
 
-/// Returns the length of the event with this number, or of a comment, if it stands at the beginning and is as a sound
-/// target may write it.
-fn sound_event_end(text: &str, number: usize) -> Option<usize> {
-    let end = text.find("\n\n")? + 2;
-    let event = &text[..end];
-    let comment = event.strip_prefix(':');
-    let numbered = || event.strip_prefix("id:")?.trim_start().strip_prefix(&number.to_string());
-    let data = comment.or_else(|| numbered()?.strip_prefix("\ndata:"))?;
-    // Any content of one line may be what the target made.
-    (!data.trim_end_matches('\n').contains('\n')).then_some(end)
-}
-
 fn piece(place: usize) -> String {
     format!("event {place}")
 }
