--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod link_faults;
 mod store;
+pub mod stream_damage;
 pub mod stream_engine;
 pub mod stream_fault;
 
--- a/crates/standins/src/fleet/stream_engine.rs
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -11,6 +11,7 @@
 use clap::Args;
 use curlewcleat_platform::names::{SEAL_HEADER, WIRE_PROFILE};
 
+use super::stream_damage::{DamageOptions, DamagedRun, StreamDamage};
 use super::stream_fault::StreamFault;
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
@@ -26,6 +27,8 @@
 pub const WIDE_MARK: &str = "/wide";
 /// Part of the path of streams that end with their connection.
 pub const UNFRAMED_MARK: &str = "/unframed";
+/// Part of the path of streams whose length is stated.
+pub const MEASURED_MARK: &str = "/measured";
 
 /// Options of an engine.
 #[derive(Args, Debug)]
@@ -45,6 +48,9 @@
     /// Fault of the numbers in every second run.
     #[arg(long)]
     pub fault: Option<StreamFault>,
+    /// Damage of the bytes in a share of the runs.
+    #[command(flatten)]
+    pub damage: DamageOptions,
 }
 
 /// An event that a caller got.
@@ -66,13 +72,25 @@
         let (id, data) = text.strip_prefix("id: ")?.split_once("\ndata: ")?;
         let mut fields = data.split(' ').map(str::to_string);
         let (stream, service, run) = (fields.next()?, fields.next()?, fields.next()?);
-        let ends = fields.next().as_deref() == Some("end");
-        ends.then_some(StreamEvent { number: id.parse().ok()?, stream, service, run })
+        let number = id.parse().ok()?;
+        let ends = fields.next().as_deref() == Some(id) && fields.next().as_deref() == Some("end");
+        ends.then_some(StreamEvent { number, stream, service, run })
     }
 
-    fn text(&self) -> String {
+    /// Returns the bytes of the event.
+    pub fn text(&self) -> String {
+        format!("id: {}\n{}", self.number, self.data_text())
+    }
+
+    /// Returns the bytes of the event without its number.
+    pub fn data_text(&self) -> String {
+        format!("data: {}\n\n", self.data())
+    }
+
+    /// Returns the content of the event.
+    pub fn data(&self) -> String {
         let StreamEvent { number, stream, service, run } = self;
-        format!("id: {number}\ndata: {stream} {service} {run} end\n\n")
+        format!("{stream} {service} {run} {number} end")
     }
 }
 
@@ -85,6 +103,56 @@
     }
 }
 
+/// How the end of an answer is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerFraming {
+    Chunked,
+    Measured,
+    Unframed,
+}
+
+impl AnswerFraming {
+    fn of(path: &str) -> AnswerFraming {
+        match () {
+            () if path.contains(UNFRAMED_MARK) => AnswerFraming::Unframed,
+            () if path.contains(MEASURED_MARK) => AnswerFraming::Measured,
+            () => AnswerFraming::Chunked,
+        }
+    }
+
+    async fn begin(
+        self,
+        headers: &[(&str, &str)],
+        parts: &[Vec<u8>],
+        connection: &mut PlainConnection,
+    ) -> Result<()> {
+        match self {
+            AnswerFraming::Chunked => connection.begin_chunked(headers).await,
+            AnswerFraming::Measured => {
+                let length = parts.iter().map(Vec::len).sum();
+                connection.begin_measured(headers, length).await
+            }
+            AnswerFraming::Unframed => connection.begin_unframed(headers).await,
+        }
+    }
+
+    async fn send(self, bytes: &[u8], connection: &mut PlainConnection) -> Result<()> {
+        match self {
+            AnswerFraming::Chunked => connection.chunk(bytes).await,
+            AnswerFraming::Measured | AnswerFraming::Unframed => connection.write_raw(bytes).await,
+        }
+    }
+
+    async fn end(self, connection: &mut PlainConnection) -> Result<AfterAnswer> {
+        match self {
+            AnswerFraming::Chunked => connection.chunk(b"").await?,
+            AnswerFraming::Measured => {}
+            AnswerFraming::Unframed => return Ok(AfterAnswer::Close),
+        }
+        Ok(AfterAnswer::KeepOpen)
+    }
+}
+
 /// An engine.
 pub struct StreamEngine {
     options: StreamEngineOptions,
@@ -115,42 +183,63 @@
             (SEAL_HEADER, self.options.id.as_str()),
             ("content-type", "text/event-stream"),
         ];
-        let framed = !request.path.contains(UNFRAMED_MARK);
-        match framed {
-            true => connection.begin_chunked(&headers).await?,
-            false => connection.begin_unframed(&headers).await?,
-        }
+        let parts = self.parts(&request)?;
+        let framing = AnswerFraming::of(&request.path);
+        framing.begin(&headers, &parts, connection).await?;
         tokio::time::sleep(PHASE).await;
-        for event in self.events(&request)? {
-            self.send(event.text().as_bytes(), framed, connection).await?;
+        for part in parts {
+            self.send(&part, framing, connection).await?;
         }
         tokio::time::sleep(PHASE).await;
-        if !framed {
-            return Ok(AfterAnswer::Close);
-        }
-        connection.chunk(b"").await?;
-        Ok(AfterAnswer::KeepOpen)
+        framing.end(connection).await
     }
 
     /// Sends an event in two halves, so that an engine can be stopped within one.
     async fn send(
         &self,
         event: &[u8],
-        framed: bool,
+        framing: AnswerFraming,
         connection: &mut PlainConnection,
     ) -> Result<()> {
         tokio::time::sleep(EVENT_INTERVAL).await;
         let (first, second) = event.split_at(event.len() / 2);
-        for half in [first, second] {
-            match framed {
-                true => connection.chunk(half).await?,
-                false => connection.write_raw(half).await?,
-            }
+        for half in [first, second].into_iter().filter(|half| !half.is_empty()) {
+            framing.send(half, connection).await?;
             tokio::time::sleep(HALF_INTERVAL).await;
         }
         Ok(())
     }
 
+    /// Returns the parts of an answer, of the size of an event each.
+    fn parts(&self, request: &PlainRequest) -> Result<Vec<Vec<u8>>> {
+        let events = self.events(request)?;
+        let Some((damage, mut random)) = self.options.damage.of_run(self.runs.get()) else {
+            return Ok(events.iter().map(|event| event.text().into_bytes()).collect());
+        };
+        let bytes = damage.write(&events, &mut random);
+        if let Some(first) = events.first() {
+            let after = first.number - number_step(&request.path);
+            self.record(first, after, damage, &bytes)?;
+        }
+        let size = (bytes.len() / events.len().max(1)).max(1);
+        Ok(bytes.chunks(size).map(<[u8]>::to_vec).collect())
+    }
+
+    /// Records a damaged run in the output of the process.
+    fn record(
+        &self,
+        first: &StreamEvent,
+        after: u64,
+        damage: StreamDamage,
+        bytes: &[u8],
+    ) -> Result<()> {
+        let StreamEvent { stream, run, .. } = first.clone();
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        let damaged = DamagedRun { run, stream, damage, after, text };
+        println!("{}", serde_json::to_string(&damaged)?);
+        Ok(())
+    }
+
     /// Returns the events of a stream, or those that follow on the last event that the caller has.
     fn events(&self, request: &PlainRequest) -> Result<Vec<StreamEvent>> {
         let run = self.runs.get() + 1;
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -75,17 +75,21 @@
 
     /// Writes the head of a chunked answer.
     pub async fn begin_chunked(&mut self, headers: &[(&str, &str)]) -> Result<()> {
-        let mut head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n".to_string();
-        for (name, value) in headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
-        }
-        head.push_str("\r\n");
-        self.write_raw(head.as_bytes()).await
+        self.begin("Transfer-Encoding: chunked", headers).await
+    }
+
+    /// Writes the head of an answer of this length.
+    pub async fn begin_measured(&mut self, headers: &[(&str, &str)], length: usize) -> Result<()> {
+        self.begin(&format!("Content-Length: {length}"), headers).await
     }
 
     /// Writes the head of an answer that has neither a length nor chunks.
     pub async fn begin_unframed(&mut self, headers: &[(&str, &str)]) -> Result<()> {
-        let mut head = "HTTP/1.1 200 OK\r\nConnection: close\r\n".to_string();
+        self.begin("Connection: close", headers).await
+    }
+
+    async fn begin(&mut self, framing: &str, headers: &[(&str, &str)]) -> Result<()> {
+        let mut head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n");
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
