Streams: damaged answers by real processes, each event judged at the callers

Callers got events without a number, without those between, or streams that ended as complete early, from engines that damage some answers. Daemons and engines are processes; engines are killed, replaced, stopped and continued; callers leave answers and take them up by the last id.

--- a/crates/acceptance/tests/support/event_streams.rs
+++ b/crates/acceptance/tests/support/event_streams.rs
@@ -1,8 +1,10 @@
 //! Daemons before engines in processes of their own, whose events name what made them.
 
+use std::path::PathBuf;
+
 use anyhow::Result;
 use curlewcleat_platform::format::{Config, Route, Split};
-use curlewcleat_platform::names::READY;
+use curlewcleat_platform::names::{READY, SERVERS};
 use curlewcleat_standins::address::free_engine_address;
 use curlewcleat_standins::deployment::{
     create_temp_folder, program_folder, spawn, wait_listening, ChildProcess,
@@ -16,7 +18,8 @@
 pub const EVENTS: u64 = 30;
 /// Engines of each service.
 const ENGINES: usize = 4;
-const SERVICES: [&str; 2] = ["engines", "others"];
+/// Services of the engines, which take turns.
+pub const SERVICES: [&str; 2] = ["engines", "others"];
 const SLOTS: u32 = 200;
 /// Bounds under which every stream may be continued.
 const BOUNDS: &str = "retry_saved = 100000\nretry_ratio = 10";
@@ -69,6 +72,10 @@
 pub struct EventFleet {
     pub deployment: FleetDeployment,
     pub engines: Vec<ChildProcess>,
+    /// Folder of the engines' output, one file for each id.
+    pub folder: PathBuf,
+    /// Ids of all engines that were started, the latest ones last.
+    pub ids: Vec<String>,
 }
 
 impl EventFleet {
@@ -79,36 +86,73 @@
 
     /// Starts the same, with an engine of each service that numbers events wrongly.
     pub async fn start_with_fault(name: &str, fault: Option<StreamFault>) -> Result<EventFleet> {
+        let options = |index: usize| match fault.filter(|_| index < SERVICES.len()) {
+            Some(fault) => vec!["--fault".to_string(), fault.name().to_string()],
+            None => Vec::new(),
+        };
+        EventFleet::start_with_options(name, options).await
+    }
+
+    /// Starts the same, with further options for each engine.
+    pub async fn start_with_options(
+        name: &str,
+        options: impl Fn(usize) -> Vec<String>,
+    ) -> Result<EventFleet> {
         let mut deployment = FleetDeployment::start(name).await?;
         add_routes(&mut deployment);
         deployment.store_config()?;
         let folder = create_temp_folder(&format!("engines-{name}"))?;
-        let mut engines = Vec::new();
-        for (index, service) in SERVICES.iter().cycle().take(ENGINES * SERVICES.len()).enumerate() {
-            let (id, address) = (format!("e-{index}"), free_engine_address()?);
-            let events = EVENTS.to_string();
-            let mut options =
-                vec!["--address", &address, "--id", &id, "--service", service, "--events", &events];
-            if let Some(fault) = fault.filter(|_| index < SERVICES.len()) {
-                options.extend(["--fault", fault.name()]);
-            }
-            let program = program_folder()?.join("standin");
-            engines.push(spawn(&program, "stream-engine", &address, &folder, &id, &options)?);
-            wait_listening(&address).await?;
-            let entry = EngineEntry {
-                backend: service,
-                address: &address,
-                zone: "here",
-                slots: SLOTS,
-                state: READY,
-                version: Some("v1"),
-                born: Some(index as u64 + 1),
-            };
-            deployment.store.write_entry(&id, entry)?;
+        let (engines, ids) = (Vec::new(), Vec::new());
+        let mut fleet = EventFleet { deployment, engines, folder, ids };
+        for index in 0..ENGINES * SERVICES.len() {
+            let engine = fleet.start_engine(index, &format!("e-{index}"), options(index)).await?;
+            fleet.engines.push(engine);
         }
-        deployment.daemons(3, BOUNDS).await?;
-        deployment.wait_for_all_peers().await?;
-        Ok(EventFleet { deployment, engines })
+        fleet.deployment.daemons(3, BOUNDS).await?;
+        fleet.deployment.wait_for_all_peers().await?;
+        Ok(fleet)
+    }
+
+    /// Starts an engine and writes its list entry.
+    async fn start_engine(
+        &mut self,
+        index: usize,
+        id: &str,
+        more: Vec<String>,
+    ) -> Result<ChildProcess> {
+        let (service, address) = (SERVICES[index % SERVICES.len()], free_engine_address()?);
+        let events = EVENTS.to_string();
+        let mut options =
+            vec!["--address", &address, "--id", id, "--service", service, "--events", &events];
+        options.extend(more.iter().map(String::as_str));
+        let program = program_folder()?.join("standin");
+        let engine = spawn(&program, "stream-engine", &address, &self.folder, id, &options)?;
+        wait_listening(&address).await?;
+        let entry = EngineEntry {
+            backend: service,
+            address: &address,
+            zone: "here",
+            slots: SLOTS,
+            state: READY,
+            version: Some("v1"),
+            born: Some(self.ids.len() as u64 + 1),
+        };
+        self.deployment.store.write_entry(id, entry)?;
+        self.ids.push(id.to_string());
+        Ok(engine)
+    }
+
+    /// Kills an engine; its list entry stays.
+    pub fn kill_engine(&mut self, index: usize) {
+        self.engines[index].kill();
+    }
+
+    /// Starts an engine of another id in the place of one that was killed.
+    pub async fn replace_engine(&mut self, index: usize, options: Vec<String>) -> Result<()> {
+        self.deployment.store.remove(SERVERS, &self.engines[index].name);
+        let id = format!("e-{}", self.ids.len());
+        self.engines[index] = self.start_engine(index, &id, options).await?;
+        Ok(())
     }
 
     /// Sends a signal to engines.
