--- a/crates/acceptance/tests/streams_beside_damaged_answers.rs
+++ b/crates/acceptance/tests/streams_beside_damaged_answers.rs
@@ -56,7 +56,7 @@
 #[rstest]
 #[case::seed_1(1, DAMAGED_ONE_IN)]
 #[case::seed_2(2, DAMAGED_ONE_IN)]
-#[case::many(1, MANY_DAMAGED_ONE_IN)]
+#[case::many_damaged(1, MANY_DAMAGED_ONE_IN)]
 #[actix_rt::test]
 async fn streams_beside_damaged_answers_reach_their_callers_whole_or_are_cut(
     #[case] seed: u64,
@@ -123,7 +123,7 @@
             play.forms = forms.clone();
         }
         let counts = play.run().await?;
-        println!("seed {seed}: {counts}");
+        println!("seed {seed}: {counts}{:#?}", counts.samples);
         total.add(counts);
     }
     println!("all: {total}");
