--- a/crates/acceptance/tests/support/damage_judge.rs
+++ b/crates/acceptance/tests/support/damage_judge.rs
@@ -71,12 +71,19 @@
 /// The damaged runs and kills of a play.
 pub struct DamageJudge {
     runs: BTreeMap<String, Vec<DamagedRun>>,
-    kills: Vec<Instant>,
+    kills: Vec<EngineKill>,
+}
+
+/// An engine that was killed.
+pub struct EngineKill {
+    /// Id of the engine.
+    pub id: String,
+    pub at: Instant,
 }
 
 impl DamageJudge {
     /// Reads the damaged runs of engines from their output.
-    pub fn read(folder: &Path, ids: &[String], kills: Vec<Instant>) -> Result<DamageJudge> {
+    pub fn read(folder: &Path, ids: &[String], kills: Vec<EngineKill>) -> Result<DamageJudge> {
         let mut runs: BTreeMap<String, Vec<DamagedRun>> = BTreeMap::new();
         for id in ids {
             let output = std::fs::read_to_string(folder.join(format!("{id}.log")))?;
@@ -131,13 +138,15 @@
         }
     }
 
-    /// Returns whether an unframed answer ended just when an engine was killed.
+    /// Returns whether an unframed answer ended just when the engine of its last event was killed.
     fn was_killed(&self, stream: &PlayedStream) -> bool {
-        let Some(last) = stream.attempts.last().filter(|_| stream.is_unframed()) else {
-            return false;
-        };
-        let since = |kill: &Instant| last.ended.checked_duration_since(*kill);
-        self.kills.iter().filter_map(since).any(|since| since <= KILLED_WITHIN)
+        let attempt = stream.attempts.last().filter(|_| stream.is_unframed());
+        let (Some(attempt), Some(event)) = (attempt, stream.events.last()) else { return false };
+        let run = event.data.split(' ').nth(2).unwrap_or_default();
+        let engine = run.split('#').next().unwrap_or_default();
+        let ended = |kill: &EngineKill| attempt.ended.checked_duration_since(kill.at);
+        let kills = self.kills.iter().filter(|kill| kill.id == engine);
+        kills.filter_map(ended).any(|since| since <= KILLED_WITHIN)
     }
 }
 
--- a/crates/acceptance/tests/support/damage_plays.rs
+++ b/crates/acceptance/tests/support/damage_plays.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::damage_callers::{AttemptResult, DamageCallers, PlayedAttempt, PlayedStream};
-use crate::damage_judge::{DamageJudge, StreamOutcome};
+use crate::damage_judge::{DamageJudge, EngineKill, StreamOutcome};
 use crate::support::event_streams::{EventFleet, StreamRoute, SERVICES};
 
 /// Streams in progress at the same time.
@@ -83,7 +83,7 @@
     }
 
     /// Kills, stops and continues engines until the time is over; returns when they were killed.
-    async fn disturb(&self, fleet: &mut EventFleet) -> Result<Vec<Instant>> {
+    async fn disturb(&self, fleet: &mut EventFleet) -> Result<Vec<EngineKill>> {
         let mut random = StdRng::seed_from_u64(self.seed);
         let ended = Instant::now() + self.time;
         let mut kills = Vec::new();
@@ -94,7 +94,8 @@
             match is_killed {
                 true => {
                     fleet.kill_engine(index);
-                    kills.push(Instant::now());
+                    let (id, at) = (fleet.engines[index].name.clone(), Instant::now());
+                    kills.push(EngineKill { id, at });
                 }
                 false => fleet.signal(&[index], "STOP")?,
             }
