Daemon: a standstill of the daemon is not a pause of its targets

Cause: the time between two reads was measured on the process's clock and reported as a pause of the target. All targets whose streams were open then had pauses above the limit of their route, and requests waited for the one target without any. The same interval went into the time to the first part, the time of whole answers and the observations of rollouts.

LoopMoment is a clock that stands still while the loop of its thread does not run. Timings of attempts are taken on it; what the caller saw is logged as before.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod headers;
 mod listen;
 mod logging;
+mod loop_clock;
 mod loop_turn;
 mod memory;
 mod metrics;
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -44,6 +44,7 @@
 use crate::byte_budget::{ByteHold, ByteOwner, CallerReader, REQUEST_COST};
 use crate::context::DaemonContext;
 use crate::headers;
+use crate::loop_clock::start_beats;
 use admitted::AdmittedRequest;
 use answer::{CallerAnswer, CallerConnection};
 use answer_channel::AnswerChannel;
@@ -102,8 +103,9 @@
 }
 
 impl RequestService {
-    /// Creates a service for callers that use `protocol`.
+    /// Creates a service for callers that use `protocol`. Its requests are served by this thread.
     pub fn new(context: DaemonContext, protocol: Box<dyn CallerProtocol>) -> Rc<RequestService> {
+        start_beats();
         Rc::new(RequestService { context, protocol })
     }
 
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -1,6 +1,9 @@
 //! Records times and sizes of a request's attempts, for its log line and for the scheduler's view of the target.
 //!
-//! Owns: times of the attempts and parts of one request. Relies on: nothing.
+//! What targets are measured by is taken on the loop's clock; what the caller sees, on the process's.
+//!
+//! Owns: times of the attempts and parts of one request. Relies on: [`LoopMoment`], which leaves out the time for which
+//! this daemon did not run.
 
 use std::time::Duration;
 
@@ -11,6 +14,11 @@
 };
 use curlewcleat_targets::{BodyFrame, ConnectionOrigin};
 
+use crate::loop_clock::LoopMoment;
+
+#[cfg(test)]
+mod tests;
+
 /// Number of parts after which the mean time between two parts is reported.
 const MEAN_INTERVAL_PARTS: u32 = 8;
 
@@ -55,13 +63,32 @@
     server_error: bool,
     /// How the end of the answer is determined, once its head has arrived.
     frame: Option<BodyFrame>,
-    first: Option<Moment>,
+    sent: Option<LoopMoment>,
+    first: Option<LoopMoment>,
+    latest: Option<LoopMoment>,
     /// Whether the node knows that the answer began and went on.
     established_reported: bool,
     parts: u32,
     longest_pause: Duration,
 }
 
+impl AttemptProgress {
+    /// Records that a part arrived at this time.
+    fn record_part(&mut self, now: LoopMoment) {
+        if let Some(latest) = self.latest.replace(now) {
+            let pause = now.saturating_duration_since(latest);
+            self.longest_pause = self.longest_pause.max(pause);
+        }
+        self.first.get_or_insert(now);
+        self.parts += 1;
+    }
+
+    /// Returns the time since the attempt was sent.
+    fn time(&self) -> Duration {
+        self.sent.map_or(Duration::ZERO, LoopMoment::elapsed)
+    }
+}
+
 impl RequestProgress {
     /// Records that an attempt is sent.
     pub fn record_sent(&mut self, target: &TargetEntry) {
@@ -69,7 +96,8 @@
         self.target = Some(target.id.clone());
         self.address = Some(target.address.clone());
         self.sent = Some(Moment::now());
-        self.attempt = AttemptProgress::default();
+        self.attempt =
+            AttemptProgress { sent: Some(LoopMoment::now()), ..AttemptProgress::default() };
     }
 
     /// Records that the latest attempt has a connection, and where that comes from.
@@ -93,12 +121,8 @@
         if let Some(latest) = self.latest {
             let pause = now.saturating_duration_since(latest);
             self.longest_pause = self.longest_pause.max(pause);
-            if self.attempt.parts > 0 {
-                self.attempt.longest_pause = self.attempt.longest_pause.max(pause);
-            }
         }
-        self.attempt.first.get_or_insert(now);
-        self.attempt.parts += 1;
+        self.attempt.record_part(LoopMoment::now());
         self.first.get_or_insert(now);
         self.latest = Some(now);
         self.parts += 1;
@@ -144,9 +168,11 @@
     /// Returns the observation that the newest part allows: the time to the first part, or the mean interval once
     /// [`MEAN_INTERVAL_PARTS`] have arrived.
     pub fn part_observation(&self) -> Option<AnswerObservation> {
-        let (first, latest) = self.attempt.first.zip(self.latest)?;
+        let (first, latest) = self.attempt.first.zip(self.attempt.latest)?;
         match self.attempt.parts {
-            1 => Some(AnswerObservation::Begun(first.saturating_duration_since(self.sent?))),
+            1 => {
+                Some(AnswerObservation::Begun(first.saturating_duration_since(self.attempt.sent?)))
+            }
             MEAN_INTERVAL_PARTS => {
                 let mean_interval =
                     latest.saturating_duration_since(first) / (MEAN_INTERVAL_PARTS - 1);
@@ -161,7 +187,7 @@
         if self.attempt.server_error {
             return vec![AnswerObservation::Failed];
         }
-        let took = self.sent.map_or(Duration::ZERO, |sent| sent.elapsed());
+        let took = self.attempt.time();
         let begun = (self.attempt.parts == 0).then_some(AnswerObservation::Begun(took));
         let whole = self.is_end_proved().then_some(AnswerObservation::Whole(took));
         begun.into_iter().chain(whole).collect()
@@ -193,11 +219,17 @@
         part.or(self.sent).map_or(Duration::ZERO, |active| active.elapsed())
     }
 
+    /// Returns the time of the latest attempt's complete answer, which the target's scheduler gets.
+    pub fn whole_end(&self) -> AttemptEnd {
+        AttemptEnd::Whole(self.attempt.time())
+    }
+
     /// Returns the timing of the latest attempt's complete stream, which the target's scheduler gets.
-    pub fn stream_end(&self, sent: Moment) -> AttemptEnd {
+    pub fn stream_end(&self) -> AttemptEnd {
         let attempt = &self.attempt;
-        let (Some(first), Some(latest)) = (attempt.first, self.latest) else {
-            return AttemptEnd::Whole(sent.elapsed());
+        let (Some(sent), Some(first), Some(latest)) = (attempt.sent, attempt.first, attempt.latest)
+        else {
+            return self.whole_end();
         };
         AttemptEnd::Streamed(StreamTiming {
             first: first.saturating_duration_since(sent),
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -10,10 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use curlewcleat_clock::Moment;
-use curlewcleat_core::{
-    AttemptEnd, RefusalReason, StreamVersion, TargetEntry, Verdict, VersionDigest,
-};
+use curlewcleat_core::{RefusalReason, StreamVersion, TargetEntry, Verdict, VersionDigest};
 use curlewcleat_node::NodeEvent;
 use curlewcleat_targets::{
     buffer_size, AnswerBody, AnswerExcess, BodyFrame, ExcessForm, IntakeHold, TargetAnswer,
@@ -40,30 +37,24 @@
 }
 
 impl RequestRun {
-    /// Relays an answer to the caller; `sent` is when its request was sent.
+    /// Relays an answer to the caller.
     pub(super) async fn relay_answer(
         &mut self,
         answer: TargetAnswer,
         target: &TargetEntry,
-        sent: Moment,
     ) -> AttemptOutcome {
         self.progress.record_frame(answer.body.frame());
         if answer.head.status.is_server_error() {
             self.progress.record_server_error();
         }
         match self.protocol().buffers_answer(&self.request, answer.head.status) {
-            true => self.relay_complete(answer, target, sent).await,
-            false => self.relay_parts(answer, target, sent).await,
+            true => self.relay_complete(answer, target).await,
+            false => self.relay_parts(answer, target).await,
         }
     }
 
     /// Relays parts as they arrive.
-    async fn relay_parts(
-        &mut self,
-        answer: TargetAnswer,
-        target: &TargetEntry,
-        sent: Moment,
-    ) -> AttemptOutcome {
+    async fn relay_parts(&mut self, answer: TargetAnswer, target: &TargetEntry) -> AttemptOutcome {
         let TargetAnswer { head, mut body } = answer;
         let mut undelivered = body.intake_hold();
         self.begin_parts(&head, target);
@@ -103,7 +94,7 @@
         undelivered.close();
         // Sends the head of an answer that has no parts.
         self.begin_answer(&head);
-        self.finish_parts(sent).await
+        self.finish_parts().await
     }
 
     /// Counts what is kept of the answer after a part; returns the end of the attempt if the answer cannot go on.
@@ -231,7 +222,7 @@
     }
 
     /// Relays what the framing has buffered, and finishes the answer.
-    async fn finish_parts(&mut self, sent: Moment) -> AttemptOutcome {
+    async fn finish_parts(&mut self) -> AttemptOutcome {
         let remaining = self.framing.take_remaining();
         if !remaining.is_empty() && !self.relay_part(remaining).await {
             return AttemptOutcome::CallerStalled;
@@ -239,8 +230,8 @@
         self.answer.finish();
         self.verdict = Verdict::Ran;
         match self.framing.reports_timing() {
-            true => AttemptOutcome::Served(self.progress.stream_end(sent)),
-            false => AttemptOutcome::Served(AttemptEnd::Whole(sent.elapsed())),
+            true => AttemptOutcome::Served(self.progress.stream_end()),
+            false => AttemptOutcome::Served(self.progress.whole_end()),
         }
     }
 
--- a/crates/daemon/src/request/relay/complete.rs
+++ b/crates/daemon/src/request/relay/complete.rs
@@ -3,8 +3,7 @@
 //! Owns: nothing; these are methods of [`RequestRun`]. Relies on: the byte budget, which counts what is buffered.
 
 use bytes::{Bytes, BytesMut};
-use curlewcleat_clock::Moment;
-use curlewcleat_core::{AttemptEnd, RefusalReason, RetryReason, TargetEntry, Verdict};
+use curlewcleat_core::{RefusalReason, RetryReason, TargetEntry, Verdict};
 use curlewcleat_targets::{
     buffer_size, AnswerBody, AnswerExcess, ExcessForm, ExcessLimit, TargetAnswer, TruncatedBody,
 };
@@ -36,7 +35,6 @@
         &mut self,
         answer: TargetAnswer,
         target: &TargetEntry,
-        sent: Moment,
     ) -> AttemptOutcome {
         let TargetAnswer { head, body } = answer;
         let frame = body.frame();
@@ -63,7 +61,7 @@
         self.record_answer_begin();
         self.answer.send_head(caller_answer);
         self.verdict = Verdict::Ran;
-        AttemptOutcome::Served(AttemptEnd::Whole(sent.elapsed()))
+        AttemptOutcome::Served(self.progress.whole_end())
     }
 
     /// Counts an answer that is complete; `None` without a memory limit.
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -2,7 +2,6 @@
 //!
 //! Owns: nothing; these are methods of [`RequestRun`]. Relies on: [`send`] for what may have been written.
 
-use curlewcleat_clock::Moment;
 use curlewcleat_core::{AttemptEnd, RefusalReason, RetryReason, TargetEntry, Verdict};
 use curlewcleat_targets::PooledConnection;
 
@@ -25,7 +24,6 @@
         let waited = self.request.arrived.elapsed().as_secs_f64();
         let metrics = &self.service.context.metrics;
         metrics.observe_wait(waited, &self.request.tier, &self.request.pool.id);
-        let sent = Moment::now();
         self.progress.record_sent(target);
         self.log_continued_stream(target);
         // From here on the request may have run, however the wait ends, until it is proved that it did not.
@@ -33,7 +31,7 @@
         match self.send(target, connection).await {
             AttemptStart::Answer(answer) => {
                 self.report_target_activity();
-                self.relay_answer(*answer, target, sent).await
+                self.relay_answer(*answer, target).await
             }
             AttemptStart::Failed(reason, cause) => self.interrupted(reason, cause),
             AttemptStart::Replaced(other) => {
