Soak: streams of several lengths beside trouble of all kinds

The kinds so far have streams of six events at engines that are alike, and either answers in trouble or daemons and versions in trouble. Answers are lost, reset, broken off, spoiled, delayed, without a length, or sent again at once or in the place of the next one; rates are lowered for a time.

The stand-in engines have three more behaviours (reset, spoil, repeat an answer), and a path may state the number of events of its stream. The report counts the events and the streams that may not be resumed.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -40,6 +40,12 @@
     ResumableStream,
     /// A request for a stream that may not be resumed.
     PlainStream,
+    /// A request for a long stream that another engine may resume.
+    LongStream,
+    /// A request for a stream of a few events that another engine may resume.
+    ShortStream,
+    /// A request for a long stream that may not be resumed.
+    LongPlainStream,
 }
 
 impl CallKind {
@@ -51,6 +57,16 @@
         CallKind::PlainStream,
     ];
 
+    /// Those of runs with streams of several lengths.
+    pub(crate) const MIXED: [CallKind; 6] = [
+        CallKind::Once,
+        CallKind::Keyless,
+        CallKind::Repeatable,
+        CallKind::LongStream,
+        CallKind::ShortStream,
+        CallKind::LongPlainStream,
+    ];
+
     /// Returns the path of the request.
     pub fn path(self) -> &'static str {
         match self {
@@ -59,17 +75,41 @@
             CallKind::Repeatable => "/again/1",
             CallKind::ResumableStream => "/resumed/stream/1",
             CallKind::PlainStream => "/plain/stream/1",
+            CallKind::LongStream => "/resumed/stream/events-76/1",
+            CallKind::ShortStream => "/resumed/stream/events-5/1",
+            CallKind::LongPlainStream => "/plain/stream/events-58/1",
+        }
+    }
+
+    /// Returns the number of events of a whole stream, `None` where the path does not state it.
+    pub fn events(self) -> Option<u64> {
+        match self {
+            CallKind::LongStream => Some(76),
+            CallKind::ShortStream => Some(5),
+            CallKind::LongPlainStream => Some(58),
+            _ => None,
         }
     }
 
+    /// Returns whether the answer is a stream that may be taken up.
+    pub fn is_resumable(self) -> bool {
+        self.is_stream() && self.is_repeatable()
+    }
+
     /// Returns whether the request may run more than once.
     pub fn is_repeatable(self) -> bool {
-        matches!(self, CallKind::Repeatable | CallKind::ResumableStream)
+        matches!(
+            self,
+            CallKind::Repeatable
+                | CallKind::ResumableStream
+                | CallKind::LongStream
+                | CallKind::ShortStream
+        )
     }
 
     /// Returns whether the answer is a stream.
     pub fn is_stream(self) -> bool {
-        matches!(self, CallKind::ResumableStream | CallKind::PlainStream)
+        !matches!(self, CallKind::Once | CallKind::Keyless | CallKind::Repeatable)
     }
 }
 
@@ -190,16 +230,16 @@
             count += 1;
             let attempt = format!("c{}-{count}", self.number);
             let record = self.call(attempt).await;
-            let (broken, key) = (broken_stream(&record), record.key);
+            let (broken, kind, key) = (broken_stream(&record), record.kind, record.key);
             self.records.borrow_mut().push(record);
-            self.take_up(broken, key).await;
+            self.take_up(broken, kind, key).await;
             let pause = Duration::from_millis(self.random.random_range(0..PAUSE_MS));
             tokio::time::sleep(pause).await;
         }
     }
 
     /// Takes up a stream at drawn daemons until it is complete, or the attempts or the time are used up.
-    async fn take_up(&mut self, mut broken: Option<TakenUp>, key: &'static str) {
+    async fn take_up(&mut self, mut broken: Option<TakenUp>, kind: CallKind, key: &'static str) {
         let was_settled = self.is_settled.get();
         for number in 1..=self.policy.attempts() {
             let Some(taken_up) = broken.take() else { return };
@@ -213,7 +253,6 @@
             }
             let attempt = format!("{}-{number}", taken_up.begun_as);
             let daemon = self.random.random_range(0..self.daemons.len());
-            let kind = CallKind::ResumableStream;
             let record = self.call_with(daemon, attempt, kind, key, Some(taken_up)).await;
             broken = broken_stream(&record).or_else(|| self.retried(&record));
             self.records.borrow_mut().push(record);
@@ -229,9 +268,12 @@
 
     async fn call(&mut self, attempt: String) -> CallRecord {
         let daemon = self.random.random_range(0..self.daemons.len());
-        let kind = match self.policy.is_persistent() && self.random.random_ratio(2, 3) {
+        let prefers_streams = self.policy.prefers_streams();
+        let kind = match prefers_streams && self.random.random_ratio(2, 3) {
             true => CallKind::ResumableStream,
-            false => CallKind::ALL.choose(&mut self.random).copied().unwrap_or(CallKind::Once),
+            false => {
+                self.policy.kinds().choose(&mut self.random).copied().unwrap_or(CallKind::Once)
+            }
         };
         let keys = [DRIVERS_KEY, DRIVERS_SECOND_KEY, DEPOTS_KEY];
         let key = match kind {
@@ -268,12 +310,12 @@
     /// Returns the number of events after which a caller leaves an answer, if it does. Most continuations are read to
     /// their end.
     fn draw_leave(&mut self, kind: CallKind, taken_up: Option<&TakenUp>) -> Option<u64> {
-        let is_restless = self.policy == TakeUpPolicy::Restless && !self.is_settled.get();
-        if !is_restless || kind != CallKind::ResumableStream {
+        let is_restless = self.policy.is_restless() && !self.is_settled.get();
+        if !is_restless || !kind.is_resumable() {
             return None;
         }
         let ratio = if taken_up.is_some() { LEFT_CONTINUATIONS } else { LEFT_STREAMS };
-        let events = self.random.random_range(1..EVENTS);
+        let events = self.random.random_range(1..kind.events().unwrap_or(EVENTS));
         self.random.random_ratio(1, ratio).then_some(events)
     }
 }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -157,6 +157,7 @@
     if *status == ENGINE_FAILURE && text == "failed" {
         return None;
     }
+    let events = case.record.kind.events().unwrap_or(events);
     let expected = match case.record.kind.is_stream() {
         true => {
             let after = case.record.taken_up.as_ref().map_or(0, |stream| stream.after);
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -24,6 +24,10 @@
 const SLOTS: u32 = 8;
 /// Slots of an engine where streams last longer.
 const LONG_STREAM_SLOTS: u32 = 32;
+/// Slots of an engine where engines are of several speeds.
+const MIXED_SLOTS: u32 = 10;
+/// Factors of the time between two events where engines are of several speeds.
+const SLOWNESS: [f64; 3] = [0.55, 1.0, 2.8];
 /// Engines that share an IP number, in runs that replace many.
 const ENGINES_PER_IP: usize = 100;
 /// Names of the services in the example configuration.
@@ -54,8 +58,11 @@
 }
 
 impl SoakFleet {
-    fn event_interval(&self) -> Duration {
+    fn event_interval(&self, number: usize) -> Duration {
         match self.options.extra {
+            Some(ExtraKind::Mixed) => {
+                EVENT_INTERVAL.mul_f64(SLOWNESS[number / BACKENDS.len() % SLOWNESS.len()])
+            }
             Some(ExtraKind::Steps | ExtraKind::WeakVms) => LONG_EVENT_INTERVAL,
             _ => EVENT_INTERVAL,
         }
@@ -64,6 +71,7 @@
     fn slots(&self) -> u32 {
         match self.options.extra {
             Some(ExtraKind::Steps | ExtraKind::WeakVms) => LONG_STREAM_SLOTS,
+            Some(ExtraKind::Mixed) => MIXED_SLOTS,
             _ => SLOTS,
         }
     }
@@ -72,9 +80,8 @@
     pub async fn new_engine(&self, backend: &'static str) -> Result<EngineHandle> {
         let number = self.engine_count.get();
         self.engine_count.set(number + 1);
-        let engine = FleetEngine::new(&format!("i-{number}"), EVENTS, self.event_interval());
-        let extra = self.options.extra;
-        if matches!(extra, Some(ExtraKind::Releases | ExtraKind::Steps | ExtraKind::WeakVms)) {
+        let engine = FleetEngine::new(&format!("i-{number}"), EVENTS, self.event_interval(number));
+        if self.options.extra.is_some_and(ExtraKind::has_versions) {
             let version = format!("v{}", self.version.get());
             self.evidence.borrow_mut().versions.insert(engine.id.clone(), version);
         }
--- a/crates/soak/src/extra.rs
+++ b/crates/soak/src/extra.rs
@@ -10,6 +10,7 @@
 
 use crate::crowds::draw_crowd;
 use crate::cuts::draw_cut;
+use crate::mixed::{draw_mixed_series, draw_trouble};
 use crate::notices::EngineNotice;
 use crate::plan::{FaultStep, PlanOptions, SoakFault};
 use crate::releases::draw_release;
@@ -61,6 +62,20 @@
     /// part of them.
     #[value(name = "weak")]
     WeakVms,
+    /// Trouble of all kinds in series that overlap, beside streams of several lengths at engines of several speeds, on
+    /// weak daemons with little memory.
+    #[value(name = "mixed")]
+    Mixed,
+}
+
+impl ExtraKind {
+    /// Returns whether the engines of a run state the version of their software.
+    pub(crate) fn has_versions(self) -> bool {
+        matches!(
+            self,
+            ExtraKind::Releases | ExtraKind::Steps | ExtraKind::WeakVms | ExtraKind::Mixed
+        )
+    }
 }
 
 /// Address at which an engine restarts.
@@ -96,7 +111,7 @@
     let mut at = Duration::ZERO;
     loop {
         let pause = match kind {
-            ExtraKind::Steps | ExtraKind::WeakVms => SERIES_PAUSE_MS,
+            ExtraKind::Steps | ExtraKind::WeakVms | ExtraKind::Mixed => SERIES_PAUSE_MS,
             _ => PAUSE_MS,
         };
         at += Duration::from_millis(random.random_range(pause));
@@ -106,6 +121,7 @@
         match kind {
             ExtraKind::Steps => steps.extend(draw_series(&mut random, at, options)),
             ExtraKind::WeakVms => steps.extend(draw_weak_series(&mut random, at, options)),
+            ExtraKind::Mixed => steps.extend(draw_mixed_series(&mut random, at, options)),
             _ => steps.push(draw_single(&mut random, kind, at, options)),
         }
     }
@@ -150,6 +166,7 @@
         ExtraKind::Silences => draw_silence(random),
         ExtraKind::Releases => draw_release(random, engine),
         ExtraKind::Steps | ExtraKind::WeakVms => draw_join(random),
+        ExtraKind::Mixed => draw_trouble(random, options),
         ExtraKind::Notices => {
             let notices = [
                 EngineNotice::Limit(2),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -65,6 +65,8 @@
             }
             SoakFault::SlowStore(group, delay) => self.slow_store(group, delay, time).await,
             SoakFault::Join(kind, version) => self.join_version(kind, version, time).await?,
+            SoakFault::AnswerTrouble(first, step) => self.trouble_answers(first, step, time).await,
+            SoakFault::LowerRate => self.lower_rate(time).await?,
             SoakFault::Crowd(index) => self.crowd(index, time).await?,
             SoakFault::Cut(cut, fault) => self.cut_engines(cut, fault, time).await?,
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -24,6 +24,7 @@
 use crate::engines::{first_version, EngineHandle, BACKENDS, EVENTS};
 use crate::evidence::SoakEvidence;
 use crate::extra::ExtraKind;
+use crate::mixed::vm_settings;
 use crate::options::SoakOptions;
 use crate::settings::{SoakSettings, AGE_LIMIT, APPLY_LIMIT};
 use crate::weak_vms::Standstills;
@@ -206,6 +207,7 @@
             relay_port: self.relay_port,
             seeds,
             store: &store_link.address,
+            vm: vm_settings(self.options.extra),
             link_mbps: self.options.link_mbps,
         }
         .to_ini();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod kept;
 mod lethal;
+mod mixed;
 mod notices;
 mod options;
 mod outcomes;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -49,7 +49,7 @@
     /// Kind of faults to inject in addition to those drawn from the seed.
     #[arg(long)]
     extra: Option<ExtraKind>,
-    /// Part of a core that weak daemons have, in percent; for the kind `weak`.
+    /// Part of a core that weak daemons have, in percent; for the kinds `weak` and `mixed`.
     #[arg(long, default_value_t = WEAK_PERCENT, value_parser = clap::value_parser!(u8).range(1..=99))]
     weak_percent: u8,
     /// Variable in which the system's loader expects additional libraries; needed for cuts.
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -30,7 +30,7 @@
     pub link_mbps: Option<u64>,
     /// Kind of faults to inject in addition to those drawn from the seed.
     pub extra: Option<ExtraKind>,
-    /// Part of a core that weak daemons have, in percent; for [`ExtraKind::WeakVms`].
+    /// Part of a core that weak daemons have, in percent; for [`ExtraKind::WeakVms`] and [`ExtraKind::Mixed`].
     pub weak_percent: u8,
     /// Variable in which the system's loader expects additional libraries; needed for [`ExtraKind::Cuts`].
     pub loader_variable: Option<String>,
--- a/crates/soak/src/outcomes.rs
+++ b/crates/soak/src/outcomes.rs
@@ -22,14 +22,7 @@
 }
 
 /// Returns the kinds of which no request was served: a run shows nothing about them.
-pub fn unserved_kinds(records: &[CallRecord]) -> Vec<CallKind> {
-    let kinds = [
-        CallKind::Once,
-        CallKind::Keyless,
-        CallKind::Repeatable,
-        CallKind::ResumableStream,
-        CallKind::PlainStream,
-    ];
+pub fn unserved_kinds(kinds: &[CallKind], records: &[CallRecord]) -> Vec<CallKind> {
     let served = |kind: &CallKind| {
         records.iter().any(|record| {
             record.kind == *kind
@@ -39,5 +32,5 @@
                 )
         })
     };
-    kinds.into_iter().filter(|kind| !served(kind)).collect()
+    kinds.iter().copied().filter(|kind| !served(kind)).collect()
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -99,6 +99,10 @@
     Join(JoinKind, u32),
     /// Callers open many connections to a daemon, whose VM is weak meanwhile.
     Crowd(usize),
+    /// One in three engines, from this one on, answers its next requests in this way.
+    AnswerTrouble(usize, EngineStep),
+    /// The rate of an account is lower for a time.
+    LowerRate,
     /// Daemons lose their links to all engines.
     Cut(CutDaemons, EngineLinkFault),
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use anyhow::Result;
 use curlewcleat_standins::deployment::wait_until;
 
-use crate::callers::{CallRecord, SoakCallers};
+use crate::callers::{CallKind, CallRecord, SoakCallers};
 use crate::checks::{check_evidence, SoakViolation};
 use crate::connectivity::check_connectivity;
 use crate::engines::BACKENDS;
@@ -58,6 +58,7 @@
         Some(ExtraKind::Releases | ExtraKind::Silences) => TakeUpPolicy::Once,
         Some(ExtraKind::Steps) => TakeUpPolicy::Persistent,
         Some(ExtraKind::WeakVms) => TakeUpPolicy::Restless,
+        Some(ExtraKind::Mixed) => TakeUpPolicy::Mixed,
         _ => TakeUpPolicy::Never,
     }
 }
@@ -73,7 +74,8 @@
     let addresses: Vec<String> =
         fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect();
     let SoakOptions { seed, callers, extra, .. } = fleet.options;
-    let callers = SoakCallers::start(seed, callers, &addresses, take_up_policy(extra));
+    let policy = take_up_policy(extra);
+    let callers = SoakCallers::start(seed, callers, &addresses, policy);
     let watch = actix_rt::spawn(Rc::clone(&fleet).watch_processes());
     let engines = actix_rt::spawn(Rc::clone(&fleet).replace_terminated_engines());
     let begun = Instant::now();
@@ -82,7 +84,7 @@
         actix_rt::spawn(Rc::clone(&fleet).run_step(*step));
     }
     wait_until("the faults have ended", || async { fleet.active_faults.get() == 0 }).await?;
-    if extra == Some(ExtraKind::WeakVms) {
+    if policy.is_restless() {
         callers.settle();
     }
     fleet.end_standstills();
@@ -93,7 +95,7 @@
     engines.abort();
     let unreachable = check_connectivity(&fleet).await;
     let mut evidence = fleet.evidence.take();
-    let unserved = check_kinds(&records);
+    let unserved = check_kinds(policy.kinds(), &records);
     evidence.records = records;
     evidence.runs = fleet.runs();
     let mut violations = check_evidence(&evidence);
@@ -107,8 +109,8 @@
 }
 
 /// Checks that requests of every kind were served.
-fn check_kinds(records: &[CallRecord]) -> Option<SoakViolation> {
-    let kinds = unserved_kinds(records);
+fn check_kinds(kinds: &[CallKind], records: &[CallRecord]) -> Option<SoakViolation> {
+    let kinds = unserved_kinds(kinds, records);
     let invariant = "every kind of request is served at least once";
     (!kinds.is_empty()).then(|| SoakViolation { invariant, detail: format!("{kinds:?}") })
 }
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -27,6 +27,8 @@
     pub seeds: &'a [String],
     /// Address of the store.
     pub store: &'a str,
+    /// Further lines of the section about the daemon's VM.
+    pub vm: &'a str,
     /// Bandwidth of the daemon's link in megabits per second, if limited.
     pub link_mbps: Option<u64>,
 }
@@ -36,7 +38,7 @@
     pub fn to_ini(&self) -> String {
         let link = self.link_mbps.map(|mbps| format!("link_mbps = {mbps}\n")).unwrap_or_default();
         format!(
-            "[vm]\nname = {}\ndata_centre = here\n{link}\
+            "[vm]\nname = {}\ndata_centre = here\n{link}{}\
              [callers]\naddress = {}\ndrain_grace = 600ms\n\
              [operators]\naddress = {}\n\
              [peers]\naddress = {}\nadvertised_address = {}\nrelay_port = {}\nseeds = {}\n\
@@ -45,6 +47,7 @@
              [bounds]\nconfig_age_limit = {}ms\nconfig_apply_limit = {}ms\n\
              leave_limit = {}ms\nstop_limit = {}ms\nretry_ratio = 0.5\nretry_saved = 100\n",
             self.name,
+            self.vm,
             self.callers,
             self.operators,
             self.peers,
--- a/crates/soak/src/steps.rs
+++ b/crates/soak/src/steps.rs
@@ -130,7 +130,7 @@
     Duration::from_millis(random.random_range(range))
 }
 
-fn draw_out_of_step(random: &mut StdRng, daemons: usize) -> SoakFault {
+pub(crate) fn draw_out_of_step(random: &mut StdRng, daemons: usize) -> SoakFault {
     let count = match random.random_ratio(1, 2) {
         true => 1,
         false => random.random_range(1..daemons.max(2)),
--- a/crates/soak/src/streams.rs
+++ b/crates/soak/src/streams.rs
@@ -6,7 +6,7 @@
 
 use curlewcleat_standins::fleet::EngineRun;
 
-use crate::callers::{CallKind, CallOutcome, CallRecord};
+use crate::callers::{CallOutcome, CallRecord};
 use crate::checks::{SoakViolation, NOT_RUN_STATUSES};
 use crate::engines::EVENTS;
 use crate::evidence::SoakEvidence;
@@ -37,6 +37,10 @@
     pub refused_after_run: usize,
     /// Streams that were joined of several versions.
     pub joined: usize,
+    /// Streams that brought an event and may not be resumed.
+    pub plain: usize,
+    /// Events that callers received, of all streams.
+    pub events: u64,
 }
 
 /// The attempts of a caller for one stream, in their order, with the requests that reached engines.
@@ -55,7 +59,8 @@
         None => (&record.attempt, record.sent),
     };
     let after = event_before(record) + events_of(record);
-    let is_partial = record.kind == CallKind::ResumableStream && (1..EVENTS).contains(&after);
+    let events = record.kind.events().unwrap_or(EVENTS);
+    let is_partial = record.kind.is_resumable() && (1..events).contains(&after);
     is_partial.then(|| TakenUp { begun_as: begun_as.clone(), begun, after })
 }
 
@@ -83,10 +88,11 @@
 pub fn count_streams(evidence: &SoakEvidence) -> StreamCounts {
     let mut counts = StreamCounts::default();
     for stream in streams_of(evidence) {
-        let is_resumable = |(record, _): &(&CallRecord, _)| {
-            record.kind == CallKind::ResumableStream && events_of(record) > 0
-        };
-        if !stream.attempts.iter().any(is_resumable) {
+        counts.events += stream.attempts.iter().map(|(record, _)| events_of(record)).sum::<u64>();
+        let mut with_events = stream.attempts.iter().filter(|(record, _)| events_of(record) > 0);
+        let Some((first, _)) = with_events.next() else { continue };
+        if !first.kind.is_resumable() {
+            counts.plain += usize::from(first.kind.is_stream());
             continue;
         }
         let went_on = |(record, _): &(&CallRecord, _)| {
--- a/crates/soak/src/take_up.rs
+++ b/crates/soak/src/take_up.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::callers::CallKind;
 use crate::exchange::REQUEST_TIMEOUT;
 use crate::streams::TakenUp;
 
@@ -24,6 +25,8 @@
     Persistent,
     /// The same, and they close their connections within a part of the streams and take them up.
     Restless,
+    /// The same, with streams of several lengths and other requests alike.
+    Mixed,
 }
 
 impl TakeUpPolicy {
@@ -32,7 +35,7 @@
         match self {
             TakeUpPolicy::Never => 0,
             TakeUpPolicy::Once => TAKE_UPS,
-            TakeUpPolicy::Persistent | TakeUpPolicy::Restless => PERSISTENT_TAKE_UPS,
+            _ => PERSISTENT_TAKE_UPS,
         }
     }
 
@@ -47,6 +50,24 @@
 
     /// Returns whether callers repeat refused attempts.
     pub fn is_persistent(self) -> bool {
-        matches!(self, TakeUpPolicy::Persistent | TakeUpPolicy::Restless)
+        !matches!(self, TakeUpPolicy::Never | TakeUpPolicy::Once)
+    }
+
+    /// Returns whether callers leave a part of their streams.
+    pub fn is_restless(self) -> bool {
+        matches!(self, TakeUpPolicy::Restless | TakeUpPolicy::Mixed)
+    }
+
+    /// Returns whether most requests are streams that may be taken up.
+    pub fn prefers_streams(self) -> bool {
+        self.is_persistent() && self != TakeUpPolicy::Mixed
+    }
+
+    /// Returns the kinds of requests that callers send.
+    pub fn kinds(self) -> &'static [CallKind] {
+        match self {
+            TakeUpPolicy::Mixed => &CallKind::MIXED,
+            _ => &CallKind::ALL,
+        }
     }
 }
--- a/crates/soak/src/weak_vms.rs
+++ b/crates/soak/src/weak_vms.rs
@@ -24,6 +24,8 @@
 const STRONG_RATIO: usize = 16;
 /// Range of the length of a standstill of a weak daemon, in milliseconds.
 const STANDSTILL_MS: Range<u64> = 50..450;
+/// The same, where daemons have a larger part of a core.
+const SHORT_STANDSTILL_MS: Range<u64> = 20..120;
 /// Range of the delay of bytes to and from a slow store, in milliseconds.
 const STORE_DELAY_MS: Range<u64> = 50..600;
 /// Range of the time for which a part of the daemons has trouble with the store, in milliseconds.
@@ -74,10 +76,11 @@
     /// # Errors
     /// Fails if a daemon has exited.
     pub fn begin_standstills(&self) -> Result<()> {
-        if self.options.extra != Some(ExtraKind::WeakVms) {
-            return Ok(());
-        }
-        let Range { start, end } = STANDSTILL_MS;
+        let Range { start, end } = match self.options.extra {
+            Some(ExtraKind::WeakVms) => STANDSTILL_MS,
+            Some(ExtraKind::Mixed) => SHORT_STANDSTILL_MS,
+            _ => return Ok(()),
+        };
         let standstill = Duration::from_millis(start)..Duration::from_millis(end);
         let run_share = f64::from(self.options.weak_percent) / 100.0;
         let cycle = DutyCycle::start(self.options.seed, DutyPattern { run_share, standstill });
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -13,7 +13,7 @@
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
 pub use engine::{
     has_part, AnswerFrame, AttemptSteps, EngineRun, EngineStep, FleetEngine, LethalRequests,
-    LethalTrigger, UNNUMBERED_EVENT,
+    LethalTrigger, SecondAnswer, EVENTS_MARK, UNNUMBERED_EVENT,
 };
 pub use entry::{EngineEntry, ForeignEntry};
 pub use link_faults::{EngineLinkFault, EngineLinks};
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -3,6 +3,8 @@
 
 mod cut_head;
 mod lethal;
+mod second_answer;
+mod spoiled;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -13,6 +15,7 @@
 use curlewcleat_platform::names::{SEAL_HEADER, WIRE_PROFILE};
 
 pub use self::lethal::{has_part, LethalRequests, LethalTrigger};
+pub use self::second_answer::SecondAnswer;
 
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
@@ -60,8 +63,17 @@
     StartOver,
     /// Leaves out one event where a stream is to continue.
     SkipOne,
+    /// Runs the request and resets the connection without an answer.
+    Reset,
+    /// Sends this number of events and bytes that are no part of an answer, and closes the connection.
+    Spoil(u64),
+    /// Sends a complete answer, and the same one again.
+    RepeatAnswer(SecondAnswer),
 }
 
+/// Part of the path of streams whose number of events follows in it.
+pub const EVENTS_MARK: &str = "/events-";
+
 /// An event without a number.
 pub const UNNUMBERED_EVENT: &str = "data: without a number\n\n";
 
@@ -115,6 +127,8 @@
     run_index: usize,
     /// Whether the answer is an event stream.
     is_stream: bool,
+    /// Number of events of the whole stream.
+    events: u64,
 }
 
 /// An engine in this process.
@@ -225,6 +239,7 @@
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
         self.wait_while_silent().await;
+        connection.send_late_answer().await?;
         let attempt = request.header(WIRE_PROFILE.attempt_id).to_string();
         let run_index = self.record_run(&request, &attempt);
         let attempt_header = (WIRE_PROFILE.attempt_id, attempt.as_str());
@@ -248,7 +263,9 @@
             return Ok(AfterAnswer::Close);
         }
         let is_stream = request.path.contains("/stream/");
-        self.run(step, RunningRequest { attempt: &attempt, run_index, is_stream }, connection).await
+        let events = stated_events(&request.path).unwrap_or(self.events);
+        let run = RunningRequest { attempt: &attempt, run_index, is_stream, events };
+        self.run(step, run, connection).await
     }
 
     /// Returns the behaviour for a request.
@@ -296,6 +313,12 @@
             EngineStep::Interrupt(events) if run.is_stream => {
                 self.answer_interrupted(run, events, connection).await
             }
+            EngineStep::Reset => {
+                connection.reset_on_close()?;
+                Ok(AfterAnswer::Close)
+            }
+            EngineStep::Spoil(events) => self.answer_spoiled(run, events, connection).await,
+            EngineStep::RepeatAnswer(second) => self.answer_again(run, second, connection).await,
             EngineStep::AnswerTwice => self.answer_twice(run, connection).await,
             EngineStep::Delay(time) => self.answer_delayed(run, time, connection).await,
             EngineStep::Pause(events, time) if run.is_stream => {
@@ -325,7 +348,7 @@
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
         if run.is_stream {
-            let remaining = self.events.saturating_sub(self.after(run.run_index));
+            let remaining = run.events.saturating_sub(self.after(run.run_index));
             if !self.stream(run, remaining, connection).await? {
                 return Ok(AfterAnswer::Close);
             }
@@ -359,7 +382,7 @@
         time: Duration,
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
-        let before = events.min(self.events - self.after(run.run_index));
+        let before = events.min(run.events - self.after(run.run_index));
         if !self.stream(run, before, connection).await? {
             return Ok(AfterAnswer::Close);
         }
@@ -367,7 +390,7 @@
             return Ok(AfterAnswer::Close);
         }
         let sent = self.after(run.run_index) + before;
-        if !self.send_events(run, sent + 1..=self.events, connection).await {
+        if !self.send_events(run, sent + 1..=run.events, connection).await {
             return Ok(AfterAnswer::Close);
         }
         connection.chunk(b"").await?;
@@ -389,7 +412,7 @@
         if after == 0 && self.disconnects_within(run, time, connection).await {
             return Ok(AfterAnswer::Close);
         }
-        if !self.send_events(run, after.max(events) + 1..=self.events, connection).await {
+        if !self.send_events(run, after.max(events) + 1..=run.events, connection).await {
             return Ok(AfterAnswer::Close);
         }
         connection.chunk(b"").await?;
@@ -432,7 +455,7 @@
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
         let body = match run.is_stream {
-            true => (self.after(run.run_index) + 1..=self.events)
+            true => (self.after(run.run_index) + 1..=run.events)
                 .map(|n| event(run.attempt, n))
                 .collect(),
             false => record(run.attempt),
@@ -469,7 +492,7 @@
         connection: &mut PlainConnection,
     ) -> anyhow::Result<AfterAnswer> {
         let after = self.after(run.run_index);
-        let events = events.min(self.events.saturating_sub(after + 1));
+        let events = events.min(run.events.saturating_sub(after + 1));
         self.stream(run, events, connection).await?;
         let next = event(run.attempt, events + after + 1);
         connection.chunk(&next.as_bytes()[..next.len() / 2]).await?;
@@ -576,6 +599,12 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns the number of events that the path of a request states behind [`EVENTS_MARK`].
+fn stated_events(path: &str) -> Option<u64> {
+    let (_, stated) = path.split_once(EVENTS_MARK)?;
+    stated.split('/').next()?.parse().ok()
+}
+
 fn event(attempt: &str, number: u64) -> String {
     format!("id: {number}\ndata: {attempt} {number}\n\n")
 }
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -41,9 +41,24 @@
 /// The connection on which an answer is written.
 pub struct PlainConnection {
     stream: TcpStream,
+    /// An answer that is sent when the next request arrives, before its own.
+    late_answer: Option<Vec<u8>>,
 }
 
 impl PlainConnection {
+    /// Keeps an answer until the next request.
+    pub(crate) fn keep_late_answer(&mut self, bytes: Vec<u8>) {
+        self.late_answer = Some(bytes);
+    }
+
+    /// Sends the answer that was kept, if there is one.
+    pub(crate) async fn send_late_answer(&mut self) -> Result<()> {
+        match self.late_answer.take() {
+            Some(bytes) => self.write_raw(&bytes).await,
+            None => Ok(()),
+        }
+    }
+
     /// Writes bytes unchanged.
     pub async fn write_raw(&mut self, bytes: &[u8]) -> Result<()> {
         self.stream.write_all(bytes).await?;
@@ -191,7 +206,7 @@
     stream: TcpStream,
     handler: Rc<dyn PlainHandler>,
 ) -> Result<()> {
-    let mut connection = PlainConnection { stream };
+    let mut connection = PlainConnection { stream, late_answer: None };
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut connection.stream, &mut buffer).await? {
         if handler.handle(request, &mut connection).await? == AfterAnswer::Close {
