--- a/crates/node/tests/out_of_step/play.rs
+++ b/crates/node/tests/out_of_step/play.rs
@@ -12,6 +12,8 @@
 
 /// Time that callers have for a stream.
 pub const CALLER_LIMIT: Duration = Duration::from_secs(8);
+/// Smallest number of a request that takes up a stream.
+pub const FIRST_TAKE_UP: u128 = 1_000_000_000;
 /// Interval between two looks at the decisions.
 const STEP: Duration = Duration::from_millis(20);
 
@@ -86,7 +88,7 @@
 
     /// Has the caller of a stream, which has broken off, take it up at a daemon.
     pub fn take_up(&mut self, begun: &BegunStream, entry: usize) {
-        let number = 1_000_000_000 + self.next_number;
+        let number = FIRST_TAKE_UP + self.next_number;
         self.next_number += 1;
         let takes_up = Some(TakenUpStream { stream: Some(stream(begun.number)) });
         let time_left = CALLER_LIMIT.saturating_sub(self.fleet.now - begun.sent);
--- a/crates/targets/tests/support/damaged_plays.rs
+++ b/crates/targets/tests/support/damaged_plays.rs
@@ -59,6 +59,8 @@
     is_unsuspicious: bool,
     caller: Vec<u8>,
     is_complete: bool,
+    /// Whether the damaged answer ended the stream.
+    ended_by_damaged: bool,
     shape: StreamShape,
 }
 
@@ -78,6 +80,7 @@
             is_unsuspicious: false,
             caller: Vec::new(),
             is_complete: false,
+            ended_by_damaged: false,
             shape: StreamShape::default(),
         }
     }
@@ -118,6 +121,7 @@
                 && splitter.is_between_events()
                 && splitter.may_end();
             if self.is_complete {
+                self.ended_by_damaged = self.answers == self.damaged_answer + 1;
                 self.caller.extend_from_slice(&splitter.take_remaining());
                 return;
             }
@@ -165,7 +169,7 @@
         match (is_in_order, is_short) {
             (true, false) if self.is_complete => PlayOutcome::Whole,
             (true, false) => PlayOutcome::Cut,
-            _ if is_all_excused && (!is_short || self.is_unsuspicious) => {
+            _ if is_all_excused && (!is_short || self.is_unsuspicious && self.ended_by_damaged) => {
                 PlayOutcome::NotVisible(what())
             }
             _ => PlayOutcome::Wrong(what()),
