Streams: a stream is not taken up at a position that the daemon does not use

What callers saw: a stream that had begun at one version of the targets went on at another one, whole, where its caller sent two Last-Event-Id, or where the route had stopped allowing resumption meanwhile; on a route that may not be resumed a new run went on with the events of the former one.

Cause: the daemon read the first header only, and none where the route does not allow resumption, but forwarded all of them; the target read its own. Several positions are refused as a bad header now, a position on a route that does not allow resumption as not run (stream_version_unknown).

--- a/crates/daemon/src/request/profile/admission.rs
+++ b/crates/daemon/src/request/profile/admission.rs
@@ -55,8 +55,7 @@
         let caller_timeout = self.caller_timeout(head).map_err(|_| bad_header())?;
         let timeout =
             caller_timeout.into_iter().chain(rule.service.timeout).min().unwrap_or(DEFAULT_TIMEOUT);
-        let may_be_taken_up = rule.service.streams && rule.repeatable;
-        let take_up = take_up::read_take_up(&self.profile, head).filter(|_| may_be_taken_up);
+        let take_up = self.stream_taken_up(rule, head)?;
         let longest_timeout = self.record_timeout(rule, caller_timeout);
         let pool = drawn_pool(rule, attempt_id, take_up.as_ref());
         if let Some(take_up) = &take_up {
@@ -101,6 +100,26 @@
         })
     }
 
+    /// Returns what the caller states about the stream that it takes up, `None` where it begins one or has another answer.
+    fn stream_taken_up(
+        &self,
+        rule: &AdmissionRule,
+        head: &HeaderMap,
+    ) -> Result<Option<TakeUpHeaders>, Refusal> {
+        if !rule.service.streams {
+            return Ok(None);
+        }
+        if !take_up::has_one_position(&self.profile, head) {
+            return Err(bad_header());
+        }
+        let take_up = take_up::read_take_up(&self.profile, head);
+        match take_up.is_none() || rule.repeatable {
+            true => Ok(take_up),
+            // Its target would go on with a stream that another run has begun.
+            false => Err(Refusal::not_run(RefusalReason::StreamVersionUnknown, None)),
+        }
+    }
+
     /// Returns the account of a request, `None` where the rule or the configuration requires none.
     fn account<'c>(
         &self,
--- a/crates/daemon/src/request/profile/take_up.rs
+++ b/crates/daemon/src/request/profile/take_up.rs
@@ -21,6 +21,13 @@
     Some(TakeUpHeaders { begun_as: first_attempt(profile, caller), last_event })
 }
 
+/// Returns whether the caller states one position at most: a target may read another one of several than this daemon.
+pub fn has_one_position(profile: &WireProfile, caller: &HeaderMap) -> bool {
+    let mut stated = caller.get_all(profile.last_event);
+    let first = stated.next();
+    stated.all(|other| Some(other) == first)
+}
+
 /// Returns the attempt that brought the first event, `None` where the caller does not name exactly one.
 fn first_attempt(profile: &WireProfile, caller: &HeaderMap) -> Option<String> {
     let mut named = caller.get_all(profile.resumes);
--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -17,7 +17,7 @@
 
 use super::admission::drawn_pool;
 use super::objectives::objectives;
-use super::take_up::read_take_up;
+use super::take_up::{has_one_position, read_take_up};
 use super::work::{cost, estimate, token_counts, TokenCounts};
 use super::{status_of, OPTIONS};
 use crate::request::admitted::TakeUpHeaders;
@@ -215,6 +215,20 @@
     assert_eq!(read_take_up(&PROFILE, &head(headers)), expected);
 }
 
+/// Guards against a position that the daemon and the target read from different headers.
+#[rstest]
+#[case::none(&[], true)]
+#[case::one(&[("last", "3")], true)]
+#[case::twice_the_same(&[("last", "3"), ("last", "3")], true)]
+#[case::two(&[("last", "0"), ("last", "3")], false)]
+#[case::empty_and_one(&[("last", ""), ("last", "3")], false)]
+fn caller_states_one_position_at_most(
+    #[case] headers: &[(&'static str, &'static str)],
+    #[case] expected: bool,
+) {
+    assert_eq!(has_one_position(&PROFILE, &head(headers)), expected);
+}
+
 /// Guards against a stream that its caller takes up and that goes on at another of the pools that share its rule.
 #[test]
 fn stream_that_is_taken_up_is_drawn_to_the_pool_that_began_it() {
