--- a/crates/daemon/src/loop_clock/tests.rs
+++ b/crates/daemon/src/loop_clock/tests.rs
@@ -1,4 +1,6 @@
 //! Intervals of a loop that stands still, runs late, or runs.
+//!
+//! Owns: nothing. Relies on: moments that the tests state.
 
 use rstest::rstest;
 
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -1,6 +1,6 @@
 //! Records times and sizes of a request's attempts, for its log line and for the scheduler's view of the target.
 //!
-//! What targets are measured by is taken on the loop's clock; what the caller sees, on the process's.
+//! Timings of targets are taken on the loop's clock; what the caller sees, on the process's.
 //!
 //! Owns: times of the attempts and parts of one request. Relies on: [`LoopMoment`], which leaves out the time for which
 //! this daemon did not run.
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -157,15 +157,7 @@
     if *status == ENGINE_FAILURE && text == "failed" {
         return None;
     }
-    let events = case.record.kind.events().unwrap_or(events);
-    let expected = match case.record.kind.is_stream() {
-        true => {
-            let after = case.record.taken_up.as_ref().map_or(0, |stream| stream.after);
-            let skipped = FleetEngine::expected_stream(attempt, after).len();
-            FleetEngine::expected_stream(attempt, events)[skipped..].to_string()
-        }
-        false => format!("record of {attempt}"),
-    };
+    let expected = expected_answer(case.record, events);
     let right = match complete {
         true => *text == expected,
         false => expected.starts_with(text.as_str()),
@@ -176,6 +168,18 @@
     })
 }
 
+/// Returns the whole answer to a request; `events` is the length of streams that do not state it.
+fn expected_answer(record: &CallRecord, events: u64) -> String {
+    let attempt = &record.attempt;
+    if !record.kind.is_stream() {
+        return format!("record of {attempt}");
+    }
+    let events = record.kind.events().unwrap_or(events);
+    let after = record.taken_up.as_ref().map_or(0, |stream| stream.after);
+    let skipped = FleetEngine::expected_stream(attempt, after).len();
+    FleetEngine::expected_stream(attempt, events)[skipped..].to_string()
+}
+
 fn check_keys(case: &RequestCase<'_>, evidence: &SoakEvidence) -> Option<SoakViolation> {
     let record = case.record;
     if let CallOutcome::Answer { status, .. } = &record.outcome {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -60,9 +60,7 @@
             SoakFault::Release(index, version) => self.release(index, version, time).await?,
             SoakFault::Silence(percent) => self.silence_engines(percent, time).await,
             SoakFault::ChangeStreams(change) => self.change_streams(change)?,
-            SoakFault::OutOfStep(group, reason) => {
-                self.put_out_of_step(group, reason, time).await?
-            }
+            SoakFault::OutOfStep(group, why) => self.put_out_of_step(group, why, time).await?,
             SoakFault::SlowStore(group, delay) => self.slow_store(group, delay, time).await,
             SoakFault::Join(kind, version) => self.join_version(kind, version, time).await?,
             SoakFault::AnswerTrouble(first, step) => self.trouble_answers(first, step, time).await,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! Randomized fault tests: starts real daemon processes on loopback, injects faults from outside and
 //! checks the answers of the callers against the requests that the engines ran.
 
+mod call_records;
 mod callers;
 mod checks;
 mod connectivity;
