--- a/crates/soak/src/call_records.rs
+++ b/crates/soak/src/call_records.rs
@@ -133,6 +133,8 @@
     pub outcome: CallOutcome,
     /// The stream that the request takes up, `None` where it begins one or has another answer.
     pub taken_up: Option<TakenUp>,
+    /// When the time had passed that the caller stated.
+    pub deadline: Instant,
 }
 
 impl CallRecord {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -170,7 +170,9 @@
             Err(_) => CallOutcome::NoAnswer("the caller stopped waiting".to_string()),
         };
         let ended = Instant::now();
-        CallRecord { attempt, kind, key, daemon, sent, ended, outcome, taken_up }
+        // Callers state whole milliseconds.
+        let deadline = sent + Duration::from_millis(time_left.as_millis() as u64);
+        CallRecord { attempt, kind, key, daemon, sent, ended, outcome, taken_up, deadline }
     }
 
     /// Returns the number of events after which a caller leaves an answer, if it does. Most continuations are read to
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -201,6 +201,13 @@
     ran.then(|| case.violation("a revoked key is refused in time", "it ran with one"))
 }
 
+/// Returns whether a stream that was taken up ended because the time that its caller stated had passed: that is what was left
+/// since the stream began.
+fn is_cut_at_deadline(record: &CallRecord) -> bool {
+    let is_cut = matches!(&record.outcome, CallOutcome::Answer { complete: false, .. });
+    is_cut && record.taken_up.is_some() && record.ended >= record.deadline
+}
+
 /// Checks that a request that reached an engine gets a complete answer, unless an unplanned fault is near.
 fn check_completion(case: &RequestCase<'_>, evidence: &SoakEvidence) -> Option<SoakViolation> {
     let record = case.record;
@@ -209,6 +216,9 @@
     if complete || !reached || !evidence.is_undisturbed(record.sent - AFTERMATH, record.ended) {
         return None;
     }
+    if is_cut_at_deadline(record) {
+        return None;
+    }
     let why = match evidence.is_stopping(record.daemon, record.ended) {
         true => "interrupted at a planned stop",
         false => "interrupted without a fault",
--- a/crates/soak/src/crowds.rs
+++ b/crates/soak/src/crowds.rs
@@ -15,7 +15,7 @@
 use crate::callers::{CallKind, CallOutcome, CallRecord};
 use crate::checks::SoakViolation;
 use crate::evidence::{SoakEvidence, AFTERMATH};
-use crate::exchange::{request_body, send_request};
+use crate::exchange::{request_body, send_request, REQUEST_TIMEOUT};
 use crate::fleet::SoakFleet;
 use crate::plan::SoakFault;
 
@@ -116,6 +116,7 @@
             ended: Instant::now(),
             outcome,
             taken_up: None,
+            deadline: sent + REQUEST_TIMEOUT,
         }
     }
 }
--- a/crates/soak/tests/mixed.rs
+++ b/crates/soak/tests/mixed.rs
@@ -101,6 +101,7 @@
             echoed_attempt: Some("a".to_string()),
         },
         taken_up: None,
+        deadline: now + Duration::from_secs(5),
     };
     let run = EngineRun {
         attempt: "a".to_string(),
--- a/crates/soak/tests/steps.rs
+++ b/crates/soak/tests/steps.rs
@@ -34,6 +34,7 @@
             echoed_attempt: Some(attempt.to_string()),
         },
         taken_up: (attempt != "a").then_some(TakenUp { begun_as, begun: now, after }),
+        deadline: now + Duration::from_secs(5),
     }
 }
 
