Log: what a target does after an answer that ends with its connection

The end of the connection is the same for a whole answer and for a target that was killed. A status request after it tells them apart: end_checked states whether the target answered, another instance did, or nothing. No decision depends on it yet.

Stand-ins answer the status path, stop accepting connections when they are told to terminate, and send records in two halves.

--- a/crates/acceptance/tests/support/event_streams.rs
+++ b/crates/acceptance/tests/support/event_streams.rs
@@ -72,6 +72,8 @@
 pub struct EventFleet {
     pub deployment: FleetDeployment,
     pub engines: Vec<ChildProcess>,
+    /// Addresses of the engines.
+    addresses: Vec<String>,
     /// Folder of the engines' output, one file for each id.
     pub folder: PathBuf,
     /// Ids of all engines that were started, the latest ones last.
@@ -102,11 +104,13 @@
         add_routes(&mut deployment);
         deployment.store_config()?;
         let folder = create_temp_folder(&format!("engines-{name}"))?;
-        let (engines, ids) = (Vec::new(), Vec::new());
-        let mut fleet = EventFleet { deployment, engines, folder, ids };
+        let (engines, addresses, ids) = (Vec::new(), Vec::new(), Vec::new());
+        let mut fleet = EventFleet { deployment, engines, addresses, folder, ids };
         for index in 0..ENGINES * SERVICES.len() {
-            let engine = fleet.start_engine(index, &format!("e-{index}"), options(index)).await?;
+            let (id, address) = (format!("e-{index}"), free_engine_address()?);
+            let engine = fleet.start_engine(index, &id, &address, options(index)).await?;
             fleet.engines.push(engine);
+            fleet.addresses.push(address);
         }
         fleet.deployment.daemons(3, BOUNDS).await?;
         fleet.deployment.wait_for_all_peers().await?;
@@ -118,19 +122,20 @@
         &mut self,
         index: usize,
         id: &str,
+        address: &str,
         more: Vec<String>,
     ) -> Result<ChildProcess> {
-        let (service, address) = (SERVICES[index % SERVICES.len()], free_engine_address()?);
+        let service = SERVICES[index % SERVICES.len()];
         let events = EVENTS.to_string();
         let mut options =
-            vec!["--address", &address, "--id", id, "--service", service, "--events", &events];
+            vec!["--address", address, "--id", id, "--service", service, "--events", &events];
         options.extend(more.iter().map(String::as_str));
         let program = program_folder()?.join("standin");
-        let engine = spawn(&program, "stream-engine", &address, &self.folder, id, &options)?;
-        wait_listening(&address).await?;
+        let engine = spawn(&program, "stream-engine", address, &self.folder, id, &options)?;
+        wait_listening(address).await?;
         let entry = EngineEntry {
             backend: service,
-            address: &address,
+            address,
             zone: "here",
             slots: SLOTS,
             state: READY,
@@ -142,6 +147,11 @@
         Ok(engine)
     }
 
+    /// Returns the address of an engine.
+    pub fn address(&self, index: usize) -> &str {
+        &self.addresses[index]
+    }
+
     /// Kills an engine; its list entry stays.
     pub fn kill_engine(&mut self, index: usize) {
         self.engines[index].kill();
@@ -149,12 +159,29 @@
 
     /// Starts an engine of another id in the place of one that was killed.
     pub async fn replace_engine(&mut self, index: usize, options: Vec<String>) -> Result<()> {
+        let address = free_engine_address()?;
+        self.replace_engine_at(index, &address, options).await
+    }
+
+    /// Same as [`replace_engine`](EventFleet::replace_engine), at this address.
+    pub async fn replace_engine_at(
+        &mut self,
+        index: usize,
+        address: &str,
+        options: Vec<String>,
+    ) -> Result<()> {
         self.deployment.store.remove(SERVERS, &self.engines[index].name);
         let id = format!("e-{}", self.ids.len());
-        self.engines[index] = self.start_engine(index, &id, options).await?;
+        self.engines[index] = self.start_engine(index, &id, address, options).await?;
+        self.addresses[index] = address.to_string();
         Ok(())
     }
 
+    /// Returns the place of the engine with an id.
+    pub fn engine_index(&self, id: &str) -> Option<usize> {
+        self.engines.iter().position(|engine| engine.name == id)
+    }
+
     /// Sends a signal to engines.
     pub fn signal(&self, engines: &[usize], name: &str) -> Result<()> {
         engines.iter().try_for_each(|index| self.engines[*index].signal(name))
@@ -214,6 +241,13 @@
         let (name, path_prefix) = (name.to_string(), prefix.to_string());
         config.routes.push(Route { name, path_prefix, ..resumed.clone() });
     }
+    // Records of the engines, which may be repeated or not.
+    for (name, like) in [("engine-record-once", "once"), ("engine-record-again", "again")] {
+        let (name, path_prefix) = (name.to_string(), format!("/{name}/"));
+        let backend = Some(SERVICES[0].to_string());
+        let like = route_mut(config, like).clone();
+        config.routes.push(Route { name, path_prefix, backend, ..like });
+    }
     let share = |backend: &str, weight| Split { backend: backend.to_string(), weight };
     route_mut(config, "split-stream").traffic_split =
         vec![share(SERVICES[0], 60.0), share(SERVICES[1], 40.0)];
--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -8,6 +8,7 @@
 
 use super::registry::MetricRegistry;
 use super::DaemonMetrics;
+use crate::request::TargetLiveness;
 
 /// Requests, and how they end.
 pub struct RequestMetrics {
@@ -16,6 +17,7 @@
     retries: IntCounterVec,
     ends: IntCounterVec,
     answer_ends: IntCounterVec,
+    end_checks: IntCounterVec,
     stream_irregularities: IntCounterVec,
     stream_deviations: IntCounterVec,
     wait: HistogramVec,
@@ -43,6 +45,11 @@
                 "Served answers by what marked the end of the target's answer",
                 &["ended_by", "tier", "pool"],
             )?,
+            end_checks: count(
+                "answer_end_checks_total",
+                "Answers that ended with their connection, by what their target did afterwards",
+                &["liveness"],
+            )?,
             stream_irregularities: count(
                 "stream_irregularities_total",
                 "Answers of targets with irregular event numbers, by what is irregular",
@@ -69,6 +76,9 @@
         for reason in RetryReason::ALL {
             self.retries.with_label_values(&[reason.code()]);
         }
+        for liveness in TargetLiveness::ALL {
+            self.end_checks.with_label_values(&[liveness.code()]);
+        }
         for kind in IrregularityKind::ALL {
             self.stream_irregularities.with_label_values(&[kind.code()]);
         }
@@ -89,6 +99,11 @@
         self.requests.answer_ends.with_label_values(&[ended_by, tier, pool]).inc();
     }
 
+    /// Counts an answer that ended with its connection, by what its target did afterwards.
+    pub fn count_end_check(&self, liveness: TargetLiveness) {
+        self.requests.end_checks.with_label_values(&[liveness.code()]).inc();
+    }
+
     /// Counts an answer with irregular event numbers, by what is irregular.
     pub fn count_stream_irregularity(&self, kind: &str) {
         self.requests.stream_irregularities.with_label_values(&[kind]).inc();
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -7,6 +7,7 @@
 //! 3. [`run`] waits for a permit of the pool's scheduler and decides after each attempt how to go on.
 //! 4. [`attempt`] sends the request to one target, once.
 //! 5. [`relay`] relays the answer to the caller ([`answer`], [`answer_channel`], [`answer_flow`]) and resumes an interrupted stream ([`framing`]).
+//!    Where an answer ends with its connection, the target has to outlive that end ([`liveness`]).
 //!
 //! [`CallerProtocol`] covers the differences between the platform kinds: [`builtin`] implements the interface
 //! of docs/CALLERS.md, [`profile`] uses the header names of a fleet's platform.
@@ -24,6 +25,7 @@
 mod builtin;
 mod cause;
 mod framing;
+mod liveness;
 mod problem;
 mod profile;
 mod progress;
@@ -54,6 +56,7 @@
 use run::RequestRun;
 
 pub use builtin::BuiltinProtocol;
+pub use liveness::TargetLiveness;
 pub use profile::ProfileProtocol;
 pub use protocol::CallerProtocol;
 
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -16,7 +16,7 @@
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     hash_token, ActiveConfig, LatencyObjectives, LoadReading, PoolId, Refusal, RefusalReason,
-    RequestId, TargetNotice, TargetPool,
+    RequestId, TargetEntry, TargetNotice, TargetPool,
 };
 use curlewcleat_targets::{
     AnswerIntake, ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer,
@@ -26,6 +26,7 @@
 use super::answer::{AnswerContent, CallerAnswer, PartsFrame};
 use super::body::{BodyOptions, RequestBody};
 use super::framing::{AnswerFraming, ByteFraming};
+use super::liveness::TargetLiveness;
 use super::problem::{problem_answer, REQUEST_ID};
 use super::protocol::{AttemptLimits, CallerProtocol, HeadVerdict, ProtocolOptions, TargetAttempt};
 use crate::context::DaemonContext;
@@ -193,6 +194,15 @@
     }
 
     /// Returns `false`: only the target that runs a request resumes its answer, and no request is sent a second time.
+    /// None is needed: an answer that ends with its connection is refused.
+    fn status_request(&self, _: &TargetEntry) -> Option<RequestHead> {
+        None
+    }
+
+    fn evaluate_status(&self, _: &ResponseHead) -> Option<TargetLiveness> {
+        None
+    }
+
     fn may_repeat(&self, _: &AdmittedRequest) -> bool {
         false
     }
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -21,10 +21,11 @@
 
 use actix_http::body::BodySize;
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use actix_http::{Request, RequestHead, ResponseHead, StatusCode};
+use actix_http::{Request, RequestHead, ResponseHead, StatusCode, Uri};
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
-    ActiveConfig, LoadReading, Refusal, RefusalReason, RequestId, TargetNotice, TargetPool, Verdict,
+    ActiveConfig, LoadReading, Refusal, RefusalReason, RequestId, TargetEntry, TargetNotice,
+    TargetPool, Verdict,
 };
 use curlewcleat_store::WireProfile;
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
@@ -33,6 +34,7 @@
 use super::answer::{AnswerContent, CallerAnswer, PartsFrame};
 use super::body::{BodyOptions, RequestBody};
 use super::framing::{AnswerFraming, EventFraming, StreamPosition};
+use super::liveness::TargetLiveness;
 use super::problem::problem_answer;
 use super::protocol::{AttemptLimits, CallerProtocol, HeadVerdict, ProtocolOptions, TargetAttempt};
 use crate::config_freshness::ConfigFreshness;
@@ -229,6 +231,24 @@
         stated_load::read_load(&self.profile, head)
     }
 
+    fn status_request(&self, target: &TargetEntry) -> Option<RequestHead> {
+        let mut head = RequestHead::default();
+        head.uri = Uri::from_static(self.profile.status_path);
+        let instance = HeaderName::from_static(self.profile.instance);
+        headers::set(&mut head.headers, instance, &target.id);
+        Some(head)
+    }
+
+    fn evaluate_status(&self, head: &ResponseHead) -> Option<TargetLiveness> {
+        // A late answer to an earlier request on the connection repeats the id of that request.
+        let attempt = headers::text(&head.headers, self.profile.attempt_id).unwrap_or_default();
+        match head.status.as_u16() == self.profile.misdirected_status {
+            _ if !attempt.is_empty() => None,
+            true => Some(TargetLiveness::Replaced),
+            false => Some(TargetLiveness::Alive),
+        }
+    }
+
     fn may_repeat(&self, request: &AdmittedRequest) -> bool {
         request.rule.repeatable
     }
--- a/crates/daemon/src/request/protocol.rs
+++ b/crates/daemon/src/request/protocol.rs
@@ -18,6 +18,7 @@
 use super::answer::CallerAnswer;
 use super::body::{BodyOptions, RequestBody};
 use super::framing::AnswerFraming;
+use super::liveness::TargetLiveness;
 use super::CallerRequest;
 
 /// Fixed properties of a protocol.
@@ -112,6 +113,12 @@
     /// Reads what the intended target states of its load in the head of an answer.
     fn target_load(&self, head: &ResponseHead) -> LoadReading;
 
+    /// Builds a request that a target answers at once and without running anything, `None` if the protocol has none.
+    fn status_request(&self, target: &TargetEntry) -> Option<RequestHead>;
+
+    /// Returns what the head of the answer to a status request shows; `None` where it answers another request.
+    fn evaluate_status(&self, head: &ResponseHead) -> Option<TargetLiveness>;
+
     /// Returns whether a request that may have run may be sent to another target.
     fn may_repeat(&self, request: &AdmittedRequest) -> bool;
 
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -6,6 +6,7 @@
 
 mod broken;
 mod complete;
+mod ends;
 mod forms;
 
 use std::time::Duration;
@@ -44,6 +45,7 @@
         target: &TargetEntry,
     ) -> AttemptOutcome {
         self.progress.record_frame(answer.body.frame());
+        self.prepare_end_check(answer.body.frame(), target);
         if answer.head.status.is_server_error() {
             self.progress.record_server_error();
         }
@@ -168,6 +170,9 @@
             WaitEnd::Arrived(None) => {
                 let end = self.evaluate_end(body.frame());
                 self.report_numbers(target);
+                if matches!(end, NextPart::End) {
+                    self.observe_end(body.frame(), target).await;
+                }
                 end
             }
             WaitEnd::Arrived(Some(Err(_))) => match body.excess() {
--- a/crates/daemon/src/request/relay/complete.rs
+++ b/crates/daemon/src/request/relay/complete.rs
@@ -46,6 +46,7 @@
                 return self.interrupted(RefusalReason::TargetClosed, AttemptCause::Closed);
             }
         };
+        self.observe_end(frame, target).await;
         // Counted until the connection has the answer, or a fallback is no longer needed.
         self.buffered = self.hold_answer(bytes.len());
         if self.answer.has_begun() {
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -1,8 +1,10 @@
 //! Logs a request: one line for each failed attempt and one for the end.
 //!
-//! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `stream_joined`,
+//! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `stream_joined`, `end_checked`,
 //! `stream_irregular`, `stream_deviates`, `caller_left`, `caller_stalled`, `answer_cut`, `request_refused`. Relies on: the run's progress.
 
+use std::time::Duration;
+
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     FeatureKind, Refusal, RefusalReason, RequestId, TargetEntry, TargetId, TargetVersion,
@@ -15,7 +17,7 @@
 use super::RequestRun;
 use crate::request::admitted::AdmittedRequest;
 use crate::request::cause::AttemptCause;
-use crate::request::RequestService;
+use crate::request::{RequestService, TargetLiveness};
 
 impl RequestRun {
     /// Logs and counts an answer that its caller has completely.
@@ -124,6 +126,21 @@
         });
     }
 
+    /// Logs and counts what the target of an answer did after the end of its connection.
+    pub(in crate::request) fn log_end_check(
+        &self,
+        target: &TargetEntry,
+        liveness: TargetLiveness,
+        took: Duration,
+    ) {
+        self.service.context.metrics.count_end_check(liveness);
+        info!("end_checked", kv: {
+            request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
+            target = target.id.as_str(), liveness = liveness.code(),
+            took_ms = took.as_millis() as i64, last_event = self.last_event_text()
+        });
+    }
+
     /// Logs that a caller did not read its answer, with the last event that was passed on.
     pub(super) fn log_caller_stalled(&self) {
         warn!("caller_stalled", kv: {
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -4,7 +4,7 @@
 use clap::Parser;
 use curlewcleat_standins::engine::{EngineOptions, EngineStandIn};
 use curlewcleat_standins::fleet::stream_engine::{StreamEngine, StreamEngineOptions};
-use curlewcleat_standins::http::serve;
+use curlewcleat_standins::http::{serve, serve_until_terminated};
 use curlewcleat_standins::platform::{PlatformOptions, PlatformStandIn};
 use curlewcleat_standins::service::{ServiceOptions, ServiceStandIn};
 
@@ -34,7 +34,7 @@
             serve(&options.address.clone(), ServiceStandIn::new(options)).await
         }
         StandIn::StreamEngine(options) => {
-            serve(&options.address.clone(), StreamEngine::new(options)).await
+            serve_until_terminated(&options.address.clone(), StreamEngine::new(options)).await
         }
     }
 }
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -240,6 +240,9 @@
     ) -> anyhow::Result<AfterAnswer> {
         self.wait_while_silent().await;
         connection.send_late_answer().await?;
+        if request.path == WIRE_PROFILE.status_path {
+            return self.answer_status(&request, connection).await;
+        }
         let attempt = request.header(WIRE_PROFILE.attempt_id).to_string();
         let run_index = self.record_run(&request, &attempt);
         let attempt_header = (WIRE_PROFILE.attempt_id, attempt.as_str());
@@ -268,6 +271,20 @@
         self.run(step, run, connection).await
     }
 
+    /// Answers a status request, which takes no slot and runs nothing.
+    async fn answer_status(
+        &self,
+        request: &PlainRequest,
+        connection: &mut PlainConnection,
+    ) -> anyhow::Result<AfterAnswer> {
+        let status = match request.header(WIRE_PROFILE.instance) == self.id {
+            true => 200,
+            false => WIRE_PROFILE.misdirected_status,
+        };
+        connection.answer(status, &[], b"{}").await?;
+        Ok(AfterAnswer::KeepOpen)
+    }
+
     /// Returns the behaviour for a request.
     fn next_step(&self, attempt: &str) -> EngineStep {
         let attempt_step = self.attempt_steps.borrow().borrow_mut().remove(attempt);
--- a/crates/standins/src/fleet/stream_engine.rs
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -29,6 +29,10 @@
 pub const UNFRAMED_MARK: &str = "/unframed";
 /// Part of the path of streams whose length is stated.
 pub const MEASURED_MARK: &str = "/measured";
+/// Part of the path of records, which end with their connection and are sent in two halves.
+pub const RECORD_MARK: &str = "/engine-record";
+/// Time between both halves of a record.
+const RECORD_PAUSE: Duration = Duration::from_millis(150);
 
 /// Options of an engine.
 #[derive(Args, Debug)]
@@ -94,6 +98,16 @@
     }
 }
 
+/// Returns the line that an engine writes when it begins a record.
+pub fn record_begun(attempt: &str) -> String {
+    format!("record {attempt} begun")
+}
+
+/// Returns both halves of the record of an attempt that an engine sends.
+pub fn record_halves(attempt: &str, engine: &str) -> [String; 2] {
+    [format!("record of {attempt} by {engine}, "), format!("second half of {attempt}")]
+}
+
 /// Returns the difference between the numbers of two events of a stream.
 pub fn number_step(path: &str) -> u64 {
     if path.contains(WIDE_MARK) {
@@ -177,6 +191,13 @@
             connection.answer(WIRE_PROFILE.misdirected_status, &[attempt_header], b"").await?;
             return Ok(AfterAnswer::KeepOpen);
         }
+        if request.path == WIRE_PROFILE.status_path {
+            connection.answer(200, &[], b"{}").await?;
+            return Ok(AfterAnswer::KeepOpen);
+        }
+        if request.path.starts_with(RECORD_MARK) {
+            return self.answer_record(attempt, connection).await;
+        }
         tokio::time::sleep(PHASE).await;
         let headers = [
             attempt_header,
@@ -194,6 +215,22 @@
         framing.end(connection).await
     }
 
+    /// Sends a record that ends with its connection, and names its attempt in the output of the process.
+    async fn answer_record(
+        &self,
+        attempt: &str,
+        connection: &mut PlainConnection,
+    ) -> Result<AfterAnswer> {
+        println!("{}", record_begun(attempt));
+        let seal = (SEAL_HEADER, self.options.id.as_str());
+        connection.begin_unframed(&[(WIRE_PROFILE.attempt_id, attempt), seal]).await?;
+        for half in record_halves(attempt, &self.options.id) {
+            connection.write_raw(half.as_bytes()).await?;
+            tokio::time::sleep(RECORD_PAUSE).await;
+        }
+        Ok(AfterAnswer::Close)
+    }
+
     /// Sends an event in two halves, so that an engine can be stopped within one.
     async fn send(
         &self,
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -9,6 +9,7 @@
 use anyhow::{bail, Context, Result};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{signal, SignalKind};
 
 use crate::address::free_address;
 use crate::deployment::wait_listening;
@@ -205,6 +206,20 @@
     }
 }
 
+/// Serves until the process is told to terminate. Then it accepts no more connections and goes on serving the open ones
+/// until it is killed.
+///
+/// # Errors
+/// Fails if the address cannot be bound or a connection cannot be accepted.
+pub async fn serve_until_terminated(address: &str, handler: Rc<dyn PlainHandler>) -> Result<()> {
+    let mut terminated = signal(SignalKind::terminate())?;
+    tokio::select! {
+        served = serve(address, handler) => served,
+        // The listener closes with the other branch; connections have tasks of their own.
+        _ = terminated.recv() => std::future::pending().await,
+    }
+}
+
 /// Serves one connection until either side closes it.
 pub(crate) async fn serve_connection(
     stream: TcpStream,
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -204,7 +204,7 @@
     fn list_daemons(&self, age: ListAge) -> StoreFuture<'_, DaemonList>;
 }
 
-/// Names of the headers used between callers, daemons and targets of a fleet. All are in lower case.
+/// Names used between callers, daemons and targets of a fleet. Headers are in lower case.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WireProfile {
     /// Identifies one attempt of a caller; a target repeats it in its answer.
@@ -238,6 +238,9 @@
     pub limit: &'static str,
     /// On an answer: the requests a second that the target can turn away without terminating.
     pub brittle: &'static str,
+    /// Path at which a target states its load at once, without a slot. A target that has no such path runs nothing either,
+    /// since the request has no attempt id.
+    pub status_path: &'static str,
     /// Headers with which only a daemon may control a target; daemons remove them from callers' requests.
     pub reserved: &'static [&'static str],
 }
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -51,6 +51,13 @@
     instance: Option<TargetInstance>,
 }
 
+impl ConnectionEndpoint {
+    fn of(target: &TargetEntry) -> ConnectionEndpoint {
+        let (address, instance) = (target.address.clone(), Some(target.instance()));
+        ConnectionEndpoint { address, instance }
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     stream: TcpStream,
@@ -150,6 +157,14 @@
         IntakeHold::new(self.intake.clone(), &endpoint.address)
     }
 
+    /// Returns whether a connection to this target instance is idle.
+    pub fn has_idle(&self, target: &TargetEntry) -> bool {
+        let endpoint = ConnectionEndpoint::of(target);
+        let idle = self.idle.borrow();
+        idle.get(&endpoint)
+            .is_some_and(|connections| connections.iter().any(IdleConnection::is_fresh))
+    }
+
     /// Returns a usable idle connection to this target instance, or opens a new one for the request. Nothing is written.
     ///
     /// # Errors
@@ -160,10 +175,7 @@
         limit: Duration,
         request: Option<RequestId>,
     ) -> Result<PooledConnection> {
-        let endpoint = ConnectionEndpoint {
-            address: target.address.clone(),
-            instance: Some(target.instance()),
-        };
+        let endpoint = ConnectionEndpoint::of(target);
         let idle = self.take_idle(&endpoint);
         let reused = idle.is_some();
         let stream = match (idle, &self.links) {
