Answers that end with their connection are whole only if their target outlives them

Callers got half a record with 200, or two of 30 events, and an orderly end, where the engine had been killed: the kernel closes the connections of a killed process as a process does that has sent everything. An end that proves nothing counted as a proof.

The daemon now asks the target for its status after such an end, over a connection that was open before where there is one. Only an answer that the target makes afterwards counts: a connection alone may be accepted while the process is being torn down, and another instance answers as misdirected. Without it the answer is interrupted: a stream that may be resumed goes on at another target behind its last event, a record that may be repeated is repeated, and anything else is cut visibly (cause end_unproven).

--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -19,7 +19,8 @@
     PartTimeout,
     /// The target closed the connection before the end of its answer.
     Closed,
-    /// The answer ended with its connection, as a continuation of one whose caller expects a last chunk.
+    /// The answer ended with its connection, and nothing proves that it is whole: its target did not answer afterwards, or
+    /// it continues an answer whose caller expects a last chunk.
     EndUnproven,
     /// The target left out events of the stream, or numbered them wrongly.
     Misplaced,
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -23,6 +23,8 @@
 use super::run::{AttemptOutcome, RequestRun};
 use super::target_wait::{GrantedTarget, WaitEnd};
 
+use self::ends::EndProof;
+
 /// Next event in an answer.
 enum NextPart {
     /// A part of the answer.
@@ -45,7 +47,7 @@
         target: &TargetEntry,
     ) -> AttemptOutcome {
         self.progress.record_frame(answer.body.frame());
-        self.prepare_end_check(answer.body.frame(), target);
+        self.prepare_end_proof(answer.body.frame(), target);
         if answer.head.status.is_server_error() {
             self.progress.record_server_error();
         }
@@ -170,10 +172,10 @@
             WaitEnd::Arrived(None) => {
                 let end = self.evaluate_end(body.frame());
                 self.report_numbers(target);
-                if matches!(end, NextPart::End) {
-                    self.observe_end(body.frame(), target).await;
+                match end {
+                    NextPart::End => self.prove_end(body.frame(), target, limit).await,
+                    _ => end,
                 }
-                end
             }
             WaitEnd::Arrived(Some(Err(_))) => match body.excess() {
                 Some(excess) => NextPart::Excess(excess),
@@ -198,6 +200,20 @@
         }
     }
 
+    /// Decides whether an answer that seems complete may end.
+    async fn prove_end(
+        &mut self,
+        frame: BodyFrame,
+        target: &TargetEntry,
+        limit: Duration,
+    ) -> NextPart {
+        match self.end_proof(frame, target, limit).await {
+            EndProof::Whole => NextPart::End,
+            EndProof::Missing => NextPart::Interrupted(AttemptCause::EndUnproven),
+            EndProof::Replaced(other) => NextPart::Replaced(other),
+        }
+    }
+
     /// Relays what the framing has buffered, and finishes the answer.
     async fn finish_parts(&mut self, target: &TargetEntry) -> AttemptOutcome {
         let remaining = self.framing.take_remaining();
--- a/crates/daemon/src/request/relay/complete.rs
+++ b/crates/daemon/src/request/relay/complete.rs
@@ -2,6 +2,8 @@
 //!
 //! Owns: nothing; these are methods of [`RequestRun`]. Relies on: the byte budget, which counts what is buffered.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use curlewcleat_core::{RefusalReason, RetryReason, TargetEntry, Verdict};
 use curlewcleat_targets::{
@@ -10,6 +12,7 @@
 use futures_util::StreamExt;
 use spdlog::prelude::*;
 
+use super::ends::EndProof;
 use crate::byte_budget::{ByteHold, ByteOwner};
 use crate::request::cause::AttemptCause;
 use crate::request::run::{AttemptOutcome, RequestRun};
@@ -46,7 +49,15 @@
                 return self.interrupted(RefusalReason::TargetClosed, AttemptCause::Closed);
             }
         };
-        self.observe_end(frame, target).await;
+        match self.end_proof(frame, target, self.record_limit()).await {
+            EndProof::Whole => {}
+            EndProof::Missing => {
+                return self.interrupted(RefusalReason::TargetClosed, AttemptCause::EndUnproven)
+            }
+            EndProof::Replaced(other) => {
+                return AttemptOutcome::Replaced(other, AttemptCause::EndUnproven)
+            }
+        }
         // Counted until the connection has the answer, or a fallback is no longer needed.
         self.buffered = self.hold_answer(bytes.len());
         if self.answer.has_begun() {
@@ -65,6 +76,14 @@
         AttemptOutcome::Served(self.progress.whole_end())
     }
 
+    /// Returns for how long the target of a record is waited for. One that cannot be replaced has all the remaining time.
+    fn record_limit(&self) -> Duration {
+        match self.protocol().may_repeat(&self.request) {
+            true => self.part_limit(),
+            false => self.request.time_left(),
+        }
+    }
+
     /// Counts an answer that is complete; `None` without a memory limit.
     fn hold_answer(&self, bytes: usize) -> Option<ByteHold> {
         let budget = self.service.context.budget.as_ref()?;
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -1,39 +1,60 @@
-//! Answers that end with their connection: what their target does afterwards.
+//! Answers that end with their connection: whether anything proves that they are whole.
 //!
 //! Owns: nothing; these are methods of [`RequestRun`]. Relies on: [`LivenessQuery`] for the question to the target.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use curlewcleat_core::TargetEntry;
 use curlewcleat_targets::BodyFrame;
 
-use crate::request::liveness::LivenessQuery;
+use crate::request::liveness::{LivenessQuery, TargetLiveness};
 use crate::request::run::RequestRun;
+use crate::request::target_wait::{GrantedTarget, WaitEnd};
+
+/// What is known of an answer once its body has ended.
+pub(super) enum EndProof {
+    /// Its length or last chunk has arrived, or its target outlived it.
+    Whole,
+    /// Its target may have terminated while sending.
+    Missing,
+    /// Its target does not answer, and is replaced by this one.
+    Replaced(Box<GrantedTarget>),
+}
 
 impl RequestRun {
-    /// Prepares the question to the target of an answer that ends with its connection.
-    pub(super) fn prepare_end_check(&self, frame: BodyFrame, target: &TargetEntry) {
+    /// Opens a connection for the question to the target of an answer that ends with its connection.
+    pub(super) fn prepare_end_proof(&self, frame: BodyFrame, target: &TargetEntry) {
         if frame == BodyFrame::UntilClose {
-            self.liveness_query(target).prepare();
+            let (context, protocol) = (&self.service.context, self.protocol());
+            LivenessQuery { context, protocol, request: &self.request, target }.prepare();
         }
     }
 
-    /// Records what the target does after the end of an answer that ends with its connection.
-    pub(super) async fn observe_end(&self, frame: BodyFrame, target: &TargetEntry) {
+    /// Returns whether an answer is whole whose body has ended as `frame` states. A silent target is waited for as long
+    /// as for a part of its answer.
+    pub(super) async fn end_proof(
+        &mut self,
+        frame: BodyFrame,
+        target: &TargetEntry,
+        limit: Duration,
+    ) -> EndProof {
         if frame != BodyFrame::UntilClose {
-            return;
+            return EndProof::Whole;
         }
         let asked = Instant::now();
-        let liveness = self.liveness_query(target).ask().await;
+        let wait = self.target_wait(target);
+        let (context, protocol, request) = (wait.context, wait.protocol, wait.request);
+        let query = LivenessQuery { context, protocol, request, target };
+        let (liveness, replacement) = match wait.wait(limit, query.ask()).await {
+            WaitEnd::Arrived(liveness) => (liveness, None),
+            WaitEnd::Replaced(other) => (TargetLiveness::Silent, Some(other)),
+            WaitEnd::TimedOut => (TargetLiveness::Silent, None),
+        };
         self.log_end_check(target, liveness, asked.elapsed());
-    }
-
-    fn liveness_query<'a>(&'a self, target: &'a TargetEntry) -> LivenessQuery<'a> {
-        LivenessQuery {
-            context: &self.service.context,
-            protocol: self.protocol(),
-            request: &self.request,
-            target,
+        match (liveness, replacement) {
+            (TargetLiveness::Alive, _) => EndProof::Whole,
+            (_, Some(other)) => EndProof::Replaced(other),
+            (_, None) => EndProof::Missing,
         }
     }
 }
