Tests: a killed engine does not excuse an unframed stream that ends as complete

The judge of damaged streams counted such a stream as one that no relay can tell from a sound one (KilledUnframed). The daemon can tell it now, so the stream counts as complete too early. Stricter: nothing that was wrong before is allowed.

--- a/crates/acceptance/tests/support/damage_callers.rs
+++ b/crates/acceptance/tests/support/damage_callers.rs
@@ -4,7 +4,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
@@ -47,7 +47,6 @@
     /// Events of the stream once it had ended.
     pub events: usize,
     pub result: AttemptResult,
-    pub ended: Instant,
 }
 
 /// A stream over the attempts of its caller.
@@ -65,10 +64,6 @@
         self.attempts.last().is_some_and(|last| last.result == AttemptResult::Complete)
     }
 
-    pub fn is_unframed(&self) -> bool {
-        self.path.contains(UNFRAMED_MARK)
-    }
-
     /// Returns the `id` behind which the caller takes the stream up.
     fn last_id(&self) -> Option<&String> {
         self.events.iter().rev().find_map(|event| event.id.as_ref())
@@ -164,7 +159,7 @@
             };
             let result = self.attempt(number, max_parts, &mut stream).await;
             let events = stream.events.len();
-            stream.attempts.push(PlayedAttempt { events, result, ended: Instant::now() });
+            stream.attempts.push(PlayedAttempt { events, result });
             if result == AttemptResult::Refused {
                 tokio::time::sleep(REFUSED_WAIT).await;
             }
--- a/crates/acceptance/tests/support/damage_judge.rs
+++ b/crates/acceptance/tests/support/damage_judge.rs
@@ -4,7 +4,6 @@
 
 use std::collections::BTreeMap;
 use std::path::Path;
-use std::time::{Duration, Instant};
 
 use anyhow::Result;
 use curlewcleat_standins::fleet::stream_damage::{DamagedRun, StreamDamage};
@@ -14,8 +13,6 @@
 use crate::sound_beginning::SoundBeginning;
 use crate::support::event_streams::{StreamRoute, EVENTS, SERVICES};
 
-/// Time from the kill of an engine to the end of its answers.
-const KILLED_WITHIN: Duration = Duration::from_secs(1);
 /// Beginning of the data of events of other streams.
 const OTHER_STREAM: &str = "other ";
 
@@ -30,8 +27,6 @@
     OtherWithNextNumber,
     /// A lost range leaves the next number in its place.
     RangeBeforeNextNumber,
-    /// The engine of an answer that ends with its connection was killed between two events.
-    KilledUnframed,
 }
 
 /// What a caller got against the rules.
@@ -68,22 +63,14 @@
     Wrong(StreamFlaw),
 }
 
-/// The damaged runs and kills of a play.
+/// The damaged runs of a play.
 pub struct DamageJudge {
     runs: BTreeMap<String, Vec<DamagedRun>>,
-    kills: Vec<EngineKill>,
-}
-
-/// An engine that was killed.
-pub struct EngineKill {
-    /// Id of the engine.
-    pub id: String,
-    pub at: Instant,
 }
 
 impl DamageJudge {
     /// Reads the damaged runs of engines from their output.
-    pub fn read(folder: &Path, ids: &[String], kills: Vec<EngineKill>) -> Result<DamageJudge> {
+    pub fn read(folder: &Path, ids: &[String]) -> Result<DamageJudge> {
         let mut runs: BTreeMap<String, Vec<DamagedRun>> = BTreeMap::new();
         for id in ids {
             let output = std::fs::read_to_string(folder.join(format!("{id}.log")))?;
@@ -93,7 +80,7 @@
                 runs.entry(run.stream.clone()).or_default().push(run);
             }
         }
-        Ok(DamageJudge { runs, kills })
+        Ok(DamageJudge { runs })
     }
 
     /// Returns the damaged runs of a stream.
@@ -122,12 +109,9 @@
         }
         if stream.is_complete() && stream.events.len() as u64 != EVENTS {
             let found = runs.iter().any(|run| ends_at(run, stream.events.len() as u64));
-            return match () {
-                () if found => StreamOutcome::Hidden(HiddenDamage::EndLost),
-                () if self.was_killed(stream) => {
-                    StreamOutcome::Hidden(HiddenDamage::KilledUnframed)
-                }
-                () => StreamOutcome::Wrong(StreamFlaw::CompleteTooEarly),
+            return match found {
+                true => StreamOutcome::Hidden(HiddenDamage::EndLost),
+                false => StreamOutcome::Wrong(StreamFlaw::CompleteTooEarly),
             };
         }
         match hidden {
@@ -137,17 +121,6 @@
             None => StreamOutcome::Cut,
         }
     }
-
-    /// Returns whether an unframed answer ended just when the engine of its last event was killed.
-    fn was_killed(&self, stream: &PlayedStream) -> bool {
-        let attempt = stream.attempts.last().filter(|_| stream.is_unframed());
-        let (Some(attempt), Some(event)) = (attempt, stream.events.last()) else { return false };
-        let run = event.data.split(' ').nth(2).unwrap_or_default();
-        let engine = run.split('#').next().unwrap_or_default();
-        let ended = |kill: &EngineKill| attempt.ended.checked_duration_since(kill.at);
-        let kills = self.kills.iter().filter(|kill| kill.id == engine);
-        kills.filter_map(ended).any(|since| since <= KILLED_WITHIN)
-    }
 }
 
 /// Returns what is wrong with the event at a place of a stream.
--- a/crates/acceptance/tests/support/damage_plays.rs
+++ b/crates/acceptance/tests/support/damage_plays.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::damage_callers::{AttemptResult, DamageCallers, PlayedAttempt, PlayedStream};
-use crate::damage_judge::{DamageJudge, EngineKill, StreamOutcome};
+use crate::damage_judge::{DamageJudge, StreamOutcome};
 use crate::support::event_streams::{EventFleet, StreamRoute, SERVICES};
 
 /// Streams in progress at the same time.
@@ -61,7 +61,8 @@
         }
         let disturbed = self.disturb(&mut fleet).await;
         let streams = callers.close().await;
-        let judge = DamageJudge::read(&fleet.folder, &fleet.ids, disturbed?)?;
+        disturbed?;
+        let judge = DamageJudge::read(&fleet.folder, &fleet.ids)?;
         Ok(PlayCounts::of(&judge, &streams))
     }
 
@@ -82,21 +83,16 @@
         options.into_iter().flat_map(|(name, value)| [name.to_string(), value]).collect()
     }
 
-    /// Kills, stops and continues engines until the time is over; returns when they were killed.
-    async fn disturb(&self, fleet: &mut EventFleet) -> Result<Vec<EngineKill>> {
+    /// Kills, stops and continues engines until the time is over.
+    async fn disturb(&self, fleet: &mut EventFleet) -> Result<()> {
         let mut random = StdRng::seed_from_u64(self.seed);
         let ended = Instant::now() + self.time;
-        let mut kills = Vec::new();
         while Instant::now() < ended {
             let index = random.random_range(0..fleet.engines.len());
             let away = Duration::from_millis(random.random_range(AWAY_MS));
             let is_killed = random.random_bool(0.5);
             match is_killed {
-                true => {
-                    fleet.kill_engine(index);
-                    let (id, at) = (fleet.engines[index].name.clone(), Instant::now());
-                    kills.push(EngineKill { id, at });
-                }
+                true => fleet.kill_engine(index),
                 false => fleet.signal(&[index], "STOP")?,
             }
             tokio::time::sleep(away).await;
@@ -109,7 +105,7 @@
             }
             tokio::time::sleep(Duration::from_millis(random.random_range(CALM_MS))).await;
         }
-        Ok(kills)
+        Ok(())
     }
 }
 
