--- a/crates/acceptance/tests/streams_beside_damaged_answers.rs
+++ b/crates/acceptance/tests/streams_beside_damaged_answers.rs
@@ -23,12 +23,15 @@
 
 use anyhow::{bail, ensure, Context, Result};
 use curlewcleat_standins::fleet::stream_damage::StreamDamage;
+use curlewcleat_standins::fleet::stream_engine::{MEASURED_MARK, UNFRAMED_MARK};
 use damage_plays::{DamagePlay, PlayCounts};
 use rstest::rstest;
 use support::event_streams::StreamRoute;
 
 /// Time during which engines damage answers.
 const TIME: Duration = Duration::from_secs(10);
+/// Marks of streams in each framing.
+const ALL_MARKS: [&str; 3] = ["", MEASURED_MARK, UNFRAMED_MARK];
 /// Routes whose streams may be repeated.
 const REPEATABLE: [StreamRoute; 2] = [StreamRoute::Resumed, StreamRoute::Split];
 /// Routes whose streams may not.
@@ -41,8 +44,16 @@
 const MIN_DAMAGED: usize = 15;
 
 fn default_play(seed: u64, routes: &[StreamRoute]) -> DamagePlay {
-    let (forms, routes) = (StreamDamage::all(), routes.to_vec());
-    DamagePlay { seed, routes, forms, every: DAMAGED_ONE_IN, is_form_known: true, time: TIME }
+    DamagePlay {
+        seed,
+        routes: routes.to_vec(),
+        marks: &ALL_MARKS,
+        forms: StreamDamage::all(),
+        every: DAMAGED_ONE_IN,
+        is_form_known: true,
+        kills_daemons: false,
+        time: TIME,
+    }
 }
 
 fn check(counts: &PlayCounts) -> Result<()> {
--- a/crates/acceptance/tests/support/damage_callers.rs
+++ b/crates/acceptance/tests/support/damage_callers.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use curlewcleat_acceptance::fleet_head;
 use curlewcleat_platform::names::WIRE_PROFILE;
-use curlewcleat_standins::fleet::stream_engine::{MEASURED_MARK, UNFRAMED_MARK};
 use curlewcleat_targets::{ConnectionPool, ExchangeOptions};
 use futures_util::StreamExt;
 use rand::rngs::StdRng;
@@ -82,6 +81,7 @@
     pub fn start(
         fleet: &EventFleet,
         routes: &[StreamRoute],
+        marks: &'static [&'static str],
         seed: u64,
         count: usize,
     ) -> DamageCallers {
@@ -95,6 +95,7 @@
                 random: StdRng::seed_from_u64(seed << 32 | number as u64),
                 daemons: daemons.clone(),
                 routes: routes.to_vec(),
+                marks,
                 connections: ConnectionPool::default(),
                 played: Rc::clone(&played),
             };
@@ -125,6 +126,8 @@
     daemons: Vec<String>,
     /// Routes of the streams.
     routes: Vec<StreamRoute>,
+    /// Marks of the paths, which choose the framing of the answers.
+    marks: &'static [&'static str],
     connections: ConnectionPool,
     played: Rc<RefCell<Vec<PlayedStream>>>,
 }
@@ -145,8 +148,7 @@
     /// Gets a stream, and takes it up if it breaks off.
     async fn stream(&mut self, count: usize) -> PlayedStream {
         let route = *self.routes.choose(&mut self.random).unwrap_or(&StreamRoute::Resumed);
-        let marks = ["", MEASURED_MARK, UNFRAMED_MARK];
-        let mark = marks.choose(&mut self.random).copied().unwrap_or_default();
+        let mark = self.marks.choose(&mut self.random).copied().unwrap_or_default();
         let path = format!("{}{mark}/a", route.prefix().trim_end_matches('/'));
         let begun_as = format!("c{}-{count}", self.number);
         let (events, attempts) = (Vec::new(), Vec::new());
--- a/crates/acceptance/tests/support/damage_plays.rs
+++ b/crates/acceptance/tests/support/damage_plays.rs
@@ -28,6 +28,8 @@
 const AWAY_MS: std::ops::RangeInclusive<u64> = 300..=1_500;
 /// Time between two disturbances, in milliseconds.
 const CALM_MS: std::ops::RangeInclusive<u64> = 200..=800;
+/// Disturbances of engines of which one follows on the kill of a daemon.
+const DAEMON_ONE_IN: u32 = 3;
 /// Samples of wrong streams that are kept.
 const MAX_SAMPLES: usize = 5;
 
@@ -35,11 +37,16 @@
 pub struct DamagePlay {
     pub seed: u64,
     pub routes: Vec<StreamRoute>,
+    /// Marks of the paths, which choose the framing of the answers.
+    pub marks: &'static [&'static str],
+    /// Damage of the runs, none if empty.
     pub forms: Vec<StreamDamage>,
     /// Runs of which one is damaged.
     pub every: u32,
     /// Whether sound streams come first.
     pub is_form_known: bool,
+    /// Whether daemons are killed and started again as well.
+    pub kills_daemons: bool,
     pub time: Duration,
 }
 
@@ -54,7 +61,7 @@
             wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() })
                 .await?;
         }
-        let callers = DamageCallers::start(&fleet, &self.routes, self.seed, CALLERS);
+        let callers = DamageCallers::start(&fleet, &self.routes, self.marks, self.seed, CALLERS);
         let until = Instant::now() + SOUND_TIME;
         while self.is_form_known && callers.streams() < SOUND_STREAMS && Instant::now() < until {
             tokio::time::sleep(Duration::from_millis(50)).await;
@@ -73,6 +80,9 @@
             true => SOUND_RUNS[index % SERVICES.len()],
             false => 1,
         };
+        if self.forms.is_empty() {
+            return Vec::new();
+        }
         let forms: Vec<String> = self.forms.iter().map(|form| form.name()).collect();
         let options = [
             ("--damage", forms.join(",")),
@@ -88,6 +98,10 @@
         let mut random = StdRng::seed_from_u64(self.seed);
         let ended = Instant::now() + self.time;
         while Instant::now() < ended {
+            if self.kills_daemons && random.random_ratio(1, DAEMON_ONE_IN) {
+                let daemon = random.random_range(0..fleet.deployment.daemons.len());
+                fleet.deployment.restart(daemon).await?;
+            }
             let index = random.random_range(0..fleet.engines.len());
             let away = Duration::from_millis(random.random_range(AWAY_MS));
             let is_killed = random.random_bool(0.5);
