Ends of unframed answers: the target is asked 20 ms after the end, and one that has terminated is interrupted

A process that shuts down closes some connections before others, and may answer a status request in between. Asked at once, such an answer would count as a proof.

A target that was replaced or accepts no connection after such an end now counts as one that closed its connection within the answer: for the scheduler, for a version under rollout and for requests that terminate their targets. Before, it counted as unused.

--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -17,9 +17,9 @@
     HeadTimeout,
     /// The next part of the answer did not arrive within its limit.
     PartTimeout,
-    /// The target closed the connection before the end of its answer.
+    /// The target closed the connection before the end of its answer, or terminated at the end of an unframed one.
     Closed,
-    /// The answer ended with its connection, and nothing proves that it is whole: its target did not answer afterwards, or
+    /// The answer ended with its connection, and nothing proves that it is whole: its target is silent afterwards or may not be asked, or
     /// it continues an answer whose caller expects a last chunk.
     EndUnproven,
     /// The target left out events of the stream, or numbered them wrongly.
--- a/crates/daemon/src/request/liveness.rs
+++ b/crates/daemon/src/request/liveness.rs
@@ -17,6 +17,9 @@
 use super::protocol::CallerProtocol;
 use crate::context::DaemonContext;
 
+/// Time before the first status request: a process that shuts down may close some connections before others, and answer
+/// over these.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
 /// Maximum number of status requests after one answer: a target at its limit of connections resets some.
 const MAX_QUESTIONS: u32 = 3;
 /// Time before a status request is repeated.
@@ -51,6 +54,11 @@
         TargetLiveness::NotAsked,
     ];
 
+    /// Returns whether the target has terminated, or as much as that.
+    pub fn is_ended(self) -> bool {
+        matches!(self, TargetLiveness::Replaced | TargetLiveness::Unreachable)
+    }
+
     /// Returns the code for log lines and metrics.
     pub fn code(self) -> &'static str {
         match self {
@@ -94,6 +102,7 @@
         if !self.is_allowed() {
             return TargetLiveness::NotAsked;
         }
+        tokio::time::sleep(SETTLE_TIME).await;
         for number in 0..MAX_QUESTIONS {
             if number > 0 {
                 tokio::time::sleep(QUESTION_INTERVAL).await;
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -209,7 +209,7 @@
     ) -> NextPart {
         match self.end_proof(frame, target, limit).await {
             EndProof::Whole => NextPart::End,
-            EndProof::Missing => NextPart::Interrupted(AttemptCause::EndUnproven),
+            EndProof::Missing(cause) => NextPart::Interrupted(cause),
             EndProof::Replaced(other) => NextPart::Replaced(other),
         }
     }
--- a/crates/daemon/src/request/relay/complete.rs
+++ b/crates/daemon/src/request/relay/complete.rs
@@ -51,8 +51,8 @@
         };
         match self.end_proof(frame, target, self.record_limit()).await {
             EndProof::Whole => {}
-            EndProof::Missing => {
-                return self.interrupted(RefusalReason::TargetClosed, AttemptCause::EndUnproven)
+            EndProof::Missing(cause) => {
+                return self.interrupted(RefusalReason::TargetClosed, cause)
             }
             EndProof::Replaced(other) => {
                 return AttemptOutcome::Replaced(other, AttemptCause::EndUnproven)
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -7,6 +7,7 @@
 use curlewcleat_core::TargetEntry;
 use curlewcleat_targets::BodyFrame;
 
+use crate::request::cause::AttemptCause;
 use crate::request::liveness::{LivenessQuery, TargetLiveness};
 use crate::request::run::RequestRun;
 use crate::request::target_wait::{GrantedTarget, WaitEnd};
@@ -15,8 +16,8 @@
 pub(super) enum EndProof {
     /// Its length or last chunk has arrived, or its target outlived it.
     Whole,
-    /// Its target may have terminated while sending.
-    Missing,
+    /// Its target may have terminated while sending. The cause is [`AttemptCause::Closed`] if it has.
+    Missing(AttemptCause),
     /// Its target does not answer, and is replaced by this one.
     Replaced(Box<GrantedTarget>),
 }
@@ -54,7 +55,8 @@
         match (liveness, replacement) {
             (TargetLiveness::Alive, _) => EndProof::Whole,
             (_, Some(other)) => EndProof::Replaced(other),
-            (_, None) => EndProof::Missing,
+            (ended, None) if ended.is_ended() => EndProof::Missing(AttemptCause::Closed),
+            (_, None) => EndProof::Missing(AttemptCause::EndUnproven),
         }
     }
 }
