Ends of unframed streams are confirmed by another target while answers of their pool break off

Callers got the beginning of a stream and an orderly end where a target that went on running closed an unframed answer between two events: it answers its status afterwards, and so seems to have sent everything. Targets that fail break off only some of their answers, most of them visibly.

Not detected: streams that may not be resumed, and the first answer that breaks off.

--- a/crates/acceptance/tests/cut_answers.rs
+++ b/crates/acceptance/tests/cut_answers.rs
@@ -309,3 +309,29 @@
     assert!(!answer.ended, "{answer:?}");
     Ok(())
 }
+
+/// Guards against a stream that ends early and unnoticed: a target that goes on running closes an answer between two events,
+/// while answers of its pool break off visibly.
+#[rstest]
+#[case::early("early", AnswerFrame::Close, 2, EngineStep::Serve)]
+#[case::early_and_others_unframed("both", AnswerFrame::Close, 3, EngineStep::WithoutLength)]
+#[case::whole("whole", AnswerFrame::Close, EVENTS, EngineStep::Serve)]
+#[case::whole_and_others_unframed("all", AnswerFrame::Close, EVENTS, EngineStep::WithoutLength)]
+#[actix_rt::test]
+async fn unframed_stream_beside_broken_answers_is_confirmed_by_another_target(
+    #[case] name: &str,
+    #[case] frame: AnswerFrame,
+    #[case] events: u64,
+    #[case] others: EngineStep,
+) -> Result<()> {
+    let fleet = ready(&format!("doubt-{name}")).await?;
+    let entry = &fleet.daemons[0].callers;
+    fleet.set_attempt_step("b", EngineStep::Interrupt(2));
+    assert!(!receive(entry, "/plain/stream/a", "b").await?.ended);
+    fleet.engines.iter().for_each(|engine| engine.set_default_step(others));
+    fleet.set_attempt_step("t", EngineStep::Truncate(frame, stream_length("t", events)));
+    let answer = receive(entry, "/resumed/stream/a", "t").await?;
+    let expected = FleetEngine::expected_stream("t", EVENTS);
+    assert_eq!((answer.text, answer.ended), (expected, true));
+    Ok(())
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -17,6 +17,7 @@
 use curlewcleat_targets::AnswerIntake;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::answer_breaks::SharedBreaks;
 use crate::byte_budget::SharedBudget;
 use crate::metrics::DaemonMetrics;
 use crate::pending::PendingRequest;
@@ -59,6 +60,8 @@
     pub reach: SharedReach,
     /// Forms of the streams of targets.
     pub forms: SharedForms,
+    /// Pools whose targets break off answers.
+    pub breaks: SharedBreaks,
     /// Bytes held for callers and targets; `None` without a memory limit.
     pub budget: Option<SharedBudget>,
     /// Configuration in force.
@@ -91,6 +94,7 @@
             gate: SharedGate::default(),
             reach: SharedReach::default(),
             forms: SharedForms::default(),
+            breaks: SharedBreaks::default(),
             config: Arc::default(),
             routes: Arc::default(),
             node,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon of curlewcleat. `curlewcleat-node` makes the scheduling decisions; this crate connects it to HTTP,
 //! peers, the platform, clocks, logs and metrics.
 
+mod answer_breaks;
 mod assembly;
 mod back_off;
 pub mod byte_budget;
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -19,8 +19,8 @@
     PartTimeout,
     /// The target closed the connection before the end of its answer, or terminated at the end of an unframed one.
     Closed,
-    /// The answer ended with its connection, and nothing proves that it is whole: its target is silent afterwards or may not be asked, or
-    /// it continues an answer whose caller expects a last chunk.
+    /// The answer ended with its connection, and nothing proves that it is whole: its target is silent afterwards or may not be asked,
+    /// another target has to confirm it, or it continues an answer whose caller expects a last chunk.
     EndUnproven,
     /// The target left out events of the stream, or numbered them wrongly.
     Misplaced,
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns whether the target broke off the answer, if it had begun it.
+    pub fn is_broken_off(self) -> bool {
+        matches!(self, AttemptCause::Closed | AttemptCause::Misplaced | AttemptCause::Unreadable)
+    }
+
     /// Returns the observation about the target's version, `None` where the target did not cause the failure or
     /// reported that nothing ran.
     pub fn answer_observation(self) -> Option<AnswerObservation> {
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -47,6 +47,10 @@
     /// Returns whether the events of the latest attempt may be all of the answer, by their numbers.
     fn may_end(&mut self) -> bool;
 
+    /// Returns whether an earlier attempt ended in the same way, so that this one confirms its end or comes behind it; if
+    /// not, a later one does.
+    fn confirms_end(&mut self) -> bool;
+
     /// Returns the remaining bytes after the end of the body.
     fn take_remaining(&mut self) -> Bytes;
 
@@ -178,6 +182,10 @@
         true
     }
 
+    fn confirms_end(&mut self) -> bool {
+        true
+    }
+
     fn take_remaining(&mut self) -> Bytes {
         Bytes::new()
     }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -208,6 +208,9 @@
         limit: Duration,
     ) -> NextPart {
         match self.end_proof(frame, target, limit).await {
+            EndProof::Whole if self.doubts_end(frame) => {
+                NextPart::Interrupted(AttemptCause::EndUnproven)
+            }
             EndProof::Whole => NextPart::End,
             EndProof::Missing(cause) => NextPart::Interrupted(cause),
             EndProof::Replaced(other) => NextPart::Replaced(other),
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -59,4 +59,15 @@
             (_, None) => EndProof::Missing(AttemptCause::EndUnproven),
         }
     }
+
+    /// Returns whether another target has to confirm the end of a stream: targets of the pool break off answers, and this
+    /// one may have done so at the end of an event.
+    pub(super) fn doubts_end(&mut self, frame: BodyFrame) -> bool {
+        let context = &self.service.context;
+        let is_doubtful = frame == BodyFrame::UntilClose
+            && self.protocol().may_repeat(&self.request)
+            && self.framing.is_resumable()
+            && context.breaks.are_recent(context.uptime(), &self.request.pool.id);
+        is_doubtful && !self.framing.confirms_end()
+    }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,6 +13,7 @@
 //! | at which version of the targets a stream is continued | [`stream_versions`] | the streams and versions of a daemon |
 //! | at which version a stream begins, and what proves it | [`version_history`] | the stored splits of a pool |
 //! | which daemon decides | [`election`] | the members |
+//! | whether the end of an answer is doubted | [`broken_answers`] | the pools whose targets break off answers |
 //! | whether a target is reached directly or through a peer | [`target_reach`], [`relay_choice`] | the lost links of a daemon, its peers |
 //!
 //! [`scheduler`] handles the events at the scheduler of a pool ([`pool`] is its state, [`targets`] its view of the
@@ -24,6 +25,7 @@
 //! output, and for carrying out the returned actions.
 
 mod admission;
+mod broken_answers;
 mod decaying_ratio;
 mod drain;
 mod election;
@@ -49,6 +51,7 @@
 pub use admission::level_guard::{GuardStep, LevelGuard};
 pub use admission::overload::OverloadLevel;
 pub use admission::shared_rate::{AccountRates, RateMargin, RateRole, RateShare};
+pub use broken_answers::BrokenAnswers;
 pub use drain::{DrainInput, DrainPhase, DrainState};
 pub use election::candidates::ALL_POOLS;
 pub use election::heartbeats::HeartbeatReceiver;
