--- a/crates/daemon/src/request/profile/tests/mod.rs
+++ b/crates/daemon/src/request/profile/tests/mod.rs
@@ -38,6 +38,7 @@
     leaving: "leaving",
     limit: "limit",
     brittle: "brittle",
+    status_path: "/status",
     reserved: &["hold"],
 };
 
