--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -6,6 +6,7 @@
 
 mod broken;
 mod complete;
+mod ends;
 mod forms;
 
 use std::time::Duration;
@@ -22,6 +23,8 @@
 use super::run::{AttemptOutcome, RequestRun};
 use super::target_wait::{GrantedTarget, WaitEnd};
 
+use self::ends::EndProof;
+
 /// Next event in an answer.
 enum NextPart {
     /// A part of the answer.
@@ -44,6 +47,7 @@
         target: &TargetEntry,
     ) -> AttemptOutcome {
         self.progress.record_frame(answer.body.frame());
+        self.prepare_end_proof(answer.body.frame(), target);
         if answer.head.status.is_server_error() {
             self.progress.record_server_error();
         }
@@ -168,7 +172,10 @@
             WaitEnd::Arrived(None) => {
                 let end = self.evaluate_end(body.frame());
                 self.report_numbers(target);
-                end
+                match end {
+                    NextPart::End => self.prove_end(body.frame(), target, limit).await,
+                    _ => end,
+                }
             }
             WaitEnd::Arrived(Some(Err(_))) => match body.excess() {
                 Some(excess) => NextPart::Excess(excess),
@@ -193,6 +200,23 @@
         }
     }
 
+    /// Decides whether an answer that seems complete may end.
+    async fn prove_end(
+        &mut self,
+        frame: BodyFrame,
+        target: &TargetEntry,
+        limit: Duration,
+    ) -> NextPart {
+        match self.end_proof(frame, target, limit).await {
+            EndProof::Whole if self.doubts_end(frame) => {
+                NextPart::Interrupted(AttemptCause::EndUnproven)
+            }
+            EndProof::Whole => NextPart::End,
+            EndProof::Missing(cause) => NextPart::Interrupted(cause),
+            EndProof::Replaced(other) => NextPart::Replaced(other),
+        }
+    }
+
     /// Relays what the framing has buffered, and finishes the answer.
     async fn finish_parts(&mut self, target: &TargetEntry) -> AttemptOutcome {
         let remaining = self.framing.take_remaining();
