--- a/crates/acceptance/tests/unframed_answers_of_killed_engines.rs
+++ b/crates/acceptance/tests/unframed_answers_of_killed_engines.rs
@@ -10,9 +10,8 @@
 use bytes::Bytes;
 use curlewcleat_acceptance::fleet_head;
 use curlewcleat_standins::deployment::{get_text, wait_until};
-use curlewcleat_standins::fleet::stream_engine::{
-    record_begun, record_halves, StreamEvent, RECORD_MARK, UNFRAMED_MARK,
-};
+use curlewcleat_standins::fleet::stream_engine::{StreamEvent, UNFRAMED_MARK};
+use curlewcleat_standins::fleet::stream_record::{record_begun, record_halves, RECORD_MARK};
 use curlewcleat_targets::{AnswerBody, ConnectionPool, ExchangeOptions};
 use futures_util::StreamExt;
 use rstest::rstest;
--- a/crates/daemon/src/request/cause.rs
+++ b/crates/daemon/src/request/cause.rs
@@ -19,7 +19,7 @@
     PartTimeout,
     /// The target closed the connection before the end of its answer, or terminated at the end of an unframed one.
     Closed,
-    /// The answer ended with its connection, and nothing proves that it is whole: its target is silent afterwards or may not be asked,
+    /// The answer ended with its connection, and nothing proves that it is whole: its target does not respond afterwards or may not be asked,
     /// another target has to confirm it, or it continues an answer whose caller expects a last chunk.
     EndUnproven,
     /// The target left out events of the stream, or numbered them wrongly.
--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -21,8 +21,10 @@
     has_events: bool,
     /// What the caller has of the stream from an earlier request.
     position: StreamPosition,
-    /// Last event of an attempt whose end another attempt has to confirm.
-    unconfirmed_end: Option<u64>,
+    /// Whether the end of an attempt was doubted.
+    has_doubted_end: bool,
+    /// Last event of that attempt.
+    doubted_end: Option<u64>,
 }
 
 /// What the caller has of a stream before the answer.
@@ -60,14 +62,14 @@
     /// Creates the framing of a stream that goes on from this position.
     pub fn from(position: StreamPosition) -> EventFraming {
         let events = EventSplitter::after(position.number());
-        EventFraming { events, has_events: false, position, unconfirmed_end: None }
+        EventFraming { events, position, ..EventFraming::default() }
     }
 }
 
 impl EventFraming {
-    /// Returns whether an earlier attempt ended after the last event.
-    fn is_at_unconfirmed_end(&self) -> bool {
-        self.unconfirmed_end.is_some() && self.unconfirmed_end == self.events.last()
+    /// Returns whether an earlier attempt ended after the same event.
+    fn is_at_doubted_end(&self) -> bool {
+        self.has_doubted_end && self.doubted_end == self.events.last()
     }
 }
 
@@ -91,7 +93,7 @@
     /// A stream that ends within an event was cut, and so was one that ends with its connection before any event of the
     /// same attempt, unless that confirms the end of an earlier one.
     fn is_complete(&self, frame: BodyFrame) -> bool {
-        let may_be_empty = frame != BodyFrame::UntilClose || self.is_at_unconfirmed_end();
+        let may_be_empty = frame != BodyFrame::UntilClose || self.is_at_doubted_end();
         self.events.is_between_events() && (self.has_events || may_be_empty)
     }
 
@@ -100,8 +102,8 @@
     }
 
     fn confirms_end(&mut self) -> bool {
-        let last = self.events.last();
-        self.unconfirmed_end.replace(last.unwrap_or_default()).is_some()
+        self.doubted_end = self.events.last();
+        std::mem::replace(&mut self.has_doubted_end, true)
     }
 
     fn take_remaining(&mut self) -> Bytes {
--- a/crates/daemon/src/request/liveness.rs
+++ b/crates/daemon/src/request/liveness.rs
@@ -39,7 +39,7 @@
     /// It accepted no connection, or closed it without an answer.
     Unreachable,
     /// It sent nothing within the limit.
-    Silent,
+    Unresponsive,
     /// It may not be asked: its data centre is evacuated, or a request that it turns away may terminate it.
     NotAsked,
 }
@@ -50,7 +50,7 @@
         TargetLiveness::Alive,
         TargetLiveness::Replaced,
         TargetLiveness::Unreachable,
-        TargetLiveness::Silent,
+        TargetLiveness::Unresponsive,
         TargetLiveness::NotAsked,
     ];
 
@@ -65,7 +65,7 @@
             TargetLiveness::Alive => "alive",
             TargetLiveness::Replaced => "replaced",
             TargetLiveness::Unreachable => "unreachable",
-            TargetLiveness::Silent => "silent",
+            TargetLiveness::Unresponsive => "unresponsive",
             TargetLiveness::NotAsked => "not_asked",
         }
     }
@@ -97,7 +97,7 @@
         });
     }
 
-    /// Asks the target until it answers, at most [`MAX_QUESTIONS`] times. Takes as long as the target is silent.
+    /// Asks the target until it answers, at most [`MAX_QUESTIONS`] times. Waits for the answer without a limit.
     pub async fn ask(&self) -> TargetLiveness {
         if !self.is_allowed() {
             return TargetLiveness::NotAsked;
--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -8,7 +8,9 @@
 mod notice;
 mod objectives;
 mod prompt_parts;
+mod refusal_status;
 mod stated_load;
+mod status;
 mod take_up;
 #[cfg(test)]
 mod tests;
@@ -21,7 +23,7 @@
 
 use actix_http::body::BodySize;
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use actix_http::{Request, RequestHead, ResponseHead, StatusCode, Uri};
+use actix_http::{Request, RequestHead, ResponseHead, StatusCode};
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
     ActiveConfig, LoadReading, Refusal, RefusalReason, RequestId, TargetEntry, TargetNotice,
@@ -30,6 +32,7 @@
 use curlewcleat_store::WireProfile;
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
 
+use self::refusal_status::status_of;
 use super::admitted::AdmittedRequest;
 use super::answer::{AnswerContent, CallerAnswer, PartsFrame};
 use super::body::{BodyOptions, RequestBody};
@@ -232,21 +235,11 @@
     }
 
     fn status_request(&self, target: &TargetEntry) -> Option<RequestHead> {
-        let mut head = RequestHead::default();
-        head.uri = Uri::from_static(self.profile.status_path);
-        let instance = HeaderName::from_static(self.profile.instance);
-        headers::set(&mut head.headers, instance, &target.id);
-        Some(head)
+        Some(status::status_request(&self.profile, target))
     }
 
     fn evaluate_status(&self, head: &ResponseHead) -> Option<TargetLiveness> {
-        // A late answer to an earlier request on the connection repeats the id of that request.
-        let attempt = headers::text(&head.headers, self.profile.attempt_id).unwrap_or_default();
-        match head.status.as_u16() == self.profile.misdirected_status {
-            _ if !attempt.is_empty() => None,
-            true => Some(TargetLiveness::Replaced),
-            false => Some(TargetLiveness::Alive),
-        }
+        status::evaluate_status(&self.profile, head)
     }
 
     fn may_repeat(&self, request: &AdmittedRequest) -> bool {
@@ -293,25 +286,3 @@
         self.freshness.age()
     }
 }
-
-/// Returns the status of a refusal. Statuses that imply that nothing ran are used only for requests that did not run.
-fn status_of(refusal: &Refusal) -> StatusCode {
-    if refusal.verdict != Verdict::NotRun {
-        return match refusal.reason {
-            RefusalReason::DeadlinePassed | RefusalReason::FirstByteTimeout => {
-                StatusCode::GATEWAY_TIMEOUT
-            }
-            _ => StatusCode::BAD_GATEWAY,
-        };
-    }
-    match refusal.reason {
-        RefusalReason::Unauthorized => StatusCode::UNAUTHORIZED,
-        RefusalReason::NoRule => StatusCode::NOT_FOUND,
-        RefusalReason::BadHeader | RefusalReason::BodyIncomplete => StatusCode::BAD_REQUEST,
-        RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        RefusalReason::AccountRate => StatusCode::TOO_MANY_REQUESTS,
-        // The caller must change the request rather than retry it.
-        RefusalReason::RequestLethal => StatusCode::BAD_REQUEST,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    }
-}
--- a/crates/daemon/src/request/relay/complete.rs
+++ b/crates/daemon/src/request/relay/complete.rs
@@ -7,7 +7,8 @@
 use bytes::{Bytes, BytesMut};
 use curlewcleat_core::{RefusalReason, RetryReason, TargetEntry, Verdict};
 use curlewcleat_targets::{
-    buffer_size, AnswerBody, AnswerExcess, ExcessForm, ExcessLimit, TargetAnswer, TruncatedBody,
+    buffer_size, AnswerBody, AnswerExcess, BodyFrame, ExcessForm, ExcessLimit, TargetAnswer,
+    TruncatedBody,
 };
 use futures_util::StreamExt;
 use spdlog::prelude::*;
@@ -49,14 +50,8 @@
                 return self.interrupted(RefusalReason::TargetClosed, AttemptCause::Closed);
             }
         };
-        match self.end_proof(frame, target, self.record_limit()).await {
-            EndProof::Whole => {}
-            EndProof::Missing(cause) => {
-                return self.interrupted(RefusalReason::TargetClosed, cause)
-            }
-            EndProof::Replaced(other) => {
-                return AttemptOutcome::Replaced(other, AttemptCause::EndUnproven)
-            }
+        if let Some(outcome) = self.unproved_end(frame, target).await {
+            return outcome;
         }
         // Counted until the connection has the answer, or a fallback is no longer needed.
         self.buffered = self.hold_answer(bytes.len());
@@ -76,6 +71,21 @@
         AttemptOutcome::Served(self.progress.whole_end())
     }
 
+    /// Returns how the attempt ends if nothing proves that a record is whole.
+    async fn unproved_end(
+        &mut self,
+        frame: BodyFrame,
+        target: &TargetEntry,
+    ) -> Option<AttemptOutcome> {
+        match self.end_proof(frame, target, self.record_limit()).await {
+            EndProof::Whole => None,
+            EndProof::Missing(cause) => Some(self.interrupted(RefusalReason::TargetClosed, cause)),
+            EndProof::Replaced(other) => {
+                Some(AttemptOutcome::Replaced(other, AttemptCause::EndUnproven))
+            }
+        }
+    }
+
     /// Returns for how long the target of a record is waited for. One that cannot be replaced has all the remaining time.
     fn record_limit(&self) -> Duration {
         match self.protocol().may_repeat(&self.request) {
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -31,8 +31,8 @@
         }
     }
 
-    /// Returns whether an answer is whole whose body has ended as `frame` states. A silent target is waited for as long
-    /// as for a part of its answer.
+    /// Returns whether an answer is whole whose body has ended as `frame` states. A target that does not answer is waited
+    /// for as long as for a part of its answer.
     pub(super) async fn end_proof(
         &mut self,
         frame: BodyFrame,
@@ -48,8 +48,8 @@
         let query = LivenessQuery { context, protocol, request, target };
         let (liveness, replacement) = match wait.wait(limit, query.ask()).await {
             WaitEnd::Arrived(liveness) => (liveness, None),
-            WaitEnd::Replaced(other) => (TargetLiveness::Silent, Some(other)),
-            WaitEnd::TimedOut => (TargetLiveness::Silent, None),
+            WaitEnd::Replaced(other) => (TargetLiveness::Unresponsive, Some(other)),
+            WaitEnd::TimedOut => (TargetLiveness::Unresponsive, None),
         };
         self.log_end_check(target, liveness, asked.elapsed());
         match (liveness, replacement) {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -10,6 +10,7 @@
 pub mod stream_damage;
 pub mod stream_engine;
 pub mod stream_fault;
+pub mod stream_record;
 
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
 pub use engine::{
--- a/crates/standins/src/fleet/stream_engine.rs
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -13,6 +13,7 @@
 
 use super::stream_damage::{DamageOptions, DamagedRun, StreamDamage};
 use super::stream_fault::StreamFault;
+use super::stream_record::{answer_record, RECORD_MARK};
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
 /// Time before the head, before the first event and before the end of an answer.
@@ -29,10 +30,6 @@
 pub const UNFRAMED_MARK: &str = "/unframed";
 /// Part of the path of streams whose length is stated.
 pub const MEASURED_MARK: &str = "/measured";
-/// Part of the path of records, which end with their connection and are sent in two halves.
-pub const RECORD_MARK: &str = "/engine-record";
-/// Time between both halves of a record.
-const RECORD_PAUSE: Duration = Duration::from_millis(150);
 
 /// Options of an engine.
 #[derive(Args, Debug)]
@@ -98,16 +95,6 @@
     }
 }
 
-/// Returns the line that an engine writes when it begins a record.
-pub fn record_begun(attempt: &str) -> String {
-    format!("record {attempt} begun")
-}
-
-/// Returns both halves of the record of an attempt that an engine sends.
-pub fn record_halves(attempt: &str, engine: &str) -> [String; 2] {
-    [format!("record of {attempt} by {engine}, "), format!("second half of {attempt}")]
-}
-
 /// Returns the difference between the numbers of two events of a stream.
 pub fn number_step(path: &str) -> u64 {
     if path.contains(WIDE_MARK) {
@@ -196,7 +183,7 @@
             return Ok(AfterAnswer::KeepOpen);
         }
         if request.path.starts_with(RECORD_MARK) {
-            return self.answer_record(attempt, connection).await;
+            return answer_record(attempt, &self.options.id, connection).await;
         }
         tokio::time::sleep(PHASE).await;
         let headers = [
@@ -215,22 +202,6 @@
         framing.end(connection).await
     }
 
-    /// Sends a record that ends with its connection, and names its attempt in the output of the process.
-    async fn answer_record(
-        &self,
-        attempt: &str,
-        connection: &mut PlainConnection,
-    ) -> Result<AfterAnswer> {
-        println!("{}", record_begun(attempt));
-        let seal = (SEAL_HEADER, self.options.id.as_str());
-        connection.begin_unframed(&[(WIRE_PROFILE.attempt_id, attempt), seal]).await?;
-        for half in record_halves(attempt, &self.options.id) {
-            connection.write_raw(half.as_bytes()).await?;
-            tokio::time::sleep(RECORD_PAUSE).await;
-        }
-        Ok(AfterAnswer::Close)
-    }
-
     /// Sends an event in two halves, so that an engine can be stopped within one.
     async fn send(
         &self,
