--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -193,7 +193,6 @@
         LoadReading::default()
     }
 
-    /// Returns `false`: only the target that runs a request resumes its answer, and no request is sent a second time.
     /// None is needed: an answer that ends with its connection is refused.
     fn status_request(&self, _: &TargetEntry) -> Option<RequestHead> {
         None
@@ -203,6 +202,7 @@
         None
     }
 
+    /// Returns `false`: only the target that runs a request resumes its answer, and no request is sent a second time.
     fn may_repeat(&self, _: &AdmittedRequest) -> bool {
         false
     }
