Ends of unframed answers: one status request for all that ended before it, and only another instance is a proof of the end

Now a connection is held outside of the pool while such answers are in progress, and one status request at a time counts for all answers of an instance that had ended 20 ms before it was sent.

Whatever kept the target from being reached counted as its termination, for the scheduler, for a version under rollout and for requests that terminate targets. Now only another instance at its address does. A connection that is closed without an answer (a target at its limit of connections) is asked again, ever more rarely, for as long as a part of an answer may take.

--- a/crates/acceptance/tests/unframed_answers_of_killed_engines.rs
+++ b/crates/acceptance/tests/unframed_answers_of_killed_engines.rs
@@ -287,3 +287,25 @@
     }
     Ok(())
 }
+
+/// Streams of an engine that leaves end at about the same time, and share the connections that were open before.
+#[actix_rt::test]
+async fn whole_unframed_streams_that_end_together_at_engines_that_leave_are_not_lost() -> Result<()>
+{
+    let fleet = ready("leaving-together").await?;
+    let entry = &fleet.deployment.daemons[0].callers;
+    let begun = (0..SOUND_ANSWERS / 5).map(|place| async move {
+        let mut answer = PlayedAnswer::begin(entry, &path("plain"), &format!("t{place}")).await?;
+        answer.read_events(5).await?;
+        anyhow::Ok(answer)
+    });
+    let mut answers = futures_util::future::try_join_all(begun).await?;
+    fleet.signal(&(0..fleet.engines.len()).collect::<Vec<_>>(), "TERM")?;
+    let ends = answers.iter_mut().map(PlayedAnswer::read_to_end);
+    let ended = futures_util::future::join_all(ends).await;
+    let whole =
+        answers.iter().zip(ended).filter(|(answer, ended)| *ended && answer.is_whole_stream());
+    let (whole, begun) = (whole.count(), answers.len());
+    ensure!(whole == begun, "{whole} of {begun} streams are whole");
+    Ok(())
+}
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -7,7 +7,7 @@
 //! 3. [`run`] waits for a permit of the pool's scheduler and decides after each attempt how to go on.
 //! 4. [`attempt`] sends the request to one target, once.
 //! 5. [`relay`] relays the answer to the caller ([`answer`], [`answer_channel`], [`answer_flow`]) and resumes an interrupted stream ([`framing`]).
-//!    Where an answer ends with its connection, the target has to outlive that end ([`liveness`]).
+//!    Where an answer ends with its connection, the target has to outlive that end ([`liveness`], [`status_queries`]).
 //!
 //! [`CallerProtocol`] covers the differences between the platform kinds: [`builtin`] implements the interface
 //! of docs/CALLERS.md, [`profile`] uses the header names of a fleet's platform.
@@ -32,6 +32,7 @@
 mod protocol;
 mod relay;
 mod run;
+mod status_queries;
 mod target_wait;
 
 use std::rc::Rc;
@@ -54,6 +55,7 @@
 use body::{BodyError, RequestBody};
 use body_intake::BodyIntake;
 use run::RequestRun;
+use status_queries::StatusQueries;
 
 pub use builtin::BuiltinProtocol;
 pub use liveness::TargetLiveness;
@@ -64,6 +66,7 @@
 pub struct RequestService {
     context: DaemonContext,
     protocol: Box<dyn CallerProtocol>,
+    status_queries: StatusQueries,
 }
 
 /// A request as the caller sent it.
@@ -109,7 +112,7 @@
     /// Creates a service for callers that use `protocol`. Its requests are served by this thread.
     pub fn new(context: DaemonContext, protocol: Box<dyn CallerProtocol>) -> Rc<RequestService> {
         start_beats();
-        Rc::new(RequestService { context, protocol })
+        Rc::new(RequestService { context, protocol, status_queries: StatusQueries::default() })
     }
 
     /// Determines rule, account, tier, pool and deadline of a request. Refuses it while there is no configuration.
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -47,7 +47,7 @@
         target: &TargetEntry,
     ) -> AttemptOutcome {
         self.progress.record_frame(answer.body.frame());
-        self.prepare_end_proof(answer.body.frame(), target);
+        let _hold = self.hold_for_end(answer.body.frame(), target);
         if answer.head.status.is_server_error() {
             self.progress.record_server_error();
         }
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -1,34 +1,38 @@
 //! Answers that end with their connection: whether anything proves that they are whole.
 //!
-//! Owns: nothing; these are methods of [`RequestRun`]. Relies on: [`LivenessQuery`] for the question to the target.
+//! Owns: nothing; these are methods of [`RequestRun`]. Relies on: the service's status queries.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use curlewcleat_core::TargetEntry;
 use curlewcleat_targets::BodyFrame;
 
 use crate::request::cause::AttemptCause;
-use crate::request::liveness::{LivenessQuery, TargetLiveness};
+use crate::request::liveness::TargetLiveness;
 use crate::request::run::RequestRun;
+use crate::request::status_queries::{StatusHold, StatusTarget};
 use crate::request::target_wait::{GrantedTarget, WaitEnd};
 
 /// What is known of an answer once its body has ended.
 pub(super) enum EndProof {
     /// Its length or last chunk has arrived, or its target outlived it.
     Whole,
-    /// Its target may have terminated while sending. The cause is [`AttemptCause::Closed`] if it has.
+    /// Its target may have terminated while sending. The cause is [`AttemptCause::Closed`] if that is certain.
     Missing(AttemptCause),
     /// Its target does not answer, and is replaced by this one.
     Replaced(Box<GrantedTarget>),
 }
 
 impl RequestRun {
-    /// Opens a connection for the question to the target of an answer that ends with its connection.
-    pub(super) fn prepare_end_proof(&self, frame: BodyFrame, target: &TargetEntry) {
-        if frame == BodyFrame::UntilClose {
-            let (context, protocol) = (&self.service.context, self.protocol());
-            LivenessQuery { context, protocol, request: &self.request, target }.prepare();
-        }
+    /// Holds a connection for the status request to the target of an answer that ends with its connection.
+    pub(super) fn hold_for_end(
+        &self,
+        frame: BodyFrame,
+        target: &TargetEntry,
+    ) -> Option<StatusHold> {
+        let is_needed = frame == BodyFrame::UntilClose;
+        is_needed.then(|| self.service.hold_status_connection(self.status_target(target)))
     }
 
     /// Returns whether an answer is whole whose body has ended as `frame` states. A target that does not answer is waited
@@ -43,10 +47,10 @@
             return EndProof::Whole;
         }
         let asked = Instant::now();
+        let service = Rc::clone(&self.service);
+        let query = service.query_status(self.status_target(target));
         let wait = self.target_wait(target);
-        let (context, protocol, request) = (wait.context, wait.protocol, wait.request);
-        let query = LivenessQuery { context, protocol, request, target };
-        let (liveness, replacement) = match wait.wait(limit, query.ask()).await {
+        let (liveness, replacement) = match wait.wait(limit, query).await {
             WaitEnd::Arrived(liveness) => (liveness, None),
             WaitEnd::Replaced(other) => (TargetLiveness::Unresponsive, Some(other)),
             WaitEnd::TimedOut => (TargetLiveness::Unresponsive, None),
@@ -55,7 +59,7 @@
         match (liveness, replacement) {
             (TargetLiveness::Alive, _) => EndProof::Whole,
             (_, Some(other)) => EndProof::Replaced(other),
-            (ended, None) if ended.is_ended() => EndProof::Missing(AttemptCause::Closed),
+            (TargetLiveness::Replaced, None) => EndProof::Missing(AttemptCause::Closed),
             (_, None) => EndProof::Missing(AttemptCause::EndUnproven),
         }
     }
@@ -70,4 +74,13 @@
             && context.breaks.are_recent(context.uptime(), &self.request.pool.id);
         is_doubtful && !self.framing.confirms_end()
     }
+
+    fn status_target(&self, target: &TargetEntry) -> StatusTarget {
+        StatusTarget {
+            pool: self.request.pool.clone(),
+            entry: target.clone(),
+            request: self.request.id,
+            connect_limit: self.protocol().limits(&self.request).connect,
+        }
+    }
 }
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -157,14 +157,6 @@
         IntakeHold::new(self.intake.clone(), &endpoint.address)
     }
 
-    /// Returns whether a connection to this target instance is idle.
-    pub fn has_idle(&self, target: &TargetEntry) -> bool {
-        let endpoint = ConnectionEndpoint::of(target);
-        let idle = self.idle.borrow();
-        idle.get(&endpoint)
-            .is_some_and(|connections| connections.iter().any(IdleConnection::is_fresh))
-    }
-
     /// Returns a usable idle connection to this target instance, or opens a new one for the request. Nothing is written.
     ///
     /// # Errors
