Streams whose end nothing proves may end at the next target without any event

A whole unframed stream that may be resumed was cut visibly where its engine was killed behind the last event: the next engine has nothing to add and ends its answer with the connection, which counted as broken off, at one engine after the other. Such an end is accepted now after an attempt that ended at the same event without a proof, if its target lives.

--- a/crates/acceptance/tests/unframed_answers_of_killed_engines.rs
+++ b/crates/acceptance/tests/unframed_answers_of_killed_engines.rs
@@ -123,18 +123,29 @@
     Taken,
 }
 
-/// Begins a stream, kills its engine after some events and reads the rest. Returns the answer and whether it ended as
-/// complete.
+/// Begins a stream, kills its engine after some events and reads the rest.
 async fn kill_within(
     fleet: &mut EventFleet,
     prefix: &str,
     round: u64,
     address: KilledAddress,
+) -> Result<(PlayedAnswer, bool)> {
+    kill_behind(fleet, prefix, round, 2 + 3 * round as usize, address).await
+}
+
+/// Begins a stream, kills its engine after this number of events and reads the rest. Returns the answer and whether it
+/// ended as complete.
+async fn kill_behind(
+    fleet: &mut EventFleet,
+    prefix: &str,
+    round: u64,
+    count: usize,
+    address: KilledAddress,
 ) -> Result<(PlayedAnswer, bool)> {
     let daemon = (round as usize) % fleet.deployment.daemons.len();
     let entry = fleet.deployment.daemons[daemon].callers.clone();
     let mut answer = PlayedAnswer::begin(&entry, &path(prefix), &format!("k{round}")).await?;
-    answer.read_events(2 + 3 * round as usize).await?;
+    answer.read_events(count).await?;
     let last = answer.events().pop().context("no event")?;
     let index = fleet.engine_index(engine_of(&last)).context("an engine of another test")?;
     let listening = fleet.address(index).to_string();
@@ -185,6 +196,25 @@
     Ok(())
 }
 
+/// Another engine has no further event, and ends its answer with the connection as well.
+#[rstest]
+#[case::address_closed("closed", KilledAddress::Closed)]
+#[case::address_taken("taken", KilledAddress::Taken)]
+#[actix_rt::test]
+async fn resumable_stream_of_an_engine_killed_behind_its_last_event_ends_as_complete(
+    #[case] name: &str,
+    #[case] address: KilledAddress,
+) -> Result<()> {
+    let mut fleet = ready(&format!("behind-{name}")).await?;
+    for round in 0..ROUNDS {
+        let count = EVENTS as usize;
+        let (answer, ended) = kill_behind(&mut fleet, "resumed", round, count, address).await?;
+        let events = answer.events().len();
+        ensure!(ended && answer.is_whole_stream(), "round {round}: {ended} {events}");
+    }
+    Ok(())
+}
+
 #[rstest]
 #[case::not_repeatable("once", 502)]
 #[case::repeatable("again", 200)]
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -47,6 +47,9 @@
     /// Returns whether the events of the latest attempt may be all of the answer, by their numbers.
     fn may_end(&mut self) -> bool;
 
+    /// Records that nothing proves the end of the latest attempt: another one may end there without any event.
+    fn leave_end_unproven(&mut self);
+
     /// Returns whether an earlier attempt ended in the same way, so that this one confirms its end or comes behind it; if
     /// not, a later one does.
     fn confirms_end(&mut self) -> bool;
@@ -182,6 +185,8 @@
         true
     }
 
+    fn leave_end_unproven(&mut self) {}
+
     fn confirms_end(&mut self) -> bool {
         true
     }
--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -21,10 +21,10 @@
     has_events: bool,
     /// What the caller has of the stream from an earlier request.
     position: StreamPosition,
-    /// Whether the end of an attempt was doubted.
-    has_doubted_end: bool,
-    /// Last event of that attempt.
-    doubted_end: Option<u64>,
+    /// Last event of an attempt whose end nothing proved.
+    unproven_end: Option<u64>,
+    /// Whether the end of an attempt was doubted although its target lived.
+    has_doubted: bool,
 }
 
 /// What the caller has of a stream before the answer.
@@ -68,8 +68,8 @@
 
 impl EventFraming {
     /// Returns whether an earlier attempt ended after the same event.
-    fn is_at_doubted_end(&self) -> bool {
-        self.has_doubted_end && self.doubted_end == self.events.last()
+    fn is_at_unproven_end(&self) -> bool {
+        self.unproven_end.is_some() && self.unproven_end == self.events.last()
     }
 }
 
@@ -93,7 +93,7 @@
     /// A stream that ends within an event was cut, and so was one that ends with its connection before any event of the
     /// same attempt, unless that confirms the end of an earlier one.
     fn is_complete(&self, frame: BodyFrame) -> bool {
-        let may_be_empty = frame != BodyFrame::UntilClose || self.is_at_doubted_end();
+        let may_be_empty = frame != BodyFrame::UntilClose || self.is_at_unproven_end();
         self.events.is_between_events() && (self.has_events || may_be_empty)
     }
 
@@ -101,9 +101,13 @@
         self.events.may_end()
     }
 
+    fn leave_end_unproven(&mut self) {
+        self.unproven_end = self.events.last();
+    }
+
     fn confirms_end(&mut self) -> bool {
-        self.doubted_end = self.events.last();
-        std::mem::replace(&mut self.has_doubted_end, true)
+        self.leave_end_unproven();
+        std::mem::replace(&mut self.has_doubted, true)
     }
 
     fn take_remaining(&mut self) -> Bytes {
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -207,7 +207,11 @@
         target: &TargetEntry,
         limit: Duration,
     ) -> NextPart {
-        match self.end_proof(frame, target, limit).await {
+        let proof = self.end_proof(frame, target, limit).await;
+        if !matches!(proof, EndProof::Whole) {
+            self.framing.leave_end_unproven();
+        }
+        match proof {
             EndProof::Whole if self.doubts_end(frame) => {
                 NextPart::Interrupted(AttemptCause::EndUnproven)
             }
