--- a/crates/acceptance/tests/unframed_answers_of_killed_engines.rs
+++ b/crates/acceptance/tests/unframed_answers_of_killed_engines.rs
@@ -2,18 +2,17 @@
 //!
 //! The kernel closes the connections of a killed process in an orderly way, so that half an answer looks whole.
 
+#[path = "support/played_answer.rs"]
+mod played_answer;
 mod support;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::{ensure, Context, Result};
-use bytes::Bytes;
-use curlewcleat_acceptance::fleet_head;
 use curlewcleat_standins::deployment::{get_text, wait_until};
-use curlewcleat_standins::fleet::stream_engine::{StreamEvent, UNFRAMED_MARK};
+use curlewcleat_standins::fleet::stream_engine::UNFRAMED_MARK;
 use curlewcleat_standins::fleet::stream_record::{record_begun, record_halves, RECORD_MARK};
-use curlewcleat_targets::{AnswerBody, ConnectionPool, ExchangeOptions};
-use futures_util::StreamExt;
+use played_answer::{engine_of, PlayedAnswer};
 use rstest::rstest;
 use support::event_streams::{EventFleet, EVENTS};
 
@@ -43,73 +42,6 @@
     Ok(fleet)
 }
 
-/// An answer to a caller.
-struct PlayedAnswer {
-    status: u16,
-    body: AnswerBody,
-    text: String,
-    /// When the latest part arrived.
-    latest: Instant,
-}
-
-impl PlayedAnswer {
-    async fn begin(entry: &str, path: &str, attempt: &str) -> Result<PlayedAnswer> {
-        let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
-        let options = ExchangeOptions { allow_close_delimited: true, ..Default::default() };
-        let (head, body) = (fleet_head(path, attempt)?, Bytes::from(attempt.to_string()));
-        let answer = connection.exchange_with(head, body, &options).await?;
-        let status = answer.head.status.as_u16();
-        let (text, latest) = (String::new(), Instant::now());
-        Ok(PlayedAnswer { status, body: answer.body, text, latest })
-    }
-
-    /// Reads a part; `None` at the end, which is an error if the answer is visibly cut.
-    async fn next(&mut self) -> Option<Result<()>> {
-        let part = self.body.next().await?;
-        self.latest = Instant::now();
-        Some(part.map_err(anyhow::Error::from).map(|part| {
-            self.text.push_str(&String::from_utf8_lossy(&part));
-        }))
-    }
-
-    /// Reads the rest and returns whether the answer ends as complete.
-    async fn read_to_end(&mut self) -> bool {
-        while let Some(part) = self.next().await {
-            if part.is_err() {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Returns the events that have arrived whole.
-    fn events(&self) -> Vec<StreamEvent> {
-        self.text
-            .split_inclusive("\n\n")
-            .filter_map(|text| StreamEvent::read(text.trim_end()))
-            .collect()
-    }
-
-    /// Reads until this many events have arrived.
-    async fn read_events(&mut self, count: usize) -> Result<()> {
-        while self.events().len() < count {
-            self.next().await.context("the stream ended")??;
-        }
-        Ok(())
-    }
-
-    /// Returns whether all events of the stream have arrived, each once.
-    fn is_whole_stream(&self) -> bool {
-        let numbers: Vec<u64> = self.events().iter().map(|event| event.number).collect();
-        numbers == (1..=EVENTS).collect::<Vec<_>>()
-    }
-}
-
-/// Returns the id of the engine that made an event.
-fn engine_of(event: &StreamEvent) -> &str {
-    event.run.split('#').next().unwrap_or_default()
-}
-
 fn path(prefix: &str) -> String {
     format!("/{prefix}/stream{UNFRAMED_MARK}/a")
 }
