Events without the type that all others of their source have deviate

Callers that listen for a type did not get an event whose `event` line was lost, and took up behind it: of 10,000 events with a type, one without was passed on.

Cause: the form did not look at `event` fields. It now says whether all events with a number have one; one without deviates (`no_type`), like one with other `data` lines. Sources of which some events have no type are judged as before.

Two more kinds of sound streams, 10,000 each, with a type on all and on a third of the events: none cut or late.

--- a/crates/targets/src/event_fields.rs
+++ b/crates/targets/src/event_fields.rs
@@ -14,6 +14,8 @@
     pub ids: u32,
     /// Number of `data` fields. Callers do not see an event without any: it is a comment.
     pub data_lines: u32,
+    /// Whether it has an `event` field, the type under which callers dispatch it.
+    pub has_type: bool,
     /// Whether it has a line that is a comment.
     pub has_comments: bool,
     /// Whether its first line is a field of a name that callers do not know: there targets state what the event is about.
@@ -44,7 +46,8 @@
                 self.number = value.and_then(read_number);
             }
             b"data" => self.data_lines += 1,
-            b"event" | b"retry" => {}
+            b"event" => self.has_type = true,
+            b"retry" => {}
             b"" => self.has_comments = true,
             _ if is_first && value.is_some() && is_field_name(name) => self.has_title = true,
             _ => self.has_odd_lines = true,
--- a/crates/targets/src/event_form.rs
+++ b/crates/targets/src/event_form.rs
@@ -22,6 +22,8 @@
     pub may_end_unnumbered: bool,
     /// Whether all streams end with such an event, so that one without it has not ended.
     pub must_end_unnumbered: bool,
+    /// Whether all events with a number have a type.
+    pub must_have_type: bool,
     /// Whether events may have lines that callers ignore.
     pub may_have_ignored_lines: bool,
 }
@@ -39,6 +41,8 @@
     NoData,
     /// It has more or fewer `data` fields than others.
     OddData,
+    /// It has no type, unlike others.
+    NoType,
     /// It has a line that callers ignore, unlike others.
     OddLine,
     /// Its number leaves out others.
@@ -53,12 +57,13 @@
 
 impl DeviationKind {
     /// All kinds.
-    pub const ALL: [DeviationKind; 10] = [
+    pub const ALL: [DeviationKind; 11] = [
         DeviationKind::NoNumber,
         DeviationKind::OddNumber,
         DeviationKind::SeveralNumbers,
         DeviationKind::NoData,
         DeviationKind::OddData,
+        DeviationKind::NoType,
         DeviationKind::OddLine,
         DeviationKind::Gap,
         DeviationKind::Fell,
@@ -74,6 +79,7 @@
             DeviationKind::SeveralNumbers => "several_numbers",
             DeviationKind::NoData => "no_data",
             DeviationKind::OddData => "odd_data",
+            DeviationKind::NoType => "no_type",
             DeviationKind::OddLine => "odd_line",
             DeviationKind::Gap => "gap",
             DeviationKind::Fell => "fell",
@@ -130,6 +136,7 @@
             lines if !(self.min_data_lines..=self.max_data_lines).contains(&lines) => {
                 Some(DeviationKind::OddData)
             }
+            _ if self.must_have_type && !fields.has_type => Some(DeviationKind::NoType),
             _ => is_odd_line.then_some(DeviationKind::OddLine),
         }
     }
@@ -144,6 +151,8 @@
     /// Whether the latest event had data and no number.
     ends_unnumbered: bool,
     has_ignored_lines: bool,
+    /// Number of events with a number and a type.
+    typed_events: u64,
     /// Whether an event did not count on from the one before, or lacked a number or data.
     is_irregular: bool,
 }
@@ -163,6 +172,7 @@
         }
         let is_first = self.events == 0;
         self.events += 1;
+        self.typed_events += u64::from(fields.has_type);
         self.is_irregular |= fields.ids > 1 || !fields.has_data();
         self.is_irregular |= fields.number != Some(self.events);
         self.max_data_lines = self.max_data_lines.max(fields.data_lines);
@@ -185,6 +195,7 @@
             max_data_lines: self.max_data_lines,
             may_end_unnumbered: self.ends_unnumbered,
             must_end_unnumbered: self.ends_unnumbered,
+            must_have_type: self.typed_events == self.events,
             may_have_ignored_lines: self.has_ignored_lines,
         })
     }
--- a/crates/targets/src/form_evidence.rs
+++ b/crates/targets/src/form_evidence.rs
@@ -100,6 +100,7 @@
         max_data_lines: form.max_data_lines.max(other.max_data_lines),
         may_end_unnumbered: form.may_end_unnumbered || other.may_end_unnumbered,
         must_end_unnumbered: form.must_end_unnumbered && other.must_end_unnumbered,
+        must_have_type: form.must_have_type && other.must_have_type,
         may_have_ignored_lines: form.may_have_ignored_lines || other.may_have_ignored_lines,
     }
 }
--- a/crates/targets/tests/form_limits.rs
+++ b/crates/targets/tests/form_limits.rs
@@ -13,6 +13,7 @@
     max_data_lines: 1,
     may_end_unnumbered: false,
     must_end_unnumbered: false,
+    must_have_type: false,
     may_have_ignored_lines: false,
 };
 /// Event with which streams end.
--- a/crates/targets/tests/stream_forms.rs
+++ b/crates/targets/tests/stream_forms.rs
@@ -47,6 +47,8 @@
 #[case::unnumbered_end_at_times(SoundStream::UnnumberedEndAtTimes, true)]
 #[case::data_lines(SoundStream::DataLines, true)]
 #[case::titles(SoundStream::Titles, true)]
+#[case::types(SoundStream::Types, true)]
+#[case::types_at_times(SoundStream::TypesAtTimes, true)]
 #[case::varying(SoundStream::Varying, false)]
 #[case::wide(SoundStream::Wide, false)]
 #[case::odd_ids(SoundStream::OddIds, false)]
--- a/crates/targets/tests/support/numbered_streams.rs
+++ b/crates/targets/tests/support/numbered_streams.rs
@@ -64,6 +64,7 @@
     max_data_lines: 1,
     may_end_unnumbered: false,
     must_end_unnumbered: false,
+    must_have_type: false,
     may_have_ignored_lines: false,
 };
 
--- a/crates/targets/tests/support/sound_streams.rs
+++ b/crates/targets/tests/support/sound_streams.rs
@@ -24,6 +24,10 @@
     DataLines,
     /// The same with a first line of another name in a few events.
     Titles,
+    /// The same with a type of each event.
+    Types,
+    /// The same, but only of some events.
+    TypesAtTimes,
     /// Numbers rise by one to three.
     Varying,
     /// Numbers rise by one, but once in a few hundred events by two.
@@ -80,6 +84,10 @@
             SoundStream::Titles if random.one_in(20) => {
                 format!("x-versions: {index}\n{}", event(number))
             }
+            SoundStream::Types => format!("event: token\n{}", event(number)),
+            SoundStream::TypesAtTimes if random.one_in(3) => {
+                format!("event: token\n{}", event(number))
+            }
             SoundStream::OddIds => format!("id: x{number}\ndata: event {index}\n\n"),
             SoundStream::Unnumbered => format!("data: event {index}\n\n"),
             SoundStream::DataBetween if random.one_in(3) => {
