--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -69,7 +69,8 @@
 impl EventFraming {
     /// Returns whether an earlier attempt ended after the same event.
     fn is_at_unproven_end(&self) -> bool {
-        self.unproven_end.is_some() && self.unproven_end == self.events.last()
+        let is_same = self.unproven_end.is_some() && self.unproven_end == self.events.last();
+        is_same || self.events.is_end_unresolved()
     }
 }
 
@@ -153,6 +154,10 @@
         self.events.is_unresolved()
     }
 
+    fn is_end_unresolved(&self) -> bool {
+        self.events.is_end_unresolved()
+    }
+
     fn take_deviations(&mut self) -> Vec<EventDeviation> {
         self.events.take_deviations()
     }
--- a/crates/targets/src/form_evidence.rs
+++ b/crates/targets/src/form_evidence.rs
@@ -5,7 +5,9 @@
 //!
 //! Owns: what the recent streams had in common. Relies on: streams that began here and ended whole.
 
+use crate::end_evidence::EndEvidence;
 use crate::event_form::{EventForm, StreamShape};
+use crate::recent_form::RecentForm;
 
 /// Fewest streams that show a form. One stream may have it by chance.
 const MIN_STREAMS: u32 = 8;
@@ -31,6 +33,8 @@
     /// Events that show a form.
     required_events: u64,
     cut_weight: u32,
+    end: EndEvidence,
+    recent: RecentForm,
 }
 
 impl Default for FormEvidence {
@@ -41,6 +45,8 @@
             events: 0,
             required_events: MIN_EVENTS,
             cut_weight: 0,
+            end: EndEvidence::default(),
+            recent: RecentForm::default(),
         }
     }
 }
@@ -53,40 +59,44 @@
             true => self.required_events,
             false => self.required_events.max(MIN_EVENTS_FOR_CUTS),
         };
-        self.form.filter(|_| self.streams >= MIN_STREAMS && self.events >= required)
+        let form = self.form.filter(|_| self.streams >= MIN_STREAMS && self.events >= required)?;
+        // A stream that may not be repeated is cut where its form was forgotten, so that all streams count there.
+        let form = self.recent.form().filter(|_| may_repeat).unwrap_or(form);
+        Some(EventForm { must_end_unnumbered: self.end.is_known(may_repeat), ..form })
     }
 
     /// Records a stream that its caller has whole.
     pub fn record_whole(&mut self, shape: &StreamShape) {
         let Some(shown) = shape.form() else { return self.take_back() };
+        self.end.record(shown.must_end_unnumbered);
+        self.recent.record(EventForm { must_end_unnumbered: false, ..shown });
         self.streams = self.streams.saturating_add(1);
         self.events = self.events.saturating_add(shape.events());
         self.cut_weight = self.cut_weight.saturating_sub(1);
-        self.form = Some(self.form.map_or(shown, |form| widen(form, shown)));
+        self.form = Some(self.form.map_or(shown, |form| form.widened(shown)));
     }
 
     /// Records a stream that was cut because an event of it deviated, and no other target showed which of both is right.
     pub fn record_cut(&mut self) {
+        self.recent = self.recent.anew();
         self.cut_weight += CUT_WEIGHT;
         if self.cut_weight > MAX_CUT_WEIGHT {
             self.take_back();
         }
     }
 
+    /// Records a stream that was cut because it lacked the end of all others, and no other target showed whether it had
+    /// one.
+    pub fn record_cut_end(&mut self) {
+        self.end.record(false);
+    }
+
     /// Begins anew after a sound stream of another form.
     fn take_back(&mut self) {
         let was_known = self.form(true).is_some();
         let factor = if was_known { CONTRADICTION_FACTOR } else { 1 };
         let required_events = self.required_events.saturating_mul(factor);
-        *self = FormEvidence { required_events, ..FormEvidence::default() };
-    }
-}
-
-fn widen(form: EventForm, other: EventForm) -> EventForm {
-    EventForm {
-        min_data_lines: form.min_data_lines.min(other.min_data_lines),
-        max_data_lines: form.max_data_lines.max(other.max_data_lines),
-        may_end_unnumbered: form.may_end_unnumbered || other.may_end_unnumbered,
-        may_have_ignored_lines: form.may_have_ignored_lines || other.may_have_ignored_lines,
+        let (end, recent) = (self.end.anew(), self.recent.anew());
+        *self = FormEvidence { required_events, end, recent, ..FormEvidence::default() };
     }
 }
