Planned stops hand over the streams that the daemon remembers

Callers of a daemon that was stopped by plan took up their streams elsewhere and were refused with stream_version_unknown, if a version joined about that time. Nothing is reported to the keepers while a pool has one version, so only the entry daemon knew these streams; it ended with them, and the next split gave their slots another version, so that nothing proved them. Besides, what keepers knew of the streams of killed daemons went with the keepers when a roll reached them: only the entry daemon reports to new keepers.

A daemon that stops now reports what it remembers to the keepers as the stop begins, and what it has learned since as it closes (4,096 streams at most each time, its own first); streams that begin in between are reported each.

No acknowledgement: a keeper that is out of reach does not get the report.

--- a/crates/node/src/node/stop.rs
+++ b/crates/node/src/node/stop.rs
@@ -23,6 +23,7 @@
             self.actions.push(NodeAction::Note(NodeNote::DrainBegun));
             self.last_heartbeat = None;
             self.review_roles();
+            self.hand_over_streams();
         }
     }
 
@@ -40,7 +41,10 @@
         }
         if before != phase {
             match phase {
-                DrainPhase::Closing => self.actions.push(NodeAction::Note(NodeNote::DrainClosing)),
+                DrainPhase::Closing => {
+                    self.hand_over_streams();
+                    self.actions.push(NodeAction::Note(NodeNote::DrainClosing));
+                }
                 DrainPhase::Ended => self.actions.push(NodeAction::End),
                 _ => {}
             }
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -3,7 +3,8 @@
 //!
 //! While a pool has targets of several versions, the daemon that holds a caller's connection reports which version begins
 //! which stream to the keepers: the first daemons in the order of schedulers. They are the same for all daemons, and more
-//! than one, since a caller takes up its stream because a daemon has ended.
+//! than one, since a caller takes up its stream because a daemon has ended. A daemon that stops by plan reports all that it
+//! remembers.
 //!
 //! The daemon that schedules is asked as well, since it may prove the version of a stream that no daemon remembers
 //! ([`version_histories`](super::version_histories)). What is neither remembered nor proved is refused.
@@ -35,12 +36,16 @@
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Most streams in one message.
 const STREAMS_PER_MESSAGE: usize = 256;
+/// Most streams that a planned stop hands over to each keeper at once: 120 KB.
+const HAND_OVER_LIMIT: usize = 4_096;
 
 /// Streams of this daemon, and the requests that wait for the version of their stream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct StreamExchange {
     versions: StreamVersions,
     waiting: BTreeMap<RequestId, WaitingTakeUp>,
+    /// When this daemon last handed over its streams, because it stops by plan.
+    handed_over: Option<Uptime>,
 }
 
 /// A request that waits for the version of the stream that it takes up.
@@ -116,7 +121,8 @@
     pub(super) fn stream_begun(&mut self, id: RequestId, pool: &PoolId, begun: StreamVersion) {
         self.entry.set_version(id, begun.version);
         self.streams.versions.remember(self.now, begun, true);
-        if self.streams.versions.is_mixed(self.now, pool) {
+        let is_stopping = self.streams.handed_over.is_some();
+        if is_stopping || self.streams.versions.is_mixed(self.now, pool) {
             let keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
             self.report_streams(&keepers, &[begun]);
         }
@@ -130,6 +136,15 @@
         }
     }
 
+    /// Reports to the keepers what this daemon remembers since it last did so, because it stops by plan. Another version may
+    /// join after its end, and the keepers that knew of the streams reported to this one may have ended.
+    pub(super) fn hand_over_streams(&mut self) {
+        let since = self.streams.handed_over.replace(self.now).unwrap_or_default();
+        let streams = self.streams.versions.streams_since(since, HAND_OVER_LIMIT);
+        let keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
+        self.report_streams(&keepers, &streams);
+    }
+
     pub(super) fn streams_reported(&mut self, streams: Vec<StreamVersion>) {
         for stream in streams {
             self.streams.versions.remember(self.now, stream, false);
--- a/crates/node/tests/out_of_step/play.rs
+++ b/crates/node/tests/out_of_step/play.rs
@@ -48,7 +48,8 @@
     waiting: BTreeMap<u128, (usize, Duration)>,
     /// Requests that take up streams: the daemon and the version that began the stream.
     take_ups: BTreeMap<u128, (usize, String)>,
-    next_number: u128,
+    /// The next request gets this number, above [`FIRST_TAKE_UP`] if it takes up a stream.
+    pub next_number: u128,
     seen_decisions: usize,
 }
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -118,6 +118,8 @@
     pub refusals: Vec<(usize, FeatureReport)>,
     /// Peers that a daemon reported as lost, with the index of that daemon.
     pub lost: Vec<(usize, VmId)>,
+    /// Daemons whose planned stops have ended, in order.
+    pub ended: Vec<usize>,
 }
 
 impl Fleet {
@@ -172,6 +174,7 @@
             blocked: BTreeSet::new(),
             refusals: Vec::new(),
             lost: Vec::new(),
+            ended: Vec::new(),
         };
         for index in 0..daemons {
             fleet.event(index, recorded(daemons));
@@ -209,6 +212,7 @@
                     }
                     NodeAction::Note(NodeNote::PeerLost(peer)) => self.lost.push((index, peer.vm)),
                     NodeAction::Decide(id, decision) => self.decisions.push((id, decision)),
+                    NodeAction::End => self.ended.push(index),
                     NodeAction::Platform(PlatformCall::Read(read_role)) => {
                         self.daemons[index].read_role = read_role
                     }
--- a/crates/sched/src/stream_versions.rs
+++ b/crates/sched/src/stream_versions.rs
@@ -135,4 +135,14 @@
         own.map(|(stream, known)| StreamVersion { stream: *stream, version: known.version })
             .collect()
     }
+
+    /// Returns at most `limit` streams that were begun, continued or reported since a time: those that targets began for
+    /// callers of this daemon before others, and the newest first.
+    pub fn streams_since(&self, since: Uptime, limit: usize) -> Vec<StreamVersion> {
+        let newest = self.by_time.iter().rev().take_while(|(at, _)| *at >= since);
+        let known = newest.filter_map(|(_, id)| self.streams.get(id).map(|known| (*id, *known)));
+        let (own, others): (Vec<_>, Vec<_>) = known.partition(|(_, known)| known.is_own);
+        let first = own.into_iter().chain(others).take(limit);
+        first.map(|(stream, known)| StreamVersion { stream, version: known.version }).collect()
+    }
 }
