Keepers that were started anew on their VMs get the streams again

Callers that took up a stream were refused with stream_version_unknown although the daemon that began it ran on: the three daemons on the strongest VMs, to which it had reported, had been killed one after the other and were back at once, again as the first schedulers. Who reports compared the keepers by VM, so that a daemon which was started anew on the VM of a keeper seemed to be the same one; it had forgotten what the former one was told.

Keepers are now compared by VM and incarnation. The messages are the same; own streams are sent once more for each keeper that was killed and is back before others have taken it for lost, while its pool has several versions.

--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -272,9 +272,12 @@
         if !pools.any(|pool| self.streams.versions.is_mixed(self.now, pool)) {
             return;
         }
-        let before = self.first_schedulers(before, KEEPERS);
-        let mut keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
-        keepers.retain(|vm| !before.contains(vm));
+        // A daemon that was started anew on the same VM has forgotten what was reported to the former one.
+        let is_keeper = |daemon: &&DaemonId| daemon.vm != self.options.me.vm;
+        let before: Vec<_> = before.iter().filter(is_keeper).take(KEEPERS).collect();
+        let keepers = self.all_pools_order.iter().filter(is_keeper).take(KEEPERS);
+        let new = keepers.filter(|daemon| !before.contains(daemon));
+        let keepers: Vec<VmId> = new.map(|daemon| daemon.vm.clone()).collect();
         let own = self.streams.versions.own_streams(self.now);
         self.report_streams(&keepers, &own);
     }
--- a/crates/node/tests/stream_versions.rs
+++ b/crates/node/tests/stream_versions.rs
@@ -15,7 +15,7 @@
 use support::streams::{
     begin, end, fleet_of, last_daemon, set_versions, stream, take_up, take_up_after, CALLER_LIMIT,
 };
-use support::{spec, Fleet};
+use support::{mixed_fleet_daemon, mixed_fleet_records, spec, Fleet};
 
 /// More requests than a daemon of the tests may hold.
 const MANY_REQUESTS: u128 = 12_000;
@@ -147,3 +147,28 @@
     let refused = fleet.decisions.iter().filter(is_full).count();
     assert!(refused > 0, "all of {MANY_REQUESTS} wait");
 }
+
+/// Guards against streams that nobody remembers but their own daemon, since the strongest daemons were killed and are back at
+/// once, as the first schedulers again.
+#[test]
+fn streams_go_on_after_the_first_schedulers_were_killed_and_came_back() {
+    const STRONG: [usize; 3] = [5, 21, 37];
+    const STREAMS: u128 = 12;
+    let (entry, other) = (1, 2);
+    let mut fleet = Fleet::mixed(40);
+    set_versions(&mut fleet, &["v1", "v2"]);
+    fleet.run(Duration::from_secs(10));
+    let begun: Vec<(u128, String)> =
+        (1..=STREAMS).map(|number| (number, begin(&mut fleet, entry, number))).collect();
+    begun.iter().for_each(|(number, _)| fleet.finish(entry, *number));
+    for index in STRONG {
+        fleet.daemons[index] = mixed_fleet_daemon(index, Vec::new(), 2, 20);
+        fleet.event(index, mixed_fleet_records(40));
+        fleet.run(Duration::from_secs(1));
+    }
+    for (number, version) in begun {
+        // So old that the splits do not prove the versions of all.
+        let taken_up = take_up_after(&mut fleet, other, number, Duration::from_secs(25));
+        assert_eq!(taken_up, Ok(version), "{number}");
+    }
+}
