Tests: streams beside two troubles of real processes at a time, each event judged

Callers saw streams that were told as complete too early beside killed engines, a fault that only real processes have and that the plays of one trouble at a time, or of answers from within the judge's process, did not show. Nothing played a release, a planned stop, a stopped daemon and a killed engine at the same time with engines as processes.

The play: three daemons and eight engines as processes, streams of 55, 42 and 3 events in each framing on routes that may and may not be resumed, 90 callers that take up three times, and all 43 pairs of nine kinds of trouble that overlap, in a seeded order. It counts for each pair the streams in progress, taken up and moved, and the wrong ones.

The judge of damaged streams is stricter for all of its plays: a stream has events of one version over all attempts, and one that may not be repeated was begun by one engine only, by what the engines wrote when they had read a request. No answer of this play is damaged, so nothing is excused. `judge_finds_streams_out_of_order` shows that it finds each of these.

The counts of a play move to a module of their own, so that both plays share them.

--- a/crates/acceptance/tests/streams_beside_damaged_answers.rs
+++ b/crates/acceptance/tests/streams_beside_damaged_answers.rs
@@ -14,6 +14,8 @@
 mod damage_judge;
 #[path = "support/damage_plays.rs"]
 mod damage_plays;
+#[path = "support/play_counts.rs"]
+mod play_counts;
 #[path = "../../targets/tests/support/sound_beginning.rs"]
 mod sound_beginning;
 mod support;
@@ -24,7 +26,8 @@
 use anyhow::{bail, ensure, Context, Result};
 use curlewcleat_standins::fleet::stream_damage::StreamDamage;
 use curlewcleat_standins::fleet::stream_engine::{MEASURED_MARK, UNFRAMED_MARK};
-use damage_plays::{DamagePlay, PlayCounts};
+use damage_plays::DamagePlay;
+use play_counts::PlayCounts;
 use rstest::rstest;
 use support::event_streams::StreamRoute;
 
--- /dev/null
+++ b/crates/acceptance/tests/streams_beside_paired_troubles.rs
@@ -0,0 +1,129 @@
+//! Streams of several lengths and framings beside two troubles at a time: engines and daemons, processes of their own,
+//! that are killed, stand still, leave and are replaced, changes of the configuration, and releases.
+//!
+//! Every event is judged at the callers. Run the ignored test with `PAIR_SEEDS` (`11..16`) for other plays.
+
+#[path = "../../targets/tests/support/caller_events.rs"]
+mod caller_events;
+#[path = "support/damage_callers.rs"]
+mod damage_callers;
+#[path = "support/damage_judge.rs"]
+mod damage_judge;
+#[path = "support/paired_troubles.rs"]
+mod paired_troubles;
+#[path = "support/play_counts.rs"]
+mod play_counts;
+#[path = "support/process_troubles.rs"]
+mod process_troubles;
+#[path = "../../targets/tests/support/sound_beginning.rs"]
+mod sound_beginning;
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use anyhow::{ensure, Context, Result};
+use caller_events::CallerEvent;
+use damage_callers::{AttemptResult, PlayedAttempt, PlayedStream};
+use damage_judge::{DamageJudge, StreamFlaw, StreamOutcome};
+use paired_troubles::{all_pairs, PairCounts, PairPlay};
+use rstest::rstest;
+use support::event_streams::{StreamRoute, SERVICES};
+
+/// Pairs of a short play.
+const SHORT_PAIRS: usize = 6;
+/// Seeds by hand, unless `PAIR_SEEDS` states others.
+const SEEDS: &str = "11..16";
+
+fn check(counts: &PairCounts, pairs: usize) -> Result<()> {
+    println!("{counts}");
+    let all = &counts.all;
+    ensure!(all.wrong() == 0, "{} streams are wrong: {:#?}", all.wrong(), all.samples);
+    ensure!(counts.by_pair.len() == pairs, "{} pairs were played", counts.by_pair.len());
+    let without = counts.by_pair.iter().find(|(_, streams)| streams.streams == 0);
+    ensure!(without.is_none(), "no stream was in progress: {without:?}");
+    ensure!(all.taken_up > 0 && all.moved > 0, "no stream met a trouble: {counts}");
+    Ok(())
+}
+
+/// Guards against streams that reach their callers out of order or complete too early where two troubles overlap.
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[actix_rt::test]
+async fn streams_beside_paired_troubles_are_whole_or_visibly_cut(#[case] seed: u64) -> Result<()> {
+    check(&PairPlay { seed, pairs: SHORT_PAIRS }.run().await?, SHORT_PAIRS)
+}
+
+/// Returns the events of a stream that an engine made up to a number, and another one behind it.
+fn events_of(engines: [&str; 2], moved_after: usize, count: usize) -> Vec<CallerEvent> {
+    let event = |number: usize| {
+        let engine = engines[usize::from(number > moved_after)];
+        let data = format!("c0-0 {} {engine}#1 {number} end", SERVICES[0]);
+        CallerEvent { id: Some(number.to_string()), data }
+    };
+    (1..=count).map(event).collect()
+}
+
+/// Guards against a judge that takes a stream out of order for a sound one.
+#[rstest]
+#[case::sound(StreamRoute::Resumed, events_of(["e-0", "e-1"], 20, 55), 2, StreamOutcome::Whole)]
+#[case::other_version(
+    StreamRoute::Resumed,
+    events_of(["e-0", "e-2"], 20, 55),
+    2,
+    StreamOutcome::Wrong(StreamFlaw::OtherVersion)
+)]
+#[case::run_twice(
+    StreamRoute::Plain,
+    events_of(["e-0", "e-0"], 55, 55),
+    2,
+    StreamOutcome::Wrong(StreamFlaw::RunTwice)
+)]
+#[case::two_runs(
+    StreamRoute::Plain,
+    events_of(["e-0", "e-1"], 20, 55),
+    1,
+    StreamOutcome::Wrong(StreamFlaw::Mixed)
+)]
+#[case::complete_too_early(
+    StreamRoute::Resumed,
+    events_of(["e-0", "e-1"], 20, 54),
+    2,
+    StreamOutcome::Wrong(StreamFlaw::CompleteTooEarly)
+)]
+fn judge_finds_streams_out_of_order(
+    #[case] route: StreamRoute,
+    #[case] events: Vec<CallerEvent>,
+    #[case] runs: usize,
+    #[case] expected: StreamOutcome,
+) {
+    let versions = [("e-0", "v1"), ("e-1", "v1"), ("e-2", "v2")];
+    let judge = DamageJudge {
+        begun: BTreeMap::from([("c0-0".to_string(), runs)]),
+        versions: versions.map(|(id, version)| (id.to_string(), version.to_string())).into(),
+        ..DamageJudge::default()
+    };
+    let (began, result) = (Instant::now(), AttemptResult::Complete);
+    let attempt = PlayedAttempt { events: events.len(), result, began, ended: began };
+    let path = format!("{}events-55/a", route.prefix());
+    let begun_as = "c0-0".to_string();
+    let stream = PlayedStream { route, path, begun_as, events, attempts: vec![attempt] };
+    assert_eq!(judge.judge(&stream), expected);
+}
+
+#[ignore = "plays for minutes"]
+#[actix_rt::test]
+async fn many_streams_beside_all_paired_troubles() -> Result<()> {
+    // A variable that is not set stands for the default.
+    let seeds = std::env::var("PAIR_SEEDS").unwrap_or_else(|_| SEEDS.to_string());
+    let (first, end) = seeds.split_once("..").context("PAIR_SEEDS: no range")?;
+    let pairs = all_pairs().len();
+    let mut total = PairCounts::default();
+    for seed in first.parse::<u64>()?..end.parse()? {
+        let counts = PairPlay { seed, pairs }.run().await?;
+        println!("seed {seed}: {}{:#?}", counts.all, counts.all.samples);
+        total.add(counts);
+    }
+    check(&total, pairs)
+}
--- a/crates/acceptance/tests/support/damage_callers.rs
+++ b/crates/acceptance/tests/support/damage_callers.rs
@@ -4,12 +4,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
 use curlewcleat_acceptance::fleet_head;
 use curlewcleat_platform::names::WIRE_PROFILE;
+use curlewcleat_standins::fleet::stated_events;
 use curlewcleat_targets::{ConnectionPool, ExchangeOptions};
 use futures_util::StreamExt;
 use rand::rngs::StdRng;
@@ -17,14 +18,12 @@
 use rand::{Rng, SeedableRng};
 
 use crate::caller_events::{read_events, CallerEvent};
-use crate::support::event_streams::{EventFleet, StreamRoute};
+use crate::support::event_streams::{EventFleet, StreamRoute, EVENTS};
 
 /// Time that callers state, in milliseconds.
 const TIME_LEFT_MS: &str = "6000";
 /// Time without bytes after which a caller gives its attempt up.
 const GAP: Duration = Duration::from_millis(2_500);
-/// Most attempts at which a caller takes up a stream.
-const TAKE_UPS: usize = 4;
 /// Time for which a caller waits after a refusal.
 const REFUSED_WAIT: Duration = Duration::from_millis(200);
 /// Streams that may be taken up, of which the caller leaves one answer.
@@ -46,6 +45,8 @@
     /// Events of the stream once it had ended.
     pub events: usize,
     pub result: AttemptResult,
+    pub began: Instant,
+    pub ended: Instant,
 }
 
 /// A stream over the attempts of its caller.
@@ -63,6 +64,11 @@
         self.attempts.last().is_some_and(|last| last.result == AttemptResult::Complete)
     }
 
+    /// Returns the number of events of the whole stream.
+    pub fn all_events(&self) -> u64 {
+        stated_events(&self.path).unwrap_or(EVENTS)
+    }
+
     /// Returns the `id` behind which the caller takes the stream up.
     fn last_id(&self) -> Option<&String> {
         self.events.iter().rev().find_map(|event| event.id.as_ref())
@@ -84,6 +90,7 @@
         marks: &'static [&'static str],
         seed: u64,
         count: usize,
+        take_ups: usize,
     ) -> DamageCallers {
         let played = Rc::new(RefCell::new(Vec::new()));
         let ended = Rc::new(Cell::new(false));
@@ -96,6 +103,7 @@
                 daemons: daemons.clone(),
                 routes: routes.to_vec(),
                 marks,
+                take_ups,
                 connections: ConnectionPool::default(),
                 played: Rc::clone(&played),
             };
@@ -128,6 +136,8 @@
     routes: Vec<StreamRoute>,
     /// Marks of the paths, which choose the framing of the answers.
     marks: &'static [&'static str],
+    /// Most attempts at which a caller takes up a stream.
+    take_ups: usize,
     connections: ConnectionPool,
     played: Rc<RefCell<Vec<PlayedStream>>>,
 }
@@ -154,14 +164,16 @@
         let (events, attempts) = (Vec::new(), Vec::new());
         let mut stream = PlayedStream { route, path, begun_as, events, attempts };
         let leaves = route.may_be_taken_up() && self.random.random_ratio(1, LEAVES_ONE_IN);
-        for number in 0..=TAKE_UPS {
+        for number in 0..=self.take_ups {
             let max_parts = match leaves && number == 0 {
                 true => self.random.random_range(1..=MAX_PARTS_LEFT),
                 false => usize::MAX,
             };
+            let began = Instant::now();
             let result = self.attempt(number, max_parts, &mut stream).await;
             let events = stream.events.len();
-            stream.attempts.push(PlayedAttempt { events, result });
+            let ended = Instant::now();
+            stream.attempts.push(PlayedAttempt { events, result, began, ended });
             if result == AttemptResult::Refused {
                 tokio::time::sleep(REFUSED_WAIT).await;
             }
--- a/crates/acceptance/tests/support/damage_judge.rs
+++ b/crates/acceptance/tests/support/damage_judge.rs
@@ -2,16 +2,16 @@
 //!
 //! Owns: what is wrong with a stream. Relies on: engines that record their damaged runs.
 
-use std::collections::BTreeMap;
-use std::path::Path;
+use std::collections::{BTreeMap, BTreeSet};
 
 use anyhow::Result;
 use curlewcleat_standins::fleet::stream_damage::{DamagedRun, StreamDamage};
+use curlewcleat_standins::fleet::stream_engine::run_of_line;
 
 use crate::caller_events::CallerEvent;
 use crate::damage_callers::PlayedStream;
 use crate::sound_beginning::SoundBeginning;
-use crate::support::event_streams::{StreamRoute, EVENTS, SERVICES};
+use crate::support::event_streams::{EventFleet, StreamRoute, SERVICES};
 
 /// Beginning of the data of events of other streams.
 const OTHER_STREAM: &str = "other ";
@@ -46,6 +46,10 @@
     CompleteTooEarly,
     /// A stream that may not be repeated has events of two runs, or one of one service has those of two.
     Mixed,
+    /// A stream has events of engines of two versions.
+    OtherVersion,
+    /// Engines ran a stream that may not be repeated twice.
+    RunTwice,
 }
 
 /// What a caller got.
@@ -63,24 +67,34 @@
     Wrong(StreamFlaw),
 }
 
-/// The damaged runs of a play.
+/// The runs of a play.
+#[derive(Default)]
 pub struct DamageJudge {
-    runs: BTreeMap<String, Vec<DamagedRun>>,
+    /// Damaged runs by their streams.
+    pub runs: BTreeMap<String, Vec<DamagedRun>>,
+    /// Numbers of runs that engines began, by their streams.
+    pub begun: BTreeMap<String, usize>,
+    /// Versions of all engines by their ids.
+    pub versions: BTreeMap<String, String>,
 }
 
 impl DamageJudge {
-    /// Reads the damaged runs of engines from their output.
-    pub fn read(folder: &Path, ids: &[String]) -> Result<DamageJudge> {
+    /// Reads the runs of engines from their output.
+    pub fn read(fleet: &EventFleet) -> Result<DamageJudge> {
         let mut runs: BTreeMap<String, Vec<DamagedRun>> = BTreeMap::new();
-        for id in ids {
-            let output = std::fs::read_to_string(folder.join(format!("{id}.log")))?;
+        let mut begun: BTreeMap<String, usize> = BTreeMap::new();
+        for id in &fleet.ids {
+            let output = std::fs::read_to_string(fleet.folder.join(format!("{id}.log")))?;
+            for stream in output.lines().filter_map(run_of_line) {
+                *begun.entry(stream.to_string()).or_default() += 1;
+            }
             // Other lines are messages of the process, and a kill may leave a line incomplete.
             for run in output.lines().filter_map(|line| serde_json::from_str(line).ok()) {
                 let run: DamagedRun = run;
                 runs.entry(run.stream.clone()).or_default().push(run);
             }
         }
-        Ok(DamageJudge { runs })
+        Ok(DamageJudge { runs, begun, versions: fleet.versions.clone() })
     }
 
     /// Returns the damaged runs of a stream.
@@ -107,7 +121,14 @@
         if is_mixed(stream.route, &right) {
             return StreamOutcome::Wrong(StreamFlaw::Mixed);
         }
-        if stream.is_complete() && stream.events.len() as u64 != EVENTS {
+        if !self.is_one_version(&right) {
+            return StreamOutcome::Wrong(StreamFlaw::OtherVersion);
+        }
+        let begun = self.begun.get(&stream.begun_as).copied().unwrap_or_default();
+        if begun > 1 && !stream.route.may_be_taken_up() {
+            return StreamOutcome::Wrong(StreamFlaw::RunTwice);
+        }
+        if stream.is_complete() && stream.events.len() as u64 != stream.all_events() {
             let found = runs.iter().any(|run| ends_at(run, stream.events.len() as u64));
             return match found {
                 true => StreamOutcome::Hidden(HiddenDamage::EndLost),
@@ -121,6 +142,16 @@
             None => StreamOutcome::Cut,
         }
     }
+
+    /// Returns whether events are of engines of one version, all known.
+    fn is_one_version(&self, events: &[&CallerEvent]) -> bool {
+        let version = |event: &&CallerEvent| {
+            let run = event.data.split(' ').nth(2)?;
+            self.versions.get(run.split('#').next()?)
+        };
+        let versions: BTreeSet<Option<&String>> = events.iter().map(version).collect();
+        versions.len() <= 1 && !versions.contains(&None)
+    }
 }
 
 /// Returns what is wrong with the event at a place of a stream.
--- a/crates/acceptance/tests/support/event_streams.rs
+++ b/crates/acceptance/tests/support/event_streams.rs
@@ -1,10 +1,11 @@
 //! Daemons before engines in processes of their own, whose events name what made them.
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 
-use anyhow::Result;
+use anyhow::{Context, Result};
 use curlewcleat_platform::format::{Config, Route, Split};
-use curlewcleat_platform::names::{READY, SERVERS};
+use curlewcleat_platform::names::{DRAINING, READY, SERVERS};
 use curlewcleat_standins::address::free_engine_address;
 use curlewcleat_standins::deployment::{
     create_temp_folder, program_folder, spawn, wait_listening, ChildProcess,
@@ -21,6 +22,8 @@
 /// Services of the engines, which take turns.
 pub const SERVICES: [&str; 2] = ["engines", "others"];
 const SLOTS: u32 = 200;
+/// Version of the engines that are started first.
+const FIRST_VERSION: &str = "v1";
 /// Bounds under which every stream may be continued.
 const BOUNDS: &str = "retry_saved = 100000\nretry_ratio = 10";
 
@@ -78,6 +81,12 @@
     pub folder: PathBuf,
     /// Ids of all engines that were started, the latest ones last.
     pub ids: Vec<String>,
+    /// Version of the engines that are started from now on.
+    pub version: String,
+    /// Versions of all engines that were started, by their ids.
+    pub versions: BTreeMap<String, String>,
+    /// Engines that were replaced and serve their last streams.
+    left: Vec<ChildProcess>,
 }
 
 impl EventFleet {
@@ -104,8 +113,16 @@
         add_routes(&mut deployment);
         deployment.store_config()?;
         let folder = create_temp_folder(&format!("engines-{name}"))?;
-        let (engines, addresses, ids) = (Vec::new(), Vec::new(), Vec::new());
-        let mut fleet = EventFleet { deployment, engines, addresses, folder, ids };
+        let mut fleet = EventFleet {
+            deployment,
+            engines: Vec::new(),
+            addresses: Vec::new(),
+            folder,
+            ids: Vec::new(),
+            version: FIRST_VERSION.to_string(),
+            versions: BTreeMap::new(),
+            left: Vec::new(),
+        };
         for index in 0..ENGINES * SERVICES.len() {
             let (id, address) = (format!("e-{index}"), free_engine_address()?);
             let engine = fleet.start_engine(index, &id, &address, options(index)).await?;
@@ -139,11 +156,12 @@
             zone: "here",
             slots: SLOTS,
             state: READY,
-            version: Some("v1"),
+            version: Some(&self.version),
             born: Some(self.ids.len() as u64 + 1),
         };
         self.deployment.store.write_entry(id, entry)?;
         self.ids.push(id.to_string());
+        self.versions.insert(id.to_string(), self.version.clone());
         Ok(engine)
     }
 
@@ -177,6 +195,34 @@
         Ok(())
     }
 
+    /// Makes an engine leave: it takes no more connections and goes on with its streams.
+    pub fn leave_engine(&self, index: usize) -> Result<()> {
+        let (store, id) = (&self.deployment.store, &self.engines[index].name);
+        let mut entry =
+            store.spec(SERVERS, id).with_context(|| format!("engine {id} has no entry"))?;
+        entry["state"] = DRAINING.into();
+        store.put(SERVERS, id, entry);
+        self.engines[index].signal("TERM")
+    }
+
+    /// Starts an engine of the current version in the place of one that leaves.
+    pub async fn release_engine(&mut self, index: usize) -> Result<()> {
+        let (id, address) = (format!("e-{}", self.ids.len()), free_engine_address()?);
+        let engine = self.start_engine(index, &id, &address, Vec::new()).await?;
+        self.leave_engine(index)?;
+        self.left.push(std::mem::replace(&mut self.engines[index], engine));
+        self.addresses[index] = address;
+        Ok(())
+    }
+
+    /// Kills the engines that were replaced by a release and removes their list entries.
+    pub fn end_left_engines(&mut self) {
+        for mut engine in self.left.drain(..) {
+            engine.kill();
+            self.deployment.store.remove(SERVERS, &engine.name);
+        }
+    }
+
     /// Returns the place of the engine with an id.
     pub fn engine_index(&self, id: &str) -> Option<usize> {
         self.engines.iter().position(|engine| engine.name == id)
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -13,8 +13,8 @@
 
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
 pub use engine::{
-    has_part, AnswerFrame, AttemptSteps, EngineRun, EngineStep, FleetEngine, LethalRequests,
-    LethalTrigger, SecondAnswer, EVENTS_MARK, UNNUMBERED_EVENT,
+    has_part, stated_events, AnswerFrame, AttemptSteps, EngineRun, EngineStep, FleetEngine,
+    LethalRequests, LethalTrigger, SecondAnswer, EVENTS_MARK, UNNUMBERED_EVENT,
 };
 pub use entry::{EngineEntry, ForeignEntry};
 pub use link_faults::{EngineLinkFault, EngineLinks};
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -617,7 +617,7 @@
 }
 
 /// Returns the number of events that the path of a request states behind [`EVENTS_MARK`].
-fn stated_events(path: &str) -> Option<u64> {
+pub fn stated_events(path: &str) -> Option<u64> {
     let (_, stated) = path.split_once(EVENTS_MARK)?;
     stated.split('/').next()?.parse().ok()
 }
--- a/crates/standins/src/fleet/stream_engine.rs
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -11,6 +11,7 @@
 use clap::Args;
 use curlewcleat_platform::names::{SEAL_HEADER, WIRE_PROFILE};
 
+use super::engine::stated_events;
 use super::stream_damage::{DamageOptions, DamagedRun, StreamDamage};
 use super::stream_fault::StreamFault;
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
@@ -103,6 +104,19 @@
     format!("record {attempt} begun")
 }
 
+/// Beginning of the line that an engine writes when it has read the request of a stream.
+const RUN_LINE: &str = "run ";
+
+/// Returns the line that an engine writes when it has read a request of a stream.
+pub fn run_line(stream: &str) -> String {
+    format!("{RUN_LINE}{stream} begun")
+}
+
+/// Returns the stream of such a line.
+pub fn run_of_line(line: &str) -> Option<&str> {
+    line.strip_prefix(RUN_LINE)?.strip_suffix(" begun")
+}
+
 /// Returns both halves of the record of an attempt that an engine sends.
 pub fn record_halves(attempt: &str, engine: &str) -> [String; 2] {
     [format!("record of {attempt} by {engine}, "), format!("second half of {attempt}")]
@@ -198,6 +212,7 @@
         if request.path.starts_with(RECORD_MARK) {
             return self.answer_record(attempt, connection).await;
         }
+        println!("{}", run_line(begun_as(&request)));
         tokio::time::sleep(PHASE).await;
         let headers = [
             attempt_header,
@@ -286,17 +301,14 @@
             "" => 0,
             number => number.parse::<u64>().with_context(|| number.to_string())?,
         };
-        let begun_as = match request.header(WIRE_PROFILE.resumes) {
-            "" => request.header(WIRE_PROFILE.attempt_id),
-            begun_as => begun_as,
-        };
         let template = StreamEvent {
             number: 0,
-            stream: begun_as.to_string(),
+            stream: begun_as(request).to_string(),
             service: self.options.service.clone(),
             run: format!("{}#{run}", self.options.id),
         };
-        let numbers = after / step + 1..=self.options.events;
+        let last = stated_events(&request.path).unwrap_or(self.options.events);
+        let numbers = after / step + 1..=last;
         let mut events: Vec<StreamEvent> =
             numbers.map(|index| StreamEvent { number: index * step, ..template.clone() }).collect();
         if let Some(fault) = self.options.fault.filter(|_| run.is_multiple_of(2)) {
@@ -308,4 +320,12 @@
     }
 }
 
+/// Returns the attempt that began the stream of a request.
+fn begun_as(request: &PlainRequest) -> &str {
+    match request.header(WIRE_PROFILE.resumes) {
+        "" => request.header(WIRE_PROFILE.attempt_id),
+        begun_as => begun_as,
+    }
+}
+
 handle_by_route!(StreamEngine);
