Standstills: permits wait until the evacuated data centres are known again

Requests reached data centres that had been evacuated while their entry daemon stood still: it used permits that were granted meanwhile, and its own grants after it, by the list from before.

Cause: the list had no term at an entry daemon. After a standstill whatever came first, a permit, a request or the list, was handled first.

Now a list that was last proved longer ago than half of evacuation_limit is not used after a standstill. Permits are held until a read of the list, or a query to a daemon with a young read, that was sent after the standstill is answered, half a second at most, so that a daemon that reaches nobody goes on as before. An answer that was sent before it proves nothing. A held permit is checked again when it is used; one whose request has ended or passed its deadline is dropped or returned. EvacuationsListed states when its read was sent, for that.

No process test was run with this commit.

Not covered: a request that had its permit before the standstill and whose connection is being established passes the gate.

--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -88,6 +88,8 @@
             PlatformCall::StoreRefusal(_) | PlatformCall::DropRefusal(_) => {}
             // Targets are listed in configuration files, which have no versions, so there are no rollouts.
             PlatformCall::ReadRollouts | PlatformCall::WriteRollout(_) => {}
+            // The object API has no evacuations.
+            PlatformCall::ReadEvacuations => {}
             PlatformCall::ReadVersionHistories | PlatformCall::WriteVersionHistory(_) => {}
         }
     }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -124,6 +124,7 @@
             PlatformCall::DropRefusal(feature) => {
                 follow::drop_refusal(&self.platform, context, feature);
             }
+            PlatformCall::ReadEvacuations => self.signals.request_evacuation_read(),
             PlatformCall::ReadRollouts => self.signals.request_rollout_read(),
             PlatformCall::WriteRollout(write) => {
                 let signals = Rc::clone(&self.signals);
@@ -202,6 +203,7 @@
         one_scheduler: true,
         key_slots: 0,
         freshness: Some(freshness_limits(settings)),
+        evacuation_limit: settings.bounds.evacuation_limit,
         rollout: settings.bounds.rollout.map(rollout_limits),
         ..options
     }
--- a/crates/daemon/src/fleet/follow/evacuations.rs
+++ b/crates/daemon/src/fleet/follow/evacuations.rs
@@ -5,6 +5,7 @@
 use std::future::pending;
 use std::rc::Rc;
 
+use curlewcleat_clock::Moment;
 use curlewcleat_core::ObjectVersion;
 use curlewcleat_node::NodeEvent;
 use curlewcleat_store::{EntryFault, EvacuationEntries, FaultReason, Result};
@@ -40,6 +41,7 @@
                     tokio::select! {
                         () = self.wait_for_list_change(CALLS, at, watch) => {}
                         () = self.wait_for_recovery() => {}
+                        () = self.signals.evacuation_read_requested() => continue,
                         () = wait_until_idle(&mut role) => {}
                     }
                 }
@@ -64,13 +66,15 @@
 
     /// Reads the evacuations and passes them to the node. Returns the version of the list.
     async fn list_evacuations(&self) -> Result<ObjectVersion> {
+        let sent = Moment::now();
         self.context.metrics.count_platform_call("list_evacuations");
         let EvacuationEntries { list, mut faults } = self.platform.list_evacuations().await?;
         faults.extend(self.unknown_data_centre_faults(list.data_centres.iter()));
         let change = self.evacuation_faults.borrow_mut().apply_list(faults);
         change.report(ENTRY_KIND, &self.context.metrics);
         let at = list.at;
-        self.context.send_event(NodeEvent::EvacuationsListed(list));
+        let sent = self.context.uptime_at(sent);
+        self.context.send_event(NodeEvent::EvacuationsListed { list, sent });
         Ok(at)
     }
 
--- a/crates/daemon/src/fleet/read_signals.rs
+++ b/crates/daemon/src/fleet/read_signals.rs
@@ -16,6 +16,8 @@
     read_role: watch::Sender<ReadRole>,
     /// Notified when the node requests that the rollouts are read again.
     rollouts: Notify,
+    /// Notified when the node requests that the evacuations are read again.
+    evacuations: Notify,
 }
 
 impl Default for ReadSignals {
@@ -25,6 +27,7 @@
             freshness: Rc::default(),
             read_role: watch::Sender::new(ReadRole::Reader),
             rollouts: Notify::new(),
+            evacuations: Notify::new(),
         }
     }
 }
@@ -49,4 +52,14 @@
     pub async fn rollout_read_requested(&self) {
         self.rollouts.notified().await;
     }
+
+    /// Requests that the evacuations are read again.
+    pub fn request_evacuation_read(&self) {
+        self.evacuations.notify_one();
+    }
+
+    /// Waits until the evacuations have to be read again.
+    pub async fn evacuation_read_requested(&self) {
+        self.evacuations.notified().await;
+    }
 }
--- a/crates/daemon/src/platform_adapter.rs
+++ b/crates/daemon/src/platform_adapter.rs
@@ -89,6 +89,7 @@
         request_limit: settings.request_limit,
         link_bytes_per_s: settings.link_kbit_per_s * 1_000 / 8,
         freshness: None,
+        evacuation_limit: None,
         rollout: None,
         heartbeat_every: settings.beat,
         drain_grace: settings.drain_grace,
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -140,7 +140,12 @@
         at: ObjectVersion,
     },
     /// The evacuated data centres that the platform shows.
-    EvacuationsListed(EvacuationList),
+    EvacuationsListed {
+        /// The list.
+        list: EvacuationList,
+        /// When the read was sent.
+        sent: Uptime,
+    },
     /// What the targets of each pool accept while they warm up, as the platform states it.
     WarmUpLimitsRead(BTreeMap<PoolId, WarmUpLimit>),
     /// A read of the platform that was sent at this time showed the configuration in force to be the newest.
@@ -187,6 +192,8 @@
     ReadRollouts,
     /// Store the stage of an order, and read the orders again.
     WriteRollout(RolloutWrite),
+    /// Read the evacuated data centres, if this daemon reads the platform.
+    ReadEvacuations,
     /// Read at which versions the streams of all pools begin.
     ReadVersionHistories,
     /// Store at which versions the streams of a pool begin if the stored object still has the revision, and read them
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod config_pull;
 mod config_serving;
 mod ended_instances;
+mod evacuation_proof;
 mod evacuation_view;
 mod event;
 mod freshness;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,6 +4,7 @@
 
 mod configuration;
 mod evacuations;
+mod held_grants;
 mod keys;
 mod lethal;
 mod loads;
@@ -41,6 +42,7 @@
     AccountRates, DrainState, EntryRequests, LevelGuard, MemberView, PoolScheduler, ALL_POOLS,
 };
 
+use self::held_grants::HeldGrant;
 use self::lethal::LethalExchange;
 use self::loads::UnsentLoads;
 use self::notices::ReceivedNotices;
@@ -52,6 +54,7 @@
 use self::version_histories::HistoryExchange;
 use crate::awaited_answer::AwaitedAnswer;
 use crate::config_exchange::ConfigExchange;
+use crate::evacuation_proof::EvacuationProof;
 use crate::evacuation_view::EvacuationView;
 use crate::event::{NodeAction, NodeEvent};
 use crate::freshness::{PlatformFreshness, ReadRole};
@@ -69,6 +72,9 @@
     discovered: Vec<DiscoveredTarget>,
     targets: TargetView,
     evacuations: EvacuationView,
+    evacuation_proof: EvacuationProof,
+    /// Granted permits that wait for the evacuated data centres.
+    held_grants: Vec<HeldGrant>,
     warm_ups: WarmUps,
     freshness: Option<PlatformFreshness>,
     read_role: ReadRole,
@@ -124,6 +130,8 @@
             discovered: Vec::new(),
             targets: TargetView::default(),
             evacuations: EvacuationView::default(),
+            evacuation_proof: EvacuationProof::within(options.evacuation_limit),
+            held_grants: Vec::new(),
             warm_ups: WarmUps::default(),
             freshness: options
                 .freshness
@@ -167,9 +175,12 @@
 
     /// Handles an event and returns the actions to perform, in order.
     pub fn handle(&mut self, now: Uptime, wall: WallTime, event: NodeEvent) -> Vec<NodeAction> {
-        self.record_standstill(now);
+        let stood_still = self.record_standstill(now);
         self.now = now;
         self.wall = wall;
+        if stood_still {
+            self.review_evacuations();
+        }
         match event {
             NodeEvent::Tick => self.tick(),
             NodeEvent::PeerFrameReceived(frame) => self.peer_frame(frame),
@@ -218,7 +229,7 @@
             NodeEvent::TargetsChanged { from, changes, at } => {
                 self.targets_changed(from, changes, at);
             }
-            NodeEvent::EvacuationsListed(list) => self.evacuations_listed(list),
+            NodeEvent::EvacuationsListed { list, sent } => self.evacuations_read(list, sent),
             NodeEvent::WarmUpLimitsRead(limits) => {
                 self.warm_ups.set_limits(limits);
                 self.apply_warm_ups();
@@ -230,6 +241,7 @@
             NodeEvent::VmsRead(list) => self.vms_read(&list),
             NodeEvent::Drain => self.begin_drain(),
         }
+        self.release_held_grants();
         self.run_inbox();
         self.flush();
         std::mem::take(&mut self.actions)
--- a/crates/node/src/node/evacuations.rs
+++ b/crates/node/src/node/evacuations.rs
@@ -9,13 +9,19 @@
 
 use std::sync::Arc;
 
-use curlewcleat_core::{EvacuationList, ObjectVersion, PeerMessage, TargetId, VmId};
+use curlewcleat_core::{EvacuationList, ObjectVersion, PeerMessage, TargetId, Uptime, VmId};
 
 use super::Node;
 use crate::evacuation_view::EvacuationChange;
 use crate::event::{NodeAction, NodeNote};
 
 impl Node {
+    /// Applies a list that this daemon has read itself; the read was sent at `sent`.
+    pub(super) fn evacuations_read(&mut self, list: EvacuationList, sent: Uptime) {
+        self.evacuations_listed(list);
+        self.evacuation_proof.record_answer(self.now, sent, sent);
+    }
+
     /// Applies a list of the evacuated data centres, from the platform or from a peer.
     pub(super) fn evacuations_listed(&mut self, list: EvacuationList) {
         let Some(change) = self.evacuations.apply(list) else { return };
--- a/crates/node/src/node/options.rs
+++ b/crates/node/src/node/options.rs
@@ -39,6 +39,8 @@
     pub link_bytes_per_s: u64,
     /// Age limits for the view of a platform that few daemons read on behalf of all, `None` if each daemon reads it.
     pub freshness: Option<FreshnessLimits>,
+    /// Time within which an evacuation has to be in force, `None` if evacuations are not read.
+    pub evacuation_limit: Option<Duration>,
     /// Limits on the share of a pool's requests that a version on trial may get, `None` if rollouts are off.
     pub rollout: Option<RolloutLimits>,
     /// Time between heartbeats.
--- a/crates/node/src/node/platform.rs
+++ b/crates/node/src/node/platform.rs
@@ -17,6 +17,7 @@
     pub(super) fn platform_read(&mut self, sent: Uptime) {
         let Some(freshness) = self.freshness.as_mut() else { return };
         freshness.read_succeeded(self.now, sent);
+        self.evacuation_proof.record_proof(sent);
         self.actions.push(NodeAction::Platform(PlatformCall::ConfigConfirmed(sent)));
         self.review_freshness();
     }
@@ -46,6 +47,8 @@
         }
         let Some(freshness) = self.freshness.as_mut() else { return };
         let Some(read) = freshness.answer_received(self.now, answer) else { return };
+        // A peer sends its list, if data centres are evacuated, before the answer.
+        self.evacuation_proof.record_answer(self.now, answer.query.sent, read);
         if answer.generation > self.store.generation() {
             self.config_advertised(&from.vm, answer.generation);
         } else {
@@ -185,7 +188,8 @@
         if !freshness.is_removal_uncertain(self.now) && self.targets.settle() {
             self.refresh_discovered();
         }
-        if query_due && self.is_proof_aging() {
+        let evacuations_awaited = self.evacuation_proof.is_awaited(self.now);
+        if query_due && (evacuations_awaited || self.is_proof_aging()) {
             self.query_freshness();
         }
         self.review_freshness();
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -195,6 +195,9 @@
     }
 
     pub(super) fn dispatch(&mut self, permit: PermitId, target: &str) {
+        if self.hold_grant(permit, target) {
+            return;
+        }
         if let Some(refusal) = self.refusal_at_grant(permit.request) {
             return self.refuse_granted(permit.request, refusal);
         }
--- a/crates/node/src/node/standstill.rs
+++ b/crates/node/src/node/standstill.rs
@@ -25,12 +25,15 @@
 }
 
 impl Node {
-    pub(super) fn record_standstill(&mut self, now: Uptime) {
+    /// Returns whether this daemon stood still until now.
+    pub(super) fn record_standstill(&mut self, now: Uptime) -> bool {
         let length = now.saturating_sub(self.now);
-        if length >= MIN_STANDSTILL {
+        let stood_still = length >= MIN_STANDSTILL;
+        if stood_still {
             let length = length.max(self.handling_delay());
             self.standstill = Some(Standstill { ended: now, length });
         }
+        stood_still
     }
 
     /// Returns for how long the frames may have waited by which peers seem to be reached.
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -39,6 +39,7 @@
             self.apply_guard_step(&pool, step);
         }
         self.send_loads();
+        self.step_held_grants();
         self.step_take_ups();
         self.step_histories();
         self.step_warm_ups();
--- a/crates/node/tests/evacuations.rs
+++ b/crates/node/tests/evacuations.rs
@@ -144,9 +144,10 @@
 #[test]
 fn older_list_is_ignored() {
     let mut divided = DividedFleet::new(3);
+    let sent = divided.fleet.now;
     let list = |at, data_centre: &str| {
         let data_centres = [data_centre.to_string()].into();
-        NodeEvent::EvacuationsListed(EvacuationList { at, data_centres })
+        NodeEvent::EvacuationsListed { list: EvacuationList { at, data_centres }, sent }
     };
     divided.fleet.event(0, list(60, "d"));
     divided.fleet.event(0, list(40, "e"));
@@ -164,7 +165,9 @@
     divided.fleet.admit(entry, 6);
     assert!(is_sent(&divided.fleet, 6), "the scheduler grants at once");
     let everywhere = EvacuationList { at: 50, data_centres: ["d", "e"].map(String::from).into() };
-    divided.fleet.event(entry, NodeEvent::EvacuationsListed(everywhere));
+    divided
+        .fleet
+        .event(entry, NodeEvent::EvacuationsListed { list: everywhere, sent: divided.fleet.now });
     divided.fleet.admit(entry, 7);
     assert!(!is_sent(&divided.fleet, 7));
 }
--- a/crates/node/tests/nodes.rs
+++ b/crates/node/tests/nodes.rs
@@ -35,6 +35,7 @@
         request_limit,
         link_bytes_per_s: 125_000_000,
         freshness: None,
+        evacuation_limit: None,
         rollout: None,
         heartbeat_every: Duration::from_millis(500),
         drain_grace: Duration::from_secs(1),
--- a/crates/node/tests/permit_terms.rs
+++ b/crates/node/tests/permit_terms.rs
@@ -117,3 +117,49 @@
     fleet.resume(entry);
     assert!(!is_dispatched(&fleet, 1), "{:?}", fleet.decision(1));
 }
+
+/// Guards against requests that wait for the list although a peer has stated that nothing is evacuated.
+#[test]
+fn request_admitted_after_a_standstill_is_sent_once_the_list_is_known() {
+    let mut fleet = fleet_without_rates();
+    let entry = entry_daemon(&fleet);
+    fleet.suspend(entry);
+    fleet.run(Duration::from_secs(4));
+    fleet.resume(entry);
+    fleet.admit(entry, 1);
+    assert!(!is_dispatched(&fleet, 1), "{:?}", fleet.decision(1));
+    fleet.run(Duration::from_millis(200));
+    assert!(is_dispatched(&fleet, 1), "{:?}", fleet.decision(1));
+}
+
+/// Guards against requests that are refused for good where nobody can state what is evacuated.
+#[test]
+fn request_admitted_after_a_standstill_is_sent_where_the_list_stays_unknown() {
+    let mut fleet = fleet_without_rates();
+    let entry = entry_daemon(&fleet);
+    fleet.suspend(entry);
+    fleet.daemons[entry].reaches_platform = false;
+    fleet.run(Duration::from_secs(4));
+    fleet.block(entry, 0..DAEMONS, true);
+    fleet.resume(entry);
+    fleet.admit(entry, 1);
+    assert!(!is_dispatched(&fleet, 1), "{:?}", fleet.decision(1));
+    fleet.run(Duration::from_millis(600));
+    assert!(is_dispatched(&fleet, 1), "{:?}", fleet.decision(1));
+}
+
+/// Guards against an answer that was sent before the standstill and that counts as a proof after it.
+#[test]
+fn permit_is_not_used_by_a_list_that_was_read_before_the_standstill() {
+    let mut fleet = fleet_without_rates();
+    let entry = entry_daemon(&fleet);
+    let (list, sent) = (fleet.evacuations.clone(), fleet.now);
+    fleet.suspend(entry);
+    fleet.event(entry, NodeEvent::EvacuationsListed { list, sent });
+    fleet.evacuate(&["d"]);
+    fleet.run(Duration::from_secs(4));
+    fleet.block(entry, 0..DAEMONS, true);
+    fleet.resume(entry);
+    fleet.admit(entry, 1);
+    assert!(!is_dispatched(&fleet, 1), "{:?}", fleet.decision(1));
+}
--- a/crates/node/tests/support/builders.rs
+++ b/crates/node/tests/support/builders.rs
@@ -122,6 +122,7 @@
         request_limit: 10_000,
         link_bytes_per_s: megabits * 1_000_000 / 8,
         freshness: Some(FreshnessLimits::within(APPLY_LIMIT)),
+        evacuation_limit: Some(APPLY_LIMIT),
         rollout: Some(ROLLOUT_LIMITS),
         heartbeat_every: Duration::from_millis(500),
         drain_grace: Duration::from_secs(1),
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -367,7 +367,8 @@
         if self.generation_of(index) >= self.generation {
             self.event(index, NodeEvent::PlatformRead(self.now));
         }
-        self.event(index, NodeEvent::EvacuationsListed(self.evacuations.clone()));
+        let list = self.evacuations.clone();
+        self.event(index, NodeEvent::EvacuationsListed { list, sent: self.now });
         let (targets, at) = self.targets.clone();
         self.event(index, NodeEvent::TargetsListed(targets, at));
         if self.daemons[index].read_role == ReadRole::Reader {
--- a/crates/sched/src/entry/timeouts.rs
+++ b/crates/sched/src/entry/timeouts.rs
@@ -54,7 +54,8 @@
         actions
     }
 
-    pub(super) fn deadline_passed(&mut self, id: RequestId) -> Vec<EntryAction> {
+    /// Refuses a request whose deadline has passed before it was sent, or leaves it at its stalled target.
+    pub fn deadline_passed(&mut self, id: RequestId) -> Vec<EntryAction> {
         let Some(request) = self.requests.get(&id) else { return Vec::new() };
         let mut actions = request.return_permit(AttemptEnd::Unused);
         if self.resume_stalled_target(id) {
