--- a/crates/bench/src/support.rs
+++ b/crates/bench/src/support.rs
@@ -101,6 +101,7 @@
         request_limit: 1_000_000,
         link_bytes_per_s: 125_000_000,
         freshness: None,
+        evacuation_limit: None,
         rollout: None,
         heartbeat_every: Duration::from_millis(500),
         drain_grace: Duration::from_secs(2),
