Planned stops hand over no streams that are too old to be remembered

Streams are forgotten when the next one is remembered. A daemon without new streams handed over those of any age, which the keepers then remembered for another 30 s.

--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -140,7 +140,7 @@
     /// join after its end, and the keepers that knew of the streams reported to this one may have ended.
     pub(super) fn hand_over_streams(&mut self) {
         let since = self.streams.handed_over.replace(self.now).unwrap_or_default();
-        let streams = self.streams.versions.streams_since(since, HAND_OVER_LIMIT);
+        let streams = self.streams.versions.streams_since(self.now, since, HAND_OVER_LIMIT);
         let keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
         self.report_streams(&keepers, &streams);
     }
--- a/crates/sched/src/stream_versions.rs
+++ b/crates/sched/src/stream_versions.rs
@@ -138,8 +138,9 @@
 
     /// Returns at most `limit` streams that were begun, continued or reported since a time: those that targets began for
     /// callers of this daemon before others, and the newest first.
-    pub fn streams_since(&self, since: Uptime, limit: usize) -> Vec<StreamVersion> {
-        let newest = self.by_time.iter().rev().take_while(|(at, _)| *at >= since);
+    pub fn streams_since(&self, now: Uptime, since: Uptime, limit: usize) -> Vec<StreamVersion> {
+        let is_recent = |at: Uptime| at >= since && now < at + RETENTION;
+        let newest = self.by_time.iter().rev().take_while(|(at, _)| is_recent(*at));
         let known = newest.filter_map(|(_, id)| self.streams.get(id).map(|known| (*id, *known)));
         let (own, others): (Vec<_>, Vec<_>) = known.partition(|(_, known)| known.is_own);
         let first = own.into_iter().chain(others).take(limit);
--- a/crates/sched/tests/stream_versions.rs
+++ b/crates/sched/tests/stream_versions.rs
@@ -221,3 +221,21 @@
     assert!(on_trial > 0, "a stream goes on within the share");
     assert!(on_trial <= SLACK + 2, "{on_trial} of 40");
 }
+
+/// Guards against a planned stop that hands over the streams of other daemons in place of its own, or more than a bound.
+#[test]
+fn streams_handed_over_are_own_ones_first_and_bounded() {
+    let numbered = |number: u64| stream(&format!("first-{number}"));
+    let mut known = StreamVersions::default();
+    for number in 0..10 {
+        let reported = StreamVersion { stream: numbered(number), version: version("v1") };
+        known.remember(at(number), reported, number % 2 == 0);
+    }
+    let streams = |now, since, limit| -> Vec<StreamId> {
+        let streams = known.streams_since(at(now), at(since), limit);
+        streams.into_iter().map(|known| known.stream).collect()
+    };
+    assert_eq!(streams(9, 0, 6), [8, 6, 4, 2, 0, 9].map(numbered));
+    assert_eq!(streams(9, 7, 6), [8, 9, 7].map(numbered));
+    assert_eq!(streams(37, 0, 6), [8, 9].map(numbered), "7 is too old");
+}
