--- a/crates/acceptance/tests/support/damage_judge.rs
+++ b/crates/acceptance/tests/support/damage_judge.rs
@@ -6,7 +6,7 @@
 
 use anyhow::Result;
 use curlewcleat_standins::fleet::stream_damage::{DamagedRun, StreamDamage};
-use curlewcleat_standins::fleet::stream_engine::run_of_line;
+use curlewcleat_standins::fleet::stream_runs::run_of_line;
 
 use crate::caller_events::CallerEvent;
 use crate::damage_callers::PlayedStream;
--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod crowd;
 pub mod event_callers;
+pub mod event_routes;
 pub mod event_streams;
 pub mod slow_link;
 pub mod stream_callers;
--- a/crates/node/src/evacuation_proof.rs
+++ b/crates/node/src/evacuation_proof.rs
@@ -3,7 +3,7 @@
 //! Inputs: the time within which an evacuation has to be in force, when the reads were sent that showed the known list to
 //! be the newest, and the standstills of this daemon. The rule: after a standstill a list that was proved too long ago is
 //! not used until a read or a query that was sent after the standstill has shown the current one, for [`LIST_WAIT`] at
-//! most: where nobody can show it, the known list is used as before. Load pattern: virtual machines that are suspended
+//! most: where no daemon can show it, the known list is used as before. Load pattern: virtual machines that are suspended
 //! for some seconds, and permits that were granted meanwhile.
 //!
 //! Owns: the time of the latest proof. Relies on: peers that send their list before the age of their reads.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,6 +19,7 @@
 mod rollouts;
 mod standstill;
 mod stop;
+mod stream_hand_over;
 mod stream_proofs;
 mod stream_starts;
 mod streams;
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -24,7 +24,7 @@
 use crate::event::{CallerDecision, NodeAction, NodeNote, VersionSource};
 
 /// Number of daemons to which it is reported which version began a stream.
-const KEEPERS: usize = 3;
+pub(super) const KEEPERS: usize = 3;
 /// Number of daemons that are asked: one more, since a daemon that has joined may have displaced a keeper.
 const ASKED: usize = KEEPERS + 1;
 /// Time after which the daemons that have not answered are asked again.
@@ -36,16 +36,14 @@
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Most streams in one message.
 const STREAMS_PER_MESSAGE: usize = 256;
-/// Most streams that a planned stop hands over to each keeper at once: 120 KB.
-const HAND_OVER_LIMIT: usize = 4_096;
 
 /// Streams of this daemon, and the requests that wait for the version of their stream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct StreamExchange {
-    versions: StreamVersions,
+    pub(super) versions: StreamVersions,
     waiting: BTreeMap<RequestId, WaitingTakeUp>,
     /// When this daemon last handed over its streams, because it stops by plan.
-    handed_over: Option<Uptime>,
+    pub(super) handed_over: Option<Uptime>,
 }
 
 /// A request that waits for the version of the stream that it takes up.
@@ -128,7 +126,7 @@
         }
     }
 
-    fn report_streams(&mut self, keepers: &[VmId], streams: &[StreamVersion]) {
+    pub(super) fn report_streams(&mut self, keepers: &[VmId], streams: &[StreamVersion]) {
         for vm in keepers {
             for part in streams.chunks(STREAMS_PER_MESSAGE) {
                 self.post(vm, PeerMessage::StreamsBegun(part.to_vec()));
@@ -136,15 +134,6 @@
         }
     }
 
-    /// Reports to the keepers what this daemon remembers since it last did so, because it stops by plan. Another version may
-    /// join after its end, and the keepers that knew of the streams reported to this one may have ended.
-    pub(super) fn hand_over_streams(&mut self) {
-        let since = self.streams.handed_over.replace(self.now).unwrap_or_default();
-        let streams = self.streams.versions.streams_since(self.now, since, HAND_OVER_LIMIT);
-        let keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
-        self.report_streams(&keepers, &streams);
-    }
-
     pub(super) fn streams_reported(&mut self, streams: Vec<StreamVersion>) {
         for stream in streams {
             self.streams.versions.remember(self.now, stream, false);
@@ -283,7 +272,7 @@
     }
 
     /// Returns the VMs of the first other daemons in an order of schedulers.
-    fn first_schedulers(&self, order: &[DaemonId], count: usize) -> Vec<VmId> {
+    pub(super) fn first_schedulers(&self, order: &[DaemonId], count: usize) -> Vec<VmId> {
         let others = order.iter().filter(|daemon| daemon.vm != self.options.me.vm);
         others.take(count).map(|daemon| daemon.vm.clone()).collect()
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -176,13 +176,18 @@
             lost: Vec::new(),
             ended: Vec::new(),
         };
-        for index in 0..daemons {
-            fleet.event(index, recorded(daemons));
-        }
-        fleet.run(Duration::from_secs(4));
+        fleet.start();
         fleet
     }
 
+    /// Starts all daemons and waits until they know each other.
+    fn start(&mut self) {
+        for index in 0..self.daemons.len() {
+            self.event(index, recorded(self.daemons.len()));
+        }
+        self.run(Duration::from_secs(4));
+    }
+
     /// Returns a fleet of a few strong VMs and many weak ones, all of which have just started.
     pub fn mixed(daemons: usize) -> Fleet {
         let mut fleet = Fleet::of(0, 1_000);
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -18,8 +18,8 @@
 use std::collections::BTreeMap;
 
 use curlewcleat_core::{
-    AttemptEnd, DaemonId, KeptAnswer, KeyAnswer, KeyDecision, PermitId, PoolId, Refusal,
-    RefusalReason, RequestId, RetryReason, Uptime, Verdict, VersionDigest, VmId,
+    AttemptEnd, DaemonId, KeptAnswer, KeyAnswer, KeyDecision, PoolId, Refusal, RefusalReason,
+    RequestId, RetryReason, Uptime, Verdict, VersionDigest, VmId,
 };
 
 pub use self::action::EntryAction;
@@ -78,19 +78,6 @@
         self.requests.get(&id).map(|request| &request.spec)
     }
 
-    /// Returns whether a granted permit is that of its request's current attempt.
-    pub fn uses_permit(&self, permit: &PermitId) -> bool {
-        let request = self.requests.get(&permit.request);
-        request.is_some_and(|request| {
-            matches!(&request.phase, RequestPhase::Dispatched(used) if used.attempt == permit.attempt)
-        })
-    }
-
-    /// Returns whether the deadline of a request has passed.
-    pub fn is_deadline_passed(&self, now: Uptime, id: RequestId) -> bool {
-        self.requests.get(&id).is_some_and(|request| now >= request.deadline)
-    }
-
     /// Returns whether a request is at a stalled target while another target is requested for it.
     pub fn awaits_replacement(&self, id: RequestId) -> bool {
         self.requests.get(&id).is_some_and(|request| request.stalled_permit.is_some())
--- a/crates/sched/src/entry/timeouts.rs
+++ b/crates/sched/src/entry/timeouts.rs
@@ -24,7 +24,7 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AttemptEnd, Refusal, RefusalReason, RequestId, RetryReason, Uptime, Verdict,
+    AttemptEnd, PermitId, Refusal, RefusalReason, RequestId, RetryReason, Uptime, Verdict,
 };
 
 use super::request::{PermitWait, RequestPhase};
@@ -32,6 +32,19 @@
 use crate::retry_after::DEFAULT_RETRY_AFTER;
 
 impl EntryRequests {
+    /// Returns whether a granted permit is that of its request's current attempt.
+    pub fn uses_permit(&self, permit: &PermitId) -> bool {
+        let request = self.requests.get(&permit.request);
+        request.is_some_and(|request| {
+            matches!(&request.phase, RequestPhase::Dispatched(used) if used.attempt == permit.attempt)
+        })
+    }
+
+    /// Returns whether the deadline of a request has passed.
+    pub fn is_deadline_passed(&self, now: Uptime, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|request| now >= request.deadline)
+    }
+
     /// Refuses requests whose deadline has passed, and handles schedulers and key holders that have not answered.
     pub fn tick(&mut self, now: Uptime, order: SchedulerOrder<'_>) -> Vec<EntryAction> {
         let mut actions = Vec::new();
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -11,6 +11,7 @@
 pub mod stream_engine;
 pub mod stream_fault;
 pub mod stream_record;
+pub mod stream_runs;
 
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
 pub use engine::{
--- a/crates/standins/src/fleet/stream_engine.rs
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -15,6 +15,7 @@
 use super::stream_damage::{DamageOptions, DamagedRun, StreamDamage};
 use super::stream_fault::StreamFault;
 use super::stream_record::{answer_record, RECORD_MARK};
+use super::stream_runs::run_line;
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
 /// Time before the head, before the first event and before the end of an answer.
@@ -96,19 +97,6 @@
     }
 }
 
-/// Beginning of the line that an engine writes when it has read the request of a stream.
-const RUN_LINE: &str = "run ";
-
-/// Returns the line that an engine writes when it has read a request of a stream.
-pub fn run_line(stream: &str) -> String {
-    format!("{RUN_LINE}{stream} begun")
-}
-
-/// Returns the stream of such a line.
-pub fn run_of_line(line: &str) -> Option<&str> {
-    line.strip_prefix(RUN_LINE)?.strip_suffix(" begun")
-}
-
 /// Returns the difference between the numbers of two events of a stream.
 pub fn number_step(path: &str) -> u64 {
     if path.contains(WIDE_MARK) {
--- a/crates/targets/src/end_evidence.rs
+++ b/crates/targets/src/end_evidence.rs
@@ -5,9 +5,9 @@
 //!
 //! Owns: how the recent streams ended. Relies on: streams that began here and ended whole.
 
-/// Streams in a row that show how all of them end.
+/// Consecutive streams that show how all of them end.
 const MIN_STREAMS: u32 = 8;
-/// Streams in a row after which one that may not be repeated is cut: no other target can show that its end is sound.
+/// Consecutive streams after which one that may not be repeated is cut: no other target can show that its end is sound.
 const MIN_STREAMS_FOR_CUTS: u32 = 16 * MIN_STREAMS;
 /// Factor by which more streams are needed each time that one ended in another way. Sound ones that are cut are few then,
 /// however often they end so: one each time that the number of streams has grown by this factor.
@@ -16,7 +16,7 @@
 /// How the recent streams of a source ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndEvidence {
-    /// Streams in a row that ended with an event without a number.
+    /// Consecutive streams that ended with an event without a number.
     streams: u32,
     /// Factor of the streams that are needed.
     factor: u32,
