--- a/crates/acceptance/tests/unframed_answers_of_killed_engines.rs
+++ b/crates/acceptance/tests/unframed_answers_of_killed_engines.rs
@@ -2,19 +2,17 @@
 //!
 //! The kernel closes the connections of a killed process in an orderly way, so that half an answer looks whole.
 
+#[path = "support/played_answer.rs"]
+mod played_answer;
 mod support;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::{ensure, Context, Result};
-use bytes::Bytes;
-use curlewcleat_acceptance::fleet_head;
 use curlewcleat_standins::deployment::{get_text, wait_until};
-use curlewcleat_standins::fleet::stream_engine::{
-    record_begun, record_halves, StreamEvent, RECORD_MARK, UNFRAMED_MARK,
-};
-use curlewcleat_targets::{AnswerBody, ConnectionPool, ExchangeOptions};
-use futures_util::StreamExt;
+use curlewcleat_standins::fleet::stream_engine::UNFRAMED_MARK;
+use curlewcleat_standins::fleet::stream_record::{record_begun, record_halves, RECORD_MARK};
+use played_answer::{engine_of, PlayedAnswer};
 use rstest::rstest;
 use support::event_streams::{EventFleet, EVENTS};
 
@@ -44,73 +42,6 @@
     Ok(fleet)
 }
 
-/// An answer to a caller.
-struct PlayedAnswer {
-    status: u16,
-    body: AnswerBody,
-    text: String,
-    /// When the latest part arrived.
-    latest: Instant,
-}
-
-impl PlayedAnswer {
-    async fn begin(entry: &str, path: &str, attempt: &str) -> Result<PlayedAnswer> {
-        let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
-        let options = ExchangeOptions { allow_close_delimited: true, ..Default::default() };
-        let (head, body) = (fleet_head(path, attempt)?, Bytes::from(attempt.to_string()));
-        let answer = connection.exchange_with(head, body, &options).await?;
-        let status = answer.head.status.as_u16();
-        let (text, latest) = (String::new(), Instant::now());
-        Ok(PlayedAnswer { status, body: answer.body, text, latest })
-    }
-
-    /// Reads a part; `None` at the end, which is an error if the answer is visibly cut.
-    async fn next(&mut self) -> Option<Result<()>> {
-        let part = self.body.next().await?;
-        self.latest = Instant::now();
-        Some(part.map_err(anyhow::Error::from).map(|part| {
-            self.text.push_str(&String::from_utf8_lossy(&part));
-        }))
-    }
-
-    /// Reads the rest and returns whether the answer ends as complete.
-    async fn read_to_end(&mut self) -> bool {
-        while let Some(part) = self.next().await {
-            if part.is_err() {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Returns the events that have arrived whole.
-    fn events(&self) -> Vec<StreamEvent> {
-        self.text
-            .split_inclusive("\n\n")
-            .filter_map(|text| StreamEvent::read(text.trim_end()))
-            .collect()
-    }
-
-    /// Reads until this many events have arrived.
-    async fn read_events(&mut self, count: usize) -> Result<()> {
-        while self.events().len() < count {
-            self.next().await.context("the stream ended")??;
-        }
-        Ok(())
-    }
-
-    /// Returns whether all events of the stream have arrived, each once.
-    fn is_whole_stream(&self) -> bool {
-        let numbers: Vec<u64> = self.events().iter().map(|event| event.number).collect();
-        numbers == (1..=EVENTS).collect::<Vec<_>>()
-    }
-}
-
-/// Returns the id of the engine that made an event.
-fn engine_of(event: &StreamEvent) -> &str {
-    event.run.split('#').next().unwrap_or_default()
-}
-
 fn path(prefix: &str) -> String {
     format!("/{prefix}/stream{UNFRAMED_MARK}/a")
 }
@@ -124,18 +55,29 @@
     Taken,
 }
 
-/// Begins a stream, kills its engine after some events and reads the rest. Returns the answer and whether it ended as
-/// complete.
+/// Begins a stream, kills its engine after some events and reads the rest.
 async fn kill_within(
     fleet: &mut EventFleet,
     prefix: &str,
     round: u64,
     address: KilledAddress,
+) -> Result<(PlayedAnswer, bool)> {
+    kill_behind(fleet, prefix, round, 2 + 3 * round as usize, address).await
+}
+
+/// Begins a stream, kills its engine after this number of events and reads the rest. Returns the answer and whether it
+/// ended as complete.
+async fn kill_behind(
+    fleet: &mut EventFleet,
+    prefix: &str,
+    round: u64,
+    count: usize,
+    address: KilledAddress,
 ) -> Result<(PlayedAnswer, bool)> {
     let daemon = (round as usize) % fleet.deployment.daemons.len();
     let entry = fleet.deployment.daemons[daemon].callers.clone();
     let mut answer = PlayedAnswer::begin(&entry, &path(prefix), &format!("k{round}")).await?;
-    answer.read_events(2 + 3 * round as usize).await?;
+    answer.read_events(count).await?;
     let last = answer.events().pop().context("no event")?;
     let index = fleet.engine_index(engine_of(&last)).context("an engine of another test")?;
     let listening = fleet.address(index).to_string();
@@ -186,6 +128,25 @@
     Ok(())
 }
 
+/// Another engine has no further event, and ends its answer with the connection as well.
+#[rstest]
+#[case::address_closed("closed", KilledAddress::Closed)]
+#[case::address_taken("taken", KilledAddress::Taken)]
+#[actix_rt::test]
+async fn resumable_stream_of_an_engine_killed_behind_its_last_event_ends_as_complete(
+    #[case] name: &str,
+    #[case] address: KilledAddress,
+) -> Result<()> {
+    let mut fleet = ready(&format!("behind-{name}")).await?;
+    for round in 0..ROUNDS {
+        let count = EVENTS as usize;
+        let (answer, ended) = kill_behind(&mut fleet, "resumed", round, count, address).await?;
+        let events = answer.events().len();
+        ensure!(ended && answer.is_whole_stream(), "round {round}: {ended} {events}");
+    }
+    Ok(())
+}
+
 #[rstest]
 #[case::not_repeatable("once", 502)]
 #[case::repeatable("again", 200)]
@@ -288,3 +249,25 @@
     }
     Ok(())
 }
+
+/// Streams of an engine that leaves end at about the same time, and share the connections that were open before.
+#[actix_rt::test]
+async fn whole_unframed_streams_that_end_together_at_engines_that_leave_are_not_lost() -> Result<()>
+{
+    let fleet = ready("leaving-together").await?;
+    let entry = &fleet.deployment.daemons[0].callers;
+    let begun = (0..SOUND_ANSWERS / 5).map(|place| async move {
+        let mut answer = PlayedAnswer::begin(entry, &path("plain"), &format!("t{place}")).await?;
+        answer.read_events(5).await?;
+        anyhow::Ok(answer)
+    });
+    let mut answers = futures_util::future::try_join_all(begun).await?;
+    fleet.signal(&(0..fleet.engines.len()).collect::<Vec<_>>(), "TERM")?;
+    let ends = answers.iter_mut().map(PlayedAnswer::read_to_end);
+    let ended = futures_util::future::join_all(ends).await;
+    let whole =
+        answers.iter().zip(ended).filter(|(answer, ended)| *ended && answer.is_whole_stream());
+    let (whole, begun) = (whole.count(), answers.len());
+    ensure!(whole == begun, "{whole} of {begun} streams are whole");
+    Ok(())
+}
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -47,6 +47,9 @@
     /// Returns whether the events of the latest attempt may be all of the answer, by their numbers.
     fn may_end(&mut self) -> bool;
 
+    /// Records that nothing proves the end of the latest attempt: another one may end there without any event.
+    fn leave_end_unproven(&mut self);
+
     /// Returns whether an earlier attempt ended in the same way, so that this one confirms its end or comes behind it; if
     /// not, a later one does.
     fn confirms_end(&mut self) -> bool;
@@ -82,6 +85,9 @@
     /// right one.
     fn is_unresolved(&self) -> bool;
 
+    /// Returns whether the latest of these attempts ended without the event that ends all other streams.
+    fn is_end_unresolved(&self) -> bool;
+
     /// Returns the events that deviate from the form and were not returned yet.
     fn take_deviations(&mut self) -> Vec<EventDeviation>;
 
@@ -182,6 +188,8 @@
         true
     }
 
+    fn leave_end_unproven(&mut self) {}
+
     fn confirms_end(&mut self) -> bool {
         true
     }
@@ -231,6 +239,10 @@
         false
     }
 
+    fn is_end_unresolved(&self) -> bool {
+        false
+    }
+
     fn take_deviations(&mut self) -> Vec<EventDeviation> {
         Vec::new()
     }
--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -21,8 +21,10 @@
     has_events: bool,
     /// What the caller has of the stream from an earlier request.
     position: StreamPosition,
-    /// Last event of an attempt whose end another attempt has to confirm.
-    unconfirmed_end: Option<u64>,
+    /// Last event of an attempt whose end nothing proved.
+    unproven_end: Option<u64>,
+    /// Whether the end of an attempt was doubted although its target lived.
+    has_doubted: bool,
 }
 
 /// What the caller has of a stream before the answer.
@@ -60,14 +62,15 @@
     /// Creates the framing of a stream that goes on from this position.
     pub fn from(position: StreamPosition) -> EventFraming {
         let events = EventSplitter::after(position.number());
-        EventFraming { events, has_events: false, position, unconfirmed_end: None }
+        EventFraming { events, position, ..EventFraming::default() }
     }
 }
 
 impl EventFraming {
-    /// Returns whether an earlier attempt ended after the last event.
-    fn is_at_unconfirmed_end(&self) -> bool {
-        self.unconfirmed_end.is_some() && self.unconfirmed_end == self.events.last()
+    /// Returns whether an earlier attempt ended after the same event.
+    fn is_at_unproven_end(&self) -> bool {
+        let is_same = self.unproven_end.is_some() && self.unproven_end == self.events.last();
+        is_same || self.events.is_end_unresolved()
     }
 }
 
@@ -91,7 +94,7 @@
     /// A stream that ends within an event was cut, and so was one that ends with its connection before any event of the
     /// same attempt, unless that confirms the end of an earlier one.
     fn is_complete(&self, frame: BodyFrame) -> bool {
-        let may_be_empty = frame != BodyFrame::UntilClose || self.is_at_unconfirmed_end();
+        let may_be_empty = frame != BodyFrame::UntilClose || self.is_at_unproven_end();
         self.events.is_between_events() && (self.has_events || may_be_empty)
     }
 
@@ -99,9 +102,13 @@
         self.events.may_end()
     }
 
+    fn leave_end_unproven(&mut self) {
+        self.unproven_end = self.events.last();
+    }
+
     fn confirms_end(&mut self) -> bool {
-        let last = self.events.last();
-        self.unconfirmed_end.replace(last.unwrap_or_default()).is_some()
+        self.leave_end_unproven();
+        std::mem::replace(&mut self.has_doubted, true)
     }
 
     fn take_remaining(&mut self) -> Bytes {
@@ -147,6 +154,10 @@
         self.events.is_unresolved()
     }
 
+    fn is_end_unresolved(&self) -> bool {
+        self.events.is_end_unresolved()
+    }
+
     fn take_deviations(&mut self) -> Vec<EventDeviation> {
         self.events.take_deviations()
     }
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -3,7 +3,8 @@
 //!
 //! While a pool has targets of several versions, the daemon that holds a caller's connection reports which version begins
 //! which stream to the keepers: the first daemons in the order of schedulers. They are the same for all daemons, and more
-//! than one, since a caller takes up its stream because a daemon has ended.
+//! than one, since a caller takes up its stream because a daemon has ended. A daemon that stops by plan reports all that it
+//! remembers.
 //!
 //! The daemon that schedules is asked as well, since it may prove the version of a stream that no daemon remembers
 //! ([`version_histories`](super::version_histories)). What is neither remembered nor proved is refused.
@@ -23,7 +24,7 @@
 use crate::event::{CallerDecision, NodeAction, NodeNote, VersionSource};
 
 /// Number of daemons to which it is reported which version began a stream.
-const KEEPERS: usize = 3;
+pub(super) const KEEPERS: usize = 3;
 /// Number of daemons that are asked: one more, since a daemon that has joined may have displaced a keeper.
 const ASKED: usize = KEEPERS + 1;
 /// Time after which the daemons that have not answered are asked again.
@@ -39,8 +40,10 @@
 /// Streams of this daemon, and the requests that wait for the version of their stream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct StreamExchange {
-    versions: StreamVersions,
+    pub(super) versions: StreamVersions,
     waiting: BTreeMap<RequestId, WaitingTakeUp>,
+    /// When this daemon last handed over its streams, because it stops by plan.
+    pub(super) handed_over: Option<Uptime>,
 }
 
 /// A request that waits for the version of the stream that it takes up.
@@ -116,13 +119,14 @@
     pub(super) fn stream_begun(&mut self, id: RequestId, pool: &PoolId, begun: StreamVersion) {
         self.entry.set_version(id, begun.version);
         self.streams.versions.remember(self.now, begun, true);
-        if self.streams.versions.is_mixed(self.now, pool) {
+        let is_stopping = self.streams.handed_over.is_some();
+        if is_stopping || self.streams.versions.is_mixed(self.now, pool) {
             let keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
             self.report_streams(&keepers, &[begun]);
         }
     }
 
-    fn report_streams(&mut self, keepers: &[VmId], streams: &[StreamVersion]) {
+    pub(super) fn report_streams(&mut self, keepers: &[VmId], streams: &[StreamVersion]) {
         for vm in keepers {
             for part in streams.chunks(STREAMS_PER_MESSAGE) {
                 self.post(vm, PeerMessage::StreamsBegun(part.to_vec()));
@@ -257,15 +261,18 @@
         if !pools.any(|pool| self.streams.versions.is_mixed(self.now, pool)) {
             return;
         }
-        let before = self.first_schedulers(before, KEEPERS);
-        let mut keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
-        keepers.retain(|vm| !before.contains(vm));
+        // A daemon that was started anew on the same VM has forgotten what was reported to the former one.
+        let is_keeper = |daemon: &&DaemonId| daemon.vm != self.options.me.vm;
+        let before: Vec<_> = before.iter().filter(is_keeper).take(KEEPERS).collect();
+        let keepers = self.all_pools_order.iter().filter(is_keeper).take(KEEPERS);
+        let new = keepers.filter(|daemon| !before.contains(daemon));
+        let keepers: Vec<VmId> = new.map(|daemon| daemon.vm.clone()).collect();
         let own = self.streams.versions.own_streams(self.now);
         self.report_streams(&keepers, &own);
     }
 
     /// Returns the VMs of the first other daemons in an order of schedulers.
-    fn first_schedulers(&self, order: &[DaemonId], count: usize) -> Vec<VmId> {
+    pub(super) fn first_schedulers(&self, order: &[DaemonId], count: usize) -> Vec<VmId> {
         let others = order.iter().filter(|daemon| daemon.vm != self.options.me.vm);
         others.take(count).map(|daemon| daemon.vm.clone()).collect()
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -118,6 +118,8 @@
     pub refusals: Vec<(usize, FeatureReport)>,
     /// Peers that a daemon reported as lost, with the index of that daemon.
     pub lost: Vec<(usize, VmId)>,
+    /// Daemons whose planned stops have ended, in order.
+    pub ended: Vec<usize>,
 }
 
 impl Fleet {
@@ -172,14 +174,20 @@
             blocked: BTreeSet::new(),
             refusals: Vec::new(),
             lost: Vec::new(),
+            ended: Vec::new(),
         };
-        for index in 0..daemons {
-            fleet.event(index, recorded(daemons));
-        }
-        fleet.run(Duration::from_secs(4));
+        fleet.start();
         fleet
     }
 
+    /// Starts all daemons and waits until they know each other.
+    fn start(&mut self) {
+        for index in 0..self.daemons.len() {
+            self.event(index, recorded(self.daemons.len()));
+        }
+        self.run(Duration::from_secs(4));
+    }
+
     /// Returns a fleet of a few strong VMs and many weak ones, all of which have just started.
     pub fn mixed(daemons: usize) -> Fleet {
         let mut fleet = Fleet::of(0, 1_000);
@@ -209,6 +217,7 @@
                     }
                     NodeAction::Note(NodeNote::PeerLost(peer)) => self.lost.push((index, peer.vm)),
                     NodeAction::Decide(id, decision) => self.decisions.push((id, decision)),
+                    NodeAction::End => self.ended.push(index),
                     NodeAction::Platform(PlatformCall::Read(read_role)) => {
                         self.daemons[index].read_role = read_role
                     }
@@ -367,7 +376,8 @@
         if self.generation_of(index) >= self.generation {
             self.event(index, NodeEvent::PlatformRead(self.now));
         }
-        self.event(index, NodeEvent::EvacuationsListed(self.evacuations.clone()));
+        let list = self.evacuations.clone();
+        self.event(index, NodeEvent::EvacuationsListed { list, sent: self.now });
         let (targets, at) = self.targets.clone();
         self.event(index, NodeEvent::TargetsListed(targets, at));
         if self.daemons[index].read_role == ReadRole::Reader {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -10,11 +10,13 @@
 pub mod stream_damage;
 pub mod stream_engine;
 pub mod stream_fault;
+pub mod stream_record;
+pub mod stream_runs;
 
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
 pub use engine::{
-    has_part, AnswerFrame, AttemptSteps, EngineRun, EngineStep, FleetEngine, LethalRequests,
-    LethalTrigger, SecondAnswer, EVENTS_MARK, UNNUMBERED_EVENT,
+    has_part, stated_events, AnswerFrame, AttemptSteps, EngineRun, EngineStep, FleetEngine,
+    LethalRequests, LethalTrigger, SecondAnswer, EVENTS_MARK, UNNUMBERED_EVENT,
 };
 pub use entry::{EngineEntry, ForeignEntry};
 pub use link_faults::{EngineLinkFault, EngineLinks};
--- a/crates/targets/src/event_form.rs
+++ b/crates/targets/src/event_form.rs
@@ -20,6 +20,10 @@
     pub max_data_lines: u32,
     /// Whether streams may end with an event that has data and no number.
     pub may_end_unnumbered: bool,
+    /// Whether all streams end with such an event, so that one without it has not ended.
+    pub must_end_unnumbered: bool,
+    /// Whether all events with a number have a type.
+    pub must_have_type: bool,
     /// Whether events may have lines that callers ignore.
     pub may_have_ignored_lines: bool,
 }
@@ -37,6 +41,8 @@
     NoData,
     /// It has more or fewer `data` fields than others.
     OddData,
+    /// It has no type, unlike others.
+    NoType,
     /// It has a line that callers ignore, unlike others.
     OddLine,
     /// Its number leaves out others.
@@ -45,20 +51,24 @@
     Fell,
     /// There is none: the stream ends before its first event.
     Missing,
+    /// The stream ends without the event that ends all others.
+    NoEnd,
 }
 
 impl DeviationKind {
     /// All kinds.
-    pub const ALL: [DeviationKind; 9] = [
+    pub const ALL: [DeviationKind; 11] = [
         DeviationKind::NoNumber,
         DeviationKind::OddNumber,
         DeviationKind::SeveralNumbers,
         DeviationKind::NoData,
         DeviationKind::OddData,
+        DeviationKind::NoType,
         DeviationKind::OddLine,
         DeviationKind::Gap,
         DeviationKind::Fell,
         DeviationKind::Missing,
+        DeviationKind::NoEnd,
     ];
 
     /// Returns the code for log lines and metrics.
@@ -69,10 +79,12 @@
             DeviationKind::SeveralNumbers => "several_numbers",
             DeviationKind::NoData => "no_data",
             DeviationKind::OddData => "odd_data",
+            DeviationKind::NoType => "no_type",
             DeviationKind::OddLine => "odd_line",
             DeviationKind::Gap => "gap",
             DeviationKind::Fell => "fell",
             DeviationKind::Missing => "missing",
+            DeviationKind::NoEnd => "no_end",
         }
     }
 }
@@ -106,6 +118,18 @@
 }
 
 impl EventForm {
+    /// Returns the narrowest form that streams of both forms have.
+    pub fn widened(self, other: EventForm) -> EventForm {
+        EventForm {
+            min_data_lines: self.min_data_lines.min(other.min_data_lines),
+            max_data_lines: self.max_data_lines.max(other.max_data_lines),
+            may_end_unnumbered: self.may_end_unnumbered || other.may_end_unnumbered,
+            must_end_unnumbered: self.must_end_unnumbered && other.must_end_unnumbered,
+            must_have_type: self.must_have_type && other.must_have_type,
+            may_have_ignored_lines: self.may_have_ignored_lines || other.may_have_ignored_lines,
+        }
+    }
+
     /// Returns how the fields of an event deviate, whatever its number is. An event without a number deviates also where a
     /// stream may end with one, since only the end of the answer shows that it is the last.
     pub fn field_deviation(&self, fields: &EventFields) -> Option<DeviationKind> {
@@ -124,6 +148,7 @@
             lines if !(self.min_data_lines..=self.max_data_lines).contains(&lines) => {
                 Some(DeviationKind::OddData)
             }
+            _ if self.must_have_type && !fields.has_type => Some(DeviationKind::NoType),
             _ => is_odd_line.then_some(DeviationKind::OddLine),
         }
     }
@@ -138,6 +163,8 @@
     /// Whether the latest event had data and no number.
     ends_unnumbered: bool,
     has_ignored_lines: bool,
+    /// Number of events with a number and a type.
+    typed_events: u64,
     /// Whether an event did not count on from the one before, or lacked a number or data.
     is_irregular: bool,
 }
@@ -157,6 +184,7 @@
         }
         let is_first = self.events == 0;
         self.events += 1;
+        self.typed_events += u64::from(fields.has_type);
         self.is_irregular |= fields.ids > 1 || !fields.has_data();
         self.is_irregular |= fields.number != Some(self.events);
         self.max_data_lines = self.max_data_lines.max(fields.data_lines);
@@ -178,6 +206,8 @@
             min_data_lines: self.min_data_lines,
             max_data_lines: self.max_data_lines,
             may_end_unnumbered: self.ends_unnumbered,
+            must_end_unnumbered: self.ends_unnumbered,
+            must_have_type: self.typed_events == self.events,
             may_have_ignored_lines: self.has_ignored_lines,
         })
     }
