Status queries: the gate is asked again once the connection stands

By reading: an evacuation that arrived while the connection of a status request was being established did not stop the request, as it does for a request of a caller.

--- a/crates/daemon/src/request/status_queries.rs
+++ b/crates/daemon/src/request/status_queries.rs
@@ -175,6 +175,11 @@
             Some(connection) => connection,
             None => self.connect(target).await?,
         };
+        // An evacuation may have arrived while the connection was established.
+        if !self.may_query(&target.entry) {
+            connection.put_back();
+            return Ok(Some(TargetLiveness::NotAsked));
+        }
         let options = ExchangeOptions { echo: None, allow_close_delimited: true };
         let answer = connection.exchange_with(head, (), &options).await?;
         let liveness = self.protocol.evaluate_status(&answer.head);
