--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -226,11 +226,7 @@
         self.log_failed_attempt(&target.id, reason, cause);
         let fault = self.fault_of(target, cause);
         self.report_interruption(target, cause, fault);
-        let is_broken_off = cause.is_broken_off() && self.progress.frame().is_some();
-        if is_broken_off && fault == AttemptFault::Target {
-            let context = &self.service.context;
-            context.breaks.record(context.uptime(), &self.request.pool.id);
-        }
+        self.record_break(cause, fault);
         fault
     }
 
--- a/crates/daemon/src/request/run/fault.rs
+++ b/crates/daemon/src/request/run/fault.rs
@@ -82,6 +82,15 @@
         }
     }
 
+    /// Records that the target broke off its answer, after which ends that prove little are doubted in its pool.
+    pub(super) fn record_break(&self, cause: AttemptCause, fault: AttemptFault) {
+        let is_broken_off = cause.is_broken_off() && self.progress.frame().is_some();
+        if is_broken_off && fault == AttemptFault::Target {
+            let context = &self.service.context;
+            context.breaks.record(context.uptime(), &self.request.pool.id);
+        }
+    }
+
     /// Returns the features that may be why the target of the latest attempt terminated: the whole request, and the
     /// parts of its prompt unless the target had begun the answer and gone on with it.
     fn interrupted_features(&self) -> Vec<RequestFeature> {
