--- a/crates/acceptance/tests/support/event_streams.rs
+++ b/crates/acceptance/tests/support/event_streams.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use super::event_routes::{add_routes, route_mut};
 use anyhow::{Context, Result};
@@ -10,6 +11,7 @@
 use curlewcleat_standins::deployment::{
     create_temp_folder, program_folder, spawn, wait_listening, ChildProcess,
 };
+use curlewcleat_standins::duty_cycle::{DutyCycle, DutyPattern};
 use curlewcleat_standins::fleet::stream_fault::StreamFault;
 use curlewcleat_standins::fleet::{EngineEntry, FleetDeployment};
 use rand::rngs::StdRng;
@@ -25,6 +27,13 @@
 pub const SLOTS: u32 = 200;
 /// Version of the engines that are started first.
 const FIRST_VERSION: &str = "v1";
+/// Variable in which the system's loader expects the library that makes links fail.
+const LOADER_VARIABLE: &str = "LD_PRELOAD";
+/// How a slow daemon runs.
+const SLOW_DAEMON: DutyPattern = DutyPattern {
+    run_share: 0.25,
+    standstill: Duration::from_millis(20)..Duration::from_millis(80),
+};
 /// Bounds under which every stream may be continued.
 const BOUNDS: &str = "retry_saved = 100000\nretry_ratio = 10";
 
@@ -88,6 +97,8 @@
     pub versions: BTreeMap<String, String>,
     /// Engines that were replaced and serve their last streams.
     left: Vec<ChildProcess>,
+    /// Lets daemons run for a part of the time.
+    pub duty: DutyCycle,
 }
 
 impl EventFleet {
@@ -105,12 +116,29 @@
         EventFleet::start_with_options(name, options).await
     }
 
+    /// Starts the same, with links of the daemons that can fail.
+    pub async fn start_with_links(name: &str) -> Result<EventFleet> {
+        let mut deployment = FleetDeployment::start(name).await?;
+        deployment.use_engine_links(LOADER_VARIABLE)?;
+        // The link lives as long as its task.
+        deployment.use_separate_store().await?;
+        EventFleet::start_before(name, deployment, |_| Vec::new()).await
+    }
+
     /// Starts the same, with further options for each engine.
     pub async fn start_with_options(
         name: &str,
         options: impl Fn(usize) -> Vec<String>,
     ) -> Result<EventFleet> {
-        let mut deployment = FleetDeployment::start(name).await?;
+        let deployment = FleetDeployment::start(name).await?;
+        EventFleet::start_before(name, deployment, options).await
+    }
+
+    async fn start_before(
+        name: &str,
+        mut deployment: FleetDeployment,
+        options: impl Fn(usize) -> Vec<String>,
+    ) -> Result<EventFleet> {
         add_routes(&mut deployment);
         deployment.store_config()?;
         let folder = create_temp_folder(&format!("engines-{name}"))?;
@@ -123,6 +151,7 @@
             version: FIRST_VERSION.to_string(),
             versions: BTreeMap::new(),
             left: Vec::new(),
+            duty: DutyCycle::start(0, SLOW_DAEMON),
         };
         for index in 0..ENGINES * SERVICES.len() {
             let (id, address) = (format!("e-{index}"), free_engine_address()?);
@@ -182,6 +211,16 @@
         self.replace_engine_at(index, &address, options).await
     }
 
+    /// Kills an engine of each service and starts engines that have swapped their addresses.
+    pub async fn swap_addresses(&mut self, index: usize) -> Result<()> {
+        let other = index ^ 1;
+        self.kill_engine(index);
+        self.kill_engine(other);
+        let (one, two) = (self.addresses[index].clone(), self.addresses[other].clone());
+        self.replace_engine_at(index, &two, Vec::new()).await?;
+        self.replace_engine_at(other, &one, Vec::new()).await
+    }
+
     /// Same as [`replace_engine`](EventFleet::replace_engine), at this address.
     pub async fn replace_engine_at(
         &mut self,
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -398,7 +398,11 @@
     Ok(body.to_vec())
 }
 
-async fn post(address: &str, path: &str, value: &Value) -> Result<()> {
+/// Sends a request with this content and ignores what is answered.
+///
+/// # Errors
+/// Fails if the request gets no answer.
+pub async fn post(address: &str, path: &str, value: &Value) -> Result<()> {
     let call = Client::default().post(format!("http://{address}{path}")).send_json(value).await;
     call.map_err(|error| anyhow!("deployment: {address}{path}: {error}"))?;
     Ok(())
