Tests: unframed streams that living engines close early end as complete (red)

The status request after the end of the connection shows that the engine lives, which does not prove that its answer was whole.

--- /dev/null
+++ b/crates/acceptance/tests/unframed_streams_closed_early.rs
@@ -0,0 +1,111 @@
+//! Streams that end with their connection, beside engines that live and close some of them between two events.
+//!
+//! Every event is judged at the callers. Run the ignored test with `EARLY_SEEDS` (`11..61`) for other plays.
+
+#[path = "../../targets/tests/support/caller_events.rs"]
+mod caller_events;
+#[path = "support/damage_callers.rs"]
+mod damage_callers;
+#[path = "support/damage_judge.rs"]
+mod damage_judge;
+#[path = "support/play_counts.rs"]
+mod play_counts;
+#[path = "../../targets/tests/support/sound_beginning.rs"]
+mod sound_beginning;
+mod support;
+
+use std::time::Duration;
+
+use anyhow::{ensure, Context, Result};
+use curlewcleat_standins::deployment::{get_text, post, wait_until};
+use curlewcleat_standins::fleet::stream_engine::UNFRAMED_MARK;
+use curlewcleat_standins::fleet::stream_trouble::{StreamTrouble, NO_TROUBLE, TROUBLE_PATH};
+use damage_callers::DamageCallers;
+use damage_judge::{DamageJudge, StreamOutcome};
+use play_counts::PlayCounts;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use serde_json::Value;
+use support::event_streams::{EventFleet, StreamRoute};
+
+/// Streams that may be taken up, of one service and of two.
+const ROUTES: [StreamRoute; 2] = [StreamRoute::Resumed, StreamRoute::Split];
+/// Streams in progress at the same time.
+const CALLERS: usize = 60;
+/// Most attempts at which a caller takes up a stream.
+const TAKE_UPS: usize = 3;
+/// Engines that close answers early, one after the other.
+const TROUBLES: usize = 6;
+/// Time for which an engine does so, in milliseconds: a few answers of some hundred.
+const TROUBLE_MS: std::ops::RangeInclusive<u64> = 100..=400;
+/// Time between two such engines, in milliseconds.
+const CALM_MS: std::ops::RangeInclusive<u64> = 300..=900;
+/// Seeds by hand, unless `EARLY_SEEDS` states others.
+const SEEDS: &str = "11..61";
+/// Share of the streams, in percent, that reach their callers whole.
+const MIN_WHOLE_PERCENT: usize = 95;
+
+/// Plays streams beside engines that close a share of their answers early.
+async fn play(seed: u64) -> Result<PlayCounts> {
+    let fleet = EventFleet::start(&format!("early-{seed}")).await?;
+    for daemon in &fleet.deployment.daemons {
+        wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() })
+            .await?;
+    }
+    let callers = DamageCallers::start(&fleet, &ROUTES, &[UNFRAMED_MARK], seed, CALLERS, TAKE_UPS);
+    wait_until("streams", || async { callers.streams() >= CALLERS }).await?;
+    let disturbed = disturb(&fleet, seed).await;
+    let streams = callers.close().await;
+    disturbed?;
+    Ok(PlayCounts::of(&DamageJudge::read(&fleet)?, &streams))
+}
+
+async fn disturb(fleet: &EventFleet, seed: u64) -> Result<()> {
+    let mut random = StdRng::seed_from_u64(seed);
+    for _ in 0..TROUBLES {
+        let index = random.random_range(0..fleet.engines.len());
+        let names = [StreamTrouble::Closed.name(), NO_TROUBLE.to_string()];
+        for (name, time_ms) in names.iter().zip([TROUBLE_MS, CALM_MS]) {
+            let path = format!("{TROUBLE_PATH}{name}");
+            post(fleet.address(index), &path, &Value::Null).await?;
+            tokio::time::sleep(Duration::from_millis(random.random_range(time_ms))).await;
+        }
+    }
+    Ok(())
+}
+
+fn check(counts: &PlayCounts) -> Result<()> {
+    println!("{counts}");
+    ensure!(counts.wrong() == 0, "{} streams are wrong: {:#?}", counts.wrong(), counts.samples);
+    ensure!(counts.moved > 0, "no answer was closed early: {counts}");
+    let whole = counts.outcomes.get(&StreamOutcome::Whole).copied().unwrap_or_default();
+    ensure!(whole * 100 >= counts.streams * MIN_WHOLE_PERCENT, "{whole} are whole: {counts}");
+    Ok(())
+}
+
+/// Guards against unframed streams that end as complete without their last events although their target lives.
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[actix_rt::test]
+async fn unframed_streams_that_living_engines_close_early_are_continued(
+    #[case] seed: u64,
+) -> Result<()> {
+    check(&play(seed).await?)
+}
+
+#[ignore = "plays for minutes"]
+#[actix_rt::test]
+async fn many_unframed_streams_that_living_engines_close_early() -> Result<()> {
+    // A variable that is not set stands for the default.
+    let seeds = std::env::var("EARLY_SEEDS").unwrap_or_else(|_| SEEDS.to_string());
+    let (first, end) = seeds.split_once("..").context("EARLY_SEEDS: no range")?;
+    let mut total = PlayCounts::default();
+    for seed in first.parse::<u64>()?..end.parse()? {
+        let counts = play(seed).await?;
+        println!("seed {seed}: {counts}{:#?}", counts.samples);
+        total.add(counts);
+    }
+    check(&total)
+}
