Ends of unframed streams are confirmed by another target while retries are to spare

Cause: an answer without a length or chunks counted as whole if its target answered a status request afterwards. That proves that the target lives, not that it sent everything: one that breaks off answers lives. Another target was asked only for 5 s after an answer of the pool broke off visibly at the same daemon.

Now another target is asked what follows on the last event whenever the stream may be resumed, half of the retry budget is left and one is granted within 100 ms. It comes in place of the first one like a replacement for a stalled target, but the first keeps its own result. An attempt that ends where the one before did confirms it also while ends are doubted.

--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -8,7 +8,7 @@
 
 use super::registry::MetricRegistry;
 use super::DaemonMetrics;
-use crate::request::TargetLiveness;
+use crate::request::{EndStatement, TargetLiveness};
 
 /// Requests, and how they end.
 pub struct RequestMetrics {
@@ -18,6 +18,7 @@
     ends: IntCounterVec,
     answer_ends: IntCounterVec,
     end_checks: IntCounterVec,
+    end_statements: IntCounterVec,
     stream_irregularities: IntCounterVec,
     stream_deviations: IntCounterVec,
     wait: HistogramVec,
@@ -50,6 +51,11 @@
                 "Answers that ended with their connection, by what their target did afterwards",
                 &["liveness"],
             )?,
+            end_statements: count(
+                "answer_end_confirmations_total",
+                "Ends of unframed streams that another target was asked to confirm, by its statement",
+                &["statement"],
+            )?,
             stream_irregularities: count(
                 "stream_irregularities_total",
                 "Answers of targets with irregular event numbers, by what is irregular",
@@ -79,6 +85,9 @@
         for liveness in TargetLiveness::ALL {
             self.end_checks.with_label_values(&[liveness.code()]);
         }
+        for statement in EndStatement::ALL {
+            self.end_statements.with_label_values(&[statement.code()]);
+        }
         for kind in IrregularityKind::ALL {
             self.stream_irregularities.with_label_values(&[kind.code()]);
         }
@@ -104,6 +113,11 @@
         self.requests.end_checks.with_label_values(&[liveness.code()]).inc();
     }
 
+    /// Counts the end of a stream by what another target stated about it.
+    pub fn count_end_statement(&self, statement: EndStatement) {
+        self.requests.end_statements.with_label_values(&[statement.code()]).inc();
+    }
+
     /// Counts an answer with irregular event numbers, by what is irregular.
     pub fn count_stream_irregularity(&self, kind: &str) {
         self.requests.stream_irregularities.with_label_values(&[kind]).inc();
--- a/crates/daemon/src/pending.rs
+++ b/crates/daemon/src/pending.rs
@@ -77,6 +77,11 @@
         self.report_replacement(ReplacementStep::Requested);
     }
 
+    /// Requests another target that confirms the end of the answer. A further decision follows only if one is granted.
+    pub fn confirm_end(&self) {
+        self.report_replacement(ReplacementStep::ConfirmationRequested);
+    }
+
     /// Withdraws the request for a replacement, if there is one: the target has sent something.
     pub fn target_resumed(&mut self) {
         if std::mem::take(&mut self.stalled) {
@@ -84,10 +89,10 @@
         }
     }
 
-    /// Reports that the granted replacement is used instead of the stalled target.
-    pub fn accept_replacement(&mut self) {
+    /// Reports that the granted replacement is used instead of the former target, whose attempt ended in this way.
+    pub fn accept_replacement(&mut self, former: AttemptEnd) {
         self.stalled = false;
-        self.report_replacement(ReplacementStep::Accepted);
+        self.report_replacement(ReplacementStep::Accepted(former));
     }
 
     /// Reports that the granted replacement is not used.
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -61,6 +61,7 @@
 pub use liveness::TargetLiveness;
 pub use profile::ProfileProtocol;
 pub use protocol::CallerProtocol;
+pub use run::EndStatement;
 
 /// Serves the requests that arrive on one thread.
 pub struct RequestService {
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -54,6 +54,10 @@
     /// not, a later one does.
     fn confirms_end(&mut self) -> bool;
 
+    /// Returns whether nothing is left to be asked of another target: an earlier attempt ended at the same place, or
+    /// the end of the latest one is not at a place after which another could go on.
+    fn agrees_on_end(&mut self) -> bool;
+
     /// Returns the remaining bytes after the end of the body.
     fn take_remaining(&mut self) -> Bytes;
 
@@ -194,6 +198,10 @@
         true
     }
 
+    fn agrees_on_end(&mut self) -> bool {
+        true
+    }
+
     fn take_remaining(&mut self) -> Bytes {
         Bytes::new()
     }
--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -107,8 +107,19 @@
     }
 
     fn confirms_end(&mut self) -> bool {
+        let agrees = self.is_at_unproven_end();
         self.leave_end_unproven();
-        std::mem::replace(&mut self.has_doubted, true)
+        std::mem::replace(&mut self.has_doubted, true) || agrees
+    }
+
+    /// An event without a number that is held back ends all streams of the source, and is no place to go on after.
+    fn agrees_on_end(&mut self) -> bool {
+        let is_settled = self.events.last().is_none()
+            || self.events.holds_last()
+            || !self.events.is_resumable()
+            || self.is_at_unproven_end();
+        self.leave_end_unproven();
+        is_settled
     }
 
     fn take_remaining(&mut self) -> Bytes {
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -31,8 +31,8 @@
     Part(Bytes),
     /// The end of the answer.
     End,
-    /// The target stalled and is replaced by this one.
-    Replaced(Box<GrantedTarget>),
+    /// The target is replaced by this one.
+    Replaced(Box<GrantedTarget>, AttemptCause),
     /// The answer was interrupted before its end.
     Interrupted(AttemptCause),
     /// The answer has too many bytes that cannot be delivered.
@@ -68,9 +68,7 @@
                 NextPart::Part(part) => self.framing.push(part),
                 NextPart::End => break,
                 NextPart::Excess(excess) => return self.exceeded(target, excess),
-                NextPart::Replaced(other) => {
-                    return AttemptOutcome::Replaced(other, AttemptCause::PartTimeout)
-                }
+                NextPart::Replaced(other, cause) => return AttemptOutcome::Replaced(other, cause),
                 NextPart::Interrupted(cause) => match self.resume(target, limit).await {
                     Some(rest) => {
                         body = rest;
@@ -178,7 +176,7 @@
                 Some(excess) => NextPart::Excess(excess),
                 None => NextPart::Interrupted(AttemptCause::Closed),
             },
-            WaitEnd::Replaced(other) => NextPart::Replaced(other),
+            WaitEnd::Replaced(other) => NextPart::Replaced(other, AttemptCause::PartTimeout),
             WaitEnd::TimedOut => NextPart::Interrupted(AttemptCause::PartTimeout),
         }
     }
@@ -199,20 +197,23 @@
             self.framing.leave_end_unproven();
         }
         match proof {
-            EndProof::Whole => self.evaluate_whole(frame),
+            EndProof::Whole => self.evaluate_whole(frame, target).await,
             EndProof::Missing(cause) => NextPart::Interrupted(cause),
-            EndProof::Replaced(other) => NextPart::Replaced(other),
+            EndProof::Replaced(other) => NextPart::Replaced(other, AttemptCause::PartTimeout),
         }
     }
 
     /// Decides whether the stream, and the caller's answer, may end with a whole body.
-    fn evaluate_whole(&mut self, frame: BodyFrame) -> NextPart {
+    async fn evaluate_whole(&mut self, frame: BodyFrame, target: &TargetEntry) -> NextPart {
         if !self.framing.may_end() {
             return NextPart::Interrupted(AttemptCause::Misplaced);
         }
-        match self.answer.may_end_with(frame) && !self.doubts_end(frame) {
-            true => NextPart::End,
-            false => NextPart::Interrupted(AttemptCause::EndUnproven),
+        if !self.answer.may_end_with(frame) || self.doubts_end(frame) {
+            return NextPart::Interrupted(AttemptCause::EndUnproven);
+        }
+        match self.end_confirmation(frame, target).await {
+            Some(other) => NextPart::Replaced(other, AttemptCause::EndUnproven),
+            None => NextPart::End,
         }
     }
 
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -11,8 +11,12 @@
 use crate::request::cause::AttemptCause;
 use crate::request::liveness::TargetLiveness;
 use crate::request::run::RequestRun;
+use crate::request::run::SettledEnd;
 use crate::request::status_queries::{StatusHold, StatusTarget};
-use crate::request::target_wait::{GrantedTarget, WaitEnd};
+use crate::request::target_wait::{GrantedTarget, ReplacementReason, TargetWait, WaitEnd};
+
+/// Longest time for which another target is waited for that may confirm an end.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(100);
 
 /// What is known of an answer once its body has ended.
 pub(super) enum EndProof {
@@ -75,6 +79,25 @@
         is_doubtful && !self.framing.confirms_end()
     }
 
+    /// Returns another target that is asked what follows on an unframed stream whose target lives, since one that lives
+    /// may close its answer too early. `None` where none has to be asked, or none is granted while retries are to spare.
+    pub(super) async fn end_confirmation(
+        &mut self,
+        frame: BodyFrame,
+        target: &TargetEntry,
+    ) -> Option<Box<GrantedTarget>> {
+        let may_ask = frame == BodyFrame::UntilClose && self.protocol().may_repeat(&self.request);
+        if !may_ask || self.framing.agrees_on_end() {
+            return None;
+        }
+        let reason = ReplacementReason::EndConfirmed(self.progress.stream_end());
+        let wait = TargetWait { reason, ..self.target_wait(target) };
+        let granted = wait.wait(Duration::ZERO, tokio::time::sleep(CONFIRMATION_WAIT)).await;
+        let WaitEnd::Replaced(other) = granted else { return None };
+        self.settled = Some(SettledEnd::new(self.framing.last_event(), target));
+        Some(other)
+    }
+
     fn status_target(&self, target: &TargetEntry) -> StatusTarget {
         StatusTarget {
             pool: self.request.pool.clone(),
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -9,6 +9,7 @@
 mod log;
 mod replay;
 mod sample;
+mod settled_end;
 
 use std::rc::Rc;
 
@@ -32,6 +33,7 @@
 
 use self::fault::AttemptFault;
 pub use self::log::record_refusal;
+pub use self::settled_end::{EndStatement, SettledEnd};
 
 /// Result of an attempt, which decides how the request goes on.
 pub enum AttemptOutcome {
@@ -77,6 +79,8 @@
     pub(super) progress: RequestProgress,
     /// Where the latest event comes from that deviates from the form of its source.
     pub(super) deviating_source: Option<StreamSource>,
+    /// Where the stream ends unless another target continues it.
+    pub(super) settled: Option<SettledEnd>,
 }
 
 impl RequestRun {
@@ -101,6 +105,7 @@
             buffered: None,
             progress: RequestProgress::default(),
             deviating_source: None,
+            settled: None,
         }
     }
 
@@ -119,7 +124,7 @@
             () = self.run_attempts() => false,
             () = deadline => true,
         };
-        if deadline_passed {
+        if deadline_passed && !self.serve_settled(self.asked_end()) {
             let end = self.attempt_end_at_deadline();
             self.report_end(end);
             self.refuse(RefusalReason::DeadlinePassed);
@@ -140,8 +145,14 @@
             };
             let Some(next) = next else { return };
             let GrantedTarget { entry: target, connection } = *next;
-            match self.attempt(&target, connection).await {
+            let asked = self.asked_end();
+            let outcome = self.attempt(&target, connection).await;
+            if outcome.is_failure() && self.serve_settled(asked) {
+                return;
+            }
+            match outcome {
                 AttemptOutcome::Served(end) => {
+                    self.report_end_statement();
                     self.report_observations(&target, self.progress.end_observations());
                     self.report_completed_answer();
                     self.log_served(&target);
--- a/crates/daemon/src/request/run/attempts.rs
+++ b/crates/daemon/src/request/run/attempts.rs
@@ -9,7 +9,7 @@
 use crate::request::attempt::{connect, send, AttemptStart};
 use crate::request::cause::AttemptCause;
 use crate::request::protocol::TargetAttempt;
-use crate::request::target_wait::TargetWait;
+use crate::request::target_wait::{ReplacementReason, TargetWait};
 
 impl RequestRun {
     /// Sends the request to a target, over `connection` if there is one, and relays the answer to the caller.
@@ -58,13 +58,16 @@
             last_event: self.framing.last_event(),
         };
         let context = &self.service.context;
+        let limit = self.confirmation_limit();
         let wait = TargetWait {
             context,
-            pending: self.pending.as_mut().filter(|_| may_repeat),
+            pending: self.pending.as_mut().filter(|_| may_repeat && limit.is_none()),
             protocol: self.service.protocol.as_ref(),
             request: &self.request,
             target,
             version: self.progress.required_version(),
+            reason: ReplacementReason::Stalled,
+            limit,
         };
         let connection = match connect(&attempt, connection, &wait).await {
             Ok(connection) => connection,
@@ -95,11 +98,14 @@
         target: &'a TargetEntry,
     ) -> TargetWait<'a> {
         let protocol = self.service.protocol.as_ref();
-        let may_move = protocol.may_repeat(&self.request) && self.framing.is_resumable();
+        let limit = self.confirmation_limit();
+        let may_move =
+            protocol.may_repeat(&self.request) && self.framing.is_resumable() && limit.is_none();
         let pending = self.pending.as_mut().filter(|_| may_move);
         let context = &self.service.context;
         let (request, version) = (&self.request, self.progress.required_version());
-        TargetWait { context, pending, protocol, request, target, version }
+        let reason = ReplacementReason::Stalled;
+        TargetWait { context, pending, protocol, request, target, version, reason, limit }
     }
 
     /// Reports that the target has sent data and is not stalled.
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -1,7 +1,7 @@
 //! Logs a request: one line for each failed attempt and one for the end.
 //!
 //! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `stream_joined`, `end_checked`,
-//! `stream_irregular`, `stream_deviates`, `caller_left`, `caller_stalled`, `answer_cut`, `request_refused`. Relies on: the run's progress.
+//! `end_confirmed`, `stream_irregular`, `stream_deviates`, `caller_left`, `caller_stalled`, `answer_cut`, `request_refused`. Relies on: the run's progress.
 
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 };
 use spdlog::prelude::*;
 
-use super::RequestRun;
+use super::{EndStatement, RequestRun};
 use crate::request::admitted::AdmittedRequest;
 use crate::request::cause::AttemptCause;
 use crate::request::{RequestService, TargetLiveness};
@@ -141,6 +141,17 @@
         });
     }
 
+    /// Logs and counts what another target stated about the end of an unframed stream whose target lives.
+    pub(super) fn log_end_statement(&self, statement: EndStatement) {
+        self.service.context.metrics.count_end_statement(statement);
+        // An answer that has begun comes from a target, so the default is never used.
+        let target = self.progress.target.as_deref().unwrap_or_default();
+        info!("end_confirmed", kv: {
+            request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
+            target, statement = statement.code(), last_event = self.last_event_text()
+        });
+    }
+
     /// Logs that a caller did not read its answer, with the last event that was passed on.
     pub(super) fn log_caller_stalled(&self) {
         warn!("caller_stalled", kv: {
--- a/crates/daemon/src/request/target_wait.rs
+++ b/crates/daemon/src/request/target_wait.rs
@@ -1,14 +1,14 @@
 //! Waits for the next data from the target that runs the request.
 //!
 //! Owns: the rule when a stalled target is replaced: only if the request may be repeated, and only by a target that
-//! the node has granted and that accepts a connection. Relies on: the node, which grants a replacement if there is one
-//! and otherwise sends no decision.
+//! the node has granted and that accepts a connection; a target that confirms the end of an answer is waited for in the
+//! same way. Relies on: the node, which grants a replacement if there is one and otherwise sends no decision.
 
 use std::future::{pending, Future};
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
-use curlewcleat_core::{PermitId, TargetEntry, VersionDigest};
+use curlewcleat_core::{AttemptEnd, PermitId, TargetEntry, VersionDigest};
 use curlewcleat_node::CallerDecision;
 use curlewcleat_targets::{PooledConnection, Result};
 use spdlog::prelude::*;
@@ -28,6 +28,25 @@
     pub connection: Option<PooledConnection>,
 }
 
+/// Why another target is requested during a wait.
+#[derive(Clone, Copy, Debug)]
+pub enum ReplacementReason {
+    /// The target is stalled.
+    Stalled,
+    /// Another target has to confirm the end of the answer. The target's attempt ended in this way.
+    EndConfirmed(AttemptEnd),
+}
+
+impl ReplacementReason {
+    /// Returns how the attempt at the target ends if it is replaced.
+    fn former_end(self) -> AttemptEnd {
+        match self {
+            ReplacementReason::Stalled => AttemptEnd::Failed,
+            ReplacementReason::EndConfirmed(end) => end,
+        }
+    }
+}
+
 /// Result of a wait.
 pub enum WaitEnd<T> {
     /// The expected value arrived.
@@ -48,6 +67,9 @@
     pub target: &'a TargetEntry,
     /// Version that a target must have to continue the answer, `None` for any.
     pub version: Option<VersionDigest>,
+    pub reason: ReplacementReason,
+    /// Longest time for the wait, `None` for the limit of its phase.
+    pub limit: Option<Duration>,
 }
 
 /// A granted replacement to which a connection is being established.
@@ -73,6 +95,7 @@
     request: &'a AdmittedRequest,
     target: &'a TargetEntry,
     version: Option<VersionDigest>,
+    reason: ReplacementReason,
     replacement: Option<ConnectingTarget>,
 }
 
@@ -86,7 +109,8 @@
     /// requests another target after `limit`, doubles the interval after each such request, and goes on until
     /// `expected` arrives or a replacement is connected. Dropping the wait with its exchange abandons the target.
     pub async fn wait<T>(self, limit: Duration, expected: impl Future<Output = T>) -> WaitEnd<T> {
-        let TargetWait { context, pending, protocol, request, target, version } = self;
+        let limit = self.limit.map_or(limit, |longest| limit.min(longest));
+        let TargetWait { context, pending, protocol, request, target, version, reason, .. } = self;
         match pending {
             Some(pending) => {
                 let wait = ReplaceableWait {
@@ -96,6 +120,7 @@
                     request,
                     target,
                     version,
+                    reason,
                     replacement: None,
                 };
                 wait.run(limit.max(MIN_STALL_LIMIT), expected).await
@@ -174,6 +199,9 @@
 
     /// Requests another target from the node.
     fn request_replacement(&mut self, stalled: Duration) {
+        if matches!(self.reason, ReplacementReason::EndConfirmed(_)) {
+            return self.pending.confirm_end();
+        }
         info!("target_silent", kv: {
             request = self.pending.id().to_string(), target = self.target.id.as_str(),
             silent_ms = stalled.as_millis() as i64
@@ -188,7 +216,11 @@
         let excluded = self.context.gate.stop(self.context.uptime(), &entry).is_some()
             || !allows_version(self.version, &entry);
         let sendable = self.protocol.check_sendable(self.request).is_ok();
-        if !self.pending.is_stalled() || !sendable || excluded {
+        let is_needed = match self.reason {
+            ReplacementReason::Stalled => self.pending.is_stalled(),
+            ReplacementReason::EndConfirmed(_) => true,
+        };
+        if !is_needed || !sendable || excluded {
             return self.pending.decline_replacement();
         }
         let connections = self.protocol.connections(&self.request.pool);
@@ -205,7 +237,7 @@
         let entry = self.replacement.take()?.entry;
         match result {
             Ok(connection) => {
-                self.pending.accept_replacement();
+                self.pending.accept_replacement(self.reason.former_end());
                 Some(GrantedTarget { entry, connection: Some(connection) })
             }
             Err(error) => {
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -66,6 +66,11 @@
 }
 
 impl RetryInput {
+    /// Returns whether deadline and number of attempts allow a further one.
+    fn is_within_limits(&self, now: Uptime) -> bool {
+        now < self.deadline && self.attempts < self.attempt_limit
+    }
+
     /// Returns the limit that made [`decide_retry`] give the request up.
     pub fn bound(&self, now: Uptime) -> RetryBound {
         if now >= self.deadline {
@@ -83,9 +88,13 @@
     if input.reason.is_unsent() {
         return RetryDecision::Again;
     }
-    let before_deadline = now < input.deadline;
-    if before_deadline && input.attempts < input.attempt_limit && budget.try_spend(now) {
+    if input.is_within_limits(now) && budget.try_spend(now) {
         return RetryDecision::Again;
     }
     RetryDecision::GiveUp(input.reason.final_refusal())
 }
+
+/// Decides whether another target is asked to confirm the end of an answer, and counts that as a retry against the budget.
+pub fn allows_confirmation(now: Uptime, input: RetryInput, budget: &mut RetryBudget) -> bool {
+    input.is_within_limits(now) && budget.try_spend_spare(now)
+}
--- a/crates/sched/src/retry/budget.rs
+++ b/crates/sched/src/retry/budget.rs
@@ -3,7 +3,7 @@
 //! Inputs: requests and retries of this daemon in the last window; limits from the settings (`[bounds]
 //! retry_*`) or [`RetryLimits::default`]. The rule: a window has at most `percent` of its requests plus
 //! `extra` as retries. Where a platform counts the retries of all daemons together, the daemons share
-//! `extra`.
+//! `extra`. Retries that requests can do without may use half of it.
 //!
 //! Owns: the counts of the last window. Relies on: the entry daemon for the clock.
 
@@ -37,6 +37,8 @@
 /// Divisor of a daemon's share of `extra`. A daemon that restarts forgets its retries; with half a share
 /// each, one restart in a window stays within the limit.
 const RESTART_DIVISOR: u64 = 2;
+/// Divisor of the limits for retries that requests can do without: the rest is kept for those that fail.
+const SPARE_DIVISOR: u64 = 2;
 /// Number of buckets in a window.
 const WINDOW_BUCKETS: u32 = 20;
 
@@ -80,13 +82,24 @@
 
     /// Counts a retry if the limits allow one more, and returns whether it was counted.
     pub fn try_spend(&mut self, now: Uptime) -> bool {
+        self.try_spend_share(now, 1)
+    }
+
+    /// Counts a retry that a request can do without, if most of what the limits allow is left.
+    pub fn try_spend_spare(&mut self, now: Uptime) -> bool {
+        self.try_spend_share(now, SPARE_DIVISOR)
+    }
+
+    /// Counts a retry if all of them stay within the limits divided by `divisor`.
+    fn try_spend_share(&mut self, now: Uptime, divisor: u64) -> bool {
         self.current_bucket(now);
         // The oldest bucket may begin before the window. Its retries still count, its requests do not.
         let requests: u64 = self.buckets.iter().skip(1).map(|bucket| bucket.requests).sum();
         let retries: u64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let newest = self.buckets.back().filter(|_| self.buckets.len() == 1);
         let requests = requests + newest.map_or(0, |bucket| bucket.requests);
-        if (retries + 1) * 100 > requests * self.limits.percent + self.extra_hundredths() {
+        let allowed = requests * self.limits.percent + self.extra_hundredths();
+        if (retries + 1) * 100 * divisor > allowed {
             return false;
         }
         self.current_bucket(now).retries += 1;
--- a/crates/sched/tests/replacement.rs
+++ b/crates/sched/tests/replacement.rs
@@ -194,7 +194,8 @@
                 self.handler_messages.push_back(HandlerMessage::Step(ReplacementStep::Declined))
             }
             (Some(_), true) => {
-                self.handler_messages.push_back(HandlerMessage::Step(ReplacementStep::Accepted));
+                let step = ReplacementStep::Accepted(AttemptEnd::Failed);
+                self.handler_messages.push_back(HandlerMessage::Step(step));
                 self.send(target);
             }
             (None, _) => self.send(target),
