Streams taken up behind their last event end where engines have nothing to add

A caller that has all events of an unframed stream, but not its end, takes it up and was refused as request_suspect: three engines that live and have nothing to add counted as terminated by its request (502, may have run; retries too, for the time of the refusal). Cause: an unframed answer without any event counted as broken off, whether its target lives or not.

Now its target is asked for its status as after any unframed end; if it lives, another target confirms that nothing follows, and neither is blamed. Only behind an event that the caller has: an answer that begins a stream and has no event is broken off as before.

--- a/crates/acceptance/tests/support/played_answer.rs
+++ b/crates/acceptance/tests/support/played_answer.rs
@@ -1,5 +1,8 @@
 //! An answer of an unframed stream or record, read part by part.
 
+// Each test file uses only some of these items.
+#![allow(dead_code)]
+
 use std::time::{Duration, Instant};
 
 use actix_http::header::{HeaderName, HeaderValue};
@@ -43,11 +46,33 @@
 
     /// Sends a request once.
     pub async fn begin_once(entry: &str, path: &str, attempt: &str) -> Result<PlayedAnswer> {
+        PlayedAnswer::send(entry, path, attempt, &[]).await
+    }
+
+    /// Sends a request that takes up the stream which an attempt began, behind an event.
+    pub async fn take_up(
+        entry: &str,
+        path: &str,
+        attempt: &str,
+        (begun_as, last): (&str, u64),
+    ) -> Result<PlayedAnswer> {
+        let headers =
+            [(WIRE_PROFILE.resumes, begun_as), (WIRE_PROFILE.last_event, &last.to_string())];
+        PlayedAnswer::send(entry, path, attempt, &headers).await
+    }
+
+    async fn send(
+        entry: &str,
+        path: &str,
+        attempt: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Result<PlayedAnswer> {
         let connection = ConnectionPool::default().connect(entry, Duration::from_secs(2)).await?;
         let options = ExchangeOptions { allow_close_delimited: true, ..Default::default() };
         let mut head = fleet_head(path, attempt)?;
-        let time_left = HeaderName::from_static(WIRE_PROFILE.time_left);
-        head.headers.insert(time_left, HeaderValue::from_static(TIME_LEFT_MS));
+        for (name, value) in [&[(WIRE_PROFILE.time_left, TIME_LEFT_MS)], headers].concat() {
+            head.headers.insert(HeaderName::from_static(name), HeaderValue::from_str(value)?);
+        }
         let body = Bytes::from(attempt.to_string());
         let answer = connection.exchange_with(head, body, &options).await?;
         let status = answer.head.status.as_u16();
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -44,6 +44,9 @@
     /// Returns whether the answer may be complete if its body, whose end is determined by `frame`, ends now.
     fn is_complete(&self, frame: BodyFrame) -> bool;
 
+    /// Returns whether the latest attempt has brought nothing that follows on what the caller has.
+    fn adds_nothing(&self) -> bool;
+
     /// Returns whether the events of the latest attempt may be all of the answer, by their numbers.
     fn may_end(&mut self) -> bool;
 
@@ -188,6 +191,10 @@
         }
     }
 
+    fn adds_nothing(&self) -> bool {
+        false
+    }
+
     fn may_end(&mut self) -> bool {
         true
     }
--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -98,6 +98,10 @@
         self.events.is_between_events() && (self.has_events || may_be_empty)
     }
 
+    fn adds_nothing(&self) -> bool {
+        self.events.is_between_events() && !self.has_events && self.events.last().is_some()
+    }
+
     fn may_end(&mut self) -> bool {
         self.events.may_end()
     }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -189,17 +189,22 @@
         target: &TargetEntry,
         limit: Duration,
     ) -> NextPart {
-        if !self.framing.is_complete(frame) {
+        let is_complete = self.framing.is_complete(frame);
+        if !is_complete && !self.framing.adds_nothing() {
             return NextPart::Interrupted(AttemptCause::Closed);
         }
         let proof = self.end_proof(frame, target, limit).await;
-        if !matches!(proof, EndProof::Whole) {
+        // What a target that terminates leaves out shows nothing of the end.
+        if is_complete != matches!(proof, EndProof::Whole) {
             self.framing.leave_end_unproven();
         }
         match proof {
-            EndProof::Whole => self.evaluate_whole(frame, target).await,
-            EndProof::Missing(cause) => NextPart::Interrupted(cause),
             EndProof::Replaced(other) => NextPart::Replaced(other, AttemptCause::PartTimeout),
+            EndProof::Whole if is_complete => self.evaluate_whole(frame, target).await,
+            // Another target has to confirm that nothing follows.
+            EndProof::Whole => NextPart::Interrupted(AttemptCause::EndUnproven),
+            EndProof::Missing(_) if !is_complete => NextPart::Interrupted(AttemptCause::Closed),
+            EndProof::Missing(cause) => NextPart::Interrupted(cause),
         }
     }
 
