--- a/crates/sched/tests/budgets.rs
+++ b/crates/sched/tests/budgets.rs
@@ -80,3 +80,16 @@
     budget.refund(Duration::from_secs(1));
     assert!(!budget.try_spend(Duration::from_secs(13)));
 }
+
+/// Guards against confirmations that use up the retries of requests whose targets fail.
+#[test]
+fn spare_retries_leave_half_of_the_budget_to_requests_that_fail() {
+    let now = Duration::from_secs(1);
+    let mut budget = RetryBudget::new(limits(false), 1);
+    (0..100).for_each(|_| budget.count_request(now));
+    let spare = (0..200).filter(|_| budget.try_spend_spare(now)).count();
+    let left = (0..200).filter(|_| budget.try_spend(now)).count();
+    // A fifth of 100 requests and the 48 of `extra`.
+    assert_eq!((spare, left), (34, 34));
+    assert!(!budget.try_spend_spare(now));
+}
