Streams that are taken up wait before the new requests of their account

A request that takes up a stream states less time than new ones, so that it counted as a late retry: behind all new requests of its urgency, refused by forecast or after 40 % of the time that its caller has.

Cause: the scheduler could not tell it from a return. The first attempt of a request is limited to a version by its entry daemon only where it takes up a stream, so that no message changes. Such a request now comes before the new ones of its account, tier and urgency (accounts keep their shares, higher tiers come first), is not refused by forecast, and may wait until its deadline; its end sheds no tier. What waits for busy targets of one version hides no other requests from idle targets, and counts neither in forecasts of a pool of several versions nor in the learned capacity.

--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -4,8 +4,8 @@
 
 use curlewcleat_core::{
     DaemonId, Heartbeat, KeyAnswer, KeyClaim, KeyDecision, PeerFrame, PeerMessage, PermitAnswer,
-    PermitDecision, PermitHeld, PermitRequest, PermitReturn, PoolId, ShedRequest, TargetInstance,
-    TargetReport, VmId,
+    PermitHeld, PermitRequest, PermitReturn, PoolId, ShedRequest, TargetInstance, TargetReport,
+    VmId,
 };
 use curlewcleat_sched::{GuardStep, PoolScheduler, SchedulerAction};
 
@@ -70,7 +70,10 @@
             PeerMessage::TargetInstancesPush(instances) => {
                 self.targets_pushed(&from.vm, instances.into_push());
             }
-            PeerMessage::PermitRequest(request) => self.permit_requested(from, request),
+            PeerMessage::PermitRequest(request) if request.version.is_none() => {
+                self.permit_requested(from, request)
+            }
+            PeerMessage::PermitRequest(request) => self.limited_permit_requested(from, request),
             PeerMessage::PermitAnswer(answer) => self.permit_answered(&from.vm, answer),
             PeerMessage::PermitReturn(returned) => self.permit_returned(&returned),
             PeerMessage::PermitHeld(held) => self.permit_held(from, held),
@@ -107,7 +110,7 @@
             PeerMessage::StreamQuery(query) => self.stream_queried(&from.vm, query),
             PeerMessage::StreamAnswer(answer) => self.stream_answered(&from.vm, answer),
             PeerMessage::VersionPermitRequest(request) => {
-                self.permit_requested(from, request.into_request());
+                self.limited_permit_requested(from, request.into_request());
             }
             PeerMessage::RolloutAnswers(answers) => self.peer_answers_received(from, &answers),
             PeerMessage::TargetLoads(pools) => self.loads_received(&pools),
@@ -116,14 +119,25 @@
         }
     }
 
+    /// Handles a permit request that its entry daemon has limited to a version. The first attempt of a request is limited
+    /// only where it takes up a stream.
+    fn limited_permit_requested(&mut self, from: &DaemonId, request: PermitRequest) {
+        if request.permit.attempt > 0 {
+            return self.permit_requested(from, request);
+        }
+        if let Err(wait) = self.charge(&request) {
+            return self.refuse_for_rate(from, &request, wait);
+        }
+        let now = self.now;
+        let pool = self.pool(&request.pool.clone());
+        let actions = pool.request_take_up(now, from.clone(), request);
+        self.send_answers(actions);
+    }
+
     /// Requests a permit from the scheduler of the pool.
     pub(super) fn request_pool_permit(&mut self, from: &DaemonId, request: PermitRequest) {
         if let Err(wait) = self.charge(&request) {
-            let refusal = self.rate_refusal(&request, wait);
-            let decision = PermitDecision::Refused(refusal);
-            let answer = PermitAnswer { permit: request.permit, pool: request.pool, decision };
-            self.post(&from.vm, PeerMessage::PermitAnswer(answer));
-            return;
+            return self.refuse_for_rate(from, &request, wait);
         }
         let now = self.now;
         let actions = self.pool(&request.pool.clone()).request_permit(now, from.clone(), request);
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitId, PermitRequest, PoolId, Refusal,
-    RefusalReason, RequestFeature, RequestId, RetryReason, StreamStart, TargetEntry, Verdict,
-    VersionDigest, VersionPermitRequest, VmId,
+    AttemptEnd, DaemonId, KeyClaim, KeyOutcome, PeerMessage, PermitAnswer, PermitDecision,
+    PermitId, PermitRequest, PoolId, Refusal, RefusalReason, RequestFeature, RequestId,
+    RetryReason, StreamStart, TargetEntry, Verdict, VersionDigest, VersionPermitRequest, VmId,
 };
 use curlewcleat_sched::{
     rate_retry_after, EntryAction, RateRole, RateShare, ReplacementStep, RequestSpec,
@@ -93,6 +93,18 @@
         Refusal::not_run(reason, Some(advice))
     }
 
+    pub(super) fn refuse_for_rate(
+        &mut self,
+        from: &DaemonId,
+        request: &PermitRequest,
+        wait: Duration,
+    ) {
+        let decision = PermitDecision::Refused(self.rate_refusal(request, wait));
+        let (permit, pool) = (request.permit, request.pool.clone());
+        let answer = PermitAnswer { permit, pool, decision };
+        self.post(&from.vm, PeerMessage::PermitAnswer(answer));
+    }
+
     /// Returns the share of the common rates that this daemon grants for a pool.
     pub(super) fn rate_share(&self, pool: &str) -> RateShare {
         match self.own_rate_role(pool) {
--- /dev/null
+++ b/crates/node/tests/take_ups.rs
@@ -0,0 +1,140 @@
+//! Tests that streams which their callers take up go on where new requests are refused.
+//!
+//! On days with releases, losses of power and callers that take up three times, most streams whose version was known were
+//! refused as new requests are: for their forecast wait, their account's rate, or a rate that was not known yet.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use curlewcleat_core::{LatencyObjectives, RefusalReason, VersionDigest};
+use curlewcleat_node::{CallerDecision, NodeEvent};
+use curlewcleat_sched::{RequestSpec, TakenUpStream};
+
+use support::streams::{fleet_of, stream};
+use support::{spec, Fleet};
+
+/// Time after which callers give up, and what is left of it where they take up their streams.
+const CALLER_TIME: Duration = Duration::from_secs(10);
+const TIME_LEFT: Duration = Duration::from_secs(6);
+const OBJECTIVE: Duration = Duration::from_secs(2);
+/// Time of a target's slot that each request uses; all targets together have twelve slots.
+const SERVICE: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(20);
+
+/// How many requests were sent, served and refused.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Counts {
+    sent: usize,
+    served: usize,
+    refused: BTreeMap<RefusalReason, usize>,
+}
+
+/// A fleet, its callers and what their requests came to.
+struct Play {
+    fleet: Fleet,
+    /// The daemon that callers reach.
+    entry: usize,
+    next: u128,
+    /// Requests that are not decided, and whether they take up a stream.
+    open: BTreeMap<u128, bool>,
+    ends: BTreeMap<u128, Duration>,
+    new: Counts,
+    take_ups: Counts,
+}
+
+impl Play {
+    fn new(fleet: Fleet, entry: usize) -> Play {
+        Play {
+            fleet,
+            entry,
+            next: 0,
+            open: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            new: Counts::default(),
+            take_ups: Counts::default(),
+        }
+    }
+
+    fn send(&mut self, account: &str, cost: u64, is_take_up: bool) {
+        self.next += 1;
+        let objectives = LatencyObjectives {
+            wait_limit: OBJECTIVE,
+            forecast_limit: if is_take_up { OBJECTIVE } else { OBJECTIVE * 60 / 100 },
+            first_part_by: if is_take_up { Duration::ZERO } else { OBJECTIVE },
+            length_guessed: true,
+            is_retry: is_take_up,
+            ..LatencyObjectives::default()
+        };
+        let spec = RequestSpec {
+            account: account.to_string(),
+            objectives,
+            cost,
+            time_left: if is_take_up { TIME_LEFT } else { CALLER_TIME },
+            output_work: SERVICE.as_micros() as u64,
+            takes_up: is_take_up.then(|| TakenUpStream { stream: Some(stream(self.next)) }),
+            version: is_take_up.then(|| VersionDigest::of(Some(&"v1".to_string()))),
+            ..spec(self.next)
+        };
+        self.open.insert(self.next, is_take_up);
+        if is_take_up { &mut self.take_ups } else { &mut self.new }.sent += 1;
+        self.fleet.event(self.entry, NodeEvent::Admit(Box::new(spec)));
+    }
+
+    /// Runs one step, and ends the requests that targets have served.
+    fn step(&mut self) {
+        self.fleet.run(STEP);
+        let now = self.fleet.now;
+        let ended: Vec<u128> =
+            self.ends.iter().filter(|(_, end)| **end <= now).map(|(number, _)| *number).collect();
+        for number in ended {
+            self.ends.remove(&number);
+            self.fleet.finish(self.entry, number);
+        }
+        for (number, is_take_up) in self.open.clone() {
+            let counts = if is_take_up { &mut self.take_ups } else { &mut self.new };
+            match self.fleet.decision(number) {
+                Some(CallerDecision::Dispatch(..)) => {
+                    counts.served += 1;
+                    self.ends.insert(number, now + SERVICE);
+                }
+                Some(CallerDecision::Refuse(refusal)) => {
+                    *counts.refused.entry(refusal.reason).or_default() += 1;
+                }
+                _ => continue,
+            }
+            self.open.remove(&number);
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.fleet.now + time;
+        while self.fleet.now < end {
+            self.step();
+        }
+    }
+}
+
+/// Guards against refusals of streams that are taken up (`wait_too_long`) while new ones of the same account begin.
+#[test]
+fn streams_taken_up_go_on_where_a_pool_has_twice_the_requests_that_it_serves() {
+    let fleet = fleet_of(3);
+    let entry = fleet.leader();
+    let mut play = Play::new(fleet, entry);
+    for step in 0..500u64 {
+        // One new request each 40 ms; from the fifth second on a stream is taken up each 200 ms.
+        if step % 2 == 0 {
+            play.send("b", 1, false);
+        }
+        if (250..450).contains(&step) && step % 10 == 0 {
+            play.send("b", 1, true);
+        }
+        play.step();
+    }
+    play.run(CALLER_TIME);
+    let (new, take_ups) = (&play.new, &play.take_ups);
+    eprintln!("new {new:?}, taken up {take_ups:?}");
+    assert_eq!(take_ups.served, take_ups.sent, "new {new:?}, taken up {take_ups:?}");
+    assert!(new.served >= 80, "new {new:?}, taken up {take_ups:?}");
+}
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -9,9 +9,10 @@
 //! 2. its account has too many requests waiting, or no token remaining ([`account`]): `account_queue`, `account_rate`
 //! 3. no target accepts new work, apart from those at which it has failed: `no_target`
 //! 4. the fastest target needs more time than remains until its deadline ([`forecast`]): `deadline_unreachable`
-//! 5. its forecast wait exceeds its forecast limit, unless it is a booked return ([`returns`](crate::returns)):
-//!    `wait_too_long`
-//! 6. wait and work together exceed its deadline: `deadline_unreachable`, and all lower tiers are shed
+//! 5. its forecast wait exceeds its forecast limit, unless it is a booked return ([`returns`](crate::returns)) or takes up
+//!    a stream: `wait_too_long`
+//! 6. wait and work together exceed its deadline, unless it takes up a stream: `deadline_unreachable`, and all lower tiers
+//!    are shed
 //! 7. the queue is full and nothing can be evicted: `queue_full`, and all lower tiers are shed
 //!
 //! A full queue evicts from the lowest tier first, then from the account of the same tier with the most
@@ -38,7 +39,7 @@
 };
 
 use self::account::{AccountLimit, RateBucket};
-use crate::order::waiting::RequestAdmission;
+use crate::order::waiting::{RequestAdmission, RequestKind};
 use crate::placement::target::TargetState;
 use crate::pool::{PoolScheduler, SchedulerAction};
 use crate::retry_after::{rest_retry_after, DEFAULT_RETRY_AFTER};
@@ -113,7 +114,8 @@
     /// Decides whether a permit request may wait. If the queue is full, evicts a request of a lower tier, or one of
     /// the same tier.
     ///
-    /// `returned` is set for a booked return, which is not refused for its forecast wait.
+    /// A booked return is not refused for its forecast wait. Neither is a request that takes up a stream: it waits before
+    /// the new ones of its account, mostly for a slot of one version, of which the forecast knows nothing.
     ///
     /// # Errors
     /// The refusal of the first check that the request does not pass.
@@ -122,7 +124,7 @@
         now: Uptime,
         entry: &DaemonId,
         request: &PermitRequest,
-        returned: bool,
+        kind: RequestKind,
         actions: &mut Vec<SchedulerAction>,
     ) -> Result<RequestAdmission, Refusal> {
         if self.level.sheds(request.tier) {
@@ -139,13 +141,13 @@
         if estimate > time_left {
             return Err(Refusal::not_run(RefusalReason::DeadlineUnreachable, None));
         }
-        let in_time_until = self.in_time_until(now, request, returned);
+        let in_time_until = self.in_time_until(now, request, kind);
         let wait = self.wait_estimate(request, &limit, in_time_until <= now);
         let wait = wait.max(self.target_limit_wait(now));
-        if wait > micros(request.objectives.forecast_limit) && !returned {
+        if wait > micros(request.objectives.forecast_limit) && kind == RequestKind::New {
             return Err(self.refuse_wait(now, request, Duration::from_micros(wait)));
         }
-        if wait + estimate > time_left {
+        if wait + estimate > time_left && kind != RequestKind::TakeUp {
             let refusal =
                 self.capacity_refusal(now, request.tier, RefusalReason::DeadlineUnreachable);
             self.shed_below(now, request.tier, actions);
@@ -154,7 +156,7 @@
         if self.queues.len() >= self.options.queue_limit {
             self.evict_for(now, request, actions)?;
         }
-        Ok(RequestAdmission { in_time_until, returned })
+        Ok(RequestAdmission { in_time_until, kind })
     }
 
     /// Checks the account's queue limit and takes a token from its rate bucket.
--- a/crates/sched/src/admission/forecast.rs
+++ b/crates/sched/src/admission/forecast.rs
@@ -55,7 +55,7 @@
         limit: &AccountLimit,
         late: bool,
     ) -> WorkMicros {
-        let ahead = self.queues.work_ahead(request, limit.weight, late);
+        let ahead = self.queues.work_ahead(request, limit.weight, late, !self.is_mixed());
         // If the work is known, the targets' speeds are a better estimate than the recent grants.
         let capacity = self
             .throughput
@@ -76,6 +76,13 @@
         waits.min().map_or(0, micros)
     }
 
+    /// Returns whether the open targets differ in their versions.
+    fn is_mixed(&self) -> bool {
+        let mut versions = self.open_targets().map(|state| state.version_digest);
+        let first = versions.next();
+        versions.any(|version| Some(version) != first)
+    }
+
     /// Iterates over the targets that are neither leaving nor ejected and whose version is in service.
     pub(crate) fn open_targets(&self) -> impl Iterator<Item = &TargetState> {
         let in_service = |state: &&TargetState| state.access == VersionAccess::Open;
--- a/crates/sched/src/admission/replacement.rs
+++ b/crates/sched/src/admission/replacement.rs
@@ -12,7 +12,7 @@
 
 use curlewcleat_core::{DaemonId, PermitId, PermitRequest, Refusal, RefusalReason, Uptime};
 
-use crate::order::waiting::RequestAdmission;
+use crate::order::waiting::{RequestAdmission, RequestKind};
 use crate::pool::{PoolScheduler, SchedulerAction};
 use crate::targets::state_of;
 
@@ -34,8 +34,8 @@
         if let Some(refusal) = self.replacement_refusal(now, &entry, &request) {
             return vec![self.refuse(entry, &request, refusal)];
         }
-        let in_time_until = self.in_time_until(now, &request, false);
-        let admission = RequestAdmission { in_time_until, returned: false };
+        let in_time_until = self.in_time_until(now, &request, RequestKind::New);
+        let admission = RequestAdmission { in_time_until, kind: RequestKind::New };
         let mut actions = Vec::new();
         self.enqueue(now, entry, request, admission, &mut actions);
         actions
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -93,7 +93,11 @@
         self.budget_of(&spec.pool).count_request(now);
         let deadline = now + spec.time_left;
         let id = spec.request;
-        let wait_until = now.saturating_add(spec.objectives.wait_limit);
+        let wait_until = match spec.takes_up {
+            // Its stream has waited already, and its caller has a part of the answer.
+            Some(_) => deadline,
+            None => now.saturating_add(spec.objectives.wait_limit),
+        };
         let first_part_by = now.saturating_add(spec.objectives.first_part_by);
         let phase = RequestPhase::Claiming { tries: 1, sent: now };
         let request = EntryRequest {
--- a/crates/sched/src/entry/request.rs
+++ b/crates/sched/src/entry/request.rs
@@ -203,14 +203,15 @@
         EntryAction::RequestPermit(scheduler, request)
     }
 
-    /// Returns the remaining time of the caller's objectives. After a failed attempt the forecast limit is
-    /// the whole remaining wait, so that the forecast gives no request up early.
+    /// Returns the remaining time of the caller's objectives. After a failed attempt, and where a stream is taken up, the
+    /// forecast limit is the whole remaining wait, so that the forecast gives no request up early.
     pub fn objectives(&self, now: Uptime) -> LatencyObjectives {
         let objectives = &self.spec.objectives;
         let wait_limit = self.wait_until.saturating_sub(now);
-        let forecast_limit = match self.last_failure {
-            Some(_) => wait_limit,
-            None => objectives.forecast_limit.min(wait_limit),
+        let waits_on = self.last_failure.is_some() || self.spec.takes_up.is_some();
+        let forecast_limit = match waits_on {
+            true => wait_limit,
+            false => objectives.forecast_limit.min(wait_limit),
         };
         let first_part_by = self.first_part_by.saturating_sub(now);
         LatencyObjectives { wait_limit, forecast_limit, first_part_by, ..*objectives }
--- a/crates/sched/src/order/priority.rs
+++ b/crates/sched/src/order/priority.rs
@@ -13,7 +13,7 @@
 
 use curlewcleat_core::{DaemonId, PermitRequest, Uptime};
 
-use super::waiting::{RequestAdmission, WaitingRequest};
+use super::waiting::{RequestAdmission, RequestKind, WaitingRequest};
 use crate::pool::PoolScheduler;
 
 /// Age credited to a retry after an early refusal that can still be in time: longer than requests wait, so that it has
@@ -29,7 +29,7 @@
         request: PermitRequest,
         admission: RequestAdmission,
     ) -> WaitingRequest {
-        let RequestAdmission { in_time_until, returned } = admission;
+        let RequestAdmission { in_time_until, kind } = admission;
         let work = request.prompt_work + request.output_work;
         let deadline = now + request.time_left;
         let estimate = self.fastest_estimate(&request);
@@ -42,7 +42,8 @@
         };
         let order = now.saturating_sub(age_credit)
             + Duration::from_micros(work * self.options.age_per_work);
-        let first_part_by = now.saturating_add(first_part_limit(&request, returned));
+        let first_part_by =
+            now.saturating_add(first_part_limit(&request, kind == RequestKind::Return));
         WaitingRequest {
             entry,
             request,
@@ -52,7 +53,7 @@
             latest_start,
             in_time_until,
             order,
-            returned,
+            kind,
             work,
         }
     }
@@ -62,13 +63,18 @@
         &self,
         now: Uptime,
         request: &PermitRequest,
-        returned: bool,
+        kind: RequestKind,
     ) -> Uptime {
+        if kind == RequestKind::TakeUp {
+            // Its answer has begun, so that only the end of it can be late.
+            return now.saturating_add(request.time_left);
+        }
         let prompts =
             self.open_targets().filter_map(|state| state.pace.prompt_time(request.prompt_work));
         // While no pace is known, the time for the prompt is ignored.
         let prompt = Duration::from_micros(prompts.min().unwrap_or(0));
-        now.saturating_add(first_part_limit(request, returned)).saturating_sub(prompt)
+        let limit = first_part_limit(request, kind == RequestKind::Return);
+        now.saturating_add(limit).saturating_sub(prompt)
     }
 }
 
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -7,7 +7,7 @@
 //! - inside an urgency the requests that can still begin in time, then booked returns ([`returns`](crate::returns)),
 //!   then those that are late;
 //! - among these the account that was served the least work for its weight (an idle account gets no credit);
-//! - inside an account the lowest position ([`priority`](super)).
+//! - inside an account streams that are taken up, then the lowest position ([`priority`](super)).
 //!
 //! A few requests behind the first are candidates too, so that a request that suits no target does not delay the
 //! others.
@@ -24,15 +24,16 @@
 
 mod ahead;
 mod candidates;
+mod victims;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use curlewcleat_core::{AccountId, DaemonId, PermitId, TierRank, Uptime, WorkMicros};
 
-use self::candidates::first_candidates;
+use self::candidates::{first_accounts, first_candidates};
 use super::rank::{QueueRank, QueueStage, UrgencyKey};
 use super::shares::{UrgencyShares, FULL_SHARE};
-use super::waiting::{class_of, QueueKey, TierQueue, WaitingRequest};
+use super::waiting::{QueueKey, RequestKind, TierQueue, WaitingRequest};
 
 /// Scale of virtual time; keeps precision when work is divided by weights.
 const VIRTUAL_TIME_SCALE: u64 = 1_000;
@@ -58,6 +59,8 @@
     /// Shares of the urgencies of each tier.
     shares: BTreeMap<TierRank, UrgencyShares>,
     positions: BTreeMap<PermitId, QueuePosition>,
+    /// Number of waiting requests that take up streams.
+    take_ups: usize,
     /// All requests, by their latest start.
     by_latest_start: BTreeSet<(Uptime, PermitId)>,
     /// Requests that are not late yet, by the time from which they are late.
@@ -80,6 +83,12 @@
         self.positions.is_empty()
     }
 
+    /// Returns whether a request waits that takes up no stream. Those that do may wait beside idle targets, since all of
+    /// their version are busy.
+    pub fn has_new(&self) -> bool {
+        self.positions.len() > self.take_ups
+    }
+
     /// Returns whether a permit request waits.
     pub fn contains(&self, permit: &PermitId) -> bool {
         self.positions.contains_key(permit)
@@ -120,7 +129,7 @@
     /// Adds a permit request; `weight` is that of its account.
     pub fn push(&mut self, now: Uptime, waiting: WaitingRequest, weight: u32) {
         let late = waiting.in_time_until <= now;
-        let stage = match (late, waiting.returned) {
+        let stage = match (late, waiting.kind == RequestKind::Return) {
             (true, _) => QueueStage::Late,
             (false, true) => QueueStage::Returned,
             (false, false) => QueueStage::InTime,
@@ -128,7 +137,8 @@
         let urgency = waiting.request.objectives.urgency;
         let rank = QueueRank { tier: waiting.request.tier, stage, urgency };
         let account = waiting.request.account.clone();
-        let key = (waiting.order, waiting.request.permit);
+        let is_new = waiting.kind != RequestKind::TakeUp;
+        let key = QueueKey { is_new, order: waiting.order, permit: waiting.request.permit };
         self.by_latest_start.insert((waiting.latest_start, waiting.request.permit));
         if !late {
             self.by_in_time_until.insert((waiting.in_time_until, waiting.request.permit));
@@ -151,8 +161,12 @@
             account_queue.served = account_queue.served.max(virtual_time);
             queue.by_served.insert((account_queue.served, account.clone()));
         }
-        *account_queue.by_class.entry(class_of(waiting.work)).or_default() += waiting.work;
+        *account_queue.sum_of(&waiting) += waiting.work;
         queue.work += waiting.work;
+        if !is_new {
+            queue.take_up_work += waiting.work;
+            self.take_ups += 1;
+        }
         queue.length += 1;
         let position = QueuePosition { rank, account, weight, key };
         self.positions.insert(waiting.request.permit, position);
@@ -182,10 +196,12 @@
         let waiting = account_queue.waiting.remove(&key)?;
         self.by_latest_start.remove(&(waiting.latest_start, *permit));
         self.by_in_time_until.remove(&(waiting.in_time_until, *permit));
-        if let Some(work) = account_queue.by_class.get_mut(&class_of(waiting.work)) {
-            *work -= waiting.work;
-        }
+        *account_queue.sum_of(&waiting) -= waiting.work;
         queue.work -= waiting.work;
+        if !key.is_new {
+            queue.take_up_work -= waiting.work;
+            self.take_ups -= 1;
+        }
         queue.length -= 1;
         if account_queue.waiting.is_empty() {
             queue.by_served.remove(&(account_queue.served, account.clone()));
@@ -223,12 +239,8 @@
         let served = |rank: &QueueRank| self.served.get(&rank.urgency_key()).copied().unwrap_or(0);
         queues.sort_by_key(|(rank, _)| (rank.tier, served(rank), **rank));
         queues.into_iter().flat_map(move |(_, queue)| {
-            queue
-                .by_served
-                .iter()
-                .take(accounts)
-                .filter_map(|(_, account)| queue.accounts.get(account))
-                .flat_map(|account_queue| first_candidates(account_queue.waiting.values()))
+            first_accounts(queue, accounts)
+                .flat_map(|account_queue| first_candidates(&account_queue.waiting))
         })
     }
 
@@ -247,7 +259,7 @@
         queues
             .flat_map(|queue| queue.accounts.values())
             .flat_map(|account_queue| account_queue.waiting.keys())
-            .map(|key| key.1)
+            .map(|key| key.permit)
             .collect()
     }
 
@@ -261,35 +273,6 @@
             .collect()
     }
 
-    /// Returns the permit request to evict for a request of `tier`: the last one of the lowest tier below it.
-    pub fn victim_below(&self, tier: TierRank) -> Option<PermitId> {
-        let below = self.tiers.range(QueueRank::below(tier)..);
-        let (_, queue) = below.rev().find(|(_, queue)| queue.length > 0)?;
-        queue
-            .accounts
-            .values()
-            .filter_map(|account_queue| account_queue.waiting.keys().next_back())
-            .max()
-            .map(|key| key.1)
-    }
-
-    /// Returns the permit request to evict for a request of `account` in the same tier: the last one of the account
-    /// with the most waiting requests for its weight, if it has at least two more than `account` by that measure.
-    pub fn victim_within(&self, tier: TierRank, account: &AccountId) -> Option<PermitId> {
-        let of_tier = self.tiers.range(QueueRank::of_tier(tier)).rev().map(|(_, queue)| queue);
-        let queue = of_tier.into_iter().find(|queue| queue.length > 0)?;
-        let own_length = queue.accounts.get(account).map_or(0, |account_queue| {
-            account_queue.waiting.len() as u64 / account_queue.weight.max(1)
-        });
-        let longest = queue.accounts.values().max_by_key(|account_queue| {
-            account_queue.waiting.len() as u64 / account_queue.weight.max(1)
-        })?;
-        if longest.waiting.len() as u64 / longest.weight.max(1) <= own_length + 1 {
-            return None;
-        }
-        longest.waiting.keys().next_back().map(|key| key.1)
-    }
-
     /// Returns the work of all waiting requests.
     pub fn total_work(&self) -> WorkMicros {
         self.tiers.values().map(|queue| queue.work).sum()
--- a/crates/sched/src/order/waiting.rs
+++ b/crates/sched/src/order/waiting.rs
@@ -12,8 +12,20 @@
 pub struct RequestAdmission {
     /// Time until which the request can start and still be in time.
     pub in_time_until: Uptime,
-    /// Whether it is a booked return.
-    pub returned: bool,
+    /// What the request begins or continues.
+    pub kind: RequestKind,
+}
+
+/// What a request begins or continues.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum RequestKind {
+    /// It was not refused before, or its return was not booked.
+    #[default]
+    New,
+    /// It is a booked return.
+    Return,
+    /// It takes up a stream, which was admitted and has waited before it broke off.
+    TakeUp,
 }
 
 /// A permit request in the queue.
@@ -36,8 +48,8 @@
     pub in_time_until: Uptime,
     /// Position in its account's queue: the lowest is served first.
     pub order: Uptime,
-    /// Whether it is a booked return.
-    pub returned: bool,
+    /// What the request begins or continues.
+    pub kind: RequestKind,
     /// Estimated work.
     pub work: WorkMicros,
 }
@@ -45,8 +57,16 @@
 /// Number of size classes of work, one for each power of two of microseconds.
 const SIZE_CLASSES: usize = 40;
 
-/// Sort key inside an account's queue: position and permit.
-pub type QueueKey = (Uptime, PermitId);
+/// Sort key inside an account's queue. Streams that are taken up come first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct QueueKey {
+    /// Whether the request takes up no stream.
+    pub is_new: bool,
+    /// Position: the lowest is served first.
+    pub order: Uptime,
+    /// The permit.
+    pub permit: PermitId,
+}
 
 /// The waiting requests of one account in one queue.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -59,6 +79,23 @@
     pub waiting: BTreeMap<QueueKey, WaitingRequest>,
     /// Waiting work by size class; shorter classes are served before longer ones.
     pub by_class: BTreeMap<usize, WorkMicros>,
+    /// Waiting work that takes up streams, which is in no size class.
+    pub take_up_work: WorkMicros,
+}
+
+impl AccountQueue {
+    /// Returns whether a request waits that takes up no stream.
+    pub fn has_new(&self) -> bool {
+        self.waiting.keys().next_back().is_some_and(|key| key.is_new)
+    }
+
+    /// Returns the sum that the work of a request counts towards.
+    pub fn sum_of(&mut self, waiting: &WaitingRequest) -> &mut WorkMicros {
+        match waiting.kind {
+            RequestKind::TakeUp => &mut self.take_up_work,
+            _ => self.by_class.entry(class_of(waiting.work)).or_default(),
+        }
+    }
 }
 
 /// The waiting requests of one urgency of a tier, either late or in time.
@@ -72,10 +109,22 @@
     pub virtual_time: u64,
     /// Waiting work.
     pub work: WorkMicros,
+    /// The part of it that takes up streams.
+    pub take_up_work: WorkMicros,
     /// Number of waiting requests.
     pub length: usize,
 }
 
+impl TierQueue {
+    /// Returns the waiting work, without that which takes up streams where it does not count.
+    pub fn counted_work(&self, counts_take_ups: bool) -> WorkMicros {
+        match counts_take_ups {
+            true => self.work,
+            false => self.work - self.take_up_work,
+        }
+    }
+}
+
 /// Returns the size class of an amount of work.
 pub fn class_of(work: WorkMicros) -> usize {
     // Work of zero belongs to the lowest class.
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -76,7 +76,7 @@
         self.queues.defer_late(now);
         while let Some((permit, target)) = self.next_trial(now).or_else(|| self.next_grant(now)) {
             let Some(waiting) = self.queues.take(&permit) else { return };
-            self.throughput.record_grant(waiting.work, !self.queues.is_empty());
+            self.throughput.record_grant(waiting.work, self.queues.has_new());
             self.flows.record_grant(&waiting.request);
             let Some(state) = self.targets.get_mut(&target) else { return };
             let estimate = state.estimate(&waiting.request);
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -21,7 +21,7 @@
 use crate::admission::overload::OverloadLevel;
 use crate::order::flows::UrgencyFlows;
 use crate::order::shares::divide_capacity;
-use crate::order::waiting::RequestAdmission;
+use crate::order::waiting::{RequestAdmission, RequestKind};
 use crate::placement::ejection::may_eject_one_more;
 use crate::pool::{PermitRecord, PoolScheduler, RateCharge, SchedulerAction};
 use crate::returns::ReturnCounts;
@@ -82,6 +82,26 @@
         now: Uptime,
         entry: DaemonId,
         request: PermitRequest,
+    ) -> Vec<SchedulerAction> {
+        self.request_permit_as(now, entry, request, RequestKind::New)
+    }
+
+    /// Same as [`request_permit`](PoolScheduler::request_permit), for a request that takes up a stream.
+    pub fn request_take_up(
+        &mut self,
+        now: Uptime,
+        entry: DaemonId,
+        request: PermitRequest,
+    ) -> Vec<SchedulerAction> {
+        self.request_permit_as(now, entry, request, RequestKind::TakeUp)
+    }
+
+    fn request_permit_as(
+        &mut self,
+        now: Uptime,
+        entry: DaemonId,
+        request: PermitRequest,
+        kind: RequestKind,
     ) -> Vec<SchedulerAction> {
         if let Some(record) = self.permits.get(&request.permit) {
             let decision = PermitDecision::Granted(record.target.id.clone());
@@ -95,8 +115,11 @@
         }
         self.flows.record_request(&request);
         let mut actions = Vec::new();
-        let returned = self.redeem_return(now, &request);
-        let admission = match self.admit(now, &entry, &request, returned, &mut actions) {
+        let kind = match kind {
+            RequestKind::New if self.redeem_return(now, &request) => RequestKind::Return,
+            kind => kind,
+        };
+        let admission = match self.admit(now, &entry, &request, kind, &mut actions) {
             Ok(admission) => admission,
             Err(refusal) => {
                 let action = match is_for_capacity(&refusal) {
@@ -199,7 +222,7 @@
     pub fn tick(&mut self, now: Uptime) -> Vec<SchedulerAction> {
         let mut actions = Vec::new();
         self.level.tick(self.options.lowest, now);
-        self.throughput.tick(now, !self.queues.is_empty());
+        self.throughput.tick(now, self.queues.has_new());
         if self.flows.tick(now) {
             self.update_shares();
         }
@@ -210,7 +233,9 @@
         }
         for permit in self.queues.overdue(now) {
             if let Some(waiting) = self.queues.remove(&permit) {
-                if now > waiting.wait_until || self.is_at_target(&permit) {
+                // That the targets of one version are busy is no lack of capacity of the pool.
+                let is_take_up = waiting.kind == RequestKind::TakeUp;
+                if now > waiting.wait_until || is_take_up || self.is_at_target(&permit) {
                     let drain_time = self.queue_drain_time();
                     let refusal = self.refuse_wait(now, &waiting.request, drain_time);
                     actions.push(self.refuse(waiting.entry, &waiting.request, refusal));
