Streams that are taken up wait for units of their account, before its new requests

Cause: a take-up took units like any new request, so that at an account that asks for more than its rate it was refused (account_rate), and everywhere while no daemon knows the rates (rate_unknown).

It is still charged, since the rest of a stream reaches a target and counts, but waits at the daemon that schedules until its account has units. Meanwhile new requests of the account, of its tier and those below, are refused. So the account gets no more than its rate, also where its callers name a stream as often as they like.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,6 +24,7 @@
 mod stream_starts;
 mod streams;
 mod suspects;
+mod take_ups;
 mod time;
 mod version_histories;
 mod views;
@@ -81,6 +82,7 @@
     read_role: ReadRole,
     key_holder: KeyHolder,
     rates: AccountRates,
+    held_take_ups: take_ups::HeldTakeUps,
     pools: BTreeMap<PoolId, PoolScheduler>,
     guards: BTreeMap<PoolId, LevelGuard>,
     entry: EntryRequests,
@@ -140,6 +142,7 @@
             // Matches the tasks that read the platform, which start in this role.
             read_role: ReadRole::Reader,
             key_holder: KeyHolder::new(me.clone(), options.keys.clone()),
+            held_take_ups: Default::default(),
             rates: AccountRates::new(options.rate_margin),
             pools: BTreeMap::new(),
             guards: BTreeMap::new(),
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -27,6 +27,7 @@
 
     pub(super) fn entry_daemon_ended(&mut self, daemon: &DaemonId) {
         self.release_starts_of(daemon);
+        self.forget_held_take_ups_of(daemon);
         for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
             let now = self.now;
             let actions = self.pool(&pool).remove_entry_daemon(now, daemon);
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -122,16 +122,10 @@
     /// Handles a permit request that its entry daemon has limited to a version. The first attempt of a request is limited
     /// only where it takes up a stream.
     fn limited_permit_requested(&mut self, from: &DaemonId, request: PermitRequest) {
-        if request.permit.attempt > 0 {
-            return self.permit_requested(from, request);
+        match request.permit.attempt {
+            0 => self.take_up_requested(from, request),
+            _ => self.permit_requested(from, request),
         }
-        if let Err(wait) = self.charge(&request) {
-            return self.refuse_for_rate(from, &request, wait);
-        }
-        let now = self.now;
-        let pool = self.pool(&request.pool.clone());
-        let actions = pool.request_take_up(now, from.clone(), request);
-        self.send_answers(actions);
     }
 
     /// Requests a permit from the scheduler of the pool.
@@ -157,6 +151,7 @@
 
     fn permit_returned(&mut self, returned: &PermitReturn) {
         self.release_start(&returned.permit);
+        self.forget_held_take_up(&returned.permit);
         let now = self.now;
         if let Some(charge) = self.pool(&returned.pool).charge_of_waiting(&returned.permit) {
             self.rates.refund(&charge.account, charge.cost);
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    AttemptEnd, DaemonId, KeyClaim, KeyOutcome, PeerMessage, PermitAnswer, PermitDecision,
-    PermitId, PermitRequest, PoolId, Refusal, RefusalReason, RequestFeature, RequestId,
-    RetryReason, StreamStart, TargetEntry, Verdict, VersionDigest, VersionPermitRequest, VmId,
+    AccountId, AttemptEnd, KeyClaim, KeyOutcome, PeerMessage, PermitId, PermitRequest, PoolId,
+    Refusal, RefusalReason, RequestFeature, RequestId, RetryReason, SharedRate, StreamStart,
+    TargetEntry, Verdict, VersionDigest, VersionPermitRequest, VmId,
 };
 use curlewcleat_sched::{
     rate_retry_after, EntryAction, RateRole, RateShare, ReplacementStep, RequestSpec,
@@ -76,12 +76,20 @@
         if known || request.permit.attempt > 0 {
             return Ok(());
         }
-        let account = self.active.accounts.get(&request.account);
-        let Some(rate) = account.and_then(|account| account.shared_rate) else { return Ok(()) };
+        let Some(rate) = self.shared_rate(&request.account) else { return Ok(()) };
         let rate_share = self.rate_share(&request.pool);
+        if self.held_take_ups.precede(&request.account, request.tier) {
+            let (account, cost) = (&request.account, request.cost);
+            return Err(self.rates.promise(self.now, account, &rate, cost, rate_share));
+        }
         self.rates.take(self.now, &request.account, &rate, request.cost, rate_share)
     }
 
+    /// Returns the rate of an account over all daemons, `None` if it has none.
+    pub(super) fn shared_rate(&self, account: &AccountId) -> Option<SharedRate> {
+        self.active.accounts.get(account)?.shared_rate
+    }
+
     /// Returns the refusal of a permit request that exceeds its account's rate. If the daemon that keeps the rate is
     /// unresponsive, there may be capacity once another daemon has taken over.
     pub(super) fn rate_refusal(&self, request: &PermitRequest, wait: Duration) -> Refusal {
@@ -93,18 +101,6 @@
         Refusal::not_run(reason, Some(advice))
     }
 
-    pub(super) fn refuse_for_rate(
-        &mut self,
-        from: &DaemonId,
-        request: &PermitRequest,
-        wait: Duration,
-    ) {
-        let decision = PermitDecision::Refused(self.rate_refusal(request, wait));
-        let (permit, pool) = (request.permit, request.pool.clone());
-        let answer = PermitAnswer { permit, pool, decision };
-        self.post(&from.vm, PeerMessage::PermitAnswer(answer));
-    }
-
     /// Returns the share of the common rates that this daemon grants for a pool.
     pub(super) fn rate_share(&self, pool: &str) -> RateShare {
         match self.own_rate_role(pool) {
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -41,6 +41,7 @@
         self.send_loads();
         self.step_held_grants();
         self.step_take_ups();
+        self.step_held_take_ups();
         self.step_histories();
         self.step_warm_ups();
         self.step_rollouts();
--- a/crates/node/tests/take_ups.rs
+++ b/crates/node/tests/take_ups.rs
@@ -12,7 +12,7 @@
 use curlewcleat_node::{CallerDecision, NodeEvent};
 use curlewcleat_sched::{RequestSpec, TakenUpStream};
 
-use support::streams::{fleet_of, stream};
+use support::streams::{end, fleet_of, last_daemon, stream};
 use support::{spec, Fleet};
 
 /// Time after which callers give up, and what is left of it where they take up their streams.
@@ -138,3 +138,71 @@
     assert_eq!(take_ups.served, take_ups.sent, "new {new:?}, taken up {take_ups:?}");
     assert!(new.served >= 80, "new {new:?}, taken up {take_ups:?}");
 }
+
+/// Units of the account `a` that a request costs; it has a thousand a second.
+const COST: u64 = 100;
+const UNITS_PER_S: u64 = 1_000;
+
+/// Guards against refusals of streams that are taken up (`account_rate`) while new ones of the same account begin.
+#[test]
+fn streams_taken_up_go_on_where_their_account_is_at_its_rate() {
+    let fleet = fleet_of(3);
+    let entry = fleet.leader();
+    let mut play = Play::new(fleet, entry);
+    for step in 0..500u64 {
+        // Twice the account's rate; from the fifth second on four streams a second are taken up beside it.
+        if step % 5 < 2 {
+            play.send("a", COST, false);
+        }
+        if (250..450).contains(&step) && step % 13 == 0 {
+            play.send("a", COST, true);
+        }
+        play.step();
+    }
+    let units = (play.new.served + play.take_ups.served) as u64 * COST;
+    play.run(CALLER_TIME);
+    let (new, take_ups) = (&play.new, &play.take_ups);
+    eprintln!("{units} units, new {new:?}, taken up {take_ups:?}");
+    assert_eq!(take_ups.served, take_ups.sent, "new {new:?}, taken up {take_ups:?}");
+    assert!(units <= UNITS_PER_S * 11 + COST, "{units}, new {new:?}, taken up {take_ups:?}");
+    assert!(units >= UNITS_PER_S * 9, "{units}, new {new:?}, taken up {take_ups:?}");
+}
+
+/// Guards against an account that gets more than its rate by naming a stream that it takes up as often as it likes.
+#[test]
+fn account_that_only_takes_up_streams_gets_no_more_than_its_rate() {
+    let fleet = fleet_of(3);
+    let entry = fleet.leader();
+    let mut play = Play::new(fleet, entry);
+    for _ in 0..500u64 {
+        play.send("a", COST, true);
+        play.step();
+    }
+    let units = play.take_ups.served as u64 * COST;
+    eprintln!("{units} units, taken up {:?}", play.take_ups);
+    assert!(units <= UNITS_PER_S * 11 + COST, "{units}, {:?}", play.take_ups);
+}
+
+/// Guards against refusals of streams that are taken up while no daemon knows the rates (`rate_unknown`), since the one that
+/// kept them has just ended.
+#[test]
+fn streams_taken_up_go_on_where_the_daemon_that_kept_the_rates_has_ended() {
+    let mut fleet = fleet_of(5);
+    let entry = last_daemon(&fleet);
+    let leader = fleet.leader();
+    end(&mut fleet, &[leader]);
+    let mut play = Play::new(fleet, entry);
+    for step in 0..100u64 {
+        if step % 5 < 2 {
+            play.send("a", COST, false);
+        }
+        if step < 60 && step % 5 == 0 {
+            play.send("a", COST, true);
+        }
+        play.step();
+    }
+    play.run(CALLER_TIME);
+    let (new, take_ups) = (&play.new, &play.take_ups);
+    eprintln!("new {new:?}, taken up {take_ups:?}");
+    assert_eq!(take_ups.served, take_ups.sent, "new {new:?}, taken up {take_ups:?}");
+}
--- a/crates/sched/src/admission/shared_rate.rs
+++ b/crates/sched/src/admission/shared_rate.rs
@@ -32,6 +32,8 @@
 /// Windows in which the saved units of a deputy fill. The saved units and those gained within one window together make
 /// up its reserve; model `rates`.
 const RESERVE_FILL_WINDOWS: i128 = 2;
+/// Shortest time until an account has units again that has none.
+const MIN_WAIT: Duration = Duration::from_millis(1);
 
 /// The role in which a daemon grants units of the rates, from its own point of view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -211,21 +213,66 @@
         cost: u64,
         rate_share: RateShare,
     ) -> Result<(), Duration> {
-        let limits = self.margin.limits(rate, rate_share);
-        let since = self.since;
-        let bucket =
-            self.buckets.entry(account.clone()).or_insert_with(|| SharedBucket::new(since));
         let window = self.margin.window;
-        bucket.refill(now, window, &limits);
+        let (bucket, _) = self.refilled(now, account, rate, rate_share);
         if bucket.level() > 0 {
             bucket.take(now, window, cost);
             return Ok(());
         }
+        Err(self.promise(now, account, rate, cost, rate_share))
+    }
+
+    /// Returns the time after which the caller of a refused request may retry, and keeps its units in mind for those that
+    /// are refused after it.
+    pub fn promise(
+        &mut self,
+        now: Uptime,
+        account: &AccountId,
+        rate: &SharedRate,
+        cost: u64,
+        rate_share: RateShare,
+    ) -> Duration {
+        let window = self.margin.window;
+        let (bucket, limits) = self.refilled(now, account, rate, rate_share);
         // Requests that were refused earlier are advised to retry before this one.
         let missing = 1 - bucket.level() + bucket.promised;
         bucket.promised += i128::from(cost) * SCALE;
         let wait = bucket.burst.wait_for(now, window, missing, limits.per_s);
-        Err((wait + Duration::from_millis(1)).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
+        (wait + Duration::from_millis(1)).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
+    /// Returns the time until an account has units again, after others have taken `units` before; zero if it has some now.
+    pub fn wait_after(
+        &mut self,
+        now: Uptime,
+        account: &AccountId,
+        rate: &SharedRate,
+        units: u64,
+        rate_share: RateShare,
+    ) -> Duration {
+        let window = self.margin.window;
+        let (bucket, limits) = self.refilled(now, account, rate, rate_share);
+        let missing = 1 - bucket.level() + i128::from(units) * SCALE;
+        match missing > 0 {
+            true => bucket.burst.wait_for(now, window, missing, limits.per_s).max(MIN_WAIT),
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Returns the bucket of an account, refilled, with its limits.
+    fn refilled(
+        &mut self,
+        now: Uptime,
+        account: &AccountId,
+        rate: &SharedRate,
+        rate_share: RateShare,
+    ) -> (&mut SharedBucket, BucketLimits) {
+        let limits = self.margin.limits(rate, rate_share);
+        let since = self.since;
+        let bucket =
+            self.buckets.entry(account.clone()).or_insert_with(|| SharedBucket::new(since));
+        bucket.refill(now, self.margin.window, &limits);
+        (bucket, limits)
     }
 
     /// Puts back the units that were taken for a request that is refused.
--- a/crates/sched/src/entry/permits.rs
+++ b/crates/sched/src/entry/permits.rs
@@ -3,6 +3,8 @@
 //! Owns: nothing; these are methods of `EntryRequests`. Relies on: schedulers that may repeat or delay
 //! an answer.
 
+use std::time::Duration;
+
 use curlewcleat_core::{
     AttemptEnd, PermitAnswer, PermitDecision, PermitId, PermitReturn, PoolId, Refusal,
     RefusalReason, RequestId, RetryReason, TargetId, Uptime, Verdict, VmId,
@@ -13,6 +15,9 @@
 use crate::retry::{decide_retry, RetryBound, RetryDecision};
 use crate::retry_after::DEFAULT_RETRY_AFTER;
 
+/// Shortest time after which a permit request is repeated that was refused since the account's rate is not known.
+const UNKNOWN_RATE_WAIT: Duration = Duration::from_millis(100);
+
 impl EntryRequests {
     /// Applies the answer of a scheduler to its request.
     pub fn permit_answered(
@@ -146,6 +151,10 @@
             {
                 return actions;
             }
+            if self.takes_up(permit.request) {
+                self.request_take_up_later(now, from, permit.request, &refusal);
+                return Vec::new();
+            }
         }
         let Some(request) = self.requests.get(&permit.request) else { return Vec::new() };
         // If no target remains because earlier ones failed, the refusal states the latest failure as its reason.
@@ -185,6 +194,30 @@
         vec![EntryAction::RetryDenied(id, RetryBound::Refused(reason))]
     }
 
+    /// Returns whether a request takes up a stream.
+    fn takes_up(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|request| request.spec.takes_up.is_some())
+    }
+
+    /// Repeats the permit request of a stream that is taken up, once another daemon may keep the rates. Its caller would
+    /// lose what it has of the answer.
+    fn request_take_up_later(
+        &mut self,
+        now: Uptime,
+        from: &VmId,
+        id: RequestId,
+        refusal: &Refusal,
+    ) {
+        let every = self.options.refresh_every;
+        let wait = refusal.retry_after.unwrap_or(every).clamp(UNKNOWN_RATE_WAIT.min(every), every);
+        if let Some(request) = self.requests.get_mut(&id) {
+            // A scheduler that has answered is asked again after `refresh_every`.
+            let answered = (now + wait).saturating_sub(every);
+            let wait = PermitWait::begin(from.clone(), answered, 0);
+            request.phase = RequestPhase::Waiting(PermitWait { acknowledged: true, ..wait });
+        }
+    }
+
     /// Returns when the permit request was sent that a scheduler has not answered yet.
     fn unanswered_since(&self, scheduler: &VmId, permit: PermitId) -> Option<Uptime> {
         let request = self.requests.get(&permit.request)?;
