Streams that are taken up wait for targets of their version that rest

Cause: where all targets of a version had asked for a rest, a stream that its caller takes up was refused at once (no_target), as a new request is, although it may go on nowhere else and its caller has seconds.

Where targets of its version are there (listed, not leaving, not rolled back) its entry daemon asks again after 250 ms until its caller's time is over. It is refused at once where its version has gone.

--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -203,6 +203,10 @@
     }
 
     pub(super) fn permit_answered(&mut self, from: &VmId, answer: PermitAnswer) {
+        let awaits = self.may_await_target(&answer);
+        if awaits && self.entry.await_target(self.now, from, answer.permit) {
+            return;
+        }
         let scheduler_orders = &self.scheduler_orders;
         let members = &self.members;
         let order = |pool: &str| cached_order(scheduler_orders, members, pool);
--- a/crates/node/src/node/take_ups.rs
+++ b/crates/node/src/node/take_ups.rs
@@ -1,4 +1,4 @@
-//! Charges streams that are taken up to the rates of their accounts.
+//! Lets streams that are taken up wait for units of their accounts and for targets of their version.
 //!
 //! The rest of a stream reaches a target and counts towards its account's rate like any request. It is not refused for the
 //! rate: it waits until the account has units, and new requests of the account, of its tier and those below, are refused
@@ -7,6 +7,9 @@
 //! A daemon that does not keep the rates refuses the request after [`UNKNOWN_LIMIT`], so that its entry daemon asks the
 //! first scheduler, and then this one again.
 //!
+//! Where the targets of its version accept no requests for a moment, the entry daemon of a stream that is taken up asks
+//! again while its caller waits.
+//!
 //! Owns: the requests that wait for units of their accounts. Relies on: `AccountRates` for the units.
 
 use std::collections::BTreeMap;
@@ -14,7 +17,7 @@
 
 use curlewcleat_core::{
     AccountId, DaemonId, PeerMessage, PermitAnswer, PermitDecision, PermitId, PermitRequest,
-    SharedRate, TierRank, Uptime,
+    RefusalReason, SharedRate, TierRank, Uptime, VersionDigest,
 };
 use curlewcleat_sched::RateRole;
 
@@ -179,6 +182,21 @@
         }
     }
 
+    /// Returns whether a scheduler has no target for a request while targets of the version that it is limited to are there.
+    pub(super) fn may_await_target(&self, answer: &PermitAnswer) -> bool {
+        let PermitDecision::Refused(refusal) = &answer.decision else { return false };
+        let spec = self.entry.spec_of(answer.permit.request);
+        let version = spec.and_then(|spec| spec.version);
+        let (RefusalReason::NoTarget, Some(version)) = (refusal.reason, version) else {
+            return false;
+        };
+        let Some(pool) = self.active.pools.get(&answer.pool) else { return false };
+        pool.targets.iter().any(|(id, entry)| {
+            let is_of_version = VersionDigest::of(entry.version.as_ref()) == version;
+            is_of_version && !self.targets.is_leaving(id) && !self.is_blocked(&answer.pool, entry)
+        })
+    }
+
     pub(super) fn refuse_for_rate(
         &mut self,
         from: &DaemonId,
--- a/crates/node/tests/take_ups.rs
+++ b/crates/node/tests/take_ups.rs
@@ -8,11 +8,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use curlewcleat_core::{LatencyObjectives, RefusalReason, VersionDigest};
+use curlewcleat_core::{
+    LatencyObjectives, NoticeReport, RefusalReason, TargetInstance, VersionDigest,
+};
 use curlewcleat_node::{CallerDecision, NodeEvent};
 use curlewcleat_sched::{RequestSpec, TakenUpStream};
 
-use support::streams::{end, fleet_of, last_daemon, stream};
+use support::streams::{end, fleet_of, last_daemon, set_versions, stream};
 use support::{spec, Fleet};
 
 /// Time after which callers give up, and what is left of it where they take up their streams.
@@ -206,3 +208,40 @@
     eprintln!("new {new:?}, taken up {take_ups:?}");
     assert_eq!(take_ups.served, take_ups.sent, "new {new:?}, taken up {take_ups:?}");
 }
+
+/// Guards against refusals of streams that are taken up (`no_target`) while the targets of their version accept no requests
+/// for a moment.
+#[test]
+fn streams_taken_up_wait_for_targets_that_rest() {
+    let fleet = fleet_of(3);
+    let entry = last_daemon(&fleet);
+    let mut play = Play::new(fleet, entry);
+    for index in 0..3 {
+        let instance = TargetInstance { id: format!("v1-{index}"), start: None };
+        let rest = Some(Duration::from_millis(1_500));
+        let report = NoticeReport { instance, leaving: false, rest, limit: None };
+        play.fleet.event(entry, NodeEvent::NoticeReceived("p".to_string(), report));
+    }
+    for _ in 0..8 {
+        play.send("b", 1, true);
+        play.send("b", 1, false);
+        play.step();
+    }
+    play.run(CALLER_TIME);
+    let (new, take_ups) = (&play.new, &play.take_ups);
+    eprintln!("new {new:?}, taken up {take_ups:?}");
+    assert_eq!(take_ups.served, take_ups.sent, "new {new:?}, taken up {take_ups:?}");
+}
+
+/// Guards against streams that wait for their whole time for a version that has gone.
+#[test]
+fn stream_taken_up_is_refused_at_once_where_its_version_has_gone() {
+    let mut fleet = fleet_of(3);
+    set_versions(&mut fleet, &["v2"]);
+    fleet.run(Duration::from_secs(2));
+    let entry = last_daemon(&fleet);
+    let mut play = Play::new(fleet, entry);
+    play.send("b", 1, true);
+    play.run(Duration::from_millis(500));
+    assert_eq!(play.take_ups.refused, BTreeMap::from([(RefusalReason::NoTarget, 1)]));
+}
--- a/crates/sched/src/entry/permits.rs
+++ b/crates/sched/src/entry/permits.rs
@@ -15,8 +15,10 @@
 use crate::retry::{decide_retry, RetryBound, RetryDecision};
 use crate::retry_after::DEFAULT_RETRY_AFTER;
 
-/// Shortest time after which a permit request is repeated that was refused since the account's rate is not known.
-const UNKNOWN_RATE_WAIT: Duration = Duration::from_millis(100);
+/// Shortest time after which a permit request that was refused is repeated.
+const MIN_REPEAT_WAIT: Duration = Duration::from_millis(100);
+/// Time after which it is repeated where the targets of a version accept no requests.
+const TARGET_WAIT: Duration = Duration::from_millis(250);
 
 impl EntryRequests {
     /// Applies the answer of a scheduler to its request.
@@ -152,7 +154,8 @@
                 return actions;
             }
             if self.takes_up(permit.request) {
-                self.request_take_up_later(now, from, permit.request, &refusal);
+                let wait = refusal.retry_after.unwrap_or(self.options.refresh_every);
+                self.request_take_up_later(now, from, permit.request, wait);
                 return Vec::new();
             }
         }
@@ -199,17 +202,27 @@
         self.requests.get(&id).is_some_and(|request| request.spec.takes_up.is_some())
     }
 
-    /// Repeats the permit request of a stream that is taken up, once another daemon may keep the rates. Its caller would
-    /// lose what it has of the answer.
-    fn request_take_up_later(
-        &mut self,
-        now: Uptime,
-        from: &VmId,
-        id: RequestId,
-        refusal: &Refusal,
-    ) {
+    /// Repeats the permit request of a stream that is taken up for which a scheduler has no target, since the targets of its
+    /// version may accept requests again before its time is over. Returns whether the request waits for this answer.
+    pub fn await_target(&mut self, now: Uptime, from: &VmId, permit: PermitId) -> bool {
+        let is_waiting = self.is_waiting_at(from, permit) && self.takes_up(permit.request);
+        let Some(request) = self.requests.get_mut(&permit.request).filter(|_| is_waiting) else {
+            return false;
+        };
+        if request.stalled_permit.is_some() || now >= request.deadline {
+            return false;
+        }
+        request.avoid.clear();
+        let sent = self.unanswered_since(from, permit);
+        self.unresponsive.answered(now, from, &permit, sent);
+        self.request_take_up_later(now, from, permit.request, TARGET_WAIT);
+        true
+    }
+
+    /// Repeats the permit request of a stream that is taken up after `wait`. Its caller would lose what it has of the answer.
+    fn request_take_up_later(&mut self, now: Uptime, from: &VmId, id: RequestId, wait: Duration) {
         let every = self.options.refresh_every;
-        let wait = refusal.retry_after.unwrap_or(every).clamp(UNKNOWN_RATE_WAIT.min(every), every);
+        let wait = wait.clamp(MIN_REPEAT_WAIT.min(every), every);
         if let Some(request) = self.requests.get_mut(&id) {
             // A scheduler that has answered is asked again after `refresh_every`.
             let answered = (now + wait).saturating_sub(every);
