--- a/crates/acceptance/tests/streams_beside_paired_troubles.rs
+++ b/crates/acceptance/tests/streams_beside_paired_troubles.rs
@@ -112,6 +112,25 @@
     assert_eq!(judge.judge(&stream), expected);
 }
 
+/// Prints each count on a line of its own: what is counted, where, and how many.
+fn print_figures(counts: &PairCounts) {
+    let all = &counts.all;
+    println!("figure streams all {}", all.streams);
+    println!("figure taken-up all {}", all.taken_up);
+    println!("figure moved all {}", all.moved);
+    let places = all.by_framing.iter().chain(&all.by_route);
+    let all_streams = [(&"all", &all.outcomes)];
+    for (place, outcomes) in all_streams.into_iter().chain(places) {
+        for (outcome, count) in outcomes {
+            println!("figure {outcome:?} {place} {count}");
+        }
+    }
+    for ((one, other), streams) in &counts.by_pair {
+        println!("figure streams {one:?}+{other:?} {}", streams.streams);
+        println!("figure wrong {one:?}+{other:?} {}", streams.wrong);
+    }
+}
+
 #[ignore = "plays for minutes"]
 #[actix_rt::test]
 async fn many_streams_beside_all_paired_troubles() -> Result<()> {
@@ -125,5 +144,6 @@
         println!("seed {seed}: {}{:#?}", counts.all, counts.all.samples);
         total.add(counts);
     }
+    print_figures(&total);
     check(&total, pairs)
 }
--- a/crates/acceptance/tests/support/play_counts.rs
+++ b/crates/acceptance/tests/support/play_counts.rs
@@ -1,6 +1,6 @@
 //! Counts what the callers of a play got.
 //!
-//! Owns: the counts by damage and by route. Relies on: [`DamageJudge`] for what is wrong.
+//! Owns: the counts by damage, by framing and by route. Relies on: [`DamageJudge`] for what is wrong.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -26,6 +26,8 @@
     pub outcomes: BTreeMap<StreamOutcome, usize>,
     /// Outcomes of the streams that met each damage.
     pub by_damage: BTreeMap<StreamDamage, BTreeMap<StreamOutcome, usize>>,
+    /// Outcomes of the streams of each framing.
+    pub by_framing: BTreeMap<&'static str, BTreeMap<StreamOutcome, usize>>,
     /// Outcomes of the streams of each route, by its prefix.
     pub by_route: BTreeMap<&'static str, BTreeMap<StreamOutcome, usize>>,
     pub samples: Vec<String>,
@@ -42,6 +44,8 @@
             *counts.outcomes.entry(outcome).or_default() += 1;
             let route = counts.by_route.entry(stream.route.prefix()).or_default();
             *route.entry(outcome).or_default() += 1;
+            let framing = counts.by_framing.entry(framing_of(&stream.path)).or_default();
+            *framing.entry(outcome).or_default() += 1;
             for run in judge.runs(stream) {
                 counts.damaged += 1;
                 *counts.by_damage.entry(run.damage).or_default().entry(outcome).or_default() += 1;
@@ -69,6 +73,9 @@
         for (damage, outcomes) in &other.by_damage {
             add_outcomes(self.by_damage.entry(*damage).or_default(), outcomes);
         }
+        for (framing, outcomes) in &other.by_framing {
+            add_outcomes(self.by_framing.entry(framing).or_default(), outcomes);
+        }
         for (route, outcomes) in &other.by_route {
             add_outcomes(self.by_route.entry(route).or_default(), outcomes);
         }
@@ -78,22 +85,30 @@
 
 impl fmt::Display for PlayCounts {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let PlayCounts { streams, taken_up, moved, damaged, outcomes, by_damage, by_route, .. } =
-            self;
+        let PlayCounts { streams, taken_up, moved, damaged, outcomes, .. } = self;
         writeln!(
             formatter,
             "{streams} streams, {taken_up} taken up, {moved} moved, {damaged} damaged answers, {outcomes:?}"
         )?;
-        for (route, outcomes) in by_route {
-            writeln!(formatter, "  {route} {outcomes:?}")?;
+        for (place, outcomes) in self.by_framing.iter().chain(&self.by_route) {
+            writeln!(formatter, "  {place} {outcomes:?}")?;
         }
-        for (damage, outcomes) in by_damage {
+        for (damage, outcomes) in &self.by_damage {
             writeln!(formatter, "  {damage:?}: {outcomes:?}")?;
         }
         Ok(())
     }
 }
 
+/// Returns how the answers to requests of a path are framed.
+fn framing_of(path: &str) -> &'static str {
+    match path {
+        path if path.contains("/measured/") => "measured",
+        path if path.contains("/unframed/") => "unframed",
+        _ => "chunked",
+    }
+}
+
 /// Describes a stream that is wrong.
 fn sample(stream: &PlayedStream, outcome: StreamOutcome, judge: &DamageJudge) -> String {
     let events = stream.events.iter().map(|event| {
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -16,6 +16,8 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Variable of the environment that names the daemon's program.
+const DAEMON_VARIABLE: &str = "CURLEWCLEAT_DAEMON";
 
 static NEXT_DEPLOYMENT: AtomicU16 = AtomicU16::new(0);
 
@@ -194,7 +196,7 @@
 
     /// Runs the daemon's program until it exits; returns its exit code and output.
     pub fn daemon_program(&self, arguments: &[&str]) -> Result<(i32, String)> {
-        let mut command = Command::new(self.programs.join("curlewcleatd"));
+        let mut command = Command::new(daemon_path(&self.programs));
         command.args(arguments).stdout(Stdio::piped()).stderr(Stdio::piped());
         let child = {
             let _guard = lock_probe_or_spawn();
@@ -262,7 +264,7 @@
     fn spawn_daemon(&self, vm: &str, callers: &str, settings: &Path) -> Result<ChildProcess> {
         let settings = settings.display().to_string();
         let options = ["--settings", settings.as_str()];
-        spawn(&self.programs.join("curlewcleatd"), "", callers, &self.folder, vm, &options)
+        spawn(&daemon_path(&self.programs), "", callers, &self.folder, vm, &options)
     }
 
     fn write_settings(
@@ -417,6 +419,11 @@
     })
 }
 
+/// Returns the path of the daemon's program: one of the built programs, or of another build if [`DAEMON_VARIABLE`] names it.
+pub fn daemon_path(programs: &Path) -> PathBuf {
+    std::env::var_os(DAEMON_VARIABLE).map_or_else(|| programs.join("curlewcleatd"), PathBuf::from)
+}
+
 /// Starts a process and appends its output to a log file.
 ///
 /// # Errors
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -20,8 +20,8 @@
     daemon_ip, free_address, free_address_at, free_daemon_port, free_engine_address, STORE_IP,
 };
 use crate::deployment::{
-    create_temp_folder, get_json, live_peers, output_of, program_folder, spawn_with_variables,
-    start_tool, wait_listening, wait_until, ChildProcess,
+    create_temp_folder, daemon_path, get_json, live_peers, output_of, program_folder,
+    spawn_with_variables, start_tool, wait_listening, wait_until, ChildProcess,
 };
 use crate::http;
 use crate::link::FaultyLink;
@@ -392,7 +392,7 @@
     }
 
     fn spawn(&self, name: &str, callers: &str, settings: &std::path::Path) -> Result<ChildProcess> {
-        let program = program_folder()?.join("curlewcleatd");
+        let program = daemon_path(&program_folder()?);
         let settings = settings.display().to_string();
         let options = ["--settings", settings.as_str()];
         let variables = self.engine_links.as_ref().map(|links| links.variables(name));
