--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -44,6 +44,9 @@
     /// Returns whether the answer may be complete if its body, whose end is determined by `frame`, ends now.
     fn is_complete(&self, frame: BodyFrame) -> bool;
 
+    /// Returns whether the latest attempt has brought nothing that follows on what the caller has.
+    fn adds_nothing(&self) -> bool;
+
     /// Returns whether the events of the latest attempt may be all of the answer, by their numbers.
     fn may_end(&mut self) -> bool;
 
@@ -54,6 +57,10 @@
     /// not, a later one does.
     fn confirms_end(&mut self) -> bool;
 
+    /// Returns whether nothing is left to be asked of another target: an earlier attempt ended at the same place, or
+    /// the end of the latest one is not at a place after which another could go on.
+    fn agrees_on_end(&mut self) -> bool;
+
     /// Returns the remaining bytes after the end of the body.
     fn take_remaining(&mut self) -> Bytes;
 
@@ -184,6 +191,10 @@
         }
     }
 
+    fn adds_nothing(&self) -> bool {
+        false
+    }
+
     fn may_end(&mut self) -> bool {
         true
     }
@@ -194,6 +205,10 @@
         true
     }
 
+    fn agrees_on_end(&mut self) -> bool {
+        true
+    }
+
     fn take_remaining(&mut self) -> Bytes {
         Bytes::new()
     }
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -4,8 +4,8 @@
 
 use curlewcleat_core::{
     DaemonId, Heartbeat, KeyAnswer, KeyClaim, KeyDecision, PeerFrame, PeerMessage, PermitAnswer,
-    PermitDecision, PermitHeld, PermitRequest, PermitReturn, PoolId, ShedRequest, TargetInstance,
-    TargetReport, VmId,
+    PermitHeld, PermitRequest, PermitReturn, PoolId, ShedRequest, TargetInstance, TargetReport,
+    VmId,
 };
 use curlewcleat_sched::{GuardStep, PoolScheduler, SchedulerAction};
 
@@ -70,7 +70,10 @@
             PeerMessage::TargetInstancesPush(instances) => {
                 self.targets_pushed(&from.vm, instances.into_push());
             }
-            PeerMessage::PermitRequest(request) => self.permit_requested(from, request),
+            PeerMessage::PermitRequest(request) if request.version.is_none() => {
+                self.permit_requested(from, request)
+            }
+            PeerMessage::PermitRequest(request) => self.limited_permit_requested(from, request),
             PeerMessage::PermitAnswer(answer) => self.permit_answered(&from.vm, answer),
             PeerMessage::PermitReturn(returned) => self.permit_returned(&returned),
             PeerMessage::PermitHeld(held) => self.permit_held(from, held),
@@ -107,7 +110,7 @@
             PeerMessage::StreamQuery(query) => self.stream_queried(&from.vm, query),
             PeerMessage::StreamAnswer(answer) => self.stream_answered(&from.vm, answer),
             PeerMessage::VersionPermitRequest(request) => {
-                self.permit_requested(from, request.into_request());
+                self.limited_permit_requested(from, request.into_request());
             }
             PeerMessage::RolloutAnswers(answers) => self.peer_answers_received(from, &answers),
             PeerMessage::TargetLoads(pools) => self.loads_received(&pools),
@@ -116,14 +119,19 @@
         }
     }
 
+    /// Handles a permit request that its entry daemon has limited to a version. The first attempt of a request is limited
+    /// only where it takes up a stream.
+    fn limited_permit_requested(&mut self, from: &DaemonId, request: PermitRequest) {
+        match request.permit.attempt {
+            0 => self.take_up_requested(from, request),
+            _ => self.permit_requested(from, request),
+        }
+    }
+
     /// Requests a permit from the scheduler of the pool.
     pub(super) fn request_pool_permit(&mut self, from: &DaemonId, request: PermitRequest) {
         if let Err(wait) = self.charge(&request) {
-            let refusal = self.rate_refusal(&request, wait);
-            let decision = PermitDecision::Refused(refusal);
-            let answer = PermitAnswer { permit: request.permit, pool: request.pool, decision };
-            self.post(&from.vm, PeerMessage::PermitAnswer(answer));
-            return;
+            return self.refuse_for_rate(from, &request, wait);
         }
         let now = self.now;
         let actions = self.pool(&request.pool.clone()).request_permit(now, from.clone(), request);
@@ -143,6 +151,7 @@
 
     fn permit_returned(&mut self, returned: &PermitReturn) {
         self.release_start(&returned.permit);
+        self.forget_held_take_up(&returned.permit);
         let now = self.now;
         if let Some(charge) = self.pool(&returned.pool).charge_of_waiting(&returned.permit) {
             self.rates.refund(&charge.account, charge.cost);
@@ -194,6 +203,10 @@
     }
 
     pub(super) fn permit_answered(&mut self, from: &VmId, answer: PermitAnswer) {
+        let awaits = self.may_await_target(&answer);
+        if awaits && self.entry.await_target(self.now, from, answer.permit) {
+            return;
+        }
         let scheduler_orders = &self.scheduler_orders;
         let members = &self.members;
         let order = |pool: &str| cached_order(scheduler_orders, members, pool);
--- a/crates/sched/src/entry/permits.rs
+++ b/crates/sched/src/entry/permits.rs
@@ -3,6 +3,8 @@
 //! Owns: nothing; these are methods of `EntryRequests`. Relies on: schedulers that may repeat or delay
 //! an answer.
 
+use std::time::Duration;
+
 use curlewcleat_core::{
     AttemptEnd, PermitAnswer, PermitDecision, PermitId, PermitReturn, PoolId, Refusal,
     RefusalReason, RequestId, RetryReason, TargetId, Uptime, Verdict, VmId,
@@ -13,6 +15,11 @@
 use crate::retry::{decide_retry, RetryBound, RetryDecision};
 use crate::retry_after::DEFAULT_RETRY_AFTER;
 
+/// Shortest time after which a permit request that was refused is repeated.
+const MIN_REPEAT_WAIT: Duration = Duration::from_millis(100);
+/// Time after which it is repeated where the targets of a version accept no requests.
+const TARGET_WAIT: Duration = Duration::from_millis(250);
+
 impl EntryRequests {
     /// Applies the answer of a scheduler to its request.
     pub fn permit_answered(
@@ -146,6 +153,11 @@
             {
                 return actions;
             }
+            if self.takes_up(permit.request) {
+                let wait = refusal.retry_after.unwrap_or(self.options.refresh_every);
+                self.request_take_up_later(now, from, permit.request, wait);
+                return Vec::new();
+            }
         }
         let Some(request) = self.requests.get(&permit.request) else { return Vec::new() };
         // If no target remains because earlier ones failed, the refusal states the latest failure as its reason.
@@ -185,6 +197,40 @@
         vec![EntryAction::RetryDenied(id, RetryBound::Refused(reason))]
     }
 
+    /// Returns whether a request takes up a stream.
+    fn takes_up(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|request| request.spec.takes_up.is_some())
+    }
+
+    /// Repeats the permit request of a stream that is taken up for which a scheduler has no target, since the targets of its
+    /// version may accept requests again before its time is over. Returns whether the request waits for this answer.
+    pub fn await_target(&mut self, now: Uptime, from: &VmId, permit: PermitId) -> bool {
+        let is_waiting = self.is_waiting_at(from, permit) && self.takes_up(permit.request);
+        let Some(request) = self.requests.get_mut(&permit.request).filter(|_| is_waiting) else {
+            return false;
+        };
+        if request.stalled_permit.is_some() || now >= request.deadline {
+            return false;
+        }
+        request.avoid.clear();
+        let sent = self.unanswered_since(from, permit);
+        self.unresponsive.answered(now, from, &permit, sent);
+        self.request_take_up_later(now, from, permit.request, TARGET_WAIT);
+        true
+    }
+
+    /// Repeats the permit request of a stream that is taken up after `wait`. Its caller would lose what it has of the answer.
+    fn request_take_up_later(&mut self, now: Uptime, from: &VmId, id: RequestId, wait: Duration) {
+        let every = self.options.refresh_every;
+        let wait = wait.clamp(MIN_REPEAT_WAIT.min(every), every);
+        if let Some(request) = self.requests.get_mut(&id) {
+            // A scheduler that has answered is asked again after `refresh_every`.
+            let answered = (now + wait).saturating_sub(every);
+            let wait = PermitWait::begin(from.clone(), answered, 0);
+            request.phase = RequestPhase::Waiting(PermitWait { acknowledged: true, ..wait });
+        }
+    }
+
     /// Returns when the permit request was sent that a scheduler has not answered yet.
     fn unanswered_since(&self, scheduler: &VmId, permit: PermitId) -> Option<Uptime> {
         let request = self.requests.get(&permit.request)?;
