Ends of unframed streams: what the other target says counts, judged once

By reading: what the other target answers is not reported as its speed, request_served names the target that ended the stream, no attempt_failed for the sound one, nothing is asked in the last second of a caller. An end that nobody was asked about is logged (unasked). That the stream went on counts as an answer that broke off, after which ends are doubted.

--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -53,14 +53,16 @@
     /// Records that nothing proves the end of the latest attempt: another one may end there without any event.
     fn leave_end_unproven(&mut self);
 
-    /// Returns whether an earlier attempt ended in the same way, so that this one confirms its end or comes behind it; if
-    /// not, a later one does.
-    fn confirms_end(&mut self) -> bool;
-
-    /// Returns whether nothing is left to be asked of another target: an earlier attempt ended at the same place, or
-    /// the end of the latest one is not at a place after which another could go on.
+    /// Returns whether an earlier attempt ended after the same event, so that this one confirms its end; if not, a later one
+    /// does.
     fn agrees_on_end(&mut self) -> bool;
 
+    /// Returns, once for each answer, that its end is doubted although its target lives.
+    fn begins_doubt(&mut self) -> bool;
+
+    /// Returns whether another attempt could go on after the end of the latest one.
+    fn may_go_on(&self) -> bool;
+
     /// Returns the remaining bytes after the end of the body.
     fn take_remaining(&mut self) -> Bytes;
 
@@ -201,12 +203,16 @@
 
     fn leave_end_unproven(&mut self) {}
 
-    fn confirms_end(&mut self) -> bool {
+    fn agrees_on_end(&mut self) -> bool {
         true
     }
 
-    fn agrees_on_end(&mut self) -> bool {
-        true
+    fn begins_doubt(&mut self) -> bool {
+        false
+    }
+
+    fn may_go_on(&self) -> bool {
+        false
     }
 
     fn take_remaining(&mut self) -> Bytes {
--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -110,20 +110,20 @@
         self.unproven_end = self.events.last();
     }
 
-    fn confirms_end(&mut self) -> bool {
+    fn agrees_on_end(&mut self) -> bool {
         let agrees = self.is_at_unproven_end();
         self.leave_end_unproven();
-        std::mem::replace(&mut self.has_doubted, true) || agrees
+        agrees
+    }
+
+    fn begins_doubt(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_doubted, true)
     }
 
     /// An event without a number that is held back ends all streams of the source, and is no place to go on after.
-    fn agrees_on_end(&mut self) -> bool {
-        let is_settled = self.events.last().is_none()
-            || self.events.holds_last()
-            || !self.events.is_resumable()
-            || self.is_at_unproven_end();
-        self.leave_end_unproven();
-        is_settled
+    fn may_go_on(&self) -> bool {
+        let has_place = self.events.last().is_some() && !self.events.holds_last();
+        has_place && self.events.is_resumable()
     }
 
     fn take_remaining(&mut self) -> Bytes {
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -78,6 +78,7 @@
                 },
             };
             self.report_numbers(target);
+            self.review_settled_end();
             if !part.is_empty() {
                 if !self.answer.has_begun() {
                     self.begin_stream(&head, target);
@@ -213,10 +214,16 @@
         if !self.framing.may_end() {
             return NextPart::Interrupted(AttemptCause::Misplaced);
         }
-        if !self.answer.may_end_with(frame) || self.doubts_end(frame) {
+        if !self.answer.may_end_with(frame) {
             return NextPart::Interrupted(AttemptCause::EndUnproven);
         }
-        match self.end_confirmation(frame, target).await {
+        if frame != BodyFrame::UntilClose || self.framing.agrees_on_end() {
+            return NextPart::End;
+        }
+        if self.doubts_end() {
+            return NextPart::Interrupted(AttemptCause::EndUnproven);
+        }
+        match self.end_confirmation(target).await {
             Some(other) => NextPart::Replaced(other, AttemptCause::EndUnproven),
             None => NextPart::End,
         }
--- a/crates/daemon/src/request/relay/complete.rs
+++ b/crates/daemon/src/request/relay/complete.rs
@@ -42,7 +42,11 @@
     ) -> AttemptOutcome {
         let TargetAnswer { head, body } = answer;
         let frame = body.frame();
-        let bytes = match buffer_answer(body).await {
+        let limit = self.confirmation_limit().unwrap_or(Duration::MAX);
+        let Ok(buffered) = tokio::time::timeout(limit, buffer_answer(body)).await else {
+            return self.interrupted(RefusalReason::TargetClosed, AttemptCause::PartTimeout);
+        };
+        let bytes = match buffered {
             Ok(bytes) => bytes,
             Err(BufferError::Excess(excess)) => return self.exceeded(target, excess),
             Err(BufferError::Truncated(error)) => {
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -11,7 +11,7 @@
 use crate::request::cause::AttemptCause;
 use crate::request::liveness::TargetLiveness;
 use crate::request::run::RequestRun;
-use crate::request::run::SettledEnd;
+use crate::request::run::{EndStatement, SettledEnd, CONFIRMATION_LIMIT};
 use crate::request::status_queries::{StatusHold, StatusTarget};
 use crate::request::target_wait::{GrantedTarget, ReplacementReason, TargetWait, WaitEnd};
 
@@ -70,32 +70,44 @@
 
     /// Returns whether another target has to confirm the end of a stream: targets of the pool break off answers, and this
     /// one may have done so at the end of an event.
-    pub(super) fn doubts_end(&mut self, frame: BodyFrame) -> bool {
+    pub(super) fn doubts_end(&mut self) -> bool {
         let context = &self.service.context;
-        let is_doubtful = frame == BodyFrame::UntilClose
-            && self.protocol().may_repeat(&self.request)
+        let is_doubtful = self.protocol().may_repeat(&self.request)
             && self.framing.is_resumable()
             && context.breaks.are_recent(context.uptime(), &self.request.pool.id);
-        is_doubtful && !self.framing.confirms_end()
+        is_doubtful && self.framing.begins_doubt()
     }
 
     /// Returns another target that is asked what follows on an unframed stream whose target lives, since one that lives
     /// may close its answer too early. `None` where none has to be asked, or none is granted while retries are to spare.
     pub(super) async fn end_confirmation(
         &mut self,
-        frame: BodyFrame,
         target: &TargetEntry,
     ) -> Option<Box<GrantedTarget>> {
-        let may_ask = frame == BodyFrame::UntilClose && self.protocol().may_repeat(&self.request);
-        if !may_ask || self.framing.agrees_on_end() {
+        if !self.protocol().may_repeat(&self.request) || !self.framing.may_go_on() {
             return None;
         }
+        let granted = match self.request.time_left() > CONFIRMATION_LIMIT {
+            true => self.target_for_confirmation(target).await,
+            false => None,
+        };
+        match granted {
+            Some(_) => self.settled = Some(SettledEnd::new(self.framing.last_event(), target)),
+            None => self.log_end_statement(EndStatement::Unasked),
+        }
+        granted
+    }
+
+    async fn target_for_confirmation(
+        &mut self,
+        target: &TargetEntry,
+    ) -> Option<Box<GrantedTarget>> {
         let reason = ReplacementReason::EndConfirmed(self.progress.stream_end());
         let wait = TargetWait { reason, ..self.target_wait(target) };
-        let granted = wait.wait(Duration::ZERO, tokio::time::sleep(CONFIRMATION_WAIT)).await;
-        let WaitEnd::Replaced(other) = granted else { return None };
-        self.settled = Some(SettledEnd::new(self.framing.last_event(), target));
-        Some(other)
+        match wait.wait(Duration::ZERO, tokio::time::sleep(CONFIRMATION_WAIT)).await {
+            WaitEnd::Replaced(other) => Some(other),
+            WaitEnd::Arrived(()) | WaitEnd::TimedOut => None,
+        }
     }
 
     fn status_target(&self, target: &TargetEntry) -> StatusTarget {
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -33,7 +33,7 @@
 
 use self::fault::AttemptFault;
 pub use self::log::record_refusal;
-pub use self::settled_end::{EndStatement, SettledEnd};
+pub use self::settled_end::{EndStatement, SettledEnd, CONFIRMATION_LIMIT};
 
 /// Result of an attempt, which decides how the request goes on.
 pub enum AttemptOutcome {
@@ -151,8 +151,8 @@
                 return;
             }
             match outcome {
+                AttemptOutcome::Served(_) if self.serve_confirmed() => return,
                 AttemptOutcome::Served(end) => {
-                    self.report_end_statement();
                     self.report_observations(&target, self.progress.end_observations());
                     self.report_completed_answer();
                     self.log_served(&target);
@@ -160,8 +160,11 @@
                 }
                 AttemptOutcome::Retry(reason, cause) => self.retry(&target, reason, cause),
                 AttemptOutcome::Replaced(other, cause) => {
-                    let code = RetryReason::StreamResumed.code();
-                    self.record_failed_attempt(&target, code, cause);
+                    // The target whose end another one confirms has not failed.
+                    if self.settled.is_none() {
+                        let code = RetryReason::StreamResumed.code();
+                        self.record_failed_attempt(&target, code, cause);
+                    }
                     self.framing.restart();
                     granted = Some(other);
                 }
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -142,7 +142,7 @@
     }
 
     /// Logs and counts what another target stated about the end of an unframed stream whose target lives.
-    pub(super) fn log_end_statement(&self, statement: EndStatement) {
+    pub(in crate::request) fn log_end_statement(&self, statement: EndStatement) {
         self.service.context.metrics.count_end_statement(statement);
         // An answer that has begun comes from a target, so the default is never used.
         let target = self.progress.target.as_deref().unwrap_or_default();
--- a/crates/daemon/src/request/run/settled_end.rs
+++ b/crates/daemon/src/request/run/settled_end.rs
@@ -11,7 +11,7 @@
 use super::{AttemptOutcome, RequestRun};
 
 /// Longest time for which the other target is asked. Callers give a stream up two seconds after its latest event.
-const CONFIRMATION_LIMIT: Duration = Duration::from_secs(1);
+pub const CONFIRMATION_LIMIT: Duration = Duration::from_secs(1);
 
 /// The end of a stream whose target lives. The answer may end there unless another target continues it.
 pub struct SettledEnd {
@@ -37,12 +37,18 @@
     Continued,
     /// Nothing: the target failed, or did not answer in time.
     Missing,
+    /// Nothing: no other target was granted, or no retry is to spare.
+    Unasked,
 }
 
 impl EndStatement {
     /// All values.
-    pub const ALL: [EndStatement; 3] =
-        [EndStatement::Agreed, EndStatement::Continued, EndStatement::Missing];
+    pub const ALL: [EndStatement; 4] = [
+        EndStatement::Agreed,
+        EndStatement::Continued,
+        EndStatement::Missing,
+        EndStatement::Unasked,
+    ];
 
     /// Returns the code for log lines and metrics.
     pub fn code(self) -> &'static str {
@@ -50,6 +56,7 @@
             EndStatement::Agreed => "agreed",
             EndStatement::Continued => "continued",
             EndStatement::Missing => "missing",
+            EndStatement::Unasked => "unasked",
         }
     }
 }
@@ -62,30 +69,37 @@
 }
 
 impl RequestRun {
-    /// Returns the settled end of the stream, unless another target has continued it.
-    fn settled_end(&self) -> Option<&SettledEnd> {
-        self.settled.as_ref().filter(|settled| settled.last_event == self.framing.last_event())
-    }
-
     /// Returns the event behind which another target is asked whether the stream ends.
     pub(super) fn asked_end(&self) -> Option<u64> {
-        self.settled_end().and_then(|settled| settled.last_event)
+        self.settled.as_ref().and_then(|settled| settled.last_event)
     }
 
     /// Returns the time for which the latest target may take, `None` where the end of the stream is not settled.
-    pub(super) fn confirmation_limit(&self) -> Option<Duration> {
-        self.settled_end().map(|settled| settled.until.time_left())
+    pub(in crate::request) fn confirmation_limit(&self) -> Option<Duration> {
+        self.settled.as_ref().map(|settled| settled.until.time_left())
     }
 
-    /// Logs what another target stated about the end of the stream.
-    pub(super) fn report_end_statement(&self) {
-        if self.settled.is_some() {
-            let has_agreed = self.settled_end().is_some();
-            let statement = if has_agreed { EndStatement::Agreed } else { EndStatement::Continued };
-            self.log_end_statement(statement);
+    /// Forgets the settled end once the other target goes on with the stream, if only with a part of an event. The former
+    /// target has broken off its answer then.
+    pub(in crate::request) fn review_settled_end(&mut self) {
+        if self.settled.is_some() && !self.framing.adds_nothing() {
+            self.settled = None;
+            let context = &self.service.context;
+            context.breaks.record(context.uptime(), &self.request.pool.id);
+            self.log_end_statement(EndStatement::Continued);
         }
     }
 
+    /// Ends the request after another target has ended the stream at its settled end; returns whether it has one. What the
+    /// other target answered shows nothing of its speed.
+    pub(super) fn serve_confirmed(&mut self) -> bool {
+        let Some(SettledEnd { target, .. }) = self.settled.take() else { return false };
+        self.log_end_statement(EndStatement::Agreed);
+        self.log_served(&target);
+        self.report_end(AttemptEnd::Unused);
+        true
+    }
+
     /// Ends the answer at the settled end that another target was `asked` to confirm, and has failed to; returns whether the
     /// answer ends there.
     pub(super) fn serve_settled(&mut self, asked: Option<u64>) -> bool {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -12,6 +12,7 @@
 pub mod stream_fault;
 pub mod stream_record;
 pub mod stream_runs;
+pub mod stream_script;
 pub mod stream_trouble;
 
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -104,6 +104,16 @@
         self.begin("Connection: close", headers).await
     }
 
+    /// Writes the head of a server error whose body follows.
+    pub async fn begin_error(&mut self, headers: &[(&str, &str)]) -> Result<()> {
+        let mut head = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 10\r\n".to_string();
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        self.write_raw(head.as_bytes()).await
+    }
+
     async fn begin(&mut self, framing: &str, headers: &[(&str, &str)]) -> Result<()> {
         let mut head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n");
         for (name, value) in headers {
