--- a/crates/sched/src/entry/permits.rs
+++ b/crates/sched/src/entry/permits.rs
@@ -148,16 +148,9 @@
             return Vec::new();
         }
         if refusal.reason == RefusalReason::RateUnknown {
-            if let Some(actions) =
-                self.request_from_first_scheduler(now, from, permit.request, order)
-            {
+            if let Some(actions) = self.rate_unknown(now, from, permit.request, &refusal, order) {
                 return actions;
             }
-            if self.takes_up(permit.request) {
-                let wait = refusal.retry_after.unwrap_or(self.options.refresh_every);
-                self.request_take_up_later(now, from, permit.request, wait);
-                return Vec::new();
-            }
         }
         let Some(request) = self.requests.get(&permit.request) else { return Vec::new() };
         // If no target remains because earlier ones failed, the refusal states the latest failure as its reason.
@@ -197,6 +190,25 @@
         vec![EntryAction::RetryDenied(id, RetryBound::Refused(reason))]
     }
 
+    /// Requests a permit elsewhere, or later, where a scheduler does not know the rate. Returns `None` where the request is
+    /// refused.
+    fn rate_unknown(
+        &mut self,
+        now: Uptime,
+        from: &VmId,
+        id: RequestId,
+        refusal: &Refusal,
+        order: SchedulerOrder<'_>,
+    ) -> Option<Vec<EntryAction>> {
+        let actions = self.request_from_first_scheduler(now, from, id, order);
+        if actions.is_some() || !self.takes_up(id) {
+            return actions;
+        }
+        let wait = refusal.retry_after.unwrap_or(self.options.refresh_every);
+        self.request_take_up_later(now, from, id, wait);
+        Some(Vec::new())
+    }
+
     /// Returns whether a request takes up a stream.
     fn takes_up(&self, id: RequestId) -> bool {
         self.requests.get(&id).is_some_and(|request| request.spec.takes_up.is_some())
--- a/crates/sched/src/order/queue.rs
+++ b/crates/sched/src/order/queue.rs
@@ -129,13 +129,7 @@
     /// Adds a permit request; `weight` is that of its account.
     pub fn push(&mut self, now: Uptime, waiting: WaitingRequest, weight: u32) {
         let late = waiting.in_time_until <= now;
-        let stage = match (late, waiting.kind == RequestKind::Return) {
-            (true, _) => QueueStage::Late,
-            (false, true) => QueueStage::Returned,
-            (false, false) => QueueStage::InTime,
-        };
-        let urgency = waiting.request.objectives.urgency;
-        let rank = QueueRank { tier: waiting.request.tier, stage, urgency };
+        let rank = rank_of(&waiting, late);
         let account = waiting.request.account.clone();
         let is_new = waiting.kind != RequestKind::TakeUp;
         let key = QueueKey { is_new, order: waiting.order, permit: waiting.request.permit };
@@ -278,3 +272,14 @@
         self.tiers.values().map(|queue| queue.work).sum()
     }
 }
+
+/// Returns the queue of a request.
+fn rank_of(waiting: &WaitingRequest, late: bool) -> QueueRank {
+    let stage = match (late, waiting.kind == RequestKind::Return) {
+        (true, _) => QueueStage::Late,
+        (false, true) => QueueStage::Returned,
+        (false, false) => QueueStage::InTime,
+    };
+    let urgency = waiting.request.objectives.urgency;
+    QueueRank { tier: waiting.request.tier, stage, urgency }
+}
