A proof of a stream's version states why it fails and what it went by

Change: `prove_version` returns a `VersionProof` (the version, or an `UnprovedReason`; how far back the stream can have begun; how many splits were in force since; the versions that they give its slot), in a module of its own. The rule is as before. The log line has the fields reason, reach_ms, splits and candidates in addition. In the tests of the rule `prove_version` is called through a function that keeps the version alone; no assertion has changed.

--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -14,7 +14,7 @@
     EvacuationChange, InstanceChange, NodeNote, PoolStatus, RolloutStatus, StartObstacle,
     VersionSource,
 };
-use curlewcleat_sched::{RetryBound, RolloutReason};
+use curlewcleat_sched::{RetryBound, RolloutReason, UnprovedReason, VersionProof};
 use spdlog::prelude::*;
 
 /// Most unusable values that are logged for one configuration.
@@ -32,8 +32,8 @@
         NodeNote::StreamTakenUp { request, source, waited } => {
             log_stream_taken_up(*request, *source, *waited)
         }
-        NodeNote::StreamProof { request, version, read_age } => {
-            log_stream_proof(*request, *version, *read_age)
+        NodeNote::StreamProof { request, proof, read_age } => {
+            log_stream_proof(*request, proof, *read_age)
         }
         NodeNote::StreamStartRefused { request, pool, obstacle, waited, read_age } => {
             log_start_refused(*request, pool, *obstacle, *waited, *read_age)
@@ -86,21 +86,20 @@
     });
 }
 
-fn log_stream_proof(
-    request: RequestId,
-    version: Option<VersionDigest>,
-    read_age: Option<Duration>,
-) {
-    let version = version.map_or(String::new(), VersionDigest::to_hex);
+fn log_stream_proof(request: RequestId, proof: &VersionProof, read_age: Option<Duration>) {
+    let version = proof.version().map_or(String::new(), VersionDigest::to_hex);
+    let candidates: Vec<String> = proof.versions.iter().map(|version| version.to_hex()).collect();
+    let reason = proof.result.err().map_or("", UnprovedReason::code);
     info!("stream_proof", kv: {
         request = request.to_string(), version = version.as_str(),
-        read_age_ms = age_millis(read_age)
+        read_age_ms = age_millis(read_age), reason, reach_ms = age_millis(proof.reach),
+        splits = proof.splits, candidates = candidates.join(",")
     });
 }
 
-/// Returns the age of a read of the splits in milliseconds, -1 for a daemon that has not read them.
-fn age_millis(read_age: Option<Duration>) -> i64 {
-    read_age.map_or(-1, |age| age.as_millis() as i64)
+/// Returns a time in milliseconds, -1 where it is not known.
+fn age_millis(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |age| age.as_millis() as i64)
 }
 
 fn log_start_refused(
--- a/crates/model/src/streams/daemon.rs
+++ b/crates/model/src/streams/daemon.rs
@@ -190,7 +190,7 @@
         let stated = TIMEOUT - Duration::from_secs(u64::from(taken_up - begun));
         let asked = self.wall(state, index).saturating_sub(limit + standstill);
         let time_left = stated.saturating_sub(standstill);
-        prove_version(state.history(index), Some(&self.stream()), asked, Some(time_left))
+        prove_version(state.history(index), Some(&self.stream()), asked, Some(time_left)).version()
     }
 
     /// Returns whether a daemon may prove the version of a stream without a read.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -12,10 +12,10 @@
     NoticeReport, ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestDigest,
     RequestFeature, RequestId, RequestInterruption, RetryReason, RolloutRecord, RolloutWrite,
     StatedLoad, StreamVersion, TargetChange, TargetEntry, TargetInstance, TargetReport,
-    TargetVersion, Uptime, Verdict, VersionDigest, VersionHistory, VmId, WarmUpLimit,
+    TargetVersion, Uptime, Verdict, VersionHistory, VmId, WarmUpLimit,
 };
 use curlewcleat_keys::KeyTable;
-use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound, RolloutReason};
+use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound, RolloutReason, VersionProof};
 
 use crate::evacuation_view::EvacuationChange;
 use crate::freshness::ReadRole;
@@ -306,8 +306,8 @@
     StreamProof {
         /// The request that takes up the stream.
         request: RequestId,
-        /// The version, `None` where it is not proved.
-        version: Option<VersionDigest>,
+        /// The version, or why it is not proved, and by what.
+        proof: VersionProof,
         /// Age of the read that showed the splits, `None` where there was none.
         read_age: Option<Duration>,
     },
--- a/crates/node/src/node/stream_proofs.rs
+++ b/crates/node/src/node/stream_proofs.rs
@@ -4,14 +4,14 @@
 //! platform does not answer, a daemon that has scheduled for long enough proves by the splits that it knows.
 //!
 //! Owns: the requests that wait for a proof. Relies on: [`version_histories`](super::version_histories) for the splits,
-//! `version_history` for the rule.
+//! `version_proof` for the rule.
 
 use std::time::Duration;
 
 use curlewcleat_core::{
     PeerMessage, RequestId, StreamAnswer, StreamProofQuery, Uptime, VmId, WallTime,
 };
-use curlewcleat_sched::{prove_version, FleetReach};
+use curlewcleat_sched::{prove_version, FleetReach, UnprovedReason, VersionProof};
 
 use super::stream_starts::ADOPT_ALONE_AFTER;
 use super::streams::ANSWER_LIMIT;
@@ -72,11 +72,14 @@
         let read_age = self.histories.last_read.map(|read| self.now.saturating_sub(read));
         for PendingProof { from, query, asked, .. } in proofs {
             let pool = self.histories.pools.get(&query.pool);
-            let version = pool.and_then(|pool| {
-                prove_version(&pool.history, query.stream.as_ref(), asked, query.time_left)
-            });
-            let request = query.request;
-            let note = NodeNote::StreamProof { request, version, read_age };
+            let proof = match pool {
+                Some(pool) => {
+                    prove_version(&pool.history, query.stream.as_ref(), asked, query.time_left)
+                }
+                None => VersionProof::without(UnprovedReason::PoolNotKnown),
+            };
+            let (request, version) = (query.request, proof.version());
+            let note = NodeNote::StreamProof { request, proof, read_age };
             self.actions.push(NodeAction::Note(note));
             self.post(&from, PeerMessage::StreamAnswer(StreamAnswer { request, version }));
         }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -45,6 +45,7 @@
 mod target_reach;
 mod targets;
 mod version_history;
+mod version_proof;
 mod work_estimate;
 
 pub use admission::account::{AccountLimit, RateBucket};
@@ -90,6 +91,7 @@
 pub use target_gate::{GateStop, NoticeChange, TargetGate};
 pub use target_reach::{ReachChange, TargetReach, TargetRoute};
 pub use version_history::{
-    choose_version, confirm_last_split, is_timeout_stored, prove_version, revise_history,
-    SplitChoice, VersionWeights, SPLIT_TERM,
+    choose_version, confirm_last_split, is_timeout_stored, revise_history, SplitChoice,
+    VersionWeights, SPLIT_TERM,
 };
+pub use version_proof::{prove_version, UnprovedReason, VersionProof};
--- a/crates/sched/src/version_history.rs
+++ b/crates/sched/src/version_history.rs
@@ -1,5 +1,5 @@
-//! Decides at which version of a pool's targets a new stream begins, and proves which version began a stream that no
-//! daemon remembers.
+//! Decides at which version of a pool's targets a new stream begins, so that
+//! [`version_proof`](crate::version_proof) can tell which version began a stream that no daemon remembers.
 //!
 //! Streams are spread over slots by the digest of their first attempt, and a split gives each slot a version. A split is
 //! stored by the platform before it is used, so that what its callers bring back tells the version of a stream even
@@ -33,40 +33,14 @@
 const TOLERATED_SLOTS: usize = 2;
 /// Most splits that are stored; the oldest are dropped first.
 const SPLIT_LIMIT: usize = 32;
-/// Difference of the clocks of two daemons that a proof allows for, and the time for which a request may have been under way.
-const CLOCK_MARGIN: Duration = Duration::from_millis(2_500);
 /// Unit of the longest timeout, so that it is stored rarely.
 const TIMEOUT_UNIT: Duration = Duration::from_secs(1);
 /// Longest timeout that is stored; it stands for any longer one, beside which nothing is proved.
-const TIMEOUT_LIMIT: Duration = Duration::from_secs(3_600);
+pub(crate) const TIMEOUT_LIMIT: Duration = Duration::from_secs(3_600);
 
 /// Targets of each version that take new requests, weighted by their slots.
 pub type VersionWeights = BTreeMap<VersionDigest, u64>;
 
-/// Returns the version that began a stream, `None` if it is not proved. `stream` is `None` where the caller does not name it,
-/// and `time_left`, how long the caller still waits, where the caller does not state it.
-pub fn prove_version(
-    history: &VersionHistory,
-    stream: Option<&StreamId>,
-    now: WallTime,
-    time_left: Option<Duration>,
-) -> Option<VersionDigest> {
-    // A caller with more time than was ever stored tells nothing of when it began.
-    let longest = history.longest_timeout.filter(|longest| *longest < TIMEOUT_LIMIT)?;
-    let age = longest.checked_sub(time_left?)?;
-    let begun_after = now.saturating_sub(age + CLOCK_MARGIN);
-    // Streams began at any version before the first split was in use; where it is not the first any more, earlier ones
-    // may have been in force until then.
-    if history.splits.first()?.until? >= begun_after {
-        return None;
-    }
-    let in_force =
-        history.splits.iter().filter(|split| split.until.is_none_or(|until| until >= begun_after));
-    let candidates: BTreeSet<_> = in_force.flat_map(|split| split.candidates(stream)).collect();
-    let mut candidates = candidates.into_iter();
-    candidates.next().filter(|_| candidates.next().is_none())
-}
-
 /// At which version the splits let a new stream begin.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SplitChoice {
--- a/crates/sched/tests/version_history.rs
+++ b/crates/sched/tests/version_history.rs
@@ -43,6 +43,15 @@
     history
 }
 
+fn proved_version(
+    history: &VersionHistory,
+    stream: Option<&StreamId>,
+    now: WallTime,
+    time_left: Option<Duration>,
+) -> Option<VersionDigest> {
+    prove_version(history, stream, now, time_left).version()
+}
+
 /// Stores what has to change until nothing does.
 fn settled(mut history: VersionHistory, now: WallTime, weights: &VersionWeights) -> VersionHistory {
     while let Some(revised) = revise_history(&history, now, weights, false, TIMEOUT)
@@ -68,18 +77,18 @@
     #[case] expected: Option<&str>,
 ) {
     let time_left = Some(Duration::from_secs(8));
-    let proved = prove_version(&history(changes), Some(&stream(1)), NOW, time_left);
+    let proved = proved_version(&history(changes), Some(&stream(1)), NOW, time_left);
     assert_eq!(proved, expected.map(version));
-    let unnamed = prove_version(&history(changes), None, NOW, time_left);
+    let unnamed = proved_version(&history(changes), None, NOW, time_left);
     assert_eq!(unnamed, expected.map(version));
 }
 
 #[test]
 fn nothing_is_proved_without_the_time_that_is_left_or_the_longest_timeout() {
     let history = history(&[(1, &[("v1", 4)])]);
-    assert_eq!(prove_version(&history, Some(&stream(1)), NOW, None), None);
+    assert_eq!(proved_version(&history, Some(&stream(1)), NOW, None), None);
     let without_timeout = VersionHistory { longest_timeout: None, ..history };
-    assert_eq!(prove_version(&without_timeout, Some(&stream(1)), NOW, Some(TIMEOUT)), None);
+    assert_eq!(proved_version(&without_timeout, Some(&stream(1)), NOW, Some(TIMEOUT)), None);
 }
 
 #[test]
@@ -88,12 +97,12 @@
     let split = history.splits.last().expect("a split");
     let mut versions = BTreeSet::new();
     for number in 0..200 {
-        let proved = prove_version(&history, Some(&stream(number)), NOW, Some(TIMEOUT));
+        let proved = proved_version(&history, Some(&stream(number)), NOW, Some(TIMEOUT));
         assert_eq!(proved, split.version_of(&stream(number)));
         versions.extend(proved);
     }
     assert_eq!(versions.len(), 2);
-    assert_eq!(prove_version(&history, None, NOW, Some(TIMEOUT)), None, "not named");
+    assert_eq!(proved_version(&history, None, NOW, Some(TIMEOUT)), None, "not named");
 }
 
 #[test]
@@ -104,7 +113,7 @@
     for number in 0..200 {
         let stream = stream(number);
         let same = before.version_of(&stream) == after.version_of(&stream);
-        let proved = prove_version(&history, Some(&stream), NOW, Some(TIMEOUT));
+        let proved = proved_version(&history, Some(&stream), NOW, Some(TIMEOUT));
         assert_eq!(proved.is_some(), same);
         proved_streams += usize::from(same);
     }
@@ -117,7 +126,7 @@
     let open = revise_history(&VersionHistory::default(), at(1), &weights, true, TIMEOUT);
     let open = open.expect("a history");
     assert_eq!(open.splits[0].version_of(&stream(1)), None);
-    assert_eq!(prove_version(&open, Some(&stream(1)), NOW, Some(TIMEOUT)), None);
+    assert_eq!(proved_version(&open, Some(&stream(1)), NOW, Some(TIMEOUT)), None);
 }
 
 /// Guards against streams that a version of few targets begins by an open split, and that another version is proved for.
@@ -180,7 +189,7 @@
         history = settled(history, at(900), &weights(&[(name, 4)]));
     }
     assert!(history.splits.len() <= 32);
-    let late = prove_version(&history, Some(&stream(1)), at(901), Some(TIMEOUT));
+    let late = proved_version(&history, Some(&stream(1)), at(901), Some(TIMEOUT));
     assert_eq!(late, None);
 }
 
@@ -191,7 +200,7 @@
     let weights = weights(&[("v2", 4)]);
     let stored = revise_history(&before, at(900), &weights, false, TIMEOUT).expect("a split");
     let proved = |history: &VersionHistory| {
-        prove_version(history, Some(&stream(1)), NOW, Some(Duration::from_secs(8)))
+        proved_version(history, Some(&stream(1)), NOW, Some(Duration::from_secs(8)))
     };
     assert_eq!(proved(&stored), None);
     let confirmed = |time| confirm_last_split(&stored, time).expect("a use");
@@ -207,7 +216,7 @@
     let first = revise_history(&VersionHistory::default(), at(990), &weights, false, TIMEOUT);
     let first = first.expect("a split");
     let proved = |history: &VersionHistory, time_left| {
-        prove_version(history, Some(&stream(1)), NOW, Some(time_left))
+        proved_version(history, Some(&stream(1)), NOW, Some(time_left))
     };
     assert_eq!(proved(&first, Duration::from_secs(8)), None);
     let settled = settled(first, at(992), &weights);
@@ -254,7 +263,7 @@
         }
     }
     let left = Some(Duration::from_secs(1_800));
-    assert_eq!(prove_version(&history, Some(&stream(1)), at(7_700), left), None);
+    assert_eq!(proved_version(&history, Some(&stream(1)), at(7_700), left), None);
 }
 
 /// Guards against a proof that leaves out a split since the clock of the daemon that proves is ahead of the one that
@@ -264,7 +273,7 @@
     let ahead = Duration::from_secs(2);
     let history = history(&[(1, &[("v1", 4)]), (995, &[("v2", 4)])]);
     for age in [Duration::ZERO, Duration::from_secs(3)] {
-        let proved = prove_version(&history, None, at(995) + age + ahead, Some(TIMEOUT - age));
+        let proved = proved_version(&history, None, at(995) + age + ahead, Some(TIMEOUT - age));
         assert_eq!(proved, None, "{age:?}");
     }
 }
@@ -274,16 +283,16 @@
 fn nothing_is_proved_of_the_time_in_which_the_first_kept_split_was_in_force() {
     let mut history = history(&[(1, &[("v1", 4)]), (995, &[("v2", 4)])]);
     history.splits.drain(..2);
-    let proved = |history: &VersionHistory| prove_version(history, None, at(1_020), Some(TIMEOUT));
+    let proved = |history: &VersionHistory| proved_version(history, None, at(1_020), Some(TIMEOUT));
     assert_eq!(proved(&history), None, "it is the first one that is kept");
     let weights = weights(&[("v2", 4), ("v3", 4)]);
     let next = revise_history(&history, at(1_001), &weights, false, TIMEOUT).expect("a split");
     let next = confirm_last_split(&next, at(1_003)).expect("a use");
     let stream =
         (0..100).map(stream).find(|id| next.splits[1].version_of(id) == Some(version("v2")));
-    let in_force = prove_version(&next, stream.as_ref(), at(1_003), Some(TIMEOUT));
+    let in_force = proved_version(&next, stream.as_ref(), at(1_003), Some(TIMEOUT));
     assert_eq!(in_force, None);
-    let later = prove_version(&next, stream.as_ref(), at(1_006), Some(TIMEOUT));
+    let later = proved_version(&next, stream.as_ref(), at(1_006), Some(TIMEOUT));
     assert_eq!(later, Some(version("v2")));
 }
 
@@ -291,7 +300,7 @@
 fn caller_with_more_time_than_was_stored_proves_nothing() {
     let history = history(&[(1, &[("v1", 4)]), (900, &[("v2", 4)])]);
     let time_left = Some(TIMEOUT + Duration::from_secs(5));
-    assert_eq!(prove_version(&history, Some(&stream(1)), NOW, time_left), None);
+    assert_eq!(proved_version(&history, Some(&stream(1)), NOW, time_left), None);
 }
 
 /// A stream of a random history.
@@ -332,7 +341,7 @@
             for stream in &begun {
                 let age = now - stream.at;
                 let time_left = Some(TIMEOUT.saturating_sub(age));
-                let proved = prove_version(&history, Some(&stream.id), now, time_left);
+                let proved = proved_version(&history, Some(&stream.id), now, time_left);
                 if age <= TIMEOUT {
                     assert!(proved.is_none_or(|proved| proved == stream.version), "seed {seed}");
                 }
