--- a/crates/acceptance/tests/streams_beside_paired_troubles.rs
+++ b/crates/acceptance/tests/streams_beside_paired_troubles.rs
@@ -19,6 +19,8 @@
 #[path = "../../targets/tests/support/sound_beginning.rs"]
 mod sound_beginning;
 mod support;
+#[path = "support/trouble_kinds.rs"]
+mod trouble_kinds;
 
 use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
--- a/crates/acceptance/tests/support/event_streams.rs
+++ b/crates/acceptance/tests/support/event_streams.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use super::event_routes::{add_routes, route_mut};
-use anyhow::{Context, Result};
-use curlewcleat_platform::names::{DRAINING, READY, SERVERS};
+use anyhow::Result;
+use curlewcleat_platform::names::READY;
 use curlewcleat_standins::address::free_engine_address;
 use curlewcleat_standins::deployment::{
     create_temp_folder, program_folder, spawn, wait_listening, ChildProcess,
@@ -88,7 +88,7 @@
     pub deployment: FleetDeployment,
     pub engines: Vec<ChildProcess>,
     /// Addresses of the engines.
-    addresses: Vec<String>,
+    pub(super) addresses: Vec<String>,
     /// Folder of the engines' output, one file for each id.
     pub folder: PathBuf,
     /// Ids of all engines that were started, the latest ones last.
@@ -98,7 +98,7 @@
     /// Versions of all engines that were started, by their ids.
     pub versions: BTreeMap<String, String>,
     /// Engines that were replaced and serve their last streams.
-    left: Vec<ChildProcess>,
+    pub(super) left: Vec<ChildProcess>,
     /// Lets daemons run for a part of the time.
     pub duty: DutyCycle,
 }
@@ -174,7 +174,7 @@
     }
 
     /// Starts an engine and writes its list entry.
-    async fn start_engine(
+    pub(super) async fn start_engine(
         &mut self,
         index: usize,
         id: &str,
@@ -209,69 +209,6 @@
         &self.addresses[index]
     }
 
-    /// Kills an engine; its list entry stays.
-    pub fn kill_engine(&mut self, index: usize) {
-        self.engines[index].kill();
-    }
-
-    /// Starts an engine of another id in the place of one that was killed.
-    pub async fn replace_engine(&mut self, index: usize, options: Vec<String>) -> Result<()> {
-        let address = free_engine_address()?;
-        self.replace_engine_at(index, &address, options).await
-    }
-
-    /// Kills an engine of each service and starts engines that have swapped their addresses.
-    pub async fn swap_addresses(&mut self, index: usize) -> Result<()> {
-        let other = index ^ 1;
-        self.kill_engine(index);
-        self.kill_engine(other);
-        let (one, two) = (self.addresses[index].clone(), self.addresses[other].clone());
-        self.replace_engine_at(index, &two, Vec::new()).await?;
-        self.replace_engine_at(other, &one, Vec::new()).await
-    }
-
-    /// Same as [`replace_engine`](EventFleet::replace_engine), at this address.
-    pub async fn replace_engine_at(
-        &mut self,
-        index: usize,
-        address: &str,
-        options: Vec<String>,
-    ) -> Result<()> {
-        self.deployment.store.remove(SERVERS, &self.engines[index].name);
-        let id = format!("e-{}", self.ids.len());
-        self.engines[index] = self.start_engine(index, &id, address, options).await?;
-        self.addresses[index] = address.to_string();
-        Ok(())
-    }
-
-    /// Makes an engine leave: it takes no more connections and goes on with its streams.
-    pub fn leave_engine(&self, index: usize) -> Result<()> {
-        let (store, id) = (&self.deployment.store, &self.engines[index].name);
-        let mut entry =
-            store.spec(SERVERS, id).with_context(|| format!("engine {id} has no entry"))?;
-        entry["state"] = DRAINING.into();
-        store.put(SERVERS, id, entry);
-        self.engines[index].signal("TERM")
-    }
-
-    /// Starts an engine of the current version in the place of one that leaves.
-    pub async fn release_engine(&mut self, index: usize) -> Result<()> {
-        let (id, address) = (format!("e-{}", self.ids.len()), free_engine_address()?);
-        let engine = self.start_engine(index, &id, &address, Vec::new()).await?;
-        self.leave_engine(index)?;
-        self.left.push(std::mem::replace(&mut self.engines[index], engine));
-        self.addresses[index] = address;
-        Ok(())
-    }
-
-    /// Kills the engines that were replaced by a release and removes their list entries.
-    pub fn end_left_engines(&mut self) {
-        for mut engine in self.left.drain(..) {
-            engine.kill();
-            self.deployment.store.remove(SERVERS, &engine.name);
-        }
-    }
-
     /// Returns the place of the engine with an id.
     pub fn engine_index(&self, id: &str) -> Option<usize> {
         self.engines.iter().position(|engine| engine.name == id)
--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod crowd;
 pub mod event_callers;
+pub mod event_engines;
 pub mod event_routes;
 pub mod event_streams;
 pub mod idle_callers;
--- a/crates/acceptance/tests/support/paired_troubles.rs
+++ b/crates/acceptance/tests/support/paired_troubles.rs
@@ -15,8 +15,9 @@
 use crate::damage_callers::{DamageCallers, PlayedAttempt, PlayedStream};
 use crate::damage_judge::{DamageJudge, StreamOutcome};
 use crate::play_counts::{moves, take_ups, PlayCounts};
-use crate::process_troubles::{OpenTrouble, TroubleKind};
+use crate::process_troubles::OpenTrouble;
 use crate::support::event_streams::{EventFleet, StreamRoute};
+use crate::trouble_kinds::TroubleKind;
 
 /// Streams in progress at the same time.
 const CALLERS: usize = 90;
--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -10,6 +10,17 @@
 use super::DaemonMetrics;
 use crate::request::{EndStatement, TargetLiveness};
 
+/// Name and description of the counter of [`TargetLiveness`].
+const END_CHECKS: (&str, &str) = (
+    "answer_end_checks_total",
+    "Answers that ended with their connection, by what their target did afterwards",
+);
+/// Name and description of the counter of [`EndStatement`].
+const END_STATEMENTS: (&str, &str) = (
+    "answer_end_confirmations_total",
+    "Ends of unframed streams that another target was asked to confirm, by its statement",
+);
+
 /// Requests, and how they end.
 pub struct RequestMetrics {
     matched: IntCounterVec,
@@ -46,14 +57,10 @@
                 "Served answers by what marked the end of the target's answer",
                 &["ended_by", "tier", "pool"],
             )?,
-            end_checks: count(
-                "answer_end_checks_total",
-                "Answers that ended with their connection, by what their target did afterwards",
-                &["liveness"],
-            )?,
-            end_statements: count(
-                "answer_end_confirmations_total",
-                "Ends of unframed streams that another target was asked to confirm, by its statement",
+            end_checks: registry.counters(END_CHECKS.0, END_CHECKS.1, &["liveness"])?,
+            end_statements: registry.counters(
+                END_STATEMENTS.0,
+                END_STATEMENTS.1,
                 &["statement"],
             )?,
             stream_irregularities: count(
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -31,7 +31,6 @@
 use crate::pending::PendingRequest;
 use crate::stream_forms::StreamSource;
 
-use self::fault::AttemptFault;
 pub use self::log::record_refusal;
 pub use self::settled_end::{EndStatement, SettledEnd, CONFIRMATION_LIMIT};
 
@@ -160,12 +159,7 @@
                 }
                 AttemptOutcome::Retry(reason, cause) => self.retry(&target, reason, cause),
                 AttemptOutcome::Replaced(other, cause) => {
-                    // The target whose end another one confirms has not failed.
-                    if self.settled.is_none() {
-                        let code = RetryReason::StreamResumed.code();
-                        self.record_failed_attempt(&target, code, cause);
-                    }
-                    self.framing.restart();
+                    self.leave_target(&target, cause);
                     granted = Some(other);
                 }
                 AttemptOutcome::NotSent(reason) => {
@@ -173,9 +167,7 @@
                     return self.refuse(reason);
                 }
                 AttemptOutcome::Failed(end, reason, cause) => {
-                    let fault = self.record_failed_attempt(&target, reason.code(), cause);
-                    self.report_end(fault.reported_end(end));
-                    return self.refuse(reason);
+                    return self.give_up(&target, end, reason, cause)
                 }
                 AttemptOutcome::CallerStalled => return self.abandon_stalled_caller(),
             }
@@ -230,20 +222,6 @@
         }
     }
 
-    /// Logs a failed attempt and reports to the node what interrupted it; returns whose fault that was.
-    fn record_failed_attempt(
-        &self,
-        target: &TargetEntry,
-        reason: &str,
-        cause: AttemptCause,
-    ) -> AttemptFault {
-        self.log_failed_attempt(&target.id, reason, cause);
-        let fault = self.fault_of(target, cause);
-        self.report_interruption(target, cause, fault);
-        self.record_break(cause, fault);
-        fault
-    }
-
     /// Closes the request at the node without a report: the node ended it itself.
     fn close_pending(&mut self) {
         if let Some(pending) = self.pending.take() {
--- a/crates/daemon/src/request/run/fault.rs
+++ b/crates/daemon/src/request/run/fault.rs
@@ -7,7 +7,9 @@
 //! Owns: nothing; these are methods of [`RequestRun`]. Relies on: [`SharedReach`](crate::target_reach::SharedReach) for
 //! the lost links.
 
-use curlewcleat_core::{AttemptEnd, RequestFeature, RequestInterruption, TargetEntry};
+use curlewcleat_core::{
+    AttemptEnd, RefusalReason, RequestFeature, RequestInterruption, RetryReason, TargetEntry,
+};
 use curlewcleat_node::NodeEvent;
 use curlewcleat_sched::TargetRoute;
 
@@ -35,6 +37,41 @@
 }
 
 impl RequestRun {
+    /// Logs a failed attempt and reports to the node what interrupted it; returns whose fault that was.
+    pub(super) fn record_failed_attempt(
+        &self,
+        target: &TargetEntry,
+        reason: &str,
+        cause: AttemptCause,
+    ) -> AttemptFault {
+        self.log_failed_attempt(&target.id, reason, cause);
+        let fault = self.fault_of(target, cause);
+        self.report_interruption(target, cause, fault);
+        self.record_break(cause, fault);
+        fault
+    }
+
+    /// Leaves a target for another one that was granted. One whose end the other one confirms has not failed.
+    pub(super) fn leave_target(&mut self, target: &TargetEntry, cause: AttemptCause) {
+        if self.settled.is_none() {
+            self.record_failed_attempt(target, RetryReason::StreamResumed.code(), cause);
+        }
+        self.framing.restart();
+    }
+
+    /// Refuses a request after its last attempt.
+    pub(super) fn give_up(
+        &mut self,
+        target: &TargetEntry,
+        end: AttemptEnd,
+        reason: RefusalReason,
+        cause: AttemptCause,
+    ) {
+        let fault = self.record_failed_attempt(target, reason.code(), cause);
+        self.report_end(fault.reported_end(end));
+        self.refuse(reason);
+    }
+
     /// Returns whether the latest attempt goes through a peer, or over a link that is lost.
     pub(super) fn is_over_lost_link(&self) -> bool {
         let reach = &self.service.context.reach;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -82,7 +82,6 @@
     read_role: ReadRole,
     key_holder: KeyHolder,
     rates: AccountRates,
-    held_take_ups: take_ups::HeldTakeUps,
     pools: BTreeMap<PoolId, PoolScheduler>,
     guards: BTreeMap<PoolId, LevelGuard>,
     entry: EntryRequests,
@@ -142,7 +141,6 @@
             // Matches the tasks that read the platform, which start in this role.
             read_role: ReadRole::Reader,
             key_holder: KeyHolder::new(me.clone(), options.keys.clone()),
-            held_take_ups: Default::default(),
             rates: AccountRates::new(options.rate_margin),
             pools: BTreeMap::new(),
             guards: BTreeMap::new(),
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -78,7 +78,7 @@
         }
         let Some(rate) = self.shared_rate(&request.account) else { return Ok(()) };
         let rate_share = self.rate_share(&request.pool);
-        if self.held_take_ups.precede(&request.account, request.tier) {
+        if self.streams.held.precede(&request.account, request.tier) {
             let (account, cost) = (&request.account, request.cost);
             return Err(self.rates.promise(self.now, account, &rate, cost, rate_share));
         }
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -20,6 +20,7 @@
 };
 use curlewcleat_sched::{FleetReach, RequestSpec, StreamVersions};
 
+use super::take_ups::HeldTakeUps;
 use super::Node;
 use crate::event::{CallerDecision, NodeAction, NodeNote, VersionSource};
 
@@ -42,6 +43,8 @@
 pub(super) struct StreamExchange {
     pub(super) versions: StreamVersions,
     waiting: BTreeMap<RequestId, WaitingTakeUp>,
+    /// Those that wait for units of their accounts at this daemon.
+    pub(super) held: HeldTakeUps,
     /// When this daemon last handed over its streams, because it stops by plan.
     pub(super) handed_over: Option<Uptime>,
 }
--- a/crates/node/src/node/take_ups.rs
+++ b/crates/node/src/node/take_ups.rs
@@ -87,7 +87,7 @@
 impl Node {
     /// Handles the permit request of a request that takes up a stream.
     pub(super) fn take_up_requested(&mut self, from: &DaemonId, request: PermitRequest) {
-        if self.held_take_ups.accounts.contains_key(&request.permit) {
+        if self.streams.held.accounts.contains_key(&request.permit) {
             return self.answer_permit(from, &request, PermitDecision::Queued);
         }
         let is_known =
@@ -99,19 +99,19 @@
         if wait.is_zero() {
             return self.charge_take_up(from, request, &rate);
         }
-        if wait > request.time_left || !self.held_take_ups.has_room(&request.account) {
+        if wait > request.time_left || !self.streams.held.has_room(&request.account) {
             return self.refuse_for_rate(from, &request, wait);
         }
         self.answer_permit(from, &request, PermitDecision::Queued);
         let deadline = self.now + request.time_left;
         let held = HeldTakeUp { from: from.clone(), request, deadline };
-        self.held_take_ups.insert(self.now, held);
+        self.streams.held.insert(self.now, held);
     }
 
     /// Returns the time until the account of a request has units for it, after those that wait before it.
     fn wait_for_units(&mut self, request: &PermitRequest, rate: &SharedRate) -> Duration {
         let share = self.rate_share(&request.pool);
-        let units = self.held_take_ups.units_before(&request.account, request.tier);
+        let units = self.streams.held.units_before(&request.account, request.tier);
         self.rates.wait_after(self.now, &request.account, rate, units, share)
     }
 
@@ -132,7 +132,7 @@
 
     /// Lets the requests go on whose accounts have units, and refuses those that have waited for too long.
     pub(super) fn step_held_take_ups(&mut self) {
-        for account in self.held_take_ups.by_account.keys().cloned().collect::<Vec<_>>() {
+        for account in self.streams.held.by_account.keys().cloned().collect::<Vec<_>>() {
             let rate = self.shared_rate(&account);
             while let Some(permit) = self.next_held(&account, rate.as_ref()) {
                 self.release_held(&permit, rate.as_ref());
@@ -143,7 +143,7 @@
     /// Returns the next request of an account that waits no longer: its account has units, or its time is over.
     fn next_held(&mut self, account: &AccountId, rate: Option<&SharedRate>) -> Option<PermitId> {
         let ((_, since, permit), held) =
-            self.held_take_ups.by_account.get(account)?.first_key_value()?;
+            self.streams.held.by_account.get(account)?.first_key_value()?;
         let (permit, since, pool) = (*permit, *since, held.request.pool.clone());
         let share = self.rate_share(&pool);
         let is_over = self.now >= held.deadline
@@ -155,7 +155,7 @@
 
     /// Charges a request that has waited, or refuses it where its account has no units.
     fn release_held(&mut self, permit: &PermitId, rate: Option<&SharedRate>) {
-        let Some(HeldTakeUp { from, mut request, deadline }) = self.held_take_ups.remove(permit)
+        let Some(HeldTakeUp { from, mut request, deadline }) = self.streams.held.remove(permit)
         else {
             return;
         };
@@ -170,15 +170,15 @@
 
     /// Forgets a request that waits, since it was cancelled.
     pub(super) fn forget_held_take_up(&mut self, permit: &PermitId) {
-        self.held_take_ups.remove(permit);
+        self.streams.held.remove(permit);
     }
 
     /// Forgets the waiting requests of a daemon that has ended.
     pub(super) fn forget_held_take_ups_of(&mut self, daemon: &DaemonId) {
-        let held = self.held_take_ups.by_account.values().flatten();
+        let held = self.streams.held.by_account.values().flatten();
         let of_daemon = held.filter(|(_, held)| held.from == *daemon);
         for permit in of_daemon.map(|((.., permit), _)| *permit).collect::<Vec<_>>() {
-            self.held_take_ups.remove(&permit);
+            self.streams.held.remove(&permit);
         }
     }
 
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -94,11 +94,7 @@
         self.budget_of(&spec.pool).count_request(now);
         let deadline = now + spec.time_left;
         let id = spec.request;
-        let wait_until = match spec.takes_up {
-            // Its stream has waited already, and its caller has a part of the answer.
-            Some(_) => deadline,
-            None => now.saturating_add(spec.objectives.wait_limit),
-        };
+        let wait_until = spec.wait_until(now);
         let first_part_by = now.saturating_add(spec.objectives.first_part_by);
         let phase = RequestPhase::Claiming { tries: 1, sent: now };
         let request = EntryRequest {
@@ -168,9 +164,7 @@
             self.budget_of(&request.spec.pool).refund(request.replacement_since);
             request.phase = RequestPhase::Dispatched(stalled_permit);
         }
-        // The target that ended the answer has its result already.
-        let is_confirming = self.refund_confirmation(&request);
-        let end = if is_confirming { AttemptEnd::Unused } else { end };
+        let end = self.end_after_confirmation(&request, end);
         actions.extend(request.return_permit(end));
         actions.extend(request.key_report(verdict, answer));
         actions
--- a/crates/sched/src/entry/confirmation.rs
+++ b/crates/sched/src/entry/confirmation.rs
@@ -56,11 +56,22 @@
         self.requests.get(&id).is_some_and(|request| request.confirming_since.is_some())
     }
 
-    /// Refunds the retry of a request that ended without its other target; returns whether it was confirming its end.
-    pub(super) fn refund_confirmation(&mut self, request: &EntryRequest) -> bool {
-        let Some(since) = request.confirming_since else { return false };
-        self.budget_of(&request.spec.pool).refund(since);
-        true
+    /// Refunds the retry of a request that ended without its other target.
+    pub(super) fn refund_confirmation(&mut self, request: &EntryRequest) {
+        if let Some(since) = request.confirming_since {
+            self.budget_of(&request.spec.pool).refund(since);
+        }
+    }
+
+    /// Returns how the current permit of a request ends that has ended in this way: the target that ended the answer has its
+    /// result already, and another one that was granted is not used.
+    pub(super) fn end_after_confirmation(
+        &mut self,
+        request: &EntryRequest,
+        end: AttemptEnd,
+    ) -> AttemptEnd {
+        self.refund_confirmation(request);
+        request.confirming_since.map_or(end, |_| AttemptEnd::Unused)
     }
 }
 
--- a/crates/sched/src/entry/options.rs
+++ b/crates/sched/src/entry/options.rs
@@ -6,7 +6,7 @@
 
 use curlewcleat_core::{
     AccountId, LatencyObjectives, PoolId, RequestDigest, RequestFeature, RequestId, StreamId,
-    TierRank, VersionDigest, WorkMicros,
+    TierRank, Uptime, VersionDigest, WorkMicros,
 };
 
 use crate::retry::budget::RetryLimits;
@@ -91,6 +91,15 @@
 }
 
 impl RequestSpec {
+    /// Returns until when the request may wait for a target. A stream that is taken up has waited already, and its caller has a
+    /// part of the answer.
+    pub fn wait_until(&self, now: Uptime) -> Uptime {
+        match self.takes_up {
+            Some(_) => now + self.time_left,
+            None => now.saturating_add(self.objectives.wait_limit),
+        }
+    }
+
     /// Returns the features under which targets may terminate.
     pub fn features(&self) -> impl Iterator<Item = RequestFeature> + '_ {
         let whole = self.digest.map(RequestFeature::from);
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,12 +1,14 @@
 //! Stand-in of a platform whose store holds the configuration and the list entries of targets, with its engines and
 //! the daemons in front of them. Formats and names are those of the crate in `platform/`.
 
+mod answer_framing;
 mod deployment;
 pub mod endless_engine;
 mod engine;
 mod entry;
 mod link_faults;
 mod store;
+mod stream_answers;
 pub mod stream_damage;
 pub mod stream_engine;
 pub mod stream_fault;
--- a/crates/standins/src/fleet/stream_engine.rs
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -16,22 +16,12 @@
 use super::stream_fault::StreamFault;
 use super::stream_record::{answer_record, RECORD_MARK};
 use super::stream_runs::run_line;
-use super::stream_script::{ScriptedFault, SHORT_ENGINE, SHORT_EVENTS, SHORT_MARK};
+use super::stream_script::{ScriptedFault, SHORT_ENGINE, SHORT_MARK};
 use super::stream_trouble::{EngineTrouble, StreamTrouble, TROUBLE_PATH};
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
 /// Time before the head, before the first event and before the end of an answer.
-const PHASE: Duration = Duration::from_millis(25);
-/// Time between two events.
-const EVENT_INTERVAL: Duration = Duration::from_millis(12);
-/// Time between both halves of an event.
-const HALF_INTERVAL: Duration = Duration::from_millis(3);
-/// Factor of the time between two events of an engine that is slow.
-const SLOW_FACTOR: u32 = 5;
-/// Time for which an engine that stops within an answer keeps its connection open.
-const SILENT_TIME: Duration = Duration::from_secs(10);
-/// Time before the first event of an answer that begins late.
-const LATE_TIME: Duration = Duration::from_millis(1_300);
+pub(super) const PHASE: Duration = Duration::from_millis(25);
 /// Number between two events of a stream whose path has [`WIDE_MARK`].
 const WIDE_STEP: u64 = 7;
 /// Part of the path of streams whose numbers do not rise by one.
@@ -114,61 +104,11 @@
     }
 }
 
-/// How the end of an answer is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AnswerFraming {
-    Chunked,
-    Measured,
-    Unframed,
-}
-
-impl AnswerFraming {
-    fn of(path: &str) -> AnswerFraming {
-        match () {
-            () if path.contains(UNFRAMED_MARK) => AnswerFraming::Unframed,
-            () if path.contains(MEASURED_MARK) => AnswerFraming::Measured,
-            () => AnswerFraming::Chunked,
-        }
-    }
-
-    async fn begin(
-        self,
-        headers: &[(&str, &str)],
-        parts: &[Vec<u8>],
-        connection: &mut PlainConnection,
-    ) -> Result<()> {
-        match self {
-            AnswerFraming::Chunked => connection.begin_chunked(headers).await,
-            AnswerFraming::Measured => {
-                let length = parts.iter().map(Vec::len).sum();
-                connection.begin_measured(headers, length).await
-            }
-            AnswerFraming::Unframed => connection.begin_unframed(headers).await,
-        }
-    }
-
-    async fn send(self, bytes: &[u8], connection: &mut PlainConnection) -> Result<()> {
-        match self {
-            AnswerFraming::Chunked => connection.chunk(bytes).await,
-            AnswerFraming::Measured | AnswerFraming::Unframed => connection.write_raw(bytes).await,
-        }
-    }
-
-    async fn end(self, connection: &mut PlainConnection) -> Result<AfterAnswer> {
-        match self {
-            AnswerFraming::Chunked => connection.chunk(b"").await?,
-            AnswerFraming::Measured => {}
-            AnswerFraming::Unframed => return Ok(AfterAnswer::Close),
-        }
-        Ok(AfterAnswer::KeepOpen)
-    }
-}
-
 /// An engine.
 pub struct StreamEngine {
-    options: StreamEngineOptions,
+    pub(super) options: StreamEngineOptions,
     runs: Cell<u64>,
-    trouble: EngineTrouble,
+    pub(super) trouble: EngineTrouble,
 }
 
 impl StreamEngine {
@@ -242,127 +182,8 @@
         }
     }
 
-    /// Sends an answer with the fault that its path states.
-    async fn answer_scripted(
-        &self,
-        request: &PlainRequest,
-        fault: ScriptedFault,
-        connection: &mut PlainConnection,
-    ) -> Result<AfterAnswer> {
-        let headers = [
-            (WIRE_PROFILE.attempt_id, request.header(WIRE_PROFILE.attempt_id)),
-            (SEAL_HEADER, self.options.id.as_str()),
-            ("content-type", "text/event-stream"),
-        ];
-        if fault == ScriptedFault::Stuck {
-            connection.begin_error(&headers[..2]).await?;
-            tokio::time::sleep(SILENT_TIME).await;
-            return Ok(AfterAnswer::Close);
-        }
-        let parts = self.parts(request)?;
-        let framing = AnswerFraming::of(&request.path);
-        framing.begin(&headers, &parts, connection).await?;
-        match (fault, parts.first()) {
-            (ScriptedFault::Late, _) => tokio::time::sleep(LATE_TIME).await,
-            (ScriptedFault::Half, Some(part)) => {
-                self.send(&part[..part.len() / 2], framing, connection).await?;
-                connection.reset_on_close()?;
-                return Ok(AfterAnswer::Close);
-            }
-            (ScriptedFault::Unnumbered, Some(_)) => {
-                self.send(b"data: more\n\n", framing, connection).await?;
-                tokio::time::sleep(PHASE).await;
-                connection.reset_on_close()?;
-                return Ok(AfterAnswer::Close);
-            }
-            _ => tokio::time::sleep(PHASE).await,
-        }
-        let count = if fault == ScriptedFault::Short { SHORT_EVENTS } else { parts.len() };
-        for part in parts.iter().take(count) {
-            self.send(part, framing, connection).await?;
-        }
-        tokio::time::sleep(PHASE).await;
-        if parts.len() > count {
-            return Ok(AfterAnswer::Close);
-        }
-        framing.end(connection).await
-    }
-
-    async fn answer(
-        &self,
-        request: &PlainRequest,
-        trouble: Option<StreamTrouble>,
-        connection: &mut PlainConnection,
-    ) -> Result<AfterAnswer> {
-        let headers = [
-            (WIRE_PROFILE.attempt_id, request.header(WIRE_PROFILE.attempt_id)),
-            (SEAL_HEADER, self.options.id.as_str()),
-            ("content-type", "text/event-stream"),
-        ];
-        let parts = self.parts(request)?;
-        let framing = AnswerFraming::of(&request.path);
-        framing.begin(&headers, &parts, connection).await?;
-        tokio::time::sleep(PHASE).await;
-        let broken_at = self.trouble.events_before(parts.len());
-        for (place, part) in parts.iter().enumerate() {
-            match trouble {
-                Some(StreamTrouble::Slow) => tokio::time::sleep(EVENT_INTERVAL * SLOW_FACTOR).await,
-                Some(trouble) if place == broken_at => {
-                    if let Some(after) = self.break_off(trouble, part, framing, connection).await? {
-                        return Ok(after);
-                    }
-                }
-                _ => {}
-            }
-            self.send(part, framing, connection).await?;
-        }
-        tokio::time::sleep(PHASE).await;
-        let after = framing.end(connection).await?;
-        if trouble == Some(StreamTrouble::Repeated) && after == AfterAnswer::KeepOpen {
-            connection.keep_late_answer(measured_answer(&headers, &parts.concat()));
-        }
-        Ok(after)
-    }
-
-    /// Ends an answer before one of its parts; returns `None` where the trouble breaks off nothing.
-    async fn break_off(
-        &self,
-        trouble: StreamTrouble,
-        part: &[u8],
-        framing: AnswerFraming,
-        connection: &mut PlainConnection,
-    ) -> Result<Option<AfterAnswer>> {
-        match trouble {
-            StreamTrouble::Closed => {}
-            StreamTrouble::Reset => connection.reset_on_close()?,
-            StreamTrouble::ResetInside => {
-                framing.send(&part[..part.len() / 2], connection).await?;
-                connection.reset_on_close()?;
-            }
-            StreamTrouble::Silent => tokio::time::sleep(SILENT_TIME).await,
-            _ => return Ok(None),
-        }
-        Ok(Some(AfterAnswer::Close))
-    }
-
-    /// Sends an event in two halves, so that an engine can be stopped within one.
-    async fn send(
-        &self,
-        event: &[u8],
-        framing: AnswerFraming,
-        connection: &mut PlainConnection,
-    ) -> Result<()> {
-        tokio::time::sleep(EVENT_INTERVAL).await;
-        let (first, second) = event.split_at(event.len() / 2);
-        for half in [first, second].into_iter().filter(|half| !half.is_empty()) {
-            framing.send(half, connection).await?;
-            tokio::time::sleep(HALF_INTERVAL).await;
-        }
-        Ok(())
-    }
-
     /// Returns the parts of an answer, of the size of an event each.
-    fn parts(&self, request: &PlainRequest) -> Result<Vec<Vec<u8>>> {
+    pub(super) fn parts(&self, request: &PlainRequest) -> Result<Vec<Vec<u8>>> {
         let events = self.events(request)?;
         let Some((damage, mut random)) = self.options.damage.of_run(self.runs.get()) else {
             return Ok(events.iter().map(|event| event.text().into_bytes()).collect());
@@ -419,16 +240,6 @@
     }
 }
 
-/// Returns the bytes of an answer with its length.
-fn measured_answer(headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let mut answer = "HTTP/1.1 200 OK\r\n".to_string();
-    for (name, value) in headers {
-        answer.push_str(&format!("{name}: {value}\r\n"));
-    }
-    answer.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
-    [answer.as_bytes(), body].concat()
-}
-
 /// Returns the attempt that began the stream of a request.
 fn begun_as(request: &PlainRequest) -> &str {
     match request.header(WIRE_PROFILE.resumes) {
--- a/crates/standins/src/fleet/stream_script.rs
+++ b/crates/standins/src/fleet/stream_script.rs
@@ -49,4 +49,13 @@
             begun
         }
     }
+
+    /// Returns the only bytes of an answer that is reset behind them, whose first part is `part`.
+    pub(super) fn only_part(self, part: &[u8]) -> Option<&[u8]> {
+        match self {
+            ScriptedFault::Half => Some(&part[..part.len() / 2]),
+            ScriptedFault::Unnumbered => Some(b"data: more\n\n"),
+            _ => None,
+        }
+    }
 }
