Tests: damaged answers that deviate alike confirm each other (red)

Two of the five samples met two or three damaged answers, the others one: once two targets agree, the form of the source counts as taken back, and what follows is not judged until it is learned again.

--- a/crates/acceptance/tests/streams_beside_damaged_answers.rs
+++ b/crates/acceptance/tests/streams_beside_damaged_answers.rs
@@ -33,6 +33,8 @@
 
 /// Time during which engines damage answers.
 const TIME: Duration = Duration::from_secs(10);
+/// The same where only a few streams meet two damaged answers.
+const LONG_TIME: Duration = Duration::from_secs(25);
 /// Marks of streams in each framing.
 const ALL_MARKS: [&str; 3] = ["", MEASURED_MARK, UNFRAMED_MARK];
 /// Routes whose streams may be repeated.
@@ -82,6 +84,20 @@
     Ok(())
 }
 
+/// Guards against damaged answers of two engines that count as right because they deviate alike at the same place.
+#[rstest]
+#[case::blank_line_lost(1, StreamDamage::BlankLineLost)]
+#[case::id_lost(2, StreamDamage::IdLost)]
+#[actix_rt::test]
+async fn damaged_answers_that_deviate_alike_do_not_confirm_each_other(
+    #[case] seed: u64,
+    #[case] form: StreamDamage,
+) -> Result<()> {
+    let play = default_play(seed, &REPEATABLE);
+    let (forms, every) = (vec![form], MANY_DAMAGED_ONE_IN);
+    check(&DamagePlay { forms, every, time: LONG_TIME, ..play }.run().await?)
+}
+
 /// Guards against the same where a stream may not be repeated, so that no other engine can show what is right.
 #[rstest]
 #[case::few(1, DAMAGED_ONE_IN)]
