Tests: damage begins once each daemon has seen eight sound streams of each service

The second service's engines damaged answers from their 21st run on, before the first of three daemons had eight whole streams of it (7 at that moment, by its log), so that nothing was judged in a play that says that the forms are known. They are sound for 60 runs now, which is where the sound beginning of 900 streams ends. No check changes.

--- a/crates/acceptance/tests/support/damage_plays.rs
+++ b/crates/acceptance/tests/support/damage_plays.rs
@@ -22,7 +22,7 @@
 /// Streams after which all daemons know the form of all routes.
 const SOUND_STREAMS: usize = 900;
 /// Sound runs of each engine, by its service: the first one serves most streams.
-const SOUND_RUNS: [u64; SERVICES.len()] = [150, 20];
+const SOUND_RUNS: [u64; SERVICES.len()] = [150, 60];
 /// Longest time for the sound streams.
 const SOUND_TIME: Duration = Duration::from_secs(40);
 /// Time for which an engine is stopped, or not replaced after a kill, in milliseconds.
