--- a/crates/acceptance/tests/unframed_streams_closed_early.rs
+++ b/crates/acceptance/tests/unframed_streams_closed_early.rs
@@ -48,30 +48,33 @@
 
 /// Plays streams beside engines that close a share of their answers early.
 async fn play(seed: u64) -> Result<PlayCounts> {
-    play_before(&EventFleet::start(&format!("early-{seed}")).await?, seed).await
+    play_before(&EventFleet::start(&format!("early-{seed}")).await?, seed, 1).await
 }
 
-async fn play_before(fleet: &EventFleet, seed: u64) -> Result<PlayCounts> {
+/// Plays streams beside this many engines at a time that close a share of their answers early.
+async fn play_before(fleet: &EventFleet, seed: u64, engines: usize) -> Result<PlayCounts> {
     for daemon in &fleet.deployment.daemons {
         wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() })
             .await?;
     }
     let callers = DamageCallers::start(fleet, &ROUTES, &[UNFRAMED_MARK], seed, CALLERS, TAKE_UPS);
     wait_until("streams", || async { callers.streams() >= CALLERS }).await?;
-    let disturbed = disturb(fleet, seed).await;
+    let disturbed = disturb(fleet, seed, engines).await;
     let streams = callers.close().await;
     disturbed?;
     Ok(PlayCounts::of(&DamageJudge::read(fleet)?, &streams))
 }
 
-async fn disturb(fleet: &EventFleet, seed: u64) -> Result<()> {
+async fn disturb(fleet: &EventFleet, seed: u64, engines: usize) -> Result<()> {
     let mut random = StdRng::seed_from_u64(seed);
     for _ in 0..TROUBLES {
-        let index = random.random_range(0..fleet.engines.len());
+        let first = random.random_range(0..fleet.engines.len());
         let names = [StreamTrouble::Closed.name(), NO_TROUBLE.to_string()];
         for (name, time_ms) in names.iter().zip([TROUBLE_MS, CALM_MS]) {
             let path = format!("{TROUBLE_PATH}{name}");
-            post(fleet.address(index), &path, &Value::Null).await?;
+            for index in (first..).take(engines).map(|index| index % fleet.engines.len()) {
+                post(fleet.address(index), &path, &Value::Null).await?;
+            }
             tokio::time::sleep(Duration::from_millis(random.random_range(time_ms))).await;
         }
     }
@@ -107,7 +110,23 @@
     #[case] seed: u64,
 ) -> Result<()> {
     let fleet = EventFleet::start_with_bounds(&format!("counted-{seed}"), COUNTED_BOUNDS).await?;
-    check(&play_before(&fleet, seed).await?)
+    check(&play_before(&fleet, seed, 1).await?)
+}
+
+/// Guards against an early end that counts as confirmed because a second engine has closed its answer early as well.
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[actix_rt::test]
+async fn unframed_streams_that_all_engines_close_early_do_not_end_as_complete(
+    #[case] seed: u64,
+) -> Result<()> {
+    let fleet = EventFleet::start(&format!("all-early-{seed}")).await?;
+    let counts = play_before(&fleet, seed, fleet.engines.len()).await?;
+    println!("{counts}");
+    ensure!(counts.wrong() == 0, "{} streams are wrong: {:#?}", counts.wrong(), counts.samples);
+    ensure!(counts.moved > 0, "no answer was closed early: {counts}");
+    Ok(())
 }
 
 #[ignore = "plays for minutes"]
