Deviations that damaged answers state alike are no longer taken for sound

Callers got two events merged into one, without the number of the first, as part of a complete stream. An event that deviates from the learned form was passed on once a second target stated the same at the same place. The second answer begins behind the last sound event, so it is short, and one in some hundred streams that meet two damaged answers has both damaged alike at the same place.

No agreement counts now while targets of the pool have damaged events lately, which the daemon knows where an answer had the sound event in place of one that deviated (until 1,024 further whole streams). Otherwise three targets have to agree where three serve the source and can still be asked; two as before in a smaller pool and at the last attempt. A sound source that seldom deviates is still believed where nothing shows damage. Logged as deviation_agreed.

--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use curlewcleat_core::{KeptAnswer, TargetId, TargetPool};
 use curlewcleat_targets::{
-    BodyFrame, EventDeviation, EventForm, StreamIrregularity, StreamJoin, StreamShape,
+    AgreementRule, BodyFrame, EventDeviation, EventForm, StreamIrregularity, StreamJoin,
+    StreamShape,
 };
 
 use crate::headers;
@@ -87,8 +88,12 @@
     /// Returns what was irregular about the events of the latest attempt, each kind once.
     fn take_irregularities(&mut self) -> Vec<StreamIrregularity>;
 
-    /// Begins the events of an attempt at this target. They have to have the form, `None` if it is not known.
-    fn expect(&mut self, form: Option<EventForm>, target: &TargetId);
+    /// Begins the events of an attempt at this target. They have to have the form, `None` if it is not known, unless as many
+    /// targets deviate alike as the rule requires.
+    fn expect(&mut self, form: Option<EventForm>, agreement: AgreementRule, target: &TargetId);
+
+    /// Returns, once, whether an attempt had a sound event in place of one that deviated.
+    fn take_shown_damage(&mut self) -> bool;
 
     /// Returns whether an attempt ended because of an event that deviates from the form, and no other one has shown the
     /// right one.
@@ -254,7 +259,11 @@
         Vec::new()
     }
 
-    fn expect(&mut self, _: Option<EventForm>, _: &TargetId) {}
+    fn expect(&mut self, _: Option<EventForm>, _: AgreementRule, _: &TargetId) {}
+
+    fn take_shown_damage(&mut self) -> bool {
+        false
+    }
 
     fn is_unresolved(&self) -> bool {
         false
--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use curlewcleat_core::{KeptAnswer, TargetId};
 use curlewcleat_targets::{
-    BodyFrame, EventDeviation, EventForm, EventSplitter, StreamIrregularity, StreamJoin,
-    StreamShape,
+    AgreementRule, BodyFrame, EventDeviation, EventForm, EventSplitter, StreamIrregularity,
+    StreamJoin, StreamShape,
 };
 
 use super::AnswerFraming;
@@ -159,10 +159,15 @@
         self.events.take_irregularities()
     }
 
-    fn expect(&mut self, form: Option<EventForm>, target: &TargetId) {
+    fn expect(&mut self, form: Option<EventForm>, agreement: AgreementRule, target: &TargetId) {
         // Without a position the first number tells nothing.
         let form = form.filter(|_| self.position != StreamPosition::Unknown);
         self.events.expect(form, target);
+        self.events.require_agreement(agreement);
+    }
+
+    fn take_shown_damage(&mut self) -> bool {
+        self.events.take_shown_damage()
     }
 
     fn is_unresolved(&self) -> bool {
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -141,10 +141,7 @@
 
     fn begin_parts(&mut self, head: &actix_http::ResponseHead, target: &TargetEntry) {
         self.framing.begin(head);
-        let source = self.stream_source(target);
-        let may_repeat = self.protocol().may_repeat(&self.request);
-        let form = self.service.context.forms.form(&source, may_repeat);
-        self.framing.expect(form, &target.id);
+        self.expect_form(target);
         if !self.framing.delays_head() {
             self.begin_answer(head);
         }
--- a/crates/daemon/src/request/relay/forms.rs
+++ b/crates/daemon/src/request/relay/forms.rs
@@ -9,8 +9,22 @@
 use crate::stream_forms::StreamSource;
 
 impl RequestRun {
+    /// Sets which form the events of the target have to have, and how many targets may overrule it.
+    pub(super) fn expect_form(&mut self, target: &TargetEntry) {
+        let source = self.stream_source(target);
+        let may_repeat = self.protocol().may_repeat(&self.request);
+        let has_further_attempt =
+            self.request.attempt_limit.is_some_and(|limit| self.progress.attempts < limit);
+        let forms = &self.service.context.forms;
+        let agreement = forms.agreement_rule(&source, has_further_attempt);
+        self.framing.expect(forms.form(&source, may_repeat), agreement, &target.id);
+    }
+
     /// Logs where a continuation begins, and what is irregular about the target's events.
     pub(super) fn report_numbers(&mut self, target: &TargetEntry) {
+        if self.framing.take_shown_damage() {
+            self.service.context.forms.record_damage(&self.request.pool.id);
+        }
         for deviation in self.framing.take_deviations() {
             self.log_deviation(target, &deviation);
             self.deviating_source = Some(self.stream_source(target));
@@ -31,7 +45,8 @@
     /// Records what the events of a stream looked like that its caller has whole. Other answers show no form.
     pub(super) fn record_stream_shape(&self, target: &TargetEntry) {
         if let Some(shape) = self.framing.shape() {
-            self.service.context.forms.record_whole(&self.stream_source(target), shape);
+            let source = self.stream_source(target);
+            self.service.context.forms.record_whole(&source, &target.id, shape);
         }
     }
 
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -1,7 +1,7 @@
 //! Logs a request: one line for each failed attempt and one for the end.
 //!
 //! Owns: the lines `request_served`, `attempt_failed`, `stream_continued`, `stream_joined`, `end_checked`,
-//! `end_confirmed`, `stream_irregular`, `stream_deviates`, `caller_left`, `caller_stalled`, `answer_cut`, `request_refused`. Relies on: the run's progress.
+//! `end_confirmed`, `stream_irregular`, `stream_deviates`, `deviation_agreed`, `caller_left`, `caller_stalled`, `answer_cut`, `request_refused`. Relies on: the run's progress.
 
 use std::time::Duration;
 
@@ -104,6 +104,18 @@
             target = target.id.as_str(), kind, after = deviation.after, number,
             event = deviation.excerpt.as_str(), connection = self.connection_code()
         });
+        if deviation.targets > 1 {
+            self.log_agreement(target, deviation);
+        }
+    }
+
+    /// Logs a deviation that several targets have stated, and whether it counts as sound.
+    fn log_agreement(&self, target: &TargetEntry, deviation: &EventDeviation) {
+        warn!("deviation_agreed", kv: {
+            request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
+            target = target.id.as_str(), kind = deviation.kind.code(), after = deviation.after,
+            targets = deviation.targets as i64, accepted = deviation.is_accepted
+        });
     }
 
     /// Returns where the connection of the latest attempt comes from, empty before it is established.
--- a/crates/daemon/src/stream_forms.rs
+++ b/crates/daemon/src/stream_forms.rs
@@ -1,13 +1,15 @@
 //! The forms that the streams of rules have, shared by all threads of the daemon.
 //!
-//! Owns: the [`FormEvidence`] of each rule, pool and version that has served streams. Relies on: the tasks of requests, which
-//! report how streams ended.
+//! Owns: the [`FormEvidence`] of each rule, pool and version that has served streams, and which pools have damaged events.
+//! Relies on: the tasks of requests, which report how streams ended.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use curlewcleat_core::{PoolId, TargetEntry, VersionDigest};
-use curlewcleat_targets::{EventForm, FormEvidence, StreamShape};
+use curlewcleat_core::{PoolId, TargetEntry, TargetId, VersionDigest};
+use curlewcleat_targets::{
+    AgreementRule, DamageEvidence, EventForm, FormEvidence, ServingTargets, StreamShape,
+};
 
 /// Sources whose evidence is kept; the one that was used longest ago gives way. Each has about 200 bytes.
 const MAX_SOURCES: usize = 1_024;
@@ -35,6 +37,7 @@
 #[derive(Debug, Default)]
 struct SourceEvidence {
     evidence: FormEvidence,
+    targets: ServingTargets,
     used: u64,
 }
 
@@ -42,6 +45,8 @@
 #[derive(Debug, Default)]
 struct StreamForms {
     sources: BTreeMap<StreamSource, SourceEvidence>,
+    /// Pools whose targets have damaged events lately.
+    damaged: BTreeMap<PoolId, DamageEvidence>,
     /// Number of uses, which orders them.
     uses: u64,
 }
@@ -56,22 +61,47 @@
     /// Returns the form of a source's events, `None` while too few streams have shown one. Streams that may not be repeated
     /// need more of them.
     pub fn form(&self, source: &StreamSource, may_repeat: bool) -> Option<EventForm> {
-        self.lock().evidence(source).form(may_repeat)
+        self.lock().source(source).evidence.form(may_repeat)
     }
 
-    /// Records a stream that began and ended whole at one source.
-    pub fn record_whole(&self, source: &StreamSource, shape: &StreamShape) {
-        self.lock().evidence(source).record_whole(shape);
+    /// Returns how many targets of a source have to state the same deviation before it counts as sound.
+    pub fn agreement_rule(
+        &self,
+        source: &StreamSource,
+        has_further_attempt: bool,
+    ) -> AgreementRule {
+        let mut forms = self.lock();
+        let damage = forms.damaged.get(&source.pool).copied().unwrap_or_default();
+        forms.source(source).targets.agreement_rule(damage, has_further_attempt)
+    }
+
+    /// Records a stream that began at one source and that `target` ended whole.
+    pub fn record_whole(&self, source: &StreamSource, target: &TargetId, shape: &StreamShape) {
+        let mut forms = self.lock();
+        forms.record_whole_of_pool(&source.pool);
+        let kept = forms.source(source);
+        kept.targets.record(target);
+        kept.evidence.record_whole(shape);
+    }
+
+    /// Records an event that a target of a pool has damaged, as another one has shown.
+    pub fn record_damage(&self, pool: &PoolId) {
+        let mut forms = self.lock();
+        let is_full = forms.damaged.len() >= MAX_SOURCES;
+        if is_full && !forms.damaged.contains_key(pool) {
+            forms.damaged.pop_first();
+        }
+        forms.damaged.entry(pool.clone()).or_default().record_damage();
     }
 
     /// Records a stream that was cut because an event of it deviated.
     pub fn record_cut(&self, source: &StreamSource) {
-        self.lock().evidence(source).record_cut();
+        self.lock().source(source).evidence.record_cut();
     }
 
     /// Records a stream that was cut because it may lack its end.
     pub fn record_cut_end(&self, source: &StreamSource) {
-        self.lock().evidence(source).record_cut_end();
+        self.lock().source(source).evidence.record_cut_end();
     }
 
     fn lock(&self) -> MutexGuard<'_, StreamForms> {
@@ -80,14 +110,23 @@
 }
 
 impl StreamForms {
-    fn evidence(&mut self, source: &StreamSource) -> &mut FormEvidence {
+    fn source(&mut self, source: &StreamSource) -> &mut SourceEvidence {
         self.uses += 1;
         if !self.sources.contains_key(source) {
             self.make_room();
         }
         let kept = self.sources.entry(source.clone()).or_default();
         kept.used = self.uses;
-        &mut kept.evidence
+        kept
+    }
+
+    /// Counts a whole stream of a pool against the damage that its targets have shown.
+    fn record_whole_of_pool(&mut self, pool: &PoolId) {
+        let Some(damage) = self.damaged.get_mut(pool) else { return };
+        damage.record_whole();
+        if !damage.is_recent() {
+            self.damaged.remove(pool);
+        }
     }
 
     /// Removes the evidence that was used longest ago if there is no room for another source.
--- /dev/null
+++ b/crates/targets/src/agreement.rs
@@ -0,0 +1,96 @@
+//! Decides how many targets have to state the same deviation before it counts as sound.
+//!
+//! Load pattern: targets that damage some of their answers. A stream that breaks off at a damaged event goes on at another
+//! target, whose answer is short, so that both are damaged alike at the same place in one of some hundred such streams.
+//!
+//! Owns: which targets have damaged events, and which serve a source. Relies on: its caller for the streams.
+
+use std::collections::VecDeque;
+
+/// Whole streams of a pool after which its targets no longer count as damaging events.
+const DAMAGE_STREAMS: u32 = 1_024;
+/// Targets that have to state the same where as many serve the source and can be asked.
+const AGREEING_TARGETS: usize = 3;
+/// The same where fewer serve the source, or no further attempt can be made.
+const FEWER_AGREEING_TARGETS: usize = 2;
+
+/// How many targets have to state the same deviation before it counts as sound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AgreementRule {
+    /// This many, one of which is the latest.
+    Targets(usize),
+    /// No number suffices.
+    Never,
+}
+
+impl Default for AgreementRule {
+    fn default() -> AgreementRule {
+        AgreementRule::Targets(FEWER_AGREEING_TARGETS)
+    }
+}
+
+impl AgreementRule {
+    /// Returns whether a deviation that so many targets have stated counts as sound.
+    pub fn is_met(self, targets: usize) -> bool {
+        match self {
+            AgreementRule::Targets(required) => targets >= required,
+            AgreementRule::Never => false,
+        }
+    }
+}
+
+/// Whether targets of a pool have damaged events lately.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DamageEvidence {
+    /// Whole streams until the latest damage no longer counts.
+    remaining_streams: u32,
+}
+
+impl DamageEvidence {
+    /// Records an event that deviated, and in whose place another answer had a sound one.
+    pub fn record_damage(&mut self) {
+        self.remaining_streams = DAMAGE_STREAMS;
+    }
+
+    /// Records a stream that its caller has whole.
+    pub fn record_whole(&mut self) {
+        self.remaining_streams = self.remaining_streams.saturating_sub(1);
+    }
+
+    /// Returns whether targets damage events.
+    pub fn is_recent(&self) -> bool {
+        self.remaining_streams > 0
+    }
+}
+
+/// The latest targets that served whole streams of a source.
+#[derive(Clone, Debug, Default)]
+pub struct ServingTargets {
+    /// At most [`AGREEING_TARGETS`], the latest one last.
+    targets: VecDeque<String>,
+}
+
+impl ServingTargets {
+    /// Records the target of a whole stream.
+    pub fn record(&mut self, target: &str) {
+        if let Some(place) = self.targets.iter().position(|known| known == target) {
+            self.targets.remove(place);
+        } else if self.targets.len() == AGREEING_TARGETS {
+            self.targets.pop_front();
+        }
+        self.targets.push_back(target.to_string());
+    }
+
+    /// Returns the rule for deviations of this source.
+    pub fn agreement_rule(
+        &self,
+        damage: DamageEvidence,
+        has_further_attempt: bool,
+    ) -> AgreementRule {
+        if damage.is_recent() {
+            return AgreementRule::Never;
+        }
+        let is_choice = has_further_attempt && self.targets.len() >= AGREEING_TARGETS;
+        AgreementRule::Targets(if is_choice { AGREEING_TARGETS } else { FEWER_AGREEING_TARGETS })
+    }
+}
--- a/crates/targets/src/event_form.rs
+++ b/crates/targets/src/event_form.rs
@@ -100,6 +100,10 @@
     pub number: Option<u64>,
     /// The beginning of the event, with other bytes than printable ASCII escaped.
     pub excerpt: String,
+    /// Number of targets that have stated it for this stream.
+    pub targets: usize,
+    /// Whether it counts as sound because they agree.
+    pub is_accepted: bool,
 }
 
 impl EventDeviation {
@@ -113,7 +117,7 @@
         let excerpt = event[..event.len().min(EXCERPT_LIMIT)].escape_ascii().to_string();
         // Numbers of the form begin with one, so that none is before the first event.
         let after = after.unwrap_or(FIRST_NUMBER - 1);
-        EventDeviation { kind, after, number, excerpt }
+        EventDeviation { kind, after, number, excerpt, targets: 1, is_accepted: false }
     }
 }
 
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::agreement::AgreementRule;
 use crate::event_fields::EventFields;
 use crate::event_form::{EventDeviation, EventForm, StreamShape};
 use crate::event_numbers::{EventNumbers, EventPlace, StreamJoin};
@@ -189,6 +190,16 @@
         }
     }
 
+    /// Sets how many targets have to agree on a deviation before it counts as sound.
+    pub fn require_agreement(&mut self, agreement: AgreementRule) {
+        self.check.require_agreement(agreement);
+    }
+
+    /// Returns, once, whether an answer had a sound event in place of one that deviated.
+    pub fn take_shown_damage(&mut self) -> bool {
+        self.check.take_shown_damage()
+    }
+
     /// Returns what the events of the stream looked like so far.
     pub fn shape(&self) -> &StreamShape {
         &self.shape
--- a/crates/targets/src/form_check.rs
+++ b/crates/targets/src/form_check.rs
@@ -1,9 +1,13 @@
 //! Checks the events of one stream against the form of its source, over all its answers.
 //!
-//! An event that deviates is damaged, unless another target states the same at the same place.
+//! An event that deviates is damaged, unless other targets state the same at the same place, as many as the
+//! [`AgreementRule`] requires.
 //!
 //! Owns: what the answers of the stream stated that deviates. Relies on: [`EventForm`] for what is expected.
 
+use std::collections::BTreeSet;
+
+use crate::agreement::AgreementRule;
 use crate::event_fields::EventFields;
 use crate::event_form::{DeviationKind, EventDeviation, EventForm, FIRST_NUMBER};
 
@@ -16,7 +20,7 @@
     Last,
     /// It deviates, or the one before it was not the last one.
     Deviates(DeviationKind),
-    /// It deviates in what another target stated as well, so the form does not hold for this stream.
+    /// It deviates in what enough other targets stated as well, so the form does not hold for this stream.
     Confirmed,
 }
 
@@ -30,10 +34,10 @@
 }
 
 impl StatedDeviation {
-    /// Returns whether another target stated the same.
-    fn is_confirmed_by(&self, other: &StatedDeviation) -> bool {
+    /// Returns whether another answer stated the same.
+    fn agrees_with(&self, other: &StatedDeviation) -> bool {
         let statement = |stated: &StatedDeviation| (stated.kind, stated.after, stated.number);
-        self.source != other.source && statement(self) == statement(other)
+        statement(self) == statement(other)
     }
 }
 
@@ -44,6 +48,7 @@
     form: Option<EventForm>,
     /// Target of the latest answer.
     source: String,
+    agreement: AgreementRule,
     /// What answers stated of events that were not returned yet, one for each answer.
     stated: Vec<StatedDeviation>,
     /// First and latest number of the latest answer.
@@ -53,6 +58,8 @@
     unnumbered: Option<EventDeviation>,
     /// What was found and not taken yet.
     deviations: Vec<EventDeviation>,
+    /// Whether an answer had a sound event in place of one that deviated, and that was not taken yet.
+    has_shown_damage: bool,
 }
 
 impl FormCheck {
@@ -66,6 +73,11 @@
         self.source = source.to_string();
     }
 
+    /// Sets how many targets have to agree on a deviation.
+    pub fn require_agreement(&mut self, agreement: AgreementRule) {
+        self.agreement = agreement;
+    }
+
     /// Accepts events of any form from here on.
     pub fn release(&mut self) {
         self.form = None;
@@ -136,21 +148,32 @@
         let first = self.numbers.map_or(number, |(first, _)| first);
         self.numbers = Some((first, number));
         if number == next_number(last) {
+            let stated = self.stated.len();
             self.stated.retain(|stated| stated.after >= number);
+            self.has_shown_damage |= self.stated.len() < stated;
         }
     }
 
-    fn evaluate(&mut self, deviation: EventDeviation) -> FormVerdict {
+    fn evaluate(&mut self, mut deviation: EventDeviation) -> FormVerdict {
         let EventDeviation { kind, after, number, .. } = deviation;
+        self.stated.push(StatedDeviation { source: self.source.clone(), kind, after, number });
+        deviation.targets = self.agreeing_targets();
+        deviation.is_accepted = self.agreement.is_met(deviation.targets);
+        let is_accepted = deviation.is_accepted;
         self.deviations.push(deviation);
-        let stated = StatedDeviation { source: self.source.clone(), kind, after, number };
-        if self.stated.iter().any(|other| other.is_confirmed_by(&stated)) {
-            self.stated.clear();
-            self.release();
-            return FormVerdict::Confirmed;
+        if !is_accepted {
+            return FormVerdict::Deviates(kind);
         }
-        self.stated.push(stated);
-        FormVerdict::Deviates(kind)
+        self.stated.clear();
+        self.release();
+        FormVerdict::Confirmed
+    }
+
+    /// Returns the number of targets that have stated what the latest answer did.
+    fn agreeing_targets(&self) -> usize {
+        let Some(latest) = self.stated.last() else { return 0 };
+        let agreeing = self.stated.iter().filter(|stated| stated.agrees_with(latest));
+        agreeing.map(|stated| &stated.source).collect::<BTreeSet<_>>().len()
     }
 
     /// Returns whether the latest deviation that no other target has resolved is an end.
@@ -168,6 +191,11 @@
         std::mem::take(&mut self.deviations)
     }
 
+    /// Returns, once, whether an answer had a sound event in place of one that deviated.
+    pub fn take_shown_damage(&mut self) -> bool {
+        std::mem::take(&mut self.has_shown_damage)
+    }
+
     /// Prepares for another answer.
     pub fn resume(&mut self) {
         (self.numbers, self.has_started_over, self.unnumbered) = (None, false, None);
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -5,6 +5,7 @@
 //! complete. Either would lead to a wrong verdict on the request. This crate determines for each exchange whether a
 //! byte may have been written, and for each answer whether it arrived completely.
 
+mod agreement;
 mod answer;
 mod body_codec;
 mod collect;
@@ -29,6 +30,7 @@
 mod stream;
 mod stream_irregularity;
 
+pub use agreement::{AgreementRule, DamageEvidence, ServingTargets};
 pub use answer::{AnswerBody, BodyFrame, TargetAnswer, TruncatedBody};
 pub use collect::{collect, CollectError};
 pub use connection::ExchangeOptions;
