Early ends of several targets do not confirm each other where a third can be asked

Callers got unframed streams that may be taken up as complete although events were missing, where several targets that live closed answers early. An answer's end was doubted once: where the second target went on and broke off as well, its end passed unless half of the retries were left. And two ends at the same event counted as the end although both targets may have broken off.

While targets of the pool break off answers, each end at a new event has to be confirmed where a third target serves the source and an attempt is left; an end that two targets state is put to a third one while any retry is left. Other ends ask as before, within half of the budget. A target that only confirmed an end no longer counts as one that answered a whole stream in so short a time (by reading; no run shows it alone).

--- a/crates/daemon/src/pending.rs
+++ b/crates/daemon/src/pending.rs
@@ -4,7 +4,7 @@
 
 use curlewcleat_core::{AttemptEnd, RequestId, RetryReason};
 use curlewcleat_node::{CallerDecision, NodeEvent};
-use curlewcleat_sched::ReplacementStep;
+use curlewcleat_sched::{AnswerEnd, ReplacementStep};
 use tokio::sync::mpsc;
 
 use crate::context::DaemonContext;
@@ -77,9 +77,9 @@
         self.report_replacement(ReplacementStep::Requested);
     }
 
-    /// Requests another target that confirms the end of the answer, which ended in this way at the target that has the
-    /// request. A further decision follows only if one is granted.
-    pub fn confirm_end(&self, end: AttemptEnd) {
+    /// Requests another target that confirms the end of the answer, which the target that has the request has ended. A
+    /// further decision follows only if one is granted.
+    pub fn confirm_end(&self, end: AnswerEnd) {
         self.report_replacement(ReplacementStep::ConfirmationRequested(end));
     }
 
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -214,12 +214,18 @@
         if !self.answer.may_end_with(frame) {
             return NextPart::Interrupted(AttemptCause::EndUnproven);
         }
-        if frame != BodyFrame::UntilClose || self.framing.agrees_on_end() {
+        if frame != BodyFrame::UntilClose || self.asked_end().is_some() {
             return NextPart::End;
         }
-        if self.doubts_end() {
+        let is_agreed = self.framing.agrees_on_end();
+        let is_doubtful = self.is_end_doubtful();
+        if is_agreed && !is_doubtful {
+            return NextPart::End;
+        }
+        if is_doubtful && !is_agreed && self.has_to_confirm(target) {
             return NextPart::Interrupted(AttemptCause::EndUnproven);
         }
+        // Two targets that break off answers may have ended theirs at the same event.
         match self.end_confirmation(target).await {
             Some(other) => NextPart::Replaced(other, AttemptCause::EndUnproven),
             None => NextPart::End,
@@ -236,7 +242,7 @@
         self.record_stream_shape(target);
         self.verdict = Verdict::Ran;
         match self.framing.reports_timing() {
-            true => AttemptOutcome::Served(self.progress.stream_end()),
+            true => AttemptOutcome::Served(self.stream_end()),
             false => AttemptOutcome::Served(self.progress.whole_end()),
         }
     }
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use curlewcleat_core::TargetEntry;
+use curlewcleat_core::{AttemptEnd, TargetEntry};
+use curlewcleat_sched::AnswerEnd;
 use curlewcleat_targets::BodyFrame;
 
 use crate::request::cause::AttemptCause;
@@ -70,12 +71,20 @@
 
     /// Returns whether another target has to confirm the end of a stream: targets of the pool break off answers, and this
     /// one may have done so at the end of an event.
-    pub(super) fn doubts_end(&mut self) -> bool {
+    pub(super) fn is_end_doubtful(&self) -> bool {
         let context = &self.service.context;
-        let is_doubtful = self.protocol().may_repeat(&self.request)
+        self.protocol().may_repeat(&self.request)
             && self.framing.is_resumable()
-            && context.breaks.are_recent(context.uptime(), &self.request.pool.id);
-        is_doubtful && self.framing.begins_doubt()
+            && context.breaks.are_recent(context.uptime(), &self.request.pool.id)
+    }
+
+    /// Returns whether a doubtful end counts only once another target has confirmed it: the first one of an answer, and later
+    /// ones where a further target can be asked.
+    pub(super) fn has_to_confirm(&mut self, target: &TargetEntry) -> bool {
+        let source = self.stream_source(target);
+        let may_ask =
+            self.has_further_attempt() && self.service.context.forms.has_third_target(&source);
+        self.framing.begins_doubt() || may_ask
     }
 
     /// Returns another target that is asked what follows on an unframed stream whose target lives, since one that lives
@@ -98,11 +107,21 @@
         granted
     }
 
+    /// Returns what the end of a stream shows of its target's speed. An answer that only confirms the end shows nothing.
+    pub(super) fn stream_end(&self) -> AttemptEnd {
+        match self.framing.adds_nothing() {
+            true => AttemptEnd::Unused,
+            false => self.progress.stream_end(),
+        }
+    }
+
     async fn target_for_confirmation(
         &mut self,
         target: &TargetEntry,
     ) -> Option<Box<GrantedTarget>> {
-        let reason = ReplacementReason::EndConfirmed(self.progress.stream_end());
+        let end = self.stream_end();
+        let reason =
+            ReplacementReason::EndConfirmed(AnswerEnd { end, is_doubtful: self.is_end_doubtful() });
         let wait = TargetWait { reason, ..self.target_wait(target) };
         match wait.wait(Duration::ZERO, tokio::time::sleep(CONFIRMATION_WAIT)).await {
             WaitEnd::Replaced(other) => Some(other),
--- a/crates/daemon/src/request/relay/forms.rs
+++ b/crates/daemon/src/request/relay/forms.rs
@@ -13,13 +13,16 @@
     pub(super) fn expect_form(&mut self, target: &TargetEntry) {
         let source = self.stream_source(target);
         let may_repeat = self.protocol().may_repeat(&self.request);
-        let has_further_attempt =
-            self.request.attempt_limit.is_some_and(|limit| self.progress.attempts < limit);
         let forms = &self.service.context.forms;
-        let agreement = forms.agreement_rule(&source, has_further_attempt);
+        let agreement = forms.agreement_rule(&source, self.has_further_attempt());
         self.framing.expect(forms.form(&source, may_repeat), agreement, &target.id);
     }
 
+    /// Returns whether the request may be sent to a further target.
+    pub(super) fn has_further_attempt(&self) -> bool {
+        self.request.attempt_limit.is_some_and(|limit| self.progress.attempts < limit)
+    }
+
     /// Logs where a continuation begins, and what is irregular about the target's events.
     pub(super) fn report_numbers(&mut self, target: &TargetEntry) {
         if self.framing.take_shown_damage() {
--- a/crates/daemon/src/request/run/settled_end.rs
+++ b/crates/daemon/src/request/run/settled_end.rs
@@ -70,7 +70,7 @@
 
 impl RequestRun {
     /// Returns the event behind which another target is asked whether the stream ends.
-    pub(super) fn asked_end(&self) -> Option<u64> {
+    pub(in crate::request) fn asked_end(&self) -> Option<u64> {
         self.settled.as_ref().and_then(|settled| settled.last_event)
     }
 
--- a/crates/daemon/src/request/target_wait.rs
+++ b/crates/daemon/src/request/target_wait.rs
@@ -8,8 +8,9 @@
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
-use curlewcleat_core::{AttemptEnd, PermitId, TargetEntry, VersionDigest};
+use curlewcleat_core::{PermitId, TargetEntry, VersionDigest};
 use curlewcleat_node::CallerDecision;
+use curlewcleat_sched::AnswerEnd;
 use curlewcleat_targets::{PooledConnection, Result};
 use spdlog::prelude::*;
 
@@ -33,8 +34,8 @@
 pub enum ReplacementReason {
     /// The target is stalled.
     Stalled,
-    /// Another target has to confirm the end of the answer. The target's attempt ended in this way.
-    EndConfirmed(AttemptEnd),
+    /// Another target has to confirm the end of the answer, which the target has ended.
+    EndConfirmed(AnswerEnd),
 }
 
 /// Result of a wait.
--- a/crates/daemon/src/stream_forms.rs
+++ b/crates/daemon/src/stream_forms.rs
@@ -75,6 +75,11 @@
         forms.source(source).targets.agreement_rule(damage, has_further_attempt)
     }
 
+    /// Returns whether a third target serves a source beside two that have answered.
+    pub fn has_third_target(&self, source: &StreamSource) -> bool {
+        self.lock().source(source).targets.is_choice()
+    }
+
     /// Records a stream that began at one source and that `target` ended whole.
     pub fn record_whole(&self, source: &StreamSource, target: &TargetId, shape: &StreamShape) {
         let mut forms = self.lock();
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -24,6 +24,7 @@
 };
 
 pub use self::action::EntryAction;
+pub use self::confirmation::AnswerEnd;
 pub use self::options::{EntryOptions, RequestSpec, TakenUpStream};
 pub use self::replacement::ReplacementStep;
 use self::request::{EntryRequest, RequestPhase, UsedPermit};
--- a/crates/sched/src/entry/confirmation.rs
+++ b/crates/sched/src/entry/confirmation.rs
@@ -3,7 +3,7 @@
 //! Inputs: the end of an answer that nothing but its target's life proves; the limits on retries ([`retry`](crate::retry)).
 //!
 //! The rule: the target has ended its answer, so its permit is returned with its result. Another one is requested if
-//! attempts remain and half of the retry budget is left, and only if it is granted at once: the request needs none, so
+//! attempts remain and half of the retry budget is left, or any of it while targets of the pool break off answers, and only if it is granted at once: the request needs none, so
 //! that it neither waits nor takes anything from others. Load pattern: targets that break off some of their answers in an
 //! orderly way, beside many that end soundly.
 //!
@@ -21,13 +21,22 @@
 /// Time for which the request may wait for the other target.
 const CONFIRMATION_WAIT: Duration = Duration::from_millis(100);
 
+/// The end of an answer that another target is asked to confirm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct AnswerEnd {
+    /// How the attempt has ended.
+    pub end: AttemptEnd,
+    /// Whether targets of the pool break off answers.
+    pub is_doubtful: bool,
+}
+
 impl EntryRequests {
-    /// Requests another target for a request whose target has ended its answer in this way.
+    /// Requests another target for a request whose target has ended its answer.
     pub(super) fn request_confirmation(
         &mut self,
         now: Uptime,
         id: RequestId,
-        end: AttemptEnd,
+        end: AnswerEnd,
         order: SchedulerOrder<'_>,
     ) -> Vec<EntryAction> {
         let limit = self.options.attempt_limit;
@@ -38,11 +47,11 @@
         }
         let input = request.retry_input(RetryReason::StreamResumed, request.attempt + 1, limit);
         let pool = request.spec.pool.clone();
-        if !allows_confirmation(now, input, self.budget_of(&pool)) {
+        if !allows_confirmation(now, input, end.is_doubtful, self.budget_of(&pool)) {
             return Vec::new();
         }
         let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
-        let mut actions: Vec<EntryAction> = request.return_permit(end).into_iter().collect();
+        let mut actions: Vec<EntryAction> = request.return_permit(end.end).into_iter().collect();
         request.attempt += 1;
         request.avoid_target(&used.target);
         request.confirming_since = Some(now);
--- a/crates/sched/src/entry/replacement.rs
+++ b/crates/sched/src/entry/replacement.rs
@@ -14,7 +14,7 @@
 use curlewcleat_core::{AttemptEnd, RequestId, RetryReason, TargetId, Uptime, VmId};
 
 use super::request::{EntryRequest, RequestPhase, UsedPermit};
-use super::{EntryAction, EntryRequests, SchedulerOrder};
+use super::{AnswerEnd, EntryAction, EntryRequests, SchedulerOrder};
 use crate::retry::{decide_retry, RetryDecision};
 
 /// A step in the replacement of a stalled target, reported by the connection handler.
@@ -22,8 +22,8 @@
 pub enum ReplacementStep {
     /// The target is stalled; a replacement is requested.
     Requested,
-    /// The target has ended its answer in this way; another one is requested that confirms the end.
-    ConfirmationRequested(AttemptEnd),
+    /// The target has ended its answer; another one is requested that confirms the end.
+    ConfirmationRequested(AnswerEnd),
     /// The target sends data again; no replacement is needed.
     Withdrawn,
     /// The request has moved to the replacement.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -59,7 +59,8 @@
 pub use election::membership::{HeartbeatChange, MemberOptions, MemberView, PeerState};
 pub use election::reach::FleetReach;
 pub use entry::{
-    EntryAction, EntryOptions, EntryRequests, ReplacementStep, RequestSpec, TakenUpStream,
+    AnswerEnd, EntryAction, EntryOptions, EntryRequests, ReplacementStep, RequestSpec,
+    TakenUpStream,
 };
 pub use lethal::updates::{SuspectUpdates, UpdateScope, ORDINARY_LIMIT};
 pub use lethal::{InstancePresence, LethalOptions, LethalRequests, LethalVerdict};
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -95,6 +95,18 @@
 }
 
 /// Decides whether another target is asked to confirm the end of an answer, and counts that as a retry against the budget.
-pub fn allows_confirmation(now: Uptime, input: RetryInput, budget: &mut RetryBudget) -> bool {
-    input.is_within_limits(now) && budget.try_spend_spare(now)
+/// An end that is not doubtful leaves most of the budget to other retries.
+pub fn allows_confirmation(
+    now: Uptime,
+    input: RetryInput,
+    is_doubtful: bool,
+    budget: &mut RetryBudget,
+) -> bool {
+    if !input.is_within_limits(now) {
+        return false;
+    }
+    match is_doubtful {
+        true => budget.try_spend(now),
+        false => budget.try_spend_spare(now),
+    }
 }
--- a/crates/sched/tests/confirmations.rs
+++ b/crates/sched/tests/confirmations.rs
@@ -7,8 +7,8 @@
     RequestId, TargetEntry, TargetPool, Uptime, Verdict,
 };
 use curlewcleat_sched::{
-    EntryAction, EntryOptions, EntryRequests, PoolOptions, PoolScheduler, ReplacementStep,
-    RequestSpec, RetryLimits, SchedulerAction,
+    AnswerEnd, EntryAction, EntryOptions, EntryRequests, PoolOptions, PoolScheduler,
+    ReplacementStep, RequestSpec, RetryLimits, SchedulerAction,
 };
 use rstest::rstest;
 
@@ -50,12 +50,14 @@
 }
 
 const END: AttemptEnd = AttemptEnd::Whole(Duration::from_millis(700));
+const CERTAIN: AnswerEnd = AnswerEnd { end: END, is_doubtful: false };
+const DOUBTFUL: AnswerEnd = AnswerEnd { end: END, is_doubtful: true };
 
 /// Guards against a target that counts as failed because another one confirmed the end of its answer.
 #[test]
 fn target_that_ended_its_answer_keeps_its_result_when_another_one_confirms_it() {
     let mut entry = with_request_at_target(4, 2);
-    let step = ReplacementStep::ConfirmationRequested(END);
+    let step = ReplacementStep::ConfirmationRequested(CERTAIN);
     let requested = entry.replacement(NOW, ID, step, &order);
     assert_eq!(returned(&requested), [(0, END)]);
     let asked = requested.iter().find_map(|action| match action {
@@ -78,7 +80,7 @@
 #[case::not_granted(false)]
 fn request_that_ends_unconfirmed_returns_its_other_permit_unused(#[case] is_granted: bool) {
     let mut entry = with_request_at_target(4, 2);
-    entry.replacement(NOW, ID, ReplacementStep::ConfirmationRequested(END), &order);
+    entry.replacement(NOW, ID, ReplacementStep::ConfirmationRequested(CERTAIN), &order);
     if is_granted {
         grant(&mut entry, 1, "t1");
     }
@@ -90,7 +92,7 @@
 #[test]
 fn refused_confirmation_neither_ends_the_request_nor_asks_again() {
     let mut entry = with_request_at_target(4, 2);
-    entry.replacement(NOW, ID, ReplacementStep::ConfirmationRequested(END), &order);
+    entry.replacement(NOW, ID, ReplacementStep::ConfirmationRequested(CERTAIN), &order);
     let refusal = Refusal::not_run(RefusalReason::WaitTooLong, None);
     let permit = PermitId { request: ID, attempt: 1 };
     let decision = PermitDecision::Refused(refusal);
@@ -107,7 +109,7 @@
     #[case] attempt_limit: u32,
 ) {
     let mut entry = with_request_at_target(retries, attempt_limit);
-    let step = ReplacementStep::ConfirmationRequested(END);
+    let step = ReplacementStep::ConfirmationRequested(CERTAIN);
     let requested = entry.replacement(NOW, ID, step, &order);
     assert_eq!(requested, []);
     assert_eq!(entry.dispatched(), 1);
@@ -119,6 +121,20 @@
 /// Slots of each target.
 const SLOTS: u32 = 10;
 
+/// Guards against early ends that nobody is asked about since confirmations of sound ones have used their half of the retries.
+#[rstest]
+#[case::certain(CERTAIN, 0)]
+#[case::doubtful(DOUBTFUL, 1)]
+fn doubtful_end_may_use_the_retries_that_other_ends_leave(
+    #[case] end: AnswerEnd,
+    #[case] permits_asked_for: usize,
+) {
+    let mut entry = with_request_at_target(1, 3);
+    let actions = entry.replacement(NOW, ID, ReplacementStep::ConfirmationRequested(end), &order);
+    let is_request = |action: &&EntryAction| matches!(action, EntryAction::RequestPermit(..));
+    assert_eq!(actions.iter().filter(is_request).count(), permits_asked_for);
+}
+
 fn scheduler(targets: &[&str]) -> PoolScheduler {
     let entries = targets.iter().map(|id| {
         let id = id.to_string();
@@ -166,7 +182,7 @@
         exchange(&mut entry, &mut scheduler, actions);
     }
     for id in ids() {
-        let step = ReplacementStep::ConfirmationRequested(END);
+        let step = ReplacementStep::ConfirmationRequested(CERTAIN);
         let actions = entry.replacement(NOW, id, step, &order);
         exchange(&mut entry, &mut scheduler, actions);
     }
--- a/crates/targets/src/agreement.rs
+++ b/crates/targets/src/agreement.rs
@@ -90,7 +90,14 @@
         if damage.is_recent() {
             return AgreementRule::Never;
         }
-        let is_choice = has_further_attempt && self.targets.len() >= AGREEING_TARGETS;
-        AgreementRule::Targets(if is_choice { AGREEING_TARGETS } else { FEWER_AGREEING_TARGETS })
+        match has_further_attempt && self.is_choice() {
+            true => AgreementRule::Targets(AGREEING_TARGETS),
+            false => AgreementRule::Targets(FEWER_AGREEING_TARGETS),
+        }
+    }
+
+    /// Returns whether a third target serves the source beside two that have answered.
+    pub fn is_choice(&self) -> bool {
+        self.targets.len() >= AGREEING_TARGETS
     }
 }
