Tests: pairs of damaged answers with each other trouble, by hand

Engines, processes of their own, damage a third of their answers in any form for a time, beside each of the 30 other kinds of trouble.

--- a/crates/acceptance/tests/streams_beside_paired_troubles.rs
+++ b/crates/acceptance/tests/streams_beside_paired_troubles.rs
@@ -30,7 +30,7 @@
 use caller_events::CallerEvent;
 use damage_callers::{AttemptResult, PlayedAttempt, PlayedStream};
 use damage_judge::{DamageJudge, StreamFlaw, StreamOutcome};
-use paired_troubles::{all_pairs, PairCounts, PairPlay};
+use paired_troubles::{all_pairs, pairs_with_damage, PairCounts, PairPlay, TroublePair};
 use rstest::rstest;
 use support::event_streams::{StreamRoute, SERVICES};
 
@@ -57,7 +57,10 @@
 #[case::seed_2(2)]
 #[actix_rt::test]
 async fn streams_beside_paired_troubles_are_whole_or_visibly_cut(#[case] seed: u64) -> Result<()> {
-    check(&PairPlay { seed, pairs: SHORT_PAIRS }.run().await?, SHORT_PAIRS..=SHORT_PAIRS)
+    check(
+        &PairPlay { seed, among: all_pairs(), pairs: SHORT_PAIRS }.run().await?,
+        SHORT_PAIRS..=SHORT_PAIRS,
+    )
 }
 
 /// Returns the events of a stream that an engine made up to a number, and another one behind it.
@@ -139,19 +142,30 @@
 #[ignore = "plays for minutes"]
 #[actix_rt::test]
 async fn many_streams_beside_all_paired_troubles() -> Result<()> {
+    play_many(all_pairs()).await
+}
+
+#[ignore = "plays for minutes"]
+#[actix_rt::test]
+async fn many_streams_beside_damaged_answers_and_another_trouble() -> Result<()> {
+    play_many(pairs_with_damage()).await
+}
+
+/// Plays pairs with several seeds.
+async fn play_many(among: Vec<TroublePair>) -> Result<()> {
     // A variable that is not set stands for the default.
     let seeds = std::env::var("PAIR_SEEDS").unwrap_or_else(|_| SEEDS.to_string());
     let (first, end) = seeds.split_once("..").context("PAIR_SEEDS: no range")?;
     let pairs = match std::env::var("PAIR_COUNT") {
         Ok(count) => count.parse()?,
-        Err(_) => all_pairs().len(),
+        Err(_) => among.len(),
     };
     let mut total = PairCounts::default();
     for seed in first.parse::<u64>()?..end.parse()? {
-        let counts = PairPlay { seed, pairs }.run().await?;
+        let counts = PairPlay { seed, among: among.clone(), pairs }.run().await?;
         println!("seed {seed}: {}{:#?}", counts.all, counts.all.samples);
         total.add(counts);
     }
     print_figures(&total);
-    check(&total, pairs..=all_pairs().len())
+    check(&total, pairs..=among.len())
 }
--- a/crates/acceptance/tests/support/paired_troubles.rs
+++ b/crates/acceptance/tests/support/paired_troubles.rs
@@ -8,6 +8,7 @@
 
 use anyhow::Result;
 use curlewcleat_standins::deployment::{get_text, wait_until};
+use curlewcleat_standins::fleet::stream_trouble::StreamTrouble;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -54,6 +55,8 @@
 /// Streams beside pairs of troubles.
 pub struct PairPlay {
     pub seed: u64,
+    /// Pairs of which some are played.
+    pub among: Vec<TroublePair>,
     /// Pairs that are played, all if there are no more.
     pub pairs: usize,
 }
@@ -93,7 +96,7 @@
 
     async fn disturb(&self, fleet: &mut EventFleet) -> Result<Vec<PairWindow>> {
         let mut random = StdRng::seed_from_u64(self.seed);
-        let mut pairs = all_pairs();
+        let mut pairs = self.among.clone();
         pairs.shuffle(&mut random);
         let mut windows = Vec::new();
         for pair in pairs.into_iter().take(self.pairs) {
@@ -111,6 +114,12 @@
     pairs.filter(|(one, other)| one <= other && one.pairs_with(*other)).collect()
 }
 
+/// Returns the pairs of damaged answers with each other kind.
+pub fn pairs_with_damage() -> Vec<TroublePair> {
+    let damaged = TroubleKind::Answers(StreamTrouble::Damaged);
+    TroubleKind::all().into_iter().map(|kind| (kind.min(damaged), kind.max(damaged))).collect()
+}
+
 /// Begins both troubles in either order, and ends them in either order.
 async fn play_pair(
     fleet: &mut EventFleet,
--- a/crates/acceptance/tests/support/trouble_kinds.rs
+++ b/crates/acceptance/tests/support/trouble_kinds.rs
@@ -55,8 +55,8 @@
 }
 
 impl TroubleKind {
-    /// Returns all kinds. Engines close no answer of their own accord that has neither a length nor chunks: by the protocol
-    /// it has ended then.
+    /// Returns all kinds that leave no answer which cannot be told from a sound one. Engines close none of their own accord
+    /// that has neither a length nor chunks, since by the protocol it has ended then, and damage none.
     pub fn all() -> Vec<TroubleKind> {
         use TroubleKind as Kind;
         let mut kinds = vec![
@@ -83,7 +83,10 @@
             Kind::StoreSilent,
         ];
         let answers = StreamTrouble::all().into_iter();
-        let answers = answers.filter(|trouble| *trouble != StreamTrouble::Closed);
+        let is_excluded = |trouble: &StreamTrouble| {
+            matches!(trouble, StreamTrouble::Closed | StreamTrouble::Damaged)
+        };
+        let answers = answers.filter(|trouble| !is_excluded(trouble));
         kinds.extend(answers.map(Kind::Answers));
         kinds.sort();
         kinds
--- a/crates/standins/src/fleet/stream_answers.rs
+++ b/crates/standins/src/fleet/stream_answers.rs
@@ -46,7 +46,7 @@
             tokio::time::sleep(SILENT_TIME).await;
             return Ok(AfterAnswer::Close);
         }
-        let parts = self.parts(request)?;
+        let parts = self.parts(request, None)?;
         let framing = AnswerFraming::of(&request.path);
         framing.begin(&headers, &parts, connection).await?;
         let begun = parts.first().and_then(|part| fault.only_part(part));
@@ -76,7 +76,7 @@
         connection: &mut PlainConnection,
     ) -> Result<AfterAnswer> {
         let headers = self.headers(request);
-        let parts = self.parts(request)?;
+        let parts = self.parts(request, trouble)?;
         let framing = AnswerFraming::of(&request.path);
         framing.begin(&headers, &parts, connection).await?;
         tokio::time::sleep(PHASE).await;
--- a/crates/standins/src/fleet/stream_engine.rs
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -183,9 +183,15 @@
     }
 
     /// Returns the parts of an answer, of the size of an event each.
-    pub(super) fn parts(&self, request: &PlainRequest) -> Result<Vec<Vec<u8>>> {
+    pub(super) fn parts(
+        &self,
+        request: &PlainRequest,
+        trouble: Option<StreamTrouble>,
+    ) -> Result<Vec<Vec<u8>>> {
         let events = self.events(request)?;
-        let Some((damage, mut random)) = self.options.damage.of_run(self.runs.get()) else {
+        let damage = self.trouble.damage(trouble);
+        let damage = damage.or_else(|| self.options.damage.of_run(self.runs.get()));
+        let Some((damage, mut random)) = damage else {
             return Ok(events.iter().map(|event| event.text().into_bytes()).collect());
         };
         let bytes = damage.write(&events, &mut random);
--- a/crates/standins/src/fleet/stream_trouble.rs
+++ b/crates/standins/src/fleet/stream_trouble.rs
@@ -1,4 +1,5 @@
-//! Trouble of an engine that lives: for a time, a share of its answers is broken off, lost, late, sent twice or refused.
+//! Trouble of an engine that lives: for a time, a share of its answers is broken off, lost, late, sent twice, damaged or
+//! refused.
 //!
 //! Owns: the kinds, and which run has which. Relies on: a test that begins and ends the trouble by a request.
 
@@ -7,8 +8,11 @@
 use anyhow::{anyhow, Result};
 use clap::ValueEnum;
 use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use super::stream_damage::StreamDamage;
+
 /// Path with which a test begins a trouble; the name of its kind is appended.
 pub const TROUBLE_PATH: &str = "/_trouble/";
 /// Name that ends a trouble.
@@ -39,6 +43,8 @@
     Repeated,
     /// Its events come several times as late.
     Slow,
+    /// Its bytes are damaged in some form.
+    Damaged,
 }
 
 impl StreamTrouble {
@@ -89,6 +95,14 @@
         self.random.borrow_mut().random_ratio(1, TROUBLED_ONE_IN).then_some(kind)
     }
 
+    /// Returns how the bytes of an answer in trouble are damaged, and the source of its places; `None` if they are sound.
+    pub fn damage(&self, trouble: Option<StreamTrouble>) -> Option<(StreamDamage, StdRng)> {
+        trouble.filter(|trouble| *trouble == StreamTrouble::Damaged)?;
+        let mut random = self.random.borrow_mut();
+        let damage = StreamDamage::all().choose(&mut *random).copied()?;
+        Some((damage, StdRng::seed_from_u64(random.random())))
+    }
+
     /// Returns how many of the events of an answer come before its trouble.
     pub fn events_before(&self, events: usize) -> usize {
         self.random.borrow_mut().random_range(0..events.max(1))
