Events of a source whose form is not known are compared with the usual one

Callers got damaged events as sound where a daemon had just started or a version was new: the form of the source's streams was not known yet, and nothing was judged until eight streams had shown it. On routes that may be repeated events now have to count from one, with one id and one line of data each, until the form is known or a whole stream of the source has shown another one; an event that deviates is put to another target as before. At most two such deviations are open at a time for each source, so that a sound source of another form costs a few attempts when a daemon starts.

--- a/crates/acceptance/tests/streams_beside_paired_troubles.rs
+++ b/crates/acceptance/tests/streams_beside_paired_troubles.rs
@@ -30,9 +30,10 @@
 use caller_events::CallerEvent;
 use damage_callers::{AttemptResult, PlayedAttempt, PlayedStream};
 use damage_judge::{DamageJudge, StreamFlaw, StreamOutcome};
-use paired_troubles::{all_pairs, pairs_with_damage, PairCounts, PairPlay, TroublePair};
+use paired_troubles::{all_pairs, pairs_with_damage, PairCounts, PairPlay, TroublePair, ROUTES};
 use rstest::rstest;
 use support::event_streams::{StreamRoute, SERVICES};
+use trouble_kinds::TroubleKind;
 
 /// Pairs of a short play.
 const SHORT_PAIRS: usize = 6;
@@ -51,16 +52,39 @@
     Ok(())
 }
 
+fn play(seed: u64, among: Vec<TroublePair>, pairs: usize) -> PairPlay {
+    PairPlay { seed, routes: ROUTES.to_vec(), among, pairs }
+}
+
 /// Guards against streams that reach their callers out of order or complete too early where two troubles overlap.
 #[rstest]
 #[case::seed_1(1)]
 #[case::seed_2(2)]
 #[actix_rt::test]
 async fn streams_beside_paired_troubles_are_whole_or_visibly_cut(#[case] seed: u64) -> Result<()> {
-    check(
-        &PairPlay { seed, among: all_pairs(), pairs: SHORT_PAIRS }.run().await?,
-        SHORT_PAIRS..=SHORT_PAIRS,
-    )
+    check(&play(seed, all_pairs(), SHORT_PAIRS).run().await?, SHORT_PAIRS..=SHORT_PAIRS)
+}
+
+/// Troubles behind which daemons know no form of the streams of some targets.
+const NEW_SOURCES: [TroubleKind; 3] =
+    [TroubleKind::Release, TroubleKind::DaemonKill, TroubleKind::DaemonLeave];
+/// Times that each of them is played.
+const NEW_SOURCE_PLAYS: usize = 3;
+/// Fewest damaged answers beside them.
+const MIN_DAMAGED: usize = 10;
+
+/// Guards against damaged events that count as sound at a daemon that has just started, or of a version that is new.
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[actix_rt::test]
+async fn damaged_events_of_an_unknown_form_are_not_passed_on(#[case] seed: u64) -> Result<()> {
+    let among = pairs_with_damage(NEW_SOURCES.repeat(NEW_SOURCE_PLAYS));
+    let (pairs, routes) = (among.len(), vec![StreamRoute::Resumed, StreamRoute::Split]);
+    let counts = PairPlay { seed, routes, among, pairs }.run().await?;
+    let damaged = counts.all.damaged;
+    ensure!(damaged >= MIN_DAMAGED, "{damaged} damaged answers: {counts}");
+    check(&counts, NEW_SOURCES.len()..=NEW_SOURCES.len())
 }
 
 /// Returns the events of a stream that an engine made up to a number, and another one behind it.
@@ -148,7 +172,7 @@
 #[ignore = "plays for minutes"]
 #[actix_rt::test]
 async fn many_streams_beside_damaged_answers_and_another_trouble() -> Result<()> {
-    play_many(pairs_with_damage()).await
+    play_many(pairs_with_damage(TroubleKind::all())).await
 }
 
 /// Plays pairs with several seeds.
@@ -162,7 +186,7 @@
     };
     let mut total = PairCounts::default();
     for seed in first.parse::<u64>()?..end.parse()? {
-        let counts = PairPlay { seed, among: among.clone(), pairs }.run().await?;
+        let counts = play(seed, among.clone(), pairs).run().await?;
         println!("seed {seed}: {}{:#?}", counts.all, counts.all.samples);
         total.add(counts);
     }
--- a/crates/acceptance/tests/support/paired_troubles.rs
+++ b/crates/acceptance/tests/support/paired_troubles.rs
@@ -29,7 +29,7 @@
 /// Most attempts at which a caller takes up a stream.
 const TAKE_UPS: usize = 3;
 /// Streams that may be taken up, of one service and of two, and streams that may not.
-const ROUTES: [StreamRoute; 3] = [StreamRoute::Resumed, StreamRoute::Split, StreamRoute::Plain];
+pub const ROUTES: [StreamRoute; 3] = [StreamRoute::Resumed, StreamRoute::Split, StreamRoute::Plain];
 /// Marks of the paths: each framing with each number of events.
 const MARKS: [&str; 9] = [
     "/events-55",
@@ -55,6 +55,7 @@
 /// Streams beside pairs of troubles.
 pub struct PairPlay {
     pub seed: u64,
+    pub routes: Vec<StreamRoute>,
     /// Pairs of which some are played.
     pub among: Vec<TroublePair>,
     /// Pairs that are played, all if there are no more.
@@ -82,7 +83,8 @@
             wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() })
                 .await?;
         }
-        let callers = DamageCallers::start(&fleet, &ROUTES, &MARKS, self.seed, CALLERS, TAKE_UPS);
+        let callers =
+            DamageCallers::start(&fleet, &self.routes, &MARKS, self.seed, CALLERS, TAKE_UPS);
         let until = Instant::now() + WARM_UP_LIMIT;
         while callers.streams() < CALLERS && Instant::now() < until {
             sleep_ms(WARM_UP_POLL_MS).await;
@@ -114,10 +116,10 @@
     pairs.filter(|(one, other)| one <= other && one.pairs_with(*other)).collect()
 }
 
-/// Returns the pairs of damaged answers with each other kind.
-pub fn pairs_with_damage() -> Vec<TroublePair> {
+/// Returns the pairs of damaged answers with each of these kinds.
+pub fn pairs_with_damage(kinds: Vec<TroubleKind>) -> Vec<TroublePair> {
     let damaged = TroubleKind::Answers(StreamTrouble::Damaged);
-    TroubleKind::all().into_iter().map(|kind| (kind.min(damaged), kind.max(damaged))).collect()
+    kinds.into_iter().map(|kind| (kind.min(damaged), kind.max(damaged))).collect()
 }
 
 /// Begins both troubles in either order, and ends them in either order.
--- a/crates/daemon/src/request/framing.rs
+++ b/crates/daemon/src/request/framing.rs
@@ -9,8 +9,7 @@
 use bytes::Bytes;
 use curlewcleat_core::{KeptAnswer, TargetId, TargetPool};
 use curlewcleat_targets::{
-    AgreementRule, BodyFrame, EventDeviation, EventForm, StreamIrregularity, StreamJoin,
-    StreamShape,
+    BodyFrame, EventDeviation, FormExpectation, StreamIrregularity, StreamJoin, StreamShape,
 };
 
 use crate::headers;
@@ -88,9 +87,8 @@
     /// Returns what was irregular about the events of the latest attempt, each kind once.
     fn take_irregularities(&mut self) -> Vec<StreamIrregularity>;
 
-    /// Begins the events of an attempt at this target. They have to have the form, `None` if it is not known, unless as many
-    /// targets deviate alike as the rule requires.
-    fn expect(&mut self, form: Option<EventForm>, agreement: AgreementRule, target: &TargetId);
+    /// Begins the events of an attempt at this target, which are compared with what is expected.
+    fn expect(&mut self, expectation: FormExpectation, target: &TargetId);
 
     /// Returns, once, whether an attempt had a sound event in place of one that deviated.
     fn take_shown_damage(&mut self) -> bool;
@@ -259,7 +257,7 @@
         Vec::new()
     }
 
-    fn expect(&mut self, _: Option<EventForm>, _: AgreementRule, _: &TargetId) {}
+    fn expect(&mut self, _: FormExpectation, _: &TargetId) {}
 
     fn take_shown_damage(&mut self) -> bool {
         false
--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use curlewcleat_core::{KeptAnswer, TargetId};
 use curlewcleat_targets::{
-    AgreementRule, BodyFrame, EventDeviation, EventForm, EventSplitter, StreamIrregularity,
-    StreamJoin, StreamShape,
+    BodyFrame, EventDeviation, EventSplitter, FormExpectation, StreamIrregularity, StreamJoin,
+    StreamShape,
 };
 
 use super::AnswerFraming;
@@ -159,11 +159,16 @@
         self.events.take_irregularities()
     }
 
-    fn expect(&mut self, form: Option<EventForm>, agreement: AgreementRule, target: &TargetId) {
+    fn expect(&mut self, expectation: FormExpectation, target: &TargetId) {
         // Without a position the first number tells nothing.
-        let form = form.filter(|_| self.position != StreamPosition::Unknown);
-        self.events.expect(form, target);
-        self.events.require_agreement(agreement);
+        let expectation = match self.position {
+            StreamPosition::Unknown => {
+                FormExpectation { form: None, checks_own: false, ..expectation }
+            }
+            StreamPosition::Beginning | StreamPosition::After(_) => expectation,
+        };
+        self.events.expect(expectation.form, target);
+        self.events.judge_by(expectation);
     }
 
     fn take_shown_damage(&mut self) -> bool {
--- a/crates/daemon/src/request/relay/forms.rs
+++ b/crates/daemon/src/request/relay/forms.rs
@@ -9,13 +9,14 @@
 use crate::stream_forms::StreamSource;
 
 impl RequestRun {
-    /// Sets which form the events of the target have to have, and how many targets may overrule it.
+    /// Sets what the events of the target are compared with.
     pub(super) fn expect_form(&mut self, target: &TargetEntry) {
         let source = self.stream_source(target);
         let may_repeat = self.protocol().may_repeat(&self.request);
+        let has_further_attempt = self.has_further_attempt();
         let forms = &self.service.context.forms;
-        let agreement = forms.agreement_rule(&source, self.has_further_attempt());
-        self.framing.expect(forms.form(&source, may_repeat), agreement, &target.id);
+        let expectation = forms.expectation(&source, may_repeat, has_further_attempt);
+        self.framing.expect(expectation, &target.id);
     }
 
     /// Returns whether the request may be sent to a further target.
@@ -26,11 +27,17 @@
     /// Logs where a continuation begins, and what is irregular about the target's events.
     pub(super) fn report_numbers(&mut self, target: &TargetEntry) {
         if self.framing.take_shown_damage() {
-            self.service.context.forms.record_damage(&self.request.pool.id);
+            let source =
+                self.deviating_source.clone().unwrap_or_else(|| self.stream_source(target));
+            self.service.context.forms.record_damage(&source);
         }
         for deviation in self.framing.take_deviations() {
             self.log_deviation(target, &deviation);
-            self.deviating_source = Some(self.stream_source(target));
+            let source = self.stream_source(target);
+            if deviation.is_from_own {
+                self.service.context.forms.record_own_deviation(&source);
+            }
+            self.deviating_source = Some(source);
         }
         for irregularity in self.framing.take_irregularities() {
             self.log_irregularity(target, irregularity);
--- a/crates/daemon/src/stream_forms.rs
+++ b/crates/daemon/src/stream_forms.rs
@@ -8,7 +8,7 @@
 
 use curlewcleat_core::{PoolId, TargetEntry, TargetId, VersionDigest};
 use curlewcleat_targets::{
-    AgreementRule, DamageEvidence, EventForm, FormEvidence, ServingTargets, StreamShape,
+    DamageEvidence, FormEvidence, FormExpectation, OwnFormChecks, ServingTargets, StreamShape,
 };
 
 /// Sources whose evidence is kept; the one that was used longest ago gives way. Each has about 200 bytes.
@@ -38,6 +38,7 @@
 struct SourceEvidence {
     evidence: FormEvidence,
     targets: ServingTargets,
+    own_checks: OwnFormChecks,
     used: u64,
 }
 
@@ -58,21 +59,27 @@
 }
 
 impl SharedForms {
-    /// Returns the form of a source's events, `None` while too few streams have shown one. Streams that may not be repeated
-    /// need more of them.
-    pub fn form(&self, source: &StreamSource, may_repeat: bool) -> Option<EventForm> {
-        self.lock().source(source).evidence.form(may_repeat)
-    }
-
-    /// Returns how many targets of a source have to state the same deviation before it counts as sound.
-    pub fn agreement_rule(
+    /// Returns what the events of a source are compared with. Streams that may not be repeated need more streams to show a
+    /// form, and are not compared while it is not known: no other target can show which is right.
+    pub fn expectation(
         &self,
         source: &StreamSource,
+        may_repeat: bool,
         has_further_attempt: bool,
-    ) -> AgreementRule {
+    ) -> FormExpectation {
         let mut forms = self.lock();
         let damage = forms.damaged.get(&source.pool).copied().unwrap_or_default();
-        forms.source(source).targets.agreement_rule(damage, has_further_attempt)
+        let kept = forms.source(source);
+        FormExpectation {
+            form: kept.evidence.form(may_repeat),
+            agreement: kept.targets.agreement_rule(damage, has_further_attempt),
+            checks_own: may_repeat && kept.own_checks.are_allowed(),
+        }
+    }
+
+    /// Records an event that deviated while the form of its source was not known.
+    pub fn record_own_deviation(&self, source: &StreamSource) {
+        self.lock().source(source).own_checks.record_deviation();
     }
 
     /// Returns whether a third target serves a source beside two that have answered.
@@ -86,12 +93,15 @@
         forms.record_whole_of_pool(&source.pool);
         let kept = forms.source(source);
         kept.targets.record(target);
+        kept.own_checks.record_whole(shape.form().is_some());
         kept.evidence.record_whole(shape);
     }
 
-    /// Records an event that a target of a pool has damaged, as another one has shown.
-    pub fn record_damage(&self, pool: &PoolId) {
+    /// Records an event that a target of a source has damaged, as another one has shown.
+    pub fn record_damage(&self, source: &StreamSource) {
+        let pool = &source.pool;
         let mut forms = self.lock();
+        forms.source(source).own_checks.record_damage();
         let is_full = forms.damaged.len() >= MAX_SOURCES;
         if is_full && !forms.damaged.contains_key(pool) {
             forms.damaged.pop_first();
--- a/crates/targets/src/event_form.rs
+++ b/crates/targets/src/event_form.rs
@@ -104,6 +104,8 @@
     pub targets: usize,
     /// Whether it counts as sound because they agree.
     pub is_accepted: bool,
+    /// Whether it deviates from the usual form only, since that of the source is not known.
+    pub is_from_own: bool,
 }
 
 impl EventDeviation {
@@ -117,7 +119,15 @@
         let excerpt = event[..event.len().min(EXCERPT_LIMIT)].escape_ascii().to_string();
         // Numbers of the form begin with one, so that none is before the first event.
         let after = after.unwrap_or(FIRST_NUMBER - 1);
-        EventDeviation { kind, after, number, excerpt, targets: 1, is_accepted: false }
+        EventDeviation {
+            kind,
+            after,
+            number,
+            excerpt,
+            targets: 1,
+            is_accepted: false,
+            is_from_own: false,
+        }
     }
 }
 
@@ -216,3 +226,8 @@
         })
     }
 }
+
+/// Returns the number that counts on from the last one.
+pub fn next_number(last: Option<u64>) -> u64 {
+    last.map_or(FIRST_NUMBER, |last| last.saturating_add(1))
+}
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -7,12 +7,11 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::agreement::AgreementRule;
 use crate::event_fields::EventFields;
 use crate::event_form::{EventDeviation, EventForm, StreamShape};
 use crate::event_numbers::{EventNumbers, EventPlace, StreamJoin};
 use crate::event_scan::EventScan;
-use crate::form_check::{FormCheck, FormVerdict};
+use crate::form_check::{FormCheck, FormExpectation, FormVerdict};
 use crate::stream_irregularity::StreamIrregularity;
 
 use self::deviations::LatestEvent;
@@ -190,9 +189,9 @@
         }
     }
 
-    /// Sets how many targets have to agree on a deviation before it counts as sound.
-    pub fn require_agreement(&mut self, agreement: AgreementRule) {
-        self.check.require_agreement(agreement);
+    /// Sets how the answer that follows is judged, beside the form.
+    pub fn judge_by(&mut self, expectation: FormExpectation) {
+        self.check.judge_by(expectation);
     }
 
     /// Returns, once, whether an answer had a sound event in place of one that deviated.
--- a/crates/targets/src/form_check.rs
+++ b/crates/targets/src/form_check.rs
@@ -9,7 +9,19 @@
 
 use crate::agreement::AgreementRule;
 use crate::event_fields::EventFields;
-use crate::event_form::{DeviationKind, EventDeviation, EventForm, FIRST_NUMBER};
+use crate::event_form::{next_number, DeviationKind, EventDeviation, EventForm, FIRST_NUMBER};
+use crate::own_form::OwnForm;
+
+/// What the events of an answer are compared with.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FormExpectation {
+    /// The form of the source's streams, `None` while it is not known.
+    pub form: Option<EventForm>,
+    /// How many targets have to agree on a deviation before it counts as sound.
+    pub agreement: AgreementRule,
+    /// Whether events are compared with the usual form while that of the source is not known.
+    pub checks_own: bool,
+}
 
 /// What the form says about an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +61,9 @@
     /// Target of the latest answer.
     source: String,
     agreement: AgreementRule,
+    /// Whether events are compared with the usual form while that of the source is not known.
+    checks_own: bool,
+    own: OwnForm,
     /// What answers stated of events that were not returned yet, one for each answer.
     stated: Vec<StatedDeviation>,
     /// First and latest number of the latest answer.
@@ -73,19 +88,25 @@
         self.source = source.to_string();
     }
 
-    /// Sets how many targets have to agree on a deviation.
-    pub fn require_agreement(&mut self, agreement: AgreementRule) {
-        self.agreement = agreement;
+    /// Sets how the answer that follows is judged, beside the form.
+    pub fn judge_by(&mut self, expectation: FormExpectation) {
+        self.agreement = expectation.agreement;
+        self.checks_own = expectation.checks_own;
     }
 
     /// Accepts events of any form from here on.
     pub fn release(&mut self) {
         self.form = None;
+        self.own.release();
     }
 
     /// Checks an event; `last` is the number of the last one that was accepted.
     pub fn check(&mut self, fields: &EventFields, last: Option<u64>, event: &[u8]) -> FormVerdict {
-        let Some(form) = self.form else { return FormVerdict::Accepted };
+        let own_form = self.own.form().filter(|_| self.checks_own);
+        let Some(form) = self.form.or(own_form) else {
+            self.record(fields, last);
+            return FormVerdict::Accepted;
+        };
         let kind = form.field_deviation(fields);
         if kind.is_none() && fields.is_comment() {
             return FormVerdict::Accepted;
@@ -95,7 +116,7 @@
         }
         let kind = kind.or_else(|| self.number_deviation(fields.number?, last));
         let Some(kind) = kind else {
-            self.record(fields.number, last);
+            self.record(fields, last);
             return FormVerdict::Accepted;
         };
         let deviation = EventDeviation::new(kind, last, fields.number, event);
@@ -143,8 +164,9 @@
     }
 
     /// Records an event that has the form. It shows what was wrong with those that others stated in its place.
-    fn record(&mut self, number: Option<u64>, last: Option<u64>) {
-        let Some(number) = number else { return };
+    fn record(&mut self, fields: &EventFields, last: Option<u64>) {
+        self.own.record(fields, last);
+        let Some(number) = fields.number else { return };
         let first = self.numbers.map_or(number, |(first, _)| first);
         self.numbers = Some((first, number));
         if number == next_number(last) {
@@ -158,6 +180,7 @@
         let EventDeviation { kind, after, number, .. } = deviation;
         self.stated.push(StatedDeviation { source: self.source.clone(), kind, after, number });
         deviation.targets = self.agreeing_targets();
+        deviation.is_from_own = self.form.is_none();
         deviation.is_accepted = self.agreement.is_met(deviation.targets);
         let is_accepted = deviation.is_accepted;
         self.deviations.push(deviation);
@@ -201,7 +224,3 @@
         (self.numbers, self.has_started_over, self.unnumbered) = (None, false, None);
     }
 }
-
-fn next_number(last: Option<u64>) -> u64 {
-    last.map_or(FIRST_NUMBER, |last| last.saturating_add(1))
-}
--- a/crates/targets/tests/agreement.rs
+++ b/crates/targets/tests/agreement.rs
@@ -1,7 +1,8 @@
 //! Deviations that several targets state alike: when they count as sound.
 
 use curlewcleat_targets::{
-    AgreementRule, DamageEvidence, EventForm, EventSplitter, FormEvidence, ServingTargets,
+    AgreementRule, DamageEvidence, EventForm, EventSplitter, FormEvidence, FormExpectation,
+    ServingTargets,
 };
 use rstest::rstest;
 
@@ -34,7 +35,7 @@
     for (target, events) in answers {
         splitter.discard_incomplete();
         splitter.expect(dense_form(), target);
-        splitter.require_agreement(rule);
+        splitter.judge_by(FormExpectation { agreement: rule, ..FormExpectation::default() });
         for event in events.split_inclusive("\n\n") {
             caller += &String::from_utf8_lossy(&splitter.push(event.as_bytes()));
         }
