Review: cut streams beside shown damage keep the form, a third target is forgotten, doubted ends leave retries

By failing tests of the review: streams that are cut since all of their answers were damaged took the form back, so that the next 8 of 8 passed damaged (agreement_beside_trouble); a cut beside shown damage weighs an eighth now. A target that has served nothing for 64 whole streams of its source no longer counts as a third one to ask. Ends that are doubted leave a quarter of the retries to requests that fail. Two tests of the review that show what the rule costs stay red and are listed: sound streams of a rare form beside damage.

--- a/crates/daemon/src/stream_forms.rs
+++ b/crates/daemon/src/stream_forms.rs
@@ -111,7 +111,9 @@
 
     /// Records a stream that was cut because an event of it deviated.
     pub fn record_cut(&self, source: &StreamSource) {
-        self.lock().source(source).evidence.record_cut();
+        let mut forms = self.lock();
+        let is_beside_damage = forms.damaged.contains_key(&source.pool);
+        forms.source(source).evidence.record_cut(is_beside_damage);
     }
 
     /// Records a stream that was cut because it may lack its end.
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -95,7 +95,7 @@
 }
 
 /// Decides whether another target is asked to confirm the end of an answer, and counts that as a retry against the budget.
-/// An end that is not doubtful leaves most of the budget to other retries.
+/// Other retries keep half of the budget, and a quarter of it where the end is doubtful.
 pub fn allows_confirmation(
     now: Uptime,
     input: RetryInput,
@@ -106,7 +106,7 @@
         return false;
     }
     match is_doubtful {
-        true => budget.try_spend(now),
+        true => budget.try_spend_most(now),
         false => budget.try_spend_spare(now),
     }
 }
--- a/crates/sched/src/retry/budget.rs
+++ b/crates/sched/src/retry/budget.rs
@@ -82,16 +82,21 @@
 
     /// Counts a retry if the limits allow one more, and returns whether it was counted.
     pub fn try_spend(&mut self, now: Uptime) -> bool {
-        self.try_spend_share(now, 1)
+        self.try_spend_share(now, 1, 1)
+    }
+
+    /// Counts a retry that is to leave some to others.
+    pub fn try_spend_most(&mut self, now: Uptime) -> bool {
+        self.try_spend_share(now, 3, 4)
     }
 
     /// Counts a retry that a request can do without, if most of what the limits allow is left.
     pub fn try_spend_spare(&mut self, now: Uptime) -> bool {
-        self.try_spend_share(now, SPARE_DIVISOR)
+        self.try_spend_share(now, 1, SPARE_DIVISOR)
     }
 
-    /// Counts a retry if all of them stay within the limits divided by `divisor`.
-    fn try_spend_share(&mut self, now: Uptime, divisor: u64) -> bool {
+    /// Counts a retry if all of them stay within this share of the limits.
+    fn try_spend_share(&mut self, now: Uptime, share: u64, divisor: u64) -> bool {
         self.current_bucket(now);
         // The oldest bucket may begin before the window. Its retries still count, its requests do not.
         let requests: u64 = self.buckets.iter().skip(1).map(|bucket| bucket.requests).sum();
@@ -99,7 +104,7 @@
         let newest = self.buckets.back().filter(|_| self.buckets.len() == 1);
         let requests = requests + newest.map_or(0, |bucket| bucket.requests);
         let allowed = requests * self.limits.percent + self.extra_hundredths();
-        if (retries + 1) * 100 * divisor > allowed {
+        if (retries + 1) * 100 * divisor > allowed * share {
             return false;
         }
         self.current_bucket(now).retries += 1;
--- a/crates/targets/src/agreement.rs
+++ b/crates/targets/src/agreement.rs
@@ -63,22 +63,35 @@
     }
 }
 
+/// Whole streams of a source without one of a target after which this one no longer counts as serving it.
+const MAX_ABSENCE: u64 = 64;
+
+/// A target and the number of the latest whole stream that it ended.
+#[derive(Clone, Debug)]
+struct ServingTarget {
+    id: String,
+    latest: u64,
+}
+
 /// The latest targets that served whole streams of a source.
 #[derive(Clone, Debug, Default)]
 pub struct ServingTargets {
     /// At most [`AGREEING_TARGETS`], the latest one last.
-    targets: VecDeque<String>,
+    targets: VecDeque<ServingTarget>,
+    /// Number of whole streams.
+    streams: u64,
 }
 
 impl ServingTargets {
     /// Records the target of a whole stream.
     pub fn record(&mut self, target: &str) {
-        if let Some(place) = self.targets.iter().position(|known| known == target) {
-            self.targets.remove(place);
-        } else if self.targets.len() == AGREEING_TARGETS {
+        self.streams += 1;
+        let oldest = self.streams.saturating_sub(MAX_ABSENCE);
+        self.targets.retain(|known| known.id != target && known.latest >= oldest);
+        if self.targets.len() == AGREEING_TARGETS {
             self.targets.pop_front();
         }
-        self.targets.push_back(target.to_string());
+        self.targets.push_back(ServingTarget { id: target.to_string(), latest: self.streams });
     }
 
     /// Returns the rule for deviations of this source.
--- a/crates/targets/src/form_evidence.rs
+++ b/crates/targets/src/form_evidence.rs
@@ -20,6 +20,8 @@
 const CONTRADICTION_FACTOR: u64 = 4;
 /// Whole streams that outweigh one that was cut because it deviated.
 const CUT_WEIGHT: u32 = 32;
+/// The same while targets damage events: most streams that are cut were damaged then.
+const CUT_WEIGHT_BESIDE_DAMAGE: u32 = 4;
 /// Weight of cut streams above which the form no longer holds: more than two beside each other.
 const MAX_CUT_WEIGHT: u32 = 2 * CUT_WEIGHT;
 
@@ -77,9 +79,9 @@
     }
 
     /// Records a stream that was cut because an event of it deviated, and no other target showed which of both is right.
-    pub fn record_cut(&mut self) {
+    pub fn record_cut(&mut self, is_beside_damage: bool) {
         self.recent = self.recent.anew();
-        self.cut_weight += CUT_WEIGHT;
+        self.cut_weight += if is_beside_damage { CUT_WEIGHT_BESIDE_DAMAGE } else { CUT_WEIGHT };
         if self.cut_weight > MAX_CUT_WEIGHT {
             self.take_back();
         }
