Permits of an entry daemon that was not heard are counted again

What callers saw: targets get more requests than they have slots, so that requests wait or fail there, where the frames of an entry daemon were lost for some seconds while it heard all others.

Cause: the scheduler frees the permits of a lost entry daemon. The entry daemon reports them only when its order of schedulers changes, and one that hears everybody sees no change.

Fix: the scheduler sets the permits of a lost daemon aside, counts them again with the next heartbeat of the same process, and sends them to it again, as it does with permits older than five seconds; what is no longer in use is returned. No message is new, so entry daemons of a former build take part. Nothing walks all peers: a tick looks at the oldest loss only.

PermitRecord has a file of its own, so that pool.rs and lost_permits.rs do not import each other.

--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use curlewcleat_core::{AccountId, DaemonId, DaemonRecord, PoolId, VmId};
-use curlewcleat_sched::ALL_POOLS;
+use curlewcleat_sched::{PoolScheduler, SchedulerAction, ALL_POOLS};
 
 use super::{cached_order, Node};
 use crate::event::ListedVm;
@@ -26,11 +26,29 @@
     }
 
     pub(super) fn entry_daemon_ended(&mut self, daemon: &DaemonId) {
+        let now = self.now;
         self.release_starts_of(daemon);
         self.forget_held_take_ups_of(daemon);
+        self.step_pools(|pool| pool.remove_entry_daemon(now, daemon));
+    }
+
+    /// Frees the permits of a daemon that seems lost.
+    pub(super) fn entry_daemon_lost(&mut self, daemon: &DaemonId) {
+        let now = self.now;
+        self.release_starts_of(daemon);
+        self.forget_held_take_ups_of(daemon);
+        self.step_pools(|pool| pool.entry_daemon_lost(now, daemon));
+    }
+
+    /// Counts the permits of a daemon again that seemed lost.
+    pub(super) fn entry_daemon_returned(&mut self, daemon: &DaemonId) {
+        let now = self.now;
+        self.step_pools(|pool| pool.entry_daemon_returned(now, daemon));
+    }
+
+    fn step_pools(&mut self, step: impl Fn(&mut PoolScheduler) -> Vec<SchedulerAction>) {
         for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
-            let now = self.now;
-            let actions = self.pool(&pool).remove_entry_daemon(now, daemon);
+            let actions = step(self.pool(&pool));
             self.send_answers(actions);
         }
     }
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -189,6 +189,9 @@
             self.actions.push(NodeAction::Note(NodeNote::PeerReplaced(ended.clone())));
             self.entry_daemon_ended(&ended);
         }
+        if change.returned {
+            self.entry_daemon_returned(from);
+        }
         self.entry.heartbeat_received(self.now, &from.vm);
         self.review_roles();
         self.config_advertised(&from.vm, heartbeat.generation);
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -20,7 +20,7 @@
     pub(super) fn tick(&mut self) {
         for lost in self.members.tick(self.now) {
             self.actions.push(NodeAction::Note(NodeNote::PeerLost(lost.clone())));
-            self.entry_daemon_ended(&lost);
+            self.entry_daemon_lost(&lost);
         }
         self.review_roles();
         self.entry.set_daemons(self.members.fleet_size() as u64);
--- a/crates/node/tests/permit_terms.rs
+++ b/crates/node/tests/permit_terms.rs
@@ -10,6 +10,7 @@
 use support::{spec, target, Fleet};
 
 const DAEMONS: usize = 6;
+const LARGE_FLEET: usize = 40;
 /// Slots of all targets of the fleet.
 const SLOTS: u128 = 8;
 
@@ -21,11 +22,15 @@
     NotHeard,
 }
 
+fn others(fleet: &Fleet, entry: usize) -> impl Iterator<Item = usize> {
+    (0..fleet.daemons.len()).filter(move |other| *other != entry)
+}
+
 fn lose(fleet: &mut Fleet, entry: usize, loss: Loss) {
     match loss {
         Loss::Standstill => fleet.suspend(entry),
-        Loss::Cut => fleet.block(entry, 0..DAEMONS, true),
-        Loss::NotHeard => (0..DAEMONS).filter(|other| *other != entry).for_each(|other| {
+        Loss::Cut => fleet.block(entry, 0..fleet.daemons.len(), true),
+        Loss::NotHeard => others(fleet, entry).for_each(|other| {
             fleet.blocked.insert((entry, other));
         }),
     }
@@ -41,7 +46,7 @@
 /// Returns a daemon that neither schedules nor is asked next.
 fn entry_daemon(fleet: &Fleet) -> usize {
     let candidates = fleet.candidates();
-    (0..DAEMONS).find(|index| !candidates.contains(index)).expect("one")
+    (0..fleet.daemons.len()).find(|index| !candidates.contains(index)).expect("one")
 }
 
 /// Returns a fleet whose account has no rate.
@@ -58,8 +63,8 @@
 }
 
 /// Loses an entry daemon while all slots are in use through it; returns how many the scheduler counts once it is back.
-fn counted_after(loss: Loss) -> u128 {
-    let mut fleet = Fleet::new(DAEMONS);
+fn counted_after(daemons: usize, loss: Loss) -> u128 {
+    let mut fleet = Fleet::new(daemons);
     let (entry, scheduler) = (entry_daemon(&fleet), fleet.leader());
     (1..=SLOTS).for_each(|number| fleet.admit(entry, number));
     assert_eq!(fleet.in_flight(scheduler) as u128, SLOTS);
@@ -77,13 +82,35 @@
 fn permits_in_use_are_counted_again_after_their_daemon_was_lost(
     #[values(Loss::Standstill, Loss::Cut)] loss: Loss,
 ) {
-    assert_eq!(counted_after(loss), SLOTS);
+    assert_eq!(counted_after(DAEMONS, loss), SLOTS);
 }
 
 /// The daemon hears the scheduler all the time, so that nothing makes it report its permits again.
 #[test]
 fn permits_in_use_are_counted_again_after_their_daemon_was_not_heard() {
-    assert_eq!(counted_after(Loss::NotHeard), SLOTS);
+    assert_eq!(counted_after(DAEMONS, Loss::NotHeard), SLOTS);
+}
+
+/// Guards against the same in a fleet in which only few daemons exchange heartbeats.
+#[rstest]
+fn permits_in_use_are_counted_again_in_a_large_fleet(
+    #[values(Loss::Standstill, Loss::Cut, Loss::NotHeard)] loss: Loss,
+) {
+    assert_eq!(counted_after(LARGE_FLEET, loss), SLOTS);
+}
+
+/// Guards against slots that stay taken by requests that ended while their daemon was not heard.
+#[test]
+fn permits_that_ended_while_their_daemon_was_not_heard_are_free() {
+    let mut fleet = Fleet::new(DAEMONS);
+    let (entry, scheduler) = (entry_daemon(&fleet), fleet.leader());
+    (1..=SLOTS).for_each(|number| fleet.admit(entry, number));
+    lose(&mut fleet, entry, Loss::NotHeard);
+    fleet.run(Duration::from_secs(4));
+    (1..=SLOTS / 2).for_each(|number| fleet.finish(entry, number));
+    return_to(&mut fleet, entry, Loss::NotHeard);
+    fleet.run(Duration::from_secs(2));
+    assert_eq!(fleet.in_flight(scheduler) as u128, SLOTS / 2);
 }
 
 /// Guards against a permit that was granted during a standstill and is used by what its daemon knew before.
--- a/crates/sched/src/election/failure.rs
+++ b/crates/sched/src/election/failure.rs
@@ -16,7 +16,7 @@
 use super::membership::{MemberView, PeerState};
 
 /// Time without frames after which an unreachable peer is removed: longer than a restart takes.
-const REMOVE_AFTER: Duration = Duration::from_secs(600);
+pub(crate) const REMOVE_AFTER: Duration = Duration::from_secs(600);
 
 impl MemberView {
     /// Advances the clock. Returns the daemons that became unreachable.
--- a/crates/sched/src/election/membership.rs
+++ b/crates/sched/src/election/membership.rs
@@ -105,6 +105,8 @@
 pub struct HeartbeatChange {
     /// The previous daemon on its VM, which has ended.
     pub ended: Option<DaemonId>,
+    /// Whether its sender counted as unreachable until now.
+    pub returned: bool,
     /// Whether its sender was not known and requires an answer; it gets a greeting at once.
     pub newcomer: bool,
 }
@@ -221,6 +223,7 @@
         }
         peer.exchange_since = earlier.and_then(|earlier| earlier.exchange_since);
         let same_process = earlier.is_some_and(|earlier| earlier.incarnation == from.incarnation);
+        let returned = same_process && earlier.is_some_and(|earlier| !earlier.live);
         let same_roles = earlier.is_some_and(|earlier| earlier.has_same_roles(&peer));
         let ended = earlier
             .filter(|_| !same_process)
@@ -231,7 +234,7 @@
         self.changed |= !same_roles;
         self.peers.insert(from.vm.clone(), peer);
         self.known_addresses.insert(heartbeat.address.clone());
-        HeartbeatChange { ended, newcomer: !same_process && heartbeat.answer_wanted }
+        HeartbeatChange { ended, returned, newcomer: !same_process && heartbeat.answer_wanted }
     }
 
     /// Records that a frame of any kind has arrived, so that its sender counts as reachable.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -6,6 +6,7 @@
 //! | which request is served next | [`order`] | the queue of a pool |
 //! | which target serves it | [`placement`] | the learned state and the notices of each target |
 //! | whether it is attempted again | [`retry`] | the retry budget of an entry daemon |
+//! | when the permits of an unheard daemon count | [`lost_permits`] | the permits of lost daemons |
 //! | when it is abandoned | [`entry`] | the requests of an entry daemon |
 //! | when a refused caller may retry | [`retry_after`], [`returns`] | the booked returns of a pool |
 //! | whether it terminates its targets | [`lethal`] | the suspect requests |
@@ -31,7 +32,9 @@
 mod election;
 mod entry;
 mod lethal;
+mod lost_permits;
 mod order;
+mod permit_record;
 mod placement;
 mod pool;
 mod relay_choice;
@@ -67,6 +70,7 @@
 pub use order::flows::{UrgencyFlow, UrgencyFlows};
 pub use order::queue::TierQueues;
 pub use order::waiting::WaitingRequest;
+pub use permit_record::PermitRecord;
 pub use placement::ejection::{may_eject_one_more, TargetEjection};
 pub use placement::idle_connections::{
     limit_per_target, EntryNumber, EntryNumbers, IdleConnections,
@@ -78,7 +82,7 @@
 pub use placement::room::TargetRoom;
 pub use placement::stated_load::LoadBelief;
 pub use placement::target::TargetState;
-pub use pool::{PermitRecord, PoolOptions, PoolScheduler, SchedulerAction};
+pub use pool::{PoolOptions, PoolScheduler, SchedulerAction};
 pub use relay_choice::{RelayChoice, RelayPeer};
 pub use retry::budget::{RetryBudget, RetryLimits};
 pub use retry::{decide_retry, RetryBound, RetryDecision, RetryInput};
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -44,7 +44,8 @@
 use self::origin::RequestOrigin;
 use self::target::TargetState;
 use crate::order::waiting::WaitingRequest;
-use crate::pool::{PermitRecord, PoolScheduler, SchedulerAction};
+use crate::permit_record::PermitRecord;
+use crate::pool::{PoolScheduler, SchedulerAction};
 use crate::rollout::versions::VersionAccess;
 use crate::work_estimate::{micros, with_margin};
 
--- a/crates/sched/src/pool.rs
+++ b/crates/sched/src/pool.rs
@@ -8,15 +8,17 @@
 
 use curlewcleat_core::{
     AccountId, DaemonId, PermitAnswer, PermitDecision, PermitId, PermitRequest, PoolId, Refusal,
-    TargetId, TargetInstance, TierRank, Uptime, VmId, WorkMicros,
+    TargetId, TierRank, Uptime, VmId, WorkMicros,
 };
 
 use crate::admission::account::{AccountLimit, RateBucket};
 use crate::admission::overload::OverloadLevel;
 use crate::admission::shared_rate::{RateRole, RateShare};
 use crate::admission::throughput::PoolThroughput;
+use crate::lost_permits::LostPermits;
 use crate::order::flows::UrgencyFlows;
 use crate::order::queue::TierQueues;
+use crate::permit_record::PermitRecord;
 use crate::placement::idle_connections::EntryNumbers;
 use crate::placement::pace::StreamPace;
 use crate::placement::target::TargetState;
@@ -63,27 +65,6 @@
     }
 }
 
-/// A permit in use.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct PermitRecord {
-    /// The entry daemon that uses it.
-    pub entry: DaemonId,
-    /// The target instance for which it was granted.
-    pub target: TargetInstance,
-    /// Estimated work at normal speed, without the prompt if its prefix was cached.
-    pub expected: WorkMicros,
-    /// Prompt work as estimated by the entry daemon.
-    pub prompt_work: WorkMicros,
-    /// Other work as estimated by the entry daemon.
-    pub output_work: WorkMicros,
-    /// Time that the target needed for earlier prompts when the permit was granted.
-    pub backlog: Duration,
-    /// When it was granted or last confirmed.
-    pub confirmed: Uptime,
-    /// Whether its target stalled, so that its request requested another one; this was counted as a failure.
-    pub stalled: bool,
-}
-
 /// An answer that the scheduler requests to be sent.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct SchedulerAction {
@@ -122,6 +103,8 @@
     pub(crate) targets: BTreeMap<TargetId, TargetState>,
     pub(crate) queues: TierQueues,
     pub(crate) permits: BTreeMap<PermitId, PermitRecord>,
+    /// Permits that lost entry daemons had in use.
+    pub(crate) lost_permits: LostPermits,
     pub(crate) buckets: BTreeMap<AccountId, RateBucket>,
     pub(crate) level: OverloadLevel,
     /// VMs that are leaving.
@@ -161,6 +144,7 @@
             targets: BTreeMap::new(),
             queues: TierQueues::default(),
             permits: BTreeMap::new(),
+            lost_permits: LostPermits::default(),
             buckets: BTreeMap::new(),
             level: OverloadLevel::default(),
             leaving_vms: BTreeSet::new(),
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -7,6 +7,7 @@
 //! Owns: queue, permits in use, what is learned about the targets. Relies on: the rules in `admission`,
 //! `order` and `placement`, which are methods of [`PoolScheduler`]; entry daemons that return permits.
 
+mod lost_entries;
 mod permit_ends;
 
 use std::collections::BTreeMap;
@@ -22,8 +23,9 @@
 use crate::order::flows::UrgencyFlows;
 use crate::order::shares::divide_capacity;
 use crate::order::waiting::{RequestAdmission, RequestKind};
+use crate::permit_record::PermitRecord;
 use crate::placement::ejection::may_eject_one_more;
-use crate::pool::{PermitRecord, PoolScheduler, RateCharge, SchedulerAction};
+use crate::pool::{PoolScheduler, RateCharge, SchedulerAction};
 use crate::returns::ReturnCounts;
 use crate::targets::state_of;
 
@@ -162,6 +164,7 @@
     /// Handles a returned permit or a withdrawn permit request.
     pub fn return_permit(&mut self, now: Uptime, returned: &PermitReturn) -> Vec<SchedulerAction> {
         self.queues.remove(&returned.permit);
+        self.lost_permits.forget(&returned.permit);
         if let Some(record) = self.permits.remove(&returned.permit) {
             self.record_end(now, &record, returned.end);
         }
@@ -173,6 +176,7 @@
     /// Records a permit in use that another scheduler granted.
     pub fn record_held_permit(&mut self, now: Uptime, entry: DaemonId, held: PermitHeld) {
         self.queues.remove(&held.request.permit);
+        self.lost_permits.forget(&held.request.permit);
         if let Some(earlier) = self.permits.remove(&held.request.permit) {
             self.record_end(now, &earlier, AttemptEnd::Unused);
         }
@@ -212,6 +216,7 @@
             }
         }
         self.entry_numbers.remove(entry);
+        self.lost_permits.take(entry);
         let mut actions = Vec::new();
         self.grant(now, &mut actions);
         actions
@@ -221,6 +226,7 @@
     /// permits.
     pub fn tick(&mut self, now: Uptime) -> Vec<SchedulerAction> {
         let mut actions = Vec::new();
+        self.lost_permits.expire(now);
         self.level.tick(self.options.lowest, now);
         self.throughput.tick(now, self.queues.has_new());
         if self.flows.tick(now) {
--- a/crates/sched/src/scheduler/permit_ends.rs
+++ b/crates/sched/src/scheduler/permit_ends.rs
@@ -6,8 +6,9 @@
 
 use curlewcleat_core::{AttemptEnd, PermitAnswer, PermitDecision, StreamTiming, Uptime};
 
+use crate::permit_record::PermitRecord;
 use crate::placement::idle_connections::limit_per_target;
-use crate::pool::{PermitRecord, PoolScheduler, SchedulerAction};
+use crate::pool::{PoolScheduler, SchedulerAction};
 use crate::targets::state_of;
 
 /// Age from which a permit is confirmed with its entry daemon.
