A scheduler that is not heard no longer grants the whole rate

What callers saw: an account gets nearly twice its rate while the frames of the scheduler are lost and it hears all others.

Cause: a scheduler counts as reached whoever it hears. The others have lost it, and the next scheduler grants their part of the rates and limits too.

Fix: a peer that requests an answer to its heartbeat counts as reached only where the addresses that its heartbeats name contain this daemon's. The cost is one flag for each peer and four comparisons for each heartbeat.

--- a/crates/node/tests/terms.rs
+++ b/crates/node/tests/terms.rs
@@ -6,8 +6,9 @@
 
 use curlewcleat_core::RequestId;
 use curlewcleat_node::CallerDecision;
+use rstest::rstest;
 
-use support::Fleet;
+use support::{address, later_daemon, Fleet};
 
 const DAEMONS: usize = 6;
 const RATE: u64 = 1_000;
@@ -25,7 +26,11 @@
 impl RatedFleet {
     /// Returns a fleet that has granted nothing for long enough that the whole burst is available.
     fn new(rate: u64, burst: u64) -> RatedFleet {
-        let mut fleet = Fleet::new(DAEMONS);
+        RatedFleet::of(DAEMONS, rate, burst)
+    }
+
+    fn of(daemons: usize, rate: u64, burst: u64) -> RatedFleet {
+        let mut fleet = Fleet::new(daemons);
         let rated = format!("shared_rate_per_s = {rate}\nshared_burst = {burst}\n");
         fleet.config = fleet.config.replace("shared_rate_per_s = 1000\n", &rated);
         fleet.generation += 1;
@@ -66,7 +71,14 @@
     }
 
     fn others(&self, left_out: usize) -> Vec<usize> {
-        (0..DAEMONS).filter(|index| *index != left_out).collect()
+        (0..self.fleet.daemons.len()).filter(|index| *index != left_out).collect()
+    }
+
+    /// Makes the frames of a daemon to all others be lost.
+    fn silence(&mut self, index: usize) {
+        self.others(index).into_iter().for_each(|other| {
+            self.fleet.blocked.insert((index, other));
+        });
     }
 }
 
@@ -121,9 +133,7 @@
 fn rate_is_not_granted_twice_where_a_scheduler_is_not_heard() {
     let mut rated = RatedFleet::new(RATE, BURST);
     let scheduler = rated.fleet.leader();
-    rated.others(scheduler).into_iter().for_each(|other| {
-        rated.fleet.blocked.insert((scheduler, other));
-    });
+    rated.silence(scheduler);
     let everyone: Vec<usize> = (0..DAEMONS).collect();
     rated.load(&everyone, Duration::from_secs(6));
     let time = Duration::from_secs(4);
@@ -131,3 +141,52 @@
     let allowed = RATE * time.as_secs() + BURST;
     assert!(granted <= allowed, "{granted} of {allowed} units granted");
 }
+
+/// Guards against the same in fleets of other sizes, with and without a full mesh, and against a rate that stays divided.
+#[rstest]
+#[case::mesh(7)]
+#[case::largest_mesh(12)]
+#[case::no_mesh(13)]
+#[case::large(40)]
+fn rate_is_granted_once_while_a_scheduler_is_not_heard_and_afterwards(#[case] daemons: usize) {
+    let mut rated = RatedFleet::of(daemons, RATE, BURST);
+    let scheduler = rated.fleet.leader();
+    let served: Vec<usize> =
+        rated.others(scheduler).into_iter().take(5).chain([scheduler]).collect();
+    rated.silence(scheduler);
+    rated.load(&served, Duration::from_secs(6));
+    let time = Duration::from_secs(4);
+    let allowed = RATE * time.as_secs() + BURST;
+    let granted = rated.load(&served, time);
+    assert!(granted <= allowed, "{granted} of {allowed} units granted");
+    assert!(granted >= allowed / 2, "{granted} of {allowed} units granted");
+
+    rated.fleet.blocked.clear();
+    rated.load(&served, Duration::from_secs(3));
+    let granted = rated.load(&served, time);
+    assert!(granted <= allowed, "{granted} of {allowed} units granted once it is heard");
+    assert!(granted >= allowed * 9 / 10, "{granted} of {allowed} units granted once it is heard");
+}
+
+/// Guards against a scheduler that grants less since a peer that has just started does not hear it yet.
+#[rstest]
+fn whole_rate_is_granted_soon_after_a_daemon_has_started(
+    #[values(7, 40)] daemons: usize,
+    #[values(true, false)] knows_records: bool,
+) {
+    let mut rated = RatedFleet::of(daemons, RATE, BURST);
+    let scheduler = rated.fleet.leader();
+    let started = rated.others(scheduler)[0];
+    match knows_records {
+        true => rated.fleet.restart(started, 2),
+        false => {
+            let seeds = rated.others(started).into_iter().map(address).collect();
+            rated.fleet.daemons[started] = later_daemon(started, seeds, 2);
+        }
+    }
+    rated.fleet.run(Duration::from_secs(2));
+    let served: Vec<usize> = rated.others(started).into_iter().take(5).collect();
+    let time = Duration::from_secs(4);
+    let granted = rated.load(&served, time);
+    assert!(granted >= RATE * time.as_secs() * 95 / 100, "{granted} units granted");
+}
--- a/crates/sched/src/election/membership.rs
+++ b/crates/sched/src/election/membership.rs
@@ -60,6 +60,8 @@
     pub live: bool,
     /// Whether it requires an answer to each of its heartbeats.
     pub(super) requires_answers: bool,
+    /// Whether its heartbeats show that it receives this daemon's.
+    pub(super) hears_me: bool,
     pub(super) last_received: Uptime,
     /// Since when this daemon exchanges every heartbeat with it, `None` if it does not.
     pub(super) exchange_since: Option<Uptime>,
@@ -80,6 +82,7 @@
             started: heartbeat.started,
             live: true,
             requires_answers: heartbeat.answer_wanted,
+            hears_me: true,
             last_received: now,
             exchange_since: None,
         }
@@ -224,6 +227,7 @@
         peer.exchange_since = earlier.and_then(|earlier| earlier.exchange_since);
         let same_process = earlier.is_some_and(|earlier| earlier.incarnation == from.incarnation);
         let returned = same_process && earlier.is_some_and(|earlier| !earlier.live);
+        peer.hears_me = self.is_heard_by(earlier.filter(|_| same_process), heartbeat);
         let same_roles = earlier.is_some_and(|earlier| earlier.has_same_roles(&peer));
         let ended = earlier
             .filter(|_| !same_process)
