--- a/crates/node/tests/terms.rs
+++ b/crates/node/tests/terms.rs
@@ -74,8 +74,8 @@
         (0..self.fleet.daemons.len()).filter(|index| *index != left_out).collect()
     }
 
-    /// Makes the frames of a daemon to all others be lost.
-    fn silence(&mut self, index: usize) {
+    /// Makes all frames from a daemon be lost.
+    fn lose_frames_of(&mut self, index: usize) {
         self.others(index).into_iter().for_each(|other| {
             self.fleet.blocked.insert((index, other));
         });
@@ -133,7 +133,7 @@
 fn rate_is_not_granted_twice_where_a_scheduler_is_not_heard() {
     let mut rated = RatedFleet::new(RATE, BURST);
     let scheduler = rated.fleet.leader();
-    rated.silence(scheduler);
+    rated.lose_frames_of(scheduler);
     let everyone: Vec<usize> = (0..DAEMONS).collect();
     rated.load(&everyone, Duration::from_secs(6));
     let time = Duration::from_secs(4);
@@ -153,7 +153,7 @@
     let scheduler = rated.fleet.leader();
     let served: Vec<usize> =
         rated.others(scheduler).into_iter().take(5).chain([scheduler]).collect();
-    rated.silence(scheduler);
+    rated.lose_frames_of(scheduler);
     rated.load(&served, Duration::from_secs(6));
     let time = Duration::from_secs(4);
     let allowed = RATE * time.as_secs() + BURST;
--- a/crates/sched/src/election/reach.rs
+++ b/crates/sched/src/election/reach.rs
@@ -39,7 +39,7 @@
         if !heartbeat.known.is_empty() {
             return heartbeat.known.contains(&self.options.address);
         }
-        // The heartbeat names nobody: the candidates have not changed, or the sender is in a mesh.
+        // Without addresses either the candidates have not changed, or the sender is in a mesh.
         earlier.is_some_and(|earlier| earlier.requires_answers && earlier.hears_me)
     }
 
