A daemon that has just started counts no standstill before its start

What callers saw: streams that they took up within a second after a daemon was started anew were refused as stream_version_unknown although the stored splits prove their version.

Cause: a node begins at uptime zero; the first event of a process whose clock is later counts as a standstill of the whole time before. recent_standstill is taken off the time that a caller states and off the time of the question, so that for a second each proof counts back to before the first split (reason before_first_split, reach 10.5 s where 2.9 s are true). In the node fleet, where a process that is started anew goes on with the clock of the play, that is the whole play; in a real daemon it is the time from the start of the process to the first event of its node, if that is half a second or more (by reading: how often that is was not measured).

Fix: the node counts from when its process made it. Nothing can have arrived before. What waits from then on counts as before.

The new test of version_proofs failed without it (StreamVersionUnknown).

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -45,7 +45,8 @@
 
     // The peer address is bound first: a successful bind shows that no earlier process of this daemon still runs.
     let transport = listen_for_peers(&settings, Arc::clone(&counts), sender)?;
-    let node = Node::new(adapter.node_options(&settings, me.clone(), context.wall()));
+    let node = Node::new(adapter.node_options(&settings, me.clone(), context.wall()))
+        .starting_at(context.uptime());
     let relays = RelayServer::start(&context).await?;
     let server = adapter.serve(&context).await?;
     probe_lost_links(context.clone());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Returns the node of a process that has run for some time, in which nothing can have arrived here.
+    pub fn starting_at(self, now: Uptime) -> Node {
+        Node { now, ..self }
+    }
+
     /// Handles an event and returns the actions to perform, in order.
     pub fn handle(&mut self, now: Uptime, wall: WallTime, event: NodeEvent) -> Vec<NodeAction> {
         let stood_still = self.record_standstill(now);
--- a/crates/node/tests/support/builders.rs
+++ b/crates/node/tests/support/builders.rs
@@ -41,12 +41,12 @@
     with_node(Node::new(NodeOptions { key_slots: 4, ..options(index, seeds, 1_000) }))
 }
 
-/// Returns the daemon of a later process on the same VM.
-pub fn later_daemon(index: usize, seeds: Vec<String>, incarnation: u64) -> Daemon {
+/// Returns the daemon of a later process on the same VM, which starts now.
+pub fn later_daemon(index: usize, seeds: Vec<String>, incarnation: u64, now: Duration) -> Daemon {
     let mut options = options(index, seeds, 1_000);
     options.me.incarnation = incarnation;
     options.members.started = incarnation;
-    with_node(Node::new(options))
+    with_node(Node::new(options).starting_at(now))
 }
 
 /// Returns the CPU capacity of a VM of a mixed fleet, in percent of a core: few are strong.
--- a/crates/node/tests/support/faults.rs
+++ b/crates/node/tests/support/faults.rs
@@ -36,7 +36,7 @@
         let seeds = (0..self.daemons.len()).map(address).collect();
         self.standing_still.remove(&index);
         self.late_answers.retain(|(_, receiver, _)| *receiver != index);
-        self.daemons[index] = later_daemon(index, seeds, incarnation);
+        self.daemons[index] = later_daemon(index, seeds, incarnation, self.now);
         self.event(index, recorded(self.daemons.len()));
     }
 
--- a/crates/node/tests/version_proofs.rs
+++ b/crates/node/tests/version_proofs.rs
@@ -125,3 +125,23 @@
         assert_eq!(taken_up, Ok("v1".to_string()), "at {index}");
     }
 }
+
+/// Guards against a daemon that takes the time before its start for a standstill, and so counts back too far.
+#[test]
+fn stream_goes_on_right_after_all_daemons_were_started_anew() {
+    let mut fleet = fleet_of(DAEMONS);
+    let entry = last_daemon(&fleet);
+    begin(&mut fleet, entry, 100);
+    fleet.run(CALLER_LIMIT);
+    set_versions(&mut fleet, &["v1", "v2"]);
+    fleet.run(Duration::from_secs(10));
+    let at = fleet.now;
+    let begun = begin_streams(&mut fleet, entry);
+    let (number, version) = begun.into_iter().find(|(_, version)| version == "v2").expect("one");
+    fleet.daemons.iter_mut().for_each(|daemon| daemon.cut = true);
+    fleet.run(DOWN);
+    (0..DAEMONS).for_each(|index| fleet.restart(index, 2));
+    fleet.run(DECISION_LIMIT);
+    let age = fleet.now - at;
+    assert_eq!(take_up_after(&mut fleet, entry, number, age), Ok(version));
+}
