Streams of a release go on after all daemons have lost power

What callers saw: after all daemons lost power 1 to 6 s after a version had joined, about half of the streams that they took up were refused as stream_version_unknown, while nearly all new ones began.

Cause: after such a loss only the stored splits are left. They prove a stream only if its slot has kept its version for longer than callers have, 2.5 s for clocks and the way, and 2 s of a split's term.

Fix: the daemon that schedules is a keeper and knows which version began each stream of a pool of several versions. It stores those that the splits don't prove, in the same object, every 500 ms, 512 of a pool, 16 KB a second at most. A list states what a target has begun: it depends on no clock and no time that a caller states, an old or shortened one stays true. A list delays no proof. The former build ignores the field and drops it when it stores a split.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,11 +31,11 @@
 };
 pub use stated_load::{LoadFault, LoadReading, StatedLoad};
 pub use store_position::{StoreEra, StorePosition};
-pub use stream::{StreamId, VersionDigest};
+pub use stream::{StreamId, StreamKey, VersionDigest};
 pub use target_instance::{InstanceOrder, TargetInstance, TargetStart};
 pub use target_notice::{
     BrittleNotice, LimitNotice, LimitReport, NoticeReport, RequestRate, TargetNotice,
 };
 pub use verdict::{Refusal, RefusalReason, RetryReason, Verdict};
-pub use version_split::{VersionHistory, VersionSplit, SPLIT_SLOTS};
+pub use version_split::{BegunStreams, VersionHistory, VersionSplit, SPLIT_SLOTS};
 pub use warm_up::WarmUpLimit;
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -31,6 +31,31 @@
         // The remainder is below `count`.
         self.0.checked_rem(count as u128).map_or(0, |slot| slot as usize)
     }
+
+    /// Returns what stands for the stream in stored lists.
+    pub fn key(&self) -> StreamKey {
+        StreamKey((self.0 >> u64::BITS) as u64)
+    }
+}
+
+/// The first half of a [`StreamId`], which stands for the stream in stored lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamKey(u64);
+
+impl StreamKey {
+    /// Digits of a key as text.
+    pub const HEX_DIGITS: usize = 16;
+
+    /// Reads a key from its hexadecimal digits, `None` if the text is no key.
+    pub fn from_hex(text: &str) -> Option<StreamKey> {
+        let is_whole = text.len() == StreamKey::HEX_DIGITS;
+        is_whole.then(|| u64::from_str_radix(text, 16).ok().map(StreamKey)).flatten()
+    }
+
+    /// Returns the key in hexadecimal digits.
+    pub fn to_hex(self) -> String {
+        format!("{:016x}", self.0)
+    }
 }
 
 /// A version of the targets' software, of any length. Targets that state none are of one version.
--- a/crates/core/src/version_split.rs
+++ b/crates/core/src/version_split.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::{PoolId, StreamId, VersionDigest, WallTime};
+use crate::{PoolId, StreamId, StreamKey, VersionDigest, WallTime};
 
 /// Slots of a split. A stream has one of them, whatever the split is.
 pub const SPLIT_SLOTS: usize = 16;
@@ -40,6 +40,17 @@
     }
 }
 
+/// Streams that targets of one version have begun, as the platform keeps them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct BegunStreams {
+    /// When they were listed, by the clock of the daemon that listed them.
+    pub listed: WallTime,
+    /// The version that began them.
+    pub version: VersionDigest,
+    /// The streams.
+    pub streams: Vec<StreamKey>,
+}
+
 /// The latest splits of a pool, as the platform keeps them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct VersionHistory {
@@ -51,6 +62,9 @@
     pub splits: Vec<VersionSplit>,
     /// Longest time that callers have for a stream over all of their attempts, rounded up; `None` if it is not known.
     pub longest_timeout: Option<Duration>,
+    /// Streams whose version the splits don't tell, in the order in which they were listed. A daemon of an earlier version
+    /// drops them when it stores a split.
+    pub begun: Vec<BegunStreams>,
     /// Whether the platform has an object of the pool's name that holds no splits, so that none can be stored. It is not
     /// stored itself.
     pub is_unreadable: bool,
--- a/crates/daemon/src/fleet/follow/versions.rs
+++ b/crates/daemon/src/fleet/follow/versions.rs
@@ -32,7 +32,8 @@
         context.metrics.count_platform_call("write_stream_versions");
         info!("stream_versions", kv: {
             pool = history.pool.as_str(), splits = history.splits.len(),
-            versions = slot_counts(&history)
+            versions = slot_counts(&history),
+            begun = history.begun.iter().map(|begun| begun.streams.len()).sum::<usize>()
         });
         if let Err(error) = platform.write_version_history(&history).await {
             BackOff::new(BACK_OFF).record_failure("write_stream_versions", &error, &context);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,6 +2,7 @@
 //!
 //! Owns: all state machines of one daemon. Relies on: its driver for clocks, messages and platform calls.
 
+mod begun_lists;
 mod configuration;
 mod evacuations;
 mod held_grants;
--- a/crates/node/src/node/stream_proofs.rs
+++ b/crates/node/src/node/stream_proofs.rs
@@ -71,12 +71,13 @@
     fn answer_proofs(&mut self, proofs: Vec<PendingProof>) {
         let read_age = self.histories.last_read.map(|read| self.now.saturating_sub(read));
         for PendingProof { from, query, asked, .. } in proofs {
-            let pool = self.histories.pools.get(&query.pool);
-            let proof = match pool {
-                Some(pool) => {
+            let known = query.stream.and_then(|stream| self.remembered_version(&stream));
+            let proof = match (known, self.histories.pools.get(&query.pool)) {
+                (Some(version), _) => VersionProof::known(version),
+                (None, Some(pool)) => {
                     prove_version(&pool.history, query.stream.as_ref(), asked, query.time_left)
                 }
-                None => VersionProof::without(UnprovedReason::PoolNotKnown),
+                (None, None) => VersionProof::without(UnprovedReason::PoolNotKnown),
             };
             let (request, version) = (query.request, proof.version());
             let note = NodeNote::StreamProof { request, proof, read_age };
--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -83,9 +83,10 @@
         }
     }
 
-    /// Returns the version that began a stream, `None` if this daemon does not remember it.
+    /// Returns the version that began a stream, `None` if this daemon neither remembers it nor has read it in a stored list.
     pub(super) fn remembered_version(&self, stream: &StreamId) -> Option<VersionDigest> {
-        self.streams.versions.version_of(stream)
+        let remembered = self.streams.versions.version_of(stream);
+        remembered.or_else(|| self.listed_version(stream))
     }
 
     /// Asks the keepers, and the daemon that schedules for a proof.
@@ -144,7 +145,7 @@
     }
 
     pub(super) fn stream_queried(&mut self, from: &VmId, query: StreamQuery) {
-        let version = self.streams.versions.version_of(&query.stream);
+        let version = self.remembered_version(&query.stream);
         if version.is_none() && self.is_proving(from, query.request) {
             return;
         }
--- a/crates/node/src/node/version_histories.rs
+++ b/crates/node/src/node/version_histories.rs
@@ -26,7 +26,7 @@
 /// Minimum time between two reads of the splits.
 const READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which an unanswered read or write is repeated.
-const REPEAT_AFTER: Duration = Duration::from_secs(1);
+pub(super) const REPEAT_AFTER: Duration = Duration::from_secs(1);
 /// Time after which a decision is made without a read that is not answered, where it can be.
 pub(super) const READ_LIMIT: Duration = Duration::from_millis(150);
 /// Age of the latest read from which the daemon that schedules reads again, so that its splits may be used without a
@@ -90,6 +90,10 @@
     pub(super) longest_timeout: Duration,
     /// When the write was requested whose outcome no read has shown.
     pub(super) write_requested: Option<Uptime>,
+    /// When streams were last looked at that may have to be listed.
+    pub(super) last_list: Option<Uptime>,
+    /// When a list was written whose outcome no read has shown.
+    pub(super) list_requested: Option<Uptime>,
 }
 
 impl PoolHistory {
@@ -103,6 +107,7 @@
         }
         if history.revision != self.history.revision {
             self.write_requested = None;
+            self.list_requested = None;
             self.is_write_out_of_step = false;
         }
         self.history = history;
@@ -279,10 +284,15 @@
                 .flatten();
             let current = confirmed.as_ref().unwrap_or(&pool.history);
             let revised = revise_history(current, wall, weights, open.contains(id), timeout);
-            let Some(revised) = revised.or(confirmed) else { continue };
-            pool.write_requested = Some(now);
-            pool.is_write_out_of_step |= is_out_of_step;
-            let write = VersionHistory { pool: id.clone(), ..revised };
+            let decided = revised.or(confirmed);
+            // A list changes nothing that another daemon may do, so that no proof waits for its outcome.
+            if decided.is_some() {
+                pool.write_requested = Some(now);
+                pool.is_write_out_of_step |= is_out_of_step;
+            }
+            let versions = &self.streams.versions;
+            let Some(write) = pool.with_lists(id, (now, wall), versions, decided) else { continue };
+            let write = VersionHistory { pool: id.clone(), ..write };
             self.actions.push(NodeAction::Platform(PlatformCall::WriteVersionHistory(write)));
         }
     }
--- a/crates/node/tests/out_of_step/play.rs
+++ b/crates/node/tests/out_of_step/play.rs
@@ -50,6 +50,8 @@
     take_ups: BTreeMap<u128, (usize, String)>,
     /// The next request gets this number, above [`FIRST_TAKE_UP`] if it takes up a stream.
     pub next_number: u128,
+    /// Times that callers have for a stream, in turn.
+    pub caller_limits: Vec<Duration>,
     seen_decisions: usize,
 }
 
@@ -66,6 +68,7 @@
             waiting: BTreeMap::new(),
             take_ups: BTreeMap::new(),
             next_number: 1,
+            caller_limits: vec![CALLER_LIMIT],
             seen_decisions: 0,
         };
         for _ in 0..14 {
@@ -80,7 +83,8 @@
         let number = self.next_number;
         self.next_number += 1;
         let begins = Some(stream(number));
-        let spec = RequestSpec { begins, caller_time_left: Some(CALLER_LIMIT), ..spec(number) };
+        let spec =
+            RequestSpec { begins, caller_time_left: Some(self.limit_of(number)), ..spec(number) };
         self.waiting.insert(number, (entry, self.fleet.now));
         self.counts.sent += 1;
         self.fleet.event(entry, NodeEvent::Admit(Box::new(spec)));
@@ -92,7 +96,8 @@
         let number = FIRST_TAKE_UP + self.next_number;
         self.next_number += 1;
         let takes_up = Some(TakenUpStream { stream: Some(stream(begun.number)) });
-        let time_left = CALLER_LIMIT.saturating_sub(self.fleet.now - begun.sent);
+        let limit = self.limit_of(begun.number);
+        let time_left = limit.saturating_sub(self.fleet.now - begun.sent);
         let spec = RequestSpec { takes_up, caller_time_left: Some(time_left), ..spec(number) };
         self.take_ups.insert(number, (entry, begun.version.clone()));
         self.counts.taken_up += 1;
@@ -102,7 +107,12 @@
 
     /// Returns whether the caller of a stream still waits for it.
     pub fn is_awaited(&self, begun: &BegunStream) -> bool {
-        self.fleet.now < begun.sent + CALLER_LIMIT
+        self.fleet.now < begun.sent + self.limit_of(begun.number)
+    }
+
+    /// Returns the time that the caller of a stream has.
+    fn limit_of(&self, number: u128) -> Duration {
+        self.caller_limits[number as usize % self.caller_limits.len()]
     }
 
     /// Runs the fleet for some time.
--- a/crates/node/tests/power_losses.rs
+++ b/crates/node/tests/power_losses.rs
@@ -28,6 +28,15 @@
 const TAKE_UP_AFTER_MS: [u64; 4] = [500, 1_500, 3_000, 4_500];
 /// Time for which new streams are compared with those that are taken up, and for which the latter are decided.
 const COMPARED_TIME: Duration = Duration::from_secs(5);
+/// Times of callers that differ, up to the longest one that the store holds.
+const CALLER_LIMITS: [Duration; 4] = [
+    Duration::from_secs(8),
+    Duration::from_millis(5_500),
+    Duration::from_millis(7_300),
+    Duration::from_secs(4),
+];
+/// Largest difference of clocks for which proofs hold.
+const CLOCK_DIFFERENCE: Duration = Duration::from_secs(2);
 /// What may be lost of the share of new streams that begin, in hundredths.
 const TOLERATED: usize = 5;
 
@@ -53,7 +62,10 @@
 
 /// Takes all power from the daemons, and starts them anew.
 fn lose_power(play: &mut StreamPlay) {
-    play.fleet.daemons.iter_mut().for_each(|daemon| daemon.cut = true);
+    for daemon in &mut play.fleet.daemons {
+        daemon.cut = true;
+        daemon.reaches_platform = false;
+    }
     play.run(DOWN_TIME);
     (0..DAEMONS).for_each(|index| play.fleet.restart(index, 2));
 }
@@ -85,8 +97,14 @@
 }
 
 /// Adds what came of a loss of power some time after the targets changed.
-fn add_loss(row: &mut RowCounts, versions: [&[&str]; 2], lost_after: Duration) {
+fn add_loss(
+    row: &mut RowCounts,
+    versions: [&[&str]; 2],
+    lost_after: Duration,
+    faults: impl Fn(&mut StreamPlay),
+) {
     let mut play = StreamPlay::start(DAEMONS);
+    faults(&mut play);
     set_versions(&mut play.fleet, versions[0]);
     run_streams(&mut play, SETTLED_AFTER);
     let first = play.begun.len();
@@ -117,7 +135,7 @@
 ) {
     let mut row = RowCounts::default();
     for millis in LOST_AFTER_MS {
-        add_loss(&mut row, [before, after], Duration::from_millis(millis));
+        add_loss(&mut row, [before, after], Duration::from_millis(millis), |_| {});
     }
     println!("{row:?}");
     let RowCounts { sent, begun, taken_up, went_on, joined, .. } = &row;
@@ -126,3 +144,67 @@
     let least = 100 - TOLERATED;
     assert!(went_on * sent * 100 >= taken_up * begun * least, "{row:?}");
 }
+
+/// Guards against streams that go on at another version since clocks differ, or callers have less time than is stored.
+#[rstest]
+#[case::second_version(&["v1"], &["v1", "v2"])]
+#[case::third_version(&["v1", "v2"], &["v1", "v2", "v3"])]
+#[case::in_place_of_another(&["v1", "v2"], &["v2", "v3"])]
+fn streams_are_not_joined_beside_clocks_and_callers_that_differ(
+    #[case] before: &[&str],
+    #[case] after: &[&str],
+    #[values(0, 1, 2)] clocks: usize,
+) {
+    let mut row = RowCounts::default();
+    let faults = |play: &mut StreamPlay| {
+        play.caller_limits = CALLER_LIMITS.to_vec();
+        let ahead = (0..DAEMONS).filter(|index| index % 3 == clocks);
+        play.fleet.clocks_ahead = ahead.map(|index| (index, CLOCK_DIFFERENCE)).collect();
+    };
+    for millis in LOST_AFTER_MS {
+        add_loss(&mut row, [before, after], Duration::from_millis(millis), faults);
+    }
+    println!("{row:?}");
+    assert!(row.joined.is_empty(), "{:?}", row.joined);
+    assert!(row.went_on * 2 > row.taken_up, "{row:?}");
+}
+
+/// Guards against streams that go on at another version since the store does the last writes before the loss after it.
+#[rstest]
+fn streams_are_not_joined_beside_writes_that_are_done_late(
+    #[values(200, 700, 1_500)] delay_ms: u64,
+) {
+    let mut row = RowCounts::default();
+    let faults = |play: &mut StreamPlay| {
+        let late = (0..DAEMONS).map(|index| (index, Duration::from_millis(delay_ms)));
+        play.fleet.history_write_delays = late.collect();
+    };
+    for millis in LOST_AFTER_MS {
+        let versions: [&[&str]; 2] = [&["v1"], &["v1", "v2"]];
+        add_loss(&mut row, versions, Duration::from_millis(millis), faults);
+    }
+    println!("{row:?}");
+    assert!(row.joined.is_empty(), "{:?}", row.joined);
+    assert!(row.taken_up > 100, "{row:?}");
+}
+
+/// Guards against streams that go on at another version since a daemon of an earlier version has dropped some lists.
+#[test]
+fn streams_are_not_joined_where_lists_are_dropped() {
+    let mut play = StreamPlay::start(DAEMONS);
+    run_streams(&mut play, SETTLED_AFTER);
+    let first = play.begun.len();
+    set_versions(&mut play.fleet, &["v1", "v2"]);
+    for _ in 0..4 {
+        run_streams(&mut play, Duration::from_millis(900));
+        let mut stored = play.fleet.histories["p"].clone();
+        assert!(!stored.begun.is_empty());
+        stored.begun.clear();
+        play.fleet.write_history(stored);
+    }
+    lose_power(&mut play);
+    take_up_lost(&mut play, first);
+    println!("{:?}", play.counts);
+    assert!(play.counts.joined.is_empty(), "{:?}", play.counts.joined);
+    assert!(play.counts.went_on > 0, "{:?}", play.counts);
+}
--- a/crates/node/tests/version_proofs.rs
+++ b/crates/node/tests/version_proofs.rs
@@ -140,6 +140,8 @@
     let (number, version) = begun.into_iter().find(|(_, version)| version == "v2").expect("one");
     fleet.daemons.iter_mut().for_each(|daemon| daemon.cut = true);
     fleet.run(DOWN);
+    // As a daemon of an earlier version leaves it: only the splits tell the version.
+    fleet.histories.values_mut().for_each(|history| history.begun.clear());
     (0..DAEMONS).for_each(|index| fleet.restart(index, 2));
     fleet.run(DECISION_LIMIT);
     let age = fleet.now - at;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -25,6 +25,7 @@
 //! output, and for carrying out the returned actions.
 
 mod admission;
+mod begun_lists;
 mod broken_answers;
 mod decaying_ratio;
 mod drain;
@@ -52,6 +53,7 @@
 pub use admission::level_guard::{GuardStep, LevelGuard};
 pub use admission::overload::OverloadLevel;
 pub use admission::shared_rate::{AccountRates, RateMargin, RateRole, RateShare};
+pub use begun_lists::{list_begun, list_interval, listed_version, LISTED_LIMIT};
 pub use broken_answers::BrokenAnswers;
 pub use drain::{DrainInput, DrainPhase, DrainState};
 pub use election::candidates::ALL_POOLS;
--- a/crates/sched/src/stream_versions.rs
+++ b/crates/sched/src/stream_versions.rs
@@ -136,6 +136,14 @@
             .collect()
     }
 
+    /// Returns the streams that are remembered with when each was begun, continued or reported, the newest first.
+    pub fn newest_streams(&self) -> impl Iterator<Item = (StreamVersion, Uptime)> + '_ {
+        self.by_time.iter().rev().filter_map(|(at, stream)| {
+            let version = self.streams.get(stream)?.version;
+            Some((StreamVersion { stream: *stream, version }, *at))
+        })
+    }
+
     /// Returns at most `limit` streams that were begun, continued or reported since a time: those that targets began for
     /// callers of this daemon before others, and the newest first.
     pub fn streams_since(&self, now: Uptime, since: Uptime, limit: usize) -> Vec<StreamVersion> {
--- a/crates/sched/src/version_proof.rs
+++ b/crates/sched/src/version_proof.rs
@@ -78,6 +78,16 @@
         VersionProof { result: Err(reason), reach: None, splits: 0, versions: BTreeSet::new() }
     }
 
+    /// Returns the proof of a stream whose version was reported.
+    pub fn known(version: VersionDigest) -> VersionProof {
+        VersionProof {
+            result: Ok(version),
+            reach: None,
+            splits: 0,
+            versions: BTreeSet::from([version]),
+        }
+    }
+
     /// Returns the version that began the stream, `None` if it is not proved.
     pub fn version(&self) -> Option<VersionDigest> {
         self.result.ok()
