--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,6 +2,7 @@
 //!
 //! Owns: all state machines of one daemon. Relies on: its driver for clocks, messages and platform calls.
 
+mod begun_lists;
 mod configuration;
 mod evacuations;
 mod held_grants;
@@ -175,6 +176,11 @@
         }
     }
 
+    /// Returns the node of a process that has run for some time, in which nothing can have arrived here.
+    pub fn starting_at(self, now: Uptime) -> Node {
+        Node { now, ..self }
+    }
+
     /// Handles an event and returns the actions to perform, in order.
     pub fn handle(&mut self, now: Uptime, wall: WallTime, event: NodeEvent) -> Vec<NodeAction> {
         let stood_still = self.record_standstill(now);
