Daemons read no more bytes of requests than their link carries

Callers saw: requests with large bodies that a daemon read over a full link were late, or refused at their deadline, while other daemons had room.

Cause: the link of the VM was no input of admission. Each connection that is accepted takes its share of the link, so all bodies arrive late together, and the daemon learns of it only when they have arrived.

The fix: a daemon counts the bytes that heads state, and the mean size of a request for a connection until its head was read; the count falls by the bandwidth of the link. A connection for which the link has no room is closed unread at once, so its body does not take the link either, and its caller reaches another daemon. Since the count knows of bytes before they cross the link it does not toggle, as the ways did that go by what has finished; since it falls whatever arrives, a slow caller does not keep others out.

--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -4,7 +4,9 @@
 //! what is read next.
 
 mod accept_queue;
+pub mod caller_link;
 mod intake;
+mod link_backlog;
 pub mod read_limit;
 
 use std::cell::Cell;
@@ -23,6 +25,7 @@
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpSocket};
 
+use self::caller_link::{CallerLink, LinkShare};
 use self::intake::ConnectionIntake;
 use self::read_limit::ReadLimit;
 use crate::byte_budget::SharedBudget;
@@ -44,6 +47,8 @@
     pub connection_limit: usize,
     /// Returns the time after which a connection that could not be read is closed; `None` if it waits on.
     pub unread_limit: Rc<dyn Fn() -> Option<Duration>>,
+    /// Link that the connections share; `None` where it does not limit which are read.
+    pub link: Option<CallerLink>,
     /// Returns the largest body in bytes that any request may have.
     pub body_limit: Rc<dyn Fn() -> u64>,
     /// Counts the connections that are closed unread, and those that send without end.
@@ -70,6 +75,9 @@
 {
     let listener = bind(address).with_context(|| format!("{name}: bind {address}"))?;
     let service = fn_service(move |request: Request| {
+        if let Some(share) = request.conn_data::<LinkShare>() {
+            share.record_request(&request);
+        }
         let answer = serve(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -78,7 +86,7 @@
     let mut intake = ConnectionIntake::new(name, listener, options.clone());
     actix_rt::spawn(async move {
         loop {
-            let (stream, peer) = intake.next().await;
+            let (stream, peer, share) = intake.next().await;
             let factory = HttpService::build()
                 .client_request_timeout(options.head_limit)
                 .keep_alive(KeepAlive::Timeout((options.idle_limit)()))
@@ -88,7 +96,8 @@
             let Ok(handler) = factory.new_service(()).await else { continue };
             let stream =
                 CallerStream::new(stream, options.unwritten.clone(), options.budget.as_ref())
-                    .with_read_limit(read_limit.begin(peer));
+                    .with_read_limit(read_limit.begin(peer))
+                    .with_link_share(share);
             serve_counted(name, handler.call((stream, Some(peer))), intake.open_count());
         }
     });
