A target that is asked to confirm an end has as long as callers wait

What callers saw: an unframed stream that a living target closed after 10 of 30 events ended as complete, since the target that was asked what follows sent its head at once and its first event after 1.3 s.

Cause: the wait for that target was a constant of one second, and behind its head the time after which a working target counts as stalled.

Why this works: a head shows that the target answers, and it may have a prompt to read before it goes on or ends. Behind it the wait is derived from what bounds the caller: the platform's gap (longest of 2 s, four objectives, eight longest pauses) since the latest event, or the deadline, an eighth left. Without a head, and for errors, it stays a second.

The bound of the older test (half an error) is unchanged.

--- a/crates/acceptance/tests/confirmed_unframed_ends.rs
+++ b/crates/acceptance/tests/confirmed_unframed_ends.rs
@@ -9,11 +9,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::{ensure, Result};
+use anyhow::{ensure, Context, Result};
 use curlewcleat_standins::deployment::{get_text, wait_until};
 use curlewcleat_standins::fleet::stream_engine::UNFRAMED_MARK;
 use curlewcleat_standins::fleet::stream_script::{
-    HALF_MARK, LATE_MARK, SHORT_MARK, STUCK_MARK, UNNUMBERED_MARK,
+    HALF_MARK, LATE_MARK, MUTE_MARK, SHORT_MARK, STUCK_MARK, UNNUMBERED_MARK,
 };
 use played_answer::PlayedAnswer;
 use rstest::rstest;
@@ -26,6 +26,8 @@
 const TOGETHER: usize = 60;
 /// Time from the last event of a stream to its end after which callers give it up.
 const CALLER_PATIENCE: Duration = Duration::from_secs(2);
+/// Number of the longest pauses of a route for which callers wait, if that is longer.
+const PATIENCE_PAUSES: u32 = 8;
 
 async fn ready(name: &str) -> Result<(EventFleet, String)> {
     let fleet = EventFleet::start(&format!("review-{name}")).await?;
@@ -90,14 +92,27 @@
 #[actix_rt::test]
 async fn sound_stream_ends_in_time_while_another_target_sends_half_an_error() -> Result<()> {
     let (_fleet, entry) = ready("stuck").await?;
+    check_sound_end(&entry, STUCK_MARK, CALLER_PATIENCE).await
+}
+
+/// Guards against sound streams that end late, because the target that was asked is silent behind its head.
+#[actix_rt::test]
+async fn sound_stream_ends_in_time_while_another_target_is_silent_behind_its_head() -> Result<()> {
+    let (fleet, entry) = ready("mute").await?;
+    let route = fleet.deployment.config.routes.iter().find(|route| route.name == "resumed-stream");
+    let pause = route.and_then(|route| route.gap_aim_ms).context("no pause limit")?;
+    let patience = CALLER_PATIENCE.max(Duration::from_millis(pause as u64) * PATIENCE_PAUSES);
+    check_sound_end(&entry, MUTE_MARK, patience).await
+}
+
+async fn check_sound_end(entry: &str, mark: &str, patience: Duration) -> Result<()> {
     for round in 0..ROUNDS {
-        let mut answer =
-            PlayedAnswer::begin(&entry, &path(STUCK_MARK), &format!("s{round}")).await?;
+        let mut answer = PlayedAnswer::begin(entry, &path(mark), &format!("s{round}")).await?;
         answer.read_events(EVENTS as usize).await?;
         let latest = answer.latest;
         let ended = answer.read_to_end().await;
         let late = latest.elapsed();
-        ensure!(ended && late < CALLER_PATIENCE, "round {round}: {ended} after {late:?}");
+        ensure!(ended && late < patience, "round {round}: {ended} after {late:?}");
     }
     Ok(())
 }
--- a/crates/daemon/src/request/builtin.rs
+++ b/crates/daemon/src/request/builtin.rs
@@ -151,6 +151,7 @@
             connect: limits.connect,
             head: limits.first_byte,
             between_parts: limits.between_bytes,
+            caller_gap: limits.between_bytes,
         }
     }
 
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -219,6 +219,11 @@
         part.or(self.sent).map_or(Duration::ZERO, |active| active.elapsed())
     }
 
+    /// Returns the time since a part of the answer arrived, or since the latest attempt was sent if none has.
+    pub fn caller_idle_time(&self) -> Duration {
+        self.latest.or(self.sent).map_or(Duration::ZERO, |active| active.elapsed())
+    }
+
     /// Returns the time of the latest attempt's complete answer, which the target's scheduler gets.
     pub fn whole_end(&self) -> AttemptEnd {
         AttemptEnd::Whole(self.attempt.time())
--- a/crates/daemon/src/request/protocol.rs
+++ b/crates/daemon/src/request/protocol.rs
@@ -43,6 +43,8 @@
     pub head: Duration,
     /// Time between two parts of the answer.
     pub between_parts: Duration,
+    /// Time between two parts of a stream after which its caller may give it up.
+    pub caller_gap: Duration,
 }
 
 /// What the head of a target's answer means for the attempt.
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -141,6 +141,7 @@
 
     fn begin_parts(&mut self, head: &actix_http::ResponseHead, target: &TargetEntry) {
         self.framing.begin(head);
+        self.extend_settled_end();
         self.expect_form(target);
         if !self.framing.delays_head() {
             self.begin_answer(head);
@@ -154,10 +155,11 @@
         target: &TargetEntry,
         limit: Duration,
     ) -> NextPart {
-        // A target that cannot be replaced has all the remaining time.
-        let limit = match self.framing.is_resumable() {
-            true => limit,
-            false => limit.max(self.request.time_left()),
+        let limit = match self.confirmation_limit() {
+            Some(limit) => limit,
+            None if self.framing.is_resumable() => limit,
+            // A target that cannot be replaced has all the remaining time.
+            None => limit.max(self.request.time_left()),
         };
         let wait = self.target_wait(target);
         match wait.wait(limit, body.next()).await {
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -101,7 +101,10 @@
             false => None,
         };
         match granted {
-            Some(_) => self.settled = Some(SettledEnd::new(self.framing.last_event(), target)),
+            Some(_) => {
+                let (last_event, wait) = (self.framing.last_event(), self.caller_wait());
+                self.settled = Some(SettledEnd::new(last_event, target, wait));
+            }
             None => self.log_end_statement(EndStatement::Unasked),
         }
         granted
--- a/crates/daemon/src/request/run/settled_end.rs
+++ b/crates/daemon/src/request/run/settled_end.rs
@@ -10,21 +10,27 @@
 
 use super::{AttemptOutcome, RequestRun};
 
-/// Longest time for which the other target is asked. Callers give a stream up two seconds after its latest event.
+/// Longest time for which the head of the other target's answer is waited for.
 pub const CONFIRMATION_LIMIT: Duration = Duration::from_secs(1);
+/// Part of the time for which a caller waits that is left for the end of the answer to reach them.
+const CALLER_MARGIN_DIVISOR: u32 = 8;
 
 /// The end of a stream whose target lives. The answer may end there unless another target continues it.
 pub struct SettledEnd {
     last_event: Option<u64>,
     target: TargetEntry,
     until: Moment,
+    /// Until when the caller waits for the rest of the stream.
+    caller_until: Moment,
 }
 
 impl SettledEnd {
-    /// Creates the end of a target's answer after this event.
-    pub fn new(last_event: Option<u64>, target: &TargetEntry) -> SettledEnd {
-        let until = Moment::now() + CONFIRMATION_LIMIT;
-        SettledEnd { last_event, target: target.clone(), until }
+    /// Creates the end of a target's answer after this event, whose caller waits for `caller_wait`.
+    pub fn new(last_event: Option<u64>, target: &TargetEntry, caller_wait: Duration) -> SettledEnd {
+        let now = Moment::now();
+        let target = target.clone();
+        let (until, caller_until) = (now + CONFIRMATION_LIMIT, now + caller_wait);
+        SettledEnd { last_event, target, until, caller_until }
     }
 }
 
@@ -79,6 +85,22 @@
         self.settled.as_ref().map(|settled| settled.until.time_left())
     }
 
+    /// Returns for how long the caller goes on waiting for the rest of its stream.
+    pub(in crate::request) fn caller_wait(&self) -> Duration {
+        let gap = self.protocol().limits(&self.request).caller_gap;
+        let wait = |limit: Duration| limit - limit / CALLER_MARGIN_DIVISOR;
+        let between_parts = wait(gap).saturating_sub(self.progress.caller_idle_time());
+        between_parts.min(wait(self.request.time_left()))
+    }
+
+    /// Gives the other target, whose answer has begun, as long as the caller waits: it may have a prompt to read before it
+    /// goes on with the stream or ends it.
+    pub(in crate::request) fn extend_settled_end(&mut self) {
+        if let Some(settled) = &mut self.settled {
+            settled.until = settled.until.max(settled.caller_until);
+        }
+    }
+
     /// Forgets the settled end once the other target goes on with the stream, if only with a part of an event. The former
     /// target has broken off its answer then.
     pub(in crate::request) fn review_settled_end(&mut self) {
--- a/crates/standins/src/fleet/stream_answers.rs
+++ b/crates/standins/src/fleet/stream_answers.rs
@@ -49,6 +49,10 @@
         let parts = self.parts(request)?;
         let framing = AnswerFraming::of(&request.path);
         framing.begin(&headers, &parts, connection).await?;
+        if fault == ScriptedFault::Mute {
+            tokio::time::sleep(SILENT_TIME).await;
+            return Ok(AfterAnswer::Close);
+        }
         let begun = parts.first().and_then(|part| fault.only_part(part));
         if let Some(begun) = begun {
             self.send(begun, framing, connection).await?;
--- a/crates/standins/src/fleet/stream_script.rs
+++ b/crates/standins/src/fleet/stream_script.rs
@@ -12,6 +12,8 @@
 pub const STUCK_MARK: &str = "/stuck";
 /// Mark of streams whose first answer is closed early, and whose continuations begin late.
 pub const LATE_MARK: &str = "/late";
+/// Mark of streams whose first answer is whole, and whose continuations are silent behind their head.
+pub const MUTE_MARK: &str = "/mute";
 /// The engine that closes records early whose path has [`SHORT_MARK`].
 pub const SHORT_ENGINE: &str = "e-0";
 /// Events of an answer that is closed early.
@@ -30,6 +32,8 @@
     Stuck,
     /// It begins late.
     Late,
+    /// It is silent behind its head.
+    Mute,
 }
 
 impl ScriptedFault {
@@ -41,6 +45,7 @@
             (UNNUMBERED_MARK, Some(ScriptedFault::Short), Some(ScriptedFault::Unnumbered)),
             (STUCK_MARK, None, Some(ScriptedFault::Stuck)),
             (LATE_MARK, Some(ScriptedFault::Short), Some(ScriptedFault::Late)),
+            (MUTE_MARK, None, Some(ScriptedFault::Mute)),
         ];
         let (_, begun, continued) = marks.into_iter().find(|(mark, ..)| path.contains(mark))?;
         if is_continued {
