Unframed records that may be repeated are compared with another target's

What callers saw: a record without a length and without chunks was served with half of its bytes where its target closed it early and lives: 3 of 12.

Cause: that the process answers a status request was taken as a statement about its answer. A stream that may be resumed is checked by asking another target what follows; of a record nobody was asked.

Why this works: where the rule lets the request run again, another target sends the record as well while half of the retry budget is left, and the longer one counts. Lengths are compared, since bytes of different runs may differ. If the other one is shorter, fails or is late, the first one is sent, so that no sound record is lost.

New tests: a slow target does not hold a sound record; a record that may run once does.

--- a/crates/acceptance/tests/confirmed_unframed_ends.rs
+++ b/crates/acceptance/tests/confirmed_unframed_ends.rs
@@ -7,13 +7,14 @@
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{ensure, Context, Result};
 use curlewcleat_standins::deployment::{get_text, wait_until};
 use curlewcleat_standins::fleet::stream_engine::UNFRAMED_MARK;
+use curlewcleat_standins::fleet::stream_record::record_begun;
 use curlewcleat_standins::fleet::stream_script::{
-    HALF_MARK, LATE_MARK, MUTE_MARK, SHORT_MARK, STUCK_MARK, UNNUMBERED_MARK,
+    HALF_MARK, LATE_MARK, MUTE_MARK, SHORT_ENGINE, SHORT_MARK, STUCK_MARK, UNNUMBERED_MARK,
 };
 use played_answer::PlayedAnswer;
 use rstest::rstest;
@@ -179,3 +180,40 @@
     ensure!(short == 0, "{short} of {} records are half", 4 * ROUNDS);
     Ok(())
 }
+
+/// Guards against sound records that are held until a slow target, which was asked for the same one, has sent it.
+#[actix_rt::test]
+async fn sound_record_is_not_held_until_a_slow_target_has_repeated_it() -> Result<()> {
+    let (_fleet, entry) = ready("slow-record").await?;
+    let path = format!("/engine-record-again{LATE_MARK}/a");
+    for round in 0..4 * ROUNDS {
+        let (attempt, begun) = (format!("l{round}"), Instant::now());
+        let mut answer = PlayedAnswer::begin(&entry, &path, &attempt).await?;
+        let ended = answer.read_to_end().await;
+        let (took, text) = (begun.elapsed(), answer.text.as_str());
+        println!("{round}: {} {ended} {text} after {took:?}", answer.status);
+        ensure!(ended && text.contains("second half"), "round {round}: {text:?}");
+        let is_slow = text.contains(&format!("by {SHORT_ENGINE},"));
+        ensure!(is_slow || took < CALLER_PATIENCE, "round {round}: after {took:?}");
+    }
+    Ok(())
+}
+
+/// Guards against records that run again, because another target is asked for them, although they may run only once.
+#[actix_rt::test]
+async fn record_that_may_not_be_repeated_runs_once() -> Result<()> {
+    let (fleet, entry) = ready("once-record").await?;
+    for round in 0..ROUNDS {
+        let attempt = format!("o{round}");
+        let mut answer = PlayedAnswer::begin(&entry, "/engine-record-once/a", &attempt).await?;
+        let ended = answer.read_to_end().await;
+        ensure!(ended && answer.text.contains("second half"), "round {round}: {}", answer.text);
+        let mut runs = 0;
+        for id in &fleet.ids {
+            let output = std::fs::read_to_string(fleet.folder.join(format!("{id}.log")))?;
+            runs += output.lines().filter(|line| **line == record_begun(&attempt)).count();
+        }
+        ensure!(runs == 1, "round {round}: {runs} runs");
+    }
+    Ok(())
+}
--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -18,7 +18,7 @@
 /// Name and description of the counter of [`EndStatement`].
 const END_STATEMENTS: (&str, &str) = (
     "answer_end_confirmations_total",
-    "Ends of unframed streams that another target was asked to confirm, by its statement",
+    "Ends of unframed answers that another target was asked to confirm, by its statement",
 );
 
 /// Requests, and how they end.
@@ -120,7 +120,7 @@
         self.requests.end_checks.with_label_values(&[liveness.code()]).inc();
     }
 
-    /// Counts the end of a stream by what another target stated about it.
+    /// Counts the end of an unframed answer by what another target stated about it.
     pub fn count_end_statement(&self, statement: EndStatement) {
         self.requests.end_statements.with_label_values(&[statement.code()]).inc();
     }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -8,6 +8,7 @@
 mod complete;
 mod ends;
 mod forms;
+mod records;
 
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use super::target_wait::{GrantedTarget, WaitEnd};
 
 use self::ends::EndProof;
+pub use self::records::HeldRecord;
 
 /// Next event in an answer.
 enum NextPart {
--- a/crates/daemon/src/request/relay/complete.rs
+++ b/crates/daemon/src/request/relay/complete.rs
@@ -14,6 +14,7 @@
 use spdlog::prelude::*;
 
 use super::ends::EndProof;
+use super::records::WholeRecord;
 use crate::byte_budget::{ByteHold, ByteOwner};
 use crate::request::cause::AttemptCause;
 use crate::request::run::{AttemptOutcome, RequestRun};
@@ -63,12 +64,18 @@
             // The caller has the beginning of another target's answer, which this one cannot continue.
             return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Unreadable);
         }
+        let length = bytes.len();
         let caller_answer = self.protocol().caller_answer(self.request.id, &head);
         let caller_answer = caller_answer.with_body(frame, bytes);
         if head.status.is_server_error() && self.protocol().may_repeat(&self.request) {
             self.fallback = Some(caller_answer);
             return AttemptOutcome::Retry(RetryReason::TargetFailed, AttemptCause::Failed);
         }
+        let record = WholeRecord { answer: caller_answer, frame, length };
+        let caller_answer = match self.confirmed_record(record, target).await {
+            Ok(answer) => answer,
+            Err(outcome) => return outcome,
+        };
         self.record_answer_begin();
         self.answer.send_head(caller_answer);
         self.verdict = Verdict::Ran;
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -97,7 +97,7 @@
             return None;
         }
         let granted = match self.request.time_left() > CONFIRMATION_LIMIT {
-            true => self.target_for_confirmation(target).await,
+            true => self.target_for_confirmation(target, self.stream_end()).await,
             false => None,
         };
         match granted {
@@ -118,11 +118,13 @@
         }
     }
 
-    async fn target_for_confirmation(
+    /// Returns another target if one is granted at once, while retries are to spare. The first one has ended its answer like
+    /// this.
+    pub(super) async fn target_for_confirmation(
         &mut self,
         target: &TargetEntry,
+        end: AttemptEnd,
     ) -> Option<Box<GrantedTarget>> {
-        let end = self.stream_end();
         let reason =
             ReplacementReason::EndConfirmed(AnswerEnd { end, is_doubtful: self.is_end_doubtful() });
         let wait = TargetWait { reason, ..self.target_wait(target) };
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -153,7 +153,7 @@
         });
     }
 
-    /// Logs and counts what another target stated about the end of an unframed stream whose target lives.
+    /// Logs and counts what another target stated about the end of an unframed answer whose target lives.
     pub(in crate::request) fn log_end_statement(&self, statement: EndStatement) {
         self.service.context.metrics.count_end_statement(statement);
         // An answer that has begun comes from a target, so the default is never used.
--- a/crates/sched/src/entry/confirmation.rs
+++ b/crates/sched/src/entry/confirmation.rs
@@ -1,4 +1,5 @@
-//! Finds another target that confirms the end of an answer, whose target lives but may have closed it too early.
+//! Finds another target that confirms the end of an answer, whose target lives but may have closed it too early, or that
+//! sends the answer as well.
 //!
 //! Inputs: the end of an answer that nothing but its target's life proves; the limits on retries ([`retry`](crate::retry)).
 //!
--- a/crates/standins/src/fleet/stream_engine.rs
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -14,9 +14,9 @@
 use super::engine::stated_events;
 use super::stream_damage::{DamageOptions, DamagedRun, StreamDamage};
 use super::stream_fault::StreamFault;
-use super::stream_record::{answer_record, RECORD_MARK};
+use super::stream_record::{answer_record, RecordFault, RECORD_MARK};
 use super::stream_runs::run_line;
-use super::stream_script::{ScriptedFault, SHORT_ENGINE, SHORT_MARK};
+use super::stream_script::ScriptedFault;
 use super::stream_trouble::{EngineTrouble, StreamTrouble, TROUBLE_PATH};
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
@@ -137,8 +137,8 @@
         }
         if request.path.starts_with(RECORD_MARK) {
             let id = self.options.id.as_str();
-            let is_short = request.path.contains(SHORT_MARK) && id == SHORT_ENGINE;
-            return answer_record(attempt, id, is_short, connection).await;
+            let fault = RecordFault::of(&request.path, id);
+            return answer_record(attempt, id, fault, connection).await;
         }
         if let Some(name) = request.path.strip_prefix(TROUBLE_PATH) {
             self.trouble.set(name)?;
--- a/crates/standins/src/fleet/stream_record.rs
+++ b/crates/standins/src/fleet/stream_record.rs
@@ -7,6 +7,7 @@
 use anyhow::Result;
 use curlewcleat_platform::names::{SEAL_HEADER, WIRE_PROFILE};
 
+use super::stream_script::{LATE_MARK, SHORT_ENGINE, SHORT_MARK};
 use crate::http::{AfterAnswer, PlainConnection};
 
 /// Beginning of the paths of records.
@@ -14,20 +15,45 @@
 /// Time after each half of a record.
 const HALF_TIME: Duration = Duration::from_millis(150);
 
-/// Sends a record in two halves, or the first one if it `is_short`, and names its attempt in the output of the process.
+/// Time after each half of a record that is slow.
+const SLOW_TIME: Duration = Duration::from_millis(1_500);
+
+/// What the engine that the marks of records name does with one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RecordFault {
+    /// It is closed after its first half.
+    Short,
+    /// Its halves come late.
+    Slow,
+}
+
+impl RecordFault {
+    /// Returns the fault of a record at an engine, `None` for a sound one.
+    pub(super) fn of(path: &str, engine: &str) -> Option<RecordFault> {
+        match path {
+            _ if engine != SHORT_ENGINE => None,
+            path if path.contains(SHORT_MARK) => Some(RecordFault::Short),
+            path if path.contains(LATE_MARK) => Some(RecordFault::Slow),
+            _ => None,
+        }
+    }
+}
+
+/// Sends a record in two halves, with this fault, and names its attempt in the output of the process.
 pub(super) async fn answer_record(
     attempt: &str,
     engine: &str,
-    is_short: bool,
+    fault: Option<RecordFault>,
     connection: &mut PlainConnection,
 ) -> Result<AfterAnswer> {
     println!("{}", record_begun(attempt));
     let headers = [(WIRE_PROFILE.attempt_id, attempt), (SEAL_HEADER, engine)];
     connection.begin_unframed(&headers).await?;
-    let halves = if is_short { 1 } else { 2 };
+    let halves = if fault == Some(RecordFault::Short) { 1 } else { 2 };
+    let time = if fault == Some(RecordFault::Slow) { SLOW_TIME } else { HALF_TIME };
     for half in record_halves(attempt, engine).iter().take(halves) {
         connection.write_raw(half.as_bytes()).await?;
-        tokio::time::sleep(HALF_TIME).await;
+        tokio::time::sleep(time).await;
     }
     Ok(AfterAnswer::Close)
 }
--- a/crates/standins/src/fleet/stream_script.rs
+++ b/crates/standins/src/fleet/stream_script.rs
@@ -14,7 +14,7 @@
 pub const LATE_MARK: &str = "/late";
 /// Mark of streams whose first answer is whole, and whose continuations are silent behind their head.
 pub const MUTE_MARK: &str = "/mute";
-/// The engine that closes records early whose path has [`SHORT_MARK`].
+/// The engine that closes records early whose path has [`SHORT_MARK`], and is slow with those that have [`LATE_MARK`].
 pub const SHORT_ENGINE: &str = "e-0";
 /// Events of an answer that is closed early.
 pub const SHORT_EVENTS: usize = 10;
