--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -26,8 +26,8 @@
 use actix_http::{Request, RequestHead, ResponseHead, StatusCode};
 use curlewcleat_clock::Moment;
 use curlewcleat_core::{
-    ActiveConfig, LoadReading, Refusal, RefusalReason, RequestId, ServiceLimits, TargetEntry,
-    TargetNotice, TargetPool, Verdict,
+    ActiveConfig, LoadReading, Refusal, RefusalReason, RequestId, TargetEntry, TargetNotice,
+    TargetPool, Verdict,
 };
 use curlewcleat_store::WireProfile;
 use curlewcleat_targets::{ConnectionOptions, ConnectionPool, ExchangeOptions, TargetAnswer};
@@ -58,12 +58,6 @@
 /// requested. Over 12 days of overload and faults on six daemons (4 days, 3 seeds each), the mean value is .535 with 2,
 /// .533 with 1 and .529 with 4.
 const STALL_OBJECTIVES: u32 = 2;
-/// Shortest time between two parts of a stream after which callers give it up.
-const MIN_CALLER_GAP: Duration = Duration::from_secs(2);
-/// Number of latency objectives for which callers wait between two parts.
-const CALLER_GAP_OBJECTIVES: u32 = 4;
-/// Number of longest pauses for which callers wait between two parts.
-const CALLER_GAP_PAUSES: u32 = 8;
 /// Bounds of the time after which a target counts as stalled. A working target pauses for 0.6 to 2 s while it reads a
 /// long prompt (in a fleet of 78 daemons).
 const STALL_LIMIT_RANGE: (Duration, Duration) =
@@ -138,13 +132,6 @@
     }
 }
 
-/// Returns the time between two parts of a stream after which its caller may give it up.
-fn caller_gap(limits: &ServiceLimits) -> Duration {
-    let objective = limits.objective.unwrap_or_default() * CALLER_GAP_OBJECTIVES;
-    let pause = limits.pause_limit.unwrap_or_default() * CALLER_GAP_PAUSES;
-    objective.max(pause).max(MIN_CALLER_GAP)
-}
-
 impl CallerProtocol for ProfileProtocol {
     fn options(&self) -> &ProtocolOptions {
         &OPTIONS
@@ -193,7 +180,7 @@
             connect: connect.min(request.time_left()),
             head: stall,
             between_parts: stall,
-            caller_gap: caller_gap(&request.rule.service),
+            caller_gap: objectives::caller_gap(&request.rule.service),
         }
     }
 
--- a/crates/daemon/src/request/profile/objectives.rs
+++ b/crates/daemon/src/request/profile/objectives.rs
@@ -14,8 +14,14 @@
 
 use std::time::Duration;
 
-use curlewcleat_core::{AdmissionRule, LatencyObjectives, TierRank};
+use curlewcleat_core::{AdmissionRule, LatencyObjectives, ServiceLimits, TierRank};
 
+/// Shortest time between two parts of a stream after which callers give it up.
+const MIN_CALLER_GAP: Duration = Duration::from_secs(2);
+/// Number of latency objectives for which callers wait between two parts.
+const CALLER_GAP_OBJECTIVES: u32 = 4;
+/// Number of longest pauses for which callers wait between two parts.
+const CALLER_GAP_PAUSES: u32 = 8;
 /// Longest wait of a request, in percent of the time until its deadline. A longer wait only keeps the caller from
 /// using the time better.
 const WAIT_PERCENT: u32 = 40;
@@ -59,3 +65,10 @@
         ..objectives
     }
 }
+
+/// Returns the time between two parts of a stream after which its caller may give it up.
+pub fn caller_gap(limits: &ServiceLimits) -> Duration {
+    let objective = limits.objective.unwrap_or_default() * CALLER_GAP_OBJECTIVES;
+    let pause = limits.pause_limit.unwrap_or_default() * CALLER_GAP_PAUSES;
+    objective.max(pause).max(MIN_CALLER_GAP)
+}
--- a/crates/daemon/src/request/relay/complete.rs
+++ b/crates/daemon/src/request/relay/complete.rs
@@ -16,6 +16,7 @@
 use super::ends::EndProof;
 use super::records::WholeRecord;
 use crate::byte_budget::{ByteHold, ByteOwner};
+use crate::request::answer::CallerAnswer;
 use crate::request::cause::AttemptCause;
 use crate::request::run::{AttemptOutcome, RequestRun};
 
@@ -65,19 +66,21 @@
             return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Unreadable);
         }
         let length = bytes.len();
-        let caller_answer = self.protocol().caller_answer(self.request.id, &head);
-        let caller_answer = caller_answer.with_body(frame, bytes);
+        let answer = self.protocol().caller_answer(self.request.id, &head).with_body(frame, bytes);
         if head.status.is_server_error() && self.protocol().may_repeat(&self.request) {
-            self.fallback = Some(caller_answer);
+            self.fallback = Some(answer);
             return AttemptOutcome::Retry(RetryReason::TargetFailed, AttemptCause::Failed);
         }
-        let record = WholeRecord { answer: caller_answer, frame, length };
-        let caller_answer = match self.confirmed_record(record, target).await {
-            Ok(answer) => answer,
-            Err(outcome) => return outcome,
-        };
+        let record = WholeRecord { answer, frame, length };
+        match self.confirmed_record(record, target).await {
+            Ok(answer) => self.send_record(answer),
+            Err(outcome) => outcome,
+        }
+    }
+
+    fn send_record(&mut self, answer: CallerAnswer) -> AttemptOutcome {
         self.record_answer_begin();
-        self.answer.send_head(caller_answer);
+        self.answer.send_head(answer);
         self.verdict = Verdict::Ran;
         AttemptOutcome::Served(self.progress.whole_end())
     }
