--- a/crates/daemon/src/request/profile.rs
+++ b/crates/daemon/src/request/profile.rs
@@ -180,6 +180,7 @@
             connect: connect.min(request.time_left()),
             head: stall,
             between_parts: stall,
+            caller_gap: objectives::caller_gap(&request.rule.service),
         }
     }
 
--- a/crates/daemon/src/request/relay/complete.rs
+++ b/crates/daemon/src/request/relay/complete.rs
@@ -14,7 +14,9 @@
 use spdlog::prelude::*;
 
 use super::ends::EndProof;
+use super::records::WholeRecord;
 use crate::byte_budget::{ByteHold, ByteOwner};
+use crate::request::answer::CallerAnswer;
 use crate::request::cause::AttemptCause;
 use crate::request::run::{AttemptOutcome, RequestRun};
 
@@ -63,14 +65,22 @@
             // The caller has the beginning of another target's answer, which this one cannot continue.
             return self.interrupted(RefusalReason::TargetProtocol, AttemptCause::Unreadable);
         }
-        let caller_answer = self.protocol().caller_answer(self.request.id, &head);
-        let caller_answer = caller_answer.with_body(frame, bytes);
+        let length = bytes.len();
+        let answer = self.protocol().caller_answer(self.request.id, &head).with_body(frame, bytes);
         if head.status.is_server_error() && self.protocol().may_repeat(&self.request) {
-            self.fallback = Some(caller_answer);
+            self.fallback = Some(answer);
             return AttemptOutcome::Retry(RetryReason::TargetFailed, AttemptCause::Failed);
         }
+        let record = WholeRecord { answer, frame, length };
+        match self.confirmed_record(record, target).await {
+            Ok(answer) => self.send_record(answer),
+            Err(outcome) => outcome,
+        }
+    }
+
+    fn send_record(&mut self, answer: CallerAnswer) -> AttemptOutcome {
         self.record_answer_begin();
-        self.answer.send_head(caller_answer);
+        self.answer.send_head(answer);
         self.verdict = Verdict::Ran;
         AttemptOutcome::Served(self.progress.whole_end())
     }
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -97,11 +97,14 @@
             return None;
         }
         let granted = match self.request.time_left() > CONFIRMATION_LIMIT {
-            true => self.target_for_confirmation(target).await,
+            true => self.target_for_confirmation(target, self.stream_end()).await,
             false => None,
         };
         match granted {
-            Some(_) => self.settled = Some(SettledEnd::new(self.framing.last_event(), target)),
+            Some(_) => {
+                let (last_event, wait) = (self.framing.last_event(), self.caller_wait());
+                self.settled = Some(SettledEnd::new(last_event, target, wait));
+            }
             None => self.log_end_statement(EndStatement::Unasked),
         }
         granted
@@ -115,11 +118,13 @@
         }
     }
 
-    async fn target_for_confirmation(
+    /// Returns another target if one is granted at once, while retries are to spare. The first one has ended its answer like
+    /// this.
+    pub(super) async fn target_for_confirmation(
         &mut self,
         target: &TargetEntry,
+        end: AttemptEnd,
     ) -> Option<Box<GrantedTarget>> {
-        let end = self.stream_end();
         let reason =
             ReplacementReason::EndConfirmed(AnswerEnd { end, is_doubtful: self.is_end_doubtful() });
         let wait = TargetWait { reason, ..self.target_wait(target) };
