--- a/crates/node/tests/terms.rs
+++ b/crates/node/tests/terms.rs
@@ -181,7 +181,7 @@
         true => rated.fleet.restart(started, 2),
         false => {
             let seeds = rated.others(started).into_iter().map(address).collect();
-            rated.fleet.daemons[started] = later_daemon(started, seeds, 2);
+            rated.fleet.daemons[started] = later_daemon(started, seeds, 2, rated.fleet.now);
         }
     }
     rated.fleet.run(Duration::from_secs(2));
