--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -4,6 +4,7 @@
 //! Owns: the options by which the daemons of a fleet share readers, rates and one scheduler. Relies on: [`FleetPlatform`] for calls.
 
 mod follow;
+mod operator_answers;
 mod read_signals;
 mod reload;
 mod unread_limit;
@@ -13,8 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
-use actix_http::{Request, Response, StatusCode};
+use actix_http::Request;
 use anyhow::Result;
 use curlewcleat_clock::Moment;
 use curlewcleat_config::{DaemonSettings, RolloutBounds};
@@ -25,6 +25,7 @@
 use spdlog::prelude::*;
 
 pub use self::follow::EntryFaults;
+use self::operator_answers::operator_answer;
 pub use self::read_signals::ReadSignals;
 use self::reload::SettingsReloader;
 use self::unread_limit::{link_limit, unread_limit};
@@ -32,7 +33,6 @@
 use crate::context::DaemonContext;
 use crate::listen::caller_link::CallerLink;
 use crate::listen::{listen, ListenOptions};
-use crate::operators::serve_operator;
 use crate::platform_adapter::{node_options, CallerServer, LocalFuture, PlatformAdapter};
 use crate::request::{ProfileProtocol, RequestService};
 use crate::unwritten::UnwrittenCount;
@@ -280,22 +280,3 @@
         budget: context.budget.clone(),
     }
 }
-
-/// Answers an operator. The readiness check fails while requests with a token are refused because of a stale
-/// configuration, and while they will be because the newest object at the platform is no configuration.
-async fn operator_answer(
-    context: DaemonContext,
-    freshness: Rc<ConfigFreshness>,
-    request: Request,
-) -> Response<BoxBody> {
-    let fresh = freshness.allows(context.bounds().config_age_limit);
-    let problem = match (freshness.is_unusable(), fresh) {
-        (true, _) => "newest configuration unusable",
-        (false, false) => "configuration stale",
-        (false, true) => return serve_operator(context, request).await,
-    };
-    match request.path() {
-        "/readyz" => Response::with_body(StatusCode::SERVICE_UNAVAILABLE, BoxBody::new(problem)),
-        _ => serve_operator(context, request).await,
-    }
-}
--- a/crates/daemon/src/request/profile/objectives.rs
+++ b/crates/daemon/src/request/profile/objectives.rs
@@ -68,7 +68,9 @@
 
 /// Returns the time between two parts of a stream after which its caller may give it up.
 pub fn caller_gap(limits: &ServiceLimits) -> Duration {
-    let objective = limits.objective.unwrap_or_default() * CALLER_GAP_OBJECTIVES;
-    let pause = limits.pause_limit.unwrap_or_default() * CALLER_GAP_PAUSES;
+    let multiple =
+        |limit: Option<Duration>, factor| limit.map_or(Duration::ZERO, |limit| limit * factor);
+    let objective = multiple(limits.objective, CALLER_GAP_OBJECTIVES);
+    let pause = multiple(limits.pause_limit, CALLER_GAP_PAUSES);
     objective.max(pause).max(MIN_CALLER_GAP)
 }
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -210,32 +210,6 @@
         }
     }
 
-    /// Decides whether the stream, and the caller's answer, may end with a whole body.
-    async fn evaluate_whole(&mut self, frame: BodyFrame, target: &TargetEntry) -> NextPart {
-        if !self.framing.may_end() {
-            return NextPart::Interrupted(AttemptCause::Misplaced);
-        }
-        if !self.answer.may_end_with(frame) {
-            return NextPart::Interrupted(AttemptCause::EndUnproven);
-        }
-        if frame != BodyFrame::UntilClose || self.asked_end().is_some() {
-            return NextPart::End;
-        }
-        let is_agreed = self.framing.agrees_on_end();
-        let is_doubtful = self.is_end_doubtful();
-        if is_agreed && !is_doubtful {
-            return NextPart::End;
-        }
-        if is_doubtful && !is_agreed && self.has_to_confirm(target) {
-            return NextPart::Interrupted(AttemptCause::EndUnproven);
-        }
-        // Two targets that break off answers may have ended theirs at the same event.
-        match self.end_confirmation(target).await {
-            Some(other) => NextPart::Replaced(other, AttemptCause::EndUnproven),
-            None => NextPart::End,
-        }
-    }
-
     /// Relays what the framing has buffered, and finishes the answer.
     async fn finish_parts(&mut self, target: &TargetEntry) -> AttemptOutcome {
         let remaining = self.framing.take_remaining();
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -9,6 +9,7 @@
 use curlewcleat_sched::AnswerEnd;
 use curlewcleat_targets::BodyFrame;
 
+use super::NextPart;
 use crate::request::cause::AttemptCause;
 use crate::request::liveness::TargetLiveness;
 use crate::request::run::RequestRun;
@@ -69,6 +70,36 @@
         }
     }
 
+    /// Decides whether the stream, and the caller's answer, may end with a whole body.
+    pub(super) async fn evaluate_whole(
+        &mut self,
+        frame: BodyFrame,
+        target: &TargetEntry,
+    ) -> NextPart {
+        if !self.framing.may_end() {
+            return NextPart::Interrupted(AttemptCause::Misplaced);
+        }
+        if !self.answer.may_end_with(frame) {
+            return NextPart::Interrupted(AttemptCause::EndUnproven);
+        }
+        if frame != BodyFrame::UntilClose || self.asked_end().is_some() {
+            return NextPart::End;
+        }
+        let is_agreed = self.framing.agrees_on_end();
+        let is_doubtful = self.is_end_doubtful();
+        if is_agreed && !is_doubtful {
+            return NextPart::End;
+        }
+        if is_doubtful && !is_agreed && self.has_to_confirm(target) {
+            return NextPart::Interrupted(AttemptCause::EndUnproven);
+        }
+        // Two targets that break off answers may have ended theirs at the same event.
+        match self.end_confirmation(target).await {
+            Some(other) => NextPart::Replaced(other, AttemptCause::EndUnproven),
+            None => NextPart::End,
+        }
+    }
+
     /// Returns whether another target has to confirm the end of a stream: targets of the pool break off answers, and this
     /// one may have done so at the end of an event.
     pub(super) fn is_end_doubtful(&self) -> bool {
--- a/crates/daemon/src/stream_forms.rs
+++ b/crates/daemon/src/stream_forms.rs
@@ -68,7 +68,8 @@
         has_further_attempt: bool,
     ) -> FormExpectation {
         let mut forms = self.lock();
-        let damage = forms.damaged.get(&source.pool).copied().unwrap_or_default();
+        let damage =
+            forms.damaged.get(&source.pool).map_or(DamageEvidence::default(), |shown| *shown);
         let kept = forms.source(source);
         FormExpectation {
             form: kept.evidence.form(may_repeat),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,6 +5,7 @@
 mod begun_lists;
 mod configuration;
 mod evacuations;
+mod frames;
 mod held_grants;
 mod keys;
 mod lethal;
@@ -31,7 +32,7 @@
 mod views;
 mod warm_ups;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -176,11 +177,6 @@
         }
     }
 
-    /// Returns the node of a process that has run for some time, in which nothing can have arrived here.
-    pub fn starting_at(self, now: Uptime) -> Node {
-        Node { now, ..self }
-    }
-
     /// Handles an event and returns the actions to perform, in order.
     pub fn handle(&mut self, now: Uptime, wall: WallTime, event: NodeEvent) -> Vec<NodeAction> {
         let stood_still = self.record_standstill(now);
@@ -270,11 +266,6 @@
         self.drain.ready() && self.store.generation() > 0
     }
 
-    /// Returns the peer addresses in use.
-    pub fn peer_addresses(&self) -> BTreeSet<String> {
-        self.members.addresses()
-    }
-
     /// Returns a copy of the scheduler of a pool, if this daemon has one.
     pub fn scheduler(&self, pool: &str) -> Option<PoolScheduler> {
         self.pools.get(pool).cloned()
@@ -287,10 +278,10 @@
 
     /// Returns the subject from which the order of schedulers of a pool is computed.
     fn scheduling_subject<'a>(&self, pool: &'a str) -> &'a str {
-        if self.options.one_scheduler {
-            return ALL_POOLS;
+        match self.options.one_scheduler {
+            true => ALL_POOLS,
+            false => pool,
         }
-        pool
     }
 }
 
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns: nothing; these are methods of `Node`. Relies on: `MemberView` for the peers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use curlewcleat_core::{AccountId, DaemonId, DaemonRecord, PoolId, VmId};
@@ -12,6 +12,11 @@
 use crate::event::ListedVm;
 
 impl Node {
+    /// Returns the peer addresses in use.
+    pub fn peer_addresses(&self) -> BTreeSet<String> {
+        self.members.addresses()
+    }
+
     /// Applies the list of daemons that are recorded at the platform.
     pub(super) fn daemons_listed(&mut self, records: Vec<DaemonRecord>) {
         self.members.update_records(records);
--- a/crates/node/src/node/standstill.rs
+++ b/crates/node/src/node/standstill.rs
@@ -25,6 +25,11 @@
 }
 
 impl Node {
+    /// Returns the node of a process that has run for some time, in which nothing can have arrived here.
+    pub fn starting_at(self, now: Uptime) -> Node {
+        Node { now, ..self }
+    }
+
     /// Returns whether this daemon stood still until now.
     pub(super) fn record_standstill(&mut self, now: Uptime) -> bool {
         let length = now.saturating_sub(self.now);
--- a/crates/targets/src/agreement.rs
+++ b/crates/targets/src/agreement.rs
@@ -30,7 +30,7 @@
 }
 
 impl AgreementRule {
-    /// Returns whether a deviation that so many targets have stated counts as sound.
+    /// Returns whether a deviation that this number of targets has stated counts as sound.
     pub fn is_met(self, targets: usize) -> bool {
         match self {
             AgreementRule::Targets(required) => targets >= required,
