Revert "Daemons read no more bytes of requests than their link carries"

A caller that states a body of a huge length made the daemon close connections of others: sender_without_an_end_is_ended_in_bounded_memory, is_caller, body of a huge length, failed in the whole tests twice of twice.

--- a/crates/daemon/src/caller_stream.rs
+++ b/crates/daemon/src/caller_stream.rs
@@ -17,7 +17,6 @@
 
 use crate::byte_budget::{CallerReader, SharedBudget};
 use crate::connection_guard::ConnectionGuard;
-use crate::listen::caller_link::LinkShare;
 use crate::listen::read_limit::ReadCount;
 use crate::unwritten::UnwrittenCount;
 
@@ -32,8 +31,6 @@
     reader: Option<CallerReader>,
     /// `None` where what the caller sends is not limited.
     read: Option<ReadCount>,
-    /// `None` where the link does not limit which connections are read.
-    share: Option<LinkShare>,
     guard: ConnectionGuard,
     count: UnwrittenCount,
     counted: bool,
@@ -54,7 +51,7 @@
             }
         }
         let guard = ConnectionGuard::default();
-        CallerStream { stream, reader, read: None, share: None, guard, count, counted: false }
+        CallerStream { stream, reader, read: None, guard, count, counted: false }
     }
 
     /// Ends the connection where it sends more than its limit.
@@ -63,21 +60,12 @@
         self
     }
 
-    /// Counts the requests of the connection as a share of the link.
-    pub fn with_link_share(mut self, share: Option<LinkShare>) -> CallerStream {
-        self.share = share;
-        self
-    }
-
     /// Makes the guard and the reader of the connection available to its requests.
     pub fn share_guard(&self, data: &mut Extensions) {
         data.insert(self.guard.clone());
         if let Some(reader) = &self.reader {
             data.insert(reader.clone());
         }
-        if let Some(share) = &self.share {
-            data.insert(share.clone());
-        }
     }
 
     /// Fails once the connection has to end. It ends with a reset, so that no caller takes the answer for complete, and
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -28,10 +28,9 @@
 use self::operator_answers::operator_answer;
 pub use self::read_signals::ReadSignals;
 use self::reload::SettingsReloader;
-use self::unread_limit::{link_limit, unread_limit};
+use self::unread_limit::unread_limit;
 use crate::config_freshness::ConfigFreshness;
 use crate::context::DaemonContext;
-use crate::listen::caller_link::CallerLink;
 use crate::listen::{listen, ListenOptions};
 use crate::platform_adapter::{node_options, CallerServer, LocalFuture, PlatformAdapter};
 use crate::request::{ProfileProtocol, RequestService};
@@ -236,7 +235,6 @@
     let operators = ListenOptions {
         idle_limit: Rc::new(|| OPERATOR_IDLE_LIMIT),
         unread_limit: Rc::new(|| None),
-        link: None,
         body_limit: Rc::new(|| 0),
         unwritten: UnwrittenCount::default(),
         budget: None,
@@ -269,7 +267,6 @@
         }),
         connection_limit: settings.connection_limit,
         unread_limit: unread_limit(context),
-        link: Some(CallerLink::new(settings.link_kbit_per_s * 1_000 / 8, link_limit(context))),
         body_limit: Rc::new(move || {
             let config = body_context.config();
             // Without rules no body is read.
--- a/crates/daemon/src/fleet/unread_limit.rs
+++ b/crates/daemon/src/fleet/unread_limit.rs
@@ -1,7 +1,7 @@
-//! Times for which a caller's connection may wait for the daemon or its link: fractions of the latency objectives in force,
-//! so that the caller can still be served in time elsewhere.
+//! Time for which a caller's connection may wait to be read: a fraction of the shortest latency objective in force, so
+//! that the caller can still be served in time elsewhere.
 //!
-//! Owns: the limits of the configuration in force. Relies on: a generation that differs for each configuration.
+//! Owns: the limit of the configuration in force. Relies on: a generation that differs for each configuration.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -13,25 +13,11 @@
 
 /// Shortest limit: several turns of the loop, so that connections that arrive together can be read.
 const MIN_LIMIT: Duration = Duration::from_millis(20);
-/// Fraction of a latency objective for which a connection may wait.
+/// Fraction of the shortest latency objective for which a connection may wait.
 const OBJECTIVE_DIVISOR: u32 = 4;
 
-/// Returns a function for the time that a connection may wait to be read; it returns `None` where no rule has an objective.
+/// Returns a function for the limit; it returns `None` where no rule has an objective.
 pub fn unread_limit(context: &DaemonContext) -> Rc<dyn Fn() -> Option<Duration>> {
-    limit_in_force(context, |config| objectives(config).min().map(fraction))
-}
-
-/// Returns a function for the time that the link may need for what callers send; it returns `None` where no rule has an
-/// objective. The longest objective decides: small requests pass between the packets of large ones.
-pub fn link_limit(context: &DaemonContext) -> Rc<dyn Fn() -> Option<Duration>> {
-    limit_in_force(context, |config| objectives(config).max().map(fraction))
-}
-
-/// Returns a function for a limit, which is computed once for each configuration.
-fn limit_in_force(
-    context: &DaemonContext,
-    limit_of: fn(&ActiveConfig) -> Option<Duration>,
-) -> Rc<dyn Fn() -> Option<Duration>> {
     let context = context.clone();
     let known = Cell::new((Generation::default(), None));
     Rc::new(move || {
@@ -46,10 +32,7 @@
     })
 }
 
-fn objectives(config: &ActiveConfig) -> impl Iterator<Item = Duration> + '_ {
-    config.rules.iter().filter_map(|rule| rule.service.objective)
-}
-
-fn fraction(objective: Duration) -> Duration {
-    (objective / OBJECTIVE_DIVISOR).max(MIN_LIMIT)
+fn limit_of(config: &ActiveConfig) -> Option<Duration> {
+    let objectives = config.rules.iter().filter_map(|rule| rule.service.objective);
+    objectives.min().map(|objective| (objective / OBJECTIVE_DIVISOR).max(MIN_LIMIT))
 }
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -4,9 +4,7 @@
 //! what is read next.
 
 mod accept_queue;
-pub mod caller_link;
 mod intake;
-mod link_backlog;
 pub mod read_limit;
 
 use std::cell::Cell;
@@ -25,7 +23,6 @@
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpSocket};
 
-use self::caller_link::{CallerLink, LinkShare};
 use self::intake::ConnectionIntake;
 use self::read_limit::ReadLimit;
 use crate::byte_budget::SharedBudget;
@@ -47,8 +44,6 @@
     pub connection_limit: usize,
     /// Returns the time after which a connection that could not be read is closed; `None` if it waits on.
     pub unread_limit: Rc<dyn Fn() -> Option<Duration>>,
-    /// Link that the connections share; `None` where it does not limit which are read.
-    pub link: Option<CallerLink>,
     /// Returns the largest body in bytes that any request may have.
     pub body_limit: Rc<dyn Fn() -> u64>,
     /// Counts the connections that are closed unread, and those that send without end.
@@ -75,9 +70,6 @@
 {
     let listener = bind(address).with_context(|| format!("{name}: bind {address}"))?;
     let service = fn_service(move |request: Request| {
-        if let Some(share) = request.conn_data::<LinkShare>() {
-            share.record_request(&request);
-        }
         let answer = serve(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -86,7 +78,7 @@
     let mut intake = ConnectionIntake::new(name, listener, options.clone());
     actix_rt::spawn(async move {
         loop {
-            let (stream, peer, share) = intake.next().await;
+            let (stream, peer) = intake.next().await;
             let factory = HttpService::build()
                 .client_request_timeout(options.head_limit)
                 .keep_alive(KeepAlive::Timeout((options.idle_limit)()))
@@ -96,8 +88,7 @@
             let Ok(handler) = factory.new_service(()).await else { continue };
             let stream =
                 CallerStream::new(stream, options.unwritten.clone(), options.budget.as_ref())
-                    .with_read_limit(read_limit.begin(peer))
-                    .with_link_share(share);
+                    .with_read_limit(read_limit.begin(peer));
             serve_counted(name, handler.call((stream, Some(peer))), intake.open_count());
         }
     });
--- a/crates/daemon/src/listen/intake.rs
+++ b/crates/daemon/src/listen/intake.rs
@@ -15,7 +15,6 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::accept_queue::AcceptQueue;
-use super::caller_link::LinkShare;
 use super::ListenOptions;
 
 /// Pause before the next accept after a failed one (for example if no file descriptor is free), and between two checks
@@ -24,8 +23,8 @@
 /// Shortest time between two log lines about connections that were closed unread.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// A connection, the address of its caller, and its share of the link if that is limited.
-type AcceptedConnection = (TcpStream, SocketAddr, Option<LinkShare>);
+/// A connection and the address of its caller.
+type AcceptedConnection = (TcpStream, SocketAddr);
 
 /// Connections of a listener.
 pub struct ConnectionIntake {
@@ -36,8 +35,6 @@
     open_count: Rc<Cell<usize>>,
     /// Connections closed unread since the last log line.
     closed_unread: usize,
-    /// Those of them for which the link had no room.
-    link_full: usize,
     /// When the last log line was written; `None` before the first.
     logged_at: Option<Moment>,
 }
@@ -56,7 +53,6 @@
             queue: AcceptQueue::default(),
             open_count: Rc::default(),
             closed_unread: 0,
-            link_full: 0,
             logged_at: None,
         }
     }
@@ -105,12 +101,12 @@
     }
 
     /// Queues a connection; returns whether there is one. Logs the error otherwise, and pauses.
-    async fn take_accepted(&mut self, accepted: std::io::Result<(TcpStream, SocketAddr)>) -> bool {
+    async fn take_accepted(&mut self, accepted: std::io::Result<AcceptedConnection>) -> bool {
         match accepted {
             Ok((stream, peer)) => {
                 // The connection is served even if the option cannot be set.
                 let _ = stream.set_nodelay(true);
-                self.admit(stream, peer);
+                self.queue.push(Moment::now(), (stream, peer));
                 true
             }
             Err(error) => {
@@ -121,33 +117,13 @@
         }
     }
 
-    /// Queues a connection, or closes it where the link is full.
-    fn admit(&mut self, stream: TcpStream, peer: SocketAddr) {
-        let now = Moment::now();
-        let Some(link) = &self.options.link else {
-            return self.queue.push(now, (stream, peer, None));
-        };
-        match link.admit(now) {
-            Some(share) => self.queue.push(now, (stream, peer, Some(share))),
-            None => {
-                self.link_full += 1;
-                self.close_unread(&stream);
-            }
-        }
-    }
-
-    /// Counts a connection that closes unread.
-    fn close_unread(&mut self, stream: &TcpStream) {
-        // With a reset the caller knows at once that nothing was read; without one it does as soon as it writes.
-        let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-        self.options.metrics.load.count_unread(self.name);
-        self.closed_unread += 1;
-    }
-
     /// Closes the connections that cannot be read in time.
     fn close_expired(&mut self, now: Moment, limit: Duration) {
-        while let Some((stream, ..)) = self.queue.take_expired(now, limit) {
-            self.close_unread(&stream);
+        while let Some((stream, _)) = self.queue.take_expired(now, limit) {
+            // With a reset the caller knows at once that nothing was read; without one it does as soon as it writes.
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            self.options.metrics.load.count_unread(self.name);
+            self.closed_unread += 1;
         }
         self.log_closed_unread(now, limit);
     }
@@ -158,11 +134,10 @@
             return;
         }
         warn!("connections_unread", kv: {
-            listener = self.name, closed = self.closed_unread, link_full = self.link_full, limit_ms = limit.as_millis() as i64,
+            listener = self.name, closed = self.closed_unread, limit_ms = limit.as_millis() as i64,
             unread = self.queue.len(), open = self.open_count.get()
         });
         self.closed_unread = 0;
-        self.link_full = 0;
         self.logged_at = Some(now);
     }
 }
