Events without a number of an unknown form are not held back

A sound stream with an event without a number in its middle was cut where its target paused behind it: the event was held back for what follows, as where the form of the source is known, so that the stream moved and met the same pause again (event_without_a_number_is_not_sent_twice_where_its_target_falls_silent failed in the whole tests). Such an event is put to another target at once now.

--- a/crates/targets/src/own_form.rs
+++ b/crates/targets/src/own_form.rs
@@ -8,11 +8,12 @@
 use crate::event_fields::EventFields;
 use crate::event_form::{next_number, EventForm};
 
-/// What is expected of events beside numbers that count on.
+/// What is expected of events beside numbers that count on. An event without a number is not held back for what follows on it:
+/// its target may pause behind it.
 const FORM: EventForm = EventForm {
     min_data_lines: 1,
     max_data_lines: 1,
-    may_end_unnumbered: true,
+    may_end_unnumbered: false,
     must_end_unnumbered: false,
     must_have_type: false,
     may_have_ignored_lines: true,
