--- a/crates/daemon/src/request/framing/events.rs
+++ b/crates/daemon/src/request/framing/events.rs
@@ -163,7 +163,7 @@
         // Without a position the first number tells nothing.
         let expectation = match self.position {
             StreamPosition::Unknown => {
-                FormExpectation { form: None, checks_own: false, ..expectation }
+                FormExpectation { form: None, checks_usual: false, ..expectation }
             }
             StreamPosition::Beginning | StreamPosition::After(_) => expectation,
         };
--- a/crates/daemon/src/request/relay/forms.rs
+++ b/crates/daemon/src/request/relay/forms.rs
@@ -34,8 +34,8 @@
         for deviation in self.framing.take_deviations() {
             self.log_deviation(target, &deviation);
             let source = self.stream_source(target);
-            if deviation.is_from_own {
-                self.service.context.forms.record_own_deviation(&source);
+            if deviation.deviates_from_usual {
+                self.service.context.forms.record_usual_deviation(&source);
             }
             self.deviating_source = Some(source);
         }
--- a/crates/daemon/src/stream_forms.rs
+++ b/crates/daemon/src/stream_forms.rs
@@ -8,7 +8,7 @@
 
 use curlewcleat_core::{PoolId, TargetEntry, TargetId, VersionDigest};
 use curlewcleat_targets::{
-    DamageEvidence, FormEvidence, FormExpectation, OwnFormChecks, ServingTargets, StreamShape,
+    DamageEvidence, FormEvidence, FormExpectation, ServingTargets, StreamShape, UsualFormChecks,
 };
 
 /// Sources whose evidence is kept; the one that was used longest ago gives way. Each has about 200 bytes.
@@ -38,7 +38,7 @@
 struct SourceEvidence {
     evidence: FormEvidence,
     targets: ServingTargets,
-    own_checks: OwnFormChecks,
+    usual_checks: UsualFormChecks,
     used: u64,
 }
 
@@ -74,13 +74,13 @@
         FormExpectation {
             form: kept.evidence.form(may_repeat),
             agreement: kept.targets.agreement_rule(damage, has_further_attempt),
-            checks_own: may_repeat && kept.own_checks.are_allowed(),
+            checks_usual: may_repeat && kept.usual_checks.are_allowed(),
         }
     }
 
     /// Records an event that deviated while the form of its source was not known.
-    pub fn record_own_deviation(&self, source: &StreamSource) {
-        self.lock().source(source).own_checks.record_deviation();
+    pub fn record_usual_deviation(&self, source: &StreamSource) {
+        self.lock().source(source).usual_checks.record_deviation();
     }
 
     /// Returns whether a third target serves a source beside two that have answered.
@@ -94,7 +94,7 @@
         forms.record_whole_of_pool(&source.pool);
         let kept = forms.source(source);
         kept.targets.record(target);
-        kept.own_checks.record_whole(shape.form().is_some());
+        kept.usual_checks.record_whole(shape.form().is_some());
         kept.evidence.record_whole(shape);
     }
 
@@ -102,7 +102,7 @@
     pub fn record_damage(&self, source: &StreamSource) {
         let pool = &source.pool;
         let mut forms = self.lock();
-        forms.source(source).own_checks.record_damage();
+        forms.source(source).usual_checks.record_damage();
         let is_full = forms.damaged.len() >= MAX_SOURCES;
         if is_full && !forms.damaged.contains_key(pool) {
             forms.damaged.pop_first();
--- a/crates/targets/src/event_form.rs
+++ b/crates/targets/src/event_form.rs
@@ -105,7 +105,7 @@
     /// Whether it counts as sound because they agree.
     pub is_accepted: bool,
     /// Whether it deviates from the usual form only, since that of the source is not known.
-    pub is_from_own: bool,
+    pub deviates_from_usual: bool,
 }
 
 impl EventDeviation {
@@ -126,7 +126,7 @@
             excerpt,
             targets: 1,
             is_accepted: false,
-            is_from_own: false,
+            deviates_from_usual: false,
         }
     }
 }
--- a/crates/targets/src/form_check.rs
+++ b/crates/targets/src/form_check.rs
@@ -10,7 +10,7 @@
 use crate::agreement::AgreementRule;
 use crate::event_fields::EventFields;
 use crate::event_form::{next_number, DeviationKind, EventDeviation, EventForm, FIRST_NUMBER};
-use crate::own_form::OwnForm;
+use crate::usual_form::UsualForm;
 
 /// What the events of an answer are compared with.
 #[derive(Clone, Copy, Debug, Default)]
@@ -20,7 +20,7 @@
     /// How many targets have to agree on a deviation before it counts as sound.
     pub agreement: AgreementRule,
     /// Whether events are compared with the usual form while that of the source is not known.
-    pub checks_own: bool,
+    pub checks_usual: bool,
 }
 
 /// What the form says about an event.
@@ -62,8 +62,8 @@
     source: String,
     agreement: AgreementRule,
     /// Whether events are compared with the usual form while that of the source is not known.
-    checks_own: bool,
-    own: OwnForm,
+    checks_usual: bool,
+    usual: UsualForm,
     /// What answers stated of events that were not returned yet, one for each answer.
     stated: Vec<StatedDeviation>,
     /// First and latest number of the latest answer.
@@ -91,19 +91,19 @@
     /// Sets how the answer that follows is judged, beside the form.
     pub fn judge_by(&mut self, expectation: FormExpectation) {
         self.agreement = expectation.agreement;
-        self.checks_own = expectation.checks_own;
+        self.checks_usual = expectation.checks_usual;
     }
 
     /// Accepts events of any form from here on.
     pub fn release(&mut self) {
         self.form = None;
-        self.own.release();
+        self.usual.release();
     }
 
     /// Checks an event; `last` is the number of the last one that was accepted.
     pub fn check(&mut self, fields: &EventFields, last: Option<u64>, event: &[u8]) -> FormVerdict {
-        let own_form = self.own.form().filter(|_| self.checks_own);
-        let Some(form) = self.form.or(own_form) else {
+        let usual_form = self.usual.form().filter(|_| self.checks_usual);
+        let Some(form) = self.form.or(usual_form) else {
             self.record(fields, last);
             return FormVerdict::Accepted;
         };
@@ -165,7 +165,7 @@
 
     /// Records an event that has the form. It shows what was wrong with those that others stated in its place.
     fn record(&mut self, fields: &EventFields, last: Option<u64>) {
-        self.own.record(fields, last);
+        self.usual.record(fields, last);
         let Some(number) = fields.number else { return };
         let first = self.numbers.map_or(number, |(first, _)| first);
         self.numbers = Some((first, number));
@@ -180,7 +180,7 @@
         let EventDeviation { kind, after, number, .. } = deviation;
         self.stated.push(StatedDeviation { source: self.source.clone(), kind, after, number });
         deviation.targets = self.agreeing_targets();
-        deviation.is_from_own = self.form.is_none();
+        deviation.deviates_from_usual = self.form.is_none();
         deviation.is_accepted = self.agreement.is_met(deviation.targets);
         let is_accepted = deviation.is_accepted;
         self.deviations.push(deviation);
--- a/crates/targets/src/own_form.rs
+++ b/crates/targets/src/usual_form.rs
@@ -21,11 +21,11 @@
 
 /// The form of one stream.
 #[derive(Debug, Default)]
-pub struct OwnForm {
+pub struct UsualForm {
     is_irregular: bool,
 }
 
-impl OwnForm {
+impl UsualForm {
     /// Records an event that was accepted behind the one with the number `last`.
     pub fn record(&mut self, fields: &EventFields, last: Option<u64>) {
         let is_repeated = fields.number.is_some() && fields.number <= last;
@@ -52,7 +52,7 @@
 /// A sound source whose streams do not count from one throughout pays for each deviation with another attempt, so that only a
 /// few are open at a time, and none behind a whole stream that did not.
 #[derive(Clone, Copy, Debug)]
-pub struct OwnFormChecks {
+pub struct UsualFormChecks {
     remaining: u32,
     is_irregular: bool,
 }
@@ -60,13 +60,13 @@
 /// Deviations that may be open at a time.
 const MAX_OPEN: u32 = 2;
 
-impl Default for OwnFormChecks {
-    fn default() -> OwnFormChecks {
-        OwnFormChecks { remaining: MAX_OPEN, is_irregular: false }
+impl Default for UsualFormChecks {
+    fn default() -> UsualFormChecks {
+        UsualFormChecks { remaining: MAX_OPEN, is_irregular: false }
     }
 }
 
-impl OwnFormChecks {
+impl UsualFormChecks {
     /// Returns whether a stream may be compared with the usual form.
     pub fn are_allowed(&self) -> bool {
         self.remaining > 0 && !self.is_irregular
