--- a/crates/sched/src/entry/confirmation.rs
+++ b/crates/sched/src/entry/confirmation.rs
@@ -4,7 +4,7 @@
 //! Inputs: the end of an answer that nothing but its target's life proves; the limits on retries ([`retry`](crate::retry)).
 //!
 //! The rule: the target has ended its answer, so its permit is returned with its result. Another one is requested if
-//! attempts remain and half of the retry budget is left, or any of it while targets of the pool break off answers, and only if it is granted at once: the request needs none, so
+//! attempts remain and half of the retry budget is left, or a quarter while targets of the pool break off answers, and only if it is granted at once: the request needs none, so
 //! that it neither waits nor takes anything from others. Load pattern: targets that break off some of their answers in an
 //! orderly way, beside many that end soundly.
 //!
