--- a/crates/acceptance/tests/streams_beside_damaged_answers.rs
+++ b/crates/acceptance/tests/streams_beside_damaged_answers.rs
@@ -3,7 +3,7 @@
 //!
 //! Every event is judged at the callers, which take their streams up by the last `id` that they have. What no relay can see is
 //! counted apart, each with its reason. Run the ignored test with `DAMAGE_SEEDS` (`11..61`), `DAMAGE_SECONDS`,
-//! `DAMAGE_EVERY`, `DAMAGE_ROUTES` (`repeatable`, `plain` or `all`), `DAMAGE_FORM_KNOWN` and `DAMAGE_FORMS`
+//! `DAMAGE_EVERY`, `DAMAGE_ROUTES` (`repeatable`, `plain` or `all`), `DAMAGE_DAEMONS`, `DAMAGE_FORM_KNOWN` and `DAMAGE_FORMS`
 //! (`id-lost,data-lost`) for other plays.
 
 #[path = "../../targets/tests/support/caller_events.rs"]
@@ -26,10 +26,10 @@
 use anyhow::{bail, ensure, Context, Result};
 use curlewcleat_standins::fleet::stream_damage::StreamDamage;
 use curlewcleat_standins::fleet::stream_engine::{MEASURED_MARK, UNFRAMED_MARK};
-use damage_plays::DamagePlay;
+use damage_plays::{DamagePlay, SoundPhase};
 use play_counts::PlayCounts;
 use rstest::rstest;
-use support::event_streams::StreamRoute;
+use support::event_streams::{StreamRoute, CALLERS, DAEMONS};
 
 /// Time during which engines damage answers.
 const TIME: Duration = Duration::from_secs(10);
@@ -45,17 +45,21 @@
 const DAMAGED_ONE_IN: u32 = 50;
 /// The same where many are.
 const MANY_DAMAGED_ONE_IN: u32 = 12;
+/// Sound streams after which all daemons know the form of all routes.
+const SOUND_PHASE: SoundPhase = SoundPhase { streams: 900, runs: [150, 60] };
 /// Fewest damaged answers of a play.
 const MIN_DAMAGED: usize = 15;
 
 fn default_play(seed: u64, routes: &[StreamRoute]) -> DamagePlay {
     DamagePlay {
         seed,
+        daemons: DAEMONS,
+        callers: CALLERS,
         routes: routes.to_vec(),
         marks: &ALL_MARKS,
         forms: StreamDamage::all(),
         every: DAMAGED_ONE_IN,
-        is_form_known: true,
+        sound: Some(SOUND_PHASE),
         kills_daemons: false,
         time: TIME,
     }
@@ -114,7 +118,7 @@
 #[actix_rt::test]
 async fn most_streams_are_right_where_answers_are_damaged_from_the_start() -> Result<()> {
     let play = default_play(3, &[REPEATABLE.as_slice(), &PLAIN].concat());
-    let counts = DamagePlay { is_form_known: false, ..play }.run().await?;
+    let counts = DamagePlay { sound: None, ..play }.run().await?;
     println!("{counts}");
     ensure!(counts.damaged >= MIN_DAMAGED, "too few damaged answers: {counts}");
     // A damaged answer that is not seen makes one stream wrong, and no other.
@@ -148,7 +152,8 @@
         let mut play = default_play(seed, &routes);
         play.time = Duration::from_secs(setting("DAMAGE_SECONDS", TIME.as_secs())?);
         play.every = setting("DAMAGE_EVERY", DAMAGED_ONE_IN)?;
-        play.is_form_known = setting("DAMAGE_FORM_KNOWN", true)?;
+        play.daemons = setting("DAMAGE_DAEMONS", DAEMONS)?;
+        play.sound = setting("DAMAGE_FORM_KNOWN", true)?.then_some(SOUND_PHASE);
         if !forms.is_empty() {
             play.forms = forms.clone();
         }
--- a/crates/acceptance/tests/support/damage_plays.rs
+++ b/crates/acceptance/tests/support/damage_plays.rs
@@ -15,14 +15,8 @@
 use crate::play_counts::PlayCounts;
 use crate::support::event_streams::{EventFleet, StreamRoute, SERVICES};
 
-/// Streams in progress at the same time.
-const CALLERS: usize = 90;
 /// Most attempts at which a caller takes up a stream.
 const TAKE_UPS: usize = 4;
-/// Streams after which all daemons know the form of all routes.
-const SOUND_STREAMS: usize = 900;
-/// Sound runs of each engine, by its service: the first one serves most streams.
-const SOUND_RUNS: [u64; SERVICES.len()] = [150, 60];
 /// Longest time for the sound streams.
 const SOUND_TIME: Duration = Duration::from_secs(40);
 /// Time for which an engine is stopped, or not replaced after a kill, in milliseconds.
@@ -32,9 +26,22 @@
 /// Disturbances of engines of which one follows on the kill of a daemon.
 const DAEMON_ONE_IN: u32 = 3;
 
+/// Sound streams before the first damage.
+#[derive(Clone, Copy)]
+pub struct SoundPhase {
+    /// Streams after which engines are disturbed.
+    pub streams: usize,
+    /// Sound runs of each engine, by its service: the first one serves most streams.
+    pub runs: [u64; SERVICES.len()],
+}
+
 /// Streams beside damaged answers.
 pub struct DamagePlay {
     pub seed: u64,
+    /// Daemons that the streams are spread over.
+    pub daemons: usize,
+    /// Streams in progress at the same time.
+    pub callers: usize,
     pub routes: Vec<StreamRoute>,
     /// Marks of the paths, which choose the framing of the answers.
     pub marks: &'static [&'static str],
@@ -42,8 +49,8 @@
     pub forms: Vec<StreamDamage>,
     /// Runs of which one is damaged.
     pub every: u32,
-    /// Whether sound streams come first.
-    pub is_form_known: bool,
+    /// Sound streams that come first, `None` if answers are damaged from the start.
+    pub sound: Option<SoundPhase>,
     /// Whether daemons are killed and started again as well.
     pub kills_daemons: bool,
     pub time: Duration,
@@ -52,18 +59,19 @@
 impl DamagePlay {
     /// Runs the play and judges its streams.
     pub async fn run(&self) -> Result<PlayCounts> {
-        let name = format!("damaged-{}-{}", self.seed, self.is_form_known);
-        let mut fleet =
-            EventFleet::start_with_options(&name, |index| self.options(index as u64, index))
-                .await?;
+        let DamagePlay { seed, daemons, callers, .. } = *self;
+        let name = format!("damaged-{seed}-{daemons}-{}", self.sound.is_some());
+        let options = |index| self.options(index as u64, index);
+        let mut fleet = EventFleet::start_with_daemons(&name, daemons, options).await?;
         for daemon in &fleet.deployment.daemons {
             wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() })
                 .await?;
         }
         let callers =
-            DamageCallers::start(&fleet, &self.routes, self.marks, self.seed, CALLERS, TAKE_UPS);
+            DamageCallers::start(&fleet, &self.routes, self.marks, seed, callers, TAKE_UPS);
         let until = Instant::now() + SOUND_TIME;
-        while self.is_form_known && callers.streams() < SOUND_STREAMS && Instant::now() < until {
+        let sound_streams = self.sound.map_or(0, |sound| sound.streams);
+        while callers.streams() < sound_streams && Instant::now() < until {
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
         let disturbed = self.disturb(&mut fleet).await;
@@ -76,10 +84,8 @@
     /// Returns the options of an engine; `start` is its place among all that were started.
     fn options(&self, start: u64, index: usize) -> Vec<String> {
         let is_first = start == index as u64;
-        let from = match self.is_form_known && is_first {
-            true => SOUND_RUNS[index % SERVICES.len()],
-            false => 1,
-        };
+        let sound = self.sound.filter(|_| is_first);
+        let from = sound.map_or(1, |sound| sound.runs[index % SERVICES.len()]);
         if self.forms.is_empty() {
             return Vec::new();
         }
--- a/crates/acceptance/tests/support/event_streams.rs
+++ b/crates/acceptance/tests/support/event_streams.rs
@@ -19,6 +19,10 @@
 
 /// Events of a stream.
 pub const EVENTS: u64 = 30;
+/// Daemons of a fleet, unless a test states another number.
+pub const DAEMONS: usize = 3;
+/// Streams in progress at the same time, unless a test states another number.
+pub const CALLERS: usize = 90;
 /// Engines of each service.
 const ENGINES: usize = 4;
 /// Services of the engines, which take turns.
@@ -124,28 +128,38 @@
         deployment.use_engine_links(LOADER_VARIABLE)?;
         // The link lives as long as its task.
         deployment.use_separate_store().await?;
-        EventFleet::start_before(name, deployment, BOUNDS, |_| Vec::new()).await
+        EventFleet::start_before(name, deployment, BOUNDS, DAEMONS, |_| Vec::new()).await
     }
 
     /// Starts the same, with bounds of its daemons.
     pub async fn start_with_bounds(name: &str, bounds: &str) -> Result<EventFleet> {
         let deployment = FleetDeployment::start(name).await?;
-        EventFleet::start_before(name, deployment, bounds, |_| Vec::new()).await
+        EventFleet::start_before(name, deployment, bounds, DAEMONS, |_| Vec::new()).await
     }
 
     /// Starts the same, with further options for each engine.
     pub async fn start_with_options(
         name: &str,
         options: impl Fn(usize) -> Vec<String>,
+    ) -> Result<EventFleet> {
+        EventFleet::start_with_daemons(name, DAEMONS, options).await
+    }
+
+    /// Starts the same, with this many daemons.
+    pub async fn start_with_daemons(
+        name: &str,
+        daemons: usize,
+        options: impl Fn(usize) -> Vec<String>,
     ) -> Result<EventFleet> {
         let deployment = FleetDeployment::start(name).await?;
-        EventFleet::start_before(name, deployment, BOUNDS, options).await
+        EventFleet::start_before(name, deployment, BOUNDS, daemons, options).await
     }
 
     async fn start_before(
         name: &str,
         mut deployment: FleetDeployment,
         bounds: &str,
+        daemons: usize,
         options: impl Fn(usize) -> Vec<String>,
     ) -> Result<EventFleet> {
         add_routes(&mut deployment);
@@ -168,8 +182,8 @@
             fleet.engines.push(engine);
             fleet.addresses.push(address);
         }
-        fleet.deployment.daemons(3, bounds).await?;
-        fleet.deployment.wait_for_all_peers().await?;
+        fleet.deployment.daemons(daemons, bounds).await?;
+        fleet.deployment.wait_for_peers().await?;
         Ok(fleet)
     }
 
--- a/crates/acceptance/tests/unframed_streams_beside_kills.rs
+++ b/crates/acceptance/tests/unframed_streams_beside_kills.rs
@@ -25,7 +25,7 @@
 use damage_plays::DamagePlay;
 use play_counts::PlayCounts;
 use rstest::rstest;
-use support::event_streams::StreamRoute;
+use support::event_streams::{StreamRoute, CALLERS, DAEMONS};
 
 /// Time during which processes are killed.
 const TIME: Duration = Duration::from_secs(8);
@@ -37,11 +37,13 @@
 fn play(seed: u64, kills_daemons: bool) -> DamagePlay {
     DamagePlay {
         seed,
+        daemons: DAEMONS,
+        callers: CALLERS,
         routes: ROUTES.to_vec(),
         marks: &[UNFRAMED_MARK],
         forms: Vec::new(),
         every: 1,
-        is_form_known: false,
+        sound: None,
         kills_daemons,
         time: TIME,
     }
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -20,7 +20,7 @@
     daemon_ip, free_address, free_address_at, free_daemon_port, free_engine_address, STORE_IP,
 };
 use crate::deployment::{
-    create_temp_folder, daemon_path, get_json, live_peers, output_of, program_folder,
+    create_temp_folder, daemon_path, get_json, get_text, live_peers, output_of, program_folder,
     spawn_with_variables, start_tool, wait_listening, wait_until, ChildProcess,
 };
 use crate::http;
@@ -29,6 +29,10 @@
 
 /// Number of slots of an engine.
 const SLOTS: u32 = 4;
+/// Most daemons of a fleet in which each hears from all others.
+const MESH_LIMIT: usize = 12;
+/// Daemons of a larger fleet that each one hears from, one of which it may be itself.
+const CANDIDATES: usize = 4;
 /// Data centre of the daemons, and of engines for which no other is given.
 const HERE: &str = "here";
 
@@ -313,6 +317,24 @@
         self.relay_port.expect("the daemons were started")
     }
 
+    /// Waits until every daemon is ready and hears from the others: from all of them, or in a large fleet from those that
+    /// may schedule.
+    pub async fn wait_for_peers(&self) -> Result<()> {
+        if self.daemons.len() <= MESH_LIMIT {
+            return self.wait_for_all_peers().await;
+        }
+        for daemon in &self.daemons {
+            wait_until("ready", || async { get_text(&daemon.operators, "/readyz").await.is_ok() })
+                .await?;
+            wait_until("candidates", || async {
+                let status = get_json(&daemon.operators, "/status").await;
+                status.is_ok_and(|status| live_peers(&status) >= CANDIDATES - 1)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Waits until every daemon reports all others as live peers.
     pub async fn wait_for_all_peers(&self) -> Result<()> {
         let others = self.daemons.len() - 1;
