Lines and a counter tell what the events of a stream were compared with

A stream that passed unjudged looked like a sound one: stream_deviates is written only where a form is known. request_served states compared_with (learned, usual, nothing), streams_compared_total counts by it.

--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -3,7 +3,7 @@
 //! Owns: the registered metrics. Relies on: the runs of requests for the values.
 
 use curlewcleat_core::{RefusalReason, RetryReason, Verdict};
-use curlewcleat_targets::{DeviationKind, IrregularityKind};
+use curlewcleat_targets::{DeviationKind, FormBasis, IrregularityKind};
 use prometheus::{HistogramVec, IntCounterVec, Result};
 
 use super::registry::MetricRegistry;
@@ -31,6 +31,7 @@
     end_checks: IntCounterVec,
     end_statements: IntCounterVec,
     stream_irregularities: IntCounterVec,
+    streams_compared: IntCounterVec,
     stream_deviations: IntCounterVec,
     wait: HistogramVec,
     first_byte: HistogramVec,
@@ -68,6 +69,11 @@
                 "Answers of targets with irregular event numbers, by what is irregular",
                 &["kind"],
             )?,
+            streams_compared: count(
+                "streams_compared_total",
+                "Streams that callers have whole, by what their events were compared with",
+                &["with"],
+            )?,
             stream_deviations: count(
                 "stream_deviations_total",
                 "Answers of targets with events unlike those of other streams, by the difference",
@@ -98,6 +104,9 @@
         for kind in IrregularityKind::ALL {
             self.stream_irregularities.with_label_values(&[kind.code()]);
         }
+        for basis in FormBasis::ALL {
+            self.streams_compared.with_label_values(&[basis.code()]);
+        }
         for kind in DeviationKind::ALL {
             self.stream_deviations.with_label_values(&[kind.code()]);
         }
@@ -130,6 +139,11 @@
         self.requests.stream_irregularities.with_label_values(&[kind]).inc();
     }
 
+    /// Counts a stream that its caller has whole, by what its events were compared with.
+    pub fn count_compared_stream(&self, basis: FormBasis) {
+        self.requests.streams_compared.with_label_values(&[basis.code()]).inc();
+    }
+
     /// Counts an answer with events unlike those of other streams, by the difference.
     pub fn count_stream_deviation(&self, kind: &str) {
         self.requests.stream_deviations.with_label_values(&[kind]).inc();
--- a/crates/daemon/src/request/relay/forms.rs
+++ b/crates/daemon/src/request/relay/forms.rs
@@ -16,6 +16,10 @@
         let has_further_attempt = self.has_further_attempt();
         let forms = &self.service.context.forms;
         let expectation = forms.expectation(&source, may_repeat, has_further_attempt);
+        // An attempt before the first event sets it anew.
+        if self.form_basis.is_none() || self.framing.last_event().is_none() {
+            self.form_basis = Some(expectation.basis());
+        }
         self.framing.expect(expectation, &target.id);
     }
 
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -17,6 +17,7 @@
     AttemptEnd, KeptAnswer, Refusal, RefusalReason, RetryReason, TargetEntry, Verdict,
 };
 use curlewcleat_node::{CallerDecision, NodeEvent, RequestEnd};
+use curlewcleat_targets::FormBasis;
 
 use super::admitted::AdmittedRequest;
 use super::answer::CallerAnswer;
@@ -78,6 +79,8 @@
     pub(super) progress: RequestProgress,
     /// Where the latest event comes from that deviates from the form of its source.
     pub(super) deviating_source: Option<StreamSource>,
+    /// What the events of the stream are compared with, `None` before the first attempt.
+    pub(super) form_basis: Option<FormBasis>,
     /// Where the stream ends unless another target continues it.
     pub(super) settled: Option<SettledEnd>,
 }
@@ -104,6 +107,7 @@
             buffered: None,
             progress: RequestProgress::default(),
             deviating_source: None,
+            form_basis: None,
             settled: None,
         }
     }
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -10,7 +10,7 @@
     FeatureKind, Refusal, RefusalReason, RequestId, TargetEntry, TargetId, TargetVersion,
 };
 use curlewcleat_targets::{
-    BodyFrame, ConnectionOrigin, EventDeviation, StreamIrregularity, StreamJoin,
+    BodyFrame, ConnectionOrigin, EventDeviation, FormBasis, StreamIrregularity, StreamJoin,
 };
 use spdlog::prelude::*;
 
@@ -34,6 +34,12 @@
         let ended_by = progress.frame().map_or("", BodyFrame::code);
         let connection = self.connection_code();
         self.service.context.metrics.count_answer_end(ended_by, &request.tier, &request.pool.id);
+        // Only streams with numbers are compared.
+        let basis = self.form_basis.filter(|_| self.framing.last_event().is_some());
+        let compared_with = basis.map_or("", FormBasis::code);
+        if let Some(basis) = basis {
+            self.service.context.metrics.count_compared_stream(basis);
+        }
         info!("request_served", kv: {
             request = request.id.to_string(), attempt = request.attempt_id.as_str(), account,
             cost = request.cost, rule = request.rule.id.as_str(),
@@ -42,7 +48,8 @@
             prompt_work = request.work.prompt, output_work = request.work.output,
             sent_ms = millis_until(progress.sent), first_ms = millis_until(progress.first),
             end_ms = request.arrived.elapsed().as_millis() as i64, parts = progress.parts, ended_by,
-            longest_pause_ms = progress.longest_pause.as_millis() as i64, connection
+            longest_pause_ms = progress.longest_pause.as_millis() as i64, connection,
+            compared_with
         });
     }
 
--- a/crates/targets/src/form_check.rs
+++ b/crates/targets/src/form_check.rs
@@ -23,6 +23,42 @@
     pub checks_usual: bool,
 }
 
+/// Where the form comes from that the events of a stream are compared with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FormBasis {
+    /// None is known, so that any event is passed on.
+    Nothing,
+    /// The usual form, since that of the source is not known.
+    Usual,
+    /// Streams of the source that this daemon has served.
+    Learned,
+}
+
+impl FormBasis {
+    /// All of them.
+    pub const ALL: [FormBasis; 3] = [FormBasis::Nothing, FormBasis::Usual, FormBasis::Learned];
+
+    /// Returns the code for log lines and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            FormBasis::Nothing => "nothing",
+            FormBasis::Usual => "usual",
+            FormBasis::Learned => "learned",
+        }
+    }
+}
+
+impl FormExpectation {
+    /// Returns what the events of a stream are compared with.
+    pub fn basis(&self) -> FormBasis {
+        match self.form {
+            Some(_) => FormBasis::Learned,
+            None if self.checks_usual => FormBasis::Usual,
+            None => FormBasis::Nothing,
+        }
+    }
+}
+
 /// What the form says about an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FormVerdict {
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -39,7 +39,7 @@
 pub use event_form::{DeviationKind, EventDeviation, EventForm, StreamShape};
 pub use event_numbers::StreamJoin;
 pub use events::EventSplitter;
-pub use form_check::FormExpectation;
+pub use form_check::{FormBasis, FormExpectation};
 pub use form_evidence::FormEvidence;
 pub use intake::{buffer_size, AnswerIntake, IntakeHold, UNCOUNTED_BYTES};
 pub use links::{connect_directly, ConnectFuture, TargetLinks};
