Daemons learn together what the streams of a source look like

What callers saw: damaged events (without a number, or with some missing) passed as sound on routes that may not be repeated, where the streams are spread over many daemons.

Each daemon now reports the counts of its streams by what they look like to the first two daemons that may schedule; these add them up, without what the daemon counts that counts the most, and answer with the forms. A form stays known until it is withdrawn, goes to the next schedulers and to daemons that start; damage that several daemons have shown is known to all. Messages: StreamFormsReport, StreamFormsPush, in frames of their own; earlier daemons drop them and learn alone as before.

--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -13,18 +13,20 @@
 use curlewcleat_config::{ApplyRecord, ConfigManifest, MANIFEST_KEY};
 use curlewcleat_core::{
     AnswerObservation, AnswerSample, ArchiveId, AttemptEnd, ConfigBundle, ConfigPart,
-    ConfigPartPull, DaemonId, DiscoveredTarget, EvacuationList, FeatureKind, FeatureReport,
-    FeaturesPush, FreshnessAnswer, FreshnessQuery, Heartbeat, InterruptionKind, InterruptionReport,
-    KeptAnswer, KeyAnswer, KeyClaim, KeyDecision, KeyHandOver, KeyOutcome, KeyRecord,
-    LatencyObjectives, LimitReport, LoadReport, NoticeReport, PeerFrame, PeerMessage, PermitAnswer,
-    PermitDecision, PermitHeld, PermitId, PermitRequest, PermitReturn, PoolHash, PoolLoads,
-    PoolNotice, Refusal, RefusalReason, RequestDigest, RequestFeature, RequestInterruption,
-    RequestRate, RetryReason, RolloutAnswers, RolloutOrder, RolloutReport, RolloutStage,
-    ShedRequest, SlotHolder, StatePull, StatedLoad, StreamAnswer, StreamId, StreamProofQuery,
-    StreamQuery, StreamStart, StreamTiming, StreamVersion, SuspectReport, SuspectsPull,
-    SuspectsPush, TablePush, TargetChange, TargetEntry, TargetInstance, TargetInstancesPush,
-    TargetStart, TargetVersionsPush, TargetsContent, TargetsPush, Verdict, VersionDigest,
-    VersionHistory, VersionPermitRequest, VersionSplit, SPLIT_SLOTS,
+    ConfigPartPull, DaemonId, DiscoveredTarget, EvacuationList, EventForm, FeatureKind,
+    FeatureReport, FeaturesPush, FreshnessAnswer, FreshnessQuery, Heartbeat, InterruptionKind,
+    InterruptionReport, KeptAnswer, KeyAnswer, KeyClaim, KeyDecision, KeyHandOver, KeyOutcome,
+    KeyRecord, LatencyObjectives, LimitReport, LoadReport, NoticeReport, PeerFrame, PeerMessage,
+    PermitAnswer, PermitDecision, PermitHeld, PermitId, PermitRequest, PermitReturn, PoolHash,
+    PoolLoads, PoolNotice, Refusal, RefusalReason, RequestDigest, RequestFeature,
+    RequestInterruption, RequestRate, RetryReason, RolloutAnswers, RolloutOrder, RolloutReport,
+    RolloutStage, ShedRequest, SlotHolder, SourceForm, SourceTally, StatePull, StatedLoad,
+    StreamAnswer, StreamFormsPush, StreamFormsReport, StreamId, StreamProofQuery, StreamQuery,
+    StreamSource, StreamStart, StreamTally, StreamTiming, StreamTrait, StreamVersion,
+    SuspectReport, SuspectsPull, SuspectsPush, TablePush, TargetChange, TargetEntry,
+    TargetInstance, TargetInstancesPush, TargetStart, TargetVersionsPush, TargetsContent,
+    TargetsPush, Verdict, VersionDigest, VersionHistory, VersionPermitRequest, VersionSplit,
+    SPLIT_SLOTS,
 };
 use curlewcleat_keys::{KeyTable, TABLE_KEY};
 use curlewcleat_platform::format::{Daemon, EndedTarget, Metadata, Object, RefusedRequest};
@@ -170,6 +172,7 @@
         stream_messages(),
         load_messages(),
         feature_messages(),
+        stream_form_messages(),
     ]
     .concat()
 }
@@ -508,6 +511,42 @@
     ]
 }
 
+fn stream_form_messages() -> Vec<NamedMessage> {
+    let source = StreamSource {
+        rule: "ask".to_string(),
+        pool: "assistant".to_string(),
+        version: VersionDigest::of(Some(&"3.2".to_string())),
+    };
+    let form = EventForm {
+        min_data_lines: 1,
+        max_data_lines: 4,
+        may_end_unnumbered: true,
+        must_end_unnumbered: false,
+        must_have_type: true,
+        may_have_ignored_lines: false,
+    };
+    let mut tally = StreamTally::default();
+    tally.add_regular(form, 300);
+    tally.add_one(StreamTrait::Irregular);
+    tally.add_one(StreamTrait::Cut);
+    tally.add_one(StreamTrait::Damaged);
+    let report = StreamFormsReport {
+        known: 9,
+        tallies: vec![SourceTally { source: source.clone(), tally }],
+    };
+    let known = SourceForm { source: source.clone(), form, suffices_for_cuts: true };
+    let push = StreamFormsPush {
+        at: 12,
+        forms: vec![known],
+        withdrawn: vec![source],
+        damaged: vec!["assistant".to_string()],
+    };
+    vec![
+        ("stream forms report", PeerMessage::StreamFormsReport(report)),
+        ("stream forms push", PeerMessage::StreamFormsPush(push)),
+    ]
+}
+
 fn load_messages() -> Vec<NamedMessage> {
     let report = |id: &str, start, slowness_percent| {
         let instance = TargetInstance { id: id.to_string(), start };
--- a/crates/bench/src/support.rs
+++ b/crates/bench/src/support.rs
@@ -97,6 +97,7 @@
         one_scheduler: false,
         age_per_work: 32,
         uses_stated_loads: false,
+        shares_stream_forms: false,
         books_returns: false,
         request_limit: 1_000_000,
         link_bytes_per_s: 125_000_000,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod account;
 mod evacuation;
+mod event_form;
 mod ids;
 mod message;
 mod model;
@@ -20,6 +21,7 @@
 
 pub use account::{hash_token, TokenHash};
 pub use evacuation::EvacuationList;
+pub use event_form::{EventForm, StreamSource, StreamTally, StreamTrait};
 pub use ids::*;
 pub use message::*;
 pub use model::*;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -13,6 +13,7 @@
 mod loads;
 mod notices;
 mod permits;
+mod stream_forms;
 mod streams;
 mod versions;
 
@@ -33,6 +34,7 @@
 pub use loads::*;
 pub use notices::*;
 pub use permits::*;
+pub use stream_forms::*;
 pub use streams::*;
 pub use versions::*;
 
@@ -146,6 +148,10 @@
     /// Like [`StreamQuery`](PeerMessage::StreamQuery), but requests a proof where the receiver does not remember the
     /// stream.
     StreamProofQuery(StreamProofQuery),
+    /// Reports what the streams of the sender look like, and requests the forms that the receiver knows.
+    StreamFormsReport(StreamFormsReport),
+    /// Answers a [`StreamFormsReport`](PeerMessage::StreamFormsReport).
+    StreamFormsPush(StreamFormsPush),
 }
 
 impl PeerMessage {
@@ -170,9 +176,11 @@
             | PeerMessage::TargetLoads(_)
             | PeerMessage::FeaturesPush(_)
             | PeerMessage::StreamStart(_)
-            | PeerMessage::StreamProofQuery(_) => true,
+            | PeerMessage::StreamProofQuery(_)
+            | PeerMessage::StreamFormsPush(_) => true,
             // A receiver that has answered a pull before can decode this one.
             PeerMessage::SuspectsPull(pull) | PeerMessage::FeaturesPull(pull) => pull.known == 0,
+            PeerMessage::StreamFormsReport(report) => report.known == 0,
             _ => false,
         }
     }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -201,6 +201,7 @@
         rate_margin,
         members,
         one_scheduler: true,
+        shares_stream_forms: true,
         key_slots: 0,
         freshness: Some(freshness_limits(settings)),
         evacuation_limit: settings.bounds.evacuation_limit,
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 
 use crate::context::{DaemonContext, NodeMessage};
-use crate::node_notes::log_node_note;
+use crate::node_notes::{log_node_note, log_stream_forms};
 use crate::platform_adapter::PlatformAdapter;
 
 /// Interval of the tick event: a fifth of the shortest latency objective of the users' requests.
@@ -166,6 +166,13 @@
                 self.transport.keep_only(&self.node.peer_addresses());
             }
             NodeAction::SetEvacuated(data_centres) => self.context.gate.set_evacuated(data_centres),
+            NodeAction::ReadStreamTallies => {
+                let tallies = self.context.forms.take_tallies();
+                self.apply_event(NodeEvent::StreamTalliesRead(tallies));
+            }
+            NodeAction::SetStreamForms(forms, damaged) => {
+                log_stream_forms(&self.context.forms.set_fleet_forms(forms, damaged));
+            }
             NodeAction::Count(reason) => self.context.metrics.count_retry(reason),
             NodeAction::Note(note) => {
                 if note == NodeNote::DrainBegun {
--- a/crates/daemon/src/node_notes.rs
+++ b/crates/daemon/src/node_notes.rs
@@ -17,9 +17,39 @@
 use curlewcleat_sched::{RetryBound, RolloutReason, UnprovedReason, VersionProof};
 use spdlog::prelude::*;
 
+use crate::stream_forms::FormChanges;
+
 /// Most unusable values that are logged for one configuration.
 const MAX_LOGGED_FAULTS: usize = 20;
 
+/// Most forms of streams that are logged for one change.
+const MAX_LOGGED_FORMS: usize = 20;
+
+/// Logs what has changed of the forms that the daemons know together.
+pub fn log_stream_forms(changes: &FormChanges) {
+    for known in changes.known.iter().take(MAX_LOGGED_FORMS) {
+        let (source, form) = (&known.source, &known.form);
+        info!("stream_form_known", kv: {
+            rule = source.rule.as_str(), pool = source.pool.as_str(),
+            version = source.version.to_hex(), for_cuts = known.suffices_for_cuts,
+            min_data_lines = form.min_data_lines, max_data_lines = form.max_data_lines,
+            may_end_unnumbered = form.may_end_unnumbered,
+            must_end_unnumbered = form.must_end_unnumbered, must_have_type = form.must_have_type,
+            may_have_ignored_lines = form.may_have_ignored_lines
+        });
+    }
+    for source in changes.dropped.iter().take(MAX_LOGGED_FORMS) {
+        info!("stream_form_dropped", kv: {
+            rule = source.rule.as_str(), pool = source.pool.as_str(),
+            version = source.version.to_hex()
+        });
+    }
+    if let Some(damaged) = &changes.damaged {
+        let pools: Vec<&str> = damaged.iter().map(String::as_str).collect();
+        warn!("streams_damaged", kv: { pools = pools.join(" ") });
+    }
+}
+
 /// Logs a note of the node.
 pub fn log_node_note(note: &NodeNote) {
     match note {
--- a/crates/daemon/src/platform_adapter.rs
+++ b/crates/daemon/src/platform_adapter.rs
@@ -85,6 +85,7 @@
         one_scheduler: false,
         age_per_work: settings.age_per_work,
         uses_stated_loads: settings.uses_stated_loads,
+        shares_stream_forms: false,
         books_returns: settings.books_returns,
         request_limit: settings.request_limit,
         link_bytes_per_s: settings.link_kbit_per_s * 1_000 / 8,
--- a/crates/daemon/src/request/relay/forms.rs
+++ b/crates/daemon/src/request/relay/forms.rs
@@ -3,10 +3,9 @@
 //! Owns: nothing; these are methods of [`RequestRun`]. Relies on: the framing for the events of the answer, the daemon's
 //! [`SharedForms`](crate::stream_forms::SharedForms).
 
-use curlewcleat_core::TargetEntry;
+use curlewcleat_core::{StreamSource, TargetEntry};
 
 use crate::request::run::RequestRun;
-use crate::stream_forms::StreamSource;
 
 impl RequestRun {
     /// Sets what the events of the target are compared with.
--- a/crates/daemon/src/request/run.rs
+++ b/crates/daemon/src/request/run.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 
 use curlewcleat_core::{
-    AttemptEnd, KeptAnswer, Refusal, RefusalReason, RetryReason, TargetEntry, Verdict,
+    AttemptEnd, KeptAnswer, Refusal, RefusalReason, RetryReason, StreamSource, TargetEntry, Verdict,
 };
 use curlewcleat_node::{CallerDecision, NodeEvent, RequestEnd};
 use curlewcleat_targets::FormBasis;
@@ -30,7 +30,6 @@
 use super::{CallerRequest, RequestService};
 use crate::byte_budget::ByteHold;
 use crate::pending::PendingRequest;
-use crate::stream_forms::StreamSource;
 
 pub use self::log::record_refusal;
 pub use self::settled_end::{EndStatement, SettledEnd, CONFIRMATION_LIMIT};
--- a/crates/daemon/src/stream_forms.rs
+++ b/crates/daemon/src/stream_forms.rs
@@ -1,37 +1,26 @@
 //! The forms that the streams of rules have, shared by all threads of the daemon.
 //!
 //! Owns: the [`FormEvidence`] of each rule, pool and version that has served streams, and which pools have damaged events.
-//! Relies on: the tasks of requests, which report how streams ended.
+//! Relies on: the tasks of requests, which report how streams ended; the node, which exchanges what it counts with peers.
+
+mod fleet_table;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use curlewcleat_core::{PoolId, TargetEntry, TargetId, VersionDigest};
+use curlewcleat_core::{
+    EventForm, PoolId, SourceForm, SourceTally, StreamSource, StreamTally, StreamTrait, TargetId,
+};
 use curlewcleat_targets::{
-    DamageEvidence, FormEvidence, FormExpectation, ServingTargets, StreamShape, UsualFormChecks,
+    AgreementRule, DamageEvidence, FormBasis, FormEvidence, FormExpectation, ServingTargets,
+    StreamShape, UsualFormChecks,
 };
 
-/// Sources whose evidence is kept; the one that was used longest ago gives way. Each has about 200 bytes.
-const MAX_SOURCES: usize = 1_024;
+use self::fleet_table::FleetFormTable;
+pub use self::fleet_table::FormChanges;
 
-/// What writes streams of one form. Another version may write another one.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct StreamSource {
-    /// Name of the rule of the requests.
-    pub rule: String,
-    /// Pool of the targets.
-    pub pool: PoolId,
-    /// Version of the targets.
-    pub version: VersionDigest,
-}
-
-impl StreamSource {
-    /// Returns the source of a target's answers to requests of a rule.
-    pub fn new(rule: &str, pool: &PoolId, target: &TargetEntry) -> StreamSource {
-        let version = VersionDigest::of(target.version.as_ref());
-        StreamSource { rule: rule.to_string(), pool: pool.clone(), version }
-    }
-}
+/// Sources whose evidence is kept; the one that was used longest ago gives way. Each has about 500 bytes.
+const MAX_SOURCES: usize = 1_024;
 
 /// Evidence of one source, and when it was last used.
 #[derive(Debug, Default)]
@@ -39,6 +28,11 @@
     evidence: FormEvidence,
     targets: ServingTargets,
     usual_checks: UsualFormChecks,
+    /// All streams of the source since the start of the daemon, which peers add up.
+    tally: StreamTally,
+    has_unread_tally: bool,
+    /// A form of the fleet by which too many streams were cut here.
+    rejected: Option<EventForm>,
     used: u64,
 }
 
@@ -46,8 +40,10 @@
 #[derive(Debug, Default)]
 struct StreamForms {
     sources: BTreeMap<StreamSource, SourceEvidence>,
-    /// Pools whose targets have damaged events lately.
+    /// Pools whose targets have damaged events lately, as this daemon has seen.
     damaged: BTreeMap<PoolId, DamageEvidence>,
+    /// What the daemons know together.
+    fleet: FleetFormTable,
     /// Number of uses, which orders them.
     uses: u64,
 }
@@ -68,16 +64,40 @@
         has_further_attempt: bool,
     ) -> FormExpectation {
         let mut forms = self.lock();
+        let is_beside_damage = forms.is_beside_damage(&source.pool);
+        let is_damaged_elsewhere = forms.fleet.is_damaged(&source.pool);
         let damage =
             forms.damaged.get(&source.pool).map_or(DamageEvidence::default(), |shown| *shown);
+        let fleet_form = forms.fleet.form(source, may_repeat).map(|known| known.form);
         let kept = forms.source(source);
+        let (form, basis) = kept.form(fleet_form, may_repeat, is_beside_damage);
         FormExpectation {
-            form: kept.evidence.form(may_repeat),
-            agreement: kept.targets.agreement_rule(damage, has_further_attempt),
+            form,
+            basis,
+            agreement: match is_damaged_elsewhere {
+                true => AgreementRule::Never,
+                false => kept.targets.agreement_rule(damage, has_further_attempt),
+            },
             checks_usual: may_repeat && kept.usual_checks.are_allowed(),
         }
     }
 
+    /// Returns what the streams of the sources look like that have changed since the last time.
+    pub fn take_tallies(&self) -> Vec<SourceTally> {
+        let mut forms = self.lock();
+        let unread = forms.sources.iter_mut().filter(|(_, kept)| kept.has_unread_tally);
+        let tallies = unread.map(|(source, kept)| {
+            kept.has_unread_tally = false;
+            SourceTally { source: source.clone(), tally: kept.tally }
+        });
+        tallies.collect()
+    }
+
+    /// Sets what the daemons know together, and returns what has changed.
+    pub fn set_fleet_forms(&self, forms: Vec<SourceForm>, damaged: Vec<PoolId>) -> FormChanges {
+        self.lock().fleet.replace(forms, damaged)
+    }
+
     /// Records an event that deviated while the form of its source was not known.
     pub fn record_usual_deviation(&self, source: &StreamSource) {
         self.lock().source(source).usual_checks.record_deviation();
@@ -96,13 +116,19 @@
         kept.targets.record(target);
         kept.usual_checks.record_whole(shape.form().is_some());
         kept.evidence.record_whole(shape);
+        kept.count(|tally| match shape.form() {
+            Some(form) => tally.add_regular(form, shape.events()),
+            None => tally.add_one(StreamTrait::Irregular),
+        });
     }
 
     /// Records an event that a target of a source has damaged, as another one has shown.
     pub fn record_damage(&self, source: &StreamSource) {
         let pool = &source.pool;
         let mut forms = self.lock();
-        forms.source(source).usual_checks.record_damage();
+        let kept = forms.source(source);
+        kept.usual_checks.record_damage();
+        kept.count(|tally| tally.add_one(StreamTrait::Damaged));
         let is_full = forms.damaged.len() >= MAX_SOURCES;
         if is_full && !forms.damaged.contains_key(pool) {
             forms.damaged.pop_first();
@@ -113,13 +139,21 @@
     /// Records a stream that was cut because an event of it deviated.
     pub fn record_cut(&self, source: &StreamSource) {
         let mut forms = self.lock();
-        let is_beside_damage = forms.damaged.contains_key(&source.pool);
-        forms.source(source).evidence.record_cut(is_beside_damage);
+        let is_beside_damage = forms.is_beside_damage(&source.pool);
+        let fleet_form = forms.fleet.form(source, true).map(|known| known.form);
+        let kept = forms.source(source);
+        kept.count(|tally| tally.add_one(StreamTrait::Cut));
+        if kept.evidence.record_cut(is_beside_damage) {
+            kept.rejected = fleet_form;
+        }
     }
 
     /// Records a stream that was cut because it may lack its end.
     pub fn record_cut_end(&self, source: &StreamSource) {
-        self.lock().source(source).evidence.record_cut_end();
+        let mut forms = self.lock();
+        let kept = forms.source(source);
+        kept.count(|tally| tally.add_one(StreamTrait::Cut));
+        kept.evidence.record_cut_end();
     }
 
     fn lock(&self) -> MutexGuard<'_, StreamForms> {
@@ -127,7 +161,38 @@
     }
 }
 
+impl SourceEvidence {
+    /// Returns the form of the source's streams, and who has learned it.
+    fn form(
+        &self,
+        fleet_form: Option<EventForm>,
+        may_repeat: bool,
+        is_beside_damage: bool,
+    ) -> (Option<EventForm>, FormBasis) {
+        let learned = self.evidence.form(may_repeat).map(|form| (form, FormBasis::Learned));
+        // What this daemon has seen itself is allowed for, unless it may be damage.
+        let seen = self.evidence.seen_form().filter(|_| !is_beside_damage);
+        let fleet_form = fleet_form.filter(|form| self.rejected != Some(*form));
+        let shared = fleet_form.map(|form| seen.map_or(form, |seen| form.widened(seen)));
+        let shared = shared.map(|form| (form, FormBasis::Fleet));
+        // Where another target can show what is right, the narrower form costs an attempt and no stream.
+        let prefers_own = may_repeat && !is_beside_damage;
+        let known = if prefers_own { learned.or(shared) } else { shared.or(learned) };
+        known.map_or((None, FormBasis::Nothing), |(form, basis)| (Some(form), basis))
+    }
+
+    fn count(&mut self, add: impl FnOnce(&mut StreamTally)) {
+        add(&mut self.tally);
+        self.has_unread_tally = true;
+    }
+}
+
 impl StreamForms {
+    /// Returns whether targets of a pool damage events, as this daemon or several others have seen.
+    fn is_beside_damage(&self, pool: &PoolId) -> bool {
+        self.damaged.contains_key(pool) || self.fleet.is_damaged(pool)
+    }
+
     fn source(&mut self, source: &StreamSource) -> &mut SourceEvidence {
         self.uses += 1;
         if !self.sources.contains_key(source) {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -11,8 +11,8 @@
     DataCentreId, DiscoveredTarget, EvacuationList, FeatureReport, Generation, KeptAnswer,
     NoticeReport, ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestDigest,
     RequestFeature, RequestId, RequestInterruption, RetryReason, RolloutRecord, RolloutWrite,
-    StatedLoad, StreamVersion, TargetChange, TargetEntry, TargetInstance, TargetReport,
-    TargetVersion, Uptime, Verdict, VersionHistory, VmId, WarmUpLimit,
+    SourceForm, SourceTally, StatedLoad, StreamVersion, TargetChange, TargetEntry, TargetInstance,
+    TargetReport, TargetVersion, Uptime, Verdict, VersionHistory, VmId, WarmUpLimit,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound, RolloutReason, VersionProof};
@@ -115,6 +115,8 @@
     AnswerObserved(PoolId, Box<AnswerSample>),
     /// The permanently refused requests that the platform has stored.
     RefusalsRead(Vec<FeatureReport>),
+    /// What the streams of this daemon look like that have ended since the last time.
+    StreamTalliesRead(Vec<SourceTally>),
     /// The platform has stored the refusal of a request.
     RefusalStored(RequestFeature),
     /// The versions at which the streams of all pools begin and began, from a read sent at `sent`.
@@ -214,6 +216,10 @@
     ConfigChanged,
     /// Send nothing more to the targets of these data centres, and of no others.
     SetEvacuated(BTreeSet<DataCentreId>),
+    /// Read what the streams of this daemon look like.
+    ReadStreamTallies,
+    /// Compare streams with these forms, which the daemons know together; targets of these pools damage events.
+    SetStreamForms(Vec<SourceForm>, Vec<PoolId>),
     /// Count a retry.
     Count(RetryReason),
     /// Report to the operators.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,6 +8,7 @@
 mod frames;
 mod held_grants;
 mod keys;
+mod known_changes;
 mod lethal;
 mod loads;
 mod members;
@@ -21,6 +22,7 @@
 mod rollouts;
 mod standstill;
 mod stop;
+mod stream_forms;
 mod stream_hand_over;
 mod stream_proofs;
 mod stream_starts;
@@ -54,6 +56,7 @@
 use self::rollouts::RolloutExchange;
 use self::standstill::Standstill;
 use self::stop::HAND_OVER_ACK_WAIT;
+use self::stream_forms::FormExchange;
 use self::streams::StreamExchange;
 use self::version_histories::HistoryExchange;
 use crate::awaited_answer::AwaitedAnswer;
@@ -92,6 +95,7 @@
     unsent_loads: UnsentLoads,
     rollouts: RolloutExchange,
     streams: StreamExchange,
+    stream_forms: FormExchange,
     histories: HistoryExchange,
     drain: DrainState,
     vms: VmView,
@@ -152,6 +156,7 @@
             unsent_loads: UnsentLoads::default(),
             rollouts: RolloutExchange::default(),
             streams: StreamExchange::default(),
+            stream_forms: FormExchange::default(),
             histories: HistoryExchange::default(),
             drain: DrainState::new(options.drain_grace, options.hand_over_limit),
             vms: VmView::default(),
@@ -207,6 +212,7 @@
             }
             NodeEvent::AnswerObserved(pool, sample) => self.answer_observed(pool, *sample),
             NodeEvent::RefusalsRead(reports) => self.merge_suspects(reports),
+            NodeEvent::StreamTalliesRead(tallies) => self.stream_tallies_read(tallies),
             NodeEvent::RefusalStored(feature) => self.refusal_stored(&feature),
             NodeEvent::VersionHistoriesRead { histories, sent } => {
                 self.histories_read(histories, sent);
--- a/crates/node/src/node/messages.rs
+++ b/crates/node/src/node/messages.rs
@@ -102,6 +102,8 @@
             PeerMessage::TargetLoads(pools) => self.loads_received(&pools),
             PeerMessage::StreamStart(start) => self.stream_start_received(start),
             PeerMessage::StreamProofQuery(query) => self.proof_queried(&from.vm, query),
+            PeerMessage::StreamFormsReport(report) => self.stream_forms_reported(from, report),
+            PeerMessage::StreamFormsPush(push) => self.stream_forms_pushed(from, push),
         }
     }
 
--- a/crates/node/src/node/options.rs
+++ b/crates/node/src/node/options.rs
@@ -29,6 +29,8 @@
     pub age_per_work: u64,
     /// Whether placement uses what targets state of their load.
     pub uses_stated_loads: bool,
+    /// Whether daemons tell each other what the streams of targets look like.
+    pub shares_stream_forms: bool,
     /// Whether the returns of refused requests are booked.
     pub books_returns: bool,
     /// Whether one daemon schedules all pools, so that it can enforce the rates that daemons share.
--- a/crates/node/src/node/suspects.rs
+++ b/crates/node/src/node/suspects.rs
@@ -7,15 +7,15 @@
 //!
 //! Owns: nothing; these are methods of `Node`. Relies on: `LethalRequests` for what each peer lacks.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, FeatureReport, FeaturesPush, Incarnation, PeerMessage, RequestFeature, SuspectReport,
+    DaemonId, FeatureReport, FeaturesPush, PeerMessage, RequestFeature, SuspectReport,
     SuspectsPull, SuspectsPush, Uptime, VmId,
 };
 use curlewcleat_sched::{SuspectUpdates, UpdateScope};
 
+use super::known_changes::KnownChanges;
 use super::Node;
 
 /// Interval between pulls. With the answer it takes a third of the users' shortest bound in which all daemons have to
@@ -34,27 +34,6 @@
     last_pull: Option<Uptime>,
 }
 
-/// The number of changes that are known of each daemon.
-#[derive(Clone, Debug, Default)]
-struct KnownChanges(BTreeMap<VmId, (Incarnation, u64)>);
-
-impl KnownChanges {
-    /// Returns the number that is known of this start of a daemon, 0 if it has not answered.
-    fn of(&self, daemon: &DaemonId) -> u64 {
-        let known = self.0.get(&daemon.vm);
-        known
-            .filter(|(incarnation, _)| *incarnation == daemon.incarnation)
-            .map_or(0, |(_, changes)| *changes)
-    }
-
-    /// Records the number in an answer; an update that was not requested has 0.
-    fn record(&mut self, daemon: &DaemonId, at: u64) {
-        if at > 0 {
-            self.0.insert(daemon.vm.clone(), (daemon.incarnation, at));
-        }
-    }
-}
-
 impl Node {
     /// Pulls from the first daemons that may schedule the reports that this one lacks.
     pub(super) fn pull_suspects(&mut self) {
--- a/crates/node/src/node/time.rs
+++ b/crates/node/src/node/time.rs
@@ -43,6 +43,7 @@
         self.step_take_ups();
         self.step_held_take_ups();
         self.step_histories();
+        self.step_stream_forms();
         self.step_warm_ups();
         self.step_rollouts();
         self.step_freshness();
--- a/crates/node/tests/nodes.rs
+++ b/crates/node/tests/nodes.rs
@@ -31,6 +31,7 @@
         one_scheduler: false,
         age_per_work: 32,
         uses_stated_loads: false,
+        shares_stream_forms: false,
         books_returns: false,
         request_limit,
         link_bytes_per_s: 125_000_000,
--- a/crates/node/tests/support/builders.rs
+++ b/crates/node/tests/support/builders.rs
@@ -91,6 +91,8 @@
         drops_incoming: false,
         read_role: ReadRole::Reader,
         proved: None,
+        tallies: Default::default(),
+        stream_forms: Vec::new(),
         next_read: Duration::ZERO,
     }
 }
@@ -118,6 +120,7 @@
         one_scheduler: true,
         age_per_work: 32,
         uses_stated_loads: true,
+        shares_stream_forms: true,
         books_returns: false,
         request_limit: 10_000,
         link_bytes_per_s: megabits * 1_000_000 / 8,
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -15,8 +15,8 @@
 
 use curlewcleat_core::{
     AttemptEnd, ConfigBundle, DiscoveredTarget, EvacuationList, FeatureReport, PeerFrame,
-    PeerMessage, PoolId, RequestId, RolloutOrder, RolloutRecord, RolloutWrite, Verdict,
-    VersionHistory, VmId,
+    PeerMessage, PoolId, RequestId, RolloutOrder, RolloutRecord, RolloutWrite, SourceForm,
+    SourceTally, StreamSource, StreamTally, Verdict, VersionHistory, VmId,
 };
 use curlewcleat_node::{
     CallerDecision, ConfigIntake, FreshnessLimits, Node, NodeAction, NodeEvent, NodeNote,
@@ -62,9 +62,23 @@
     pub read_role: ReadRole,
     /// When the latest read was sent that proved its configuration.
     pub proved: Option<Duration>,
+    /// What it has counted of its streams.
+    pub tallies: BTreeMap<StreamSource, StreamTally>,
+    /// The forms of streams that it has been told.
+    pub stream_forms: Vec<SourceForm>,
     next_read: Duration,
 }
 
+impl Daemon {
+    fn read_tallies(&self) -> NodeEvent {
+        let tally = |(source, tally): (&StreamSource, &StreamTally)| SourceTally {
+            source: source.clone(),
+            tally: *tally,
+        };
+        NodeEvent::StreamTalliesRead(self.tallies.iter().map(tally).collect())
+    }
+}
+
 /// Daemons and the frames between them, which arrive at once except over slow links.
 pub struct Fleet {
     pub daemons: Vec<Daemon>,
@@ -246,6 +260,12 @@
                             events.extend(self.history_answer(index, read));
                         }
                     }
+                    NodeAction::ReadStreamTallies => {
+                        events.push((index, self.daemons[index].read_tallies()));
+                    }
+                    NodeAction::SetStreamForms(forms, _) => {
+                        self.daemons[index].stream_forms = forms;
+                    }
                     NodeAction::Platform(PlatformCall::StoreRefusal(report)) => {
                         events.push((index, NodeEvent::RefusalStored(report.feature)));
                         self.refusals.push((index, report));
@@ -496,6 +516,8 @@
         PeerMessage::ConfigPush(_) | PeerMessage::ConfigPart(_) => "configuration",
         PeerMessage::EvacuationsPull(_) | PeerMessage::EvacuationsPush(_) => "evacuations",
         PeerMessage::SuspectsPull(_) | PeerMessage::SuspectsPush(_) => "suspects",
+        PeerMessage::StreamFormsReport(_) => "stream reports",
+        PeerMessage::StreamFormsPush(_) => "stream forms",
         _ => "others",
     }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,6 +13,7 @@
 //! | whether a version is accepted or rolled back | [`rollout`] | the versions of a pool, a rollout and its answers |
 //! | at which version of the targets a stream is continued | [`stream_versions`] | the streams and versions of a daemon |
 //! | at which version a stream begins, and what proves it | [`version_history`] | the stored splits of a pool |
+//! | what the streams of a source look like | [`fleet_forms`] | the counts of all daemons |
 //! | which daemon decides | [`election`] | the members |
 //! | whether the end of an answer is doubted | [`broken_answers`] | the pools whose targets break off answers |
 //! | whether a target is reached directly or through a peer | [`target_reach`], [`relay_choice`] | the lost links of a daemon, its peers |
@@ -32,6 +33,7 @@
 mod drain;
 mod election;
 mod entry;
+mod fleet_forms;
 mod lethal;
 mod lost_permits;
 mod order;
@@ -67,6 +69,7 @@
     AnswerEnd, EntryAction, EntryOptions, EntryRequests, ReplacementStep, RequestSpec,
     TakenUpStream,
 };
+pub use fleet_forms::FleetForms;
 pub use lethal::updates::{SuspectUpdates, UpdateScope, ORDINARY_LIMIT};
 pub use lethal::{InstancePresence, LethalOptions, LethalRequests, LethalVerdict};
 pub use order::flows::{UrgencyFlow, UrgencyFlows};
--- a/crates/targets/src/event_form.rs
+++ b/crates/targets/src/event_form.rs
@@ -4,6 +4,8 @@
 //! Owns: the shape of one stream. Relies on: [`FormEvidence`](crate::FormEvidence) for the form, which is known only once
 //! enough streams have shown it.
 
+use curlewcleat_core::EventForm;
+
 use crate::event_fields::EventFields;
 
 /// Number of the first event of a stream that has the form.
@@ -11,23 +13,6 @@
 /// Longest beginning of a deviating event in bytes that is kept for a log line.
 const EXCERPT_LIMIT: usize = 64;
 
-/// What the events of all recent streams of a source have in common, beside numbers that count from one by one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EventForm {
-    /// Fewest `data` fields of an event, at least one.
-    pub min_data_lines: u32,
-    /// Most `data` fields of an event.
-    pub max_data_lines: u32,
-    /// Whether streams may end with an event that has data and no number.
-    pub may_end_unnumbered: bool,
-    /// Whether all streams end with such an event, so that one without it has not ended.
-    pub must_end_unnumbered: bool,
-    /// Whether all events with a number have a type.
-    pub must_have_type: bool,
-    /// Whether events may have lines that callers ignore.
-    pub may_have_ignored_lines: bool,
-}
-
 /// How an event deviates from the form.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeviationKind {
@@ -131,40 +116,26 @@
     }
 }
 
-impl EventForm {
-    /// Returns the narrowest form that streams of both forms have.
-    pub fn widened(self, other: EventForm) -> EventForm {
-        EventForm {
-            min_data_lines: self.min_data_lines.min(other.min_data_lines),
-            max_data_lines: self.max_data_lines.max(other.max_data_lines),
-            may_end_unnumbered: self.may_end_unnumbered || other.may_end_unnumbered,
-            must_end_unnumbered: self.must_end_unnumbered && other.must_end_unnumbered,
-            must_have_type: self.must_have_type && other.must_have_type,
-            may_have_ignored_lines: self.may_have_ignored_lines || other.may_have_ignored_lines,
-        }
+/// Returns how the fields of an event deviate, whatever its number is. An event without a number deviates also where a
+/// stream may end with one, since only the end of the answer shows that it is the last.
+pub fn field_deviation(form: &EventForm, fields: &EventFields) -> Option<DeviationKind> {
+    let is_odd_line = fields.has_ignored_lines() && !form.may_have_ignored_lines;
+    if fields.is_comment() {
+        return is_odd_line.then_some(DeviationKind::OddLine);
     }
-
-    /// Returns how the fields of an event deviate, whatever its number is. An event without a number deviates also where a
-    /// stream may end with one, since only the end of the answer shows that it is the last.
-    pub fn field_deviation(&self, fields: &EventFields) -> Option<DeviationKind> {
-        let is_odd_line = fields.has_ignored_lines() && !self.may_have_ignored_lines;
-        if fields.is_comment() {
-            return is_odd_line.then_some(DeviationKind::OddLine);
-        }
-        match (fields.ids, fields.number) {
-            (0, _) => return Some(DeviationKind::NoNumber),
-            (1, None) => return Some(DeviationKind::OddNumber),
-            (1, Some(_)) => {}
-            _ => return Some(DeviationKind::SeveralNumbers),
-        }
-        match fields.data_lines {
-            0 => Some(DeviationKind::NoData),
-            lines if !(self.min_data_lines..=self.max_data_lines).contains(&lines) => {
-                Some(DeviationKind::OddData)
-            }
-            _ if self.must_have_type && !fields.has_type => Some(DeviationKind::NoType),
-            _ => is_odd_line.then_some(DeviationKind::OddLine),
+    match (fields.ids, fields.number) {
+        (0, _) => return Some(DeviationKind::NoNumber),
+        (1, None) => return Some(DeviationKind::OddNumber),
+        (1, Some(_)) => {}
+        _ => return Some(DeviationKind::SeveralNumbers),
+    }
+    match fields.data_lines {
+        0 => Some(DeviationKind::NoData),
+        lines if !(form.min_data_lines..=form.max_data_lines).contains(&lines) => {
+            Some(DeviationKind::OddData)
         }
+        _ if form.must_have_type && !fields.has_type => Some(DeviationKind::NoType),
+        _ => is_odd_line.then_some(DeviationKind::OddLine),
     }
 }
 
--- a/crates/targets/src/events.rs
+++ b/crates/targets/src/events.rs
@@ -6,9 +6,10 @@
 mod deviations;
 
 use bytes::{Bytes, BytesMut};
+use curlewcleat_core::EventForm;
 
 use crate::event_fields::EventFields;
-use crate::event_form::{EventDeviation, EventForm, StreamShape};
+use crate::event_form::{EventDeviation, StreamShape};
 use crate::event_numbers::{EventNumbers, EventPlace, StreamJoin};
 use crate::event_scan::EventScan;
 use crate::form_check::{FormCheck, FormExpectation, FormVerdict};
--- a/crates/targets/src/form_check.rs
+++ b/crates/targets/src/form_check.rs
@@ -7,36 +7,33 @@
 
 use std::collections::BTreeSet;
 
+use curlewcleat_core::EventForm;
+
 use crate::agreement::AgreementRule;
 use crate::event_fields::EventFields;
-use crate::event_form::{next_number, DeviationKind, EventDeviation, EventForm, FIRST_NUMBER};
+use crate::event_form::{
+    field_deviation, next_number, DeviationKind, EventDeviation, FIRST_NUMBER,
+};
 use crate::usual_form::UsualForm;
 
-/// What the events of an answer are compared with.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct FormExpectation {
-    /// The form of the source's streams, `None` while it is not known.
-    pub form: Option<EventForm>,
-    /// How many targets have to agree on a deviation before it counts as sound.
-    pub agreement: AgreementRule,
-    /// Whether events are compared with the usual form while that of the source is not known.
-    pub checks_usual: bool,
-}
-
 /// Where the form comes from that the events of a stream are compared with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum FormBasis {
     /// None is known, so that any event is passed on.
+    #[default]
     Nothing,
     /// The usual form, since that of the source is not known.
     Usual,
     /// Streams of the source that this daemon has served.
     Learned,
+    /// Streams of the source that all daemons have served.
+    Fleet,
 }
 
 impl FormBasis {
     /// All of them.
-    pub const ALL: [FormBasis; 3] = [FormBasis::Nothing, FormBasis::Usual, FormBasis::Learned];
+    pub const ALL: [FormBasis; 4] =
+        [FormBasis::Nothing, FormBasis::Usual, FormBasis::Learned, FormBasis::Fleet];
 
     /// Returns the code for log lines and metrics.
     pub fn code(self) -> &'static str {
@@ -44,17 +41,30 @@
             FormBasis::Nothing => "nothing",
             FormBasis::Usual => "usual",
             FormBasis::Learned => "learned",
+            FormBasis::Fleet => "fleet",
         }
     }
 }
 
+/// What the events of an answer are compared with.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FormExpectation {
+    /// The form of the source's streams, `None` while it is not known.
+    pub form: Option<EventForm>,
+    /// Who has learned it.
+    pub basis: FormBasis,
+    /// How many targets have to agree on a deviation before it counts as sound.
+    pub agreement: AgreementRule,
+    /// Whether events are compared with the usual form while that of the source is not known.
+    pub checks_usual: bool,
+}
+
 impl FormExpectation {
     /// Returns what the events of a stream are compared with.
     pub fn basis(&self) -> FormBasis {
         match self.form {
-            Some(_) => FormBasis::Learned,
             None if self.checks_usual => FormBasis::Usual,
-            None => FormBasis::Nothing,
+            _ => self.basis,
         }
     }
 }
@@ -143,7 +153,7 @@
             self.record(fields, last);
             return FormVerdict::Accepted;
         };
-        let kind = form.field_deviation(fields);
+        let kind = field_deviation(&form, fields);
         if kind.is_none() && fields.is_comment() {
             return FormVerdict::Accepted;
         }
--- a/crates/targets/src/form_evidence.rs
+++ b/crates/targets/src/form_evidence.rs
@@ -5,8 +5,10 @@
 //!
 //! Owns: what the recent streams had in common. Relies on: streams that began here and ended whole.
 
+use curlewcleat_core::EventForm;
+
 use crate::end_evidence::EndEvidence;
-use crate::event_form::{EventForm, StreamShape};
+use crate::event_form::StreamShape;
 use crate::recent_form::RecentForm;
 
 /// Fewest streams that show a form. One stream may have it by chance.
@@ -67,6 +69,11 @@
         Some(EventForm { must_end_unnumbered: self.end.is_known(may_repeat), ..form })
     }
 
+    /// Returns the form of the streams so far, however few they are; `None` before the first one.
+    pub fn seen_form(&self) -> Option<EventForm> {
+        self.form
+    }
+
     /// Records a stream that its caller has whole.
     pub fn record_whole(&mut self, shape: &StreamShape) {
         let Some(shown) = shape.form() else { return self.take_back() };
@@ -79,12 +86,15 @@
     }
 
     /// Records a stream that was cut because an event of it deviated, and no other target showed which of both is right.
-    pub fn record_cut(&mut self, is_beside_damage: bool) {
+    /// Returns whether too many were cut, so that no form is known any more.
+    pub fn record_cut(&mut self, is_beside_damage: bool) -> bool {
         self.recent = self.recent.anew();
         self.cut_weight += if is_beside_damage { CUT_WEIGHT_BESIDE_DAMAGE } else { CUT_WEIGHT };
-        if self.cut_weight > MAX_CUT_WEIGHT {
+        let is_outweighed = self.cut_weight > MAX_CUT_WEIGHT;
+        if is_outweighed {
             self.take_back();
         }
+        is_outweighed
     }
 
     /// Records a stream that was cut because it lacked the end of all others, and no other target showed whether it had
--- a/crates/targets/src/recent_form.rs
+++ b/crates/targets/src/recent_form.rs
@@ -4,7 +4,7 @@
 //!
 //! Owns: what the streams of two periods had in common. Relies on: streams that began here and ended whole.
 
-use crate::event_form::EventForm;
+use curlewcleat_core::EventForm;
 
 /// Streams of a period. A form is forgotten after one to two periods without a stream that needs it.
 const MIN_PERIOD: u32 = 1_024;
--- a/crates/targets/src/usual_form.rs
+++ b/crates/targets/src/usual_form.rs
@@ -5,8 +5,10 @@
 //!
 //! Owns: whether the events so far had that form. Relies on: [`EventForm`] for how others deviate.
 
+use curlewcleat_core::EventForm;
+
 use crate::event_fields::EventFields;
-use crate::event_form::{next_number, EventForm};
+use crate::event_form::next_number;
 
 /// What is expected of events beside numbers that count on. An event without a number is not held back for what follows on it:
 /// its target may pause behind it.
