--- a/crates/node/src/node/stream_forms.rs
+++ b/crates/node/src/node/stream_forms.rs
@@ -23,8 +23,6 @@
 /// Interval of reports while there is anything to report: a form has to be known at all daemons three seconds after the first
 /// streams of its source.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval at which daemons ask that have nothing to report.
-const PULL_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which streams are reported of a source whose form is known.
 const KNOWN_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of daemons that are reported to: two, so that one may fail.
@@ -77,7 +75,6 @@
     forms: BTreeMap<StreamSource, SourceForm>,
     damaged: BTreeSet<PoolId>,
     last_report: Option<Uptime>,
-    last_pull: Option<Uptime>,
 }
 
 impl FormExchange {
@@ -121,16 +118,22 @@
             exchange.own.entry(source).or_default().counted = tally;
         }
         let due = self.due_tallies();
-        let last_pull = self.stream_forms.last_pull;
-        let interval = if self.lacks_forms() { REPORT_INTERVAL } else { PULL_INTERVAL };
-        let is_pull_due = last_pull.is_none_or(|last| self.now >= last + interval);
-        if due.is_empty() && !is_pull_due {
-            return;
+        if !due.is_empty() || self.lacks_forms() {
+            self.send_stream_forms_report(&due);
+        }
+    }
+
+    /// Asks for the forms that this daemon lacks. While nothing is new the message shares a frame with others.
+    pub(super) fn pull_stream_forms(&mut self) {
+        if self.options.shares_stream_forms {
+            self.send_stream_forms_report(&[]);
         }
-        self.stream_forms.last_pull = Some(self.now);
+    }
+
+    fn send_stream_forms_report(&mut self, tallies: &[SourceTally]) {
         for collector in self.stream_forms.collectors.clone() {
             let known = self.stream_forms.known.of(&collector);
-            let report = StreamFormsReport { known, tallies: due.clone() };
+            let report = StreamFormsReport { known, tallies: tallies.to_vec() };
             self.post(&collector.vm, PeerMessage::StreamFormsReport(report));
         }
     }
@@ -163,7 +166,6 @@
         let exchange = &mut self.stream_forms;
         if collectors.iter().any(|collector| !exchange.collectors.contains(collector)) {
             exchange.own.values_mut().for_each(|own| own.reported = StreamTally::default());
-            exchange.last_pull = None;
         }
         exchange.collectors = collectors;
         let collectors = &exchange.collectors;
--- a/crates/node/src/node/suspects.rs
+++ b/crates/node/src/node/suspects.rs
@@ -35,7 +35,7 @@
 }
 
 impl Node {
-    /// Pulls from the first daemons that may schedule the reports that this one lacks.
+    /// Pulls from the first daemons that may schedule the reports, and the forms of streams, that this one lacks.
     pub(super) fn pull_suspects(&mut self) {
         let last_pull = self.lethal.pulls.last_pull;
         if last_pull.is_some_and(|last| self.now < last + PULL_INTERVAL) {
@@ -48,6 +48,7 @@
         for daemon in pulled {
             self.pull_suspects_from(&daemon);
         }
+        self.pull_stream_forms();
     }
 
     fn pull_suspects_from(&mut self, daemon: &DaemonId) {
--- a/crates/sched/src/fleet_forms.rs
+++ b/crates/sched/src/fleet_forms.rs
@@ -53,9 +53,9 @@
         self.damage.retain(|_, damage| damage.is_remembered(now));
     }
 
-    /// Returns the number of changes, 0 while nothing is known.
+    /// Returns the number of the latest change; 1 while nothing is known.
     pub fn changes(&self) -> u64 {
-        self.changes
+        self.changes + 1
     }
 
     /// Takes over the forms that other daemons know, where too few streams were reported to this one.
@@ -68,7 +68,7 @@
 
     /// Returns all forms that are known, those that do not hold, and the pools whose targets damage events.
     pub fn known(&self) -> StreamFormsPush {
-        let mut known = StreamFormsPush { at: self.changes, ..StreamFormsPush::default() };
+        let mut known = StreamFormsPush { at: self.changes(), ..StreamFormsPush::default() };
         for (source, evidence) in &self.sources {
             let source = source.clone();
             match evidence.conclusion() {
