--- a/crates/acceptance/tests/streams_beside_damaged_answers.rs
+++ b/crates/acceptance/tests/streams_beside_damaged_answers.rs
@@ -29,7 +29,7 @@
 use damage_plays::{DamagePlay, SoundPhase};
 use play_counts::PlayCounts;
 use rstest::rstest;
-use support::event_streams::{StreamRoute, CALLERS, DAEMONS};
+use support::event_streams::{DaemonKills, StreamRoute, CALLERS, DAEMONS};
 
 /// Time during which engines damage answers.
 const TIME: Duration = Duration::from_secs(10);
@@ -60,7 +60,7 @@
         forms: StreamDamage::all(),
         every: DAMAGED_ONE_IN,
         sound: Some(SOUND_PHASE),
-        kills_daemons: false,
+        daemon_kills: DaemonKills::None,
         time: TIME,
     }
 }
--- a/crates/acceptance/tests/streams_of_many_daemons.rs
+++ b/crates/acceptance/tests/streams_of_many_daemons.rs
@@ -1,7 +1,8 @@
 //! The same streams beside the same damaged answers, spread over few or many daemons.
 //!
 //! The load is held constant, so that each daemon of a large fleet sees only a few streams of each kind. Run the ignored test
-//! with `FLEET_DAEMONS` (`3,30,100`), `FLEET_SEEDS` (`1..4`), `FLEET_SECONDS` and `FLEET_SOUND_RUNS` for other plays.
+//! with `FLEET_DAEMONS` (`3,30,100`), `FLEET_SEEDS` (`1..4`), `FLEET_SECONDS`, `FLEET_SOUND_RUNS` and `FLEET_KILLS`
+//! (`one` or `all` daemons) for other plays.
 
 #[path = "../../targets/tests/support/caller_events.rs"]
 mod caller_events;
@@ -20,12 +21,12 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use anyhow::{ensure, Context, Result};
+use anyhow::{bail, ensure, Context, Result};
 use curlewcleat_standins::fleet::stream_damage::StreamDamage;
 use damage_plays::{DamagePlay, SoundPhase};
 use play_counts::PlayCounts;
 use rstest::rstest;
-use support::event_streams::StreamRoute;
+use support::event_streams::{DaemonKills, StreamRoute};
 
 /// Time during which engines damage answers.
 const TIME: Duration = Duration::from_secs(12);
@@ -59,7 +60,7 @@
         forms: StreamDamage::all(),
         every: DAMAGED_ONE_IN,
         sound: Some(SOUND_PHASE),
-        kills_daemons: false,
+        daemon_kills: DaemonKills::None,
         time: TIME,
     }
 }
@@ -98,6 +99,12 @@
     let (first, end) = seeds.split_once("..").context("FLEET_SEEDS: no range")?;
     let runs = setting("FLEET_SOUND_RUNS", SOUND_PHASE.runs[0])?;
     let sound = SoundPhase { runs: [runs, runs * 2 / 5], ..SOUND_PHASE };
+    let daemon_kills = match setting("FLEET_KILLS", String::new())?.as_str() {
+        "" => DaemonKills::None,
+        "one" => DaemonKills::One,
+        "all" => DaemonKills::All,
+        other => bail!("FLEET_KILLS: {other:?} does not exist"),
+    };
     let mut wrong = 0;
     for daemons in numbers.split(',') {
         let mut total = PlayCounts::default();
@@ -105,6 +112,7 @@
             let time = Duration::from_secs(setting("FLEET_SECONDS", TIME.as_secs())?);
             let counts = DamagePlay {
                 time,
+                daemon_kills,
                 sound: (runs > 0).then_some(sound),
                 ..play(seed, daemons.parse()?)
             }
--- a/crates/acceptance/tests/support/damage_plays.rs
+++ b/crates/acceptance/tests/support/damage_plays.rs
@@ -13,7 +13,7 @@
 use crate::damage_callers::DamageCallers;
 use crate::damage_judge::DamageJudge;
 use crate::play_counts::PlayCounts;
-use crate::support::event_streams::{EventFleet, StreamRoute, SERVICES};
+use crate::support::event_streams::{DaemonKills, EventFleet, StreamRoute, SERVICES};
 
 /// Most attempts at which a caller takes up a stream.
 const TAKE_UPS: usize = 4;
@@ -51,8 +51,7 @@
     pub every: u32,
     /// Sound streams that come first, `None` if answers are damaged from the start.
     pub sound: Option<SoundPhase>,
-    /// Whether daemons are killed and started again as well.
-    pub kills_daemons: bool,
+    pub daemon_kills: DaemonKills,
     pub time: Duration,
 }
 
@@ -99,14 +98,25 @@
         options.into_iter().flat_map(|(name, value)| [name.to_string(), value]).collect()
     }
 
+    async fn kill_daemons(&self, fleet: &mut EventFleet, random: &mut StdRng) -> Result<()> {
+        let daemons = fleet.deployment.daemons.len();
+        match self.daemon_kills {
+            DaemonKills::None => Ok(()),
+            DaemonKills::One => fleet.deployment.restart(random.random_range(0..daemons)).await,
+            DaemonKills::All => {
+                fleet.deployment.daemons.iter_mut().for_each(|daemon| daemon.process.kill());
+                (0..daemons).try_for_each(|index| fleet.deployment.start_killed(index))
+            }
+        }
+    }
+
     /// Kills, stops and continues engines until the time is over.
     async fn disturb(&self, fleet: &mut EventFleet) -> Result<()> {
         let mut random = StdRng::seed_from_u64(self.seed);
         let ended = Instant::now() + self.time;
         while Instant::now() < ended {
-            if self.kills_daemons && random.random_ratio(1, DAEMON_ONE_IN) {
-                let daemon = random.random_range(0..fleet.deployment.daemons.len());
-                fleet.deployment.restart(daemon).await?;
+            if self.daemon_kills != DaemonKills::None && random.random_ratio(1, DAEMON_ONE_IN) {
+                self.kill_daemons(fleet, &mut random).await?;
             }
             let index = random.random_range(0..fleet.engines.len());
             let away = Duration::from_millis(random.random_range(AWAY_MS));
--- a/crates/acceptance/tests/support/event_streams.rs
+++ b/crates/acceptance/tests/support/event_streams.rs
@@ -87,6 +87,16 @@
     }
 }
 
+/// Which daemons are killed and started again beside the disturbances of engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DaemonKills {
+    None,
+    /// One at a time.
+    One,
+    /// All at the same moment.
+    All,
+}
+
 /// Daemons before engines in processes of their own.
 pub struct EventFleet {
     pub deployment: FleetDeployment,
--- a/crates/acceptance/tests/unframed_streams_beside_kills.rs
+++ b/crates/acceptance/tests/unframed_streams_beside_kills.rs
@@ -25,7 +25,7 @@
 use damage_plays::DamagePlay;
 use play_counts::PlayCounts;
 use rstest::rstest;
-use support::event_streams::{StreamRoute, CALLERS, DAEMONS};
+use support::event_streams::{DaemonKills, StreamRoute, CALLERS, DAEMONS};
 
 /// Time during which processes are killed.
 const TIME: Duration = Duration::from_secs(8);
@@ -34,7 +34,7 @@
 /// Seeds by hand, unless `KILL_SEEDS` states others.
 const SEEDS: &str = "11..61";
 
-fn play(seed: u64, kills_daemons: bool) -> DamagePlay {
+fn play(seed: u64, daemon_kills: DaemonKills) -> DamagePlay {
     DamagePlay {
         seed,
         daemons: DAEMONS,
@@ -44,7 +44,7 @@
         forms: Vec::new(),
         every: 1,
         sound: None,
-        kills_daemons,
+        daemon_kills,
         time: TIME,
     }
 }
@@ -58,14 +58,14 @@
 
 /// Guards against streams of killed engines that end as complete without their last events.
 #[rstest]
-#[case::engines(1, false)]
-#[case::engines_and_daemons(2, true)]
+#[case::engines(1, DaemonKills::None)]
+#[case::engines_and_daemons(2, DaemonKills::One)]
 #[actix_rt::test]
 async fn unframed_streams_beside_kills_are_whole_or_visibly_cut(
     #[case] seed: u64,
-    #[case] kills_daemons: bool,
+    #[case] daemon_kills: DaemonKills,
 ) -> Result<()> {
-    check(&play(seed, kills_daemons).run().await?)
+    check(&play(seed, daemon_kills).run().await?)
 }
 
 #[ignore = "plays for minutes"]
@@ -76,7 +76,7 @@
     let (first, end) = seeds.split_once("..").context("KILL_SEEDS: no range")?;
     let mut total = PlayCounts::default();
     for seed in first.parse::<u64>()?..end.parse()? {
-        let mut play = play(seed, seed % 2 == 0);
+        let mut play = play(seed, if seed % 2 == 0 { DaemonKills::One } else { DaemonKills::None });
         if let Ok(seconds) = std::env::var("KILL_SECONDS") {
             play.time = Duration::from_secs(seconds.parse()?);
         }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod processes;
 mod scheduler;
 mod state;
+mod stream_forms;
 mod support;
 
 use anyhow::Result;
@@ -38,6 +39,7 @@
     state::measure_keys();
     lethal::measure_lethal_requests();
     lethal::measure_lethal_parts();
+    stream_forms::measure_stream_forms();
     peers::measure_codec();
     if arguments.processes {
         actix_rt::System::new().block_on(processes::measure_daemons())?;
