The platform keeps what the streams of a pool look like

After an end of all daemons at once nothing was known of the form of streams, so that damage passed until it was learned again.

--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -90,7 +90,9 @@
             PlatformCall::ReadRollouts | PlatformCall::WriteRollout(_) => {}
             // The object API has no evacuations.
             PlatformCall::ReadEvacuations => {}
-            PlatformCall::ReadVersionHistories | PlatformCall::WriteVersionHistory(_) => {}
+            PlatformCall::ReadVersionHistories
+            | PlatformCall::WriteVersionHistory(_)
+            | PlatformCall::WriteStreamForms(..) => {}
         }
     }
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -137,6 +137,9 @@
             PlatformCall::WriteVersionHistory(history) => {
                 follow::write_history(&self.platform, context, history);
             }
+            PlatformCall::WriteStreamForms(pool, forms) => {
+                follow::write_stream_forms(&self.platform, context, pool, forms);
+            }
             PlatformCall::Read(role) => self.signals.set_read_role(role),
             // Requests carry ids of their own, so a fleet has no key table.
             PlatformCall::ProposeTable(..) | PlatformCall::ReadTable => {}
--- a/crates/daemon/src/fleet/follow.rs
+++ b/crates/daemon/src/fleet/follow.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod refusals;
 mod rollouts;
+mod stream_forms;
 mod targets;
 #[cfg(test)]
 mod tests;
@@ -23,7 +24,7 @@
 use std::time::Duration;
 
 use curlewcleat_clock::Moment;
-use curlewcleat_core::{DaemonRecord, Generation, ObjectVersion, StoreEra};
+use curlewcleat_core::{ActiveConfig, DaemonRecord, Generation, ObjectVersion, StoreEra};
 use curlewcleat_node::{FreshnessLimits, NodeEvent, ReadRole};
 use curlewcleat_store::{ConfigAnswer, ConfigRead, Error, FleetPlatform, ListAge, Result};
 use rand::Rng;
@@ -33,6 +34,7 @@
 pub use self::faults::EntryFaults;
 pub use self::refusals::{drop_refusal, store_refusal};
 pub use self::rollouts::write_rollout;
+pub use self::stream_forms::write_stream_forms;
 pub use self::versions::{read_histories, write_history};
 use super::ReadSignals;
 use crate::back_off::{BackOff, BackOffOptions};
@@ -161,7 +163,11 @@
         match read {
             ConfigRead::Absent | ConfigRead::Unchanged => {}
             ConfigRead::Changed(version, read) => {
+                let is_first = known.version == 0;
                 *known = KnownConfig { version, newest: read.config.generation };
+                if is_first && has_streams(&read.config) {
+                    stream_forms::read_stream_forms(&self.platform, &self.context);
+                }
                 self.context.send_event(NodeEvent::WarmUpLimitsRead(read.warm_up_limits));
                 self.context.apply(read.config).await;
             }
@@ -243,6 +249,11 @@
     }
 }
 
+/// Returns whether answers to requests of any rule are event streams.
+fn has_streams(config: &ActiveConfig) -> bool {
+    config.rules.iter().any(|rule| rule.service.streams)
+}
+
 /// Returns the time between two reads. If the newest configuration does not pass the checks, no daemon can confirm the
 /// one in force, so all daemons read. Only the readers then read at the full rate, as they notice when it is replaced.
 fn read_interval(role: ReadRole, in_force: bool, read_every: Duration) -> Duration {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -117,6 +117,10 @@
     RefusalsRead(Vec<FeatureReport>),
     /// What the streams of this daemon look like that have ended since the last time.
     StreamTalliesRead(Vec<SourceTally>),
+    /// What the streams of targets look like, as the platform has kept it.
+    StoredFormsRead(Vec<SourceForm>),
+    /// The platform has stored what the streams of a pool look like.
+    StreamFormsStored(PoolId, Vec<SourceForm>),
     /// The platform has stored the refusal of a request.
     RefusalStored(RequestFeature),
     /// The versions at which the streams of all pools begin and began, from a read sent at `sent`.
@@ -201,6 +205,8 @@
     /// Store at which versions the streams of a pool begin if the stored object still has the revision, and read them
     /// again.
     WriteVersionHistory(VersionHistory),
+    /// Store what the streams of a pool look like.
+    WriteStreamForms(PoolId, Vec<SourceForm>),
 }
 
 /// An action that the driver of a node has to perform.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
 mod rollouts;
 mod standstill;
 mod stop;
+mod stored_forms;
 mod stream_forms;
 mod stream_hand_over;
 mod stream_proofs;
@@ -56,6 +57,7 @@
 use self::rollouts::RolloutExchange;
 use self::standstill::Standstill;
 use self::stop::HAND_OVER_ACK_WAIT;
+use self::stored_forms::StoredForms;
 use self::stream_forms::FormExchange;
 use self::streams::StreamExchange;
 use self::version_histories::HistoryExchange;
@@ -96,6 +98,7 @@
     rollouts: RolloutExchange,
     streams: StreamExchange,
     stream_forms: FormExchange,
+    stored_forms: StoredForms,
     histories: HistoryExchange,
     drain: DrainState,
     vms: VmView,
@@ -157,6 +160,7 @@
             rollouts: RolloutExchange::default(),
             streams: StreamExchange::default(),
             stream_forms: FormExchange::default(),
+            stored_forms: StoredForms::default(),
             histories: HistoryExchange::default(),
             drain: DrainState::new(options.drain_grace, options.hand_over_limit),
             vms: VmView::default(),
@@ -213,6 +217,8 @@
             NodeEvent::AnswerObserved(pool, sample) => self.answer_observed(pool, *sample),
             NodeEvent::RefusalsRead(reports) => self.merge_suspects(reports),
             NodeEvent::StreamTalliesRead(tallies) => self.stream_tallies_read(tallies),
+            NodeEvent::StoredFormsRead(forms) => self.stored_forms_read(forms),
+            NodeEvent::StreamFormsStored(pool, forms) => self.stream_forms_stored(pool, forms),
             NodeEvent::RefusalStored(feature) => self.refusal_stored(&feature),
             NodeEvent::VersionHistoriesRead { histories, sent } => {
                 self.histories_read(histories, sent);
--- a/crates/node/src/node/stream_forms.rs
+++ b/crates/node/src/node/stream_forms.rs
@@ -108,9 +108,25 @@
         self.stream_forms.collected.advance(self.now);
         self.review_collectors();
         self.apply_stream_forms();
+        if self.stream_forms.collectors.first() == Some(&self.options.me) {
+            let known = self.stream_forms.forms.clone();
+            self.store_stream_forms(&known);
+        }
         self.actions.push(NodeAction::ReadStreamTallies);
     }
 
+    /// Uses stored forms of sources of which none is known.
+    pub(super) fn learn_stored_forms(&mut self, stored: &[SourceForm]) {
+        let exchange = &mut self.stream_forms;
+        let known = exchange.forms.clone();
+        for form in stored.iter().filter(|form| !known.contains_key(&form.source)) {
+            exchange.forms.insert(form.source.clone(), form.clone());
+        }
+        if exchange.forms != known {
+            self.use_stream_forms();
+        }
+    }
+
     /// Reports the streams of this daemon, and asks for the forms that it lacks.
     pub(super) fn stream_tallies_read(&mut self, tallies: Vec<SourceTally>) {
         let exchange = &mut self.stream_forms;
@@ -212,6 +228,11 @@
             return;
         }
         (exchange.forms, exchange.damaged) = (forms, damaged);
+        self.use_stream_forms();
+    }
+
+    fn use_stream_forms(&mut self) {
+        let exchange = &mut self.stream_forms;
         let forms: Vec<SourceForm> = exchange.forms.values().cloned().collect();
         exchange.collected.adopt(&forms);
         let damaged = exchange.damaged.iter().cloned().collect();
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -128,6 +128,9 @@
     late_answers: Vec<(Duration, usize, NodeEvent)>,
     /// Pairs of sender and receiver whose frames are lost.
     pub blocked: BTreeSet<(usize, usize)>,
+    /// Forms of streams that the platform keeps, by pool, and the number of writes.
+    pub stored_forms: BTreeMap<PoolId, Vec<SourceForm>>,
+    pub form_writes: usize,
     /// Refusals that the platform was called to store, with the index of the calling daemon.
     pub refusals: Vec<(usize, FeatureReport)>,
     /// Peers that a daemon reported as lost, with the index of that daemon.
@@ -186,6 +189,8 @@
             delayed: Vec::new(),
             late_answers: Vec::new(),
             blocked: BTreeSet::new(),
+            stored_forms: BTreeMap::new(),
+            form_writes: 0,
             refusals: Vec::new(),
             lost: Vec::new(),
             ended: Vec::new(),
@@ -263,6 +268,13 @@
                     NodeAction::ReadStreamTallies => {
                         events.push((index, self.daemons[index].read_tallies()));
                     }
+                    NodeAction::Platform(PlatformCall::WriteStreamForms(pool, forms))
+                        if self.daemons[index].reaches_platform =>
+                    {
+                        self.form_writes += 1;
+                        self.stored_forms.insert(pool.clone(), forms.clone());
+                        events.push((index, NodeEvent::StreamFormsStored(pool, forms)));
+                    }
                     NodeAction::SetStreamForms(forms, _) => {
                         self.daemons[index].stream_forms = forms;
                     }
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use curlewcleat_core::{
     ActiveConfig, DaemonRecord, DiscoveredTarget, EvacuationList, ObjectVersion, PoolId,
-    RequestDigest, RequestFeature, RolloutRecord, RolloutWrite, StoreEra, TargetChange,
+    RequestDigest, RequestFeature, RolloutRecord, RolloutWrite, SourceForm, StoreEra, TargetChange,
     TargetInstance, VersionHistory, WallTime, WarmUpLimit,
 };
 
@@ -125,6 +125,15 @@
     pub faults: Vec<EntryFault>,
 }
 
+/// What the streams of the pools look like.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StreamFormList {
+    /// The forms of all sources.
+    pub forms: Vec<SourceForm>,
+    /// The unusable entries.
+    pub faults: Vec<EntryFault>,
+}
+
 /// The evacuated data centres.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EvacuationEntries {
@@ -200,6 +209,16 @@
     /// shows whether the history was stored.
     fn write_version_history<'a>(&'a self, history: &'a VersionHistory) -> StoreFuture<'a, ()>;
 
+    /// Reads what the streams of all pools look like; the list may be some seconds old.
+    fn list_stream_forms(&self) -> StoreFuture<'_, StreamFormList>;
+
+    /// Stores what the streams of a pool look like, in place of what was stored.
+    fn write_stream_forms<'a>(
+        &'a self,
+        pool: &'a PoolId,
+        forms: &'a [SourceForm],
+    ) -> StoreFuture<'a, ()>;
+
     /// Reads the recorded daemons, including ones that no longer run.
     fn list_daemons(&self, age: ListAge) -> StoreFuture<'_, DaemonList>;
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,7 +17,7 @@
 pub use entry_fault::{EntryFault, FaultReason};
 pub use fleet::{
     ConfigAnswer, ConfigRead, DaemonList, EvacuationEntries, FleetConfig, FleetPlatform, ListAge,
-    ListWatch, RefusalList, RolloutList, StoredRefusal, TargetList, TargetWatch,
+    ListWatch, RefusalList, RolloutList, StoredRefusal, StreamFormList, TargetList, TargetWatch,
     VersionHistoryList, WireProfile,
 };
 pub use http::HttpStore;
