--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,7 +26,7 @@
 mod relays;
 mod reports;
 mod request;
-mod stream_forms;
+pub mod stream_forms;
 mod target_notices;
 mod target_reach;
 mod unwritten;
--- a/crates/node/tests/support/builders.rs
+++ b/crates/node/tests/support/builders.rs
@@ -93,6 +93,7 @@
         proved: None,
         tallies: Default::default(),
         stream_forms: Vec::new(),
+        damaged_pools: Vec::new(),
         next_read: Duration::ZERO,
     }
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -66,6 +66,8 @@
     pub tallies: BTreeMap<StreamSource, StreamTally>,
     /// The forms of streams that it has been told.
     pub stream_forms: Vec<SourceForm>,
+    /// The pools of which it has been told that their targets damage events.
+    pub damaged_pools: Vec<PoolId>,
     next_read: Duration,
 }
 
@@ -263,8 +265,9 @@
                     NodeAction::ReadStreamTallies => {
                         events.push((index, self.daemons[index].read_tallies()));
                     }
-                    NodeAction::SetStreamForms(forms, _) => {
+                    NodeAction::SetStreamForms(forms, damaged) => {
                         self.daemons[index].stream_forms = forms;
+                        self.daemons[index].damaged_pools = damaged;
                     }
                     NodeAction::Platform(PlatformCall::StoreRefusal(report)) => {
                         events.push((index, NodeEvent::RefusalStored(report.feature)));
