Daemons are told when a form is taken back

Cause: conclude() compared the new conclusion with the one that take_back() had set just before, so that a withdrawal by cut streams changed no number and no daemon was sent it. Each daemon went on to cut by the form until it rejected it by itself, and where ends deviate none ever does. Change: the conclusion before take_back() is compared.

The 17 tests of fleet_forms.rs and 8 of stream_forms.rs pass.

--- a/crates/sched/src/fleet_forms/source_evidence.rs
+++ b/crates/sched/src/fleet_forms/source_evidence.rs
@@ -132,6 +132,7 @@
     /// Concludes anew; returns whether anything has changed. `damaged_one_in` is the number of streams of which targets have
     /// damaged one, `None` while no damage is shown.
     pub fn conclude(&mut self, damaged_one_in: Option<u64>) -> bool {
+        let former = self.conclusion;
         self.is_beside_damage = damaged_one_in.is_some();
         let is_outweighed = self.cut_weight > MAX_CUT_WEIGHT;
         if is_outweighed && self.cut_by.len() >= self.daemons.len().min(CUTTING_DAEMONS) {
@@ -139,10 +140,8 @@
         }
         // Most of what is as rare as damage is damage.
         let rare_one_in = damaged_one_in.map_or(RARE_ONE_IN, |damaged_one_in| damaged_one_in / 2);
-        let conclusion = self.shown(rare_one_in.clamp(MIN_RARE_ONE_IN, RARE_ONE_IN));
-        let has_changed = conclusion != self.conclusion;
-        self.conclusion = conclusion;
-        has_changed
+        self.conclusion = self.shown(rare_one_in.clamp(MIN_RARE_ONE_IN, RARE_ONE_IN));
+        self.conclusion != former
     }
 
     /// Returns what the streams show. What was known before stays while they are too few.
