--- a/crates/sched/tests/fleet_form_limits.rs
+++ b/crates/sched/tests/fleet_form_limits.rs
@@ -226,3 +226,53 @@
     assert_eq!(forms.known().withdrawn, [source("tag")]);
     assert!(forms.changes() > changes);
 }
+
+/// Guards against damage at the start of a fleet whose sum keeps the form unknown for minutes after it has ended.
+#[test]
+fn damage_at_the_start_keeps_the_form_unknown_long_after_its_end() {
+    // A hundred daemons with two streams a second each, ten seconds with one damaged in 50, half a minute without.
+    let mut forms = FleetForms::default();
+    for index in 0..100 {
+        let damaged = u64::from(index % 5 < 2);
+        let passed = with(tally(SOUND, 20 - damaged), StreamTrait::Irregular, damaged);
+        record(&mut forms, index, passed);
+        record(&mut forms, index, passed.plus(&tally(SOUND, 60)));
+    }
+    assert_eq!(known(&forms), for_cuts(SOUND));
+}
+
+/// Guards against a sound form that is cut at all daemons for as long as damage is shown, although all have seen it.
+#[test]
+fn damage_narrows_a_sound_form_of_one_stream_in_thirty() {
+    let sound = tally(SOUND, STREAMS).plus(&tally(OTHER, STREAMS / 30));
+    let mut forms = reported(DAEMONS, sound);
+    assert_eq!(known(&forms), for_cuts(OTHER));
+    for index in 0..DAEMONS {
+        record(&mut forms, index, with(sound, StreamTrait::Damaged, 4));
+    }
+    assert_eq!(known(&forms), for_cuts(OTHER));
+}
+
+/// Guards against damage that vanishes since it is divided with the whole streams of a long report.
+#[test]
+fn damage_is_lost_in_reports_of_many_whole_streams() {
+    let mut forms = reported(DAEMONS, tally(SOUND, STREAMS));
+    for index in 0..DAEMONS {
+        let shown = with(tally(SOUND, STREAMS + 1_100), StreamTrait::Damaged, 1);
+        record(&mut forms, index, shown);
+    }
+    assert_eq!(forms.known().damaged, ["engines"]);
+}
+
+/// Guards against damaged streams that pass after those that were cut took the form back.
+#[test]
+fn one_damaged_answer_in_twelve_takes_the_form_back() {
+    let mut forms = reported(DAEMONS, tally(SOUND, STREAMS));
+    for round in 1..=20 {
+        for index in 0..DAEMONS {
+            let whole = tally(SOUND, STREAMS + 11 * round);
+            record(&mut forms, index, with(whole, StreamTrait::Cut, round));
+        }
+    }
+    assert_eq!(known(&forms), for_cuts(SOUND));
+}
