--- a/crates/acceptance/tests/contract.rs
+++ b/crates/acceptance/tests/contract.rs
@@ -21,8 +21,8 @@
     PoolLoads, PoolNotice, Refusal, RefusalReason, RequestDigest, RequestFeature,
     RequestInterruption, RequestRate, RetryReason, RolloutAnswers, RolloutOrder, RolloutReport,
     RolloutStage, ShedRequest, SlotHolder, SourceForm, SourceTally, StatePull, StatedLoad,
-    StreamAnswer, StreamFormsPush, StreamFormsReport, StreamId, StreamProofQuery, StreamQuery,
-    StreamSource, StreamStart, StreamTally, StreamTiming, StreamTrait, StreamVersion,
+    StreamAnswer, StreamCounter, StreamFormsPush, StreamFormsReport, StreamId, StreamProofQuery,
+    StreamQuery, StreamSource, StreamStart, StreamTally, StreamTiming, StreamVersion,
     SuspectReport, SuspectsPull, SuspectsPush, TablePush, TargetChange, TargetEntry,
     TargetInstance, TargetInstancesPush, TargetStart, TargetVersionsPush, TargetsContent,
     TargetsPush, Verdict, VersionDigest, VersionHistory, VersionPermitRequest, VersionSplit,
@@ -533,12 +533,12 @@
     let (source, form) = (known.source.clone(), known.form);
     let mut tally = StreamTally::default();
     tally.add_regular(form, 300);
-    tally.add_one(StreamTrait::Irregular);
-    tally.add_one(StreamTrait::Cut);
-    tally.add_one(StreamTrait::Damaged);
+    tally.add_one(StreamCounter::Irregular);
+    tally.add_one(StreamCounter::Cut);
+    tally.add_one(StreamCounter::Damaged);
     let report = StreamFormsReport {
         known: 9,
-        tallies: vec![SourceTally { source: source.clone(), tally }],
+        tallies: vec![SourceTally { source: source.clone(), epoch: 2, tally }],
     };
     let push = StreamFormsPush {
         at: 12,
--- a/crates/bench/src/stream_forms.rs
+++ b/crates/bench/src/stream_forms.rs
@@ -36,7 +36,7 @@
         pool: "engines".to_string(),
         version: VersionDigest::of(None),
     };
-    (0..SOURCES).map(|number| SourceTally { source: source(number), tally }).collect()
+    (0..SOURCES).map(|number| SourceTally { source: source(number), epoch: 0, tally }).collect()
 }
 
 /// Measures a report and the memory of all reports by the number of daemons, and the length of a report.
--- a/crates/core/src/event_form.rs
+++ b/crates/core/src/event_form.rs
@@ -58,12 +58,14 @@
 
 /// Ranges of the number of `data` lines by which streams are counted, by their first number.
 const LINE_RANGES: [u32; 6] = [1, 2, 3, 4, 5, 17];
+/// Most events of a stream that count.
+const MAX_EVENTS_OF_STREAM: u64 = 1 << 16;
 /// Number of counters of a [`StreamTally`].
-const COUNTERS: usize = StreamTrait::MostLines as usize + LINE_RANGES.len();
+const COUNTERS: usize = StreamCounter::MostLines as usize + LINE_RANGES.len();
 
 /// What streams are counted by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StreamTrait {
+pub enum StreamCounter {
     /// Streams whose events count on from one.
     Regular,
     /// Their events with a number.
@@ -83,7 +85,7 @@
     /// Regular streams by the fewest `data` lines of their events, a counter for each range.
     FewestLines,
     /// The same by the most.
-    MostLines = StreamTrait::FewestLines as isize + LINE_RANGES.len() as isize,
+    MostLines = StreamCounter::FewestLines as isize + LINE_RANGES.len() as isize,
 }
 
 /// Counts of streams by what they look like.
@@ -96,54 +98,54 @@
 
 impl StreamTally {
     /// Returns a counter.
-    pub fn count(&self, counted: StreamTrait) -> u64 {
+    pub fn count(&self, counted: StreamCounter) -> u64 {
         self.counts[counted as usize]
     }
 
     /// Counts whole streams, cut ones or damaged events.
-    pub fn add_one(&mut self, counted: StreamTrait) {
+    pub fn add_one(&mut self, counted: StreamCounter) {
         self.add(counted as usize, 1);
     }
 
     /// Counts a whole stream of this form with this many events.
     pub fn add_regular(&mut self, form: EventForm, events: u64) {
-        self.add_one(StreamTrait::Regular);
-        self.add(StreamTrait::Events as usize, events);
+        self.add_one(StreamCounter::Regular);
+        self.add(StreamCounter::Events as usize, events);
         let traits = [
-            (form.may_end_unnumbered, StreamTrait::EndsUnnumbered),
-            (!form.must_have_type, StreamTrait::Untyped),
-            (form.may_have_ignored_lines, StreamTrait::IgnoredLines),
+            (form.may_end_unnumbered, StreamCounter::EndsUnnumbered),
+            (!form.must_have_type, StreamCounter::Untyped),
+            (form.may_have_ignored_lines, StreamCounter::IgnoredLines),
         ];
         for (_, counted) in traits.into_iter().filter(|(has_it, _)| *has_it) {
             self.add_one(counted);
         }
-        self.add(StreamTrait::FewestLines as usize + line_range(form.min_data_lines), 1);
-        self.add(StreamTrait::MostLines as usize + line_range(form.max_data_lines), 1);
+        self.add(StreamCounter::FewestLines as usize + line_range(form.min_data_lines), 1);
+        self.add(StreamCounter::MostLines as usize + line_range(form.max_data_lines), 1);
     }
 
     /// Returns the number of whole streams.
     pub fn whole(&self) -> u64 {
-        self.count(StreamTrait::Regular).saturating_add(self.count(StreamTrait::Irregular))
+        self.count(StreamCounter::Regular).saturating_add(self.count(StreamCounter::Irregular))
     }
 
     /// Returns the form of the regular streams, without what at most one in `rare_one_in` of them has.
     pub fn form(&self, rare_one_in: u64) -> EventForm {
-        let regular = self.count(StreamTrait::Regular);
+        let regular = self.count(StreamCounter::Regular);
         let is_common = |count: u64| count.saturating_mul(rare_one_in) > regular;
         let has_common =
-            |first: StreamTrait, range: &usize| is_common(self.counts[first as usize + range]);
+            |first: StreamCounter, range: &usize| is_common(self.counts[first as usize + range]);
         let mut ranges = 0..LINE_RANGES.len();
-        let fewest = ranges.find(|range| has_common(StreamTrait::FewestLines, range));
+        let fewest = ranges.find(|range| has_common(StreamCounter::FewestLines, range));
         let mut ranges = 0..LINE_RANGES.len();
-        let most = ranges.rfind(|range| has_common(StreamTrait::MostLines, range));
-        let numbered_ends = regular.saturating_sub(self.count(StreamTrait::EndsUnnumbered));
+        let most = ranges.rfind(|range| has_common(StreamCounter::MostLines, range));
+        let numbered_ends = regular.saturating_sub(self.count(StreamCounter::EndsUnnumbered));
         EventForm {
             min_data_lines: fewest.map_or(1, |range| LINE_RANGES[range]),
             max_data_lines: most.map_or(u32::MAX, last_of_range),
-            may_end_unnumbered: is_common(self.count(StreamTrait::EndsUnnumbered)),
+            may_end_unnumbered: is_common(self.count(StreamCounter::EndsUnnumbered)),
             must_end_unnumbered: regular > 0 && !is_common(numbered_ends),
-            must_have_type: regular > 0 && !is_common(self.count(StreamTrait::Untyped)),
-            may_have_ignored_lines: is_common(self.count(StreamTrait::IgnoredLines)),
+            must_have_type: regular > 0 && !is_common(self.count(StreamCounter::Untyped)),
+            may_have_ignored_lines: is_common(self.count(StreamCounter::IgnoredLines)),
         }
     }
 
@@ -171,10 +173,18 @@
         self.combined(other, u64::max)
     }
 
-    /// Returns a tally of the same shares in which at most this many whole streams are counted.
+    /// Returns a tally of the same shares in which at most this many whole streams are counted. No other count is larger
+    /// than so many streams can have, and none that is rare gets lost.
     pub fn limited(&self, most: u64) -> StreamTally {
         let divisor = self.whole().div_ceil(most.max(1)).max(1);
-        StreamTally { counts: self.counts.map(|count| count / divisor) }
+        let mut limited =
+            StreamTally { counts: self.counts.map(|count| (count / divisor).min(most)) };
+        let events = self.count(StreamCounter::Events) / divisor;
+        limited.counts[StreamCounter::Events as usize] = events.min(most * MAX_EVENTS_OF_STREAM);
+        for rare in [StreamCounter::Cut, StreamCounter::Damaged, StreamCounter::Irregular] {
+            limited.counts[rare as usize] = self.count(rare).div_ceil(divisor).min(most);
+        }
+        limited
     }
 
     fn add(&mut self, index: usize, count: u64) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use account::{hash_token, TokenHash};
 pub use evacuation::EvacuationList;
-pub use event_form::{EventForm, StreamSource, StreamTally, StreamTrait};
+pub use event_form::{EventForm, StreamCounter, StreamSource, StreamTally};
 pub use ids::*;
 pub use message::*;
 pub use model::*;
--- a/crates/core/src/message/stream_forms.rs
+++ b/crates/core/src/message/stream_forms.rs
@@ -14,6 +14,8 @@
 pub struct SourceTally {
     /// The source.
     pub source: StreamSource,
+    /// Number of forms of the source that were withdrawn since the daemon started; the streams are counted since then.
+    pub epoch: u32,
     /// The streams.
     pub tally: StreamTally,
 }
--- a/crates/daemon/src/stream_forms.rs
+++ b/crates/daemon/src/stream_forms.rs
@@ -4,12 +4,13 @@
 //! Relies on: the tasks of requests, which report how streams ended; the node, which exchanges what it counts with peers.
 
 mod fleet_table;
+mod fleet_trust;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use curlewcleat_core::{
-    EventForm, PoolId, SourceForm, SourceTally, StreamSource, StreamTally, StreamTrait, TargetId,
+    EventForm, PoolId, SourceForm, StreamCounter, StreamSource, StreamTally, TargetId,
 };
 use curlewcleat_targets::{
     AgreementRule, DamageEvidence, FormBasis, FormEvidence, FormExpectation, ServingTargets,
@@ -18,10 +19,16 @@
 
 use self::fleet_table::FleetFormTable;
 pub use self::fleet_table::FormChanges;
+use self::fleet_trust::FleetTrust;
 
-/// Sources whose evidence is kept; the one that was used longest ago gives way. Each has about 500 bytes.
+/// Sources whose evidence is kept; the one that was used longest ago gives way. Each has about 700 bytes.
 const MAX_SOURCES: usize = 1_024;
 
+/// Streams of this daemon that show which forms are common beside damage.
+const MIN_STREAMS_BESIDE_DAMAGE: u64 = 64;
+/// Streams of which more than one has a form that is common.
+const RARE_ONE_IN_BESIDE_DAMAGE: u64 = 16;
+
 /// Evidence of one source, and when it was last used.
 #[derive(Debug, Default)]
 struct SourceEvidence {
@@ -31,8 +38,7 @@
     /// All streams of the source since the start of the daemon, which peers add up.
     tally: StreamTally,
     has_unread_tally: bool,
-    /// A form of the fleet by which too many streams were cut here.
-    rejected: Option<EventForm>,
+    trust: FleetTrust,
     used: u64,
 }
 
@@ -83,12 +89,12 @@
     }
 
     /// Returns what the streams of the sources look like that have changed since the last time.
-    pub fn take_tallies(&self) -> Vec<SourceTally> {
+    pub fn take_tallies(&self) -> Vec<(StreamSource, StreamTally)> {
         let mut forms = self.lock();
         let unread = forms.sources.iter_mut().filter(|(_, kept)| kept.has_unread_tally);
         let tallies = unread.map(|(source, kept)| {
             kept.has_unread_tally = false;
-            SourceTally { source: source.clone(), tally: kept.tally }
+            (source.clone(), kept.tally)
         });
         tallies.collect()
     }
@@ -116,9 +122,10 @@
         kept.targets.record(target);
         kept.usual_checks.record_whole(shape.form().is_some());
         kept.evidence.record_whole(shape);
+        kept.trust.record_whole();
         kept.count(|tally| match shape.form() {
             Some(form) => tally.add_regular(form, shape.events()),
-            None => tally.add_one(StreamTrait::Irregular),
+            None => tally.add_one(StreamCounter::Irregular),
         });
     }
 
@@ -128,7 +135,7 @@
         let mut forms = self.lock();
         let kept = forms.source(source);
         kept.usual_checks.record_damage();
-        kept.count(|tally| tally.add_one(StreamTrait::Damaged));
+        kept.count(|tally| tally.add_one(StreamCounter::Damaged));
         let is_full = forms.damaged.len() >= MAX_SOURCES;
         if is_full && !forms.damaged.contains_key(pool) {
             forms.damaged.pop_first();
@@ -142,18 +149,19 @@
         let is_beside_damage = forms.is_beside_damage(&source.pool);
         let fleet_form = forms.fleet.form(source, true).map(|known| known.form);
         let kept = forms.source(source);
-        kept.count(|tally| tally.add_one(StreamTrait::Cut));
-        if kept.evidence.record_cut(is_beside_damage) {
-            kept.rejected = fleet_form;
-        }
+        kept.count(|tally| tally.add_one(StreamCounter::Cut));
+        kept.evidence.record_cut(is_beside_damage);
+        kept.trust.record_cut(fleet_form);
     }
 
     /// Records a stream that was cut because it may lack its end.
     pub fn record_cut_end(&self, source: &StreamSource) {
         let mut forms = self.lock();
+        let fleet_form = forms.fleet.form(source, true).map(|known| known.form);
         let kept = forms.source(source);
-        kept.count(|tally| tally.add_one(StreamTrait::Cut));
+        kept.count(|tally| tally.add_one(StreamCounter::Cut));
         kept.evidence.record_cut_end();
+        kept.trust.record_cut(fleet_form.filter(|form| form.must_end_unnumbered));
     }
 
     fn lock(&self) -> MutexGuard<'_, StreamForms> {
@@ -170,9 +178,8 @@
         is_beside_damage: bool,
     ) -> (Option<EventForm>, FormBasis) {
         let learned = self.evidence.form(may_repeat).map(|form| (form, FormBasis::Learned));
-        // What this daemon has seen itself is allowed for, unless it may be damage.
-        let seen = self.evidence.seen_form().filter(|_| !is_beside_damage);
-        let fleet_form = fleet_form.filter(|form| self.rejected != Some(*form));
+        let seen = if is_beside_damage { self.common_form() } else { self.evidence.seen_form() };
+        let fleet_form = fleet_form.filter(|form| self.trust.allows(form));
         let shared = fleet_form.map(|form| seen.map_or(form, |seen| form.widened(seen)));
         let shared = shared.map(|form| (form, FormBasis::Fleet));
         // Where another target can show what is right, the narrower form costs an attempt and no stream.
@@ -181,6 +188,12 @@
         known.map_or((None, FormBasis::Nothing), |(form, basis)| (Some(form), basis))
     }
 
+    /// Returns the form of the streams that this daemon has served, without what few of them have: that may be damage.
+    fn common_form(&self) -> Option<EventForm> {
+        let is_shown = self.tally.count(StreamCounter::Regular) >= MIN_STREAMS_BESIDE_DAMAGE;
+        is_shown.then(|| self.tally.form(RARE_ONE_IN_BESIDE_DAMAGE))
+    }
+
     fn count(&mut self, add: impl FnOnce(&mut StreamTally)) {
         add(&mut self.tally);
         self.has_unread_tally = true;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -11,8 +11,9 @@
     DataCentreId, DiscoveredTarget, EvacuationList, FeatureReport, Generation, KeptAnswer,
     NoticeReport, ObjectVersion, PeerFrame, PermitId, PoolId, Refusal, RequestDigest,
     RequestFeature, RequestId, RequestInterruption, RetryReason, RolloutRecord, RolloutWrite,
-    SourceForm, SourceTally, StatedLoad, StreamVersion, TargetChange, TargetEntry, TargetInstance,
-    TargetReport, TargetVersion, Uptime, Verdict, VersionHistory, VmId, WarmUpLimit,
+    SourceForm, StatedLoad, StreamSource, StreamTally, StreamVersion, TargetChange, TargetEntry,
+    TargetInstance, TargetReport, TargetVersion, Uptime, Verdict, VersionHistory, VmId,
+    WarmUpLimit,
 };
 use curlewcleat_keys::KeyTable;
 use curlewcleat_sched::{ReplacementStep, RequestSpec, RetryBound, RolloutReason, VersionProof};
@@ -116,7 +117,7 @@
     /// The permanently refused requests that the platform has stored.
     RefusalsRead(Vec<FeatureReport>),
     /// What the streams of this daemon look like that have ended since the last time.
-    StreamTalliesRead(Vec<SourceTally>),
+    StreamTalliesRead(Vec<(StreamSource, StreamTally)>),
     /// What the streams of targets look like, as the platform has kept it.
     StoredFormsRead(Vec<SourceForm>),
     /// The platform has stored what the streams of a pool look like.
--- a/crates/node/src/node/stream_forms.rs
+++ b/crates/node/src/node/stream_forms.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, PeerMessage, PoolId, SourceForm, SourceTally, StreamFormsPush, StreamFormsReport,
-    StreamSource, StreamTally, StreamTrait, Uptime, VmId,
+    DaemonId, PeerMessage, PoolId, SourceForm, SourceTally, StreamCounter, StreamFormsPush,
+    StreamFormsReport, StreamSource, StreamTally, Uptime, VmId,
 };
 use curlewcleat_sched::FleetForms;
 
@@ -29,8 +29,12 @@
 const COLLECTORS: usize = 2;
 /// Most sources of a report.
 const MAX_TALLIES: usize = 64;
-/// Time for which a pool's damage is believed that is not announced again.
-const DAMAGE_TERM: Duration = Duration::from_secs(60);
+/// Interval at which daemons ask for everything again, whatever they know.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// Time for which an answer is used: two may be lost.
+const ANSWER_TERM: Duration = Duration::from_secs(25);
+/// Number of known changes with which everything is asked for; unlike 0 it needs no frame of its own.
+const ALL_CHANGES: u64 = u64::MAX;
 
 /// Most forms that are kept.
 const MAX_FORMS: usize = 256;
@@ -38,16 +42,32 @@
 /// What this daemon has counted of a source, and what of it was reported.
 #[derive(Clone, Debug, Default)]
 struct OwnTally {
+    /// Since the start of the daemon.
     counted: StreamTally,
+    /// What was counted when a form of the source was last withdrawn, and how often that was.
+    withdrawn: StreamTally,
+    epoch: u32,
     reported: StreamTally,
     reported_at: Uptime,
 }
 
 impl OwnTally {
+    /// Counts anew: what was counted has shown a form that does not hold.
+    fn begin_epoch(&mut self) {
+        (self.withdrawn, self.epoch) = (self.counted, self.epoch.saturating_add(1));
+    }
+
+    /// Returns what is reported, and records that it was.
+    fn report(&mut self, now: Uptime, source: &StreamSource) -> SourceTally {
+        (self.reported, self.reported_at) = (self.counted, now);
+        let tally = self.counted.minus(&self.withdrawn);
+        SourceTally { source: source.clone(), epoch: self.epoch, tally }
+    }
+
     /// Returns whether the other daemons need to know what has changed.
     fn is_due(&self, now: Uptime, is_form_known: bool) -> bool {
         let Some(added) = self.counted.since(&self.reported) else { return false };
-        let rare = [StreamTrait::Irregular, StreamTrait::Cut, StreamTrait::Damaged];
+        let rare = [StreamCounter::Irregular, StreamCounter::Cut, StreamCounter::Damaged];
         let has_rare = rare.into_iter().any(|counted| added.count(counted) > 0);
         let is_late = now >= self.reported_at + KNOWN_INTERVAL;
         has_rare || added.whole() > 0 && (!is_form_known || is_late)
@@ -75,6 +95,7 @@
     forms: BTreeMap<StreamSource, SourceForm>,
     damaged: BTreeSet<PoolId>,
     last_report: Option<Uptime>,
+    last_refresh: Option<Uptime>,
 }
 
 impl FormExchange {
@@ -92,6 +113,30 @@
     }
 }
 
+/// Makes room if there are too many forms: those go that no daemon has stated lately.
+fn drop_unstated_forms(
+    forms: &mut BTreeMap<StreamSource, SourceForm>,
+    answers: &[&StreamFormsPush],
+) {
+    if forms.len() <= MAX_FORMS {
+        return;
+    }
+    let stated = answers.iter().flat_map(|push| push.forms.iter().map(|form| &form.source));
+    let stated: BTreeSet<&StreamSource> = stated.collect();
+    forms.retain(|source, _| stated.contains(source));
+    while forms.len() > MAX_FORMS {
+        forms.pop_first();
+    }
+}
+
+impl FormExchange {
+    /// Returns whether any answer states anything that may no longer hold.
+    fn has_statements(&self) -> bool {
+        let mut pushes = self.answers.values().map(|answer| &answer.push);
+        pushes.any(|push| !(push.forms.is_empty() && push.damaged.is_empty()))
+    }
+}
+
 fn suffices(form: Option<&SourceForm>) -> bool {
     form.is_some_and(|form| form.suffices_for_cuts)
 }
@@ -128,27 +173,37 @@
     }
 
     /// Reports the streams of this daemon, and asks for the forms that it lacks.
-    pub(super) fn stream_tallies_read(&mut self, tallies: Vec<SourceTally>) {
+    pub(super) fn stream_tallies_read(&mut self, counted: Vec<(StreamSource, StreamTally)>) {
         let exchange = &mut self.stream_forms;
-        for SourceTally { source, tally } in tallies {
+        for (source, tally) in counted {
             exchange.own.entry(source).or_default().counted = tally;
         }
         let due = self.due_tallies();
         if !due.is_empty() || self.lacks_forms() {
-            self.send_stream_forms_report(&due);
+            self.send_stream_forms_report(&due, false);
         }
     }
 
     /// Asks for the forms that this daemon lacks. While nothing is new the message shares a frame with others.
     pub(super) fn pull_stream_forms(&mut self) {
-        if self.options.shares_stream_forms {
-            self.send_stream_forms_report(&[]);
+        if !self.options.shares_stream_forms {
+            return;
+        }
+        let last_refresh = self.stream_forms.last_refresh;
+        let is_due = last_refresh.is_none_or(|last| self.now >= last + REFRESH_INTERVAL);
+        let is_refresh = is_due && self.stream_forms.has_statements();
+        if is_refresh {
+            self.stream_forms.last_refresh = Some(self.now);
         }
+        self.send_stream_forms_report(&[], is_refresh);
     }
 
-    fn send_stream_forms_report(&mut self, tallies: &[SourceTally]) {
+    fn send_stream_forms_report(&mut self, tallies: &[SourceTally], wants_all: bool) {
         for collector in self.stream_forms.collectors.clone() {
-            let known = self.stream_forms.known.of(&collector);
+            let known = match self.stream_forms.known.of(&collector) {
+                known if known > 0 && wants_all => ALL_CHANGES,
+                known => known,
+            };
             let report = StreamFormsReport { known, tallies: tallies.to_vec() };
             self.post(&collector.vm, PeerMessage::StreamFormsReport(report));
         }
@@ -181,6 +236,7 @@
             self.all_pools_order.iter().take(COLLECTORS).cloned().collect();
         let exchange = &mut self.stream_forms;
         if collectors.iter().any(|collector| !exchange.collectors.contains(collector)) {
+            exchange.last_refresh = None;
             exchange.own.values_mut().for_each(|own| own.reported = StreamTally::default());
         }
         exchange.collectors = collectors;
@@ -196,16 +252,16 @@
         exchange.own.iter().any(|(source, own)| is_recent(own) && lacks(source))
     }
 
+    /// Returns what has to be reported, those sources first that were reported longest ago.
     fn due_tallies(&mut self) -> Vec<SourceTally> {
         let (now, exchange) = (self.now, &mut self.stream_forms);
         let forms = &exchange.forms;
         let due = exchange.own.iter_mut();
         let due = due.filter(|(source, own)| own.is_due(now, suffices(forms.get(*source))));
-        let due = due.take(MAX_TALLIES).map(|(source, own)| {
-            (own.reported, own.reported_at) = (own.counted, now);
-            SourceTally { source: source.clone(), tally: own.counted }
-        });
-        due.collect()
+        let mut due: Vec<(&StreamSource, &mut OwnTally)> = due.collect();
+        due.sort_by_key(|(_, own)| own.reported_at);
+        due.truncate(MAX_TALLIES);
+        due.into_iter().map(|(source, own)| own.report(now, source)).collect()
     }
 
     /// Applies what the daemons know that add up the reports, the preferred one last. A form stays until one of them withdraws
@@ -214,19 +270,23 @@
         let (now, exchange) = (self.now, &mut self.stream_forms);
         let answers = exchange.collectors.iter().rev();
         let answers = answers.filter_map(|collector| exchange.answers.get(&collector.vm));
+        let answers = answers.filter(|answer| now < answer.received + ANSWER_TERM);
+        let answers: Vec<&StreamFormsPush> = answers.map(|answer| &answer.push).collect();
         let (mut forms, mut damaged) = (exchange.forms.clone(), BTreeSet::new());
-        for FormsAnswer { push, received } in answers {
+        for push in &answers {
             push.forms.iter().for_each(|form| learn_form(&mut forms, form));
             push.withdrawn.iter().for_each(|source| drop(forms.remove(source)));
-            let is_recent = now < *received + DAMAGE_TERM;
-            damaged.extend(push.damaged.iter().filter(|_| is_recent).cloned());
-        }
-        while forms.len() > MAX_FORMS {
-            forms.pop_first();
+            damaged.extend(push.damaged.iter().cloned());
         }
+        drop_unstated_forms(&mut forms, &answers);
         if forms == exchange.forms && damaged == exchange.damaged {
             return;
         }
+        let withdrawn = exchange.forms.keys().filter(|source| !forms.contains_key(*source));
+        for source in withdrawn {
+            exchange.own.entry(source.clone()).and_modify(OwnTally::begin_epoch);
+            exchange.collected.forget(source);
+        }
         (exchange.forms, exchange.damaged) = (forms, damaged);
         self.use_stream_forms();
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -16,7 +16,7 @@
 use curlewcleat_core::{
     AttemptEnd, ConfigBundle, DiscoveredTarget, EvacuationList, FeatureReport, PeerFrame,
     PeerMessage, PoolId, RequestId, RolloutOrder, RolloutRecord, RolloutWrite, SourceForm,
-    SourceTally, StreamSource, StreamTally, Verdict, VersionHistory, VmId,
+    StreamSource, StreamTally, Verdict, VersionHistory, VmId,
 };
 use curlewcleat_node::{
     CallerDecision, ConfigIntake, FreshnessLimits, Node, NodeAction, NodeEvent, NodeNote,
@@ -66,16 +66,15 @@
     pub tallies: BTreeMap<StreamSource, StreamTally>,
     /// The forms of streams that it has been told.
     pub stream_forms: Vec<SourceForm>,
+    /// The pools of which it has been told that their targets damage events.
+    pub damaged_pools: Vec<PoolId>,
     next_read: Duration,
 }
 
 impl Daemon {
     fn read_tallies(&self) -> NodeEvent {
-        let tally = |(source, tally): (&StreamSource, &StreamTally)| SourceTally {
-            source: source.clone(),
-            tally: *tally,
-        };
-        NodeEvent::StreamTalliesRead(self.tallies.iter().map(tally).collect())
+        let tallies = self.tallies.iter().map(|(source, tally)| (source.clone(), *tally));
+        NodeEvent::StreamTalliesRead(tallies.collect())
     }
 }
 
@@ -275,8 +274,9 @@
                         self.stored_forms.insert(pool.clone(), forms.clone());
                         events.push((index, NodeEvent::StreamFormsStored(pool, forms)));
                     }
-                    NodeAction::SetStreamForms(forms, _) => {
+                    NodeAction::SetStreamForms(forms, damaged) => {
                         self.daemons[index].stream_forms = forms;
+                        self.daemons[index].damaged_pools = damaged;
                     }
                     NodeAction::Platform(PlatformCall::StoreRefusal(report)) => {
                         events.push((index, NodeEvent::RefusalStored(report.feature)));
--- a/crates/sched/src/fleet_forms.rs
+++ b/crates/sched/src/fleet_forms.rs
@@ -15,8 +15,8 @@
 use std::collections::BTreeMap;
 
 use curlewcleat_core::{
-    DaemonId, PoolId, SourceForm, SourceTally, StreamFormsPush, StreamSource, StreamTally,
-    StreamTrait, Uptime,
+    DaemonId, PoolId, SourceForm, SourceTally, StreamCounter, StreamFormsPush, StreamSource,
+    StreamTally, Uptime, VmId,
 };
 
 use self::pool_damage::PoolDamage;
@@ -41,8 +41,18 @@
 impl FleetForms {
     /// Records what a daemon has counted since it started.
     pub fn record(&mut self, now: Uptime, from: &DaemonId, tallies: Vec<SourceTally>) {
-        for SourceTally { source, tally } in tallies {
-            self.record_tally(now, from, source, &tally);
+        for SourceTally { source, epoch, tally } in tallies {
+            let evidence = self.evidence(&source, &from.vm);
+            let added = evidence.record(now, from, epoch, &tally);
+            let has_damage = added.are_recent && added.tally.count(StreamCounter::Damaged) > 0;
+            evidence.has_shown_damage |= has_damage;
+            if evidence.has_shown_damage {
+                self.record_damage(now, from, &source.pool, &added.tally, has_damage);
+            }
+            let damaged_one_in = self.damage.get(&source.pool).and_then(PoolDamage::damaged_one_in);
+            // The entry was made above.
+            let Some(evidence) = self.sources.get_mut(&source) else { continue };
+            self.changes += u64::from(evidence.conclude(now, damaged_one_in));
         }
     }
 
@@ -58,14 +68,24 @@
         self.changes + 1
     }
 
-    /// Takes over the forms that other daemons know, where too few streams were reported to this one.
+    /// Takes over the forms that other daemons know, where too few streams were reported to this one. They give way to those
+    /// of sources that daemons report.
     pub fn adopt(&mut self, known: &[SourceForm]) {
         for SourceForm { source, form, suffices_for_cuts } in known {
-            let is_new = self.evidence(source).adopt(*form, *suffices_for_cuts);
-            self.changes += u64::from(is_new);
+            if self.sources.len() >= MAX_SOURCES && !self.sources.contains_key(source) {
+                continue;
+            }
+            let evidence = self.sources.entry(source.clone()).or_default();
+            self.changes += u64::from(evidence.adopt(*form, *suffices_for_cuts));
         }
     }
 
+    /// Forgets the form of a source that another daemon has withdrawn.
+    pub fn forget(&mut self, source: &StreamSource) {
+        let is_known = self.sources.get_mut(source).is_some_and(SourceEvidence::forget);
+        self.changes += u64::from(is_known);
+    }
+
     /// Returns all forms that are known, those that do not hold, and the pools whose targets damage events.
     pub fn known(&self) -> StreamFormsPush {
         let mut known = StreamFormsPush { at: self.changes(), ..StreamFormsPush::default() };
@@ -84,59 +104,47 @@
         known
     }
 
-    fn record_tally(
+    fn record_damage(
         &mut self,
         now: Uptime,
         from: &DaemonId,
-        source: StreamSource,
-        tally: &StreamTally,
+        pool: &PoolId,
+        added: &StreamTally,
+        has_damage: bool,
     ) {
-        let added = self.evidence(&source).record(from, tally);
-        if added.count(StreamTrait::Damaged) > 0 {
-            self.record_damage(now, from, &source.pool);
-        }
-        let damaged_one_in = self.damaged_one_in(&source.pool);
-        // The entry was made above.
-        let Some(evidence) = self.sources.get_mut(&source) else { return };
-        if evidence.conclude(damaged_one_in) {
-            self.changes += 1;
-        }
-    }
-
-    /// Returns the number of streams of a pool of which its targets have damaged one, as the sources show of which another
-    /// target can state what is right; `None` unless several daemons have shown damage.
-    fn damaged_one_in(&self, pool: &PoolId) -> Option<u64> {
-        if !self.damage.get(pool).is_some_and(PoolDamage::is_shown) {
-            return None;
-        }
-        let tallies = self.sources.iter().filter(|(source, _)| source.pool == *pool);
-        let tallies = tallies.map(|(_, evidence)| evidence.total());
-        let tallies = tallies.filter(|tally| tally.count(StreamTrait::Damaged) > 0);
-        let sum = tallies.fold(StreamTally::default(), |sum, tally| sum.plus(tally));
-        Some(sum.whole() / sum.count(StreamTrait::Damaged).max(1))
-    }
-
-    fn record_damage(&mut self, now: Uptime, from: &DaemonId, pool: &PoolId) {
         if self.damage.len() >= MAX_POOLS && !self.damage.contains_key(pool) {
             return;
         }
         let damage = self.damage.entry(pool.clone()).or_default();
-        if damage.record(now, &from.vm) {
+        damage.count(added);
+        if has_damage && damage.record(now, &from.vm) {
             self.changes += 1;
         }
     }
 
-    /// Returns the evidence of a source. If there is no room for another one, the one that was reported longest ago goes.
-    fn evidence(&mut self, source: &StreamSource) -> &mut SourceEvidence {
+    /// Returns the evidence of a source that a daemon reports.
+    fn evidence(&mut self, source: &StreamSource, vm: &VmId) -> &mut SourceEvidence {
         if self.sources.len() >= MAX_SOURCES && !self.sources.contains_key(source) {
-            let oldest = self.sources.iter().min_by_key(|(_, evidence)| evidence.used);
-            if let Some(oldest) = oldest.map(|(source, _)| source.clone()) {
-                self.sources.remove(&oldest);
-            }
+            self.remove_oldest(vm);
         }
         self.uses += 1;
         let evidence = self.sources.entry(source.clone()).or_default();
         evidence.used = self.uses;
         evidence
     }
+
+    /// Makes room for another source: those that only the same daemon reports go first, then others of one daemon, so that
+    /// sources that one daemon makes up don't push out those of all.
+    fn remove_oldest(&mut self, vm: &VmId) {
+        let rank = |evidence: &SourceEvidence| match evidence {
+            own if own.is_reported_only_by(vm) => 0,
+            other if other.is_reported_by_one() => 1,
+            _ => 2,
+        };
+        let oldest =
+            self.sources.iter().min_by_key(|(_, evidence)| (rank(evidence), evidence.used));
+        if let Some(oldest) = oldest.map(|(source, _)| source.clone()) {
+            self.sources.remove(&oldest);
+        }
+    }
 }
--- a/crates/sched/src/fleet_forms/pool_damage.rs
+++ b/crates/sched/src/fleet_forms/pool_damage.rs
@@ -1,16 +1,18 @@
-//! Whether targets of a pool damage events, as several daemons have shown.
+//! Whether targets of a pool damage events, as several daemons have shown, and how many.
 //!
 //! Owns: when the latest two daemons have shown it. Relies on: daemons that state damage only where another target had the
 //! sound event.
 
 use std::time::Duration;
 
-use curlewcleat_core::{Uptime, VmId};
+use curlewcleat_core::{StreamCounter, StreamTally, Uptime, VmId};
 
 /// Time for which shown damage counts.
 const SHOWN_TIME: Duration = Duration::from_secs(60);
 /// Interval at which damage that goes on is announced again, so that daemons that hear nothing can stop believing it.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(20);
+/// Streams above which both counts are halved, so that those of late count most.
+const MAX_STREAMS: u64 = 4_096;
 
 /// Damage of a pool's events.
 #[derive(Clone, Debug, Default)]
@@ -21,6 +23,10 @@
     other: Option<(VmId, Uptime)>,
     /// When it was last announced that several daemons have.
     announced: Option<Uptime>,
+    /// Whole streams of the sources that have shown damage.
+    streams: u64,
+    /// Damaged events, of each report at most one a stream.
+    damaged: u64,
 }
 
 impl PoolDamage {
@@ -39,6 +45,21 @@
         is_shown && is_due
     }
 
+    /// Counts streams of a source that has shown damage.
+    pub fn count(&mut self, added: &StreamTally) {
+        let whole = added.whole();
+        self.streams = self.streams.saturating_add(whole);
+        self.damaged += added.count(StreamCounter::Damaged).min(whole);
+        if self.streams > MAX_STREAMS {
+            (self.streams, self.damaged) = (self.streams / 2, self.damaged.div_ceil(2));
+        }
+    }
+
+    /// Returns the number of streams of which one is damaged, `None` unless several daemons have shown damage.
+    pub fn damaged_one_in(&self) -> Option<u64> {
+        self.is_shown().then(|| self.streams / self.damaged.max(1))
+    }
+
     /// Returns whether several daemons have shown damage.
     pub fn is_shown(&self) -> bool {
         self.announced.is_some()
--- a/crates/sched/src/fleet_forms/source_evidence.rs
+++ b/crates/sched/src/fleet_forms/source_evidence.rs
@@ -1,10 +1,13 @@
 //! What the streams of one source look like, as all daemons count them together.
 //!
-//! Owns: the counts of each daemon. Relies on: daemons that count what they have served.
+//! Owns: the counts of each daemon since the latest conclusion. Relies on: daemons that count what they have served.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+use std::time::Duration;
 
-use curlewcleat_core::{DaemonId, EventForm, Incarnation, StreamTally, StreamTrait, VmId};
+use curlewcleat_core::{
+    DaemonId, EventForm, Incarnation, StreamCounter, StreamTally, Uptime, VmId,
+};
 
 /// Fewest streams that show a form.
 const MIN_STREAMS: u64 = 8;
@@ -22,18 +25,22 @@
 const RARE_ONE_IN: u64 = 1_024;
 /// The same where targets damage most answers that still show a form.
 const MIN_RARE_ONE_IN: u64 = 8;
-/// Whole streams that outweigh one that was cut: a form that no longer holds cuts nearly all.
-const CUT_WEIGHT: u64 = 16;
-/// The same while targets damage events.
-const CUT_WEIGHT_BESIDE_DAMAGE: u64 = 4;
-/// Weight of cut streams above which the form no longer holds: more than eight beside each other.
-const MAX_CUT_WEIGHT: u64 = 8 * CUT_WEIGHT;
-/// Daemons that have to have cut streams before the form is taken back, where there are as many.
-const CUTTING_DAEMONS: usize = 3;
+/// Streams after which those that follow are counted anew: a known form is judged by the streams of late.
+const REVIEW_STREAMS: u64 = 1_024;
+/// The same while no form is known, and too many streams have none.
+const IRREGULAR_REVIEW_STREAMS: u64 = 256;
+/// Whole streams of a daemon that outweigh one that it has cut: a form that no longer holds cuts nearly all.
+const CUT_WEIGHT: u64 = 4;
+/// Largest weight of the cut streams of one daemon.
+const MAX_DAEMON_WEIGHT: u64 = 16 * CUT_WEIGHT;
+/// Weight of the cut streams of all daemons above which the form no longer holds.
+const MIN_CUT_WEIGHT: u64 = 8 * CUT_WEIGHT;
+/// The same for each daemon: some cut a few streams beside each other by chance.
+const CUT_WEIGHT_PER_DAEMON: u64 = 2;
+/// Time after its latest report after which a daemon no longer counts for that.
+const REPORTED_TIME: Duration = Duration::from_secs(60);
 /// Most streams that count of one report: a daemon that was not heard for long, or states nonsense.
 const MAX_STREAMS_OF_REPORT: u64 = 1_024;
-/// Streams of a daemon above which its counts are halved, so that those of late count most.
-const MAX_STREAMS_OF_DAEMON: u64 = 4 * MAX_STREAMS_OF_REPORT;
 /// Daemons whose streams are counted.
 const MAX_DAEMONS: usize = 4_096;
 
@@ -49,66 +56,86 @@
     Withdrawn,
 }
 
+/// A start of a daemon's counts: that of its process, or a later one since a form was withdrawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct CountStart {
+    incarnation: Incarnation,
+    epoch: u32,
+}
+
 /// What one daemon has counted.
 #[derive(Clone, Debug)]
 struct DaemonCounts {
-    incarnation: Incarnation,
-    /// Since it started.
+    start: CountStart,
+    /// The process before this one, whose reports may still arrive.
+    former: Option<Incarnation>,
+    /// Since the start.
     stated: StreamTally,
     /// What of it counts here.
     part: StreamTally,
+    /// Weight of the streams that it has cut lately.
+    cut_weight: u64,
+    reported: Uptime,
+}
+
+/// What is new in a report.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AddedStreams {
+    /// The streams.
+    pub tally: StreamTally,
+    /// Whether the daemon has reported before, so that these streams are of late.
+    pub are_recent: bool,
 }
 
 /// The streams of one source.
 #[derive(Clone, Debug, Default)]
 pub struct SourceEvidence {
     daemons: BTreeMap<VmId, DaemonCounts>,
-    /// The sum over all daemons.
+    /// The sum over all daemons since the latest review.
     total: StreamTally,
     /// The largest count of each kind by one daemon.
     largest: StreamTally,
+    /// Sum of the weights of cut streams.
     cut_weight: u64,
-    /// Daemons that have cut streams while the cut ones outweighed the whole ones, [`CUTTING_DAEMONS`] at most.
-    cut_by: BTreeSet<VmId>,
     /// Times that a form turned out to be wrong.
     contradictions: u32,
-    /// Whether targets damage events.
-    is_beside_damage: bool,
     conclusion: FormConclusion,
+    /// Whether targets have damaged events of the source.
+    pub has_shown_damage: bool,
     /// Number of the latest use.
     pub used: u64,
 }
 
 impl SourceEvidence {
-    /// Records what a daemon has counted since it started, and returns what is new in it.
-    pub fn record(&mut self, from: &DaemonId, stated: &StreamTally) -> StreamTally {
-        let known = self.daemons.get(&from.vm);
-        if known.is_none() && self.daemons.len() >= MAX_DAEMONS {
-            return StreamTally::default();
-        }
-        let earlier = known.filter(|counts| counts.incarnation == from.incarnation);
-        let is_first = earlier.is_none();
-        let earlier = earlier.map_or(StreamTally::default(), |counts| counts.stated);
+    /// Records what a daemon has counted since it started, in an epoch that begins anew with each withdrawn form. Returns what
+    /// is new in it.
+    pub fn record(
+        &mut self,
+        now: Uptime,
+        from: &DaemonId,
+        epoch: u32,
+        stated: &StreamTally,
+    ) -> AddedStreams {
+        let start = CountStart { incarnation: from.incarnation, epoch };
+        let Some(mut counts) = self.counts_before(from, start) else {
+            return AddedStreams::default();
+        };
         // An earlier report that arrives late tells nothing new.
-        let Some(added) = stated.since(&earlier) else { return StreamTally::default() };
+        let Some(added) = stated.since(&counts.stated) else { return AddedStreams::default() };
+        let are_recent = counts.stated != StreamTally::default();
         let added = added.limited(MAX_STREAMS_OF_REPORT);
-        let part = known.map_or(StreamTally::default(), |counts| counts.part).plus(&added);
+        let is_known = matches!(self.conclusion, FormConclusion::Known(..));
+        // A first report tells of cuts by a form that is not known here.
+        let cuts = added.count(StreamCounter::Cut) * u64::from(are_recent && is_known);
+        let weight = counts.cut_weight.saturating_add(cuts.saturating_mul(CUT_WEIGHT));
+        let weight = weight.saturating_sub(added.whole()).min(MAX_DAEMON_WEIGHT);
+        self.cut_weight = self.cut_weight.saturating_sub(counts.cut_weight) + weight;
+        counts.part = counts.part.plus(&added);
+        (counts.cut_weight, counts.stated, counts.reported) = (weight, *stated, now);
         self.total = self.total.plus(&added);
-        self.largest = self.largest.largest(&part);
-        let counts = DaemonCounts { incarnation: from.incarnation, stated: *stated, part };
+        self.largest = self.largest.largest(&counts.part);
         self.daemons.insert(from.vm.clone(), counts);
-        // A first report tells of cuts by a form that is not known here.
-        let has_cut = !is_first && added.count(StreamTrait::Cut) > 0;
-        self.weigh_cuts(&from.vm, added.whole(), has_cut);
-        if part.whole() > MAX_STREAMS_OF_DAEMON {
-            self.halve_part(&from.vm);
-        }
-        added
-    }
-
-    /// Returns the sum of what the daemons have counted.
-    pub fn total(&self) -> &StreamTally {
-        &self.total
+        AddedStreams { tally: added, are_recent }
     }
 
     /// Returns what follows from the streams.
@@ -116,6 +143,16 @@
         self.conclusion
     }
 
+    /// Returns whether no daemon but this one has reported streams.
+    pub fn is_reported_only_by(&self, vm: &VmId) -> bool {
+        self.daemons.keys().all(|reporting| reporting == vm)
+    }
+
+    /// Returns whether at most one daemon has reported streams.
+    pub fn is_reported_by_one(&self) -> bool {
+        self.daemons.len() <= 1
+    }
+
     /// Takes over what other daemons have concluded from more streams; returns whether less was known here.
     pub fn adopt(&mut self, form: EventForm, suffices_for_cuts: bool) -> bool {
         let is_less_known = match self.conclusion {
@@ -125,86 +162,150 @@
         };
         if is_less_known {
             self.conclusion = FormConclusion::Known(form, suffices_for_cuts);
+            self.count_anew();
         }
         is_less_known
     }
 
+    /// Forgets a form that another daemon has withdrawn; returns whether one was known.
+    pub fn forget(&mut self) -> bool {
+        let is_known = matches!(self.conclusion, FormConclusion::Known(..));
+        if is_known {
+            self.conclusion = FormConclusion::Unknown;
+            self.count_anew();
+        }
+        is_known
+    }
+
     /// Concludes anew; returns whether anything has changed. `damaged_one_in` is the number of streams of which targets have
     /// damaged one, `None` while no damage is shown.
-    pub fn conclude(&mut self, damaged_one_in: Option<u64>) -> bool {
-        self.is_beside_damage = damaged_one_in.is_some();
-        let is_outweighed = self.cut_weight > MAX_CUT_WEIGHT;
-        if is_outweighed && self.cut_by.len() >= self.daemons.len().min(CUTTING_DAEMONS) {
-            self.take_back();
-        }
+    pub fn conclude(&mut self, now: Uptime, damaged_one_in: Option<u64>) -> bool {
+        let before = self.conclusion;
         // Most of what is as rare as damage is damage.
         let rare_one_in = damaged_one_in.map_or(RARE_ONE_IN, |damaged_one_in| damaged_one_in / 2);
-        let conclusion = self.shown(rare_one_in.clamp(MIN_RARE_ONE_IN, RARE_ONE_IN));
-        let has_changed = conclusion != self.conclusion;
-        self.conclusion = conclusion;
-        has_changed
-    }
-
-    /// Returns what the streams show. What was known before stays while they are too few.
-    fn shown(&self, rare_one_in: u64) -> FormConclusion {
+        let rare_one_in = rare_one_in.clamp(MIN_RARE_ONE_IN, RARE_ONE_IN);
         // What one daemon alone states does not count.
         let shared = self.total.minus(&self.largest);
-        let (regular, events) =
-            (shared.count(StreamTrait::Regular), shared.count(StreamTrait::Events));
-        let irregular = shared.count(StreamTrait::Irregular);
+        match self.conclusion {
+            FormConclusion::Known(..) if self.is_outweighed(now) => self.withdraw(),
+            FormConclusion::Known(form, true) => {
+                self.review_known(form, &shared, rare_one_in, damaged_one_in.is_some());
+            }
+            _ => self.review_unknown(&shared, rare_one_in),
+        }
+        self.conclusion != before
+    }
+
+    /// Judges a form that is known for cuts. It only widens until it is withdrawn: few streams show a rare form.
+    fn review_known(
+        &mut self,
+        form: EventForm,
+        shared: &StreamTally,
+        rare_one_in: u64,
+        is_beside_damage: bool,
+    ) {
+        let is_review_due = shared.whole() >= REVIEW_STREAMS;
+        if is_review_due && is_irregular(shared, rare_one_in) {
+            return self.withdraw();
+        }
+        if shared.count(StreamCounter::Regular) > 0 && (is_review_due || !is_beside_damage) {
+            let widened = form.widened(shared.form(rare_one_in));
+            self.conclusion = FormConclusion::Known(widened, true);
+        }
+        if is_review_due {
+            self.count_anew();
+        }
+    }
+
+    /// Judges the streams of a source whose form is not known for cuts.
+    fn review_unknown(&mut self, shared: &StreamTally, rare_one_in: u64) {
         let factor = CONTRADICTION_FACTOR.saturating_pow(self.contradictions).min(MAX_FACTOR);
-        if regular.saturating_add(irregular) < MIN_STREAMS || events < MIN_EVENTS * factor {
-            return self.conclusion;
+        let events = shared.count(StreamCounter::Events);
+        if is_irregular(shared, rare_one_in) {
+            if let FormConclusion::Known(..) = self.conclusion {
+                self.conclusion = FormConclusion::Withdrawn;
+            }
+            if shared.whole() >= IRREGULAR_REVIEW_STREAMS {
+                self.count_anew();
+            }
+            return;
         }
-        if irregular.saturating_mul(rare_one_in) > regular {
-            return FormConclusion::Withdrawn;
+        let regular = shared.count(StreamCounter::Regular);
+        if regular < MIN_STREAMS || events < MIN_EVENTS * factor {
+            return;
         }
         let shown = shared.form(rare_one_in);
         let must_end_unnumbered = shown.must_end_unnumbered && regular >= MIN_STREAMS_FOR_END;
+        let suffices_for_cuts = events >= MIN_EVENTS_FOR_CUTS * factor;
         let form = EventForm { must_end_unnumbered, ..shown };
-        if events >= MIN_EVENTS_FOR_CUTS * factor {
-            return FormConclusion::Known(form, true);
-        }
-        match self.conclusion {
-            // More streams than were counted here have shown it.
-            FormConclusion::Known(_, true) => self.conclusion,
-            _ => FormConclusion::Known(form, false),
+        self.conclusion = FormConclusion::Known(form, suffices_for_cuts);
+        if suffices_for_cuts {
+            self.count_anew();
         }
     }
 
-    /// Weighs the streams of a report that were cut, of which one counts, against the whole ones.
-    fn weigh_cuts(&mut self, vm: &VmId, whole: u64, has_cut: bool) {
-        self.cut_weight = self.cut_weight.saturating_sub(whole);
-        if self.cut_weight == 0 {
-            self.cut_by.clear();
+    /// Returns the counts that a report adds to, `None` if the report does not count.
+    fn counts_before(&self, from: &DaemonId, start: CountStart) -> Option<DaemonCounts> {
+        let Some(known) = self.daemons.get(&from.vm) else {
+            let former = None;
+            return (self.daemons.len() < MAX_DAEMONS).then(|| DaemonCounts::new(start, former));
+        };
+        let is_late = known.former == Some(start.incarnation)
+            || known.start.incarnation == start.incarnation && known.start.epoch > start.epoch;
+        if is_late {
+            return None;
         }
-        if !has_cut || !matches!(self.conclusion, FormConclusion::Known(..)) {
-            return;
+        if known.start == start {
+            return Some(known.clone());
         }
-        let is_beside_damage = self.is_beside_damage;
-        self.cut_weight += if is_beside_damage { CUT_WEIGHT_BESIDE_DAMAGE } else { CUT_WEIGHT };
-        if self.cut_by.len() < CUTTING_DAEMONS {
-            self.cut_by.insert(vm.clone());
+        let is_replaced = known.start.incarnation != start.incarnation;
+        let former = if is_replaced { Some(known.start.incarnation) } else { known.former };
+        Some(DaemonCounts { part: known.part, ..DaemonCounts::new(start, former) })
+    }
+
+    /// Returns whether the streams that were cut outweigh the whole ones, those of the daemon with the most left out.
+    fn is_outweighed(&self, now: Uptime) -> bool {
+        if self.cut_weight <= MIN_CUT_WEIGHT {
+            return false;
         }
+        let recent = |counts: &&DaemonCounts| now < counts.reported + REPORTED_TIME;
+        let recent = self.daemons.values().filter(recent);
+        let (count, largest) = recent
+            .fold((0, 0), |(count, largest), counts| (count + 1, counts.cut_weight.max(largest)));
+        self.cut_weight - largest > MIN_CUT_WEIGHT.max(CUT_WEIGHT_PER_DAEMON * count)
     }
 
     /// Begins anew after sound streams of another form.
-    fn take_back(&mut self) {
+    fn withdraw(&mut self) {
         self.conclusion = FormConclusion::Withdrawn;
         self.contradictions = self.contradictions.saturating_add(1);
         self.cut_weight = 0;
-        self.cut_by.clear();
+        self.daemons.values_mut().for_each(|counts| counts.cut_weight = 0);
+        self.count_anew();
+    }
+
+    /// Counts the streams that follow from zero.
+    fn count_anew(&mut self) {
         (self.total, self.largest) = (StreamTally::default(), StreamTally::default());
         self.daemons.values_mut().for_each(|counts| counts.part = StreamTally::default());
     }
+}
 
-    /// Halves what a daemon has counted.
-    fn halve_part(&mut self, vm: &VmId) {
-        let Some(counts) = self.daemons.get_mut(vm) else { return };
-        let halved = counts.part.limited(counts.part.whole().div_ceil(2));
-        self.total = self.total.minus(&counts.part).plus(&halved);
-        counts.part = halved;
-        let parts = self.daemons.values().map(|counts| &counts.part);
-        self.largest = parts.fold(StreamTally::default(), |largest, part| largest.largest(part));
+impl DaemonCounts {
+    fn new(start: CountStart, former: Option<Incarnation>) -> DaemonCounts {
+        DaemonCounts {
+            start,
+            former,
+            stated: StreamTally::default(),
+            part: StreamTally::default(),
+            cut_weight: 0,
+            reported: Uptime::ZERO,
+        }
     }
 }
+
+/// Returns whether more streams have no form than may be left out.
+fn is_irregular(shared: &StreamTally, rare_one_in: u64) -> bool {
+    let irregular = shared.count(StreamCounter::Irregular);
+    irregular.saturating_mul(rare_one_in) > shared.count(StreamCounter::Regular)
+}
--- a/crates/sched/tests/fleet_forms.rs
+++ b/crates/sched/tests/fleet_forms.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, EventForm, SourceForm, SourceTally, StreamSource, StreamTally, StreamTrait,
+    DaemonId, EventForm, SourceForm, SourceTally, StreamCounter, StreamSource, StreamTally,
     VersionDigest,
 };
 use curlewcleat_sched::FleetForms;
@@ -48,7 +48,7 @@
     tally
 }
 
-fn with(mut tally: StreamTally, counted: StreamTrait, count: u64) -> StreamTally {
+fn with(mut tally: StreamTally, counted: StreamCounter, count: u64) -> StreamTally {
     (0..count).for_each(|_| tally.add_one(counted));
     tally
 }
@@ -58,7 +58,7 @@
 }
 
 fn record_at(forms: &mut FleetForms, now: u64, from: &DaemonId, rule: &str, tally: StreamTally) {
-    let tallies = vec![SourceTally { source: source(rule), tally }];
+    let tallies = vec![SourceTally { source: source(rule), epoch: 0, tally }];
     forms.record(Duration::from_secs(now), from, tallies);
 }
 
@@ -101,9 +101,9 @@
 /// Guards against one daemon that states nonsense, or has seen only damaged streams, and on which all others act.
 #[rstest]
 #[case::wide(tally(WIDE, 1_000_000))]
-#[case::irregular(with(StreamTally::default(), StreamTrait::Irregular, 1_000_000))]
-#[case::cut(with(tally(SOUND, 1), StreamTrait::Cut, 1_000_000))]
-#[case::damaged(with(tally(SOUND, 1), StreamTrait::Damaged, 1_000_000))]
+#[case::irregular(with(StreamTally::default(), StreamCounter::Irregular, 1_000_000))]
+#[case::cut(with(tally(SOUND, 1), StreamCounter::Cut, 1_000_000))]
+#[case::damaged(with(tally(SOUND, 1), StreamCounter::Damaged, 1_000_000))]
 fn statements_of_one_daemon_change_nothing(#[case] nonsense: StreamTally) {
     let mut forms = sound_fleet(20, STREAMS);
     record(&mut forms, &daemon(20), "tag", StreamTally::default());
@@ -131,7 +131,7 @@
     let streams = [900, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49];
     let mut forms = FleetForms::default();
     for (index, streams) in streams.into_iter().enumerate() {
-        let tally = with(tally(SOUND, streams), StreamTrait::Cut, 5);
+        let tally = with(tally(SOUND, streams), StreamCounter::Cut, 5);
         record(&mut forms, &daemon(index), "tag", tally);
     }
     assert_eq!(known(&forms), for_cuts(SOUND));
@@ -152,7 +152,7 @@
 fn streams_that_do_not_count_on_leave_the_form_unknown() {
     let mut forms = FleetForms::default();
     for index in 0..20 {
-        let tally = with(tally(SOUND, 200), StreamTrait::Irregular, 1);
+        let tally = with(tally(SOUND, 200), StreamCounter::Irregular, 1);
         record(&mut forms, &daemon(index), "tag", tally);
     }
     assert_eq!(known(&forms), None);
@@ -162,19 +162,18 @@
 #[test]
 fn damaged_streams_that_passed_before_do_not_keep_the_form_unknown() {
     let mut forms = FleetForms::default();
+    let passed = with(tally(SOUND, 200), StreamCounter::Irregular, 2).plus(&tally(WIDE, 1));
     for index in 0..20 {
-        let damaged = with(tally(SOUND, 200), StreamTrait::Irregular, 2);
-        record(&mut forms, &daemon(index), "tag", damaged.plus(&tally(WIDE, 1)));
-        let shown = with(tally(SOUND, 200), StreamTrait::Damaged, 4);
+        record(&mut forms, &daemon(index), "tag", passed);
+        record(&mut forms, &daemon(index), "narrative", tally(SOUND, 10));
+        let shown = with(tally(SOUND, 200), StreamCounter::Damaged, 4);
         record(&mut forms, &daemon(index), "narrative", shown);
     }
-    record(
-        &mut forms,
-        &daemon(0),
-        "tag",
-        with(tally(SOUND, 201), StreamTrait::Irregular, 2).plus(&tally(WIDE, 1)),
-    );
     assert_eq!(forms.known().damaged, ["engines"]);
+    for index in 0..20 {
+        let passed = passed.plus(&with(tally(SOUND, 60), StreamCounter::Irregular, 1));
+        record(&mut forms, &daemon(index), "tag", passed);
+    }
     assert_eq!(known(&forms), for_cuts(SOUND));
 }
 
@@ -182,7 +181,8 @@
 fn damage_is_forgotten_after_a_while() {
     let mut forms = FleetForms::default();
     for index in 0..2 {
-        let shown = with(tally(SOUND, 1), StreamTrait::Damaged, 1);
+        record_at(&mut forms, 1, &daemon(index), "tag", tally(SOUND, 1));
+        let shown = with(tally(SOUND, 1), StreamCounter::Damaged, 1);
         record_at(&mut forms, 1, &daemon(index), "tag", shown);
     }
     assert_eq!(forms.known().damaged, ["engines"]);
@@ -197,7 +197,7 @@
 fn form_by_which_several_daemons_cut_most_streams_is_taken_back() {
     let mut forms = sound_fleet(20, STREAMS);
     for index in 0..9 {
-        let cut = with(tally(SOUND, STREAMS), StreamTrait::Cut, 2);
+        let cut = with(tally(SOUND, STREAMS), StreamCounter::Cut, 2);
         record(&mut forms, &daemon(index), "tag", cut);
     }
     assert_eq!(known(&forms), None);
@@ -209,7 +209,7 @@
     for round in 1..=20 {
         for index in 0..20 {
             let sound = tally(SOUND, STREAMS + 50 * round);
-            record(&mut forms, &daemon(index), "tag", with(sound, StreamTrait::Cut, round));
+            record(&mut forms, &daemon(index), "tag", with(sound, StreamCounter::Cut, round));
         }
         assert_eq!(known(&forms), for_cuts(SOUND));
     }
--- a/crates/targets/src/form_evidence.rs
+++ b/crates/targets/src/form_evidence.rs
@@ -86,15 +86,12 @@
     }
 
     /// Records a stream that was cut because an event of it deviated, and no other target showed which of both is right.
-    /// Returns whether too many were cut, so that no form is known any more.
-    pub fn record_cut(&mut self, is_beside_damage: bool) -> bool {
+    pub fn record_cut(&mut self, is_beside_damage: bool) {
         self.recent = self.recent.anew();
         self.cut_weight += if is_beside_damage { CUT_WEIGHT_BESIDE_DAMAGE } else { CUT_WEIGHT };
-        let is_outweighed = self.cut_weight > MAX_CUT_WEIGHT;
-        if is_outweighed {
+        if self.cut_weight > MAX_CUT_WEIGHT {
             self.take_back();
         }
-        is_outweighed
     }
 
     /// Records a stream that was cut because it lacked the end of all others, and no other target showed whether it had
