The first streams of a fleet are reported to the keepers until the splits prove them

Cause: the splits prove nothing for about 5 s after the first stream of a pool, and in a fleet of more than five daemons most daemons that remember a stream are not asked for it. Streams were reported to the keepers only beside several versions.

Change: a daemon reports its streams for 10 s after its own first stream of a pool.

--- a/crates/node/src/node/streams.rs
+++ b/crates/node/src/node/streams.rs
@@ -1,8 +1,8 @@
 //! Finds the version of the target that began a stream which a caller takes up, by asking other daemons where this one
 //! does not know it.
 //!
-//! While a pool has targets of several versions, the daemon that holds a caller's connection reports which version begins
-//! which stream to the keepers: the first daemons in the order of schedulers. They are the same for all daemons, and more
+//! While a pool has targets of several versions, and for some time after its first stream, the daemon that holds a caller's
+//! connection reports which version begins which stream to the keepers: the first daemons in the order of schedulers. They are the same for all daemons, and more
 //! than one, since a caller takes up its stream because a daemon has ended. A daemon that stops by plan reports all that it
 //! remembers.
 //!
@@ -123,8 +123,9 @@
     pub(super) fn stream_begun(&mut self, id: RequestId, pool: &PoolId, begun: StreamVersion) {
         self.entry.set_version(id, begun.version);
         self.streams.versions.remember(self.now, begun, true);
+        self.streams.versions.record_begin(self.now, pool);
         let is_stopping = self.streams.handed_over.is_some();
-        if is_stopping || self.streams.versions.is_mixed(self.now, pool) {
+        if is_stopping || self.streams.versions.is_reported(self.now, pool) {
             let keepers = self.first_schedulers(&self.all_pools_order, KEEPERS);
             self.report_streams(&keepers, &[begun]);
         }
@@ -262,7 +263,7 @@
     /// Reports the streams of this daemon to daemons that are keepers from now on.
     pub(super) fn report_to_new_keepers(&mut self, before: &[DaemonId]) {
         let mut pools = self.active.pools.keys();
-        if !pools.any(|pool| self.streams.versions.is_mixed(self.now, pool)) {
+        if !pools.any(|pool| self.streams.versions.is_reported(self.now, pool)) {
             return;
         }
         // A daemon that was started anew on the same VM has forgotten what was reported to the former one.
--- a/crates/sched/src/stream_versions.rs
+++ b/crates/sched/src/stream_versions.rs
@@ -1,11 +1,12 @@
 //! Remembers which version of a pool's targets began a stream, and whether the pool has several versions.
 //!
 //! A stream continues at the version that began it. While a pool has several versions, daemons report to each other
-//! which version begins which stream. What no daemon remembers is proved by the stored splits
+//! which version begins which stream, and also for some time after their first stream of a pool: its splits may be too new
+//! to prove anything. What no daemon remembers is proved by the stored splits
 //! ([`version_history`](crate::version_history)), or is not known.
 //!
 //! Load pattern: a release replaces targets one by one, while targets and daemons fail and callers take up their
-//! streams at other daemons.
+//! streams at other daemons; a large fleet has just begun, and callers take up its first streams.
 //!
 //! Owns: the streams and versions that were reported to it. Relies on: the caller for the exchange with other daemons.
 
@@ -17,6 +18,10 @@
 /// Time for which a stream is remembered after it was begun or continued, and a version after its last target was
 /// removed.
 const RETENTION: Duration = Duration::from_secs(30);
+/// Time after its first stream of a pool for which a daemon reports its streams. No stream of the pool can have begun before
+/// its first split was stored. That one is replaced within a second and in force for the term of a split after that, and
+/// proofs count back by their margin for clocks further than to the stream.
+const FIRST_STREAMS_TIME: Duration = Duration::from_secs(10);
 /// Most streams that are remembered; the oldest are forgotten first. Each needs some 100 bytes.
 const STREAM_LIMIT: usize = 1 << 17;
 
@@ -27,6 +32,8 @@
     /// The same streams, by when they were begun or last continued.
     by_time: BTreeSet<(Uptime, StreamId)>,
     pools: BTreeMap<PoolId, BTreeMap<VersionDigest, VersionPresence>>,
+    /// When a target first began a stream of a pool for a caller of this daemon.
+    first_begun: BTreeMap<PoolId, Uptime>,
 }
 
 /// A stream that is remembered.
@@ -91,6 +98,18 @@
         self.recent(now, pool).nth(1).is_some()
     }
 
+    /// Records that a target has begun a stream of a pool for a caller of this daemon.
+    pub fn record_begin(&mut self, now: Uptime, pool: &PoolId) {
+        self.first_begun.entry(pool.clone()).or_insert(now);
+    }
+
+    /// Returns whether streams of a pool are reported to other daemons: the splits may not prove their versions.
+    pub fn is_reported(&self, now: Uptime, pool: &str) -> bool {
+        let first_begun = self.first_begun.get(pool);
+        let is_new = first_begun.is_some_and(|first| now < *first + FIRST_STREAMS_TIME);
+        is_new || self.is_mixed(now, pool)
+    }
+
     /// Records the version that began a stream, or at which it was continued.
     pub fn remember(&mut self, now: Uptime, stream: StreamVersion, is_own: bool) {
         self.forget_old(now);
--- a/crates/sched/tests/stream_versions.rs
+++ b/crates/sched/tests/stream_versions.rs
@@ -54,6 +54,18 @@
     assert_eq!(versions.version_of(&stream("x")), None);
 }
 
+/// Guards against reports of every stream of a pool that has one version.
+#[test]
+fn streams_of_one_version_are_reported_for_a_short_time_after_the_first_one() {
+    let mut versions = pool_versions(&[(1, &["v1"])]);
+    assert!(!versions.is_reported(at(20), POOL), "nothing has begun");
+    versions.record_begin(at(20), &POOL.to_string());
+    versions.record_begin(at(29), &POOL.to_string());
+    assert!(versions.is_reported(at(29), POOL));
+    assert!(!versions.is_reported(at(30), POOL));
+    assert!(!versions.is_reported(at(21), "q"), "another pool");
+}
+
 #[rstest]
 #[case::pool("q", "a", "x")]
 #[case::account("p", "b", "x")]
