--- a/crates/node/tests/first_streams.rs
+++ b/crates/node/tests/first_streams.rs
@@ -79,3 +79,23 @@
         assert_eq!(take_up_after(&mut fleet, other, number, DECISION_LIMIT * 4), Ok(version));
     }
 }
+
+/// Guards against a stream that goes on at another version, since the platform was restored from a copy without splits.
+#[test]
+fn stream_is_joined_after_the_platform_has_lost_the_splits() {
+    let mut fleet = fleet_of(6);
+    begin(&mut fleet, 5, 1);
+    fleet.run(FORGOTTEN_AFTER);
+    let begun_at = fleet.now;
+    assert_eq!(begin(&mut fleet, 5, 2), "v1");
+    fleet.histories.clear();
+    set_versions(&mut fleet, &["v2"]);
+    fleet.daemons.iter_mut().for_each(|daemon| daemon.cut = true);
+    fleet.run(DECISION_LIMIT);
+    (0..6).for_each(|index| fleet.restart(index, 2));
+    fleet.run(Duration::from_secs(2));
+    assert_eq!(begin(&mut fleet, 4, 3), "v2");
+    let age = fleet.now - begun_at;
+    let taken_up = take_up_after(&mut fleet, 1, 2, age);
+    assert_eq!(taken_up, Err(RefusalReason::StreamVersionUnknown));
+}
