Failing tests: answers left unread end as complete without their last events

Cause shown: a daemon that leaves an unframed answer unread, because its caller reads 8 KB in 300 ms or because it stands still for 3 s, takes the close of an engine that cuts the answer off after 2 s unread for the whole end. The engine lives, so its status answer proves nothing of that.

The stand-in of an engine cuts off answers to paths with a mark, orderly or by reset, between two events. Callers of all three framings and both kinds of route read at once, a part a second, 8 KB in 250 to 350 ms, or pause for 1 to 4 s.

--- a/crates/acceptance/tests/support/event_streams.rs
+++ b/crates/acceptance/tests/support/event_streams.rs
@@ -155,6 +155,19 @@
         EventFleet::start_before(name, deployment, BOUNDS, daemons, options).await
     }
 
+    /// Starts the same, with further settings of the daemons' VMs, and requests that may take longer.
+    pub async fn start_on_vms(name: &str, settings: &str, limit: Duration) -> Result<EventFleet> {
+        let mut deployment = FleetDeployment::start(name).await?;
+        deployment.vm_settings = settings.to_string();
+        let mut fleet =
+            EventFleet::start_before(name, deployment, BOUNDS, DAEMONS, |_| Vec::new()).await?;
+        for route in &mut fleet.deployment.config.routes {
+            route.timeout_ms = Some(limit.as_secs_f64() * 1_000.0);
+        }
+        fleet.deployment.store_config()?;
+        Ok(fleet)
+    }
+
     async fn start_before(
         name: &str,
         mut deployment: FleetDeployment,
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -16,6 +16,7 @@
 pub mod stream_runs;
 pub mod stream_script;
 pub mod stream_trouble;
+pub mod stream_unread;
 
 pub use deployment::{DaemonEndpoint, FleetDaemon, FleetDeployment};
 pub use engine::{
--- a/crates/standins/src/fleet/answer_framing.rs
+++ b/crates/standins/src/fleet/answer_framing.rs
@@ -5,7 +5,7 @@
 use anyhow::Result;
 
 use super::stream_engine::{MEASURED_MARK, UNFRAMED_MARK};
-use crate::http::{AfterAnswer, PlainConnection};
+use crate::http::{chunk_of, AfterAnswer, PlainConnection};
 
 /// How the end of an answer is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +40,14 @@
         }
     }
 
+    /// Returns the bytes with which a part is sent.
+    pub(super) fn part(self, bytes: &[u8]) -> Vec<u8> {
+        match self {
+            AnswerFraming::Chunked => chunk_of(bytes),
+            AnswerFraming::Measured | AnswerFraming::Unframed => bytes.to_vec(),
+        }
+    }
+
     pub(super) async fn send(self, bytes: &[u8], connection: &mut PlainConnection) -> Result<()> {
         match self {
             AnswerFraming::Chunked => connection.chunk(bytes).await,
--- a/crates/standins/src/fleet/stream_answers.rs
+++ b/crates/standins/src/fleet/stream_answers.rs
@@ -25,7 +25,7 @@
 const LATE_TIME: Duration = Duration::from_millis(1_300);
 
 impl StreamEngine {
-    fn headers<'a>(&'a self, request: &'a PlainRequest) -> [(&'static str, &'a str); 3] {
+    pub(super) fn headers<'a>(&'a self, request: &'a PlainRequest) -> [(&'static str, &'a str); 3] {
         [
             (WIRE_PROFILE.attempt_id, request.header(WIRE_PROFILE.attempt_id)),
             (SEAL_HEADER, self.options.id.as_str()),
--- a/crates/standins/src/fleet/stream_engine.rs
+++ b/crates/standins/src/fleet/stream_engine.rs
@@ -18,6 +18,7 @@
 use super::stream_runs::run_line;
 use super::stream_script::ScriptedFault;
 use super::stream_trouble::{EngineTrouble, StreamTrouble, TROUBLE_PATH};
+use super::stream_unread::UnreadCut;
 use crate::http::{handle_by_route, AfterAnswer, PlainConnection, PlainRequest};
 
 /// Time before the head, before the first event and before the end of an answer.
@@ -175,6 +176,9 @@
             }
             _ => {}
         }
+        if let Some(cut) = UnreadCut::of(&request.path) {
+            return self.answer_while_read(request, cut, connection).await;
+        }
         let is_continued = !request.header(WIRE_PROFILE.last_event).is_empty();
         match ScriptedFault::of(&request.path, is_continued) {
             Some(fault) => self.answer_scripted(request, fault, connection).await,
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -14,6 +14,8 @@
 use crate::address::free_address;
 use crate::deployment::wait_listening;
 
+mod unread;
+
 const HEAD_LIMIT: usize = 64 << 10;
 const BODY_LIMIT: usize = 64 << 20;
 
@@ -125,10 +127,7 @@
 
     /// Writes one chunk; an empty one ends the answer.
     pub async fn chunk(&mut self, bytes: &[u8]) -> Result<()> {
-        let mut framed = format!("{:x}\r\n", bytes.len()).into_bytes();
-        framed.extend_from_slice(bytes);
-        framed.extend_from_slice(b"\r\n");
-        self.write_raw(&framed).await
+        self.write_raw(&chunk_of(bytes)).await
     }
 
     /// Makes the close of the connection a reset.
@@ -147,6 +146,14 @@
     }
 }
 
+/// Returns bytes as a chunk.
+pub(crate) fn chunk_of(bytes: &[u8]) -> Vec<u8> {
+    let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
+    chunk.extend_from_slice(bytes);
+    chunk.extend_from_slice(b"\r\n");
+    chunk
+}
+
 /// What happens to the connection after an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AfterAnswer {
