Ends of answers that the daemon left unread are no proof

Cause: an unframed answer ends with its connection, and counted as whole where its target answers a status request afterwards. A target that cuts off an answer which was left unread for some seconds lives on. The daemon leaves one unread where its caller reads slowly and what may wait is full, or where it stands still.

Change: the body of an unframed answer counts the time between a part and the question for the next one until nothing more waits; from one second on its end is unproven. So is an end after a standstill of the loop of a second since the request was sent. Streams that may be resumed are continued elsewhere, others are cut visibly; end_checked states left_unread. Framed answers are read as before; unframed ones cost a clock reading for each part and each question.

Answers of callers that are given up were visibly cut before and are now, unframed ones too.

--- a/crates/daemon/src/loop_clock.rs
+++ b/crates/daemon/src/loop_clock.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use curlewcleat_clock::Moment;
+use curlewcleat_targets::UNREAD_LIMIT;
 
 #[cfg(test)]
 mod tests;
@@ -20,6 +21,8 @@
 const BEAT_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time between two beats of a loop that runs: the interval, and the delay of a timer.
 const MAX_BEAT_GAP: Duration = Duration::from_millis(75);
+/// Time without a beat in which targets may have cut off answers, since nothing was read.
+const LONG_STANDSTILL: Duration = UNREAD_LIMIT;
 
 thread_local! {
     static BEATS: Cell<Option<LoopBeats>> = const { Cell::new(None) };
@@ -31,16 +34,19 @@
     latest: Moment,
     /// Time for which the loop did not run before the latest beat.
     missed: Duration,
+    /// When the latest long standstill ended.
+    stood_still: Option<Moment>,
 }
 
 impl LoopBeats {
     fn start(now: Moment) -> LoopBeats {
-        LoopBeats { latest: now, missed: Duration::ZERO }
+        LoopBeats { latest: now, missed: Duration::ZERO, stood_still: None }
     }
 
     /// Returns the beats after one at this moment.
     fn with_beat(self, now: Moment) -> LoopBeats {
-        LoopBeats { latest: now, missed: self.missed_until(now) }
+        let stood_still = if self.stands_still(now) { Some(now) } else { self.stood_still };
+        LoopBeats { latest: now, missed: self.missed_until(now), stood_still }
     }
 
     /// Returns the time for which the loop did not run until a moment.
@@ -49,6 +55,16 @@
         self.missed + gap.saturating_sub(MAX_BEAT_GAP)
     }
 
+    /// Returns whether the latest beat is so old that the loop did not run for long.
+    fn stands_still(self, now: Moment) -> bool {
+        now.saturating_duration_since(self.latest) >= LONG_STANDSTILL
+    }
+
+    /// Returns whether a long standstill ended between both moments.
+    fn has_stood_still(self, since: Moment, now: Moment) -> bool {
+        self.stands_still(now) || self.stood_still.is_some_and(|ended| ended >= since)
+    }
+
     fn read(self, now: Moment) -> LoopMoment {
         LoopMoment(now - self.missed_until(now))
     }
@@ -76,6 +92,12 @@
     }
 }
 
+/// Returns whether this thread's loop has stood still since a moment for so long that targets may have cut off what it did
+/// not read. Without beats on this thread, it has not.
+pub fn has_stood_still_since(moment: Moment) -> bool {
+    BEATS.get().is_some_and(|beats| beats.has_stood_still(moment, Moment::now()))
+}
+
 /// Starts the beats of this thread's loop, unless they have begun.
 pub fn start_beats() {
     if BEATS.get().is_some() {
--- a/crates/daemon/src/loop_clock/tests.rs
+++ b/crates/daemon/src/loop_clock/tests.rs
@@ -63,3 +63,19 @@
         beats = beats.with_beat(begun + Duration::from_millis(gap_ms));
     }
 }
+
+/// Guards against ends that count as whole where the loop stood still while targets may have cut off their answers.
+#[rstest]
+#[case::before_the_beat(false)]
+#[case::after_the_beat(true)]
+fn long_standstill_is_seen_by_what_began_before_it(#[case] has_beat: bool) {
+    let start = LoopBeats::start(Moment::now());
+    let beats = run(start, Duration::from_secs(2));
+    assert!(!beats.has_stood_still(start.latest, beats.latest + MAX_BEAT_GAP));
+    let resumed = beats.latest + LONG_STANDSTILL;
+    let stopped = if has_beat { beats.with_beat(resumed) } else { beats };
+    assert!(stopped.has_stood_still(start.latest, resumed));
+    let later = run(beats.with_beat(resumed), Duration::from_secs(1));
+    assert!(later.has_stood_still(resumed, later.latest));
+    assert!(!later.has_stood_still(resumed + STEP, later.latest));
+}
--- a/crates/daemon/src/request/progress.rs
+++ b/crates/daemon/src/request/progress.rs
@@ -14,7 +14,7 @@
 };
 use curlewcleat_targets::{BodyFrame, ConnectionOrigin};
 
-use crate::loop_clock::LoopMoment;
+use crate::loop_clock::{has_stood_still_since, LoopMoment};
 
 #[cfg(test)]
 mod tests;
@@ -63,6 +63,8 @@
     server_error: bool,
     /// How the end of the answer is determined, once its head has arrived.
     frame: Option<BodyFrame>,
+    /// Whether the answer waited for its caller so long that its target may have cut it off.
+    left_unread: bool,
     sent: Option<LoopMoment>,
     first: Option<LoopMoment>,
     latest: Option<LoopMoment>,
@@ -155,6 +157,17 @@
         self.attempt.frame = Some(frame);
     }
 
+    /// Records that the answer of the latest attempt waited for its caller so long that its target may have cut it off.
+    pub fn record_left_unread(&mut self) {
+        self.attempt.left_unread = true;
+    }
+
+    /// Returns whether the target of the latest attempt may have cut off its answer because this daemon did not read it: it
+    /// waited for its caller, or the daemon stood still.
+    pub fn is_left_unread(&self) -> bool {
+        self.attempt.left_unread || self.sent.is_some_and(has_stood_still_since)
+    }
+
     /// Returns whether the end of the latest attempt's answer proves that the answer is complete.
     pub fn is_end_proved(&self) -> bool {
         self.attempt.frame.is_some_and(|frame| frame != BodyFrame::UntilClose)
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -170,6 +170,9 @@
                 NextPart::Part(part)
             }
             WaitEnd::Arrived(None) => {
+                if body.is_left_unread() {
+                    self.progress.record_left_unread();
+                }
                 let end = self.evaluate_end(body.frame(), target, limit).await;
                 self.report_numbers(target);
                 end
--- a/crates/daemon/src/request/relay/ends.rs
+++ b/crates/daemon/src/request/relay/ends.rs
@@ -22,9 +22,10 @@
 
 /// What is known of an answer once its body has ended.
 pub(super) enum EndProof {
-    /// Its length or last chunk has arrived, or its target outlived it.
+    /// Its length or last chunk has arrived, or its target outlived it and had no reason to cut it off.
     Whole,
-    /// Its target may have terminated while sending. The cause is [`AttemptCause::Closed`] if that is certain.
+    /// Its target may have terminated while sending, or have cut off what was left unread. The cause is
+    /// [`AttemptCause::Closed`] if it has terminated for certain.
     Missing(AttemptCause),
     /// Its target does not answer, and is replaced by this one.
     Replaced(Box<GrantedTarget>),
@@ -52,6 +53,8 @@
         if frame != BodyFrame::UntilClose {
             return EndProof::Whole;
         }
+        // A target that cuts off an answer which is not read lives on.
+        let is_left_unread = self.progress.is_left_unread();
         let asked = Instant::now();
         let service = Rc::clone(&self.service);
         let query = service.query_status(self.status_target(target));
@@ -61,9 +64,9 @@
             WaitEnd::Replaced(other) => (TargetLiveness::Unresponsive, Some(other)),
             WaitEnd::TimedOut => (TargetLiveness::Unresponsive, None),
         };
-        self.log_end_check(target, liveness, asked.elapsed());
+        self.log_end_check(target, liveness, asked.elapsed(), is_left_unread);
         match (liveness, replacement) {
-            (TargetLiveness::Alive, _) => EndProof::Whole,
+            (TargetLiveness::Alive, _) if !is_left_unread => EndProof::Whole,
             (_, Some(other)) => EndProof::Replaced(other),
             (TargetLiveness::Replaced, None) => EndProof::Missing(AttemptCause::Closed),
             (_, None) => EndProof::Missing(AttemptCause::EndUnproven),
--- a/crates/daemon/src/request/run/log.rs
+++ b/crates/daemon/src/request/run/log.rs
@@ -151,12 +151,13 @@
         target: &TargetEntry,
         liveness: TargetLiveness,
         took: Duration,
+        left_unread: bool,
     ) {
         self.service.context.metrics.count_end_check(liveness);
         info!("end_checked", kv: {
             request = self.request.id.to_string(), attempt = self.request.attempt_id.as_str(),
             target = target.id.as_str(), liveness = liveness.code(),
-            took_ms = took.as_millis() as i64, last_event = self.last_event_text()
+            took_ms = took.as_millis() as i64, last_event = self.last_event_text(), left_unread
         });
     }
 
--- a/crates/targets/src/answer.rs
+++ b/crates/targets/src/answer.rs
@@ -18,6 +18,7 @@
 use crate::pool::{ConnectionEndpoint, ConnectionPool};
 use crate::stall::StallGuard;
 use crate::stream::TargetStream;
+use crate::unread::UnreadTime;
 
 /// Size in bytes of one read from an answer that ends when its connection closes.
 const READ_SIZE: usize = 16 << 10;
@@ -91,6 +92,8 @@
     excess: Option<AnswerExcess>,
     /// Bytes that were read without a pause.
     turn: usize,
+    /// Only that of an answer whose end the connection determines is counted.
+    unread: UnreadTime,
     /// Counts the head, which is held as long as its answer.
     head_hold: Option<IntakeHold>,
     idle_limit: Option<Duration>,
@@ -125,6 +128,7 @@
             broken: false,
             excess: None,
             turn: 0,
+            unread: UnreadTime::default(),
             head_hold: None,
             idle_limit: None,
             endpoint,
@@ -143,6 +147,12 @@
         self.excess
     }
 
+    /// Returns whether an answer that ends with its connection was left unread for so long that its target may have cut it
+    /// off.
+    pub fn is_left_unread(&self) -> bool {
+        self.unread.is_long()
+    }
+
     /// Returns a guard that counts undelivered bytes of this answer.
     pub fn intake_hold(&self) -> IntakeHold {
         self.pool.intake_hold(&self.endpoint)
@@ -197,19 +207,28 @@
         let BodyState::UntilClose(stream, bytes_with_head) = &mut self.state else {
             return Poll::Ready(None);
         };
+        self.unread.record_asked();
         if !bytes_with_head.is_empty() {
+            self.unread.record_part();
             return Poll::Ready(Some(Ok(bytes_with_head.split().freeze())));
         }
         let mut storage = [0u8; READ_SIZE];
         let mut buffer = ReadBuf::new(&mut storage);
         match Pin::new(stream).poll_read(context, &mut buffer) {
-            Poll::Pending => Poll::Pending,
+            Poll::Pending => {
+                self.unread.record_drained();
+                Poll::Pending
+            }
             Poll::Ready(Ok(())) if buffer.filled().is_empty() => {
                 self.state = BodyState::Ended;
+                self.unread.record_end();
                 let broken = || TruncatedBody("the connection broke".to_string());
                 Poll::Ready(self.broken.then(|| Err(broken())))
             }
-            Poll::Ready(Ok(())) => Poll::Ready(Some(Ok(Bytes::copy_from_slice(buffer.filled())))),
+            Poll::Ready(Ok(())) => {
+                self.unread.record_part();
+                Poll::Ready(Some(Ok(Bytes::copy_from_slice(buffer.filled()))))
+            }
             Poll::Ready(Err(error)) => {
                 self.state = BodyState::Ended;
                 Poll::Ready(Some(Err(TruncatedBody(error.to_string()))))
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -29,6 +29,7 @@
 mod stall;
 mod stream;
 mod stream_irregularity;
+mod unread;
 mod usual_form;
 
 pub use agreement::{AgreementRule, DamageEvidence, ServingTargets};
@@ -47,4 +48,5 @@
 pub use pool::{ConnectionOptions, ConnectionOrigin, ConnectionPool, PooledConnection};
 pub use stream::{ByteStream, TargetStream};
 pub use stream_irregularity::{IrregularityKind, StreamIrregularity};
+pub use unread::UNREAD_LIMIT;
 pub use usual_form::UsualFormChecks;
