--- a/crates/core/src/event_form.rs
+++ b/crates/core/src/event_form.rs
@@ -89,9 +89,7 @@
 }
 
 /// Counts of streams by what they look like.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StreamTally {
     counts: [u64; COUNTERS],
 }
@@ -174,7 +172,7 @@
     }
 
     /// Returns a tally of the same shares in which at most this many whole streams are counted. No other count is larger
-    /// than so many streams can have, and none that is rare gets lost.
+    /// than so many streams can have, and rare streams are counted up.
     pub fn limited(&self, most: u64) -> StreamTally {
         let divisor = self.whole().div_ceil(most.max(1)).max(1);
         let mut limited =
--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -20,6 +20,11 @@
     "answer_end_confirmations_total",
     "Ends of unframed answers that another target was asked to confirm, by its statement",
 );
+/// Name and help of the counter of compared streams.
+const COMPARED: (&str, &str) = (
+    "streams_compared_total",
+    "Streams that callers have whole, by what their events were compared with",
+);
 
 /// Requests, and how they end.
 pub struct RequestMetrics {
@@ -69,11 +74,7 @@
                 "Answers of targets with irregular event numbers, by what is irregular",
                 &["kind"],
             )?,
-            streams_compared: count(
-                "streams_compared_total",
-                "Streams that callers have whole, by what their events were compared with",
-                &["with"],
-            )?,
+            streams_compared: count(COMPARED.0, COMPARED.1, &["with"])?,
             stream_deviations: count(
                 "stream_deviations_total",
                 "Answers of targets with events unlike those of other streams, by the difference",
--- a/crates/daemon/src/node_loop.rs
+++ b/crates/daemon/src/node_loop.rs
@@ -174,32 +174,35 @@
                 log_stream_forms(&self.context.forms.set_fleet_forms(forms, damaged));
             }
             NodeAction::Count(reason) => self.context.metrics.count_retry(reason),
-            NodeAction::Note(note) => {
-                if note == NodeNote::DrainBegun {
-                    self.context.set_draining();
-                    let limit = self.context.bounds().stop_limit;
-                    self.stop_warning_at =
-                        Some(Moment::now() + limit.saturating_sub(STOP_WARNING_MARGIN));
-                }
-                if matches!(&note, NodeNote::TargetTerminated(feature, _) if !feature.kind.is_shared())
-                {
-                    self.context.metrics.count_target_terminated();
-                }
-                if let NodeNote::RolloutStage(rollout, Some(reason)) = &note {
-                    self.context.metrics.count_rollout_stage(rollout.stage.code(), reason.code());
-                }
-                if let NodeNote::StreamTakenUp { source, .. } = &note {
-                    self.context.metrics.count_stream_taken_up(source.code());
-                }
-                if let NodeNote::StreamStartRefused { obstacle, .. } = &note {
-                    self.context.metrics.count_stream_start_refused(obstacle.code());
-                }
-                log_node_note(&note);
-            }
+            NodeAction::Note(note) => self.record_note(&note),
             NodeAction::End => self.ended = true,
         }
     }
 
+    /// Logs and counts what the node reports to the operators.
+    fn record_note(&mut self, note: &NodeNote) {
+        if *note == NodeNote::DrainBegun {
+            self.context.set_draining();
+            let limit = self.context.bounds().stop_limit;
+            self.stop_warning_at = Some(Moment::now() + limit.saturating_sub(STOP_WARNING_MARGIN));
+        }
+        let metrics = &self.context.metrics;
+        match note {
+            NodeNote::TargetTerminated(feature, _) if !feature.kind.is_shared() => {
+                metrics.count_target_terminated();
+            }
+            NodeNote::RolloutStage(rollout, Some(reason)) => {
+                metrics.count_rollout_stage(rollout.stage.code(), reason.code());
+            }
+            NodeNote::StreamTakenUp { source, .. } => metrics.count_stream_taken_up(source.code()),
+            NodeNote::StreamStartRefused { obstacle, .. } => {
+                metrics.count_stream_start_refused(obstacle.code());
+            }
+            _ => {}
+        }
+        log_node_note(note);
+    }
+
     /// Logs the number of requests still in progress shortly before the stop limit. At that limit the process is
     /// killed, and these requests are cut off without log lines of their own.
     fn log_unfinished_stop(&mut self) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,6 +15,7 @@
 mod messages;
 mod notices;
 mod options;
+mod own_tallies;
 mod platform;
 mod pulls;
 mod relays;
@@ -52,12 +53,12 @@
 use self::held_grants::HeldGrant;
 use self::lethal::LethalExchange;
 use self::loads::UnsentLoads;
+use self::members::cached_order;
 use self::notices::ReceivedNotices;
 pub use self::options::NodeOptions;
 use self::rollouts::RolloutExchange;
 use self::standstill::Standstill;
 use self::stop::HAND_OVER_ACK_WAIT;
-use self::stored_forms::StoredForms;
 use self::stream_forms::FormExchange;
 use self::streams::StreamExchange;
 use self::version_histories::HistoryExchange;
@@ -98,7 +99,6 @@
     rollouts: RolloutExchange,
     streams: StreamExchange,
     stream_forms: FormExchange,
-    stored_forms: StoredForms,
     histories: HistoryExchange,
     drain: DrainState,
     vms: VmView,
@@ -160,7 +160,6 @@
             rollouts: RolloutExchange::default(),
             streams: StreamExchange::default(),
             stream_forms: FormExchange::default(),
-            stored_forms: StoredForms::default(),
             histories: HistoryExchange::default(),
             drain: DrainState::new(options.drain_grace, options.hand_over_limit),
             vms: VmView::default(),
@@ -296,12 +295,3 @@
         }
     }
 }
-
-/// Returns the cached order of schedulers of a pool, computed anew if the pool is not in the cache.
-fn cached_order(
-    scheduler_orders: &BTreeMap<PoolId, Vec<DaemonId>>,
-    members: &MemberView,
-    pool: &str,
-) -> Vec<DaemonId> {
-    scheduler_orders.get(pool).cloned().unwrap_or_else(|| members.scheduler_order(pool))
-}
--- a/crates/node/src/node/members.rs
+++ b/crates/node/src/node/members.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 
 use curlewcleat_core::{AccountId, DaemonId, DaemonRecord, PoolId, VmId};
-use curlewcleat_sched::{PoolScheduler, SchedulerAction, ALL_POOLS};
+use curlewcleat_sched::{MemberView, PoolScheduler, SchedulerAction, ALL_POOLS};
 
-use super::{cached_order, Node};
+use super::Node;
 use crate::event::ListedVm;
 
 impl Node {
@@ -153,3 +153,12 @@
     let next = scheduler_orders.values().filter(|order| order.get(1) == Some(me));
     (leads, next.filter_map(|order| order.first()).collect())
 }
+
+/// Returns the cached order of schedulers of a pool, computed anew if the pool is not in the cache.
+pub(super) fn cached_order(
+    scheduler_orders: &BTreeMap<PoolId, Vec<DaemonId>>,
+    members: &MemberView,
+    pool: &str,
+) -> Vec<DaemonId> {
+    scheduler_orders.get(pool).cloned().unwrap_or_else(|| members.scheduler_order(pool))
+}
--- a/crates/node/src/node/stored_forms.rs
+++ b/crates/node/src/node/stored_forms.rs
@@ -28,20 +28,20 @@
     pub(super) fn stored_forms_read(&mut self, forms: Vec<SourceForm>) {
         self.learn_stored_forms(&forms);
         for form in forms {
-            self.stored_forms.stored.entry(form.source.pool.clone()).or_default().push(form);
+            self.stream_forms.kept.stored.entry(form.source.pool.clone()).or_default().push(form);
         }
     }
 
     /// Records that the platform has stored the forms of a pool.
     pub(super) fn stream_forms_stored(&mut self, pool: PoolId, forms: Vec<SourceForm>) {
-        self.stored_forms.stored.insert(pool, forms);
+        self.stream_forms.kept.stored.insert(pool, forms);
     }
 
     /// Has the platform store the forms of the next pool whose forms have changed.
     pub(super) fn store_stream_forms(&mut self, known: &BTreeMap<StreamSource, SourceForm>) {
-        let last_write = self.stored_forms.last_write;
+        let last_write = self.stream_forms.kept.last_write;
         let is_early = last_write.is_some_and(|last| self.now < last + STORE_INTERVAL);
-        if is_early || *known == self.stored_forms.considered {
+        if is_early || *known == self.stream_forms.kept.considered {
             return;
         }
         let mut pools: BTreeMap<PoolId, Vec<SourceForm>> = BTreeMap::new();
@@ -49,21 +49,18 @@
             pools.entry(form.source.pool.clone()).or_default().push(form.clone());
         }
         // A pool whose forms were all withdrawn.
-        self.stored_forms.stored.keys().for_each(|pool| {
+        self.stream_forms.kept.stored.keys().for_each(|pool| {
             pools.entry(pool.clone()).or_default();
         });
         for (pool, forms) in pools {
-            let forms = self.served_forms(&pool, forms);
-            if forms
-                .as_ref()
-                .is_some_and(|forms| self.stored_forms.stored.get(&pool) != Some(forms))
-            {
-                self.stored_forms.last_write = Some(self.now);
-                let write = PlatformCall::WriteStreamForms(pool, forms.unwrap_or_default());
+            let Some(forms) = self.served_forms(&pool, forms) else { continue };
+            if self.stream_forms.kept.stored.get(&pool) != Some(&forms) {
+                self.stream_forms.kept.last_write = Some(self.now);
+                let write = PlatformCall::WriteStreamForms(pool, forms);
                 return self.actions.push(NodeAction::Platform(write));
             }
         }
-        self.stored_forms.considered = known.clone();
+        self.stream_forms.kept.considered = known.clone();
     }
 
     /// Returns the forms of the versions that targets of a pool have; `None` while no target is known.
--- a/crates/node/src/node/stream_forms.rs
+++ b/crates/node/src/node/stream_forms.rs
@@ -11,20 +11,20 @@
 use std::time::Duration;
 
 use curlewcleat_core::{
-    DaemonId, PeerMessage, PoolId, SourceForm, SourceTally, StreamCounter, StreamFormsPush,
-    StreamFormsReport, StreamSource, StreamTally, Uptime, VmId,
+    DaemonId, PeerMessage, PoolId, SourceForm, SourceTally, StreamFormsPush, StreamFormsReport,
+    StreamSource, StreamTally, Uptime, VmId,
 };
 use curlewcleat_sched::FleetForms;
 
 use super::known_changes::KnownChanges;
+use super::own_tallies::{OwnTally, KNOWN_INTERVAL};
+use super::stored_forms::StoredForms;
 use super::Node;
 use crate::event::NodeAction;
 
 /// Interval of reports while there is anything to report: a form has to be known at all daemons three seconds after the first
 /// streams of its source.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval at which streams are reported of a source whose form is known.
-const KNOWN_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of daemons that are reported to: two, so that one may fail.
 const COLLECTORS: usize = 2;
 /// Most sources of a report.
@@ -39,41 +39,6 @@
 /// Most forms that are kept.
 const MAX_FORMS: usize = 256;
 
-/// What this daemon has counted of a source, and what of it was reported.
-#[derive(Clone, Debug, Default)]
-struct OwnTally {
-    /// Since the start of the daemon.
-    counted: StreamTally,
-    /// What was counted when a form of the source was last withdrawn, and how often that was.
-    withdrawn: StreamTally,
-    epoch: u32,
-    reported: StreamTally,
-    reported_at: Uptime,
-}
-
-impl OwnTally {
-    /// Counts anew: what was counted has shown a form that does not hold.
-    fn begin_epoch(&mut self) {
-        (self.withdrawn, self.epoch) = (self.counted, self.epoch.saturating_add(1));
-    }
-
-    /// Returns what is reported, and records that it was.
-    fn report(&mut self, now: Uptime, source: &StreamSource) -> SourceTally {
-        (self.reported, self.reported_at) = (self.counted, now);
-        let tally = self.counted.minus(&self.withdrawn);
-        SourceTally { source: source.clone(), epoch: self.epoch, tally }
-    }
-
-    /// Returns whether the other daemons need to know what has changed.
-    fn is_due(&self, now: Uptime, is_form_known: bool) -> bool {
-        let Some(added) = self.counted.since(&self.reported) else { return false };
-        let rare = [StreamCounter::Irregular, StreamCounter::Cut, StreamCounter::Damaged];
-        let has_rare = rare.into_iter().any(|counted| added.count(counted) > 0);
-        let is_late = now >= self.reported_at + KNOWN_INTERVAL;
-        has_rare || added.whole() > 0 && (!is_form_known || is_late)
-    }
-}
-
 /// An answer of a daemon that adds up the reports.
 #[derive(Clone, Debug)]
 struct FormsAnswer {
@@ -94,6 +59,8 @@
     /// The forms in use at this daemon.
     forms: BTreeMap<StreamSource, SourceForm>,
     damaged: BTreeSet<PoolId>,
+    /// What the platform keeps.
+    pub kept: StoredForms,
     last_report: Option<Uptime>,
     last_refresh: Option<Uptime>,
 }
--- a/crates/sched/src/fleet_forms.rs
+++ b/crates/sched/src/fleet_forms.rs
@@ -9,6 +9,7 @@
 //! Inputs: what each daemon has counted since it started, in any order, repeated or with gaps. Owns: the counts of the
 //! daemons, and what follows from them. Relies on: its caller for the time.
 
+mod daemon_counts;
 mod pool_damage;
 mod source_evidence;
 
--- a/crates/sched/src/fleet_forms/source_evidence.rs
+++ b/crates/sched/src/fleet_forms/source_evidence.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use curlewcleat_core::{
-    DaemonId, EventForm, Incarnation, StreamCounter, StreamTally, Uptime, VmId,
-};
+use curlewcleat_core::{DaemonId, EventForm, StreamCounter, StreamTally, Uptime, VmId};
+
+use super::daemon_counts::{CountStart, DaemonCounts};
 
 /// Fewest streams that show a form.
 const MIN_STREAMS: u64 = 8;
@@ -56,28 +56,6 @@
     Withdrawn,
 }
 
-/// A start of a daemon's counts: that of its process, or a later one since a form was withdrawn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct CountStart {
-    incarnation: Incarnation,
-    epoch: u32,
-}
-
-/// What one daemon has counted.
-#[derive(Clone, Debug)]
-struct DaemonCounts {
-    start: CountStart,
-    /// The process before this one, whose reports may still arrive.
-    former: Option<Incarnation>,
-    /// Since the start.
-    stated: StreamTally,
-    /// What of it counts here.
-    part: StreamTally,
-    /// Weight of the streams that it has cut lately.
-    cut_weight: u64,
-    reported: Uptime,
-}
-
 /// What is new in a report.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AddedStreams {
@@ -246,21 +224,10 @@
 
     /// Returns the counts that a report adds to, `None` if the report does not count.
     fn counts_before(&self, from: &DaemonId, start: CountStart) -> Option<DaemonCounts> {
-        let Some(known) = self.daemons.get(&from.vm) else {
-            let former = None;
-            return (self.daemons.len() < MAX_DAEMONS).then(|| DaemonCounts::new(start, former));
-        };
-        let is_late = known.former == Some(start.incarnation)
-            || known.start.incarnation == start.incarnation && known.start.epoch > start.epoch;
-        if is_late {
-            return None;
-        }
-        if known.start == start {
-            return Some(known.clone());
+        match self.daemons.get(&from.vm) {
+            Some(known) => known.started(start),
+            None => (self.daemons.len() < MAX_DAEMONS).then(|| DaemonCounts::new(start, None)),
         }
-        let is_replaced = known.start.incarnation != start.incarnation;
-        let former = if is_replaced { Some(known.start.incarnation) } else { known.former };
-        Some(DaemonCounts { part: known.part, ..DaemonCounts::new(start, former) })
     }
 
     /// Returns whether the streams that were cut outweigh the whole ones, those of the daemon with the most left out.
@@ -291,19 +258,6 @@
     }
 }
 
-impl DaemonCounts {
-    fn new(start: CountStart, former: Option<Incarnation>) -> DaemonCounts {
-        DaemonCounts {
-            start,
-            former,
-            stated: StreamTally::default(),
-            part: StreamTally::default(),
-            cut_weight: 0,
-            reported: Uptime::ZERO,
-        }
-    }
-}
-
 /// Returns whether more streams have no form than may be left out.
 fn is_irregular(shared: &StreamTally, rare_one_in: u64) -> bool {
     let irregular = shared.count(StreamCounter::Irregular);
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -21,10 +21,8 @@
 //! [`scheduler`] handles the events at the scheduler of a pool ([`pool`] is its state, [`targets`] its view of the
 //! targets), [`entry`] the events at the daemon that holds a caller's connection, [`drain`] the planned stop.
 //!
-//! The caller passes the time in. The daemon, the tests, the benchmarks and the model checker run this code.
-//!
 //! Owns: the rules of these decisions and the state they need. Relies on: the caller for the time, for input and
-//! output, and for carrying out the returned actions.
+//! output, and for carrying out the returned actions. The daemon, the tests, the benchmarks and the model checker run it.
 
 mod admission;
 mod begun_lists;
