--- a/crates/core/src/event_form.rs
+++ b/crates/core/src/event_form.rs
@@ -172,7 +172,7 @@
     }
 
     /// Returns a tally of the same shares in which at most this many whole streams are counted. No other count is larger
-    /// than so many streams can have, and rare streams are counted up.
+    /// than so many streams can have, and counts of rare streams are rounded up.
     pub fn limited(&self, most: u64) -> StreamTally {
         let divisor = self.whole().div_ceil(most.max(1)).max(1);
         let mut limited =
--- a/crates/node/src/node/own_tallies.rs
+++ b/crates/node/src/node/own_tallies.rs
@@ -1,4 +1,4 @@
-//! What a daemon has counted of its own streams, and what of it the other daemons have to be told.
+//! What a daemon has counted of its own streams, and what of it the other daemons need to know.
 //!
 //! Owns: the counts of one source. Relies on: the driver for the streams.
 
--- a/crates/sched/src/fleet_forms/daemon_counts.rs
+++ b/crates/sched/src/fleet_forms/daemon_counts.rs
@@ -1,6 +1,6 @@
 //! What one daemon has counted of the streams of a source, over its starts.
 //!
-//! Owns: which reports count. Relies on: starts that are drawn at random, so that only the latest two are told apart.
+//! Owns: which reports count. Relies on: starts that are drawn at random, so that only the latest two can be distinguished.
 
 use curlewcleat_core::{Incarnation, StreamTally, Uptime};
 
