--- a/crates/core/src/event_form.rs
+++ b/crates/core/src/event_form.rs
@@ -171,8 +171,8 @@
         self.combined(other, u64::max)
     }
 
-    /// Returns a tally of the same shares in which at most this many whole streams are counted. No other count is larger
-    /// than so many streams can have, and counts of rare streams are rounded up.
+    /// Returns a tally of the same shares in which at most this many whole streams are counted. Every other count is limited
+    /// to what that many streams can have; cut, damaged and irregular ones are rounded up.
     pub fn limited(&self, most: u64) -> StreamTally {
         let divisor = self.whole().div_ceil(most.max(1)).max(1);
         let mut limited =
